Lay out the workspace with the crates that all others share

The declaration, the INI reader, the links and the host crate come first because every other crate stands on their types.

--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins, fault-injecting proxy, load and experiments for development.
--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,3 @@
+//! Stand-ins, fault-injecting proxy, load and experiments for development.
+
+fn main() {}
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The command line of operators and of the declaration's CI.
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The command line of operators and of the declaration's CI.
+
+fn main() {}
--- /dev/null
+++ b/crates/console/src/lib.rs
@@ -0,0 +1,1 @@
+//! The console: the operators' forms over one validated document.
--- /dev/null
+++ b/crates/console/src/main.rs
@@ -0,0 +1,3 @@
+//! The console: the operators' forms over one validated document.
+
+fn main() {}
--- /dev/null
+++ b/crates/controller/src/lib.rs
@@ -0,0 +1,1 @@
+//! The controller: makes engines run what is declared.
--- /dev/null
+++ b/crates/controller/src/main.rs
@@ -0,0 +1,3 @@
+//! The controller: makes engines run what is declared.
+
+fn main() {}
--- /dev/null
+++ b/crates/declaration/src/document.rs
@@ -0,0 +1,93 @@
+//! The declaration as plain sections: canonical text and the unit of changes.
+
+use std::{
+    collections::BTreeMap,
+    fmt::{self, Display, Formatter, Write as _},
+    str::FromStr,
+};
+
+use derives::{record, value};
+use inifile::Faults;
+
+/// Names one section: its kind (`service`, `pipeline`, …) and its name.
+#[value]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct SectionId {
+    /// The first word of the header.
+    pub kind: String,
+    /// The second word of the header.
+    pub name: String,
+}
+
+impl Display for SectionId {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}", self.kind, self.name)
+    }
+}
+
+impl FromStr for SectionId {
+    type Err = String;
+
+    fn from_str(header: &str) -> Result<Self, Self::Err> {
+        match header.split_once(char::is_whitespace) {
+            Some((kind, name)) if !name.trim().is_empty() => Ok(Self {
+                kind: kind.to_owned(),
+                name: name.trim().to_owned(),
+            }),
+            _ => Err(format!(
+                "section `{header}` has no name; write `[kind name]`"
+            )),
+        }
+    }
+}
+
+/// A section's content: keys in canonical order and the comment lines above it.
+#[record]
+#[derive(Default, Eq)]
+pub struct SectionText {
+    /// Values by key.
+    pub entries: BTreeMap<String, String>,
+    /// Comment lines directly above the header or inside the section, without their mark.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub comments: Vec<String>,
+}
+
+/// All sections of the declaration.
+#[record]
+#[derive(Default, Eq)]
+pub struct Document {
+    /// Sections by id.
+    pub sections: BTreeMap<SectionId, SectionText>,
+}
+
+impl Document {
+    /// Reads sections from INI text; duplicates are faults, contents are not yet checked.
+    pub fn read(file: &str, bytes: &[u8]) -> Result<Self, Faults> {
+        crate::read::document(file, bytes)
+    }
+
+    /// The canonical INI text: reading it gives the same document.
+    pub fn write(&self) -> String {
+        let mut out = String::new();
+        for (id, text) in &self.sections {
+            if !out.is_empty() {
+                out.push('\n');
+            }
+            write_section(&mut out, id, text);
+        }
+        out
+    }
+}
+
+/// Appends one section in canonical form to `out`.
+pub(crate) fn write_section(out: &mut String, id: &SectionId, text: &SectionText) {
+    for comment in &text.comments {
+        let line = format!("# {comment}");
+        let _ = writeln!(out, "{}", line.trim_end());
+    }
+    let _ = writeln!(out, "[{id}]");
+    for (key, value) in &text.entries {
+        let line = format!("{key} = {value}");
+        let _ = writeln!(out, "{}", line.trim_end());
+    }
+}
--- /dev/null
+++ b/crates/declaration/src/lib.rs
@@ -0,0 +1,18 @@
+//! The declaration: types, reading, canonical writing, validation, changes.
+//!
+//! Operators describe availability zones, services, pipelines and workspaces in one INI document.
+//! [`Declaration::read`] turns the text into types and lists every fault at once;
+//! [`Document`] is the same content as plain sections, the unit in which changes are made.
+
+mod change;
+mod document;
+mod read;
+mod types;
+mod validate;
+
+pub use change::{Change, Conflict, SectionChange, between, conflicts, inverse};
+pub use document::{Document, SectionId, SectionText};
+pub use inifile::{Fault, Faults};
+pub use types::{
+    AvailabilityZone, Declaration, Pipeline, Priority, Service, ServiceKind, Workspace,
+};
--- /dev/null
+++ b/crates/declaration/src/read.rs
@@ -0,0 +1,304 @@
+//! Reading a document and turning its sections into types.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use inifile::{Fault, Faults, Section};
+
+use crate::{
+    AvailabilityZone, Declaration, Document, Pipeline, Priority, SectionId, SectionText, Service,
+    ServiceKind, Workspace, validate,
+};
+
+/// Deadline of a pipeline that declares none.
+const DEFAULT_DEADLINE_MS: u64 = 3_000;
+/// Longest deadline that may be declared.
+const MAX_DEADLINE_MS: u64 = 600_000;
+const DEFAULT_MAX_IN_FLIGHT: u64 = 100;
+const MAX_IN_FLIGHT: u64 = 1_000_000;
+const DEFAULT_PRIORITY: u64 = 1;
+const DEFAULT_MAX_TOKENS: u64 = 256;
+const MAX_TOKENS: u64 = 1_000_000;
+
+/// Reads sections with duplicates as faults.
+pub(crate) fn document(file: &str, bytes: &[u8]) -> Result<Document, Faults> {
+    let (document, faults) = collect(file, &inifile::parse(file, bytes)?);
+    faults.into_result().map(|()| document)
+}
+
+impl Declaration {
+    /// Reads, types and validates a declaration; every fault is listed.
+    pub fn read(file: &str, bytes: &[u8]) -> Result<Self, Faults> {
+        let sections = inifile::parse(file, bytes)?;
+        let (document, mut faults) = collect(file, &sections);
+        let lines = Lines::new(file, &sections);
+        let declaration = typed(&document, &lines, &mut faults);
+        validate::references(&declaration, &lines, &mut faults);
+        faults.into_result().map(|()| declaration)
+    }
+
+    /// Types and validates a document that was read before; lines refer to its canonical text.
+    pub fn from_document(document: &Document) -> Result<Self, Faults> {
+        Self::read("declaration", document.write().as_bytes())
+    }
+}
+
+/// Where sections and keys stand in the file.
+pub(crate) struct Lines<'a> {
+    file: &'a str,
+    headers: BTreeMap<String, &'a Section>,
+}
+
+impl<'a> Lines<'a> {
+    fn new(file: &'a str, sections: &'a [Section]) -> Self {
+        let normal = |s: &Section| s.name.split_whitespace().collect::<Vec<_>>().join(" ");
+        let mut headers = BTreeMap::new();
+        for section in sections {
+            headers.entry(normal(section)).or_insert(section);
+        }
+        Self { file, headers }
+    }
+
+    /// A fault at `key` of section `id`, or at the header where `key` is empty or absent.
+    pub(crate) fn fault(&self, id: &str, key: &str, what: String) -> Fault {
+        let section = self.headers.get(id);
+        let line = section.map_or(0, |s| s.get(key).map_or(s.line, |entry| entry.line));
+        Fault {
+            file: self.file.to_owned(),
+            line,
+            section: id.to_owned(),
+            key: key.to_owned(),
+            what,
+        }
+    }
+}
+
+fn collect(file: &str, sections: &[Section]) -> (Document, Faults) {
+    let mut document = Document::default();
+    let mut faults = Faults::default();
+    for section in sections {
+        let fault = |line, key: &str, what: String| Fault {
+            file: file.to_owned(),
+            line,
+            section: section.name.clone(),
+            key: key.to_owned(),
+            what,
+        };
+        let id: SectionId = match section.name.parse() {
+            Ok(id) => id,
+            Err(what) => {
+                faults.0.push(fault(section.line, "", what));
+                continue;
+            }
+        };
+        if document.sections.contains_key(&id) {
+            let what = "section stands twice; keep one".to_owned();
+            faults.0.push(fault(section.line, "", what));
+            continue;
+        }
+        let mut text = SectionText {
+            comments: section.comments.clone(),
+            ..SectionText::default()
+        };
+        for entry in &section.entries {
+            let old = text.entries.insert(entry.key.clone(), entry.value.clone());
+            if old.is_some() {
+                let what = "key stands twice; keep one".to_owned();
+                faults.0.push(fault(entry.line, &entry.key, what));
+            }
+        }
+        document.sections.insert(id, text);
+    }
+    (document, faults)
+}
+
+fn typed(document: &Document, lines: &Lines<'_>, faults: &mut Faults) -> Declaration {
+    let mut out = Declaration::default();
+    for (id, text) in &document.sections {
+        let name = id.name.clone();
+        let mut keys = Keys::new(id, text, lines, faults);
+        validate::name(&mut keys, &name);
+        match id.kind.as_str() {
+            "availability-zone" => {
+                let az = AvailabilityZone {
+                    region: keys.required("region"),
+                };
+                out.availability_zones.insert(name, az);
+            }
+            "service" => {
+                let service = read_service(&mut keys);
+                out.services.insert(name, service);
+            }
+            "pipeline" => {
+                let pipeline = read_pipeline(&mut keys);
+                out.pipelines.insert(name, pipeline);
+            }
+            "workspace" => {
+                let workspace = read_workspace(&mut keys);
+                out.workspaces.insert(name, workspace);
+            }
+            _ => keys.unknown_section(),
+        }
+        keys.finish();
+    }
+    out
+}
+
+fn read_service(keys: &mut Keys<'_>) -> Service {
+    let kind = match keys.required("kind").as_str() {
+        "engine" => ServiceKind::Engine,
+        "encoder" => ServiceKind::Encoder,
+        "retriever" => ServiceKind::Retriever,
+        "reranker" => ServiceKind::Reranker,
+        "plain" | "" => ServiceKind::Plain,
+        other => {
+            let what =
+                format!("`{other}` is no kind; use engine, encoder, retriever, reranker or plain");
+            keys.fault("kind", what);
+            ServiceKind::Plain
+        }
+    };
+    let service = Service {
+        kind,
+        repeatable: keys.yes_or_no("repeatable"),
+        model: keys.optional("model"),
+        version: keys
+            .optional_number("version", 1, u64::from(u32::MAX))
+            .map(|n| n as u32),
+        adapters: keys.list("adapters"),
+        max_tokens: keys.number("max_tokens", DEFAULT_MAX_TOKENS, 1, MAX_TOKENS) as u32,
+    };
+    validate::service(keys, &service);
+    service
+}
+
+fn read_pipeline(keys: &mut Keys<'_>) -> Pipeline {
+    let stages = keys.list("stages");
+    if stages.is_empty() {
+        keys.fault("stages", "no stage; name at least one service".to_owned());
+    }
+    let deadline = keys.number("deadline_ms", DEFAULT_DEADLINE_MS, 1, MAX_DEADLINE_MS);
+    Pipeline {
+        stages,
+        deadline: Duration::from_millis(deadline),
+    }
+}
+
+fn read_workspace(keys: &mut Keys<'_>) -> Workspace {
+    let workspace = Workspace {
+        priority: Priority(
+            keys.number("priority", DEFAULT_PRIORITY, 0, u64::from(Priority::MAX)) as u8,
+        ),
+        pipelines: keys.list("pipelines"),
+        availability_zones: keys.list("availability_zones"),
+        max_in_flight: keys.number("max_in_flight", DEFAULT_MAX_IN_FLIGHT, 1, MAX_IN_FLIGHT) as u32,
+    };
+    if workspace.pipelines.is_empty() {
+        keys.fault("pipelines", "no pipeline; name at least one".to_owned());
+    }
+    if workspace.availability_zones.is_empty() {
+        let what = "no availability zone; name at least one".to_owned();
+        keys.fault("availability_zones", what);
+    }
+    workspace
+}
+
+/// The keys of one section, each taken once; what is left over is unknown.
+pub(crate) struct Keys<'a> {
+    id: String,
+    left: BTreeMap<&'a str, &'a str>,
+    lines: &'a Lines<'a>,
+    faults: &'a mut Faults,
+}
+
+impl<'a> Keys<'a> {
+    fn new(
+        id: &SectionId,
+        text: &'a SectionText,
+        lines: &'a Lines<'a>,
+        faults: &'a mut Faults,
+    ) -> Self {
+        let pairs = text.entries.iter();
+        Self {
+            id: id.to_string(),
+            left: pairs.map(|(k, v)| (k.as_str(), v.as_str())).collect(),
+            lines,
+            faults,
+        }
+    }
+
+    /// Records a fault at `key`, or at the header where `key` is empty.
+    pub(crate) fn fault(&mut self, key: &str, what: String) {
+        self.faults.0.push(self.lines.fault(&self.id, key, what));
+    }
+
+    fn optional(&mut self, key: &str) -> Option<String> {
+        match self.left.remove(key) {
+            Some("") => {
+                self.fault(key, "empty; give a value or leave the key out".to_owned());
+                None
+            }
+            found => found.map(str::to_owned),
+        }
+    }
+
+    fn required(&mut self, key: &str) -> String {
+        if !self.left.contains_key(key) {
+            self.fault(key, format!("missing; add `{key} = …`"));
+        }
+        self.optional(key).unwrap_or_default()
+    }
+
+    fn list(&mut self, key: &str) -> Vec<String> {
+        let Some(value) = self.optional(key) else {
+            return Vec::new();
+        };
+        let items: Vec<String> = value.split(',').map(|s| s.trim().to_owned()).collect();
+        if items.iter().any(String::is_empty) {
+            let what = "an item is empty; separate names by single commas".to_owned();
+            self.fault(key, what);
+        }
+        items
+    }
+
+    fn yes_or_no(&mut self, key: &str) -> bool {
+        match self.required(key).as_str() {
+            "yes" => true,
+            "no" | "" => false,
+            other => {
+                let what = format!("`{other}` is neither yes nor no; write `yes` or `no`");
+                self.fault(key, what);
+                false
+            }
+        }
+    }
+
+    fn optional_number(&mut self, key: &str, low: u64, high: u64) -> Option<u64> {
+        let value = self.optional(key)?;
+        match value.parse() {
+            Ok(n) if (low..=high).contains(&n) => Some(n),
+            _ => {
+                let what = format!("`{value}` is out of range; write {low} to {high}");
+                self.fault(key, what);
+                None
+            }
+        }
+    }
+
+    fn number(&mut self, key: &str, default: u64, low: u64, high: u64) -> u64 {
+        self.optional_number(key, low, high).unwrap_or(default)
+    }
+
+    fn unknown_section(&mut self) {
+        self.left.clear();
+        let what = "unknown kind of section; use availability-zone, service, pipeline or workspace";
+        self.fault("", what.to_owned());
+    }
+
+    fn finish(mut self) {
+        let unknown: Vec<&str> = self.left.keys().copied().collect();
+        for key in unknown {
+            self.fault(key, "unknown key; remove it or correct its name".to_owned());
+        }
+        self.left.clear();
+    }
+}
--- /dev/null
+++ b/crates/declaration/src/types.rs
@@ -0,0 +1,99 @@
+//! What operators declare, as types.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use derives::{record, token};
+
+/// A workspace's priority from 0 (first to be shed) to [`Priority::MAX`] (last to be shed).
+#[token]
+pub struct Priority(pub u8);
+
+impl Priority {
+    /// The highest priority.
+    pub const MAX: u8 = 9;
+}
+
+/// The whole intent of the operators.
+#[record]
+#[derive(Default)]
+pub struct Declaration {
+    /// Availability zones by name.
+    pub availability_zones: BTreeMap<String, AvailabilityZone>,
+    /// Services by name.
+    pub services: BTreeMap<String, Service>,
+    /// Pipelines by name.
+    pub pipelines: BTreeMap<String, Pipeline>,
+    /// Workspaces by name.
+    pub workspaces: BTreeMap<String, Workspace>,
+}
+
+/// An availability zone.
+#[record]
+pub struct AvailabilityZone {
+    /// The region in which it lies.
+    pub region: String,
+}
+
+/// What kind of back end a service is.
+#[token]
+#[serde(rename_all = "lowercase")]
+pub enum ServiceKind {
+    /// A model engine that streams tokens and takes orders.
+    Engine,
+    /// A pool of encoders.
+    Encoder,
+    /// A pool of retrievers.
+    Retriever,
+    /// A pool of rerankers.
+    Reranker,
+    /// A plain service.
+    Plain,
+}
+
+/// A service: what a stage calls.
+#[record]
+pub struct Service {
+    /// Kind of back end.
+    pub kind: ServiceKind,
+    /// Whether a call may be made again after it may have run.
+    pub repeatable: bool,
+    /// The model, for an engine.
+    pub model: Option<String>,
+    /// The model's version, for an engine.
+    pub version: Option<u32>,
+    /// Adapters that endpoints must have loaded, for an engine.
+    pub adapters: Vec<String>,
+    /// Most tokens generated for one request, for an engine.
+    pub max_tokens: u32,
+}
+
+/// A pipeline: stages in turn.
+#[record]
+pub struct Pipeline {
+    /// Names of the services called, first to last.
+    pub stages: Vec<String>,
+    /// Deadline of a request that names none.
+    pub deadline: Duration,
+}
+
+/// A workspace: on whose behalf requests come.
+#[record]
+pub struct Workspace {
+    /// Priority against other workspaces.
+    pub priority: Priority,
+    /// Pipelines it may call.
+    pub pipelines: Vec<String>,
+    /// Availability zones it may use.
+    pub availability_zones: Vec<String>,
+    /// Most requests in flight at one gate.
+    pub max_in_flight: u32,
+}
+
+impl Declaration {
+    /// Whether any stage of `pipeline` may run at most once.
+    pub fn has_unrepeatable_stage(&self, pipeline: &Pipeline) -> bool {
+        let is_unrepeatable =
+            |name: &String| self.services.get(name).is_some_and(|s| !s.repeatable);
+        pipeline.stages.iter().any(is_unrepeatable)
+    }
+}
--- /dev/null
+++ b/crates/declaration/src/validate.rs
@@ -0,0 +1,91 @@
+//! Checks across keys and sections.
+
+use std::collections::BTreeSet;
+
+use inifile::Faults;
+
+use crate::{
+    Declaration, Service, ServiceKind,
+    read::{Keys, Lines},
+};
+
+const MAX_NAME_BYTES: usize = 63;
+
+/// Names are short and fit into paths, headers and metric labels.
+pub(crate) fn name(keys: &mut Keys<'_>, name: &str) {
+    let is_plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    if name.len() > MAX_NAME_BYTES || !name.chars().all(is_plain) {
+        let what = format!(
+            "`{name}` is no name; use at most {MAX_NAME_BYTES} letters, digits, `-`, `_` or `.`"
+        );
+        keys.fault("", what);
+    }
+}
+
+/// An engine needs a model and a version; others have none.
+pub(crate) fn service(keys: &mut Keys<'_>, service: &Service) {
+    let is_engine = service.kind == ServiceKind::Engine;
+    match (&service.model, service.version) {
+        (None, _) if is_engine => {
+            keys.fault("model", "missing; an engine needs a model".to_owned());
+        }
+        (Some(_), None) if is_engine => {
+            keys.fault("version", "missing; an engine needs a version".to_owned());
+        }
+        (Some(_), _) if !is_engine => {
+            let what = "only an engine has a model; remove it or set `kind = engine`";
+            keys.fault("model", what.to_owned());
+        }
+        _ => {}
+    }
+}
+
+/// Every name that is used is declared, and no list names the same thing twice.
+pub(crate) fn references(declaration: &Declaration, lines: &Lines<'_>, faults: &mut Faults) {
+    let mut check =
+        |id: String, key: &str, names: &[String], what: &str, exists: &dyn Fn(&str) -> bool| {
+            let mut seen = BTreeSet::new();
+            for name in names.iter().filter(|n| !n.is_empty()) {
+                if !exists(name) {
+                    let text = format!(
+                        "{what} `{name}` is not declared; add `[{what} {name}]` or remove it"
+                    );
+                    faults.0.push(lines.fault(&id, key, text));
+                }
+                if !seen.insert(name) {
+                    let text = format!("`{name}` stands twice; keep one");
+                    faults.0.push(lines.fault(&id, key, text));
+                }
+            }
+        };
+    for (name, pipeline) in &declaration.pipelines {
+        let exists = |n: &str| declaration.services.contains_key(n);
+        check(
+            format!("pipeline {name}"),
+            "stages",
+            &pipeline.stages,
+            "service",
+            &exists,
+        );
+    }
+    for (name, workspace) in &declaration.workspaces {
+        let id = format!("workspace {name}");
+        let exists = |n: &str| declaration.pipelines.contains_key(n);
+        check(
+            id.clone(),
+            "pipelines",
+            &workspace.pipelines,
+            "pipeline",
+            &exists,
+        );
+        let exists = |n: &str| declaration.availability_zones.contains_key(n);
+        let zones = &workspace.availability_zones;
+        check(
+            id,
+            "availability_zones",
+            zones,
+            "availability-zone",
+            &exists,
+        );
+    }
+}
--- /dev/null
+++ b/crates/declaration/tests/documents.rs
@@ -0,0 +1,101 @@
+//! Reading, writing and changing documents.
+
+use declaration::{Declaration, Document, SectionId, SectionText, between, inverse};
+use expect_test::expect;
+use proptest::{collection::btree_map, prelude::*};
+
+const GOOD: &str = "\
+[availability-zone sousse-a]
+region = tn-sahel
+
+[pipeline appraisal]
+deadline_ms = 3000
+stages = photo-vault, appraise-llm
+
+[service appraise-llm]
+adapters = horlogerie
+kind = engine
+model = appraise-7b
+repeatable = yes
+version = 3
+
+[service photo-vault]
+kind = plain
+repeatable = yes
+
+[workspace sousse-dealers]
+availability_zones = sousse-a
+max_in_flight = 200
+pipelines = appraisal
+priority = 2
+";
+
+#[test]
+fn a_good_document_reads_and_is_canonical() {
+    let declared = Declaration::read("good.ini", GOOD.as_bytes()).unwrap();
+    assert_eq!(declared.services["appraise-llm"].version, Some(3));
+    let document = Document::read("good.ini", GOOD.as_bytes()).unwrap();
+    assert_eq!(document.write(), GOOD);
+}
+
+#[test]
+fn every_fault_is_listed_at_once() {
+    let text = "[service x]\nkind = tractor\nrepeatable = maybe\nspeed = 3\n\
+                [pipeline p]\nstages = x, y, x\ndeadline_ms = 0\n\
+                [workspace w]\npipelines = q\n[zebra z]\n[service x]\n[nameless]\n";
+    let faults = Declaration::read("bad.ini", text.as_bytes()).unwrap_err();
+    expect![[r#"
+        bad.ini:2: service x: kind: `tractor` is no kind; use engine, encoder, retriever, reranker or plain
+        bad.ini:3: service x: repeatable: `maybe` is neither yes nor no; write `yes` or `no`
+        bad.ini:4: service x: speed: unknown key; remove it or correct its name
+        bad.ini:6: pipeline p: stages: service `y` is not declared; add `[service y]` or remove it
+        bad.ini:6: pipeline p: stages: `x` stands twice; keep one
+        bad.ini:7: pipeline p: deadline_ms: `0` is out of range; write 1 to 600000
+        bad.ini:8: workspace w: availability_zones: no availability zone; name at least one
+        bad.ini:9: workspace w: pipelines: pipeline `q` is not declared; add `[pipeline q]` or remove it
+        bad.ini:10: zebra z: unknown kind of section; use availability-zone, service, pipeline or workspace
+        bad.ini:11: service x: section stands twice; keep one
+        bad.ini:12: nameless: section `nameless` has no name; write `[kind name]`"#]]
+    .assert_eq(&faults.to_string());
+}
+
+fn section_text() -> impl Strategy<Value = SectionText> {
+    let comments = proptest::collection::vec("[a-z][a-z ]{0,8}[a-z]", 0..3);
+    (
+        btree_map("[a-z_]{1,6}", "[a-z0-9][a-z0-9, ]{0,8}[a-z0-9]", 0..4),
+        comments,
+    )
+        .prop_map(|(entries, comments)| SectionText { entries, comments })
+}
+
+fn document() -> impl Strategy<Value = Document> {
+    let id = ("[a-z]{1,5}", "[a-z]{1,5}").prop_map(|(kind, name)| SectionId { kind, name });
+    btree_map(id, section_text(), 0..6).prop_map(|sections| Document { sections })
+}
+
+proptest! {
+    #[test]
+    fn what_is_written_reads_back_the_same(doc in document()) {
+        let text = doc.write();
+        let read = Document::read("x.ini", text.as_bytes()).unwrap();
+        prop_assert_eq!(&read, &doc);
+        prop_assert_eq!(read.write(), text);
+    }
+
+    #[test]
+    fn a_change_then_its_inverse_leaves_the_document(before in document(), after in document()) {
+        let changes = between(&before, &after);
+        let back = inverse(&before, &changes);
+        let mut doc = before.clone();
+        doc.apply(&changes);
+        prop_assert_eq!(&doc, &after);
+        doc.apply(&back);
+        prop_assert_eq!(&doc, &before);
+    }
+
+    #[test]
+    fn no_input_panics_the_reader(bytes: Vec<u8>, text in "[\\[\\]a-z =#;\\n:]{0,60}") {
+        let _ = Declaration::read("x.ini", &bytes);
+        let _ = Declaration::read("x.ini", text.as_bytes());
+    }
+}
--- /dev/null
+++ b/crates/demo/src/lib.rs
@@ -0,0 +1,1 @@
+//! Every role as tasks of one process, with stand-ins on loopback.
--- /dev/null
+++ b/crates/demo/src/main.rs
@@ -0,0 +1,3 @@
+//! Every role as tasks of one process, with stand-ins on loopback.
+
+fn main() {}
--- /dev/null
+++ b/crates/gate/src/lib.rs
@@ -0,0 +1,1 @@
+//! The gate: callers' requests through every stage of their pipelines.
--- /dev/null
+++ b/crates/gate/src/main.rs
@@ -0,0 +1,3 @@
+//! The gate: callers' requests through every stage of their pipelines.
+
+fn main() {}
--- /dev/null
+++ b/crates/host/src/http.rs
@@ -0,0 +1,57 @@
+//! HTTP listeners over salvo, with graceful stop and the pages that every role has.
+
+use std::{net::SocketAddr, time::Duration};
+
+use prometheus::{Registry, TextEncoder};
+use salvo::{
+    Router, Server,
+    conn::{Acceptor, Listener, TcpListener, tcp::TcpAcceptor},
+    server::ServerHandle,
+};
+
+/// A bound HTTP listener that does not serve yet.
+#[derive(Debug)]
+pub struct Bound {
+    acceptor: TcpAcceptor,
+    /// The address it got from the kernel.
+    pub local: SocketAddr,
+}
+
+/// Binds `address`; port 0 is given by the kernel.
+pub async fn bind(address: SocketAddr) -> eyre::Result<Bound> {
+    let acceptor = TcpListener::new(address).try_bind().await.map_err(|e| {
+        eyre::eyre!("bind HTTP listener on {address}: {e}; free the port or set [listen] http")
+    })?;
+    let local = acceptor
+        .holdings()
+        .first()
+        .and_then(|holding| holding.local_addr.clone().into_std())
+        .ok_or_else(|| eyre::eyre!("bind HTTP listener on {address}: no local address"))?;
+    Ok(Bound { acceptor, local })
+}
+
+/// Stops a server that [`serve`] started.
+#[derive(Clone, Debug)]
+pub struct Handle(ServerHandle);
+
+impl Handle {
+    /// Takes no new connection and ends once those in flight are done, or after `limit`.
+    pub fn stop_graceful(&self, limit: Duration) {
+        self.0.stop_graceful(limit);
+    }
+}
+
+/// Serves `router` on `bound` in a task of its own.
+pub fn serve(bound: Bound, router: Router) -> (Handle, tokio::task::JoinHandle<()>) {
+    let server = Server::new(bound.acceptor);
+    let handle = Handle(server.handle());
+    let task = tokio::spawn(async move { server.serve(router).await });
+    (handle, task)
+}
+
+/// The registry's metrics in Prometheus' text format.
+pub fn metrics_text(registry: &Registry) -> String {
+    TextEncoder::new()
+        .encode_to_string(&registry.gather())
+        .unwrap_or_default()
+}
--- /dev/null
+++ b/crates/host/src/lib.rs
@@ -0,0 +1,10 @@
+//! What every process needs of its host: settings, logs, metrics, signals, exit codes.
+
+pub mod args;
+pub mod exit;
+pub mod http;
+pub mod log;
+pub mod problem;
+pub mod role;
+pub mod settings;
+pub mod shutdown;
--- /dev/null
+++ b/crates/host/src/role.rs
@@ -0,0 +1,116 @@
+//! The thin `main` that all roles share: parse, build one config, run until stopped.
+
+use std::net::SocketAddr;
+
+use inifile::Faults;
+use spdlog::{error, info};
+use tokio::task::JoinHandle;
+
+use crate::{
+    args,
+    exit::ExitCode,
+    log,
+    settings::Reader,
+    shutdown::{self, Stopped},
+};
+
+/// A role that serves; it ends after the order to stop, once what was in flight is done.
+#[derive(Debug)]
+pub struct Running {
+    /// Where it takes HTTP.
+    pub http: SocketAddr,
+    /// Where it takes links, if it does.
+    pub link: Option<SocketAddr>,
+    /// Ends when the role has ended.
+    pub task: JoinHandle<eyre::Result<()>>,
+}
+
+impl Running {
+    /// Waits until the role has ended.
+    pub async fn finished(self) -> eyre::Result<()> {
+        self.task.await?
+    }
+}
+
+/// What a program is.
+#[derive(Clone, Copy, Debug)]
+pub struct Program {
+    /// Its name on the command line.
+    pub name: &'static str,
+    /// One line for `--help`.
+    pub about: &'static str,
+    /// Its version.
+    pub version: &'static str,
+}
+
+/// Runs a role: `read` takes what it needs from the settings, `start` brings it up.
+pub fn main<C>(
+    program: Program,
+    read: impl FnOnce(&mut Reader) -> C,
+    start: impl AsyncFnOnce(C, Stopped) -> eyre::Result<Running>,
+) -> std::process::ExitCode {
+    main_code(program, read, start).into()
+}
+
+fn main_code<C>(
+    program: Program,
+    read: impl FnOnce(&mut Reader) -> C,
+    start: impl AsyncFnOnce(C, Stopped) -> eyre::Result<Running>,
+) -> ExitCode {
+    let args = match args::parse(program.name, program.about, program.version) {
+        Ok(args) => args,
+        Err(code) => return code,
+    };
+    let (cfg, level) = match read_settings(&args.config, read) {
+        Ok(settings) => settings,
+        Err(faults) => {
+            eprintln!("{faults}");
+            return ExitCode::Usage;
+        }
+    };
+    if args.check {
+        println!("{}: settings are valid", args.config.display());
+        return ExitCode::Success;
+    }
+    match log::start(level).and_then(|()| block_on(program, cfg, start)) {
+        Ok(()) => ExitCode::Success,
+        Err(e) => {
+            error!("{e:#}", kv: { program = program.name });
+            eprintln!("{}: {e:#}", program.name);
+            ExitCode::Failure
+        }
+    }
+}
+
+fn read_settings<C>(
+    path: &std::path::Path,
+    read: impl FnOnce(&mut Reader) -> C,
+) -> Result<(C, spdlog::Level), Faults> {
+    let mut reader = Reader::from_file(path)?;
+    let level = reader.log_level();
+    let cfg = read(&mut reader);
+    reader.finish()?;
+    Ok((cfg, level))
+}
+
+fn block_on<C>(
+    program: Program,
+    cfg: C,
+    start: impl AsyncFnOnce(C, Stopped) -> eyre::Result<Running>,
+) -> eyre::Result<()> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(async {
+        let (stop, stopped) = shutdown::channel();
+        shutdown::on_signals(stop)?;
+        let running = start(cfg, stopped).await?;
+        let link = running
+            .link
+            .map_or_else(String::new, |link| link.to_string());
+        info!("listening", kv: { program = program.name, http = running.http.to_string(), link });
+        running.finished().await?;
+        info!("stopped", kv: { program = program.name });
+        Ok(())
+    })
+}
--- /dev/null
+++ b/crates/host/src/settings.rs
@@ -0,0 +1,388 @@
+//! Settings of a role: INI sections read with every fault listed.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    time::Duration,
+};
+
+use derives::value;
+use inifile::{Fault, Faults, Section};
+
+/// Sections that every role accepts, whether it needs them or not.
+const SHARED_SECTIONS: [&str; 7] = [
+    "vm", "listen", "keepers", "gates", "data", "log", "security",
+];
+
+/// The VM on which the process runs.
+#[value]
+pub struct Vm {
+    /// Its name, unique in the fleet.
+    pub name: String,
+    /// Its availability zone.
+    pub availability_zone: String,
+}
+
+/// Another process of ours and the address of its link.
+#[value]
+pub struct Peer {
+    /// The VM's name.
+    pub name: String,
+    /// Its link address.
+    pub address: SocketAddr,
+}
+
+/// `[security]`, each part optional.
+#[value]
+#[derive(Default)]
+pub struct Security {
+    /// Key with which both ends of a link prove themselves.
+    pub link_key: Option<Secret>,
+    /// Token that endpoints send with announcements.
+    pub announce_token: Option<Secret>,
+    /// Operators by token; the name is the audit trail's author.
+    pub operators: Vec<Operator>,
+}
+
+/// An operator's name and token.
+#[value]
+pub struct Operator {
+    /// Name for the audit trail.
+    pub name: String,
+    /// What the operator presents.
+    pub token: Secret,
+}
+
+/// Bytes that never appear in logs.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Secret(Vec<u8>);
+
+impl std::fmt::Debug for Secret {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Secret(…)")
+    }
+}
+
+impl Secret {
+    /// Takes `bytes` without surrounding white space.
+    pub fn new(bytes: &[u8]) -> Self {
+        Self(bytes.trim_ascii().to_vec())
+    }
+
+    /// The secret bytes.
+    pub fn expose(&self) -> &[u8] {
+        &self.0
+    }
+
+    /// Compares in constant time.
+    pub fn matches(&self, presented: &[u8]) -> bool {
+        use subtle::ConstantTimeEq;
+        self.0.ct_eq(presented).into()
+    }
+}
+
+/// Reads sections and keys, remembers which were read, and lists every fault at the end.
+#[derive(Debug)]
+pub struct Reader {
+    file: String,
+    folder: PathBuf,
+    sections: BTreeMap<String, Section>,
+    read: BTreeSet<(String, String)>,
+    known: BTreeSet<String>,
+    faults: Faults,
+}
+
+impl Reader {
+    /// Reads the file at `path`; relative paths inside it start at its folder.
+    pub fn from_file(path: &Path) -> Result<Self, Faults> {
+        let file = path.display().to_string();
+        let bytes = fs::read(path).map_err(|e| {
+            Faults(vec![Fault {
+                file: file.clone(),
+                line: 0,
+                section: String::new(),
+                key: String::new(),
+                what: format!("cannot be read: {e}; check the path given with --config"),
+            }])
+        })?;
+        let folder = path.parent().unwrap_or(Path::new("")).to_owned();
+        Self::from_bytes(&file, &folder, &bytes)
+    }
+
+    /// Reads `bytes` as the content of `file`.
+    pub fn from_bytes(file: &str, folder: &Path, bytes: &[u8]) -> Result<Self, Faults> {
+        let mut reader = Self {
+            file: file.to_owned(),
+            folder: folder.to_owned(),
+            sections: BTreeMap::new(),
+            read: BTreeSet::new(),
+            known: SHARED_SECTIONS.iter().map(|s| (*s).to_owned()).collect(),
+            faults: Faults::default(),
+        };
+        for section in inifile::parse(file, bytes)? {
+            reader.add(section);
+        }
+        Ok(reader)
+    }
+
+    fn add(&mut self, section: Section) {
+        let mut seen = BTreeSet::new();
+        for entry in &section.entries {
+            if !seen.insert(&entry.key) {
+                let what = "key stands twice; keep one".to_owned();
+                self.faults.0.push(Fault {
+                    file: self.file.clone(),
+                    line: entry.line,
+                    section: section.name.clone(),
+                    key: entry.key.clone(),
+                    what,
+                });
+            }
+        }
+        let (name, line) = (section.name.clone(), section.line);
+        if self.sections.insert(name.clone(), section).is_some() {
+            self.faults.0.push(Fault {
+                file: self.file.clone(),
+                line,
+                section: name,
+                key: String::new(),
+                what: "section stands twice; keep one".to_owned(),
+            });
+        }
+    }
+
+    /// Records a fault at `key` of `section`.
+    pub fn fault(&mut self, section: &str, key: &str, what: impl Into<String>) {
+        let at = self.sections.get(section);
+        let line = at.map_or(0, |s| s.get(key).map_or(s.line, |entry| entry.line));
+        self.faults.0.push(Fault {
+            file: self.file.clone(),
+            line,
+            section: section.to_owned(),
+            key: key.to_owned(),
+            what: what.into(),
+        });
+    }
+
+    /// The text of an optional key.
+    pub fn text(&mut self, section: &str, key: &str) -> Option<String> {
+        self.known.insert(section.to_owned());
+        self.read.insert((section.to_owned(), key.to_owned()));
+        let entry = self.sections.get(section)?.get(key)?;
+        Some(entry.value.clone())
+    }
+
+    /// The text of a key that must be there.
+    pub fn required(&mut self, section: &str, key: &str) -> String {
+        match self.text(section, key) {
+            Some(text) if !text.is_empty() => text,
+            _ => {
+                self.fault(
+                    section,
+                    key,
+                    format!("missing; add `{key} = …` to [{section}]"),
+                );
+                String::new()
+            }
+        }
+    }
+
+    /// An optional `HOST:PORT` with an IP number.
+    pub fn address(&mut self, section: &str, key: &str) -> Option<SocketAddr> {
+        let text = self.text(section, key)?;
+        let parsed = text.parse().ok();
+        if parsed.is_none() {
+            let what = format!("`{text}` is no address; write IP:PORT, such as 127.0.0.1:7401");
+            self.fault(section, key, what);
+        }
+        parsed
+    }
+
+    /// A number within `low..=high`, or `default` where the key is absent.
+    pub fn number(&mut self, section: &str, key: &str, default: u64, low: u64, high: u64) -> u64 {
+        let Some(text) = self.text(section, key) else {
+            return default;
+        };
+        match text.parse() {
+            Ok(n) if (low..=high).contains(&n) => n,
+            _ => {
+                let what = format!("`{text}` is out of range; write {low} to {high}");
+                self.fault(section, key, what);
+                default
+            }
+        }
+    }
+
+    /// Milliseconds within `low..=high`, or `default` where the key is absent.
+    pub fn millis(
+        &mut self,
+        section: &str,
+        key: &str,
+        default: u64,
+        low: u64,
+        high: u64,
+    ) -> Duration {
+        Duration::from_millis(self.number(section, key, default, low, high))
+    }
+
+    /// `[vm]`.
+    pub fn vm(&mut self) -> Vm {
+        Vm {
+            name: self.required("vm", "name"),
+            availability_zone: self.required("vm", "availability_zone"),
+        }
+    }
+
+    /// The address of `[listen]` `key`; the kernel's choice on loopback where it is absent.
+    pub fn listen(&mut self, key: &str) -> SocketAddr {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        self.address("listen", key).unwrap_or(any)
+    }
+
+    /// The peers of `section`, `name = IP:PORT` a line.
+    pub fn peers(&mut self, section: &str) -> Vec<Peer> {
+        let names: Vec<String> = match self.sections.get(section) {
+            Some(s) => s.entries.iter().map(|entry| entry.key.clone()).collect(),
+            None => Vec::new(),
+        };
+        names
+            .into_iter()
+            .filter_map(|name| {
+                let address = self.address(section, &name)?;
+                Some(Peer { name, address })
+            })
+            .collect()
+    }
+
+    /// A path, relative to the settings file's folder.
+    pub fn path(&mut self, section: &str, key: &str) -> Option<PathBuf> {
+        self.text(section, key).map(|text| self.folder.join(text))
+    }
+
+    /// `[log] level`, `info` where it is absent.
+    pub fn log_level(&mut self) -> spdlog::Level {
+        let text = self
+            .text("log", "level")
+            .unwrap_or_else(|| "info".to_owned());
+        text.parse().unwrap_or_else(|_| {
+            let what =
+                format!("`{text}` is no level; use critical, error, warn, info, debug or trace");
+            self.fault("log", "level", what);
+            spdlog::Level::Info
+        })
+    }
+
+    /// `[security]`, with the files that it names read.
+    pub fn security(&mut self) -> Security {
+        Security {
+            link_key: self.secret_file("link_key_file"),
+            announce_token: self.secret_file("announce_token_file"),
+            operators: self.operators(),
+        }
+    }
+
+    fn secret_file(&mut self, key: &str) -> Option<Secret> {
+        let bytes = self.file_bytes(key)?;
+        let secret = Secret::new(&bytes);
+        if secret.expose().is_empty() {
+            self.fault(
+                "security",
+                key,
+                "the file is empty; write the secret into it",
+            );
+            return None;
+        }
+        Some(secret)
+    }
+
+    fn operators(&mut self) -> Vec<Operator> {
+        let Some(bytes) = self.file_bytes("operator_tokens_file") else {
+            return Vec::new();
+        };
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        let lines = text.lines().map(str::trim);
+        let mut operators = Vec::new();
+        for line in lines.filter(|line| !line.is_empty() && !line.starts_with('#')) {
+            match line.split_once(char::is_whitespace) {
+                Some((name, token)) => operators.push(Operator {
+                    name: name.to_owned(),
+                    token: Secret::new(token.as_bytes()),
+                }),
+                None => {
+                    let what = "a line lacks its token; write `name token`";
+                    self.fault("security", "operator_tokens_file", what);
+                }
+            }
+        }
+        operators
+    }
+
+    fn file_bytes(&mut self, key: &str) -> Option<Vec<u8>> {
+        let path = self.path("security", key)?;
+        match fs::read(&path) {
+            Ok(bytes) => Some(bytes),
+            Err(e) => {
+                let what = format!("`{}` cannot be read: {e}", path.display());
+                self.fault("security", key, what);
+                None
+            }
+        }
+    }
+
+    /// Lists every fault, unknown sections and keys among them.
+    pub fn finish(mut self) -> Result<(), Faults> {
+        let mut unknown = Vec::new();
+        for (name, section) in &self.sections {
+            if !self.known.contains(name) {
+                unknown.push((name.clone(), String::new(), "unknown section"));
+                continue;
+            }
+            let is_read = |key: &String| self.read.contains(&(name.clone(), key.clone()));
+            let is_unused = !self.read.iter().any(|(section, _)| section == name);
+            if SHARED_SECTIONS.contains(&name.as_str()) && is_unused {
+                continue;
+            }
+            for entry in section.entries.iter().filter(|entry| !is_read(&entry.key)) {
+                unknown.push((name.clone(), entry.key.clone(), "unknown key"));
+            }
+        }
+        for (section, key, what) in unknown {
+            self.fault(
+                &section,
+                &key,
+                format!("{what}; remove it or correct its name"),
+            );
+        }
+        self.faults.into_result()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::path::Path;
+
+    use super::Reader;
+
+    fn reader(text: &str) -> Reader {
+        Reader::from_bytes("x.ini", Path::new(""), text.as_bytes()).unwrap()
+    }
+
+    #[test]
+    fn every_fault_is_listed_with_its_line() {
+        let mut r = reader("[vm]\nname = a\nsize = 3\n[listen]\nhttp = here\n[gatez]\n");
+        r.vm();
+        r.listen("http");
+        let faults = r.finish().unwrap_err();
+        let lines: Vec<usize> = faults.0.iter().map(|fault| fault.line).collect();
+        assert_eq!(lines, [1, 3, 5, 6]);
+    }
+
+    #[test]
+    fn shared_sections_that_a_role_does_not_need_are_accepted() {
+        let mut r = reader("[vm]\nname = a\navailability_zone = z\n[data]\nfolder = d\n");
+        r.vm();
+        assert!(r.finish().is_ok());
+    }
+}
--- /dev/null
+++ b/crates/link/src/connection.rs
@@ -0,0 +1,102 @@
+//! Reading and writing frames on one open connection.
+
+use futures_util::{Sink, SinkExt, Stream, StreamExt};
+use tokio::{
+    sync::mpsc,
+    time::{MissedTickBehavior, interval, timeout},
+};
+use tokio_tungstenite::tungstenite::{self, Message, protocol::WebSocketConfig};
+
+use crate::{LinkConfig, LinkError, decode, encode, frame::Frame};
+
+/// Frames handed to the socket before a flush.
+const MAX_BATCH: usize = 64;
+
+/// The WebSocket library's bounds for `cfg`.
+pub(crate) fn bounds(cfg: &LinkConfig) -> WebSocketConfig {
+    WebSocketConfig::default()
+        .max_message_size(Some(cfg.max_frame))
+        .max_frame_size(Some(cfg.max_frame))
+}
+
+/// Writes what comes from `rx` and a heartbeat when due; ends when the socket fails or stalls, and
+/// with `Ok` once every sender of `rx` is gone.
+pub(crate) async fn write_loop(
+    mut sink: impl Sink<Message, Error = tungstenite::Error> + Unpin,
+    rx: &mut mpsc::Receiver<Frame>,
+    cfg: &LinkConfig,
+    peer: &str,
+) -> Result<(), LinkError> {
+    let mut beat = interval(cfg.heartbeat);
+    beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut batch = Vec::new();
+    loop {
+        tokio::select! {
+            taken = rx.recv_many(&mut batch, MAX_BATCH) => if taken == 0 {
+                // The other end also copes with a close that it never sees.
+                let _ = timeout(cfg.connect, sink.close()).await;
+                return Ok(());
+            },
+            _ = beat.tick() => batch.push(Frame::Heartbeat),
+        }
+        let write = async {
+            for frame in batch.drain(..) {
+                sink.feed(Message::Binary(encode(&frame).into())).await?;
+            }
+            sink.flush().await
+        };
+        match timeout(cfg.silence, write).await {
+            Ok(Ok(())) => {}
+            Ok(Err(e)) => return Err(socket_error("write to", peer, &e)),
+            Err(_) => return Err(silent(cfg, peer)),
+        }
+    }
+}
+
+/// Reads the next call or reply; heartbeats only prove progress.
+pub(crate) async fn read_frame(
+    stream: &mut (impl Stream<Item = Result<Message, tungstenite::Error>> + Unpin),
+    cfg: &LinkConfig,
+    peer: &str,
+) -> Result<Frame, LinkError> {
+    loop {
+        let next = timeout(cfg.silence, stream.next()).await;
+        let message = match next {
+            Err(_) => return Err(silent(cfg, peer)),
+            Ok(None) => {
+                return Err(LinkError::Lost {
+                    peer: peer.to_owned(),
+                });
+            }
+            Ok(Some(Err(e))) => return Err(socket_error("read from", peer, &e)),
+            Ok(Some(Ok(message))) => message,
+        };
+        match message {
+            Message::Binary(bytes) => match decode(&bytes)? {
+                Frame::Heartbeat => {}
+                frame => return Ok(frame),
+            },
+            Message::Close(_) => {
+                return Err(LinkError::Lost {
+                    peer: peer.to_owned(),
+                });
+            }
+            _ => {}
+        }
+    }
+}
+
+fn silent(cfg: &LinkConfig, peer: &str) -> LinkError {
+    LinkError::Silent {
+        peer: peer.to_owned(),
+        silence: cfg.silence,
+    }
+}
+
+fn socket_error(step: &'static str, peer: &str, e: &tungstenite::Error) -> LinkError {
+    LinkError::Socket {
+        step,
+        peer: peer.to_owned(),
+        reason: e.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Choice of endpoints, limits, admission, retry budgets and outlier ejection.
