Bound HTTP listeners and send small writes at once

Salvo leaves TCP_NODELAY off, so that a streamed chunk would wait for the acknowledgement of the one before; accepted sockets now inherit it from the listener. serve_within bounds connections, heads, bodies and stalled writes.

--- a/crates/host/src/http.rs
+++ b/crates/host/src/http.rs
@@ -6,8 +6,10 @@
 use salvo::{
     Router, Server,
     conn::{Acceptor, Listener, TcpListener, tcp::TcpAcceptor},
+    fuse::FuseConfig,
     server::ServerHandle,
 };
+use socket2::SockRef;
 
 /// A bound HTTP listener that does not serve yet.
 #[derive(Debug)]
@@ -22,6 +24,8 @@
     let acceptor = TcpListener::new(address).try_bind().await.map_err(|e| {
         eyre::eyre!("bind HTTP listener on {address}: {e}; free the port or set [listen] http")
     })?;
+    // Accepted sockets inherit it: a streamed chunk must not wait for the acknowledgement of the last.
+    SockRef::from(acceptor.inner()).set_tcp_nodelay(true)?;
     let local = acceptor
         .holdings()
         .first()
@@ -41,6 +45,40 @@
     }
 }
 
+/// What one listener takes from callers before it closes their connections.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Most open connections; more wait in the kernel's backlog.
+    pub connections: usize,
+    /// Most bytes of one request's head.
+    pub head_bytes: usize,
+    /// Longest time for the head of a request, idle keep-alive included.
+    pub head: Duration,
+    /// Longest pause between two parts of a request's body.
+    pub body: Duration,
+    /// Longest time that a caller may leave a write pending.
+    pub write: Duration,
+}
+
+/// Serves `router` on `bound` within `bounds` in a task of its own.
+pub fn serve_within(
+    bound: Bound,
+    router: Router,
+    bounds: &Bounds,
+) -> (Handle, tokio::task::JoinHandle<()>) {
+    let fuse = FuseConfig::default()
+        .with_http1_header_timeout(bounds.head)
+        .with_request_body_timeout(bounds.body)
+        .with_write_stall_timeout(bounds.write);
+    let mut server = Server::new(bound.acceptor)
+        .max_connections(bounds.connections)
+        .fuse_config(fuse);
+    server.http1_mut().max_buf_size(bounds.head_bytes);
+    let handle = Handle(server.handle());
+    let task = tokio::spawn(async move { server.serve(router).await });
+    (handle, task)
+}
+
 /// Serves `router` on `bound` in a task of its own.
 pub fn serve(bound: Bound, router: Router) -> (Handle, tokio::task::JoinHandle<()>) {
     let server = Server::new(bound.acceptor);
