--- /dev/null
+++ b/crates/gate/src/engine.rs
@@ -0,0 +1,200 @@
+//! Adapter for model engines: `POST /v1/completions` with streamed, offset chunks.
+
+use std::borrow::Cow;
+
+use bytes::{Bytes, BytesMut};
+use declaration::Service;
+use hyper::{Method, Request};
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+use uuid::Uuid;
+
+use crate::{
+    assembly::{Accepted, Assembly},
+    exchange::{Call, Exchange},
+    failure::CallError,
+    pool::Pool,
+    sse::{EventReader, write_event},
+    stream::Sink,
+};
+
+/// Longest line of a stream in bytes.
+const MAX_LINE: usize = 1 << 20;
+const DONE: &[u8] = b"[DONE]";
+
+#[derive(Serialize)]
+struct Body<'a> {
+    model: &'a str,
+    prompt: &'a str,
+    max_tokens: u32,
+    stream: bool,
+    priority: u8,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    resume: Option<Resume>,
+}
+
+/// Where a stream goes on.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub(crate) struct Resume {
+    /// The call whose stream was cut.
+    pub(crate) call: Uuid,
+    /// The bytes of text held.
+    pub(crate) offset: usize,
+}
+
+#[derive(Deserialize)]
+struct Chunk<'a> {
+    offset: Option<usize>,
+    #[serde(borrow, default)]
+    choices: Vec<Choice<'a>>,
+    usage: Option<Usage>,
+}
+
+#[derive(Deserialize)]
+struct Choice<'a> {
+    #[serde(borrow, default)]
+    text: Cow<'a, str>,
+}
+
+#[derive(Deserialize)]
+struct Usage {
+    prompt_tokens_details: Option<PromptDetails>,
+}
+
+#[derive(Deserialize)]
+struct PromptDetails {
+    #[serde(default)]
+    cached_tokens: u64,
+}
+
+/// A `token` event to the caller.
+#[derive(Serialize)]
+struct Token<'a> {
+    offset: usize,
+    text: &'a str,
+}
+
+/// What an engine said of one stream.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Tally {
+    /// Chunks that brought new text; an engine sends one a token.
+    pub(crate) tokens: u64,
+    /// Prompt tokens found in the engine's cache, where it says so.
+    pub(crate) reused_tokens: Option<u64>,
+}
+
+/// The prompt: a JSON string as itself, an object's `prompt`, anything else as JSON.
+pub(crate) fn prompt(value: &RawValue) -> Cow<'_, str> {
+    #[derive(Deserialize)]
+    struct Prompted {
+        prompt: String,
+    }
+    let json = value.get();
+    match json.as_bytes().first() {
+        Some(b'"') => serde_json::from_str::<String>(json).map_or(Cow::Borrowed(json), Cow::Owned),
+        Some(b'{') => serde_json::from_str::<Prompted>(json)
+            .map_or(Cow::Borrowed(json), |p| Cow::Owned(p.prompt)),
+        _ => Cow::Borrowed(json),
+    }
+}
+
+/// The HTTP request of a completion.
+pub(crate) fn request(
+    call: &Call,
+    service: &Service,
+    prompt: &str,
+    resume: Option<Resume>,
+) -> Request<http_body_util::Full<Bytes>> {
+    let body = Body {
+        model: service.model.as_deref().unwrap_or_default(),
+        prompt,
+        max_tokens: service.max_tokens,
+        stream: true,
+        priority: call.priority,
+        resume,
+    };
+    let body = serde_json::to_vec(&body).unwrap_or_default();
+    call.request(Method::POST, "/v1/completions", body.into())
+}
+
+/// The HTTP request that cancels `call`.
+pub(crate) fn cancel(call: &Call) -> Request<http_body_util::Full<Bytes>> {
+    let path = format!("/v1/completions/{}", call.id);
+    call.request(Method::DELETE, &path, Bytes::new())
+}
+
+/// Reads a stream into `assembly` up to its end; new text goes to `sink` at once.
+pub(crate) async fn read(
+    mut exchange: Exchange,
+    pool: &Pool,
+    assembly: &mut Assembly,
+    sink: Option<&Sink>,
+    tally: &mut Tally,
+) -> Result<(), CallError> {
+    let max = exchange.max_bytes();
+    let mut events = EventReader::default();
+    while let Some(bytes) = exchange.next().await? {
+        let pushed = events.push(&bytes, MAX_LINE);
+        pushed.map_err(|_| CallError::TooLarge(MAX_LINE))?;
+        let mut out = BytesMut::new();
+        let is_done = take_events(&mut events, assembly, tally, sink.map(|_| &mut out));
+        if let Some(sink) = sink.filter(|_| !out.is_empty()) {
+            sink.send(out.freeze()).await?;
+        }
+        match is_done? {
+            true => {
+                finish(exchange, pool).await;
+                return Ok(());
+            }
+            false if assembly.offset() > max => return Err(CallError::TooLarge(max)),
+            false => {}
+        }
+    }
+    Err(CallError::Broken("the stream ended without [DONE]".to_owned()))
+}
+
+/// The text is whole; only a body that ends at once keeps its connection.
+async fn finish(mut exchange: Exchange, pool: &Pool) {
+    if matches!(exchange.next().await, Ok(None)) {
+        exchange.finish(pool);
+    }
+}
+
+fn take_events(
+    events: &mut EventReader,
+    assembly: &mut Assembly,
+    tally: &mut Tally,
+    mut out: Option<&mut BytesMut>,
+) -> Result<bool, CallError> {
+    while let Some(data) = events.next_data() {
+        if &data[..] == DONE {
+            return Ok(true);
+        }
+        let malformed = |e: &dyn std::fmt::Display| CallError::Malformed(e.to_string());
+        let chunk: Chunk<'_> = serde_json::from_slice(&data).map_err(|e| malformed(&e))?;
+        let usage = chunk.usage.and_then(|u| u.prompt_tokens_details);
+        tally.reused_tokens = usage.map(|d| d.cached_tokens).or(tally.reused_tokens);
+        let Some(choice) = chunk.choices.first() else {
+            continue;
+        };
+        let offset = chunk.offset.ok_or_else(|| malformed(&"a chunk has no offset"))?;
+        match assembly.accept(offset, &choice.text) {
+            Accepted::New(range) => {
+                tally.tokens += 1;
+                if let Some(out) = out.as_deref_mut() {
+                    let offset = range.start;
+                    let text = &assembly.text()[range];
+                    write_event(out, "token", &Token { offset, text });
+                }
+            }
+            Accepted::Repeated => {}
+            Accepted::Gap => {
+                let held = assembly.offset();
+                let what = format!("a chunk at offset {offset} came after {held} bytes");
+                return Err(CallError::Broken(what));
+            }
+            Accepted::Diverged => return Err(CallError::Diverged),
+        }
+    }
+    Ok(false)
+}
--- /dev/null
+++ b/crates/gate/src/exchange.rs
@@ -0,0 +1,238 @@
+//! One call to one endpoint up to the head of its answer.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
+use hyper::{
+    HeaderMap, Method, Request, StatusCode,
+    body::Incoming,
+    header::{CONTENT_TYPE, HOST, HeaderName, HeaderValue, RETRY_AFTER},
+};
+use tokio::time::{Instant, timeout, timeout_at};
+use uuid::Uuid;
+
+use crate::{connection::Connection, failure::CallError, handover::Handover, pool::Pool};
+
+/// Header of the call id, which every answer echoes.
+const CALL: HeaderName = HeaderName::from_static("jujube-call");
+const DEADLINE: HeaderName = HeaderName::from_static("jujube-deadline-ms");
+const PRIORITY: HeaderName = HeaderName::from_static("jujube-priority");
+const KEY: HeaderName = HeaderName::from_static("idempotency-key");
+const OUTCOME: HeaderName = HeaderName::from_static("jujube-outcome");
+
+/// Most bytes of an endpoint's error answer that are read.
+const MAX_ERROR_BYTES: usize = 64 << 10;
+/// Most characters of an endpoint's error answer that are passed on.
+const MAX_DETAIL_CHARS: usize = 300;
+
+/// Bounds on waiting for and reading an answer.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Waits {
+    /// Longest wait for the head of the answer.
+    pub(crate) first_byte: Duration,
+    /// Longest pause between two parts of the answer.
+    pub(crate) gap: Duration,
+    /// The request's deadline, or for a call that may not be repeated somewhat later.
+    pub(crate) deadline: Instant,
+    /// Most bytes of an answer.
+    pub(crate) max_bytes: usize,
+}
+
+/// What every call says of itself.
+#[derive(Clone, Debug)]
+pub(crate) struct Call {
+    /// Fresh for each call.
+    pub(crate) id: Uuid,
+    /// Where it goes.
+    pub(crate) address: SocketAddr,
+    /// The request's deadline.
+    pub(crate) deadline: Instant,
+    /// The workspace's priority.
+    pub(crate) priority: u8,
+    /// The key of a call that may not be repeated.
+    pub(crate) key: Option<Uuid>,
+    /// The record of its bytes.
+    pub(crate) handover: Handover,
+    /// Bounds on its answer.
+    pub(crate) waits: Waits,
+}
+
+impl Call {
+    /// The HTTP request for this call.
+    pub(crate) fn request(&self, method: Method, path: &str, body: Bytes) -> Request<Full<Bytes>> {
+        let mut req = Request::new(Full::new(body));
+        *req.method_mut() = method;
+        *req.uri_mut() = path.parse().unwrap_or_default();
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let headers = req.headers_mut();
+        headers.insert(HOST, header(&self.address.to_string()));
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        headers.insert(CALL, header(&self.id.to_string()));
+        headers.insert(DEADLINE, HeaderValue::from(left.as_millis() as u64));
+        headers.insert(PRIORITY, HeaderValue::from(u16::from(self.priority)));
+        if let Some(key) = self.key {
+            headers.insert(KEY, header(&key.to_string()));
+        }
+        req
+    }
+}
+
+/// Numbers, ids and addresses are plain ASCII.
+fn header(text: &str) -> HeaderValue {
+    HeaderValue::from_str(text).unwrap_or_else(|_| HeaderValue::from_static(""))
+}
+
+/// An answered call whose body has yet to be read.
+#[derive(Debug)]
+pub(crate) struct Exchange {
+    connection: Connection,
+    body: Incoming,
+    address: SocketAddr,
+    /// When the head of the answer came.
+    pub(crate) answered: Instant,
+    waits: Waits,
+}
+
+/// Sends `req` for `call` on an idle connection, or a new one, and waits for the head of a good
+/// answer. An idle connection that turns out to be closed before the first byte is replaced.
+pub(crate) async fn begin(
+    pool: &Pool,
+    call: &Call,
+    req: Request<Full<Bytes>>,
+) -> Result<Exchange, CallError> {
+    if let Some(connection) = pool.take(call.address) {
+        match begin_on(connection, pool, call, req.clone()).await {
+            Err(CallError::Broken(_)) if !call.handover.is_handed() => {}
+            result => return result,
+        }
+    }
+    begin_fresh(pool, call, req).await
+}
+
+/// Like [`begin`], always on a new connection.
+pub(crate) async fn begin_fresh(
+    pool: &Pool,
+    call: &Call,
+    req: Request<Full<Bytes>>,
+) -> Result<Exchange, CallError> {
+    let connection = pool.connect(call.address).await;
+    let connection = connection.map_err(CallError::Connect)?;
+    begin_on(connection, pool, call, req).await
+}
+
+/// Like [`begin`], on `connection`.
+pub(crate) async fn begin_on(
+    mut connection: Connection,
+    pool: &Pool,
+    call: &Call,
+    req: Request<Full<Bytes>>,
+) -> Result<Exchange, CallError> {
+    let waits = call.waits;
+    let until = waits.deadline.min(Instant::now() + waits.first_byte);
+    let sent = timeout_at(until, connection.send(req, &call.handover)).await;
+    let answer = match sent {
+        Err(_) if Instant::now() >= waits.deadline => return Err(CallError::Deadline),
+        Err(_) => {
+            pool.suspect(call.address);
+            return Err(CallError::Stalled(waits.first_byte));
+        }
+        Ok(Err(e)) => return Err(CallError::Broken(e.to_string())),
+        Ok(Ok(answer)) => answer,
+    };
+    let (head, body) = answer.into_parts();
+    let exchange = Exchange {
+        connection,
+        body,
+        address: call.address,
+        answered: Instant::now(),
+        waits,
+    };
+    exchange.check(call.id, head.status, &head.headers, pool).await
+}
+
+impl Exchange {
+    async fn check(
+        self,
+        id: Uuid,
+        status: StatusCode,
+        headers: &HeaderMap,
+        pool: &Pool,
+    ) -> Result<Self, CallError> {
+        let echoed = headers.get(CALL).map(HeaderValue::as_bytes);
+        let is_ours = echoed.is_some_and(|echo| Uuid::try_parse_ascii(echo) == Ok(id));
+        let is_refused = headers.get(OUTCOME).is_some_and(|o| o == "not_run");
+        let retry_after = retry_after(headers);
+        match status {
+            _ if echoed.is_some() && !is_ours => Err(CallError::Crossed),
+            StatusCode::SERVICE_UNAVAILABLE if is_refused => {
+                // The body says no more; reading it only keeps the connection.
+                let _ = self.collect(MAX_ERROR_BYTES, pool).await;
+                Err(CallError::NotRun { retry_after })
+            }
+            StatusCode::OK if !is_ours => Err(CallError::Crossed),
+            StatusCode::OK => Ok(self),
+            _ => {
+                let text = self.collect(MAX_ERROR_BYTES, pool).await;
+                Err(CallError::Status {
+                    status: status.as_u16(),
+                    detail: shorten(&text.unwrap_or_default()),
+                    retry_after,
+                })
+            }
+        }
+    }
+
+    /// The next part of the body; `None` at its end.
+    pub(crate) async fn next(&mut self) -> Result<Option<Bytes>, CallError> {
+        loop {
+            let wait = timeout(self.waits.gap, self.body.frame());
+            let frame = match timeout_at(self.waits.deadline, wait).await {
+                Err(_) => return Err(CallError::Deadline),
+                Ok(Err(_)) => return Err(CallError::Stalled(self.waits.gap)),
+                Ok(Ok(None)) => return Ok(None),
+                Ok(Ok(Some(Err(e)))) => return Err(CallError::Broken(e.to_string())),
+                Ok(Ok(Some(Ok(frame)))) => frame,
+            };
+            // Trailers carry nothing of ours.
+            if let Ok(data) = frame.into_data() {
+                return Ok(Some(data));
+            }
+        }
+    }
+
+    /// Reads the whole body, at most `max` bytes of it, and gives the connection back.
+    pub(crate) async fn collect(mut self, max: usize, pool: &Pool) -> Result<Bytes, CallError> {
+        let mut whole = BytesMut::new();
+        while let Some(part) = self.next().await? {
+            if whole.len() + part.len() > max {
+                return Err(CallError::TooLarge(max));
+            }
+            whole.extend_from_slice(&part);
+        }
+        self.finish(pool);
+        Ok(whole.freeze())
+    }
+
+    /// Gives the connection back after the body's end.
+    pub(crate) fn finish(self, pool: &Pool) {
+        pool.put(self.address, self.connection);
+    }
+
+    /// The bound on the answer's size.
+    pub(crate) fn max_bytes(&self) -> usize {
+        self.waits.max_bytes
+    }
+}
+
+fn retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get(RETRY_AFTER)?.to_str().ok()?;
+    text.parse().ok().map(Duration::from_secs)
+}
+
+fn shorten(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes)
+        .chars()
+        .take(MAX_DETAIL_CHARS)
+        .collect()
+}
--- /dev/null
+++ b/crates/gate/src/plain.rs
@@ -0,0 +1,43 @@
+//! Adapter for every kind of service but engines: `POST /v1/stages/{service}`.
+
+use bytes::Bytes;
+use hyper::Method;
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+
+use crate::{
+    exchange::{Call, Exchange},
+    failure::CallError,
+    pool::Pool,
+};
+
+#[derive(Serialize)]
+struct Body<'a> {
+    input: &'a RawValue,
+    previous: Option<&'a RawValue>,
+}
+
+#[derive(Deserialize)]
+struct Answer {
+    output: Box<RawValue>,
+}
+
+/// The HTTP request of a stage call.
+pub(crate) fn request(
+    call: &Call,
+    service: &str,
+    input: &RawValue,
+    previous: Option<&RawValue>,
+) -> hyper::Request<http_body_util::Full<Bytes>> {
+    let body = serde_json::to_vec(&Body { input, previous }).unwrap_or_default();
+    call.request(Method::POST, &format!("/v1/stages/{service}"), body.into())
+}
+
+/// Reads the stage's output.
+pub(crate) async fn read(exchange: Exchange, pool: &Pool) -> Result<Box<RawValue>, CallError> {
+    let max = exchange.max_bytes();
+    let bytes = exchange.collect(max, pool).await?;
+    let answer: Answer =
+        serde_json::from_slice(&bytes).map_err(|e| CallError::Malformed(e.to_string()))?;
+    Ok(answer.output)
+}
--- /dev/null
+++ b/crates/gate/src/record.rs
@@ -0,0 +1,83 @@
+//! What is known of a request's calls, from which its outcome is decided.
+
+use std::sync::{Mutex, MutexGuard};
+
+use host::problem::Outcome;
+
+use crate::handover::Handover;
+
+/// What became of the request's calls that may not be repeated.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) enum Once {
+    /// None was sent.
+    #[default]
+    Unsent,
+    /// One was sent, and its result has not been seen.
+    InDoubt,
+    /// One was answered by a refusal.
+    Refused,
+    /// One ran.
+    Ran,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    calls: Vec<Call>,
+    once: Once,
+}
+
+#[derive(Debug)]
+struct Call {
+    handover: Handover,
+    is_refused: bool,
+}
+
+/// The record of one request.
+#[derive(Debug, Default)]
+pub(crate) struct Record(Mutex<State>);
+
+impl Record {
+    /// Adds a call before its first byte; returns its number.
+    pub(crate) fn add(&self, handover: &Handover) -> usize {
+        let mut state = self.lock();
+        state.calls.push(Call {
+            handover: handover.clone(),
+            is_refused: false,
+        });
+        state.calls.len() - 1
+    }
+
+    /// The endpoint said explicitly that call number `call` did not run.
+    pub(crate) fn refuse(&self, call: usize) {
+        self.lock().calls[call].is_refused = true;
+    }
+
+    /// States what became of a call that may not be repeated; one that ran stays so.
+    pub(crate) fn once(&self, once: Once) {
+        let mut state = self.lock();
+        if state.once != Once::Ran {
+            state.once = once;
+        }
+    }
+
+    /// The outcome of a request that was not answered in full. Calls that are still open are
+    /// sealed first, so that the answer stays true.
+    pub(crate) fn outcome(&self) -> Outcome {
+        let state = self.lock();
+        let mut has_run = false;
+        for call in &state.calls {
+            let is_unsent = call.handover.seal();
+            has_run |= !is_unsent && !call.is_refused;
+        }
+        match state.once {
+            Once::InDoubt | Once::Ran => Outcome::Unknown,
+            Once::Refused => Outcome::Failed,
+            Once::Unsent if has_run => Outcome::Failed,
+            Once::Unsent => Outcome::NotRun,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.0.lock().expect("no holder of this lock panics")
+    }
+}
