Follow the declaration: feed and follower

The feed holds what is in force at a process and answers others from it; the follower long-polls one source and checks another one every 2 s, since a source that is cut off from the keepers still answers its links.

--- /dev/null
+++ b/crates/link/src/follower.rs
@@ -0,0 +1,279 @@
+//! The following side: keeps the declaration in force here in step with the keepers.
+//!
+//! One task long-polls one source and checks another one from time to time, so that a source which
+//! stands still unnoticed is found out. What is in force never goes backwards.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::{
+    sync::watch,
+    task::{AbortHandle, JoinSet},
+    time::{Instant, MissedTickBehavior, interval, sleep, timeout},
+};
+
+pub use crate::feed::{Feed, FeedError, InForce};
+use crate::{
+    Channel, LinkError, Peer, Role,
+    follow::{Follow, Followed},
+};
+
+/// Pause after a source failed, so that dead sources are not asked in a tight loop.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+
+/// Timing of a [`Follower`].
+#[derive(Clone, Debug)]
+pub struct FollowerConfig {
+    /// How long a source may hold an answer back.
+    pub wait: Duration,
+    /// Time beyond `wait` after which a source counts as silent.
+    pub grace: Duration,
+    /// Time between checks of another source.
+    pub check: Duration,
+    /// At the start: how long to wait for answers of more sources after the first one.
+    pub gather: Duration,
+}
+
+impl Default for FollowerConfig {
+    fn default() -> Self {
+        Self {
+            wait: Duration::from_secs(10),
+            grace: Duration::from_secs(1),
+            check: Duration::from_secs(2),
+            gather: Duration::from_millis(200),
+        }
+    }
+}
+
+/// Follows the declaration; clones share one task, which ends with the last of them.
+#[derive(Clone, Debug)]
+pub struct Follower {
+    feed: Arc<Feed>,
+    source: watch::Receiver<Option<String>>,
+    _task: Arc<AbortOnDrop>,
+}
+
+#[derive(Debug)]
+struct AbortOnDrop(AbortHandle);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+impl Follower {
+    /// Starts to follow `sources`, in order of preference: keepers of the own availability zone,
+    /// gates of the own availability zone, other keepers.
+    pub fn start(sources: Vec<Peer>, cfg: FollowerConfig) -> Self {
+        let feed = Arc::new(Feed::new());
+        let (tx, source) = watch::channel(None);
+        let following = Following {
+            feed: Arc::clone(&feed),
+            sources,
+            cfg,
+            source: tx,
+        };
+        let task = tokio::spawn(following.run());
+        Self {
+            feed,
+            source,
+            _task: Arc::new(AbortOnDrop(task.abort_handle())),
+        }
+    }
+
+    /// What is in force here; `None` until a source was heard.
+    pub fn in_force(&self) -> watch::Receiver<Option<Arc<InForce>>> {
+        self.feed.in_force()
+    }
+
+    /// The name of the source that answered last; `None` while no source answers.
+    pub fn source(&self) -> watch::Receiver<Option<String>> {
+        self.source.clone()
+    }
+
+    /// Answers another follower's call on [`Channel::Follow`] from what is in force here.
+    pub fn answer(&self, body: &[u8]) -> impl Future<Output = Vec<u8>> + Send + use<> {
+        let (feed, body) = (Arc::clone(&self.feed), body.to_vec());
+        async move { feed.answer(&body).await }
+    }
+}
+
+/// How an answer left us.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Heard {
+    /// The source is at our revision, or brought us to its own.
+    InStep,
+    /// The source is behind us, has nothing, or its answer was no use.
+    Useless,
+}
+
+struct Following {
+    feed: Arc<Feed>,
+    sources: Vec<Peer>,
+    cfg: FollowerConfig,
+    source: watch::Sender<Option<String>>,
+}
+
+impl Following {
+    async fn run(self) {
+        if self.sources.is_empty() {
+            return;
+        }
+        let mut at = self.begin().await;
+        let mut failures = 0;
+        let mut probe = at;
+        loop {
+            let (heard, found) = self.poll_and_check(at, &mut probe).await;
+            match (heard, found) {
+                (_, Some(better)) => {
+                    at = better;
+                    failures = 0;
+                }
+                (Heard::InStep, None) => failures = 0,
+                (Heard::Useless, None) => {
+                    at = (at + 1) % self.sources.len();
+                    failures += 1;
+                    if failures >= self.sources.len() {
+                        self.source.send_replace(None);
+                    }
+                    sleep(RETRY_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Hears every source that answers soon and starts from the one that is furthest.
+    async fn begin(&self) -> usize {
+        loop {
+            let mut best: Option<(u64, usize, Followed)> = None;
+            for (at, answer) in self.gather().await {
+                let revision = match &answer {
+                    Followed::Unavailable => continue,
+                    Followed::Unchanged { revision } | Followed::Snapshot { revision, .. } => {
+                        *revision
+                    }
+                    Followed::Changes(changes) => changes.last().map_or(0, |c| c.revision),
+                };
+                let is_better = best
+                    .as_ref()
+                    .is_none_or(|(r, i, _)| revision > *r || (revision == *r && at < *i));
+                if is_better {
+                    best = Some((revision, at, answer));
+                }
+            }
+            let taken = best.and_then(|(_, at, answer)| self.feed.take(answer).ok().map(|_| at));
+            if let Some(at) = taken {
+                self.heard(at);
+                return at;
+            }
+            sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    async fn gather(&self) -> Vec<(usize, Followed)> {
+        let mut calls = JoinSet::new();
+        for (at, peer) in self.sources.iter().cloned().enumerate() {
+            let limit = self.cfg.grace;
+            calls.spawn(async move {
+                peer.connected().await;
+                (at, ask(&peer, 0, Duration::ZERO, limit).await)
+            });
+        }
+        let mut answers = Vec::new();
+        let mut deadline = Instant::now() + self.cfg.grace;
+        loop {
+            let left = deadline.saturating_duration_since(Instant::now());
+            match timeout(left, calls.join_next()).await {
+                Ok(Some(Ok((at, Ok(answer))))) => {
+                    answers.push((at, answer));
+                    deadline = deadline.min(Instant::now() + self.cfg.gather);
+                }
+                Ok(Some(_)) => {}
+                Ok(None) | Err(_) => return answers,
+            }
+        }
+    }
+
+    /// Long-polls source `at` and meanwhile checks others. Returns early with a better source.
+    async fn poll_and_check(&self, at: usize, probe: &mut usize) -> (Heard, Option<usize>) {
+        let poll = self.poll(at, self.cfg.wait);
+        tokio::pin!(poll);
+        let mut checks = interval(self.cfg.check);
+        checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        checks.tick().await;
+        loop {
+            tokio::select! {
+                heard = &mut poll => return (heard, None),
+                _ = checks.tick() => {}
+            }
+            let Some(other) = self.next_probe(at, probe) else {
+                continue;
+            };
+            let before = self.feed.revision();
+            let heard = tokio::select! {
+                heard = &mut poll => return (heard, None),
+                heard = self.poll(other, Duration::ZERO) => heard,
+            };
+            let is_ahead = self.feed.revision() > before;
+            if heard == Heard::InStep && (is_ahead || other < at) {
+                return (heard, Some(other));
+            }
+        }
+    }
+
+    /// Another source to check: any keeper on every second check, since only keepers know first.
+    fn next_probe(&self, at: usize, probe: &mut usize) -> Option<usize> {
+        let n = self.sources.len();
+        *probe = (*probe + 1) % (2 * n);
+        let start = *probe / 2;
+        let order = || (0..n).map(|i| (start + i) % n).filter(|i| *i != at);
+        let is_up = |i: &usize| self.sources[*i].is_connected();
+        let is_keeper = |i: &usize| {
+            let identity = self.sources[*i].identity();
+            identity.is_some_and(|id| id.role == Role::Keeper)
+        };
+        let keeper = order().find(is_keeper);
+        match *probe % 2 {
+            0 => keeper.or_else(|| order().find(is_up)),
+            _ => order().find(is_up),
+        }
+    }
+
+    async fn poll(&self, at: usize, wait: Duration) -> Heard {
+        let after = self.feed.revision().unwrap_or(0);
+        let answer = ask(&self.sources[at], after, wait, wait + self.cfg.grace).await;
+        let heard = match answer {
+            Err(_) | Ok(Followed::Unavailable) => Heard::Useless,
+            Ok(Followed::Unchanged { revision }) if revision < after => Heard::Useless,
+            Ok(answer) => match self.feed.take(answer) {
+                Ok(_) => Heard::InStep,
+                Err(_) => Heard::Useless,
+            },
+        };
+        if heard == Heard::InStep {
+            self.heard(at);
+        }
+        heard
+    }
+
+    fn heard(&self, at: usize) {
+        let name = self.sources[at].name();
+        self.source.send_if_modified(|source| {
+            let is_new = source.as_deref() != Some(name);
+            if is_new {
+                *source = Some(name.to_owned());
+            }
+            is_new
+        });
+    }
+}
+
+async fn ask(
+    peer: &Peer,
+    after: u64,
+    wait: Duration,
+    limit: Duration,
+) -> Result<Followed, LinkError> {
+    let follow = Follow { after, wait };
+    peer.call(Channel::Follow, &follow, limit).await
+}
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -7,12 +7,14 @@
 mod config;
 mod connection;
 mod error;
+mod feed;
 mod frame;
 mod handshake;
 mod peer;
 mod server;
 
 pub mod follow;
+pub mod follower;
 pub mod keeper;
 pub mod keepers;
 
--- /dev/null
+++ b/crates/link/tests/following.rs
@@ -0,0 +1,191 @@
+//! Followers over real loopback links: start, switch of sources, relays, never backwards.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use declaration::{Document, SectionChange, SectionId, SectionText};
+use link::{
+    Channel, Identity, Incoming, LinkConfig, Peer, Role,
+    follow::Revision,
+    follower::{Feed, Follower, FollowerConfig, InForce},
+    serve,
+};
+use tokio::{net::TcpListener, task::JoinHandle, time::timeout};
+use uuid::Uuid;
+
+const LIMIT: Duration = Duration::from_secs(10);
+
+fn link_config(vm: &str, role: Role) -> LinkConfig {
+    LinkConfig::new(Identity {
+        vm: vm.to_owned(),
+        az: "sousse-a".to_owned(),
+        role,
+        incarnation: Uuid::new_v4(),
+    })
+}
+
+fn section(name: &str, region: &str) -> SectionChange {
+    let entries = [("region".to_owned(), region.to_owned())].into();
+    SectionChange {
+        id: SectionId {
+            kind: "availability-zone".to_owned(),
+            name: name.to_owned(),
+        },
+        after: Some(SectionText {
+            entries,
+            comments: Vec::new(),
+        }),
+    }
+}
+
+fn revision(n: u64) -> Revision {
+    Revision {
+        revision: n,
+        sections: vec![section(&format!("az-{}", n % 7), &format!("r{n}"))],
+    }
+}
+
+/// A keeper's following side alone.
+struct Source {
+    feed: Arc<Feed>,
+    address: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl Source {
+    async fn start(upto: Option<u64>) -> Self {
+        let feed = Arc::new(Feed::new());
+        if let Some(upto) = upto {
+            feed.replace(0, Document::default()).unwrap();
+            feed.advance((1..=upto).map(revision).collect()).unwrap();
+        }
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let served = Arc::clone(&feed);
+        let handler = move |call: Incoming| {
+            let feed = Arc::clone(&served);
+            async move { feed.answer(&call.body).await }
+        };
+        let cfg = link_config("source", Role::Keeper);
+        let task = tokio::spawn(serve(listener, cfg, handler));
+        Self {
+            feed,
+            address,
+            task,
+        }
+    }
+
+    fn peer(&self) -> Peer {
+        let name = self.address.to_string();
+        Peer::start(&name, self.address, &link_config("gate", Role::Gate))
+    }
+}
+
+fn quick() -> FollowerConfig {
+    FollowerConfig {
+        wait: Duration::from_secs(2),
+        grace: Duration::from_millis(500),
+        check: Duration::from_millis(200),
+        gather: Duration::from_millis(100),
+    }
+}
+
+async fn reach(follower: &Follower, n: u64) -> Arc<InForce> {
+    let mut rx = follower.in_force();
+    let reached = rx.wait_for(|f| f.as_ref().is_some_and(|f| f.revision >= n));
+    let f = timeout(LIMIT, reached).await.expect("in force in time");
+    Arc::clone(f.unwrap().as_ref().unwrap())
+}
+
+#[tokio::test]
+async fn the_empty_declaration_is_in_force_at_revision_0() {
+    let source = Source::start(Some(0)).await;
+    let follower = Follower::start(vec![source.peer()], quick());
+    let f = reach(&follower, 0).await;
+    assert_eq!((f.revision, f.document.sections.len()), (0, 0));
+    source.feed.advance(vec![revision(1)]).unwrap();
+    assert_eq!(reach(&follower, 1).await.document.sections.len(), 1);
+}
+
+#[tokio::test]
+async fn a_source_that_does_not_know_yet_puts_nothing_in_force() {
+    let source = Source::start(None).await;
+    let follower = Follower::start(vec![source.peer()], quick());
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    assert!(follower.in_force().borrow().is_none());
+    source.feed.replace(7, Document::default()).unwrap();
+    reach(&follower, 7).await;
+}
+
+#[tokio::test]
+async fn a_follower_hundreds_of_changes_behind_gets_a_snapshot() {
+    let source = Source::start(Some(2_000)).await;
+    let follower = Follower::start(vec![source.peer()], quick());
+    let f = reach(&follower, 2_000).await;
+    assert_eq!(Some(&f.document), document_of(&source).as_ref());
+}
+
+fn document_of(source: &Source) -> Option<Document> {
+    let f = source.feed.in_force();
+    let f = f.borrow();
+    f.as_ref().map(|f| f.document.clone())
+}
+
+#[tokio::test]
+async fn at_the_start_the_source_that_is_furthest_counts() {
+    let (stale, fresh) = (Source::start(Some(3)).await, Source::start(Some(9)).await);
+    let follower = Follower::start(vec![stale.peer(), fresh.peer()], quick());
+    let mut rx = follower.in_force();
+    let first = timeout(LIMIT, rx.wait_for(Option::is_some)).await.unwrap();
+    assert_eq!(first.unwrap().as_ref().unwrap().revision, 9);
+}
+
+#[tokio::test]
+async fn a_dead_source_is_left_and_a_stale_one_never_turns_the_follower_back() {
+    let (first, second) = (Source::start(Some(5)).await, Source::start(Some(2)).await);
+    let follower = Follower::start(vec![first.peer(), second.peer()], quick());
+    reach(&follower, 5).await;
+    first.task.abort();
+    let mut rx = follower.in_force();
+    for n in 3..=6 {
+        second.feed.advance(vec![revision(n)]).unwrap();
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert!(rx.borrow_and_update().as_ref().unwrap().revision >= 5);
+    }
+    reach(&follower, 6).await;
+}
+
+#[tokio::test]
+async fn a_source_that_stands_still_is_found_out_by_the_checks() {
+    let (stuck, live) = (Source::start(Some(4)).await, Source::start(Some(4)).await);
+    let cfg = FollowerConfig {
+        wait: Duration::from_mins(1),
+        ..quick()
+    };
+    let follower = Follower::start(vec![stuck.peer(), live.peer()], cfg);
+    reach(&follower, 4).await;
+    live.feed.advance(vec![revision(5)]).unwrap();
+    reach(&follower, 5).await;
+}
+
+#[tokio::test]
+async fn a_relay_passes_on_what_is_in_force_at_it() {
+    let source = Source::start(Some(1)).await;
+    let relay = Follower::start(vec![source.peer()], quick());
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let answering = relay.clone();
+    let task = tokio::spawn(serve(
+        listener,
+        link_config("relay", Role::Gate),
+        move |call: Incoming| {
+            assert_eq!(call.channel, Channel::Follow);
+            answering.answer(&call.body)
+        },
+    ));
+    let peer = Peer::start("relay", address, &link_config("gate", Role::Gate));
+    let follower = Follower::start(vec![peer], quick());
+    reach(&follower, 1).await;
+    source.feed.advance(vec![revision(2)]).unwrap();
+    reach(&follower, 2).await;
+    task.abort();
+}
