--- /dev/null
+++ b/crates/gate/src/callers.rs
@@ -0,0 +1,298 @@
+//! HTTP interface for callers.
+
+use std::sync::Arc;
+
+use bytes::{Bytes, BytesMut};
+use derives::record;
+use host::problem::{Outcome, Problem};
+use link::keeper::{LedgerEntry, Output, Settlement};
+use salvo::{
+    handler,
+    http::{ResBody, StatusCode, header::HeaderValue},
+    prelude::{Request, Response},
+};
+use serde_json::value::RawValue;
+use tokio::{
+    sync::mpsc,
+    time::{Duration, timeout_at},
+};
+
+use crate::{
+    failure::CallError,
+    gate::Gate,
+    request::{self, Ask, bad, parse_key},
+    run::{self, Answer},
+    sse::write_event,
+    stream::{self, Part, Sink},
+};
+
+/// Bound on asking the keepers about a key.
+const LOOKUP_LIMIT: Duration = Duration::from_secs(2);
+
+/// `POST /v1/pipelines/{pipeline}`.
+#[derive(Debug)]
+pub(crate) struct Pipelines(pub(crate) Arc<Gate>);
+
+#[handler]
+impl Pipelines {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
+        let gate = &self.0;
+        let running = gate.inflight.enter();
+        let ask = match request::read(gate, req).await {
+            Ok(ask) => ask,
+            Err(problem) => {
+                if problem.status == 413 || problem.status == 408 {
+                    // What is left of the body is not read.
+                    close(res);
+                }
+                return problem.render(res);
+            }
+        };
+        echo(res, &ask.id);
+        match ask.is_streamed {
+            true => answer_stream(gate, ask, running, res).await,
+            false => answer_whole(gate, ask, running, res).await,
+        }
+        if gate.is_draining() {
+            close(res);
+        }
+    }
+}
+
+/// Runs the request to its end. One with a key goes on in its own task when the caller hangs up;
+/// any other ends with the caller's connection.
+async fn answer_whole(
+    gate: &Arc<Gate>,
+    ask: Ask,
+    running: crate::inflight::Running,
+    res: &mut Response,
+) {
+    let deadline = ask.deadline;
+    let hangup = Hangup::new(gate);
+    let result = match ask.key {
+        Some(_) => {
+            let gate = Arc::clone(gate);
+            let task = tokio::spawn(async move {
+                let _running = running;
+                run::run(gate, ask, None).await
+            });
+            task.await.unwrap_or_else(|_| Err(crashed()))
+        }
+        None => {
+            let _running = running;
+            run::run(Arc::clone(gate), ask, None).await
+        }
+    };
+    hangup.answered();
+    debug_assert!(deadline.elapsed() < Duration::from_secs(3_600), "deadlines are bounded");
+    match result {
+        Ok(answer) => render(res, &answer),
+        Err(problem) => problem.render(res),
+    }
+}
+
+/// Answers with events as they come; a failure before the first one keeps its own status.
+async fn answer_stream(
+    gate: &Arc<Gate>,
+    ask: Ask,
+    running: crate::inflight::Running,
+    res: &mut Response,
+) {
+    let (sink, mut rx) = stream::channel(ask.key.is_some());
+    let task_gate = Arc::clone(gate);
+    tokio::spawn(async move {
+        let _running = running;
+        stream_events(task_gate, ask, sink).await;
+    });
+    let hangup = Hangup::new(gate);
+    let first = rx.recv().await;
+    hangup.answered();
+    match first {
+        Some(Part::Events(first)) => render_events(res, first, rx),
+        Some(Part::Failed(problem)) => problem.render(res),
+        None => crashed().render(res),
+    }
+}
+
+async fn stream_events(gate: Arc<Gate>, ask: Ask, sink: Sink) {
+    let deadline = ask.deadline;
+    let metrics = gate.metrics.clone();
+    let result = tokio::select! {
+        result = run::run(gate, ask, Some(&sink)) => result,
+        () = sink.abandoned() => return metrics.hangup(),
+    };
+    let last = async {
+        match result {
+            Ok(answer) => {
+                let mut out = BytesMut::new();
+                write_event(&mut out, "done", &answer);
+                let sent: Result<(), CallError> = sink.send(out.freeze()).await;
+                // A caller that is gone needs no answer.
+                drop(sent);
+            }
+            Err(problem) => sink.fail(problem).await,
+        }
+    };
+    // A caller that takes nothing does not hold the request beyond this.
+    let _ = timeout_at(deadline + LAST_EVENT_LIMIT, last).await;
+}
+
+/// How long after the deadline the last event may wait for a slow caller.
+const LAST_EVENT_LIMIT: Duration = Duration::from_secs(5);
+
+fn render_events(res: &mut Response, first: Bytes, rx: mpsc::Receiver<Part>) {
+    let headers = res.headers_mut();
+    headers.insert("content-type", HeaderValue::from_static("text/event-stream"));
+    headers.insert("cache-control", HeaderValue::from_static("no-store"));
+    res.body(ResBody::stream(stream::body(first, rx)));
+}
+
+fn render(res: &mut Response, answer: &Answer) {
+    let json = serde_json::to_vec(answer).unwrap_or_default();
+    json_body(res, json);
+}
+
+/// Writes a JSON body.
+pub(crate) fn json_body(res: &mut Response, json: Vec<u8>) {
+    let headers = res.headers_mut();
+    headers.insert("content-type", HeaderValue::from_static("application/json"));
+    res.status_code(StatusCode::OK);
+    res.body(ResBody::Once(json.into()));
+}
+
+fn echo(res: &mut Response, id: &str) {
+    if let Ok(id) = HeaderValue::from_str(id) {
+        res.headers_mut().insert("jujube-request", id);
+    }
+}
+
+fn close(res: &mut Response) {
+    res.headers_mut().insert("connection", HeaderValue::from_static("close"));
+}
+
+/// A task of ours ended without a result; nothing is known of what it sent.
+fn crashed() -> Problem {
+    let what = "the request's task ended early; see the gate's log";
+    let mut problem = Problem::new(502, "unknown", "Outcome unknown", what);
+    problem.outcome = Some(Outcome::Unknown);
+    problem
+}
+
+/// Counts a caller that hangs up before its answer.
+struct Hangup<'a> {
+    gate: &'a Gate,
+    is_answered: bool,
+}
+
+impl<'a> Hangup<'a> {
+    fn new(gate: &'a Gate) -> Self {
+        Self {
+            gate,
+            is_answered: false,
+        }
+    }
+
+    fn answered(mut self) {
+        self.is_answered = true;
+    }
+}
+
+impl Drop for Hangup<'_> {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            self.gate.metrics.hangup();
+        }
+    }
+}
+
+/// `GET /v1/requests/{key}`.
+#[derive(Debug)]
+pub(crate) struct Requests(pub(crate) Arc<Gate>);
+
+/// The ledger's word on a key.
+#[record]
+struct Entry {
+    key: String,
+    state: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    outcome: Option<Outcome>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    status: Option<u16>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    detail: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    output_bytes: Option<u64>,
+}
+
+#[derive(serde::Serialize)]
+struct WithOutput<'a> {
+    #[serde(flatten)]
+    entry: Entry,
+    output: &'a RawValue,
+}
+
+#[handler]
+impl Requests {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
+        let text = req.params().get("key").cloned().unwrap_or_default();
+        let Some(key) = parse_key(&text) else {
+            let what = "the key must be a UUIDv7";
+            return bad(400, "bad-key", "Bad idempotency key", what).render(res);
+        };
+        match self.0.ledger.lookup(key, LOOKUP_LIMIT).await {
+            Ok(LedgerEntry::Absent) => {
+                let what = "the ledger has no entry for this key; it may be used";
+                Problem::new(404, "no-entry", "No entry", what).render(res);
+            }
+            Ok(LedgerEntry::TooOld) => {
+                let what = "the key is older than the ledger remembers";
+                Problem::new(410, "key-too-old", "Key too old", what).render(res);
+            }
+            Ok(entry) => render_entry(res, key, entry),
+            Err(e) => {
+                let mut problem = Problem::new(503, "no-quorum", "Ledger not reachable", e);
+                problem.retry_after_ms = Some(1_000);
+                problem.render(res);
+            }
+        }
+    }
+}
+
+fn render_entry(res: &mut Response, key: uuid::Uuid, entry: LedgerEntry) {
+    let mut out = Entry {
+        key: key.to_string(),
+        state: "settled".to_owned(),
+        outcome: None,
+        status: None,
+        detail: None,
+        output_bytes: None,
+    };
+    let mut whole = None;
+    match entry {
+        LedgerEntry::Settled(Settlement::Completed(output)) => {
+            out.outcome = Some(Outcome::Completed);
+            match output {
+                Output::TooLarge(bytes) => out.output_bytes = Some(bytes),
+                Output::Whole(bytes) => {
+                    out.output_bytes = Some(bytes.len() as u64);
+                    whole = serde_json::from_slice::<Box<RawValue>>(&bytes).ok();
+                }
+            }
+        }
+        LedgerEntry::Settled(Settlement::Released) => out.outcome = Some(Outcome::NotRun),
+        LedgerEntry::Settled(Settlement::Refused { status, detail }) => {
+            out.outcome = Some(Outcome::Failed);
+            out.status = Some(status);
+            out.detail = Some(detail);
+        }
+        LedgerEntry::Settled(Settlement::Unknown) => out.outcome = Some(Outcome::Unknown),
+        LedgerEntry::InProgress | LedgerEntry::Absent | LedgerEntry::TooOld => {
+            "in_progress".clone_into(&mut out.state);
+        }
+    }
+    let json = match &whole {
+        Some(output) => serde_json::to_vec(&WithOutput { entry: out, output }),
+        None => serde_json::to_vec(&out),
+    };
+    json_body(res, json.unwrap_or_default());
+}
--- a/crates/gate/src/engine.rs
+++ b/crates/gate/src/engine.rs
@@ -58,13 +58,15 @@
 
 #[derive(Deserialize)]
 struct Usage {
+    #[serde(default)]
+    prompt_tokens: u32,
     prompt_tokens_details: Option<PromptDetails>,
 }
 
 #[derive(Deserialize)]
 struct PromptDetails {
     #[serde(default)]
-    cached_tokens: u64,
+    cached_tokens: u32,
 }
 
 /// A `token` event to the caller.
@@ -79,8 +81,27 @@
 pub(crate) struct Tally {
     /// Chunks that brought new text; an engine sends one a token.
     pub(crate) tokens: u64,
-    /// Prompt tokens found in the engine's cache, where it says so.
-    pub(crate) reused_tokens: Option<u64>,
+    /// How much of the prompt was in the engine's cache, where it says so.
+    pub(crate) cached: Option<Cached>,
+}
+
+/// How much of a prompt was in an engine's cache.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Cached {
+    /// Tokens found in the cache.
+    pub(crate) cached_tokens: u32,
+    /// Tokens of the prompt.
+    pub(crate) prompt_tokens: u32,
+}
+
+impl Usage {
+    fn cached(self) -> Option<Cached> {
+        let details = self.prompt_tokens_details?;
+        Some(Cached {
+            cached_tokens: details.cached_tokens,
+            prompt_tokens: self.prompt_tokens,
+        })
+    }
 }
 
 /// The prompt: a JSON string as itself, an object's `prompt`, anything else as JSON.
@@ -172,8 +193,7 @@
         }
         let malformed = |e: &dyn std::fmt::Display| CallError::Malformed(e.to_string());
         let chunk: Chunk<'_> = serde_json::from_slice(&data).map_err(|e| malformed(&e))?;
-        let usage = chunk.usage.and_then(|u| u.prompt_tokens_details);
-        tally.reused_tokens = usage.map(|d| d.cached_tokens).or(tally.reused_tokens);
+        tally.cached = chunk.usage.and_then(Usage::cached).or(tally.cached);
         let Some(choice) = chunk.choices.first() else {
             continue;
         };
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -89,9 +89,11 @@
     connection: Connection,
     body: Incoming,
     address: SocketAddr,
-    /// When the head of the answer came.
+    /// When the first part of the answer came.
     pub(crate) answered: Instant,
     waits: Waits,
+    ahead: Option<Bytes>,
+    is_ended: bool,
 }
 
 /// Sends `req` for `call` on an idle connection, or a new one, and waits for the head of a good
@@ -147,6 +149,8 @@
         address: call.address,
         answered: Instant::now(),
         waits,
+        ahead: None,
+        is_ended: false,
     };
     exchange.check(call.id, head.status, &head.headers, pool).await
 }
@@ -183,14 +187,32 @@
         }
     }
 
+    /// Waits until the first part of the body is there; an engine sends the head long before.
+    pub(crate) async fn first_part(&mut self) -> Result<(), CallError> {
+        self.ahead = self.read(self.waits.first_byte).await?;
+        self.answered = Instant::now();
+        Ok(())
+    }
+
     /// The next part of the body; `None` at its end.
     pub(crate) async fn next(&mut self) -> Result<Option<Bytes>, CallError> {
+        match self.ahead.take() {
+            None if self.is_ended => Ok(None),
+            None => self.read(self.waits.gap).await,
+            part => Ok(part),
+        }
+    }
+
+    async fn read(&mut self, limit: Duration) -> Result<Option<Bytes>, CallError> {
         loop {
-            let wait = timeout(self.waits.gap, self.body.frame());
+            let wait = timeout(limit, self.body.frame());
             let frame = match timeout_at(self.waits.deadline, wait).await {
                 Err(_) => return Err(CallError::Deadline),
-                Ok(Err(_)) => return Err(CallError::Stalled(self.waits.gap)),
-                Ok(Ok(None)) => return Ok(None),
+                Ok(Err(_)) => return Err(CallError::Stalled(limit)),
+                Ok(Ok(None)) => {
+                    self.is_ended = true;
+                    return Ok(None);
+                }
                 Ok(Ok(Some(Err(e)))) => return Err(CallError::Broken(e.to_string())),
                 Ok(Ok(Some(Ok(frame)))) => frame,
             };
--- /dev/null
+++ b/crates/gate/src/gate.rs
@@ -0,0 +1,53 @@
+//! What all requests of one gate share.
+
+use std::sync::Arc;
+
+use link::follower::{Follower, InForce};
+use tokio::sync::watch;
+
+use crate::{
+    body::Budget, config::Config, inflight::Inflight, ledger::Ledger, metrics::Metrics, pool::Pool,
+    route::Route,
+};
+
+/// One gate.
+#[derive(Debug)]
+pub(crate) struct Gate {
+    /// Its settings.
+    pub(crate) cfg: Config,
+    /// Follows the declaration.
+    pub(crate) follower: Follower,
+    /// What is in force.
+    pub(crate) declared: watch::Receiver<Option<Arc<InForce>>>,
+    /// Where calls go.
+    pub(crate) route: Route,
+    /// Connections to endpoints.
+    pub(crate) pool: Pool,
+    /// The at-most-once ledger.
+    pub(crate) ledger: Ledger,
+    /// What is measured.
+    pub(crate) metrics: Metrics,
+    /// What is in flight.
+    pub(crate) inflight: Inflight,
+    /// Memory for bodies.
+    pub(crate) budget: Budget,
+    /// Whether the order to stop was given.
+    pub(crate) draining: watch::Sender<bool>,
+}
+
+impl Gate {
+    /// The declaration in force, once one is known.
+    pub(crate) fn in_force(&self) -> Option<Arc<InForce>> {
+        self.declared.borrow().clone()
+    }
+
+    /// Whether the order to stop was given.
+    pub(crate) fn is_draining(&self) -> bool {
+        *self.draining.borrow()
+    }
+
+    /// Whether a balancer may send requests here.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_draining() && self.declared.borrow().is_some()
+    }
+}
--- /dev/null
+++ b/crates/gate/src/guard.rs
@@ -0,0 +1,83 @@
+//! Accounts for a call however it ends, and cancels it at its engine when it is dropped early.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::time::{Instant, timeout};
+
+use crate::{
+    engine,
+    exchange::{self, Call},
+    gate::Gate,
+    handover::Handover,
+    metrics::Use,
+};
+
+/// Bound on cancelling a call.
+const CANCEL_LIMIT: Duration = Duration::from_secs(1);
+
+/// One call at one endpoint.
+#[derive(Debug)]
+pub(crate) struct CallGuard {
+    gate: Arc<Gate>,
+    service: String,
+    call: Call,
+    started: Instant,
+    is_engine: bool,
+    is_open: bool,
+}
+
+impl CallGuard {
+    /// Guards `call` from now on.
+    pub(crate) fn new(gate: &Arc<Gate>, service: &str, call: &Call, is_engine: bool) -> Self {
+        Self {
+            gate: Arc::clone(gate),
+            service: service.to_owned(),
+            call: call.clone(),
+            started: Instant::now(),
+            is_engine,
+            is_open: true,
+        }
+    }
+
+    /// The call gave its answer with `tokens`.
+    pub(crate) fn succeeded(&mut self, tokens: u64) {
+        self.is_open = false;
+        let elapsed = self.started.elapsed();
+        self.gate.metrics.call(&self.service, "ok");
+        self.gate.metrics.cost(&self.service, Use::Useful, elapsed, tokens);
+    }
+
+    /// The endpoint ended the call, or a resumption is to find it; it is not cancelled.
+    pub(crate) fn ended(&mut self) {
+        self.is_engine = false;
+    }
+}
+
+impl Drop for CallGuard {
+    fn drop(&mut self) {
+        let is_unsent = self.call.handover.seal();
+        if !self.is_open || is_unsent {
+            return;
+        }
+        let elapsed = self.started.elapsed();
+        self.gate.metrics.cost(&self.service, Use::Wasted, elapsed, 0);
+        if self.is_engine {
+            cancel(&self.gate, &self.call);
+        }
+    }
+}
+
+/// Tells the engine in the background that nobody waits for the call.
+fn cancel(gate: &Arc<Gate>, call: &Call) {
+    let (gate, running) = (Arc::clone(gate), gate.inflight.enter());
+    let call = Call {
+        handover: Handover::new(),
+        ..call.clone()
+    };
+    tokio::spawn(async move {
+        let _running = running;
+        let req = engine::cancel(&call);
+        // An engine that does not hear it ends the call at its own deadline.
+        let _ = timeout(CANCEL_LIMIT, exchange::begin_fresh(&gate.pool, &call, req)).await;
+    });
+}
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -1,1 +1,40 @@
 //! The gate: callers' requests through every stage of their pipelines.
+//!
+//! A request is read and checked ([`request`]), admitted, and run stage by stage ([`run`]). A stage
+//! that may be repeated is tried, hedged and resumed ([`stage`], [`race`]); one that may not goes
+//! through the keepers' ledger ([`once`]). What may be said of a request that did not complete is
+//! decided from what was handed to sockets ([`handover`], [`record`]). `docs/design/request-path.md`
+//! and `docs/design/at-most-once.md` say why it is built this way.
+
+mod assembly;
+mod body;
+mod callers;
+mod config;
+mod connection;
+mod endpoints;
+mod engine;
+mod exchange;
+mod failure;
+mod gate;
+mod guard;
+mod handover;
+mod inflight;
+mod ledger;
+mod metrics;
+mod once;
+mod pages;
+mod plain;
+mod pool;
+mod race;
+mod record;
+mod request;
+mod route;
+mod run;
+mod sse;
+mod stage;
+mod start;
+mod stream;
+mod work;
+
+pub use config::{Config, Limits, Timing};
+pub use start::start;
--- a/crates/gate/src/main.rs
+++ b/crates/gate/src/main.rs
@@ -1,3 +1,20 @@
-//! The gate: callers' requests through every stage of their pipelines.
+//! `jujube-gate`: takes callers' requests and endpoints' announcements.
 
-fn main() {}
+use std::process::ExitCode;
+
+use gate::{Config, start};
+use host::role::{self, Program};
+use mimalloc::MiMalloc;
+
+#[global_allocator]
+static ALLOCATOR: MiMalloc = MiMalloc;
+
+const PROGRAM: Program = Program {
+    name: "jujube-gate",
+    about: "Takes callers' requests through every stage of their pipelines.",
+    version: env!("CARGO_PKG_VERSION"),
+};
+
+fn main() -> ExitCode {
+    role::main(PROGRAM, Config::read, start)
+}
--- /dev/null
+++ b/crates/gate/src/once.rs
@@ -0,0 +1,327 @@
+//! A stage that may not be repeated: connect, ask the ledger, send once, settle.
+//!
+//! The connection is opened before the ledger is asked, so that a refused connection costs no
+//! entry; it is always a new one, since an idle one may have gone silent. What happens after the
+//! grant runs in a task of its own, which ends with the settlement even if the caller hangs up or
+//! the deadline passes.
+
+use std::sync::Arc;
+
+use link::keeper::{IntentReply, LedgerEntry, Output, Settlement};
+use serde_json::value::RawValue;
+use tokio::{
+    sync::oneshot,
+    time::{Instant, timeout_at},
+};
+use uuid::Uuid;
+
+use crate::{
+    connection::Connection,
+    exchange::{self, Call, Waits},
+    failure::{CallError, Cause, StageError},
+    gate::Gate,
+    guard::CallGuard,
+    handover::Handover,
+    ledger::{Claim, Claimed, Grant},
+    plain,
+    record::{Once, Record},
+    route::{Picked, Verdict},
+    run::Running,
+    stage::{Stage, StageDone, StageReport, Tries, failed, is_engine, pick},
+    work::Work,
+};
+
+/// Most endpoints that are tried; each of them provably did not take the call.
+const MAX_ENDPOINTS: u32 = 4;
+
+/// Runs `stage` at most once under `key`, or gives the stored result.
+pub(crate) async fn run(
+    cx: &Running,
+    stage: Stage<'_>,
+    key: Uuid,
+    previous: Option<&RawValue>,
+) -> Result<StageDone, StageError> {
+    let started = Instant::now();
+    let work = Work::new(stage, &cx.ask.input, previous);
+    let mut tries = Tries::default();
+    loop {
+        let picked = pick(cx, stage, &work, &tries)?;
+        tries.calls += 1;
+        let error = match try_once(cx, stage, key, &work, &picked).await {
+            Ok(Taken::Stored(output)) => return Ok(stored(stage, output)),
+            Ok(Taken::Ran(output, tokens)) => {
+                cx.gate.metrics.stage(stage.name, started.elapsed());
+                let report = StageReport {
+                    stage: stage.number,
+                    service: stage.name.to_owned(),
+                    endpoint: picked.name().to_owned(),
+                    attempts: tries.calls,
+                    elapsed_ms: started.elapsed().as_millis() as u64,
+                    tokens,
+                };
+                return Ok(StageDone { output, report });
+            }
+            Ok(Taken::Freed) => continue,
+            Err(error) => error,
+        };
+        tries.avoid.push(picked.name().to_owned());
+        let is_refusal = matches!(&error.cause, Cause::Call(e) if e.is_refusal());
+        if !is_refusal || tries.calls >= MAX_ENDPOINTS || Instant::now() >= cx.ask.deadline {
+            return Err(error);
+        }
+        cx.gate.metrics.retry(stage.name);
+    }
+}
+
+/// The stored result of `key`, if an earlier request has it; waits for one that is in progress.
+/// `None` where the key is free.
+pub(crate) async fn earlier(
+    cx: &Running,
+    stage: Stage<'_>,
+    key: Uuid,
+) -> Result<Option<StageDone>, StageError> {
+    let ledger = &cx.gate.ledger;
+    let left = cx.ask.deadline.saturating_duration_since(Instant::now());
+    let looked = ledger.lookup(key, left).await;
+    match looked.map_err(|e| StageError::at("ledger", Cause::Ledger(e)))? {
+        LedgerEntry::Absent => return Ok(None),
+        LedgerEntry::TooOld => return Err(StageError::at("ledger", Cause::TooOld)),
+        LedgerEntry::InProgress | LedgerEntry::Settled(_) => {}
+    }
+    // Only a claim compares the digest.
+    match claim(cx, stage, key, "").await? {
+        Claimed::Granted(grant) => {
+            ledger.settle(&grant, Settlement::Released);
+            Ok(None)
+        }
+        Claimed::Refused(reply) => match refused(cx, stage, key, reply).await? {
+            Taken::Stored(output) => Ok(Some(stored(stage, output))),
+            _ => Ok(None),
+        },
+    }
+}
+
+/// What came of asking the ledger, and of the call if it was sent.
+#[derive(Debug)]
+enum Taken {
+    /// The result of this call and its tokens.
+    Ran(Box<RawValue>, u64),
+    /// The result of an earlier request with the same key.
+    Stored(Box<RawValue>),
+    /// The attempt that had the key gave it back.
+    Freed,
+}
+
+async fn try_once(
+    cx: &Running,
+    stage: Stage<'_>,
+    key: Uuid,
+    work: &Work<'_>,
+    picked: &Arc<Picked>,
+) -> Result<Taken, StageError> {
+    let connection = cx.gate.pool.connect(picked.address()).await;
+    let connection =
+        connection.map_err(|e| failed(cx, stage, picked, CallError::Connect(e)))?;
+    let grant = match claim(cx, stage, key, picked.name()).await? {
+        Claimed::Granted(grant) => grant,
+        Claimed::Refused(reply) => return refused(cx, stage, key, reply).await,
+    };
+    let call = new_call(cx, picked, key, &grant);
+    let number = cx.record.add(&call.handover);
+    cx.record.once(Once::InDoubt(number));
+    let (tx, rx) = oneshot::channel();
+    let sending = Sending {
+        gate: Arc::clone(&cx.gate),
+        record: Arc::clone(&cx.record),
+        service: stage.name.to_owned(),
+        is_engine: is_engine(stage.service),
+        picked: Arc::clone(picked),
+        req: work.request(&call),
+        number,
+        grant,
+        call,
+    };
+    let running = cx.gate.inflight.enter();
+    tokio::spawn(async move {
+        let _running = running;
+        let result = sending.run(connection).await;
+        // The request may have ended before its result came.
+        let _ = tx.send(result);
+    });
+    let result = timeout_at(cx.ask.deadline, rx).await;
+    let result = match result {
+        Ok(Ok(result)) => result,
+        Ok(Err(_)) => Err(CallError::Broken("the sending task ended early".to_owned())),
+        Err(_) => Err(CallError::Deadline),
+    };
+    match result {
+        Ok((output, tokens)) => Ok(Taken::Ran(output, tokens)),
+        Err(e) => Err(StageError::call(stage.name, picked.name(), e)),
+    }
+}
+
+async fn claim(
+    cx: &Running,
+    stage: Stage<'_>,
+    key: Uuid,
+    endpoint: &str,
+) -> Result<Claimed, StageError> {
+    let claim = Claim {
+        key,
+        digest: cx.ask.digest.clone(),
+        service: stage.name.to_owned(),
+        endpoint: endpoint.to_owned(),
+    };
+    let claimed = cx.gate.ledger.claim(&claim, cx.ask.deadline).await;
+    claimed.map_err(|e| StageError::at("ledger", Cause::Ledger(e)))
+}
+
+async fn refused(
+    cx: &Running,
+    stage: Stage<'_>,
+    key: Uuid,
+    reply: IntentReply,
+) -> Result<Taken, StageError> {
+    let cause = match reply {
+        IntentReply::Settled(settlement) => return from_settlement(stage, settlement),
+        IntentReply::InProgress => match cx.gate.ledger.wait(key, cx.ask.deadline).await {
+            LedgerEntry::Settled(settlement) => return from_settlement(stage, settlement),
+            LedgerEntry::Absent => return Ok(Taken::Freed),
+            LedgerEntry::TooOld => Cause::TooOld,
+            LedgerEntry::InProgress => Cause::InProgress,
+        },
+        IntentReply::Conflict => Cause::Conflict,
+        IntentReply::TooOld => Cause::TooOld,
+        IntentReply::InFuture => Cause::InFuture,
+        IntentReply::Full => Cause::Ledger("the ledger is full; nothing was recorded".to_owned()),
+        IntentReply::Granted => Cause::Ledger("unexpected grant".to_owned()),
+    };
+    Err(StageError::at("ledger", cause))
+}
+
+fn from_settlement(stage: Stage<'_>, settlement: Settlement) -> Result<Taken, StageError> {
+    let cause = match settlement {
+        Settlement::Completed(Output::Whole(bytes)) => {
+            let text = String::from_utf8(bytes).unwrap_or_default();
+            match RawValue::from_string(text) {
+                Ok(output) => return Ok(Taken::Stored(output)),
+                Err(e) => Cause::Ledger(format!("stored output is not JSON: {e}")),
+            }
+        }
+        Settlement::Completed(Output::TooLarge(bytes)) => Cause::EarlierTooLarge(bytes),
+        Settlement::Released => return Ok(Taken::Freed),
+        Settlement::Refused { status, detail } => Cause::EarlierRefused { status, detail },
+        Settlement::Unknown => Cause::EarlierUnknown,
+    };
+    Err(StageError::at(stage.name, cause))
+}
+
+fn stored(stage: Stage<'_>, output: Box<RawValue>) -> StageDone {
+    let report = StageReport {
+        stage: stage.number,
+        service: stage.name.to_owned(),
+        endpoint: String::new(),
+        attempts: 0,
+        elapsed_ms: 0,
+        tokens: 0,
+    };
+    StageDone { output, report }
+}
+
+fn new_call(cx: &Running, picked: &Picked, key: Uuid, grant: &Grant) -> Call {
+    let timing = &cx.gate.cfg.timing;
+    let deadline = cx.ask.deadline;
+    let last = deadline + timing.late_result;
+    let patience = last.saturating_duration_since(Instant::now());
+    Call {
+        id: Uuid::new_v4(),
+        address: picked.address(),
+        deadline,
+        priority: cx.priority,
+        key: Some(key),
+        handover: Handover::until(grant.until.min(deadline)),
+        waits: Waits {
+            first_byte: patience,
+            gap: patience,
+            deadline: last,
+            max_bytes: cx.gate.cfg.limits.output_bytes,
+        },
+    }
+}
+
+/// A granted call on its way.
+struct Sending {
+    gate: Arc<Gate>,
+    record: Arc<Record>,
+    service: String,
+    is_engine: bool,
+    picked: Arc<Picked>,
+    req: hyper::Request<http_body_util::Full<bytes::Bytes>>,
+    number: usize,
+    grant: Grant,
+    call: Call,
+}
+
+impl Sending {
+    async fn run(self, connection: Connection) -> Result<(Box<RawValue>, u64), CallError> {
+        // Never cancelled at the engine: what was begun is to end and be settled.
+        let mut guard = CallGuard::new(&self.gate, &self.service, &self.call, false);
+        let result = self.exchange(connection).await;
+        let settlement = match &result {
+            Ok((output, tokens)) => {
+                guard.succeeded(*tokens);
+                self.record.once(Once::Ran);
+                self.gate.ledger.completed(output)
+            }
+            Err(e) => self.settlement(e),
+        };
+        self.gate.ledger.settle(&self.grant, settlement);
+        let verdict = match &result {
+            Ok(_) => Verdict::Good,
+            Err(CallError::NotRun { .. }) => Verdict::Refused,
+            Err(CallError::Unsent) => Verdict::Cancelled,
+            Err(CallError::Status { status, .. }) if *status < 500 => Verdict::Good,
+            Err(_) => Verdict::Failed,
+        };
+        self.picked.finish(verdict, None, None);
+        result
+    }
+
+    async fn exchange(&self, connection: Connection) -> Result<(Box<RawValue>, u64), CallError> {
+        let pool = &self.gate.pool;
+        let begun = exchange::begin_on(connection, pool, &self.call, self.req.clone()).await;
+        let exchange = match begun {
+            Ok(exchange) => exchange,
+            Err(e @ (CallError::NotRun { .. } | CallError::Status { .. })) => return Err(e),
+            Err(_) if self.call.handover.seal() => return Err(CallError::Unsent),
+            Err(e) => return Err(e),
+        };
+        match self.is_engine {
+            false => plain::read(exchange, pool).await.map(|output| (output, 0)),
+            true => crate::work::read_whole(exchange, pool).await,
+        }
+    }
+
+    /// What the ledger is told of a call without a result.
+    fn settlement(&self, error: &CallError) -> Settlement {
+        match error {
+            CallError::Unsent => {
+                self.record.once(Once::Unsent);
+                Settlement::Released
+            }
+            CallError::NotRun { .. } => {
+                self.record.refuse(self.number);
+                self.record.once(Once::Unsent);
+                Settlement::Released
+            }
+            CallError::Status { status, detail, .. } if *status < 500 => {
+                self.record.once(Once::Refused);
+                Settlement::Refused {
+                    status: *status,
+                    detail: detail.clone(),
+                }
+            }
+            _ => Settlement::Unknown,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gate/src/pages.rs
@@ -0,0 +1,78 @@
+//! Pages for the balancer, monitoring and operators.
+
+use std::sync::Arc;
+
+use derives::record;
+use host::problem::Problem;
+use salvo::{
+    handler,
+    prelude::{Request, Response},
+};
+
+use crate::{callers::json_body, gate::Gate};
+
+/// `GET /healthz`: the process serves HTTP.
+#[handler]
+pub(crate) async fn healthz(res: &mut Response) {
+    res.render("ok\n");
+}
+
+/// `GET /readyz`: 503 while no declaration is known and once draining.
+#[derive(Debug)]
+pub(crate) struct Ready(pub(crate) Arc<Gate>);
+
+#[handler]
+impl Ready {
+    async fn handle(&self, res: &mut Response) {
+        match self.0.is_ready() {
+            true => res.render("ready\n"),
+            false if self.0.is_draining() => {
+                Problem::new(503, "draining", "Draining", "the gate is stopping").render(res);
+            }
+            false => {
+                let what = "no declaration is known here yet";
+                Problem::new(503, "no-declaration", "No declaration", what).render(res);
+            }
+        }
+    }
+}
+
+/// `GET /metrics`.
+#[derive(Debug)]
+pub(crate) struct Metrics(pub(crate) Arc<Gate>);
+
+#[handler]
+impl Metrics {
+    async fn handle(&self, res: &mut Response) {
+        let gate = &self.0;
+        let revision = gate.in_force().map_or(0, |in_force| in_force.revision);
+        gate.metrics.now(gate.inflight.count(), revision, gate.route.ejections());
+        res.render(host::http::metrics_text(gate.metrics.registry()));
+    }
+}
+
+/// `GET /v1/revision`.
+#[derive(Debug)]
+pub(crate) struct Revision(pub(crate) Arc<Gate>);
+
+#[record]
+struct InForceHere {
+    revision: u64,
+}
+
+#[handler]
+impl Revision {
+    async fn handle(&self, res: &mut Response) {
+        let revision = self.0.in_force().map_or(0, |in_force| in_force.revision);
+        let json = serde_json::to_vec(&InForceHere { revision });
+        json_body(res, json.unwrap_or_default());
+    }
+}
+
+/// Any other path.
+#[handler]
+pub(crate) async fn not_found(req: &mut Request, res: &mut Response) {
+    let path: String = req.uri().path().chars().take(128).collect();
+    let what = format!("{} {path} is not served here", req.method());
+    Problem::new(404, "not-found", "Not found", what).render(res);
+}
--- /dev/null
+++ b/crates/gate/src/race.rs
@@ -0,0 +1,245 @@
+//! The first answer to a stage: one call, and where it lags, a hedge elsewhere and a new socket.
+
+use std::{sync::Arc, time::Duration};
+
+use futures_util::{StreamExt, stream::FuturesUnordered};
+use tokio::time::{Instant, sleep_until};
+use uuid::Uuid;
+
+use crate::{
+    exchange::{self, Call, Exchange, Waits},
+    failure::{CallError, StageError},
+    guard::CallGuard,
+    handover::Handover,
+    route::{Picked, Sized, Verdict},
+    run::Running,
+    stage::{Stage, Tries, failed, is_engine, pick},
+    work::Work,
+};
+
+/// A call that has begun to answer.
+#[derive(Debug)]
+pub(crate) struct Answering {
+    /// The answer.
+    pub(crate) exchange: Exchange,
+    /// The endpoint.
+    pub(crate) picked: Arc<Picked>,
+    /// Cancels the call when it is dropped.
+    pub(crate) guard: CallGuard,
+    /// The call's id.
+    pub(crate) call: Uuid,
+}
+
+/// On which connection a call goes out.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Via {
+    /// An idle one, or a new one.
+    Any,
+    /// A new one: the first one is suspect.
+    New,
+}
+
+/// When further calls join the race.
+#[derive(Debug)]
+struct Schedule {
+    /// A hedge at another endpoint.
+    hedge: Option<Instant>,
+    /// A new connection to the same endpoint.
+    new_socket: Option<Instant>,
+}
+
+impl Schedule {
+    fn new(cx: &Running, stage: Stage<'_>, work: &Work<'_>) -> Self {
+        let now = Instant::now();
+        let left = cx.ask.deadline.saturating_duration_since(now);
+        let name = stage.name;
+        let lag = cx.gate.route.hedge_after(Sized { name, bytes: work.bytes() });
+        let stall = first_byte_wait(cx, lag, left);
+        Self {
+            // A cut stream goes on elsewhere only after its own endpoint was asked.
+            hedge: lag
+                .filter(|lag| *lag < left && !work.is_resumption())
+                .map(|lag| now + lag),
+            new_socket: Some(now + stall),
+        }
+    }
+}
+
+/// How long a connection may be silent before a new one is tried beside it.
+fn first_byte_wait(cx: &Running, lag: Option<Duration>, left: Duration) -> Duration {
+    let usual = lag.map_or(Duration::ZERO, |lag| lag * 2);
+    cx.gate.cfg.timing.first_byte.max(usual).min(left / 2)
+}
+
+/// Calls `picked`, and others where it lags, until one begins to answer.
+pub(crate) async fn first_answer(
+    cx: &Running,
+    stage: Stage<'_>,
+    work: &Work<'_>,
+    tries: &mut Tries,
+    picked: Arc<Picked>,
+    via: Via,
+) -> Result<Answering, StageError> {
+    let mut schedule = Schedule::new(cx, stage, work);
+    let mut legs = FuturesUnordered::new();
+    legs.push(leg(cx, stage, work, Arc::clone(&picked), via));
+    tries.calls += 1;
+    let mut is_renewed = false;
+    loop {
+        let hedge = schedule.hedge;
+        let new_socket = schedule.new_socket;
+        tokio::select! {
+            answer = legs.next() => match answer {
+                Some(Ok(answering)) => {
+                    blame(cx, &picked, &answering, is_renewed);
+                    return Ok(answering);
+                }
+                Some(Err(error)) => {
+                    tries.avoid.extend(error.peer.clone());
+                    if legs.is_empty() {
+                        return Err(error);
+                    }
+                }
+                None => unreachable!("a race ends with its last leg"),
+            },
+            () = at(hedge) => {
+                schedule.hedge = None;
+                let other = another(cx, stage, work, tries, &picked);
+                if let Some(other) = other {
+                    cx.gate.metrics.hedge(stage.name);
+                    legs.push(leg(cx, stage, work, other, Via::Any));
+                    tries.calls += 1;
+                }
+            }
+            () = at(new_socket) => {
+                schedule.new_socket = None;
+                cx.gate.pool.suspect(picked.address());
+                if cx.gate.route.spend_retry(stage.name) {
+                    cx.gate.metrics.retry(stage.name);
+                    legs.push(leg(cx, stage, work, Arc::clone(&picked), Via::New));
+                    tries.calls += 1;
+                    is_renewed = true;
+                }
+            }
+        }
+    }
+}
+
+/// An endpoint that neither answered late nor new: it is blamed. One that answered on its new
+/// socket is not; only the old connection goes.
+fn blame(cx: &Running, picked: &Picked, winner: &Answering, is_renewed: bool) {
+    if is_renewed && winner.picked.name() != picked.name() {
+        cx.gate.pool.suspect(picked.address());
+        picked.finish(Verdict::Stalled, None, None);
+    }
+}
+
+/// Another endpoint for a hedge, out of the retry budget.
+fn another(
+    cx: &Running,
+    stage: Stage<'_>,
+    work: &Work<'_>,
+    tries: &Tries,
+    first: &Picked,
+) -> Option<Arc<Picked>> {
+    let mut avoid = tries.avoid.clone();
+    avoid.push(first.name().to_owned());
+    let tries = Tries {
+        avoid,
+        ..Tries::default()
+    };
+    let other = pick(cx, stage, work, &tries).ok()?;
+    let is_other = other.name() != first.name();
+    (is_other && cx.gate.route.spend_retry(stage.name)).then_some(other)
+}
+
+async fn at(instant: Option<Instant>) {
+    match instant {
+        Some(instant) => sleep_until(instant).await,
+        None => std::future::pending().await,
+    }
+}
+
+/// One call, and where its connection is lost before the answer, one more on a new connection: the
+/// endpoint may have closed an idle one just then.
+async fn leg(
+    cx: &Running,
+    stage: Stage<'_>,
+    work: &Work<'_>,
+    picked: Arc<Picked>,
+    via: Via,
+) -> Result<Answering, StageError> {
+    let lost = match one_call(cx, stage, work, &picked, via).await {
+        Err(e @ CallError::Broken(_)) if via == Via::Any => e,
+        result => return result.map_err(|e| failed(cx, stage, &picked, e)),
+    };
+    cx.gate.pool.suspect(picked.address());
+    if !cx.gate.route.spend_retry(stage.name) {
+        return Err(failed(cx, stage, &picked, lost));
+    }
+    cx.gate.metrics.retry(stage.name);
+    let again = one_call(cx, stage, work, &picked, Via::New).await;
+    again.map_err(|e| failed(cx, stage, &picked, e))
+}
+
+async fn one_call(
+    cx: &Running,
+    stage: Stage<'_>,
+    work: &Work<'_>,
+    picked: &Arc<Picked>,
+    via: Via,
+) -> Result<Answering, CallError> {
+    let call = new_call(cx, picked);
+    let number = cx.record.add(&call.handover);
+    let mut guard = CallGuard::new(&cx.gate, stage.name, &call, is_engine(stage.service));
+    if work.is_resumption() {
+        cx.gate.metrics.resumption(stage.name);
+    }
+    let req = work.request(&call);
+    let pool = &cx.gate.pool;
+    let begun = match via {
+        Via::Any => exchange::begin(pool, &call, req).await,
+        Via::New => exchange::begin_fresh(pool, &call, req).await,
+    };
+    let begun = match begun {
+        Ok(mut exchange) => exchange.first_part().await.map(|()| exchange),
+        Err(e) => Err(e),
+    };
+    match begun {
+        Ok(exchange) => Ok(Answering {
+            exchange,
+            picked: Arc::clone(picked),
+            guard,
+            call: call.id,
+        }),
+        Err(e) => {
+            if matches!(e, CallError::NotRun { .. }) {
+                cx.record.refuse(number);
+            }
+            if matches!(e, CallError::NotRun { .. } | CallError::Status { .. }) {
+                guard.ended();
+            }
+            Err(e)
+        }
+    }
+}
+
+fn new_call(cx: &Running, picked: &Picked) -> Call {
+    let deadline = cx.ask.deadline;
+    let left = deadline.saturating_duration_since(Instant::now());
+    Call {
+        id: Uuid::new_v4(),
+        address: picked.address(),
+        deadline,
+        priority: cx.priority,
+        key: None,
+        handover: Handover::new(),
+        waits: Waits {
+            // The race decides when a silent call gets company; it ends with the deadline.
+            first_byte: left,
+            gap: cx.gate.cfg.timing.gap,
+            deadline,
+            max_bytes: cx.gate.cfg.limits.output_bytes,
+        },
+    }
+}
--- a/crates/gate/src/record.rs
+++ b/crates/gate/src/record.rs
@@ -12,8 +12,8 @@
     /// None was sent.
     #[default]
     Unsent,
-    /// One was sent, and its result has not been seen.
-    InDoubt,
+    /// The call of this number may have been sent, and its result has not been seen.
+    InDoubt(usize),
     /// One was answered by a refusal.
     Refused,
     /// One ran.
@@ -32,6 +32,14 @@
     is_refused: bool,
 }
 
+impl Call {
+    /// Whether the endpoint may have run the call; from here on it cannot be sent any more.
+    fn has_run(&self) -> bool {
+        let is_unsent = self.handover.seal();
+        !is_unsent && !self.is_refused
+    }
+}
+
 /// The record of one request.
 #[derive(Debug, Default)]
 pub(crate) struct Record(Mutex<State>);
@@ -66,14 +74,14 @@
         let state = self.lock();
         let mut has_run = false;
         for call in &state.calls {
-            let is_unsent = call.handover.seal();
-            has_run |= !is_unsent && !call.is_refused;
+            has_run |= call.has_run();
         }
         match state.once {
-            Once::InDoubt | Once::Ran => Outcome::Unknown,
+            Once::Ran => Outcome::Unknown,
+            Once::InDoubt(call) if state.calls[call].has_run() => Outcome::Unknown,
             Once::Refused => Outcome::Failed,
-            Once::Unsent if has_run => Outcome::Failed,
-            Once::Unsent => Outcome::NotRun,
+            _ if has_run => Outcome::Failed,
+            _ => Outcome::NotRun,
         }
     }
 
--- /dev/null
+++ b/crates/gate/src/route.rs
@@ -0,0 +1,250 @@
+//! The gate's use of the crates `membership` and `routing`; no other module calls them for a
+//! request.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use declaration::{Pipeline, Priority, Service};
+use membership::Table;
+use routing::{
+    Admission, AdmissionConfig, Applicant, BudgetConfig, CallOutcome, Latencies, ModelNeed,
+    NoEndpoint, Observation, Pick, Refusal, RetryBudget, Reused, Router, RouterConfig, SizeClass,
+    Ticket,
+};
+use tokio::time::Instant;
+
+use crate::engine::Cached;
+
+/// When to come back where no endpoint is ready.
+const NO_ENDPOINT_RETRY: Duration = Duration::from_secs(1);
+
+/// Everything that decides where calls go and whether they may.
+#[derive(Debug)]
+pub(crate) struct Route {
+    table: Table,
+    router: Router,
+    admission: Admission,
+    budget: RetryBudget,
+    /// Time of whole stages, by which admission estimates.
+    totals: Arc<Latencies>,
+    /// Time to the first part of an answer, by which hedges are sent.
+    firsts: Latencies,
+}
+
+/// What a stage needs of an endpoint.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Need<'a> {
+    /// The service's name.
+    pub(crate) name: &'a str,
+    /// The service.
+    pub(crate) service: &'a Service,
+    /// Availability zones that the workspace may use.
+    pub(crate) zones: &'a [String],
+    /// The prompt, for an engine.
+    pub(crate) prompt: Option<&'a str>,
+    /// Endpoints that failed.
+    pub(crate) avoid: &'a [String],
+}
+
+/// What became of a call, as far as it tells about the endpoint.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Verdict {
+    /// It answered.
+    Good,
+    /// It did not take the call.
+    Refused,
+    /// It failed.
+    Failed,
+    /// It was silent, on a new connection too.
+    Stalled,
+    /// The call ended for reasons of our own.
+    Cancelled,
+}
+
+/// A service and the size of its input.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Sized<'a> {
+    /// The service's name.
+    pub(crate) name: &'a str,
+    /// The input's size in bytes.
+    pub(crate) bytes: usize,
+}
+
+impl<'a> Sized<'a> {
+    fn stage(self) -> routing::Stage<'a> {
+        routing::Stage {
+            service: self.name,
+            size: SizeClass::of(self.bytes),
+        }
+    }
+}
+
+impl Route {
+    /// Routing for the gate on VM `gate` of availability zone `az`, beside `gates` of that zone.
+    pub(crate) fn new(gate: &str, az: &str, gates: Vec<String>, table: Table) -> Self {
+        let totals = Arc::new(Latencies::new());
+        let cfg = RouterConfig {
+            seed: rand::random(),
+            ..RouterConfig::new(gate, az, gates)
+        };
+        Self {
+            router: Router::new(cfg, table.clone()),
+            admission: Admission::new(AdmissionConfig::default(), Arc::clone(&totals)),
+            budget: RetryBudget::new(BudgetConfig::default()),
+            firsts: Latencies::new(),
+            totals,
+            table,
+        }
+    }
+
+    /// The endpoints' table.
+    pub(crate) fn table(&self) -> &Table {
+        &self.table
+    }
+
+    /// The router, for cache events.
+    pub(crate) fn router(&self) -> &Router {
+        &self.router
+    }
+
+    /// Admits a request with an input of `bytes`, or refuses it.
+    pub(crate) async fn admit(
+        &self,
+        workspace: (&str, &declaration::Workspace),
+        pipeline: &Pipeline,
+        bytes: usize,
+        deadline: Instant,
+    ) -> Result<Ticket, Refusal> {
+        let (name, workspace) = workspace;
+        let stages = pipeline.stages.iter();
+        let stages: Vec<_> = stages.map(|name| Sized { name, bytes }.stage()).collect();
+        let applicant = Applicant {
+            workspace: name,
+            priority: Priority(workspace.priority.0),
+            max_in_flight: workspace.max_in_flight,
+            stages: &stages,
+            deadline,
+        };
+        self.admission.enter(applicant).await
+    }
+
+    /// Chooses an endpoint for a call.
+    pub(crate) fn pick(&self, need: &Need<'_>) -> Result<Picked, NoEndpoint> {
+        let service = need.service;
+        let model = service.model.as_deref().zip(service.version);
+        let pick = self.router.pick(&routing::Need {
+            service: need.name,
+            model: model.map(|(model, version)| ModelNeed {
+                model,
+                version,
+                adapters: &service.adapters,
+            }),
+            role: None,
+            azs: need.zones,
+            prompt: need.prompt.map(str::as_bytes),
+            avoid: need.avoid,
+        })?;
+        Picked::new(pick).ok_or(NoEndpoint::NoneReady)
+    }
+
+    /// Notes the first try of a stage, which earns a share of a retry.
+    pub(crate) fn first_try(&self, service: &str) {
+        self.budget.first_try(service);
+    }
+
+    /// Takes a retry or a hedge from the service's budget.
+    pub(crate) fn spend_retry(&self, service: &str) -> bool {
+        self.budget.try_spend(service)
+    }
+
+    /// How long to wait for the first part of an answer before a hedge.
+    pub(crate) fn hedge_after(&self, sized: Sized<'_>) -> Option<Duration> {
+        self.firsts.hedge_after(sized.stage())
+    }
+
+    /// Notes how long a stage took to begin its answer and to end it.
+    pub(crate) fn observe(&self, sized: Sized<'_>, first: Duration, total: Duration) {
+        self.firsts.observe(sized.stage(), first);
+        self.totals.observe(sized.stage(), total);
+    }
+
+    /// Ejections since the start.
+    pub(crate) fn ejections(&self) -> u64 {
+        self.router.ejections()
+    }
+
+    /// Endpoints of `service` that are known.
+    pub(crate) fn count(&self, service: &str) -> usize {
+        self.table.service(service).map_or(0, |s| s.endpoints.len())
+    }
+}
+
+/// When to come back after `none`.
+pub(crate) fn retry_after(none: NoEndpoint) -> Duration {
+    match none {
+        NoEndpoint::Busy { retry_after } => retry_after,
+        _ => NO_ENDPOINT_RETRY,
+    }
+}
+
+/// An endpoint chosen for a call; its slot is held until the call is finished or this is dropped.
+#[derive(Debug)]
+pub(crate) struct Picked {
+    name: String,
+    address: SocketAddr,
+    since: Instant,
+    pick: Mutex<Option<Pick>>,
+}
+
+impl Picked {
+    fn new(pick: Pick) -> Option<Self> {
+        let address = pick.address().strip_prefix("http://")?.parse().ok()?;
+        Some(Self {
+            name: pick.name().to_owned(),
+            address,
+            since: Instant::now(),
+            pick: Mutex::new(Some(pick)),
+        })
+    }
+
+    /// The endpoint's name.
+    pub(crate) fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Where it takes calls.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// When it was chosen.
+    pub(crate) fn since(&self) -> Instant {
+        self.since
+    }
+
+    /// Frees the slot and tells the router what became of the call; later words change nothing.
+    pub(crate) fn finish(&self, verdict: Verdict, first: Option<Instant>, cached: Option<Cached>) {
+        let pick = self.pick.lock().expect("no holder of this lock panics").take();
+        let Some(pick) = pick else {
+            return;
+        };
+        let outcome = match verdict {
+            Verdict::Good => CallOutcome::Answered,
+            Verdict::Refused => CallOutcome::Refused,
+            Verdict::Failed => CallOutcome::Failed,
+            Verdict::Stalled => CallOutcome::Stalled,
+            Verdict::Cancelled => CallOutcome::Cancelled,
+        };
+        pick.finish(Observation {
+            first_byte: first.map(|at| at.saturating_duration_since(self.since)),
+            reused: cached.map(|c| Reused {
+                cached: c.cached_tokens,
+                prompt: c.prompt_tokens,
+            }),
+            ..Observation::new(outcome, self.since.elapsed())
+        });
+    }
+}
--- /dev/null
+++ b/crates/gate/src/stage.rs
@@ -0,0 +1,259 @@
+//! One stage that may be repeated: tries, hedges and resumptions until it has its result.
+
+use std::{sync::Arc, time::Duration};
+
+use declaration::{Service, ServiceKind};
+use derives::record;
+use rand::RngExt;
+use serde_json::value::RawValue;
+use tokio::time::{Instant, sleep};
+
+use crate::{
+    failure::{CallError, Cause, StageError},
+    plain,
+    race::{self, Answering, Via},
+    route::{Need, Picked, Sized, Verdict, retry_after},
+    run::Running,
+    stream::Sink,
+    work::Work,
+};
+
+/// Most tries of one stage.
+const MAX_TRIES: u32 = 5;
+/// Bounds of the pause before a further try; the pause is drawn between zero and the bound.
+const FIRST_BACKOFF: Duration = Duration::from_millis(20);
+const LONGEST_BACKOFF: Duration = Duration::from_millis(500);
+
+/// A stage of the request's pipeline.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Stage<'a> {
+    /// Its number in the pipeline, from 1.
+    pub(crate) number: usize,
+    /// The service's name.
+    pub(crate) name: &'a str,
+    /// The service.
+    pub(crate) service: &'a Service,
+}
+
+/// What the caller is told of a stage.
+#[record]
+pub(crate) struct StageReport {
+    /// Its number in the pipeline, from 1.
+    pub(crate) stage: usize,
+    /// The service.
+    pub(crate) service: String,
+    /// The endpoint whose answer it is.
+    pub(crate) endpoint: String,
+    /// Calls made, hedges included; 0 where the result was stored.
+    pub(crate) attempts: u32,
+    /// Time of the stage with all its tries, in milliseconds.
+    pub(crate) elapsed_ms: u64,
+    /// Tokens generated, for an engine.
+    pub(crate) tokens: u64,
+}
+
+/// A stage's result.
+#[derive(Debug)]
+pub(crate) struct StageDone {
+    /// Its output.
+    pub(crate) output: Box<RawValue>,
+    /// What the caller is told of it.
+    pub(crate) report: StageReport,
+}
+
+/// What the tries of a stage have come to so far.
+#[derive(Debug, Default)]
+pub(crate) struct Tries {
+    /// Calls made.
+    pub(crate) calls: u32,
+    /// Tries made, each with its hedges.
+    rounds: u32,
+    /// Endpoints that failed.
+    pub(crate) avoid: Vec<String>,
+    /// The endpoint whose connection was lost in the middle of its answer.
+    again: Option<Arc<Picked>>,
+}
+
+/// Runs `stage` until it has a result or gives up; new text of an engine goes to `sink` at once.
+pub(crate) async fn run(
+    cx: &Running,
+    stage: Stage<'_>,
+    previous: Option<&RawValue>,
+    sink: Option<&Sink>,
+) -> Result<StageDone, StageError> {
+    let started = Instant::now();
+    let mut work = Work::new(stage, &cx.ask.input, previous);
+    let mut tries = Tries::default();
+    cx.gate.route.first_try(stage.name);
+    loop {
+        tries.rounds += 1;
+        let error = match try_once(cx, stage, &mut work, &mut tries, sink).await {
+            Ok((output, endpoint)) => {
+                let elapsed = started.elapsed();
+                cx.gate.metrics.stage(stage.name, elapsed);
+                let report = StageReport {
+                    stage: stage.number,
+                    service: stage.name.to_owned(),
+                    endpoint,
+                    attempts: tries.calls,
+                    elapsed_ms: elapsed.as_millis() as u64,
+                    tokens: work.tokens(),
+                };
+                return Ok(StageDone { output, report });
+            }
+            Err(error) => error,
+        };
+        wait_for_retry(cx, stage, &tries, error).await?;
+        cx.gate.metrics.retry(stage.name);
+        work.prepare_retry(sink.is_some());
+    }
+}
+
+async fn try_once(
+    cx: &Running,
+    stage: Stage<'_>,
+    work: &mut Work<'_>,
+    tries: &mut Tries,
+    sink: Option<&Sink>,
+) -> Result<(Box<RawValue>, String), StageError> {
+    let (picked, via) = match tries.again.take() {
+        Some(picked) => (picked, Via::New),
+        None => (pick(cx, stage, work, tries)?, Via::Any),
+    };
+    let answering = race::first_answer(cx, stage, work, tries, picked, via).await?;
+    let Answering {
+        exchange,
+        picked,
+        mut guard,
+        call,
+    } = answering;
+    let first_byte = exchange.answered;
+    work.begin(call);
+    let read = match work {
+        Work::Plain { .. } => plain::read(exchange, &cx.gate.pool).await,
+        Work::Engine(work) => work.read(exchange, &cx.gate.pool, sink).await,
+    };
+    match read {
+        Ok(output) => {
+            guard.succeeded(work.tokens());
+            let (since, name) = (picked.since(), stage.name);
+            let sized = Sized { name, bytes: work.bytes() };
+            let first = first_byte.saturating_duration_since(since);
+            cx.gate.route.observe(sized, first, since.elapsed());
+            picked.finish(Verdict::Good, Some(first_byte), work.cached());
+            Ok((output, picked.name().to_owned()))
+        }
+        // The connection is suspect before its endpoint is: go on there over a new one.
+        Err(e @ (CallError::Broken(_) | CallError::Stalled(_))) if via == Via::Any => {
+            guard.ended();
+            cx.gate.pool.suspect(picked.address());
+            let error = StageError::call(stage.name, picked.name(), e);
+            tries.again = Some(picked);
+            Err(error)
+        }
+        Err(e) => {
+            tries.avoid.push(picked.name().to_owned());
+            Err(failed(cx, stage, &picked, e))
+        }
+    }
+}
+
+/// An endpoint for the next call: one that has not failed yet, else any.
+pub(crate) fn pick(
+    cx: &Running,
+    stage: Stage<'_>,
+    work: &Work<'_>,
+    tries: &Tries,
+) -> Result<Arc<Picked>, StageError> {
+    let need = Need {
+        name: stage.name,
+        service: stage.service,
+        zones: &cx.zones,
+        prompt: work.prompt(),
+        avoid: &tries.avoid,
+    };
+    let picked = match cx.gate.route.pick(&need) {
+        Err(_) if !tries.avoid.is_empty() => cx.gate.route.pick(&Need { avoid: &[], ..need }),
+        result => result,
+    };
+    picked.map(Arc::new).map_err(|none| {
+        let cause = Cause::NoEndpoint {
+            retry_after: retry_after(none),
+            reason: none.to_string(),
+        };
+        StageError::at(stage.name, cause)
+    })
+}
+
+/// Tells routing and metrics of a failed call.
+pub(crate) fn failed(
+    cx: &Running,
+    stage: Stage<'_>,
+    picked: &Picked,
+    error: CallError,
+) -> StageError {
+    let verdict = match &error {
+        CallError::NotRun { .. } | CallError::Status { status: 429, .. } => Verdict::Refused,
+        CallError::Status { status, .. } if *status < 500 => Verdict::Good,
+        CallError::Deadline | CallError::CallerGone | CallError::Unsent => Verdict::Cancelled,
+        _ => Verdict::Failed,
+    };
+    picked.finish(verdict, None, None);
+    cx.gate.metrics.call(stage.name, result_name(&error));
+    StageError::call(stage.name, picked.name(), error)
+}
+
+/// A fixed set of names for metrics.
+fn result_name(error: &CallError) -> &'static str {
+    match error {
+        CallError::Connect(_) => "connect",
+        CallError::Unsent => "unsent",
+        CallError::NotRun { .. } => "not_run",
+        CallError::Stalled(_) => "stalled",
+        CallError::Broken(_) => "broken",
+        CallError::Status { .. } => "status",
+        CallError::Crossed => "crossed",
+        CallError::Malformed(_) => "malformed",
+        CallError::TooLarge(_) => "too_large",
+        CallError::Diverged => "diverged",
+        CallError::Deadline => "deadline",
+        CallError::CallerGone => "caller_gone",
+    }
+}
+
+/// Pauses before a further try, or gives up at once with when to come back.
+async fn wait_for_retry(
+    cx: &Running,
+    stage: Stage<'_>,
+    tries: &Tries,
+    error: StageError,
+) -> Result<(), StageError> {
+    let Cause::Call(cause) = &error.cause else {
+        return Err(error);
+    };
+    if !cause.is_worth_retrying() || tries.rounds >= MAX_TRIES {
+        return Err(error);
+    }
+    let is_free = matches!(cause, CallError::Connect(_));
+    if !is_free && !cx.gate.route.spend_retry(stage.name) {
+        return Err(error);
+    }
+    let bound = FIRST_BACKOFF * 2_u32.pow(tries.rounds.min(8) - 1);
+    let drawn = rand::rng().random_range(Duration::ZERO..=bound.min(LONGEST_BACKOFF));
+    let pause = match cause.retry_after() {
+        // Another endpoint may be free although this one is not.
+        Some(after) if cx.gate.route.count(stage.name) <= 1 => after.max(drawn),
+        _ => drawn,
+    };
+    let left = cx.ask.deadline.saturating_duration_since(Instant::now());
+    if pause >= left {
+        return Err(error);
+    }
+    sleep(pause).await;
+    Ok(())
+}
+
+/// Whether `service` streams chunks.
+pub(crate) fn is_engine(service: &Service) -> bool {
+    service.kind == ServiceKind::Engine
+}
--- /dev/null
+++ b/crates/gate/src/work.rs
@@ -0,0 +1,178 @@
+//! What a stage has to do and how far its tries have come.
+
+use std::borrow::Cow;
+
+use bytes::Bytes;
+use declaration::Service;
+use http_body_util::Full;
+use hyper::Request;
+use serde_json::value::{RawValue, to_raw_value};
+use uuid::Uuid;
+
+use crate::{
+    assembly::Assembly,
+    engine::{self, Cached, Resume, Tally},
+    exchange::{Call, Exchange},
+    failure::CallError,
+    plain,
+    pool::Pool,
+    stage::{Stage, is_engine},
+    stream::Sink,
+};
+
+/// The work of one stage, kept over its tries.
+#[derive(Debug)]
+pub(crate) enum Work<'a> {
+    /// One question, one answer.
+    Plain {
+        /// The service's name.
+        name: &'a str,
+        /// The request's input.
+        input: &'a RawValue,
+        /// The output of the stage before.
+        previous: Option<&'a RawValue>,
+    },
+    /// A stream of text.
+    Engine(Box<Generation<'a>>),
+}
+
+/// Text that an engine generates.
+#[derive(Debug)]
+pub(crate) struct Generation<'a> {
+    service: &'a Service,
+    prompt: Cow<'a, str>,
+    assembly: Assembly,
+    tally: Tally,
+    /// The call whose text is held.
+    source: Option<Uuid>,
+    has_diverged: bool,
+}
+
+impl<'a> Work<'a> {
+    /// The work of `stage`.
+    pub(crate) fn new(
+        stage: Stage<'a>,
+        input: &'a RawValue,
+        previous: Option<&'a RawValue>,
+    ) -> Self {
+        if !is_engine(stage.service) {
+            return Self::Plain {
+                name: stage.name,
+                input,
+                previous,
+            };
+        }
+        Self::Engine(Box::new(Generation {
+            service: stage.service,
+            prompt: engine::prompt(previous.unwrap_or(input)),
+            assembly: Assembly::default(),
+            tally: Tally::default(),
+            source: None,
+            has_diverged: false,
+        }))
+    }
+
+    /// The HTTP request for `call`, which goes on where the text held ends.
+    pub(crate) fn request(&self, call: &Call) -> Request<Full<Bytes>> {
+        match self {
+            Self::Plain {
+                name,
+                input,
+                previous,
+            } => plain::request(call, name, input, *previous),
+            Self::Engine(work) => {
+                let offset = work.assembly.offset();
+                let source = work.source.filter(|_| offset > 0);
+                let resume = source.map(|call| Resume { call, offset });
+                engine::request(call, work.service, &work.prompt, resume)
+            }
+        }
+    }
+
+    /// The text that an engine's cache may know.
+    pub(crate) fn prompt(&self) -> Option<&str> {
+        match self {
+            Self::Plain { .. } => None,
+            Self::Engine(work) => Some(&work.prompt),
+        }
+    }
+
+    /// The answer to `call` is about to be read.
+    pub(crate) fn begin(&mut self, call: Uuid) {
+        if let Self::Engine(work) = self {
+            work.source.get_or_insert(call);
+        }
+    }
+
+    /// Whether a further try goes on in the middle of a stream.
+    pub(crate) fn is_resumption(&self) -> bool {
+        matches!(self, Self::Engine(work) if work.assembly.offset() > 0)
+    }
+
+    /// Gets ready for a further try. Text that contradicts itself is generated anew, unless some of
+    /// it was passed on.
+    pub(crate) fn prepare_retry(&mut self, is_passed_on: bool) {
+        match self {
+            Self::Engine(work) if work.has_diverged && !is_passed_on => {
+                work.assembly.restart();
+                work.source = None;
+                work.has_diverged = false;
+            }
+            _ => {}
+        }
+    }
+
+    /// Tokens generated so far.
+    pub(crate) fn tokens(&self) -> u64 {
+        match self {
+            Self::Plain { .. } => 0,
+            Self::Engine(work) => work.tally.tokens,
+        }
+    }
+
+    /// How much of the prompt was in the engine's cache, where it says so.
+    pub(crate) fn cached(&self) -> Option<Cached> {
+        match self {
+            Self::Plain { .. } => None,
+            Self::Engine(work) => work.tally.cached,
+        }
+    }
+
+    /// The size of what the endpoint has to read, in bytes.
+    pub(crate) fn bytes(&self) -> usize {
+        match self {
+            Self::Plain {
+                input, previous, ..
+            } => input.get().len() + previous.map_or(0, |p| p.get().len()),
+            Self::Engine(work) => work.prompt.len(),
+        }
+    }
+}
+
+impl Generation<'_> {
+    /// Reads the stream to its end and gives the whole text as a JSON string.
+    pub(crate) async fn read(
+        &mut self,
+        exchange: Exchange,
+        pool: &Pool,
+        sink: Option<&Sink>,
+    ) -> Result<Box<RawValue>, CallError> {
+        let (assembly, tally) = (&mut self.assembly, &mut self.tally);
+        let read = engine::read(exchange, pool, assembly, sink, tally).await;
+        self.has_diverged = read == Err(CallError::Diverged);
+        read?;
+        to_raw_value(self.assembly.text()).map_err(|e| CallError::Malformed(e.to_string()))
+    }
+}
+
+/// Reads a stream to its end on its one connection; the whole text and its tokens.
+pub(crate) async fn read_whole(
+    exchange: Exchange,
+    pool: &Pool,
+) -> Result<(Box<RawValue>, u64), CallError> {
+    let (mut assembly, mut tally) = (Assembly::default(), Tally::default());
+    engine::read(exchange, pool, &mut assembly, None, &mut tally).await?;
+    let output = to_raw_value(assembly.text());
+    let output = output.map_err(|e| CallError::Malformed(e.to_string()))?;
+    Ok((output, tally.tokens))
+}
