--- /dev/null
+++ b/crates/cli/src/error.rs
@@ -0,0 +1,69 @@
+//! Why a verb failed, and with which exit code.
+
+use declaration::{Conflict, Faults};
+use host::exit::ExitCode;
+use operators::ApiError;
+use thiserror::Error;
+
+/// Why a verb failed.
+#[derive(Debug, Error)]
+pub enum VerbError {
+    /// A file cannot be read.
+    #[error("read `{path}`: {reason}; check the path")]
+    File {
+        /// The file.
+        path: String,
+        /// What failed.
+        reason: String,
+    },
+    /// The document has faults.
+    #[error("{0}")]
+    Faults(#[from] Faults),
+    /// Sections changed since the base.
+    #[error("{}", conflict_text(.0))]
+    Conflict(Vec<Conflict>),
+    /// The keepers could not be asked, or refused.
+    #[error("{0}")]
+    Api(ApiError),
+}
+
+impl From<ApiError> for VerbError {
+    fn from(e: ApiError) -> Self {
+        match e {
+            ApiError::Conflict(conflicts) => Self::Conflict(conflicts),
+            ApiError::Invalid(faults) => Self::Faults(Faults(faults)),
+            other => Self::Api(other),
+        }
+    }
+}
+
+impl VerbError {
+    /// The exit code that says what kind of failure it was.
+    pub fn exit_code(&self) -> ExitCode {
+        match self {
+            Self::File { .. } => ExitCode::Usage,
+            Self::Faults(_) => ExitCode::InvalidDocument,
+            Self::Conflict(_) => ExitCode::Conflict,
+            Self::Api(ApiError::Unavailable { .. }) => ExitCode::Unavailable,
+            Self::Api(_) => ExitCode::Failure,
+        }
+    }
+}
+
+fn conflict_text(conflicts: &[Conflict]) -> String {
+    let mut out = "conflict: these sections changed since the base revision".to_owned();
+    for conflict in conflicts {
+        let header = format!(
+            "\n\n{} (revision {}), in force → yours:\n",
+            conflict.id, conflict.revision
+        );
+        out.push_str(&header);
+        out.push_str(&declaration::section_diff(
+            &conflict.id,
+            conflict.current.as_ref(),
+            conflict.proposed.as_ref(),
+        ));
+    }
+    out.push_str("\nrun `jujubeferry export`, make your change there, and apply again");
+    out
+}
--- /dev/null
+++ b/crates/cli/src/help.rs
@@ -0,0 +1,45 @@
+//! Help texts.
+
+/// Help for the program as a whole.
+pub const PROGRAM: &str = "\
+Checks and changes the declaration of a jujubeferry system
+
+Usage: jujubeferry VERB [OPTIONS]
+
+Verbs:
+  check FILE                 list every fault of a declaration; needs no server
+  diff FILE                  show what FILE would change against what is in force
+  apply FILE --reason TEXT   make FILE the declaration in force
+  export                     print the declaration in force
+  status                     show every keeper's role, term and log
+  audit [--from N]           print the audit trail, from revision N
+  keeper add NAME ADDRESS    join a keeper as a learner; ADDRESS is IP:PORT of its link
+  keeper promote NAME        make a learner a voter once it has caught up
+  keeper remove NAME         take a keeper out; --force where that endangers the quorum
+
+Options:
+  --keepers ADDR,…     HTTP addresses of the keepers, IP:PORT; or JUJUBEFERRY_KEEPERS
+  --token-file FILE    file with the operator's token; or JUJUBEFERRY_TOKEN_FILE
+  --json               print JSON for programs
+  -h, --help           print this text
+  -V, --version        print the version
+
+Options of apply:
+  --reason TEXT        why, for the audit trail
+  --author NAME        who, where the keepers know no operators' tokens; default $USER
+  --base N             revision that FILE is based on; default: the one in force now
+  --change UUID        the change id of an earlier try, to resend it safely
+
+Exit codes:
+  0 done   1 failed   2 wrong usage   3 invalid document   4 conflict
+  5 no quorum, or no keeper reachable
+
+A first change:
+  jujubeferry export --keepers 127.0.0.1:7411 > declaration.ini
+  $EDITOR declaration.ini
+  jujubeferry check declaration.ini
+  jujubeferry diff  declaration.ini --keepers 127.0.0.1:7411
+  jujubeferry apply declaration.ini --keepers 127.0.0.1:7411 --reason 'more dealers'";
+
+/// The program's name and version.
+pub const VERSION: &str = concat!("jujubeferry ", env!("CARGO_PKG_VERSION"));
--- a/crates/cli/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! The command line of operators and of the declaration's CI.
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,3 +1,29 @@
-//! The command line of operators and of the declaration's CI.
+//! `jujubeferry`: the command line of operators and of the declaration's CI.
 
-fn main() {}
+mod args;
+mod audit;
+mod error;
+mod help;
+mod output;
+mod run;
+mod status;
+mod verbs;
+
+use std::process::ExitCode;
+
+use args::Invocation;
+
+fn main() -> ExitCode {
+    let code = match args::parse(pico_args::Arguments::from_env()) {
+        Ok(Invocation::Print(text)) => {
+            println!("{text}");
+            host::exit::ExitCode::Success
+        }
+        Ok(Invocation::Run(cfg)) => run::run(&cfg),
+        Err(e) => {
+            eprintln!("jujubeferry: {e}; see `jujubeferry --help`");
+            host::exit::ExitCode::Usage
+        }
+    };
+    code.into()
+}
--- /dev/null
+++ b/crates/cli/src/status.rs
@@ -0,0 +1,60 @@
+//! `status`: every keeper's role, term and log.
+
+use host::exit::ExitCode;
+use operators::{ApiError, KeeperApi, Status};
+use serde_json::{Value, json};
+
+use crate::{
+    args::Config,
+    error::VerbError,
+    output::{print, table},
+};
+
+/// Shows every keeper; exits with "unavailable" where no leader is among those that answer.
+pub async fn status(cfg: &Config, api: &KeeperApi) -> Result<ExitCode, VerbError> {
+    let statuses = api.statuses().await;
+    let has_leader = statuses
+        .iter()
+        .any(|(_, status)| status.as_ref().is_ok_and(|s| s.role == "leader"));
+    let value: Vec<Value> = statuses
+        .iter()
+        .map(|(keeper, s)| to_value(keeper, s))
+        .collect();
+    print(cfg.json, &value, || {
+        let rows: Vec<[String; 7]> = statuses.iter().map(|(keeper, s)| row(keeper, s)).collect();
+        let headings = [
+            "keeper", "role", "term", "leader", "commit", "voters", "learners",
+        ];
+        table(headings, &rows)
+    });
+    Ok(match has_leader {
+        true => ExitCode::Success,
+        false => ExitCode::Unavailable,
+    })
+}
+
+fn to_value(keeper: &str, status: &Result<Status, ApiError>) -> Value {
+    match status {
+        Ok(status) => json!({ "keeper": keeper, "status": status }),
+        Err(e) => json!({ "keeper": keeper, "error": e.to_string() }),
+    }
+}
+
+fn row(keeper: &str, status: &Result<Status, ApiError>) -> [String; 7] {
+    match status {
+        Ok(s) => [
+            keeper.to_owned(),
+            s.role.clone(),
+            s.term.to_string(),
+            s.leader.clone().unwrap_or_else(|| "none".to_owned()),
+            s.commit.to_string(),
+            s.voters.join(","),
+            s.learners.join(","),
+        ],
+        Err(e) => std::array::from_fn(|column| match column {
+            0 => keeper.to_owned(),
+            1 => e.to_string(),
+            _ => String::new(),
+        }),
+    }
+}
--- a/crates/declaration/src/lib.rs
+++ b/crates/declaration/src/lib.rs
@@ -5,12 +5,14 @@
 //! [`Document`] is the same content as plain sections, the unit in which changes are made.
 
 mod change;
+mod diff;
 mod document;
 mod read;
 mod types;
 mod validate;
 
 pub use change::{Change, Conflict, SectionChange, between, conflicts, inverse};
+pub use diff::{diff, section_diff};
 pub use document::{Document, SectionId, SectionText};
 pub use inifile::{Fault, Faults};
 pub use types::{
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -1,6 +1,7 @@
 //! What every process needs of its host: settings, logs, metrics, signals, exit codes.
 
 pub mod args;
+pub mod client;
 pub mod exit;
 pub mod http;
 pub mod log;
