--- a/crates/cli/src/audit.rs
+++ b/crates/cli/src/audit.rs
@@ -1,7 +1,8 @@
 //! `audit`: the trail of accepted changes.
 
+use declaration::AuditRecord;
 use host::exit::ExitCode;
-use operators::{AuditRecord, KeeperApi};
+use operators::KeeperApi;
 
 use crate::{
     args::Config,
--- a/crates/declaration/src/lib.rs
+++ b/crates/declaration/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`Declaration::read`] turns the text into types and lists every fault at once;
 //! [`Document`] is the same content as plain sections, the unit in which changes are made.
 
+mod audit;
 mod change;
 mod diff;
 mod document;
@@ -11,6 +12,7 @@
 mod types;
 mod validate;
 
+pub use audit::{AuditRecord, AuditSection};
 pub use change::{Change, Conflict, SectionChange, between, conflicts, inverse};
 pub use diff::{diff, section_diff};
 pub use document::{Document, SectionId, SectionText};
--- a/crates/link/src/keeper.rs
+++ b/crates/link/src/keeper.rs
@@ -2,10 +2,13 @@
 
 use std::time::Duration;
 
-use declaration::{Change, Conflict, Fault};
+use declaration::{AuditRecord, Change, Conflict, Fault};
 use derives::record;
 use uuid::Uuid;
 
+/// Most records in one answer to [`KeeperRequest::Audit`].
+pub const AUDIT_PAGE: usize = 500;
+
 /// A request to any keeper; a follower passes it to the leader.
 #[record]
 pub enum KeeperRequest {
@@ -26,6 +29,11 @@
     },
     /// Submits a change of the declaration.
     Change(Change),
+    /// Reads at most [`AUDIT_PAGE`] records of the audit trail, from a revision on.
+    Audit {
+        /// The first revision wanted.
+        from: u64,
+    },
 }
 
 /// One gate's wish to send one call that may not be repeated.
@@ -121,6 +129,8 @@
     LeaseEnded,
     /// To [`KeeperRequest::Change`].
     Change(ChangeReply),
+    /// To [`KeeperRequest::Audit`]: records in order of their revisions; empty past the newest.
+    Audit(Vec<AuditRecord>),
     /// No quorum answers; nothing was applied that this keeper knows of, and a resend is safe.
     NoQuorum,
     /// The request is refused as it stands.
--- a/crates/operators/src/api.rs
+++ b/crates/operators/src/api.rs
@@ -1,6 +1,6 @@
 //! Bodies of the operators' calls.
 
-use declaration::{Document, SectionChange, SectionId, SectionText};
+use declaration::{Document, SectionChange};
 use derives::{record, token};
 use uuid::Uuid;
 
@@ -43,34 +43,6 @@
     pub document: Document,
 }
 
-/// One line of `GET /v1/audit`.
-#[record]
-pub struct AuditRecord {
-    /// The revision that the change made.
-    pub revision: u64,
-    /// When it was accepted, in milliseconds since the Unix epoch by the leader's clock.
-    pub time_ms: u64,
-    /// Who made it.
-    pub author: String,
-    /// Why.
-    pub reason: String,
-    /// The change id.
-    pub change: Uuid,
-    /// What it did to each section.
-    pub sections: Vec<AuditSection>,
-}
-
-/// One section before and after a change.
-#[record]
-pub struct AuditSection {
-    /// Which section.
-    pub id: SectionId,
-    /// Its content before; `None` where it was new.
-    pub before: Option<SectionText>,
-    /// Its content after; `None` where it was deleted.
-    pub after: Option<SectionText>,
-}
-
 /// `GET /v1/status` of a keeper.
 #[record]
 pub struct Status {
--- a/crates/operators/src/client.rs
+++ b/crates/operators/src/client.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use declaration::{Conflict, Document, Fault};
+use declaration::{AuditRecord, Conflict, Document, Fault};
 use derives::record;
 use host::{
     client::{Answer, Client, ClientError, request},
@@ -13,7 +13,7 @@
 use serde::de::DeserializeOwned;
 use thiserror::Error;
 
-use crate::{Accepted, AuditRecord, Declared, MemberRequest, Status, Submission};
+use crate::{Accepted, Declared, MemberRequest, Status, Submission};
 
 /// Bound on one call to one keeper.
 const CALL_LIMIT: Duration = Duration::from_secs(5);
--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -3,8 +3,5 @@
 mod api;
 mod client;
 
-pub use api::{
-    Accepted, AuditRecord, AuditSection, Declared, KeeperMember, MemberAction, MemberRequest,
-    Status, Submission,
-};
+pub use api::{Accepted, Declared, KeeperMember, MemberAction, MemberRequest, Status, Submission};
 pub use client::{ApiError, KeeperApi};
