Add the console: forms, differences, conflicts, the audit trail and what is in force where

Pages are made on the server and work without scripts; every form carries a token of its session and its origin is checked.

--- /dev/null
+++ b/crates/console/src/app.rs
@@ -0,0 +1,34 @@
+//! What all handlers share.
+
+use std::sync::Arc;
+
+use host::{
+    client::Client,
+    settings::{Operator, Peer as NamedAddress},
+};
+use link::{
+    Peer,
+    follower::{Follower, InForce},
+    keepers::Keepers,
+};
+
+use crate::session::Sessions;
+
+/// The console's links and sessions.
+#[derive(Debug)]
+pub(crate) struct App {
+    pub(crate) keepers: Arc<Keepers>,
+    pub(crate) follower: Follower,
+    pub(crate) gates: Vec<Peer>,
+    pub(crate) controllers: Vec<NamedAddress>,
+    pub(crate) client: Client,
+    pub(crate) operators: Vec<Operator>,
+    pub(crate) sessions: Sessions,
+}
+
+impl App {
+    /// The declaration in force here, once the first answer of a keeper came.
+    pub(crate) fn in_force(&self) -> Option<Arc<InForce>> {
+        self.follower.in_force().borrow().clone()
+    }
+}
--- /dev/null
+++ b/crates/console/src/handlers.rs
@@ -0,0 +1,263 @@
+//! One handler a page.
+
+use std::{sync::Arc, time::Duration};
+
+use declaration::{SectionId, SectionText};
+use host::settings::find_operator;
+use link::{
+    follower::InForce,
+    keeper::{AUDIT_PAGE, KeeperReply, KeeperRequest},
+};
+use salvo::{Depot, Request, Response, handler, http::StatusCode};
+use uuid::Uuid;
+
+use crate::{
+    app::App,
+    change::{Draft, Submitted},
+    fields::{Filled, comment_lines, of_kind},
+    guard, pages,
+    session::Session,
+    survey,
+};
+
+/// Bound on reading one page of the audit trail.
+const AUDIT_LIMIT: Duration = Duration::from_secs(4);
+
+fn app(depot: &Depot) -> Arc<App> {
+    let app = depot.get_typed::<Arc<App>>();
+    Arc::clone(app.expect("the router injects the app into every request"))
+}
+
+/// A session and the declaration in force, or the answer that says why not.
+fn open(app: &App, req: &Request, res: &mut Response) -> Option<(Session, Arc<InForce>)> {
+    let session = guard::session(app, req, res)?;
+    match app.in_force() {
+        Some(in_force) => Some((session, in_force)),
+        None => {
+            let text = "No keeper has answered yet. Check that the keepers run and that [keepers] \
+                        in the console's settings names them, then reload this page.";
+            pages::layout::message(
+                res,
+                StatusCode::SERVICE_UNAVAILABLE,
+                "No declaration yet",
+                text,
+            );
+            None
+        }
+    }
+}
+
+#[handler]
+pub(crate) async fn healthz(res: &mut Response) {
+    res.render("ok");
+}
+
+#[handler]
+pub(crate) async fn overview(req: &mut Request, depot: &mut Depot, res: &mut Response) {
+    if let Some((_, in_force)) = open(&app(depot), req, res) {
+        pages::overview::render(res, &in_force);
+    }
+}
+
+#[handler]
+pub(crate) async fn login_page(res: &mut Response) {
+    pages::login::render(res, StatusCode::OK, None);
+}
+
+#[handler]
+pub(crate) async fn login(req: &mut Request, depot: &mut Depot, res: &mut Response) {
+    let app = app(depot);
+    let token: String = req.form("token").await.unwrap_or_default();
+    let matching = find_operator(&app.operators, token.trim().as_bytes());
+    match matching {
+        Some(operator) => {
+            let session = app.sessions.begin(Some(operator.name.clone()));
+            guard::set_cookie(res, &session);
+            guard::redirect(res, "/");
+        }
+        None => pages::login::render(
+            res,
+            StatusCode::FORBIDDEN,
+            Some("No operator has this token."),
+        ),
+    }
+}
+
+#[handler]
+pub(crate) async fn edit(req: &mut Request, depot: &mut Depot, res: &mut Response) {
+    let Some((session, in_force)) = open(&app(depot), req, res) else {
+        return;
+    };
+    let id = SectionId {
+        kind: req.query("kind").unwrap_or_default(),
+        name: req.query("name").unwrap_or_default(),
+    };
+    if of_kind(&id.kind).is_empty() {
+        let text = "There is no such kind of section; go back to the overview.";
+        return pages::layout::message(res, StatusCode::NOT_FOUND, "Unknown kind", text);
+    }
+    let base = in_force.document.sections.get(&id).cloned();
+    let draft = Draft {
+        change: Uuid::now_v7(),
+        base_revision: in_force.revision,
+        filled: Filled {
+            id,
+            text: base.clone().unwrap_or_default(),
+            is_deletion: false,
+        },
+        base,
+        author: session.operator.clone().unwrap_or_default(),
+        reason: String::new(),
+    };
+    pages::edit::render(res, StatusCode::OK, &session, &in_force, &draft, &[]);
+}
+
+#[handler]
+pub(crate) async fn preview(req: &mut Request, depot: &mut Depot, res: &mut Response) {
+    let Some((session, in_force, draft)) = posted(&app(depot), req, res).await else {
+        return;
+    };
+    let faults = draft.faults(&in_force.document);
+    match faults.is_empty() {
+        true => pages::preview::render(res, &session, &in_force, &draft),
+        false => {
+            let status = StatusCode::UNPROCESSABLE_ENTITY;
+            pages::edit::render(res, status, &session, &in_force, &draft, &faults);
+        }
+    }
+}
+
+#[handler]
+pub(crate) async fn revise(req: &mut Request, depot: &mut Depot, res: &mut Response) {
+    if let Some((session, in_force, draft)) = posted(&app(depot), req, res).await {
+        pages::edit::render(res, StatusCode::OK, &session, &in_force, &draft, &[]);
+    }
+}
+
+#[handler]
+pub(crate) async fn submit(req: &mut Request, depot: &mut Depot, res: &mut Response) {
+    let app = app(depot);
+    let Some((session, in_force, draft)) = posted(&app, req, res).await else {
+        return;
+    };
+    match draft.submit(&app.keepers).await {
+        Submitted::Accepted { revision, applied } => {
+            pages::outcome::accepted(res, &draft, revision, applied);
+        }
+        Submitted::Conflict(conflicts) => {
+            pages::conflict::render(res, &session, &draft, &conflicts);
+        }
+        Submitted::Invalid(faults) => {
+            let status = StatusCode::UNPROCESSABLE_ENTITY;
+            pages::edit::render(res, status, &session, &in_force, &draft, &faults);
+        }
+        Submitted::Refused(what) => {
+            pages::layout::message(res, StatusCode::BAD_REQUEST, "Change refused", &what);
+        }
+        Submitted::Unavailable(e) => {
+            pages::outcome::unavailable(res, &session, &draft, &e.to_string());
+        }
+    }
+}
+
+#[handler]
+pub(crate) async fn audit(req: &mut Request, depot: &mut Depot, res: &mut Response) {
+    let app = app(depot);
+    let Some((_, in_force)) = open(&app, req, res) else {
+        return;
+    };
+    let search: String = req.query("q").unwrap_or_default();
+    let newest_page = in_force
+        .revision
+        .saturating_sub(AUDIT_PAGE as u64 - 1)
+        .max(1);
+    let from = req.query("from").unwrap_or(newest_page);
+    let reply = app
+        .keepers
+        .ask(&KeeperRequest::Audit { from }, AUDIT_LIMIT)
+        .await;
+    match reply {
+        Ok(KeeperReply::Audit(records)) => pages::audit::render(res, &records, &search, from),
+        Ok(_) => {
+            let text =
+                "A keeper answered something else than was asked; check that versions match.";
+            pages::layout::message(res, StatusCode::BAD_GATEWAY, "Audit trail", text);
+        }
+        Err(e) => {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            pages::layout::message(res, status, "Audit trail", &e.to_string());
+        }
+    }
+}
+
+#[handler]
+pub(crate) async fn in_force_where(req: &mut Request, depot: &mut Depot, res: &mut Response) {
+    let app = app(depot);
+    let Some((_, in_force)) = open(&app, req, res) else {
+        return;
+    };
+    let (gates, controllers) = tokio::join!(survey::gates(&app), survey::controllers(&app));
+    pages::status::render(res, in_force.revision, &gates, &controllers);
+}
+
+/// A posted form with its session, once both are known to be ours.
+async fn posted(
+    app: &App,
+    req: &mut Request,
+    res: &mut Response,
+) -> Option<(Session, Arc<InForce>, Draft)> {
+    let (session, in_force) = open(app, req, res)?;
+    let presented = form(req, "form_token").await;
+    if !guard::is_own_form(req.headers(), &session, &presented) {
+        guard::refuse_form(res);
+        return None;
+    }
+    let draft = read_draft(req, &session).await;
+    if of_kind(&draft.filled.id.kind).is_empty() {
+        guard::refuse_form(res);
+        return None;
+    }
+    Some((session, in_force, draft))
+}
+
+async fn read_draft(req: &mut Request, session: &Session) -> Draft {
+    let kind = form(req, "kind").await;
+    let mut text = SectionText {
+        comments: comment_lines(&form(req, "comments").await),
+        ..SectionText::default()
+    };
+    for field in of_kind(&kind) {
+        let value = form(req, &format!("key.{}", field.key)).await;
+        let value = value.split_whitespace().collect::<Vec<_>>().join(" ");
+        if !value.is_empty() {
+            text.entries.insert(field.key.to_owned(), value);
+        }
+    }
+    let author = match &session.operator {
+        Some(operator) => operator.clone(),
+        None => form(req, "author").await,
+    };
+    let base = form(req, "base").await;
+    Draft {
+        change: form(req, "change")
+            .await
+            .parse()
+            .unwrap_or_else(|_| Uuid::now_v7()),
+        base_revision: form(req, "base_revision").await.parse().unwrap_or(0),
+        base: serde_json::from_str(&base).ok(),
+        filled: Filled {
+            id: SectionId {
+                kind,
+                name: form(req, "name").await.trim().to_owned(),
+            },
+            text,
+            is_deletion: form(req, "delete").await == "yes",
+        },
+        author: author.trim().to_owned(),
+        reason: form(req, "reason").await.trim().to_owned(),
+    }
+}
+
+async fn form(req: &mut Request, key: &str) -> String {
+    req.form(key).await.unwrap_or_default()
+}
--- a/crates/console/src/main.rs
+++ b/crates/console/src/main.rs
@@ -1,3 +1,19 @@
-//! The console: the operators' forms over one validated document.
+//! `jujube-console`: the operators' forms.
 
-fn main() {}
+use std::process::ExitCode;
+
+use console::Config;
+use host::role::{Program, main as role_main};
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+const PROGRAM: Program = Program {
+    name: "jujube-console",
+    about: "Serves the operators' forms",
+    version: env!("CARGO_PKG_VERSION"),
+};
+
+fn main() -> ExitCode {
+    role_main(PROGRAM, Config::read, console::start)
+}
--- /dev/null
+++ b/crates/console/src/pages/mod.rs
@@ -0,0 +1,11 @@
+//! The pages' HTML; every value is escaped by the template library.
+
+pub(crate) mod audit;
+pub(crate) mod conflict;
+pub(crate) mod edit;
+pub(crate) mod layout;
+pub(crate) mod login;
+pub(crate) mod outcome;
+pub(crate) mod overview;
+pub(crate) mod preview;
+pub(crate) mod status;
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -55,6 +55,15 @@
     pub token: Secret,
 }
 
+/// The operator who has this token. Every token is compared, so that the time taken does not tell
+/// which one matched.
+pub fn find_operator<'a>(operators: &'a [Operator], token: &[u8]) -> Option<&'a Operator> {
+    operators.iter().fold(None, |found, operator| {
+        let is_match = operator.token.matches(token);
+        if is_match { Some(operator) } else { found }
+    })
+}
+
 /// Bytes that never appear in logs.
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Secret(Vec<u8>);
