--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -1,5 +1,26 @@
 //! The endpoints' table and its spread between the gates of an availability zone.
+//!
+//! A [`Table`] takes announcements of endpoints and of neighbouring gates, and gives readers a
+//! cheap snapshot by service. `docs/design/membership.md` says why it is built this way.
 
+mod config;
+mod delta;
 mod endpoint;
+mod live;
+mod message;
+mod remote;
+mod spread;
+mod state;
+mod table;
+mod view;
+mod vitals;
 
+pub use config::TableConfig;
+pub use delta::Delta;
 pub use endpoint::{Announced, Announcement, Load, LoadedModel, Readiness, StageRole};
+pub use live::{Live, Reported};
+pub use message::{Changes, Reply, Request, Sampled, Stamp};
+pub use spread::neighbours;
+pub use table::{AnnounceError, Table};
+pub use view::{Endpoint, EndpointState, EndpointView, ServiceSnapshot};
+pub use vitals::Bucket;
--- /dev/null
+++ b/crates/membership/src/remote.rs
@@ -0,0 +1,79 @@
+//! A bounded part of other availability zones' endpoints, for work that the own one can't take.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use link::{Channel, LinkError, Peer};
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use tokio::time::{Instant, MissedTickBehavior, interval};
+
+use crate::{
+    Table,
+    message::{Reply, Request, Sampled, Stamp, merge_all},
+    vitals,
+};
+
+const SAMPLE_EVERY: Duration = Duration::from_secs(1);
+const CALL_LIMIT: Duration = Duration::from_secs(1);
+
+/// Asks one connected gate of each other availability zone for its sample, again and again.
+pub(crate) async fn sample_others(table: Table, gates: Vec<Peer>) {
+    let mut rng = SmallRng::seed_from_u64(table.config().seed);
+    let mut tick = interval(SAMPLE_EVERY);
+    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tick.tick().await;
+        let mut by_az: BTreeMap<String, Vec<&Peer>> = BTreeMap::new();
+        for peer in &gates {
+            if let Some(identity) = peer.identity()
+                && identity.az != table.config().az
+            {
+                by_az.entry(identity.az).or_default().push(peer);
+            }
+        }
+        let asked = by_az.into_iter().map(|(az, peers)| {
+            let peer = peers[rng.random_range(0..peers.len())].clone();
+            let table = table.clone();
+            tokio::spawn(async move { table.sample_from(&peer, &az).await })
+        });
+        for task in asked.collect::<Vec<_>>() {
+            // An availability zone that does not answer keeps what is known until it falls silent.
+            let _ = task.await;
+        }
+    }
+}
+
+impl Table {
+    async fn sample_from(&self, peer: &Peer, az: &str) -> Result<(), LinkError> {
+        let held = self.held_of(az);
+        let req = Request::Sample { held };
+        let reply = peer.call(Channel::Membership, &req, CALL_LIMIT).await?;
+        if let Reply::Sample { deltas, unchanged } = reply {
+            let of_it = deltas.into_iter().filter(|d| d.announced.az == az);
+            merge_all(self, of_it.collect(), Some(peer.name()));
+            self.hear_sampled(az, &unchanged);
+        }
+        Ok(())
+    }
+
+    fn held_of(&self, az: &str) -> Vec<Stamp> {
+        let state = self.lock();
+        let entries = state.entries_of(az);
+        entries
+            .map(|e| Stamp {
+                name: e.name_hash,
+                content: e.stamp,
+            })
+            .collect()
+    }
+
+    fn hear_sampled(&self, az: &str, unchanged: &[Sampled]) {
+        let now = Instant::now();
+        let state = self.lock();
+        for entry in state.entries_of(az) {
+            let told = unchanged.iter().find(|s| s.name == entry.name_hash);
+            if let Some(told) = told {
+                vitals::apply(entry, told.vitals, now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/membership/src/state.rs
@@ -0,0 +1,356 @@
+//! The table's content and the rules by which one announcement or delta replaces another.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    sync::Arc,
+};
+
+use tokio::time::Instant;
+use uuid::Uuid;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    Announcement, Endpoint, EndpointState, Live, Load, Readiness, TableConfig, delta::Delta,
+};
+
+/// What an announcement or a delta did.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Applied {
+    /// The endpoint is new, or something but its load changed.
+    Changed,
+    /// Only a sign of life.
+    Unchanged,
+    /// It is older than what is known; nothing changed.
+    Old,
+    /// A later incarnation is known; nothing changed.
+    Superseded,
+    /// The table is full; nothing changed.
+    Full,
+}
+
+/// An endpoint and what the spread needs to know of it.
+#[derive(Clone, Debug)]
+pub(crate) struct Entry {
+    pub(crate) endpoint: Arc<Endpoint>,
+    /// The highest sequence number seen of this incarnation, which may carry nothing but load.
+    seen_seq: u64,
+    /// Hash of the name; the order in which vitals are sent.
+    pub(crate) name_hash: u64,
+    /// Hash of everything that two gates must agree on.
+    pub(crate) stamp: u64,
+    /// The table's version at the last change that readers see.
+    version: u64,
+    /// The neighbour that told the last change.
+    source: Option<String>,
+    /// What readers were last told.
+    told: EndpointState,
+}
+
+/// A departed endpoint.
+#[derive(Clone, Copy, Debug)]
+struct Tombstone {
+    incarnation: Uuid,
+    seq: u64,
+    since: Instant,
+    version: u64,
+}
+
+/// What the table's lock guards.
+#[derive(Debug)]
+pub(crate) struct State {
+    cfg: TableConfig,
+    start: Instant,
+    entries: BTreeMap<String, Entry>,
+    tombstones: HashMap<String, Tombstone>,
+    /// Changes by version: whose they are and whether neighbours need to hear of them.
+    log: BTreeMap<u64, (String, bool)>,
+    version: u64,
+    /// The version from which `tombstones` is complete.
+    horizon: u64,
+    stale: BTreeSet<String>,
+}
+
+/// What differs between two announcements besides load, order and signs of life.
+fn content_hash(a: &Announcement) -> u64 {
+    let content = Announcement {
+        load: Load::default(),
+        seq: 0,
+        ..a.clone()
+    };
+    xxh3_64(&link::encode(&content))
+}
+
+fn stamp(a: &Announcement) -> u64 {
+    let mut bytes = content_hash(a).to_le_bytes().to_vec();
+    bytes.extend(a.incarnation.as_bytes());
+    bytes.extend(a.seq.to_le_bytes());
+    xxh3_64(&bytes)
+}
+
+/// Which of two announcements replaces the other. Only a faulty endpoint sends two contents under
+/// one number; leaving then wins, so that all gates end with the same.
+fn order(a: &Announcement) -> (Uuid, u64, bool, u64) {
+    let is_leaving = a.state == Readiness::Leaving;
+    (a.incarnation, a.seq, is_leaving, content_hash(a))
+}
+
+impl State {
+    pub(crate) fn new(cfg: &TableConfig, start: Instant) -> Self {
+        Self {
+            cfg: cfg.clone(),
+            start,
+            entries: BTreeMap::new(),
+            tombstones: HashMap::new(),
+            log: BTreeMap::new(),
+            version: 0,
+            horizon: 0,
+            stale: BTreeSet::new(),
+        }
+    }
+
+    pub(crate) fn version(&self) -> u64 {
+        self.version
+    }
+
+    pub(crate) fn endpoints(&self) -> impl Iterator<Item = &Arc<Endpoint>> {
+        self.entries.values().map(|entry| &entry.endpoint)
+    }
+
+    pub(crate) fn of_service(&self, service: &str) -> Vec<Arc<Endpoint>> {
+        let of_it = |endpoint: &&Arc<Endpoint>| endpoint.announced.service == service;
+        self.endpoints().filter(of_it).map(Arc::clone).collect()
+    }
+
+    /// The endpoints of the gate's own availability zone, which its neighbours hold as well.
+    pub(crate) fn shared_entries(&self) -> impl Iterator<Item = &Entry> {
+        self.entries_of(&self.cfg.az)
+    }
+
+    /// The endpoints of availability zone `az`.
+    pub(crate) fn entries_of(&self, az: &str) -> impl Iterator<Item = &Entry> {
+        let is_of_it = move |entry: &&Entry| entry.endpoint.announced.az == az;
+        self.entries.values().filter(is_of_it)
+    }
+
+    pub(crate) fn take_stale_services(&mut self) -> BTreeSet<String> {
+        std::mem::take(&mut self.stale)
+    }
+
+    /// Takes what came directly from an endpoint.
+    pub(crate) fn announce(&mut self, a: Announcement, now: Instant) -> Applied {
+        if let Some(tombstone) = self.tombstones.get(&a.endpoint) {
+            match (a.incarnation, a.seq) {
+                (incarnation, _) if incarnation < tombstone.incarnation => {
+                    return Applied::Superseded;
+                }
+                at if at <= (tombstone.incarnation, tombstone.seq) => return Applied::Old,
+                _ => {}
+            }
+        }
+        let Some(entry) = self.entries.get_mut(&a.endpoint) else {
+            return self.insert(a, now, None);
+        };
+        let known = &entry.endpoint.announced;
+        match (a.incarnation, a.seq) {
+            (incarnation, _) if incarnation < known.incarnation => Applied::Superseded,
+            at if at <= (known.incarnation, entry.seen_seq) => Applied::Old,
+            (incarnation, seq)
+                if incarnation == known.incarnation && content_hash(&a) == content_hash(known) =>
+            {
+                entry.seen_seq = seq;
+                entry.endpoint.live.hear(now);
+                Applied::Unchanged
+            }
+            _ => self.replace(a, now, None),
+        }
+    }
+
+    /// Takes what a neighbour told.
+    pub(crate) fn merge(&mut self, delta: Delta, now: Instant, source: Option<&str>) -> Applied {
+        let heard = now.checked_sub(delta.age).unwrap_or(now);
+        let a = delta.announced;
+        if let Some(tombstone) = self.tombstones.get(&a.endpoint)
+            && (a.incarnation, a.seq) <= (tombstone.incarnation, tombstone.seq)
+        {
+            return Applied::Old;
+        }
+        let Some(entry) = self.entries.get_mut(&a.endpoint) else {
+            return match delta.age >= self.cfg.gone_after {
+                true => Applied::Old,
+                false => self.insert(a, heard, source),
+            };
+        };
+        let known = &entry.endpoint.announced;
+        let is_same_life = a.incarnation == known.incarnation;
+        match order(&a).cmp(&order(known)) {
+            std::cmp::Ordering::Less => Applied::Old,
+            std::cmp::Ordering::Equal => {
+                entry.endpoint.live.hear(heard);
+                Applied::Unchanged
+            }
+            // What the endpoint said here directly is later than the delta: say so in its place.
+            std::cmp::Ordering::Greater if is_same_life && a.seq < entry.seen_seq => {
+                let newer = Announcement {
+                    seq: entry.seen_seq,
+                    ..known.clone()
+                };
+                self.replace(newer, heard, None)
+            }
+            std::cmp::Ordering::Greater => self.replace(a, heard, source),
+        }
+    }
+
+    fn insert(&mut self, a: Announcement, heard: Instant, source: Option<&str>) -> Applied {
+        if self.entries.len() >= self.cfg.max_endpoints {
+            return Applied::Full;
+        }
+        self.tombstones.remove(&a.endpoint);
+        let live = Arc::new(Live::new(self.start, heard));
+        self.put(a, live, 0, source)
+    }
+
+    fn replace(&mut self, a: Announcement, heard: Instant, source: Option<&str>) -> Applied {
+        let known = &self.entries[&a.endpoint];
+        let is_same_life = known.endpoint.announced.incarnation == a.incarnation;
+        let live = match is_same_life {
+            true => Arc::clone(&known.endpoint.live),
+            false => Arc::new(Live::new(self.start, heard)),
+        };
+        let seen_seq = if is_same_life { known.seen_seq } else { 0 };
+        let service = known.endpoint.announced.service.clone();
+        live.hear(heard);
+        self.stale.insert(service);
+        self.put(a, live, seen_seq, source)
+    }
+
+    fn put(
+        &mut self,
+        a: Announcement,
+        live: Arc<Live>,
+        seen_seq: u64,
+        source: Option<&str>,
+    ) -> Applied {
+        let name = a.endpoint.clone();
+        self.stale.insert(a.service.clone());
+        let entry = Entry {
+            seen_seq: seen_seq.max(a.seq),
+            name_hash: xxh3_64(name.as_bytes()),
+            stamp: stamp(&a),
+            version: 0,
+            source: source.map(str::to_owned),
+            told: EndpointState::Ready,
+            endpoint: Arc::new(Endpoint {
+                announced: a,
+                live,
+                suspect_after: self.cfg.suspect_after,
+            }),
+        };
+        let old = self.entries.insert(name.clone(), entry);
+        if let Some(old) = old {
+            self.log.remove(&old.version);
+        }
+        let version = self.record(&name, true);
+        let entry = self.entries.get_mut(&name).expect("it was just inserted");
+        entry.version = version;
+        Applied::Changed
+    }
+
+    fn record(&mut self, name: &str, is_spread: bool) -> u64 {
+        self.version += 1;
+        self.log.insert(self.version, (name.to_owned(), is_spread));
+        self.version
+    }
+
+    /// Takes an endpoint's own load report.
+    pub(crate) fn report(&mut self, endpoint: &str, calls: u32, at: Instant) {
+        if let Some(entry) = self.entries.get(endpoint) {
+            entry.endpoint.live.report(calls, at);
+        }
+    }
+
+    /// Removes endpoints that are gone, notes those that fell silent or spoke again, and drops
+    /// tombstones that are old enough.
+    pub(crate) fn sweep(&mut self, now: Instant) {
+        let gone_after = self.cfg.gone_after;
+        let is_gone = |e: &&Entry| e.endpoint.live.silence(now) >= gone_after;
+        let gone: Vec<Entry> = self.entries.values().filter(is_gone).cloned().collect();
+        for entry in gone {
+            self.bury(&entry, now);
+        }
+        let turned: Vec<String> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.endpoint.state(now) != entry.told)
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in turned {
+            let version = self.version + 1;
+            let entry = self.entries.get_mut(&name).expect("it was just seen");
+            entry.told = entry.endpoint.state(now);
+            let old = std::mem::replace(&mut entry.version, version);
+            // A change that is still to be pushed stays one.
+            let is_spread = self.log.remove(&old).is_some_and(|(_, spread)| spread);
+            self.record(&name, is_spread);
+        }
+        self.drop_old_tombstones(now);
+    }
+
+    fn bury(&mut self, entry: &Entry, now: Instant) {
+        let a = &entry.endpoint.announced;
+        self.entries.remove(&a.endpoint);
+        self.log.remove(&entry.version);
+        self.stale.insert(a.service.clone());
+        let version = self.record(&a.endpoint, false);
+        let tombstone = Tombstone {
+            incarnation: a.incarnation,
+            seq: entry.seen_seq,
+            since: now,
+            version,
+        };
+        self.tombstones.insert(a.endpoint.clone(), tombstone);
+    }
+
+    fn drop_old_tombstones(&mut self, now: Instant) {
+        let kept = self.cfg.tombstone_kept;
+        let mut horizon = self.horizon;
+        let log = &mut self.log;
+        self.tombstones.retain(|_, tombstone| {
+            let is_kept = now.saturating_duration_since(tombstone.since) < kept;
+            if !is_kept {
+                horizon = horizon.max(tombstone.version);
+                log.remove(&tombstone.version);
+            }
+            is_kept
+        });
+        self.horizon = horizon;
+    }
+
+    /// What `neighbour` has not been pushed since `version`, of this availability zone.
+    pub(crate) fn unsent(&self, version: u64, neighbour: &str, now: Instant) -> Vec<Delta> {
+        self.log
+            .range(version + 1..)
+            .filter(|(_, (_, is_spread))| *is_spread)
+            .filter_map(|(_, (name, _))| self.entries.get(name))
+            .filter(|entry| entry.endpoint.announced.az == self.cfg.az)
+            .filter(|entry| entry.source.as_deref() != Some(neighbour))
+            .map(|entry| Delta::of(&entry.endpoint, now))
+            .collect()
+    }
+
+    /// Endpoints that changed, and names of those that departed, after `version`; `None` where
+    /// the table no longer knows all of them.
+    pub(crate) fn since(&self, version: u64) -> Option<(Vec<Arc<Endpoint>>, Vec<String>)> {
+        if version < self.horizon || version > self.version {
+            return None;
+        }
+        let mut changed = Vec::new();
+        let mut departed = Vec::new();
+        for (name, _) in self.log.range(version + 1..).map(|(_, change)| change) {
+            match self.entries.get(name) {
+                Some(entry) => changed.push(Arc::clone(&entry.endpoint)),
+                None => departed.push(name.clone()),
+            }
+        }
+        Some((changed, departed))
+    }
+}
