--- a/crates/gate/src/once.rs
+++ b/crates/gate/src/once.rs
@@ -27,7 +27,7 @@
     record::{Once, Record},
     route::{Picked, Verdict},
     run::Running,
-    stage::{Stage, StageDone, StageReport, Tries, failed, is_engine, pick},
+    stage::{Stage, StageDone, StageReport, Tries, failed, is_engine, pick_soon},
     work::Work,
 };
 
@@ -45,7 +45,7 @@
     let work = Work::new(stage, &cx.ask.input, previous);
     let mut tries = Tries::default();
     loop {
-        let picked = pick(cx, stage, &work, &tries)?;
+        let picked = pick_soon(cx, stage, &work, &tries.avoid).await?;
         tries.calls += 1;
         let error = match try_once(cx, stage, key, &work, &picked).await {
             Ok(Taken::Stored(output)) => return Ok(stored(stage, output)),
@@ -61,7 +61,8 @@
                 };
                 return Ok(StageDone { output, report });
             }
-            Ok(Taken::Freed) => continue,
+            Ok(Taken::Freed) if Instant::now() < cx.ask.deadline => continue,
+            Ok(Taken::Freed) => return Err(StageError::at(stage.name, deadline())),
             Err(error) => error,
         };
         tries.avoid.push(picked.name().to_owned());
@@ -160,6 +161,10 @@
     }
 }
 
+fn deadline() -> Cause {
+    Cause::Call(CallError::Deadline)
+}
+
 async fn claim(
     cx: &Running,
     stage: Stage<'_>,
--- a/crates/gate/src/race.rs
+++ b/crates/gate/src/race.rs
@@ -144,11 +144,7 @@
 ) -> Option<Arc<Picked>> {
     let mut avoid = tries.avoid.clone();
     avoid.push(first.name().to_owned());
-    let tries = Tries {
-        avoid,
-        ..Tries::default()
-    };
-    let other = pick(cx, stage, work, &tries).ok()?;
+    let other = pick(cx, stage, work, &avoid).ok()?;
     let is_other = other.name() != first.name();
     (is_other && cx.gate.route.spend_retry(stage.name)).then_some(other)
 }
--- a/crates/gate/src/stage.rs
+++ b/crates/gate/src/stage.rs
@@ -5,6 +5,7 @@
 use declaration::{Service, ServiceKind};
 use derives::record;
 use rand::RngExt;
+use routing::NoEndpoint;
 use serde_json::value::RawValue;
 use tokio::time::{Instant, sleep};
 
@@ -24,6 +25,10 @@
 const FIRST_BACKOFF: Duration = Duration::from_millis(20);
 const LONGEST_BACKOFF: Duration = Duration::from_millis(500);
 
+/// Longest wait for an endpoint with a free slot, and the pause between looks.
+const LONGEST_SLOT_WAIT: Duration = Duration::from_millis(500);
+const SLOT_POLL: Duration = Duration::from_millis(5);
+
 /// A stage of the request's pipeline.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Stage<'a> {
@@ -118,7 +123,7 @@
 ) -> Result<(Box<RawValue>, String), StageError> {
     let (picked, via) = match tries.again.take() {
         Some(picked) => (picked, Via::New),
-        None => (pick(cx, stage, work, tries)?, Via::Any),
+        None => (pick_soon(cx, stage, work, &tries.avoid).await?, Via::Any),
     };
     let answering = race::first_answer(cx, stage, work, tries, picked, via).await?;
     let Answering {
@@ -158,31 +163,58 @@
     }
 }
 
+/// An endpoint for the next call, as soon as one has a slot: one that has not failed yet, else any.
+pub(crate) async fn pick_soon(
+    cx: &Running,
+    stage: Stage<'_>,
+    work: &Work<'_>,
+    avoid: &[String],
+) -> Result<Arc<Picked>, StageError> {
+    let now = Instant::now();
+    let left = cx.ask.deadline.saturating_duration_since(now);
+    let until = now + (left / 4).min(LONGEST_SLOT_WAIT);
+    loop {
+        let busy = match pick(cx, stage, work, avoid) {
+            Err(NoEndpoint::Busy { retry_after }) => NoEndpoint::Busy { retry_after },
+            result => return result.map_err(|none| no_endpoint(stage, none)),
+        };
+        let pause = rand::rng().random_range(SLOT_POLL..=SLOT_POLL * 2);
+        if Instant::now() + pause >= until {
+            return Err(no_endpoint(stage, busy));
+        }
+        sleep(pause).await;
+    }
+}
+
 /// An endpoint for the next call: one that has not failed yet, else any.
 pub(crate) fn pick(
     cx: &Running,
     stage: Stage<'_>,
     work: &Work<'_>,
-    tries: &Tries,
-) -> Result<Arc<Picked>, StageError> {
+    avoid: &[String],
+) -> Result<Arc<Picked>, NoEndpoint> {
     let need = Need {
         name: stage.name,
         service: stage.service,
         zones: &cx.zones,
         prompt: work.prompt(),
-        avoid: &tries.avoid,
+        avoid,
     };
     let picked = match cx.gate.route.pick(&need) {
-        Err(_) if !tries.avoid.is_empty() => cx.gate.route.pick(&Need { avoid: &[], ..need }),
+        Err(NoEndpoint::AllTried) if !avoid.is_empty() => {
+            cx.gate.route.pick(&Need { avoid: &[], ..need })
+        }
         result => result,
     };
-    picked.map(Arc::new).map_err(|none| {
-        let cause = Cause::NoEndpoint {
-            retry_after: retry_after(none),
-            reason: none.to_string(),
-        };
-        StageError::at(stage.name, cause)
-    })
+    picked.map(Arc::new)
+}
+
+fn no_endpoint(stage: Stage<'_>, none: NoEndpoint) -> StageError {
+    let cause = Cause::NoEndpoint {
+        retry_after: retry_after(none),
+        reason: none.to_string(),
+    };
+    StageError::at(stage.name, cause)
 }
 
 /// Tells routing and metrics of a failed call.
--- /dev/null
+++ b/crates/gate/tests/env/keeper.rs
@@ -0,0 +1,193 @@
+//! A keeper's fake: a declaration, and a ledger in memory that a test can hold or silence.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use declaration::Document;
+use link::{
+    Channel, Identity, LinkConfig, Role,
+    follow::Followed,
+    follower::Feed,
+    keeper::{
+        Intent, IntentReply, KeeperReply, KeeperRequest, LedgerEntry, Settle, Settlement,
+    },
+};
+use tokio::{net::TcpListener, task::JoinHandle, time::sleep};
+use uuid::Uuid;
+
+use super::PATIENCE;
+
+#[derive(Clone, Debug)]
+struct Entry {
+    digest: Vec<u8>,
+    attempt: Uuid,
+    settlement: Option<Settlement>,
+}
+
+/// What a test makes the keeper do.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Fault {
+    #[default]
+    None,
+    /// Nothing is recorded, and no quorum is found.
+    NoQuorum,
+    /// Intents are recorded and their answers lost.
+    LostAnswers,
+    /// Settlements do not arrive.
+    NoSettlements,
+}
+
+#[derive(Debug, Default)]
+pub struct State {
+    entries: HashMap<Uuid, Entry>,
+    pub fault: Fault,
+    pub intents: usize,
+    pub settled: Vec<Settle>,
+    /// Pause before each answer to an intent.
+    pub pause: Duration,
+}
+
+pub struct FakeKeeper {
+    pub address: SocketAddr,
+    pub state: Arc<Mutex<State>>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for FakeKeeper {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl FakeKeeper {
+    pub async fn start(declared: &str) -> Self {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let document = Document::read("test", declared.as_bytes()).unwrap();
+        let feed = Arc::new(Feed::new());
+        let revision = 1;
+        feed.take(Followed::Snapshot { revision, document }).unwrap();
+        let state: Arc<Mutex<State>> = Arc::default();
+        let shared = Arc::clone(&state);
+        let cfg = LinkConfig::new(Identity {
+            vm: "k".to_owned(),
+            az: "z".to_owned(),
+            role: Role::Keeper,
+            incarnation: Uuid::now_v7(),
+        });
+        let answer = move |call: link::Incoming| {
+            let (feed, state) = (Arc::clone(&feed), Arc::clone(&shared));
+            async move {
+                match call.channel {
+                    Channel::Follow => feed.answer(&call.body).await,
+                    _ => link::encode(&reply(&state, link::decode(&call.body).unwrap()).await),
+                }
+            }
+        };
+        let task = tokio::spawn(link::serve(listener, cfg, answer));
+        Self {
+            address,
+            state,
+            task,
+        }
+    }
+
+    pub fn fault(&self, fault: Fault) {
+        self.state.lock().unwrap().fault = fault;
+    }
+
+    /// Waits until the ledger has heard `n` settlements.
+    pub async fn until_settled(&self, n: usize) -> Vec<Settlement> {
+        let start = tokio::time::Instant::now();
+        loop {
+            let settled: Vec<_> = {
+                let state = self.state.lock().unwrap();
+                state.settled.iter().map(|s| s.settlement.clone()).collect()
+            };
+            if settled.len() >= n {
+                return settled;
+            }
+            assert!(start.elapsed() < PATIENCE, "settled only {settled:?}");
+            sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    pub async fn until_intents(&self, n: usize) {
+        let start = tokio::time::Instant::now();
+        while self.state.lock().unwrap().intents < n {
+            assert!(start.elapsed() < PATIENCE, "no intent came");
+            sleep(Duration::from_millis(5)).await;
+        }
+    }
+}
+
+async fn reply(state: &Mutex<State>, req: KeeperRequest) -> KeeperReply {
+    let (fault, pause) = {
+        let state = state.lock().unwrap();
+        (state.fault, state.pause)
+    };
+    match (req, fault) {
+        (_, Fault::NoQuorum) => KeeperReply::NoQuorum,
+        (KeeperRequest::Intent(intent), _) => {
+            let reply = state.lock().unwrap().intend(&intent);
+            if fault == Fault::LostAnswers {
+                return std::future::pending().await;
+            }
+            sleep(pause).await;
+            KeeperReply::Intent(reply)
+        }
+        (KeeperRequest::Settle(_), Fault::NoSettlements) => KeeperReply::NoQuorum,
+        (KeeperRequest::Settle(settle), _) => {
+            state.lock().unwrap().settle(settle);
+            KeeperReply::Settled
+        }
+        (KeeperRequest::Lookup(key), _) => {
+            let state = state.lock().unwrap();
+            KeeperReply::Lookup(match state.entries.get(&key) {
+                None => LedgerEntry::Absent,
+                Some(entry) => match &entry.settlement {
+                    None => LedgerEntry::InProgress,
+                    Some(settlement) => LedgerEntry::Settled(settlement.clone()),
+                },
+            })
+        }
+        _ => KeeperReply::Invalid("not served by the fake".to_owned()),
+    }
+}
+
+impl State {
+    fn intend(&mut self, intent: &Intent) -> IntentReply {
+        self.intents += 1;
+        match self.entries.get(&intent.key) {
+            Some(entry) if entry.digest != intent.digest => IntentReply::Conflict,
+            Some(entry) if entry.settlement.is_some() => {
+                IntentReply::Settled(entry.settlement.clone().unwrap())
+            }
+            Some(entry) if entry.attempt != intent.attempt => IntentReply::InProgress,
+            _ => {
+                let entry = Entry {
+                    digest: intent.digest.clone(),
+                    attempt: intent.attempt,
+                    settlement: None,
+                };
+                self.entries.insert(intent.key, entry);
+                IntentReply::Granted
+            }
+        }
+    }
+
+    fn settle(&mut self, settle: Settle) {
+        let is_ours = |e: &&mut Entry| e.attempt == settle.attempt && e.settlement.is_none();
+        if let Some(entry) = self.entries.get_mut(&settle.key).filter(is_ours) {
+            match &settle.settlement {
+                Settlement::Released => drop(self.entries.remove(&settle.key)),
+                other => entry.settlement = Some(other.clone()),
+            }
+        }
+        self.settled.push(settle);
+    }
+}
--- /dev/null
+++ b/crates/gate/tests/env/mod.rs
@@ -0,0 +1,189 @@
+//! Real gate processes, stand-in endpoints and a small ledger on loopback.
+
+#![expect(dead_code, reason = "each test file uses its own part of the environment")]
+
+pub mod client;
+pub mod keeper;
+pub mod stand_in;
+
+use std::{
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    process::{Child, Command, ExitStatus, Stdio},
+    time::Duration,
+};
+
+use client::Answer;
+use keeper::FakeKeeper;
+use serde_json::{Value, json};
+use stand_in::StandIn;
+use tempfile::TempDir;
+use tokio::time::{Instant, sleep};
+
+/// Bound on anything that a test waits for.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+pub const DECLARED: &str = "\
+[availability-zone z]
+region = r
+[service look]
+kind = retriever
+repeatable = yes
+[service llm]
+kind = engine
+repeatable = yes
+model = m
+version = 1
+[service book]
+kind = plain
+repeatable = no
+[pipeline ask]
+stages = look, llm
+[pipeline find]
+stages = look
+[pipeline chat]
+stages = llm
+[pipeline booking]
+stages = book
+[pipeline plan-booking]
+stages = look, book
+[workspace w]
+pipelines = ask, find, chat, booking, plan-booking
+availability_zones = z
+max_in_flight = 100
+[workspace small]
+pipelines = find
+availability_zones = z
+max_in_flight = 1
+";
+
+/// A keeper's fake, gates and stand-ins.
+pub struct Env {
+    pub keeper: FakeKeeper,
+    folder: TempDir,
+}
+
+/// A gate process; killed when dropped.
+pub struct Gate {
+    child: Child,
+    pub http: SocketAddr,
+}
+
+impl Env {
+    pub async fn start() -> Self {
+        Self {
+            keeper: FakeKeeper::start(DECLARED).await,
+            folder: tempfile::tempdir().unwrap(),
+        }
+    }
+
+    pub async fn gate(&self, name: &str) -> Gate {
+        self.gate_with(name, "").await
+    }
+
+    /// A ready gate with further settings.
+    pub async fn gate_with(&self, name: &str, more: &str) -> Gate {
+        let path = self.folder.path().join(format!("{name}.ini"));
+        let keeper = self.keeper.address;
+        let settings = format!(
+            "[vm]\nname = {name}\navailability_zone = z\n[keepers]\nk = {keeper}\n{more}"
+        );
+        std::fs::write(&path, settings).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_jujube-gate"))
+            .arg("--config")
+            .arg(&path)
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
+        let http = loop {
+            let line = lines.next().expect("the gate listens").unwrap();
+            let line: Value = serde_json::from_str(&line).unwrap_or_default();
+            if line["payload"] == "listening" {
+                break line["kv"]["http"].as_str().unwrap().parse().unwrap();
+            }
+        };
+        // The log goes on; nobody may stop reading it.
+        std::thread::spawn(move || lines.for_each(drop));
+        let gate = Gate { child, http };
+        gate.until("/readyz", |a| a.status == 200).await;
+        gate
+    }
+}
+
+impl Gate {
+    /// Asks until `is_good`; the answer.
+    pub async fn until(&self, path: &str, is_good: impl Fn(&Answer) -> bool) -> Answer {
+        let start = Instant::now();
+        loop {
+            let answer = client::get(self.http, path).await;
+            match answer {
+                Ok(answer) if is_good(&answer) => return answer,
+                other => assert!(start.elapsed() < PATIENCE, "{path}: {other:?}"),
+            }
+            sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    /// Announces `endpoint` once; it is known for some seconds.
+    pub async fn knows(&self, endpoint: &StandIn) {
+        let answer = client::post(self.http, "/v1/announce", &[], &endpoint.announcement()).await;
+        assert_eq!(answer.unwrap().status, 200);
+    }
+
+    /// Posts `input` to `pipeline`.
+    pub async fn ask(&self, pipeline: &str, headers: &[(&str, &str)], input: Value) -> Answer {
+        self.try_ask(pipeline, headers, input).await.unwrap()
+    }
+
+    pub async fn try_ask(
+        &self,
+        pipeline: &str,
+        headers: &[(&str, &str)],
+        input: Value,
+    ) -> Result<Answer, String> {
+        let path = format!("/v1/pipelines/{pipeline}");
+        let mut all = vec![("jujube-workspace", "w")];
+        all.retain(|(name, _)| !headers.iter().any(|(n, _)| n == name));
+        all.extend_from_slice(headers);
+        client::post(self.http, &path, &all, &json!({ "input": input })).await
+    }
+
+    pub fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
+    /// Sends SIGTERM by the shell's own `kill`.
+    pub fn terminate(&self) {
+        let kill = format!("kill -TERM {}", self.child.id());
+        assert!(Command::new("sh").args(["-c", &kill]).status().unwrap().success());
+    }
+
+    /// How the process ended.
+    pub async fn ended(&mut self) -> ExitStatus {
+        let start = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status;
+            }
+            assert!(start.elapsed() < PATIENCE, "the gate has not ended");
+            sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    /// The sum of the samples of `metric` whose labels contain `label`.
+    pub async fn metric(&self, metric: &str, label: &str) -> f64 {
+        let page = client::get(self.http, "/metrics").await.unwrap().text();
+        let lines = page.lines().filter(|l| l.starts_with(metric) && l.contains(label));
+        lines.filter_map(|l| l.rsplit(' ').next()?.parse::<f64>().ok()).sum()
+    }
+}
+
+impl Drop for Gate {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
