Choose endpoints, admit requests, budget retries

The router scores a few candidates over the endpoints' table; admission queues by priority with a reserve against starvation.

--- a/crates/membership/src/delta.rs
+++ b/crates/membership/src/delta.rs
@@ -101,11 +101,13 @@
         let flags: u8 = seq.next_element()?.ok_or_else(missing)?;
         let models: Vec<(String, u32, Vec<String>)> = seq.next_element()?.ok_or_else(missing)?;
         let age_ms: u64 = seq.next_element()?.ok_or_else(missing)?;
-        let models = models.into_iter().map(|(model, version, adapters)| LoadedModel {
-            model,
-            version,
-            adapters,
-        });
+        let models = models
+            .into_iter()
+            .map(|(model, version, adapters)| LoadedModel {
+                model,
+                version,
+                adapters,
+            });
         Ok(Delta {
             announced: Announcement {
                 endpoint,
--- a/crates/membership/src/live.rs
+++ b/crates/membership/src/live.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::atomic::{AtomicU64, Ordering::Relaxed},
-    time::Duration,
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use tokio::time::Instant;
@@ -81,3 +81,18 @@
 pub(crate) fn calls_of(load: &Load) -> u32 {
     load.running.saturating_add(load.queued)
 }
+
+/// A longer lag tells more of the endpoint's clock than of its load.
+const MAX_LAG: Duration = Duration::from_secs(10);
+
+/// How long ago the load was measured, by the endpoint's clock; zero where that is not credible.
+pub(crate) fn lag_of(load: &Load) -> Duration {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    let lag = since_epoch
+        .unwrap_or_default()
+        .saturating_sub(Duration::from_millis(load.as_of_ms));
+    match lag <= MAX_LAG {
+        true => lag,
+        false => Duration::ZERO,
+    }
+}
--- a/crates/membership/src/message.rs
+++ b/crates/membership/src/message.rs
@@ -165,7 +165,9 @@
     let ours: HashMap<u64, u64> = asked.iter().map(|e| (e.name_hash, e.stamp)).collect();
     let differs = |e: &&&Entry| theirs.get(&e.name_hash) != Some(&e.stamp);
     let deltas = asked.iter().filter(differs);
-    let wanted = held.iter().filter(|s| ours.get(&s.name) != Some(&s.content));
+    let wanted = held
+        .iter()
+        .filter(|s| ours.get(&s.name) != Some(&s.content));
     Reply::Repaired {
         deltas: deltas.map(|e| Delta::of(&e.endpoint, now)).collect(),
         wanted: wanted.map(|s| s.name).collect(),
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     Announced, Announcement, Endpoint, EndpointView, ServiceSnapshot, TableConfig,
-    live::calls_of,
+    live::{calls_of, lag_of},
     message::{Request, respond},
     state::{Applied, State},
 };
@@ -86,6 +86,7 @@
         let now = Instant::now();
         let endpoint = a.endpoint.clone();
         let calls = calls_of(&a.load);
+        let measured = now.checked_sub(lag_of(&a.load)).unwrap_or(now);
         let mut state = self.lock();
         match state.announce(a, now) {
             Applied::Superseded => return Err(AnnounceError::Superseded { endpoint }),
@@ -93,7 +94,7 @@
                 let limit = self.shared.cfg.max_endpoints;
                 return Err(AnnounceError::Full { endpoint, limit });
             }
-            Applied::Changed | Applied::Unchanged => state.report(&endpoint, calls, now),
+            Applied::Changed | Applied::Unchanged => state.report(&endpoint, calls, measured),
             Applied::Old => {}
         }
         self.publish(state);
@@ -144,14 +145,14 @@
 
     /// Rebuilds what readers see of the services that changed, and wakes those who wait.
     pub(crate) fn publish(&self, mut state: MutexGuard<'_, State>) {
-        let stale = state.take_stale_services();
+        let services_changed = state.take_stale_services();
         let version = state.version();
         if version == *self.shared.changed.borrow() {
             return;
         }
         let services = self.shared.services.write();
         let mut services = services.expect("no holder of this lock panics");
-        for service in stale {
+        for service in services_changed {
             let endpoints: Vec<Arc<Endpoint>> = state.of_service(&service);
             match endpoints.is_empty() {
                 true => services.remove(&service),
--- /dev/null
+++ b/crates/routing/src/affinity.rs
@@ -0,0 +1,103 @@
+//! Which blocks of prompts an endpoint's cache is thought to hold.
+
+use std::collections::{HashMap, VecDeque};
+
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::{config::AffinityConfig, ewma::decay, need::Reused};
+
+/// Bytes of prompt in one block.
+pub const BLOCK_BYTES: usize = 64;
+/// Blocks of a prompt looked at; a longer match changes no choice.
+const MAX_PROMPT_BLOCKS: usize = 128;
+/// Weight of one answer in the trust.
+const TRUST_WEIGHT: f64 = 0.2;
+/// What is left of the trust after a gap in the events.
+const AFTER_GAP: f64 = 0.7;
+const MIN_TRUST: f64 = 0.05;
+
+/// Chained hashes of the whole blocks of `prompt`, as engines publish them.
+pub fn block_hashes(prompt: &[u8]) -> Vec<u64> {
+    let mut hash = 0;
+    prompt
+        .chunks_exact(BLOCK_BYTES)
+        .take(MAX_PROMPT_BLOCKS)
+        .map(|block| {
+            hash = xxh3_64_with_seed(block, hash);
+            hash
+        })
+        .collect()
+}
+
+/// The blocks that one endpoint is thought to hold, with when each was last confirmed.
+#[derive(Debug)]
+pub(crate) struct Affinity {
+    cfg: AffinityConfig,
+    blocks: HashMap<u64, Instant>,
+    order: VecDeque<u64>,
+    last_seq: u64,
+    trust: f64,
+}
+
+impl Affinity {
+    pub(crate) fn new(cfg: AffinityConfig) -> Self {
+        Self {
+            cfg,
+            blocks: HashMap::new(),
+            order: VecDeque::new(),
+            last_seq: 0,
+            trust: 1.0,
+        }
+    }
+
+    /// Takes a batch of events; one that is late or comes again is ignored.
+    pub(crate) fn events(&mut self, seq: u64, stored: &[u64], removed: &[u64], now: Instant) {
+        if seq <= self.last_seq {
+            return;
+        }
+        if seq > self.last_seq + 1 && self.last_seq > 0 {
+            self.trust = (self.trust * AFTER_GAP).max(MIN_TRUST);
+        }
+        self.last_seq = seq;
+        self.store(stored, now);
+        for hash in removed {
+            self.blocks.remove(hash);
+        }
+    }
+
+    /// Notes that the endpoint has worked on a prompt of these blocks.
+    pub(crate) fn store(&mut self, hashes: &[u64], now: Instant) {
+        for hash in hashes {
+            if self.blocks.insert(*hash, now).is_none() {
+                self.order.push_back(*hash);
+            }
+        }
+        while self.order.len() > self.cfg.max_blocks {
+            let oldest = self.order.pop_front();
+            oldest.map(|hash| self.blocks.remove(&hash));
+        }
+    }
+
+    /// The share of a prompt of these blocks that is thought to be cached, 0 to 1.
+    pub(crate) fn share(&self, hashes: &[u64], now: Instant) -> f64 {
+        let known = hashes.iter().map_while(|hash| self.blocks.get(hash));
+        let weights = known.map(|at| decay(now.saturating_duration_since(*at), self.cfg.half_life));
+        self.trust * weights.sum::<f64>() / hashes.len().max(1) as f64
+    }
+
+    /// Corrects the trust by what an answer says of its own prompt.
+    pub(crate) fn correct(&mut self, hashes: &[u64], predicted: f64, reused: Reused) {
+        let actual = f64::from(reused.cached) / f64::from(reused.prompt.max(1));
+        if predicted > 0.05 {
+            let ratio = (actual / predicted).min(1.0);
+            self.trust += TRUST_WEIGHT * (ratio - self.trust);
+            self.trust = self.trust.clamp(MIN_TRUST, 1.0);
+        }
+        if reused.cached == 0 {
+            for hash in hashes {
+                self.blocks.remove(hash);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/routing/src/budget.rs
@@ -0,0 +1,98 @@
+//! Retry budgets: a share of first tries, by service.
+
+use std::{collections::HashMap, sync::Mutex, time::Duration};
+
+use tokio::time::Instant;
+
+/// How much may be retried.
+#[derive(Clone, Copy, Debug)]
+pub struct BudgetConfig {
+    /// Retries and hedges for each first try.
+    pub share: f64,
+    /// Retries that a service may have before any first try, and most that it may save from `idle`.
+    pub reserve: f64,
+    /// Most retries saved up.
+    pub max_saved: f64,
+    /// Time in which an idle service regains one retry of its reserve.
+    pub idle: Duration,
+}
+
+impl Default for BudgetConfig {
+    fn default() -> Self {
+        Self {
+            share: 0.1,
+            reserve: 10.0,
+            max_saved: 100.0,
+            idle: Duration::from_secs(2),
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Account {
+    saved: f64,
+    at: Instant,
+}
+
+/// Retry budgets by service.
+#[derive(Debug)]
+pub struct RetryBudget {
+    cfg: BudgetConfig,
+    accounts: Mutex<HashMap<String, Account>>,
+}
+
+/// A retry costs one, whatever the rounding of many small deposits.
+const ROUNDING: f64 = 1e-9;
+
+impl RetryBudget {
+    /// Budgets that all start with their reserve.
+    pub fn new(cfg: BudgetConfig) -> Self {
+        Self {
+            cfg,
+            accounts: Mutex::default(),
+        }
+    }
+
+    /// Notes a first try of a call to `service`.
+    pub fn first_try(&self, service: &str) {
+        let (share, max) = (self.cfg.share, self.cfg.max_saved);
+        self.with(service, |account| {
+            account.saved = (account.saved + share).min(max.max(account.saved));
+        });
+    }
+
+    /// Takes one retry or hedge of `service` from its budget; false where there is none left.
+    pub fn try_spend(&self, service: &str) -> bool {
+        self.with(service, |account| {
+            let is_there = account.saved + ROUNDING >= 1.0;
+            if is_there {
+                account.saved -= 1.0;
+            }
+            is_there
+        })
+    }
+
+    /// What is left to `service`.
+    pub fn left(&self, service: &str) -> f64 {
+        self.with(service, |account| account.saved)
+    }
+
+    fn with<T>(&self, service: &str, f: impl FnOnce(&mut Account) -> T) -> T {
+        let now = Instant::now();
+        let accounts = self.accounts.lock();
+        let mut accounts = accounts.expect("no holder of this lock panics");
+        if !accounts.contains_key(service) {
+            let account = Account {
+                saved: self.cfg.reserve,
+                at: now,
+            };
+            accounts.insert(service.to_owned(), account);
+        }
+        let account = accounts.get_mut(service).expect("it was just inserted");
+        let idle = now.saturating_duration_since(account.at).as_secs_f64();
+        let regained = account.saved + idle / self.cfg.idle.as_secs_f64();
+        account.saved = regained.min(self.cfg.reserve).max(account.saved);
+        account.at = now;
+        f(account)
+    }
+}
--- /dev/null
+++ b/crates/routing/src/health.rs
@@ -0,0 +1,83 @@
+//! Outlier ejection of one endpoint by the outcome of its calls.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::{config::EjectionConfig, ewma::Decaying};
+
+/// Outcomes of one endpoint's calls and whether it is ejected.
+#[derive(Debug)]
+pub(crate) struct Health {
+    cfg: EjectionConfig,
+    in_a_row: u32,
+    failures: Decaying,
+    /// Ejections in a row without a healthy time between.
+    ejections: u32,
+    until: Option<Instant>,
+}
+
+impl Health {
+    pub(crate) fn new(cfg: EjectionConfig) -> Self {
+        Self {
+            failures: Decaying::new(cfg.half_life),
+            cfg,
+            in_a_row: 0,
+            ejections: 0,
+            until: None,
+        }
+    }
+
+    /// Takes an outcome; returns whether the endpoint ought to be ejected.
+    pub(crate) fn observe(&mut self, failed: bool, now: Instant) -> bool {
+        self.failures.add(if failed { 1.0 } else { 0.0 }, now);
+        self.in_a_row = if failed { self.in_a_row + 1 } else { 0 };
+        if self.is_returned(now) {
+            self.ejections = 0;
+        }
+        let is_returning = self.until.is_some() && !self.is_returned(now);
+        let fails_often = self.failures.count() >= self.cfg.min_calls
+            && self.failures.mean().unwrap_or(0.0) >= self.cfg.failure_share;
+        failed && (is_returning || fails_often || self.in_a_row >= self.cfg.consecutive)
+    }
+
+    /// Ejects the endpoint.
+    pub(crate) fn eject(&mut self, now: Instant) {
+        let doubled = self.cfg.base * 2_u32.saturating_pow(self.ejections.min(16));
+        self.ejections = self.ejections.saturating_add(1);
+        self.until = Some(now + doubled.min(self.cfg.max));
+        self.in_a_row = 0;
+        self.failures = Decaying::new(self.cfg.half_life);
+    }
+
+    /// Ends an ejection early.
+    pub(crate) fn release(&mut self, now: Instant) {
+        self.until = self.until.map(|until| until.min(now));
+    }
+
+    pub(crate) fn ejected_until(&self) -> Option<Instant> {
+        self.until
+    }
+
+    /// Whether the last ejection lies so far back that the endpoint has its full share again.
+    fn is_returned(&self, now: Instant) -> bool {
+        self.until
+            .is_none_or(|until| now >= until + self.cfg.slow_return)
+    }
+}
+
+/// The share of its usual work that an endpoint gets `since` its ejection ended.
+pub(crate) fn returning_share(since: Duration, slow_return: Duration) -> f64 {
+    const FIRST_SHARE: f64 = 0.1;
+    let passed = since.as_secs_f64() / slow_return.as_secs_f64().max(f64::EPSILON);
+    passed.clamp(FIRST_SHARE, 1.0)
+}
+
+/// How many of `endpoints` may be ejected at once.
+pub fn max_ejected(endpoints: usize, max_share: f64) -> usize {
+    let share = (endpoints as f64 * max_share).floor() as usize;
+    match endpoints {
+        0 | 1 => 0,
+        _ => share.max(1),
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,1 +1,34 @@
 //! Choice of endpoints, limits, admission, retry budgets and outlier ejection.
+//!
+//! [`Router`] chooses an endpoint for each call; [`Admission`] decides which requests may start;
+//! [`RetryBudget`] and [`Latencies`] bound what retries and hedges add. `docs/design/routing.md`
+//! and `docs/design/limits.md` say why they are built this way.
+
+mod admission;
+mod affinity;
+mod budget;
+mod config;
+mod ewma;
+mod health;
+mod latency;
+mod limit;
+mod need;
+mod overall;
+mod pool;
+mod queue;
+mod router;
+mod score;
+mod stats;
+
+pub mod subset;
+
+pub use admission::{
+    Admission, AdmissionConfig, AdmissionStats, Applicant, Refusal, RefusalReason, Ticket, Verdict,
+};
+pub use affinity::{BLOCK_BYTES, block_hashes};
+pub use budget::{BudgetConfig, RetryBudget};
+pub use config::{AffinityConfig, EjectionConfig, LimitConfig, RouterConfig};
+pub use health::max_ejected;
+pub use latency::{Latencies, SizeClass, Stage};
+pub use need::{CacheEvents, CallOutcome, ModelNeed, Need, NoEndpoint, Observation, Reused};
+pub use router::{EndpointStats, Pick, Router};
--- /dev/null
+++ b/crates/routing/src/limit.rs
@@ -0,0 +1,82 @@
+//! Adaptive limit of calls in flight to one endpoint.
+//!
+//! The limit grows while answers come as fast as usual and it is in use; it shrinks in proportion
+//! where they become slower, and by a fixed share where the endpoint refuses or stalls.
+
+use std::time::Duration;
+
+use crate::config::LimitConfig;
+
+/// Weight of a new value in the usual latency.
+const USUAL_WEIGHT: f64 = 0.01;
+/// Weight of a new value in the recent latency.
+const RECENT_WEIGHT: f64 = 0.1;
+/// Weight of a new limit against the old one.
+const SMOOTHING: f64 = 0.2;
+/// What is left of the limit after a refusal or a stall.
+const BACKOFF: f64 = 0.9;
+/// By how much recent answers must be faster than usual to forget what is usual sooner.
+const MUCH_FASTER: f64 = 2.0;
+
+/// The limit of one endpoint.
+#[derive(Debug)]
+pub(crate) struct Limit {
+    cfg: LimitConfig,
+    calls: f64,
+    usual: Option<f64>,
+    recent: f64,
+}
+
+impl Limit {
+    pub(crate) fn new(cfg: LimitConfig) -> Self {
+        Self {
+            cfg,
+            calls: cfg.initial,
+            usual: None,
+            recent: 0.0,
+        }
+    }
+
+    /// The limit in calls.
+    pub(crate) fn get(&self) -> u32 {
+        self.calls.round() as u32
+    }
+
+    /// Takes the time of an answered call that was one of `in_flight`.
+    pub(crate) fn answered(&mut self, elapsed: Duration, in_flight: u32) {
+        let elapsed = elapsed.as_secs_f64().max(1e-6);
+        let usual = match self.usual {
+            None => {
+                self.recent = elapsed;
+                elapsed
+            }
+            Some(usual) => {
+                self.recent += RECENT_WEIGHT * (elapsed - self.recent);
+                usual + USUAL_WEIGHT * (elapsed - usual)
+            }
+        };
+        let is_much_faster = usual > MUCH_FASTER * self.recent;
+        let usual = if is_much_faster { usual * 0.95 } else { usual };
+        self.usual = Some(usual);
+        let gradient = (self.cfg.tolerance * usual / self.recent).clamp(0.5, 1.0);
+        let is_used = f64::from(in_flight) >= self.calls / 2.0;
+        if is_used || gradient < 1.0 {
+            let target = self.calls * gradient + self.calls.sqrt();
+            let target = if is_used {
+                target
+            } else {
+                target.min(self.calls)
+            };
+            self.set(self.calls + SMOOTHING * (target - self.calls));
+        }
+    }
+
+    /// Takes a refusal or a stall.
+    pub(crate) fn overloaded(&mut self) {
+        self.set(self.calls * BACKOFF);
+    }
+
+    fn set(&mut self, limit: f64) {
+        self.calls = limit.clamp(self.cfg.min, self.cfg.max);
+    }
+}
--- /dev/null
+++ b/crates/routing/src/overall.rs
@@ -0,0 +1,94 @@
+//! The adaptive limit of requests in flight at one gate.
+//!
+//! It grows while requests end in time and the limit is in use, and shrinks by a fixed share, at
+//! most once in the time that a request takes, while too many end late or refused for overload.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::{
+    admission::{AdmissionConfig, Verdict},
+    ewma::Decaying,
+};
+
+/// Share of overloaded requests at which the limit shrinks.
+const MAX_OVERLOADED: f64 = 0.05;
+/// What is left of the limit after one step down.
+const STEP_DOWN: f64 = 0.85;
+const HALF_LIFE: Duration = Duration::from_millis(500);
+const MIN_PAUSE: Duration = Duration::from_millis(100);
+/// Ended requests before the share of overloaded ones counts.
+const MIN_ENDED: f64 = 5.0;
+
+/// The limit and what it adapts to.
+#[derive(Debug)]
+pub(crate) struct Overall {
+    cfg: AdmissionConfig,
+    limit: f64,
+    overloaded: Decaying,
+    elapsed: Decaying,
+    last_down: Option<Instant>,
+}
+
+impl Overall {
+    pub(crate) fn new(cfg: AdmissionConfig) -> Self {
+        Self {
+            limit: cfg.initial,
+            cfg,
+            overloaded: Decaying::new(HALF_LIFE),
+            elapsed: Decaying::new(HALF_LIFE),
+            last_down: None,
+        }
+    }
+
+    /// The limit in requests.
+    pub(crate) fn limit(&self) -> u32 {
+        self.limit as u32
+    }
+
+    /// Takes the end of a request; `is_used` says whether the limit was reached.
+    pub(crate) fn ended(
+        &mut self,
+        verdict: Verdict,
+        elapsed: Duration,
+        is_used: bool,
+        now: Instant,
+    ) {
+        if verdict == Verdict::Other {
+            return;
+        }
+        let is_overloaded = verdict == Verdict::Overloaded;
+        self.overloaded
+            .add(if is_overloaded { 1.0 } else { 0.0 }, now);
+        self.elapsed.add(elapsed.as_secs_f64(), now);
+        let share = self.overloaded.mean().unwrap_or(0.0);
+        let is_known = self.overloaded.count() >= MIN_ENDED;
+        match is_overloaded {
+            true if is_known && share > MAX_OVERLOADED && self.may_step_down(now) => {
+                self.last_down = Some(now);
+                self.set(self.limit * STEP_DOWN);
+            }
+            false if is_used && share <= MAX_OVERLOADED => self.set(self.limit + 1.0 / self.limit),
+            _ => {}
+        }
+    }
+
+    /// How long the last of `waiting` requests and one more would wait.
+    pub(crate) fn expected_wait(&self, waiting: usize) -> Duration {
+        let elapsed = self.elapsed.mean().unwrap_or(0.0);
+        let secs = elapsed * (waiting + 1) as f64 / self.limit;
+        Duration::from_secs_f64(secs.min(3_600.0))
+    }
+
+    fn may_step_down(&self, now: Instant) -> bool {
+        let elapsed = Duration::from_secs_f64(self.elapsed.mean().unwrap_or(0.0).min(60.0));
+        let pause = elapsed.max(MIN_PAUSE);
+        self.last_down
+            .is_none_or(|at| now.saturating_duration_since(at) >= pause)
+    }
+
+    fn set(&mut self, limit: f64) {
+        self.limit = limit.clamp(self.cfg.min, self.cfg.max);
+    }
+}
--- /dev/null
+++ b/crates/routing/src/pool.rs
@@ -0,0 +1,130 @@
+//! The endpoints of one service that this gate talks to.
+
+use std::{
+    collections::{BTreeMap, HashMap, HashSet},
+    sync::{Arc, Mutex},
+};
+
+use membership::{Endpoint, ServiceSnapshot};
+use tokio::time::Instant;
+use uuid::Uuid;
+
+use crate::{
+    config::RouterConfig,
+    health::max_ejected,
+    stats::Stats,
+    subset::{self, Place},
+};
+
+/// One endpoint and what is known of it.
+#[derive(Clone, Debug)]
+pub(crate) struct Slot {
+    pub(crate) endpoint: Arc<Endpoint>,
+    pub(crate) stats: Arc<Stats>,
+    pub(crate) is_near: bool,
+}
+
+/// The slots of one service for one version of its snapshot.
+#[derive(Debug)]
+pub(crate) struct Pool {
+    pub(crate) version: u64,
+    pub(crate) slots: Vec<Slot>,
+    /// Held while an ejection is decided, so that the cap holds.
+    ejecting: Arc<Mutex<()>>,
+    max_share: f64,
+}
+
+impl Pool {
+    /// The pool for `snapshot`; what `old` knew of endpoints that stay is kept.
+    pub(crate) fn new(
+        cfg: &RouterConfig,
+        start: Instant,
+        snapshot: &ServiceSnapshot,
+        old: Option<&Self>,
+    ) -> Self {
+        let known: HashMap<(&str, Uuid), &Slot> = old
+            .iter()
+            .flat_map(|pool| &pool.slots)
+            .map(|slot| (key(&slot.endpoint), slot))
+            .collect();
+        let stats = |endpoint: &Endpoint| match known.get(&key(endpoint)) {
+            Some(slot) => Arc::clone(&slot.stats),
+            None => Arc::new(Stats::new(cfg, start)),
+        };
+        let chosen = chosen(cfg, snapshot);
+        let slots = snapshot
+            .endpoints
+            .iter()
+            .filter(|endpoint| chosen.contains(endpoint.announced.endpoint.as_str()))
+            .map(|endpoint| Slot {
+                stats: stats(endpoint),
+                is_near: endpoint.announced.az == cfg.az,
+                endpoint: Arc::clone(endpoint),
+            });
+        let pool = Self {
+            version: snapshot.version,
+            slots: slots.collect(),
+            ejecting: old.map_or_else(Arc::default, |pool| Arc::clone(&pool.ejecting)),
+            max_share: cfg.ejection.max_share,
+        };
+        pool.release_above_cap(Instant::now());
+        pool
+    }
+
+    /// Ejects the endpoint of `stats` where the cap allows it.
+    pub(crate) fn try_eject(&self, stats: &Stats, now: Instant) -> bool {
+        let _guard = self.ejecting.lock().expect("no holder of this lock panics");
+        let is_ejected = |slot: &&Slot| slot.stats.is_ejected(now);
+        let ejected = self.slots.iter().filter(is_ejected).count();
+        let is_allowed = ejected < max_ejected(self.slots.len(), self.max_share);
+        if is_allowed && !stats.is_ejected(now) {
+            let mut inner = stats.lock();
+            inner.health.eject(now);
+            stats.publish(&inner);
+            return true;
+        }
+        false
+    }
+
+    /// Ends the oldest ejections where the service has shrunk.
+    fn release_above_cap(&self, now: Instant) {
+        let is_ejected = |slot: &&Slot| slot.stats.is_ejected(now);
+        let mut ejected: Vec<&Slot> = self.slots.iter().filter(is_ejected).collect();
+        ejected.sort_by_key(|slot| slot.stats.lock().health.ejected_until());
+        let allowed = max_ejected(self.slots.len(), self.max_share);
+        let excess = ejected.len().saturating_sub(allowed);
+        for slot in ejected.into_iter().take(excess) {
+            let mut inner = slot.stats.lock();
+            inner.health.release(now);
+            slot.stats.publish(&inner);
+        }
+    }
+}
+
+fn key(endpoint: &Endpoint) -> (&str, Uuid) {
+    let a = &endpoint.announced;
+    (&a.endpoint, a.incarnation)
+}
+
+/// Names of the endpoints of each availability zone that this gate talks to.
+fn chosen<'a>(cfg: &RouterConfig, snapshot: &'a ServiceSnapshot) -> HashSet<&'a str> {
+    let mut by_az: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
+    for endpoint in &snapshot.endpoints {
+        let a = &endpoint.announced;
+        by_az.entry(&a.az).or_default().push(&a.endpoint);
+    }
+    let place = Place::of(&cfg.gate, &cfg.gates);
+    let per_az = by_az.iter().flat_map(|(az, names)| {
+        let size = match *az == cfg.az {
+            true => subset::size(
+                names.len(),
+                place.gates,
+                cfg.min_subset,
+                cfg.gates_per_endpoint,
+            ),
+            false => cfg.min_subset,
+        };
+        subset::choose(names, place, size)
+    });
+    per_az.collect()
+}
--- /dev/null
+++ b/crates/routing/src/queue.rs
@@ -0,0 +1,217 @@
+//! Requests that wait for admission: highest priority first, but every tenth by weighted shares,
+//! so that no workspace starves; when full, the lowest priority above its reserve gives way.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    time::Duration,
+};
+
+use declaration::Priority;
+use tokio::{sync::oneshot, time::Instant};
+
+/// Of this many admissions, one goes by weighted shares whatever the priority.
+const SHARED_EVERY: u64 = 10;
+/// Each priority keeps this share of the queue against higher ones.
+const RESERVED_SHARE: usize = 32;
+/// Virtual time of one admission at weight one.
+const STRIDE: u64 = 1 << 20;
+/// Shortest time between two searches for expired requests.
+const SWEEP_EVERY: Duration = Duration::from_millis(20);
+
+/// A request that waits.
+#[derive(Debug)]
+pub(crate) struct Waiter<T> {
+    pub(crate) workspace: String,
+    pub(crate) priority: Priority,
+    /// After this it does not want a place any more.
+    pub(crate) latest: Instant,
+    pub(crate) tx: oneshot::Sender<T>,
+}
+
+impl<T> Waiter<T> {
+    fn is_waiting(&self, now: Instant) -> bool {
+        self.latest > now && !self.tx.is_closed()
+    }
+}
+
+/// The waiting requests of one workspace.
+#[derive(Debug)]
+struct Flow<T> {
+    priority: Priority,
+    /// Virtual time of its next admission.
+    next: u64,
+    waiters: VecDeque<Waiter<T>>,
+}
+
+/// All waiting requests.
+#[derive(Debug)]
+pub(crate) struct Queue<T> {
+    max: usize,
+    len: usize,
+    flows: BTreeMap<String, Flow<T>>,
+    /// Workspaces by priority and virtual time.
+    by_priority: BTreeMap<u8, BTreeSet<(u64, String)>>,
+    waiting: BTreeMap<u8, usize>,
+    virtual_time: u64,
+    admitted: u64,
+    /// When expired requests were last looked for.
+    swept: Option<Instant>,
+}
+
+fn stride(priority: Priority) -> u64 {
+    STRIDE / (u64::from(priority.0) + 1)
+}
+
+impl<T> Queue<T> {
+    pub(crate) fn new(max: usize) -> Self {
+        Self {
+            max,
+            len: 0,
+            flows: BTreeMap::new(),
+            by_priority: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            virtual_time: 0,
+            admitted: 0,
+            swept: None,
+        }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.len
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Takes `waiter`, dropping another where the queue is full or `is_crowded`; returns false,
+    /// with `waiter` dropped, where none gives way.
+    pub(crate) fn push(&mut self, waiter: Waiter<T>, is_crowded: bool, now: Instant) -> bool {
+        let is_swept = self
+            .swept
+            .is_some_and(|at| now.saturating_duration_since(at) < SWEEP_EVERY);
+        if (is_crowded || self.len >= self.max) && !is_swept {
+            self.swept = Some(now);
+            self.drop_expired(now);
+        }
+        let is_full = self.len >= self.max || (is_crowded && self.len > 0);
+        if is_full && !self.give_way(waiter.priority) {
+            return false;
+        }
+        self.insert(waiter);
+        true
+    }
+
+    /// The next that gets a place.
+    pub(crate) fn pop(&mut self, now: Instant) -> Option<oneshot::Sender<T>> {
+        while let Some(workspace) = self.next() {
+            let waiter = self.take(&workspace, VecDeque::pop_front)?;
+            if waiter.is_waiting(now) {
+                self.charge(&workspace, waiter.priority);
+                return Some(waiter.tx);
+            }
+        }
+        None
+    }
+
+    fn insert(&mut self, waiter: Waiter<T>) {
+        let priority = waiter.priority;
+        let workspace = waiter.workspace.clone();
+        let first = self.virtual_time + stride(priority);
+        let flow = self.flows.entry(workspace.clone()).or_insert_with(|| Flow {
+            priority,
+            next: first,
+            waiters: VecDeque::new(),
+        });
+        if flow.waiters.is_empty() {
+            let key = (flow.next, workspace);
+            self.by_priority
+                .entry(flow.priority.0)
+                .or_default()
+                .insert(key);
+        }
+        flow.waiters.push_back(waiter);
+        *self.waiting.entry(flow.priority.0).or_default() += 1;
+        self.len += 1;
+    }
+
+    /// The workspace whose turn it is.
+    fn next(&self) -> Option<String> {
+        let firsts = || self.by_priority.values().filter_map(BTreeSet::first);
+        let is_shared = self.admitted % SHARED_EVERY == SHARED_EVERY - 1;
+        let first = match is_shared {
+            true => firsts().min_by_key(|(next, _)| *next),
+            false => firsts().next_back(),
+        };
+        first.map(|(_, workspace)| workspace.clone())
+    }
+
+    /// Removes one waiter of `workspace`, and the flow with its last.
+    fn take(
+        &mut self,
+        workspace: &str,
+        end: impl FnOnce(&mut VecDeque<Waiter<T>>) -> Option<Waiter<T>>,
+    ) -> Option<Waiter<T>> {
+        let flow = self.flows.get_mut(workspace)?;
+        let waiter = end(&mut flow.waiters)?;
+        let (priority, next) = (flow.priority.0, flow.next);
+        self.len -= 1;
+        *self.waiting.entry(priority).or_default() -= 1;
+        if flow.waiters.is_empty() {
+            self.flows.remove(workspace);
+            let set = self.by_priority.entry(priority).or_default();
+            set.remove(&(next, workspace.to_owned()));
+            if set.is_empty() {
+                self.by_priority.remove(&priority);
+            }
+        }
+        Some(waiter)
+    }
+
+    /// Counts an admission of `workspace` against its share.
+    fn charge(&mut self, workspace: &str, priority: Priority) {
+        self.admitted += 1;
+        self.virtual_time += 1;
+        let Some(flow) = self.flows.get_mut(workspace) else {
+            return;
+        };
+        self.virtual_time = self.virtual_time.max(flow.next);
+        let old = flow.next;
+        flow.next += stride(priority);
+        let set = self.by_priority.entry(flow.priority.0).or_default();
+        set.remove(&(old, workspace.to_owned()));
+        set.insert((flow.next, workspace.to_owned()));
+    }
+
+    /// Drops the newest waiter of the lowest priority that is above its reserve and may give way
+    /// to one of `priority`.
+    fn give_way(&mut self, priority: Priority) -> bool {
+        let reserve = (self.max / RESERVED_SHARE).max(1);
+        let held = |p: &u8| self.waiting.get(p).copied().unwrap_or(0);
+        let is_within_reserve = held(&priority.0) < reserve;
+        let may_give_way = |p: &&u8| held(p) > reserve && (is_within_reserve || **p < priority.0);
+        let Some(lowest) = self.by_priority.keys().find(may_give_way).copied() else {
+            return false;
+        };
+        let longest = self.by_priority[&lowest]
+            .iter()
+            .max_by_key(|(_, workspace)| self.flows[workspace].waiters.len());
+        let Some((_, workspace)) = longest.cloned() else {
+            return false;
+        };
+        self.take(&workspace, VecDeque::pop_back).is_some()
+    }
+
+    fn drop_expired(&mut self, now: Instant) {
+        let workspaces: Vec<String> = self.flows.keys().cloned().collect();
+        for workspace in workspaces {
+            let is_front_expired = |flow: &Flow<T>| {
+                let front = flow.waiters.front();
+                front.is_some_and(|waiter| !waiter.is_waiting(now))
+            };
+            while self.flows.get(&workspace).is_some_and(is_front_expired) {
+                self.take(&workspace, VecDeque::pop_front);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/routing/src/router.rs
@@ -0,0 +1,248 @@
+//! Choice of an endpoint for each call.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, RwLock,
+        atomic::{AtomicU64, Ordering::Relaxed},
+    },
+};
+
+use derives::record;
+use membership::{Endpoint, Table};
+use rand::{SeedableRng, rngs::SmallRng};
+use tokio::time::Instant;
+
+use crate::{
+    affinity::block_hashes,
+    config::RouterConfig,
+    need::{CacheEvents, CallOutcome, Need, NoEndpoint, Observation},
+    pool::{Pool, Slot},
+    score::View,
+};
+
+/// Draws before a pick gives up against others that take the last slots.
+const MAX_DRAWS: usize = 8;
+
+/// Chooses endpoints; clones share what they know.
+#[derive(Clone, Debug)]
+pub struct Router {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    cfg: RouterConfig,
+    table: Table,
+    start: Instant,
+    picks: AtomicU64,
+    ejections: AtomicU64,
+    pools: RwLock<HashMap<String, Arc<Pool>>>,
+}
+
+/// What a gate knows of an endpoint from its own calls.
+#[record]
+pub struct EndpointStats {
+    /// The endpoint.
+    pub endpoint: String,
+    /// Our calls in flight.
+    pub in_flight: u32,
+    /// Most calls in flight that we allow.
+    pub limit: u32,
+    /// Whether it is ejected.
+    pub is_ejected: bool,
+    /// Mean time of recent answers in milliseconds.
+    pub latency_ms: Option<f64>,
+}
+
+impl Router {
+    /// A router over what `table` knows.
+    pub fn new(cfg: RouterConfig, table: Table) -> Self {
+        let shared = Shared {
+            cfg,
+            table,
+            start: Instant::now(),
+            picks: AtomicU64::new(0),
+            ejections: AtomicU64::new(0),
+            pools: RwLock::default(),
+        };
+        Self {
+            shared: Arc::new(shared),
+        }
+    }
+
+    /// Chooses an endpoint and takes one of its slots.
+    pub fn pick(&self, need: &Need<'_>) -> Result<Pick, NoEndpoint> {
+        let pool = self.pool(need.service).ok_or(NoEndpoint::NoneReady)?;
+        let hashes = need.prompt.map(block_hashes).unwrap_or_default();
+        let view = View {
+            cfg: &self.shared.cfg,
+            need,
+            hashes: &hashes,
+            now: Instant::now(),
+        };
+        let seed = self.shared.cfg.seed;
+        let mut rng = SmallRng::seed_from_u64(seed ^ self.shared.picks.fetch_add(1, Relaxed));
+        for _ in 0..MAX_DRAWS {
+            let (slot, cached) = view.choose(&pool.slots, &mut rng)?;
+            if slot.stats.try_enter() {
+                return Ok(Pick {
+                    router: self.clone(),
+                    slot: slot.clone(),
+                    hashes,
+                    cached,
+                });
+            }
+        }
+        Err(NoEndpoint::Busy {
+            retry_after: std::time::Duration::from_millis(10),
+        })
+    }
+
+    /// Takes an engine's cache events.
+    pub fn cache_events(&self, events: CacheEvents) {
+        let now = Instant::now();
+        let pools = self.shared.pools.read();
+        let pools = pools.expect("no holder of this lock panics");
+        let is_meant = |slot: &&Slot| {
+            let a = &slot.endpoint.announced;
+            a.endpoint == events.endpoint && a.incarnation == events.incarnation
+        };
+        for slot in pools.values().flat_map(|pool| &pool.slots).filter(is_meant) {
+            let mut inner = slot.stats.lock();
+            inner
+                .affinity
+                .events(events.seq, &events.stored, &events.removed, now);
+        }
+    }
+
+    /// What is known of the endpoints of `service` that this gate talks to.
+    pub fn stats(&self, service: &str) -> Vec<EndpointStats> {
+        let now = Instant::now();
+        let Some(pool) = self.pool(service) else {
+            return Vec::new();
+        };
+        let stats = pool.slots.iter().map(|slot| EndpointStats {
+            endpoint: slot.endpoint.announced.endpoint.clone(),
+            in_flight: slot.stats.in_flight(),
+            limit: slot.stats.limit(),
+            is_ejected: slot.stats.is_ejected(now),
+            latency_ms: slot.stats.latency().map(|s| s * 1e3),
+        });
+        stats.collect()
+    }
+
+    /// How many ejections there have been.
+    pub fn ejections(&self) -> u64 {
+        self.shared.ejections.load(Relaxed)
+    }
+
+    /// The pool of `service` for what the table knows now.
+    fn pool(&self, service: &str) -> Option<Arc<Pool>> {
+        let snapshot = self.shared.table.service(service)?;
+        let pools = self.shared.pools.read();
+        let known = pools
+            .expect("no holder of this lock panics")
+            .get(service)
+            .cloned();
+        match known {
+            Some(pool) if pool.version >= snapshot.version => return Some(pool),
+            _ => {}
+        }
+        let pools = self.shared.pools.write();
+        let mut pools = pools.expect("no holder of this lock panics");
+        let old = pools.get(service).cloned();
+        match old {
+            Some(pool) if pool.version >= snapshot.version => Some(pool),
+            old => {
+                let shared = &self.shared;
+                let pool = Pool::new(&shared.cfg, shared.start, &snapshot, old.as_deref());
+                let pool = Arc::new(pool);
+                pools.insert(service.to_owned(), Arc::clone(&pool));
+                Some(pool)
+            }
+        }
+    }
+
+    fn finish(&self, pick: &Pick, seen: &Observation) {
+        let now = Instant::now();
+        let stats = &pick.slot.stats;
+        let in_flight = stats.in_flight();
+        let mut inner = stats.lock();
+        let is_failure = matches!(seen.outcome, CallOutcome::Failed | CallOutcome::Stalled);
+        let is_known = !matches!(seen.outcome, CallOutcome::Cancelled | CallOutcome::Refused);
+        let is_outlier = is_known && inner.health.observe(is_failure, now);
+        match seen.outcome {
+            CallOutcome::Answered => {
+                inner.latency.add(seen.elapsed.as_secs_f64(), now);
+                inner.limit.answered(seen.elapsed, in_flight);
+                inner.affinity.store(&pick.hashes, now);
+            }
+            CallOutcome::Stalled => {
+                inner.latency.add(seen.elapsed.as_secs_f64(), now);
+                inner.limit.overloaded();
+            }
+            CallOutcome::Refused => inner.limit.overloaded(),
+            CallOutcome::Failed | CallOutcome::Cancelled => {}
+        }
+        if let Some(reused) = seen.reused {
+            inner.affinity.correct(&pick.hashes, pick.cached, reused);
+        }
+        stats.publish(&inner);
+        drop(inner);
+        if let Some(load) = &seen.load {
+            let calls = load.running.saturating_add(load.queued);
+            pick.slot.endpoint.live.report(calls, now);
+        }
+        let service = &pick.slot.endpoint.announced.service;
+        let is_ejected = is_outlier
+            && self
+                .pool(service)
+                .is_some_and(|pool| pool.try_eject(stats, now));
+        if is_ejected {
+            self.shared.ejections.fetch_add(1, Relaxed);
+        }
+    }
+}
+
+/// An endpoint chosen for a call; holds one of its slots until dropped.
+#[derive(Debug)]
+pub struct Pick {
+    router: Router,
+    slot: Slot,
+    hashes: Vec<u64>,
+    cached: f64,
+}
+
+impl Pick {
+    /// The endpoint.
+    pub fn endpoint(&self) -> &Endpoint {
+        &self.slot.endpoint
+    }
+
+    /// The endpoint's name.
+    pub fn name(&self) -> &str {
+        &self.slot.endpoint.announced.endpoint
+    }
+
+    /// Where it takes calls: `http://IP:PORT`.
+    pub fn address(&self) -> &str {
+        &self.slot.endpoint.announced.address
+    }
+
+    /// The share of the prompt that the endpoint is thought to have cached, 0 to 1.
+    pub fn cached_share(&self) -> f64 {
+        self.cached
+    }
+
+    /// Frees the slot and learns from the call; a pick dropped without this was cancelled.
+    pub fn finish(self, seen: Observation) {
+        self.router.finish(&self, &seen);
+    }
+}
+
+impl Drop for Pick {
+    fn drop(&mut self) {
+        self.slot.stats.leave();
+    }
+}
--- /dev/null
+++ b/crates/routing/src/stats.rs
@@ -0,0 +1,122 @@
+//! What a gate knows of one endpoint from its own calls.
+
+use std::{
+    sync::{
+        Mutex, MutexGuard,
+        atomic::{AtomicU32, AtomicU64, Ordering::Relaxed},
+    },
+    time::Duration,
+};
+
+use tokio::time::Instant;
+
+use crate::{
+    affinity::Affinity,
+    config::RouterConfig,
+    ewma::Decaying,
+    health::{Health, returning_share},
+    limit::Limit,
+};
+
+const LATENCY_HALF_LIFE: Duration = Duration::from_secs(5);
+
+/// What [`Stats`]' lock guards.
+#[derive(Debug)]
+pub(crate) struct Inner {
+    pub(crate) health: Health,
+    pub(crate) limit: Limit,
+    pub(crate) affinity: Affinity,
+    pub(crate) latency: Decaying,
+}
+
+/// Calls in flight and what earlier ones told; the numbers that every pick reads need no lock.
+#[derive(Debug)]
+pub(crate) struct Stats {
+    start: Instant,
+    in_flight: AtomicU32,
+    limit: AtomicU32,
+    /// Microseconds from `start`; 0 where it never was ejected.
+    ejected_until_us: AtomicU64,
+    /// Mean time of recent answers; 0 where none is known.
+    latency_us: AtomicU64,
+    inner: Mutex<Inner>,
+}
+
+impl Stats {
+    pub(crate) fn new(cfg: &RouterConfig, start: Instant) -> Self {
+        let inner = Inner {
+            health: Health::new(cfg.ejection),
+            limit: Limit::new(cfg.limit),
+            affinity: Affinity::new(cfg.affinity),
+            latency: Decaying::new(LATENCY_HALF_LIFE),
+        };
+        Self {
+            start,
+            in_flight: AtomicU32::new(0),
+            limit: AtomicU32::new(inner.limit.get()),
+            ejected_until_us: AtomicU64::new(0),
+            latency_us: AtomicU64::new(0),
+            inner: Mutex::new(inner),
+        }
+    }
+
+    pub(crate) fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().expect("no holder of this lock panics")
+    }
+
+    /// Copies what the lock guards to where picks read it.
+    pub(crate) fn publish(&self, inner: &Inner) {
+        let until = inner.health.ejected_until();
+        let until_us = until.map_or(0, |until| self.micros(until));
+        self.ejected_until_us.store(until_us, Relaxed);
+        self.limit.store(inner.limit.get(), Relaxed);
+        let latency_us = inner.latency.mean().unwrap_or(0.0) * 1e6;
+        self.latency_us.store(latency_us as u64, Relaxed);
+    }
+
+    pub(crate) fn in_flight(&self) -> u32 {
+        self.in_flight.load(Relaxed)
+    }
+
+    pub(crate) fn limit(&self) -> u32 {
+        self.limit.load(Relaxed)
+    }
+
+    /// Takes a slot where the limit allows one.
+    pub(crate) fn try_enter(&self) -> bool {
+        let limit = self.limit();
+        let enter = |n: u32| (n < limit).then_some(n + 1);
+        self.in_flight.fetch_update(Relaxed, Relaxed, enter).is_ok()
+    }
+
+    pub(crate) fn leave(&self) {
+        self.in_flight.fetch_sub(1, Relaxed);
+    }
+
+    /// Mean time of recent answers in seconds.
+    pub(crate) fn latency(&self) -> Option<f64> {
+        match self.latency_us.load(Relaxed) {
+            0 => None,
+            us => Some(us as f64 / 1e6),
+        }
+    }
+
+    pub(crate) fn is_ejected(&self, now: Instant) -> bool {
+        self.ejected_until_us.load(Relaxed) > self.micros(now)
+    }
+
+    /// The share of its usual work that it gets now, 1 where it was not ejected of late.
+    pub(crate) fn returning_share(&self, now: Instant, slow_return: Duration) -> f64 {
+        match self.ejected_until_us.load(Relaxed) {
+            0 => 1.0,
+            until => {
+                let since = self.micros(now).saturating_sub(until);
+                returning_share(Duration::from_micros(since), slow_return)
+            }
+        }
+    }
+
+    fn micros(&self, at: Instant) -> u64 {
+        at.saturating_duration_since(self.start).as_micros() as u64 + 1
+    }
+}
