--- a/crates/gate/src/body.rs
+++ b/crates/gate/src/body.rs
@@ -41,7 +41,7 @@
 }
 
 /// Reads the whole body; refuses one that is too large, or for which no memory is free.
-pub(crate) async fn read(gate: &Gate, req: &mut Request) -> Result<(Bytes, Held), Problem> {
+pub(crate) async fn read(gate: &Gate, req: &mut Request) -> Result<(Bytes, Held), Box<Problem>> {
     let max = gate.cfg.limits.body_bytes;
     let declared = req.headers().get(CONTENT_LENGTH);
     let declared = declared.and_then(|v| v.to_str().ok()?.parse::<usize>().ok());
@@ -76,12 +76,12 @@
     Ok((whole.freeze(), Held { _permit: permit }))
 }
 
-fn too_large(max: usize) -> Problem {
+fn too_large(max: usize) -> Box<Problem> {
     let what = format!("the body is larger than {max} bytes; send a smaller one");
     bad(413, "body-too-large", "Body too large", what)
 }
 
-fn full() -> Problem {
+fn full() -> Box<Problem> {
     let what = "the gate holds as many bodies as it may; come back";
     let mut problem = bad(503, "bodies-full", "No memory for the body", what);
     problem.retry_after_ms = Some(1_000);
--- a/crates/gate/src/callers.rs
+++ b/crates/gate/src/callers.rs
@@ -67,7 +67,6 @@
     running: crate::inflight::Running,
     res: &mut Response,
 ) {
-    let deadline = ask.deadline;
     let hangup = Hangup::new(gate);
     let result = match ask.key {
         Some(_) => {
@@ -84,7 +83,6 @@
         }
     };
     hangup.answered();
-    debug_assert!(deadline.elapsed() < Duration::from_secs(3_600), "deadlines are bounded");
     match result {
         Ok(answer) => render(res, &answer),
         Err(problem) => problem.render(res),
@@ -142,7 +140,10 @@
 
 fn render_events(res: &mut Response, first: Bytes, rx: mpsc::Receiver<Part>) {
     let headers = res.headers_mut();
-    headers.insert("content-type", HeaderValue::from_static("text/event-stream"));
+    headers.insert(
+        "content-type",
+        HeaderValue::from_static("text/event-stream"),
+    );
     headers.insert("cache-control", HeaderValue::from_static("no-store"));
     res.body(ResBody::stream(stream::body(first, rx)));
 }
@@ -167,15 +168,16 @@
 }
 
 fn close(res: &mut Response) {
-    res.headers_mut().insert("connection", HeaderValue::from_static("close"));
+    res.headers_mut()
+        .insert("connection", HeaderValue::from_static("close"));
 }
 
 /// A task of ours ended without a result; nothing is known of what it sent.
-fn crashed() -> Problem {
+fn crashed() -> Box<Problem> {
     let what = "the request's task ended early; see the gate's log";
     let mut problem = Problem::new(502, "unknown", "Outcome unknown", what);
     problem.outcome = Some(Outcome::Unknown);
-    problem
+    Box::new(problem)
 }
 
 /// Counts a caller that hangs up before its answer.
--- a/crates/gate/src/endpoints.rs
+++ b/crates/gate/src/endpoints.rs
@@ -7,7 +7,7 @@
 use routing::CacheEvents;
 use salvo::{
     handler,
-    http::header::AUTHORIZATION,
+    http::header::{AUTHORIZATION, HeaderValue},
     prelude::{Request, Response},
 };
 use serde::de::DeserializeOwned;
@@ -67,7 +67,7 @@
 
 #[handler]
 impl List {
-    async fn handle(&self, res: &mut Response) {
+    fn handle(&self, res: &mut Response) {
         let endpoints = self.0.route.table().list();
         json_body(res, serde_json::to_vec(&endpoints).unwrap_or_default());
     }
@@ -76,11 +76,16 @@
 /// Checks the token and reads a bounded JSON body; unknown members are ignored.
 async fn read<T: DeserializeOwned>(gate: &Gate, req: &mut Request) -> Result<T, Problem> {
     if let Some(token) = &gate.cfg.security.announce_token {
-        let presented = req.headers().get(AUTHORIZATION).map(|v| v.as_bytes());
+        let presented = req.headers().get(AUTHORIZATION).map(HeaderValue::as_bytes);
         let presented = presented.and_then(|v| v.strip_prefix(b"Bearer "));
         if !presented.is_some_and(|p| token.matches(p)) {
             let what = "send the announce token as `Authorization: Bearer …`";
-            return Err(Problem::new(401, "no-token", "Token missing or wrong", what));
+            return Err(Problem::new(
+                401,
+                "no-token",
+                "Token missing or wrong",
+                what,
+            ));
         }
     }
     let reading = timeout(gate.cfg.timing.body, req.payload_with_max_size(MAX_BODY));
--- a/crates/gate/src/failure.rs
+++ b/crates/gate/src/failure.rs
@@ -122,7 +122,9 @@
     #[error("the idempotency key was used with another request; take a new key for a new request")]
     Conflict,
     /// The key is older than the ledger remembers.
-    #[error("the idempotency key is older than the ledger remembers; take a new key if the request is new")]
+    #[error(
+        "the idempotency key is older than the ledger remembers; take a new key if the request is new"
+    )]
     TooOld,
     /// The key's time lies in the future.
     #[error("the idempotency key's time lies in the future; check the caller's clock")]
@@ -142,7 +144,9 @@
         detail: String,
     },
     /// An earlier request with this key completed and its output was too large to keep.
-    #[error("an earlier request with this key completed; its output of {0} bytes was too large to keep")]
+    #[error(
+        "an earlier request with this key completed; its output of {0} bytes was too large to keep"
+    )]
     EarlierTooLarge(u64),
 }
 
@@ -183,13 +187,22 @@
     /// The outcome, where an earlier request with the same key has decided it.
     pub(crate) fn settled_outcome(&self, outcome: Outcome) -> Outcome {
         match self.cause {
-            Cause::InProgress | Cause::EarlierUnknown => Outcome::Unknown,
-            Cause::EarlierTooLarge(_) => Outcome::Completed,
+            Cause::InProgress | Cause::EarlierUnknown | Cause::EarlierTooLarge(_) => {
+                Outcome::Unknown
+            }
             Cause::EarlierRefused { .. } => Outcome::Failed,
             _ => outcome,
         }
     }
 
+    /// The size of an output that an earlier request had and the ledger did not keep.
+    pub(crate) fn not_kept(&self) -> Option<u64> {
+        match self.cause {
+            Cause::EarlierTooLarge(bytes) => Some(bytes),
+            _ => None,
+        }
+    }
+
     fn detail(&self) -> String {
         match &self.peer {
             Some(peer) => format!("{} at {peer}: {}", self.step, self.cause),
@@ -207,7 +220,6 @@
                 is_workspace_limit: true,
                 ..
             } => (429, "workspace-limit", "Workspace limit reached"),
-            Cause::EarlierTooLarge(_) => (502, "output-too-large", "Completed; output not kept"),
             _ if self.settled_outcome(outcome) == Outcome::NotRun => (503, "not-run", "Not run"),
             _ if self.settled_outcome(outcome) == Outcome::Unknown => {
                 (502, "unknown", "Outcome unknown")
--- a/crates/gate/src/once.rs
+++ b/crates/gate/src/once.rs
@@ -121,8 +121,7 @@
     picked: &Arc<Picked>,
 ) -> Result<Taken, StageError> {
     let connection = cx.gate.pool.connect(picked.address()).await;
-    let connection =
-        connection.map_err(|e| failed(cx, stage, picked, CallError::Connect(e)))?;
+    let connection = connection.map_err(|e| failed(cx, stage, picked, CallError::Connect(e)))?;
     let grant = match claim(cx, stage, key, picked.name()).await? {
         Claimed::Granted(grant) => grant,
         Claimed::Refused(reply) => return refused(cx, stage, key, reply).await,
@@ -222,14 +221,7 @@
 }
 
 fn stored(stage: Stage<'_>, output: Box<RawValue>) -> StageDone {
-    let report = StageReport {
-        stage: stage.number,
-        service: stage.name.to_owned(),
-        endpoint: String::new(),
-        attempts: 0,
-        elapsed_ms: 0,
-        tokens: 0,
-    };
+    let report = StageReport::stored(stage);
     StageDone { output, report }
 }
 
--- a/crates/gate/src/pages.rs
+++ b/crates/gate/src/pages.rs
@@ -13,7 +13,7 @@
 
 /// `GET /healthz`: the process serves HTTP.
 #[handler]
-pub(crate) async fn healthz(res: &mut Response) {
+pub(crate) fn healthz(res: &mut Response) {
     res.render("ok\n");
 }
 
@@ -23,7 +23,7 @@
 
 #[handler]
 impl Ready {
-    async fn handle(&self, res: &mut Response) {
+    fn handle(&self, res: &mut Response) {
         match self.0.is_ready() {
             true => res.render("ready\n"),
             false if self.0.is_draining() => {
@@ -43,10 +43,11 @@
 
 #[handler]
 impl Metrics {
-    async fn handle(&self, res: &mut Response) {
+    fn handle(&self, res: &mut Response) {
         let gate = &self.0;
         let revision = gate.in_force().map_or(0, |in_force| in_force.revision);
-        gate.metrics.now(gate.inflight.count(), revision, gate.route.ejections());
+        gate.metrics
+            .now(gate.inflight.count(), revision, gate.route.ejections());
         res.render(host::http::metrics_text(gate.metrics.registry()));
     }
 }
@@ -62,7 +63,7 @@
 
 #[handler]
 impl Revision {
-    async fn handle(&self, res: &mut Response) {
+    fn handle(&self, res: &mut Response) {
         let revision = self.0.in_force().map_or(0, |in_force| in_force.revision);
         let json = serde_json::to_vec(&InForceHere { revision });
         json_body(res, json.unwrap_or_default());
@@ -71,7 +72,7 @@
 
 /// Any other path.
 #[handler]
-pub(crate) async fn not_found(req: &mut Request, res: &mut Response) {
+pub(crate) fn not_found(req: &mut Request, res: &mut Response) {
     let path: String = req.uri().path().chars().take(128).collect();
     let what = format!("{} {path} is not served here", req.method());
     Problem::new(404, "not-found", "Not found", what).render(res);
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -16,7 +16,7 @@
 use crate::{body, gate::Gate, ledger};
 
 /// Longest deadline that a caller may name.
-const MAX_DEADLINE: Duration = Duration::from_secs(600);
+const MAX_DEADLINE: Duration = Duration::from_mins(10);
 /// Longest request id that a caller may choose, in bytes.
 const MAX_REQUEST_ID: usize = 128;
 
@@ -54,12 +54,12 @@
 }
 
 /// Reads and checks a request; the problem says what the caller has to change.
-pub(crate) async fn read(gate: &Gate, req: &mut Request) -> Result<Ask, Problem> {
+pub(crate) async fn read(gate: &Gate, req: &mut Request) -> Result<Ask, Box<Problem>> {
     let arrived = Instant::now();
     let id = request_id(req.headers())?;
-    let named = |problem: Problem| Problem {
-        request: Some(id.clone()),
-        ..problem
+    let named = |mut problem: Box<Problem>| {
+        problem.request = Some(id.clone());
+        problem
     };
     let checked = check(gate, req, arrived).map_err(named)?;
     let reading = body::read(gate, req);
@@ -100,7 +100,7 @@
     key: Option<Uuid>,
 }
 
-fn check(gate: &Gate, req: &Request, arrived: Instant) -> Result<Head, Problem> {
+fn check(gate: &Gate, req: &Request, arrived: Instant) -> Result<Head, Box<Problem>> {
     let Some(in_force) = gate.in_force() else {
         let what = "no declaration is known here yet; ask another gate or come back";
         let mut problem = bad(503, "no-declaration", "No declaration", what);
@@ -138,14 +138,14 @@
 }
 
 /// A refusal before any work.
-pub(crate) fn bad(status: u16, kind: &str, title: &str, what: impl Into<String>) -> Problem {
+pub(crate) fn bad(status: u16, kind: &str, title: &str, what: impl Into<String>) -> Box<Problem> {
     let mut problem = Problem::new(status, kind, title, what);
     problem.outcome = Some(Outcome::NotRun);
     problem.step = Some("check request".to_owned());
-    problem
+    Box::new(problem)
 }
 
-fn deadline(headers: &HeaderMap, default: Duration) -> Result<Duration, Problem> {
+fn deadline(headers: &HeaderMap, default: Duration) -> Result<Duration, Box<Problem>> {
     let Some(text) = text(headers, "jujube-deadline-ms")? else {
         return Ok(default);
     };
@@ -160,7 +160,7 @@
     }
 }
 
-fn key(headers: &HeaderMap) -> Result<Uuid, Problem> {
+fn key(headers: &HeaderMap) -> Result<Uuid, Box<Problem>> {
     let refused = |what: &str| Err(bad(400, "bad-key", "Bad idempotency key", what));
     match text(headers, "idempotency-key")? {
         None => refused(
@@ -179,7 +179,7 @@
     (key.get_version_num() == 7).then_some(key)
 }
 
-fn request_id(headers: &HeaderMap) -> Result<String, Problem> {
+fn request_id(headers: &HeaderMap) -> Result<String, Box<Problem>> {
     match text(headers, "jujube-request")? {
         None => Ok(Uuid::now_v7().to_string()),
         Some(id) if !id.is_empty() && id.len() <= MAX_REQUEST_ID => Ok(id.to_owned()),
@@ -191,7 +191,7 @@
 }
 
 /// The text of a header that may stand once.
-fn text<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a str>, Problem> {
+fn text<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a str>, Box<Problem>> {
     let mut values = headers.get_all(name).iter();
     let (first, second) = (values.next(), values.next());
     let problem = |what: &str| bad(400, "bad-header", "Bad header", format!("{name} {what}"));
--- a/crates/gate/src/run.rs
+++ b/crates/gate/src/run.rs
@@ -45,6 +45,9 @@
     pub(crate) outcome: Outcome,
     /// The output of the last stage.
     pub(crate) output: Box<RawValue>,
+    /// The output's size in bytes where it is null because the ledger could not keep it.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) output_not_kept: Option<u64>,
     /// What became of each stage.
     pub(crate) stages: Vec<StageReport>,
 }
@@ -54,7 +57,7 @@
     gate: Arc<Gate>,
     ask: Ask,
     sink: Option<&Sink>,
-) -> Result<Answer, Problem> {
+) -> Result<Answer, Box<Problem>> {
     let workspace = &ask.in_force.declaration.workspaces[&ask.workspace];
     let cx = Running {
         priority: workspace.priority.0,
@@ -72,17 +75,37 @@
     };
     cx.account(&result);
     match result {
-        Ok((output, stages)) => Ok(Answer {
+        Ok(done) => Ok(Answer {
             request: cx.ask.id,
             outcome: Outcome::Completed,
-            output,
-            stages,
+            output: done.output,
+            output_not_kept: done.not_kept,
+            stages: done.stages,
         }),
-        Err(e) => Err(e.problem(cx.record.outcome(), &cx.ask.id)),
+        Err(e) => Err(Box::new(e.problem(cx.record.outcome(), &cx.ask.id))),
     }
 }
 
-type Done = (Box<RawValue>, Vec<StageReport>);
+/// The results of all stages.
+#[derive(Debug)]
+struct Done {
+    output: Box<RawValue>,
+    not_kept: Option<u64>,
+    stages: Vec<StageReport>,
+}
+
+impl Done {
+    /// The last stage ran for an earlier request, and its output is not there any more.
+    fn not_kept(stage: Stage<'_>, done: Vec<StageDone>, bytes: Option<u64>) -> Self {
+        let mut stages: Vec<_> = done.into_iter().map(|d| d.report).collect();
+        stages.push(StageReport::stored(stage));
+        Self {
+            output: RawValue::NULL.to_owned(),
+            not_kept: bytes,
+            stages,
+        }
+    }
+}
 
 impl Running {
     async fn run(&self, sink: Option<&Sink>) -> Result<Done, StageError> {
@@ -93,11 +116,18 @@
         let stages = stages(declared, pipeline)?;
         let mut done = Vec::new();
         let mut next = 0;
-        if let Some((at, earlier)) = self.earlier(&stages).await? {
-            done.push(earlier);
-            next = at + 1;
-        }
         let last = stages.len() - 1;
+        match self.earlier(&stages).await {
+            Ok(None) => {}
+            Ok(Some((at, earlier))) => {
+                done.push(earlier);
+                next = at + 1;
+            }
+            Err(e) if e.not_kept().is_some() && e.step == stages[last].name => {
+                return Ok(Done::not_kept(stages[last], done, e.not_kept()));
+            }
+            Err(e) => return Err(e),
+        }
         for (at, stage) in stages.iter().enumerate().skip(next) {
             let previous = done.last().map(|d: &StageDone| &*d.output);
             let is_streamed = at == last && is_engine(stage.service);
@@ -106,13 +136,21 @@
                 Some(key) => once::run(self, *stage, key, previous).await,
                 None => stage::run(self, *stage, previous, sink).await,
             };
-            done.push(result?);
+            match result {
+                Err(e) if at == last && e.not_kept().is_some() => {
+                    return Ok(Done::not_kept(*stage, done, e.not_kept()));
+                }
+                result => done.push(result?),
+            }
         }
         drop(ticket);
-        let reports = done.iter().map(|d| d.report.clone()).collect();
+        let stages = done.iter().map(|d| d.report.clone()).collect();
         let output = done.pop().map(|d| d.output);
-        let output = output.ok_or_else(|| no_stage(&self.ask.pipeline))?;
-        Ok((output, reports))
+        Ok(Done {
+            output: output.ok_or_else(|| no_stage(&self.ask.pipeline))?,
+            not_kept: None,
+            stages,
+        })
     }
 
     async fn admit(
--- a/crates/gate/src/stage.rs
+++ b/crates/gate/src/stage.rs
@@ -57,6 +57,20 @@
     pub(crate) tokens: u64,
 }
 
+impl StageReport {
+    /// The report of a stage whose result was stored by an earlier request.
+    pub(crate) fn stored(stage: Stage<'_>) -> Self {
+        Self {
+            stage: stage.number,
+            service: stage.name.to_owned(),
+            endpoint: String::new(),
+            attempts: 0,
+            elapsed_ms: 0,
+            tokens: 0,
+        }
+    }
+}
+
 /// A stage's result.
 #[derive(Debug)]
 pub(crate) struct StageDone {
@@ -142,7 +156,10 @@
         Ok(output) => {
             guard.succeeded(work.tokens());
             let (since, name) = (picked.since(), stage.name);
-            let sized = Sized { name, bytes: work.bytes() };
+            let sized = Sized {
+                name,
+                bytes: work.bytes(),
+            };
             let first = first_byte.saturating_duration_since(since);
             cx.gate.route.observe(sized, first, since.elapsed());
             picked.finish(Verdict::Good, Some(first_byte), work.cached());
