Check a read document without writing and parsing it again

Cause: every accepted change is validated as a whole wherever it is followed, and from_document went through the canonical text; at 8,300 workspaces parsing was most of it.

Links get black-box tests: a silent connection is replaced, a lost call is never called unsent, ends with different keys never connect.

--- a/crates/declaration/src/read.rs
+++ b/crates/declaration/src/read.rs
@@ -36,9 +36,17 @@
         faults.into_result().map(|()| declaration)
     }
 
-    /// Types and validates a document that was read before; lines refer to its canonical text.
+    /// Types and validates a document that was read before; lines refer to its canonical text,
+    /// which is made only where there are faults to place in it.
     pub fn from_document(document: &Document) -> Result<Self, Faults> {
-        Self::read("declaration", document.write().as_bytes())
+        let mut faults = Faults::default();
+        let lines = Lines::new("declaration", &[]);
+        let declaration = typed(document, &lines, &mut faults);
+        validate::references(&declaration, &lines, &mut faults);
+        match faults.0.is_empty() {
+            true => Ok(declaration),
+            false => Self::read("declaration", document.write().as_bytes()),
+        }
     }
 }
 
--- /dev/null
+++ b/crates/link/tests/links.rs
@@ -0,0 +1,206 @@
+//! Links over real sockets, with a forwarder that can fall silent in between.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use link::{Channel, Identity, Incoming, LinkConfig, LinkError, Peer, Role, decode, encode, serve};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    task::JoinSet,
+    time::{sleep, timeout},
+};
+use uuid::Uuid;
+
+const LIMIT: Duration = Duration::from_secs(10);
+
+fn config(name: &str, key: Option<&[u8]>) -> LinkConfig {
+    let identity = Identity {
+        vm: name.to_owned(),
+        az: "sousse-a".to_owned(),
+        role: Role::Bench,
+        incarnation: Uuid::now_v7(),
+    };
+    let mut cfg = LinkConfig::new(identity);
+    cfg.key = key.map(<[u8]>::to_vec);
+    cfg.heartbeat = Duration::from_millis(50);
+    cfg.silence = Duration::from_millis(400);
+    cfg
+}
+
+/// A server that answers a number with its successor, and never answers zero.
+async fn start_server(tasks: &mut JoinSet<()>, cfg: LinkConfig) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tasks.spawn(serve(listener, cfg, |incoming: Incoming| async move {
+        let number: u64 = decode(&incoming.body).unwrap();
+        if number == 0 {
+            std::future::pending::<()>().await;
+        }
+        encode(&(number + 1))
+    }));
+    address
+}
+
+/// Forwards connections; those that were open when it is silenced carry nothing any more.
+#[derive(Clone, Default)]
+struct Forwarder {
+    generation: Arc<AtomicUsize>,
+    is_refusing: Arc<AtomicBool>,
+}
+
+impl Forwarder {
+    async fn start(&self, tasks: &mut JoinSet<()>, to: SocketAddr) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let this = self.clone();
+        tasks.spawn(async move {
+            let mut pumps = JoinSet::new();
+            while let Ok((inward, _)) = listener.accept().await {
+                if this.is_refusing.load(Ordering::SeqCst) {
+                    continue;
+                }
+                let outward = TcpStream::connect(to).await.unwrap();
+                let (in_rx, in_tx) = inward.into_split();
+                let (out_rx, out_tx) = outward.into_split();
+                let born = this.generation.load(Ordering::SeqCst);
+                pumps.spawn(this.clone().pump(in_rx, out_tx, born));
+                pumps.spawn(this.clone().pump(out_rx, in_tx, born));
+            }
+        });
+        address
+    }
+
+    /// Neither end sees a FIN or RST of a silenced connection.
+    async fn pump(self, mut rx: OwnedReadHalf, mut tx: OwnedWriteHalf, born: usize) {
+        let mut buf = [0; 4_096];
+        while let Ok(n) = rx.read(&mut buf).await {
+            let is_silenced = self.generation.load(Ordering::SeqCst) != born;
+            match (is_silenced, n) {
+                (true, 0) => std::future::pending().await,
+                (true, _) => {}
+                (false, 0) => return,
+                (false, _) => tx.write_all(&buf[..n]).await.unwrap(),
+            }
+        }
+    }
+
+    fn silence_open_connections(&self) {
+        self.generation.fetch_add(1, Ordering::SeqCst);
+    }
+}
+
+async fn call(peer: &Peer, number: u64, limit: Duration) -> Result<u64, LinkError> {
+    peer.call(Channel::Keeper, &number, limit).await
+}
+
+async fn connected(peer: &Peer) {
+    timeout(LIMIT, peer.connected())
+        .await
+        .expect("the link comes up");
+}
+
+#[tokio::test]
+async fn concurrent_calls_get_their_own_replies() {
+    let mut tasks = JoinSet::new();
+    let address = start_server(&mut tasks, config("server", None)).await;
+    let peer = Peer::start("server", address, &config("client", None));
+    connected(&peer).await;
+    let mut calls = JoinSet::new();
+    for number in 1..500 {
+        let peer = peer.clone();
+        calls.spawn(async move { (number, call(&peer, number, LIMIT).await) });
+    }
+    while let Some(done) = calls.join_next().await {
+        let (number, reply) = done.unwrap();
+        assert_eq!(reply, Ok(number + 1));
+    }
+}
+
+#[tokio::test]
+async fn a_silent_connection_is_replaced_and_its_calls_are_not_called_unsent() {
+    let mut tasks = JoinSet::new();
+    let server = start_server(&mut tasks, config("server", None)).await;
+    let forwarder = Forwarder::default();
+    let address = forwarder.start(&mut tasks, server).await;
+    let peer = Peer::start("server", address, &config("client", None));
+    connected(&peer).await;
+    assert_eq!(call(&peer, 1, LIMIT).await, Ok(2));
+    forwarder.silence_open_connections();
+    let lost = call(&peer, 2, LIMIT).await.unwrap_err();
+    assert!(matches!(lost, LinkError::Lost { .. }), "{lost}");
+    connected(&peer).await;
+    assert_eq!(call(&peer, 3, LIMIT).await, Ok(4));
+}
+
+#[tokio::test]
+async fn a_call_without_a_connection_is_provably_unsent() {
+    let forwarder = Forwarder::default();
+    forwarder.is_refusing.store(true, Ordering::SeqCst);
+    let mut tasks = JoinSet::new();
+    let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
+    let address = forwarder.start(&mut tasks, nowhere).await;
+    let peer = Peer::start("server", address, &config("client", None));
+    let unsent = call(&peer, 1, LIMIT).await.unwrap_err();
+    assert!(unsent.is_unsent(), "{unsent}");
+}
+
+#[tokio::test]
+async fn a_call_that_times_out_may_have_taken_effect() {
+    let mut tasks = JoinSet::new();
+    let address = start_server(&mut tasks, config("server", None)).await;
+    let peer = Peer::start("server", address, &config("client", None));
+    connected(&peer).await;
+    let late = call(&peer, 0, Duration::from_millis(50)).await.unwrap_err();
+    assert!(!late.is_unsent(), "{late}");
+    assert_eq!(call(&peer, 4, LIMIT).await, Ok(5));
+}
+
+#[tokio::test]
+async fn ends_with_different_keys_never_connect() {
+    let mut tasks = JoinSet::new();
+    let address = start_server(&mut tasks, config("server", Some(b"right"))).await;
+    for key in [Some(&b"wrong"[..]), None] {
+        let peer = Peer::start("server", address, &config("client", key));
+        sleep(Duration::from_millis(300)).await;
+        assert!(!peer.is_connected());
+        assert!(call(&peer, 1, LIMIT).await.unwrap_err().is_unsent());
+    }
+    let peer = Peer::start("server", address, &config("client", Some(b"right")));
+    connected(&peer).await;
+    assert_eq!(call(&peer, 1, LIMIT).await, Ok(2));
+}
+
+#[tokio::test]
+async fn an_idle_link_stays_up_by_heartbeats() {
+    let mut tasks = JoinSet::new();
+    let address = start_server(&mut tasks, config("server", None)).await;
+    let peer = Peer::start("server", address, &config("client", None));
+    connected(&peer).await;
+    let incarnation = peer.identity().unwrap().incarnation;
+    sleep(Duration::from_millis(1_200)).await;
+    assert_eq!(peer.identity().map(|i| i.incarnation), Some(incarnation));
+}
+
+#[tokio::test]
+async fn bytes_that_are_no_link_do_not_disturb_the_server() {
+    let mut tasks = JoinSet::new();
+    let address = start_server(&mut tasks, config("server", None)).await;
+    let mut stranger = TcpStream::connect(address).await.unwrap();
+    stranger
+        .write_all(b"GET / HTTP/1.1\r\n\r\n\x00\xff")
+        .await
+        .unwrap();
+    let peer = Peer::start("server", address, &config("client", None));
+    connected(&peer).await;
+    assert_eq!(call(&peer, 8, LIMIT).await, Ok(9));
+}
