--- /dev/null
+++ b/crates/replica/src/apply.rs
@@ -0,0 +1,169 @@
+//! The task that feeds committed entries to the state machine, and takes snapshots of it.
+
+use std::sync::Arc;
+
+use serde_bytes::ByteBuf;
+use tokio::sync::watch;
+
+use crate::{
+    Applied, StateMachine,
+    core::{Core, Shared},
+    entry::{Entry, Payload},
+    message::{Digest, SnapshotMeta},
+    snapshot::Snapshot,
+};
+
+/// Most entries applied between two looks at other work.
+const MAX_BATCH: u64 = 256;
+/// Digests kept for comparison.
+const MAX_DIGESTS: usize = 8;
+/// The share of `snapshot_after` that stays in the log behind a snapshot, for slow peers.
+const KEPT_SHARE: u64 = 2;
+
+/// Applies until the replica stops; the state machine is as of the last snapshot.
+pub(crate) async fn run(
+    shared: Arc<Shared>,
+    mut machine: StateMachine,
+    mut changed: watch::Receiver<u64>,
+) {
+    let mut snapshot_index = shared.core().applied;
+    loop {
+        // Seen before looking, so that a change after the look is not missed.
+        changed.borrow_and_update();
+        if let Some(restored) = restore(&shared, &mut machine) {
+            snapshot_index = restored;
+        }
+        let batch = committed(&shared.core());
+        if batch.is_empty() {
+            if changed.changed().await.is_err() {
+                return;
+            }
+            continue;
+        }
+        for entry in &batch {
+            apply(&shared, &mut machine, entry);
+        }
+        let applied = shared.core().applied;
+        if applied - snapshot_index >= shared.cfg.snapshot_after {
+            take_snapshot(&shared, &mut machine, applied).await;
+            snapshot_index = applied;
+        }
+        tokio::task::yield_now().await;
+    }
+}
+
+fn committed(core: &Core) -> Vec<Arc<Entry>> {
+    if core.failed.is_some() || core.restore.is_some() {
+        return Vec::new();
+    }
+    let end = core.commit.min(core.applied + MAX_BATCH);
+    let indexes = core.applied + 1..=end;
+    indexes.map_while(|i| core.log.get(i).cloned()).collect()
+}
+
+fn apply(shared: &Shared, machine: &mut StateMachine, entry: &Entry) {
+    if shared.core().restore.is_some() {
+        return;
+    }
+    let reply = match &entry.payload {
+        Payload::Data(data) => (machine.apply)(entry.index, data),
+        Payload::Empty | Payload::Members(_) => Vec::new(),
+    };
+    let digest = (entry.index % shared.cfg.digest_every == 0).then(|| (machine.digest)());
+    let waiter = {
+        let mut core = shared.core();
+        core.applied = entry.index;
+        core.waiting.remove(&entry.index)
+    };
+    shared.applied.send_replace(entry.index);
+    if let Some(waiter) = waiter.filter(|w| w.term == entry.term) {
+        let index = entry.index;
+        // A proposer that gave up has dropped its end.
+        let _ = waiter.tx.send(Ok(Applied { index, reply }));
+    }
+    if let Some(digest) = digest {
+        note_digest(shared, entry.index, digest);
+    }
+}
+
+fn note_digest(shared: &Shared, index: u64, digest: u64) {
+    let expected = {
+        let mut core = shared.core();
+        core.digests.push_back(Digest { index, digest });
+        if core.digests.len() > MAX_DIGESTS {
+            core.digests.pop_front();
+        }
+        let expected = core.expected.remove(&index);
+        core.expected = core.expected.split_off(&index);
+        expected
+    };
+    if expected.is_some_and(|expected| expected != digest) {
+        shared.fail_diverged(index);
+    }
+}
+
+impl Shared {
+    /// Compares the leader's digests with the own ones, now or once they are reached.
+    pub(crate) fn compare(&self, digests: &[Digest]) {
+        let mut differs = None;
+        {
+            let mut core = self.core();
+            for theirs in digests {
+                let own = core.digests.iter().find(|own| own.index == theirs.index);
+                match own {
+                    Some(own) if own.digest != theirs.digest => differs = Some(theirs.index),
+                    None if theirs.index > core.applied => {
+                        core.expected.insert(theirs.index, theirs.digest);
+                    }
+                    _ => {}
+                }
+            }
+        }
+        if let Some(index) = differs {
+            self.fail_diverged(index);
+        }
+    }
+
+    fn fail_diverged(&self, index: u64) {
+        let why =
+            format!("the state at index {index} differs from the leader's; replace this replica");
+        self.fail(&why);
+    }
+}
+
+/// Takes in a snapshot from the leader, if one waits, and returns its index.
+fn restore(shared: &Shared, machine: &mut StateMachine) -> Option<u64> {
+    let snapshot = shared.core().restore.clone()?;
+    let index = snapshot.meta.index;
+    if let Err(reason) = (machine.restore)(index, &snapshot.state) {
+        shared.fail(&format!("restore the snapshot of index {index}: {reason}"));
+        return None;
+    }
+    let mut core = shared.core();
+    core.restore = None;
+    core.applied = core.applied.max(index);
+    core.commit = core.commit.max(index);
+    drop(core);
+    shared.applied.send_replace(index);
+    shared.wake();
+    Some(index)
+}
+
+async fn take_snapshot(shared: &Arc<Shared>, machine: &mut StateMachine, index: u64) {
+    let meta = {
+        let core = shared.core();
+        SnapshotMeta {
+            index,
+            term: core.log.term(index).unwrap_or(0),
+            members: core.log.members_at(index).clone(),
+        }
+    };
+    let state = ByteBuf::from((machine.snapshot)());
+    let snapshot = Snapshot { meta, state };
+    let kept = index.saturating_sub(shared.cfg.snapshot_after / KEPT_SHARE);
+    // Under the store's lock, since a snapshot from the leader may come meanwhile.
+    let written = shared.with_store(move |store| store.keep(&snapshot, kept));
+    if written.await.is_ok() {
+        shared.core().log.compact(kept, index);
+    }
+}
--- /dev/null
+++ b/crates/replica/src/config.rs
@@ -0,0 +1,101 @@
+//! How a replica is set up.
+
+use std::{path::PathBuf, time::Duration};
+
+use link::LinkConfig;
+
+/// Entries applied between two snapshots, by default.
+const SNAPSHOT_AFTER: u64 = 10_000;
+/// Largest proposal in bytes, by default.
+const MAX_ENTRY: usize = 4 << 20;
+/// Bytes after which a new segment is begun, by default.
+const SEGMENT_BYTES: u64 = 8 << 20;
+/// Entries between two digests that replicas compare, by default.
+const DIGEST_EVERY: u64 = 256;
+
+/// The times of agreement.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Timing {
+    /// Shortest wait for a leader before an election.
+    pub election_min: Duration,
+    /// Longest wait for a leader before an election; also the time after which a leader that no
+    /// quorum answers steps down.
+    pub election_max: Duration,
+    /// Time between a leader's heartbeats.
+    pub heartbeat: Duration,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            election_min: Duration::from_millis(500),
+            election_max: Duration::from_millis(1_000),
+            heartbeat: Duration::from_millis(100),
+        }
+    }
+}
+
+/// How one replica is set up.
+#[derive(Clone, Debug)]
+pub struct ReplicaConfig {
+    /// The VM's name, which is the replica's name among the members.
+    pub name: String,
+    /// The folder that the replica alone writes to.
+    pub folder: PathBuf,
+    /// The first voters on an empty folder; a replica that isn't among them starts as a learner.
+    pub voters: Vec<String>,
+    /// The times of agreement.
+    pub timing: Timing,
+    /// Whether proposals that wait are written with one sync.
+    pub group_commit: bool,
+    /// Entries applied between two snapshots.
+    pub snapshot_after: u64,
+    /// Largest proposal in bytes.
+    pub max_entry: usize,
+    /// Bytes after which a new segment is begun.
+    pub segment_bytes: u64,
+    /// Entries between two state digests that replicas compare.
+    pub digest_every: u64,
+    /// Seed of the election timeouts; random where absent.
+    pub seed: Option<u64>,
+    /// How links to members that are added later are kept; without it none can be added.
+    pub link: Option<LinkConfig>,
+    /// A deliberate fault, for tests of the checks.
+    #[cfg(any(test, feature = "broken-variants"))]
+    pub broken: Option<Broken>,
+}
+
+/// A deliberate fault, for tests of the checks.
+#[cfg(any(test, feature = "broken-variants"))]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Broken {
+    /// A vote is answered before it is synced.
+    VoteUnsynced,
+    /// Entries of old terms are committed by counting replicas.
+    CommitOldTerm,
+    /// Learners count towards the quorum.
+    LearnerCounts,
+    /// Reads are answered without asking a quorum.
+    ReadUnconfirmed,
+}
+
+impl ReplicaConfig {
+    /// Safe defaults for `name`, whose folder is `folder` and whose first voters are `voters`.
+    pub fn new(name: &str, folder: PathBuf, voters: Vec<String>) -> Self {
+        Self {
+            name: name.to_owned(),
+            folder,
+            voters,
+            timing: Timing::default(),
+            group_commit: true,
+            snapshot_after: SNAPSHOT_AFTER,
+            max_entry: MAX_ENTRY,
+            segment_bytes: SEGMENT_BYTES,
+            digest_every: DIGEST_EVERY,
+            seed: None,
+            link: None,
+            #[cfg(any(test, feature = "broken-variants"))]
+            broken: None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/replica/src/disk.rs
@@ -0,0 +1,158 @@
+//! The files of one replica's folder, as functions that tests replace.
+
+use std::{
+    collections::HashMap,
+    fmt::{self, Debug, Formatter},
+    fs::{self, File, OpenOptions},
+    io::{self, ErrorKind, Write},
+    path::{Path, PathBuf},
+    sync::{Arc, Mutex, PoisonError},
+};
+
+use fs4::{FileExt, TryLockError};
+
+use crate::ReplicaError;
+
+const LOCK: &str = "lock";
+
+type Named<T> = Arc<dyn Fn(&str) -> io::Result<T> + Send + Sync>;
+type Bytes = Arc<dyn Fn(&str, &[u8]) -> io::Result<()> + Send + Sync>;
+
+/// Operations on the files of one folder, by file name. Nothing is lasting before its sync.
+#[derive(Clone)]
+pub struct Disk {
+    /// The whole file, or `None` where there is none.
+    pub read: Named<Option<Vec<u8>>>,
+    /// Creates or replaces a file's content.
+    pub write: Bytes,
+    /// Adds bytes at a file's end, creating it where needed.
+    pub append: Bytes,
+    /// Cuts a file to a length in bytes.
+    pub cut: Arc<dyn Fn(&str, u64) -> io::Result<()> + Send + Sync>,
+    /// Makes a file's content lasting.
+    pub sync: Named<()>,
+    /// Renames the first file to the second name, replacing it.
+    pub rename: Arc<dyn Fn(&str, &str) -> io::Result<()> + Send + Sync>,
+    /// Removes a file.
+    pub remove: Named<()>,
+    /// The names of all files.
+    pub list: Arc<dyn Fn() -> io::Result<Vec<String>> + Send + Sync>,
+    /// Makes creations, renames and removals lasting.
+    pub sync_folder: Arc<dyn Fn() -> io::Result<()> + Send + Sync>,
+    /// Whether the operations may block and so belong off the runtime's threads.
+    pub is_blocking: bool,
+}
+
+impl Debug for Disk {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str("Disk")
+    }
+}
+
+impl Disk {
+    /// Opens `folder`, creating it where needed, and holds its lock until the last clone is gone.
+    pub fn open(folder: &Path) -> Result<Self, ReplicaError> {
+        let shown = folder.display().to_string();
+        let failed = |step, e: &io::Error| ReplicaError::disk(step, &shown, e);
+        fs::create_dir_all(folder).map_err(|e| failed("create folder", &e))?;
+        let lock = OpenOptions::new()
+            .create(true)
+            .truncate(false)
+            .write(true)
+            .open(folder.join(LOCK))
+            .map_err(|e| failed("open lock in", &e))?;
+        match FileExt::try_lock(&lock) {
+            Ok(()) => {}
+            Err(TryLockError::WouldBlock) => return Err(ReplicaError::Locked { folder: shown }),
+            Err(TryLockError::Error(e)) => return Err(failed("lock", &e)),
+        }
+        Ok(Self::of(Arc::new(Folder {
+            path: folder.to_owned(),
+            open: Mutex::default(),
+            _lock: lock,
+        })))
+    }
+
+    fn of(folder: Arc<Folder>) -> Self {
+        let f = || Arc::clone(&folder);
+        let (read, write, append, cut) = (f(), f(), f(), f());
+        let (sync, rename, remove, list, sync_folder) = (f(), f(), f(), f(), f());
+        Self {
+            read: Arc::new(move |name| read.read(name)),
+            write: Arc::new(move |name, bytes| write.write(name, bytes)),
+            append: Arc::new(move |name, bytes| append.file(name)?.write_all(bytes)),
+            cut: Arc::new(move |name, length| cut.file(name)?.set_len(length)),
+            sync: Arc::new(move |name| sync.file(name)?.sync_data()),
+            rename: Arc::new(move |from, to| rename.rename(from, to)),
+            remove: Arc::new(move |name| remove.remove(name)),
+            list: Arc::new(move || list.list()),
+            sync_folder: Arc::new(move || File::open(&sync_folder.path)?.sync_all()),
+            is_blocking: true,
+        }
+    }
+}
+
+/// A folder with the files that were appended to kept open.
+struct Folder {
+    path: PathBuf,
+    open: Mutex<HashMap<String, Arc<File>>>,
+    _lock: File,
+}
+
+impl Folder {
+    fn handles(&self) -> std::sync::MutexGuard<'_, HashMap<String, Arc<File>>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn file(&self, name: &str) -> io::Result<Arc<File>> {
+        let mut open = self.handles();
+        if let Some(file) = open.get(name) {
+            return Ok(Arc::clone(file));
+        }
+        let mut options = OpenOptions::new();
+        let file = options
+            .create(true)
+            .append(true)
+            .open(self.path.join(name))?;
+        let file = Arc::new(file);
+        open.insert(name.to_owned(), Arc::clone(&file));
+        Ok(file)
+    }
+
+    fn read(&self, name: &str) -> io::Result<Option<Vec<u8>>> {
+        match fs::read(self.path.join(name)) {
+            Ok(bytes) => Ok(Some(bytes)),
+            Err(e) if e.kind() == ErrorKind::NotFound => Ok(None),
+            Err(e) => Err(e),
+        }
+    }
+
+    fn write(&self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.handles().remove(name);
+        fs::write(self.path.join(name), bytes)
+    }
+
+    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
+        let mut open = self.handles();
+        open.remove(from);
+        open.remove(to);
+        fs::rename(self.path.join(from), self.path.join(to))
+    }
+
+    fn remove(&self, name: &str) -> io::Result<()> {
+        self.handles().remove(name);
+        fs::remove_file(self.path.join(name))
+    }
+
+    fn list(&self) -> io::Result<Vec<String>> {
+        let mut names = Vec::new();
+        for entry in fs::read_dir(&self.path)? {
+            let name = entry?.file_name().to_string_lossy().into_owned();
+            if name != LOCK {
+                names.push(name);
+            }
+        }
+        names.sort();
+        Ok(names)
+    }
+}
--- /dev/null
+++ b/crates/replica/src/election.rs
@@ -0,0 +1,346 @@
+//! The task that watches for a leader: elections, and the leader's check that it still has a quorum.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use futures_util::{StreamExt, stream::FuturesUnordered};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use tokio::{
+    sync::mpsc,
+    time::{Instant, sleep, timeout},
+};
+use uuid::Uuid;
+
+use crate::{
+    append,
+    core::{Core, Progress, Shared, StoreGuard},
+    entry::{Entry, Members, Payload},
+    message::{Ask, Request, Response, Standing, Tell},
+    status::Role,
+    vote::Vote,
+};
+
+/// Runs until the replica stops; `take_over` brings the leader's wishes that this one follows it.
+pub(crate) async fn run(shared: Arc<Shared>, mut take_over: mpsc::Receiver<()>) {
+    let mut rng = match shared.cfg.seed {
+        Some(seed) => StdRng::seed_from_u64(seed),
+        None => StdRng::from_rng(&mut rand::rng()),
+    };
+    let mut patience = first_patience(&shared, &mut rng);
+    loop {
+        let pause = next_look(&shared, patience);
+        let is_transfer = tokio::select! {
+            () = sleep(pause) => false,
+            Some(()) = take_over.recv() => true,
+        };
+        match is_transfer || is_leader_missing(&shared, patience) {
+            true => {
+                campaign(&shared, is_transfer).await;
+                patience = draw(&shared, &mut rng);
+                // The next try waits its time, whoever was heard.
+                shared.core().heard_or(Instant::now());
+            }
+            false => check_quorum(&shared),
+        }
+    }
+}
+
+impl Core {
+    fn heard_or(&mut self, now: Instant) {
+        if self.role != Role::Leader {
+            self.heard = self.heard.max(now);
+        }
+    }
+}
+
+/// Nothing to wait for where there is no other voter.
+fn first_patience(shared: &Shared, rng: &mut StdRng) -> Duration {
+    match shared.core().log.members().voters.len() {
+        1 => Duration::ZERO,
+        _ => draw(shared, rng),
+    }
+}
+
+fn draw(shared: &Shared, rng: &mut StdRng) -> Duration {
+    let timing = shared.cfg.timing;
+    rng.random_range(timing.election_min..=timing.election_max)
+}
+
+fn next_look(shared: &Shared, patience: Duration) -> Duration {
+    let core = shared.core();
+    match core.role {
+        Role::Leader => shared.cfg.timing.heartbeat,
+        _ => patience
+            .saturating_sub(core.heard.elapsed())
+            .max(Duration::from_millis(1)),
+    }
+}
+
+fn is_leader_missing(shared: &Shared, patience: Duration) -> bool {
+    let core = shared.core();
+    core.role != Role::Leader && core.heard.elapsed() >= patience
+}
+
+/// A leader that no quorum answers any more steps down and says so.
+fn check_quorum(shared: &Shared) {
+    let mut core = shared.core();
+    if core.role != Role::Leader || core.has_quorum(shared) {
+        return;
+    }
+    let term = core.term;
+    core.follow(None);
+    core.heard = Instant::now();
+    drop(core);
+    shared.wake();
+    spdlog::warn!(
+        "stepped down: no quorum answers",
+        kv: { replica = shared.cfg.name.as_str(), term = term }
+    );
+}
+
+async fn campaign(shared: &Arc<Shared>, is_transfer: bool) {
+    let Some(standing) = stand(shared, is_transfer) else {
+        return;
+    };
+    let next_term = shared.core().term + 1;
+    if !is_transfer
+        && !poll(shared, next_term, Ask::PreVote(standing.clone()))
+            .await
+            .is_won
+    {
+        return;
+    }
+    let Some(term) = begin_term(shared, next_term).await else {
+        return;
+    };
+    let votes = poll(shared, term, Ask::Vote(standing)).await;
+    if !votes.is_won {
+        return;
+    }
+    let store = Arc::clone(&shared.store).lock_owned().await;
+    lead(shared, store, term, votes.identities).await;
+}
+
+/// How far the own log goes, if this replica may stand at all.
+fn stand(shared: &Shared, is_transfer: bool) -> Option<Standing> {
+    let mut core = shared.core();
+    if !shared.may_vote(&core) || core.is_ended() || core.role == Role::Leader {
+        return None;
+    }
+    core.leader = None;
+    Some(Standing {
+        last: core.log.last(),
+        last_term: core.log.last_term(),
+        members_index: core.log.members_index(),
+        is_transfer,
+    })
+}
+
+/// Begins the term with a vote for itself, unless another term began meanwhile.
+async fn begin_term(shared: &Arc<Shared>, term: u64) -> Option<u64> {
+    let store = Arc::clone(&shared.store).lock_owned().await;
+    let is_overtaken = {
+        let core = shared.core();
+        core.term + 1 != term || core.is_ended()
+    };
+    if is_overtaken {
+        return None;
+    }
+    let vote = Vote {
+        term,
+        voted: Some(shared.cfg.name.clone()),
+    };
+    let written = vote.clone();
+    let (_store, result) = shared.work(store, move |s| s.write_vote(&written)).await;
+    result.ok()?;
+    let mut core = shared.core();
+    core.term = vote.term;
+    core.voted = vote.voted;
+    core.role = Role::Candidate;
+    core.leader = None;
+    Some(term)
+}
+
+struct Votes {
+    is_won: bool,
+    /// Who gave a vote, with the identity that answered.
+    identities: BTreeMap<String, Uuid>,
+}
+
+/// Asks all other voters at once and counts until the matter is clear.
+async fn poll(shared: &Arc<Shared>, term: u64, ask: Ask) -> Votes {
+    let mut votes = Votes {
+        is_won: false,
+        identities: BTreeMap::from([(shared.cfg.name.clone(), shared.identity)]),
+    };
+    let quorum = shared.core().log.members().quorum();
+    let mut asked = ask_all(shared, term, &ask);
+    // A folder without entries may have been wiped: others may know better, so it hears all.
+    let is_founding = shared.core().log.last() == 0;
+    let counting = async {
+        while let Some((name, response)) = asked.next().await {
+            let Some(response) = response else { continue };
+            if response.term > term {
+                shared.adopt(response.term).await;
+                return false;
+            }
+            match response.tell {
+                Tell::Granted if shared.vote_counts(&name, response.identity) => {
+                    votes.identities.insert(name, response.identity);
+                }
+                Tell::WrongIdentity if is_founding => return false,
+                _ => {}
+            }
+            if !is_founding && votes.identities.len() >= quorum {
+                return true;
+            }
+        }
+        true
+    };
+    let limit = shared.cfg.timing.election_min;
+    let is_valid = timeout(limit, counting).await.unwrap_or(true);
+    votes.is_won = is_valid && votes.identities.len() >= quorum;
+    votes
+}
+
+type Asked = std::pin::Pin<Box<dyn Future<Output = (String, Option<Response>)> + Send>>;
+
+fn ask_all(shared: &Arc<Shared>, term: u64, ask: &Ask) -> FuturesUnordered<Asked> {
+    let voters = shared.core().log.members().voters.clone();
+    let others = voters.into_iter().filter(|m| m.name != shared.cfg.name);
+    others
+        .map(|member| {
+            let (shared, ask) = (Arc::clone(shared), ask.clone());
+            let asking = async move {
+                let limit = shared.cfg.timing.election_min;
+                let response = shared.ask(&member.name, term, ask, limit).await;
+                (member.name, response)
+            };
+            Box::pin(asking) as Asked
+        })
+        .collect()
+}
+
+impl Shared {
+    /// Sends one request; `None` where no proper answer came.
+    pub(crate) async fn ask(
+        &self,
+        peer: &str,
+        term: u64,
+        ask: Ask,
+        limit: Duration,
+    ) -> Option<Response> {
+        let link = self.core().peers.get(peer)?.link.clone();
+        let request = Request {
+            from: self.cfg.name.clone(),
+            identity: self.identity,
+            term,
+            ask,
+        };
+        let sent = (link.send)(link::encode(&request), limit);
+        // A peer that doesn't answer is a matter of course here; status and quorum show it.
+        let bytes = timeout(limit, sent).await.ok()?.ok()?;
+        link::decode(&bytes).ok()
+    }
+
+    /// Whether a vote of `name`'s folder `identity` counts; before the first entry none is known.
+    fn vote_counts(&self, name: &str, identity: Uuid) -> bool {
+        let core = self.core();
+        let voter = core.log.members().voter(name);
+        let is_unknown = voter.is_some_and(|m| m.identity.is_none()) && core.log.last() == 0;
+        is_unknown || core.counts(name, identity)
+    }
+
+    /// Takes over a higher term that was heard of, lasting before anything is done in it.
+    pub(crate) async fn adopt(&self, term: u64) {
+        let store = Arc::clone(&self.store).lock_owned().await;
+        self.adopt_locked(store, term).await;
+    }
+
+    pub(crate) async fn adopt_locked(&self, store: StoreGuard, term: u64) -> StoreGuard {
+        if self.core().term >= term {
+            return store;
+        }
+        let vote = Vote { term, voted: None };
+        let (store, result) = self.work(store, move |s| s.write_vote(&vote)).await;
+        if result.is_ok() {
+            let mut core = self.core();
+            core.term = term;
+            core.voted = None;
+            core.follow(None);
+            drop(core);
+            self.wake();
+        }
+        store
+    }
+}
+
+/// Begins to lead: the first entry of the term also names the identities that voted.
+async fn lead(
+    shared: &Arc<Shared>,
+    store: StoreGuard,
+    term: u64,
+    identities: BTreeMap<String, Uuid>,
+) {
+    let entry = {
+        let mut core = shared.core();
+        if core.role != Role::Candidate || core.term != term || core.is_ended() {
+            return;
+        }
+        let index = core.log.last() + 1;
+        core.role = Role::Leader;
+        core.leader = Some(shared.cfg.name.clone());
+        core.own_first = index;
+        core.led_since = Instant::now();
+        core.progress.clear();
+        core.track_members(&shared.cfg.name);
+        let entry = Arc::new(Entry {
+            index,
+            term,
+            payload: first_payload(core.log.members(), &identities),
+        });
+        core.log.append([Arc::clone(&entry)]);
+        entry
+    };
+    spdlog::info!("leads", kv: { replica = shared.cfg.name.as_str(), term = term });
+    shared.wake();
+    append::persist(shared, store, vec![entry]).await;
+}
+
+fn first_payload(members: &Members, identities: &BTreeMap<String, Uuid>) -> Payload {
+    let mut bound = members.clone();
+    for member in bound.all_mut().filter(|m| m.identity.is_none()) {
+        member.identity = identities.get(&member.name).copied();
+    }
+    match bound == *members {
+        true => Payload::Empty,
+        false => Payload::Members(bound),
+    }
+}
+
+impl Core {
+    /// Has a progress for each member but `own`, and for no one else.
+    pub(crate) fn track_members(&mut self, own: &str) {
+        let members = self.log.members().clone();
+        let next = self.log.last() + 1;
+        self.progress.retain(|name, _| members.get(name).is_some());
+        for member in members.all().filter(|m| m.name != own) {
+            let fresh = || Progress::new(next);
+            self.progress
+                .entry(member.name.clone())
+                .or_insert_with(fresh);
+        }
+    }
+}
+
+impl Progress {
+    pub(crate) fn new(next: u64) -> Self {
+        Self {
+            matched: 0,
+            next,
+            is_probing: true,
+            round: 0,
+            answered: None,
+            identity: None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/replica/src/entry.rs
@@ -0,0 +1,148 @@
+//! The entries of the log and their binary form, the same on disk and between replicas.
+//!
+//! An entry is `index u64, term u64, kind u8, length u32, data`, little-endian.
+
+use derives::record;
+use uuid::Uuid;
+
+/// Bytes of an entry before its data.
+const HEADER: usize = 8 + 8 + 1 + 4;
+
+/// One entry of the log.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Entry {
+    pub index: u64,
+    pub term: u64,
+    pub payload: Payload,
+}
+
+/// What an entry carries.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Payload {
+    /// The first entry of a term.
+    Empty,
+    /// For the state machine.
+    Data(Vec<u8>),
+    /// The members from here on.
+    Members(Members),
+}
+
+/// The members of the group.
+#[record]
+#[derive(Default, Eq)]
+pub struct Members {
+    /// Those that vote and count.
+    pub voters: Vec<Member>,
+    /// Those that only follow.
+    pub learners: Vec<Member>,
+}
+
+/// One member.
+#[record]
+#[derive(Eq)]
+pub struct Member {
+    /// The VM's name.
+    pub name: String,
+    /// `HOST:PORT` of its link; empty for first voters, whose links come from the settings.
+    pub address: String,
+    /// The identity of its folder, once known.
+    pub identity: Option<Uuid>,
+}
+
+impl Members {
+    /// The first voters, whose identities aren't known yet.
+    pub(crate) fn first(voters: &[String]) -> Self {
+        let member = |name: &String| Member {
+            name: name.clone(),
+            address: String::new(),
+            identity: None,
+        };
+        Self {
+            voters: voters.iter().map(member).collect(),
+            learners: Vec::new(),
+        }
+    }
+
+    pub(crate) fn voter(&self, name: &str) -> Option<&Member> {
+        self.voters.iter().find(|m| m.name == name)
+    }
+
+    pub(crate) fn get(&self, name: &str) -> Option<&Member> {
+        self.all().find(|m| m.name == name)
+    }
+
+    pub(crate) fn all(&self) -> impl Iterator<Item = &Member> {
+        self.voters.iter().chain(&self.learners)
+    }
+
+    pub(crate) fn all_mut(&mut self) -> impl Iterator<Item = &mut Member> {
+        self.voters.iter_mut().chain(&mut self.learners)
+    }
+
+    /// Voters that make a quorum.
+    pub(crate) fn quorum(&self) -> usize {
+        self.voters.len() / 2 + 1
+    }
+}
+
+impl Entry {
+    /// Bytes of the binary form, as far as bounds on batches need it.
+    pub(crate) fn weight(&self) -> usize {
+        match &self.payload {
+            Payload::Data(data) => HEADER + data.len(),
+            Payload::Empty | Payload::Members(_) => HEADER,
+        }
+    }
+
+    pub(crate) fn write(&self, buf: &mut Vec<u8>) {
+        let members;
+        let (kind, data): (u8, &[u8]) = match &self.payload {
+            Payload::Empty => (0, &[]),
+            Payload::Data(data) => (1, data),
+            Payload::Members(value) => {
+                members = link::encode(value);
+                (2, &members)
+            }
+        };
+        buf.extend_from_slice(&self.index.to_le_bytes());
+        buf.extend_from_slice(&self.term.to_le_bytes());
+        buf.push(kind);
+        buf.extend_from_slice(&(data.len() as u32).to_le_bytes());
+        buf.extend_from_slice(data);
+    }
+
+    /// Reads one entry and returns what follows it.
+    pub(crate) fn read(bytes: &[u8]) -> Option<(Self, &[u8])> {
+        let (index, rest) = bytes.split_first_chunk::<8>()?;
+        let (term, rest) = rest.split_first_chunk::<8>()?;
+        let (kind, rest) = rest.split_first()?;
+        let (length, rest) = rest.split_first_chunk::<4>()?;
+        let (data, rest) = rest.split_at_checked(u32::from_le_bytes(*length) as usize)?;
+        let payload = match kind {
+            0 if data.is_empty() => Payload::Empty,
+            1 => Payload::Data(data.to_vec()),
+            2 => Payload::Members(link::decode(data).ok()?),
+            _ => return None,
+        };
+        let entry = Self {
+            index: u64::from_le_bytes(*index),
+            term: u64::from_le_bytes(*term),
+            payload,
+        };
+        Some((entry, rest))
+    }
+
+    /// Reads entries to the end of `bytes`; their indexes must follow each other.
+    pub(crate) fn read_all(mut bytes: &[u8]) -> Option<Vec<Self>> {
+        let mut entries: Vec<Self> = Vec::new();
+        while !bytes.is_empty() {
+            let (entry, rest) = Self::read(bytes)?;
+            if entries.last().is_some_and(|e| e.index + 1 != entry.index) {
+                return None;
+            }
+            entries.push(entry);
+            bytes = rest;
+        }
+        Some(entries)
+    }
+}
--- /dev/null
+++ b/crates/replica/src/message.rs
@@ -0,0 +1,141 @@
+//! What replicas say to each other.
+
+use derives::record;
+use uuid::Uuid;
+
+use crate::entry::Members;
+
+/// A request of one replica to another.
+#[record]
+pub(crate) struct Request {
+    /// The asking replica's name.
+    pub from: String,
+    /// The identity of its folder.
+    pub identity: Uuid,
+    /// Its term; for [`Ask::PreVote`], the term that it would begin.
+    pub term: u64,
+    pub ask: Ask,
+}
+
+/// What is asked.
+#[record]
+pub(crate) enum Ask {
+    /// Would a vote be given?
+    PreVote(Standing),
+    /// A vote.
+    Vote(Standing),
+    /// Entries from the leader, or none as a heartbeat.
+    Append(Append),
+    /// A part of a snapshot from the leader.
+    Snapshot(Chunk),
+    /// The index up to which a read must have been applied.
+    ReadIndex,
+    /// Begin an election now: the leader stops.
+    TakeOver,
+}
+
+/// How far a candidate's log goes.
+#[record]
+pub(crate) struct Standing {
+    pub last: u64,
+    pub last_term: u64,
+    /// The index of the entry that names the members.
+    pub members_index: u64,
+    /// Whether the leader asked for this election itself.
+    pub is_transfer: bool,
+}
+
+/// Entries that follow `prev`.
+#[record]
+pub(crate) struct Append {
+    pub prev: u64,
+    pub prev_term: u64,
+    /// In the binary form of [`crate::entry`].
+    #[serde(with = "serde_bytes")]
+    pub entries: Vec<u8>,
+    pub commit: u64,
+    /// The leader's round of confirmation, which the answer confirms by coming.
+    pub round: u64,
+    /// Whether earlier entries are still under way to the same replica.
+    pub is_pipelined: bool,
+    /// State digests at applied indexes.
+    pub digests: Vec<Digest>,
+}
+
+/// The state's digest at an index.
+#[record]
+#[derive(Copy, Eq)]
+pub(crate) struct Digest {
+    pub index: u64,
+    pub digest: u64,
+}
+
+/// A part of a snapshot.
+#[record]
+pub(crate) struct Chunk {
+    pub meta: SnapshotMeta,
+    /// Bytes of the whole state.
+    pub size: u64,
+    /// Where this part begins.
+    pub offset: u64,
+    #[serde(with = "serde_bytes")]
+    pub part: Vec<u8>,
+}
+
+/// What a snapshot stands for.
+#[record]
+#[derive(Eq)]
+pub(crate) struct SnapshotMeta {
+    /// Index of the last entry in it.
+    pub index: u64,
+    /// That entry's term.
+    pub term: u64,
+    /// The members at that index.
+    pub members: Members,
+}
+
+/// Consecutive entries of one term.
+#[record]
+#[derive(Copy, Eq)]
+pub(crate) struct Run {
+    pub term: u64,
+    /// The first index of the term, as far as known.
+    pub first: u64,
+}
+
+/// The answer to a [`Request`].
+#[record]
+pub(crate) struct Response {
+    /// The identity of the answering replica's folder.
+    pub identity: Uuid,
+    /// Its term.
+    pub term: u64,
+    pub tell: Tell,
+}
+
+/// What is answered.
+#[record]
+pub(crate) enum Tell {
+    /// The vote, or pre-vote, is given.
+    Granted,
+    /// It is not.
+    Denied,
+    /// Synced up to here, and the same as the leader's log.
+    Appended { matched: u64 },
+    /// The entry before doesn't fit; this is what is there, newest terms first.
+    Differs { last: u64, runs: Vec<Run> },
+    /// The part of the snapshot that is wanted next; all of it is in where `offset` is its size.
+    Want { offset: u64 },
+    /// To [`Ask::ReadIndex`].
+    ReadIndex(u64),
+    /// To [`Ask::TakeOver`].
+    TakingOver,
+    /// The asker's identity isn't the one that its name is known by.
+    WrongIdentity,
+    /// The asker isn't a member.
+    NotMember,
+    /// Not from the leader of this term, or not to a leader.
+    Refused,
+    /// The replica has stopped.
+    Stopped,
+}
--- /dev/null
+++ b/crates/replica/src/peer.rs
@@ -0,0 +1,56 @@
+//! How a replica reaches another one, as a function that tests replace.
+
+use std::{
+    fmt::{self, Debug, Formatter},
+    pin::Pin,
+    sync::Arc,
+    time::Duration,
+};
+
+use link::{Channel, LinkConfig, LinkError, Peer};
+
+/// What a call to a peer gives.
+pub type Sending = Pin<Box<dyn Future<Output = Result<Vec<u8>, LinkError>> + Send>>;
+
+/// One other replica.
+#[derive(Clone)]
+pub struct PeerLink {
+    /// Its name among the members.
+    pub name: String,
+    /// Sends a request and waits at most the given time for the answer.
+    pub send: Arc<dyn Fn(Vec<u8>, Duration) -> Sending + Send + Sync>,
+}
+
+impl Debug for PeerLink {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.debug_tuple("PeerLink").field(&self.name).finish()
+    }
+}
+
+impl From<Peer> for PeerLink {
+    fn from(peer: Peer) -> Self {
+        let name = peer.name().to_owned();
+        let send = move |body, limit| -> Sending {
+            let peer = peer.clone();
+            Box::pin(async move { peer.call_bytes(Channel::Agreement, body, limit).await })
+        };
+        Self {
+            name,
+            send: Arc::new(send),
+        }
+    }
+}
+
+/// Opens the way to a member that was added later, by name and address.
+pub type Connect = Arc<dyn Fn(&str, &str) -> Result<PeerLink, String> + Send + Sync>;
+
+/// Connects over links of ours kept as `cfg` says.
+pub(crate) fn over_links(cfg: Option<LinkConfig>) -> Connect {
+    Arc::new(move |name, address| {
+        let cfg = cfg.as_ref().ok_or("no settings for new links")?;
+        let address = address.parse().map_err(|_| {
+            format!("the address of {name} is {address:?}; give it as IP:PORT of its link")
+        })?;
+        Ok(Peer::start(name, address, cfg).into())
+    })
+}
--- /dev/null
+++ b/crates/replica/src/replica.rs
@@ -0,0 +1,280 @@
+//! The handle on one replica.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    fmt::{self, Debug, Formatter},
+    sync::{Arc, Mutex, PoisonError},
+};
+
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    task::JoinSet,
+    time::{Instant, timeout},
+};
+
+use crate::{
+    Connect, Disk, MemberChange, MemberError, PeerLink, ProposeError, ReplicaConfig, ReplicaError,
+    StateMachine, Status, append, apply,
+    core::{Core, Proposal, Shared},
+    election, peer,
+    status::Role,
+    store::{Loaded, Store},
+};
+
+/// Most proposals that wait for the log's writer.
+const MAX_PROPOSALS: usize = 4_096;
+/// Times of `election_max` that a stopping replica gives to what is under way.
+const STOP_PATIENCE: u32 = 2;
+
+/// The reply to a proposal.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Applied {
+    /// The entry's index.
+    pub index: u64,
+    /// The state machine's reply.
+    pub reply: Vec<u8>,
+}
+
+/// A handle on a replica that runs; clones are the same replica.
+#[derive(Clone)]
+pub struct Replica {
+    shared: Arc<Shared>,
+}
+
+impl Debug for Replica {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.debug_tuple("Replica")
+            .field(&self.shared.cfg.name)
+            .finish()
+    }
+}
+
+impl Replica {
+    /// Reads the folder, brings `machine` to the last snapshot and starts the replica's tasks.
+    pub async fn start(
+        cfg: ReplicaConfig,
+        peers: Vec<link::Peer>,
+        machine: StateMachine,
+    ) -> Result<Self, ReplicaError> {
+        let folder = cfg.folder.clone();
+        let disk = tokio::task::spawn_blocking(move || Disk::open(&folder))
+            .await
+            .expect("opening a folder does not panic")?;
+        let connect = peer::over_links(cfg.link.clone());
+        let peers = peers.into_iter().map(PeerLink::from).collect();
+        Self::start_on(cfg, disk, peers, connect, machine).await
+    }
+
+    /// Like [`Self::start`] on any disk and any links, as tests need it.
+    pub async fn start_on(
+        cfg: ReplicaConfig,
+        disk: Disk,
+        peers: Vec<PeerLink>,
+        connect: Connect,
+        mut machine: StateMachine,
+    ) -> Result<Self, ReplicaError> {
+        let loaded = load(&cfg, &disk).await?;
+        if let Some(snapshot) = &loaded.snapshot {
+            let index = snapshot.meta.index;
+            let restored = (machine.restore)(index, &snapshot.state);
+            restored.map_err(|reason| ReplicaError::Restore { index, reason })?;
+        }
+        let (proposals, proposals_rx) = mpsc::channel(MAX_PROPOSALS);
+        let (take_over, take_over_rx) = mpsc::channel(1);
+        let shared = Arc::new(build(cfg, disk, connect, loaded, proposals, take_over));
+        for peer in peers {
+            shared.add_peer(peer, String::new());
+        }
+        shared.connect_members();
+        let changed = shared.changed.subscribe();
+        shared.spawn(append::run(Arc::clone(&shared), proposals_rx));
+        shared.spawn(apply::run(Arc::clone(&shared), machine, changed));
+        shared.spawn(election::run(Arc::clone(&shared), take_over_rx));
+        Ok(Self { shared })
+    }
+
+    /// Puts an entry into the log and returns the state machine's reply once it is committed.
+    pub async fn propose(&self, entry: Vec<u8>) -> Result<Applied, ProposeError> {
+        if entry.len() > self.shared.cfg.max_entry {
+            return Err(ProposeError::TooLarge);
+        }
+        self.may_lead()?;
+        let (tx, rx) = oneshot::channel();
+        let sent = self.shared.proposals.try_send(Proposal { entry, tx });
+        sent.map_err(|e| match e {
+            mpsc::error::TrySendError::Full(_) => ProposeError::Busy,
+            mpsc::error::TrySendError::Closed(_) => ProposeError::Stopped,
+        })?;
+        // Dropped by the writer's end only before it was appended.
+        rx.await.unwrap_or(Err(ProposeError::Stopped))
+    }
+
+    fn may_lead(&self) -> Result<(), ProposeError> {
+        let core = self.shared.core();
+        match core.role {
+            _ if core.is_ended() => Err(ProposeError::Stopped),
+            Role::Leader => Ok(()),
+            _ => Err(ProposeError::NotLeader {
+                leader: core.leader.clone(),
+            }),
+        }
+    }
+
+    /// Waits until everything committed before the call is applied here, and returns its index.
+    ///
+    /// A quorum confirms the leader first; a follower asks the leader.
+    pub async fn read_barrier(&self) -> Result<u64, ProposeError> {
+        let shared = &self.shared;
+        let index = match self.may_lead() {
+            Ok(()) => shared.read_index().await,
+            Err(ProposeError::NotLeader {
+                leader: Some(leader),
+            }) => shared.ask_read_index(leader).await,
+            Err(e) => Err(e),
+        }?;
+        let mut applied = shared.applied.subscribe();
+        let mut stopped = shared.stopped.subscribe();
+        let limit = shared.cfg.timing.election_max * STOP_PATIENCE;
+        let waited = tokio::select! {
+            waited = timeout(limit, applied.wait_for(|a| *a >= index)) => waited.is_ok(),
+            _ = stopped.wait_for(|stopped| *stopped) => return Err(ProposeError::Stopped),
+        };
+        match waited {
+            true => Ok(index),
+            false => Err(shared.not_leader()),
+        }
+    }
+
+    /// Answers a call of another replica; an answer is given only after what it says is synced.
+    pub async fn answer(&self, from: &link::Identity, body: Vec<u8>) -> Vec<u8> {
+        let shared = Arc::clone(&self.shared);
+        let vm = from.vm.clone();
+        // Its own task, since a lost connection drops this future in the middle of a write.
+        let task = tokio::spawn(async move { shared.answer(&vm, &body).await });
+        let response = task.await;
+        response.map_or_else(|_| Vec::new(), |response| link::encode(&response))
+    }
+
+    /// Makes one change of the members; returns once it is committed.
+    pub async fn change_members(&self, change: MemberChange) -> Result<(), MemberError> {
+        self.shared.change_members(change).await
+    }
+
+    /// The replica's state now.
+    pub fn status(&self) -> Status {
+        self.shared.status()
+    }
+
+    /// The last index applied; it only rises.
+    pub fn commit(&self) -> watch::Receiver<u64> {
+        self.shared.applied.subscribe()
+    }
+
+    /// Takes no more proposals, finishes those under way, hands leadership over and ends.
+    pub async fn stop(&self) {
+        let shared = &self.shared;
+        shared.core().is_stopping = true;
+        let limit = shared.cfg.timing.election_max * STOP_PATIENCE;
+        let mut applied = shared.applied.subscribe();
+        let settled =
+            async { while !shared.core().waiting.is_empty() && applied.changed().await.is_ok() {} };
+        // What isn't settled by then is told that its fate is unknown.
+        let _ = timeout(limit, settled).await;
+        let _ = timeout(limit, shared.hand_over()).await;
+        self.end().await;
+        let _flushed = shared.store.lock().await;
+    }
+
+    /// Ends at once, as a crash would, though with the folder's lock let go.
+    pub async fn abort(&self) {
+        self.shared.core().is_stopping = true;
+        self.end().await;
+    }
+
+    async fn end(&self) {
+        let shared = &self.shared;
+        shared.stopped.send_replace(true);
+        {
+            let mut core = shared.core();
+            core.role = Role::Stopped;
+            core.leader = None;
+            core.drop_waiters();
+        }
+        let tasks = &shared.tasks;
+        let mut tasks = std::mem::take(&mut *tasks.lock().unwrap_or_else(PoisonError::into_inner));
+        tasks.shutdown().await;
+        shared.core().peers.clear();
+    }
+}
+
+async fn load(cfg: &ReplicaConfig, disk: &Disk) -> Result<Loaded, ReplicaError> {
+    let (name, voters) = (cfg.name.clone(), cfg.voters.clone());
+    let segment_bytes = cfg.segment_bytes;
+    let files = disk.clone();
+    let work = move || Store::load(files, &name, &voters, segment_bytes);
+    match disk.is_blocking {
+        true => tokio::task::spawn_blocking(work)
+            .await
+            .expect("loading does not panic"),
+        false => work(),
+    }
+}
+
+fn build(
+    cfg: ReplicaConfig,
+    disk: Disk,
+    connect: Connect,
+    loaded: Loaded,
+    proposals: mpsc::Sender<Proposal>,
+    take_over: mpsc::Sender<()>,
+) -> Shared {
+    let applied = loaded.snapshot.map_or(0, |s| s.meta.index);
+    let now = Instant::now();
+    #[cfg(any(test, feature = "broken-variants"))]
+    let mut loaded = Loaded {
+        snapshot: None,
+        ..loaded
+    };
+    #[cfg(any(test, feature = "broken-variants"))]
+    {
+        loaded.store.leave_votes_unsynced = cfg.broken == Some(crate::Broken::VoteUnsynced);
+    }
+    let core = Core {
+        role: Role::Follower,
+        term: loaded.vote.term,
+        voted: loaded.vote.voted,
+        leader: None,
+        heard: now,
+        led: None,
+        durable: loaded.log.last(),
+        log: loaded.log,
+        commit: applied,
+        applied,
+        own_first: 0,
+        led_since: now,
+        progress: BTreeMap::new(),
+        waiting: BTreeMap::new(),
+        round: 0,
+        digests: VecDeque::new(),
+        expected: BTreeMap::new(),
+        restore: None,
+        incoming: None,
+        peers: BTreeMap::new(),
+        failed: None,
+        is_stopping: false,
+    };
+    Shared {
+        cfg,
+        identity: loaded.identity,
+        connect,
+        disk,
+        store: Arc::new(tokio::sync::Mutex::new(loaded.store)),
+        core: Mutex::new(core),
+        proposals,
+        take_over,
+        changed: watch::Sender::new(0),
+        applied: watch::Sender::new(applied),
+        stopped: watch::Sender::new(false),
+        tasks: Mutex::new(JoinSet::new()),
+    }
+}
--- /dev/null
+++ b/crates/replica/src/segment.rs
@@ -0,0 +1,92 @@
+//! Segment files: frames of entries, one frame a sync.
+//!
+//! A frame is `magic u32, length u32, crc32 u32, entries`, little-endian; the CRC covers length
+//! and entries. Since the next frame is written only after the last one was synced, a crash can
+//! tear the last frame of the last segment and nothing else: a bad frame with a good one after it
+//! is damage. A frame that starts at or below the last index replaces what is there from its
+//! first index on.
+
+use crate::{ReplicaError, entry::Entry};
+
+const MAGIC: [u8; 4] = *b"jbf1";
+const HEADER: usize = 12;
+const SUFFIX: &str = ".log";
+
+/// A segment's file name by its place in the order of segments.
+pub(crate) fn file_name(number: u64) -> String {
+    format!("{number:020}{SUFFIX}")
+}
+
+/// The place of a segment in the order, from its file name.
+pub(crate) fn number(name: &str) -> Option<u64> {
+    name.strip_suffix(SUFFIX)?.parse().ok()
+}
+
+/// Encodes one frame.
+pub(crate) fn frame(entries: &[impl AsRef<Entry>]) -> Vec<u8> {
+    let mut buf = vec![0; HEADER];
+    for entry in entries {
+        entry.as_ref().write(&mut buf);
+    }
+    let length = ((buf.len() - HEADER) as u32).to_le_bytes();
+    buf[..4].copy_from_slice(&MAGIC);
+    buf[4..8].copy_from_slice(&length);
+    let crc = checksum(&length, &buf[HEADER..]).to_le_bytes();
+    buf[8..HEADER].copy_from_slice(&crc);
+    buf
+}
+
+fn checksum(length: &[u8], body: &[u8]) -> u32 {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(length);
+    hasher.update(body);
+    hasher.finalize()
+}
+
+/// The body of the frame at the start of `bytes`, if it is whole and right.
+fn body(bytes: &[u8]) -> Option<&[u8]> {
+    let (header, rest) = bytes.split_at_checked(HEADER)?;
+    let length: [u8; 4] = header[4..8].try_into().ok()?;
+    let crc: [u8; 4] = header[8..HEADER].try_into().ok()?;
+    let body = rest.get(..u32::from_le_bytes(length) as usize)?;
+    let is_right = header[..4] == MAGIC && checksum(&length, body) == u32::from_le_bytes(crc);
+    is_right.then_some(body)
+}
+
+/// A segment as read.
+pub(crate) struct Read {
+    /// The entries of each frame.
+    pub frames: Vec<Vec<Entry>>,
+    /// Length in bytes of the good part.
+    pub length: u64,
+}
+
+/// Reads a segment; a torn tail is left out where `is_last`, everything else is refused.
+pub(crate) fn read(name: &str, bytes: &[u8], is_last: bool) -> Result<Read, ReplicaError> {
+    let mut frames = Vec::new();
+    let mut offset = 0;
+    while offset < bytes.len() {
+        let Some(body) = body(&bytes[offset..]) else {
+            let what = "a frame's checksum is wrong";
+            let is_torn = is_last && !has_frame(&bytes[offset + 1..]);
+            if is_torn {
+                break;
+            }
+            return Err(ReplicaError::damaged(name, offset as u64, what));
+        };
+        let entries = Entry::read_all(body).filter(|entries| !entries.is_empty());
+        let what = "a frame holds no entries of ours";
+        frames.push(entries.ok_or_else(|| ReplicaError::damaged(name, offset as u64, what))?);
+        offset += HEADER + body.len();
+    }
+    Ok(Read {
+        frames,
+        length: offset as u64,
+    })
+}
+
+fn has_frame(bytes: &[u8]) -> bool {
+    let starts = bytes.windows(MAGIC.len()).enumerate();
+    let mut starts = starts.filter(|(_, window)| *window == MAGIC);
+    starts.any(|(at, _)| body(&bytes[at..]).is_some())
+}
--- /dev/null
+++ b/crates/replica/src/store.rs
@@ -0,0 +1,307 @@
+//! What lies on disk: identity, vote, snapshot, segments. Everything is synced when a call returns.
+
+use std::{collections::VecDeque, sync::Arc};
+
+use uuid::Uuid;
+
+use crate::{
+    Disk, ReplicaError,
+    entry::{Entry, Members},
+    log::Log,
+    segment,
+    snapshot::{self, Snapshot},
+    vote::{self, ASIDE, FolderIdentity, IDENTITY, VOTE, Vote},
+};
+
+/// The writer of one folder; after a failure it refuses everything.
+#[derive(Debug)]
+pub(crate) struct Store {
+    disk: Disk,
+    segments: VecDeque<Segment>,
+    segment_bytes: u64,
+    next_number: u64,
+    snapshot_index: u64,
+    failed: Option<ReplicaError>,
+    #[cfg(any(test, feature = "broken-variants"))]
+    pub leave_votes_unsynced: bool,
+}
+
+#[derive(Debug)]
+struct Segment {
+    name: String,
+    length: u64,
+    /// The highest index in it.
+    last: u64,
+}
+
+/// What a folder held at the start.
+pub(crate) struct Loaded {
+    pub store: Store,
+    pub identity: Uuid,
+    pub vote: Vote,
+    pub snapshot: Option<Snapshot>,
+    pub log: Log,
+}
+
+impl Store {
+    /// Reads the folder, cuts a torn tail and refuses damage.
+    pub(crate) fn load(
+        disk: Disk,
+        name: &str,
+        voters: &[String],
+        segment_bytes: u64,
+    ) -> Result<Loaded, ReplicaError> {
+        let identity = load_identity(&disk, name)?;
+        let vote: Vote = vote::read(&disk, VOTE)?.unwrap_or_default();
+        let snapshot = snapshot::read(&disk)?;
+        let mut store = Self {
+            disk,
+            segments: VecDeque::new(),
+            segment_bytes,
+            next_number: 1,
+            snapshot_index: snapshot.as_ref().map_or(0, |s| s.meta.index),
+            failed: None,
+            #[cfg(any(test, feature = "broken-variants"))]
+            leave_votes_unsynced: false,
+        };
+        let entries = store.load_segments()?;
+        let log = store.assemble(snapshot.as_ref(), entries, voters)?;
+        if log.last_term() > vote.term {
+            let what = "the vote is older than the log";
+            return Err(ReplicaError::damaged(VOTE, 0, what));
+        }
+        Ok(Loaded {
+            store,
+            identity,
+            vote,
+            snapshot,
+            log,
+        })
+    }
+
+    fn load_segments(&mut self) -> Result<VecDeque<Arc<Entry>>, ReplicaError> {
+        let names = (self.disk.list)().map_err(|e| ReplicaError::disk("list", "folder", &e))?;
+        let mut numbers: Vec<u64> = names.iter().filter_map(|n| segment::number(n)).collect();
+        numbers.sort_unstable();
+        let mut entries: VecDeque<Arc<Entry>> = VecDeque::new();
+        for (at, number) in numbers.iter().enumerate() {
+            let name = segment::file_name(*number);
+            let is_last = at + 1 == numbers.len();
+            let frames = self.load_segment(name.clone(), is_last)?;
+            for entry in frames.into_iter().flatten() {
+                put(&mut entries, entry).map_err(|what| ReplicaError::damaged(&name, 0, what))?;
+            }
+            self.next_number = number + 1;
+        }
+        Ok(entries)
+    }
+
+    fn load_segment(
+        &mut self,
+        name: String,
+        is_last: bool,
+    ) -> Result<Vec<Vec<Entry>>, ReplicaError> {
+        let bytes = (self.disk.read)(&name).map_err(|e| ReplicaError::disk("read", &name, &e))?;
+        let bytes = bytes.unwrap_or_default();
+        let read = segment::read(&name, &bytes, is_last)?;
+        if read.length < bytes.len() as u64 {
+            let failed = |step, e: &std::io::Error| ReplicaError::disk(step, &name, e);
+            (self.disk.cut)(&name, read.length).map_err(|e| failed("cut", &e))?;
+            (self.disk.sync)(&name).map_err(|e| failed("sync", &e))?;
+        }
+        let last = read.frames.iter().flatten().map(|e| e.index).max();
+        self.segments.push_back(Segment {
+            name,
+            length: read.length,
+            last: last.unwrap_or(0),
+        });
+        Ok(read.frames)
+    }
+
+    /// Puts the entries behind the snapshot; those that don't fit it are removed.
+    fn assemble(
+        &mut self,
+        snapshot: Option<&Snapshot>,
+        entries: VecDeque<Arc<Entry>>,
+        voters: &[String],
+    ) -> Result<Log, ReplicaError> {
+        let Some(meta) = snapshot.map(|s| &s.meta) else {
+            let mut log = Log::new(0, 0, Members::first(voters));
+            if entries.front().is_some_and(|e| e.index != 1) {
+                let what = "the log's beginning and the snapshot are missing";
+                return Err(ReplicaError::damaged(&self.first_name(), 0, what));
+            }
+            log.append(entries);
+            return Ok(log);
+        };
+        let at_snapshot = entries.iter().find(|e| e.index == meta.index);
+        let is_after = entries.front().is_some_and(|e| e.index == meta.index + 1);
+        let fits = at_snapshot.is_some_and(|e| e.term == meta.term) || is_after;
+        if entries.front().is_some_and(|e| e.index > meta.index + 1) {
+            let what = "entries between the snapshot and the log are missing";
+            return Err(ReplicaError::damaged(&self.first_name(), 0, what));
+        }
+        if !fits {
+            self.remove_segments()?;
+            return Ok(Log::new(meta.index, meta.term, meta.members.clone()));
+        }
+        Ok(Log::with_snapshot(meta, entries))
+    }
+
+    fn first_name(&self) -> String {
+        self.segments
+            .front()
+            .map_or_else(String::new, |s| s.name.clone())
+    }
+
+    /// Appends one frame and syncs it.
+    pub(crate) fn append(&mut self, entries: &[Arc<Entry>]) -> Result<(), ReplicaError> {
+        self.check()?;
+        let result = self.try_append(entries);
+        self.note(result)
+    }
+
+    fn try_append(&mut self, entries: &[Arc<Entry>]) -> Result<(), ReplicaError> {
+        let bytes = segment::frame(entries);
+        let is_full = self
+            .segments
+            .back()
+            .is_none_or(|s| s.length >= self.segment_bytes);
+        if is_full {
+            self.begin_segment()?;
+        }
+        let Some(current) = self.segments.back_mut() else {
+            return Ok(());
+        };
+        let name = &current.name;
+        let failed = |step, e: &std::io::Error| ReplicaError::disk(step, name, e);
+        (self.disk.append)(name, &bytes).map_err(|e| failed("append to", &e))?;
+        (self.disk.sync)(name).map_err(|e| failed("sync", &e))?;
+        current.length += bytes.len() as u64;
+        let last = entries.last().map_or(0, |e| e.index);
+        current.last = current.last.max(last);
+        Ok(())
+    }
+
+    fn begin_segment(&mut self) -> Result<(), ReplicaError> {
+        let name = segment::file_name(self.next_number);
+        let failed = |step, e: &std::io::Error| ReplicaError::disk(step, &name, e);
+        (self.disk.append)(&name, &[]).map_err(|e| failed("create", &e))?;
+        (self.disk.sync_folder)().map_err(|e| failed("sync folder of", &e))?;
+        self.next_number += 1;
+        self.segments.push_back(Segment {
+            name,
+            length: 0,
+            last: 0,
+        });
+        Ok(())
+    }
+
+    /// Makes a term and vote lasting.
+    pub(crate) fn write_vote(&mut self, vote: &Vote) -> Result<(), ReplicaError> {
+        self.check()?;
+        #[cfg(any(test, feature = "broken-variants"))]
+        if self.leave_votes_unsynced {
+            let written = (self.disk.write)(VOTE, &vote::seal(vote));
+            return written.map_err(|e| ReplicaError::disk("write", VOTE, &e));
+        }
+        let result = vote::replace(&self.disk, VOTE, &vote::seal(vote));
+        self.note(result)
+    }
+
+    /// Keeps an own snapshot, if it is newer than the one there, and removes segments that hold
+    /// nothing after `kept`.
+    pub(crate) fn keep(&mut self, snapshot: &Snapshot, kept: u64) -> Result<(), ReplicaError> {
+        self.check()?;
+        if snapshot.meta.index <= self.snapshot_index {
+            return Ok(());
+        }
+        let result = snapshot::write(&self.disk, snapshot);
+        self.note(result)?;
+        self.snapshot_index = snapshot.meta.index;
+        self.compact(kept)
+    }
+
+    /// Replaces log and snapshot by a snapshot from the leader.
+    pub(crate) fn install(&mut self, snapshot: &Snapshot) -> Result<(), ReplicaError> {
+        self.check()?;
+        let result = snapshot::write(&self.disk, snapshot).and_then(|()| self.remove_segments());
+        self.snapshot_index = snapshot.meta.index;
+        self.note(result)
+    }
+
+    fn compact(&mut self, index: u64) -> Result<(), ReplicaError> {
+        while self.segments.len() > 1 && self.segments[0].last <= index {
+            let removed = self.remove_segment(0);
+            self.note(removed)?;
+        }
+        Ok(())
+    }
+
+    /// Newest first, so that a crash leaves a beginning of the log that the snapshot covers.
+    fn remove_segments(&mut self) -> Result<(), ReplicaError> {
+        while !self.segments.is_empty() {
+            self.remove_segment(self.segments.len() - 1)?;
+        }
+        Ok(())
+    }
+
+    fn remove_segment(&mut self, at: usize) -> Result<(), ReplicaError> {
+        let name = &self.segments[at].name;
+        let failed = |step, e: &std::io::Error| ReplicaError::disk(step, name, e);
+        (self.disk.remove)(name).map_err(|e| failed("remove", &e))?;
+        (self.disk.sync_folder)().map_err(|e| failed("sync folder of", &e))?;
+        self.segments.remove(at);
+        Ok(())
+    }
+
+    fn check(&self) -> Result<(), ReplicaError> {
+        self.failed.clone().map_or(Ok(()), Err)
+    }
+
+    fn note(&mut self, result: Result<(), ReplicaError>) -> Result<(), ReplicaError> {
+        if let Err(e) = &result {
+            self.failed = Some(e.clone());
+        }
+        result
+    }
+}
+
+/// Adds an entry, which replaces what is there from its index on.
+fn put(entries: &mut VecDeque<Arc<Entry>>, entry: Entry) -> Result<(), &'static str> {
+    let Some(first) = entries.front().map(|e| e.index) else {
+        entries.push_back(Arc::new(entry));
+        return Ok(());
+    };
+    // Below the first one where the entries replaced here lay in segments that are gone.
+    let at = entry.index.saturating_sub(first) as usize;
+    if at > entries.len() {
+        return Err("entries are missing before this segment's");
+    }
+    entries.truncate(at);
+    entries.push_back(Arc::new(entry));
+    Ok(())
+}
+
+fn load_identity(disk: &Disk, name: &str) -> Result<Uuid, ReplicaError> {
+    if let Some(found) = vote::read::<FolderIdentity>(disk, IDENTITY)? {
+        return match found.name == name {
+            true => Ok(found.identity),
+            false => Err(ReplicaError::OtherName {
+                name: name.to_owned(),
+                found: found.name,
+            }),
+        };
+    }
+    let names = (disk.list)().map_err(|e| ReplicaError::disk("list", "folder", &e))?;
+    if names.iter().any(|n| !n.ends_with(ASIDE)) {
+        let what = "the folder has files but no identity";
+        return Err(ReplicaError::damaged(IDENTITY, 0, what));
+    }
+    let own = FolderIdentity {
+        name: name.to_owned(),
+        identity: Uuid::new_v4(),
+    };
+    vote::replace(disk, IDENTITY, &vote::seal(&own))?;
+    Ok(own.identity)
+}
--- /dev/null
+++ b/crates/replica/src/vote.rs
@@ -0,0 +1,71 @@
+//! Small files that are written aside, synced and renamed: the vote and the identity.
+
+use derives::record;
+use serde::{Serialize, de::DeserializeOwned};
+use uuid::Uuid;
+
+use crate::{Disk, ReplicaError};
+
+/// File name of the vote.
+pub(crate) const VOTE: &str = "vote";
+/// File name of the identity.
+pub(crate) const IDENTITY: &str = "identity";
+/// What the name of a file ends in while it is written aside.
+pub(crate) const ASIDE: &str = ".new";
+
+const CRC: usize = 4;
+
+/// The term and the vote in it.
+#[record]
+#[derive(Default, Eq)]
+pub(crate) struct Vote {
+    pub term: u64,
+    pub voted: Option<String>,
+}
+
+/// Who the folder belongs to.
+#[record]
+#[derive(Eq)]
+pub(crate) struct FolderIdentity {
+    pub name: String,
+    pub identity: Uuid,
+}
+
+/// Encodes `value` with its checksum.
+pub(crate) fn seal(value: &impl Serialize) -> Vec<u8> {
+    let body = link::encode(value);
+    let mut buf = crc32fast::hash(&body).to_le_bytes().to_vec();
+    buf.extend_from_slice(&body);
+    buf
+}
+
+/// Reads what [`seal`] wrote.
+pub(crate) fn unseal<T: DeserializeOwned>(file: &str, bytes: &[u8]) -> Result<T, ReplicaError> {
+    let damaged = |what: &str| ReplicaError::damaged(file, 0, what);
+    let (crc, body) = bytes
+        .split_at_checked(CRC)
+        .ok_or_else(|| damaged("too short"))?;
+    if crc32fast::hash(body).to_le_bytes() != crc {
+        return Err(damaged("the checksum is wrong"));
+    }
+    link::decode(body).map_err(|e| damaged(&e.to_string()))
+}
+
+/// Replaces `file` by `bytes` so that a crash leaves either the old or the new content.
+pub(crate) fn replace(disk: &Disk, file: &str, bytes: &[u8]) -> Result<(), ReplicaError> {
+    let aside = format!("{file}{ASIDE}");
+    let failed = |step, e: &std::io::Error| ReplicaError::disk(step, file, e);
+    (disk.write)(&aside, bytes).map_err(|e| failed("write", &e))?;
+    (disk.sync)(&aside).map_err(|e| failed("sync", &e))?;
+    (disk.rename)(&aside, file).map_err(|e| failed("rename", &e))?;
+    (disk.sync_folder)().map_err(|e| failed("sync folder of", &e))
+}
+
+/// Reads a small file, if it is there.
+pub(crate) fn read<T: DeserializeOwned>(
+    disk: &Disk,
+    file: &str,
+) -> Result<Option<T>, ReplicaError> {
+    let bytes = (disk.read)(file).map_err(|e| ReplicaError::disk("read", file, &e))?;
+    bytes.map(|bytes| unseal(file, &bytes)).transpose()
+}
--- /dev/null
+++ b/crates/replica/tests/one_voter.rs
@@ -0,0 +1,93 @@
+//! One voter on real files.
+
+use std::sync::{Arc, Mutex};
+
+use replica::{MemberChange, Replica, ReplicaConfig, ReplicaError, StateMachine};
+
+/// A state machine that keeps every entry.
+fn machine(entries: &Arc<Mutex<Vec<Vec<u8>>>>) -> StateMachine {
+    let (apply, snapshot, restore) = (
+        Arc::clone(entries),
+        Arc::clone(entries),
+        Arc::clone(entries),
+    );
+    StateMachine {
+        apply: Box::new(move |_, entry| {
+            let mut entries = apply.lock().unwrap();
+            entries.push(entry.to_vec());
+            vec![entries.len() as u8]
+        }),
+        snapshot: Box::new(move || link::encode(&*snapshot.lock().unwrap())),
+        restore: Box::new(move |_, bytes| {
+            *restore.lock().unwrap() = link::decode(bytes).map_err(|e| e.to_string())?;
+            Ok(())
+        }),
+        digest: Box::new(|| 0),
+    }
+}
+
+async fn start(cfg: &ReplicaConfig) -> (Replica, Arc<Mutex<Vec<Vec<u8>>>>) {
+    let entries = Arc::default();
+    let replica = Replica::start(cfg.clone(), vec![], machine(&entries)).await;
+    (replica.unwrap(), entries)
+}
+
+/// Proposes until this replica leads.
+async fn propose(replica: &Replica, entry: &[u8]) -> replica::Applied {
+    loop {
+        if let Ok(applied) = replica.propose(entry.to_vec()).await {
+            return applied;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+    }
+}
+
+#[tokio::test]
+async fn entries_are_applied_in_order_and_are_back_after_restarts() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut cfg = ReplicaConfig::new("a", folder.path().to_owned(), vec!["a".to_owned()]);
+    cfg.snapshot_after = 10;
+    let mut expected = Vec::new();
+    for round in 0..5u8 {
+        let (replica, entries) = start(&cfg).await;
+        for n in 0..7u8 {
+            let applied = propose(&replica, &[round, n]).await;
+            expected.push(vec![round, n]);
+            assert_eq!(applied.reply, [expected.len() as u8]);
+        }
+        assert!(replica.read_barrier().await.is_ok());
+        assert_eq!(*entries.lock().unwrap(), expected);
+        match round % 2 {
+            0 => replica.stop().await,
+            _ => replica.abort().await,
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_folder_has_one_process_and_one_name() {
+    let folder = tempfile::tempdir().unwrap();
+    let cfg = ReplicaConfig::new("a", folder.path().to_owned(), vec!["a".to_owned()]);
+    let (replica, _) = start(&cfg).await;
+    let second = Replica::start(cfg, vec![], machine(&Arc::default())).await;
+    assert!(matches!(second, Err(ReplicaError::Locked { .. })));
+    replica.stop().await;
+    drop(replica);
+    let cfg = ReplicaConfig::new("b", folder.path().to_owned(), vec!["b".to_owned()]);
+    let other = Replica::start(cfg, vec![], machine(&Arc::default())).await;
+    assert!(matches!(other, Err(ReplicaError::OtherName { .. })));
+}
+
+#[tokio::test]
+async fn the_last_voter_stays() {
+    let folder = tempfile::tempdir().unwrap();
+    let cfg = ReplicaConfig::new("a", folder.path().to_owned(), vec!["a".to_owned()]);
+    let (replica, _) = start(&cfg).await;
+    propose(&replica, b"x").await;
+    let change = MemberChange::RemoveUnsafely {
+        name: "a".to_owned(),
+    };
+    let refused = replica.change_members(change).await.unwrap_err();
+    assert!(refused.to_string().contains("last voter"), "{refused}");
+    replica.stop().await;
+}
