--- a/crates/replica/src/answer.rs
+++ b/crates/replica/src/answer.rs
@@ -124,15 +124,18 @@
             let core = self.core();
             core.term != vote.term || core.voted != vote.voted
         };
-        let mut _store = store;
-        if is_news {
-            let written = vote.clone();
-            let result;
-            (_store, result) = self.work(_store, move |s| s.write_vote(&written)).await;
-            if result.is_err() {
-                return false;
+        // Held until the vote is known in memory as well.
+        let held = match is_news {
+            true => {
+                let written = vote.clone();
+                let (store, result) = self.work(store, move |s| s.write_vote(&written)).await;
+                if result.is_err() {
+                    return false;
+                }
+                store
             }
-        }
+            false => store,
+        };
         let mut core = self.core();
         if core.term != vote.term {
             core.follow(None);
@@ -143,6 +146,7 @@
             core.heard = Instant::now();
         }
         drop(core);
+        drop(held);
         self.wake();
         true
     }
--- a/crates/replica/src/apply.rs
+++ b/crates/replica/src/apply.rs
@@ -69,7 +69,8 @@
         Payload::Data(data) => (machine.apply)(entry.index, data),
         Payload::Empty | Payload::Members(_) => Vec::new(),
     };
-    let digest = (entry.index % shared.cfg.digest_every == 0).then(|| (machine.digest)());
+    let is_compared = entry.index.is_multiple_of(shared.cfg.digest_every);
+    let digest = is_compared.then(|| (machine.digest)());
     let waiter = {
         let mut core = shared.core();
         core.applied = entry.index;
--- a/crates/replica/src/config.rs
+++ b/crates/replica/src/config.rs
@@ -29,7 +29,7 @@
     fn default() -> Self {
         Self {
             election_min: Duration::from_millis(500),
-            election_max: Duration::from_millis(1_000),
+            election_max: Duration::from_secs(1),
             heartbeat: Duration::from_millis(100),
         }
     }
--- a/crates/replica/src/election.rs
+++ b/crates/replica/src/election.rs
@@ -29,6 +29,7 @@
     loop {
         let pause = next_look(&shared, patience);
         let is_transfer = tokio::select! {
+            biased;
             () = sleep(pause) => false,
             Some(()) = take_over.recv() => true,
         };
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -136,6 +136,7 @@
         let mut stopped = shared.stopped.subscribe();
         let limit = shared.cfg.timing.election_max * STOP_PATIENCE;
         let waited = tokio::select! {
+            biased;
             waited = timeout(limit, applied.wait_for(|a| *a >= index)) => waited.is_ok(),
             _ = stopped.wait_for(|stopped| *stopped) => return Err(ProposeError::Stopped),
         };
--- a/crates/replica/src/replicate.rs
+++ b/crates/replica/src/replicate.rs
@@ -101,9 +101,10 @@
         }
         let beat_at = exchange.beat_at;
         tokio::select! {
+            biased;
+            () = sleep_until(beat_at) => exchange.beat(),
             Some(landed) = exchange.flying.next() => exchange.take(landed).await,
             _ = changed.changed() => {}
-            () = sleep_until(beat_at) => exchange.beat(),
         }
     }
 }
--- /dev/null
+++ b/crates/replica/tests/common/checks.rs
@@ -0,0 +1,158 @@
+//! What must hold over all replicas of a group, noted as it happens.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::{Arc, Mutex, MutexGuard},
+};
+
+use ciborium::Value;
+use replica::{Role, StateMachine, Status};
+
+#[derive(Default)]
+struct Seen {
+    /// The entry applied at each index, by whoever applied it first.
+    applied: BTreeMap<u64, Vec<u8>>,
+    leaders: BTreeMap<u64, String>,
+    votes: BTreeMap<(String, u64), String>,
+    acknowledged: BTreeMap<u64, Vec<u8>>,
+    refused: BTreeSet<Vec<u8>>,
+    violations: Vec<String>,
+}
+
+#[derive(Clone, Default)]
+pub struct Checks(Arc<Mutex<Seen>>);
+
+/// The state of one replica's machine: every entry with its index.
+pub type History = Arc<Mutex<Vec<(u64, Vec<u8>)>>>;
+
+impl Checks {
+    fn seen(&self) -> MutexGuard<'_, Seen> {
+        self.0.lock().unwrap()
+    }
+
+    pub fn violate(&self, what: String) {
+        self.seen().violations.push(what);
+    }
+
+    pub fn violations(&self) -> Vec<String> {
+        let mut seen = self.seen();
+        let lost = seen.acknowledged.iter();
+        let lost = lost.filter(|(index, entry)| seen.applied.get(index) != Some(entry));
+        let lost: Vec<_> = lost
+            .map(|(i, _)| format!("acknowledged {i} lost"))
+            .collect();
+        let false_refusals = seen.applied.values().filter(|e| seen.refused.contains(*e));
+        let count = false_refusals.count();
+        seen.violations.extend(lost);
+        if count > 0 {
+            seen.violations
+                .push(format!("{count} refused entries were applied"));
+        }
+        seen.violations.clone()
+    }
+
+    pub fn acknowledge(&self, index: u64, entry: Vec<u8>) {
+        self.seen().acknowledged.insert(index, entry);
+    }
+
+    pub fn refuse(&self, entry: Vec<u8>) {
+        self.seen().refused.insert(entry);
+    }
+
+    pub fn last_acknowledged(&self) -> u64 {
+        let seen = self.seen();
+        seen.acknowledged.keys().next_back().copied().unwrap_or(0)
+    }
+
+    /// One leader a term.
+    pub fn note_status(&self, status: &Status) {
+        if status.role != Role::Leader {
+            return;
+        }
+        let mut seen = self.seen();
+        let leader = seen
+            .leaders
+            .entry(status.term)
+            .or_insert(status.name.clone());
+        if *leader != status.name {
+            let what = format!("term {}: {leader} and {} lead", status.term, status.name);
+            seen.violations.push(what);
+        }
+    }
+
+    /// A machine that keeps the entries and compares them with everyone's.
+    pub fn machine(&self, history: &History) -> StateMachine {
+        let h = || Arc::clone(history);
+        let (apply, snapshot, restore, digest) = (h(), h(), h(), h());
+        let (checks, restored) = (self.clone(), self.clone());
+        StateMachine {
+            apply: Box::new(move |index, entry| {
+                checks.note_applied(index, entry);
+                let mut history = apply.lock().unwrap();
+                history.push((index, entry.to_vec()));
+                history.len().to_le_bytes().to_vec()
+            }),
+            snapshot: Box::new(move || link::encode(&*snapshot.lock().unwrap())),
+            restore: Box::new(move |_, bytes| {
+                let entries: Vec<(u64, Vec<u8>)> =
+                    link::decode(bytes).map_err(|e| e.to_string())?;
+                for (index, entry) in &entries {
+                    restored.note_applied(*index, entry);
+                }
+                *restore.lock().unwrap() = entries;
+                Ok(())
+            }),
+            digest: Box::new(move || {
+                u64::from(crc32fast::hash(&link::encode(&*digest.lock().unwrap())))
+            }),
+        }
+    }
+
+    fn note_applied(&self, index: u64, entry: &[u8]) {
+        let mut seen = self.seen();
+        let first = seen.applied.entry(index).or_insert_with(|| entry.to_vec());
+        if first != entry {
+            let what = format!("two entries at index {index}");
+            seen.violations.push(what);
+        }
+    }
+
+    /// The word for what a request asks.
+    pub fn ask_of(&self, body: &[u8]) -> String {
+        let request = decode(body);
+        match field(&request, "ask") {
+            Some(Value::Map(ask)) => ask[0].0.as_text().unwrap_or_default().to_owned(),
+            Some(Value::Text(ask)) => ask.clone(),
+            _ => String::new(),
+        }
+    }
+
+    /// No vote for two candidates of one term.
+    pub fn note_answer(&self, voter: &str, body: &[u8], answer: &[u8]) {
+        let (request, response) = (decode(body), decode(answer));
+        let is_granted = field(&response, "tell") == Some(&Value::Text("Granted".to_owned()));
+        if self.ask_of(body) != "Vote" || !is_granted {
+            return;
+        }
+        let term = field(&request, "term").and_then(Value::as_integer).unwrap();
+        let term = u64::try_from(term).unwrap();
+        let candidate = field(&request, "from").and_then(Value::as_text).unwrap();
+        let mut seen = self.seen();
+        let key = (voter.to_owned(), term);
+        let first = seen.votes.entry(key).or_insert(candidate.to_owned());
+        if first != candidate {
+            let what = format!("{voter} voted for {first} and {candidate} in term {term}");
+            seen.violations.push(what);
+        }
+    }
+}
+
+fn decode(bytes: &[u8]) -> Value {
+    ciborium::from_reader(bytes).unwrap_or(Value::Null)
+}
+
+fn field<'a>(value: &'a Value, name: &str) -> Option<&'a Value> {
+    let mut fields = value.as_map()?.iter();
+    let is_named = |(key, _): &&(Value, Value)| key.as_text() == Some(name);
+    fields.find(is_named).map(|(_, value)| value)
+}
--- /dev/null
+++ b/crates/replica/tests/common/disk.rs
@@ -0,0 +1,225 @@
+//! A disk in memory that forgets what wasn't synced, tears, fills up and fails.
+
+use std::{
+    collections::BTreeMap,
+    io,
+    sync::{Arc, Mutex, MutexGuard},
+};
+
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use replica::Disk;
+
+#[derive(Clone, Default)]
+struct File {
+    now: Vec<u8>,
+    synced: Vec<u8>,
+}
+
+struct State {
+    files: Vec<File>,
+    now: BTreeMap<String, usize>,
+    synced: BTreeMap<String, usize>,
+    rng: StdRng,
+    /// Operations until the machine stops.
+    left: Option<u32>,
+    is_off: bool,
+    is_full: bool,
+    fails_sync: bool,
+}
+
+#[derive(Clone)]
+pub struct FakeDisk(Arc<Mutex<State>>);
+
+impl FakeDisk {
+    pub fn new(seed: u64) -> Self {
+        Self(Arc::new(Mutex::new(State {
+            files: Vec::new(),
+            now: BTreeMap::new(),
+            synced: BTreeMap::new(),
+            rng: StdRng::seed_from_u64(seed),
+            left: None,
+            is_off: false,
+            is_full: false,
+            fails_sync: false,
+        })))
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.0.lock().unwrap()
+    }
+
+    /// The machine stops after `operations` more changes.
+    pub fn stop_after(&self, operations: u32) {
+        self.state().left = Some(operations);
+    }
+
+    pub fn fill(&self) {
+        self.state().is_full = true;
+    }
+
+    pub fn fail_syncs(&self) {
+        self.state().fails_sync = true;
+    }
+
+    /// Loses what wasn't synced, or a part of it, as a crash does.
+    pub fn crash(&self) {
+        self.state().crash();
+    }
+
+    pub fn turn_off(&self) {
+        self.state().is_off = true;
+    }
+
+    /// The synced bytes of a file.
+    pub fn bytes(&self, name: &str) -> Vec<u8> {
+        let state = self.state();
+        state.files[state.synced[name]].synced.clone()
+    }
+
+    pub fn names(&self) -> Vec<String> {
+        self.state().now.keys().cloned().collect()
+    }
+
+    /// Replaces a file's bytes behind the replica's back.
+    pub fn tamper(&self, name: &str, bytes: Vec<u8>) {
+        let mut state = self.state();
+        let at = state.now[name];
+        state.files[at] = File {
+            now: bytes.clone(),
+            synced: bytes,
+        };
+    }
+
+    pub fn disk(&self) -> Disk {
+        let (read, write, append, cut) = (self.clone(), self.clone(), self.clone(), self.clone());
+        let (sync, rename, remove) = (self.clone(), self.clone(), self.clone());
+        let (list, folder) = (self.clone(), self.clone());
+        Disk {
+            read: Arc::new(move |name| Ok(read.state().find(name)?.map(|f| f.now.clone()))),
+            write: Arc::new(move |name, bytes| write.state().change()?.write(name, bytes)),
+            append: Arc::new(move |name, bytes| append.state().change()?.append(name, bytes)),
+            cut: Arc::new(move |name, length| {
+                let mut state = cut.state();
+                state.change()?.file(name).now.truncate(length as usize);
+                Ok(())
+            }),
+            sync: Arc::new(move |name| sync.state().change()?.sync(name)),
+            rename: Arc::new(move |from, to| {
+                let mut state = rename.state();
+                let state = state.change()?;
+                let at = state.now.remove(from).ok_or(io::ErrorKind::NotFound)?;
+                state.now.insert(to.to_owned(), at);
+                Ok(())
+            }),
+            remove: Arc::new(move |name| {
+                remove.state().change()?.now.remove(name);
+                Ok(())
+            }),
+            list: Arc::new(move || Ok(list.state().now.keys().cloned().collect())),
+            sync_folder: Arc::new(move || {
+                let mut state = folder.state();
+                let state = state.change()?;
+                state.check_sync()?;
+                state.synced = state.now.clone();
+                Ok(())
+            }),
+            is_blocking: false,
+        }
+    }
+}
+
+impl State {
+    fn find(&self, name: &str) -> io::Result<Option<&File>> {
+        match self.is_off {
+            true => Err(io::Error::other("off")),
+            false => Ok(self.now.get(name).map(|at| &self.files[*at])),
+        }
+    }
+
+    fn change(&mut self) -> io::Result<&mut Self> {
+        self.is_off |= self.left == Some(0);
+        self.left = self.left.map(|left| left.saturating_sub(1));
+        match self.is_off {
+            true => Err(io::Error::other("off")),
+            false => Ok(self),
+        }
+    }
+
+    fn file(&mut self, name: &str) -> &mut File {
+        let at = match self.now.get(name) {
+            Some(at) => *at,
+            None => {
+                self.files.push(File::default());
+                self.now.insert(name.to_owned(), self.files.len() - 1);
+                self.files.len() - 1
+            }
+        };
+        &mut self.files[at]
+    }
+
+    fn write(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.check_space()?;
+        self.file(name).now = bytes.to_vec();
+        Ok(())
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.check_space()?;
+        self.file(name).now.extend_from_slice(bytes);
+        Ok(())
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        self.check_sync()?;
+        let file = self.file(name);
+        file.synced = file.now.clone();
+        Ok(())
+    }
+
+    fn check_space(&self) -> io::Result<()> {
+        match self.is_full {
+            true => Err(io::ErrorKind::StorageFull.into()),
+            false => Ok(()),
+        }
+    }
+
+    fn check_sync(&self) -> io::Result<()> {
+        match self.fails_sync {
+            true => Err(io::Error::other("input/output error")),
+            false => Ok(()),
+        }
+    }
+
+    fn crash(&mut self) {
+        // A name that wasn't synced may be there or not.
+        if self.rng.random() {
+            self.now = self.synced.clone();
+        }
+        for file in &mut self.files {
+            if file.now != file.synced {
+                file.now = tear(file, &mut self.rng);
+            }
+            file.synced = file.now.clone();
+        }
+        self.synced = self.now.clone();
+        self.left = None;
+        self.is_off = false;
+    }
+}
+
+/// What a crash leaves of a file: the synced bytes, or a part of what was written after.
+fn tear(file: &File, rng: &mut StdRng) -> Vec<u8> {
+    if rng.random() {
+        return file.synced.clone();
+    }
+    let shared = file.now.iter().zip(&file.synced);
+    let shared = shared.take_while(|(a, b)| a == b).count();
+    let end = rng.random_range(shared..=file.now.len());
+    let mut left = file.now[..end].to_vec();
+    // Pages that were not written read as zeros.
+    if end > shared && rng.random() {
+        let hole = rng.random_range(shared..end);
+        left[hole..].fill(0);
+    }
+    left
+}
--- /dev/null
+++ b/crates/replica/tests/common/group.rs
@@ -0,0 +1,319 @@
+//! The replicas of one test.
+
+use std::{collections::BTreeMap, path::PathBuf, sync::Arc, time::Duration};
+
+use replica::{
+    Applied, Broken, MemberChange, MemberError, ProposeError, Replica, ReplicaConfig, ReplicaError,
+    Role,
+};
+use tokio::time::{sleep, timeout};
+
+use super::{
+    checks::{Checks, History},
+    disk::FakeDisk,
+    net::Net,
+};
+
+/// Long enough for anything that can come to an end to have come to it.
+pub const LONG: Duration = Duration::from_secs(60);
+
+pub struct Node {
+    pub disk: FakeDisk,
+    pub replica: Option<Replica>,
+    pub history: History,
+    cfg: ReplicaConfig,
+}
+
+pub struct Group {
+    pub net: Net,
+    pub checks: Checks,
+    pub nodes: BTreeMap<String, Node>,
+    seed: u64,
+    broken: Option<Broken>,
+    pub snapshot_after: u64,
+    next_entry: u64,
+}
+
+pub fn names(count: usize) -> Vec<String> {
+    ["a", "b", "c", "d", "e"][..count]
+        .iter()
+        .map(ToString::to_string)
+        .collect()
+}
+
+impl Group {
+    pub fn new(seed: u64, broken: Option<Broken>) -> Self {
+        let checks = Checks::default();
+        Self {
+            net: Net::new(seed, checks.clone()),
+            checks,
+            nodes: BTreeMap::new(),
+            seed,
+            broken,
+            snapshot_after: 20,
+            next_entry: 0,
+        }
+    }
+
+    /// A group of `count` voters that runs.
+    pub async fn of(count: usize, seed: u64) -> Self {
+        let mut group = Self::new(seed, None);
+        group.add_all(count).await;
+        group
+    }
+
+    pub async fn add_all(&mut self, count: usize) {
+        for name in names(count) {
+            self.add(&name, &names(count)).await;
+        }
+    }
+
+    /// A new replica on an empty disk.
+    pub async fn add(&mut self, name: &str, voters: &[String]) {
+        let mut cfg = ReplicaConfig::new(name, PathBuf::new(), voters.to_vec());
+        cfg.snapshot_after = self.snapshot_after;
+        cfg.segment_bytes = 512;
+        cfg.digest_every = 8;
+        cfg.broken = self.broken;
+        self.seed += 1;
+        cfg.seed = Some(self.seed);
+        let node = Node {
+            disk: FakeDisk::new(self.seed),
+            replica: None,
+            history: History::default(),
+            cfg,
+        };
+        self.nodes.insert(name.to_owned(), node);
+        self.start(name).await.unwrap();
+    }
+
+    pub fn names(&self) -> Vec<String> {
+        self.nodes.keys().cloned().collect()
+    }
+
+    pub async fn start(&mut self, name: &str) -> Result<(), ReplicaError> {
+        let links = self.nodes.keys().filter(|other| *other != name);
+        let links = names(5)
+            .iter()
+            .filter(|n| *n != name)
+            .chain(links.filter(|n| n.len() > 1))
+            .map(|other| self.net.link(name, other))
+            .collect();
+        let node = self.nodes.get_mut(name).unwrap();
+        node.history = History::default();
+        let machine = self.checks.machine(&node.history);
+        let (disk, connect) = (node.disk.disk(), self.net.connect(name));
+        let replica = Replica::start_on(node.cfg.clone(), disk, links, connect, machine).await?;
+        node.replica = Some(replica.clone());
+        self.net.attach(name, Some(replica));
+        Ok(())
+    }
+
+    /// Stops a replica as a power cut would.
+    pub async fn crash(&mut self, name: &str) {
+        self.net.attach(name, None);
+        let node = self.nodes.get_mut(name).unwrap();
+        node.disk.turn_off();
+        if let Some(replica) = node.replica.take() {
+            replica.abort().await;
+        }
+        node.disk.crash();
+    }
+
+    /// Starts what has crashed, or failed by a crash of its disk.
+    pub async fn restart(&mut self, name: &str) {
+        let node = &self.nodes[name];
+        let is_running = node
+            .replica
+            .as_ref()
+            .is_some_and(|r| r.status().failed.is_none());
+        if is_running {
+            return;
+        }
+        self.crash(name).await;
+        if let Err(e) = self.start(name).await {
+            self.checks
+                .violate(format!("{name} does not start again: {e}"));
+        }
+    }
+
+    pub fn replica(&self, name: &str) -> Replica {
+        self.nodes[name].replica.clone().unwrap()
+    }
+
+    pub fn running(&self) -> impl Iterator<Item = &Replica> {
+        self.nodes.values().filter_map(|n| n.replica.as_ref())
+    }
+
+    /// Notes who leads, as often as the tests look.
+    pub async fn pause(&self, time: Duration) {
+        let step = Duration::from_millis(20);
+        let mut left = time;
+        while !left.is_zero() {
+            for replica in self.running() {
+                self.checks.note_status(&replica.status());
+            }
+            sleep(step.min(left)).await;
+            left = left.saturating_sub(step);
+        }
+    }
+
+    /// Waits until some replica leads and a quorum follows, and returns it.
+    pub async fn leader(&self) -> Replica {
+        self.leader_but("").await
+    }
+
+    pub async fn leader_but(&self, not: &str) -> Replica {
+        let look = async {
+            loop {
+                for replica in self.running() {
+                    let status = replica.status();
+                    self.checks.note_status(&status);
+                    if status.role == Role::Leader
+                        && status.name != not
+                        && replica.read_barrier().await.is_ok()
+                    {
+                        return replica.clone();
+                    }
+                }
+                sleep(Duration::from_millis(20)).await;
+            }
+        };
+        timeout(LONG, look)
+            .await
+            .expect("no leader within a minute")
+    }
+
+    /// An entry that is like no other.
+    pub fn entry(&mut self) -> Vec<u8> {
+        self.next_entry += 1;
+        self.next_entry.to_le_bytes().to_vec()
+    }
+
+    /// Proposes in the background at `name` and notes what is said of it.
+    pub fn propose_at(&mut self, name: &str) {
+        let entry = self.entry();
+        let checks = self.checks.clone();
+        if let Some(replica) = self.nodes[name].replica.clone() {
+            tokio::spawn(async move { propose(&checks, &replica, entry).await });
+        }
+    }
+
+    /// Proposes at the leader until one entry is in.
+    pub async fn commit(&mut self) -> Applied {
+        loop {
+            let leader = self.leader().await;
+            let entry = self.entry();
+            if let Ok(applied) = propose(&self.checks, &leader, entry).await {
+                return applied;
+            }
+        }
+    }
+
+    /// Reads in the background at `name`: nothing acknowledged before may be missing.
+    pub fn read_at(&self, name: &str) {
+        let checks = self.checks.clone();
+        let Some(replica) = self.nodes[name].replica.clone() else {
+            return;
+        };
+        tokio::spawn(async move {
+            let expected = checks.last_acknowledged();
+            match replica.read_barrier().await {
+                Ok(index) if index < expected || replica.status().applied < index => {
+                    checks.violate(format!("a read saw {index}, {expected} was acknowledged"));
+                }
+                _ => {}
+            }
+        });
+    }
+
+    /// Asks the leader until the change is made or refused for good.
+    pub async fn change(&self, change: MemberChange) -> Result<(), MemberError> {
+        let mut result = Err(MemberError::Stopped);
+        for _ in 0..100 {
+            result = self.leader().await.change_members(change.clone()).await;
+            if result.is_ok() {
+                break;
+            }
+            sleep(Duration::from_millis(100)).await;
+        }
+        result
+    }
+
+    /// Heals and restarts everything, and checks that all members come to one state.
+    pub async fn settle(&mut self) -> Result<(), String> {
+        self.net.heal();
+        for name in self.names() {
+            self.restart(&name).await;
+        }
+        let committed = timeout(LONG, self.commit()).await;
+        let index = committed
+            .map_err(|_| self.report("no commit within a minute"))?
+            .index;
+        let members = self.leader().await.status().members;
+        for member in members.voters.iter().chain(&members.learners) {
+            let node = &self.nodes[&member.name];
+            let mut commit = node.replica.as_ref().unwrap().commit();
+            let reached = timeout(LONG, commit.wait_for(|i| *i >= index)).await;
+            reached
+                .map_err(|_| self.report(&format!("{} is behind", member.name)))?
+                .unwrap();
+        }
+        self.pause(Duration::from_secs(2)).await;
+        let mut states = members
+            .voters
+            .iter()
+            .map(|m| self.nodes[&m.name].history.lock().unwrap().clone());
+        let first = states.next().unwrap();
+        if states.any(|state| state != first) {
+            return Err(self.report("states differ"));
+        }
+        match self.checks.violations() {
+            violations if violations.is_empty() => Ok(()),
+            violations => Err(violations.join("; ")),
+        }
+    }
+
+    fn report(&self, what: &str) -> String {
+        let statuses: Vec<_> = self.running().map(Replica::status).collect();
+        format!("{what}: {statuses:#?} {:?}", self.checks.violations())
+    }
+}
+
+pub async fn propose(
+    checks: &Checks,
+    replica: &Replica,
+    entry: Vec<u8>,
+) -> Result<Applied, ProposeError> {
+    let result = replica.propose(entry.clone()).await;
+    match &result {
+        Ok(applied) => checks.acknowledge(applied.index, entry),
+        Err(ProposeError::Lost) => {}
+        Err(_) => checks.refuse(entry),
+    }
+    result
+}
+
+/// The change that adds `name`.
+pub fn add_learner(name: &str) -> MemberChange {
+    MemberChange::AddLearner {
+        name: name.to_owned(),
+        address: format!("{name}:1"),
+    }
+}
+
+pub fn promote(name: &str) -> MemberChange {
+    MemberChange::Promote {
+        name: name.to_owned(),
+    }
+}
+
+pub fn remove(name: &str) -> MemberChange {
+    MemberChange::Remove {
+        name: name.to_owned(),
+    }
+}
+
+pub fn shared<T>(value: T) -> Arc<T> {
+    Arc::new(value)
+}
