--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,5 @@
 //! Stand-ins, fault-injecting proxy, load and experiments for development.
+
+pub mod client;
+pub mod output;
+pub mod stand_in;
--- /dev/null
+++ b/crates/bench/src/output.rs
@@ -0,0 +1,94 @@
+//! Outputs that are a pure function of what a stage was given, so that a crossed answer shows.
+
+use serde_json::{Value, json};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// Fewest tokens of a generation without a length mark.
+const SHORTEST: u64 = 8;
+/// Spread of the lengths above [`SHORTEST`].
+const LENGTHS: u64 = 40;
+/// Pieces of text; some take several bytes a character.
+const PIECES: [&str; 16] = [
+    " ice",
+    " tug",
+    " é",
+    " 冰",
+    " watch",
+    " ساعة",
+    " lead",
+    " barge",
+    " ⚓",
+    " dial",
+    " Ü",
+    " ferry",
+    " crown",
+    " 🧊",
+    " log",
+    " wharf",
+];
+
+/// A short digest of `bytes`.
+pub fn digest(bytes: &[u8]) -> String {
+    format!("{:016x}", xxh3_64(bytes))
+}
+
+/// The text that an engine is prompted with for `value`.
+pub fn prompt_text(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        Value::Object(members) => match members.get("prompt") {
+            Some(Value::String(text)) => text.clone(),
+            _ => value.to_string(),
+        },
+        other => other.to_string(),
+    }
+}
+
+/// The mark `[#…]` by which a caller's request is known in whatever a stage is given.
+pub fn subject(text: &str) -> Option<&str> {
+    mark(text, "[#")
+}
+
+fn mark<'a>(text: &'a str, opening: &str) -> Option<&'a str> {
+    let (_, rest) = text.split_once(opening)?;
+    let (inside, _) = rest.split_once(']')?;
+    Some(inside)
+}
+
+/// What `service` answers to the request's `input` and the `previous` stage's output.
+pub fn stage_output(service: &str, input: &Value, previous: &Value) -> Value {
+    let input_digest = digest(input.to_string().as_bytes());
+    let previous_digest = digest(previous.to_string().as_bytes());
+    let source = if previous.is_null() { input } else { previous };
+    let prompt = prompt_text(source);
+    json!({
+        "service": service,
+        "input_digest": input_digest,
+        "previous_digest": previous_digest,
+        "prompt": format!("{prompt} <{service}:{previous_digest}>"),
+    })
+}
+
+/// The tokens that an engine of `service` generates for `prompt`, `max_tokens` at the most.
+///
+/// A mark `[len:N]` in the prompt sets their number. The first token carries the prompt's hash.
+pub fn engine_tokens(service: &str, prompt: &str, max_tokens: u32) -> Vec<String> {
+    let hash = xxh3_64_with_seed(prompt.as_bytes(), xxh3_64(service.as_bytes()));
+    let asked = mark(prompt, "[len:").and_then(|n| n.parse().ok());
+    let length = asked.unwrap_or(SHORTEST + hash % LENGTHS);
+    let length = length.min(u64::from(max_tokens)).max(1);
+    (0..length).map(|i| token(hash, i)).collect()
+}
+
+fn token(hash: u64, i: u64) -> String {
+    if i == 0 {
+        return format!("{hash:016x}");
+    }
+    let pick = xxh3_64_with_seed(&i.to_le_bytes(), hash);
+    PIECES[(pick % PIECES.len() as u64) as usize].to_owned()
+}
+
+/// The whole text of [`engine_tokens`].
+pub fn engine_text(service: &str, prompt: &str, max_tokens: u32) -> String {
+    engine_tokens(service, prompt, max_tokens).concat()
+}
