--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod client;
 pub mod output;
+pub mod proxy;
 pub mod stand_in;
