--- /dev/null
+++ b/crates/bench/src/check/mod.rs
@@ -0,0 +1,11 @@
+//! Compares journals with callers' answers and names every invariant that a run broke.
+
+mod evidence;
+mod judge;
+mod violation;
+
+pub use self::{
+    evidence::{Attempt, Evidence, LedgerWord, Reply, Request, RevisionSeen, Told},
+    judge::check,
+    violation::Violation,
+};
--- /dev/null
+++ b/crates/bench/src/check/violation.rs
@@ -0,0 +1,112 @@
+//! The ways in which a run can break an invariant.
+
+use std::fmt::{self, Display, Formatter};
+
+use derives::value;
+
+/// One broken invariant.
+#[value]
+pub enum Violation {
+    /// A call that may not be repeated ran more than once.
+    DoubledExecution {
+        /// The idempotency key.
+        key: String,
+        /// The service that ran it.
+        service: String,
+        /// How often it ran.
+        times: usize,
+    },
+    /// A completed answer is not that of its request.
+    WrongAnswer {
+        /// The request's mark.
+        subject: String,
+    },
+    /// A stream's text is not the answer's.
+    BrokenStream {
+        /// The request's mark.
+        subject: String,
+    },
+    /// A request said to be not run did run.
+    FalseNotRun {
+        /// The request's mark.
+        subject: String,
+        /// Where it ran.
+        endpoint: String,
+    },
+    /// A request said to be failed ran a call that may not be repeated.
+    FalseFailed {
+        /// The request's mark.
+        subject: String,
+        /// Where it ran.
+        endpoint: String,
+    },
+    /// A request completed without a stage having run for it.
+    InventedResult {
+        /// The request's mark.
+        subject: String,
+        /// The service that never ran it.
+        service: String,
+    },
+    /// A result that a caller was given is not in the ledger.
+    LostResult {
+        /// The idempotency key.
+        key: String,
+    },
+    /// A connection broke or went quiet in a run where nothing explains it.
+    CutRequest {
+        /// The request's mark.
+        subject: String,
+    },
+    /// A gate went back to an older revision.
+    RevertedRevision {
+        /// The gate.
+        gate: String,
+        /// The newer revision that it had.
+        from: u64,
+        /// The older one that it went back to.
+        to: u64,
+    },
+}
+
+impl Violation {
+    /// The violation's name in tables and JSON.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::DoubledExecution { .. } => "doubled_execution",
+            Self::WrongAnswer { .. } => "wrong_answer",
+            Self::BrokenStream { .. } => "broken_stream",
+            Self::FalseNotRun { .. } => "false_not_run",
+            Self::FalseFailed { .. } => "false_failed",
+            Self::InventedResult { .. } => "invented_result",
+            Self::LostResult { .. } => "lost_result",
+            Self::CutRequest { .. } => "cut_request",
+            Self::RevertedRevision { .. } => "reverted_revision",
+        }
+    }
+}
+
+impl Display for Violation {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: ", self.name())?;
+        match self {
+            Self::DoubledExecution {
+                key,
+                service,
+                times,
+            } => write!(f, "key {key} ran {times} times at {service}"),
+            Self::WrongAnswer { subject }
+            | Self::BrokenStream { subject }
+            | Self::CutRequest { subject } => write!(f, "request {subject}"),
+            Self::FalseNotRun { subject, endpoint } | Self::FalseFailed { subject, endpoint } => {
+                write!(f, "request {subject} ran at {endpoint}")
+            }
+            Self::InventedResult { subject, service } => {
+                write!(f, "request {subject} never ran at {service}")
+            }
+            Self::LostResult { key } => write!(f, "key {key}"),
+            Self::RevertedRevision { gate, from, to } => {
+                write!(f, "{gate} went from {from} back to {to}")
+            }
+        }
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins, fault-injecting proxy, load and experiments for development.
 
+pub mod check;
 pub mod client;
 pub mod output;
 pub mod proxy;
--- a/crates/bench/src/output.rs
+++ b/crates/bench/src/output.rs
@@ -1,5 +1,6 @@
 //! Outputs that are a pure function of what a stage was given, so that a crossed answer shows.
 
+use declaration::{Declaration, ServiceKind};
 use serde_json::{Value, json};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -92,3 +93,20 @@
 pub fn engine_text(service: &str, prompt: &str, max_tokens: u32) -> String {
     engine_tokens(service, prompt, max_tokens).concat()
 }
+
+/// What `pipeline` answers to `input`; `None` where there is no such pipeline.
+pub fn expected(declaration: &Declaration, pipeline: &str, input: &Value) -> Option<Value> {
+    let mut previous = Value::Null;
+    for stage in &declaration.pipelines.get(pipeline)?.stages {
+        let service = declaration.services.get(stage)?;
+        previous = match service.kind {
+            ServiceKind::Engine => {
+                let source = if previous.is_null() { input } else { &previous };
+                let prompt = prompt_text(source);
+                Value::String(engine_text(stage, &prompt, service.max_tokens))
+            }
+            _ => stage_output(stage, input, &previous),
+        };
+    }
+    Some(previous)
+}
--- a/crates/bench/src/stand_in/engine.rs
+++ b/crates/bench/src/stand_in/engine.rs
@@ -51,7 +51,6 @@
     prompt: String,
     readers: AtomicUsize,
     unread_since: Mutex<Instant>,
-    started: Mutex<Option<Instant>>,
 }
 
 impl Generation {
@@ -64,11 +63,6 @@
         let unread = self.unread_since.lock().expect("no panic under this lock");
         self.readers.load(Ordering::SeqCst) == 0 && unread.elapsed() > window
     }
-
-    fn busy_us(&self) -> u64 {
-        let started = self.started.lock().expect("no panic under this lock");
-        started.map_or(0, |at| at.elapsed().as_micros() as u64)
-    }
 }
 
 /// Counts as a reader of a generation until dropped.
@@ -169,7 +163,6 @@
             prompt: prompt.to_owned(),
             readers: AtomicUsize::new(0),
             unread_since: Mutex::new(Instant::now()),
-            started: Mutex::new(None),
             name,
         });
         let reader = generation.reader();
@@ -215,7 +208,7 @@
         let finish = Some(Finish::Cancelled);
         generation.progress.send_modify(|p| p.finish = finish);
         let event = Event::Cancelled {
-            busy_us: generation.busy_us(),
+            busy_us: self.work_us(generation, progress.emitted),
             tokens: progress.emitted as u64,
         };
         self.journal.add(&generation.name, event);
@@ -300,8 +293,6 @@
         let reused = change.reused * super::prefix_cache::BLOCK_BYTES / TOKEN_BYTES;
         generation.reused.store(reused, Ordering::SeqCst);
         self.note(change);
-        let mut started = generation.started.lock().expect("no panic under this lock");
-        *started = Some(Instant::now());
         self.journal.add(&generation.name, Event::Started);
         generation.prompt_tokens.saturating_sub(reused)
     }
@@ -336,10 +327,22 @@
         }
     }
 
+    /// Time that the work done would take alone, in microseconds, whatever the batch.
+    fn work_us(&self, generation: &Generation, emitted: usize) -> u64 {
+        if emitted == 0 {
+            return 0;
+        }
+        let reused = generation.reused.load(Ordering::SeqCst);
+        let prefilled = generation.prompt_tokens.saturating_sub(reused);
+        let prefill = self.cfg.prefill_per_token * prefilled as u32;
+        let decode = self.cfg.step * emitted as u32;
+        (prefill + decode).as_micros() as u64
+    }
+
     fn record_end(&self, generation: &Generation) {
         let event = Event::Finished {
             output_digest: digest(generation.tokens.concat().as_bytes()),
-            busy_us: generation.busy_us(),
+            busy_us: self.work_us(generation, generation.tokens.len()),
             tokens: generation.tokens.len() as u64,
             reused: generation.reused.load(Ordering::SeqCst) as u64,
         };
--- /dev/null
+++ b/crates/bench/tests/check.rs
@@ -0,0 +1,238 @@
+//! Each fault seeded into a sound run must be found, and nothing in the sound one.
+
+use bench::{
+    check::{Attempt, Evidence, LedgerWord, Reply, Request, RevisionSeen, Told, Violation, check},
+    output::expected,
+    stand_in::{Event, JournalEntry},
+};
+use declaration::Declaration;
+use proptest::prelude::*;
+use serde_json::{Value, json};
+
+const DOCUMENT: &str = "
+[availability-zone a]
+region = r
+[service desk]
+kind = plain
+repeatable = no
+[service roster]
+kind = plain
+repeatable = yes
+[service plan]
+kind = engine
+repeatable = yes
+model = m
+version = 1
+max_tokens = 32
+[pipeline booking]
+stages = roster, desk
+[pipeline answer]
+stages = roster, plan
+[workspace w]
+priority = 1
+pipelines = booking, answer
+availability_zones = a
+";
+
+fn entry(service: &str, request: &Request, at_ms: u64, event: Event) -> JournalEntry {
+    JournalEntry {
+        at_ms,
+        endpoint: format!("{service}-1"),
+        service: service.to_owned(),
+        call: format!("{}-{service}", request.subject),
+        subject: Some(request.subject.clone()),
+        key: request.key.clone(),
+        event,
+    }
+}
+
+fn finished() -> Event {
+    Event::Finished {
+        output_digest: String::new(),
+        busy_us: 1,
+        tokens: 0,
+        reused: 0,
+    }
+}
+
+/// Request `n` of a sound run, completed at the first try.
+fn request(declaration: &Declaration, n: u64) -> Request {
+    let pipeline = if n.is_multiple_of(2) {
+        "booking"
+    } else {
+        "answer"
+    };
+    let input = json!({ "prompt": format!("[#r{n}] question {n}") });
+    let output = expected(declaration, pipeline, &input);
+    let streamed = output.as_ref().and_then(Value::as_str).map(str::to_owned);
+    let reply = Reply {
+        told: Told::Completed,
+        status: 200,
+        output,
+        streamed,
+        detail: String::new(),
+    };
+    Request {
+        subject: format!("r{n}"),
+        pipeline: pipeline.to_owned(),
+        key: n.is_multiple_of(2).then(|| format!("k{n}")),
+        input,
+        attempts: vec![Attempt {
+            gate: "g".to_owned(),
+            sent_ms: n * 100,
+            ended_ms: n * 100 + 50,
+            reply,
+        }],
+    }
+}
+
+/// A run of `count` requests without any fault.
+fn sound(count: u64) -> Evidence {
+    let declaration = Declaration::read("d.ini", DOCUMENT.as_bytes()).unwrap();
+    let mut evidence = Evidence::default();
+    for n in 0..count {
+        let request = request(&declaration, n);
+        let last = if n.is_multiple_of(2) { "desk" } else { "plan" };
+        for (service, at) in [("roster", 10), (last, 30)] {
+            evidence
+                .journals
+                .push(entry(service, &request, n * 100 + at, Event::Started));
+            evidence
+                .journals
+                .push(entry(service, &request, n * 100 + at + 5, finished()));
+        }
+        let word = request.key.clone().map(|key| LedgerWord {
+            key,
+            told: Some(Told::Completed),
+        });
+        evidence.ledger.extend(word);
+        evidence.requests.push(request);
+        evidence.revisions.push(RevisionSeen {
+            gate: "g".to_owned(),
+            at_ms: n * 100,
+            revision: n + 1,
+        });
+    }
+    evidence.declaration = declaration;
+    evidence
+}
+
+fn names(evidence: &Evidence) -> Vec<&'static str> {
+    check(evidence).iter().map(Violation::name).collect()
+}
+
+/// A booking at or after `n`, by index.
+fn booking(n: usize) -> usize {
+    n - n % 2
+}
+
+fn tell(evidence: &mut Evidence, n: usize, told: Told) {
+    let reply = &mut evidence.requests[n].attempts[0].reply;
+    reply.told = told;
+    reply.output = None;
+    reply.streamed = None;
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    #[test]
+    fn a_sound_run_has_no_violation(count in 1_u64..30) {
+        prop_assert_eq!(names(&sound(count)), Vec::<&str>::new());
+    }
+
+    #[test]
+    fn a_doubled_booking_is_found(n in 0_usize..20) {
+        let mut evidence = sound(20);
+        let n = booking(n);
+        let again = entry("desk", &evidence.requests[n], 9_999, Event::Started);
+        evidence.journals.push(again);
+        prop_assert_eq!(names(&evidence), ["doubled_execution"]);
+    }
+
+    #[test]
+    fn swapped_answers_are_found(n in 0_usize..18) {
+        let mut evidence = sound(20);
+        let one = evidence.requests[n].attempts[0].reply.clone();
+        let two = evidence.requests[n + 2].attempts[0].reply.clone();
+        evidence.requests[n].attempts[0].reply = two;
+        evidence.requests[n + 2].attempts[0].reply = one;
+        prop_assert_eq!(names(&evidence), ["wrong_answer", "wrong_answer"]);
+    }
+
+    #[test]
+    fn a_lost_chunk_is_found(n in 0_usize..10, at in 0_usize..8) {
+        let mut evidence = sound(20);
+        let reply = &mut evidence.requests[n * 2 + 1].attempts[0].reply;
+        let mut text: Vec<char> = reply.streamed.clone().unwrap().chars().collect();
+        text.remove(at);
+        reply.streamed = Some(text.into_iter().collect());
+        prop_assert_eq!(names(&evidence), ["broken_stream"]);
+    }
+
+    #[test]
+    fn a_false_not_run_is_found(n in 0_usize..20) {
+        let mut evidence = sound(20);
+        tell(&mut evidence, n, Told::NotRun);
+        let found = names(&evidence);
+        prop_assert!(found.contains(&"false_not_run"), "{:?}", found);
+    }
+
+    #[test]
+    fn a_call_that_runs_after_its_caller_was_told_not_run_is_found(n in 0_usize..20) {
+        let mut evidence = sound(20);
+        tell(&mut evidence, n, Told::NotRun);
+        let subject = evidence.requests[n].subject.clone();
+        let is_its = |e: &JournalEntry| e.subject.as_deref() == Some(subject.as_str());
+        evidence.journals.retain(|e| !is_its(e));
+        prop_assert_eq!(names(&evidence), Vec::<&str>::new());
+        let late = entry("roster", &evidence.requests[n], 9_999, Event::Started);
+        evidence.journals.push(late);
+        prop_assert_eq!(names(&evidence), ["false_not_run"]);
+    }
+
+    #[test]
+    fn a_booking_that_ran_though_told_failed_is_found(n in 0_usize..20) {
+        let mut evidence = sound(20);
+        let n = booking(n);
+        tell(&mut evidence, n, Told::Failed);
+        prop_assert_eq!(names(&evidence), ["false_failed"]);
+    }
+
+    #[test]
+    fn a_lost_result_is_found(n in 0_usize..10) {
+        let mut evidence = sound(20);
+        evidence.ledger[n].told = None;
+        prop_assert_eq!(names(&evidence), ["lost_result"]);
+    }
+
+    #[test]
+    fn a_reverted_revision_is_found(n in 1_usize..20) {
+        let mut evidence = sound(20);
+        evidence.revisions[n].revision = n as u64;
+        evidence.revisions[n - 1].revision = n as u64 + 1;
+        prop_assert_eq!(names(&evidence), ["reverted_revision"]);
+    }
+
+    #[test]
+    fn an_invented_result_is_found(n in 0_usize..20) {
+        let mut evidence = sound(20);
+        let subject = evidence.requests[n].subject.clone();
+        let is_its = |e: &JournalEntry| {
+            e.service == "roster" && e.subject.as_deref() == Some(subject.as_str())
+        };
+        evidence.journals.retain(|e| !is_its(e));
+        prop_assert_eq!(names(&evidence), ["invented_result"]);
+    }
+
+    #[test]
+    fn a_cut_request_is_found_where_no_fault_explains_it(n in 0_usize..20) {
+        let mut evidence = sound(20);
+        tell(&mut evidence, n, Told::Broken);
+        prop_assert_eq!(names(&evidence), ["cut_request"]);
+        evidence.may_break = true;
+        prop_assert_eq!(names(&evidence), Vec::<&str>::new());
+        tell(&mut evidence, n, Told::Nothing);
+        prop_assert_eq!(names(&evidence), ["cut_request"]);
+    }
+}
