Keep declaration, ledger and leases over the replicated log: jujube-keeper

Entries carry the leader's time and limits, so that every replica decides alike. A lease passes on only when the leader has seen its last renewal applied its duration and a margin ago by its own monotonic clock; no wall clock takes part. A whole document is compared with its base revision's.

--- /dev/null
+++ b/crates/keeper/src/ledger.rs
@@ -0,0 +1,312 @@
+//! The at-most-once ledger: which call was granted to which attempt, and what became of it.
+//!
+//! Keys are UUIDv7 and sorted by the time that they carry, so that the ones beyond retention are a
+//! prefix. A key below the horizon is refused for ever; it is never forgotten into running twice.
+
+use std::collections::BTreeMap;
+
+use link::keeper::{IntentReply, LedgerEntry, Output, Settle, Settlement};
+use uuid::Uuid;
+
+use crate::{
+    codec::{Cursor, put_bytes, put_u64},
+    entry::{DIGEST_BYTES, GrantIntent, Stamp},
+};
+
+/// Most keys that one entry prunes, so that no entry takes long.
+const PRUNE_STEP: usize = 1_000;
+
+/// What is kept of a key.
+#[derive(Clone, Debug, PartialEq)]
+struct Record {
+    digest: [u8; DIGEST_BYTES],
+    attempt: [u8; 16],
+    /// End of the time in which the call may be sent, in milliseconds since the Unix epoch.
+    expires_ms: u64,
+    /// The settlement in the form of [`pack`]; empty while there is none.
+    settled: Box<[u8]>,
+}
+
+/// The ledger.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Ledger {
+    records: BTreeMap<u128, Record>,
+    horizon_ms: u64,
+    output_bytes: u64,
+}
+
+/// Why a settlement was refused.
+#[derive(Clone, Copy, Debug, PartialEq, thiserror::Error)]
+pub enum SettleError {
+    /// The key is not in the ledger.
+    #[error("settle: the key is not in the ledger or is older than the retention window")]
+    NoKey,
+    /// Another attempt was granted.
+    #[error("settle: this attempt does not have the key")]
+    OtherAttempt,
+    /// The key was settled in another way.
+    #[error("settle: the key was settled in another way before")]
+    Contradiction,
+}
+
+impl Ledger {
+    /// Number of keys.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether there is no key.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Bytes of settlements kept.
+    pub fn output_bytes(&self) -> u64 {
+        self.output_bytes
+    }
+
+    /// Moves the horizon forward and drops some of the keys below it.
+    pub fn advance(&mut self, clock_ms: u64, retention_ms: u64) {
+        let horizon = clock_ms.saturating_sub(retention_ms);
+        self.horizon_ms = self.horizon_ms.max(horizon);
+        for _ in 0..PRUNE_STEP {
+            match self.records.first_entry() {
+                Some(first) if time_of(*first.key()) < self.horizon_ms => {
+                    let record = first.remove();
+                    self.output_bytes -= record.settled.len() as u64;
+                }
+                _ => return,
+            }
+        }
+    }
+
+    /// Grants `intent`, or says why not. `clock_ms` is the state's time.
+    pub fn intent(&mut self, clock_ms: u64, stamp: &Stamp, intent: &GrantIntent) -> IntentReply {
+        let key = intent.key.as_u128();
+        let time = time_of(key);
+        if time < self.horizon_ms {
+            return IntentReply::TooOld;
+        }
+        if time > clock_ms.saturating_add(stamp.skew_ms) {
+            return IntentReply::InFuture;
+        }
+        let is_full = self.records.len() as u64 >= stamp.max_keys;
+        let fresh = Record {
+            digest: intent.digest,
+            attempt: intent.attempt.into_bytes(),
+            expires_ms: clock_ms.saturating_add(intent.expires_ms),
+            settled: Box::default(),
+        };
+        match self.records.get_mut(&key) {
+            None if is_full => IntentReply::Full,
+            None => {
+                self.records.insert(key, fresh);
+                IntentReply::Granted
+            }
+            Some(old) => repeated(old, fresh, clock_ms, stamp.grace_ms, &mut self.output_bytes),
+        }
+    }
+
+    /// Records what became of a granted call. Settling again in the same way changes nothing.
+    pub fn settle(
+        &mut self,
+        clock_ms: u64,
+        stamp: &Stamp,
+        settle: &Settle,
+    ) -> Result<(), SettleError> {
+        let key = settle.key.as_u128();
+        let record = match self.records.get_mut(&key) {
+            None if settle.settlement == Settlement::Released => {
+                return self.release_unseen(clock_ms, stamp, settle);
+            }
+            None => return Err(SettleError::NoKey),
+            Some(_) if time_of(key) < self.horizon_ms => return Err(SettleError::NoKey),
+            Some(record) => record,
+        };
+        if record.attempt != settle.attempt.into_bytes() {
+            return Err(SettleError::OtherAttempt);
+        }
+        let room = stamp.max_output_bytes.saturating_sub(self.output_bytes);
+        let settled = pack(&settle.settlement, room);
+        match (unpack(&record.settled), &settle.settlement) {
+            (None, _)
+            | (Some(Settlement::Unknown), Settlement::Completed(_) | Settlement::Refused { .. }) => {
+            }
+            // The same outcome; the output that was kept first stays.
+            (Some(Settlement::Completed(_)), Settlement::Completed(_)) => return Ok(()),
+            (Some(old), new) if old == *new => return Ok(()),
+            // A gate that gave up says `unknown` of what it had settled before its answer was lost.
+            (Some(Settlement::Completed(_) | Settlement::Refused { .. }), Settlement::Unknown) => {
+                return Ok(());
+            }
+            (Some(_), _) => return Err(SettleError::Contradiction),
+        }
+        self.output_bytes -= record.settled.len() as u64;
+        self.output_bytes += settled.len() as u64;
+        record.settled = settled;
+        Ok(())
+    }
+
+    /// A release that overtook its intent: the intent is not granted when it arrives.
+    fn release_unseen(
+        &mut self,
+        clock_ms: u64,
+        stamp: &Stamp,
+        settle: &Settle,
+    ) -> Result<(), SettleError> {
+        let key = settle.key.as_u128();
+        let window = self.horizon_ms..=clock_ms.saturating_add(stamp.skew_ms);
+        let is_full = self.records.len() as u64 >= stamp.max_keys;
+        if is_full || !window.contains(&time_of(key)) {
+            return Err(SettleError::NoKey);
+        }
+        let settled = pack(&Settlement::Released, 0);
+        self.output_bytes += settled.len() as u64;
+        let record = Record {
+            digest: [0; DIGEST_BYTES],
+            attempt: settle.attempt.into_bytes(),
+            expires_ms: clock_ms,
+            settled,
+        };
+        self.records.insert(key, record);
+        Ok(())
+    }
+
+    /// The ledger's word on `key` at `now_ms`.
+    pub fn lookup(&self, now_ms: u64, grace_ms: u64, key: Uuid) -> LedgerEntry {
+        let key = key.as_u128();
+        match self.records.get(&key) {
+            _ if time_of(key) < self.horizon_ms => LedgerEntry::TooOld,
+            None => LedgerEntry::Absent,
+            Some(record) => match unpack(&record.settled) {
+                Some(Settlement::Released) => LedgerEntry::Absent,
+                Some(settlement) => LedgerEntry::Settled(settlement),
+                None if now_ms > record.expires_ms.saturating_add(grace_ms) => {
+                    LedgerEntry::Settled(Settlement::Unknown)
+                }
+                None => LedgerEntry::InProgress,
+            },
+        }
+    }
+
+    /// Appends the ledger to a snapshot.
+    pub fn write(&self, buf: &mut Vec<u8>) {
+        put_u64(buf, self.horizon_ms);
+        put_u64(buf, self.records.len() as u64);
+        for (key, record) in &self.records {
+            buf.extend_from_slice(&key.to_be_bytes());
+            buf.extend_from_slice(&record.digest);
+            buf.extend_from_slice(&record.attempt);
+            put_u64(buf, record.expires_ms);
+            put_bytes(buf, &record.settled);
+        }
+    }
+
+    /// Reads what [`Ledger::write`] wrote.
+    pub fn read(cursor: &mut Cursor<'_>) -> Result<Self, String> {
+        let mut ledger = Self {
+            horizon_ms: cursor.u64()?,
+            ..Self::default()
+        };
+        let len = cursor.u64()?;
+        let mut records = Vec::new();
+        for _ in 0..len {
+            let key = u128::from_be_bytes(cursor.array()?);
+            let record = Record {
+                digest: cursor.array()?,
+                attempt: cursor.array()?,
+                expires_ms: cursor.u64()?,
+                settled: cursor.bytes()?.into(),
+            };
+            ledger.output_bytes += record.settled.len() as u64;
+            records.push((key, record));
+        }
+        ledger.records = records.into_iter().collect();
+        Ok(ledger)
+    }
+}
+
+/// The reply to an intent whose key has a record.
+fn repeated(
+    old: &mut Record,
+    fresh: Record,
+    clock_ms: u64,
+    grace_ms: u64,
+    output_bytes: &mut u64,
+) -> IntentReply {
+    let is_same_attempt = old.attempt == fresh.attempt;
+    match unpack(&old.settled) {
+        Some(Settlement::Released) if !is_same_attempt => {
+            *output_bytes -= old.settled.len() as u64;
+            *old = fresh;
+            IntentReply::Granted
+        }
+        Some(Settlement::Released) => IntentReply::Settled(Settlement::Released),
+        _ if old.digest != fresh.digest => IntentReply::Conflict,
+        Some(settlement) => IntentReply::Settled(settlement),
+        None if is_same_attempt && clock_ms <= old.expires_ms => IntentReply::Granted,
+        // Its holder may not send any more; nobody else ever may.
+        None if is_same_attempt => IntentReply::Settled(Settlement::Unknown),
+        None if clock_ms > old.expires_ms.saturating_add(grace_ms) => {
+            IntentReply::Settled(Settlement::Unknown)
+        }
+        None => IntentReply::InProgress,
+    }
+}
+
+/// The milliseconds since the Unix epoch that a UUIDv7 carries.
+pub fn time_of(key: u128) -> u64 {
+    (key >> 80) as u64
+}
+
+const COMPLETED: u8 = 1;
+const TOO_LARGE: u8 = 2;
+const REFUSED: u8 = 3;
+const UNKNOWN: u8 = 4;
+const RELEASED: u8 = 5;
+
+/// A settlement in few bytes; an output beyond `room` bytes is dropped and its size kept.
+fn pack(settlement: &Settlement, room: u64) -> Box<[u8]> {
+    let mut buf = Vec::new();
+    match settlement {
+        Settlement::Completed(Output::Whole(bytes)) if bytes.len() as u64 <= room => {
+            buf.reserve_exact(bytes.len() + 1);
+            buf.push(COMPLETED);
+            buf.extend_from_slice(bytes);
+        }
+        Settlement::Completed(Output::Whole(bytes)) => {
+            buf.push(TOO_LARGE);
+            put_u64(&mut buf, bytes.len() as u64);
+        }
+        Settlement::Completed(Output::TooLarge(size)) => {
+            buf.push(TOO_LARGE);
+            put_u64(&mut buf, *size);
+        }
+        Settlement::Refused { status, detail } => {
+            buf.push(REFUSED);
+            buf.extend_from_slice(&status.to_be_bytes());
+            buf.extend_from_slice(detail.as_bytes());
+        }
+        Settlement::Unknown => buf.push(UNKNOWN),
+        Settlement::Released => buf.push(RELEASED),
+    }
+    buf.into_boxed_slice()
+}
+
+/// The settlement that [`pack`] wrote; `None` while there is none.
+fn unpack(bytes: &[u8]) -> Option<Settlement> {
+    let (tag, rest) = bytes.split_first()?;
+    Some(match (*tag, rest) {
+        (COMPLETED, output) => Settlement::Completed(Output::Whole(output.to_vec())),
+        (TOO_LARGE, size) => {
+            let size = size.try_into().map_or(0, u64::from_be_bytes);
+            Settlement::Completed(Output::TooLarge(size))
+        }
+        (REFUSED, [high, low, detail @ ..]) => Settlement::Refused {
+            status: u16::from_be_bytes([*high, *low]),
+            detail: String::from_utf8_lossy(detail).into_owned(),
+        },
+        (RELEASED, _) => Settlement::Released,
+        _ => Settlement::Unknown,
+    })
+}
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -1,1 +1,27 @@
 //! The keeper: declaration, audit trail, at-most-once ledger and leases over the replicated log.
+//!
+//! [`State`] is what committed entries make; [`Machine`] joins it to the log and to followers;
+//! [`start`] brings up a process that answers clients on links and operators over HTTP.
+
+mod body;
+mod clock;
+mod codec;
+mod config;
+mod declared;
+mod entry;
+mod leases;
+mod ledger;
+mod machine;
+mod metrics;
+mod pages;
+mod refusal;
+mod service;
+mod start;
+mod state;
+
+pub use config::{Config, Limits};
+pub use entry::{Command, DIGEST_BYTES, Entry, GrantIntent, LeaseView, Stamp};
+pub use leases::{Leases, Seen};
+pub use machine::Machine;
+pub use start::start;
+pub use state::{Applied, State};
--- a/crates/keeper/src/main.rs
+++ b/crates/keeper/src/main.rs
@@ -1,3 +1,19 @@
-//! The keeper: declaration, audit trail, at-most-once ledger and leases over the replicated log.
+//! `jujube-keeper`: the keepers' process.
 
-fn main() {}
+use std::process::ExitCode;
+
+use host::role::{Program, main as role_main};
+use keeper::Config;
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+const PROGRAM: Program = Program {
+    name: "jujube-keeper",
+    about: "Keeps the declaration, the ledger and the leases",
+    version: env!("CARGO_PKG_VERSION"),
+};
+
+fn main() -> ExitCode {
+    role_main(PROGRAM, Config::read, keeper::start)
+}
--- /dev/null
+++ b/crates/keeper/src/metrics.rs
@@ -0,0 +1,92 @@
+//! The keeper's metrics.
+
+use std::time::Duration;
+
+use link::keeper::KeeperReply;
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, exponential_buckets,
+};
+use replica::{Role, Status};
+
+use crate::state::State;
+
+/// The registered metrics.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    latency: HistogramVec,
+    term: IntGauge,
+    is_leader: IntGauge,
+    commit: IntGauge,
+    applied: IntGauge,
+    revision: IntGauge,
+    ledger_keys: IntGauge,
+    ledger_bytes: IntGauge,
+}
+
+impl Metrics {
+    /// Registers all metrics in a registry of their own.
+    pub fn new() -> eyre::Result<Self> {
+        let registry = Registry::new();
+        let gauge = |name: &str, help: &str| -> eyre::Result<IntGauge> {
+            let gauge = IntGauge::new(format!("jujube_keeper_{name}"), help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok(gauge)
+        };
+        let requests = IntCounterVec::new(
+            Opts::new(
+                "jujube_keeper_requests_total",
+                "Requests of clients by kind and reply.",
+            ),
+            &["kind", "reply"],
+        )?;
+        registry.register(Box::new(requests.clone()))?;
+        let buckets = exponential_buckets(0.000_25, 2.0, 14)?;
+        let latency = HistogramVec::new(
+            HistogramOpts::new(
+                "jujube_keeper_request_seconds",
+                "Time to the reply by kind of request.",
+            )
+            .buckets(buckets),
+            &["kind"],
+        )?;
+        registry.register(Box::new(latency.clone()))?;
+        Ok(Self {
+            requests,
+            latency,
+            term: gauge("term", "Term of the log.")?,
+            is_leader: gauge("is_leader", "1 while this keeper leads.")?,
+            commit: gauge("commit_index", "Last committed index known here.")?,
+            applied: gauge("applied_index", "Last index applied here.")?,
+            revision: gauge("revision", "Revision of the declaration here.")?,
+            ledger_keys: gauge("ledger_keys", "Keys in the ledger.")?,
+            ledger_bytes: gauge("ledger_output_bytes", "Bytes of outputs in the ledger.")?,
+            registry,
+        })
+    }
+
+    /// Counts a reply.
+    pub fn answered(&self, kind: &str, reply: &KeeperReply, elapsed: Duration) {
+        let name = match reply {
+            KeeperReply::NoQuorum => "no_quorum",
+            KeeperReply::Invalid(_) => "invalid",
+            _ => "answered",
+        };
+        self.requests.with_label_values(&[kind, name]).inc();
+        let latency = self.latency.with_label_values(&[kind]);
+        latency.observe(elapsed.as_secs_f64());
+    }
+
+    /// The metrics page.
+    pub fn text(&self, status: &Status, state: &State) -> String {
+        self.term.set(status.term as i64);
+        self.is_leader.set(i64::from(status.role == Role::Leader));
+        self.commit.set(status.commit as i64);
+        self.applied.set(status.applied as i64);
+        self.revision.set(state.declared.revision() as i64);
+        self.ledger_keys.set(state.ledger.len() as i64);
+        self.ledger_bytes.set(state.ledger.output_bytes() as i64);
+        host::http::metrics_text(&self.registry)
+    }
+}
--- /dev/null
+++ b/crates/keeper/src/service.rs
@@ -0,0 +1,372 @@
+//! Answers the keepers' clients: by the log where this keeper leads, else through the leader.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use declaration::AuditRecord;
+use link::{
+    Channel, Identity, Incoming, LinkConfig, Peer, Role, decode, encode,
+    keeper::{AUDIT_PAGE, KeeperReply, KeeperRequest, MemberAction, Output, Settle, Settlement},
+};
+use replica::{MemberChange, MemberError, ProposeError, Replica, Status};
+use tokio::time::{Instant, sleep, timeout};
+use uuid::Uuid;
+
+use crate::{
+    clock::Clock,
+    config::Limits,
+    entry::{Command, DIGEST_BYTES, Entry, GrantIntent, Stamp},
+    machine::Machine,
+    metrics::Metrics,
+};
+
+/// Bound on one request; below the time that clients give one keeper.
+const ASK_LIMIT: Duration = Duration::from_millis(1_300);
+/// Bound on a change of members, which waits for a learner to catch up.
+const MEMBER_LIMIT: Duration = Duration::from_secs(4);
+/// Pause before another attempt while no leader is known.
+const RETRY_PAUSE: Duration = Duration::from_millis(25);
+/// Longest words of a service that are kept, in bytes.
+const MAX_DETAIL_BYTES: usize = 1_024;
+/// Longest time in which an intent may be sent.
+const MAX_EXPIRES: Duration = Duration::from_mins(10);
+
+/// Where a request came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// A client; it is passed to the leader.
+    Client,
+    /// Another keeper; it is not passed on again.
+    Keeper,
+}
+
+/// What one attempt gave.
+enum Attempt {
+    Reply(KeeperReply),
+    Again,
+}
+
+/// The keeper's answering side.
+#[derive(Debug)]
+pub struct Service {
+    replica: Replica,
+    machine: Arc<Machine>,
+    clock: Clock,
+    limits: Limits,
+    links: LinkConfig,
+    peers: Mutex<HashMap<String, Peer>>,
+    metrics: Metrics,
+}
+
+impl Service {
+    /// Answers by `replica` and `machine`; `peers` are the links to other keepers.
+    pub fn new(
+        replica: Replica,
+        machine: Arc<Machine>,
+        limits: Limits,
+        links: LinkConfig,
+        peers: &[Peer],
+        metrics: Metrics,
+    ) -> Self {
+        let named = |peer: &Peer| (peer.name().to_owned(), peer.clone());
+        Self {
+            replica,
+            machine,
+            clock: Clock::start(),
+            limits,
+            links,
+            peers: Mutex::new(peers.iter().map(named).collect()),
+            metrics,
+        }
+    }
+
+    /// The state.
+    pub fn machine(&self) -> &Machine {
+        &self.machine
+    }
+
+    /// The log's status.
+    pub fn status(&self) -> Status {
+        self.replica.status()
+    }
+
+    /// The keeper's metrics.
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
+    /// Answers a call on a link.
+    pub async fn answer(&self, call: Incoming) -> Vec<u8> {
+        match call.channel {
+            Channel::Agreement => self.replica.answer(&call.from, call.body).await,
+            Channel::Follow => self.machine.feed().answer(&call.body).await,
+            Channel::Keeper => encode(&self.answer_client(&call.from, &call.body).await),
+            // Not a keeper's business; a caller can't take an empty reply for an answer.
+            Channel::Membership => Vec::new(),
+        }
+    }
+
+    async fn answer_client(&self, from: &Identity, body: &[u8]) -> KeeperReply {
+        let origin = match from.role {
+            Role::Keeper => Origin::Keeper,
+            _ => Origin::Client,
+        };
+        match decode::<KeeperRequest>(body) {
+            Ok(req) => self.ask(req, origin).await,
+            Err(e) => KeeperReply::Invalid(e.to_string()),
+        }
+    }
+
+    /// Answers `req`, or says that no quorum does. Every request is idempotent, so that it is tried
+    /// again while its fate is unknown.
+    pub async fn ask(&self, req: KeeperRequest, origin: Origin) -> KeeperReply {
+        let started = Instant::now();
+        let kind = kind_of(&req);
+        let reply = match req {
+            KeeperRequest::Lookup(key) => self.lookup(key).await,
+            KeeperRequest::Audit { from } => match self.audit(from).await {
+                Some(records) => KeeperReply::Audit(records),
+                None => KeeperReply::NoQuorum,
+            },
+            req => match self.checked(req) {
+                Ok(req) => self.write(&req, origin).await,
+                Err(what) => KeeperReply::Invalid(what),
+            },
+        };
+        self.metrics.answered(kind, &reply, started.elapsed());
+        reply
+    }
+
+    async fn write(&self, req: &KeeperRequest, origin: Origin) -> KeeperReply {
+        let limit = match req {
+            KeeperRequest::Member { .. } => MEMBER_LIMIT,
+            _ => ASK_LIMIT,
+        };
+        let deadline = Instant::now() + limit;
+        loop {
+            let left = deadline.saturating_duration_since(Instant::now());
+            match timeout(left, self.attempt(req, origin, left)).await {
+                Ok(Attempt::Reply(reply)) => return reply,
+                Ok(Attempt::Again) if origin == Origin::Client => sleep(RETRY_PAUSE).await,
+                Ok(Attempt::Again) | Err(_) => return KeeperReply::NoQuorum,
+            }
+        }
+    }
+
+    async fn attempt(&self, req: &KeeperRequest, origin: Origin, left: Duration) -> Attempt {
+        let result = match req {
+            KeeperRequest::Member { name, action } => self.change_members(name, action).await,
+            req => self.propose(req).await,
+        };
+        match result {
+            Ok(reply) => Attempt::Reply(reply),
+            Err(ProposeError::NotLeader {
+                leader: Some(leader),
+            }) if origin == Origin::Client => self.forward(&leader, req, left).await,
+            Err(ProposeError::TooLarge) => {
+                Attempt::Reply(KeeperReply::Invalid(ProposeError::TooLarge.to_string()))
+            }
+            Err(_) => Attempt::Again,
+        }
+    }
+
+    async fn propose(&self, req: &KeeperRequest) -> Result<KeeperReply, ProposeError> {
+        let Some(command) = self.command(req) else {
+            return Ok(KeeperReply::Invalid("not a request for the log".to_owned()));
+        };
+        let stamp = self.stamp();
+        let entry = encode(&Entry { stamp, command });
+        let applied = self.replica.propose(entry).await?;
+        let reply = decode(&applied.reply);
+        Ok(reply.unwrap_or_else(|e| KeeperReply::Invalid(e.to_string())))
+    }
+
+    async fn change_members(
+        &self,
+        name: &str,
+        action: &MemberAction,
+    ) -> Result<KeeperReply, ProposeError> {
+        let name = name.to_owned();
+        let change = match action {
+            MemberAction::Add { address } => MemberChange::AddLearner {
+                name,
+                address: address.to_string(),
+            },
+            MemberAction::Promote => MemberChange::Promote { name },
+            MemberAction::Remove { force: false } => MemberChange::Remove { name },
+            MemberAction::Remove { force: true } => MemberChange::RemoveUnsafely { name },
+        };
+        match self.replica.change_members(change).await {
+            Ok(()) => Ok(KeeperReply::MemberChanged),
+            Err(MemberError::Refused(why)) => Ok(KeeperReply::Invalid(why)),
+            Err(MemberError::NotLeader { leader }) => Err(ProposeError::NotLeader { leader }),
+            Err(MemberError::Lost) => Err(ProposeError::Lost),
+            Err(MemberError::Stopped) => Err(ProposeError::Stopped),
+        }
+    }
+
+    /// Passes `req` to the leader, which does not pass it on.
+    async fn forward(&self, leader: &str, req: &KeeperRequest, left: Duration) -> Attempt {
+        let Some(peer) = self.peer(leader) else {
+            return Attempt::Again;
+        };
+        match peer.call(Channel::Keeper, req, left).await {
+            Ok(KeeperReply::NoQuorum) | Err(_) => Attempt::Again,
+            Ok(reply) => Attempt::Reply(reply),
+        }
+    }
+
+    /// The link to the keeper `name`; one that joined later is found among the members.
+    fn peer(&self, name: &str) -> Option<Peer> {
+        let members = self.replica.status().members;
+        let mut members = members.voters.iter().chain(&members.learners);
+        let member = members.find(|member| member.name == name);
+        let member = member.and_then(|member| member.address.parse().ok());
+        let mut peers = self.peers.lock().expect("no holder of this lock panics");
+        match (peers.get(name), member) {
+            (Some(peer), None) => Some(peer.clone()),
+            (Some(peer), Some(address)) if peer.address() == address => Some(peer.clone()),
+            (None, None) => None,
+            (_, Some(address)) => {
+                let peer = Peer::start(name, address, &self.links);
+                peers.insert(name.to_owned(), peer.clone());
+                Some(peer)
+            }
+        }
+    }
+
+    async fn lookup(&self, key: Uuid) -> KeeperReply {
+        if !self.is_current().await {
+            return KeeperReply::NoQuorum;
+        }
+        let (now, grace) = (self.clock.now_ms(), millis(self.limits.grace));
+        let entry = self.machine.read(|state| {
+            let now = now.max(state.clock_ms());
+            state.ledger.lookup(now, grace, key)
+        });
+        KeeperReply::Lookup(entry)
+    }
+
+    /// One page of the audit trail; `None` without a quorum.
+    pub async fn audit(&self, from: u64) -> Option<Vec<AuditRecord>> {
+        if !self.is_current().await {
+            return None;
+        }
+        Some(self.machine.read(|state| {
+            let records = state.declared.audit(from);
+            records.take(AUDIT_PAGE).cloned().collect()
+        }))
+    }
+
+    /// Whether all that was committed before the call is applied here, as a quorum confirms.
+    pub async fn is_current(&self) -> bool {
+        let deadline = Instant::now() + ASK_LIMIT;
+        loop {
+            let left = deadline.saturating_duration_since(Instant::now());
+            match timeout(left, self.replica.read_barrier()).await {
+                Ok(Ok(_)) => return true,
+                Err(_) => return false,
+                Ok(Err(_)) => sleep(RETRY_PAUSE).await,
+            }
+        }
+    }
+
+    fn stamp(&self) -> Stamp {
+        Stamp {
+            now_ms: self.clock.now_ms(),
+            retention_ms: millis(self.limits.retention),
+            skew_ms: millis(self.limits.skew),
+            grace_ms: millis(self.limits.grace),
+            max_keys: self.limits.max_keys,
+            max_output_bytes: self.limits.max_outputs_bytes,
+        }
+    }
+
+    fn command(&self, req: &KeeperRequest) -> Option<Command> {
+        Some(match req {
+            KeeperRequest::Intent(intent) => Command::Intent(GrantIntent {
+                key: intent.key,
+                digest: intent.digest.first_chunk().copied()?,
+                attempt: intent.attempt,
+                expires_ms: millis(intent.expires),
+            }),
+            KeeperRequest::Settle(settle) => Command::Settle(settle.clone()),
+            KeeperRequest::Lease(request) => Command::Lease {
+                request: request.clone(),
+                view: self.machine.lease_view(&request.name),
+            },
+            KeeperRequest::EndLease { name, fencing } => Command::EndLease {
+                name: name.clone(),
+                fencing: *fencing,
+            },
+            KeeperRequest::Change(change) => Command::Change(change.clone()),
+            _ => return None,
+        })
+    }
+
+    /// Refuses what the log must not get and cuts what is too large to keep.
+    fn checked(&self, req: KeeperRequest) -> Result<KeeperRequest, String> {
+        match &req {
+            KeeperRequest::Intent(intent) if intent.key.get_version_num() != 7 => {
+                return Err("intent: the key is no UUIDv7".to_owned());
+            }
+            KeeperRequest::Intent(intent) if intent.digest.len() < DIGEST_BYTES => {
+                return Err(format!(
+                    "intent: the digest has less than {DIGEST_BYTES} bytes"
+                ));
+            }
+            KeeperRequest::Intent(intent) if intent.expires > MAX_EXPIRES => {
+                return Err(format!("intent: expires is longer than {MAX_EXPIRES:?}"));
+            }
+            KeeperRequest::Settle(settle) if settle.key.get_version_num() != 7 => {
+                return Err("settle: the key is no UUIDv7".to_owned());
+            }
+            _ => {}
+        }
+        Ok(match req {
+            KeeperRequest::Settle(settle) => {
+                KeeperRequest::Settle(cut(settle, self.limits.max_output_bytes))
+            }
+            req => req,
+        })
+    }
+}
+
+/// Drops an output beyond `max_output_bytes` and shortens long words.
+fn cut(settle: Settle, max_output_bytes: u64) -> Settle {
+    let settlement = match settle.settlement {
+        Settlement::Completed(Output::Whole(bytes)) if bytes.len() as u64 > max_output_bytes => {
+            Settlement::Completed(Output::TooLarge(bytes.len() as u64))
+        }
+        Settlement::Refused { status, mut detail } => {
+            let end = detail.floor_char_boundary(MAX_DETAIL_BYTES);
+            detail.truncate(end);
+            Settlement::Refused { status, detail }
+        }
+        other => other,
+    };
+    Settle {
+        settlement,
+        ..settle
+    }
+}
+
+fn kind_of(req: &KeeperRequest) -> &'static str {
+    match req {
+        KeeperRequest::Intent(_) => "intent",
+        KeeperRequest::Settle(_) => "settle",
+        KeeperRequest::Lookup(_) => "lookup",
+        KeeperRequest::Lease(_) => "lease",
+        KeeperRequest::EndLease { .. } => "end_lease",
+        KeeperRequest::Change(_) => "change",
+        KeeperRequest::Audit { .. } => "audit",
+        KeeperRequest::Member { .. } => "member",
+    }
+}
+
+fn millis(d: Duration) -> u64 {
+    d.as_millis() as u64
+}
--- /dev/null
+++ b/crates/keeper/src/start.rs
@@ -0,0 +1,153 @@
+//! Brings a keeper up.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use host::{http, role::Running, shutdown::Stopped};
+use link::{Identity, LinkConfig, Peer, Role, serve};
+use replica::{Replica, ReplicaConfig};
+use spdlog::{error, warn};
+use tokio::{
+    net::TcpListener,
+    time::{Instant, interval, sleep},
+};
+use uuid::Uuid;
+
+use crate::{
+    config::Config,
+    machine::Machine,
+    metrics::Metrics,
+    pages::{Pages, router},
+    service::Service,
+};
+
+/// Longest time for requests in flight to end after the order to stop.
+const DRAIN_LIMIT: Duration = Duration::from_secs(5);
+/// Without a quorum for this long after its start, a keeper lets followers see what it holds.
+const PUBLISH_GRACE: Duration = Duration::from_secs(10);
+const PUBLISH_PAUSE: Duration = Duration::from_millis(50);
+/// Time between looks at whether the log has stopped.
+const WATCH_EVERY: Duration = Duration::from_millis(200);
+
+/// Binds the listeners, opens the log and serves until stopped.
+pub async fn start(cfg: Config, stopped: Stopped) -> eyre::Result<Running> {
+    warn_of_missing_security(&cfg);
+    let bound = http::bind(cfg.http).await?;
+    let listener = bind_link(cfg.link).await?;
+    let (http, link) = (bound.local, listener.local_addr()?);
+    let links = link_config(&cfg);
+    let own = &cfg.vm.name;
+    let others = cfg.keepers.iter().filter(|peer| peer.name != *own);
+    let peers: Vec<Peer> = others
+        .map(|peer| Peer::start(&peer.name, peer.address, &links))
+        .collect();
+    let machine = Arc::new(Machine::new());
+    let replica = Replica::start(
+        replica_config(&cfg, &links),
+        peers.clone(),
+        machine.functions(),
+    )
+    .await?;
+    let service = Arc::new(Service::new(
+        replica.clone(),
+        Arc::clone(&machine),
+        cfg.limits,
+        links.clone(),
+        &peers,
+        Metrics::new()?,
+    ));
+    let answering = Arc::clone(&service);
+    let links = serve(listener, links, move |call| {
+        let service = Arc::clone(&answering);
+        async move { service.answer(call).await }
+    });
+    let links = tokio::spawn(links);
+    let publishing = tokio::spawn(publish(Arc::clone(&service)));
+    let operators = cfg.operators;
+    let (pages, serving) = http::serve(bound, router(Pages { service, operators }));
+    let task = tokio::spawn(async move {
+        let failed = run(&replica, stopped).await;
+        pages.stop_graceful(DRAIN_LIMIT);
+        replica.stop().await;
+        publishing.abort();
+        links.abort();
+        serving.await?;
+        match failed {
+            None => Ok(()),
+            Some(why) => Err(eyre::eyre!("keep the log: {why}")),
+        }
+    });
+    Ok(Running {
+        http,
+        link: Some(link),
+        task,
+    })
+}
+
+/// Waits for the order to stop, or for the log to stop by itself, and then says why.
+async fn run(replica: &Replica, mut stopped: Stopped) -> Option<String> {
+    let mut looks = interval(WATCH_EVERY);
+    loop {
+        tokio::select! {
+            () = stopped.wait() => return None,
+            _ = looks.tick() => {}
+        }
+        if let Some(why) = replica.status().failed {
+            error!("the log has stopped", kv: { step = "keep the log", why = why.clone() });
+            return Some(why);
+        }
+    }
+}
+
+/// Lets followers see the declaration once a quorum has confirmed that it is the current one. What
+/// is on disk is committed but may be old, so it is shown only after a while without a quorum.
+async fn publish(service: Arc<Service>) {
+    let start = Instant::now();
+    loop {
+        let has_some = || {
+            service
+                .machine()
+                .read(|state| state.declared.revision() > 0)
+        };
+        let is_overdue = start.elapsed() > PUBLISH_GRACE && has_some();
+        if is_overdue || service.is_current().await {
+            return service.machine().publish();
+        }
+        sleep(PUBLISH_PAUSE).await;
+    }
+}
+
+async fn bind_link(address: SocketAddr) -> eyre::Result<TcpListener> {
+    TcpListener::bind(address).await.map_err(|e| {
+        eyre::eyre!("bind link listener on {address}: {e}; free the port or set [listen] link")
+    })
+}
+
+fn link_config(cfg: &Config) -> LinkConfig {
+    let mut links = LinkConfig::new(Identity {
+        vm: cfg.vm.name.clone(),
+        az: cfg.vm.availability_zone.clone(),
+        role: Role::Keeper,
+        incarnation: Uuid::now_v7(),
+    });
+    links.key = cfg.link_key.as_ref().map(|key| key.expose().to_vec());
+    links
+}
+
+fn replica_config(cfg: &Config, links: &LinkConfig) -> ReplicaConfig {
+    let voters = cfg.keepers.iter().map(|peer| peer.name.clone()).collect();
+    let mut replica = ReplicaConfig::new(&cfg.vm.name, cfg.folder.clone(), voters);
+    replica.timing = cfg.timing;
+    replica.group_commit = cfg.group_commit;
+    replica.snapshot_after = cfg.snapshot_after;
+    replica.link = Some(links.clone());
+    replica
+}
+
+fn warn_of_missing_security(cfg: &Config) {
+    if cfg.operators.is_empty() && !cfg.http.ip().is_loopback() {
+        warn!("no [security] operator_tokens_file: anyone who reaches this address can change the declaration", kv: { step = "start", http = cfg.http.to_string() });
+    }
+    if cfg.link_key.is_none() && !cfg.link.ip().is_loopback() {
+        warn!("no [security] link_key_file: anyone who reaches this address can act as a keeper", kv: { step = "start", link = cfg.link.to_string() });
+    }
+}
--- /dev/null
+++ b/crates/keeper/src/state.rs
@@ -0,0 +1,145 @@
+//! The replicated state: what committed entries make of the declaration, the ledger and the leases.
+//!
+//! Everything here is deterministic: the same entries give the same state and the same replies on
+//! every replica. Time and limits come from the entries alone.
+
+use declaration::Change;
+use derives::record;
+use link::keeper::{KeeperReply, LeaseReply};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::{
+    codec::{Cursor, put_bytes, put_u64},
+    declared::{Declared, DeclaredSnapshot},
+    entry::{Command, Entry},
+    leases::Leases,
+    ledger::Ledger,
+};
+
+/// First bytes of a snapshot; the number grows with the form.
+const SNAPSHOT_MARK: u64 = 0x6a75_6a75_6265_0001;
+
+/// The state.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct State {
+    /// The latest stamp, in milliseconds since the Unix epoch; never falls.
+    clock_ms: u64,
+    /// Chained over every entry and its reply.
+    digest: u64,
+    /// The declaration.
+    pub declared: Declared,
+    /// The at-most-once ledger.
+    pub ledger: Ledger,
+    /// The leases.
+    pub leases: Leases,
+}
+
+#[record]
+struct SnapshotHead {
+    declared: DeclaredSnapshot,
+    leases: Leases,
+}
+
+/// What applying an entry gave.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Applied {
+    /// The encoded reply.
+    pub reply: Vec<u8>,
+    /// The name of the lease that the entry was about.
+    pub lease: Option<String>,
+}
+
+fn lease_of(command: Command) -> Option<String> {
+    match command {
+        Command::Lease { request, .. } => Some(request.name),
+        _ => None,
+    }
+}
+
+impl State {
+    /// The latest stamp, in milliseconds since the Unix epoch.
+    pub fn clock_ms(&self) -> u64 {
+        self.clock_ms
+    }
+
+    /// Differs between replicas whose entries or replies differed.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Applies the encoded entry at `index`.
+    pub fn apply(&mut self, index: u64, bytes: &[u8]) -> Applied {
+        let (reply, lease) = match link::decode::<Entry>(bytes) {
+            Ok(entry) => (self.apply_entry(index, &entry), lease_of(entry.command)),
+            Err(e) => (KeeperReply::Invalid(format!("entry {index}: {e}")), None),
+        };
+        let reply = link::encode(&reply);
+        self.digest = xxh3_64_with_seed(bytes, self.digest ^ index);
+        self.digest = xxh3_64_with_seed(&reply, self.digest);
+        Applied { reply, lease }
+    }
+
+    fn apply_entry(&mut self, index: u64, entry: &Entry) -> KeeperReply {
+        let stamp = &entry.stamp;
+        self.clock_ms = self.clock_ms.max(stamp.now_ms);
+        self.ledger.advance(self.clock_ms, stamp.retention_ms);
+        match &entry.command {
+            Command::Intent(intent) => {
+                KeeperReply::Intent(self.ledger.intent(self.clock_ms, stamp, intent))
+            }
+            Command::Settle(settle) => match self.ledger.settle(self.clock_ms, stamp, settle) {
+                Ok(()) => KeeperReply::Settled,
+                Err(e) => KeeperReply::Invalid(e.to_string()),
+            },
+            Command::Lease { request, view } => {
+                let reply: Result<LeaseReply, String> = self.leases.request(index, request, view);
+                reply.map_or_else(KeeperReply::Invalid, KeeperReply::Lease)
+            }
+            Command::EndLease { name, fencing } => {
+                self.leases.end(name, *fencing);
+                KeeperReply::LeaseEnded
+            }
+            Command::Change(change) => self.change(change),
+        }
+    }
+
+    fn change(&mut self, change: &Change) -> KeeperReply {
+        match self.declared.apply(self.clock_ms, change) {
+            Ok(reply) => KeeperReply::Change(reply),
+            Err(e) => KeeperReply::Invalid(e.to_string()),
+        }
+    }
+
+    /// The whole state, encoded.
+    pub fn snapshot(&self) -> Vec<u8> {
+        let mut buf = Vec::new();
+        put_u64(&mut buf, SNAPSHOT_MARK);
+        put_u64(&mut buf, self.clock_ms);
+        put_u64(&mut buf, self.digest);
+        let head = SnapshotHead {
+            declared: self.declared.to_snapshot(),
+            leases: self.leases.clone(),
+        };
+        put_bytes(&mut buf, &link::encode(&head));
+        self.ledger.write(&mut buf);
+        buf
+    }
+
+    /// The state that `bytes` encode.
+    pub fn restore(bytes: &[u8]) -> Result<Self, String> {
+        let mut cursor = Cursor(bytes);
+        if cursor.u64()? != SNAPSHOT_MARK {
+            return Err("snapshot is of another form; run the program that wrote it".to_owned());
+        }
+        let clock_ms = cursor.u64()?;
+        let digest = cursor.u64()?;
+        let head = link::decode::<SnapshotHead>(cursor.bytes()?).map_err(|e| e.to_string())?;
+        Ok(Self {
+            clock_ms,
+            digest,
+            declared: Declared::from_snapshot(head.declared),
+            leases: head.leases,
+            ledger: Ledger::read(&mut cursor)?,
+        })
+    }
+}
--- a/crates/link/src/feed.rs
+++ b/crates/link/src/feed.rs
@@ -145,6 +145,16 @@
         Ok(true)
     }
 
+    /// Adds changes up to the one in force, known from elsewhere, so that followers which lack only
+    /// some of them need no snapshot.
+    pub fn preload(&self, changes: Vec<Revision>) {
+        let mut recent = self.lock();
+        if changes.last().map(|change| change.revision) == self.revision() {
+            recent.tail = changes.into();
+            recent.encoded = None;
+        }
+    }
+
     /// Takes a source's answer. Returns whether anything was new.
     pub fn take(&self, answer: Followed) -> Result<bool, FeedError> {
         match answer {
--- a/crates/link/src/keeper.rs
+++ b/crates/link/src/keeper.rs
@@ -1,6 +1,6 @@
 //! What a keeper's clients ask and what it answers.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use declaration::{AuditRecord, Change, Conflict, Fault};
 use derives::record;
@@ -34,6 +34,31 @@
         /// The first revision wanted.
         from: u64,
     },
+    /// Changes the keepers' own group.
+    Member {
+        /// The VM of the keeper that it is about.
+        name: String,
+        /// What to do with it.
+        action: MemberAction,
+    },
+}
+
+/// One change of the keepers' group.
+#[record]
+#[derive(Eq)]
+pub enum MemberAction {
+    /// Joins a keeper as a learner.
+    Add {
+        /// Its link address.
+        address: SocketAddr,
+    },
+    /// Makes a learner that has caught up a voter.
+    Promote,
+    /// Takes a keeper out.
+    Remove {
+        /// Do it although the quorum is then one failure from loss.
+        force: bool,
+    },
 }
 
 /// One gate's wish to send one call that may not be repeated.
@@ -131,6 +156,8 @@
     Change(ChangeReply),
     /// To [`KeeperRequest::Audit`]: records in order of their revisions; empty past the newest.
     Audit(Vec<AuditRecord>),
+    /// To [`KeeperRequest::Member`]: committed, or was before.
+    MemberChanged,
     /// No quorum answers; nothing was applied that this keeper knows of, and a resend is safe.
     NoQuorum,
     /// The request is refused as it stands.
