--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -19,7 +19,7 @@
 pub use delta::Delta;
 pub use endpoint::{Announced, Announcement, Load, LoadedModel, Readiness, StageRole};
 pub use live::{Live, Reported};
-pub use message::{Changes, Reply, Request, Sampled, Stamp};
+pub use message::{Changes, Held, Reply, Request};
 pub use spread::neighbours;
 pub use table::{AnnounceError, Table};
 pub use view::{Endpoint, EndpointState, EndpointView, ServiceSnapshot};
--- a/crates/membership/src/message.rs
+++ b/crates/membership/src/message.rs
@@ -33,14 +33,14 @@
         /// The buckets.
         buckets: Vec<u8>,
         /// What the asking gate holds of them.
-        held: Vec<Stamp>,
+        held: Vec<Held>,
     },
     /// Asks for the whole table of the availability zone; a gate that has just started.
     Pull,
     /// Asks a gate of another availability zone for a bounded part of its endpoints.
     Sample {
         /// What the asking gate holds of that availability zone.
-        held: Vec<Stamp>,
+        held: Vec<Held>,
     },
     /// Asks for the endpoints that changed; from a controller.
     Since {
@@ -53,20 +53,13 @@
     },
 }
 
-/// An endpoint's name and what it announced, hashed.
+/// An endpoint that the sending gate holds.
 #[token]
-pub struct Stamp {
-    /// Hash of the name.
+pub struct Held {
+    /// Hash of its name.
     pub name: u64,
     /// Hash of what it announced.
-    pub content: u64,
-}
-
-/// An endpoint of a sample that the asking gate holds already.
-#[token]
-pub struct Sampled {
-    /// Hash of the name.
-    pub name: u64,
+    pub stamp: u64,
     /// Age and load.
     pub vitals: u8,
 }
@@ -82,6 +75,8 @@
     Repaired {
         /// What the asking gate lacks or holds differently.
         deltas: Vec<Delta>,
+        /// What both hold.
+        unchanged: Vec<Held>,
         /// Hashes of names whose deltas are wanted.
         wanted: Vec<u64>,
     },
@@ -92,7 +87,7 @@
         /// What the asking gate lacks or holds differently.
         deltas: Vec<Delta>,
         /// What it holds already.
-        unchanged: Vec<Sampled>,
+        unchanged: Vec<Held>,
     },
     /// To [`Request::Since`].
     Since(Changes),
@@ -154,52 +149,58 @@
     table.publish(state);
 }
 
-fn stamps(held: &[Stamp]) -> HashMap<u64, u64> {
-    held.iter().map(|s| (s.name, s.content)).collect()
+/// What a gate lacks that holds `held` of `entries`, and what both hold.
+fn differing(entries: &[&Entry], held: &[Held], now: Instant) -> (Vec<Delta>, Vec<Held>) {
+    let theirs: HashMap<u64, u64> = held.iter().map(|h| (h.name, h.stamp)).collect();
+    let is_same = |e: &&Entry| theirs.get(&e.name_hash) == Some(&e.stamp);
+    let (same, other): (Vec<&Entry>, Vec<&Entry>) = entries.iter().partition(|e| is_same(e));
+    let deltas = other.iter().map(|e| Delta::of(&e.endpoint, now)).collect();
+    (deltas, State::held(same.into_iter(), now))
 }
 
-fn repair(state: &State, buckets: &[u8], held: &[Stamp], now: Instant) -> Reply {
-    let theirs = stamps(held);
+/// Takes the vitals of those of `entries` that both gates hold alike.
+pub(crate) fn hear_held(entries: &[&Entry], held: &[Held], now: Instant) {
+    let theirs: HashMap<u64, &Held> = held.iter().map(|h| (h.name, h)).collect();
+    for entry in entries {
+        match theirs.get(&entry.name_hash) {
+            Some(held) if held.stamp == entry.stamp => vitals::apply(entry, held.vitals, now),
+            _ => {}
+        }
+    }
+}
+
+fn repair(state: &State, buckets: &[u8], held: &[Held], now: Instant) -> Reply {
     let is_asked = |e: &&Entry| buckets.contains(&(bucket_of(e.name_hash) as u8));
     let asked: Vec<&Entry> = state.shared_entries().filter(is_asked).collect();
+    hear_held(&asked, held, now);
     let ours: HashMap<u64, u64> = asked.iter().map(|e| (e.name_hash, e.stamp)).collect();
-    let differs = |e: &&&Entry| theirs.get(&e.name_hash) != Some(&e.stamp);
-    let deltas = asked.iter().filter(differs);
-    let wanted = held
-        .iter()
-        .filter(|s| ours.get(&s.name) != Some(&s.content));
+    let is_wanted = |h: &&Held| ours.get(&h.name) != Some(&h.stamp);
+    let wanted = held.iter().filter(is_wanted).map(|h| h.name).collect();
+    let (deltas, unchanged) = differing(&asked, held, now);
     Reply::Repaired {
-        deltas: deltas.map(|e| Delta::of(&e.endpoint, now)).collect(),
-        wanted: wanted.map(|s| s.name).collect(),
+        deltas,
+        unchanged,
+        wanted,
     }
 }
 
 /// A bounded number of ready endpoints of each service of this availability zone, the same ones
 /// as long as they stay.
-fn sample(table: &Table, held: &[Stamp], now: Instant) -> Reply {
+fn sample(table: &Table, held: &[Held], now: Instant) -> Reply {
     let state = table.lock();
     let cfg = table.config();
-    let theirs = stamps(held);
     let mut taken: HashMap<&str, usize> = HashMap::new();
-    let mut deltas = Vec::new();
-    let mut unchanged = Vec::new();
     let is_lively = |e: &&Entry| {
         e.endpoint.is_ready(now) && e.endpoint.live.silence(now) < cfg.suspect_after / 2
     };
-    for entry in state.shared_entries().filter(is_lively) {
+    let lively = state.shared_entries().filter(is_lively);
+    let chosen = lively.filter(|entry| {
         let count = taken.entry(&entry.endpoint.announced.service).or_default();
-        if *count >= cfg.max_remote_per_service {
-            continue;
-        }
         *count += 1;
-        match theirs.get(&entry.name_hash) {
-            Some(stamp) if *stamp == entry.stamp => unchanged.push(Sampled {
-                name: entry.name_hash,
-                vitals: vitals::of(entry, now),
-            }),
-            _ => deltas.push(Delta::of(&entry.endpoint, now)),
-        }
-    }
+        *count <= cfg.max_remote_per_service
+    });
+    let chosen: Vec<&Entry> = chosen.collect();
+    let (deltas, unchanged) = differing(&chosen, held, now);
     Reply::Sample { deltas, unchanged }
 }
 
--- a/crates/membership/src/remote.rs
+++ b/crates/membership/src/remote.rs
@@ -8,8 +8,8 @@
 
 use crate::{
     Table,
-    message::{Reply, Request, Sampled, Stamp, merge_all},
-    vitals,
+    message::{Reply, Request, hear_held, merge_all},
+    state::{Entry, State},
 };
 
 const SAMPLE_EVERY: Duration = Duration::from_secs(1);
@@ -44,36 +44,16 @@
 
 impl Table {
     async fn sample_from(&self, peer: &Peer, az: &str) -> Result<(), LinkError> {
-        let held = self.held_of(az);
+        let held = State::held(self.lock().entries_of(az), Instant::now());
         let req = Request::Sample { held };
         let reply = peer.call(Channel::Membership, &req, CALL_LIMIT).await?;
         if let Reply::Sample { deltas, unchanged } = reply {
             let of_it = deltas.into_iter().filter(|d| d.announced.az == az);
             merge_all(self, of_it.collect(), Some(peer.name()));
-            self.hear_sampled(az, &unchanged);
+            let state = self.lock();
+            let entries: Vec<&Entry> = state.entries_of(az).collect();
+            hear_held(&entries, &unchanged, Instant::now());
         }
         Ok(())
     }
-
-    fn held_of(&self, az: &str) -> Vec<Stamp> {
-        let state = self.lock();
-        let entries = state.entries_of(az);
-        entries
-            .map(|e| Stamp {
-                name: e.name_hash,
-                content: e.stamp,
-            })
-            .collect()
-    }
-
-    fn hear_sampled(&self, az: &str, unchanged: &[Sampled]) {
-        let now = Instant::now();
-        let state = self.lock();
-        for entry in state.entries_of(az) {
-            let told = unchanged.iter().find(|s| s.name == entry.name_hash);
-            if let Some(told) = told {
-                vitals::apply(entry, told.vitals, now);
-            }
-        }
-    }
 }
--- a/crates/membership/src/spread.rs
+++ b/crates/membership/src/spread.rs
@@ -9,9 +9,10 @@
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
 
 use crate::{
-    Table,
-    message::{Reply, Request, Stamp, merge_all},
+    Delta, Table,
+    message::{Reply, Request, hear_held, merge_all},
     remote::sample_others,
+    state::{Entry, State},
     vitals::{self, bucket_of},
 };
 
@@ -52,7 +53,7 @@
         drop(tasks.collect::<Vec<_>>());
         tokio::spawn(sweep(self.clone()));
         tokio::spawn(sample_others(self.clone(), gates.clone()));
-        tokio::spawn(exchange(self.clone(), gates));
+        tokio::spawn(exchange_often(self.clone(), gates));
     }
 
     /// Fills the table from the first of `gates` that answers; returns whether one did.
@@ -94,52 +95,63 @@
         Ok(())
     }
 
-    /// One exchange with `peer`, and a repair where tables differ.
-    pub async fn exchange_with(&self, peer: &Peer) -> Result<(), LinkError> {
+    /// One exchange with the gate that `call` reaches, and a repair where tables differ.
+    pub async fn exchange<Fut>(&self, call: impl Fn(Request) -> Fut) -> Result<(), LinkError>
+    where
+        Fut: Future<Output = Result<Reply, LinkError>>,
+    {
         let ours = vitals::buckets(&self.lock(), Instant::now());
-        let Reply::Exchanged(theirs) = ask(peer, &Request::Exchange(ours)).await? else {
+        let Reply::Exchanged(theirs) = call(Request::Exchange(ours)).await? else {
             return Ok(());
         };
         let differing = vitals::take(&self.lock(), &theirs, Instant::now());
         if differing.is_empty() {
             return Ok(());
         }
-        let held = self.held(|name| differing.contains(&(bucket_of(name) as u8)));
-        let req = Request::Repair {
-            buckets: differing,
-            held,
+        let is_differing = |e: &&Entry| differing.contains(&(bucket_of(e.name_hash) as u8));
+        let held = {
+            let state = self.lock();
+            State::held(state.shared_entries().filter(is_differing), Instant::now())
         };
-        let Reply::Repaired { deltas, wanted } = ask(peer, &req).await? else {
+        let buckets = differing.clone();
+        let reply = call(Request::Repair { buckets, held }).await?;
+        let Reply::Repaired {
+            deltas,
+            unchanged,
+            wanted,
+        } = reply
+        else {
             return Ok(());
         };
-        merge_all(self, deltas, Some(peer.name()));
-        self.send_wanted(peer, &wanted).await
+        {
+            let state = self.lock();
+            let entries: Vec<&Entry> = state.shared_entries().filter(is_differing).collect();
+            hear_held(&entries, &unchanged, Instant::now());
+        }
+        merge_all(self, deltas, None);
+        match self.wanted(&wanted) {
+            Request::Deltas { deltas, .. } if deltas.is_empty() => Ok(()),
+            req => call(req).await.map(drop),
+        }
     }
 
-    async fn send_wanted(&self, peer: &Peer, wanted: &[u64]) -> Result<(), LinkError> {
+    fn wanted(&self, names: &[u64]) -> Request {
         let now = Instant::now();
-        let deltas: Vec<_> = self
-            .lock()
+        let state = self.lock();
+        let wanted = state
             .shared_entries()
-            .filter(|entry| wanted.contains(&entry.name_hash))
-            .map(|entry| crate::Delta::of(&entry.endpoint, now))
-            .collect();
-        if deltas.is_empty() {
-            return Ok(());
+            .filter(|entry| names.contains(&entry.name_hash));
+        Request::Deltas {
+            from: self.config().gate.clone(),
+            deltas: wanted.map(|e| Delta::of(&e.endpoint, now)).collect(),
         }
-        let from = self.config().gate.clone();
-        ask(peer, &Request::Deltas { from, deltas }).await.map(drop)
     }
 
-    fn held(&self, is_asked: impl Fn(u64) -> bool) -> Vec<Stamp> {
+    /// What `neighbour` has not been pushed since `version`, and the version up to which it leads.
+    pub fn unsent(&self, version: u64, neighbour: &str) -> (u64, Vec<Delta>) {
         let state = self.lock();
-        let entries = state.shared_entries().filter(|e| is_asked(e.name_hash));
-        entries
-            .map(|e| Stamp {
-                name: e.name_hash,
-                content: e.stamp,
-            })
-            .collect()
+        let deltas = state.unsent(version, neighbour, Instant::now());
+        (state.version(), deltas)
     }
 }
 
@@ -147,6 +159,10 @@
     peer.call(Channel::Membership, req, CALL_LIMIT).await
 }
 
+async fn ask_owned(peer: Peer, req: Request) -> Result<Reply, LinkError> {
+    ask(&peer, &req).await
+}
+
 async fn first_done(pulls: &mut [tokio::task::JoinHandle<bool>]) -> (bool, usize) {
     std::future::poll_fn(|cx| {
         for (at, pull) in pulls.iter_mut().enumerate() {
@@ -165,8 +181,8 @@
     let mut sent = *changes.borrow_and_update();
     while changes.changed().await.is_ok() {
         sleep(PUSH_PAUSE).await;
-        let version = *changes.borrow_and_update();
-        let deltas = table.lock().unsent(sent, peer.name(), Instant::now());
+        changes.mark_unchanged();
+        let (version, deltas) = table.unsent(sent, peer.name());
         sent = version;
         if deltas.is_empty() || !table.is_near(&peer) {
             continue;
@@ -177,16 +193,16 @@
     }
 }
 
-async fn exchange(table: Table, gates: Vec<Peer>) {
+async fn exchange_often(table: Table, gates: Vec<Peer>) {
     let mut rng = SmallRng::seed_from_u64(table.config().seed);
     let mut tick = interval(table.config().exchange_every);
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tick.tick().await;
         let near: Vec<&Peer> = gates.iter().filter(|peer| table.is_near(peer)).collect();
-        if let Some(peer) = pick(&near, &mut rng) {
+        if let Some(peer) = pick(&near, &mut rng).cloned() {
             // A neighbour that does not answer is one of several.
-            let _ = table.exchange_with(peer).await;
+            let _ = table.exchange(|req| ask_owned(peer.clone(), req)).await;
         }
     }
 }
--- a/crates/membership/src/state.rs
+++ b/crates/membership/src/state.rs
@@ -1,8 +1,10 @@
 //! The table's content and the rules by which one announcement or delta replaces another.
 
 use std::{
+    cmp::Ordering,
     collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc,
+    time::Duration,
 };
 
 use tokio::time::Instant;
@@ -13,6 +15,9 @@
     Announcement, Endpoint, EndpointState, Live, Load, Readiness, TableConfig, delta::Delta,
 };
 
+/// A delta on its way makes its endpoint seem this much younger at most.
+const MAX_TRANSIT: Duration = Duration::from_secs(2);
+
 /// What an announcement or a delta did.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Applied {
@@ -50,7 +55,11 @@
 #[derive(Clone, Copy, Debug)]
 struct Tombstone {
     incarnation: Uuid,
+    /// The number of its last change, as deltas carry it.
     seq: u64,
+    /// The highest number seen.
+    seen_seq: u64,
+    heard: Instant,
     since: Instant,
     version: u64,
 }
@@ -94,6 +103,18 @@
     (a.incarnation, a.seq, is_leaving, content_hash(a))
 }
 
+impl Tombstone {
+    /// Whether `delta`, last heard at `heard`, tells nothing that came after the departure.
+    fn outdates(&self, delta: &Delta, heard: Instant) -> bool {
+        let a = &delta.announced;
+        match (a.incarnation, a.seq).cmp(&(self.incarnation, self.seq)) {
+            Ordering::Less => true,
+            Ordering::Equal => heard <= self.heard + MAX_TRANSIT,
+            Ordering::Greater => false,
+        }
+    }
+}
+
 impl State {
     pub(crate) fn new(cfg: &TableConfig, start: Instant) -> Self {
         Self {
@@ -143,7 +164,7 @@
                 (incarnation, _) if incarnation < tombstone.incarnation => {
                     return Applied::Superseded;
                 }
-                at if at <= (tombstone.incarnation, tombstone.seq) => return Applied::Old,
+                at if at <= (tombstone.incarnation, tombstone.seen_seq) => return Applied::Old,
                 _ => {}
             }
         }
@@ -168,12 +189,11 @@
     /// Takes what a neighbour told.
     pub(crate) fn merge(&mut self, delta: Delta, now: Instant, source: Option<&str>) -> Applied {
         let heard = now.checked_sub(delta.age).unwrap_or(now);
-        let a = delta.announced;
-        if let Some(tombstone) = self.tombstones.get(&a.endpoint)
-            && (a.incarnation, a.seq) <= (tombstone.incarnation, tombstone.seq)
-        {
+        let tombstone = self.tombstones.get(&delta.announced.endpoint);
+        if tombstone.is_some_and(|tombstone| tombstone.outdates(&delta, heard)) {
             return Applied::Old;
         }
+        let a = delta.announced;
         let Some(entry) = self.entries.get_mut(&a.endpoint) else {
             return match delta.age >= self.cfg.gone_after {
                 true => Applied::Old,
@@ -183,20 +203,20 @@
         let known = &entry.endpoint.announced;
         let is_same_life = a.incarnation == known.incarnation;
         match order(&a).cmp(&order(known)) {
-            std::cmp::Ordering::Less => Applied::Old,
-            std::cmp::Ordering::Equal => {
+            Ordering::Less => Applied::Old,
+            Ordering::Equal => {
                 entry.endpoint.live.hear(heard);
                 Applied::Unchanged
             }
             // What the endpoint said here directly is later than the delta: say so in its place.
-            std::cmp::Ordering::Greater if is_same_life && a.seq < entry.seen_seq => {
+            Ordering::Greater if is_same_life && a.seq < entry.seen_seq => {
                 let newer = Announcement {
                     seq: entry.seen_seq,
                     ..known.clone()
                 };
                 self.replace(newer, heard, None)
             }
-            std::cmp::Ordering::Greater => self.replace(a, heard, source),
+            Ordering::Greater => self.replace(a, heard, source),
         }
     }
 
@@ -303,7 +323,11 @@
         let version = self.record(&a.endpoint, false);
         let tombstone = Tombstone {
             incarnation: a.incarnation,
-            seq: entry.seen_seq,
+            seq: a.seq,
+            seen_seq: entry.seen_seq,
+            heard: now
+                .checked_sub(entry.endpoint.live.silence(now))
+                .unwrap_or(now),
             since: now,
             version,
         };
@@ -325,6 +349,20 @@
         self.horizon = horizon;
     }
 
+    /// What a neighbour needs to know to tell what differs, of the entries chosen.
+    pub(crate) fn held<'a>(
+        entries: impl Iterator<Item = &'a Entry>,
+        now: Instant,
+    ) -> Vec<crate::Held> {
+        entries
+            .map(|entry| crate::Held {
+                name: entry.name_hash,
+                stamp: entry.stamp,
+                vitals: crate::vitals::of(entry, now),
+            })
+            .collect()
+    }
+
     /// What `neighbour` has not been pushed since `version`, of this availability zone.
     pub(crate) fn unsent(&self, version: u64, neighbour: &str, now: Instant) -> Vec<Delta> {
         self.log
--- /dev/null
+++ b/crates/membership/tests/spread.rs
@@ -0,0 +1,188 @@
+//! Tables of gates that reach one another over real links.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{announcement, table};
+use link::{Identity, LinkConfig, Peer, Role};
+use membership::{Announcement, EndpointState, Readiness, Table, TableConfig, neighbours};
+use tokio::{
+    net::TcpListener,
+    task::JoinHandle,
+    time::{Instant, sleep, timeout},
+};
+
+const LIMIT: Duration = Duration::from_secs(10);
+
+struct Gate {
+    table: Table,
+    address: std::net::SocketAddr,
+    cfg: LinkConfig,
+    server: JoinHandle<()>,
+}
+
+async fn gate(name: &str, az: &str) -> Gate {
+    let cfg = LinkConfig::new(Identity {
+        vm: name.to_owned(),
+        az: az.to_owned(),
+        role: Role::Gate,
+        incarnation: uuid::Uuid::now_v7(),
+    });
+    let table = Table::new(TableConfig::new(name, az));
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let answering = table.clone();
+    let handler = move |call: link::Incoming| {
+        let table = answering.clone();
+        async move { table.answer(&call.body).await }
+    };
+    let server = tokio::spawn(link::serve(listener, cfg.clone(), handler));
+    Gate {
+        table,
+        address,
+        cfg,
+        server,
+    }
+}
+
+impl Gate {
+    fn peer(&self, other: &Self) -> Peer {
+        Peer::start(&other.cfg.identity.vm, other.address, &self.cfg)
+    }
+}
+
+async fn until(what: &str, is_so: impl Fn() -> bool) {
+    let wait = async {
+        while !is_so() {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(LIMIT, wait)
+        .await
+        .unwrap_or_else(|_| panic!("not within {LIMIT:?}: {what}"));
+}
+
+fn state(table: &Table, name: &str) -> Option<EndpointState> {
+    let list = table.list();
+    list.iter()
+        .find(|view| view.endpoint == name)
+        .map(|view| view.state)
+}
+
+#[tokio::test]
+async fn a_departure_reaches_all_gates_over_neighbours() {
+    let names: Vec<String> = (0..5).map(|at| format!("g{at}")).collect();
+    let mut gates = Vec::new();
+    for name in &names {
+        gates.push(gate(name, "sousse-a").await);
+    }
+    for (at, name) in names.iter().enumerate() {
+        let chosen = neighbours(name, &names);
+        let peers = gates
+            .iter()
+            .filter(|other| chosen.contains(&other.cfg.identity.vm));
+        let peers: Vec<Peer> = peers.map(|other| gates[at].peer(other)).collect();
+        gates[at].table.start_spread(peers);
+    }
+    gates[0].table.announce(announcement("e", 1, 1)).unwrap();
+    until("all know it", || {
+        gates
+            .iter()
+            .all(|g| state(&g.table, "e") == Some(EndpointState::Ready))
+    })
+    .await;
+    let gone = Announcement {
+        state: Readiness::Leaving,
+        ..announcement("e", 1, 2)
+    };
+    let start = Instant::now();
+    gates[3].table.announce(gone).unwrap();
+    until("all know that it leaves", || {
+        gates
+            .iter()
+            .all(|g| state(&g.table, "e") == Some(EndpointState::Leaving))
+    })
+    .await;
+    assert!(start.elapsed() < Duration::from_secs(3));
+}
+
+#[tokio::test]
+async fn a_restarted_gate_is_useful_within_2_s() {
+    let old = gate("a", "sousse-a").await;
+    for at in 0..490 {
+        let name = format!("e{at}");
+        old.table.announce(announcement(&name, 1, 1)).unwrap();
+    }
+    let start = Instant::now();
+    let restarted = gate("b", "sousse-a").await;
+    let peers = [restarted.peer(&old)];
+    assert!(restarted.table.warm(&peers).await);
+    assert!(start.elapsed() < Duration::from_secs(2));
+    assert_eq!(restarted.table.list().len(), 490);
+}
+
+#[tokio::test]
+async fn a_gate_without_neighbours_starts_empty_within_2_s() {
+    let lonely = gate("a", "sousse-a").await;
+    let gone = gate("b", "sousse-a").await;
+    gone.server.abort();
+    let peers = [lonely.peer(&gone)];
+    let start = Instant::now();
+    assert!(!lonely.table.warm(&peers).await);
+    assert!(start.elapsed() < Duration::from_secs(2));
+}
+
+#[tokio::test]
+async fn signs_of_life_heard_elsewhere_keep_an_endpoint_ready() {
+    let (a, b) = (gate("a", "sousse-a").await, gate("b", "sousse-a").await);
+    let peers = vec![b.peer(&a)];
+    b.table.start_spread(peers);
+    let speak = async {
+        for seq in 1..14 {
+            a.table.announce(announcement("e", 1, seq)).unwrap();
+            sleep(Duration::from_millis(500)).await;
+        }
+    };
+    speak.await;
+    assert_eq!(state(&b.table, "e"), Some(EndpointState::Ready));
+    let start = Instant::now();
+    until("silence shows", || {
+        state(&b.table, "e") == Some(EndpointState::Suspect)
+    })
+    .await;
+    assert!(start.elapsed() < Duration::from_secs(5));
+}
+
+#[tokio::test]
+async fn another_availability_zone_gets_a_bounded_sample() {
+    let (a, b) = (gate("a", "sousse-a").await, gate("b", "mahdia-a").await);
+    for at in 0..40 {
+        a.table
+            .announce(announcement(&format!("e{at}"), 1, 1))
+            .unwrap();
+    }
+    let bound = b.table.config().max_remote_per_service;
+    let peers = vec![b.peer(&a)];
+    b.table.start_spread(peers);
+    until("a sample came", || !b.table.list().is_empty()).await;
+    sleep(Duration::from_millis(1_200)).await;
+    assert_eq!(b.table.list().len(), bound);
+    assert!(table("c").list().is_empty());
+}
+
+#[test]
+fn neighbours_are_few_and_reach_all_gates() {
+    let gates: Vec<String> = (0..33).map(|at| format!("g{at:02}")).collect();
+    let mut reached = vec![gates[0].clone()];
+    for _ in 0..6 {
+        let next: Vec<String> = reached.iter().flat_map(|g| neighbours(g, &gates)).collect();
+        reached.extend(next);
+        reached.sort();
+        reached.dedup();
+    }
+    assert_eq!(reached.len(), gates.len());
+    let most = gates.iter().map(|g| neighbours(g, &gates).len()).max();
+    assert_eq!(most, Some(6));
+    assert!(neighbours("alone", &[]).is_empty());
+}
