Run the whole path: both sample deployments in one process

Found on the way: shared settings sections refused keys that a role does not need; the replica panicked where the runtime ended under a disk write.

--- a/crates/demo/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Every role as tasks of one process, with stand-ins on loopback.
--- a/crates/demo/src/main.rs
+++ b/crates/demo/src/main.rs
@@ -1,3 +1,28 @@
-//! Every role as tasks of one process, with stand-ins on loopback.
+//! `jujube-demo`: every role as tasks of one process, with stand-ins on loopback.
 
-fn main() {}
+mod args;
+mod calls;
+mod deployment;
+mod fleet;
+mod report;
+mod run;
+
+use std::process::ExitCode;
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+fn main() -> ExitCode {
+    let code = match args::parse(pico_args::Arguments::from_env()) {
+        Ok(args::Invocation::Print(text)) => {
+            println!("{text}");
+            host::exit::ExitCode::Success
+        }
+        Ok(args::Invocation::Run(cfg)) => run::run(&cfg),
+        Err(e) => {
+            eprintln!("jujube-demo: {e}; see `jujube-demo --help`");
+            host::exit::ExitCode::Usage
+        }
+    };
+    code.into()
+}
--- a/crates/gate/src/callers.rs
+++ b/crates/gate/src/callers.rs
@@ -84,7 +84,10 @@
         }
     };
     hangup.answered();
-    debug_assert!(deadline.elapsed() < Duration::from_secs(3_600), "deadlines are bounded");
+    debug_assert!(
+        deadline.elapsed() < Duration::from_secs(3_600),
+        "deadlines are bounded"
+    );
     match result {
         Ok(answer) => render(res, &answer),
         Err(problem) => problem.render(res),
@@ -142,7 +145,10 @@
 
 fn render_events(res: &mut Response, first: Bytes, rx: mpsc::Receiver<Part>) {
     let headers = res.headers_mut();
-    headers.insert("content-type", HeaderValue::from_static("text/event-stream"));
+    headers.insert(
+        "content-type",
+        HeaderValue::from_static("text/event-stream"),
+    );
     headers.insert("cache-control", HeaderValue::from_static("no-store"));
     res.body(ResBody::stream(stream::body(first, rx)));
 }
@@ -167,7 +173,8 @@
 }
 
 fn close(res: &mut Response) {
-    res.headers_mut().insert("connection", HeaderValue::from_static("close"));
+    res.headers_mut()
+        .insert("connection", HeaderValue::from_static("close"));
 }
 
 /// A task of ours ended without a result; nothing is known of what it sent.
--- a/crates/gate/src/endpoints.rs
+++ b/crates/gate/src/endpoints.rs
@@ -80,7 +80,12 @@
         let presented = presented.and_then(|v| v.strip_prefix(b"Bearer "));
         if !presented.is_some_and(|p| token.matches(p)) {
             let what = "send the announce token as `Authorization: Bearer …`";
-            return Err(Problem::new(401, "no-token", "Token missing or wrong", what));
+            return Err(Problem::new(
+                401,
+                "no-token",
+                "Token missing or wrong",
+                what,
+            ));
         }
     }
     let reading = timeout(gate.cfg.timing.body, req.payload_with_max_size(MAX_BODY));
--- a/crates/gate/src/engine.rs
+++ b/crates/gate/src/engine.rs
@@ -171,7 +171,9 @@
             false => {}
         }
     }
-    Err(CallError::Broken("the stream ended without [DONE]".to_owned()))
+    Err(CallError::Broken(
+        "the stream ended without [DONE]".to_owned(),
+    ))
 }
 
 /// The text is whole; only a body that ends at once keeps its connection.
@@ -197,7 +199,9 @@
         let Some(choice) = chunk.choices.first() else {
             continue;
         };
-        let offset = chunk.offset.ok_or_else(|| malformed(&"a chunk has no offset"))?;
+        let offset = chunk
+            .offset
+            .ok_or_else(|| malformed(&"a chunk has no offset"))?;
         match assembly.accept(offset, &choice.text) {
             Accepted::New(range) => {
                 tally.tokens += 1;
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -152,7 +152,9 @@
         ahead: None,
         is_ended: false,
     };
-    exchange.check(call.id, head.status, &head.headers, pool).await
+    exchange
+        .check(call.id, head.status, &head.headers, pool)
+        .await
 }
 
 impl Exchange {
--- a/crates/gate/src/failure.rs
+++ b/crates/gate/src/failure.rs
@@ -122,7 +122,9 @@
     #[error("the idempotency key was used with another request; take a new key for a new request")]
     Conflict,
     /// The key is older than the ledger remembers.
-    #[error("the idempotency key is older than the ledger remembers; take a new key if the request is new")]
+    #[error(
+        "the idempotency key is older than the ledger remembers; take a new key if the request is new"
+    )]
     TooOld,
     /// The key's time lies in the future.
     #[error("the idempotency key's time lies in the future; check the caller's clock")]
@@ -142,7 +144,9 @@
         detail: String,
     },
     /// An earlier request with this key completed and its output was too large to keep.
-    #[error("an earlier request with this key completed; its output of {0} bytes was too large to keep")]
+    #[error(
+        "an earlier request with this key completed; its output of {0} bytes was too large to keep"
+    )]
     EarlierTooLarge(u64),
 }
 
--- a/crates/gate/src/guard.rs
+++ b/crates/gate/src/guard.rs
@@ -44,7 +44,9 @@
         self.is_open = false;
         let elapsed = self.started.elapsed();
         self.gate.metrics.call(&self.service, "ok");
-        self.gate.metrics.cost(&self.service, Use::Useful, elapsed, tokens);
+        self.gate
+            .metrics
+            .cost(&self.service, Use::Useful, elapsed, tokens);
     }
 
     /// The endpoint ended the call, or a resumption is to find it; it is not cancelled.
@@ -60,7 +62,9 @@
             return;
         }
         let elapsed = self.started.elapsed();
-        self.gate.metrics.cost(&self.service, Use::Wasted, elapsed, 0);
+        self.gate
+            .metrics
+            .cost(&self.service, Use::Wasted, elapsed, 0);
         if self.is_engine {
             cancel(&self.gate, &self.call);
         }
--- a/crates/gate/src/handover.rs
+++ b/crates/gate/src/handover.rs
@@ -60,10 +60,7 @@
     }
 
     /// Runs `write` unless the call is sealed or too late, and records whether it took a byte.
-    fn write(
-        &self,
-        write: impl FnOnce() -> Poll<io::Result<usize>>,
-    ) -> Poll<io::Result<usize>> {
+    fn write(&self, write: impl FnOnce() -> Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         let mut state = self.lock();
         match *state {
             State::Sealed => return Poll::Ready(Err(sealed())),
@@ -86,7 +83,10 @@
 }
 
 fn sealed() -> io::Error {
-    io::Error::new(io::ErrorKind::ConnectionAborted, "the call may no longer be sent")
+    io::Error::new(
+        io::ErrorKind::ConnectionAborted,
+        "the call may no longer be sent",
+    )
 }
 
 /// The call that a connection carries now.
@@ -100,7 +100,10 @@
     }
 
     fn current(&self) -> Option<Handover> {
-        self.0.lock().expect("no holder of this lock panics").clone()
+        self.0
+            .lock()
+            .expect("no holder of this lock panics")
+            .clone()
     }
 }
 
--- a/crates/gate/src/ledger.rs
+++ b/crates/gate/src/ledger.rs
@@ -99,12 +99,18 @@
     pub(crate) async fn claim(&self, claim: &Claim, deadline: Instant) -> Result<Claimed, String> {
         let asked = Instant::now();
         let intent = self.intent(claim);
-        let limit = self.cfg.intent.min(deadline.saturating_duration_since(asked));
+        let limit = self
+            .cfg
+            .intent
+            .min(deadline.saturating_duration_since(asked));
         let mut guard = Retract {
             ledger: self,
             intent: Some(intent.clone()),
         };
-        let reply = self.keepers.ask(&KeeperRequest::Intent(intent.clone()), limit).await;
+        let reply = self
+            .keepers
+            .ask(&KeeperRequest::Intent(intent.clone()), limit)
+            .await;
         match reply {
             Ok(KeeperReply::Intent(IntentReply::Granted)) => {
                 guard.intent = None;
@@ -206,7 +212,10 @@
                 _ => sleep(BACKGROUND_PAUSE).await,
             }
         }
-        warn!("settle: no quorum of keepers within {:?}; the key stays in progress", self.cfg.settle);
+        warn!(
+            "settle: no quorum of keepers within {:?}; the key stays in progress",
+            self.cfg.settle
+        );
     }
 
     /// Asks again with the same attempt until the answer is known, and gives a grant back.
@@ -219,7 +228,11 @@
             match self.keepers.ask(&req, left).await {
                 Ok(KeeperReply::Intent(IntentReply::Granted)) => {
                     let settlement = Settlement::Released;
-                    let settle = Settle { key, attempt, settlement };
+                    let settle = Settle {
+                        key,
+                        attempt,
+                        settlement,
+                    };
                     return self.settle_until_known(settle).await;
                 }
                 Ok(KeeperReply::Intent(_) | KeeperReply::Invalid(_)) => return,
--- a/crates/gate/src/metrics.rs
+++ b/crates/gate/src/metrics.rs
@@ -114,7 +114,10 @@
         let registry = Registry::new();
         let r = &registry;
         let seconds = CounterVec::new(
-            Opts::new("jujube_endpoint_seconds_total", "Endpoint time by service and use"),
+            Opts::new(
+                "jujube_endpoint_seconds_total",
+                "Endpoint time by service and use",
+            ),
             &["service", "use"],
         );
         let endpoint_seconds = seconds.expect("metric names and labels are valid");
@@ -127,7 +130,12 @@
         let by_request = ["pipeline", "workspace"];
         let by_outcome = ["pipeline", "workspace", "outcome"];
         Self(Arc::new(Inner {
-            requests: counter(r, "jujube_requests_total", "Requests by outcome", &by_outcome),
+            requests: counter(
+                r,
+                "jujube_requests_total",
+                "Requests by outcome",
+                &by_outcome,
+            ),
             attained: counter(
                 r,
                 "jujube_attained_total",
@@ -159,8 +167,18 @@
                 "Tokens by service and use",
                 &["service", "use"],
             ),
-            calls: counter(r, "jujube_calls_total", "Calls by result", &["service", "result"]),
-            retries: counter(r, "jujube_retries_total", "Tries after the first", &["service"]),
+            calls: counter(
+                r,
+                "jujube_calls_total",
+                "Calls by result",
+                &["service", "result"],
+            ),
+            retries: counter(
+                r,
+                "jujube_retries_total",
+                "Tries after the first",
+                &["service"],
+            ),
             hedges: counter(r, "jujube_hedges_total", "Hedges sent", &["service"]),
             resumptions: counter(
                 r,
--- a/crates/gate/src/once.rs
+++ b/crates/gate/src/once.rs
@@ -121,8 +121,7 @@
     picked: &Arc<Picked>,
 ) -> Result<Taken, StageError> {
     let connection = cx.gate.pool.connect(picked.address()).await;
-    let connection =
-        connection.map_err(|e| failed(cx, stage, picked, CallError::Connect(e)))?;
+    let connection = connection.map_err(|e| failed(cx, stage, picked, CallError::Connect(e)))?;
     let grant = match claim(cx, stage, key, picked.name()).await? {
         Claimed::Granted(grant) => grant,
         Claimed::Refused(reply) => return refused(cx, stage, key, reply).await,
--- a/crates/gate/src/pages.rs
+++ b/crates/gate/src/pages.rs
@@ -46,7 +46,8 @@
     async fn handle(&self, res: &mut Response) {
         let gate = &self.0;
         let revision = gate.in_force().map_or(0, |in_force| in_force.revision);
-        gate.metrics.now(gate.inflight.count(), revision, gate.route.ejections());
+        gate.metrics
+            .now(gate.inflight.count(), revision, gate.route.ejections());
         res.render(host::http::metrics_text(gate.metrics.registry()));
     }
 }
--- a/crates/gate/src/race.rs
+++ b/crates/gate/src/race.rs
@@ -53,7 +53,10 @@
         let now = Instant::now();
         let left = cx.ask.deadline.saturating_duration_since(now);
         let name = stage.name;
-        let lag = cx.gate.route.hedge_after(Sized { name, bytes: work.bytes() });
+        let lag = cx.gate.route.hedge_after(Sized {
+            name,
+            bytes: work.bytes(),
+        });
         let stall = first_byte_wait(cx, lag, left);
         Self {
             // A cut stream goes on elsewhere only after its own endpoint was asked.
--- a/crates/gate/src/route.rs
+++ b/crates/gate/src/route.rs
@@ -227,7 +227,11 @@
 
     /// Frees the slot and tells the router what became of the call; later words change nothing.
     pub(crate) fn finish(&self, verdict: Verdict, first: Option<Instant>, cached: Option<Cached>) {
-        let pick = self.pick.lock().expect("no holder of this lock panics").take();
+        let pick = self
+            .pick
+            .lock()
+            .expect("no holder of this lock panics")
+            .take();
         let Some(pick) = pick else {
             return;
         };
--- a/crates/gate/src/run.rs
+++ b/crates/gate/src/run.rs
@@ -50,11 +50,7 @@
 }
 
 /// Runs `ask` to its end; with a `sink`, the text of a last stage that is an engine goes there.
-pub(crate) async fn run(
-    gate: Arc<Gate>,
-    ask: Ask,
-    sink: Option<&Sink>,
-) -> Result<Answer, Problem> {
+pub(crate) async fn run(gate: Arc<Gate>, ask: Ask, sink: Option<&Sink>) -> Result<Answer, Problem> {
     let workspace = &ask.in_force.declaration.workspaces[&ask.workspace];
     let cx = Running {
         priority: workspace.priority.0,
--- a/crates/gate/src/sse.rs
+++ b/crates/gate/src/sse.rs
@@ -46,6 +46,9 @@
     out.put_slice(name.as_bytes());
     out.put_slice(b"\ndata: ");
     let written = serde_json::to_writer(out.writer(), data);
-    debug_assert!(written.is_ok(), "our events have no shape that JSON refuses");
+    debug_assert!(
+        written.is_ok(),
+        "our events have no shape that JSON refuses"
+    );
     out.put_slice(b"\n\n");
 }
--- a/crates/gate/src/stage.rs
+++ b/crates/gate/src/stage.rs
@@ -142,7 +142,10 @@
         Ok(output) => {
             guard.succeeded(work.tokens());
             let (since, name) = (picked.since(), stage.name);
-            let sized = Sized { name, bytes: work.bytes() };
+            let sized = Sized {
+                name,
+                bytes: work.bytes(),
+            };
             let first = first_byte.saturating_duration_since(since);
             cx.gate.route.observe(sized, first, since.elapsed());
             picked.finish(Verdict::Good, Some(first_byte), work.cached());
--- a/crates/gate/src/start.rs
+++ b/crates/gate/src/start.rs
@@ -48,7 +48,11 @@
         incarnation: Uuid::now_v7(),
     };
     let mut links = LinkConfig::new(identity);
-    links.key = cfg.security.link_key.as_ref().map(|key| key.expose().to_vec());
+    links.key = cfg
+        .security
+        .link_key
+        .as_ref()
+        .map(|key| key.expose().to_vec());
     let listener = TcpListener::bind(cfg.link).await.map_err(|e| {
         let address = cfg.link;
         eyre::eyre!("bind link listener on {address}: {e}; free the port or set [listen] link")
@@ -72,7 +76,9 @@
 fn build(cfg: Config, links: &LinkConfig) -> Gate {
     let connect = |peers: &[PeerSetting]| -> Vec<Peer> {
         let peers = peers.iter();
-        peers.map(|peer| Peer::start(&peer.name, peer.address, links)).collect()
+        peers
+            .map(|peer| Peer::start(&peer.name, peer.address, links))
+            .collect()
     };
     let (keepers, gates) = (connect(&cfg.keepers), connect(&cfg.gates));
     let sources = keepers.iter().chain(&gates).cloned().collect();
@@ -167,7 +173,11 @@
     handle.stop_graceful(limit);
     server.await?;
     if timeout(limit, gate.inflight.idle()).await.is_err() {
-        warn!("drain: {} still in flight after {:?}", gate.inflight.count(), limit);
+        warn!(
+            "drain: {} still in flight after {:?}",
+            gate.inflight.count(),
+            limit
+        );
     }
     tasks.iter().for_each(JoinHandle::abort);
     // The last answers are in the kernel's hands; the process may end.
--- a/crates/gate/tests/env/client.rs
+++ b/crates/gate/tests/env/client.rs
@@ -33,7 +33,10 @@
     }
 
     pub fn outcome(&self) -> String {
-        self.json()["outcome"].as_str().unwrap_or_default().to_owned()
+        self.json()["outcome"]
+            .as_str()
+            .unwrap_or_default()
+            .to_owned()
     }
 }
 
@@ -69,7 +72,10 @@
     headers: &[(&str, &str)],
     body: Bytes,
 ) -> Request<Full<Bytes>> {
-    let mut req = Request::builder().method(method).uri(path).header("host", "gate");
+    let mut req = Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", "gate");
     for (name, value) in headers {
         req = req.header(*name, *value);
     }
@@ -91,17 +97,17 @@
             body: whole.freeze(),
         })
     };
-    timeout(PATIENCE, whole).await.map_err(|_| "no answer".to_owned())?
+    timeout(PATIENCE, whole)
+        .await
+        .map_err(|_| "no answer".to_owned())?
 }
 
 /// Sends `req`; the answer's body is yet to be read.
-pub async fn open(
-    to: SocketAddr,
-    req: Request<Full<Bytes>>,
-) -> Result<Response<Incoming>, String> {
+pub async fn open(to: SocketAddr, req: Request<Full<Bytes>>) -> Result<Response<Incoming>, String> {
     let stream = TcpStream::connect(to).await.map_err(|e| e.to_string())?;
-    let (mut sender, driver) =
-        http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
+    let (mut sender, driver) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(|e| e.to_string())?;
     tokio::spawn(driver);
     sender.send_request(req).await.map_err(|e| e.to_string())
 }
--- a/crates/gate/tests/env/keeper.rs
+++ b/crates/gate/tests/env/keeper.rs
@@ -12,9 +12,7 @@
     Channel, Identity, LinkConfig, Role,
     follow::Followed,
     follower::Feed,
-    keeper::{
-        Intent, IntentReply, KeeperReply, KeeperRequest, LedgerEntry, Settle, Settlement,
-    },
+    keeper::{Intent, IntentReply, KeeperReply, KeeperRequest, LedgerEntry, Settle, Settlement},
 };
 use tokio::{net::TcpListener, task::JoinHandle, time::sleep};
 use uuid::Uuid;
@@ -70,7 +68,8 @@
         let document = Document::read("test", declared.as_bytes()).unwrap();
         let feed = Arc::new(Feed::new());
         let revision = 1;
-        feed.take(Followed::Snapshot { revision, document }).unwrap();
+        feed.take(Followed::Snapshot { revision, document })
+            .unwrap();
         let state: Arc<Mutex<State>> = Arc::default();
         let shared = Arc::clone(&state);
         let cfg = LinkConfig::new(Identity {
--- a/crates/gate/tests/env/mod.rs
+++ b/crates/gate/tests/env/mod.rs
@@ -1,6 +1,9 @@
 //! Real gate processes, stand-in endpoints and a small ledger on loopback.
 
-#![expect(dead_code, reason = "each test file uses its own part of the environment")]
+#![expect(
+    dead_code,
+    reason = "each test file uses its own part of the environment"
+)]
 
 pub mod client;
 pub mod keeper;
@@ -85,9 +88,8 @@
     pub async fn gate_with(&self, name: &str, more: &str) -> Gate {
         let path = self.folder.path().join(format!("{name}.ini"));
         let keeper = self.keeper.address;
-        let settings = format!(
-            "[vm]\nname = {name}\navailability_zone = z\n[keepers]\nk = {keeper}\n{more}"
-        );
+        let settings =
+            format!("[vm]\nname = {name}\navailability_zone = z\n[keepers]\nk = {keeper}\n{more}");
         std::fs::write(&path, settings).unwrap();
         let mut child = Command::new(env!("CARGO_BIN_EXE_jujube-gate"))
             .arg("--config")
@@ -157,7 +159,13 @@
     /// Sends SIGTERM by the shell's own `kill`.
     pub fn terminate(&self) {
         let kill = format!("kill -TERM {}", self.child.id());
-        assert!(Command::new("sh").args(["-c", &kill]).status().unwrap().success());
+        assert!(
+            Command::new("sh")
+                .args(["-c", &kill])
+                .status()
+                .unwrap()
+                .success()
+        );
     }
 
     /// How the process ended.
@@ -175,8 +183,12 @@
     /// The sum of the samples of `metric` whose labels contain `label`.
     pub async fn metric(&self, metric: &str, label: &str) -> f64 {
         let page = client::get(self.http, "/metrics").await.unwrap().text();
-        let lines = page.lines().filter(|l| l.starts_with(metric) && l.contains(label));
-        lines.filter_map(|l| l.rsplit(' ').next()?.parse::<f64>().ok()).sum()
+        let lines = page
+            .lines()
+            .filter(|l| l.starts_with(metric) && l.contains(label));
+        lines
+            .filter_map(|l| l.rsplit(' ').next()?.parse::<f64>().ok())
+            .sum()
     }
 }
 
--- a/crates/gate/tests/env/stand_in.rs
+++ b/crates/gate/tests/env/stand_in.rs
@@ -129,7 +129,10 @@
     /// Calls that came, without cancellations.
     pub fn calls(&self) -> Vec<Seen> {
         let seen = self.seen.lock().unwrap();
-        seen.iter().filter(|s| s.method == "POST").cloned().collect()
+        seen.iter()
+            .filter(|s| s.method == "POST")
+            .cloned()
+            .collect()
     }
 
     pub fn cancellations(&self) -> usize {
@@ -157,7 +160,9 @@
         });
         connections.spawn(async move {
             // A stand-in may cut its own connection.
-            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+            let _ = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
         });
     }
 }
@@ -171,8 +176,16 @@
     behaviour: Arc<Behaviour>,
 ) -> Result<Response<Body>, std::io::Error> {
     let (head, body) = req.into_parts();
-    let body = body.collect().await.map_err(std::io::Error::other)?.to_bytes();
-    let header = |name: &str| head.headers.get(name).map(|v| v.to_str().unwrap().to_owned());
+    let body = body
+        .collect()
+        .await
+        .map_err(std::io::Error::other)?
+        .to_bytes();
+    let header = |name: &str| {
+        head.headers
+            .get(name)
+            .map(|v| v.to_str().unwrap().to_owned())
+    };
     let call = {
         let mut seen = seen.lock().unwrap();
         let nth = seen.iter().filter(|s| s.method == "POST").count();
@@ -223,7 +236,10 @@
     let text = match step {
         Step::Chunk(offset, text) => {
             let choices = [json!({"text": text, "finish_reason": null})];
-            format!("data: {}\n\n", json!({"offset": offset, "choices": choices}))
+            format!(
+                "data: {}\n\n",
+                json!({"offset": offset, "choices": choices})
+            )
         }
         Step::Done => "data: [DONE]\n\n".to_owned(),
         Step::Pause(pause) => {
@@ -238,12 +254,18 @@
 
 fn full(text: &str) -> Body {
     let text = Bytes::copy_from_slice(text.as_bytes());
-    http_body_util::Full::new(text).map_err(|e: Infallible| match e {}).boxed()
+    http_body_util::Full::new(text)
+        .map_err(|e: Infallible| match e {})
+        .boxed()
 }
 
 /// Refuses explicitly.
 pub fn not_run() -> Reply {
-    Reply::Status(503, vec![("jujube-outcome", "not_run".to_owned())], String::new())
+    Reply::Status(
+        503,
+        vec![("jujube-outcome", "not_run".to_owned())],
+        String::new(),
+    )
 }
 
 /// The output of a plain stage.
--- a/crates/gate/tests/requests.rs
+++ b/crates/gate/tests/requests.rs
@@ -13,7 +13,11 @@
 const SSE: (&str, &str) = ("accept", "text/event-stream");
 
 fn text_stream() -> Reply {
-    Reply::Stream(vec![Step::Chunk(0, "ice "), Step::Chunk(4, "ahead"), Step::Done])
+    Reply::Stream(vec![
+        Step::Chunk(0, "ice "),
+        Step::Chunk(4, "ahead"),
+        Step::Done,
+    ])
 }
 
 #[tokio::test]
@@ -21,13 +25,17 @@
     let env = Env::start().await;
     let gate = env.gate("g").await;
     let look = StandIn::start("look-1", "look", |call| {
-        Reply::Json(output(&json!({"prompt": format!("about {}", call.body["input"])})))
+        Reply::Json(output(
+            &json!({"prompt": format!("about {}", call.body["input"])}),
+        ))
     })
     .await;
     let llm = StandIn::start("llm-1", "llm", |_| text_stream()).await;
     gate.knows(&look).await;
     gate.knows(&llm).await;
-    let answer = gate.ask("ask", &[("jujube-request", "r-7")], json!("ice")).await;
+    let answer = gate
+        .ask("ask", &[("jujube-request", "r-7")], json!("ice"))
+        .await;
     assert_eq!(answer.status, 200, "{}", answer.text());
     let body = answer.json();
     assert_eq!(body["request"], "r-7");
@@ -36,7 +44,10 @@
     assert_eq!(body["stages"][0]["endpoint"], "look-1");
     assert_eq!(body["stages"][1]["tokens"], 2);
     assert_eq!(look.calls()[0].path, "/v1/stages/look");
-    assert_eq!(look.calls()[0].body, json!({"input": "ice", "previous": null}));
+    assert_eq!(
+        look.calls()[0].body,
+        json!({"input": "ice", "previous": null})
+    );
     assert_eq!(llm.calls()[0].body["prompt"], "about \"ice\"");
     assert_eq!(llm.calls()[0].body["stream"], true);
     assert_eq!(llm.cancellations(), 0);
@@ -51,8 +62,14 @@
     let answer = gate.ask("chat", &[SSE], json!("hello")).await;
     assert_eq!(answer.headers["content-type"], "text/event-stream");
     let events = answer.events();
-    assert_eq!(events[0], ("token".to_owned(), json!({"offset": 0, "text": "ice "})));
-    assert_eq!(events[1], ("token".to_owned(), json!({"offset": 4, "text": "ahead"})));
+    assert_eq!(
+        events[0],
+        ("token".to_owned(), json!({"offset": 0, "text": "ice "}))
+    );
+    assert_eq!(
+        events[1],
+        ("token".to_owned(), json!({"offset": 4, "text": "ahead"}))
+    );
     assert_eq!(events[2].0, "done");
     assert_eq!(events[2].1["output"], "ice ahead");
     assert_eq!(events.len(), 3);
@@ -108,7 +125,12 @@
     assert_eq!((answer.status, &*answer.outcome()), (503, "not_run"));
     let answer = gate.ask("find", &[], json!("wrong")).await;
     assert_eq!((answer.status, &*answer.outcome()), (502, "failed"));
-    assert!(answer.json()["detail"].as_str().unwrap().contains("no such ship"));
+    assert!(
+        answer.json()["detail"]
+            .as_str()
+            .unwrap()
+            .contains("no such ship")
+    );
     assert_eq!(answer.json()["peer"], "look-1");
     let answer = gate.ask("find", &[], json!("hang up")).await;
     assert_eq!((answer.status, &*answer.outcome()), (502, "failed"));
@@ -135,7 +157,9 @@
     let gate = env.gate("g").await;
     let look = StandIn::start("look-1", "look", |_| Reply::Silent).await;
     gate.knows(&look).await;
-    let answer = gate.ask("find", &[("jujube-deadline-ms", "300")], json!(1)).await;
+    let answer = gate
+        .ask("find", &[("jujube-deadline-ms", "300")], json!(1))
+        .await;
     assert_eq!((answer.status, &*answer.outcome()), (504, "failed"));
 }
 
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -11,9 +11,46 @@
 use derives::value;
 use inifile::{Fault, Faults, Section};
 
-/// Sections that every role accepts, whether it needs them or not.
-const SHARED_SECTIONS: [&str; 7] = [
-    "vm", "listen", "keepers", "gates", "data", "log", "security",
+/// A section that every role accepts, whether it needs it or not.
+struct SharedSection {
+    name: &'static str,
+    /// Its keys; empty where keys are names of peers.
+    keys: &'static [&'static str],
+}
+
+const SHARED_SECTIONS: [SharedSection; 7] = [
+    SharedSection {
+        name: "vm",
+        keys: &["name", "availability_zone"],
+    },
+    SharedSection {
+        name: "listen",
+        keys: &["http", "link"],
+    },
+    SharedSection {
+        name: "keepers",
+        keys: &[],
+    },
+    SharedSection {
+        name: "gates",
+        keys: &[],
+    },
+    SharedSection {
+        name: "data",
+        keys: &["folder"],
+    },
+    SharedSection {
+        name: "log",
+        keys: &["level"],
+    },
+    SharedSection {
+        name: "security",
+        keys: &[
+            "link_key_file",
+            "announce_token_file",
+            "operator_tokens_file",
+        ],
+    },
 ];
 
 /// The VM on which the process runs.
@@ -127,7 +164,7 @@
             folder: folder.to_owned(),
             sections: BTreeMap::new(),
             read: BTreeSet::new(),
-            known: SHARED_SECTIONS.iter().map(|s| (*s).to_owned()).collect(),
+            known: SHARED_SECTIONS.iter().map(|s| s.name.to_owned()).collect(),
             faults: Faults::default(),
         };
         for section in inifile::parse(file, bytes)? {
@@ -348,12 +385,13 @@
                 unknown.push((name.clone(), String::new(), "unknown section"));
                 continue;
             }
-            let is_read = |key: &String| self.read.contains(&(name.clone(), key.clone()));
-            let is_unused = !self.read.iter().any(|(section, _)| section == name);
-            if SHARED_SECTIONS.contains(&name.as_str()) && is_unused {
-                continue;
-            }
-            for entry in section.entries.iter().filter(|entry| !is_read(&entry.key)) {
+            let shared = SHARED_SECTIONS.iter().find(|shared| shared.name == name);
+            let is_known = |key: &str| match shared {
+                Some(shared) if shared.keys.is_empty() => true,
+                Some(shared) if shared.keys.contains(&key) => true,
+                _ => self.read.contains(&(name.clone(), key.to_owned())),
+            };
+            for entry in section.entries.iter().filter(|entry| !is_known(&entry.key)) {
                 unknown.push((name.clone(), entry.key.clone(), "unknown key"));
             }
         }
@@ -394,4 +432,12 @@
         r.vm();
         assert!(r.finish().is_ok());
     }
+
+    #[test]
+    fn shared_sections_are_checked_in_every_role() {
+        let r = reader("[listen]\nlink = 127.0.0.1:0\nlnk = 127.0.0.1:0\n");
+        let faults = r.finish().unwrap_err();
+        assert_eq!(faults.0.len(), 1);
+        assert_eq!(faults.0[0].key, "lnk");
+    }
 }
--- a/crates/replica/src/core.rs
+++ b/crates/replica/src/core.rs
@@ -151,9 +151,12 @@
             (store, result)
         };
         let (store, result) = match self.disk.is_blocking {
-            true => tokio::task::spawn_blocking(work)
-                .await
-                .expect("the store does not panic"),
+            true => match tokio::task::spawn_blocking(work).await {
+                Ok(done) => done,
+                Err(e) if e.is_panic() => std::panic::resume_unwind(e.into_panic()),
+                // The runtime is shutting down and ends this task as well.
+                Err(_) => std::future::pending().await,
+            },
             false => work(),
         };
         if let Err(e) = &result {
