--- a/crates/membership/tests/table.rs
+++ b/crates/membership/tests/table.rs
@@ -146,3 +146,42 @@
     let reply: Reply = link::decode(&answer).unwrap();
     assert!(matches!(reply, Reply::Malformed(_)));
 }
+
+async fn exchange(from: &Table, to: &Table) {
+    let call = |req: Request| async move {
+        let answer = to.answer(&link::encode(&req)).await;
+        link::decode::<Reply>(&answer)
+    };
+    from.exchange(call).await.unwrap();
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_endpoint_lost_while_cut_off_comes_back_with_the_neighbour() {
+    let (cut, near) = (table("a"), table("b"));
+    cut.start_spread(Vec::new());
+    near.announce(announcement("e", 1, 1)).unwrap();
+    exchange(&cut, &near).await;
+    assert_eq!(state(&cut), Some(EndpointState::Ready));
+    for seq in 2..40 {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        near.announce(announcement("e", 1, seq)).unwrap();
+    }
+    assert_eq!(state(&cut), None);
+    exchange(&cut, &near).await;
+    assert_eq!(state(&cut), Some(EndpointState::Ready));
+}
+
+#[tokio::test(start_paused = true)]
+async fn silence_never_seems_shorter_after_many_hops() {
+    let tables: Vec<Table> = ["a", "b", "c"].into_iter().map(table).collect();
+    tables[0].announce(announcement("e", 1, 1)).unwrap();
+    for _ in 0..41 {
+        advance(Duration::from_millis(100)).await;
+        for at in 0..tables.len() {
+            exchange(&tables[at], &tables[(at + 1) % tables.len()]).await;
+        }
+    }
+    for table in &tables {
+        assert_eq!(state(table), Some(EndpointState::Suspect));
+    }
+}
