--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -223,9 +223,8 @@
             latest,
             tx,
         };
-        let expected = inner.overall.expected_wait(inner.queue.len());
-        let is_crowded = expected > self.shared.cfg.max_wait;
-        match inner.queue.push(waiter, is_crowded, now) {
+        let capacity = inner.overall.capacity(self.shared.cfg.max_wait);
+        match inner.queue.push(waiter, capacity, now) {
             true => Ok(Entry::Waiting(rx)),
             false => {
                 drop(inner);
--- a/crates/routing/src/latency.rs
+++ b/crates/routing/src/latency.rs
@@ -24,6 +24,9 @@
 pub struct SizeClass(u8);
 
 impl SizeClass {
+    /// The class of an empty input.
+    pub const SMALLEST: Self = Self(0);
+
     /// The class of an input of `bytes`.
     pub fn of(bytes: usize) -> Self {
         let log2 = usize::BITS - bytes.leading_zeros();
--- a/crates/routing/src/overall.rs
+++ b/crates/routing/src/overall.rs
@@ -81,6 +81,14 @@
         Duration::from_secs_f64(secs.min(3_600.0))
     }
 
+    /// How many may wait so that the last gets its place within `wait`.
+    pub(crate) fn capacity(&self, wait: Duration) -> usize {
+        match self.elapsed.mean() {
+            Some(elapsed) if elapsed > 0.0 => (self.limit * wait.as_secs_f64() / elapsed) as usize,
+            _ => usize::MAX,
+        }
+    }
+
     fn may_step_down(&self, now: Instant) -> bool {
         let elapsed = Duration::from_secs_f64(self.elapsed.mean().unwrap_or(0.0).min(60.0));
         let pause = elapsed.max(MIN_PAUSE);
--- a/crates/routing/src/queue.rs
+++ b/crates/routing/src/queue.rs
@@ -84,18 +84,19 @@
         self.len == 0
     }
 
-    /// Takes `waiter`, dropping another where the queue is full or `is_crowded`; returns false,
-    /// with `waiter` dropped, where none gives way.
-    pub(crate) fn push(&mut self, waiter: Waiter<T>, is_crowded: bool, now: Instant) -> bool {
+    /// Takes `waiter`, dropping another where `capacity` requests wait; returns false, with
+    /// `waiter` dropped, where none gives way.
+    pub(crate) fn push(&mut self, waiter: Waiter<T>, capacity: usize, now: Instant) -> bool {
+        let capacity = capacity.clamp(1, self.max);
         let is_swept = self
             .swept
             .is_some_and(|at| now.saturating_duration_since(at) < SWEEP_EVERY);
-        if (is_crowded || self.len >= self.max) && !is_swept {
+        if self.len >= capacity && !is_swept {
             self.swept = Some(now);
             self.drop_expired(now);
         }
-        let is_full = self.len >= self.max || (is_crowded && self.len > 0);
-        if is_full && !self.give_way(waiter.priority) {
+        let reserve = (capacity / RESERVED_SHARE).max(1);
+        if self.len >= capacity && !self.give_way(waiter.priority, reserve) {
             return false;
         }
         self.insert(waiter);
@@ -183,10 +184,9 @@
         set.insert((flow.next, workspace.to_owned()));
     }
 
-    /// Drops the newest waiter of the lowest priority that is above its reserve and may give way
-    /// to one of `priority`.
-    fn give_way(&mut self, priority: Priority) -> bool {
-        let reserve = (self.max / RESERVED_SHARE).max(1);
+    /// Drops the newest waiter of the lowest priority that holds more than `reserve` places and
+    /// may give way to one of `priority`.
+    fn give_way(&mut self, priority: Priority, reserve: usize) -> bool {
         let held = |p: &u8| self.waiting.get(p).copied().unwrap_or(0);
         let is_within_reserve = held(&priority.0) < reserve;
         let may_give_way = |p: &&u8| held(p) > reserve && (is_within_reserve || **p < priority.0);
--- /dev/null
+++ b/crates/routing/tests/common/mod.rs
@@ -0,0 +1,65 @@
+//! Endpoints, tables and routers for tests.
+
+use std::time::Duration;
+
+use membership::{Announcement, Load, LoadedModel, Readiness, StageRole, Table, TableConfig};
+use routing::{CallOutcome, Need, Observation, Router, RouterConfig};
+use uuid::Uuid;
+
+pub const SERVICE: &str = "plan-model";
+pub const AZ: &str = "rockland";
+
+/// A ready endpoint of [`SERVICE`] in `az`.
+pub fn announcement(endpoint: &str, az: &str, seq: u64) -> Announcement {
+    Announcement {
+        endpoint: endpoint.to_owned(),
+        service: SERVICE.to_owned(),
+        az: az.to_owned(),
+        address: "http://127.0.0.1:9000".to_owned(),
+        incarnation: Uuid::from_u128(7),
+        seq,
+        state: Readiness::Ready,
+        models: vec![LoadedModel {
+            model: "planner".to_owned(),
+            version: 3,
+            adapters: vec!["ice".to_owned()],
+        }],
+        role: StageRole::Both,
+        checks_fencing: true,
+        load: Load::default(),
+    }
+}
+
+/// A table of a gate in [`AZ`] that knows `endpoints` of it.
+pub fn table(endpoints: usize) -> Table {
+    let table = Table::new(TableConfig::new("g0", AZ));
+    for at in 0..endpoints {
+        table
+            .announce(announcement(&format!("e{at:04}"), AZ, 1))
+            .unwrap();
+    }
+    table
+}
+
+/// A router of the only gate of [`AZ`].
+pub fn router(table: &Table) -> Router {
+    Router::new(RouterConfig::new("g0", AZ, Vec::new()), table.clone())
+}
+
+/// Needs nothing but an endpoint of [`SERVICE`].
+pub fn need() -> Need<'static> {
+    Need {
+        service: SERVICE,
+        ..Need::default()
+    }
+}
+
+/// A call that was answered after `ms`.
+pub fn answered(ms: u64) -> Observation {
+    Observation::new(CallOutcome::Answered, Duration::from_millis(ms))
+}
+
+/// A call that failed at once.
+pub fn failed() -> Observation {
+    Observation::new(CallOutcome::Failed, Duration::from_millis(1))
+}
--- /dev/null
+++ b/crates/routing/tests/limits.rs
@@ -0,0 +1,265 @@
+//! Retry budgets, quantiles and admission.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use declaration::Priority;
+use proptest::prelude::*;
+use routing::{
+    Admission, AdmissionConfig, Applicant, BudgetConfig, Latencies, RefusalReason, RetryBudget,
+    SizeClass, Stage, Verdict,
+};
+use tokio::time::{Instant, advance, sleep, timeout};
+
+const STAGE: Stage<'static> = Stage {
+    service: "plan-model",
+    size: SizeClass::SMALLEST,
+};
+
+fn block_on<T>(test: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .unwrap();
+    runtime.block_on(test)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn retries_stay_within_their_share(ops in prop::collection::vec((any::<bool>(), 0..300_u64), 1..600)) {
+        block_on(async {
+            let cfg = BudgetConfig::default();
+            let budget = RetryBudget::new(cfg);
+            let (mut first, mut spent, mut passed) = (0.0, 0.0, Duration::ZERO);
+            for (is_first, pause_ms) in ops {
+                let pause = Duration::from_millis(pause_ms);
+                advance(pause).await;
+                passed += pause;
+                match is_first {
+                    true => {
+                        budget.first_try("plan-model");
+                        first += 1.0;
+                    }
+                    false if budget.try_spend("plan-model") => spent += 1.0,
+                    false => {}
+                }
+                let idle = passed.as_secs_f64() / cfg.idle.as_secs_f64();
+                prop_assert!(spent <= cfg.share * first + cfg.reserve + idle + 1e-6);
+            }
+            Ok(())
+        })?;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_service_in_trouble_leaves_the_budget_of_others_alone() {
+    let budget = RetryBudget::new(BudgetConfig::default());
+    while budget.try_spend("plan-model") {}
+    assert!(budget.try_spend("ice-reports"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn quantiles_need_samples_and_forget_old_ones() {
+    let latencies = Latencies::new();
+    assert_eq!(latencies.hedge_after(STAGE), None);
+    for ms in 1..=100 {
+        latencies.observe(STAGE, Duration::from_millis(ms));
+    }
+    let hedge = latencies.hedge_after(STAGE).unwrap().as_millis();
+    assert!((93..=97).contains(&hedge), "{hedge}");
+    let estimate = latencies.estimate(&[STAGE, STAGE]).as_millis();
+    assert!((98..=104).contains(&estimate), "{estimate}");
+    advance(Duration::from_secs(70)).await;
+    for _ in 0..30 {
+        latencies.observe(STAGE, Duration::from_millis(5));
+    }
+    assert!(latencies.hedge_after(STAGE).unwrap() < Duration::from_millis(6));
+}
+
+fn admission(cfg: AdmissionConfig) -> Admission {
+    Admission::new(cfg, Arc::new(Latencies::new()))
+}
+
+fn fixed(limit: f64) -> AdmissionConfig {
+    AdmissionConfig {
+        initial: limit,
+        min: limit,
+        max: limit,
+        ..AdmissionConfig::default()
+    }
+}
+
+fn applicant(workspace: &str, priority: u8) -> Applicant<'_> {
+    Applicant {
+        workspace,
+        priority: Priority(priority),
+        max_in_flight: 10_000,
+        stages: &[],
+        deadline: Instant::now() + Duration::from_secs(3),
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_workspace_keeps_to_its_limit_and_is_told_at_once() {
+    let admission = admission(fixed(100.0));
+    let req = Applicant {
+        max_in_flight: 2,
+        ..applicant("desk", 1)
+    };
+    let held = [
+        admission.enter(req).await.unwrap(),
+        admission.enter(req).await.unwrap(),
+    ];
+    let start = Instant::now();
+    let refused = admission.enter(req).await.unwrap_err();
+    assert_eq!(refused.reason, RefusalReason::WorkspaceLimit);
+    assert!(refused.retry_after > Duration::ZERO);
+    assert_eq!(start.elapsed(), Duration::ZERO);
+    drop(held);
+    assert!(admission.enter(req).await.is_ok());
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_cannot_end_in_time_is_refused_before_it_starts() {
+    let latencies = Arc::new(Latencies::new());
+    for _ in 0..50 {
+        latencies.observe(STAGE, Duration::from_secs(2));
+    }
+    let admission = Admission::new(fixed(10.0), latencies);
+    let two = Applicant {
+        stages: &[STAGE, STAGE],
+        ..applicant("desk", 1)
+    };
+    let refused = admission.enter(two).await.unwrap_err();
+    assert_eq!(refused.reason, RefusalReason::TooLate);
+    let one = Applicant {
+        stages: &[STAGE],
+        ..applicant("desk", 1)
+    };
+    let ticket = admission.enter(one).await.unwrap();
+    assert!(ticket.still_fits(&[STAGE], Duration::from_millis(2_100)));
+    assert!(!ticket.still_fits(&[STAGE], Duration::from_millis(1_900)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_caller_that_hangs_up_while_waiting_leaves_nothing_behind() {
+    let admission = admission(fixed(1.0));
+    let held = admission.enter(applicant("a", 1)).await.unwrap();
+    for _ in 0..50 {
+        let waiting = admission.enter(applicant("b", 1));
+        let _ = timeout(Duration::from_millis(1), waiting).await;
+    }
+    drop(held);
+    assert_eq!(admission.stats().in_flight, 0);
+    drop(admission.enter(applicant("b", 1)).await.unwrap());
+    assert_eq!(
+        (admission.stats().in_flight, admission.stats().waiting),
+        (0, 0)
+    );
+}
+
+/// Requests that a workspace sends each second, and what becomes of them.
+#[derive(Clone, Copy)]
+struct Demand {
+    workspace: &'static str,
+    priority: u8,
+    per_second: u64,
+}
+
+/// Runs `demands` for ten seconds against work that takes 100 ms each; those done by workspace.
+async fn load(admission: &Admission, demands: &[Demand]) -> BTreeMap<&'static str, u64> {
+    let mut tasks = tokio::task::JoinSet::new();
+    for demand in demands {
+        for at in 0..demand.per_second * 10 {
+            let (admission, demand) = (admission.clone(), *demand);
+            tasks.spawn(async move {
+                sleep(Duration::from_micros(at * 1_000_000 / demand.per_second)).await;
+                let ticket = admission
+                    .enter(applicant(demand.workspace, demand.priority))
+                    .await
+                    .ok()?;
+                sleep(Duration::from_millis(100)).await;
+                ticket.finish(Verdict::OnTime);
+                Some(demand.workspace)
+            });
+        }
+    }
+    let mut done = BTreeMap::new();
+    while let Some(ended) = tasks.join_next().await {
+        if let Some(workspace) = ended.unwrap() {
+            *done.entry(workspace).or_default() += 1;
+        }
+    }
+    done
+}
+
+#[tokio::test(start_paused = true)]
+async fn overload_sheds_the_lowest_priority_first_and_starves_nobody() {
+    let demands = [
+        Demand {
+            workspace: "low",
+            priority: 0,
+            per_second: 100,
+        },
+        Demand {
+            workspace: "middle",
+            priority: 4,
+            per_second: 100,
+        },
+        Demand {
+            workspace: "high",
+            priority: 9,
+            per_second: 100,
+        },
+    ];
+    // 10 places of 100 ms each: 100 a second, a third of what is asked.
+    let done = load(&admission(fixed(10.0)), &demands).await;
+    let total: u64 = done.values().sum();
+    assert!(total >= 950, "{done:?}");
+    assert!(done["high"] > 800, "{done:?}");
+    assert!(done["low"] >= 5, "{done:?}");
+    assert!(done["middle"] > done["low"], "{done:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn goodput_stays_flat_at_three_times_the_capacity() {
+    let at = |per_second| {
+        [Demand {
+            workspace: "desk",
+            priority: 1,
+            per_second,
+        }]
+    };
+    let full = load(&admission(fixed(10.0)), &at(100)).await["desk"];
+    let over = load(&admission(fixed(10.0)), &at(300)).await["desk"];
+    assert!(over * 100 >= full * 95, "{over} of {full}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_overall_limit_falls_when_requests_end_late_and_rises_again() {
+    let admission = admission(AdmissionConfig {
+        initial: 64.0,
+        ..AdmissionConfig::default()
+    });
+    let round = async |verdict| {
+        let mut tickets = Vec::new();
+        while admission.stats().in_flight < admission.stats().limit {
+            tickets.push(admission.enter(applicant("desk", 1)).await.unwrap());
+        }
+        advance(Duration::from_millis(150)).await;
+        tickets
+            .into_iter()
+            .for_each(|ticket| ticket.finish(verdict));
+    };
+    for _ in 0..20 {
+        round(Verdict::Overloaded).await;
+    }
+    let fallen = admission.stats().limit;
+    assert!(fallen < 16, "{fallen}");
+    for _ in 0..60 {
+        round(Verdict::OnTime).await;
+    }
+    assert!(admission.stats().limit > fallen);
+}
--- /dev/null
+++ b/crates/routing/tests/pick.rs
@@ -0,0 +1,398 @@
+//! Which endpoint gets a call.
+
+mod common;
+
+use std::{collections::BTreeMap, time::Duration};
+
+use common::{AZ, SERVICE, announcement, answered, failed, need, router, table};
+use membership::{Announcement, EndpointState, LoadedModel, Readiness, Table, TableConfig};
+use proptest::prelude::*;
+use routing::{
+    CacheEvents, ModelNeed, Need, NoEndpoint, Observation, Reused, Router, RouterConfig,
+    block_hashes, max_ejected,
+};
+use tokio::time::advance;
+
+fn block_on<T>(test: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .unwrap();
+    runtime.block_on(test)
+}
+
+/// What a random fleet and need are made of.
+#[derive(Clone, Debug)]
+struct Fleet {
+    endpoints: Vec<(bool, bool, u32, bool, u64)>,
+    adapter: bool,
+    azs: bool,
+    avoid: usize,
+}
+
+fn fleet() -> impl Strategy<Value = Fleet> {
+    let endpoint = (
+        any::<bool>(),
+        any::<bool>(),
+        1..4_u32,
+        any::<bool>(),
+        0..8_000_u64,
+    );
+    let endpoints = prop::collection::vec(endpoint, 1..30);
+    (endpoints, any::<bool>(), any::<bool>(), 0..30_usize).prop_map(
+        |(endpoints, adapter, azs, avoid)| Fleet {
+            endpoints,
+            adapter,
+            azs,
+            avoid,
+        },
+    )
+}
+
+fn announced(fleet: &Fleet) -> Vec<(Announcement, u64)> {
+    let endpoints = fleet.endpoints.iter().enumerate();
+    let announced = endpoints.map(|(at, (near, leaving, version, adapter, silent_ms))| {
+        let mut a = announcement(&format!("e{at}"), if *near { AZ } else { "portland" }, 1);
+        a.state = if *leaving {
+            Readiness::Leaving
+        } else {
+            Readiness::Ready
+        };
+        a.models = vec![LoadedModel {
+            model: "planner".to_owned(),
+            version: *version,
+            adapters: if *adapter {
+                vec!["ice".to_owned()]
+            } else {
+                Vec::new()
+            },
+        }];
+        (a, *silent_ms)
+    });
+    announced.collect()
+}
+
+/// Why `endpoint` must not get a call of `need`.
+fn fault(table: &Table, need: &Need<'_>, endpoint: &str) -> Option<&'static str> {
+    let list = table.list();
+    let Some(view) = list.iter().find(|view| view.endpoint == endpoint) else {
+        return Some("unknown");
+    };
+    let has_model = need.model.is_none_or(|need| {
+        let is_it = |m: &LoadedModel| {
+            (m.model.as_str(), m.version) == (need.model, need.version)
+                && need
+                    .adapters
+                    .iter()
+                    .all(|adapter| m.adapters.contains(adapter))
+        };
+        view.models.iter().any(is_it)
+    });
+    match () {
+        () if view.state != EndpointState::Ready => Some("not ready"),
+        () if !has_model => Some("lacks the model"),
+        () if !need.azs.is_empty() && !need.azs.contains(&view.az) => Some("not allowed"),
+        () if need.avoid.iter().any(|name| name == endpoint) => Some("was tried"),
+        () => None,
+    }
+}
+
+/// Announces a fleet so that each endpoint has been silent for its time.
+async fn settle(fleet: &Fleet) -> Table {
+    let table = Table::new(TableConfig::new("g0", AZ));
+    let mut announced = announced(fleet);
+    announced.sort_by_key(|(_, silent_ms)| std::cmp::Reverse(*silent_ms));
+    let mut passed = 8_000;
+    for (a, silent_ms) in announced {
+        advance(Duration::from_millis(passed - silent_ms)).await;
+        passed = silent_ms;
+        table.announce(a).unwrap();
+    }
+    advance(Duration::from_millis(passed)).await;
+    table
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn no_unfit_endpoint_is_ever_picked_and_a_fit_one_is_found(fleet in fleet()) {
+        block_on(async {
+            let table = settle(&fleet).await;
+            let router = router(&table);
+            let adapters: Vec<String> = fleet.adapter.then(|| "ice".to_owned()).into_iter().collect();
+            let azs = match fleet.azs {
+                true => vec![AZ.to_owned()],
+                false => Vec::new(),
+            };
+            let avoid = [format!("e{}", fleet.avoid)];
+            let model = ModelNeed { model: "planner", version: 3, adapters: &adapters };
+            let need = Need {
+                service: SERVICE,
+                model: Some(model),
+                azs: &azs,
+                avoid: &avoid,
+                ..Need::default()
+            };
+            let is_fit = |name: &str| fault(&table, &need, name).is_none();
+            let some_fit = table.list().iter().any(|view| is_fit(&view.endpoint));
+            for _ in 0..40 {
+                match router.pick(&need) {
+                    Ok(pick) => {
+                        prop_assert_eq!(fault(&table, &need, pick.name()), None);
+                        pick.finish(answered(5));
+                    }
+                    Err(_) => prop_assert!(!some_fit),
+                }
+            }
+            Ok(())
+        })?;
+    }
+
+    #[test]
+    fn never_more_than_the_cap_are_ejected_and_none_of_them_is_picked(
+        endpoints in 1..25_usize,
+        calls in prop::collection::vec((any::<u8>(), 0..900_u64), 1..400),
+        leave_at in 0..400_usize,
+    ) {
+        block_on(async {
+            let table = table(endpoints);
+            let router = router(&table);
+            let cap = |n: usize| max_ejected(n, RouterConfig::new("g0", AZ, vec![]).ejection.max_share);
+            for (step, (dice, pause_ms)) in calls.into_iter().enumerate() {
+                advance(Duration::from_millis(pause_ms)).await;
+                let names: Vec<String> = table.list().into_iter().map(|e| e.endpoint).collect();
+                for name in &names {
+                    let mut a = announcement(name, AZ, step as u64 + 2);
+                    if step >= leave_at && name.ends_with('1') {
+                        a.state = Readiness::Leaving;
+                    }
+                    table.announce(a).unwrap();
+                }
+                let ejected: Vec<String> = router
+                    .stats(SERVICE)
+                    .into_iter()
+                    .filter(|e| e.is_ejected)
+                    .map(|e| e.endpoint)
+                    .collect();
+                prop_assert!(ejected.len() <= cap(endpoints));
+                if let Ok(pick) = router.pick(&need()) {
+                    prop_assert!(!ejected.contains(&pick.name().to_owned()));
+                    pick.finish(if dice < 200 { failed() } else { answered(5) });
+                }
+            }
+            Ok(())
+        })?;
+    }
+}
+
+#[test]
+fn the_check_sees_a_router_that_ignores_what_a_call_needs() {
+    block_on(async {
+        let table = table(3);
+        let mut other = announcement("e0001", AZ, 2);
+        other.models[0].version = 2;
+        table.announce(other).unwrap();
+        let adapters = [];
+        let model = ModelNeed {
+            model: "planner",
+            version: 3,
+            adapters: &adapters,
+        };
+        let strict = Need {
+            model: Some(model),
+            ..need()
+        };
+        let broken = router(&table);
+        let picked: Vec<String> = (0..30)
+            .map(|_| broken.pick(&need()).unwrap().name().to_owned())
+            .collect();
+        let faults = picked
+            .iter()
+            .filter_map(|name| fault(&table, &strict, name));
+        assert!(faults.count() > 0);
+    });
+}
+
+/// Picks `count` calls that stay in flight; how many each endpoint got.
+fn spread(router: &Router, count: usize) -> BTreeMap<String, u32> {
+    let picks: Vec<_> = (0..count).map(|_| router.pick(&need()).unwrap()).collect();
+    let mut got = BTreeMap::new();
+    for pick in &picks {
+        *got.entry(pick.name().to_owned()).or_default() += 1;
+    }
+    got
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 50, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn load_spreads_within_a_quarter_of_the_mean(endpoints in 2..20_usize, seed: u64) {
+        const EACH: usize = 20;
+        block_on(async {
+            let cfg = RouterConfig { seed, ..RouterConfig::new("g0", AZ, vec![]) };
+            let router = Router::new(cfg, table(endpoints));
+            let got = spread(&router, EACH * endpoints);
+            prop_assert_eq!(got.len(), endpoints);
+            let most = *got.values().max().unwrap();
+            prop_assert!(f64::from(most) <= 1.25 * EACH as f64, "{:?}", got);
+            Ok(())
+        })?;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_endpoint_that_fails_is_ejected_and_comes_back_slowly() {
+    let table = table(10);
+    let router = router(&table);
+    let bad = "e0003";
+    let mut seq = 2;
+    let mut share = |router: &Router, calls: usize| {
+        seq += 1;
+        for at in 0..10 {
+            table
+                .announce(announcement(&format!("e{at:04}"), AZ, seq))
+                .unwrap();
+        }
+        spread(router, calls).get(bad).copied().unwrap_or(0)
+    };
+    let others: Vec<String> = (0..10)
+        .map(|at| format!("e{at:04}"))
+        .filter(|e| e != bad)
+        .collect();
+    let only_bad = Need {
+        avoid: &others,
+        ..need()
+    };
+    for _ in 0..5 {
+        router.pick(&only_bad).unwrap().finish(failed());
+    }
+    assert_eq!(router.ejections(), 1);
+    assert_eq!(router.pick(&only_bad).unwrap_err(), NoEndpoint::AllTried);
+    assert_eq!(share(&router, 100), 0);
+    advance(Duration::from_millis(5_500)).await;
+    let returning = share(&router, 100);
+    advance(Duration::from_secs(15)).await;
+    let back = share(&router, 100);
+    assert!(returning < 5, "{returning}");
+    assert!((8..=12).contains(&back), "{back}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_own_zone_goes_first_and_spills_when_overloaded() {
+    let table = table(2);
+    for at in 0..2 {
+        table
+            .announce(announcement(&format!("far{at}"), "portland", 1))
+            .unwrap();
+    }
+    let router = router(&table);
+    let got = spread(&router, 48);
+    assert!(got.keys().all(|name| name.starts_with('e')), "{got:?}");
+    let got = spread(&router, 80);
+    assert!(got.keys().any(|name| name.starts_with("far")), "{got:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_prompt_goes_where_its_prefix_is_until_answers_deny_it() {
+    let table = table(10);
+    let router = router(&table);
+    let prompt = vec![b'x'; 1_024];
+    let asked = Need {
+        prompt: Some(&prompt),
+        ..need()
+    };
+    let _ = router.pick(&need());
+    let events = |seq, stored: Vec<u64>| CacheEvents {
+        endpoint: "e0004".to_owned(),
+        incarnation: uuid::Uuid::from_u128(7),
+        seq,
+        stored,
+        removed: Vec::new(),
+    };
+    router.cache_events(events(3, block_hashes(&prompt)));
+    for _ in 0..20 {
+        let pick = router.pick(&asked).unwrap();
+        assert_eq!(pick.name(), "e0004");
+        pick.finish(answered(10));
+    }
+    // Late, and again: neither adds anything.
+    router.cache_events(events(2, Vec::new()));
+    let pick = router.pick(&asked).unwrap();
+    assert!(pick.cached_share() > 0.9);
+    let denied = Reused {
+        cached: 0,
+        prompt: 256,
+    };
+    pick.finish(Observation {
+        reused: Some(denied),
+        ..answered(10)
+    });
+    let again = router.pick(&asked).unwrap();
+    assert!(again.cached_share() < 0.05 || again.name() != "e0004");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_prefix_in_cache_does_not_draw_everything_to_one_endpoint() {
+    let table = table(10);
+    let router = router(&table);
+    let prompt = vec![b'x'; 1_024];
+    let asked = Need {
+        prompt: Some(&prompt),
+        ..need()
+    };
+    router.pick(&asked).unwrap().finish(answered(10));
+    let picks: Vec<_> = (0..100).map(|_| router.pick(&asked).unwrap()).collect();
+    let most = picks.iter().filter(|p| p.cached_share() > 0.5).count();
+    assert!((12..=35).contains(&most), "{most}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn old_load_reports_fade() {
+    let table = table(2);
+    let mut busy = announcement("e0000", AZ, 2);
+    busy.load.running = 10;
+    table.announce(busy).unwrap();
+    let router = router(&table);
+    let fresh = spread(&router, 8);
+    assert_eq!(fresh.get("e0000"), None);
+    advance(Duration::from_millis(3_900)).await;
+    let aged = spread(&router, 20);
+    assert!(aged["e0000"] >= 6, "{aged:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_limit_falls_under_slow_answers_and_refusals_and_rises_again() {
+    let table = table(1);
+    let router = router(&table);
+    let limit = || router.stats(SERVICE)[0].limit;
+    let rounds = |count: usize, ms: u64| {
+        for _ in 0..count {
+            let picks: Vec<_> = std::iter::from_fn(|| router.pick(&need()).ok()).collect();
+            assert!(matches!(router.pick(&need()), Err(NoEndpoint::Busy { .. })));
+            for pick in picks {
+                pick.finish(answered(ms));
+            }
+        }
+    };
+    rounds(1, 10);
+    let at_first = limit();
+    rounds(3, 200);
+    let slowed = limit();
+    assert!(slowed < at_first, "{slowed} {at_first}");
+    rounds(40, 10);
+    assert!(limit() > slowed);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_pick_dropped_without_outcome_frees_its_slot_and_blames_nobody() {
+    let table = table(1);
+    let router = router(&table);
+    for _ in 0..100 {
+        drop(router.pick(&need()).unwrap());
+    }
+    let stats = &router.stats(SERVICE)[0];
+    assert_eq!((stats.in_flight, stats.is_ejected), (0, false));
+}
--- /dev/null
+++ b/crates/routing/tests/subset.rs
@@ -0,0 +1,56 @@
+//! Which endpoints each gate talks to.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use proptest::prelude::*;
+use routing::subset::{Place, choose, size};
+
+const MIN: usize = 20;
+const GATES_PER_ENDPOINT: usize = 3;
+
+fn names(endpoints: usize) -> Vec<String> {
+    (0..endpoints).map(|at| format!("e{at}")).collect()
+}
+
+fn subsets(names: &[String], gates: usize) -> Vec<BTreeSet<&str>> {
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let size = size(names.len(), gates, MIN, GATES_PER_ENDPOINT);
+    let of = |at| {
+        choose(&names, Place { at, gates }, size)
+            .into_iter()
+            .collect()
+    };
+    (0..gates).map(of).collect()
+}
+
+proptest! {
+    #[test]
+    fn each_endpoint_has_gates_and_each_gate_a_bounded_number(
+        endpoints in 1..1_500_usize,
+        gates in 1..60_usize,
+    ) {
+        let names = names(endpoints);
+        let subsets = subsets(&names, gates);
+        let mut covered: BTreeMap<&str, usize> = BTreeMap::new();
+        for subset in &subsets {
+            let bound = MIN.max(GATES_PER_ENDPOINT * endpoints / gates + 2);
+            prop_assert!(subset.len() <= bound);
+            for name in subset {
+                *covered.entry(name).or_default() += 1;
+            }
+        }
+        prop_assert_eq!(covered.len(), endpoints);
+        let least = covered.values().min().copied().unwrap_or(0);
+        prop_assert!(least >= GATES_PER_ENDPOINT.min(gates));
+    }
+
+    #[test]
+    fn one_endpoint_more_changes_little(endpoints in 1..1_500_usize, gates in 1..60_usize) {
+        const MOST_CHANGED: usize = 4;
+        let (before, after) = (names(endpoints), names(endpoints + 1));
+        for (old, new) in subsets(&before, gates).iter().zip(subsets(&after, gates)) {
+            let changed = old.symmetric_difference(&new).count();
+            prop_assert!(changed <= MOST_CHANGED, "{}", changed);
+        }
+    }
+}
