Catch broken variants of vote, commit, quorum and read; adopt a later term from a pre-vote's answer

Cause: a candidate whose pre-vote was denied for a term that others are in already asked for the same term for ever; found while writing the unsynced vote's situation.

--- a/crates/replica/src/config.rs
+++ b/crates/replica/src/config.rs
@@ -69,7 +69,7 @@
 #[cfg(any(test, feature = "broken-variants"))]
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Broken {
-    /// A vote is answered before it is synced.
+    /// A vote is answered before the folder that names its file is synced.
     VoteUnsynced,
     /// Entries of old terms are committed by counting replicas.
     CommitOldTerm,
--- a/crates/replica/src/election.rs
+++ b/crates/replica/src/election.rs
@@ -180,7 +180,8 @@
     let counting = async {
         while let Some((name, response)) = asked.next().await {
             let Some(response) = response else { continue };
-            if response.term > term {
+            // A pre-vote asks for a term that isn't begun; whoever is in it already is ahead.
+            if response.term > shared.core().term {
                 shared.adopt(response.term).await;
                 return false;
             }
--- a/crates/replica/src/store.rs
+++ b/crates/replica/src/store.rs
@@ -202,8 +202,11 @@
         self.check()?;
         #[cfg(any(test, feature = "broken-variants"))]
         if self.leave_votes_unsynced {
-            let written = (self.disk.write)(VOTE, &vote::seal(vote));
-            return written.map_err(|e| ReplicaError::disk("write", VOTE, &e));
+            let aside = format!("{VOTE}{ASIDE}");
+            let written = (self.disk.write)(&aside, &vote::seal(vote));
+            let synced = written.and_then(|()| (self.disk.sync)(&aside));
+            let renamed = synced.and_then(|()| (self.disk.rename)(&aside, VOTE));
+            return renamed.map_err(|e| ReplicaError::disk("write", VOTE, &e));
         }
         let result = vote::replace(&self.disk, VOTE, &vote::seal(vote));
         self.note(result)
--- /dev/null
+++ b/crates/replica/tests/agreement.rs
@@ -0,0 +1,203 @@
+//! Random faults against what must always hold.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{
+    group::{Group, add_learner, names, promote, remove},
+    paused,
+};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, TestRng, TestRunner},
+};
+use replica::MemberChange;
+
+/// Names that a group may come to have: three first voters and two that join.
+const NAMES: [&str; 5] = ["a", "b", "c", "d", "e"];
+const RNG_SEED: [u8; 32] = [26; 32];
+
+#[derive(Clone, Debug)]
+enum Action {
+    Propose {
+        at: usize,
+        count: usize,
+    },
+    Read {
+        at: usize,
+    },
+    Wait {
+        ms: u64,
+    },
+    Cut {
+        from: usize,
+        to: usize,
+    },
+    Isolate {
+        at: usize,
+    },
+    IsolateLeader,
+    Disturb {
+        loss: f64,
+        repeats: f64,
+        max_delay: u64,
+    },
+    Heal,
+    Crash {
+        at: usize,
+    },
+    CrashLeader,
+    CrashAfter {
+        at: usize,
+        operations: u32,
+    },
+    Restart {
+        at: usize,
+    },
+    Add {
+        at: usize,
+    },
+    Promote {
+        at: usize,
+    },
+    Remove {
+        at: usize,
+    },
+}
+
+fn actions(most: usize) -> impl Strategy<Value = Vec<Action>> {
+    let at = || 0..NAMES.len();
+    let action = prop_oneof![
+        8 => (at(), 1..4usize).prop_map(|(at, count)| Action::Propose { at, count }),
+        3 => at().prop_map(|at| Action::Read { at }),
+        8 => (1..800u64).prop_map(|ms| Action::Wait { ms }),
+        2 => (at(), at()).prop_map(|(from, to)| Action::Cut { from, to }),
+        1 => at().prop_map(|at| Action::Isolate { at }),
+        1 => Just(Action::IsolateLeader),
+        2 => (0.0..0.4, 0.0..0.5, 1..200u64).prop_map(|(loss, repeats, max_delay)| {
+            Action::Disturb { loss, repeats, max_delay }
+        }),
+        2 => Just(Action::Heal),
+        2 => at().prop_map(|at| Action::Crash { at }),
+        1 => Just(Action::CrashLeader),
+        3 => (at(), 0..12u32).prop_map(|(at, operations)| Action::CrashAfter { at, operations }),
+        4 => at().prop_map(|at| Action::Restart { at }),
+        2 => (3..5usize).prop_map(|at| Action::Add { at }),
+        2 => at().prop_map(|at| Action::Promote { at }),
+        1 => at().prop_map(|at| Action::Remove { at }),
+    ];
+    prop::collection::vec(action, 10..most)
+}
+
+async fn act(group: &mut Group, action: Action) {
+    let existing = |at: usize| Some(NAMES[at]).filter(|name| group.nodes.contains_key(*name));
+    match action {
+        Action::Propose { at, count } => {
+            if existing(at).is_some() {
+                (0..count).for_each(|_| group.propose_at(NAMES[at]));
+            }
+            propose_at_leaders(group);
+        }
+        Action::Read { at } => {
+            if existing(at).is_some() {
+                group.read_at(NAMES[at]);
+            }
+            leaders(group)
+                .iter()
+                .for_each(|leader| group.read_at(leader));
+        }
+        Action::Wait { ms } => group.pause(Duration::from_millis(ms)).await,
+        Action::Cut { from, to } => group.net.cut(NAMES[from], NAMES[to]),
+        Action::Isolate { at } => group.net.isolate(NAMES[at], &names(NAMES.len())),
+        Action::IsolateLeader => {
+            let leaders = leaders(group);
+            leaders
+                .iter()
+                .for_each(|l| group.net.isolate(l, &names(NAMES.len())));
+        }
+        Action::Disturb {
+            loss,
+            repeats,
+            max_delay,
+        } => group.net.disturb(loss, repeats, max_delay),
+        Action::Heal => group.net.heal(),
+        Action::Crash { at } if existing(at).is_some() => group.crash(NAMES[at]).await,
+        Action::CrashLeader => {
+            for leader in leaders(group) {
+                group.crash(&leader).await;
+            }
+        }
+        Action::CrashAfter { at, operations } if existing(at).is_some() => {
+            group.nodes[NAMES[at]].disk.stop_after(operations);
+        }
+        Action::Restart { at } if existing(at).is_some() => group.restart(NAMES[at]).await,
+        Action::Add { at } => {
+            if existing(at).is_none() {
+                group.add(NAMES[at], &names(3)).await;
+            }
+            change(group, add_learner(NAMES[at]));
+        }
+        Action::Promote { at } => change(group, promote(NAMES[at])),
+        Action::Remove { at } => change(group, remove(NAMES[at])),
+        Action::Crash { .. } | Action::CrashAfter { .. } | Action::Restart { .. } => {}
+    }
+}
+
+fn leaders(group: &Group) -> Vec<String> {
+    let statuses = group.running().map(replica::Replica::status);
+    let leading = statuses.filter(|s| s.role == replica::Role::Leader);
+    leading.map(|s| s.name).collect()
+}
+
+fn propose_at_leaders(group: &mut Group) {
+    for leader in leaders(group) {
+        group.propose_at(&leader);
+    }
+}
+
+/// Asks all that lead, in the background; refusals are as good as successes here.
+fn change(group: &Group, change: MemberChange) {
+    for leader in leaders(group) {
+        let (replica, change) = (group.replica(&leader), change.clone());
+        tokio::spawn(async move { replica.change_members(change).await });
+    }
+}
+
+/// Runs the actions and says what didn't hold.
+fn run(seed: u64, actions: Vec<Action>) -> Result<(), TestCaseError> {
+    paused(async {
+        let mut group = Group::new(seed, None);
+        group.add_all(3).await;
+        group.pause(Duration::from_secs(2)).await;
+        for action in actions {
+            act(&mut group, action).await;
+        }
+        group.settle().await.map_err(TestCaseError::fail)
+    })
+}
+
+fn runner(cases: u32, max_shrink_iters: u32) -> TestRunner {
+    let config = Config {
+        cases,
+        max_shrink_iters,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let algorithm = config.rng_algorithm;
+    TestRunner::new_with_rng(config, TestRng::from_seed(algorithm, &RNG_SEED))
+}
+
+#[test]
+fn what_is_committed_stays_under_random_faults() {
+    let cases = std::env::var("PROPTEST_CASES")
+        .ok()
+        .and_then(|n| n.parse().ok());
+    let mut runner = runner(cases.unwrap_or(150), 200);
+    let outcome = runner.run(&(any::<u64>(), actions(60)), |(seed, actions)| {
+        run(seed, actions)
+    });
+    if let Err(e) = outcome {
+        panic!("{e}");
+    }
+}
--- a/crates/replica/tests/common/checks.rs
+++ b/crates/replica/tests/common/checks.rs
@@ -127,12 +127,12 @@
         }
     }
 
-    /// No vote for two candidates of one term.
-    pub fn note_answer(&self, voter: &str, body: &[u8], answer: &[u8]) {
+    /// No vote for two candidates of one term. Returns whether the answer gives a vote.
+    pub fn note_answer(&self, voter: &str, body: &[u8], answer: &[u8]) -> bool {
         let (request, response) = (decode(body), decode(answer));
         let is_granted = field(&response, "tell") == Some(&Value::Text("Granted".to_owned()));
         if self.ask_of(body) != "Vote" || !is_granted {
-            return;
+            return false;
         }
         let term = field(&request, "term").and_then(Value::as_integer).unwrap();
         let term = u64::try_from(term).unwrap();
@@ -144,9 +144,19 @@
             let what = format!("{voter} voted for {first} and {candidate} in term {term}");
             seen.violations.push(what);
         }
+        true
     }
 }
 
+/// The index before the entries of a request, where it carries any.
+pub fn prev_of_entries(body: &[u8]) -> Option<u64> {
+    let request = decode(body);
+    let append = field(field(&request, "ask")?, "Append")?;
+    let entries = field(append, "entries")?.as_bytes()?;
+    let prev = u64::try_from(field(append, "prev")?.as_integer()?).ok()?;
+    (!entries.is_empty()).then_some(prev)
+}
+
 fn decode(bytes: &[u8]) -> Value {
     ciborium::from_reader(bytes).unwrap_or(Value::Null)
 }
--- a/crates/replica/tests/common/disk.rs
+++ b/crates/replica/tests/common/disk.rs
@@ -53,6 +53,10 @@
         self.state().left = Some(operations);
     }
 
+    pub fn stay_on(&self) {
+        self.state().left = None;
+    }
+
     pub fn fill(&self) {
         self.state().is_full = true;
     }
--- a/crates/replica/tests/common/group.rs
+++ b/crates/replica/tests/common/group.rs
@@ -1,6 +1,6 @@
 //! The replicas of one test.
 
-use std::{collections::BTreeMap, path::PathBuf, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, path::PathBuf, time::Duration};
 
 use replica::{
     Applied, Broken, MemberChange, MemberError, ProposeError, Replica, ReplicaConfig, ReplicaError,
@@ -244,6 +244,7 @@
     pub async fn settle(&mut self) -> Result<(), String> {
         self.net.heal();
         for name in self.names() {
+            self.nodes[&name].disk.stay_on();
             self.restart(&name).await;
         }
         let committed = timeout(LONG, self.commit()).await;
@@ -280,6 +281,52 @@
     }
 }
 
+/// Only these ways are open: between `hub` and each of `others`.
+pub fn star(group: &Group, hub: &str, others: &[&str]) {
+    group.net.heal();
+    let names = group.names();
+    for from in &names {
+        for to in &names {
+            let is_open = *from == hub && others.contains(&to.as_str())
+                || *to == hub && others.contains(&from.as_str());
+            if !is_open {
+                group.net.cut(from, to);
+            }
+        }
+    }
+}
+
+/// Opens the star's ways until its hub leads; nobody else is left leading.
+pub async fn elect(group: &Group, hub: &str, others: &[&str]) {
+    for _ in 0..100 {
+        star(group, "", &[]);
+        group.pause(Duration::from_millis(2_500)).await;
+        star(group, hub, others);
+        for _ in 0..150 {
+            group.pause(Duration::from_millis(10)).await;
+            if group.replica(hub).status().role == Role::Leader {
+                return;
+            }
+        }
+    }
+    panic!("{}", group.report("the hub does not come to lead"));
+}
+
+/// Waits until one of `names` leads, and returns it.
+pub async fn await_leader(group: &Group, names: &[&str]) -> String {
+    let look = async {
+        loop {
+            group.pause(Duration::from_millis(5)).await;
+            let statuses = names.iter().map(|name| group.replica(name).status());
+            if let Some(leader) = statuses.into_iter().find(|s| s.role == Role::Leader) {
+                return leader.name;
+            }
+        }
+    };
+    let found = timeout(LONG, look).await;
+    found.unwrap_or_else(|_| panic!("{}", group.report("no leader")))
+}
+
 pub async fn propose(
     checks: &Checks,
     replica: &Replica,
@@ -313,7 +360,3 @@
         name: name.to_owned(),
     }
 }
-
-pub fn shared<T>(value: T) -> Arc<T> {
-    Arc::new(value)
-}
--- a/crates/replica/tests/common/mod.rs
+++ b/crates/replica/tests/common/mod.rs
@@ -9,6 +9,9 @@
 
 /// Runs `test` on one thread with a paused clock.
 pub fn paused<T>(test: impl Future<Output = T>) -> T {
+    if std::env::var_os("REPLICA_TEST_LOG").is_none() {
+        spdlog::default_logger().set_level_filter(spdlog::LevelFilter::Off);
+    }
     tokio::runtime::Builder::new_current_thread()
         .enable_time()
         .start_paused(true)
--- a/crates/replica/tests/common/net.rs
+++ b/crates/replica/tests/common/net.rs
@@ -11,9 +11,15 @@
 use replica::{Connect, PeerLink, Replica};
 use tokio::time::{sleep, timeout};
 
-use super::checks::Checks;
+use super::{checks::Checks, disk::FakeDisk};
+
+/// Whether a request from the first to the second is lost.
+pub type Filter = Box<dyn Fn(&str, &str, &[u8]) -> bool + Send>;
 
 struct State {
+    filter: Option<Filter>,
+    /// Disks that stop as soon as their replica gave a vote.
+    stop_on_vote: BTreeMap<String, FakeDisk>,
     replicas: BTreeMap<String, Replica>,
     /// Ways that swallow everything, by sender and receiver.
     cut: BTreeSet<(String, String)>,
@@ -35,6 +41,8 @@
 impl Net {
     pub fn new(seed: u64, checks: Checks) -> Self {
         let state = State {
+            filter: None,
+            stop_on_vote: BTreeMap::new(),
             replicas: BTreeMap::new(),
             cut: BTreeSet::new(),
             loss: 0.0,
@@ -70,6 +78,16 @@
         }
     }
 
+    pub fn filter(&self, filter: Option<Filter>) {
+        self.state().filter = filter;
+    }
+
+    pub fn stop_on_vote(&self, name: &str, disk: &FakeDisk) {
+        self.state()
+            .stop_on_vote
+            .insert(name.to_owned(), disk.clone());
+    }
+
     pub fn heal(&self) {
         let mut state = self.state();
         state.cut.clear();
@@ -124,6 +142,13 @@
         let ask = self.checks.ask_of(&body);
         *self.state().sent.entry(ask).or_default() += 1;
         self.pass(from, to).await;
+        let is_lost = {
+            let state = self.state();
+            state.filter.as_ref().is_some_and(|f| f(from, to, &body))
+        };
+        if is_lost {
+            std::future::pending::<()>().await;
+        }
         let replica = self.state().replicas.get(to).cloned();
         let Some(replica) = replica else {
             return std::future::pending().await;
@@ -135,7 +160,11 @@
             incarnation: uuid::Uuid::nil(),
         };
         let answer = replica.answer(&identity, body.clone()).await;
-        self.checks.note_answer(to, &body, &answer);
+        if self.checks.note_answer(to, &body, &answer)
+            && let Some(disk) = self.state().stop_on_vote.remove(to)
+        {
+            disk.turn_off();
+        }
         answer
     }
 
