--- /dev/null
+++ b/crates/keeper/tests/env/mod.rs
@@ -0,0 +1,366 @@
+//! Real keeper processes on kernel-given ports, each link between two of them through a forwarder
+//! that can be cut or silenced.
+
+#![allow(dead_code, reason = "each test file uses a part of this")]
+
+use std::{
+    collections::BTreeMap,
+    fs,
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use declaration::{SectionChange, SectionId, SectionText};
+use host::client::Client;
+use link::{Identity, LinkConfig, Peer, Role, keepers::Keepers};
+use operators::{Accepted, ApiError, KeeperApi, Status, Submission};
+use tokio::{
+    io::copy_bidirectional,
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    task::JoinHandle,
+    time::{Instant, sleep, timeout},
+};
+use uuid::Uuid;
+
+/// The longest that any wait of a test may take.
+pub const LIMIT: Duration = Duration::from_secs(20);
+
+/// What a forwarder does with connections.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Fault {
+    /// Bytes pass.
+    None,
+    /// Connections are closed and refused.
+    Cut,
+    /// Connections stay open and no byte passes.
+    Silent,
+}
+
+/// Forwards TCP connections to an address that is set later.
+pub struct Forwarder {
+    pub address: SocketAddr,
+    target: Arc<Mutex<Option<SocketAddr>>>,
+    fault: watch::Sender<Fault>,
+    task: JoinHandle<()>,
+}
+
+impl Forwarder {
+    pub async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let target: Arc<Mutex<Option<SocketAddr>>> = Arc::default();
+        let (fault, rx) = watch::channel(Fault::None);
+        let to = Arc::clone(&target);
+        let task = tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let to = *to.lock().unwrap();
+                tokio::spawn(pass(stream, to, rx.clone()));
+            }
+        });
+        Self {
+            address,
+            target,
+            fault,
+            task,
+        }
+    }
+
+    pub fn set_target(&self, target: SocketAddr) {
+        *self.target.lock().unwrap() = Some(target);
+    }
+
+    pub fn set(&self, fault: Fault) {
+        self.fault.send_replace(fault);
+    }
+}
+
+impl Drop for Forwarder {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn pass(mut near: TcpStream, to: Option<SocketAddr>, mut fault: watch::Receiver<Fault>) {
+    if *fault.borrow_and_update() == Fault::Cut {
+        return;
+    }
+    if *fault.borrow() == Fault::Silent {
+        // Held open without a byte until the fault changes; whoever waits finds it silent.
+        let _ = fault.changed().await;
+        return;
+    }
+    let Some(to) = to else { return };
+    let Ok(mut far) = TcpStream::connect(to).await else {
+        return;
+    };
+    tokio::select! {
+        _ = copy_bidirectional(&mut near, &mut far) => return,
+        _ = fault.changed() => {}
+    }
+    if *fault.borrow() == Fault::Silent {
+        // The other ends see neither FIN nor RST for as long as the fault lasts.
+        let _ = fault.changed().await;
+    }
+}
+
+/// One keeper process.
+pub struct Process {
+    child: Child,
+    pub http: SocketAddr,
+    pub link: SocketAddr,
+}
+
+impl Process {
+    /// Starts a keeper and reads its addresses from its log; `Err` holds the log's last line.
+    fn start(config: &PathBuf) -> Result<Self, String> {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_jujube-keeper"))
+            .arg("--config")
+            .arg(config)
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
+        let mut last = String::new();
+        while let Some(Ok(line)) = lines.next() {
+            let record: serde_json::Value = serde_json::from_str(&line).unwrap_or_default();
+            if record["payload"] != "listening" {
+                last = line;
+                continue;
+            }
+            let address = |key: &str| record["kv"][key].as_str().unwrap().parse().unwrap();
+            let (http, link) = (address("http"), address("link"));
+            std::thread::spawn(move || {
+                for line in lines.map_while(Result::ok) {
+                    println!("{line}");
+                }
+            });
+            return Ok(Self { child, http, link });
+        }
+        child.wait().unwrap();
+        Err(last)
+    }
+
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let done = Command::new("kill").args([name, &pid]).status().unwrap();
+        assert!(done.success(), "signal {name}");
+    }
+
+    /// `kill -9`.
+    pub fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
+    /// Waits until the process ends by itself and returns its exit code.
+    pub async fn ended(&mut self) -> Option<i32> {
+        let start = Instant::now();
+        while start.elapsed() < LIMIT {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status.code();
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        panic!("the process did not end within {LIMIT:?}");
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Keepers `k0`, `k1`, … with their data folders and the forwarders between them.
+pub struct Group {
+    folder: tempfile::TempDir,
+    names: Vec<String>,
+    extra: String,
+    forwarders: BTreeMap<(usize, usize), Forwarder>,
+    pub keepers: Vec<Option<Process>>,
+}
+
+impl Group {
+    pub async fn start(n: usize) -> Self {
+        Self::start_with(n, "").await
+    }
+
+    /// Starts `n` voters whose settings end in `extra`.
+    pub async fn start_with(n: usize, extra: &str) -> Self {
+        let mut forwarders = BTreeMap::new();
+        for from in 0..n {
+            for to in 0..n {
+                forwarders.insert((from, to), Forwarder::start().await);
+            }
+        }
+        let mut group = Self {
+            folder: tempfile::tempdir().unwrap(),
+            names: (0..n).map(|i| format!("k{i}")).collect(),
+            extra: extra.to_owned(),
+            forwarders,
+            keepers: (0..n).map(|_| None).collect(),
+        };
+        for i in 0..n {
+            group.restart(i);
+        }
+        group
+    }
+
+    pub fn data(&self, i: usize) -> PathBuf {
+        self.folder.path().join(format!("data-k{i}"))
+    }
+
+    fn write_settings(&self, i: usize) -> PathBuf {
+        let others = (0..self.names.len()).map(|to| {
+            let address = self.forwarders[&(i, to)].address;
+            format!("{} = {address}\n", self.names[to])
+        });
+        let text = format!(
+            "[vm]\nname = k{i}\navailability_zone = az-{i}\n[keepers]\n{}[data]\nfolder = \
+             data-k{i}\n{}",
+            others.collect::<String>(),
+            self.extra
+        );
+        let path = self.folder.path().join(format!("k{i}.ini"));
+        fs::write(&path, text).unwrap();
+        path
+    }
+
+    /// Starts keeper `i`, which does not run.
+    pub fn try_restart(&mut self, i: usize) -> Result<(), String> {
+        let process = Process::start(&self.write_settings(i))?;
+        for from in 0..self.names.len() {
+            self.forwarders[&(from, i)].set_target(process.link);
+        }
+        self.keepers[i] = Some(process);
+        Ok(())
+    }
+
+    pub fn restart(&mut self, i: usize) {
+        self.try_restart(i).unwrap();
+    }
+
+    pub fn kill(&mut self, i: usize) {
+        self.keepers[i].take().unwrap().kill();
+    }
+
+    /// Sets the fault between keeper `i` and all others, both ways.
+    pub fn isolate(&self, i: usize, fault: Fault) {
+        for ((from, to), forwarder) in &self.forwarders {
+            if (*from == i) != (*to == i) {
+                forwarder.set(fault);
+            }
+        }
+    }
+
+    pub fn running(&self) -> impl Iterator<Item = (usize, &Process)> {
+        let all = self.keepers.iter().enumerate();
+        all.filter_map(|(i, process)| Some((i, process.as_ref()?)))
+    }
+
+    /// A client of all running keepers' HTTP.
+    pub fn api(&self) -> KeeperApi {
+        let keepers = self.running().map(|(_, p)| p.http.to_string()).collect();
+        KeeperApi::new(keepers, None)
+    }
+
+    /// A client of one keeper's HTTP.
+    pub fn api_of(&self, i: usize) -> KeeperApi {
+        let process = self.keepers[i].as_ref().unwrap();
+        KeeperApi::new(vec![process.http.to_string()], None)
+    }
+
+    pub fn http(&self, i: usize, path: &str) -> String {
+        format!("http://{}{path}", self.keepers[i].as_ref().unwrap().http)
+    }
+
+    /// A client of all running keepers' links.
+    pub fn links(&self) -> Keepers {
+        Keepers::new(self.running().map(|(_, p)| peer(p.link)).collect())
+    }
+
+    pub fn peer(&self, i: usize) -> Peer {
+        peer(self.keepers[i].as_ref().unwrap().link)
+    }
+
+    /// Waits until one running keeper leads, and returns it.
+    pub async fn leader(&self) -> usize {
+        let found = async {
+            loop {
+                for (i, _) in self.running() {
+                    if let Ok(status) = self.status(i).await
+                        && status.role == "leader"
+                    {
+                        return i;
+                    }
+                }
+                sleep(Duration::from_millis(20)).await;
+            }
+        };
+        timeout(LIMIT, found).await.expect("a leader in time")
+    }
+
+    pub async fn status(&self, i: usize) -> Result<Status, ApiError> {
+        self.api_of(i).statuses().await.remove(0).1
+    }
+
+    /// Submits a change until it is answered.
+    pub async fn submit(&self, submission: &Submission) -> Accepted {
+        let answered = async {
+            loop {
+                match self.api().submit(submission).await {
+                    Ok(accepted) => return accepted,
+                    Err(ApiError::Unavailable { .. }) => sleep(Duration::from_millis(50)).await,
+                    Err(e) => panic!("{e}"),
+                }
+            }
+        };
+        timeout(LIMIT, answered).await.expect("an answer in time")
+    }
+}
+
+pub fn peer(address: SocketAddr) -> Peer {
+    let identity = Identity {
+        vm: "test".to_owned(),
+        az: "az-0".to_owned(),
+        role: Role::Gate,
+        incarnation: Uuid::new_v4(),
+    };
+    Peer::start("keeper", address, &LinkConfig::new(identity))
+}
+
+pub fn client() -> Client {
+    Client::new(Duration::from_secs(5))
+}
+
+pub fn az(name: &str, region: &str) -> SectionChange {
+    let entries = [("region".to_owned(), region.to_owned())].into();
+    SectionChange {
+        id: SectionId {
+            kind: "availability-zone".to_owned(),
+            name: name.to_owned(),
+        },
+        after: Some(SectionText {
+            entries,
+            comments: Vec::new(),
+        }),
+    }
+}
+
+pub fn submission(base_revision: u64, sections: Vec<SectionChange>) -> Submission {
+    Submission {
+        change: Uuid::now_v7(),
+        base_revision,
+        author: "tester".to_owned(),
+        reason: "test".to_owned(),
+        document: None,
+        sections: Some(sections),
+    }
+}
