--- /dev/null
+++ b/crates/membership/src/spread.rs
@@ -0,0 +1,226 @@
+//! Spread of the table between the gates of an availability zone: changes are pushed at once to
+//! a few neighbours that pass them on; exchanges with a neighbour at a time carry signs of life
+//! and repair what pushes missed.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use link::{Channel, LinkError, Peer};
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
+
+use crate::{
+    Delta, Table,
+    message::{Reply, Request, hear_held, merge_all},
+    remote::sample_others,
+    state::{Entry, State},
+    vitals::{self, bucket_of},
+};
+
+const CALL_LIMIT: Duration = Duration::from_secs(1);
+/// Changes that come within this time travel in one message.
+const PUSH_PAUSE: Duration = Duration::from_millis(20);
+const SWEEP_EVERY: Duration = Duration::from_millis(250);
+/// A restarted gate waits at most this long for a neighbour's table.
+const WARM_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// The gates of `gates` that `own` keeps links to: those one, two, four, … places further in the
+/// sorted ring, so that every gate has a logarithmic number of neighbours and a change reaches
+/// all gates in a logarithmic number of steps.
+pub fn neighbours(own: &str, gates: &[String]) -> Vec<String> {
+    let ring: BTreeSet<&str> = gates.iter().map(String::as_str).chain([own]).collect();
+    let ring: Vec<&str> = ring.into_iter().collect();
+    let Some(at) = ring.iter().position(|gate| *gate == own) else {
+        return Vec::new();
+    };
+    let steps = std::iter::successors(Some(1), |step| Some(step * 2));
+    let mut chosen: Vec<String> = Vec::new();
+    for step in steps.take_while(|step| *step < ring.len()) {
+        let gate = ring[(at + step) % ring.len()].to_owned();
+        if !chosen.contains(&gate) {
+            chosen.push(gate);
+        }
+    }
+    chosen
+}
+
+impl Table {
+    /// Starts the tasks that keep this table equal to those of the gates behind `gates`; needed
+    /// without any gates too, since it also removes endpoints that are gone.
+    pub fn start_spread(&self, gates: Vec<Peer>) {
+        let tasks = gates
+            .iter()
+            .map(|peer| tokio::spawn(push(self.clone(), peer.clone())));
+        drop(tasks.collect::<Vec<_>>());
+        tokio::spawn(sweep(self.clone()));
+        tokio::spawn(sample_others(self.clone(), gates.clone()));
+        tokio::spawn(exchange_often(self.clone(), gates));
+    }
+
+    /// Fills the table from the first of `gates` that answers; returns whether one did.
+    pub async fn warm(&self, gates: &[Peer]) -> bool {
+        let pulls = gates.iter().map(|peer| {
+            let (table, peer) = (self.clone(), peer.clone());
+            tokio::spawn(async move {
+                peer.connected().await;
+                table.is_near(&peer) && table.pull(&peer).await.is_ok()
+            })
+        });
+        let mut pulls: Vec<_> = pulls.collect();
+        let any = async {
+            while !pulls.is_empty() {
+                let (done, at) = first_done(&mut pulls).await;
+                pulls.swap_remove(at);
+                if done {
+                    return true;
+                }
+            }
+            false
+        };
+        let warmed = timeout(WARM_LIMIT, any).await.unwrap_or(false);
+        pulls.iter().for_each(tokio::task::JoinHandle::abort);
+        warmed
+    }
+
+    /// Whether `peer` is a connected gate of this availability zone.
+    fn is_near(&self, peer: &Peer) -> bool {
+        peer.identity()
+            .is_some_and(|identity| identity.az == self.config().az)
+    }
+
+    async fn pull(&self, peer: &Peer) -> Result<(), LinkError> {
+        let reply = ask(peer, &Request::Pull).await?;
+        if let Reply::Pulled(deltas) = reply {
+            merge_all(self, deltas, Some(peer.name()));
+        }
+        Ok(())
+    }
+
+    /// One exchange with the gate that `call` reaches, and a repair where tables differ.
+    pub async fn exchange<Fut>(&self, call: impl Fn(Request) -> Fut) -> Result<(), LinkError>
+    where
+        Fut: Future<Output = Result<Reply, LinkError>>,
+    {
+        let ours = vitals::buckets(&self.lock(), Instant::now());
+        let Reply::Exchanged(theirs) = call(Request::Exchange(ours)).await? else {
+            return Ok(());
+        };
+        let differing = vitals::take(&self.lock(), &theirs, Instant::now());
+        if differing.is_empty() {
+            return Ok(());
+        }
+        let is_differing = |e: &&Entry| differing.contains(&(bucket_of(e.name_hash) as u8));
+        let held = {
+            let state = self.lock();
+            State::held(state.shared_entries().filter(is_differing), Instant::now())
+        };
+        let buckets = differing.clone();
+        let reply = call(Request::Repair { buckets, held }).await?;
+        let Reply::Repaired {
+            deltas,
+            unchanged,
+            wanted,
+        } = reply
+        else {
+            return Ok(());
+        };
+        {
+            let state = self.lock();
+            let entries: Vec<&Entry> = state.shared_entries().filter(is_differing).collect();
+            hear_held(&entries, &unchanged, Instant::now());
+        }
+        merge_all(self, deltas, None);
+        match self.wanted(&wanted) {
+            Request::Deltas { deltas, .. } if deltas.is_empty() => Ok(()),
+            req => call(req).await.map(drop),
+        }
+    }
+
+    fn wanted(&self, names: &[u64]) -> Request {
+        let now = Instant::now();
+        let state = self.lock();
+        let wanted = state
+            .shared_entries()
+            .filter(|entry| names.contains(&entry.name_hash));
+        Request::Deltas {
+            from: self.config().gate.clone(),
+            deltas: wanted.map(|e| Delta::of(&e.endpoint, now)).collect(),
+        }
+    }
+
+    /// What `neighbour` has not been pushed since `version`, and the version up to which it leads.
+    pub fn unsent(&self, version: u64, neighbour: &str) -> (u64, Vec<Delta>) {
+        let state = self.lock();
+        let deltas = state.unsent(version, neighbour, Instant::now());
+        (state.version(), deltas)
+    }
+}
+
+async fn ask(peer: &Peer, req: &Request) -> Result<Reply, LinkError> {
+    peer.call(Channel::Membership, req, CALL_LIMIT).await
+}
+
+async fn ask_owned(peer: Peer, req: Request) -> Result<Reply, LinkError> {
+    ask(&peer, &req).await
+}
+
+async fn first_done(pulls: &mut [tokio::task::JoinHandle<bool>]) -> (bool, usize) {
+    std::future::poll_fn(|cx| {
+        for (at, pull) in pulls.iter_mut().enumerate() {
+            if let std::task::Poll::Ready(done) = Future::poll(std::pin::Pin::new(pull), cx) {
+                return std::task::Poll::Ready((done.unwrap_or(false), at));
+            }
+        }
+        std::task::Poll::Pending
+    })
+    .await
+}
+
+/// Pushes changes to one neighbour. A push that fails is not repeated; the exchange repairs it.
+async fn push(table: Table, peer: Peer) {
+    let mut changes = table.changes();
+    let mut sent = *changes.borrow_and_update();
+    while changes.changed().await.is_ok() {
+        sleep(PUSH_PAUSE).await;
+        changes.mark_unchanged();
+        let (version, deltas) = table.unsent(sent, peer.name());
+        sent = version;
+        if deltas.is_empty() || !table.is_near(&peer) {
+            continue;
+        }
+        let from = table.config().gate.clone();
+        // The next exchange repairs what is lost here.
+        let _ = ask(&peer, &Request::Deltas { from, deltas }).await;
+    }
+}
+
+async fn exchange_often(table: Table, gates: Vec<Peer>) {
+    let mut rng = SmallRng::seed_from_u64(table.config().seed);
+    let mut tick = interval(table.config().exchange_every);
+    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tick.tick().await;
+        let near: Vec<&Peer> = gates.iter().filter(|peer| table.is_near(peer)).collect();
+        if let Some(peer) = pick(&near, &mut rng).cloned() {
+            // A neighbour that does not answer is one of several.
+            let _ = table.exchange(|req| ask_owned(peer.clone(), req)).await;
+        }
+    }
+}
+
+fn pick<'a>(peers: &[&'a Peer], rng: &mut SmallRng) -> Option<&'a Peer> {
+    match peers.is_empty() {
+        true => None,
+        false => Some(peers[rng.random_range(0..peers.len())]),
+    }
+}
+
+async fn sweep(table: Table) {
+    let mut tick = interval(SWEEP_EVERY);
+    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tick.tick().await;
+        let mut state = table.lock();
+        state.sweep(Instant::now());
+        table.publish(state);
+    }
+}
