--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -34,6 +34,8 @@
 mod stage;
 mod start;
 mod stream;
+#[cfg(test)]
+mod tests;
 mod work;
 
 pub use config::{Config, Limits, Timing};
--- /dev/null
+++ b/crates/gate/src/tests.rs
@@ -0,0 +1,5 @@
+//! Property tests of what the request path must hold, whatever comes.
+
+mod assembly;
+mod outcomes;
+mod parsing;
