--- a/crates/routing/src/affinity.rs
+++ b/crates/routing/src/affinity.rs
@@ -1,6 +1,9 @@
 //! Which blocks of prompts an endpoint's cache is thought to hold.
 
-use std::collections::{HashMap, VecDeque};
+use std::{
+    collections::{HashMap, VecDeque},
+    hash::{BuildHasherDefault, Hasher},
+};
 
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -30,11 +33,29 @@
         .collect()
 }
 
+/// Takes keys that are hashes already.
+#[derive(Debug, Default)]
+struct HashedKey(u64);
+
+impl Hasher for HashedKey {
+    fn finish(&self) -> u64 {
+        self.0
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        self.0 = xxh3_64_with_seed(bytes, self.0);
+    }
+
+    fn write_u64(&mut self, key: u64) {
+        self.0 = key;
+    }
+}
+
 /// The blocks that one endpoint is thought to hold, with when each was last confirmed.
 #[derive(Debug)]
 pub(crate) struct Affinity {
     cfg: AffinityConfig,
-    blocks: HashMap<u64, Instant>,
+    blocks: HashMap<u64, Instant, BuildHasherDefault<HashedKey>>,
     order: VecDeque<u64>,
     last_seq: u64,
     trust: f64,
@@ -44,7 +65,7 @@
     pub(crate) fn new(cfg: AffinityConfig) -> Self {
         Self {
             cfg,
-            blocks: HashMap::new(),
+            blocks: HashMap::default(),
             order: VecDeque::new(),
             last_seq: 0,
             trust: 1.0,
@@ -82,8 +103,11 @@
     /// The share of a prompt of these blocks that is thought to be cached, 0 to 1.
     pub(crate) fn share(&self, hashes: &[u64], now: Instant) -> f64 {
         let known = hashes.iter().map_while(|hash| self.blocks.get(hash));
-        let weights = known.map(|at| decay(now.saturating_duration_since(*at), self.cfg.half_life));
-        self.trust * weights.sum::<f64>() / hashes.len().max(1) as f64
+        let Some((blocks, at)) = known.enumerate().last() else {
+            return 0.0;
+        };
+        let weight = decay(now.saturating_duration_since(*at), self.cfg.half_life);
+        self.trust * weight * (blocks + 1) as f64 / hashes.len() as f64
     }
 
     /// Corrects the trust by what an answer says of its own prompt.
--- a/crates/routing/src/config.rs
+++ b/crates/routing/src/config.rs
@@ -15,6 +15,8 @@
     pub seed: u64,
     /// Smallest number of endpoints of one service that a gate talks to, where there are as many.
     pub min_subset: usize,
+    /// Most endpoints of one service that a gate talks to in each other availability zone.
+    pub far_subset: usize,
     /// Gates that talk to each endpoint, at least.
     pub gates_per_endpoint: usize,
     /// Share of its limit at which an endpoint of the own availability zone counts as overloaded.
@@ -84,6 +86,7 @@
             gates,
             seed: 0,
             min_subset: 20,
+            far_subset: 8,
             gates_per_endpoint: 3,
             spill_above: 0.8,
             remote_factor: 2.0,
--- a/crates/routing/src/pool.rs
+++ b/crates/routing/src/pool.rs
@@ -5,14 +5,15 @@
     sync::{Arc, Mutex},
 };
 
-use membership::{Endpoint, ServiceSnapshot};
+use derives::value;
+use membership::{Endpoint, Readiness, ServiceSnapshot, StageRole};
 use tokio::time::Instant;
 use uuid::Uuid;
 
 use crate::{
     config::RouterConfig,
     health::max_ejected,
-    stats::Stats,
+    stats::{Latency, Stats},
     subset::{self, Place},
 };
 
@@ -21,6 +22,7 @@
 pub(crate) struct Slot {
     pub(crate) endpoint: Arc<Endpoint>,
     pub(crate) stats: Arc<Stats>,
+    /// Whether it is of the gate's own availability zone.
     pub(crate) is_near: bool,
 }
 
@@ -28,7 +30,11 @@
 #[derive(Debug)]
 pub(crate) struct Pool {
     pub(crate) version: u64,
-    pub(crate) slots: Vec<Slot>,
+    /// Those of the own availability zone first.
+    slots: Vec<Slot>,
+    /// How many of them are of the own availability zone.
+    near: usize,
+    latency: Arc<Latency>,
     /// Held while an ejection is decided, so that the cap holds.
     ejecting: Arc<Mutex<()>>,
     max_share: f64,
@@ -61,9 +67,12 @@
                 is_near: endpoint.announced.az == cfg.az,
                 endpoint: Arc::clone(endpoint),
             });
+        let (near, far): (Vec<Slot>, Vec<Slot>) = slots.partition(|slot| slot.is_near);
         let pool = Self {
             version: snapshot.version,
-            slots: slots.collect(),
+            near: near.len(),
+            slots: near.into_iter().chain(far).collect(),
+            latency: old.map_or_else(Arc::default, |pool| Arc::clone(&pool.latency)),
             ejecting: old.map_or_else(Arc::default, |pool| Arc::clone(&pool.ejecting)),
             max_share: cfg.ejection.max_share,
         };
@@ -71,6 +80,26 @@
         pool
     }
 
+    /// All endpoints.
+    pub(crate) fn slots(&self) -> &[Slot] {
+        &self.slots
+    }
+
+    /// The endpoints of the own availability zone.
+    pub(crate) fn near(&self) -> &[Slot] {
+        &self.slots[..self.near]
+    }
+
+    /// The endpoints of other availability zones.
+    pub(crate) fn far(&self) -> &[Slot] {
+        &self.slots[self.near..]
+    }
+
+    /// The time that the service's answers take.
+    pub(crate) fn latency(&self) -> &Latency {
+        &self.latency
+    }
+
     /// Ejects the endpoint of `stats` where the cap allows it.
     pub(crate) fn try_eject(&self, stats: &Stats, now: Instant) -> bool {
         let _guard = self.ejecting.lock().expect("no holder of this lock panics");
@@ -106,25 +135,44 @@
     (&a.endpoint, a.incarnation)
 }
 
-/// Names of the endpoints of each availability zone that this gate talks to.
+/// Names of the endpoints that this gate talks to: a subset of those of each availability zone that
+/// are loaded alike, so that a rollout leaves each gate with endpoints of both versions.
 fn chosen<'a>(cfg: &RouterConfig, snapshot: &'a ServiceSnapshot) -> HashSet<&'a str> {
-    let mut by_az: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
+    let mut alike: BTreeMap<Group<'_>, Vec<&str>> = BTreeMap::new();
     for endpoint in &snapshot.endpoints {
         let a = &endpoint.announced;
-        by_az.entry(&a.az).or_default().push(&a.endpoint);
+        let models = a.models.iter();
+        let group = Group {
+            az: &a.az,
+            models: models
+                .map(|m| (m.model.as_str(), m.version, m.adapters.as_slice()))
+                .collect(),
+            role: a.role,
+            is_leaving: a.state == Readiness::Leaving,
+        };
+        alike.entry(group).or_default().push(&a.endpoint);
     }
     let place = Place::of(&cfg.gate, &cfg.gates);
-    let per_az = by_az.iter().flat_map(|(az, names)| {
-        let size = match *az == cfg.az {
+    let per_group = alike.iter().flat_map(|(group, names)| {
+        let size = match group.az == cfg.az {
             true => subset::size(
                 names.len(),
                 place.gates,
                 cfg.min_subset,
                 cfg.gates_per_endpoint,
             ),
-            false => cfg.min_subset,
+            false => cfg.far_subset,
         };
         subset::choose(names, place, size)
     });
-    per_az.collect()
+    per_group.collect()
+}
+
+/// Endpoints of one availability zone that can do the same.
+#[value]
+struct Group<'a> {
+    az: &'a str,
+    models: Vec<(&'a str, u32, &'a [String])>,
+    role: StageRole,
+    is_leaving: bool,
 }
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -21,6 +21,8 @@
     score::View,
 };
 
+/// A call cancelled after so many mean times of its endpoint tells that it is slow.
+const LONG: f64 = 2.0;
 /// Draws before a pick gives up against others that take the last slots.
 const MAX_DRAWS: usize = 8;
 
@@ -71,6 +73,11 @@
         }
     }
 
+    /// How this gate routes.
+    pub fn config(&self) -> &RouterConfig {
+        &self.shared.cfg
+    }
+
     /// Chooses an endpoint and takes one of its slots.
     pub fn pick(&self, need: &Need<'_>) -> Result<Pick, NoEndpoint> {
         let pool = self.pool(need.service).ok_or(NoEndpoint::NoneReady)?;
@@ -80,17 +87,20 @@
             need,
             hashes: &hashes,
             now: Instant::now(),
+            mean_latency: pool.latency().mean(),
         };
         let seed = self.shared.cfg.seed;
         let mut rng = SmallRng::seed_from_u64(seed ^ self.shared.picks.fetch_add(1, Relaxed));
         for _ in 0..MAX_DRAWS {
-            let (slot, cached) = view.choose(&pool.slots, &mut rng)?;
-            if slot.stats.try_enter() {
+            let chosen = view.choose(&pool, &mut rng)?;
+            if chosen.slot.stats.try_enter() {
                 return Ok(Pick {
+                    cached: chosen.cached,
+                    slot: chosen.slot.clone(),
                     router: self.clone(),
-                    slot: slot.clone(),
+                    since: view.now,
                     hashes,
-                    cached,
+                    is_finished: false,
                 });
             }
         }
@@ -108,7 +118,11 @@
             let a = &slot.endpoint.announced;
             a.endpoint == events.endpoint && a.incarnation == events.incarnation
         };
-        for slot in pools.values().flat_map(|pool| &pool.slots).filter(is_meant) {
+        for slot in pools
+            .values()
+            .flat_map(|pool| pool.slots())
+            .filter(is_meant)
+        {
             let mut inner = slot.stats.lock();
             inner
                 .affinity
@@ -122,12 +136,12 @@
         let Some(pool) = self.pool(service) else {
             return Vec::new();
         };
-        let stats = pool.slots.iter().map(|slot| EndpointStats {
+        let stats = pool.slots().iter().map(|slot| EndpointStats {
             endpoint: slot.endpoint.announced.endpoint.clone(),
             in_flight: slot.stats.in_flight(),
             limit: slot.stats.limit(),
             is_ejected: slot.stats.is_ejected(now),
-            latency_ms: slot.stats.latency().map(|s| s * 1e3),
+            latency_ms: slot.stats.latency.mean().map(|s| s * 1e3),
         });
         stats.collect()
     }
@@ -167,22 +181,20 @@
     fn finish(&self, pick: &Pick, seen: &Observation) {
         let now = Instant::now();
         let stats = &pick.slot.stats;
-        let in_flight = stats.in_flight();
-        let mut inner = stats.lock();
+        let service = &pick.slot.endpoint.announced.service;
+        let pool = self.pool(service);
+        learn_latency(pick, seen, pool.as_deref(), now);
         let is_failure = matches!(seen.outcome, CallOutcome::Failed | CallOutcome::Stalled);
         let is_known = !matches!(seen.outcome, CallOutcome::Cancelled | CallOutcome::Refused);
+        let in_flight = stats.in_flight();
+        let mut inner = stats.lock();
         let is_outlier = is_known && inner.health.observe(is_failure, now);
         match seen.outcome {
             CallOutcome::Answered => {
-                inner.latency.add(seen.elapsed.as_secs_f64(), now);
                 inner.limit.answered(seen.elapsed, in_flight);
                 inner.affinity.store(&pick.hashes, now);
             }
-            CallOutcome::Stalled => {
-                inner.latency.add(seen.elapsed.as_secs_f64(), now);
-                inner.limit.overloaded();
-            }
-            CallOutcome::Refused => inner.limit.overloaded(),
+            CallOutcome::Stalled | CallOutcome::Refused => inner.limit.overloaded(),
             CallOutcome::Failed | CallOutcome::Cancelled => {}
         }
         if let Some(reused) = seen.reused {
@@ -194,17 +206,30 @@
             let calls = load.running.saturating_add(load.queued);
             pick.slot.endpoint.live.report(calls, now);
         }
-        let service = &pick.slot.endpoint.announced.service;
-        let is_ejected = is_outlier
-            && self
-                .pool(service)
-                .is_some_and(|pool| pool.try_eject(stats, now));
-        if is_ejected {
+        if is_outlier && pool.is_some_and(|pool| pool.try_eject(stats, now)) {
             self.shared.ejections.fetch_add(1, Relaxed);
         }
     }
 }
 
+/// A call given up after long tells that the endpoint takes at least that long.
+fn learn_latency(pick: &Pick, seen: &Observation, pool: Option<&Pool>, now: Instant) {
+    let latency = &pick.slot.stats.latency;
+    let mean = latency.mean().unwrap_or(0.0);
+    match seen.outcome {
+        CallOutcome::Answered | CallOutcome::Stalled => {
+            latency.add(seen.elapsed, now);
+            if let Some(pool) = pool {
+                pool.latency().add(seen.elapsed, now);
+            }
+        }
+        CallOutcome::Cancelled if seen.elapsed.as_secs_f64() > LONG * mean => {
+            latency.add(seen.elapsed, now);
+        }
+        _ => {}
+    }
+}
+
 /// An endpoint chosen for a call; holds one of its slots until dropped.
 #[derive(Debug)]
 pub struct Pick {
@@ -212,6 +237,8 @@
     slot: Slot,
     hashes: Vec<u64>,
     cached: f64,
+    since: Instant,
+    is_finished: bool,
 }
 
 impl Pick {
@@ -236,13 +263,18 @@
     }
 
     /// Frees the slot and learns from the call; a pick dropped without this was cancelled.
-    pub fn finish(self, seen: Observation) {
+    pub fn finish(mut self, seen: Observation) {
+        self.is_finished = true;
         self.router.finish(&self, &seen);
     }
 }
 
 impl Drop for Pick {
     fn drop(&mut self) {
+        if !self.is_finished {
+            let seen = Observation::new(CallOutcome::Cancelled, self.since.elapsed());
+            self.router.finish(self, &seen);
+        }
         self.slot.stats.leave();
     }
 }
--- a/crates/routing/src/score.rs
+++ b/crates/routing/src/score.rs
@@ -10,14 +10,18 @@
     config::RouterConfig,
     ewma::decay,
     need::{Need, NoEndpoint},
-    pool::Slot,
+    pool::{Pool, Slot},
     stats::Stats,
 };
 
 /// Time over which a load report loses half of its weight.
 const REPORT_HALF_LIFE: Duration = Duration::from_secs(2);
-/// Candidates drawn at random from one availability zone.
+/// Candidates drawn at random, besides the one that holds most of the prompt.
 const CANDIDATES: usize = 3;
+/// Up to so many endpoints are all looked at.
+const FULL_SCAN: usize = 8;
+/// Random draws before all endpoints are looked at.
+const MAX_DRAWS: usize = 12;
 const LATENCY_RATIO_MIN: f64 = 0.25;
 const LATENCY_RATIO_MAX: f64 = 16.0;
 /// A cached share below this is no reason to prefer an endpoint.
@@ -32,16 +36,31 @@
     pub(crate) need: &'a Need<'a>,
     pub(crate) hashes: &'a [u64],
     pub(crate) now: Instant,
+    /// Mean time of the service's recent answers in seconds.
+    pub(crate) mean_latency: Option<f64>,
 }
 
-/// The endpoints that can take the call, by availability zone.
-#[derive(Debug, Default)]
-struct Eligible<'a> {
-    near: Vec<&'a Slot>,
-    far: Vec<&'a Slot>,
-    mean_latency: Option<f64>,
+/// An endpoint that may get the call.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Candidate<'s> {
+    pub(crate) slot: &'s Slot,
+    /// The share of the prompt it is thought to have cached.
+    pub(crate) cached: f64,
+    /// The expected cost of the call there.
+    score: f64,
+}
+
+impl Candidate<'_> {
+    fn better(self, other: Option<Self>) -> Self {
+        match other {
+            Some(other) if other.score < self.score => other,
+            _ => self,
+        }
+    }
 }
 
+type Drawn<'s> = [Option<&'s Slot>; CANDIDATES];
+
 /// How far an endpoint came that can't take the call; the last of all is the reason given.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Barrier {
@@ -75,47 +94,21 @@
         }
     }
 
-    fn eligible<'s>(&self, slots: &'s [Slot]) -> Result<Eligible<'s>, NoEndpoint> {
-        let mut eligible = Eligible::default();
-        let mut furthest = Barrier::NotReady;
-        let (mut sum, mut count) = (0.0, 0.0);
-        for slot in slots {
-            if let Some(latency) = slot.stats.latency() {
-                sum += latency;
-                count += 1.0;
-            }
-            match self.barrier(slot) {
-                Some(barrier) => furthest = furthest.max(barrier),
-                None if slot.is_near => eligible.near.push(slot),
-                None => eligible.far.push(slot),
-            }
-        }
-        eligible.mean_latency = (count > 0.0).then(|| sum / count);
-        match eligible.near.is_empty() && eligible.far.is_empty() {
-            true => Err(no_endpoint(furthest, eligible.mean_latency)),
-            false => Ok(eligible),
-        }
-    }
-
-    /// The endpoint of `slots` that gets the call, and the share of the prompt it has cached.
+    /// The endpoint of `pool` that gets the call.
     pub(crate) fn choose<'s>(
         &self,
-        slots: &'s [Slot],
+        pool: &'s Pool,
         rng: &mut SmallRng,
-    ) -> Result<(&'s Slot, f64), NoEndpoint> {
-        let mut eligible = self.eligible(slots)?;
-        let mean = eligible.mean_latency;
-        let mut best = self.best(&mut eligible.near, mean, rng);
-        let is_overloaded = best.is_none_or(|(slot, ..)| self.is_overloaded(slot));
-        if is_overloaded {
-            let far = self.best(&mut eligible.far, mean, rng);
-            best = [best, far]
-                .into_iter()
-                .flatten()
-                .min_by(|a, b| a.1.total_cmp(&b.1));
+    ) -> Result<Candidate<'s>, NoEndpoint> {
+        let near = self.best(pool.near(), rng);
+        match near {
+            Ok(best) if !self.is_overloaded(best.slot) => Ok(best),
+            Ok(best) => Ok(best.better(self.best(pool.far(), rng).ok())),
+            Err(near) => {
+                let far = self.best(pool.far(), rng);
+                far.map_err(|far| self.no_endpoint(near.max(far)))
+            }
         }
-        let (slot, _, cached) = best.ok_or(NoEndpoint::NoneReady)?;
-        Ok((slot, cached))
     }
 
     fn is_overloaded(&self, slot: &Slot) -> bool {
@@ -123,37 +116,90 @@
         load(&slot.endpoint, &slot.stats, self.now) / limit >= self.cfg.spill_above
     }
 
-    /// The best of a few candidates with its score and the share of the prompt it has cached.
-    fn best<'s>(
+    /// The best of a few candidates among `slots`.
+    fn best<'s>(&self, slots: &'s [Slot], rng: &mut SmallRng) -> Result<Candidate<'s>, Barrier> {
+        let drawn = self.draw(slots, rng)?;
+        let drawn = drawn.iter().flatten().map(|slot| self.candidate(slot));
+        let best = drawn.reduce(|best, next| best.better(Some(next)));
+        let best = best.ok_or(Barrier::NotReady)?;
+        Ok(best.better(self.holder(slots)))
+    }
+
+    /// Up to [`CANDIDATES`] different endpoints that can take the call: at random where enough
+    /// can, else from all of them.
+    fn draw<'s>(&self, slots: &'s [Slot], rng: &mut SmallRng) -> Result<Drawn<'s>, Barrier> {
+        let mut drawn: Drawn<'s> = [None; CANDIDATES];
+        let mut count = 0;
+        let attempts = if slots.len() > FULL_SCAN {
+            MAX_DRAWS
+        } else {
+            0
+        };
+        for _ in 0..attempts {
+            let slot = &slots[rng.random_range(0..slots.len())];
+            let is_new = !drawn
+                .iter()
+                .flatten()
+                .any(|known| std::ptr::eq(*known, slot));
+            if is_new && self.barrier(slot).is_none() {
+                drawn[count] = Some(slot);
+                count += 1;
+            }
+            if count == CANDIDATES {
+                return Ok(drawn);
+            }
+        }
+        self.draw_from_all(slots, rng)
+    }
+
+    /// Reservoir sampling over all endpoints that can take the call.
+    fn draw_from_all<'s>(
         &self,
-        slots: &mut [&'s Slot],
-        mean: Option<f64>,
+        slots: &'s [Slot],
         rng: &mut SmallRng,
-    ) -> Option<(&'s Slot, f64, f64)> {
-        let drawn = CANDIDATES.min(slots.len());
-        for at in 0..drawn {
-            let other = rng.random_range(at..slots.len());
-            slots.swap(at, other);
+    ) -> Result<Drawn<'s>, Barrier> {
+        let mut drawn: Drawn<'s> = [None; CANDIDATES];
+        let mut seen = 0;
+        let mut furthest = Barrier::NotReady;
+        // A random start, since the first of equals gets the call.
+        let start = rng.random_range(0..slots.len().max(1));
+        for slot in slots[start..].iter().chain(&slots[..start]) {
+            if let Some(barrier) = self.barrier(slot) {
+                furthest = furthest.max(barrier);
+                continue;
+            }
+            let at = if seen < CANDIDATES {
+                seen
+            } else {
+                rng.random_range(0..=seen)
+            };
+            if let Some(place) = drawn.get_mut(at) {
+                *place = Some(slot);
+            }
+            seen += 1;
         }
-        let holder = self.holder(slots);
-        let drawn = slots[..drawn].iter().map(|slot| (*slot, self.cached(slot)));
-        let scored = drawn.chain(holder).map(|(slot, cached)| {
-            let score = self.score(slot, mean, cached);
-            (slot, score, cached)
-        });
-        scored.min_by(|a, b| a.1.total_cmp(&b.1))
+        if seen == 0 { Err(furthest) } else { Ok(drawn) }
     }
 
     /// The endpoint that holds most of the prompt.
-    fn holder<'s>(&self, slots: &[&'s Slot]) -> Option<(&'s Slot, f64)> {
+    fn holder<'s>(&self, slots: &'s [Slot]) -> Option<Candidate<'s>> {
         if self.hashes.is_empty() {
             return None;
         }
-        slots
-            .iter()
-            .map(|slot| (*slot, self.cached(slot)))
-            .filter(|(_, cached)| *cached >= MIN_AFFINITY)
-            .max_by(|a, b| a.1.total_cmp(&b.1))
+        let cached = slots.iter().map(|slot| (slot, self.cached(slot)));
+        let holder = cached
+            .filter(|(slot, cached)| *cached >= MIN_AFFINITY && self.barrier(slot).is_none())
+            .max_by(|a, b| a.1.total_cmp(&b.1));
+        holder.map(|(slot, _)| self.candidate(slot))
+    }
+
+    fn candidate<'s>(&self, slot: &'s Slot) -> Candidate<'s> {
+        let cached = self.cached(slot);
+        Candidate {
+            slot,
+            cached,
+            score: self.score(slot, cached),
+        }
     }
 
     fn cached(&self, slot: &Slot) -> f64 {
@@ -164,8 +210,8 @@
     }
 
     /// The expected cost of a call there; lower is better.
-    fn score(&self, slot: &Slot, mean: Option<f64>, cached: f64) -> f64 {
-        let ratio = match (slot.stats.latency(), mean) {
+    fn score(&self, slot: &Slot, cached: f64) -> f64 {
+        let ratio = match (slot.stats.latency.mean(), self.mean_latency) {
             (Some(latency), Some(mean)) if mean > 0.0 => latency / mean,
             _ => 1.0,
         };
@@ -181,18 +227,19 @@
         let load = load(&slot.endpoint, &slot.stats, self.now);
         (load + 1.0) * ratio * distance * (1.0 - saving) / share
     }
-}
 
-fn no_endpoint(furthest: Barrier, mean_latency: Option<f64>) -> NoEndpoint {
-    match furthest {
-        Barrier::NotReady => NoEndpoint::NoneReady,
-        Barrier::NotAllowed => NoEndpoint::NotAllowed,
-        Barrier::NoModel => NoEndpoint::NoModel,
-        Barrier::Tried => NoEndpoint::AllTried,
-        Barrier::AtLimit => {
-            let half = Duration::from_secs_f64(mean_latency.unwrap_or(0.0).min(60.0) / 2.0);
-            let retry_after = half.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
-            NoEndpoint::Busy { retry_after }
+    fn no_endpoint(&self, furthest: Barrier) -> NoEndpoint {
+        match furthest {
+            Barrier::NotReady => NoEndpoint::NoneReady,
+            Barrier::NotAllowed => NoEndpoint::NotAllowed,
+            Barrier::NoModel => NoEndpoint::NoModel,
+            Barrier::Tried => NoEndpoint::AllTried,
+            Barrier::AtLimit => {
+                let half = self.mean_latency.unwrap_or(0.0).min(60.0) / 2.0;
+                let half = Duration::from_secs_f64(half);
+                let retry_after = half.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
+                NoEndpoint::Busy { retry_after }
+            }
         }
     }
 }
--- a/crates/routing/src/stats.rs
+++ b/crates/routing/src/stats.rs
@@ -20,13 +20,47 @@
 
 const LATENCY_HALF_LIFE: Duration = Duration::from_secs(5);
 
+/// A mean time of recent answers that is read without a lock.
+#[derive(Debug)]
+pub(crate) struct Latency {
+    mean: Mutex<Decaying>,
+    /// Microseconds; 0 where none is known.
+    micros: AtomicU64,
+}
+
+impl Default for Latency {
+    fn default() -> Self {
+        Self {
+            mean: Mutex::new(Decaying::new(LATENCY_HALF_LIFE)),
+            micros: AtomicU64::new(0),
+        }
+    }
+}
+
+impl Latency {
+    /// Takes the time of an answer.
+    pub(crate) fn add(&self, elapsed: Duration, now: Instant) {
+        let mut mean = self.mean.lock().expect("no holder of this lock panics");
+        mean.add(elapsed.as_secs_f64(), now);
+        let micros = mean.mean().unwrap_or(0.0) * 1e6;
+        self.micros.store(micros as u64, Relaxed);
+    }
+
+    /// The mean in seconds.
+    pub(crate) fn mean(&self) -> Option<f64> {
+        match self.micros.load(Relaxed) {
+            0 => None,
+            us => Some(us as f64 / 1e6),
+        }
+    }
+}
+
 /// What [`Stats`]' lock guards.
 #[derive(Debug)]
 pub(crate) struct Inner {
     pub(crate) health: Health,
     pub(crate) limit: Limit,
     pub(crate) affinity: Affinity,
-    pub(crate) latency: Decaying,
 }
 
 /// Calls in flight and what earlier ones told; the numbers that every pick reads need no lock.
@@ -37,8 +71,7 @@
     limit: AtomicU32,
     /// Microseconds from `start`; 0 where it never was ejected.
     ejected_until_us: AtomicU64,
-    /// Mean time of recent answers; 0 where none is known.
-    latency_us: AtomicU64,
+    pub(crate) latency: Latency,
     inner: Mutex<Inner>,
 }
 
@@ -48,14 +81,13 @@
             health: Health::new(cfg.ejection),
             limit: Limit::new(cfg.limit),
             affinity: Affinity::new(cfg.affinity),
-            latency: Decaying::new(LATENCY_HALF_LIFE),
         };
         Self {
             start,
             in_flight: AtomicU32::new(0),
             limit: AtomicU32::new(inner.limit.get()),
             ejected_until_us: AtomicU64::new(0),
-            latency_us: AtomicU64::new(0),
+            latency: Latency::default(),
             inner: Mutex::new(inner),
         }
     }
@@ -70,8 +102,6 @@
         let until_us = until.map_or(0, |until| self.micros(until));
         self.ejected_until_us.store(until_us, Relaxed);
         self.limit.store(inner.limit.get(), Relaxed);
-        let latency_us = inner.latency.mean().unwrap_or(0.0) * 1e6;
-        self.latency_us.store(latency_us as u64, Relaxed);
     }
 
     pub(crate) fn in_flight(&self) -> u32 {
@@ -93,14 +123,6 @@
         self.in_flight.fetch_sub(1, Relaxed);
     }
 
-    /// Mean time of recent answers in seconds.
-    pub(crate) fn latency(&self) -> Option<f64> {
-        match self.latency_us.load(Relaxed) {
-            0 => None,
-            us => Some(us as f64 / 1e6),
-        }
-    }
-
     pub(crate) fn is_ejected(&self, now: Instant) -> bool {
         self.ejected_until_us.load(Relaxed) > self.micros(now)
     }
--- a/crates/routing/tests/subset.rs
+++ b/crates/routing/tests/subset.rs
@@ -24,6 +24,8 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, failure_persistence: None, ..ProptestConfig::default() })]
+
     #[test]
     fn each_endpoint_has_gates_and_each_gate_a_bounded_number(
         endpoints in 1..1_500_usize,
