--- a/crates/keeper/src/service.rs
+++ b/crates/keeper/src/service.rs
@@ -150,7 +150,9 @@
             let left = deadline.saturating_duration_since(Instant::now());
             match timeout(left, self.attempt(req, origin, left)).await {
                 Ok(Attempt::Reply(reply)) => return reply,
-                Ok(Attempt::Again) if origin == Origin::Client => sleep(RETRY_PAUSE).await,
+                Ok(Attempt::Again) if origin == Origin::Client && left > RETRY_PAUSE => {
+                    sleep(RETRY_PAUSE).await;
+                }
                 Ok(Attempt::Again) | Err(_) => return KeeperReply::NoQuorum,
             }
         }
@@ -268,8 +270,8 @@
             let left = deadline.saturating_duration_since(Instant::now());
             match timeout(left, self.replica.read_barrier()).await {
                 Ok(Ok(_)) => return true,
-                Err(_) => return false,
-                Ok(Err(_)) => sleep(RETRY_PAUSE).await,
+                Ok(Err(_)) if left > RETRY_PAUSE => sleep(RETRY_PAUSE).await,
+                Ok(Err(_)) | Err(_) => return false,
             }
         }
     }
--- a/crates/keeper/src/state.rs
+++ b/crates/keeper/src/state.rs
@@ -57,6 +57,11 @@
 }
 
 impl State {
+    /// The declaration's revision.
+    pub fn declared_revision(&self) -> u64 {
+        self.declared.revision()
+    }
+
     /// The latest stamp, in milliseconds since the Unix epoch.
     pub fn clock_ms(&self) -> u64 {
         self.clock_ms
