--- /dev/null
+++ b/crates/keeper/examples/measure/distribution.rs
@@ -0,0 +1,166 @@
+//! How fast and at what cost an accepted change comes in force at many followers.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use link::{
+    Identity, Incoming, LinkConfig, Role,
+    follower::{Follower, FollowerConfig},
+    keepers::Keepers,
+    serve,
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    time::{Instant, sleep},
+};
+use uuid::Uuid;
+
+use crate::group::{Group, cpu_seconds, document, peer};
+
+const CHANGES: u64 = 100;
+/// Gates that follow the keepers themselves where the others follow gates.
+const RELAYS: usize = 12;
+
+/// Measures `CHANGES` changes of one workspace each, in a document of `workspaces`.
+pub async fn changes(n: usize, workspaces: usize, by_relays: bool) {
+    let group = Group::start(true).await;
+    let keepers = Keepers::new(group.peers(0));
+    let mut base = group.change(&keepers, 0, &document(workspaces)).await;
+    let bytes = Arc::new(AtomicU64::new(0));
+    let mut followers = Vec::new();
+    let direct = if by_relays { RELAYS.min(n) } else { n };
+    for i in 0..direct {
+        followers.push(Follower::start(group.peers(i), FollowerConfig::default()));
+    }
+    let mut relays = Vec::new();
+    for follower in followers.iter().take(if by_relays { direct } else { 0 }) {
+        relays.push(relay(follower.clone()).await);
+    }
+    for i in direct..n {
+        let own = peer(relays[i % RELAYS], Role::Gate);
+        let other = peer(relays[(i + 1) % RELAYS], Role::Gate);
+        let mut sources = vec![own, other];
+        sources.extend(group.peers(i).into_iter().take(1));
+        followers.push(Follower::start(sources, FollowerConfig::default()));
+    }
+    let counted = counting(group.addresses()[0], Arc::clone(&bytes)).await;
+    let sample = Follower::start(vec![peer(counted, Role::Gate)], FollowerConfig::default());
+    followers.push(sample);
+    reach(&followers, base).await;
+    let start_bytes = bytes.load(Ordering::Relaxed);
+    let (mut times, cpu, start) = (Vec::new(), cpu_seconds(), Instant::now());
+    for i in 0..CHANGES {
+        let mut change = document(1);
+        let (_, text) = change.sections.iter_mut().next_back().unwrap();
+        text.entries.insert("max_in_flight".to_owned(), (1_000 + i).to_string());
+        let start = Instant::now();
+        base = group.change(&keepers, base, &change).await;
+        reach(&followers, base).await;
+        times.push(start.elapsed());
+    }
+    times.sort();
+    let at = |share: f64| times[((times.len() - 1) as f64 * share) as usize];
+    println!("followers {n} workspaces {workspaces} by_relays {by_relays} changes {CHANGES}");
+    println!("in force everywhere: p50 {:?} p99 {:?} max {:?}", at(0.5), at(0.99), at(1.0));
+    let used = bytes.load(Ordering::Relaxed) - start_bytes;
+    println!("bytes at one follower a change: {}", used / CHANGES);
+    println!(
+        "processor time of keepers and followers a change: {:.1} ms over {:?}",
+        (cpu_seconds() - cpu) * 1_000.0 / CHANGES as f64,
+        start.elapsed()
+    );
+}
+
+/// Measures `n` followers while nothing changes.
+pub async fn idle(n: usize, time: Duration) {
+    let group = Group::start(true).await;
+    let keepers = Keepers::new(group.peers(0));
+    let base = group.change(&keepers, 0, &document(10)).await;
+    sleep(Duration::from_secs(2)).await;
+    let cpu = cpu_seconds();
+    sleep(time).await;
+    let alone = cpu_seconds() - cpu;
+    let bytes = Arc::new(AtomicU64::new(0));
+    let mut followers = Vec::new();
+    for i in 0..n {
+        followers.push(Follower::start(group.peers(i), FollowerConfig::default()));
+    }
+    let mut counted = Vec::new();
+    for address in group.addresses() {
+        counted.push(peer(counting(address, Arc::clone(&bytes)).await, Role::Gate));
+    }
+    followers.push(Follower::start(counted, FollowerConfig::default()));
+    reach(&followers, base).await;
+    sleep(Duration::from_secs(2)).await;
+    let (cpu, before) = (cpu_seconds(), bytes.load(Ordering::Relaxed));
+    sleep(time).await;
+    let with = cpu_seconds() - cpu;
+    let hours = time.as_secs_f64() / 3_600.0;
+    let used = bytes.load(Ordering::Relaxed) - before;
+    println!("followers {n}, three links each, over {time:?}");
+    println!("bytes a follower an hour: {:.0}", used as f64 / hours);
+    println!(
+        "processor seconds a follower an hour, both ends: {:.2} (keepers alone {:.2} an hour)",
+        (with - alone) / hours / n as f64,
+        alone / hours
+    );
+}
+
+async fn reach(followers: &[Follower], revision: u64) {
+    for follower in followers {
+        let mut rx = follower.in_force();
+        let reached = rx.wait_for(|f| f.as_ref().is_some_and(|f| f.revision >= revision));
+        reached.await.unwrap();
+    }
+}
+
+/// Serves what `follower` has in force, as a gate does.
+async fn relay(follower: Follower) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let cfg = LinkConfig::new(Identity {
+        vm: "relay".to_owned(),
+        az: "az-0".to_owned(),
+        role: Role::Gate,
+        incarnation: Uuid::new_v4(),
+    });
+    tokio::spawn(serve(listener, cfg, move |call: Incoming| {
+        follower.answer(&call.body)
+    }));
+    address
+}
+
+/// Forwards connections to `to` and counts the bytes of both directions.
+async fn counting(to: SocketAddr, bytes: Arc<AtomicU64>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((near, _)) = listener.accept().await {
+            let far = TcpStream::connect(to).await.unwrap();
+            let ((nr, nw), (fr, fw)) = (near.into_split(), far.into_split());
+            tokio::spawn(count(nr, fw, Arc::clone(&bytes)));
+            tokio::spawn(count(fr, nw, Arc::clone(&bytes)));
+        }
+    });
+    address
+}
+
+async fn count(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, bytes: Arc<AtomicU64>) {
+    let mut buf = vec![0; 64 << 10];
+    while let Ok(n @ 1..) = from.read(&mut buf).await {
+        bytes.fetch_add(n as u64, Ordering::Relaxed);
+        if to.write_all(&buf[..n]).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/keeper/examples/measure/main.rs
@@ -0,0 +1,39 @@
+//! Measures a group of keepers: `measure followers|relays|idle|intents|ledger|workspaces …`.
+//!
+//! Three keepers run as tasks of this process, each with a folder of its own that is synced as in
+//! production; followers and gates reach them over loopback links.
+
+mod distribution;
+mod group;
+mod intents;
+mod memory;
+
+use std::time::Duration;
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+const USAGE: &str = "usage: measure followers N WORKSPACES | relays N WORKSPACES | idle N SECONDS | \
+                     intents TASKS SECONDS yes|no | ledger KEYS | workspaces N";
+
+#[tokio::main]
+async fn main() {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let number = |i: usize| -> usize { args.get(i).and_then(|a| a.parse().ok()).expect(USAGE) };
+    match args.first().map(String::as_str) {
+        Some("followers") => distribution::changes(number(1), number(2), false).await,
+        Some("relays") => distribution::changes(number(1), number(2), true).await,
+        Some("idle") => distribution::idle(number(1), seconds(number(2))).await,
+        Some("intents") => {
+            let is_grouped = args.get(3).map(String::as_str) == Some("yes");
+            intents::run(number(1), seconds(number(2)), is_grouped).await;
+        }
+        Some("ledger") => memory::ledger(number(1)),
+        Some("workspaces") => memory::workspaces(number(1)),
+        _ => panic!("{USAGE}"),
+    }
+}
+
+fn seconds(n: usize) -> Duration {
+    Duration::from_secs(n as u64)
+}
--- a/crates/link/tests/following.rs
+++ b/crates/link/tests/following.rs
@@ -5,10 +5,11 @@
 use declaration::{Document, SectionChange, SectionId, SectionText};
 use link::{
     Channel, Identity, Incoming, LinkConfig, Peer, Role,
-    follow::Revision,
+    follow::{Followed, Revision},
     follower::{Feed, Follower, FollowerConfig, InForce},
     serve,
 };
+use proptest::{collection::vec, prelude::*};
 use tokio::{net::TcpListener, task::JoinHandle, time::timeout};
 use uuid::Uuid;
 
@@ -189,3 +190,62 @@
     reach(&follower, 2).await;
     task.abort();
 }
+
+/// Any answer that a source of any age may give.
+fn answers() -> impl Strategy<Value = Vec<Followed>> {
+    let one = prop_oneof![
+        (0..30_u64, 1..6_u64).prop_map(|(from, n)| {
+            Followed::Changes((from + 1..=from + n).map(revision).collect())
+        }),
+        (0..30_u64).prop_map(|n| Followed::Snapshot {
+            revision: n,
+            document: document_at(n),
+        }),
+        (0..30_u64).prop_map(|revision| Followed::Unchanged { revision }),
+        Just(Followed::Unavailable),
+    ];
+    vec(one, 1..40)
+}
+
+fn document_at(n: u64) -> Document {
+    let mut document = Document::default();
+    for i in 1..=n {
+        document.apply(&revision(i).sections);
+    }
+    document
+}
+
+/// Whether `taken` ever falls or shows another document than its revision's.
+fn first_fault(taken: &[Arc<InForce>]) -> Option<String> {
+    let fell = taken.windows(2).find(|w| w[1].revision < w[0].revision);
+    let wrong = taken.iter().find(|f| f.document != document_at(f.revision));
+    match (fell, wrong) {
+        (Some(w), _) => Some(format!("{} after {}", w[1].revision, w[0].revision)),
+        (None, Some(f)) => Some(format!("wrong document at {}", f.revision)),
+        (None, None) => None,
+    }
+}
+
+proptest! {
+    #[test]
+    fn whatever_sources_answer_the_revision_never_falls(answers in answers()) {
+        let feed = Feed::new();
+        let mut taken = Vec::new();
+        for answer in answers {
+            let _ = feed.take(answer);
+            taken.extend(feed.in_force().borrow().clone());
+        }
+        prop_assert_eq!(first_fault(&taken), None);
+    }
+}
+
+/// A follower that takes every snapshot must be caught.
+#[test]
+fn the_check_catches_a_follower_that_takes_older_snapshots() {
+    let feeds = [9, 4].map(|n| {
+        let feed = Feed::new();
+        feed.replace(n, document_at(n)).unwrap();
+        feed.in_force().borrow().clone().unwrap()
+    });
+    assert!(first_fault(&feeds).is_some());
+}
