--- /dev/null
+++ b/crates/bench/src/args.rs
@@ -0,0 +1,147 @@
+//! The command line of `jujube-bench`.
+
+use std::{
+    ffi::OsString,
+    path::{Path, PathBuf},
+};
+
+use bench::{experiment, proxy, stand_in};
+use eyre::{WrapErr, eyre};
+use host::exit::ExitCode;
+use pico_args::Arguments;
+
+const HELP: &str = "\
+Stand-ins, fault-injecting proxy, load and experiments for development
+
+Usage:
+  jujube-bench stand-in --config FILE      run one endpoint stand-in until SIGTERM
+  jujube-bench proxy --config FILE         run fault-injecting proxies until SIGTERM
+  jujube-bench load --config FILE [...]    offer load without faults to the project alone
+  jujube-bench experiment FILE [...]       run scenarios on the project and on baselines
+
+Options of load and experiment:
+  --programs FOLDER  the project's binaries [default: the folder of this program]
+  --earlier FOLDER   binaries of an earlier build to compare with
+  --out FOLDER       results, logs and evidence [default: bench-results]
+  --only NAME,...    only these scenarios
+
+Actions of a scenario, `at_MILLISECONDS = ACTION`; a service is engine, pool or booking:
+  slow SERVICE FACTOR, fail SERVICE N, stall SERVICE, close-early SERVICE, mend,
+  restart SERVICE, leave SERVICE, silence, burst FACTOR MILLISECONDS, rollout,
+  cut-az, isolate-leader, isolate-controller, heal, kill-leader, kill-keepers,
+  term-gate, kill-gate
+
+  -h, --help         print this text
+  -V, --version      print the version";
+
+/// Runs what the command line asks for.
+pub fn run() -> ExitCode {
+    let mut args = Arguments::from_env();
+    if args.contains(["-h", "--help"]) {
+        println!("{HELP}");
+        return ExitCode::Success;
+    }
+    if args.contains(["-V", "--version"]) {
+        println!("jujube-bench {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::Success;
+    }
+    match command(args) {
+        Ok(code) => code,
+        Err(e) => {
+            eprintln!("jujube-bench: {e:#}");
+            ExitCode::Failure
+        }
+    }
+}
+
+fn usage(what: &str) -> ExitCode {
+    eprintln!("jujube-bench: {what}; see `jujube-bench --help`");
+    ExitCode::Usage
+}
+
+fn command(mut args: Arguments) -> eyre::Result<ExitCode> {
+    let name = args.subcommand()?.unwrap_or_default();
+    match name.as_str() {
+        "stand-in" | "proxy" => {
+            let Ok(config) = args.value_from_str::<_, PathBuf>("--config") else {
+                return Ok(usage("--config FILE is missing"));
+            };
+            if !args.finish().is_empty() {
+                return Ok(usage("unknown argument"));
+            }
+            block_on(serve(&name, &config))
+        }
+        "load" | "experiment" => {
+            let Ok(cfg) = run_config(&mut args, name == "load") else {
+                return Ok(usage("the experiment file is missing"));
+            };
+            let rest: Vec<OsString> = args.finish();
+            if !rest.is_empty() {
+                return Ok(usage(&format!("unknown argument {rest:?}")));
+            }
+            block_on(run_experiment(cfg))
+        }
+        _ => Ok(usage("name a command")),
+    }
+}
+
+fn block_on(work: impl Future<Output = eyre::Result<ExitCode>>) -> eyre::Result<ExitCode> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .wrap_err("start the runtime")?;
+    runtime.block_on(work)
+}
+
+async fn serve(name: &str, config: &Path) -> eyre::Result<ExitCode> {
+    match name {
+        "stand-in" => stand_in::run_file(config).await?,
+        _ => proxy::run_file(config).await?,
+    }
+    Ok(ExitCode::Success)
+}
+
+fn run_config(args: &mut Arguments, is_load: bool) -> eyre::Result<experiment::RunConfig> {
+    let folder = |f: Option<PathBuf>| f.map_or_else(own_folder, Ok);
+    let only: Option<String> = args.opt_value_from_str("--only")?;
+    let programs = folder(args.opt_value_from_str("--programs")?)?;
+    let earlier = args.opt_value_from_str("--earlier")?;
+    let out: Option<PathBuf> = args.opt_value_from_str("--out")?;
+    let file = match is_load {
+        true => args.value_from_str("--config")?,
+        false => args.free_from_str()?,
+    };
+    let split = |text: String| text.split(',').map(str::to_owned).collect();
+    Ok(experiment::RunConfig {
+        file,
+        programs,
+        earlier,
+        out: out.unwrap_or_else(|| PathBuf::from("bench-results")),
+        only: only.map(split).unwrap_or_default(),
+        without_faults: is_load,
+    })
+}
+
+fn own_folder() -> eyre::Result<PathBuf> {
+    let program = std::env::current_exe()?;
+    let folder = program.parent().map(Path::to_owned);
+    folder.ok_or_else(|| eyre!("this program lies in no folder; give --programs"))
+}
+
+/// Ends with a failure where the project broke an invariant or a run failed.
+async fn run_experiment(cfg: experiment::RunConfig) -> eyre::Result<ExitCode> {
+    let rows = experiment::run_file(&cfg).await?;
+    println!("{}", experiment::table(&rows));
+    let is_ours = |row: &&experiment::Row| row.system == "project";
+    let mut code = ExitCode::Success;
+    for row in rows.iter().filter(is_ours) {
+        if row.failure.is_some() || row.broken_count() > 0 {
+            code = ExitCode::Failure;
+            println!("{} {}: {:?}", row.deployment, row.scenario, row.broken);
+        }
+        for example in row.examples.iter().chain(&row.notes) {
+            println!("  {}/{}: {example}", row.deployment, row.scenario);
+        }
+    }
+    Ok(code)
+}
--- /dev/null
+++ b/crates/bench/src/deployment.rs
@@ -0,0 +1,231 @@
+//! The two deployments of the brief: declaration, sizes, distances and traffic.
+
+use std::time::Duration;
+
+use declaration::{Declaration, ServiceKind};
+use derives::token;
+
+use crate::stand_in::Kind;
+
+/// A deployment by name.
+#[token]
+#[serde(rename_all = "kebab-case")]
+pub enum DeploymentName {
+    /// Escort Desk Routing on the Harbor Fleet.
+    EscortDesk,
+    /// Jujubeferry Fleet for Pre-Owned Watch Trading.
+    WatchTrading,
+}
+
+impl DeploymentName {
+    /// Parses the name as settings write it.
+    pub fn parse(text: &str) -> Option<Self> {
+        match text {
+            "escort-desk" => Some(Self::EscortDesk),
+            "watch-trading" => Some(Self::WatchTrading),
+            _ => None,
+        }
+    }
+
+    /// The name as settings write it.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::EscortDesk => "escort-desk",
+            Self::WatchTrading => "watch-trading",
+        }
+    }
+}
+
+/// An availability zone's entry VMs.
+#[derive(Clone, Copy, Debug)]
+pub struct AzSize {
+    /// The availability zone.
+    pub az: &'static str,
+    /// Entry VMs, each with a gate.
+    pub gates: usize,
+    /// Whether one of its VMs has a keeper.
+    pub has_keeper: bool,
+}
+
+/// A service's endpoints.
+#[derive(Clone, Copy, Debug)]
+pub struct ServiceSize {
+    /// The service.
+    pub service: &'static str,
+    /// Endpoints over all availability zones.
+    pub workers: usize,
+    /// Mean time of one call; of one decode step, for an engine.
+    pub service_time: Duration,
+    /// Calls that one endpoint runs at once; sequences in a batch, for an engine.
+    pub concurrency: usize,
+}
+
+/// Requests of one kind.
+#[derive(Clone, Copy, Debug)]
+pub struct Traffic {
+    /// The pipeline called.
+    pub pipeline: &'static str,
+    /// The workspace on whose behalf.
+    pub workspace: &'static str,
+    /// Share of all arrivals, relative to the others.
+    pub weight: u32,
+    /// Bytes of prompt that requests of one dossier share.
+    pub shared_bytes: usize,
+    /// Bytes of prompt of its own.
+    pub own_bytes: usize,
+    /// Whether the caller asks for a stream.
+    pub streams: bool,
+}
+
+/// A deployment.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    /// Its name.
+    pub name: DeploymentName,
+    /// The document that declares it.
+    pub document: &'static str,
+    /// Its availability zones.
+    pub azs: &'static [AzSize],
+    /// Its services.
+    pub services: &'static [ServiceSize],
+    /// What callers ask for.
+    pub traffic: &'static [Traffic],
+    /// One-way time between two availability zones.
+    pub az_distance: Duration,
+    /// One-way time between callers and an availability zone.
+    pub client_distance: Duration,
+}
+
+const fn az(az: &'static str, gates: usize, has_keeper: bool) -> AzSize {
+    AzSize {
+        az,
+        gates,
+        has_keeper,
+    }
+}
+
+const fn service(
+    service: &'static str,
+    workers: usize,
+    millis: u64,
+    concurrency: usize,
+) -> ServiceSize {
+    ServiceSize {
+        service,
+        workers,
+        service_time: Duration::from_millis(millis),
+        concurrency,
+    }
+}
+
+const fn traffic(
+    pipeline: &'static str,
+    workspace: &'static str,
+    weight: u32,
+    shared_bytes: usize,
+    own_bytes: usize,
+) -> Traffic {
+    Traffic {
+        pipeline,
+        workspace,
+        weight,
+        shared_bytes,
+        own_bytes,
+        streams: false,
+    }
+}
+
+const fn streamed(traffic: Traffic) -> Traffic {
+    Traffic {
+        streams: true,
+        ..traffic
+    }
+}
+
+const ESCORT_DESK: Deployment = Deployment {
+    name: DeploymentName::EscortDesk,
+    document: include_str!("../../../examples/escort-desk/declaration.ini"),
+    azs: &[
+        az("rockland", 3, true),
+        az("bucksport", 2, true),
+        az("portland", 2, true),
+    ],
+    services: &[
+        service("plan-model", 10, 5, 6),
+        service("booking-desk", 3, 50, 2),
+        service("ice-reports", 6, 60, 2),
+        service("vessel-roster", 5, 40, 2),
+        service("liaison-feed", 5, 60, 2),
+    ],
+    traffic: &[
+        traffic("convoy-plan", "dispatch", 10, 2_048, 256),
+        traffic("log-summary", "coast-guard", 10, 1_024, 2_048),
+        streamed(traffic("radio-answer", "tug-masters", 25, 1_024, 128)),
+        streamed(traffic("radio-answer", "fishing-boats", 10, 512, 128)),
+        traffic("escort-booking", "ferries", 15, 0, 128),
+        traffic("escort-booking", "dispatch", 15, 0, 128),
+        traffic("roster-query", "coast-guard", 15, 0, 64),
+    ],
+    az_distance: Duration::from_millis(1),
+    client_distance: Duration::from_micros(800),
+};
+
+const WATCH_TRADING: Deployment = Deployment {
+    name: DeploymentName::WatchTrading,
+    document: include_str!("../../../examples/watch-trading/declaration.ini"),
+    azs: &[
+        az("sousse-a", 2, true),
+        az("sousse-b", 2, true),
+        az("monastir-a", 2, true),
+        az("mahdia-a", 2, false),
+    ],
+    services: &[
+        service("appraise-llm", 12, 5, 6),
+        service("ledger-desk", 4, 50, 2),
+        service("dealer-portal", 5, 30, 2),
+        service("photo-vault", 5, 60, 2),
+        service("invoice-mill", 5, 40, 2),
+    ],
+    traffic: &[
+        traffic("appraisal", "sousse-dealers", 15, 4_096, 2_048),
+        traffic("appraisal", "monastir-dealers", 5, 4_096, 2_048),
+        traffic("condition-summary", "sousse-dealers", 15, 512, 512),
+        streamed(traffic("question", "monastir-dealers", 20, 256, 128)),
+        streamed(traffic("question", "mahdia-dealers", 10, 256, 128)),
+        traffic("piece-reservation", "sousse-dealers", 15, 0, 128),
+        traffic("deposit-release", "back-office", 10, 0, 128),
+        traffic("stock-query", "back-office", 10, 0, 64),
+    ],
+    az_distance: Duration::from_micros(300),
+    client_distance: Duration::from_micros(1_500),
+};
+
+impl Deployment {
+    /// The deployment called `name`.
+    pub fn named(name: DeploymentName) -> Self {
+        match name {
+            DeploymentName::EscortDesk => ESCORT_DESK,
+            DeploymentName::WatchTrading => WATCH_TRADING,
+        }
+    }
+
+    /// Its declaration, read from its document.
+    pub fn declaration(&self) -> eyre::Result<Declaration> {
+        let read = Declaration::read(self.name.as_str(), self.document.as_bytes());
+        read.map_err(|faults| eyre::eyre!("{faults}"))
+    }
+
+    /// The availability zone of a service's `n`-th endpoint.
+    pub fn az_of(&self, n: usize) -> &'static str {
+        self.azs[n % self.azs.len()].az
+    }
+}
+
+/// What kind of stand-in plays a service.
+pub fn stand_in_kind(declaration: &Declaration, service: &str) -> Kind {
+    match declaration.services.get(service).map(|s| s.kind) {
+        Some(ServiceKind::Engine) => Kind::Engine,
+        Some(ServiceKind::Plain) | None => Kind::Plain,
+        Some(_) => Kind::Pool,
+    }
+}
--- /dev/null
+++ b/crates/bench/src/experiment/apply.rs
@@ -0,0 +1,212 @@
+//! Carries out the steps of a fault timetable on a fleet.
+
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep};
+
+use super::{
+    action::Action,
+    fleet::{Fleet, GateBody, Own, get},
+    net::VmName,
+    roles,
+};
+use crate::{processes::Signal, stand_in::Fault};
+
+/// How long a killed process stays down.
+const DOWN: Duration = Duration::from_millis(500);
+/// Longest time that a gate may take to end after SIGTERM.
+const TERM_LIMIT: Duration = Duration::from_secs(20);
+
+impl Fleet {
+    /// Carries out `action`.
+    pub(crate) async fn apply(&mut self, action: Action) -> eyre::Result<()> {
+        match action {
+            Action::Slow(of, factor) => self.fault(of, Fault::Slow(factor)),
+            Action::Fail(of, every) => self.fault(of, Fault::FailEvery(every)),
+            Action::Stall(of) => self.fault(of, Fault::Stall),
+            Action::CloseEarly(of) => self.fault(of, Fault::CloseEarly),
+            Action::Mend => self.workers.mend(),
+            Action::Silence => self.workers.silence(),
+            Action::Restart(of) => {
+                if let Some(service) = of.find(&self.declaration) {
+                    self.workers.restart(service).await?;
+                }
+            }
+            Action::Leave(of) => {
+                if let Some(service) = of.find(&self.declaration) {
+                    self.workers.leave(service).await;
+                }
+            }
+            Action::TermGate => self.term_gate().await?,
+            Action::KillGate => self.kill_gate().await?,
+            // A burst is part of the arrivals.
+            Action::Burst(..) => {}
+            other => self.apply_to_own(other).await?,
+        }
+        Ok(())
+    }
+
+    fn fault(&mut self, of: super::ServiceRef, fault: Fault) {
+        if let Some(service) = of.find(&self.declaration) {
+            self.workers.set_fault(service, fault);
+        }
+    }
+
+    /// Steps that only the project's own fleet knows; a baseline has nothing to lose by them.
+    async fn apply_to_own(&mut self, action: Action) -> eyre::Result<()> {
+        let Some(own) = &mut self.own else {
+            return Ok(());
+        };
+        match action {
+            Action::CutAz => {
+                let az = own.starter.vms.keepers.last().map(|vm| vm.az.clone());
+                let az = az.unwrap_or_default();
+                own.starter
+                    .net
+                    .cut(|from, to| (from.az == az) != (to.az == az));
+            }
+            Action::Heal => own.starter.net.cut(|_, _| false),
+            Action::IsolateLeader => {
+                let leader = roles::leader(&self.client, &own.keepers).await;
+                let vm = leader.map(|i| own.keepers[i].vm.clone());
+                isolate(own, vm);
+            }
+            Action::IsolateController => {
+                let vm = own.controllers.first().map(|(vm, _)| vm.clone());
+                isolate(own, vm);
+            }
+            Action::KillLeader => {
+                let leader = roles::leader(&self.client, &own.keepers).await;
+                if let Some(i) = leader {
+                    restart_keepers(own, &[i]).await?;
+                }
+            }
+            Action::KillKeepers => {
+                let all: Vec<usize> = (0..own.keepers.len()).collect();
+                restart_keepers(own, &all).await?;
+            }
+            Action::Rollout => self.rollout().await?,
+            _ => {}
+        }
+        Ok(())
+    }
+
+    /// SIGTERM to the first gate; it is started again once it has ended.
+    async fn term_gate(&mut self) -> eyre::Result<()> {
+        let Some(gate) = self.gates.first_mut() else {
+            return Ok(());
+        };
+        if let GateBody::Role(role) = &mut gate.body {
+            role.signal(Signal::TERM)?;
+            let since = Instant::now();
+            let code = role.finished(TERM_LIMIT).await?;
+            let note = format!(
+                "{} ended {:.1} s after SIGTERM with code {code:?}",
+                role.name,
+                since.elapsed().as_secs_f64()
+            );
+            self.notes.push(note);
+        }
+        self.start_gate_again().await
+    }
+
+    async fn kill_gate(&mut self) -> eyre::Result<()> {
+        if let Some(gate) = self.gates.first_mut() {
+            if let GateBody::Role(role) = &mut gate.body {
+                role.kill().await?;
+            }
+            gate.proxy.reset_connections();
+        }
+        self.start_gate_again().await
+    }
+
+    /// Starts the first gate anew after a while; a baseline gate is replaced at once.
+    async fn start_gate_again(&mut self) -> eyre::Result<()> {
+        if self.own.is_none() {
+            return Ok(());
+        }
+        let vm = self.gates[0].vm.clone();
+        self.gates[0].body = GateBody::Down;
+        self.gates_changed();
+        sleep(DOWN).await;
+        let Some(own) = &self.own else {
+            return Ok(());
+        };
+        let role = own.starter.gate(&vm).await?;
+        self.gates[0].proxy.set_upstream(role.http);
+        self.gates[0].body = GateBody::Role(Box::new(role));
+        self.gates_changed();
+        Ok(())
+    }
+
+    async fn rollout(&mut self) -> eyre::Result<()> {
+        let engine = super::ServiceRef::Engine.find(&self.declaration);
+        let Some(service) = engine.map(str::to_owned) else {
+            return Ok(());
+        };
+        let version = self.declaration.services[&service].version.unwrap_or(1);
+        let (from, to) = (
+            format!("version = {version}"),
+            format!("version = {}", version + 1),
+        );
+        self.document = self.document.replace(&from, &to);
+        let Some(own) = &self.own else {
+            return Ok(());
+        };
+        let since = Instant::now();
+        roles::declare(&self.client, &own.keepers, &self.document).await?;
+        let note = format!(
+            "rollout accepted after {:.2} s",
+            since.elapsed().as_secs_f64()
+        );
+        self.notes.push(note);
+        Ok(())
+    }
+
+    /// After a rollout: how many engines have the new version.
+    pub(crate) fn note_rollout(&mut self) {
+        let engine = super::ServiceRef::Engine.find(&self.declaration);
+        let Some(service) = engine.map(str::to_owned) else {
+            return;
+        };
+        let version = self.declaration.services[&service].version.unwrap_or(1) + 1;
+        let (done, all) = self.workers.loaded(&service, version);
+        self.notes.push(format!(
+            "{done} of {all} engines had loaded version {version}"
+        ));
+    }
+
+    /// The revision in force at each gate that is up.
+    pub(crate) async fn revisions(&self) -> Vec<(String, u64)> {
+        let mut all = Vec::new();
+        for gate in &self.gates {
+            let Some(address) = gate.address() else {
+                continue;
+            };
+            let answer = get(&self.client, address, "/v1/revision").await;
+            if let Some(revision) = answer.and_then(|v| v["revision"].as_u64()) {
+                all.push((gate.vm.name.clone(), revision));
+            }
+        }
+        all
+    }
+}
+
+fn isolate(own: &Own, vm: Option<VmName>) {
+    let Some(vm) = vm else {
+        return;
+    };
+    own.starter.net.cut(|from, to| (*from == vm) != (*to == vm));
+}
+
+async fn restart_keepers(own: &mut Own, which: &[usize]) -> eyre::Result<()> {
+    for i in which {
+        own.keepers[*i].role.kill().await?;
+    }
+    sleep(DOWN).await;
+    for i in which {
+        let vm = own.keepers[*i].vm.clone();
+        own.keepers[*i] = own.starter.keeper(&vm).await?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/bench/src/experiment/evidence.rs
@@ -0,0 +1,80 @@
+//! Gathers what a run left behind.
+
+use std::net::SocketAddr;
+
+use hyper::Method;
+use tokio::task::JoinSet;
+
+use super::{
+    file::Scenario,
+    fleet::{Fleet, Gate},
+    watch::Revisions,
+};
+use crate::{
+    check::{Evidence, LedgerWord, Told},
+    client::Client,
+    load::{Finished, told},
+};
+
+/// Keys about which the ledger is asked after a run.
+const ASKED: usize = 300;
+/// Questions to the ledger at once.
+const AT_ONCE: usize = 16;
+
+/// Everything that the checker compares.
+pub(crate) async fn gather(
+    fleet: &Fleet,
+    scenario: &Scenario,
+    finished: &[Finished],
+    revisions: &Revisions,
+) -> Evidence {
+    let seen = revisions.lock().expect("no panic under this lock").clone();
+    Evidence {
+        declaration: fleet.declaration.clone(),
+        journals: fleet.workers.journals(),
+        requests: finished.iter().map(|f| f.request.clone()).collect(),
+        revisions: seen,
+        ledger: ledger(fleet, finished).await,
+        may_break: scenario.actions.iter().any(|(_, a)| a.may_break_callers()),
+    }
+}
+
+async fn ledger(fleet: &Fleet, finished: &[Finished]) -> Vec<LedgerWord> {
+    let addresses: Vec<SocketAddr> = fleet.gates.iter().filter_map(Gate::address).collect();
+    if fleet.own.is_none() || addresses.is_empty() {
+        return Vec::new();
+    }
+    let is_done = |f: &&Finished| {
+        let mut attempts = f.request.attempts.iter();
+        attempts.any(|attempt| attempt.reply.told == Told::Completed)
+    };
+    let keys = finished
+        .iter()
+        .filter(is_done)
+        .filter_map(|f| f.request.key.clone());
+    let mut asking = JoinSet::new();
+    let mut words = Vec::new();
+    for (n, key) in keys.take(ASKED).enumerate() {
+        if asking.len() >= AT_ONCE {
+            words.extend(asking.join_next().await.and_then(Result::ok).flatten());
+        }
+        let address = addresses[n % addresses.len()];
+        asking.spawn(ask(fleet.client.clone(), address, key));
+    }
+    let rest = asking.join_all().await;
+    words.extend(rest.into_iter().flatten());
+    words
+}
+
+/// The ledger's word on `key`; `None` where the gate could not say.
+async fn ask(client: Client, address: SocketAddr, key: String) -> Option<LedgerWord> {
+    let url = format!("http://{address}/v1/requests/{key}");
+    let answer = client.send(Method::GET, &url, &[], Vec::new()).await.ok()?;
+    let value = answer.json();
+    let word = match answer.status.as_u16() {
+        404 => None,
+        503 | 504 => return None,
+        _ => Some(told(value["outcome"].as_str())),
+    };
+    Some(LedgerWord { key, told: word })
+}
--- /dev/null
+++ b/crates/bench/src/experiment/file.rs
@@ -0,0 +1,193 @@
+//! The experiment file: `[experiment]` and one `[scenario NAME]` for each fault timetable.
+
+use std::{
+    path::{Path, PathBuf},
+    time::Duration,
+};
+
+use eyre::eyre;
+use host::settings::Reader;
+use inifile::Section;
+
+use super::action::Action;
+use crate::{
+    baseline::Policy,
+    deployment::DeploymentName,
+    load::{Burst, Plan},
+};
+
+/// What a scenario is run on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum System {
+    /// The project's binaries in a folder, called by a name.
+    Project(String, PathBuf),
+    /// A baseline gate.
+    Baseline(Policy),
+}
+
+impl System {
+    /// Its name in tables.
+    pub fn name(&self) -> &str {
+        match self {
+            Self::Project(name, _) => name,
+            Self::Baseline(Policy::RoundRobin) => "round-robin",
+            Self::Baseline(Policy::LeastInFlight) => "least-in-flight",
+        }
+    }
+}
+
+/// A fault timetable.
+#[derive(Clone, Debug)]
+pub struct Scenario {
+    /// Its name.
+    pub name: String,
+    /// Arrivals a second.
+    pub rate: f64,
+    /// How long requests arrive.
+    pub length: Duration,
+    /// Actions by their time from the start.
+    pub actions: Vec<(Duration, Action)>,
+}
+
+impl Scenario {
+    /// The load that it offers.
+    pub fn plan(&self, seed: u64) -> Plan {
+        let bursts = self.actions.iter().filter_map(|(at, action)| match action {
+            Action::Burst(factor, length) => Some(Burst {
+                start: *at,
+                length: *length,
+                factor: *factor,
+            }),
+            _ => None,
+        });
+        Plan {
+            rate: self.rate,
+            length: self.length,
+            bursts: bursts.collect(),
+            seed,
+        }
+    }
+}
+
+/// An experiment.
+#[derive(Clone, Debug)]
+pub struct Experiment {
+    /// Seed of all random choices.
+    pub seed: u64,
+    /// Systems, the first one is what the others are compared with.
+    pub systems: Vec<System>,
+    /// Deployments.
+    pub deployments: Vec<DeploymentName>,
+    /// Scenarios.
+    pub scenarios: Vec<Scenario>,
+}
+
+impl Experiment {
+    /// Reads the file at `path`; the project's binaries are in `programs`, those of an earlier
+    /// build, if it is to be compared with, in `earlier`.
+    pub fn read(path: &Path, programs: &Path, earlier: Option<&Path>) -> eyre::Result<Self> {
+        let mut reader = Reader::from_file(path).map_err(|faults| eyre!("{faults}"))?;
+        let bytes = std::fs::read(path)?;
+        let file = path.display().to_string();
+        let sections = inifile::parse(&file, &bytes).map_err(|faults| eyre!("{faults}"))?;
+        let section = "experiment";
+        let seed = reader.number(section, "seed", 1, 0, u64::MAX);
+        let rate = reader.number(section, "rate", 120, 1, 10_000);
+        let length = reader.millis(section, "length_ms", 10_000, 1_000, 60_000);
+        let mut systems = systems(&mut reader, programs);
+        if let Some(earlier) = earlier {
+            systems.push(System::Project("earlier".to_owned(), earlier.to_owned()));
+        }
+        let deployments = deployments(&mut reader);
+        let base = Scenario {
+            name: String::new(),
+            rate: rate as f64,
+            length,
+            actions: Vec::new(),
+        };
+        let is_scenario = |s: &&Section| s.name.starts_with("scenario ");
+        let scenarios = sections.iter().filter(is_scenario);
+        let scenarios = scenarios.map(|s| scenario(&mut reader, s, &base)).collect();
+        reader.finish().map_err(|faults| eyre!("{faults}"))?;
+        Ok(Self {
+            seed,
+            systems,
+            deployments,
+            scenarios,
+        })
+    }
+}
+
+impl Experiment {
+    /// Leaves one scenario without faults and the project alone.
+    pub fn keep_load_only(&mut self) {
+        self.systems.truncate(1);
+        self.scenarios.truncate(1);
+        for scenario in &mut self.scenarios {
+            let is_load = |(_, action): &(Duration, Action)| matches!(action, Action::Burst(..));
+            scenario.actions.retain(is_load);
+        }
+    }
+}
+
+fn list(reader: &mut Reader, key: &str) -> Vec<String> {
+    let text = reader.required("experiment", key);
+    text.split(',').map(|word| word.trim().to_owned()).collect()
+}
+
+fn systems(reader: &mut Reader, programs: &Path) -> Vec<System> {
+    let mut systems = Vec::new();
+    for name in list(reader, "systems") {
+        match name.as_str() {
+            "project" => systems.push(System::Project(name, programs.to_owned())),
+            "round-robin" => systems.push(System::Baseline(Policy::RoundRobin)),
+            "least-in-flight" => systems.push(System::Baseline(Policy::LeastInFlight)),
+            _ => {
+                let what = format!("`{name}` is none of project, round-robin, least-in-flight");
+                reader.fault("experiment", "systems", what);
+            }
+        }
+    }
+    systems
+}
+
+fn deployments(reader: &mut Reader) -> Vec<DeploymentName> {
+    let mut deployments = Vec::new();
+    for name in list(reader, "deployments") {
+        match DeploymentName::parse(&name) {
+            Some(deployment) => deployments.push(deployment),
+            None => {
+                let what = format!("`{name}` is none of escort-desk, watch-trading");
+                reader.fault("experiment", "deployments", what);
+            }
+        }
+    }
+    deployments
+}
+
+fn scenario(reader: &mut Reader, section: &Section, base: &Scenario) -> Scenario {
+    let name = section.name.as_str();
+    let mut actions = Vec::new();
+    for entry in &section.entries {
+        let Some(at) = entry.key.strip_prefix("at_") else {
+            continue;
+        };
+        reader.text(name, &entry.key);
+        match (at.parse(), Action::parse(&entry.value)) {
+            (Ok(millis), Some(action)) => actions.push((Duration::from_millis(millis), action)),
+            (Err(_), _) => reader.fault(name, &entry.key, "write at_MILLISECONDS = ACTION"),
+            (_, None) => {
+                let what = format!("`{}` is no action; see `jujube-bench --help`", entry.value);
+                reader.fault(name, &entry.key, what);
+            }
+        }
+    }
+    actions.sort_by_key(|(at, _)| *at);
+    let length = base.length.as_millis() as u64;
+    Scenario {
+        name: name["scenario ".len()..].trim().to_owned(),
+        rate: reader.number(name, "rate", base.rate as u64, 1, 10_000) as f64,
+        length: reader.millis(name, "length_ms", length, 1_000, 60_000),
+        actions,
+    }
+}
--- /dev/null
+++ b/crates/bench/src/experiment/fleet.rs
@@ -0,0 +1,332 @@
+//! A fleet of one system: gates, keepers and controllers, or baseline gates, with endpoints.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use declaration::Declaration;
+use tokio::time::{Instant, sleep};
+
+use super::{
+    file::System,
+    net::{Net, VmName},
+    roles::{self, KeeperRole, Starter, Vms},
+    workers::Workers,
+};
+use crate::{
+    baseline::{Baseline, Policy, Table},
+    client::Client,
+    deployment::Deployment,
+    load::GateAddress,
+    processes::{Folders, Role},
+    proxy::{Proxy, Rules},
+};
+
+/// Longest wait until every gate knows the declaration and its endpoints.
+const READY_LIMIT: Duration = Duration::from_secs(20);
+
+/// A gate's process or task.
+#[derive(Debug)]
+pub(crate) enum GateBody {
+    Role(Box<Role>),
+    Baseline(Baseline),
+    Down,
+}
+
+/// Where gates are now, for those who ask while a fault is being carried out.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Directory(Arc<Mutex<Vec<Listed>>>);
+
+/// A gate as the directory lists it.
+#[derive(Clone, Debug)]
+pub(crate) struct Listed {
+    pub(crate) az: String,
+    pub(crate) own: Option<SocketAddr>,
+    pub(crate) for_callers: GateAddress,
+}
+
+impl Directory {
+    pub(crate) fn listed(&self) -> Vec<Listed> {
+        self.0.lock().expect("no panic under this lock").clone()
+    }
+
+    fn set(&self, listed: Vec<Listed>) {
+        *self.0.lock().expect("no panic under this lock") = listed;
+    }
+}
+
+/// A gate and the proxy through which callers reach it.
+#[derive(Debug)]
+pub(crate) struct Gate {
+    pub(crate) vm: VmName,
+    pub(crate) body: GateBody,
+    pub(crate) proxy: Proxy,
+}
+
+impl Gate {
+    /// Its own address, `None` while it is down.
+    pub(crate) fn address(&self) -> Option<SocketAddr> {
+        match &self.body {
+            GateBody::Role(role) => Some(role.http),
+            GateBody::Baseline(baseline) => Some(baseline.address()),
+            GateBody::Down => None,
+        }
+    }
+
+    /// The address for callers.
+    pub(crate) fn for_callers(&self) -> GateAddress {
+        GateAddress {
+            name: self.vm.name.clone(),
+            url: format!("http://{}", self.proxy.address()),
+        }
+    }
+}
+
+/// What only the project's own fleet has.
+#[derive(Debug)]
+pub(crate) struct Own {
+    pub(crate) starter: Starter,
+    pub(crate) keepers: Vec<KeeperRole>,
+    pub(crate) controllers: Vec<(VmName, Role)>,
+}
+
+/// A running fleet; dropping it ends all its processes.
+#[derive(Debug)]
+pub struct Fleet {
+    pub(crate) declaration: Declaration,
+    pub(crate) document: String,
+    pub(crate) client: Client,
+    pub(crate) gates: Vec<Gate>,
+    pub(crate) directory: Directory,
+    pub(crate) workers: Workers,
+    pub(crate) own: Option<Own>,
+    /// What the run's own observer has to say, for the report.
+    pub(crate) notes: Vec<String>,
+}
+
+impl Fleet {
+    /// Starts `deployment` on `system`, with files in `work`.
+    pub async fn start(
+        deployment: Deployment,
+        system: &System,
+        work: &std::path::Path,
+        seed: u64,
+    ) -> eyre::Result<Self> {
+        let declaration = deployment.declaration()?;
+        let vms = vms(&deployment);
+        let client = Client::default();
+        let (gates, own) = match system {
+            System::Baseline(policy) => {
+                let gates = baseline_gates(&deployment, &declaration, &vms, *policy).await?;
+                (gates, None)
+            }
+            System::Project(_, programs) => {
+                let folders = Folders {
+                    programs: programs.clone(),
+                    work: work.to_owned(),
+                };
+                let (gates, own) = own(&deployment, &client, vms, folders, seed).await?;
+                (gates, Some(own))
+            }
+        };
+        let addresses = addresses(&gates);
+        let workers = Workers::start(&deployment, &declaration, &addresses, seed).await?;
+        let mut fleet = Self {
+            document: deployment.document.to_owned(),
+            declaration,
+            client,
+            gates,
+            directory: Directory::default(),
+            workers,
+            own,
+            notes: Vec::new(),
+        };
+        fleet.gates_changed();
+        fleet.ready().await?;
+        Ok(fleet)
+    }
+
+    /// Tells the directory and the endpoints where the gates are now.
+    pub(crate) fn gates_changed(&mut self) {
+        let listed = |gate: &Gate| Listed {
+            az: gate.vm.az.clone(),
+            own: gate.address(),
+            for_callers: gate.for_callers(),
+        };
+        self.directory.set(self.gates.iter().map(listed).collect());
+        let addresses = addresses(&self.gates);
+        self.workers.set_gates(&addresses);
+    }
+
+    /// Processes that it has started.
+    pub fn processes(&self) -> usize {
+        let gates = self
+            .gates
+            .iter()
+            .filter(|g| matches!(g.body, GateBody::Role(_)));
+        let own = self.own.as_ref();
+        gates.count() + own.map_or(0, |own| own.keepers.len() + own.controllers.len())
+    }
+
+    /// Waits until every gate of ours says that it is ready and knows its endpoints.
+    async fn ready(&self) -> eyre::Result<()> {
+        if self.own.is_none() {
+            // Baseline gates have the declaration; the first announcements are on their way.
+            sleep(Duration::from_millis(500)).await;
+            return Ok(());
+        }
+        let until = Instant::now() + READY_LIMIT;
+        let mut waiting = self
+            .gates
+            .iter()
+            .filter_map(Gate::address)
+            .collect::<Vec<_>>();
+        while Instant::now() < until {
+            let mut still = Vec::new();
+            for address in waiting {
+                if !self.is_ready(address).await {
+                    still.push(address);
+                }
+            }
+            waiting = still;
+            if waiting.is_empty() {
+                // Announcements spread once more before the first request comes.
+                sleep(Duration::from_millis(800)).await;
+                return Ok(());
+            }
+            sleep(Duration::from_millis(100)).await;
+        }
+        eyre::bail!("{} gates did not get ready", waiting.len())
+    }
+
+    async fn is_ready(&self, address: SocketAddr) -> bool {
+        let revision = get(&self.client, address, "/v1/revision").await;
+        let revision = revision.and_then(|v| v["revision"].as_u64());
+        revision.is_some_and(|r| r > 0) && get(&self.client, address, "/readyz").await.is_some()
+    }
+
+    /// Ends everything of it.
+    pub async fn end(mut self) {
+        for gate in &mut self.gates {
+            if let GateBody::Role(role) = &mut gate.body {
+                // A process that ended before needs no kill.
+                let _ = role.kill().await;
+            }
+        }
+        if let Some(own) = &mut self.own {
+            for (_, controller) in &mut own.controllers {
+                let _ = controller.kill().await;
+            }
+            for keeper in &mut own.keepers {
+                let _ = keeper.role.kill().await;
+            }
+        }
+    }
+}
+
+/// A successful answer's JSON.
+pub(crate) async fn get(
+    client: &Client,
+    address: SocketAddr,
+    path: &str,
+) -> Option<serde_json::Value> {
+    let url = format!("http://{address}{path}");
+    let sent = client.send(hyper::Method::GET, &url, &[], Vec::new());
+    let answer = tokio::time::timeout(Duration::from_millis(500), sent).await;
+    let answer = answer.ok()?.ok()?;
+    answer.status.is_success().then(|| answer.json())
+}
+
+fn vms(deployment: &Deployment) -> Vms {
+    let mut vms = Vms {
+        all: Vec::new(),
+        keepers: Vec::new(),
+    };
+    for size in deployment.azs {
+        for n in 1..=size.gates {
+            let vm = VmName {
+                name: format!("{}-{n}", size.az),
+                az: size.az.to_owned(),
+            };
+            if n == 1 && size.has_keeper {
+                vms.keepers.push(vm.clone());
+            }
+            vms.all.push(vm);
+        }
+    }
+    vms
+}
+
+fn addresses(gates: &[Gate]) -> BTreeMap<String, Vec<String>> {
+    let mut addresses: BTreeMap<String, Vec<String>> = BTreeMap::new();
+    for gate in gates {
+        if let Some(address) = gate.address() {
+            let of_az = addresses.entry(gate.vm.az.clone()).or_default();
+            of_az.push(format!("http://{address}"));
+        }
+    }
+    addresses
+}
+
+async fn caller_proxy(deployment: &Deployment, upstream: SocketAddr) -> eyre::Result<Proxy> {
+    let proxy = Proxy::start(1).await?;
+    proxy.set_rules(Rules::delayed(deployment.client_distance));
+    proxy.set_upstream(upstream);
+    Ok(proxy)
+}
+
+async fn baseline_gates(
+    deployment: &Deployment,
+    declaration: &Declaration,
+    vms: &Vms,
+    policy: Policy,
+) -> eyre::Result<Vec<Gate>> {
+    let table = Arc::new(Table::default());
+    let mut gates = Vec::new();
+    for vm in &vms.all {
+        let table = Arc::clone(&table);
+        let baseline = Baseline::start(&vm.az, policy, declaration.clone(), table).await?;
+        gates.push(Gate {
+            vm: vm.clone(),
+            proxy: caller_proxy(deployment, baseline.address()).await?,
+            body: GateBody::Baseline(baseline),
+        });
+    }
+    Ok(gates)
+}
+
+async fn own(
+    deployment: &Deployment,
+    client: &Client,
+    vms: Vms,
+    folders: Folders,
+    seed: u64,
+) -> eyre::Result<(Vec<Gate>, Own)> {
+    let net = Net::new(deployment.az_distance, seed);
+    let starter = Starter { folders, net, vms };
+    let mut keepers = Vec::new();
+    for vm in &starter.vms.keepers {
+        keepers.push(starter.keeper(vm).await?);
+    }
+    roles::declare(client, &keepers, deployment.document).await?;
+    let mut gates = Vec::new();
+    let mut controllers = Vec::new();
+    for vm in &starter.vms.all {
+        let role = starter.gate(vm).await?;
+        gates.push(Gate {
+            vm: vm.clone(),
+            proxy: caller_proxy(deployment, role.http).await?,
+            body: GateBody::Role(Box::new(role)),
+        });
+        controllers.push((vm.clone(), starter.controller(vm).await?));
+    }
+    let own = Own {
+        starter,
+        keepers,
+        controllers,
+    };
+    Ok((gates, own))
+}
--- /dev/null
+++ b/crates/bench/src/experiment/mod.rs
@@ -0,0 +1,22 @@
+//! Named scenarios with a fault timetable, run on the project and on baselines alike.
+
+mod action;
+mod apply;
+mod evidence;
+mod file;
+mod fleet;
+mod net;
+mod plot;
+mod report;
+mod roles;
+mod run;
+mod watch;
+mod workers;
+
+pub use self::{
+    action::{Action, ServiceRef},
+    file::{Experiment, Scenario, System},
+    fleet::Fleet,
+    report::{Row, table},
+    run::{RunConfig, run_file},
+};
--- /dev/null
+++ b/crates/bench/src/experiment/roles.rs
@@ -0,0 +1,180 @@
+//! Our roles as processes: keepers, gates and controllers with their settings.
+
+use std::{fmt::Write, net::SocketAddr, time::Duration};
+
+use eyre::{bail, eyre};
+use serde_json::{Value, json};
+use tokio::time::{Instant, sleep};
+use uuid::Uuid;
+
+use super::net::{Listener, Net, VmName};
+use crate::{
+    client::Client,
+    processes::{Folders, Role},
+};
+
+/// Longest wait for the keepers to accept the declaration.
+const ACCEPT_LIMIT: Duration = Duration::from_secs(15);
+/// Pause between tries.
+const RETRY: Duration = Duration::from_millis(100);
+
+/// The entry VMs of a fleet.
+#[derive(Clone, Debug)]
+pub(crate) struct Vms {
+    /// Every VM, each with a gate and a controller.
+    pub(crate) all: Vec<VmName>,
+    /// Those with a keeper too.
+    pub(crate) keepers: Vec<VmName>,
+}
+
+impl Vms {
+    fn neighbours<'a>(&'a self, vm: &'a VmName) -> impl Iterator<Item = &'a VmName> {
+        self.all.iter().filter(|other| other.az == vm.az)
+    }
+}
+
+/// A keeper's process on its VM.
+#[derive(Debug)]
+pub(crate) struct KeeperRole {
+    pub(crate) vm: VmName,
+    pub(crate) role: Role,
+}
+
+/// What starts roles.
+#[derive(Debug)]
+pub(crate) struct Starter {
+    pub(crate) folders: Folders,
+    pub(crate) net: Net,
+    pub(crate) vms: Vms,
+}
+
+impl Starter {
+    pub(crate) async fn keeper(&self, vm: &VmName) -> eyre::Result<KeeperRole> {
+        let mut text = vm_section(vm);
+        text += "[listen]\nhttp = 127.0.0.1:0\nlink = 127.0.0.1:0\n";
+        text += &self.keepers_section(vm).await?;
+        writeln!(text, "[data]\nfolder = data/{}", vm.name)?;
+        let name = format!("{}.keeper", vm.name);
+        let role = self.folders.start("jujube-keeper", &name, &text).await?;
+        if let Some(link) = role.link {
+            self.net.set_upstream(&vm.name, Listener::Keeper, link);
+        }
+        let vm = vm.clone();
+        Ok(KeeperRole { vm, role })
+    }
+
+    pub(crate) async fn gate(&self, vm: &VmName) -> eyre::Result<Role> {
+        let mut text = vm_section(vm);
+        text += "[listen]\nhttp = 127.0.0.1:0\nlink = 127.0.0.1:0\n";
+        text += &self.keepers_section(vm).await?;
+        text += &self.gates_section(vm, false).await?;
+        let name = format!("{}.gate", vm.name);
+        let role = self.folders.start("jujube-gate", &name, &text).await?;
+        if let Some(link) = role.link {
+            self.net.set_upstream(&vm.name, Listener::Gate, link);
+        }
+        Ok(role)
+    }
+
+    pub(crate) async fn controller(&self, vm: &VmName) -> eyre::Result<Role> {
+        let mut text = vm_section(vm);
+        text += "[listen]\nhttp = 127.0.0.1:0\n";
+        text += &self.keepers_section(vm).await?;
+        text += &self.gates_section(vm, true).await?;
+        let name = format!("{}.controller", vm.name);
+        self.folders.start("jujube-controller", &name, &text).await
+    }
+
+    async fn keepers_section(&self, from: &VmName) -> eyre::Result<String> {
+        let mut text = "[keepers]\n".to_owned();
+        for to in &self.vms.keepers {
+            let address = self.net.wire(from, to, Listener::Keeper).await?;
+            writeln!(text, "{} = {address}", to.name)?;
+        }
+        Ok(text)
+    }
+
+    async fn gates_section(&self, from: &VmName, with_own: bool) -> eyre::Result<String> {
+        let mut text = "[gates]\n".to_owned();
+        for to in self
+            .vms
+            .neighbours(from)
+            .filter(|to| with_own || *to != from)
+        {
+            let address = self.net.wire(from, to, Listener::Gate).await?;
+            writeln!(text, "{} = {address}", to.name)?;
+        }
+        Ok(text)
+    }
+}
+
+fn vm_section(vm: &VmName) -> String {
+    format!("[vm]\nname = {}\navailability_zone = {}\n", vm.name, vm.az)
+}
+
+/// The keeper that says it leads.
+pub(crate) async fn leader(client: &Client, keepers: &[KeeperRole]) -> Option<usize> {
+    for (i, keeper) in keepers.iter().enumerate() {
+        let status = status(client, keeper.role.http).await;
+        if status.is_some_and(|s| s["role"] == "leader") {
+            return Some(i);
+        }
+    }
+    None
+}
+
+async fn status(client: &Client, http: SocketAddr) -> Option<Value> {
+    let url = format!("http://{http}/v1/status");
+    let sent = client.send(hyper::Method::GET, &url, &[], Vec::new());
+    let answer = tokio::time::timeout(Duration::from_secs(1), sent).await;
+    answer.ok()?.ok().map(|a| a.json())
+}
+
+/// Has the keepers accept `document` as a change of the revision in force; the new revision.
+pub(crate) async fn declare(
+    client: &Client,
+    keepers: &[KeeperRole],
+    document: &str,
+) -> eyre::Result<u64> {
+    let change = Uuid::now_v7();
+    let until = Instant::now() + ACCEPT_LIMIT;
+    let mut last = "no keeper was asked".to_owned();
+    while Instant::now() < until {
+        for keeper in keepers {
+            match submit(client, keeper, change, document).await {
+                Ok(revision) => return Ok(revision),
+                Err(e) => last = format!("{}: {e:#}", keeper.vm.name),
+            }
+        }
+        sleep(RETRY).await;
+    }
+    bail!("the keepers did not accept the declaration: {last}")
+}
+
+async fn submit(
+    client: &Client,
+    keeper: &KeeperRole,
+    change: Uuid,
+    document: &str,
+) -> eyre::Result<u64> {
+    let url = keeper.role.url();
+    let get = format!("{url}/v1/declaration");
+    let sent = client.send(hyper::Method::GET, &get, &[], Vec::new());
+    let current = tokio::time::timeout(Duration::from_secs(2), sent).await??;
+    let base = current.headers.get("jujube-revision");
+    let base = base.and_then(|v| v.to_str().ok()?.parse::<u64>().ok());
+    let body = json!({
+        "change": change,
+        "base_revision": base.unwrap_or(0),
+        "author": "bench",
+        "reason": "experiment",
+        "document": document,
+    });
+    let post = format!("{url}/v1/changes");
+    let sent = client.post_json(&post, &[], &body);
+    let answer = tokio::time::timeout(Duration::from_secs(3), sent).await??;
+    let text = String::from_utf8_lossy(&answer.body);
+    eyre::ensure!(answer.status.is_success(), "{}: {text}", answer.status);
+    let revision = answer.json()["revision"].as_u64();
+    revision.ok_or_else(|| eyre!("the answer has no revision"))
+}
--- /dev/null
+++ b/crates/bench/src/experiment/run.rs
@@ -0,0 +1,228 @@
+//! Runs an experiment: each scenario on each system, one after the other.
+
+use std::{
+    path::{Path, PathBuf},
+    sync::Arc,
+    time::Duration,
+};
+
+use declaration::Declaration;
+use eyre::WrapErr;
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep_until},
+};
+
+use super::{
+    action::Action,
+    evidence,
+    file::{Experiment, Scenario, System},
+    fleet::Fleet,
+    plot,
+    report::{Row, table},
+    watch::{self, Revisions},
+};
+use crate::{
+    check::{Evidence, check},
+    client::Client,
+    deployment::Deployment,
+    load::{Arrival, Balancer, CallerConfig, Finished, arrivals, call, tally},
+};
+
+/// Time between the fleet's readiness and the first arrival.
+const LEAD: Duration = Duration::from_millis(200);
+
+/// What to run and where results go.
+#[derive(Clone, Debug)]
+pub struct RunConfig {
+    /// The experiment file.
+    pub file: PathBuf,
+    /// Folder with the project's binaries.
+    pub programs: PathBuf,
+    /// Folder with the binaries of an earlier build.
+    pub earlier: Option<PathBuf>,
+    /// Folder for results, logs and evidence.
+    pub out: PathBuf,
+    /// Scenarios to run; all where it is empty.
+    pub only: Vec<String>,
+    /// Offer the load of the first scenario alone, without its faults, to the project alone.
+    pub without_faults: bool,
+}
+
+/// Runs the experiment of `cfg`; the rows of its table.
+pub async fn run_file(cfg: &RunConfig) -> eyre::Result<Vec<Row>> {
+    let mut experiment = Experiment::read(&cfg.file, &cfg.programs, cfg.earlier.as_deref())?;
+    if cfg.without_faults {
+        experiment.keep_load_only();
+    }
+    let is_wanted = |s: &&Scenario| cfg.only.is_empty() || cfg.only.contains(&s.name);
+    let mut rows = Vec::new();
+    for name in &experiment.deployments {
+        for scenario in experiment.scenarios.iter().filter(is_wanted) {
+            for system in &experiment.systems {
+                let deployment = Deployment::named(*name);
+                let run = Run {
+                    out: &cfg.out,
+                    seed: experiment.seed,
+                    deployment,
+                    scenario,
+                    system,
+                };
+                rows.push(run.row().await);
+                eprint!("{}", last_line(&rows));
+            }
+        }
+    }
+    write_results(&cfg.out, &rows)?;
+    Ok(rows)
+}
+
+fn last_line(rows: &[Row]) -> String {
+    let text = table(&rows[rows.len() - 1..]);
+    let mut lines = text.lines();
+    lines
+        .next_back()
+        .map_or_else(String::new, |line| format!("{line}\n"))
+}
+
+fn write_results(out: &Path, rows: &[Row]) -> eyre::Result<()> {
+    std::fs::create_dir_all(out).wrap_err("make the folder for results")?;
+    let json = serde_json::to_vec_pretty(rows)?;
+    std::fs::write(out.join("results.json"), json).wrap_err("write results.json")?;
+    plot::draw(rows, &out.join("results.svg"))
+}
+
+struct Run<'a> {
+    out: &'a Path,
+    seed: u64,
+    deployment: Deployment,
+    scenario: &'a Scenario,
+    system: &'a System,
+}
+
+impl Run<'_> {
+    async fn row(&self) -> Row {
+        let names = (
+            self.deployment.name.as_str(),
+            &self.scenario.name,
+            self.system.name(),
+        );
+        let mut row = Row::new(names.0, names.1, names.2);
+        if let Err(e) = self.fill(&mut row).await {
+            row.failure = Some(format!("{e:#}"));
+        }
+        row
+    }
+
+    fn folder(&self) -> PathBuf {
+        let names = (
+            self.deployment.name.as_str(),
+            &self.scenario.name,
+            self.system.name(),
+        );
+        self.out
+            .join(format!("{}.{}.{}", names.0, names.1, names.2))
+    }
+
+    async fn fill(&self, row: &mut Row) -> eyre::Result<()> {
+        let work = self.folder();
+        if work.exists() {
+            std::fs::remove_dir_all(&work).wrap_err("clear the run's folder")?;
+        }
+        std::fs::create_dir_all(&work).wrap_err("make the run's folder")?;
+        let deployment = self.deployment.clone();
+        let mut fleet = Fleet::start(deployment, self.system, &work, self.seed).await?;
+        let (finished, evidence) = self.load(&mut fleet).await;
+        row.tally = tally(&evidence.declaration, &finished, &evidence.journals);
+        let found = check(&evidence);
+        row.set_violations(&found);
+        row.notes = std::mem::take(&mut fleet.notes);
+        row.notes.push(format!("{} processes", fleet.processes()));
+        fleet.end().await;
+        std::fs::write(work.join("evidence.json"), serde_json::to_vec(&evidence)?)?;
+        Ok(())
+    }
+
+    async fn load(&self, fleet: &mut Fleet) -> (Vec<Finished>, Evidence) {
+        let plan = self.scenario.plan(self.seed);
+        let allowed = allowed(&fleet.declaration);
+        let arrivals = arrivals(&self.deployment, &allowed, &plan);
+        let cfg = Arc::new(caller_config(&fleet.declaration, self.seed));
+        let revisions = Revisions::default();
+        let client = Client::default();
+        watch::once(&client, &fleet.directory, &cfg, &revisions).await;
+        let mut watching = JoinSet::new();
+        let directory = fleet.directory.clone();
+        watching.spawn(watch::run(
+            directory,
+            Arc::clone(&cfg),
+            Arc::clone(&revisions),
+        ));
+        let callers = tokio::spawn(offer(Arc::clone(&cfg), arrivals));
+        self.timetable(fleet, cfg.start).await;
+        let finished = callers.await.unwrap_or_default();
+        watching.abort_all();
+        if self
+            .scenario
+            .actions
+            .iter()
+            .any(|(_, a)| *a == Action::Rollout)
+        {
+            fleet.note_rollout();
+        }
+        let evidence = evidence::gather(fleet, self.scenario, &finished, &revisions).await;
+        (finished, evidence)
+    }
+
+    async fn timetable(&self, fleet: &mut Fleet, start: Instant) {
+        for (at, action) in &self.scenario.actions {
+            sleep_until(start + *at).await;
+            if let Err(e) = fleet.apply(*action).await {
+                fleet.notes.push(format!("{action:?}: {e:#}"));
+            }
+        }
+        let revisions = fleet.revisions().await;
+        let newest = revisions.iter().map(|(_, r)| *r).max().unwrap_or(0);
+        for (gate, revision) in revisions.iter().filter(|(_, r)| *r < newest) {
+            let note = format!("{gate} had revision {revision}, others {newest}");
+            fleet.notes.push(note);
+        }
+    }
+}
+
+/// Starts each caller at its time, whatever the others do; all that became of them.
+async fn offer(cfg: Arc<CallerConfig>, arrivals: Vec<Arrival>) -> Vec<Finished> {
+    let mut callers = JoinSet::new();
+    for arrival in arrivals {
+        sleep_until(cfg.start + arrival.at).await;
+        let cfg = Arc::clone(&cfg);
+        callers.spawn(async move { call(&cfg, arrival).await });
+    }
+    callers.join_all().await
+}
+
+fn caller_config(declaration: &Declaration, seed: u64) -> CallerConfig {
+    let pipelines = &declaration.pipelines;
+    let deadlines = pipelines.iter().map(|(name, p)| (name.clone(), p.deadline));
+    let needs_key =
+        |(_, p): &(&String, &declaration::Pipeline)| declaration.has_unrepeatable_stage(p);
+    let keyed = pipelines
+        .iter()
+        .filter(needs_key)
+        .map(|(name, _)| name.clone());
+    CallerConfig {
+        balancer: Balancer::default(),
+        client: Client::default(),
+        start: Instant::now() + LEAD,
+        seed,
+        deadlines: deadlines.collect(),
+        keyed: keyed.collect(),
+    }
+}
+
+/// Availability zones by workspace.
+fn allowed(declaration: &Declaration) -> std::collections::BTreeMap<String, Vec<String>> {
+    let workspaces = declaration.workspaces.iter();
+    let azs = workspaces.map(|(name, w)| (name.clone(), w.availability_zones.clone()));
+    azs.collect()
+}
--- /dev/null
+++ b/crates/bench/src/experiment/watch.rs
@@ -0,0 +1,70 @@
+//! Watches the gates during a run: readiness for the balancer, revisions for the checker.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use tokio::time::sleep;
+
+use super::fleet::{Directory, Listed, get};
+use crate::{
+    check::RevisionSeen,
+    client::Client,
+    load::{CallerConfig, GateAddress},
+    stand_in::now_ms,
+};
+
+/// Interval at which the balancer asks for readiness.
+const EVERY: Duration = Duration::from_millis(150);
+
+/// Revisions seen so far.
+pub(crate) type Revisions = Arc<Mutex<Vec<RevisionSeen>>>;
+
+/// Watches until aborted.
+pub(crate) async fn run(directory: Directory, cfg: Arc<CallerConfig>, revisions: Revisions) {
+    let client = Client::default();
+    loop {
+        once(&client, &directory, &cfg, &revisions).await;
+        sleep(EVERY).await;
+    }
+}
+
+/// One round over all gates.
+pub(crate) async fn once(
+    client: &Client,
+    directory: &Directory,
+    cfg: &CallerConfig,
+    revisions: &Revisions,
+) {
+    let mut ready: BTreeMap<String, Vec<GateAddress>> = BTreeMap::new();
+    for gate in directory.listed() {
+        let of_az = ready.entry(gate.az.clone()).or_default();
+        if is_ready(client, &gate, revisions).await {
+            of_az.push(gate.for_callers);
+        }
+    }
+    for (az, gates) in ready {
+        cfg.balancer.set(&az, gates);
+    }
+}
+
+async fn is_ready(client: &Client, gate: &Listed, revisions: &Revisions) -> bool {
+    let Some(address) = gate.own else {
+        return false;
+    };
+    let answer = get(client, address, "/v1/revision").await;
+    if let Some(revision) = answer.and_then(|v| v["revision"].as_u64()) {
+        let seen = RevisionSeen {
+            gate: gate.for_callers.name.clone(),
+            at_ms: now_ms(),
+            revision,
+        };
+        revisions
+            .lock()
+            .expect("no panic under this lock")
+            .push(seen);
+    }
+    get(client, address, "/readyz").await.is_some()
+}
--- /dev/null
+++ b/crates/bench/src/experiment/workers.rs
@@ -0,0 +1,174 @@
+//! The endpoints of a fleet: stand-ins, each behind a proxy of its own.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use declaration::Declaration;
+use membership::LoadedModel;
+
+use crate::{
+    deployment::{Deployment, ServiceSize, stand_in_kind},
+    proxy::Proxy,
+    stand_in::{self, EngineConfig, Fault, JournalEntry, StandIn, StandInConfig},
+};
+
+/// Interval of announcements.
+const ANNOUNCE_EVERY: Duration = Duration::from_millis(400);
+
+/// One endpoint; `None` while it is down.
+#[derive(Debug)]
+struct Worker {
+    cfg: StandInConfig,
+    proxy: Proxy,
+    stand_in: Option<StandIn>,
+}
+
+/// All endpoints.
+#[derive(Debug)]
+pub(crate) struct Workers {
+    workers: Vec<Worker>,
+    /// Journals of stand-ins that are gone.
+    kept: Vec<JournalEntry>,
+}
+
+impl Workers {
+    pub(crate) async fn start(
+        deployment: &Deployment,
+        declaration: &Declaration,
+        gates: &BTreeMap<String, Vec<String>>,
+        seed: u64,
+    ) -> eyre::Result<Self> {
+        let mut workers = Vec::new();
+        for size in deployment.services {
+            for n in 0..size.workers {
+                let az = deployment.az_of(n);
+                let mut cfg = config(declaration, size, n, az);
+                cfg.seed = seed.wrapping_add(workers.len() as u64);
+                cfg.gates = rotated(gates.get(az), n);
+                let proxy = Proxy::start(cfg.seed).await?;
+                cfg.announced_address = Some(format!("http://{}", proxy.address()));
+                let stand_in = stand_in::start(cfg.clone()).await?;
+                proxy.set_upstream(stand_in.address());
+                workers.push(Worker {
+                    cfg,
+                    proxy,
+                    stand_in: Some(stand_in),
+                });
+            }
+        }
+        Ok(Self {
+            workers,
+            kept: Vec::new(),
+        })
+    }
+
+    fn first(&mut self, service: &str) -> Option<&mut Worker> {
+        self.workers.iter_mut().find(|w| w.cfg.service == service)
+    }
+
+    /// Shows `fault` at the first endpoint of `service`.
+    pub(crate) fn set_fault(&mut self, service: &str, fault: Fault) {
+        let worker = self.first(service);
+        if let Some(stand_in) = worker.and_then(|w| w.stand_in.as_ref()) {
+            stand_in.set_fault(fault);
+        }
+    }
+
+    /// Ends all faults.
+    pub(crate) fn mend(&self) {
+        let all = self.workers.iter().filter_map(|w| w.stand_in.as_ref());
+        all.for_each(|s| s.set_fault(Fault::None));
+    }
+
+    /// Kills the first endpoint of `service` and starts it again.
+    pub(crate) async fn restart(&mut self, service: &str) -> eyre::Result<()> {
+        let Some(worker) = self.first(service) else {
+            return Ok(());
+        };
+        let journal = worker.stand_in.take().map(|stand_in| {
+            let journal = stand_in.journal();
+            stand_in.kill();
+            journal
+        });
+        worker.proxy.reset_connections();
+        let stand_in = stand_in::start(worker.cfg.clone()).await?;
+        worker.proxy.set_upstream(stand_in.address());
+        worker.stand_in = Some(stand_in);
+        self.kept.extend(journal.unwrap_or_default());
+        Ok(())
+    }
+
+    /// Has the first endpoint of `service` announce that it leaves.
+    pub(crate) async fn leave(&mut self, service: &str) {
+        let worker = self.first(service);
+        if let Some(stand_in) = worker.and_then(|w| w.stand_in.as_ref()) {
+            stand_in.leave().await;
+        }
+    }
+
+    /// Open connections to all endpoints go silent.
+    pub(crate) fn silence(&self) {
+        self.workers
+            .iter()
+            .for_each(|w| w.proxy.silence_connections());
+    }
+
+    /// Tells the endpoints of each availability zone its gates.
+    pub(crate) fn set_gates(&mut self, gates: &BTreeMap<String, Vec<String>>) {
+        for (n, worker) in self.workers.iter_mut().enumerate() {
+            worker.cfg.gates = rotated(gates.get(&worker.cfg.az), n);
+            if let Some(stand_in) = &worker.stand_in {
+                stand_in.set_gates(worker.cfg.gates.clone());
+            }
+        }
+    }
+
+    /// How many endpoints of `service` have loaded `version`, and how many there are.
+    pub(crate) fn loaded(&self, service: &str, version: u32) -> (usize, usize) {
+        let its = self.workers.iter().filter(|w| w.cfg.service == service);
+        let stand_ins: Vec<&StandIn> = its.filter_map(|w| w.stand_in.as_ref()).collect();
+        let has = |s: &&&StandIn| s.models().iter().any(|m| m.version == version);
+        (stand_ins.iter().filter(has).count(), stand_ins.len())
+    }
+
+    /// Everything that was run.
+    pub(crate) fn journals(&self) -> Vec<JournalEntry> {
+        let stand_ins = self.workers.iter().filter_map(|w| w.stand_in.as_ref());
+        let mut all: Vec<JournalEntry> = stand_ins.flat_map(StandIn::journal).collect();
+        all.extend(self.kept.iter().cloned());
+        all
+    }
+}
+
+fn rotated(gates: Option<&Vec<String>>, n: usize) -> Vec<String> {
+    let mut gates = gates.cloned().unwrap_or_default();
+    let turn = n % gates.len().max(1);
+    gates.rotate_left(turn);
+    gates
+}
+
+fn config(declaration: &Declaration, size: &ServiceSize, n: usize, az: &str) -> StandInConfig {
+    let kind = stand_in_kind(declaration, size.service);
+    let name = format!("{}-{n}", size.service);
+    let mut cfg = StandInConfig::new(&name, size.service, az, kind);
+    cfg.announce_every = ANNOUNCE_EVERY;
+    cfg.service_time = size.service_time;
+    cfg.concurrency = size.concurrency;
+    cfg.checks_fencing = !n.is_multiple_of(3);
+    cfg.engine = EngineConfig {
+        step: size.service_time,
+        max_batch: size.concurrency,
+        ..EngineConfig::default()
+    };
+    let service = declaration.services.get(size.service);
+    let model = service.and_then(|s| Some((s.model.clone()?, s.version?, s.adapters.clone())));
+    cfg.models = model.into_iter().map(loaded).collect();
+    cfg
+}
+
+fn loaded((model, version, adapters): (String, u32, Vec<String>)) -> LoadedModel {
+    LoadedModel {
+        model,
+        version,
+        adapters,
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,7 +1,12 @@
 //! Stand-ins, fault-injecting proxy, load and experiments for development.
 
+pub mod baseline;
 pub mod check;
 pub mod client;
+pub mod deployment;
+pub mod experiment;
+pub mod load;
 pub mod output;
+pub mod processes;
 pub mod proxy;
 pub mod stand_in;
--- /dev/null
+++ b/crates/bench/src/load/arrivals.rs
@@ -0,0 +1,132 @@
+//! When requests arrive and what they ask: Poisson, with bursts, from a seed.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use derives::record;
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use serde_json::{Value, json};
+
+use crate::deployment::{Deployment, Traffic};
+
+/// Dossiers whose prompts share a prefix, for each kind of traffic.
+const DOSSIERS: u64 = 12;
+
+/// A time in which more arrives.
+#[record]
+pub struct Burst {
+    /// Its start, from the start of the run.
+    pub start: Duration,
+    /// Its length.
+    pub length: Duration,
+    /// By how much the rate grows.
+    pub factor: f64,
+}
+
+/// What load to offer.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Arrivals a second outside bursts.
+    pub rate: f64,
+    /// How long requests arrive.
+    pub length: Duration,
+    /// Bursts.
+    pub bursts: Vec<Burst>,
+    /// Seed of times and contents.
+    pub seed: u64,
+}
+
+/// One request that arrives.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// Its number in the run.
+    pub number: u64,
+    /// When, from the start of the run.
+    pub at: Duration,
+    /// What kind of request it is.
+    pub traffic: Traffic,
+    /// The availability zone whose balancer gets it.
+    pub az: String,
+    /// The mark in its input.
+    pub subject: String,
+    /// Its input.
+    pub input: Value,
+}
+
+/// The arrivals of `plan`, the same ones for the same seed.
+pub fn arrivals(
+    deployment: &Deployment,
+    allowed: &BTreeMap<String, Vec<String>>,
+    plan: &Plan,
+) -> Vec<Arrival> {
+    let mut rng = SmallRng::seed_from_u64(plan.seed);
+    let mut at = Duration::ZERO;
+    let mut all = Vec::new();
+    loop {
+        let rate = plan.rate * factor(plan, at);
+        let unit: f64 = rng.random_range(f64::EPSILON..1.0);
+        at += Duration::from_secs_f64(-unit.ln() / rate);
+        if at >= plan.length {
+            return all;
+        }
+        let number = all.len() as u64;
+        all.push(arrival(deployment, allowed, number, at, &mut rng));
+    }
+}
+
+fn factor(plan: &Plan, at: Duration) -> f64 {
+    let covers = |b: &&Burst| at >= b.start && at < b.start + b.length;
+    plan.bursts.iter().find(covers).map_or(1.0, |b| b.factor)
+}
+
+fn arrival(
+    deployment: &Deployment,
+    allowed: &BTreeMap<String, Vec<String>>,
+    number: u64,
+    at: Duration,
+    rng: &mut SmallRng,
+) -> Arrival {
+    let traffic = pick(deployment.traffic, rng);
+    let none = Vec::new();
+    let azs = allowed.get(traffic.workspace).unwrap_or(&none);
+    let az = match azs.len() {
+        0 => deployment.azs[0].az.to_owned(),
+        n => azs[rng.random_range(0..n)].clone(),
+    };
+    let subject = format!("r{number}");
+    let dossier = rng.random_range(0..DOSSIERS);
+    let prompt = prompt(&traffic, &subject, dossier);
+    Arrival {
+        number,
+        at,
+        traffic,
+        az,
+        input: json!({ "prompt": prompt }),
+        subject,
+    }
+}
+
+fn pick(traffic: &[Traffic], rng: &mut SmallRng) -> Traffic {
+    let total: u32 = traffic.iter().map(|t| t.weight).sum();
+    let mut left = rng.random_range(0..total);
+    for one in traffic {
+        if left < one.weight {
+            return *one;
+        }
+        left -= one.weight;
+    }
+    traffic[0]
+}
+
+/// The dossier's text, then the request's mark, then text of its own.
+fn prompt(traffic: &Traffic, subject: &str, dossier: u64) -> String {
+    let shared = filler(
+        &format!("{} dossier {dossier}. ", traffic.pipeline),
+        traffic.shared_bytes,
+    );
+    let own = filler(&format!("note {subject}. "), traffic.own_bytes);
+    format!("{shared}[#{subject}] {own}")
+}
+
+fn filler(text: &str, bytes: usize) -> String {
+    text.chars().cycle().take(bytes).collect()
+}
--- /dev/null
+++ b/crates/bench/src/load/caller.rs
@@ -0,0 +1,289 @@
+//! One caller: sends a request, asks again under the same key where that is safe, notes it all.
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use http_body_util::BodyExt;
+use hyper::{Method, Response, body::Incoming};
+use serde_json::{Value, json};
+use tokio::time::{Instant, sleep, timeout_at};
+
+use super::{Arrival, key::key, sse::Events};
+use crate::{
+    check::{Attempt, Reply, Request, Told},
+    client::Client,
+    stand_in::now_ms,
+};
+
+/// How long after the deadline a caller still waits for a final answer.
+const GRACE: Duration = Duration::from_secs(3);
+/// Pause before a booking is asked about again.
+const ASK_AGAIN: Duration = Duration::from_millis(200);
+/// How often a booking is asked about at most.
+const MAX_ATTEMPTS: usize = 4;
+
+/// A gate as callers reach it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GateAddress {
+    /// Its name.
+    pub name: String,
+    /// Its base URL.
+    pub url: String,
+}
+
+/// The platform's balancer: the gates of each availability zone that are ready, in turn.
+#[derive(Debug, Default)]
+pub struct Balancer {
+    gates: Mutex<BTreeMap<String, Vec<GateAddress>>>,
+    next: AtomicUsize,
+}
+
+impl Balancer {
+    /// Sets the ready gates of `az`.
+    pub fn set(&self, az: &str, gates: Vec<GateAddress>) {
+        let mut all = self.gates.lock().expect("no panic under this lock");
+        all.insert(az.to_owned(), gates);
+    }
+
+    fn pick(&self, az: &str) -> Option<GateAddress> {
+        let all = self.gates.lock().expect("no panic under this lock");
+        let gates = all.get(az).filter(|gates| !gates.is_empty())?;
+        let n = self.next.fetch_add(1, Ordering::Relaxed);
+        Some(gates[n % gates.len()].clone())
+    }
+}
+
+/// What all callers of a run share.
+#[derive(Debug)]
+pub struct CallerConfig {
+    /// Chooses a gate.
+    pub balancer: Balancer,
+    /// Connections to gates.
+    pub client: Client,
+    /// Start of the run.
+    pub start: Instant,
+    /// Seed of the keys.
+    pub seed: u64,
+    /// Deadline by pipeline.
+    pub deadlines: BTreeMap<String, Duration>,
+    /// Pipelines that need a key.
+    pub keyed: Vec<String>,
+}
+
+/// A request that has its final answer, or none.
+#[derive(Clone, Debug)]
+pub struct Finished {
+    /// The request with its sendings, for the checker.
+    pub request: Request,
+    /// From its intended start to its end.
+    pub latency: Duration,
+    /// Whether it completed within its deadline.
+    pub in_time: bool,
+    /// From its intended start to the first token, for a stream.
+    pub first_token: Option<Duration>,
+    /// Times between tokens, for a stream.
+    pub between: Vec<Duration>,
+}
+
+#[derive(Debug, Default)]
+struct Times {
+    first_token: Option<Instant>,
+    last_token: Option<Instant>,
+    between: Vec<Duration>,
+}
+
+/// Calls for `arrival`, which was meant to start at its own time whatever the time is now.
+pub async fn call(cfg: &CallerConfig, arrival: Arrival) -> Finished {
+    let intended = cfg.start + arrival.at;
+    let pipeline = arrival.traffic.pipeline;
+    let deadline = cfg.deadlines.get(pipeline).copied().unwrap_or_default();
+    let needs_key = cfg.keyed.iter().any(|name| name == pipeline);
+    let mut request = Request {
+        subject: arrival.subject.clone(),
+        pipeline: pipeline.to_owned(),
+        key: needs_key.then(|| key(cfg.seed, arrival.number).to_string()),
+        input: arrival.input.clone(),
+        attempts: Vec::new(),
+    };
+    let mut times = Times::default();
+    let until = intended + deadline;
+    loop {
+        let attempt = attempt(cfg, &arrival, &request, until, &mut times).await;
+        let told = attempt.reply.told;
+        request.attempts.push(attempt);
+        let is_open = matches!(
+            told,
+            Told::Broken | Told::Nothing | Told::Unknown | Told::NotRun
+        );
+        let may_ask = needs_key && is_open && request.attempts.len() < MAX_ATTEMPTS;
+        if !may_ask || Instant::now() + ASK_AGAIN >= until {
+            break;
+        }
+        sleep(ASK_AGAIN).await;
+    }
+    let latency = intended.elapsed();
+    let last = request.attempts.last().map(|attempt| attempt.reply.told);
+    Finished {
+        request,
+        latency,
+        in_time: last == Some(Told::Completed) && latency <= deadline,
+        first_token: times.first_token.map(|at| at - intended),
+        between: times.between,
+    }
+}
+
+async fn attempt(
+    cfg: &CallerConfig,
+    arrival: &Arrival,
+    request: &Request,
+    until: Instant,
+    times: &mut Times,
+) -> Attempt {
+    let sent_ms = now_ms();
+    let Some(gate) = cfg.balancer.pick(&arrival.az) else {
+        return Attempt {
+            gate: String::new(),
+            sent_ms,
+            ended_ms: sent_ms,
+            reply: reply(Told::Broken, 0, "no gate is ready".to_owned()),
+        };
+    };
+    let asked = ask(cfg, arrival, request, &gate, until, times);
+    let reply = match timeout_at(until + GRACE, asked).await {
+        Ok(Ok(reply)) => reply,
+        Ok(Err(e)) => reply(Told::Broken, 0, format!("{e:#}")),
+        Err(_) => reply(Told::Nothing, 0, "no answer".to_owned()),
+    };
+    Attempt {
+        gate: gate.name,
+        sent_ms,
+        ended_ms: now_ms(),
+        reply,
+    }
+}
+
+fn reply(told: Told, status: u16, detail: String) -> Reply {
+    Reply {
+        told,
+        status,
+        output: None,
+        streamed: None,
+        detail,
+    }
+}
+
+async fn ask(
+    cfg: &CallerConfig,
+    arrival: &Arrival,
+    request: &Request,
+    gate: &GateAddress,
+    until: Instant,
+    times: &mut Times,
+) -> eyre::Result<Reply> {
+    let remaining = until.saturating_duration_since(Instant::now());
+    let remaining = remaining.as_millis().max(1).to_string();
+    let mut headers = vec![
+        ("content-type", "application/json"),
+        ("jujube-workspace", arrival.traffic.workspace),
+        ("jujube-deadline-ms", remaining.as_str()),
+        ("jujube-request", request.subject.as_str()),
+    ];
+    if let Some(key) = &request.key {
+        headers.push(("idempotency-key", key));
+    }
+    if arrival.traffic.streams {
+        headers.push(("accept", "text/event-stream"));
+    }
+    let url = format!("{}/v1/pipelines/{}", gate.url, request.pipeline);
+    let body = serde_json::to_vec(&json!({ "input": request.input }))?;
+    let res = cfg.client.open(Method::POST, &url, &headers, body).await?;
+    let content_type = res.headers().get("content-type");
+    let is_stream = content_type.is_some_and(|t| t.as_bytes().starts_with(b"text/event-stream"));
+    match is_stream {
+        true => read_stream(res, times).await,
+        false => read_whole(res).await,
+    }
+}
+
+async fn read_whole(res: Response<Incoming>) -> eyre::Result<Reply> {
+    let status = res.status().as_u16();
+    let body = res.into_body().collect().await?.to_bytes();
+    let value = serde_json::from_slice(&body).unwrap_or_default();
+    Ok(judge(status, &value))
+}
+
+async fn read_stream(res: Response<Incoming>, times: &mut Times) -> eyre::Result<Reply> {
+    let status = res.status().as_u16();
+    let mut body = res.into_body();
+    let mut events = Events::default();
+    let mut text = String::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame?;
+        let bytes = frame.data_ref().map_or(&b""[..], |data| data);
+        for event in events.push(bytes) {
+            match event.name.as_str() {
+                "token" => {
+                    note_token(times);
+                    take_token(&mut text, &event.data)?;
+                }
+                "done" => {
+                    let mut reply = judge(status, &event.data);
+                    reply.streamed = Some(text);
+                    return Ok(reply);
+                }
+                "error" => return Ok(judge(500, &event.data)),
+                _ => {}
+            }
+        }
+    }
+    Err(eyre::eyre!("the stream ended without done or error"))
+}
+
+fn note_token(times: &mut Times) {
+    let now = Instant::now();
+    match times.last_token.replace(now) {
+        Some(last) => times.between.push(now - last),
+        None => times.first_token = Some(now),
+    }
+}
+
+/// Appends a token whose offset fits; a gap stays visible as text that differs from the output.
+fn take_token(text: &mut String, data: &Value) -> eyre::Result<()> {
+    let offset = data["offset"].as_u64().unwrap_or(u64::MAX);
+    let piece = data["text"].as_str().unwrap_or_default();
+    if offset < text.len() as u64 {
+        return Err(eyre::eyre!("offset {offset} was sent before"));
+    }
+    let gap = (offset - text.len() as u64).min(64);
+    text.extend((0..gap).map(|_| '\u{fffd}'));
+    text.push_str(piece);
+    Ok(())
+}
+
+fn judge(status: u16, value: &Value) -> Reply {
+    let told = told(value["outcome"].as_str());
+    let detail = match told {
+        Told::Completed => String::new(),
+        _ => format!("{}: {}", value["type"], value["detail"]),
+    };
+    let mut reply = reply(told, status, detail);
+    reply.output = (told == Told::Completed).then(|| value["output"].clone());
+    reply
+}
+
+/// An outcome by its name on the wire.
+pub(crate) fn told(outcome: Option<&str>) -> Told {
+    match outcome {
+        Some("completed") => Told::Completed,
+        Some("not_run") => Told::NotRun,
+        Some("failed") => Told::Failed,
+        Some("unknown") => Told::Unknown,
+        _ => Told::Error,
+    }
+}
--- /dev/null
+++ b/crates/bench/src/load/mod.rs
@@ -0,0 +1,14 @@
+//! Open-loop load: arrivals that do not wait for answers, and what became of each.
+
+mod arrivals;
+mod caller;
+mod key;
+mod sse;
+mod tally;
+
+pub use self::{
+    arrivals::{Arrival, Burst, Plan, arrivals},
+    caller::{Balancer, CallerConfig, Finished, GateAddress, call},
+    tally::{ServiceCost, Tally, tally},
+};
+pub(crate) use self::{caller::told, sse::Events};
--- /dev/null
+++ b/crates/bench/src/load/sse.rs
@@ -0,0 +1,42 @@
+//! Reads a gate's event stream.
+
+use serde_json::Value;
+
+/// One event.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Event {
+    pub(crate) name: String,
+    pub(crate) data: Value,
+}
+
+/// Events cut out of bytes as they come.
+#[derive(Debug, Default)]
+pub(crate) struct Events {
+    buf: Vec<u8>,
+}
+
+impl Events {
+    /// Takes `bytes` in; the events that they complete.
+    pub(crate) fn push(&mut self, bytes: &[u8]) -> Vec<Event> {
+        self.buf.extend_from_slice(bytes);
+        let mut events = Vec::new();
+        while let Some(end) = self.buf.windows(2).position(|pair| pair == b"\n\n") {
+            let block: Vec<u8> = self.buf.drain(..end + 2).collect();
+            events.extend(parse(&String::from_utf8_lossy(&block)));
+        }
+        events
+    }
+}
+
+fn parse(block: &str) -> Option<Event> {
+    let field = |name: &str| {
+        let lines = block.lines().filter_map(|line| line.strip_prefix(name));
+        let values: Vec<&str> = lines.map(str::trim_start).collect();
+        values.join("\n")
+    };
+    let data = serde_json::from_str(&field("data:")).ok()?;
+    Some(Event {
+        name: field("event:"),
+        data,
+    })
+}
--- /dev/null
+++ b/crates/bench/src/load/tally.rs
@@ -0,0 +1,179 @@
+//! Figures of a run: attainment, latencies, cost by stage with waste apart.
+
+use std::{
+    collections::{BTreeMap, HashMap, HashSet},
+    time::Duration,
+};
+
+use declaration::Declaration;
+use derives::record;
+use hdrhistogram::Histogram;
+
+use super::Finished;
+use crate::{
+    check::Told,
+    stand_in::{Event, JournalEntry},
+};
+
+/// Longest time that a histogram holds, in microseconds.
+const LONGEST_US: u64 = 120_000_000;
+
+/// Work of one service.
+#[record]
+#[derive(Default)]
+pub struct ServiceCost {
+    /// Calls begun.
+    pub calls: u64,
+    /// Work, in milliseconds of an endpoint's time.
+    pub busy_ms: f64,
+    /// Work that no request completed in time has used.
+    pub wasted_ms: f64,
+}
+
+/// Figures of one run.
+#[record]
+#[derive(Default)]
+pub struct Tally {
+    /// Requests offered.
+    pub offered: usize,
+    /// Requests completed within their deadlines.
+    pub in_time: usize,
+    /// `in_time` over `offered`.
+    pub attainment: f64,
+    /// Last words to callers.
+    pub told: BTreeMap<String, usize>,
+    /// Attainment by pipeline.
+    pub by_pipeline: BTreeMap<String, f64>,
+    /// Latency from intended start, completed requests, in milliseconds.
+    pub p50_ms: f64,
+    /// As `p50_ms`.
+    pub p95_ms: f64,
+    /// As `p50_ms`.
+    pub p99_ms: f64,
+    /// Time from intended start to the first token, in milliseconds.
+    pub first_token_p50_ms: f64,
+    /// As `first_token_p50_ms`.
+    pub first_token_p95_ms: f64,
+    /// Time between tokens, in milliseconds.
+    pub between_p95_ms: f64,
+    /// Work for each request completed in time, in milliseconds of endpoints' time.
+    pub cost_ms: f64,
+    /// Share of all work that no request completed in time has used.
+    pub wasted: f64,
+    /// Work by service.
+    pub services: BTreeMap<String, ServiceCost>,
+}
+
+/// The figures of `finished` requests and the `journals` of what ran for them.
+pub fn tally(declaration: &Declaration, finished: &[Finished], journals: &[JournalEntry]) -> Tally {
+    let in_time = finished.iter().filter(|f| f.in_time).count();
+    let done: Vec<&Finished> = finished.iter().filter(|f| f.in_time).collect();
+    let latencies = histogram(done.iter().map(|f| f.latency));
+    let first_tokens = histogram(finished.iter().filter_map(|f| f.first_token));
+    let between = histogram(finished.iter().flat_map(|f| f.between.iter().copied()));
+    let services = costs(declaration, &done, journals);
+    let busy: f64 = services.values().map(|s| s.busy_ms).sum();
+    let wasted: f64 = services.values().map(|s| s.wasted_ms).sum();
+    Tally {
+        offered: finished.len(),
+        in_time,
+        attainment: share(in_time, finished.len()),
+        told: told(finished),
+        by_pipeline: by_pipeline(finished),
+        p50_ms: quantile(&latencies, 0.5),
+        p95_ms: quantile(&latencies, 0.95),
+        p99_ms: quantile(&latencies, 0.99),
+        first_token_p50_ms: quantile(&first_tokens, 0.5),
+        first_token_p95_ms: quantile(&first_tokens, 0.95),
+        between_p95_ms: quantile(&between, 0.95),
+        cost_ms: busy / in_time.max(1) as f64,
+        wasted: if busy > 0.0 { wasted / busy } else { 0.0 },
+        services,
+    }
+}
+
+fn share(part: usize, whole: usize) -> f64 {
+    part as f64 / whole.max(1) as f64
+}
+
+fn histogram(times: impl Iterator<Item = Duration>) -> Histogram<u64> {
+    let mut histogram = Histogram::new_with_bounds(1, LONGEST_US, 3).expect("the bounds are valid");
+    for time in times {
+        histogram.saturating_record(time.as_micros() as u64);
+    }
+    histogram
+}
+
+fn quantile(histogram: &Histogram<u64>, q: f64) -> f64 {
+    histogram.value_at_quantile(q) as f64 / 1_000.0
+}
+
+fn told(finished: &[Finished]) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for one in finished {
+        let last = one.request.attempts.last();
+        let name = match last.map(|attempt| attempt.reply.told) {
+            Some(Told::Completed) if !one.in_time => "completed_late".to_owned(),
+            told => name(told),
+        };
+        *counts.entry(name).or_default() += 1;
+    }
+    counts
+}
+
+fn name(told: Option<Told>) -> String {
+    let value = serde_json::to_value(told).unwrap_or_default();
+    value.as_str().unwrap_or("none").to_owned()
+}
+
+fn by_pipeline(finished: &[Finished]) -> BTreeMap<String, f64> {
+    let mut counts: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
+    for one in finished {
+        let count = counts.entry(&one.request.pipeline).or_default();
+        count.0 += usize::from(one.in_time);
+        count.1 += 1;
+    }
+    let shares = counts
+        .into_iter()
+        .map(|(name, (part, whole))| (name.to_owned(), share(part, whole)));
+    shares.collect()
+}
+
+/// Work by service; of each completed request, the first whole run of each stage counts as used.
+fn costs(
+    declaration: &Declaration,
+    done: &[&Finished],
+    journals: &[JournalEntry],
+) -> BTreeMap<String, ServiceCost> {
+    let stages: HashMap<&str, &[String]> = done
+        .iter()
+        .filter_map(|f| {
+            let pipeline = declaration.pipelines.get(&f.request.pipeline)?;
+            Some((f.request.subject.as_str(), pipeline.stages.as_slice()))
+        })
+        .collect();
+    let mut used = HashSet::new();
+    let mut costs: BTreeMap<String, ServiceCost> = BTreeMap::new();
+    for entry in journals {
+        let cost = costs.entry(entry.service.clone()).or_default();
+        let (work_us, is_whole) = match entry.event {
+            Event::Started => {
+                cost.calls += 1;
+                continue;
+            }
+            Event::Finished { busy_us, .. } => (busy_us, true),
+            Event::Failed { busy_us } | Event::Cancelled { busy_us, .. } => (busy_us, false),
+            _ => continue,
+        };
+        let subject = entry.subject.as_deref().unwrap_or_default();
+        let is_asked = stages
+            .get(subject)
+            .is_some_and(|s| s.contains(&entry.service));
+        let busy_ms = work_us as f64 / 1_000.0;
+        cost.busy_ms += busy_ms;
+        if !(is_whole && is_asked && used.insert((subject, entry.service.as_str()))) {
+            cost.wasted_ms += busy_ms;
+        }
+    }
+    costs
+}
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,3 +1,12 @@
-//! Stand-ins, fault-injecting proxy, load and experiments for development.
+//! Development tool: stand-ins, fault-injecting proxy, load and experiments.
 
-fn main() {}
+mod args;
+
+use std::process::ExitCode;
+
+#[global_allocator]
+static GLOBAL: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+fn main() -> ExitCode {
+    args::run().into()
+}
--- /dev/null
+++ b/crates/bench/src/processes.rs
@@ -0,0 +1,162 @@
+//! Starts our role binaries for experiments and tests, and ends them by their id.
+
+use std::{
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::Stdio,
+    time::Duration,
+};
+
+use eyre::{WrapErr, eyre};
+pub use rustix::process::Signal;
+use rustix::process::{Pid, kill_process};
+use serde_json::Value;
+use tokio::{
+    fs::File,
+    io::{AsyncBufReadExt, AsyncWriteExt, BufReader},
+    process::{Child, ChildStderr, Command},
+    sync::watch,
+    time::timeout,
+};
+
+/// Longest wait for a role to say where it listens.
+const START_LIMIT: Duration = Duration::from_secs(10);
+
+/// Where the binaries lie and where settings, data and logs go.
+#[derive(Clone, Debug)]
+pub struct Folders {
+    /// Folder with the role binaries.
+    pub programs: PathBuf,
+    /// Folder for what the run writes.
+    pub work: PathBuf,
+}
+
+/// A role of ours in a process of its own; dropping it kills it.
+#[derive(Debug)]
+pub struct Role {
+    /// Its name, for files and messages.
+    pub name: String,
+    /// Where it takes HTTP.
+    pub http: SocketAddr,
+    /// Where it takes links, if it does.
+    pub link: Option<SocketAddr>,
+    child: Child,
+    pid: Pid,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Listening {
+    http: SocketAddr,
+    link: Option<SocketAddr>,
+}
+
+impl Folders {
+    /// Starts `program` as `name` with `settings` and waits until it listens.
+    pub async fn start(&self, program: &str, name: &str, settings: &str) -> eyre::Result<Role> {
+        let config = self.work.join(format!("{name}.ini"));
+        fs::write(&config, settings).wrap_err_with(|| format!("write settings of {name}"))?;
+        let path = self.programs.join(program);
+        let mut child = Command::new(&path)
+            .arg("--config")
+            .arg(&config)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .kill_on_drop(true)
+            .spawn()
+            .wrap_err_with(|| format!("start {} for {name}", path.display()))?;
+        let id = child.id().and_then(|id| Pid::from_raw(id as i32));
+        let pid = id.ok_or_else(|| eyre!("{name} ended before it could be named"))?;
+        let stderr = child
+            .stderr
+            .take()
+            .ok_or_else(|| eyre!("{name} has no log"))?;
+        let (tx, mut rx) = watch::channel(None);
+        let log = self.work.join(format!("{name}.log"));
+        tokio::spawn(copy_log(stderr, log, tx));
+        let listening = timeout(START_LIMIT, rx.wait_for(Option::is_some)).await;
+        let listening = match listening {
+            Ok(Ok(listening)) => *listening,
+            _ => None,
+        };
+        let listening = listening.ok_or_else(|| eyre!("{name}: {}", self.last_words(name)))?;
+        Ok(Role {
+            name: name.to_owned(),
+            http: listening.http,
+            link: listening.link,
+            child,
+            pid,
+        })
+    }
+
+    fn last_words(&self, name: &str) -> String {
+        let log = fs::read_to_string(self.work.join(format!("{name}.log")));
+        let log = log.unwrap_or_default();
+        let last = log.lines().last().unwrap_or("no word");
+        format!("did not come to listen; its log ends with: {last}")
+    }
+}
+
+async fn copy_log(stderr: ChildStderr, path: PathBuf, tx: watch::Sender<Option<Listening>>) {
+    let mut lines = BufReader::new(stderr).lines();
+    let mut file = open_log(&path).await;
+    while let Ok(Some(line)) = lines.next_line().await {
+        if let Some(f) = &mut file {
+            // A log that cannot be written is no reason to stop reading it.
+            let _ = f.write_all(format!("{line}\n").as_bytes()).await;
+            let _ = f.flush().await;
+        }
+        if let Some(listening) = listening(&line) {
+            tx.send_replace(Some(listening));
+        }
+    }
+}
+
+async fn open_log(path: &Path) -> Option<File> {
+    let opened = File::options().create(true).append(true).open(path).await;
+    opened.ok()
+}
+
+fn listening(line: &str) -> Option<Listening> {
+    let record: Value = serde_json::from_str(line).ok()?;
+    let is_it = |member: &Value| member.as_str() == Some("listening");
+    record.as_object()?.values().any(is_it).then_some(())?;
+    let kv = &record["kv"];
+    let address = |key: &str| kv[key].as_str()?.parse().ok();
+    Some(Listening {
+        http: address("http")?,
+        link: address("link"),
+    })
+}
+
+impl Role {
+    /// Base URL of its HTTP.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.http)
+    }
+
+    /// Sends a signal to this process alone.
+    pub fn signal(&self, signal: Signal) -> eyre::Result<()> {
+        let sent = kill_process(self.pid, signal);
+        sent.wrap_err_with(|| format!("signal {}", self.name))
+    }
+
+    /// Kills it and waits for its end.
+    pub async fn kill(&mut self) -> eyre::Result<()> {
+        let killed = self.child.kill().await;
+        killed.wrap_err_with(|| format!("kill {}", self.name))
+    }
+
+    /// Waits up to `limit` for its end; its exit code, `None` where a signal ended it.
+    pub async fn finished(&mut self, limit: Duration) -> eyre::Result<Option<i32>> {
+        let ended = timeout(limit, self.child.wait()).await;
+        let ended = ended.wrap_err_with(|| format!("{} did not end", self.name))?;
+        Ok(ended?.code())
+    }
+
+    /// The process id.
+    pub fn id(&self) -> i32 {
+        self.pid.as_raw_nonzero().get()
+    }
+}
