Free a booking's key at once where the gate knows that it never sent

Found by crates/system: links of all gates and keepers fall silent during bookings. The answer to an intent is lost, the request ends at its deadline, and the gate asked again with the same attempt to give the grant back. The release is now stated as it is, without a question before it; the ledger holds it against an intent that comes later.

Three more in the same path: an answer waits up to 300 ms for its settlement, so that the caller's next look at the ledger agrees with it; after a grant, and before each stage, what is left of the deadline is compared with what the remaining stages are likely to take, so a booking is not sent with no time for its answer; admission learns from every request's end, also from those that end at their deadline.

--- a/crates/gate/src/failure.rs
+++ b/crates/gate/src/failure.rs
@@ -106,7 +106,7 @@
         retry_after: Duration,
     },
     /// The remaining stages do not fit before the deadline, or the workspace's limit is reached.
-    #[error("refused before any work: {reason}")]
+    #[error("refused: {reason}")]
     Admission {
         /// Why.
         reason: &'static str,
@@ -203,6 +203,18 @@
         }
     }
 
+    /// Whether the failure tells of too much load.
+    pub(crate) fn is_overload(&self) -> bool {
+        match &self.cause {
+            Cause::Call(CallError::Deadline) | Cause::NoEndpoint { .. } => true,
+            Cause::Call(e) => e.is_refusal(),
+            Cause::Admission {
+                is_workspace_limit, ..
+            } => !is_workspace_limit,
+            _ => false,
+        }
+    }
+
     fn detail(&self) -> String {
         match &self.peer {
             Some(peer) => format!("{} at {peer}: {}", self.step, self.cause),
--- a/crates/gate/src/ledger.rs
+++ b/crates/gate/src/ledger.rs
@@ -12,7 +12,10 @@
 use serde_json::value::RawValue;
 use sha2::{Digest, Sha256};
 use spdlog::warn;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::{
+    task::JoinHandle,
+    time::{Instant, sleep, sleep_until},
+};
 use uuid::Uuid;
 
 use crate::inflight::Inflight;
@@ -162,8 +165,9 @@
         }
     }
 
-    /// States what became of a granted call, in the background until the keepers have it.
-    pub(crate) fn settle(&self, grant: &Grant, settlement: Settlement) {
+    /// States what became of a granted call, in the background until the keepers have it; the handle
+    /// ends then.
+    pub(crate) fn settle(&self, grant: &Grant, settlement: Settlement) -> JoinHandle<()> {
         let settle = Settle {
             key: grant.key,
             attempt: grant.attempt,
@@ -173,7 +177,7 @@
         tokio::spawn(async move {
             let _running = running;
             ledger.settle_until_known(settle).await;
-        });
+        })
     }
 
     /// The settlement for a call that ran with `output`.
@@ -217,29 +221,6 @@
             self.cfg.settle
         );
     }
-
-    /// Asks again with the same attempt until the answer is known, and gives a grant back.
-    async fn retract(&self, intent: Intent) {
-        let until = Instant::now() + self.cfg.settle;
-        let (key, attempt) = (intent.key, intent.attempt);
-        let req = KeeperRequest::Intent(intent);
-        while Instant::now() < until {
-            let left = until.saturating_duration_since(Instant::now());
-            match self.keepers.ask(&req, left).await {
-                Ok(KeeperReply::Intent(IntentReply::Granted)) => {
-                    let settlement = Settlement::Released;
-                    let settle = Settle {
-                        key,
-                        attempt,
-                        settlement,
-                    };
-                    return self.settle_until_known(settle).await;
-                }
-                Ok(KeeperReply::Intent(_) | KeeperReply::Invalid(_)) => return,
-                _ => sleep(BACKGROUND_PAUSE).await,
-            }
-        }
-    }
 }
 
 /// Gives an intent back in the background unless its answer was seen.
@@ -254,9 +235,15 @@
             return;
         };
         let (ledger, running) = (self.ledger.clone(), self.ledger.inflight.enter());
+        // The release also holds against an intent that arrives after it.
+        let settle = Settle {
+            key: intent.key,
+            attempt: intent.attempt,
+            settlement: Settlement::Released,
+        };
         tokio::spawn(async move {
             let _running = running;
-            ledger.retract(intent).await;
+            ledger.settle_until_known(settle).await;
         });
     }
 }
--- a/crates/gate/src/once.rs
+++ b/crates/gate/src/once.rs
@@ -5,7 +5,7 @@
 //! grant runs in a task of its own, which ends with the settlement even if the caller hangs up or
 //! the deadline passes.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use link::keeper::{IntentReply, LedgerEntry, Output, Settlement};
 use serde_json::value::RawValue;
@@ -26,7 +26,7 @@
     plain,
     record::{Once, Record},
     route::{Picked, Verdict},
-    run::Running,
+    run::{Running, no_time_left},
     stage::{Stage, StageDone, StageReport, Tries, failed, is_engine, pick_soon},
     work::Work,
 };
@@ -34,6 +34,9 @@
 /// Most endpoints that are tried; each of them provably did not take the call.
 const MAX_ENDPOINTS: u32 = 4;
 
+/// Longest time for which an answer waits for its settlement.
+const SETTLE_GRACE: Duration = Duration::from_millis(300);
+
 /// Runs `stage` at most once under `key`, or gives the stored result.
 pub(crate) async fn run(
     cx: &Running,
@@ -92,7 +95,8 @@
     // Only a claim compares the digest.
     match claim(cx, stage, key, "").await? {
         Claimed::Granted(grant) => {
-            ledger.settle(&grant, Settlement::Released);
+            // It goes on in the background; this request claims the key anew when its turn comes.
+            drop(ledger.settle(&grant, Settlement::Released));
             Ok(None)
         }
         Claimed::Refused(reply) => match refused(cx, stage, key, reply).await? {
@@ -126,6 +130,10 @@
         Claimed::Granted(grant) => grant,
         Claimed::Refused(reply) => return refused(cx, stage, key, reply).await,
     };
+    if !cx.fits(&[stage]) {
+        drop(cx.gate.ledger.settle(&grant, Settlement::Released));
+        return Err(StageError::at(stage.name, no_time_left()));
+    }
     let call = new_call(cx, picked, key, &grant);
     let number = cx.record.add(&call.handover);
     cx.record.once(Once::InDoubt(number));
@@ -272,7 +280,11 @@
             }
             Err(e) => self.settlement(e),
         };
-        self.gate.ledger.settle(&self.grant, settlement);
+        let settled = self.gate.ledger.settle(&self.grant, settlement);
+        // The caller's next look at the ledger is to agree with its answer; settling itself goes
+        // on in the background where it takes longer.
+        let until = self.call.deadline.min(Instant::now() + SETTLE_GRACE);
+        let _ = timeout_at(until, settled).await;
         let verdict = match &result {
             Ok(_) => Verdict::Good,
             Err(CallError::NotRun { .. }) => Verdict::Refused,
--- a/crates/gate/src/route.rs
+++ b/crates/gate/src/route.rs
@@ -131,6 +131,20 @@
         self.admission.enter(applicant).await
     }
 
+    /// Whether `stages`, each with an input of `bytes`, are likely to end within `left`.
+    pub(crate) fn fits(
+        &self,
+        stages: &[crate::stage::Stage<'_>],
+        bytes: usize,
+        left: Duration,
+    ) -> bool {
+        let sized = |stage: &crate::stage::Stage<'_>| {
+            let name = stage.name;
+            self.totals.estimate(&[Sized { name, bytes }.stage()])
+        };
+        stages.iter().map(sized).sum::<Duration>() <= left
+    }
+
     /// Chooses an endpoint for a call.
     pub(crate) fn pick(&self, need: &Need<'_>) -> Result<Picked, NoEndpoint> {
         let service = need.service;
--- a/crates/gate/src/run.rs
+++ b/crates/gate/src/run.rs
@@ -1,6 +1,6 @@
 //! One request through all stages of its pipeline.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use declaration::{Declaration, Pipeline};
 use host::problem::{Outcome, Problem};
@@ -21,6 +21,9 @@
     stream::Sink,
 };
 
+/// When to come back after a refusal for want of time.
+const NO_TIME_RETRY_AFTER: Duration = Duration::from_millis(200);
+
 /// A request that runs.
 #[derive(Debug)]
 pub(crate) struct Running {
@@ -114,10 +117,44 @@
         let pipeline = &declared.pipelines[&self.ask.pipeline];
         let ticket = self.admit(declared, pipeline).await?;
         let stages = stages(declared, pipeline)?;
+        let run = timeout_at(self.ask.deadline, self.run_stages(&stages, sink));
+        let result = match run.await {
+            Ok(result) => result,
+            Err(_) => Err(StageError::at(
+                &self.ask.pipeline,
+                Cause::Call(CallError::Deadline),
+            )),
+        };
+        ticket.finish(self.verdict(&result));
+        result
+    }
+
+    /// What the request's end tells admission about overload.
+    fn verdict(&self, result: &Result<Done, StageError>) -> routing::Verdict {
+        match result {
+            Ok(_) if Instant::now() <= self.ask.deadline => routing::Verdict::OnTime,
+            Ok(_) => routing::Verdict::Overloaded,
+            Err(e) if e.is_overload() => routing::Verdict::Overloaded,
+            Err(_) => routing::Verdict::Other,
+        }
+    }
+
+    /// Whether `stages` are likely to end before the deadline.
+    pub(crate) fn fits(&self, stages: &[Stage<'_>]) -> bool {
+        let left = self.ask.deadline.saturating_duration_since(Instant::now());
+        let bytes = self.ask.input.get().len();
+        self.gate.route.fits(stages, bytes, left)
+    }
+
+    async fn run_stages(
+        &self,
+        stages: &[Stage<'_>],
+        sink: Option<&Sink>,
+    ) -> Result<Done, StageError> {
         let mut done = Vec::new();
         let mut next = 0;
         let last = stages.len() - 1;
-        match self.earlier(&stages).await {
+        match self.earlier(stages).await {
             Ok(None) => {}
             Ok(Some((at, earlier))) => {
                 done.push(earlier);
@@ -129,10 +166,13 @@
             Err(e) => return Err(e),
         }
         for (at, stage) in stages.iter().enumerate().skip(next) {
+            if !self.fits(&stages[at..]) {
+                return Err(StageError::at(stage.name, no_time_left()));
+            }
             let previous = done.last().map(|d: &StageDone| &*d.output);
             let is_streamed = at == last && is_engine(stage.service);
             let sink = sink.filter(|_| is_streamed);
-            let result = match self.key(&stages, at) {
+            let result = match self.key(stages, at) {
                 Some(key) => once::run(self, *stage, key, previous).await,
                 None => stage::run(self, *stage, previous, sink).await,
             };
@@ -143,7 +183,6 @@
                 result => done.push(result?),
             }
         }
-        drop(ticket);
         let stages = done.iter().map(|d| d.report.clone()).collect();
         let output = done.pop().map(|d| d.output);
         Ok(Done {
@@ -230,6 +269,15 @@
     stages.collect()
 }
 
+/// What is left of the deadline is less than the next stages are likely to take.
+pub(crate) fn no_time_left() -> Cause {
+    Cause::Admission {
+        reason: "the remaining stages do not fit before the deadline",
+        is_workspace_limit: false,
+        retry_after: NO_TIME_RETRY_AFTER,
+    }
+}
+
 /// A validated declaration has no such pipeline.
 fn no_stage(name: &str) -> StageError {
     let reason = "it is not declared".to_owned();
--- /dev/null
+++ b/crates/system/tests/partitions.rs
@@ -0,0 +1,74 @@
+//! A cut off availability zone serves what it can, refuses the rest truthfully and catches up.
+
+use system::{Ask, Env, booking, key, until};
+
+const CUT: &str = "monastir-a";
+const CUT_VM: &str = "monastir-a-1";
+
+fn dealers_of_monastir(ask: Ask) -> Ask {
+    Ask {
+        workspace: "monastir-dealers",
+        ..ask
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cut_off_availability_zone_serves_what_repeats_and_refuses_bookings() {
+    let env = Env::start().await;
+    env.cut_off(CUT);
+    let gate = env.gate(CUT_VM).http;
+    for n in 0..5 {
+        let question = dealers_of_monastir(Ask::question(&format!("question {n}")));
+        let told = question.send(gate).await.unwrap();
+        assert_eq!(told.outcome, "completed", "{told:?}");
+    }
+    let key = key();
+    let refused = dealers_of_monastir(booking(key)).send(gate).await.unwrap();
+    assert_eq!(refused.outcome, "not_run", "{refused:?}");
+    assert_eq!(env.executions(key), 0);
+    env.heal(CUT);
+    let told = until("bookings work again", async || {
+        let told = dealers_of_monastir(booking(key)).send(gate).await.ok()?;
+        (told.outcome == "completed").then_some(told)
+    })
+    .await;
+    assert_eq!(env.executions(key), 1, "{told:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_others_go_on_booking_and_changing() {
+    let env = Env::start().await;
+    env.cut_off(CUT);
+    let key = key();
+    let gate = env.gate("sousse-a-1").http;
+    until("the majority books", async || {
+        let told = booking(key).send(gate).await.ok()?;
+        (told.outcome == "completed").then_some(())
+    })
+    .await;
+    assert_eq!(env.executions(key), 1);
+    let mut document = env.api().declaration().await.unwrap().document;
+    let id = "pipeline stock-query".parse().unwrap();
+    let section = document.sections.get_mut(&id).unwrap();
+    section
+        .entries
+        .insert("deadline_ms".to_owned(), "900".to_owned());
+    let revision = env.declare(&document.write(), "shorter").await;
+    env.wait_for_revision(&["sousse-a-1", "sousse-a-2", "sousse-b-1"], revision)
+        .await;
+    env.heal(CUT);
+    env.wait_for_revision(&[CUT_VM], revision).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gate_that_restarts_while_cut_off_starts_from_its_neighbour() {
+    let mut env = Env::start().await;
+    env.cut_off("sousse-a");
+    env.kill_keeper("sousse-a-1").await;
+    env.kill_gate("sousse-a-2").await;
+    env.start_gate("sousse-a-2").await;
+    env.wait_until_gate_ready("sousse-a-2").await;
+    let gate = env.gate("sousse-a-2").http;
+    let told = Ask::question("who is there").send(gate).await.unwrap();
+    assert_eq!(told.outcome, "completed", "{told:?}");
+}
