--- a/crates/link/src/keeper.rs
+++ b/crates/link/src/keeper.rs
@@ -1,11 +1,14 @@
 //! What a keeper's clients ask and what it answers.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
-use declaration::{Change, Conflict, Fault};
+use declaration::{AuditRecord, Change, Conflict, Fault};
 use derives::record;
 use uuid::Uuid;
 
+/// Most records in one answer to [`KeeperRequest::Audit`].
+pub const AUDIT_PAGE: usize = 500;
+
 /// A request to any keeper; a follower passes it to the leader.
 #[record]
 pub enum KeeperRequest {
@@ -26,6 +29,36 @@
     },
     /// Submits a change of the declaration.
     Change(Change),
+    /// Reads at most [`AUDIT_PAGE`] records of the audit trail, from a revision on.
+    Audit {
+        /// The first revision wanted.
+        from: u64,
+    },
+    /// Changes the keepers' own group.
+    Member {
+        /// The VM of the keeper that it is about.
+        name: String,
+        /// What to do with it.
+        action: MemberAction,
+    },
+}
+
+/// One change of the keepers' group.
+#[record]
+#[derive(Eq)]
+pub enum MemberAction {
+    /// Joins a keeper as a learner.
+    Add {
+        /// Its link address.
+        address: SocketAddr,
+    },
+    /// Makes a learner that has caught up a voter.
+    Promote,
+    /// Takes a keeper out.
+    Remove {
+        /// Do it although the quorum is then one failure from loss.
+        force: bool,
+    },
 }
 
 /// One gate's wish to send one call that may not be repeated.
@@ -121,6 +154,10 @@
     LeaseEnded,
     /// To [`KeeperRequest::Change`].
     Change(ChangeReply),
+    /// To [`KeeperRequest::Audit`]: records in order of their revisions; empty past the newest.
+    Audit(Vec<AuditRecord>),
+    /// To [`KeeperRequest::Member`]: committed, or was before.
+    MemberChanged,
     /// No quorum answers; nothing was applied that this keeper knows of, and a resend is safe.
     NoQuorum,
     /// The request is refused as it stands.
