--- a/crates/replica/tests/agreement.rs
+++ b/crates/replica/tests/agreement.rs
@@ -103,18 +103,17 @@
             if existing(at).is_some() {
                 group.read_at(NAMES[at]);
             }
-            leaders(group)
-                .iter()
-                .for_each(|leader| group.read_at(leader));
+            for leader in leaders(group) {
+                group.read_at(&leader);
+            }
         }
         Action::Wait { ms } => group.pause(Duration::from_millis(ms)).await,
         Action::Cut { from, to } => group.net.cut(NAMES[from], NAMES[to]),
         Action::Isolate { at } => group.net.isolate(NAMES[at], &names(NAMES.len())),
         Action::IsolateLeader => {
-            let leaders = leaders(group);
-            leaders
-                .iter()
-                .for_each(|l| group.net.isolate(l, &names(NAMES.len())));
+            for leader in leaders(group) {
+                group.net.isolate(&leader, &names(NAMES.len()));
+            }
         }
         Action::Disturb {
             loss,
--- a/crates/replica/tests/common/checks.rs
+++ b/crates/replica/tests/common/checks.rs
@@ -124,16 +124,6 @@
         }
     }
 
-    /// The word for what a request asks.
-    pub fn ask_of(&self, body: &[u8]) -> String {
-        let request = decode(body);
-        match field(&request, "ask") {
-            Some(Value::Map(ask)) => ask[0].0.as_text().unwrap_or_default().to_owned(),
-            Some(Value::Text(ask)) => ask.clone(),
-            _ => String::new(),
-        }
-    }
-
     /// No vote for two candidates of one term. Returns whether the answer gives a vote.
     pub fn note_answer(&self, voter: &str, body: &[u8], answer: &[u8]) -> bool {
         let (request, response) = (decode(body), decode(answer));
@@ -141,7 +131,7 @@
             *self.seen().differs.entry(voter.to_owned()).or_default() += 1;
         }
         let is_granted = field(&response, "tell") == Some(&Value::Text("Granted".to_owned()));
-        if self.ask_of(body) != "Vote" || !is_granted {
+        if ask_of(body) != "Vote" || !is_granted {
             return false;
         }
         let term = field(&request, "term").and_then(Value::as_integer).unwrap();
@@ -158,6 +148,16 @@
     }
 }
 
+/// The word for what a request asks.
+pub fn ask_of(body: &[u8]) -> String {
+    let request = decode(body);
+    match field(&request, "ask") {
+        Some(Value::Map(ask)) => ask[0].0.as_text().unwrap_or_default().to_owned(),
+        Some(Value::Text(ask)) => ask.clone(),
+        _ => String::new(),
+    }
+}
+
 /// The index before the entries of a request, where it carries any.
 pub fn prev_of_entries(body: &[u8]) -> Option<u64> {
     let request = decode(body);
--- a/crates/replica/tests/common/group.rs
+++ b/crates/replica/tests/common/group.rs
@@ -15,7 +15,7 @@
 };
 
 /// Long enough for anything that can come to an end to have come to it.
-pub const LONG: Duration = Duration::from_secs(60);
+pub const LONG: Duration = Duration::from_mins(1);
 
 pub struct Node {
     pub disk: FakeDisk,
--- a/crates/replica/tests/common/net.rs
+++ b/crates/replica/tests/common/net.rs
@@ -11,7 +11,10 @@
 use replica::{Connect, PeerLink, Replica};
 use tokio::time::{sleep, timeout};
 
-use super::{checks::Checks, disk::FakeDisk};
+use super::{
+    checks::{Checks, ask_of},
+    disk::FakeDisk,
+};
 
 /// Whether a request from the first to the second is lost.
 pub type Filter = Box<dyn Fn(&str, &str, &[u8]) -> bool + Send>;
@@ -139,7 +142,7 @@
     }
 
     async fn deliver(&self, from: &str, to: &str, body: Vec<u8>) -> Vec<u8> {
-        let ask = self.checks.ask_of(&body);
+        let ask = ask_of(&body);
         *self.state().sent.entry(ask).or_default() += 1;
         self.pass(from, to).await;
         let is_lost = {
--- a/crates/replica/tests/faults.rs
+++ b/crates/replica/tests/faults.rs
@@ -57,17 +57,17 @@
         group.net.isolate("a", &names(3));
         // Its log grows by entries that no quorum has.
         let (replica, checks) = (group.replica("a"), group.checks.clone());
-        let mut lost = Vec::new();
+        let mut outcomes = Vec::new();
         for _ in 0..5 {
             let (checks, replica, entry) = (checks.clone(), replica.clone(), group.entry());
-            lost.push(tokio::spawn(async move {
+            outcomes.push(tokio::spawn(async move {
                 propose(&checks, &replica, entry).await
             }));
         }
         group.pause(SECOND / 10).await;
         let last = replica.status().last;
         group.pause(2 * SECOND).await;
-        for outcome in lost {
+        for outcome in outcomes {
             assert_eq!(outcome.await.unwrap(), Err(ProposeError::Lost));
         }
         let status = replica.status();
--- a/crates/replica/tests/files.rs
+++ b/crates/replica/tests/files.rs
@@ -25,7 +25,7 @@
 
 fn segments(disk: &FakeDisk) -> Vec<String> {
     let names = disk.names().into_iter();
-    names.filter(|n| n.ends_with(".log")).collect()
+    names.filter(|n| n.strip_suffix(".log").is_some()).collect()
 }
 
 /// The entries that are there after a start.
