--- a/crates/replica/src/apply.rs
+++ b/crates/replica/src/apply.rs
@@ -48,7 +48,7 @@
         let applied = shared.core().applied;
         let is_due = applied - snapshot_index >= shared.cfg.snapshot_after;
         if is_due || bytes >= shared.cfg.snapshot_bytes {
-            take_snapshot(&shared, &mut machine, applied).await;
+            machine = take_snapshot(&shared, machine, applied).await;
             snapshot_index = applied;
             bytes = 0;
         }
@@ -154,7 +154,11 @@
     Some(index)
 }
 
-async fn take_snapshot(shared: &Arc<Shared>, machine: &mut StateMachine, index: u64) {
+async fn take_snapshot(
+    shared: &Arc<Shared>,
+    mut machine: StateMachine,
+    index: u64,
+) -> StateMachine {
     let meta = {
         let core = shared.core();
         SnapshotMeta {
@@ -163,7 +167,17 @@
             members: core.log.members_at(index).clone(),
         }
     };
-    let state = ByteBuf::from((machine.snapshot)());
+    let encode = move || {
+        let state = ByteBuf::from((machine.snapshot)());
+        (machine, state)
+    };
+    // A large state takes its time, which the runtime's threads don't have.
+    let (machine, state) = match shared.disk.is_blocking {
+        true => tokio::task::spawn_blocking(encode)
+            .await
+            .expect("encoding the state does not panic"),
+        false => encode(),
+    };
     let snapshot = Snapshot { meta, state };
     let kept = index.saturating_sub(shared.cfg.snapshot_after / KEPT_SHARE);
     // Under the store's lock, since a snapshot from the leader may come meanwhile.
@@ -171,4 +185,5 @@
     if written.await.is_ok() {
         shared.core().log.compact(kept, index);
     }
+    machine
 }
--- a/crates/replica/src/replicate.rs
+++ b/crates/replica/src/replicate.rs
@@ -294,6 +294,7 @@
                 false => Progress::new(next),
             };
             progress.identity = Some(response.identity);
+            self.warn_of_stranger(&core, response);
         }
         progress.round = progress.round.max(round);
         progress.answered = progress.answered.max(Some(sent_at));
@@ -304,6 +305,17 @@
         self.shared.wake();
     }
 
+    /// Says once that a member's folder is not the one that it was added with.
+    fn warn_of_stranger(&self, core: &Core, response: &Response) {
+        let known = core.log.members().get(&self.peer).and_then(|m| m.identity);
+        if known.is_some_and(|known| known != response.identity) {
+            spdlog::warn!(
+                "a member's folder was replaced, it doesn't count: remove it and add it again",
+                kv: { replica = self.shared.cfg.name.as_str(), peer = self.peer.as_str() }
+            );
+        }
+    }
+
     /// Sends the last snapshot part by part, then entries go on behind it.
     async fn send_snapshot(&mut self) {
         let disk = self.shared.disk.clone();
