--- a/crates/system/src/env.rs
+++ b/crates/system/src/env.rs
@@ -149,6 +149,11 @@
         self.tell_endpoints();
     }
 
+    /// Writes a file beside the settings files.
+    pub fn write(&self, name: &str, text: &str) {
+        std::fs::write(self.folders.work.join(name), text).expect("write a file of the test");
+    }
+
     /// Starts a controller on `vm` and returns its HTTP address.
     pub async fn start_controller(&mut self, vm: &'static str, more: &str) -> SocketAddr {
         let vm = find(vm);
--- a/crates/system/src/lib.rs
+++ b/crates/system/src/lib.rs
@@ -5,10 +5,12 @@
 //! zone can be cut off and addresses are known before processes start.
 
 mod ask;
+mod browser;
 mod env;
 mod settings;
 mod wait;
 
 pub use ask::{Ask, Told, booking, key};
+pub use browser::{Browser, Fields, Page};
 pub use env::{Env, KEEPER_VMS, VM_NAMES, Vm};
 pub use wait::until;
--- /dev/null
+++ b/crates/system/tests/console.rs
@@ -0,0 +1,253 @@
+//! The operators' forms as a browser uses them, over real keepers and gates.
+
+use system::{Browser, Env, Fields, Page};
+
+const DEADLINE: &str = "key.deadline_ms";
+
+/// Opens the form of a section and fills in a new deadline.
+async fn filled(browser: &mut Browser, deadline: &str) -> Fields {
+    let page = browser.open("/edit?kind=pipeline&name=stock-query").await;
+    assert_eq!(page.status, 200, "{}", page.html);
+    let mut fields = page.form("/preview");
+    fields.insert(DEADLINE.to_owned(), deadline.to_owned());
+    fields.insert("author".to_owned(), "noura".to_owned());
+    fields.insert("reason".to_owned(), "faster stock".to_owned());
+    fields
+}
+
+/// Shows the difference and returns what its page would submit.
+async fn previewed(browser: &mut Browser, fields: &Fields) -> Fields {
+    let page = browser.submit("/preview", fields).await;
+    assert_eq!(page.status, 200, "{}", page.html);
+    page.form("/submit")
+}
+
+async fn console() -> (Env, Browser) {
+    let mut env = Env::start_empty().await;
+    env.declare(
+        include_str!("../../../examples/watch-trading/declaration.ini"),
+        "first",
+    )
+    .await;
+    let console = env.start_console("").await;
+    let mut browser = Browser::new(console);
+    system::until("the console has the declaration", async || {
+        let page = browser.open("/").await;
+        page.html.contains("stock-query").then_some(())
+    })
+    .await;
+    (env, browser)
+}
+
+fn revision(page: &Page) -> u64 {
+    let text = page.html.split("revision <strong>").nth(1);
+    let text = text.and_then(|t| t.split('<').next());
+    text.and_then(|t| t.parse().ok())
+        .unwrap_or_else(|| panic!("no revision on {}", page.html))
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_form_becomes_a_change_that_is_in_force_at_the_gates() {
+    let (env, mut browser) = console().await;
+    let fields = filled(&mut browser, "900").await;
+    let shown = browser.submit("/preview", &fields).await;
+    assert!(
+        shown.html.contains("- deadline_ms = 1000"),
+        "{}",
+        shown.html
+    );
+    assert!(shown.html.contains("+ deadline_ms = 900"), "{}", shown.html);
+    let submit = shown.form("/submit");
+    let accepted = browser.submit("/submit", &submit).await;
+    assert_eq!(accepted.status, 200, "{}", accepted.html);
+    let made = revision(&accepted);
+    env.wait_for_revision(&system::VM_NAMES, made).await;
+
+    let again = browser.submit("/submit", &submit).await;
+    assert!(again.html.contains("accepted before"), "{}", again.html);
+    assert_eq!(
+        revision(&again),
+        made,
+        "a form that is sent again applies once"
+    );
+
+    let audit = browser.open("/audit?q=faster").await;
+    for part in ["noura", "faster stock", "+ deadline_ms = 900"] {
+        assert!(audit.html.contains(part), "{part} is not on {}", audit.html);
+    }
+    let nothing = browser.open("/audit?q=no-such-word").await;
+    assert!(!nothing.html.contains("noura"), "{}", nothing.html);
+    let status = browser.open("/status").await;
+    assert!(
+        status.html.contains(&format!("sousse-a-1</td><td>{made}")),
+        "{}",
+        status.html
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_fault_stands_at_its_field_and_what_was_typed_stays() {
+    let (env, mut browser) = console().await;
+    let before = env.api().declaration().await.unwrap().revision;
+    let mut fields = filled(&mut browser, "soon").await;
+    fields.insert("key.stages".to_owned(), "dealer-portal, <b>".to_owned());
+    fields.insert("reason".to_owned(), String::new());
+    let page = browser.submit("/preview", &fields).await;
+    assert_eq!(page.status, 422);
+    let kept = page.form("/preview");
+    assert_eq!(kept[DEADLINE], "soon");
+    assert_eq!(kept["key.stages"], "dealer-portal, <b>");
+    assert!(
+        !page.html.contains("<b>"),
+        "output is escaped: {}",
+        page.html
+    );
+    for fault in ["`soon` is out of range", "is not declared", "say why"] {
+        assert!(page.html.contains(fault), "{fault} is not on {}", page.html);
+    }
+    assert_eq!(env.api().declaration().await.unwrap().revision, before);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_loser_of_a_race_sees_three_columns_and_loses_nothing() {
+    let (_env, mut first) = console().await;
+    let mut second = Browser::new(first.origin.trim_start_matches("http://").parse().unwrap());
+    let one = filled(&mut first, "800").await;
+    let two = filled(&mut second, "700").await;
+    let one = previewed(&mut first, &one).await;
+    let two = previewed(&mut second, &two).await;
+    assert_eq!(first.submit("/submit", &one).await.status, 200);
+    let lost = second.submit("/submit", &two).await;
+    assert_eq!(lost.status, 409, "{}", lost.html);
+    for value in [
+        "deadline_ms = 1000",
+        "deadline_ms = 800",
+        "deadline_ms = 700",
+    ] {
+        assert!(lost.html.contains(value), "{value} is not on {}", lost.html);
+    }
+    let rebased = lost.form("/preview");
+    assert_eq!(rebased[DEADLINE], "700");
+    let submit = previewed(&mut second, &rebased).await;
+    let accepted = second.submit("/submit", &submit).await;
+    assert_eq!(accepted.status, 200, "{}", accepted.html);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn forms_of_other_sites_and_other_sessions_are_refused() {
+    let (env, mut browser) = console().await;
+    let before = env.api().declaration().await.unwrap().revision;
+    let fields = filled(&mut browser, "900").await;
+    let submit = previewed(&mut browser, &fields).await;
+    let own = browser.origin.clone();
+    "http://evil.example".clone_into(&mut browser.origin);
+    assert_eq!(browser.submit("/submit", &submit).await.status, 403);
+    browser.origin = own;
+    let mut forged = submit.clone();
+    forged.insert("form_token".to_owned(), "guess".to_owned());
+    assert_eq!(browser.submit("/submit", &forged).await.status, 403);
+    let mut stranger = Browser::new(
+        browser
+            .origin
+            .trim_start_matches("http://")
+            .parse()
+            .unwrap(),
+    );
+    assert_eq!(stranger.submit("/submit", &submit).await.status, 403);
+    assert_eq!(env.api().declaration().await.unwrap().revision, before);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_form_and_the_command_line_race_and_one_of_them_wins() {
+    let (env, mut browser) = console().await;
+    for round in 0..10 {
+        let fields = filled(&mut browser, &(500 + round).to_string()).await;
+        let submit = previewed(&mut browser, &fields).await;
+        let declared = env.api().declaration().await.unwrap();
+        let mut document = declared.document;
+        let id = "pipeline stock-query".parse().unwrap();
+        let section = document.sections.get_mut(&id).unwrap();
+        let value = (600 + round).to_string();
+        section
+            .entries
+            .insert("deadline_ms".to_owned(), value.clone());
+        let submission = operators::Submission {
+            change: system::key(),
+            base_revision: declared.revision,
+            author: "cli".to_owned(),
+            reason: "race".to_owned(),
+            document: Some(document.write()),
+            sections: None,
+        };
+        let api = env.api();
+        let (page, applied) =
+            tokio::join!(browser.submit("/submit", &submit), api.submit(&submission));
+        let wins = u32::from(page.status == 200) + u32::from(applied.is_ok());
+        assert_eq!(
+            wins, 1,
+            "round {round}: form {}, command line {applied:?}",
+            page.status
+        );
+        system::until("the console has the winner", async || {
+            let now = env.api().declaration().await.ok()?.revision;
+            let page = browser.open("/").await;
+            page.html
+                .contains(&format!("Revision <strong>{now}</strong>"))
+                .then_some(())
+        })
+        .await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn operators_with_tokens_log_in_and_are_named_in_the_trail() {
+    let mut env = Env::start_empty().await;
+    env.declare(
+        include_str!("../../../examples/watch-trading/declaration.ini"),
+        "first",
+    )
+    .await;
+    env.write(
+        "operators",
+        "amine secret-of-amine\nnoura secret-of-noura\n",
+    );
+    let console = env
+        .start_console("[security]\noperator_tokens_file = operators\n")
+        .await;
+    let mut browser = Browser::new(console);
+    let page = browser.open("/").await;
+    assert_eq!(
+        (page.status, page.location.as_deref()),
+        (303, Some("/login"))
+    );
+    let login = |token: &str| Fields::from([("token".to_owned(), token.to_owned())]);
+    assert_eq!(
+        browser
+            .submit("/login", &login("secret-of-nobody"))
+            .await
+            .status,
+        403
+    );
+    assert_eq!(
+        browser
+            .submit("/login", &login("secret-of-noura"))
+            .await
+            .status,
+        303
+    );
+    system::until("the console has the declaration", async || {
+        browser
+            .open("/")
+            .await
+            .html
+            .contains("stock-query")
+            .then_some(())
+    })
+    .await;
+    let mut fields = filled(&mut browser, "900").await;
+    fields.insert("author".to_owned(), "somebody else".to_owned());
+    let submit = previewed(&mut browser, &fields).await;
+    assert_eq!(browser.submit("/submit", &submit).await.status, 200);
+    let trail = env.api().audit(1).await.unwrap();
+    assert_eq!(trail.last().unwrap().author, "noura");
+}
