Undo a change by its revision; take a resend on a later base for what it is

jujubeferry revert N gives the sections of revision N back what they held before, unless they changed since. A resend is now one whose sections stood so at the revision that the id made. Output ends quietly where its reader has gone.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -69,6 +69,8 @@
     Diff(PathBuf),
     /// Submit a document.
     Apply(Apply),
+    /// Undo one accepted change.
+    Revert(Revert),
     /// Print the declaration.
     Export,
     /// Show the keepers.
@@ -94,6 +96,19 @@
     pub change: Uuid,
 }
 
+/// A change to undo.
+#[value]
+pub struct Revert {
+    /// The revision that it made.
+    pub revision: u64,
+    /// Why.
+    pub reason: String,
+    /// Who.
+    pub author: String,
+    /// The change id of the undoing change.
+    pub change: Uuid,
+}
+
 /// Parses the command line.
 pub fn parse(mut args: Arguments) -> Result<Invocation, ArgsError> {
     if args.contains(["-h", "--help"]) {
@@ -125,6 +140,7 @@
         "check" => Verb::Check(args.free_from_str()?),
         "diff" => Verb::Diff(args.free_from_str()?),
         "apply" => parse_apply(args)?,
+        "revert" => parse_revert(args)?,
         "export" => Verb::Export,
         "status" => Verb::Status,
         "audit" => Verb::Audit(args.opt_value_from_str("--from")?.unwrap_or(1)),
@@ -135,20 +151,44 @@
 }
 
 fn parse_apply(args: &mut Arguments) -> Result<Verb, ArgsError> {
-    let user = || env::var("USER").unwrap_or_else(|_| "unknown".to_owned());
     let reason = args.value_from_str("--reason")?;
-    let author: Option<String> = args.opt_value_from_str("--author")?;
+    let author = author(args)?;
     let base = args.opt_value_from_str("--base")?;
-    let change: Option<Uuid> = args.opt_value_from_str("--change")?;
+    let change = change(args)?;
+    let file = args.free_from_str()?;
     Ok(Verb::Apply(Apply {
-        file: args.free_from_str()?,
+        file,
         reason,
-        author: author.unwrap_or_else(user),
+        author,
         base,
-        change: change.unwrap_or_else(Uuid::now_v7),
+        change,
     }))
 }
 
+fn parse_revert(args: &mut Arguments) -> Result<Verb, ArgsError> {
+    let reason = args.value_from_str("--reason")?;
+    let author = author(args)?;
+    let change = change(args)?;
+    let revision = args.free_from_str()?;
+    Ok(Verb::Revert(Revert {
+        revision,
+        reason,
+        author,
+        change,
+    }))
+}
+
+fn author(args: &mut Arguments) -> Result<String, ArgsError> {
+    let given: Option<String> = args.opt_value_from_str("--author")?;
+    let user = || env::var("USER").unwrap_or_else(|_| "unknown".to_owned());
+    Ok(given.unwrap_or_else(user))
+}
+
+fn change(args: &mut Arguments) -> Result<Uuid, ArgsError> {
+    let given: Option<Uuid> = args.opt_value_from_str("--change")?;
+    Ok(given.unwrap_or_else(Uuid::now_v7))
+}
+
 fn parse_keeper(args: &mut Arguments) -> Result<Verb, ArgsError> {
     let force = args.contains("--force");
     let action = match args.subcommand()?.as_deref() {
--- a/crates/cli/src/audit.rs
+++ b/crates/cli/src/audit.rs
@@ -1,7 +1,7 @@
 //! `audit`: the trail of accepted changes.
 
 use declaration::AuditRecord;
-use host::exit::ExitCode;
+use host::{exit::ExitCode, output::line};
 use operators::KeeperApi;
 
 use crate::{
@@ -24,18 +24,15 @@
     }
     if cfg.json {
         for record in &records {
-            println!("{}", to_json(record));
+            line(to_json(record));
         }
         return Ok(ExitCode::Success);
     }
     let rows: Vec<[String; 5]> = records.iter().map(row).collect();
-    println!(
-        "{}",
-        table(
-            ["revision", "time (ms)", "author", "sections", "reason"],
-            &rows
-        )
-    );
+    line(table(
+        ["revision", "time (ms)", "author", "sections", "reason"],
+        &rows,
+    ));
     Ok(ExitCode::Success)
 }
 
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -22,6 +22,9 @@
     /// Sections changed since the base.
     #[error("{}", conflict_text(.0))]
     Conflict(Vec<Conflict>),
+    /// No such change.
+    #[error("revision {0} is not in the audit trail; `jujubeferry audit` lists what is")]
+    NoRevision(u64),
     /// The keepers could not be asked, or refused.
     #[error("{0}")]
     Api(ApiError),
@@ -41,7 +44,7 @@
     /// The exit code that says what kind of failure it was.
     pub fn exit_code(&self) -> ExitCode {
         match self {
-            Self::File { .. } => ExitCode::Usage,
+            Self::File { .. } | Self::NoRevision(_) => ExitCode::Usage,
             Self::Faults(_) => ExitCode::InvalidDocument,
             Self::Conflict(_) => ExitCode::Conflict,
             Self::Api(ApiError::Unavailable { .. }) => ExitCode::Unavailable,
--- a/crates/cli/src/help.rs
+++ b/crates/cli/src/help.rs
@@ -10,6 +10,7 @@
   check FILE                 list every fault of a declaration; needs no server
   diff FILE                  show what FILE would change against what is in force
   apply FILE --reason TEXT   make FILE the declaration in force
+  revert N --reason TEXT     undo the change that made revision N
   export                     print the declaration in force
   status                     show every keeper's role, term and log
   audit [--from N]           print the audit trail, from revision N
@@ -24,10 +25,10 @@
   -h, --help           print this text
   -V, --version        print the version
 
-Options of apply:
+Options of apply and revert:
   --reason TEXT        why, for the audit trail
   --author NAME        who, where the keepers know no operators' tokens; default $USER
-  --base N             revision that FILE is based on; default: the one in force now
+  --base N             apply only: revision that FILE is based on; default: the one in force now
   --change UUID        the change id of an earlier try, to resend it safely
 
 Exit codes:
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -12,11 +12,12 @@
 use std::process::ExitCode;
 
 use args::Invocation;
+use host::output::line;
 
 fn main() -> ExitCode {
     let code = match args::parse(pico_args::Arguments::from_env()) {
         Ok(Invocation::Print(text)) => {
-            println!("{text}");
+            line(text);
             host::exit::ExitCode::Success
         }
         Ok(Invocation::Run(cfg)) => run::run(&cfg),
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -1,12 +1,13 @@
 //! Printing for people and for programs.
 
+use host::output::line;
 use serde::Serialize;
 
 /// Prints `value` as one line of JSON, or `text` for people.
 pub fn print<T: Serialize>(json: bool, value: &T, text: impl FnOnce() -> String) {
     match json {
-        true => println!("{}", to_json(value)),
-        false => println!("{}", text()),
+        true => line(to_json(value)),
+        false => line(text()),
     }
 }
 
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -1,6 +1,6 @@
 //! Runs one verb.
 
-use host::exit::ExitCode;
+use host::{exit::ExitCode, output::line};
 use operators::KeeperApi;
 
 use crate::{
@@ -38,6 +38,7 @@
         Verb::Check(file) => verbs::check(cfg, file),
         Verb::Diff(file) => verbs::diff(cfg, &api, file).await,
         Verb::Apply(apply) => verbs::apply(cfg, &api, apply).await,
+        Verb::Revert(revert) => verbs::revert(cfg, &api, revert).await,
         Verb::Export => verbs::export(cfg, &api).await,
         Verb::Status => status::status(cfg, &api).await,
         Verb::Audit(from) => audit::audit(cfg, &api, *from).await,
@@ -54,7 +55,7 @@
         other => serde_json::json!({ "error": other.to_string() }),
     };
     match (json, e) {
-        (true, _) => println!("{}", to_json(&value)),
+        (true, _) => line(to_json(&value)),
         (false, VerbError::Faults(_)) => eprintln!("{e}"),
         (false, _) => eprintln!("jujubeferry: {e}"),
     }
--- a/crates/cli/src/verbs.rs
+++ b/crates/cli/src/verbs.rs
@@ -2,13 +2,14 @@
 
 use std::{fs, path::Path};
 
-use declaration::{Declaration, Document};
+use declaration::{Declaration, Document, SectionChange};
 use host::exit::ExitCode;
 use operators::{KeeperApi, MemberRequest, Submission};
 use serde_json::json;
+use uuid::Uuid;
 
 use crate::{
-    args::{Apply, Config},
+    args::{Apply, Config, Revert},
     error::VerbError,
     output::print,
 };
@@ -52,10 +53,10 @@
     Ok(ExitCode::Success)
 }
 
-/// Submits a file. The change id is printed first, so that an interrupted run can be sent again.
+/// Submits a file.
 pub async fn apply(cfg: &Config, api: &KeeperApi, apply: &Apply) -> Result<ExitCode, VerbError> {
     let (document, _) = read(&apply.file)?;
-    eprintln!("change {}", apply.change);
+    announce(apply.change);
     let base_revision = match apply.base {
         Some(base) => base,
         None => api.declaration().await?.revision,
@@ -68,20 +69,57 @@
         document: Some(document.write()),
         sections: None,
     };
-    let accepted = match api.submit(&submission).await {
+    submit(cfg, api, &submission).await
+}
+
+/// Undoes one change: its sections get back what they held before, unless they changed since.
+pub async fn revert(cfg: &Config, api: &KeeperApi, revert: &Revert) -> Result<ExitCode, VerbError> {
+    announce(revert.change);
+    let trail = api.audit(revert.revision).await?;
+    let record = trail
+        .first()
+        .filter(|record| record.revision == revert.revision);
+    let record = record.ok_or(VerbError::NoRevision(revert.revision))?;
+    let sections = record.sections.iter().map(|section| SectionChange {
+        id: section.id.clone(),
+        after: section.before.clone(),
+    });
+    let submission = Submission {
+        change: revert.change,
+        base_revision: revert.revision,
+        author: revert.author.clone(),
+        reason: revert.reason.clone(),
+        document: None,
+        sections: Some(sections.collect()),
+    };
+    submit(cfg, api, &submission).await
+}
+
+/// Prints the change id before anything is sent, so that an interrupted run can be sent again.
+fn announce(change: Uuid) {
+    eprintln!("change {change}");
+}
+
+/// Submits a change.
+async fn submit(
+    cfg: &Config,
+    api: &KeeperApi,
+    submission: &Submission,
+) -> Result<ExitCode, VerbError> {
+    let accepted = match api.submit(submission).await {
         Ok(accepted) => accepted,
         Err(e) => {
             if matches!(e, operators::ApiError::Unavailable { .. }) {
                 eprintln!(
                     "the change may have been accepted; resend it with --change {}",
-                    apply.change
+                    submission.change
                 );
             }
             return Err(e.into());
         }
     };
     let value = json!({
-        "change": apply.change,
+        "change": submission.change,
         "revision": accepted.revision,
         "applied": accepted.applied,
     });
--- a/crates/demo/src/main.rs
+++ b/crates/demo/src/main.rs
@@ -9,13 +9,15 @@
 
 use std::process::ExitCode;
 
+use host::output::line;
+
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
 
 fn main() -> ExitCode {
     let code = match args::parse(pico_args::Arguments::from_env()) {
         Ok(args::Invocation::Print(text)) => {
-            println!("{text}");
+            line(text);
             host::exit::ExitCode::Success
         }
         Ok(args::Invocation::Run(cfg)) => run::run(&cfg),
--- a/crates/demo/src/run.rs
+++ b/crates/demo/src/run.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use host::exit::ExitCode;
+use host::{exit::ExitCode, output::line};
 use tokio::time::{Instant, sleep};
 
 use crate::{
@@ -48,7 +48,7 @@
     }
     let got = ask_rounds(cfg, &fleets).await?;
     if cfg.json {
-        println!("{}", report::json(&got));
+        line(report::json(&got));
     }
     if cfg.keep {
         stay(&fleets).await?;
@@ -66,7 +66,9 @@
         for (deployment, fleet) in DEPLOYMENTS.iter().zip(fleets) {
             let got = ask_all(deployment, fleet).await?;
             if !cfg.json {
-                got.iter().for_each(|got| println!("{}", report::line(got)));
+                for got in &got {
+                    line(report::line(got));
+                }
             }
             all.extend(got);
         }
--- a/crates/host/src/args.rs
+++ b/crates/host/src/args.rs
@@ -5,7 +5,7 @@
 use derives::value;
 use pico_args::Arguments;
 
-use crate::exit::ExitCode;
+use crate::{exit::ExitCode, output::line};
 
 /// What a role was asked to do.
 #[value]
@@ -23,11 +23,11 @@
 pub fn parse(program: &str, about: &str, version: &str) -> Result<RoleArgs, ExitCode> {
     let mut args = Arguments::from_env();
     if args.contains(["-h", "--help"]) {
-        println!("{}", help(program, about));
+        line(help(program, about));
         return Err(ExitCode::Success);
     }
     if args.contains(["-V", "--version"]) {
-        println!("{program} {version}");
+        line(format!("{program} {version}"));
         return Err(ExitCode::Success);
     }
     let check = args.contains("--check");
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod exit;
 pub mod http;
 pub mod log;
+pub mod output;
 pub mod problem;
 pub mod role;
 pub mod settings;
--- a/crates/host/src/role.rs
+++ b/crates/host/src/role.rs
@@ -10,6 +10,7 @@
     args,
     exit::ExitCode,
     log,
+    output::line,
     settings::Reader,
     shutdown::{self, Stopped},
 };
@@ -69,7 +70,7 @@
         }
     };
     if args.check {
-        println!("{}: settings are valid", args.config.display());
+        line(format!("{}: settings are valid", args.config.display()));
         return ExitCode::Success;
     }
     match log::start(level).and_then(|()| block_on(program, cfg, start)) {
--- a/crates/keeper/examples/measure/group.rs
+++ b/crates/keeper/examples/measure/group.rs
@@ -55,10 +55,13 @@
 
     /// Submits sections as a change on `base` and returns its revision.
     pub async fn change(&self, keepers: &Keepers, base: u64, to: &Document) -> u64 {
-        let sections = to.sections.iter().map(|(id, text)| declaration::SectionChange {
-            id: id.clone(),
-            after: Some(text.clone()),
-        });
+        let sections = to
+            .sections
+            .iter()
+            .map(|(id, text)| declaration::SectionChange {
+                id: id.clone(),
+                after: Some(text.clone()),
+            });
         let change = declaration::Change {
             change: Uuid::now_v7(),
             base_revision: base,
@@ -120,9 +123,10 @@
 
 /// A document with `n` workspaces.
 pub fn document(n: usize) -> Document {
-    let mut text = "[availability-zone sousse-a]\nregion = tn-sahel\n[service photo-vault]\nkind = \
+    let mut text =
+        "[availability-zone sousse-a]\nregion = tn-sahel\n[service photo-vault]\nkind = \
                     plain\nrepeatable = yes\n[pipeline photos]\nstages = photo-vault\n"
-        .to_owned();
+            .to_owned();
     for i in 0..n {
         text += &format!(
             "[workspace dealer-{i:05}]\npriority = {}\npipelines = photos\navailability_zones = \
--- a/crates/keeper/src/declared.rs
+++ b/crates/keeper/src/declared.rs
@@ -144,7 +144,8 @@
         let revision = *self.ids.get(&change.change)?;
         let skip = (revision - self.oldest_audit()) as usize;
         let kept = self.history.get(skip)?;
-        Some(match kept.submitted == hash(change) {
+        let is_same = kept.submitted == hash(change) || self.is_made_by(revision, change);
+        Some(match is_same {
             true => Ok(ChangeReply::Accepted {
                 revision,
                 applied: false,
@@ -153,6 +154,16 @@
         })
     }
 
+    /// Whether every section of `change` stood so at `revision`: a resend may be based on a later
+    /// revision than the first submission, since a client that lost the answer asks for the newest.
+    fn is_made_by(&self, revision: u64, change: &Change) -> bool {
+        let Some(made) = self.document_at(revision) else {
+            return false;
+        };
+        let mut sections = change.sections.iter();
+        sections.all(|c| made.sections.get(&c.id) == c.after.as_ref())
+    }
+
     /// Applies a change whole, or not at all.
     pub fn apply(&mut self, time_ms: u64, change: &Change) -> Result<ChangeReply, ChangeError> {
         if let Some(reply) = self.resent(change) {
--- a/crates/system/src/env.rs
+++ b/crates/system/src/env.rs
@@ -1,6 +1,6 @@
 //! Processes of three availability zones with endpoints and proxies between them.
 
-use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf, process::Output, time::Duration};
 
 use bench::{
     processes::{Folders, Role, Signal},
@@ -11,6 +11,7 @@
 use operators::{KeeperApi, Submission};
 use serde_json::Value;
 use tempfile::TempDir;
+use tokio::process::Command;
 use uuid::Uuid;
 
 use crate::{
@@ -154,6 +155,15 @@
         std::fs::write(self.folders.work.join(name), text).expect("write a file of the test");
     }
 
+    /// Runs the operators' command line in the test's folder.
+    pub async fn jujubeferry(&self, args: &[&str]) -> Output {
+        let keepers: Vec<String> = self.keepers.values().map(|k| k.http.to_string()).collect();
+        let mut command = Command::new(self.folders.programs.join("jujubeferry"));
+        command.args(args).arg("--keepers").arg(keepers.join(","));
+        let output = command.current_dir(&self.folders.work).output().await;
+        output.expect("run jujubeferry")
+    }
+
     /// Starts a controller on `vm` and returns its HTTP address.
     pub async fn start_controller(&mut self, vm: &'static str, more: &str) -> SocketAddr {
         let vm = find(vm);
--- /dev/null
+++ b/crates/system/tests/command_line.rs
@@ -0,0 +1,154 @@
+//! The operators' command line against real keepers.
+
+use std::process::Output;
+
+use serde_json::Value;
+use system::{Env, KEEPER_VMS};
+
+const DECLARATION: &str = include_str!("../../../examples/watch-trading/declaration.ini");
+
+fn stdout(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
+fn assert_code(output: &Output, code: i32) {
+    let stderr = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(
+        output.status.code(),
+        Some(code),
+        "{}{stderr}",
+        stdout(output)
+    );
+}
+
+async fn declared() -> Env {
+    let env = Env::start_empty().await;
+    env.declare(DECLARATION, "first").await;
+    env
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_is_exported_applies_without_a_difference() {
+    let env = declared().await;
+    let exported = env.jujubeferry(&["export"]).await;
+    assert_code(&exported, 0);
+    env.write("d.ini", &stdout(&exported));
+    let diff = env.jujubeferry(&["diff", "d.ini"]).await;
+    assert_code(&diff, 0);
+    assert!(
+        stdout(&diff).starts_with("no difference"),
+        "{}",
+        stdout(&diff)
+    );
+    assert!(
+        stdout(&exported).contains("# Appraisal narratives"),
+        "comments are kept"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_is_applied_once_audited_and_undone() {
+    let env = declared().await;
+    env.write(
+        "d.ini",
+        &DECLARATION.replace("deadline_ms = 1000", "deadline_ms = 900"),
+    );
+    let id = system::key().to_string();
+    let apply = [
+        "apply", "d.ini", "--reason", "faster", "--author", "noura", "--change", &id, "--json",
+    ];
+    let first = env.jujubeferry(&apply).await;
+    assert_code(&first, 0);
+    let first: Value = serde_json::from_str(&stdout(&first)).unwrap();
+    assert_eq!(first["applied"], true);
+    let again = env.jujubeferry(&apply).await;
+    assert_code(&again, 0);
+    let again: Value = serde_json::from_str(&stdout(&again)).unwrap();
+    assert_eq!(
+        (&again["applied"], &again["revision"]),
+        (&Value::Bool(false), &first["revision"])
+    );
+
+    let revision = first["revision"].to_string();
+    let trail = env
+        .jujubeferry(&["audit", "--from", &revision, "--json"])
+        .await;
+    let record: Value = serde_json::from_str(stdout(&trail).lines().next().unwrap()).unwrap();
+    assert_eq!(
+        (&record["author"], &record["reason"]),
+        (&"noura".into(), &"faster".into())
+    );
+
+    let undone = env
+        .jujubeferry(&["revert", &revision, "--reason", "too fast"])
+        .await;
+    assert_code(&undone, 0);
+    assert!(stdout(&env.jujubeferry(&["export"]).await).contains("deadline_ms = 1000"));
+    let unknown = env.jujubeferry(&["revert", "999", "--reason", "r"]).await;
+    assert_code(&unknown, 2);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_on_an_old_base_conflicts_and_shows_both_sides() {
+    let env = declared().await;
+    env.write(
+        "a.ini",
+        &DECLARATION.replace("deadline_ms = 1000", "deadline_ms = 900"),
+    );
+    env.write(
+        "b.ini",
+        &DECLARATION.replace("deadline_ms = 1000", "deadline_ms = 800"),
+    );
+    let base = env.api().declaration().await.unwrap().revision.to_string();
+    assert_code(
+        &env.jujubeferry(&["apply", "a.ini", "--reason", "a", "--base", &base])
+            .await,
+        0,
+    );
+    let lost = env
+        .jujubeferry(&["apply", "b.ini", "--reason", "b", "--base", &base])
+        .await;
+    assert_code(&lost, 4);
+    let stderr = String::from_utf8_lossy(&lost.stderr);
+    for side in ["- deadline_ms = 900", "+ deadline_ms = 800"] {
+        assert!(stderr.contains(side), "{stderr}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn faults_change_nothing_and_end_with_code_3() {
+    let env = declared().await;
+    let before = env.api().declaration().await.unwrap().revision;
+    env.write(
+        "d.ini",
+        &DECLARATION.replace("kind = encoder", "kind = decoder"),
+    );
+    assert_code(
+        &env.jujubeferry(&["apply", "d.ini", "--reason", "r"]).await,
+        3,
+    );
+    assert_eq!(env.api().declaration().await.unwrap().revision, before);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn status_names_a_leader_and_fails_without_a_quorum() {
+    let mut env = declared().await;
+    let healthy = env.jujubeferry(&["status"]).await;
+    assert_code(&healthy, 0);
+    assert!(stdout(&healthy).contains("leader"), "{}", stdout(&healthy));
+    for vm in &KEEPER_VMS[..2] {
+        env.kill_keeper(vm).await;
+    }
+    system::until("the last keeper gives up the lead", async || {
+        let status = env.jujubeferry(&["status"]).await;
+        (status.status.code() == Some(5)).then_some(())
+    })
+    .await;
+    env.write("d.ini", DECLARATION);
+    let refused = env
+        .jujubeferry(&["apply", "d.ini", "--reason", "r", "--base", "1"])
+        .await;
+    assert_code(&refused, 5);
+    let stderr = String::from_utf8_lossy(&refused.stderr);
+    assert!(stderr.contains("--change"), "{stderr}");
+}
