--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -9,7 +9,7 @@
     body::Incoming,
     header::{CONTENT_TYPE, HOST, HeaderName, HeaderValue, RETRY_AFTER},
 };
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, timeout_at};
 use uuid::Uuid;
 
 use crate::{connection::Connection, failure::CallError, handover::Handover, pool::Pool};
@@ -207,16 +207,16 @@
 
     async fn read(&mut self, limit: Duration) -> Result<Option<Bytes>, CallError> {
         loop {
-            let wait = timeout(limit, self.body.frame());
-            let frame = match timeout_at(self.waits.deadline, wait).await {
-                Err(_) => return Err(CallError::Deadline),
-                Ok(Err(_)) => return Err(CallError::Stalled(limit)),
-                Ok(Ok(None)) => {
+            let until = self.waits.deadline.min(Instant::now() + limit);
+            let frame = match timeout_at(until, self.body.frame()).await {
+                Err(_) if until == self.waits.deadline => return Err(CallError::Deadline),
+                Err(_) => return Err(CallError::Stalled(limit)),
+                Ok(None) => {
                     self.is_ended = true;
                     return Ok(None);
                 }
-                Ok(Ok(Some(Err(e)))) => return Err(CallError::Broken(e.to_string())),
-                Ok(Ok(Some(Ok(frame)))) => frame,
+                Ok(Some(Err(e))) => return Err(CallError::Broken(e.to_string())),
+                Ok(Some(Ok(frame))) => frame,
             };
             // Trailers carry nothing of ours.
             if let Ok(data) = frame.into_data() {
--- a/crates/gate/tests/env/mod.rs
+++ b/crates/gate/tests/env/mod.rs
@@ -12,6 +12,7 @@
 use std::{
     io::{BufRead, BufReader},
     net::SocketAddr,
+    path::Path,
     process::{Child, Command, ExitStatus, Stdio},
     time::Duration,
 };
@@ -91,9 +92,16 @@
         let settings =
             format!("[vm]\nname = {name}\navailability_zone = z\n[keepers]\nk = {keeper}\n{more}");
         std::fs::write(&path, settings).unwrap();
+        Gate::start(&path).await
+    }
+}
+
+impl Gate {
+    /// A ready gate with the settings at `path`.
+    pub async fn start(path: &Path) -> Self {
         let mut child = Command::new(env!("CARGO_BIN_EXE_jujube-gate"))
             .arg("--config")
-            .arg(&path)
+            .arg(path)
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
@@ -107,13 +115,11 @@
         };
         // The log goes on; nobody may stop reading it.
         std::thread::spawn(move || lines.for_each(drop));
-        let gate = Gate { child, http };
+        let gate = Self { child, http };
         gate.until("/readyz", |a| a.status == 200).await;
         gate
     }
-}
 
-impl Gate {
     /// Asks until `is_good`; the answer.
     pub async fn until(&self, path: &str, is_good: impl Fn(&Answer) -> bool) -> Answer {
         let start = Instant::now();
