--- a/crates/gate/src/metrics.rs
+++ b/crates/gate/src/metrics.rs
@@ -8,7 +8,8 @@
 
 use host::problem::Outcome;
 use prometheus::{
-    CounterVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    CounterVec, GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, core::Collector,
 };
 
 /// Most names that one kind of label takes before further ones count as [`OTHER`].
@@ -68,10 +69,24 @@
     pipelines: Names,
     workspaces: Names,
     services: Names,
+    by_request: ByRequest,
+    by_service: ByService,
+    gauges: Gauges,
+}
+
+/// What is counted by pipeline and workspace.
+#[derive(Debug)]
+struct ByRequest {
     requests: IntCounterVec,
     attained: IntCounterVec,
     request_seconds: HistogramVec,
     queue_seconds: HistogramVec,
+    hangups: IntCounter,
+}
+
+/// What is counted by service.
+#[derive(Debug)]
+struct ByService {
     stage_seconds: HistogramVec,
     endpoint_seconds: CounterVec,
     tokens: IntCounterVec,
@@ -79,117 +94,122 @@
     retries: IntCounterVec,
     hedges: IntCounterVec,
     resumptions: IntCounterVec,
-    hangups: IntCounter,
+    retry_budget: GaugeVec,
+}
+
+/// The state of the moment.
+#[derive(Debug)]
+struct Gauges {
     in_flight: IntGauge,
     revision: IntGauge,
     ejections: IntGauge,
+    admission_limit: IntGauge,
+    admission_waiting: IntGauge,
 }
 
-fn counter(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
-    let made = IntCounterVec::new(Opts::new(name, help), labels);
-    let counter = made.expect("metric names and labels are valid");
-    let registered = registry.register(Box::new(counter.clone()));
-    registered.expect("every metric is registered once");
-    counter
+/// The state of the moment.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Moment {
+    /// Requests and settlements in flight.
+    pub(crate) in_flight: usize,
+    /// Revision of the declaration in force.
+    pub(crate) revision: u64,
+    /// Endpoints ejected since the start.
+    pub(crate) ejections: u64,
+    /// Most requests that are admitted at one time.
+    pub(crate) admission_limit: u32,
+    /// Requests that wait for admission.
+    pub(crate) admission_waiting: usize,
 }
 
-fn histogram(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> HistogramVec {
-    let opts = HistogramOpts::new(name, help).buckets(BUCKETS.to_vec());
-    let histogram = HistogramVec::new(opts, labels).expect("metric names and labels are valid");
-    let registered = registry.register(Box::new(histogram.clone()));
-    registered.expect("every metric is registered once");
-    histogram
+/// Makes metrics in one registry.
+struct Maker<'a>(&'a Registry);
+
+impl Maker<'_> {
+    fn registered<C: Collector + Clone + 'static>(&self, made: prometheus::Result<C>) -> C {
+        let metric = made.expect("metric names and labels are valid");
+        let registered = self.0.register(Box::new(metric.clone()));
+        registered.expect("every metric is registered once");
+        metric
+    }
+
+    fn counter(&self, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+        self.registered(IntCounterVec::new(Opts::new(name, help), labels))
+    }
+
+    fn histogram(&self, name: &str, help: &str, label: &str) -> HistogramVec {
+        let opts = HistogramOpts::new(name, help).buckets(BUCKETS.to_vec());
+        self.registered(HistogramVec::new(opts, &[label]))
+    }
+
+    fn gauge(&self, name: &str, help: &str) -> IntGauge {
+        self.registered(IntGauge::new(name, help))
+    }
 }
 
-fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
-    let gauge = IntGauge::new(name, help).expect("metric names are valid");
-    let registered = registry.register(Box::new(gauge.clone()));
-    registered.expect("every metric is registered once");
-    gauge
+impl ByRequest {
+    fn new(m: &Maker<'_>) -> Self {
+        let attained = "Requests answered completely within their deadline";
+        let request = "Time from a request's head to its answer";
+        let queue = "Time that a request waited for admission";
+        let labels = ["pipeline", "workspace"];
+        let by_outcome = ["pipeline", "workspace", "outcome"];
+        let hangups = IntCounter::new("jujube_hangups_total", "Callers that hung up early");
+        Self {
+            requests: m.counter("jujube_requests_total", "Requests by outcome", &by_outcome),
+            attained: m.counter("jujube_attained_total", attained, &labels),
+            request_seconds: m.histogram("jujube_request_seconds", request, "pipeline"),
+            queue_seconds: m.histogram("jujube_queue_seconds", queue, "workspace"),
+            hangups: m.registered(hangups),
+        }
+    }
+}
+
+impl ByService {
+    fn new(m: &Maker<'_>) -> Self {
+        let service = ["service"];
+        let by_use = ["service", "use"];
+        let by_result = ["service", "result"];
+        let stage = "Time of a stage with all its tries";
+        let resumed = "Streams that went on over another connection";
+        let seconds = Opts::new("jujube_endpoint_seconds_total", "Endpoint time by use");
+        let budget = Opts::new("jujube_retry_budget", "Retries and hedges left");
+        Self {
+            stage_seconds: m.histogram("jujube_stage_seconds", stage, "service"),
+            endpoint_seconds: m.registered(CounterVec::new(seconds, &by_use)),
+            tokens: m.counter("jujube_tokens_total", "Tokens by use", &by_use),
+            calls: m.counter("jujube_calls_total", "Calls by result", &by_result),
+            retries: m.counter("jujube_retries_total", "Tries after the first", &service),
+            hedges: m.counter("jujube_hedges_total", "Hedges sent", &service),
+            resumptions: m.counter("jujube_resumptions_total", resumed, &service),
+            retry_budget: m.registered(GaugeVec::new(budget, &service)),
+        }
+    }
+}
+
+impl Gauges {
+    fn new(m: &Maker<'_>) -> Self {
+        let limit = "Most requests admitted at one time";
+        let waiting = "Requests that wait for admission";
+        Self {
+            in_flight: m.gauge("jujube_in_flight", "Requests and settlements in flight"),
+            revision: m.gauge("jujube_revision", "Revision of the declaration in force"),
+            ejections: m.gauge("jujube_ejections", "Endpoints ejected since the start"),
+            admission_limit: m.gauge("jujube_admission_limit", limit),
+            admission_waiting: m.gauge("jujube_admission_waiting", waiting),
+        }
+    }
 }
 
 impl Metrics {
     /// Metrics in a registry of their own.
     pub(crate) fn new() -> Self {
         let registry = Registry::new();
-        let r = &registry;
-        let seconds = CounterVec::new(
-            Opts::new(
-                "jujube_endpoint_seconds_total",
-                "Endpoint time by service and use",
-            ),
-            &["service", "use"],
-        );
-        let endpoint_seconds = seconds.expect("metric names and labels are valid");
-        let registered = r.register(Box::new(endpoint_seconds.clone()));
-        registered.expect("every metric is registered once");
-        let hangups = IntCounter::new("jujube_hangups_total", "Callers that hung up early");
-        let hangups = hangups.expect("metric names are valid");
-        let registered = r.register(Box::new(hangups.clone()));
-        registered.expect("every metric is registered once");
-        let by_request = ["pipeline", "workspace"];
-        let by_outcome = ["pipeline", "workspace", "outcome"];
+        let maker = Maker(&registry);
         Self(Arc::new(Inner {
-            requests: counter(
-                r,
-                "jujube_requests_total",
-                "Requests by outcome",
-                &by_outcome,
-            ),
-            attained: counter(
-                r,
-                "jujube_attained_total",
-                "Requests answered completely within their deadline",
-                &by_request,
-            ),
-            request_seconds: histogram(
-                r,
-                "jujube_request_seconds",
-                "Time from a request's head to its answer",
-                &["pipeline"],
-            ),
-            queue_seconds: histogram(
-                r,
-                "jujube_queue_seconds",
-                "Time that a request waited for admission",
-                &["workspace"],
-            ),
-            stage_seconds: histogram(
-                r,
-                "jujube_stage_seconds",
-                "Time of a stage with all its tries",
-                &["service"],
-            ),
-            endpoint_seconds,
-            tokens: counter(
-                r,
-                "jujube_tokens_total",
-                "Tokens by service and use",
-                &["service", "use"],
-            ),
-            calls: counter(
-                r,
-                "jujube_calls_total",
-                "Calls by result",
-                &["service", "result"],
-            ),
-            retries: counter(
-                r,
-                "jujube_retries_total",
-                "Tries after the first",
-                &["service"],
-            ),
-            hedges: counter(r, "jujube_hedges_total", "Hedges sent", &["service"]),
-            resumptions: counter(
-                r,
-                "jujube_resumptions_total",
-                "Streams that went on over another connection",
-                &["service"],
-            ),
-            hangups,
-            in_flight: gauge(r, "jujube_in_flight", "Requests and settlements in flight"),
-            revision: gauge(r, "jujube_revision", "Revision of the declaration in force"),
-            ejections: gauge(r, "jujube_ejections", "Endpoints ejected since the start"),
+            by_request: ByRequest::new(&maker),
+            by_service: ByService::new(&maker),
+            gauges: Gauges::new(&maker),
             pipelines: Names::default(),
             workspaces: Names::default(),
             services: Names::default(),
@@ -215,70 +235,111 @@
         let pipeline = m.pipelines.bounded(pipeline);
         let workspace = m.workspaces.bounded(workspace);
         let labels = [pipeline, workspace, outcome.as_str()];
-        m.requests.with_label_values(&labels).inc();
-        m.request_seconds
+        m.by_request.requests.with_label_values(&labels).inc();
+        m.by_request
+            .request_seconds
             .with_label_values(&[pipeline])
             .observe(elapsed.as_secs_f64());
         if outcome == Outcome::Completed && is_in_time {
-            m.attained.with_label_values(&[pipeline, workspace]).inc();
+            m.by_request
+                .attained
+                .with_label_values(&[pipeline, workspace])
+                .inc();
         }
     }
 
     /// A request waited `waited` for admission.
     pub(crate) fn queued(&self, workspace: &str, waited: Duration) {
         let workspace = self.0.workspaces.bounded(workspace);
-        let histogram = self.0.queue_seconds.with_label_values(&[workspace]);
+        let histogram = self
+            .0
+            .by_request
+            .queue_seconds
+            .with_label_values(&[workspace]);
         histogram.observe(waited.as_secs_f64());
     }
 
     /// A stage gave its result.
     pub(crate) fn stage(&self, service: &str, elapsed: Duration) {
         let service = self.0.services.bounded(service);
-        let histogram = self.0.stage_seconds.with_label_values(&[service]);
+        let histogram = self
+            .0
+            .by_service
+            .stage_seconds
+            .with_label_values(&[service]);
         histogram.observe(elapsed.as_secs_f64());
     }
 
     /// An endpoint spent time and tokens on a call.
     pub(crate) fn cost(&self, service: &str, use_: Use, elapsed: Duration, tokens: u64) {
         let labels = [self.0.services.bounded(service), use_.as_str()];
-        let seconds = self.0.endpoint_seconds.with_label_values(&labels);
+        let seconds = self
+            .0
+            .by_service
+            .endpoint_seconds
+            .with_label_values(&labels);
         seconds.inc_by(elapsed.as_secs_f64());
-        self.0.tokens.with_label_values(&labels).inc_by(tokens);
+        self.0
+            .by_service
+            .tokens
+            .with_label_values(&labels)
+            .inc_by(tokens);
     }
 
     /// A call ended with `result`, one of a fixed set of names.
     pub(crate) fn call(&self, service: &str, result: &'static str) {
         let labels = [self.0.services.bounded(service), result];
-        self.0.calls.with_label_values(&labels).inc();
+        self.0.by_service.calls.with_label_values(&labels).inc();
     }
 
     /// A stage is tried again.
     pub(crate) fn retry(&self, service: &str) {
         let service = self.0.services.bounded(service);
-        self.0.retries.with_label_values(&[service]).inc();
+        self.0
+            .by_service
+            .retries
+            .with_label_values(&[service])
+            .inc();
     }
 
     /// A hedge is sent.
     pub(crate) fn hedge(&self, service: &str) {
         let service = self.0.services.bounded(service);
-        self.0.hedges.with_label_values(&[service]).inc();
+        self.0.by_service.hedges.with_label_values(&[service]).inc();
     }
 
     /// A stream goes on over another connection.
     pub(crate) fn resumption(&self, service: &str) {
         let service = self.0.services.bounded(service);
-        self.0.resumptions.with_label_values(&[service]).inc();
+        self.0
+            .by_service
+            .resumptions
+            .with_label_values(&[service])
+            .inc();
     }
 
     /// A caller hung up before its answer.
     pub(crate) fn hangup(&self) {
-        self.0.hangups.inc();
+        self.0.by_request.hangups.inc();
     }
 
     /// The state of the moment, for the metrics page.
-    pub(crate) fn now(&self, in_flight: usize, revision: u64, ejections: u64) {
-        self.0.ejections.set(ejections as i64);
-        self.0.in_flight.set(in_flight as i64);
-        self.0.revision.set(revision as i64);
+    pub(crate) fn now(&self, moment: &Moment) {
+        let m = &self.0.gauges;
+        m.in_flight.set(moment.in_flight as i64);
+        m.revision.set(moment.revision as i64);
+        m.ejections.set(moment.ejections as i64);
+        m.admission_limit.set(i64::from(moment.admission_limit));
+        m.admission_waiting.set(moment.admission_waiting as i64);
+    }
+
+    /// Retries and hedges left to a service, for the metrics page.
+    pub(crate) fn retry_budget(&self, service: &str, left: f64) {
+        let service = self.0.services.bounded(service);
+        self.0
+            .by_service
+            .retry_budget
+            .with_label_values(&[service])
+            .set(left);
     }
 }
--- a/crates/gate/src/pages.rs
+++ b/crates/gate/src/pages.rs
@@ -9,7 +9,7 @@
     prelude::{Request, Response},
 };
 
-use crate::{callers::json_body, gate::Gate};
+use crate::{callers::json_body, gate::Gate, metrics::Moment};
 
 /// `GET /healthz`: the process serves HTTP.
 #[handler]
@@ -45,9 +45,20 @@
 impl Metrics {
     fn handle(&self, res: &mut Response) {
         let gate = &self.0;
-        let revision = gate.in_force().map_or(0, |in_force| in_force.revision);
-        gate.metrics
-            .now(gate.inflight.count(), revision, gate.route.ejections());
+        let in_force = gate.in_force();
+        let admission = gate.route.admission();
+        gate.metrics.now(&Moment {
+            in_flight: gate.inflight.count(),
+            revision: in_force.as_ref().map_or(0, |in_force| in_force.revision),
+            ejections: gate.route.ejections(),
+            admission_limit: admission.limit,
+            admission_waiting: admission.waiting,
+        });
+        let declared = in_force.iter().flat_map(|f| f.declaration.services.keys());
+        for service in declared {
+            let left = gate.route.retries_left(service);
+            gate.metrics.retry_budget(service, left);
+        }
         res.render(host::http::metrics_text(gate.metrics.registry()));
     }
 }
--- a/crates/gate/src/route.rs
+++ b/crates/gate/src/route.rs
@@ -10,9 +10,9 @@
 use declaration::{Pipeline, Priority, Service};
 use membership::Table;
 use routing::{
-    Admission, AdmissionConfig, Applicant, BudgetConfig, CallOutcome, Latencies, ModelNeed,
-    NoEndpoint, Observation, Pick, Refusal, RetryBudget, Reused, Router, RouterConfig, SizeClass,
-    Ticket,
+    Admission, AdmissionConfig, AdmissionStats, Applicant, BudgetConfig, CallOutcome, Latencies,
+    ModelNeed, NoEndpoint, Observation, Pick, Refusal, RetryBudget, Reused, Router, RouterConfig,
+    SizeClass, Ticket,
 };
 use tokio::time::Instant;
 
@@ -185,6 +185,16 @@
         self.totals.observe(sized.stage(), total);
     }
 
+    /// Retries and hedges left to `service`.
+    pub(crate) fn retries_left(&self, service: &str) -> f64 {
+        self.budget.left(service)
+    }
+
+    /// Requests admitted and waiting, and the limit.
+    pub(crate) fn admission(&self) -> AdmissionStats {
+        self.admission.stats()
+    }
+
     /// Ejections since the start.
     pub(crate) fn ejections(&self) -> u64 {
         self.router.ejections()
