--- a/crates/gate/tests/env/stand_in.rs
+++ b/crates/gate/tests/env/stand_in.rs
@@ -51,6 +51,8 @@
     Status(u16, Vec<(&'static str, String)>, String),
     /// 200 with another call's id.
     Crossed(Value),
+    /// An explicit refusal with another call's id.
+    CrossedRefusal,
     /// No answer at all.
     Silent,
     /// An event stream.
@@ -222,6 +224,11 @@
             let res = Response::builder().header("jujube-call", uuid::Uuid::new_v4().to_string());
             Ok(res.body(full(&value.to_string())).unwrap())
         }
+        Reply::CrossedRefusal => {
+            let res = Response::builder().header("jujube-call", uuid::Uuid::new_v4().to_string());
+            let res = res.status(503).header("jujube-outcome", "not_run");
+            Ok(res.body(full("")).unwrap())
+        }
         Reply::Silent => std::future::pending().await,
         Reply::Hangup => Err(std::io::Error::other("hang up")),
         Reply::Stream(steps) => {
--- a/crates/gate/tests/limits.rs
+++ b/crates/gate/tests/limits.rs
@@ -51,6 +51,9 @@
         endpoints.push(endpoint);
     }
     for _ in 0..REQUESTS {
+        for endpoint in &endpoints {
+            gate.knows(endpoint).await;
+        }
         let answer = gate.ask("find", &[], json!(1)).await;
         assert_eq!(answer.outcome(), "not_run", "{}", answer.text());
     }
--- a/crates/gate/tests/once.rs
+++ b/crates/gate/tests/once.rs
@@ -231,11 +231,12 @@
     let desk = desk(|call| match call.body["input"].as_str() {
         Some("error") => Reply::Status(500, Vec::new(), "boom".to_owned()),
         Some("crossed") => Reply::Crossed(output(&json!("someone else's"))),
+        Some("crossed refusal") => Reply::CrossedRefusal,
         _ => Reply::Hangup,
     })
     .await;
     gate.knows(&desk).await;
-    for input in ["hang up", "error", "crossed"] {
+    for input in ["hang up", "error", "crossed", "crossed refusal"] {
         let key = key();
         for _ in 0..2 {
             let answer = book(&gate, &key, "2000", json!(input)).await;
@@ -247,7 +248,7 @@
             );
         }
     }
-    assert_eq!(desk.calls().len(), 3);
+    assert_eq!(desk.calls().len(), 4);
 }
 
 #[tokio::test]
