--- /dev/null
+++ b/crates/controller/src/book.rs
@@ -0,0 +1,291 @@
+//! Open orders, and what earlier ones tell about each version.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
+
+use derives::value;
+use membership::{EndpointState, EndpointView, LoadedModel};
+use tokio::time::Instant;
+use uuid::Uuid;
+
+use crate::{
+    config::Bounds,
+    order::{Action, Answer, Task},
+};
+
+const FIRST_BACKOFF: Duration = Duration::from_millis(200);
+const MAX_BACKOFF: Duration = Duration::from_secs(5);
+/// An endpoint that refused an order gets no other for this long.
+const AFTER_REFUSAL: Duration = Duration::from_secs(10);
+/// Endpoints that followed an order are watched for this many settling pauses.
+const WATCH_PAUSES: u32 = 5;
+
+/// A version of a service's model.
+#[value]
+pub struct Release {
+    /// The service.
+    pub service: String,
+    /// Model name.
+    pub model: String,
+    /// Model version.
+    pub version: u32,
+}
+
+/// Where an open order stands.
+#[value]
+#[derive(Copy)]
+pub enum Stage {
+    /// It is to be sent, at first or again.
+    ToSend,
+    /// It is under way.
+    Sending,
+    /// The endpoint has taken it; its announcement is awaited.
+    Taken,
+}
+
+/// An order that is not yet seen to be followed.
+#[derive(Clone, Debug)]
+pub struct Open {
+    /// What the endpoint is to do.
+    pub task: Task,
+    /// The order's id.
+    pub order: Uuid,
+    /// The endpoint's service.
+    pub service: String,
+    /// When it was decided.
+    pub since: Instant,
+    /// Where it stands.
+    pub stage: Stage,
+    /// How often it was sent.
+    pub sent: u32,
+    /// When it may be sent again.
+    pub next: Instant,
+    /// What was heard last.
+    pub last: Option<String>,
+}
+
+impl Open {
+    /// Whether it is known that the endpoint has taken it, or that it never was sent.
+    pub fn is_certain(&self) -> bool {
+        self.stage == Stage::Taken || self.sent == 0
+    }
+}
+
+/// An endpoint that followed a load lately.
+#[derive(Clone, Debug)]
+struct Watched {
+    release: Release,
+    incarnation: Uuid,
+    until: Instant,
+}
+
+/// Everything that one controller remembers of its orders.
+#[derive(Debug, Default)]
+pub struct Book {
+    open: BTreeMap<String, Open>,
+    watched: HashMap<String, Watched>,
+    failures: BTreeMap<Release, Vec<String>>,
+    attempts: HashMap<Task, u32>,
+    shunned: HashMap<String, Instant>,
+    settled: HashMap<String, Instant>,
+    loads: Vec<Instant>,
+}
+
+/// Whether `endpoint` is as `task` asks.
+pub fn is_followed(endpoint: &EndpointView, task: &Task) -> bool {
+    let is_it = |m: &&LoadedModel| m.model == task.model && m.version == task.version;
+    let loaded = endpoint.models.iter().find(is_it);
+    match (task.action, loaded) {
+        (Action::Unload, loaded) => loaded.is_none(),
+        (Action::Load, None) => false,
+        (Action::Load, Some(loaded)) => {
+            let has = |adapter: &String| loaded.adapters.contains(adapter);
+            task.adapters.iter().all(has)
+        }
+    }
+}
+
+impl Book {
+    /// Open orders by endpoint.
+    pub fn open(&self) -> &BTreeMap<String, Open> {
+        &self.open
+    }
+
+    /// What failed by version.
+    pub fn failures(&self) -> &BTreeMap<Release, Vec<String>> {
+        &self.failures
+    }
+
+    /// Which try of `task` is next.
+    pub fn attempt(&self, task: &Task) -> u32 {
+        self.attempts.get(task).copied().unwrap_or(0)
+    }
+
+    /// Whether `endpoint` refused an order lately.
+    pub fn is_shunned(&self, endpoint: &str, now: Instant) -> bool {
+        self.shunned.get(endpoint).is_some_and(|until| *until > now)
+    }
+
+    /// When the last endpoint of `service` had followed an order.
+    pub fn settled(&self, service: &str) -> Option<Instant> {
+        self.settled.get(service).copied()
+    }
+
+    /// Loads begun within the last minute.
+    pub fn loads(&self, now: Instant) -> usize {
+        let is_recent = |at: &&Instant| now.saturating_duration_since(**at) < LOADS_WINDOW;
+        self.loads.iter().filter(is_recent).count()
+    }
+
+    /// Enters an order that was decided at `now`.
+    pub fn enter(&mut self, task: Task, order: Uuid, service: &str, now: Instant) {
+        if task.action == Action::Load {
+            self.loads
+                .retain(|at| now.saturating_duration_since(*at) < LOADS_WINDOW);
+            self.loads.push(now);
+        }
+        let open = Open {
+            order,
+            service: service.to_owned(),
+            since: now,
+            stage: Stage::ToSend,
+            sent: 0,
+            next: now,
+            last: None,
+            task,
+        };
+        self.open.insert(open.task.endpoint.clone(), open);
+    }
+
+    /// The orders that are due to be sent, which count as under way from now on.
+    pub fn take_due(&mut self, now: Instant, may: impl Fn(&Open) -> bool) -> Vec<Open> {
+        let mut due = Vec::new();
+        for open in self.open.values_mut() {
+            if open.stage == Stage::ToSend && open.next <= now && may(open) {
+                open.stage = Stage::Sending;
+                open.sent += 1;
+                due.push(open.clone());
+            }
+        }
+        due
+    }
+
+    /// Takes an endpoint's answer to `order`; late answers to closed orders change nothing.
+    pub fn answered(&mut self, order: Uuid, answer: Answer, now: Instant) {
+        let Some(open) = self.open.values_mut().find(|open| open.order == order) else {
+            return;
+        };
+        match answer {
+            Answer::Taken => open.stage = Stage::Taken,
+            Answer::Lost(why) | Answer::Stale(why) => {
+                let doubled = FIRST_BACKOFF * 2_u32.saturating_pow(open.sent.min(16));
+                open.stage = Stage::ToSend;
+                open.next = now + doubled.min(MAX_BACKOFF);
+                open.last = Some(why);
+            }
+            Answer::Refused(why) => {
+                let endpoint = open.task.endpoint.clone();
+                self.shunned.insert(endpoint.clone(), now + AFTER_REFUSAL);
+                self.fail(&endpoint, format!("{endpoint} refused: {why}"));
+            }
+        }
+    }
+
+    /// Closes what `endpoints` show to be followed, overdue or without an endpoint.
+    pub fn review(
+        &mut self,
+        endpoints: &BTreeMap<String, EndpointView>,
+        bounds: &Bounds,
+        now: Instant,
+    ) {
+        self.review_watched(endpoints, now);
+        for name in self.open.keys().cloned().collect::<Vec<_>>() {
+            let open = &self.open[&name];
+            let endpoint = endpoints.get(&name);
+            let lived = endpoint.filter(|e| e.incarnation == open.task.incarnation);
+            match lived {
+                Some(endpoint) if is_followed(endpoint, &open.task) => {
+                    self.followed(&name, bounds, now);
+                }
+                None => self.fail(&name, format!("{name} ended or restarted under its order")),
+                Some(_) if now.saturating_duration_since(open.since) >= bounds.load => {
+                    let what = format!("{name} did not follow within {:?}", bounds.load);
+                    self.fail(&name, what);
+                }
+                Some(_) => {}
+            }
+        }
+    }
+
+    /// Forgets the failures of versions that are no longer wanted.
+    pub fn keep_failures(&mut self, is_wanted: impl Fn(&Release) -> bool) {
+        self.failures.retain(|release, _| is_wanted(release));
+    }
+
+    /// Forgets everything but the failures: another controller may have given orders since.
+    pub fn forget(&mut self) {
+        self.open.clear();
+        self.watched.clear();
+        self.attempts.clear();
+    }
+
+    fn followed(&mut self, name: &str, bounds: &Bounds, now: Instant) {
+        let Some(open) = self.open.remove(name) else {
+            return;
+        };
+        self.settled.insert(open.service.clone(), now);
+        if open.task.action == Action::Load {
+            let watched = Watched {
+                release: release(&open),
+                incarnation: open.task.incarnation,
+                until: now + bounds.settle * WATCH_PAUSES,
+            };
+            self.watched.insert(name.to_owned(), watched);
+        }
+    }
+
+    fn fail(&mut self, name: &str, what: String) {
+        let Some(open) = self.open.remove(name) else {
+            return;
+        };
+        *self.attempts.entry(open.task.clone()).or_default() += 1;
+        if open.task.action == Action::Load {
+            self.failures.entry(release(&open)).or_default().push(what);
+        }
+    }
+
+    /// An endpoint lost soon after it loaded a version counts against the version.
+    fn review_watched(&mut self, endpoints: &BTreeMap<String, EndpointView>, now: Instant) {
+        let is_suspect = |e: &&EndpointView| e.state == EndpointState::Suspect;
+        let suspect = endpoints.values().filter(is_suspect).count();
+        // Where most are silent, the gate that tells so is cut off rather than they.
+        let is_blind = suspect * 2 > endpoints.len();
+        for (name, watched) in std::mem::take(&mut self.watched) {
+            let is_lost = match endpoints.get(&name) {
+                None => true,
+                Some(e) if e.incarnation != watched.incarnation => true,
+                Some(e) => e.state == EndpointState::Suspect && !is_blind,
+            };
+            match is_lost {
+                true => {
+                    let what = format!("{name} was lost after it had loaded the version");
+                    self.failures.entry(watched.release).or_default().push(what);
+                }
+                false if watched.until > now => drop(self.watched.insert(name, watched)),
+                false => {}
+            }
+        }
+    }
+}
+
+const LOADS_WINDOW: Duration = Duration::from_mins(1);
+
+fn release(open: &Open) -> Release {
+    Release {
+        service: open.service.clone(),
+        model: open.task.model.clone(),
+        version: open.task.version,
+    }
+}
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -1,1 +1,22 @@
 //! The controller: makes engines run what is declared.
+//!
+//! One controller of an availability zone holds a lease ([`authority`]); it compares what endpoints
+//! announce with the declaration ([`plan`]), and keeps a book of its open orders ([`book`]).
+//! `docs/design/controller.md` says why it is built this way.
+
+mod config;
+mod endpoints;
+mod exchange;
+mod lease;
+mod pages;
+mod reconcile;
+mod start;
+mod status;
+
+pub mod authority;
+pub mod book;
+pub mod order;
+pub mod plan;
+
+pub use config::{Bounds, Config};
+pub use start::start;
--- /dev/null
+++ b/crates/controller/src/order.rs
@@ -0,0 +1,112 @@
+//! Orders to engines: what they say and how they are sent.
+
+use derives::{token, value};
+use serde::Serialize;
+use tokio::time::Instant;
+use uuid::{Builder, Uuid};
+use xxhash_rust::xxh3::xxh3_128;
+
+use crate::exchange::post;
+
+const MAX_REASON_CHARS: usize = 200;
+
+/// What an order asks for.
+#[token]
+#[serde(rename_all = "lowercase")]
+pub enum Action {
+    /// Load a model's version with adapters.
+    Load,
+    /// Unload a model's version.
+    Unload,
+}
+
+/// What an endpoint is to do.
+#[value]
+pub struct Task {
+    /// The endpoint.
+    pub endpoint: String,
+    /// Its incarnation: a restarted endpoint is another one.
+    pub incarnation: Uuid,
+    /// What to do.
+    pub action: Action,
+    /// Model name.
+    pub model: String,
+    /// Model version.
+    pub version: u32,
+    /// Adapters to load with it.
+    pub adapters: Vec<String>,
+}
+
+impl Task {
+    /// The id of this task's order. Any controller gives it the same id, so that an endpoint sees
+    /// a repeat as such; `attempt` tells a new try after a failed one, `revision` a new intent.
+    pub fn order_id(&self, revision: u64, attempt: u32) -> Uuid {
+        let text = format!(
+            "{}/{}/{:?}/{}/{}/{}/{revision}/{attempt}",
+            self.endpoint,
+            self.incarnation,
+            self.action,
+            self.model,
+            self.version,
+            self.adapters.join(","),
+        );
+        let hash = xxh3_128(text.as_bytes()).to_be_bytes();
+        Builder::from_custom_bytes(hash).into_uuid()
+    }
+}
+
+/// The body of `POST /v1/orders`.
+#[derive(Clone, Debug, Serialize)]
+struct Body<'a> {
+    order: Uuid,
+    fencing: u64,
+    action: Action,
+    model: &'a str,
+    version: u32,
+    adapters: &'a [String],
+}
+
+/// The answer to an order.
+#[value]
+pub enum Answer {
+    /// The endpoint has taken it, or had before.
+    Taken,
+    /// It has seen a greater fencing number: another controller is active.
+    Stale(String),
+    /// It refuses, and a repeat would be refused as well.
+    Refused(String),
+    /// No answer, or one that asks to come back; the order may or may not have been taken.
+    Lost(String),
+}
+
+/// Sends `task` to the endpoint at `address`; nothing of it goes out after `until`.
+pub(crate) async fn send(
+    address: &str,
+    task: &Task,
+    order: Uuid,
+    fencing: u64,
+    until: Instant,
+) -> Answer {
+    let body = Body {
+        order,
+        fencing,
+        action: task.action,
+        model: &task.model,
+        version: task.version,
+        adapters: &task.adapters,
+    };
+    let body = serde_json::to_vec(&body).unwrap_or_default();
+    match post(address, "/v1/orders", body, until).await {
+        Err(e) => Answer::Lost(e),
+        Ok((status, body)) => {
+            let text = String::from_utf8_lossy(&body);
+            let text: String = text.chars().take(MAX_REASON_CHARS).collect();
+            match status.as_u16() {
+                200..300 => Answer::Taken,
+                409 => Answer::Stale(text),
+                408 | 425 | 429 | 500.. => Answer::Lost(format!("{status}: {text}")),
+                _ => Answer::Refused(format!("{status}: {text}")),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/controller/src/pages.rs
@@ -0,0 +1,111 @@
+//! HTTP pages: status, health, metrics.
+
+use std::sync::Arc;
+
+use host::problem::Problem;
+use prometheus::{IntCounterVec, IntGauge, Opts, Registry};
+use salvo::{
+    Router, handler,
+    prelude::{Request, Response},
+};
+use tokio::time::Instant;
+
+use crate::{reconcile::Reconciler, status::status};
+
+/// What the pages show.
+#[derive(Debug)]
+pub(crate) struct Shown {
+    pub(crate) vm: String,
+    pub(crate) az: String,
+    pub(crate) reconciler: Arc<Reconciler>,
+}
+
+pub(crate) fn router(shown: Arc<Shown>) -> Router {
+    let at = Router::with_path;
+    Router::new()
+        .push(at("healthz").get(healthz))
+        .push(at("v1/status").get(StatusPage(Arc::clone(&shown))))
+        .push(at("metrics").get(MetricsPage(shown)))
+        .push(at("{**rest}").goal(not_found))
+}
+
+#[handler]
+fn healthz(res: &mut Response) {
+    res.render("ok\n");
+}
+
+struct StatusPage(Arc<Shown>);
+
+#[handler]
+impl StatusPage {
+    fn handle(&self, res: &mut Response) {
+        let shown = &self.0;
+        let status = status(&shown.vm, &shown.az, &shown.reconciler);
+        let json = serde_json::to_vec(&status).unwrap_or_default();
+        let headers = res.headers_mut();
+        let json_type = salvo::http::header::HeaderValue::from_static("application/json");
+        headers.insert("content-type", json_type);
+        // Writing bytes into a response without a body cannot fail.
+        let _ = res.write_body(json);
+    }
+}
+
+struct MetricsPage(Arc<Shown>);
+
+#[handler]
+impl MetricsPage {
+    fn handle(&self, res: &mut Response) {
+        match registry(&self.0.reconciler) {
+            Ok(registry) => res.render(host::http::metrics_text(&registry)),
+            Err(e) => Problem::new(500, "metrics", "Metrics", e.to_string()).render(res),
+        }
+    }
+}
+
+/// The numbers as they are now.
+fn registry(reconciler: &Reconciler) -> prometheus::Result<Registry> {
+    const ANSWERS: [&str; 4] = ["taken", "lost", "refused", "stale"];
+    let registry = Registry::new();
+    let gauge = |name: &str, help: &str, value: usize| -> prometheus::Result<()> {
+        let gauge = IntGauge::new(format!("jujube_controller_{name}"), help)?;
+        gauge.set(value as i64);
+        registry.register(Box::new(gauge))
+    };
+    let authority = reconciler.authority(Instant::now());
+    let fencing = authority.map_or(0, |a| a.fencing() as usize);
+    let working = reconciler.working();
+    gauge(
+        "has_lease",
+        "1 while this controller may give orders.",
+        usize::from(authority.is_some()),
+    )?;
+    gauge(
+        "fencing",
+        "Fencing number of the lease; 0 without.",
+        fencing,
+    )?;
+    gauge(
+        "open_orders",
+        "Orders not yet seen to be followed.",
+        working.book.open().len(),
+    )?;
+    gauge(
+        "differences",
+        "Things that are not as declared.",
+        working.differences.len(),
+    )?;
+    let opts = Opts::new("jujube_controller_orders_total", "Orders by answer.");
+    let orders = IntCounterVec::new(opts, &["answer"])?;
+    for (name, count) in ANSWERS.iter().zip(working.answers) {
+        orders.with_label_values(&[name]).inc_by(count);
+    }
+    registry.register(Box::new(orders))?;
+    Ok(registry)
+}
+
+#[handler]
+fn not_found(req: &mut Request, res: &mut Response) {
+    let path: String = req.uri().path().chars().take(128).collect();
+    let what = format!("{} {path} is not served here", req.method());
+    Problem::new(404, "not-found", "Not found", what).render(res);
+}
--- /dev/null
+++ b/crates/controller/src/plan.rs
@@ -0,0 +1,267 @@
+//! What differs from the declaration, why, and which orders are due.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use declaration::{Service, ServiceKind};
+use derives::record;
+use membership::{EndpointState, EndpointView, LoadedModel};
+use tokio::time::Instant;
+
+use crate::{
+    book::{Book, Release, Stage, is_followed},
+    config::Bounds,
+    order::{Action, Task},
+};
+
+/// What a plan is made from.
+#[derive(Clone, Copy, Debug)]
+pub struct World<'a> {
+    /// Declared services.
+    pub services: &'a BTreeMap<String, Service>,
+    /// Endpoints of the availability zone.
+    pub endpoints: &'a BTreeMap<String, EndpointView>,
+    /// How long the declaration has been in force here.
+    pub in_force: Duration,
+    /// Now.
+    pub now: Instant,
+}
+
+/// Something that is not as declared.
+#[record]
+#[derive(Eq)]
+pub struct Difference {
+    /// The service.
+    pub service: String,
+    /// The endpoint; empty where the whole service is meant.
+    pub endpoint: String,
+    /// What differs.
+    pub differs: String,
+    /// Why it is so still.
+    pub why: String,
+}
+
+/// What is to be done, and what is left.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Plan {
+    /// Orders to enter, each with the endpoint's service.
+    pub tasks: Vec<(String, Task)>,
+    /// What differs.
+    pub differences: Vec<Difference>,
+}
+
+/// The model that a service's endpoints are to have.
+#[derive(Clone, Copy, Debug)]
+struct Target<'a> {
+    model: &'a str,
+    version: u32,
+    adapters: &'a [String],
+}
+
+impl Target<'_> {
+    fn load(&self, endpoint: &EndpointView) -> Task {
+        Task {
+            endpoint: endpoint.endpoint.clone(),
+            incarnation: endpoint.incarnation,
+            action: Action::Load,
+            model: self.model.to_owned(),
+            version: self.version,
+            adapters: self.adapters.to_vec(),
+        }
+    }
+
+    fn is_it(&self, loaded: &LoadedModel) -> bool {
+        loaded.model == self.model && loaded.version == self.version
+    }
+}
+
+/// Compares `world` with what is declared.
+pub fn plan(world: &World<'_>, book: &Book, bounds: &Bounds) -> Plan {
+    let mut plan = Plan::default();
+    for (name, service) in world.services {
+        let model = service.model.as_deref().zip(service.version);
+        let Some((model, version)) = model.filter(|_| service.kind == ServiceKind::Engine) else {
+            continue;
+        };
+        let target = Target {
+            model,
+            version,
+            adapters: &service.adapters,
+        };
+        let planner = Planner {
+            world,
+            book,
+            bounds,
+            service: name,
+            target,
+        };
+        planner.run(&mut plan);
+    }
+    plan
+}
+
+#[derive(Clone, Copy)]
+struct Planner<'a> {
+    world: &'a World<'a>,
+    book: &'a Book,
+    bounds: &'a Bounds,
+    service: &'a str,
+    target: Target<'a>,
+}
+
+impl Planner<'_> {
+    fn run(&self, plan: &mut Plan) {
+        let of_it = |e: &&EndpointView| e.service == self.service;
+        let all: Vec<&EndpointView> = self.world.endpoints.values().filter(of_it).collect();
+        if all.is_empty() {
+            let differs = "no endpoint announces itself".to_owned();
+            self.differs(plan, "", differs, "start one in this availability zone");
+        }
+        let ready: Vec<&EndpointView> = all
+            .into_iter()
+            .filter(|e| e.state == EndpointState::Ready)
+            .collect();
+        let is_done = |e: &&&EndpointView| is_followed(e, &self.target.load(e));
+        let done = ready.iter().filter(is_done).count();
+        for endpoint in &ready {
+            match is_followed(endpoint, &self.target.load(endpoint)) {
+                false => self.plan_load(plan, endpoint, ready.len()),
+                true => self.plan_unload(plan, endpoint, ready.len(), done),
+            }
+        }
+    }
+
+    fn plan_load(&self, plan: &mut Plan, endpoint: &EndpointView, ready: usize) {
+        let Target { model, version, .. } = self.target;
+        let name = &endpoint.endpoint;
+        let hindrance = self
+            .open_order(name)
+            .or_else(|| self.halted())
+            .or_else(|| self.hindrance(plan, name, ready))
+            .or_else(|| self.store_hindrance(plan));
+        let differs = format!("lacks {model} version {version} with its adapters");
+        match hindrance {
+            Some(why) => self.differs(plan, name, differs, &why),
+            None => {
+                self.differs(plan, name, differs, "an order is being sent");
+                let task = self.target.load(endpoint);
+                plan.tasks.push((self.service.to_owned(), task));
+            }
+        }
+    }
+
+    /// Unloads one thing that is not declared, once hardly anyone can need it.
+    fn plan_unload(&self, plan: &mut Plan, endpoint: &EndpointView, ready: usize, done: usize) {
+        let extra = endpoint.models.iter().find(|m| !self.target.is_it(m));
+        let Some(extra) = extra else {
+            return;
+        };
+        let name = &endpoint.endpoint;
+        let needed = ready - ready * self.bounds.share_percent as usize / 100;
+        let is_followed_late = self.world.in_force >= self.bounds.follow;
+        let hindrance = self
+            .open_order(name)
+            .or_else(|| self.halted())
+            .or_else(|| (!is_followed_late).then(|| "gates may still ask for it".to_owned()))
+            .or_else(|| (done < needed).then(|| "others lack the declared version".to_owned()))
+            .or_else(|| self.hindrance(plan, name, ready));
+        let differs = format!("has {} version {} still", extra.model, extra.version);
+        match hindrance {
+            Some(why) => self.differs(plan, name, differs, &why),
+            None => {
+                self.differs(plan, name, differs, "an order is being sent");
+                let task = Task {
+                    endpoint: name.clone(),
+                    incarnation: endpoint.incarnation,
+                    action: Action::Unload,
+                    model: extra.model.clone(),
+                    version: extra.version,
+                    adapters: Vec::new(),
+                };
+                plan.tasks.push((self.service.to_owned(), task));
+            }
+        }
+    }
+
+    fn open_order(&self, endpoint: &str) -> Option<String> {
+        let open = self.book.open().get(endpoint)?;
+        let last = open.last.as_deref().unwrap_or("nothing heard yet");
+        Some(match open.stage {
+            Stage::Taken => "the endpoint has taken its order and not yet followed it".to_owned(),
+            Stage::ToSend | Stage::Sending => {
+                format!("its order was sent {} times: {last}", open.sent)
+            }
+        })
+    }
+
+    fn halted(&self) -> Option<String> {
+        let release = Release {
+            service: self.service.to_owned(),
+            model: self.target.model.to_owned(),
+            version: self.target.version,
+        };
+        let failures = self.book.failures().get(&release)?;
+        let last = failures.last()?;
+        let is_halted = failures.len() >= self.bounds.halt_after as usize;
+        is_halted.then(|| format!("halted after {} failures: {last}", failures.len()))
+    }
+
+    /// Why no other endpoint of the service may change now.
+    fn hindrance(&self, plan: &Plan, endpoint: &str, ready: usize) -> Option<String> {
+        let planned = plan
+            .tasks
+            .iter()
+            .filter(|(service, _)| service == self.service);
+        let open = self
+            .book
+            .open()
+            .values()
+            .filter(|o| o.service == self.service);
+        let changing = planned.count() + open.count();
+        let allowed = (ready * self.bounds.share_percent as usize / 100).max(1);
+        let settled = self.book.settled(self.service);
+        let settling = settled.map_or(Duration::ZERO, |at| {
+            (at + self.bounds.settle).saturating_duration_since(self.world.now)
+        });
+        match () {
+            () if self.book.is_shunned(endpoint, self.world.now) => {
+                Some("it refused an order lately".to_owned())
+            }
+            () if changing >= allowed => Some(format!(
+                "{changing} others change, {allowed} may at one time"
+            )),
+            () if !settling.is_zero() => {
+                Some("the endpoint before it is still being watched".to_owned())
+            }
+            () => None,
+        }
+    }
+
+    /// Why the weight store may not be asked now: one fetch of a weight at a time, and its rate.
+    fn store_hindrance(&self, plan: &Plan) -> Option<String> {
+        let is_same = |task: &Task| {
+            let weight = (task.model.as_str(), task.version);
+            task.action == Action::Load && weight == (self.target.model, self.target.version)
+        };
+        let open = self.book.open().values().map(|open| &open.task);
+        let planned = plan.tasks.iter().map(|(_, task)| task);
+        let fetching = open.chain(planned).find(|task| is_same(task));
+        let begun = plan.tasks.iter().filter(|(_, t)| t.action == Action::Load);
+        let loads = self.book.loads(self.world.now) + begun.count();
+        match fetching {
+            Some(task) => Some(format!("{} fetches the same weights", task.endpoint)),
+            None if loads >= self.bounds.loads_per_minute as usize => Some(format!(
+                "{loads} loads within a minute, as many as the weight store takes"
+            )),
+            None => None,
+        }
+    }
+
+    fn differs(&self, plan: &mut Plan, endpoint: &str, differs: String, why: &str) {
+        plan.differences.push(Difference {
+            service: self.service.to_owned(),
+            endpoint: endpoint.to_owned(),
+            differs,
+            why: why.to_owned(),
+        });
+    }
+}
--- /dev/null
+++ b/crates/controller/src/status.rs
@@ -0,0 +1,124 @@
+//! `GET /v1/status`: the lease, what differs from the declaration and why, open orders.
+
+use derives::record;
+use tokio::time::Instant;
+
+use crate::{
+    book::{Open, Stage},
+    plan::Difference,
+    reconcile::Reconciler,
+};
+
+/// The controller's state as operators see it.
+#[record]
+pub(crate) struct Status {
+    vm: String,
+    az: String,
+    lease: LeaseStatus,
+    /// The revision of the declaration in force here.
+    revision: Option<u64>,
+    /// The gate that told the endpoints, and how long ago.
+    gate: Option<String>,
+    endpoints_age_ms: Option<u64>,
+    endpoints: usize,
+    differences: Vec<Difference>,
+    orders: Vec<OrderStatus>,
+    halted: Vec<Halted>,
+}
+
+#[record]
+struct LeaseStatus {
+    held: bool,
+    fencing: Option<u64>,
+    ends_in_ms: u64,
+    /// Time until endpoints that check no fencing number may be ordered.
+    waits_ms: u64,
+    why: Option<String>,
+}
+
+#[record]
+struct OrderStatus {
+    order: String,
+    endpoint: String,
+    service: String,
+    action: String,
+    model: String,
+    version: u32,
+    state: String,
+    age_ms: u64,
+    sent: u32,
+    last: Option<String>,
+}
+
+#[record]
+struct Halted {
+    service: String,
+    model: String,
+    version: u32,
+    failures: Vec<String>,
+}
+
+impl OrderStatus {
+    fn of(open: &Open, now: Instant) -> Self {
+        let state = match open.stage {
+            Stage::ToSend => "to_send",
+            Stage::Sending => "sending",
+            Stage::Taken => "taken",
+        };
+        Self {
+            order: open.order.to_string(),
+            endpoint: open.task.endpoint.clone(),
+            service: open.service.clone(),
+            action: format!("{:?}", open.task.action).to_lowercase(),
+            model: open.task.model.clone(),
+            version: open.task.version,
+            state: state.to_owned(),
+            age_ms: now.saturating_duration_since(open.since).as_millis() as u64,
+            sent: open.sent,
+            last: open.last.clone(),
+        }
+    }
+}
+
+/// The state of the controller of `az` on `vm`.
+pub(crate) fn status(vm: &str, az: &str, reconciler: &Reconciler) -> Status {
+    let now = Instant::now();
+    let authority = reconciler.authority(now);
+    let lease = LeaseStatus {
+        held: authority.is_some(),
+        fencing: authority.map(|a| a.fencing()),
+        ends_in_ms: authority.map_or(0, |a| a.left(now).as_millis() as u64),
+        waits_ms: authority.map_or(0, |a| a.wait_left(now).as_millis() as u64),
+        why: reconciler.lease.borrow().why.clone(),
+    };
+    let known = reconciler.known.borrow().clone();
+    let age = known.heard.map(|at| now.saturating_duration_since(at));
+    let revision = reconciler.declared.borrow().as_ref().map(|d| d.revision);
+    let working = reconciler.working();
+    let halted = working.book.failures().iter();
+    let halted = halted.filter(|(_, f)| f.len() >= reconciler.bounds.halt_after as usize);
+    Status {
+        vm: vm.to_owned(),
+        az: az.to_owned(),
+        lease,
+        revision,
+        endpoints_age_ms: age.map(|age| age.as_millis() as u64),
+        endpoints: known.endpoints.len(),
+        gate: known.gate,
+        differences: working.differences.clone(),
+        orders: working
+            .book
+            .open()
+            .values()
+            .map(|open| OrderStatus::of(open, now))
+            .collect(),
+        halted: halted
+            .map(|(release, failures)| Halted {
+                service: release.service.clone(),
+                model: release.model.clone(),
+                version: release.version,
+                failures: failures.clone(),
+            })
+            .collect(),
+    }
+}
