--- /dev/null
+++ b/crates/controller/tests/controllers.rs
@@ -0,0 +1,131 @@
+//! Real controller processes against a keeper, a gate and stand-in engines.
+
+mod env;
+
+use std::time::Duration;
+
+use env::{Env, fencing, until_loaded};
+use tokio::time::sleep;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_declared_version_is_loaded_and_the_old_one_unloaded() {
+    let mut env = Env::start().await;
+    env.declare(3, "horlogerie").await;
+    let mut engines = Vec::new();
+    for at in 0..3 {
+        engines.push(env.engine(&format!("e{at}"), 3, true).await);
+    }
+    let controller = env.controller("c");
+    let status = controller
+        .until("nothing differs", |s| {
+            s["endpoints"] == 3 && s["differences"] == serde_json::json!([])
+        })
+        .await;
+    assert!(status["lease"]["fencing"].as_u64().unwrap() > 0);
+    env.declare(4, "horlogerie").await;
+    let status = controller
+        .until("something differs", |s| {
+            s["differences"] != serde_json::json!([])
+        })
+        .await;
+    assert!(
+        status["differences"][0]["why"]
+            .as_str()
+            .is_some_and(|why| !why.is_empty())
+    );
+    for engine in &engines {
+        until_loaded(engine, &[4]).await;
+        assert_eq!(engine.models()[0].adapters, ["horlogerie"]);
+        assert_eq!(fencing(engine).len(), 2);
+    }
+    controller
+        .until("all is as declared", |s| {
+            s["differences"] == serde_json::json!([]) && s["orders"] == serde_json::json!([])
+        })
+        .await;
+    let metrics = controller.get("/metrics").await;
+    assert!(
+        metrics.contains("jujube_controller_orders_total{answer=\"taken\"} 6"),
+        "{metrics}"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_standby_takes_over_from_a_killed_controller() {
+    let mut env = Env::start().await;
+    env.declare(3, "horlogerie").await;
+    let engine = env.engine("e", 3, false).await;
+    let mut first = env.controller("c1");
+    first
+        .until("the first holds", |s| s["lease"]["held"] == true)
+        .await;
+    let second = env.controller("c2");
+    second
+        .until("the second waits", |s| {
+            s["lease"]["why"]
+                .as_str()
+                .is_some_and(|why| why.contains("held by c1"))
+        })
+        .await;
+    first.kill();
+    env.declare(4, "horlogerie").await;
+    let status = second
+        .until("the second holds", |s| s["lease"]["held"] == true)
+        .await;
+    assert!(
+        status["lease"]["waits_ms"].as_u64().unwrap() > 0,
+        "{status:#}"
+    );
+    assert!(fencing(&engine).is_empty());
+    until_loaded(&engine, &[4]).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_holder_gives_no_order_after_it_wakes() {
+    let mut env = Env::start().await;
+    env.declare(3, "horlogerie").await;
+    let (checking, trusting) = (
+        env.engine("e1", 3, true).await,
+        env.engine("e2", 3, false).await,
+    );
+    let first = env.controller("c1");
+    first
+        .until("the first knows both", |s| {
+            s["lease"]["held"] == true && s["endpoints"] == 2
+        })
+        .await;
+    let second = env.controller("c2");
+    first.signal("-STOP");
+    env.declare(4, "horlogerie").await;
+    second
+        .until("the second holds", |s| s["lease"]["held"] == true)
+        .await;
+    first.signal("-CONT");
+    until_loaded(&checking, &[4]).await;
+    until_loaded(&trusting, &[4]).await;
+    sleep(Duration::from_secs(1)).await;
+    let numbers = [fencing(&checking), fencing(&trusting)].concat();
+    let newest = second.status().await["lease"]["fencing"].as_u64().unwrap();
+    assert!(numbers.iter().all(|n| *n == newest), "{numbers:?} {newest}");
+    assert_eq!(first.status().await["lease"]["held"], false);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_order_to_stop_gives_the_lease_up_at_once() {
+    let mut env = Env::start().await;
+    env.declare(3, "horlogerie").await;
+    let engine = env.engine("e", 3, false).await;
+    let mut first = env.controller("c1");
+    first
+        .until("the first holds", |s| s["lease"]["held"] == true)
+        .await;
+    let second = env.controller("c2");
+    first.signal("-TERM");
+    assert_eq!(first.ended().await.code(), Some(0));
+    env.declare(4, "horlogerie").await;
+    let status = second
+        .until("the second holds", |s| s["lease"]["held"] == true)
+        .await;
+    assert_eq!(status["lease"]["waits_ms"], 0);
+    until_loaded(&engine, &[4]).await;
+}
--- /dev/null
+++ b/crates/controller/tests/env/mod.rs
@@ -0,0 +1,243 @@
+//! A keeper and a gate in this process, stand-in engines, and real controller processes.
+
+use std::{
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    path::Path,
+    process::{Child, Command, ExitStatus, Stdio},
+    time::Duration,
+};
+
+use bench::stand_in::{self, Event, JournalEntry, Kind, StandIn, StandInConfig};
+use host::{
+    client::Client,
+    role::Running,
+    settings::Reader,
+    shutdown::{Stop, channel},
+};
+use membership::LoadedModel;
+use serde_json::{Value, json};
+use tempfile::TempDir;
+use tokio::time::{Instant, sleep};
+use uuid::Uuid;
+
+/// Bound on anything that a test waits for.
+pub const PATIENCE: Duration = Duration::from_secs(40);
+pub const SERVICE: &str = "appraise-llm";
+const MODEL: &str = "appraise-7b";
+
+/// What runs in this process, and the folder of all settings.
+pub struct Env {
+    folder: TempDir,
+    keeper: Running,
+    gate: Running,
+    _stops: [Stop; 2],
+    client: Client,
+    revision: u64,
+}
+
+fn settings(text: &str, folder: &Path) -> Reader {
+    Reader::from_bytes("test.ini", folder, text.as_bytes()).unwrap()
+}
+
+impl Env {
+    pub async fn start() -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let (keeper_stop, stopped) = channel();
+        // A single keeper never calls its own address.
+        let text = "[vm]\nname = k\navailability_zone = z\n[keepers]\nk = 127.0.0.1:1\n\
+                    [data]\nfolder = data\n";
+        let cfg = keeper::Config::read(&mut settings(text, folder.path()));
+        let keeper = keeper::start(cfg, stopped).await.unwrap();
+        let (gate_stop, stopped) = channel();
+        let text = format!(
+            "[vm]\nname = g\navailability_zone = z\n[keepers]\nk = {}\n",
+            keeper.link.unwrap()
+        );
+        let cfg = gate::Config::read(&mut settings(&text, folder.path()));
+        let gate = gate::start(cfg, stopped).await.unwrap();
+        Self {
+            folder,
+            keeper,
+            gate,
+            _stops: [keeper_stop, gate_stop],
+            client: Client::new(Duration::from_secs(5)),
+            revision: 0,
+        }
+    }
+
+    /// Declares `version` with `adapters`; returns once it is accepted.
+    pub async fn declare(&mut self, version: u32, adapters: &str) {
+        let document = format!(
+            "[availability-zone z]\nregion = r\n[service {SERVICE}]\nkind = engine\n\
+             repeatable = yes\nmodel = {MODEL}\nversion = {version}\nadapters = {adapters}\n\
+             [pipeline appraisal]\nstages = {SERVICE}\n[workspace w]\npipelines = appraisal\n\
+             availability_zones = z\nmax_in_flight = 100\n"
+        );
+        let change = json!({
+            "change": Uuid::now_v7(), "base_revision": self.revision, "author": "test",
+            "reason": "test", "document": document,
+        });
+        let url = format!("http://{}/v1/changes", self.keeper.http);
+        let start = Instant::now();
+        loop {
+            let answer = self.client.post(&url, change.to_string().into()).await;
+            let json: Value = answer.map_or(Value::Null, |a| {
+                serde_json::from_slice(&a.body).unwrap_or_default()
+            });
+            if let Some(revision) = json["revision"].as_u64() {
+                self.revision = revision;
+                return;
+            }
+            assert!(start.elapsed() < PATIENCE, "declare: {json}");
+            sleep(Duration::from_millis(100)).await;
+        }
+    }
+
+    /// An engine that has `version` loaded.
+    pub async fn engine(&self, name: &str, version: u32, checks_fencing: bool) -> StandIn {
+        let mut cfg = StandInConfig::new(name, SERVICE, "z", Kind::Engine);
+        cfg.gates = vec![format!("http://{}", self.gate.http)];
+        cfg.checks_fencing = checks_fencing;
+        cfg.engine.load_time = Duration::from_millis(100);
+        cfg.models = vec![LoadedModel {
+            model: MODEL.to_owned(),
+            version,
+            adapters: vec!["horlogerie".to_owned()],
+        }];
+        stand_in::start(cfg).await.unwrap()
+    }
+
+    pub fn controller(&self, name: &str) -> Controller {
+        let path = self.folder.path().join(format!("{name}.ini"));
+        let (keeper, gate) = (self.keeper.link.unwrap(), self.gate.link.unwrap());
+        let text = format!(
+            "[vm]\nname = {name}\navailability_zone = z\n[keepers]\nk = {keeper}\n\
+             [gates]\ng = {gate}\n[controller]\nlease_ms = 1500\nsettle_ms = 100\n\
+             follow_ms = 500\nload_ms = 8000\n"
+        );
+        std::fs::write(&path, text).unwrap();
+        Controller::start(&path, self.client.clone())
+    }
+}
+
+/// A controller process; killed when dropped.
+pub struct Controller {
+    child: Child,
+    http: SocketAddr,
+    client: Client,
+}
+
+impl Controller {
+    fn start(config: &Path, client: Client) -> Self {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_jujube-controller"))
+            .arg("--config")
+            .arg(config)
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
+        let http = loop {
+            let line = lines.next().expect("the controller listens").unwrap();
+            let line: Value = serde_json::from_str(&line).unwrap_or_default();
+            if line["payload"] == "listening" {
+                break line["kv"]["http"].as_str().unwrap().parse().unwrap();
+            }
+        };
+        // The log goes on; nobody may stop reading it.
+        std::thread::spawn(move || {
+            for line in lines.map_while(Result::ok) {
+                println!("{line}");
+            }
+        });
+        Self {
+            child,
+            http,
+            client,
+        }
+    }
+
+    pub async fn get(&self, path: &str) -> String {
+        let answer = self
+            .client
+            .get(&format!("http://{}{path}", self.http))
+            .await;
+        answer.map_or(String::new(), |a| {
+            String::from_utf8_lossy(&a.body).into_owned()
+        })
+    }
+
+    pub async fn status(&self) -> Value {
+        serde_json::from_str(&self.get("/v1/status").await).unwrap_or_default()
+    }
+
+    /// Asks for the status until `is_so`; the status.
+    pub async fn until(&self, what: &str, is_so: impl Fn(&Value) -> bool) -> Value {
+        let start = Instant::now();
+        loop {
+            let status = self.status().await;
+            if is_so(&status) {
+                return status;
+            }
+            assert!(start.elapsed() < PATIENCE, "{what}: {status:#}");
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let done = Command::new("kill").args([name, &pid]).status().unwrap();
+        assert!(done.success(), "signal {name}");
+    }
+
+    pub fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
+    pub async fn ended(&mut self) -> ExitStatus {
+        let start = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status;
+            }
+            assert!(start.elapsed() < PATIENCE, "the controller has not ended");
+            sleep(Duration::from_millis(10)).await;
+        }
+    }
+}
+
+impl Drop for Controller {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Waits until `engine` has exactly `versions` loaded.
+pub async fn until_loaded(engine: &StandIn, versions: &[u32]) {
+    let start = Instant::now();
+    loop {
+        let mut loaded: Vec<u32> = engine.models().iter().map(|m| m.version).collect();
+        loaded.sort_unstable();
+        if loaded == versions {
+            return;
+        }
+        assert!(
+            start.elapsed() < PATIENCE,
+            "{} has {loaded:?}",
+            engine.name()
+        );
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Fencing numbers of the orders that `engine` carried out, in turn.
+pub fn fencing(engine: &StandIn) -> Vec<u64> {
+    let number = |entry: JournalEntry| match entry.event {
+        Event::Ordered { fencing, .. } => Some(fencing),
+        _ => None,
+    };
+    engine.journal().into_iter().filter_map(number).collect()
+}
