Stamp the middle of a majority's clocks; check documents off the links' threads

Cause: stamped time never falls, so that one leader whose wall clock is a year ahead would have made every later key too old. Stamps now come from the median of a majority's clocks (the earlier of two middle ones), carried on by the monotonic clock; until a majority was heard nothing is stamped. A follower checks a document on a blocking thread, and answers go on from the present state meanwhile; its pause grows while no source answers.

--- a/crates/keeper/examples/measure/distribution.rs
+++ b/crates/keeper/examples/measure/distribution.rs
@@ -62,7 +62,8 @@
     for i in 0..CHANGES {
         let mut change = document(1);
         let (_, text) = change.sections.iter_mut().next_back().unwrap();
-        text.entries.insert("max_in_flight".to_owned(), (1_000 + i).to_string());
+        text.entries
+            .insert("max_in_flight".to_owned(), (1_000 + i).to_string());
         let start = Instant::now();
         base = group.change(&keepers, base, &change).await;
         reach(&followers, base).await;
@@ -71,7 +72,12 @@
     times.sort();
     let at = |share: f64| times[((times.len() - 1) as f64 * share) as usize];
     println!("followers {n} workspaces {workspaces} by_relays {by_relays} changes {CHANGES}");
-    println!("in force everywhere: p50 {:?} p99 {:?} max {:?}", at(0.5), at(0.99), at(1.0));
+    println!(
+        "in force everywhere: p50 {:?} p99 {:?} max {:?}",
+        at(0.5),
+        at(0.99),
+        at(1.0)
+    );
     let used = bytes.load(Ordering::Relaxed) - start_bytes;
     println!("bytes at one follower a change: {}", used / CHANGES);
     println!(
@@ -97,7 +103,10 @@
     }
     let mut counted = Vec::new();
     for address in group.addresses() {
-        counted.push(peer(counting(address, Arc::clone(&bytes)).await, Role::Gate));
+        counted.push(peer(
+            counting(address, Arc::clone(&bytes)).await,
+            Role::Gate,
+        ));
     }
     followers.push(Follower::start(counted, FollowerConfig::default()));
     reach(&followers, base).await;
--- a/crates/keeper/examples/measure/group.rs
+++ b/crates/keeper/examples/measure/group.rs
@@ -1,6 +1,6 @@
 //! Three keepers as tasks of this process.
 
-use std::{fs, net::SocketAddr, path::Path, time::Duration};
+use std::{fmt::Write, fs, net::SocketAddr, path::Path, time::Duration};
 
 use declaration::Document;
 use host::{role::Running, settings::Reader, shutdown};
@@ -55,10 +55,13 @@
 
     /// Submits sections as a change on `base` and returns its revision.
     pub async fn change(&self, keepers: &Keepers, base: u64, to: &Document) -> u64 {
-        let sections = to.sections.iter().map(|(id, text)| declaration::SectionChange {
-            id: id.clone(),
-            after: Some(text.clone()),
-        });
+        let sections = to
+            .sections
+            .iter()
+            .map(|(id, text)| declaration::SectionChange {
+                id: id.clone(),
+                after: Some(text.clone()),
+            });
         let change = declaration::Change {
             change: Uuid::now_v7(),
             base_revision: base,
@@ -95,11 +98,9 @@
 }
 
 fn settings(folder: &Path, addresses: &[SocketAddr], i: usize, is_grouped: bool) -> Config {
-    let peers: String = addresses
-        .iter()
-        .enumerate()
-        .map(|(n, address)| format!("k{n} = {address}\n"))
-        .collect();
+    let lines = addresses.iter().enumerate();
+    let lines: Vec<String> = lines.map(|(n, a)| format!("k{n} = {a}\n")).collect();
+    let peers = lines.concat();
     let group_commit = match is_grouped {
         true => "yes",
         false => "no",
@@ -120,14 +121,16 @@
 
 /// A document with `n` workspaces.
 pub fn document(n: usize) -> Document {
-    let mut text = "[availability-zone sousse-a]\nregion = tn-sahel\n[service photo-vault]\nkind = \
+    let mut text =
+        "[availability-zone sousse-a]\nregion = tn-sahel\n[service photo-vault]\nkind = \
                     plain\nrepeatable = yes\n[pipeline photos]\nstages = photo-vault\n"
-        .to_owned();
+            .to_owned();
     for i in 0..n {
-        text += &format!(
-            "[workspace dealer-{i:05}]\npriority = {}\npipelines = photos\navailability_zones = \
-             sousse-a\nmax_in_flight = 200\n",
-            i % 10
+        let priority = i % 10;
+        let _ = write!(
+            text,
+            "[workspace dealer-{i:05}]\npriority = {priority}\npipelines = photos\n\
+             availability_zones = sousse-a\nmax_in_flight = 200\n"
         );
     }
     Document::read("measure", text.as_bytes()).unwrap()
--- a/crates/keeper/examples/measure/intents.rs
+++ b/crates/keeper/examples/measure/intents.rs
@@ -9,9 +9,7 @@
 };
 
 use link::{
-    keeper::{
-        Intent, IntentReply, KeeperReply, KeeperRequest, Output, Settle, Settlement,
-    },
+    keeper::{Intent, IntentReply, KeeperReply, KeeperRequest, Output, Settle, Settlement},
     keepers::Keepers,
 };
 use tokio::{
@@ -55,7 +53,11 @@
     let at = |share: f64| times[((times.len() - 1) as f64 * share) as usize];
     let n = granted.load(Ordering::Relaxed) as f64;
     println!("tasks {tasks} group_commit {is_grouped}");
-    println!("intents a second: {:.0}, entries a second: {:.0}", n / elapsed, 2.0 * n / elapsed);
+    println!(
+        "intents a second: {:.0}, entries a second: {:.0}",
+        n / elapsed,
+        2.0 * n / elapsed
+    );
     println!("time of one entry: p50 {:?} p99 {:?}", at(0.5), at(0.99));
 }
 
--- a/crates/keeper/examples/measure/memory.rs
+++ b/crates/keeper/examples/measure/memory.rs
@@ -52,8 +52,14 @@
     let bytes = resident_bytes() - before;
     assert_eq!(state.ledger.len(), n);
     println!("keys {n}, outputs of {OUTPUT_BYTES} bytes");
-    println!("resident: {bytes} bytes, {:.0} a key", bytes as f64 / n as f64);
-    println!("entries applied a second: {:.0}", 2.0 * n as f64 / applied.as_secs_f64());
+    println!(
+        "resident: {bytes} bytes, {:.0} a key",
+        bytes as f64 / n as f64
+    );
+    println!(
+        "entries applied a second: {:.0}",
+        2.0 * n as f64 / applied.as_secs_f64()
+    );
     snapshot(&state);
 }
 
@@ -79,8 +85,14 @@
     let applied = start.elapsed();
     let resident = resident_bytes() - before;
     assert_eq!(state.declared_revision(), 1);
-    println!("workspaces {n}: entry {} bytes, applied in {applied:?}", bytes.len());
-    println!("resident: {resident} bytes, {:.0} a workspace", resident as f64 / n as f64);
+    println!(
+        "workspaces {n}: entry {} bytes, applied in {applied:?}",
+        bytes.len()
+    );
+    println!(
+        "resident: {resident} bytes, {:.0} a workspace",
+        resident as f64 / n as f64
+    );
     let start = Instant::now();
     Declaration::from_document(&document).unwrap();
     println!("document checked in {:?}", start.elapsed());
@@ -90,7 +102,11 @@
 fn snapshot(state: &State) {
     let start = Instant::now();
     let snapshot = state.snapshot();
-    println!("snapshot: {} bytes in {:?}", snapshot.len(), start.elapsed());
+    println!(
+        "snapshot: {} bytes in {:?}",
+        snapshot.len(),
+        start.elapsed()
+    );
     let start = Instant::now();
     let restored = State::restore(&snapshot).unwrap();
     println!("restored in {:?}", start.elapsed());
--- a/crates/keeper/src/service.rs
+++ b/crates/keeper/src/service.rs
@@ -12,11 +12,14 @@
     keeper::{AUDIT_PAGE, KeeperReply, KeeperRequest, MemberAction, Output, Settle, Settlement},
 };
 use replica::{MemberChange, MemberError, ProposeError, Replica, Status};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep, timeout},
+};
 use uuid::Uuid;
 
 use crate::{
-    clock::Clock,
+    clock::{Clock, wall_ms},
     config::Limits,
     entry::{Command, DIGEST_BYTES, Entry, GrantIntent, Stamp},
     machine::Machine,
@@ -29,6 +32,11 @@
 const MEMBER_LIMIT: Duration = Duration::from_secs(4);
 /// Pause before another attempt while no leader is known.
 const RETRY_PAUSE: Duration = Duration::from_millis(25);
+/// Time between looks at the other keepers' clocks.
+const CLOCK_EVERY: Duration = Duration::from_secs(5);
+/// Pause before another look while too few clocks were heard.
+const CLOCK_RETRY: Duration = Duration::from_millis(25);
+const CLOCK_LIMIT: Duration = Duration::from_millis(500);
 /// Longest words of a service that are kept, in bytes.
 const MAX_DETAIL_BYTES: usize = 1_024;
 /// Longest time in which an intent may be sent.
@@ -75,7 +83,7 @@
         Self {
             replica,
             machine,
-            clock: Clock::start(),
+            clock: Clock::default(),
             limits,
             links,
             peers: Mutex::new(peers.iter().map(named).collect()),
@@ -131,6 +139,7 @@
                 Some(records) => KeeperReply::Audit(records),
                 None => KeeperReply::NoQuorum,
             },
+            KeeperRequest::Clock => KeeperReply::Clock { now_ms: wall_ms() },
             req => match self.checked(req) {
                 Ok(req) => self.write(&req, origin).await,
                 Err(what) => KeeperReply::Invalid(what),
@@ -179,7 +188,10 @@
         let Some(command) = self.command(req) else {
             return Ok(KeeperReply::Invalid("not a request for the log".to_owned()));
         };
-        let stamp = self.stamp();
+        // Without the agreed time nothing may be stamped; it comes with the first quorum.
+        let Some(stamp) = self.stamp() else {
+            return Err(ProposeError::NotLeader { leader: None });
+        };
         let entry = encode(&Entry { stamp, command });
         let applied = self.replica.propose(entry).await?;
         let reply = decode(&applied.reply);
@@ -245,6 +257,7 @@
             return KeeperReply::NoQuorum;
         }
         let (now, grace) = (self.clock.now_ms(), millis(self.limits.grace));
+        let now = now.unwrap_or_default();
         let entry = self.machine.read(|state| {
             let now = now.max(state.clock_ms());
             state.ledger.lookup(now, grace, key)
@@ -276,15 +289,50 @@
         }
     }
 
-    fn stamp(&self) -> Stamp {
-        Stamp {
-            now_ms: self.clock.now_ms(),
+    fn stamp(&self) -> Option<Stamp> {
+        Some(Stamp {
+            now_ms: self.clock.now_ms()?,
             retention_ms: millis(self.limits.retention),
             skew_ms: millis(self.limits.skew),
             grace_ms: millis(self.limits.grace),
             max_keys: self.limits.max_keys,
             max_output_bytes: self.limits.max_outputs_bytes,
+        })
+    }
+
+    /// Keeps the clock in agreement with the other keepers' clocks; runs until dropped.
+    pub async fn keep_clock(&self) {
+        loop {
+            let offsets = self.clock_offsets().await;
+            let voters = self.replica.status().voters.len();
+            let pause = match self.clock.agree(&offsets, voters) {
+                true => CLOCK_EVERY,
+                false => CLOCK_RETRY,
+            };
+            sleep(pause).await;
+        }
+    }
+
+    /// How far each reachable voter's clock lies ahead of this one, in milliseconds.
+    async fn clock_offsets(&self) -> Vec<i64> {
+        let voters = self.replica.status().voters;
+        let own = &self.links.identity.vm;
+        let others = voters.iter().filter(|name| *name != own);
+        let mut calls = JoinSet::new();
+        for peer in others.filter_map(|name| self.peer(name)) {
+            calls.spawn(async move {
+                let start = Instant::now();
+                let reply = peer.call(Channel::Keeper, &KeeperRequest::Clock, CLOCK_LIMIT);
+                match reply.await {
+                    Ok(KeeperReply::Clock { now_ms }) => {
+                        let then = now_ms + millis(start.elapsed() / 2);
+                        Some(then as i64 - wall_ms() as i64)
+                    }
+                    _ => None,
+                }
+            });
         }
+        calls.join_all().await.into_iter().flatten().collect()
     }
 
     fn command(&self, req: &KeeperRequest) -> Option<Command> {
@@ -366,6 +414,7 @@
         KeeperRequest::Change(_) => "change",
         KeeperRequest::Audit { .. } => "audit",
         KeeperRequest::Member { .. } => "member",
+        KeeperRequest::Clock => "clock",
     }
 }
 
--- a/crates/keeper/src/start.rs
+++ b/crates/keeper/src/start.rs
@@ -62,6 +62,8 @@
     });
     let links = tokio::spawn(links);
     let publishing = tokio::spawn(publish(Arc::clone(&service)));
+    let timing = Arc::clone(&service);
+    let timing = tokio::spawn(async move { timing.keep_clock().await });
     let operators = cfg.operators;
     let (pages, serving) = http::serve(bound, router(Pages { service, operators }));
     let task = tokio::spawn(async move {
@@ -69,6 +71,7 @@
         pages.stop_graceful(DRAIN_LIMIT);
         replica.stop().await;
         publishing.abort();
+        timing.abort();
         links.abort();
         serving.await?;
         match failed {
--- a/crates/link/src/feed.rs
+++ b/crates/link/src/feed.rs
@@ -57,6 +57,8 @@
 #[derive(Debug)]
 pub struct Feed {
     tx: watch::Sender<Option<Arc<InForce>>>,
+    /// Held while the next state is built, so that answers meanwhile come from the present one.
+    writer: Mutex<()>,
     recent: Mutex<Recent>,
 }
 
@@ -85,6 +87,7 @@
     pub fn new() -> Self {
         Self {
             tx: watch::Sender::new(None),
+            writer: Mutex::default(),
             recent: Mutex::default(),
         }
     }
@@ -102,7 +105,7 @@
     /// Puts changes in force; those at or below the revision in force are skipped. Returns whether
     /// anything was new.
     pub fn advance(&self, changes: Vec<Revision>) -> Result<bool, FeedError> {
-        let mut recent = self.lock();
+        let _writer = self.lock_writer();
         let current = self.tx.borrow().clone();
         let (mut revision, mut document) = match &current {
             Some(f) => (f.revision, f.document.clone()),
@@ -124,6 +127,7 @@
             revision = change.revision;
         }
         let in_force = typed(revision, document)?;
+        let mut recent = self.lock();
         recent.tail.extend(new);
         let surplus = recent.tail.len().saturating_sub(MAX_TAIL);
         recent.tail.drain(..surplus);
@@ -134,11 +138,12 @@
 
     /// Puts a whole document in force unless a later one is. Returns whether it was new.
     pub fn replace(&self, revision: u64, document: Document) -> Result<bool, FeedError> {
-        let mut recent = self.lock();
+        let _writer = self.lock_writer();
         if self.revision().is_some_and(|own| own >= revision) {
             return Ok(false);
         }
         let in_force = typed(revision, document)?;
+        let mut recent = self.lock();
         recent.tail.clear();
         recent.encoded = None;
         self.tx.send_replace(Some(Arc::new(in_force)));
@@ -219,6 +224,10 @@
         bytes
     }
 
+    fn lock_writer(&self) -> MutexGuard<'_, ()> {
+        self.writer.lock().expect("no holder of this lock panics")
+    }
+
     fn lock(&self) -> MutexGuard<'_, Recent> {
         self.recent.lock().expect("no holder of this lock panics")
     }
--- a/crates/link/src/follower.rs
+++ b/crates/link/src/follower.rs
@@ -5,9 +5,10 @@
 
 use std::{sync::Arc, time::Duration};
 
+use rand::RngExt;
 use tokio::{
     sync::watch,
-    task::{AbortHandle, JoinSet},
+    task::{AbortHandle, JoinSet, spawn_blocking},
     time::{Instant, MissedTickBehavior, interval, sleep, timeout},
 };
 
@@ -20,6 +21,9 @@
 /// Pause after a source failed, so that dead sources are not asked in a tight loop.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
+/// Longest pause while no source answers.
+const MAX_RETRY_PAUSE: Duration = Duration::from_millis(500);
+
 /// Timing of a [`Follower`].
 #[derive(Clone, Debug)]
 pub struct FollowerConfig {
@@ -136,12 +140,19 @@
                     if failures >= self.sources.len() {
                         self.source.send_replace(None);
                     }
-                    sleep(RETRY_PAUSE).await;
+                    sleep(self.pause(failures)).await;
                 }
             }
         }
     }
 
+    /// The pause grows with every round of sources that failed.
+    fn pause(&self, failures: usize) -> Duration {
+        let rounds = (failures / self.sources.len()) as u32;
+        let longest = (RETRY_PAUSE * (1 + rounds)).min(MAX_RETRY_PAUSE);
+        rand::rng().random_range(longest / 2..=longest)
+    }
+
     /// Hears every source that answers soon and starts from the one that is furthest.
     async fn begin(&self) -> usize {
         loop {
@@ -161,7 +172,10 @@
                     best = Some((revision, at, answer));
                 }
             }
-            let taken = best.and_then(|(_, at, answer)| self.feed.take(answer).ok().map(|_| at));
+            let taken = match best {
+                Some((_, at, answer)) => self.take(answer).await.is_ok().then_some(at),
+                None => None,
+            };
             if let Some(at) = taken {
                 self.heard(at);
                 return at;
@@ -245,7 +259,7 @@
         let heard = match answer {
             Err(_) | Ok(Followed::Unavailable) => Heard::Useless,
             Ok(Followed::Unchanged { revision }) if revision < after => Heard::Useless,
-            Ok(answer) => match self.feed.take(answer) {
+            Ok(answer) => match self.take(answer).await {
                 Ok(_) => Heard::InStep,
                 Err(_) => Heard::Useless,
             },
@@ -256,6 +270,16 @@
         heard
     }
 
+    /// Puts an answer in force on a thread of its own: a large document takes a while to check.
+    async fn take(&self, answer: Followed) -> Result<bool, FeedError> {
+        if matches!(&answer, Followed::Unchanged { revision } if *revision > 0) {
+            return Ok(false);
+        }
+        let feed = Arc::clone(&self.feed);
+        let taken = spawn_blocking(move || feed.take(answer)).await;
+        taken.expect("checking a document does not panic")
+    }
+
     fn heard(&self, at: usize) {
         let name = self.sources[at].name();
         self.source.send_if_modified(|source| {
--- a/crates/link/src/keeper.rs
+++ b/crates/link/src/keeper.rs
@@ -34,6 +34,8 @@
         /// The first revision wanted.
         from: u64,
     },
+    /// Asks for the keeper's own wall clock.
+    Clock,
     /// Changes the keepers' own group.
     Member {
         /// The VM of the keeper that it is about.
@@ -156,6 +158,11 @@
     Change(ChangeReply),
     /// To [`KeeperRequest::Audit`]: records in order of their revisions; empty past the newest.
     Audit(Vec<AuditRecord>),
+    /// To [`KeeperRequest::Clock`].
+    Clock {
+        /// Milliseconds since the Unix epoch.
+        now_ms: u64,
+    },
     /// To [`KeeperRequest::Member`]: committed, or was before.
     MemberChanged,
     /// No quorum answers; nothing was applied that this keeper knows of, and a resend is safe.
