--- a/crates/bench/src/experiment/fleet.rs
+++ b/crates/bench/src/experiment/fleet.rs
@@ -91,6 +91,8 @@
     pub(crate) starter: Starter,
     pub(crate) keepers: Vec<KeeperRole>,
     pub(crate) controllers: Vec<(VmName, Role)>,
+    /// What went wrong at the start without stopping it.
+    notes: Vec<String>,
 }
 
 /// A running fleet; dropping it ends all its processes.
@@ -141,8 +143,8 @@
             gates,
             directory: Directory::default(),
             workers,
+            notes: own.as_ref().map_or_else(Vec::new, |own| own.notes.clone()),
             own,
-            notes: Vec::new(),
         };
         fleet.gates_changed();
         fleet.ready().await?;
@@ -179,16 +181,12 @@
             return Ok(());
         }
         let until = Instant::now() + READY_LIMIT;
-        let mut waiting = self
-            .gates
-            .iter()
-            .filter_map(Gate::address)
-            .collect::<Vec<_>>();
+        let mut waiting: Vec<&Gate> = self.gates.iter().collect();
         while Instant::now() < until {
             let mut still = Vec::new();
-            for address in waiting {
-                if !self.is_ready(address).await {
-                    still.push(address);
+            for gate in waiting {
+                if !self.is_ready(gate).await {
+                    still.push(gate);
                 }
             }
             waiting = still;
@@ -199,10 +197,14 @@
             }
             sleep(Duration::from_millis(100)).await;
         }
-        eyre::bail!("{} gates did not get ready", waiting.len())
+        let names: Vec<&str> = waiting.iter().map(|g| g.vm.name.as_str()).collect();
+        eyre::bail!("not ready after {READY_LIMIT:?}: {}", names.join(", "))
     }
 
-    async fn is_ready(&self, address: SocketAddr) -> bool {
+    async fn is_ready(&self, gate: &Gate) -> bool {
+        let Some(address) = gate.address() else {
+            return false;
+        };
         let revision = get(&self.client, address, "/v1/revision").await;
         let revision = revision.and_then(|v| v["revision"].as_u64());
         revision.is_some_and(|r| r > 0) && get(&self.client, address, "/readyz").await.is_some()
@@ -314,6 +316,7 @@
     roles::declare(client, &keepers, deployment.document).await?;
     let mut gates = Vec::new();
     let mut controllers = Vec::new();
+    let mut notes = Vec::new();
     for vm in &starter.vms.all {
         let role = starter.gate(vm).await?;
         gates.push(Gate {
@@ -321,12 +324,16 @@
             proxy: caller_proxy(deployment, role.http).await?,
             body: GateBody::Role(Box::new(role)),
         });
-        controllers.push((vm.clone(), starter.controller(vm).await?));
+        match starter.controller(vm).await {
+            Ok(role) => controllers.push((vm.clone(), role)),
+            Err(e) => notes.push(format!("without a controller on {}: {e:#}", vm.name)),
+        }
     }
     let own = Own {
         starter,
         keepers,
         controllers,
+        notes,
     };
     Ok((gates, own))
 }
--- a/crates/bench/src/experiment/net.rs
+++ b/crates/bench/src/experiment/net.rs
@@ -26,10 +26,19 @@
     proxy: Proxy,
 }
 
+/// Where something listens now.
+#[derive(Debug)]
+struct Upstream {
+    vm: String,
+    listener: Listener,
+    address: SocketAddr,
+}
+
 /// All wires of a fleet.
 #[derive(Debug)]
 pub(crate) struct Net {
     wires: Mutex<Vec<Wire>>,
+    upstreams: Mutex<Vec<Upstream>>,
     az_distance: Duration,
     seed: u64,
 }
@@ -38,6 +47,7 @@
     pub(crate) fn new(az_distance: Duration, seed: u64) -> Self {
         Self {
             wires: Mutex::default(),
+            upstreams: Mutex::default(),
             az_distance,
             seed,
         }
@@ -55,6 +65,9 @@
         }
         let proxy = Proxy::start(self.seed).await?;
         proxy.set_rules(self.rules(from, to, false));
+        if let Some(upstream) = self.upstream(&to.name, listener) {
+            proxy.set_upstream(upstream);
+        }
         let address = proxy.address();
         self.wires().push(Wire {
             from: from.clone(),
@@ -75,6 +88,16 @@
         wires.iter().find(is_it).map(|w| w.proxy.address())
     }
 
+    fn upstreams(&self) -> std::sync::MutexGuard<'_, Vec<Upstream>> {
+        self.upstreams.lock().expect("no panic under this lock")
+    }
+
+    fn upstream(&self, vm: &str, listener: Listener) -> Option<SocketAddr> {
+        let upstreams = self.upstreams();
+        let is_it = |u: &&Upstream| u.vm == vm && u.listener == listener;
+        upstreams.iter().find(is_it).map(|u| u.address)
+    }
+
     fn rules(&self, from: &VmName, to: &VmName, is_cut: bool) -> Rules {
         let mut rules = match from.az == to.az {
             true => Rules::default(),
@@ -88,6 +111,14 @@
 
     /// Tells all wires to `listener` of VM `to` where it listens now.
     pub(crate) fn set_upstream(&self, to: &str, listener: Listener, address: SocketAddr) {
+        let mut upstreams = self.upstreams();
+        upstreams.retain(|u| u.vm != to || u.listener != listener);
+        upstreams.push(Upstream {
+            vm: to.to_owned(),
+            listener,
+            address,
+        });
+        drop(upstreams);
         let wires = self.wires();
         let is_it = |w: &&Wire| w.to.name == to && w.listener == listener;
         wires
