--- a/crates/bench/src/stand_in/completions.rs
+++ b/crates/bench/src/stand_in/completions.rs
@@ -76,21 +76,13 @@
         _ => {}
     }
     let Some((reader, offset)) = open(shared, headers, &name, &req) else {
-        let why = if req.resume.is_some() {
-            "no such call to resume"
-        } else {
-            "queue is full"
-        };
-        let status = if req.resume.is_some() {
-            StatusCode::NOT_FOUND
-        } else {
-            StatusCode::SERVICE_UNAVAILABLE
-        };
-        return refuse(status, why);
+        return refuse(StatusCode::SERVICE_UNAVAILABLE, "queue is full");
     };
     Ok(respond(shared, &name, fault, reader, offset, req.stream))
 }
 
+/// The generation to read and the offset to read it from. A call to resume that is not known here
+/// ran on another engine; it is generated anew, which gives the same text.
 fn open(
     shared: &Arc<Shared>,
     headers: &HeaderMap,
@@ -98,14 +90,16 @@
     req: &Completion,
 ) -> Option<(Reader, u64)> {
     let engine = shared.engine.as_ref()?;
-    if let Some(resume) = &req.resume {
-        return Some((engine.resume(&resume.call, resume.offset)?, resume.offset));
+    let offset = req.resume.as_ref().map_or(0, |resume| resume.offset);
+    let known = req.resume.as_ref();
+    if let Some(reader) = known.and_then(|r| engine.resume(&r.call, r.offset)) {
+        return Some((reader, offset));
     }
     let asked = header(headers, "jujube-priority").and_then(|text| text.parse().ok());
     let priority = req.priority.or(asked).unwrap_or(0);
     let max_tokens = req.max_tokens.unwrap_or(MAX_TOKENS);
     let reader = engine.submit(name.clone(), &req.prompt, max_tokens, priority)?;
-    Some((reader, 0))
+    Some((reader, offset))
 }
 
 fn respond(
--- a/crates/bench/tests/stand_in.rs
+++ b/crates/bench/tests/stand_in.rs
@@ -140,6 +140,21 @@
     assert!(is_done);
 }
 
+#[tokio::test]
+async fn another_engine_takes_up_a_stream_at_the_same_offset() {
+    let engine = stand_in("plan", Kind::Engine).await;
+    let whole = engine_text("plan", "[len:20] tug", 64);
+    let offset = 16;
+    let resume = json!({
+        "model": "m", "prompt": "[len:20] tug", "max_tokens": 64, "stream": true,
+        "resume": { "call": "of another engine", "offset": offset },
+    });
+    let (chunks, is_done) = stream(&engine, "c1", resume).await;
+    assert_eq!(chunks[0]["offset"], offset);
+    assert_eq!(text_of(&chunks), whole[offset..]);
+    assert!(is_done);
+}
+
 #[tokio::test]
 async fn a_lost_chunk_shows_in_the_offsets() {
     let engine = stand_in("plan", Kind::Engine).await;
