--- a/crates/bench/src/check/evidence.rs
+++ b/crates/bench/src/check/evidence.rs
@@ -39,6 +39,9 @@
     pub output: Option<Value>,
     /// The text streamed, where it was a stream.
     pub streamed: Option<String>,
+    /// When the caller was told to come back, in milliseconds.
+    #[serde(default)]
+    pub retry_after_ms: Option<u64>,
     /// The problem's own words.
     pub detail: String,
 }
--- a/crates/bench/src/check/judge.rs
+++ b/crates/bench/src/check/judge.rs
@@ -28,6 +28,7 @@
         found.extend(cut_request(evidence, request));
     }
     found.extend(lost_results(evidence));
+    found.extend(stale_orders(evidence));
     found.extend(reverted_revisions(evidence));
     found
 }
@@ -181,6 +182,27 @@
     lost
 }
 
+/// Journals are in the order of each endpoint's own work.
+fn stale_orders(evidence: &Evidence) -> Vec<Violation> {
+    let mut newest: BTreeMap<&str, u64> = BTreeMap::new();
+    let mut stale = Vec::new();
+    for entry in &evidence.journals {
+        let Event::Ordered { fencing, .. } = entry.event else {
+            continue;
+        };
+        let newest = newest.entry(&entry.endpoint).or_default();
+        if fencing < *newest {
+            stale.push(Violation::StaleOrder {
+                endpoint: entry.endpoint.clone(),
+                newest: *newest,
+                obeyed: fencing,
+            });
+        }
+        *newest = fencing.max(*newest);
+    }
+    stale
+}
+
 /// Revision 0 is that of a gate that has just started and knows none yet.
 fn reverted_revisions(evidence: &Evidence) -> Vec<Violation> {
     let mut newest: BTreeMap<&str, u64> = BTreeMap::new();
--- a/crates/bench/src/check/violation.rs
+++ b/crates/bench/src/check/violation.rs
@@ -57,6 +57,15 @@
         /// The request's mark.
         subject: String,
     },
+    /// An endpoint obeyed an order with a lower fencing number than one before.
+    StaleOrder {
+        /// The endpoint.
+        endpoint: String,
+        /// The higher fencing number that it had obeyed.
+        newest: u64,
+        /// The lower one that it obeyed after that.
+        obeyed: u64,
+    },
     /// A gate went back to an older revision.
     RevertedRevision {
         /// The gate.
@@ -80,6 +89,7 @@
             Self::InventedResult { .. } => "invented_result",
             Self::LostResult { .. } => "lost_result",
             Self::CutRequest { .. } => "cut_request",
+            Self::StaleOrder { .. } => "stale_order",
             Self::RevertedRevision { .. } => "reverted_revision",
         }
     }
@@ -104,6 +114,11 @@
                 write!(f, "request {subject} never ran at {service}")
             }
             Self::LostResult { key } => write!(f, "key {key}"),
+            Self::StaleOrder {
+                endpoint,
+                newest,
+                obeyed,
+            } => write!(f, "{endpoint} obeyed {obeyed} after {newest}"),
             Self::RevertedRevision { gate, from, to } => {
                 write!(f, "{gate} went from {from} back to {to}")
             }
--- a/crates/bench/src/experiment/workers.rs
+++ b/crates/bench/src/experiment/workers.rs
@@ -130,11 +130,12 @@
         (stand_ins.iter().filter(has).count(), stand_ins.len())
     }
 
-    /// Everything that was run.
+    /// Everything that was run, in the order of time.
     pub(crate) fn journals(&self) -> Vec<JournalEntry> {
         let stand_ins = self.workers.iter().filter_map(|w| w.stand_in.as_ref());
         let mut all: Vec<JournalEntry> = stand_ins.flat_map(StandIn::journal).collect();
         all.extend(self.kept.iter().cloned());
+        all.sort_by_key(|entry| entry.at_ms);
         all
     }
 }
--- a/crates/bench/src/load/caller.rs
+++ b/crates/bench/src/load/caller.rs
@@ -23,7 +23,7 @@
 
 /// How long after the deadline a caller still waits for a final answer.
 const GRACE: Duration = Duration::from_secs(3);
-/// Pause before a booking is asked about again.
+/// Shortest pause before a booking is asked about again.
 const ASK_AGAIN: Duration = Duration::from_millis(200);
 /// How often a booking is asked about at most.
 const MAX_ATTEMPTS: usize = 4;
@@ -116,16 +116,18 @@
     loop {
         let attempt = attempt(cfg, &arrival, &request, until, &mut times).await;
         let told = attempt.reply.told;
+        let asked = Duration::from_millis(attempt.reply.retry_after_ms.unwrap_or(0));
+        let pause = ASK_AGAIN.max(asked);
         request.attempts.push(attempt);
         let is_open = matches!(
             told,
             Told::Broken | Told::Nothing | Told::Unknown | Told::NotRun
         );
         let may_ask = needs_key && is_open && request.attempts.len() < MAX_ATTEMPTS;
-        if !may_ask || Instant::now() + ASK_AGAIN >= until {
+        if !may_ask || Instant::now() + pause >= until {
             break;
         }
-        sleep(ASK_AGAIN).await;
+        sleep(pause).await;
     }
     let latency = intended.elapsed();
     let last = request.attempts.last().map(|attempt| attempt.reply.told);
@@ -174,6 +176,7 @@
         status,
         output: None,
         streamed: None,
+        retry_after_ms: None,
         detail,
     }
 }
@@ -273,6 +276,7 @@
         _ => format!("{}: {}", value["type"], value["detail"]),
     };
     let mut reply = reply(told, status, detail);
+    reply.retry_after_ms = value["retry_after_ms"].as_u64();
     reply.output = (told == Told::Completed).then(|| value["output"].clone());
     reply
 }
--- a/crates/bench/tests/check.rs
+++ b/crates/bench/tests/check.rs
@@ -70,6 +70,7 @@
         status: 200,
         output,
         streamed,
+        retry_after_ms: None,
         detail: String::new(),
     };
     Request {
@@ -214,6 +215,17 @@
         prop_assert_eq!(names(&evidence), ["reverted_revision"]);
     }
 
+    #[test]
+    fn an_order_with_an_old_fencing_number_that_was_obeyed_is_found(n in 1_u64..20) {
+        let mut evidence = sound(20);
+        for fencing in [n, n + 1, n] {
+            let event = Event::Ordered { fencing, action: "load m 2".to_owned() };
+            let order = entry("plan", &evidence.requests[1], 9_000 + fencing, event);
+            evidence.journals.push(order);
+        }
+        prop_assert_eq!(names(&evidence), ["stale_order"]);
+    }
+
     #[test]
     fn an_invented_result_is_found(n in 0_usize..20) {
         let mut evidence = sound(20);
