--- a/crates/replica/src/apply.rs
+++ b/crates/replica/src/apply.rs
@@ -27,6 +27,7 @@
     mut changed: watch::Receiver<u64>,
 ) {
     let mut snapshot_index = shared.core().applied;
+    let mut bytes = 0;
     loop {
         // Seen before looking, so that a change after the look is not missed.
         changed.borrow_and_update();
@@ -42,11 +43,14 @@
         }
         for entry in &batch {
             apply(&shared, &mut machine, entry);
+            bytes += entry.weight() as u64;
         }
         let applied = shared.core().applied;
-        if applied - snapshot_index >= shared.cfg.snapshot_after {
-            take_snapshot(&shared, &mut machine, applied).await;
+        let is_due = applied - snapshot_index >= shared.cfg.snapshot_after;
+        if is_due || bytes >= shared.cfg.snapshot_bytes {
+            machine = take_snapshot(&shared, machine, applied).await;
             snapshot_index = applied;
+            bytes = 0;
         }
         tokio::task::yield_now().await;
     }
@@ -150,7 +154,11 @@
     Some(index)
 }
 
-async fn take_snapshot(shared: &Arc<Shared>, machine: &mut StateMachine, index: u64) {
+async fn take_snapshot(
+    shared: &Arc<Shared>,
+    mut machine: StateMachine,
+    index: u64,
+) -> StateMachine {
     let meta = {
         let core = shared.core();
         SnapshotMeta {
@@ -159,7 +167,17 @@
             members: core.log.members_at(index).clone(),
         }
     };
-    let state = ByteBuf::from((machine.snapshot)());
+    let encode = move || {
+        let state = ByteBuf::from((machine.snapshot)());
+        (machine, state)
+    };
+    // A large state takes its time, which the runtime's threads don't have.
+    let (machine, state) = match shared.disk.is_blocking {
+        true => tokio::task::spawn_blocking(encode)
+            .await
+            .expect("encoding the state does not panic"),
+        false => encode(),
+    };
     let snapshot = Snapshot { meta, state };
     let kept = index.saturating_sub(shared.cfg.snapshot_after / KEPT_SHARE);
     // Under the store's lock, since a snapshot from the leader may come meanwhile.
@@ -167,4 +185,5 @@
     if written.await.is_ok() {
         shared.core().log.compact(kept, index);
     }
+    machine
 }
--- a/crates/replica/src/replicate.rs
+++ b/crates/replica/src/replicate.rs
@@ -31,6 +31,7 @@
 /// What came of one request.
 struct Landed {
     epoch: u64,
+    has_entries: bool,
     sent_at: Instant,
     round: u64,
     response: Option<Response>,
@@ -202,12 +203,14 @@
         let shared = Arc::clone(&self.shared);
         let (peer, term, epoch) = (self.peer.clone(), self.term, self.epoch);
         let (sent_at, round) = (Instant::now(), append.round);
+        let has_entries = !append.entries.is_empty();
         self.sent_commit = append.commit;
         self.sent_round = round;
         self.flying.push(Box::pin(async move {
             let response = shared.ask(&peer, term, Ask::Append(append), limit).await;
             Landed {
                 epoch,
+                has_entries,
                 sent_at,
                 round,
                 response,
@@ -218,7 +221,8 @@
     async fn take(&mut self, landed: Landed) {
         let is_current = landed.epoch == self.epoch;
         let Some(response) = landed.response else {
-            self.start_over(is_current);
+            // A lost heartbeat took nothing with it.
+            self.start_over(is_current && landed.has_entries);
             return;
         };
         if response.term > self.term {
@@ -238,7 +242,8 @@
                 let (last, runs) = (*last, runs.clone());
                 self.epoch += u64::from(is_current);
                 self.note(&response, landed.sent_at, landed.round, |progress, core| {
-                    if is_current {
+                    // While probing nothing else is under way that this could upset.
+                    if is_current || progress.is_probing {
                         let shared = core.log.shared_with(last, &runs);
                         progress.next = shared.unwrap_or(0).max(progress.matched) + 1;
                         progress.is_probing = false;
@@ -289,6 +294,7 @@
                 false => Progress::new(next),
             };
             progress.identity = Some(response.identity);
+            self.warn_of_stranger(&core, response);
         }
         progress.round = progress.round.max(round);
         progress.answered = progress.answered.max(Some(sent_at));
@@ -299,6 +305,17 @@
         self.shared.wake();
     }
 
+    /// Says once that a member's folder is not the one that it was added with.
+    fn warn_of_stranger(&self, core: &Core, response: &Response) {
+        let known = core.log.members().get(&self.peer).and_then(|m| m.identity);
+        if known.is_some_and(|known| known != response.identity) {
+            spdlog::warn!(
+                "a member's folder was replaced, it doesn't count: remove it and add it again",
+                kv: { replica = self.shared.cfg.name.as_str(), peer = self.peer.as_str() }
+            );
+        }
+    }
+
     /// Sends the last snapshot part by part, then entries go on behind it.
     async fn send_snapshot(&mut self) {
         let disk = self.shared.disk.clone();
