Refill a keeper whose disk lost what it had synced

Cause: the leader never went back behind what a follower had confirmed, so a folder cut behind its last sync got the same refusal for ever.

--- a/crates/replica/src/replicate.rs
+++ b/crates/replica/src/replicate.rs
@@ -244,8 +244,10 @@
                 self.note(&response, landed.sent_at, landed.round, |progress, core| {
                     // While probing nothing else is under way that this could upset.
                     if is_current || progress.is_probing {
-                        let shared = core.log.shared_with(last, &runs);
-                        progress.next = shared.unwrap_or(0).max(progress.matched) + 1;
+                        let shared = core.log.shared_with(last, &runs).unwrap_or(0);
+                        // A disk may lose what it had synced: the log there is what counts.
+                        progress.matched = progress.matched.min(shared);
+                        progress.next = shared + 1;
                         progress.is_probing = false;
                     }
                 });
