Take over the neighbours' endpoints before a gate is ready

A restarted gate answered its first requests with not_run until endpoints announced themselves to it.

--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -1,6 +1,9 @@
 //! What all requests of one gate share.
 
-use std::sync::Arc;
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, Ordering},
+};
 
 use link::follower::{Follower, InForce};
 use tokio::sync::watch;
@@ -33,6 +36,8 @@
     pub(crate) budget: Budget,
     /// Whether the order to stop was given.
     pub(crate) draining: watch::Sender<bool>,
+    /// Whether neighbours were asked for the endpoints that they know.
+    pub(crate) is_warm: AtomicBool,
 }
 
 impl Gate {
@@ -48,6 +53,7 @@
 
     /// Whether a balancer may send requests here.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_draining() && self.declared.borrow().is_some()
+        let is_warm = self.is_warm.load(Ordering::Acquire);
+        is_warm && !self.is_draining() && self.declared.borrow().is_some()
     }
 }
--- a/crates/gate/src/pages.rs
+++ b/crates/gate/src/pages.rs
@@ -30,8 +30,8 @@
                 Problem::new(503, "draining", "Draining", "the gate is stopping").render(res);
             }
             false => {
-                let what = "no declaration is known here yet";
-                Problem::new(503, "no-declaration", "No declaration", what).render(res);
+                let what = "the declaration or the neighbours' endpoints are not known here yet";
+                Problem::new(503, "starting", "Starting", what).render(res);
             }
         }
     }
--- a/crates/gate/src/start.rs
+++ b/crates/gate/src/start.rs
@@ -1,6 +1,13 @@
 //! Brings a gate up, and down again without cutting anything off.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use host::{
     http::{self, Bounds},
@@ -60,12 +67,20 @@
     let link = listener.local_addr()?;
     let bound = http::bind(cfg.http).await?;
     let local = bound.local;
-    let gate = Arc::new(build(cfg, &links));
+    let gates = connect(&cfg.gates, &links);
+    let gate = Arc::new(build(cfg, &links, &gates));
+    let warming = tokio::spawn(warm(Arc::clone(&gate), gates));
     let serving = serve_links(&gate, listener, links);
     let bounds = bounds(&gate.cfg);
     let (handle, server) = http::serve_within(bound, router(&gate), &bounds);
     let reaper = tokio::spawn(gate.pool.clone().reap());
-    let task = tokio::spawn(drain(gate, stopped, handle, server, vec![serving, reaper]));
+    let task = tokio::spawn(drain(
+        gate,
+        stopped,
+        handle,
+        server,
+        vec![serving, reaper, warming],
+    ));
     Ok(Running {
         http: local,
         link: Some(link),
@@ -73,21 +88,32 @@
     })
 }
 
-fn build(cfg: Config, links: &LinkConfig) -> Gate {
-    let connect = |peers: &[PeerSetting]| -> Vec<Peer> {
-        let peers = peers.iter();
-        peers
-            .map(|peer| Peer::start(&peer.name, peer.address, links))
-            .collect()
-    };
-    let (keepers, gates) = (connect(&cfg.keepers), connect(&cfg.gates));
-    let sources = keepers.iter().chain(&gates).cloned().collect();
+/// Starts a link to each of `peers`.
+fn connect(peers: &[PeerSetting], links: &LinkConfig) -> Vec<Peer> {
+    let peers = peers.iter();
+    peers
+        .map(|peer| Peer::start(&peer.name, peer.address, links))
+        .collect()
+}
+
+/// Takes over what a neighbour knows of endpoints, so that a restarted gate is useful at once; one
+/// whose neighbours do not answer goes on without.
+async fn warm(gate: Arc<Gate>, gates: Vec<Peer>) {
+    if !gates.is_empty() {
+        gate.route.table().warm(&gates).await;
+    }
+    gate.is_warm.store(true, Ordering::Release);
+}
+
+fn build(cfg: Config, links: &LinkConfig, gates: &[Peer]) -> Gate {
+    let keepers = connect(&cfg.keepers, links);
+    let sources = keepers.iter().chain(gates).cloned().collect();
     let follower = Follower::start(sources, FollowerConfig::default());
     let (vm, az) = (&cfg.vm.name, &cfg.vm.availability_zone);
     let table = Table::new(TableConfig::new(vm, az));
     let mut names: Vec<String> = cfg.gates.iter().map(|gate| gate.name.clone()).collect();
     names.push(vm.clone());
-    table.start_spread(gates);
+    table.start_spread(gates.to_vec());
     let inflight = Inflight::new();
     let ledger_cfg = LedgerConfig {
         intent: cfg.timing.intent,
@@ -110,6 +136,7 @@
         inflight,
         budget: Budget::new(cfg.limits.buffered_bytes),
         draining: watch::Sender::new(false),
+        is_warm: AtomicBool::new(false),
         cfg,
     }
 }
--- a/crates/gate/tests/env/mod.rs
+++ b/crates/gate/tests/env/mod.rs
@@ -71,6 +71,7 @@
 pub struct Gate {
     child: Child,
     pub http: SocketAddr,
+    pub link: SocketAddr,
 }
 
 impl Env {
@@ -106,16 +107,17 @@
             .spawn()
             .unwrap();
         let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
-        let http = loop {
+        let (http, link) = loop {
             let line = lines.next().expect("the gate listens").unwrap();
             let line: Value = serde_json::from_str(&line).unwrap_or_default();
             if line["payload"] == "listening" {
-                break line["kv"]["http"].as_str().unwrap().parse().unwrap();
+                let address = |name: &str| line["kv"][name].as_str().unwrap().parse().unwrap();
+                break (address("http"), address("link"));
             }
         };
         // The log goes on; nobody may stop reading it.
         std::thread::spawn(move || lines.for_each(drop));
-        let gate = Self { child, http };
+        let gate = Self { child, http, link };
         gate.until("/readyz", |a| a.status == 200).await;
         gate
     }
--- a/crates/gate/tests/limits.rs
+++ b/crates/gate/tests/limits.rs
@@ -120,3 +120,27 @@
     assert_eq!(desk.calls().len() + spare.calls().len(), 4);
     assert!(gate.metric("jujube_hedges_total", "book").await < 1.0);
 }
+
+#[tokio::test]
+async fn the_pause_that_an_endpoint_asks_for_is_kept() {
+    let env = Env::start().await;
+    let gate = env.gate("g").await;
+    let look = StandIn::start("look-1", "look", |call| match call.nth {
+        0 => {
+            let headers = vec![
+                ("jujube-outcome", "not_run".to_owned()),
+                ("retry-after", "1".to_owned()),
+            ];
+            Reply::Status(503, headers, String::new())
+        }
+        _ => Reply::Json(output(&json!(1))),
+    })
+    .await;
+    gate.knows(&look).await;
+    let start = Instant::now();
+    let answer = gate
+        .ask("find", &[("jujube-deadline-ms", "10000")], json!(1))
+        .await;
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    assert!(start.elapsed() >= Duration::from_secs(1));
+}
--- a/crates/gate/tests/requests.rs
+++ b/crates/gate/tests/requests.rs
@@ -200,3 +200,43 @@
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
 }
+
+#[tokio::test]
+async fn a_gate_that_starts_knows_its_neighbours_endpoints() {
+    let env = Env::start().await;
+    let old = env.gate("old").await;
+    let look = StandIn::start("look-1", "look", |_| Reply::Json(output(&json!("found")))).await;
+    old.knows(&look).await;
+    let new = env
+        .gate_with("new", &format!("[gates]\nold = {}\n", old.link))
+        .await;
+    let answer = new.ask("find", &[], json!(1)).await;
+    assert_eq!(answer.status, 200, "{}", answer.text());
+}
+
+#[tokio::test]
+async fn a_leaving_endpoint_gets_no_new_work_and_ends_what_it_has() {
+    let env = Env::start().await;
+    let gate = env.gate("g").await;
+    let look = StandIn::start("look-1", "look", |_| {
+        Reply::Later(Duration::from_millis(300), output(&json!("found")))
+    })
+    .await;
+    gate.knows(&look).await;
+    let (first, second) = tokio::join!(gate.ask("find", &[], json!(1)), async {
+        look.until_called(1).await;
+        let mut leaving = look.announcement();
+        leaving["state"] = json!("leaving");
+        let told = env::client::post(gate.http, "/v1/announce", &[], &leaving).await;
+        assert_eq!(told.unwrap().status, 200);
+        gate.ask("find", &[], json!(1)).await
+    });
+    assert_eq!(first.json()["output"], "found", "{}", first.text());
+    assert_eq!(
+        (second.status, &*second.outcome()),
+        (503, "not_run"),
+        "{}",
+        second.text()
+    );
+    assert_eq!(look.calls().len(), 1);
+}
