--- a/crates/membership/src/remote.rs
+++ b/crates/membership/src/remote.rs
@@ -34,6 +34,7 @@
             if let Some(identity) = peer.identity()
                 && identity.az != table.config().az
             {
+                table.note_foreign(peer.name());
                 by_az.entry(identity.az).or_default().push(peer);
             }
         }
--- a/crates/membership/src/spread.rs
+++ b/crates/membership/src/spread.rs
@@ -45,7 +45,8 @@
 
 impl Table {
     /// Starts the tasks that keep this table equal to those of the gates behind `gates`; needed
-    /// without any gates too, since it also removes endpoints that are gone.
+    /// without any gates too, since it also removes endpoints that are gone. The first gate that
+    /// answers fills the table.
     pub fn start_spread(&self, gates: Vec<Peer>) {
         let own = self.config().gate.as_str();
         let mut ring = gates.clone();
@@ -55,6 +56,8 @@
             tokio::spawn(push(self.clone(), peer, at));
         }
         tokio::spawn(sweep(self.clone()));
+        let (warming, first) = (self.clone(), gates.clone());
+        tokio::spawn(async move { warming.warm(&first).await });
         tokio::spawn(sample_others(self.clone(), gates.clone()));
         tokio::spawn(exchange_often(self.clone(), gates));
     }
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -1,7 +1,7 @@
 //! The endpoints' table of one gate.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     sync::{Arc, Mutex, MutexGuard, RwLock},
 };
 
@@ -56,6 +56,8 @@
     state: Mutex<State>,
     services: RwLock<HashMap<String, Arc<ServiceSnapshot>>>,
     changed: watch::Sender<u64>,
+    /// Gates that said that they are of another availability zone.
+    foreign: RwLock<BTreeSet<String>>,
 }
 
 impl Table {
@@ -68,6 +70,7 @@
             id: uuid::Uuid::new_v4(),
             services: RwLock::default(),
             changed: watch::Sender::new(0),
+            foreign: RwLock::default(),
         };
         Self {
             shared: Arc::new(shared),
@@ -125,6 +128,25 @@
         services.keys().cloned().collect()
     }
 
+    /// Names of gates that are of another availability zone, as far as they have said so.
+    pub fn foreign_gates(&self) -> BTreeSet<String> {
+        let foreign = self.shared.foreign.read();
+        foreign.expect("no holder of this lock panics").clone()
+    }
+
+    /// How many gates are known to be of another availability zone; it only grows.
+    pub fn foreign_count(&self) -> usize {
+        let foreign = self.shared.foreign.read();
+        foreign.expect("no holder of this lock panics").len()
+    }
+
+    /// Notes that `gate` is of another availability zone.
+    pub fn note_foreign(&self, gate: &str) {
+        let foreign = self.shared.foreign.write();
+        let mut foreign = foreign.expect("no holder of this lock panics");
+        foreign.insert(gate.to_owned());
+    }
+
     /// The table's version, which grows with each change but load and signs of life.
     pub fn changes(&self) -> watch::Receiver<u64> {
         self.shared.changed.subscribe()
--- a/crates/routing/src/need.rs
+++ b/crates/routing/src/need.rs
@@ -37,13 +37,23 @@
     pub avoid: &'a [String],
 }
 
+/// Which versions of a needed model will do.
+#[value]
+#[derive(Copy)]
+pub(crate) enum Versions {
+    /// The one that is needed.
+    Needed,
+    /// Any.
+    Any,
+}
+
 impl Need<'_> {
     /// Whether an endpoint that announced `a` has the model and does the part wanted.
-    pub(crate) fn is_met_by(&self, a: &Announcement) -> bool {
+    pub(crate) fn is_met_by(&self, a: &Announcement, versions: Versions) -> bool {
         let has_model = self.model.is_none_or(|need| {
             a.models.iter().any(|loaded| {
                 loaded.model == need.model
-                    && loaded.version == need.version
+                    && (versions == Versions::Any || loaded.version == need.version)
                     && need.adapters.iter().all(|x| loaded.adapters.contains(x))
             })
         });
--- a/crates/routing/src/pool.rs
+++ b/crates/routing/src/pool.rs
@@ -1,7 +1,7 @@
 //! The endpoints of one service that this gate talks to.
 
 use std::{
-    collections::{BTreeMap, HashMap, HashSet},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     sync::{Arc, Mutex},
 };
 
@@ -30,6 +30,8 @@
 #[derive(Debug)]
 pub(crate) struct Pool {
     pub(crate) version: u64,
+    /// Gates known to be of another availability zone when it was made.
+    pub(crate) foreign: usize,
     /// Those of the own availability zone first.
     slots: Vec<Slot>,
     /// How many of them are of the own availability zone.
@@ -46,6 +48,7 @@
         cfg: &RouterConfig,
         start: Instant,
         snapshot: &ServiceSnapshot,
+        foreign: &BTreeSet<String>,
         old: Option<&Self>,
     ) -> Self {
         let known: HashMap<(&str, Uuid), &Slot> = old
@@ -57,7 +60,7 @@
             Some(slot) => Arc::clone(&slot.stats),
             None => Arc::new(Stats::new(cfg, start)),
         };
-        let chosen = chosen(cfg, snapshot);
+        let chosen = chosen(cfg, snapshot, foreign);
         let slots = snapshot
             .endpoints
             .iter()
@@ -70,6 +73,7 @@
         let (near, far): (Vec<Slot>, Vec<Slot>) = slots.partition(|slot| slot.is_near);
         let pool = Self {
             version: snapshot.version,
+            foreign: foreign.len(),
             near: near.len(),
             slots: near.into_iter().chain(far).collect(),
             latency: old.map_or_else(Arc::default, |pool| Arc::clone(&pool.latency)),
@@ -137,7 +141,11 @@
 
 /// Names of the endpoints that this gate talks to: a subset of those of each availability zone that
 /// are loaded alike, so that a rollout leaves each gate with endpoints of both versions.
-fn chosen<'a>(cfg: &RouterConfig, snapshot: &'a ServiceSnapshot) -> HashSet<&'a str> {
+fn chosen<'a>(
+    cfg: &RouterConfig,
+    snapshot: &'a ServiceSnapshot,
+    foreign: &BTreeSet<String>,
+) -> HashSet<&'a str> {
     let mut alike: BTreeMap<Group<'_>, Vec<&str>> = BTreeMap::new();
     for endpoint in &snapshot.endpoints {
         let a = &endpoint.announced;
@@ -152,7 +160,9 @@
         };
         alike.entry(group).or_default().push(&a.endpoint);
     }
-    let place = Place::of(&cfg.gate, &cfg.gates);
+    let is_near = |gate: &&String| !foreign.contains(*gate);
+    let gates: Vec<String> = cfg.gates.iter().filter(is_near).cloned().collect();
+    let place = Place::of(&cfg.gate, &gates);
     let per_group = alike.iter().flat_map(|(group, names)| {
         let size = match group.az == cfg.az {
             true => subset::size(
--- a/crates/routing/src/score.rs
+++ b/crates/routing/src/score.rs
@@ -9,13 +9,15 @@
 use crate::{
     config::RouterConfig,
     ewma::decay,
-    need::{Need, NoEndpoint},
+    need::{Need, NoEndpoint, Versions},
     pool::{Pool, Slot},
     stats::Stats,
 };
 
 /// Time over which a load report loses half of its weight.
 const REPORT_HALF_LIFE: Duration = Duration::from_secs(2);
+/// By how much an endpoint with another version must be better.
+const OTHER_VERSION_FACTOR: f64 = 1.5;
 /// Candidates drawn at random, besides the one that holds most of the prompt.
 const CANDIDATES: usize = 3;
 /// Up to so many endpoints are all looked at.
@@ -34,6 +36,7 @@
 pub(crate) struct View<'a> {
     pub(crate) cfg: &'a RouterConfig,
     pub(crate) need: &'a Need<'a>,
+    pub(crate) versions: Versions,
     pub(crate) hashes: &'a [u64],
     pub(crate) now: Instant,
     /// Mean time of the service's recent answers in seconds.
@@ -87,7 +90,7 @@
         match () {
             () if !slot.endpoint.is_ready(self.now) => Some(Barrier::NotReady),
             () if !is_allowed => Some(Barrier::NotAllowed),
-            () if !self.need.is_met_by(a) => Some(Barrier::NoModel),
+            () if !self.need.is_met_by(a, self.versions) => Some(Barrier::NoModel),
             () if is_tried || slot.stats.is_ejected(self.now) => Some(Barrier::Tried),
             () if slot.stats.in_flight() >= slot.stats.limit() => Some(Barrier::AtLimit),
             () => None,
@@ -116,8 +119,25 @@
         load(&slot.endpoint, &slot.stats, self.now) / limit >= self.cfg.spill_above
     }
 
-    /// The best of a few candidates among `slots`.
+    /// The best of a few candidates among `slots`; where any version will do, of as many that have
+    /// the needed one as well.
     fn best<'s>(&self, slots: &'s [Slot], rng: &mut SmallRng) -> Result<Candidate<'s>, Barrier> {
+        let best = self.best_drawn(slots, rng)?;
+        if self.versions == Versions::Needed {
+            return Ok(best);
+        }
+        let needed = View {
+            versions: Versions::Needed,
+            ..*self
+        };
+        Ok(best.better(needed.best_drawn(slots, rng).ok()))
+    }
+
+    fn best_drawn<'s>(
+        &self,
+        slots: &'s [Slot],
+        rng: &mut SmallRng,
+    ) -> Result<Candidate<'s>, Barrier> {
         let drawn = self.draw(slots, rng)?;
         let drawn = drawn.iter().flatten().map(|slot| self.candidate(slot));
         let best = drawn.reduce(|best, next| best.better(Some(next)));
@@ -221,11 +241,21 @@
         } else {
             self.cfg.remote_factor
         };
+        let version = match self.versions {
+            Versions::Any
+                if !self
+                    .need
+                    .is_met_by(&slot.endpoint.announced, Versions::Needed) =>
+            {
+                OTHER_VERSION_FACTOR
+            }
+            _ => 1.0,
+        };
         let slow_return = self.cfg.ejection.slow_return;
         let share = slot.stats.returning_share(self.now, slow_return);
         let saving = self.cfg.affinity.max_saving * cached;
         let load = load(&slot.endpoint, &slot.stats, self.now);
-        (load + 1.0) * ratio * distance * (1.0 - saving) / share
+        (load + 1.0) * ratio * distance * version * (1.0 - saving) / share
     }
 
     fn no_endpoint(&self, furthest: Barrier) -> NoEndpoint {
