--- /dev/null
+++ b/crates/controller/tests/plan.rs
@@ -0,0 +1,309 @@
+//! Rollouts against endpoints that follow, refuse, forget and die.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use controller::{
+    Bounds,
+    book::{Book, Release, is_followed},
+    order::{Action, Answer, Task},
+    plan::{World, plan},
+};
+use declaration::{Service, ServiceKind};
+use membership::{EndpointState, EndpointView, LoadedModel, StageRole};
+use proptest::prelude::*;
+use tokio::time::Instant;
+use uuid::Uuid;
+
+const SERVICE: &str = "appraise-llm";
+const MODEL: &str = "appraise-7b";
+const STEP: Duration = Duration::from_millis(500);
+
+fn service(version: u32) -> BTreeMap<String, Service> {
+    let service = Service {
+        kind: ServiceKind::Engine,
+        repeatable: true,
+        model: Some(MODEL.to_owned()),
+        version: Some(version),
+        adapters: vec!["horlogerie".to_owned()],
+        max_tokens: 256,
+    };
+    BTreeMap::from([(SERVICE.to_owned(), service)])
+}
+
+fn loaded(version: u32) -> LoadedModel {
+    LoadedModel {
+        model: MODEL.to_owned(),
+        version,
+        adapters: vec!["horlogerie".to_owned()],
+    }
+}
+
+fn endpoint(name: &str, version: u32) -> EndpointView {
+    EndpointView {
+        endpoint: name.to_owned(),
+        service: SERVICE.to_owned(),
+        az: "z".to_owned(),
+        address: "http://127.0.0.1:9000".to_owned(),
+        incarnation: Uuid::from_u128(1),
+        state: EndpointState::Ready,
+        models: vec![loaded(version)],
+        role: StageRole::Both,
+        checks_fencing: true,
+        calls: 0,
+        silent_ms: 0,
+    }
+}
+
+/// How an endpoint takes an order.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Manner {
+    Follows,
+    LosesAnswer,
+    Refuses,
+    Forgets,
+    Dies,
+}
+
+/// Endpoints, the controller's book, and what has been ordered.
+struct Run {
+    endpoints: BTreeMap<String, EndpointView>,
+    book: Book,
+    bounds: Bounds,
+    now: Instant,
+    in_force: Duration,
+    version: u32,
+    loads: Vec<Instant>,
+    lives: u128,
+}
+
+impl Run {
+    fn new(count: usize, version: u32) -> Self {
+        let named = (0..count).map(|at| format!("e{at}"));
+        Self {
+            endpoints: named.map(|n| (n.clone(), endpoint(&n, version))).collect(),
+            book: Book::default(),
+            bounds: Bounds {
+                load: Duration::from_secs(20),
+                loads_per_minute: 8,
+                ..Bounds::default()
+            },
+            now: Instant::now(),
+            in_force: Duration::ZERO,
+            version,
+            loads: Vec::new(),
+            lives: 1,
+        }
+    }
+
+    fn declare(&mut self, version: u32) {
+        self.version = version;
+        self.in_force = Duration::ZERO;
+    }
+
+    /// One turn of the controller; every order is answered in the manner given.
+    fn turn(&mut self, manner: Manner) -> Result<(), TestCaseError> {
+        self.now += STEP;
+        self.in_force += STEP;
+        let services = service(self.version);
+        let wanted = self.version;
+        self.book.keep_failures(|release| release.version == wanted);
+        self.book.review(&self.endpoints, &self.bounds, self.now);
+        let world = World {
+            services: &services,
+            endpoints: &self.endpoints,
+            in_force: self.in_force,
+            now: self.now,
+        };
+        let planned = plan(&world, &self.book, &self.bounds);
+        for (service, task) in planned.tasks {
+            self.check(&task)?;
+            if task.action == Action::Load {
+                self.loads.push(self.now);
+            }
+            let order = task.order_id(1, self.book.attempt(&task));
+            self.book.enter(task, order, &service, self.now);
+        }
+        for open in self.book.take_due(self.now, |_| true) {
+            let answer = self.obey(&open.task, manner);
+            self.book.answered(open.order, answer, self.now);
+        }
+        Ok(())
+    }
+
+    /// Whether `task` may be ordered now.
+    fn check(&self, task: &Task) -> Result<(), TestCaseError> {
+        let ready = |e: &&EndpointView| e.state == EndpointState::Ready;
+        let all: Vec<&EndpointView> = self.endpoints.values().filter(ready).collect();
+        let allowed = (all.len() * self.bounds.share_percent as usize / 100).max(1);
+        prop_assert!(self.book.open().len() < allowed);
+        let target = &self.endpoints[&task.endpoint];
+        prop_assert_eq!(target.state, EndpointState::Ready);
+        let recent = |at: &&Instant| self.now.duration_since(**at) < Duration::from_mins(1);
+        match task.action {
+            Action::Load => {
+                let is_load = |t: &Task| t.action == Action::Load && t.version == task.version;
+                prop_assert!(!self.book.open().values().any(|open| is_load(&open.task)));
+                let loads = self.loads.iter().filter(recent).count();
+                prop_assert!(loads < self.bounds.loads_per_minute as usize);
+                let release = Release {
+                    service: SERVICE.to_owned(),
+                    model: MODEL.to_owned(),
+                    version: task.version,
+                };
+                let failures = self.book.failures().get(&release).map_or(0, Vec::len);
+                prop_assert!(failures < self.bounds.halt_after as usize);
+            }
+            Action::Unload => {
+                prop_assert_ne!(task.version, self.version);
+                let has = |e: &EndpointView| e.models.contains(&loaded(self.version));
+                prop_assert!(has(target));
+                prop_assert!(self.in_force >= self.bounds.follow);
+                let done = all.iter().filter(|e| has(e)).count();
+                prop_assert!(done * 100 >= all.len() * (100 - self.bounds.share_percent as usize));
+            }
+        }
+        Ok(())
+    }
+
+    fn obey(&mut self, task: &Task, manner: Manner) -> Answer {
+        let Some(endpoint) = self.endpoints.get_mut(&task.endpoint) else {
+            return Answer::Lost("gone".to_owned());
+        };
+        match manner {
+            Manner::Refuses => return Answer::Refused("no".to_owned()),
+            Manner::Forgets => return Answer::Taken,
+            Manner::Dies => {
+                self.lives += 1;
+                endpoint.incarnation = Uuid::from_u128(self.lives);
+                endpoint.models = vec![loaded(3)];
+                return Answer::Lost("reset".to_owned());
+            }
+            Manner::Follows | Manner::LosesAnswer => {}
+        }
+        let other = |m: &LoadedModel| m.version != task.version;
+        endpoint.models.retain(other);
+        if task.action == Action::Load {
+            endpoint.models.push(loaded(task.version));
+        }
+        match manner {
+            Manner::LosesAnswer => Answer::Lost("no answer".to_owned()),
+            _ => Answer::Taken,
+        }
+    }
+
+    fn is_as_declared(&self) -> bool {
+        let expected = [loaded(self.version)];
+        self.endpoints.values().all(|e| e.models == expected)
+    }
+}
+
+fn manner() -> impl Strategy<Value = Manner> {
+    prop_oneof![
+        6 => Just(Manner::Follows),
+        2 => Just(Manner::LosesAnswer),
+        1 => Just(Manner::Refuses),
+        1 => Just(Manner::Forgets),
+        1 => Just(Manner::Dies),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, cases: 128, ..ProptestConfig::default() })]
+
+    #[test]
+    fn orders_stay_within_their_bounds(
+        count in 1..12_usize,
+        turns in prop::collection::vec((manner(), prop::option::weighted(0.02, 3..6_u32)), 1..300),
+        silent in prop::option::of(0..12_usize),
+    ) {
+        let mut run = Run::new(count, 3);
+        run.declare(4);
+        if let Some(endpoint) = silent.and_then(|at| run.endpoints.get_mut(&format!("e{at}"))) {
+            endpoint.state = EndpointState::Leaving;
+        }
+        for (manner, declared) in turns {
+            if let Some(version) = declared {
+                run.declare(version);
+            }
+            run.turn(manner)?;
+        }
+    }
+
+    #[test]
+    fn a_rollout_ends_as_declared_though_answers_are_lost(count in 1..12_usize, lost: u8) {
+        let mut run = Run::new(count, 3);
+        run.declare(4);
+        for turn in 0..1_000_u32 {
+            let manner = match turn % 8 < u32::from(lost % 8) {
+                true => Manner::LosesAnswer,
+                false => Manner::Follows,
+            };
+            run.turn(manner)?;
+        }
+        prop_assert!(run.is_as_declared());
+        prop_assert!(run.book.open().is_empty());
+    }
+}
+
+#[test]
+fn a_version_that_fails_is_halted_and_a_rollback_goes_through() {
+    let mut run = Run::new(8, 3);
+    run.declare(4);
+    for _ in 0..200 {
+        run.turn(Manner::Dies).unwrap();
+    }
+    let (_, failures) = run.book.failures().first_key_value().unwrap();
+    assert_eq!(failures.len(), run.bounds.halt_after as usize);
+    let services = service(4);
+    let world = World {
+        services: &services,
+        endpoints: &run.endpoints,
+        in_force: run.in_force,
+        now: run.now,
+    };
+    let planned = plan(&world, &run.book, &run.bounds);
+    assert!(
+        planned
+            .differences
+            .iter()
+            .all(|d| d.why.starts_with("halted after 2 failures"))
+    );
+    run.declare(3);
+    for _ in 0..100 {
+        run.turn(Manner::Follows).unwrap();
+    }
+    assert!(run.is_as_declared());
+}
+
+#[test]
+fn an_endpoint_that_restarts_with_the_wrong_version_is_put_right() {
+    let mut run = Run::new(4, 4);
+    let restarted = run.endpoints.get_mut("e1").unwrap();
+    restarted.incarnation = Uuid::from_u128(9);
+    restarted.models = vec![loaded(3)];
+    for _ in 0..100 {
+        run.turn(Manner::Follows).unwrap();
+    }
+    assert!(run.is_as_declared());
+}
+
+#[test]
+fn any_controller_gives_a_task_the_same_order_id() {
+    let task = |incarnation| Task {
+        endpoint: "e1".to_owned(),
+        incarnation: Uuid::from_u128(incarnation),
+        action: Action::Load,
+        model: MODEL.to_owned(),
+        version: 4,
+        adapters: Vec::new(),
+    };
+    assert_eq!(task(1).order_id(7, 0), task(1).order_id(7, 0));
+    let other = [
+        task(2).order_id(7, 0),
+        task(1).order_id(8, 0),
+        task(1).order_id(7, 1),
+    ];
+    assert!(!other.contains(&task(1).order_id(7, 0)));
+    assert!(!is_followed(&endpoint("e1", 3), &task(1)));
+    assert!(is_followed(&endpoint("e1", 4), &task(1)));
+}
