--- a/crates/controller/tests/authority.rs
+++ b/crates/controller/tests/authority.rs
@@ -158,12 +158,11 @@
     assert!(granted(false).window(false, start).is_some());
     let after = granted(true);
     assert!(after.window(true, start).is_some());
-    assert!(after.window(false, start + LEASE).is_none());
-    let asked = start + LEASE;
+    assert!(after.window(false, start).is_none());
+    let asked = start + LEASE / 2;
     let renewed = Authority::granted(7, true, asked, asked, LEASE, Some(&after));
-    assert!(
-        renewed
-            .window(false, asked + Duration::from_millis(200))
-            .is_some()
-    );
+    assert!(renewed.window(true, start + LEASE).is_some());
+    assert!(renewed.window(false, start + LEASE).is_none());
+    let margin = Duration::from_millis(200);
+    assert!(renewed.window(false, start + LEASE + margin).is_some());
 }
