A leader whose disk hangs steps down, and says so to proposals that aren't in the log

Cause: with a sync that never ends the leader went on sending heartbeats and took nothing, so the group stood still; and its queued proposals had no answer until the disk went on. Test: a_leader_whose_disk_hangs_is_replaced. A first form of that test hung, for its assert left the disk hanging; the disk is now let go however it ends.

--- a/crates/replica/src/append.rs
+++ b/crates/replica/src/append.rs
@@ -1,6 +1,6 @@
 //! The leader's task that puts proposals into the log, many with one sync.
 
-use std::sync::Arc;
+use std::sync::{Arc, atomic::Ordering};
 
 use tokio::sync::mpsc;
 
@@ -50,8 +50,10 @@
         }
         take_in(&mut core, batch)
     };
-    shared.wake();
-    persist(shared, store, entries).await;
+    if !entries.is_empty() {
+        shared.wake();
+        persist(shared, store, entries).await;
+    }
 }
 
 fn refuse(core: &Core, batch: Vec<Proposal>) {
@@ -69,8 +71,16 @@
 
 fn take_in(core: &mut Core, batch: Vec<Proposal>) -> Vec<Arc<Entry>> {
     let term = core.term;
-    let mut entries = Vec::with_capacity(batch.len());
-    for Proposal { entry, tx } in batch {
+    let mut entries = Vec::new();
+    // One whose proposer was told "not the leader" meanwhile is not appended any more.
+    let wanted = batch.into_iter().filter(|p| !p.tx.is_closed());
+    for Proposal {
+        entry,
+        tx,
+        is_taken,
+    } in wanted
+    {
+        is_taken.store(true, Ordering::SeqCst);
         let index = core.log.last() + 1;
         let entry = Arc::new(Entry {
             index,
--- a/crates/replica/src/core.rs
+++ b/crates/replica/src/core.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::{BTreeMap, VecDeque},
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicBool},
 };
 
 use tokio::{
@@ -24,6 +24,8 @@
 pub(crate) struct Proposal {
     pub entry: Vec<u8>,
     pub tx: ReplyTx,
+    /// Set, under the lock of the shared state, once it is in the log.
+    pub is_taken: Arc<AtomicBool>,
 }
 
 /// A proposal in the log.
@@ -59,6 +61,8 @@
 /// The shared state; locked for short steps only, never over an await.
 pub(crate) struct Core {
     pub role: Role,
+    /// Whether this replica leads, for proposals that wait for the log.
+    pub leading: watch::Sender<bool>,
     pub term: u64,
     pub voted: Option<String>,
     pub leader: Option<String>,
@@ -85,6 +89,8 @@
     pub restore: Option<Snapshot>,
     pub incoming: Option<Snapshot>,
     pub peers: BTreeMap<String, Known>,
+    /// When the write began that the disk has not finished.
+    pub writing: Option<Instant>,
     pub failed: Option<String>,
     pub is_stopping: bool,
 }
@@ -150,6 +156,7 @@
             let result = work(&mut store);
             (store, result)
         };
+        self.core().writing = Some(Instant::now());
         let (store, result) = match self.disk.is_blocking {
             true => match tokio::task::spawn_blocking(work).await {
                 Ok(done) => done,
@@ -159,6 +166,7 @@
             },
             false => work(),
         };
+        self.core().writing = None;
         if let Err(e) = &result {
             self.fail(&e.to_string());
         }
@@ -173,9 +181,7 @@
         }
         spdlog::critical!("replica stopped", kv: { replica = self.cfg.name.as_str(), reason = reason });
         core.failed = Some(reason.to_owned());
-        core.role = Role::Stopped;
-        core.leader = None;
-        core.drop_waiters();
+        core.end();
         drop(core);
         self.stopped.send_replace(true);
         self.wake();
@@ -200,6 +206,13 @@
         self.leader = leader;
         self.progress.clear();
         self.drop_waiters();
+        self.leading.send_replace(false);
+    }
+
+    /// Ends for good.
+    pub(crate) fn end(&mut self) {
+        self.follow(None);
+        self.role = Role::Stopped;
     }
 
     pub(crate) fn is_ended(&self) -> bool {
--- a/crates/replica/src/election.rs
+++ b/crates/replica/src/election.rs
@@ -19,6 +19,9 @@
     vote::Vote,
 };
 
+/// Times of `election_max` that one write of a leader may take.
+const DISK_PATIENCE: u32 = 2;
+
 /// Runs until the replica stops; `take_over` brings the leader's wishes that this one follows it.
 pub(crate) async fn run(shared: Arc<Shared>, mut take_over: mpsc::Receiver<()>) {
     let mut rng = match shared.cfg.seed {
@@ -40,7 +43,7 @@
                 // The next try waits its time, whoever was heard.
                 shared.core().heard_or(Instant::now());
             }
-            false => check_quorum(&shared),
+            false => check_leadership(&shared),
         }
     }
 }
@@ -81,19 +84,23 @@
     core.role != Role::Leader && core.heard.elapsed() >= patience
 }
 
-/// A leader that no quorum answers any more steps down and says so.
-fn check_quorum(shared: &Shared) {
+/// A leader that no quorum answers any more, or whose disk hangs, steps down and says so.
+fn check_leadership(shared: &Shared) {
     let mut core = shared.core();
-    if core.role != Role::Leader || core.has_quorum(shared) {
-        return;
-    }
+    let limit = shared.cfg.timing.election_max * DISK_PATIENCE;
+    let hangs = core.writing.is_some_and(|since| since.elapsed() >= limit);
+    let why = match core.role {
+        Role::Leader if hangs => "the disk hangs",
+        Role::Leader if !core.has_quorum(shared) => "no quorum answers",
+        _ => return,
+    };
     let term = core.term;
     core.follow(None);
     core.heard = Instant::now();
     drop(core);
     shared.wake();
     spdlog::warn!(
-        "stepped down: no quorum answers",
+        "stepped down: {why}",
         kv: { replica = shared.cfg.name.as_str(), term = term }
     );
 }
@@ -290,6 +297,7 @@
         }
         let index = core.log.last() + 1;
         core.role = Role::Leader;
+        core.leading.send_replace(true);
         core.leader = Some(shared.cfg.name.clone());
         core.own_first = index;
         core.led_since = Instant::now();
--- a/crates/replica/src/log.rs
+++ b/crates/replica/src/log.rs
@@ -191,7 +191,7 @@
 
 #[cfg(test)]
 mod tests {
-    use std::sync::Arc;
+    use std::{fmt::Write, sync::Arc};
 
     use expect_test::expect;
     use rand::{RngExt, SeedableRng, rngs::StdRng};
@@ -292,13 +292,14 @@
             }
             let mean = totals.map(|t| t as f64 / ROUNDS as f64);
             let [index, term, all] = mean;
-            table += &format!("{terms:5}  {index:8.2}  {term:7.2}  {all:9.2}\n");
+            writeln!(table, "{terms:5}  {index:8.2}  {term:7.2}  {all:9.2}").unwrap();
         }
         expect![[r#"
             terms  by index  by term  all terms (mean exchanges)
                 2      7.95     0.65       0.65
                 8     18.12     1.45       0.78
                32     21.70     1.77       0.80
-        "#]].assert_eq(&table);
+        "#]]
+        .assert_eq(&table);
     }
 }
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -3,7 +3,10 @@
 use std::{
     collections::{BTreeMap, VecDeque},
     fmt::{self, Debug, Formatter},
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
 };
 
 use tokio::{
@@ -105,13 +108,48 @@
             return Err(ProposeError::Busy);
         }
         let (tx, rx) = oneshot::channel();
-        let sent = self.shared.proposals.try_send(Proposal { entry, tx });
+        let is_taken = Arc::new(AtomicBool::new(false));
+        let proposal = Proposal {
+            entry,
+            tx,
+            is_taken: Arc::clone(&is_taken),
+        };
+        let sent = self.shared.proposals.try_send(proposal);
         sent.map_err(|e| match e {
             mpsc::error::TrySendError::Full(_) => ProposeError::Busy,
             mpsc::error::TrySendError::Closed(_) => ProposeError::Stopped,
         })?;
-        // Dropped by the writer's end only before it was appended.
-        rx.await.unwrap_or(Err(ProposeError::Stopped))
+        self.await_reply(rx, &is_taken).await
+    }
+
+    /// The reply; where leadership goes before the entry is in the log, that is said at once.
+    async fn await_reply(
+        &self,
+        mut rx: oneshot::Receiver<Result<Applied, ProposeError>>,
+        is_taken: &AtomicBool,
+    ) -> Result<Applied, ProposeError> {
+        let mut leading = self.shared.core().leading.subscribe();
+        tokio::select! {
+            biased;
+            // Dropped by the writer's end only before it was appended.
+            reply = &mut rx => return reply.unwrap_or(Err(ProposeError::Stopped)),
+            // An error means that the replica is gone; the reply says so.
+            _ = leading.wait_for(|leads| !*leads) => {}
+        }
+        {
+            // Under this lock the writer takes proposals in, so it can't be in between.
+            let core = self.shared.core();
+            if !is_taken.load(Ordering::SeqCst) {
+                rx.close();
+                return Err(match core.is_ended() {
+                    true => ProposeError::Stopped,
+                    false => ProposeError::NotLeader {
+                        leader: core.leader.clone(),
+                    },
+                });
+            }
+        }
+        rx.await.unwrap_or(Err(ProposeError::Lost))
     }
 
     fn may_lead(&self) -> Result<(), ProposeError> {
@@ -202,9 +240,7 @@
         shared.stopped.send_replace(true);
         {
             let mut core = shared.core();
-            core.role = Role::Stopped;
-            core.leader = None;
-            core.drop_waiters();
+            core.end();
         }
         let tasks = &shared.tasks;
         let mut tasks = std::mem::take(&mut *tasks.lock().unwrap_or_else(PoisonError::into_inner));
@@ -247,6 +283,7 @@
     }
     let core = Core {
         role: Role::Follower,
+        leading: watch::Sender::new(false),
         term: loaded.vote.term,
         voted: loaded.vote.voted,
         leader: None,
@@ -266,6 +303,7 @@
         restore: None,
         incoming: None,
         peers: BTreeMap::new(),
+        writing: None,
         failed: None,
         is_stopping: false,
     };
--- a/crates/replica/tests/common/disk.rs
+++ b/crates/replica/tests/common/disk.rs
@@ -3,7 +3,10 @@
 use std::{
     collections::BTreeMap,
     io,
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, Ordering},
+    },
 };
 
 use rand::{RngExt, SeedableRng, rngs::StdRng};
@@ -28,11 +31,11 @@
 }
 
 #[derive(Clone)]
-pub struct FakeDisk(Arc<Mutex<State>>);
+pub struct FakeDisk(Arc<Mutex<State>>, Arc<AtomicBool>);
 
 impl FakeDisk {
     pub fn new(seed: u64) -> Self {
-        Self(Arc::new(Mutex::new(State {
+        let state = State {
             files: Vec::new(),
             now: BTreeMap::new(),
             synced: BTreeMap::new(),
@@ -41,7 +44,29 @@
             is_off: false,
             is_full: false,
             fails_sync: false,
-        })))
+        };
+        Self(Arc::new(Mutex::new(state)), Arc::default())
+    }
+
+    /// Syncs wait as long as this is set; for tests under the real clock.
+    pub fn hang(&self, hangs: bool) {
+        self.1.store(hangs, Ordering::SeqCst);
+    }
+
+    /// Operations that may hang, so that they belong off the runtime's threads.
+    pub fn slow_disk(&self) -> Disk {
+        let (disk, hangs) = (self.disk(), Arc::clone(&self.1));
+        let sync = Arc::clone(&disk.sync);
+        Disk {
+            sync: Arc::new(move |name| {
+                while hangs.load(Ordering::SeqCst) {
+                    std::thread::sleep(std::time::Duration::from_millis(1));
+                }
+                sync(name)
+            }),
+            is_blocking: true,
+            ..disk
+        }
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
--- a/crates/replica/tests/common/group.rs
+++ b/crates/replica/tests/common/group.rs
@@ -31,6 +31,8 @@
     seed: u64,
     broken: Option<Broken>,
     pub snapshot_after: u64,
+    /// Disks that may hang; for tests under the real clock.
+    pub has_slow_disks: bool,
     next_entry: u64,
 }
 
@@ -51,6 +53,7 @@
             seed,
             broken,
             snapshot_after: 20,
+            has_slow_disks: false,
             next_entry: 0,
         }
     }
@@ -102,7 +105,11 @@
         let node = self.nodes.get_mut(name).unwrap();
         node.history = History::default();
         let machine = self.checks.machine(&node.history);
-        let (disk, connect) = (node.disk.disk(), self.net.connect(name));
+        let disk = match self.has_slow_disks {
+            true => node.disk.slow_disk(),
+            false => node.disk.disk(),
+        };
+        let connect = self.net.connect(name);
         let replica = Replica::start_on(node.cfg.clone(), disk, links, connect, machine).await?;
         node.replica = Some(replica.clone());
         self.net.attach(name, Some(replica));
--- a/crates/replica/tests/faults.rs
+++ b/crates/replica/tests/faults.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use common::{
+    disk::FakeDisk,
     group::{Group, add_learner, elect, names, promote, propose, remove, star},
     paused,
 };
@@ -344,3 +345,52 @@
         assert_eq!(outcome, Err(ProposeError::TooLarge));
     });
 }
+
+/// Lets a disk go on however the test ends, since its thread would wait for ever.
+struct Hanging(FakeDisk);
+
+impl Hanging {
+    fn new(disk: &FakeDisk) -> Self {
+        disk.hang(true);
+        Self(disk.clone())
+    }
+}
+
+impl Drop for Hanging {
+    fn drop(&mut self) {
+        self.0.hang(false);
+    }
+}
+
+/// Under the real clock, since a paused one stands still while a disk blocks.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_whose_disk_hangs_is_replaced() {
+    let mut group = Group::new(16, None);
+    group.has_slow_disks = true;
+    group.add_all(3).await;
+    group.commit().await;
+    let leader = group.leader().await;
+    let name = leader.status().name;
+    let hanging = Hanging::new(&group.nodes[&name].disk);
+    let propose_one = |entry| {
+        let (checks, leader) = (group.checks.clone(), leader.clone());
+        tokio::spawn(async move { propose(&checks, &leader, entry).await })
+    };
+    // The first one is in the log, and the others' disks suffice; the second never gets there.
+    let last = leader.status().last;
+    let first = propose_one(vec![1]);
+    while leader.status().last == last {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let second = propose_one(vec![2]);
+    assert!(first.await.unwrap().is_ok());
+    let told = second.await.unwrap();
+    assert!(
+        matches!(told, Err(ProposeError::NotLeader { .. })),
+        "{told:?}"
+    );
+    group.leader_but(&name).await;
+    group.commit().await;
+    drop(hanging);
+    group.settle().await.unwrap();
+}
