--- a/crates/keeper/examples/measure/distribution.rs
+++ b/crates/keeper/examples/measure/distribution.rs
@@ -27,12 +27,11 @@
 
 use crate::group::{Group, cpu_seconds, document, peer};
 
-const CHANGES: u64 = 100;
 /// Gates that follow the keepers themselves where the others follow gates.
 const RELAYS: usize = 12;
 
-/// Measures `CHANGES` changes of one workspace each, in a document of `workspaces`.
-pub async fn changes(n: usize, workspaces: usize, by_relays: bool) {
+/// Measures `changes` changes of one workspace each, in a document of `workspaces`.
+pub async fn changes(n: usize, workspaces: usize, changes: usize, by_relays: bool) {
     let group = Group::start(true).await;
     let keepers = Keepers::new(group.peers(0));
     let mut base = group.change(&keepers, 0, &document(workspaces)).await;
@@ -59,7 +58,7 @@
     reach(&followers, base).await;
     let start_bytes = bytes.load(Ordering::Relaxed);
     let (mut times, cpu, start) = (Vec::new(), cpu_seconds(), Instant::now());
-    for i in 0..CHANGES {
+    for i in 0..changes {
         let mut change = document(1);
         let (_, text) = change.sections.iter_mut().next_back().unwrap();
         text.entries
@@ -71,7 +70,7 @@
     }
     times.sort();
     let at = |share: f64| times[((times.len() - 1) as f64 * share) as usize];
-    println!("followers {n} workspaces {workspaces} by_relays {by_relays} changes {CHANGES}");
+    println!("followers {n} workspaces {workspaces} by_relays {by_relays} changes {changes}");
     println!(
         "in force everywhere: p50 {:?} p99 {:?} max {:?}",
         at(0.5),
@@ -79,10 +78,10 @@
         at(1.0)
     );
     let used = bytes.load(Ordering::Relaxed) - start_bytes;
-    println!("bytes at one follower a change: {}", used / CHANGES);
+    println!("bytes at one follower a change: {}", used / changes as u64);
     println!(
         "processor time of keepers and followers a change: {:.1} ms over {:?}",
-        (cpu_seconds() - cpu) * 1_000.0 / CHANGES as f64,
+        (cpu_seconds() - cpu) * 1_000.0 / changes as f64,
         start.elapsed()
     );
 }
--- a/crates/keeper/examples/measure/main.rs
+++ b/crates/keeper/examples/measure/main.rs
@@ -13,7 +13,7 @@
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
 
-const USAGE: &str = "usage: measure followers N WORKSPACES | relays N WORKSPACES | idle N SECONDS | \
+const USAGE: &str = "usage: measure followers N WORKSPACES CHANGES | relays N WORKSPACES CHANGES | idle N SECONDS | \
                      intents TASKS SECONDS yes|no | ledger KEYS | workspaces N";
 
 #[tokio::main]
@@ -21,8 +21,8 @@
     let args: Vec<String> = std::env::args().skip(1).collect();
     let number = |i: usize| -> usize { args.get(i).and_then(|a| a.parse().ok()).expect(USAGE) };
     match args.first().map(String::as_str) {
-        Some("followers") => distribution::changes(number(1), number(2), false).await,
-        Some("relays") => distribution::changes(number(1), number(2), true).await,
+        Some("followers") => distribution::changes(number(1), number(2), number(3), false).await,
+        Some("relays") => distribution::changes(number(1), number(2), number(3), true).await,
         Some("idle") => distribution::idle(number(1), seconds(number(2))).await,
         Some("intents") => {
             let is_grouped = args.get(3).map(String::as_str) == Some("yes");
