--- a/crates/keeper/src/service.rs
+++ b/crates/keeper/src/service.rs
@@ -13,6 +13,7 @@
 };
 use replica::{MemberChange, MemberError, ProposeError, Replica, Status};
 use tokio::{
+    sync::watch,
     task::JoinSet,
     time::{Instant, sleep, timeout},
 };
@@ -67,6 +68,23 @@
     links: LinkConfig,
     peers: Mutex<HashMap<String, Peer>>,
     metrics: Metrics,
+    in_flight: watch::Sender<usize>,
+}
+
+/// Counts a call for as long as it lives.
+struct InFlight<'a>(&'a watch::Sender<usize>);
+
+impl<'a> InFlight<'a> {
+    fn new(counter: &'a watch::Sender<usize>) -> Self {
+        counter.send_modify(|n| *n += 1);
+        Self(counter)
+    }
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.0.send_modify(|n| *n -= 1);
+    }
 }
 
 impl Service {
@@ -88,6 +106,7 @@
             links,
             peers: Mutex::new(peers.iter().map(named).collect()),
             metrics,
+            in_flight: watch::Sender::new(0),
         }
     }
 
@@ -117,7 +136,15 @@
         }
     }
 
+    /// Waits until no client's call is under way any more.
+    pub async fn drained(&self) {
+        let mut in_flight = self.in_flight.subscribe();
+        // The sender lives as long as `self`.
+        let _ = in_flight.wait_for(|n| *n == 0).await;
+    }
+
     async fn answer_client(&self, from: &Identity, body: &[u8]) -> KeeperReply {
+        let _counted = InFlight::new(&self.in_flight);
         let origin = match from.role {
             Role::Keeper => Origin::Keeper,
             _ => Origin::Client,
@@ -177,6 +204,8 @@
             Err(ProposeError::NotLeader {
                 leader: Some(leader),
             }) if origin == Origin::Client => self.forward(&leader, req, left).await,
+            // This keeper is ending; another one knows more.
+            Err(ProposeError::Stopped) => Attempt::Reply(KeeperReply::NoQuorum),
             Err(ProposeError::TooLarge) => {
                 Attempt::Reply(KeeperReply::Invalid(ProposeError::TooLarge.to_string()))
             }
--- a/crates/keeper/src/start.rs
+++ b/crates/keeper/src/start.rs
@@ -8,7 +8,7 @@
 use spdlog::{error, warn};
 use tokio::{
     net::TcpListener,
-    time::{Instant, interval, sleep},
+    time::{Instant, interval, sleep, timeout},
 };
 use uuid::Uuid;
 
@@ -22,6 +22,8 @@
 
 /// Longest time for requests in flight to end after the order to stop.
 const DRAIN_LIMIT: Duration = Duration::from_secs(5);
+/// Time for the last replies to leave their sockets.
+const FLUSH_PAUSE: Duration = Duration::from_millis(50);
 /// Without a quorum for this long after its start, a keeper lets followers see what it holds.
 const PUBLISH_GRACE: Duration = Duration::from_secs(10);
 const PUBLISH_PAUSE: Duration = Duration::from_millis(50);
@@ -65,11 +67,18 @@
     let timing = Arc::clone(&service);
     let timing = tokio::spawn(async move { timing.keep_clock().await });
     let operators = cfg.operators;
-    let (pages, serving) = http::serve(bound, router(Pages { service, operators }));
+    let pages = Pages {
+        service: Arc::clone(&service),
+        operators,
+    };
+    let (pages, serving) = http::serve(bound, router(pages));
     let task = tokio::spawn(async move {
         let failed = run(&replica, stopped).await;
         pages.stop_graceful(DRAIN_LIMIT);
         replica.stop().await;
+        // What is not answered by then is asked again at another keeper.
+        let _ = timeout(DRAIN_LIMIT, service.drained()).await;
+        sleep(FLUSH_PAUSE).await;
         publishing.abort();
         timing.abort();
         links.abort();
--- a/crates/keeper/tests/changes.rs
+++ b/crates/keeper/tests/changes.rs
@@ -195,3 +195,15 @@
     }
     assert_eq!(group.api().declaration().await.unwrap().revision, 9);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn sigterm_of_the_leader_hands_over_and_ends_with_0() {
+    let mut group = Group::start(3).await;
+    write_on(&group, 0, 3).await;
+    let leader = group.leader().await;
+    let mut process = group.keepers[leader].take().unwrap();
+    process.signal("-TERM");
+    let (code, revisions) = tokio::join!(process.ended(), write_on(&group, 3, 5));
+    assert_eq!(code, Some(0));
+    assert_eq!(revisions, [4, 5, 6, 7, 8]);
+}
