--- a/crates/bench/src/experiment/mod.rs
+++ b/crates/bench/src/experiment/mod.rs
@@ -17,6 +17,6 @@
     action::{Action, ServiceRef},
     file::{Experiment, Scenario, System},
     fleet::Fleet,
-    report::{Row, table},
+    report::{Row, Target, table, target},
     run::{RunConfig, run_file},
 };
--- a/crates/bench/src/experiment/report.rs
+++ b/crates/bench/src/experiment/report.rs
@@ -2,10 +2,14 @@
 
 use std::{collections::BTreeMap, fmt::Write};
 
-use derives::record;
+use derives::{record, value};
 
 use crate::{check::Violation, load::Tally};
 
+/// The baseline that the target names.
+const RIVAL: &str = "least-in-flight";
+/// Most that a request in time may cost against that baseline.
+const COST_BOUND: f64 = 1.1;
 /// Violations quoted in full.
 const EXAMPLES: usize = 5;
 
@@ -60,10 +64,48 @@
     }
 }
 
-/// A table of all rows in plain text.
+/// How a row of the project stands to the target: at least the baseline's attainment plus half of
+/// what it misses, at 1.1 times its cost at most; `None` without the baseline's row.
+pub fn target(row: &Row, rows: &[Row]) -> Option<Target> {
+    let is_rival = |other: &&Row| {
+        other.system == RIVAL
+            && other.deployment == row.deployment
+            && other.scenario == row.scenario
+            && other.failure.is_none()
+    };
+    let rival = &rows.iter().find(is_rival)?.tally;
+    let needed = rival.attainment + (1.0 - rival.attainment) / 2.0;
+    Some(Target {
+        attainment: row.tally.attainment >= needed,
+        cost: row.tally.cost_ms <= rival.cost_ms * COST_BOUND,
+    })
+}
+
+/// Whether each part of the target is met.
+#[value]
+#[derive(Copy)]
+pub struct Target {
+    /// Attainment.
+    pub attainment: bool,
+    /// Cost.
+    pub cost: bool,
+}
+
+impl Target {
+    fn as_str(self) -> &'static str {
+        match (self.attainment, self.cost) {
+            (true, true) => "-",
+            (true, false) => "cost",
+            (false, true) => "in time",
+            (false, false) => "both",
+        }
+    }
+}
+
+/// A table of all rows in plain text; `missed` names the part of the target that a row misses.
 pub fn table(rows: &[Row]) -> String {
     let mut text = format!(
-        "{:<14} {:<22} {:<16} {:>7} {:>9} {:>9} {:>7} {:>9} {:>9} {:>7}\n",
+        "{:<14} {:<22} {:<16} {:>7} {:>9} {:>9} {:>7} {:>9} {:>9} {:>7} {:>8}\n",
         "deployment",
         "scenario",
         "system",
@@ -74,14 +116,16 @@
         "p95 ms",
         "first ms",
         "broken",
+        "missed",
     );
     for row in rows {
-        line(&mut text, row);
+        let target = target(row, rows).filter(|_| row.system != RIVAL);
+        line(&mut text, row, target);
     }
     text
 }
 
-fn line(text: &mut String, row: &Row) {
+fn line(text: &mut String, row: &Row, target: Option<Target>) {
     let tally = &row.tally;
     let names = (&row.deployment, &row.scenario, &row.system);
     if let Some(failure) = &row.failure {
@@ -95,7 +139,7 @@
     }
     let _ = writeln!(
         text,
-        "{:<14} {:<22} {:<16} {:>7} {:>8.2}% {:>9.1} {:>6.1}% {:>9.1} {:>9.1} {:>7}",
+        "{:<14} {:<22} {:<16} {:>7} {:>8.2}% {:>9.1} {:>6.1}% {:>9.1} {:>9.1} {:>7} {:>8}",
         names.0,
         names.1,
         names.2,
@@ -106,5 +150,6 @@
         tally.p95_ms,
         tally.first_token_p95_ms,
         row.broken_count(),
+        target.map_or("", Target::as_str),
     );
 }
--- /dev/null
+++ b/crates/bench/tests/baseline.rs
@@ -0,0 +1,110 @@
+//! A baseline gate with stand-ins: announcements, leaving, and honest outcomes.
+
+use std::{sync::Arc, time::Duration};
+
+use bench::{
+    baseline::{Baseline, Policy, Table},
+    client::{Answer, Client},
+    deployment::{Deployment, DeploymentName},
+    output::expected,
+    stand_in::{self, Fault, Kind, StandIn, StandInConfig},
+};
+use declaration::Declaration;
+use serde_json::{Value, json};
+
+/// An address that refuses connections.
+const DEAD: &str = "http://127.0.0.1:1";
+
+struct Environment {
+    declaration: Declaration,
+    gate: Baseline,
+    stand_ins: Vec<StandIn>,
+}
+
+async fn environment() -> Environment {
+    let deployment = Deployment::named(DeploymentName::EscortDesk);
+    let declaration = deployment.declaration().unwrap();
+    let table = Arc::new(Table::default());
+    let gate = Baseline::start(
+        "portland",
+        Policy::LeastInFlight,
+        declaration.clone(),
+        table,
+    );
+    let gate = gate.await.unwrap();
+    let services = [
+        ("ice-reports", Kind::Pool),
+        ("plan-model", Kind::Engine),
+        ("vessel-roster", Kind::Plain),
+        ("booking-desk", Kind::Plain),
+    ];
+    let mut stand_ins = Vec::new();
+    for (service, kind) in services {
+        let mut cfg = StandInConfig::new(service, service, "portland", kind);
+        cfg.gates = vec![DEAD.to_owned(), format!("http://{}", gate.address())];
+        cfg.announce_every = Duration::from_millis(50);
+        stand_ins.push(stand_in::start(cfg).await.unwrap());
+    }
+    let environment = Environment {
+        declaration,
+        gate,
+        stand_ins,
+    };
+    environment.announced().await;
+    environment
+}
+
+impl Environment {
+    /// Returns once the last stand-in started was announced, which the gate's answers show.
+    async fn announced(&self) {
+        for _ in 0..200 {
+            if self.ask("escort-booking", &json!(1)).await.status == 200 {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        panic!("the stand-ins were not announced within 4 s");
+    }
+
+    async fn ask(&self, pipeline: &str, input: &Value) -> Answer {
+        let url = format!("http://{}/v1/pipelines/{pipeline}", self.gate.address());
+        let headers = [("jujube-workspace", "dispatch"), ("idempotency-key", "k")];
+        let body = json!({ "input": input });
+        Client::default()
+            .post_json(&url, &headers, &body)
+            .await
+            .unwrap()
+    }
+}
+
+#[tokio::test]
+async fn announced_stand_ins_answer_as_the_checker_expects() {
+    let environment = environment().await;
+    let input = json!({ "prompt": "[#r1] ice off Owls Head?" });
+    let answer = environment.ask("radio-answer", &input).await;
+    let right = expected(&environment.declaration, "radio-answer", &input);
+    assert_eq!(answer.json()["outcome"], "completed");
+    assert_eq!(Some(answer.json()["output"].clone()), right);
+}
+
+#[tokio::test]
+async fn an_endpoint_that_leaves_gets_no_new_calls() {
+    let environment = environment().await;
+    environment.stand_ins[0].leave().await;
+    let answer = environment.ask("radio-answer", &json!("ice?")).await;
+    assert_eq!(answer.json()["outcome"], "not_run");
+    assert!(
+        environment.stand_ins[0]
+            .journal()
+            .iter()
+            .all(|entry| entry.call.is_empty())
+    );
+}
+
+#[tokio::test]
+async fn a_booking_whose_answer_is_lost_is_unknown() {
+    let environment = environment().await;
+    environment.stand_ins[3].set_fault(Fault::CloseEarly);
+    let answer = environment.ask("escort-booking", &json!("tug")).await;
+    assert_eq!(answer.json()["outcome"], "unknown");
+}
--- a/crates/bench/tests/experiment.rs
+++ b/crates/bench/tests/experiment.rs
@@ -2,7 +2,7 @@
 
 use std::{fs, path::Path};
 
-use bench::experiment::{Row, RunConfig, run_file};
+use bench::experiment::{Row, RunConfig, run_file, target};
 
 async fn run(folder: &Path, text: &str) -> Vec<Row> {
     let file = folder.join("experiment.ini");
@@ -80,3 +80,25 @@
     assert!(named("experiment.ini:5: scenario one: at_5"), "{faults}");
     assert!(named("experiment.ini:6: scenario one: at_x"), "{faults}");
 }
+
+#[test]
+fn the_target_is_half_of_what_least_in_flight_misses_at_a_tenth_more_cost() {
+    let row = |system: &str, attainment: f64, cost_ms: f64| {
+        let mut row = Row::new("d", "s", system);
+        row.tally.attainment = attainment;
+        row.tally.cost_ms = cost_ms;
+        row
+    };
+    let met = |attainment: f64, cost_ms: f64| {
+        let rows = [
+            row("project", attainment, cost_ms),
+            row("least-in-flight", 0.9, 100.0),
+        ];
+        let target = target(&rows[0], &rows).unwrap();
+        (target.attainment, target.cost)
+    };
+    assert_eq!(met(0.96, 109.0), (true, true));
+    assert_eq!(met(0.94, 109.0), (false, true));
+    assert_eq!(met(0.96, 111.0), (true, false));
+    assert_eq!(target(&row("project", 1.0, 1.0), &[]), None);
+}
--- a/crates/bench/tests/stand_in.rs
+++ b/crates/bench/tests/stand_in.rs
@@ -253,3 +253,26 @@
     assert_eq!(one.unwrap().body.len() + two.unwrap().body.len(), 200_000);
     assert!(since.elapsed() >= Duration::from_millis(190));
 }
+
+#[tokio::test]
+async fn an_imported_cache_spares_the_prefill() {
+    let (from, to) = (
+        stand_in("plan", Kind::Engine).await,
+        stand_in("plan", Kind::Engine).await,
+    );
+    let text = "harbor ".repeat(64);
+    stream(&from, "c1", prompt(&text)).await;
+    let client = Client::default();
+    let export = json!({ "prompt": text });
+    let exported = client
+        .post_json(&url(&from, "/v1/kv/export"), &[], &export)
+        .await
+        .unwrap();
+    let imported = client
+        .post_json(&url(&to, "/v1/kv/import"), &[], &exported.json())
+        .await;
+    assert_eq!(imported.unwrap().json()["imported"], 7);
+    let (chunks, _) = stream(&to, "c2", prompt(&text)).await;
+    let usage = &chunks.last().unwrap()["usage"];
+    assert_eq!(usage["prompt_tokens_details"]["cached_tokens"], 112);
+}
