--- a/crates/bench/src/check/judge.rs
+++ b/crates/bench/src/check/judge.rs
@@ -10,6 +10,9 @@
     stand_in::{Event, JournalEntry},
 };
 
+/// Time after which an endpoint that announced `leaving` may get no new work, in milliseconds.
+const LEAVING_LIMIT_MS: u64 = 3_000;
+
 /// Journal entries of one request.
 type Entries<'a> = [&'a JournalEntry];
 
@@ -29,6 +32,7 @@
     }
     found.extend(lost_results(evidence));
     found.extend(stale_orders(evidence));
+    found.extend(work_after_leaving(evidence));
     found.extend(reverted_revisions(evidence));
     found
 }
@@ -203,6 +207,29 @@
     stale
 }
 
+/// The first call of each endpoint that began too long after its announcement.
+fn work_after_leaving(evidence: &Evidence) -> Vec<Violation> {
+    let mut left: BTreeMap<&str, u64> = BTreeMap::new();
+    let mut late: BTreeMap<&str, u64> = BTreeMap::new();
+    for entry in &evidence.journals {
+        let endpoint = entry.endpoint.as_str();
+        match (&entry.event, left.get(endpoint)) {
+            (Event::Leaving, _) => {
+                left.insert(endpoint, entry.at_ms);
+            }
+            (Event::Started, Some(at)) if entry.at_ms > at + LEAVING_LIMIT_MS => {
+                late.entry(endpoint).or_insert(entry.at_ms - at);
+            }
+            _ => {}
+        }
+    }
+    let violation = |(endpoint, after_ms): (&str, u64)| Violation::WorkAfterLeaving {
+        endpoint: endpoint.to_owned(),
+        after_ms,
+    };
+    late.into_iter().map(violation).collect()
+}
+
 /// Revision 0 is that of a gate that has just started and knows none yet.
 fn reverted_revisions(evidence: &Evidence) -> Vec<Violation> {
     let mut newest: BTreeMap<&str, u64> = BTreeMap::new();
--- a/crates/bench/src/check/violation.rs
+++ b/crates/bench/src/check/violation.rs
@@ -66,6 +66,13 @@
         /// The lower one that it obeyed after that.
         obeyed: u64,
     },
+    /// An endpoint got new work long after it had announced that it leaves.
+    WorkAfterLeaving {
+        /// The endpoint.
+        endpoint: String,
+        /// Milliseconds from its announcement to the work.
+        after_ms: u64,
+    },
     /// A gate went back to an older revision.
     RevertedRevision {
         /// The gate.
@@ -90,6 +97,7 @@
             Self::LostResult { .. } => "lost_result",
             Self::CutRequest { .. } => "cut_request",
             Self::StaleOrder { .. } => "stale_order",
+            Self::WorkAfterLeaving { .. } => "work_after_leaving",
             Self::RevertedRevision { .. } => "reverted_revision",
         }
     }
@@ -119,6 +127,12 @@
                 newest,
                 obeyed,
             } => write!(f, "{endpoint} obeyed {obeyed} after {newest}"),
+            Self::WorkAfterLeaving { endpoint, after_ms } => {
+                write!(
+                    f,
+                    "{endpoint} got a call {after_ms} ms after it announced that it leaves"
+                )
+            }
             Self::RevertedRevision { gate, from, to } => {
                 write!(f, "{gate} went from {from} back to {to}")
             }
--- a/crates/bench/tests/check.rs
+++ b/crates/bench/tests/check.rs
@@ -226,6 +226,18 @@
         prop_assert_eq!(names(&evidence), ["stale_order"]);
     }
 
+    #[test]
+    fn work_long_after_leaving_is_found(after_ms in 0_u64..6_000) {
+        let mut evidence = sound(20);
+        for (at_ms, event) in [(10_000, Event::Leaving), (10_000 + after_ms, Event::Started)] {
+            let mut entry = entry("spare", &evidence.requests[1], at_ms, event);
+            entry.subject = None;
+            evidence.journals.push(entry);
+        }
+        let expected = if after_ms > 3_000 { vec!["work_after_leaving"] } else { vec![] };
+        prop_assert_eq!(names(&evidence), expected);
+    }
+
     #[test]
     fn an_invented_result_is_found(n in 0_usize..20) {
         let mut evidence = sound(20);
