--- a/crates/gate/src/engine.rs
+++ b/crates/gate/src/engine.rs
@@ -144,13 +144,15 @@
     call.request(Method::DELETE, &path, Bytes::new())
 }
 
-/// Reads a stream into `assembly` up to its end; new text goes to `sink` at once.
+/// Reads a stream into `assembly` up to its end; new text goes to `sink` at once. `counted` has the
+/// tokens so far whenever the reading is dropped.
 pub(crate) async fn read(
     mut exchange: Exchange,
     pool: &Pool,
     assembly: &mut Assembly,
     sink: Option<&Sink>,
     tally: &mut Tally,
+    counted: &mut u64,
 ) -> Result<(), CallError> {
     let max = exchange.max_bytes();
     let mut events = EventReader::default();
@@ -159,6 +161,7 @@
         pushed.map_err(|_| CallError::TooLarge(MAX_LINE))?;
         let mut out = BytesMut::new();
         let is_done = take_events(&mut events, assembly, tally, sink.map(|_| &mut out));
+        *counted = tally.tokens;
         if let Some(sink) = sink.filter(|_| !out.is_empty()) {
             sink.send(out.freeze()).await?;
         }
--- a/crates/gate/src/once.rs
+++ b/crates/gate/src/once.rs
@@ -45,7 +45,7 @@
     previous: Option<&RawValue>,
 ) -> Result<StageDone, StageError> {
     let started = Instant::now();
-    let work = Work::new(stage, &cx.ask.input, previous);
+    let work = Work::new(stage, &cx.ask.input, previous, &cx.gate.metrics);
     let mut tries = Tries::default();
     loop {
         let picked = pick_soon(cx, stage, &work, &tries.avoid).await?;
--- a/crates/gate/src/stage.rs
+++ b/crates/gate/src/stage.rs
@@ -101,7 +101,7 @@
     sink: Option<&Sink>,
 ) -> Result<StageDone, StageError> {
     let started = Instant::now();
-    let mut work = Work::new(stage, &cx.ask.input, previous);
+    let mut work = Work::new(stage, &cx.ask.input, previous, &cx.gate.metrics);
     let mut tries = Tries::default();
     cx.gate.route.first_try(stage.name);
     loop {
@@ -109,6 +109,7 @@
         let error = match try_once(cx, stage, &mut work, &mut tries, sink).await {
             Ok((output, endpoint)) => {
                 let elapsed = started.elapsed();
+                work.answered();
                 cx.gate.metrics.stage(stage.name, elapsed);
                 let report = StageReport {
                     stage: stage.number,
--- a/crates/gate/src/work.rs
+++ b/crates/gate/src/work.rs
@@ -1,6 +1,6 @@
 //! What a stage has to do and how far its tries have come.
 
-use std::borrow::Cow;
+use std::{borrow::Cow, time::Duration};
 
 use bytes::Bytes;
 use declaration::Service;
@@ -14,6 +14,7 @@
     engine::{self, Cached, Resume, Tally},
     exchange::{Call, Exchange},
     failure::CallError,
+    metrics::{Metrics, Use},
     plain,
     pool::Pool,
     stage::{Stage, is_engine},
@@ -46,6 +47,23 @@
     /// The call whose text is held.
     source: Option<Uuid>,
     has_diverged: bool,
+    waste: Waste,
+}
+
+/// Counts tokens as wasted when the work ends without an answer, however it ends.
+#[derive(Debug)]
+struct Waste {
+    metrics: Metrics,
+    service: String,
+    tokens: u64,
+}
+
+impl Drop for Waste {
+    fn drop(&mut self) {
+        let (service, tokens) = (&self.service, self.tokens);
+        self.metrics
+            .cost(service, Use::Wasted, Duration::ZERO, tokens);
+    }
 }
 
 impl<'a> Work<'a> {
@@ -54,6 +72,7 @@
         stage: Stage<'a>,
         input: &'a RawValue,
         previous: Option<&'a RawValue>,
+        metrics: &Metrics,
     ) -> Self {
         if !is_engine(stage.service) {
             return Self::Plain {
@@ -69,6 +88,11 @@
             tally: Tally::default(),
             source: None,
             has_diverged: false,
+            waste: Waste {
+                metrics: metrics.clone(),
+                service: stage.name.to_owned(),
+                tokens: 0,
+            },
         }))
     }
 
@@ -122,6 +146,13 @@
         }
     }
 
+    /// The stage has its result; its tokens served it.
+    pub(crate) fn answered(&mut self) {
+        if let Self::Engine(work) = self {
+            work.waste.tokens = 0;
+        }
+    }
+
     /// Tokens generated so far.
     pub(crate) fn tokens(&self) -> u64 {
         match self {
@@ -158,7 +189,8 @@
         sink: Option<&Sink>,
     ) -> Result<Box<RawValue>, CallError> {
         let (assembly, tally) = (&mut self.assembly, &mut self.tally);
-        let read = engine::read(exchange, pool, assembly, sink, tally).await;
+        let counted = &mut self.waste.tokens;
+        let read = engine::read(exchange, pool, assembly, sink, tally, counted).await;
         self.has_diverged = read == Err(CallError::Diverged);
         read?;
         to_raw_value(self.assembly.text()).map_err(|e| CallError::Malformed(e.to_string()))
@@ -171,7 +203,8 @@
     pool: &Pool,
 ) -> Result<(Box<RawValue>, u64), CallError> {
     let (mut assembly, mut tally) = (Assembly::default(), Tally::default());
-    engine::read(exchange, pool, &mut assembly, None, &mut tally).await?;
+    let counted = &mut 0;
+    engine::read(exchange, pool, &mut assembly, None, &mut tally, counted).await?;
     let output = to_raw_value(assembly.text());
     let output = output.map_err(|e| CallError::Malformed(e.to_string()))?;
     Ok((output, tally.tokens))
--- a/crates/gate/tests/requests.rs
+++ b/crates/gate/tests/requests.rs
@@ -51,6 +51,9 @@
     assert_eq!(llm.calls()[0].body["prompt"], "about \"ice\"");
     assert_eq!(llm.calls()[0].body["stream"], true);
     assert_eq!(llm.cancellations(), 0);
+    let useful = gate.metric("jujube_tokens_total", "useful").await;
+    let wasted = gate.metric("jujube_tokens_total", "wasted").await;
+    assert_eq!((useful as u64, wasted as u64), (2, 0));
 }
 
 #[tokio::test]
@@ -199,6 +202,8 @@
         assert!(start.elapsed() < env::PATIENCE);
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
+    let wasted = gate.metric("jujube_tokens_total", "wasted").await;
+    assert!((wasted - 1.0).abs() < f64::EPSILON, "{wasted}");
 }
 
 #[tokio::test]
