Resume streams without spending the retry budget

Behind the fault proxy, 6 streams that were silenced and then reset ended in error: 12 resumptions were asked of a budget of 10.6. A resumption at the generation's own endpoint runs nothing again, so it is free now, as long as the stream comes further between two cuts.

--- a/crates/gate/src/stage.rs
+++ b/crates/gate/src/stage.rs
@@ -123,7 +123,9 @@
             }
             Err(error) => error,
         };
-        wait_for_retry(cx, stage, &tries, error).await?;
+        // To go on with a generation at its own endpoint runs nothing again.
+        let is_free = tries.again.is_some() && work.is_resumption();
+        wait_for_retry(cx, stage, &tries, is_free, error).await?;
         cx.gate.metrics.retry(stage.name);
         work.prepare_retry(sink.is_some());
     }
@@ -148,6 +150,7 @@
         call,
     } = answering;
     let first_byte = exchange.answered;
+    let held = work.offset();
     work.begin(call);
     let read = match work {
         Work::Plain { .. } => plain::read(exchange, &cx.gate.pool).await,
@@ -167,7 +170,12 @@
             Ok((output, picked.name().to_owned()))
         }
         // The connection is suspect before its endpoint is: go on there over a new one.
-        Err(e @ (CallError::Broken(_) | CallError::Stalled(_))) if via == Via::Any => {
+        Err(e @ (CallError::Broken(_) | CallError::Stalled(_)))
+            if via == Via::Any || work.offset() > held =>
+        {
+            if work.offset() > held {
+                tries.rounds = 0;
+            }
             guard.ended();
             cx.gate.pool.suspect(picked.address());
             let error = StageError::call(stage.name, picked.name(), e);
@@ -276,6 +284,7 @@
     cx: &Running,
     stage: Stage<'_>,
     tries: &Tries,
+    is_free: bool,
     error: StageError,
 ) -> Result<(), StageError> {
     let Cause::Call(cause) = &error.cause else {
@@ -284,11 +293,11 @@
     if !cause.is_worth_retrying() || tries.rounds >= MAX_TRIES {
         return Err(error);
     }
-    let is_free = matches!(cause, CallError::Connect(_));
+    let is_free = is_free || matches!(cause, CallError::Connect(_));
     if !is_free && !cx.gate.route.spend_retry(stage.name) {
         return Err(error);
     }
-    let bound = FIRST_BACKOFF * 2_u32.pow(tries.rounds.min(8) - 1);
+    let bound = FIRST_BACKOFF * 2_u32.pow(tries.rounds.clamp(1, 8) - 1);
     let drawn = rand::rng().random_range(Duration::ZERO..=bound.min(LONGEST_BACKOFF));
     let pause = match cause.retry_after() {
         // Another endpoint may be free although this one is not.
--- a/crates/gate/src/work.rs
+++ b/crates/gate/src/work.rs
@@ -130,7 +130,15 @@
 
     /// Whether a further try goes on in the middle of a stream.
     pub(crate) fn is_resumption(&self) -> bool {
-        matches!(self, Self::Engine(work) if work.assembly.offset() > 0)
+        self.offset() > 0
+    }
+
+    /// Bytes of text held.
+    pub(crate) fn offset(&self) -> usize {
+        match self {
+            Self::Plain { .. } => 0,
+            Self::Engine(work) => work.assembly.offset(),
+        }
     }
 
     /// Gets ready for a further try. Text that contradicts itself is generated anew, unless some of
--- a/crates/gate/tests/env/mod.rs
+++ b/crates/gate/tests/env/mod.rs
@@ -64,6 +64,8 @@
 /// A keeper's fake, gates and stand-ins.
 pub struct Env {
     pub keeper: FakeKeeper,
+    /// Where gates find the keeper, if not at its own address.
+    pub keeper_via: Option<SocketAddr>,
     folder: TempDir,
 }
 
@@ -78,6 +80,7 @@
     pub async fn start() -> Self {
         Self {
             keeper: FakeKeeper::start(DECLARED).await,
+            keeper_via: None,
             folder: tempfile::tempdir().unwrap(),
         }
     }
@@ -89,7 +92,7 @@
     /// A ready gate with further settings.
     pub async fn gate_with(&self, name: &str, more: &str) -> Gate {
         let path = self.folder.path().join(format!("{name}.ini"));
-        let keeper = self.keeper.address;
+        let keeper = self.keeper_via.unwrap_or(self.keeper.address);
         let settings =
             format!("[vm]\nname = {name}\navailability_zone = z\n[keepers]\nk = {keeper}\n{more}");
         std::fs::write(&path, settings).unwrap();
@@ -137,7 +140,14 @@
 
     /// Announces `endpoint` once; it is known for some seconds.
     pub async fn knows(&self, endpoint: &StandIn) {
-        let answer = client::post(self.http, "/v1/announce", &[], &endpoint.announcement()).await;
+        self.knows_at(endpoint, endpoint.address).await;
+    }
+
+    /// Announces `endpoint` at another address.
+    pub async fn knows_at(&self, endpoint: &StandIn, address: SocketAddr) {
+        let mut announcement = endpoint.announcement();
+        announcement["address"] = json!(format!("http://{address}"));
+        let answer = client::post(self.http, "/v1/announce", &[], &announcement).await;
         assert_eq!(answer.unwrap().status, 200);
     }
 
