--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -3,7 +3,6 @@
 use std::{net::SocketAddr, path::Path, time::Duration};
 
 use bench::stand_in::{self, Event, JournalEntry, Kind, StandIn, StandInConfig};
-use declaration::Declaration;
 use eyre::{WrapErr, bail};
 use host::{
     client::Client,
@@ -11,7 +10,6 @@
     settings::Reader,
     shutdown::{Stop, Stopped, channel},
 };
-use membership::LoadedModel;
 use operators::{KeeperApi, Submission};
 use tempfile::TempDir;
 use tokio::time::{Instant, sleep};
@@ -51,13 +49,15 @@
         Some(link) => format!("[keepers]\nvm-1 = {link}\n"),
         None => bail!("start keeper: it takes no links"),
     };
-    let cfg = read(&settings(&keepers), gate::Config::read)?;
+    // No balancer stands before the demo's gate.
+    let timing = "[timing]\nnotice_ms = 0\n";
+    let cfg = read(&settings(&format!("{keepers}{timing}")), gate::Config::read)?;
     let gate = gate::start(cfg, stopped.clone()).await?;
     let gates = match gate.link {
         Some(link) => format!("{keepers}[gates]\nvm-1 = {link}\n"),
         None => bail!("start gate: it takes no links"),
     };
-    let console = start_console(&settings(&gates), stopped).await?;
+    let (controller, console) = start_operators(&settings(&gates), stopped).await?;
     let revision = declare(deployment, keeper.http).await?;
     let endpoints = start_endpoints(deployment, gate.http).await?;
     let fleet = Fleet {
@@ -65,7 +65,7 @@
         console: console.http,
         revision,
         stop,
-        roles: vec![gate, console, keeper],
+        roles: vec![gate, controller, console, keeper],
         endpoints,
         _folder: folder,
     };
@@ -74,9 +74,15 @@
     Ok(fleet)
 }
 
-async fn start_console(text: &str, stopped: Stopped) -> eyre::Result<Running> {
-    let cfg = read(text, console::Config::read)?;
-    console::start(cfg, stopped).await
+async fn start_operators(text: &str, stopped: Stopped) -> eyre::Result<(Running, Running)> {
+    // Nobody waits for the demo's engines to settle after a load.
+    let pace = "[controller]\nsettle_ms = 50\n";
+    let cfg = read(&format!("{text}{pace}"), controller::Config::read)?;
+    let controller = controller::start(cfg, stopped.clone()).await?;
+    let text = format!("{text}[controllers]\nvm-1 = {}\n", controller.http);
+    let cfg = read(&text, console::Config::read)?;
+    let console = console::start(cfg, stopped).await?;
+    Ok((controller, console))
 }
 
 fn settings(deployment: &Deployment, folder: &Path, sections: &str) -> String {
@@ -122,27 +128,12 @@
             let name = format!("{service}-{number}");
             let mut cfg = StandInConfig::new(&name, service, deployment.az, kind);
             cfg.gates = vec![format!("http://{gate}")];
-            cfg.models = declared_models(deployment, service)?;
             endpoints.push(stand_in::start(cfg).await?);
         }
     }
     Ok(endpoints)
 }
 
-/// What the service's engines are declared to serve.
-fn declared_models(deployment: &Deployment, service: &str) -> eyre::Result<Vec<LoadedModel>> {
-    let declared = Declaration::read(deployment.name, deployment.declaration.as_bytes())?;
-    let declared = declared.services.get(service);
-    let models = declared.and_then(|s| {
-        Some(LoadedModel {
-            model: s.model.clone()?,
-            version: s.version?,
-            adapters: s.adapters.clone(),
-        })
-    });
-    Ok(models.into_iter().collect())
-}
-
 impl Fleet {
     /// How often a booking was really run, over all endpoints.
     pub fn executions(&self, key: Uuid) -> usize {
--- a/crates/demo/src/run.rs
+++ b/crates/demo/src/run.rs
@@ -42,10 +42,10 @@
 }
 
 async fn demonstrate(cfg: &Config) -> eyre::Result<Vec<Got>> {
-    let mut fleets = Vec::new();
-    for deployment in &DEPLOYMENTS {
-        fleets.push(fleet::start(deployment).await?);
-    }
+    let [escort_desk, watch_trading] = &DEPLOYMENTS;
+    let (escort_desk, watch_trading) =
+        tokio::try_join!(fleet::start(escort_desk), fleet::start(watch_trading))?;
+    let fleets = vec![escort_desk, watch_trading];
     let got = ask_rounds(cfg, &fleets).await?;
     if cfg.json {
         line(report::json(&got));
