--- a/crates/controller/tests/controllers.rs
+++ b/crates/controller/tests/controllers.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use bench::proxy::{Cut, Proxy, Rules};
 use env::{Env, fencing, until_loaded};
 use tokio::time::sleep;
 
@@ -129,3 +130,63 @@
     assert_eq!(status["lease"]["waits_ms"], 0);
     until_loaded(&engine, &[4]).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_order_whose_answer_is_lost_is_sent_again_and_carried_out_once() {
+    let mut env = Env::start().await;
+    env.declare(3, "horlogerie").await;
+    let proxy = Proxy::start(1).await.unwrap();
+    let engine = env.engine_behind(&proxy, "e", 3).await;
+    let controller = env.controller("c");
+    controller
+        .until("it knows the engine", |s| {
+            s["lease"]["held"] == true && s["endpoints"] == 1
+        })
+        .await;
+    // Orders arrive; neither answers nor announcements come back.
+    proxy.set_rules(Rules::cut(Cut::FromUpstream));
+    engine.set_gates(Vec::new());
+    env.declare(4, "horlogerie").await;
+    controller
+        .until("the order is sent again", |s| {
+            s["orders"][0]["sent"].as_u64() >= Some(2)
+        })
+        .await;
+    assert_eq!(fencing(&engine).len(), 1);
+    proxy.set_rules(Rules::default());
+    engine.set_gates(vec![env.gate_url()]);
+    until_loaded(&engine, &[4]).await;
+    controller
+        .until("all is as declared", |s| {
+            s["differences"] == serde_json::json!([])
+        })
+        .await;
+    // One load and one unload.
+    assert_eq!(fencing(&engine).len(), 2);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_version_that_endpoints_refuse_is_halted_and_said_so() {
+    let mut env = Env::start().await;
+    env.declare(3, "horlogerie").await;
+    let refusing = [env.refusing("e1", 3).await, env.refusing("e2", 3).await];
+    let controller = env.controller("c");
+    controller
+        .until("it knows both", |s| s["endpoints"] == 2)
+        .await;
+    env.declare(4, "horlogerie").await;
+    let status = controller
+        .until("the version is halted", |s| s["halted"][0]["version"] == 4)
+        .await;
+    assert_eq!(status["halted"][0]["failures"].as_array().unwrap().len(), 2);
+    let status = controller
+        .until("it says why", |s| {
+            let why = s["differences"][0]["why"].as_str().unwrap_or_default();
+            why.starts_with("halted after 2 failures")
+        })
+        .await;
+    assert_eq!(status["orders"], serde_json::json!([]));
+    for task in refusing {
+        task.abort();
+    }
+}
--- a/crates/controller/tests/env/mod.rs
+++ b/crates/controller/tests/env/mod.rs
@@ -8,7 +8,10 @@
     time::Duration,
 };
 
-use bench::stand_in::{self, Event, JournalEntry, Kind, StandIn, StandInConfig};
+use bench::{
+    proxy::Proxy,
+    stand_in::{self, Event, JournalEntry, Kind, StandIn, StandInConfig},
+};
 use host::{
     client::Client,
     role::Running,
@@ -18,7 +21,12 @@
 use membership::LoadedModel;
 use serde_json::{Value, json};
 use tempfile::TempDir;
-use tokio::time::{Instant, sleep};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+    task::JoinHandle,
+    time::{Instant, sleep},
+};
 use uuid::Uuid;
 
 /// Bound on anything that a test waits for.
@@ -96,6 +104,59 @@
 
     /// An engine that has `version` loaded.
     pub async fn engine(&self, name: &str, version: u32, checks_fencing: bool) -> StandIn {
+        stand_in::start(self.engine_config(name, version, checks_fencing))
+            .await
+            .unwrap()
+    }
+
+    /// An engine that takes calls and orders through a proxy.
+    pub async fn engine_behind(&self, proxy: &Proxy, name: &str, version: u32) -> StandIn {
+        let mut cfg = self.engine_config(name, version, true);
+        cfg.announced_address = Some(format!("http://{}", proxy.address()));
+        let engine = stand_in::start(cfg).await.unwrap();
+        proxy.set_upstream(engine.address());
+        engine
+    }
+
+    /// Announces `name` with `version` loaded, for as long as the task runs; it refuses all orders.
+    pub async fn refusing(&self, name: &str, version: u32) -> JoinHandle<()> {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (client, url) = (
+            self.client.clone(),
+            format!("http://{}/v1/announce", self.gate.http),
+        );
+        let announcement = move |seq: u64| {
+            json!({
+                "endpoint": name, "service": SERVICE, "az": "z", "state": "ready", "seq": seq,
+                "address": format!("http://{address}"), "incarnation": Uuid::nil(),
+                "models": [{"model": MODEL, "version": version, "adapters": ["horlogerie"]}],
+            })
+        };
+        let bodies: Vec<Vec<u8>> = (1..200)
+            .map(|seq| announcement(seq).to_string().into())
+            .collect();
+        tokio::spawn(async move {
+            let announce = async {
+                for body in bodies {
+                    // The next announcement makes up for one that is lost.
+                    let _ = client.post(&url, body).await;
+                    sleep(Duration::from_millis(500)).await;
+                }
+            };
+            let refuse = async {
+                while let Ok((mut stream, _)) = listener.accept().await {
+                    let answer = "HTTP/1.1 400 Bad Request\r\ncontent-length: 2\r\n\r\nno";
+                    // One read takes the whole of so short a request.
+                    let _ = stream.read(&mut [0; 4_096]).await;
+                    let _ = stream.write_all(answer.as_bytes()).await;
+                }
+            };
+            tokio::join!(announce, refuse);
+        })
+    }
+
+    fn engine_config(&self, name: &str, version: u32, checks_fencing: bool) -> StandInConfig {
         let mut cfg = StandInConfig::new(name, SERVICE, "z", Kind::Engine);
         cfg.gates = vec![format!("http://{}", self.gate.http)];
         cfg.checks_fencing = checks_fencing;
@@ -105,7 +166,11 @@
             version,
             adapters: vec!["horlogerie".to_owned()],
         }];
-        stand_in::start(cfg).await.unwrap()
+        cfg
+    }
+
+    pub fn gate_url(&self) -> String {
+        format!("http://{}", self.gate.http)
     }
 
     pub fn controller(&self, name: &str) -> Controller {
@@ -113,7 +178,7 @@
         let (keeper, gate) = (self.keeper.link.unwrap(), self.gate.link.unwrap());
         let text = format!(
             "[vm]\nname = {name}\navailability_zone = z\n[keepers]\nk = {keeper}\n\
-             [gates]\ng = {gate}\n[controller]\nlease_ms = 1500\nsettle_ms = 100\n\
+             [gates]\ng = {gate}\n[controller]\nlease_ms = 1500\nsettle_ms = 100\norder_ms = 500\n\
              follow_ms = 500\nload_ms = 8000\n"
         );
         std::fs::write(&path, text).unwrap();
