--- a/crates/replica/src/replicate.rs
+++ b/crates/replica/src/replicate.rs
@@ -244,8 +244,10 @@
                 self.note(&response, landed.sent_at, landed.round, |progress, core| {
                     // While probing nothing else is under way that this could upset.
                     if is_current || progress.is_probing {
-                        let shared = core.log.shared_with(last, &runs);
-                        progress.next = shared.unwrap_or(0).max(progress.matched) + 1;
+                        let shared = core.log.shared_with(last, &runs).unwrap_or(0);
+                        // A disk may lose what it had synced: the log there is what counts.
+                        progress.matched = progress.matched.min(shared);
+                        progress.next = shared + 1;
                         progress.is_probing = false;
                     }
                 });
@@ -294,6 +296,7 @@
                 false => Progress::new(next),
             };
             progress.identity = Some(response.identity);
+            self.warn_of_stranger(&core, response);
         }
         progress.round = progress.round.max(round);
         progress.answered = progress.answered.max(Some(sent_at));
@@ -304,6 +307,17 @@
         self.shared.wake();
     }
 
+    /// Says once that a member's folder is not the one that it was added with.
+    fn warn_of_stranger(&self, core: &Core, response: &Response) {
+        let known = core.log.members().get(&self.peer).and_then(|m| m.identity);
+        if known.is_some_and(|known| known != response.identity) {
+            spdlog::warn!(
+                "a member's folder was replaced, it doesn't count: remove it and add it again",
+                kv: { replica = self.shared.cfg.name.as_str(), peer = self.peer.as_str() }
+            );
+        }
+    }
+
     /// Sends the last snapshot part by part, then entries go on behind it.
     async fn send_snapshot(&mut self) {
         let disk = self.shared.disk.clone();
--- a/crates/replica/tests/faults.rs
+++ b/crates/replica/tests/faults.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use common::{
+    disk::FakeDisk,
     group::{Group, add_learner, elect, names, promote, propose, remove, star},
     paused,
 };
@@ -57,17 +58,17 @@
         group.net.isolate("a", &names(3));
         // Its log grows by entries that no quorum has.
         let (replica, checks) = (group.replica("a"), group.checks.clone());
-        let mut lost = Vec::new();
+        let mut outcomes = Vec::new();
         for _ in 0..5 {
             let (checks, replica, entry) = (checks.clone(), replica.clone(), group.entry());
-            lost.push(tokio::spawn(async move {
+            outcomes.push(tokio::spawn(async move {
                 propose(&checks, &replica, entry).await
             }));
         }
         group.pause(SECOND / 10).await;
         let last = replica.status().last;
         group.pause(2 * SECOND).await;
-        for outcome in lost {
+        for outcome in outcomes {
             assert_eq!(outcome.await.unwrap(), Err(ProposeError::Lost));
         }
         let status = replica.status();
@@ -344,3 +345,52 @@
         assert_eq!(outcome, Err(ProposeError::TooLarge));
     });
 }
+
+/// Lets a disk go on however the test ends, since its thread would wait for ever.
+struct Hanging(FakeDisk);
+
+impl Hanging {
+    fn new(disk: &FakeDisk) -> Self {
+        disk.hang(true);
+        Self(disk.clone())
+    }
+}
+
+impl Drop for Hanging {
+    fn drop(&mut self) {
+        self.0.hang(false);
+    }
+}
+
+/// Under the real clock, since a paused one stands still while a disk blocks.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_whose_disk_hangs_is_replaced() {
+    let mut group = Group::new(16, None);
+    group.has_slow_disks = true;
+    group.add_all(3).await;
+    group.commit().await;
+    let leader = group.leader().await;
+    let name = leader.status().name;
+    let hanging = Hanging::new(&group.nodes[&name].disk);
+    let propose_one = |entry| {
+        let (checks, leader) = (group.checks.clone(), leader.clone());
+        tokio::spawn(async move { propose(&checks, &leader, entry).await })
+    };
+    // The first one is in the log, and the others' disks suffice; the second never gets there.
+    let last = leader.status().last;
+    let first = propose_one(vec![1]);
+    while leader.status().last == last {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let second = propose_one(vec![2]);
+    assert!(first.await.unwrap().is_ok());
+    let told = second.await.unwrap();
+    assert!(
+        matches!(told, Err(ProposeError::NotLeader { .. })),
+        "{told:?}"
+    );
+    group.leader_but(&name).await;
+    group.commit().await;
+    drop(hanging);
+    group.settle().await.unwrap();
+}
