--- a/crates/replica/tests/agreement.rs
+++ b/crates/replica/tests/agreement.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::time::Duration;
+use std::{collections::BTreeSet, sync::Mutex, time::Duration};
 
 use common::{
     group::{Group, add_learner, names, promote, remove},
@@ -63,13 +63,14 @@
     },
     Remove {
         at: usize,
+        is_forced: bool,
     },
 }
 
 fn actions(most: usize) -> impl Strategy<Value = Vec<Action>> {
     let at = || 0..NAMES.len();
     let action = prop_oneof![
-        8 => (at(), 1..4usize).prop_map(|(at, count)| Action::Propose { at, count }),
+        8 => (at(), 1..6usize).prop_map(|(at, count)| Action::Propose { at, count }),
         3 => at().prop_map(|at| Action::Read { at }),
         8 => (1..800u64).prop_map(|ms| Action::Wait { ms }),
         2 => (at(), at()).prop_map(|(from, to)| Action::Cut { from, to }),
@@ -85,7 +86,7 @@
         4 => at().prop_map(|at| Action::Restart { at }),
         2 => (3..5usize).prop_map(|at| Action::Add { at }),
         2 => at().prop_map(|at| Action::Promote { at }),
-        1 => at().prop_map(|at| Action::Remove { at }),
+        2 => (at(), any::<bool>()).prop_map(|(at, is_forced)| Action::Remove { at, is_forced }),
     ];
     prop::collection::vec(action, 10..most)
 }
@@ -138,7 +139,15 @@
             change(group, add_learner(NAMES[at]));
         }
         Action::Promote { at } => change(group, promote(NAMES[at])),
-        Action::Remove { at } => change(group, remove(NAMES[at])),
+        Action::Remove { at, is_forced } => change(
+            group,
+            match is_forced {
+                true => MemberChange::RemoveUnsafely {
+                    name: NAMES[at].to_owned(),
+                },
+                false => remove(NAMES[at]),
+            },
+        ),
         Action::Crash { .. } | Action::CrashAfter { .. } | Action::Restart { .. } => {}
     }
 }
@@ -163,16 +172,40 @@
     }
 }
 
+/// Situations that the runs came to, so that none of them is tested in name only.
+#[derive(Default)]
+struct Reached(Mutex<BTreeSet<&'static str>>);
+
+impl Reached {
+    async fn note(&self, group: &Group) {
+        let status = group.leader().await.status();
+        let has = |names: &[&str]| names.iter().any(|n| status.voters.iter().any(|v| v == n));
+        let situations = [
+            ("a commit by clients", group.checks.last_acknowledged() > 10),
+            ("a later term", status.term > 3),
+            ("a snapshot sent", group.net.count("Snapshot") > 0),
+            ("a learner", !status.learners.is_empty()),
+            ("a promotion", has(&["d", "e"])),
+            ("a removal", !(has(&["a"]) && has(&["b"]) && has(&["c"]))),
+        ];
+        let reached = situations.into_iter().filter(|(_, is_reached)| *is_reached);
+        self.0.lock().unwrap().extend(reached.map(|(name, _)| name));
+    }
+}
+
 /// Runs the actions and says what didn't hold.
-fn run(seed: u64, actions: Vec<Action>) -> Result<(), TestCaseError> {
+fn run(seed: u64, actions: Vec<Action>, reached: &Reached) -> Result<(), TestCaseError> {
     paused(async {
         let mut group = Group::new(seed, None);
+        group.snapshot_after = 8;
         group.add_all(3).await;
         group.pause(Duration::from_secs(2)).await;
         for action in actions {
             act(&mut group, action).await;
         }
-        group.settle().await.map_err(TestCaseError::fail)
+        group.settle().await.map_err(TestCaseError::fail)?;
+        reached.note(&group).await;
+        Ok(())
     })
 }
 
@@ -192,11 +225,14 @@
     let cases = std::env::var("PROPTEST_CASES")
         .ok()
         .and_then(|n| n.parse().ok());
+    let reached = Reached::default();
     let mut runner = runner(cases.unwrap_or(150), 200);
     let outcome = runner.run(&(any::<u64>(), actions(60)), |(seed, actions)| {
-        run(seed, actions)
+        run(seed, actions, &reached)
     });
     if let Err(e) = outcome {
         panic!("{e}");
     }
+    let reached = reached.0.into_inner().unwrap();
+    assert_eq!(reached.len(), 6, "only {reached:?}");
 }
