--- a/crates/bench/src/check/violation.rs
+++ b/crates/bench/src/check/violation.rs
@@ -57,6 +57,22 @@
         /// The request's mark.
         subject: String,
     },
+    /// An endpoint obeyed an order with a lower fencing number than one before.
+    StaleOrder {
+        /// The endpoint.
+        endpoint: String,
+        /// The higher fencing number that it had obeyed.
+        newest: u64,
+        /// The lower one that it obeyed after that.
+        obeyed: u64,
+    },
+    /// An endpoint got new work long after it had announced that it leaves.
+    WorkAfterLeaving {
+        /// The endpoint.
+        endpoint: String,
+        /// Milliseconds from its announcement to the work.
+        after_ms: u64,
+    },
     /// A gate went back to an older revision.
     RevertedRevision {
         /// The gate.
@@ -80,6 +96,8 @@
             Self::InventedResult { .. } => "invented_result",
             Self::LostResult { .. } => "lost_result",
             Self::CutRequest { .. } => "cut_request",
+            Self::StaleOrder { .. } => "stale_order",
+            Self::WorkAfterLeaving { .. } => "work_after_leaving",
             Self::RevertedRevision { .. } => "reverted_revision",
         }
     }
@@ -104,6 +122,17 @@
                 write!(f, "request {subject} never ran at {service}")
             }
             Self::LostResult { key } => write!(f, "key {key}"),
+            Self::StaleOrder {
+                endpoint,
+                newest,
+                obeyed,
+            } => write!(f, "{endpoint} obeyed {obeyed} after {newest}"),
+            Self::WorkAfterLeaving { endpoint, after_ms } => {
+                write!(
+                    f,
+                    "{endpoint} got a call {after_ms} ms after it announced that it leaves"
+                )
+            }
             Self::RevertedRevision { gate, from, to } => {
                 write!(f, "{gate} went from {from} back to {to}")
             }
--- a/crates/bench/tests/stand_in.rs
+++ b/crates/bench/tests/stand_in.rs
@@ -140,6 +140,21 @@
     assert!(is_done);
 }
 
+#[tokio::test]
+async fn another_engine_takes_up_a_stream_at_the_same_offset() {
+    let engine = stand_in("plan", Kind::Engine).await;
+    let whole = engine_text("plan", "[len:20] tug", 64);
+    let offset = 16;
+    let resume = json!({
+        "model": "m", "prompt": "[len:20] tug", "max_tokens": 64, "stream": true,
+        "resume": { "call": "of another engine", "offset": offset },
+    });
+    let (chunks, is_done) = stream(&engine, "c1", resume).await;
+    assert_eq!(chunks[0]["offset"], offset);
+    assert_eq!(text_of(&chunks), whole[offset..]);
+    assert!(is_done);
+}
+
 #[tokio::test]
 async fn a_lost_chunk_shows_in_the_offsets() {
     let engine = stand_in("plan", Kind::Engine).await;
@@ -238,3 +253,26 @@
     assert_eq!(one.unwrap().body.len() + two.unwrap().body.len(), 200_000);
     assert!(since.elapsed() >= Duration::from_millis(190));
 }
+
+#[tokio::test]
+async fn an_imported_cache_spares_the_prefill() {
+    let (from, to) = (
+        stand_in("plan", Kind::Engine).await,
+        stand_in("plan", Kind::Engine).await,
+    );
+    let text = "harbor ".repeat(64);
+    stream(&from, "c1", prompt(&text)).await;
+    let client = Client::default();
+    let export = json!({ "prompt": text });
+    let exported = client
+        .post_json(&url(&from, "/v1/kv/export"), &[], &export)
+        .await
+        .unwrap();
+    let imported = client
+        .post_json(&url(&to, "/v1/kv/import"), &[], &exported.json())
+        .await;
+    assert_eq!(imported.unwrap().json()["imported"], 7);
+    let (chunks, _) = stream(&to, "c2", prompt(&text)).await;
+    let usage = &chunks.last().unwrap()["usage"];
+    assert_eq!(usage["prompt_tokens_details"]["cached_tokens"], 112);
+}
