Let stand-ins announce themselves as one incarnation

One run in eight of tests/keepers.rs failed: announcements of one stand-in overtook each other, each with an incarnation of its own, and the gate rightly answered 409 to the older one.

--- a/crates/gate/tests/env/stand_in.rs
+++ b/crates/gate/tests/env/stand_in.rs
@@ -3,7 +3,10 @@
 use std::{
     convert::Infallible,
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -23,6 +26,7 @@
     task::JoinHandle,
     time::{Instant, sleep},
 };
+use uuid::Uuid;
 
 use super::PATIENCE;
 
@@ -81,6 +85,8 @@
     pub service: String,
     pub address: SocketAddr,
     pub seen: Arc<Mutex<Vec<Seen>>>,
+    incarnation: Uuid,
+    announcements: AtomicU64,
     task: JoinHandle<()>,
 }
 
@@ -106,6 +112,8 @@
             service: service.to_owned(),
             address,
             seen,
+            incarnation: Uuid::now_v7(),
+            announcements: AtomicU64::new(0),
             task,
         }
     }
@@ -118,11 +126,13 @@
         endpoint
     }
 
+    /// The next announcement of this endpoint.
     pub fn announcement(&self) -> Value {
+        let seq = self.announcements.fetch_add(1, Ordering::SeqCst) + 1;
         json!({
             "endpoint": self.name, "service": self.service, "az": "z",
             "address": format!("http://{}", self.address),
-            "incarnation": uuid::Uuid::now_v7(), "seq": 1, "state": "ready",
+            "incarnation": self.incarnation, "seq": seq, "state": "ready",
             "models": [{"model": "m", "version": 1}],
             "unknown_member": true,
         })
@@ -221,11 +231,11 @@
             Ok(res.body(full(&text)).unwrap())
         }
         Reply::Crossed(value) => {
-            let res = Response::builder().header("jujube-call", uuid::Uuid::new_v4().to_string());
+            let res = Response::builder().header("jujube-call", Uuid::new_v4().to_string());
             Ok(res.body(full(&value.to_string())).unwrap())
         }
         Reply::CrossedRefusal => {
-            let res = Response::builder().header("jujube-call", uuid::Uuid::new_v4().to_string());
+            let res = Response::builder().header("jujube-call", Uuid::new_v4().to_string());
             let res = res.status(503).header("jujube-outcome", "not_run");
             Ok(res.body(full("")).unwrap())
         }
