--- a/crates/gate/src/ledger.rs
+++ b/crates/gate/src/ledger.rs
@@ -1,6 +1,6 @@
 //! The gate's side of the at-most-once ledger that the keepers hold.
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 use link::{
     keeper::{
@@ -18,7 +18,7 @@
 };
 use uuid::Uuid;
 
-use crate::inflight::Inflight;
+use crate::{inflight::Inflight, quorum::Quorum};
 
 /// First and longest pause between questions about a key that another attempt has.
 const FIRST_POLL: Duration = Duration::from_millis(10);
@@ -40,7 +40,7 @@
 /// Asks the keepers on behalf of one gate process; clones share the links.
 #[derive(Clone, Debug)]
 pub(crate) struct Ledger {
-    keepers: Arc<Keepers>,
+    quorum: Quorum,
     gate: String,
     incarnation: Uuid,
     cfg: LedgerConfig,
@@ -88,7 +88,7 @@
         inflight: Inflight,
     ) -> Self {
         Self {
-            keepers: Arc::new(keepers),
+            quorum: Quorum::new(keepers),
             gate: gate.to_owned(),
             incarnation,
             cfg,
@@ -111,7 +111,7 @@
             intent: Some(intent.clone()),
         };
         let reply = self
-            .keepers
+            .quorum
             .ask(&KeeperRequest::Intent(intent.clone()), limit)
             .await;
         match reply {
@@ -138,7 +138,7 @@
 
     /// The ledger's word on `key`.
     pub(crate) async fn lookup(&self, key: Uuid, limit: Duration) -> Result<LedgerEntry, String> {
-        match self.keepers.ask(&KeeperRequest::Lookup(key), limit).await {
+        match self.quorum.ask(&KeeperRequest::Lookup(key), limit).await {
             Ok(KeeperReply::Lookup(entry)) => Ok(entry),
             Ok(KeeperReply::Invalid(what)) => Err(what),
             Ok(other) => Err(format!("unexpected answer {other:?}")),
@@ -207,7 +207,7 @@
         let req = KeeperRequest::Settle(settle);
         while Instant::now() < until {
             let left = until.saturating_duration_since(Instant::now());
-            match self.keepers.ask(&req, left).await {
+            match self.quorum.keepers().ask(&req, left).await {
                 Ok(KeeperReply::Settled) => return,
                 Ok(KeeperReply::Invalid(what)) => {
                     warn!("settle: refused by the keepers: {}", what);
--- /dev/null
+++ b/crates/gate/src/rollout.rs
@@ -0,0 +1,89 @@
+//! Which services are being rolled out: for a while after their declaration changed.
+
+use std::{
+    collections::HashMap,
+    sync::{Mutex, PoisonError},
+    time::Duration,
+};
+
+use declaration::Service;
+use derives::value;
+use tokio::time::Instant;
+
+/// Time for which endpoints that still have another version go on serving.
+const ROLLOUT_LIMIT: Duration = Duration::from_mins(10);
+
+/// What an endpoint has to have loaded.
+#[value]
+struct Wanted {
+    model: Option<String>,
+    version: Option<u32>,
+    adapters: Vec<String>,
+}
+
+impl Wanted {
+    fn is_of(&self, service: &Service) -> bool {
+        self.model == service.model
+            && self.version == service.version
+            && self.adapters == service.adapters
+    }
+}
+
+#[derive(Debug)]
+struct Seen {
+    wanted: Wanted,
+    since: Instant,
+}
+
+/// What each service was last declared to serve, and since when.
+#[derive(Debug, Default)]
+pub(crate) struct Rollouts(Mutex<HashMap<String, Seen>>);
+
+impl Rollouts {
+    /// Whether `service`, declared under `name`, changed so recently that its endpoints may not
+    /// all have followed.
+    pub(crate) fn is_under_way(&self, name: &str, service: &Service) -> bool {
+        let mut seen = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        match seen.get(name) {
+            Some(seen) if seen.wanted.is_of(service) => seen.since.elapsed() < ROLLOUT_LIMIT,
+            _ => {
+                let wanted = Wanted {
+                    model: service.model.clone(),
+                    version: service.version,
+                    adapters: service.adapters.clone(),
+                };
+                let since = Instant::now();
+                seen.insert(name.to_owned(), Seen { wanted, since });
+                true
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use declaration::{Service, ServiceKind};
+    use tokio::time::advance;
+
+    use super::{ROLLOUT_LIMIT, Rollouts};
+
+    fn engine(version: u32) -> Service {
+        Service {
+            kind: ServiceKind::Engine,
+            repeatable: true,
+            model: Some("m".to_owned()),
+            version: Some(version),
+            adapters: Vec::new(),
+            max_tokens: 16,
+        }
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn a_rollout_ends_with_its_limit_and_starts_with_a_change() {
+        let rollouts = Rollouts::default();
+        assert!(rollouts.is_under_way("e", &engine(1)));
+        advance(ROLLOUT_LIMIT).await;
+        assert!(!rollouts.is_under_way("e", &engine(1)));
+        assert!(rollouts.is_under_way("e", &engine(2)));
+    }
+}
--- a/crates/gate/src/route.rs
+++ b/crates/gate/src/route.rs
@@ -16,7 +16,7 @@
 };
 use tokio::time::Instant;
 
-use crate::engine::Cached;
+use crate::{engine::Cached, rollout::Rollouts};
 
 /// When to come back where no endpoint is ready.
 const NO_ENDPOINT_RETRY: Duration = Duration::from_secs(1);
@@ -30,6 +30,8 @@
     budget: RetryBudget,
     /// Time of whole stages, by which admission estimates.
     totals: Arc<Latencies>,
+    /// Which services changed so recently that endpoints may not have followed.
+    rollouts: Rollouts,
     /// Time to the first part of an answer, by which hedges are sent.
     firsts: Latencies,
 }
@@ -96,6 +98,7 @@
             budget: RetryBudget::new(BudgetConfig::default()),
             firsts: Latencies::new(),
             totals,
+            rollouts: Rollouts::default(),
             table,
         }
     }
@@ -149,7 +152,7 @@
     pub(crate) fn pick(&self, need: &Need<'_>) -> Result<Picked, NoEndpoint> {
         let service = need.service;
         let model = service.model.as_deref().zip(service.version);
-        let pick = self.router.pick(&routing::Need {
+        let routed = routing::Need {
             service: need.name,
             model: model.map(|(model, version)| ModelNeed {
                 model,
@@ -160,7 +163,15 @@
             azs: need.zones,
             prompt: need.prompt.map(str::as_bytes),
             avoid: need.avoid,
-        })?;
+        };
+        let is_rolling = self.rollouts.is_under_way(need.name, service);
+        // The few engines that have a new version already must not carry all the load.
+        let strict = (!is_rolling).then(|| self.router.pick(&routed));
+        let pick = match strict {
+            // An older version is better than none; the controller's status tells of it.
+            None | Some(Err(NoEndpoint::NoModel)) => self.router.pick_in_rollout(&routed),
+            Some(picked) => picked,
+        }?;
         Picked::new(pick).ok_or(NoEndpoint::NoneReady)
     }
 
