--- a/crates/controller/src/book.rs
+++ b/crates/controller/src/book.rs
@@ -201,6 +201,11 @@
         now: Instant,
     ) {
         self.review_watched(endpoints, now);
+        self.shunned.retain(|_, until| *until > now);
+        self.attempts.retain(|task, _| {
+            let endpoint = endpoints.get(&task.endpoint);
+            endpoint.is_some_and(|e| e.incarnation == task.incarnation)
+        });
         for name in self.open.keys().cloned().collect::<Vec<_>>() {
             let open = &self.open[&name];
             let endpoint = endpoints.get(&name);
--- a/crates/membership/src/state.rs
+++ b/crates/membership/src/state.rs
@@ -356,9 +356,22 @@
             since: now,
             version,
         };
+        if self.tombstones.len() >= self.cfg.max_endpoints {
+            self.drop_oldest_tombstone();
+        }
         self.tombstones.insert(a.endpoint.clone(), tombstone);
     }
 
+    fn drop_oldest_tombstone(&mut self) {
+        let oldest = self.tombstones.iter().min_by_key(|(_, t)| t.version);
+        let Some((name, version)) = oldest.map(|(name, t)| (name.clone(), t.version)) else {
+            return;
+        };
+        self.tombstones.remove(&name);
+        self.log.remove(&version);
+        self.horizon = self.horizon.max(version);
+    }
+
     fn drop_old_tombstones(&mut self, now: Instant) {
         let kept = self.cfg.tombstone_kept;
         let mut horizon = self.horizon;
