--- a/crates/demo/src/run.rs
+++ b/crates/demo/src/run.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use host::exit::ExitCode;
+use host::{exit::ExitCode, output::line};
 use tokio::time::{Instant, sleep};
 
 use crate::{
@@ -42,13 +42,13 @@
 }
 
 async fn demonstrate(cfg: &Config) -> eyre::Result<Vec<Got>> {
-    let mut fleets = Vec::new();
-    for deployment in &DEPLOYMENTS {
-        fleets.push(fleet::start(deployment).await?);
-    }
+    let [escort_desk, watch_trading] = &DEPLOYMENTS;
+    let (escort_desk, watch_trading) =
+        tokio::try_join!(fleet::start(escort_desk), fleet::start(watch_trading))?;
+    let fleets = vec![escort_desk, watch_trading];
     let got = ask_rounds(cfg, &fleets).await?;
     if cfg.json {
-        println!("{}", report::json(&got));
+        line(report::json(&got));
     }
     if cfg.keep {
         stay(&fleets).await?;
@@ -66,7 +66,9 @@
         for (deployment, fleet) in DEPLOYMENTS.iter().zip(fleets) {
             let got = ask_all(deployment, fleet).await?;
             if !cfg.json {
-                got.iter().for_each(|got| println!("{}", report::line(got)));
+                for got in &got {
+                    line(report::line(got));
+                }
             }
             all.extend(got);
         }
--- a/crates/gate/tests/env/mod.rs
+++ b/crates/gate/tests/env/mod.rs
@@ -12,6 +12,7 @@
 use std::{
     io::{BufRead, BufReader},
     net::SocketAddr,
+    path::Path,
     process::{Child, Command, ExitStatus, Stdio},
     time::Duration,
 };
@@ -70,6 +71,7 @@
 pub struct Gate {
     child: Child,
     pub http: SocketAddr,
+    pub link: SocketAddr,
 }
 
 impl Env {
@@ -91,29 +93,35 @@
         let settings =
             format!("[vm]\nname = {name}\navailability_zone = z\n[keepers]\nk = {keeper}\n{more}");
         std::fs::write(&path, settings).unwrap();
+        Gate::start(&path).await
+    }
+}
+
+impl Gate {
+    /// A ready gate with the settings at `path`.
+    pub async fn start(path: &Path) -> Self {
         let mut child = Command::new(env!("CARGO_BIN_EXE_jujube-gate"))
             .arg("--config")
-            .arg(&path)
+            .arg(path)
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
         let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
-        let http = loop {
+        let (http, link) = loop {
             let line = lines.next().expect("the gate listens").unwrap();
             let line: Value = serde_json::from_str(&line).unwrap_or_default();
             if line["payload"] == "listening" {
-                break line["kv"]["http"].as_str().unwrap().parse().unwrap();
+                let address = |name: &str| line["kv"][name].as_str().unwrap().parse().unwrap();
+                break (address("http"), address("link"));
             }
         };
         // The log goes on; nobody may stop reading it.
         std::thread::spawn(move || lines.for_each(drop));
-        let gate = Gate { child, http };
+        let gate = Self { child, http, link };
         gate.until("/readyz", |a| a.status == 200).await;
         gate
     }
-}
 
-impl Gate {
     /// Asks until `is_good`; the answer.
     pub async fn until(&self, path: &str, is_good: impl Fn(&Answer) -> bool) -> Answer {
         let start = Instant::now();
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -12,11 +12,12 @@
 use membership::{Endpoint, Table};
 use rand::{SeedableRng, rngs::SmallRng};
 use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
     affinity::block_hashes,
     config::RouterConfig,
-    need::{CacheEvents, CallOutcome, Need, NoEndpoint, Observation},
+    need::{CacheEvents, CallOutcome, Need, NoEndpoint, Observation, Versions},
     pool::{Pool, Slot},
     score::View,
 };
@@ -35,6 +36,7 @@
 #[derive(Debug)]
 struct Shared {
     cfg: RouterConfig,
+    seed: u64,
     table: Table,
     start: Instant,
     picks: AtomicU64,
@@ -61,6 +63,8 @@
     /// A router over what `table` knows.
     pub fn new(cfg: RouterConfig, table: Table) -> Self {
         let shared = Shared {
+            // Gates that draw alike would all choose the same endpoints.
+            seed: xxh3_64_with_seed(cfg.gate.as_bytes(), cfg.seed),
             cfg,
             table,
             start: Instant::now(),
@@ -80,17 +84,28 @@
 
     /// Chooses an endpoint and takes one of its slots.
     pub fn pick(&self, need: &Need<'_>) -> Result<Pick, NoEndpoint> {
+        self.pick_of(need, Versions::Needed)
+    }
+
+    /// The same, but another version of the needed model will do, which is taken where it is
+    /// clearly better: while a rollout is under way, few endpoints have the new version.
+    pub fn pick_in_rollout(&self, need: &Need<'_>) -> Result<Pick, NoEndpoint> {
+        self.pick_of(need, Versions::Any)
+    }
+
+    fn pick_of(&self, need: &Need<'_>, versions: Versions) -> Result<Pick, NoEndpoint> {
         let pool = self.pool(need.service).ok_or(NoEndpoint::NoneReady)?;
         let hashes = need.prompt.map(block_hashes).unwrap_or_default();
         let view = View {
             cfg: &self.shared.cfg,
             need,
+            versions,
             hashes: &hashes,
             now: Instant::now(),
             mean_latency: pool.latency().mean(),
         };
-        let seed = self.shared.cfg.seed;
-        let mut rng = SmallRng::seed_from_u64(seed ^ self.shared.picks.fetch_add(1, Relaxed));
+        let turn = self.shared.picks.fetch_add(1, Relaxed);
+        let mut rng = SmallRng::seed_from_u64(self.shared.seed ^ turn);
         for _ in 0..MAX_DRAWS {
             let chosen = view.choose(&pool, &mut rng)?;
             if chosen.slot.stats.try_enter() {
@@ -153,29 +168,35 @@
 
     /// The pool of `service` for what the table knows now.
     fn pool(&self, service: &str) -> Option<Arc<Pool>> {
-        let snapshot = self.shared.table.service(service)?;
+        let table = &self.shared.table;
+        let snapshot = table.service(service)?;
+        let foreign = table.foreign_count();
+        let is_current =
+            |pool: &&Arc<Pool>| pool.version >= snapshot.version && pool.foreign >= foreign;
         let pools = self.shared.pools.read();
-        let known = pools
-            .expect("no holder of this lock panics")
-            .get(service)
-            .cloned();
-        match known {
-            Some(pool) if pool.version >= snapshot.version => return Some(pool),
-            _ => {}
+        let pools = pools.expect("no holder of this lock panics");
+        if let Some(pool) = pools.get(service).filter(is_current) {
+            return Some(Arc::clone(pool));
         }
+        drop(pools);
         let pools = self.shared.pools.write();
         let mut pools = pools.expect("no holder of this lock panics");
         let old = pools.get(service).cloned();
-        match old {
-            Some(pool) if pool.version >= snapshot.version => Some(pool),
-            old => {
-                let shared = &self.shared;
-                let pool = Pool::new(&shared.cfg, shared.start, &snapshot, old.as_deref());
-                let pool = Arc::new(pool);
-                pools.insert(service.to_owned(), Arc::clone(&pool));
-                Some(pool)
-            }
+        if let Some(pool) = old.as_ref().filter(is_current) {
+            return Some(Arc::clone(pool));
         }
+        let shared = &self.shared;
+        let foreign = table.foreign_gates();
+        let pool = Pool::new(
+            &shared.cfg,
+            shared.start,
+            &snapshot,
+            &foreign,
+            old.as_deref(),
+        );
+        let pool = Arc::new(pool);
+        pools.insert(service.to_owned(), Arc::clone(&pool));
+        Some(pool)
     }
 
     fn finish(&self, pick: &Pick, seen: &Observation) {
