--- a/crates/controller/tests/controllers.rs
+++ b/crates/controller/tests/controllers.rs
@@ -190,3 +190,28 @@
         task.abort();
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rollout_under_load_cuts_no_request() {
+    let mut env = Env::start().await;
+    env.declare(3, "horlogerie").await;
+    let mut engines = Vec::new();
+    for at in 0..3 {
+        engines.push(env.engine(&format!("e{at}"), 3, true).await);
+    }
+    let controller = env.controller("c");
+    controller
+        .until("nothing differs", |s| {
+            s["endpoints"] == 3 && s["differences"] == serde_json::json!([])
+        })
+        .await;
+    let load = env.load();
+    env.declare(4, "horlogerie").await;
+    for engine in &engines {
+        until_loaded(engine, &[4]).await;
+    }
+    sleep(Duration::from_millis(500)).await;
+    let (answered, failed) = load.stop().await;
+    assert!(failed.is_empty(), "{failed:?}");
+    assert!(answered > 100, "{answered}");
+}
--- a/crates/controller/tests/env/mod.rs
+++ b/crates/controller/tests/env/mod.rs
@@ -13,7 +13,7 @@
     stand_in::{self, Event, JournalEntry, Kind, StandIn, StandInConfig},
 };
 use host::{
-    client::Client,
+    client::{Client, request},
     role::Running,
     settings::Reader,
     shutdown::{Stop, channel},
@@ -280,6 +280,67 @@
     }
 }
 
+/// Callers that ask one question after the other.
+pub struct Load {
+    stop: Stop,
+    callers: Vec<JoinHandle<(usize, Vec<String>)>>,
+}
+
+impl Load {
+    /// How many answers came, and what else came.
+    pub async fn stop(self) -> (usize, Vec<String>) {
+        self.stop.stop();
+        let (mut answered, mut failed) = (0, Vec::new());
+        for caller in self.callers {
+            let (done, other) = caller.await.unwrap();
+            answered += done;
+            failed.extend(other);
+        }
+        (answered, failed)
+    }
+}
+
+impl Env {
+    /// Four callers of the gate's pipeline.
+    pub fn load(&self) -> Load {
+        let (stop, stopped) = channel();
+        let url = format!("{}/v1/pipelines/appraisal", self.gate_url());
+        let callers = (0..4).map(|_| {
+            let (client, url, stopped) = (self.client.clone(), url.clone(), stopped.clone());
+            tokio::spawn(async move {
+                let (mut answered, mut failed) = (0, Vec::new());
+                while !stopped.is_stopped() {
+                    match ask(&client, &url).await {
+                        Ok(()) => answered += 1,
+                        Err(what) => failed.push(what),
+                    }
+                }
+                (answered, failed)
+            })
+        });
+        Load {
+            callers: callers.collect(),
+            stop,
+        }
+    }
+}
+
+async fn ask(client: &Client, url: &str) -> Result<(), String> {
+    let req = hyper::Request::post(url)
+        .header("content-type", "application/json")
+        .header("jujube-workspace", "w");
+    let body = json!({ "input": "a watch" }).to_string().into();
+    let req = request(req, body, url).map_err(|e| e.to_string())?;
+    let answer = client.send(req).await.map_err(|e| e.to_string())?;
+    match answer.status.as_u16() {
+        200 => Ok(()),
+        status => Err(format!(
+            "{status}: {}",
+            String::from_utf8_lossy(&answer.body)
+        )),
+    }
+}
+
 /// Waits until `engine` has exactly `versions` loaded.
 pub async fn until_loaded(engine: &StandIn, versions: &[u32]) {
     let start = Instant::now();
--- a/crates/membership/tests/convergence.rs
+++ b/crates/membership/tests/convergence.rs
@@ -138,13 +138,23 @@
             prop_assert_eq!(gone_back(&before[gate], &known(&tables[gate])), None);
         }
     }
+    converge(&tables, &latest, with_restarts).await
+}
+
+/// Lets the gates exchange around the ring, and checks that all tables are equal and hold what was
+/// announced last.
+async fn converge(
+    tables: &[Table],
+    latest: &BTreeMap<String, (u8, u64)>,
+    with_restarts: bool,
+) -> Result<(), TestCaseError> {
     for _ in 0..2 {
         for at in 0..GATES {
             exchange(&tables[at], &tables[(at + 1) % GATES]).await;
         }
     }
     let first = known(&tables[0]);
-    for table in &tables {
+    for table in tables {
         prop_assert_eq!(&known(table), &first);
         for (name, (_, _, state, version)) in known(table) {
             // What only a restarted gate had heard may be lost.
