--- a/crates/replica/tests/faults.rs
+++ b/crates/replica/tests/faults.rs
@@ -253,6 +253,23 @@
     });
 }
 
+#[test]
+fn a_group_begins_without_one_of_its_first_voters_and_takes_it_in_later() {
+    paused(async {
+        let mut group = Group::new(17, None);
+        group.add("a", &names(3)).await;
+        group.add("b", &names(3)).await;
+        group.commit().await;
+        group.add("c", &names(3)).await;
+        group.pause(5 * SECOND).await;
+        let members = group.leader().await.status().members;
+        assert!(members.voters.iter().all(|m| m.identity.is_some()));
+        group.crash("b").await;
+        group.commit().await;
+        group.settle().await.unwrap();
+    });
+}
+
 #[test]
 fn a_second_failure_right_after_a_repair_loses_nothing() {
     paused(async {
