--- a/crates/gate/src/stage.rs
+++ b/crates/gate/src/stage.rs
@@ -101,7 +101,7 @@
     sink: Option<&Sink>,
 ) -> Result<StageDone, StageError> {
     let started = Instant::now();
-    let mut work = Work::new(stage, &cx.ask.input, previous);
+    let mut work = Work::new(stage, &cx.ask.input, previous, &cx.gate.metrics);
     let mut tries = Tries::default();
     cx.gate.route.first_try(stage.name);
     loop {
@@ -109,6 +109,7 @@
         let error = match try_once(cx, stage, &mut work, &mut tries, sink).await {
             Ok((output, endpoint)) => {
                 let elapsed = started.elapsed();
+                work.answered();
                 cx.gate.metrics.stage(stage.name, elapsed);
                 let report = StageReport {
                     stage: stage.number,
@@ -122,7 +123,9 @@
             }
             Err(error) => error,
         };
-        wait_for_retry(cx, stage, &tries, error).await?;
+        // To go on with a generation at its own endpoint runs nothing again.
+        let is_free = tries.again.is_some() && work.is_resumption();
+        wait_for_retry(cx, stage, &tries, is_free, error).await?;
         cx.gate.metrics.retry(stage.name);
         work.prepare_retry(sink.is_some());
     }
@@ -147,6 +150,7 @@
         call,
     } = answering;
     let first_byte = exchange.answered;
+    let held = work.offset();
     work.begin(call);
     let read = match work {
         Work::Plain { .. } => plain::read(exchange, &cx.gate.pool).await,
@@ -166,7 +170,12 @@
             Ok((output, picked.name().to_owned()))
         }
         // The connection is suspect before its endpoint is: go on there over a new one.
-        Err(e @ (CallError::Broken(_) | CallError::Stalled(_))) if via == Via::Any => {
+        Err(e @ (CallError::Broken(_) | CallError::Stalled(_)))
+            if via == Via::Any || work.offset() > held =>
+        {
+            if work.offset() > held {
+                tries.rounds = 0;
+            }
             guard.ended();
             cx.gate.pool.suspect(picked.address());
             let error = StageError::call(stage.name, picked.name(), e);
@@ -275,6 +284,7 @@
     cx: &Running,
     stage: Stage<'_>,
     tries: &Tries,
+    is_free: bool,
     error: StageError,
 ) -> Result<(), StageError> {
     let Cause::Call(cause) = &error.cause else {
@@ -283,11 +293,11 @@
     if !cause.is_worth_retrying() || tries.rounds >= MAX_TRIES {
         return Err(error);
     }
-    let is_free = matches!(cause, CallError::Connect(_));
+    let is_free = is_free || matches!(cause, CallError::Connect(_));
     if !is_free && !cx.gate.route.spend_retry(stage.name) {
         return Err(error);
     }
-    let bound = FIRST_BACKOFF * 2_u32.pow(tries.rounds.min(8) - 1);
+    let bound = FIRST_BACKOFF * 2_u32.pow(tries.rounds.clamp(1, 8) - 1);
     let drawn = rand::rng().random_range(Duration::ZERO..=bound.min(LONGEST_BACKOFF));
     let pause = match cause.retry_after() {
         // Another endpoint may be free although this one is not.
