--- a/crates/bench/src/experiment/run.rs
+++ b/crates/bench/src/experiment/run.rs
@@ -162,6 +162,7 @@
         self.timetable(fleet, cfg.start).await;
         let finished = callers.await.unwrap_or_default();
         watching.abort_all();
+        note_revisions(fleet).await;
         if self
             .scenario
             .actions
@@ -181,12 +182,16 @@
                 fleet.notes.push(format!("{action:?}: {e:#}"));
             }
         }
-        let revisions = fleet.revisions().await;
-        let newest = revisions.iter().map(|(_, r)| *r).max().unwrap_or(0);
-        for (gate, revision) in revisions.iter().filter(|(_, r)| *r < newest) {
-            let note = format!("{gate} had revision {revision}, others {newest}");
-            fleet.notes.push(note);
-        }
+    }
+}
+
+/// Notes gates that are behind the others after the run.
+async fn note_revisions(fleet: &mut Fleet) {
+    let revisions = fleet.revisions().await;
+    let newest = revisions.iter().map(|(_, r)| *r).max().unwrap_or(0);
+    for (gate, revision) in revisions.iter().filter(|(_, r)| *r < newest) {
+        let note = format!("{gate} had revision {revision}, others {newest}");
+        fleet.notes.push(note);
     }
 }
 
