--- a/crates/gate/src/once.rs
+++ b/crates/gate/src/once.rs
@@ -300,7 +300,10 @@
         let pool = &self.gate.pool;
         let begun = exchange::begin_on(connection, pool, &self.call, self.req.clone()).await;
         let exchange = match begun {
-            Ok(exchange) => exchange,
+            Ok(exchange) => {
+                self.picked.answered();
+                exchange
+            }
             Err(e @ (CallError::NotRun { .. } | CallError::Status { .. })) => return Err(e),
             Err(_) if self.call.handover.seal() => return Err(CallError::Unsent),
             Err(e) => return Err(e),
--- a/crates/gate/src/race.rs
+++ b/crates/gate/src/race.rs
@@ -30,6 +30,9 @@
     pub(crate) call: Uuid,
 }
 
+/// Shortest pause within an answer after which its connection is suspect.
+const SHORTEST_GAP: Duration = Duration::from_millis(250);
+
 /// On which connection a call goes out.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Via {
@@ -148,7 +151,9 @@
     let mut avoid = tries.avoid.clone();
     avoid.push(first.name().to_owned());
     let other = pick(cx, stage, work, &avoid).ok()?;
-    let is_other = other.name() != first.name();
+    // Where calls wait as long elsewhere, a hedge only adds to the load.
+    let is_waiting = other.oldest_wait() * 2 > first.since().elapsed();
+    let is_other = other.name() != first.name() && !is_waiting;
     (is_other && cx.gate.route.spend_retry(stage.name)).then_some(other)
 }
 
@@ -205,12 +210,15 @@
         Err(e) => Err(e),
     };
     match begun {
-        Ok(exchange) => Ok(Answering {
-            exchange,
-            picked: Arc::clone(picked),
-            guard,
-            call: call.id,
-        }),
+        Ok(exchange) => {
+            picked.answered();
+            Ok(Answering {
+                exchange,
+                picked: Arc::clone(picked),
+                guard,
+                call: call.id,
+            })
+        }
         Err(e) => {
             if matches!(e, CallError::NotRun { .. }) {
                 cx.record.refuse(number);
@@ -236,7 +244,7 @@
         waits: Waits {
             // The race decides when a silent call gets company; it ends with the deadline.
             first_byte: left,
-            gap: cx.gate.cfg.timing.gap,
+            gap: cx.gate.cfg.timing.gap.min((left / 4).max(SHORTEST_GAP)),
             deadline,
             max_bytes: cx.gate.cfg.limits.output_bytes,
         },
--- a/crates/gate/src/route.rs
+++ b/crates/gate/src/route.rs
@@ -49,6 +49,8 @@
     pub(crate) prompt: Option<&'a str>,
     /// Endpoints that failed.
     pub(crate) avoid: &'a [String],
+    /// Time left for the answer.
+    pub(crate) left: Option<Duration>,
 }
 
 /// What became of a call, as far as it tells about the endpoint.
@@ -163,6 +165,7 @@
             azs: need.zones,
             prompt: need.prompt.map(str::as_bytes),
             avoid: need.avoid,
+            left: need.left,
         };
         let is_rolling = self.rollouts.is_under_way(need.name, service);
         // The few engines that have a new version already must not carry all the load.
@@ -255,6 +258,21 @@
         self.address
     }
 
+    /// The first part of the answer is there.
+    pub(crate) fn answered(&self) {
+        self.with_pick(Pick::answered);
+    }
+
+    /// For how long the oldest call to it has waited for the first part of its answer.
+    pub(crate) fn oldest_wait(&self) -> Duration {
+        self.with_pick(Pick::oldest_wait).unwrap_or_default()
+    }
+
+    fn with_pick<T>(&self, f: impl FnOnce(&Pick) -> T) -> Option<T> {
+        let pick = self.pick.lock();
+        pick.expect("no holder of this lock panics").as_ref().map(f)
+    }
+
     /// When it was chosen.
     pub(crate) fn since(&self) -> Instant {
         self.since
--- a/crates/gate/src/stage.rs
+++ b/crates/gate/src/stage.rs
@@ -225,6 +225,7 @@
         zones: &cx.zones,
         prompt: work.prompt(),
         avoid,
+        left: Some(cx.ask.deadline.saturating_duration_since(Instant::now())),
     };
     let picked = match cx.gate.route.pick(&need) {
         Err(NoEndpoint::AllTried) if !avoid.is_empty() => {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -21,6 +21,7 @@
 mod stats;
 
 pub mod subset;
+mod waiting;
 
 pub use admission::{
     Admission, AdmissionConfig, AdmissionStats, Applicant, Refusal, RefusalReason, Ticket, Verdict,
--- a/crates/routing/src/need.rs
+++ b/crates/routing/src/need.rs
@@ -35,6 +35,8 @@
     pub prompt: Option<&'a [u8]>,
     /// Endpoints already tried for this stage.
     pub avoid: &'a [String],
+    /// Time left for the answer; endpoints where calls wait for longer are left out.
+    pub left: Option<Duration>,
 }
 
 /// Which versions of a needed model will do.
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -20,6 +20,7 @@
     need::{CacheEvents, CallOutcome, Need, NoEndpoint, Observation, Versions},
     pool::{Pool, Slot},
     score::View,
+    waiting::Started,
 };
 
 /// A call cancelled after so many mean times of its endpoint tells that it is slow.
@@ -111,6 +112,7 @@
             if chosen.slot.stats.try_enter() {
                 return Ok(Pick {
                     cached: chosen.cached,
+                    started: chosen.slot.stats.begin_wait(view.now),
                     slot: chosen.slot.clone(),
                     router: self.clone(),
                     since: view.now,
@@ -259,6 +261,7 @@
     hashes: Vec<u64>,
     cached: f64,
     since: Instant,
+    started: Started,
     is_finished: bool,
 }
 
@@ -283,6 +286,17 @@
         self.cached
     }
 
+    /// The first part of the answer is there.
+    pub fn answered(&self) {
+        self.slot.stats.end_wait(self.started);
+    }
+
+    /// For how long the oldest of this gate's calls to the endpoint has waited for the first part
+    /// of its answer.
+    pub fn oldest_wait(&self) -> std::time::Duration {
+        self.slot.stats.oldest_wait(Instant::now())
+    }
+
     /// Frees the slot and learns from the call; a pick dropped without this was cancelled.
     pub fn finish(mut self, seen: Observation) {
         self.is_finished = true;
@@ -296,6 +310,7 @@
             let seen = Observation::new(CallOutcome::Cancelled, self.since.elapsed());
             self.router.finish(self, &seen);
         }
+        self.slot.stats.end_wait(self.started);
         self.slot.stats.leave();
     }
 }
--- a/crates/routing/src/score.rs
+++ b/crates/routing/src/score.rs
@@ -24,6 +24,8 @@
 const FULL_SCAN: usize = 8;
 /// Random draws before all endpoints are looked at.
 const MAX_DRAWS: usize = 12;
+/// A new call waits longer than the oldest one has so far.
+const WAIT_MARGIN: f64 = 1.25;
 const LATENCY_RATIO_MIN: f64 = 0.25;
 const LATENCY_RATIO_MAX: f64 = 16.0;
 /// A cached share below this is no reason to prefer an endpoint.
@@ -93,10 +95,19 @@
             () if !self.need.is_met_by(a, self.versions) => Some(Barrier::NoModel),
             () if is_tried || slot.stats.is_ejected(self.now) => Some(Barrier::Tried),
             () if slot.stats.in_flight() >= slot.stats.limit() => Some(Barrier::AtLimit),
+            () if self.is_too_slow(slot) => Some(Barrier::AtLimit),
             () => None,
         }
     }
 
+    /// Whether a call is likely to wait there for longer than there is time.
+    fn is_too_slow(&self, slot: &Slot) -> bool {
+        let wait = slot.stats.oldest_wait(self.now);
+        self.need
+            .left
+            .is_some_and(|left| wait.mul_f64(WAIT_MARGIN) > left)
+    }
+
     /// The endpoint of `pool` that gets the call.
     pub(crate) fn choose<'s>(
         &self,
--- a/crates/routing/src/stats.rs
+++ b/crates/routing/src/stats.rs
@@ -16,6 +16,7 @@
     ewma::Decaying,
     health::{Health, returning_share},
     limit::Limit,
+    waiting::{Started, Waiting},
 };
 
 const LATENCY_HALF_LIFE: Duration = Duration::from_secs(5);
@@ -72,6 +73,7 @@
     /// Microseconds from `start`; 0 where it never was ejected.
     ejected_until_us: AtomicU64,
     pub(crate) latency: Latency,
+    waiting: Waiting,
     inner: Mutex<Inner>,
 }
 
@@ -88,6 +90,7 @@
             limit: AtomicU32::new(inner.limit.get()),
             ejected_until_us: AtomicU64::new(0),
             latency: Latency::default(),
+            waiting: Waiting::default(),
             inner: Mutex::new(inner),
         }
     }
@@ -119,6 +122,21 @@
         self.in_flight.fetch_update(Relaxed, Relaxed, enter).is_ok()
     }
 
+    /// A call starts to wait for the first part of its answer.
+    pub(crate) fn begin_wait(&self, now: Instant) -> Started {
+        self.waiting.begin(self.micros(now))
+    }
+
+    /// The call waits no longer.
+    pub(crate) fn end_wait(&self, started: Started) {
+        self.waiting.end(started);
+    }
+
+    /// For how long the oldest call has waited for the first part of its answer.
+    pub(crate) fn oldest_wait(&self, now: Instant) -> Duration {
+        Duration::from_micros(self.waiting.oldest_wait_us(self.micros(now)))
+    }
+
     pub(crate) fn leave(&self) {
         self.in_flight.fetch_sub(1, Relaxed);
     }
