--- a/crates/gate/src/pool.rs
+++ b/crates/gate/src/pool.rs
@@ -70,6 +70,11 @@
         self.lock().remove(&address);
     }
 
+    /// Closes every idle connection: what made one silent may have made others silent too.
+    pub(crate) fn suspect_all(&self) {
+        self.lock().clear();
+    }
+
     /// Closes connections that lie idle for too long, until dropped.
     pub(crate) async fn reap(self) {
         let mut tick = interval(self.cfg.idle / 2);
--- a/crates/gate/src/race.rs
+++ b/crates/gate/src/race.rs
@@ -28,8 +28,14 @@
     pub(crate) guard: CallGuard,
     /// The call's id.
     pub(crate) call: Uuid,
+    /// The connection that it answers on.
+    via: Via,
 }
 
+/// Shortest pause between two tries of a hedge.
+const SHORTEST_HEDGE_PAUSE: Duration = Duration::from_millis(20);
+/// Shortest time without any answer of an endpoint after which a new connection is tried.
+const SHORTEST_SILENCE: Duration = Duration::from_millis(150);
 /// Shortest pause within an answer after which its connection is suspect.
 const SHORTEST_GAP: Duration = Duration::from_millis(250);
 
@@ -47,8 +53,12 @@
 struct Schedule {
     /// A hedge at another endpoint.
     hedge: Option<Instant>,
-    /// A new connection to the same endpoint.
+    /// Pause before a hedge that found no room elsewhere is tried again.
+    hedge_pause: Duration,
+    /// A new connection to the same endpoint, if it answers nobody.
     new_socket: Option<Instant>,
+    /// The same, even if it answers others.
+    stall: Instant,
 }
 
 impl Schedule {
@@ -66,11 +76,18 @@
             hedge: lag
                 .filter(|lag| *lag < left && !work.is_resumption())
                 .map(|lag| now + lag),
-            new_socket: Some(now + stall),
+            hedge_pause: lag.unwrap_or_default().max(SHORTEST_HEDGE_PAUSE),
+            new_socket: Some(now + silence(lag).min(stall)),
+            stall: now + stall,
         }
     }
 }
 
+/// How long an endpoint may answer nobody before its connections are suspect.
+fn silence(lag: Option<Duration>) -> Duration {
+    lag.map_or(Duration::MAX, |lag| (lag * 2).max(SHORTEST_SILENCE))
+}
+
 /// How long a connection may be silent before a new one is tried beside it.
 fn first_byte_wait(cx: &Running, lag: Option<Duration>, left: Duration) -> Duration {
     let usual = lag.map_or(Duration::ZERO, |lag| lag * 2);
@@ -109,8 +126,11 @@
                 None => unreachable!("a race ends with its last leg"),
             },
             () = at(hedge) => {
-                schedule.hedge = None;
                 let other = another(cx, stage, work, tries, &picked);
+                schedule.hedge = match &other {
+                    Some(_) => None,
+                    None => Some(Instant::now() + schedule.hedge_pause),
+                };
                 if let Some(other) = other {
                     cx.gate.metrics.hedge(stage.name);
                     legs.push(leg(cx, stage, work, other, Via::Any));
@@ -118,6 +138,11 @@
                 }
             }
             () = at(new_socket) => {
+                if Instant::now() < schedule.stall && picked.has_answered_others() {
+                    // The endpoint is busy; its connections are not silent.
+                    schedule.new_socket = Some(schedule.stall);
+                    continue;
+                }
                 schedule.new_socket = None;
                 cx.gate.pool.suspect(picked.address());
                 if cx.gate.route.spend_retry(stage.name) {
@@ -134,6 +159,9 @@
 /// An endpoint that neither answered late nor new: it is blamed. One that answered on its new
 /// socket is not; only the old connection goes.
 fn blame(cx: &Running, picked: &Picked, winner: &Answering, is_renewed: bool) {
+    if is_renewed && winner.via == Via::New {
+        cx.gate.pool.suspect_all();
+    }
     if is_renewed && winner.picked.name() != picked.name() {
         cx.gate.pool.suspect(picked.address());
         picked.finish(Verdict::Stalled, None, None);
@@ -217,6 +245,7 @@
                 picked: Arc::clone(picked),
                 guard,
                 call: call.id,
+                via,
             })
         }
         Err(e) => {
--- a/crates/gate/src/route.rs
+++ b/crates/gate/src/route.rs
@@ -268,6 +268,11 @@
         self.with_pick(Pick::oldest_wait).unwrap_or_default()
     }
 
+    /// Whether it has answered any call since it was chosen for this one.
+    pub(crate) fn has_answered_others(&self) -> bool {
+        self.with_pick(Pick::has_answered_others).unwrap_or(true)
+    }
+
     fn with_pick<T>(&self, f: impl FnOnce(&Pick) -> T) -> Option<T> {
         let pick = self.pick.lock();
         pick.expect("no holder of this lock panics").as_ref().map(f)
--- a/crates/gate/src/stage.rs
+++ b/crates/gate/src/stage.rs
@@ -148,6 +148,7 @@
         picked,
         mut guard,
         call,
+        ..
     } = answering;
     let first_byte = exchange.answered;
     let held = work.offset();
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -288,7 +288,13 @@
 
     /// The first part of the answer is there.
     pub fn answered(&self) {
-        self.slot.stats.end_wait(self.started);
+        self.slot.stats.answered(self.started, Instant::now());
+    }
+
+    /// Whether the endpoint has answered any of this gate's calls since this one began; where it
+    /// has not, the connection may have gone silent.
+    pub fn has_answered_others(&self) -> bool {
+        self.slot.stats.has_answered_since(self.started)
     }
 
     /// For how long the oldest of this gate's calls to the endpoint has waited for the first part
--- a/crates/routing/src/stats.rs
+++ b/crates/routing/src/stats.rs
@@ -132,6 +132,16 @@
         self.waiting.end(started);
     }
 
+    /// The first part of the call's answer is there.
+    pub(crate) fn answered(&self, started: Started, now: Instant) {
+        self.waiting.answered(started, self.micros(now));
+    }
+
+    /// Whether any call was answered after `started` began.
+    pub(crate) fn has_answered_since(&self, started: Started) -> bool {
+        self.waiting.has_answered_since(started)
+    }
+
     /// For how long the oldest call has waited for the first part of its answer.
     pub(crate) fn oldest_wait(&self, now: Instant) -> Duration {
         Duration::from_micros(self.waiting.oldest_wait_us(self.micros(now)))
