--- a/crates/gate/src/start.rs
+++ b/crates/gate/src/start.rs
@@ -45,6 +45,9 @@
     route::Route,
 };
 
+/// Gates of the availability zone up to which links are kept to all of them.
+const MOST_LINKED_TO_ALL: usize = 8;
+
 /// Brings a gate up; it stops after the order of `stopped`.
 pub async fn start(cfg: Config, stopped: Stopped) -> eyre::Result<Running> {
     warn_of_missing_secrets(&cfg);
@@ -67,7 +70,7 @@
     let link = listener.local_addr()?;
     let bound = http::bind(cfg.http).await?;
     let local = bound.local;
-    let gates = connect(&cfg.gates, &links);
+    let gates = connect(&linked(&cfg), &links);
     let gate = Arc::new(build(cfg, &links, &gates));
     let warming = tokio::spawn(warm(Arc::clone(&gate), gates));
     let serving = serve_links(&gate, listener, links);
@@ -88,6 +91,18 @@
     })
 }
 
+/// The gates to which links are kept: all of few, a logarithmic number of many, so that links cost
+/// no more as the availability zone grows.
+fn linked(cfg: &Config) -> Vec<PeerSetting> {
+    if cfg.gates.len() <= MOST_LINKED_TO_ALL {
+        return cfg.gates.clone();
+    }
+    let names: Vec<String> = cfg.gates.iter().map(|gate| gate.name.clone()).collect();
+    let wanted = membership::neighbours(&cfg.vm.name, &names);
+    let gates = cfg.gates.iter().filter(|gate| wanted.contains(&gate.name));
+    gates.cloned().collect()
+}
+
 /// Starts a link to each of `peers`.
 fn connect(peers: &[PeerSetting], links: &LinkConfig) -> Vec<Peer> {
     let peers = peers.iter();
--- a/crates/replica/examples/measure.rs
+++ b/crates/replica/examples/log_cost.rs
@@ -1,7 +1,7 @@
 //! Measures commits and recovery of three voters over loopback links and real files.
 //!
-//! `measure commit --proposers N [--no-group-commit] [--seconds N] [--bytes N] [--folder DIR]`
-//! `measure recovery --entries N [--bytes N] [--folder DIR]`
+//! `log_cost commit --proposers N [--no-group-commit] [--seconds N] [--bytes N] [--folder DIR]`
+//! `log_cost recovery --entries N [--bytes N] [--folder DIR]`
 
 use std::{
     fs,
