--- a/crates/cli/src/audit.rs
+++ b/crates/cli/src/audit.rs
@@ -30,7 +30,7 @@
     }
     let rows: Vec<[String; 5]> = records.iter().map(row).collect();
     line(table(
-        ["revision", "time (ms)", "author", "sections", "reason"],
+        ["revision", "time (UTC)", "author", "sections", "reason"],
         &rows,
     ));
     Ok(ExitCode::Success)
@@ -40,7 +40,7 @@
     let sections: Vec<String> = record.sections.iter().map(|s| s.id.to_string()).collect();
     [
         record.revision.to_string(),
-        record.time_ms.to_string(),
+        host::time::utc(record.time_ms),
         record.author.clone(),
         sections.join(", "),
         record.reason.clone(),
--- a/crates/console/src/pages/audit.rs
+++ b/crates/console/src/pages/audit.rs
@@ -23,11 +23,11 @@
         }
         p { (found.len()) " of " (records.len()) " records" }
         table {
-            tr { th { "Revision" } th { "Time (ms)" } th { "Who" } th { "Why" } th { "What" } }
+            tr { th { "Revision" } th { "Time (UTC)" } th { "Who" } th { "Why" } th { "What" } }
             @for record in found {
                 tr {
                     td { (record.revision) }
-                    td { (record.time_ms) }
+                    td { (host::time::utc(record.time_ms)) }
                     td { (record.author) }
                     td { (record.reason) }
                     td {
--- a/crates/console/src/pages/layout.rs
+++ b/crates/console/src/pages/layout.rs
@@ -10,7 +10,7 @@
 body{font:16px/1.5 system-ui,sans-serif;margin:0;color:#1c2733;background:#f5f7f9}\
 header{background:#12324a;color:#fff;padding:.7rem 1.5rem;display:flex;gap:1.5rem;align-items:baseline}\
 header a{color:#d5e6f2}header strong{font-size:1.1rem}\
-main{padding:1.2rem 1.5rem;max-width:82rem}\
+main{padding:1.2rem 1.5rem;max-width:82rem}section+section{margin-top:1.2rem}.columns section{margin-top:0}\
 .columns{display:grid;grid-template-columns:repeat(auto-fit,minmax(20rem,1fr));gap:1.2rem;align-items:start}\
 section,form.card{background:#fff;border:1px solid #d5dce2;border-radius:6px;padding:1rem 1.2rem}\
 pre{background:#eef2f5;padding:.7rem;overflow:auto;font-size:.86rem;margin:.4rem 0}\
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod role;
 pub mod settings;
 pub mod shutdown;
+pub mod time;
--- /dev/null
+++ b/crates/host/src/time.rs
@@ -0,0 +1,22 @@
+//! Wall-clock times for people.
+
+use std::time::{Duration, UNIX_EPOCH};
+
+/// Milliseconds since the Unix epoch as UTC in RFC 3339, to the second.
+pub fn utc(time_ms: u64) -> String {
+    let time = UNIX_EPOCH.checked_add(Duration::from_millis(time_ms));
+    time.map_or_else(
+        || time_ms.to_string(),
+        |time| humantime::format_rfc3339_seconds(time).to_string(),
+    )
+}
+
+#[cfg(test)]
+mod tests {
+    use super::utc;
+
+    #[test]
+    fn a_time_is_written_in_utc() {
+        assert_eq!(utc(1_796_349_442_567), "2026-12-04T01:57:22Z");
+    }
+}
