--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -14,6 +14,7 @@
 mod machine;
 mod metrics;
 mod pages;
+mod payload;
 mod refusal;
 mod service;
 mod start;
--- a/crates/keeper/src/pages.rs
+++ b/crates/keeper/src/pages.rs
@@ -12,19 +12,16 @@
 use replica::Role;
 use salvo::{
     Depot, Request, Response, Router, affix_state, handler,
-    http::{ParseError, StatusCode, header::HeaderValue},
+    http::{StatusCode, header::HeaderValue},
 };
 use serde::Serialize;
 
 use crate::{
-    body,
+    body, payload,
     refusal::{Refusal, no_quorum},
     service::{Origin, Service},
 };
 
-/// Largest body in bytes; a document of thousands of workspaces is far smaller.
-const MAX_BODY_BYTES: usize = 3 << 20;
-
 /// What the pages need.
 #[derive(Debug)]
 pub struct Pages {
@@ -97,8 +94,8 @@
 async fn submit(pages: &Pages, req: &mut Request) -> Result<Accepted, Refusal> {
     const STEP: &str = "submit the change";
     let operator = authorized(pages, req)?;
-    let bytes = payload(req).await?;
-    let mut submission = body::submission(bytes).map_err(|e| bad_request(&e))?;
+    let bytes = payload::read(req).await?;
+    let mut submission = body::submission(&bytes).map_err(|e| bad_request(&e))?;
     if let Some(operator) = operator {
         submission.author = operator;
     }
@@ -236,9 +233,9 @@
 
 async fn change_members(pages: &Pages, req: &mut Request) -> Result<(), Refusal> {
     authorized(pages, req)?;
-    let bytes = payload(req).await?;
+    let bytes = payload::read(req).await?;
     let body: MemberRequest =
-        serde_json::from_slice(bytes).map_err(|e| bad_request(&e.to_string()))?;
+        serde_json::from_slice(&bytes).map_err(|e| bad_request(&e.to_string()))?;
     let action = match (body.action, &body.address) {
         (MemberAction::Add, Some(address)) => {
             let address = address.parse();
@@ -301,17 +298,6 @@
     }
 }
 
-async fn payload(req: &mut Request) -> Result<&[u8], Refusal> {
-    match req.payload_with_max_size(MAX_BODY_BYTES).await {
-        Ok(bytes) => Ok(bytes),
-        Err(ParseError::PayloadTooLarge) => {
-            let detail = format!("the body is larger than {MAX_BODY_BYTES} bytes");
-            Err(Problem::new(413, "too-large", "Body too large", detail).into())
-        }
-        Err(e) => Err(bad_request(&e.to_string()).into()),
-    }
-}
-
 fn bad_request(detail: &str) -> Problem {
     Problem::new(
         StatusCode::BAD_REQUEST.as_u16(),
