--- a/crates/declaration/tests/amend.rs
+++ b/crates/declaration/tests/amend.rs
@@ -136,9 +136,9 @@
         let kept = changes.iter().map(|c| &c.id);
         let kept = kept.filter(|id| next.sections.contains_key(*id));
         let mut out = declared.amended(next, kept).map_err(|f| f.to_string())?;
-        changes
-            .iter()
-            .for_each(|c| drop(out.pipelines.remove(&c.id.name)));
+        for change in changes {
+            out.pipelines.remove(&change.id.name);
+        }
         Ok(out)
     };
     assert!(walk(&[vec![delete("pipeline", "q")]], careless).is_err());
