Read keys and tokens in a module of their own; refuse settings without a keeper

What stands in a file unread is a record instead of a tuple. The fault for missing keepers stood twice (keeper, console) and was missing in gate and controller, which can't serve without any. cargo test -p host -p console -p keeper -p controller -p gate -p demo passes.

--- a/crates/console/src/config.rs
+++ b/crates/console/src/config.rs
@@ -27,22 +27,14 @@
     /// Takes what the console needs from `reader`.
     pub fn read(reader: &mut Reader) -> Self {
         let security = reader.security();
-        let cfg = Self {
+        Self {
             vm: reader.vm(),
             http: reader.listen("http"),
-            keepers: reader.peers("keepers"),
+            keepers: reader.keepers(),
             gates: reader.peers("gates"),
             controllers: reader.peers("controllers"),
             link_key: security.link_key,
             operators: security.operators,
-        };
-        if cfg.keepers.is_empty() {
-            reader.fault(
-                "keepers",
-                "",
-                "no keeper; add `name = IP:PORT` of each keeper's link",
-            );
         }
-        cfg
     }
 }
--- a/crates/controller/src/config.rs
+++ b/crates/controller/src/config.rs
@@ -63,7 +63,7 @@
         Self {
             vm: r.vm(),
             http: r.listen("http"),
-            keepers: r.peers("keepers"),
+            keepers: r.keepers(),
             gates: r.peers("gates"),
             link_key: r.security().link_key,
             bounds: Bounds::read(r),
--- a/crates/gate/src/config.rs
+++ b/crates/gate/src/config.rs
@@ -82,7 +82,7 @@
             vm: r.vm(),
             http: r.listen("http"),
             link: r.listen("link"),
-            keepers: r.peers("keepers"),
+            keepers: r.keepers(),
             gates: r.peers("gates"),
             security: r.security(),
             limits: Limits::read(r),
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod output;
 pub mod problem;
 pub mod role;
+mod security;
 pub mod settings;
 pub mod shutdown;
 pub mod time;
--- /dev/null
+++ b/crates/host/src/security.rs
@@ -0,0 +1,127 @@
+//! `[security]`: keys and tokens, read from the files that the settings name.
+
+use std::{
+    fmt::{self, Debug, Formatter},
+    fs,
+};
+
+use derives::value;
+use subtle::ConstantTimeEq;
+
+use crate::settings::Reader;
+
+/// `[security]`, each part optional.
+#[value]
+#[derive(Default)]
+pub struct Security {
+    /// Key with which both ends of a link prove themselves.
+    pub link_key: Option<Secret>,
+    /// Token that endpoints send with announcements.
+    pub announce_token: Option<Secret>,
+    /// Operators by token; the name is the audit trail's author.
+    pub operators: Vec<Operator>,
+}
+
+/// An operator's name and token.
+#[value]
+pub struct Operator {
+    /// Name for the audit trail.
+    pub name: String,
+    /// What the operator presents.
+    pub token: Secret,
+}
+
+/// The operator who has this token. Every token is compared, so that the time taken does not tell
+/// which one matched.
+pub fn find_operator<'a>(operators: &'a [Operator], token: &[u8]) -> Option<&'a Operator> {
+    operators.iter().fold(None, |found, operator| {
+        let is_match = operator.token.matches(token);
+        if is_match { Some(operator) } else { found }
+    })
+}
+
+/// Bytes that never appear in logs.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Secret(Vec<u8>);
+
+impl Debug for Secret {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str("Secret(…)")
+    }
+}
+
+impl Secret {
+    /// Takes `bytes` without surrounding white space.
+    pub fn new(bytes: &[u8]) -> Self {
+        Self(bytes.trim_ascii().to_vec())
+    }
+
+    /// The secret bytes.
+    pub fn expose(&self) -> &[u8] {
+        &self.0
+    }
+
+    /// Compares in constant time.
+    pub fn matches(&self, presented: &[u8]) -> bool {
+        self.0.ct_eq(presented).into()
+    }
+}
+
+impl Reader {
+    /// `[security]`, with the files that it names read.
+    pub fn security(&mut self) -> Security {
+        Security {
+            link_key: self.secret_file("link_key_file"),
+            announce_token: self.secret_file("announce_token_file"),
+            operators: self.operators(),
+        }
+    }
+
+    fn secret_file(&mut self, key: &str) -> Option<Secret> {
+        let bytes = self.file_bytes(key)?;
+        let secret = Secret::new(&bytes);
+        if secret.expose().is_empty() {
+            self.fault(
+                "security",
+                key,
+                "the file is empty; write the secret into it",
+            );
+            return None;
+        }
+        Some(secret)
+    }
+
+    fn operators(&mut self) -> Vec<Operator> {
+        let Some(bytes) = self.file_bytes("operator_tokens_file") else {
+            return Vec::new();
+        };
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        let lines = text.lines().map(str::trim);
+        let mut operators = Vec::new();
+        for line in lines.filter(|line| !line.is_empty() && !line.starts_with('#')) {
+            match line.split_once(char::is_whitespace) {
+                Some((name, token)) => operators.push(Operator {
+                    name: name.to_owned(),
+                    token: Secret::new(token.as_bytes()),
+                }),
+                None => {
+                    let what = "a line lacks its token; write `name token`";
+                    self.fault("security", "operator_tokens_file", what);
+                }
+            }
+        }
+        operators
+    }
+
+    fn file_bytes(&mut self, key: &str) -> Option<Vec<u8>> {
+        let path = self.path("security", key)?;
+        match fs::read(&path) {
+            Ok(bytes) => Some(bytes),
+            Err(e) => {
+                let what = format!("`{}` cannot be read: {e}", path.display());
+                self.fault("security", key, what);
+                None
+            }
+        }
+    }
+}
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -11,6 +11,8 @@
 use derives::value;
 use inifile::{Fault, Faults, Section};
 
+pub use crate::security::{Operator, Secret, Security, find_operator};
+
 /// A section that every role accepts, whether it needs it or not.
 struct SharedSection {
     name: &'static str,
@@ -71,64 +73,6 @@
     pub address: SocketAddr,
 }
 
-/// `[security]`, each part optional.
-#[value]
-#[derive(Default)]
-pub struct Security {
-    /// Key with which both ends of a link prove themselves.
-    pub link_key: Option<Secret>,
-    /// Token that endpoints send with announcements.
-    pub announce_token: Option<Secret>,
-    /// Operators by token; the name is the audit trail's author.
-    pub operators: Vec<Operator>,
-}
-
-/// An operator's name and token.
-#[value]
-pub struct Operator {
-    /// Name for the audit trail.
-    pub name: String,
-    /// What the operator presents.
-    pub token: Secret,
-}
-
-/// The operator who has this token. Every token is compared, so that the time taken does not tell
-/// which one matched.
-pub fn find_operator<'a>(operators: &'a [Operator], token: &[u8]) -> Option<&'a Operator> {
-    operators.iter().fold(None, |found, operator| {
-        let is_match = operator.token.matches(token);
-        if is_match { Some(operator) } else { found }
-    })
-}
-
-/// Bytes that never appear in logs.
-#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Secret(Vec<u8>);
-
-impl std::fmt::Debug for Secret {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("Secret(…)")
-    }
-}
-
-impl Secret {
-    /// Takes `bytes` without surrounding white space.
-    pub fn new(bytes: &[u8]) -> Self {
-        Self(bytes.trim_ascii().to_vec())
-    }
-
-    /// The secret bytes.
-    pub fn expose(&self) -> &[u8] {
-        &self.0
-    }
-
-    /// Compares in constant time.
-    pub fn matches(&self, presented: &[u8]) -> bool {
-        use subtle::ConstantTimeEq;
-        self.0.ct_eq(presented).into()
-    }
-}
-
 /// Reads sections and keys, remembers which were read, and lists every fault at the end.
 #[derive(Debug)]
 pub struct Reader {
@@ -302,6 +246,16 @@
             .collect()
     }
 
+    /// `[keepers]`, which every role needs.
+    pub fn keepers(&mut self) -> Vec<Peer> {
+        let keepers = self.peers("keepers");
+        if keepers.is_empty() {
+            let what = "no keeper; add `name = IP:PORT` of each first voter's link";
+            self.fault("keepers", "", what);
+        }
+        keepers
+    }
+
     /// A path, relative to the settings file's folder.
     pub fn path(&mut self, section: &str, key: &str) -> Option<PathBuf> {
         self.text(section, key).map(|text| self.folder.join(text))
@@ -320,82 +274,9 @@
         })
     }
 
-    /// `[security]`, with the files that it names read.
-    pub fn security(&mut self) -> Security {
-        Security {
-            link_key: self.secret_file("link_key_file"),
-            announce_token: self.secret_file("announce_token_file"),
-            operators: self.operators(),
-        }
-    }
-
-    fn secret_file(&mut self, key: &str) -> Option<Secret> {
-        let bytes = self.file_bytes(key)?;
-        let secret = Secret::new(&bytes);
-        if secret.expose().is_empty() {
-            self.fault(
-                "security",
-                key,
-                "the file is empty; write the secret into it",
-            );
-            return None;
-        }
-        Some(secret)
-    }
-
-    fn operators(&mut self) -> Vec<Operator> {
-        let Some(bytes) = self.file_bytes("operator_tokens_file") else {
-            return Vec::new();
-        };
-        let text = String::from_utf8_lossy(&bytes).into_owned();
-        let lines = text.lines().map(str::trim);
-        let mut operators = Vec::new();
-        for line in lines.filter(|line| !line.is_empty() && !line.starts_with('#')) {
-            match line.split_once(char::is_whitespace) {
-                Some((name, token)) => operators.push(Operator {
-                    name: name.to_owned(),
-                    token: Secret::new(token.as_bytes()),
-                }),
-                None => {
-                    let what = "a line lacks its token; write `name token`";
-                    self.fault("security", "operator_tokens_file", what);
-                }
-            }
-        }
-        operators
-    }
-
-    fn file_bytes(&mut self, key: &str) -> Option<Vec<u8>> {
-        let path = self.path("security", key)?;
-        match fs::read(&path) {
-            Ok(bytes) => Some(bytes),
-            Err(e) => {
-                let what = format!("`{}` cannot be read: {e}", path.display());
-                self.fault("security", key, what);
-                None
-            }
-        }
-    }
-
     /// Lists every fault, unknown sections and keys among them.
     pub fn finish(mut self) -> Result<(), Faults> {
-        let mut unknown = Vec::new();
-        for (name, section) in &self.sections {
-            if !self.known.contains(name) {
-                unknown.push((name.clone(), String::new(), "unknown section"));
-                continue;
-            }
-            let shared = SHARED_SECTIONS.iter().find(|shared| shared.name == name);
-            let is_known = |key: &str| match shared {
-                Some(shared) if shared.keys.is_empty() => true,
-                Some(shared) if shared.keys.contains(&key) => true,
-                _ => self.read.contains(&(name.clone(), key.to_owned())),
-            };
-            for entry in section.entries.iter().filter(|entry| !is_known(&entry.key)) {
-                unknown.push((name.clone(), entry.key.clone(), "unknown key"));
-            }
-        }
-        for (section, key, what) in unknown {
+        for Unknown { section, key, what } in self.unknown() {
             self.fault(
                 &section,
                 &key,
@@ -404,6 +285,42 @@
         }
         self.faults.into_result()
     }
+
+    fn unknown(&self) -> Vec<Unknown> {
+        let of_section = |(name, section): (&String, &Section)| match self.known.contains(name) {
+            true => self.unknown_keys(name, section),
+            false => vec![Unknown {
+                section: name.clone(),
+                key: String::new(),
+                what: "unknown section",
+            }],
+        };
+        self.sections.iter().flat_map(of_section).collect()
+    }
+
+    fn unknown_keys(&self, name: &str, section: &Section) -> Vec<Unknown> {
+        let shared = SHARED_SECTIONS.iter().find(|shared| shared.name == name);
+        let is_known = |key: &str| match shared {
+            Some(shared) if shared.keys.is_empty() => true,
+            Some(shared) if shared.keys.contains(&key) => true,
+            _ => self.read.contains(&(name.to_owned(), key.to_owned())),
+        };
+        let keys = section.entries.iter().map(|entry| &entry.key);
+        let unknown = keys.filter(|key| !is_known(key)).map(|key| Unknown {
+            section: name.to_owned(),
+            key: key.clone(),
+            what: "unknown key",
+        });
+        unknown.collect()
+    }
+}
+
+/// What stands in the file and no role reads.
+struct Unknown {
+    section: String,
+    /// Empty where the whole section is unknown.
+    key: String,
+    what: &'static str,
 }
 
 #[cfg(test)]
--- a/crates/keeper/src/config.rs
+++ b/crates/keeper/src/config.rs
@@ -70,7 +70,7 @@
             vm: reader.vm(),
             http: reader.listen("http"),
             link: reader.listen("link"),
-            keepers: reader.peers("keepers"),
+            keepers: reader.keepers(),
             folder: folder.clone().unwrap_or_default(),
             snapshot_after: reader.number(
                 "data",
@@ -89,10 +89,6 @@
             let what = "missing; add `folder = …`, a folder that this keeper alone uses";
             reader.fault("data", "folder", what);
         }
-        if cfg.keepers.is_empty() {
-            let what = "no keeper; add `name = IP:PORT` of each first voter's link";
-            reader.fault("keepers", "", what);
-        }
         cfg
     }
 }
