Send the first entry again where an old heartbeat's answer ended the search

Cause: a request with a log's very first entry is lost, the leader begins to look for the place where the logs part, and an answer to an older heartbeat at index 0 ends the search. With nothing matched, the next entry to send stayed behind the lost one: the group had a leader and committed nothing for as long as it led. Where something was matched, the next entry was reset already.

Ruled out: loss of heartbeats (both followers had answered 17 ms before), a hanging disk.

--- a/crates/replica/src/replicate.rs
+++ b/crates/replica/src/replicate.rs
@@ -234,7 +234,12 @@
                 let matched = *matched;
                 self.note(&response, landed.sent_at, landed.round, |progress, _| {
                     progress.matched = progress.matched.max(matched);
-                    progress.next = progress.next.max(progress.matched + 1);
+                    // While probing, what was sent behind `matched` may be lost.
+                    let next = match progress.is_probing {
+                        true => 0,
+                        false => progress.next,
+                    };
+                    progress.next = next.max(progress.matched + 1);
                     progress.is_probing = false;
                 });
             }
