Begin a group only with all first voters, and never a second time

Cause 1: a first voter whose identity the first leader had not recorded never counted, so that a leader killed early left two keepers of which one had no vote. Cause 2: a folder that knows of nothing founded with any quorum, so that two wiped folders founded beside the third's log.

Both come from one thing: a wiped folder and a new one look the same. Now all first voters are asked twice before the first entry, and what they agree on (names and identities) is lasting in each folder that votes, so a quorum suffices from then on and no other group can begin.

Ruled out: counting the vote of an unknown folder (a wiped one would count as its old self), a marker kept by the settings (no program may write them).

Test changed: a_group_begins_without_one_of_its_first_voters_and_takes_it_in_later asked for the fault itself. In its place: the group waits for the third, then each of the three may be lost in turn.

--- a/crates/replica/src/answer.rs
+++ b/crates/replica/src/answer.rs
@@ -74,6 +74,7 @@
         match () {
             () if !core.knows(from, identity, standing) => Tell::WrongIdentity,
             () if term <= core.term || self.has_leader(&core) => Tell::Denied,
+            () if !core.agrees(&self.cfg.name, self.identity, standing) => Tell::Denied,
             () if core.is_behind(standing) => Tell::Granted,
             () => Tell::Denied,
         }
@@ -105,13 +106,18 @@
             }
             let voted = core.voted.clone().filter(|_| term == core.term);
             let is_free = voted.as_ref().is_none_or(|voted| *voted == from);
-            let is_granted = is_free && core.is_behind(standing);
+            let agrees = core.agrees(&self.cfg.name, self.identity, standing);
+            let is_granted = is_free && agrees && core.is_behind(standing);
             let voted = match is_granted {
                 true => Some(from),
                 false => voted,
             };
             (Vote { term, voted }, is_granted)
         };
+        let founders = standing.founders.clone().filter(|_| is_granted);
+        let Some(store) = self.keep_founders(store, founders).await else {
+            return Tell::Stopped;
+        };
         if self.keep_vote(store, vote, is_granted).await && is_granted {
             return Tell::Granted;
         }
--- a/crates/replica/src/core.rs
+++ b/crates/replica/src/core.rs
@@ -93,6 +93,8 @@
     pub writing: Option<Instant>,
     pub failed: Option<String>,
     pub is_stopping: bool,
+    /// The first voters that the group can't begin without, as last seen.
+    pub missing: Vec<String>,
 }
 
 /// One replica.
--- a/crates/replica/src/election.rs
+++ b/crates/replica/src/election.rs
@@ -13,7 +13,8 @@
 use crate::{
     append,
     core::{Core, Progress, Shared, StoreGuard},
-    entry::{Entry, Members, Payload},
+    entry::{Entry, Payload},
+    founding,
     message::{Ask, Request, Response, Standing, Tell},
     status::Role,
     vote::Vote,
@@ -110,22 +111,22 @@
         return;
     };
     let next_term = shared.core().term + 1;
-    if !is_transfer
-        && !poll(shared, next_term, Ask::PreVote(standing.clone()))
-            .await
-            .is_won
-    {
+    let Some(standing) = founding::agree(shared, next_term, standing).await else {
+        return;
+    };
+    let wish = Ask::PreVote(standing.clone());
+    if !is_transfer && !poll(shared, next_term, wish, Need::Quorum).await.is_won {
         return;
     }
     let Some(term) = begin_term(shared, next_term).await else {
         return;
     };
-    let votes = poll(shared, term, Ask::Vote(standing)).await;
+    let votes = poll(shared, term, Ask::Vote(standing), Need::Quorum).await;
     if !votes.is_won {
         return;
     }
     let store = Arc::clone(&shared.store).lock_owned().await;
-    lead(shared, store, term, votes.identities).await;
+    lead(shared, store, term).await;
 }
 
 /// How far the own log goes, if this replica may stand at all.
@@ -135,11 +136,13 @@
         return None;
     }
     core.leader = None;
+    let has_entries = core.log.last() > 0;
     Some(Standing {
         last: core.log.last(),
         last_term: core.log.last_term(),
         members_index: core.log.members_index(),
         is_transfer,
+        founders: (!has_entries).then(|| core.log.members().clone()),
     })
 }
 
@@ -168,46 +171,53 @@
     Some(term)
 }
 
-struct Votes {
-    is_won: bool,
-    /// Who gave a vote, with the identity that answered.
-    identities: BTreeMap<String, Uuid>,
+/// How many voters must say yes.
+#[derive(Clone, Copy, PartialEq)]
+pub(crate) enum Need {
+    /// A quorum, by folders of known identity.
+    Quorum,
+    /// All of them, whatever their identity: there is no group yet.
+    All,
+}
+
+/// What came of asking the voters.
+pub(crate) struct Votes {
+    pub is_won: bool,
+    /// Who said yes, with the identity that answered.
+    pub identities: BTreeMap<String, Uuid>,
 }
 
 /// Asks all other voters at once and counts until the matter is clear.
-async fn poll(shared: &Arc<Shared>, term: u64, ask: Ask) -> Votes {
+pub(crate) async fn poll(shared: &Arc<Shared>, term: u64, ask: Ask, need: Need) -> Votes {
     let mut votes = Votes {
         is_won: false,
         identities: BTreeMap::from([(shared.cfg.name.clone(), shared.identity)]),
     };
-    let quorum = shared.core().log.members().quorum();
+    let needed = match need {
+        Need::Quorum => shared.core().log.members().quorum(),
+        Need::All => shared.core().log.members().voters.len(),
+    };
     let mut asked = ask_all(shared, term, &ask);
-    // A folder without entries may have been wiped: others may know better, so it hears all.
-    let is_founding = shared.core().log.last() == 0;
     let counting = async {
         while let Some((name, response)) = asked.next().await {
             let Some(response) = response else { continue };
             // A pre-vote asks for a term that isn't begun; whoever is in it already is ahead.
             if response.term > shared.core().term {
                 shared.adopt(response.term).await;
-                return false;
+                return;
             }
-            match response.tell {
-                Tell::Granted if shared.vote_counts(&name, response.identity) => {
-                    votes.identities.insert(name, response.identity);
-                }
-                Tell::WrongIdentity if is_founding => return false,
-                _ => {}
+            let counts = need == Need::All || shared.core().counts(&name, response.identity);
+            if response.tell == Tell::Granted && counts {
+                votes.identities.insert(name, response.identity);
             }
-            if !is_founding && votes.identities.len() >= quorum {
-                return true;
+            if votes.identities.len() >= needed {
+                return;
             }
         }
-        true
     };
-    let limit = shared.cfg.timing.election_min;
-    let is_valid = timeout(limit, counting).await.unwrap_or(true);
-    votes.is_won = is_valid && votes.identities.len() >= quorum;
+    // Those that don't answer in time gave no vote.
+    let _ = timeout(shared.cfg.timing.election_min, counting).await;
+    votes.is_won = votes.identities.len() >= needed;
     votes
 }
 
@@ -251,14 +261,6 @@
         link::decode(&bytes).ok()
     }
 
-    /// Whether a vote of `name`'s folder `identity` counts; before the first entry none is known.
-    fn vote_counts(&self, name: &str, identity: Uuid) -> bool {
-        let core = self.core();
-        let voter = core.log.members().voter(name);
-        let is_unknown = voter.is_some_and(|m| m.identity.is_none()) && core.log.last() == 0;
-        is_unknown || core.counts(name, identity)
-    }
-
     /// Takes over a higher term that was heard of, lasting before anything is done in it.
     pub(crate) async fn adopt(&self, term: u64) {
         let store = Arc::clone(&self.store).lock_owned().await;
@@ -283,13 +285,8 @@
     }
 }
 
-/// Begins to lead: the first entry of the term also names the identities that voted.
-async fn lead(
-    shared: &Arc<Shared>,
-    store: StoreGuard,
-    term: u64,
-    identities: BTreeMap<String, Uuid>,
-) {
+/// Begins to lead with an entry of the own term; the log's first one names the members.
+async fn lead(shared: &Arc<Shared>, store: StoreGuard, term: u64) {
     let entry = {
         let mut core = shared.core();
         if core.role != Role::Candidate || core.term != term || core.is_ended() {
@@ -306,7 +303,10 @@
         let entry = Arc::new(Entry {
             index,
             term,
-            payload: first_payload(core.log.members(), &identities),
+            payload: match index {
+                1 => Payload::Members(core.log.members().clone()),
+                _ => Payload::Empty,
+            },
         });
         core.log.append([Arc::clone(&entry)]);
         entry
@@ -316,17 +316,6 @@
     append::persist(shared, store, vec![entry]).await;
 }
 
-fn first_payload(members: &Members, identities: &BTreeMap<String, Uuid>) -> Payload {
-    let mut bound = members.clone();
-    for member in bound.all_mut().filter(|m| m.identity.is_none()) {
-        member.identity = identities.get(&member.name).copied();
-    }
-    match bound == *members {
-        true => Payload::Empty,
-        false => Payload::Members(bound),
-    }
-}
-
 impl Core {
     /// Has a progress for each member but `own`, and for no one else.
     pub(crate) fn track_members(&mut self, own: &str) {
--- a/crates/replica/src/entry.rs
+++ b/crates/replica/src/entry.rs
@@ -50,19 +50,36 @@
 }
 
 impl Members {
-    /// The first voters, whose identities aren't known yet.
+    /// The first voters by name, so that all of them have one order; their identities aren't known
+    /// yet.
     pub(crate) fn first(voters: &[String]) -> Self {
         let member = |name: &String| Member {
             name: name.clone(),
             address: String::new(),
             identity: None,
         };
+        let mut voters: Vec<_> = voters.iter().map(member).collect();
+        voters.sort_by(|a, b| a.name.cmp(&b.name));
         Self {
-            voters: voters.iter().map(member).collect(),
+            voters,
             learners: Vec::new(),
         }
     }
 
+    /// Whether the identities of all voters are known.
+    pub(crate) fn is_bound(&self) -> bool {
+        self.voters.iter().all(|m| m.identity.is_some())
+    }
+
+    /// Whether both have voters of the same names, in the same order.
+    pub(crate) fn has_voters_of(&self, other: &Self) -> bool {
+        let names = |members: &Self| -> Vec<String> {
+            let names = members.voters.iter().map(|m| m.name.clone());
+            names.collect()
+        };
+        names(self) == names(other)
+    }
+
     pub(crate) fn voter(&self, name: &str) -> Option<&Member> {
         self.voters.iter().find(|m| m.name == name)
     }
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -12,6 +12,7 @@
 mod election;
 mod entry;
 mod error;
+mod founding;
 mod log;
 mod machine;
 mod member;
--- a/crates/replica/src/log.rs
+++ b/crates/replica/src/log.rs
@@ -122,6 +122,18 @@
         &self.members[self.members.len() - 1].1
     }
 
+    /// Whether the group has begun: there is an entry, or its first voters agreed on who they are.
+    pub(crate) fn is_founded(&self) -> bool {
+        self.last() > 0 || self.members().is_bound()
+    }
+
+    /// Takes in the first voters that were agreed on, where there is no entry yet.
+    pub(crate) fn found(&mut self, members: Members) {
+        if self.last() == 0 {
+            self.members = vec![(0, members)];
+        }
+    }
+
     /// The index that the members in force hold from.
     pub(crate) fn members_index(&self) -> u64 {
         self.members[self.members.len() - 1].0
--- a/crates/replica/src/message.rs
+++ b/crates/replica/src/message.rs
@@ -43,6 +43,8 @@
     pub members_index: u64,
     /// Whether the leader asked for this election itself.
     pub is_transfer: bool,
+    /// The first voters, where the candidate has no entry yet; their identities once agreed on.
+    pub founders: Option<Members>,
 }
 
 /// Entries that follow `prev`.
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -306,6 +306,7 @@
         writing: None,
         failed: None,
         is_stopping: false,
+        missing: Vec::new(),
     };
     Shared {
         cfg,
--- a/crates/replica/src/store.rs
+++ b/crates/replica/src/store.rs
@@ -10,7 +10,7 @@
     log::Log,
     segment,
     snapshot::{self, Snapshot},
-    vote::{self, ASIDE, FolderIdentity, IDENTITY, VOTE, Vote},
+    vote::{self, ASIDE, FOUNDERS, FolderIdentity, IDENTITY, VOTE, Vote},
 };
 
 /// The writer of one folder; after a failure it refuses everything.
@@ -65,7 +65,9 @@
             leave_votes_unsynced: false,
         };
         let entries = store.load_segments()?;
-        let log = store.assemble(snapshot.as_ref(), entries, voters)?;
+        let founders: Option<Members> = vote::read(&store.disk, FOUNDERS)?;
+        let first = founders.unwrap_or_else(|| Members::first(voters));
+        let log = store.assemble(snapshot.as_ref(), entries, first)?;
         if log.last_term() > vote.term {
             let what = "the vote is older than the log";
             return Err(ReplicaError::damaged(VOTE, 0, what));
@@ -123,10 +125,10 @@
         &mut self,
         snapshot: Option<&Snapshot>,
         entries: VecDeque<Arc<Entry>>,
-        voters: &[String],
+        first: Members,
     ) -> Result<Log, ReplicaError> {
         let Some(meta) = snapshot.map(|s| &s.meta) else {
-            let mut log = Log::new(0, 0, Members::first(voters));
+            let mut log = Log::new(0, 0, first);
             if entries.front().is_some_and(|e| e.index != 1) {
                 let what = "the log's beginning and the snapshot are missing";
                 return Err(ReplicaError::damaged(&self.first_name(), 0, what));
@@ -212,6 +214,13 @@
         self.note(result)
     }
 
+    /// Makes the first voters that were agreed on lasting.
+    pub(crate) fn write_founders(&mut self, founders: &Members) -> Result<(), ReplicaError> {
+        self.check()?;
+        let result = vote::replace(&self.disk, FOUNDERS, &vote::seal(founders));
+        self.note(result)
+    }
+
     /// Keeps an own snapshot, if it is newer than the one there, and removes segments that hold
     /// nothing after `kept`.
     pub(crate) fn keep(&mut self, snapshot: &Snapshot, kept: u64) -> Result<(), ReplicaError> {
--- a/crates/replica/src/vote.rs
+++ b/crates/replica/src/vote.rs
@@ -10,6 +10,8 @@
 pub(crate) const VOTE: &str = "vote";
 /// File name of the identity.
 pub(crate) const IDENTITY: &str = "identity";
+/// File name of the first voters that a group without entries agreed on.
+pub(crate) const FOUNDERS: &str = "founders";
 /// What the name of a file ends in while it is written aside.
 pub(crate) const ASIDE: &str = ".new";
 
--- a/crates/replica/tests/faults.rs
+++ b/crates/replica/tests/faults.rs
@@ -254,18 +254,22 @@
 }
 
 #[test]
-fn a_group_begins_without_one_of_its_first_voters_and_takes_it_in_later() {
+fn a_group_begins_with_all_of_its_first_voters_and_then_bears_the_loss_of_any_one() {
     paused(async {
         let mut group = Group::new(17, None);
         group.add("a", &names(3)).await;
         group.add("b", &names(3)).await;
-        group.commit().await;
+        group.pause(30 * SECOND).await;
+        assert!(group.running().all(|r| r.status().role != Role::Leader));
         group.add("c", &names(3)).await;
-        group.pause(5 * SECOND).await;
+        group.commit().await;
         let members = group.leader().await.status().members;
         assert!(members.voters.iter().all(|m| m.identity.is_some()));
-        group.crash("b").await;
-        group.commit().await;
+        for name in names(3) {
+            group.crash(&name).await;
+            group.commit().await;
+            group.restart(&name).await;
+        }
         group.settle().await.unwrap();
     });
 }
