Give no vote where the last record may have been acknowledged and is cut

Cause: a bit that flips in the last synced frame looks like a torn write. The frame is cut, and the keeper's vote then helps a candidate that never had the entry: a second loss loses what was accepted.

A frame is torn for sure only where the file ends before it does. Otherwise the replica marks its folder before the cut, gives no vote, and is sure again once it has all that a leader had when that leader heard of it, or votes for a candidate that no voter at all is ahead of.

Ruled out: a second record after each sync (twice the syncs), refusing to start (a wipe at each power cut that tears a page), withholding acknowledgements (they say what is there now).

Effect: one doubtful voter of three costs nothing while the others run; where no quorum is free of doubt, all voters must be back.

--- a/crates/replica/src/answer.rs
+++ b/crates/replica/src/answer.rs
@@ -9,9 +9,10 @@
     core::{Core, Shared, StoreGuard},
     entry::{Entry, Payload},
     log::Log,
-    message::{Append, Ask, Chunk, Request, Response, Standing, Tell},
+    message::{Append, Ask, Chunk, Fill, Request, Response, Standing, Tell},
     snapshot::Snapshot,
     status::Role,
+    store::Store,
     vote::Vote,
 };
 
@@ -35,6 +36,7 @@
         Response {
             identity: self.identity,
             term: core.term,
+            doubt: core.doubt,
             tell,
         }
     }
@@ -75,6 +77,7 @@
             () if !core.knows(from, identity, standing) => Tell::WrongIdentity,
             () if term <= core.term || self.has_leader(&core) => Tell::Denied,
             () if !core.agrees(&self.cfg.name, self.identity, standing) => Tell::Denied,
+            () if core.is_behind(standing) && core.doubt.is_some() => Tell::Doubtful,
             () if core.is_behind(standing) => Tell::Granted,
             () => Tell::Denied,
         }
@@ -107,7 +110,8 @@
             let voted = core.voted.clone().filter(|_| term == core.term);
             let is_free = voted.as_ref().is_none_or(|voted| *voted == from);
             let agrees = core.agrees(&self.cfg.name, self.identity, standing);
-            let is_granted = is_free && agrees && core.is_behind(standing);
+            let is_sure = core.doubt.is_none() || standing.has_heard_all;
+            let is_granted = is_free && agrees && is_sure && core.is_behind(standing);
             let voted = match is_granted {
                 true => Some(from),
                 false => voted,
@@ -199,11 +203,28 @@
             return Tell::Stopped;
         }
         self.core().commit_to(append.commit.min(end));
+        let is_filled = self.core().is_filled(&append);
+        if is_filled {
+            let store = Arc::clone(&self.store).lock_owned().await;
+            self.end_doubt(store).await;
+        }
         self.compare(&append.digests);
         self.wake();
         Tell::Appended { matched: end }
     }
 
+    /// Makes it lasting that nothing is missing at the log's end, where that was in doubt.
+    pub(crate) async fn end_doubt(&self, store: StoreGuard) {
+        if self.core().doubt.is_none() {
+            return;
+        }
+        let (_store, result) = self.work(store, Store::end_doubt).await;
+        if result.is_ok() {
+            self.core().doubt = None;
+            spdlog::info!("has everything again", kv: { replica = self.cfg.name.as_str() });
+        }
+    }
+
     /// Entries sent one after the other may overtake each other here; the ones before come soon.
     async fn wait_for_entry(&self, index: u64) {
         let mut changed = self.changed.subscribe();
@@ -306,13 +327,20 @@
     fn beat(&mut self, from: &str, term: u64, append: &Append) -> Option<Tell> {
         let prev = append.prev;
         let fits = prev <= self.durable && self.log.term(prev) == Some(append.prev_term);
-        if !fits || !self.hear(from, term) {
+        if !fits || self.is_filled(append) || !self.hear(from, term) {
             return None;
         }
         self.commit_to(append.commit.min(prev));
         Some(Tell::Appended { matched: prev })
     }
 
+    /// Whether a request that fits shows that the log here has all that the leader had when it
+    /// heard of the doubt, and so all that was acknowledged here before.
+    fn is_filled(&self, append: &Append) -> bool {
+        let ends = |fill: Fill| Some(fill.doubt) == self.doubt && append.prev >= fill.last;
+        append.fill.is_some_and(ends)
+    }
+
     fn commit_to(&mut self, index: u64) {
         self.commit = self.commit.max(index);
     }
--- a/crates/replica/src/config.rs
+++ b/crates/replica/src/config.rs
@@ -79,6 +79,8 @@
     CommitOldTerm,
     /// Learners count towards the quorum.
     LearnerCounts,
+    /// A replica whose log's tail was cut votes at once.
+    DoubtfulVotes,
     /// Reads are answered without asking a quorum.
     ReadUnconfirmed,
 }
--- a/crates/replica/src/core.rs
+++ b/crates/replica/src/core.rs
@@ -13,8 +13,12 @@
 use uuid::Uuid;
 
 use crate::{
-    Applied, Connect, Disk, PeerLink, ProposeError, ReplicaConfig, ReplicaError, log::Log,
-    message::Digest, snapshot::Snapshot, status::Role, store::Store,
+    Applied, Connect, Disk, PeerLink, ProposeError, ReplicaConfig, ReplicaError,
+    log::Log,
+    message::{Digest, Fill},
+    snapshot::Snapshot,
+    status::Role,
+    store::Store,
 };
 
 /// Where a proposal's reply goes.
@@ -49,6 +53,8 @@
     pub answered: Option<Instant>,
     /// The identity that it answered with.
     pub identity: Option<Uuid>,
+    /// Where it is in doubt: what ends that.
+    pub fill: Option<Fill>,
 }
 
 /// The way to another replica.
@@ -91,6 +97,8 @@
     pub peers: BTreeMap<String, Known>,
     /// When the write began that the disk has not finished.
     pub writing: Option<Instant>,
+    /// A mark of this start, where the log's tail was cut and no leader has filled it yet.
+    pub doubt: Option<Uuid>,
     pub failed: Option<String>,
     pub is_stopping: bool,
     /// The first voters that the group can't begin without, as last seen.
--- a/crates/replica/src/election.rs
+++ b/crates/replica/src/election.rs
@@ -111,12 +111,16 @@
         return;
     };
     let next_term = shared.core().term + 1;
-    let Some(standing) = founding::agree(shared, next_term, standing).await else {
+    let Some(mut standing) = founding::agree(shared, next_term, standing).await else {
         return;
     };
-    let wish = Ask::PreVote(standing.clone());
-    if !is_transfer && !poll(shared, next_term, wish, Need::Quorum).await.is_won {
-        return;
+    if !is_transfer {
+        let wish = Ask::PreVote(standing.clone());
+        let votes = poll(shared, next_term, wish, Need::Quorum).await;
+        if !votes.is_won {
+            return;
+        }
+        standing.has_heard_all = votes.has_heard_all;
     }
     let Some(term) = begin_term(shared, next_term).await else {
         return;
@@ -143,6 +147,7 @@
         members_index: core.log.members_index(),
         is_transfer,
         founders: (!has_entries).then(|| core.log.members().clone()),
+        has_heard_all: false,
     })
 }
 
@@ -183,6 +188,8 @@
 /// What came of asking the voters.
 pub(crate) struct Votes {
     pub is_won: bool,
+    /// Whether each voter said that it is not ahead.
+    pub has_heard_all: bool,
     /// Who said yes, with the identity that answered.
     pub identities: BTreeMap<String, Uuid>,
 }
@@ -191,12 +198,25 @@
 pub(crate) async fn poll(shared: &Arc<Shared>, term: u64, ask: Ask, need: Need) -> Votes {
     let mut votes = Votes {
         is_won: false,
-        identities: BTreeMap::from([(shared.cfg.name.clone(), shared.identity)]),
+        has_heard_all: false,
+        identities: BTreeMap::new(),
+    };
+    let (all, quorum, is_doubtful) = {
+        let core = shared.core();
+        let members = core.log.members();
+        (members.voters.len(), members.quorum(), core.doubt.is_some())
     };
     let needed = match need {
-        Need::Quorum => shared.core().log.members().quorum(),
-        Need::All => shared.core().log.members().voters.len(),
+        Need::Quorum => quorum,
+        Need::All => all,
     };
+    let has_heard_all = matches!(&ask, Ask::Vote(standing) if standing.has_heard_all);
+    // In doubt, the own log proves nothing; the quorum is made of others then.
+    if !is_doubtful || has_heard_all {
+        let own = (shared.cfg.name.clone(), shared.identity);
+        votes.identities.extend([own]);
+    }
+    let mut not_ahead = 1;
     let mut asked = ask_all(shared, term, &ask);
     let counting = async {
         while let Some((name, response)) = asked.next().await {
@@ -207,8 +227,13 @@
                 return;
             }
             let counts = need == Need::All || shared.core().counts(&name, response.identity);
-            if response.tell == Tell::Granted && counts {
-                votes.identities.insert(name, response.identity);
+            match response.tell {
+                Tell::Granted if counts => {
+                    not_ahead += 1;
+                    votes.identities.insert(name, response.identity);
+                }
+                Tell::Doubtful if counts => not_ahead += 1,
+                _ => {}
             }
             if votes.identities.len() >= needed {
                 return;
@@ -217,7 +242,9 @@
     };
     // Those that don't answer in time gave no vote.
     let _ = timeout(shared.cfg.timing.election_min, counting).await;
-    votes.is_won = votes.identities.len() >= needed;
+    let is_wish = matches!(ask, Ask::PreVote(_));
+    votes.has_heard_all = is_wish && not_ahead == all;
+    votes.is_won = votes.identities.len() >= needed || need == Need::Quorum && votes.has_heard_all;
     votes
 }
 
@@ -313,7 +340,9 @@
     };
     spdlog::info!("leads", kv: { replica = shared.cfg.name.as_str(), term = term });
     shared.wake();
-    append::persist(shared, store, vec![entry]).await;
+    let store = append::persist(shared, store, vec![entry]).await;
+    // The voters chose this log as the group's.
+    shared.end_doubt(store).await;
 }
 
 impl Core {
@@ -340,6 +369,7 @@
             round: 0,
             answered: None,
             identity: None,
+            fill: None,
         }
     }
 }
--- a/crates/replica/src/founding.rs
+++ b/crates/replica/src/founding.rs
@@ -16,6 +16,8 @@
 /// What `standing` becomes once the group has begun; `None` where it can't begin now.
 pub(crate) async fn agree(shared: &Arc<Shared>, term: u64, standing: Standing) -> Option<Standing> {
     match &standing.founders {
+        // A folder that had something cut had something.
+        Some(members) if !members.is_bound() && shared.core().doubt.is_some() => return None,
         Some(members) if !members.is_bound() => {}
         _ => return Some(standing),
     }
@@ -90,6 +92,7 @@
         let named = founders.voter(own).and_then(|m| m.identity);
         match self.log.is_founded() {
             true => self.log.last() == 0 && founders == members,
+            false if self.doubt.is_some() => false,
             false => founders.has_voters_of(members) && named.is_none_or(|named| named == identity),
         }
     }
--- a/crates/replica/src/message.rs
+++ b/crates/replica/src/message.rs
@@ -45,6 +45,8 @@
     pub is_transfer: bool,
     /// The first voters, where the candidate has no entry yet; their identities once agreed on.
     pub founders: Option<Members>,
+    /// Whether no voter at all is ahead of the candidate, so that those in doubt may vote too.
+    pub has_heard_all: bool,
 }
 
 /// Entries that follow `prev`.
@@ -62,6 +64,18 @@
     pub is_pipelined: bool,
     /// State digests at applied indexes.
     pub digests: Vec<Digest>,
+    /// What ends the doubt of the replica that this goes to.
+    pub fill: Option<Fill>,
+}
+
+/// How far a replica in doubt must follow to be sure again.
+#[record]
+#[derive(Copy, Eq)]
+pub(crate) struct Fill {
+    /// The doubt that this is about.
+    pub doubt: Uuid,
+    /// The leader's last index when it heard of the doubt.
+    pub last: u64,
 }
 
 /// The state's digest at an index.
@@ -112,6 +126,8 @@
     pub identity: Uuid,
     /// Its term.
     pub term: u64,
+    /// Where it had to cut its log's tail: a mark of this start.
+    pub doubt: Option<Uuid>,
     pub tell: Tell,
 }
 
@@ -120,6 +136,8 @@
 pub(crate) enum Tell {
     /// The vote, or pre-vote, is given.
     Granted,
+    /// The candidate is not behind, yet the voter's own log may lack what it acknowledged.
+    Doubtful,
     /// It is not.
     Denied,
     /// Synced up to here, and the same as the leader's log.
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -14,6 +14,7 @@
     task::JoinSet,
     time::{Instant, timeout},
 };
+use uuid::Uuid;
 
 use crate::{
     Connect, Disk, MemberChange, MemberError, PeerLink, ProposeError, ReplicaConfig, ReplicaError,
@@ -262,6 +263,19 @@
     }
 }
 
+/// The mark of this start, where the log's tail was cut.
+fn doubt(cfg: &ReplicaConfig, is_doubtful: bool) -> Option<Uuid> {
+    #[cfg(any(test, feature = "broken-variants"))]
+    let is_doubtful = is_doubtful && cfg.broken != Some(crate::Broken::DoubtfulVotes);
+    if is_doubtful {
+        spdlog::warn!(
+            "the last record was damaged or torn and is cut: gives no vote until it is filled",
+            kv: { replica = cfg.name.as_str() }
+        );
+    }
+    is_doubtful.then(Uuid::new_v4)
+}
+
 fn build(
     cfg: ReplicaConfig,
     disk: Disk,
@@ -304,6 +318,7 @@
         incoming: None,
         peers: BTreeMap::new(),
         writing: None,
+        doubt: doubt(&cfg, loaded.is_doubtful),
         failed: None,
         is_stopping: false,
         missing: Vec::new(),
--- a/crates/replica/src/replicate.rs
+++ b/crates/replica/src/replicate.rs
@@ -12,7 +12,7 @@
     core::{Core, Progress, Shared},
     entry::Entry,
     member,
-    message::{Append, Ask, Chunk, Response, Tell},
+    message::{Append, Ask, Chunk, Fill, Response, Tell},
     snapshot::{self, Snapshot},
     status::Role,
 };
@@ -131,6 +131,7 @@
             round: self.round,
             is_pipelined: false,
             digests: Vec::new(),
+            fill: None,
         })
     }
 }
@@ -191,8 +192,13 @@
             // Behind the log's base there is only the snapshot, whose index serves as well.
             let prev = prev.max(core.log.base());
             let digests = core.digests.iter().copied().collect();
-            core.request(prev, &[])
-                .map(|append| Append { digests, ..append })
+            let fill = progress.fill;
+            let append = core.request(prev, &[]);
+            append.map(|append| Append {
+                digests,
+                fill,
+                ..append
+            })
         };
         if let Some(append) = append {
             self.send(append, self.beat_limit());
@@ -303,6 +309,10 @@
             progress.identity = Some(response.identity);
             self.warn_of_stranger(&core, response);
         }
+        if progress.fill.map(|fill| fill.doubt) != response.doubt {
+            let last = core.log.last();
+            progress.fill = response.doubt.map(|doubt| Fill { doubt, last });
+        }
         progress.round = progress.round.max(round);
         progress.answered = progress.answered.max(Some(sent_at));
         update(&mut progress, &core);
--- a/crates/replica/src/segment.rs
+++ b/crates/replica/src/segment.rs
@@ -5,6 +5,9 @@
 //! tear the last frame of the last segment and nothing else: a bad frame with a good one after it
 //! is damage. A frame that starts at or below the last index replaces what is there from its
 //! first index on.
+//!
+//! A bad last frame may also be one that was synced and whose bits changed since. It is surely torn
+//! only where the file ends before the frame does; otherwise the tail is doubtful.
 
 use crate::{ReplicaError, entry::Entry};
 
@@ -53,23 +56,37 @@
     is_right.then_some(body)
 }
 
+/// How a segment ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Tail {
+    /// With a good frame.
+    Whole,
+    /// With a frame whose write never ended.
+    Torn,
+    /// With a frame that may have been synced and acknowledged.
+    Doubtful,
+}
+
 /// A segment as read.
 pub(crate) struct Read {
     /// The entries of each frame.
     pub frames: Vec<Vec<Entry>>,
     /// Length in bytes of the good part.
     pub length: u64,
+    pub tail: Tail,
 }
 
 /// Reads a segment; a torn tail is left out where `is_last`, everything else is refused.
 pub(crate) fn read(name: &str, bytes: &[u8], is_last: bool) -> Result<Read, ReplicaError> {
     let mut frames = Vec::new();
     let mut offset = 0;
+    let mut tail = Tail::Whole;
     while offset < bytes.len() {
         let Some(body) = body(&bytes[offset..]) else {
             let what = "a frame's checksum is wrong";
             let is_torn = is_last && !has_frame(&bytes[offset + 1..]);
             if is_torn {
+                tail = tail_of(&bytes[offset..]);
                 break;
             }
             return Err(ReplicaError::damaged(name, offset as u64, what));
@@ -82,9 +99,29 @@
     Ok(Read {
         frames,
         length: offset as u64,
+        tail,
     })
 }
 
+/// What the bytes of a bad last frame may have been.
+fn tail_of(bytes: &[u8]) -> Tail {
+    let Some((header, rest)) = bytes.split_at_checked(HEADER) else {
+        return Tail::Torn;
+    };
+    let length = u32::from_le_bytes([header[4], header[5], header[6], header[7]]);
+    let is_short = |length: u32| length as usize > rest.len();
+    // A flipped bit of the length makes a whole frame look short.
+    let was_whole = |length: u32| {
+        let body = &rest[..length as usize];
+        checksum(&length.to_le_bytes(), body).to_le_bytes() == header[8..HEADER]
+    };
+    let mut flipped = (0..u32::BITS).map(|bit| length ^ 1 << bit);
+    match header[..4] == MAGIC && is_short(length) {
+        true if !flipped.any(|length| !is_short(length) && was_whole(length)) => Tail::Torn,
+        _ => Tail::Doubtful,
+    }
+}
+
 fn has_frame(bytes: &[u8]) -> bool {
     let starts = bytes.windows(MAGIC.len()).enumerate();
     let mut starts = starts.filter(|(_, window)| *window == MAGIC);
--- a/crates/replica/src/store.rs
+++ b/crates/replica/src/store.rs
@@ -8,9 +8,9 @@
     Disk, ReplicaError,
     entry::{Entry, Members},
     log::Log,
-    segment,
+    segment::{self, Tail},
     snapshot::{self, Snapshot},
-    vote::{self, ASIDE, FOUNDERS, FolderIdentity, IDENTITY, VOTE, Vote},
+    vote::{self, ASIDE, DOUBT, FOUNDERS, FolderIdentity, IDENTITY, VOTE, Vote},
 };
 
 /// The writer of one folder; after a failure it refuses everything.
@@ -41,6 +41,8 @@
     pub vote: Vote,
     pub snapshot: Option<Snapshot>,
     pub log: Log,
+    /// Whether entries that were acknowledged may be missing at the log's end.
+    pub is_doubtful: bool,
 }
 
 impl Store {
@@ -72,12 +74,14 @@
             let what = "the vote is older than the log";
             return Err(ReplicaError::damaged(VOTE, 0, what));
         }
+        let is_doubtful = vote::read::<()>(&store.disk, DOUBT)?.is_some();
         Ok(Loaded {
             store,
             identity,
             vote,
             snapshot,
             log,
+            is_doubtful,
         })
     }
 
@@ -107,6 +111,10 @@
         let bytes = bytes.unwrap_or_default();
         let read = segment::read(&name, &bytes, is_last)?;
         if read.length < bytes.len() as u64 {
+            // Lasting before the cut, after which nothing would show it.
+            if read.tail == Tail::Doubtful {
+                vote::replace(&self.disk, DOUBT, &vote::seal(&()))?;
+            }
             let failed = |step, e: &std::io::Error| ReplicaError::disk(step, &name, e);
             (self.disk.cut)(&name, read.length).map_err(|e| failed("cut", &e))?;
             (self.disk.sync)(&name).map_err(|e| failed("sync", &e))?;
@@ -214,6 +222,16 @@
         self.note(result)
     }
 
+    /// Forgets that the log's tail was cut, once a leader has filled it.
+    pub(crate) fn end_doubt(&mut self) -> Result<(), ReplicaError> {
+        self.check()?;
+        let failed = |step, e: &std::io::Error| ReplicaError::disk(step, DOUBT, e);
+        let removed = (self.disk.remove)(DOUBT).map_err(|e| failed("remove", &e));
+        let synced = removed
+            .and_then(|()| (self.disk.sync_folder)().map_err(|e| failed("sync folder of", &e)));
+        self.note(synced)
+    }
+
     /// Makes the first voters that were agreed on lasting.
     pub(crate) fn write_founders(&mut self, founders: &Members) -> Result<(), ReplicaError> {
         self.check()?;
--- a/crates/replica/src/vote.rs
+++ b/crates/replica/src/vote.rs
@@ -12,6 +12,8 @@
 pub(crate) const IDENTITY: &str = "identity";
 /// File name of the first voters that a group without entries agreed on.
 pub(crate) const FOUNDERS: &str = "founders";
+/// File name of the mark that the log's tail was cut and may have been acknowledged.
+pub(crate) const DOUBT: &str = "doubt";
 /// What the name of a file ends in while it is written aside.
 pub(crate) const ASIDE: &str = ".new";
 
--- a/crates/replica/tests/agreement.rs
+++ b/crates/replica/tests/agreement.rs
@@ -16,6 +16,8 @@
 
 /// Names that a group may come to have: three first voters and two that join.
 const NAMES: [&str; 5] = ["a", "b", "c", "d", "e"];
+/// The first voter at which bits flip.
+const FLIPPING: usize = 2;
 const RNG_SEED: [u8; 32] = [26; 32];
 
 #[derive(Clone, Debug)]
@@ -52,6 +54,11 @@
         at: usize,
         operations: u32,
     },
+    /// A bit flips in the last record of c, which has lost power.
+    Flip {
+        byte: usize,
+        bit: u32,
+    },
     Restart {
         at: usize,
     },
@@ -91,6 +98,20 @@
     prop::collection::vec(action, 10..most)
 }
 
+/// The same, with bits that flip at one voter now and then.
+fn actions_with_flips(most: usize) -> impl Strategy<Value = Vec<Action>> {
+    let flip = (any::<usize>(), 0..8u32).prop_map(|(byte, bit)| Action::Flip { byte, bit });
+    let flips = prop::collection::vec((any::<prop::sample::Index>(), flip), 1..6);
+    (actions(most), flips).prop_map(|(mut actions, flips)| {
+        for (at, flip) in flips {
+            let at = at.index(actions.len());
+            actions.insert(at, flip);
+            actions.insert(at + 1, Action::Restart { at: FLIPPING });
+        }
+        actions
+    })
+}
+
 async fn act(group: &mut Group, action: Action) {
     let existing = |at: usize| Some(NAMES[at]).filter(|name| group.nodes.contains_key(*name));
     match action {
@@ -131,6 +152,10 @@
         Action::CrashAfter { at, operations } if existing(at).is_some() => {
             group.nodes[NAMES[at]].disk.stop_after(operations);
         }
+        Action::Flip { byte, bit } => {
+            group.crash(NAMES[FLIPPING]).await;
+            group.nodes[NAMES[FLIPPING]].disk.flip_last_frame(byte, bit);
+        }
         Action::Restart { at } if existing(at).is_some() => group.restart(NAMES[at]).await,
         Action::Add { at } => {
             if existing(at).is_none() {
@@ -220,13 +245,26 @@
     TestRunner::new_with_rng(config, TestRng::from_seed(algorithm, &RNG_SEED))
 }
 
+#[test]
+fn what_is_committed_stays_where_bits_flip_in_the_last_record() {
+    let reached = Reached::default();
+    let mut runner = runner(cases(), 200);
+    let strategy = (any::<u64>(), actions_with_flips(60));
+    let outcome = runner.run(&strategy, |(seed, actions)| run(seed, actions, &reached));
+    if let Err(e) = outcome {
+        panic!("{e}");
+    }
+}
+
+fn cases() -> u32 {
+    let cases = std::env::var("PROPTEST_CASES").ok();
+    cases.and_then(|n| n.parse().ok()).unwrap_or(150)
+}
+
 #[test]
 fn what_is_committed_stays_under_random_faults() {
-    let cases = std::env::var("PROPTEST_CASES")
-        .ok()
-        .and_then(|n| n.parse().ok());
     let reached = Reached::default();
-    let mut runner = runner(cases.unwrap_or(150), 200);
+    let mut runner = runner(cases(), 200);
     let outcome = runner.run(&(any::<u64>(), actions(60)), |(seed, actions)| {
         run(seed, actions, &reached)
     });
--- a/crates/replica/tests/broken.rs
+++ b/crates/replica/tests/broken.rs
@@ -125,6 +125,33 @@
     });
 }
 
+#[test]
+fn a_replica_that_votes_after_it_cut_its_tail_is_caught() {
+    compare(Broken::DoubtfulVotes, "two entries", async |mut group| {
+        group.add_all(3).await;
+        elect(&group, "a", &["b", "c"]).await;
+        group.commit().await;
+        group.pause(Duration::from_secs(1)).await;
+        // These are on a and c alone, the last of them in one frame.
+        star(&group, "a", &["c"]);
+        (0..12).for_each(|_| group.propose_at("a"));
+        group.pause(Duration::from_millis(300)).await;
+        group.crash("c").await;
+        group.crash("a").await;
+        group.nodes["c"].disk.flip_last_frame(40, 3);
+        group.net.heal();
+        group.restart("c").await;
+        group.pause(Duration::from_secs(5)).await;
+        (0..12).for_each(|_| group.propose_at("b"));
+        (0..12).for_each(|_| group.propose_at("c"));
+        group.pause(Duration::from_secs(1)).await;
+        match group.checks.violations() {
+            violations if violations.is_empty() => group.settle().await,
+            violations => Err(violations.join("; ")),
+        }
+    });
+}
+
 #[test]
 fn a_read_that_no_quorum_confirmed_is_caught() {
     compare(Broken::ReadUnconfirmed, "a read saw", async |mut group| {
--- a/crates/replica/tests/common/disk.rs
+++ b/crates/replica/tests/common/disk.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::BTreeMap,
     io,
+    ops::Range,
     sync::{
         Arc, Mutex, MutexGuard,
         atomic::{AtomicBool, Ordering},
@@ -12,6 +13,9 @@
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use replica::Disk;
 
+/// Bytes of a frame before its entries.
+const FRAME_HEADER: usize = 12;
+
 #[derive(Clone, Default)]
 struct File {
     now: Vec<u8>,
@@ -119,6 +123,36 @@
         };
     }
 
+    /// The last segment with the ranges of its whole frames.
+    pub fn last_frames(&self) -> Option<(String, Vec<Range<usize>>)> {
+        let mut names = self.names().into_iter().rev();
+        let name = names.find(|name| name.strip_suffix(".log").is_some())?;
+        let bytes = self.bytes(&name);
+        let mut frames: Vec<Range<usize>> = Vec::new();
+        loop {
+            let start = frames.last().map_or(0, |frame| frame.end);
+            let length = bytes.get(start + 4..start + 8);
+            let length = length.map(|length| u32::from_le_bytes(length.try_into().unwrap()));
+            match length.map(|length| start + FRAME_HEADER + length as usize) {
+                Some(end) if end <= bytes.len() => frames.push(start..end),
+                _ => return Some((name, frames)),
+            }
+        }
+    }
+
+    /// Flips one bit in the last whole frame, if there is one; `at` picks the byte.
+    pub fn flip_last_frame(&self, at: usize, bit: u32) {
+        let Some((name, frames)) = self.last_frames() else {
+            return;
+        };
+        let Some(frame) = frames.last() else {
+            return;
+        };
+        let mut bytes = self.bytes(&name);
+        bytes[frame.start + at % frame.len()] ^= 1 << bit;
+        self.tamper(&name, bytes);
+    }
+
     pub fn disk(&self) -> Disk {
         let (read, write, append, cut) = (self.clone(), self.clone(), self.clone(), self.clone());
         let (sync, rename, remove) = (self.clone(), self.clone(), self.clone());
--- a/crates/replica/tests/faults.rs
+++ b/crates/replica/tests/faults.rs
@@ -48,6 +48,47 @@
     });
 }
 
+#[test]
+fn voters_that_all_cut_their_tails_go_on_once_they_heard_each_other() {
+    paused(async {
+        let mut group = Group::of(3, 18).await;
+        group.commit().await;
+        group.pause(SECOND).await;
+        for name in names(3) {
+            group.crash(&name).await;
+        }
+        // No voter is sure of its tail, and one has a bit more than the others.
+        for name in ["a", "b", "c"] {
+            let disk = &group.nodes[name].disk;
+            let (segment, _) = disk.last_frames().unwrap();
+            let mut bytes = disk.bytes(&segment);
+            bytes.extend([0; 64]);
+            disk.tamper(&segment, bytes);
+        }
+        group.restart("a").await;
+        group.restart("b").await;
+        group.pause(10 * SECOND).await;
+        assert!(group.running().all(|r| r.status().role != Role::Leader));
+        group.restart("c").await;
+        group.commit().await;
+        group.pause(SECOND).await;
+        // Filled by the leader, each of them counts again.
+        for name in names(3) {
+            assert!(
+                !group.nodes[&name]
+                    .disk
+                    .names()
+                    .contains(&"doubt".to_owned())
+            );
+            group.crash(&name).await;
+            group.commit().await;
+            group.restart(&name).await;
+            group.pause(SECOND).await;
+        }
+        group.settle().await.unwrap();
+    });
+}
+
 #[test]
 fn an_isolated_leader_steps_down_and_says_so() {
     paused(async {
--- a/crates/replica/tests/files.rs
+++ b/crates/replica/tests/files.rs
@@ -54,6 +54,36 @@
     });
 }
 
+#[test]
+fn a_tail_that_may_have_been_acknowledged_is_told_from_a_torn_one() {
+    paused(async {
+        let mut group = after_power_cut(3).await;
+        let disk = group.nodes["a"].disk.clone();
+        let (name, frames) = disk.last_frames().unwrap();
+        let (whole, last) = (disk.bytes(&name), frames.last().unwrap().clone());
+        let mut is_doubted = async |bytes: Vec<u8>| {
+            disk.tamper(&name, bytes);
+            group.start("a").await.unwrap();
+            let names = disk.names();
+            group.leader().await;
+            group.crash("a").await;
+            names.iter().any(|name| name == "doubt")
+        };
+        for end in last.start..=last.end {
+            assert!(!is_doubted(whole[..end].to_vec()).await, "cut at {end}");
+        }
+        for at in last {
+            for bit in 0..8 {
+                let mut flipped = whole.clone();
+                flipped[at] ^= 1 << bit;
+                assert!(is_doubted(flipped).await, "bit {bit} of byte {at}");
+            }
+        }
+        // One that leads alone has what there is, and no doubt any more.
+        assert!(!is_doubted(whole).await);
+    });
+}
+
 #[test]
 fn damage_before_the_tail_is_refused_with_file_and_offset() {
     paused(async {
