--- a/crates/replica/src/election.rs
+++ b/crates/replica/src/election.rs
@@ -13,7 +13,8 @@
 use crate::{
     append,
     core::{Core, Progress, Shared, StoreGuard},
-    entry::{Entry, Members, Payload},
+    entry::{Entry, Payload},
+    founding,
     message::{Ask, Request, Response, Standing, Tell},
     status::Role,
     vote::Vote,
@@ -110,22 +111,26 @@
         return;
     };
     let next_term = shared.core().term + 1;
-    if !is_transfer
-        && !poll(shared, next_term, Ask::PreVote(standing.clone()))
-            .await
-            .is_won
-    {
+    let Some(mut standing) = founding::agree(shared, next_term, standing).await else {
         return;
+    };
+    if !is_transfer {
+        let wish = Ask::PreVote(standing.clone());
+        let votes = poll(shared, next_term, wish, Need::Quorum).await;
+        if !votes.is_won {
+            return;
+        }
+        standing.has_heard_all = votes.has_heard_all;
     }
     let Some(term) = begin_term(shared, next_term).await else {
         return;
     };
-    let votes = poll(shared, term, Ask::Vote(standing)).await;
+    let votes = poll(shared, term, Ask::Vote(standing), Need::Quorum).await;
     if !votes.is_won {
         return;
     }
     let store = Arc::clone(&shared.store).lock_owned().await;
-    lead(shared, store, term, votes.identities).await;
+    lead(shared, store, term).await;
 }
 
 /// How far the own log goes, if this replica may stand at all.
@@ -135,11 +140,14 @@
         return None;
     }
     core.leader = None;
+    let has_entries = core.log.last() > 0;
     Some(Standing {
         last: core.log.last(),
         last_term: core.log.last_term(),
         members_index: core.log.members_index(),
         is_transfer,
+        founders: (!has_entries).then(|| core.log.members().clone()),
+        has_heard_all: false,
     })
 }
 
@@ -168,46 +176,75 @@
     Some(term)
 }
 
-struct Votes {
-    is_won: bool,
-    /// Who gave a vote, with the identity that answered.
-    identities: BTreeMap<String, Uuid>,
+/// How many voters must say yes.
+#[derive(Clone, Copy, PartialEq)]
+pub(crate) enum Need {
+    /// A quorum, by folders of known identity.
+    Quorum,
+    /// All of them, whatever their identity: there is no group yet.
+    All,
+}
+
+/// What came of asking the voters.
+pub(crate) struct Votes {
+    pub is_won: bool,
+    /// Whether each voter said that it is not ahead.
+    pub has_heard_all: bool,
+    /// Who said yes, with the identity that answered.
+    pub identities: BTreeMap<String, Uuid>,
 }
 
 /// Asks all other voters at once and counts until the matter is clear.
-async fn poll(shared: &Arc<Shared>, term: u64, ask: Ask) -> Votes {
+pub(crate) async fn poll(shared: &Arc<Shared>, term: u64, ask: Ask, need: Need) -> Votes {
     let mut votes = Votes {
         is_won: false,
-        identities: BTreeMap::from([(shared.cfg.name.clone(), shared.identity)]),
+        has_heard_all: false,
+        identities: BTreeMap::new(),
+    };
+    let (all, quorum, is_doubtful) = {
+        let core = shared.core();
+        let members = core.log.members();
+        (members.voters.len(), members.quorum(), core.doubt.is_some())
+    };
+    let needed = match need {
+        Need::Quorum => quorum,
+        Need::All => all,
     };
-    let quorum = shared.core().log.members().quorum();
+    let has_heard_all = matches!(&ask, Ask::Vote(standing) if standing.has_heard_all);
+    // In doubt, the own log proves nothing; the quorum is made of others then.
+    if !is_doubtful || has_heard_all {
+        let own = (shared.cfg.name.clone(), shared.identity);
+        votes.identities.extend([own]);
+    }
+    let mut not_ahead = 1;
     let mut asked = ask_all(shared, term, &ask);
-    // A folder without entries may have been wiped: others may know better, so it hears all.
-    let is_founding = shared.core().log.last() == 0;
     let counting = async {
         while let Some((name, response)) = asked.next().await {
             let Some(response) = response else { continue };
             // A pre-vote asks for a term that isn't begun; whoever is in it already is ahead.
             if response.term > shared.core().term {
                 shared.adopt(response.term).await;
-                return false;
+                return;
             }
+            let counts = need == Need::All || shared.core().counts(&name, response.identity);
             match response.tell {
-                Tell::Granted if shared.vote_counts(&name, response.identity) => {
+                Tell::Granted if counts => {
+                    not_ahead += 1;
                     votes.identities.insert(name, response.identity);
                 }
-                Tell::WrongIdentity if is_founding => return false,
+                Tell::Doubtful if counts => not_ahead += 1,
                 _ => {}
             }
-            if !is_founding && votes.identities.len() >= quorum {
-                return true;
+            if votes.identities.len() >= needed {
+                return;
             }
         }
-        true
     };
-    let limit = shared.cfg.timing.election_min;
-    let is_valid = timeout(limit, counting).await.unwrap_or(true);
-    votes.is_won = is_valid && votes.identities.len() >= quorum;
+    // Those that don't answer in time gave no vote.
+    let _ = timeout(shared.cfg.timing.election_min, counting).await;
+    let is_wish = matches!(ask, Ask::PreVote(_));
+    votes.has_heard_all = is_wish && not_ahead == all;
+    votes.is_won = votes.identities.len() >= needed || need == Need::Quorum && votes.has_heard_all;
     votes
 }
 
@@ -251,14 +288,6 @@
         link::decode(&bytes).ok()
     }
 
-    /// Whether a vote of `name`'s folder `identity` counts; before the first entry none is known.
-    fn vote_counts(&self, name: &str, identity: Uuid) -> bool {
-        let core = self.core();
-        let voter = core.log.members().voter(name);
-        let is_unknown = voter.is_some_and(|m| m.identity.is_none()) && core.log.last() == 0;
-        is_unknown || core.counts(name, identity)
-    }
-
     /// Takes over a higher term that was heard of, lasting before anything is done in it.
     pub(crate) async fn adopt(&self, term: u64) {
         let store = Arc::clone(&self.store).lock_owned().await;
@@ -283,13 +312,8 @@
     }
 }
 
-/// Begins to lead: the first entry of the term also names the identities that voted.
-async fn lead(
-    shared: &Arc<Shared>,
-    store: StoreGuard,
-    term: u64,
-    identities: BTreeMap<String, Uuid>,
-) {
+/// Begins to lead with an entry of the own term; the log's first one names the members.
+async fn lead(shared: &Arc<Shared>, store: StoreGuard, term: u64) {
     let entry = {
         let mut core = shared.core();
         if core.role != Role::Candidate || core.term != term || core.is_ended() {
@@ -306,25 +330,19 @@
         let entry = Arc::new(Entry {
             index,
             term,
-            payload: first_payload(core.log.members(), &identities),
+            payload: match index {
+                1 => Payload::Members(core.log.members().clone()),
+                _ => Payload::Empty,
+            },
         });
         core.log.append([Arc::clone(&entry)]);
         entry
     };
     spdlog::info!("leads", kv: { replica = shared.cfg.name.as_str(), term = term });
     shared.wake();
-    append::persist(shared, store, vec![entry]).await;
-}
-
-fn first_payload(members: &Members, identities: &BTreeMap<String, Uuid>) -> Payload {
-    let mut bound = members.clone();
-    for member in bound.all_mut().filter(|m| m.identity.is_none()) {
-        member.identity = identities.get(&member.name).copied();
-    }
-    match bound == *members {
-        true => Payload::Empty,
-        false => Payload::Members(bound),
-    }
+    let store = append::persist(shared, store, vec![entry]).await;
+    // The voters chose this log as the group's.
+    shared.end_doubt(store).await;
 }
 
 impl Core {
@@ -351,6 +369,7 @@
             round: 0,
             answered: None,
             identity: None,
+            fill: None,
         }
     }
 }
--- a/crates/replica/src/store.rs
+++ b/crates/replica/src/store.rs
@@ -8,9 +8,9 @@
     Disk, ReplicaError,
     entry::{Entry, Members},
     log::Log,
-    segment,
+    segment::{self, Tail},
     snapshot::{self, Snapshot},
-    vote::{self, ASIDE, FolderIdentity, IDENTITY, VOTE, Vote},
+    vote::{self, ASIDE, DOUBT, FOUNDERS, FolderIdentity, IDENTITY, VOTE, Vote},
 };
 
 /// The writer of one folder; after a failure it refuses everything.
@@ -41,6 +41,8 @@
     pub vote: Vote,
     pub snapshot: Option<Snapshot>,
     pub log: Log,
+    /// Whether entries that were acknowledged may be missing at the log's end.
+    pub is_doubtful: bool,
 }
 
 impl Store {
@@ -65,17 +67,21 @@
             leave_votes_unsynced: false,
         };
         let entries = store.load_segments()?;
-        let log = store.assemble(snapshot.as_ref(), entries, voters)?;
+        let founders: Option<Members> = vote::read(&store.disk, FOUNDERS)?;
+        let first = founders.unwrap_or_else(|| Members::first(voters));
+        let log = store.assemble(snapshot.as_ref(), entries, first)?;
         if log.last_term() > vote.term {
             let what = "the vote is older than the log";
             return Err(ReplicaError::damaged(VOTE, 0, what));
         }
+        let is_doubtful = vote::read::<()>(&store.disk, DOUBT)?.is_some();
         Ok(Loaded {
             store,
             identity,
             vote,
             snapshot,
             log,
+            is_doubtful,
         })
     }
 
@@ -105,6 +111,10 @@
         let bytes = bytes.unwrap_or_default();
         let read = segment::read(&name, &bytes, is_last)?;
         if read.length < bytes.len() as u64 {
+            // Lasting before the cut, after which nothing would show it.
+            if read.tail == Tail::Doubtful {
+                vote::replace(&self.disk, DOUBT, &vote::seal(&()))?;
+            }
             let failed = |step, e: &std::io::Error| ReplicaError::disk(step, &name, e);
             (self.disk.cut)(&name, read.length).map_err(|e| failed("cut", &e))?;
             (self.disk.sync)(&name).map_err(|e| failed("sync", &e))?;
@@ -123,10 +133,10 @@
         &mut self,
         snapshot: Option<&Snapshot>,
         entries: VecDeque<Arc<Entry>>,
-        voters: &[String],
+        first: Members,
     ) -> Result<Log, ReplicaError> {
         let Some(meta) = snapshot.map(|s| &s.meta) else {
-            let mut log = Log::new(0, 0, Members::first(voters));
+            let mut log = Log::new(0, 0, first);
             if entries.front().is_some_and(|e| e.index != 1) {
                 let what = "the log's beginning and the snapshot are missing";
                 return Err(ReplicaError::damaged(&self.first_name(), 0, what));
@@ -212,6 +222,23 @@
         self.note(result)
     }
 
+    /// Forgets that the log's tail was cut, once a leader has filled it.
+    pub(crate) fn end_doubt(&mut self) -> Result<(), ReplicaError> {
+        self.check()?;
+        let failed = |step, e: &std::io::Error| ReplicaError::disk(step, DOUBT, e);
+        let removed = (self.disk.remove)(DOUBT).map_err(|e| failed("remove", &e));
+        let synced = removed
+            .and_then(|()| (self.disk.sync_folder)().map_err(|e| failed("sync folder of", &e)));
+        self.note(synced)
+    }
+
+    /// Makes the first voters that were agreed on lasting.
+    pub(crate) fn write_founders(&mut self, founders: &Members) -> Result<(), ReplicaError> {
+        self.check()?;
+        let result = vote::replace(&self.disk, FOUNDERS, &vote::seal(founders));
+        self.note(result)
+    }
+
     /// Keeps an own snapshot, if it is newer than the one there, and removes segments that hold
     /// nothing after `kept`.
     pub(crate) fn keep(&mut self, snapshot: &Snapshot, kept: u64) -> Result<(), ReplicaError> {
