Spread the measured calls and count processor time a call and a token

Cause: at half load each caller slept on the runtime's timer, which ticks once a millisecond, so all calls of a tick started at one instant and the measured time held the queue of that burst, of the load and of the gate alike. The pauses are now drawn at random and slept on threads, so that calls come independently; what is timed, the callers, their connections and the endpoint are as before, and the endpoint alone is measured with the same load.

Added: processor time (user and kernel) of the gate for a call and a token, which is comparable on a busy machine, and paths of several gates' binaries, to measure before and after in one run.

--- a/crates/gate/examples/added_time.rs
+++ b/crates/gate/examples/added_time.rs
@@ -1,7 +1,10 @@
 //! Measures one gate process on loopback: time that it adds to a call and to the first chunk, calls
 //! a second, and streamed tokens a second with the processor time that they take.
 //!
-//! `cargo build --release -p gate && cargo run --release -p gate --example added_time`
+//! `cargo build --release -p gate && cargo run --release -p gate --example added_time [GATE]...`
+//!
+//! Each `GATE` is the path of a gate's binary to measure, one after the other; without one it is the
+//! binary of this build.
 
 #[expect(dead_code, reason = "the measurement needs a part of the tests' fake")]
 #[path = "../tests/env/keeper.rs"]
@@ -11,6 +14,7 @@
     convert::Infallible,
     io::{BufRead, BufReader},
     net::SocketAddr,
+    path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
         Arc,
@@ -89,12 +93,10 @@
 }
 
 impl Gate {
-    fn start(keeper: SocketAddr, folder: &std::path::Path) -> Self {
+    fn start(exe: &Path, keeper: SocketAddr, folder: &Path) -> Self {
         let path = folder.join("gate.ini");
         let settings = format!("[vm]\nname = g\navailability_zone = z\n[keepers]\nk = {keeper}\n");
         std::fs::write(&path, settings).expect("the folder is ours");
-        let exe = std::env::current_exe().expect("the path of this program is known");
-        let exe = exe.with_file_name("..").join("jujube-gate");
         let mut child = Command::new(exe)
             .arg("--config")
             .arg(&path)
@@ -116,7 +118,7 @@
         Self { child, http }
     }
 
-    /// Processor time used so far.
+    /// Processor time used so far, in user and kernel mode.
     fn processor_time(&self) -> f64 {
         let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id()));
         let stat = stat.unwrap_or_default();
@@ -234,7 +236,15 @@
     }
 }
 
-/// Calls `to` from all callers, each again as soon as it has its answer plus `pause`.
+/// Pauses for a time drawn between zero and twice `mean`, on a thread of its own: the runtime's timer
+/// ticks once a millisecond, which would send the calls of one tick all at the same instant.
+async fn pause_about(mean: Duration) {
+    let pause = mean.mul_f64(rand::random_range(0.0..2.0));
+    let slept = tokio::task::spawn_blocking(move || std::thread::sleep(pause)).await;
+    slept.expect("a sleep does not panic");
+}
+
+/// Calls `to` from all callers, each again as soon as it has its answer plus about `pause`.
 async fn call_all(to: SocketAddr, path: &'static str, pause: Duration) -> Latencies {
     let until = Instant::now() + SPAN;
     let mut callers = JoinSet::new();
@@ -255,7 +265,9 @@
                 assert_eq!(res.status(), 200);
                 res.into_body().collect().await.expect("a body");
                 taken.push(start.elapsed().as_micros() as u64);
-                sleep(pause).await;
+                if !pause.is_zero() {
+                    pause_about(pause).await;
+                }
             }
             taken
         });
@@ -336,21 +348,45 @@
     }
 }
 
+fn this_build() -> PathBuf {
+    let exe = std::env::current_exe().expect("the path of this program is known");
+    exe.with_file_name("..").join("jujube-gate")
+}
+
 #[tokio::main]
 async fn main() {
+    let mut gates: Vec<PathBuf> = std::env::args_os().skip(1).map(PathBuf::from).collect();
+    if gates.is_empty() {
+        gates.push(this_build());
+    }
+    for gate in gates {
+        println!("{}", gate.display());
+        measure(&gate).await;
+    }
+}
+
+async fn measure(exe: &Path) {
     let keeper = FakeKeeper::start(DECLARED).await;
     let folder = tempfile::tempdir().expect("a folder");
-    let gate = Gate::start(keeper.address, folder.path());
+    let gate = Gate::start(exe, keeper.address, folder.path());
     let endpoint = serve_endpoint().await;
-    tokio::spawn(announce(gate.http, endpoint));
+    let announcing = tokio::spawn(announce(gate.http, endpoint));
     sleep(Duration::from_secs(1)).await;
+    measure_calls(&gate, endpoint).await;
+    measure_streams(&gate, endpoint).await;
+    println!("gate's peak memory: {:.0} MB", gate.memory_mb());
+    announcing.abort();
+}
 
+async fn measure_calls(gate: &Gate, endpoint: SocketAddr) {
     let before = gate.processor_time();
     let full = call_all(gate.http, "/v1/pipelines/find", Duration::ZERO).await;
     let rate = full.0.len() as f64 / SPAN.as_secs_f64();
-    let cores = (gate.processor_time() - before) / SPAN.as_secs_f64();
+    let used = gate.processor_time() - before;
     println!(
-        "full load: {rate:.0} calls/s on {cores:.2} cores, p50 {:.3} ms, p99 {:.3} ms",
+        "full load: {rate:.0} calls/s on {:.2} cores, {:.1} us of processor a call, p50 {:.3} ms, p99 {:.3} ms",
+        used / SPAN.as_secs_f64(),
+        used / full.0.len() as f64 * 1e6,
         full.at(0.5),
         full.at(0.99)
     );
@@ -358,31 +394,38 @@
     // Twice the time of a call at full load, so that the rate is half of it.
     let pause = Duration::from_secs_f64(2.0 * CALLERS as f64 / rate);
     let direct = call_all(endpoint, "/v1/stages/look", pause).await;
+    let before = gate.processor_time();
     let half = call_all(gate.http, "/v1/pipelines/find", pause).await;
+    let used = gate.processor_time() - before;
     let rate = half.0.len() as f64 / SPAN.as_secs_f64();
-    for (name, q) in [("p50", 0.5), ("p99", 0.99)] {
-        let (with, without) = (half.at(q), direct.at(q));
-        println!(
-            "half load ({rate:.0} calls/s): {name} {with:.3} ms, endpoint alone {without:.3} ms, added {:.3} ms",
-            with - without
-        );
-    }
+    println!(
+        "half load: {rate:.0} calls/s, {:.1} us of processor a call",
+        used / half.0.len() as f64 * 1e6
+    );
+    print_added("half load", &half, &direct);
+}
 
+async fn measure_streams(gate: &Gate, endpoint: SocketAddr) {
     let (direct, ..) = stream_all(endpoint, "/v1/completions").await;
     let before = gate.processor_time();
     let (first, tokens, seconds) = stream_all(gate.http, "/v1/pipelines/chat").await;
-    let cores = (gate.processor_time() - before) / seconds;
-    let rate = tokens as f64 / seconds;
+    let used = gate.processor_time() - before;
     println!(
-        "streams: {rate:.0} tokens/s on {cores:.2} cores, {:.0} tokens/s a core",
-        rate / cores
+        "streams: {:.0} tokens/s on {:.2} cores, {:.1} us of processor a token, {:.0} tokens/s a core",
+        tokens as f64 / seconds,
+        used / seconds,
+        used / tokens as f64 * 1e6,
+        tokens as f64 / used
     );
+    print_added("first chunk", &first, &direct);
+}
+
+fn print_added(what: &str, with: &Latencies, without: &Latencies) {
     for (name, q) in [("p50", 0.5), ("p99", 0.99)] {
-        let (with, without) = (first.at(q), direct.at(q));
+        let (with, without) = (with.at(q), without.at(q));
         println!(
-            "first chunk at {rate:.0} tokens/s: {name} {with:.3} ms, endpoint alone {without:.3} ms, added {:.3} ms",
+            "{what}: {name} {with:.3} ms, endpoint alone {without:.3} ms, added {:.3} ms",
             with - without
         );
     }
-    println!("gate's peak memory: {:.0} MB", gate.memory_mb());
 }
