Move a stream that lags so far that its deadline is at risk

Cause: a stream was resumed only when it was cut or silent for gap_ms, and then at its own endpoint first. An engine that slowed down after the first chunk kept its stream until the deadline.

Now the gate knows each service's median pause between chunks and usual number of chunks, and moves a stream that would miss its deadline at its present pace and meet it at the usual one, if another endpoint is free and the retry budget pays. Stages that may not be repeated are not watched.

Ruled out: the 95th percentile as the usual pace (one slow endpoint in ten sets it), an observation for each chunk (a lock each).

Test: two stand-ins pause for 1 s between chunks where the stream is fresh. With the check of the pace the stream has two calls, the second at the offset held; the same for a service with repeatable = no has one call.

--- a/crates/gate/src/engine.rs
+++ b/crates/gate/src/engine.rs
@@ -13,6 +13,7 @@
     assembly::{Accepted, Assembly},
     exchange::{Call, Exchange},
     failure::CallError,
+    pace::Watch,
     pool::Pool,
     sse::{EventReader, write_event},
     stream::Sink,
@@ -153,14 +154,23 @@
     sink: Option<&Sink>,
     tally: &mut Tally,
     counted: &mut u64,
+    mut watch: Option<Watch<'_>>,
 ) -> Result<(), CallError> {
     let max = exchange.max_bytes();
     let mut events = EventReader::default();
-    while let Some(bytes) = exchange.next().await? {
+    loop {
+        let part = match &mut watch {
+            Some(watch) => watch.next(&mut exchange, tally.tokens).await?,
+            None => exchange.next().await?,
+        };
+        let Some(bytes) = part else {
+            break;
+        };
         let pushed = events.push(&bytes, MAX_LINE);
         pushed.map_err(|_| CallError::TooLarge(MAX_LINE))?;
         let mut out = BytesMut::new();
         let is_done = take_events(&mut events, assembly, tally, sink.map(|_| &mut out));
+        let new = tally.tokens - *counted;
         *counted = tally.tokens;
         if let Some(sink) = sink.filter(|_| !out.is_empty()) {
             sink.send(out.freeze()).await;
@@ -173,6 +183,9 @@
             false if assembly.offset() > max => return Err(CallError::TooLarge(max)),
             false => {}
         }
+        if let Some(watch) = &mut watch {
+            watch.came(new, tally.tokens)?;
+        }
     }
     Err(CallError::Broken(
         "the stream ended without [DONE]".to_owned(),
--- a/crates/gate/src/failure.rs
+++ b/crates/gate/src/failure.rs
@@ -48,6 +48,9 @@
     /// The stream continued with other text than was passed on before.
     #[error("the resumed stream differs from the text passed on before")]
     Diverged,
+    /// The stream lagged and goes on elsewhere, which was paid for.
+    #[error("the stream lagged so far that its deadline was at risk; it goes on elsewhere")]
+    Lagging,
     /// The request's deadline came first.
     #[error("no time left before the deadline")]
     Deadline,
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -9,8 +9,8 @@
 use tokio::sync::watch;
 
 use crate::{
-    body::Budget, config::Config, inflight::Inflight, ledger::Ledger, metrics::Metrics, pool::Pool,
-    route::Route,
+    body::Budget, config::Config, inflight::Inflight, ledger::Ledger, metrics::Metrics,
+    pace::Paces, pool::Pool, route::Route,
 };
 
 /// One gate.
@@ -24,6 +24,8 @@
     pub(crate) declared: watch::Receiver<Option<Arc<InForce>>>,
     /// Where calls go.
     pub(crate) route: Route,
+    /// The pace of streams.
+    pub(crate) paces: Paces,
     /// Connections to endpoints.
     pub(crate) pool: Pool,
     /// The at-most-once ledger.
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -22,6 +22,7 @@
 mod ledger;
 mod metrics;
 mod once;
+mod pace;
 mod pages;
 mod plain;
 mod pool;
--- a/crates/gate/src/stage.rs
+++ b/crates/gate/src/stage.rs
@@ -1,6 +1,9 @@
 //! One stage that may be repeated: tries, hedges and resumptions until it has its result.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use declaration::{Service, ServiceKind};
 use derives::record;
@@ -11,6 +14,7 @@
 
 use crate::{
     failure::{CallError, Cause, StageError},
+    pace::Watch,
     plain,
     race::{self, Answering, Via},
     route::{Need, Picked, Sized, Verdict, retry_after},
@@ -91,6 +95,8 @@
     pub(crate) avoid: Vec<String>,
     /// The endpoint whose connection was lost in the middle of its answer.
     again: Option<Arc<Picked>>,
+    /// Where a stream that lagged goes on.
+    moved_to: Option<Arc<Picked>>,
 }
 
 /// Runs `stage` until it has a result or gives up; new text of an engine goes to `sink` at once.
@@ -138,9 +144,10 @@
     tries: &mut Tries,
     sink: Option<&Sink>,
 ) -> Result<(Box<RawValue>, String), StageError> {
-    let (picked, via) = match tries.again.take() {
-        Some(picked) => (picked, Via::New),
-        None => (pick_soon(cx, stage, work, &tries.avoid).await?, Via::Any),
+    let (picked, via) = match (tries.again.take(), tries.moved_to.take()) {
+        (Some(picked), _) => (picked, Via::New),
+        (None, Some(picked)) => (picked, Via::Any),
+        (None, None) => (pick_soon(cx, stage, work, &tries.avoid).await?, Via::Any),
     };
     let answering = race::first_answer(cx, stage, work, tries, picked, via).await?;
     let Answering {
@@ -153,9 +160,19 @@
     let first_byte = exchange.answered;
     let held = work.offset();
     work.begin(call);
+    let moved_to = Mutex::new(None);
     let read = match work {
         Work::Plain { .. } => plain::read(exchange, &cx.gate.pool).await,
-        Work::Engine(work) => work.read(exchange, &cx.gate.pool, sink).await,
+        Work::Engine(generation) => {
+            let move_on = |prompt: &str| {
+                let other = elsewhere(cx, stage, prompt, &tries.avoid, &picked);
+                let is_there = other.is_some();
+                *moved_to.lock().expect("no holder of this lock panics") = other;
+                is_there
+            };
+            let watch = Watch::new(&cx.gate.paces, stage.name, cx.ask.deadline, &move_on);
+            generation.read(exchange, &cx.gate.pool, sink, watch).await
+        }
     };
     match read {
         Ok(output) => {
@@ -167,6 +184,7 @@
             };
             let first = first_byte.saturating_duration_since(since);
             cx.gate.route.observe(sized, first, since.elapsed());
+            cx.gate.paces.ended(name, work.tokens());
             picked.finish(Verdict::Good, Some(first_byte), work.cached());
             Ok((output, picked.name().to_owned()))
         }
@@ -184,12 +202,32 @@
             Err(error)
         }
         Err(e) => {
+            tries.moved_to = moved_to.into_inner().unwrap_or_default();
+            if tries.moved_to.is_some() {
+                // The budget bounds the moves.
+                tries.rounds = 0;
+            }
             tries.avoid.push(picked.name().to_owned());
             Err(failed(cx, stage, &picked, e))
         }
     }
 }
 
+/// Another endpoint for a stream that lags at `slow`, out of the retry budget.
+fn elsewhere(
+    cx: &Running,
+    stage: Stage<'_>,
+    prompt: &str,
+    avoid: &[String],
+    slow: &Picked,
+) -> Option<Arc<Picked>> {
+    let mut avoid = avoid.to_vec();
+    avoid.push(slow.name().to_owned());
+    let other = pick_for(cx, stage, Some(prompt), &avoid).ok()?;
+    let is_other = !avoid.iter().any(|name| name == other.name());
+    (is_other && cx.gate.route.spend_retry(stage.name)).then_some(other)
+}
+
 /// An endpoint for the next call, as soon as one has a slot: one that has not failed yet, else any.
 pub(crate) async fn pick_soon(
     cx: &Running,
@@ -219,12 +257,21 @@
     stage: Stage<'_>,
     work: &Work<'_>,
     avoid: &[String],
+) -> Result<Arc<Picked>, NoEndpoint> {
+    pick_for(cx, stage, work.prompt(), avoid)
+}
+
+fn pick_for(
+    cx: &Running,
+    stage: Stage<'_>,
+    prompt: Option<&str>,
+    avoid: &[String],
 ) -> Result<Arc<Picked>, NoEndpoint> {
     let need = Need {
         name: stage.name,
         service: stage.service,
         zones: &cx.zones,
-        prompt: work.prompt(),
+        prompt,
         avoid,
         left: Some(cx.ask.deadline.saturating_duration_since(Instant::now())),
     };
@@ -276,6 +323,7 @@
         CallError::Malformed(_) => "malformed",
         CallError::TooLarge(_) => "too_large",
         CallError::Diverged => "diverged",
+        CallError::Lagging => "lagging",
         CallError::Deadline => "deadline",
     }
 }
@@ -294,6 +342,9 @@
     if !cause.is_worth_retrying() || tries.rounds >= MAX_TRIES {
         return Err(error);
     }
+    if matches!(cause, CallError::Lagging) {
+        return Ok(());
+    }
     let is_free = is_free || matches!(cause, CallError::Connect(_));
     if !is_free && !cx.gate.route.spend_retry(stage.name) {
         return Err(error);
--- a/crates/gate/src/work.rs
+++ b/crates/gate/src/work.rs
@@ -15,6 +15,7 @@
     exchange::{Call, Exchange},
     failure::CallError,
     metrics::{Metrics, Use},
+    pace::Watch,
     plain,
     pool::Pool,
     stage::{Stage, is_engine},
@@ -195,10 +196,12 @@
         exchange: Exchange,
         pool: &Pool,
         sink: Option<&Sink>,
+        watch: Watch<'_>,
     ) -> Result<Box<RawValue>, CallError> {
         let (assembly, tally) = (&mut self.assembly, &mut self.tally);
         let counted = &mut self.waste.tokens;
-        let read = engine::read(exchange, pool, assembly, sink, tally, counted).await;
+        let watch = watch.over(&self.prompt);
+        let read = engine::read(exchange, pool, assembly, sink, tally, counted, Some(watch)).await;
         self.has_diverged = read == Err(CallError::Diverged);
         read?;
         to_raw_value(self.assembly.text()).map_err(|e| CallError::Malformed(e.to_string()))
@@ -212,7 +215,16 @@
 ) -> Result<(Box<RawValue>, u64), CallError> {
     let (mut assembly, mut tally) = (Assembly::default(), Tally::default());
     let counted = &mut 0;
-    engine::read(exchange, pool, &mut assembly, None, &mut tally, counted).await?;
+    engine::read(
+        exchange,
+        pool,
+        &mut assembly,
+        None,
+        &mut tally,
+        counted,
+        None,
+    )
+    .await?;
     let output = to_raw_value(assembly.text());
     let output = output.map_err(|e| CallError::Malformed(e.to_string()))?;
     Ok((output, tally.tokens))
--- a/crates/gate/tests/env/mod.rs
+++ b/crates/gate/tests/env/mod.rs
@@ -41,6 +41,13 @@
 [service book]
 kind = plain
 repeatable = no
+[service draft]
+kind = engine
+repeatable = no
+model = m
+version = 1
+[pipeline drafting]
+stages = draft
 [pipeline ask]
 stages = look, llm
 [pipeline find]
@@ -52,7 +59,7 @@
 [pipeline plan-booking]
 stages = look, book
 [workspace w]
-pipelines = ask, find, chat, booking, plan-booking
+pipelines = ask, find, chat, booking, plan-booking, drafting
 availability_zones = z
 max_in_flight = 100
 [workspace small]
--- a/crates/gate/tests/streams.rs
+++ b/crates/gate/tests/streams.rs
@@ -160,3 +160,80 @@
     let last = answer.events().pop().unwrap();
     assert_eq!((&*last.0, &last.1["outcome"]), ("error", &json!("failed")));
 }
+
+/// Chunks of the streams that make a pace usual.
+const USUAL_CHUNKS: usize = 400;
+
+/// Streams `x` a chunk; slowly where the prompt says so and the stream is not resumed.
+fn paced(call: &Seen) -> Reply {
+    let is_resumed = call.body["resume"]["offset"].is_u64();
+    let is_slow = call.body["prompt"] == "slow" && !is_resumed;
+    let from = call.body["resume"]["offset"].as_u64().unwrap_or(0) as usize;
+    let (until, pause) = match is_slow {
+        true => (6, Duration::from_secs(1)),
+        false if is_resumed => (6, Duration::from_millis(1)),
+        false => (USUAL_CHUNKS, Duration::from_millis(1)),
+    };
+    let chunk = |at| [Step::Chunk(at, "x"), Step::Pause(pause)];
+    let steps = (from..until).flat_map(chunk);
+    Reply::Stream(steps.chain([Step::Done]).collect())
+}
+
+/// The calls of a stream that lags after others had the usual pace, and its answer.
+async fn ask_lagging(pipeline: &str, service: &str) -> (Answer, Vec<Seen>) {
+    let env = Env::start().await;
+    let gate = env.gate("g").await;
+    let one = StandIn::start("llm-1", service, paced).await;
+    let two = StandIn::start("llm-2", service, paced).await;
+    gate.knows(&one).await;
+    gate.knows(&two).await;
+    let key = || uuid::Uuid::now_v7().to_string();
+    for _ in 0..2 {
+        let key = key();
+        let headers = [("idempotency-key", &*key), ("jujube-deadline-ms", "20000")];
+        let usual = gate.ask(pipeline, &headers, json!("usual")).await;
+        assert_eq!(usual.status, 200, "{}", usual.text());
+        gate.knows(&one).await;
+        gate.knows(&two).await;
+    }
+    // Quantiles are looked at four times a second.
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let key = key();
+    let headers = [
+        SSE,
+        ("idempotency-key", &*key),
+        ("jujube-deadline-ms", "9000"),
+    ];
+    let answer = gate.ask(pipeline, &headers, json!("slow")).await;
+    let calls = one.calls().into_iter().chain(two.calls());
+    let calls = calls.filter(|call| call.body["prompt"] == "slow").collect();
+    (answer, calls)
+}
+
+#[tokio::test]
+async fn a_stream_that_lags_goes_on_at_another_endpoint() {
+    let (answer, calls) = ask_lagging("chat", "llm").await;
+    assert_eq!(whole_text(&answer), "xxxxxx");
+    assert_eq!(answer.events().pop().unwrap().0, "done");
+    let offsets = calls
+        .iter()
+        .map(|call| call.body["resume"]["offset"].as_u64());
+    let offsets: Vec<_> = offsets.collect();
+    assert_eq!(offsets.len(), 2, "{offsets:?}");
+    assert!(
+        offsets.iter().any(|o| o.is_some_and(|o| o > 0)),
+        "{offsets:?}"
+    );
+}
+
+#[tokio::test]
+async fn a_stream_that_may_not_be_repeated_stays_however_slow_it_is() {
+    let (answer, calls) = ask_lagging("drafting", "draft").await;
+    assert_eq!(
+        answer.events().pop().unwrap().0,
+        "done",
+        "{}",
+        answer.text()
+    );
+    assert_eq!(calls.len(), 1);
+}
