Refuse a head that is too large with a problem document

Cause: the HTTP library answered 431 by itself, without a document. It now takes heads of twice head_bytes, and the gate refuses those above head_bytes. A head beyond twice the bound, or with more than 100 headers, still gets the library's bare 431: its handler is not called for a head that it has not parsed, and a larger number of headers makes it allocate for each request.

bad_input has a case of 40,000 bytes more; the case of 70,000 stays.

--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -18,6 +18,7 @@
 mod gate;
 mod guard;
 mod handover;
+mod head;
 mod inflight;
 mod ledger;
 mod metrics;
--- a/crates/gate/src/start.rs
+++ b/crates/gate/src/start.rs
@@ -37,6 +37,7 @@
     config::Config,
     endpoints::{Announce, Cache, List},
     gate::Gate,
+    head::{HeadBound, LIBRARY_FACTOR},
     inflight::Inflight,
     ledger::{Ledger, LedgerConfig},
     metrics::Metrics,
@@ -162,6 +163,7 @@
     let at = Router::with_path;
     let g = || Arc::clone(gate);
     Router::new()
+        .hoop(HeadBound(gate.cfg.limits.head_bytes))
         .push(at("v1/pipelines/{pipeline}").post(Pipelines(g())))
         .push(at("v1/requests/{key}").get(Requests(g())))
         .push(at("v1/announce").post(Announce(g())))
@@ -193,7 +195,7 @@
 fn bounds(cfg: &Config) -> Bounds {
     Bounds {
         connections: cfg.limits.connections,
-        head_bytes: cfg.limits.head_bytes,
+        head_bytes: cfg.limits.head_bytes * LIBRARY_FACTOR,
         head: cfg.timing.head,
         body: cfg.timing.body,
         write: cfg.timing.write,
--- a/crates/gate/tests/bad_input.rs
+++ b/crates/gate/tests/bad_input.rs
@@ -155,6 +155,11 @@
     let chunk = format!("{:x}\r\n{}\r\n", 600, "y".repeat(600));
     let answer = raw(gate.http, &[head, &chunk, &chunk]).await;
     assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
+    let long = "z".repeat(40_000);
+    let headers = [("jujube-workspace", "w"), ("x", &*long)];
+    let got = refused(gate.http, "/v1/pipelines/find", &headers, "{}").await;
+    assert_eq!(got, (431, "head-too-large".to_owned()));
+    // Far beyond the bound the HTTP library answers by itself.
     let head = format!(
         "GET /healthz HTTP/1.1\r\nhost: g\r\nx: {}\r\n\r\n",
         "z".repeat(70_000)
