Tell gates of a zone only what the other lacks

Cause: each exchange carried one byte for each endpoint both ways, each change all names of its endpoint, each repair and each sample of another zone field names and hashes of every endpoint held, whether or not anything differed.

Now an answer to an exchange tells only what was heard later there; changes travel by the hash of what an endpoint keeps for its life, and whole to a gate that lacks it; a sample is compared by digest. A sample's members stay until they are suspect, since leaving out those with two seconds of age made it differ with each look.

Ruled out: ages in 4 bits of 250 ms, which round up by 0.6 s over five hops of the 4 s; one-way pulls, which need twice the exchanges.

--- a/crates/membership/examples/spread_cost.rs
+++ b/crates/membership/examples/spread_cost.rs
@@ -1,7 +1,9 @@
 //! Measures what the spread of the table costs one gate: bytes, processor and memory.
 //!
 //! Every gate of an availability zone runs in this process, and links to its neighbours through a
-//! relay that counts TCP payload both ways. One endpoint in a hundred changes each second.
+//! relay that counts TCP payload both ways. One endpoint in a hundred changes each second. Other
+//! availability zones are played by one gate each. The last size also loses a rack of endpoints,
+//! gets it back, and restarts a gate.
 //! `cargo run --release -p membership --example spread_cost`
 
 use std::{
@@ -9,7 +11,7 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicU64, Ordering::Relaxed},
+        atomic::{AtomicBool, AtomicU64, Ordering::Relaxed},
     },
     time::{Duration, Instant},
 };
@@ -29,8 +31,24 @@
 };
 use uuid::Uuid;
 
-/// Gates and endpoints of an availability zone: the users' today, four times that, the design size.
-const SIZES: [(usize, usize); 3] = [(3, 12), (8, 120), (33, 490)];
+/// Gates and endpoints of an availability zone, and other availability zones: the users' today,
+/// four times that, the design size, and one beyond; then the design size among others.
+const SIZES: [(usize, usize, usize); 6] = [
+    (3, 12, 0),
+    (8, 120, 0),
+    (33, 490, 0),
+    (60, 900, 0),
+    (33, 490, 3),
+    (33, 490, 11),
+];
+/// Endpoints of each other availability zone.
+const OTHER_ENDPOINTS: usize = 60;
+/// Endpoints of the rack that goes and comes back.
+const RACK: usize = 40;
+/// Gates and other availability zones of the size at which a rack goes and a gate restarts.
+const CHURNED: (usize, usize) = (33, 0);
+const OWN_AZ: &str = "sousse-a";
+const CHURN_LIMIT: Duration = Duration::from_secs(20);
 const SETTLE: Duration = Duration::from_secs(3);
 const MEASURE: Duration = Duration::from_secs(10);
 const PAGE_BYTES: u64 = 4_096;
@@ -43,14 +61,14 @@
     address: SocketAddr,
 }
 
-async fn gate(name: &str) -> Gate {
+async fn gate(name: &str, az: &str) -> Gate {
     let cfg = LinkConfig::new(Identity {
         vm: name.to_owned(),
-        az: "sousse-a".to_owned(),
+        az: az.to_owned(),
         role: Role::Gate,
         incarnation: Uuid::now_v7(),
     });
-    let table = Table::new(TableConfig::new(name, "sousse-a"));
+    let table = Table::new(TableConfig::new(name, az));
     let listener = TcpListener::bind("127.0.0.1:0").await;
     let listener = listener.expect("loopback has a free port");
     let address = listener.local_addr().expect("it is bound");
@@ -96,11 +114,11 @@
     }
 }
 
-fn announcement(at: usize, seq: u64) -> Announcement {
+fn announcement(az: &str, at: usize, seq: u64) -> Announcement {
     Announcement {
         endpoint: format!("appraise-llm-{at:05}"),
         service: format!("service-{}", at % 5),
-        az: "sousse-a".to_owned(),
+        az: az.to_owned(),
         address: format!("http://127.0.0.1:{}", 10_000 + at),
         incarnation: Uuid::nil(),
         seq,
@@ -119,16 +137,27 @@
     }
 }
 
-/// Every endpoint announces each second, each time at another gate.
-async fn announce(tables: Vec<Table>, endpoints: usize) {
+/// Every endpoint announces each second, each time at another gate; the first ones are silent
+/// while the rack is down, and have another incarnation after.
+async fn announce(az: String, tables: Vec<Table>, endpoints: usize, rack_down: Arc<AtomicBool>) {
     let mut due = tokio::time::interval(Duration::from_secs(1) / endpoints as u32);
+    let mut rack_life = Uuid::nil();
     for turn in 0_u64.. {
+        due.tick().await;
         let at = turn as usize % endpoints;
         let seq = turn / endpoints as u64 + 1;
         let gate = (turn as usize * 7 + at) % tables.len();
+        let mut said = announcement(&az, at, seq);
+        match (at < RACK, rack_down.load(Relaxed)) {
+            (true, true) => {
+                rack_life = Uuid::from_u128(1);
+                continue;
+            }
+            (true, false) => said.incarnation = rack_life,
+            (false, _) => {}
+        }
         // A table with room takes a later announcement.
-        let _ = tables[gate].announce(announcement(at, seq));
-        due.tick().await;
+        let _ = tables[gate].announce(said);
     }
 }
 
@@ -147,28 +176,112 @@
     pages.and_then(|n| n.parse::<u64>().ok()).unwrap_or(0) * PAGE_BYTES
 }
 
-async fn run(gates: usize, endpoints: usize) {
-    let before = resident_bytes();
-    let names: Vec<String> = (0..gates).map(|at| format!("g{at:02}")).collect();
-    let mut all = Vec::new();
-    for name in &names {
-        all.push(gate(name).await);
+/// Gates of one availability zone, linked through relays, and what announces to them.
+struct Zone {
+    gates: Vec<Gate>,
+    names: Vec<String>,
+    others: Vec<Gate>,
+    bytes: Arc<AtomicU64>,
+    rack_down: Arc<AtomicBool>,
+}
+
+impl Zone {
+    async fn start(gates: usize, endpoints: usize, zones: usize) -> Self {
+        let names: Vec<String> = (0..gates).map(|at| format!("g{at:02}")).collect();
+        let mut zone = Self {
+            gates: Vec::new(),
+            names,
+            others: Vec::new(),
+            bytes: Arc::new(AtomicU64::new(0)),
+            rack_down: Arc::default(),
+        };
+        for name in &zone.names {
+            zone.gates.push(gate(name, OWN_AZ).await);
+        }
+        for at in 0..zones {
+            let az = format!("mahdia-{at}");
+            let other = gate(&format!("z{at:02}"), &az).await;
+            let tables = vec![other.table.clone()];
+            tokio::spawn(announce(az, tables, OTHER_ENDPOINTS, Arc::default()));
+            other.table.start_spread(Vec::new());
+            zone.others.push(other);
+        }
+        for gate in &zone.gates {
+            gate.table.start_spread(zone.links(gate).await);
+        }
+        let down = Arc::clone(&zone.rack_down);
+        tokio::spawn(announce(OWN_AZ.to_owned(), zone.tables(), endpoints, down));
+        zone
     }
-    let bytes = Arc::new(AtomicU64::new(0));
-    for gate in &all {
+
+    fn tables(&self) -> Vec<Table> {
+        self.gates.iter().map(|gate| gate.table.clone()).collect()
+    }
+
+    /// Links of `gate` to its neighbours and to the other availability zones.
+    async fn links(&self, gate: &Gate) -> Vec<Peer> {
         let mut peers = Vec::new();
-        for name in neighbours(&gate.cfg.identity.vm, &names) {
-            let at = names.iter().position(|other| *other == name);
-            let target = all[at.expect("neighbours are gates")].address;
-            let address = relay(target, Arc::clone(&bytes)).await;
-            peers.push(Peer::start(&name, address, &gate.cfg));
+        let chosen = neighbours(&gate.cfg.identity.vm, &self.names);
+        let near = self
+            .gates
+            .iter()
+            .filter(|g| chosen.contains(&g.cfg.identity.vm));
+        for other in near.chain(&self.others) {
+            let address = relay(other.address, Arc::clone(&self.bytes)).await;
+            peers.push(Peer::start(&other.cfg.identity.vm, address, &gate.cfg));
+        }
+        peers
+    }
+
+    fn sent(&self) -> u64 {
+        self.bytes.load(Relaxed)
+    }
+
+    /// Waits until `is_so` holds for the rack at every gate; prints the time and the bytes.
+    async fn churn(&self, what: &str, is_so: impl Fn(&[EndpointState]) -> bool) {
+        let (before, start) = (self.sent(), Instant::now());
+        let rack: Vec<String> = (0..RACK)
+            .map(|at| format!("appraise-llm-{at:05}"))
+            .collect();
+        let is_done = |table: &Table| {
+            let list = table.list().into_iter();
+            let states = list.filter(|e| rack.contains(&e.endpoint)).map(|e| e.state);
+            is_so(&states.collect::<Vec<_>>())
+        };
+        while start.elapsed() < CHURN_LIMIT && !self.gates.iter().all(|g| is_done(&g.table)) {
+            sleep(Duration::from_millis(20)).await;
+        }
+        let took = start.elapsed();
+        sleep(MEASURE.saturating_sub(took)).await;
+        let secs = start.elapsed().as_secs_f64();
+        let each = (self.sent() - before) as f64 / secs / self.gates.len() as f64;
+        println!(
+            "{what}: {} ms, then {each:.0} B/s over {secs:.0} s",
+            took.as_millis()
+        );
+    }
+
+    async fn restart(&self, endpoints: usize) {
+        let (before, start) = (self.sent(), Instant::now());
+        let fresh = gate(&self.names[0], OWN_AZ).await;
+        fresh.table.start_spread(self.links(&self.gates[0]).await);
+        while start.elapsed() < CHURN_LIMIT && fresh.table.list().len() < endpoints {
+            sleep(Duration::from_millis(5)).await;
         }
-        gate.table.start_spread(peers);
+        let took = start.elapsed().as_millis();
+        println!(
+            "a gate's restart: whole table after {took} ms, {} bytes by all gates",
+            self.sent() - before
+        );
     }
-    let tables: Vec<Table> = all.iter().map(|gate| gate.table.clone()).collect();
-    let announcing = tokio::spawn(announce(tables.clone(), endpoints));
+}
+
+async fn run(gates: usize, endpoints: usize, zones: usize) -> Zone {
+    let before = resident_bytes();
+    let zone = Zone::start(gates, endpoints, zones).await;
+    let tables = zone.tables();
     sleep(SETTLE).await;
-    let (bytes_before, cpu_before, start) = (bytes.load(Relaxed), cpu(), Instant::now());
+    let (bytes_before, cpu_before, start) = (zone.sent(), cpu(), Instant::now());
     let mut suspect = 0;
     let mut looks = 0;
     while start.elapsed() < MEASURE {
@@ -184,21 +297,43 @@
     }
     let secs = start.elapsed().as_secs_f64();
     // Each byte is sent by one gate and received by another.
-    let each = (bytes.load(Relaxed) - bytes_before) as f64 / secs / gates as f64;
+    let each = (zone.sent() - bytes_before) as f64 / secs / gates as f64;
     let cpu = cpu().saturating_sub(cpu_before).as_secs_f64() / secs / gates as f64;
     let resident = resident_bytes().saturating_sub(before) / gates as u64 / 1_024;
     println!(
-        "{gates:>5} {endpoints:>9} {:>14.0} {:>14.2}% {resident:>10} KiB {suspect:>8} of {looks}",
-        each,
+        "{gates:>5} {endpoints:>9} {zones:>5} {each:>14.0} {:>14.2}% {resident:>10} KiB {suspect:>8} of {looks}",
         100.0 * cpu,
     );
-    announcing.abort();
+    zone
 }
 
-#[tokio::main(worker_threads = 2)]
-async fn main() {
-    println!("gates endpoints   sent B/s each  of a core each   memory each  wrongly suspect");
-    for (gates, endpoints) in SIZES {
-        run(gates, endpoints).await;
+/// Loses a rack of endpoints, gets it back, and restarts a gate.
+async fn churn(zone: &Zone, endpoints: usize) {
+    zone.rack_down.store(true, Relaxed);
+    let is_out = |s: &[EndpointState]| s.iter().all(|s| *s != EndpointState::Ready);
+    zone.churn("a rack goes silent", is_out).await;
+    zone.rack_down.store(false, Relaxed);
+    let is_in =
+        |s: &[EndpointState]| s.len() == RACK && s.iter().all(|s| *s == EndpointState::Ready);
+    zone.churn("the rack comes back", is_in).await;
+    zone.restart(endpoints).await;
+}
+
+fn main() {
+    println!(
+        "gates endpoints zones   sent B/s each  of a core each   memory each  wrongly suspect"
+    );
+    for (gates, endpoints, zones) in SIZES {
+        let mut runtime = tokio::runtime::Builder::new_multi_thread();
+        let runtime = runtime.worker_threads(2).enable_all().build();
+        let runtime = runtime.expect("a runtime starts");
+        runtime.block_on(async {
+            let zone = run(gates, endpoints, zones).await;
+            if (gates, zones) == CHURNED {
+                churn(&zone, endpoints).await;
+            }
+        });
+        // Ends all tasks of this size before the next one is measured.
+        runtime.shutdown_background();
     }
 }
--- a/crates/membership/src/delta.rs
+++ b/crates/membership/src/delta.rs
@@ -14,7 +14,7 @@
 use tokio::time::Instant;
 use uuid::Uuid;
 
-use crate::{Announcement, Endpoint, Load, LoadedModel, Readiness, StageRole};
+use crate::{Announcement, Endpoint, Load, LoadedModel, Readiness, StageRole, state::Entry};
 
 /// An announcement without its load, and how long ago the endpoint was last heard.
 #[derive(Clone, Debug, PartialEq)]
@@ -45,6 +45,110 @@
     state | role | fencing
 }
 
+fn readiness(flags: u8) -> Readiness {
+    match flags & LEAVING {
+        0 => Readiness::Ready,
+        _ => Readiness::Leaving,
+    }
+}
+
+fn role(flags: u8) -> StageRole {
+    match flags & (PREFILL | DECODE) {
+        PREFILL => StageRole::Prefill,
+        DECODE => StageRole::Decode,
+        _ => StageRole::Both,
+    }
+}
+
+type OwnedModel = (String, u32, Vec<String>);
+
+fn borrowed(models: &[LoadedModel]) -> Vec<(&str, u32, &[String])> {
+    models
+        .iter()
+        .map(|m| (m.model.as_str(), m.version, m.adapters.as_slice()))
+        .collect()
+}
+
+fn loaded(models: Vec<OwnedModel>) -> Vec<LoadedModel> {
+    let models = models
+        .into_iter()
+        .map(|(model, version, adapters)| LoadedModel {
+            model,
+            version,
+            adapters,
+        });
+    models.collect()
+}
+
+/// What changed at an endpoint that the receiver holds; it travels in place of a [`Delta`].
+#[derive(Clone, Debug, PartialEq)]
+pub struct Brief {
+    /// Hash of name, service, place and incarnation, none of which is carried.
+    identity: u64,
+    seq: u64,
+    flags: u8,
+    models: Vec<LoadedModel>,
+    age: Duration,
+}
+
+impl Brief {
+    /// What to tell of `entry` at `now`.
+    pub(crate) fn of(entry: &Entry, now: Instant) -> Self {
+        let a = &entry.endpoint.announced;
+        Self {
+            identity: entry.identity,
+            seq: a.seq,
+            flags: flags(a),
+            models: a.models.clone(),
+            age: entry.endpoint.live.silence(now),
+        }
+    }
+
+    /// Hash of name, service, place and incarnation.
+    pub(crate) fn identity(&self) -> u64 {
+        self.identity
+    }
+
+    /// The delta that it stands for; `known` has its identity.
+    pub(crate) fn complete(self, known: &Announcement) -> Delta {
+        let announced = Announcement {
+            seq: self.seq,
+            state: readiness(self.flags),
+            models: self.models,
+            role: role(self.flags),
+            checks_fencing: self.flags & CHECKS_FENCING != 0,
+            load: Load::default(),
+            ..known.clone()
+        };
+        Delta {
+            announced,
+            age: self.age,
+        }
+    }
+}
+
+impl Serialize for Brief {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let models = borrowed(&self.models);
+        let age_ms = self.age.as_millis() as u64;
+        (self.identity, self.seq, self.flags, models, age_ms).serialize(serializer)
+    }
+}
+
+impl<'de> Deserialize<'de> for Brief {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let (identity, seq, flags, models, age_ms) =
+            <(u64, u64, u8, Vec<OwnedModel>, u64)>::deserialize(deserializer)?;
+        Ok(Self {
+            identity,
+            seq,
+            flags,
+            models: loaded(models),
+            age: Duration::from_millis(age_ms),
+        })
+    }
+}
+
 impl Delta {
     /// What to tell of `endpoint` at `now`.
     pub(crate) fn of(endpoint: &Endpoint, now: Instant) -> Self {
@@ -62,11 +166,6 @@
 impl Serialize for Delta {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
         let a = &self.announced;
-        let models: Vec<(&str, u32, &[String])> = a
-            .models
-            .iter()
-            .map(|m| (m.model.as_str(), m.version, m.adapters.as_slice()))
-            .collect();
         let mut tuple = serializer.serialize_tuple(MEMBERS)?;
         tuple.serialize_element(&a.endpoint)?;
         tuple.serialize_element(&a.service)?;
@@ -75,7 +174,7 @@
         tuple.serialize_element(&a.incarnation)?;
         tuple.serialize_element(&a.seq)?;
         tuple.serialize_element(&flags(a))?;
-        tuple.serialize_element(&models)?;
+        tuple.serialize_element(&borrowed(&a.models))?;
         tuple.serialize_element(&(self.age.as_millis() as u64))?;
         tuple.end()
     }
@@ -99,15 +198,8 @@
         let incarnation: Uuid = seq.next_element()?.ok_or_else(missing)?;
         let number: u64 = seq.next_element()?.ok_or_else(missing)?;
         let flags: u8 = seq.next_element()?.ok_or_else(missing)?;
-        let models: Vec<(String, u32, Vec<String>)> = seq.next_element()?.ok_or_else(missing)?;
+        let models: Vec<OwnedModel> = seq.next_element()?.ok_or_else(missing)?;
         let age_ms: u64 = seq.next_element()?.ok_or_else(missing)?;
-        let models = models
-            .into_iter()
-            .map(|(model, version, adapters)| LoadedModel {
-                model,
-                version,
-                adapters,
-            });
         Ok(Delta {
             announced: Announcement {
                 endpoint,
@@ -116,16 +208,9 @@
                 address,
                 incarnation,
                 seq: number,
-                state: match flags & LEAVING {
-                    0 => Readiness::Ready,
-                    _ => Readiness::Leaving,
-                },
-                models: models.collect(),
-                role: match flags & (PREFILL | DECODE) {
-                    PREFILL => StageRole::Prefill,
-                    DECODE => StageRole::Decode,
-                    _ => StageRole::Both,
-                },
+                state: readiness(flags),
+                models: loaded(models),
+                role: role(flags),
                 checks_fencing: flags & CHECKS_FENCING != 0,
                 load: Load::default(),
             },
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -16,11 +16,11 @@
 mod vitals;
 
 pub use config::TableConfig;
-pub use delta::Delta;
+pub use delta::{Brief, Delta};
 pub use endpoint::{Announced, Announcement, Load, LoadedModel, Readiness, StageRole};
 pub use live::{Live, Reported};
 pub use message::{Changes, Held, Reply, Request};
 pub use spread::neighbours;
 pub use table::{AnnounceError, Table};
 pub use view::{Endpoint, EndpointState, EndpointView, ServiceSnapshot};
-pub use vitals::Bucket;
+pub use vitals::{Bucket, Younger};
--- a/crates/membership/src/message.rs
+++ b/crates/membership/src/message.rs
@@ -5,12 +5,13 @@
 use derives::{record, token};
 use tokio::time::{Instant, timeout};
 use uuid::Uuid;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     EndpointView, Table,
-    delta::Delta,
+    delta::{Brief, Delta},
     state::{Entry, Origin, State},
-    vitals::{self, Bucket, bucket_of},
+    vitals::{self, Bucket, Younger, bucket_of},
 };
 
 /// Longest time that an answer to [`Request::Since`] is held back.
@@ -28,7 +29,12 @@
         /// What changed.
         deltas: Vec<Delta>,
     },
+    /// Changes of endpoints that a neighbour should hold: the sending gate's VM, to how many of
+    /// its neighbours the receiver passes them on, and what changed.
+    #[serde(rename = "b")]
+    Briefs(String, usize, Vec<Brief>),
     /// Compares tables and exchanges signs of life with a neighbour.
+    #[serde(rename = "x")]
     Exchange(Vec<Bucket>),
     /// Asks for what differs in some buckets.
     Repair {
@@ -39,11 +45,12 @@
     },
     /// Asks for the whole table of the availability zone; a gate that has just started.
     Pull,
-    /// Asks a gate of another availability zone for a bounded part of its endpoints.
-    Sample {
-        /// What the asking gate holds of that availability zone.
-        held: Vec<Held>,
-    },
+    /// Asks a gate of another availability zone for a bounded part of its endpoints, and gives the
+    /// digest of the part that the asking gate holds.
+    #[serde(rename = "s")]
+    Sample(u64),
+    /// The same with what the asking gate holds, after an answer that the digests differ.
+    SampleAnew(Vec<Held>),
     /// Asks for the endpoints that changed; from a controller.
     Since {
         /// The table that gave `version`.
@@ -57,39 +64,61 @@
 
 /// An endpoint that the sending gate holds.
 #[token]
+#[serde(from = "(u64, u64)", into = "(u64, u64)")]
 pub struct Held {
     /// Hash of its name.
     pub name: u64,
     /// Hash of what it announced.
     pub stamp: u64,
-    /// Age and load.
-    pub vitals: u8,
+}
+
+impl From<(u64, u64)> for Held {
+    fn from((name, stamp): (u64, u64)) -> Self {
+        Self { name, stamp }
+    }
+}
+
+impl From<Held> for (u64, u64) {
+    fn from(held: Held) -> Self {
+        (held.name, held.stamp)
+    }
 }
 
 /// The answer to a [`Request`].
 #[record]
 pub enum Reply {
-    /// To [`Request::Deltas`].
-    Taken,
+    /// To [`Request::Deltas`] and [`Request::Briefs`]: identities that the receiver does not hold.
+    #[serde(rename = "t")]
+    Taken(Vec<u64>),
     /// To [`Request::Exchange`].
-    Exchanged(Vec<Bucket>),
+    #[serde(rename = "x")]
+    Exchanged(Younger),
     /// To [`Request::Repair`]: what the asking gate lacks, and what this one wants of it.
     Repaired {
         /// What the asking gate lacks or holds differently.
         deltas: Vec<Delta>,
-        /// What both hold.
-        unchanged: Vec<Held>,
+        /// Vitals of what both hold, one byte for each endpoint that the asking gate named.
+        #[serde(with = "serde_bytes")]
+        vitals: Vec<u8>,
         /// Hashes of names whose deltas are wanted.
         wanted: Vec<u64>,
     },
     /// To [`Request::Pull`].
     Pulled(Vec<Delta>),
-    /// To [`Request::Sample`].
-    Sample {
+    /// To [`Request::Sample`] where digests agree: the vitals in order of the names' hashes.
+    #[serde(rename = "s")]
+    Sampled(#[serde(with = "serde_bytes")] Vec<u8>),
+    /// To [`Request::Sample`] where digests differ.
+    SampleDiffers,
+    /// To [`Request::SampleAnew`].
+    SampledAnew {
+        /// Hashes of the names in the sample.
+        names: Vec<u64>,
+        /// Their vitals.
+        #[serde(with = "serde_bytes")]
+        vitals: Vec<u8>,
         /// What the asking gate lacks or holds differently.
         deltas: Vec<Delta>,
-        /// What it holds already.
-        unchanged: Vec<Held>,
     },
     /// To [`Request::Since`].
     Since(Changes),
@@ -123,20 +152,21 @@
         } => {
             let neighbour = Some(from);
             merge_all(table, deltas, &Origin { neighbour, reach });
-            Reply::Taken
+            Reply::Taken(Vec::new())
         }
-        Request::Exchange(theirs) => {
-            let state = table.lock();
-            vitals::take(&state, &theirs, now);
-            Reply::Exchanged(vitals::buckets(&state, now))
+        Request::Briefs(from, reach, briefs) => {
+            let neighbour = Some(from);
+            Reply::Taken(merge_briefs(table, briefs, &Origin { neighbour, reach }))
         }
+        Request::Exchange(theirs) => Reply::Exchanged(vitals::take(&table.lock(), &theirs, now)),
         Request::Repair { buckets, held } => repair(&table.lock(), &buckets, &held, now),
         Request::Pull => {
             let state = table.lock();
             let entries = state.shared_entries();
             Reply::Pulled(entries.map(|e| Delta::of(&e.endpoint, now)).collect())
         }
-        Request::Sample { held } => sample(table, &held, now),
+        Request::Sample(digest) => sample(&table.lock(), digest, now),
+        Request::SampleAnew(held) => sample_anew(&table.lock(), &held, now),
         Request::Since {
             table: known,
             version,
@@ -156,59 +186,83 @@
     table.publish(state);
 }
 
-/// What a gate lacks that holds `held` of `entries`, and what both hold.
-fn differing(entries: &[&Entry], held: &[Held], now: Instant) -> (Vec<Delta>, Vec<Held>) {
-    let theirs: HashMap<u64, u64> = held.iter().map(|h| (h.name, h.stamp)).collect();
-    let is_same = |e: &&Entry| theirs.get(&e.name_hash) == Some(&e.stamp);
-    let (same, other): (Vec<&Entry>, Vec<&Entry>) = entries.iter().partition(|e| is_same(e));
-    let deltas = other.iter().map(|e| Delta::of(&e.endpoint, now)).collect();
-    (deltas, State::held(same.into_iter(), now))
-}
-
-/// Takes the vitals of those of `entries` that both gates hold alike.
-pub(crate) fn hear_held(entries: &[&Entry], held: &[Held], now: Instant) {
-    let theirs: HashMap<u64, &Held> = held.iter().map(|h| (h.name, h)).collect();
-    for entry in entries {
-        match theirs.get(&entry.name_hash) {
-            Some(held) if held.stamp == entry.stamp => vitals::apply(entry, held.vitals, now),
-            _ => {}
+/// Merges those of `briefs` whose endpoints are held; the identities of the others.
+fn merge_briefs(table: &Table, briefs: Vec<Brief>, origin: &Origin) -> Vec<u64> {
+    let mut lacking = Vec::new();
+    let mut deltas = Vec::new();
+    {
+        let state = table.lock();
+        for brief in briefs {
+            match state.of_identity(brief.identity()) {
+                Some(entry) => deltas.push(brief.complete(&entry.endpoint.announced)),
+                None => lacking.push(brief.identity()),
+            }
         }
     }
+    merge_all(table, deltas, origin);
+    lacking
+}
+
+/// What a gate lacks that holds `held` of `entries`.
+fn lacking(entries: &[&Entry], held: &[Held], now: Instant) -> Vec<Delta> {
+    let theirs: HashMap<u64, u64> = held.iter().map(|h| (h.name, h.stamp)).collect();
+    let is_other = |e: &&&Entry| theirs.get(&e.name_hash) != Some(&e.stamp);
+    let other = entries.iter().filter(is_other);
+    other.map(|e| Delta::of(&e.endpoint, now)).collect()
 }
 
 fn repair(state: &State, buckets: &[u8], held: &[Held], now: Instant) -> Reply {
     let is_asked = |e: &&Entry| buckets.contains(&(bucket_of(e.name_hash) as u8));
     let asked: Vec<&Entry> = state.shared_entries().filter(is_asked).collect();
-    hear_held(&asked, held, now);
-    let ours: HashMap<u64, u64> = asked.iter().map(|e| (e.name_hash, e.stamp)).collect();
-    let is_wanted = |h: &&Held| ours.get(&h.name) != Some(&h.stamp);
-    let wanted = held.iter().filter(is_wanted).map(|h| h.name).collect();
-    let (deltas, unchanged) = differing(&asked, held, now);
+    let ours: HashMap<u64, &Entry> = asked.iter().map(|e| (e.name_hash, *e)).collect();
+    let same = |h: &Held| ours.get(&h.name).filter(|entry| entry.stamp == h.stamp);
+    let wanted = held.iter().filter(|h| same(h).is_none());
+    let vitals = held
+        .iter()
+        .map(|h| same(h).map(|entry| vitals::of(entry, now)));
     Reply::Repaired {
-        deltas,
-        unchanged,
-        wanted,
+        deltas: lacking(&asked, held, now),
+        vitals: vitals.map(|v| v.unwrap_or(vitals::UNKNOWN)).collect(),
+        wanted: wanted.map(|h| h.name).collect(),
     }
 }
 
 /// A bounded number of ready endpoints of each service of this availability zone, the same ones
-/// as long as they stay.
-fn sample(table: &Table, held: &[Held], now: Instant) -> Reply {
-    let state = table.lock();
-    let cfg = table.config();
+/// as long as they stay, in order of the names' hashes.
+fn sampled(state: &State, now: Instant) -> Vec<&Entry> {
     let mut taken: HashMap<&str, usize> = HashMap::new();
-    let is_lively = |e: &&Entry| {
-        e.endpoint.is_ready(now) && e.endpoint.live.silence(now) < cfg.suspect_after / 2
-    };
-    let lively = state.shared_entries().filter(is_lively);
-    let chosen = lively.filter(|entry| {
+    let ready = state.shared_entries().filter(|e| e.endpoint.is_ready(now));
+    let chosen = ready.filter(|entry| {
         let count = taken.entry(&entry.endpoint.announced.service).or_default();
         *count += 1;
-        *count <= cfg.max_remote_per_service
+        *count <= state.max_remote_per_service()
     });
-    let chosen: Vec<&Entry> = chosen.collect();
-    let (deltas, unchanged) = differing(&chosen, held, now);
-    Reply::Sample { deltas, unchanged }
+    let mut chosen: Vec<&Entry> = chosen.collect();
+    chosen.sort_unstable_by_key(|entry| entry.name_hash);
+    chosen
+}
+
+/// The digest of a sample, in order of the names' hashes.
+pub(crate) fn sample_digest(entries: &[&Entry]) -> u64 {
+    let stamps: Vec<u8> = entries.iter().flat_map(|e| e.stamp.to_le_bytes()).collect();
+    xxh3_64(&stamps)
+}
+
+fn sample(state: &State, digest: u64, now: Instant) -> Reply {
+    let chosen = sampled(state, now);
+    match sample_digest(&chosen) == digest {
+        true => Reply::Sampled(chosen.iter().map(|entry| vitals::of(entry, now)).collect()),
+        false => Reply::SampleDiffers,
+    }
+}
+
+fn sample_anew(state: &State, held: &[Held], now: Instant) -> Reply {
+    let chosen = sampled(state, now);
+    Reply::SampledAnew {
+        names: chosen.iter().map(|entry| entry.name_hash).collect(),
+        vitals: chosen.iter().map(|entry| vitals::of(entry, now)).collect(),
+        deltas: lacking(&chosen, held, now),
+    }
 }
 
 async fn since(table: &Table, known: Option<Uuid>, version: u64, wait: Duration) -> Changes {
--- a/crates/membership/src/spread.rs
+++ b/crates/membership/src/spread.rs
@@ -9,8 +9,9 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
-    Delta, Table,
-    message::{Reply, Request, hear_held, merge_all},
+    Delta, Endpoint, Table,
+    delta::Brief,
+    message::{Reply, Request, merge_all},
     remote::sample_others,
     state::{Entry, Origin, State},
     vitals::{self, bucket_of},
@@ -121,34 +122,46 @@
     where
         Fut: Future<Output = Result<Reply, LinkError>>,
     {
-        let ours = vitals::buckets(&self.lock(), Instant::now());
-        let Reply::Exchanged(theirs) = call(Request::Exchange(ours)).await? else {
+        let (ours, told) = vitals::buckets(&self.lock(), Instant::now());
+        let Reply::Exchanged(younger) = call(Request::Exchange(ours)).await? else {
             return Ok(());
         };
-        let differing = vitals::take(&self.lock(), &theirs, Instant::now());
-        if differing.is_empty() {
+        vitals::take_younger(&told, &younger, Instant::now());
+        if younger.differing.is_empty() {
             return Ok(());
         }
-        let is_differing = |e: &&Entry| differing.contains(&(bucket_of(e.name_hash) as u8));
-        let held = {
+        self.repair(younger.differing, call).await
+    }
+
+    /// Gets what a neighbour holds differently in `buckets`, and tells what it lacks.
+    async fn repair<Fut>(
+        &self,
+        buckets: Vec<u8>,
+        call: impl Fn(Request) -> Fut,
+    ) -> Result<(), LinkError>
+    where
+        Fut: Future<Output = Result<Reply, LinkError>>,
+    {
+        let is_differing = |e: &&Entry| buckets.contains(&(bucket_of(e.name_hash) as u8));
+        let (held, endpoints) = {
             let state = self.lock();
-            State::held(state.shared_entries().filter(is_differing), Instant::now())
+            let entries: Vec<&Entry> = state.shared_entries().filter(is_differing).collect();
+            let endpoints = entries.iter().map(|e| Arc::clone(&e.endpoint));
+            let endpoints: Vec<Arc<Endpoint>> = endpoints.collect();
+            (State::held(entries.into_iter()), endpoints)
         };
-        let buckets = differing.clone();
         let reply = call(Request::Repair { buckets, held }).await?;
         let Reply::Repaired {
             deltas,
-            unchanged,
+            vitals,
             wanted,
         } = reply
         else {
             return Ok(());
         };
-        {
-            let state = self.lock();
-            let entries: Vec<&Entry> = state.shared_entries().filter(is_differing).collect();
-            hear_held(&entries, &unchanged, Instant::now());
-        }
+        let now = Instant::now();
+        let heard = endpoints.iter().zip(&vitals);
+        heard.for_each(|(endpoint, byte)| vitals::apply(&endpoint.live, *byte, now));
         merge_all(self, deltas, &Origin::COMPARISON);
         match self.wanted(&wanted) {
             Request::Deltas { deltas, .. } if deltas.is_empty() => Ok(()),
@@ -172,10 +185,66 @@
     /// What `neighbour`, the one at place `at` along the ring, has not been pushed since `version`,
     /// and the version up to which it leads.
     pub fn unsent(&self, version: u64, neighbour: &str, at: usize) -> (u64, Vec<Delta>) {
+        let now = Instant::now();
         let state = self.lock();
-        let deltas = state.unsent(version, neighbour, at, Instant::now());
+        let deltas = state.unsent(version, neighbour, at);
+        let deltas = deltas
+            .map(|entry| Delta::of(&entry.endpoint, now))
+            .collect();
         (state.version(), deltas)
     }
+
+    /// Pushes what `neighbour`, the one at place `at` along the ring, has not been pushed since
+    /// `version`; endpoints that it should hold in brief, and in full those that it then lacks.
+    /// Returns the version up to which this leads. A push that fails is not repeated; the next
+    /// exchange repairs it.
+    pub async fn push_unsent<Fut>(
+        &self,
+        version: u64,
+        neighbour: &str,
+        at: usize,
+        call: impl Fn(Request) -> Fut,
+    ) -> u64
+    where
+        Fut: Future<Output = Result<Reply, LinkError>>,
+    {
+        let (reached, briefs, mut full) = self.pushes(version, neighbour, at);
+        let from = self.config().gate.clone();
+        if !briefs.is_empty() {
+            let req = Request::Briefs(from.clone(), at, briefs);
+            if let Ok(Reply::Taken(lacking)) = call(req).await {
+                full.extend(self.deltas_of(&lacking));
+            }
+        }
+        if !full.is_empty() {
+            let req = Request::Deltas {
+                from,
+                reach: at,
+                deltas: full,
+            };
+            // The next exchange repairs what is lost here.
+            let _ = call(req).await;
+        }
+        reached
+    }
+
+    /// What to push in brief, and what in full.
+    fn pushes(&self, version: u64, neighbour: &str, at: usize) -> (u64, Vec<Brief>, Vec<Delta>) {
+        let now = Instant::now();
+        let state = self.lock();
+        let unsent = state.unsent(version, neighbour, at);
+        let (renewed, new): (Vec<&Entry>, Vec<&Entry>) = unsent.partition(|e| e.is_renewal());
+        let briefs = renewed.into_iter().map(|e| Brief::of(e, now)).collect();
+        let full = new.into_iter().map(|e| Delta::of(&e.endpoint, now));
+        (state.version(), briefs, full.collect())
+    }
+
+    fn deltas_of(&self, identities: &[u64]) -> Vec<Delta> {
+        let now = Instant::now();
+        let state = self.lock();
+        let entries = identities.iter().filter_map(|i| state.of_identity(*i));
+        entries.map(|e| Delta::of(&e.endpoint, now)).collect()
+    }
 }
 
 async fn ask(peer: &Peer, req: &Request) -> Result<Reply, LinkError> {
@@ -209,19 +278,13 @@
         let at = neighbours
             .iter()
             .position(|near| near.name() == peer.name());
-        let (version, deltas) = table.unsent(sent, peer.name(), at.unwrap_or(usize::MAX));
-        sent = version;
-        let Some(at) = at.filter(|_| !deltas.is_empty()) else {
-            continue;
-        };
-        let from = table.config().gate.clone();
-        // The next exchange repairs what is lost here.
-        let req = Request::Deltas {
-            from,
-            reach: at,
-            deltas,
+        sent = match at {
+            None => table.lock().version(),
+            Some(at) => {
+                let call = |req| ask_owned(peer.clone(), req);
+                table.push_unsent(sent, peer.name(), at, call).await
+            }
         };
-        let _ = ask(&peer, &req).await;
     }
 }
 
--- a/crates/membership/src/state.rs
+++ b/crates/membership/src/state.rs
@@ -65,6 +65,10 @@
     pub(crate) name_hash: u64,
     /// Hash of everything that two gates must agree on.
     pub(crate) stamp: u64,
+    /// Hash of what an endpoint keeps for its life.
+    pub(crate) identity: u64,
+    /// Whether the last change left its identity as it was.
+    is_renewal: bool,
     /// The table's version at the last change that readers see.
     version: u64,
     /// The table's version at the last change that neighbours need to hear of.
@@ -75,6 +79,13 @@
     told: EndpointState,
 }
 
+impl Entry {
+    /// Whether neighbours that hold it need only be told what changed.
+    pub(crate) fn is_renewal(&self) -> bool {
+        self.is_renewal
+    }
+}
+
 /// A departed endpoint.
 #[derive(Clone, Copy, Debug)]
 struct Tombstone {
@@ -122,6 +133,17 @@
     xxh3_64(&bytes)
 }
 
+/// What stands for an endpoint in brief deltas: name, service, place and incarnation.
+fn identity(a: &Announcement) -> u64 {
+    xxh3_64(&link::encode(&(
+        &a.endpoint,
+        &a.service,
+        &a.az,
+        &a.address,
+        a.incarnation,
+    )))
+}
+
 /// Which of two announcements replaces the other. Only a faulty endpoint sends two contents under
 /// one number; leaving then wins, so that all gates end with the same.
 fn order(a: &Announcement) -> (Uuid, u64, bool, u64) {
@@ -156,6 +178,11 @@
         }
     }
 
+    /// Most endpoints of one service that another availability zone is told of.
+    pub(crate) fn max_remote_per_service(&self) -> usize {
+        self.cfg.max_remote_per_service
+    }
+
     pub(crate) fn version(&self) -> u64 {
         self.version
     }
@@ -273,8 +300,12 @@
     fn put(&mut self, a: Announcement, live: Arc<Live>, seen_seq: u64, origin: &Origin) -> Applied {
         let name = a.endpoint.clone();
         self.stale.insert(a.service.clone());
+        let identity = identity(&a);
+        let known = self.entries.get(&name);
         let entry = Entry {
             seen_seq: seen_seq.max(a.seq),
+            is_renewal: known.is_some_and(|known| known.identity == identity),
+            identity,
             name_hash: xxh3_64(name.as_bytes()),
             stamp: stamp(&a),
             version: 0,
@@ -388,15 +419,11 @@
     }
 
     /// What a neighbour needs to know to tell what differs, of the entries chosen.
-    pub(crate) fn held<'a>(
-        entries: impl Iterator<Item = &'a Entry>,
-        now: Instant,
-    ) -> Vec<crate::Held> {
+    pub(crate) fn held<'a>(entries: impl Iterator<Item = &'a Entry>) -> Vec<crate::Held> {
         entries
             .map(|entry| crate::Held {
                 name: entry.name_hash,
                 stamp: entry.stamp,
-                vitals: crate::vitals::of(entry, now),
             })
             .collect()
     }
@@ -410,9 +437,8 @@
         version: u64,
         neighbour: &str,
         at: usize,
-        now: Instant,
-    ) -> Vec<Delta> {
-        let is_meant = |entry: &&Entry| {
+    ) -> impl Iterator<Item = &Entry> {
+        let is_meant = move |entry: &&Entry| {
             let a = &entry.endpoint.announced;
             let is_reached = at < entry.origin.reach || a.state == Readiness::Leaving;
             a.az == self.cfg.az
@@ -423,8 +449,11 @@
             .range(version + 1..)
             .filter_map(|(_, name)| self.entries.get(name))
             .filter(is_meant)
-            .map(|entry| Delta::of(&entry.endpoint, now))
-            .collect()
+    }
+
+    /// The endpoint of this availability zone with `identity`.
+    pub(crate) fn of_identity(&self, identity: u64) -> Option<&Entry> {
+        self.shared_entries().find(|e| e.identity == identity)
     }
 
     /// Endpoints that changed, and names of those that departed, after `version`; `None` where
--- a/crates/membership/src/vitals.rs
+++ b/crates/membership/src/vitals.rs
@@ -1,11 +1,15 @@
 //! Signs of life and coarse load of many endpoints, one byte each: five bits of age, three of load.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
-use derives::record;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use serde_bytes::{ByteBuf, Bytes};
 use tokio::time::Instant;
 
-use crate::state::{Entry, State};
+use crate::{
+    Endpoint, Live,
+    state::{Entry, State},
+};
 
 /// Groups into which endpoints fall by the hash of their name; each is compared on its own.
 pub(crate) const BUCKETS: usize = 8;
@@ -17,16 +21,35 @@
 /// Calls that each load class stands for.
 const CALLS_BY_CLASS: [u32; 8] = [0, 1, 2, 5, 11, 22, 45, 90];
 
+/// A byte that tells nothing.
+pub(crate) const UNKNOWN: u8 = AGE_UNKNOWN;
+/// A neighbour's age is told where it is younger by this many units, which is more than rounding
+/// makes of one announcement on its way.
+const YOUNGER_BY: u8 = 3;
+
 /// One bucket: a digest of what its endpoints announced, and their vitals by hash of name.
-#[record]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Bucket {
     /// Differs where any endpoint or what it announced differs.
     pub digest: u32,
     /// One byte for each endpoint; of use only where both digests agree.
-    #[serde(with = "serde_bytes")]
     pub vitals: Vec<u8>,
 }
 
+impl Serialize for Bucket {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        (self.digest, Bytes::new(&self.vitals)).serialize(serializer)
+    }
+}
+
+impl<'de> Deserialize<'de> for Bucket {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let (digest, vitals) = <(u32, ByteBuf)>::deserialize(deserializer)?;
+        let vitals = vitals.into_vec();
+        Ok(Self { digest, vitals })
+    }
+}
+
 /// Encodes `age`, rounded up so that silence never seems shorter than it is, and load in classes.
 pub(crate) fn encode(age: Duration, calls: u32) -> u8 {
     let units = age.as_micros().div_ceil(AGE_UNIT.as_micros());
@@ -49,13 +72,13 @@
 }
 
 /// Takes one endpoint's vitals.
-pub(crate) fn apply(entry: &Entry, byte: u8, now: Instant) {
+pub(crate) fn apply(live: &Live, byte: u8, now: Instant) {
     let Some((age, calls)) = decode(byte) else {
         return;
     };
     let heard = now.checked_sub(age).unwrap_or(now);
-    if entry.endpoint.live.hear(heard) {
-        entry.endpoint.live.report(calls, heard);
+    if live.hear(heard) {
+        live.report(calls, heard);
     }
 }
 
@@ -83,28 +106,101 @@
     (sum >> u32::BITS) as u32 ^ sum as u32
 }
 
-/// What to tell a neighbour of all buckets.
-pub(crate) fn buckets(state: &State, now: Instant) -> Vec<Bucket> {
-    by_bucket(state)
-        .iter()
-        .map(|bucket| Bucket {
-            digest: digest(bucket),
-            vitals: bucket.iter().map(|entry| of(entry, now)).collect(),
-        })
-        .collect()
+/// What to tell a neighbour of all buckets, and the endpoints whose vitals are told.
+pub(crate) fn buckets(state: &State, now: Instant) -> (Vec<Bucket>, Vec<Vec<Arc<Endpoint>>>) {
+    let by_bucket = by_bucket(state);
+    let buckets = by_bucket.iter().map(|bucket| Bucket {
+        digest: digest(bucket),
+        vitals: bucket.iter().map(|entry| of(entry, now)).collect(),
+    });
+    let told = by_bucket.iter().map(|bucket| {
+        let endpoints = bucket.iter().map(|entry| Arc::clone(&entry.endpoint));
+        endpoints.collect()
+    });
+    (buckets.collect(), told.collect())
 }
 
-/// Takes a neighbour's vitals where digests agree; returns the buckets where they don't.
-pub(crate) fn take(state: &State, theirs: &[Bucket], now: Instant) -> Vec<u8> {
-    let mut differing = Vec::new();
+/// Takes a neighbour's vitals where digests agree; tells which buckets differ, and in the others
+/// what is younger here.
+pub(crate) fn take(state: &State, theirs: &[Bucket], now: Instant) -> Younger {
+    let mut younger = Younger::default();
     for (at, (ours, theirs)) in by_bucket(state).iter().zip(theirs).enumerate() {
         match digest(ours) == theirs.digest && ours.len() == theirs.vitals.len() {
-            true => ours
-                .iter()
-                .zip(&theirs.vitals)
-                .for_each(|(entry, byte)| apply(entry, *byte, now)),
-            false => differing.push(at as u8),
+            true => {
+                let pairs = ours.iter().zip(&theirs.vitals);
+                let pairs = pairs.map(|(entry, told)| (of(entry, now), *told));
+                younger.vitals.extend(younger_only(pairs));
+                let pairs = ours.iter().zip(&theirs.vitals);
+                pairs.for_each(|(entry, byte)| apply(&entry.endpoint.live, *byte, now));
+            }
+            false => younger.differing.push(at as u8),
+        }
+    }
+    younger
+}
+
+/// What a neighbour answers to vitals.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Younger {
+    /// The buckets whose digests differ.
+    pub differing: Vec<u8>,
+    /// For each other bucket a bit for each endpoint, set where the neighbour heard it later, and
+    /// the vitals of those.
+    pub vitals: Vec<u8>,
+}
+
+impl Serialize for Younger {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        (Bytes::new(&self.differing), Bytes::new(&self.vitals)).serialize(serializer)
+    }
+}
+
+impl<'de> Deserialize<'de> for Younger {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let (differing, vitals) = <(ByteBuf, ByteBuf)>::deserialize(deserializer)?;
+        Ok(Self {
+            differing: differing.into_vec(),
+            vitals: vitals.into_vec(),
+        })
+    }
+}
+
+/// Of pairs of our vitals and a neighbour's, a bit for each and ours where they are younger.
+fn younger_only(pairs: impl Iterator<Item = (u8, u8)>) -> Vec<u8> {
+    let mut bits = Vec::new();
+    let mut vitals = Vec::new();
+    for (at, (ours, theirs)) in pairs.enumerate() {
+        if at.is_multiple_of(8) {
+            bits.push(0);
+        }
+        let is_younger = (ours & AGE_UNKNOWN) + YOUNGER_BY <= theirs & AGE_UNKNOWN;
+        if is_younger {
+            bits[at / 8] |= 1 << (at % 8);
+            vitals.push(ours);
+        }
+    }
+    bits.append(&mut vitals);
+    bits
+}
+
+/// Takes what a neighbour heard later of the endpoints that were `told` to it, by bucket; stops at
+/// an answer that is too short.
+pub(crate) fn take_younger(told: &[Vec<Arc<Endpoint>>], younger: &Younger, now: Instant) {
+    let mut rest = younger.vitals.as_slice();
+    let is_equal = |at: &usize| !younger.differing.contains(&(*at as u8));
+    for at in (0..told.len()).filter(is_equal) {
+        let bucket = &told[at];
+        let Some((bits, after)) = rest.split_at_checked(bucket.len().div_ceil(8)) else {
+            return;
+        };
+        rest = after;
+        let is_told = |at: usize| bits[at / 8] & 1 << (at % 8) != 0;
+        for (_, endpoint) in bucket.iter().enumerate().filter(|(at, _)| is_told(*at)) {
+            let Some((byte, after)) = rest.split_first() else {
+                return;
+            };
+            rest = after;
+            apply(&endpoint.live, *byte, now);
         }
     }
-    differing
 }
--- a/crates/membership/tests/convergence.rs
+++ b/crates/membership/tests/convergence.rs
@@ -23,6 +23,10 @@
         from: usize,
         to: usize,
     },
+    PushAtOnce {
+        from: usize,
+        to: usize,
+    },
     DeliverLate {
         to: usize,
         at: usize,
@@ -46,6 +50,7 @@
             Op::Announce { gate, endpoint, life, seq }
         }),
         2 => (gate(), gate()).prop_map(|(from, to)| Op::Push { from, to }),
+        2 => (gate(), gate()).prop_map(|(from, to)| Op::PushAtOnce { from, to }),
         2 => (gate(), any::<usize>()).prop_map(|(to, at)| Op::DeliverLate { to, at }),
         1 => (gate(), gate()).prop_map(|(from, to)| Op::Exchange { from, to }),
         1 => gate().prop_map(|gate| Op::Restart { gate }),
@@ -75,12 +80,13 @@
     endpoints.collect()
 }
 
+async fn call(to: &Table, req: Request) -> Result<Reply, link::LinkError> {
+    let answer = to.answer(&link::encode(&req)).await;
+    link::decode(&answer)
+}
+
 async fn exchange(from: &Table, to: &Table) {
-    let call = |req: Request| async move {
-        let answer = to.answer(&link::encode(&req)).await;
-        link::decode::<Reply>(&answer)
-    };
-    from.exchange(call).await.unwrap();
+    from.exchange(|req| call(to, req)).await.unwrap();
 }
 
 /// Names an endpoint of which a gate believes something older than before.
@@ -121,6 +127,12 @@
                     deltas,
                 }));
             }
+            Op::PushAtOnce { from, to } => {
+                let call = |req| call(&tables[to], req);
+                tables[from]
+                    .push_unsent(0, &format!("g{to}"), 0, call)
+                    .await;
+            }
             Op::DeliverLate { to, at } if !on_the_way.is_empty() => {
                 let body = &on_the_way[at % on_the_way.len()];
                 tables[to].answer(body).await;
