Repeat scenarios, refuse what the machine cannot bear, two faults at once

A run that would take more than half of the memory or 300 processes is refused before it starts. kill-cut-gate kills a gate inside the availability zone that is cut off; kill-leader waits for a leader, so that a second one right after a repair is not passed over.

--- a/crates/bench/src/args.rs
+++ b/crates/bench/src/args.rs
@@ -6,10 +6,13 @@
 };
 
 use bench::{experiment, proxy, stand_in};
-use eyre::{WrapErr, eyre};
+use eyre::{WrapErr, bail, eyre};
 use host::exit::ExitCode;
 use pico_args::Arguments;
 
+/// Most runs of each scenario.
+const MAX_REPEAT: u64 = 100;
+
 const HELP: &str = "\
 Stand-ins, fault-injecting proxy, load and experiments for development
 
@@ -21,15 +24,16 @@
 
 Options of load and experiment:
   --programs FOLDER  the project's binaries [default: the folder of this program]
-  --earlier FOLDER   binaries of an earlier build to compare with
+  --earlier FOLDER   binaries of an earlier build to compare with in the same run
   --out FOLDER       results, logs and evidence [default: bench-results]
   --only NAME,...    only these scenarios
+  --repeat N         run each scenario with N seeds; mean and range of all [default: 1]
 
 Actions of a scenario, `at_MILLISECONDS = ACTION`; a service is engine, pool or booking:
   slow SERVICE FACTOR, fail SERVICE N, stall SERVICE, close-early SERVICE, mend,
   restart SERVICE, leave SERVICE, silence, burst FACTOR MILLISECONDS, rollout,
   cut-az, isolate-leader, isolate-controller, heal, kill-leader, kill-keepers,
-  term-gate, kill-gate
+  term-gate, kill-gate, kill-cut-gate
 
   -h, --help         print this text
   -V, --version      print the version";
@@ -72,8 +76,9 @@
             block_on(serve(&name, &config))
         }
         "load" | "experiment" => {
-            let Ok(cfg) = run_config(&mut args, name == "load") else {
-                return Ok(usage("the experiment file is missing"));
+            let cfg = match run_config(&mut args, name == "load") {
+                Ok(cfg) => cfg,
+                Err(e) => return Ok(usage(&format!("{e}"))),
             };
             let rest: Vec<OsString> = args.finish();
             if !rest.is_empty() {
@@ -107,10 +112,16 @@
     let programs = folder(args.opt_value_from_str("--programs")?)?;
     let earlier = args.opt_value_from_str("--earlier")?;
     let out: Option<PathBuf> = args.opt_value_from_str("--out")?;
+    let repeat: Option<u64> = args.opt_value_from_str("--repeat")?;
+    let repeat = repeat.unwrap_or(1);
+    if !(1..=MAX_REPEAT).contains(&repeat) {
+        bail!("--repeat must be 1 to {MAX_REPEAT}");
+    }
     let file = match is_load {
-        true => args.value_from_str("--config")?,
-        false => args.free_from_str()?,
+        true => args.value_from_str("--config"),
+        false => args.free_from_str(),
     };
+    let file = file.wrap_err("the experiment file is missing")?;
     let split = |text: String| text.split(',').map(str::to_owned).collect();
     Ok(experiment::RunConfig {
         file,
@@ -118,6 +129,7 @@
         earlier,
         out: out.unwrap_or_else(|| PathBuf::from("bench-results")),
         only: only.map(split).unwrap_or_default(),
+        repeat,
         without_faults: is_load,
     })
 }
@@ -132,15 +144,21 @@
 async fn run_experiment(cfg: experiment::RunConfig) -> eyre::Result<ExitCode> {
     let rows = experiment::run_file(&cfg).await?;
     println!("{}", experiment::table(&rows));
+    if cfg.repeat > 1 {
+        let summaries = experiment::summarize(&rows);
+        println!("{}", experiment::summary_table(&summaries));
+    }
     let is_ours = |row: &&experiment::Row| row.system == "project";
     let mut code = ExitCode::Success;
     for row in rows.iter().filter(is_ours) {
         if row.failure.is_some() || row.broken_count() > 0 {
             code = ExitCode::Failure;
-            println!("{} {}: {:?}", row.deployment, row.scenario, row.broken);
+            let names = (&row.deployment, &row.scenario, row.seed, &row.broken);
+            println!("{} {} seed {}: {:?}", names.0, names.1, names.2, names.3);
         }
         for example in row.examples.iter().chain(&row.notes) {
-            println!("  {}/{}: {example}", row.deployment, row.scenario);
+            let names = (&row.deployment, &row.scenario, row.seed);
+            println!("  {}/{} seed {}: {example}", names.0, names.1, names.2);
         }
     }
     Ok(code)
--- a/crates/bench/src/experiment/action.rs
+++ b/crates/bench/src/experiment/action.rs
@@ -75,6 +75,8 @@
     TermGate,
     /// One gate is killed.
     KillGate,
+    /// One gate of the availability zone that [`Action::CutAz`] cuts off is killed.
+    KillCutGate,
     /// All open connections to endpoints go silent; new ones pass.
     Silence,
     /// The engine's next version is declared.
@@ -106,6 +108,7 @@
             ["isolate-controller"] => Self::IsolateController,
             ["term-gate"] => Self::TermGate,
             ["kill-gate"] => Self::KillGate,
+            ["kill-cut-gate"] => Self::KillCutGate,
             ["silence"] => Self::Silence,
             ["rollout"] => Self::Rollout,
             _ => return None,
@@ -114,6 +117,6 @@
 
     /// Whether it may break connections between callers and a gate.
     pub fn may_break_callers(self) -> bool {
-        self == Self::KillGate
+        matches!(self, Self::KillGate | Self::KillCutGate)
     }
 }
--- a/crates/bench/src/experiment/apply.rs
+++ b/crates/bench/src/experiment/apply.rs
@@ -10,10 +10,14 @@
     net::VmName,
     roles,
 };
-use crate::{processes::Signal, stand_in::Fault};
+use crate::{client::Client, processes::Signal, stand_in::Fault};
 
 /// How long a killed process stays down.
 const DOWN: Duration = Duration::from_millis(500);
+/// Longest wait for a leader that can be killed.
+const ELECTION_LIMIT: Duration = Duration::from_secs(5);
+/// Pause between questions who leads.
+const ASK_AGAIN: Duration = Duration::from_millis(50);
 /// Longest time that a gate may take to end after SIGTERM.
 const TERM_LIMIT: Duration = Duration::from_secs(20);
 
@@ -38,7 +42,11 @@
                 }
             }
             Action::TermGate => self.term_gate().await?,
-            Action::KillGate => self.kill_gate().await?,
+            Action::KillGate => self.kill_gate(0).await?,
+            Action::KillCutGate => {
+                let at = self.gates.iter().position(|g| g.vm.az == self.cut_az);
+                self.kill_gate(at.unwrap_or(0)).await?;
+            }
             // A burst is part of the arrivals.
             Action::Burst(..) => {}
             other => self.apply_to_own(other).await?,
@@ -59,11 +67,10 @@
         };
         match action {
             Action::CutAz => {
-                let az = own.starter.vms.keepers.last().map(|vm| vm.az.clone());
-                let az = az.unwrap_or_default();
+                let az = &self.cut_az;
                 own.starter
                     .net
-                    .cut(|from, to| (from.az == az) != (to.az == az));
+                    .cut(|from, to| (from.az == *az) != (to.az == *az));
             }
             Action::Heal => own.starter.net.cut(|_, _| false),
             Action::IsolateLeader => {
@@ -76,10 +83,10 @@
                 isolate(own, vm);
             }
             Action::KillLeader => {
-                let leader = roles::leader(&self.client, &own.keepers).await;
-                if let Some(i) = leader {
-                    restart_keepers(own, &[i]).await?;
-                }
+                let leader = elected(&self.client, own).await?;
+                self.notes
+                    .push(format!("killed {}", own.keepers[leader].role.name));
+                restart_keepers(own, &[leader]).await?;
             }
             Action::KillKeepers => {
                 let all: Vec<usize> = (0..own.keepers.len()).collect();
@@ -107,34 +114,36 @@
             );
             self.notes.push(note);
         }
-        self.start_gate_again().await
+        self.start_gate_again(0).await
     }
 
-    async fn kill_gate(&mut self) -> eyre::Result<()> {
-        if let Some(gate) = self.gates.first_mut() {
+    async fn kill_gate(&mut self, at: usize) -> eyre::Result<()> {
+        if let Some(gate) = self.gates.get_mut(at) {
             if let GateBody::Role(role) = &mut gate.body {
                 role.kill().await?;
             }
             gate.proxy.reset_connections();
+            self.notes
+                .push(format!("killed the gate of {}", gate.vm.name));
         }
-        self.start_gate_again().await
+        self.start_gate_again(at).await
     }
 
-    /// Starts the first gate anew after a while; a baseline gate is replaced at once.
-    async fn start_gate_again(&mut self) -> eyre::Result<()> {
+    /// Starts the gate at place `at` anew after a while; a baseline gate is replaced at once.
+    async fn start_gate_again(&mut self, at: usize) -> eyre::Result<()> {
         if self.own.is_none() {
             return Ok(());
         }
-        let vm = self.gates[0].vm.clone();
-        self.gates[0].body = GateBody::Down;
+        let vm = self.gates[at].vm.clone();
+        self.gates[at].body = GateBody::Down;
         self.gates_changed();
         sleep(DOWN).await;
         let Some(own) = &self.own else {
             return Ok(());
         };
         let role = own.starter.gate(&vm).await?;
-        self.gates[0].proxy.set_upstream(role.http);
-        self.gates[0].body = GateBody::Role(Box::new(role));
+        self.gates[at].proxy.set_upstream(role.http);
+        self.gates[at].body = GateBody::Role(Box::new(role));
         self.gates_changed();
         Ok(())
     }
@@ -199,6 +208,18 @@
     own.starter.net.cut(|from, to| (*from == vm) != (*to == vm));
 }
 
+/// The keeper that leads, as soon as one does.
+async fn elected(client: &Client, own: &Own) -> eyre::Result<usize> {
+    let until = Instant::now() + ELECTION_LIMIT;
+    while Instant::now() < until {
+        if let Some(leader) = roles::leader(client, &own.keepers).await {
+            return Ok(leader);
+        }
+        sleep(ASK_AGAIN).await;
+    }
+    eyre::bail!("no keeper said within {ELECTION_LIMIT:?} that it leads; none was killed")
+}
+
 async fn restart_keepers(own: &mut Own, which: &[usize]) -> eyre::Result<()> {
     for i in which {
         own.keepers[*i].role.kill().await?;
--- /dev/null
+++ b/crates/bench/src/experiment/bounds.rs
@@ -0,0 +1,73 @@
+//! Bounds on what a run takes of the machine; a run that needs more is refused.
+
+use std::fs;
+
+use eyre::{WrapErr, bail, eyre};
+
+use super::file::Scenario;
+use crate::{deployment::Deployment, load::Plan};
+
+/// Most processes that a run may start.
+pub const MAX_PROCESSES: usize = 300;
+/// Memory that is reckoned for one process, in bytes.
+const PROCESS_BYTES: u64 = 64 << 20;
+/// Memory that is reckoned for one request with its journal and evidence, in bytes.
+const REQUEST_BYTES: u64 = 64 << 10;
+
+/// What a run takes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Need {
+    /// Processes.
+    pub processes: usize,
+    /// Memory in bytes.
+    pub bytes: u64,
+}
+
+impl Need {
+    /// What `scenario` takes on the project's own fleet of `deployment`.
+    pub fn of(deployment: &Deployment, scenario: &Scenario) -> Self {
+        let gates: usize = deployment.azs.iter().map(|az| az.gates).sum();
+        let keepers = deployment.azs.iter().filter(|az| az.has_keeper).count();
+        // Each gate's VM has a controller too.
+        let processes = 2 * gates + keepers;
+        let requests = requests(&scenario.plan(0));
+        Self {
+            processes,
+            bytes: processes as u64 * PROCESS_BYTES + requests * REQUEST_BYTES,
+        }
+    }
+
+    /// Refuses what exceeds [`MAX_PROCESSES`] or half of `memory` bytes.
+    pub fn check(self, memory: u64) -> eyre::Result<()> {
+        match self {
+            Self { processes, .. } if processes > MAX_PROCESSES => {
+                bail!("needs {processes} processes, at most {MAX_PROCESSES} may run; use fewer VMs")
+            }
+            Self { bytes, .. } if bytes > memory / 2 => bail!(
+                "needs {} MB of memory, at most half of {} MB may be used; lower rate, length_ms or bursts",
+                bytes >> 20,
+                memory >> 20,
+            ),
+            _ => Ok(()),
+        }
+    }
+}
+
+/// Requests that `plan` offers on average.
+fn requests(plan: &Plan) -> u64 {
+    let more = plan.bursts.iter().map(|burst| {
+        let length = burst.length.min(plan.length);
+        (burst.factor - 1.0).max(0.0) * length.as_secs_f64()
+    });
+    let seconds: f64 = plan.length.as_secs_f64() + more.sum::<f64>();
+    (plan.rate * seconds) as u64
+}
+
+/// The machine's memory in bytes.
+pub(crate) fn memory() -> eyre::Result<u64> {
+    let text = fs::read_to_string("/proc/meminfo").wrap_err("read /proc/meminfo")?;
+    let line = text.lines().find_map(|l| l.strip_prefix("MemTotal:"));
+    let kib = line.and_then(|l| l.trim().strip_suffix("kB")?.trim().parse::<u64>().ok());
+    kib.map(|kib| kib << 10)
+        .ok_or_else(|| eyre!("/proc/meminfo does not tell MemTotal"))
+}
--- a/crates/bench/src/experiment/fleet.rs
+++ b/crates/bench/src/experiment/fleet.rs
@@ -105,6 +105,8 @@
     pub(crate) directory: Directory,
     pub(crate) workers: Workers,
     pub(crate) own: Option<Own>,
+    /// The availability zone that is cut off: the last one with a keeper.
+    pub(crate) cut_az: String,
     /// What the run's own observer has to say, for the report.
     pub(crate) notes: Vec<String>,
 }
@@ -119,6 +121,7 @@
     ) -> eyre::Result<Self> {
         let declaration = deployment.declaration()?;
         let vms = vms(&deployment);
+        let cut_az = vms.keepers.last().map(|vm| vm.az.clone());
         let client = Client::default();
         let (gates, own) = match system {
             System::Baseline(policy) => {
@@ -143,6 +146,7 @@
             gates,
             directory: Directory::default(),
             workers,
+            cut_az: cut_az.unwrap_or_default(),
             notes: own.as_ref().map_or_else(Vec::new, |own| own.notes.clone()),
             own,
         };
--- a/crates/bench/src/experiment/mod.rs
+++ b/crates/bench/src/experiment/mod.rs
@@ -2,6 +2,7 @@
 
 mod action;
 mod apply;
+mod bounds;
 mod evidence;
 mod file;
 mod fleet;
@@ -10,13 +11,16 @@
 mod report;
 mod roles;
 mod run;
+mod summary;
 mod watch;
 mod workers;
 
 pub use self::{
     action::{Action, ServiceRef},
+    bounds::{MAX_PROCESSES, Need},
     file::{Experiment, Scenario, System},
     fleet::Fleet,
     report::{Row, Target, table, target},
     run::{RunConfig, run_file},
+    summary::{Spread, Summary, summarize, summary_table},
 };
--- a/crates/bench/src/experiment/plot.rs
+++ b/crates/bench/src/experiment/plot.rs
@@ -1,4 +1,4 @@
-//! Attainment and cost by scenario as one SVG.
+//! Attainment and cost by scenario, means over repeated runs, as one SVG.
 
 use std::path::Path;
 
@@ -11,7 +11,7 @@
     },
 };
 
-use super::report::Row;
+use super::summary::Summary;
 
 /// Width of the picture, in pixels.
 const WIDTH: u32 = 1_400;
@@ -30,24 +30,22 @@
 }
 
 /// Draws attainment and cost for each deployment into the file at `path`.
-pub(crate) fn draw(rows: &[Row], path: &Path) -> eyre::Result<()> {
-    let deployments = names(rows, |row| &row.deployment);
-    let scenarios = names(rows, |row| &row.scenario);
-    let systems = names(rows, |row| &row.system);
+pub(crate) fn draw(summaries: &[Summary], path: &Path) -> eyre::Result<()> {
+    let deployments = names(summaries, |s| &s.deployment);
+    let scenarios = names(summaries, |s| &s.scenario);
+    let systems = names(summaries, |s| &s.system);
     let charts = deployments.len() * 2;
     let size = (WIDTH, HEIGHT * charts.max(1) as u32);
     let root = SVGBackend::new(path, size).into_drawing_area();
     root.fill(&WHITE).map_err(|e| eyre!("draw: {e}"))?;
     let areas = root.split_evenly((charts.max(1), 1));
     for (i, deployment) in deployments.iter().enumerate() {
-        let values = |of: fn(&Row) -> f64| -> Vec<Vec<f64>> {
+        let values = |of: fn(&Summary) -> f64| -> Vec<Vec<f64>> {
             let value = |scenario: &String, system: &String| {
-                let is_it = |row: &&Row| {
-                    row.deployment == *deployment
-                        && row.scenario == *scenario
-                        && row.system == *system
+                let is_it = |s: &&Summary| {
+                    s.deployment == *deployment && s.scenario == *scenario && s.system == *system
                 };
-                rows.iter().find(is_it).map_or(0.0, of)
+                summaries.iter().find(is_it).map_or(0.0, of)
             };
             let of_scenario = |scenario| {
                 systems
@@ -62,14 +60,14 @@
             unit: "%",
             scenarios: &scenarios,
             systems: &systems,
-            values: values(|row| row.tally.attainment * 100.0),
+            values: values(|s| s.attainment.mean * 100.0),
         };
         let cost = Chart {
             title: format!("{deployment}: endpoint time for each request in time"),
             unit: "ms",
             scenarios: &scenarios,
             systems: &systems,
-            values: values(|row| row.tally.cost_ms),
+            values: values(|s| s.cost_ms.mean),
         };
         attainment.draw(&areas[i * 2]).map_err(|e| eyre!("{e}"))?;
         cost.draw(&areas[i * 2 + 1]).map_err(|e| eyre!("{e}"))?;
@@ -77,11 +75,11 @@
     root.present().map_err(|e| eyre!("write the picture: {e}"))
 }
 
-fn names(rows: &[Row], of: fn(&Row) -> &String) -> Vec<String> {
+fn names(summaries: &[Summary], of: fn(&Summary) -> &String) -> Vec<String> {
     let mut names: Vec<String> = Vec::new();
-    for row in rows {
-        if !names.contains(of(row)) {
-            names.push(of(row).clone());
+    for summary in summaries {
+        if !names.contains(of(summary)) {
+            names.push(of(summary).clone());
         }
     }
     names
--- a/crates/bench/src/experiment/report.rs
+++ b/crates/bench/src/experiment/report.rs
@@ -22,6 +22,8 @@
     pub scenario: String,
     /// The system.
     pub system: String,
+    /// Seed of the run's random choices.
+    pub seed: u64,
     /// Figures; all zero where the run failed.
     pub tally: Tally,
     /// Broken invariants by name.
@@ -36,11 +38,12 @@
 
 impl Row {
     /// A row without figures yet.
-    pub fn new(deployment: &str, scenario: &str, system: &str) -> Self {
+    pub fn new(deployment: &str, scenario: &str, system: &str, seed: u64) -> Self {
         Self {
             deployment: deployment.to_owned(),
             scenario: scenario.to_owned(),
             system: system.to_owned(),
+            seed,
             tally: Tally::default(),
             broken: BTreeMap::new(),
             examples: Vec::new(),
@@ -71,6 +74,7 @@
         other.system == RIVAL
             && other.deployment == row.deployment
             && other.scenario == row.scenario
+            && other.seed == row.seed
             && other.failure.is_none()
     };
     let rival = &rows.iter().find(is_rival)?.tally;
--- a/crates/bench/src/experiment/run.rs
+++ b/crates/bench/src/experiment/run.rs
@@ -7,7 +7,7 @@
 };
 
 use declaration::Declaration;
-use eyre::WrapErr;
+use eyre::{WrapErr, bail};
 use tokio::{
     task::JoinSet,
     time::{Instant, sleep_until},
@@ -15,11 +15,13 @@
 
 use super::{
     action::Action,
+    bounds::{self, Need},
     evidence,
     file::{Experiment, Scenario, System},
     fleet::Fleet,
     plot,
     report::{Row, table},
+    summary::summarize,
     watch::{self, Revisions},
 };
 use crate::{
@@ -45,31 +47,40 @@
     pub out: PathBuf,
     /// Scenarios to run; all where it is empty.
     pub only: Vec<String>,
+    /// Runs of each scenario, with seeds that follow one another.
+    pub repeat: u64,
     /// Offer the load of the first scenario alone, without its faults, to the project alone.
     pub without_faults: bool,
 }
 
 /// Runs the experiment of `cfg`; the rows of its table.
 pub async fn run_file(cfg: &RunConfig) -> eyre::Result<Vec<Row>> {
+    if let Some(earlier) = &cfg.earlier {
+        check_earlier(earlier)?;
+    }
     let mut experiment = Experiment::read(&cfg.file, &cfg.programs, cfg.earlier.as_deref())?;
     if cfg.without_faults {
         experiment.keep_load_only();
     }
     let is_wanted = |s: &&Scenario| cfg.only.is_empty() || cfg.only.contains(&s.name);
+    let scenarios: Vec<&Scenario> = experiment.scenarios.iter().filter(is_wanted).collect();
+    check_needs(&experiment, &scenarios)?;
     let mut rows = Vec::new();
     for name in &experiment.deployments {
-        for scenario in experiment.scenarios.iter().filter(is_wanted) {
-            for system in &experiment.systems {
-                let deployment = Deployment::named(*name);
-                let run = Run {
-                    out: &cfg.out,
-                    seed: experiment.seed,
-                    deployment,
-                    scenario,
-                    system,
-                };
-                rows.push(run.row().await);
-                eprint!("{}", last_line(&rows));
+        for scenario in &scenarios {
+            for seed in (0..cfg.repeat).map(|n| experiment.seed.wrapping_add(n)) {
+                for system in &experiment.systems {
+                    let run = Run {
+                        out: &cfg.out,
+                        seed,
+                        is_repeated: cfg.repeat > 1,
+                        deployment: Deployment::named(*name),
+                        scenario,
+                        system,
+                    };
+                    rows.push(run.row().await);
+                    eprint!("{}", last_line(&rows));
+                }
             }
         }
     }
@@ -77,6 +88,29 @@
     Ok(rows)
 }
 
+fn check_earlier(earlier: &Path) -> eyre::Result<()> {
+    let folder = earlier.display();
+    match earlier.join("jujube-gate").is_file() {
+        true => Ok(()),
+        false => bail!(
+            "--earlier {folder} holds no jujube-gate; build that commit and give its target/release"
+        ),
+    }
+}
+
+/// Refuses scenarios that take too much of the machine, before any has run.
+fn check_needs(experiment: &Experiment, scenarios: &[&Scenario]) -> eyre::Result<()> {
+    let memory = bounds::memory()?;
+    for name in &experiment.deployments {
+        for scenario in scenarios {
+            let need = Need::of(&Deployment::named(*name), scenario);
+            let checked = need.check(memory);
+            checked.wrap_err_with(|| format!("scenario {} of {}", scenario.name, name.as_str()))?;
+        }
+    }
+    Ok(())
+}
+
 fn last_line(rows: &[Row]) -> String {
     let text = table(&rows[rows.len() - 1..]);
     let mut lines = text.lines();
@@ -89,12 +123,16 @@
     std::fs::create_dir_all(out).wrap_err("make the folder for results")?;
     let json = serde_json::to_vec_pretty(rows)?;
     std::fs::write(out.join("results.json"), json).wrap_err("write results.json")?;
-    plot::draw(rows, &out.join("results.svg"))
+    let summaries = summarize(rows);
+    let json = serde_json::to_vec_pretty(&summaries)?;
+    std::fs::write(out.join("summary.json"), json).wrap_err("write summary.json")?;
+    plot::draw(&summaries, &out.join("results.svg"))
 }
 
 struct Run<'a> {
     out: &'a Path,
     seed: u64,
+    is_repeated: bool,
     deployment: Deployment,
     scenario: &'a Scenario,
     system: &'a System,
@@ -107,7 +145,7 @@
             &self.scenario.name,
             self.system.name(),
         );
-        let mut row = Row::new(names.0, names.1, names.2);
+        let mut row = Row::new(names.0, names.1, names.2, self.seed);
         if let Err(e) = self.fill(&mut row).await {
             row.failure = Some(format!("{e:#}"));
         }
@@ -120,8 +158,12 @@
             &self.scenario.name,
             self.system.name(),
         );
-        self.out
-            .join(format!("{}.{}.{}", names.0, names.1, names.2))
+        let seed = match self.is_repeated {
+            true => format!(".{}", self.seed),
+            false => String::new(),
+        };
+        let folder = format!("{}.{}.{}{seed}", names.0, names.1, names.2);
+        self.out.join(folder)
     }
 
     async fn fill(&self, row: &mut Row) -> eyre::Result<()> {
--- /dev/null
+++ b/crates/bench/src/experiment/summary.rs
@@ -0,0 +1,161 @@
+//! Repeated rows taken together: mean and range, so that differences can be told from noise.
+
+use std::fmt::Write;
+
+use derives::record;
+
+use super::report::Row;
+
+/// Mean and range of one figure over repeated runs.
+#[record]
+#[derive(Copy, Default)]
+pub struct Spread {
+    /// Mean.
+    pub mean: f64,
+    /// Lowest.
+    pub low: f64,
+    /// Highest.
+    pub high: f64,
+}
+
+impl Spread {
+    /// Mean and range of `values`; zeros where there are none.
+    pub fn of(values: &[f64]) -> Self {
+        let Some(first) = values.first() else {
+            return Self::default();
+        };
+        Self {
+            mean: values.iter().sum::<f64>() / values.len() as f64,
+            low: values.iter().copied().fold(*first, f64::min),
+            high: values.iter().copied().fold(*first, f64::max),
+        }
+    }
+
+    /// Whether all values are on one side of zero.
+    pub fn has_one_sign(self) -> bool {
+        self.low > 0.0 || self.high < 0.0
+    }
+}
+
+/// All runs of one scenario on one system.
+#[record]
+pub struct Summary {
+    /// The deployment.
+    pub deployment: String,
+    /// The scenario.
+    pub scenario: String,
+    /// The system.
+    pub system: String,
+    /// Runs with figures.
+    pub runs: usize,
+    /// Runs that failed.
+    pub failed: usize,
+    /// Share of requests in time.
+    pub attainment: Spread,
+    /// Endpoint time for each request in time, in milliseconds.
+    pub cost_ms: Spread,
+    /// Share of all work that no request in time has used.
+    pub wasted: Spread,
+    /// The first system's attainment less this one's, run by run of the same seed; `None` for the
+    /// first system itself.
+    pub behind: Option<Spread>,
+    /// Invariants broken over all runs.
+    pub broken: usize,
+}
+
+/// Takes the repeated runs in `rows` together, in the order in which they first appear.
+pub fn summarize(rows: &[Row]) -> Vec<Summary> {
+    let mut summaries: Vec<Summary> = Vec::new();
+    for row in rows {
+        let is_known = summaries.iter().any(|s| {
+            s.deployment == row.deployment && s.scenario == row.scenario && s.system == row.system
+        });
+        if !is_known {
+            summaries.push(summary(rows, row));
+        }
+    }
+    summaries
+}
+
+fn summary(rows: &[Row], of: &Row) -> Summary {
+    let is_scenario = |row: &&Row| row.deployment == of.deployment && row.scenario == of.scenario;
+    let all: Vec<&Row> = rows.iter().filter(is_scenario).collect();
+    let own: Vec<&Row> = all
+        .iter()
+        .copied()
+        .filter(|r| r.system == of.system)
+        .collect();
+    let done: Vec<&Row> = own
+        .iter()
+        .copied()
+        .filter(|r| r.failure.is_none())
+        .collect();
+    let spread = |of: fn(&Row) -> f64| Spread::of(&done.iter().map(|r| of(r)).collect::<Vec<_>>());
+    let first = all.first().map_or("", |row| row.system.as_str());
+    let difference = |row: &&Row| {
+        let is_pair = |other: &&&Row| {
+            other.system == first && other.seed == row.seed && other.failure.is_none()
+        };
+        let pair = all.iter().find(is_pair)?;
+        Some(pair.tally.attainment - row.tally.attainment)
+    };
+    let differences: Vec<f64> = done.iter().filter_map(difference).collect();
+    let is_compared = of.system != first && !differences.is_empty();
+    Summary {
+        deployment: of.deployment.clone(),
+        scenario: of.scenario.clone(),
+        system: of.system.clone(),
+        runs: done.len(),
+        failed: own.len() - done.len(),
+        attainment: spread(|row| row.tally.attainment),
+        cost_ms: spread(|row| row.tally.cost_ms),
+        wasted: spread(|row| row.tally.wasted),
+        behind: is_compared.then(|| Spread::of(&differences)),
+        broken: own.iter().map(|row| row.broken_count()).sum(),
+    }
+}
+
+/// A table of `summaries` in plain text; the range stands in brackets, and a `*` marks a difference
+/// from the first system that has the same sign in all runs.
+pub fn summary_table(summaries: &[Summary]) -> String {
+    let mut text = format!(
+        "{:<14} {:<26} {:<16} {:>5} {:>24} {:>22} {:>26} {:>7}\n",
+        "deployment",
+        "scenario",
+        "system",
+        "runs",
+        "in time %",
+        "cost ms",
+        "first is ahead by %",
+        "broken",
+    );
+    for s in summaries {
+        let behind = s.behind.map_or_else(String::new, |behind| {
+            let mark = if behind.has_one_sign() { "*" } else { "" };
+            format!("{}{mark}", range(behind, 100.0))
+        });
+        // Writing into a string cannot fail.
+        let _ = writeln!(
+            text,
+            "{:<14} {:<26} {:<16} {:>5} {:>24} {:>22} {behind:>26} {:>7}",
+            s.deployment,
+            s.scenario,
+            s.system,
+            s.runs,
+            range(s.attainment, 100.0),
+            range(s.cost_ms, 1.0),
+            s.broken,
+        );
+    }
+    text
+}
+
+fn range(spread: Spread, factor: f64) -> String {
+    let Spread { mean, low, high } = spread;
+    format!(
+        "{:.2} [{:.2}, {:.2}]",
+        mean * factor,
+        low * factor,
+        high * factor
+    )
+}
