Halt a rollout when attainment falls

Cause: a rollout halted only on failed orders and lost endpoints, so a version that answers wrongly, fails or is slow went on to every endpoint.

A gate that is asked keeps the rollout open beyond its 10 min, else a halted rollout would send all calls to the version that fails.

--- a/crates/controller/src/book.rs
+++ b/crates/controller/src/book.rs
@@ -11,6 +11,7 @@
 use uuid::Uuid;
 
 use crate::{
+    attainment::Fall,
     config::Bounds,
     order::{Action, Answer, Task},
 };
@@ -87,6 +88,7 @@
     open: BTreeMap<String, Open>,
     watched: HashMap<String, Watched>,
     failures: BTreeMap<Release, Vec<String>>,
+    falls: BTreeMap<Release, Fall>,
     attempts: HashMap<Task, u32>,
     shunned: HashMap<String, Instant>,
     settled: HashMap<String, Instant>,
@@ -118,6 +120,28 @@
         &self.failures
     }
 
+    /// Versions with which attainment fell.
+    pub fn falls(&self) -> &BTreeMap<Release, Fall> {
+        &self.falls
+    }
+
+    /// Halts the rollout of `release`; the first fall found stands.
+    pub fn halt(&mut self, release: Release, fall: Fall) {
+        self.falls.entry(release).or_insert(fall);
+    }
+
+    /// Why no further endpoint gets `release`, if none does after `halt_after` failures.
+    pub fn halted(&self, release: &Release, halt_after: u32) -> Option<String> {
+        let failures = self.failures.get(release).map_or(&[][..], Vec::as_slice);
+        match (self.falls.get(release), failures.last()) {
+            (Some(fall), _) => Some(format!("halted as attainment fell: {fall}")),
+            (None, Some(last)) if failures.len() >= halt_after as usize => {
+                Some(format!("halted after {} failures: {last}", failures.len()))
+            }
+            _ => None,
+        }
+    }
+
     /// Which try of `task` is next.
     pub fn attempt(&self, task: &Task) -> u32 {
         self.attempts.get(task).copied().unwrap_or(0)
@@ -227,6 +251,7 @@
     /// Forgets the failures of versions that are no longer wanted.
     pub fn keep_failures(&mut self, is_wanted: impl Fn(&Release) -> bool) {
         self.failures.retain(|release, _| is_wanted(release));
+        self.falls.retain(|release, _| is_wanted(release));
     }
 
     /// Forgets everything but the failures: another controller may have given orders since.
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -4,6 +4,8 @@
 //! announce with the declaration ([`plan`]), and keeps a book of its open orders ([`book`]).
 //! `docs/design/controller.md` says why it is built this way.
 
+pub mod attainment;
+pub mod calls;
 mod config;
 mod endpoints;
 mod exchange;
--- a/crates/controller/src/pages.rs
+++ b/crates/controller/src/pages.rs
@@ -94,6 +94,11 @@
         "Things that are not as declared.",
         working.differences.len(),
     )?;
+    gauge(
+        "attainment_halts",
+        "Versions halted as attainment fell with them.",
+        working.book.falls().len(),
+    )?;
     let opts = Opts::new("jujube_controller_orders_total", "Orders by answer.");
     let orders = IntCounterVec::new(opts, &["answer"])?;
     for (name, count) in ANSWERS.iter().zip(working.answers) {
--- a/crates/controller/src/plan.rs
+++ b/crates/controller/src/plan.rs
@@ -199,10 +199,7 @@
             model: self.target.model.to_owned(),
             version: self.target.version,
         };
-        let failures = self.book.failures().get(&release)?;
-        let last = failures.last()?;
-        let is_halted = failures.len() >= self.bounds.halt_after as usize;
-        is_halted.then(|| format!("halted after {} failures: {last}", failures.len()))
+        self.book.halted(&release, self.bounds.halt_after)
     }
 
     /// Why no other endpoint of the service may change now.
--- a/crates/controller/src/reconcile.rs
+++ b/crates/controller/src/reconcile.rs
@@ -1,13 +1,15 @@
 //! The loop that compares, decides and sends.
 
 use std::{
+    collections::BTreeMap,
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
+use declaration::Service;
 use host::shutdown::Stopped;
-use link::follower::InForce;
-use spdlog::{info, warn};
+use link::{calls::CallsReply, follower::InForce};
+use spdlog::{error, info, warn};
 use tokio::{
     sync::watch,
     task::JoinSet,
@@ -16,7 +18,8 @@
 
 use crate::{
     authority::Authority,
-    book::{Book, Open},
+    book::{Book, Open, Release},
+    calls::Comparisons,
     config::Bounds,
     endpoints::Known,
     lease::LeaseState,
@@ -41,6 +44,8 @@
 pub(crate) struct Working {
     pub(crate) book: Book,
     pub(crate) differences: Vec<Difference>,
+    /// What gates tell of calls to versions that are being rolled out.
+    pub(crate) comparisons: Comparisons,
     /// Orders answered, by kind of answer: taken, lost, refused, stale.
     pub(crate) answers: [u64; 4],
     fencing: Option<u64>,
@@ -114,25 +119,24 @@
             in_force: now.saturating_duration_since(since),
             now,
         };
+        let services = &in_force.declaration.services;
+        working
+            .book
+            .keep_failures(|release| is_wanted(services, release));
         if !known.is_settled(now) {
             // What is known is too old, or too new to be whole.
             return Vec::new();
         }
         let Some(authority) = self.authority(now) else {
             working.lose_authority();
-            working.differences = plan(&world, &working.book, &self.bounds).differences;
+            let differences = plan(&world, &working.book, &self.bounds).differences;
+            working.note_differences(differences, services);
             return Vec::new();
         };
         working.gain_authority(authority.fencing());
-        working.book.keep_failures(|release| {
-            let service = in_force.declaration.services.get(&release.service);
-            service.is_some_and(|s| {
-                s.model.as_ref() == Some(&release.model) && s.version == Some(release.version)
-            })
-        });
         working.book.review(&known.endpoints, &self.bounds, now);
         let planned = plan(&world, &working.book, &self.bounds);
-        working.differences = planned.differences;
+        working.note_differences(planned.differences, services);
         for (service, task) in planned.tasks {
             let attempt = working.book.attempt(&task);
             let order = task.order_id(in_force.revision, attempt);
@@ -145,6 +149,24 @@
         working.book.take_due(now, may)
     }
 
+    /// Takes what gates told about calls to `asked`, and halts rollouts with which attainment fell.
+    pub(crate) fn take_calls<'a>(
+        &self,
+        asked: &[String],
+        replies: impl Iterator<Item = (&'a str, CallsReply)>,
+    ) {
+        let mut working = self.working();
+        for (gate, reply) in replies {
+            working.comparisons.take(gate, asked, reply);
+        }
+        for (release, fall) in working.comparisons.look() {
+            let (service, version) = (release.service.clone(), release.version);
+            let probability = fall.probability;
+            error!("rollout halted as attainment fell: {}", fall, kv: { step = "rollout", service = service, version = version, probability = probability });
+            working.book.halt(release, fall);
+        }
+    }
+
     /// Sends one order within what is left of the lease, and takes its answer.
     async fn send(self: Arc<Self>, open: Open) {
         let endpoint = {
@@ -180,6 +202,19 @@
         }
     }
 
+    /// Keeps what differs; a service of which an endpoint differs is being rolled out.
+    fn note_differences(
+        &mut self,
+        differences: Vec<Difference>,
+        services: &BTreeMap<String, Service>,
+    ) {
+        let differing = differences.iter().filter(|d| !d.endpoint.is_empty());
+        let rolling = differing.filter_map(|d| release(&d.service, services.get(&d.service)?));
+        let rolling = rolling.map(|release| (release.service.clone(), release));
+        self.comparisons.roll(rolling.collect());
+        self.differences = differences;
+    }
+
     fn lose_authority(&mut self) {
         if self.fencing.take().is_some() {
             self.book.forget();
@@ -213,3 +248,17 @@
         }
     }
 }
+
+/// The version of `service` that is declared.
+fn release(name: &str, service: &Service) -> Option<Release> {
+    Some(Release {
+        service: name.to_owned(),
+        model: service.model.clone()?,
+        version: service.version?,
+    })
+}
+
+fn is_wanted(services: &BTreeMap<String, Service>, failed: &Release) -> bool {
+    let service = services.get(&failed.service);
+    service.is_some_and(|s| release(&failed.service, s).as_ref() == Some(failed))
+}
--- a/crates/controller/src/status.rs
+++ b/crates/controller/src/status.rs
@@ -1,10 +1,13 @@
 //! `GET /v1/status`: the lease, what differs from the declaration and why, open orders.
 
+use std::collections::BTreeSet;
+
 use derives::record;
 use tokio::time::Instant;
 
 use crate::{
-    book::{Open, Stage},
+    attainment::Fall,
+    book::{Book, Open, Release, Stage},
     plan::Difference,
     reconcile::Reconciler,
 };
@@ -55,7 +58,10 @@
     service: String,
     model: String,
     version: u32,
+    why: String,
     failures: Vec<String>,
+    /// Calls to the version and to those before it, where attainment fell.
+    attainment: Option<Fall>,
 }
 
 impl OrderStatus {
@@ -95,8 +101,6 @@
     let age = known.heard.map(|at| now.saturating_duration_since(at));
     let revision = reconciler.declared.borrow().as_ref().map(|d| d.revision);
     let working = reconciler.working();
-    let halted = working.book.failures().iter();
-    let halted = halted.filter(|(_, f)| f.len() >= reconciler.bounds.halt_after as usize);
     Status {
         vm: vm.to_owned(),
         az: az.to_owned(),
@@ -112,13 +116,21 @@
             .values()
             .map(|open| OrderStatus::of(open, now))
             .collect(),
-        halted: halted
-            .map(|(release, failures)| Halted {
-                service: release.service.clone(),
-                model: release.model.clone(),
-                version: release.version,
-                failures: failures.clone(),
-            })
-            .collect(),
+        halted: halted(&working.book, reconciler.bounds.halt_after),
     }
 }
+
+fn halted(book: &Book, halt_after: u32) -> Vec<Halted> {
+    let releases: BTreeSet<&Release> = book.failures().keys().chain(book.falls().keys()).collect();
+    let halted = releases.into_iter().filter_map(|release| {
+        Some(Halted {
+            service: release.service.clone(),
+            model: release.model.clone(),
+            version: release.version,
+            why: book.halted(release, halt_after)?,
+            failures: book.failures().get(release).cloned().unwrap_or_default(),
+            attainment: book.falls().get(release).cloned(),
+        })
+    });
+    halted.collect()
+}
--- a/crates/controller/tests/controllers.rs
+++ b/crates/controller/tests/controllers.rs
@@ -4,8 +4,11 @@
 
 use std::time::Duration;
 
-use bench::proxy::{Cut, Proxy, Rules};
-use env::{Env, fencing, until_loaded};
+use bench::{
+    proxy::{Cut, Proxy, Rules},
+    stand_in::{Fault, StandIn},
+};
+use env::{Env, fencing, until_loaded, until_one_has};
 use tokio::time::sleep;
 
 #[tokio::test(flavor = "multi_thread")]
@@ -215,3 +218,64 @@
     assert!(failed.is_empty(), "{failed:?}");
     assert!(answered > 100, "{answered}");
 }
+
+/// A rollout of version 4, during which the first engine that has it shows `fault`.
+async fn a_rollout_halts_under(fault: Fault) {
+    let mut env = Env::start().await;
+    env.declare(3, "horlogerie").await;
+    let mut engines = Vec::new();
+    for at in 0..4 {
+        engines.push(env.engine(&format!("e{at}"), 3, true).await);
+    }
+    let controller = env.controller_with("c", "settle_ms = 3600000\n");
+    controller
+        .until("nothing differs", |s| {
+            s["endpoints"] == 4 && s["differences"] == serde_json::json!([])
+        })
+        .await;
+    let load = env.load();
+    env.declare(4, "horlogerie").await;
+    let first = until_one_has(&engines, 4).await;
+    first.set_fault(fault);
+    let status = controller
+        .until("the version is halted", |s| s["halted"][0]["version"] == 4)
+        .await;
+    let attainment = &status["halted"][0]["attainment"];
+    assert!(attainment["new"]["missed"].as_u64() > Some(0), "{status:#}");
+    assert!(
+        attainment["old"]["calls"].as_u64() >= Some(20),
+        "{status:#}"
+    );
+    let status = controller
+        .until("it says why", |s| {
+            let mut whys = s["differences"].as_array().into_iter().flatten();
+            whys.any(|d| {
+                let why = d["why"].as_str().unwrap_or_default();
+                why.starts_with("halted as attainment fell")
+            })
+        })
+        .await;
+    assert_eq!(status["orders"], serde_json::json!([]));
+    let with_old = |e: &&StandIn| e.models().iter().any(|m| m.version == 3);
+    assert_eq!(engines.iter().filter(with_old).count(), 4);
+    // Only an operator's change ends the halt: undoing it takes the version away again.
+    env.declare(3, "horlogerie").await;
+    controller
+        .until("nothing is halted", |s| {
+            s["halted"] == serde_json::json!([])
+        })
+        .await;
+    let (answered, failed) = load.stop().await;
+    assert!(failed.is_empty(), "{failed:?}");
+    assert!(answered > 100, "{answered}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rollout_halts_when_the_new_version_fails_and_no_request_is_cut() {
+    a_rollout_halts_under(Fault::FailEvery(1)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rollout_halts_when_the_new_version_is_slow_and_no_request_is_cut() {
+    a_rollout_halts_under(Fault::Slow(8.0)).await;
+}
--- a/crates/controller/tests/env/mod.rs
+++ b/crates/controller/tests/env/mod.rs
@@ -174,12 +174,17 @@
     }
 
     pub fn controller(&self, name: &str) -> Controller {
+        self.controller_with(name, "settle_ms = 100\n")
+    }
+
+    /// A controller with `more` in its section `[controller]`.
+    pub fn controller_with(&self, name: &str, more: &str) -> Controller {
         let path = self.folder.path().join(format!("{name}.ini"));
         let (keeper, gate) = (self.keeper.link.unwrap(), self.gate.link.unwrap());
         let text = format!(
             "[vm]\nname = {name}\navailability_zone = z\n[keepers]\nk = {keeper}\n\
-             [gates]\ng = {gate}\n[controller]\nlease_ms = 1500\nsettle_ms = 100\norder_ms = 500\n\
-             follow_ms = 500\nload_ms = 8000\n"
+             [gates]\ng = {gate}\n[controller]\nlease_ms = 1500\norder_ms = 500\n\
+             follow_ms = 500\nload_ms = 8000\n{more}"
         );
         std::fs::write(&path, text).unwrap();
         Controller::start(&path, self.client.clone())
@@ -367,3 +372,16 @@
     };
     engine.journal().into_iter().filter_map(number).collect()
 }
+
+/// Waits until one of `engines` has `version` loaded; that one.
+pub async fn until_one_has(engines: &[StandIn], version: u32) -> &StandIn {
+    let start = Instant::now();
+    let has = |e: &&StandIn| e.models().iter().any(|m| m.version == version);
+    loop {
+        if let Some(engine) = engines.iter().find(has) {
+            return engine;
+        }
+        assert!(start.elapsed() < PATIENCE, "none has version {version}");
+        sleep(Duration::from_millis(5)).await;
+    }
+}
--- /dev/null
+++ b/crates/gate/src/calls.rs
@@ -0,0 +1,130 @@
+//! What became of calls by service and model version, for the controllers that roll versions out.
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+
+use derives::value;
+use link::calls::{CallCounts, CallsReply, MAX_SERVICES, ReleaseCalls};
+use membership::LoadedModel;
+use uuid::Uuid;
+
+/// Most versions of one service that are counted at one time.
+const MAX_RELEASES: usize = 8;
+
+/// A version of a model.
+#[value]
+struct Version {
+    model: String,
+    number: u32,
+}
+
+/// How a call ended, where that tells about the version.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Ended {
+    /// With its whole answer, in time.
+    Answered,
+    /// After another endpoint's answer, or by the deadline.
+    Late,
+    /// Refused, failed or stalled.
+    Failed,
+}
+
+/// Calls to one version.
+#[derive(Debug, Default)]
+pub(crate) struct Counter {
+    answered: AtomicU64,
+    late: AtomicU64,
+    failed: AtomicU64,
+}
+
+impl Counter {
+    /// Counts one call.
+    pub(crate) fn note(&self, ended: Ended) {
+        let counter = match ended {
+            Ended::Answered => &self.answered,
+            Ended::Late => &self.late,
+            Ended::Failed => &self.failed,
+        };
+        counter.fetch_add(1, Ordering::Relaxed);
+    }
+
+    fn counts(&self) -> CallCounts {
+        CallCounts {
+            answered: self.answered.load(Ordering::Relaxed),
+            late: self.late.load(Ordering::Relaxed),
+            failed: self.failed.load(Ordering::Relaxed),
+        }
+    }
+}
+
+type Versions = BTreeMap<Version, Arc<Counter>>;
+
+/// Counters by service and version since the gate's start.
+#[derive(Debug)]
+pub(crate) struct Calls {
+    id: Uuid,
+    services: Mutex<BTreeMap<String, Versions>>,
+}
+
+impl Default for Calls {
+    fn default() -> Self {
+        Self {
+            id: Uuid::new_v4(),
+            services: Mutex::default(),
+        }
+    }
+}
+
+impl Calls {
+    /// The counter for a call of `service` to an endpoint that has `models`: of the version
+    /// `wanted` where it has that one, else of the newest that it has of the model.
+    pub(crate) fn of(
+        &self,
+        service: &str,
+        wanted: (&str, u32),
+        models: &[LoadedModel],
+    ) -> Option<Arc<Counter>> {
+        let (model, version) = wanted;
+        let loaded = models.iter().filter(|m| m.model == model);
+        let number = loaded
+            .map(|m| m.version)
+            .max_by_key(|v| (*v == version, *v))?;
+        let mut services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
+        if !services.contains_key(service) {
+            services.insert(service.to_owned(), Versions::new());
+        }
+        let versions = services.get_mut(service)?;
+        let version = Version {
+            model: model.to_owned(),
+            number,
+        };
+        if versions.len() >= MAX_RELEASES && !versions.contains_key(&version) {
+            versions.pop_first();
+        }
+        Some(Arc::clone(versions.entry(version).or_default()))
+    }
+
+    /// What became of calls to `services`; bounded by [`MAX_SERVICES`] and [`MAX_RELEASES`].
+    pub(crate) fn told(&self, services: &[String]) -> CallsReply {
+        let known = self.services.lock().unwrap_or_else(PoisonError::into_inner);
+        let asked = services.iter().take(MAX_SERVICES);
+        let found = asked.filter_map(|name| known.get_key_value(name));
+        let releases = found.flat_map(|(service, versions)| {
+            versions.iter().map(|(version, counter)| ReleaseCalls {
+                service: service.clone(),
+                model: version.model.clone(),
+                version: version.number,
+                counts: counter.counts(),
+            })
+        });
+        CallsReply {
+            counter: self.id,
+            releases: releases.collect(),
+        }
+    }
+}
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -9,6 +9,7 @@
 mod assembly;
 mod body;
 mod callers;
+mod calls;
 mod config;
 mod connection;
 mod endpoints;
--- a/crates/gate/src/once.rs
+++ b/crates/gate/src/once.rs
@@ -289,7 +289,7 @@
             Ok(_) => Verdict::Good,
             Err(CallError::NotRun { .. }) => Verdict::Refused,
             Err(CallError::Unsent) => Verdict::Cancelled,
-            Err(CallError::Status { status, .. }) if *status < 500 => Verdict::Good,
+            Err(CallError::Status { status, .. }) if *status < 500 => Verdict::Rejected,
             Err(_) => Verdict::Failed,
         };
         self.picked.finish(verdict, None, None);
--- a/crates/gate/src/race.rs
+++ b/crates/gate/src/race.rs
@@ -162,9 +162,14 @@
     if is_renewed && winner.via == Via::New {
         cx.gate.pool.suspect_all();
     }
-    if is_renewed && winner.picked.name() != picked.name() {
-        cx.gate.pool.suspect(picked.address());
-        picked.finish(Verdict::Stalled, None, None);
+    let is_overtaken = winner.picked.name() != picked.name();
+    match is_overtaken {
+        true if is_renewed => {
+            cx.gate.pool.suspect(picked.address());
+            picked.finish(Verdict::Stalled, None, None);
+        }
+        true => picked.finish(Verdict::Late, None, None),
+        false => {}
     }
 }
 
--- a/crates/gate/src/rollout.rs
+++ b/crates/gate/src/rollout.rs
@@ -1,4 +1,5 @@
-//! Which services are being rolled out: for a while after their declaration changed.
+//! Which services are being rolled out: for a while after their declaration changed, and for as
+//! long as a controller asks what became of their calls.
 
 use std::{
     collections::HashMap,
@@ -13,6 +14,9 @@
 /// Time for which endpoints that still have another version go on serving.
 const ROLLOUT_LIMIT: Duration = Duration::from_mins(10);
 
+/// A controller that is rolling a service out asks about it more often than this.
+const ASKED_LIMIT: Duration = Duration::from_secs(30);
+
 /// What an endpoint has to have loaded.
 #[value]
 struct Wanted {
@@ -33,6 +37,14 @@
 struct Seen {
     wanted: Wanted,
     since: Instant,
+    asked: Option<Instant>,
+}
+
+impl Seen {
+    fn is_under_way(&self) -> bool {
+        let is_asked = |at: Instant| at.elapsed() < ASKED_LIMIT;
+        self.since.elapsed() < ROLLOUT_LIMIT || self.asked.is_some_and(is_asked)
+    }
 }
 
 /// What each service was last declared to serve, and since when.
@@ -45,7 +57,7 @@
     pub(crate) fn is_under_way(&self, name: &str, service: &Service) -> bool {
         let mut seen = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         match seen.get(name) {
-            Some(seen) if seen.wanted.is_of(service) => seen.since.elapsed() < ROLLOUT_LIMIT,
+            Some(seen) if seen.wanted.is_of(service) => seen.is_under_way(),
             _ => {
                 let wanted = Wanted {
                     model: service.model.clone(),
@@ -53,11 +65,29 @@
                     adapters: service.adapters.clone(),
                 };
                 let since = Instant::now();
-                seen.insert(name.to_owned(), Seen { wanted, since });
+                let asked = None;
+                seen.insert(
+                    name.to_owned(),
+                    Seen {
+                        wanted,
+                        since,
+                        asked,
+                    },
+                );
                 true
             }
         }
     }
+
+    /// A controller is rolling `services` out.
+    pub(crate) fn note_asked(&self, services: &[String]) {
+        let mut seen = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        for service in services {
+            if let Some(seen) = seen.get_mut(service) {
+                seen.asked = Some(Instant::now());
+            }
+        }
+    }
 }
 
 #[cfg(test)]
@@ -65,7 +95,7 @@
     use declaration::{Service, ServiceKind};
     use tokio::time::advance;
 
-    use super::{ROLLOUT_LIMIT, Rollouts};
+    use super::{ASKED_LIMIT, ROLLOUT_LIMIT, Rollouts};
 
     fn engine(version: u32) -> Service {
         Service {
@@ -86,4 +116,15 @@
         assert!(!rollouts.is_under_way("e", &engine(1)));
         assert!(rollouts.is_under_way("e", &engine(2)));
     }
+
+    #[tokio::test(start_paused = true)]
+    async fn a_halted_rollout_lasts_as_long_as_its_controller_asks() {
+        let rollouts = Rollouts::default();
+        assert!(rollouts.is_under_way("e", &engine(1)));
+        advance(ROLLOUT_LIMIT).await;
+        rollouts.note_asked(&["e".to_owned()]);
+        assert!(rollouts.is_under_way("e", &engine(1)));
+        advance(ASKED_LIMIT).await;
+        assert!(!rollouts.is_under_way("e", &engine(1)));
+    }
 }
--- a/crates/gate/src/route.rs
+++ b/crates/gate/src/route.rs
@@ -8,6 +8,7 @@
 };
 
 use declaration::{Pipeline, Priority, Service};
+use link::calls::{CallsReply, CallsRequest};
 use membership::Table;
 use routing::{
     Admission, AdmissionConfig, AdmissionStats, Applicant, BudgetConfig, CallOutcome, Latencies,
@@ -16,7 +17,11 @@
 };
 use tokio::time::Instant;
 
-use crate::{engine::Cached, rollout::Rollouts};
+use crate::{
+    calls::{Calls, Counter, Ended},
+    engine::Cached,
+    rollout::Rollouts,
+};
 
 /// When to come back where no endpoint is ready.
 const NO_ENDPOINT_RETRY: Duration = Duration::from_secs(1);
@@ -32,6 +37,8 @@
     totals: Arc<Latencies>,
     /// Which services changed so recently that endpoints may not have followed.
     rollouts: Rollouts,
+    /// What became of calls by model version, for controllers.
+    calls: Calls,
     /// Time to the first part of an answer, by which hedges are sent.
     firsts: Latencies,
 }
@@ -64,6 +71,10 @@
     Failed,
     /// It was silent, on a new connection too.
     Stalled,
+    /// It answered that the call is at fault.
+    Rejected,
+    /// Another endpoint was quicker, or the deadline came first.
+    Late,
     /// The call ended for reasons of our own.
     Cancelled,
 }
@@ -101,6 +112,7 @@
             firsts: Latencies::new(),
             totals,
             rollouts: Rollouts::default(),
+            calls: Calls::default(),
             table,
         }
     }
@@ -175,7 +187,21 @@
             None | Some(Err(NoEndpoint::NoModel)) => self.router.pick_in_rollout(&routed),
             Some(picked) => picked,
         }?;
-        Picked::new(pick).ok_or(NoEndpoint::NoneReady)
+        let counter = model.and_then(|(model, version)| {
+            let models = &pick.endpoint().announced.models;
+            self.calls.of(need.name, (model, version), models)
+        });
+        Picked::new(pick, counter, need.left).ok_or(NoEndpoint::NoneReady)
+    }
+
+    /// Answers a controller that asks what became of calls to services that it rolls out.
+    pub(crate) fn answer_calls(&self, body: &[u8]) -> Vec<u8> {
+        let Ok(req) = link::decode::<CallsRequest>(body) else {
+            return Vec::new();
+        };
+        self.rollouts.note_asked(&req.services);
+        let reply: CallsReply = self.calls.told(&req.services);
+        link::encode(&reply)
     }
 
     /// Notes the first try of a stage, which earns a share of a retry.
@@ -234,16 +260,21 @@
     name: String,
     address: SocketAddr,
     since: Instant,
+    due: Option<Instant>,
+    counter: Option<Arc<Counter>>,
     pick: Mutex<Option<Pick>>,
 }
 
 impl Picked {
-    fn new(pick: Pick) -> Option<Self> {
+    fn new(pick: Pick, counter: Option<Arc<Counter>>, left: Option<Duration>) -> Option<Self> {
         let address = pick.address().strip_prefix("http://")?.parse().ok()?;
+        let since = Instant::now();
         Some(Self {
             name: pick.name().to_owned(),
             address,
-            since: Instant::now(),
+            since,
+            due: left.map(|left| since + left),
+            counter,
             pick: Mutex::new(Some(pick)),
         })
     }
@@ -293,13 +324,18 @@
         let Some(pick) = pick else {
             return;
         };
-        let outcome = match verdict {
-            Verdict::Good => CallOutcome::Answered,
-            Verdict::Refused => CallOutcome::Refused,
-            Verdict::Failed => CallOutcome::Failed,
-            Verdict::Stalled => CallOutcome::Stalled,
-            Verdict::Cancelled => CallOutcome::Cancelled,
+        let (outcome, ended) = match verdict {
+            Verdict::Good => (CallOutcome::Answered, Some(Ended::Answered)),
+            Verdict::Rejected => (CallOutcome::Answered, Some(Ended::Failed)),
+            Verdict::Refused => (CallOutcome::Refused, Some(Ended::Failed)),
+            Verdict::Failed => (CallOutcome::Failed, Some(Ended::Failed)),
+            Verdict::Stalled => (CallOutcome::Stalled, Some(Ended::Failed)),
+            Verdict::Late => (CallOutcome::Cancelled, Some(Ended::Late)),
+            Verdict::Cancelled => (CallOutcome::Cancelled, None),
         };
+        if let (Some(counter), Some(ended)) = (&self.counter, ended) {
+            counter.note(ended);
+        }
         pick.finish(Observation {
             first_byte: first.map(|at| at.saturating_duration_since(self.since)),
             reused: cached.map(|c| Reused {
@@ -310,3 +346,13 @@
         });
     }
 }
+
+impl Drop for Picked {
+    /// A call that its request's deadline ended tells of a slow endpoint.
+    fn drop(&mut self) {
+        let is_late = self.due.is_some_and(|due| Instant::now() >= due);
+        if is_late {
+            self.finish(Verdict::Late, None, None);
+        }
+    }
+}
--- a/crates/gate/src/stage.rs
+++ b/crates/gate/src/stage.rs
@@ -254,8 +254,9 @@
 ) -> StageError {
     let verdict = match &error {
         CallError::NotRun { .. } | CallError::Status { status: 429, .. } => Verdict::Refused,
-        CallError::Status { status, .. } if *status < 500 => Verdict::Good,
-        CallError::Deadline | CallError::CallerGone | CallError::Unsent => Verdict::Cancelled,
+        CallError::Status { status, .. } if *status < 500 => Verdict::Rejected,
+        CallError::Deadline => Verdict::Late,
+        CallError::CallerGone | CallError::Unsent => Verdict::Cancelled,
         _ => Verdict::Failed,
     };
     picked.finish(verdict, None, None);
--- a/crates/gate/src/start.rs
+++ b/crates/gate/src/start.rs
@@ -180,6 +180,7 @@
             match call.channel {
                 Channel::Follow => gate.follower.answer(&call.body).await,
                 Channel::Membership => gate.route.table().answer(&call.body).await,
+                Channel::Calls => gate.route.answer_calls(&call.body),
                 // The other end finds no message in it and asks elsewhere.
                 Channel::Agreement | Channel::Keeper => Vec::new(),
             }
--- a/crates/keeper/src/service.rs
+++ b/crates/keeper/src/service.rs
@@ -132,7 +132,7 @@
             Channel::Follow => self.machine.feed().answer(&call.body).await,
             Channel::Keeper => encode(&self.answer_client(&call.from, &call.body).await),
             // Not a keeper's business; a caller can't take an empty reply for an answer.
-            Channel::Membership => Vec::new(),
+            Channel::Membership | Channel::Calls => Vec::new(),
         }
     }
 
--- a/crates/link/src/frame.rs
+++ b/crates/link/src/frame.rs
@@ -21,6 +21,8 @@
     Follow,
     /// The endpoints' table of an availability zone.
     Membership,
+    /// What became of calls at a gate.
+    Calls,
 }
 
 impl Channel {
@@ -30,6 +32,7 @@
             Self::Keeper => 1,
             Self::Follow => 2,
             Self::Membership => 3,
+            Self::Calls => 4,
         }
     }
 
@@ -39,6 +42,7 @@
             Self::Keeper,
             Self::Follow,
             Self::Membership,
+            Self::Calls,
         ]
         .into_iter()
         .find(|channel| channel.code() == code)
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -13,6 +13,7 @@
 mod peer;
 mod server;
 
+pub mod calls;
 pub mod follow;
 pub mod follower;
 pub mod keeper;
