--- a/crates/bench/src/stand_in/mod.rs
+++ b/crates/bench/src/stand_in/mod.rs
@@ -20,7 +20,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use eyre::WrapErr;
-use membership::LoadedModel;
+use membership::{LoadedModel, StageRole};
 use tokio::{net::TcpListener, task::JoinSet, time::sleep};
 
 pub use self::{
@@ -90,6 +90,11 @@
         self.shared.journal.entries()
     }
 
+    /// The part of a generation that it does now.
+    pub fn role(&self) -> StageRole {
+        self.shared.orders.role()
+    }
+
     /// Models that it has loaded.
     pub fn models(&self) -> Vec<LoadedModel> {
         self.shared.orders.models()
--- a/crates/console/src/fields.rs
+++ b/crates/console/src/fields.rs
@@ -73,6 +73,30 @@
         "engines only; for one request",
         Input::Number,
     ),
+    field(
+        "prefill_percent",
+        "Prefill (%)",
+        "engines only; share of an availability zone's endpoints that only prefill",
+        Input::Number,
+    ),
+    field(
+        "decode_percent",
+        "Decode (%)",
+        "engines only; share that only decode; the rest do both",
+        Input::Number,
+    ),
+    field(
+        "model_mb",
+        "Model (MB)",
+        "engines only; memory that one version takes",
+        Input::Number,
+    ),
+    field(
+        "endpoint_mb",
+        "Endpoint (MB)",
+        "engines only; memory for models at each endpoint",
+        Input::Number,
+    ),
 ];
 
 const PIPELINE: &[Field] = &[
--- a/crates/controller/src/book.rs
+++ b/crates/controller/src/book.rs
@@ -100,6 +100,7 @@
     let is_it = |m: &&LoadedModel| m.model == task.model && m.version == task.version;
     let loaded = endpoint.models.iter().find(is_it);
     match (task.action, loaded) {
+        (Action::Role(role), _) => endpoint.role == role,
         (Action::Unload, loaded) => loaded.is_none(),
         (Action::Load, None) => false,
         (Action::Load, Some(loaded)) => {
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -12,6 +12,7 @@
 mod lease;
 mod pages;
 mod reconcile;
+pub mod roles;
 mod start;
 mod status;
 
--- a/crates/controller/src/order.rs
+++ b/crates/controller/src/order.rs
@@ -1,6 +1,7 @@
 //! Orders to engines: what they say and how they are sent.
 
-use derives::{token, value};
+use derives::value;
+use membership::StageRole;
 use serde::Serialize;
 use tokio::time::Instant;
 use uuid::{Builder, Uuid};
@@ -11,13 +12,26 @@
 const MAX_REASON_CHARS: usize = 200;
 
 /// What an order asks for.
-#[token]
-#[serde(rename_all = "lowercase")]
+#[value]
+#[derive(Copy)]
 pub enum Action {
     /// Load a model's version with adapters.
     Load,
     /// Unload a model's version.
     Unload,
+    /// Take a part of generations.
+    Role(StageRole),
+}
+
+impl Action {
+    /// The word for it in orders, logs and status.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Load => "load",
+            Self::Unload => "unload",
+            Self::Role(_) => "role",
+        }
+    }
 }
 
 /// What an endpoint is to do.
@@ -29,9 +43,9 @@
     pub incarnation: Uuid,
     /// What to do.
     pub action: Action,
-    /// Model name.
+    /// Model name; empty for a role.
     pub model: String,
-    /// Model version.
+    /// Model version; 0 for a role.
     pub version: u32,
     /// Adapters to load with it.
     pub adapters: Vec<String>,
@@ -60,10 +74,36 @@
 struct Body<'a> {
     order: Uuid,
     fencing: u64,
-    action: Action,
-    model: &'a str,
-    version: u32,
-    adapters: &'a [String],
+    action: &'static str,
+    #[serde(flatten)]
+    of: Of<'a>,
+}
+
+/// What an order is about.
+#[derive(Clone, Debug, Serialize)]
+#[serde(untagged)]
+enum Of<'a> {
+    Model {
+        model: &'a str,
+        version: u32,
+        adapters: &'a [String],
+    },
+    Role {
+        role: StageRole,
+    },
+}
+
+impl<'a> Of<'a> {
+    fn task(task: &'a Task) -> Self {
+        match task.action {
+            Action::Role(role) => Self::Role { role },
+            Action::Load | Action::Unload => Self::Model {
+                model: &task.model,
+                version: task.version,
+                adapters: &task.adapters,
+            },
+        }
+    }
 }
 
 /// The answer to an order.
@@ -90,10 +130,8 @@
     let body = Body {
         order,
         fencing,
-        action: task.action,
-        model: &task.model,
-        version: task.version,
-        adapters: &task.adapters,
+        action: task.action.name(),
+        of: Of::task(task),
     };
     let body = serde_json::to_vec(&body).unwrap_or_default();
     match post(address, "/v1/orders", body, until).await {
--- a/crates/controller/src/plan.rs
+++ b/crates/controller/src/plan.rs
@@ -4,13 +4,14 @@
 
 use declaration::{Service, ServiceKind};
 use derives::record;
-use membership::{EndpointState, EndpointView, LoadedModel};
+use membership::{EndpointState, EndpointView, LoadedModel, StageRole};
 use tokio::time::Instant;
 
 use crate::{
     book::{Book, Release, Stage, is_followed},
     config::Bounds,
     order::{Action, Task},
+    roles::{self, word},
 };
 
 /// What a plan is made from.
@@ -92,6 +93,7 @@
             book,
             bounds,
             service: name,
+            declared: service,
             target,
         };
         planner.run(&mut plan);
@@ -105,6 +107,7 @@
     book: &'a Book,
     bounds: &'a Bounds,
     service: &'a str,
+    declared: &'a Service,
     target: Target<'a>,
 }
 
@@ -128,6 +131,53 @@
                 true => self.plan_unload(plan, endpoint, ready.len(), done),
             }
         }
+        let Some(shares) = self.declared.roles else {
+            return;
+        };
+        for (endpoint, role) in roles::wanted(&ready, shares) {
+            if endpoint.role != role {
+                self.plan_role(plan, endpoint, role, &ready);
+            }
+        }
+    }
+
+    /// Orders a role, unless that would leave nobody for a part of generations.
+    fn plan_role(
+        &self,
+        plan: &mut Plan,
+        endpoint: &EndpointView,
+        role: StageRole,
+        ready: &[&EndpointView],
+    ) {
+        let name = &endpoint.endpoint;
+        let is_changing = |other: &EndpointView| {
+            let is_of_it = |task: &Task| task.endpoint == other.endpoint;
+            self.book.open().contains_key(&other.endpoint)
+                || plan.tasks.iter().any(|(_, task)| is_of_it(task))
+        };
+        let others = ready.iter().filter(|e| e.endpoint != *name);
+        let staying: Vec<&EndpointView> = others.copied().filter(|e| !is_changing(e)).collect();
+        let hindrance = self
+            .open_order(name)
+            .or_else(|| is_changing(endpoint).then(|| "another order goes first".to_owned()))
+            .or_else(|| roles::left_alone(endpoint.role, role, &staying))
+            .or_else(|| self.hindrance(plan, name, ready.len()));
+        let differs = format!("has role {}, not {}", word(endpoint.role), word(role));
+        match hindrance {
+            Some(why) => self.differs(plan, name, differs, &why),
+            None => {
+                self.differs(plan, name, differs, "an order is being sent");
+                let task = Task {
+                    endpoint: name.clone(),
+                    incarnation: endpoint.incarnation,
+                    action: Action::Role(role),
+                    model: String::new(),
+                    version: 0,
+                    adapters: Vec::new(),
+                };
+                plan.tasks.push((self.service.to_owned(), task));
+            }
+        }
     }
 
     fn plan_load(&self, plan: &mut Plan, endpoint: &EndpointView, ready: usize) {
--- a/crates/controller/src/reconcile.rs
+++ b/crates/controller/src/reconcile.rs
@@ -236,7 +236,7 @@
         };
         self.answers[kind] += 1;
         let (order, endpoint) = (open.order.to_string(), open.task.endpoint.clone());
-        let action = format!("{:?}", open.task.action).to_lowercase();
+        let action = open.task.action.name();
         let version = open.task.version;
         match why {
             None => {
--- a/crates/controller/src/status.rs
+++ b/crates/controller/src/status.rs
@@ -3,11 +3,13 @@
 use std::collections::BTreeSet;
 
 use derives::record;
+use membership::StageRole;
 use tokio::time::Instant;
 
 use crate::{
     attainment::Fall,
     book::{Book, Open, Release, Stage},
+    order::Action,
     plan::Difference,
     reconcile::Reconciler,
 };
@@ -47,6 +49,7 @@
     action: String,
     model: String,
     version: u32,
+    role: Option<StageRole>,
     state: String,
     age_ms: u64,
     sent: u32,
@@ -71,13 +74,18 @@
             Stage::Sending => "sending",
             Stage::Taken => "taken",
         };
+        let role = match open.task.action {
+            Action::Role(role) => Some(role),
+            Action::Load | Action::Unload => None,
+        };
         Self {
             order: open.order.to_string(),
             endpoint: open.task.endpoint.clone(),
             service: open.service.clone(),
-            action: format!("{:?}", open.task.action).to_lowercase(),
+            action: open.task.action.name().to_owned(),
             model: open.task.model.clone(),
             version: open.task.version,
+            role,
             state: state.to_owned(),
             age_ms: now.saturating_duration_since(open.since).as_millis() as u64,
             sent: open.sent,
--- a/crates/controller/tests/controllers.rs
+++ b/crates/controller/tests/controllers.rs
@@ -9,6 +9,7 @@
     stand_in::{Fault, StandIn},
 };
 use env::{Env, fencing, until_loaded, until_one_has};
+use membership::StageRole;
 use tokio::time::sleep;
 
 #[tokio::test(flavor = "multi_thread")]
@@ -279,3 +280,30 @@
 async fn a_rollout_halts_when_the_new_version_is_slow_and_no_request_is_cut() {
     a_rollout_halts_under(Fault::Slow(8.0)).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn declared_roles_are_ordered_once_and_a_repeat_changes_nothing() {
+    let mut env = Env::start().await;
+    let mut engines = Vec::new();
+    for at in 0..4 {
+        engines.push(env.engine(&format!("e{at}"), 3, true).await);
+    }
+    let controller = env.controller("c");
+    env.declare_with(
+        3,
+        "horlogerie",
+        "prefill_percent = 25\ndecode_percent = 50\n",
+    )
+    .await;
+    let (both, prefill, decode) = (StageRole::Both, StageRole::Prefill, StageRole::Decode);
+    controller
+        .until("roles are as declared", |s| {
+            let mut roles: Vec<_> = engines.iter().map(StandIn::role).collect();
+            roles.sort();
+            let is_quiet = s["differences"] == serde_json::json!([]);
+            is_quiet && roles == [both, prefill, decode, decode]
+        })
+        .await;
+    let ordered: usize = engines.iter().map(|e| fencing(e).len()).sum();
+    assert_eq!(ordered, 3);
+}
--- a/crates/controller/tests/env/mod.rs
+++ b/crates/controller/tests/env/mod.rs
@@ -76,9 +76,14 @@
 
     /// Declares `version` with `adapters`; returns once it is accepted.
     pub async fn declare(&mut self, version: u32, adapters: &str) {
+        self.declare_with(version, adapters, "").await;
+    }
+
+    /// Declares `version` with `adapters` and `more` keys of the service.
+    pub async fn declare_with(&mut self, version: u32, adapters: &str, more: &str) {
         let document = format!(
             "[availability-zone z]\nregion = r\n[service {SERVICE}]\nkind = engine\n\
-             repeatable = yes\nmodel = {MODEL}\nversion = {version}\nadapters = {adapters}\n\
+             repeatable = yes\nmodel = {MODEL}\nversion = {version}\nadapters = {adapters}\n{more}\
              [pipeline appraisal]\nstages = {SERVICE}\n[workspace w]\npipelines = appraisal\n\
              availability_zones = z\nmax_in_flight = 100\n"
         );
--- a/crates/controller/tests/plan.rs
+++ b/crates/controller/tests/plan.rs
@@ -26,6 +26,9 @@
         version: Some(version),
         adapters: vec!["horlogerie".to_owned()],
         max_tokens: 256,
+        roles: None,
+        model_mb: None,
+        endpoint_mb: None,
     };
     BTreeMap::from([(SERVICE.to_owned(), service)])
 }
@@ -153,6 +156,7 @@
                 let failures = self.book.failures().get(&release).map_or(0, Vec::len);
                 prop_assert!(failures < self.bounds.halt_after as usize);
             }
+            Action::Role(_) => prop_assert!(false, "no roles are declared"),
             Action::Unload => {
                 prop_assert_ne!(task.version, self.version);
                 let has = |e: &EndpointView| e.models.contains(&loaded(self.version));
--- /dev/null
+++ b/crates/controller/tests/roles.rs
@@ -0,0 +1,155 @@
+//! Roles of engines: which are wanted, and in what order they are changed.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use controller::{
+    Bounds,
+    book::Book,
+    order::{Action, Answer},
+    plan::{World, plan},
+    roles::wanted,
+};
+use declaration::{RoleShares, Service, ServiceKind};
+use membership::{EndpointState, EndpointView, LoadedModel, StageRole};
+use proptest::prelude::*;
+use tokio::time::Instant;
+use uuid::Uuid;
+
+const STEP: Duration = Duration::from_millis(500);
+
+fn endpoint(name: &str, role: StageRole) -> EndpointView {
+    EndpointView {
+        endpoint: name.to_owned(),
+        service: "s".to_owned(),
+        az: "z".to_owned(),
+        address: "http://127.0.0.1:9000".to_owned(),
+        incarnation: Uuid::from_u128(1),
+        state: EndpointState::Ready,
+        models: vec![LoadedModel {
+            model: "m".to_owned(),
+            version: 1,
+            adapters: Vec::new(),
+        }],
+        role,
+        checks_fencing: true,
+        calls: 0,
+        silent_ms: 0,
+    }
+}
+
+fn services(shares: RoleShares) -> BTreeMap<String, Service> {
+    let service = Service {
+        kind: ServiceKind::Engine,
+        repeatable: true,
+        model: Some("m".to_owned()),
+        version: Some(1),
+        adapters: Vec::new(),
+        max_tokens: 16,
+        roles: Some(shares),
+        model_mb: None,
+        endpoint_mb: None,
+    };
+    BTreeMap::from([("s".to_owned(), service)])
+}
+
+fn does(endpoint: &EndpointView, part: StageRole) -> bool {
+    endpoint.role == part || endpoint.role == StageRole::Both
+}
+
+fn role() -> impl Strategy<Value = StageRole> {
+    prop_oneof![
+        Just(StageRole::Both),
+        Just(StageRole::Prefill),
+        Just(StageRole::Decode)
+    ]
+}
+
+fn shares() -> impl Strategy<Value = RoleShares> {
+    (1..99_u8).prop_flat_map(|prefill| {
+        (1..=100 - prefill).prop_map(move |decode| RoleShares { prefill, decode })
+    })
+}
+
+/// Endpoints that start with `roles`, and what is done and lost while `shares` come into force.
+fn run(roles: &[StageRole], shares: RoleShares, lost: u8) -> Result<(), TestCaseError> {
+    let named = roles.iter().enumerate();
+    let named = named.map(|(at, role)| (format!("e{at}"), endpoint(&format!("e{at}"), *role)));
+    let mut endpoints: BTreeMap<String, EndpointView> = named.collect();
+    let (services, mut book, bounds) = (services(shares), Book::default(), Bounds::default());
+    let start = Instant::now();
+    let parts = [StageRole::Prefill, StageRole::Decode];
+    let done_at_first = parts.map(|part| endpoints.values().any(|e| does(e, part)));
+    for turn in 0..600_u32 {
+        let now = start + STEP * turn;
+        book.review(&endpoints, &bounds, now);
+        let world = World {
+            services: &services,
+            endpoints: &endpoints,
+            in_force: STEP * turn,
+            now,
+        };
+        for (service, task) in plan(&world, &book, &bounds).tasks {
+            prop_assert!(matches!(task.action, Action::Role(_)));
+            let order = task.order_id(1, book.attempt(&task));
+            book.enter(task, order, &service, now);
+        }
+        for open in book.take_due(now, |_| true) {
+            let Action::Role(role) = open.task.action else {
+                continue;
+            };
+            // An order whose answer is lost is carried out all the same.
+            endpoints.get_mut(&open.task.endpoint).unwrap().role = role;
+            let answer = match turn % 8 < u32::from(lost % 8) {
+                true => Answer::Lost("no answer".to_owned()),
+                false => Answer::Taken,
+            };
+            book.answered(open.order, answer, now);
+        }
+        for (part, was_done) in parts.iter().zip(done_at_first) {
+            let is_done = endpoints.values().any(|e| does(e, *part));
+            prop_assert!(is_done || !was_done, "nobody does {part:?}");
+        }
+    }
+    let count = |role| endpoints.values().filter(|e| e.role == role).count();
+    let (prefill, decode) = (count(StageRole::Prefill), count(StageRole::Decode));
+    if endpoints.len() >= 2 {
+        let part = |percent: u8| (endpoints.len() * usize::from(percent) / 100).max(1);
+        prop_assert_eq!(prefill, part(shares.prefill).min(endpoints.len() - 1));
+        prop_assert!(decode >= 1);
+    }
+    prop_assert!(book.open().is_empty());
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, cases: 64, ..ProptestConfig::default() })]
+
+    #[test]
+    fn declared_roles_come_into_force_and_no_part_is_left_alone(
+        roles in prop::collection::vec(role(), 1..12), shares in shares(), lost: u8,
+    ) {
+        run(&roles, shares, lost)?;
+    }
+}
+
+#[test]
+fn endpoints_keep_the_role_that_they_have() {
+    let roles = [
+        StageRole::Decode,
+        StageRole::Both,
+        StageRole::Prefill,
+        StageRole::Both,
+    ];
+    let named = roles.iter().enumerate();
+    let all: Vec<_> = named
+        .map(|(at, role)| endpoint(&at.to_string(), *role))
+        .collect();
+    let shares = RoleShares {
+        prefill: 25,
+        decode: 50,
+    };
+    let wanted = wanted(&all.iter().collect::<Vec<_>>(), shares);
+    let changed: Vec<_> = wanted.iter().filter(|(e, role)| e.role != *role).collect();
+    assert_eq!(changed.len(), 1, "{changed:?}");
+    assert_eq!(changed[0].1, StageRole::Decode);
+}
--- a/crates/declaration/src/lib.rs
+++ b/crates/declaration/src/lib.rs
@@ -18,5 +18,5 @@
 pub use document::{Document, SectionId, SectionText};
 pub use inifile::{Fault, Faults};
 pub use types::{
-    AvailabilityZone, Declaration, Pipeline, Priority, Service, ServiceKind, Workspace,
+    AvailabilityZone, Declaration, Pipeline, Priority, RoleShares, Service, ServiceKind, Workspace,
 };
--- a/crates/declaration/src/read.rs
+++ b/crates/declaration/src/read.rs
@@ -5,8 +5,8 @@
 use inifile::{Fault, Faults, Section};
 
 use crate::{
-    AvailabilityZone, Declaration, Document, Pipeline, Priority, SectionId, SectionText, Service,
-    ServiceKind, Workspace, validate,
+    AvailabilityZone, Declaration, Document, Pipeline, Priority, RoleShares, SectionId,
+    SectionText, Service, ServiceKind, Workspace, validate,
 };
 
 /// Deadline of a pipeline that declares none.
@@ -18,6 +18,8 @@
 const DEFAULT_PRIORITY: u64 = 1;
 const DEFAULT_MAX_TOKENS: u64 = 256;
 const MAX_TOKENS: u64 = 1_000_000;
+/// Largest memory that may be declared, in MB.
+const MAX_MB: u64 = 100_000_000;
 
 /// Reads sections with duplicates as faults.
 pub(crate) fn document(file: &str, bytes: &[u8]) -> Result<Document, Faults> {
@@ -174,11 +176,34 @@
             .map(|n| n as u32),
         adapters: keys.list("adapters"),
         max_tokens: keys.number("max_tokens", DEFAULT_MAX_TOKENS, 1, MAX_TOKENS) as u32,
+        roles: read_roles(keys),
+        model_mb: keys.megabytes("model_mb"),
+        endpoint_mb: keys.megabytes("endpoint_mb"),
     };
     validate::service(keys, &service);
     service
 }
 
+/// Shares by role, which stand together or not at all.
+fn read_roles(keys: &mut Keys<'_>) -> Option<RoleShares> {
+    const KEYS: [&str; 2] = ["prefill_percent", "decode_percent"];
+    let [prefill, decode] = KEYS.map(|key| keys.optional_number(key, 1, 99).map(|n| n as u8));
+    match (prefill, decode) {
+        (Some(prefill), Some(decode)) => Some(RoleShares { prefill, decode }),
+        (Some(_), None) => {
+            let what = "missing; prefill needs endpoints that decode: add `decode_percent = …`";
+            keys.fault(KEYS[1], what.to_owned());
+            None
+        }
+        (None, Some(_)) => {
+            let what = "missing; decode needs endpoints that prefill: add `prefill_percent = …`";
+            keys.fault(KEYS[0], what.to_owned());
+            None
+        }
+        (None, None) => None,
+    }
+}
+
 fn read_pipeline(keys: &mut Keys<'_>) -> Pipeline {
     let stages = keys.list("stages");
     if stages.is_empty() {
@@ -292,6 +317,11 @@
         }
     }
 
+    fn megabytes(&mut self, key: &str) -> Option<u32> {
+        let mb = self.optional_number(key, 1, MAX_MB)?;
+        Some(mb as u32)
+    }
+
     fn number(&mut self, key: &str, default: u64, low: u64, high: u64) -> u64 {
         self.optional_number(key, low, high).unwrap_or(default)
     }
--- a/crates/declaration/src/types.rs
+++ b/crates/declaration/src/types.rs
@@ -65,6 +65,21 @@
     pub adapters: Vec<String>,
     /// Most tokens generated for one request, for an engine.
     pub max_tokens: u32,
+    /// How many endpoints take which role, for an engine; none leaves roles as they are.
+    pub roles: Option<RoleShares>,
+    /// Memory that one version of the model takes at an endpoint, in MB.
+    pub model_mb: Option<u32>,
+    /// Memory for models at each endpoint, in MB.
+    pub endpoint_mb: Option<u32>,
+}
+
+/// Shares of a service's endpoints in an availability zone by role, in percent; the rest do both.
+#[token]
+pub struct RoleShares {
+    /// Prefill only.
+    pub prefill: u8,
+    /// Decode only.
+    pub decode: u8,
 }
 
 /// A pipeline: stages in turn.
--- a/crates/declaration/src/validate.rs
+++ b/crates/declaration/src/validate.rs
@@ -38,6 +38,38 @@
         }
         _ => {}
     }
+    roles(keys, service);
+    memory(keys, service);
+}
+
+fn roles(keys: &mut Keys<'_>, service: &Service) {
+    match service.roles {
+        Some(_) if service.kind != ServiceKind::Engine => {
+            let what = "only an engine has roles; remove it or set `kind = engine`";
+            keys.fault("prefill_percent", what.to_owned());
+        }
+        Some(roles) if roles.prefill + roles.decode > 100 => {
+            let what = "prefill and decode together exceed 100; lower one of them";
+            keys.fault("decode_percent", what.to_owned());
+        }
+        _ => {}
+    }
+}
+
+fn memory(keys: &mut Keys<'_>, service: &Service) {
+    let has_any = service.model_mb.or(service.endpoint_mb).is_some();
+    match (service.model_mb, service.endpoint_mb) {
+        _ if has_any && service.kind != ServiceKind::Engine => {
+            let what = "only an engine has memory for models; remove it or set `kind = engine`";
+            let key = service.model_mb.map_or("endpoint_mb", |_| "model_mb");
+            keys.fault(key, what.to_owned());
+        }
+        (Some(model), Some(endpoint)) if model > endpoint => {
+            let what = format!("the model does not fit into `endpoint_mb = {endpoint}`; lower it");
+            keys.fault("model_mb", what);
+        }
+        _ => {}
+    }
 }
 
 /// Every name that is used is declared, and no list names the same thing twice.
--- a/crates/declaration/tests/documents.rs
+++ b/crates/declaration/tests/documents.rs
@@ -99,3 +99,18 @@
         let _ = Declaration::read("x.ini", text.as_bytes());
     }
 }
+
+#[test]
+fn roles_and_memory_are_checked_together() {
+    let text = "[service e]\nkind = engine\nrepeatable = yes\nmodel = m\nversion = 1\n\
+                prefill_percent = 60\ndecode_percent = 50\nmodel_mb = 900\nendpoint_mb = 800\n\
+                [service p]\nkind = plain\nrepeatable = yes\nprefill_percent = 10\nmodel_mb = 0\n\
+                endpoint_mb = 5\n";
+    let faults = Declaration::read("d.ini", text.as_bytes()).unwrap_err();
+    expect![[r#"
+        d.ini:7: service e: decode_percent: prefill and decode together exceed 100; lower one of them
+        d.ini:8: service e: model_mb: the model does not fit into `endpoint_mb = 800`; lower it
+        d.ini:10: service p: decode_percent: missing; prefill needs endpoints that decode: add `decode_percent = …`
+        d.ini:14: service p: model_mb: `0` is out of range; write 1 to 100000000
+        d.ini:15: service p: endpoint_mb: only an engine has memory for models; remove it or set `kind = engine`"#]].assert_eq(&faults.to_string());
+}
--- a/crates/gate/src/rollout.rs
+++ b/crates/gate/src/rollout.rs
@@ -105,6 +105,9 @@
             version: Some(version),
             adapters: Vec::new(),
             max_tokens: 16,
+            roles: None,
+            model_mb: None,
+            endpoint_mb: None,
         }
     }
 
