--- a/crates/controller/src/status.rs
+++ b/crates/controller/src/status.rs
@@ -1,10 +1,15 @@
 //! `GET /v1/status`: the lease, what differs from the declaration and why, open orders.
 
+use std::collections::BTreeSet;
+
 use derives::record;
+use membership::StageRole;
 use tokio::time::Instant;
 
 use crate::{
-    book::{Open, Stage},
+    attainment::Fall,
+    book::{Book, Open, Release, Stage},
+    order::Action,
     plan::Difference,
     reconcile::Reconciler,
 };
@@ -44,6 +49,7 @@
     action: String,
     model: String,
     version: u32,
+    role: Option<StageRole>,
     state: String,
     age_ms: u64,
     sent: u32,
@@ -55,7 +61,10 @@
     service: String,
     model: String,
     version: u32,
+    why: String,
     failures: Vec<String>,
+    /// Calls to the version and to those before it, where attainment fell.
+    attainment: Option<Fall>,
 }
 
 impl OrderStatus {
@@ -65,13 +74,18 @@
             Stage::Sending => "sending",
             Stage::Taken => "taken",
         };
+        let role = match open.task.action {
+            Action::Role(role) => Some(role),
+            Action::Load | Action::Unload => None,
+        };
         Self {
             order: open.order.to_string(),
             endpoint: open.task.endpoint.clone(),
             service: open.service.clone(),
-            action: format!("{:?}", open.task.action).to_lowercase(),
+            action: open.task.action.name().to_owned(),
             model: open.task.model.clone(),
             version: open.task.version,
+            role,
             state: state.to_owned(),
             age_ms: now.saturating_duration_since(open.since).as_millis() as u64,
             sent: open.sent,
@@ -95,8 +109,6 @@
     let age = known.heard.map(|at| now.saturating_duration_since(at));
     let revision = reconciler.declared.borrow().as_ref().map(|d| d.revision);
     let working = reconciler.working();
-    let halted = working.book.failures().iter();
-    let halted = halted.filter(|(_, f)| f.len() >= reconciler.bounds.halt_after as usize);
     Status {
         vm: vm.to_owned(),
         az: az.to_owned(),
@@ -112,13 +124,21 @@
             .values()
             .map(|open| OrderStatus::of(open, now))
             .collect(),
-        halted: halted
-            .map(|(release, failures)| Halted {
-                service: release.service.clone(),
-                model: release.model.clone(),
-                version: release.version,
-                failures: failures.clone(),
-            })
-            .collect(),
+        halted: halted(&working.book, reconciler.bounds.halt_after),
     }
 }
+
+fn halted(book: &Book, halt_after: u32) -> Vec<Halted> {
+    let releases: BTreeSet<&Release> = book.failures().keys().chain(book.falls().keys()).collect();
+    let halted = releases.into_iter().filter_map(|release| {
+        Some(Halted {
+            service: release.service.clone(),
+            model: release.model.clone(),
+            version: release.version,
+            why: book.halted(release, halt_after)?,
+            failures: book.failures().get(release).cloned().unwrap_or_default(),
+            attainment: book.falls().get(release).cloned(),
+        })
+    });
+    halted.collect()
+}
