--- a/crates/keeper/examples/measure/memory.rs
+++ b/crates/keeper/examples/measure/memory.rs
@@ -1,6 +1,6 @@
 //! Memory of the state by its size, and the time of its snapshots.
 
-use std::time::Instant;
+use std::{thread, time::Instant};
 
 use declaration::{Change, Declaration, SectionChange};
 use keeper::{Command, DIGEST_BYTES, Entry, GrantIntent, Stamp, State};
@@ -24,6 +24,23 @@
     link::encode(&Entry { stamp, command })
 }
 
+/// The key of the `i`th booking.
+fn key(i: u64) -> Uuid {
+    let random = i.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 2;
+    let time = u128::from(START_MS + i) << 80;
+    Uuid::from_u128(time | 7 << 76 | 2 << 62 | u128::from(random))
+}
+
+fn grant(i: u64, attempt: Uuid) -> Vec<u8> {
+    let intent = Command::Intent(GrantIntent {
+        key: key(i),
+        digest: [1; DIGEST_BYTES],
+        attempt,
+        expires_ms: 10_000,
+    });
+    entry(START_MS + i, intent)
+}
+
 /// Grants and settles `n` keys that come in the order of their time, a thousand a second.
 pub fn ledger(n: usize) {
     let mut state = State::default();
@@ -31,18 +48,10 @@
     let start = Instant::now();
     for i in 0..n as u64 {
         let now_ms = START_MS + i;
-        let random = Uuid::new_v4().as_u128() & ((1 << 62) - 1);
-        let key = Uuid::from_u128(u128::from(now_ms) << 80 | 7 << 76 | 2 << 62 | random);
         let attempt = Uuid::new_v4();
-        let intent = Command::Intent(GrantIntent {
-            key,
-            digest: [1; DIGEST_BYTES],
-            attempt,
-            expires_ms: 10_000,
-        });
-        state.apply(2 * i + 1, &entry(now_ms, intent));
+        state.apply(2 * i + 1, &grant(i, attempt));
         let settle = Command::Settle(Settle {
-            key,
+            key: key(i),
             attempt,
             settlement: Settlement::Completed(Output::Whole(vec![b'x'; OUTPUT_BYTES])),
         });
@@ -61,6 +70,37 @@
         2.0 * n as f64 / applied.as_secs_f64()
     );
     snapshot(&state);
+    apply_beside(state, n as u64);
+}
+
+/// Applies new bookings, and resends of old ones all over the ledger, while a view of the state is
+/// encoded; the longest step is what the applying task stands still.
+fn apply_beside(mut state: State, n: u64) {
+    let before = resident_bytes();
+    let start = Instant::now();
+    let view = state.clone();
+    let taken = start.elapsed();
+    let encoding = thread::spawn(move || view.snapshot().len());
+    let (mut longest, mut count) = (taken, 0);
+    let start = Instant::now();
+    while !encoding.is_finished() {
+        let i = match count % 2 {
+            0 => n + count,
+            _ => count.wrapping_mul(0x9e37_79b9) % n,
+        };
+        let bytes = grant(i, Uuid::nil());
+        let step = Instant::now();
+        state.apply(2 * n + count, &bytes);
+        longest = longest.max(step.elapsed());
+        count += 1;
+    }
+    let elapsed = start.elapsed();
+    println!(
+        "view taken in {taken:?}, encoded in {elapsed:?}; meanwhile {count} entries applied, longest \
+         step {longest:?}, {:.0} a second, resident at most {} bytes more",
+        count as f64 / elapsed.as_secs_f64(),
+        resident_bytes().saturating_sub(before),
+    );
 }
 
 /// Declares `n` workspaces.
--- a/crates/keeper/src/ledger.rs
+++ b/crates/keeper/src/ledger.rs
@@ -3,14 +3,13 @@
 //! Keys are UUIDv7 and sorted by the time that they carry, so that the ones beyond retention are a
 //! prefix. A key below the horizon is refused for ever; it is never forgotten into running twice.
 
-use std::collections::BTreeMap;
-
 use link::keeper::{IntentReply, LedgerEntry, Output, Settle, Settlement};
 use uuid::Uuid;
 
 use crate::{
     codec::{Cursor, put_bytes, put_u64},
     entry::{DIGEST_BYTES, GrantIntent, Stamp},
+    records::Records,
 };
 
 /// Most keys that one entry prunes, so that no entry takes long.
@@ -30,10 +29,10 @@
     settled: Box<[u8]>,
 }
 
-/// The ledger.
+/// The ledger; a copy shares what neither of the two changes.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Ledger {
-    records: BTreeMap<u128, Record>,
+    records: Records<Record>,
     horizon_ms: u64,
     output_bytes: u64,
 }
@@ -73,12 +72,12 @@
         let horizon = clock_ms.saturating_sub(retention_ms);
         self.horizon_ms = self.horizon_ms.max(horizon);
         for _ in 0..PRUNE_STEP {
-            match self.records.first_entry() {
-                Some(first) if time_of(*first.key()) < self.horizon_ms => {
-                    let record = first.remove();
-                    self.output_bytes -= record.settled.len() as u64;
-                }
-                _ => return,
+            let first = self.records.first_key();
+            if first.is_none_or(|key| time_of(key) >= self.horizon_ms) {
+                return;
+            }
+            if let Some((_, record)) = self.records.pop_first() {
+                self.output_bytes -= record.settled.len() as u64;
             }
         }
     }
@@ -100,7 +99,7 @@
             expires_ms: clock_ms.saturating_add(intent.expires_ms),
             settled: Box::default(),
         };
-        match self.records.get_mut(&key) {
+        match self.records.get_mut(key) {
             None if is_full => IntentReply::Full,
             None => {
                 self.records.insert(key, fresh);
@@ -118,7 +117,7 @@
         settle: &Settle,
     ) -> Result<(), SettleError> {
         let key = settle.key.as_u128();
-        let record = match self.records.get_mut(&key) {
+        let record = match self.records.get_mut(key) {
             None if settle.settlement == Settlement::Released => {
                 return self.release_unseen(clock_ms, stamp, settle);
             }
@@ -178,7 +177,7 @@
     /// The ledger's word on `key` at `now_ms`.
     pub fn lookup(&self, now_ms: u64, grace_ms: u64, key: Uuid) -> LedgerEntry {
         let key = key.as_u128();
-        match self.records.get(&key) {
+        match self.records.get(key) {
             _ if time_of(key) < self.horizon_ms => LedgerEntry::TooOld,
             None => LedgerEntry::Absent,
             Some(record) => match unpack(&record.settled) {
@@ -197,7 +196,7 @@
         buf.reserve(self.records.len() * RECORD_BYTES + self.output_bytes as usize);
         put_u64(buf, self.horizon_ms);
         put_u64(buf, self.records.len() as u64);
-        for (key, record) in &self.records {
+        for (key, record) in self.records.iter() {
             buf.extend_from_slice(&key.to_be_bytes());
             buf.extend_from_slice(&record.digest);
             buf.extend_from_slice(&record.attempt);
@@ -213,7 +212,6 @@
             ..Self::default()
         };
         let len = cursor.u64()?;
-        let mut records = Vec::new();
         for _ in 0..len {
             let key = u128::from_be_bytes(cursor.array()?);
             let record = Record {
@@ -223,9 +221,8 @@
                 settled: cursor.bytes()?.into(),
             };
             ledger.output_bytes += record.settled.len() as u64;
-            records.push((key, record));
+            ledger.records.insert(key, record);
         }
-        ledger.records = records.into_iter().collect();
         Ok(ledger)
     }
 }
--- a/crates/keeper/src/machine.rs
+++ b/crates/keeper/src/machine.rs
@@ -60,7 +60,10 @@
         );
         StateMachine {
             apply: Box::new(move |index, bytes| apply.apply(index, bytes)),
-            snapshot: Box::new(move || snapshot.read(State::snapshot)),
+            snapshot: Box::new(move || {
+                let view = snapshot.read(State::clone);
+                Box::new(move || view.snapshot())
+            }),
             restore: Box::new(move |_, bytes| restore.restore(bytes)),
             digest: Box::new(move || digest.read(State::digest)),
         }
--- a/crates/replica/examples/log_cost.rs
+++ b/crates/replica/examples/log_cost.rs
@@ -93,7 +93,10 @@
             *sum = sum.wrapping_add(entry.len() as u64);
             sum.to_le_bytes().to_vec()
         }),
-        snapshot: Box::new(move || lock(&snapshot).to_le_bytes().to_vec()),
+        snapshot: Box::new(move || {
+            let count = lock(&snapshot).to_le_bytes().to_vec();
+            Box::new(move || count)
+        }),
         restore: Box::new(move |_, bytes| {
             let bytes = bytes.try_into().map_err(|_| "not eight bytes")?;
             *restore.lock().expect("no holder panics") = u64::from_le_bytes(bytes);
--- a/crates/replica/src/apply.rs
+++ b/crates/replica/src/apply.rs
@@ -3,14 +3,14 @@
 use std::sync::Arc;
 
 use serde_bytes::ByteBuf;
-use tokio::sync::watch;
+use tokio::sync::{OwnedMutexGuard, watch};
 
 use crate::{
-    Applied, StateMachine,
+    Applied, Encode, StateMachine,
     core::{Core, Shared},
     entry::{Entry, Payload},
     message::{Digest, SnapshotMeta},
-    snapshot::Snapshot,
+    snapshot::{self, Snapshot},
 };
 
 /// Most entries applied between two looks at other work.
@@ -47,8 +47,8 @@
         }
         let applied = shared.core().applied;
         let is_due = applied - snapshot_index >= shared.cfg.snapshot_after;
-        if is_due || bytes >= shared.cfg.snapshot_bytes {
-            machine = take_snapshot(&shared, machine, applied).await;
+        let is_due = is_due || bytes >= shared.cfg.snapshot_bytes;
+        if is_due && begin_snapshot(&shared, &mut machine, applied) {
             snapshot_index = applied;
             bytes = 0;
         }
@@ -154,11 +154,11 @@
     Some(index)
 }
 
-async fn take_snapshot(
-    shared: &Arc<Shared>,
-    mut machine: StateMachine,
-    index: u64,
-) -> StateMachine {
+/// Begins to write a snapshot of the state at `index`; `false` while another one is being written.
+fn begin_snapshot(shared: &Arc<Shared>, machine: &mut StateMachine, index: u64) -> bool {
+    let Ok(writing) = Arc::clone(&shared.snapshotting).try_lock_owned() else {
+        return false;
+    };
     let meta = {
         let core = shared.core();
         SnapshotMeta {
@@ -167,23 +167,40 @@
             members: core.log.members_at(index).clone(),
         }
     };
-    let encode = move || {
-        let state = ByteBuf::from((machine.snapshot)());
-        (machine, state)
+    let encode = (machine.snapshot)();
+    shared.spawn(write_snapshot(Arc::clone(shared), writing, meta, encode));
+    true
+}
+
+/// Writes a snapshot while entries go on being applied and appended.
+async fn write_snapshot(
+    shared: Arc<Shared>,
+    writing: OwnedMutexGuard<()>,
+    meta: SnapshotMeta,
+    encode: Encode,
+) {
+    let (index, disk) = (meta.index, shared.disk.clone());
+    let write = move || {
+        let state = ByteBuf::from(encode());
+        let written = snapshot::write_aside(&disk, &Snapshot { meta, state });
+        (writing, written)
+    };
+    let done = match shared.disk.is_blocking {
+        true => tokio::task::spawn_blocking(write).await,
+        false => Ok(write()),
     };
-    // A large state takes its time, which the runtime's threads don't have.
-    let (machine, state) = match shared.disk.is_blocking {
-        true => tokio::task::spawn_blocking(encode)
-            .await
-            .expect("encoding the state does not panic"),
-        false => encode(),
+    // The runtime is shutting down and ends this task as well.
+    let Ok((_writing, written)) = done else {
+        return;
     };
-    let snapshot = Snapshot { meta, state };
+    if let Err(e) = written {
+        shared.fail(&e.to_string());
+        return;
+    }
     let kept = index.saturating_sub(shared.cfg.snapshot_after / KEPT_SHARE);
-    // Under the store's lock, since a snapshot from the leader may come meanwhile.
-    let written = shared.with_store(move |store| store.keep(&snapshot, kept));
-    if written.await.is_ok() {
+    // Under the store's lock, since a snapshot from the leader may have come meanwhile.
+    let put = shared.with_store(move |store| store.keep(index, kept));
+    if put.await.is_ok() {
         shared.core().log.compact(kept, index);
     }
-    machine
 }
--- a/crates/replica/src/core.rs
+++ b/crates/replica/src/core.rs
@@ -121,6 +121,8 @@
     pub applied: watch::Sender<u64>,
     pub stopped: watch::Sender<bool>,
     pub tasks: Mutex<JoinSet<()>>,
+    /// Held while a snapshot is written.
+    pub snapshotting: Arc<tokio::sync::Mutex<()>>,
 }
 
 impl Shared {
@@ -136,6 +138,8 @@
     pub(crate) fn spawn(self: &Arc<Self>, task: impl Future<Output = ()> + Send + 'static) {
         let mut stopped = self.stopped.subscribe();
         let mut tasks = self.tasks.lock().unwrap_or_else(PoisonError::into_inner);
+        // Those that ended are forgotten.
+        while tasks.try_join_next().is_some() {}
         tasks.spawn(async move {
             tokio::select! {
                 biased;
--- a/crates/replica/src/machine.rs
+++ b/crates/replica/src/machine.rs
@@ -2,12 +2,16 @@
 
 use std::fmt::{self, Debug, Formatter};
 
+/// Encodes a view of the state, off the task that applies.
+pub type Encode = Box<dyn FnOnce() -> Vec<u8> + Send>;
+
 /// The functions of a deterministic state machine; they run in the replica's own task.
 pub struct StateMachine {
     /// Applies the entry at `index` and returns the reply for its proposer.
     pub apply: Box<dyn FnMut(u64, &[u8]) -> Vec<u8> + Send>,
-    /// The whole state, encoded; the same bytes on every replica at the same index.
-    pub snapshot: Box<dyn FnMut() -> Vec<u8> + Send>,
+    /// Takes a view of the whole state, which must be quick, and returns what encodes it: the same
+    /// bytes on every replica at the same index, whatever is applied meanwhile.
+    pub snapshot: Box<dyn FnMut() -> Encode + Send>,
     /// Replaces the state by an encoded one as of `index`.
     pub restore: Box<dyn FnMut(u64, &[u8]) -> Result<(), String> + Send>,
     /// A digest of the state, compared between replicas at the same index.
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -247,6 +247,7 @@
         let mut tasks = std::mem::take(&mut *tasks.lock().unwrap_or_else(PoisonError::into_inner));
         tasks.shutdown().await;
         shared.core().peers.clear();
+        let _written = shared.snapshotting.lock().await;
     }
 }
 
@@ -336,5 +337,6 @@
         applied: watch::Sender::new(applied),
         stopped: watch::Sender::new(false),
         tasks: Mutex::new(JoinSet::new()),
+        snapshotting: Arc::default(),
     }
 }
--- a/crates/replica/src/store.rs
+++ b/crates/replica/src/store.rs
@@ -239,16 +239,16 @@
         self.note(result)
     }
 
-    /// Keeps an own snapshot, if it is newer than the one there, and removes segments that hold
-    /// nothing after `kept`.
-    pub(crate) fn keep(&mut self, snapshot: &Snapshot, kept: u64) -> Result<(), ReplicaError> {
+    /// Keeps the own snapshot at `index` that was written aside, if it is newer than the one there,
+    /// and removes segments that hold nothing after `kept`.
+    pub(crate) fn keep(&mut self, index: u64, kept: u64) -> Result<(), ReplicaError> {
         self.check()?;
-        if snapshot.meta.index <= self.snapshot_index {
+        if index <= self.snapshot_index {
             return Ok(());
         }
-        let result = snapshot::write(&self.disk, snapshot);
+        let result = snapshot::put_in_place(&self.disk);
         self.note(result)?;
-        self.snapshot_index = snapshot.meta.index;
+        self.snapshot_index = index;
         self.compact(kept)
     }
 
--- a/crates/replica/src/vote.rs
+++ b/crates/replica/src/vote.rs
@@ -58,10 +58,21 @@
 /// Replaces `file` by `bytes` so that a crash leaves either the old or the new content.
 pub(crate) fn replace(disk: &Disk, file: &str, bytes: &[u8]) -> Result<(), ReplicaError> {
     let aside = format!("{file}{ASIDE}");
+    write_aside(disk, &aside, bytes)?;
+    put_in_place(disk, &aside, file)
+}
+
+/// Writes and syncs a file that nobody reads yet.
+pub(crate) fn write_aside(disk: &Disk, aside: &str, bytes: &[u8]) -> Result<(), ReplicaError> {
+    let failed = |step, e: &std::io::Error| ReplicaError::disk(step, aside, e);
+    (disk.write)(aside, bytes).map_err(|e| failed("write", &e))?;
+    (disk.sync)(aside).map_err(|e| failed("sync", &e))
+}
+
+/// Gives a file that was written aside its name, replacing the one that had it.
+pub(crate) fn put_in_place(disk: &Disk, aside: &str, file: &str) -> Result<(), ReplicaError> {
     let failed = |step, e: &std::io::Error| ReplicaError::disk(step, file, e);
-    (disk.write)(&aside, bytes).map_err(|e| failed("write", &e))?;
-    (disk.sync)(&aside).map_err(|e| failed("sync", &e))?;
-    (disk.rename)(&aside, file).map_err(|e| failed("rename", &e))?;
+    (disk.rename)(aside, file).map_err(|e| failed("rename", &e))?;
     (disk.sync_folder)().map_err(|e| failed("sync folder of", &e))
 }
 
--- a/crates/replica/tests/common/checks.rs
+++ b/crates/replica/tests/common/checks.rs
@@ -99,7 +99,10 @@
                 history.push((index, entry.to_vec()));
                 history.len().to_le_bytes().to_vec()
             }),
-            snapshot: Box::new(move || link::encode(&*snapshot.lock().unwrap())),
+            snapshot: Box::new(move || {
+                let view = snapshot.lock().unwrap().clone();
+                Box::new(move || link::encode(&view))
+            }),
             restore: Box::new(move |_, bytes| {
                 let entries: Vec<(u64, Vec<u8>)> =
                     link::decode(bytes).map_err(|e| e.to_string())?;
--- a/crates/replica/tests/one_voter.rs
+++ b/crates/replica/tests/one_voter.rs
@@ -1,6 +1,9 @@
 //! One voter on real files.
 
-use std::sync::{Arc, Mutex};
+use std::{
+    sync::{Arc, Mutex, mpsc},
+    time::Duration,
+};
 
 use replica::{MemberChange, Replica, ReplicaConfig, ReplicaError, StateMachine};
 
@@ -17,7 +20,10 @@
             entries.push(entry.to_vec());
             vec![entries.len() as u8]
         }),
-        snapshot: Box::new(move || link::encode(&*snapshot.lock().unwrap())),
+        snapshot: Box::new(move || {
+            let view = snapshot.lock().unwrap().clone();
+            Box::new(move || link::encode(&view))
+        }),
         restore: Box::new(move |_, bytes| {
             *restore.lock().unwrap() = link::decode(bytes).map_err(|e| e.to_string())?;
             Ok(())
@@ -38,7 +44,7 @@
         if let Ok(applied) = replica.propose(entry.to_vec()).await {
             return applied;
         }
-        tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+        tokio::time::sleep(Duration::from_millis(5)).await;
     }
 }
 
@@ -64,6 +70,52 @@
     }
 }
 
+/// What ends a test that would hang.
+const LIMIT: Duration = Duration::from_mins(1);
+
+/// Under the real clock, since the encoding holds its thread.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_are_applied_while_a_snapshot_is_encoded() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut cfg = ReplicaConfig::new("a", folder.path().to_owned(), vec!["a".to_owned()]);
+    cfg.snapshot_after = 10;
+    let entries = Arc::default();
+    let machine = machine(&entries);
+    let (release, held) = mpsc::channel::<()>();
+    let held = Arc::new(Mutex::new(held));
+    let mut view = machine.snapshot;
+    let machine = StateMachine {
+        snapshot: Box::new(move || {
+            let (encode, held) = (view(), Arc::clone(&held));
+            Box::new(move || {
+                // An error once the test lets go.
+                let _ = held.lock().unwrap().recv();
+                encode()
+            })
+        }),
+        ..machine
+    };
+    let replica = Replica::start(cfg.clone(), vec![], machine).await.unwrap();
+    let proposing = async {
+        for n in 0..30u8 {
+            assert_eq!(propose(&replica, &[n]).await.reply, [n + 1]);
+        }
+    };
+    let outcome = tokio::time::timeout(LIMIT, proposing).await;
+    drop(release);
+    outcome.expect("entries wait for the snapshot");
+    while !folder.path().join("snapshot").exists() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    replica.stop().await;
+    drop(replica);
+    let (replica, restored) = start(&cfg).await;
+    propose(&replica, &[30]).await;
+    let expected: Vec<_> = (0..=30u8).map(|n| vec![n]).collect();
+    assert_eq!(*restored.lock().unwrap(), expected);
+    replica.stop().await;
+}
+
 #[tokio::test]
 async fn a_folder_has_one_process_and_one_name() {
     let folder = tempfile::tempdir().unwrap();
