--- a/crates/membership/examples/spread_cost.rs
+++ b/crates/membership/examples/spread_cost.rs
@@ -116,7 +116,7 @@
 
 fn announcement(az: &str, at: usize, seq: u64) -> Announcement {
     Announcement {
-        endpoint: format!("appraise-llm-{at:05}"),
+        endpoint: format!("{az}-llm-{at:05}"),
         service: format!("service-{}", at % 5),
         az: az.to_owned(),
         address: format!("http://127.0.0.1:{}", 10_000 + at),
@@ -241,7 +241,7 @@
     async fn churn(&self, what: &str, is_so: impl Fn(&[EndpointState]) -> bool) {
         let (before, start) = (self.sent(), Instant::now());
         let rack: Vec<String> = (0..RACK)
-            .map(|at| format!("appraise-llm-{at:05}"))
+            .map(|at| format!("{OWN_AZ}-llm-{at:05}"))
             .collect();
         let is_done = |table: &Table| {
             let list = table.list().into_iter();
@@ -284,11 +284,13 @@
     let (bytes_before, cpu_before, start) = (zone.sent(), cpu(), Instant::now());
     let mut suspect = 0;
     let mut looks = 0;
+    let mut oldest_ms = 0;
     while start.elapsed() < MEASURE {
         sleep(Duration::from_millis(500)).await;
         for table in &tables {
             let list = table.list();
             looks += list.len();
+            oldest_ms = list.iter().map(|e| e.silent_ms).fold(oldest_ms, u64::max);
             suspect += list
                 .iter()
                 .filter(|e| e.state != EndpointState::Ready)
@@ -301,7 +303,7 @@
     let cpu = cpu().saturating_sub(cpu_before).as_secs_f64() / secs / gates as f64;
     let resident = resident_bytes().saturating_sub(before) / gates as u64 / 1_024;
     println!(
-        "{gates:>5} {endpoints:>9} {zones:>5} {each:>14.0} {:>14.2}% {resident:>10} KiB {suspect:>8} of {looks}",
+        "{gates:>5} {endpoints:>9} {zones:>5} {each:>14.0} {:>14.2}% {resident:>10} KiB {suspect:>8} of {looks} {oldest_ms:>7} ms",
         100.0 * cpu,
     );
     zone
@@ -321,7 +323,7 @@
 
 fn main() {
     println!(
-        "gates endpoints zones   sent B/s each  of a core each   memory each  wrongly suspect"
+        "gates endpoints zones   sent B/s each  of a core each   memory each  wrongly suspect  oldest sign"
     );
     for (gates, endpoints, zones) in SIZES {
         let mut runtime = tokio::runtime::Builder::new_multi_thread();
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -6,6 +6,7 @@
 mod config;
 mod delta;
 mod endpoint;
+mod held;
 mod live;
 mod message;
 mod remote;
@@ -18,8 +19,9 @@
 pub use config::TableConfig;
 pub use delta::{Brief, Delta};
 pub use endpoint::{Announced, Announcement, Load, LoadedModel, Readiness, StageRole};
+pub use held::Held;
 pub use live::{Live, Reported};
-pub use message::{Changes, Held, Reply, Request};
+pub use message::{Changes, Reply, Request};
 pub use spread::neighbours;
 pub use table::{AnnounceError, Table};
 pub use view::{Endpoint, EndpointState, EndpointView, ServiceSnapshot};
--- a/crates/membership/src/message.rs
+++ b/crates/membership/src/message.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use derives::{record, token};
+use derives::record;
 use tokio::time::{Instant, timeout};
 use uuid::Uuid;
 use xxhash_rust::xxh3::xxh3_64;
@@ -10,6 +10,7 @@
 use crate::{
     EndpointView, Table,
     delta::{Brief, Delta},
+    held::{self, Held},
     state::{Entry, Origin, State},
     vitals::{self, Bucket, Younger, bucket_of},
 };
@@ -41,6 +42,7 @@
         /// The buckets.
         buckets: Vec<u8>,
         /// What the asking gate holds of them.
+        #[serde(with = "held")]
         held: Vec<Held>,
     },
     /// Asks for the whole table of the availability zone; a gate that has just started.
@@ -50,7 +52,7 @@
     #[serde(rename = "s")]
     Sample(u64),
     /// The same with what the asking gate holds, after an answer that the digests differ.
-    SampleAnew(Vec<Held>),
+    SampleAnew(#[serde(with = "held")] Vec<Held>),
     /// Asks for the endpoints that changed; from a controller.
     Since {
         /// The table that gave `version`.
@@ -62,28 +64,6 @@
     },
 }
 
-/// An endpoint that the sending gate holds.
-#[token]
-#[serde(from = "(u64, u64)", into = "(u64, u64)")]
-pub struct Held {
-    /// Hash of its name.
-    pub name: u64,
-    /// Hash of what it announced.
-    pub stamp: u64,
-}
-
-impl From<(u64, u64)> for Held {
-    fn from((name, stamp): (u64, u64)) -> Self {
-        Self { name, stamp }
-    }
-}
-
-impl From<Held> for (u64, u64) {
-    fn from(held: Held) -> Self {
-        (held.name, held.stamp)
-    }
-}
-
 /// The answer to a [`Request`].
 #[record]
 pub enum Reply {
@@ -101,7 +81,7 @@
         #[serde(with = "serde_bytes")]
         vitals: Vec<u8>,
         /// Hashes of names whose deltas are wanted.
-        wanted: Vec<u64>,
+        wanted: Vec<u32>,
     },
     /// To [`Request::Pull`].
     Pulled(Vec<Delta>),
@@ -205,8 +185,8 @@
 
 /// What a gate lacks that holds `held` of `entries`.
 fn lacking(entries: &[&Entry], held: &[Held], now: Instant) -> Vec<Delta> {
-    let theirs: HashMap<u64, u64> = held.iter().map(|h| (h.name, h.stamp)).collect();
-    let is_other = |e: &&&Entry| theirs.get(&e.name_hash) != Some(&e.stamp);
+    let theirs: HashMap<u32, Held> = held.iter().map(|h| (h.name, *h)).collect();
+    let is_other = |e: &&&Entry| theirs.get(&Held::of(e).name) != Some(&Held::of(e));
     let other = entries.iter().filter(is_other);
     other.map(|e| Delta::of(&e.endpoint, now)).collect()
 }
@@ -214,8 +194,8 @@
 fn repair(state: &State, buckets: &[u8], held: &[Held], now: Instant) -> Reply {
     let is_asked = |e: &&Entry| buckets.contains(&(bucket_of(e.name_hash) as u8));
     let asked: Vec<&Entry> = state.shared_entries().filter(is_asked).collect();
-    let ours: HashMap<u64, &Entry> = asked.iter().map(|e| (e.name_hash, *e)).collect();
-    let same = |h: &Held| ours.get(&h.name).filter(|entry| entry.stamp == h.stamp);
+    let ours: HashMap<u32, &Entry> = asked.iter().map(|e| (Held::of(e).name, *e)).collect();
+    let same = |h: &Held| ours.get(&h.name).filter(|entry| Held::of(entry) == *h);
     let wanted = held.iter().filter(|h| same(h).is_none());
     let vitals = held
         .iter()
--- a/crates/membership/src/remote.rs
+++ b/crates/membership/src/remote.rs
@@ -14,7 +14,7 @@
 use crate::{
     Delta, Endpoint, Held, Table,
     message::{Reply, Request, merge_all, sample_digest},
-    state::{Entry, Origin, State},
+    state::{Entry, Origin},
     vitals,
 };
 
@@ -137,6 +137,10 @@
         entries.sort_unstable_by_key(|entry| entry.name_hash);
         let digest = sample_digest(&entries);
         let endpoints = entries.iter().map(|e| Arc::clone(&e.endpoint)).collect();
-        (digest, State::held(entries.into_iter()), endpoints)
+        (
+            digest,
+            entries.iter().map(|e| Held::of(e)).collect(),
+            endpoints,
+        )
     }
 }
--- a/crates/membership/src/spread.rs
+++ b/crates/membership/src/spread.rs
@@ -9,11 +9,11 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
-    Delta, Endpoint, Table,
+    Delta, Endpoint, Held, Table,
     delta::Brief,
     message::{Reply, Request, merge_all},
     remote::sample_others,
-    state::{Entry, Origin, State},
+    state::{Entry, Origin},
     vitals::{self, bucket_of},
 };
 
@@ -143,12 +143,12 @@
         Fut: Future<Output = Result<Reply, LinkError>>,
     {
         let is_differing = |e: &&Entry| buckets.contains(&(bucket_of(e.name_hash) as u8));
-        let (held, endpoints) = {
+        let (held, endpoints): (Vec<Held>, _) = {
             let state = self.lock();
             let entries: Vec<&Entry> = state.shared_entries().filter(is_differing).collect();
             let endpoints = entries.iter().map(|e| Arc::clone(&e.endpoint));
             let endpoints: Vec<Arc<Endpoint>> = endpoints.collect();
-            (State::held(entries.into_iter()), endpoints)
+            (entries.iter().map(|e| Held::of(e)).collect(), endpoints)
         };
         let reply = call(Request::Repair { buckets, held }).await?;
         let Reply::Repaired {
@@ -169,12 +169,12 @@
         }
     }
 
-    fn wanted(&self, names: &[u64]) -> Request {
+    fn wanted(&self, names: &[u32]) -> Request {
         let now = Instant::now();
         let state = self.lock();
         let wanted = state
             .shared_entries()
-            .filter(|entry| names.contains(&entry.name_hash));
+            .filter(|entry| names.contains(&Held::of(entry).name));
         Request::Deltas {
             from: self.config().gate.clone(),
             reach: 0,
--- a/crates/membership/src/state.rs
+++ b/crates/membership/src/state.rs
@@ -418,16 +418,6 @@
         self.horizon = horizon;
     }
 
-    /// What a neighbour needs to know to tell what differs, of the entries chosen.
-    pub(crate) fn held<'a>(entries: impl Iterator<Item = &'a Entry>) -> Vec<crate::Held> {
-        entries
-            .map(|entry| crate::Held {
-                name: entry.name_hash,
-                stamp: entry.stamp,
-            })
-            .collect()
-    }
-
     /// What `neighbour`, the one at place `at` along the ring, has not been pushed since `version`.
     ///
     /// A change goes along a tree over the ring, so that each gate gets it about once; only a
--- a/crates/membership/src/vitals.rs
+++ b/crates/membership/src/vitals.rs
@@ -25,7 +25,7 @@
 pub(crate) const UNKNOWN: u8 = AGE_UNKNOWN;
 /// A neighbour's age is told where it is younger by this many units, which is more than rounding
 /// makes of one announcement on its way.
-const YOUNGER_BY: u8 = 3;
+const YOUNGER_BY: u8 = 2;
 
 /// One bucket: a digest of what its endpoints announced, and their vitals by hash of name.
 #[derive(Clone, Debug, PartialEq)]
