Back off from a weight store that refuses, and say so

Cause: an engine whose fetch was refused had no way to say so; the order stayed open until load_ms (5 min), then counted against the version, and two such failures halted a good version's rollout. The stand-in asked the store again every 200 ms.

Orders taken are sent again each second; the answer tells of a load that failed. Ruled out: a field in the announcement, which is fixed.

--- a/crates/bench/src/stand_in/orders.rs
+++ b/crates/bench/src/stand_in/orders.rs
@@ -16,7 +16,7 @@
     journal::{CallName, Event},
     reply::{Body, json_reply, problem},
     shared::Shared,
-    weight_store,
+    weight_store::{self, Fetched},
 };
 
 /// What an order asks for.
@@ -106,6 +106,15 @@
         }
     }
 
+    /// A repeat of `order` is told that its load failed.
+    fn store_refused(&self, order: &Order, status: StatusCode) {
+        let answer = json!({
+            "order": order.id, "state": "failed", "cause": "weight_store",
+            "detail": format!("the weight store answered {status}"),
+        });
+        self.obeyed().answers.insert(order.id.clone(), answer);
+    }
+
     fn unload(&self, order: &Order) {
         let mut obeyed = self.obeyed();
         let is_other = |m: &LoadedModel| m.model != order.model || m.version != order.version;
@@ -151,23 +160,27 @@
 
 async fn carry_out(shared: Arc<Shared>, order: Order) {
     match order.action {
-        Action::Load => {
-            fetch(&shared, &order).await;
-            shared.orders.load(&order);
-        }
+        Action::Load => match fetch(&shared, &order).await {
+            Fetched::Whole(_) => shared.orders.load(&order),
+            Fetched::Refused(status) => shared.orders.store_refused(&order, status),
+        },
         Action::Unload => shared.orders.unload(&order),
         Action::Role => shared.orders.obeyed().role = order.role,
     }
     shared.announce_now.notify_one();
 }
 
-async fn fetch(shared: &Shared, order: &Order) {
+async fn fetch(shared: &Shared, order: &Order) -> Fetched {
     let Some(store) = &shared.cfg.engine.weight_store else {
-        return sleep(shared.cfg.engine.load_time).await;
+        sleep(shared.cfg.engine.load_time).await;
+        return Fetched::Whole(0);
     };
     let name = format!("{}-{}", order.model, order.version);
-    while let Err(e) = weight_store::fetch(&shared.client, store, &name).await {
-        eprintln!("{}: fetch weights of {name}: {e:#}", shared.cfg.name);
+    loop {
+        match weight_store::fetch(&shared.client, store, &name).await {
+            Ok(fetched) => return fetched,
+            Err(e) => eprintln!("{}: fetch weights of {name}: {e:#}", shared.cfg.name),
+        }
         sleep(weight_store::RETRY).await;
     }
 }
--- a/crates/controller/src/book.rs
+++ b/crates/controller/src/book.rs
@@ -14,12 +14,15 @@
     attainment::Fall,
     config::Bounds,
     order::{Action, Answer, Task},
+    store::{Store, Weight},
 };
 
 const FIRST_BACKOFF: Duration = Duration::from_millis(200);
 const MAX_BACKOFF: Duration = Duration::from_secs(5);
 /// An endpoint that refused an order gets no other for this long.
 const AFTER_REFUSAL: Duration = Duration::from_secs(10);
+/// An endpoint that has taken an order is asked this often what became of it.
+const CHECK_EVERY: Duration = Duration::from_secs(1);
 /// Endpoints that followed an order are watched for this many settling pauses.
 const WATCH_PAUSES: u32 = 5;
 
@@ -93,6 +96,7 @@
     shunned: HashMap<String, Instant>,
     settled: HashMap<String, Instant>,
     loads: Vec<Instant>,
+    store: Store,
 }
 
 /// Whether `endpoint` is as `task` asks.
@@ -126,6 +130,11 @@
         &self.falls
     }
 
+    /// What the weight store refused.
+    pub fn store(&self) -> &Store {
+        &self.store
+    }
+
     /// Halts the rollout of `release`; the first fall found stands.
     pub fn halt(&mut self, release: Release, fall: Fall) {
         self.falls.entry(release).or_insert(fall);
@@ -192,6 +201,10 @@
                 open.stage = Stage::Sending;
                 open.sent += 1;
                 due.push(open.clone());
+            } else if open.stage == Stage::Taken && open.next <= now && may(open) {
+                // A repeat changes nothing, and its answer tells of a load that failed.
+                open.next = now + CHECK_EVERY;
+                due.push(open.clone());
             }
         }
         due
@@ -203,7 +216,17 @@
             return;
         };
         match answer {
-            Answer::Taken => open.stage = Stage::Taken,
+            Answer::Taken => {
+                open.stage = Stage::Taken;
+                open.next = open.next.max(now + CHECK_EVERY);
+            }
+            Answer::StoreRefused(why) => {
+                let (endpoint, weight) = (open.task.endpoint.clone(), weight(&open.task));
+                self.store.refused(weight, why, rand::random(), now);
+                self.close(&endpoint);
+            }
+            // What has been taken stays so though its repeat is lost.
+            Answer::Lost(_) | Answer::Stale(_) if open.stage == Stage::Taken => {}
             Answer::Lost(why) | Answer::Stale(why) => {
                 let doubled = FIRST_BACKOFF * 2_u32.saturating_pow(open.sent.min(16));
                 open.stage = Stage::ToSend;
@@ -267,6 +290,7 @@
             return;
         };
         self.settled.insert(open.service.clone(), now);
+        self.store.gave(&weight(&open.task));
         if open.task.action == Action::Load {
             let watched = Watched {
                 release: release(&open),
@@ -277,11 +301,17 @@
         }
     }
 
+    /// Closes an order that was not followed, so that the next try is another order.
+    fn close(&mut self, name: &str) -> Option<Open> {
+        let open = self.open.remove(name)?;
+        *self.attempts.entry(open.task.clone()).or_default() += 1;
+        Some(open)
+    }
+
     fn fail(&mut self, name: &str, what: String) {
-        let Some(open) = self.open.remove(name) else {
+        let Some(open) = self.close(name) else {
             return;
         };
-        *self.attempts.entry(open.task.clone()).or_default() += 1;
         if open.task.action == Action::Load {
             self.failures.entry(release(&open)).or_default().push(what);
         }
@@ -313,6 +343,13 @@
 
 const LOADS_WINDOW: Duration = Duration::from_mins(1);
 
+fn weight(task: &Task) -> Weight {
+    Weight {
+        model: task.model.clone(),
+        version: task.version,
+    }
+}
+
 fn release(open: &Open) -> Release {
     Release {
         service: open.service.clone(),
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod roles;
 mod start;
 mod status;
+pub mod store;
 
 pub mod authority;
 pub mod book;
--- a/crates/controller/src/order.rs
+++ b/crates/controller/src/order.rs
@@ -2,7 +2,7 @@
 
 use derives::value;
 use membership::StageRole;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 use uuid::{Builder, Uuid};
 use xxhash_rust::xxh3::xxh3_128;
@@ -115,6 +115,8 @@
     Stale(String),
     /// It refuses, and a repeat would be refused as well.
     Refused(String),
+    /// It took the order, and the weight store refused what it asked for.
+    StoreRefused(String),
     /// No answer, or one that asks to come back; the order may or may not have been taken.
     Lost(String),
 }
@@ -140,7 +142,7 @@
             let text = String::from_utf8_lossy(&body);
             let text: String = text.chars().take(MAX_REASON_CHARS).collect();
             match status.as_u16() {
-                200..300 => Answer::Taken,
+                200..300 => outcome(&body),
                 409 => Answer::Stale(text),
                 408 | 425 | 429 | 500.. => Answer::Lost(format!("{status}: {text}")),
                 _ => Answer::Refused(format!("{status}: {text}")),
@@ -148,3 +150,25 @@
         }
     }
 }
+
+/// How far an order has come that the endpoint took; one that says nothing of it is under way.
+#[derive(Debug, Deserialize)]
+struct Progress {
+    state: String,
+    #[serde(default)]
+    cause: String,
+    #[serde(default)]
+    detail: String,
+}
+
+fn outcome(body: &[u8]) -> Answer {
+    match serde_json::from_slice::<Progress>(body) {
+        Ok(p) if p.state == "failed" && p.cause == "weight_store" => {
+            Answer::StoreRefused(p.detail.chars().take(MAX_REASON_CHARS).collect())
+        }
+        Ok(p) if p.state == "failed" => {
+            Answer::Refused(p.detail.chars().take(MAX_REASON_CHARS).collect())
+        }
+        _ => Answer::Taken,
+    }
+}
--- a/crates/controller/src/pages.rs
+++ b/crates/controller/src/pages.rs
@@ -64,7 +64,7 @@
 
 /// The numbers as they are now.
 fn registry(reconciler: &Reconciler) -> prometheus::Result<Registry> {
-    const ANSWERS: [&str; 4] = ["taken", "lost", "refused", "stale"];
+    const ANSWERS: [&str; 5] = ["taken", "lost", "refused", "stale", "store_refused"];
     let registry = Registry::new();
     let gauge = |name: &str, help: &str, value: usize| -> prometheus::Result<()> {
         let gauge = IntGauge::new(format!("jujube_controller_{name}"), help)?;
--- a/crates/controller/src/plan.rs
+++ b/crates/controller/src/plan.rs
@@ -12,6 +12,7 @@
     config::Bounds,
     order::{Action, Task},
     roles::{self, word},
+    store::Weight,
 };
 
 /// What a plan is made from.
@@ -294,7 +295,14 @@
         let fetching = open.chain(planned).find(|task| is_same(task));
         let begun = plan.tasks.iter().filter(|(_, t)| t.action == Action::Load);
         let loads = self.book.loads(self.world.now) + begun.count();
+        let weight = Weight {
+            model: self.target.model.to_owned(),
+            version: self.target.version,
+        };
         match fetching {
+            None if let Some(why) = self.book.store().hindrance(&weight, self.world.now) => {
+                Some(why)
+            }
             Some(task) => Some(format!("{} fetches the same weights", task.endpoint)),
             None if loads >= self.bounds.loads_per_minute as usize => Some(format!(
                 "{loads} loads within a minute, as many as the weight store takes"
--- a/crates/controller/src/reconcile.rs
+++ b/crates/controller/src/reconcile.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     authority::Authority,
-    book::{Book, Open, Release},
+    book::{Book, Open, Release, Stage},
     calls::Comparisons,
     config::Bounds,
     endpoints::Known,
@@ -46,8 +46,8 @@
     pub(crate) differences: Vec<Difference>,
     /// What gates tell of calls to versions that are being rolled out.
     pub(crate) comparisons: Comparisons,
-    /// Orders answered, by kind of answer: taken, lost, refused, stale.
-    pub(crate) answers: [u64; 4],
+    /// Orders answered, by kind of answer: taken, lost, refused, stale, refused by the weight store.
+    pub(crate) answers: [u64; 5],
     fencing: Option<u64>,
     revision: u64,
     in_force_since: Option<Instant>,
@@ -189,7 +189,11 @@
             }
         };
         let mut working = self.working();
-        working.count(&open, &answer);
+        // The answer to a repeat tells only of an order that came to an end.
+        let is_repeat = open.stage == Stage::Taken;
+        if !is_repeat || !matches!(answer, Answer::Taken | Answer::Lost(_) | Answer::Stale(_)) {
+            working.count(&open, &answer);
+        }
         working.book.answered(open.order, answer, Instant::now());
     }
 }
@@ -233,6 +237,7 @@
             Answer::Lost(why) => (1, Some(why)),
             Answer::Refused(why) => (2, Some(why)),
             Answer::Stale(why) => (3, Some(why)),
+            Answer::StoreRefused(why) => (4, Some(why)),
         };
         self.answers[kind] += 1;
         let (order, endpoint) = (open.order.to_string(), open.task.endpoint.clone());
--- a/crates/controller/src/status.rs
+++ b/crates/controller/src/status.rs
@@ -12,6 +12,7 @@
     order::Action,
     plan::Difference,
     reconcile::Reconciler,
+    store::{Refusal, Weight},
 };
 
 /// The controller's state as operators see it.
@@ -29,6 +30,30 @@
     differences: Vec<Difference>,
     orders: Vec<OrderStatus>,
     halted: Vec<Halted>,
+    /// Weights that the weight store refused, and when they are asked for again.
+    store_refusals: Vec<StoreRefusal>,
+}
+
+#[record]
+struct StoreRefusal {
+    model: String,
+    version: u32,
+    refusals: u32,
+    next_in_ms: u64,
+    why: String,
+}
+
+impl StoreRefusal {
+    fn of(weight: &Weight, refusal: &Refusal, now: Instant) -> Self {
+        let next_in = refusal.next.saturating_duration_since(now);
+        Self {
+            model: weight.model.clone(),
+            version: weight.version,
+            refusals: refusal.count,
+            next_in_ms: next_in.as_millis() as u64,
+            why: refusal.why.clone(),
+        }
+    }
 }
 
 #[record]
@@ -109,6 +134,7 @@
     let age = known.heard.map(|at| now.saturating_duration_since(at));
     let revision = reconciler.declared.borrow().as_ref().map(|d| d.revision);
     let working = reconciler.working();
+    let refusals = working.book.store().refusals().iter();
     Status {
         vm: vm.to_owned(),
         az: az.to_owned(),
@@ -125,6 +151,9 @@
             .map(|open| OrderStatus::of(open, now))
             .collect(),
         halted: halted(&working.book, reconciler.bounds.halt_after),
+        store_refusals: refusals
+            .map(|(weight, refusal)| StoreRefusal::of(weight, refusal, now))
+            .collect(),
     }
 }
 
--- a/crates/controller/tests/controllers.rs
+++ b/crates/controller/tests/controllers.rs
@@ -6,7 +6,10 @@
 
 use bench::{
     proxy::{Cut, Proxy, Rules},
-    stand_in::{Fault, StandIn},
+    stand_in::{
+        self, Fault, StandIn,
+        weight_store::{self, WeightStoreConfig},
+    },
 };
 use env::{Env, fencing, until_loaded, until_one_has};
 use membership::StageRole;
@@ -307,3 +310,47 @@
     let ordered: usize = engines.iter().map(|e| fencing(e).len()).sum();
     assert_eq!(ordered, 3);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_weight_store_that_refuses_is_asked_again_with_pauses_and_one_at_a_time() {
+    let mut env = Env::start().await;
+    env.declare(3, "horlogerie").await;
+    let store = weight_store::start(WeightStoreConfig {
+        model_bytes: 64 << 10,
+        bytes_per_second: 256 << 10,
+    });
+    let store = store.await.unwrap();
+    store.set_refusing(true);
+    let mut engines = Vec::new();
+    for at in 0..4 {
+        let mut cfg = env.engine_config(&format!("e{at}"), 3, true);
+        cfg.engine.weight_store = Some(store.url());
+        engines.push(stand_in::start(cfg).await.unwrap());
+    }
+    let controller = env.controller_with("c", "settle_ms = 100\nshare_percent = 100\n");
+    controller
+        .until("it knows all", |s| s["endpoints"] == 4)
+        .await;
+    env.declare(4, "horlogerie").await;
+    let status = controller
+        .until("it says what the store refused", |s| {
+            s["store_refusals"][0]["refusals"].as_u64() >= Some(3)
+        })
+        .await;
+    assert_eq!(status["store_refusals"][0]["version"], 4, "{status:#}");
+    assert_eq!(status["halted"], serde_json::json!([]), "{status:#}");
+    let why = status["store_refusals"][0]["why"].as_str().unwrap();
+    assert!(why.contains("503"), "{why}");
+    let fetches = status["store_refusals"][0]["refusals"].as_u64().unwrap();
+    assert!(store.refused() <= fetches + 1, "one fetch a refusal");
+    store.set_refusing(false);
+    for engine in &engines {
+        until_loaded(engine, &[4]).await;
+    }
+    assert_eq!((store.given(), store.most_open()), (4, 1));
+    controller
+        .until("the refusals are over", |s| {
+            s["store_refusals"] == serde_json::json!([])
+        })
+        .await;
+}
--- a/crates/controller/tests/env/mod.rs
+++ b/crates/controller/tests/env/mod.rs
@@ -161,7 +161,7 @@
         })
     }
 
-    fn engine_config(&self, name: &str, version: u32, checks_fencing: bool) -> StandInConfig {
+    pub fn engine_config(&self, name: &str, version: u32, checks_fencing: bool) -> StandInConfig {
         let mut cfg = StandInConfig::new(name, SERVICE, "z", Kind::Engine);
         cfg.gates = vec![format!("http://{}", self.gate.http)];
         cfg.checks_fencing = checks_fencing;
