Swap versions one at a time where an engine has no memory for two

Cause: the controller always loaded a new version beside the old one; an engine with room for one refused, twice, and the rollout halted for good.

model_mb and endpoint_mb declare sizes, a 507 teaches them; gates of the availability zone are told to send a draining engine nothing new; then unload, then load, one engine at a time, never the last that serves or does its part. Ruled out: waiting for announced load to fall to zero (load reaches the controller only with other changes).

Shown by tests/controllers.rs under load (no request failed; 0 refusals declared, 1 not; a single engine left alone) and tests/memory.rs (64 cases, lost answers).

--- a/crates/bench/src/stand_in/config.rs
+++ b/crates/bench/src/stand_in/config.rs
@@ -42,6 +42,8 @@
     pub load_time: Duration,
     /// Weight store from which models are fetched, `http://IP:PORT`.
     pub weight_store: Option<String>,
+    /// Models for which it has memory at one time; `None` for any number.
+    pub max_models: Option<usize>,
 }
 
 impl Default for EngineConfig {
@@ -58,6 +60,7 @@
             event_gap: 17,
             load_time: Duration::from_millis(300),
             weight_store: None,
+            max_models: None,
         }
     }
 }
--- a/crates/bench/src/stand_in/orders.rs
+++ b/crates/bench/src/stand_in/orders.rs
@@ -145,6 +145,13 @@
         return problem(StatusCode::CONFLICT, "", &detail, true);
     }
     obeyed.fencing = obeyed.fencing.max(fencing);
+    let is_new = |m: &LoadedModel| m.model != order.model || m.version != order.version;
+    let beside = obeyed.models.iter().filter(|m| is_new(m)).count();
+    let most = shared.cfg.engine.max_models.unwrap_or(usize::MAX);
+    if order.action == Action::Load && beside >= most {
+        let detail = format!("no memory for another model beside {beside}");
+        return problem(StatusCode::INSUFFICIENT_STORAGE, "", &detail, true);
+    }
     let answer = json!({ "order": order.id, "state": "accepted" });
     obeyed.answers.insert(order.id.clone(), answer.clone());
     drop(obeyed);
--- a/crates/controller/src/book.rs
+++ b/crates/controller/src/book.rs
@@ -1,7 +1,7 @@
 //! Open orders, and what earlier ones tell about each version.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     time::Duration,
 };
 
@@ -97,6 +97,8 @@
     settled: HashMap<String, Instant>,
     loads: Vec<Instant>,
     store: Store,
+    no_room: BTreeSet<Release>,
+    draining: BTreeMap<String, Instant>,
 }
 
 /// Whether `endpoint` is as `task` asks.
@@ -135,6 +137,24 @@
         &self.store
     }
 
+    /// Whether an endpoint had no memory for `release` beside another version.
+    pub fn has_no_room(&self, release: &Release) -> bool {
+        self.no_room.contains(release)
+    }
+
+    /// Endpoints that get no new calls, since when.
+    pub fn draining(&self) -> &BTreeMap<String, Instant> {
+        &self.draining
+    }
+
+    /// Sets which endpoints get no new calls from `now` on; others get calls again.
+    pub fn drain(&mut self, endpoints: Vec<String>, now: Instant) {
+        let before = std::mem::take(&mut self.draining);
+        let since = |name: &String| before.get(name).copied().unwrap_or(now);
+        let drained = endpoints.into_iter().map(|name| (since(&name), name));
+        self.draining = drained.map(|(since, name)| (name, since)).collect();
+    }
+
     /// Halts the rollout of `release`; the first fall found stands.
     pub fn halt(&mut self, release: Release, fall: Fall) {
         self.falls.entry(release).or_insert(fall);
@@ -233,7 +253,11 @@
                 open.next = now + doubled.min(MAX_BACKOFF);
                 open.last = Some(why);
             }
-            Answer::Refused(why) => {
+            Answer::NoRoom(_) if self.no_room.insert(release(open)) => {
+                let endpoint = open.task.endpoint.clone();
+                self.close(&endpoint);
+            }
+            Answer::Refused(why) | Answer::NoRoom(why) => {
                 let endpoint = open.task.endpoint.clone();
                 self.shunned.insert(endpoint.clone(), now + AFTER_REFUSAL);
                 self.fail(&endpoint, format!("{endpoint} refused: {why}"));
@@ -276,6 +300,7 @@
     pub fn keep_failures(&mut self, is_wanted: impl Fn(&Release) -> bool) {
         self.failures.retain(|release, _| is_wanted(release));
         self.falls.retain(|release, _| is_wanted(release));
+        self.no_room.retain(|release| is_wanted(release));
     }
 
     /// Forgets everything but the failures: another controller may have given orders since.
--- a/crates/controller/src/calls.rs
+++ b/crates/controller/src/calls.rs
@@ -117,13 +117,23 @@
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tick.tick().await;
-        let services = reconciler.working().comparisons.services();
-        if services.is_empty() {
+        let req = {
+            let working = reconciler.working();
+            CallsRequest {
+                services: working.comparisons.services(),
+                draining: working.book.draining().keys().cloned().collect(),
+            }
+        };
+        if req.services.is_empty() && req.draining.is_empty() {
             continue;
         }
+        // Counts of a few gates are enough; drains must be known to all.
+        let most = match req.draining.is_empty() {
+            true => MAX_GATES,
+            false => gates.len(),
+        };
         let is_near = |peer: &&Peer| peer.identity().is_some_and(|identity| identity.az == az);
-        let near = gates.iter().filter(is_near).take(MAX_GATES);
-        let req = CallsRequest { services };
+        let near = gates.iter().filter(is_near).take(most);
         let replies = join_all(near.map(|gate| ask(gate, &req))).await;
         reconciler.take_calls(&req.services, replies.into_iter().flatten());
     }
--- a/crates/controller/src/config.rs
+++ b/crates/controller/src/config.rs
@@ -40,6 +40,8 @@
     pub loads_per_minute: u32,
     /// How long gates may take to follow a change before old versions are unloaded.
     pub follow: Duration,
+    /// How long calls to an endpoint may take to end before it swaps versions.
+    pub drain: Duration,
 }
 
 impl Default for Bounds {
@@ -53,6 +55,7 @@
             share_percent: 25,
             loads_per_minute: 60,
             follow: Duration::from_secs(10),
+            drain: Duration::from_secs(10),
         }
     }
 }
@@ -83,6 +86,7 @@
         let load = ms("load_ms", default.load, 100, 3_600_000);
         let settle = ms("settle_ms", default.settle, 0, 3_600_000);
         let follow = ms("follow_ms", default.follow, 0, 3_600_000);
+        let drain = ms("drain_ms", default.drain, 0, 3_600_000);
         let mut n = |key, default: u32, low, high| {
             r.number(SECTION, key, u64::from(default), low, high) as u32
         };
@@ -92,6 +96,7 @@
             load,
             settle,
             follow,
+            drain,
             halt_after: n("halt_after", default.halt_after, 1, 1_000),
             share_percent: n("share_percent", default.share_percent, 1, 100),
             loads_per_minute: n("loads_per_minute", default.loads_per_minute, 1, 60_000),
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -16,6 +16,7 @@
 mod start;
 mod status;
 pub mod store;
+mod swap;
 
 pub mod authority;
 pub mod book;
--- a/crates/controller/src/order.rs
+++ b/crates/controller/src/order.rs
@@ -117,6 +117,8 @@
     Refused(String),
     /// It took the order, and the weight store refused what it asked for.
     StoreRefused(String),
+    /// It has no memory for the model beside what it has.
+    NoRoom(String),
     /// No answer, or one that asks to come back; the order may or may not have been taken.
     Lost(String),
 }
@@ -144,6 +146,7 @@
             match status.as_u16() {
                 200..300 => outcome(&body),
                 409 => Answer::Stale(text),
+                507 => Answer::NoRoom(text),
                 408 | 425 | 429 | 500.. => Answer::Lost(format!("{status}: {text}")),
                 _ => Answer::Refused(format!("{status}: {text}")),
             }
--- a/crates/controller/src/pages.rs
+++ b/crates/controller/src/pages.rs
@@ -64,7 +64,14 @@
 
 /// The numbers as they are now.
 fn registry(reconciler: &Reconciler) -> prometheus::Result<Registry> {
-    const ANSWERS: [&str; 5] = ["taken", "lost", "refused", "stale", "store_refused"];
+    const ANSWERS: [&str; 6] = [
+        "taken",
+        "lost",
+        "refused",
+        "stale",
+        "store_refused",
+        "no_room",
+    ];
     let registry = Registry::new();
     let gauge = |name: &str, help: &str, value: usize| -> prometheus::Result<()> {
         let gauge = IntGauge::new(format!("jujube_controller_{name}"), help)?;
--- a/crates/controller/src/plan.rs
+++ b/crates/controller/src/plan.rs
@@ -47,15 +47,17 @@
 pub struct Plan {
     /// Orders to enter, each with the endpoint's service.
     pub tasks: Vec<(String, Task)>,
+    /// Endpoints that are to get no new calls.
+    pub drains: Vec<String>,
     /// What differs.
     pub differences: Vec<Difference>,
 }
 
 /// The model that a service's endpoints are to have.
 #[derive(Clone, Copy, Debug)]
-struct Target<'a> {
-    model: &'a str,
-    version: u32,
+pub(crate) struct Target<'a> {
+    pub(crate) model: &'a str,
+    pub(crate) version: u32,
     adapters: &'a [String],
 }
 
@@ -71,7 +73,7 @@
         }
     }
 
-    fn is_it(&self, loaded: &LoadedModel) -> bool {
+    pub(crate) fn is_it(&self, loaded: &LoadedModel) -> bool {
         loaded.model == self.model && loaded.version == self.version
     }
 }
@@ -103,13 +105,13 @@
 }
 
 #[derive(Clone, Copy)]
-struct Planner<'a> {
-    world: &'a World<'a>,
-    book: &'a Book,
-    bounds: &'a Bounds,
-    service: &'a str,
-    declared: &'a Service,
-    target: Target<'a>,
+pub(crate) struct Planner<'a> {
+    pub(crate) world: &'a World<'a>,
+    pub(crate) book: &'a Book,
+    pub(crate) bounds: &'a Bounds,
+    pub(crate) service: &'a str,
+    pub(crate) declared: &'a Service,
+    pub(crate) target: Target<'a>,
 }
 
 impl Planner<'_> {
@@ -128,6 +130,7 @@
         let done = ready.iter().filter(is_done).count();
         for endpoint in &ready {
             match is_followed(endpoint, &self.target.load(endpoint)) {
+                false if !self.fits(endpoint) => self.plan_swap(plan, endpoint, &ready),
                 false => self.plan_load(plan, endpoint, ready.len()),
                 true => self.plan_unload(plan, endpoint, ready.len(), done),
             }
@@ -161,7 +164,7 @@
         let hindrance = self
             .open_order(name)
             .or_else(|| is_changing(endpoint).then(|| "another order goes first".to_owned()))
-            .or_else(|| roles::left_alone(endpoint.role, role, &staying))
+            .or_else(|| roles::left_alone(endpoint.role, Some(role), &staying))
             .or_else(|| self.hindrance(plan, name, ready.len()));
         let differs = format!("has role {}, not {}", word(endpoint.role), word(role));
         match hindrance {
@@ -233,7 +236,7 @@
         }
     }
 
-    fn open_order(&self, endpoint: &str) -> Option<String> {
+    pub(crate) fn open_order(&self, endpoint: &str) -> Option<String> {
         let open = self.book.open().get(endpoint)?;
         let last = open.last.as_deref().unwrap_or("nothing heard yet");
         Some(match open.stage {
@@ -244,17 +247,20 @@
         })
     }
 
-    fn halted(&self) -> Option<String> {
-        let release = Release {
+    pub(crate) fn release(&self) -> Release {
+        Release {
             service: self.service.to_owned(),
             model: self.target.model.to_owned(),
             version: self.target.version,
-        };
-        self.book.halted(&release, self.bounds.halt_after)
+        }
+    }
+
+    pub(crate) fn halted(&self) -> Option<String> {
+        self.book.halted(&self.release(), self.bounds.halt_after)
     }
 
     /// Why no other endpoint of the service may change now.
-    fn hindrance(&self, plan: &Plan, endpoint: &str, ready: usize) -> Option<String> {
+    pub(crate) fn hindrance(&self, plan: &Plan, endpoint: &str, ready: usize) -> Option<String> {
         let planned = plan
             .tasks
             .iter()
@@ -285,7 +291,7 @@
     }
 
     /// Why the weight store may not be asked now: one fetch of a weight at a time, and its rate.
-    fn store_hindrance(&self, plan: &Plan) -> Option<String> {
+    pub(crate) fn store_hindrance(&self, plan: &Plan) -> Option<String> {
         let is_same = |task: &Task| {
             let weight = (task.model.as_str(), task.version);
             task.action == Action::Load && weight == (self.target.model, self.target.version)
@@ -311,7 +317,7 @@
         }
     }
 
-    fn differs(&self, plan: &mut Plan, endpoint: &str, differs: String, why: &str) {
+    pub(crate) fn differs(&self, plan: &mut Plan, endpoint: &str, differs: String, why: &str) {
         plan.differences.push(Difference {
             service: self.service.to_owned(),
             endpoint: endpoint.to_owned(),
--- a/crates/controller/src/reconcile.rs
+++ b/crates/controller/src/reconcile.rs
@@ -46,8 +46,9 @@
     pub(crate) differences: Vec<Difference>,
     /// What gates tell of calls to versions that are being rolled out.
     pub(crate) comparisons: Comparisons,
-    /// Orders answered, by kind of answer: taken, lost, refused, stale, refused by the weight store.
-    pub(crate) answers: [u64; 5],
+    /// Orders answered, by kind of answer: taken, lost, refused, stale, refused by the weight store,
+    /// no room.
+    pub(crate) answers: [u64; 6],
     fencing: Option<u64>,
     revision: u64,
     in_force_since: Option<Instant>,
@@ -137,6 +138,7 @@
         working.book.review(&known.endpoints, &self.bounds, now);
         let planned = plan(&world, &working.book, &self.bounds);
         working.note_differences(planned.differences, services);
+        working.book.drain(planned.drains, now);
         for (service, task) in planned.tasks {
             let attempt = working.book.attempt(&task);
             let order = task.order_id(in_force.revision, attempt);
@@ -221,6 +223,7 @@
 
     fn lose_authority(&mut self) {
         if self.fencing.take().is_some() {
+            self.book.drain(Vec::new(), Instant::now());
             self.book.forget();
         }
     }
@@ -238,6 +241,7 @@
             Answer::Refused(why) => (2, Some(why)),
             Answer::Stale(why) => (3, Some(why)),
             Answer::StoreRefused(why) => (4, Some(why)),
+            Answer::NoRoom(why) => (5, Some(why)),
         };
         self.answers[kind] += 1;
         let (order, endpoint) = (open.order.to_string(), open.task.endpoint.clone());
--- a/crates/controller/src/roles.rs
+++ b/crates/controller/src/roles.rs
@@ -46,17 +46,17 @@
         .collect()
 }
 
-/// What nobody would do any more if an endpoint went from role `from` to `to`, where only those in
-/// `staying` keep their roles.
+/// What nobody would do any more if an endpoint went from role `from` to `to`, or served no more,
+/// where only those in `staying` keep their roles.
 pub(crate) fn left_alone(
     from: StageRole,
-    to: StageRole,
+    to: Option<StageRole>,
     staying: &[&EndpointView],
 ) -> Option<String> {
     let does = |role: StageRole, part: StageRole| role == part || role == StageRole::Both;
     let is_lost = |part: &StageRole| {
         let others = staying.iter().any(|e| does(e.role, *part));
-        does(from, *part) && !does(to, *part) && !others
+        does(from, *part) && !to.is_some_and(|to| does(to, *part)) && !others
     };
     let parts = [StageRole::Prefill, StageRole::Decode];
     let lost = parts.into_iter().find(is_lost)?;
--- /dev/null
+++ b/crates/controller/src/swap.rs
@@ -0,0 +1,109 @@
+//! Replacing a version at endpoints that have no memory for two: they drain, unload and load, one
+//! endpoint of a service at a time.
+
+use membership::{EndpointView, LoadedModel};
+
+use crate::{
+    order::{Action, Task},
+    plan::{Plan, Planner},
+    roles,
+};
+
+impl Planner<'_> {
+    /// Whether the declared version may be loaded beside what `endpoint` has: no, where that is
+    /// declared not to fit or was refused for lack of memory.
+    pub(crate) fn fits(&self, endpoint: &EndpointView) -> bool {
+        let has_it = endpoint.models.iter().any(|m| self.target.is_it(m));
+        let beside = endpoint.models.len() as u64;
+        if has_it || beside == 0 {
+            return true;
+        }
+        let declared = self.declared.model_mb.zip(self.declared.endpoint_mb);
+        let is_too_large =
+            declared.is_some_and(|(model, all)| u64::from(model) * (beside + 1) > u64::from(all));
+        !is_too_large && !self.book.has_no_room(&self.release())
+    }
+
+    /// Drains `endpoint`, and then unloads what stands in the way of the declared version.
+    pub(crate) fn plan_swap(
+        &self,
+        plan: &mut Plan,
+        endpoint: &EndpointView,
+        ready: &[&EndpointView],
+    ) {
+        let Some(old) = endpoint.models.first() else {
+            return;
+        };
+        let name = &endpoint.endpoint;
+        let (model, version) = (self.target.model, self.target.version);
+        let differs = format!(
+            "lacks {model} version {version}, which does not fit beside {} version {}",
+            old.model, old.version
+        );
+        let drained = self.book.draining().get(name);
+        let first = self.open_order(name).or_else(|| self.halted());
+        let hindrance = match drained {
+            Some(_) => first,
+            None => first
+                .or_else(|| self.swap_hindrance(plan, endpoint, ready))
+                .or_else(|| self.hindrance(plan, name, ready.len()))
+                .or_else(|| self.store_hindrance(plan)),
+        };
+        let is_unloading = self.book.open().contains_key(name);
+        if hindrance.is_none() || (drained.is_some() && is_unloading) {
+            plan.drains.push(name.clone());
+        }
+        let is_drained = drained.is_some_and(|since| self.world.now >= *since + self.bounds.drain);
+        match hindrance {
+            Some(why) => self.differs(plan, name, differs, &why),
+            None if !is_drained => {
+                let why = "it gets no new calls, and unloads once those under way have ended";
+                self.differs(plan, name, differs, why);
+            }
+            None => {
+                self.differs(plan, name, differs, "an order is being sent");
+                plan.tasks
+                    .push((self.service.to_owned(), unload(endpoint, old)));
+            }
+        }
+    }
+
+    /// Why `endpoint` may not stop serving now.
+    fn swap_hindrance(
+        &self,
+        plan: &Plan,
+        endpoint: &EndpointView,
+        ready: &[&EndpointView],
+    ) -> Option<String> {
+        let serves = |e: &EndpointView| e.models.iter().any(|m| m.model == self.target.model);
+        let is_out = |e: &EndpointView| {
+            e.models.is_empty()
+                || self.book.draining().contains_key(&e.endpoint)
+                || plan.drains.contains(&e.endpoint)
+        };
+        let others = ready.iter().filter(|e| e.endpoint != endpoint.endpoint);
+        let (out, others): (Vec<&EndpointView>, Vec<&EndpointView>) =
+            others.copied().partition(|e| is_out(e));
+        let staying: Vec<&EndpointView> = others.into_iter().filter(|e| serves(e)).collect();
+        match out.first() {
+            Some(other) => Some(format!("{} swaps versions first", other.endpoint)),
+            // It has another model, which nothing asks for any more.
+            None if !serves(endpoint) => None,
+            None if staying.is_empty() => {
+                Some("no other endpoint would serve; add one, or give it more memory".to_owned())
+            }
+            None => roles::left_alone(endpoint.role, None, &staying),
+        }
+    }
+}
+
+fn unload(endpoint: &EndpointView, old: &LoadedModel) -> Task {
+    Task {
+        endpoint: endpoint.endpoint.clone(),
+        incarnation: endpoint.incarnation,
+        action: Action::Unload,
+        model: old.model.clone(),
+        version: old.version,
+        adapters: Vec::new(),
+    }
+}
--- a/crates/controller/tests/controllers.rs
+++ b/crates/controller/tests/controllers.rs
@@ -354,3 +354,67 @@
         })
         .await;
 }
+
+/// Engines with memory for one version change it under load; `keys` are those of the service.
+async fn versions_are_swapped(keys: &str, most_refused: usize) {
+    let mut env = Env::start().await;
+    env.declare_with(3, "horlogerie", keys).await;
+    let mut engines = Vec::new();
+    for at in 0..3 {
+        let mut cfg = env.engine_config(&format!("e{at}"), 3, true);
+        cfg.engine.max_models = Some(1);
+        engines.push(stand_in::start(cfg).await.unwrap());
+    }
+    let controller = env.controller_with("c", "settle_ms = 100\ndrain_ms = 1500\n");
+    controller
+        .until("it knows all", |s| s["endpoints"] == 3)
+        .await;
+    let load = env.load();
+    env.declare_with(4, "horlogerie", keys).await;
+    controller
+        .until("every engine has version 4 and at most one has none", |s| {
+            let without = engines.iter().filter(|e| e.models().is_empty()).count();
+            assert!(without <= 1, "{s:#}");
+            let has = |e: &StandIn| e.models().iter().any(|m| m.version == 4);
+            engines.iter().all(has)
+        })
+        .await;
+    let (answered, failed) = load.stop().await;
+    assert!(failed.is_empty(), "{failed:?}");
+    assert!(answered > 100, "{answered}");
+    let metrics = controller.get("/metrics").await;
+    let refused = metrics.lines().find_map(|line| {
+        let count = line.strip_prefix("jujube_controller_orders_total{answer=\"no_room\"} ")?;
+        count.parse::<usize>().ok()
+    });
+    assert_eq!(refused, Some(most_refused), "{metrics}");
+    assert_eq!(controller.status().await["halted"], serde_json::json!([]));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_version_declared_not_to_fit_beside_another_is_never_ordered_there() {
+    versions_are_swapped("model_mb = 600\nendpoint_mb = 1000\n", 0).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_refusal_for_lack_of_memory_is_enough_to_swap_instead() {
+    versions_are_swapped("", 1).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_only_engine_is_not_emptied_to_make_room() {
+    let mut env = Env::start().await;
+    let keys = "model_mb = 600\nendpoint_mb = 1000\n";
+    let engine = env.engine("e", 3, true).await;
+    let controller = env.controller("c");
+    env.declare_with(4, "horlogerie", keys).await;
+    controller
+        .until("it says why", |s| {
+            let why = s["differences"][0]["why"].as_str().unwrap_or_default();
+            why.starts_with("no other endpoint would serve")
+        })
+        .await;
+    sleep(Duration::from_secs(1)).await;
+    assert!(fencing(&engine).is_empty());
+    until_loaded(&engine, &[3]).await;
+}
--- /dev/null
+++ b/crates/controller/tests/memory.rs
@@ -0,0 +1,112 @@
+//! Versions swapped where an endpoint has memory for one, whatever becomes of orders.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use controller::{
+    Bounds,
+    book::Book,
+    order::{Action, Answer},
+    plan::{World, plan},
+};
+use declaration::{Service, ServiceKind};
+use membership::{EndpointState, EndpointView, LoadedModel, StageRole};
+use proptest::prelude::*;
+use tokio::time::Instant;
+use uuid::Uuid;
+
+const STEP: Duration = Duration::from_millis(500);
+
+fn loaded(version: u32) -> LoadedModel {
+    LoadedModel {
+        model: "m".to_owned(),
+        version,
+        adapters: Vec::new(),
+    }
+}
+
+fn endpoint(at: usize) -> EndpointView {
+    EndpointView {
+        endpoint: format!("e{at}"),
+        service: "s".to_owned(),
+        az: "z".to_owned(),
+        address: "http://127.0.0.1:9000".to_owned(),
+        incarnation: Uuid::from_u128(1),
+        state: EndpointState::Ready,
+        models: vec![loaded(3)],
+        role: StageRole::Both,
+        checks_fencing: true,
+        calls: 0,
+        silent_ms: 0,
+    }
+}
+
+fn service(is_declared: bool) -> BTreeMap<String, Service> {
+    let service = Service {
+        kind: ServiceKind::Engine,
+        repeatable: true,
+        model: Some("m".to_owned()),
+        version: Some(4),
+        adapters: Vec::new(),
+        max_tokens: 16,
+        roles: None,
+        model_mb: is_declared.then_some(600),
+        endpoint_mb: is_declared.then_some(1_000),
+    };
+    BTreeMap::from([("s".to_owned(), service)])
+}
+
+fn obey(endpoint: &mut EndpointView, action: Action, version: u32, is_lost: bool) -> Answer {
+    match action {
+        Action::Load if endpoint.models.iter().any(|m| m.version != version) => {
+            return Answer::NoRoom("no memory".to_owned());
+        }
+        Action::Load => endpoint.models = vec![loaded(version)],
+        Action::Unload => endpoint.models.retain(|m| m.version != version),
+        Action::Role(_) => {}
+    }
+    match is_lost {
+        true => Answer::Lost("no answer".to_owned()),
+        false => Answer::Taken,
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, cases: 64, ..ProptestConfig::default() })]
+
+    #[test]
+    fn endpoints_swap_one_at_a_time_after_they_have_drained(
+        count in 2..9_usize, is_declared: bool, lost in prop::collection::vec(any::<bool>(), 16),
+    ) {
+        let mut endpoints: BTreeMap<String, EndpointView> =
+            (0..count).map(endpoint).map(|e| (e.endpoint.clone(), e)).collect();
+        let (services, mut book, bounds) = (service(is_declared), Book::default(), Bounds::default());
+        let (start, mut refused) = (Instant::now(), 0);
+        for turn in 0..800_u32 {
+            let now = start + STEP * turn;
+            book.review(&endpoints, &bounds, now);
+            let world = World { services: &services, endpoints: &endpoints, in_force: STEP * turn, now };
+            let planned = plan(&world, &book, &bounds);
+            for (_, task) in planned.tasks.iter().filter(|(_, t)| t.action == Action::Unload) {
+                let since = book.draining().get(&task.endpoint);
+                prop_assert!(since.is_some_and(|since| now >= *since + bounds.drain));
+            }
+            book.drain(planned.drains, now);
+            for (service, task) in planned.tasks {
+                let order = task.order_id(1, book.attempt(&task));
+                book.enter(task, order, &service, now);
+            }
+            for open in book.take_due(now, |_| true) {
+                let target = endpoints.get_mut(&open.task.endpoint).unwrap();
+                let is_lost = lost[turn as usize % lost.len()] && turn % 4 != 0;
+                let answer = obey(target, open.task.action, open.task.version, is_lost);
+                refused += u32::from(matches!(answer, Answer::NoRoom(_)));
+                book.answered(open.order, answer, now);
+            }
+            let serving = endpoints.values().filter(|e| !e.models.is_empty());
+            let serving = serving.filter(|e| !book.draining().contains_key(&e.endpoint)).count();
+            prop_assert!(serving + 1 >= count, "{serving} of {count} serve");
+        }
+        prop_assert!(endpoints.values().all(|e| e.models == [loaded(4)]));
+        prop_assert_eq!(refused, u32::from(!is_declared));
+    }
+}
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -12,6 +12,7 @@
 mod calls;
 mod config;
 mod connection;
+mod draining;
 mod endpoints;
 mod engine;
 mod exchange;
--- a/crates/gate/src/route.rs
+++ b/crates/gate/src/route.rs
@@ -19,6 +19,7 @@
 
 use crate::{
     calls::{Calls, Counter, Ended},
+    draining::Draining,
     engine::Cached,
     rollout::Rollouts,
 };
@@ -39,6 +40,8 @@
     rollouts: Rollouts,
     /// What became of calls by model version, for controllers.
     calls: Calls,
+    /// Endpoints that controllers drain.
+    draining: Draining,
     /// Time to the first part of an answer, by which hedges are sent.
     firsts: Latencies,
 }
@@ -113,6 +116,7 @@
             totals,
             rollouts: Rollouts::default(),
             calls: Calls::default(),
+            draining: Draining::default(),
             table,
         }
     }
@@ -164,6 +168,21 @@
 
     /// Chooses an endpoint for a call.
     pub(crate) fn pick(&self, need: &Need<'_>) -> Result<Picked, NoEndpoint> {
+        let Some(avoid) = self.draining.avoided(need.avoid) else {
+            return self.pick_any(need);
+        };
+        let spared = Need {
+            avoid: &avoid,
+            ..*need
+        };
+        match self.pick_any(&spared) {
+            // A draining endpoint is better than none.
+            Err(NoEndpoint::AllTried) => self.pick_any(need),
+            picked => picked,
+        }
+    }
+
+    fn pick_any(&self, need: &Need<'_>) -> Result<Picked, NoEndpoint> {
         let service = need.service;
         let model = service.model.as_deref().zip(service.version);
         let routed = routing::Need {
@@ -200,6 +219,7 @@
             return Vec::new();
         };
         self.rollouts.note_asked(&req.services);
+        self.draining.note(req.draining);
         let reply: CallsReply = self.calls.told(&req.services);
         link::encode(&reply)
     }
--- a/crates/link/src/calls.rs
+++ b/crates/link/src/calls.rs
@@ -6,11 +6,16 @@
 /// Most services about which one request may ask; further ones are left out of the answer.
 pub const MAX_SERVICES: usize = 64;
 
+/// Most endpoints that drain at one time; further ones go on getting calls.
+pub const MAX_DRAINING: usize = 64;
+
 /// Asks on `Channel::Calls` about services that are being rolled out.
 #[record]
 pub struct CallsRequest {
     /// The services.
     pub services: Vec<String>,
+    /// Endpoints that are to get no new calls for now.
+    pub draining: Vec<String>,
 }
 
 /// The answer to [`CallsRequest`].
