--- a/crates/gate/src/failure.rs
+++ b/crates/gate/src/failure.rs
@@ -48,12 +48,12 @@
     /// The stream continued with other text than was passed on before.
     #[error("the resumed stream differs from the text passed on before")]
     Diverged,
+    /// The stream lagged and goes on elsewhere, which was paid for.
+    #[error("the stream lagged so far that its deadline was at risk; it goes on elsewhere")]
+    Lagging,
     /// The request's deadline came first.
     #[error("no time left before the deadline")]
     Deadline,
-    /// The caller is gone.
-    #[error("the caller has hung up")]
-    CallerGone,
 }
 
 impl CallError {
@@ -61,7 +61,7 @@
     pub(crate) fn is_worth_retrying(&self) -> bool {
         match self {
             Self::Status { status, .. } => *status >= 500 || matches!(status, 408 | 429),
-            Self::Deadline | Self::CallerGone | Self::TooLarge(_) => false,
+            Self::Deadline | Self::TooLarge(_) => false,
             _ => true,
         }
     }
