--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -15,6 +15,8 @@
 pub mod roles;
 mod start;
 mod status;
+pub mod store;
+mod swap;
 
 pub mod authority;
 pub mod book;
--- a/crates/controller/tests/controllers.rs
+++ b/crates/controller/tests/controllers.rs
@@ -6,7 +6,10 @@
 
 use bench::{
     proxy::{Cut, Proxy, Rules},
-    stand_in::{Fault, StandIn},
+    stand_in::{
+        self, Fault, StandIn,
+        weight_store::{self, WeightStoreConfig},
+    },
 };
 use env::{Env, fencing, until_loaded, until_one_has};
 use membership::StageRole;
@@ -307,3 +310,111 @@
     let ordered: usize = engines.iter().map(|e| fencing(e).len()).sum();
     assert_eq!(ordered, 3);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_weight_store_that_refuses_is_asked_again_with_pauses_and_one_at_a_time() {
+    let mut env = Env::start().await;
+    env.declare(3, "horlogerie").await;
+    let store = weight_store::start(WeightStoreConfig {
+        model_bytes: 64 << 10,
+        bytes_per_second: 256 << 10,
+    });
+    let store = store.await.unwrap();
+    store.set_refusing(true);
+    let mut engines = Vec::new();
+    for at in 0..4 {
+        let mut cfg = env.engine_config(&format!("e{at}"), 3, true);
+        cfg.engine.weight_store = Some(store.url());
+        engines.push(stand_in::start(cfg).await.unwrap());
+    }
+    let controller = env.controller_with("c", "settle_ms = 100\nshare_percent = 100\n");
+    controller
+        .until("it knows all", |s| s["endpoints"] == 4)
+        .await;
+    env.declare(4, "horlogerie").await;
+    let status = controller
+        .until("it says what the store refused", |s| {
+            s["store_refusals"][0]["refusals"].as_u64() >= Some(3)
+        })
+        .await;
+    assert_eq!(status["store_refusals"][0]["version"], 4, "{status:#}");
+    assert_eq!(status["halted"], serde_json::json!([]), "{status:#}");
+    let why = status["store_refusals"][0]["why"].as_str().unwrap();
+    assert!(why.contains("503"), "{why}");
+    let fetches = status["store_refusals"][0]["refusals"].as_u64().unwrap();
+    assert!(store.refused() <= fetches + 1, "one fetch a refusal");
+    store.set_refusing(false);
+    for engine in &engines {
+        until_loaded(engine, &[4]).await;
+    }
+    assert_eq!((store.given(), store.most_open()), (4, 1));
+    controller
+        .until("the refusals are over", |s| {
+            s["store_refusals"] == serde_json::json!([])
+        })
+        .await;
+}
+
+/// Engines with memory for one version change it under load; `keys` are those of the service.
+async fn versions_are_swapped(keys: &str, most_refused: usize) {
+    let mut env = Env::start().await;
+    env.declare_with(3, "horlogerie", keys).await;
+    let mut engines = Vec::new();
+    for at in 0..3 {
+        let mut cfg = env.engine_config(&format!("e{at}"), 3, true);
+        cfg.engine.max_models = Some(1);
+        engines.push(stand_in::start(cfg).await.unwrap());
+    }
+    let controller = env.controller_with("c", "settle_ms = 100\ndrain_ms = 1500\n");
+    controller
+        .until("it knows all", |s| s["endpoints"] == 3)
+        .await;
+    let load = env.load();
+    env.declare_with(4, "horlogerie", keys).await;
+    controller
+        .until("every engine has version 4 and at most one has none", |s| {
+            let without = engines.iter().filter(|e| e.models().is_empty()).count();
+            assert!(without <= 1, "{s:#}");
+            let has = |e: &StandIn| e.models().iter().any(|m| m.version == 4);
+            engines.iter().all(has)
+        })
+        .await;
+    let (answered, failed) = load.stop().await;
+    assert!(failed.is_empty(), "{failed:?}");
+    assert!(answered > 100, "{answered}");
+    let metrics = controller.get("/metrics").await;
+    let refused = metrics.lines().find_map(|line| {
+        let count = line.strip_prefix("jujube_controller_orders_total{answer=\"no_room\"} ")?;
+        count.parse::<usize>().ok()
+    });
+    assert_eq!(refused, Some(most_refused), "{metrics}");
+    assert_eq!(controller.status().await["halted"], serde_json::json!([]));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_version_declared_not_to_fit_beside_another_is_never_ordered_there() {
+    versions_are_swapped("model_mb = 600\nendpoint_mb = 1000\n", 0).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_refusal_for_lack_of_memory_is_enough_to_swap_instead() {
+    versions_are_swapped("", 1).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_only_engine_is_not_emptied_to_make_room() {
+    let mut env = Env::start().await;
+    let keys = "model_mb = 600\nendpoint_mb = 1000\n";
+    let engine = env.engine("e", 3, true).await;
+    let controller = env.controller("c");
+    env.declare_with(4, "horlogerie", keys).await;
+    controller
+        .until("it says why", |s| {
+            let why = s["differences"][0]["why"].as_str().unwrap_or_default();
+            why.starts_with("no other endpoint would serve")
+        })
+        .await;
+    sleep(Duration::from_secs(1)).await;
+    assert!(fencing(&engine).is_empty());
+    until_loaded(&engine, &[3]).await;
+}
