Make no call again at an endpoint that began to leave

Cause: a race makes a second call to its endpoint on a new connection where the first is silent or lost, and did not ask whether that endpoint still takes work. Ruled out: picks (they look at the state) and the queue of the endpoint (the calls had run there once already).

--- a/crates/gate/src/race.rs
+++ b/crates/gate/src/race.rs
@@ -145,7 +145,7 @@
                 }
                 schedule.new_socket = None;
                 cx.gate.pool.suspect(picked.address());
-                if cx.gate.route.spend_retry(stage.name) {
+                if may_call_again(cx, stage, work, &picked) {
                     cx.gate.metrics.retry(stage.name);
                     legs.push(leg(cx, stage, work, Arc::clone(&picked), Via::New));
                     tries.calls += 1;
@@ -190,6 +190,14 @@
     (is_other && cx.gate.route.spend_retry(stage.name)).then_some(other)
 }
 
+/// Whether the endpoint of a call may get another one, out of the retry budget. One that is leaving
+/// goes on with what it has, a cut stream among it, and gets nothing new.
+fn may_call_again(cx: &Running, stage: Stage<'_>, work: &Work<'_>, picked: &Picked) -> bool {
+    let route = &cx.gate.route;
+    let is_taken = work.is_resumption() || route.takes_new_work(stage.name, picked);
+    is_taken && route.spend_retry(stage.name)
+}
+
 async fn at(instant: Option<Instant>) {
     match instant {
         Some(instant) => sleep_until(instant).await,
@@ -211,7 +219,7 @@
         result => return result.map_err(|e| failed(cx, stage, &picked, e)),
     };
     cx.gate.pool.suspect(picked.address());
-    if !cx.gate.route.spend_retry(stage.name) {
+    if !may_call_again(cx, stage, work, &picked) {
         return Err(failed(cx, stage, &picked, lost));
     }
     cx.gate.metrics.retry(stage.name);
--- a/crates/gate/src/route.rs
+++ b/crates/gate/src/route.rs
@@ -9,7 +9,7 @@
 
 use declaration::{Pipeline, Priority, Service};
 use link::calls::{CallsReply, CallsRequest};
-use membership::Table;
+use membership::{Endpoint, Table};
 use routing::{
     Admission, AdmissionConfig, AdmissionStats, Applicant, BudgetConfig, CallOutcome, Latencies,
     ModelNeed, NoEndpoint, Observation, Pick, Refusal, RetryBudget, Reused, Router, RouterConfig,
@@ -260,6 +260,16 @@
         self.router.ejections()
     }
 
+    /// Whether the endpoint `picked` of `service` takes new work still; one may have begun to leave
+    /// while a call to it waited.
+    pub(crate) fn takes_new_work(&self, service: &str, picked: &Picked) -> bool {
+        let now = Instant::now();
+        let is_it = |e: &Endpoint| e.announced.endpoint == picked.name();
+        let snapshot = self.table.service(service);
+        let mut endpoints = snapshot.iter().flat_map(|s| &s.endpoints);
+        endpoints.any(|e| is_it(e) && e.is_ready(now))
+    }
+
     /// Endpoints of `service` that are known.
     pub(crate) fn count(&self, service: &str) -> usize {
         self.table.service(service).map_or(0, |s| s.endpoints.len())
--- a/crates/gate/tests/requests.rs
+++ b/crates/gate/tests/requests.rs
@@ -245,3 +245,22 @@
     );
     assert_eq!(look.calls().len(), 1);
 }
+
+#[tokio::test]
+async fn a_silent_call_is_not_made_again_at_an_endpoint_that_began_to_leave() {
+    let env = Env::start().await;
+    let gate = env.gate("g").await;
+    let look = StandIn::start("look-1", "look", |_| Reply::Silent).await;
+    gate.knows(&look).await;
+    let leave = async {
+        look.until_called(1).await;
+        let mut leaving = look.announcement();
+        leaving["state"] = json!("leaving");
+        let told = env::client::post(gate.http, "/v1/announce", &[], &leaving).await;
+        assert_eq!(told.unwrap().status, 200);
+    };
+    let headers = [("jujube-deadline-ms", "5000")];
+    let (answer, ()) = tokio::join!(gate.ask("find", &headers, json!(1)), leave);
+    assert_eq!(answer.outcome(), "failed", "{}", answer.text());
+    assert_eq!(look.calls().len(), 1);
+}
