Run a streamed answer in its own task again

The hang-up of a streaming caller is still counted once, now by the task. cargo test -p gate: all passed.

--- a/crates/gate/src/callers.rs
+++ b/crates/gate/src/callers.rs
@@ -12,14 +12,18 @@
     prelude::{Request, Response},
 };
 use serde_json::value::RawValue;
-use tokio::time::{Duration, timeout_at};
+use tokio::{
+    sync::mpsc,
+    time::{Duration, timeout_at},
+};
 
 use crate::{
+    failure::CallError,
     gate::Gate,
     request::{self, Ask, bad, parse_key},
     run::{self, Answer},
     sse::write_event,
-    stream::{self, Part, Parts, Sink},
+    stream::{self, Part, Sink},
 };
 
 /// Bound on asking the keepers about a key.
@@ -92,23 +96,21 @@
     running: crate::inflight::Running,
     res: &mut Response,
 ) {
-    let (sink, rx) = stream::channel();
     let is_kept = ask.key.is_some();
-    let work_gate = Arc::clone(gate);
-    let work = async move {
+    let (sink, mut rx) = stream::channel(is_kept);
+    let task_gate = Arc::clone(gate);
+    tokio::spawn(async move {
         let _running = running;
-        // A request with a key goes on when the caller hangs up; any other is dropped here.
-        let hangup = Hangup::new(&work_gate);
-        stream_events(Arc::clone(&work_gate), ask, sink).await;
+        stream_events(task_gate, ask, sink).await;
+    });
+    // The task counts the hang-up of a caller whom it does not outlive.
+    let hangup = is_kept.then(|| Hangup::new(gate));
+    let first = rx.recv().await;
+    if let Some(hangup) = hangup {
         hangup.answered();
-    };
-    let mut parts = match is_kept {
-        true => Parts::of_task(work, rx),
-        false => Parts::of(work, rx),
-    };
-    let first = parts.next().await;
+    }
     match first {
-        Some(Part::Events(first)) => render_events(res, first, parts),
+        Some(Part::Events(first)) => render_events(res, first, rx),
         Some(Part::Failed(problem)) => problem.render(res),
         None => crashed().render(res),
     }
@@ -116,13 +118,19 @@
 
 async fn stream_events(gate: Arc<Gate>, ask: Ask, sink: Sink) {
     let deadline = ask.deadline;
-    let result = run::run(gate, ask, Some(&sink)).await;
+    let metrics = gate.metrics.clone();
+    let result = tokio::select! {
+        result = run::run(gate, ask, Some(&sink)) => result,
+        () = sink.abandoned() => return metrics.hangup(),
+    };
     let last = async {
         match result {
             Ok(answer) => {
                 let mut out = BytesMut::new();
                 write_event(&mut out, "done", &answer);
-                sink.send(out.freeze()).await;
+                let sent: Result<(), CallError> = sink.send(out.freeze()).await;
+                // A caller that is gone needs no answer.
+                drop(sent);
             }
             Err(problem) => sink.fail(problem).await,
         }
@@ -134,14 +142,14 @@
 /// How long after the deadline the last event may wait for a slow caller.
 const LAST_EVENT_LIMIT: Duration = Duration::from_secs(5);
 
-fn render_events(res: &mut Response, first: Bytes, parts: Parts) {
+fn render_events(res: &mut Response, first: Bytes, rx: mpsc::Receiver<Part>) {
     let headers = res.headers_mut();
     headers.insert(
         "content-type",
         HeaderValue::from_static("text/event-stream"),
     );
     headers.insert("cache-control", HeaderValue::from_static("no-store"));
-    res.body(ResBody::stream(stream::body(first, parts)));
+    res.body(ResBody::stream(stream::body(first, rx)));
 }
 
 fn render(res: &mut Response, answer: &Answer) {
--- a/crates/gate/src/engine.rs
+++ b/crates/gate/src/engine.rs
@@ -173,7 +173,7 @@
         let new = tally.tokens - *counted;
         *counted = tally.tokens;
         if let Some(sink) = sink.filter(|_| !out.is_empty()) {
-            sink.send(out.freeze()).await;
+            sink.send(out.freeze()).await?;
         }
         match is_done? {
             true => {
--- a/crates/gate/src/failure.rs
+++ b/crates/gate/src/failure.rs
@@ -54,6 +54,9 @@
     /// The request's deadline came first.
     #[error("no time left before the deadline")]
     Deadline,
+    /// The caller is gone.
+    #[error("the caller has hung up")]
+    CallerGone,
 }
 
 impl CallError {
@@ -61,7 +64,7 @@
     pub(crate) fn is_worth_retrying(&self) -> bool {
         match self {
             Self::Status { status, .. } => *status >= 500 || matches!(status, 408 | 429),
-            Self::Deadline | Self::TooLarge(_) => false,
+            Self::Deadline | Self::CallerGone | Self::TooLarge(_) => false,
             _ => true,
         }
     }
--- a/crates/gate/src/stage.rs
+++ b/crates/gate/src/stage.rs
@@ -302,7 +302,7 @@
     let verdict = match &error {
         CallError::NotRun { .. } | CallError::Status { status: 429, .. } => Verdict::Refused,
         CallError::Status { status, .. } if *status < 500 => Verdict::Good,
-        CallError::Deadline | CallError::Unsent => Verdict::Cancelled,
+        CallError::Deadline | CallError::CallerGone | CallError::Unsent => Verdict::Cancelled,
         _ => Verdict::Failed,
     };
     picked.finish(verdict, None, None);
@@ -325,6 +325,7 @@
         CallError::Diverged => "diverged",
         CallError::Lagging => "lagging",
         CallError::Deadline => "deadline",
+        CallError::CallerGone => "caller_gone",
     }
 }
 
