--- a/crates/controller/src/book.rs
+++ b/crates/controller/src/book.rs
@@ -1,7 +1,7 @@
 //! Open orders, and what earlier ones tell about each version.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     time::Duration,
 };
 
@@ -11,14 +11,18 @@
 use uuid::Uuid;
 
 use crate::{
+    attainment::Fall,
     config::Bounds,
     order::{Action, Answer, Task},
+    store::{Store, Weight},
 };
 
 const FIRST_BACKOFF: Duration = Duration::from_millis(200);
 const MAX_BACKOFF: Duration = Duration::from_secs(5);
 /// An endpoint that refused an order gets no other for this long.
 const AFTER_REFUSAL: Duration = Duration::from_secs(10);
+/// An endpoint that has taken an order is asked this often what became of it.
+const CHECK_EVERY: Duration = Duration::from_secs(1);
 /// Endpoints that followed an order are watched for this many settling pauses.
 const WATCH_PAUSES: u32 = 5;
 
@@ -87,10 +91,14 @@
     open: BTreeMap<String, Open>,
     watched: HashMap<String, Watched>,
     failures: BTreeMap<Release, Vec<String>>,
+    falls: BTreeMap<Release, Fall>,
     attempts: HashMap<Task, u32>,
     shunned: HashMap<String, Instant>,
     settled: HashMap<String, Instant>,
     loads: Vec<Instant>,
+    store: Store,
+    no_room: BTreeSet<Release>,
+    draining: BTreeMap<String, Instant>,
 }
 
 /// Whether `endpoint` is as `task` asks.
@@ -98,6 +106,7 @@
     let is_it = |m: &&LoadedModel| m.model == task.model && m.version == task.version;
     let loaded = endpoint.models.iter().find(is_it);
     match (task.action, loaded) {
+        (Action::Role(role), _) => endpoint.role == role,
         (Action::Unload, loaded) => loaded.is_none(),
         (Action::Load, None) => false,
         (Action::Load, Some(loaded)) => {
@@ -118,6 +127,51 @@
         &self.failures
     }
 
+    /// Versions with which attainment fell.
+    pub fn falls(&self) -> &BTreeMap<Release, Fall> {
+        &self.falls
+    }
+
+    /// What the weight store refused.
+    pub fn store(&self) -> &Store {
+        &self.store
+    }
+
+    /// Whether an endpoint had no memory for `release` beside another version.
+    pub fn has_no_room(&self, release: &Release) -> bool {
+        self.no_room.contains(release)
+    }
+
+    /// Endpoints that get no new calls, since when.
+    pub fn draining(&self) -> &BTreeMap<String, Instant> {
+        &self.draining
+    }
+
+    /// Sets which endpoints get no new calls from `now` on; others get calls again.
+    pub fn drain(&mut self, endpoints: Vec<String>, now: Instant) {
+        let before = std::mem::take(&mut self.draining);
+        let since = |name: &String| before.get(name).copied().unwrap_or(now);
+        let drained = endpoints.into_iter().map(|name| (since(&name), name));
+        self.draining = drained.map(|(since, name)| (name, since)).collect();
+    }
+
+    /// Halts the rollout of `release`; the first fall found stands.
+    pub fn halt(&mut self, release: Release, fall: Fall) {
+        self.falls.entry(release).or_insert(fall);
+    }
+
+    /// Why no further endpoint gets `release`, if none does after `halt_after` failures.
+    pub fn halted(&self, release: &Release, halt_after: u32) -> Option<String> {
+        let failures = self.failures.get(release).map_or(&[][..], Vec::as_slice);
+        match (self.falls.get(release), failures.last()) {
+            (Some(fall), _) => Some(format!("halted as attainment fell: {fall}")),
+            (None, Some(last)) if failures.len() >= halt_after as usize => {
+                Some(format!("halted after {} failures: {last}", failures.len()))
+            }
+            _ => None,
+        }
+    }
+
     /// Which try of `task` is next.
     pub fn attempt(&self, task: &Task) -> u32 {
         self.attempts.get(task).copied().unwrap_or(0)
@@ -167,6 +221,10 @@
                 open.stage = Stage::Sending;
                 open.sent += 1;
                 due.push(open.clone());
+            } else if open.stage == Stage::Taken && open.next <= now && may(open) {
+                // A repeat changes nothing, and its answer tells of a load that failed.
+                open.next = now + CHECK_EVERY;
+                due.push(open.clone());
             }
         }
         due
@@ -178,14 +236,28 @@
             return;
         };
         match answer {
-            Answer::Taken => open.stage = Stage::Taken,
+            Answer::Taken => {
+                open.stage = Stage::Taken;
+                open.next = open.next.max(now + CHECK_EVERY);
+            }
+            Answer::StoreRefused(why) => {
+                let (endpoint, weight) = (open.task.endpoint.clone(), weight(&open.task));
+                self.store.refused(weight, why, rand::random(), now);
+                self.close(&endpoint);
+            }
+            // What has been taken stays so though its repeat is lost.
+            Answer::Lost(_) | Answer::Stale(_) if open.stage == Stage::Taken => {}
             Answer::Lost(why) | Answer::Stale(why) => {
                 let doubled = FIRST_BACKOFF * 2_u32.saturating_pow(open.sent.min(16));
                 open.stage = Stage::ToSend;
                 open.next = now + doubled.min(MAX_BACKOFF);
                 open.last = Some(why);
             }
-            Answer::Refused(why) => {
+            Answer::NoRoom(_) if self.no_room.insert(release(open)) => {
+                let endpoint = open.task.endpoint.clone();
+                self.close(&endpoint);
+            }
+            Answer::Refused(why) | Answer::NoRoom(why) => {
                 let endpoint = open.task.endpoint.clone();
                 self.shunned.insert(endpoint.clone(), now + AFTER_REFUSAL);
                 self.fail(&endpoint, format!("{endpoint} refused: {why}"));
@@ -227,6 +299,8 @@
     /// Forgets the failures of versions that are no longer wanted.
     pub fn keep_failures(&mut self, is_wanted: impl Fn(&Release) -> bool) {
         self.failures.retain(|release, _| is_wanted(release));
+        self.falls.retain(|release, _| is_wanted(release));
+        self.no_room.retain(|release| is_wanted(release));
     }
 
     /// Forgets everything but the failures: another controller may have given orders since.
@@ -241,6 +315,7 @@
             return;
         };
         self.settled.insert(open.service.clone(), now);
+        self.store.gave(&weight(&open.task));
         if open.task.action == Action::Load {
             let watched = Watched {
                 release: release(&open),
@@ -251,11 +326,17 @@
         }
     }
 
+    /// Closes an order that was not followed, so that the next try is another order.
+    fn close(&mut self, name: &str) -> Option<Open> {
+        let open = self.open.remove(name)?;
+        *self.attempts.entry(open.task.clone()).or_default() += 1;
+        Some(open)
+    }
+
     fn fail(&mut self, name: &str, what: String) {
-        let Some(open) = self.open.remove(name) else {
+        let Some(open) = self.close(name) else {
             return;
         };
-        *self.attempts.entry(open.task.clone()).or_default() += 1;
         if open.task.action == Action::Load {
             self.failures.entry(release(&open)).or_default().push(what);
         }
@@ -287,6 +368,13 @@
 
 const LOADS_WINDOW: Duration = Duration::from_mins(1);
 
+fn weight(task: &Task) -> Weight {
+    Weight {
+        model: task.model.clone(),
+        version: task.version,
+    }
+}
+
 fn release(open: &Open) -> Release {
     Release {
         service: open.service.clone(),
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -4,14 +4,19 @@
 //! announce with the declaration ([`plan`]), and keeps a book of its open orders ([`book`]).
 //! `docs/design/controller.md` says why it is built this way.
 
+pub mod attainment;
+pub mod calls;
 mod config;
 mod endpoints;
 mod exchange;
 mod lease;
 mod pages;
 mod reconcile;
+pub mod roles;
 mod start;
 mod status;
+pub mod store;
+mod swap;
 
 pub mod authority;
 pub mod book;
--- a/crates/controller/src/pages.rs
+++ b/crates/controller/src/pages.rs
@@ -64,7 +64,14 @@
 
 /// The numbers as they are now.
 fn registry(reconciler: &Reconciler) -> prometheus::Result<Registry> {
-    const ANSWERS: [&str; 4] = ["taken", "lost", "refused", "stale"];
+    const ANSWERS: [&str; 6] = [
+        "taken",
+        "lost",
+        "refused",
+        "stale",
+        "store_refused",
+        "no_room",
+    ];
     let registry = Registry::new();
     let gauge = |name: &str, help: &str, value: usize| -> prometheus::Result<()> {
         let gauge = IntGauge::new(format!("jujube_controller_{name}"), help)?;
@@ -94,6 +101,11 @@
         "Things that are not as declared.",
         working.differences.len(),
     )?;
+    gauge(
+        "attainment_halts",
+        "Versions halted as attainment fell with them.",
+        working.book.falls().len(),
+    )?;
     let opts = Opts::new("jujube_controller_orders_total", "Orders by answer.");
     let orders = IntCounterVec::new(opts, &["answer"])?;
     for (name, count) in ANSWERS.iter().zip(working.answers) {
--- a/crates/controller/src/plan.rs
+++ b/crates/controller/src/plan.rs
@@ -4,13 +4,15 @@
 
 use declaration::{Service, ServiceKind};
 use derives::record;
-use membership::{EndpointState, EndpointView, LoadedModel};
+use membership::{EndpointState, EndpointView, LoadedModel, StageRole};
 use tokio::time::Instant;
 
 use crate::{
     book::{Book, Release, Stage, is_followed},
     config::Bounds,
     order::{Action, Task},
+    roles::{self, word},
+    store::Weight,
 };
 
 /// What a plan is made from.
@@ -45,15 +47,17 @@
 pub struct Plan {
     /// Orders to enter, each with the endpoint's service.
     pub tasks: Vec<(String, Task)>,
+    /// Endpoints that are to get no new calls.
+    pub drains: Vec<String>,
     /// What differs.
     pub differences: Vec<Difference>,
 }
 
 /// The model that a service's endpoints are to have.
 #[derive(Clone, Copy, Debug)]
-struct Target<'a> {
-    model: &'a str,
-    version: u32,
+pub(crate) struct Target<'a> {
+    pub(crate) model: &'a str,
+    pub(crate) version: u32,
     adapters: &'a [String],
 }
 
@@ -69,7 +73,7 @@
         }
     }
 
-    fn is_it(&self, loaded: &LoadedModel) -> bool {
+    pub(crate) fn is_it(&self, loaded: &LoadedModel) -> bool {
         loaded.model == self.model && loaded.version == self.version
     }
 }
@@ -92,6 +96,7 @@
             book,
             bounds,
             service: name,
+            declared: service,
             target,
         };
         planner.run(&mut plan);
@@ -100,12 +105,13 @@
 }
 
 #[derive(Clone, Copy)]
-struct Planner<'a> {
-    world: &'a World<'a>,
-    book: &'a Book,
-    bounds: &'a Bounds,
-    service: &'a str,
-    target: Target<'a>,
+pub(crate) struct Planner<'a> {
+    pub(crate) world: &'a World<'a>,
+    pub(crate) book: &'a Book,
+    pub(crate) bounds: &'a Bounds,
+    pub(crate) service: &'a str,
+    pub(crate) declared: &'a Service,
+    pub(crate) target: Target<'a>,
 }
 
 impl Planner<'_> {
@@ -124,10 +130,58 @@
         let done = ready.iter().filter(is_done).count();
         for endpoint in &ready {
             match is_followed(endpoint, &self.target.load(endpoint)) {
+                false if !self.fits(endpoint) => self.plan_swap(plan, endpoint, &ready),
                 false => self.plan_load(plan, endpoint, ready.len()),
                 true => self.plan_unload(plan, endpoint, ready.len(), done),
             }
         }
+        let Some(shares) = self.declared.roles else {
+            return;
+        };
+        for (endpoint, role) in roles::wanted(&ready, shares) {
+            if endpoint.role != role {
+                self.plan_role(plan, endpoint, role, &ready);
+            }
+        }
+    }
+
+    /// Orders a role, unless that would leave nobody for a part of generations.
+    fn plan_role(
+        &self,
+        plan: &mut Plan,
+        endpoint: &EndpointView,
+        role: StageRole,
+        ready: &[&EndpointView],
+    ) {
+        let name = &endpoint.endpoint;
+        let is_changing = |other: &EndpointView| {
+            let is_of_it = |task: &Task| task.endpoint == other.endpoint;
+            self.book.open().contains_key(&other.endpoint)
+                || plan.tasks.iter().any(|(_, task)| is_of_it(task))
+        };
+        let others = ready.iter().filter(|e| e.endpoint != *name);
+        let staying: Vec<&EndpointView> = others.copied().filter(|e| !is_changing(e)).collect();
+        let hindrance = self
+            .open_order(name)
+            .or_else(|| is_changing(endpoint).then(|| "another order goes first".to_owned()))
+            .or_else(|| roles::left_alone(endpoint.role, Some(role), &staying))
+            .or_else(|| self.hindrance(plan, name, ready.len()));
+        let differs = format!("has role {}, not {}", word(endpoint.role), word(role));
+        match hindrance {
+            Some(why) => self.differs(plan, name, differs, &why),
+            None => {
+                self.differs(plan, name, differs, "an order is being sent");
+                let task = Task {
+                    endpoint: name.clone(),
+                    incarnation: endpoint.incarnation,
+                    action: Action::Role(role),
+                    model: String::new(),
+                    version: 0,
+                    adapters: Vec::new(),
+                };
+                plan.tasks.push((self.service.to_owned(), task));
+            }
+        }
     }
 
     fn plan_load(&self, plan: &mut Plan, endpoint: &EndpointView, ready: usize) {
@@ -182,7 +236,7 @@
         }
     }
 
-    fn open_order(&self, endpoint: &str) -> Option<String> {
+    pub(crate) fn open_order(&self, endpoint: &str) -> Option<String> {
         let open = self.book.open().get(endpoint)?;
         let last = open.last.as_deref().unwrap_or("nothing heard yet");
         Some(match open.stage {
@@ -193,20 +247,20 @@
         })
     }
 
-    fn halted(&self) -> Option<String> {
-        let release = Release {
+    pub(crate) fn release(&self) -> Release {
+        Release {
             service: self.service.to_owned(),
             model: self.target.model.to_owned(),
             version: self.target.version,
-        };
-        let failures = self.book.failures().get(&release)?;
-        let last = failures.last()?;
-        let is_halted = failures.len() >= self.bounds.halt_after as usize;
-        is_halted.then(|| format!("halted after {} failures: {last}", failures.len()))
+        }
+    }
+
+    pub(crate) fn halted(&self) -> Option<String> {
+        self.book.halted(&self.release(), self.bounds.halt_after)
     }
 
     /// Why no other endpoint of the service may change now.
-    fn hindrance(&self, plan: &Plan, endpoint: &str, ready: usize) -> Option<String> {
+    pub(crate) fn hindrance(&self, plan: &Plan, endpoint: &str, ready: usize) -> Option<String> {
         let planned = plan
             .tasks
             .iter()
@@ -237,7 +291,7 @@
     }
 
     /// Why the weight store may not be asked now: one fetch of a weight at a time, and its rate.
-    fn store_hindrance(&self, plan: &Plan) -> Option<String> {
+    pub(crate) fn store_hindrance(&self, plan: &Plan) -> Option<String> {
         let is_same = |task: &Task| {
             let weight = (task.model.as_str(), task.version);
             task.action == Action::Load && weight == (self.target.model, self.target.version)
@@ -247,7 +301,14 @@
         let fetching = open.chain(planned).find(|task| is_same(task));
         let begun = plan.tasks.iter().filter(|(_, t)| t.action == Action::Load);
         let loads = self.book.loads(self.world.now) + begun.count();
+        let weight = Weight {
+            model: self.target.model.to_owned(),
+            version: self.target.version,
+        };
         match fetching {
+            None if let Some(why) = self.book.store().hindrance(&weight, self.world.now) => {
+                Some(why)
+            }
             Some(task) => Some(format!("{} fetches the same weights", task.endpoint)),
             None if loads >= self.bounds.loads_per_minute as usize => Some(format!(
                 "{loads} loads within a minute, as many as the weight store takes"
@@ -256,7 +317,7 @@
         }
     }
 
-    fn differs(&self, plan: &mut Plan, endpoint: &str, differs: String, why: &str) {
+    pub(crate) fn differs(&self, plan: &mut Plan, endpoint: &str, differs: String, why: &str) {
         plan.differences.push(Difference {
             service: self.service.to_owned(),
             endpoint: endpoint.to_owned(),
--- a/crates/declaration/src/lib.rs
+++ b/crates/declaration/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`Declaration::read`] turns the text into types and lists every fault at once;
 //! [`Document`] is the same content as plain sections, the unit in which changes are made.
 
+mod amend;
 mod audit;
 mod change;
 mod diff;
@@ -18,5 +19,5 @@
 pub use document::{Document, SectionId, SectionText};
 pub use inifile::{Fault, Faults};
 pub use types::{
-    AvailabilityZone, Declaration, Pipeline, Priority, Service, ServiceKind, Workspace,
+    AvailabilityZone, Declaration, Pipeline, Priority, RoleShares, Service, ServiceKind, Workspace,
 };
--- a/crates/declaration/src/types.rs
+++ b/crates/declaration/src/types.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use derives::{record, token};
+use imbl::OrdMap;
 
 /// A workspace's priority from 0 (first to be shed) to [`Priority::MAX`] (last to be shed).
 #[token]
@@ -13,7 +14,7 @@
     pub const MAX: u8 = 9;
 }
 
-/// The whole intent of the operators.
+/// The whole intent of the operators. A clone shares its workspaces with the original.
 #[record]
 #[derive(Default)]
 pub struct Declaration {
@@ -24,7 +25,7 @@
     /// Pipelines by name.
     pub pipelines: BTreeMap<String, Pipeline>,
     /// Workspaces by name.
-    pub workspaces: BTreeMap<String, Workspace>,
+    pub workspaces: OrdMap<String, Workspace>,
 }
 
 /// An availability zone.
@@ -65,6 +66,21 @@
     pub adapters: Vec<String>,
     /// Most tokens generated for one request, for an engine.
     pub max_tokens: u32,
+    /// How many endpoints take which role, for an engine; none leaves roles as they are.
+    pub roles: Option<RoleShares>,
+    /// Memory that one version of the model takes at an endpoint, in MB.
+    pub model_mb: Option<u32>,
+    /// Memory for models at each endpoint, in MB.
+    pub endpoint_mb: Option<u32>,
+}
+
+/// Shares of a service's endpoints in an availability zone by role, in percent; the rest do both.
+#[token]
+pub struct RoleShares {
+    /// Prefill only.
+    pub prefill: u8,
+    /// Decode only.
+    pub decode: u8,
 }
 
 /// A pipeline: stages in turn.
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -9,8 +9,10 @@
 mod assembly;
 mod body;
 mod callers;
+mod calls;
 mod config;
 mod connection;
+mod draining;
 mod endpoints;
 mod engine;
 mod exchange;
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -14,6 +14,7 @@
     task::JoinSet,
     time::{Instant, timeout},
 };
+use uuid::Uuid;
 
 use crate::{
     Connect, Disk, MemberChange, MemberError, PeerLink, ProposeError, ReplicaConfig, ReplicaError,
@@ -246,6 +247,7 @@
         let mut tasks = std::mem::take(&mut *tasks.lock().unwrap_or_else(PoisonError::into_inner));
         tasks.shutdown().await;
         shared.core().peers.clear();
+        let _written = shared.snapshotting.lock().await;
     }
 }
 
@@ -262,6 +264,19 @@
     }
 }
 
+/// The mark of this start, where the log's tail was cut.
+fn doubt(cfg: &ReplicaConfig, is_doubtful: bool) -> Option<Uuid> {
+    #[cfg(any(test, feature = "broken-variants"))]
+    let is_doubtful = is_doubtful && cfg.broken != Some(crate::Broken::DoubtfulVotes);
+    if is_doubtful {
+        spdlog::warn!(
+            "the last record was damaged or torn and is cut: gives no vote until it is filled",
+            kv: { replica = cfg.name.as_str() }
+        );
+    }
+    is_doubtful.then(Uuid::new_v4)
+}
+
 fn build(
     cfg: ReplicaConfig,
     disk: Disk,
@@ -304,8 +319,10 @@
         incoming: None,
         peers: BTreeMap::new(),
         writing: None,
+        doubt: doubt(&cfg, loaded.is_doubtful),
         failed: None,
         is_stopping: false,
+        missing: Vec::new(),
     };
     Shared {
         cfg,
@@ -320,5 +337,6 @@
         applied: watch::Sender::new(applied),
         stopped: watch::Sender::new(false),
         tasks: Mutex::new(JoinSet::new()),
+        snapshotting: Arc::default(),
     }
 }
