Decide orders in one place; an example that measures a controller's turn

The four places that entered a difference and an order were the same. The example gives the plan's time by turn and the encoded size of what a gate tells, at 50, 160 and 490 engines; it sends and starts nothing.

--- /dev/null
+++ b/crates/controller/examples/cost.rs
@@ -0,0 +1,155 @@
+//! What a controller spends on 50, 160 and 490 engines of one availability zone: the plan of a turn,
+//! and the encoded size of what a gate tells it.
+//!
+//! `cargo run --release -p controller --example cost`; nothing is sent and nothing is started.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant as Clock},
+};
+
+use controller::{
+    Bounds,
+    book::Book,
+    plan::{World, plan},
+};
+use declaration::{Service, ServiceKind};
+use link::calls::{CallCounts, CallsReply, ReleaseCalls};
+use membership::{Changes, EndpointState, EndpointView, LoadedModel, Reply, StageRole};
+use tokio::time::Instant;
+use uuid::Uuid;
+
+/// Services among which the engines are spread.
+const SERVICES: usize = 23;
+const TURNS: u32 = 500;
+const TURNS_PER_SECOND: f64 = 5.0;
+
+fn main() {
+    println!("engines,state,turn_us,core_percent,view_bytes,view_entry_bytes,calls_bytes,rss_kb");
+    for count in [50, 160, 490] {
+        for (state, declared) in [("as_declared", 3), ("rollout", 4)] {
+            println!("{count},{state},{}", row(count, declared));
+        }
+    }
+}
+
+fn row(count: usize, declared: u32) -> String {
+    let endpoints = endpoints(count);
+    let services = services(declared);
+    let turn = turn(&endpoints, &services);
+    let core = turn.as_secs_f64() * TURNS_PER_SECOND * 100.0;
+    let view = view_bytes(endpoints.values().cloned().collect());
+    let entry = view_bytes(endpoints.values().take(1).cloned().collect());
+    format!(
+        "{},{core:.3},{view},{entry},{},{}",
+        turn.as_micros(),
+        calls_bytes(),
+        rss_kb()
+    )
+}
+
+/// Mean time of a turn: orders followed are closed, the plan is made, due orders are collected.
+fn turn(
+    endpoints: &BTreeMap<String, EndpointView>,
+    services: &BTreeMap<String, Service>,
+) -> Duration {
+    let (mut book, bounds, now) = (Book::default(), Bounds::default(), Instant::now());
+    let begun = Clock::now();
+    for _ in 0..TURNS {
+        book.review(endpoints, &bounds, now);
+        let world = World {
+            services,
+            endpoints,
+            in_force: Duration::ZERO,
+            now,
+        };
+        for (service, task) in plan(&world, &book, &bounds).tasks {
+            let order = task.order_id(1, book.attempt(&task));
+            book.enter(task, order, &service, now);
+        }
+        std::hint::black_box(book.take_due(now, |_| true));
+    }
+    begun.elapsed() / TURNS
+}
+
+fn endpoints(count: usize) -> BTreeMap<String, EndpointView> {
+    let named = (0..count).map(|at| {
+        let view = EndpointView {
+            endpoint: format!("engine-{at:04}"),
+            service: format!("service-{:02}", at % SERVICES),
+            az: "sousse-a".to_owned(),
+            address: format!("http://10.0.{}.{}:9000", at / 250, at % 250),
+            incarnation: Uuid::from_u128(at as u128 + 1),
+            state: EndpointState::Ready,
+            models: vec![LoadedModel {
+                model: format!("model-{:02}", at % SERVICES),
+                version: 3,
+                adapters: vec!["horlogerie".to_owned()],
+            }],
+            role: StageRole::Both,
+            checks_fencing: true,
+            calls: 3,
+            silent_ms: 400,
+        };
+        (view.endpoint.clone(), view)
+    });
+    named.collect()
+}
+
+fn services(version: u32) -> BTreeMap<String, Service> {
+    let named = (0..SERVICES).map(|at| {
+        let service = Service {
+            kind: ServiceKind::Engine,
+            repeatable: true,
+            model: Some(format!("model-{at:02}")),
+            version: Some(version),
+            adapters: vec!["horlogerie".to_owned()],
+            max_tokens: 256,
+            roles: None,
+            model_mb: None,
+            endpoint_mb: None,
+        };
+        (format!("service-{at:02}"), service)
+    });
+    named.collect()
+}
+
+fn view_bytes(endpoints: Vec<EndpointView>) -> usize {
+    let changes = Changes {
+        table: Uuid::from_u128(1),
+        version: 1,
+        is_whole: true,
+        endpoints,
+        departed: Vec::new(),
+    };
+    link::encode(&Reply::Since(changes)).len()
+}
+
+/// One gate's answer while every service is rolled out.
+fn calls_bytes() -> usize {
+    let releases = (0..SERVICES).flat_map(|at| {
+        [3, 4].map(|version| ReleaseCalls {
+            service: format!("service-{at:02}"),
+            model: format!("model-{at:02}"),
+            version,
+            counts: CallCounts {
+                answered: 1_000_000,
+                late: 1_000,
+                failed: 1_000,
+            },
+        })
+    });
+    let reply = CallsReply {
+        counter: Uuid::from_u128(1),
+        releases: releases.collect(),
+    };
+    link::encode(&reply).len()
+}
+
+/// This process's memory.
+fn rss_kb() -> usize {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+    let digits = line.and_then(|l| l.split_whitespace().next());
+    digits.and_then(|d| d.parse().ok()).unwrap_or(0)
+}
--- a/crates/controller/src/plan.rs
+++ b/crates/controller/src/plan.rs
@@ -13,6 +13,7 @@
     order::{Action, Task},
     roles::{self, word},
     store::Weight,
+    swap::unload,
 };
 
 /// What a plan is made from.
@@ -167,21 +168,15 @@
             .or_else(|| roles::left_alone(endpoint.role, Some(role), &staying))
             .or_else(|| self.hindrance(plan, name, ready.len()));
         let differs = format!("has role {}, not {}", word(endpoint.role), word(role));
-        match hindrance {
-            Some(why) => self.differs(plan, name, differs, &why),
-            None => {
-                self.differs(plan, name, differs, "an order is being sent");
-                let task = Task {
-                    endpoint: name.clone(),
-                    incarnation: endpoint.incarnation,
-                    action: Action::Role(role),
-                    model: String::new(),
-                    version: 0,
-                    adapters: Vec::new(),
-                };
-                plan.tasks.push((self.service.to_owned(), task));
-            }
-        }
+        let task = Task {
+            endpoint: name.clone(),
+            incarnation: endpoint.incarnation,
+            action: Action::Role(role),
+            model: String::new(),
+            version: 0,
+            adapters: Vec::new(),
+        };
+        self.decide(plan, differs, hindrance, task);
     }
 
     fn plan_load(&self, plan: &mut Plan, endpoint: &EndpointView, ready: usize) {
@@ -193,14 +188,8 @@
             .or_else(|| self.hindrance(plan, name, ready))
             .or_else(|| self.store_hindrance(plan));
         let differs = format!("lacks {model} version {version} with its adapters");
-        match hindrance {
-            Some(why) => self.differs(plan, name, differs, &why),
-            None => {
-                self.differs(plan, name, differs, "an order is being sent");
-                let task = self.target.load(endpoint);
-                plan.tasks.push((self.service.to_owned(), task));
-            }
-        }
+        let task = self.target.load(endpoint);
+        self.decide(plan, differs, hindrance, task);
     }
 
     /// Unloads one thing that is not declared, once hardly anyone can need it.
@@ -219,20 +208,22 @@
             .or_else(|| (done < needed).then(|| "others lack the declared version".to_owned()))
             .or_else(|| self.hindrance(plan, name, ready));
         let differs = format!("has {} version {} still", extra.model, extra.version);
-        match hindrance {
-            Some(why) => self.differs(plan, name, differs, &why),
-            None => {
-                self.differs(plan, name, differs, "an order is being sent");
-                let task = Task {
-                    endpoint: name.clone(),
-                    incarnation: endpoint.incarnation,
-                    action: Action::Unload,
-                    model: extra.model.clone(),
-                    version: extra.version,
-                    adapters: Vec::new(),
-                };
-                plan.tasks.push((self.service.to_owned(), task));
-            }
+        let task = unload(endpoint, extra);
+        self.decide(plan, differs, hindrance, task);
+    }
+
+    /// Enters what differs, and `task` where nothing hinders it.
+    pub(crate) fn decide(
+        &self,
+        plan: &mut Plan,
+        differs: String,
+        hindrance: Option<String>,
+        task: Task,
+    ) {
+        let why = hindrance.as_deref().unwrap_or("an order is being sent");
+        self.differs(plan, &task.endpoint, differs, why);
+        if hindrance.is_none() {
+            plan.tasks.push((self.service.to_owned(), task));
         }
     }
 
--- a/crates/controller/src/swap.rs
+++ b/crates/controller/src/swap.rs
@@ -60,11 +60,7 @@
                 let why = "it gets no new calls, and unloads once those under way have ended";
                 self.differs(plan, name, differs, why);
             }
-            None => {
-                self.differs(plan, name, differs, "an order is being sent");
-                plan.tasks
-                    .push((self.service.to_owned(), unload(endpoint, old)));
-            }
+            None => self.decide(plan, differs, None, unload(endpoint, old)),
         }
     }
 
@@ -97,7 +93,8 @@
     }
 }
 
-fn unload(endpoint: &EndpointView, old: &LoadedModel) -> Task {
+/// The task to unload `old` from `endpoint`.
+pub(crate) fn unload(endpoint: &EndpointView, old: &LoadedModel) -> Task {
     Task {
         endpoint: endpoint.endpoint.clone(),
         incarnation: endpoint.incarnation,
