Count calls begun since a load report; cap what a cached prompt outweighs

The load of an endpoint was the larger of our own calls and the last report, so a gate's own calls since the report did not count, and all went to one endpoint until the next report. A cached prompt took 60% off any queue.

Now the calls of others are taken once, when the report comes, and a cached prompt outweighs five calls at most.

Ruled out as causes: hedges (cancelled engine calls of a burst ran for 0.2 s of 145 s; nearly all were still queued), the latency's queueing time in the score (dividing it by load made queues less even), the preference for the own availability zone (gates of today's settings know no other zone's endpoints).

--- a/crates/routing/src/score.rs
+++ b/crates/routing/src/score.rs
@@ -28,6 +28,8 @@
 const WAIT_MARGIN: f64 = 1.25;
 const LATENCY_RATIO_MIN: f64 = 0.25;
 const LATENCY_RATIO_MAX: f64 = 16.0;
+/// A whole cached prompt outweighs a queue of no more calls than this.
+const MOST_SAVED_CALLS: f64 = 5.0;
 /// A cached share below this is no reason to prefer an endpoint.
 const MIN_AFFINITY: f64 = 0.05;
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(10);
@@ -80,7 +82,7 @@
 pub(crate) fn load(endpoint: &Endpoint, stats: &Stats, now: Instant) -> f64 {
     let own = stats.in_flight();
     let reported = endpoint.live.reported(now);
-    let others = f64::from(reported.calls.saturating_sub(own));
+    let others = f64::from(stats.others(reported, now));
     f64::from(own) + others * decay(reported.age, REPORT_HALF_LIFE)
 }
 
@@ -266,7 +268,9 @@
         let share = slot.stats.returning_share(self.now, slow_return);
         let saving = self.cfg.affinity.max_saving * cached;
         let load = load(&slot.endpoint, &slot.stats, self.now);
-        (load + 1.0) * ratio * distance * version * (1.0 - saving) / share
+        // What is cached saves work of this call, not of the queue before it.
+        let saved = saving * (load + 1.0).min(MOST_SAVED_CALLS);
+        (load + 1.0 - saved) * ratio * distance * version / share
     }
 
     fn no_endpoint(&self, furthest: Barrier) -> NoEndpoint {
--- a/crates/routing/src/stats.rs
+++ b/crates/routing/src/stats.rs
@@ -8,6 +8,7 @@
     time::Duration,
 };
 
+use membership::Reported;
 use tokio::time::Instant;
 
 use crate::{
@@ -19,6 +20,8 @@
     waiting::{Started, Waiting},
 };
 
+/// Reports that are apart by less are the same one.
+const SAME_REPORT_US: u64 = 1_000;
 const LATENCY_HALF_LIFE: Duration = Duration::from_secs(5);
 
 /// A mean time of recent answers that is read without a lock.
@@ -72,6 +75,10 @@
     limit: AtomicU32,
     /// Microseconds from `start`; 0 where it never was ejected.
     ejected_until_us: AtomicU64,
+    /// When the load report in use came, in microseconds from `start`; 0 before the first.
+    reported_us: AtomicU64,
+    /// Calls of others in that report.
+    others: AtomicU32,
     pub(crate) latency: Latency,
     waiting: Waiting,
     inner: Mutex<Inner>,
@@ -89,6 +96,8 @@
             in_flight: AtomicU32::new(0),
             limit: AtomicU32::new(inner.limit.get()),
             ejected_until_us: AtomicU64::new(0),
+            reported_us: AtomicU64::new(0),
+            others: AtomicU32::new(0),
             latency: Latency::default(),
             waiting: Waiting::default(),
             inner: Mutex::new(inner),
@@ -111,6 +120,20 @@
         self.in_flight.load(Relaxed)
     }
 
+    /// Calls of others in `reported`: what exceeded our own calls when it came. Those that began
+    /// since add to them.
+    pub(crate) fn others(&self, reported: Reported, now: Instant) -> u32 {
+        let age_us = reported.age.as_micros() as u64;
+        let at_us = self.micros(now).saturating_sub(age_us).max(1);
+        let known_us = self.reported_us.load(Relaxed);
+        if known_us == 0 || at_us > known_us + SAME_REPORT_US {
+            self.reported_us.store(at_us, Relaxed);
+            let others = reported.calls.saturating_sub(self.in_flight());
+            self.others.store(others, Relaxed);
+        }
+        self.others.load(Relaxed)
+    }
+
     pub(crate) fn limit(&self) -> u32 {
         self.limit.load(Relaxed)
     }
--- a/crates/routing/tests/common/mod.rs
+++ b/crates/routing/tests/common/mod.rs
@@ -1,6 +1,6 @@
 //! Endpoints, tables and routers for tests.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use membership::{Announcement, Load, LoadedModel, Readiness, StageRole, Table, TableConfig};
 use routing::{CallOutcome, Need, Observation, Router, RouterConfig};
@@ -59,7 +59,12 @@
     Observation::new(CallOutcome::Answered, Duration::from_millis(ms))
 }
 
-/// A call that failed at once.
-pub fn failed() -> Observation {
-    Observation::new(CallOutcome::Failed, Duration::from_millis(1))
+/// Picks `count` calls that stay in flight; how many each endpoint got.
+pub fn spread(router: &Router, count: usize) -> BTreeMap<String, u32> {
+    let picks: Vec<_> = (0..count).map(|_| router.pick(&need()).unwrap()).collect();
+    let mut got = BTreeMap::new();
+    for pick in &picks {
+        *got.entry(pick.name().to_owned()).or_default() += 1;
+    }
+    got
 }
--- a/crates/routing/tests/pick.rs
+++ b/crates/routing/tests/pick.rs
@@ -2,14 +2,14 @@
 
 mod common;
 
-use std::{collections::BTreeMap, time::Duration};
+use std::time::Duration;
 
-use common::{AZ, SERVICE, announcement, answered, failed, need, router, table};
+use common::{AZ, SERVICE, announcement, answered, need, router, spread, table};
 use membership::{Announcement, EndpointState, LoadedModel, Readiness, Table, TableConfig};
 use proptest::prelude::*;
 use routing::{
-    CacheEvents, ModelNeed, Need, NoEndpoint, Observation, Reused, Router, RouterConfig,
-    block_hashes, max_ejected,
+    CacheEvents, CallOutcome, ModelNeed, Need, NoEndpoint, Observation, Reused, Router,
+    RouterConfig, block_hashes, max_ejected,
 };
 use tokio::time::advance;
 
@@ -22,6 +22,11 @@
     runtime.block_on(test)
 }
 
+/// A call that failed at once.
+fn failed() -> Observation {
+    Observation::new(CallOutcome::Failed, Duration::from_millis(1))
+}
+
 /// What a random fleet and need are made of.
 #[derive(Clone, Debug)]
 struct Fleet {
@@ -216,16 +221,6 @@
     });
 }
 
-/// Picks `count` calls that stay in flight; how many each endpoint got.
-fn spread(router: &Router, count: usize) -> BTreeMap<String, u32> {
-    let picks: Vec<_> = (0..count).map(|_| router.pick(&need()).unwrap()).collect();
-    let mut got = BTreeMap::new();
-    for pick in &picks {
-        *got.entry(pick.name().to_owned()).or_default() += 1;
-    }
-    got
-}
-
 proptest! {
     #![proptest_config(ProptestConfig { cases: 50, failure_persistence: None, ..ProptestConfig::default() })]
 
