Let gates know endpoints of other availability zones in today's settings

Cause: [gates] of the sample settings, the bench and the tests of system named neighbours only, and a gate knows another zone's endpoints from the gates there that it links to. A zone whose one booking endpoint failed refused what two others could take (found while looking for the cause of missed requests in bursts). Seven links at most: gates link to all of eight.

--- a/crates/bench/src/experiment/roles.rs
+++ b/crates/bench/src/experiment/roles.rs
@@ -67,7 +67,8 @@
         let mut text = vm_section(vm);
         text += "[listen]\nhttp = 127.0.0.1:0\nlink = 127.0.0.1:0\n";
         text += &self.keepers_section(vm).await?;
-        text += &self.gates_section(vm, false).await?;
+        let others = self.vms.all.iter().filter(|to| *to != vm);
+        text += &self.gates_section(vm, others).await?;
         let name = format!("{}.gate", vm.name);
         let role = self.folders.start("jujube-gate", &name, &text).await?;
         if let Some(link) = role.link {
@@ -80,7 +81,7 @@
         let mut text = vm_section(vm);
         text += "[listen]\nhttp = 127.0.0.1:0\n";
         text += &self.keepers_section(vm).await?;
-        text += &self.gates_section(vm, true).await?;
+        text += &self.gates_section(vm, self.vms.neighbours(vm)).await?;
         let name = format!("{}.controller", vm.name);
         self.folders.start("jujube-controller", &name, &text).await
     }
@@ -94,13 +95,13 @@
         Ok(text)
     }
 
-    async fn gates_section(&self, from: &VmName, with_own: bool) -> eyre::Result<String> {
+    async fn gates_section(
+        &self,
+        from: &VmName,
+        gates: impl Iterator<Item = &VmName>,
+    ) -> eyre::Result<String> {
         let mut text = "[gates]\n".to_owned();
-        for to in self
-            .vms
-            .neighbours(from)
-            .filter(|to| with_own || *to != from)
-        {
+        for to in gates {
             let address = self.net.wire(from, to, Listener::Gate).await?;
             writeln!(text, "{} = {address}", to.name)?;
         }
--- a/crates/system/src/env.rs
+++ b/crates/system/src/env.rs
@@ -138,8 +138,7 @@
     /// Starts, or starts again, the gate of `vm`.
     pub async fn start_gate(&mut self, vm: &'static str) {
         let vm = find(vm);
-        let mut gates = self.gates_from(vm.az);
-        gates.remove(vm.name);
+        let gates = self.other_gates(&vm);
         let more = "[timing]\nnotice_ms = 300\n";
         let text = settings::role(&vm, &self.keepers_from(vm.az), &gates, more);
         let role = self
@@ -211,6 +210,13 @@
         own.map(|vm| (vm.name, address(vm.name))).collect()
     }
 
+    /// Every gate but that of `vm`, as seen from there.
+    fn other_gates(&self, vm: &Vm) -> Peers {
+        let others = VMS.iter().filter(|other| other.name != vm.name);
+        let address = |to| self.proxies[&(vm.az, Listener::Gate(to))].address();
+        others.map(|to| (to.name, address(to.name))).collect()
+    }
+
     /// Cuts `az` off: its links to and from the others carry nothing, without a FIN or RST.
     pub fn cut_off(&self, az: &str) {
         self.set_cut(az, Cut::Both);
