--- a/crates/replica/src/disk.rs
+++ b/crates/replica/src/disk.rs
@@ -6,7 +6,7 @@
     fs::{self, File, OpenOptions},
     io::{self, ErrorKind, Write},
     path::{Path, PathBuf},
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
 use fs4::{FileExt, TryLockError};
@@ -15,6 +15,9 @@
 
 const LOCK: &str = "lock";
 
+/// Open files by name.
+type Handles = HashMap<String, Arc<File>>;
+
 type Named<T> = Arc<dyn Fn(&str) -> io::Result<T> + Send + Sync>;
 type Bytes = Arc<dyn Fn(&str, &[u8]) -> io::Result<()> + Send + Sync>;
 
@@ -39,6 +42,8 @@
     pub list: Arc<dyn Fn() -> io::Result<Vec<String>> + Send + Sync>,
     /// Makes creations, renames and removals lasting.
     pub sync_folder: Arc<dyn Fn() -> io::Result<()> + Send + Sync>,
+    /// Lets another replica open the folder; nothing is written to it from here on.
+    pub release: Arc<dyn Fn() + Send + Sync>,
     /// Whether the operations may block and so belong off the runtime's threads.
     pub is_blocking: bool,
 }
@@ -50,7 +55,7 @@
 }
 
 impl Disk {
-    /// Opens `folder`, creating it where needed, and holds its lock until the last clone is gone.
+    /// Opens `folder`, creating it where needed, and holds its lock until it is released.
     pub fn open(folder: &Path) -> Result<Self, ReplicaError> {
         let shown = folder.display().to_string();
         let failed = |step, e: &io::Error| ReplicaError::disk(step, &shown, e);
@@ -68,8 +73,8 @@
         }
         Ok(Self::of(Arc::new(Folder {
             path: folder.to_owned(),
-            open: Mutex::default(),
-            _lock: lock,
+            open: Mutex::new(Some(Handles::new())),
+            lock,
         })))
     }
 
@@ -77,6 +82,7 @@
         let f = || Arc::clone(&folder);
         let (read, write, append, cut) = (f(), f(), f(), f());
         let (sync, rename, remove, list, sync_folder) = (f(), f(), f(), f(), f());
+        let release = f();
         Self {
             read: Arc::new(move |name| read.read(name)),
             write: Arc::new(move |name, bytes| write.write(name, bytes)),
@@ -87,25 +93,47 @@
             remove: Arc::new(move |name| remove.remove(name)),
             list: Arc::new(move || list.list()),
             sync_folder: Arc::new(move || File::open(&sync_folder.path)?.sync_all()),
+            release: Arc::new(move || release.release()),
             is_blocking: true,
         }
     }
 }
 
+fn released() -> io::Error {
+    io::Error::other("the folder was released")
+}
+
 /// A folder with the files that were appended to kept open.
 struct Folder {
     path: PathBuf,
-    open: Mutex<HashMap<String, Arc<File>>>,
-    _lock: File,
+    /// `None` once the folder was released.
+    open: Mutex<Option<Handles>>,
+    lock: File,
 }
 
 impl Folder {
-    fn handles(&self) -> std::sync::MutexGuard<'_, HashMap<String, Arc<File>>> {
+    fn handles(&self) -> MutexGuard<'_, Option<Handles>> {
         self.open.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Forgets the open file of a name.
+    fn close(&self, name: &str) -> io::Result<()> {
+        let mut open = self.handles();
+        open.as_mut().ok_or_else(released)?.remove(name);
+        Ok(())
+    }
+
+    fn release(&self) {
+        let was_open = self.handles().take().is_some();
+        if let (true, Err(e)) = (was_open, FileExt::unlock(&self.lock)) {
+            let folder = self.path.display().to_string();
+            spdlog::warn!("release the data folder: {}", e, kv: { folder = folder.as_str() });
+        }
+    }
+
     fn file(&self, name: &str) -> io::Result<Arc<File>> {
         let mut open = self.handles();
+        let open = open.as_mut().ok_or_else(released)?;
         if let Some(file) = open.get(name) {
             return Ok(Arc::clone(file));
         }
@@ -128,19 +156,18 @@
     }
 
     fn write(&self, name: &str, bytes: &[u8]) -> io::Result<()> {
-        self.handles().remove(name);
+        self.close(name)?;
         fs::write(self.path.join(name), bytes)
     }
 
     fn rename(&self, from: &str, to: &str) -> io::Result<()> {
-        let mut open = self.handles();
-        open.remove(from);
-        open.remove(to);
+        self.close(from)?;
+        self.close(to)?;
         fs::rename(self.path.join(from), self.path.join(to))
     }
 
     fn remove(&self, name: &str) -> io::Result<()> {
-        self.handles().remove(name);
+        self.close(name)?;
         fs::remove_file(self.path.join(name))
     }
 
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -227,7 +227,6 @@
         let _ = timeout(limit, settled).await;
         let _ = timeout(limit, shared.hand_over()).await;
         self.end().await;
-        let _flushed = shared.store.lock().await;
     }
 
     /// Ends at once, as a crash would, though with the folder's lock let go.
@@ -247,7 +246,10 @@
         let mut tasks = std::mem::take(&mut *tasks.lock().unwrap_or_else(PoisonError::into_inner));
         tasks.shutdown().await;
         shared.core().peers.clear();
+        // A write under way ends on its own thread, and no other begins.
         let _written = shared.snapshotting.lock().await;
+        let _flushed = shared.store.lock().await;
+        (shared.disk.release)();
     }
 }
 
--- a/crates/replica/tests/common/disk.rs
+++ b/crates/replica/tests/common/disk.rs
@@ -186,6 +186,7 @@
                 state.synced = state.now.clone();
                 Ok(())
             }),
+            release: Arc::new(|| {}),
             is_blocking: false,
         }
     }
--- a/crates/replica/tests/one_voter.rs
+++ b/crates/replica/tests/one_voter.rs
@@ -54,7 +54,7 @@
     let mut cfg = ReplicaConfig::new("a", folder.path().to_owned(), vec!["a".to_owned()]);
     cfg.snapshot_after = 10;
     let mut expected = Vec::new();
-    for round in 0..5u8 {
+    for round in 0..30u8 {
         let (replica, entries) = start(&cfg).await;
         for n in 0..7u8 {
             let applied = propose(&replica, &[round, n]).await;
