--- a/crates/routing/tests/common/mod.rs
+++ b/crates/routing/tests/common/mod.rs
@@ -30,6 +30,20 @@
     }
 }
 
+/// How many of `calls` with one cached prompt go to the endpoint that holds it, of `endpoints`.
+pub fn drawn_by_cache(endpoints: usize, calls: usize) -> usize {
+    let table = table(endpoints);
+    let router = router(&table);
+    let prompt = vec![b'x'; 1_024];
+    let asked = Need {
+        prompt: Some(&prompt),
+        ..need()
+    };
+    router.pick(&asked).unwrap().finish(answered(10));
+    let picks: Vec<_> = (0..calls).map(|_| router.pick(&asked).unwrap()).collect();
+    picks.iter().filter(|p| p.cached_share() > 0.5).count()
+}
+
 /// A table of a gate in [`AZ`] that knows `endpoints` of it.
 pub fn table(endpoints: usize) -> Table {
     let table = Table::new(TableConfig::new("g0", AZ));
--- a/crates/routing/tests/load.rs
+++ b/crates/routing/tests/load.rs
@@ -2,21 +2,11 @@
 
 mod common;
 
-use common::{AZ, announcement, answered, need, router, spread, table};
-use routing::Need;
+use common::{AZ, announcement, drawn_by_cache, router, spread, table};
 
 #[tokio::test(start_paused = true)]
 async fn a_cached_prefix_does_not_outweigh_a_long_queue() {
-    let table = table(2);
-    let router = router(&table);
-    let prompt = vec![b'x'; 1_024];
-    let asked = Need {
-        prompt: Some(&prompt),
-        ..need()
-    };
-    router.pick(&asked).unwrap().finish(answered(10));
-    let picks: Vec<_> = (0..40).map(|_| router.pick(&asked).unwrap()).collect();
-    let most = picks.iter().filter(|p| p.cached_share() > 0.5).count();
+    let most = drawn_by_cache(2, 40);
     assert!((20..=24).contains(&most), "{most}");
 }
 
--- a/crates/routing/tests/pick.rs
+++ b/crates/routing/tests/pick.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use common::{AZ, SERVICE, announcement, answered, need, router, spread, table};
+use common::{AZ, SERVICE, announcement, answered, drawn_by_cache, need, router, spread, table};
 use membership::{Announcement, EndpointState, LoadedModel, Readiness, Table, TableConfig};
 use proptest::prelude::*;
 use routing::{
@@ -332,16 +332,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_prefix_in_cache_does_not_draw_everything_to_one_endpoint() {
-    let table = table(10);
-    let router = router(&table);
-    let prompt = vec![b'x'; 1_024];
-    let asked = Need {
-        prompt: Some(&prompt),
-        ..need()
-    };
-    router.pick(&asked).unwrap().finish(answered(10));
-    let picks: Vec<_> = (0..100).map(|_| router.pick(&asked).unwrap()).collect();
-    let most = picks.iter().filter(|p| p.cached_share() > 0.5).count();
+    let most = drawn_by_cache(10, 100);
     assert!((12..=35).contains(&most), "{most}");
 }
 
