--- a/crates/gate/src/stage.rs
+++ b/crates/gate/src/stage.rs
@@ -303,7 +303,7 @@
         CallError::NotRun { .. } | CallError::Status { status: 429, .. } => Verdict::Refused,
         CallError::Status { status, .. } if *status < 500 => Verdict::Rejected,
         CallError::Deadline => Verdict::Late,
-        CallError::Unsent => Verdict::Cancelled,
+        CallError::CallerGone | CallError::Unsent => Verdict::Cancelled,
         _ => Verdict::Failed,
     };
     picked.finish(verdict, None, None);
@@ -326,6 +326,7 @@
         CallError::Diverged => "diverged",
         CallError::Lagging => "lagging",
         CallError::Deadline => "deadline",
+        CallError::CallerGone => "caller_gone",
     }
 }
 
--- a/crates/keeper/src/declared.rs
+++ b/crates/keeper/src/declared.rs
@@ -1,6 +1,9 @@
 //! The declaration by sections, its revisions and its audit trail.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::{
+    collections::{BTreeMap, HashMap, VecDeque},
+    sync::Arc,
+};
 
 use declaration::{
     AuditRecord, AuditSection, Change, Declaration, Document, SectionChange, SectionId,
@@ -66,16 +69,16 @@
     AuthorOrReason,
 }
 
-/// The declaration with its history.
+/// The declaration with its history; a copy shares the document and the audit records.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Declared {
     revision: u64,
-    document: Document,
+    document: Arc<Document>,
     /// The document as types; `None` after a restart from a snapshot that this program would refuse.
-    declaration: Option<Declaration>,
+    declaration: Option<Arc<Declaration>>,
     /// The revision that last changed or deleted a section, as far as history goes back.
     changed_at: BTreeMap<SectionId, u64>,
-    history: VecDeque<Kept>,
+    history: VecDeque<Arc<Kept>>,
     history_bytes: usize,
     ids: HashMap<Uuid, u64>,
 }
@@ -84,8 +87,8 @@
     fn default() -> Self {
         Self {
             revision: 0,
-            document: Document::default(),
-            declaration: Some(Declaration::default()),
+            document: Arc::default(),
+            declaration: Some(Arc::default()),
             changed_at: BTreeMap::new(),
             history: VecDeque::new(),
             history_bytes: 0,
@@ -143,7 +146,7 @@
         if revision > self.revision || revision + 1 < self.oldest_audit() {
             return None;
         }
-        let mut document = self.document.clone();
+        let mut document = Document::clone(&self.document);
         let later = self.history.iter().rev().map(|kept| &kept.record);
         for record in later.take_while(|r| r.revision > revision) {
             let undo = |s: &AuditSection| SectionChange {
@@ -206,7 +209,7 @@
                 applied: false,
             });
         }
-        let mut document = self.document.clone();
+        let mut document = Document::clone(&self.document);
         document.apply(&effective);
         let touched = effective.iter().map(|c| &c.id);
         let typed = match &self.declaration {
@@ -214,7 +217,7 @@
             None => Declaration::from_document(&document),
         };
         match typed {
-            Ok(declaration) => self.declaration = Some(declaration),
+            Ok(declaration) => self.declaration = Some(Arc::new(declaration)),
             Err(faults) => return Ok(ChangeReply::Invalid(faults.0)),
         }
         self.accept(time_ms, change, effective, document);
@@ -276,7 +279,7 @@
         for section in &record.sections {
             self.changed_at.insert(section.id.clone(), self.revision);
         }
-        self.document = document;
+        self.document = Arc::new(document);
         let submitted = hash(change);
         self.remember(Kept { record, submitted });
         self.forget();
@@ -285,7 +288,7 @@
     fn remember(&mut self, kept: Kept) {
         self.ids.insert(kept.record.change, kept.record.revision);
         self.history_bytes += size(&kept.record);
-        self.history.push_back(kept);
+        self.history.push_back(Arc::new(kept));
     }
 
     /// Drops the oldest history beyond the bounds. The last record always stays.
@@ -293,10 +296,11 @@
         while self.history.len() > 1
             && (self.history.len() > MAX_HISTORY || self.history_bytes > MAX_HISTORY_BYTES)
         {
-            let Some(Kept { record, .. }) = self.history.pop_front() else {
+            let Some(kept) = self.history.pop_front() else {
                 return;
             };
-            self.history_bytes -= size(&record);
+            let record = &kept.record;
+            self.history_bytes -= size(record);
             self.ids.remove(&record.change);
             for section in &record.sections {
                 let is_last = self.changed_at.get(&section.id) == Some(&record.revision);
@@ -312,9 +316,9 @@
     pub fn to_snapshot(&self) -> DeclaredSnapshot {
         DeclaredSnapshot {
             revision: self.revision,
-            document: self.document.clone(),
+            document: Document::clone(&self.document),
             changed_at: self.changed_at.clone(),
-            history: self.history.clone(),
+            history: self.history.iter().map(|kept| Kept::clone(kept)).collect(),
         }
     }
 
@@ -322,8 +326,10 @@
     pub fn from_snapshot(snapshot: DeclaredSnapshot) -> Self {
         let mut declared = Self {
             revision: snapshot.revision,
-            declaration: Declaration::from_document(&snapshot.document).ok(),
-            document: snapshot.document,
+            declaration: Declaration::from_document(&snapshot.document)
+                .ok()
+                .map(Arc::new),
+            document: Arc::new(snapshot.document),
             changed_at: snapshot.changed_at,
             ..Self::default()
         };
