--- a/crates/bench/src/stand_in/announce.rs
+++ b/crates/bench/src/stand_in/announce.rs
@@ -76,6 +76,7 @@
         models: shared.orders.models(),
         role: shared.orders.role(),
         checks_fencing: shared.cfg.checks_fencing,
+        slots: None,
         load: shared.load_with_lag(),
     }
 }
--- a/crates/controller/examples/cost.rs
+++ b/crates/controller/examples/cost.rs
@@ -88,6 +88,7 @@
             }],
             role: StageRole::Both,
             checks_fencing: true,
+            slots: None,
             calls: 3,
             silent_ms: 400,
         };
@@ -108,6 +109,7 @@
             roles: None,
             model_mb: None,
             endpoint_mb: None,
+            capacity: declaration::Capacity::default(),
         };
         (format!("service-{at:02}"), service)
     });
--- a/crates/controller/tests/memory.rs
+++ b/crates/controller/tests/memory.rs
@@ -35,6 +35,7 @@
         models: vec![loaded(3)],
         role: StageRole::Both,
         checks_fencing: true,
+        slots: None,
         calls: 0,
         silent_ms: 0,
     }
@@ -51,6 +52,7 @@
         roles: None,
         model_mb: is_declared.then_some(600),
         endpoint_mb: is_declared.then_some(1_000),
+        capacity: declaration::Capacity::default(),
     };
     BTreeMap::from([("s".to_owned(), service)])
 }
--- a/crates/controller/tests/plan.rs
+++ b/crates/controller/tests/plan.rs
@@ -29,6 +29,7 @@
         roles: None,
         model_mb: None,
         endpoint_mb: None,
+        capacity: declaration::Capacity::default(),
     };
     BTreeMap::from([(SERVICE.to_owned(), service)])
 }
@@ -52,6 +53,7 @@
         models: vec![loaded(version)],
         role: StageRole::Both,
         checks_fencing: true,
+        slots: None,
         calls: 0,
         silent_ms: 0,
     }
--- a/crates/controller/tests/roles.rs
+++ b/crates/controller/tests/roles.rs
@@ -32,6 +32,7 @@
         }],
         role,
         checks_fencing: true,
+        slots: None,
         calls: 0,
         silent_ms: 0,
     }
@@ -48,6 +49,7 @@
         roles: Some(shares),
         model_mb: None,
         endpoint_mb: None,
+        capacity: declaration::Capacity::default(),
     };
     BTreeMap::from([("s".to_owned(), service)])
 }
--- a/crates/declaration/src/lib.rs
+++ b/crates/declaration/src/lib.rs
@@ -10,6 +10,8 @@
 mod diff;
 mod document;
 mod read;
+mod read_route;
+mod route;
 mod types;
 mod validate;
 
@@ -18,6 +20,7 @@
 pub use diff::{diff, section_diff};
 pub use document::{Document, SectionId, SectionText};
 pub use inifile::{Fault, Faults};
+pub use route::{Answer, Batch, CallerLimits, Capacity, Route, RouteStage, WeightedService};
 pub use types::{
-    AvailabilityZone, Declaration, Pipeline, Priority, RoleShares, Service, ServiceKind, Workspace,
+    AvailabilityZone, Declaration, KeyDigest, Pipeline, Priority, RoleShares, Service, ServiceKind, Workspace,
 };
--- a/crates/declaration/src/read.rs
+++ b/crates/declaration/src/read.rs
@@ -5,8 +5,8 @@
 use inifile::{Fault, Faults, Section};
 
 use crate::{
-    AvailabilityZone, Declaration, Document, Pipeline, Priority, RoleShares, SectionId,
-    SectionText, Service, ServiceKind, Workspace, validate,
+    AvailabilityZone, Declaration, Document, KeyDigest, Pipeline, Priority, RoleShares, SectionId,
+    SectionText, Service, ServiceKind, Workspace, read_route, validate,
 };
 
 /// Deadline of a pipeline that declares none.
@@ -162,6 +162,11 @@
             let workspace = read_workspace(&mut keys);
             out.workspaces.insert(name, workspace);
         }
+        read_route::ROUTE => {
+            let route = read_route::route(&mut keys);
+            out.routes.insert(name, route);
+        }
+        read_route::LIMITS => out.callers = read_route::limits(&mut keys, &name),
         _ => keys.unknown_section(),
     }
     keys.finish();
@@ -174,9 +179,13 @@
         "retriever" => ServiceKind::Retriever,
         "reranker" => ServiceKind::Reranker,
         "plain" | "" => ServiceKind::Plain,
+        "hosted-engine" => ServiceKind::HostedEngine,
+        "batch-pool" => ServiceKind::BatchPool,
         other => {
-            let what =
-                format!("`{other}` is no kind; use engine, encoder, retriever, reranker or plain");
+            let what = format!(
+                "`{other}` is no kind; use engine, encoder, retriever, reranker, plain, \
+                 hosted-engine or batch-pool"
+            );
             keys.fault("kind", what);
             ServiceKind::Plain
         }
@@ -193,6 +202,7 @@
         roles: read_roles(keys),
         model_mb: keys.megabytes("model_mb"),
         endpoint_mb: keys.megabytes("endpoint_mb"),
+        capacity: read_route::capacity(keys),
     };
     validate::service(keys, &service);
     service
@@ -238,7 +248,16 @@
         pipelines: keys.list("pipelines"),
         availability_zones: keys.list("availability_zones"),
         max_in_flight: keys.number("max_in_flight", DEFAULT_MAX_IN_FLIGHT, 1, MAX_IN_FLIGHT) as u32,
+        keys: keys.list("keys").into_iter().map(KeyDigest).collect(),
     };
+    if !workspace.keys.iter().all(KeyDigest::is_well_formed) {
+        let what = "not a list of digests; write the SHA-256 of each key in lowercase hexadecimal";
+        keys.fault("keys", what.to_owned());
+    }
+    // Routes name no workspace: whoever has a key may use all that aren't public.
+    if !workspace.keys.is_empty() && workspace.pipelines.is_empty() {
+        return workspace;
+    }
     if workspace.pipelines.is_empty() {
         keys.fault("pipelines", "no pipeline; name at least one".to_owned());
     }
@@ -278,7 +297,7 @@
         self.faults.0.push(self.lines.fault(&self.id, key, what));
     }
 
-    fn optional(&mut self, key: &str) -> Option<String> {
+    pub(crate) fn optional(&mut self, key: &str) -> Option<String> {
         match self.left.remove(key) {
             Some("") => {
                 self.fault(key, "empty; give a value or leave the key out".to_owned());
@@ -288,14 +307,14 @@
         }
     }
 
-    fn required(&mut self, key: &str) -> String {
+    pub(crate) fn required(&mut self, key: &str) -> String {
         if !self.left.contains_key(key) {
             self.fault(key, format!("missing; add `{key} = …`"));
         }
         self.optional(key).unwrap_or_default()
     }
 
-    fn list(&mut self, key: &str) -> Vec<String> {
+    pub(crate) fn list(&mut self, key: &str) -> Vec<String> {
         let Some(value) = self.optional(key) else {
             return Vec::new();
         };
@@ -307,7 +326,7 @@
         items
     }
 
-    fn yes_or_no(&mut self, key: &str) -> bool {
+    pub(crate) fn yes_or_no(&mut self, key: &str) -> bool {
         match self.required(key).as_str() {
             "yes" => true,
             "no" | "" => false,
@@ -319,7 +338,7 @@
         }
     }
 
-    fn optional_number(&mut self, key: &str, low: u64, high: u64) -> Option<u64> {
+    pub(crate) fn optional_number(&mut self, key: &str, low: u64, high: u64) -> Option<u64> {
         let value = self.optional(key)?;
         match value.parse() {
             Ok(n) if (low..=high).contains(&n) => Some(n),
@@ -336,13 +355,14 @@
         Some(mb as u32)
     }
 
-    fn number(&mut self, key: &str, default: u64, low: u64, high: u64) -> u64 {
+    pub(crate) fn number(&mut self, key: &str, default: u64, low: u64, high: u64) -> u64 {
         self.optional_number(key, low, high).unwrap_or(default)
     }
 
     fn unknown_section(&mut self) {
         self.left.clear();
-        let what = "unknown kind of section; use availability-zone, service, pipeline or workspace";
+        let what = "unknown kind of section; use availability-zone, service, pipeline, \
+                    workspace, route or limits";
         self.fault("", what.to_owned());
     }
 
--- /dev/null
+++ b/crates/declaration/src/read_route.rs
@@ -0,0 +1,165 @@
+//! Reading routes, capacities and callers' limits.
+
+use std::{fmt::Display, str::FromStr, time::Duration};
+
+use crate::{
+    Priority,
+    read::Keys,
+    route::{Answer, Batch, CallerLimits, Capacity, Route},
+};
+
+/// The kind of section that declares a route.
+pub(crate) const ROUTE: &str = "route";
+/// The kind of section that bounds what callers of routes may send.
+pub(crate) const LIMITS: &str = "limits";
+/// The only name of a [`LIMITS`] section.
+const CALLERS: &str = "callers";
+
+/// Longest time that may be declared.
+const MAX_MS: u64 = 86_400_000;
+const MAX_BYTES: u64 = u32::MAX as u64;
+const MAX_COUNT: u64 = 1_000_000;
+const DEFAULT_LONGEST_MS: u64 = 30_000;
+const DEFAULT_KEEP_MS: u64 = 4_000;
+const MAX_ITEM_US: u64 = 60_000_000;
+
+/// Reads a route's keys.
+pub(crate) fn route(keys: &mut Keys<'_>) -> Route {
+    let longest = millis(keys, "longest_ms", DEFAULT_LONGEST_MS, 1);
+    let route = Route {
+        host: keys.required("host"),
+        path_prefix: path_prefix(keys),
+        answer: answer(keys),
+        repeatable: keys.yes_or_no("repeatable"),
+        resumable: flag(keys, "resumable"),
+        objective: millis(keys, "objective_ms", longest.as_millis() as u64, 0),
+        longest,
+        pause: keys
+            .optional_number("pause_ms", 0, MAX_MS)
+            .map(Duration::from_millis),
+        priority: Priority(keys.number("priority", 1, 0, u64::from(Priority::MAX)) as u8),
+        attempts: keys.number("attempts", 1, 1, MAX_COUNT) as u32,
+        public: flag(keys, "public"),
+        affinity: flag(keys, "affinity"),
+        services: parsed(keys, "services"),
+        stages: parsed(keys, "stages"),
+    };
+    if route.services.iter().all(|s| s.weight == 0) {
+        let what = "no service has a weight; write `SERVICE WEIGHT`, separated by commas";
+        keys.fault("services", what.to_owned());
+    }
+    route
+}
+
+/// Reads what callers may send.
+pub(crate) fn limits(keys: &mut Keys<'_>, name: &str) -> CallerLimits {
+    if name != CALLERS {
+        let what = format!("`{name}` is nothing that has limits; write `[limits {CALLERS}]`");
+        keys.fault("", what);
+    }
+    let default = CallerLimits::default();
+    let (head, idle) = (
+        default.head.as_millis() as u64,
+        default.idle.as_millis() as u64,
+    );
+    let mut bytes =
+        |key, default: u32| keys.number(key, u64::from(default), 1, MAX_BYTES) as u32;
+    CallerLimits {
+        head_bytes: bytes("head_bytes", default.head_bytes),
+        body_bytes: bytes("body_bytes", default.body_bytes),
+        head: millis(keys, "head_ms", head, 1),
+        idle: millis(keys, "idle_ms", idle, 1),
+    }
+}
+
+/// Reads what one endpoint of a service can carry.
+pub(crate) fn capacity(keys: &mut Keys<'_>) -> Capacity {
+    let count = |keys: &mut Keys<'_>, key| {
+        let n = keys.optional_number(key, 1, MAX_COUNT);
+        n.map(|n| n as u32)
+    };
+    Capacity {
+        health_path: keys.optional("health_path"),
+        connections: count(keys, "connections"),
+        slots: count(keys, "slots"),
+        queue: keys.optional_number("queue", 0, MAX_COUNT).map(|n| n as u32),
+        link_mbps: count(keys, "link_mbps"),
+        batch: batch(keys),
+        memory_tokens: keys.optional_number("memory_tokens", 1, u64::MAX),
+        event_tokens: count(keys, "event_tokens"),
+    }
+}
+
+/// Reads what batched calls cost; the keys stand together or not at all.
+fn batch(keys: &mut Keys<'_>) -> Option<Batch> {
+    let items = keys.optional_number("batch_items", 1, MAX_COUNT);
+    let call = keys.optional_number("batch_call_ms", 0, MAX_MS);
+    let item = keys.optional_number("batch_item_us", 0, MAX_ITEM_US);
+    let room = keys.optional_number("room_bytes", 1, u64::MAX);
+    let keep = keys.optional_number("keep_ms", 1, MAX_MS);
+    match (items, call, item, room) {
+        (None, None, None, None) => None,
+        (Some(items), Some(call), Some(item), Some(room_bytes)) => Some(Batch {
+            items: items as u32,
+            call: Duration::from_millis(call),
+            item: Duration::from_micros(item),
+            room_bytes,
+            keep: Duration::from_millis(keep.unwrap_or(DEFAULT_KEEP_MS)),
+        }),
+        _ => {
+            let what = "incomplete; a batch pool needs `batch_items`, `batch_call_ms`, \
+                        `batch_item_us` and `room_bytes`";
+            keys.fault("batch_items", what.to_owned());
+            None
+        }
+    }
+}
+
+fn path_prefix(keys: &mut Keys<'_>) -> String {
+    let prefix = keys.required("path_prefix");
+    if !prefix.is_empty() && !(prefix.starts_with('/') && prefix.ends_with('/')) {
+        let what = format!("`{prefix}` is no prefix; begin and end it with a slash");
+        keys.fault("path_prefix", what);
+    }
+    prefix
+}
+
+fn answer(keys: &mut Keys<'_>) -> Answer {
+    match keys.optional("answer").as_deref() {
+        None | Some("whole") => Answer::Whole,
+        Some("stream") => Answer::Stream,
+        Some(other) => {
+            let what = format!("`{other}` is no kind of answer; write `whole` or `stream`");
+            keys.fault("answer", what);
+            Answer::Whole
+        }
+    }
+}
+
+fn flag(keys: &mut Keys<'_>, key: &str) -> bool {
+    match keys.optional(key).as_deref() {
+        None | Some("no") => false,
+        Some("yes") => true,
+        Some(other) => {
+            let what = format!("`{other}` is neither yes nor no; write `yes` or `no`");
+            keys.fault(key, what);
+            false
+        }
+    }
+}
+
+fn millis(keys: &mut Keys<'_>, key: &str, default: u64, low: u64) -> Duration {
+    Duration::from_millis(keys.number(key, default, low, MAX_MS))
+}
+
+/// The items of a list, each of which is parsed.
+fn parsed<T: FromStr<Err: Display>>(keys: &mut Keys<'_>, key: &str) -> Vec<T> {
+    let mut items = Vec::new();
+    for text in keys.list(key).iter().filter(|text| !text.is_empty()) {
+        match text.parse::<T>() {
+            Ok(item) => items.push(item),
+            Err(what) => keys.fault(key, what.to_string()),
+        }
+    }
+    items
+}
--- a/crates/declaration/src/types.rs
+++ b/crates/declaration/src/types.rs
@@ -5,6 +5,8 @@
 use derives::{record, token};
 use imbl::OrdMap;
 
+use crate::{CallerLimits, Capacity, Route};
+
 /// A workspace's priority from 0 (first to be shed) to [`Priority::MAX`] (last to be shed).
 #[token]
 pub struct Priority(pub u8);
@@ -26,6 +28,10 @@
     pub pipelines: BTreeMap<String, Pipeline>,
     /// Workspaces by name.
     pub workspaces: OrdMap<String, Workspace>,
+    /// Routes by name.
+    pub routes: BTreeMap<String, Route>,
+    /// What callers of routes may send.
+    pub callers: CallerLimits,
 }
 
 /// An availability zone.
@@ -49,6 +55,12 @@
     Reranker,
     /// A plain service.
     Plain,
+    /// Model engines that others operate: they are served and get no orders.
+    #[serde(rename = "hosted-engine")]
+    HostedEngine,
+    /// Endpoints that do items of many requests in one call and keep the results.
+    #[serde(rename = "batch-pool")]
+    BatchPool,
 }
 
 /// A service: what a stage calls.
@@ -72,6 +84,8 @@
     pub model_mb: Option<u32>,
     /// Memory for models at each endpoint, in MB.
     pub endpoint_mb: Option<u32>,
+    /// What one endpoint can carry.
+    pub capacity: Capacity,
 }
 
 /// Shares of a service's endpoints in an availability zone by role, in percent; the rest do both.
@@ -103,6 +117,24 @@
     pub availability_zones: Vec<String>,
     /// Most requests in flight at one gate.
     pub max_in_flight: u32,
+    /// Digests of the access keys that stand for it on routes.
+    pub keys: Vec<KeyDigest>,
+}
+
+/// SHA-256 of an access key in hexadecimal; the key itself is never declared.
+#[record]
+#[derive(Eq, PartialOrd, Ord, Hash)]
+pub struct KeyDigest(pub String);
+
+impl KeyDigest {
+    /// Characters of a digest.
+    const CHARS: usize = 64;
+
+    /// Whether it has the form of a digest.
+    pub fn is_well_formed(&self) -> bool {
+        let is_hex = |c: char| matches!(c, '0'..='9' | 'a'..='f');
+        self.0.len() == Self::CHARS && self.0.chars().all(is_hex)
+    }
 }
 
 impl Declaration {
--- a/crates/declaration/src/validate.rs
+++ b/crates/declaration/src/validate.rs
@@ -1,12 +1,13 @@
 //! Checks across keys and sections.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use inifile::Faults;
 
 use crate::{
     Declaration, SectionId, Service, ServiceKind,
     read::{Keys, Lines, WORKSPACE},
+    read_route::ROUTE,
 };
 
 const MAX_NAME_BYTES: usize = 63;
@@ -80,6 +81,11 @@
     for name in declaration.workspaces.keys() {
         workspace_references(declaration, name, lines, faults);
     }
+    for name in declaration.routes.keys() {
+        route_references(declaration, name, lines, faults);
+    }
+    places(declaration, lines, faults);
+    shared_keys(declaration, lines, faults);
 }
 
 /// The same for section `id` alone.
@@ -91,11 +97,80 @@
 ) {
     match id.kind.as_str() {
         "pipeline" => pipeline_references(declaration, &id.name, lines, faults),
-        WORKSPACE => workspace_references(declaration, &id.name, lines, faults),
+        WORKSPACE => {
+            workspace_references(declaration, &id.name, lines, faults);
+            shared_keys(declaration, lines, faults);
+        }
+        ROUTE => {
+            route_references(declaration, &id.name, lines, faults);
+            places(declaration, lines, faults);
+        }
         _ => {}
     }
 }
 
+/// Services of a route are declared; its stages are batch pools, each after earlier ones only.
+fn route_references(
+    declaration: &Declaration,
+    name: &str,
+    lines: &Lines<'_>,
+    faults: &mut Faults,
+) {
+    let Some(route) = declaration.routes.get(name) else {
+        return;
+    };
+    let id = format!("route {name}");
+    let mut fault = |key: &str, what: String| faults.0.push(lines.fault(&id, key, what));
+    for service in route.services.iter().map(|s| &s.service) {
+        if !declaration.services.contains_key(service) {
+            let what = format!("service `{service}` is not declared; add `[service {service}]`");
+            fault("services", what);
+        }
+    }
+    for (number, stage) in route.stages.iter().enumerate() {
+        let service = &stage.service;
+        match declaration.services.get(service).map(|s| s.kind) {
+            Some(ServiceKind::BatchPool) => {}
+            Some(_) => fault("stages", format!("`{service}` is no batch pool; name one")),
+            None => {
+                let what = format!("service `{service}` is not declared; add `[service {service}]`");
+                fault("stages", what);
+            }
+        }
+        if stage.after.iter().any(|after| *after >= number) {
+            let what = format!("stage {number} can only come after stages below {number}");
+            fault("stages", what);
+        }
+    }
+}
+
+/// No two routes take the same requests.
+fn places(declaration: &Declaration, lines: &Lines<'_>, faults: &mut Faults) {
+    let mut seen: BTreeMap<(&str, &str), &str> = BTreeMap::new();
+    for (name, route) in &declaration.routes {
+        let place = (route.host.as_str(), route.path_prefix.as_str());
+        if let Some(other) = seen.insert(place, name) {
+            let what = format!("route `{other}` has the same host and prefix; change one of them");
+            let fault = lines.fault(&format!("route {name}"), "path_prefix", what);
+            faults.0.push(fault);
+        }
+    }
+}
+
+/// No access key stands for two workspaces.
+fn shared_keys(declaration: &Declaration, lines: &Lines<'_>, faults: &mut Faults) {
+    let mut seen: BTreeMap<&str, &str> = BTreeMap::new();
+    for (name, workspace) in &declaration.workspaces {
+        for key in &workspace.keys {
+            let other = seen.insert(&key.0, name).filter(|other| other != name);
+            if let Some(other) = other {
+                let what = format!("workspace `{other}` has the same key; give each its own");
+                faults.0.push(lines.fault(&format!("workspace {name}"), "keys", what));
+            }
+        }
+    }
+}
+
 fn pipeline_references(
     declaration: &Declaration,
     name: &str,
--- a/crates/declaration/tests/documents.rs
+++ b/crates/declaration/tests/documents.rs
@@ -53,7 +53,7 @@
         bad.ini:7: pipeline p: deadline_ms: `0` is out of range; write 1 to 600000
         bad.ini:8: workspace w: availability_zones: no availability zone; name at least one
         bad.ini:9: workspace w: pipelines: pipeline `q` is not declared; add `[pipeline q]` or remove it
-        bad.ini:10: zebra z: unknown kind of section; use availability-zone, service, pipeline or workspace
+        bad.ini:10: zebra z: unknown kind of section; use availability-zone, service, pipeline, workspace, route or limits
         bad.ini:11: service x: section stands twice; keep one
         bad.ini:12: nameless: section `nameless` has no name; write `[kind name]`"#]]
     .assert_eq(&faults.to_string());
--- /dev/null
+++ b/crates/forward/src/batch.rs
@@ -0,0 +1,113 @@
+//! One batched call to one endpoint.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::{
+    call,
+    collector::Context,
+    dialect::{Item, ItemResult, Source, Verdict},
+    line::{Job, NextCall},
+    messages::StageFailure,
+};
+
+/// Most bytes of an answer.
+const MAX_ANSWER_BYTES: usize = 1 << 20;
+/// Times of what a call is expected to take after which it counts as lost.
+const PATIENCE: u32 = 4;
+const MIN_PATIENCE: Duration = Duration::from_millis(500);
+
+/// How a call ended.
+#[derive(Debug)]
+pub(crate) enum Ended {
+    /// With a result for each item.
+    Answered(Vec<Result<String, ItemFailure>>),
+    /// It did not run.
+    NotRun,
+    /// Another endpoint has the address; it did not run.
+    Misplaced,
+    /// It may have run, and gave nothing.
+    Failed,
+}
+
+/// Why one item has no result.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum ItemFailure {
+    /// It may be made once more.
+    Again,
+    /// There was no room for its result.
+    NoRoom,
+    /// Its stage has failed.
+    Ended(StageFailure),
+}
+
+/// Makes the call and waits for its end.
+pub(crate) async fn call(cx: &Context, next: &NextCall) -> Ended {
+    let now = Instant::now();
+    let items: Vec<Item<'_>> = next.jobs.iter().map(|job| item(job, now)).collect();
+    let req = (cx.dialect.write_batch)(&items, &next.target.name);
+    let patience = (next.expected * PATIENCE).max(MIN_PATIENCE);
+    let until = now + patience;
+    let exchange = match call::send(&cx.pool, next.target.address, req, until).await {
+        Ok(exchange) => exchange,
+        Err(e) => return failed(next, &e),
+    };
+    match (cx.dialect.judge)("", exchange.status, &exchange.headers) {
+        Verdict::Good => {}
+        Verdict::Full | Verdict::NotRun | Verdict::InputsGone => {
+            // Reading the rest only keeps the connection.
+            let _ = exchange.whole(&cx.pool, MAX_ANSWER_BYTES, until).await;
+            return Ended::NotRun;
+        }
+        Verdict::OtherEndpoint => return Ended::Misplaced,
+        Verdict::Failed | Verdict::Foreign => return Ended::Failed,
+    }
+    let body = match exchange.whole(&cx.pool, MAX_ANSWER_BYTES, until).await {
+        Ok(body) => body,
+        Err(e) => return failed(next, &e),
+    };
+    match (cx.dialect.read_batch)(&body) {
+        Some(results) if results.len() == next.jobs.len() => {
+            Ended::Answered(results.into_iter().map(read).collect())
+        }
+        _ => Ended::Failed,
+    }
+}
+
+fn failed(next: &NextCall, e: &call::CallError) -> Ended {
+    spdlog::warn!("batched call failed", kv: {
+        endpoint = next.target.name.as_str(),
+        service = next.target.service.as_str(),
+        items = next.jobs.len(),
+        why = e.to_string()
+    });
+    Ended::Failed
+}
+
+fn item(job: &Job, now: Instant) -> Item<'_> {
+    let submission = &job.ticket.submission;
+    let source = match &submission.key {
+        Some(key) if submission.inputs.is_empty() => Source::Key(key),
+        _ => Source::Inputs(&submission.inputs),
+    };
+    Item {
+        request: &submission.request,
+        stage: submission.stage,
+        item: job.item,
+        left: job.ticket.deadline.saturating_duration_since(now),
+        source,
+    }
+}
+
+fn read(result: ItemResult) -> Result<String, ItemFailure> {
+    match result {
+        ItemResult::Made(handle) => Ok(handle),
+        ItemResult::NoRoom => Err(ItemFailure::NoRoom),
+        ItemResult::Failed => Err(ItemFailure::Again),
+        ItemResult::InputGone => Err(ItemFailure::Ended(StageFailure::InputGone)),
+        ItemResult::Late => Err(ItemFailure::Ended(StageFailure::Late {
+            retry_after: Duration::from_millis(500),
+        })),
+    }
+}
--- /dev/null
+++ b/crates/forward/src/collector.rs
@@ -0,0 +1,289 @@
+//! Collects items of many requests into batched calls to the endpoints of a batch pool.
+//!
+//! A line for each service holds waiting items by urgency and age. Whenever an endpoint has a free
+//! slot and room for results, it gets the fullest call that the line can make.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use outbound::Pool;
+use tokio::{
+    sync::{Notify, watch},
+    task::JoinHandle,
+    time::{Instant, sleep, timeout_at},
+};
+
+use crate::{
+    batch::{self, Ended},
+    dialect::Dialect,
+    fleet::Fleet,
+    line::{Job, Line, NextCall, Ticket},
+    messages::{Made, StageFailure, Submission},
+    rules::Rules,
+};
+
+/// Time in which results that are given up are collected into one order.
+const FREE_PAUSE: Duration = Duration::from_millis(25);
+/// Bound on an order to give results up.
+const FREE_LIMIT: Duration = Duration::from_millis(500);
+/// Longest time between looks at a line that waits.
+const LOOK_AGAIN: Duration = Duration::from_millis(50);
+
+/// What a collector works with.
+#[derive(Clone, Debug)]
+pub(crate) struct Context {
+    pub(crate) dialect: Dialect,
+    pub(crate) fleet: Fleet,
+    pub(crate) pool: Pool,
+    pub(crate) rules: watch::Receiver<Arc<Rules>>,
+    pub(crate) budget: Arc<routing::RetryBudget>,
+}
+
+/// The lines of all services; clones share them.
+#[derive(Clone, Debug)]
+pub(crate) struct Collector {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    cx: Context,
+    lines: Mutex<HashMap<String, Arc<Running>>>,
+    tickets: Mutex<HashMap<u64, Arc<Ticket>>>,
+}
+
+/// A line and the task that empties it.
+#[derive(Debug)]
+struct Running {
+    line: Mutex<Line>,
+    wake: Notify,
+    task: Mutex<Option<JoinHandle<()>>>,
+}
+
+impl Running {
+    fn line(&self) -> MutexGuard<'_, Line> {
+        self.line.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let task = self.task.get_mut().unwrap_or_else(PoisonError::into_inner);
+        if let Some(task) = task {
+            task.abort();
+        }
+    }
+}
+
+impl Collector {
+    pub(crate) fn new(cx: Context) -> Self {
+        let shared = Shared {
+            cx,
+            lines: Mutex::default(),
+            tickets: Mutex::default(),
+        };
+        Self {
+            shared: Arc::new(shared),
+        }
+    }
+
+    /// Takes the items of a stage; refuses at once what can't be done in time.
+    pub(crate) fn submit(&self, submission: Submission) -> Result<u64, StageFailure> {
+        let now = Instant::now();
+        let rules = self.shared.cx.rules.borrow().clone();
+        let service = submission.service.clone();
+        let declared = rules.service(&service).map(|s| &s.capacity);
+        let Some(capacity) = declared.filter(|c| c.batch.is_some()).cloned() else {
+            return Err(StageFailure::NoEndpoint);
+        };
+        let Some(pool) = self.shared.cx.fleet.pool(&service) else {
+            return Err(StageFailure::NoEndpoint);
+        };
+        let running = self.running(&service);
+        let ticket = {
+            let mut line = running.line();
+            line.declare(&capacity);
+            line.take(submission, &pool, now)?
+        };
+        let id = ticket.id;
+        self.tickets().insert(id, ticket);
+        running.wake.notify_one();
+        Ok(id)
+    }
+
+    /// Waits for what was taken under `ticket`.
+    pub(crate) async fn wait(&self, ticket: u64) -> Result<Vec<Made>, StageFailure> {
+        let found = self.tickets().get(&ticket).cloned();
+        let Some(found) = found else {
+            return Err(StageFailure::Unreachable);
+        };
+        let result = found.finished().await;
+        self.tickets().remove(&ticket);
+        result
+    }
+
+    /// Gives up what was taken under `ticket`; results that still come are freed.
+    pub(crate) fn cancel(&self, ticket: u64) {
+        let Some(ticket) = self.tickets().remove(&ticket) else {
+            return;
+        };
+        let made = ticket.cancel();
+        let running = self.running(&ticket.submission.service);
+        running.line().forget(&ticket);
+        self.free(&ticket.submission.service, made);
+    }
+
+    /// Gives results up.
+    pub(crate) fn free(&self, service: &str, handles: Vec<String>) {
+        if handles.is_empty() {
+            return;
+        }
+        let running = self.running(service);
+        let is_first = running.line().free(handles);
+        running.wake.notify_one();
+        if is_first {
+            let collector = self.clone();
+            tokio::spawn(async move {
+                sleep(FREE_PAUSE).await;
+                collector.send_freed(&running).await;
+            });
+        }
+    }
+
+    async fn send_freed(&self, running: &Running) {
+        let freed = running.line().take_freed();
+        let cx = &self.shared.cx;
+        for (address, handles) in freed {
+            let until = Instant::now() + FREE_LIMIT;
+            let req = (cx.dialect.write_free)(&handles);
+            let sent = crate::call::send(&cx.pool, address, req, until).await;
+            // A result that is not given up expires by itself.
+            if let Ok(exchange) = sent {
+                let _ = exchange.whole(&cx.pool, usize::MAX, until).await;
+            }
+        }
+    }
+
+    fn tickets(&self) -> MutexGuard<'_, HashMap<u64, Arc<Ticket>>> {
+        let tickets = &self.shared.tickets;
+        tickets.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn running(&self, service: &str) -> Arc<Running> {
+        let lines = &self.shared.lines;
+        let mut lines = lines.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(running) = lines.get(service) {
+            return Arc::clone(running);
+        }
+        let running = Arc::new(Running {
+            line: Mutex::new(Line::new()),
+            wake: Notify::new(),
+            task: Mutex::new(None),
+        });
+        let task = tokio::spawn(empty(self.clone(), service.to_owned(), Arc::clone(&running)));
+        *running.task.lock().unwrap_or_else(PoisonError::into_inner) = Some(task);
+        lines.insert(service.to_owned(), Arc::clone(&running));
+        running
+    }
+}
+
+/// Makes calls for as long as there are items and endpoints.
+async fn empty(collector: Collector, service: String, running: Arc<Running>) {
+    loop {
+        let pool = collector.shared.cx.fleet.pool(&service);
+        let next = match &pool {
+            Some(pool) => running.line().next_call(pool, Instant::now()),
+            None => None,
+        };
+        match next {
+            Some(next) => {
+                tokio::spawn(make(collector.clone(), Arc::clone(&running), next));
+            }
+            None => wait(&running).await,
+        }
+    }
+}
+
+/// Waits for news; where items wait, also for time that passes.
+async fn wait(running: &Running) {
+    let has_items = !running.line().is_empty();
+    let news = running.wake.notified();
+    match has_items {
+        true => drop(timeout_at(Instant::now() + LOOK_AGAIN, news).await),
+        false => news.await,
+    }
+}
+
+/// Makes one call and hands its results to their tickets.
+async fn make(collector: Collector, running: Arc<Running>, next: NextCall) {
+    let cx = &collector.shared.cx;
+    let began = Instant::now();
+    let ended = batch::call(cx, &next).await;
+    let now = Instant::now();
+    let has_failed = matches!(ended, Ended::Failed);
+    if !matches!(ended, Ended::NotRun) {
+        cx.fleet.observe(&next.target, has_failed);
+    }
+    match ended {
+        Ended::NotRun => cx.fleet.full(&next.target),
+        Ended::Misplaced => cx.fleet.misplaced(&next.target),
+        Ended::Failed | Ended::Answered(_) => {}
+    }
+    let unwanted = {
+        let mut line = running.line();
+        line.ended(&next, now.saturating_duration_since(began), &ended, now);
+        settle(cx, &mut line, &next, ended)
+    };
+    running.wake.notify_one();
+    let service = next.target.service.clone();
+    collector.free(&service, unwanted);
+}
+
+/// Gives each job its result or puts it back; returns handles that nobody wants any more.
+fn settle(cx: &Context, line: &mut Line, next: &NextCall, ended: Ended) -> Vec<String> {
+    let mut unwanted = Vec::new();
+    let service = &next.target.service;
+    let results = match ended {
+        Ended::Answered(results) => results,
+        Ended::NotRun | Ended::Misplaced => {
+            next.jobs.iter().for_each(|job| line.put_back(job.clone()));
+            return unwanted;
+        }
+        Ended::Failed => {
+            for job in &next.jobs {
+                again(cx, line, service, job.clone(), &StageFailure::Failed);
+            }
+            return unwanted;
+        }
+    };
+    for (job, result) in next.jobs.iter().zip(results) {
+        match result {
+            Ok(handle) => {
+                let made = Made {
+                    handle: handle.clone(),
+                    az: next.target.az.clone(),
+                };
+                if !job.ticket.made(job.item, made) {
+                    unwanted.push(handle);
+                }
+            }
+            Err(batch::ItemFailure::Again) => {
+                again(cx, line, service, job.clone(), &StageFailure::Failed);
+            }
+            Err(batch::ItemFailure::NoRoom) => line.put_back(job.clone()),
+            Err(batch::ItemFailure::Ended(failure)) => job.ticket.fail(failure),
+        }
+    }
+    unwanted
+}
+
+/// Makes an item once more where the budget allows it, and fails its stage otherwise.
+fn again(cx: &Context, line: &mut Line, service: &str, job: Job, failure: &StageFailure) {
+    match job.once_more().filter(|_| cx.budget.try_spend(service)) {
+        Some(job) => line.put_back(job),
+        None => job.ticket.fail(failure.clone()),
+    }
+}
--- /dev/null
+++ b/crates/forward/src/control.rs
@@ -0,0 +1,192 @@
+//! What a gate gets from the keepers: the declaration, its confirmation, endpoints, other gates.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use link::{
+    Channel, LinkConfig, Peer,
+    follower::{Follower, FollowerConfig},
+    keeper::{KeeperAddress, KeeperReply, KeeperRequest},
+};
+use membership::{Announcement, Load, Mirror, Readiness, Request as TableRequest, StageRole, mirror};
+use spdlog::{info, warn};
+use tokio::{
+    sync::watch,
+    task::JoinSet,
+    time::{sleep, timeout},
+};
+
+use crate::{
+    fleet::GATES,
+    freshness::{Freshness, boot_time},
+    rules::Rules,
+};
+
+/// Time between questions whether the declaration is the newest.
+const CONFIRM_EVERY: Duration = Duration::from_millis(700);
+/// Bound on the answer to one.
+const CONFIRM_LIMIT: Duration = Duration::from_millis(600);
+/// Pause after no keeper confirmed.
+const CONFIRM_RETRY: Duration = Duration::from_millis(100);
+/// How long a confirmed revision may take to be in force here.
+const CATCH_UP: Duration = Duration::from_millis(500);
+
+/// The keepers as a gate knows them, and what it tells them.
+#[derive(Debug)]
+pub(crate) struct Control {
+    pub(crate) links: LinkConfig,
+    pub(crate) seeds: Vec<SocketAddr>,
+    pub(crate) own_link: SocketAddr,
+    pub(crate) freshness: Freshness,
+    pub(crate) draining: watch::Receiver<bool>,
+}
+
+/// What the keepers told; the tasks end with it.
+#[derive(Debug)]
+pub(crate) struct Told {
+    pub(crate) follower: Follower,
+    pub(crate) rules: watch::Receiver<Arc<Rules>>,
+    pub(crate) mirror: watch::Receiver<Mirror>,
+    pub(crate) tasks: JoinSet<()>,
+}
+
+impl Control {
+    /// Starts to follow the keepers.
+    pub(crate) fn start(self) -> Told {
+        let seeds = self.seeds.iter();
+        let seeds = seeds.map(|at| Peer::start(&at.to_string(), *at, &self.links));
+        let (keepers, known) = watch::channel(seeds.collect::<Vec<Peer>>());
+        let follower = Follower::start_among(known.clone(), FollowerConfig::default());
+        let (mirror_tx, mirror) = watch::channel(Mirror::default());
+        let (rules_tx, rules) = watch::channel(Arc::new(Rules::default()));
+        let mut tasks = JoinSet::new();
+        tasks.spawn(mirror::follow(known, mirror_tx));
+        tasks.spawn(type_rules(follower.clone(), rules_tx));
+        tasks.spawn(self.keep_confirmed(follower.clone(), keepers));
+        Told {
+            follower,
+            rules,
+            mirror,
+            tasks,
+        }
+    }
+
+    /// Asks again and again whether what is in force is the newest, and announces this gate.
+    async fn keep_confirmed(mut self, follower: Follower, keepers: watch::Sender<Vec<Peer>>) {
+        let mut preferred: Option<SocketAddr> = None;
+        let mut seq = 0;
+        let mut was_fresh = false;
+        loop {
+            let known = keepers.borrow().clone();
+            let confirmed = self.confirm(&known, preferred, &follower).await;
+            let is_confirmed = confirmed.is_some();
+            if let Some((peer, addresses)) = confirmed {
+                preferred = Some(peer.address());
+                seq += 1;
+                self.announce(&peer, seq).await;
+                self.learn(&keepers, addresses);
+            }
+            let is_fresh = self.freshness.is_fresh();
+            if is_fresh != was_fresh {
+                match is_fresh {
+                    true => info!("the declaration is confirmed"),
+                    false => warn!("the declaration is not confirmed any more"),
+                }
+                was_fresh = is_fresh;
+            }
+            let pause = if is_confirmed { CONFIRM_EVERY } else { CONFIRM_RETRY };
+            tokio::select! {
+                () = sleep(pause) => {}
+                // Keepers hear at once that this gate is leaving.
+                _ = self.draining.changed() => {}
+            }
+        }
+    }
+
+    /// The first keeper that confirms, and the keepers that it names.
+    async fn confirm(
+        &self,
+        known: &[Peer],
+        preferred: Option<SocketAddr>,
+        follower: &Follower,
+    ) -> Option<(Peer, Vec<KeeperAddress>)> {
+        let mut order: Vec<&Peer> = known.iter().filter(|peer| peer.is_connected()).collect();
+        order.sort_by_key(|peer| Some(peer.address()) != preferred);
+        for peer in order {
+            let asked = boot_time();
+            let reply = peer.call(Channel::Keeper, &KeeperRequest::Confirm, CONFIRM_LIMIT);
+            let Ok(KeeperReply::Confirmed { revision, keepers }) = reply.await else {
+                continue;
+            };
+            let mut in_force = follower.in_force();
+            let is_there = in_force.wait_for(|f| f.as_ref().is_some_and(|f| f.revision >= revision));
+            if timeout(CATCH_UP, is_there).await.is_ok_and(|f| f.is_ok()) {
+                self.freshness.confirm(asked);
+            }
+            return Some((peer.clone(), keepers));
+        }
+        None
+    }
+
+    async fn announce(&self, keeper: &Peer, seq: u64) {
+        let identity = &self.links.identity;
+        let announcement = Announcement {
+            endpoint: identity.vm.clone(),
+            service: GATES.to_owned(),
+            az: identity.az.clone(),
+            address: format!("http://{}", self.own_link),
+            incarnation: identity.incarnation,
+            seq,
+            state: match *self.draining.borrow() {
+                true => Readiness::Leaving,
+                false => Readiness::Ready,
+            },
+            models: Vec::new(),
+            role: StageRole::Both,
+            checks_fencing: false,
+            slots: None,
+            load: Load::default(),
+        };
+        let req = TableRequest::Announce(Box::new(announcement));
+        // The next one follows soon.
+        let _ = keeper
+            .call::<_, membership::Reply>(Channel::Membership, &req, CONFIRM_LIMIT)
+            .await;
+    }
+
+    /// Keeps links to the keepers named, those of the own availability zone first.
+    fn learn(&self, keepers: &watch::Sender<Vec<Peer>>, mut named: Vec<KeeperAddress>) {
+        let own = &self.links.identity.az;
+        named.sort_by_key(|keeper| keeper.az.as_ref() != Some(own));
+        let known = keepers.borrow().clone();
+        let is_same = known.len() == named.len()
+            && known.iter().zip(&named).all(|(peer, keeper)| peer.address() == keeper.address);
+        if is_same || named.is_empty() {
+            return;
+        }
+        let peers = named.iter().map(|keeper| {
+            let old = known.iter().find(|peer| peer.address() == keeper.address);
+            old.cloned()
+                .unwrap_or_else(|| Peer::start(&keeper.name, keeper.address, &self.links))
+        });
+        let peers: Vec<Peer> = peers.collect();
+        let names: Vec<&str> = peers.iter().map(Peer::name).collect();
+        info!("keepers", kv: { names = names.join(", ") });
+        keepers.send_replace(peers);
+    }
+}
+
+/// Keeps the rules in step with the declaration in force.
+async fn type_rules(follower: Follower, rules: watch::Sender<Arc<Rules>>) {
+    let mut in_force = follower.in_force();
+    loop {
+        let current = in_force.borrow_and_update().clone();
+        if let Some(f) = current.filter(|f| f.revision > 0) {
+            let next = Rules::new(f.revision, &f.declaration);
+            info!("declaration in force", kv: { revision = f.revision });
+            rules.send_replace(Arc::new(next));
+        }
+        if in_force.changed().await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/forward/src/fleet.rs
@@ -0,0 +1,300 @@
+//! The endpoints as this gate knows them: what keepers told, and what its own calls showed.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock},
+    time::Duration,
+};
+
+use membership::{EndpointState, EndpointView, Mirror};
+use routing::{EjectionConfig, Health, max_ejected};
+use tokio::time::Instant;
+use uuid::Uuid;
+
+use crate::{
+    cache::PrefixCache,
+    inquiry::Prompt,
+    pace::{Fit, Line, Slowness},
+};
+
+/// Service under which gates announce themselves; no declared service can have this name.
+pub const GATES: &str = "@gates";
+
+/// Largest share of a service's endpoints that may be ejected at once.
+const MAX_EJECTED: f64 = 0.4;
+/// How long an endpoint that another one answered for is left out.
+const MISPLACED: Duration = Duration::from_secs(3);
+/// How long an endpoint that said it is full is left out.
+const FULL: Duration = Duration::from_millis(60);
+/// Memory of an engine that declares none, in tokens.
+const DEFAULT_MEMORY_TOKENS: u64 = 200_000;
+/// Time of a call before any was seen.
+const FIRST_GUESS: Line = Line {
+    base_ms: 60.0,
+    slope_ms: 0.02,
+};
+
+fn ejection() -> EjectionConfig {
+    EjectionConfig {
+        consecutive: 3,
+        failure_share: 0.3,
+        min_calls: 6.0,
+        half_life: Duration::from_secs(3),
+        base: Duration::from_secs(2),
+        max: Duration::from_secs(8),
+        slow_return: Duration::from_secs(2),
+        max_share: MAX_EJECTED,
+    }
+}
+
+/// One endpoint.
+#[derive(Debug)]
+pub(crate) struct Target {
+    pub(crate) name: String,
+    pub(crate) service: String,
+    pub(crate) az: String,
+    pub(crate) address: SocketAddr,
+    incarnation: Uuid,
+    pub(crate) slots: Option<u32>,
+    stats: Mutex<Stats>,
+}
+
+/// What this gate's calls showed of an endpoint.
+#[derive(Debug)]
+pub(crate) struct Stats {
+    /// Keepers' word on it.
+    pub(crate) state: EndpointState,
+    /// Calls of this gate in flight.
+    pub(crate) in_flight: u32,
+    /// Tokens of those whose first part hasn't come.
+    pub(crate) unread_tokens: u64,
+    /// Calls of other gates, as far as the endpoint's own reports tell.
+    pub(crate) others: u32,
+    others_at: Option<Instant>,
+    pub(crate) slowness: Slowness,
+    pub(crate) cache: PrefixCache,
+    health: Health,
+    out_until: Option<Instant>,
+}
+
+/// Time after which a report of load says nothing any more.
+const REPORT_LASTS: Duration = Duration::from_millis(500);
+
+impl Target {
+    pub(crate) fn stats(&self) -> MutexGuard<'_, Stats> {
+        self.stats.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether it takes new work as far as keepers know.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.stats().state == EndpointState::Ready
+    }
+}
+
+impl Stats {
+    /// Calls in flight of all gates, as far as is known.
+    pub(crate) fn load(&self, now: Instant) -> u32 {
+        let is_fresh = self
+            .others_at
+            .is_some_and(|at| now.saturating_duration_since(at) < REPORT_LASTS);
+        self.in_flight + if is_fresh { self.others } else { 0 }
+    }
+
+    /// Takes a report of calls that run and wait, of which `own` were this gate's.
+    pub(crate) fn report(&mut self, calls: u32, own: u32, now: Instant) {
+        self.others = calls.saturating_sub(own);
+        self.others_at = Some(now);
+    }
+
+    /// Whether it is left out for now.
+    pub(crate) fn is_out(&self, now: Instant) -> bool {
+        let until = |until: Option<Instant>| until.is_some_and(|until| now < until);
+        until(self.out_until) || until(self.health.ejected_until())
+    }
+}
+
+/// The endpoints of one service.
+#[derive(Debug)]
+pub(crate) struct Pool {
+    pub(crate) targets: Vec<Arc<Target>>,
+    /// Time to the first part of an answer by tokens to read.
+    fit: Arc<Mutex<Fit>>,
+}
+
+impl Pool {
+    /// The time to the first part of an answer by tokens to read.
+    pub(crate) fn line(&self) -> Line {
+        let fit = self.fit.lock().unwrap_or_else(PoisonError::into_inner);
+        fit.line()
+    }
+}
+
+/// The endpoints of all services; clones share them.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    pools: Arc<RwLock<HashMap<String, Arc<Pool>>>>,
+}
+
+impl Fleet {
+    /// The endpoints of `service`.
+    pub(crate) fn pool(&self, service: &str) -> Option<Arc<Pool>> {
+        let pools = self.pools.read().unwrap_or_else(PoisonError::into_inner);
+        pools.get(service).cloned()
+    }
+
+    /// Takes what keepers told; what is known of endpoints that stay is kept. `memory` gives the
+    /// tokens that an engine of a service holds for this gate.
+    pub fn update(&self, mirror: &Mirror, memory: impl Fn(&str) -> Option<u64>) {
+        let mut by_service: HashMap<&str, Vec<&EndpointView>> = HashMap::new();
+        for view in mirror.endpoints.values().filter(|v| v.service != GATES) {
+            by_service.entry(&view.service).or_default().push(view);
+        }
+        let mut pools = self.pools.write().unwrap_or_else(PoisonError::into_inner);
+        let old = std::mem::take(&mut *pools);
+        for (service, views) in by_service {
+            let before = old.get(service);
+            let target = |view: &&EndpointView| target_of(view, before, memory(service));
+            let pool = Pool {
+                targets: views.iter().filter_map(target).collect(),
+                fit: before.map_or_else(
+                    || Arc::new(Mutex::new(Fit::new(FIRST_GUESS))),
+                    |pool| Arc::clone(&pool.fit),
+                ),
+            };
+            pools.insert(service.to_owned(), Arc::new(pool));
+        }
+    }
+
+    /// Notes what became of a call to `target`; ejects it where it fails too often.
+    pub(crate) fn observe(&self, target: &Target, has_failed: bool) {
+        let now = Instant::now();
+        if !target.stats().health.observe(has_failed, now) {
+            return;
+        }
+        let Some(pool) = self.pool(&target.service) else {
+            return;
+        };
+        let ejected = pool.targets.iter().filter(|t| t.stats().is_out(now));
+        if ejected.count() < max_ejected(pool.targets.len(), MAX_EJECTED) {
+            target.stats().health.eject(now);
+            spdlog::warn!("endpoint ejected", kv: {
+                endpoint = target.name.as_str(), service = target.service.as_str()
+            });
+        }
+    }
+
+    /// Another endpoint has this one's address.
+    pub(crate) fn misplaced(&self, target: &Target) {
+        target.stats().out_until = Some(Instant::now() + MISPLACED);
+        spdlog::info!("endpoint's address was taken by another one", kv: {
+            endpoint = target.name.as_str(), service = target.service.as_str()
+        });
+    }
+
+    /// The endpoint said that it is full.
+    pub(crate) fn full(&self, target: &Target) {
+        target.stats().out_until = Some(Instant::now() + FULL);
+    }
+}
+
+/// The target of `view`: the one before where it is the same incarnation.
+fn target_of(
+    view: &EndpointView,
+    before: Option<&Arc<Pool>>,
+    memory: Option<u64>,
+) -> Option<Arc<Target>> {
+    let address: SocketAddr = view.address.strip_prefix("http://")?.parse().ok()?;
+    let is_same = |t: &&Arc<Target>| {
+        t.name == view.endpoint && t.incarnation == view.incarnation && t.address == address
+    };
+    let known = before.and_then(|pool| pool.targets.iter().find(is_same));
+    if let Some(known) = known {
+        known.stats().state = view.state;
+        return Some(Arc::clone(known));
+    }
+    Some(Arc::new(Target {
+        name: view.endpoint.clone(),
+        service: view.service.clone(),
+        az: view.az.clone(),
+        address,
+        incarnation: view.incarnation,
+        slots: view.slots,
+        stats: Mutex::new(Stats {
+            state: view.state,
+            in_flight: 0,
+            unread_tokens: 0,
+            others: 0,
+            others_at: None,
+            slowness: Slowness::new(),
+            cache: PrefixCache::new(memory.unwrap_or(DEFAULT_MEMORY_TOKENS)),
+            health: Health::new(ejection()),
+            out_until: None,
+        }),
+    }))
+}
+
+/// A call to an endpoint under way; counted until dropped.
+#[derive(Debug)]
+pub(crate) struct Flight {
+    pub(crate) target: Arc<Target>,
+    pool: Arc<Pool>,
+    /// Tokens to read that were expected.
+    unread: u64,
+    /// Tokens to read there when the call began, its own among them.
+    ahead: f64,
+    expected_ms: f64,
+    since: Instant,
+    has_begun: bool,
+}
+
+impl Flight {
+    /// Counts a call that has `unread` tokens to read at `target`.
+    pub(crate) fn begin(target: &Arc<Target>, pool: &Arc<Pool>, unread: u64) -> Self {
+        let now = Instant::now();
+        let ahead = {
+            let mut stats = target.stats();
+            stats.in_flight += 1;
+            stats.unread_tokens += unread;
+            stats.unread_tokens as f64
+        };
+        Self {
+            expected_ms: pool.line().at(ahead),
+            target: Arc::clone(target),
+            pool: Arc::clone(pool),
+            unread,
+            ahead,
+            since: now,
+            has_begun: false,
+        }
+    }
+
+    /// The first part of the answer has come; `prompt` is read by now.
+    pub(crate) fn first_part(&mut self, prompt: Option<&Prompt>) {
+        if self.has_begun {
+            return;
+        }
+        self.has_begun = true;
+        let now = Instant::now();
+        let took = now.saturating_duration_since(self.since).as_secs_f64() * 1e3;
+        let mut stats = self.target.stats();
+        stats.unread_tokens = stats.unread_tokens.saturating_sub(self.unread);
+        stats.slowness.observe(self.expected_ms, took, now);
+        if let Some(prompt) = prompt {
+            stats.cache.read(prompt, now);
+        }
+        drop(stats);
+        let mut fit = self.pool.fit.lock().unwrap_or_else(PoisonError::into_inner);
+        fit.observe(self.ahead, took, now);
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        let mut stats = self.target.stats();
+        stats.in_flight = stats.in_flight.saturating_sub(1);
+        if !self.has_begun {
+            stats.unread_tokens = stats.unread_tokens.saturating_sub(self.unread);
+        }
+    }
+}
--- /dev/null
+++ b/crates/forward/src/forwarder.rs
@@ -0,0 +1,201 @@
+//! Takes callers' requests: reads, checks, serves, answers.
+
+use std::{
+    convert::Infallible,
+    sync::{Arc, atomic::{AtomicUsize, Ordering}},
+    time::Duration,
+};
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::{
+    Response as HttpResponse,
+    body::Incoming,
+    header::{CONNECTION, HeaderValue, RETRY_AFTER},
+    http::request::Parts,
+};
+use tokio::{
+    sync::watch,
+    time::{Instant, timeout},
+};
+
+use crate::{
+    answer::{Refusal, Unserved},
+    dialect::Read,
+    freshness::Freshness,
+    inquiry::Inquiry,
+    metrics::Metrics,
+    response::{OutBody, Response},
+    rules::Rules,
+    serving::{self, Context, Request},
+};
+
+/// Age of a confirmation up to which a request is told that there is no such route or key.
+const DENIAL_BOUND: Duration = Duration::from_millis(1_500);
+/// Longest pause between two parts of a body.
+const BODY_PAUSE: Duration = Duration::from_secs(5);
+/// When a caller may come back where the declaration is not confirmed.
+const NOT_CONFIRMED: Duration = Duration::from_millis(500);
+
+/// Serves requests; clones share everything.
+#[derive(Clone, Debug)]
+pub(crate) struct Forwarder {
+    pub(crate) cx: Context,
+    pub(crate) rules: watch::Receiver<Arc<Rules>>,
+    pub(crate) freshness: Freshness,
+    pub(crate) metrics: Metrics,
+    pub(crate) draining: watch::Receiver<bool>,
+    pub(crate) in_flight: Arc<AtomicUsize>,
+}
+
+/// Counts a request for as long as it lives.
+struct Counted(Arc<AtomicUsize>);
+
+impl Counted {
+    fn new(counter: &Arc<AtomicUsize>) -> Self {
+        counter.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(counter))
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Forwarder {
+    /// Whether new connections are welcome.
+    pub(crate) fn is_ready(&self) -> bool {
+        !*self.draining.borrow() && !self.rules.borrow().is_empty() && self.freshness.is_fresh()
+    }
+
+    /// Answers one request.
+    pub(crate) async fn handle(
+        self,
+        req: hyper::Request<Incoming>,
+    ) -> Result<HttpResponse<OutBody>, Infallible> {
+        let _counted = Counted::new(&self.in_flight);
+        let started = Instant::now();
+        let (parts, body) = req.into_parts();
+        let mut id = None;
+        let result = self.answer(&parts, body, &mut id).await;
+        let label = match &result {
+            Ok(_) => "passed",
+            Err(unserved) => unserved.label(),
+        };
+        self.metrics.answered(label, started.elapsed());
+        if let Err(unserved) = &result {
+            spdlog::info!("request not served", kv: {
+                request = id.as_deref().unwrap_or(""),
+                outcome = label,
+                why = unserved.to_string(),
+                ms = started.elapsed().as_millis() as u64
+            });
+        }
+        Ok(self.written(result, id.as_deref()))
+    }
+
+    async fn answer(
+        &self,
+        parts: &Parts,
+        body: Incoming,
+        id: &mut Option<String>,
+    ) -> Result<Response, Unserved> {
+        let mut inquiry = match (self.cx.dialect.read)(parts) {
+            Read::Inquiry(inquiry) => *inquiry,
+            Read::Malformed(what) => return Err(Unserved::Malformed(what)),
+        };
+        *id = Some(inquiry.id.clone());
+        let rules = self.rules.borrow().clone();
+        let most = rules.declaration.callers.body_bytes as usize;
+        inquiry.body = read_body(body, most).await?;
+        let req = self.route(inquiry, rules)?;
+        serving::serve(&self.cx, req).await
+    }
+
+    /// Finds the route and the workspace; says that there is none only where that is sure.
+    fn route(&self, inquiry: Inquiry, rules: Arc<Rules>) -> Result<Request, Unserved> {
+        let age = self.freshness.age();
+        let denied = |unserved| match age {
+            Some(age) if age < DENIAL_BOUND => unserved,
+            _ => Unserved::come_back(Refusal::NotConfirmed, NOT_CONFIRMED),
+        };
+        if rules.is_empty() {
+            return Err(Unserved::come_back(Refusal::NoDeclaration, NOT_CONFIRMED));
+        }
+        let found = rules.find(&inquiry.host, inquiry.path());
+        let matched = found.ok_or_else(|| denied(Unserved::NoRoute))?;
+        let caller = match (&inquiry.key, matched.route().public) {
+            (_, true) => None,
+            (None, false) => return Err(denied(Unserved::NoKey)),
+            (Some(key), false) => {
+                let caller = rules.caller(key).ok_or_else(|| denied(Unserved::NoKey))?;
+                if !self.freshness.is_fresh() {
+                    let why = Refusal::NotConfirmed;
+                    return Err(Unserved::come_back(why, NOT_CONFIRMED));
+                }
+                Some(caller)
+            }
+        };
+        Request::new(inquiry, matched, caller).ok_or(Unserved::refused(Refusal::NoEndpoint))
+    }
+
+    fn written(
+        &self,
+        result: Result<Response, Unserved>,
+        id: Option<&str>,
+    ) -> HttpResponse<OutBody> {
+        let (status, headers, body) = match result {
+            Ok(Response::Passed(passed)) => {
+                (passed.status, passed.headers, OutBody::Whole(Some(passed.body)))
+            }
+            Ok(Response::Streamed {
+                status,
+                headers,
+                parts,
+            }) => (status, headers, OutBody::Parts(parts)),
+            Err(unserved) => {
+                let mut headers = hyper::HeaderMap::new();
+                if let Unserved::Refused {
+                    retry_after: Some(after),
+                    ..
+                } = &unserved
+                {
+                    let seconds = format!("{:.2}", after.as_secs_f64());
+                    headers.extend(HeaderValue::try_from(seconds).map(|v| (RETRY_AFTER, v)));
+                }
+                let name = (self.cx.dialect.id_header)();
+                let id = id.and_then(|id| HeaderValue::from_str(id).ok());
+                headers.extend(id.map(|id| (name, id)));
+                (unserved.status(), headers, OutBody::Whole(Some(unserved.body())))
+            }
+        };
+        let mut response = HttpResponse::new(body);
+        *response.status_mut() = status;
+        *response.headers_mut() = headers;
+        if *self.draining.borrow() {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+        }
+        response
+    }
+}
+
+/// Reads a body of at most `most` bytes.
+async fn read_body(mut body: Incoming, most: usize) -> Result<Bytes, Unserved> {
+    let mut whole = BytesMut::new();
+    loop {
+        let frame = timeout(BODY_PAUSE, body.frame()).await;
+        let frame = frame.map_err(|_| Unserved::Malformed("the body came too slowly"))?;
+        let Some(frame) = frame else {
+            return Ok(whole.freeze());
+        };
+        let frame = frame.map_err(|_| Unserved::Malformed("the body broke off"))?;
+        let Ok(data) = frame.into_data() else { continue };
+        if whole.len() + data.len() > most {
+            return Err(Unserved::TooLarge);
+        }
+        whole.extend_from_slice(&data);
+    }
+}
--- /dev/null
+++ b/crates/forward/src/freshness.rs
@@ -0,0 +1,76 @@
+//! How long ago a quorum of keepers confirmed the declaration that is in force here.
+//!
+//! Counted on the clock that runs on while a VM is suspended, from the moment at which the keepers
+//! were asked.
+
+use std::{
+    sync::{Arc, atomic::{AtomicU64, Ordering}},
+    time::Duration,
+};
+
+use rustix::time::{ClockId, clock_gettime};
+
+/// Time since the VM's start, suspensions included.
+pub fn boot_time() -> Duration {
+    let now = clock_gettime(ClockId::Boottime);
+    Duration::new(now.tv_sec as u64, now.tv_nsec as u32)
+}
+
+/// The last confirmation; clones share it.
+#[derive(Clone, Debug)]
+pub struct Freshness {
+    bound: Duration,
+    /// Milliseconds of boot time at which the last confirmed question was asked; 0 for none.
+    asked_ms: Arc<AtomicU64>,
+}
+
+impl Freshness {
+    /// Nothing is confirmed; a confirmation holds for `bound`.
+    pub fn new(bound: Duration) -> Self {
+        Self {
+            bound,
+            asked_ms: Arc::default(),
+        }
+    }
+
+    /// Notes that what is in force was confirmed as the newest by keepers asked at `asked`.
+    pub fn confirm(&self, asked: Duration) {
+        self.asked_ms
+            .fetch_max(asked.as_millis() as u64, Ordering::Relaxed);
+    }
+
+    /// Time since the last confirmed question; `None` where there was none.
+    pub fn age(&self) -> Option<Duration> {
+        self.age_at(boot_time())
+    }
+
+    /// Whether access keys may be trusted now.
+    pub fn is_fresh(&self) -> bool {
+        self.age().is_some_and(|age| age < self.bound)
+    }
+
+    fn age_at(&self, now: Duration) -> Option<Duration> {
+        match self.asked_ms.load(Ordering::Relaxed) {
+            0 => None,
+            asked => Some(now.saturating_sub(Duration::from_millis(asked))),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::time::Duration;
+
+    use super::Freshness;
+
+    #[test]
+    fn a_confirmation_counts_from_the_question_and_never_backwards() {
+        let fresh = Freshness::new(Duration::from_secs(4));
+        assert_eq!(fresh.age_at(Duration::from_secs(100)), None);
+        fresh.confirm(Duration::from_secs(100));
+        // The answer to an earlier question came late.
+        fresh.confirm(Duration::from_secs(98));
+        let age = fresh.age_at(Duration::from_secs(103));
+        assert_eq!(age, Some(Duration::from_secs(3)));
+    }
+}
--- /dev/null
+++ b/crates/forward/src/gates.rs
@@ -0,0 +1,128 @@
+//! The other gates: links to them, and which one collects a service's items.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use link::{LinkConfig, Peer};
+use membership::{EndpointState, Mirror};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::fleet::GATES;
+
+/// Up to so many gates, items of all availability zones are collected together.
+const MAX_TOGETHER: usize = 16;
+
+/// Who collects a service's items.
+#[derive(Clone, Debug)]
+pub(crate) enum Collecting {
+    /// This gate.
+    Own,
+    /// Another one.
+    Other(Peer),
+}
+
+/// A gate as keepers know it.
+#[derive(Clone, Debug)]
+struct Gate {
+    name: String,
+    peer: Option<Peer>,
+}
+
+/// The gates that collect together with this one; clones share them.
+#[derive(Clone, Debug)]
+pub(crate) struct Gates {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    links: LinkConfig,
+    known: Mutex<Known>,
+}
+
+#[derive(Debug, Default)]
+struct Known {
+    gates: Vec<Gate>,
+    /// All gates, of other availability zones too.
+    count: usize,
+}
+
+impl Gates {
+    /// This gate alone.
+    pub(crate) fn new(links: LinkConfig) -> Self {
+        let own = Gate {
+            name: links.identity.vm.clone(),
+            peer: None,
+        };
+        let known = Known {
+            gates: vec![own],
+            count: 1,
+        };
+        Self {
+            shared: Arc::new(Shared {
+                links,
+                known: Mutex::new(known),
+            }),
+        }
+    }
+
+    fn known(&self) -> MutexGuard<'_, Known> {
+        let known = &self.shared.known;
+        known.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// How many gates there are, this one among them.
+    pub(crate) fn count(&self) -> usize {
+        self.known().count.max(1)
+    }
+
+    /// Takes what keepers told; links to gates that stay are kept.
+    pub(crate) fn update(&self, mirror: &Mirror) {
+        let own = &self.shared.links.identity;
+        let all = mirror.endpoints.values();
+        let ready: Vec<_> = all
+            .filter(|v| v.service == GATES && v.state == EndpointState::Ready)
+            .collect();
+        let is_together = ready.len() <= MAX_TOGETHER;
+        let chosen = ready.iter().filter(|v| is_together || v.az == own.az);
+        let mut known = self.known();
+        let mut before: HashMap<(String, SocketAddr), Peer> = known
+            .gates
+            .drain(..)
+            .filter_map(|gate| gate.peer)
+            .map(|peer| ((peer.name().to_owned(), peer.address()), peer))
+            .collect();
+        let others = chosen.filter(|v| v.endpoint != own.vm).filter_map(|v| {
+            let address = v.address.strip_prefix("http://")?.parse().ok()?;
+            let key = (v.endpoint.clone(), address);
+            let started = || Peer::start(&v.endpoint, address, &self.shared.links);
+            let peer = before.remove(&key).unwrap_or_else(started);
+            Some(Gate {
+                name: v.endpoint.clone(),
+                peer: Some(peer),
+            })
+        });
+        let gates: Vec<Gate> = others.collect();
+        known.count = ready.len().max(1);
+        known.gates = gates;
+        known.gates.push(Gate {
+            name: own.vm.clone(),
+            peer: None,
+        });
+    }
+
+    /// Who collects the items of `service`: the first in an order that all gates share, as far as
+    /// it can be reached. `skip` of those that can are left out.
+    pub(crate) fn collecting(&self, service: &str, skip: usize) -> Collecting {
+        let known = self.known();
+        let rank = |gate: &&Gate| xxh3_64(format!("{service}/{}", gate.name).as_bytes());
+        let is_reachable = |gate: &&Gate| gate.peer.as_ref().is_none_or(Peer::is_connected);
+        let mut reachable: Vec<&Gate> = known.gates.iter().filter(is_reachable).collect();
+        reachable.sort_by_cached_key(rank);
+        let chosen = reachable.get(skip).and_then(|gate| gate.peer.clone());
+        chosen.map_or(Collecting::Own, Collecting::Other)
+    }
+}
--- /dev/null
+++ b/crates/forward/src/inquiry.rs
@@ -0,0 +1,117 @@
+//! A caller's request as it is passed on: opaque but for what decides where it goes.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::{HeaderMap, Method};
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// A request that a caller sent.
+#[derive(Clone, Debug)]
+pub struct Inquiry {
+    /// The caller's id of this try, which every answer echoes.
+    pub id: String,
+    /// Its method.
+    pub method: Method,
+    /// The host that it names, without a port.
+    pub host: String,
+    /// Path and query as sent.
+    pub target: String,
+    /// Headers that are passed on.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+    /// The access key, if it carries one.
+    pub key: Option<String>,
+    /// How long the caller waits, counted from `received`.
+    pub patience: Option<Duration>,
+    /// When its head had come.
+    pub received: Instant,
+    /// Its prompt, for engines.
+    pub prompt: Option<Prompt>,
+    /// How many items each stage of the route has for it.
+    pub items: Vec<u32>,
+    /// What the items of stages without predecessors are made of.
+    pub item_key: Option<String>,
+    /// The last event that the caller has, of a stream that it goes on with.
+    pub after_event: Option<u64>,
+}
+
+/// A prompt as far as it is known without reading it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Prompt {
+    /// Tokens to read.
+    pub tokens: u32,
+    /// Most tokens to generate.
+    pub most_generated: u32,
+    /// Its parts in order; requests share the first ones.
+    pub parts: Vec<Part>,
+}
+
+/// One part of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// Identifies its content together with the parts before it.
+    pub chain: u64,
+    /// Its tokens.
+    pub tokens: u32,
+}
+
+impl Prompt {
+    /// A prompt of `model` with parts given as id and tokens.
+    pub fn new<'a>(
+        model: &str,
+        tokens: u32,
+        most_generated: u32,
+        parts: impl Iterator<Item = (&'a str, u32)>,
+    ) -> Self {
+        let mut chain = xxh3_64_with_seed(model.as_bytes(), 0);
+        let parts = parts.map(|(id, tokens)| {
+            chain = xxh3_64_with_seed(id.as_bytes(), chain);
+            Part { chain, tokens }
+        });
+        Self {
+            tokens,
+            most_generated,
+            parts: parts.collect(),
+        }
+    }
+
+    /// The longest chain that other requests may have: all but the last part.
+    pub fn subject(&self) -> Option<u64> {
+        let shared = self.parts.len().checked_sub(2)?;
+        self.parts.get(shared).map(|part| part.chain)
+    }
+}
+
+impl Inquiry {
+    /// The moment at which it has to be answered, on a route whose callers wait `longest` at most.
+    pub fn deadline(&self, longest: Duration) -> Instant {
+        self.received + self.patience.map_or(longest, |patience| patience.min(longest))
+    }
+
+    /// The path without its query.
+    pub fn path(&self) -> &str {
+        self.target.split('?').next().unwrap_or_default()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::Prompt;
+
+    #[test]
+    fn prompts_share_chains_as_far_as_their_parts_are_the_same() {
+        let prompt = |ids: &[&'static str]| {
+            let parts: Vec<(&str, u32)> = ids.iter().map(|id| (*id, 10)).collect();
+            Prompt::new("m", 30, 5, parts.into_iter())
+        };
+        let (one, two) = (prompt(&["a", "b", "x"]), prompt(&["a", "b", "y"]));
+        assert_eq!(one.subject(), two.subject());
+        assert_ne!(one.parts[2], two.parts[2]);
+        // The same part behind another one is another content.
+        assert_ne!(prompt(&["c", "b", "x"]).subject(), one.subject());
+        assert_eq!(prompt(&["a"]).subject(), None);
+    }
+}
--- /dev/null
+++ b/crates/forward/src/lib.rs
@@ -0,0 +1,37 @@
+//! Requests passed on whole.
+//!
+//! A caller's request is read by a [`Dialect`], finds its route and its workspace ([`rules`]), has
+//! its stages done in batches that gates collect together ([`stages`], [`collector`]), and goes to
+//! the endpoint whose first part is expected soonest ([`placement`]). Answers pass byte for byte;
+//! what may be said where there is none follows from what was handed to a socket ([`answer`]).
+//! `docs/design/platform.md` says why it is built this way.
+
+mod answer;
+mod batch;
+mod cache;
+mod call;
+mod collector;
+mod control;
+mod dialect;
+mod events;
+mod fleet;
+mod forwarder;
+mod freshness;
+mod gates;
+mod inquiry;
+mod line;
+mod messages;
+mod metrics;
+mod pace;
+mod placement;
+mod response;
+mod rules;
+mod server;
+mod serving;
+mod stages;
+mod start;
+mod stream;
+
+pub use dialect::{Dialect, HeaderNameFn, Item, ItemResult, LoadReport, Read, Source, Try, Verdict};
+pub use inquiry::{Inquiry, Part, Prompt};
+pub use start::{Config, SharedBudget, start};
--- /dev/null
+++ b/crates/forward/src/line.rs
@@ -0,0 +1,459 @@
+//! Items that wait for the endpoints of one batch pool, and what these endpoints have in hand.
+
+use std::{
+    collections::{BTreeMap, HashMap, VecDeque},
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use declaration::{Batch, Capacity};
+use tokio::{
+    sync::Notify,
+    time::{Instant, timeout_at},
+};
+
+use crate::{
+    batch::Ended,
+    fleet::{Pool, Target},
+    messages::{Made, StageFailure, Submission},
+    pace::Slowness,
+};
+
+/// Tries of one item.
+const MAX_TRIES: u8 = 3;
+/// An endpoint this many times slower than the fastest gets items only where many wait.
+const SLOW: f64 = 2.5;
+/// Time beyond a ticket's deadline for which its result is kept.
+const GRACE: Duration = Duration::from_millis(200);
+
+/// The items of one stage of one request while they are made.
+#[derive(Debug)]
+pub(crate) struct Ticket {
+    pub(crate) id: u64,
+    pub(crate) submission: Submission,
+    pub(crate) deadline: Instant,
+    state: Mutex<TicketState>,
+    done: Notify,
+    is_over: AtomicBool,
+}
+
+#[derive(Debug)]
+struct TicketState {
+    made: Vec<Option<Made>>,
+    missing: usize,
+    failure: Option<StageFailure>,
+}
+
+impl Ticket {
+    fn new(submission: Submission, now: Instant) -> Self {
+        let items = submission.items as usize;
+        Self {
+            id: rand::random(),
+            deadline: now + submission.left,
+            submission,
+            state: Mutex::new(TicketState {
+                made: vec![None; items],
+                missing: items,
+                failure: None,
+            }),
+            done: Notify::new(),
+            is_over: AtomicBool::new(false),
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, TicketState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether nobody waits for it any more.
+    pub(crate) fn is_over(&self) -> bool {
+        self.is_over.load(Ordering::Relaxed)
+    }
+
+    /// Takes the result of `item`; false where it is not wanted.
+    pub(crate) fn made(&self, item: u32, made: Made) -> bool {
+        if self.is_over() {
+            return false;
+        }
+        let mut state = self.state();
+        let Some(slot) = state.made.get_mut(item as usize).filter(|m| m.is_none()) else {
+            return false;
+        };
+        *slot = Some(made);
+        state.missing -= 1;
+        if state.missing == 0 {
+            self.done.notify_one();
+        }
+        true
+    }
+
+    /// The stage has failed.
+    pub(crate) fn fail(&self, failure: StageFailure) {
+        self.state().failure.get_or_insert(failure);
+        self.done.notify_one();
+    }
+
+    /// Waits for all results or a failure; results of a stage that failed are left to their expiry.
+    pub(crate) async fn finished(&self) -> Result<Vec<Made>, StageFailure> {
+        loop {
+            {
+                let mut state = self.state();
+                if let Some(failure) = state.failure.clone() {
+                    return Err(failure);
+                }
+                if state.missing == 0 {
+                    // What comes twice from here on is unwanted.
+                    self.is_over.store(true, Ordering::Relaxed);
+                    return Ok(state.made.iter_mut().filter_map(Option::take).collect());
+                }
+            }
+            let waited = timeout_at(self.deadline + GRACE, self.done.notified()).await;
+            if waited.is_err() {
+                let retry_after = Duration::from_millis(500);
+                return Err(StageFailure::Late { retry_after });
+            }
+        }
+    }
+
+    /// Ends it; the handles of what was made.
+    pub(crate) fn cancel(&self) -> Vec<String> {
+        self.is_over.store(true, Ordering::Relaxed);
+        let mut state = self.state();
+        let made = state.made.iter_mut().filter_map(Option::take);
+        made.map(|m| m.handle).collect()
+    }
+}
+
+/// One item that waits.
+#[derive(Clone, Debug)]
+pub(crate) struct Job {
+    pub(crate) ticket: Arc<Ticket>,
+    pub(crate) item: u32,
+    tries: u8,
+    /// Its place in the line: urgency, then age.
+    place: (u8, u64),
+}
+
+impl Job {
+    /// The same item for another try; `None` after too many.
+    pub(crate) fn once_more(&self) -> Option<Self> {
+        let tries = self.tries + 1;
+        (tries < MAX_TRIES).then(|| Self {
+            tries,
+            ..self.clone()
+        })
+    }
+}
+
+/// A call that can be made now.
+#[derive(Debug)]
+pub(crate) struct NextCall {
+    pub(crate) target: Arc<Target>,
+    pub(crate) jobs: Vec<Job>,
+    pub(crate) expected: Duration,
+    bytes: u64,
+}
+
+/// What one endpoint has in hand.
+#[derive(Debug)]
+struct Hand {
+    calls: u32,
+    /// Bytes of results that it keeps, those of calls in flight included.
+    held: u64,
+    slowness: Slowness,
+}
+
+impl Hand {
+    fn new() -> Self {
+        Self {
+            calls: 0,
+            held: 0,
+            slowness: Slowness::new(),
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Kept {
+    endpoint: String,
+    address: SocketAddr,
+    bytes: u64,
+}
+
+/// The line of one service.
+#[derive(Debug)]
+pub(crate) struct Line {
+    slots: u32,
+    batch: Batch,
+    jobs: BTreeMap<(u8, u64), Job>,
+    next: u64,
+    hands: HashMap<String, Hand>,
+    kept: HashMap<String, Kept>,
+    expiry: VecDeque<(Instant, String)>,
+    freed: HashMap<SocketAddr, Vec<String>>,
+}
+
+impl Line {
+    pub(crate) fn new() -> Self {
+        Self {
+            slots: 1,
+            batch: Batch {
+                items: 1,
+                call: Duration::ZERO,
+                item: Duration::ZERO,
+                room_bytes: u64::MAX,
+                keep: Duration::ZERO,
+            },
+            jobs: BTreeMap::new(),
+            next: 0,
+            hands: HashMap::new(),
+            kept: HashMap::new(),
+            expiry: VecDeque::new(),
+            freed: HashMap::new(),
+        }
+    }
+
+    /// Takes what is declared of one endpoint.
+    pub(crate) fn declare(&mut self, capacity: &Capacity) {
+        self.slots = capacity.slots.unwrap_or(1);
+        if let Some(batch) = &capacity.batch {
+            self.batch = batch.clone();
+        }
+    }
+
+    /// Whether nothing waits.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.jobs.is_empty()
+    }
+
+    /// Puts the items of a stage into the line, unless they can't be done in time.
+    pub(crate) fn take(
+        &mut self,
+        submission: Submission,
+        pool: &Pool,
+        now: Instant,
+    ) -> Result<Arc<Ticket>, StageFailure> {
+        let sound = pool.sound(now).count();
+        if sound == 0 {
+            return Err(StageFailure::NoEndpoint);
+        }
+        let wait = self.wait(submission.urgency, sound);
+        let own = self.call_time(submission.items.min(self.batch.items));
+        if wait + own > submission.left {
+            return Err(StageFailure::Late { retry_after: wait });
+        }
+        let ticket = Arc::new(Ticket::new(submission, now));
+        for item in 0..ticket.submission.items {
+            let place = (ticket.submission.urgency, self.next);
+            self.next += 1;
+            let job = Job {
+                ticket: Arc::clone(&ticket),
+                item,
+                tries: 0,
+                place,
+            };
+            self.jobs.insert(place, job);
+        }
+        Ok(ticket)
+    }
+
+    /// How long items of `urgency` wait for `endpoints` until those before them are done.
+    fn wait(&self, urgency: u8, endpoints: usize) -> Duration {
+        let ahead = self.jobs.range(..(urgency + 1, 0)).count();
+        let busy: u32 = self.hands.values().map(|hand| hand.calls).sum();
+        let lanes = endpoints as u32 * self.slots;
+        if ahead == 0 && busy < lanes {
+            return Duration::ZERO;
+        }
+        let full = self.call_time(self.batch.items);
+        let calls = ahead as f64 / f64::from(self.batch.items) / f64::from(lanes);
+        full.mul_f64(calls) + full / (2 * lanes)
+    }
+
+    fn call_time(&self, items: u32) -> Duration {
+        self.batch.call + self.batch.item * items
+    }
+
+    /// Puts an item back at its place.
+    pub(crate) fn put_back(&mut self, job: Job) {
+        if !job.ticket.is_over() {
+            self.jobs.insert(job.place, job);
+        }
+    }
+
+    /// Takes the items of `ticket` out.
+    pub(crate) fn forget(&mut self, ticket: &Ticket) {
+        self.jobs.retain(|_, job| job.ticket.id != ticket.id);
+    }
+
+    /// The call to make now, if an endpoint is free and items wait.
+    pub(crate) fn next_call(&mut self, pool: &Pool, now: Instant) -> Option<NextCall> {
+        self.expire(now);
+        self.drop_late(now);
+        let first = self.jobs.values().next()?;
+        let az = first.ticket.submission.az.clone();
+        let need = first.ticket.submission.result_bytes;
+        let free = self.free_endpoints(pool, need, now);
+        let target = self.choose(&free, &az, pool, now)?;
+        let others: Vec<&str> = free
+            .iter()
+            .filter(|t| t.name != target.name)
+            .map(|t| t.az.as_str())
+            .collect();
+        let room = self.room(&target.name);
+        let mut bytes = 0;
+        let mut taken: Vec<(u8, u64)> = Vec::new();
+        for (place, job) in &self.jobs {
+            if taken.len() >= self.batch.items as usize {
+                break;
+            }
+            let submission = &job.ticket.submission;
+            // Items of another availability zone that has a free endpoint of its own wait for it.
+            if submission.az != target.az && others.contains(&submission.az.as_str()) {
+                continue;
+            }
+            if bytes + submission.result_bytes > room {
+                continue;
+            }
+            bytes += submission.result_bytes;
+            taken.push(*place);
+        }
+        let jobs: Vec<Job> = taken.iter().filter_map(|place| self.jobs.remove(place)).collect();
+        if jobs.is_empty() {
+            return None;
+        }
+        let hand = self.hands.entry(target.name.clone()).or_insert_with(Hand::new);
+        hand.calls += 1;
+        hand.held += bytes;
+        let slowness = hand.slowness.factor(now).max(1.0);
+        Some(NextCall {
+            expected: self.call_time(jobs.len() as u32).mul_f64(slowness),
+            target,
+            jobs,
+            bytes,
+        })
+    }
+
+    fn free_endpoints(&self, pool: &Pool, need: u64, now: Instant) -> Vec<Arc<Target>> {
+        let is_free = |t: &&Arc<Target>| {
+            let calls = self.hands.get(&t.name).map_or(0, |hand| hand.calls);
+            calls < self.slots && self.room(&t.name) >= need
+        };
+        pool.sound(now).filter(is_free).cloned().collect()
+    }
+
+    /// The free endpoint for items of `az`: the fastest of that availability zone, else of all.
+    /// One that is much slower than the others is left alone while these can do the work.
+    fn choose(
+        &self,
+        free: &[Arc<Target>],
+        az: &str,
+        pool: &Pool,
+        now: Instant,
+    ) -> Option<Arc<Target>> {
+        let slowness = |t: &Target| {
+            let hand = self.hands.get(&t.name);
+            hand.map_or(1.0, |hand| hand.slowness.factor(now))
+        };
+        let fastest = pool.sound(now).map(|t| slowness(t)).fold(f64::MAX, f64::min);
+        let lanes = pool.sound(now).count() * self.slots as usize;
+        let is_backed_up = self.jobs.len() > 2 * lanes * self.batch.items as usize;
+        let fit = free
+            .iter()
+            .filter(|t| is_backed_up || slowness(t) < fastest * SLOW);
+        let rank = |t: &&Arc<Target>| {
+            let zone = if t.az == az { 0.0 } else { 1.0 };
+            zone + (slowness(t) / fastest).min(SLOW)
+        };
+        let best = fit.min_by(|a, b| rank(a).total_cmp(&rank(b)))?;
+        Some(Arc::clone(best))
+    }
+
+    fn room(&self, endpoint: &str) -> u64 {
+        let held = self.hands.get(endpoint).map_or(0, |hand| hand.held);
+        self.batch.room_bytes.saturating_sub(held)
+    }
+
+    /// Notes how a call ended.
+    pub(crate) fn ended(&mut self, next: &NextCall, took: Duration, ended: &Ended, now: Instant) {
+        let expected = self.call_time(next.jobs.len() as u32).as_secs_f64() * 1e3;
+        let name = &next.target.name;
+        let hand = self.hands.entry(name.clone()).or_insert_with(Hand::new);
+        hand.calls = hand.calls.saturating_sub(1);
+        hand.held = hand.held.saturating_sub(next.bytes);
+        let results = match ended {
+            Ended::Answered(results) => results,
+            Ended::Failed => {
+                hand.slowness.observe(expected, took.as_secs_f64() * 1e3, now);
+                return;
+            }
+            Ended::NotRun | Ended::Misplaced => return,
+        };
+        hand.slowness.observe(expected, took.as_secs_f64() * 1e3, now);
+        for (job, handle) in next.jobs.iter().zip(results) {
+            let Ok(handle) = handle else { continue };
+            let bytes = job.ticket.submission.result_bytes;
+            hand.held += bytes;
+            let kept = Kept {
+                endpoint: name.clone(),
+                address: next.target.address,
+                bytes,
+            };
+            self.kept.insert(handle.clone(), kept);
+            self.expiry.push_back((now + self.batch.keep, handle.clone()));
+        }
+    }
+
+    /// Gives results up; whether an order to do so has yet to be sent.
+    pub(crate) fn free(&mut self, handles: Vec<String>) -> bool {
+        let is_first = self.freed.is_empty();
+        for handle in handles {
+            if let Some(kept) = self.release(&handle) {
+                self.freed.entry(kept.address).or_default().push(handle);
+            }
+        }
+        is_first && !self.freed.is_empty()
+    }
+
+    /// What was given up since the last order, by address.
+    pub(crate) fn take_freed(&mut self) -> HashMap<SocketAddr, Vec<String>> {
+        std::mem::take(&mut self.freed)
+    }
+
+    fn release(&mut self, handle: &str) -> Option<Kept> {
+        let kept = self.kept.remove(handle)?;
+        if let Some(hand) = self.hands.get_mut(&kept.endpoint) {
+            hand.held = hand.held.saturating_sub(kept.bytes);
+        }
+        Some(kept)
+    }
+
+    fn expire(&mut self, now: Instant) {
+        while self.expiry.front().is_some_and(|(at, _)| *at <= now) {
+            if let Some((_, handle)) = self.expiry.pop_front() {
+                self.release(&handle);
+            }
+        }
+    }
+
+    /// Fails stages that can't be done in time any more.
+    fn drop_late(&mut self, now: Instant) {
+        let least = self.call_time(1);
+        let late: Vec<(u8, u64)> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| job.ticket.is_over() || now + least > job.ticket.deadline)
+            .map(|(place, _)| *place)
+            .collect();
+        for place in late {
+            if let Some(job) = self.jobs.remove(&place) {
+                let retry_after = self.batch.call;
+                job.ticket.fail(StageFailure::Late { retry_after });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/forward/src/messages.rs
@@ -0,0 +1,98 @@
+//! What gates say to each other about batched stages.
+
+use std::time::Duration;
+
+use derives::record;
+
+/// The items of one stage of one request.
+#[record]
+#[derive(Eq)]
+pub struct Submission {
+    /// The id of the caller's request.
+    #[serde(rename = "r")]
+    pub request: String,
+    /// The batch pool.
+    #[serde(rename = "s")]
+    pub service: String,
+    /// The stage's number in the route.
+    #[serde(rename = "n")]
+    pub stage: usize,
+    /// How many items there are.
+    #[serde(rename = "i")]
+    pub items: u32,
+    /// What items without inputs are made of.
+    #[serde(rename = "k")]
+    pub key: Option<String>,
+    /// Handles of the results that every item needs.
+    #[serde(rename = "h")]
+    pub inputs: Vec<String>,
+    /// Size of a result in bytes, about.
+    #[serde(rename = "b")]
+    pub result_bytes: u64,
+    /// Time left.
+    #[serde(rename = "l")]
+    pub left: Duration,
+    /// Urgency, 0 first.
+    #[serde(rename = "u")]
+    pub urgency: u8,
+    /// The availability zone in which the request is.
+    #[serde(rename = "z")]
+    pub az: String,
+}
+
+/// A result that an endpoint keeps.
+#[record]
+#[derive(Eq)]
+pub struct Made {
+    /// Its handle.
+    #[serde(rename = "h")]
+    pub handle: String,
+    /// The availability zone of the endpoint.
+    #[serde(rename = "z")]
+    pub az: String,
+}
+
+/// Why a stage has no results.
+#[record]
+#[derive(Eq)]
+pub enum StageFailure {
+    /// It can't be done in time.
+    Late {
+        /// When there is likely to be room.
+        retry_after: Duration,
+    },
+    /// An input is gone.
+    InputGone,
+    /// No endpoint takes it.
+    NoEndpoint,
+    /// Its items failed again and again.
+    Failed,
+    /// The gate that collects it could not be reached.
+    Unreachable,
+}
+
+/// What a gate asks of the one that collects a service's items.
+#[record]
+pub enum StageRequest {
+    /// Takes the items of a stage.
+    Submit(Submission),
+    /// Waits for what was taken under a ticket.
+    Await(u64),
+    /// Gives up what was taken under a ticket.
+    Cancel(u64),
+    /// Gives results up: the service and their handles.
+    Free(String, Vec<String>),
+}
+
+/// The answer to a [`StageRequest`].
+#[record]
+pub enum StageReply {
+    /// To [`StageRequest::Submit`]: the ticket.
+    Accepted(u64),
+    /// To [`StageRequest::Submit`] where it can't be done in time.
+    Refused(StageFailure),
+    /// To [`StageRequest::Await`].
+    Done(Result<Vec<Made>, StageFailure>),
+    /// To the others.
+    Noted,
+}
--- /dev/null
+++ b/crates/forward/src/placement.rs
@@ -0,0 +1,229 @@
+//! Which endpoint gets a request: the one whose first part is expected soonest.
+
+use std::sync::Arc;
+
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::{
+    answer::Refusal,
+    fleet::{Fleet, Flight, Pool, Target},
+    inquiry::Prompt,
+    pace::Line,
+};
+
+/// What an endpoint of another availability zone must be better by.
+const ZONE_MS: f64 = 8.0;
+/// Bytes of inputs from another availability zone that weigh as much as a millisecond.
+const INPUT_BYTES_PER_MS: f64 = 50_000.0;
+/// Share of a subject's tokens that its home is thought to keep.
+const HOME_KEEPS: f64 = 0.7;
+/// Slots of an endpoint that says nothing of them.
+const DEFAULT_SLOTS: f64 = 32.0;
+/// Calls beyond its slots that an endpoint is given, as a multiple of the slots.
+const OVERFLOW: f64 = 2.0;
+/// By how much each call at an engine slows the others.
+const CALL_MS: f64 = 1.0;
+
+/// What a request needs of an endpoint.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Need<'a> {
+    pub(crate) service: &'a str,
+    /// The gate's availability zone.
+    pub(crate) az: &'a str,
+    pub(crate) prompt: Option<&'a Prompt>,
+    /// Bytes of the results that the request needs, by availability zone.
+    pub(crate) inputs: &'a [(String, u64)],
+    /// Endpoints that were tried.
+    pub(crate) avoid: &'a [String],
+}
+
+impl Fleet {
+    /// Chooses an endpoint and counts the call there.
+    pub(crate) fn place(&self, need: &Need<'_>) -> Result<Flight, Refusal> {
+        let pool = self.pool(need.service).ok_or(Refusal::NoEndpoint)?;
+        let now = Instant::now();
+        let untried = |t: &&Arc<Target>| !need.avoid.contains(&t.name);
+        let ready: Vec<&Arc<Target>> = pool.targets.iter().filter(|t| t.is_ready()).collect();
+        if ready.is_empty() {
+            return Err(Refusal::NoEndpoint);
+        }
+        let sound = ready.iter().copied().filter(|t| !t.stats().is_out(now));
+        let mut usable: Vec<&Arc<Target>> = sound.filter(untried).collect();
+        if usable.is_empty() {
+            usable = ready.iter().copied().filter(untried).collect();
+        }
+        let home = home(need, &usable);
+        let line = pool.line();
+        let costed = usable.iter().filter_map(|target| {
+            let cost = cost(need, target, line, home == Some(target.name.as_str()), now)?;
+            Some((cost, *target))
+        });
+        let best = costed.min_by(|a, b| a.0.total_ms.total_cmp(&b.0.total_ms));
+        let (cost, target) = best.ok_or(Refusal::Full)?;
+        Ok(Flight::begin(target, &pool, cost.unread))
+    }
+}
+
+/// The endpoint to which all gates of the availability zone send a subject first.
+fn home<'a>(need: &Need<'_>, usable: &[&'a Arc<Target>]) -> Option<&'a str> {
+    let subject = need.prompt?.subject()?;
+    let is_near = |t: &&&Arc<Target>| t.az == need.az;
+    let near = usable.iter().filter(is_near);
+    let rank = |t: &&&Arc<Target>| xxh3_64_with_seed(t.name.as_bytes(), subject);
+    near.max_by_key(rank).map(|t| t.name.as_str())
+}
+
+/// What a request is expected to cost at an endpoint.
+struct Cost {
+    total_ms: f64,
+    /// Tokens of its prompt that are not kept there.
+    unread: u64,
+}
+
+/// `None` where the endpoint is full.
+fn cost(
+    need: &Need<'_>,
+    target: &Target,
+    line: Line,
+    is_home: bool,
+    now: Instant,
+) -> Option<Cost> {
+    let stats = target.stats();
+    let load = f64::from(stats.load(now));
+    let slots = target.slots.map_or(DEFAULT_SLOTS, f64::from);
+    if load >= slots * (1.0 + OVERFLOW) {
+        return None;
+    }
+    let unread = need.prompt.map_or(0.0, |prompt| {
+        let tokens = f64::from(prompt.tokens);
+        let held = f64::from(stats.cache.held(prompt));
+        let shared: u32 = prompt.parts.iter().rev().skip(1).map(|p| p.tokens).sum();
+        let at_home = if is_home { f64::from(shared) * HOME_KEEPS } else { 0.0 };
+        (tokens - held.max(at_home)).max(1.0)
+    });
+    let ahead = stats.unread_tokens as f64;
+    let slowness = stats.slowness.factor(now);
+    let queue = ((load + 1.0 - slots) / slots).max(0.0);
+    let busy = match need.prompt {
+        Some(_) => load * CALL_MS,
+        None => load / slots * line.base_ms,
+    };
+    let own = (line.at(unread + ahead) * (1.0 + queue) + busy) * slowness;
+    let crossing: u64 = need
+        .inputs
+        .iter()
+        .filter(|(az, _)| *az != target.az)
+        .map(|(_, bytes)| bytes)
+        .sum();
+    let zone = if target.az == need.az { 0.0 } else { ZONE_MS };
+    Some(Cost {
+        total_ms: own + zone + crossing as f64 / INPUT_BYTES_PER_MS,
+        unread: unread as u64,
+    })
+}
+
+impl Pool {
+    /// Endpoints that take new work now.
+    pub(crate) fn sound(&self, now: Instant) -> impl Iterator<Item = &Arc<Target>> {
+        let is_sound = move |t: &&Arc<Target>| t.is_ready() && !t.stats().is_out(now);
+        self.targets.iter().filter(is_sound)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use membership::{EndpointState, EndpointView, Mirror, StageRole};
+    use uuid::Uuid;
+
+    use super::Need;
+    use crate::{answer::Refusal, fleet::Fleet, inquiry::Prompt};
+
+    fn fleet(states: &[(&str, &str, EndpointState)]) -> Fleet {
+        let mut mirror = Mirror::default();
+        for (name, az, state) in states {
+            let view = EndpointView {
+                endpoint: (*name).to_owned(),
+                service: "chat".to_owned(),
+                az: (*az).to_owned(),
+                address: "http://127.0.0.1:9".to_owned(),
+                incarnation: Uuid::nil(),
+                state: *state,
+                models: Vec::new(),
+                role: StageRole::Both,
+                checks_fencing: false,
+                slots: Some(2),
+                calls: 0,
+                silent_ms: 0,
+            };
+            mirror.endpoints.insert(view.endpoint.clone(), view);
+        }
+        let fleet = Fleet::default();
+        fleet.update(&mirror, |_| None);
+        fleet
+    }
+
+    const READY: EndpointState = EndpointState::Ready;
+
+    fn need<'a>(prompt: Option<&'a Prompt>, avoid: &'a [String]) -> Need<'a> {
+        Need {
+            service: "chat",
+            az: "a",
+            prompt,
+            inputs: &[],
+            avoid,
+        }
+    }
+
+    fn prompt(subject: &str, own: &str) -> Prompt {
+        let parts = [("all", 2_000), (subject, 4_000), (own, 1_000)];
+        Prompt::new("m", 7_000, 10, parts.into_iter())
+    }
+
+    #[tokio::test]
+    async fn the_own_availability_zone_goes_first_until_it_is_loaded() {
+        let fleet = fleet(&[("near", "a", READY), ("far", "b", READY)]);
+        let need = need(None, &[]);
+        let first = fleet.place(&need).unwrap();
+        assert_eq!(first.target.name, "near");
+        let mut flights = vec![first];
+        flights.extend((0..4).map(|_| fleet.place(&need).unwrap()));
+        assert!(flights.iter().any(|f| f.target.name == "far"));
+    }
+
+    #[tokio::test]
+    async fn nothing_new_goes_to_endpoints_that_leave_and_full_ones_refuse() {
+        let fleet = fleet(&[("old", "a", EndpointState::Leaving), ("new", "a", READY)]);
+        let mut flights = Vec::new();
+        let refused = loop {
+            match fleet.place(&need(None, &[])) {
+                Ok(flight) => flights.push(flight),
+                Err(e) => break e,
+            }
+        };
+        assert_eq!(refused, Refusal::Full);
+        assert!(flights.iter().all(|f| f.target.name == "new"));
+        let avoid = vec!["new".to_owned()];
+        drop(flights);
+        assert!(fleet.place(&need(None, &avoid)).is_err());
+    }
+
+    #[tokio::test]
+    async fn a_subject_stays_where_it_was_read_and_leaves_a_long_queue() {
+        let names: Vec<String> = (0..6).map(|n| format!("e{n}")).collect();
+        let states: Vec<_> = names.iter().map(|n| (n.as_str(), "a", READY)).collect();
+        let fleet = fleet(&states);
+        let one = prompt("ice", "1");
+        let mut first = fleet.place(&need(Some(&one), &[])).unwrap();
+        first.first_part(Some(&one));
+        let home = first.target.name.clone();
+        drop(first);
+        let two = prompt("ice", "2");
+        let second = fleet.place(&need(Some(&two), &[])).unwrap();
+        assert_eq!(second.target.name, home);
+        // What waits there has to be read first.
+        second.target.stats().unread_tokens += 50_000;
+        let third = fleet.place(&need(Some(&two), &[])).unwrap();
+        assert_ne!(third.target.name, home);
+    }
+}
--- /dev/null
+++ b/crates/forward/src/response.rs
@@ -0,0 +1,78 @@
+//! What goes back to a caller.
+
+use std::{
+    io,
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use hyper::{
+    HeaderMap, StatusCode,
+    body::{Body, Frame, SizeHint},
+};
+use tokio::sync::mpsc;
+
+/// An endpoint's answer, whole.
+#[derive(Debug)]
+pub(crate) struct Passed {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+/// An answer to a caller.
+#[derive(Debug)]
+pub(crate) enum Response {
+    /// Whole.
+    Passed(Passed),
+    /// As a stream; a part that is an error breaks it off.
+    Streamed {
+        status: StatusCode,
+        headers: HeaderMap,
+        parts: mpsc::Receiver<io::Result<Bytes>>,
+    },
+}
+
+/// The body of an answer.
+#[derive(Debug)]
+pub enum OutBody {
+    /// Whole.
+    Whole(Option<Bytes>),
+    /// In parts.
+    Parts(mpsc::Receiver<io::Result<Bytes>>),
+}
+
+impl Body for OutBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        match &mut *self {
+            Self::Whole(bytes) => {
+                let bytes = bytes.take().filter(|bytes| !bytes.is_empty());
+                Poll::Ready(bytes.map(|bytes| Ok(Frame::data(bytes))))
+            }
+            Self::Parts(parts) => {
+                let part = std::task::ready!(parts.poll_recv(cx));
+                Poll::Ready(part.map(|part| part.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(bytes) if bytes.as_ref().is_none_or(Bytes::is_empty))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            }
+            Self::Parts(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/forward/src/rules.rs
@@ -0,0 +1,184 @@
+//! The declaration in force as requests need it: routes by host, workspaces by access key.
+
+use std::{collections::HashMap, fmt::Write as _, sync::Arc};
+
+use declaration::{Declaration, Priority, Route, Service};
+use rand::RngExt;
+use sha2::{Digest, Sha256};
+
+/// Routes and keys of one revision.
+#[derive(Debug, Default)]
+pub struct Rules {
+    /// The revision.
+    pub revision: u64,
+    /// The declaration.
+    pub declaration: Declaration,
+    /// Names of routes by host, the longest prefix first.
+    hosts: HashMap<String, Vec<String>>,
+    /// Names of workspaces by the digest of their keys.
+    keys: HashMap<String, String>,
+}
+
+/// A route that takes a request.
+#[derive(Clone, Debug)]
+pub struct Matched {
+    /// The rules that it is part of.
+    pub rules: Arc<Rules>,
+    /// Its name.
+    pub name: String,
+}
+
+impl Matched {
+    /// The route.
+    pub fn route(&self) -> &Route {
+        &self.rules.declaration.routes[&self.name]
+    }
+}
+
+/// On whose behalf a request comes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Caller {
+    /// The workspace.
+    pub workspace: String,
+    /// Its priority.
+    pub priority: Priority,
+}
+
+impl Rules {
+    /// The rules of `declaration`, which is revision `revision`.
+    pub fn new(revision: u64, declaration: &Declaration) -> Self {
+        let mut hosts: HashMap<String, Vec<String>> = HashMap::new();
+        for (name, route) in &declaration.routes {
+            let host = route.host.to_ascii_lowercase();
+            hosts.entry(host).or_default().push(name.clone());
+        }
+        let length = |name: &String| declaration.routes[name].path_prefix.len();
+        for names in hosts.values_mut() {
+            names.sort_by_key(|name| std::cmp::Reverse(length(name)));
+        }
+        let workspaces = declaration.workspaces.iter();
+        let keys = workspaces.flat_map(|(name, workspace)| {
+            let keys = workspace.keys.iter();
+            keys.map(move |key| (key.0.clone(), name.clone()))
+        });
+        Self {
+            revision,
+            keys: keys.collect(),
+            hosts,
+            declaration: declaration.clone(),
+        }
+    }
+
+    /// Whether anything may be served.
+    pub fn is_empty(&self) -> bool {
+        self.declaration.routes.is_empty()
+    }
+
+    /// The route for `path` at `host`: the longest prefix that begins the path.
+    pub fn find(self: &Arc<Self>, host: &str, path: &str) -> Option<Matched> {
+        let names = self.hosts.get(&host.to_ascii_lowercase())?;
+        let is_met =
+            |name: &&String| path.starts_with(&self.declaration.routes[*name].path_prefix);
+        names.iter().find(is_met).map(|name| Matched {
+            rules: Arc::clone(self),
+            name: name.clone(),
+        })
+    }
+
+    /// The workspace that holds `key`.
+    pub fn caller(&self, key: &str) -> Option<Caller> {
+        let workspace = self.keys.get(&digest(key))?;
+        Some(Caller {
+            priority: self.declaration.workspaces.get(workspace)?.priority,
+            workspace: workspace.clone(),
+        })
+    }
+
+    /// The declared service `name`.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.declaration.services.get(name)
+    }
+}
+
+/// The digest of an access key as it is declared.
+pub fn digest(key: &str) -> String {
+    let mut hex = String::new();
+    for byte in Sha256::digest(key.as_bytes()) {
+        // Writing into a string can't fail.
+        let _ = write!(hex, "{byte:02x}");
+    }
+    hex
+}
+
+/// Draws one of the route's services by weight.
+pub fn draw_service(route: &Route) -> Option<&str> {
+    let total: u64 = route.services.iter().map(|s| u64::from(s.weight)).sum();
+    if total == 0 {
+        return None;
+    }
+    let mut drawn = rand::rng().random_range(0..total);
+    for service in &route.services {
+        let weight = u64::from(service.weight);
+        if drawn < weight {
+            return Some(&service.service);
+        }
+        drawn -= weight;
+    }
+    None
+}
+
+/// The urgency of a request, 0 first and 9 last: the workspace decides before the route.
+pub fn urgency(caller: Option<&Caller>, route: &Route) -> u8 {
+    const ROUTES: u8 = 3;
+    let rank = |priority: Priority| Priority::MAX.saturating_sub(priority.0);
+    let workspace = caller.map_or(0, |c| rank(c.priority));
+    let route = rank(route.priority).min(ROUTES - 1);
+    workspace.saturating_mul(ROUTES).saturating_add(route).min(Priority::MAX)
+}
+
+#[cfg(test)]
+mod tests {
+    use std::sync::Arc;
+
+    use declaration::Declaration;
+
+    use super::{Rules, digest, draw_service};
+
+    fn rules() -> Arc<Rules> {
+        let document = format!(
+            "[service desk]\nkind = plain\nrepeatable = no\n\
+             [route all]\nhost = a.example\npath_prefix = /\nrepeatable = yes\nservices = desk 1\n\
+             [route book]\nhost = a.example\npath_prefix = /book/\nrepeatable = no\n\
+             services = desk 0, desk 1\n\
+             [workspace tugs]\nkeys = {}\n",
+            digest("secret")
+        );
+        let declaration = Declaration::read("test", document.as_bytes()).unwrap();
+        Arc::new(Rules::new(7, &declaration))
+    }
+
+    #[test]
+    fn the_longest_prefix_takes_a_request() {
+        let rules = rules();
+        let found = |host: &str, path: &str| rules.find(host, path).map(|m| m.name);
+        assert_eq!(found("A.example", "/book/1").as_deref(), Some("book"));
+        assert_eq!(found("a.example", "/books").as_deref(), Some("all"));
+        assert_eq!(found("b.example", "/book/1"), None);
+    }
+
+    #[test]
+    fn a_key_stands_for_its_workspace_alone() {
+        let rules = rules();
+        assert_eq!(rules.caller("secret").unwrap().workspace, "tugs");
+        assert_eq!(rules.caller("Secret"), None);
+    }
+
+    #[test]
+    fn a_service_without_weight_is_never_drawn() {
+        let rules = rules();
+        let matched = rules.find("a.example", "/book/").unwrap();
+        for _ in 0..50 {
+            assert_eq!(draw_service(matched.route()), Some("desk"));
+        }
+    }
+}
--- /dev/null
+++ b/crates/forward/src/serving.rs
@@ -0,0 +1,322 @@
+//! One request from its route to its answer.
+
+use std::{sync::Arc, time::Duration};
+
+use declaration::{Answer, Route};
+use routing::RetryBudget;
+use tokio::time::{Instant, timeout_at};
+
+use crate::{
+    answer::{Refusal, Unserved},
+    call::{self, CallError, Exchange},
+    dialect::{Dialect, Try, Verdict},
+    fleet::{Fleet, Flight},
+    inquiry::Inquiry,
+    messages::StageFailure,
+    placement::Need,
+    response::{Passed, Response},
+    rules::{Caller, Matched, draw_service, urgency},
+    stages::{Results, Stages},
+    stream,
+};
+
+/// Most bytes of an answer that comes whole.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
+/// Time before the deadline at which an answer is given up, so that the refusal still arrives.
+const ANSWER_MARGIN: Duration = Duration::from_millis(15);
+/// Pause before a request that found no free endpoint looks again.
+const LOOK_AGAIN: Duration = Duration::from_millis(15);
+/// When a caller may come back where nothing better is known.
+const COME_BACK: Duration = Duration::from_millis(400);
+
+/// What requests are served with; clones share everything.
+#[derive(Clone, Debug)]
+pub(crate) struct Context {
+    pub(crate) dialect: Dialect,
+    pub(crate) fleet: Fleet,
+    pub(crate) pool: outbound::Pool,
+    pub(crate) stages: Stages,
+    pub(crate) budget: Arc<RetryBudget>,
+    pub(crate) az: String,
+}
+
+/// A request on its route.
+#[derive(Clone, Debug)]
+pub(crate) struct Request {
+    pub(crate) inquiry: Arc<Inquiry>,
+    pub(crate) matched: Matched,
+    pub(crate) caller: Option<Caller>,
+    pub(crate) service: String,
+    pub(crate) urgency: u8,
+    pub(crate) deadline: Instant,
+}
+
+/// Where a request has been.
+#[derive(Debug, Default)]
+pub(crate) struct Tried {
+    /// Endpoints that have it or refused it.
+    pub(crate) endpoints: Vec<String>,
+    /// Endpoints that may have run it.
+    pub(crate) runs: u32,
+}
+
+/// An endpoint's answer that is about to be passed on.
+#[derive(Debug)]
+pub(crate) struct Begun {
+    pub(crate) exchange: Exchange,
+    pub(crate) flight: Flight,
+    pub(crate) is_good: bool,
+}
+
+impl Request {
+    pub(crate) fn new(inquiry: Inquiry, matched: Matched, caller: Option<Caller>) -> Option<Self> {
+        let route = matched.route();
+        Some(Self {
+            service: draw_service(route)?.to_owned(),
+            urgency: urgency(caller.as_ref(), route),
+            deadline: inquiry.deadline(route.longest),
+            inquiry: Arc::new(inquiry),
+            matched,
+            caller,
+        })
+    }
+
+    pub(crate) fn route(&self) -> &Route {
+        self.matched.route()
+    }
+
+    /// Whether it may run again after it may have run.
+    fn is_repeatable(&self) -> bool {
+        match self.route().answer {
+            Answer::Whole => self.route().repeatable,
+            Answer::Stream => self.route().resumable,
+        }
+    }
+
+    fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+}
+
+/// Serves a request: its stages, then an endpoint.
+pub(crate) async fn serve(cx: &Context, req: Request) -> Result<Response, Unserved> {
+    let until = req.deadline - ANSWER_MARGIN;
+    let mut tried = Tried::default();
+    let serving = async {
+        let inputs = inputs(cx, &req).await?;
+        match req.route().answer {
+            Answer::Whole => whole(cx, &req, &inputs, &mut tried).await,
+            Answer::Stream => {
+                let mut begun = begin(cx, &req, &inputs, &mut tried, None).await?;
+                while !begun.is_good && may_repeat(cx, &req, &tried) {
+                    cx.fleet.observe(&begun.flight.target, true);
+                    begun = begin(cx, &req, &inputs, &mut tried, None).await?;
+                }
+                Ok(stream::pass_on(cx, &req, inputs, begun, std::mem::take(&mut tried)).await)
+            }
+        }
+    };
+    match timeout_at(until, serving).await {
+        Ok(result) => result,
+        Err(_) if tried.runs > 0 => Err(Unserved::Late),
+        Err(_) => Err(Unserved::refused(Refusal::NoTime)),
+    }
+}
+
+async fn inputs(cx: &Context, req: &Request) -> Result<Vec<Arc<Results>>, Unserved> {
+    let route = req.route();
+    if route.stages.is_empty() {
+        return Ok(Vec::new());
+    }
+    let stages = cx.stages.run(&req.inquiry, route, req.urgency, req.deadline);
+    stages.await.map_err(|failure| match failure {
+        StageFailure::Late { retry_after } => {
+            Unserved::come_back(Refusal::StagesLate, retry_after.max(COME_BACK))
+        }
+        StageFailure::NoEndpoint => Unserved::come_back(Refusal::NoEndpoint, COME_BACK),
+        StageFailure::InputGone | StageFailure::Failed | StageFailure::Unreachable => {
+            Unserved::come_back(Refusal::StagesFailed, COME_BACK)
+        }
+    })
+}
+
+/// An answer that comes whole; it is read to its end before any of it is passed on.
+async fn whole(
+    cx: &Context,
+    req: &Request,
+    inputs: &[Arc<Results>],
+    tried: &mut Tried,
+) -> Result<Response, Unserved> {
+    loop {
+        let begun = begin(cx, req, inputs, tried, None).await?;
+        let Begun {
+            exchange,
+            mut flight,
+            is_good,
+        } = begun;
+        let (status, headers) = (exchange.status, exchange.headers.clone());
+        let read = exchange.whole(&cx.pool, MAX_ANSWER_BYTES, req.deadline);
+        match read.await {
+            Ok(body) => {
+                flight.first_part(None);
+                cx.fleet.observe(&flight.target, !is_good);
+                if !is_good && may_repeat(cx, req, tried) {
+                    continue;
+                }
+                return Ok(Response::Passed(Passed {
+                    status,
+                    headers: (cx.dialect.answer_headers)(&headers),
+                    body,
+                }));
+            }
+            Err(e) => {
+                cx.fleet.observe(&flight.target, true);
+                if !may_repeat(cx, req, tried) {
+                    return Err(lost(&e));
+                }
+            }
+        }
+    }
+}
+
+fn lost(e: &CallError) -> Unserved {
+    match e {
+        CallError::Late => Unserved::Late,
+        e => Unserved::Lost(e.to_string()),
+    }
+}
+
+/// Whether a request that may have run is tried once more; takes it from the budget.
+pub(crate) fn may_repeat(cx: &Context, req: &Request, tried: &Tried) -> bool {
+    req.is_repeatable()
+        && tried.runs < req.route().attempts
+        && req.left() > Duration::ZERO
+        && cx.budget.try_spend(&req.service)
+}
+
+/// Sends the request until an endpoint begins to answer it.
+pub(crate) async fn begin(
+    cx: &Context,
+    req: &Request,
+    inputs: &[Arc<Results>],
+    tried: &mut Tried,
+    after_event: Option<u64>,
+) -> Result<Begun, Unserved> {
+    cx.budget.first_try(&req.service);
+    let places: Vec<(String, u64)> = inputs.iter().flat_map(|r| r.places()).collect();
+    loop {
+        let need = Need {
+            service: &req.service,
+            az: &cx.az,
+            prompt: req.inquiry.prompt.as_ref().filter(|_| req.route().affinity),
+            inputs: &places,
+            avoid: &tried.endpoints,
+        };
+        let flight = match cx.fleet.place(&need) {
+            Ok(flight) => flight,
+            Err(why) if tried.runs > 0 => {
+                return Err(Unserved::Lost(format!("no other endpoint: {why}")));
+            }
+            Err(Refusal::Full) if req.left() > LOOK_AGAIN * 4 && tried.endpoints.is_empty() => {
+                tokio::time::sleep(LOOK_AGAIN).await;
+                continue;
+            }
+            Err(why) => return Err(Unserved::come_back(why, COME_BACK)),
+        };
+        match attempt(cx, req, inputs, tried, &flight, after_event).await {
+            Attempt::Begun(exchange, is_good) => {
+                return Ok(Begun {
+                    exchange: *exchange,
+                    flight,
+                    is_good,
+                });
+            }
+            Attempt::NotRun if tried.endpoints.len() < MAX_ENDPOINTS && cx.budget.try_spend(&req.service) => {}
+            Attempt::NotRun if tried.runs > 0 => {
+                return Err(Unserved::Lost("no endpoint took it again".to_owned()));
+            }
+            Attempt::NotRun => return Err(Unserved::come_back(Refusal::Full, COME_BACK)),
+            Attempt::InputsGone => {
+                return Err(Unserved::come_back(Refusal::StagesFailed, COME_BACK));
+            }
+            Attempt::Lost(e) if !may_repeat(cx, req, tried) => return Err(lost(&e)),
+            Attempt::Lost(_) => {}
+        }
+    }
+}
+
+/// Endpoints that one request is offered to.
+const MAX_ENDPOINTS: usize = 4;
+
+enum Attempt {
+    Begun(Box<Exchange>, bool),
+    NotRun,
+    InputsGone,
+    Lost(CallError),
+}
+
+async fn attempt(
+    cx: &Context,
+    req: &Request,
+    inputs: &[Arc<Results>],
+    tried: &mut Tried,
+    flight: &Flight,
+    after_event: Option<u64>,
+) -> Attempt {
+    let target = &flight.target;
+    let handles: Vec<String> = inputs.iter().flat_map(|r| r.handles()).collect();
+    let details = Try {
+        left: req.left(),
+        endpoint: &target.name,
+        workspace: req.caller.as_ref().map(|c| c.workspace.as_str()),
+        urgency: req.inquiry.prompt.as_ref().map(|_| req.urgency),
+        inputs: &handles,
+        after_event: after_event.or(req.inquiry.after_event),
+    };
+    let message = (cx.dialect.write)(&req.inquiry, &details);
+    tried.endpoints.push(target.name.clone());
+    tried.runs += 1;
+    let sent = call::send(&cx.pool, target.address, message, req.deadline).await;
+    let exchange = match sent {
+        Ok(exchange) => exchange,
+        Err(e) => {
+            let may_have_run = e.may_have_run();
+            spdlog::info!("call failed", kv: {
+                request = req.inquiry.id.as_str(),
+                endpoint = target.name.as_str(),
+                may_have_run,
+                why = e.to_string()
+            });
+            cx.fleet.observe(target, true);
+            if may_have_run {
+                return Attempt::Lost(e);
+            }
+            tried.runs -= 1;
+            return Attempt::NotRun;
+        }
+    };
+    if let Some(load) = (cx.dialect.load)(&exchange.headers) {
+        let mut stats = target.stats();
+        let own = stats.in_flight;
+        stats.report(load.running + load.waiting, own, Instant::now());
+    }
+    match (cx.dialect.judge)(&req.inquiry.id, exchange.status, &exchange.headers) {
+        Verdict::Good => return Attempt::Begun(Box::new(exchange), true),
+        Verdict::Failed => return Attempt::Begun(Box::new(exchange), false),
+        Verdict::Foreign => {
+            cx.fleet.observe(target, true);
+            return Attempt::Lost(CallError::Lost("another request's answer came".to_owned()));
+        }
+        Verdict::Full => cx.fleet.full(target),
+        Verdict::OtherEndpoint => cx.fleet.misplaced(target),
+        Verdict::InputsGone => {
+            tried.runs -= 1;
+            return Attempt::InputsGone;
+        }
+        Verdict::NotRun => {}
+    }
+    tried.runs -= 1;
+    // Reading the rest only keeps the connection.
+    let _ = exchange.whole(&cx.pool, MAX_ANSWER_BYTES, req.deadline).await;
+    Attempt::NotRun
+}
--- /dev/null
+++ b/crates/forward/src/stages.rs
@@ -0,0 +1,262 @@
+//! The stages before a request: each begins when the results that it needs are there.
+
+use std::{sync::Arc, time::Duration};
+
+use declaration::Route;
+use futures_util::{StreamExt, stream::FuturesUnordered};
+use link::{Channel, Peer};
+use tokio::time::{Instant, timeout_at};
+
+use crate::{
+    collector::Collector,
+    gates::{Collecting, Gates},
+    inquiry::Inquiry,
+    messages::{Made, StageFailure, StageReply, StageRequest, Submission},
+};
+
+/// Bound on handing items to the gate that collects them.
+const SUBMIT_LIMIT: Duration = Duration::from_millis(250);
+/// Time beyond the deadline in which a collecting gate still answers.
+const AWAIT_GRACE: Duration = Duration::from_millis(300);
+/// Bound on messages whose loss costs nothing but room.
+const NOTE_LIMIT: Duration = Duration::from_secs(1);
+/// Gates that are tried for one stage.
+const MAX_COLLECTORS: usize = 3;
+
+/// Does stages; clones share everything.
+#[derive(Clone, Debug)]
+pub(crate) struct Stages {
+    pub(crate) gates: Gates,
+    pub(crate) collector: Collector,
+    pub(crate) az: String,
+}
+
+/// Results of one stage; given up when dropped.
+#[derive(Debug)]
+pub(crate) struct Results {
+    made: Vec<Made>,
+    bytes: u64,
+    service: String,
+    collector: Collector,
+    via: Option<Peer>,
+}
+
+impl Results {
+    /// The handles.
+    pub(crate) fn handles(&self) -> impl Iterator<Item = String> + '_ {
+        self.made.iter().map(|made| made.handle.clone())
+    }
+
+    /// Where the results are, with their sizes.
+    pub(crate) fn places(&self) -> impl Iterator<Item = (String, u64)> + '_ {
+        self.made.iter().map(|made| (made.az.clone(), self.bytes))
+    }
+}
+
+impl Drop for Results {
+    fn drop(&mut self) {
+        let handles: Vec<String> = self.handles().collect();
+        let service = self.service.clone();
+        match self.via.take() {
+            None => self.collector.free(&service, handles),
+            Some(_) if handles.is_empty() => {}
+            Some(peer) => note(peer, StageRequest::Free(service, handles)),
+        }
+    }
+}
+
+/// Sends a message whose loss costs nothing but room.
+fn note(peer: Peer, req: StageRequest) {
+    tokio::spawn(async move {
+        // What is not given up expires by itself.
+        let _ = peer
+            .call::<_, StageReply>(Channel::Stages, &req, NOTE_LIMIT)
+            .await;
+    });
+}
+
+/// Items that were handed over; they are cancelled when dropped before they are done.
+struct Pending {
+    ticket: Option<u64>,
+    collector: Collector,
+    via: Option<Peer>,
+}
+
+impl Drop for Pending {
+    fn drop(&mut self) {
+        match (self.ticket.take(), self.via.take()) {
+            (None, _) => {}
+            (Some(ticket), None) => self.collector.cancel(ticket),
+            (Some(ticket), Some(peer)) => note(peer, StageRequest::Cancel(ticket)),
+        }
+    }
+}
+
+impl Stages {
+    /// Does all stages of `route` for `inquiry`; the results of those that no other stage follows.
+    pub(crate) async fn run(
+        &self,
+        inquiry: &Inquiry,
+        route: &Route,
+        urgency: u8,
+        deadline: Instant,
+    ) -> Result<Vec<Arc<Results>>, StageFailure> {
+        let count = route.stages.len();
+        let mut done: Vec<Option<Arc<Results>>> = vec![None; count];
+        let mut begun = vec![false; count];
+        let mut finished = vec![false; count];
+        let mut running = FuturesUnordered::new();
+        loop {
+            for number in 0..count {
+                let is_ready = route.stages[number].after.iter().all(|n| finished[*n]);
+                if begun[number] || !is_ready {
+                    continue;
+                }
+                begun[number] = true;
+                let after = route.stages[number].after.iter();
+                let inputs: Vec<Arc<Results>> = after.filter_map(|n| done[*n].clone()).collect();
+                running.push(async move {
+                    let stage =
+                        self.stage(inquiry, route, number, &inputs, urgency, deadline);
+                    (number, stage.await)
+                });
+            }
+            let Some((number, result)) = running.next().await else {
+                break;
+            };
+            finished[number] = true;
+            done[number] = result?.map(Arc::new);
+            // Results that every stage behind them has used are given up at once.
+            for n in 0..count {
+                let mut followers =
+                    (0..count).filter(|f| route.stages[*f].after.contains(&n)).peekable();
+                if followers.peek().is_some() && followers.all(|f| finished[f]) {
+                    done[n] = None;
+                }
+            }
+        }
+        let last = route.last_stages();
+        Ok(last.filter_map(|n| done[n].clone()).collect())
+    }
+
+    /// Does one stage; `None` where it has no items for this request.
+    async fn stage(
+        &self,
+        inquiry: &Inquiry,
+        route: &Route,
+        number: usize,
+        inputs: &[Arc<Results>],
+        urgency: u8,
+        deadline: Instant,
+    ) -> Result<Option<Results>, StageFailure> {
+        let items = inquiry.items.get(number).copied().unwrap_or(0);
+        if items == 0 {
+            return Ok(None);
+        }
+        let stage = &route.stages[number];
+        let handles = inputs.iter().flat_map(|results| results.handles());
+        let mut submission = Submission {
+            request: inquiry.id.clone(),
+            service: stage.service.clone(),
+            stage: number,
+            items,
+            key: inquiry.item_key.clone().filter(|_| stage.after.is_empty()),
+            inputs: handles.collect(),
+            result_bytes: stage.result_bytes,
+            left: Duration::ZERO,
+            urgency,
+            az: self.az.clone(),
+        };
+        let mut failure = StageFailure::Unreachable;
+        for skip in 0..MAX_COLLECTORS {
+            submission.left = deadline.saturating_duration_since(Instant::now());
+            match self.submit(&submission, skip, deadline).await {
+                Ok(results) => return Ok(Some(results)),
+                Err(StageFailure::Unreachable) => failure = StageFailure::Unreachable,
+                Err(other) => return Err(other),
+            }
+        }
+        if failure == StageFailure::Unreachable {
+            return self.own(submission).await.map(Some);
+        }
+        Err(failure)
+    }
+
+    async fn submit(
+        &self,
+        submission: &Submission,
+        skip: usize,
+        deadline: Instant,
+    ) -> Result<Results, StageFailure> {
+        let peer = match self.gates.collecting(&submission.service, skip) {
+            Collecting::Own => return self.own(submission.clone()).await,
+            Collecting::Other(peer) => peer,
+        };
+        let submit = StageRequest::Submit(submission.clone());
+        let ticket = match peer.call(Channel::Stages, &submit, SUBMIT_LIMIT).await {
+            Ok(StageReply::Accepted(ticket)) => ticket,
+            Ok(StageReply::Refused(failure)) => return Err(failure),
+            Ok(_) | Err(_) => return Err(StageFailure::Unreachable),
+        };
+        let mut pending = Pending {
+            ticket: Some(ticket),
+            collector: self.collector.clone(),
+            via: Some(peer.clone()),
+        };
+        let left = deadline.saturating_duration_since(Instant::now());
+        let wait = StageRequest::Await(ticket);
+        let reply = peer.call(Channel::Stages, &wait, left + AWAIT_GRACE).await;
+        pending.ticket = None;
+        match reply {
+            Ok(StageReply::Done(Ok(made))) => Ok(self.results(submission, made, Some(peer))),
+            Ok(StageReply::Done(Err(failure))) => Err(failure),
+            Ok(_) | Err(_) => Err(StageFailure::Unreachable),
+        }
+    }
+
+    /// Collects the items at this gate.
+    async fn own(&self, submission: Submission) -> Result<Results, StageFailure> {
+        let until = Instant::now() + submission.left + AWAIT_GRACE;
+        let ticket = self.collector.submit(submission.clone())?;
+        let mut pending = Pending {
+            ticket: Some(ticket),
+            collector: self.collector.clone(),
+            via: None,
+        };
+        let made = timeout_at(until, self.collector.wait(ticket)).await;
+        let made = made.unwrap_or(Err(StageFailure::Failed))?;
+        pending.ticket = None;
+        Ok(self.results(&submission, made, None))
+    }
+
+    fn results(&self, submission: &Submission, made: Vec<Made>, via: Option<Peer>) -> Results {
+        Results {
+            made,
+            bytes: submission.result_bytes,
+            service: submission.service.clone(),
+            collector: self.collector.clone(),
+            via,
+        }
+    }
+
+    /// Answers another gate.
+    pub(crate) async fn answer(&self, body: &[u8]) -> Vec<u8> {
+        let reply = match link::decode::<StageRequest>(body) {
+            Ok(StageRequest::Submit(submission)) => match self.collector.submit(submission) {
+                Ok(ticket) => StageReply::Accepted(ticket),
+                Err(failure) => StageReply::Refused(failure),
+            },
+            Ok(StageRequest::Await(ticket)) => StageReply::Done(self.collector.wait(ticket).await),
+            Ok(StageRequest::Cancel(ticket)) => {
+                self.collector.cancel(ticket);
+                StageReply::Noted
+            }
+            Ok(StageRequest::Free(service, handles)) => {
+                self.collector.free(&service, handles);
+                StageReply::Noted
+            }
+            Err(_) => return Vec::new(),
+        };
+        link::encode(&reply)
+    }
+}
--- /dev/null
+++ b/crates/forward/src/start.rs
@@ -0,0 +1,281 @@
+//! Brings a forwarding gate up, and down again without cutting anything off.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::AtomicUsize},
+    time::Duration,
+};
+
+use host::{http, role::Running, shutdown::Stopped};
+use link::{Channel, Identity, Incoming, LinkConfig, Role};
+use membership::Mirror;
+use outbound::{Pool, PoolConfig};
+use routing::{BudgetConfig, RetryBudget};
+use salvo::{Depot, Response, Router, affix_state, handler, http::StatusCode};
+use spdlog::info;
+use tokio::{
+    net::TcpListener,
+    sync::watch,
+    task::JoinSet,
+    time::{sleep, timeout},
+};
+use uuid::Uuid;
+
+use crate::{
+    collector::{self, Collector},
+    control::{Control, Told},
+    dialect::Dialect,
+    fleet::Fleet,
+    forwarder::Forwarder,
+    freshness::Freshness,
+    gates::Gates,
+    metrics::Metrics,
+    rules::Rules,
+    server::{self, Phase},
+    serving::Context,
+    stages::Stages,
+};
+
+/// Idle connections kept to one endpoint.
+const IDLE_PER_ENDPOINT: usize = 32;
+const IDLE: Duration = Duration::from_secs(4);
+const CONNECT: Duration = Duration::from_millis(800);
+/// Share of the retries allowed that gates take without asking each other.
+const BUDGET_SHARE: f64 = 0.5;
+/// Time between shutting the listener and the end for the last bytes to leave.
+const FLUSH: Duration = Duration::from_millis(30);
+
+/// Retries allowed over all gates together.
+#[derive(Clone, Copy, Debug)]
+pub struct SharedBudget {
+    /// Retries for each request.
+    pub ratio: f64,
+    /// Retries beyond that.
+    pub slack: f64,
+    /// Time in which they are counted.
+    pub window: Duration,
+}
+
+/// How a forwarding gate is set up.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// The VM on which it runs.
+    pub vm: host::settings::Vm,
+    /// Where it takes callers.
+    pub callers: SocketAddr,
+    /// Where it says whether it is ready.
+    pub readiness: SocketAddr,
+    /// Where it takes links.
+    pub link: SocketAddr,
+    /// Links of keepers that it knows at the start.
+    pub keepers: Vec<SocketAddr>,
+    /// How long a confirmation of the declaration holds.
+    pub confirmed_for: Duration,
+    /// Retries allowed over all gates together.
+    pub budget: SharedBudget,
+    /// After the order to stop: how long new requests are still served.
+    pub notice: Duration,
+    /// After that: how long requests in flight may take.
+    pub drain: Duration,
+}
+
+/// Binds the listeners and serves until stopped.
+pub async fn start(cfg: Config, dialect: Dialect, stopped: Stopped) -> eyre::Result<Running> {
+    let callers = bind(cfg.callers, "callers").await?;
+    let links_listener = bind(cfg.link, "link").await?;
+    let readiness = http::bind(cfg.readiness).await?;
+    let local = callers.local_addr()?;
+    let link = links_listener.local_addr()?;
+    let links = LinkConfig::new(Identity {
+        vm: cfg.vm.name.clone(),
+        az: cfg.vm.availability_zone.clone(),
+        role: Role::Gate,
+        incarnation: Uuid::now_v7(),
+    });
+    let freshness = Freshness::new(cfg.confirmed_for);
+    let (draining_tx, draining) = watch::channel(false);
+    let told = Control {
+        links: links.clone(),
+        seeds: cfg.keepers.clone(),
+        own_link: link,
+        freshness: freshness.clone(),
+        draining: draining.clone(),
+    }
+    .start();
+    let gates = Gates::new(links.clone());
+    let budget = Arc::new(RetryBudget::new(budget(&cfg.budget, 1)));
+    let cx = context(&cfg, dialect, &told, gates.clone(), &budget);
+    let forwarder = Forwarder {
+        rules: told.rules.clone(),
+        freshness,
+        metrics: Metrics::new()?,
+        draining,
+        in_flight: Arc::new(AtomicUsize::new(0)),
+        cx,
+    };
+    let mut tasks = JoinSet::new();
+    tasks.spawn(keep_known(
+        told.mirror.clone(),
+        told.rules.clone(),
+        forwarder.cx.fleet.clone(),
+        gates,
+        budget,
+        cfg.budget,
+    ));
+    tasks.spawn(forwarder.cx.pool.clone().reap());
+    tasks.spawn(serve_links(links_listener, links, &forwarder, &told));
+    let (pages, _) = http::serve(readiness, pages(forwarder.clone()));
+    let (phase, phases) = watch::channel(Phase::Serving);
+    let serving = tokio::spawn(server::serve(callers, forwarder, phases));
+    let task = tokio::spawn(async move {
+        let mut stopped = stopped;
+        stopped.wait().await;
+        draining_tx.send_replace(true);
+        info!("draining");
+        sleep(cfg.notice).await;
+        phase.send_replace(Phase::Closing);
+        // What takes longer is cut off by the end of the process.
+        let _ = timeout(cfg.drain, serving).await;
+        sleep(FLUSH).await;
+        pages.stop_graceful(Duration::ZERO);
+        drop((tasks, told));
+        Ok(())
+    });
+    Ok(Running {
+        http: local,
+        link: Some(link),
+        task,
+    })
+}
+
+async fn bind(address: SocketAddr, key: &str) -> eyre::Result<TcpListener> {
+    TcpListener::bind(address).await.map_err(|e| {
+        eyre::eyre!("bind listener on {address}: {e}; free the port or set [listen] {key}")
+    })
+}
+
+fn context(
+    cfg: &Config,
+    dialect: Dialect,
+    told: &Told,
+    gates: Gates,
+    budget: &Arc<RetryBudget>,
+) -> Context {
+    let fleet = Fleet::default();
+    let pool = Pool::new(PoolConfig {
+        idle_per_endpoint: IDLE_PER_ENDPOINT,
+        idle: IDLE,
+        connect: CONNECT,
+    });
+    let collector = Collector::new(collector::Context {
+        dialect,
+        fleet: fleet.clone(),
+        pool: pool.clone(),
+        rules: told.rules.clone(),
+        budget: Arc::clone(budget),
+    });
+    let az = cfg.vm.availability_zone.clone();
+    Context {
+        dialect,
+        fleet,
+        pool,
+        stages: Stages {
+            gates,
+            collector,
+            az: az.clone(),
+        },
+        budget: Arc::clone(budget),
+        az,
+    }
+}
+
+/// One gate's share of the retries allowed.
+fn budget(shared: &SharedBudget, gates: usize) -> BudgetConfig {
+    let reserve = (shared.slack * BUDGET_SHARE / gates as f64).max(1.0);
+    BudgetConfig {
+        share: shared.ratio * BUDGET_SHARE,
+        reserve,
+        max_saved: reserve,
+        idle: shared.window.div_f64(reserve),
+    }
+}
+
+/// Keeps endpoints, gates and budgets in step with what keepers told.
+async fn keep_known(
+    mut mirror: watch::Receiver<Mirror>,
+    mut rules: watch::Receiver<Arc<Rules>>,
+    fleet: Fleet,
+    gates: Gates,
+    retries: Arc<RetryBudget>,
+    shared: SharedBudget,
+) {
+    loop {
+        let known = mirror.borrow_and_update().clone();
+        let declared = rules.borrow_and_update().clone();
+        gates.update(&known);
+        let count = gates.count();
+        retries.configure(budget(&shared, count));
+        fleet.update(&known, |service| {
+            let tokens = declared.service(service)?.capacity.memory_tokens?;
+            Some(tokens / count as u64)
+        });
+        let changed = tokio::select! {
+            changed = mirror.changed() => changed,
+            changed = rules.changed() => changed,
+        };
+        if changed.is_err() {
+            return;
+        }
+    }
+}
+
+fn serve_links(
+    listener: TcpListener,
+    links: LinkConfig,
+    forwarder: &Forwarder,
+    told: &Told,
+) -> impl Future<Output = ()> + Send + use<> {
+    let (stages, follower) = (forwarder.cx.stages.clone(), told.follower.clone());
+    link::serve(listener, links, move |call: Incoming| {
+        let (stages, follower) = (stages.clone(), follower.clone());
+        async move {
+            match call.channel {
+                Channel::Stages => stages.answer(&call.body).await,
+                Channel::Follow => follower.answer(&call.body).await,
+                // The other end finds no message in it and asks elsewhere.
+                _ => Vec::new(),
+            }
+        }
+    })
+}
+
+fn pages(forwarder: Forwarder) -> Router {
+    Router::new()
+        .hoop(affix_state::inject(Arc::new(forwarder)))
+        .push(Router::with_path("readyz").get(readyz))
+        .push(Router::with_path("healthz").get(healthz))
+        .push(Router::with_path("metrics").get(metrics))
+}
+
+fn of(depot: &Depot) -> Arc<Forwarder> {
+    let forwarder = depot.get_typed::<Arc<Forwarder>>();
+    Arc::clone(forwarder.expect("the router injects it into every request"))
+}
+
+#[handler]
+async fn readyz(depot: &mut Depot, res: &mut Response) {
+    res.status_code(match of(depot).is_ready() {
+        true => StatusCode::OK,
+        false => StatusCode::SERVICE_UNAVAILABLE,
+    });
+}
+
+#[handler]
+async fn healthz(res: &mut Response) {
+    res.status_code(StatusCode::OK);
+}
+
+#[handler]
+async fn metrics(depot: &mut Depot, res: &mut Response) {
+    res.render(of(depot).metrics.text());
+}
--- /dev/null
+++ b/crates/forward/src/stream.rs
@@ -0,0 +1,180 @@
+//! Streams: whole events as they come, in order, going on elsewhere where that is allowed.
+
+use std::{io, sync::Arc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use tokio::{sync::mpsc, time::Instant};
+
+use crate::{
+    call::{CallError, Exchange},
+    events::Events,
+    response::Response,
+    serving::{Begun, Context, Request, Tried, begin, may_repeat},
+    stages::Results,
+};
+
+/// Parts that wait for a caller who reads slowly.
+const MAX_WAITING: usize = 16;
+/// Shortest silence after which a stream that may be resumed goes on elsewhere.
+const MIN_SILENCE: Duration = Duration::from_millis(1_500);
+/// Pauses that the route allows after which it does.
+const SILENT_PAUSES: u32 = 6;
+
+/// Why a stream ended before its end.
+#[derive(Debug)]
+enum Broken {
+    /// The caller has left.
+    CallerGone,
+    /// The endpoint broke off, or fell silent.
+    Endpoint(CallError),
+    /// Events came out of order.
+    Order,
+}
+
+/// Passes the answer's events on, from a task of its own.
+pub(crate) async fn pass_on(
+    cx: &Context,
+    req: &Request,
+    inputs: Vec<Arc<Results>>,
+    begun: Begun,
+    tried: Tried,
+) -> Response {
+    let (status, headers) = (begun.exchange.status, begun.exchange.headers.clone());
+    let (tx, parts) = mpsc::channel(MAX_WAITING);
+    let passing = Passing {
+        cx: cx.clone(),
+        req: req.clone(),
+        inputs,
+        tried,
+        tx,
+        last: req.inquiry.after_event,
+    };
+    tokio::spawn(passing.run(begun));
+    Response::Streamed {
+        status,
+        headers: (cx.dialect.answer_headers)(&headers),
+        parts,
+    }
+}
+
+struct Passing {
+    cx: Context,
+    req: Request,
+    inputs: Vec<Arc<Results>>,
+    tried: Tried,
+    tx: mpsc::Sender<io::Result<Bytes>>,
+    /// Number of the last event that was passed on.
+    last: Option<u64>,
+}
+
+impl Passing {
+    async fn run(mut self, mut begun: Begun) {
+        loop {
+            let broken = match self.pass(&mut begun).await {
+                Ok(()) => {
+                    self.cx.fleet.observe(&begun.flight.target, !begun.is_good);
+                    return begun.exchange.finish(&self.cx.pool);
+                }
+                Err(broken) => broken,
+            };
+            let target = Arc::clone(&begun.flight.target);
+            // The endpoint sees a closed connection and stops.
+            drop(begun);
+            if matches!(broken, Broken::CallerGone) {
+                return;
+            }
+            self.cx.fleet.observe(&target, true);
+            spdlog::info!("stream broken off", kv: {
+                request = self.req.inquiry.id.as_str(),
+                endpoint = target.name.as_str(),
+                why = format!("{broken:?}"),
+                last_event = self.last.unwrap_or(0)
+            });
+            let has_inputs = !self.inputs.is_empty() || self.req.route().stages.is_empty();
+            if !has_inputs || !may_repeat(&self.cx, &self.req, &self.tried) {
+                return self.break_off().await;
+            }
+            let again = begin(&self.cx, &self.req, &self.inputs, &mut self.tried, self.last);
+            let closed = self.tx.clone();
+            begun = tokio::select! {
+                again = again => match again {
+                    Ok(begun) if begun.is_good => begun,
+                    Ok(_) | Err(_) => return self.break_off().await,
+                },
+                () = closed.closed() => return,
+            };
+        }
+    }
+
+    /// Ends the answer so that it does not look complete.
+    async fn break_off(self) {
+        let broken = io::Error::other("the endpoint broke the stream off");
+        // The caller may have left as well.
+        let _ = self.tx.send(Err(broken)).await;
+    }
+
+    /// Passes events on until the endpoint's answer ends.
+    async fn pass(&mut self, begun: &mut Begun) -> Result<(), Broken> {
+        let mut events = Events::default();
+        let is_plain = !begun.is_good;
+        loop {
+            let part = self.next(&mut begun.exchange).await?;
+            let Some(part) = part else {
+                return match events.has_part() {
+                    true => Err(Broken::Endpoint(CallError::Lost(
+                        "it ended in the middle of an event".to_owned(),
+                    ))),
+                    false => Ok(()),
+                };
+            };
+            if is_plain {
+                self.send(part).await?;
+                continue;
+            }
+            let pushed = events.push(&part);
+            pushed.map_err(|_| Broken::Endpoint(CallError::TooLarge))?;
+            let mut whole = BytesMut::new();
+            while let Some(event) = events.next_event() {
+                self.check(event.id)?;
+                whole.extend_from_slice(&event.bytes);
+            }
+            if !whole.is_empty() {
+                begun.flight.first_part(self.req.inquiry.prompt.as_ref());
+                // The endpoint has fetched them before it read the prompt.
+                self.inputs.clear();
+                self.send(whole.freeze()).await?;
+            }
+        }
+    }
+
+    /// Numbers rise; an event without a number follows the one before it.
+    fn check(&mut self, id: Option<u64>) -> Result<(), Broken> {
+        let Some(id) = id else { return Ok(()) };
+        match self.last {
+            Some(last) if id <= last => Err(Broken::Order),
+            _ => {
+                self.last = Some(id);
+                Ok(())
+            }
+        }
+    }
+
+    async fn send(&self, bytes: Bytes) -> Result<(), Broken> {
+        self.tx.send(Ok(bytes)).await.map_err(|_| Broken::CallerGone)
+    }
+
+    /// The next part, as long as the caller waits; a stream that may go on elsewhere is not waited
+    /// for beyond a silence.
+    async fn next(&self, exchange: &mut Exchange) -> Result<Option<Bytes>, Broken> {
+        let route = self.req.route();
+        let silence = route.pause.unwrap_or_default() * SILENT_PAUSES;
+        let until = match route.resumable && self.last.is_some() {
+            true => (Instant::now() + silence.max(MIN_SILENCE)).min(self.req.deadline),
+            false => self.req.deadline,
+        };
+        tokio::select! {
+            part = exchange.next(until) => part.map_err(Broken::Endpoint),
+            () = self.tx.closed() => Err(Broken::CallerGone),
+        }
+    }
+}
--- a/crates/gate/src/engine.rs
+++ b/crates/gate/src/engine.rs
@@ -5,6 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use declaration::Service;
 use hyper::{Method, Request};
+use outbound::Pool;
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 use uuid::Uuid;
@@ -14,7 +15,6 @@
     exchange::{Call, Exchange},
     failure::CallError,
     pace::Watch,
-    pool::Pool,
     sse::{EventReader, write_event},
     stream::Sink,
 };
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -9,10 +9,11 @@
     body::Incoming,
     header::{CONTENT_TYPE, HOST, HeaderName, HeaderValue, RETRY_AFTER},
 };
+use outbound::{Connection, Handover, Pool};
 use tokio::time::{Instant, timeout_at};
 use uuid::Uuid;
 
-use crate::{connection::Connection, failure::CallError, handover::Handover, pool::Pool};
+use crate::failure::CallError;
 
 /// Header of the call id, which every answer echoes.
 const CALL: HeaderName = HeaderName::from_static("jujube-call");
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -6,11 +6,12 @@
 };
 
 use link::follower::{Follower, InForce};
+use outbound::Pool;
 use tokio::sync::watch;
 
 use crate::{
     body::Budget, config::Config, inflight::Inflight, ledger::Ledger, metrics::Metrics,
-    pace::Paces, pool::Pool, route::Route,
+    pace::Paces, route::Route,
 };
 
 /// One gate.
--- a/crates/gate/src/guard.rs
+++ b/crates/gate/src/guard.rs
@@ -2,13 +2,13 @@
 
 use std::{sync::Arc, time::Duration};
 
+use outbound::Handover;
 use tokio::time::{Instant, timeout};
 
 use crate::{
     engine,
     exchange::{self, Call},
     gate::Gate,
-    handover::Handover,
     metrics::Use,
 };
 
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -3,7 +3,7 @@
 //! A request is read and checked ([`request`]), admitted, and run stage by stage ([`run`]). A stage
 //! that may be repeated is tried, hedged and resumed ([`stage`], [`race`]); one that may not goes
 //! through the keepers' ledger ([`once`]). What may be said of a request that did not complete is
-//! decided from what was handed to sockets ([`handover`], [`record`]). `docs/design/request-path.md`
+//! decided from what was handed to sockets ([`outbound`], [`record`]). `docs/design/request-path.md`
 //! and `docs/design/at-most-once.md` say why it is built this way.
 
 mod assembly;
@@ -11,7 +11,6 @@
 mod callers;
 mod calls;
 mod config;
-mod connection;
 mod draining;
 mod endpoints;
 mod engine;
@@ -19,7 +18,6 @@
 mod failure;
 mod gate;
 mod guard;
-mod handover;
 mod head;
 mod inflight;
 mod ledger;
@@ -28,7 +26,6 @@
 mod pace;
 mod pages;
 mod plain;
-mod pool;
 mod quorum;
 mod race;
 mod record;
--- a/crates/gate/src/once.rs
+++ b/crates/gate/src/once.rs
@@ -8,6 +8,7 @@
 use std::{sync::Arc, time::Duration};
 
 use link::keeper::{IntentReply, LedgerEntry, Output, Settlement};
+use outbound::{Connection, Handover};
 use serde_json::value::RawValue;
 use tokio::{
     sync::oneshot,
@@ -16,12 +17,10 @@
 use uuid::Uuid;
 
 use crate::{
-    connection::Connection,
     exchange::{self, Call, Waits},
     failure::{CallError, Cause, StageError},
     gate::Gate,
     guard::CallGuard,
-    handover::Handover,
     ledger::{Claim, Claimed, Grant},
     plain,
     record::{Once, Record},
--- a/crates/gate/src/plain.rs
+++ b/crates/gate/src/plain.rs
@@ -2,13 +2,13 @@
 
 use bytes::Bytes;
 use hyper::Method;
+use outbound::Pool;
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 
 use crate::{
     exchange::{Call, Exchange},
     failure::CallError,
-    pool::Pool,
 };
 
 #[derive(Serialize)]
--- a/crates/gate/src/race.rs
+++ b/crates/gate/src/race.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use futures_util::{StreamExt, stream::FuturesUnordered};
+use outbound::Handover;
 use tokio::time::{Instant, sleep_until};
 use uuid::Uuid;
 
@@ -10,7 +11,6 @@
     exchange::{self, Call, Exchange, Waits},
     failure::{CallError, StageError},
     guard::CallGuard,
-    handover::Handover,
     route::{Picked, Sized, Verdict},
     run::Running,
     stage::{Stage, Tries, failed, is_engine, pick},
--- a/crates/gate/src/record.rs
+++ b/crates/gate/src/record.rs
@@ -3,8 +3,7 @@
 use std::sync::{Mutex, MutexGuard};
 
 use host::problem::Outcome;
-
-use crate::handover::Handover;
+use outbound::Handover;
 
 /// What became of the request's calls that may not be repeated.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
--- a/crates/gate/src/rollout.rs
+++ b/crates/gate/src/rollout.rs
@@ -108,6 +108,7 @@
             roles: None,
             model_mb: None,
             endpoint_mb: None,
+            capacity: declaration::Capacity::default(),
         }
     }
 
--- a/crates/gate/src/start.rs
+++ b/crates/gate/src/start.rs
@@ -21,6 +21,7 @@
     keepers::Keepers,
 };
 use membership::{Table, TableConfig};
+use outbound::{Pool, PoolConfig};
 use salvo::Router;
 use spdlog::{info, warn};
 use tokio::{
@@ -43,7 +44,6 @@
     metrics::Metrics,
     pace::Paces,
     pages,
-    pool::{Pool, PoolConfig},
     route::Route,
 };
 
@@ -186,7 +186,7 @@
                 Channel::Membership => gate.route.table().answer(&call.body).await,
                 Channel::Calls => gate.route.answer_calls(&call.body),
                 // The other end finds no message in it and asks elsewhere.
-                Channel::Agreement | Channel::Keeper => Vec::new(),
+                Channel::Agreement | Channel::Keeper | Channel::Stages => Vec::new(),
             }
         }
     };
--- a/crates/gate/src/tests/outcomes.rs
+++ b/crates/gate/src/tests/outcomes.rs
@@ -11,16 +11,14 @@
 };
 
 use host::problem::Outcome;
+use outbound::{Handover, Recorded, Slot};
 use proptest::{collection::vec, prelude::*};
 use tokio::{
     io::{AsyncWrite, AsyncWriteExt},
     time::Instant,
 };
 
-use crate::{
-    handover::{Handover, Recorded, Slot},
-    record::{Once, Record},
-};
+use crate::record::{Once, Record};
 
 /// A socket that takes at most `room` bytes in all, and counts what it took.
 #[derive(Debug)]
--- a/crates/gate/src/work.rs
+++ b/crates/gate/src/work.rs
@@ -6,6 +6,7 @@
 use declaration::Service;
 use http_body_util::Full;
 use hyper::Request;
+use outbound::Pool;
 use serde_json::value::{RawValue, to_raw_value};
 use uuid::Uuid;
 
@@ -17,7 +18,6 @@
     metrics::{Metrics, Use},
     pace::Watch,
     plain,
-    pool::Pool,
     stage::{Stage, is_engine},
     stream::Sink,
 };
--- a/crates/keeper/src/config.rs
+++ b/crates/keeper/src/config.rs
@@ -5,6 +5,8 @@
 use host::settings::{Operator, Peer, Reader, Secret, Vm};
 use replica::Timing;
 
+use crate::group::GroupConfig;
+
 const DEFAULT_RETENTION_MS: u64 = 24 * 3_600 * 1_000;
 const MAX_RETENTION_MS: u64 = 30 * 24 * 3_600 * 1_000;
 const DEFAULT_SKEW_MS: u64 = 60_000;
@@ -15,6 +17,8 @@
 const DEFAULT_MAX_OUTPUT_BYTES: u64 = 64 << 10;
 const LARGEST_MAX_OUTPUT_BYTES: u64 = 1 << 20;
 const DEFAULT_OUTPUTS_MB: u64 = 256;
+const DEFAULT_SNAPSHOT_BYTES: u64 = 64 << 20;
+const DEFAULT_MAX_ENTRY: usize = 4 << 20;
 const DEFAULT_SNAPSHOT_AFTER: u64 = 200_000;
 
 /// `[ledger]`: the bounds of the at-most-once ledger.
@@ -49,6 +53,12 @@
     pub folder: PathBuf,
     /// Entries applied between two snapshots.
     pub snapshot_after: u64,
+    /// Bytes of entries applied between two snapshots, if that comes first.
+    pub snapshot_bytes: u64,
+    /// Largest entry in bytes.
+    pub max_entry: usize,
+    /// How the group forms and mends itself; absent where operators do that.
+    pub group: Option<GroupConfig>,
     /// Whether entries that wait are written with one sync.
     pub group_commit: bool,
     /// Times of the agreement.
@@ -79,6 +89,9 @@
                 100,
                 10_000_000,
             ),
+            snapshot_bytes: DEFAULT_SNAPSHOT_BYTES,
+            max_entry: DEFAULT_MAX_ENTRY,
+            group: None,
             group_commit: yes_or_no(reader, "data", "group_commit"),
             timing: timing(reader),
             limits: limits(reader),
--- a/crates/keeper/src/declared.rs
+++ b/crates/keeper/src/declared.rs
@@ -7,10 +7,13 @@
 
 use declaration::{
     AuditRecord, AuditSection, Change, Declaration, Document, SectionChange, SectionId,
-    SectionText, conflicts, inverse,
+    SectionText, between, conflicts, inverse,
 };
 use derives::record;
-use link::{follow::Revision, keeper::ChangeReply};
+use link::{
+    follow::Revision,
+    keeper::{ChangeReply, Replacement},
+};
 use uuid::Uuid;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -227,6 +230,23 @@
         })
     }
 
+    /// Makes the whole document that of `replacement`, as one change of the sections that differ.
+    pub fn replace(
+        &mut self,
+        time_ms: u64,
+        replacement: &Replacement,
+    ) -> Result<ChangeReply, ChangeError> {
+        let version = replacement.version;
+        let change = Change {
+            change: Uuid::from_u64_pair(xxh3_64(&replacement.original), version),
+            base_revision: self.revision,
+            author: replacement.author.clone(),
+            reason: format!("version {version}"),
+            sections: between(&self.document, &replacement.document),
+        };
+        self.apply(time_ms, &change)
+    }
+
     fn check(&self, change: &Change) -> Result<(), ChangeError> {
         let (base, revision) = (change.base_revision, self.revision);
         let oldest = self.oldest_audit() - 1;
--- a/crates/keeper/src/entry.rs
+++ b/crates/keeper/src/entry.rs
@@ -2,7 +2,7 @@
 
 use declaration::Change;
 use derives::record;
-use link::keeper::{LeaseRequest, Settle};
+use link::keeper::{LeaseRequest, Replacement, Settle};
 use uuid::Uuid;
 
 /// What the proposing leader adds to a command, so that every replica decides alike whatever its
@@ -64,6 +64,8 @@
     },
     /// Changes the declaration.
     Change(Change),
+    /// Replaces the declaration under a version that others number.
+    Replace(Replacement),
 }
 
 /// The part of an intent that the ledger keeps.
--- /dev/null
+++ b/crates/keeper/src/group.rs
@@ -0,0 +1,332 @@
+//! A group of keepers that forms and mends itself: founders are named once, later keepers join by
+//! asking those that they know, and the leader replaces voters that are gone.
+
+use std::{
+    collections::BTreeSet,
+    fs::{self, File},
+    io::{self, Write},
+    net::SocketAddr,
+    path::Path,
+    sync::Arc,
+    time::Duration,
+};
+
+use derives::record;
+use link::{
+    Channel, LinkConfig, Peer,
+    keeper::{KeeperReply, KeeperRequest, MemberAction},
+};
+use replica::{MemberChange, MemberError, PeerStatus, Replica, Role, Status};
+use spdlog::{info, warn};
+use tokio::time::{Instant, sleep};
+use uuid::Uuid;
+
+use crate::service::Service;
+
+/// File in the data folder that keeps the member's name.
+const FILE: &str = "member";
+const ASIDE: &str = "member.new";
+/// Time between looks at the group.
+const LOOK_EVERY: Duration = Duration::from_millis(250);
+/// A keeper that hears no leader for so long asks to join.
+const JOIN_AFTER: Duration = Duration::from_millis(1_500);
+const ASK_LIMIT: Duration = Duration::from_millis(800);
+/// Entries that a learner may lack and still be made a voter.
+const READY_LAG: u64 = 64;
+/// A learner that answers is heard at least this often.
+const HEARD_WITHIN: Duration = Duration::from_millis(800);
+
+/// How a group forms and mends itself.
+#[derive(Clone, Debug)]
+pub struct GroupConfig {
+    /// Links of the first voters, where this keeper may be one that founds the group; else empty.
+    pub founders: Vec<SocketAddr>,
+    /// Links of keepers that may know the group.
+    pub seeds: Vec<SocketAddr>,
+    /// Voters wanted.
+    pub voters: usize,
+    /// A voter that is silent for so long is replaced where a learner stands by.
+    pub replace_after: Duration,
+    /// A learner that is silent for so long is taken out.
+    pub forget_after: Duration,
+}
+
+/// Who this keeper is among the members, for as long as its folder lasts.
+#[record]
+#[derive(Eq)]
+pub(crate) struct Membership {
+    /// Its name.
+    pub(crate) name: String,
+    /// The first voters, where it is one of them.
+    pub(crate) voters: Vec<String>,
+}
+
+/// Reads who this keeper is, or decides it on an empty folder. A first voter is named by its link;
+/// any other has a name of its own, so that a keeper whose folder was lost is a new member.
+pub(crate) fn membership(
+    folder: &Path,
+    link: SocketAddr,
+    founders: &[SocketAddr],
+) -> io::Result<Membership> {
+    match fs::read(folder.join(FILE)) {
+        Ok(bytes) => {
+            if let Ok(kept) = link::decode(&bytes) {
+                return Ok(kept);
+            }
+            // Torn by a loss of power before it was synced: nothing was promised under that name.
+            warn!("the member's name was torn; joins anew", kv: { step = "read the member's name" });
+        }
+        Err(e) if e.kind() == io::ErrorKind::NotFound => {}
+        Err(e) => return Err(e),
+    }
+    let membership = match founders.contains(&link) {
+        true => Membership {
+            name: link.to_string(),
+            voters: founders.iter().map(ToString::to_string).collect(),
+        },
+        false => Membership {
+            name: format!("{link}~{}", &Uuid::new_v4().simple().to_string()[..8]),
+            voters: Vec::new(),
+        },
+    };
+    keep(folder, &membership)?;
+    Ok(membership)
+}
+
+fn keep(folder: &Path, membership: &Membership) -> io::Result<()> {
+    fs::create_dir_all(folder)?;
+    let aside = folder.join(ASIDE);
+    let mut f = File::create(&aside)?;
+    f.write_all(&link::encode(membership))?;
+    f.sync_all()?;
+    fs::rename(&aside, folder.join(FILE))?;
+    File::open(folder)?.sync_all()
+}
+
+/// Keeps this keeper a member while it runs, and the group whole while it leads; runs until
+/// dropped.
+pub(crate) async fn tend(
+    cfg: GroupConfig,
+    service: Arc<Service>,
+    replica: Replica,
+    links: LinkConfig,
+    link: SocketAddr,
+) {
+    let mut led = Instant::now();
+    loop {
+        sleep(LOOK_EVERY).await;
+        let status = replica.status();
+        if status.leader.is_some() {
+            led = Instant::now();
+        }
+        match status.role {
+            Role::Leader => mend(&cfg, &replica, &status).await,
+            _ if led.elapsed() >= JOIN_AFTER => {
+                join(&cfg, &service, &links, &status.name, link).await;
+                led = Instant::now();
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Asks every keeper known to take this one in as a learner; only the leader does.
+async fn join(
+    cfg: &GroupConfig,
+    service: &Service,
+    links: &LinkConfig,
+    name: &str,
+    own: SocketAddr,
+) {
+    let known = service.keepers().into_iter().map(|k| k.address);
+    let mut wanted: Vec<SocketAddr> = known.chain(cfg.seeds.iter().copied()).collect();
+    let mut asked = BTreeSet::from([own]);
+    while let Some(address) = wanted.pop() {
+        if !asked.insert(address) {
+            continue;
+        }
+        let peer = Peer::start(&address.to_string(), address, links);
+        if tokio::time::timeout(ASK_LIMIT, peer.connected()).await.is_err() {
+            continue;
+        }
+        let add = KeeperRequest::Member {
+            name: name.to_owned(),
+            action: MemberAction::Add { address: own },
+        };
+        if let Ok(KeeperReply::MemberChanged) = peer.call(Channel::Keeper, &add, ASK_LIMIT).await {
+            info!("joined as a learner", kv: { keeper = address.to_string() });
+            return;
+        }
+        let confirm = peer.call(Channel::Keeper, &KeeperRequest::Confirm, ASK_LIMIT);
+        if let Ok(KeeperReply::Confirmed { keepers, .. }) = confirm.await {
+            wanted.extend(keepers.into_iter().map(|k| k.address));
+        }
+    }
+}
+
+/// The one change that the group needs most, if any.
+async fn mend(cfg: &GroupConfig, replica: &Replica, status: &Status) {
+    let Some(change) = next_change(cfg, status) else {
+        return;
+    };
+    let mut result = replica.change_members(change.clone()).await;
+    if let (MemberChange::Remove { name }, Err(MemberError::Refused(_))) = (&change, &result) {
+        // The voter is gone already; the group is no weaker without it.
+        let forced = MemberChange::RemoveUnsafely { name: name.clone() };
+        result = replica.change_members(forced).await;
+    }
+    match result {
+        Ok(()) => info!("changed the group", kv: { change = format!("{change:?}") }),
+        Err(MemberError::Refused(why)) => {
+            info!("can't change the group yet", kv: { change = format!("{change:?}"), why });
+        }
+        Err(e) => warn!("the group's change is open: {e}", kv: { change = format!("{change:?}") }),
+    }
+}
+
+/// What the leader does next: a learner takes the place of a voter that is gone or missing, then
+/// the voter that is gone goes, then learners that are gone.
+pub(crate) fn next_change(cfg: &GroupConfig, status: &Status) -> Option<MemberChange> {
+    let peer = |name: &String| status.peers.iter().find(|p| p.name == *name);
+    let is_gone = |name: &&String| {
+        **name != status.name && peer(name).is_some_and(|p| is_lost(p, cfg.replace_after))
+    };
+    let gone = status.voters.iter().find(is_gone);
+    let standby = status.learners.iter().find(|name| peer(name).is_some_and(is_ready));
+    let surplus = status.voters.len().saturating_sub(cfg.voters);
+    match (gone, standby) {
+        (Some(gone), _) if surplus > 0 => Some(MemberChange::Remove { name: gone.clone() }),
+        (Some(_), Some(standby)) => Some(MemberChange::Promote {
+            name: standby.clone(),
+        }),
+        (None, Some(standby)) if status.voters.len() < cfg.voters => Some(MemberChange::Promote {
+            name: standby.clone(),
+        }),
+        _ => {
+            let is_forgotten = |name: &&String| {
+                let silent = peer(name).and_then(|p| p.silent_for);
+                silent.is_some_and(|silent| silent >= cfg.forget_after)
+            };
+            let forgotten = status.learners.iter().find(is_forgotten)?;
+            Some(MemberChange::Remove {
+                name: forgotten.clone(),
+            })
+        }
+    }
+}
+
+/// Whether a voter is gone: silent for long, or answering with another folder than it had.
+fn is_lost(peer: &PeerStatus, replace_after: Duration) -> bool {
+    match peer.silent_for {
+        Some(silent) => silent >= replace_after || !peer.is_known && silent < HEARD_WITHIN,
+        None => false,
+    }
+}
+
+fn is_ready(peer: &PeerStatus) -> bool {
+    let is_heard = peer.silent_for.is_some_and(|silent| silent < HEARD_WITHIN);
+    is_heard && peer.is_known && peer.lag <= READY_LAG
+}
+
+#[cfg(test)]
+mod tests {
+    use std::time::Duration;
+
+    use replica::{MemberChange, Members, PeerStatus, Role, Status};
+
+    use super::{GroupConfig, Membership, membership, next_change};
+
+    const SECOND: Duration = Duration::from_secs(1);
+
+    fn cfg() -> GroupConfig {
+        GroupConfig {
+            founders: Vec::new(),
+            seeds: Vec::new(),
+            voters: 3,
+            replace_after: 2 * SECOND,
+            forget_after: 10 * SECOND,
+        }
+    }
+
+    fn peer(name: &str, silent: Duration) -> PeerStatus {
+        PeerStatus {
+            name: name.to_owned(),
+            matched: 9,
+            lag: 0,
+            silent_for: Some(silent),
+            is_known: true,
+        }
+    }
+
+    fn status(voters: &[&str], learners: &[&str], peers: Vec<PeerStatus>) -> Status {
+        let names = |names: &[&str]| names.iter().map(|n| (*n).to_owned()).collect();
+        Status {
+            name: "a".to_owned(),
+            role: Role::Leader,
+            term: 1,
+            leader: Some("a".to_owned()),
+            commit: 9,
+            applied: 9,
+            last: 9,
+            voters: names(voters),
+            learners: names(learners),
+            members: Members::default(),
+            peers,
+            failed: None,
+        }
+    }
+
+    #[test]
+    fn a_standby_takes_the_place_of_a_voter_that_is_gone_and_then_the_voter_goes() {
+        let fresh = Duration::from_millis(100);
+        let peers = vec![peer("b", fresh), peer("c", 3 * SECOND), peer("d", fresh)];
+        let before = status(&["a", "b", "c"], &["d"], peers.clone());
+        let promote = MemberChange::Promote { name: "d".into() };
+        assert_eq!(next_change(&cfg(), &before), Some(promote));
+        let between = status(&["a", "b", "c", "d"], &[], peers);
+        let remove = MemberChange::Remove { name: "c".into() };
+        assert_eq!(next_change(&cfg(), &between), Some(remove));
+    }
+
+    #[test]
+    fn nobody_is_replaced_without_a_standby_or_during_a_short_silence() {
+        let fresh = Duration::from_millis(100);
+        let gone = status(
+            &["a", "b", "c"],
+            &[],
+            vec![peer("b", fresh), peer("c", 60 * SECOND)],
+        );
+        assert_eq!(next_change(&cfg(), &gone), None);
+        let peers = vec![peer("b", fresh), peer("c", SECOND), peer("d", fresh)];
+        let short = status(&["a", "b", "c"], &["d"], peers);
+        assert_eq!(next_change(&cfg(), &short), None);
+    }
+
+    #[test]
+    fn a_voter_whose_folder_was_lost_is_replaced_at_once() {
+        let fresh = Duration::from_millis(100);
+        let mut wiped = peer("c", fresh);
+        wiped.is_known = false;
+        let peers = vec![peer("b", fresh), wiped, peer("c~1", fresh)];
+        let status = status(&["a", "b", "c"], &["c~1"], peers);
+        let promote = MemberChange::Promote { name: "c~1".into() };
+        assert_eq!(next_change(&cfg(), &status), Some(promote));
+    }
+
+    #[test]
+    fn a_lost_folder_makes_a_new_member() {
+        let folder = tempfile::tempdir().unwrap();
+        let link = "127.0.0.1:7740".parse().unwrap();
+        let first = membership(folder.path(), link, &[link]).unwrap();
+        let expected = Membership {
+            name: link.to_string(),
+            voters: vec![link.to_string()],
+        };
+        assert_eq!(first, expected);
+        // It stays who it is, whatever the settings say later.
+        assert_eq!(membership(folder.path(), link, &[]).unwrap(), expected);
+        let empty = tempfile::tempdir().unwrap();
+        let other = membership(empty.path(), link, &[]).unwrap();
+        assert!(other.voters.is_empty() && other.name != first.name);
+    }
+}
--- a/crates/keeper/src/service.rs
+++ b/crates/keeper/src/service.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::HashMap,
+    net::SocketAddr,
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -9,8 +10,12 @@
 use declaration::AuditRecord;
 use link::{
     Channel, Identity, Incoming, LinkConfig, Peer, Role, decode, encode,
-    keeper::{AUDIT_PAGE, KeeperReply, KeeperRequest, MemberAction, Output, Settle, Settlement},
+    keeper::{
+        AUDIT_PAGE, KeeperAddress, KeeperReply, KeeperRequest, MemberAction, Output, Settle,
+        Settlement,
+    },
 };
+use membership::Table;
 use replica::{MemberChange, MemberError, ProposeError, Replica, Status};
 use tokio::{
     sync::watch,
@@ -25,6 +30,7 @@
     entry::{Command, DIGEST_BYTES, Entry, GrantIntent, Stamp},
     machine::Machine,
     metrics::Metrics,
+    state::State,
 };
 
 /// Bound on one request; below the time that clients give one keeper.
@@ -69,6 +75,8 @@
     peers: Mutex<HashMap<String, Peer>>,
     metrics: Metrics,
     in_flight: watch::Sender<usize>,
+    own_link: SocketAddr,
+    table: Option<Table>,
 }
 
 /// Counts a call for as long as it lives.
@@ -96,6 +104,7 @@
         links: LinkConfig,
         peers: &[Peer],
         metrics: Metrics,
+        own_link: SocketAddr,
     ) -> Self {
         let named = |peer: &Peer| (peer.name().to_owned(), peer.clone());
         Self {
@@ -107,9 +116,17 @@
             peers: Mutex::new(peers.iter().map(named).collect()),
             metrics,
             in_flight: watch::Sender::new(0),
+            own_link,
+            table: None,
         }
     }
 
+    /// Also answers calls about the endpoints' table, which is `table`.
+    pub fn with_table(mut self, table: Option<Table>) -> Self {
+        self.table = table;
+        self
+    }
+
     /// The state.
     pub fn machine(&self) -> &Machine {
         &self.machine
@@ -132,7 +149,11 @@
             Channel::Follow => self.machine.feed().answer(&call.body).await,
             Channel::Keeper => encode(&self.answer_client(&call.from, &call.body).await),
             // Not a keeper's business; a caller can't take an empty reply for an answer.
-            Channel::Membership | Channel::Calls => Vec::new(),
+            Channel::Membership => match &self.table {
+                Some(table) => table.answer(&call.body).await,
+                None => Vec::new(),
+            },
+            Channel::Calls | Channel::Stages => Vec::new(),
         }
     }
 
@@ -167,6 +188,8 @@
                 None => KeeperReply::NoQuorum,
             },
             KeeperRequest::Clock => KeeperReply::Clock { now_ms: wall_ms() },
+            KeeperRequest::Original => self.original().await,
+            KeeperRequest::Confirm => self.confirm().await,
             req => match self.checked(req) {
                 Ok(req) => self.write(&req, origin).await,
                 Err(what) => KeeperReply::Invalid(what),
@@ -267,7 +290,7 @@
         let members = self.replica.status().members;
         let mut members = members.voters.iter().chain(&members.learners);
         let member = members.find(|member| member.name == name);
-        let member = member.and_then(|member| member.address.parse().ok());
+        let member = member.and_then(|member| member.link_address().parse().ok());
         let mut peers = self.peers.lock().expect("no holder of this lock panics");
         match (peers.get(name), member) {
             (Some(peer), None) => Some(peer.clone()),
@@ -318,6 +341,50 @@
         }
     }
 
+    async fn original(&self) -> KeeperReply {
+        match self.is_current().await {
+            false => KeeperReply::NoQuorum,
+            true => KeeperReply::Original(self.machine.read(|state| {
+                let replaced = state.replaced.as_ref();
+                replaced.map(|r| r.original.clone())
+            })),
+        }
+    }
+
+    async fn confirm(&self) -> KeeperReply {
+        match self.is_current().await {
+            false => KeeperReply::NoQuorum,
+            true => KeeperReply::Confirmed {
+                revision: self.machine.read(State::declared_revision),
+                keepers: self.keepers(),
+            },
+        }
+    }
+
+    /// The members whose addresses are known, voters first.
+    pub fn keepers(&self) -> Vec<KeeperAddress> {
+        let members = self.replica.status().members;
+        let all = members.voters.iter().chain(&members.learners);
+        let known = all.filter_map(|member| {
+            let own = self.links.identity.vm == member.name;
+            let linked = || self.peer(&member.name).map(|peer| peer.address());
+            let address = match own {
+                true => Some(self.own_link),
+                false => member.link_address().parse().ok().or_else(linked),
+            };
+            let az = match own {
+                true => Some(self.links.identity.az.clone()),
+                false => self.peer(&member.name).and_then(|peer| Some(peer.identity()?.az)),
+            };
+            address.map(|address| KeeperAddress {
+                name: member.name.clone(),
+                address,
+                az,
+            })
+        });
+        known.collect()
+    }
+
     fn stamp(&self) -> Option<Stamp> {
         Some(Stamp {
             now_ms: self.clock.now_ms()?,
@@ -382,6 +449,7 @@
                 fencing: *fencing,
             },
             KeeperRequest::Change(change) => Command::Change(change.clone()),
+            KeeperRequest::Replace(replacement) => Command::Replace(replacement.clone()),
             _ => return None,
         })
     }
@@ -444,6 +512,9 @@
         KeeperRequest::Audit { .. } => "audit",
         KeeperRequest::Member { .. } => "member",
         KeeperRequest::Clock => "clock",
+        KeeperRequest::Replace(_) => "replace",
+        KeeperRequest::Original => "original",
+        KeeperRequest::Confirm => "confirm",
     }
 }
 
--- a/crates/keeper/src/start.rs
+++ b/crates/keeper/src/start.rs
@@ -4,16 +4,19 @@
 
 use host::{http, role::Running, shutdown::Stopped};
 use link::{Identity, LinkConfig, Peer, Role, serve};
+use membership::Table;
 use replica::{Replica, ReplicaConfig};
 use spdlog::{error, warn};
 use tokio::{
     net::TcpListener,
+    task::JoinHandle,
     time::{Instant, interval, sleep, timeout},
 };
 use uuid::Uuid;
 
 use crate::{
     config::Config,
+    group,
     machine::Machine,
     metrics::Metrics,
     pages::{Pages, router},
@@ -32,7 +35,19 @@
 
 /// Binds the listeners, opens the log and serves until stopped.
 pub async fn start(cfg: Config, stopped: Stopped) -> eyre::Result<Running> {
+    let (running, _) = start_within(cfg, None, stopped).await?;
+    Ok(running)
+}
+
+/// Like [`start`], as a part of a program: gives the answering side as well, which also answers for
+/// `table` where there is one.
+pub async fn start_within(
+    mut cfg: Config,
+    table: Option<Table>,
+    stopped: Stopped,
+) -> eyre::Result<(Running, Arc<Service>)> {
     warn_of_missing_security(&cfg);
+    let voters = name_member(&mut cfg)?;
     let bound = http::bind(cfg.http).await?;
     let listener = bind_link(cfg.link).await?;
     let (http, link) = (bound.local, listener.local_addr()?);
@@ -44,19 +59,25 @@
         .collect();
     let machine = Arc::new(Machine::new());
     let replica = Replica::start(
-        replica_config(&cfg, &links),
+        replica_config(&cfg, &links, voters),
         peers.clone(),
         machine.functions(),
     )
     .await?;
-    let service = Arc::new(Service::new(
+    let service = Service::new(
         replica.clone(),
         Arc::clone(&machine),
         cfg.limits,
         links.clone(),
         &peers,
         Metrics::new()?,
-    ));
+        link,
+    );
+    let service = Arc::new(service.with_table(table));
+    let tending = cfg.group.clone().map(|group| {
+        let (service, replica) = (Arc::clone(&service), replica.clone());
+        tokio::spawn(group::tend(group, service, replica, links.clone(), link))
+    });
     let answering = Arc::clone(&service);
     let links = serve(listener, links, move |call| {
         let service = Arc::clone(&answering);
@@ -72,6 +93,7 @@
         operators,
     };
     let (pages, serving) = http::serve(bound, router(pages));
+    let answering = Arc::clone(&service);
     let task = tokio::spawn(async move {
         let failed = run(&replica, stopped).await;
         pages.stop_graceful(DRAIN_LIMIT);
@@ -82,17 +104,33 @@
         publishing.abort();
         timing.abort();
         links.abort();
+        tending.inspect(JoinHandle::abort);
         serving.await?;
         match failed {
             None => Ok(()),
             Some(why) => Err(eyre::eyre!("keep the log: {why}")),
         }
     });
-    Ok(Running {
+    let running = Running {
         http,
         link: Some(link),
         task,
-    })
+    };
+    Ok((running, answering))
+}
+
+/// In a group that forms itself, takes the member's name from the data folder; the first voters.
+fn name_member(cfg: &mut Config) -> eyre::Result<Vec<String>> {
+    let Some(group) = &cfg.group else {
+        return Ok(cfg.keepers.iter().map(|peer| peer.name.clone()).collect());
+    };
+    let named = group::membership(&cfg.folder, cfg.link, &group.founders);
+    let named = named.map_err(|e| {
+        let folder = cfg.folder.display();
+        eyre::eyre!("read the member's name in {folder}: {e}; make the folder writable")
+    })?;
+    cfg.vm.name = named.name;
+    Ok(named.voters)
 }
 
 /// Waits for the order to stop, or for the log to stop by itself, and then says why.
@@ -145,12 +183,13 @@
     links
 }
 
-fn replica_config(cfg: &Config, links: &LinkConfig) -> ReplicaConfig {
-    let voters = cfg.keepers.iter().map(|peer| peer.name.clone()).collect();
+fn replica_config(cfg: &Config, links: &LinkConfig, voters: Vec<String>) -> ReplicaConfig {
     let mut replica = ReplicaConfig::new(&cfg.vm.name, cfg.folder.clone(), voters);
     replica.timing = cfg.timing;
     replica.group_commit = cfg.group_commit;
     replica.snapshot_after = cfg.snapshot_after;
+    replica.snapshot_bytes = cfg.snapshot_bytes;
+    replica.max_entry = cfg.max_entry;
     replica.link = Some(links.clone());
     replica
 }
--- a/crates/keeper/src/state.rs
+++ b/crates/keeper/src/state.rs
@@ -3,9 +3,11 @@
 //! Everything here is deterministic: the same entries give the same state and the same replies on
 //! every replica. Time and limits come from the entries alone.
 
+use std::sync::Arc;
+
 use declaration::Change;
 use derives::record;
-use link::keeper::{KeeperReply, LeaseReply};
+use link::keeper::{ChangeReply, KeeperReply, LeaseReply, Replacement};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
@@ -32,12 +34,26 @@
     pub ledger: Ledger,
     /// The leases.
     pub leases: Leases,
+    /// The last whole replacement of the declaration, if there was one.
+    pub replaced: Option<Arc<Replaced>>,
+}
+
+/// The last whole replacement of the declaration.
+#[record]
+#[derive(Eq)]
+pub struct Replaced {
+    /// Its version, as others number them.
+    pub version: u64,
+    /// The document as it came.
+    pub original: serde_bytes::ByteBuf,
 }
 
 #[record]
 struct SnapshotHead {
     declared: DeclaredSnapshot,
     leases: Leases,
+    #[serde(default)]
+    replaced: Option<Replaced>,
 }
 
 /// What applying an entry gave.
@@ -105,6 +121,32 @@
                 KeeperReply::LeaseEnded
             }
             Command::Change(change) => self.change(change),
+            Command::Replace(replacement) => self.replace(replacement),
+        }
+    }
+
+    /// Replaces the declaration unless a version as high was accepted before.
+    fn replace(&mut self, replacement: &Replacement) -> KeeperReply {
+        let version = replacement.version;
+        let held = self.replaced.as_ref().map(|r| r.version);
+        if let Some(held) = held.filter(|held| *held >= version) {
+            return KeeperReply::Replaced {
+                version: held,
+                applied: false,
+            };
+        }
+        match self.declared.replace(self.clock_ms, replacement) {
+            Ok(ChangeReply::Accepted { .. }) => {}
+            Ok(refused) => return KeeperReply::Change(refused),
+            Err(e) => return KeeperReply::Invalid(e.to_string()),
+        }
+        self.replaced = Some(Arc::new(Replaced {
+            version,
+            original: replacement.original.clone().into(),
+        }));
+        KeeperReply::Replaced {
+            version,
+            applied: true,
         }
     }
 
@@ -124,6 +166,7 @@
         let head = SnapshotHead {
             declared: self.declared.to_snapshot(),
             leases: self.leases.clone(),
+            replaced: self.replaced.as_deref().cloned(),
         };
         put_bytes(&mut buf, &link::encode(&head));
         self.ledger.write(&mut buf);
@@ -144,6 +187,7 @@
             digest,
             declared: Declared::from_snapshot(head.declared),
             leases: head.leases,
+            replaced: head.replaced.map(Arc::new),
             ledger: Ledger::read(&mut cursor)?,
         })
     }
--- a/crates/link/src/follower.rs
+++ b/crates/link/src/follower.rs
@@ -69,15 +69,21 @@
     /// Starts to follow `sources`, in order of preference: keepers of the own availability zone,
     /// gates of the own availability zone, other keepers.
     pub fn start(sources: Vec<Peer>, cfg: FollowerConfig) -> Self {
+        let (_, sources) = watch::channel(sources);
+        Self::start_among(sources, cfg)
+    }
+
+    /// The same where the sources change: what is in force stays, whoever told it.
+    pub fn start_among(sources: watch::Receiver<Vec<Peer>>, cfg: FollowerConfig) -> Self {
         let feed = Arc::new(Feed::new());
         let (tx, source) = watch::channel(None);
         let following = Following {
             feed: Arc::clone(&feed),
-            sources,
+            sources: Vec::new(),
             cfg,
             source: tx,
         };
-        let task = tokio::spawn(following.run());
+        let task = tokio::spawn(following.run(sources));
         Self {
             feed,
             source,
@@ -119,9 +125,23 @@
 }
 
 impl Following {
-    async fn run(self) {
+    async fn run(mut self, mut known: watch::Receiver<Vec<Peer>>) {
+        loop {
+            self.sources.clone_from(&known.borrow_and_update());
+            let changed = tokio::select! {
+                changed = known.changed() => changed,
+                () = self.follow() => return,
+            };
+            if changed.is_err() {
+                // The sources stay as they are from now on.
+                return self.follow().await;
+            }
+        }
+    }
+
+    async fn follow(&self) {
         if self.sources.is_empty() {
-            return;
+            return std::future::pending().await;
         }
         let mut at = self.begin().await;
         let mut failures = 0;
--- a/crates/link/src/frame.rs
+++ b/crates/link/src/frame.rs
@@ -23,6 +23,8 @@
     Membership,
     /// What became of calls at a gate.
     Calls,
+    /// Items of batched stages, between gates.
+    Stages,
 }
 
 impl Channel {
@@ -33,6 +35,7 @@
             Self::Follow => 2,
             Self::Membership => 3,
             Self::Calls => 4,
+            Self::Stages => 5,
         }
     }
 
@@ -43,6 +46,7 @@
             Self::Follow,
             Self::Membership,
             Self::Calls,
+            Self::Stages,
         ]
         .into_iter()
         .find(|channel| channel.code() == code)
--- a/crates/link/src/keeper.rs
+++ b/crates/link/src/keeper.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use declaration::{AuditRecord, Change, Conflict, Fault};
+use declaration::{AuditRecord, Change, Conflict, Document, Fault};
 use derives::record;
 use uuid::Uuid;
 
@@ -34,6 +34,12 @@
         /// The first revision wanted.
         from: u64,
     },
+    /// Replaces the whole declaration under a version that others number.
+    Replace(Replacement),
+    /// Reads the last replacement as it came, once a quorum confirms that it is the newest.
+    Original,
+    /// Asks which revision a quorum confirms as the newest, and who the keepers are.
+    Confirm,
     /// Asks for the keeper's own wall clock.
     Clock,
     /// Changes the keepers' own group.
@@ -45,6 +51,34 @@
     },
 }
 
+/// A whole declaration under a version that others number; the highest version wins, whichever
+/// comes last.
+#[record]
+#[derive(Eq)]
+pub struct Replacement {
+    /// The version.
+    pub version: u64,
+    /// The document as it came, for reading back.
+    #[serde(with = "serde_bytes")]
+    pub original: Vec<u8>,
+    /// What it declares.
+    pub document: Document,
+    /// Who sent it.
+    pub author: String,
+}
+
+/// A keeper and where its link listens.
+#[record]
+#[derive(Eq)]
+pub struct KeeperAddress {
+    /// Its name among the members.
+    pub name: String,
+    /// Its link address.
+    pub address: SocketAddr,
+    /// Its availability zone, where the answering keeper knows it.
+    pub az: Option<String>,
+}
+
 /// One change of the keepers' group.
 #[record]
 #[derive(Eq)]
@@ -158,6 +192,22 @@
     Change(ChangeReply),
     /// To [`KeeperRequest::Audit`]: records in order of their revisions; empty past the newest.
     Audit(Vec<AuditRecord>),
+    /// To [`KeeperRequest::Replace`].
+    Replaced {
+        /// The version that is the newest now.
+        version: u64,
+        /// False where one as high had been accepted before.
+        applied: bool,
+    },
+    /// To [`KeeperRequest::Original`]: the newest replacement as it came, if there was one.
+    Original(Option<serde_bytes::ByteBuf>),
+    /// To [`KeeperRequest::Confirm`]: true of a moment after the request was sent.
+    Confirmed {
+        /// The newest revision.
+        revision: u64,
+        /// The keepers, voters first.
+        keepers: Vec<KeeperAddress>,
+    },
     /// To [`KeeperRequest::Clock`].
     Clock {
         /// Milliseconds since the Unix epoch.
--- a/crates/membership/examples/spread_cost.rs
+++ b/crates/membership/examples/spread_cost.rs
@@ -130,6 +130,7 @@
         }],
         role: StageRole::Both,
         checks_fencing: true,
+        slots: None,
         load: Load {
             running: (seq % 16) as u32,
             ..Load::default()
--- a/crates/membership/src/config.rs
+++ b/crates/membership/src/config.rs
@@ -23,6 +23,8 @@
     pub max_endpoints: usize,
     /// Most endpoints of one service taken from another availability zone.
     pub max_remote_per_service: usize,
+    /// Whether the table is one for all availability zones, as that of keepers is.
+    pub spans_zones: bool,
     /// Seed of the choice of neighbours.
     pub seed: u64,
 }
@@ -40,6 +42,7 @@
             exchange_every: Duration::from_millis(500),
             max_endpoints: 16_384,
             max_remote_per_service: 8,
+            spans_zones: false,
             seed: 0,
         }
     }
--- a/crates/membership/src/delta.rs
+++ b/crates/membership/src/delta.rs
@@ -25,7 +25,7 @@
     pub age: Duration,
 }
 
-const MEMBERS: usize = 9;
+const MEMBERS: usize = 10;
 const LEAVING: u8 = 1;
 const CHECKS_FENCING: u8 = 1 << 1;
 const PREFILL: u8 = 1 << 2;
@@ -175,6 +175,7 @@
         tuple.serialize_element(&a.seq)?;
         tuple.serialize_element(&flags(a))?;
         tuple.serialize_element(&borrowed(&a.models))?;
+        tuple.serialize_element(&a.slots)?;
         tuple.serialize_element(&(self.age.as_millis() as u64))?;
         tuple.end()
     }
@@ -186,11 +187,11 @@
     type Value = Delta;
 
     fn expecting(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        f.write_str("a delta of nine members")
+        f.write_str("a delta of ten members")
     }
 
     fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Delta, A::Error> {
-        let missing = || A::Error::custom("a delta has nine members");
+        let missing = || A::Error::custom("a delta has ten members");
         let endpoint: String = seq.next_element()?.ok_or_else(missing)?;
         let service: String = seq.next_element()?.ok_or_else(missing)?;
         let az: String = seq.next_element()?.ok_or_else(missing)?;
@@ -199,6 +200,7 @@
         let number: u64 = seq.next_element()?.ok_or_else(missing)?;
         let flags: u8 = seq.next_element()?.ok_or_else(missing)?;
         let models: Vec<OwnedModel> = seq.next_element()?.ok_or_else(missing)?;
+        let slots: Option<u32> = seq.next_element()?.ok_or_else(missing)?;
         let age_ms: u64 = seq.next_element()?.ok_or_else(missing)?;
         Ok(Delta {
             announced: Announcement {
@@ -212,6 +214,7 @@
                 models: loaded(models),
                 role: role(flags),
                 checks_fencing: flags & CHECKS_FENCING != 0,
+                slots,
                 load: Load::default(),
             },
             age: Duration::from_millis(age_ms),
@@ -245,6 +248,7 @@
             seq: u64,
             flags: (bool, bool, u8),
             models: Vec<(String, u32, Vec<String>)>,
+            slots: Option<u32>,
             age_ms: u64,
         ) {
             let [endpoint, service, az, address] = names;
@@ -263,6 +267,7 @@
                 role: [StageRole::Both, StageRole::Prefill, StageRole::Decode]
                     [usize::from(flags.2 % 3)],
                 checks_fencing: flags.1,
+                slots,
                 load: Load::default(),
             };
             let delta = Delta { announced, age: Duration::from_millis(age_ms) };
--- a/crates/membership/src/endpoint.rs
+++ b/crates/membership/src/endpoint.rs
@@ -84,6 +84,9 @@
     /// Whether it refuses orders that carry an old fencing number.
     #[serde(default)]
     pub checks_fencing: bool,
+    /// Calls that it runs at once, where it says so.
+    #[serde(default)]
+    pub slots: Option<u32>,
     /// Its load.
     #[serde(default)]
     pub load: Load,
--- a/crates/membership/src/message.rs
+++ b/crates/membership/src/message.rs
@@ -8,7 +8,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    EndpointView, Table,
+    Announcement, EndpointView, Table,
     delta::{Brief, Delta},
     held::{self, Held},
     state::{Entry, Origin, State},
@@ -45,6 +45,8 @@
         #[serde(with = "held")]
         held: Vec<Held>,
     },
+    /// What a process of ours announces of itself, over its link.
+    Announce(Box<Announcement>),
     /// Asks for the whole table of the availability zone; a gate that has just started.
     Pull,
     /// Asks a gate of another availability zone for a bounded part of its endpoints, and gives the
@@ -102,6 +104,8 @@
     },
     /// To [`Request::Since`].
     Since(Changes),
+    /// To [`Request::Announce`]: taken, or known already.
+    Announced,
     /// The request could not be read.
     Malformed(String),
 }
@@ -138,6 +142,10 @@
             let neighbour = Some(from);
             Reply::Taken(merge_briefs(table, briefs, &Origin { neighbour, reach }))
         }
+        Request::Announce(announcement) => match table.announce(*announcement) {
+            Ok(_) => Reply::Announced,
+            Err(e) => Reply::Malformed(e.to_string()),
+        },
         Request::Exchange(theirs) => Reply::Exchanged(vitals::take(&table.lock(), &theirs, now)),
         Request::Repair { buckets, held } => repair(&table.lock(), &buckets, &held, now),
         Request::Pull => {
--- a/crates/membership/src/spread.rs
+++ b/crates/membership/src/spread.rs
@@ -5,7 +5,10 @@
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use link::{Channel, LinkError, Peer};
-use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
+use tokio::{
+    task::JoinSet,
+    time::{Instant, MissedTickBehavior, interval, sleep, timeout},
+};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
@@ -51,19 +54,29 @@
     /// without any gates too, since it also removes endpoints that are gone. The first gate that
     /// answers fills the table.
     pub fn start_spread(&self, gates: Vec<Peer>) {
+        self.spread(gates).detach_all();
+    }
+
+    /// The same, with tasks that end when the set is dropped, so that neighbours can change.
+    pub fn spread(&self, gates: Vec<Peer>) -> JoinSet<()> {
+        let mut tasks = JoinSet::new();
         let own = self.config().gate.as_str();
         let mut ring = gates.clone();
         // Clockwise from here: greater names first.
         ring.sort_by_key(|peer| (peer.name() < own, peer.name().to_owned()));
         let ring: Arc<[Peer]> = ring.into();
         for peer in ring.iter() {
-            tokio::spawn(push(self.clone(), peer.clone(), Arc::clone(&ring)));
+            tasks.spawn(push(self.clone(), peer.clone(), Arc::clone(&ring)));
         }
-        tokio::spawn(sweep(self.clone()));
+        tasks.spawn(sweep(self.clone()));
         let (warming, first) = (self.clone(), gates.clone());
-        tokio::spawn(async move { warming.warm(&first).await });
-        tokio::spawn(sample_others(self.clone(), gates.clone()));
-        tokio::spawn(exchange_often(self.clone(), ring));
+        tasks.spawn(async move {
+            // Without a neighbour that answers, the table fills by what endpoints announce.
+            let _ = warming.warm(&first).await;
+        });
+        tasks.spawn(sample_others(self.clone(), gates.clone()));
+        tasks.spawn(exchange_often(self.clone(), ring));
+        tasks
     }
 
     /// Fills the table from the first of `gates` that answers; returns whether one did.
@@ -93,8 +106,9 @@
 
     /// Whether `peer` is a connected gate of this availability zone.
     fn is_near(&self, peer: &Peer) -> bool {
+        let cfg = self.config();
         peer.identity()
-            .is_some_and(|identity| identity.az == self.config().az)
+            .is_some_and(|identity| cfg.spans_zones || identity.az == cfg.az)
     }
 
     /// Connected gates of this availability zone, in order along the ring: all where they are few,
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -79,6 +79,9 @@
     pub role: crate::StageRole,
     /// Whether it refuses orders that carry an old fencing number.
     pub checks_fencing: bool,
+    /// Calls that it runs at once, where it says so.
+    #[serde(default)]
+    pub slots: Option<u32>,
     /// Calls that run or wait, as last reported.
     pub calls: u32,
     /// Time since its last announcement in milliseconds.
@@ -99,6 +102,7 @@
             models: a.models.clone(),
             role: a.role,
             checks_fencing: a.checks_fencing,
+            slots: a.slots,
             calls: endpoint.live.reported(now).calls,
             silent_ms: endpoint.live.silence(now).as_millis() as u64,
         }
--- a/crates/membership/tests/common/mod.rs
+++ b/crates/membership/tests/common/mod.rs
@@ -25,6 +25,7 @@
         }],
         role: StageRole::Both,
         checks_fencing: false,
+        slots: None,
         load: Load::default(),
     }
 }
--- a/crates/gate/src/connection.rs
+++ b/crates/outbound/src/connection.rs
@@ -25,17 +25,19 @@
 
 /// An open connection; dropping it closes the socket at once.
 #[derive(Debug)]
-pub(crate) struct Connection {
+pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     slot: Slot,
     driver: Driver,
     /// When the connection last finished a call.
-    pub(crate) idle_since: Instant,
+    pub idle_since: Instant,
+    /// How long the other end says that it keeps the connection.
+    pub kept: Option<Duration>,
 }
 
 impl Connection {
     /// Connects to `address` within `limit`; the error says why not.
-    pub(crate) async fn open(address: SocketAddr, limit: Duration) -> Result<Self, String> {
+    pub async fn open(address: SocketAddr, limit: Duration) -> Result<Self, String> {
         let connecting = timeout(limit, TcpStream::connect(address)).await;
         let stream = match connecting {
             Err(_) => return Err(format!("no answer within {limit:?}")),
@@ -51,18 +53,19 @@
             slot,
             driver: Driver(Some(Box::pin(driver))),
             idle_since: Instant::now(),
+            kept: None,
         })
     }
 
     /// Whether the connection can take a call, as far as this end knows.
-    pub(crate) fn is_usable(&mut self) -> bool {
+    pub fn is_usable(&mut self) -> bool {
         // Nobody has looked at the socket since the last call; the other end may have closed it.
         self.driver.poll(&mut Context::from_waker(Waker::noop()));
         self.sender.is_ready()
     }
 
     /// Sends `req`, whose bytes are recorded in `handover`, and waits for the head of its answer.
-    pub(crate) async fn send(
+    pub async fn send(
         &mut self,
         req: Request<Full<Bytes>>,
         handover: &Handover,
@@ -77,7 +80,7 @@
     }
 
     /// Waits for `wanted`, a part of the answer on this connection.
-    pub(crate) async fn wait<T>(&mut self, wanted: impl Future<Output = T>) -> T {
+    pub async fn wait<T>(&mut self, wanted: impl Future<Output = T>) -> T {
         self.driver.run(wanted).await
     }
 }
--- a/crates/gate/src/handover.rs
+++ b/crates/outbound/src/handover.rs
@@ -29,26 +29,26 @@
 
 /// The record of one call; clones share it.
 #[derive(Clone, Debug)]
-pub(crate) struct Handover(Arc<Mutex<State>>);
+pub struct Handover(Arc<Mutex<State>>);
 
 impl Handover {
     /// A record of a call whose first byte may leave at any time.
-    pub(crate) fn new() -> Self {
+    pub fn new() -> Self {
         Self(Arc::new(Mutex::new(State::Open(None))))
     }
 
     /// A record of a call whose first byte must leave before `until`.
-    pub(crate) fn until(until: Instant) -> Self {
+    pub fn until(until: Instant) -> Self {
         Self(Arc::new(Mutex::new(State::Open(Some(until)))))
     }
 
     /// Whether any byte was handed to a socket.
-    pub(crate) fn is_handed(&self) -> bool {
+    pub fn is_handed(&self) -> bool {
         *self.lock() == State::Handed
     }
 
     /// Forbids the first byte; true where none was handed over, which then holds for good.
-    pub(crate) fn seal(&self) -> bool {
+    pub fn seal(&self) -> bool {
         let mut state = self.lock();
         match *state {
             State::Handed => false,
@@ -91,11 +91,11 @@
 
 /// The call that a connection carries now.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Slot(Arc<Mutex<Option<Handover>>>);
+pub struct Slot(Arc<Mutex<Option<Handover>>>);
 
 impl Slot {
     /// Makes `handover` the record of what is written from now on.
-    pub(crate) fn carry(&self, handover: &Handover) {
+    pub fn carry(&self, handover: &Handover) {
         *self.0.lock().expect("no holder of this lock panics") = Some(handover.clone());
     }
 
@@ -109,14 +109,14 @@
 
 /// A stream whose writes are recorded.
 #[derive(Debug)]
-pub(crate) struct Recorded<S> {
+pub struct Recorded<S> {
     stream: S,
     slot: Slot,
 }
 
 impl<S> Recorded<S> {
     /// Records the writes of `stream` for the call in `slot`.
-    pub(crate) fn new(stream: S, slot: Slot) -> Self {
+    pub fn new(stream: S, slot: Slot) -> Self {
         Self { stream, slot }
     }
 }
