--- a/crates/gate/src/pool.rs
+++ b/crates/outbound/src/pool.rs
@@ -11,27 +11,30 @@
 
 use crate::connection::Connection;
 
+/// Share of the time for which the other end keeps a connection in which it is used again.
+const KEPT_SHARE: f64 = 0.7;
+
 /// Bounds of a [`Pool`].
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct PoolConfig {
+pub struct PoolConfig {
     /// Most idle connections to one endpoint.
-    pub(crate) idle_per_endpoint: usize,
+    pub idle_per_endpoint: usize,
     /// Longest time that a connection may lie idle.
-    pub(crate) idle: Duration,
+    pub idle: Duration,
     /// Bound on connecting.
-    pub(crate) connect: Duration,
+    pub connect: Duration,
 }
 
 /// Idle connections by address; clones share them.
 #[derive(Clone, Debug)]
-pub(crate) struct Pool {
+pub struct Pool {
     cfg: PoolConfig,
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<Connection>>>>,
 }
 
 impl Pool {
     /// An empty pool.
-    pub(crate) fn new(cfg: PoolConfig) -> Self {
+    pub fn new(cfg: PoolConfig) -> Self {
         Self {
             cfg,
             idle: Arc::default(),
@@ -39,24 +42,30 @@
     }
 
     /// The idle connection to `address` that was used last, if one is still good.
-    pub(crate) fn take(&self, address: SocketAddr) -> Option<Connection> {
+    pub fn take(&self, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.lock();
         let connections = idle.get_mut(&address)?;
         while let Some(mut connection) = connections.pop() {
-            if connection.is_usable() && connection.idle_since.elapsed() < self.cfg.idle {
+            if connection.is_usable() && connection.idle_since.elapsed() < self.idle_limit(&connection) {
                 return Some(connection);
             }
         }
         None
     }
 
+    /// Well within the time that the other end keeps it, where that is known.
+    fn idle_limit(&self, connection: &Connection) -> Duration {
+        let kept = connection.kept.map(|kept| kept.mul_f64(KEPT_SHARE));
+        kept.map_or(self.cfg.idle, |kept| kept.min(self.cfg.idle))
+    }
+
     /// A new connection to `address`.
-    pub(crate) async fn connect(&self, address: SocketAddr) -> Result<Connection, String> {
+    pub async fn connect(&self, address: SocketAddr) -> Result<Connection, String> {
         Connection::open(address, self.cfg.connect).await
     }
 
     /// Takes `connection` back after a call that ended well.
-    pub(crate) fn put(&self, address: SocketAddr, mut connection: Connection) {
+    pub fn put(&self, address: SocketAddr, mut connection: Connection) {
         connection.idle_since = Instant::now();
         let mut idle = self.lock();
         let connections = idle.entry(address).or_default();
@@ -66,17 +75,17 @@
     }
 
     /// Closes every idle connection to `address`: one of them fell silent, so all are suspect.
-    pub(crate) fn suspect(&self, address: SocketAddr) {
+    pub fn suspect(&self, address: SocketAddr) {
         self.lock().remove(&address);
     }
 
     /// Closes every idle connection: what made one silent may have made others silent too.
-    pub(crate) fn suspect_all(&self) {
+    pub fn suspect_all(&self) {
         self.lock().clear();
     }
 
     /// Closes connections that lie idle for too long, until dropped.
-    pub(crate) async fn reap(self) {
+    pub async fn reap(self) {
         let mut tick = interval(self.cfg.idle / 2);
         loop {
             tick.tick().await;
--- a/crates/replica/src/entry.rs
+++ b/crates/replica/src/entry.rs
@@ -49,6 +49,17 @@
     pub identity: Option<Uuid>,
 }
 
+impl Member {
+    /// `HOST:PORT` of its link; a first voter may be named by it. Empty where it is not known.
+    pub fn link_address(&self) -> &str {
+        let is_address = self.name.parse::<std::net::SocketAddr>().is_ok();
+        match self.address.is_empty() && is_address {
+            true => &self.name,
+            false => &self.address,
+        }
+    }
+}
+
 impl Members {
     /// The first voters by name, so that all of them have one order; their identities aren't known
     /// yet.
--- a/crates/replica/src/member.rs
+++ b/crates/replica/src/member.rs
@@ -209,15 +209,16 @@
     pub(crate) fn connect_members(self: &Arc<Self>) {
         let members = self.core().log.members().clone();
         for member in members.all().filter(|m| m.name != self.cfg.name) {
+            let address = member.link_address();
             let is_known = match self.core().peers.get(&member.name) {
-                Some(known) => member.address.is_empty() || known.address == member.address,
-                None => member.address.is_empty(),
+                Some(known) => member.address.is_empty() || known.address == address,
+                None => address.is_empty(),
             };
             if is_known {
                 continue;
             }
-            match (self.connect)(&member.name, &member.address) {
-                Ok(link) => self.add_peer(link, member.address.clone()),
+            match (self.connect)(&member.name, address) {
+                Ok(link) => self.add_peer(link, address.to_owned()),
                 Err(reason) => spdlog::error!(
                     "no link to a member",
                     kv: { peer = member.name.as_str(), reason = reason.as_str() }
--- a/crates/routing/examples/balance.rs
+++ b/crates/routing/examples/balance.rs
@@ -60,6 +60,7 @@
         models: Vec::new(),
         role: StageRole::Both,
         checks_fencing: true,
+        slots: None,
         load: Load::default(),
     }
 }
--- a/crates/routing/examples/burst.rs
+++ b/crates/routing/examples/burst.rs
@@ -57,6 +57,7 @@
         models: Vec::new(),
         role: StageRole::Both,
         checks_fencing: true,
+        slots: None,
         load: Load {
             running,
             ..Load::default()
--- a/crates/routing/examples/pick_cost.rs
+++ b/crates/routing/examples/pick_cost.rs
@@ -36,6 +36,7 @@
         }],
         role: StageRole::Both,
         checks_fencing: true,
+        slots: None,
         load: Load::default(),
     }
 }
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -37,7 +37,7 @@
 /// Retry budgets by service.
 #[derive(Debug)]
 pub struct RetryBudget {
-    cfg: BudgetConfig,
+    cfg: Mutex<BudgetConfig>,
     accounts: Mutex<HashMap<String, Account>>,
 }
 
@@ -48,16 +48,30 @@
     /// Budgets that all start with their reserve.
     pub fn new(cfg: BudgetConfig) -> Self {
         Self {
-            cfg,
+            cfg: Mutex::new(cfg),
             accounts: Mutex::default(),
         }
     }
 
+    /// Bounds what may be retried from now on: gates that share a budget have less each as they
+    /// become more.
+    pub fn configure(&self, cfg: BudgetConfig) {
+        *self.cfg.lock().expect("no holder of this lock panics") = cfg;
+    }
+
+    fn cfg(&self) -> BudgetConfig {
+        *self.cfg.lock().expect("no holder of this lock panics")
+    }
+
     /// Notes a first try of a call to `service`.
     pub fn first_try(&self, service: &str) {
-        let (share, max) = (self.cfg.share, self.cfg.max_saved);
+        let BudgetConfig {
+            share,
+            max_saved: max,
+            ..
+        } = self.cfg();
         self.with(service, |account| {
-            account.saved = (account.saved + share).min(max.max(account.saved));
+            account.saved = (account.saved + share).min(max);
         });
     }
 
@@ -79,19 +93,20 @@
 
     fn with<T>(&self, service: &str, f: impl FnOnce(&mut Account) -> T) -> T {
         let now = Instant::now();
+        let cfg = self.cfg();
         let accounts = self.accounts.lock();
         let mut accounts = accounts.expect("no holder of this lock panics");
         if !accounts.contains_key(service) {
             let account = Account {
-                saved: self.cfg.reserve,
+                saved: cfg.reserve,
                 at: now,
             };
             accounts.insert(service.to_owned(), account);
         }
         let account = accounts.get_mut(service).expect("it was just inserted");
         let idle = now.saturating_duration_since(account.at).as_secs_f64();
-        let regained = account.saved + idle / self.cfg.idle.as_secs_f64();
-        account.saved = regained.min(self.cfg.reserve).max(account.saved);
+        let regained = account.saved + idle / cfg.idle.as_secs_f64();
+        account.saved = regained.min(cfg.reserve).max(account.saved).min(cfg.max_saved);
         account.at = now;
         f(account)
     }
--- a/crates/routing/src/health.rs
+++ b/crates/routing/src/health.rs
@@ -8,7 +8,7 @@
 
 /// Outcomes of one endpoint's calls and whether it is ejected.
 #[derive(Debug)]
-pub(crate) struct Health {
+pub struct Health {
     cfg: EjectionConfig,
     in_a_row: u32,
     failures: Decaying,
@@ -18,7 +18,8 @@
 }
 
 impl Health {
-    pub(crate) fn new(cfg: EjectionConfig) -> Self {
+    /// Nothing observed yet.
+    pub fn new(cfg: EjectionConfig) -> Self {
         Self {
             failures: Decaying::new(cfg.half_life),
             cfg,
@@ -29,7 +30,7 @@
     }
 
     /// Takes an outcome; returns whether the endpoint ought to be ejected.
-    pub(crate) fn observe(&mut self, failed: bool, now: Instant) -> bool {
+    pub fn observe(&mut self, failed: bool, now: Instant) -> bool {
         self.failures.add(if failed { 1.0 } else { 0.0 }, now);
         self.in_a_row = if failed { self.in_a_row + 1 } else { 0 };
         if self.is_returned(now) {
@@ -42,7 +43,7 @@
     }
 
     /// Ejects the endpoint.
-    pub(crate) fn eject(&mut self, now: Instant) {
+    pub fn eject(&mut self, now: Instant) {
         let doubled = self.cfg.base * 2_u32.saturating_pow(self.ejections.min(16));
         self.ejections = self.ejections.saturating_add(1);
         self.until = Some(now + doubled.min(self.cfg.max));
@@ -51,11 +52,12 @@
     }
 
     /// Ends an ejection early.
-    pub(crate) fn release(&mut self, now: Instant) {
+    pub fn release(&mut self, now: Instant) {
         self.until = self.until.map(|until| until.min(now));
     }
 
-    pub(crate) fn ejected_until(&self) -> Option<Instant> {
+    /// When the last ejection ends or ended.
+    pub fn ejected_until(&self) -> Option<Instant> {
         self.until
     }
 
--- a/crates/routing/tests/common/mod.rs
+++ b/crates/routing/tests/common/mod.rs
@@ -26,6 +26,7 @@
         }],
         role: StageRole::Both,
         checks_fencing: true,
+        slots: None,
         load: Load::default(),
     }
 }
