--- a/crates/declaration/src/lib.rs
+++ b/crates/declaration/src/lib.rs
@@ -22,5 +22,6 @@
 pub use inifile::{Fault, Faults};
 pub use route::{Answer, Batch, CallerLimits, Capacity, Route, RouteStage, WeightedService};
 pub use types::{
-    AvailabilityZone, Declaration, KeyDigest, Pipeline, Priority, RoleShares, Service, ServiceKind, Workspace,
+    AvailabilityZone, Declaration, KeyDigest, Pipeline, Priority, RoleShares, Service, ServiceKind,
+    Workspace,
 };
--- a/crates/declaration/src/read_route.rs
+++ b/crates/declaration/src/read_route.rs
@@ -62,8 +62,7 @@
         default.head.as_millis() as u64,
         default.idle.as_millis() as u64,
     );
-    let mut bytes =
-        |key, default: u32| keys.number(key, u64::from(default), 1, MAX_BYTES) as u32;
+    let mut bytes = |key, default: u32| keys.number(key, u64::from(default), 1, MAX_BYTES) as u32;
     CallerLimits {
         head_bytes: bytes("head_bytes", default.head_bytes),
         body_bytes: bytes("body_bytes", default.body_bytes),
@@ -82,7 +81,9 @@
         health_path: keys.optional("health_path"),
         connections: count(keys, "connections"),
         slots: count(keys, "slots"),
-        queue: keys.optional_number("queue", 0, MAX_COUNT).map(|n| n as u32),
+        queue: keys
+            .optional_number("queue", 0, MAX_COUNT)
+            .map(|n| n as u32),
         link_mbps: count(keys, "link_mbps"),
         batch: batch(keys),
         memory_tokens: keys.optional_number("memory_tokens", 1, u64::MAX),
--- a/crates/declaration/src/route.rs
+++ b/crates/declaration/src/route.rs
@@ -232,7 +232,14 @@
 
     #[test]
     fn garbled_stages_are_refused() {
-        for text in ["", "a", "a b", "a 1 behind 0", "a 1 after x", "a 1 after 0 1"] {
+        for text in [
+            "",
+            "a",
+            "a b",
+            "a 1 behind 0",
+            "a 1 after x",
+            "a 1 after 0 1",
+        ] {
             assert!(text.parse::<RouteStage>().is_err(), "{text}");
         }
     }
--- a/crates/declaration/src/validate.rs
+++ b/crates/declaration/src/validate.rs
@@ -110,12 +110,7 @@
 }
 
 /// Services of a route are declared; its stages are batch pools, each after earlier ones only.
-fn route_references(
-    declaration: &Declaration,
-    name: &str,
-    lines: &Lines<'_>,
-    faults: &mut Faults,
-) {
+fn route_references(declaration: &Declaration, name: &str, lines: &Lines<'_>, faults: &mut Faults) {
     let Some(route) = declaration.routes.get(name) else {
         return;
     };
@@ -133,7 +128,8 @@
             Some(ServiceKind::BatchPool) => {}
             Some(_) => fault("stages", format!("`{service}` is no batch pool; name one")),
             None => {
-                let what = format!("service `{service}` is not declared; add `[service {service}]`");
+                let what =
+                    format!("service `{service}` is not declared; add `[service {service}]`");
                 fault("stages", what);
             }
         }
@@ -165,7 +161,9 @@
             let other = seen.insert(&key.0, name).filter(|other| other != name);
             if let Some(other) = other {
                 let what = format!("workspace `{other}` has the same key; give each its own");
-                faults.0.push(lines.fault(&format!("workspace {name}"), "keys", what));
+                faults
+                    .0
+                    .push(lines.fault(&format!("workspace {name}"), "keys", what));
             }
         }
     }
--- a/crates/forward/src/cache.rs
+++ b/crates/forward/src/cache.rs
@@ -59,8 +59,11 @@
     }
 
     fn forget(&mut self) {
-        let mut oldest: Vec<(Instant, u64)> =
-            self.kept.iter().map(|(chain, kept)| (kept.used, *chain)).collect();
+        let mut oldest: Vec<(Instant, u64)> = self
+            .kept
+            .iter()
+            .map(|(chain, kept)| (kept.used, *chain))
+            .collect();
         oldest.sort_unstable();
         let tokens = (self.limit as f64 * (1.0 - FORGET)) as u64;
         let parts = (MAX_PARTS as f64 * (1.0 - FORGET)) as usize;
@@ -82,7 +85,12 @@
     use crate::inquiry::Prompt;
 
     fn prompt(subject: &str, own: &str) -> Prompt {
-        Prompt::new("m", 40, 1, [("all", 10), (subject, 20), (own, 10)].into_iter())
+        Prompt::new(
+            "m",
+            40,
+            1,
+            [("all", 10), (subject, 20), (own, 10)].into_iter(),
+        )
     }
 
     #[test]
@@ -99,7 +107,10 @@
         let now = Instant::now();
         for n in 0..20_u32 {
             let subject = n.to_string();
-            cache.read(&prompt(&subject, &subject), now + Duration::from_secs(u64::from(n)));
+            cache.read(
+                &prompt(&subject, &subject),
+                now + Duration::from_secs(u64::from(n)),
+            );
         }
         assert_eq!(cache.held(&prompt("19", "x")), 30);
         assert_eq!(cache.held(&prompt("0", "x")), 10);
--- a/crates/forward/src/collector.rs
+++ b/crates/forward/src/collector.rs
@@ -183,7 +183,11 @@
             wake: Notify::new(),
             task: Mutex::new(None),
         });
-        let task = tokio::spawn(empty(self.clone(), service.to_owned(), Arc::clone(&running)));
+        let task = tokio::spawn(empty(
+            self.clone(),
+            service.to_owned(),
+            Arc::clone(&running),
+        ));
         *running.task.lock().unwrap_or_else(PoisonError::into_inner) = Some(task);
         lines.insert(service.to_owned(), Arc::clone(&running));
         running
--- a/crates/forward/src/control.rs
+++ b/crates/forward/src/control.rs
@@ -7,7 +7,9 @@
     follower::{Follower, FollowerConfig},
     keeper::{KeeperAddress, KeeperReply, KeeperRequest},
 };
-use membership::{Announcement, Load, Mirror, Readiness, Request as TableRequest, StageRole, mirror};
+use membership::{
+    Announcement, Load, Mirror, Readiness, Request as TableRequest, StageRole, mirror,
+};
 use spdlog::{info, warn};
 use tokio::{
     sync::watch,
@@ -93,7 +95,11 @@
                 }
                 was_fresh = is_fresh;
             }
-            let pause = if is_confirmed { CONFIRM_EVERY } else { CONFIRM_RETRY };
+            let pause = if is_confirmed {
+                CONFIRM_EVERY
+            } else {
+                CONFIRM_RETRY
+            };
             tokio::select! {
                 () = sleep(pause) => {}
                 // Keepers hear at once that this gate is leaving.
@@ -118,7 +124,8 @@
                 continue;
             };
             let mut in_force = follower.in_force();
-            let is_there = in_force.wait_for(|f| f.as_ref().is_some_and(|f| f.revision >= revision));
+            let is_there =
+                in_force.wait_for(|f| f.as_ref().is_some_and(|f| f.revision >= revision));
             if timeout(CATCH_UP, is_there).await.is_ok_and(|f| f.is_ok()) {
                 self.freshness.confirm(asked);
             }
@@ -159,7 +166,10 @@
         named.sort_by_key(|keeper| keeper.az.as_ref() != Some(own));
         let known = keepers.borrow().clone();
         let is_same = known.len() == named.len()
-            && known.iter().zip(&named).all(|(peer, keeper)| peer.address() == keeper.address);
+            && known
+                .iter()
+                .zip(&named)
+                .all(|(peer, keeper)| peer.address() == keeper.address);
         if is_same || named.is_empty() {
             return;
         }
--- a/crates/forward/src/events.rs
+++ b/crates/forward/src/events.rs
@@ -89,7 +89,8 @@
 
     use super::{Event, Events};
 
-    const STREAM: &[u8] = b"id: 1\ndata: a\n\nversion: 2\nid: 2\ndata: b\n\nid:3\r\ndata: c\r\n\r\nid: 4\nda";
+    const STREAM: &[u8] =
+        b"id: 1\ndata: a\n\nversion: 2\nid: 2\ndata: b\n\nid:3\r\ndata: c\r\n\r\nid: 4\nda";
 
     fn read(pieces: &[&[u8]]) -> (Vec<Event>, Vec<u8>) {
         let (mut events, mut out) = (Events::default(), Vec::new());
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -2,7 +2,10 @@
 
 use std::{
     convert::Infallible,
-    sync::{Arc, atomic::{AtomicUsize, Ordering}},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
@@ -147,9 +150,11 @@
         id: Option<&str>,
     ) -> HttpResponse<OutBody> {
         let (status, headers, body) = match result {
-            Ok(Response::Passed(passed)) => {
-                (passed.status, passed.headers, OutBody::Whole(Some(passed.body)))
-            }
+            Ok(Response::Passed(passed)) => (
+                passed.status,
+                passed.headers,
+                OutBody::Whole(Some(passed.body)),
+            ),
             Ok(Response::Streamed {
                 status,
                 headers,
@@ -168,7 +173,11 @@
                 let name = (self.cx.dialect.id_header)();
                 let id = id.and_then(|id| HeaderValue::from_str(id).ok());
                 headers.extend(id.map(|id| (name, id)));
-                (unserved.status(), headers, OutBody::Whole(Some(unserved.body())))
+                (
+                    unserved.status(),
+                    headers,
+                    OutBody::Whole(Some(unserved.body())),
+                )
             }
         };
         let mut response = HttpResponse::new(body);
@@ -192,7 +201,9 @@
             return Ok(whole.freeze());
         };
         let frame = frame.map_err(|_| Unserved::Malformed("the body broke off"))?;
-        let Ok(data) = frame.into_data() else { continue };
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
         if whole.len() + data.len() > most {
             return Err(Unserved::TooLarge);
         }
--- a/crates/forward/src/freshness.rs
+++ b/crates/forward/src/freshness.rs
@@ -4,7 +4,10 @@
 //! were asked.
 
 use std::{
-    sync::{Arc, atomic::{AtomicU64, Ordering}},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
--- a/crates/forward/src/inquiry.rs
+++ b/crates/forward/src/inquiry.rs
@@ -88,7 +88,10 @@
 impl Inquiry {
     /// The moment at which it has to be answered, on a route whose callers wait `longest` at most.
     pub fn deadline(&self, longest: Duration) -> Instant {
-        self.received + self.patience.map_or(longest, |patience| patience.min(longest))
+        self.received
+            + self
+                .patience
+                .map_or(longest, |patience| patience.min(longest))
     }
 
     /// The path without its query.
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -32,6 +32,9 @@
 mod start;
 mod stream;
 
-pub use dialect::{Dialect, HeaderNameFn, Item, ItemResult, LoadReport, Read, Source, Try, Verdict};
+pub use dialect::{
+    Dialect, HeaderNameFn, Item, ItemResult, LoadReport, Read, Source, Try, Verdict,
+};
 pub use inquiry::{Inquiry, Part, Prompt};
+pub use rules::digest;
 pub use start::{Config, SharedBudget, start};
--- a/crates/forward/src/line.rs
+++ b/crates/forward/src/line.rs
@@ -322,11 +322,17 @@
             bytes += submission.result_bytes;
             taken.push(*place);
         }
-        let jobs: Vec<Job> = taken.iter().filter_map(|place| self.jobs.remove(place)).collect();
+        let jobs: Vec<Job> = taken
+            .iter()
+            .filter_map(|place| self.jobs.remove(place))
+            .collect();
         if jobs.is_empty() {
             return None;
         }
-        let hand = self.hands.entry(target.name.clone()).or_insert_with(Hand::new);
+        let hand = self
+            .hands
+            .entry(target.name.clone())
+            .or_insert_with(Hand::new);
         hand.calls += 1;
         hand.held += bytes;
         let slowness = hand.slowness.factor(now).max(1.0);
@@ -359,7 +365,10 @@
             let hand = self.hands.get(&t.name);
             hand.map_or(1.0, |hand| hand.slowness.factor(now))
         };
-        let fastest = pool.sound(now).map(|t| slowness(t)).fold(f64::MAX, f64::min);
+        let fastest = pool
+            .sound(now)
+            .map(|t| slowness(t))
+            .fold(f64::MAX, f64::min);
         let lanes = pool.sound(now).count() * self.slots as usize;
         let is_backed_up = self.jobs.len() > 2 * lanes * self.batch.items as usize;
         let fit = free
@@ -388,12 +397,14 @@
         let results = match ended {
             Ended::Answered(results) => results,
             Ended::Failed => {
-                hand.slowness.observe(expected, took.as_secs_f64() * 1e3, now);
+                hand.slowness
+                    .observe(expected, took.as_secs_f64() * 1e3, now);
                 return;
             }
             Ended::NotRun | Ended::Misplaced => return,
         };
-        hand.slowness.observe(expected, took.as_secs_f64() * 1e3, now);
+        hand.slowness
+            .observe(expected, took.as_secs_f64() * 1e3, now);
         for (job, handle) in next.jobs.iter().zip(results) {
             let Ok(handle) = handle else { continue };
             let bytes = job.ticket.submission.result_bytes;
@@ -404,7 +415,8 @@
                 bytes,
             };
             self.kept.insert(handle.clone(), kept);
-            self.expiry.push_back((now + self.batch.keep, handle.clone()));
+            self.expiry
+                .push_back((now + self.batch.keep, handle.clone()));
         }
     }
 
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -2,9 +2,7 @@
 
 use std::time::Duration;
 
-use prometheus::{
-    HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, exponential_buckets,
-};
+use prometheus::{HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, exponential_buckets};
 
 /// The registered metrics.
 #[derive(Clone, Debug)]
--- a/crates/forward/src/pace.rs
+++ b/crates/forward/src/pace.rs
@@ -49,7 +49,9 @@
 
     /// Notes that `amount` took `ms`.
     pub(crate) fn observe(&mut self, amount: f64, ms: f64, now: Instant) {
-        let age = self.at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        let age = self
+            .at
+            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
         let kept = 0.5_f64.powf(age.as_secs_f64() / HALF_LIFE.as_secs_f64());
         self.at = Some(now);
         for (sum, new) in [
@@ -113,7 +115,9 @@
 
     /// The factor now, 1 where it is as fast as expected.
     pub(crate) fn factor(&self, now: Instant) -> f64 {
-        let age = self.at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        let age = self
+            .at
+            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
         let kept = 0.5_f64.powf(age.as_secs_f64() / SLOW_HALF_LIFE.as_secs_f64());
         1.0 + (self.factor - 1.0) * kept
     }
--- a/crates/forward/src/placement.rs
+++ b/crates/forward/src/placement.rs
@@ -82,13 +82,7 @@
 }
 
 /// `None` where the endpoint is full.
-fn cost(
-    need: &Need<'_>,
-    target: &Target,
-    line: Line,
-    is_home: bool,
-    now: Instant,
-) -> Option<Cost> {
+fn cost(need: &Need<'_>, target: &Target, line: Line, is_home: bool, now: Instant) -> Option<Cost> {
     let stats = target.stats();
     let load = f64::from(stats.load(now));
     let slots = target.slots.map_or(DEFAULT_SLOTS, f64::from);
@@ -99,7 +93,11 @@
         let tokens = f64::from(prompt.tokens);
         let held = f64::from(stats.cache.held(prompt));
         let shared: u32 = prompt.parts.iter().rev().skip(1).map(|p| p.tokens).sum();
-        let at_home = if is_home { f64::from(shared) * HOME_KEEPS } else { 0.0 };
+        let at_home = if is_home {
+            f64::from(shared) * HOME_KEEPS
+        } else {
+            0.0
+        };
         (tokens - held.max(at_home)).max(1.0)
     });
     let ahead = stats.unread_tokens as f64;
--- a/crates/forward/src/rules.rs
+++ b/crates/forward/src/rules.rs
@@ -77,8 +77,7 @@
     /// The route for `path` at `host`: the longest prefix that begins the path.
     pub fn find(self: &Arc<Self>, host: &str, path: &str) -> Option<Matched> {
         let names = self.hosts.get(&host.to_ascii_lowercase())?;
-        let is_met =
-            |name: &&String| path.starts_with(&self.declaration.routes[*name].path_prefix);
+        let is_met = |name: &&String| path.starts_with(&self.declaration.routes[*name].path_prefix);
         names.iter().find(is_met).map(|name| Matched {
             rules: Arc::clone(self),
             name: name.clone(),
@@ -133,7 +132,10 @@
     let rank = |priority: Priority| Priority::MAX.saturating_sub(priority.0);
     let workspace = caller.map_or(0, |c| rank(c.priority));
     let route = rank(route.priority).min(ROUTES - 1);
-    workspace.saturating_mul(ROUTES).saturating_add(route).min(Priority::MAX)
+    workspace
+        .saturating_mul(ROUTES)
+        .saturating_add(route)
+        .min(Priority::MAX)
 }
 
 #[cfg(test)]
--- a/crates/forward/src/serving.rs
+++ b/crates/forward/src/serving.rs
@@ -128,7 +128,9 @@
     if route.stages.is_empty() {
         return Ok(Vec::new());
     }
-    let stages = cx.stages.run(&req.inquiry, route, req.urgency, req.deadline);
+    let stages = cx
+        .stages
+        .run(&req.inquiry, route, req.urgency, req.deadline);
     stages.await.map_err(|failure| match failure {
         StageFailure::Late { retry_after } => {
             Unserved::come_back(Refusal::StagesLate, retry_after.max(COME_BACK))
@@ -231,7 +233,8 @@
                     is_good,
                 });
             }
-            Attempt::NotRun if tried.endpoints.len() < MAX_ENDPOINTS && cx.budget.try_spend(&req.service) => {}
+            Attempt::NotRun
+                if tried.endpoints.len() < MAX_ENDPOINTS && cx.budget.try_spend(&req.service) => {}
             Attempt::NotRun if tried.runs > 0 => {
                 return Err(Unserved::Lost("no endpoint took it again".to_owned()));
             }
@@ -317,6 +320,8 @@
     }
     tried.runs -= 1;
     // Reading the rest only keeps the connection.
-    let _ = exchange.whole(&cx.pool, MAX_ANSWER_BYTES, req.deadline).await;
+    let _ = exchange
+        .whole(&cx.pool, MAX_ANSWER_BYTES, req.deadline)
+        .await;
     Attempt::NotRun
 }
--- a/crates/forward/src/stages.rs
+++ b/crates/forward/src/stages.rs
@@ -116,8 +116,7 @@
                 let after = route.stages[number].after.iter();
                 let inputs: Vec<Arc<Results>> = after.filter_map(|n| done[*n].clone()).collect();
                 running.push(async move {
-                    let stage =
-                        self.stage(inquiry, route, number, &inputs, urgency, deadline);
+                    let stage = self.stage(inquiry, route, number, &inputs, urgency, deadline);
                     (number, stage.await)
                 });
             }
@@ -128,8 +127,9 @@
             done[number] = result?.map(Arc::new);
             // Results that every stage behind them has used are given up at once.
             for n in 0..count {
-                let mut followers =
-                    (0..count).filter(|f| route.stages[*f].after.contains(&n)).peekable();
+                let mut followers = (0..count)
+                    .filter(|f| route.stages[*f].after.contains(&n))
+                    .peekable();
                 if followers.peek().is_some() && followers.all(|f| finished[f]) {
                     done[n] = None;
                 }
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -94,7 +94,13 @@
             if !has_inputs || !may_repeat(&self.cx, &self.req, &self.tried) {
                 return self.break_off().await;
             }
-            let again = begin(&self.cx, &self.req, &self.inputs, &mut self.tried, self.last);
+            let again = begin(
+                &self.cx,
+                &self.req,
+                &self.inputs,
+                &mut self.tried,
+                self.last,
+            );
             let closed = self.tx.clone();
             begun = tokio::select! {
                 again = again => match again {
@@ -160,7 +166,10 @@
     }
 
     async fn send(&self, bytes: Bytes) -> Result<(), Broken> {
-        self.tx.send(Ok(bytes)).await.map_err(|_| Broken::CallerGone)
+        self.tx
+            .send(Ok(bytes))
+            .await
+            .map_err(|_| Broken::CallerGone)
     }
 
     /// The next part, as long as the caller waits; a stream that may go on elsewhere is not waited
--- a/crates/host/src/role.rs
+++ b/crates/host/src/role.rs
@@ -1,10 +1,10 @@
 //! The thin `main` that all roles share: parse, build one config, run until stopped.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, path::Path};
 
 use inifile::Faults;
 use spdlog::{error, info};
-use tokio::task::JoinHandle;
+use tokio::{runtime::Runtime, task::JoinHandle};
 
 use crate::{
     args,
@@ -53,6 +53,30 @@
     main_code(program, read, start).into()
 }
 
+/// Runs a role whose settings file is named by other means than the command line, on one thread.
+pub fn main_at<C>(
+    program: Program,
+    path: &Path,
+    read: impl FnOnce(&mut Reader) -> C,
+    start: impl AsyncFnOnce(C, Stopped) -> eyre::Result<Running>,
+) -> std::process::ExitCode {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let code = match (read_settings(path, read), runtime) {
+        (Err(faults), _) => {
+            eprintln!("{faults}");
+            ExitCode::Usage
+        }
+        (_, Err(e)) => {
+            eprintln!("{}: {e}", program.name);
+            ExitCode::Failure
+        }
+        (Ok((cfg, level)), Ok(runtime)) => run_on(&runtime, program, cfg, level, start),
+    };
+    code.into()
+}
+
 fn main_code<C>(
     program: Program,
     read: impl FnOnce(&mut Reader) -> C,
@@ -73,7 +97,26 @@
         line(format!("{}: settings are valid", args.config.display()));
         return ExitCode::Success;
     }
-    match log::start(level).and_then(|()| block_on(program, cfg, start)) {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build();
+    match runtime {
+        Ok(runtime) => run_on(&runtime, program, cfg, level, start),
+        Err(e) => {
+            eprintln!("{}: {e}", program.name);
+            ExitCode::Failure
+        }
+    }
+}
+
+fn run_on<C>(
+    runtime: &Runtime,
+    program: Program,
+    cfg: C,
+    level: spdlog::Level,
+    start: impl AsyncFnOnce(C, Stopped) -> eyre::Result<Running>,
+) -> ExitCode {
+    match log::start(level).and_then(|()| block_on(runtime, program, cfg, start)) {
         Ok(()) => ExitCode::Success,
         Err(e) => {
             error!("{e:#}", kv: { program = program.name });
@@ -84,7 +127,7 @@
 }
 
 fn read_settings<C>(
-    path: &std::path::Path,
+    path: &Path,
     read: impl FnOnce(&mut Reader) -> C,
 ) -> Result<(C, spdlog::Level), Faults> {
     let mut reader = Reader::from_file(path)?;
@@ -95,13 +138,11 @@
 }
 
 fn block_on<C>(
+    runtime: &Runtime,
     program: Program,
     cfg: C,
     start: impl AsyncFnOnce(C, Stopped) -> eyre::Result<Running>,
 ) -> eyre::Result<()> {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()?;
     runtime.block_on(async {
         let (stop, stopped) = shutdown::channel();
         shutdown::on_signals(stop)?;
--- a/crates/keeper/src/group.rs
+++ b/crates/keeper/src/group.rs
@@ -25,6 +25,8 @@
 
 /// File in the data folder that keeps the member's name.
 const FILE: &str = "member";
+/// Folder in the data folder that is the log's alone.
+pub(crate) const LOG: &str = "log";
 const ASIDE: &str = "member.new";
 /// Time between looks at the group.
 const LOOK_EVERY: Duration = Duration::from_millis(250);
@@ -94,7 +96,7 @@
 }
 
 fn keep(folder: &Path, membership: &Membership) -> io::Result<()> {
-    fs::create_dir_all(folder)?;
+    fs::create_dir_all(folder.join(LOG))?;
     let aside = folder.join(ASIDE);
     let mut f = File::create(&aside)?;
     f.write_all(&link::encode(membership))?;
@@ -146,7 +148,10 @@
             continue;
         }
         let peer = Peer::start(&address.to_string(), address, links);
-        if tokio::time::timeout(ASK_LIMIT, peer.connected()).await.is_err() {
+        if tokio::time::timeout(ASK_LIMIT, peer.connected())
+            .await
+            .is_err()
+        {
             continue;
         }
         let add = KeeperRequest::Member {
@@ -192,7 +197,10 @@
         **name != status.name && peer(name).is_some_and(|p| is_lost(p, cfg.replace_after))
     };
     let gone = status.voters.iter().find(is_gone);
-    let standby = status.learners.iter().find(|name| peer(name).is_some_and(is_ready));
+    let standby = status
+        .learners
+        .iter()
+        .find(|name| peer(name).is_some_and(is_ready));
     let surplus = status.voters.len().saturating_sub(cfg.voters);
     match (gone, standby) {
         (Some(gone), _) if surplus > 0 => Some(MemberChange::Remove { name: gone.clone() }),
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -23,8 +23,8 @@
 mod state;
 
 pub use config::{Config, Limits};
-pub use group::GroupConfig;
 pub use entry::{Command, DIGEST_BYTES, Entry, GrantIntent, LeaseView, Stamp};
+pub use group::GroupConfig;
 pub use leases::{Leases, Seen};
 pub use machine::Machine;
 pub use records::Records;
--- a/crates/keeper/src/service.rs
+++ b/crates/keeper/src/service.rs
@@ -286,7 +286,7 @@
     }
 
     /// The link to the keeper `name`; one that joined later is found among the members.
-    fn peer(&self, name: &str) -> Option<Peer> {
+    pub fn peer(&self, name: &str) -> Option<Peer> {
         let members = self.replica.status().members;
         let mut members = members.voters.iter().chain(&members.learners);
         let member = members.find(|member| member.name == name);
@@ -374,7 +374,9 @@
             };
             let az = match own {
                 true => Some(self.links.identity.az.clone()),
-                false => self.peer(&member.name).and_then(|peer| Some(peer.identity()?.az)),
+                false => self
+                    .peer(&member.name)
+                    .and_then(|peer| Some(peer.identity()?.az)),
             };
             address.map(|address| KeeperAddress {
                 name: member.name.clone(),
--- a/crates/keeper/src/start.rs
+++ b/crates/keeper/src/start.rs
@@ -130,6 +130,7 @@
         eyre::eyre!("read the member's name in {folder}: {e}; make the folder writable")
     })?;
     cfg.vm.name = named.name;
+    cfg.folder = cfg.folder.join(group::LOG);
     Ok(named.voters)
 }
 
--- a/crates/membership/src/mirror.rs
+++ b/crates/membership/src/mirror.rs
@@ -69,9 +69,8 @@
     let mut position: Option<(Uuid, u64)> = None;
     while let Ok(changes) = ask(peer, position).await {
         position = Some((changes.table, changes.version));
-        let is_news = changes.is_whole
-            || !changes.endpoints.is_empty()
-            || !changes.departed.is_empty();
+        let is_news =
+            changes.is_whole || !changes.endpoints.is_empty() || !changes.departed.is_empty();
         if is_news {
             mirror.send_modify(|mirror| mirror.take(changes));
         }
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -9,7 +9,7 @@
 use tokio::{sync::watch, time::Instant};
 
 use crate::{
-    Announced, Announcement, Endpoint, EndpointView, ServiceSnapshot, TableConfig,
+    Announced, Announcement, Endpoint, EndpointView, Readiness, ServiceSnapshot, TableConfig,
     live::{calls_of, lag_of},
     message::{Request, respond},
     state::{Applied, State},
@@ -104,6 +104,25 @@
         Ok(Announced { next_ms })
     }
 
+    /// Notes that `endpoint` is going, of which nothing later comes; one of another incarnation than
+    /// the one given stays.
+    pub fn depart(&self, endpoint: &str, incarnation: Option<uuid::Uuid>) {
+        let mut state = self.lock();
+        let known = state.endpoints().find(|e| e.announced.endpoint == endpoint);
+        let known = known.map(|e| e.announced.clone());
+        let Some(known) = known.filter(|a| incarnation.is_none_or(|i| i == a.incarnation)) else {
+            return;
+        };
+        let last = Announcement {
+            state: Readiness::Leaving,
+            // Announcements that are still on their way have lower numbers.
+            seq: known.seq.saturating_add(LAST_SEQ_STEP),
+            ..known
+        };
+        state.announce(last, Instant::now());
+        self.publish(state);
+    }
+
     /// Every endpoint known, by name.
     pub fn list(&self) -> Vec<EndpointView> {
         let now = Instant::now();
@@ -187,6 +206,8 @@
     }
 }
 
+/// By how much the number of a departure exceeds those of announcements before it.
+const LAST_SEQ_STEP: u64 = 1 << 32;
 const MAX_NAME_BYTES: usize = 128;
 const MAX_MODELS: usize = 64;
 const MAX_ADAPTERS: usize = 256;
--- a/crates/outbound/src/pool.rs
+++ b/crates/outbound/src/pool.rs
@@ -46,7 +46,9 @@
         let mut idle = self.lock();
         let connections = idle.get_mut(&address)?;
         while let Some(mut connection) = connections.pop() {
-            if connection.is_usable() && connection.idle_since.elapsed() < self.idle_limit(&connection) {
+            if connection.is_usable()
+                && connection.idle_since.elapsed() < self.idle_limit(&connection)
+            {
                 return Some(connection);
             }
         }
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -106,7 +106,10 @@
         let account = accounts.get_mut(service).expect("it was just inserted");
         let idle = now.saturating_duration_since(account.at).as_secs_f64();
         let regained = account.saved + idle / cfg.idle.as_secs_f64();
-        account.saved = regained.min(cfg.reserve).max(account.saved).min(cfg.max_saved);
+        account.saved = regained
+            .min(cfg.reserve)
+            .max(account.saved)
+            .min(cfg.max_saved);
         account.at = now;
         f(account)
     }
