--- a/crates/forward/src/batch.rs
+++ b/crates/forward/src/batch.rs
@@ -31,6 +31,19 @@
     Failed,
 }
 
+impl Ended {
+    /// A word for logs.
+    pub(crate) fn label(&self) -> &'static str {
+        match self {
+            Self::Answered(results) if results.iter().all(Result::is_ok) => "answered",
+            Self::Answered(_) => "answered in part",
+            Self::NotRun => "not run",
+            Self::Misplaced => "misplaced",
+            Self::Failed => "failed",
+        }
+    }
+}
+
 /// Why one item has no result.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum ItemFailure {
--- a/crates/forward/src/collector.rs
+++ b/crates/forward/src/collector.rs
@@ -236,6 +236,14 @@
         Ended::Misplaced => cx.fleet.misplaced(&next.target),
         Ended::Failed | Ended::Answered(_) => {}
     }
+    spdlog::debug!("batched call", kv: {
+        service = next.target.service.as_str(),
+        endpoint = next.target.name.as_str(),
+        items = next.jobs.len(),
+        expected_ms = next.expected.as_millis() as u64,
+        ms = now.saturating_duration_since(began).as_millis() as u64,
+        ended = ended.label()
+    });
     let unwanted = {
         let mut line = running.line();
         line.ended(&next, now.saturating_duration_since(began), &ended, now);
