Results take up room until their endpoint has the order to free them

Cause of calls that found no room: a result's bytes were counted as free when the order was queued, 25 ms before the endpoint had it.

--- a/crates/forward/src/collector.rs
+++ b/crates/forward/src/collector.rs
@@ -160,11 +160,14 @@
             let until = Instant::now() + FREE_LIMIT;
             let req = (cx.dialect.write_free)(&handles);
             let sent = crate::call::send(&cx.pool, address, req, until).await;
-            // A result that is not given up expires by itself.
+            // A result whose order was lost expires by itself.
             if let Ok(exchange) = sent {
                 let _ = exchange.whole(&cx.pool, usize::MAX, until).await;
+                let mut line = running.line();
+                handles.iter().for_each(|handle| line.release(handle));
             }
         }
+        running.wake.notify_one();
     }
 
     fn tickets(&self) -> MutexGuard<'_, HashMap<u64, Arc<Ticket>>> {
@@ -285,7 +288,10 @@
             Err(batch::ItemFailure::Again) => {
                 again(cx, line, service, job.clone(), &StageFailure::Failed);
             }
-            Err(batch::ItemFailure::NoRoom) => line.put_back(job.clone()),
+            Err(batch::ItemFailure::NoRoom) => {
+                line.no_room(&next.target.name, Instant::now());
+                line.put_back(job.clone());
+            }
             Err(batch::ItemFailure::Ended(failure)) => job.ticket.fail(failure),
         }
     }
--- a/crates/forward/src/line.rs
+++ b/crates/forward/src/line.rs
@@ -27,6 +27,8 @@
 const MAX_TRIES: u8 = 3;
 /// An endpoint this many times slower than the fastest gets items only where many wait.
 const SLOW: f64 = 2.5;
+/// How long an endpoint that has no room is left alone.
+const NO_ROOM: Duration = Duration::from_millis(60);
 /// Time beyond a ticket's deadline for which its result is kept.
 const GRACE: Duration = Duration::from_millis(200);
 
@@ -165,6 +167,7 @@
     /// Bytes of results that it keeps, those of calls in flight included.
     held: u64,
     slowness: Slowness,
+    full_until: Option<Instant>,
 }
 
 impl Hand {
@@ -173,6 +176,7 @@
             calls: 0,
             held: 0,
             slowness: Slowness::new(),
+            full_until: None,
         }
     }
 }
@@ -346,8 +350,11 @@
 
     fn free_endpoints(&self, pool: &Pool, need: u64, now: Instant) -> Vec<Arc<Target>> {
         let is_free = |t: &&Arc<Target>| {
-            let calls = self.hands.get(&t.name).map_or(0, |hand| hand.calls);
-            calls < self.slots && self.room(&t.name) >= need
+            let Some(hand) = self.hands.get(&t.name) else {
+                return true;
+            };
+            let is_full = hand.full_until.is_some_and(|until| now < until);
+            hand.calls < self.slots && !is_full && self.room(&t.name) >= need
         };
         pool.sound(now).filter(is_free).cloned().collect()
     }
@@ -420,11 +427,12 @@
         }
     }
 
-    /// Gives results up; whether an order to do so has yet to be sent.
+    /// Gives results up; whether an order to do so has yet to be sent. They take up room until
+    /// their endpoint has the order.
     pub(crate) fn free(&mut self, handles: Vec<String>) -> bool {
         let is_first = self.freed.is_empty();
         for handle in handles {
-            if let Some(kept) = self.release(&handle) {
+            if let Some(kept) = self.kept.get(&handle) {
                 self.freed.entry(kept.address).or_default().push(handle);
             }
         }
@@ -436,12 +444,21 @@
         std::mem::take(&mut self.freed)
     }
 
-    fn release(&mut self, handle: &str) -> Option<Kept> {
-        let kept = self.kept.remove(handle)?;
+    /// The endpoint has no room although some was left by this count: what else it keeps expires.
+    pub(crate) fn no_room(&mut self, endpoint: &str, now: Instant) {
+        if let Some(hand) = self.hands.get_mut(endpoint) {
+            hand.full_until = Some(now + NO_ROOM);
+        }
+    }
+
+    /// A result takes up no room any more.
+    pub(crate) fn release(&mut self, handle: &str) {
+        let Some(kept) = self.kept.remove(handle) else {
+            return;
+        };
         if let Some(hand) = self.hands.get_mut(&kept.endpoint) {
             hand.held = hand.held.saturating_sub(kept.bytes);
         }
-        Some(kept)
     }
 
     fn expire(&mut self, now: Instant) {
--- a/crates/forward/src/stages.rs
+++ b/crates/forward/src/stages.rs
@@ -4,7 +4,7 @@
 
 use declaration::Route;
 use futures_util::{StreamExt, stream::FuturesUnordered};
-use link::{Channel, Peer};
+use link::{Channel, LinkError, Peer};
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
@@ -65,6 +65,13 @@
     }
 }
 
+fn unreachable(gate: &Peer, request: &str, e: &LinkError) -> StageFailure {
+    spdlog::info!("collecting gate not reached", kv: {
+        request, gate = gate.name(), why = e.to_string()
+    });
+    StageFailure::Unreachable
+}
+
 /// Sends a message whose loss costs nothing but room.
 fn note(peer: Peer, req: StageRequest) {
     tokio::spawn(async move {
@@ -196,7 +203,8 @@
         let ticket = match peer.call(Channel::Stages, &submit, SUBMIT_LIMIT).await {
             Ok(StageReply::Accepted(ticket)) => ticket,
             Ok(StageReply::Refused(failure)) => return Err(failure),
-            Ok(_) | Err(_) => return Err(StageFailure::Unreachable),
+            Ok(_) => return Err(StageFailure::Unreachable),
+            Err(e) => return Err(unreachable(&peer, &submission.request, &e)),
         };
         let mut pending = Pending {
             ticket: Some(ticket),
@@ -210,7 +218,8 @@
         match reply {
             Ok(StageReply::Done(Ok(made))) => Ok(self.results(submission, made, Some(peer))),
             Ok(StageReply::Done(Err(failure))) => Err(failure),
-            Ok(_) | Err(_) => Err(StageFailure::Unreachable),
+            Ok(_) => Err(StageFailure::Unreachable),
+            Err(e) => Err(unreachable(&peer, &submission.request, &e)),
         }
     }
 
