Keepers' tables hold the endpoints of every availability zone alike

Cause: a table that spans zones still shared only entries of its own zone, so gates knew 2 to 7 of 8 gates, disagreed on who collects, and two collectors filled the same workers (up to 4,314 calls found a full one). Also: what was made for a stage that failed is given up at once.

--- a/crates/forward/src/collector.rs
+++ b/crates/forward/src/collector.rs
@@ -121,7 +121,10 @@
             return Err(StageFailure::Unreachable);
         };
         let result = found.finished().await;
-        self.tickets().remove(&ticket);
+        match &result {
+            Ok(_) => drop(self.tickets().remove(&ticket)),
+            Err(_) => self.cancel(ticket),
+        }
         result
     }
 
--- a/crates/forward/src/control.rs
+++ b/crates/forward/src/control.rs
@@ -154,10 +154,15 @@
             load: Load::default(),
         };
         let req = TableRequest::Announce(Box::new(announcement));
-        // The next one follows soon.
-        let _ = keeper
+        // One that was lost is followed by the next.
+        let reply = keeper
             .call::<_, membership::Reply>(Channel::Membership, &req, CONFIRM_LIMIT)
             .await;
+        if !matches!(reply, Ok(membership::Reply::Announced)) {
+            warn!("announcement not taken", kv: {
+                keeper = keeper.name(), reply = format!("{reply:?}")
+            });
+        }
     }
 
     /// Keeps links to the keepers named, those of the own availability zone first.
--- a/crates/forward/src/gates.rs
+++ b/crates/forward/src/gates.rs
@@ -48,6 +48,19 @@
     gates: Vec<Gate>,
     /// All gates, of other availability zones too.
     count: usize,
+    /// Who collects, by service, as it was last.
+    chosen: HashMap<String, String>,
+}
+
+impl Known {
+    /// Notes who collects the items of `service`.
+    fn note(&mut self, service: &str, gate: &str) {
+        if self.chosen.get(service).is_some_and(|chosen| chosen == gate) {
+            return;
+        }
+        spdlog::info!("items are collected", kv: { service, gate, of = self.gates.len() });
+        self.chosen.insert(service.to_owned(), gate.to_owned());
+    }
 }
 
 impl Gates {
@@ -60,6 +73,7 @@
         let known = Known {
             gates: vec![own],
             count: 1,
+            chosen: HashMap::new(),
         };
         Self {
             shared: Arc::new(Shared {
@@ -117,12 +131,18 @@
     /// Who collects the items of `service`: the first in an order that all gates share, as far as
     /// it can be reached. `skip` of those that can are left out.
     pub(crate) fn collecting(&self, service: &str, skip: usize) -> Collecting {
-        let known = self.known();
+        let mut known = self.known();
         let rank = |gate: &&Gate| xxh3_64(format!("{service}/{}", gate.name).as_bytes());
         let is_reachable = |gate: &&Gate| gate.peer.as_ref().is_none_or(Peer::is_connected);
         let mut reachable: Vec<&Gate> = known.gates.iter().filter(is_reachable).collect();
         reachable.sort_by_cached_key(rank);
-        let chosen = reachable.get(skip).and_then(|gate| gate.peer.clone());
-        chosen.map_or(Collecting::Own, Collecting::Other)
+        let Some(chosen) = reachable.get(skip) else {
+            return Collecting::Own;
+        };
+        let (name, peer) = (chosen.name.clone(), chosen.peer.clone());
+        if skip == 0 {
+            known.note(service, &name);
+        }
+        peer.map_or(Collecting::Own, Collecting::Other)
     }
 }
--- a/crates/forward/src/line.rs
+++ b/crates/forward/src/line.rs
@@ -27,6 +27,8 @@
 const MAX_TRIES: u8 = 3;
 /// An endpoint this many times slower than the fastest gets items only where many wait.
 const SLOW: f64 = 2.5;
+/// Time beyond which a result that was not given up is gone for certain.
+const KEEP_MARGIN: Duration = Duration::from_millis(250);
 /// How long an endpoint that has no room is left alone.
 const NO_ROOM: Duration = Duration::from_millis(60);
 /// Time beyond a ticket's deadline for which its result is kept.
@@ -93,13 +95,14 @@
         true
     }
 
-    /// The stage has failed.
+    /// The stage has failed; nothing of it is wanted any more.
     pub(crate) fn fail(&self, failure: StageFailure) {
         self.state().failure.get_or_insert(failure);
+        self.is_over.store(true, Ordering::Relaxed);
         self.done.notify_one();
     }
 
-    /// Waits for all results or a failure; results of a stage that failed are left to their expiry.
+    /// Waits for all results or a failure.
     pub(crate) async fn finished(&self) -> Result<Vec<Made>, StageFailure> {
         loop {
             {
--- a/crates/membership/src/remote.rs
+++ b/crates/membership/src/remote.rs
@@ -32,6 +32,9 @@
 
 /// Asks one connected gate of each other availability zone for its sample, again and again.
 pub(crate) async fn sample_others(table: Table, gates: Vec<Peer>) {
+    if table.config().spans_zones {
+        return;
+    }
     let mut rng = SmallRng::seed_from_u64(seed_of(&table));
     let mut samples: BTreeMap<String, Sample> = BTreeMap::new();
     let mut tick = interval(SAMPLE_EVERY);
--- a/crates/membership/src/state.rs
+++ b/crates/membership/src/state.rs
@@ -196,9 +196,15 @@
         self.endpoints().filter(of_it).map(Arc::clone).collect()
     }
 
-    /// The endpoints of the gate's own availability zone, which its neighbours hold as well.
+    /// The endpoints that neighbours hold as well: those of the own availability zone, or all where
+    /// the table spans them.
     pub(crate) fn shared_entries(&self) -> impl Iterator<Item = &Entry> {
-        self.entries_of(&self.cfg.az)
+        let entries = self.entries.values();
+        entries.filter(|entry| self.is_shared(&entry.endpoint.announced))
+    }
+
+    fn is_shared(&self, a: &Announcement) -> bool {
+        self.cfg.spans_zones || a.az == self.cfg.az
     }
 
     /// The endpoints of availability zone `az`.
@@ -431,7 +437,7 @@
         let is_meant = move |entry: &&Entry| {
             let a = &entry.endpoint.announced;
             let is_reached = at < entry.origin.reach || a.state == Readiness::Leaving;
-            a.az == self.cfg.az
+            self.is_shared(a)
                 && is_reached
                 && entry.origin.neighbour.as_deref() != Some(neighbour)
         };
--- a/crates/membership/tests/spread.rs
+++ b/crates/membership/tests/spread.rs
@@ -198,3 +198,58 @@
     assert_eq!(most, Some(6));
     assert!(neighbours("alone", &[]).is_empty());
 }
+
+#[tokio::test]
+async fn a_table_that_spans_zones_is_the_same_everywhere() {
+    let mut gates = Vec::new();
+    for (name, az) in [("k1", "sousse-a"), ("k2", "monastir-a"), ("k3", "mahdia-a")] {
+        let mut gate = gate(name, az).await;
+        gate.server.abort();
+        let mut cfg = TableConfig::new(name, az);
+        cfg.spans_zones = true;
+        gate.table = Table::new(cfg);
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        gate.address = listener.local_addr().unwrap();
+        let answering = gate.table.clone();
+        let handler = move |call: link::Incoming| {
+            let table = answering.clone();
+            async move { table.answer(&call.body).await }
+        };
+        gate.server = tokio::spawn(link::serve(listener, gate.cfg.clone(), handler));
+        gates.push(gate);
+    }
+    let mut tasks = Vec::new();
+    for gate in &gates {
+        let others = gates.iter().filter(|other| other.address != gate.address);
+        let peers: Vec<Peer> = others.map(|other| gate.peer(other)).collect();
+        for peer in &peers {
+            peer.connected().await;
+        }
+        tasks.push(gate.table.spread(peers));
+    }
+    // Each is told of endpoints of every availability zone.
+    for (at, az) in ["sousse-a", "monastir-a", "mahdia-a"].into_iter().enumerate() {
+        for n in 0..3 {
+            let mut said = announcement(&format!("e{at}{n}"), 1, 1);
+            az.clone_into(&mut said.az);
+            gates[(at + n) % 3].table.announce(said).unwrap();
+        }
+    }
+    let know_all = async {
+        while gates.iter().any(|gate| gate.table.list().len() < 9) {
+            sleep(Duration::from_millis(10)).await;
+        }
+    };
+    timeout(LIMIT, know_all).await.unwrap();
+    gates[0].table.depart("e10", None);
+    let know_departure = async {
+        let is_leaving = |gate: &Gate| {
+            let list = gate.table.list();
+            list.iter().any(|e| e.endpoint == "e10" && e.state == EndpointState::Leaving)
+        };
+        while !gates.iter().all(is_leaving) {
+            sleep(Duration::from_millis(10)).await;
+        }
+    };
+    timeout(LIMIT, know_departure).await.unwrap();
+}
