--- a/crates/forward/src/control.rs
+++ b/crates/forward/src/control.rs
@@ -29,6 +29,8 @@
 const CONFIRM_LIMIT: Duration = Duration::from_millis(600);
 /// Pause after no keeper confirmed.
 const CONFIRM_RETRY: Duration = Duration::from_millis(100);
+/// Failed rounds after which the keepers of the settings are asked as well.
+const ASK_SEEDS_AFTER: u32 = 10;
 /// How long a confirmed revision may take to be in force here.
 const CATCH_UP: Duration = Duration::from_millis(500);
 
@@ -36,7 +38,7 @@
 #[derive(Debug)]
 pub(crate) struct Control {
     pub(crate) links: LinkConfig,
-    pub(crate) seeds: Vec<SocketAddr>,
+    pub(crate) seeds: watch::Receiver<Vec<SocketAddr>>,
     pub(crate) own_link: SocketAddr,
     pub(crate) freshness: Freshness,
     pub(crate) draining: watch::Receiver<bool>,
@@ -54,9 +56,7 @@
 impl Control {
     /// Starts to follow the keepers.
     pub(crate) fn start(self) -> Told {
-        let seeds = self.seeds.iter();
-        let seeds = seeds.map(|at| Peer::start(&at.to_string(), *at, &self.links));
-        let (keepers, known) = watch::channel(seeds.collect::<Vec<Peer>>());
+        let (keepers, known) = watch::channel(self.with_seeds(&[]));
         let follower = Follower::start_among(known.clone(), FollowerConfig::default());
         let (mirror_tx, mirror) = watch::channel(Mirror::default());
         let (rules_tx, rules) = watch::channel(Arc::new(Rules::default()));
@@ -77,10 +77,19 @@
         let mut preferred: Option<SocketAddr> = None;
         let mut seq = 0;
         let mut was_fresh = false;
+        let mut failures = 0;
         loop {
             let known = keepers.borrow().clone();
             let confirmed = self.confirm(&known, preferred, &follower).await;
             let is_confirmed = confirmed.is_some();
+            failures = if is_confirmed { 0 } else { failures + 1 };
+            if failures == ASK_SEEDS_AFTER {
+                let peers = self.with_seeds(&known);
+                if peers.len() > known.len() {
+                    keepers.send_replace(peers);
+                }
+                failures = 0;
+            }
             if let Some((peer, addresses)) = confirmed {
                 preferred = Some(peer.address());
                 seq += 1;
@@ -108,6 +117,17 @@
         }
     }
 
+    /// The keepers known and those that the settings name.
+    fn with_seeds(&self, known: &[Peer]) -> Vec<Peer> {
+        let mut peers = known.to_vec();
+        for address in self.seeds.borrow().iter() {
+            if !peers.iter().any(|peer| peer.address() == *address) {
+                peers.push(Peer::start(&address.to_string(), *address, &self.links));
+            }
+        }
+        peers
+    }
+
     /// The first keeper that confirms, and the keepers that it names.
     async fn confirm(
         &self,
--- a/crates/forward/src/start.rs
+++ b/crates/forward/src/start.rs
@@ -79,8 +79,14 @@
     pub drain: Duration,
 }
 
-/// Binds the listeners and serves until stopped.
-pub async fn start(cfg: Config, dialect: Dialect, stopped: Stopped) -> eyre::Result<Running> {
+/// Binds the listeners and serves until stopped; `seeds` are links of keepers to turn to while none
+/// that is known answers.
+pub async fn start(
+    cfg: Config,
+    seeds: watch::Receiver<Vec<SocketAddr>>,
+    dialect: Dialect,
+    stopped: Stopped,
+) -> eyre::Result<Running> {
     let callers = bind(cfg.callers, "callers").await?;
     let links_listener = bind(cfg.link, "link").await?;
     let readiness = http::bind(cfg.readiness).await?;
@@ -96,7 +102,7 @@
     let (draining_tx, draining) = watch::channel(false);
     let told = Control {
         links: links.clone(),
-        seeds: cfg.keepers.clone(),
+        seeds,
         own_link: link,
         freshness: freshness.clone(),
         draining: draining.clone(),
--- a/crates/host/src/role.rs
+++ b/crates/host/src/role.rs
@@ -4,13 +4,14 @@
 
 use inifile::Faults;
 use spdlog::{error, info};
-use tokio::{runtime::Runtime, task::JoinHandle};
+use tokio::{runtime::Runtime, sync::watch, task::JoinHandle};
 
 use crate::{
     args,
     exit::ExitCode,
     log,
     output::line,
+    reload,
     settings::Reader,
     shutdown::{self, Stopped},
 };
@@ -53,17 +54,18 @@
     main_code(program, read, start).into()
 }
 
-/// Runs a role whose settings file is named by other means than the command line, on one thread.
-pub fn main_at<C>(
+/// Runs a role whose settings file is named by other means than the command line, on one thread;
+/// the settings are read again at SIGHUP and when their file changes.
+pub fn main_at<C: Clone + Send + Sync + 'static>(
     program: Program,
     path: &Path,
-    read: impl FnOnce(&mut Reader) -> C,
-    start: impl AsyncFnOnce(C, Stopped) -> eyre::Result<Running>,
+    read: impl Fn(&mut Reader) -> C + Send + Sync + 'static,
+    start: impl AsyncFnOnce(watch::Receiver<C>, Stopped) -> eyre::Result<Running>,
 ) -> std::process::ExitCode {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build();
-    let code = match (read_settings(path, read), runtime) {
+    let code = match (read_settings(path, &read), runtime) {
         (Err(faults), _) => {
             eprintln!("{faults}");
             ExitCode::Usage
@@ -72,7 +74,23 @@
             eprintln!("{}: {e}", program.name);
             ExitCode::Failure
         }
-        (Ok((cfg, level)), Ok(runtime)) => run_on(&runtime, program, cfg, level, start),
+        (Ok((cfg, level)), Ok(runtime)) => {
+            let path = path.to_owned();
+            let start = async |cfg: C, stopped: Stopped| {
+                let (tx, rx) = watch::channel(cfg);
+                let again = move |path: &Path| read_settings(path, &read).map(|(cfg, _)| cfg);
+                let reading = reload::keep_reading(path, reload::hangups()?, again, tx);
+                let reading = tokio::spawn(reading);
+                let Running { http, link, task } = start(rx, stopped).await?;
+                let task = tokio::spawn(async move {
+                    let ended = task.await?;
+                    reading.abort();
+                    ended
+                });
+                Ok(Running { http, link, task })
+            };
+            run_on(&runtime, program, cfg, level, start)
+        }
     };
     code.into()
 }
