One home for a subject in all zones; stages are done near it; heavy items wait for their own zone

Cause: each zone read a subject's prompt once more, and collectors took whichever worker was free, so that 3 GB of results crossed zones.

--- a/crates/forward/src/collector.rs
+++ b/crates/forward/src/collector.rs
@@ -30,7 +30,7 @@
 /// Bound on an order to give results up.
 const FREE_LIMIT: Duration = Duration::from_millis(500);
 /// Longest time between looks at a line that waits.
-const LOOK_AGAIN: Duration = Duration::from_millis(50);
+const LOOK_AGAIN: Duration = Duration::from_millis(25);
 
 /// What a collector works with.
 #[derive(Clone, Debug)]
@@ -106,7 +106,7 @@
         let ticket = {
             let mut line = running.line();
             line.declare(&capacity);
-            line.take(submission, &pool, now)?
+            line.take(submission, &pool, &self.shared.cx.fleet.reachable(), now)?
         };
         let id = ticket.id;
         self.tickets().insert(id, ticket);
@@ -205,7 +205,10 @@
     loop {
         let pool = collector.shared.cx.fleet.pool(&service);
         let next = match &pool {
-            Some(pool) => running.line().next_call(pool, Instant::now()),
+            Some(pool) => {
+                let reachable = collector.shared.cx.fleet.reachable();
+                running.line().next_call(pool, &reachable, Instant::now())
+            }
             None => None,
         };
         match next {
--- a/crates/forward/src/fleet.rs
+++ b/crates/forward/src/fleet.rs
@@ -1,7 +1,7 @@
 //! The endpoints as this gate knows them: what keepers told, and what its own calls showed.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock},
     time::Duration,
@@ -134,6 +134,25 @@
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     pools: Arc<RwLock<HashMap<String, Arc<Pool>>>>,
+    reachable: Arc<RwLock<Arc<Reachable>>>,
+}
+
+/// Availability zones that can be reached, as far as is known.
+#[derive(Debug, Default, PartialEq)]
+pub struct Reachable {
+    cut: BTreeSet<String>,
+}
+
+impl Reachable {
+    /// All but those in `cut`.
+    pub fn but(cut: BTreeSet<String>) -> Self {
+        Self { cut }
+    }
+
+    /// Whether `az` can be reached.
+    pub(crate) fn has(&self, az: &str) -> bool {
+        !self.cut.contains(az)
+    }
 }
 
 impl Fleet {
@@ -143,6 +162,22 @@
         pools.get(service).cloned()
     }
 
+    /// The availability zones that can be reached.
+    pub(crate) fn reachable(&self) -> Arc<Reachable> {
+        let reachable = self.reachable.read().unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(&reachable)
+    }
+
+    /// Takes which availability zones can be reached.
+    pub(crate) fn set_reachable(&self, next: Reachable) {
+        let mut reachable = self.reachable.write().unwrap_or_else(PoisonError::into_inner);
+        if **reachable != next {
+            let cut: Vec<&str> = next.cut.iter().map(String::as_str).collect();
+            spdlog::warn!("availability zones out of reach", kv: { zones = cut.join(", ") });
+            *reachable = Arc::new(next);
+        }
+    }
+
     /// Takes what keepers told; what is known of endpoints that stay is kept. `memory` gives the
     /// tokens that an engine of a service holds for this gate.
     pub fn update(&self, mirror: &Mirror, memory: impl Fn(&str) -> Option<u64>) {
@@ -243,7 +278,7 @@
     unread: u64,
     /// Tokens to read there when the call began, its own among them.
     ahead: f64,
-    expected_ms: f64,
+    pub(crate) expected_ms: f64,
     since: Instant,
     has_begun: bool,
 }
@@ -269,6 +304,11 @@
         }
     }
 
+    /// Time since the call began.
+    pub(crate) fn elapsed(&self) -> Duration {
+        self.since.elapsed()
+    }
+
     /// The first part of the answer has come; `prompt` is read by now.
     pub(crate) fn first_part(&mut self, prompt: Option<&Prompt>) {
         if self.has_begun {
--- a/crates/forward/src/gates.rs
+++ b/crates/forward/src/gates.rs
@@ -1,7 +1,7 @@
 //! The other gates: links to them, and which one collects a service's items.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
@@ -28,7 +28,10 @@
 #[derive(Clone, Debug)]
 struct Gate {
     name: String,
+    az: String,
     peer: Option<Peer>,
+    /// Whether its link has ever been up.
+    was_up: bool,
 }
 
 /// The gates that collect together with this one; clones share them.
@@ -68,7 +71,9 @@
     pub(crate) fn new(links: LinkConfig) -> Self {
         let own = Gate {
             name: links.identity.vm.clone(),
+            az: links.identity.az.clone(),
             peer: None,
+            was_up: true,
         };
         let known = Known {
             gates: vec![own],
@@ -103,20 +108,22 @@
         let is_together = ready.len() <= MAX_TOGETHER;
         let chosen = ready.iter().filter(|v| is_together || v.az == own.az);
         let mut known = self.known();
-        let mut before: HashMap<(String, SocketAddr), Peer> = known
+        let mut before: HashMap<(String, SocketAddr), (Peer, bool)> = known
             .gates
             .drain(..)
-            .filter_map(|gate| gate.peer)
-            .map(|peer| ((peer.name().to_owned(), peer.address()), peer))
+            .filter_map(|gate| Some((gate.peer?, gate.was_up)))
+            .map(|(peer, was_up)| ((peer.name().to_owned(), peer.address()), (peer, was_up)))
             .collect();
         let others = chosen.filter(|v| v.endpoint != own.vm).filter_map(|v| {
             let address = v.address.strip_prefix("http://")?.parse().ok()?;
             let key = (v.endpoint.clone(), address);
-            let started = || Peer::start(&v.endpoint, address, &self.shared.links);
-            let peer = before.remove(&key).unwrap_or_else(started);
+            let started = || (Peer::start(&v.endpoint, address, &self.shared.links), false);
+            let (peer, was_up) = before.remove(&key).unwrap_or_else(started);
             Some(Gate {
                 name: v.endpoint.clone(),
+                az: v.az.clone(),
                 peer: Some(peer),
+                was_up,
             })
         });
         let gates: Vec<Gate> = others.collect();
@@ -124,10 +131,28 @@
         known.gates = gates;
         known.gates.push(Gate {
             name: own.vm.clone(),
+            az: own.az.clone(),
             peer: None,
+            was_up: true,
         });
     }
 
+    /// The availability zones whose gates were linked and aren't any more, none of them.
+    pub(crate) fn cut_off(&self) -> BTreeSet<String> {
+        let own = &self.shared.links.identity.az;
+        let mut known = self.known();
+        let mut zones: BTreeMap<String, (bool, bool)> = BTreeMap::new();
+        for gate in &mut known.gates {
+            let is_up = gate.peer.as_ref().is_none_or(Peer::is_connected);
+            gate.was_up |= is_up;
+            let (any_was, any_is) = zones.entry(gate.az.clone()).or_default();
+            *any_was |= gate.was_up;
+            *any_is |= is_up;
+        }
+        let is_cut = |(az, (was, is)): (String, (bool, bool))| (was && !is && az != *own).then_some(az);
+        zones.into_iter().filter_map(is_cut).collect()
+    }
+
     /// Who collects the items of `service`: the first in an order that all gates share, as far as
     /// it can be reached. `skip` of those that can are left out.
     pub(crate) fn collecting(&self, service: &str, skip: usize) -> Collecting {
--- a/crates/forward/src/line.rs
+++ b/crates/forward/src/line.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     batch::Ended,
-    fleet::{Pool, Target},
+    fleet::{Pool, Reachable, Target},
     messages::{Made, StageFailure, Submission},
     pace::Slowness,
 };
@@ -27,6 +27,8 @@
 const MAX_TRIES: u8 = 3;
 /// An endpoint this many times slower than the fastest gets items only where many wait.
 const SLOW: f64 = 2.5;
+/// Bytes that cross zones for which items wait half a call.
+const HEAVY_BYTES: f64 = 2e6;
 /// Time beyond which a result that was not given up is gone for certain.
 const KEEP_MARGIN: Duration = Duration::from_millis(250);
 /// How long an endpoint that has no room is left alone.
@@ -141,6 +143,7 @@
     tries: u8,
     /// Its place in the line: urgency, then age.
     place: (u8, u64),
+    since: Instant,
 }
 
 impl Job {
@@ -191,6 +194,30 @@
     bytes: u64,
 }
 
+/// Endpoints and waiting items by availability zone.
+#[derive(Debug, Default)]
+struct Zones {
+    lanes: HashMap<String, usize>,
+    items: HashMap<String, usize>,
+    batch: usize,
+}
+
+impl Zones {
+    /// Whether `job` may go to an endpoint of `az`: bytes that cross zones cost, so it waits for one
+    /// of its own zone, the longer the more bytes they are, while these aren't backed up.
+    fn may_go(&self, job: &Job, az: &str, now: Instant, call: Duration) -> bool {
+        let submission = &job.ticket.submission;
+        let own = &submission.az;
+        let lanes = self.lanes.get(own).copied().unwrap_or(0);
+        let items = self.items.get(own).copied().unwrap_or(0);
+        let weight = submission.crossing_bytes as f64 / HEAVY_BYTES;
+        own == az
+            || lanes == 0
+            || items > lanes * self.batch
+            || now.saturating_duration_since(job.since) >= call.mul_f64(weight.min(1.0) / 2.0)
+    }
+}
+
 /// The line of one service.
 #[derive(Debug)]
 pub(crate) struct Line {
@@ -242,9 +269,10 @@
         &mut self,
         submission: Submission,
         pool: &Pool,
+        reachable: &Reachable,
         now: Instant,
     ) -> Result<Arc<Ticket>, StageFailure> {
-        let sound = pool.sound(now).count();
+        let sound = pool.sound(reachable, now).count();
         if sound == 0 {
             return Err(StageFailure::NoEndpoint);
         }
@@ -262,6 +290,7 @@
                 item,
                 tries: 0,
                 place,
+                since: now,
             };
             self.jobs.insert(place, job);
         }
@@ -297,49 +326,36 @@
         self.jobs.retain(|_, job| job.ticket.id != ticket.id);
     }
 
-    /// The call to make now, if an endpoint is free and items wait.
-    pub(crate) fn next_call(&mut self, pool: &Pool, now: Instant) -> Option<NextCall> {
+    /// The call to make now, if an endpoint is free and items wait that may go there.
+    pub(crate) fn next_call(
+        &mut self,
+        pool: &Pool,
+        reachable: &Reachable,
+        now: Instant,
+    ) -> Option<NextCall> {
         self.expire(now);
         self.drop_late(now);
-        let first = self.jobs.values().next()?;
-        let az = first.ticket.submission.az.clone();
-        let need = first.ticket.submission.result_bytes;
-        let free = self.free_endpoints(pool, need, now);
-        let target = self.choose(&free, &az, pool, now)?;
-        let others: Vec<&str> = free
-            .iter()
-            .filter(|t| t.name != target.name)
-            .map(|t| t.az.as_str())
-            .collect();
-        let room = self.room(&target.name);
-        let mut bytes = 0;
-        let mut taken: Vec<(u8, u64)> = Vec::new();
-        for (place, job) in &self.jobs {
-            if taken.len() >= self.batch.items as usize {
-                break;
-            }
-            let submission = &job.ticket.submission;
-            // Items of another availability zone that has a free endpoint of its own wait for it.
-            if submission.az != target.az && others.contains(&submission.az.as_str()) {
-                continue;
-            }
-            if bytes + submission.result_bytes > room {
-                continue;
-            }
-            bytes += submission.result_bytes;
-            taken.push(*place);
-        }
-        let jobs: Vec<Job> = taken
+        let sound: Vec<&Arc<Target>> = pool.sound(reachable, now).collect();
+        let zones = self.zones(&sound);
+        let free: Vec<&Arc<Target>> = sound
             .iter()
-            .filter_map(|place| self.jobs.remove(place))
+            .copied()
+            .filter(|t| self.is_free(t, now))
             .collect();
-        if jobs.is_empty() {
+        if free.is_empty() {
             return None;
         }
-        let hand = self
-            .hands
-            .entry(target.name.clone())
-            .or_insert_with(Hand::new);
+        let target = self.jobs.values().find_map(|job| {
+            let need = job.ticket.submission.result_bytes;
+            let fit = free.iter().copied().filter(|t| {
+                self.room(&t.name) >= need && zones.may_go(job, &t.az, now, self.batch.call)
+            });
+            self.fastest(fit, &sound, &job.ticket.submission.az, now)
+        })?;
+        let target = Arc::clone(target);
+        let jobs = self.fill(&target, &zones, now);
+        let bytes = jobs.iter().map(|job| job.ticket.submission.result_bytes).sum();
+        let hand = self.hands.entry(target.name.clone()).or_insert_with(Hand::new);
         hand.calls += 1;
         hand.held += bytes;
         let slowness = hand.slowness.factor(now).max(1.0);
@@ -351,45 +367,69 @@
         })
     }
 
-    fn free_endpoints(&self, pool: &Pool, need: u64, now: Instant) -> Vec<Arc<Target>> {
-        let is_free = |t: &&Arc<Target>| {
-            let Some(hand) = self.hands.get(&t.name) else {
-                return true;
-            };
-            let is_full = hand.full_until.is_some_and(|until| now < until);
-            hand.calls < self.slots && !is_full && self.room(&t.name) >= need
+    /// Takes items for a call to `target`: those of its availability zone first, then others that
+    /// may go there.
+    fn fill(&mut self, target: &Target, zones: &Zones, now: Instant) -> Vec<Job> {
+        let (mut room, most) = (self.room(&target.name), self.batch.items as usize);
+        let mut taken: Vec<(u8, u64)> = Vec::new();
+        for is_near in [true, false] {
+            for (place, job) in &self.jobs {
+                let submission = &job.ticket.submission;
+                let is_meant = (submission.az == target.az) == is_near
+                    && zones.may_go(job, &target.az, now, self.batch.call);
+                if taken.len() < most && is_meant && submission.result_bytes <= room {
+                    room -= submission.result_bytes;
+                    taken.push(*place);
+                }
+            }
+        }
+        let jobs = taken.iter().filter_map(|place| self.jobs.remove(place));
+        jobs.collect()
+    }
+
+    fn is_free(&self, target: &Target, now: Instant) -> bool {
+        let Some(hand) = self.hands.get(&target.name) else {
+            return true;
         };
-        pool.sound(now).filter(is_free).cloned().collect()
+        let is_full = hand.full_until.is_some_and(|until| now < until);
+        hand.calls < self.slots && !is_full
     }
 
-    /// The free endpoint for items of `az`: the fastest of that availability zone, else of all.
-    /// One that is much slower than the others is left alone while these can do the work.
-    fn choose(
+    /// Which availability zones have endpoints, and which have more items than these can take soon.
+    fn zones(&self, sound: &[&Arc<Target>]) -> Zones {
+        let mut zones = Zones::default();
+        for target in sound {
+            *zones.lanes.entry(target.az.clone()).or_default() += self.slots as usize;
+        }
+        for job in self.jobs.values() {
+            *zones.items.entry(job.ticket.submission.az.clone()).or_default() += 1;
+        }
+        zones.batch = self.batch.items as usize;
+        zones
+    }
+
+    /// The fastest of `fit`, those of `az` first. One that is much slower than the others is left
+    /// alone while these can do the work.
+    fn fastest<'a>(
         &self,
-        free: &[Arc<Target>],
+        fit: impl Iterator<Item = &'a Arc<Target>>,
+        sound: &[&Arc<Target>],
         az: &str,
-        pool: &Pool,
         now: Instant,
-    ) -> Option<Arc<Target>> {
+    ) -> Option<&'a Arc<Target>> {
         let slowness = |t: &Target| {
             let hand = self.hands.get(&t.name);
             hand.map_or(1.0, |hand| hand.slowness.factor(now))
         };
-        let fastest = pool
-            .sound(now)
-            .map(|t| slowness(t))
-            .fold(f64::MAX, f64::min);
-        let lanes = pool.sound(now).count() * self.slots as usize;
+        let best = sound.iter().map(|t| slowness(t)).fold(f64::MAX, f64::min);
+        let lanes = sound.len() * self.slots as usize;
         let is_backed_up = self.jobs.len() > 2 * lanes * self.batch.items as usize;
-        let fit = free
-            .iter()
-            .filter(|t| is_backed_up || slowness(t) < fastest * SLOW);
+        let fit = fit.filter(|t| is_backed_up || slowness(t) < best * SLOW);
         let rank = |t: &&Arc<Target>| {
             let zone = if t.az == az { 0.0 } else { 1.0 };
-            zone + (slowness(t) / fastest).min(SLOW)
+            zone + (slowness(t) / best).min(SLOW)
         };
-        let best = fit.min_by(|a, b| rank(a).total_cmp(&rank(b)))?;
-        Some(Arc::clone(best))
+        fit.min_by(|a, b| rank(a).total_cmp(&rank(b)))
     }
 
     fn room(&self, endpoint: &str) -> u64 {
@@ -426,7 +466,7 @@
             };
             self.kept.insert(handle.clone(), kept);
             self.expiry
-                .push_back((now + self.batch.keep, handle.clone()));
+                .push_back((now + self.batch.keep + KEEP_MARGIN, handle.clone()));
         }
     }
 
--- a/crates/forward/src/messages.rs
+++ b/crates/forward/src/messages.rs
@@ -29,6 +29,9 @@
     /// Size of a result in bytes, about.
     #[serde(rename = "b")]
     pub result_bytes: u64,
+    /// Bytes that cross zones where all its items are made in another one, about.
+    #[serde(rename = "c")]
+    pub crossing_bytes: u64,
     /// Time left.
     #[serde(rename = "l")]
     pub left: Duration,
--- a/crates/forward/src/placement.rs
+++ b/crates/forward/src/placement.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     answer::Refusal,
-    fleet::{Fleet, Flight, Pool, Target},
+    fleet::{Fleet, Flight, Pool, Reachable, Target},
     inquiry::Prompt,
     pace::Line,
 };
@@ -41,10 +41,24 @@
 impl Fleet {
     /// Chooses an endpoint and counts the call there.
     pub(crate) fn place(&self, need: &Need<'_>) -> Result<Flight, Refusal> {
+        let chosen = self.choose(need)?;
+        Ok(Flight::begin(&chosen.target, &chosen.pool, chosen.unread))
+    }
+
+    /// The availability zone in which a request is likely to be placed; stages before it had better
+    /// be done there.
+    pub(crate) fn likely_zone(&self, need: &Need<'_>) -> Option<String> {
+        let chosen = self.choose(need).ok()?;
+        Some(chosen.target.az.clone())
+    }
+
+    fn choose(&self, need: &Need<'_>) -> Result<Chosen, Refusal> {
         let pool = self.pool(need.service).ok_or(Refusal::NoEndpoint)?;
         let now = Instant::now();
         let untried = |t: &&Arc<Target>| !need.avoid.contains(&t.name);
-        let ready: Vec<&Arc<Target>> = pool.targets.iter().filter(|t| t.is_ready()).collect();
+        let reachable = self.reachable();
+        let is_there = |t: &&Arc<Target>| t.is_ready() && reachable.has(&t.az);
+        let ready: Vec<&Arc<Target>> = pool.targets.iter().filter(is_there).collect();
         if ready.is_empty() {
             return Err(Refusal::NoEndpoint);
         }
@@ -61,17 +75,28 @@
         });
         let best = costed.min_by(|a, b| a.0.total_ms.total_cmp(&b.0.total_ms));
         let (cost, target) = best.ok_or(Refusal::Full)?;
-        Ok(Flight::begin(target, &pool, cost.unread))
+        Ok(Chosen {
+            target: Arc::clone(target),
+            unread: cost.unread,
+            pool: Arc::clone(&pool),
+        })
     }
 }
 
-/// The endpoint to which all gates of the availability zone send a subject first.
+/// An endpoint chosen for a request.
+struct Chosen {
+    target: Arc<Target>,
+    pool: Arc<Pool>,
+    /// Tokens of its prompt that are not kept there.
+    unread: u64,
+}
+
+/// The endpoint to which all gates send a subject first, of whatever availability zone: its parts are
+/// read once and not once in each.
 fn home<'a>(need: &Need<'_>, usable: &[&'a Arc<Target>]) -> Option<&'a str> {
     let subject = need.prompt?.subject()?;
-    let is_near = |t: &&&Arc<Target>| t.az == need.az;
-    let near = usable.iter().filter(is_near);
     let rank = |t: &&&Arc<Target>| xxh3_64_with_seed(t.name.as_bytes(), subject);
-    near.max_by_key(rank).map(|t| t.name.as_str())
+    usable.iter().max_by_key(rank).map(|t| t.name.as_str())
 }
 
 /// What a request is expected to cost at an endpoint.
@@ -122,9 +147,15 @@
 }
 
 impl Pool {
-    /// Endpoints that take new work now.
-    pub(crate) fn sound(&self, now: Instant) -> impl Iterator<Item = &Arc<Target>> {
-        let is_sound = move |t: &&Arc<Target>| t.is_ready() && !t.stats().is_out(now);
+    /// Endpoints that take new work now, of availability zones that are reachable.
+    pub(crate) fn sound<'a>(
+        &'a self,
+        reachable: &'a Reachable,
+        now: Instant,
+    ) -> impl Iterator<Item = &'a Arc<Target>> {
+        let is_sound = move |t: &&Arc<Target>| {
+            t.is_ready() && reachable.has(&t.az) && !t.stats().is_out(now)
+        };
         self.targets.iter().filter(is_sound)
     }
 }
--- a/crates/forward/src/serving.rs
+++ b/crates/forward/src/serving.rs
@@ -16,7 +16,7 @@
     placement::Need,
     response::{Passed, Response},
     rules::{Caller, Matched, draw_service, urgency},
-    stages::{Results, Stages},
+    stages::{Results, Stages, Work},
     stream,
 };
 
@@ -66,6 +66,8 @@
     pub(crate) exchange: Exchange,
     pub(crate) flight: Flight,
     pub(crate) is_good: bool,
+    /// Time until its head came.
+    pub(crate) head_after: Duration,
 }
 
 impl Request {
@@ -128,9 +130,22 @@
     if route.stages.is_empty() {
         return Ok(Vec::new());
     }
-    let stages = cx
-        .stages
-        .run(&req.inquiry, route, req.urgency, req.deadline);
+    let need = Need {
+        service: &req.service,
+        az: &cx.az,
+        prompt: req.inquiry.prompt.as_ref().filter(|_| route.affinity),
+        inputs: &[],
+        avoid: &[],
+    };
+    let az = cx.fleet.likely_zone(&need);
+    let work = Work {
+        inquiry: &req.inquiry,
+        route,
+        urgency: req.urgency,
+        deadline: req.deadline,
+        az: az.as_deref().unwrap_or(&cx.az),
+    };
+    let stages = cx.stages.run(&work);
     stages.await.map_err(|failure| match failure {
         StageFailure::Late { retry_after } => {
             Unserved::come_back(Refusal::StagesLate, retry_after.max(COME_BACK))
@@ -155,6 +170,7 @@
             exchange,
             mut flight,
             is_good,
+            ..
         } = begun;
         let (status, headers) = (exchange.status, exchange.headers.clone());
         let read = exchange.whole(&cx.pool, MAX_ANSWER_BYTES, req.deadline);
@@ -229,6 +245,7 @@
             Attempt::Begun(exchange, is_good) => {
                 return Ok(Begun {
                     exchange: *exchange,
+                    head_after: flight.elapsed(),
                     flight,
                     is_good,
                 });
--- a/crates/forward/src/stages.rs
+++ b/crates/forward/src/stages.rs
@@ -1,6 +1,6 @@
 //! The stages before a request: each begins when the results that it needs are there.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use declaration::Route;
 use futures_util::{StreamExt, stream::FuturesUnordered};
@@ -28,7 +28,18 @@
 pub(crate) struct Stages {
     pub(crate) gates: Gates,
     pub(crate) collector: Collector,
-    pub(crate) az: String,
+}
+
+/// What all stages of a request have in common.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Work<'a> {
+    pub(crate) inquiry: &'a Inquiry,
+    pub(crate) route: &'a Route,
+    /// Urgency, 0 first.
+    pub(crate) urgency: u8,
+    pub(crate) deadline: Instant,
+    /// The availability zone in which the request is likely to run.
+    pub(crate) az: &'a str,
 }
 
 /// Results of one stage; given up when dropped.
@@ -65,6 +76,22 @@
     }
 }
 
+/// Bytes that each item fetches; `None` where it needs no inputs.
+fn fetched(inputs: &[Arc<Results>]) -> Option<u64> {
+    let places = inputs.iter().flat_map(|results| results.places());
+    let bytes: Vec<u64> = places.map(|(_, bytes)| bytes).collect();
+    (!bytes.is_empty()).then(|| bytes.iter().sum())
+}
+
+/// The availability zone that holds most bytes of `inputs`.
+fn heaviest(inputs: &[Arc<Results>]) -> Option<String> {
+    let mut zones: BTreeMap<String, u64> = BTreeMap::new();
+    for (az, bytes) in inputs.iter().flat_map(|results| results.places()) {
+        *zones.entry(az).or_default() += bytes;
+    }
+    zones.into_iter().max_by_key(|(_, bytes)| *bytes).map(|(az, _)| az)
+}
+
 fn unreachable(gate: &Peer, request: &str, e: &LinkError) -> StageFailure {
     spdlog::info!("collecting gate not reached", kv: {
         request, gate = gate.name(), why = e.to_string()
@@ -100,32 +127,24 @@
 }
 
 impl Stages {
-    /// Does all stages of `route` for `inquiry`; the results of those that no other stage follows.
-    pub(crate) async fn run(
-        &self,
-        inquiry: &Inquiry,
-        route: &Route,
-        urgency: u8,
-        deadline: Instant,
-    ) -> Result<Vec<Arc<Results>>, StageFailure> {
-        let count = route.stages.len();
+    /// Does all stages; the results of those that no other stage follows.
+    pub(crate) async fn run(&self, work: &Work<'_>) -> Result<Vec<Arc<Results>>, StageFailure> {
+        let stages = &work.route.stages;
+        let count = stages.len();
         let mut done: Vec<Option<Arc<Results>>> = vec![None; count];
         let mut begun = vec![false; count];
         let mut finished = vec![false; count];
         let mut running = FuturesUnordered::new();
         loop {
             for number in 0..count {
-                let is_ready = route.stages[number].after.iter().all(|n| finished[*n]);
+                let is_ready = stages[number].after.iter().all(|n| finished[*n]);
                 if begun[number] || !is_ready {
                     continue;
                 }
                 begun[number] = true;
-                let after = route.stages[number].after.iter();
+                let after = stages[number].after.iter();
                 let inputs: Vec<Arc<Results>> = after.filter_map(|n| done[*n].clone()).collect();
-                running.push(async move {
-                    let stage = self.stage(inquiry, route, number, &inputs, urgency, deadline);
-                    (number, stage.await)
-                });
+                running.push(async move { (number, self.stage(work, number, &inputs).await) });
             }
             let Some((number, result)) = running.next().await else {
                 break;
@@ -135,58 +154,53 @@
             // Results that every stage behind them has used are given up at once.
             for n in 0..count {
                 let mut followers = (0..count)
-                    .filter(|f| route.stages[*f].after.contains(&n))
+                    .filter(|f| stages[*f].after.contains(&n))
                     .peekable();
                 if followers.peek().is_some() && followers.all(|f| finished[f]) {
                     done[n] = None;
                 }
             }
         }
-        let last = route.last_stages();
+        let last = work.route.last_stages();
         Ok(last.filter_map(|n| done[n].clone()).collect())
     }
 
     /// Does one stage; `None` where it has no items for this request.
     async fn stage(
         &self,
-        inquiry: &Inquiry,
-        route: &Route,
+        work: &Work<'_>,
         number: usize,
         inputs: &[Arc<Results>],
-        urgency: u8,
-        deadline: Instant,
     ) -> Result<Option<Results>, StageFailure> {
-        let items = inquiry.items.get(number).copied().unwrap_or(0);
+        let items = work.inquiry.items.get(number).copied().unwrap_or(0);
         if items == 0 {
             return Ok(None);
         }
-        let stage = &route.stages[number];
+        let stage = &work.route.stages[number];
         let handles = inputs.iter().flat_map(|results| results.handles());
+        let key = work.inquiry.item_key.clone();
         let mut submission = Submission {
-            request: inquiry.id.clone(),
+            request: work.inquiry.id.clone(),
             service: stage.service.clone(),
             stage: number,
             items,
-            key: inquiry.item_key.clone().filter(|_| stage.after.is_empty()),
+            key: key.filter(|_| stage.after.is_empty()),
             inputs: handles.collect(),
             result_bytes: stage.result_bytes,
+            crossing_bytes: u64::from(items) * fetched(inputs).unwrap_or(stage.result_bytes),
             left: Duration::ZERO,
-            urgency,
-            az: self.az.clone(),
+            urgency: work.urgency,
+            az: heaviest(inputs).unwrap_or_else(|| work.az.to_owned()),
         };
-        let mut failure = StageFailure::Unreachable;
         for skip in 0..MAX_COLLECTORS {
-            submission.left = deadline.saturating_duration_since(Instant::now());
-            match self.submit(&submission, skip, deadline).await {
+            submission.left = work.deadline.saturating_duration_since(Instant::now());
+            match self.submit(&submission, skip, work.deadline).await {
                 Ok(results) => return Ok(Some(results)),
-                Err(StageFailure::Unreachable) => failure = StageFailure::Unreachable,
-                Err(other) => return Err(other),
+                Err(StageFailure::Unreachable) => {}
+                Err(failure) => return Err(failure),
             }
         }
-        if failure == StageFailure::Unreachable {
-            return self.own(submission).await.map(Some);
-        }
-        Err(failure)
+        self.own(submission).await.map(Some)
     }
 
     async fn submit(
--- a/crates/forward/src/start.rs
+++ b/crates/forward/src/start.rs
@@ -25,7 +25,7 @@
     collector::{self, Collector},
     control::{Control, Told},
     dialect::Dialect,
-    fleet::Fleet,
+    fleet::{Fleet, Reachable},
     forwarder::Forwarder,
     freshness::Freshness,
     gates::Gates,
@@ -42,6 +42,8 @@
 const CONNECT: Duration = Duration::from_millis(800);
 /// Share of the retries allowed that gates take without asking each other.
 const BUDGET_SHARE: f64 = 0.5;
+/// Time between looks at which availability zones can be reached.
+const LOOK_EVERY: Duration = Duration::from_millis(200);
 /// Time between shutting the listener and the end for the last bytes to leave.
 const FLUSH: Duration = Duration::from_millis(30);
 
@@ -124,10 +126,11 @@
         told.mirror.clone(),
         told.rules.clone(),
         forwarder.cx.fleet.clone(),
-        gates,
+        gates.clone(),
         budget,
         cfg.budget,
     ));
+    tasks.spawn(keep_reachable(forwarder.cx.fleet.clone(), gates));
     tasks.spawn(forwarder.cx.pool.clone().reap());
     tasks.spawn(serve_links(links_listener, links, &forwarder, &told));
     let (pages, _) = http::serve(readiness, pages(forwarder.clone()));
@@ -180,18 +183,13 @@
         rules: told.rules.clone(),
         budget: Arc::clone(budget),
     });
-    let az = cfg.vm.availability_zone.clone();
     Context {
         dialect,
         fleet,
         pool,
-        stages: Stages {
-            gates,
-            collector,
-            az: az.clone(),
-        },
+        stages: Stages { gates, collector },
         budget: Arc::clone(budget),
-        az,
+        az: cfg.vm.availability_zone.clone(),
     }
 }
 
@@ -206,6 +204,14 @@
     }
 }
 
+/// Keeps in step which availability zones can be reached.
+async fn keep_reachable(fleet: Fleet, gates: Gates) {
+    loop {
+        sleep(LOOK_EVERY).await;
+        fleet.set_reachable(Reachable::but(gates.cut_off()));
+    }
+}
+
 /// Keeps endpoints, gates and budgets in step with what keepers told.
 async fn keep_known(
     mut mirror: watch::Receiver<Mirror>,
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -123,6 +123,7 @@
     async fn pass(&mut self, begun: &mut Begun) -> Result<(), Broken> {
         let mut events = Events::default();
         let is_plain = !begun.is_good;
+        let mut is_first = true;
         loop {
             let part = self.next(&mut begun.exchange).await?;
             let Some(part) = part else {
@@ -145,6 +146,15 @@
                 whole.extend_from_slice(&event.bytes);
             }
             if !whole.is_empty() {
+                if is_first {
+                    spdlog::debug!("first event", kv: {
+                        request = self.req.inquiry.id.as_str(),
+                        head_ms = begun.head_after.as_millis() as u64,
+                        ms = begun.flight.elapsed().as_millis() as u64,
+                        expected_ms = begun.flight.expected_ms as u64
+                    });
+                    is_first = false;
+                }
                 begun.flight.first_part(self.req.inquiry.prompt.as_ref());
                 // The endpoint has fetched them before it read the prompt.
                 self.inputs.clear();
