--- a/crates/declaration/src/lib.rs
+++ b/crates/declaration/src/lib.rs
@@ -20,7 +20,9 @@
 pub use diff::{diff, section_diff};
 pub use document::{Document, SectionId, SectionText};
 pub use inifile::{Fault, Faults};
-pub use route::{Answer, Batch, CallerLimits, Capacity, Route, RouteStage, WeightedService};
+pub use route::{
+    Answer, Batch, CallerLimits, Capacity, Repeat, Route, RouteStage, WeightedService,
+};
 pub use types::{
     AvailabilityZone, Declaration, KeyDigest, Pipeline, Priority, RoleShares, Service, ServiceKind,
     Workspace,
--- a/crates/declaration/src/read_route.rs
+++ b/crates/declaration/src/read_route.rs
@@ -5,7 +5,7 @@
 use crate::{
     Priority,
     read::Keys,
-    route::{Answer, Batch, CallerLimits, Capacity, Route},
+    route::{Answer, Batch, CallerLimits, Capacity, Repeat, Route},
 };
 
 /// The kind of section that declares a route.
@@ -30,8 +30,7 @@
         host: keys.required("host"),
         path_prefix: path_prefix(keys),
         answer: answer(keys),
-        repeatable: keys.yes_or_no("repeatable"),
-        resumable: flag(keys, "resumable"),
+        repeat: repeat(keys),
         objective: millis(keys, "objective_ms", longest.as_millis() as u64, 0),
         longest,
         pause: keys
@@ -44,6 +43,10 @@
         services: parsed(keys, "services"),
         stages: parsed(keys, "stages"),
     };
+    if route.answer == Answer::Whole && route.repeat == Repeat::FromLastEvent {
+        let what = "only a stream has events; write `never` or `anew`, or `answer = stream`";
+        keys.fault("repeat", what.to_owned());
+    }
     if route.services.iter().all(|s| s.weight == 0) {
         let what = "no service has a weight; write `SERVICE WEIGHT`, separated by commas";
         keys.fault("services", what.to_owned());
@@ -118,7 +121,8 @@
 
 fn path_prefix(keys: &mut Keys<'_>) -> String {
     let prefix = keys.required("path_prefix");
-    if !prefix.is_empty() && !(prefix.starts_with('/') && prefix.ends_with('/')) {
+    let is_bounded = prefix.starts_with('/') && prefix.ends_with('/');
+    if !prefix.is_empty() && !is_bounded {
         let what = format!("`{prefix}` is no prefix; begin and end it with a slash");
         keys.fault("path_prefix", what);
     }
@@ -137,6 +141,19 @@
     }
 }
 
+fn repeat(keys: &mut Keys<'_>) -> Repeat {
+    match keys.required("repeat").as_str() {
+        "never" | "" => Repeat::Never,
+        "anew" => Repeat::Anew,
+        "from-last-event" => Repeat::FromLastEvent,
+        other => {
+            let what = format!("`{other}` is unknown; write `never`, `anew` or `from-last-event`");
+            keys.fault("repeat", what);
+            Repeat::Never
+        }
+    }
+}
+
 fn flag(keys: &mut Keys<'_>, key: &str) -> bool {
     match keys.optional(key).as_deref() {
         None | Some("no") => false,
--- a/crates/declaration/src/route.rs
+++ b/crates/declaration/src/route.rs
@@ -20,6 +20,17 @@
     Stream,
 }
 
+/// Whether a request may run again after it may have run.
+#[token]
+pub enum Repeat {
+    /// It may not.
+    Never,
+    /// From its start.
+    Anew,
+    /// A stream may go on elsewhere after the last event that its caller has.
+    FromLastEvent,
+}
+
 /// Requests of one host below one path, and where they go.
 #[record]
 pub struct Route {
@@ -30,9 +41,7 @@
     /// How endpoints answer.
     pub answer: Answer,
     /// Whether a request may run again after it may have run.
-    pub repeatable: bool,
-    /// Whether a stream may go on elsewhere after the last event that its caller has.
-    pub resumable: bool,
+    pub repeat: Repeat,
     /// Time within which an answer, or a stream's first event, has its full worth.
     pub objective: Duration,
     /// Longest time that a caller is kept waiting.
--- a/crates/forward/src/collector.rs
+++ b/crates/forward/src/collector.rs
@@ -167,7 +167,9 @@
             if let Ok(exchange) = sent {
                 let _ = exchange.whole(&cx.pool, usize::MAX, until).await;
                 let mut line = running.line();
-                handles.iter().for_each(|handle| line.release(handle));
+                for handle in &handles {
+                    line.release(handle);
+                }
             }
         }
         running.wake.notify_one();
@@ -241,8 +243,8 @@
         cx.fleet.observe(&next.target, has_failed);
     }
     match ended {
-        Ended::NotRun => cx.fleet.full(&next.target),
-        Ended::Misplaced => cx.fleet.misplaced(&next.target),
+        Ended::NotRun => next.target.note_full(),
+        Ended::Misplaced => next.target.note_misplaced(),
         Ended::Failed | Ended::Answered(_) => {}
     }
     spdlog::debug!("batched call", kv: {
--- a/crates/forward/src/control.rs
+++ b/crates/forward/src/control.rs
@@ -50,7 +50,7 @@
     pub(crate) follower: Follower,
     pub(crate) rules: watch::Receiver<Arc<Rules>>,
     pub(crate) mirror: watch::Receiver<Mirror>,
-    pub(crate) tasks: JoinSet<()>,
+    pub(crate) _tasks: JoinSet<()>,
 }
 
 impl Control {
@@ -68,7 +68,7 @@
             follower,
             rules,
             mirror,
-            tasks,
+            _tasks: tasks,
         }
     }
 
@@ -204,8 +204,8 @@
                 .unwrap_or_else(|| Peer::start(&keeper.name, keeper.address, &self.links))
         });
         let peers: Vec<Peer> = peers.collect();
-        let names: Vec<&str> = peers.iter().map(Peer::name).collect();
-        info!("keepers", kv: { names = names.join(", ") });
+        let shown: Vec<&str> = peers.iter().map(Peer::name).collect();
+        info!("keepers", kv: { names = shown.join(", ") });
         keepers.send_replace(peers);
     }
 }
@@ -216,7 +216,7 @@
     loop {
         let current = in_force.borrow_and_update().clone();
         if let Some(f) = current.filter(|f| f.revision > 0) {
-            let next = Rules::new(f.revision, &f.declaration);
+            let next = Rules::new(&f.declaration);
             info!("declaration in force", kv: { revision = f.revision });
             rules.send_replace(Arc::new(next));
         }
--- a/crates/forward/src/events.rs
+++ b/crates/forward/src/events.rs
@@ -55,12 +55,6 @@
     pub fn has_part(&self) -> bool {
         !self.buf.is_empty()
     }
-
-    /// What is left.
-    pub fn take_rest(&mut self) -> Bytes {
-        self.seen = 0;
-        self.buf.split().freeze()
-    }
 }
 
 /// The place behind the first empty line.
@@ -100,7 +94,7 @@
                 out.push(event);
             }
         }
-        (out, events.take_rest().to_vec())
+        (out, events.buf.to_vec())
     }
 
     #[test]
--- a/crates/forward/src/fleet.rs
+++ b/crates/forward/src/fleet.rs
@@ -86,6 +86,19 @@
         self.stats.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Another endpoint has its address.
+    pub(crate) fn note_misplaced(&self) {
+        self.stats().out_until = Some(Instant::now() + MISPLACED);
+        spdlog::info!("endpoint's address was taken by another one", kv: {
+            endpoint = self.name.as_str(), service = self.service.as_str()
+        });
+    }
+
+    /// It said that it is full.
+    pub(crate) fn note_full(&self) {
+        self.stats().out_until = Some(Instant::now() + FULL);
+    }
+
     /// Whether it takes new work as far as keepers know.
     pub(crate) fn is_ready(&self) -> bool {
         self.stats().state == EndpointState::Ready
@@ -164,13 +177,19 @@
 
     /// The availability zones that can be reached.
     pub(crate) fn reachable(&self) -> Arc<Reachable> {
-        let reachable = self.reachable.read().unwrap_or_else(PoisonError::into_inner);
+        let reachable = self
+            .reachable
+            .read()
+            .unwrap_or_else(PoisonError::into_inner);
         Arc::clone(&reachable)
     }
 
     /// Takes which availability zones can be reached.
     pub(crate) fn set_reachable(&self, next: Reachable) {
-        let mut reachable = self.reachable.write().unwrap_or_else(PoisonError::into_inner);
+        let mut reachable = self
+            .reachable
+            .write()
+            .unwrap_or_else(PoisonError::into_inner);
         if **reachable != next {
             let cut: Vec<&str> = next.cut.iter().map(String::as_str).collect();
             spdlog::warn!("availability zones out of reach", kv: { zones = cut.join(", ") });
@@ -218,19 +237,6 @@
             });
         }
     }
-
-    /// Another endpoint has this one's address.
-    pub(crate) fn misplaced(&self, target: &Target) {
-        target.stats().out_until = Some(Instant::now() + MISPLACED);
-        spdlog::info!("endpoint's address was taken by another one", kv: {
-            endpoint = target.name.as_str(), service = target.service.as_str()
-        });
-    }
-
-    /// The endpoint said that it is full.
-    pub(crate) fn full(&self, target: &Target) {
-        target.stats().out_until = Some(Instant::now() + FULL);
-    }
 }
 
 /// The target of `view`: the one before where it is the same incarnation.
--- a/crates/forward/src/gates.rs
+++ b/crates/forward/src/gates.rs
@@ -58,7 +58,11 @@
 impl Known {
     /// Notes who collects the items of `service`.
     fn note(&mut self, service: &str, gate: &str) {
-        if self.chosen.get(service).is_some_and(|chosen| chosen == gate) {
+        if self
+            .chosen
+            .get(service)
+            .is_some_and(|chosen| chosen == gate)
+        {
             return;
         }
         spdlog::info!("items are collected", kv: { service, gate, of = self.gates.len() });
@@ -149,7 +153,8 @@
             *any_was |= gate.was_up;
             *any_is |= is_up;
         }
-        let is_cut = |(az, (was, is)): (String, (bool, bool))| (was && !is && az != *own).then_some(az);
+        let is_cut =
+            |(az, (was, is)): (String, (bool, bool))| (was && !is && az != *own).then_some(az);
         zones.into_iter().filter_map(is_cut).collect()
     }
 
--- a/crates/forward/src/line.rs
+++ b/crates/forward/src/line.rs
@@ -354,8 +354,14 @@
         })?;
         let target = Arc::clone(target);
         let jobs = self.fill(&target, &zones, now);
-        let bytes = jobs.iter().map(|job| job.ticket.submission.result_bytes).sum();
-        let hand = self.hands.entry(target.name.clone()).or_insert_with(Hand::new);
+        let bytes = jobs
+            .iter()
+            .map(|job| job.ticket.submission.result_bytes)
+            .sum();
+        let hand = self
+            .hands
+            .entry(target.name.clone())
+            .or_insert_with(Hand::new);
         hand.calls += 1;
         hand.held += bytes;
         let slowness = hand.slowness.factor(now).max(1.0);
@@ -402,7 +408,10 @@
             *zones.lanes.entry(target.az.clone()).or_default() += self.slots as usize;
         }
         for job in self.jobs.values() {
-            *zones.items.entry(job.ticket.submission.az.clone()).or_default() += 1;
+            *zones
+                .items
+                .entry(job.ticket.submission.az.clone())
+                .or_default() += 1;
         }
         zones.batch = self.batch.items as usize;
         zones
--- a/crates/forward/src/placement.rs
+++ b/crates/forward/src/placement.rs
@@ -152,9 +152,8 @@
         reachable: &'a Reachable,
         now: Instant,
     ) -> impl Iterator<Item = &'a Arc<Target>> {
-        let is_sound = move |t: &&Arc<Target>| {
-            t.is_ready() && reachable.has(&t.az) && !t.stats().is_out(now)
-        };
+        let is_sound =
+            move |t: &&Arc<Target>| t.is_ready() && reachable.has(&t.az) && !t.stats().is_out(now);
         self.targets.iter().filter(is_sound)
     }
 }
--- a/crates/forward/src/rules.rs
+++ b/crates/forward/src/rules.rs
@@ -9,8 +9,6 @@
 /// Routes and keys of one revision.
 #[derive(Debug, Default)]
 pub struct Rules {
-    /// The revision.
-    pub revision: u64,
     /// The declaration.
     pub declaration: Declaration,
     /// Names of routes by host, the longest prefix first.
@@ -45,8 +43,8 @@
 }
 
 impl Rules {
-    /// The rules of `declaration`, which is revision `revision`.
-    pub fn new(revision: u64, declaration: &Declaration) -> Self {
+    /// The rules of `declaration`.
+    pub fn new(declaration: &Declaration) -> Self {
         let mut hosts: HashMap<String, Vec<String>> = HashMap::new();
         for (name, route) in &declaration.routes {
             let host = route.host.to_ascii_lowercase();
@@ -62,7 +60,6 @@
             keys.map(move |key| (key.0.clone(), name.clone()))
         });
         Self {
-            revision,
             keys: keys.collect(),
             hosts,
             declaration: declaration.clone(),
@@ -149,14 +146,14 @@
     fn rules() -> Arc<Rules> {
         let document = format!(
             "[service desk]\nkind = plain\nrepeatable = no\n\
-             [route all]\nhost = a.example\npath_prefix = /\nrepeatable = yes\nservices = desk 1\n\
-             [route book]\nhost = a.example\npath_prefix = /book/\nrepeatable = no\n\
+             [route all]\nhost = a.example\npath_prefix = /\nrepeat = anew\nservices = desk 1\n\
+             [route book]\nhost = a.example\npath_prefix = /book/\nrepeat = never\n\
              services = desk 0, desk 1\n\
              [workspace tugs]\nkeys = {}\n",
             digest("secret")
         );
         let declaration = Declaration::read("test", document.as_bytes()).unwrap();
-        Arc::new(Rules::new(7, &declaration))
+        Arc::new(Rules::new(&declaration))
     }
 
     #[test]
--- a/crates/forward/src/serving.rs
+++ b/crates/forward/src/serving.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use declaration::{Answer, Route};
+use declaration::{Answer, Repeat, Route};
 use routing::RetryBudget;
 use tokio::time::{Instant, timeout_at};
 
@@ -89,10 +89,7 @@
 
     /// Whether it may run again after it may have run.
     fn is_repeatable(&self) -> bool {
-        match self.route().answer {
-            Answer::Whole => self.route().repeatable,
-            Answer::Stream => self.route().resumable,
-        }
+        self.route().repeat != Repeat::Never
     }
 
     fn left(&self) -> Duration {
@@ -114,7 +111,13 @@
                     cx.fleet.observe(&begun.flight.target, true);
                     begun = begin(cx, &req, &inputs, &mut tried, None).await?;
                 }
-                Ok(stream::pass_on(cx, &req, inputs, begun, std::mem::take(&mut tried)).await)
+                Ok(stream::pass_on(
+                    cx,
+                    &req,
+                    inputs,
+                    begun,
+                    std::mem::take(&mut tried),
+                ))
             }
         }
     };
@@ -327,8 +330,8 @@
             cx.fleet.observe(target, true);
             return Attempt::Lost(CallError::Lost("another request's answer came".to_owned()));
         }
-        Verdict::Full => cx.fleet.full(target),
-        Verdict::OtherEndpoint => cx.fleet.misplaced(target),
+        Verdict::Full => target.note_full(),
+        Verdict::OtherEndpoint => target.note_misplaced(),
         Verdict::InputsGone => {
             tried.runs -= 1;
             return Attempt::InputsGone;
--- a/crates/forward/src/stages.rs
+++ b/crates/forward/src/stages.rs
@@ -89,7 +89,10 @@
     for (az, bytes) in inputs.iter().flat_map(|results| results.places()) {
         *zones.entry(az).or_default() += bytes;
     }
-    zones.into_iter().max_by_key(|(_, bytes)| *bytes).map(|(az, _)| az)
+    zones
+        .into_iter()
+        .max_by_key(|(_, bytes)| *bytes)
+        .map(|(az, _)| az)
 }
 
 fn unreachable(gate: &Peer, request: &str, e: &LinkError) -> StageFailure {
@@ -152,12 +155,12 @@
             finished[number] = true;
             done[number] = result?.map(Arc::new);
             // Results that every stage behind them has used are given up at once.
-            for n in 0..count {
+            for (n, results) in done.iter_mut().enumerate() {
                 let mut followers = (0..count)
                     .filter(|f| stages[*f].after.contains(&n))
                     .peekable();
                 if followers.peek().is_some() && followers.all(|f| finished[f]) {
-                    done[n] = None;
+                    *results = None;
                 }
             }
         }
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -3,6 +3,8 @@
 use std::{io, sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
+use declaration::Repeat;
+use thiserror::Error;
 use tokio::{sync::mpsc, time::Instant};
 
 use crate::{
@@ -21,18 +23,21 @@
 const SILENT_PAUSES: u32 = 6;
 
 /// Why a stream ended before its end.
-#[derive(Debug)]
+#[derive(Debug, Error)]
 enum Broken {
     /// The caller has left.
+    #[error("the caller has left")]
     CallerGone,
     /// The endpoint broke off, or fell silent.
+    #[error("{0}")]
     Endpoint(CallError),
     /// Events came out of order.
+    #[error("its events came out of order")]
     Order,
 }
 
 /// Passes the answer's events on, from a task of its own.
-pub(crate) async fn pass_on(
+pub(crate) fn pass_on(
     cx: &Context,
     req: &Request,
     inputs: Vec<Arc<Results>>,
@@ -87,7 +92,7 @@
             spdlog::info!("stream broken off", kv: {
                 request = self.req.inquiry.id.as_str(),
                 endpoint = target.name.as_str(),
-                why = format!("{broken:?}"),
+                why = broken.to_string(),
                 last_event = self.last.unwrap_or(0)
             });
             let has_inputs = !self.inputs.is_empty() || self.req.route().stages.is_empty();
@@ -187,7 +192,7 @@
     async fn next(&self, exchange: &mut Exchange) -> Result<Option<Bytes>, Broken> {
         let route = self.req.route();
         let silence = route.pause.unwrap_or_default() * SILENT_PAUSES;
-        let until = match route.resumable && self.last.is_some() {
+        let until = match route.repeat == Repeat::FromLastEvent && self.last.is_some() {
             true => (Instant::now() + silence.max(MIN_SILENCE)).min(self.req.deadline),
             false => self.req.deadline,
         };
--- a/crates/host/src/reload.rs
+++ b/crates/host/src/reload.rs
@@ -1,6 +1,10 @@
 //! Settings that are read again while the process runs: at SIGHUP, or when their file changes.
 
-use std::{fs, path::PathBuf, time::{Duration, SystemTime}};
+use std::{
+    fs,
+    path::PathBuf,
+    time::{Duration, SystemTime},
+};
 
 use inifile::Faults;
 use spdlog::{error, info};
--- a/crates/keeper/src/service.rs
+++ b/crates/keeper/src/service.rs
@@ -122,6 +122,7 @@
     }
 
     /// Also answers calls about the endpoints' table, which is `table`.
+    #[must_use]
     pub fn with_table(mut self, table: Option<Table>) -> Self {
         self.table = table;
         self
--- a/crates/membership/src/state.rs
+++ b/crates/membership/src/state.rs
@@ -437,9 +437,7 @@
         let is_meant = move |entry: &&Entry| {
             let a = &entry.endpoint.announced;
             let is_reached = at < entry.origin.reach || a.state == Readiness::Leaving;
-            self.is_shared(a)
-                && is_reached
-                && entry.origin.neighbour.as_deref() != Some(neighbour)
+            self.is_shared(a) && is_reached && entry.origin.neighbour.as_deref() != Some(neighbour)
         };
         self.pushes
             .range(version + 1..)
--- a/crates/membership/tests/spread.rs
+++ b/crates/membership/tests/spread.rs
@@ -228,7 +228,10 @@
         tasks.push(gate.table.spread(peers));
     }
     // Each is told of endpoints of every availability zone.
-    for (at, az) in ["sousse-a", "monastir-a", "mahdia-a"].into_iter().enumerate() {
+    for (at, az) in ["sousse-a", "monastir-a", "mahdia-a"]
+        .into_iter()
+        .enumerate()
+    {
         for n in 0..3 {
             let mut said = announcement(&format!("e{at}{n}"), 1, 1);
             az.clone_into(&mut said.az);
@@ -245,7 +248,8 @@
     let know_departure = async {
         let is_leaving = |gate: &Gate| {
             let list = gate.table.list();
-            list.iter().any(|e| e.endpoint == "e10" && e.state == EndpointState::Leaving)
+            list.iter()
+                .any(|e| e.endpoint == "e10" && e.state == EndpointState::Leaving)
         };
         while !gates.iter().all(is_leaving) {
             sleep(Duration::from_millis(10)).await;
--- a/crates/outbound/src/handover.rs
+++ b/crates/outbound/src/handover.rs
@@ -31,6 +31,12 @@
 #[derive(Clone, Debug)]
 pub struct Handover(Arc<Mutex<State>>);
 
+impl Default for Handover {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl Handover {
     /// A record of a call whose first byte may leave at any time.
     pub fn new() -> Self {
