An endpoint without room is left out for large results only

Cause: a worker that answered 'room' was left idle for 60 ms, and asked again with the same items after it.

--- a/crates/forward/src/collector.rs
+++ b/crates/forward/src/collector.rs
@@ -297,7 +297,8 @@
                 again(cx, line, service, job.clone(), &StageFailure::Failed);
             }
             Err(batch::ItemFailure::NoRoom) => {
-                line.no_room(&next.target.name, Instant::now());
+                let bytes = job.ticket.submission.result_bytes;
+                line.no_room(&next.target.name, bytes, Instant::now());
                 line.put_back(job.clone());
             }
             Err(batch::ItemFailure::Ended(failure)) => job.ticket.fail(failure),
--- a/crates/forward/src/line.rs
+++ b/crates/forward/src/line.rs
@@ -31,8 +31,8 @@
 const HEAVY_BYTES: f64 = 2e6;
 /// Time beyond which a result that was not given up is gone for certain.
 const KEEP_MARGIN: Duration = Duration::from_millis(250);
-/// How long an endpoint that has no room is left alone.
-const NO_ROOM: Duration = Duration::from_millis(60);
+/// How long an endpoint is thought to keep more than was counted.
+const HIDDEN: Duration = Duration::from_millis(120);
 /// Time beyond a ticket's deadline for which its result is kept.
 const GRACE: Duration = Duration::from_millis(200);
 
@@ -173,7 +173,9 @@
     /// Bytes of results that it keeps, those of calls in flight included.
     held: u64,
     slowness: Slowness,
-    full_until: Option<Instant>,
+    /// Bytes that it keeps beyond this count, and until when that is believed.
+    hidden: u64,
+    hidden_until: Option<Instant>,
 }
 
 impl Hand {
@@ -182,7 +184,8 @@
             calls: 0,
             held: 0,
             slowness: Slowness::new(),
-            full_until: None,
+            hidden: 0,
+            hidden_until: None,
         }
     }
 }
@@ -335,12 +338,17 @@
     ) -> Option<NextCall> {
         self.expire(now);
         self.drop_late(now);
+        for hand in self.hands.values_mut() {
+            if hand.hidden_until.is_some_and(|until| now >= until) {
+                (hand.hidden, hand.hidden_until) = (0, None);
+            }
+        }
         let sound: Vec<&Arc<Target>> = pool.sound(reachable, now).collect();
         let zones = self.zones(&sound);
         let free: Vec<&Arc<Target>> = sound
             .iter()
             .copied()
-            .filter(|t| self.is_free(t, now))
+            .filter(|t| self.is_free(t))
             .collect();
         if free.is_empty() {
             return None;
@@ -393,12 +401,9 @@
         jobs.collect()
     }
 
-    fn is_free(&self, target: &Target, now: Instant) -> bool {
-        let Some(hand) = self.hands.get(&target.name) else {
-            return true;
-        };
-        let is_full = hand.full_until.is_some_and(|until| now < until);
-        hand.calls < self.slots && !is_full
+    fn is_free(&self, target: &Target) -> bool {
+        let calls = self.hands.get(&target.name).map_or(0, |hand| hand.calls);
+        calls < self.slots
     }
 
     /// Which availability zones have endpoints, and which have more items than these can take soon.
@@ -442,7 +447,8 @@
     }
 
     fn room(&self, endpoint: &str) -> u64 {
-        let held = self.hands.get(endpoint).map_or(0, |hand| hand.held);
+        let hand = self.hands.get(endpoint);
+        let held = hand.map_or(0, |hand| hand.held + hand.hidden);
         self.batch.room_bytes.saturating_sub(held)
     }
 
@@ -496,10 +502,12 @@
         std::mem::take(&mut self.freed)
     }
 
-    /// The endpoint has no room although some was left by this count: what else it keeps expires.
-    pub(crate) fn no_room(&mut self, endpoint: &str, now: Instant) {
+    /// The endpoint had no room for a result although some was left by this count: what else it
+    /// keeps is taken to go soon.
+    pub(crate) fn no_room(&mut self, endpoint: &str, bytes: u64, now: Instant) {
         if let Some(hand) = self.hands.get_mut(endpoint) {
-            hand.full_until = Some(now + NO_ROOM);
+            hand.hidden += bytes;
+            hand.hidden_until = Some(now + HIDDEN);
         }
     }
 
