Items wait by when they are due and how urgent they are; those that are late go last

Cause: strict urgency served old items of requests that were late already before fresh ones that could be in time.

--- a/crates/forward/src/line.rs
+++ b/crates/forward/src/line.rs
@@ -23,6 +23,8 @@
     pace::Slowness,
 };
 
+/// By how much later an item of the next urgency has its place.
+const URGENCY_STEP_MS: i64 = 600;
 /// Tries of one item.
 const MAX_TRIES: u8 = 3;
 /// An endpoint this many times slower than the fastest gets items only where many wait.
@@ -135,14 +137,19 @@
     }
 }
 
+/// Place in the line: when it is due, later the less urgent it is, in milliseconds since the line's
+/// start; then age.
+type Place = (i64, u64);
+
 /// One item that waits.
 #[derive(Clone, Debug)]
 pub(crate) struct Job {
     pub(crate) ticket: Arc<Ticket>,
     pub(crate) item: u32,
     tries: u8,
-    /// Its place in the line: urgency, then age.
-    place: (u8, u64),
+    place: Place,
+    /// When it is due, in milliseconds since the line's start.
+    due: i64,
     since: Instant,
 }
 
@@ -226,7 +233,8 @@
 pub(crate) struct Line {
     slots: u32,
     batch: Batch,
-    jobs: BTreeMap<(u8, u64), Job>,
+    start: Instant,
+    jobs: BTreeMap<Place, Job>,
     next: u64,
     hands: HashMap<String, Hand>,
     kept: HashMap<String, Kept>,
@@ -245,6 +253,7 @@
                 room_bytes: u64::MAX,
                 keep: Duration::ZERO,
             },
+            start: Instant::now(),
             jobs: BTreeMap::new(),
             next: 0,
             hands: HashMap::new(),
@@ -279,20 +288,23 @@
         if sound == 0 {
             return Err(StageFailure::NoEndpoint);
         }
-        let wait = self.wait(submission.urgency, sound);
+        let due = self.elapsed_ms(now) + submission.due_ms;
+        let place = due + i64::from(submission.urgency) * URGENCY_STEP_MS;
+        let wait = self.wait(place, sound);
         let own = self.call_time(submission.items.min(self.batch.items));
         if wait + own > submission.left {
             return Err(StageFailure::Late { retry_after: wait });
         }
         let ticket = Arc::new(Ticket::new(submission, now));
         for item in 0..ticket.submission.items {
-            let place = (ticket.submission.urgency, self.next);
+            let place = (place, self.next);
             self.next += 1;
             let job = Job {
                 ticket: Arc::clone(&ticket),
                 item,
                 tries: 0,
                 place,
+                due,
                 since: now,
             };
             self.jobs.insert(place, job);
@@ -300,9 +312,13 @@
         Ok(ticket)
     }
 
-    /// How long items of `urgency` wait for `endpoints` until those before them are done.
-    fn wait(&self, urgency: u8, endpoints: usize) -> Duration {
-        let ahead = self.jobs.range(..(urgency + 1, 0)).count();
+    fn elapsed_ms(&self, now: Instant) -> i64 {
+        now.saturating_duration_since(self.start).as_millis() as i64
+    }
+
+    /// How long items at `place` wait for `endpoints` until those before them are done.
+    fn wait(&self, place: i64, endpoints: usize) -> Duration {
+        let ahead = self.jobs.range(..(place, 0)).count();
         let busy: u32 = self.hands.values().map(|hand| hand.calls).sum();
         let lanes = endpoints as u32 * self.slots;
         if ahead == 0 && busy < lanes {
@@ -353,7 +369,8 @@
         if free.is_empty() {
             return None;
         }
-        let target = self.jobs.values().find_map(|job| {
+        let first_due = self.first_due(now);
+        let target = self.in_order(first_due).find_map(|(_, job)| {
             let need = job.ticket.submission.result_bytes;
             let fit = free.iter().copied().filter(|t| {
                 self.room(&t.name) >= need && zones.may_go(job, &t.az, now, self.batch.call)
@@ -385,9 +402,9 @@
     /// may go there.
     fn fill(&mut self, target: &Target, zones: &Zones, now: Instant) -> Vec<Job> {
         let (mut room, most) = (self.room(&target.name), self.batch.items as usize);
-        let mut taken: Vec<(u8, u64)> = Vec::new();
+        let mut taken: Vec<Place> = Vec::new();
         for is_near in [true, false] {
-            for (place, job) in &self.jobs {
+            for (place, job) in self.in_order(self.first_due(now)) {
                 let submission = &job.ticket.submission;
                 let is_meant = (submission.az == target.az) == is_near
                     && zones.may_go(job, &target.az, now, self.batch.call);
@@ -401,6 +418,19 @@
         jobs.collect()
     }
 
+    /// When an item is due that can still be made in time if it is called now.
+    fn first_due(&self, now: Instant) -> i64 {
+        self.elapsed_ms(now) + self.call_time(1).as_millis() as i64
+    }
+
+    /// Items that can still be in time, in the order of their places; then the others, which are
+    /// worth less.
+    fn in_order(&self, first_due: i64) -> impl Iterator<Item = (&Place, &Job)> {
+        let in_time = self.jobs.iter().filter(move |(_, job)| job.due >= first_due);
+        let late = self.jobs.iter().filter(move |(_, job)| job.due < first_due);
+        in_time.chain(late)
+    }
+
     fn is_free(&self, target: &Target) -> bool {
         let calls = self.hands.get(&target.name).map_or(0, |hand| hand.calls);
         calls < self.slots
@@ -532,7 +562,7 @@
     /// Fails stages that can't be done in time any more.
     fn drop_late(&mut self, now: Instant) {
         let least = self.call_time(1);
-        let late: Vec<(u8, u64)> = self
+        let late: Vec<Place> = self
             .jobs
             .iter()
             .filter(|(_, job)| job.ticket.is_over() || now + least > job.ticket.deadline)
--- a/crates/forward/src/messages.rs
+++ b/crates/forward/src/messages.rs
@@ -38,6 +38,10 @@
     /// Urgency, 0 first.
     #[serde(rename = "u")]
     pub urgency: u8,
+    /// Milliseconds left to have its results if the request is to meet its objective; negative
+    /// where it can't any more.
+    #[serde(rename = "d")]
+    pub due_ms: i64,
     /// The availability zone in which the request is.
     #[serde(rename = "z")]
     pub az: String,
--- a/crates/forward/src/placement.rs
+++ b/crates/forward/src/placement.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use tokio::time::Instant;
+use tokio::time::{Duration, Instant};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
@@ -54,6 +54,13 @@
         Some(chosen.target.az.clone())
     }
 
+    /// The time to the first part of the answer that a request is likely to need.
+    pub(crate) fn likely_time(&self, need: &Need<'_>) -> Duration {
+        let tokens = need.prompt.map_or(0.0, |prompt| f64::from(prompt.tokens));
+        let ms = self.pool(need.service).map_or(0.0, |pool| pool.line().at(tokens));
+        Duration::from_secs_f64(ms / 1e3)
+    }
+
     fn choose(&self, need: &Need<'_>) -> Result<Chosen, Refusal> {
         let pool = self.pool(need.service).ok_or(Refusal::NoEndpoint)?;
         let now = Instant::now();
--- a/crates/forward/src/serving.rs
+++ b/crates/forward/src/serving.rs
@@ -145,6 +145,8 @@
         inquiry: &req.inquiry,
         route,
         urgency: req.urgency,
+        rules: &req.matched.rules,
+        after: cx.fleet.likely_time(&need),
         deadline: req.deadline,
         az: az.as_deref().unwrap_or(&cx.az),
     };
--- a/crates/forward/src/stages.rs
+++ b/crates/forward/src/stages.rs
@@ -12,6 +12,7 @@
     gates::{Collecting, Gates},
     inquiry::Inquiry,
     messages::{Made, StageFailure, StageReply, StageRequest, Submission},
+    rules::Rules,
 };
 
 /// Bound on handing items to the gate that collects them.
@@ -37,6 +38,10 @@
     pub(crate) route: &'a Route,
     /// Urgency, 0 first.
     pub(crate) urgency: u8,
+    /// What is declared of the services.
+    pub(crate) rules: &'a Rules,
+    /// Time that the request itself is likely to take.
+    pub(crate) after: Duration,
     pub(crate) deadline: Instant,
     /// The availability zone in which the request is likely to run.
     pub(crate) az: &'a str,
@@ -129,6 +134,33 @@
     }
 }
 
+impl Work<'_> {
+    /// Milliseconds until the results of stage `number` have to be there if the request is to meet
+    /// its objective.
+    fn due_ms(&self, number: usize) -> i64 {
+        let spent = self.inquiry.received.elapsed() + self.behind(number) + self.after;
+        self.route.objective.as_millis() as i64 - spent.as_millis() as i64
+    }
+
+    /// Time that the stages behind `number` are likely to take.
+    fn behind(&self, number: usize) -> Duration {
+        let followers = (0..self.route.stages.len())
+            .filter(|n| *n > number && self.route.stages[*n].after.contains(&number));
+        let times = followers.map(|n| self.time(n) + self.behind(n));
+        times.max().unwrap_or_default()
+    }
+
+    fn time(&self, number: usize) -> Duration {
+        let items = self.inquiry.items.get(number).copied().unwrap_or(0);
+        let service = self.rules.service(&self.route.stages[number].service);
+        let batch = service.and_then(|s| s.capacity.batch.as_ref());
+        match batch {
+            Some(batch) if items > 0 => batch.call + batch.item * items.min(batch.items),
+            _ => Duration::ZERO,
+        }
+    }
+}
+
 impl Stages {
     /// Does all stages; the results of those that no other stage follows.
     pub(crate) async fn run(&self, work: &Work<'_>) -> Result<Vec<Arc<Results>>, StageFailure> {
@@ -193,6 +225,7 @@
             crossing_bytes: u64::from(items) * fetched(inputs).unwrap_or(stage.result_bytes),
             left: Duration::ZERO,
             urgency: work.urgency,
+            due_ms: work.due_ms(number),
             az: heaviest(inputs).unwrap_or_else(|| work.az.to_owned()),
         };
         for skip in 0..MAX_COLLECTORS {
