--- a/crates/forward/src/line.rs
+++ b/crates/forward/src/line.rs
@@ -47,6 +47,7 @@
     state: Mutex<TicketState>,
     done: Notify,
     is_over: AtomicBool,
+    has_begun: AtomicBool,
 }
 
 #[derive(Debug)]
@@ -70,6 +71,7 @@
             }),
             done: Notify::new(),
             is_over: AtomicBool::new(false),
+            has_begun: AtomicBool::new(false),
         }
     }
 
@@ -82,6 +84,11 @@
         self.is_over.load(Ordering::Relaxed)
     }
 
+    /// Whether any of its items was called.
+    fn has_begun(&self) -> bool {
+        self.has_begun.load(Ordering::Relaxed)
+    }
+
     /// Takes the result of `item`; false where it is not wanted.
     pub(crate) fn made(&self, item: u32, made: Made) -> bool {
         if self.is_over() {
@@ -415,7 +422,11 @@
             }
         }
         let jobs = taken.iter().filter_map(|place| self.jobs.remove(place));
-        jobs.collect()
+        let jobs: Vec<Job> = jobs.collect();
+        for job in &jobs {
+            job.ticket.has_begun.store(true, Ordering::Relaxed);
+        }
+        jobs
     }
 
     /// When an item is due that can still be made in time if it is called now.
@@ -423,12 +434,13 @@
         self.elapsed_ms(now) + self.call_time(1).as_millis() as i64
     }
 
-    /// Items that can still be in time, in the order of their places; then the others, which are
+    /// Items that can still be in time, and those of stages that have begun, whose results take up
+    /// room until the last one is made, in the order of their places; then the others, which are
     /// worth less.
     fn in_order(&self, first_due: i64) -> impl Iterator<Item = (&Place, &Job)> {
-        let in_time = self.jobs.iter().filter(move |(_, job)| job.due >= first_due);
-        let late = self.jobs.iter().filter(move |(_, job)| job.due < first_due);
-        in_time.chain(late)
+        let is_first = move |job: &Job| job.due >= first_due || job.ticket.has_begun();
+        let first = self.jobs.iter().filter(move |(_, job)| is_first(job));
+        first.chain(self.jobs.iter().filter(move |(_, job)| !is_first(job)))
     }
 
     fn is_free(&self, target: &Target) -> bool {
