--- a/crates/forward/src/line.rs
+++ b/crates/forward/src/line.rs
@@ -368,11 +368,7 @@
         }
         let sound: Vec<&Arc<Target>> = pool.sound(reachable, now).collect();
         let zones = self.zones(&sound);
-        let free: Vec<&Arc<Target>> = sound
-            .iter()
-            .copied()
-            .filter(|t| self.is_free(t))
-            .collect();
+        let free: Vec<&Arc<Target>> = sound.iter().copied().filter(|t| self.is_free(t)).collect();
         if free.is_empty() {
             return None;
         }
--- a/crates/forward/src/placement.rs
+++ b/crates/forward/src/placement.rs
@@ -57,7 +57,9 @@
     /// The time to the first part of the answer that a request is likely to need.
     pub(crate) fn likely_time(&self, need: &Need<'_>) -> Duration {
         let tokens = need.prompt.map_or(0.0, |prompt| f64::from(prompt.tokens));
-        let ms = self.pool(need.service).map_or(0.0, |pool| pool.line().at(tokens));
+        let ms = self
+            .pool(need.service)
+            .map_or(0.0, |pool| pool.line().at(tokens));
         Duration::from_secs_f64(ms / 1e3)
     }
 
--- a/crates/membership/src/mirror.rs
+++ b/crates/membership/src/mirror.rs
@@ -5,7 +5,7 @@
 use link::{Channel, LinkError, Peer};
 use tokio::{
     sync::watch,
-    time::{sleep, timeout},
+    time::{Instant, sleep, timeout},
 };
 use uuid::Uuid;
 
@@ -19,27 +19,47 @@
 /// Time for a link that is not up yet.
 const CONNECT: Duration = Duration::from_millis(400);
 
-/// The endpoints as a source told them last; what a lost source told stays.
+/// Time in which endpoints have announced themselves to a source whose table began anew.
+const ANNOUNCED: Duration = Duration::from_secs(5);
+/// Longest wait for an answer while some have not.
+const SHORT_WAIT: Duration = Duration::from_secs(1);
+
+/// The endpoints as a source told them last; what a lost source told stays, and what another one
+/// doesn't know yet stays until it has had time to hear of it.
 #[derive(Clone, Debug, Default)]
 pub struct Mirror {
     /// Endpoints by name.
     pub endpoints: BTreeMap<String, EndpointView>,
-    /// Whether a source has ever answered.
-    pub is_known: bool,
+    /// Those that the present source has not told, and until when they stay.
+    untold: BTreeMap<String, Instant>,
 }
 
 impl Mirror {
     fn take(&mut self, changes: Changes) {
         if changes.is_whole {
-            self.endpoints.clear();
+            let until = Instant::now() + ANNOUNCED;
+            let names = self.endpoints.keys().cloned();
+            self.untold = names.map(|name| (name, until)).collect();
         }
         for name in changes.departed {
             self.endpoints.remove(&name);
+            self.untold.remove(&name);
         }
         for endpoint in changes.endpoints {
+            self.untold.remove(&endpoint.endpoint);
             self.endpoints.insert(endpoint.endpoint.clone(), endpoint);
         }
-        self.is_known = true;
+    }
+
+    /// Forgets what the present source has had time to tell; whether there was any.
+    fn forget_untold(&mut self) -> bool {
+        let now = Instant::now();
+        let over = self.untold.extract_if(.., |_, until| *until <= now);
+        let over: Vec<String> = over.map(|(name, _)| name).collect();
+        for name in &over {
+            self.endpoints.remove(name);
+        }
+        !over.is_empty()
     }
 }
 
@@ -67,26 +87,86 @@
         return;
     }
     let mut position: Option<(Uuid, u64)> = None;
-    while let Ok(changes) = ask(peer, position).await {
+    loop {
+        let wait = match mirror.borrow().untold.is_empty() {
+            true => WAIT,
+            false => SHORT_WAIT,
+        };
+        let Ok(changes) = ask(peer, position, wait).await else {
+            return;
+        };
         position = Some((changes.table, changes.version));
         let is_news =
             changes.is_whole || !changes.endpoints.is_empty() || !changes.departed.is_empty();
         if is_news {
             mirror.send_modify(|mirror| mirror.take(changes));
         }
+        mirror.send_if_modified(Mirror::forget_untold);
     }
 }
 
-async fn ask(peer: &Peer, position: Option<(Uuid, u64)>) -> Result<Changes, LinkError> {
+async fn ask(
+    peer: &Peer,
+    position: Option<(Uuid, u64)>,
+    wait: Duration,
+) -> Result<Changes, LinkError> {
     let req = Request::Since {
         table: position.map(|(table, _)| table),
         version: position.map_or(0, |(_, version)| version),
-        wait: WAIT,
+        wait,
     };
-    match peer.call(Channel::Membership, &req, WAIT + GRACE).await? {
+    match peer.call(Channel::Membership, &req, wait + GRACE).await? {
         Reply::Since(changes) => Ok(changes),
         _ => Err(LinkError::Malformed(
             "no answer to a request for endpoints".to_owned(),
         )),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::time::Duration;
+
+    use tokio::time::advance;
+    use uuid::Uuid;
+
+    use super::Mirror;
+    use crate::{Changes, EndpointState, EndpointView, StageRole};
+
+    fn changes(is_whole: bool, names: &[&str]) -> Changes {
+        let view = |name: &&str| EndpointView {
+            endpoint: (*name).to_owned(),
+            service: "desk".to_owned(),
+            az: "a".to_owned(),
+            address: "http://127.0.0.1:9".to_owned(),
+            incarnation: Uuid::nil(),
+            state: EndpointState::Ready,
+            models: Vec::new(),
+            role: StageRole::Both,
+            checks_fencing: false,
+            slots: None,
+            calls: 0,
+            silent_ms: 0,
+        };
+        Changes {
+            table: Uuid::nil(),
+            version: 1,
+            is_whole,
+            endpoints: names.iter().map(view).collect(),
+            departed: Vec::new(),
+        }
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn a_table_that_began_anew_takes_nothing_away_until_it_has_heard_of_all() {
+        let mut mirror = Mirror::default();
+        mirror.take(changes(true, &["a", "b"]));
+        mirror.take(changes(true, &[]));
+        mirror.take(changes(false, &["a"]));
+        assert_eq!(mirror.endpoints.len(), 2);
+        advance(Duration::from_secs(6)).await;
+        assert!(mirror.forget_untold());
+        assert_eq!(mirror.endpoints.keys().collect::<Vec<_>>(), ["a"]);
+        assert!(!mirror.forget_untold());
+    }
+}
