--- a/crates/forward/src/collector.rs
+++ b/crates/forward/src/collector.rs
@@ -91,7 +91,12 @@
     }
 
     /// Takes the items of a stage; refuses at once what can't be done in time.
-    pub(crate) fn submit(&self, submission: Submission) -> Result<u64, StageFailure> {
+    /// With `apart` only endpoints of that availability zone are called while it has any.
+    pub(crate) fn submit(
+        &self,
+        submission: Submission,
+        apart: Option<String>,
+    ) -> Result<u64, StageFailure> {
         let now = Instant::now();
         let rules = self.shared.cx.rules.borrow().clone();
         let service = submission.service.clone();
@@ -105,7 +110,7 @@
         let running = self.running(&service);
         let ticket = {
             let mut line = running.line();
-            line.declare(&capacity);
+            line.declare(&capacity, apart);
             line.take(submission, &pool, &self.shared.cx.fleet.reachable(), now)?
         };
         let id = ticket.id;
--- a/crates/forward/src/gates.rs
+++ b/crates/forward/src/gates.rs
@@ -7,13 +7,15 @@
 };
 
 use link::{LinkConfig, Peer};
-use membership::{EndpointState, Mirror};
+use membership::{EndpointState, EndpointView, Mirror};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::fleet::GATES;
 
 /// Up to so many gates, items of all availability zones are collected together.
 const MAX_TOGETHER: usize = 16;
+/// Gates in the order of a service to which links are kept, beside those that are asked for.
+const STANDBY: usize = 1;
 
 /// Who collects a service's items.
 #[derive(Clone, Debug)]
@@ -29,12 +31,30 @@
 struct Gate {
     name: String,
     az: String,
+    /// Where its link listens; `None` for this gate.
+    address: Option<SocketAddr>,
+    /// The link, once there was need of one.
     peer: Option<Peer>,
     /// Whether its link has ever been up.
     was_up: bool,
 }
 
-/// The gates that collect together with this one; clones share them.
+impl Gate {
+    fn is_reachable(&self) -> bool {
+        match &self.peer {
+            Some(peer) => peer.is_connected(),
+            None => self.address.is_none(),
+        }
+    }
+
+    fn dial(&mut self, links: &LinkConfig) {
+        if let (None, Some(address)) = (&self.peer, self.address) {
+            self.peer = Some(Peer::start(&self.name, address, links));
+        }
+    }
+}
+
+/// The gates; clones share them.
 #[derive(Clone, Debug)]
 pub(crate) struct Gates {
     shared: Arc<Shared>,
@@ -49,39 +69,32 @@
 #[derive(Debug, Default)]
 struct Known {
     gates: Vec<Gate>,
-    /// All gates, of other availability zones too.
-    count: usize,
-    /// Who collects, by service, as it was last.
-    chosen: HashMap<String, String>,
+    /// Who collects, by service and availability zone, as it was last.
+    chosen: HashMap<(String, String), String>,
 }
 
 impl Known {
-    /// Notes who collects the items of `service`.
-    fn note(&mut self, service: &str, gate: &str) {
-        if self
-            .chosen
-            .get(service)
-            .is_some_and(|chosen| chosen == gate)
-        {
+    fn is_together(&self) -> bool {
+        self.gates.len() <= MAX_TOGETHER
+    }
+
+    /// Notes who collects the items of `service` in `az`.
+    fn note(&mut self, service: &str, az: &str, gate: &str) {
+        let key = (service.to_owned(), az.to_owned());
+        if self.chosen.get(&key).is_some_and(|chosen| chosen == gate) {
             return;
         }
-        spdlog::info!("items are collected", kv: { service, gate, of = self.gates.len() });
-        self.chosen.insert(service.to_owned(), gate.to_owned());
+        let of = self.gates.len();
+        spdlog::info!("items are collected", kv: { service, az, gate, of });
+        self.chosen.insert(key, gate.to_owned());
     }
 }
 
 impl Gates {
     /// This gate alone.
     pub(crate) fn new(links: LinkConfig) -> Self {
-        let own = Gate {
-            name: links.identity.vm.clone(),
-            az: links.identity.az.clone(),
-            peer: None,
-            was_up: true,
-        };
         let known = Known {
-            gates: vec![own],
-            count: 1,
+            gates: vec![own(&links)],
             chosen: HashMap::new(),
         };
         Self {
@@ -99,46 +112,42 @@
 
     /// How many gates there are, this one among them.
     pub(crate) fn count(&self) -> usize {
-        self.known().count.max(1)
+        self.known().gates.len()
+    }
+
+    /// Whether each availability zone collects its own items, since there are many gates.
+    pub(crate) fn is_apart(&self) -> bool {
+        !self.known().is_together()
     }
 
     /// Takes what keepers told; links to gates that stay are kept.
     pub(crate) fn update(&self, mirror: &Mirror) {
-        let own = &self.shared.links.identity;
-        let all = mirror.endpoints.values();
-        let ready: Vec<_> = all
-            .filter(|v| v.service == GATES && v.state == EndpointState::Ready)
-            .collect();
-        let is_together = ready.len() <= MAX_TOGETHER;
-        let chosen = ready.iter().filter(|v| is_together || v.az == own.az);
+        let links = &self.shared.links;
+        let is_ready = |v: &&EndpointView| v.service == GATES && v.state == EndpointState::Ready;
+        let ready = mirror.endpoints.values().filter(is_ready);
+        let others = ready.filter(|v| v.endpoint != links.identity.vm);
         let mut known = self.known();
-        let mut before: HashMap<(String, SocketAddr), (Peer, bool)> = known
-            .gates
-            .drain(..)
-            .filter_map(|gate| Some((gate.peer?, gate.was_up)))
-            .map(|(peer, was_up)| ((peer.name().to_owned(), peer.address()), (peer, was_up)))
-            .collect();
-        let others = chosen.filter(|v| v.endpoint != own.vm).filter_map(|v| {
+        let before = std::mem::take(&mut known.gates);
+        let known_as = |name: &str, address: SocketAddr| {
+            let is_same = |gate: &&Gate| gate.name == name && gate.address == Some(address);
+            before.iter().find(is_same).cloned()
+        };
+        let gates = others.filter_map(|v| {
             let address = v.address.strip_prefix("http://")?.parse().ok()?;
-            let key = (v.endpoint.clone(), address);
-            let started = || (Peer::start(&v.endpoint, address, &self.shared.links), false);
-            let (peer, was_up) = before.remove(&key).unwrap_or_else(started);
-            Some(Gate {
+            let new = || Gate {
                 name: v.endpoint.clone(),
                 az: v.az.clone(),
-                peer: Some(peer),
-                was_up,
-            })
-        });
-        let gates: Vec<Gate> = others.collect();
-        known.count = ready.len().max(1);
-        known.gates = gates;
-        known.gates.push(Gate {
-            name: own.vm.clone(),
-            az: own.az.clone(),
-            peer: None,
-            was_up: true,
+                address: Some(address),
+                peer: None,
+                was_up: false,
+            };
+            Some(known_as(&v.endpoint, address).unwrap_or_else(new))
         });
+        known.gates = gates.collect();
+        known.gates.push(own(links));
+        if known.is_together() {
+            known.gates.iter_mut().for_each(|gate| gate.dial(links));
+        }
     }
 
     /// The availability zones whose gates were linked and aren't any more, none of them.
@@ -146,33 +155,123 @@
         let own = &self.shared.links.identity.az;
         let mut known = self.known();
         let mut zones: BTreeMap<String, (bool, bool)> = BTreeMap::new();
-        for gate in &mut known.gates {
-            let is_up = gate.peer.as_ref().is_none_or(Peer::is_connected);
+        for gate in known.gates.iter_mut().filter(|gate| gate.peer.is_some()) {
+            let is_up = gate.is_reachable();
             gate.was_up |= is_up;
             let (any_was, any_is) = zones.entry(gate.az.clone()).or_default();
             *any_was |= gate.was_up;
             *any_is |= is_up;
         }
-        let is_cut =
-            |(az, (was, is)): (String, (bool, bool))| (was && !is && az != *own).then_some(az);
-        zones.into_iter().filter_map(is_cut).collect()
+        let cut = zones
+            .into_iter()
+            .filter(|(az, (was, is))| *was && !is && az != own);
+        cut.map(|(az, _)| az).collect()
     }
 
-    /// Who collects the items of `service`: the first in an order that all gates share, as far as
-    /// it can be reached. `skip` of those that can are left out.
-    pub(crate) fn collecting(&self, service: &str, skip: usize) -> Collecting {
+    /// Who collects the items of `service` in `az`: the first in an order that all gates share, as
+    /// far as it can be reached. `skip` of those that can are left out.
+    pub(crate) fn collecting(&self, service: &str, az: &str, skip: usize) -> Collecting {
         let mut known = self.known();
-        let rank = |gate: &&Gate| xxh3_64(format!("{service}/{}", gate.name).as_bytes());
-        let is_reachable = |gate: &&Gate| gate.peer.as_ref().is_none_or(Peer::is_connected);
-        let mut reachable: Vec<&Gate> = known.gates.iter().filter(is_reachable).collect();
-        reachable.sort_by_cached_key(rank);
-        let Some(chosen) = reachable.get(skip) else {
+        let is_together = known.is_together();
+        let rank = |gate: &Gate| xxh3_64(format!("{service}/{}", gate.name).as_bytes());
+        let mut order: Vec<(u64, usize)> = known
+            .gates
+            .iter()
+            .enumerate()
+            .filter(|(_, gate)| is_together || gate.az == az)
+            .map(|(at, gate)| (rank(gate), at))
+            .collect();
+        order.sort_unstable();
+        for (_, at) in order.iter().take(skip + 1 + STANDBY) {
+            known.gates[*at].dial(&self.shared.links);
+        }
+        let gates = &known.gates;
+        let reachable = order.iter().map(|(_, at)| &gates[*at]);
+        let Some(chosen) = reachable.filter(|gate| gate.is_reachable()).nth(skip) else {
             return Collecting::Own;
         };
         let (name, peer) = (chosen.name.clone(), chosen.peer.clone());
         if skip == 0 {
-            known.note(service, &name);
+            known.note(service, if is_together { "all" } else { az }, &name);
         }
         peer.map_or(Collecting::Own, Collecting::Other)
     }
 }
+
+fn own(links: &LinkConfig) -> Gate {
+    Gate {
+        name: links.identity.vm.clone(),
+        az: links.identity.az.clone(),
+        address: None,
+        peer: None,
+        was_up: true,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use link::{Identity, LinkConfig, Role};
+    use membership::{EndpointState, EndpointView, Mirror, StageRole};
+    use uuid::Uuid;
+
+    use super::{Collecting, Gates};
+    use crate::fleet::GATES;
+
+    fn links(vm: &str) -> LinkConfig {
+        LinkConfig::new(Identity {
+            vm: vm.to_owned(),
+            az: "a".to_owned(),
+            role: Role::Gate,
+            incarnation: Uuid::nil(),
+        })
+    }
+
+    fn mirror(count: usize) -> Mirror {
+        let mut mirror = Mirror::default();
+        for n in 0..count {
+            let view = EndpointView {
+                endpoint: format!("g{n}"),
+                service: GATES.to_owned(),
+                az: ["a", "b", "c"][n % 3].to_owned(),
+                address: "http://127.0.0.1:9".to_owned(),
+                incarnation: Uuid::nil(),
+                state: EndpointState::Ready,
+                models: Vec::new(),
+                role: StageRole::Both,
+                checks_fencing: false,
+                slots: None,
+                calls: 0,
+                silent_ms: 0,
+            };
+            mirror.endpoints.insert(view.endpoint.clone(), view);
+        }
+        mirror
+    }
+
+    #[tokio::test]
+    async fn a_gate_that_reaches_no_other_collects_itself() {
+        let gates = Gates::new(links("g0"));
+        gates.update(&mirror(3));
+        assert_eq!(gates.count(), 3);
+        assert!(matches!(gates.collecting("ice", "a", 0), Collecting::Own));
+        // None was linked, so none is cut off.
+        assert!(gates.cut_off().is_empty());
+    }
+
+    #[tokio::test]
+    async fn many_gates_are_linked_by_need_only() {
+        let gates = Gates::new(links("g0"));
+        gates.update(&mirror(60));
+        assert!(gates.is_apart());
+        for az in ["a", "b", "c"] {
+            gates.collecting("ice", az, 0);
+        }
+        let linked = gates
+            .known()
+            .gates
+            .iter()
+            .filter(|g| g.peer.is_some())
+            .count();
+        assert!(linked <= 6, "{linked}");
+    }
+}
--- a/crates/forward/src/line.rs
+++ b/crates/forward/src/line.rs
@@ -238,6 +238,7 @@
 /// The line of one service.
 #[derive(Debug)]
 pub(crate) struct Line {
+    apart: Option<String>,
     slots: u32,
     batch: Batch,
     start: Instant,
@@ -252,6 +253,7 @@
 impl Line {
     pub(crate) fn new() -> Self {
         Self {
+            apart: None,
             slots: 1,
             batch: Batch {
                 items: 1,
@@ -270,8 +272,10 @@
         }
     }
 
-    /// Takes what is declared of one endpoint.
-    pub(crate) fn declare(&mut self, capacity: &Capacity) {
+    /// Takes what is declared of one endpoint, and the availability zone to whose endpoints the line
+    /// keeps, if it does.
+    pub(crate) fn declare(&mut self, capacity: &Capacity, apart: Option<String>) {
+        self.apart = apart;
         self.slots = capacity.slots.unwrap_or(1);
         if let Some(batch) = &capacity.batch {
             self.batch = batch.clone();
@@ -291,7 +295,7 @@
         reachable: &Reachable,
         now: Instant,
     ) -> Result<Arc<Ticket>, StageFailure> {
-        let sound = pool.sound(reachable, now).count();
+        let sound = self.sound(pool, reachable, now).len();
         if sound == 0 {
             return Err(StageFailure::NoEndpoint);
         }
@@ -366,7 +370,7 @@
                 (hand.hidden, hand.hidden_until) = (0, None);
             }
         }
-        let sound: Vec<&Arc<Target>> = pool.sound(reachable, now).collect();
+        let sound = self.sound(pool, reachable, now);
         let zones = self.zones(&sound);
         let free: Vec<&Arc<Target>> = sound.iter().copied().filter(|t| self.is_free(t)).collect();
         if free.is_empty() {
@@ -425,6 +429,19 @@
         jobs
     }
 
+    /// Endpoints that the line may call now.
+    fn sound<'a>(
+        &self,
+        pool: &'a Pool,
+        reachable: &'a Reachable,
+        now: Instant,
+    ) -> Vec<&'a Arc<Target>> {
+        let all: Vec<&Arc<Target>> = pool.sound(reachable, now).collect();
+        let is_near = |t: &&Arc<Target>| self.apart.as_ref().is_none_or(|az| t.az == *az);
+        let near: Vec<&Arc<Target>> = all.iter().copied().filter(is_near).collect();
+        if near.is_empty() { all } else { near }
+    }
+
     /// When an item is due that can still be made in time if it is called now.
     fn first_due(&self, now: Instant) -> i64 {
         self.elapsed_ms(now) + self.call_time(1).as_millis() as i64
--- a/crates/forward/src/stages.rs
+++ b/crates/forward/src/stages.rs
@@ -245,7 +245,10 @@
         skip: usize,
         deadline: Instant,
     ) -> Result<Results, StageFailure> {
-        let peer = match self.gates.collecting(&submission.service, skip) {
+        let peer = match self
+            .gates
+            .collecting(&submission.service, &submission.az, skip)
+        {
             Collecting::Own => return self.own(submission.clone()).await,
             Collecting::Other(peer) => peer,
         };
@@ -273,10 +276,18 @@
         }
     }
 
+    /// Puts items into this gate's line: that of their availability zone where each collects its
+    /// own, else that of all.
+    fn collect(&self, submission: Submission) -> Result<u64, StageFailure> {
+        let az = submission.az.clone();
+        let apart = self.gates.is_apart().then_some(az);
+        self.collector.submit(submission, apart)
+    }
+
     /// Collects the items at this gate.
     async fn own(&self, submission: Submission) -> Result<Results, StageFailure> {
         let until = Instant::now() + submission.left + AWAIT_GRACE;
-        let ticket = self.collector.submit(submission.clone())?;
+        let ticket = self.collect(submission.clone())?;
         let mut pending = Pending {
             ticket: Some(ticket),
             collector: self.collector.clone(),
@@ -301,7 +312,7 @@
     /// Answers another gate.
     pub(crate) async fn answer(&self, body: &[u8]) -> Vec<u8> {
         let reply = match link::decode::<StageRequest>(body) {
-            Ok(StageRequest::Submit(submission)) => match self.collector.submit(submission) {
+            Ok(StageRequest::Submit(submission)) => match self.collect(submission) {
                 Ok(ticket) => StageReply::Accepted(ticket),
                 Err(failure) => StageReply::Refused(failure),
             },
