A keeper whose disk was lost joins again; a leader replaces a voter that was gone before its time

Causes, found by tests with three real cores: (1) the leader goes on sending to the old name at the same address, so the new member heard a leader and never asked to join; (2) a voter that never answered this leader had no silence to measure. Both left the group without its tolerance for good.

--- a/crates/keeper/src/group.rs
+++ b/crates/keeper/src/group.rs
@@ -30,8 +30,8 @@
 const ASIDE: &str = "member.new";
 /// Time between looks at the group.
 const LOOK_EVERY: Duration = Duration::from_millis(250);
-/// A keeper that hears no leader for so long asks to join.
-const JOIN_AFTER: Duration = Duration::from_millis(1_500);
+/// A keeper that hears no leader as a member for so long asks to join.
+const JOIN_AFTER: Duration = Duration::from_millis(1_000);
 const ASK_LIMIT: Duration = Duration::from_millis(800);
 /// Entries that a learner may lack and still be made a voter.
 const READY_LAG: u64 = 64;
@@ -115,14 +115,19 @@
     link: SocketAddr,
 ) {
     let mut led = Instant::now();
+    let mut leads_since = Instant::now();
     loop {
         sleep(LOOK_EVERY).await;
         let status = replica.status();
-        if status.leader.is_some() {
+        // Where a member's folder was lost, the leader still sends to its old name at this address.
+        if status.leader.is_some() && is_member(&status) {
             led = Instant::now();
         }
+        if status.role != Role::Leader {
+            leads_since = Instant::now();
+        }
         match status.role {
-            Role::Leader => mend(&cfg, &replica, &status).await,
+            Role::Leader => mend(&cfg, &replica, &status, leads_since.elapsed()).await,
             _ if led.elapsed() >= JOIN_AFTER => {
                 join(&cfg, &service, &links, &status.name, link).await;
                 led = Instant::now();
@@ -132,6 +137,12 @@
     }
 }
 
+/// Whether the group knows this keeper under the name that it has.
+fn is_member(status: &Status) -> bool {
+    let mut members = status.voters.iter().chain(&status.learners);
+    members.any(|name| *name == status.name)
+}
+
 /// Asks every keeper known to take this one in as a learner; only the leader does.
 async fn join(
     cfg: &GroupConfig,
@@ -170,8 +181,8 @@
 }
 
 /// The one change that the group needs most, if any.
-async fn mend(cfg: &GroupConfig, replica: &Replica, status: &Status) {
-    let Some(change) = next_change(cfg, status) else {
+async fn mend(cfg: &GroupConfig, replica: &Replica, status: &Status, leads_for: Duration) {
+    let Some(change) = next_change(cfg, status, leads_for) else {
         return;
     };
     let mut result = replica.change_members(change.clone()).await;
@@ -189,12 +200,22 @@
     }
 }
 
-/// What the leader does next: a learner takes the place of a voter that is gone or missing, then
+/// What the leader of `leads_for` does next: a learner takes the place of a voter that is gone or missing, then
 /// the voter that is gone goes, then learners that are gone.
-pub(crate) fn next_change(cfg: &GroupConfig, status: &Status) -> Option<MemberChange> {
+pub(crate) fn next_change(
+    cfg: &GroupConfig,
+    status: &Status,
+    leads_for: Duration,
+) -> Option<MemberChange> {
     let peer = |name: &String| status.peers.iter().find(|p| p.name == *name);
+    // One that was gone before this leader's time has never answered it.
+    let silence = |name: &String| {
+        let answered = peer(name).and_then(|p| p.silent_for);
+        answered.unwrap_or(leads_for)
+    };
     let is_gone = |name: &&String| {
-        **name != status.name && peer(name).is_some_and(|p| is_lost(p, cfg.replace_after))
+        let is_renewed = peer(name).is_some_and(is_renewed);
+        **name != status.name && (is_renewed || silence(name) >= cfg.replace_after)
     };
     let gone = status.voters.iter().find(is_gone);
     let standby = status
@@ -211,10 +232,7 @@
             name: standby.clone(),
         }),
         _ => {
-            let is_forgotten = |name: &&String| {
-                let silent = peer(name).and_then(|p| p.silent_for);
-                silent.is_some_and(|silent| silent >= cfg.forget_after)
-            };
+            let is_forgotten = |name: &&String| silence(name) >= cfg.forget_after;
             let forgotten = status.learners.iter().find(is_forgotten)?;
             Some(MemberChange::Remove {
                 name: forgotten.clone(),
@@ -223,12 +241,9 @@
     }
 }
 
-/// Whether a voter is gone: silent for long, or answering with another folder than it had.
-fn is_lost(peer: &PeerStatus, replace_after: Duration) -> bool {
-    match peer.silent_for {
-        Some(silent) => silent >= replace_after || !peer.is_known && silent < HEARD_WITHIN,
-        None => false,
-    }
+/// Whether a voter answers with another folder than it had.
+fn is_renewed(peer: &PeerStatus) -> bool {
+    !peer.is_known && peer.silent_for.is_some_and(|silent| silent < HEARD_WITHIN)
 }
 
 fn is_ready(peer: &PeerStatus) -> bool {
@@ -290,10 +305,10 @@
         let peers = vec![peer("b", fresh), peer("c", 3 * SECOND), peer("d", fresh)];
         let before = status(&["a", "b", "c"], &["d"], peers.clone());
         let promote = MemberChange::Promote { name: "d".into() };
-        assert_eq!(next_change(&cfg(), &before), Some(promote));
+        assert_eq!(next_change(&cfg(), &before, SECOND), Some(promote));
         let between = status(&["a", "b", "c", "d"], &[], peers);
         let remove = MemberChange::Remove { name: "c".into() };
-        assert_eq!(next_change(&cfg(), &between), Some(remove));
+        assert_eq!(next_change(&cfg(), &between, SECOND), Some(remove));
     }
 
     #[test]
@@ -304,10 +319,25 @@
             &[],
             vec![peer("b", fresh), peer("c", 60 * SECOND)],
         );
-        assert_eq!(next_change(&cfg(), &gone), None);
+        assert_eq!(next_change(&cfg(), &gone, SECOND), None);
         let peers = vec![peer("b", fresh), peer("c", SECOND), peer("d", fresh)];
         let short = status(&["a", "b", "c"], &["d"], peers);
-        assert_eq!(next_change(&cfg(), &short), None);
+        assert_eq!(next_change(&cfg(), &short, SECOND), None);
+    }
+
+    #[test]
+    fn a_voter_that_was_gone_before_the_leader_led_is_replaced_too() {
+        let fresh = Duration::from_millis(100);
+        let mut never = peer("c", fresh);
+        never.silent_for = None;
+        let status = status(
+            &["a", "b", "c"],
+            &["d"],
+            vec![peer("b", fresh), never, peer("d", fresh)],
+        );
+        assert_eq!(next_change(&cfg(), &status, SECOND), None);
+        let promote = MemberChange::Promote { name: "d".into() };
+        assert_eq!(next_change(&cfg(), &status, 2 * SECOND), Some(promote));
     }
 
     #[test]
@@ -318,7 +348,7 @@
         let peers = vec![peer("b", fresh), wiped, peer("c~1", fresh)];
         let status = status(&["a", "b", "c"], &["c~1"], peers);
         let promote = MemberChange::Promote { name: "c~1".into() };
-        assert_eq!(next_change(&cfg(), &status), Some(promote));
+        assert_eq!(next_change(&cfg(), &status, SECOND), Some(promote));
     }
 
     #[test]
