--- a/crates/console/src/fields.rs
+++ b/crates/console/src/fields.rs
@@ -32,7 +32,14 @@
 }
 
 /// The kinds of section in the order in which the console lists them.
-pub(crate) const KINDS: [&str; 4] = ["availability-zone", "service", "pipeline", "workspace"];
+pub(crate) const KINDS: [&str; 6] = [
+    "availability-zone",
+    "service",
+    "pipeline",
+    "workspace",
+    "route",
+    "limits",
+];
 
 const AVAILABILITY_ZONE: &[Field] = &[field(
     "region",
@@ -46,7 +53,15 @@
         "kind",
         "Kind",
         "what its endpoints are",
-        Input::Choice(&["engine", "encoder", "retriever", "reranker", "plain"]),
+        Input::Choice(&[
+            "engine",
+            "encoder",
+            "retriever",
+            "reranker",
+            "plain",
+            "hosted-engine",
+            "batch-pool",
+        ]),
     ),
     field(
         "repeatable",
@@ -97,6 +112,68 @@
         "engines only; memory for models at each endpoint",
         Input::Number,
     ),
+    field(
+        "health_path",
+        "Health path",
+        "of an endpoint's health check",
+        Input::Text,
+    ),
+    field(
+        "connections",
+        "Connections",
+        "most at one endpoint, of all callers",
+        Input::Number,
+    ),
+    field("slots", "Slots", "calls that one endpoint runs", Input::Number),
+    field("queue", "Queue", "calls that may wait there", Input::Number),
+    field(
+        "link_mbps",
+        "Link (Mbit/s)",
+        "of one endpoint",
+        Input::Number,
+    ),
+    field(
+        "memory_tokens",
+        "Memory (tokens)",
+        "hosted engines only",
+        Input::Number,
+    ),
+    field(
+        "event_tokens",
+        "Tokens an event",
+        "hosted engines only",
+        Input::Number,
+    ),
+    field(
+        "batch_items",
+        "Items a call",
+        "batch pools only",
+        Input::Number,
+    ),
+    field(
+        "batch_call_ms",
+        "Call (ms)",
+        "batch pools only; beside its items",
+        Input::Number,
+    ),
+    field(
+        "batch_item_us",
+        "Item (µs)",
+        "batch pools only",
+        Input::Number,
+    ),
+    field(
+        "room_bytes",
+        "Room (bytes)",
+        "batch pools only; for results at one endpoint",
+        Input::Number,
+    ),
+    field(
+        "keep_ms",
+        "Kept (ms)",
+        "batch pools only; how long a result stays",
+        Input::Number,
+    ),
 ];
 
 const PIPELINE: &[Field] = &[
@@ -139,6 +216,110 @@
         "requests at one gate",
         Input::Number,
     ),
+    field(
+        "keys",
+        "Access keys",
+        "SHA-256 of each, separated by commas; for routes",
+        Input::Text,
+    ),
+];
+
+const ROUTE: &[Field] = &[
+    field("host", "Host", "that callers name", Input::Text),
+    field(
+        "path_prefix",
+        "Path prefix",
+        "begins and ends with a slash; the longest is taken",
+        Input::Text,
+    ),
+    field(
+        "answer",
+        "Answer",
+        "whole, or a stream of events",
+        Input::Choice(&["", "whole", "stream"]),
+    ),
+    field(
+        "repeat",
+        "Repeat",
+        "whether a request may run again after it may have run",
+        Input::Choice(&["never", "anew", "from-last-event"]),
+    ),
+    field(
+        "services",
+        "Services",
+        "SERVICE WEIGHT, separated by commas",
+        Input::Text,
+    ),
+    field(
+        "stages",
+        "Stages",
+        "SERVICE BYTES after 0+1, separated by commas",
+        Input::Text,
+    ),
+    field(
+        "attempts",
+        "Attempts",
+        "endpoints that may have a request",
+        Input::Number,
+    ),
+    field(
+        "priority",
+        "Priority",
+        "0 (shed first) to 9 (shed last)",
+        Input::Number,
+    ),
+    field(
+        "objective_ms",
+        "Objective (ms)",
+        "for the answer or its first event",
+        Input::Number,
+    ),
+    field(
+        "longest_ms",
+        "Longest wait (ms)",
+        "of a caller",
+        Input::Number,
+    ),
+    field(
+        "pause_ms",
+        "Longest pause (ms)",
+        "between events",
+        Input::Number,
+    ),
+    field(
+        "public",
+        "Public",
+        "needs no access key",
+        Input::Choice(&["", "yes", "no"]),
+    ),
+    field(
+        "affinity",
+        "Affinity",
+        "prompts share prefixes that endpoints keep",
+        Input::Choice(&["", "yes", "no"]),
+    ),
+];
+
+const LIMITS: &[Field] = &[
+    field(
+        "head_bytes",
+        "Head (bytes)",
+        "of a request",
+        Input::Number,
+    ),
+    field(
+        "body_bytes",
+        "Body (bytes)",
+        "of a request",
+        Input::Number,
+    ),
+    field("head_ms", "Head (ms)", "for a whole head", Input::Number),
+    field(
+        "idle_ms",
+        "Idle (ms)",
+        "for which a connection is kept",
+        Input::Number,
+    ),
 ];
 
 /// The fields of a kind of section; none for an unknown kind.
@@ -148,6 +329,8 @@
         "service" => SERVICE,
         "pipeline" => PIPELINE,
         "workspace" => WORKSPACE,
+        "route" => ROUTE,
+        "limits" => LIMITS,
         _ => &[],
     }
 }
