--- a/crates/forward/src/gates.rs
+++ b/crates/forward/src/gates.rs
@@ -4,6 +4,7 @@
     collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
 };
 
 use link::{LinkConfig, Peer};
@@ -14,6 +15,8 @@
 
 /// Up to so many gates, items of all availability zones are collected together.
 const MAX_TOGETHER: usize = 16;
+/// A link to a gate without a frame for this long is dropped; it tells of a cut zone.
+const SILENCE: Duration = Duration::from_millis(1_200);
 /// Gates in the order of a service to which links are kept, beside those that are asked for.
 const STANDBY: usize = 1;
 
@@ -93,6 +96,10 @@
 impl Gates {
     /// This gate alone.
     pub(crate) fn new(links: LinkConfig) -> Self {
+        let links = LinkConfig {
+            silence: SILENCE,
+            ..links
+        };
         let known = Known {
             gates: vec![own(&links)],
             chosen: HashMap::new(),
--- a/crates/forward/src/serving.rs
+++ b/crates/forward/src/serving.rs
@@ -92,6 +92,15 @@
         self.route().repeat != Repeat::Never
     }
 
+    /// Until when the head of this try's answer is waited for: another try needs time as well.
+    fn patience(&self, tried: &Tried) -> Instant {
+        let is_last = tried.runs >= self.route().attempts;
+        match self.route().answer {
+            Answer::Whole if self.is_repeatable() && !is_last => Instant::now() + self.left() / 2,
+            Answer::Whole | Answer::Stream => self.deadline,
+        }
+    }
+
     fn left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
@@ -301,7 +310,7 @@
     let message = (cx.dialect.write)(&req.inquiry, &details);
     tried.endpoints.push(target.name.clone());
     tried.runs += 1;
-    let sent = call::send(&cx.pool, target.address, message, req.deadline).await;
+    let sent = call::send(&cx.pool, target.address, message, req.patience(tried)).await;
     let exchange = match sent {
         Ok(exchange) => exchange,
         Err(e) => {
--- a/crates/forward/src/start.rs
+++ b/crates/forward/src/start.rs
@@ -39,7 +39,7 @@
 /// Idle connections kept to one endpoint.
 const IDLE_PER_ENDPOINT: usize = 32;
 const IDLE: Duration = Duration::from_secs(4);
-const CONNECT: Duration = Duration::from_millis(800);
+const CONNECT: Duration = Duration::from_millis(400);
 /// Share of the retries allowed that gates take without asking each other.
 const BUDGET_SHARE: f64 = 0.5;
 /// Time between looks at which availability zones can be reached.
