--- a/crates/console/src/fields.rs
+++ b/crates/console/src/fields.rs
@@ -124,7 +124,12 @@
         "most at one endpoint, of all callers",
         Input::Number,
     ),
-    field("slots", "Slots", "calls that one endpoint runs", Input::Number),
+    field(
+        "slots",
+        "Slots",
+        "calls that one endpoint runs",
+        Input::Number,
+    ),
     field("queue", "Queue", "calls that may wait there", Input::Number),
     field(
         "link_mbps",
@@ -301,18 +306,8 @@
 ];
 
 const LIMITS: &[Field] = &[
-    field(
-        "head_bytes",
-        "Head (bytes)",
-        "of a request",
-        Input::Number,
-    ),
-    field(
-        "body_bytes",
-        "Body (bytes)",
-        "of a request",
-        Input::Number,
-    ),
+    field("head_bytes", "Head (bytes)", "of a request", Input::Number),
+    field("body_bytes", "Body (bytes)", "of a request", Input::Number),
     field("head_ms", "Head (ms)", "for a whole head", Input::Number),
     field(
         "idle_ms",
--- a/crates/forward/src/collector.rs
+++ b/crates/forward/src/collector.rs
@@ -51,10 +51,17 @@
 #[derive(Debug)]
 struct Shared {
     cx: Context,
-    lines: Mutex<HashMap<String, Arc<Running>>>,
+    lines: Mutex<HashMap<LineKey, Arc<Running>>>,
     tickets: Mutex<HashMap<u64, Arc<Ticket>>>,
 }
 
+/// What a line is for: a service, and the availability zone to whose endpoints it keeps, if it does.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct LineKey {
+    service: String,
+    apart: Option<String>,
+}
+
 /// A line and the task that empties it.
 #[derive(Debug)]
 struct Running {
@@ -107,10 +114,10 @@
         let Some(pool) = self.shared.cx.fleet.pool(&service) else {
             return Err(StageFailure::NoEndpoint);
         };
-        let running = self.running(&service);
+        let running = self.running(LineKey { service, apart });
         let ticket = {
             let mut line = running.line();
-            line.declare(&capacity, apart);
+            line.declare(&capacity);
             line.take(submission, &pool, &self.shared.cx.fleet.reachable(), now)?
         };
         let id = ticket.id;
@@ -139,9 +146,11 @@
             return;
         };
         let made = ticket.cancel();
-        let running = self.running(&ticket.submission.service);
-        running.line().forget(&ticket);
-        self.free(&ticket.submission.service, made);
+        let service = &ticket.submission.service;
+        for running in self.lines_of(service) {
+            running.line().forget(&ticket);
+        }
+        self.free(service, made);
     }
 
     /// Gives results up.
@@ -149,15 +158,16 @@
         if handles.is_empty() {
             return;
         }
-        let running = self.running(service);
-        let is_first = running.line().free(handles);
-        running.wake.notify_one();
-        if is_first {
-            let collector = self.clone();
-            tokio::spawn(async move {
-                sleep(FREE_PAUSE).await;
-                collector.send_freed(&running).await;
-            });
+        for running in self.lines_of(service) {
+            let is_first = running.line().free(&handles);
+            running.wake.notify_one();
+            if is_first {
+                let collector = self.clone();
+                tokio::spawn(async move {
+                    sleep(FREE_PAUSE).await;
+                    collector.send_freed(&running).await;
+                });
+            }
         }
     }
 
@@ -185,24 +195,35 @@
         tickets.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn running(&self, service: &str) -> Arc<Running> {
+    fn lines(&self) -> MutexGuard<'_, HashMap<LineKey, Arc<Running>>> {
         let lines = &self.shared.lines;
-        let mut lines = lines.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(running) = lines.get(service) {
+        lines.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The lines of `service`: more than one only where this gate stood in for others.
+    fn lines_of(&self, service: &str) -> Vec<Arc<Running>> {
+        let lines = self.lines();
+        let of_it = lines.iter().filter(|(key, _)| key.service == service);
+        of_it.map(|(_, running)| Arc::clone(running)).collect()
+    }
+
+    fn running(&self, key: LineKey) -> Arc<Running> {
+        let mut lines = self.lines();
+        if let Some(running) = lines.get(&key) {
             return Arc::clone(running);
         }
         let running = Arc::new(Running {
-            line: Mutex::new(Line::new()),
+            line: Mutex::new(Line::new(key.apart.clone())),
             wake: Notify::new(),
             task: Mutex::new(None),
         });
         let task = tokio::spawn(empty(
             self.clone(),
-            service.to_owned(),
+            key.service.clone(),
             Arc::clone(&running),
         ));
         *running.task.lock().unwrap_or_else(PoisonError::into_inner) = Some(task);
-        lines.insert(service.to_owned(), Arc::clone(&running));
+        lines.insert(key, Arc::clone(&running));
         running
     }
 }
--- a/crates/forward/src/gates.rs
+++ b/crates/forward/src/gates.rs
@@ -9,6 +9,7 @@
 
 use link::{LinkConfig, Peer};
 use membership::{EndpointState, EndpointView, Mirror};
+use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::fleet::GATES;
@@ -17,6 +18,8 @@
 const MAX_TOGETHER: usize = 16;
 /// A link to a gate without a frame for this long is dropped; it tells of a cut zone.
 const SILENCE: Duration = Duration::from_millis(1_200);
+/// Time in which a link that was asked for comes up.
+const DIALING: Duration = Duration::from_millis(800);
 /// Gates in the order of a service to which links are kept, beside those that are asked for.
 const STANDBY: usize = 1;
 
@@ -40,9 +43,17 @@
     peer: Option<Peer>,
     /// Whether its link has ever been up.
     was_up: bool,
+    /// When its link was asked for.
+    dialed: Option<Instant>,
 }
 
 impl Gate {
+    /// Whether it can be asked now, or in a moment: a link that was just asked for comes up soon.
+    fn is_usable(&self) -> bool {
+        let is_new = self.dialed.is_some_and(|at| at.elapsed() < DIALING);
+        self.is_reachable() || !self.was_up && is_new
+    }
+
     fn is_reachable(&self) -> bool {
         match &self.peer {
             Some(peer) => peer.is_connected(),
@@ -53,6 +64,7 @@
     fn dial(&mut self, links: &LinkConfig) {
         if let (None, Some(address)) = (&self.peer, self.address) {
             self.peer = Some(Peer::start(&self.name, address, links));
+            self.dialed = Some(Instant::now());
         }
     }
 }
@@ -147,6 +159,7 @@
                 address: Some(address),
                 peer: None,
                 was_up: false,
+                dialed: None,
             };
             Some(known_as(&v.endpoint, address).unwrap_or_else(new))
         });
@@ -192,9 +205,12 @@
         for (_, at) in order.iter().take(skip + 1 + STANDBY) {
             known.gates[*at].dial(&self.shared.links);
         }
+        for (_, at) in &order {
+            known.gates[*at].was_up |= known.gates[*at].is_reachable();
+        }
         let gates = &known.gates;
-        let reachable = order.iter().map(|(_, at)| &gates[*at]);
-        let Some(chosen) = reachable.filter(|gate| gate.is_reachable()).nth(skip) else {
+        let usable = order.iter().map(|(_, at)| &gates[*at]);
+        let Some(chosen) = usable.filter(|gate| gate.is_usable()).nth(skip) else {
             return Collecting::Own;
         };
         let (name, peer) = (chosen.name.clone(), chosen.peer.clone());
@@ -212,6 +228,7 @@
         address: None,
         peer: None,
         was_up: true,
+        dialed: None,
     }
 }
 
@@ -255,11 +272,13 @@
         mirror
     }
 
-    #[tokio::test]
+    #[tokio::test(start_paused = true)]
     async fn a_gate_that_reaches_no_other_collects_itself() {
         let gates = Gates::new(links("g0"));
         gates.update(&mirror(3));
         assert_eq!(gates.count(), 3);
+        // A link that was just asked for may come up; later it is clear that it does not.
+        tokio::time::sleep(super::DIALING).await;
         assert!(matches!(gates.collecting("ice", "a", 0), Collecting::Own));
         // None was linked, so none is cut off.
         assert!(gates.cut_off().is_empty());
--- a/crates/forward/src/line.rs
+++ b/crates/forward/src/line.rs
@@ -251,9 +251,10 @@
 }
 
 impl Line {
-    pub(crate) fn new() -> Self {
+    /// An empty line that keeps to the endpoints of `apart`, where that is given and has any.
+    pub(crate) fn new(apart: Option<String>) -> Self {
         Self {
-            apart: None,
+            apart,
             slots: 1,
             batch: Batch {
                 items: 1,
@@ -272,10 +273,8 @@
         }
     }
 
-    /// Takes what is declared of one endpoint, and the availability zone to whose endpoints the line
-    /// keeps, if it does.
-    pub(crate) fn declare(&mut self, capacity: &Capacity, apart: Option<String>) {
-        self.apart = apart;
+    /// Takes what is declared of one endpoint.
+    pub(crate) fn declare(&mut self, capacity: &Capacity) {
         self.slots = capacity.slots.unwrap_or(1);
         if let Some(batch) = &capacity.batch {
             self.batch = batch.clone();
@@ -542,11 +541,12 @@
 
     /// Gives results up; whether an order to do so has yet to be sent. They take up room until
     /// their endpoint has the order.
-    pub(crate) fn free(&mut self, handles: Vec<String>) -> bool {
+    pub(crate) fn free(&mut self, handles: &[String]) -> bool {
         let is_first = self.freed.is_empty();
         for handle in handles {
-            if let Some(kept) = self.kept.get(&handle) {
-                self.freed.entry(kept.address).or_default().push(handle);
+            if let Some(kept) = self.kept.get(handle) {
+                let freed = self.freed.entry(kept.address).or_default();
+                freed.push(handle.clone());
             }
         }
         is_first && !self.freed.is_empty()
--- a/crates/forward/src/stages.rs
+++ b/crates/forward/src/stages.rs
@@ -5,7 +5,7 @@
 use declaration::Route;
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use link::{Channel, LinkError, Peer};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::{
     collector::Collector,
@@ -252,6 +252,8 @@
             Collecting::Own => return self.own(submission.clone()).await,
             Collecting::Other(peer) => peer,
         };
+        // One that was just asked for comes up in a moment.
+        let _ = timeout(SUBMIT_LIMIT, peer.connected()).await;
         let submit = StageRequest::Submit(submission.clone());
         let ticket = match peer.call(Channel::Stages, &submit, SUBMIT_LIMIT).await {
             Ok(StageReply::Accepted(ticket)) => ticket,
--- a/crates/keeper/src/group.rs
+++ b/crates/keeper/src/group.rs
@@ -31,7 +31,7 @@
 /// Time between looks at the group.
 const LOOK_EVERY: Duration = Duration::from_millis(250);
 /// A keeper that hears no leader as a member for so long asks to join.
-const JOIN_AFTER: Duration = Duration::from_millis(1_000);
+const JOIN_AFTER: Duration = Duration::from_secs(1);
 const ASK_LIMIT: Duration = Duration::from_millis(800);
 /// Entries that a learner may lack and still be made a voter.
 const READY_LAG: u64 = 64;
