--- a/crates/forward/src/collector.rs
+++ b/crates/forward/src/collector.rs
@@ -20,9 +20,10 @@
     batch::{self, Ended},
     dialect::Dialect,
     fleet::Fleet,
-    line::{Job, Line, NextCall, Ticket},
+    line::{Job, Line, NextCall},
     messages::{Made, StageFailure, Submission},
     rules::Rules,
+    ticket::Ticket,
 };
 
 /// Time in which results that are given up are collected into one order.
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -31,6 +31,7 @@
 mod stages;
 mod start;
 mod stream;
+mod ticket;
 
 pub use dialect::{
     Dialect, HeaderNameFn, Item, ItemResult, LoadReport, Read, Source, Try, Verdict,
