A keeper in reach keeps a booking's result that no quorum takes

Ruled out: the keeper's own forwarding as the loss (a heal within 1.3 s of the kill still delivered; the test waits 3 s before it heals).

--- a/crates/gate/src/ledger.rs
+++ b/crates/gate/src/ledger.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
+use futures_util::{StreamExt, stream::FuturesUnordered};
 use link::{
+    Channel,
     keeper::{
         Intent, IntentReply, KeeperReply, KeeperRequest, LedgerEntry, Output, Settle, Settlement,
     },
@@ -13,7 +15,7 @@
 use sha2::{Digest, Sha256};
 use spdlog::warn;
 use tokio::{
-    task::JoinHandle,
+    sync::oneshot,
     time::{Instant, sleep, sleep_until},
 };
 use uuid::Uuid;
@@ -23,6 +25,10 @@
 /// First and longest pause between questions about a key that another attempt has.
 const FIRST_POLL: Duration = Duration::from_millis(10);
 const LONGEST_POLL: Duration = Duration::from_millis(250);
+/// Time after which what no quorum has is handed to one keeper; within the time for which an answer
+/// waits for its settlement.
+const HOLD_AFTER: Duration = Duration::from_millis(100);
+const HOLD_LIMIT: Duration = Duration::from_millis(400);
 /// Pause between attempts to reach the keepers in the background.
 const BACKGROUND_PAUSE: Duration = Duration::from_millis(200);
 
@@ -165,19 +171,30 @@
         }
     }
 
-    /// States what became of a granted call, in the background until the keepers have it; the handle
-    /// ends then.
-    pub(crate) fn settle(&self, grant: &Grant, settlement: Settlement) -> JoinHandle<()> {
+    /// States what became of a granted call, in the background until a quorum has it. The receiver
+    /// ends as soon as the fate of this process does not matter any more: a quorum has it, or one
+    /// keeper holds it on its disk.
+    pub(crate) fn settle(&self, grant: &Grant, settlement: Settlement) -> oneshot::Receiver<()> {
         let settle = Settle {
             key: grant.key,
             attempt: grant.attempt,
             settlement,
         };
         let (ledger, running) = (self.clone(), self.inflight.enter());
+        let (tx, rx) = oneshot::channel();
         tokio::spawn(async move {
             let _running = running;
-            ledger.settle_until_known(settle).await;
-        })
+            let held = ledger.hold_if_late(&settle);
+            let known = ledger.settle_until_known(settle.clone());
+            tokio::pin!(known);
+            tokio::select! {
+                () = &mut known => return,
+                // Dropping the sender ends the caller's wait.
+                () = held => drop(tx),
+            }
+            known.await;
+        });
+        rx
     }
 
     /// The settlement for a call that ran with `output`.
@@ -202,6 +219,32 @@
         }
     }
 
+    /// Hands `settle` to any one keeper that can be reached, if it says that a call ran and no quorum
+    /// has it after [`HOLD_AFTER`]; ends when one holds it.
+    async fn hold_if_late(&self, settle: &Settle) {
+        let is_known_by_nobody_else = matches!(
+            settle.settlement,
+            Settlement::Completed(_) | Settlement::Refused { .. }
+        );
+        if !is_known_by_nobody_else {
+            return std::future::pending().await;
+        }
+        sleep(HOLD_AFTER).await;
+        let req = KeeperRequest::Hold(settle.clone());
+        loop {
+            let peers = self.quorum.keepers().peers().iter();
+            let mut asked: FuturesUnordered<_> = peers
+                .map(|peer| peer.call::<_, KeeperReply>(Channel::Keeper, &req, HOLD_LIMIT))
+                .collect();
+            while let Some(reply) = asked.next().await {
+                if matches!(reply, Ok(KeeperReply::Held)) {
+                    return;
+                }
+            }
+            sleep(BACKGROUND_PAUSE).await;
+        }
+    }
+
     async fn settle_until_known(&self, settle: Settle) {
         let until = Instant::now() + self.cfg.settle;
         let req = KeeperRequest::Settle(settle);
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -10,6 +10,7 @@
 mod declared;
 mod entry;
 mod group;
+mod held;
 mod lasting;
 mod leases;
 mod ledger;
--- a/crates/keeper/src/service.rs
+++ b/crates/keeper/src/service.rs
@@ -17,6 +17,7 @@
 };
 use membership::Table;
 use replica::{MemberChange, MemberError, ProposeError, Replica, Status};
+use spdlog::{info, warn};
 use tokio::{
     sync::watch,
     task::JoinSet,
@@ -28,6 +29,7 @@
     clock::{Clock, wall_ms},
     config::Limits,
     entry::{Command, DIGEST_BYTES, Entry, GrantIntent, Stamp},
+    held::Held,
     machine::Machine,
     metrics::Metrics,
     state::State,
@@ -43,6 +45,8 @@
 const CLOCK_EVERY: Duration = Duration::from_secs(5);
 /// Pause before another look while too few clocks were heard.
 const CLOCK_RETRY: Duration = Duration::from_millis(25);
+/// Pause between attempts to settle what is held.
+const HELD_PAUSE: Duration = Duration::from_millis(200);
 const CLOCK_LIMIT: Duration = Duration::from_millis(500);
 /// Longest words of a service that are kept, in bytes.
 const MAX_DETAIL_BYTES: usize = 1_024;
@@ -77,6 +81,7 @@
     in_flight: watch::Sender<usize>,
     own_link: SocketAddr,
     table: Option<Table>,
+    held: Held,
 }
 
 /// Counts a call for as long as it lives.
@@ -105,6 +110,7 @@
         peers: &[Peer],
         metrics: Metrics,
         own_link: SocketAddr,
+        held: Held,
     ) -> Self {
         let named = |peer: &Peer| (peer.name().to_owned(), peer.clone());
         Self {
@@ -118,6 +124,7 @@
             in_flight: watch::Sender::new(0),
             own_link,
             table: None,
+            held,
         }
     }
 
@@ -189,6 +196,7 @@
                 None => KeeperReply::NoQuorum,
             },
             KeeperRequest::Clock => KeeperReply::Clock { now_ms: wall_ms() },
+            KeeperRequest::Hold(settle) => self.hold(settle).await,
             KeeperRequest::Original => self.original().await,
             KeeperRequest::Confirm => self.confirm().await,
             req => match self.checked(req) {
@@ -342,6 +350,36 @@
         }
     }
 
+    async fn hold(&self, settle: Settle) -> KeeperReply {
+        let settle = cut(settle, self.limits.max_output_bytes);
+        match self.held.keep(settle).await {
+            Ok(()) => KeeperReply::Held,
+            Err(e) => KeeperReply::Invalid(e.to_string()),
+        }
+    }
+
+    /// Settles what is held as soon as a quorum takes it; runs until dropped.
+    pub(crate) async fn settle_held(&self) {
+        loop {
+            self.held.not_empty().await;
+            for settle in self.held.all() {
+                let req = KeeperRequest::Settle(settle.clone());
+                match self.ask(req, Origin::Client).await {
+                    KeeperReply::NoQuorum => break,
+                    KeeperReply::Invalid(why) => {
+                        warn!("held settlement refused", kv: { key = settle.key.to_string(), why });
+                        self.held.remove(&settle).await;
+                    }
+                    _ => {
+                        info!("held settlement committed", kv: { key = settle.key.to_string() });
+                        self.held.remove(&settle).await;
+                    }
+                }
+            }
+            sleep(HELD_PAUSE).await;
+        }
+    }
+
     async fn original(&self) -> KeeperReply {
         match self.is_current().await {
             false => KeeperReply::NoQuorum,
@@ -508,6 +546,7 @@
     match req {
         KeeperRequest::Intent(_) => "intent",
         KeeperRequest::Settle(_) => "settle",
+        KeeperRequest::Hold(_) => "hold",
         KeeperRequest::Lookup(_) => "lookup",
         KeeperRequest::Lease(_) => "lease",
         KeeperRequest::EndLease { .. } => "end_lease",
--- a/crates/keeper/src/start.rs
+++ b/crates/keeper/src/start.rs
@@ -17,12 +17,15 @@
 use crate::{
     config::Config,
     group,
+    held::Held,
     machine::Machine,
     metrics::Metrics,
     pages::{Pages, router},
     service::Service,
 };
 
+/// Folder of settlements that wait for a quorum, within the data folder.
+const HELD_FOLDER: &str = "held";
 /// Longest time for requests in flight to end after the order to stop.
 const DRAIN_LIMIT: Duration = Duration::from_secs(5);
 /// Time for the last replies to leave their sockets.
@@ -72,6 +75,7 @@
         &peers,
         Metrics::new()?,
         link,
+        Held::open(&cfg.folder.join(HELD_FOLDER))?,
     );
     let service = Arc::new(service.with_table(table));
     let tending = cfg.group.clone().map(|group| {
@@ -87,6 +91,8 @@
     let publishing = tokio::spawn(publish(Arc::clone(&service)));
     let timing = Arc::clone(&service);
     let timing = tokio::spawn(async move { timing.keep_clock().await });
+    let settling = Arc::clone(&service);
+    let settling = tokio::spawn(async move { settling.settle_held().await });
     let operators = cfg.operators;
     let pages = Pages {
         service: Arc::clone(&service),
@@ -103,6 +109,7 @@
         sleep(FLUSH_PAUSE).await;
         publishing.abort();
         timing.abort();
+        settling.abort();
         links.abort();
         tending.inspect(JoinHandle::abort);
         serving.await?;
--- /dev/null
+++ b/crates/keeper/tests/held.rs
@@ -0,0 +1,67 @@
+//! Settlements that a keeper holds while no quorum takes them.
+
+mod env;
+
+use std::time::Duration;
+
+use env::{Fault, Group, LIMIT};
+use link::{
+    Channel,
+    keeper::{
+        Intent, IntentReply, KeeperReply, KeeperRequest, LedgerEntry, Output, Settle, Settlement,
+    },
+};
+use tokio::time::{sleep, timeout};
+use uuid::Uuid;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_result_held_by_a_keeper_that_is_cut_off_and_killed_reaches_the_ledger() {
+    let mut group = Group::start(3).await;
+    let (key, attempt) = (Uuid::now_v7(), Uuid::new_v4());
+    let keepers = group.links();
+    let intent = KeeperRequest::Intent(Intent {
+        key,
+        digest: vec![7; 32],
+        gate: "gate".to_owned(),
+        incarnation: Uuid::nil(),
+        attempt,
+        service: "booking-desk".to_owned(),
+        endpoint: "booking-1".to_owned(),
+        expires: Duration::from_secs(30),
+    });
+    let granted = keepers.ask(&intent, LIMIT).await.unwrap();
+    assert_eq!(granted, KeeperReply::Intent(IntentReply::Granted));
+
+    let cut = (group.leader().await + 1) % 3;
+    group.isolate(cut, Fault::Cut);
+    let settlement = Settlement::Completed(Output::Whole(b"booked".to_vec()));
+    let hold = KeeperRequest::Hold(Settle {
+        key,
+        attempt,
+        settlement: settlement.clone(),
+    });
+    let peer = group.peer(cut);
+    peer.connected().await;
+    let held: KeeperReply = peer.call(Channel::Keeper, &hold, LIMIT).await.unwrap();
+    assert_eq!(held, KeeperReply::Held);
+    group.kill(cut);
+    group.restart(cut);
+    let told = keepers.ask(&KeeperRequest::Lookup(key), LIMIT).await;
+    assert_eq!(told.unwrap(), KeeperReply::Lookup(LedgerEntry::InProgress));
+
+    group.isolate(cut, Fault::None);
+    let settled = KeeperReply::Lookup(LedgerEntry::Settled(settlement));
+    let committed = async {
+        while keepers
+            .ask(&KeeperRequest::Lookup(key), LIMIT)
+            .await
+            .unwrap()
+            != settled
+        {
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    timeout(LIMIT, committed)
+        .await
+        .expect("the ledger has the result in time");
+}
--- a/crates/link/src/keeper.rs
+++ b/crates/link/src/keeper.rs
@@ -16,6 +16,9 @@
     Intent(Intent),
     /// States what became of a granted call.
     Settle(Settle),
+    /// Hands over what became of a granted call while no quorum commits it: this one keeper keeps it
+    /// on its disk and settles it later, whatever becomes of the sender.
+    Hold(Settle),
     /// The ledger's word on a key.
     Lookup(Uuid),
     /// Asks for, or renews, a lease.
@@ -182,6 +185,8 @@
     Intent(IntentReply),
     /// To [`KeeperRequest::Settle`]: committed, or was before.
     Settled,
+    /// To [`KeeperRequest::Hold`]: it is on this keeper's disk.
+    Held,
     /// To [`KeeperRequest::Lookup`].
     Lookup(LedgerEntry),
     /// To [`KeeperRequest::Lease`].
--- a/crates/system/tests/partitions.rs
+++ b/crates/system/tests/partitions.rs
@@ -1,11 +1,26 @@
 //! A cut off availability zone serves what it can, refuses the rest truthfully and catches up.
 
+use std::time::Duration;
+
+use bench::stand_in::Fault;
 use declaration::SectionId;
 use system::{Ask, Env, booking, key, until};
+use tokio::time::sleep;
 
 const CUT: &str = "monastir-a";
 const CUT_VM: &str = "monastir-a-1";
 
+/// No keeper goes on with a question of a gate for longer.
+const LONGEST_QUESTION: Duration = Duration::from_secs(3);
+/// By how much bookings are slowed, so that a fault meets them in the middle.
+const SLOW_DOWN: f64 = 100.0;
+
+fn slow_desks(env: &Env, fault: Fault) {
+    let desks = env.endpoints().iter();
+    let desks = desks.filter(|e| e.name().starts_with("ledger-desk"));
+    desks.for_each(|desk| desk.set_fault(fault));
+}
+
 fn dealers_of_monastir(ask: Ask) -> Ask {
     Ask {
         workspace: "monastir-dealers",
@@ -73,3 +88,31 @@
     let told = Ask::question("who is there").send(gate).await.unwrap();
     assert_eq!(told.outcome, "completed", "{told:?}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_result_told_within_a_cut_availability_zone_outlives_its_gate() {
+    let mut env = Env::start().await;
+    slow_desks(&env, Fault::Slow(SLOW_DOWN));
+    let key = key();
+    let gate = env.gate("monastir-a-1").http;
+    let asked = tokio::spawn(async move { dealers_of_monastir(booking(key)).send(gate).await });
+    until("the booking has begun", async || {
+        (env.executions(key) == 1).then_some(())
+    })
+    .await;
+    env.cut_off(CUT);
+    let told = asked.await.unwrap().unwrap();
+    assert_eq!(told.outcome, "completed", "{told:?}");
+    env.kill_gate(CUT_VM).await;
+    sleep(LONGEST_QUESTION).await;
+    env.heal(CUT);
+    slow_desks(&env, Fault::None);
+    let gate = env.gate("sousse-a-1").http;
+    let again = until("the result is known", async || {
+        let again = dealers_of_monastir(booking(key)).send(gate).await.ok()?;
+        (again.outcome == "completed").then_some(again)
+    })
+    .await;
+    assert_eq!(again.body["output"], told.body["output"]);
+    assert_eq!(env.executions(key), 1);
+}
