--- a/crates/keeper/src/service.rs
+++ b/crates/keeper/src/service.rs
@@ -108,24 +108,23 @@
         limits: Limits,
         links: LinkConfig,
         peers: &[Peer],
-        metrics: Metrics,
         own_link: SocketAddr,
         held: Held,
-    ) -> Self {
+    ) -> eyre::Result<Self> {
         let named = |peer: &Peer| (peer.name().to_owned(), peer.clone());
-        Self {
+        Ok(Self {
             replica,
             machine,
             clock: Clock::default(),
             limits,
             links,
             peers: Mutex::new(peers.iter().map(named).collect()),
-            metrics,
+            metrics: Metrics::new()?,
             in_flight: watch::Sender::new(0),
             own_link,
             table: None,
             held,
-        }
+        })
     }
 
     /// Also answers calls about the endpoints' table, which is `table`.
--- a/crates/keeper/src/start.rs
+++ b/crates/keeper/src/start.rs
@@ -19,7 +19,6 @@
     group,
     held::Held,
     machine::Machine,
-    metrics::Metrics,
     pages::{Pages, router},
     service::Service,
 };
@@ -73,10 +72,9 @@
         cfg.limits,
         links.clone(),
         &peers,
-        Metrics::new()?,
         link,
         Held::open(&cfg.folder.join(HELD_FOLDER))?,
-    );
+    )?;
     let service = Arc::new(service.with_table(table));
     let tending = cfg.group.clone().map(|group| {
         let (service, replica) = (Arc::clone(&service), replica.clone());
