--- a/crates/declaration/src/amend.rs
+++ b/crates/declaration/src/amend.rs
@@ -4,8 +4,8 @@
 
 use crate::{
     Declaration, Document, SectionId,
-    read::{self, Lines, WORKSPACE},
-    validate,
+    keys::{Lines, WORKSPACE},
+    read, validate,
 };
 
 impl Declaration {
--- a/crates/declaration/src/lib.rs
+++ b/crates/declaration/src/lib.rs
@@ -9,6 +9,7 @@
 mod change;
 mod diff;
 mod document;
+mod keys;
 mod read;
 mod read_route;
 mod route;
--- a/crates/declaration/src/read.rs
+++ b/crates/declaration/src/read.rs
@@ -1,12 +1,14 @@
 //! Reading a document and turning its sections into types.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::time::Duration;
 
 use inifile::{Fault, Faults, Section};
 
 use crate::{
     AvailabilityZone, Declaration, Document, KeyDigest, Pipeline, Priority, RoleShares, SectionId,
-    SectionText, Service, ServiceKind, Workspace, read_route, validate,
+    SectionText, Service, ServiceKind, Workspace,
+    keys::{Keys, Lines, WORKSPACE},
+    read_route, validate,
 };
 
 /// Deadline of a pipeline that declares none.
@@ -18,11 +20,6 @@
 const DEFAULT_PRIORITY: u64 = 1;
 const DEFAULT_MAX_TOKENS: u64 = 256;
 const MAX_TOKENS: u64 = 1_000_000;
-/// Largest memory that may be declared, in MB.
-const MAX_MB: u64 = 100_000_000;
-
-/// The kind of section that no other section refers to.
-pub(crate) const WORKSPACE: &str = "workspace";
 
 /// Reads sections with duplicates as faults.
 pub(crate) fn document(file: &str, bytes: &[u8]) -> Result<Document, Faults> {
@@ -55,36 +52,6 @@
     }
 }
 
-/// Where sections and keys stand in the file.
-pub(crate) struct Lines<'a> {
-    file: &'a str,
-    headers: BTreeMap<String, &'a Section>,
-}
-
-impl<'a> Lines<'a> {
-    pub(crate) fn new(file: &'a str, sections: &'a [Section]) -> Self {
-        let normal = |s: &Section| s.name.split_whitespace().collect::<Vec<_>>().join(" ");
-        let mut headers = BTreeMap::new();
-        for section in sections {
-            headers.entry(normal(section)).or_insert(section);
-        }
-        Self { file, headers }
-    }
-
-    /// A fault at `key` of section `id`, or at the header where `key` is empty or absent.
-    pub(crate) fn fault(&self, id: &str, key: &str, what: String) -> Fault {
-        let section = self.headers.get(id);
-        let line = section.map_or(0, |s| s.get(key).map_or(s.line, |entry| entry.line));
-        Fault {
-            file: self.file.to_owned(),
-            line,
-            section: id.to_owned(),
-            key: key.to_owned(),
-            what,
-        }
-    }
-}
-
 fn collect(file: &str, sections: &[Section]) -> (Document, Faults) {
     let mut document = Document::default();
     let mut faults = Faults::default();
@@ -267,110 +234,3 @@
     }
     workspace
 }
-
-/// The keys of one section, each taken once; what is left over is unknown.
-pub(crate) struct Keys<'a> {
-    id: String,
-    left: BTreeMap<&'a str, &'a str>,
-    lines: &'a Lines<'a>,
-    faults: &'a mut Faults,
-}
-
-impl<'a> Keys<'a> {
-    fn new(
-        id: &SectionId,
-        text: &'a SectionText,
-        lines: &'a Lines<'a>,
-        faults: &'a mut Faults,
-    ) -> Self {
-        let pairs = text.entries.iter();
-        Self {
-            id: id.to_string(),
-            left: pairs.map(|(k, v)| (k.as_str(), v.as_str())).collect(),
-            lines,
-            faults,
-        }
-    }
-
-    /// Records a fault at `key`, or at the header where `key` is empty.
-    pub(crate) fn fault(&mut self, key: &str, what: String) {
-        self.faults.0.push(self.lines.fault(&self.id, key, what));
-    }
-
-    pub(crate) fn optional(&mut self, key: &str) -> Option<String> {
-        match self.left.remove(key) {
-            Some("") => {
-                self.fault(key, "empty; give a value or leave the key out".to_owned());
-                None
-            }
-            found => found.map(str::to_owned),
-        }
-    }
-
-    pub(crate) fn required(&mut self, key: &str) -> String {
-        if !self.left.contains_key(key) {
-            self.fault(key, format!("missing; add `{key} = …`"));
-        }
-        self.optional(key).unwrap_or_default()
-    }
-
-    pub(crate) fn list(&mut self, key: &str) -> Vec<String> {
-        let Some(value) = self.optional(key) else {
-            return Vec::new();
-        };
-        let items: Vec<String> = value.split(',').map(|s| s.trim().to_owned()).collect();
-        if items.iter().any(String::is_empty) {
-            let what = "an item is empty; separate names by single commas".to_owned();
-            self.fault(key, what);
-        }
-        items
-    }
-
-    pub(crate) fn yes_or_no(&mut self, key: &str) -> bool {
-        match self.required(key).as_str() {
-            "yes" => true,
-            "no" | "" => false,
-            other => {
-                let what = format!("`{other}` is neither yes nor no; write `yes` or `no`");
-                self.fault(key, what);
-                false
-            }
-        }
-    }
-
-    pub(crate) fn optional_number(&mut self, key: &str, low: u64, high: u64) -> Option<u64> {
-        let value = self.optional(key)?;
-        match value.parse() {
-            Ok(n) if (low..=high).contains(&n) => Some(n),
-            _ => {
-                let what = format!("`{value}` is out of range; write {low} to {high}");
-                self.fault(key, what);
-                None
-            }
-        }
-    }
-
-    fn megabytes(&mut self, key: &str) -> Option<u32> {
-        let mb = self.optional_number(key, 1, MAX_MB)?;
-        Some(mb as u32)
-    }
-
-    pub(crate) fn number(&mut self, key: &str, default: u64, low: u64, high: u64) -> u64 {
-        self.optional_number(key, low, high).unwrap_or(default)
-    }
-
-    fn unknown_section(&mut self) {
-        self.left.clear();
-        let what = "unknown kind of section; use availability-zone, service, pipeline, \
-                    workspace, route or limits";
-        self.fault("", what.to_owned());
-    }
-
-    fn finish(mut self) {
-        let unknown: Vec<&str> = self.left.keys().copied().collect();
-        for key in unknown {
-            self.fault(key, "unknown key; remove it or correct its name".to_owned());
-        }
-        self.left.clear();
-    }
-}
--- a/crates/declaration/src/read_route.rs
+++ b/crates/declaration/src/read_route.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     Priority,
-    read::Keys,
+    keys::Keys,
     route::{Answer, Batch, CallerLimits, Capacity, Repeat, Route},
 };
 
--- a/crates/declaration/src/validate.rs
+++ b/crates/declaration/src/validate.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     Declaration, SectionId, Service, ServiceKind,
-    read::{Keys, Lines, WORKSPACE},
+    keys::{Keys, Lines, WORKSPACE},
     read_route::ROUTE,
 };
 
--- a/crates/forward/src/collector.rs
+++ b/crates/forward/src/collector.rs
@@ -17,8 +17,9 @@
 };
 
 use crate::{
-    batch::{self, Ended},
+    batch,
     dialect::Dialect,
+    ended::{Ended, ItemFailure},
     fleet::Fleet,
     line::{Job, Line, NextCall},
     messages::{Made, StageFailure, Submission},
@@ -320,15 +321,15 @@
                     unwanted.push(handle);
                 }
             }
-            Err(batch::ItemFailure::Again) => {
+            Err(ItemFailure::Again) => {
                 again(cx, line, service, job.clone(), &StageFailure::Failed);
             }
-            Err(batch::ItemFailure::NoRoom) => {
+            Err(ItemFailure::NoRoom) => {
                 let bytes = job.ticket.submission.result_bytes;
                 line.no_room(&next.target.name, bytes, Instant::now());
                 line.put_back(job.clone());
             }
-            Err(batch::ItemFailure::Ended(failure)) => job.ticket.fail(failure),
+            Err(ItemFailure::Ended(failure)) => job.ticket.fail(failure),
         }
     }
     unwanted
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -13,6 +13,7 @@
 mod collector;
 mod control;
 mod dialect;
+mod ended;
 mod events;
 mod fleet;
 mod forwarder;
--- a/crates/forward/src/line.rs
+++ b/crates/forward/src/line.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    batch::Ended,
+    ended::Ended,
     fleet::{Pool, Reachable, Target},
     messages::{StageFailure, Submission},
     pace::Slowness,
--- a/crates/gate/src/body.rs
+++ b/crates/gate/src/body.rs
@@ -8,7 +8,7 @@
 use salvo::{Request, http::header::CONTENT_LENGTH};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, TryAcquireError};
 
-use crate::{gate::Gate, request::bad};
+use crate::{config::Limits, refusal::bad};
 
 /// Granularity in which bodies are accounted for, in bytes.
 const UNIT: usize = 1_024;
@@ -41,14 +41,17 @@
 }
 
 /// Reads the whole body; refuses one that is too large, or for which no memory is free.
-pub(crate) async fn read(gate: &Gate, req: &mut Request) -> Result<(Bytes, Held), Box<Problem>> {
-    let max = gate.cfg.limits.body_bytes;
+pub(crate) async fn read(
+    limits: &Limits,
+    budget: &Budget,
+    req: &mut Request,
+) -> Result<(Bytes, Held), Box<Problem>> {
+    let max = limits.body_bytes;
     let declared = req.headers().get(CONTENT_LENGTH);
     let declared = declared.and_then(|v| v.to_str().ok()?.parse::<usize>().ok());
     if declared.is_some_and(|n| n > max) {
         return Err(too_large(max));
     }
-    let budget = &gate.budget;
     // Only what has come is accounted for: a caller that announces much and sends little holds none.
     let mut permit = budget.take(0).map_err(|_| full())?;
     let mut whole = BytesMut::with_capacity(declared.unwrap_or(0).min(FIRST_CAPACITY));
--- a/crates/gate/src/callers.rs
+++ b/crates/gate/src/callers.rs
@@ -20,7 +20,8 @@
 use crate::{
     failure::CallError,
     gate::Gate,
-    request::{self, Ask, bad, parse_key},
+    refusal::bad,
+    request::{self, Ask, parse_key},
     run::{self, Answer},
     sse::write_event,
     stream::{self, Part, Sink},
--- a/crates/gate/src/head.rs
+++ b/crates/gate/src/head.rs
@@ -5,7 +5,7 @@
     http::{HeaderMap, header::HeaderValue},
 };
 
-use crate::request::bad;
+use crate::refusal::bad;
 
 /// How much larger a head the HTTP library takes, so that it reaches the check here; it answers a
 /// larger one by itself, without a document.
--- a/crates/gate/src/once.rs
+++ b/crates/gate/src/once.rs
@@ -22,11 +22,12 @@
     gate::Gate,
     guard::CallGuard,
     ledger::{Claim, Claimed, Grant},
+    picking::{failed, pick_soon},
     plain,
     record::{Once, Record},
     route::{Picked, Verdict},
-    run::{Running, no_time_left},
-    stage::{Stage, StageDone, StageReport, Tries, failed, is_engine, pick_soon},
+    running::{Running, no_time_left},
+    stage::{Stage, StageDone, StageReport, Tries, is_engine},
     work::Work,
 };
 
--- /dev/null
+++ b/crates/gate/src/picking.rs
@@ -0,0 +1,122 @@
+//! Chooses the endpoint of a stage's next call, and tells routing and metrics of calls that failed.
+
+use std::{sync::Arc, time::Duration};
+
+use rand::RngExt;
+use routing::NoEndpoint;
+use tokio::time::{Instant, sleep};
+
+use crate::{
+    failure::{CallError, Cause, StageError},
+    route::{Need, Picked, Verdict, retry_after},
+    running::Running,
+    stage::Stage,
+    work::Work,
+};
+
+/// Longest wait for an endpoint with a free slot, and the pause between looks.
+const LONGEST_SLOT_WAIT: Duration = Duration::from_millis(500);
+const SLOT_POLL: Duration = Duration::from_millis(5);
+
+/// An endpoint for the next call, as soon as one has a slot: one that has not failed yet, else any.
+pub(crate) async fn pick_soon(
+    cx: &Running,
+    stage: Stage<'_>,
+    work: &Work<'_>,
+    avoid: &[String],
+) -> Result<Arc<Picked>, StageError> {
+    let now = Instant::now();
+    let left = cx.ask.deadline.saturating_duration_since(now);
+    let until = now + (left / 4).min(LONGEST_SLOT_WAIT);
+    loop {
+        let busy = match pick(cx, stage, work, avoid) {
+            Err(NoEndpoint::Busy { retry_after }) => NoEndpoint::Busy { retry_after },
+            result => return result.map_err(|none| no_endpoint(stage, none)),
+        };
+        let pause = rand::rng().random_range(SLOT_POLL..=SLOT_POLL * 2);
+        if Instant::now() + pause >= until {
+            return Err(no_endpoint(stage, busy));
+        }
+        sleep(pause).await;
+    }
+}
+
+/// An endpoint for the next call: one that has not failed yet, else any.
+pub(crate) fn pick(
+    cx: &Running,
+    stage: Stage<'_>,
+    work: &Work<'_>,
+    avoid: &[String],
+) -> Result<Arc<Picked>, NoEndpoint> {
+    pick_for(cx, stage, work.prompt(), avoid)
+}
+
+/// Like [`pick`], for a prompt that is held elsewhere.
+pub(crate) fn pick_for(
+    cx: &Running,
+    stage: Stage<'_>,
+    prompt: Option<&str>,
+    avoid: &[String],
+) -> Result<Arc<Picked>, NoEndpoint> {
+    let need = Need {
+        name: stage.name,
+        service: stage.service,
+        zones: &cx.zones,
+        prompt,
+        avoid,
+        left: Some(cx.ask.deadline.saturating_duration_since(Instant::now())),
+    };
+    let picked = match cx.gate.route.pick(&need) {
+        Err(NoEndpoint::AllTried) if !avoid.is_empty() => {
+            cx.gate.route.pick(&Need { avoid: &[], ..need })
+        }
+        result => result,
+    };
+    picked.map(Arc::new)
+}
+
+fn no_endpoint(stage: Stage<'_>, none: NoEndpoint) -> StageError {
+    let cause = Cause::NoEndpoint {
+        retry_after: retry_after(none),
+        reason: none.to_string(),
+    };
+    StageError::at(stage.name, cause)
+}
+
+/// Tells routing and metrics of a failed call.
+pub(crate) fn failed(
+    cx: &Running,
+    stage: Stage<'_>,
+    picked: &Picked,
+    error: CallError,
+) -> StageError {
+    let verdict = match &error {
+        CallError::NotRun { .. } | CallError::Status { status: 429, .. } => Verdict::Refused,
+        CallError::Status { status, .. } if *status < 500 => Verdict::Rejected,
+        CallError::Deadline => Verdict::Late,
+        CallError::CallerGone | CallError::Unsent => Verdict::Cancelled,
+        _ => Verdict::Failed,
+    };
+    picked.finish(verdict, None, None);
+    cx.gate.metrics.call(stage.name, result_name(&error));
+    StageError::call(stage.name, picked.name(), error)
+}
+
+/// A fixed set of names for metrics.
+fn result_name(error: &CallError) -> &'static str {
+    match error {
+        CallError::Connect(_) => "connect",
+        CallError::Unsent => "unsent",
+        CallError::NotRun { .. } => "not_run",
+        CallError::Stalled(_) => "stalled",
+        CallError::Broken(_) => "broken",
+        CallError::Status { .. } => "status",
+        CallError::Crossed => "crossed",
+        CallError::Malformed(_) => "malformed",
+        CallError::TooLarge(_) => "too_large",
+        CallError::Diverged => "diverged",
+        CallError::Lagging => "lagging",
+        CallError::Deadline => "deadline",
+        CallError::CallerGone => "caller_gone",
+    }
+}
--- a/crates/gate/src/race.rs
+++ b/crates/gate/src/race.rs
@@ -11,9 +11,10 @@
     exchange::{self, Call, Exchange, Waits},
     failure::{CallError, StageError},
     guard::CallGuard,
+    picking::{failed, pick},
     route::{Picked, Sized, Verdict},
-    run::Running,
-    stage::{Stage, Tries, failed, is_engine, pick},
+    running::Running,
+    stage::{Stage, Tries, is_engine},
     work::Work,
 };
 
--- /dev/null
+++ b/crates/gate/src/repeated.rs
@@ -0,0 +1,194 @@
+//! One stage that may be repeated: tries, hedges and resumptions until it has its result.
+
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use rand::RngExt;
+use serde_json::value::RawValue;
+use tokio::time::{Instant, sleep};
+
+use crate::{
+    failure::{CallError, Cause, StageError},
+    pace::Watch,
+    picking::{failed, pick_for, pick_soon},
+    plain,
+    race::{self, Answering, Via},
+    route::{Picked, Sized, Verdict},
+    running::Running,
+    stage::{Stage, StageDone, StageReport, Tries},
+    stream::Sink,
+    work::Work,
+};
+
+/// Most tries of one stage.
+const MAX_TRIES: u32 = 5;
+/// Bounds of the pause before a further try; the pause is drawn between zero and the bound.
+const FIRST_BACKOFF: Duration = Duration::from_millis(20);
+const LONGEST_BACKOFF: Duration = Duration::from_millis(500);
+
+/// Runs `stage` until it has a result or gives up; new text of an engine goes to `sink` at once.
+pub(crate) async fn run(
+    cx: &Running,
+    stage: Stage<'_>,
+    previous: Option<&RawValue>,
+    sink: Option<&Sink>,
+) -> Result<StageDone, StageError> {
+    let started = Instant::now();
+    let mut work = Work::new(stage, &cx.ask.input, previous, &cx.gate.metrics);
+    let mut tries = Tries::default();
+    cx.gate.route.first_try(stage.name);
+    loop {
+        tries.rounds += 1;
+        let error = match try_once(cx, stage, &mut work, &mut tries, sink).await {
+            Ok((output, endpoint)) => {
+                let elapsed = started.elapsed();
+                work.answered();
+                cx.gate.metrics.stage(stage.name, elapsed);
+                let report = StageReport {
+                    stage: stage.number,
+                    service: stage.name.to_owned(),
+                    endpoint,
+                    attempts: tries.calls,
+                    elapsed_ms: elapsed.as_millis() as u64,
+                    tokens: work.tokens(),
+                };
+                return Ok(StageDone { output, report });
+            }
+            Err(error) => error,
+        };
+        // To go on with a generation at its own endpoint runs nothing again.
+        let is_free = tries.again.is_some() && work.is_resumption();
+        wait_for_retry(cx, stage, &tries, is_free, error).await?;
+        cx.gate.metrics.retry(stage.name);
+        work.prepare_retry(sink.is_some());
+    }
+}
+
+async fn try_once(
+    cx: &Running,
+    stage: Stage<'_>,
+    work: &mut Work<'_>,
+    tries: &mut Tries,
+    sink: Option<&Sink>,
+) -> Result<(Box<RawValue>, String), StageError> {
+    let (picked, via) = match (tries.again.take(), tries.moved_to.take()) {
+        (Some(picked), _) => (picked, Via::New),
+        (None, Some(picked)) => (picked, Via::Any),
+        (None, None) => (pick_soon(cx, stage, work, &tries.avoid).await?, Via::Any),
+    };
+    let answering = race::first_answer(cx, stage, work, tries, picked, via).await?;
+    let Answering {
+        exchange,
+        picked,
+        mut guard,
+        call,
+        ..
+    } = answering;
+    let first_byte = exchange.answered;
+    let held = work.offset();
+    work.begin(call);
+    let moved_to = Mutex::new(None);
+    let read = match work {
+        Work::Plain { .. } => plain::read(exchange, &cx.gate.pool).await,
+        Work::Engine(generation) => {
+            let move_on = |prompt: &str| {
+                let other = elsewhere(cx, stage, prompt, &tries.avoid, &picked);
+                let is_there = other.is_some();
+                *moved_to.lock().expect("no holder of this lock panics") = other;
+                is_there
+            };
+            let watch = Watch::new(&cx.gate.paces, stage.name, cx.ask.deadline, &move_on);
+            generation.read(exchange, &cx.gate.pool, sink, watch).await
+        }
+    };
+    match read {
+        Ok(output) => {
+            guard.succeeded(work.tokens());
+            let (since, name) = (picked.since(), stage.name);
+            let sized = Sized {
+                name,
+                bytes: work.bytes(),
+            };
+            let first = first_byte.saturating_duration_since(since);
+            cx.gate.route.observe(sized, first, since.elapsed());
+            cx.gate.paces.ended(name, work.tokens());
+            picked.finish(Verdict::Good, Some(first_byte), work.cached());
+            Ok((output, picked.name().to_owned()))
+        }
+        // The connection is suspect before its endpoint is: go on there over a new one.
+        Err(e @ (CallError::Broken(_) | CallError::Stalled(_)))
+            if via == Via::Any || work.offset() > held =>
+        {
+            if work.offset() > held {
+                tries.rounds = 0;
+            }
+            guard.ended();
+            cx.gate.pool.suspect(picked.address());
+            let error = StageError::call(stage.name, picked.name(), e);
+            tries.again = Some(picked);
+            Err(error)
+        }
+        Err(e) => {
+            tries.moved_to = moved_to.into_inner().unwrap_or_default();
+            if tries.moved_to.is_some() {
+                // The budget bounds the moves.
+                tries.rounds = 0;
+            }
+            tries.avoid.push(picked.name().to_owned());
+            Err(failed(cx, stage, &picked, e))
+        }
+    }
+}
+
+/// Another endpoint for a stream that lags at `slow`, out of the retry budget.
+fn elsewhere(
+    cx: &Running,
+    stage: Stage<'_>,
+    prompt: &str,
+    avoid: &[String],
+    slow: &Picked,
+) -> Option<Arc<Picked>> {
+    let mut avoid = avoid.to_vec();
+    avoid.push(slow.name().to_owned());
+    let other = pick_for(cx, stage, Some(prompt), &avoid).ok()?;
+    let is_other = !avoid.iter().any(|name| name == other.name());
+    (is_other && cx.gate.route.spend_retry(stage.name)).then_some(other)
+}
+
+/// Pauses before a further try, or gives up at once with when to come back.
+async fn wait_for_retry(
+    cx: &Running,
+    stage: Stage<'_>,
+    tries: &Tries,
+    is_free: bool,
+    error: StageError,
+) -> Result<(), StageError> {
+    let Cause::Call(cause) = &error.cause else {
+        return Err(error);
+    };
+    if !cause.is_worth_retrying() || tries.rounds >= MAX_TRIES {
+        return Err(error);
+    }
+    if matches!(cause, CallError::Lagging) {
+        return Ok(());
+    }
+    let is_free = is_free || matches!(cause, CallError::Connect(_));
+    if !is_free && !cx.gate.route.spend_retry(stage.name) {
+        return Err(error);
+    }
+    let bound = FIRST_BACKOFF * 2_u32.pow(tries.rounds.clamp(1, 8) - 1);
+    let drawn = rand::rng().random_range(Duration::ZERO..=bound.min(LONGEST_BACKOFF));
+    let pause = match cause.retry_after() {
+        // Another endpoint may be free although this one is not.
+        Some(after) if cx.gate.route.count(stage.name) <= 1 => after.max(drawn),
+        _ => drawn,
+    };
+    let left = cx.ask.deadline.saturating_duration_since(Instant::now());
+    if pause >= left {
+        return Err(error);
+    }
+    sleep(pause).await;
+    Ok(())
+}
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use host::problem::{Outcome, Problem};
+use host::problem::Problem;
 use link::follower::InForce;
 use salvo::{
     Request,
@@ -13,7 +13,7 @@
 use tokio::time::{Instant, timeout};
 use uuid::Uuid;
 
-use crate::{body, gate::Gate, ledger};
+use crate::{body, gate::Gate, ledger, refusal::bad};
 
 /// Longest deadline that a caller may name.
 const MAX_DEADLINE: Duration = Duration::from_mins(10);
@@ -62,7 +62,7 @@
         problem
     };
     let checked = check(gate, req, arrived).map_err(named)?;
-    let reading = body::read(gate, req);
+    let reading = body::read(&gate.cfg.limits, &gate.budget, req);
     let limit = gate.cfg.timing.body;
     let (bytes, held) = match timeout(limit, reading).await {
         Err(_) => {
@@ -137,14 +137,6 @@
     })
 }
 
-/// A refusal before any work.
-pub(crate) fn bad(status: u16, kind: &str, title: &str, what: impl Into<String>) -> Box<Problem> {
-    let mut problem = Problem::new(status, kind, title, what);
-    problem.outcome = Some(Outcome::NotRun);
-    problem.step = Some("check request".to_owned());
-    Box::new(problem)
-}
-
 fn deadline(headers: &HeaderMap, default: Duration) -> Result<Duration, Box<Problem>> {
     let Some(text) = text(headers, "jujube-deadline-ms")? else {
         return Ok(default);
--- a/crates/gate/src/run.rs
+++ b/crates/gate/src/run.rs
@@ -1,6 +1,6 @@
 //! One request through all stages of its pipeline.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use declaration::{Declaration, Pipeline};
 use host::problem::{Outcome, Problem};
@@ -16,29 +16,13 @@
     ledger::stage_key,
     once,
     record::Record,
+    repeated,
     request::Ask,
-    stage::{self, Stage, StageDone, StageReport, is_engine},
+    running::{Running, no_time_left},
+    stage::{Stage, StageDone, StageReport, is_engine},
     stream::Sink,
 };
 
-/// When to come back after a refusal for want of time.
-const NO_TIME_RETRY_AFTER: Duration = Duration::from_millis(200);
-
-/// A request that runs.
-#[derive(Debug)]
-pub(crate) struct Running {
-    /// The gate.
-    pub(crate) gate: Arc<Gate>,
-    /// What the caller asked for.
-    pub(crate) ask: Ask,
-    /// The workspace's priority.
-    pub(crate) priority: u8,
-    /// Availability zones that the workspace may use.
-    pub(crate) zones: Vec<String>,
-    /// What is known of the request's calls.
-    pub(crate) record: Arc<Record>,
-}
-
 /// A whole answer.
 #[derive(Debug, Serialize)]
 pub(crate) struct Answer {
@@ -139,13 +123,6 @@
         }
     }
 
-    /// Whether `stages` are likely to end before the deadline.
-    pub(crate) fn fits(&self, stages: &[Stage<'_>]) -> bool {
-        let left = self.ask.deadline.saturating_duration_since(Instant::now());
-        let bytes = self.ask.input.get().len();
-        self.gate.route.fits(stages, bytes, left)
-    }
-
     async fn run_stages(
         &self,
         stages: &[Stage<'_>],
@@ -174,7 +151,7 @@
             let sink = sink.filter(|_| is_streamed);
             let result = match self.key(stages, at) {
                 Some(key) => once::run(self, *stage, key, previous).await,
-                None => stage::run(self, *stage, previous, sink).await,
+                None => repeated::run(self, *stage, previous, sink).await,
             };
             match result {
                 Err(e) if at == last && e.not_kept().is_some() => {
@@ -269,15 +246,6 @@
     stages.collect()
 }
 
-/// What is left of the deadline is less than the next stages are likely to take.
-pub(crate) fn no_time_left() -> Cause {
-    Cause::Admission {
-        reason: "the remaining stages do not fit before the deadline",
-        is_workspace_limit: false,
-        retry_after: NO_TIME_RETRY_AFTER,
-    }
-}
-
 /// A validated declaration has no such pipeline.
 fn no_stage(name: &str) -> StageError {
     let reason = "it is not declared".to_owned();
--- /dev/null
+++ b/crates/gate/src/running.rs
@@ -0,0 +1,43 @@
+//! A request under way, as every stage sees it.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::time::Instant;
+
+use crate::{failure::Cause, gate::Gate, record::Record, request::Ask, stage::Stage};
+
+/// When to come back after a refusal for want of time.
+const NO_TIME_RETRY_AFTER: Duration = Duration::from_millis(200);
+
+/// A request that runs.
+#[derive(Debug)]
+pub(crate) struct Running {
+    /// The gate.
+    pub(crate) gate: Arc<Gate>,
+    /// What the caller asked for.
+    pub(crate) ask: Ask,
+    /// The workspace's priority.
+    pub(crate) priority: u8,
+    /// Availability zones that the workspace may use.
+    pub(crate) zones: Vec<String>,
+    /// What is known of the request's calls.
+    pub(crate) record: Arc<Record>,
+}
+
+impl Running {
+    /// Whether `stages` are likely to end before the deadline.
+    pub(crate) fn fits(&self, stages: &[Stage<'_>]) -> bool {
+        let left = self.ask.deadline.saturating_duration_since(Instant::now());
+        let bytes = self.ask.input.get().len();
+        self.gate.route.fits(stages, bytes, left)
+    }
+}
+
+/// What is left of the deadline is less than the next stages are likely to take.
+pub(crate) fn no_time_left() -> Cause {
+    Cause::Admission {
+        reason: "the remaining stages do not fit before the deadline",
+        is_workspace_limit: false,
+        retry_after: NO_TIME_RETRY_AFTER,
+    }
+}
--- a/crates/keeper/src/config.rs
+++ b/crates/keeper/src/config.rs
@@ -5,8 +5,6 @@
 use host::settings::{Operator, Peer, Reader, Secret, Vm};
 use replica::Timing;
 
-use crate::group::GroupConfig;
-
 const DEFAULT_RETENTION_MS: u64 = 24 * 3_600 * 1_000;
 const MAX_RETENTION_MS: u64 = 30 * 24 * 3_600 * 1_000;
 const DEFAULT_SKEW_MS: u64 = 60_000;
@@ -38,6 +36,21 @@
     pub max_outputs_bytes: u64,
 }
 
+/// How a group forms and mends itself.
+#[derive(Clone, Debug)]
+pub struct GroupConfig {
+    /// Links of the first voters, where this keeper may be one that founds the group; else empty.
+    pub founders: Vec<SocketAddr>,
+    /// Links of keepers that may know the group.
+    pub seeds: Vec<SocketAddr>,
+    /// Voters wanted.
+    pub voters: usize,
+    /// A voter that is silent for so long is replaced where a learner stands by.
+    pub replace_after: Duration,
+    /// A learner that is silent for so long is taken out.
+    pub forget_after: Duration,
+}
+
 /// One keeper's settings.
 #[derive(Clone, Debug)]
 pub struct Config {
--- a/crates/keeper/src/group.rs
+++ b/crates/keeper/src/group.rs
@@ -21,7 +21,7 @@
 use tokio::time::{Instant, sleep};
 use uuid::Uuid;
 
-use crate::service::Service;
+use crate::{config::GroupConfig, service::Service};
 
 /// File in the data folder that keeps the member's name.
 const FILE: &str = "member";
@@ -38,21 +38,6 @@
 /// A learner that answers is heard at least this often.
 const HEARD_WITHIN: Duration = Duration::from_millis(800);
 
-/// How a group forms and mends itself.
-#[derive(Clone, Debug)]
-pub struct GroupConfig {
-    /// Links of the first voters, where this keeper may be one that founds the group; else empty.
-    pub founders: Vec<SocketAddr>,
-    /// Links of keepers that may know the group.
-    pub seeds: Vec<SocketAddr>,
-    /// Voters wanted.
-    pub voters: usize,
-    /// A voter that is silent for so long is replaced where a learner stands by.
-    pub replace_after: Duration,
-    /// A learner that is silent for so long is taken out.
-    pub forget_after: Duration,
-}
-
 /// Who this keeper is among the members, for as long as its folder lasts.
 #[record]
 #[derive(Eq)]
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -24,9 +24,8 @@
 mod start;
 mod state;
 
-pub use config::{Config, Limits};
+pub use config::{Config, GroupConfig, Limits};
 pub use entry::{Command, DIGEST_BYTES, Entry, GrantIntent, LeaseView, Stamp};
-pub use group::GroupConfig;
 pub use lasting::{Answering, start_lasting};
 pub use leases::{Leases, Seen};
 pub use machine::Machine;
--- a/crates/keeper/tests/held.rs
+++ b/crates/keeper/tests/held.rs
@@ -35,14 +35,14 @@
     let cut = (group.leader().await + 1) % 3;
     group.isolate(cut, Fault::Cut);
     let settlement = Settlement::Completed(Output::Whole(b"booked".to_vec()));
-    let hold = KeeperRequest::Hold(Settle {
+    let req = KeeperRequest::Hold(Settle {
         key,
         attempt,
         settlement: settlement.clone(),
     });
     let peer = group.peer(cut);
     peer.connected().await;
-    let held: KeeperReply = peer.call(Channel::Keeper, &hold, LIMIT).await.unwrap();
+    let held: KeeperReply = peer.call(Channel::Keeper, &req, LIMIT).await.unwrap();
     assert_eq!(held, KeeperReply::Held);
     group.kill(cut);
     group.restart(cut);
