--- /dev/null
+++ b/crates/forward/src/heads.rs
@@ -0,0 +1,201 @@
+//! How long a caller takes to send the head of a request.
+//!
+//! The HTTP library bounds the time until a head is whole, idle time included. A connection may be idle
+//! for long; a head that has begun may not. This tells the two apart by the bytes that come.
+
+use std::{
+    io,
+    pin::Pin,
+    sync::{Arc, Mutex},
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use hyper::body::{Body, Frame, SizeHint};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    time::{Instant, sleep_until},
+};
+
+/// What a connection is at.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Stage {
+    /// Nothing has come since the last answer.
+    Idle,
+    /// A head has begun.
+    Head(Instant),
+    /// A request is being answered.
+    Answering,
+}
+
+/// What one connection is at; clones share it.
+#[derive(Clone, Debug)]
+pub(crate) struct Heads(Arc<Mutex<Stage>>);
+
+impl Heads {
+    /// A connection that has just been made.
+    pub(crate) fn new() -> Self {
+        Self(Arc::new(Mutex::new(Stage::Idle)))
+    }
+
+    /// A whole head has come; it is answered until the guard is dropped.
+    pub(crate) fn answering(&self) -> Answering {
+        self.set(Stage::Answering);
+        Answering(self.clone())
+    }
+
+    /// Ends once a head is not whole `limit` after its first byte.
+    pub(crate) async fn overdue(&self, limit: Duration) {
+        loop {
+            // A look once in `limit` costs less than being told of each head.
+            let look = match self.get() {
+                Stage::Head(since) if since.elapsed() >= limit => return,
+                Stage::Head(since) => since + limit,
+                Stage::Idle | Stage::Answering => Instant::now() + limit,
+            };
+            sleep_until(look).await;
+        }
+    }
+
+    fn received(&self) {
+        if self.get() == Stage::Idle {
+            self.set(Stage::Head(Instant::now()));
+        }
+    }
+
+    fn get(&self) -> Stage {
+        *self.0.lock().expect("no holder of this lock panics")
+    }
+
+    fn set(&self, stage: Stage) {
+        *self.0.lock().expect("no holder of this lock panics") = stage;
+    }
+}
+
+/// A request is being answered for as long as this lives.
+#[derive(Debug)]
+pub(crate) struct Answering(Heads);
+
+impl Drop for Answering {
+    fn drop(&mut self) {
+        self.0.set(Stage::Idle);
+    }
+}
+
+/// An answer's body; the request counts as being answered until it has been written.
+#[derive(Debug)]
+pub(crate) struct Answer<B> {
+    pub(crate) body: B,
+    pub(crate) _answering: Answering,
+}
+
+impl<B: Body + Unpin> Body for Answer<B> {
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// A caller's connection whose bytes are noted.
+#[derive(Debug)]
+pub(crate) struct Noted<S> {
+    pub(crate) stream: S,
+    pub(crate) heads: Heads,
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Noted<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > before {
+            self.heads.received();
+        }
+        polled
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Noted<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::time::Duration;
+
+    use tokio::{
+        io::{AsyncReadExt, AsyncWriteExt, duplex},
+        time::{sleep, timeout},
+    };
+
+    use super::{Heads, Noted};
+
+    const LIMIT: Duration = Duration::from_secs(3);
+
+    #[tokio::test(start_paused = true)]
+    async fn an_idle_connection_and_a_long_answer_are_not_overdue_and_a_slow_head_is() {
+        let (mut caller, stream) = duplex(64);
+        let heads = Heads::new();
+        let mut noted = Noted {
+            stream,
+            heads: heads.clone(),
+        };
+        assert!(timeout(LIMIT * 10, heads.overdue(LIMIT)).await.is_err());
+
+        caller.write_all(b"GET").await.unwrap();
+        let mut buf = [0; 3];
+        noted.read_exact(&mut buf).await.unwrap();
+        sleep(LIMIT / 2).await;
+        let answering = heads.answering();
+        assert!(timeout(LIMIT * 10, heads.overdue(LIMIT)).await.is_err());
+        drop(answering);
+        assert!(timeout(LIMIT * 10, heads.overdue(LIMIT)).await.is_err());
+
+        caller.write_all(b"GET").await.unwrap();
+        noted.read_exact(&mut buf).await.unwrap();
+        let overdue = timeout(LIMIT * 2, heads.overdue(LIMIT)).await;
+        assert!(overdue.is_ok());
+    }
+}
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -19,6 +19,7 @@
 mod forwarder;
 mod freshness;
 mod gates;
+mod heads;
 mod inquiry;
 mod line;
 mod messages;
--- a/crates/forward/src/server.rs
+++ b/crates/forward/src/server.rs
@@ -1,17 +1,24 @@
 //! The callers' listener: one task a connection, ended without cutting an answer off.
 
-use std::{pin::pin, time::Duration};
+use std::{convert::Infallible, pin::Pin, time::Duration};
 
-use hyper::{server::conn::http1, service::service_fn};
+use hyper::{
+    Request, Response as HttpResponse, body::Incoming, server::conn::http1, service::service_fn,
+};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
+    io::AsyncWriteExt,
     net::{TcpListener, TcpStream},
     sync::watch,
     task::JoinSet,
-    time::sleep,
+    time::{sleep, timeout},
 };
 
-use crate::forwarder::Forwarder;
+use crate::{
+    forwarder::Forwarder,
+    heads::{Answer, Answering, Heads, Noted},
+    response::OutBody,
+};
 
 /// Most connections of callers.
 const MAX_CONNECTIONS: usize = 3_000;
@@ -19,6 +26,11 @@
 /// Least buffer that the library takes.
 const MIN_BUFFER: usize = 8 << 10;
 
+/// The answer to a head that does not come to its end.
+const SLOW_HEAD: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+const REFUSAL_LIMIT: Duration = Duration::from_secs(1);
+
 /// How far an ordered end has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Phase {
@@ -59,21 +71,57 @@
         return;
     }
     let callers = forwarder.rules.borrow().declaration.callers.clone();
-    let service = service_fn(move |req| forwarder.clone().handle(req));
-    let connection = http1::Builder::new()
+    let heads = Heads::new();
+    let noted = heads.clone();
+    let service = service_fn(move |req| answer(forwarder.clone(), req, noted.answering()));
+    let stream = Noted {
+        stream,
+        heads: heads.clone(),
+    };
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // Counted from the end of the last answer, so that it bounds idle connections as well.
         .header_read_timeout(callers.idle.max(callers.head))
         .max_buf_size((callers.head_bytes as usize * 2).max(MIN_BUFFER))
         .serve_connection(TokioIo::new(stream), service);
-    let mut connection = pin!(connection);
-    let closing = phase.wait_for(|phase| *phase == Phase::Closing);
-    tokio::select! {
+    let end = tokio::select! {
         // What went wrong is the caller's to know.
-        _ = &mut connection => return,
-        _ = closing => {}
+        _ = &mut connection => End::Closed,
+        () = heads.overdue(callers.head) => End::SlowHead,
+        _ = phase.wait_for(|phase| *phase == Phase::Closing) => End::Closing,
+    };
+    match end {
+        End::Closed => {}
+        End::SlowHead => refuse_slow_head(connection.into_parts().io).await,
+        End::Closing => {
+            Pin::new(&mut connection).graceful_shutdown();
+            // An answer under way ends first.
+            let _ = connection.await;
+        }
     }
-    connection.as_mut().graceful_shutdown();
-    // An answer under way ends first.
-    let _ = connection.await;
+}
+
+/// Why a connection is not served any more.
+enum End {
+    Closed,
+    SlowHead,
+    Closing,
+}
+
+async fn answer(
+    forwarder: Forwarder,
+    req: Request<Incoming>,
+    answering: Answering,
+) -> Result<HttpResponse<Answer<OutBody>>, Infallible> {
+    let answered = forwarder.handle(req).await?;
+    Ok(answered.map(|body| Answer {
+        body,
+        _answering: answering,
+    }))
+}
+
+async fn refuse_slow_head(io: TokioIo<Noted<TcpStream>>) {
+    let mut stream = io.into_inner().stream;
+    // A caller that has gone needs no answer.
+    let _ = timeout(REFUSAL_LIMIT, stream.write_all(SLOW_HEAD)).await;
 }
