--- a/crates/bench/src/processes.rs
+++ b/crates/bench/src/processes.rs
@@ -14,8 +14,8 @@
 use serde_json::Value;
 use tokio::{
     fs::File,
-    io::{AsyncBufReadExt, AsyncWriteExt, BufReader},
-    process::{Child, ChildStderr, Command},
+    io::{AsyncBufReadExt, AsyncRead, AsyncWriteExt, BufReader},
+    process::{Child, Command},
     sync::watch,
     time::timeout,
 };
@@ -61,20 +61,22 @@
             .arg("--config")
             .arg(&config)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(Stdio::piped())
             .stderr(Stdio::piped())
             .kill_on_drop(true)
             .spawn()
             .wrap_err_with(|| format!("start {} for {name}", path.display()))?;
         let id = child.id().and_then(|id| Pid::from_raw(id as i32));
         let pid = id.ok_or_else(|| eyre!("{name} ended before it could be named"))?;
-        let stderr = child
-            .stderr
-            .take()
-            .ok_or_else(|| eyre!("{name} has no log"))?;
         let (tx, mut rx) = watch::channel(None);
-        let log = self.work.join(format!("{name}.log"));
-        tokio::spawn(copy_log(stderr, log, tx));
+        let path = self.work.join(format!("{name}.log"));
+        let lines = child.stdout.take();
+        let lines = lines.ok_or_else(|| eyre!("{name} has no log"))?;
+        tokio::spawn(copy_log(lines, path.clone(), tx.clone()));
+        // What stops a start is said there as well.
+        if let Some(errors) = child.stderr.take() {
+            tokio::spawn(copy_log(errors, path, tx));
+        }
         let listening = timeout(START_LIMIT, rx.wait_for(Option::is_some)).await;
         let listening = match listening {
             Ok(Ok(listening)) => *listening,
@@ -98,8 +100,12 @@
     }
 }
 
-async fn copy_log(stderr: ChildStderr, path: PathBuf, tx: watch::Sender<Option<Listening>>) {
-    let mut lines = BufReader::new(stderr).lines();
+async fn copy_log(
+    lines: impl AsyncRead + Unpin,
+    path: PathBuf,
+    tx: watch::Sender<Option<Listening>>,
+) {
+    let mut lines = BufReader::new(lines).lines();
     let mut file = open_log(&path).await;
     while let Ok(Some(line)) = lines.next_line().await {
         if let Some(f) = &mut file {
--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -79,6 +79,17 @@
     Audit(u64),
     /// Change the keeper group.
     Keeper(MemberRequest),
+    /// Tell one request's story out of logs.
+    Explain(Explain),
+}
+
+/// A request and the logs that may tell of it.
+#[value]
+pub struct Explain {
+    /// Its id.
+    pub request: String,
+    /// Files with logs; standard input where there is none.
+    pub files: Vec<PathBuf>,
 }
 
 /// A document to submit.
@@ -145,6 +156,7 @@
         "status" => Verb::Status,
         "audit" => Verb::Audit(args.opt_value_from_str("--from")?.unwrap_or(1)),
         "keeper" => parse_keeper(args)?,
+        "explain" => parse_explain(args)?,
         other => return Err(ArgsError::UnknownVerb(other.to_owned())),
     };
     Ok(parsed)
@@ -178,6 +190,15 @@
     }))
 }
 
+fn parse_explain(args: &mut Arguments) -> Result<Verb, ArgsError> {
+    let request = args.free_from_str()?;
+    let mut files = Vec::new();
+    while let Some(file) = args.opt_free_from_str()? {
+        files.push(file);
+    }
+    Ok(Verb::Explain(Explain { request, files }))
+}
+
 fn author(args: &mut Arguments) -> Result<String, ArgsError> {
     let given: Option<String> = args.opt_value_from_str("--author")?;
     let user = || env::var("USER").unwrap_or_else(|_| "unknown".to_owned());
@@ -220,7 +241,7 @@
         .filter(|address| !address.is_empty())
         .collect();
     match verb {
-        Verb::Check(_) => Ok(keepers),
+        Verb::Check(_) | Verb::Explain(_) => Ok(keepers),
         _ if keepers.is_empty() => Err(ArgsError::NoKeepers),
         _ => Ok(keepers),
     }
--- a/crates/cli/src/help.rs
+++ b/crates/cli/src/help.rs
@@ -14,6 +14,7 @@
   export                     print the declaration in force
   status                     show every keeper's role, term and log
   audit [--from N]           print the audit trail, from revision N
+  explain ID [FILE…]         tell request ID's story out of logs, or of standard input
   keeper add NAME ADDRESS    join a keeper as a learner; ADDRESS is IP:PORT of its link
   keeper promote NAME        make a learner a voter once it has caught up
   keeper remove NAME         take a keeper out; --force where that endangers the quorum
@@ -35,6 +36,9 @@
   0 done   1 failed   2 wrong usage   3 invalid document   4 conflict
   5 no quorum, or no keeper reachable
 
+Why a request failed, out of the logs of all gates and keepers:
+  jujubeferry explain r-17 gate-*.log keeper-*.log
+
 A first change:
   jujubeferry export --keepers 127.0.0.1:7411 > declaration.ini
   $EDITOR declaration.ini
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,7 @@
 mod args;
 mod audit;
 mod error;
+mod explain;
 mod help;
 mod output;
 mod run;
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -7,6 +7,7 @@
     args::{Config, Verb},
     audit,
     error::VerbError,
+    explain,
     output::to_json,
     status, verbs,
 };
@@ -42,6 +43,7 @@
         Verb::Export => verbs::export(cfg, &api).await,
         Verb::Status => status::status(cfg, &api).await,
         Verb::Audit(from) => audit::audit(cfg, &api, *from).await,
+        Verb::Explain(asked) => explain::explain(cfg, asked),
         Verb::Keeper(req) => verbs::keeper(cfg, &api, req).await,
     }
 }
--- a/crates/controller/tests/env/mod.rs
+++ b/crates/controller/tests/env/mod.rs
@@ -208,10 +208,10 @@
         let mut child = Command::new(env!("CARGO_BIN_EXE_jujube-controller"))
             .arg("--config")
             .arg(config)
-            .stderr(Stdio::piped())
+            .stdout(Stdio::piped())
             .spawn()
             .unwrap();
-        let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
+        let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
         let http = loop {
             let line = lines.next().expect("the controller listens").unwrap();
             let line: Value = serde_json::from_str(&line).unwrap_or_default();
--- a/crates/demo/src/run.rs
+++ b/crates/demo/src/run.rs
@@ -21,7 +21,8 @@
         .enable_all()
         .build();
     let result = runtime.map_err(eyre::Report::from).and_then(|runtime| {
-        host::log::start(spdlog::Level::Warn)?;
+        // Standard output is the demo's own.
+        let _log = logs::start(None, spdlog::Level::Warn, logs::Stream::Errors)?;
         runtime.block_on(demonstrate(cfg))
     });
     match result {
--- a/crates/forward/src/answer.rs
+++ b/crates/forward/src/answer.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use hyper::StatusCode;
+use logs::{Ending, Story};
 use thiserror::Error;
 
 /// Why a request has no endpoint's answer.
@@ -121,6 +122,22 @@
         }
     }
 
+    /// Ends the story of the request with it.
+    pub(crate) fn tell(&self, story: &Story) {
+        let ending = match self {
+            Self::Refused { .. } => Ending::Refused,
+            Self::Lost(_) => Ending::Lost,
+            Self::Late => Ending::Late,
+            Self::NoRoute | Self::NoKey | Self::Malformed(_) | Self::TooLarge => Ending::Rejected,
+        };
+        let retry_after_ms = match self {
+            Self::Refused { retry_after, .. } => retry_after.map(|after| after.as_millis() as u64),
+            _ => None,
+        };
+        let status = self.status().as_u16();
+        story.failed(ending, status, &self.to_string(), retry_after_ms);
+    }
+
     /// The body: one line.
     pub fn body(&self) -> Bytes {
         format!("{self}\n").into()
--- a/crates/forward/src/batch.rs
+++ b/crates/forward/src/batch.rs
@@ -28,7 +28,7 @@
     let until = now + patience;
     let exchange = match call::send(&cx.pool, next.target.address, req, until).await {
         Ok(exchange) => exchange,
-        Err(e) => return failed(next, &e),
+        Err(e) => return Ended::Failed(e.to_string()),
     };
     match (cx.dialect.judge)("", exchange.status, &exchange.headers) {
         Verdict::Good => {}
@@ -38,30 +38,21 @@
             return Ended::NotRun;
         }
         Verdict::OtherEndpoint => return Ended::Misplaced,
-        Verdict::Failed | Verdict::Foreign => return Ended::Failed,
+        Verdict::Failed => return Ended::Failed(format!("it answered {}", exchange.status)),
+        Verdict::Foreign => return Ended::Failed("another answer came".to_owned()),
     }
     let body = match exchange.whole(&cx.pool, MAX_ANSWER_BYTES, until).await {
         Ok(body) => body,
-        Err(e) => return failed(next, &e),
+        Err(e) => return Ended::Failed(e.to_string()),
     };
     match (cx.dialect.read_batch)(&body) {
         Some(results) if results.len() == next.jobs.len() => {
             Ended::Answered(results.into_iter().map(read).collect())
         }
-        _ => Ended::Failed,
+        _ => Ended::Failed("its answer does not fit its items".to_owned()),
     }
 }
 
-fn failed(next: &NextCall, e: &call::CallError) -> Ended {
-    spdlog::warn!("batched call failed", kv: {
-        endpoint = next.target.name.as_str(),
-        service = next.target.service.as_str(),
-        items = next.jobs.len(),
-        why = e.to_string()
-    });
-    Ended::Failed
-}
-
 fn item(job: &Job, now: Instant) -> Item<'_> {
     let submission = &job.ticket.submission;
     let source = match &submission.key {
--- a/crates/forward/src/collector.rs
+++ b/crates/forward/src/collector.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use logs::Event;
 use outbound::Pool;
 use tokio::{
     sync::{Notify, watch},
@@ -23,6 +24,7 @@
     fleet::Fleet,
     line::{Job, Line, NextCall},
     messages::{Made, StageFailure, Submission},
+    metrics::Metrics,
     rules::Rules,
     ticket::Ticket,
 };
@@ -42,6 +44,7 @@
     pub(crate) pool: Pool,
     pub(crate) rules: watch::Receiver<Arc<Rules>>,
     pub(crate) budget: Arc<routing::RetryBudget>,
+    pub(crate) metrics: Metrics,
 }
 
 /// The lines of all services; clones share them.
@@ -120,7 +123,13 @@
         let ticket = {
             let mut line = running.line();
             line.declare(&capacity);
-            line.take(submission, &pool, &self.shared.cx.fleet.reachable(), now)?
+            let reachable = self.shared.cx.fleet.reachable();
+            let asked = submission.clone();
+            let taken = line.take(submission, &pool, &reachable, now);
+            taken.inspect_err(|failure| {
+                let endpoints = line.sound(&pool, &reachable, now).len();
+                asked.tell(failure, asked.left, Some((line.waiting(), endpoints)));
+            })?
         };
         let id = ticket.id;
         self.tickets().insert(id, ticket);
@@ -266,26 +275,25 @@
     let began = Instant::now();
     let ended = batch::call(cx, &next).await;
     let now = Instant::now();
-    let has_failed = matches!(ended, Ended::Failed);
+    let has_failed = matches!(ended, Ended::Failed(_));
     if !matches!(ended, Ended::NotRun) {
         cx.fleet.observe(&next.target, has_failed);
     }
     match ended {
         Ended::NotRun => next.target.note_full(),
         Ended::Misplaced => next.target.note_misplaced(),
-        Ended::Failed | Ended::Answered(_) => {}
+        Ended::Failed(_) | Ended::Answered(_) => {}
+    }
+    let took = now.saturating_duration_since(began);
+    let is_whole = ended.failure().is_none();
+    cx.metrics
+        .batch(&next.target.service, next.jobs.len(), is_whole, took);
+    if let Some(why) = ended.failure() {
+        tell_failed(&next, why, took);
     }
-    spdlog::debug!("batched call", kv: {
-        service = next.target.service.as_str(),
-        endpoint = next.target.name.as_str(),
-        items = next.jobs.len(),
-        expected_ms = next.expected.as_millis() as u64,
-        ms = now.saturating_duration_since(began).as_millis() as u64,
-        ended = ended.label()
-    });
     let unwanted = {
         let mut line = running.line();
-        line.ended(&next, now.saturating_duration_since(began), &ended, now);
+        line.ended(&next, took, &ended, now);
         settle(cx, &mut line, &next, ended)
     };
     running.wake.notify_one();
@@ -293,6 +301,30 @@
     collector.free(&service, unwanted);
 }
 
+/// Requests that the line of a failed call names.
+const MAX_NAMED: usize = 12;
+
+/// Writes that a call gave nothing.
+fn tell_failed(next: &NextCall, why: &str, took: Duration) {
+    let requests = next.jobs.iter().map(|job| &job.ticket.submission.request);
+    let mut requests: Vec<String> = requests.cloned().collect();
+    requests.sort_unstable();
+    requests.dedup();
+    requests.truncate(MAX_NAMED);
+    logs::write(
+        None,
+        &Event::BatchFailed {
+            service: next.target.service.clone(),
+            endpoint: next.target.name.clone(),
+            requests,
+            items: next.jobs.len(),
+            why: why.to_owned(),
+            expected_ms: next.expected.as_millis() as u64,
+            took_ms: took.as_millis() as u64,
+        },
+    );
+}
+
 /// Gives each job its result or puts it back; returns handles that nobody wants any more.
 fn settle(cx: &Context, line: &mut Line, next: &NextCall, ended: Ended) -> Vec<String> {
     let mut unwanted = Vec::new();
@@ -303,7 +335,7 @@
             next.jobs.iter().for_each(|job| line.put_back(job.clone()));
             return unwanted;
         }
-        Ended::Failed => {
+        Ended::Failed(_) => {
             for job in &next.jobs {
                 again(cx, line, service, job.clone(), &StageFailure::Failed);
             }
@@ -315,6 +347,7 @@
             Ok(handle) => {
                 let made = Made {
                     handle: handle.clone(),
+                    endpoint: next.target.name.clone(),
                     az: next.target.az.clone(),
                 };
                 if !job.ticket.made(job.item, made) {
@@ -337,7 +370,12 @@
 
 /// Makes an item once more where the budget allows it, and fails its stage otherwise.
 fn again(cx: &Context, line: &mut Line, service: &str, job: Job, failure: &StageFailure) {
-    match job.once_more().filter(|_| cx.budget.try_spend(service)) {
+    let may_spend = || {
+        let is_there = cx.budget.try_spend(service);
+        cx.metrics.retried(service, is_there);
+        is_there
+    };
+    match job.once_more().filter(|_| may_spend()) {
         Some(job) => line.put_back(job),
         None => job.ticket.fail(failure.clone()),
     }
--- a/crates/forward/src/control.rs
+++ b/crates/forward/src/control.rs
@@ -7,10 +7,11 @@
     follower::{Follower, FollowerConfig},
     keeper::{KeeperAddress, KeeperReply, KeeperRequest},
 };
+use logs::Event;
 use membership::{
     Announcement, Load, Mirror, Readiness, Request as TableRequest, StageRole, mirror,
 };
-use spdlog::{info, warn};
+use spdlog::warn;
 use tokio::{
     sync::watch,
     task::JoinSet,
@@ -98,10 +99,8 @@
             }
             let is_fresh = self.freshness.is_fresh();
             if is_fresh != was_fresh {
-                match is_fresh {
-                    true => info!("the declaration is confirmed"),
-                    false => warn!("the declaration is not confirmed any more"),
-                }
+                let age_ms = self.freshness.age().map(|age| age.as_millis() as u64);
+                logs::write(None, &Event::Confirmation { is_fresh, age_ms });
                 was_fresh = is_fresh;
             }
             let pause = if is_confirmed {
@@ -204,8 +203,8 @@
                 .unwrap_or_else(|| Peer::start(&keeper.name, keeper.address, &self.links))
         });
         let peers: Vec<Peer> = peers.collect();
-        let shown: Vec<&str> = peers.iter().map(Peer::name).collect();
-        info!("keepers", kv: { names = shown.join(", ") });
+        let known = peers.iter().map(|peer| peer.name().to_owned()).collect();
+        logs::write(None, &Event::Keepers { names: known });
         keepers.send_replace(peers);
     }
 }
@@ -217,7 +216,8 @@
         let current = in_force.borrow_and_update().clone();
         if let Some(f) = current.filter(|f| f.revision > 0) {
             let next = Rules::new(&f.declaration);
-            info!("declaration in force", kv: { revision = f.revision });
+            let revision = f.revision;
+            logs::write(None, &Event::InForce { revision });
             rules.send_replace(Arc::new(next));
         }
         if in_force.changed().await.is_err() {
--- a/crates/forward/src/ended.rs
+++ b/crates/forward/src/ended.rs
@@ -12,18 +12,23 @@
     /// Another endpoint has the address; it did not run.
     Misplaced,
     /// It may have run, and gave nothing.
-    Failed,
+    Failed(String),
 }
 
 impl Ended {
-    /// A word for logs.
-    pub(crate) fn label(&self) -> &'static str {
+    /// Why it gave nothing, or less than was asked for.
+    pub(crate) fn failure(&self) -> Option<&str> {
         match self {
-            Self::Answered(results) if results.iter().all(Result::is_ok) => "answered",
-            Self::Answered(_) => "answered in part",
-            Self::NotRun => "not run",
-            Self::Misplaced => "misplaced",
-            Self::Failed => "failed",
+            Self::Answered(results) => {
+                let is_failed = |r: &Result<_, ItemFailure>| r.is_err();
+                results
+                    .iter()
+                    .any(is_failed)
+                    .then_some("some items have no results")
+            }
+            Self::NotRun => Some("the endpoint did not run it"),
+            Self::Misplaced => Some("another endpoint has its address"),
+            Self::Failed(why) => Some(why),
         }
     }
 }
--- a/crates/forward/src/fleet.rs
+++ b/crates/forward/src/fleet.rs
@@ -3,10 +3,14 @@
 use std::{
     collections::{BTreeSet, HashMap},
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError, RwLock,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
+use logs::Event;
 use membership::{EndpointState, EndpointView, Mirror};
 use routing::{EjectionConfig, Health, max_ejected};
 use tokio::time::Instant;
@@ -76,6 +80,8 @@
     pub(crate) cache: PrefixCache,
     health: Health,
     out_until: Option<Instant>,
+    /// Whether it was ejected and has not answered since.
+    was_ejected: bool,
 }
 
 /// Time after which a report of load says nothing any more.
@@ -89,9 +95,8 @@
     /// Another endpoint has its address.
     pub(crate) fn note_misplaced(&self) {
         self.stats().out_until = Some(Instant::now() + MISPLACED);
-        spdlog::info!("endpoint's address was taken by another one", kv: {
-            endpoint = self.name.as_str(), service = self.service.as_str()
-        });
+        let (endpoint, service) = (self.name.clone(), self.service.clone());
+        logs::write(None, &Event::EndpointMisplaced { endpoint, service });
     }
 
     /// It said that it is full.
@@ -148,6 +153,19 @@
 pub struct Fleet {
     pools: Arc<RwLock<HashMap<String, Arc<Pool>>>>,
     reachable: Arc<RwLock<Arc<Reachable>>>,
+    ejections: Arc<AtomicU64>,
+}
+
+/// Endpoints of one service, counted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Counted {
+    pub(crate) service: String,
+    /// Known.
+    pub(crate) known: usize,
+    /// Of these, those that take new work as keepers tell.
+    pub(crate) ready: usize,
+    /// Of these, those that this gate leaves out for now.
+    pub(crate) out: usize,
 }
 
 /// Availability zones that can be reached, as far as is known.
@@ -175,6 +193,27 @@
         pools.get(service).cloned()
     }
 
+    /// The endpoints of all services, counted.
+    pub(crate) fn counted(&self) -> Vec<Counted> {
+        let now = Instant::now();
+        let pools = self.pools.read().unwrap_or_else(PoisonError::into_inner);
+        let counted = pools.iter().map(|(service, pool)| {
+            let ready: Vec<&Arc<Target>> = pool.targets.iter().filter(|t| t.is_ready()).collect();
+            Counted {
+                service: service.clone(),
+                known: pool.targets.len(),
+                ready: ready.len(),
+                out: ready.iter().filter(|t| t.stats().is_out(now)).count(),
+            }
+        });
+        counted.collect()
+    }
+
+    /// Ejections since the start.
+    pub(crate) fn ejections(&self) -> u64 {
+        self.ejections.load(Ordering::Relaxed)
+    }
+
     /// The availability zones that can be reached.
     pub(crate) fn reachable(&self) -> Arc<Reachable> {
         let reachable = self
@@ -191,8 +230,8 @@
             .write()
             .unwrap_or_else(PoisonError::into_inner);
         if **reachable != next {
-            let cut: Vec<&str> = next.cut.iter().map(String::as_str).collect();
-            spdlog::warn!("availability zones out of reach", kv: { zones = cut.join(", ") });
+            let zones = next.cut.iter().cloned().collect();
+            logs::write(None, &Event::ZonesOut { zones });
             *reachable = Arc::new(next);
         }
     }
@@ -218,27 +257,69 @@
             };
             pools.insert(service.to_owned(), Arc::new(pool));
         }
+        tell_gone(&old, &pools);
     }
 
     /// Notes what became of a call to `target`; ejects it where it fails too often.
     pub(crate) fn observe(&self, target: &Target, has_failed: bool) {
         let now = Instant::now();
-        if !target.stats().health.observe(has_failed, now) {
+        let (is_bad, is_back) = {
+            let mut stats = target.stats();
+            let is_back = !has_failed && std::mem::take(&mut stats.was_ejected);
+            (stats.health.observe(has_failed, now), is_back)
+        };
+        if is_back {
+            let (endpoint, service) = (target.name.clone(), target.service.clone());
+            logs::write(None, &Event::EndpointBack { endpoint, service });
+        }
+        if !is_bad {
             return;
         }
         let Some(pool) = self.pool(&target.service) else {
             return;
         };
-        let ejected = pool.targets.iter().filter(|t| t.stats().is_out(now));
-        if ejected.count() < max_ejected(pool.targets.len(), MAX_EJECTED) {
-            target.stats().health.eject(now);
-            spdlog::warn!("endpoint ejected", kv: {
-                endpoint = target.name.as_str(), service = target.service.as_str()
-            });
+        let out = pool.targets.iter().filter(|t| t.stats().is_out(now));
+        let (out, of) = (out.count(), pool.targets.len());
+        if out < max_ejected(of, MAX_EJECTED) {
+            let mut stats = target.stats();
+            stats.health.eject(now);
+            stats.was_ejected = true;
+            self.ejections.fetch_add(1, Ordering::Relaxed);
+            let until = stats.health.ejected_until().unwrap_or(now);
+            logs::write(
+                None,
+                &Event::EndpointEjected {
+                    endpoint: target.name.clone(),
+                    service: target.service.clone(),
+                    for_ms: until.saturating_duration_since(now).as_millis() as u64,
+                    out: out + 1,
+                    of,
+                },
+            );
         }
     }
 }
 
+/// Writes which endpoints are not known any more.
+fn tell_gone(old: &HashMap<String, Arc<Pool>>, now: &HashMap<String, Arc<Pool>>) {
+    let is_known = |target: &Target| {
+        let pool = now.get(&target.service);
+        pool.is_some_and(|pool| pool.targets.iter().any(|t| t.name == target.name))
+    };
+    let before = old.values().flat_map(|pool| &pool.targets);
+    for target in before.filter(|target| !is_known(target)) {
+        logs::write(
+            None,
+            &Event::EndpointState {
+                endpoint: target.name.clone(),
+                service: target.service.clone(),
+                az: target.az.clone(),
+                state: "gone".to_owned(),
+            },
+        );
+    }
+}
+
 /// The target of `view`: the one before where it is the same incarnation.
 fn target_of(
     view: &EndpointView,
@@ -250,6 +331,17 @@
         t.name == view.endpoint && t.incarnation == view.incarnation && t.address == address
     };
     let known = before.and_then(|pool| pool.targets.iter().find(is_same));
+    if known.is_none_or(|known| known.stats().state != view.state) {
+        logs::write(
+            None,
+            &Event::EndpointState {
+                endpoint: view.endpoint.clone(),
+                service: view.service.clone(),
+                az: view.az.clone(),
+                state: format!("{:?}", view.state).to_lowercase(),
+            },
+        );
+    }
     if let Some(known) = known {
         known.stats().state = view.state;
         return Some(Arc::clone(known));
@@ -271,6 +363,7 @@
             cache: PrefixCache::new(memory.unwrap_or(DEFAULT_MEMORY_TOKENS)),
             health: Health::new(ejection()),
             out_until: None,
+            was_ejected: false,
         }),
     }))
 }
@@ -310,15 +403,33 @@
         }
     }
 
+    /// The choice, with what decided it.
+    pub(crate) fn chosen(&self) -> Event {
+        let now = Instant::now();
+        let stats = self.target.stats();
+        let others_ms = stats.others_at.map(|at| now.saturating_duration_since(at));
+        Event::Chosen {
+            endpoint: self.target.name.clone(),
+            az: self.target.az.clone(),
+            expected_ms: self.expected_ms as u64,
+            in_flight: stats.in_flight,
+            others: stats.others,
+            others_ms: others_ms.map(|age| age.as_millis() as u64),
+            unread_tokens: self.unread,
+            slowness_percent: (stats.slowness.factor(now) * 100.0) as u64,
+            candidates: self.pool.targets.len(),
+        }
+    }
+
     /// Time since the call began.
     pub(crate) fn elapsed(&self) -> Duration {
         self.since.elapsed()
     }
 
-    /// The first part of the answer has come; `prompt` is read by now.
-    pub(crate) fn first_part(&mut self, prompt: Option<&Prompt>) {
+    /// A part of the answer has come; `prompt` is read by now. Whether it was the first one.
+    pub(crate) fn first_part(&mut self, prompt: Option<&Prompt>) -> bool {
         if self.has_begun {
-            return;
+            return false;
         }
         self.has_begun = true;
         let now = Instant::now();
@@ -332,6 +443,7 @@
         drop(stats);
         let mut fit = self.pool.fit.lock().unwrap_or_else(PoisonError::into_inner);
         fit.observe(self.ahead, took, now);
+        true
     }
 }
 
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -17,6 +17,7 @@
     header::{CONNECTION, HeaderValue, RETRY_AFTER},
     http::request::Parts,
 };
+use logs::{Event, Story};
 use tokio::{
     sync::watch,
     time::{Instant, timeout},
@@ -73,6 +74,13 @@
         !*self.draining.borrow() && !self.rules.borrow().is_empty() && self.freshness.is_fresh()
     }
 
+    /// The text of the metrics page.
+    pub(crate) fn metrics_text(&self) -> String {
+        let in_flight = self.in_flight.load(Ordering::Relaxed);
+        self.metrics
+            .text(&self.cx.fleet, self.freshness.age(), in_flight)
+    }
+
     /// Answers one request.
     pub(crate) async fn handle(
         self,
@@ -81,44 +89,45 @@
         let _counted = Counted::new(&self.in_flight);
         let started = Instant::now();
         let (parts, body) = req.into_parts();
-        let mut id = None;
-        let result = self.answer(&parts, body, &mut id).await;
+        let mut story = None;
+        let result = self.answer(&parts, body, &mut story).await;
         let label = match &result {
             Ok(_) => "passed",
             Err(unserved) => unserved.label(),
         };
         self.metrics.answered(label, started.elapsed());
-        if let Err(unserved) = &result {
-            spdlog::info!("request not served", kv: {
-                request = id.as_deref().unwrap_or(""),
-                outcome = label,
-                why = unserved.to_string(),
-                ms = started.elapsed().as_millis() as u64
-            });
+        if let (Err(unserved), Some(story)) = (&result, &story) {
+            unserved.tell(story);
         }
-        Ok(self.written(result, id.as_deref()))
+        Ok(self.written(result, story.as_ref().map(|story| story.request())))
     }
 
     async fn answer(
         &self,
         parts: &Parts,
         body: Incoming,
-        id: &mut Option<String>,
+        told: &mut Option<Arc<Story>>,
     ) -> Result<Response, Unserved> {
         let mut inquiry = match (self.cx.dialect.read)(parts) {
             Read::Inquiry(inquiry) => *inquiry,
             Read::Malformed(what) => return Err(Unserved::Malformed(what)),
         };
-        *id = Some(inquiry.id.clone());
+        let story = Arc::new(Story::new(&inquiry.id));
+        *told = Some(Arc::clone(&story));
         let rules = self.rules.borrow().clone();
         let most = rules.declaration.callers.body_bytes as usize;
         inquiry.body = read_body(body, most).await?;
-        let req = self.route(inquiry, rules)?;
+        let req = self.route(inquiry, rules, story)?;
         serving::serve(&self.cx, req).await
     }
 
     /// Finds the route and the workspace; says that there is none only where that is sure.
-    fn route(&self, inquiry: Inquiry, rules: Arc<Rules>) -> Result<Request, Unserved> {
+    fn route(
+        &self,
+        inquiry: Inquiry,
+        rules: Arc<Rules>,
+        story: Arc<Story>,
+    ) -> Result<Request, Unserved> {
         let age = self.freshness.age();
         let denied = |unserved| match age {
             Some(age) if age < DENIAL_BOUND => unserved,
@@ -141,7 +150,16 @@
                 Some(caller)
             }
         };
-        Request::new(inquiry, matched, caller).ok_or(Unserved::refused(Refusal::NoEndpoint))
+        let req = Request::new(inquiry, matched, caller, story);
+        let req = req.ok_or(Unserved::refused(Refusal::NoEndpoint))?;
+        req.story.note(Event::Admitted {
+            route: req.matched.name.clone(),
+            workspace: req.caller.as_ref().map(|caller| caller.workspace.clone()),
+            urgency: req.urgency,
+            left_ms: req.left().as_millis() as u64,
+            confirmed_ms: age.map(|age| age.as_millis() as u64),
+        });
+        Ok(req)
     }
 
     fn written(
--- a/crates/forward/src/gates.rs
+++ b/crates/forward/src/gates.rs
@@ -8,6 +8,7 @@
 };
 
 use link::{LinkConfig, Peer};
+use logs::Event;
 use membership::{EndpointState, EndpointView, Mirror};
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
@@ -99,8 +100,15 @@
         if self.chosen.get(&key).is_some_and(|chosen| chosen == gate) {
             return;
         }
-        let of = self.gates.len();
-        spdlog::info!("items are collected", kv: { service, az, gate, of });
+        logs::write(
+            None,
+            &Event::Collects {
+                service: service.to_owned(),
+                az: az.to_owned(),
+                gate: gate.to_owned(),
+                of: self.gates.len(),
+            },
+        );
         self.chosen.insert(key, gate.to_owned());
     }
 }
--- a/crates/forward/src/line.rs
+++ b/crates/forward/src/line.rs
@@ -168,6 +168,11 @@
         }
     }
 
+    /// Items that wait.
+    pub(crate) fn waiting(&self) -> usize {
+        self.jobs.len()
+    }
+
     /// Whether nothing waits.
     pub(crate) fn is_empty(&self) -> bool {
         self.jobs.is_empty()
@@ -316,7 +321,7 @@
     }
 
     /// Endpoints that the line may call now.
-    fn sound<'a>(
+    pub(crate) fn sound<'a>(
         &self,
         pool: &'a Pool,
         reachable: &'a Reachable,
@@ -402,7 +407,7 @@
         hand.held = hand.held.saturating_sub(next.bytes);
         let results = match ended {
             Ended::Answered(results) => results,
-            Ended::Failed => {
+            Ended::Failed(_) => {
                 hand.slowness
                     .observe(expected, took.as_secs_f64() * 1e3, now);
                 return;
--- a/crates/forward/src/messages.rs
+++ b/crates/forward/src/messages.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use derives::record;
+use logs::Event;
+use thiserror::Error;
 
 /// The items of one stage of one request.
 #[record]
@@ -47,6 +49,29 @@
     pub az: String,
 }
 
+impl Submission {
+    /// Writes that its items get no results, with `left` until the deadline; `line` is how many items
+    /// wait and how many endpoints may be called, where they were refused at once.
+    pub(crate) fn tell(
+        &self,
+        failure: &StageFailure,
+        left: Duration,
+        line: Option<(usize, usize)>,
+    ) {
+        logs::write(
+            Some(&self.request),
+            &Event::ItemsFailed {
+                service: self.service.clone(),
+                stage: self.stage,
+                why: failure.to_string(),
+                waiting: line.map(|(waiting, _)| waiting),
+                endpoints: line.map(|(_, endpoints)| endpoints),
+                left_ms: left.as_millis() as u64,
+            },
+        );
+    }
+}
+
 /// A result that an endpoint keeps.
 #[record]
 #[derive(Eq)]
@@ -54,27 +79,35 @@
     /// Its handle.
     #[serde(rename = "h")]
     pub handle: String,
-    /// The availability zone of the endpoint.
+    /// The endpoint.
+    #[serde(rename = "e")]
+    pub endpoint: String,
+    /// Its availability zone.
     #[serde(rename = "z")]
     pub az: String,
 }
 
 /// Why a stage has no results.
 #[record]
-#[derive(Eq)]
+#[derive(Eq, Error)]
 pub enum StageFailure {
     /// It can't be done in time.
+    #[error("it can't be done in time; room is likely in {retry_after:?}")]
     Late {
         /// When there is likely to be room.
         retry_after: Duration,
     },
     /// An input is gone.
+    #[error("an input is gone")]
     InputGone,
     /// No endpoint takes it.
+    #[error("no endpoint takes it")]
     NoEndpoint,
     /// Its items failed again and again.
+    #[error("its items failed again and again")]
     Failed,
     /// The gate that collects it could not be reached.
+    #[error("the gate that collects it could not be reached")]
     Unreachable,
 }
 
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -2,38 +2,130 @@
 
 use std::time::Duration;
 
-use prometheus::{HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, exponential_buckets};
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    exponential_buckets,
+};
 
-/// The registered metrics.
+use crate::fleet::Fleet;
+
+/// Bounds of histograms of items in a call.
+const ITEMS: [f64; 8] = [1.0, 2.0, 4.0, 8.0, 16.0, 32.0, 64.0, 128.0];
+
+/// The registered metrics; clones share them. Labels are outcomes, which are few, and services, which
+/// the declaration bounds.
 #[derive(Clone, Debug)]
 pub(crate) struct Metrics {
     registry: Registry,
     requests: IntCounterVec,
     seconds: HistogramVec,
+    first_part: HistogramVec,
+    stages: HistogramVec,
+    calls: HistogramVec,
+    items: HistogramVec,
+    retries: IntCounterVec,
+    endpoints: IntGaugeVec,
+    ejections: IntCounter,
+    confirmed: IntGauge,
+    in_flight: IntGauge,
+}
+
+/// Makes and registers metrics of one registry.
+struct Maker(Registry);
+
+impl Maker {
+    fn counters(&self, name: &str, help: &str, labels: &[&str]) -> eyre::Result<IntCounterVec> {
+        let counters = IntCounterVec::new(Opts::new(full(name), help), labels)?;
+        self.0.register(Box::new(counters.clone()))?;
+        Ok(counters)
+    }
+
+    fn times(&self, name: &str, help: &str, labels: &[&str]) -> eyre::Result<HistogramVec> {
+        self.histograms(name, help, labels, exponential_buckets(0.002, 2.0, 13)?)
+    }
+
+    fn histograms(
+        &self,
+        name: &str,
+        help: &str,
+        labels: &[&str],
+        buckets: Vec<f64>,
+    ) -> eyre::Result<HistogramVec> {
+        let opts = HistogramOpts::new(full(name), help).buckets(buckets);
+        let histograms = HistogramVec::new(opts, labels)?;
+        self.0.register(Box::new(histograms.clone()))?;
+        Ok(histograms)
+    }
+
+    fn gauge(&self, name: &str, help: &str) -> eyre::Result<IntGauge> {
+        let gauge = IntGauge::new(full(name), help)?;
+        self.0.register(Box::new(gauge.clone()))?;
+        Ok(gauge)
+    }
+
+    fn gauges(&self, name: &str, help: &str, labels: &[&str]) -> eyre::Result<IntGaugeVec> {
+        let gauges = IntGaugeVec::new(Opts::new(full(name), help), labels)?;
+        self.0.register(Box::new(gauges.clone()))?;
+        Ok(gauges)
+    }
+
+    fn counter(&self, name: &str, help: &str) -> eyre::Result<IntCounter> {
+        let counter = IntCounter::new(full(name), help)?;
+        self.0.register(Box::new(counter.clone()))?;
+        Ok(counter)
+    }
+}
+
+fn full(name: &str) -> String {
+    format!("jujube_forward_{name}")
+}
+
+fn outcome(is_good: bool) -> &'static str {
+    if is_good { "good" } else { "failed" }
 }
 
 impl Metrics {
     /// Registers all metrics in a registry of their own.
     pub(crate) fn new() -> eyre::Result<Self> {
-        let registry = Registry::new();
-        let requests = IntCounterVec::new(
-            Opts::new("jujube_forward_requests_total", "Requests by outcome."),
-            &["outcome"],
-        )?;
-        let seconds = HistogramVec::new(
-            HistogramOpts::new(
-                "jujube_forward_answer_seconds",
-                "Time to the head of the answer by outcome.",
-            )
-            .buckets(exponential_buckets(0.002, 2.0, 13)?),
-            &["outcome"],
-        )?;
-        registry.register(Box::new(requests.clone()))?;
-        registry.register(Box::new(seconds.clone()))?;
+        let make = Maker(Registry::new());
+        let by = &["service", "outcome"];
         Ok(Self {
-            registry,
-            requests,
-            seconds,
+            requests: make.counters("requests_total", "Requests by outcome.", &["outcome"])?,
+            seconds: make.times(
+                "answer_seconds",
+                "Time to the head of the answer by outcome.",
+                &["outcome"],
+            )?,
+            first_part: make.times(
+                "first_part_seconds",
+                "Time from the call to the first part of its answer.",
+                &["service"],
+            )?,
+            stages: make.times("stage_seconds", "Time of a request's stage.", by)?,
+            calls: make.times("batch_seconds", "Time of a batched call.", by)?,
+            items: make.histograms(
+                "batch_items",
+                "Items of a batched call.",
+                &["service"],
+                ITEMS.to_vec(),
+            )?,
+            retries: make.counters(
+                "retries_total",
+                "Retries that the budget allowed or refused.",
+                &["service", "budget"],
+            )?,
+            endpoints: make.gauges(
+                "endpoints",
+                "Endpoints known, ready as keepers tell, and left out for now.",
+                &["service", "state"],
+            )?,
+            ejections: make.counter("ejections_total", "Endpoints ejected.")?,
+            confirmed: make.gauge(
+                "confirmed_age_ms",
+                "Age of the last confirmation of the declaration; -1 for none.",
+            )?,
+            in_flight: make.gauge("requests_in_flight", "Requests that are being answered.")?,
+            registry: make.0,
         })
     }
 
@@ -44,8 +136,57 @@
         seconds.observe(took.as_secs_f64());
     }
 
+    /// Counts the first part of an answer.
+    pub(crate) fn first_part(&self, service: &str, took: Duration) {
+        let seconds = self.first_part.with_label_values(&[service]);
+        seconds.observe(took.as_secs_f64());
+    }
+
+    /// Counts a stage of a request.
+    pub(crate) fn stage(&self, service: &str, is_good: bool, took: Duration) {
+        let labels = [service, outcome(is_good)];
+        let seconds = self.stages.with_label_values(&labels);
+        seconds.observe(took.as_secs_f64());
+    }
+
+    /// Counts a batched call.
+    pub(crate) fn batch(&self, service: &str, items: usize, is_good: bool, took: Duration) {
+        let labels = [service, outcome(is_good)];
+        let seconds = self.calls.with_label_values(&labels);
+        seconds.observe(took.as_secs_f64());
+        let fill = self.items.with_label_values(&[service]);
+        fill.observe(items as f64);
+    }
+
+    /// Counts a retry that was asked for.
+    pub(crate) fn retried(&self, service: &str, is_allowed: bool) {
+        let word = if is_allowed { "allowed" } else { "refused" };
+        self.retries.with_label_values(&[service, word]).inc();
+    }
+
     /// The text of the metrics page.
-    pub(crate) fn text(&self) -> String {
+    pub(crate) fn text(
+        &self,
+        fleet: &Fleet,
+        confirmed: Option<Duration>,
+        in_flight: usize,
+    ) -> String {
+        for counted in fleet.counted() {
+            let states = [
+                ("known", counted.known),
+                ("ready", counted.ready),
+                ("out", counted.out),
+            ];
+            for (state, count) in states {
+                let gauge = self.endpoints.with_label_values(&[&counted.service, state]);
+                gauge.set(count as i64);
+            }
+        }
+        let ejected = fleet.ejections().saturating_sub(self.ejections.get());
+        self.ejections.inc_by(ejected);
+        self.confirmed
+            .set(confirmed.map_or(-1, |age| age.as_millis() as i64));
+        self.in_flight.set(in_flight as i64);
         host::http::metrics_text(&self.registry)
     }
 }
--- a/crates/forward/src/serving.rs
+++ b/crates/forward/src/serving.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use declaration::{Answer, Repeat, Route};
+use logs::{Ending, Event, Story};
 use routing::RetryBudget;
 use tokio::time::{Instant, timeout_at};
 
@@ -13,6 +14,7 @@
     fleet::{Fleet, Flight},
     inquiry::Inquiry,
     messages::StageFailure,
+    metrics::Metrics,
     placement::Need,
     response::{Passed, Response},
     rules::{Caller, Matched, draw_service, urgency},
@@ -38,6 +40,16 @@
     pub(crate) stages: Stages,
     pub(crate) budget: Arc<RetryBudget>,
     pub(crate) az: String,
+    pub(crate) metrics: Metrics,
+}
+
+impl Context {
+    /// Takes one retry of `service` from the budget; false where there is none left.
+    fn may_spend(&self, service: &str) -> bool {
+        let is_there = self.budget.try_spend(service);
+        self.metrics.retried(service, is_there);
+        is_there
+    }
 }
 
 /// A request on its route.
@@ -49,6 +61,7 @@
     pub(crate) service: String,
     pub(crate) urgency: u8,
     pub(crate) deadline: Instant,
+    pub(crate) story: Arc<Story>,
 }
 
 /// Where a request has been.
@@ -66,12 +79,15 @@
     pub(crate) exchange: Exchange,
     pub(crate) flight: Flight,
     pub(crate) is_good: bool,
-    /// Time until its head came.
-    pub(crate) head_after: Duration,
 }
 
 impl Request {
-    pub(crate) fn new(inquiry: Inquiry, matched: Matched, caller: Option<Caller>) -> Option<Self> {
+    pub(crate) fn new(
+        inquiry: Inquiry,
+        matched: Matched,
+        caller: Option<Caller>,
+        story: Arc<Story>,
+    ) -> Option<Self> {
         let route = matched.route();
         Some(Self {
             service: draw_service(route)?.to_owned(),
@@ -80,6 +96,7 @@
             inquiry: Arc::new(inquiry),
             matched,
             caller,
+            story,
         })
     }
 
@@ -101,11 +118,44 @@
         }
     }
 
-    fn left(&self) -> Duration {
+    /// Time until its deadline.
+    pub(crate) fn left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
 }
 
+impl Request {
+    /// Ends its story with an answer of `endpoint` that was passed on.
+    pub(crate) fn ended(&self, is_good: bool, status: u16, endpoint: &str, tried: &Tried) {
+        if !is_good {
+            let why = format!("{endpoint} answered {status}");
+            return self
+                .story
+                .failed(Ending::EndpointFailed, status, &why, None);
+        }
+        self.story.served(&Event::Served {
+            route: self.matched.name.clone(),
+            status,
+            endpoint: endpoint.to_owned(),
+            tries: tried.runs,
+            took_ms: self.story.took_ms(),
+        });
+    }
+
+    fn note_failed_call(&self, flight: &Flight, e: &CallError) {
+        self.note_not_run(flight, &e.to_string(), e.may_have_run());
+    }
+
+    fn note_not_run(&self, flight: &Flight, why: &str, may_have_run: bool) {
+        self.story.note(Event::CallFailed {
+            endpoint: flight.target.name.clone(),
+            why: why.to_owned(),
+            may_have_run,
+            took_ms: flight.elapsed().as_millis() as u64,
+        });
+    }
+}
+
 /// Serves a request: its stages, then an endpoint.
 pub(crate) async fn serve(cx: &Context, req: Request) -> Result<Response, Unserved> {
     let until = req.deadline - ANSWER_MARGIN;
@@ -151,6 +201,7 @@
     };
     let az = cx.fleet.likely_zone(&need);
     let work = Work {
+        story: &req.story,
         inquiry: &req.inquiry,
         route,
         urgency: req.urgency,
@@ -191,10 +242,12 @@
         match read.await {
             Ok(body) => {
                 flight.first_part(None);
+                cx.metrics.first_part(&req.service, flight.elapsed());
                 cx.fleet.observe(&flight.target, !is_good);
                 if !is_good && may_repeat(cx, req, tried) {
                     continue;
                 }
+                req.ended(is_good, status.as_u16(), &flight.target.name, tried);
                 return Ok(Response::Passed(Passed {
                     status,
                     headers: (cx.dialect.answer_headers)(&headers),
@@ -203,6 +256,7 @@
             }
             Err(e) => {
                 cx.fleet.observe(&flight.target, true);
+                req.note_failed_call(&flight, &e);
                 if !may_repeat(cx, req, tried) {
                     return Err(lost(&e));
                 }
@@ -220,10 +274,18 @@
 
 /// Whether a request that may have run is tried once more; takes it from the budget.
 pub(crate) fn may_repeat(cx: &Context, req: &Request, tried: &Tried) -> bool {
-    req.is_repeatable()
-        && tried.runs < req.route().attempts
-        && req.left() > Duration::ZERO
-        && cx.budget.try_spend(&req.service)
+    let why = match tried.runs {
+        _ if !req.is_repeatable() => "its route allows no repeat",
+        runs if runs >= req.route().attempts => "its route allows no more tries",
+        _ if req.left().is_zero() => "no time is left",
+        _ if !cx.may_spend(&req.service) => "the retry budget of the service is spent",
+        _ => return true,
+    };
+    req.story.note(Event::NotRepeated {
+        service: req.service.clone(),
+        why: why.to_owned(),
+    });
+    false
 }
 
 /// Sends the request until an endpoint begins to answer it.
@@ -255,17 +317,17 @@
             }
             Err(why) => return Err(Unserved::come_back(why, COME_BACK)),
         };
+        req.story.note(flight.chosen());
         match attempt(cx, req, inputs, tried, &flight, after_event).await {
             Attempt::Begun(exchange, is_good) => {
                 return Ok(Begun {
                     exchange: *exchange,
-                    head_after: flight.elapsed(),
                     flight,
                     is_good,
                 });
             }
             Attempt::NotRun
-                if tried.endpoints.len() < MAX_ENDPOINTS && cx.budget.try_spend(&req.service) => {}
+                if tried.endpoints.len() < MAX_ENDPOINTS && cx.may_spend(&req.service) => {}
             Attempt::NotRun if tried.runs > 0 => {
                 return Err(Unserved::Lost("no endpoint took it again".to_owned()));
             }
@@ -315,12 +377,7 @@
         Ok(exchange) => exchange,
         Err(e) => {
             let may_have_run = e.may_have_run();
-            spdlog::info!("call failed", kv: {
-                request = req.inquiry.id.as_str(),
-                endpoint = target.name.as_str(),
-                may_have_run,
-                why = e.to_string()
-            });
+            req.note_failed_call(flight, &e);
             cx.fleet.observe(target, true);
             if may_have_run {
                 return Attempt::Lost(e);
@@ -338,16 +395,24 @@
         Verdict::Good => return Attempt::Begun(Box::new(exchange), true),
         Verdict::Failed => return Attempt::Begun(Box::new(exchange), false),
         Verdict::Foreign => {
+            req.note_not_run(flight, "another request's answer came", true);
             cx.fleet.observe(target, true);
             return Attempt::Lost(CallError::Lost("another request's answer came".to_owned()));
         }
-        Verdict::Full => target.note_full(),
-        Verdict::OtherEndpoint => target.note_misplaced(),
+        Verdict::Full => {
+            req.note_not_run(flight, "the endpoint says that it is full", false);
+            target.note_full();
+        }
+        Verdict::OtherEndpoint => {
+            req.note_not_run(flight, "another endpoint has its address", false);
+            target.note_misplaced();
+        }
         Verdict::InputsGone => {
+            req.note_not_run(flight, "the results of its stages are gone", false);
             tried.runs -= 1;
             return Attempt::InputsGone;
         }
-        Verdict::NotRun => {}
+        Verdict::NotRun => req.note_not_run(flight, "the endpoint did not run it", false),
     }
     tried.runs -= 1;
     // Reading the rest only keeps the connection.
--- a/crates/forward/src/stages.rs
+++ b/crates/forward/src/stages.rs
@@ -1,10 +1,15 @@
 //! The stages before a request: each begins when the results that it needs are there.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use declaration::Route;
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use link::{Channel, LinkError, Peer};
+use logs::{Event, Story};
 use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::{
@@ -12,6 +17,7 @@
     gates::{Collecting, Gates},
     inquiry::Inquiry,
     messages::{Made, StageFailure, StageReply, StageRequest, Submission},
+    metrics::Metrics,
     rules::Rules,
 };
 
@@ -24,16 +30,21 @@
 /// Gates that are tried for one stage.
 const MAX_COLLECTORS: usize = 3;
 
+/// How this gate is named as the one that collects.
+const OWN: &str = "this gate";
+
 /// Does stages; clones share everything.
 #[derive(Clone, Debug)]
 pub(crate) struct Stages {
     pub(crate) gates: Gates,
     pub(crate) collector: Collector,
+    pub(crate) metrics: Metrics,
 }
 
 /// What all stages of a request have in common.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Work<'a> {
+    pub(crate) story: &'a Story,
     pub(crate) inquiry: &'a Inquiry,
     pub(crate) route: &'a Route,
     /// Urgency, 0 first.
@@ -100,9 +111,19 @@
         .map(|(az, _)| az)
 }
 
-fn unreachable(gate: &Peer, request: &str, e: &LinkError) -> StageFailure {
-    spdlog::info!("collecting gate not reached", kv: {
-        request, gate = gate.name(), why = e.to_string()
+/// A gate that could not be asked.
+fn unreachable(
+    work: &Work<'_>,
+    submission: &Submission,
+    gate: &Peer,
+    e: &LinkError,
+) -> StageFailure {
+    work.story.note(Event::StageFailed {
+        stage: submission.stage,
+        service: submission.service.clone(),
+        collector: gate.name().to_owned(),
+        why: format!("the gate that collects was not reached: {e}"),
+        took_ms: work.spent_ms(submission),
     });
     StageFailure::Unreachable
 }
@@ -135,6 +156,12 @@
 }
 
 impl Work<'_> {
+    /// Time since the submission was first made, in milliseconds.
+    fn spent_ms(&self, submission: &Submission) -> u64 {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        submission.left.saturating_sub(left).as_millis() as u64
+    }
+
     /// Milliseconds until the results of stage `number` have to be there if the request is to meet
     /// its objective.
     fn due_ms(&self, number: usize) -> i64 {
@@ -230,51 +257,99 @@
         };
         for skip in 0..MAX_COLLECTORS {
             submission.left = work.deadline.saturating_duration_since(Instant::now());
-            match self.submit(&submission, skip, work.deadline).await {
+            match self.submit(work, &submission, skip).await {
                 Ok(results) => return Ok(Some(results)),
                 Err(StageFailure::Unreachable) => {}
                 Err(failure) => return Err(failure),
             }
         }
-        self.own(submission).await.map(Some)
+        self.own(work, &submission).await.map(Some)
+    }
+
+    /// Notes what came of a stage that `collector` collected.
+    fn note_end(
+        &self,
+        work: &Work<'_>,
+        submission: &Submission,
+        collector: &str,
+        result: &Result<Vec<Made>, StageFailure>,
+    ) {
+        let took_ms = work.spent_ms(submission);
+        let took = Duration::from_millis(took_ms);
+        self.metrics
+            .stage(&submission.service, result.is_ok(), took);
+        work.story.note(match result {
+            Ok(made) => {
+                let endpoints = made.iter().map(|m| m.endpoint.clone());
+                Event::StageMade {
+                    stage: submission.stage,
+                    endpoints: endpoints.collect::<BTreeSet<_>>().into_iter().collect(),
+                    took_ms,
+                }
+            }
+            Err(failure) => Event::StageFailed {
+                stage: submission.stage,
+                service: submission.service.clone(),
+                collector: collector.to_owned(),
+                why: failure.to_string(),
+                took_ms,
+            },
+        });
+    }
+
+    fn note_sent(work: &Work<'_>, submission: &Submission, collector: &str) {
+        work.story.note(Event::StageSent {
+            stage: submission.stage,
+            service: submission.service.clone(),
+            items: submission.items,
+            collector: collector.to_owned(),
+            due_ms: submission.due_ms,
+        });
     }
 
     async fn submit(
         &self,
+        work: &Work<'_>,
         submission: &Submission,
         skip: usize,
-        deadline: Instant,
     ) -> Result<Results, StageFailure> {
         let peer = match self
             .gates
             .collecting(&submission.service, &submission.az, skip)
         {
-            Collecting::Own => return self.own(submission.clone()).await,
+            Collecting::Own => return self.own(work, submission).await,
             Collecting::Other(peer) => peer,
         };
+        Self::note_sent(work, submission, peer.name());
         // One that was just asked for comes up in a moment.
         let _ = timeout(SUBMIT_LIMIT, peer.connected()).await;
         let submit = StageRequest::Submit(submission.clone());
         let ticket = match peer.call(Channel::Stages, &submit, SUBMIT_LIMIT).await {
             Ok(StageReply::Accepted(ticket)) => ticket,
-            Ok(StageReply::Refused(failure)) => return Err(failure),
+            Ok(StageReply::Refused(failure)) => {
+                let refused = Err(failure);
+                self.note_end(work, submission, peer.name(), &refused);
+                return refused.map(|made| self.results(submission, made, None));
+            }
             Ok(_) => return Err(StageFailure::Unreachable),
-            Err(e) => return Err(unreachable(&peer, &submission.request, &e)),
+            Err(e) => return Err(unreachable(work, submission, &peer, &e)),
         };
         let mut pending = Pending {
             ticket: Some(ticket),
             collector: self.collector.clone(),
             via: Some(peer.clone()),
         };
-        let left = deadline.saturating_duration_since(Instant::now());
+        let left = work.deadline.saturating_duration_since(Instant::now());
         let wait = StageRequest::Await(ticket);
         let reply = peer.call(Channel::Stages, &wait, left + AWAIT_GRACE).await;
         pending.ticket = None;
         match reply {
-            Ok(StageReply::Done(Ok(made))) => Ok(self.results(submission, made, Some(peer))),
-            Ok(StageReply::Done(Err(failure))) => Err(failure),
+            Ok(StageReply::Done(result)) => {
+                self.note_end(work, submission, peer.name(), &result);
+                result.map(|made| self.results(submission, made, Some(peer)))
+            }
             Ok(_) => Err(StageFailure::Unreachable),
-            Err(e) => Err(unreachable(&peer, &submission.request, &e)),
+            Err(e) => Err(unreachable(work, submission, &peer, &e)),
         }
     }
 
@@ -287,7 +362,14 @@
     }
 
     /// Collects the items at this gate.
-    async fn own(&self, submission: Submission) -> Result<Results, StageFailure> {
+    async fn own(&self, work: &Work<'_>, submission: &Submission) -> Result<Results, StageFailure> {
+        Self::note_sent(work, submission, OWN);
+        let made = self.made_here(submission).await;
+        self.note_end(work, submission, OWN, &made);
+        made.map(|made| self.results(submission, made, None))
+    }
+
+    async fn made_here(&self, submission: &Submission) -> Result<Vec<Made>, StageFailure> {
         let until = Instant::now() + submission.left + AWAIT_GRACE;
         let ticket = self.collect(submission.clone())?;
         let mut pending = Pending {
@@ -298,7 +380,7 @@
         let made = timeout_at(until, self.collector.wait(ticket)).await;
         let made = made.unwrap_or(Err(StageFailure::Failed))?;
         pending.ticket = None;
-        Ok(self.results(&submission, made, None))
+        Ok(made)
     }
 
     fn results(&self, submission: &Submission, made: Vec<Made>, via: Option<Peer>) -> Results {
--- a/crates/forward/src/start.rs
+++ b/crates/forward/src/start.rs
@@ -67,6 +67,8 @@
     pub callers: SocketAddr,
     /// Where it says whether it is ready.
     pub readiness: SocketAddr,
+    /// Where it tells its metrics, besides the address of its readiness.
+    pub metrics: Option<SocketAddr>,
     /// Where it takes links.
     pub link: SocketAddr,
     /// Links of keepers that it knows at the start.
@@ -112,11 +114,12 @@
     .start();
     let gates = Gates::new(links.clone());
     let budget = Arc::new(RetryBudget::new(budget(&cfg.budget, 1)));
-    let cx = context(&cfg, dialect, &told, gates.clone(), &budget);
+    let metrics = Metrics::new()?;
+    let cx = context(&cfg, dialect, &told, gates.clone(), &budget, &metrics);
     let forwarder = Forwarder {
         rules: told.rules.clone(),
         freshness,
-        metrics: Metrics::new()?,
+        metrics,
         draining,
         in_flight: Arc::new(AtomicUsize::new(0)),
         cx,
@@ -134,6 +137,10 @@
     tasks.spawn(forwarder.cx.pool.clone().reap());
     tasks.spawn(serve_links(links_listener, links, &forwarder, &told));
     let (pages, _) = http::serve(readiness, pages(forwarder.clone()));
+    if let Some(address) = cfg.metrics {
+        let told = forwarder.clone();
+        tasks.spawn(http::serve_text(address, move || told.metrics_text()).await?);
+    }
     let (phase, phases) = watch::channel(Phase::Serving);
     let serving = tokio::spawn(server::serve(callers, forwarder, phases));
     let task = tokio::spawn(async move {
@@ -169,6 +176,7 @@
     told: &Told,
     gates: Gates,
     budget: &Arc<RetryBudget>,
+    metrics: &Metrics,
 ) -> Context {
     let fleet = Fleet::default();
     let pool = Pool::new(PoolConfig {
@@ -182,14 +190,20 @@
         pool: pool.clone(),
         rules: told.rules.clone(),
         budget: Arc::clone(budget),
+        metrics: metrics.clone(),
     });
     Context {
         dialect,
         fleet,
         pool,
-        stages: Stages { gates, collector },
+        stages: Stages {
+            gates,
+            collector,
+            metrics: metrics.clone(),
+        },
         budget: Arc::clone(budget),
         az: cfg.vm.availability_zone.clone(),
+        metrics: metrics.clone(),
     }
 }
 
@@ -266,7 +280,7 @@
         .hoop(affix_state::inject(Arc::new(forwarder)))
         .push(Router::with_path("readyz").get(readyz))
         .push(Router::with_path("healthz").get(healthz))
-        .push(Router::with_path("metrics").get(metrics))
+        .push(Router::with_path("metrics").get(get_metrics))
 }
 
 fn of(depot: &Depot) -> Arc<Forwarder> {
@@ -288,6 +302,6 @@
 }
 
 #[handler]
-async fn metrics(depot: &mut Depot, res: &mut Response) {
-    res.render(of(depot).metrics.text());
+async fn get_metrics(depot: &mut Depot, res: &mut Response) {
+    res.render(of(depot).metrics_text());
 }
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -4,6 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use declaration::Repeat;
+use logs::{Ending, Event};
 use thiserror::Error;
 use tokio::{sync::mpsc, time::Instant};
 
@@ -77,7 +78,11 @@
         loop {
             let broken = match self.pass(&mut begun).await {
                 Ok(()) => {
-                    self.cx.fleet.observe(&begun.flight.target, !begun.is_good);
+                    let target = &begun.flight.target;
+                    self.cx.fleet.observe(target, !begun.is_good);
+                    let status = begun.exchange.status.as_u16();
+                    self.req
+                        .ended(begun.is_good, status, &target.name, &self.tried);
                     return begun.exchange.finish(&self.cx.pool);
                 }
                 Err(broken) => broken,
@@ -89,11 +94,10 @@
                 return;
             }
             self.cx.fleet.observe(&target, true);
-            spdlog::info!("stream broken off", kv: {
-                request = self.req.inquiry.id.as_str(),
-                endpoint = target.name.as_str(),
-                why = broken.to_string(),
-                last_event = self.last.unwrap_or(0)
+            self.req.story.note(Event::StreamBroken {
+                endpoint: target.name.clone(),
+                why: broken.to_string(),
+                last_event: self.last.unwrap_or(0),
             });
             let has_inputs = !self.inputs.is_empty() || self.req.route().stages.is_empty();
             if !has_inputs || !may_repeat(&self.cx, &self.req, &self.tried) {
@@ -119,7 +123,9 @@
 
     /// Ends the answer so that it does not look complete.
     async fn break_off(self) {
-        let broken = io::Error::other("the endpoint broke the stream off");
+        let why = "the endpoint broke the stream off";
+        self.req.story.failed(Ending::Lost, 0, why, None);
+        let broken = io::Error::other(why);
         // The caller may have left as well.
         let _ = self.tx.send(Err(broken)).await;
     }
@@ -128,7 +134,6 @@
     async fn pass(&mut self, begun: &mut Begun) -> Result<(), Broken> {
         let mut events = Events::default();
         let is_plain = !begun.is_good;
-        let mut is_first = true;
         loop {
             let part = self.next(&mut begun.exchange).await?;
             let Some(part) = part else {
@@ -151,16 +156,10 @@
                 whole.extend_from_slice(&event.bytes);
             }
             if !whole.is_empty() {
-                if is_first {
-                    spdlog::debug!("first event", kv: {
-                        request = self.req.inquiry.id.as_str(),
-                        head_ms = begun.head_after.as_millis() as u64,
-                        ms = begun.flight.elapsed().as_millis() as u64,
-                        expected_ms = begun.flight.expected_ms as u64
-                    });
-                    is_first = false;
+                if begun.flight.first_part(self.req.inquiry.prompt.as_ref()) {
+                    let took = begun.flight.elapsed();
+                    self.cx.metrics.first_part(&self.req.service, took);
                 }
-                begun.flight.first_part(self.req.inquiry.prompt.as_ref());
                 // The endpoint has fetched them before it read the prompt.
                 self.inputs.clear();
                 self.send(whole.freeze()).await?;
--- a/crates/forward/src/ticket.rs
+++ b/crates/forward/src/ticket.rs
@@ -94,8 +94,11 @@
 
     /// The stage has failed; nothing of it is wanted any more.
     pub(crate) fn fail(&self, failure: StageFailure) {
+        if !self.is_over.swap(true, Ordering::Relaxed) {
+            let left = self.deadline.saturating_duration_since(Instant::now());
+            self.submission.tell(&failure, left, None);
+        }
         self.state().failure.get_or_insert(failure);
-        self.is_over.store(true, Ordering::Relaxed);
         self.done.notify_one();
     }
 
--- a/crates/gate/examples/added_time.rs
+++ b/crates/gate/examples/added_time.rs
@@ -100,10 +100,10 @@
         let mut child = Command::new(exe)
             .arg("--config")
             .arg(&path)
-            .stderr(Stdio::piped())
+            .stdout(Stdio::piped())
             .spawn()
             .expect("build the gate first: cargo build --release -p gate");
-        let mut lines = BufReader::new(child.stderr.take().expect("it is piped")).lines();
+        let mut lines = BufReader::new(child.stdout.take().expect("it is piped")).lines();
         let http = loop {
             let line = lines
                 .next()
--- a/crates/gate/tests/env/mod.rs
+++ b/crates/gate/tests/env/mod.rs
@@ -113,10 +113,10 @@
         let mut child = Command::new(env!("CARGO_BIN_EXE_jujube-gate"))
             .arg("--config")
             .arg(path)
-            .stderr(Stdio::piped())
+            .stdout(Stdio::piped())
             .spawn()
             .unwrap();
-        let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
+        let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
         let (http, link) = loop {
             let line = lines.next().expect("the gate listens").unwrap();
             let line: Value = serde_json::from_str(&line).unwrap_or_default();
--- a/crates/host/src/http.rs
+++ b/crates/host/src/http.rs
@@ -1,10 +1,10 @@
 //! HTTP listeners over salvo, with graceful stop and the pages that every role has.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{fmt::Write as _, net::SocketAddr, time::Duration};
 
 use prometheus::{Registry, TextEncoder};
 use salvo::{
-    Router, Server,
+    Depot, FlowCtrl, Handler, Request, Response, Router, Server, async_trait,
     conn::{Acceptor, Listener, TcpListener, tcp::TcpAcceptor},
     fuse::FuseConfig,
     server::ServerHandle,
@@ -87,9 +87,48 @@
     (handle, task)
 }
 
-/// The registry's metrics in Prometheus' text format.
+/// Serves what `text` gives at `/metrics` on `address`; the future runs until it is dropped.
+pub async fn serve_text(
+    address: SocketAddr,
+    text: impl Fn() -> String + Send + Sync + 'static,
+) -> eyre::Result<impl Future<Output = ()> + Send> {
+    let bound = bind(address).await?;
+    let router = Router::with_path("metrics").get(Text(Box::new(text)));
+    let server = Server::new(bound.acceptor);
+    Ok(async move { server.serve(router).await })
+}
+
+/// A page whose text is made anew for each request.
+struct Text(Box<dyn Fn() -> String + Send + Sync>);
+
+#[async_trait]
+impl Handler for Text {
+    async fn handle(
+        &self,
+        _req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        res.render((self.0)());
+    }
+}
+
+/// The registry's metrics in Prometheus' text format, and what became of the process's log lines.
 pub fn metrics_text(registry: &Registry) -> String {
-    TextEncoder::new()
+    let mut text = TextEncoder::new()
         .encode_to_string(&registry.gather())
-        .unwrap_or_default()
+        .unwrap_or_default();
+    let counts = logs::counts();
+    let fates = [
+        ("written", counts.written),
+        ("left_out", counts.left_out),
+        ("dropped", counts.dropped),
+    ];
+    text.push_str("# TYPE jujube_log_lines_total counter\n");
+    for (fate, count) in fates {
+        // Writing into a string cannot fail.
+        let _ = writeln!(text, "jujube_log_lines_total{{fate=\"{fate}\"}} {count}");
+    }
+    text
 }
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -4,7 +4,6 @@
 pub mod client;
 pub mod exit;
 pub mod http;
-pub mod log;
 pub mod output;
 pub mod problem;
 pub mod reload;
--- a/crates/host/src/role.rs
+++ b/crates/host/src/role.rs
@@ -3,13 +3,17 @@
 use std::{net::SocketAddr, path::Path};
 
 use inifile::Faults;
-use spdlog::{error, info};
-use tokio::{runtime::Runtime, sync::watch, task::JoinHandle};
+use spdlog::{Level, error, info};
+use tokio::{
+    runtime::Runtime,
+    sync::watch,
+    task::JoinHandle,
+    time::{Duration, sleep},
+};
 
 use crate::{
     args,
     exit::ExitCode,
-    log,
     output::line,
     reload,
     settings::Reader,
@@ -45,6 +49,16 @@
     pub version: &'static str,
 }
 
+/// Time between lines that tell how many were left out.
+const LEFT_OUT_EVERY: Duration = Duration::from_secs(1);
+
+/// What the log needs of the settings.
+#[derive(Debug)]
+struct Logging {
+    vm: Option<String>,
+    level: Level,
+}
+
 /// Runs a role: `read` takes what it needs from the settings, `start` brings it up.
 pub fn main<C>(
     program: Program,
@@ -74,11 +88,15 @@
             eprintln!("{}: {e}", program.name);
             ExitCode::Failure
         }
-        (Ok((cfg, level)), Ok(runtime)) => {
+        (Ok((cfg, logging)), Ok(runtime)) => {
             let path = path.to_owned();
             let start = async |cfg: C, stopped: Stopped| {
                 let (tx, rx) = watch::channel(cfg);
-                let again = move |path: &Path| read_settings(path, &read).map(|(cfg, _)| cfg);
+                let again = move |path: &Path| {
+                    let (cfg, logging) = read_settings(path, &read)?;
+                    logs::set_level(logging.level);
+                    Ok(cfg)
+                };
                 let reading = reload::keep_reading(path, reload::hangups()?, again, tx);
                 let reading = tokio::spawn(reading);
                 let Running { http, link, task } = start(rx, stopped).await?;
@@ -89,7 +107,7 @@
                 });
                 Ok(Running { http, link, task })
             };
-            run_on(&runtime, program, cfg, level, start)
+            run_on(&runtime, program, cfg, &logging, start)
         }
     };
     code.into()
@@ -104,7 +122,7 @@
         Ok(args) => args,
         Err(code) => return code,
     };
-    let (cfg, level) = match read_settings(&args.config, read) {
+    let (cfg, logging) = match read_settings(&args.config, read) {
         Ok(settings) => settings,
         Err(faults) => {
             eprintln!("{faults}");
@@ -119,7 +137,7 @@
         .enable_all()
         .build();
     match runtime {
-        Ok(runtime) => run_on(&runtime, program, cfg, level, start),
+        Ok(runtime) => run_on(&runtime, program, cfg, &logging, start),
         Err(e) => {
             eprintln!("{}: {e}", program.name);
             ExitCode::Failure
@@ -131,10 +149,15 @@
     runtime: &Runtime,
     program: Program,
     cfg: C,
-    level: spdlog::Level,
+    logging: &Logging,
     start: impl AsyncFnOnce(C, Stopped) -> eyre::Result<Running>,
 ) -> ExitCode {
-    match log::start(level).and_then(|()| block_on(runtime, program, cfg, start)) {
+    let log = logs::start(logging.vm.as_deref(), logging.level, logs::Stream::Output);
+    let ran = match &log {
+        Ok(_) => block_on(runtime, program, cfg, start),
+        Err(e) => Err(eyre::eyre!("start the log: {e}")),
+    };
+    match ran {
         Ok(()) => ExitCode::Success,
         Err(e) => {
             error!("{e:#}", kv: { program = program.name });
@@ -147,12 +170,15 @@
 fn read_settings<C>(
     path: &Path,
     read: impl FnOnce(&mut Reader) -> C,
-) -> Result<(C, spdlog::Level), Faults> {
+) -> Result<(C, Logging), Faults> {
     let mut reader = Reader::from_file(path)?;
-    let level = reader.log_level();
+    let logging = Logging {
+        vm: reader.text("vm", "name"),
+        level: reader.log_level(),
+    };
     let cfg = read(&mut reader);
     reader.finish()?;
-    Ok((cfg, level))
+    Ok((cfg, logging))
 }
 
 fn block_on<C>(
@@ -164,12 +190,19 @@
     runtime.block_on(async {
         let (stop, stopped) = shutdown::channel();
         shutdown::on_signals(stop)?;
+        let reporting = tokio::spawn(async {
+            loop {
+                sleep(LEFT_OUT_EVERY).await;
+                logs::report_left_out();
+            }
+        });
         let running = start(cfg, stopped).await?;
         let link = running
             .link
             .map_or_else(String::new, |link| link.to_string());
         info!("listening", kv: { program = program.name, http = running.http.to_string(), link });
         running.finished().await?;
+        reporting.abort();
         info!("stopped", kv: { program = program.name });
         Ok(())
     })
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`State`] is what committed entries make; [`Machine`] joins it to the log and to followers;
 //! [`start`] brings up a process that answers clients on links and operators over HTTP.
 
+mod belief;
 mod body;
 mod clock;
 mod codec;
--- a/crates/keeper/src/pages.rs
+++ b/crates/keeper/src/pages.rs
@@ -268,11 +268,7 @@
 #[handler]
 async fn get_metrics(depot: &mut Depot, res: &mut Response) {
     let service = &pages(depot).service;
-    let status = service.status();
-    let page = service
-        .machine()
-        .read(|state| service.metrics().text(&status, state));
-    text(res, "text/plain; version=0.0.4", page);
+    text(res, "text/plain; version=0.0.4", service.metrics_text());
 }
 
 #[handler]
--- a/crates/keeper/src/service.rs
+++ b/crates/keeper/src/service.rs
@@ -144,9 +144,10 @@
         self.replica.status()
     }
 
-    /// The keeper's metrics.
-    pub fn metrics(&self) -> &Metrics {
-        &self.metrics
+    /// The text of the metrics page.
+    pub fn metrics_text(&self) -> String {
+        let status = self.status();
+        self.machine.read(|state| self.metrics.text(&status, state))
     }
 
     /// Answers a call on a link.
--- a/crates/keeper/src/start.rs
+++ b/crates/keeper/src/start.rs
@@ -15,6 +15,7 @@
 use uuid::Uuid;
 
 use crate::{
+    belief,
     config::Config,
     group,
     held::Held,
@@ -89,6 +90,7 @@
     let publishing = tokio::spawn(publish(Arc::clone(&service)));
     let timing = Arc::clone(&service);
     let timing = tokio::spawn(async move { timing.keep_clock().await });
+    let telling = tokio::spawn(belief::tell(replica.clone()));
     let settling = Arc::clone(&service);
     let settling = tokio::spawn(async move { settling.settle_held().await });
     let operators = cfg.operators;
@@ -108,6 +110,7 @@
         publishing.abort();
         timing.abort();
         settling.abort();
+        telling.abort();
         links.abort();
         tending.inspect(JoinHandle::abort);
         serving.await?;
--- a/crates/keeper/tests/env/mod.rs
+++ b/crates/keeper/tests/env/mod.rs
@@ -50,10 +50,10 @@
         let mut child = Command::new(env!("CARGO_BIN_EXE_jujube-keeper"))
             .arg("--config")
             .arg(config)
-            .stderr(Stdio::piped())
+            .stdout(Stdio::piped())
             .spawn()
             .unwrap();
-        let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
+        let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
         let mut last = String::new();
         while let Some(Ok(line)) = lines.next() {
             let record: serde_json::Value = serde_json::from_str(&line).unwrap_or_default();
--- /dev/null
+++ b/crates/logs/src/line.rs
@@ -0,0 +1,118 @@
+//! Reading lines of logs.
+
+use serde::Deserialize;
+use serde_json::{Map, Value};
+
+use crate::event::Event;
+
+/// One line of a log.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+pub struct Line {
+    /// Its level.
+    pub level: String,
+    /// When it was written, in milliseconds since the Unix epoch.
+    pub timestamp: u64,
+    /// What it says in a word or a sentence.
+    pub payload: String,
+    /// The VM of the process.
+    #[serde(rename = "logger")]
+    pub vm: Option<String>,
+    /// Its values.
+    #[serde(default)]
+    pub kv: Map<String, Value>,
+}
+
+impl Line {
+    /// Reads one line; `None` where it is none of these logs. What stands before its first brace, such as
+    /// a prefix that a collector of logs puts there, is passed over.
+    pub fn read(text: &str) -> Option<Self> {
+        let begin = text.find('{')?;
+        serde_json::from_str(&text[begin..]).ok()
+    }
+
+    /// The moment that it tells of, in milliseconds since the Unix epoch.
+    pub fn at_ms(&self) -> u64 {
+        let at = self.kv.get("at_ms").and_then(Value::as_u64);
+        at.unwrap_or(self.timestamp)
+    }
+
+    /// Its event, where it has one of a kind that this version knows.
+    pub fn event(&self) -> Option<Event> {
+        let event = self.kv.get("event")?;
+        serde_json::from_value(event.clone()).ok()
+    }
+
+    /// The request that it is about, where it is about one.
+    pub fn request(&self) -> Option<&str> {
+        self.kv.get("request")?.as_str()
+    }
+
+    /// Whether it names `request`.
+    pub fn names(&self, request: &str) -> bool {
+        let among = || match self.event() {
+            Some(Event::BatchFailed { requests, .. }) => requests.iter().any(|r| r == request),
+            _ => false,
+        };
+        self.request() == Some(request) || among()
+    }
+
+    /// Its values besides moment and request, as `name value` in their order.
+    pub fn details(&self) -> Vec<(String, String)> {
+        let of_event = self.kv.get("event").and_then(Value::as_object);
+        let of_line = self.kv.iter().filter(|(key, _)| !is_frame(key));
+        let all = of_line.chain(of_event.into_iter().flatten());
+        all.filter(|(key, value)| *key != "kind" && !value.is_null())
+            .map(|(key, value)| (key.clone(), shown(value)))
+            .collect()
+    }
+}
+
+/// Whether a value places the line instead of saying something.
+fn is_frame(key: &str) -> bool {
+    matches!(key, "at_ms" | "request" | "event")
+}
+
+fn shown(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        Value::Array(items) => items.iter().map(shown).collect::<Vec<_>>().join(" "),
+        other => other.to_string(),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::Line;
+    use crate::event::Event;
+
+    const TEXT: &str = "edge-1| {\"level\":\"info\",\"timestamp\":12,\"payload\":\"chosen\",\
+        \"logger\":\"edge-1\",\"kv\":{\"request\":\"r1\",\"at_ms\":7,\"event\":{\"kind\":\"resumed\",\
+        \"endpoint\":\"i-1\",\"after_event\":3}},\"tid\":1}";
+
+    #[test]
+    fn a_line_is_read_with_its_event_and_moment() {
+        let line = Line::read(TEXT).unwrap();
+        assert_eq!((line.at_ms(), line.request()), (7, Some("r1")));
+        assert!(line.names("r1") && !line.names("r2"));
+        let resumed = Event::Resumed {
+            endpoint: "i-1".to_owned(),
+            after_event: 3,
+        };
+        assert_eq!(line.event(), Some(resumed));
+        let details = [("after_event", "3"), ("endpoint", "i-1")];
+        let details = details.map(|(key, value)| (key.to_owned(), value.to_owned()));
+        assert_eq!(line.details(), details);
+    }
+
+    #[test]
+    fn what_is_no_line_is_passed_over() {
+        for text in [
+            "",
+            "thread panicked",
+            "{\"level\":7}",
+            "{\"level\":\"info\",\"timest",
+        ] {
+            assert_eq!(Line::read(text), None, "{text}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/logs/src/output.rs
@@ -0,0 +1,75 @@
+//! Standard output that a slow reader can't hold up for good.
+
+use std::{
+    io::{self, Write},
+    os::fd::{AsFd, BorrowedFd},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+
+use rustix::{
+    event::{PollFd, PollFlags, Timespec, poll},
+    stdio::{stderr, stdout},
+};
+
+use crate::start::Stream;
+
+/// Bytes that a pipe which polls as writable takes at once.
+const PIECE: usize = 4_096;
+/// Time between looks at whether the process ends.
+const LOOK_EVERY: Timespec = Timespec {
+    tv_sec: 0,
+    tv_nsec: 100_000_000,
+};
+
+/// A stream that is written to only while it takes bytes.
+#[derive(Debug)]
+pub(crate) struct Output {
+    stream: Stream,
+    /// Whether lines that the reader does not take are given up.
+    is_ending: Arc<AtomicBool>,
+}
+
+impl Output {
+    pub(crate) fn new(stream: Stream, is_ending: Arc<AtomicBool>) -> Self {
+        Self { stream, is_ending }
+    }
+
+    fn fd(&self) -> BorrowedFd<'static> {
+        match self.stream {
+            Stream::Output => stdout(),
+            Stream::Errors => stderr(),
+        }
+    }
+
+    /// Waits until it takes bytes; false where the process ends before.
+    fn is_writable(&self) -> io::Result<bool> {
+        let fd = self.fd();
+        loop {
+            let mut polled = [PollFd::from_borrowed_fd(fd.as_fd(), PollFlags::OUT)];
+            match poll(&mut polled, Some(&LOOK_EVERY)) {
+                Ok(0) if self.is_ending.load(Ordering::Relaxed) => return Ok(false),
+                Ok(0) | Err(rustix::io::Errno::INTR) => {}
+                Ok(_) => return Ok(true),
+                Err(e) => return Err(e.into()),
+            }
+        }
+    }
+}
+
+impl Write for Output {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        if !self.is_writable()? {
+            // The line is lost with the process.
+            return Ok(buf.len());
+        }
+        let piece = &buf[..buf.len().min(PIECE)];
+        rustix::io::write(self.fd(), piece).map_err(io::Error::from)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/logs/src/queue.rs
@@ -0,0 +1,159 @@
+//! The queue between tasks and the thread that writes: bounded, never waited for.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicU64, Ordering},
+};
+
+use spdlog::{
+    ErrorHandler, LevelFilter, Record,
+    formatter::Formatter,
+    sink::{AsyncPoolSink, Sink, SinkPropAccess},
+};
+
+use crate::{
+    budget::BUDGETS,
+    event::{Event, Kind},
+};
+
+/// Lines that may wait for the reader.
+pub(crate) const CAPACITY: usize = 2_048;
+
+static ENTERED: AtomicU64 = AtomicU64::new(0);
+static WRITTEN: AtomicU64 = AtomicU64::new(0);
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
+/// What became of lines since the process's start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Counts {
+    /// Lines that were written.
+    pub written: u64,
+    /// Lines that were left out since their kind had spent its budget.
+    pub left_out: u64,
+    /// Lines that were dropped since the reader of the log was too slow.
+    pub dropped: u64,
+}
+
+/// What became of lines since the process's start.
+pub fn counts() -> Counts {
+    Counts {
+        written: WRITTEN.load(Ordering::Relaxed),
+        left_out: BUDGETS.total_left_out(),
+        dropped: DROPPED.load(Ordering::Relaxed),
+    }
+}
+
+/// Lines that wait now.
+pub(crate) fn waiting() -> u64 {
+    let written = WRITTEN.load(Ordering::Relaxed);
+    ENTERED.load(Ordering::Relaxed).saturating_sub(written)
+}
+
+/// Counts a line that was dropped.
+pub(crate) fn drop_one() {
+    DROPPED.fetch_add(1, Ordering::Relaxed);
+}
+
+/// Whether a line of `kind` finds room: what went well leaves half of the queue to the rest.
+pub(crate) fn has_room(kind: Kind) -> bool {
+    let most = match kind.is_success() {
+        true => CAPACITY / 2,
+        false => CAPACITY,
+    };
+    waiting() < most as u64
+}
+
+/// Gives records to the queue; lines without an event keep to the budget of their own.
+pub(crate) struct Entrance {
+    pub(crate) queue: Arc<AsyncPoolSink>,
+}
+
+impl Sink for Entrance {
+    fn log(&self, record: &Record<'_>) -> spdlog::Result<()> {
+        let is_text = !record
+            .key_values()
+            .into_iter()
+            .any(|(key, _)| key.as_str() == EVENT);
+        if is_text && !BUDGETS.take(Kind::Text) {
+            return Ok(());
+        }
+        if !has_room(Kind::Text) {
+            drop_one();
+            return Ok(());
+        }
+        ENTERED.fetch_add(1, Ordering::Relaxed);
+        if self.queue.log(record).is_err() {
+            ENTERED.fetch_sub(1, Ordering::Relaxed);
+            drop_one();
+        }
+        Ok(())
+    }
+
+    fn flush(&self) -> spdlog::Result<()> {
+        Ok(())
+    }
+}
+
+impl SinkPropAccess for Entrance {
+    fn level_filter(&self) -> LevelFilter {
+        self.queue.level_filter()
+    }
+
+    fn set_level_filter(&self, level_filter: LevelFilter) {
+        self.queue.set_level_filter(level_filter);
+    }
+
+    fn set_formatter(&self, formatter: Box<dyn Formatter>) {
+        self.queue.set_formatter(formatter);
+    }
+
+    fn set_error_handler(&self, handler: ErrorHandler) {
+        self.queue.set_error_handler(handler);
+    }
+}
+
+/// Key of the event in a line's values.
+pub(crate) const EVENT: &str = "event";
+
+/// Counts lines that the thread has written.
+pub(crate) struct Exit<S> {
+    pub(crate) sink: S,
+}
+
+impl<S: Sink> Sink for Exit<S> {
+    fn log(&self, record: &Record<'_>) -> spdlog::Result<()> {
+        let logged = self.sink.log(record);
+        WRITTEN.fetch_add(1, Ordering::Relaxed);
+        logged
+    }
+
+    fn flush(&self) -> spdlog::Result<()> {
+        self.sink.flush()
+    }
+}
+
+impl<S: SinkPropAccess> SinkPropAccess for Exit<S> {
+    fn level_filter(&self) -> LevelFilter {
+        self.sink.level_filter()
+    }
+
+    fn set_level_filter(&self, level_filter: LevelFilter) {
+        self.sink.set_level_filter(level_filter);
+    }
+
+    fn set_formatter(&self, formatter: Box<dyn Formatter>) {
+        self.sink.set_formatter(formatter);
+    }
+
+    fn set_error_handler(&self, handler: ErrorHandler) {
+        self.sink.set_error_handler(handler);
+    }
+}
+
+/// The event that tells of lines left out.
+pub(crate) fn left_out(of: &str, count: u64) -> Event {
+    Event::LeftOut {
+        of: of.to_owned(),
+        count,
+    }
+}
--- /dev/null
+++ b/crates/logs/src/start.rs
@@ -0,0 +1,140 @@
+//! Starting the logger, and writing events to it.
+
+use std::{
+    num::NonZeroUsize,
+    sync::{
+        Arc, OnceLock,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    thread,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use spdlog::{
+    Level, LevelFilter, Logger, ThreadPool,
+    formatter::JsonFormatter,
+    sink::{AsyncPoolSink, OverflowPolicy, WriteSink},
+};
+
+use crate::{
+    budget::BUDGETS,
+    event::Event,
+    output::Output,
+    queue::{self, CAPACITY, Entrance, Exit},
+};
+
+/// Longest wait for the last lines at the end of the process.
+const LAST_LINES: Duration = Duration::from_millis(500);
+const LAST_LOOK: Duration = Duration::from_millis(5);
+
+/// Where lines go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stream {
+    /// Standard output.
+    Output,
+    /// Standard error, for programs whose output is their result.
+    Errors,
+}
+
+static IS_ENDING: OnceLock<Arc<AtomicBool>> = OnceLock::new();
+
+/// Ends the log when it is dropped: the last lines are written as far as their reader takes them.
+#[derive(Debug)]
+#[must_use = "the last lines are written when it is dropped"]
+pub struct Started(());
+
+impl Drop for Started {
+    fn drop(&mut self) {
+        report_left_out();
+        let end = std::time::Instant::now() + LAST_LINES;
+        while queue::waiting() > 0 && std::time::Instant::now() < end {
+            thread::sleep(LAST_LOOK);
+        }
+        if let Some(is_ending) = IS_ENDING.get() {
+            is_ending.store(true, Ordering::Relaxed);
+        }
+    }
+}
+
+/// Sends the default logger's records from `level` up as JSON lines to `stream`; `vm` names the
+/// process's VM in each line.
+pub fn start(vm: Option<&str>, level: Level, stream: Stream) -> eyre::Result<Started> {
+    let is_ending = Arc::clone(IS_ENDING.get_or_init(Arc::default));
+    let output = WriteSink::builder()
+        .target(Output::new(stream, is_ending))
+        .formatter(JsonFormatter::new())
+        .build()?;
+    let capacity = NonZeroUsize::new(CAPACITY).unwrap_or(NonZeroUsize::MIN);
+    let thread = ThreadPool::builder().capacity(capacity).build_arc()?;
+    let queue = AsyncPoolSink::builder()
+        .sink(Arc::new(Exit { sink: output }))
+        .overflow_policy(OverflowPolicy::DropIncoming)
+        .thread_pool(thread)
+        .error_handler(|_| {})
+        .build_arc()?;
+    let mut builder = Logger::builder();
+    if let Some(vm) = vm {
+        builder.name(vm);
+    }
+    let logger = builder
+        .sink(Arc::new(Entrance { queue }))
+        .level_filter(LevelFilter::MoreSevereEqual(level))
+        .flush_level_filter(LevelFilter::Off)
+        .build_arc()?;
+    spdlog::set_default_logger(logger);
+    Ok(Started(()))
+}
+
+/// Changes the level from which lines are written.
+pub fn set_level(level: Level) {
+    let filter = LevelFilter::MoreSevereEqual(level);
+    spdlog::default_logger().set_level_filter(filter);
+}
+
+/// Writes `event` as a line of its own, about `request` where it is given, unless its kind has spent
+/// its budget.
+pub fn write(request: Option<&str>, event: &Event) {
+    write_at(request, event, now_ms());
+}
+
+/// Like [`write`], of a moment in milliseconds since the Unix epoch.
+pub(crate) fn write_at(request: Option<&str>, event: &Event, at_ms: u64) {
+    let kind = event.kind();
+    if !spdlog::default_logger().should_log(kind.level()) {
+        return;
+    }
+    if !queue::has_room(kind) {
+        queue::drop_one();
+        return;
+    }
+    if !BUDGETS.take(kind) {
+        return;
+    }
+    let name = kind.name();
+    match request {
+        Some(request) => {
+            spdlog::log!(kind.level(), "{name}", kv: { request, at_ms, event:serde = event });
+        }
+        None => spdlog::log!(kind.level(), "{name}", kv: { at_ms, event:serde = event }),
+    }
+}
+
+static DROPPED_TOLD: AtomicU64 = AtomicU64::new(0);
+
+/// Writes a line for each kind of which lines were left out since the last call; called once a second.
+pub fn report_left_out() {
+    for (kind, count) in BUDGETS.left_out() {
+        write(None, &queue::left_out(kind.name(), count));
+    }
+    let dropped = queue::counts().dropped;
+    let told = DROPPED_TOLD.swap(dropped, Ordering::Relaxed);
+    if dropped > told {
+        write(None, &queue::left_out("queue", dropped - told));
+    }
+}
+
+/// Milliseconds since the Unix epoch.
+pub(crate) fn now_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
