--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -97,7 +97,9 @@
     }
 
     fn told(mut self, request: &str) -> Told {
-        self.about.sort_by_key(Line::at_ms);
+        // The end is written first.
+        self.about
+            .sort_by_key(|line| (line.at_ms(), ending(line).is_some()));
         let times = self.about.iter().map(Line::at_ms);
         let span = times.clone().min().zip(times.max());
         let is_near = |line: &Line| match span {
--- a/crates/logs/src/line.rs
+++ b/crates/logs/src/line.rs
@@ -56,13 +56,14 @@
         self.request() == Some(request) || among()
     }
 
-    /// Its values besides moment and request, as `name value` in their order.
+    /// Its values besides moment and request that are not empty, in their order.
     pub fn details(&self) -> Vec<(String, String)> {
         let of_event = self.kv.get("event").and_then(Value::as_object);
         let of_line = self.kv.iter().filter(|(key, _)| !is_frame(key));
         let all = of_line.chain(of_event.into_iter().flatten());
-        all.filter(|(key, value)| *key != "kind" && !value.is_null())
+        all.filter(|(key, _)| *key != "kind")
             .map(|(key, value)| (key.clone(), shown(value)))
+            .filter(|(_, value)| !value.is_empty())
             .collect()
     }
 }
@@ -74,6 +75,7 @@
 
 fn shown(value: &Value) -> String {
     match value {
+        Value::Null => String::new(),
         Value::String(text) => text.clone(),
         Value::Array(items) => items.iter().map(shown).collect::<Vec<_>>().join(" "),
         other => other.to_string(),
