--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -129,9 +129,15 @@
         story: Arc<Story>,
     ) -> Result<Request, Unserved> {
         let age = self.freshness.age();
+        let age_ms = age.map(|age| age.as_millis() as u64);
+        let not_confirmed = || {
+            let is_fresh = self.freshness.is_fresh();
+            story.note(Event::Confirmation { is_fresh, age_ms });
+            Unserved::come_back(Refusal::NotConfirmed, NOT_CONFIRMED)
+        };
         let denied = |unserved| match age {
             Some(age) if age < DENIAL_BOUND => unserved,
-            _ => Unserved::come_back(Refusal::NotConfirmed, NOT_CONFIRMED),
+            _ => not_confirmed(),
         };
         if rules.is_empty() {
             return Err(Unserved::come_back(Refusal::NoDeclaration, NOT_CONFIRMED));
@@ -144,20 +150,19 @@
             (Some(key), false) => {
                 let caller = rules.caller(key).ok_or_else(|| denied(Unserved::NoKey))?;
                 if !self.freshness.is_fresh() {
-                    let why = Refusal::NotConfirmed;
-                    return Err(Unserved::come_back(why, NOT_CONFIRMED));
+                    return Err(not_confirmed());
                 }
                 Some(caller)
             }
         };
-        let req = Request::new(inquiry, matched, caller, story);
+        let req = Request::new(inquiry, matched, caller, Arc::clone(&story));
         let req = req.ok_or(Unserved::refused(Refusal::NoEndpoint))?;
         req.story.note(Event::Admitted {
             route: req.matched.name.clone(),
             workspace: req.caller.as_ref().map(|caller| caller.workspace.clone()),
             urgency: req.urgency,
             left_ms: req.left().as_millis() as u64,
-            confirmed_ms: age.map(|age| age.as_millis() as u64),
+            confirmed_ms: age_ms,
         });
         Ok(req)
     }
