--- /dev/null
+++ b/crates/forward/src/budgets.rs
@@ -0,0 +1,94 @@
+//! Retries allowed over all gates together, and each gate's share of them.
+
+use std::{sync::Arc, time::Duration};
+
+use routing::{BudgetConfig, RetryBudget};
+
+/// Share of the retries allowed that gates take without asking each other.
+const SHARE: f64 = 0.5;
+
+/// Retries allowed over all gates together.
+#[derive(Clone, Copy, Debug)]
+pub struct SharedBudget {
+    /// Retries for each request.
+    pub ratio: f64,
+    /// Retries beyond that.
+    pub slack: f64,
+    /// Time in which they are counted.
+    pub window: Duration,
+}
+
+impl SharedBudget {
+    /// The share of one of `spenders` that repeat requests of one service.
+    fn share_of(&self, spenders: usize) -> BudgetConfig {
+        let reserve = (self.slack * SHARE / spenders.max(1) as f64).max(1.0);
+        BudgetConfig {
+            share: self.ratio * SHARE,
+            reserve,
+            max_saved: reserve,
+            idle: self.window.div_f64(reserve),
+        }
+    }
+}
+
+/// One gate's budgets; clones share them.
+#[derive(Clone, Debug)]
+pub(crate) struct Budgets {
+    shared: SharedBudget,
+    /// Of requests, which every gate takes.
+    pub(crate) requests: Arc<RetryBudget>,
+    /// Of items of batched stages, which few gates collect.
+    pub(crate) items: Arc<RetryBudget>,
+}
+
+impl Budgets {
+    /// Those of a gate that knows no other.
+    pub(crate) fn new(shared: SharedBudget) -> Self {
+        let alone = shared.share_of(1);
+        Self {
+            shared,
+            requests: Arc::new(RetryBudget::new(alone)),
+            items: Arc::new(RetryBudget::new(alone)),
+        }
+    }
+
+    /// Takes how many gates there are, and how many of them may collect one service's items at a time.
+    pub(crate) fn divide(&self, gates: usize, collectors: usize) {
+        self.requests.configure(self.shared.share_of(gates));
+        self.items.configure(self.shared.share_of(collectors));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::time::Duration;
+
+    use super::{Budgets, SharedBudget};
+
+    const SHARED: SharedBudget = SharedBudget {
+        ratio: 0.2,
+        slack: 56.0,
+        window: Duration::from_secs(10),
+    };
+
+    fn spendable(budget: &routing::RetryBudget) -> usize {
+        (0..1_000).take_while(|_| budget.try_spend("ice")).count()
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn the_gate_that_collects_has_more_than_one_of_many_shares() {
+        let budgets = Budgets::new(SHARED);
+        budgets.divide(8, 3);
+        let (requests, items) = (spendable(&budgets.requests), spendable(&budgets.items));
+        assert_eq!((requests, items), (3, 9));
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn all_gates_together_stay_within_the_slack() {
+        for (gates, collectors) in [(1, 1), (3, 3), (8, 3), (16, 3), (400, 12)] {
+            let budgets = Budgets::new(SHARED);
+            budgets.divide(gates, collectors);
+            assert!(spendable(&budgets.items) * collectors <= SHARED.slack as usize);
+        }
+    }
+}
--- a/crates/forward/src/gates.rs
+++ b/crates/forward/src/gates.rs
@@ -142,6 +142,14 @@
         self.known().gates.len()
     }
 
+    /// How many gates may collect the items of one service at a time: one in each availability zone,
+    /// where they are apart or cut off from each other.
+    pub(crate) fn collectors(&self) -> usize {
+        let known = self.known();
+        let zones: BTreeSet<&str> = known.gates.iter().map(|gate| gate.az.as_str()).collect();
+        zones.len()
+    }
+
     /// Whether each availability zone collects its own items, since there are many gates.
     pub(crate) fn is_apart(&self) -> bool {
         !self.known().is_together()
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod answer;
 mod batch;
+mod budgets;
 mod cache;
 mod call;
 mod collector;
@@ -35,9 +36,10 @@
 mod stream;
 mod ticket;
 
+pub use budgets::SharedBudget;
 pub use dialect::{
     Dialect, HeaderNameFn, Item, ItemResult, LoadReport, Read, Source, Try, Verdict,
 };
 pub use inquiry::{Inquiry, Part, Prompt};
 pub use rules::digest;
-pub use start::{Config, SharedBudget, start};
+pub use start::{Config, start};
--- a/crates/forward/src/start.rs
+++ b/crates/forward/src/start.rs
@@ -10,7 +10,6 @@
 use link::{Channel, Identity, Incoming, LinkConfig, Role};
 use membership::Mirror;
 use outbound::{Pool, PoolConfig};
-use routing::{BudgetConfig, RetryBudget};
 use salvo::{Depot, Response, Router, affix_state, handler, http::StatusCode};
 use spdlog::info;
 use tokio::{
@@ -22,6 +21,7 @@
 use uuid::Uuid;
 
 use crate::{
+    budgets::{Budgets, SharedBudget},
     collector::{self, Collector},
     control::{Control, Told},
     dialect::Dialect,
@@ -40,24 +40,11 @@
 const IDLE_PER_ENDPOINT: usize = 32;
 const IDLE: Duration = Duration::from_secs(4);
 const CONNECT: Duration = Duration::from_millis(400);
-/// Share of the retries allowed that gates take without asking each other.
-const BUDGET_SHARE: f64 = 0.5;
 /// Time between looks at which availability zones can be reached.
 const LOOK_EVERY: Duration = Duration::from_millis(200);
 /// Time between shutting the listener and the end for the last bytes to leave.
 const FLUSH: Duration = Duration::from_millis(30);
 
-/// Retries allowed over all gates together.
-#[derive(Clone, Copy, Debug)]
-pub struct SharedBudget {
-    /// Retries for each request.
-    pub ratio: f64,
-    /// Retries beyond that.
-    pub slack: f64,
-    /// Time in which they are counted.
-    pub window: Duration,
-}
-
 /// How a forwarding gate is set up.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -113,9 +100,9 @@
     }
     .start();
     let gates = Gates::new(links.clone());
-    let budget = Arc::new(RetryBudget::new(budget(&cfg.budget, 1)));
+    let budgets = Budgets::new(cfg.budget);
     let metrics = Metrics::new()?;
-    let cx = context(&cfg, dialect, &told, gates.clone(), &budget, &metrics);
+    let cx = context(&cfg, dialect, &told, gates.clone(), &budgets, &metrics);
     let forwarder = Forwarder {
         rules: told.rules.clone(),
         freshness,
@@ -130,8 +117,7 @@
         told.rules.clone(),
         forwarder.cx.fleet.clone(),
         gates.clone(),
-        budget,
-        cfg.budget,
+        budgets,
     ));
     tasks.spawn(keep_reachable(forwarder.cx.fleet.clone(), gates));
     tasks.spawn(forwarder.cx.pool.clone().reap());
@@ -175,7 +161,7 @@
     dialect: Dialect,
     told: &Told,
     gates: Gates,
-    budget: &Arc<RetryBudget>,
+    budgets: &Budgets,
     metrics: &Metrics,
 ) -> Context {
     let fleet = Fleet::default();
@@ -189,7 +175,7 @@
         fleet: fleet.clone(),
         pool: pool.clone(),
         rules: told.rules.clone(),
-        budget: Arc::clone(budget),
+        budget: Arc::clone(&budgets.items),
         metrics: metrics.clone(),
     });
     Context {
@@ -201,23 +187,12 @@
             collector,
             metrics: metrics.clone(),
         },
-        budget: Arc::clone(budget),
+        budget: Arc::clone(&budgets.requests),
         az: cfg.vm.availability_zone.clone(),
         metrics: metrics.clone(),
     }
 }
 
-/// One gate's share of the retries allowed.
-fn budget(shared: &SharedBudget, gates: usize) -> BudgetConfig {
-    let reserve = (shared.slack * BUDGET_SHARE / gates as f64).max(1.0);
-    BudgetConfig {
-        share: shared.ratio * BUDGET_SHARE,
-        reserve,
-        max_saved: reserve,
-        idle: shared.window.div_f64(reserve),
-    }
-}
-
 /// Keeps in step which availability zones can be reached.
 async fn keep_reachable(fleet: Fleet, gates: Gates) {
     loop {
@@ -232,15 +207,14 @@
     mut rules: watch::Receiver<Arc<Rules>>,
     fleet: Fleet,
     gates: Gates,
-    retries: Arc<RetryBudget>,
-    shared: SharedBudget,
+    budgets: Budgets,
 ) {
     loop {
         let known = mirror.borrow_and_update().clone();
         let declared = rules.borrow_and_update().clone();
         gates.update(&known);
         let count = gates.count();
-        retries.configure(budget(&shared, count));
+        budgets.divide(count, gates.collectors());
         fleet.update(&known, |service| {
             let tokens = declared.service(service)?.capacity.memory_tokens?;
             Some(tokens / count as u64)
