--- a/crates/forward/src/batch.rs
+++ b/crates/forward/src/batch.rs
@@ -28,7 +28,8 @@
     let until = now + patience;
     let exchange = match call::send(&cx.pool, next.target.address, req, until).await {
         Ok(exchange) => exchange,
-        Err(e) => return Ended::Failed(e.to_string()),
+        Err(e) if e.may_have_run() => return Ended::Failed(e.to_string()),
+        Err(e) => return Ended::Unsent(e.to_string()),
     };
     match (cx.dialect.judge)("", exchange.status, &exchange.headers) {
         Verdict::Good => {}
--- a/crates/forward/src/collector.rs
+++ b/crates/forward/src/collector.rs
@@ -275,12 +275,12 @@
     let began = Instant::now();
     let ended = batch::call(cx, &next).await;
     let now = Instant::now();
-    let has_failed = matches!(ended, Ended::Failed(_));
+    let has_failed = matches!(ended, Ended::Failed(_) | Ended::Unsent(_));
     if !matches!(ended, Ended::NotRun) {
         cx.fleet.observe(&next.target, has_failed);
     }
     match ended {
-        Ended::NotRun => next.target.note_full(),
+        Ended::NotRun | Ended::Unsent(_) => next.target.note_full(),
         Ended::Misplaced => next.target.note_misplaced(),
         Ended::Failed(_) | Ended::Answered(_) => {}
     }
@@ -331,7 +331,7 @@
     let service = &next.target.service;
     let results = match ended {
         Ended::Answered(results) => results,
-        Ended::NotRun | Ended::Misplaced => {
+        Ended::NotRun | Ended::Unsent(_) | Ended::Misplaced => {
             next.jobs.iter().for_each(|job| line.put_back(job.clone()));
             return unwanted;
         }
@@ -349,6 +349,7 @@
                     handle: handle.clone(),
                     endpoint: next.target.name.clone(),
                     az: next.target.az.clone(),
+                    age: Duration::ZERO,
                 };
                 if !job.ticket.made(job.item, made) {
                     unwanted.push(handle);
--- a/crates/forward/src/ended.rs
+++ b/crates/forward/src/ended.rs
@@ -9,6 +9,8 @@
     Answered(Vec<Result<String, ItemFailure>>),
     /// It did not run.
     NotRun,
+    /// It was not sent, and why: the endpoint could not be reached.
+    Unsent(String),
     /// Another endpoint has the address; it did not run.
     Misplaced,
     /// It may have run, and gave nothing.
@@ -28,7 +30,7 @@
             }
             Self::NotRun => Some("the endpoint did not run it"),
             Self::Misplaced => Some("another endpoint has its address"),
-            Self::Failed(why) => Some(why),
+            Self::Unsent(why) | Self::Failed(why) => Some(why),
         }
     }
 }
--- a/crates/forward/src/gates.rs
+++ b/crates/forward/src/gates.rs
@@ -251,11 +251,14 @@
 #[cfg(test)]
 mod tests {
     use link::{Identity, LinkConfig, Role};
-    use membership::{EndpointState, EndpointView, Mirror, StageRole};
+    use membership::Mirror;
     use uuid::Uuid;
 
     use super::{Collecting, Gates};
-    use crate::fleet::GATES;
+    use crate::{
+        fleet::GATES,
+        testing::{mirror, view},
+    };
 
     fn links(vm: &str) -> LinkConfig {
         LinkConfig::new(Identity {
@@ -266,32 +269,14 @@
         })
     }
 
-    fn mirror(count: usize) -> Mirror {
-        let mut mirror = Mirror::default();
-        for n in 0..count {
-            let view = EndpointView {
-                endpoint: format!("g{n}"),
-                service: GATES.to_owned(),
-                az: ["a", "b", "c"][n % 3].to_owned(),
-                address: "http://127.0.0.1:9".to_owned(),
-                incarnation: Uuid::nil(),
-                state: EndpointState::Ready,
-                models: Vec::new(),
-                role: StageRole::Both,
-                checks_fencing: false,
-                slots: None,
-                calls: 0,
-                silent_ms: 0,
-            };
-            mirror.endpoints.insert(view.endpoint.clone(), view);
-        }
-        mirror
+    fn gates_of(count: usize) -> Mirror {
+        mirror((0..count).map(|n| view(&format!("g{n}"), GATES, ["a", "b", "c"][n % 3])))
     }
 
     #[tokio::test(start_paused = true)]
     async fn a_gate_that_reaches_no_other_collects_itself() {
         let gates = Gates::new(links("g0"));
-        gates.update(&mirror(3));
+        gates.update(&gates_of(3));
         assert_eq!(gates.count(), 3);
         // A link that was just asked for may come up; later it is clear that it does not.
         tokio::time::sleep(super::DIALING).await;
@@ -303,7 +288,7 @@
     #[tokio::test]
     async fn many_gates_are_linked_by_need_only() {
         let gates = Gates::new(links("g0"));
-        gates.update(&mirror(60));
+        gates.update(&gates_of(60));
         assert!(gates.is_apart());
         for az in ["a", "b", "c"] {
             gates.collecting("ice", az, 0);
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -34,6 +34,8 @@
 mod stages;
 mod start;
 mod stream;
+#[cfg(test)]
+mod testing;
 mod ticket;
 
 pub use budgets::SharedBudget;
--- a/crates/forward/src/line.rs
+++ b/crates/forward/src/line.rs
@@ -194,7 +194,8 @@
         let place = due + i64::from(submission.urgency) * URGENCY_STEP_MS;
         let wait = self.wait(place, sound);
         let own = self.call_time(submission.items.min(self.batch.items));
-        if wait + own > submission.left {
+        let are_inputs_gone = submission.inputs_left.is_some_and(|left| wait > left);
+        if wait + own > submission.left || are_inputs_gone {
             return Err(StageFailure::Late { retry_after: wait });
         }
         let ticket = Arc::new(Ticket::new(submission, now));
@@ -220,7 +221,7 @@
 
     /// How long items at `place` wait for `endpoints` until those before them are done.
     fn wait(&self, place: i64, endpoints: usize) -> Duration {
-        let ahead = self.jobs.range(..(place, 0)).count();
+        let ahead = self.jobs.range(..(place, self.next)).count();
         let busy: u32 = self.hands.values().map(|hand| hand.calls).sum();
         let lanes = endpoints as u32 * self.slots;
         if ahead == 0 && busy < lanes {
@@ -412,7 +413,7 @@
                     .observe(expected, took.as_secs_f64() * 1e3, now);
                 return;
             }
-            Ended::NotRun | Ended::Misplaced => return,
+            Ended::NotRun | Ended::Unsent(_) | Ended::Misplaced => return,
         };
         hand.slowness
             .observe(expected, took.as_secs_f64() * 1e3, now);
@@ -476,20 +477,118 @@
         }
     }
 
-    /// Fails stages that can't be done in time any more.
+    /// Fails stages that can't be done in time any more, or whose inputs are gone.
     fn drop_late(&mut self, now: Instant) {
         let least = self.call_time(1);
-        let late: Vec<Place> = self
+        let retry_after = self.batch.call;
+        let failure = |job: &Job| match job.ticket.inputs_until {
+            _ if job.ticket.is_over() || now + least > job.ticket.deadline => {
+                Some(StageFailure::Late { retry_after })
+            }
+            Some(until) if now >= until => Some(StageFailure::InputGone),
+            _ => None,
+        };
+        let late = self
             .jobs
             .iter()
-            .filter(|(_, job)| job.ticket.is_over() || now + least > job.ticket.deadline)
-            .map(|(place, _)| *place)
-            .collect();
-        for place in late {
+            .filter_map(|(place, job)| Some((*place, failure(job)?)));
+        let late: Vec<(Place, StageFailure)> = late.collect();
+        for (place, failure) in late {
             if let Some(job) = self.jobs.remove(&place) {
-                let retry_after = self.batch.call;
-                job.ticket.fail(StageFailure::Late { retry_after });
+                job.ticket.fail(failure);
             }
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::{sync::Arc, time::Duration};
+
+    use declaration::{Batch, Capacity};
+    use tokio::time::{Instant, sleep};
+
+    use super::Line;
+    use crate::{
+        fleet::{Fleet, Pool, Reachable},
+        messages::{StageFailure, Submission},
+        testing::{mirror, view},
+        ticket::Ticket,
+    };
+
+    const KEEP: Duration = Duration::from_secs(4);
+
+    fn pool(endpoints: &[&str]) -> Arc<Pool> {
+        let fleet = Fleet::default();
+        let views = endpoints.iter().map(|name| view(name, "ice", "a"));
+        fleet.update(&mirror(views), |_| None);
+        fleet.pool("ice").unwrap()
+    }
+
+    fn line() -> Line {
+        let mut line = Line::new(None);
+        line.declare(&Capacity {
+            slots: Some(1),
+            batch: Some(Batch {
+                items: 4,
+                call: Duration::from_millis(200),
+                item: Duration::from_millis(20),
+                room_bytes: 1_000_000,
+                keep: KEEP,
+            }),
+            ..Capacity::default()
+        });
+        line
+    }
+
+    fn submission(request: &str, inputs_left: Option<Duration>) -> Submission {
+        Submission {
+            request: request.to_owned(),
+            service: "ice".to_owned(),
+            stage: 1,
+            items: 1,
+            key: None,
+            inputs: Vec::new(),
+            inputs_left,
+            result_bytes: 1_000,
+            crossing_bytes: 0,
+            left: Duration::from_secs(20),
+            urgency: 0,
+            due_ms: 1_000,
+            az: "a".to_owned(),
+        }
+    }
+
+    fn take(
+        line: &mut Line,
+        pool: &Pool,
+        submission: Submission,
+    ) -> Result<Arc<Ticket>, StageFailure> {
+        line.take(submission, pool, &Reachable::default(), Instant::now())
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn items_whose_inputs_are_gone_fail_without_a_call() {
+        let (mut line, pool) = (line(), pool(&["i-1"]));
+        let lasting = take(&mut line, &pool, submission("lasting", None)).unwrap();
+        let gone = take(&mut line, &pool, submission("gone", Some(KEEP))).unwrap();
+        sleep(KEEP).await;
+        let next = line.next_call(&pool, &Reachable::default(), Instant::now());
+        let called: Vec<u64> = next.unwrap().jobs.iter().map(|job| job.ticket.id).collect();
+        assert_eq!(called, [lasting.id]);
+        assert_eq!(gone.finished().await, Err(StageFailure::InputGone));
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn items_that_would_wait_beyond_their_inputs_are_refused_at_once() {
+        let (mut line, pool) = (line(), pool(&["i-1"]));
+        for n in 0..40 {
+            take(&mut line, &pool, submission(&format!("r{n}"), None)).unwrap();
+        }
+        let short = submission("short", Some(Duration::from_secs(1)));
+        let refused = take(&mut line, &pool, short);
+        assert!(matches!(refused, Err(StageFailure::Late { .. })));
+        let long = submission("long", Some(KEEP));
+        assert!(take(&mut line, &pool, long).is_ok());
+    }
+}
--- a/crates/forward/src/placement.rs
+++ b/crates/forward/src/placement.rs
@@ -169,33 +169,23 @@
 
 #[cfg(test)]
 mod tests {
-    use membership::{EndpointState, EndpointView, Mirror, StageRole};
-    use uuid::Uuid;
+    use membership::{EndpointState, EndpointView};
 
     use super::Need;
-    use crate::{answer::Refusal, fleet::Fleet, inquiry::Prompt};
+    use crate::{
+        answer::Refusal,
+        fleet::Fleet,
+        inquiry::Prompt,
+        testing::{mirror, view},
+    };
 
     fn fleet(states: &[(&str, &str, EndpointState)]) -> Fleet {
-        let mut mirror = Mirror::default();
-        for (name, az, state) in states {
-            let view = EndpointView {
-                endpoint: (*name).to_owned(),
-                service: "chat".to_owned(),
-                az: (*az).to_owned(),
-                address: "http://127.0.0.1:9".to_owned(),
-                incarnation: Uuid::nil(),
-                state: *state,
-                models: Vec::new(),
-                role: StageRole::Both,
-                checks_fencing: false,
-                slots: Some(2),
-                calls: 0,
-                silent_ms: 0,
-            };
-            mirror.endpoints.insert(view.endpoint.clone(), view);
-        }
+        let views = states.iter().map(|(name, az, state)| EndpointView {
+            state: *state,
+            ..view(name, "chat", az)
+        });
         let fleet = Fleet::default();
-        fleet.update(&mirror, |_| None);
+        fleet.update(&mirror(views), |_| None);
         fleet
     }
 
--- a/crates/forward/src/stages.rs
+++ b/crates/forward/src/stages.rs
@@ -63,6 +63,8 @@
 pub(crate) struct Results {
     made: Vec<Made>,
     bytes: u64,
+    /// When the first of them is gone.
+    until: Instant,
     service: String,
     collector: Collector,
     via: Option<Peer>,
@@ -99,6 +101,12 @@
     (!bytes.is_empty()).then(|| bytes.iter().sum())
 }
 
+/// Time until the first of `inputs` is gone; `None` where there are none.
+fn kept_for(inputs: &[Arc<Results>]) -> Option<Duration> {
+    let until = inputs.iter().map(|results| results.until).min()?;
+    Some(until.saturating_duration_since(Instant::now()))
+}
+
 /// The availability zone that holds most bytes of `inputs`.
 fn heaviest(inputs: &[Arc<Results>]) -> Option<String> {
     let mut zones: BTreeMap<String, u64> = BTreeMap::new();
@@ -177,6 +185,13 @@
         times.max().unwrap_or_default()
     }
 
+    /// How long results of `service` are kept.
+    fn keep(&self, service: &str) -> Duration {
+        let service = self.rules.service(service);
+        let batch = service.and_then(|s| s.capacity.batch.as_ref());
+        batch.map_or(Duration::ZERO, |batch| batch.keep)
+    }
+
     fn time(&self, number: usize) -> Duration {
         let items = self.inquiry.items.get(number).copied().unwrap_or(0);
         let service = self.rules.service(&self.route.stages[number].service);
@@ -248,6 +263,7 @@
             items,
             key: key.filter(|_| stage.after.is_empty()),
             inputs: handles.collect(),
+            inputs_left: None,
             result_bytes: stage.result_bytes,
             crossing_bytes: u64::from(items) * fetched(inputs).unwrap_or(stage.result_bytes),
             left: Duration::ZERO,
@@ -257,6 +273,7 @@
         };
         for skip in 0..MAX_COLLECTORS {
             submission.left = work.deadline.saturating_duration_since(Instant::now());
+            submission.inputs_left = kept_for(inputs);
             match self.submit(work, &submission, skip).await {
                 Ok(results) => return Ok(Some(results)),
                 Err(StageFailure::Unreachable) => {}
@@ -329,7 +346,7 @@
             Ok(StageReply::Refused(failure)) => {
                 let refused = Err(failure);
                 self.note_end(work, submission, peer.name(), &refused);
-                return refused.map(|made| self.results(submission, made, None));
+                return refused.map(|made| self.results(work, submission, made, None));
             }
             Ok(_) => return Err(StageFailure::Unreachable),
             Err(e) => return Err(unreachable(work, submission, &peer, &e)),
@@ -346,7 +363,7 @@
         match reply {
             Ok(StageReply::Done(result)) => {
                 self.note_end(work, submission, peer.name(), &result);
-                result.map(|made| self.results(submission, made, Some(peer)))
+                result.map(|made| self.results(work, submission, made, Some(peer)))
             }
             Ok(_) => Err(StageFailure::Unreachable),
             Err(e) => Err(unreachable(work, submission, &peer, &e)),
@@ -366,7 +383,7 @@
         Self::note_sent(work, submission, OWN);
         let made = self.made_here(submission).await;
         self.note_end(work, submission, OWN, &made);
-        made.map(|made| self.results(submission, made, None))
+        made.map(|made| self.results(work, submission, made, None))
     }
 
     async fn made_here(&self, submission: &Submission) -> Result<Vec<Made>, StageFailure> {
@@ -383,8 +400,16 @@
         Ok(made)
     }
 
-    fn results(&self, submission: &Submission, made: Vec<Made>, via: Option<Peer>) -> Results {
+    fn results(
+        &self,
+        work: &Work<'_>,
+        submission: &Submission,
+        made: Vec<Made>,
+        via: Option<Peer>,
+    ) -> Results {
+        let oldest = made.iter().map(|m| m.age).max().unwrap_or_default();
         Results {
+            until: Instant::now() + work.keep(&submission.service).saturating_sub(oldest),
             made,
             bytes: submission.result_bytes,
             service: submission.service.clone(),
--- /dev/null
+++ b/crates/forward/src/testing.rs
@@ -0,0 +1,31 @@
+//! What several unit tests need.
+
+use membership::{EndpointState, EndpointView, Mirror, StageRole};
+use uuid::Uuid;
+
+/// An endpoint of `service` as keepers tell it, ready and with two slots.
+pub(crate) fn view(endpoint: &str, service: &str, az: &str) -> EndpointView {
+    EndpointView {
+        endpoint: endpoint.to_owned(),
+        service: service.to_owned(),
+        az: az.to_owned(),
+        address: "http://127.0.0.1:9".to_owned(),
+        incarnation: Uuid::nil(),
+        state: EndpointState::Ready,
+        models: Vec::new(),
+        role: StageRole::Both,
+        checks_fencing: false,
+        slots: Some(2),
+        calls: 0,
+        silent_ms: 0,
+    }
+}
+
+/// Keepers' word on `views`.
+pub(crate) fn mirror(views: impl IntoIterator<Item = EndpointView>) -> Mirror {
+    let mut mirror = Mirror::default();
+    for view in views {
+        mirror.endpoints.insert(view.endpoint.clone(), view);
+    }
+    mirror
+}
