--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -31,6 +31,7 @@
 mod rules;
 mod server;
 mod serving;
+mod shortage;
 mod stages;
 mod start;
 mod stream;
--- a/crates/forward/src/stages.rs
+++ b/crates/forward/src/stages.rs
@@ -19,6 +19,7 @@
     messages::{Made, StageFailure, StageReply, StageRequest, Submission},
     metrics::Metrics,
     rules::Rules,
+    shortage::Shortages,
 };
 
 /// Bound on handing items to the gate that collects them.
@@ -39,6 +40,7 @@
     pub(crate) gates: Gates,
     pub(crate) collector: Collector,
     pub(crate) metrics: Metrics,
+    pub(crate) shortages: Shortages,
 }
 
 /// What all stages of a request have in common.
@@ -208,6 +210,7 @@
     pub(crate) async fn run(&self, work: &Work<'_>) -> Result<Vec<Arc<Results>>, StageFailure> {
         let stages = &work.route.stages;
         let count = stages.len();
+        self.refuse_short(work)?;
         let mut done: Vec<Option<Arc<Results>>> = vec![None; count];
         let mut begun = vec![false; count];
         let mut finished = vec![false; count];
@@ -242,6 +245,31 @@
         Ok(last.filter_map(|n| done[n].clone()).collect())
     }
 
+    /// Refuses a request one of whose stages is likely to come too late, before any of them begins.
+    fn refuse_short(&self, work: &Work<'_>) -> Result<(), StageFailure> {
+        let now = Instant::now();
+        for (number, stage) in work.route.stages.iter().enumerate() {
+            let has_items = work
+                .inquiry
+                .items
+                .get(number)
+                .is_some_and(|items| *items > 0);
+            let wait = self.shortages.wait(&stage.service, work.urgency, now);
+            if let Some(retry_after) = wait.filter(|_| has_items) {
+                let failure = StageFailure::Late { retry_after };
+                work.story.note(Event::StageFailed {
+                    stage: number,
+                    service: stage.service.clone(),
+                    collector: OWN.to_owned(),
+                    why: "the same stage of other requests came too late just now".to_owned(),
+                    took_ms: 0,
+                });
+                return Err(failure);
+            }
+        }
+        Ok(())
+    }
+
     /// Does one stage; `None` where it has no items for this request.
     async fn stage(
         &self,
@@ -293,6 +321,10 @@
     ) {
         let took_ms = work.spent_ms(submission);
         let took = Duration::from_millis(took_ms);
+        if let Err(StageFailure::Late { .. } | StageFailure::InputGone) = result {
+            let now = Instant::now();
+            self.shortages.note(&submission.service, work.urgency, now);
+        }
         self.metrics
             .stage(&submission.service, result.is_ok(), took);
         work.story.note(match result {
--- a/crates/forward/src/start.rs
+++ b/crates/forward/src/start.rs
@@ -33,6 +33,7 @@
     rules::Rules,
     server::{self, Phase},
     serving::Context,
+    shortage::Shortages,
     stages::Stages,
 };
 
@@ -186,6 +187,7 @@
             gates,
             collector,
             metrics: metrics.clone(),
+            shortages: Shortages::default(),
         },
         budget: Arc::clone(&budgets.requests),
         az: cfg.vm.availability_zone.clone(),
