--- a/crates/forward/src/stages.rs
+++ b/crates/forward/src/stages.rs
@@ -31,6 +31,9 @@
 /// Gates that are tried for one stage.
 const MAX_COLLECTORS: usize = 3;
 
+/// Times of what is declared for which endpoints were seen to keep results.
+const KEEPS: u32 = 2;
+
 /// How this gate is named as the one that collects.
 const OWN: &str = "this gate";
 
@@ -187,11 +190,11 @@
         times.max().unwrap_or_default()
     }
 
-    /// How long results of `service` are kept.
-    fn keep(&self, service: &str) -> Duration {
+    /// How long results of `service` last at most.
+    fn lasts(&self, service: &str) -> Duration {
         let service = self.rules.service(service);
         let batch = service.and_then(|s| s.capacity.batch.as_ref());
-        batch.map_or(Duration::ZERO, |batch| batch.keep)
+        batch.map_or(Duration::ZERO, |batch| batch.keep * KEEPS)
     }
 
     fn time(&self, number: usize) -> Duration {
@@ -441,7 +444,7 @@
     ) -> Results {
         let oldest = made.iter().map(|m| m.age).max().unwrap_or_default();
         Results {
-            until: Instant::now() + work.keep(&submission.service).saturating_sub(oldest),
+            until: Instant::now() + work.lasts(&submission.service).saturating_sub(oldest),
             made,
             bytes: submission.result_bytes,
             service: submission.service.clone(),
