--- a/crates/forward/src/collector.rs
+++ b/crates/forward/src/collector.rs
@@ -349,7 +349,6 @@
                     handle: handle.clone(),
                     endpoint: next.target.name.clone(),
                     az: next.target.az.clone(),
-                    age: Duration::ZERO,
                 };
                 if !job.ticket.made(job.item, made) {
                     unwanted.push(handle);
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -31,7 +31,6 @@
 mod rules;
 mod server;
 mod serving;
-mod shortage;
 mod stages;
 mod start;
 mod stream;
--- a/crates/forward/src/line.rs
+++ b/crates/forward/src/line.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    ended::{Ended, ItemFailure},
+    ended::Ended,
     fleet::{Pool, Reachable, Target},
     messages::{StageFailure, Submission},
     pace::Slowness,
@@ -28,9 +28,8 @@
 const HEAVY_BYTES: f64 = 2e6;
 /// Time beyond which a result that was not given up is gone for certain.
 const KEEP_MARGIN: Duration = Duration::from_millis(250);
-/// How long an endpoint is thought to keep more than was counted, at first and at most.
+/// How long an endpoint is thought to keep more than was counted.
 const HIDDEN: Duration = Duration::from_millis(120);
-const MAX_HIDDEN: Duration = Duration::from_millis(960);
 
 /// Place in the line: when it is due, later the less urgent it is, in milliseconds since the line's
 /// start; then age.
@@ -78,8 +77,6 @@
     /// Bytes that it keeps beyond this count, and until when that is believed.
     hidden: u64,
     hidden_until: Option<Instant>,
-    /// For how long it is believed the next time.
-    hidden_for: Duration,
 }
 
 impl Hand {
@@ -90,7 +87,6 @@
             slowness: Slowness::new(),
             hidden: 0,
             hidden_until: None,
-            hidden_for: HIDDEN,
         }
     }
 }
@@ -198,8 +194,7 @@
         let place = due + i64::from(submission.urgency) * URGENCY_STEP_MS;
         let wait = self.wait(place, sound);
         let own = self.call_time(submission.items.min(self.batch.items));
-        let are_inputs_gone = submission.inputs_left.is_some_and(|left| wait > left);
-        if wait + own > submission.left || are_inputs_gone {
+        if wait + own > submission.left {
             return Err(StageFailure::Late { retry_after: wait });
         }
         let ticket = Arc::new(Ticket::new(submission, now));
@@ -225,7 +220,7 @@
 
     /// How long items at `place` wait for `endpoints` until those before them are done.
     fn wait(&self, place: i64, endpoints: usize) -> Duration {
-        let ahead = self.jobs.range(..(place, self.next)).count();
+        let ahead = self.jobs.range(..(place, 0)).count();
         let busy: u32 = self.hands.values().map(|hand| hand.calls).sum();
         let lanes = endpoints as u32 * self.slots;
         if ahead == 0 && busy < lanes {
@@ -421,11 +416,6 @@
         };
         hand.slowness
             .observe(expected, took.as_secs_f64() * 1e3, now);
-        // Calls of another gate that collects as well may fill the endpoint for longer.
-        hand.hidden_for = match results.iter().any(|r| *r == Err(ItemFailure::NoRoom)) {
-            true => (hand.hidden_for * 2).min(MAX_HIDDEN),
-            false => HIDDEN,
-        };
         for (job, handle) in next.jobs.iter().zip(results) {
             let Ok(handle) = handle else { continue };
             let bytes = job.ticket.submission.result_bytes;
@@ -464,7 +454,7 @@
     pub(crate) fn no_room(&mut self, endpoint: &str, bytes: u64, now: Instant) {
         if let Some(hand) = self.hands.get_mut(endpoint) {
             hand.hidden += bytes;
-            hand.hidden_until = Some(now + hand.hidden_for);
+            hand.hidden_until = Some(now + HIDDEN);
         }
     }
 
@@ -486,146 +476,20 @@
         }
     }
 
-    /// Fails stages that can't be done in time any more, or whose inputs are gone.
+    /// Fails stages that can't be done in time any more.
     fn drop_late(&mut self, now: Instant) {
         let least = self.call_time(1);
-        let retry_after = self.batch.call;
-        let failure = |job: &Job| match job.ticket.inputs_until {
-            _ if job.ticket.is_over() || now + least > job.ticket.deadline => {
-                Some(StageFailure::Late { retry_after })
-            }
-            Some(until) if now >= until => Some(StageFailure::InputGone),
-            _ => None,
-        };
-        let late = self
+        let late: Vec<Place> = self
             .jobs
             .iter()
-            .filter_map(|(place, job)| Some((*place, failure(job)?)));
-        let late: Vec<(Place, StageFailure)> = late.collect();
-        for (place, failure) in late {
+            .filter(|(_, job)| job.ticket.is_over() || now + least > job.ticket.deadline)
+            .map(|(place, _)| *place)
+            .collect();
+        for place in late {
             if let Some(job) = self.jobs.remove(&place) {
-                job.ticket.fail(failure);
+                let retry_after = self.batch.call;
+                job.ticket.fail(StageFailure::Late { retry_after });
             }
         }
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use std::{sync::Arc, time::Duration};
-
-    use declaration::{Batch, Capacity};
-    use tokio::time::{Instant, sleep};
-
-    use super::Line;
-    use crate::{
-        ended::{Ended, ItemFailure},
-        fleet::{Fleet, Pool, Reachable},
-        messages::{StageFailure, Submission},
-        testing::{mirror, view},
-        ticket::Ticket,
-    };
-
-    const KEEP: Duration = Duration::from_secs(4);
-
-    fn pool(endpoints: &[&str]) -> Arc<Pool> {
-        let fleet = Fleet::default();
-        let views = endpoints.iter().map(|name| view(name, "ice", "a"));
-        fleet.update(&mirror(views), |_| None);
-        fleet.pool("ice").unwrap()
-    }
-
-    fn line() -> Line {
-        let mut line = Line::new(None);
-        line.declare(&Capacity {
-            slots: Some(1),
-            batch: Some(Batch {
-                items: 4,
-                call: Duration::from_millis(200),
-                item: Duration::from_millis(20),
-                room_bytes: 1_000_000,
-                keep: KEEP,
-            }),
-            ..Capacity::default()
-        });
-        line
-    }
-
-    fn submission(request: &str, inputs_left: Option<Duration>) -> Submission {
-        Submission {
-            request: request.to_owned(),
-            service: "ice".to_owned(),
-            stage: 1,
-            items: 1,
-            key: None,
-            inputs: Vec::new(),
-            inputs_left,
-            result_bytes: 1_000,
-            crossing_bytes: 0,
-            left: Duration::from_secs(20),
-            urgency: 0,
-            due_ms: 1_000,
-            az: "a".to_owned(),
-        }
-    }
-
-    fn take(
-        line: &mut Line,
-        pool: &Pool,
-        submission: Submission,
-    ) -> Result<Arc<Ticket>, StageFailure> {
-        line.take(submission, pool, &Reachable::default(), Instant::now())
-    }
-
-    #[tokio::test(start_paused = true)]
-    async fn items_whose_inputs_are_gone_fail_without_a_call() {
-        let (mut line, pool) = (line(), pool(&["i-1"]));
-        let lasting = take(&mut line, &pool, submission("lasting", None)).unwrap();
-        let gone = take(&mut line, &pool, submission("gone", Some(KEEP))).unwrap();
-        sleep(KEEP).await;
-        let next = line.next_call(&pool, &Reachable::default(), Instant::now());
-        let called: Vec<u64> = next.unwrap().jobs.iter().map(|job| job.ticket.id).collect();
-        assert_eq!(called, [lasting.id]);
-        assert_eq!(gone.finished().await, Err(StageFailure::InputGone));
-    }
-
-    #[tokio::test(start_paused = true)]
-    async fn an_endpoint_without_room_is_left_alone_for_longer_each_time() {
-        let (mut line, pool) = (line(), pool(&["i-1"]));
-        let full = Submission {
-            result_bytes: 1_000_000,
-            ..submission("full", None)
-        };
-        take(&mut line, &pool, full).unwrap();
-        let mut pauses = Vec::new();
-        for _ in 0..5 {
-            let start = Instant::now();
-            let next = loop {
-                let next = line.next_call(&pool, &Reachable::default(), Instant::now());
-                match next {
-                    Some(next) => break next,
-                    None => sleep(Duration::from_millis(10)).await,
-                }
-            };
-            pauses.push(start.elapsed().as_millis());
-            let ended = Ended::Answered(vec![Err(ItemFailure::NoRoom)]);
-            line.ended(&next, next.expected, &ended, Instant::now());
-            line.no_room("i-1", 1_000_000, Instant::now());
-            line.put_back(next.jobs[0].clone());
-        }
-        assert_eq!(pauses, [0, 240, 480, 960, 960]);
-    }
-
-    #[tokio::test(start_paused = true)]
-    async fn items_that_would_wait_beyond_their_inputs_are_refused_at_once() {
-        let (mut line, pool) = (line(), pool(&["i-1"]));
-        for n in 0..40 {
-            take(&mut line, &pool, submission(&format!("r{n}"), None)).unwrap();
-        }
-        let short = submission("short", Some(Duration::from_secs(1)));
-        let refused = take(&mut line, &pool, short);
-        assert!(matches!(refused, Err(StageFailure::Late { .. })));
-        let long = submission("long", Some(KEEP));
-        assert!(take(&mut line, &pool, long).is_ok());
-    }
-}
--- a/crates/forward/src/messages.rs
+++ b/crates/forward/src/messages.rs
@@ -28,9 +28,6 @@
     /// Handles of the results that every item needs.
     #[serde(rename = "h")]
     pub inputs: Vec<String>,
-    /// Time for which all of them are sure to be kept still.
-    #[serde(rename = "x")]
-    pub inputs_left: Option<Duration>,
     /// Size of a result in bytes, about.
     #[serde(rename = "b")]
     pub result_bytes: u64,
@@ -88,9 +85,6 @@
     /// Its availability zone.
     #[serde(rename = "z")]
     pub az: String,
-    /// Time since the end of the call that made it.
-    #[serde(rename = "a")]
-    pub age: Duration,
 }
 
 /// Why a stage has no results.
--- a/crates/forward/src/stages.rs
+++ b/crates/forward/src/stages.rs
@@ -19,7 +19,6 @@
     messages::{Made, StageFailure, StageReply, StageRequest, Submission},
     metrics::Metrics,
     rules::Rules,
-    shortage::Shortages,
 };
 
 /// Bound on handing items to the gate that collects them.
@@ -31,9 +30,6 @@
 /// Gates that are tried for one stage.
 const MAX_COLLECTORS: usize = 3;
 
-/// Times of what is declared for which endpoints were seen to keep results.
-const KEEPS: u32 = 2;
-
 /// How this gate is named as the one that collects.
 const OWN: &str = "this gate";
 
@@ -43,7 +39,6 @@
     pub(crate) gates: Gates,
     pub(crate) collector: Collector,
     pub(crate) metrics: Metrics,
-    pub(crate) shortages: Shortages,
 }
 
 /// What all stages of a request have in common.
@@ -68,8 +63,6 @@
 pub(crate) struct Results {
     made: Vec<Made>,
     bytes: u64,
-    /// When the first of them is gone.
-    until: Instant,
     service: String,
     collector: Collector,
     via: Option<Peer>,
@@ -106,12 +99,6 @@
     (!bytes.is_empty()).then(|| bytes.iter().sum())
 }
 
-/// Time until the first of `inputs` is gone; `None` where there are none.
-fn kept_for(inputs: &[Arc<Results>]) -> Option<Duration> {
-    let until = inputs.iter().map(|results| results.until).min()?;
-    Some(until.saturating_duration_since(Instant::now()))
-}
-
 /// The availability zone that holds most bytes of `inputs`.
 fn heaviest(inputs: &[Arc<Results>]) -> Option<String> {
     let mut zones: BTreeMap<String, u64> = BTreeMap::new();
@@ -190,13 +177,6 @@
         times.max().unwrap_or_default()
     }
 
-    /// How long results of `service` last at most.
-    fn lasts(&self, service: &str) -> Duration {
-        let service = self.rules.service(service);
-        let batch = service.and_then(|s| s.capacity.batch.as_ref());
-        batch.map_or(Duration::ZERO, |batch| batch.keep * KEEPS)
-    }
-
     fn time(&self, number: usize) -> Duration {
         let items = self.inquiry.items.get(number).copied().unwrap_or(0);
         let service = self.rules.service(&self.route.stages[number].service);
@@ -213,7 +193,6 @@
     pub(crate) async fn run(&self, work: &Work<'_>) -> Result<Vec<Arc<Results>>, StageFailure> {
         let stages = &work.route.stages;
         let count = stages.len();
-        self.refuse_short(work)?;
         let mut done: Vec<Option<Arc<Results>>> = vec![None; count];
         let mut begun = vec![false; count];
         let mut finished = vec![false; count];
@@ -248,31 +227,6 @@
         Ok(last.filter_map(|n| done[n].clone()).collect())
     }
 
-    /// Refuses a request one of whose stages is likely to come too late, before any of them begins.
-    fn refuse_short(&self, work: &Work<'_>) -> Result<(), StageFailure> {
-        let now = Instant::now();
-        for (number, stage) in work.route.stages.iter().enumerate() {
-            let has_items = work
-                .inquiry
-                .items
-                .get(number)
-                .is_some_and(|items| *items > 0);
-            let wait = self.shortages.wait(&stage.service, work.urgency, now);
-            if let Some(retry_after) = wait.filter(|_| has_items) {
-                let failure = StageFailure::Late { retry_after };
-                work.story.note(Event::StageFailed {
-                    stage: number,
-                    service: stage.service.clone(),
-                    collector: OWN.to_owned(),
-                    why: "the same stage of other requests came too late just now".to_owned(),
-                    took_ms: 0,
-                });
-                return Err(failure);
-            }
-        }
-        Ok(())
-    }
-
     /// Does one stage; `None` where it has no items for this request.
     async fn stage(
         &self,
@@ -294,7 +248,6 @@
             items,
             key: key.filter(|_| stage.after.is_empty()),
             inputs: handles.collect(),
-            inputs_left: None,
             result_bytes: stage.result_bytes,
             crossing_bytes: u64::from(items) * fetched(inputs).unwrap_or(stage.result_bytes),
             left: Duration::ZERO,
@@ -304,7 +257,6 @@
         };
         for skip in 0..MAX_COLLECTORS {
             submission.left = work.deadline.saturating_duration_since(Instant::now());
-            submission.inputs_left = kept_for(inputs);
             match self.submit(work, &submission, skip).await {
                 Ok(results) => return Ok(Some(results)),
                 Err(StageFailure::Unreachable) => {}
@@ -324,10 +276,6 @@
     ) {
         let took_ms = work.spent_ms(submission);
         let took = Duration::from_millis(took_ms);
-        if let Err(StageFailure::Late { .. } | StageFailure::InputGone) = result {
-            let now = Instant::now();
-            self.shortages.note(&submission.service, work.urgency, now);
-        }
         self.metrics
             .stage(&submission.service, result.is_ok(), took);
         work.story.note(match result {
@@ -381,7 +329,7 @@
             Ok(StageReply::Refused(failure)) => {
                 let refused = Err(failure);
                 self.note_end(work, submission, peer.name(), &refused);
-                return refused.map(|made| self.results(work, submission, made, None));
+                return refused.map(|made| self.results(submission, made, None));
             }
             Ok(_) => return Err(StageFailure::Unreachable),
             Err(e) => return Err(unreachable(work, submission, &peer, &e)),
@@ -398,7 +346,7 @@
         match reply {
             Ok(StageReply::Done(result)) => {
                 self.note_end(work, submission, peer.name(), &result);
-                result.map(|made| self.results(work, submission, made, Some(peer)))
+                result.map(|made| self.results(submission, made, Some(peer)))
             }
             Ok(_) => Err(StageFailure::Unreachable),
             Err(e) => Err(unreachable(work, submission, &peer, &e)),
@@ -418,7 +366,7 @@
         Self::note_sent(work, submission, OWN);
         let made = self.made_here(submission).await;
         self.note_end(work, submission, OWN, &made);
-        made.map(|made| self.results(work, submission, made, None))
+        made.map(|made| self.results(submission, made, None))
     }
 
     async fn made_here(&self, submission: &Submission) -> Result<Vec<Made>, StageFailure> {
@@ -435,16 +383,8 @@
         Ok(made)
     }
 
-    fn results(
-        &self,
-        work: &Work<'_>,
-        submission: &Submission,
-        made: Vec<Made>,
-        via: Option<Peer>,
-    ) -> Results {
-        let oldest = made.iter().map(|m| m.age).max().unwrap_or_default();
+    fn results(&self, submission: &Submission, made: Vec<Made>, via: Option<Peer>) -> Results {
         Results {
-            until: Instant::now() + work.lasts(&submission.service).saturating_sub(oldest),
             made,
             bytes: submission.result_bytes,
             service: submission.service.clone(),
--- a/crates/forward/src/start.rs
+++ b/crates/forward/src/start.rs
@@ -33,7 +33,6 @@
     rules::Rules,
     server::{self, Phase},
     serving::Context,
-    shortage::Shortages,
     stages::Stages,
 };
 
@@ -187,7 +186,6 @@
             gates,
             collector,
             metrics: metrics.clone(),
-            shortages: Shortages::default(),
         },
         budget: Arc::clone(&budgets.requests),
         az: cfg.vm.availability_zone.clone(),
--- a/crates/forward/src/ticket.rs
+++ b/crates/forward/src/ticket.rs
@@ -24,8 +24,6 @@
     pub(crate) id: u64,
     pub(crate) submission: Submission,
     pub(crate) deadline: Instant,
-    /// When the first of its inputs is gone.
-    pub(crate) inputs_until: Option<Instant>,
     state: Mutex<TicketState>,
     done: Notify,
     is_over: AtomicBool,
@@ -34,7 +32,7 @@
 
 #[derive(Debug)]
 struct TicketState {
-    made: Vec<Option<(Made, Instant)>>,
+    made: Vec<Option<Made>>,
     missing: usize,
     failure: Option<StageFailure>,
 }
@@ -46,7 +44,6 @@
         Self {
             id: rand::random(),
             deadline: now + submission.left,
-            inputs_until: submission.inputs_left.map(|left| now + left),
             submission,
             state: Mutex::new(TicketState {
                 made: vec![None; items],
@@ -87,7 +84,7 @@
         let Some(slot) = state.made.get_mut(item as usize).filter(|m| m.is_none()) else {
             return false;
         };
-        *slot = Some((made, Instant::now()));
+        *slot = Some(made);
         state.missing -= 1;
         if state.missing == 0 {
             self.done.notify_one();
@@ -116,12 +113,7 @@
                 if state.missing == 0 {
                     // What comes twice from here on is unwanted.
                     self.is_over.store(true, Ordering::Relaxed);
-                    let made = state.made.iter_mut().filter_map(Option::take);
-                    let aged = |(made, at): (Made, Instant)| Made {
-                        age: at.elapsed(),
-                        ..made
-                    };
-                    return Ok(made.map(aged).collect());
+                    return Ok(state.made.iter_mut().filter_map(Option::take).collect());
                 }
             }
             let waited = timeout_at(self.deadline + GRACE, self.done.notified()).await;
@@ -137,6 +129,6 @@
         self.is_over.store(true, Ordering::Relaxed);
         let mut state = self.state();
         let made = state.made.iter_mut().filter_map(Option::take);
-        made.map(|(made, _)| made.handle).collect()
+        made.map(|m| m.handle).collect()
     }
 }
