An endpoint without room is left alone for longer each time

Cause: where two gates collect for one service (rolls, cuts), neither knows what the other's results take up; items without room went back to the same endpoint every 120 ms.

--- a/crates/forward/src/line.rs
+++ b/crates/forward/src/line.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    ended::Ended,
+    ended::{Ended, ItemFailure},
     fleet::{Pool, Reachable, Target},
     messages::{StageFailure, Submission},
     pace::Slowness,
@@ -28,8 +28,9 @@
 const HEAVY_BYTES: f64 = 2e6;
 /// Time beyond which a result that was not given up is gone for certain.
 const KEEP_MARGIN: Duration = Duration::from_millis(250);
-/// How long an endpoint is thought to keep more than was counted.
+/// How long an endpoint is thought to keep more than was counted, at first and at most.
 const HIDDEN: Duration = Duration::from_millis(120);
+const MAX_HIDDEN: Duration = Duration::from_millis(960);
 
 /// Place in the line: when it is due, later the less urgent it is, in milliseconds since the line's
 /// start; then age.
@@ -77,6 +78,8 @@
     /// Bytes that it keeps beyond this count, and until when that is believed.
     hidden: u64,
     hidden_until: Option<Instant>,
+    /// For how long it is believed the next time.
+    hidden_for: Duration,
 }
 
 impl Hand {
@@ -87,6 +90,7 @@
             slowness: Slowness::new(),
             hidden: 0,
             hidden_until: None,
+            hidden_for: HIDDEN,
         }
     }
 }
@@ -416,6 +420,11 @@
         };
         hand.slowness
             .observe(expected, took.as_secs_f64() * 1e3, now);
+        // Calls of another gate that collects as well may fill the endpoint for longer.
+        hand.hidden_for = match results.iter().any(|r| *r == Err(ItemFailure::NoRoom)) {
+            true => (hand.hidden_for * 2).min(MAX_HIDDEN),
+            false => HIDDEN,
+        };
         for (job, handle) in next.jobs.iter().zip(results) {
             let Ok(handle) = handle else { continue };
             let bytes = job.ticket.submission.result_bytes;
@@ -454,7 +463,7 @@
     pub(crate) fn no_room(&mut self, endpoint: &str, bytes: u64, now: Instant) {
         if let Some(hand) = self.hands.get_mut(endpoint) {
             hand.hidden += bytes;
-            hand.hidden_until = Some(now + HIDDEN);
+            hand.hidden_until = Some(now + hand.hidden_for);
         }
     }
 
@@ -493,3 +502,86 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::{sync::Arc, time::Duration};
+
+    use declaration::{Batch, Capacity};
+    use tokio::time::{Instant, sleep};
+
+    use super::Line;
+    use crate::{
+        ended::{Ended, ItemFailure},
+        fleet::{Fleet, Pool, Reachable},
+        messages::Submission,
+        testing::{mirror, view},
+    };
+
+    /// Room of one endpoint, in bytes.
+    const ROOM: u64 = 1_000_000;
+
+    fn pool(endpoints: &[&str]) -> Arc<Pool> {
+        let fleet = Fleet::default();
+        let views = endpoints.iter().map(|name| view(name, "ice", "a"));
+        fleet.update(&mirror(views), |_| None);
+        fleet.pool("ice").unwrap()
+    }
+
+    fn line() -> Line {
+        let mut line = Line::new(None);
+        line.declare(&Capacity {
+            slots: Some(1),
+            batch: Some(Batch {
+                items: 4,
+                call: Duration::from_millis(200),
+                item: Duration::from_millis(20),
+                room_bytes: ROOM,
+                keep: Duration::from_secs(4),
+            }),
+            ..Capacity::default()
+        });
+        line
+    }
+
+    fn submission() -> Submission {
+        Submission {
+            request: "r1".to_owned(),
+            service: "ice".to_owned(),
+            stage: 0,
+            items: 1,
+            key: None,
+            inputs: Vec::new(),
+            result_bytes: ROOM,
+            crossing_bytes: 0,
+            left: Duration::from_secs(20),
+            urgency: 0,
+            due_ms: 1_000,
+            az: "a".to_owned(),
+        }
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn an_endpoint_without_room_is_left_alone_for_longer_each_time() {
+        let (mut line, pool) = (line(), pool(&["i-1"]));
+        let reachable = Reachable::default();
+        let taken = line.take(submission(), &pool, &reachable, Instant::now());
+        taken.unwrap();
+        let mut pauses = Vec::new();
+        for _ in 0..5 {
+            let start = Instant::now();
+            let next = loop {
+                match line.next_call(&pool, &reachable, Instant::now()) {
+                    Some(next) => break next,
+                    None => sleep(Duration::from_millis(10)).await,
+                }
+            };
+            pauses.push(start.elapsed().as_millis());
+            let ended = Ended::Answered(vec![Err(ItemFailure::NoRoom)]);
+            line.ended(&next, next.expected, &ended, Instant::now());
+            line.no_room("i-1", ROOM, Instant::now());
+            line.put_back(next.jobs[0].clone());
+        }
+        assert_eq!(pauses, [0, 240, 480, 960, 960]);
+    }
+}
