--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -91,7 +91,8 @@
         match line.event() {
             _ if line.names(request) => self.about.push(line),
             Some(Event::LeftOut { .. }) => self.left_out.push(line),
-            Some(event) if is_belief(&event) => self.beliefs.push(line),
+            // What a request met is its own story.
+            Some(event) if is_belief(&event) && line.request().is_none() => self.beliefs.push(line),
             _ => {}
         }
     }
