--- a/crates/forward/src/line.rs
+++ b/crates/forward/src/line.rs
@@ -421,7 +421,7 @@
         hand.slowness
             .observe(expected, took.as_secs_f64() * 1e3, now);
         // Calls of another gate that collects as well may fill the endpoint for longer.
-        hand.hidden_for = match results.iter().any(|r| *r == Err(ItemFailure::NoRoom)) {
+        hand.hidden_for = match results.contains(&Err(ItemFailure::NoRoom)) {
             true => (hand.hidden_for * 2).min(MAX_HIDDEN),
             false => HIDDEN,
         };
