--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -101,7 +101,7 @@
             });
             let has_inputs = !self.inputs.is_empty() || self.req.route().stages.is_empty();
             if !has_inputs || !may_repeat(&self.cx, &self.req, &self.tried) {
-                return self.break_off().await;
+                return self.break_off(&broken).await;
             }
             let again = begin(
                 &self.cx,
@@ -114,7 +114,7 @@
             begun = tokio::select! {
                 again = again => match again {
                     Ok(begun) if begun.is_good => begun,
-                    Ok(_) | Err(_) => return self.break_off().await,
+                    Ok(_) | Err(_) => return self.break_off(&broken).await,
                 },
                 () = closed.closed() => return,
             };
@@ -122,9 +122,12 @@
     }
 
     /// Ends the answer so that it does not look complete.
-    async fn break_off(self) {
-        let why = "the endpoint broke the stream off";
-        self.req.story.failed(Ending::Lost, 0, why, None);
+    async fn break_off(self, cause: &Broken) {
+        let (ending, why) = match cause {
+            Broken::Endpoint(CallError::Late) => (Ending::Late, "its time was over in the stream"),
+            _ => (Ending::Lost, "the endpoint broke the stream off"),
+        };
+        self.req.story.failed(ending, 0, why, None);
         let broken = io::Error::other(why);
         // The caller may have left as well.
         let _ = self.tx.send(Err(broken)).await;
