Stages that are still open at a deadline are refused for that, with a time to come back

A pool that says it is full is asked again after a pause of 80 ms; where the deadline fell into such a pause, the request was cut by its own bound before the line gave its items up, and was told "no time left before it could be sent" without a time to come back. Which of the two cut first depended on the moment. Change: the stages have the bound to themselves, and what it cuts is refused as late stages, with a time to come back; a request that found no endpoint in time gets one as well.

--- a/crates/forward/src/serving.rs
+++ b/crates/forward/src/serving.rs
@@ -159,9 +159,11 @@
 /// Serves a request: its stages, then an endpoint.
 pub(crate) async fn serve(cx: &Context, req: Request) -> Result<Response, Unserved> {
     let until = req.deadline - ANSWER_MARGIN;
+    let made = timeout_at(until, inputs(cx, &req)).await;
+    let late = |_| Unserved::come_back(Refusal::StagesLate, COME_BACK);
+    let inputs = made.map_err(late).flatten()?;
     let mut tried = Tried::default();
     let serving = async {
-        let inputs = inputs(cx, &req).await?;
         match req.route().answer {
             Answer::Whole => whole(cx, &req, &inputs, &mut tried).await,
             Answer::Stream => {
@@ -183,7 +185,7 @@
     match timeout_at(until, serving).await {
         Ok(result) => result,
         Err(_) if tried.runs > 0 => Err(Unserved::Late),
-        Err(_) => Err(Unserved::refused(Refusal::NoTime)),
+        Err(_) => Err(Unserved::come_back(Refusal::NoTime, COME_BACK)),
     }
 }
 
