Typed events of /v1's gate and the controller; resumed streams; tokens of prompts kept and read

Now a request of /v1 has a story like one that is passed on: admitted, chosen with its inputs (calls, age of the report, share of the prompt kept), call failed, ledger's word, stage made, not repeated, resumed, its end; followers write who tells them and what is in force, the router ejections and returns, the gate endpoints' states, the controller lease, orders, halted rollouts.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -92,7 +92,9 @@
             _ if line.names(request) => self.about.push(line),
             Some(Event::LeftOut { .. }) => self.left_out.push(line),
             // What a request met is its own story.
-            Some(event) if is_belief(&event) && line.request().is_none() => self.beliefs.push(line),
+            Some(event) if event.kind().is_belief() && line.request().is_none() => {
+                self.beliefs.push(line);
+            }
             _ => {}
         }
     }
@@ -129,22 +131,6 @@
     }
 }
 
-fn is_belief(event: &Event) -> bool {
-    matches!(
-        event,
-        Event::EndpointState { .. }
-            | Event::EndpointEjected { .. }
-            | Event::EndpointBack { .. }
-            | Event::EndpointMisplaced { .. }
-            | Event::ZonesOut { .. }
-            | Event::Collects { .. }
-            | Event::Confirmation { .. }
-            | Event::Keepers { .. }
-            | Event::InForce { .. }
-            | Event::Consensus { .. }
-    )
-}
-
 /// VMs, endpoints and services that the lines of a request name.
 fn concerned(about: &[Line]) -> BTreeSet<String> {
     let vms = about.iter().filter_map(|line| line.vm.clone());
--- a/crates/controller/src/lease.rs
+++ b/crates/controller/src/lease.rs
@@ -6,8 +6,8 @@
     keeper::{KeeperReply, KeeperRequest, LeaseReply, LeaseRequest},
     keepers::Keepers,
 };
+use logs::Event;
 use rand::RngExt;
-use spdlog::{info, warn};
 use tokio::{
     sync::watch,
     time::{Instant, sleep},
@@ -30,6 +30,15 @@
     pub(crate) why: Option<String>,
 }
 
+/// Writes what is known of the lease.
+fn tell(state: &LeaseState) {
+    let event = Event::Lease {
+        fencing: state.authority.as_ref().map(Authority::fencing),
+        why: state.why.clone(),
+    };
+    logs::write(None, &event);
+}
+
 /// Asks for the lease of one availability zone again and again.
 #[derive(Debug)]
 pub(crate) struct Leaseholder {
@@ -83,7 +92,11 @@
                     before.as_ref(),
                 );
                 if before.is_none_or(|before| before.fencing() != fencing) {
-                    info!("lease granted", kv: { step = "lease", fencing = fencing });
+                    let held = Event::Lease {
+                        fencing: Some(fencing),
+                        why: None,
+                    };
+                    logs::write(None, &held);
                 }
                 self.state.send_replace(LeaseState {
                     authority: Some(authority),
@@ -114,6 +127,9 @@
                 why: Some(why),
             };
             let is_changed = *state != next;
+            if is_changed {
+                tell(&next);
+            }
             *state = next;
             is_changed
         });
@@ -121,8 +137,10 @@
 
     /// What was granted stays until its own end.
     fn without_answer(&self, why: String) {
-        warn!("lease not renewed: {}", why, kv: { step = "lease" });
-        self.state.send_modify(|state| state.why = Some(why));
+        self.state.send_modify(|state| {
+            state.why = Some(why);
+            tell(state);
+        });
     }
 
     /// Gives the lease up, so that a standby need not wait for its end.
--- a/crates/controller/src/reconcile.rs
+++ b/crates/controller/src/reconcile.rs
@@ -9,7 +9,7 @@
 use declaration::Service;
 use host::shutdown::Stopped;
 use link::{calls::CallsReply, follower::InForce};
-use spdlog::{error, info, warn};
+use logs::Event;
 use tokio::{
     sync::watch,
     task::JoinSet,
@@ -163,8 +163,13 @@
         }
         for (release, fall) in working.comparisons.look() {
             let (service, version) = (release.service.clone(), release.version);
-            let probability = fall.probability;
-            error!("rollout halted as attainment fell: {}", fall, kv: { step = "rollout", service = service, version = version, probability = probability });
+            let why = format!("{fall}; probability {:.4}", fall.probability);
+            let halted = Event::RolloutHalted {
+                service,
+                version,
+                why,
+            };
+            logs::write(None, &halted);
             working.book.halt(release, fall);
         }
     }
@@ -244,17 +249,14 @@
             Answer::NoRoom(why) => (5, Some(why)),
         };
         self.answers[kind] += 1;
-        let (order, endpoint) = (open.order.to_string(), open.task.endpoint.clone());
-        let action = open.task.action.name();
-        let version = open.task.version;
-        match why {
-            None => {
-                info!("order taken", kv: { step = "order", peer = endpoint, order = order, action = action, version = version });
-            }
-            Some(why) => {
-                warn!("order not taken: {}", why, kv: { step = "order", peer = endpoint, order = order, action = action, version = version });
-            }
-        }
+        let answered = Event::Order {
+            order: open.order.to_string(),
+            endpoint: open.task.endpoint.clone(),
+            action: open.task.action.name().to_owned(),
+            version: open.task.version,
+            why: why.cloned(),
+        };
+        logs::write(None, &answered);
     }
 }
 
--- a/crates/forward/src/control.rs
+++ b/crates/forward/src/control.rs
@@ -216,8 +216,6 @@
         let current = in_force.borrow_and_update().clone();
         if let Some(f) = current.filter(|f| f.revision > 0) {
             let next = Rules::new(&f.declaration);
-            let revision = f.revision;
-            logs::write(None, &Event::InForce { revision });
             rules.send_replace(Arc::new(next));
         }
         if in_force.changed().await.is_err() {
--- a/crates/forward/src/fleet.rs
+++ b/crates/forward/src/fleet.rs
@@ -80,8 +80,6 @@
     pub(crate) cache: PrefixCache,
     health: Health,
     out_until: Option<Instant>,
-    /// Whether it was ejected and has not answered since.
-    was_ejected: bool,
 }
 
 /// Time after which a report of load says nothing any more.
@@ -265,7 +263,7 @@
         let now = Instant::now();
         let (is_bad, is_back) = {
             let mut stats = target.stats();
-            let is_back = !has_failed && std::mem::take(&mut stats.was_ejected);
+            let is_back = !has_failed && stats.health.take_back();
             (stats.health.observe(has_failed, now), is_back)
         };
         if is_back {
@@ -283,7 +281,6 @@
         if out < max_ejected(of, MAX_EJECTED) {
             let mut stats = target.stats();
             stats.health.eject(now);
-            stats.was_ejected = true;
             self.ejections.fetch_add(1, Ordering::Relaxed);
             let until = stats.health.ejected_until().unwrap_or(now);
             logs::write(
@@ -363,7 +360,6 @@
             cache: PrefixCache::new(memory.unwrap_or(DEFAULT_MEMORY_TOKENS)),
             health: Health::new(ejection()),
             out_until: None,
-            was_ejected: false,
         }),
     }))
 }
@@ -415,12 +411,18 @@
             in_flight: stats.in_flight,
             others: stats.others,
             others_ms: others_ms.map(|age| age.as_millis() as u64),
-            unread_tokens: self.unread,
+            unread_tokens: Some(self.unread),
+            cached_percent: None,
             slowness_percent: (stats.slowness.factor(now) * 100.0) as u64,
             candidates: self.pool.targets.len(),
         }
     }
 
+    /// Tokens to read that were expected.
+    pub(crate) fn unread(&self) -> u64 {
+        self.unread
+    }
+
     /// Time since the call began.
     pub(crate) fn elapsed(&self) -> Duration {
         self.since.elapsed()
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -24,6 +24,7 @@
     calls: HistogramVec,
     items: HistogramVec,
     retries: IntCounterVec,
+    prompt_tokens: IntCounterVec,
     endpoints: IntGaugeVec,
     ejections: IntCounter,
     confirmed: IntGauge,
@@ -114,6 +115,11 @@
                 "Retries that the budget allowed or refused.",
                 &["service", "budget"],
             )?,
+            prompt_tokens: make.counters(
+                "prompt_tokens_total",
+                "Tokens of prompts that the endpoint was thought to keep, and those that it read.",
+                &["service", "fate"],
+            )?,
             endpoints: make.gauges(
                 "endpoints",
                 "Endpoints known, ready as keepers tell, and left out for now.",
@@ -142,6 +148,14 @@
         seconds.observe(took.as_secs_f64());
     }
 
+    /// Counts the tokens of a prompt by what the endpoint was thought to do with them.
+    pub(crate) fn prompt(&self, service: &str, kept: u64, read: u64) {
+        for (fate, tokens) in [("kept", kept), ("read", read)] {
+            let counter = self.prompt_tokens.with_label_values(&[service, fate]);
+            counter.inc_by(tokens);
+        }
+    }
+
     /// Counts a stage of a request.
     pub(crate) fn stage(&self, service: &str, is_good: bool, took: Duration) {
         let labels = [service, outcome(is_good)];
--- a/crates/forward/src/serving.rs
+++ b/crates/forward/src/serving.rs
@@ -146,6 +146,14 @@
         self.note_not_run(flight, &e.to_string(), e.may_have_run());
     }
 
+    /// It is not tried once more.
+    pub(crate) fn note_not_repeated(&self, why: &str) {
+        self.story.note(Event::NotRepeated {
+            service: self.service.clone(),
+            why: why.to_owned(),
+        });
+    }
+
     fn note_not_run(&self, flight: &Flight, why: &str, may_have_run: bool) {
         self.story.note(Event::CallFailed {
             endpoint: flight.target.name.clone(),
@@ -283,10 +291,7 @@
         _ if !cx.may_spend(&req.service) => "the retry budget of the service is spent",
         _ => return true,
     };
-    req.story.note(Event::NotRepeated {
-        service: req.service.clone(),
-        why: why.to_owned(),
-    });
+    req.note_not_repeated(why);
     false
 }
 
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -100,6 +100,10 @@
                 last_event: self.last.unwrap_or(0),
             });
             let has_inputs = !self.inputs.is_empty() || self.req.route().stages.is_empty();
+            if !has_inputs {
+                self.req
+                    .note_not_repeated("the results of its stages are given up");
+            }
             if !has_inputs || !may_repeat(&self.cx, &self.req, &self.tried) {
                 return self.break_off(&broken).await;
             }
@@ -113,7 +117,7 @@
             let closed = self.tx.clone();
             begun = tokio::select! {
                 again = again => match again {
-                    Ok(begun) if begun.is_good => begun,
+                    Ok(begun) if begun.is_good => self.resumed(begun),
                     Ok(_) | Err(_) => return self.break_off(&broken).await,
                 },
                 () = closed.closed() => return,
@@ -121,6 +125,15 @@
         }
     }
 
+    /// Notes that the stream goes on with `begun`.
+    fn resumed(&self, begun: Begun) -> Begun {
+        self.req.story.note(Event::Resumed {
+            endpoint: begun.flight.target.name.clone(),
+            after: self.last.unwrap_or(0),
+        });
+        begun
+    }
+
     /// Ends the answer so that it does not look complete.
     async fn break_off(self, cause: &Broken) {
         let (ending, why) = match cause {
@@ -162,6 +175,11 @@
                 if begun.flight.first_part(self.req.inquiry.prompt.as_ref()) {
                     let took = begun.flight.elapsed();
                     self.cx.metrics.first_part(&self.req.service, took);
+                    if let Some(prompt) = &self.req.inquiry.prompt {
+                        let read = begun.flight.unread();
+                        let kept = u64::from(prompt.tokens).saturating_sub(read);
+                        self.cx.metrics.prompt(&self.req.service, kept, read);
+                    }
                 }
                 // The endpoint has fetched them before it read the prompt.
                 self.inputs.clear();
--- /dev/null
+++ b/crates/gate/src/beliefs.rs
@@ -0,0 +1,121 @@
+//! What the gate believes of endpoints, written whenever it changes.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use logs::Event;
+use membership::{EndpointState, EndpointView, Table};
+use tokio::time::sleep;
+
+/// Time between looks.
+const LOOK_EVERY: Duration = Duration::from_millis(500);
+
+#[derive(Debug, PartialEq)]
+struct Belief {
+    service: String,
+    az: String,
+    state: EndpointState,
+}
+
+/// Writes each change of an endpoint's state in `table`; runs until dropped.
+pub(crate) async fn tell(table: Table) {
+    let mut told = BTreeMap::new();
+    loop {
+        for event in changes(&mut told, table.list()) {
+            logs::write(None, &event);
+        }
+        sleep(LOOK_EVERY).await;
+    }
+}
+
+/// Brings `told` to `views`; an event for each endpoint whose state is another one than before.
+fn changes(told: &mut BTreeMap<String, Belief>, views: Vec<EndpointView>) -> Vec<Event> {
+    let now = views.into_iter().map(|view| {
+        let belief = Belief {
+            service: view.service,
+            az: view.az,
+            state: view.state,
+        };
+        (view.endpoint, belief)
+    });
+    let now: BTreeMap<String, Belief> = now.collect();
+    let before = std::mem::replace(told, now);
+    let gone = before.iter().filter(|(name, _)| !told.contains_key(*name));
+    let gone = gone.map(|(name, belief)| event(name, belief, "gone"));
+    let is_new = |(name, belief): &(&String, &Belief)| before.get(*name) != Some(*belief);
+    let changed = told.iter().filter(is_new);
+    let changed = changed.map(|(name, belief)| event(name, belief, state(belief.state)));
+    gone.chain(changed).collect()
+}
+
+fn state(state: EndpointState) -> &'static str {
+    match state {
+        EndpointState::Ready => "ready",
+        EndpointState::Leaving => "leaving",
+        EndpointState::Suspect => "suspect",
+    }
+}
+
+fn event(endpoint: &str, belief: &Belief, state: &str) -> Event {
+    Event::EndpointState {
+        endpoint: endpoint.to_owned(),
+        service: belief.service.clone(),
+        az: belief.az.clone(),
+        state: state.to_owned(),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::collections::BTreeMap;
+
+    use logs::Event;
+    use membership::{EndpointState, EndpointView, StageRole};
+    use uuid::Uuid;
+
+    use super::changes;
+
+    fn view(endpoint: &str, state: EndpointState) -> EndpointView {
+        EndpointView {
+            endpoint: endpoint.to_owned(),
+            service: "chat".to_owned(),
+            az: "a".to_owned(),
+            address: "http://127.0.0.1:9".to_owned(),
+            incarnation: Uuid::nil(),
+            state,
+            models: Vec::new(),
+            role: StageRole::Both,
+            checks_fencing: false,
+            slots: None,
+            calls: 0,
+            silent_ms: 0,
+        }
+    }
+
+    fn told(events: Vec<Event>) -> Vec<String> {
+        let told = events.into_iter().map(|event| match event {
+            Event::EndpointState {
+                endpoint, state, ..
+            } => format!("{endpoint} {state}"),
+            other => format!("{other:?}"),
+        });
+        told.collect()
+    }
+
+    #[test]
+    fn only_changes_are_told() {
+        let mut known = BTreeMap::new();
+        let ready = || {
+            vec![
+                view("e-1", EndpointState::Ready),
+                view("e-2", EndpointState::Ready),
+            ]
+        };
+        assert_eq!(
+            told(changes(&mut known, ready())),
+            ["e-1 ready", "e-2 ready"]
+        );
+        assert!(changes(&mut known, ready()).is_empty());
+        let one = vec![view("e-2", EndpointState::Suspect)];
+        assert_eq!(told(changes(&mut known, one)), ["e-1 gone", "e-2 suspect"]);
+    }
+}
--- a/crates/gate/src/callers.rs
+++ b/crates/gate/src/callers.rs
@@ -24,6 +24,7 @@
     request::{self, Ask, parse_key},
     run::{self, Answer},
     sse::write_event,
+    story,
     stream::{self, Part, Sink},
 };
 
@@ -46,6 +47,7 @@
                     // What is left of the body is not read.
                     close(res);
                 }
+                story::refused(&problem);
                 return problem.render(res);
             }
         };
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -8,6 +8,7 @@
 //! and `docs/design/at-most-once.md` say why it is built this way.
 
 mod assembly;
+mod beliefs;
 mod body;
 mod callers;
 mod calls;
@@ -41,6 +42,7 @@
 mod sse;
 mod stage;
 mod start;
+mod story;
 mod stream;
 #[cfg(test)]
 mod tests;
--- a/crates/gate/src/metrics.rs
+++ b/crates/gate/src/metrics.rs
@@ -12,6 +12,8 @@
     Registry, core::Collector,
 };
 
+use crate::engine::Cached;
+
 /// Most names that one kind of label takes before further ones count as [`OTHER`].
 const MAX_NAMES: usize = 256;
 const OTHER: &str = "other";
@@ -92,6 +94,7 @@
     tokens: IntCounterVec,
     calls: IntCounterVec,
     retries: IntCounterVec,
+    prompt_tokens: IntCounterVec,
     hedges: IntCounterVec,
     resumptions: IntCounterVec,
     retry_budget: GaugeVec,
@@ -170,6 +173,8 @@
         let service = ["service"];
         let by_use = ["service", "use"];
         let by_result = ["service", "result"];
+        let by_fate = ["service", "fate"];
+        let prompt = "Tokens of prompts, kept and read, as endpoints tell";
         let stage = "Time of a stage with all its tries";
         let resumed = "Streams that went on over another connection";
         let seconds = Opts::new("jujube_endpoint_seconds_total", "Endpoint time by use");
@@ -179,6 +184,7 @@
             endpoint_seconds: m.registered(CounterVec::new(seconds, &by_use)),
             tokens: m.counter("jujube_tokens_total", "Tokens by use", &by_use),
             calls: m.counter("jujube_calls_total", "Calls by result", &by_result),
+            prompt_tokens: m.counter("jujube_prompt_tokens_total", prompt, &by_fate),
             retries: m.counter("jujube_retries_total", "Tries after the first", &service),
             hedges: m.counter("jujube_hedges_total", "Hedges sent", &service),
             resumptions: m.counter("jujube_resumptions_total", resumed, &service),
@@ -292,6 +298,17 @@
         self.0.by_service.calls.with_label_values(&labels).inc();
     }
 
+    /// An endpoint told how much of a prompt it had kept.
+    pub(crate) fn prompt(&self, service: &str, cached: Cached) {
+        let service = self.0.services.bounded(service);
+        let read = cached.prompt_tokens.saturating_sub(cached.cached_tokens);
+        for (fate, tokens) in [("kept", cached.cached_tokens), ("read", read)] {
+            let counter = &self.0.by_service.prompt_tokens;
+            let counter = counter.with_label_values(&[service, fate]);
+            counter.inc_by(u64::from(tokens));
+        }
+    }
+
     /// A stage is tried again.
     pub(crate) fn retry(&self, service: &str) {
         let service = self.0.services.bounded(service);
--- a/crates/gate/src/once.rs
+++ b/crates/gate/src/once.rs
@@ -86,7 +86,13 @@
 ) -> Result<Option<StageDone>, StageError> {
     let ledger = &cx.gate.ledger;
     let left = cx.ask.deadline.saturating_duration_since(Instant::now());
+    let asked = Instant::now();
     let looked = ledger.lookup(key, left).await;
+    let said = match &looked {
+        Ok(entry) => entry.as_str(),
+        Err(why) => why,
+    };
+    cx.note_ledger(stage, key, said.to_owned(), asked);
     match looked.map_err(|e| StageError::at("ledger", Cause::Ledger(e)))? {
         LedgerEntry::Absent => return Ok(None),
         LedgerEntry::TooOld => return Err(StageError::at("ledger", Cause::TooOld)),
@@ -164,7 +170,7 @@
     };
     match result {
         Ok((output, tokens)) => Ok(Taken::Ran(output, tokens)),
-        Err(e) => Err(StageError::call(stage.name, picked.name(), e)),
+        Err(e) => Err(cx.call_failed(stage, picked, e)),
     }
 }
 
@@ -184,7 +190,14 @@
         service: stage.name.to_owned(),
         endpoint: endpoint.to_owned(),
     };
+    let asked = Instant::now();
     let claimed = cx.gate.ledger.claim(&claim, cx.ask.deadline).await;
+    let said = match &claimed {
+        Ok(Claimed::Granted(_)) => "granted",
+        Ok(Claimed::Refused(reply)) => reply.as_str(),
+        Err(why) => why,
+    };
+    cx.note_ledger(stage, key, said.to_owned(), asked);
     claimed.map_err(|e| StageError::at("ledger", Cause::Ledger(e)))
 }
 
--- a/crates/gate/src/picking.rs
+++ b/crates/gate/src/picking.rs
@@ -72,7 +72,9 @@
         }
         result => result,
     };
-    picked.map(Arc::new)
+    let picked = picked.map(Arc::new)?;
+    cx.note_chosen(&picked);
+    Ok(picked)
 }
 
 fn no_endpoint(stage: Stage<'_>, none: NoEndpoint) -> StageError {
@@ -99,7 +101,7 @@
     };
     picked.finish(verdict, None, None);
     cx.gate.metrics.call(stage.name, result_name(&error));
-    StageError::call(stage.name, picked.name(), error)
+    cx.call_failed(stage, picked, error)
 }
 
 /// A fixed set of names for metrics.
--- a/crates/gate/src/race.rs
+++ b/crates/gate/src/race.rs
@@ -240,6 +240,7 @@
     let mut guard = CallGuard::new(&cx.gate, stage.name, &call, is_engine(stage.service));
     if work.is_resumption() {
         cx.gate.metrics.resumption(stage.name);
+        cx.note_resumed(picked, work.offset() as u64);
     }
     let req = work.request(&call);
     let pool = &cx.gate.pool;
--- a/crates/gate/src/repeated.rs
+++ b/crates/gate/src/repeated.rs
@@ -114,6 +114,9 @@
             let first = first_byte.saturating_duration_since(since);
             cx.gate.route.observe(sized, first, since.elapsed());
             cx.gate.paces.ended(name, work.tokens());
+            if let Some(cached) = work.cached() {
+                cx.gate.metrics.prompt(name, cached);
+            }
             picked.finish(Verdict::Good, Some(first_byte), work.cached());
             Ok((output, picked.name().to_owned()))
         }
@@ -126,7 +129,7 @@
             }
             guard.ended();
             cx.gate.pool.suspect(picked.address());
-            let error = StageError::call(stage.name, picked.name(), e);
+            let error = cx.call_failed(stage, &picked, e);
             tries.again = Some(picked);
             Err(error)
         }
@@ -169,6 +172,10 @@
         return Err(error);
     };
     if !cause.is_worth_retrying() || tries.rounds >= MAX_TRIES {
+        cx.note_not_repeated(
+            stage,
+            "another try would do no better, or there were too many",
+        );
         return Err(error);
     }
     if matches!(cause, CallError::Lagging) {
@@ -176,6 +183,7 @@
     }
     let is_free = is_free || matches!(cause, CallError::Connect(_));
     if !is_free && !cx.gate.route.spend_retry(stage.name) {
+        cx.note_not_repeated(stage, "the retry budget of the service is spent");
         return Err(error);
     }
     let bound = FIRST_BACKOFF * 2_u32.pow(tries.rounds.clamp(1, 8) - 1);
@@ -187,6 +195,7 @@
     };
     let left = cx.ask.deadline.saturating_duration_since(Instant::now());
     if pause >= left {
+        cx.note_not_repeated(stage, "no time is left for a pause and another try");
         return Err(error);
     }
     sleep(pause).await;
--- a/crates/gate/src/route.rs
+++ b/crates/gate/src/route.rs
@@ -9,6 +9,7 @@
 
 use declaration::{Pipeline, Priority, Service};
 use link::calls::{CallsReply, CallsRequest};
+use logs::Event;
 use membership::{Endpoint, Table};
 use routing::{
     Admission, AdmissionConfig, AdmissionStats, Applicant, BudgetConfig, CallOutcome, Latencies,
@@ -334,6 +335,28 @@
         self.with_pick(Pick::has_answered_others).unwrap_or(true)
     }
 
+    /// The choice, with what decided it.
+    pub(crate) fn chosen(&self) -> Event {
+        let (az, reasons, cached) = self
+            .with_pick(|pick| {
+                let az = pick.endpoint().announced.az.clone();
+                (az, *pick.reasons(), pick.cached_share())
+            })
+            .unwrap_or_default();
+        Event::Chosen {
+            endpoint: self.name.clone(),
+            az,
+            expected_ms: reasons.mean.unwrap_or_default().as_millis() as u64,
+            in_flight: reasons.in_flight,
+            others: reasons.others,
+            others_ms: Some(reasons.others_age.as_millis() as u64),
+            unread_tokens: None,
+            cached_percent: Some((cached * 100.0) as u64),
+            slowness_percent: (reasons.slowness * 100.0) as u64,
+            candidates: reasons.candidates,
+        }
+    }
+
     fn with_pick<T>(&self, f: impl FnOnce(&Pick) -> T) -> Option<T> {
         let pick = self.pick.lock();
         pick.expect("no holder of this lock panics").as_ref().map(f)
--- a/crates/gate/src/run.rs
+++ b/crates/gate/src/run.rs
@@ -4,6 +4,7 @@
 
 use declaration::{Declaration, Pipeline};
 use host::problem::{Outcome, Problem};
+use logs::Story;
 use routing::RefusalReason;
 use serde::Serialize;
 use serde_json::value::RawValue;
@@ -50,6 +51,7 @@
         priority: workspace.priority.0,
         zones: workspace.availability_zones.clone(),
         record: Arc::new(Record::default()),
+        story: Story::new(&ask.id),
         gate,
         ask,
     };
@@ -62,14 +64,21 @@
     };
     cx.account(&result);
     match result {
-        Ok(done) => Ok(Answer {
-            request: cx.ask.id,
-            outcome: Outcome::Completed,
-            output: done.output,
-            output_not_kept: done.not_kept,
-            stages: done.stages,
-        }),
-        Err(e) => Err(Box::new(e.problem(cx.record.outcome(), &cx.ask.id))),
+        Ok(done) => {
+            cx.tell_served(&done.stages);
+            Ok(Answer {
+                request: cx.ask.id,
+                outcome: Outcome::Completed,
+                output: done.output,
+                output_not_kept: done.not_kept,
+                stages: done.stages,
+            })
+        }
+        Err(e) => {
+            let problem = e.problem(cx.record.outcome(), &cx.ask.id);
+            cx.tell_failed(&e, &problem);
+            Err(Box::new(problem))
+        }
     }
 }
 
@@ -100,6 +109,7 @@
         let declared = &in_force.declaration;
         let pipeline = &declared.pipelines[&self.ask.pipeline];
         let ticket = self.admit(declared, pipeline).await?;
+        self.note_admitted();
         let stages = stages(declared, pipeline)?;
         let run = timeout_at(self.ask.deadline, self.run_stages(&stages, sink));
         let result = match run.await {
@@ -157,7 +167,11 @@
                 Err(e) if at == last && e.not_kept().is_some() => {
                     return Ok(Done::not_kept(*stage, done, e.not_kept()));
                 }
-                result => done.push(result?),
+                result => {
+                    let result = result?;
+                    self.note_made(&result.report);
+                    done.push(result);
+                }
             }
         }
         let stages = done.iter().map(|d| d.report.clone()).collect();
--- a/crates/gate/src/running.rs
+++ b/crates/gate/src/running.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use logs::Story;
 use tokio::time::Instant;
 
 use crate::{failure::Cause, gate::Gate, record::Record, request::Ask, stage::Stage};
@@ -22,6 +23,8 @@
     pub(crate) zones: Vec<String>,
     /// What is known of the request's calls.
     pub(crate) record: Arc<Record>,
+    /// The decisions on it, for the log.
+    pub(crate) story: Story,
 }
 
 impl Running {
--- a/crates/gate/src/start.rs
+++ b/crates/gate/src/start.rs
@@ -33,6 +33,7 @@
 use uuid::Uuid;
 
 use crate::{
+    beliefs,
     body::Budget,
     callers::{Pipelines, Requests},
     config::Config,
@@ -79,12 +80,13 @@
     let bounds = bounds(&gate.cfg);
     let (handle, server) = http::serve_within(bound, router(&gate), &bounds);
     let reaper = tokio::spawn(gate.pool.clone().reap());
+    let telling = tokio::spawn(beliefs::tell(gate.route.table().clone()));
     let task = tokio::spawn(drain(
         gate,
         stopped,
         handle,
         server,
-        vec![serving, reaper, warming],
+        vec![serving, reaper, warming, telling],
     ));
     Ok(Running {
         http: local,
--- a/crates/link/src/follower.rs
+++ b/crates/link/src/follower.rs
@@ -5,6 +5,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use logs::Event;
 use rand::RngExt;
 use tokio::{
     sync::watch,
@@ -158,7 +159,7 @@
                     at = (at + 1) % self.sources.len();
                     failures += 1;
                     if failures >= self.sources.len() {
-                        self.source.send_replace(None);
+                        self.follows(None);
                     }
                     sleep(self.pause(failures)).await;
                 }
@@ -297,15 +298,25 @@
         }
         let feed = Arc::clone(&self.feed);
         let taken = spawn_blocking(move || feed.take(answer)).await;
-        taken.expect("checking a document does not panic")
+        let taken = taken.expect("checking a document does not panic");
+        if let (Ok(true), Some(revision)) = (&taken, self.feed.revision()) {
+            logs::write(None, &Event::InForce { revision });
+        }
+        taken
     }
 
     fn heard(&self, at: usize) {
-        let name = self.sources[at].name();
+        self.follows(Some(self.sources[at].name()));
+    }
+
+    /// Notes who answers.
+    fn follows(&self, name: Option<&str>) {
         self.source.send_if_modified(|source| {
-            let is_new = source.as_deref() != Some(name);
+            let is_new = source.as_deref() != name;
             if is_new {
-                *source = Some(name.to_owned());
+                *source = name.map(str::to_owned);
+                let source = source.clone();
+                logs::write(None, &Event::Follows { source });
             }
             is_new
         });
--- a/crates/link/src/keeper.rs
+++ b/crates/link/src/keeper.rs
@@ -245,6 +245,21 @@
     Full,
 }
 
+impl IntentReply {
+    /// Its word in logs.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Self::Granted => "granted",
+            Self::InProgress => "in progress",
+            Self::Settled(_) => "settled",
+            Self::Conflict => "used with another request",
+            Self::TooOld => "too old",
+            Self::InFuture => "in the future",
+            Self::Full => "the ledger is full",
+        }
+    }
+}
+
 /// The ledger's word on a key.
 #[record]
 pub enum LedgerEntry {
@@ -258,6 +273,18 @@
     Settled(Settlement),
 }
 
+impl LedgerEntry {
+    /// Its word in logs.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Self::Absent => "absent",
+            Self::TooOld => "too old",
+            Self::InProgress => "in progress",
+            Self::Settled(_) => "settled",
+        }
+    }
+}
+
 /// The answer to a lease request.
 #[record]
 pub enum LeaseReply {
--- a/crates/logs/src/budget.rs
+++ b/crates/logs/src/budget.rs
@@ -7,7 +7,7 @@
 
 use tokio::time::Instant;
 
-use crate::event::Kind;
+use crate::kind::Kind;
 
 /// One kind's lines of the present second.
 #[derive(Debug, Default)]
@@ -88,7 +88,7 @@
     use tokio::time::sleep;
 
     use super::Budgets;
-    use crate::event::Kind;
+    use crate::kind::Kind;
 
     #[tokio::test(start_paused = true)]
     async fn a_second_has_its_lines_and_the_rest_is_counted() {
--- a/crates/logs/src/event.rs
+++ b/crates/logs/src/event.rs
@@ -1,7 +1,8 @@
 //! The kinds of lines.
 
 use derives::{record, token};
-use spdlog::Level;
+
+use crate::kind::Kind;
 
 /// How a request ended.
 #[token]
@@ -89,8 +90,11 @@
         others: u32,
         /// Age of that report.
         others_ms: Option<u64>,
-        /// Tokens to read that it is thought not to keep.
-        unread_tokens: u64,
+        /// Tokens to read that it is thought not to keep, where they are counted.
+        unread_tokens: Option<u64>,
+        /// The share of the prompt that it is thought to keep, in hundredths, where tokens aren't
+        /// counted.
+        cached_percent: Option<u64>,
         /// How many times slower than expected it was seen to be, in hundredths.
         slowness_percent: u64,
         /// Endpoints that could have been chosen.
@@ -118,8 +122,9 @@
     Resumed {
         /// The endpoint.
         endpoint: String,
-        /// Number of the last event that the caller has.
-        after_event: u64,
+        /// What the caller has: the number of the last event, or the length of the text in bytes
+        /// where it is put together by offset.
+        after: u64,
     },
     /// A stream was broken off by its endpoint.
     StreamBroken {
@@ -130,6 +135,17 @@
         /// Number of the last event that the caller has.
         last_event: u64,
     },
+    /// The keepers' word on the idempotency key of a stage that may not be repeated.
+    Ledger {
+        /// The service.
+        service: String,
+        /// The key.
+        key: String,
+        /// Granted, in progress, settled and the like; or why no quorum answered.
+        said: String,
+        /// Time that it took.
+        took_ms: u64,
+    },
     /// A request ended well.
     Served {
         /// The route.
@@ -254,6 +270,11 @@
         /// Their names.
         names: Vec<String>,
     },
+    /// Who tells what is declared, or that nobody does any more.
+    Follows {
+        /// A keeper or gate.
+        source: Option<String>,
+    },
     /// A declaration is in force.
     InForce {
         /// Its revision.
@@ -272,6 +293,35 @@
         /// Members that don't vote.
         learners: Vec<String>,
     },
+    /// What a controller holds of its availability zone's lease.
+    Lease {
+        /// The fencing number under which orders go out; `None` where none may.
+        fencing: Option<u64>,
+        /// Why none was granted or renewed.
+        why: Option<String>,
+    },
+    /// A controller's order to an endpoint was answered, or lost.
+    Order {
+        /// Its id.
+        order: String,
+        /// The endpoint.
+        endpoint: String,
+        /// What is ordered.
+        action: String,
+        /// The model version that it is about.
+        version: u32,
+        /// Why it was not taken; `None` where it was.
+        why: Option<String>,
+    },
+    /// A rollout was halted, since fewer requests met their objective with the new version.
+    RolloutHalted {
+        /// The service.
+        service: String,
+        /// The new version.
+        version: u32,
+        /// What was compared.
+        why: String,
+    },
     /// Lines that were left out since the last such line.
     LeftOut {
         /// Their kind; `queue` where the reader of the log was too slow.
@@ -281,152 +331,6 @@
     },
 }
 
-/// The kind of a line, which its budget counts by.
-#[token]
-#[expect(
-    missing_docs,
-    reason = "each is the event of the same name; Text is a line without an event"
-)]
-pub enum Kind {
-    Admitted,
-    StageSent,
-    StageMade,
-    StageFailed,
-    Chosen,
-    CallFailed,
-    NotRepeated,
-    Resumed,
-    StreamBroken,
-    Served,
-    Failed,
-    ItemsFailed,
-    BatchFailed,
-    EndpointState,
-    EndpointEjected,
-    EndpointBack,
-    EndpointMisplaced,
-    ZonesOut,
-    Collects,
-    Confirmation,
-    Keepers,
-    InForce,
-    Consensus,
-    LeftOut,
-    Text,
-}
-
-/// Lines a second of kinds that tell of failures and of decisions before them.
-const FAILURES: u32 = 40;
-/// Lines a second of kinds that tell of what went well.
-const SUCCESSES: u32 = 4;
-/// Lines a second of kinds that change what is believed.
-const BELIEFS: u32 = 60;
-
-impl Kind {
-    /// All kinds.
-    pub const ALL: [Self; 25] = [
-        Self::Admitted,
-        Self::StageSent,
-        Self::StageMade,
-        Self::StageFailed,
-        Self::Chosen,
-        Self::CallFailed,
-        Self::NotRepeated,
-        Self::Resumed,
-        Self::StreamBroken,
-        Self::Served,
-        Self::Failed,
-        Self::ItemsFailed,
-        Self::BatchFailed,
-        Self::EndpointState,
-        Self::EndpointEjected,
-        Self::EndpointBack,
-        Self::EndpointMisplaced,
-        Self::ZonesOut,
-        Self::Collects,
-        Self::Confirmation,
-        Self::Keepers,
-        Self::InForce,
-        Self::Consensus,
-        Self::LeftOut,
-        Self::Text,
-    ];
-
-    /// Its word in lines.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Admitted => "admitted",
-            Self::StageSent => "stage_sent",
-            Self::StageMade => "stage_made",
-            Self::StageFailed => "stage_failed",
-            Self::Chosen => "chosen",
-            Self::CallFailed => "call_failed",
-            Self::NotRepeated => "not_repeated",
-            Self::Resumed => "resumed",
-            Self::StreamBroken => "stream_broken",
-            Self::Served => "served",
-            Self::Failed => "failed",
-            Self::ItemsFailed => "items_failed",
-            Self::BatchFailed => "batch_failed",
-            Self::EndpointState => "endpoint_state",
-            Self::EndpointEjected => "endpoint_ejected",
-            Self::EndpointBack => "endpoint_back",
-            Self::EndpointMisplaced => "endpoint_misplaced",
-            Self::ZonesOut => "zones_out",
-            Self::Collects => "collects",
-            Self::Confirmation => "confirmation",
-            Self::Keepers => "keepers",
-            Self::InForce => "in_force",
-            Self::Consensus => "consensus",
-            Self::LeftOut => "left_out",
-            Self::Text => "text",
-        }
-    }
-
-    /// Most lines of it in a second.
-    pub fn per_second(self) -> u32 {
-        match self {
-            Self::Served => SUCCESSES,
-            Self::Admitted
-            | Self::StageSent
-            | Self::StageMade
-            | Self::StageFailed
-            | Self::Chosen
-            | Self::CallFailed
-            | Self::NotRepeated
-            | Self::Resumed
-            | Self::StreamBroken
-            | Self::Failed
-            | Self::ItemsFailed
-            | Self::BatchFailed => FAILURES,
-            Self::EndpointState
-            | Self::EndpointEjected
-            | Self::EndpointBack
-            | Self::EndpointMisplaced
-            | Self::ZonesOut
-            | Self::Collects
-            | Self::Confirmation
-            | Self::Keepers
-            | Self::InForce
-            | Self::Consensus
-            | Self::Text => BELIEFS,
-            Self::LeftOut => u32::MAX,
-        }
-    }
-
-    pub(crate) fn level(self) -> Level {
-        match self {
-            Self::EndpointEjected | Self::ZonesOut | Self::LeftOut => Level::Warn,
-            _ => Level::Info,
-        }
-    }
-
-    /// Whether it is given up first where the reader is slow.
-    pub(crate) fn is_success(self) -> bool {
-        self == Self::Served
-    }
-}
-
 impl Event {
     /// Its kind.
     pub fn kind(&self) -> Kind {
@@ -440,6 +344,7 @@
             Self::NotRepeated { .. } => Kind::NotRepeated,
             Self::Resumed { .. } => Kind::Resumed,
             Self::StreamBroken { .. } => Kind::StreamBroken,
+            Self::Ledger { .. } => Kind::Ledger,
             Self::Served { .. } => Kind::Served,
             Self::Failed { .. } => Kind::Failed,
             Self::ItemsFailed { .. } => Kind::ItemsFailed,
@@ -452,8 +357,12 @@
             Self::Collects { .. } => Kind::Collects,
             Self::Confirmation { .. } => Kind::Confirmation,
             Self::Keepers { .. } => Kind::Keepers,
+            Self::Follows { .. } => Kind::Follows,
             Self::InForce { .. } => Kind::InForce,
             Self::Consensus { .. } => Kind::Consensus,
+            Self::Lease { .. } => Kind::Lease,
+            Self::Order { .. } => Kind::Order,
+            Self::RolloutHalted { .. } => Kind::RolloutHalted,
             Self::LeftOut { .. } => Kind::LeftOut,
         }
     }
--- /dev/null
+++ b/crates/logs/src/kind.rs
@@ -0,0 +1,177 @@
+//! Names and budgets of the kinds of lines.
+
+use derives::token;
+use spdlog::Level;
+
+/// The kind of a line, which its budget counts by.
+#[token]
+#[expect(
+    missing_docs,
+    reason = "each is the event of the same name; Text is a line without an event"
+)]
+pub enum Kind {
+    Admitted,
+    StageSent,
+    StageMade,
+    StageFailed,
+    Chosen,
+    CallFailed,
+    NotRepeated,
+    Resumed,
+    StreamBroken,
+    Ledger,
+    Served,
+    Failed,
+    ItemsFailed,
+    BatchFailed,
+    EndpointState,
+    EndpointEjected,
+    EndpointBack,
+    EndpointMisplaced,
+    ZonesOut,
+    Collects,
+    Confirmation,
+    Keepers,
+    Follows,
+    InForce,
+    Consensus,
+    Lease,
+    Order,
+    RolloutHalted,
+    LeftOut,
+    Text,
+}
+
+/// Lines a second of kinds that tell of failures and of decisions before them.
+const FAILURES: u32 = 40;
+/// Lines a second of kinds that tell of what went well.
+const SUCCESSES: u32 = 4;
+/// Lines a second of kinds that change what is believed.
+const BELIEFS: u32 = 60;
+
+impl Kind {
+    /// All kinds.
+    pub const ALL: [Self; 30] = [
+        Self::Admitted,
+        Self::StageSent,
+        Self::StageMade,
+        Self::StageFailed,
+        Self::Chosen,
+        Self::CallFailed,
+        Self::NotRepeated,
+        Self::Resumed,
+        Self::StreamBroken,
+        Self::Ledger,
+        Self::Served,
+        Self::Failed,
+        Self::ItemsFailed,
+        Self::BatchFailed,
+        Self::EndpointState,
+        Self::EndpointEjected,
+        Self::EndpointBack,
+        Self::EndpointMisplaced,
+        Self::ZonesOut,
+        Self::Collects,
+        Self::Confirmation,
+        Self::Keepers,
+        Self::Follows,
+        Self::InForce,
+        Self::Consensus,
+        Self::Lease,
+        Self::Order,
+        Self::RolloutHalted,
+        Self::LeftOut,
+        Self::Text,
+    ];
+
+    /// Its word in lines.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Admitted => "admitted",
+            Self::StageSent => "stage_sent",
+            Self::StageMade => "stage_made",
+            Self::StageFailed => "stage_failed",
+            Self::Chosen => "chosen",
+            Self::CallFailed => "call_failed",
+            Self::NotRepeated => "not_repeated",
+            Self::Resumed => "resumed",
+            Self::StreamBroken => "stream_broken",
+            Self::Ledger => "ledger",
+            Self::Served => "served",
+            Self::Failed => "failed",
+            Self::ItemsFailed => "items_failed",
+            Self::BatchFailed => "batch_failed",
+            Self::EndpointState => "endpoint_state",
+            Self::EndpointEjected => "endpoint_ejected",
+            Self::EndpointBack => "endpoint_back",
+            Self::EndpointMisplaced => "endpoint_misplaced",
+            Self::ZonesOut => "zones_out",
+            Self::Collects => "collects",
+            Self::Confirmation => "confirmation",
+            Self::Keepers => "keepers",
+            Self::Follows => "follows",
+            Self::InForce => "in_force",
+            Self::Consensus => "consensus",
+            Self::Lease => "lease",
+            Self::Order => "order",
+            Self::RolloutHalted => "rollout_halted",
+            Self::LeftOut => "left_out",
+            Self::Text => "text",
+        }
+    }
+
+    /// Most lines of it in a second.
+    pub fn per_second(self) -> u32 {
+        match self {
+            Self::Served => SUCCESSES,
+            Self::Admitted
+            | Self::StageSent
+            | Self::StageMade
+            | Self::StageFailed
+            | Self::Chosen
+            | Self::CallFailed
+            | Self::NotRepeated
+            | Self::Resumed
+            | Self::StreamBroken
+            | Self::Ledger
+            | Self::Failed
+            | Self::ItemsFailed
+            | Self::BatchFailed => FAILURES,
+            Self::EndpointState
+            | Self::EndpointEjected
+            | Self::EndpointBack
+            | Self::EndpointMisplaced
+            | Self::ZonesOut
+            | Self::Collects
+            | Self::Confirmation
+            | Self::Keepers
+            | Self::Follows
+            | Self::InForce
+            | Self::Consensus
+            | Self::Lease
+            | Self::Order
+            | Self::RolloutHalted
+            | Self::Text => BELIEFS,
+            Self::LeftOut => u32::MAX,
+        }
+    }
+
+    pub(crate) fn level(self) -> Level {
+        match self {
+            Self::EndpointEjected | Self::ZonesOut | Self::RolloutHalted | Self::LeftOut => {
+                Level::Warn
+            }
+            _ => Level::Info,
+        }
+    }
+
+    /// Whether it tells of a change of what a process believes.
+    pub fn is_belief(self) -> bool {
+        self.per_second() == BELIEFS && self != Self::Text
+    }
+
+    /// Whether it is given up first where the reader is slow.
+    pub(crate) fn is_success(self) -> bool {
+        self == Self::Served
+    }
+}
--- a/crates/logs/src/lib.rs
+++ b/crates/logs/src/lib.rs
@@ -8,13 +8,15 @@
 
 mod budget;
 mod event;
+mod kind;
 mod line;
 mod output;
 mod queue;
 mod start;
 mod story;
 
-pub use event::{Ending, Event, Kind};
+pub use event::{Ending, Event};
+pub use kind::Kind;
 pub use line::Line;
 pub use queue::counts;
 pub use start::{Started, Stream, report_left_out, set_level, start, write};
--- a/crates/logs/src/line.rs
+++ b/crates/logs/src/line.rs
@@ -89,7 +89,7 @@
 
     const TEXT: &str = "edge-1| {\"level\":\"info\",\"timestamp\":12,\"payload\":\"chosen\",\
         \"logger\":\"edge-1\",\"kv\":{\"request\":\"r1\",\"at_ms\":7,\"event\":{\"kind\":\"resumed\",\
-        \"endpoint\":\"i-1\",\"after_event\":3}},\"tid\":1}";
+        \"endpoint\":\"i-1\",\"after\":3}},\"tid\":1}";
 
     #[test]
     fn a_line_is_read_with_its_event_and_moment() {
@@ -98,10 +98,10 @@
         assert!(line.names("r1") && !line.names("r2"));
         let resumed = Event::Resumed {
             endpoint: "i-1".to_owned(),
-            after_event: 3,
+            after: 3,
         };
         assert_eq!(line.event(), Some(resumed));
-        let details = [("after_event", "3"), ("endpoint", "i-1")];
+        let details = [("after", "3"), ("endpoint", "i-1")];
         let details = details.map(|(key, value)| (key.to_owned(), value.to_owned()));
         assert_eq!(line.details(), details);
     }
--- a/crates/logs/src/queue.rs
+++ b/crates/logs/src/queue.rs
@@ -11,10 +11,7 @@
     sink::{AsyncPoolSink, Sink, SinkPropAccess},
 };
 
-use crate::{
-    budget::BUDGETS,
-    event::{Event, Kind},
-};
+use crate::{budget::BUDGETS, event::Event, kind::Kind};
 
 /// Lines that may wait for the reader.
 pub(crate) const CAPACITY: usize = 2_048;
@@ -173,7 +170,7 @@
     };
 
     use super::{CAPACITY, Entrance, Exit, counts, has_room, waiting};
-    use crate::event::Kind;
+    use crate::kind::Kind;
 
     /// A reader that takes nothing while the lock is held.
     struct Stalled(Arc<Mutex<usize>>);
--- a/crates/routing/src/health.rs
+++ b/crates/routing/src/health.rs
@@ -15,6 +15,8 @@
     /// Ejections in a row without a healthy time between.
     ejections: u32,
     until: Option<Instant>,
+    /// It was ejected, and no call of it has succeeded since.
+    is_out: bool,
 }
 
 impl Health {
@@ -26,6 +28,7 @@
             in_a_row: 0,
             ejections: 0,
             until: None,
+            is_out: false,
         }
     }
 
@@ -49,6 +52,12 @@
         self.until = Some(now + doubled.min(self.cfg.max));
         self.in_a_row = 0;
         self.failures = Decaying::new(self.cfg.half_life);
+        self.is_out = true;
+    }
+
+    /// A call has succeeded; whether it is the first one since an ejection.
+    pub fn take_back(&mut self) -> bool {
+        std::mem::take(&mut self.is_out)
     }
 
     /// Ends an ejection early.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -33,3 +33,4 @@
 pub use latency::{Latencies, SizeClass, Stage};
 pub use need::{CacheEvents, CallOutcome, ModelNeed, Need, NoEndpoint, Observation, Reused};
 pub use router::{EndpointStats, Pick, Router};
+pub use score::Reasons;
--- a/crates/routing/src/pool.rs
+++ b/crates/routing/src/pool.rs
@@ -6,6 +6,7 @@
 };
 
 use derives::value;
+use logs::Event;
 use membership::{Endpoint, Readiness, ServiceSnapshot, StageRole};
 use tokio::time::Instant;
 use uuid::Uuid;
@@ -104,8 +105,9 @@
         &self.latency
     }
 
-    /// Ejects the endpoint of `stats` where the cap allows it.
-    pub(crate) fn try_eject(&self, stats: &Stats, now: Instant) -> bool {
+    /// Ejects the endpoint of `slot` where the cap allows it.
+    pub(crate) fn try_eject(&self, slot: &Slot, now: Instant) -> Option<Event> {
+        let stats = &slot.stats;
         let _guard = self.ejecting.lock().expect("no holder of this lock panics");
         let is_ejected = |slot: &&Slot| slot.stats.is_ejected(now);
         let ejected = self.slots.iter().filter(is_ejected).count();
@@ -114,9 +116,16 @@
             let mut inner = stats.lock();
             inner.health.eject(now);
             stats.publish(&inner);
-            return true;
+            let until = inner.health.ejected_until().unwrap_or(now);
+            return Some(Event::EndpointEjected {
+                endpoint: slot.endpoint.announced.endpoint.clone(),
+                service: slot.endpoint.announced.service.clone(),
+                for_ms: until.saturating_duration_since(now).as_millis() as u64,
+                out: ejected + 1,
+                of: self.slots.len(),
+            });
         }
-        false
+        None
     }
 
     /// Ends the oldest ejections where the service has shrunk.
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -9,6 +9,7 @@
 };
 
 use derives::record;
+use logs::Event;
 use membership::{Endpoint, Table};
 use rand::{SeedableRng, rngs::SmallRng};
 use tokio::time::Instant;
@@ -19,7 +20,7 @@
     config::RouterConfig,
     need::{CacheEvents, CallOutcome, Need, NoEndpoint, Observation, Versions},
     pool::{Pool, Slot},
-    score::View,
+    score::{Reasons, View},
     waiting::Started,
 };
 
@@ -111,6 +112,7 @@
             let chosen = view.choose(&pool, &mut rng)?;
             if chosen.slot.stats.try_enter() {
                 return Ok(Pick {
+                    reasons: chosen.reasons(&pool, view.now),
                     cached: chosen.cached,
                     started: chosen.slot.stats.begin_wait(view.now),
                     slot: chosen.slot.clone(),
@@ -212,6 +214,7 @@
         let in_flight = stats.in_flight();
         let mut inner = stats.lock();
         let is_outlier = is_known && inner.health.observe(is_failure, now);
+        let is_back = seen.outcome == CallOutcome::Answered && inner.health.take_back();
         match seen.outcome {
             CallOutcome::Answered => {
                 inner.limit.answered(seen.elapsed, in_flight);
@@ -229,12 +232,25 @@
             let calls = load.running.saturating_add(load.queued);
             pick.slot.endpoint.live.report(calls, now);
         }
-        if is_outlier && pool.is_some_and(|pool| pool.try_eject(stats, now)) {
+        if is_back {
+            logs::write(None, &back(&pick.slot.endpoint));
+        }
+        let ejected = pool.filter(|_| is_outlier);
+        if let Some(ejected) = ejected.and_then(|pool| pool.try_eject(&pick.slot, now)) {
             self.shared.ejections.fetch_add(1, Relaxed);
+            logs::write(None, &ejected);
         }
     }
 }
 
+fn back(endpoint: &Endpoint) -> Event {
+    let announced = &endpoint.announced;
+    Event::EndpointBack {
+        endpoint: announced.endpoint.clone(),
+        service: announced.service.clone(),
+    }
+}
+
 /// A call given up after long tells that the endpoint takes at least that long.
 fn learn_latency(pick: &Pick, seen: &Observation, pool: Option<&Pool>, now: Instant) {
     let latency = &pick.slot.stats.latency;
@@ -260,6 +276,7 @@
     slot: Slot,
     hashes: Vec<u64>,
     cached: f64,
+    reasons: Reasons,
     since: Instant,
     started: Started,
     is_finished: bool,
@@ -286,6 +303,11 @@
         self.cached
     }
 
+    /// What decided the choice.
+    pub fn reasons(&self) -> &Reasons {
+        &self.reasons
+    }
+
     /// The first part of the answer is there.
     pub fn answered(&self) {
         self.slot.stats.answered(self.started, Instant::now());
--- a/crates/routing/src/score.rs
+++ b/crates/routing/src/score.rs
@@ -57,7 +57,40 @@
     score: f64,
 }
 
+/// What decided a choice.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Reasons {
+    /// This gate's calls in flight there.
+    pub in_flight: u32,
+    /// Calls of others there, as the endpoint last reported.
+    pub others: u32,
+    /// Age of that report.
+    pub others_age: Duration,
+    /// Mean time of its recent answers.
+    pub mean: Option<Duration>,
+    /// How many times slower than the service's mean they are.
+    pub slowness: f64,
+    /// Endpoints of the service.
+    pub candidates: usize,
+}
+
 impl Candidate<'_> {
+    /// What decided the choice among `pool`.
+    pub(crate) fn reasons(&self, pool: &Pool, now: Instant) -> Reasons {
+        let stats = &self.slot.stats;
+        let reported = self.slot.endpoint.live.reported(now);
+        let (own, all) = (stats.latency.mean(), pool.latency().mean());
+        let slowness = own.zip(all.filter(|all| *all > 0.0));
+        Reasons {
+            in_flight: stats.in_flight(),
+            others: stats.others(reported, now),
+            others_age: reported.age,
+            mean: own.map(Duration::from_secs_f64),
+            slowness: slowness.map_or(1.0, |(own, all)| own / all),
+            candidates: pool.slots().len(),
+        }
+    }
+
     fn better(self, other: Option<Self>) -> Self {
         match other {
             Some(other) if other.score < self.score => other,
--- a/crates/system/src/env.rs
+++ b/crates/system/src/env.rs
@@ -11,7 +11,7 @@
 use operators::{KeeperApi, Submission};
 use serde_json::Value;
 use tempfile::TempDir;
-use tokio::process::Command;
+use tokio::{process::Command, time::sleep};
 use uuid::Uuid;
 
 use crate::{
@@ -61,6 +61,8 @@
 ];
 const ENDPOINTS_EACH: usize = 2;
 const SEED: u64 = 20_261_204;
+/// Time in which lines that belong together reach their file.
+const LAST_LINES: Duration = Duration::from_millis(100);
 const HTTP_LIMIT: Duration = Duration::from_secs(2);
 const DECLARATION: &str = include_str!("../../../examples/watch-trading/declaration.ini");
 
@@ -163,6 +165,28 @@
         output.expect("run jujubeferry")
     }
 
+    /// What `jujubeferry explain` finds of `request` in the logs of all processes, once they tell of
+    /// its end.
+    pub async fn explain(&self, request: &str) -> String {
+        until(&format!("the logs tell how {request} ended"), async || {
+            let told = self.explain_now(request).await;
+            sleep(LAST_LINES).await;
+            let is_whole = told.contains(" after ") && told == self.explain_now(request).await;
+            is_whole.then_some(told)
+        })
+        .await
+    }
+
+    async fn explain_now(&self, request: &str) -> String {
+        let files = std::fs::read_dir(&self.folders.work).expect("read the test's folder");
+        let files = files.map(|file| file.expect("read the test's folder").path());
+        let logs = files.filter(|path| path.extension().is_some_and(|end| end == "log"));
+        let mut command = Command::new(self.folders.programs.join("jujubeferry"));
+        command.arg("explain").arg(request).args(logs);
+        let output = command.output().await.expect("run jujubeferry");
+        String::from_utf8(output.stdout).expect("it prints text")
+    }
+
     /// Starts a controller on `vm` and returns its HTTP address.
     pub async fn start_controller(&mut self, vm: &'static str, more: &str) -> SocketAddr {
         let vm = find(vm);
