--- a/crates/bench/src/stand_in/journal.rs
+++ b/crates/bench/src/stand_in/journal.rs
@@ -62,6 +62,16 @@
         /// Its fencing number.
         fencing: u64,
     },
+    /// A batched call was run.
+    Batched {
+        /// Its items: request, stage and number, joined by `-`.
+        items: Vec<String>,
+    },
+    /// Results were given up.
+    Freed {
+        /// Their handles.
+        handles: Vec<String>,
+    },
     /// The endpoint announced that it leaves.
     Leaving,
 }
--- a/crates/bench/src/stand_in/mod.rs
+++ b/crates/bench/src/stand_in/mod.rs
@@ -16,6 +16,7 @@
 mod shared;
 mod stage;
 pub mod weight_store;
+mod whole;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -29,6 +30,7 @@
     journal::{Event, JournalEntry, now_ms},
     prefix_cache::{BLOCK_BYTES, block_hashes},
     settings::run_file,
+    whole::EVENTS,
 };
 use self::{journal::CallName, shared::Shared};
 
--- a/crates/bench/src/stand_in/reply.rs
+++ b/crates/bench/src/stand_in/reply.rs
@@ -42,7 +42,9 @@
     let mut res = Response::new(whole(value.to_string()));
     *res.status_mut() = status;
     set(res.headers_mut(), "content-type", "application/json");
-    set(res.headers_mut(), CALL, call);
+    if !call.is_empty() {
+        set(res.headers_mut(), CALL, call);
+    }
     res
 }
 
--- a/crates/bench/src/stand_in/server.rs
+++ b/crates/bench/src/stand_in/server.rs
@@ -18,7 +18,7 @@
     completions, kv, orders,
     reply::{CALL, Reply, header, json_reply, problem},
     shared::Shared,
-    stage,
+    stage, whole,
 };
 
 /// Takes connections until aborted, which cuts them all.
@@ -67,6 +67,9 @@
         _ if is_post && path.strip_prefix("/v1/stages/") == Some(&shared.cfg.service) => {
             stage::post(&shared, &head.headers, &body).await
         }
+        "/v1/items" if is_post => whole::items(&shared, &head.headers, &body).await,
+        "/v1/items/free" if is_post => Ok(whole::free(&shared, &body)),
+        _ if whole::is_meant(&head.headers) => whole::request(&shared, &head, &body).await,
         _ if head.method == Method::DELETE => Ok(completions::delete(&shared, path, &call)),
         _ => {
             let detail = format!("no {} {path} here", head.method);
--- a/crates/demo/src/calls.rs
+++ b/crates/demo/src/calls.rs
@@ -13,7 +13,7 @@
 use uuid::Uuid;
 
 use crate::{
-    deployment::{Deployment, Manner, Question},
+    deployment::{Deployment, KEY, Manner, NOTICES, Question},
     fleet::Fleet,
 };
 
@@ -55,9 +55,39 @@
             out.push(repeat);
         }
     }
+    out.push(Got {
+        deployment: deployment.name.to_owned(),
+        ..pass(fleet).await?
+    });
     Ok(out)
 }
 
+/// Sends a request of a route, which is passed on whole.
+pub async fn pass(fleet: &Fleet) -> eyre::Result<Got> {
+    let url = format!("http://{}{NOTICES}", fleet.routes);
+    let builder = Request::get(&url).header("authorization", format!("Bearer {KEY}"));
+    let began = Instant::now();
+    let req = request(builder, "".into(), &url)?;
+    let answer = Client::new(CALL_LIMIT).send(req).await?;
+    let body = String::from_utf8_lossy(&answer.body).into_owned();
+    let outcome = match answer.status.as_u16() {
+        200 => "completed",
+        503 => "not_run",
+        _ => "failed",
+    };
+    Ok(Got {
+        deployment: String::new(),
+        pipeline: NOTICES.to_owned(),
+        manner: "passed on whole".to_owned(),
+        status: answer.status.as_u16(),
+        outcome: outcome.to_owned(),
+        output: serde_json::from_str(&body).unwrap_or(Value::String(body)),
+        events: 0,
+        elapsed_ms: u64::try_from(began.elapsed().as_millis())?,
+        executions: None,
+    })
+}
+
 async fn ask(
     deployment: &Deployment,
     question: &Question,
--- a/crates/demo/src/deployment.rs
+++ b/crates/demo/src/deployment.rs
@@ -44,6 +44,33 @@
     Booking,
 }
 
+/// The service that takes requests passed on whole, beside a deployment's own.
+pub const BOARD: &str = "notice-board";
+/// The access key of those who ask it.
+pub const KEY: &str = "demo-key";
+/// The path below which it is asked.
+pub const NOTICES: &str = "/notices/today";
+
+/// What is declared of it.
+pub fn board() -> String {
+    let key = forward::digest(KEY);
+    format!(
+        "
+[service {BOARD}]
+kind = plain
+repeatable = yes
+[route notices]
+host = 127.0.0.1
+path_prefix = /notices/
+repeat = anew
+attempts = 2
+services = {BOARD} 1
+[workspace demo-callers]
+keys = {key}
+"
+    )
+}
+
 /// Both deployments.
 pub const DEPLOYMENTS: [Deployment; 2] = [ESCORT_DESK, WATCH_TRADING];
 
--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -15,7 +15,10 @@
 use tokio::time::{Instant, sleep};
 use uuid::Uuid;
 
-use crate::deployment::{Deployment, ENDPOINTS_EACH};
+use crate::{
+    calls,
+    deployment::{BOARD, Deployment, ENDPOINTS_EACH, board},
+};
 
 /// Longest wait for one step of the start.
 const START_LIMIT: Duration = Duration::from_secs(10);
@@ -26,6 +29,8 @@
 pub struct Fleet {
     /// The gate's HTTP address.
     pub gate: SocketAddr,
+    /// Where requests of routes are taken.
+    pub routes: SocketAddr,
     /// The console's HTTP address.
     pub console: SocketAddr,
     /// The revision of the declaration.
@@ -53,24 +58,30 @@
     let timing = "[timing]\nnotice_ms = 0\n";
     let cfg = read(&settings(&format!("{keepers}{timing}")), gate::Config::read)?;
     let gate = gate::start(cfg, stopped.clone()).await?;
+    let cfg = settings("callers = 127.0.0.1:0\n") + &keepers + timing;
+    let cfg = read(&cfg, forwarder::Config::read)?;
+    let forwarder = forwarder::start(cfg, stopped.clone()).await?;
     let gates = match gate.link {
         Some(link) => format!("{keepers}[gates]\nvm-1 = {link}\n"),
         None => bail!("start gate: it takes no links"),
     };
     let (controller, console) = start_operators(&settings(&gates), stopped).await?;
     let revision = declare(deployment, keeper.http).await?;
-    let endpoints = start_endpoints(deployment, gate.http).await?;
+    let mut endpoints = start_endpoints(deployment, gate.http).await?;
+    endpoints.extend(start_board(deployment, keeper.http).await?);
     let fleet = Fleet {
         gate: gate.http,
+        routes: forwarder.http,
         console: console.http,
         revision,
         stop,
-        roles: vec![gate, controller, console, keeper],
+        roles: vec![gate, forwarder, controller, console, keeper],
         endpoints,
         _folder: folder,
     };
     fleet.wait_until_declared().await?;
     fleet.wait_until_ready(deployment).await?;
+    fleet.wait_until_passed_on().await?;
     Ok(fleet)
 }
 
@@ -108,7 +119,7 @@
         base_revision: 0,
         author: "demo".to_owned(),
         reason: "first declaration".to_owned(),
-        document: Some(deployment.declaration.to_owned()),
+        document: Some(deployment.declaration.to_owned() + &board()),
         sections: None,
     };
     let start = Instant::now();
@@ -134,6 +145,18 @@
     Ok(endpoints)
 }
 
+/// Endpoints that take requests whole announce themselves to keepers.
+async fn start_board(deployment: &Deployment, keeper: SocketAddr) -> eyre::Result<Vec<StandIn>> {
+    let mut endpoints = Vec::new();
+    for number in 1..=ENDPOINTS_EACH {
+        let name = format!("{BOARD}-{number}");
+        let mut cfg = StandInConfig::new(&name, BOARD, deployment.az, Kind::Plain);
+        cfg.gates = vec![format!("http://{keeper}")];
+        endpoints.push(stand_in::start(cfg).await?);
+    }
+    Ok(endpoints)
+}
+
 impl Fleet {
     /// How often a booking was really run, over all endpoints.
     pub fn executions(&self, key: Uuid) -> usize {
@@ -178,6 +201,20 @@
         }
     }
 
+    /// Waits until requests of routes are passed on.
+    async fn wait_until_passed_on(&self) -> eyre::Result<()> {
+        let start = Instant::now();
+        loop {
+            match calls::pass(self).await?.status {
+                200 => return Ok(()),
+                status if start.elapsed() > START_LIMIT => {
+                    bail!("wait until requests are passed on: status {status}")
+                }
+                _ => sleep(POLL).await,
+            }
+        }
+    }
+
     /// Waits until the gate knows every endpoint and each engine serves its declared model.
     async fn wait_until_ready(&self, deployment: &Deployment) -> eyre::Result<()> {
         let engines = deployment
--- a/crates/demo/tests/whole_path.rs
+++ b/crates/demo/tests/whole_path.rs
@@ -23,7 +23,7 @@
     assert_eq!(code, Some(0), "{stdout}{stderr}");
     let told: Value = serde_json::from_str(&stdout).unwrap();
     let requests = told["requests"].as_array().unwrap();
-    assert_eq!(requests.len(), 8);
+    assert_eq!(requests.len(), 10);
     assert!(
         requests.iter().all(|got| got["outcome"] == "completed"),
         "{stdout}"
@@ -37,13 +37,16 @@
         streamed.iter().all(|got| got["events"].as_u64() > Some(2)),
         "{stdout}"
     );
-    for pair in requests.chunks(4) {
+    for pair in requests.chunks(5) {
         let (first, again) = (&pair[2], &pair[3]);
         assert_eq!(
             first["output"], again["output"],
             "a repeat gets the stored answer"
         );
         assert_eq!(again["executions"], 1);
+        let passed = &pair[4];
+        assert_eq!(passed["output"]["path"], "/notices/today", "{stdout}");
+        assert_eq!(passed["output"]["workspace"], "demo-callers");
     }
 }
 
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -20,6 +20,7 @@
 mod forwarder;
 mod freshness;
 mod gates;
+mod headers;
 mod heads;
 mod inquiry;
 mod line;
@@ -42,6 +43,7 @@
 pub use dialect::{
     Dialect, HeaderNameFn, Item, ItemResult, LoadReport, Read, Source, Try, Verdict,
 };
+pub use headers::end_to_end;
 pub use inquiry::{Inquiry, Part, Prompt};
 pub use rules::digest;
 pub use start::{Config, start};
--- a/crates/forward/src/start.rs
+++ b/crates/forward/src/start.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use host::{http, role::Running, shutdown::Stopped};
+use host::{http, role::Running, settings::Secret, shutdown::Stopped};
 use link::{Channel, Identity, Incoming, LinkConfig, Role};
 use membership::Mirror;
 use outbound::{Pool, PoolConfig};
@@ -58,6 +58,8 @@
     pub metrics: Option<SocketAddr>,
     /// Where it takes links.
     pub link: SocketAddr,
+    /// Key of the links.
+    pub link_key: Option<Secret>,
     /// Links of keepers that it knows at the start.
     pub keepers: Vec<SocketAddr>,
     /// How long a confirmation of the declaration holds.
@@ -83,12 +85,13 @@
     let readiness = http::bind(cfg.readiness).await?;
     let local = callers.local_addr()?;
     let link = links_listener.local_addr()?;
-    let links = LinkConfig::new(Identity {
+    let mut links = LinkConfig::new(Identity {
         vm: cfg.vm.name.clone(),
         az: cfg.vm.availability_zone.clone(),
         role: Role::Gate,
         incarnation: Uuid::now_v7(),
     });
+    links.key = cfg.link_key.as_ref().map(|key| key.expose().to_vec());
     let freshness = Freshness::new(cfg.confirmed_for);
     let (draining_tx, draining) = watch::channel(false);
     let told = Control {
--- /dev/null
+++ b/crates/forwarder/src/endpoints.rs
@@ -0,0 +1,237 @@
+//! Calls to endpoints and their answers.
+
+use bytes::Bytes;
+use forward::{Inquiry, Item, ItemResult, LoadReport, Source, Try, Verdict, end_to_end};
+use http_body_util::Full;
+use hyper::{
+    HeaderMap, Method, Request, StatusCode, Uri,
+    header::{CONTENT_TYPE, HOST, HeaderName, HeaderValue},
+};
+use serde::{Deserialize, Serialize};
+
+use crate::names;
+
+/// Where batched calls go.
+const ITEMS: &str = "/v1/items";
+/// Where results are given up.
+const FREE: &str = "/v1/items/free";
+/// The word of a call that did not run.
+const NOT_RUN: &[u8] = b"not_run";
+/// The most urgent priority; urgencies count from 0.
+const MOST_URGENT: u8 = 9;
+
+/// Writes one try of a request.
+pub(crate) fn write(inquiry: &Inquiry, details: &Try<'_>) -> Request<Full<Bytes>> {
+    let mut req = Request::new(Full::new(inquiry.body.clone()));
+    *req.method_mut() = inquiry.method.clone();
+    // It was parsed from a request before.
+    let target = inquiry.target.parse();
+    *req.uri_mut() = target.unwrap_or_else(|_| Uri::from_static("/"));
+    let headers = req.headers_mut();
+    headers.clone_from(&inquiry.headers);
+    set(headers, HOST, &inquiry.host);
+    set(headers, names::CALL, &inquiry.id);
+    set(headers, names::ENDPOINT, details.endpoint);
+    headers.insert(
+        names::DEADLINE,
+        HeaderValue::from(details.left.as_millis() as u64),
+    );
+    if let Some(workspace) = details.workspace {
+        set(headers, names::WORKSPACE, workspace);
+    }
+    if let Some(urgency) = details.urgency {
+        let priority = MOST_URGENT.saturating_sub(urgency);
+        headers.insert(names::PRIORITY, HeaderValue::from(u16::from(priority)));
+    }
+    if !details.inputs.is_empty() {
+        set(headers, names::INPUTS, &details.inputs.join(","));
+    }
+    if let Some(event) = details.after_event {
+        headers.insert(names::LAST_EVENT, HeaderValue::from(event));
+    }
+    req
+}
+
+fn set(headers: &mut HeaderMap, name: HeaderName, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
+
+/// Reads the head of an answer to the call `id`; batched calls have none.
+pub(crate) fn judge(id: &str, status: StatusCode, headers: &HeaderMap) -> Verdict {
+    let echoed = headers.get(names::CALL).map(HeaderValue::as_bytes);
+    let is_own = echoed.map_or(id.is_empty(), |echoed| echoed == id.as_bytes());
+    let outcome = headers.get(names::OUTCOME).map(HeaderValue::as_bytes);
+    match status {
+        _ if !is_own => Verdict::Foreign,
+        status if outcome == Some(NOT_RUN) => match status {
+            StatusCode::MISDIRECTED_REQUEST => Verdict::OtherEndpoint,
+            StatusCode::CONFLICT => Verdict::InputsGone,
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => Verdict::Full,
+            _ => Verdict::NotRun,
+        },
+        status if status.is_success() => Verdict::Good,
+        _ => Verdict::Failed,
+    }
+}
+
+/// Reads the load that rides on an answer.
+pub(crate) fn load(headers: &HeaderMap) -> Option<LoadReport> {
+    let text = headers.get(names::LOAD)?.to_str().ok()?;
+    let mut numbers = text.split(',').map(|n| n.trim().parse().ok());
+    Some(LoadReport {
+        running: numbers.next()??,
+        waiting: numbers.next()??,
+        slots: numbers.next()??,
+    })
+}
+
+/// Headers of an answer that the caller gets, with the request's id.
+pub(crate) fn answer_headers(headers: &HeaderMap) -> HeaderMap {
+    let mut passed = end_to_end(headers);
+    passed.remove(names::LOAD);
+    if let Some(id) = passed.remove(names::CALL) {
+        passed.insert(names::REQUEST, id);
+    }
+    passed
+}
+
+#[derive(Serialize)]
+struct Items<'a> {
+    items: Vec<Sent<'a>>,
+}
+
+#[derive(Serialize)]
+struct Sent<'a> {
+    request: &'a str,
+    stage: usize,
+    item: u32,
+    left_ms: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    key: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    inputs: Option<&'a [String]>,
+}
+
+#[derive(Deserialize)]
+struct Results {
+    items: Vec<Made>,
+}
+
+#[derive(Deserialize)]
+struct Made {
+    handle: Option<String>,
+    reason: Option<String>,
+}
+
+#[derive(Serialize)]
+struct Handles<'a> {
+    handles: &'a [String],
+}
+
+fn post<T: Serialize>(path: &'static str, body: &T) -> Request<Full<Bytes>> {
+    let body = serde_json::to_vec(body).unwrap_or_default();
+    let mut req = Request::new(Full::new(Bytes::from(body)));
+    *req.method_mut() = Method::POST;
+    *req.uri_mut() = Uri::from_static(path);
+    let headers = req.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    headers.insert(HOST, HeaderValue::from_static("endpoint"));
+    req
+}
+
+/// Writes a batched call.
+pub(crate) fn write_batch(items: &[Item<'_>], endpoint: &str) -> Request<Full<Bytes>> {
+    let sent = items.iter().map(|item| {
+        let (key, inputs) = match item.source {
+            Source::Key(key) => (Some(key), None),
+            Source::Inputs(inputs) => (None, Some(inputs)),
+        };
+        Sent {
+            request: item.request,
+            stage: item.stage,
+            item: item.item,
+            left_ms: item.left.as_millis() as u64,
+            key,
+            inputs,
+        }
+    });
+    let items = sent.collect();
+    let mut req = post(ITEMS, &Items { items });
+    set(req.headers_mut(), names::ENDPOINT, endpoint);
+    req
+}
+
+/// Reads the answer to a batched call.
+pub(crate) fn read_batch(body: &[u8]) -> Option<Vec<ItemResult>> {
+    let results: Results = serde_json::from_slice(body).ok()?;
+    let read = |made: Made| match (made.handle, made.reason.as_deref()) {
+        (Some(handle), _) => ItemResult::Made(handle),
+        (None, Some("late")) => ItemResult::Late,
+        (None, Some("input_gone")) => ItemResult::InputGone,
+        (None, Some("no_room")) => ItemResult::NoRoom,
+        (None, _) => ItemResult::Failed,
+    };
+    Some(results.items.into_iter().map(read).collect())
+}
+
+/// Writes an order to give results up.
+pub(crate) fn write_free(handles: &[String]) -> Request<Full<Bytes>> {
+    post(FREE, &Handles { handles })
+}
+
+#[cfg(test)]
+mod tests {
+    use forward::{ItemResult, Verdict};
+    use hyper::{HeaderMap, StatusCode, header::HeaderValue};
+
+    use super::{answer_headers, judge, read_batch};
+
+    fn judged(status: u16, headers: &[(&'static str, &'static str)]) -> Verdict {
+        let mut map = HeaderMap::new();
+        for (name, value) in headers {
+            map.insert(*name, HeaderValue::from_static(value));
+        }
+        judge("7", StatusCode::from_u16(status).unwrap(), &map)
+    }
+
+    #[test]
+    fn only_the_endpoints_word_to_this_call_says_that_it_did_not_run() {
+        let (echo, not) = (("jujube-call", "7"), ("jujube-outcome", "not_run"));
+        assert_eq!(judged(200, &[echo]), Verdict::Good);
+        assert_eq!(judged(503, &[echo]), Verdict::Failed);
+        assert_eq!(judged(503, &[echo, not]), Verdict::Full);
+        assert_eq!(judged(409, &[echo, not]), Verdict::InputsGone);
+        assert_eq!(judged(421, &[echo, not]), Verdict::OtherEndpoint);
+        assert_eq!(judged(400, &[echo, not]), Verdict::NotRun);
+        for foreign in [&[("jujube-call", "8"), not][..], &[not], &[]] {
+            assert_eq!(judged(503, foreign), Verdict::Foreign);
+            assert_eq!(judged(200, foreign), Verdict::Foreign);
+        }
+    }
+
+    #[test]
+    fn callers_see_their_own_id() {
+        let mut headers = HeaderMap::new();
+        headers.insert("jujube-call", HeaderValue::from_static("7"));
+        headers.insert("jujube-load", HeaderValue::from_static("1,0,2"));
+        headers.insert("x-own", HeaderValue::from_static("1"));
+        let passed = answer_headers(&headers);
+        assert_eq!(passed["jujube-request"], "7");
+        assert_eq!(passed.len(), 2, "{passed:?}");
+    }
+
+    #[test]
+    fn results_are_read_in_their_order() {
+        let body = br#"{"items":[{"handle":"h"},{"reason":"input_gone"},{"reason":"no_room"},{}]}"#;
+        let expected = vec![
+            ItemResult::Made("h".to_owned()),
+            ItemResult::InputGone,
+            ItemResult::NoRoom,
+            ItemResult::Failed,
+        ];
+        assert_eq!(read_batch(body), Some(expected));
+        assert_eq!(read_batch(b"{\"items\":[{]}"), None);
+    }
+}
--- a/crates/keeper/src/config.rs
+++ b/crates/keeper/src/config.rs
@@ -82,6 +82,8 @@
     pub link_key: Option<Secret>,
     /// Who may change the declaration; empty where anybody may.
     pub operators: Vec<Operator>,
+    /// Token that endpoints send with announcements.
+    pub announce_token: Option<Secret>,
 }
 
 impl Config {
@@ -110,6 +112,7 @@
             limits: limits(reader),
             link_key: security.link_key,
             operators: security.operators,
+            announce_token: security.announce_token,
         };
         if folder.is_none() {
             let what = "missing; add `folder = …`, a folder that this keeper alone uses";
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`State`] is what committed entries make; [`Machine`] joins it to the log and to followers;
 //! [`start`] brings up a process that answers clients on links and operators over HTTP.
 
+mod announce;
 mod belief;
 mod body;
 mod clock;
@@ -22,6 +23,7 @@
 mod records;
 mod refusal;
 mod service;
+mod sharing;
 mod start;
 mod state;
 
@@ -32,5 +34,6 @@
 pub use machine::Machine;
 pub use records::Records;
 pub use service::{Origin, Service};
+pub use sharing::share;
 pub use start::{start, start_within};
 pub use state::{Applied, Replaced, State};
--- a/crates/keeper/src/pages.rs
+++ b/crates/keeper/src/pages.rs
@@ -5,7 +5,7 @@
 use declaration::{Change, Declaration, Document, between};
 use host::{
     problem::Problem,
-    settings::{Operator, find_operator},
+    settings::{Operator, Secret, find_operator},
 };
 use link::keeper::{ChangeReply, KeeperReply, KeeperRequest, MemberAction as Action};
 use operators::{Accepted, KeeperMember, MemberAction, MemberRequest, Status, Submission};
@@ -17,7 +17,7 @@
 use serde::Serialize;
 
 use crate::{
-    body, payload,
+    announce, body, payload,
     refusal::{Refusal, no_quorum},
     service::{Origin, Service},
 };
@@ -29,6 +29,8 @@
     pub service: Arc<Service>,
     /// Who may change anything; empty where anybody may.
     pub operators: Vec<Operator>,
+    /// Token that endpoints send with announcements.
+    pub announce_token: Option<Secret>,
 }
 
 /// The router of all pages.
@@ -38,7 +40,9 @@
         .push(Router::with_path("changes").post(post_changes))
         .push(Router::with_path("audit").get(get_audit))
         .push(Router::with_path("status").get(get_status))
-        .push(Router::with_path("keepers").post(post_keepers));
+        .push(Router::with_path("keepers").post(post_keepers))
+        .push(Router::with_path("announce").post(announce::post))
+        .push(Router::with_path("endpoints").get(announce::list));
     Router::new()
         .hoop(affix_state::inject(Arc::new(pages)))
         .push(v1)
@@ -47,12 +51,12 @@
         .push(Router::with_path("{**rest}").goal(not_found))
 }
 
-fn pages(depot: &Depot) -> Arc<Pages> {
+pub(crate) fn pages(depot: &Depot) -> Arc<Pages> {
     let pages = depot.get_typed::<Arc<Pages>>();
     Arc::clone(pages.expect("the router injects the pages into every request"))
 }
 
-fn json<T: Serialize>(res: &mut Response, value: &T) {
+pub(crate) fn json<T: Serialize>(res: &mut Response, value: &T) {
     let headers = res.headers_mut();
     headers.insert("content-type", HeaderValue::from_static("application/json"));
     let body = serde_json::to_vec(value).unwrap_or_default();
--- a/crates/keeper/src/service.rs
+++ b/crates/keeper/src/service.rs
@@ -134,6 +134,11 @@
         self
     }
 
+    /// The endpoints' table, if it answers for one.
+    pub fn table(&self) -> Option<&Table> {
+        self.table.as_ref()
+    }
+
     /// The state.
     pub fn machine(&self) -> &Machine {
         &self.machine
--- a/crates/keeper/src/start.rs
+++ b/crates/keeper/src/start.rs
@@ -4,11 +4,12 @@
 
 use host::{http, role::Running, shutdown::Stopped};
 use link::{Identity, LinkConfig, Peer, Role, serve};
-use membership::Table;
+use membership::{Table, TableConfig};
 use replica::{Replica, ReplicaConfig};
 use spdlog::{error, warn};
 use tokio::{
     net::TcpListener,
+    sync::watch,
     task::JoinHandle,
     time::{Instant, interval, sleep, timeout},
 };
@@ -22,6 +23,7 @@
     machine::Machine,
     pages::{Pages, router},
     service::Service,
+    sharing::share,
 };
 
 /// Folder of settlements that wait for a quorum, within the data folder.
@@ -38,8 +40,20 @@
 
 /// Binds the listeners, opens the log and serves until stopped.
 pub async fn start(cfg: Config, stopped: Stopped) -> eyre::Result<Running> {
-    let (running, _) = start_within(cfg, None, stopped).await?;
-    Ok(running)
+    let mut table_cfg = TableConfig::new(&cfg.vm.name, &cfg.vm.availability_zone);
+    table_cfg.spans_zones = true;
+    let table = Table::new(table_cfg);
+    let (running, service) = start_within(cfg, Some(table.clone()), stopped).await?;
+    let (answering, answers) = watch::channel(Some(service));
+    let sharing = tokio::spawn(share(table, answers));
+    let Running { http, link, task } = running;
+    let task = tokio::spawn(async move {
+        let ended = task.await?;
+        sharing.abort();
+        drop(answering);
+        ended
+    });
+    Ok(Running { http, link, task })
 }
 
 /// Like [`start`], as a part of a program: gives the answering side as well, which also answers for
@@ -93,10 +107,11 @@
     let telling = tokio::spawn(belief::tell(replica.clone()));
     let settling = Arc::clone(&service);
     let settling = tokio::spawn(async move { settling.settle_held().await });
-    let operators = cfg.operators;
+    let (operators, announce_token) = (cfg.operators, cfg.announce_token);
     let pages = Pages {
         service: Arc::clone(&service),
         operators,
+        announce_token,
     };
     let (pages, serving) = http::serve(bound, router(pages));
     let answering = Arc::clone(&service);
