--- a/crates/demo/src/run.rs
+++ b/crates/demo/src/run.rs
@@ -83,8 +83,8 @@
 async fn stay(fleets: &[Fleet]) -> eyre::Result<()> {
     for (deployment, fleet) in DEPLOYMENTS.iter().zip(fleets) {
         eprintln!(
-            "{}: console http://{}  gate http://{}  revision {}",
-            deployment.name, fleet.console, fleet.gate, fleet.revision
+            "{}: console http://{}  gate http://{}  routes http://{}  revision {}",
+            deployment.name, fleet.console, fleet.gate, fleet.routes, fleet.revision
         );
     }
     eprintln!("press Ctrl-C to end");
--- a/crates/keeper/src/lasting.rs
+++ b/crates/keeper/src/lasting.rs
@@ -9,14 +9,15 @@
 use spdlog::{error, info};
 use tokio::{sync::watch, task::JoinHandle, time::sleep};
 
-use crate::{Config, Service, start::start_within};
+use crate::{
+    Config,
+    service::{Answering, Service},
+    start::start_within,
+};
 
 /// Pause before another start.
 const PAUSE: Duration = Duration::from_millis(500);
 
-/// The answering side while there is one.
-pub type Answering = watch::Receiver<Option<Arc<Service>>>;
-
 /// Starts a keeper and, for as long as it is not told to stop, starts it again after it has ended.
 /// The task ends with the last of them.
 pub fn start_lasting(
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -29,11 +29,11 @@
 
 pub use config::{Config, GroupConfig, Limits};
 pub use entry::{Command, DIGEST_BYTES, Entry, GrantIntent, LeaseView, Stamp};
-pub use lasting::{Answering, start_lasting};
+pub use lasting::start_lasting;
 pub use leases::{Leases, Seen};
 pub use machine::Machine;
 pub use records::Records;
-pub use service::{Origin, Service};
+pub use service::{Answering, Origin, Service};
 pub use sharing::share;
 pub use start::{start, start_within};
 pub use state::{Applied, Replaced, State};
--- a/crates/keeper/src/service.rs
+++ b/crates/keeper/src/service.rs
@@ -84,6 +84,9 @@
     held: Held,
 }
 
+/// The answering side while there is one.
+pub type Answering = watch::Receiver<Option<Arc<Service>>>;
+
 /// Counts a call for as long as it lives.
 struct InFlight<'a>(&'a watch::Sender<usize>);
 
--- a/crates/keeper/src/sharing.rs
+++ b/crates/keeper/src/sharing.rs
@@ -7,7 +7,7 @@
 use spdlog::info;
 use tokio::{task::JoinSet, time::sleep};
 
-use crate::lasting::Answering;
+use crate::service::Answering;
 
 /// Time between looks at who the keepers are.
 const LOOK_EVERY: Duration = Duration::from_millis(250);
