Items of many bytes wait up to a full call for an endpoint of their zone

Items went to another zone after half a call's fixed cost (100 ms), while a zone's own endpoints are busy for 260 ms and more with each call; so half of them crossed, although their request had time. Change: they wait up to a full call of theirs (368 ms there), by their bytes, unless more wait than the zone can take in a round, or no more than a full call is left until they are due. Test line items_wait_for_their_zone_by_their_bytes_...: with the rule before it fails (100 ms, not 280).

--- a/crates/forward/src/collector.rs
+++ b/crates/forward/src/collector.rs
@@ -252,6 +252,8 @@
         };
         match next {
             Some(next) => {
+                let metrics = &collector.shared.cx.metrics;
+                metrics.crossed(&service, next.crossing_bytes());
                 tokio::spawn(make(collector.clone(), Arc::clone(&running), next));
             }
             None => wait(&running).await,
--- a/crates/forward/src/line.rs
+++ b/crates/forward/src/line.rs
@@ -68,6 +68,16 @@
     bytes: u64,
 }
 
+impl NextCall {
+    /// Bytes of inputs that its items fetch from other availability zones, about.
+    pub(crate) fn crossing_bytes(&self) -> u64 {
+        let submissions = self.jobs.iter().map(|job| &job.ticket.submission);
+        let apart = submissions.filter(|s| !s.inputs.is_empty() && s.az != self.target.az);
+        let each = apart.map(|s| s.crossing_bytes / u64::from(s.items.max(1)));
+        each.sum()
+    }
+}
+
 /// What one endpoint has in hand.
 #[derive(Debug)]
 struct Hand {
@@ -112,8 +122,9 @@
 
 impl Zones {
     /// Whether `job` may go to an endpoint of `az`: bytes that cross zones cost, so it waits for one
-    /// of its own zone, the longer the more bytes they are, while these aren't backed up.
-    fn may_go(&self, job: &Job, az: &str, now: Instant, call: Duration) -> bool {
+    /// of its own zone, the longer the more bytes they are, for up to a `full` call, while these
+    /// aren't backed up and it can still be in time, `spare_ms` after such a call.
+    fn may_go(&self, job: &Job, az: &str, now: Instant, full: Duration, spare_ms: i64) -> bool {
         let submission = &job.ticket.submission;
         let own = &submission.az;
         let lanes = self.lanes.get(own).copied().unwrap_or(0);
@@ -122,7 +133,8 @@
         own == az
             || lanes == 0
             || items > lanes * self.batch
-            || now.saturating_duration_since(job.since) >= call.mul_f64(weight.min(1.0) / 2.0)
+            || spare_ms <= 0
+            || now.saturating_duration_since(job.since) >= full.mul_f64(weight.min(1.0))
     }
 }
 
@@ -274,9 +286,10 @@
         let first_due = self.first_due(now);
         let target = self.in_order(first_due).find_map(|(_, job)| {
             let need = job.ticket.submission.result_bytes;
-            let fit = free.iter().copied().filter(|t| {
-                self.room(&t.name) >= need && zones.may_go(job, &t.az, now, self.batch.call)
-            });
+            let fit = free
+                .iter()
+                .copied()
+                .filter(|t| self.room(&t.name) >= need && self.may_go(&zones, job, &t.az, now));
             self.fastest(fit, &sound, &job.ticket.submission.az, now)
         })?;
         let target = Arc::clone(target);
@@ -309,7 +322,7 @@
             for (place, job) in self.in_order(self.first_due(now)) {
                 let submission = &job.ticket.submission;
                 let is_meant = (submission.az == target.az) == is_near
-                    && zones.may_go(job, &target.az, now, self.batch.call);
+                    && self.may_go(zones, job, &target.az, now);
                 if taken.len() < most && is_meant && submission.result_bytes <= room {
                     room -= submission.result_bytes;
                     taken.push(*place);
@@ -324,6 +337,12 @@
         jobs
     }
 
+    fn may_go(&self, zones: &Zones, job: &Job, az: &str, now: Instant) -> bool {
+        let full = self.call_time(self.batch.items);
+        let spare_ms = job.due - self.elapsed_ms(now) - full.as_millis() as i64;
+        zones.may_go(job, az, now, full, spare_ms)
+    }
+
     /// Endpoints that the line may call now.
     pub(crate) fn sound<'a>(
         &self,
@@ -521,9 +540,10 @@
     /// Room of one endpoint, in bytes.
     const ROOM: u64 = 1_000_000;
 
-    fn pool(endpoints: &[&str]) -> Arc<Pool> {
+    /// Endpoints with their availability zones.
+    fn pool(endpoints: &[(&str, &str)]) -> Arc<Pool> {
         let fleet = Fleet::default();
-        let views = endpoints.iter().map(|name| view(name, "ice", "a"));
+        let views = endpoints.iter().map(|(name, az)| view(name, "ice", az));
         fleet.update(&mirror(views), |_| None);
         fleet.pool("ice").unwrap()
     }
@@ -563,7 +583,7 @@
 
     #[tokio::test(start_paused = true)]
     async fn an_endpoint_without_room_is_left_alone_for_longer_each_time() {
-        let (mut line, pool) = (line(), pool(&["i-1"]));
+        let (mut line, pool) = (line(), pool(&[("i-1", "a")]));
         let reachable = Reachable::default();
         let taken = line.take(submission(), &pool, &reachable, Instant::now());
         taken.unwrap();
@@ -584,4 +604,38 @@
         }
         assert_eq!(pauses, [0, 240, 480, 960, 960]);
     }
+
+    /// How long an item of zone a with `crossing_bytes` that is due in `due_ms` waits while the
+    /// only endpoint there is busy and one of zone b is free.
+    async fn waits_ms(crossing_bytes: u64, due_ms: i64) -> u128 {
+        let (mut line, pool) = (line(), pool(&[("i-1", "a"), ("i-2", "b")]));
+        let reachable = Reachable::default();
+        let items = |crossing_bytes, due_ms| Submission {
+            crossing_bytes,
+            due_ms,
+            result_bytes: 1,
+            ..submission()
+        };
+        let first = items(u64::MAX / 2, 1_000);
+        line.take(first, &pool, &reachable, Instant::now()).unwrap();
+        let busy = line.next_call(&pool, &reachable, Instant::now()).unwrap();
+        assert_eq!(busy.target.name, "i-1");
+        let second = items(crossing_bytes, due_ms);
+        line.take(second, &pool, &reachable, Instant::now())
+            .unwrap();
+        let start = Instant::now();
+        while line.next_call(&pool, &reachable, Instant::now()).is_none() {
+            sleep(Duration::from_millis(10)).await;
+        }
+        start.elapsed().as_millis()
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn items_wait_for_their_zone_by_their_bytes_while_they_have_time() {
+        // A call of four items takes 280 ms.
+        assert_eq!(waits_ms(3_000_000, 1_000).await, 280);
+        assert_eq!(waits_ms(1_000_000, 1_000).await, 140);
+        assert_eq!(waits_ms(3_000_000, 400).await, 120, "no more is to spare");
+        assert_eq!(waits_ms(0, 1_000).await, 0);
+    }
 }
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -25,6 +25,7 @@
     items: HistogramVec,
     retries: IntCounterVec,
     prompt_tokens: IntCounterVec,
+    crossing: IntCounterVec,
     endpoints: IntGaugeVec,
     ejections: IntCounter,
     confirmed: IntGauge,
@@ -120,6 +121,11 @@
                 "Tokens of prompts that the endpoint was thought to keep, and those that it read.",
                 &["service", "fate"],
             )?,
+            crossing: make.counters(
+                "crossing_bytes_total",
+                "Bytes of results, as declared, that calls fetch from other availability zones.",
+                &["service"],
+            )?,
             endpoints: make.gauges(
                 "endpoints",
                 "Endpoints known, ready as keepers tell, and left out for now.",
@@ -156,6 +162,13 @@
         }
     }
 
+    /// Counts bytes of results that a call fetches from other availability zones.
+    pub(crate) fn crossed(&self, service: &str, bytes: u64) {
+        if bytes > 0 {
+            self.crossing.with_label_values(&[service]).inc_by(bytes);
+        }
+    }
+
     /// Counts a stage of a request.
     pub(crate) fn stage(&self, service: &str, is_good: bool, took: Duration) {
         let labels = [service, outcome(is_good)];
--- a/crates/forward/src/serving.rs
+++ b/crates/forward/src/serving.rs
@@ -325,6 +325,9 @@
             Err(why) => return Err(Unserved::come_back(why, COME_BACK)),
         };
         req.story.note(flight.chosen());
+        let crossing = places.iter().filter(|(az, _)| *az != flight.target.az);
+        let crossing = crossing.map(|(_, bytes)| bytes).sum();
+        cx.metrics.crossed(&req.service, crossing);
         match attempt(cx, req, inputs, tried, &flight, after_event).await {
             Attempt::Begun(exchange, is_good) => {
                 return Ok(Begun {
