A fault soak of our own: real keepers, gates of routes and endpoints under seeded faults that overlap

Three keepers, four forwarding gates, nine endpoints behind proxies; ten callers and an operator go on while links are cut (either way or both), slowed, reset, silenced, processes frozen, killed, told to stop, logs torn, endpoints cut, reset, wrong, slow, mute, reborn. Checked while it runs: answers are whole, the caller's own and in time; no booking runs twice, what was refused did not run; keys and routes that are declared are not denied, a revoked key is not taken beyond the bound; what was acknowledged is kept; without faults everything is served again. Not there: clocks that jump (needs rights that tests do not have), disks that are full or slow.

--- a/crates/forward/src/start.rs
+++ b/crates/forward/src/start.rs
@@ -58,6 +58,8 @@
     pub metrics: Option<SocketAddr>,
     /// Where it takes links.
     pub link: SocketAddr,
+    /// Where others reach its link, if not there, as behind a translated address.
+    pub advertised_link: Option<SocketAddr>,
     /// Key of the links.
     pub link_key: Option<Secret>,
     /// Links of keepers that it knows at the start.
@@ -97,7 +99,7 @@
     let told = Control {
         links: links.clone(),
         seeds,
-        own_link: link,
+        own_link: cfg.advertised_link.unwrap_or(link),
         freshness: freshness.clone(),
         draining: draining.clone(),
     }
--- a/crates/forwarder/src/config.rs
+++ b/crates/forwarder/src/config.rs
@@ -26,6 +26,7 @@
             readiness: r.listen("http"),
             metrics: None,
             link: r.listen("link"),
+            advertised_link: r.address("listen", "advertised_link"),
             link_key: r.security().link_key,
             keepers,
             confirmed_for,
--- a/crates/keeper/src/config.rs
+++ b/crates/keeper/src/config.rs
@@ -60,6 +60,8 @@
     pub http: SocketAddr,
     /// Where it takes links.
     pub link: SocketAddr,
+    /// Where others reach its link, if not there, as behind a translated address.
+    pub advertised_link: Option<SocketAddr>,
     /// The first voters and their links.
     pub keepers: Vec<Peer>,
     /// The data folder, which is the keeper's alone.
@@ -95,6 +97,7 @@
             vm: reader.vm(),
             http: reader.listen("http"),
             link: reader.listen("link"),
+            advertised_link: reader.address("listen", "advertised_link"),
             keepers: reader.keepers(),
             folder: folder.clone().unwrap_or_default(),
             snapshot_after: reader.number(
--- a/crates/keeper/src/start.rs
+++ b/crates/keeper/src/start.rs
@@ -87,7 +87,7 @@
         cfg.limits,
         links.clone(),
         &peers,
-        link,
+        cfg.advertised_link.unwrap_or(link),
         Held::open(&cfg.folder.join(HELD_FOLDER))?,
     )?;
     let service = Arc::new(service.with_table(table));
--- /dev/null
+++ b/crates/soak/src/run.rs
@@ -0,0 +1,170 @@
+//! One soak: start, faults while callers and an operator go on, healing, the last checks.
+
+use std::{path::Path, sync::Arc, time::Duration};
+
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep, sleep_until},
+};
+
+use crate::{
+    callers::{CALLERS, Callers, Kind},
+    faults::{Fault, What, Who, schedule},
+    fleet::Fleet,
+    operator::{self, Revoked},
+    verdict::{Verdict, Violation},
+};
+
+/// Bound on everything that has to happen once nothing is at fault.
+const RECOVERY: Duration = Duration::from_secs(25);
+/// Time after a gate's fault for which it need not answer in time.
+const AFTER_FAULT: Duration = Duration::from_secs(3);
+/// Time for what is under way at the end to settle.
+const SETTLE: Duration = Duration::from_millis(500);
+const LOOK_AGAIN: Duration = Duration::from_millis(100);
+
+/// What to run.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    /// Decides the faults.
+    pub seed: u64,
+    /// How long faults come.
+    pub length: Duration,
+}
+
+/// Which gates are undisturbed when.
+#[derive(Clone, Debug)]
+pub(crate) struct Quiet {
+    start: Instant,
+    faults: Arc<Vec<Fault>>,
+}
+
+impl Quiet {
+    /// Whether `gate` had no fault of its own from `since` to `until`.
+    pub(crate) fn is_quiet(&self, gate: usize, since: Instant, until: Instant) -> bool {
+        let is_its = |f: &&Fault| match f.what {
+            What::Freeze(who) | What::Kill(who) => who == Who::Gate(gate),
+            What::Stop(of) => of == gate,
+            _ => false,
+        };
+        let meets =
+            |f: &Fault| self.start + f.at <= until && since <= self.start + f.until + AFTER_FAULT;
+        !self.faults.iter().filter(is_its).any(meets)
+    }
+}
+
+/// Runs `plan` with its files in `work`; gives a line that sums it up and what was broken.
+pub async fn run(plan: Plan, work: &Path) -> eyre::Result<(String, Vec<Violation>)> {
+    let mut fleet = Fleet::start(work, plan.seed).await?;
+    operator::declare(fleet.operators(), RECOVERY).await?;
+    let faults = Arc::new(schedule(plan.seed, plan.length));
+    let verdict = Arc::new(Verdict::default());
+    let revoked = Revoked::default();
+    let mut callers = Callers {
+        seed: plan.seed,
+        entries: fleet.entries(),
+        verdict: Arc::clone(&verdict),
+        quiet: Quiet {
+            start: Instant::now(),
+            faults: Arc::default(),
+        },
+        revoked: revoked.clone(),
+        booked: Arc::default(),
+    };
+    await_served(&callers, plan.seed, &verdict, "start").await;
+    let start = Instant::now();
+    callers.quiet = Quiet {
+        start,
+        faults: Arc::clone(&faults),
+    };
+    let end = start + plan.length;
+    let mut asking = JoinSet::new();
+    for caller in 0..CALLERS {
+        asking.spawn(callers.clone().ask_until(caller, end));
+    }
+    let half = start + plan.length / 2;
+    let changing = operator::change_until(fleet.operators(), half, end, revoked);
+    let changing = tokio::spawn(changing);
+    break_things(&mut fleet, start, &faults).await?;
+    sleep_until(end).await;
+    asking.join_all().await;
+    let acknowledged = changing.await?;
+    sleep(SETTLE).await;
+    await_served(&callers, plan.seed, &verdict, "end").await;
+    let operators = fleet.operators();
+    acknowledged.check(operators, &verdict, RECOVERY).await;
+    check_booked(&fleet, &callers, &verdict);
+    let count = |n: &std::sync::atomic::AtomicU64| n.load(std::sync::atomic::Ordering::Relaxed);
+    let summary = format!(
+        "seed {}: {} faults in {:?}, {} served, {} refused, {} failed, {} changes",
+        plan.seed,
+        faults.len(),
+        plan.length,
+        count(&verdict.served),
+        count(&verdict.refused),
+        count(&verdict.failed),
+        acknowledged.count(),
+    );
+    Ok((summary, verdict.violations()))
+}
+
+/// Begins and ends the faults at their times.
+async fn break_things(fleet: &mut Fleet, start: Instant, faults: &[Fault]) -> eyre::Result<()> {
+    let begins = faults.iter().map(|f| (f.at, true, f.what));
+    let ends = faults.iter().map(|f| (f.until, false, f.what));
+    let mut steps: Vec<_> = begins.chain(ends).collect();
+    steps.sort_by_key(|(at, begins, _)| (*at, *begins));
+    for (at, begins, what) in steps {
+        sleep_until(start + at).await;
+        match begins {
+            true => fleet.begin(what).await?,
+            false => fleet.end(what).await?,
+        }
+    }
+    Ok(())
+}
+
+/// Waits until every gate serves every kind of request.
+async fn await_served(callers: &Callers, run: u64, verdict: &Verdict, moment: &str) {
+    let start = Instant::now();
+    let mut rng = SmallRng::seed_from_u64(run);
+    for gate in 0..callers.entries.len() {
+        for kind in Kind::ALL {
+            loop {
+                let id = format!("{run}-{moment}-{gate}-{}", rng.random::<u32>());
+                if callers.is_served(gate, kind, &id).await {
+                    break;
+                }
+                if start.elapsed() > RECOVERY {
+                    let seen = format!("{kind:?} at gate {gate} at the {moment}");
+                    return verdict.broken("without faults everything is served", seen);
+                }
+                sleep(LOOK_AGAIN).await;
+            }
+        }
+    }
+}
+
+/// Requests that may not be repeated ran once at most, and those refused not at all.
+fn check_booked(fleet: &Fleet, callers: &Callers, verdict: &Verdict) {
+    let booked = callers
+        .booked
+        .lock()
+        .expect("no holder of this lock panics");
+    for booked in booked.iter() {
+        let runs = fleet.runs("desk", &booked.id);
+        let seen = || {
+            format!(
+                "{} was told {:?} and ran {runs} times",
+                booked.id, booked.status
+            )
+        };
+        match booked.status {
+            _ if runs > 1 => verdict.broken("no booking runs twice", seen()),
+            Some(503) if runs > 0 => verdict.broken("what was refused did not run", seen()),
+            Some(200) if runs == 0 => verdict.broken("what was answered did run", seen()),
+            _ => {}
+        }
+    }
+}
