--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -38,6 +38,7 @@
 #[cfg(test)]
 mod testing;
 mod ticket;
+mod written;
 
 pub use budgets::SharedBudget;
 pub use dialect::{
@@ -47,3 +48,4 @@
 pub use inquiry::{Inquiry, Part, Prompt};
 pub use rules::digest;
 pub use start::{Config, start};
+pub use written::{as_sent, post_json, read_load, set_header};
--- /dev/null
+++ b/crates/forward/src/written.rs
@@ -0,0 +1,57 @@
+//! What adapters need alike to write calls and to read the load that rides on answers.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    HeaderMap, Method, Request, Uri,
+    header::{CONTENT_TYPE, HOST, HeaderName, HeaderValue},
+};
+use serde::Serialize;
+
+use crate::{dialect::LoadReport, inquiry::Inquiry};
+
+/// Sets a header; a value that no header can hold is left out.
+pub fn set_header(headers: &mut HeaderMap, name: HeaderName, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
+
+/// A request as its caller sent it: method, target, headers that are passed on, host and body.
+pub fn as_sent(inquiry: &Inquiry) -> Request<Full<Bytes>> {
+    let mut req = Request::new(Full::new(inquiry.body.clone()));
+    *req.method_mut() = inquiry.method.clone();
+    // It was parsed from a request before.
+    let target = inquiry.target.parse();
+    *req.uri_mut() = target.unwrap_or_else(|_| Uri::from_static("/"));
+    let headers = req.headers_mut();
+    headers.clone_from(&inquiry.headers);
+    set_header(headers, HOST, &inquiry.host);
+    req
+}
+
+/// A `POST` of `body` as JSON to an endpoint's `path`.
+pub fn post_json<T: Serialize>(path: &'static str, body: &T) -> Request<Full<Bytes>> {
+    let body = serde_json::to_vec(body).unwrap_or_default();
+    let mut req = Request::new(Full::new(Bytes::from(body)));
+    *req.method_mut() = Method::POST;
+    *req.uri_mut() = Uri::from_static(path);
+    let headers = req.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    headers.insert(HOST, HeaderValue::from_static("endpoint"));
+    req
+}
+
+/// Reads `RUNNING,WAITING,SLOTS`.
+pub fn read_load(value: &HeaderValue) -> Option<LoadReport> {
+    let mut numbers = value
+        .to_str()
+        .ok()?
+        .split(',')
+        .map(|n| n.trim().parse().ok());
+    Some(LoadReport {
+        running: numbers.next()??,
+        waiting: numbers.next()??,
+        slots: numbers.next()??,
+    })
+}
--- a/crates/forwarder/src/endpoints.rs
+++ b/crates/forwarder/src/endpoints.rs
@@ -1,12 +1,12 @@
 //! Calls to endpoints and their answers.
 
 use bytes::Bytes;
-use forward::{Inquiry, Item, ItemResult, LoadReport, Source, Try, Verdict, end_to_end};
-use http_body_util::Full;
-use hyper::{
-    HeaderMap, Method, Request, StatusCode, Uri,
-    header::{CONTENT_TYPE, HOST, HeaderName, HeaderValue},
+use forward::{
+    Inquiry, Item, ItemResult, LoadReport, Source, Try, Verdict, as_sent, end_to_end, post_json,
+    read_load, set_header,
 };
+use http_body_util::Full;
+use hyper::{HeaderMap, Request, StatusCode, header::HeaderValue};
 use serde::{Deserialize, Serialize};
 
 use crate::names;
@@ -22,29 +22,23 @@
 
 /// Writes one try of a request.
 pub(crate) fn write(inquiry: &Inquiry, details: &Try<'_>) -> Request<Full<Bytes>> {
-    let mut req = Request::new(Full::new(inquiry.body.clone()));
-    *req.method_mut() = inquiry.method.clone();
-    // It was parsed from a request before.
-    let target = inquiry.target.parse();
-    *req.uri_mut() = target.unwrap_or_else(|_| Uri::from_static("/"));
+    let mut req = as_sent(inquiry);
     let headers = req.headers_mut();
-    headers.clone_from(&inquiry.headers);
-    set(headers, HOST, &inquiry.host);
-    set(headers, names::CALL, &inquiry.id);
-    set(headers, names::ENDPOINT, details.endpoint);
+    set_header(headers, names::CALL, &inquiry.id);
+    set_header(headers, names::ENDPOINT, details.endpoint);
     headers.insert(
         names::DEADLINE,
         HeaderValue::from(details.left.as_millis() as u64),
     );
     if let Some(workspace) = details.workspace {
-        set(headers, names::WORKSPACE, workspace);
+        set_header(headers, names::WORKSPACE, workspace);
     }
     if let Some(urgency) = details.urgency {
         let priority = MOST_URGENT.saturating_sub(urgency);
         headers.insert(names::PRIORITY, HeaderValue::from(u16::from(priority)));
     }
     if !details.inputs.is_empty() {
-        set(headers, names::INPUTS, &details.inputs.join(","));
+        set_header(headers, names::INPUTS, &details.inputs.join(","));
     }
     if let Some(event) = details.after_event {
         headers.insert(names::LAST_EVENT, HeaderValue::from(event));
@@ -52,12 +46,6 @@
     req
 }
 
-fn set(headers: &mut HeaderMap, name: HeaderName, value: &str) {
-    if let Ok(value) = HeaderValue::from_str(value) {
-        headers.insert(name, value);
-    }
-}
-
 /// Reads the head of an answer to the call `id`; batched calls have none.
 pub(crate) fn judge(id: &str, status: StatusCode, headers: &HeaderMap) -> Verdict {
     let echoed = headers.get(names::CALL).map(HeaderValue::as_bytes);
@@ -78,13 +66,7 @@
 
 /// Reads the load that rides on an answer.
 pub(crate) fn load(headers: &HeaderMap) -> Option<LoadReport> {
-    let text = headers.get(names::LOAD)?.to_str().ok()?;
-    let mut numbers = text.split(',').map(|n| n.trim().parse().ok());
-    Some(LoadReport {
-        running: numbers.next()??,
-        waiting: numbers.next()??,
-        slots: numbers.next()??,
-    })
+    read_load(headers.get(names::LOAD)?)
 }
 
 /// Headers of an answer that the caller gets, with the request's id.
@@ -130,17 +112,6 @@
     handles: &'a [String],
 }
 
-fn post<T: Serialize>(path: &'static str, body: &T) -> Request<Full<Bytes>> {
-    let body = serde_json::to_vec(body).unwrap_or_default();
-    let mut req = Request::new(Full::new(Bytes::from(body)));
-    *req.method_mut() = Method::POST;
-    *req.uri_mut() = Uri::from_static(path);
-    let headers = req.headers_mut();
-    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    headers.insert(HOST, HeaderValue::from_static("endpoint"));
-    req
-}
-
 /// Writes a batched call.
 pub(crate) fn write_batch(items: &[Item<'_>], endpoint: &str) -> Request<Full<Bytes>> {
     let sent = items.iter().map(|item| {
@@ -158,8 +129,8 @@
         }
     });
     let items = sent.collect();
-    let mut req = post(ITEMS, &Items { items });
-    set(req.headers_mut(), names::ENDPOINT, endpoint);
+    let mut req = post_json(ITEMS, &Items { items });
+    set_header(req.headers_mut(), names::ENDPOINT, endpoint);
     req
 }
 
@@ -178,7 +149,7 @@
 
 /// Writes an order to give results up.
 pub(crate) fn write_free(handles: &[String]) -> Request<Full<Bytes>> {
-    post(FREE, &Handles { handles })
+    post_json(FREE, &Handles { handles })
 }
 
 #[cfg(test)]
--- a/crates/gate/src/endpoints.rs
+++ b/crates/gate/src/endpoints.rs
@@ -2,12 +2,11 @@
 
 use std::sync::Arc;
 
-use host::problem::Problem;
+use host::{problem::Problem, settings::check_announcer};
 use membership::{AnnounceError, Announcement};
 use routing::CacheEvents;
 use salvo::{
     handler,
-    http::header::{AUTHORIZATION, HeaderValue},
     prelude::{Request, Response},
 };
 use serde::de::DeserializeOwned;
@@ -37,11 +36,7 @@
 }
 
 fn refusal(e: &AnnounceError) -> Problem {
-    let (status, kind, title) = match e {
-        AnnounceError::Invalid { .. } => (400, "bad-announcement", "Bad announcement"),
-        AnnounceError::Full { .. } => (503, "table-full", "Table full"),
-        AnnounceError::Superseded { .. } => (409, "superseded", "Superseded"),
-    };
+    let (status, kind, title) = e.heading();
     Problem::new(status, kind, title, e.to_string())
 }
 
@@ -75,19 +70,8 @@
 
 /// Checks the token and reads a bounded JSON body; unknown members are ignored.
 async fn read<T: DeserializeOwned>(gate: &Gate, req: &mut Request) -> Result<T, Problem> {
-    if let Some(token) = &gate.cfg.security.announce_token {
-        let presented = req.headers().get(AUTHORIZATION).map(HeaderValue::as_bytes);
-        let presented = presented.and_then(|v| v.strip_prefix(b"Bearer "));
-        if !presented.is_some_and(|p| token.matches(p)) {
-            let what = "send the announce token as `Authorization: Bearer …`";
-            return Err(Problem::new(
-                401,
-                "no-token",
-                "Token missing or wrong",
-                what,
-            ));
-        }
-    }
+    let token = gate.cfg.security.announce_token.as_ref();
+    check_announcer(token, req.headers()).map_err(|e| *e)?;
     let reading = timeout(gate.cfg.timing.body, req.payload_with_max_size(MAX_BODY));
     let bytes = match reading.await {
         Err(_) => {
--- a/crates/host/src/security.rs
+++ b/crates/host/src/security.rs
@@ -6,9 +6,13 @@
 };
 
 use derives::value;
+use hyper::{
+    HeaderMap,
+    header::{AUTHORIZATION, HeaderValue},
+};
 use subtle::ConstantTimeEq;
 
-use crate::settings::Reader;
+use crate::{problem::Problem, settings::Reader};
 
 /// `[security]`, each part optional.
 #[value]
@@ -40,6 +44,23 @@
     })
 }
 
+/// Checks that an endpoint presents `token`, where one is set.
+pub fn check_announcer(token: Option<&Secret>, headers: &HeaderMap) -> Result<(), Box<Problem>> {
+    let Some(token) = token else {
+        return Ok(());
+    };
+    let presented = headers.get(AUTHORIZATION).map(HeaderValue::as_bytes);
+    let presented = presented.and_then(|value| value.strip_prefix(b"Bearer "));
+    match presented.is_some_and(|presented| token.matches(presented)) {
+        true => Ok(()),
+        false => {
+            let what = "send the announce token as `Authorization: Bearer …`";
+            let problem = Problem::new(401, "no-token", "Token missing or wrong", what);
+            Err(Box::new(problem))
+        }
+    }
+}
+
 /// Bytes that never appear in logs.
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Secret(Vec<u8>);
--- a/crates/keeper/src/announce.rs
+++ b/crates/keeper/src/announce.rs
@@ -2,12 +2,9 @@
 
 use std::sync::Arc;
 
-use host::problem::Problem;
+use host::{problem::Problem, settings::check_announcer};
 use membership::{AnnounceError, Announcement};
-use salvo::{
-    Depot, Request, Response, handler,
-    http::header::{AUTHORIZATION, HeaderValue},
-};
+use salvo::{Depot, Request, Response, handler};
 
 use crate::{
     pages::{Pages, json, pages},
@@ -35,19 +32,7 @@
 
 async fn announce(pages: &Arc<Pages>, req: &mut Request) -> Result<membership::Announced, Problem> {
     let table = pages.service.table().ok_or_else(no_table)?;
-    if let Some(token) = &pages.announce_token {
-        let presented = req.headers().get(AUTHORIZATION).map(HeaderValue::as_bytes);
-        let presented = presented.and_then(|v| v.strip_prefix(b"Bearer "));
-        if !presented.is_some_and(|p| token.matches(p)) {
-            let what = "send the announce token as `Authorization: Bearer …`";
-            return Err(Problem::new(
-                401,
-                "no-token",
-                "Token missing or wrong",
-                what,
-            ));
-        }
-    }
+    check_announcer(pages.announce_token.as_ref(), req.headers()).map_err(|e| *e)?;
     let bytes = payload::read(req).await?;
     let announcement: Announcement = serde_json::from_slice(&bytes).map_err(|e| {
         let what = format!("the body is no announcement: {e}");
@@ -62,10 +47,6 @@
 }
 
 fn refusal(e: &AnnounceError) -> Problem {
-    let (status, kind, title) = match e {
-        AnnounceError::Invalid { .. } => (400, "bad-announcement", "Bad announcement"),
-        AnnounceError::Full { .. } => (503, "table-full", "Table full"),
-        AnnounceError::Superseded { .. } => (409, "superseded", "Superseded"),
-    };
+    let (status, kind, title) = e.heading();
     Problem::new(status, kind, title, e.to_string())
 }
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -42,6 +42,17 @@
     },
 }
 
+impl AnnounceError {
+    /// HTTP status, kind and title of the problem document that tells it.
+    pub fn heading(&self) -> (u16, &'static str, &'static str) {
+        match self {
+            Self::Invalid { .. } => (400, "bad-announcement", "Bad announcement"),
+            Self::Full { .. } => (503, "table-full", "Table full"),
+            Self::Superseded { .. } => (409, "superseded", "Superseded"),
+        }
+    }
+}
+
 /// The endpoints that a gate knows; clones share the content.
 #[derive(Clone, Debug)]
 pub struct Table {
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -74,6 +74,8 @@
     pub(crate) seed: u64,
     pub(crate) entries: Vec<SocketAddr>,
     pub(crate) verdict: Arc<Verdict>,
+    /// Whether lateness counts.
+    pub(crate) is_timed: bool,
     pub(crate) quiet: Quiet,
     pub(crate) revoked: Revoked,
     pub(crate) booked: Arc<Mutex<Vec<Booked>>>,
@@ -137,7 +139,7 @@
             });
         }
         let took = sent.at.elapsed();
-        let is_quiet = self.quiet.is_quiet(sent.gate, sent.at, Instant::now());
+        let is_quiet = self.quiet.is_quiet(sent.gate, sent.at, Instant::now()) && self.is_timed;
         let told = |what: String| {
             format!(
                 "{:?} {} at gate {} after {took:?}: {what}",
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -31,6 +31,8 @@
     pub seed: u64,
     /// How long faults come.
     pub length: Duration,
+    /// Whether answers that come late count as broken; a busy machine may make them late.
+    pub is_timed: bool,
 }
 
 /// Which gates are undisturbed when.
@@ -65,6 +67,7 @@
         seed: plan.seed,
         entries: fleet.entries(),
         verdict: Arc::clone(&verdict),
+        is_timed: plan.is_timed,
         quiet: Quiet {
             start: Instant::now(),
             faults: Arc::default(),
