A gate that starts takes the declaration from one source, not from all at once

Ruled out: the group (two wiped members back as voters at 49.6 s), the confirmation (it came), the table. Change: sources are asked for their revision alone, the one that is furthest for its content, which may take 8 s to arrive; checks of another source ask for its revision alone too. Gates turn to seeds in different orders. Test: link following a_start_takes_the_whole_document_from_one_source_alone failed first (three sent all).

--- a/crates/forward/src/control.rs
+++ b/crates/forward/src/control.rs
@@ -17,6 +17,7 @@
     task::JoinSet,
     time::{sleep, timeout},
 };
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     fleet::GATES,
@@ -119,7 +120,10 @@
     /// The keepers known and those that the settings name.
     fn with_seeds(&self, known: &[Peer]) -> Vec<Peer> {
         let mut peers = known.to_vec();
-        for address in self.seeds.borrow().iter() {
+        let seeds = self.seeds.borrow().clone();
+        // Gates that all start at once turn to different ones first.
+        let turn = xxh3_64(self.links.identity.vm.as_bytes()) as usize % seeds.len().max(1);
+        for address in seeds.iter().cycle().skip(turn).take(seeds.len()) {
             if !peers.iter().any(|peer| peer.address() == *address) {
                 peers.push(Peer::start(&address.to_string(), *address, &self.links));
             }
--- a/crates/link/src/follower.rs
+++ b/crates/link/src/follower.rs
@@ -3,7 +3,11 @@
 //! One task long-polls one source and checks another one from time to time, so that a source which
 //! stands still unnoticed is found out. What is in force never goes backwards.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    cmp::{Ordering, Reverse},
+    sync::Arc,
+    time::Duration,
+};
 
 use logs::Event;
 use rand::RngExt;
@@ -25,13 +29,19 @@
 /// Longest pause while no source answers.
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(500);
 
+/// Nothing comes after it: a question for what came after it is answered by the revision alone.
+const REVISION_ONLY: u64 = u64::MAX;
+
 /// Timing of a [`Follower`].
 #[derive(Clone, Debug)]
 pub struct FollowerConfig {
     /// How long a source may hold an answer back.
     pub wait: Duration,
-    /// Time beyond `wait` after which a source counts as silent.
+    /// Time after which a source that was asked for its revision counts as silent.
     pub grace: Duration,
+    /// Longest time that changes or a whole document may take to arrive: megabytes over a link of
+    /// 10 Mbit/s.
+    pub transfer: Duration,
     /// Time between checks of another source.
     pub check: Duration,
     /// At the start: how long to wait for answers of more sources after the first one.
@@ -43,6 +53,7 @@
         Self {
             wait: Duration::from_secs(10),
             grace: Duration::from_secs(1),
+            transfer: Duration::from_secs(8),
             check: Duration::from_secs(2),
             gather: Duration::from_millis(200),
         }
@@ -174,44 +185,30 @@
         rand::rng().random_range(longest / 2..=longest)
     }
 
-    /// Hears every source that answers soon and starts from the one that is furthest.
+    /// Asks every source that answers soon for its revision and starts from the one that is
+    /// furthest. Only that one sends its content: a document of thousands of sections from each
+    /// source at once would fill a small VM's link for longer than any of them is waited for.
     async fn begin(&self) -> usize {
         loop {
-            let mut best: Option<(u64, usize, Followed)> = None;
-            for (at, answer) in self.gather().await {
-                let revision = match &answer {
-                    Followed::Unavailable => continue,
-                    Followed::Unchanged { revision } | Followed::Snapshot { revision, .. } => {
-                        *revision
-                    }
-                    Followed::Changes(changes) => changes.last().map_or(0, |c| c.revision),
-                };
-                let is_better = best
-                    .as_ref()
-                    .is_none_or(|(r, i, _)| revision > *r || (revision == *r && at < *i));
-                if is_better {
-                    best = Some((revision, at, answer));
+            let mut known = self.gather().await;
+            known.sort_by_key(|(at, revision)| (Reverse(*revision), *at));
+            for (at, _) in known {
+                if self.poll(at, Duration::ZERO).await == Heard::InStep {
+                    return at;
                 }
             }
-            let taken = match best {
-                Some((_, at, answer)) => self.take(answer).await.is_ok().then_some(at),
-                None => None,
-            };
-            if let Some(at) = taken {
-                self.heard(at);
-                return at;
-            }
             sleep(RETRY_PAUSE).await;
         }
     }
 
-    async fn gather(&self) -> Vec<(usize, Followed)> {
+    /// Sources that answer soon, with their revisions.
+    async fn gather(&self) -> Vec<(usize, u64)> {
         let mut calls = JoinSet::new();
         for (at, peer) in self.sources.iter().cloned().enumerate() {
             let limit = self.cfg.grace;
             calls.spawn(async move {
                 peer.connected().await;
-                (at, ask(&peer, 0, Duration::ZERO, limit).await)
+                (at, ask_revision(&peer, limit).await)
             });
         }
         let mut answers = Vec::new();
@@ -219,8 +216,8 @@
         loop {
             let left = deadline.saturating_duration_since(Instant::now());
             match timeout(left, calls.join_next()).await {
-                Ok(Some(Ok((at, Ok(answer))))) => {
-                    answers.push((at, answer));
+                Ok(Some(Ok((at, Some(revision))))) => {
+                    answers.push((at, revision));
                     deadline = deadline.min(Instant::now() + self.cfg.gather);
                 }
                 Ok(Some(_)) => {}
@@ -244,14 +241,28 @@
             let Some(other) = self.next_probe(at, probe) else {
                 continue;
             };
-            let before = self.feed.revision();
-            let heard = tokio::select! {
+            tokio::select! {
                 heard = &mut poll => return (heard, None),
-                heard = self.poll(other, Duration::ZERO) => heard,
-            };
-            let is_ahead = self.feed.revision() > before;
-            if heard == Heard::InStep && (is_ahead || other < at) {
-                return (heard, Some(other));
+                is_better = self.is_better(other, at) => if is_better {
+                    return (Heard::InStep, Some(other));
+                }
+            }
+        }
+    }
+
+    /// Whether `other` is preferred to `at` and in step, or has been ahead for longer than what is
+    /// on its way from `at` should take.
+    async fn is_better(&self, other: usize, at: usize) -> bool {
+        let Some(revision) = ask_revision(&self.sources[other], self.cfg.grace).await else {
+            return false;
+        };
+        let own = || self.feed.revision().unwrap_or(0);
+        match revision.cmp(&own()) {
+            Ordering::Less => false,
+            Ordering::Equal => other < at,
+            Ordering::Greater => {
+                sleep(self.cfg.gather).await;
+                revision > own()
             }
         }
     }
@@ -276,7 +287,8 @@
 
     async fn poll(&self, at: usize, wait: Duration) -> Heard {
         let after = self.feed.revision().unwrap_or(0);
-        let answer = ask(&self.sources[at], after, wait, wait + self.cfg.grace).await;
+        let limit = wait + self.cfg.transfer;
+        let answer = ask(&self.sources[at], after, wait, limit).await;
         let heard = match answer {
             Err(_) | Ok(Followed::Unavailable) => Heard::Useless,
             Ok(Followed::Unchanged { revision }) if revision < after => Heard::Useless,
@@ -323,6 +335,16 @@
     }
 }
 
+/// The revision in force at `peer`; `None` where it has none or doesn't say so within `limit`.
+async fn ask_revision(peer: &Peer, limit: Duration) -> Option<u64> {
+    let answer = ask(peer, REVISION_ONLY, Duration::ZERO, limit).await;
+    match answer.ok()? {
+        Followed::Unchanged { revision } | Followed::Snapshot { revision, .. } => Some(revision),
+        Followed::Changes(changes) => changes.last().map(|change| change.revision),
+        Followed::Unavailable => None,
+    }
+}
+
 async fn ask(
     peer: &Peer,
     after: u64,
--- a/crates/link/tests/following.rs
+++ b/crates/link/tests/following.rs
@@ -1,6 +1,13 @@
 //! Followers over real loopback links: start, switch of sources, relays, never backwards.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use declaration::{Document, SectionChange, SectionId, SectionText};
 use link::{
@@ -50,6 +57,8 @@
     feed: Arc<Feed>,
     address: SocketAddr,
     task: JoinHandle<()>,
+    /// Bytes that it sent.
+    sent: Arc<AtomicUsize>,
 }
 
 impl Source {
@@ -61,10 +70,15 @@
         }
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
-        let served = Arc::clone(&feed);
+        let sent = Arc::new(AtomicUsize::new(0));
+        let (served, counter) = (Arc::clone(&feed), Arc::clone(&sent));
         let handler = move |call: Incoming| {
-            let feed = Arc::clone(&served);
-            async move { feed.answer(&call.body).await }
+            let (feed, counter) = (Arc::clone(&served), Arc::clone(&counter));
+            async move {
+                let answer = feed.answer(&call.body).await;
+                counter.fetch_add(answer.len(), Ordering::Relaxed);
+                answer
+            }
         };
         let cfg = link_config("source", Role::Keeper);
         let task = tokio::spawn(serve(listener, cfg, handler));
@@ -72,6 +86,7 @@
             feed,
             address,
             task,
+            sent,
         }
     }
 
@@ -87,6 +102,7 @@
         grace: Duration::from_millis(500),
         check: Duration::from_millis(200),
         gather: Duration::from_millis(100),
+        ..FollowerConfig::default()
     }
 }
 
@@ -140,6 +156,28 @@
     assert_eq!(first.unwrap().as_ref().unwrap().revision, 9);
 }
 
+/// Small VMs share 10 Mbit/s: a document from every source at once fills the link for longer than
+/// any of them is waited for, again and again, and a gate that restarted never serves.
+#[tokio::test]
+async fn a_start_takes_the_whole_document_from_one_source_alone() {
+    const SECTIONS: usize = 2_000;
+    let mut document = Document::default();
+    let sections = (0..SECTIONS).map(|n| section(&format!("az-{n}"), "r"));
+    document.apply(&sections.collect::<Vec<_>>());
+    let mut sources = Vec::new();
+    for _ in 0..3 {
+        let source = Source::start(None).await;
+        source.feed.replace(9, document.clone()).unwrap();
+        sources.push(source);
+    }
+    let peers = sources.iter().map(Source::peer).collect();
+    let follower = Follower::start(peers, quick());
+    assert_eq!(reach(&follower, 9).await.document, document);
+    let sent = sources.iter().map(|s| s.sent.load(Ordering::Relaxed));
+    let senders = sent.filter(|bytes| *bytes > SECTIONS).count();
+    assert_eq!(senders, 1);
+}
+
 #[tokio::test]
 async fn a_dead_source_is_left_and_a_stale_one_never_turns_the_follower_back() {
     let (first, second) = (Source::start(Some(5)).await, Source::start(Some(2)).await);
