An endpoint without room for a result is left alone for results of that size

Cause: a result that found no room added its own bytes to what the endpoint is thought to keep beside our count. Change: what is taken to be kept leaves no room for a result of that size, for as long as before. Test: line an_endpoint_without_room_for_a_small_result_is_not_asked_again_at_once failed first.

--- a/crates/forward/src/line.rs
+++ b/crates/forward/src/line.rs
@@ -477,11 +477,12 @@
         std::mem::take(&mut self.freed)
     }
 
-    /// The endpoint had no room for a result although some was left by this count: what else it
-    /// keeps is taken to go soon.
+    /// The endpoint had no room for a result of `bytes` although some was left by this count: it
+    /// keeps so much else that none of that size fits, which is taken to go soon.
     pub(crate) fn no_room(&mut self, endpoint: &str, bytes: u64, now: Instant) {
+        let most = self.batch.room_bytes.saturating_sub(bytes.max(1)) + 1;
         if let Some(hand) = self.hands.get_mut(endpoint) {
-            hand.hidden += bytes;
+            hand.hidden = hand.hidden.max(most.saturating_sub(hand.held));
             hand.hidden_until = Some(now + hand.hidden_for);
         }
     }
@@ -605,6 +606,26 @@
         assert_eq!(pauses, [0, 240, 480, 960, 960]);
     }
 
+    /// A pool whose endpoints keep results of others: a result much smaller than the room does not
+    /// find out call by call how much is taken.
+    #[tokio::test(start_paused = true)]
+    async fn an_endpoint_without_room_for_a_small_result_is_not_asked_again_at_once() {
+        let (mut line, pool) = (line(), pool(&[("i-1", "a")]));
+        let reachable = Reachable::default();
+        let small = Submission {
+            result_bytes: ROOM / 100,
+            ..submission()
+        };
+        line.take(small, &pool, &reachable, Instant::now()).unwrap();
+        let next = line.next_call(&pool, &reachable, Instant::now()).unwrap();
+        let ended = Ended::Answered(vec![Err(ItemFailure::NoRoom)]);
+        line.ended(&next, next.expected, &ended, Instant::now());
+        line.no_room("i-1", ROOM / 100, Instant::now());
+        line.put_back(next.jobs[0].clone());
+        let again = line.next_call(&pool, &reachable, Instant::now());
+        assert!(again.is_none());
+    }
+
     /// How long an item of zone a with `crossing_bytes` that is due in `due_ms` waits while the
     /// only endpoint there is busy and one of zone b is free.
     async fn waits_ms(crossing_bytes: u64, due_ms: i64) -> u128 {
