--- a/crates/forward/src/line.rs
+++ b/crates/forward/src/line.rs
@@ -31,6 +31,9 @@
 /// How long an endpoint is thought to keep more than was counted, at first and at most.
 const HIDDEN: Duration = Duration::from_millis(120);
 const MAX_HIDDEN: Duration = Duration::from_millis(960);
+/// Pause before a call to an endpoint that had room for no result of the last one, unless a result
+/// is given up there before.
+const NO_ROOM_PAUSE: Duration = Duration::from_millis(25);
 
 /// Place in the line: when it is due, later the less urgent it is, in milliseconds since the line's
 /// start; then age.
@@ -90,6 +93,8 @@
     hidden_until: Option<Instant>,
     /// For how long it is believed the next time.
     hidden_for: Duration,
+    /// Until when it gets no call, since it had room for no result of the last one.
+    full_until: Option<Instant>,
 }
 
 impl Hand {
@@ -101,6 +106,7 @@
             hidden: 0,
             hidden_until: None,
             hidden_for: HIDDEN,
+            full_until: None,
         }
     }
 }
@@ -279,7 +285,11 @@
         }
         let sound = self.sound(pool, reachable, now);
         let zones = self.zones(&sound);
-        let free: Vec<&Arc<Target>> = sound.iter().copied().filter(|t| self.is_free(t)).collect();
+        let free: Vec<&Arc<Target>> = sound
+            .iter()
+            .copied()
+            .filter(|t| self.is_free(t, now))
+            .collect();
         if free.is_empty() {
             return None;
         }
@@ -370,9 +380,11 @@
         first.chain(self.jobs.iter().filter(move |(_, job)| !is_first(job)))
     }
 
-    fn is_free(&self, target: &Target) -> bool {
-        let calls = self.hands.get(&target.name).map_or(0, |hand| hand.calls);
-        calls < self.slots
+    fn is_free(&self, target: &Target, now: Instant) -> bool {
+        let hand = self.hands.get(&target.name);
+        let calls = hand.map_or(0, |hand| hand.calls);
+        let is_full = hand.is_some_and(|hand| hand.full_until.is_some_and(|until| now < until));
+        calls < self.slots && !is_full
     }
 
     /// Which availability zones have endpoints, and which have more items than these can take soon.
@@ -444,6 +456,8 @@
             true => (hand.hidden_for * 2).min(MAX_HIDDEN),
             false => HIDDEN,
         };
+        let has_any = results.iter().any(|r| *r != Err(ItemFailure::NoRoom));
+        hand.full_until = (!has_any).then(|| now + NO_ROOM_PAUSE);
         for (job, handle) in next.jobs.iter().zip(results) {
             let Ok(handle) = handle else { continue };
             let bytes = job.ticket.submission.result_bytes;
@@ -477,12 +491,11 @@
         std::mem::take(&mut self.freed)
     }
 
-    /// The endpoint had no room for a result of `bytes` although some was left by this count: it
-    /// keeps so much else that none of that size fits, which is taken to go soon.
+    /// The endpoint had no room for a result although some was left by this count: what else it
+    /// keeps is taken to go soon.
     pub(crate) fn no_room(&mut self, endpoint: &str, bytes: u64, now: Instant) {
-        let most = self.batch.room_bytes.saturating_sub(bytes.max(1)) + 1;
         if let Some(hand) = self.hands.get_mut(endpoint) {
-            hand.hidden = hand.hidden.max(most.saturating_sub(hand.held));
+            hand.hidden += bytes;
             hand.hidden_until = Some(now + hand.hidden_for);
         }
     }
@@ -494,6 +507,7 @@
         };
         if let Some(hand) = self.hands.get_mut(&kept.endpoint) {
             hand.held = hand.held.saturating_sub(kept.bytes);
+            hand.full_until = None;
         }
     }
 
