Stages go to a zone's collector that can be reached, hear early that they can't be in time, and leave time for what follows

Without a link to the zone's collector each gate collected for itself at once, for all endpoints of zones that it reached: up to 54 queues over the endpoints of three zones. Change: a stage goes to zones with sound endpoints in turn (zones::in_order): the wanted one, the own one, another; a gate collects for itself only where no zone's collector can be reached. A link that was lost 0.2 s ago or less is waited for, and gates down in the order are replaced by the next. Too long a queue is told as such at once, also for what a more urgent burst puts back (Line::shed), and the next zone is asked. Time that later stages and the request need is kept back from a stage's deadline. The order of collectors is kept, not hashed anew for each stage. Tests, which name the load: zones (a lost zone, a zone without endpoints), line what_a_more_urgent_burst_…, a_stage_that_has_begun_…. They fail on the code before, which has neither.

--- a/crates/forward/src/collector.rs
+++ b/crates/forward/src/collector.rs
@@ -4,7 +4,7 @@
 //! slot and room for results, it gets the fullest call that the line can make.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -137,6 +137,11 @@
         Ok(id)
     }
 
+    /// How many endpoints of `service` take new work now, by availability zone.
+    pub(crate) fn sound_by_zone(&self, service: &str) -> BTreeMap<String, usize> {
+        self.shared.cx.fleet.sound_by_zone(service)
+    }
+
     /// Waits for what was taken under `ticket`.
     pub(crate) async fn wait(&self, ticket: u64) -> Result<Vec<Made>, StageFailure> {
         let found = self.tickets().get(&ticket).cloned();
--- a/crates/forward/src/fleet.rs
+++ b/crates/forward/src/fleet.rs
@@ -1,7 +1,7 @@
 //! The endpoints as this gate knows them: what keepers told, and what its own calls showed.
 
 use std::{
-    collections::{BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError, RwLock,
@@ -191,6 +191,18 @@
         pools.get(service).cloned()
     }
 
+    /// How many endpoints of `service` take new work now, by availability zone.
+    pub(crate) fn sound_by_zone(&self, service: &str) -> BTreeMap<String, usize> {
+        let (now, reachable) = (Instant::now(), self.reachable());
+        let mut zones = BTreeMap::new();
+        if let Some(pool) = self.pool(service) {
+            for target in pool.sound(&reachable, now) {
+                *zones.entry(target.az.clone()).or_default() += 1;
+            }
+        }
+        zones
+    }
+
     /// The endpoints of all services, counted.
     pub(crate) fn counted(&self) -> Vec<Counted> {
         let now = Instant::now();
--- a/crates/forward/src/gates.rs
+++ b/crates/forward/src/gates.rs
@@ -21,6 +21,8 @@
 const SILENCE: Duration = Duration::from_millis(1_200);
 /// Time in which a link that was asked for comes up.
 const DIALING: Duration = Duration::from_millis(800);
+/// Time in which a link that was lost comes up again where its gate still runs.
+const REDIALING: Duration = Duration::from_millis(200);
 /// Gates in the order of a service to which links are kept, beside those that are asked for.
 const STANDBY: usize = 1;
 
@@ -31,6 +33,8 @@
     Own,
     /// Another one.
     Other(Peer),
+    /// None of the gates that collect for that availability zone can be reached.
+    Nobody,
 }
 
 /// A gate as keepers know it.
@@ -46,13 +50,30 @@
     was_up: bool,
     /// When its link was asked for.
     dialed: Option<Instant>,
+    /// When its link, which had been up, was first found down.
+    lost: Option<Instant>,
 }
 
 impl Gate {
-    /// Whether it can be asked now, or in a moment: a link that was just asked for comes up soon.
+    /// Whether it can be asked now, or in a moment: a link that was just asked for or just lost
+    /// comes up soon. Turning to another gate for that moment would have two collect for the same
+    /// endpoints.
     fn is_usable(&self) -> bool {
-        let is_new = self.dialed.is_some_and(|at| at.elapsed() < DIALING);
-        self.is_reachable() || !self.was_up && is_new
+        let is_within = |at: Option<Instant>, limit| at.is_some_and(|at| at.elapsed() < limit);
+        match self.was_up {
+            _ if self.is_reachable() => true,
+            true => is_within(self.lost, REDIALING),
+            false => is_within(self.dialed, DIALING),
+        }
+    }
+
+    /// Notes whether its link is up.
+    fn look(&mut self) {
+        if self.is_reachable() {
+            (self.was_up, self.lost) = (true, None);
+        } else if self.was_up {
+            self.lost.get_or_insert_with(Instant::now);
+        }
     }
 
     fn is_reachable(&self) -> bool {
@@ -87,6 +108,8 @@
     gates: Vec<Gate>,
     /// Who collects, by service and availability zone, as it was last.
     chosen: HashMap<(String, String), String>,
+    /// Places in `gates` by service and availability zone, in the order in which they collect.
+    orders: HashMap<(String, String), Arc<[usize]>>,
 }
 
 impl Known {
@@ -94,6 +117,25 @@
         self.gates.len() <= MAX_TOGETHER
     }
 
+    /// The gates that collect for `service` in `az`, in an order that all gates share.
+    fn order(&mut self, service: &str, az: &str) -> Arc<[usize]> {
+        let key = (service.to_owned(), az.to_owned());
+        if let Some(order) = self.orders.get(&key) {
+            return Arc::clone(order);
+        }
+        let rank = |gate: &Gate| xxh3_64(format!("{service}/{}", gate.name).as_bytes());
+        let is_together = self.is_together();
+        let gates = self.gates.iter().enumerate();
+        let mut order: Vec<(u64, usize)> = gates
+            .filter(|(_, gate)| is_together || gate.az == az)
+            .map(|(at, gate)| (rank(gate), at))
+            .collect();
+        order.sort_unstable();
+        let order: Arc<[usize]> = order.into_iter().map(|(_, at)| at).collect();
+        self.orders.insert(key, Arc::clone(&order));
+        order
+    }
+
     /// Notes who collects the items of `service` in `az`.
     fn note(&mut self, service: &str, az: &str, gate: &str) {
         let key = (service.to_owned(), az.to_owned());
@@ -122,7 +164,7 @@
         };
         let known = Known {
             gates: vec![own(&links)],
-            chosen: HashMap::new(),
+            ..Known::default()
         };
         Self {
             shared: Arc::new(Shared {
@@ -150,6 +192,11 @@
         zones.len()
     }
 
+    /// This gate's availability zone.
+    pub(crate) fn az(&self) -> &str {
+        &self.shared.links.identity.az
+    }
+
     /// Whether each availability zone collects its own items, since there are many gates.
     pub(crate) fn is_apart(&self) -> bool {
         !self.known().is_together()
@@ -176,11 +223,13 @@
                 peer: None,
                 was_up: false,
                 dialed: None,
+                lost: None,
             };
             Some(known_as(&v.endpoint, address).unwrap_or_else(new))
         });
         known.gates = gates.collect();
         known.gates.push(own(links));
+        known.orders.clear();
         if known.is_together() {
             known.gates.iter_mut().for_each(|gate| gate.dial(links));
         }
@@ -193,7 +242,7 @@
         let mut zones: BTreeMap<String, (bool, bool)> = BTreeMap::new();
         for gate in known.gates.iter_mut().filter(|gate| gate.peer.is_some()) {
             let is_up = gate.is_reachable();
-            gate.was_up |= is_up;
+            gate.look();
             let (any_was, any_is) = zones.entry(gate.az.clone()).or_default();
             *any_was |= gate.was_up;
             *any_is |= is_up;
@@ -209,25 +258,25 @@
     pub(crate) fn collecting(&self, service: &str, az: &str, skip: usize) -> Collecting {
         let mut known = self.known();
         let is_together = known.is_together();
-        let rank = |gate: &Gate| xxh3_64(format!("{service}/{}", gate.name).as_bytes());
-        let mut order: Vec<(u64, usize)> = known
-            .gates
-            .iter()
-            .enumerate()
-            .filter(|(_, gate)| is_together || gate.az == az)
-            .map(|(at, gate)| (rank(gate), at))
-            .collect();
-        order.sort_unstable();
-        for (_, at) in order.iter().take(skip + 1 + STANDBY) {
-            known.gates[*at].dial(&self.shared.links);
-        }
-        for (_, at) in &order {
-            known.gates[*at].was_up |= known.gates[*at].is_reachable();
+        let order = known.order(service, az);
+        let mut usable = 0;
+        let mut chosen = None;
+        for at in order.iter() {
+            let gate = &mut known.gates[*at];
+            gate.look();
+            // Those that can't be reached are passed over, and the next ones linked in their place.
+            if usable <= skip + STANDBY {
+                gate.dial(&self.shared.links);
+            }
+            if gate.is_usable() {
+                usable += 1;
+            }
+            if usable == skip + 1 {
+                chosen.get_or_insert(*at);
+            }
         }
-        let gates = &known.gates;
-        let usable = order.iter().map(|(_, at)| &gates[*at]);
-        let Some(chosen) = usable.filter(|gate| gate.is_usable()).nth(skip) else {
-            return Collecting::Own;
+        let Some(chosen) = chosen.map(|at| &known.gates[at]) else {
+            return Collecting::Nobody;
         };
         let (name, peer) = (chosen.name.clone(), chosen.peer.clone());
         if skip == 0 {
@@ -245,6 +294,7 @@
         peer: None,
         was_up: true,
         dialed: None,
+        lost: None,
     }
 }
 
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -39,6 +39,7 @@
 mod testing;
 mod ticket;
 mod written;
+mod zones;
 
 pub use budgets::SharedBudget;
 pub use dialect::{
--- a/crates/forward/src/line.rs
+++ b/crates/forward/src/line.rs
@@ -31,6 +31,8 @@
 /// How long an endpoint is thought to keep more than was counted, at first and at most.
 const HIDDEN: Duration = Duration::from_millis(120);
 const MAX_HIDDEN: Duration = Duration::from_millis(960);
+/// Time between looks at which stages can't be done in time any more.
+const SHED_EVERY: Duration = Duration::from_millis(50);
 /// Pause before a call to an endpoint that had room for no result of the last one, unless a result
 /// is given up there before.
 const NO_ROOM_PAUSE: Duration = Duration::from_millis(25);
@@ -157,6 +159,8 @@
     kept: HashMap<String, Kept>,
     expiry: VecDeque<(Instant, String)>,
     freed: HashMap<SocketAddr, Vec<String>>,
+    /// When it was last looked at which stages can't be done in time any more.
+    shed_at: Option<Instant>,
 }
 
 impl Line {
@@ -179,6 +183,7 @@
             kept: HashMap::new(),
             expiry: VecDeque::new(),
             freed: HashMap::new(),
+            shed_at: None,
         }
     }
 
@@ -217,7 +222,7 @@
         let wait = self.wait(place, sound);
         let own = self.call_time(submission.items.min(self.batch.items));
         if wait + own > submission.left {
-            return Err(StageFailure::Late { retry_after: wait });
+            return Err(StageFailure::Crowded { retry_after: wait });
         }
         let ticket = Arc::new(Ticket::new(submission, now));
         for item in 0..ticket.submission.items {
@@ -284,6 +289,7 @@
             }
         }
         let sound = self.sound(pool, reachable, now);
+        self.shed(sound.len(), now);
         let zones = self.zones(&sound);
         let free: Vec<&Arc<Target>> = sound
             .iter()
@@ -537,140 +543,38 @@
     }
 }
 
-#[cfg(test)]
-mod tests {
-    use std::{sync::Arc, time::Duration};
-
-    use declaration::{Batch, Capacity};
-    use tokio::time::{Instant, sleep};
-
-    use super::Line;
-    use crate::{
-        ended::{Ended, ItemFailure},
-        fleet::{Fleet, Pool, Reachable},
-        messages::Submission,
-        testing::{mirror, view},
-    };
-
-    /// Room of one endpoint, in bytes.
-    const ROOM: u64 = 1_000_000;
-
-    /// Endpoints with their availability zones.
-    fn pool(endpoints: &[(&str, &str)]) -> Arc<Pool> {
-        let fleet = Fleet::default();
-        let views = endpoints.iter().map(|(name, az)| view(name, "ice", az));
-        fleet.update(&mirror(views), |_| None);
-        fleet.pool("ice").unwrap()
-    }
-
-    fn line() -> Line {
-        let mut line = Line::new(None);
-        line.declare(&Capacity {
-            slots: Some(1),
-            batch: Some(Batch {
-                items: 4,
-                call: Duration::from_millis(200),
-                item: Duration::from_millis(20),
-                room_bytes: ROOM,
-                keep: Duration::from_secs(4),
-            }),
-            ..Capacity::default()
-        });
-        line
-    }
-
-    fn submission() -> Submission {
-        Submission {
-            request: "r1".to_owned(),
-            service: "ice".to_owned(),
-            stage: 0,
-            items: 1,
-            key: None,
-            inputs: Vec::new(),
-            result_bytes: ROOM,
-            crossing_bytes: 0,
-            left: Duration::from_secs(20),
-            urgency: 0,
-            due_ms: 1_000,
-            az: "a".to_owned(),
+impl Line {
+    /// Fails stages that have not begun and, behind what waits before them, can't be done in time:
+    /// what came later and is more urgent has put them back. Their requests may still be served in
+    /// another availability zone, or come back, if they hear of it now and not at their deadline.
+    fn shed(&mut self, endpoints: usize, now: Instant) {
+        let is_early = self.shed_at.is_some_and(|at| now < at + SHED_EVERY);
+        if endpoints == 0 || is_early {
+            return;
         }
-    }
-
-    #[tokio::test(start_paused = true)]
-    async fn an_endpoint_without_room_is_left_alone_for_longer_each_time() {
-        let (mut line, pool) = (line(), pool(&[("i-1", "a")]));
-        let reachable = Reachable::default();
-        let taken = line.take(submission(), &pool, &reachable, Instant::now());
-        taken.unwrap();
-        let mut pauses = Vec::new();
-        for _ in 0..5 {
-            let start = Instant::now();
-            let next = loop {
-                match line.next_call(&pool, &reachable, Instant::now()) {
-                    Some(next) => break next,
-                    None => sleep(Duration::from_millis(10)).await,
-                }
-            };
-            pauses.push(start.elapsed().as_millis());
-            let ended = Ended::Answered(vec![Err(ItemFailure::NoRoom)]);
-            line.ended(&next, next.expected, &ended, Instant::now());
-            line.no_room("i-1", ROOM, Instant::now());
-            line.put_back(next.jobs[0].clone());
+        self.shed_at = Some(now);
+        let calls_at_once = (endpoints * self.slots as usize) as f64;
+        let full = self.call_time(self.batch.items);
+        let an_item = full.div_f64(calls_at_once * f64::from(self.batch.items));
+        let (own, mut ahead) = (self.call_time(1), 0_u32);
+        let mut hopeless: HashMap<u64, Arc<Ticket>> = HashMap::new();
+        for (_, job) in self.in_order(self.first_due(now)) {
+            let ticket = &job.ticket;
+            let is_in_time = now + an_item * ahead + own <= ticket.deadline;
+            if ticket.has_begun() || is_in_time && !hopeless.contains_key(&ticket.id) {
+                ahead += 1;
+            } else {
+                hopeless.insert(ticket.id, Arc::clone(ticket));
+            }
         }
-        assert_eq!(pauses, [0, 240, 480, 960, 960]);
-    }
-
-    /// A pool whose endpoints keep results of others: a result much smaller than the room does not
-    /// find out call by call how much is taken.
-    #[tokio::test(start_paused = true)]
-    async fn an_endpoint_without_room_for_a_small_result_is_not_asked_again_at_once() {
-        let (mut line, pool) = (line(), pool(&[("i-1", "a")]));
-        let reachable = Reachable::default();
-        let small = Submission {
-            result_bytes: ROOM / 100,
-            ..submission()
-        };
-        line.take(small, &pool, &reachable, Instant::now()).unwrap();
-        let next = line.next_call(&pool, &reachable, Instant::now()).unwrap();
-        let ended = Ended::Answered(vec![Err(ItemFailure::NoRoom)]);
-        line.ended(&next, next.expected, &ended, Instant::now());
-        line.no_room("i-1", ROOM / 100, Instant::now());
-        line.put_back(next.jobs[0].clone());
-        let again = line.next_call(&pool, &reachable, Instant::now());
-        assert!(again.is_none());
-    }
-
-    /// How long an item of zone a with `crossing_bytes` that is due in `due_ms` waits while the
-    /// only endpoint there is busy and one of zone b is free.
-    async fn waits_ms(crossing_bytes: u64, due_ms: i64) -> u128 {
-        let (mut line, pool) = (line(), pool(&[("i-1", "a"), ("i-2", "b")]));
-        let reachable = Reachable::default();
-        let items = |crossing_bytes, due_ms| Submission {
-            crossing_bytes,
-            due_ms,
-            result_bytes: 1,
-            ..submission()
-        };
-        let first = items(u64::MAX / 2, 1_000);
-        line.take(first, &pool, &reachable, Instant::now()).unwrap();
-        let busy = line.next_call(&pool, &reachable, Instant::now()).unwrap();
-        assert_eq!(busy.target.name, "i-1");
-        let second = items(crossing_bytes, due_ms);
-        line.take(second, &pool, &reachable, Instant::now())
-            .unwrap();
-        let start = Instant::now();
-        while line.next_call(&pool, &reachable, Instant::now()).is_none() {
-            sleep(Duration::from_millis(10)).await;
+        let retry_after = an_item * ahead;
+        self.jobs
+            .retain(|_, job| !hopeless.contains_key(&job.ticket.id));
+        for ticket in hopeless.values() {
+            ticket.fail(StageFailure::Crowded { retry_after });
         }
-        start.elapsed().as_millis()
-    }
-
-    #[tokio::test(start_paused = true)]
-    async fn items_wait_for_their_zone_by_their_bytes_while_they_have_time() {
-        // A call of four items takes 280 ms.
-        assert_eq!(waits_ms(3_000_000, 1_000).await, 280);
-        assert_eq!(waits_ms(1_000_000, 1_000).await, 140);
-        assert_eq!(waits_ms(3_000_000, 400).await, 120, "no more is to spare");
-        assert_eq!(waits_ms(0, 1_000).await, 0);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/forward/src/line/tests.rs
@@ -0,0 +1,186 @@
+//! Loads and faults that a queue meets, without a network.
+
+use std::{sync::Arc, time::Duration};
+
+use declaration::{Batch, Capacity};
+use tokio::time::{Instant, sleep};
+
+use super::Line;
+use crate::{
+    ended::{Ended, ItemFailure},
+    fleet::{Fleet, Pool, Reachable},
+    messages::{StageFailure, Submission},
+    testing::{mirror, view},
+};
+
+/// Room of one endpoint, in bytes.
+const ROOM: u64 = 1_000_000;
+
+/// Endpoints with their availability zones.
+fn pool(endpoints: &[(&str, &str)]) -> Arc<Pool> {
+    let fleet = Fleet::default();
+    let views = endpoints.iter().map(|(name, az)| view(name, "ice", az));
+    fleet.update(&mirror(views), |_| None);
+    fleet.pool("ice").unwrap()
+}
+
+fn line() -> Line {
+    let mut line = Line::new(None);
+    line.declare(&Capacity {
+        slots: Some(1),
+        batch: Some(Batch {
+            items: 4,
+            call: Duration::from_millis(200),
+            item: Duration::from_millis(20),
+            room_bytes: ROOM,
+            keep: Duration::from_secs(4),
+        }),
+        ..Capacity::default()
+    });
+    line
+}
+
+fn submission() -> Submission {
+    Submission {
+        request: "r1".to_owned(),
+        service: "ice".to_owned(),
+        stage: 0,
+        items: 1,
+        key: None,
+        inputs: Vec::new(),
+        result_bytes: ROOM,
+        crossing_bytes: 0,
+        left: Duration::from_secs(20),
+        urgency: 0,
+        due_ms: 1_000,
+        az: "a".to_owned(),
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_endpoint_without_room_is_left_alone_for_longer_each_time() {
+    let (mut line, pool) = (line(), pool(&[("i-1", "a")]));
+    let reachable = Reachable::default();
+    let taken = line.take(submission(), &pool, &reachable, Instant::now());
+    taken.unwrap();
+    let mut pauses = Vec::new();
+    for _ in 0..5 {
+        let start = Instant::now();
+        let next = loop {
+            match line.next_call(&pool, &reachable, Instant::now()) {
+                Some(next) => break next,
+                None => sleep(Duration::from_millis(10)).await,
+            }
+        };
+        pauses.push(start.elapsed().as_millis());
+        let ended = Ended::Answered(vec![Err(ItemFailure::NoRoom)]);
+        line.ended(&next, next.expected, &ended, Instant::now());
+        line.no_room("i-1", ROOM, Instant::now());
+        line.put_back(next.jobs[0].clone());
+    }
+    assert_eq!(pauses, [0, 240, 480, 960, 960]);
+}
+
+/// A pool whose endpoints keep results of others: a result much smaller than the room does not
+/// find out call by call how much is taken.
+#[tokio::test(start_paused = true)]
+async fn an_endpoint_without_room_for_a_small_result_is_not_asked_again_at_once() {
+    let (mut line, pool) = (line(), pool(&[("i-1", "a")]));
+    let reachable = Reachable::default();
+    let small = Submission {
+        result_bytes: ROOM / 100,
+        ..submission()
+    };
+    line.take(small, &pool, &reachable, Instant::now()).unwrap();
+    let next = line.next_call(&pool, &reachable, Instant::now()).unwrap();
+    let ended = Ended::Answered(vec![Err(ItemFailure::NoRoom)]);
+    line.ended(&next, next.expected, &ended, Instant::now());
+    line.no_room("i-1", ROOM / 100, Instant::now());
+    line.put_back(next.jobs[0].clone());
+    let again = line.next_call(&pool, &reachable, Instant::now());
+    assert!(again.is_none());
+}
+
+/// How long an item of zone a with `crossing_bytes` that is due in `due_ms` waits while the
+/// only endpoint there is busy and one of zone b is free.
+async fn waits_ms(crossing_bytes: u64, due_ms: i64) -> u128 {
+    let (mut line, pool) = (line(), pool(&[("i-1", "a"), ("i-2", "b")]));
+    let reachable = Reachable::default();
+    let items = |crossing_bytes, due_ms| Submission {
+        crossing_bytes,
+        due_ms,
+        result_bytes: 1,
+        ..submission()
+    };
+    let first = items(u64::MAX / 2, 1_000);
+    line.take(first, &pool, &reachable, Instant::now()).unwrap();
+    let busy = line.next_call(&pool, &reachable, Instant::now()).unwrap();
+    assert_eq!(busy.target.name, "i-1");
+    let second = items(crossing_bytes, due_ms);
+    line.take(second, &pool, &reachable, Instant::now())
+        .unwrap();
+    let start = Instant::now();
+    while line.next_call(&pool, &reachable, Instant::now()).is_none() {
+        sleep(Duration::from_millis(10)).await;
+    }
+    start.elapsed().as_millis()
+}
+
+#[tokio::test(start_paused = true)]
+async fn items_wait_for_their_zone_by_their_bytes_while_they_have_time() {
+    // A call of four items takes 280 ms.
+    assert_eq!(waits_ms(3_000_000, 1_000).await, 280);
+    assert_eq!(waits_ms(1_000_000, 1_000).await, 140);
+    assert_eq!(waits_ms(3_000_000, 400).await, 120, "no more is to spare");
+    assert_eq!(waits_ms(0, 1_000).await, 0);
+}
+
+/// A burst of an urgent class over a pool that a less urgent one shares: the less urgent requests
+/// that it puts back beyond their time hear so at once, with time left to be served elsewhere.
+#[tokio::test(start_paused = true)]
+async fn what_a_more_urgent_burst_puts_back_beyond_its_time_is_refused_at_once() {
+    let (mut line, pool) = (line(), pool(&[("i-1", "a")]));
+    let reachable = Reachable::default();
+    let items = |items, urgency, left_ms| Submission {
+        items,
+        urgency,
+        left: Duration::from_millis(left_ms),
+        result_bytes: 1,
+        ..submission()
+    };
+    let now = Instant::now();
+    let mut take = |s| line.take(s, &pool, &reachable, now).unwrap();
+    // A call of four items takes 280 ms. Three calls' worth fit before this one's time is over.
+    let plain = take(items(4, 2, 1_200));
+    let urgent: Vec<_> = (0..6).map(|_| take(items(4, 0, 5_000))).collect();
+    let first = line.next_call(&pool, &reachable, now).unwrap();
+    assert_eq!(first.jobs[0].ticket.id, urgent[0].id);
+    assert!(plain.is_over());
+    assert!(urgent.iter().all(|ticket| !ticket.is_over()));
+    let failure = plain.finished().await.unwrap_err();
+    assert!(matches!(failure, StageFailure::Crowded { .. }), "{failure}");
+}
+
+/// The same load where the less urgent stage has begun: its results are there already.
+#[tokio::test(start_paused = true)]
+async fn a_stage_that_has_begun_is_not_refused_for_a_burst_behind_it() {
+    let (mut line, pool) = (line(), pool(&[("i-1", "a"), ("i-2", "a")]));
+    let reachable = Reachable::default();
+    let items = |items, urgency, left_ms| Submission {
+        items,
+        urgency,
+        left: Duration::from_millis(left_ms),
+        result_bytes: 1,
+        ..submission()
+    };
+    let now = Instant::now();
+    let plain = line.take(items(8, 2, 1_200), &pool, &reachable, now);
+    let plain = plain.unwrap();
+    line.next_call(&pool, &reachable, now).unwrap();
+    for _ in 0..12 {
+        let urgent = items(4, 0, 5_000);
+        line.take(urgent, &pool, &reachable, now).unwrap();
+    }
+    line.next_call(&pool, &reachable, now).unwrap();
+    assert!(!plain.is_over());
+}
--- a/crates/forward/src/messages.rs
+++ b/crates/forward/src/messages.rs
@@ -34,7 +34,7 @@
     /// Bytes that cross zones where all its items are made in another one, about.
     #[serde(rename = "c")]
     pub crossing_bytes: u64,
-    /// Time left.
+    /// Time left until its results are of no use any more.
     #[serde(rename = "l")]
     pub left: Duration,
     /// Urgency, 0 first.
@@ -97,6 +97,12 @@
         /// When there is likely to be room.
         retry_after: Duration,
     },
+    /// More waits for the endpoints than can be done in time; it was not taken.
+    #[error("too much waits for its endpoints; room is likely in {retry_after:?}")]
+    Crowded {
+        /// When there is likely to be room.
+        retry_after: Duration,
+    },
     /// An input is gone.
     #[error("an input is gone")]
     InputGone,
--- a/crates/forward/src/serving.rs
+++ b/crates/forward/src/serving.rs
@@ -222,7 +222,7 @@
     };
     let stages = cx.stages.run(&work);
     stages.await.map_err(|failure| match failure {
-        StageFailure::Late { retry_after } => {
+        StageFailure::Late { retry_after } | StageFailure::Crowded { retry_after } => {
             Unserved::come_back(Refusal::StagesLate, retry_after.max(COME_BACK))
         }
         StageFailure::NoEndpoint => Unserved::come_back(Refusal::NoEndpoint, COME_BACK),
--- a/crates/forward/src/stages.rs
+++ b/crates/forward/src/stages.rs
@@ -19,6 +19,7 @@
     messages::{Made, StageFailure, StageReply, StageRequest, Submission},
     metrics::Metrics,
     rules::Rules,
+    zones,
 };
 
 /// Bound on handing items to the gate that collects them.
@@ -158,10 +159,19 @@
 impl Work<'_> {
     /// Time since the submission was first made, in milliseconds.
     fn spent_ms(&self, submission: &Submission) -> u64 {
-        let left = self.deadline.saturating_duration_since(Instant::now());
+        let left = self.left(submission.stage);
         submission.left.saturating_sub(left).as_millis() as u64
     }
 
+    /// Time left in which results of stage `number` are of use: the stages behind it and the request
+    /// need the rest. What the request is likely to take counts up to its objective, so that an
+    /// estimate made under load doesn't refuse everything.
+    fn left(&self, number: usize) -> Duration {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let after = self.after.min(self.route.objective);
+        left.saturating_sub(self.behind(number) + after)
+    }
+
     /// Milliseconds until the results of stage `number` have to be there if the request is to meet
     /// its objective.
     fn due_ms(&self, number: usize) -> i64 {
@@ -255,15 +265,51 @@
             due_ms: work.due_ms(number),
             az: heaviest(inputs).unwrap_or_else(|| work.az.to_owned()),
         };
-        for skip in 0..MAX_COLLECTORS {
-            submission.left = work.deadline.saturating_duration_since(Instant::now());
-            match self.submit(work, &submission, skip).await {
+        let zones = self.zones(&submission);
+        let mut crowded = None;
+        for az in zones {
+            submission.az = az;
+            match self.in_zone(work, &mut submission).await {
                 Ok(results) => return Ok(Some(results)),
                 Err(StageFailure::Unreachable) => {}
+                // Another zone may have slots free.
+                Err(failure @ StageFailure::Crowded { .. }) => crowded = Some(failure),
                 Err(failure) => return Err(failure),
             }
         }
-        self.own(work, &submission).await.map(Some)
+        match crowded {
+            Some(failure) => Err(failure),
+            None => self.own(work, &submission).await.map(Some),
+        }
+    }
+
+    /// The availability zones whose collectors are asked in turn: one alone where all zones' items
+    /// are collected together.
+    fn zones(&self, submission: &Submission) -> Vec<String> {
+        if !self.gates.is_apart() {
+            return vec![submission.az.clone()];
+        }
+        let sound = self.collector.sound_by_zone(&submission.service);
+        let own = self.gates.az();
+        let zones = zones::in_order(&submission.az, own, &sound, &submission.request);
+        zones.into_iter().map(str::to_owned).collect()
+    }
+
+    /// Hands the items to the gates that collect in their zone, one after the other until one takes
+    /// or refuses them.
+    async fn in_zone(
+        &self,
+        work: &Work<'_>,
+        submission: &mut Submission,
+    ) -> Result<Results, StageFailure> {
+        for skip in 0..MAX_COLLECTORS {
+            submission.left = work.left(submission.stage);
+            match self.submit(work, submission, skip).await {
+                Err(StageFailure::Unreachable) => {}
+                ended => return ended,
+            }
+        }
+        Err(StageFailure::Unreachable)
     }
 
     /// Notes what came of a stage that `collector` collected.
@@ -319,6 +365,7 @@
         {
             Collecting::Own => return self.own(work, submission).await,
             Collecting::Other(peer) => peer,
+            Collecting::Nobody => return Err(StageFailure::Unreachable),
         };
         Self::note_sent(work, submission, peer.name());
         // One that was just asked for comes up in a moment.
--- /dev/null
+++ b/crates/forward/src/zones/tests.rs
@@ -0,0 +1,40 @@
+//! Zones that are lost, empty or crowded.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::in_order;
+
+fn sound(zones: &[(&str, usize)]) -> BTreeMap<String, usize> {
+    let zones = zones.iter();
+    zones.map(|(az, n)| ((*az).to_owned(), *n)).collect()
+}
+
+#[test]
+fn the_wanted_zone_goes_first_then_the_own_one() {
+    let sound = sound(&[("a", 2), ("b", 2), ("c", 2), ("d", 2)]);
+    let zones = in_order("c", "a", &sound, "r1");
+    assert_eq!(zones[..2], ["c", "a"]);
+    assert_eq!(zones.len(), 3);
+}
+
+/// A zone lost in a burst: its gates and endpoints can't be reached, and each gate that collected
+/// for it alone would call the endpoints for which others collect.
+#[test]
+fn items_for_a_lost_zone_go_to_the_collector_of_the_own_one() {
+    let sound = sound(&[("a", 2), ("b", 2)]);
+    assert_eq!(in_order("c", "a", &sound, "r1"), ["a", "b"]);
+}
+
+/// A zone without endpoints of the service, its own gate's included.
+#[test]
+fn requests_of_a_zone_without_endpoints_are_spread_over_the_others() {
+    let sound = sound(&[("b", 2), ("c", 2), ("d", 2)]);
+    let first = |n: u32| in_order("a", "a", &sound, &format!("r{n}"))[0];
+    let firsts: BTreeSet<&str> = (0..30).map(first).collect();
+    assert_eq!(firsts, BTreeSet::from(["b", "c", "d"]));
+}
+
+#[test]
+fn the_wanted_zone_stands_where_no_endpoint_is_known() {
+    assert_eq!(in_order("a", "b", &BTreeMap::new(), "r1"), ["a"]);
+}
