Stages end with the callers' patience for a first event and with the results they need

What can't be in time by these bounds is refused as soon as the queue shows it. took_ms of a stage counts each offer by itself.

--- a/crates/console/src/fields.rs
+++ b/crates/console/src/fields.rs
@@ -285,6 +285,12 @@
         "of a caller",
         Input::Number,
     ),
+    field(
+        "first_event_ms",
+        "Longest wait for the first event (ms)",
+        "of a stream; callers leave after it",
+        Input::Number,
+    ),
     field(
         "pause_ms",
         "Longest pause (ms)",
--- a/crates/declaration/src/read_route.rs
+++ b/crates/declaration/src/read_route.rs
@@ -33,9 +33,8 @@
         repeat: repeat(keys),
         objective: millis(keys, "objective_ms", longest.as_millis() as u64, 0),
         longest,
-        pause: keys
-            .optional_number("pause_ms", 0, MAX_MS)
-            .map(Duration::from_millis),
+        first_event: optional_millis(keys, "first_event_ms", 1),
+        pause: optional_millis(keys, "pause_ms", 0),
         priority: Priority(keys.number("priority", 1, 0, u64::from(Priority::MAX)) as u8),
         attempts: keys.number("attempts", 1, 1, MAX_COUNT) as u32,
         public: flag(keys, "public"),
@@ -166,6 +165,11 @@
     }
 }
 
+fn optional_millis(keys: &mut Keys<'_>, key: &str, low: u64) -> Option<Duration> {
+    let ms = keys.optional_number(key, low, MAX_MS);
+    ms.map(Duration::from_millis)
+}
+
 fn millis(keys: &mut Keys<'_>, key: &str, default: u64, low: u64) -> Duration {
     Duration::from_millis(keys.number(key, default, low, MAX_MS))
 }
--- a/crates/declaration/src/route.rs
+++ b/crates/declaration/src/route.rs
@@ -46,6 +46,8 @@
     pub objective: Duration,
     /// Longest time that a caller is kept waiting.
     pub longest: Duration,
+    /// Longest time that callers wait for a stream's first event, where it is shorter than `longest`.
+    pub first_event: Option<Duration>,
     /// Longest pause between two events of a stream.
     pub pause: Option<Duration>,
     /// Priority against other routes.
--- a/crates/forward/src/serving.rs
+++ b/crates/forward/src/serving.rs
@@ -61,6 +61,8 @@
     pub(crate) service: String,
     pub(crate) urgency: u8,
     pub(crate) deadline: Instant,
+    /// When its caller leaves if no answer has begun.
+    begin_by: Instant,
     pub(crate) story: Arc<Story>,
 }
 
@@ -93,6 +95,7 @@
             service: draw_service(route)?.to_owned(),
             urgency: urgency(caller.as_ref(), route),
             deadline: inquiry.deadline(route.longest),
+            begin_by: inquiry.deadline(route.first_event.unwrap_or(route.longest)),
             inquiry: Arc::new(inquiry),
             matched,
             caller,
@@ -166,8 +169,7 @@
 
 /// Serves a request: its stages, then an endpoint.
 pub(crate) async fn serve(cx: &Context, req: Request) -> Result<Response, Unserved> {
-    let until = req.deadline - ANSWER_MARGIN;
-    let made = timeout_at(until, inputs(cx, &req)).await;
+    let made = timeout_at(req.begin_by - ANSWER_MARGIN, inputs(cx, &req)).await;
     let late = |_| Unserved::come_back(Refusal::StagesLate, COME_BACK);
     let inputs = made.map_err(late).flatten()?;
     let mut tried = Tried::default();
@@ -190,7 +192,7 @@
             }
         }
     };
-    match timeout_at(until, serving).await {
+    match timeout_at(req.deadline - ANSWER_MARGIN, serving).await {
         Ok(result) => result,
         Err(_) if tried.runs > 0 => Err(Unserved::Late),
         Err(_) => Err(Unserved::come_back(Refusal::NoTime, COME_BACK)),
@@ -217,7 +219,7 @@
         urgency: req.urgency,
         rules: &req.matched.rules,
         after: cx.fleet.likely_time(&need),
-        deadline: req.deadline,
+        deadline: req.begin_by,
         az: az.as_deref().unwrap_or(&cx.az),
     };
     let stages = cx.stages.run(&work);
--- a/crates/forward/src/stages.rs
+++ b/crates/forward/src/stages.rs
@@ -31,6 +31,9 @@
 /// Gates that are tried for one stage.
 const MAX_COLLECTORS: usize = 3;
 
+/// How long results are taken to be kept where nothing is declared.
+const LONGEST_KEEP: Duration = Duration::from_hours(1);
+
 /// How this gate is named as the one that collects.
 const OWN: &str = "this gate";
 
@@ -64,6 +67,8 @@
 pub(crate) struct Results {
     made: Vec<Made>,
     bytes: u64,
+    /// When its endpoints may have given them up by themselves.
+    expires: Instant,
     service: String,
     collector: Collector,
     via: Option<Peer>,
@@ -117,6 +122,7 @@
     work: &Work<'_>,
     submission: &Submission,
     gate: &Peer,
+    began: Instant,
     e: &LinkError,
 ) -> StageFailure {
     work.story.note(Event::StageFailed {
@@ -124,7 +130,7 @@
         service: submission.service.clone(),
         collector: gate.name().to_owned(),
         why: format!("the gate that collects was not reached: {e}"),
-        took_ms: work.spent_ms(submission),
+        took_ms: began.elapsed().as_millis() as u64,
     });
     StageFailure::Unreachable
 }
@@ -157,12 +163,6 @@
 }
 
 impl Work<'_> {
-    /// Time since the submission was first made, in milliseconds.
-    fn spent_ms(&self, submission: &Submission) -> u64 {
-        let left = self.left(submission.stage);
-        submission.left.saturating_sub(left).as_millis() as u64
-    }
-
     /// Time left in which results of stage `number` are of use: the stages behind it and the request
     /// need the rest. What the request is likely to take counts up to its objective, so that an
     /// estimate made under load doesn't refuse everything.
@@ -249,6 +249,7 @@
             return Ok(None);
         }
         let stage = &work.route.stages[number];
+        let expires = inputs.iter().map(|results| results.expires).min();
         let handles = inputs.iter().flat_map(|results| results.handles());
         let key = work.inquiry.item_key.clone();
         let mut submission = Submission {
@@ -269,7 +270,7 @@
         let mut crowded = None;
         for az in zones {
             submission.az = az;
-            match self.in_zone(work, &mut submission).await {
+            match self.in_zone(work, &mut submission, expires).await {
                 Ok(results) => return Ok(Some(results)),
                 Err(StageFailure::Unreachable) => {}
                 // Another zone may have slots free.
@@ -301,9 +302,12 @@
         &self,
         work: &Work<'_>,
         submission: &mut Submission,
+        expires: Option<Instant>,
     ) -> Result<Results, StageFailure> {
         for skip in 0..MAX_COLLECTORS {
-            submission.left = work.left(submission.stage);
+            let kept = expires.map(|at| at.saturating_duration_since(Instant::now()));
+            let left = work.left(submission.stage);
+            submission.left = kept.map_or(left, |kept| kept.min(left));
             match self.submit(work, submission, skip).await {
                 Err(StageFailure::Unreachable) => {}
                 ended => return ended,
@@ -318,10 +322,11 @@
         work: &Work<'_>,
         submission: &Submission,
         collector: &str,
+        began: Instant,
         result: &Result<Vec<Made>, StageFailure>,
     ) {
-        let took_ms = work.spent_ms(submission);
-        let took = Duration::from_millis(took_ms);
+        let took = began.elapsed();
+        let took_ms = took.as_millis() as u64;
         self.metrics
             .stage(&submission.service, result.is_ok(), took);
         work.story.note(match result {
@@ -367,6 +372,7 @@
             Collecting::Other(peer) => peer,
             Collecting::Nobody => return Err(StageFailure::Unreachable),
         };
+        let began = Instant::now();
         Self::note_sent(work, submission, peer.name());
         // One that was just asked for comes up in a moment.
         let _ = timeout(SUBMIT_LIMIT, peer.connected()).await;
@@ -375,11 +381,11 @@
             Ok(StageReply::Accepted(ticket)) => ticket,
             Ok(StageReply::Refused(failure)) => {
                 let refused = Err(failure);
-                self.note_end(work, submission, peer.name(), &refused);
-                return refused.map(|made| self.results(submission, made, None));
+                self.note_end(work, submission, peer.name(), began, &refused);
+                return refused.map(|made| self.results(work, submission, made, None));
             }
             Ok(_) => return Err(StageFailure::Unreachable),
-            Err(e) => return Err(unreachable(work, submission, &peer, &e)),
+            Err(e) => return Err(unreachable(work, submission, &peer, began, &e)),
         };
         let mut pending = Pending {
             ticket: Some(ticket),
@@ -392,11 +398,11 @@
         pending.ticket = None;
         match reply {
             Ok(StageReply::Done(result)) => {
-                self.note_end(work, submission, peer.name(), &result);
-                result.map(|made| self.results(submission, made, Some(peer)))
+                self.note_end(work, submission, peer.name(), began, &result);
+                result.map(|made| self.results(work, submission, made, Some(peer)))
             }
             Ok(_) => Err(StageFailure::Unreachable),
-            Err(e) => Err(unreachable(work, submission, &peer, &e)),
+            Err(e) => Err(unreachable(work, submission, &peer, began, &e)),
         }
     }
 
@@ -410,10 +416,11 @@
 
     /// Collects the items at this gate.
     async fn own(&self, work: &Work<'_>, submission: &Submission) -> Result<Results, StageFailure> {
+        let began = Instant::now();
         Self::note_sent(work, submission, OWN);
         let made = self.made_here(submission).await;
-        self.note_end(work, submission, OWN, &made);
-        made.map(|made| self.results(submission, made, None))
+        self.note_end(work, submission, OWN, began, &made);
+        made.map(|made| self.results(work, submission, made, None))
     }
 
     async fn made_here(&self, submission: &Submission) -> Result<Vec<Made>, StageFailure> {
@@ -430,10 +437,20 @@
         Ok(made)
     }
 
-    fn results(&self, submission: &Submission, made: Vec<Made>, via: Option<Peer>) -> Results {
+    fn results(
+        &self,
+        work: &Work<'_>,
+        submission: &Submission,
+        made: Vec<Made>,
+        via: Option<Peer>,
+    ) -> Results {
+        let batch = work.rules.service(&submission.service);
+        let batch = batch.and_then(|service| service.capacity.batch.as_ref());
+        let keep = batch.map_or(LONGEST_KEEP, |b| b.keep.saturating_sub(b.call));
         Results {
             made,
             bytes: submission.result_bytes,
+            expires: Instant::now() + keep,
             service: submission.service.clone(),
             collector: self.collector.clone(),
             via,
