--- a/crates/forward/src/collector.rs
+++ b/crates/forward/src/collector.rs
@@ -280,8 +280,13 @@
 async fn make(collector: Collector, running: Arc<Running>, next: NextCall) {
     let cx = &collector.shared.cx;
     let began = Instant::now();
-    let ended = batch::call(cx, &next).await;
+    let mut ended = batch::call(cx, &next).await;
     let now = Instant::now();
+    if matches!(&ended, Ended::Answered(results) if running.line().is_repeated(results)) {
+        // The connection carries answers of other calls.
+        cx.pool.suspect(next.target.address);
+        ended = Ended::Failed("an earlier answer came again".to_owned());
+    }
     let has_failed = matches!(ended, Ended::Failed(_) | Ended::Unsent(_));
     if !matches!(ended, Ended::NotRun) {
         cx.fleet.observe(&next.target, has_failed);
--- a/crates/forward/src/line.rs
+++ b/crates/forward/src/line.rs
@@ -118,6 +118,8 @@
     endpoint: String,
     address: SocketAddr,
     bytes: u64,
+    /// Whether it takes up no room any more; it is remembered to know a late copy of its answer.
+    is_released: bool,
 }
 
 /// Endpoints and waiting items by availability zone.
@@ -472,6 +474,7 @@
                 endpoint: name.clone(),
                 address: next.target.address,
                 bytes,
+                is_released: false,
             };
             self.kept.insert(handle.clone(), kept);
             self.expiry
@@ -484,7 +487,7 @@
     pub(crate) fn free(&mut self, handles: &[String]) -> bool {
         let is_first = self.freed.is_empty();
         for handle in handles {
-            if let Some(kept) = self.kept.get(handle) {
+            if let Some(kept) = self.kept.get(handle).filter(|kept| !kept.is_released) {
                 let freed = self.freed.entry(kept.address).or_default();
                 freed.push(handle.clone());
             }
@@ -506,11 +509,19 @@
         }
     }
 
+    /// Whether `results` are a copy of an earlier answer: every result in it was in one before. An
+    /// answer to a batched call names no request by which a late copy of another one would show.
+    pub(crate) fn is_repeated(&self, results: &[Result<String, ItemFailure>]) -> bool {
+        let mut made = results.iter().flatten().peekable();
+        made.peek().is_some() && made.all(|handle| self.kept.contains_key(handle))
+    }
+
     /// A result takes up no room any more.
     pub(crate) fn release(&mut self, handle: &str) {
-        let Some(kept) = self.kept.remove(handle) else {
+        let Some(kept) = self.kept.get_mut(handle).filter(|kept| !kept.is_released) else {
             return;
         };
+        kept.is_released = true;
         if let Some(hand) = self.hands.get_mut(&kept.endpoint) {
             hand.held = hand.held.saturating_sub(kept.bytes);
             hand.full_until = None;
@@ -521,6 +532,7 @@
         while self.expiry.front().is_some_and(|(at, _)| *at <= now) {
             if let Some((_, handle)) = self.expiry.pop_front() {
                 self.release(&handle);
+                self.kept.remove(&handle);
             }
         }
     }
--- a/crates/forward/src/line/tests.rs
+++ b/crates/forward/src/line/tests.rs
@@ -184,3 +184,33 @@
     line.next_call(&pool, &reachable, now).unwrap();
     assert!(!plain.is_over());
 }
+
+/// An endpoint repeats an answer, late, on a connection in use again: no item gets the results of
+/// another one.
+#[tokio::test(start_paused = true)]
+async fn a_late_copy_of_an_answer_is_known_by_its_results() {
+    let (mut line, pool) = (line(), pool(&[("i-1", "a")]));
+    let reachable = Reachable::default();
+    let small = Submission {
+        result_bytes: 1,
+        ..submission()
+    };
+    line.take(small, &pool, &reachable, Instant::now()).unwrap();
+    let next = line.next_call(&pool, &reachable, Instant::now()).unwrap();
+    let results = |handles: &[&str]| -> Vec<Result<String, ItemFailure>> {
+        handles.iter().map(|h| Ok((*h).to_owned())).collect()
+    };
+    let first = results(&["h-1"]);
+    assert!(!line.is_repeated(&first));
+    let ended = Ended::Answered(first.clone());
+    line.ended(&next, next.expected, &ended, Instant::now());
+    assert!(line.is_repeated(&first));
+    // Also once its results are given up, for as long as they could have been kept.
+    line.release("h-1");
+    assert!(line.is_repeated(&first));
+    assert!(!line.is_repeated(&results(&["h-2"])));
+    assert!(!line.is_repeated(&[Err(ItemFailure::NoRoom)]));
+    sleep(Duration::from_secs(5)).await;
+    line.next_call(&pool, &reachable, Instant::now());
+    assert!(!line.is_repeated(&first));
+}
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -54,6 +54,8 @@
         tried,
         tx,
         last: req.inquiry.after_event,
+        sent: req.inquiry.after_event,
+        last_at: Instant::now(),
     };
     tokio::spawn(passing.run(begun));
     Response::Streamed {
@@ -71,6 +73,10 @@
     tx: mpsc::Sender<io::Result<Bytes>>,
     /// Number of the last event that was passed on.
     last: Option<u64>,
+    /// The same as of the last part that the caller took, and when that was: bytes that complete no
+    /// numbered event are no sign of life.
+    sent: Option<u64>,
+    last_at: Instant,
 }
 
 impl Passing {
@@ -126,7 +132,8 @@
     }
 
     /// Notes that the stream goes on with `begun`.
-    fn resumed(&self, begun: Begun) -> Begun {
+    fn resumed(&mut self, begun: Begun) -> Begun {
+        self.last_at = Instant::now();
         self.req.story.note(Event::Resumed {
             endpoint: begun.flight.target.name.clone(),
             after: self.last.unwrap_or(0),
@@ -183,7 +190,12 @@
                 }
                 // The endpoint has fetched them before it read the prompt.
                 self.inputs.clear();
+                let before = self.sent;
                 self.send(whole.freeze()).await?;
+                // A caller who reads slowly is no silence of the endpoint's.
+                if self.last != before {
+                    (self.sent, self.last_at) = (self.last, Instant::now());
+                }
             }
         }
     }
@@ -213,7 +225,7 @@
         let route = self.req.route();
         let silence = route.pause.unwrap_or_default() * SILENT_PAUSES;
         let until = match route.repeat == Repeat::FromLastEvent && self.last.is_some() {
-            true => (Instant::now() + silence.max(MIN_SILENCE)).min(self.req.deadline),
+            true => (self.last_at + silence.max(MIN_SILENCE)).min(self.req.deadline),
             false => self.req.deadline,
         };
         tokio::select! {
