--- a/crates/forward/src/cache.rs
+++ b/crates/forward/src/cache.rs
@@ -78,41 +78,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use tokio::time::{Duration, Instant};
-
-    use super::PrefixCache;
-    use crate::inquiry::Prompt;
-
-    fn prompt(subject: &str, own: &str) -> Prompt {
-        Prompt::new(
-            "m",
-            40,
-            1,
-            [("all", 10), (subject, 20), (own, 10)].into_iter(),
-        )
-    }
-
-    #[test]
-    fn what_was_read_is_held_as_far_as_prompts_agree() {
-        let mut cache = PrefixCache::new(1_000);
-        cache.read(&prompt("a", "1"), Instant::now());
-        assert_eq!(cache.held(&prompt("a", "2")), 30);
-        assert_eq!(cache.held(&prompt("b", "2")), 10);
-    }
-
-    #[test]
-    fn the_least_recently_used_parts_are_forgotten() {
-        let mut cache = PrefixCache::new(100);
-        let now = Instant::now();
-        for n in 0..20_u32 {
-            let subject = n.to_string();
-            cache.read(
-                &prompt(&subject, &subject),
-                now + Duration::from_secs(u64::from(n)),
-            );
-        }
-        assert_eq!(cache.held(&prompt("19", "x")), 30);
-        assert_eq!(cache.held(&prompt("0", "x")), 10);
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/forward/src/events/tests.rs
@@ -0,0 +1,40 @@
+use proptest::prelude::*;
+
+use super::{Event, Events};
+
+const STREAM: &[u8] =
+    b"id: 1\ndata: a\n\nversion: 2\nid: 2\ndata: b\n\nid:3\r\ndata: c\r\n\r\nid: 4\nda";
+
+fn read(pieces: &[&[u8]]) -> (Vec<Event>, Vec<u8>) {
+    let (mut events, mut out) = (Events::default(), Vec::new());
+    for piece in pieces {
+        events.push(piece).unwrap();
+        while let Some(event) = events.next_event() {
+            out.push(event);
+        }
+    }
+    (out, events.buf.to_vec())
+}
+
+#[test]
+fn whole_events_come_with_their_numbers_and_a_part_is_kept_back() {
+    let (events, rest) = read(&[STREAM]);
+    let ids: Vec<_> = events.iter().map(|e| e.id).collect();
+    assert_eq!(ids, [Some(1), Some(2), Some(3)]);
+    assert_eq!(rest, b"id: 4\nda");
+    let whole: Vec<u8> = events.iter().flat_map(|e| e.bytes.to_vec()).collect();
+    assert_eq!([whole, rest].concat(), STREAM);
+}
+
+proptest! {
+    #[test]
+    fn however_the_bytes_are_cut_the_events_are_the_same(
+        cuts in proptest::collection::vec(0..STREAM.len(), 0..8),
+    ) {
+        let mut cuts = cuts;
+        cuts.extend([0, STREAM.len()]);
+        cuts.sort_unstable();
+        let pieces: Vec<&[u8]> = cuts.windows(2).map(|w| &STREAM[w[0]..w[1]]).collect();
+        prop_assert_eq!(read(&pieces), read(&[STREAM]));
+    }
+}
--- /dev/null
+++ b/crates/forward/src/placement/tests.rs
@@ -0,0 +1,83 @@
+use membership::{EndpointState, EndpointView};
+
+use super::Need;
+use crate::{
+    answer::Refusal,
+    fleet::Fleet,
+    inquiry::Prompt,
+    testing::{mirror, view},
+};
+
+fn fleet(states: &[(&str, &str, EndpointState)]) -> Fleet {
+    let views = states.iter().map(|(name, az, state)| EndpointView {
+        state: *state,
+        ..view(name, "chat", az)
+    });
+    let fleet = Fleet::default();
+    fleet.update(&mirror(views), |_| None);
+    fleet
+}
+
+const READY: EndpointState = EndpointState::Ready;
+
+fn need<'a>(prompt: Option<&'a Prompt>, avoid: &'a [String]) -> Need<'a> {
+    Need {
+        service: "chat",
+        az: "a",
+        prompt,
+        inputs: &[],
+        avoid,
+    }
+}
+
+fn prompt(subject: &str, own: &str) -> Prompt {
+    let parts = [("all", 2_000), (subject, 4_000), (own, 1_000)];
+    Prompt::new("m", 7_000, 10, parts.into_iter())
+}
+
+#[tokio::test]
+async fn the_own_availability_zone_goes_first_until_it_is_loaded() {
+    let fleet = fleet(&[("near", "a", READY), ("far", "b", READY)]);
+    let need = need(None, &[]);
+    let first = fleet.place(&need).unwrap();
+    assert_eq!(first.target.name, "near");
+    let mut flights = vec![first];
+    flights.extend((0..4).map(|_| fleet.place(&need).unwrap()));
+    assert!(flights.iter().any(|f| f.target.name == "far"));
+}
+
+#[tokio::test]
+async fn nothing_new_goes_to_endpoints_that_leave_and_full_ones_refuse() {
+    let fleet = fleet(&[("old", "a", EndpointState::Leaving), ("new", "a", READY)]);
+    let mut flights = Vec::new();
+    let refused = loop {
+        match fleet.place(&need(None, &[])) {
+            Ok(flight) => flights.push(flight),
+            Err(e) => break e,
+        }
+    };
+    assert_eq!(refused, Refusal::Full);
+    assert!(flights.iter().all(|f| f.target.name == "new"));
+    let avoid = vec!["new".to_owned()];
+    drop(flights);
+    assert!(fleet.place(&need(None, &avoid)).is_err());
+}
+
+#[tokio::test]
+async fn a_subject_stays_where_it_was_read_and_leaves_a_long_queue() {
+    let names: Vec<String> = (0..6).map(|n| format!("e{n}")).collect();
+    let states: Vec<_> = names.iter().map(|n| (n.as_str(), "a", READY)).collect();
+    let fleet = fleet(&states);
+    let one = prompt("ice", "1");
+    let mut first = fleet.place(&need(Some(&one), &[])).unwrap();
+    first.first_part(Some(&one));
+    let home = first.target.name.clone();
+    drop(first);
+    let two = prompt("ice", "2");
+    let second = fleet.place(&need(Some(&two), &[])).unwrap();
+    assert_eq!(second.target.name, home);
+    // What waits there has to be read first.
+    second.target.stats().unread_tokens += 50_000;
+    let third = fleet.place(&need(Some(&two), &[])).unwrap();
+    assert_ne!(third.target.name, home);
+}
--- a/crates/gate/src/quorum.rs
+++ b/crates/gate/src/quorum.rs
@@ -123,27 +123,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use std::time::Duration;
-
-    use link::{keeper::KeeperRequest, keepers::Keepers};
-    use tokio::time::Instant;
-    use uuid::Uuid;
-
-    use super::{LOST_AFTER, PROBE_LIMIT, Quorum};
-
-    const DEADLINE: Duration = Duration::from_mins(1);
-
-    #[tokio::test(start_paused = true)]
-    async fn questions_end_at_once_when_the_quorum_is_lost() {
-        let quorum = Quorum::new(Keepers::new(Vec::new()));
-        let req = KeeperRequest::Lookup(Uuid::now_v7());
-        let start = Instant::now();
-        assert!(quorum.ask(&req, DEADLINE).await.is_err());
-        let most = LOST_AFTER * 2 + PROBE_LIMIT * 2;
-        assert!(start.elapsed() < most, "{:?}", start.elapsed());
-        let again = Instant::now();
-        assert!(quorum.ask(&req, DEADLINE).await.is_err());
-        assert_eq!(again.elapsed(), Duration::ZERO);
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/gate/src/rollout/tests.rs
@@ -0,0 +1,39 @@
+use declaration::{Service, ServiceKind};
+use tokio::time::advance;
+
+use super::{ASKED_LIMIT, ROLLOUT_LIMIT, Rollouts};
+
+fn engine(version: u32) -> Service {
+    Service {
+        kind: ServiceKind::Engine,
+        repeatable: true,
+        model: Some("m".to_owned()),
+        version: Some(version),
+        adapters: Vec::new(),
+        max_tokens: 16,
+        roles: None,
+        model_mb: None,
+        endpoint_mb: None,
+        capacity: declaration::Capacity::default(),
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_rollout_ends_with_its_limit_and_starts_with_a_change() {
+    let rollouts = Rollouts::default();
+    assert!(rollouts.is_under_way("e", &engine(1)));
+    advance(ROLLOUT_LIMIT).await;
+    assert!(!rollouts.is_under_way("e", &engine(1)));
+    assert!(rollouts.is_under_way("e", &engine(2)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_halted_rollout_lasts_as_long_as_its_controller_asks() {
+    let rollouts = Rollouts::default();
+    assert!(rollouts.is_under_way("e", &engine(1)));
+    advance(ROLLOUT_LIMIT).await;
+    rollouts.note_asked(&["e".to_owned()]);
+    assert!(rollouts.is_under_way("e", &engine(1)));
+    advance(ASKED_LIMIT).await;
+    assert!(!rollouts.is_under_way("e", &engine(1)));
+}
--- /dev/null
+++ b/crates/host/src/settings/tests.rs
@@ -0,0 +1,32 @@
+use std::path::Path;
+
+use super::Reader;
+
+fn reader(text: &str) -> Reader {
+    Reader::from_bytes("x.ini", Path::new(""), text.as_bytes()).unwrap()
+}
+
+#[test]
+fn every_fault_is_listed_with_its_line() {
+    let mut r = reader("[vm]\nname = a\nsize = 3\n[listen]\nhttp = here\n[gatez]\n");
+    r.vm();
+    r.listen("http");
+    let faults = r.finish().unwrap_err();
+    let lines: Vec<usize> = faults.0.iter().map(|fault| fault.line).collect();
+    assert_eq!(lines, [1, 3, 5, 6]);
+}
+
+#[test]
+fn shared_sections_that_a_role_does_not_need_are_accepted() {
+    let mut r = reader("[vm]\nname = a\navailability_zone = z\n[data]\nfolder = d\n");
+    r.vm();
+    assert!(r.finish().is_ok());
+}
+
+#[test]
+fn shared_sections_are_checked_in_every_role() {
+    let r = reader("[listen]\nlink = 127.0.0.1:0\nlnk = 127.0.0.1:0\n");
+    let faults = r.finish().unwrap_err();
+    assert_eq!(faults.0.len(), 1);
+    assert_eq!(faults.0[0].key, "lnk");
+}
--- a/crates/host/src/time.rs
+++ b/crates/host/src/time.rs
@@ -12,11 +12,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::utc;
-
-    #[test]
-    fn a_time_is_written_in_utc() {
-        assert_eq!(utc(1_796_349_442_567), "2026-12-04T01:57:22Z");
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/logs/src/queue/tests.rs
@@ -0,0 +1,65 @@
+use std::{
+    io::{self, Write},
+    num::NonZeroUsize,
+    sync::{Arc, Mutex},
+};
+
+use spdlog::{
+    Logger, ThreadPool,
+    formatter::JsonFormatter,
+    sink::{AsyncPoolSink, OverflowPolicy, WriteSink},
+};
+
+use super::{CAPACITY, Entrance, Exit, counts, has_room, waiting};
+use crate::kind::Kind;
+
+/// A reader that takes nothing while the lock is held.
+struct Stalled(Arc<Mutex<usize>>);
+
+impl Write for Stalled {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        *self.0.lock().unwrap() += 1;
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn a_full_queue_drops_and_counts_and_what_went_well_goes_first() {
+    let lines = Arc::new(Mutex::new(0));
+    let sink = WriteSink::builder().target(Stalled(Arc::clone(&lines)));
+    let sink = sink.formatter(JsonFormatter::new()).build().unwrap();
+    let capacity = NonZeroUsize::new(CAPACITY).unwrap();
+    let thread = ThreadPool::builder()
+        .capacity(capacity)
+        .build_arc()
+        .unwrap();
+    let queue = AsyncPoolSink::builder()
+        .sink(Arc::new(Exit { sink }))
+        .overflow_policy(OverflowPolicy::DropIncoming)
+        .thread_pool(thread)
+        .build_arc()
+        .unwrap();
+    let entrance = Arc::new(Entrance { queue });
+    let logger = Logger::builder().sink(entrance).build().unwrap();
+    let stalled = lines.lock().unwrap();
+    let total = CAPACITY * 3;
+    for n in 0..total {
+        spdlog::info!(logger: logger, "line", kv: { event = n });
+        if n == CAPACITY / 2 {
+            assert!(!has_room(Kind::Served) && has_room(Kind::Failed));
+        }
+    }
+    assert!(!has_room(Kind::Failed));
+    let dropped = counts().dropped as usize;
+    assert_eq!(dropped, total - CAPACITY);
+    drop(stalled);
+    while waiting() > 0 {
+        std::thread::yield_now();
+    }
+    assert_eq!(counts().written as usize, CAPACITY);
+    assert!(has_room(Kind::Served));
+}
--- /dev/null
+++ b/crates/membership/src/delta/tests.rs
@@ -0,0 +1,50 @@
+use std::time::Duration;
+
+use proptest::prelude::*;
+use uuid::Uuid;
+
+use super::Delta;
+use crate::{Announcement, Load, LoadedModel, Readiness, StageRole};
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 32, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn a_delta_reads_back_as_written(
+        names: [String; 4],
+        incarnation: u128,
+        seq: u64,
+        flags: (bool, bool, u8),
+        models: Vec<(String, u32, Vec<String>)>,
+        slots: Option<u32>,
+        age_ms: u64,
+    ) {
+        let [endpoint, service, az, address] = names;
+        let models = models.into_iter();
+        let announced = Announcement {
+            endpoint,
+            service,
+            az,
+            address,
+            incarnation: Uuid::from_u128(incarnation),
+            seq,
+            state: if flags.0 { Readiness::Leaving } else { Readiness::Ready },
+            models: models
+                .map(|(model, version, adapters)| LoadedModel { model, version, adapters })
+                .collect(),
+            role: [StageRole::Both, StageRole::Prefill, StageRole::Decode]
+                [usize::from(flags.2 % 3)],
+            checks_fencing: flags.1,
+            slots,
+            load: Load::default(),
+        };
+        let delta = Delta { announced, age: Duration::from_millis(age_ms) };
+        prop_assert_eq!(link::decode::<Delta>(&link::encode(&delta)).unwrap(), delta);
+    }
+
+    #[test]
+    fn no_bytes_panic_the_reader(bytes: Vec<u8>) {
+        let _ = link::decode::<Delta>(&bytes);
+        let _ = link::decode::<crate::Request>(&bytes);
+    }
+}
--- a/crates/membership/src/spread.rs
+++ b/crates/membership/src/spread.rs
@@ -338,18 +338,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use std::collections::BTreeSet;
-
-    use super::first_turn;
-    use crate::{Table, TableConfig};
-
-    #[tokio::test]
-    async fn gates_start_with_different_neighbours() {
-        const NEIGHBOURS: usize = 6;
-        let names = (0..33).map(|at| format!("g{at}"));
-        let tables = names.map(|name| Table::new(TableConfig::new(&name, "sousse-a")));
-        let first: BTreeSet<usize> = tables.map(|t| first_turn(&t) % NEIGHBOURS).collect();
-        assert_eq!(first.len(), NEIGHBOURS);
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/replica/src/log/tests.rs
@@ -0,0 +1,111 @@
+use std::{fmt::Write, sync::Arc};
+
+use expect_test::expect;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+use super::Log;
+use crate::entry::{Entry, Members, Payload};
+
+const ROUNDS: u64 = 500;
+
+/// Two logs that parted: in each term one of two leads, and a part reaches the other.
+fn parted(terms: u64, rng: &mut StdRng) -> [Log; 2] {
+    let mut logs = [(); 2].map(|()| Log::new(0, 0, Members::default()));
+    for term in 1..=terms {
+        let leader = rng.random_range(0..2);
+        let count = rng.random_range(1..20);
+        let first = logs[leader].last() + 1;
+        let added = (first..first + count).map(|index| {
+            let payload = Payload::Empty;
+            Arc::new(Entry {
+                index,
+                term,
+                payload,
+            })
+        });
+        let added: Vec<_> = added.collect();
+        logs[leader].append(added.clone());
+        // Now and then the other hears the leader, and has a part of its log after.
+        if rng.random_bool(0.2) {
+            let reached = first + rng.random_range(0..count);
+            let shared = (1..=reached).filter_map(|i| logs[leader].get(i).cloned());
+            let shared: Vec<_> = shared.collect();
+            logs[1 - leader].append(shared);
+        }
+    }
+    logs
+}
+
+/// The last index at which both have the same term.
+fn shared(leader: &Log, follower: &Log) -> u64 {
+    let both = (0..=leader.last().min(follower.last())).rev();
+    let mut both = both.skip_while(|i| leader.term(*i) != follower.term(*i));
+    both.next().unwrap_or(0)
+}
+
+/// Exchanges until the leader knows an index that both share; `step` gives its next try.
+fn exchanges(leader: &Log, follower: &Log, step: impl Fn(u64) -> u64) -> u64 {
+    let mut prev = leader.last();
+    let mut count = 0;
+    while follower.term(prev) != leader.term(prev) {
+        prev = step(prev);
+        count += 1;
+    }
+    count
+}
+
+/// One index less at each exchange, one term less, and all terms told at once.
+fn ways(leader: &Log, follower: &Log) -> [u64; 3] {
+    let by_term = |prev: u64| {
+        let end = prev.min(follower.last());
+        let Some(term) = follower.term(end) else {
+            return 0;
+        };
+        let first = (1..=end).find(|i| follower.term(*i) == Some(term));
+        let before = first.unwrap_or(1) - 1;
+        leader.last_of_term(term, end).unwrap_or(before)
+    };
+    let told = |_| {
+        let runs = follower.runs(64);
+        leader.shared_with(follower.last(), &runs).unwrap_or(0)
+    };
+    [
+        exchanges(leader, follower, |prev| prev - 1),
+        exchanges(leader, follower, by_term),
+        exchanges(leader, follower, told),
+    ]
+}
+
+#[test]
+fn all_terms_told_at_once_find_the_shared_index() {
+    let mut rng = StdRng::seed_from_u64(9);
+    for round in 0..ROUNDS {
+        let [leader, follower] = parted(round % 40, &mut rng);
+        let found = leader.shared_with(follower.last(), &follower.runs(64));
+        assert_eq!(found, Some(shared(&leader, &follower)), "round {round}");
+    }
+}
+
+#[test]
+fn exchanges_until_parted_logs_meet() {
+    let mut table = String::from("terms  by index  by term  all terms (mean exchanges)\n");
+    for terms in [2, 8, 32] {
+        let mut rng = StdRng::seed_from_u64(10);
+        let mut totals = [0; 3];
+        for _ in 0..ROUNDS {
+            let [leader, follower] = parted(terms, &mut rng);
+            let counts = ways(&leader, &follower);
+            totals.iter_mut().zip(counts).for_each(|(t, c)| *t += c);
+        }
+        let mean = totals.map(|t| t as f64 / ROUNDS as f64);
+        let [index, term, all] = mean;
+        writeln!(table, "{terms:5}  {index:8.2}  {term:7.2}  {all:9.2}").unwrap();
+    }
+    expect![[r#"
+        terms  by index  by term  all terms (mean exchanges)
+            2      7.95     0.65       0.65
+            8     18.12     1.45       0.78
+           32     21.70     1.77       0.80
+    "#]]
+    .assert_eq(&table);
+}
