--- a/crates/forward/src/collector.rs
+++ b/crates/forward/src/collector.rs
@@ -259,6 +259,7 @@
             Some(next) => {
                 let metrics = &collector.shared.cx.metrics;
                 metrics.crossed(&service, next.crossing_bytes());
+                metrics.bounded(&service, next.bound.label());
                 tokio::spawn(make(collector.clone(), Arc::clone(&running), next));
             }
             None => wait(&running).await,
@@ -300,6 +301,8 @@
     let is_whole = ended.failure().is_none();
     cx.metrics
         .batch(&next.target.service, next.jobs.len(), is_whole, took);
+    cx.metrics
+        .unmade(&next.target.service, &ended.unmade(next.jobs.len()));
     if let Some(why) = ended.failure() {
         tell_failed(&next, why, took);
     }
--- a/crates/forward/src/ended.rs
+++ b/crates/forward/src/ended.rs
@@ -1,5 +1,7 @@
 //! How a batched call and its items ended.
 
+use std::collections::BTreeMap;
+
 use crate::messages::StageFailure;
 
 /// How a call ended.
@@ -35,6 +37,26 @@
     }
 }
 
+impl Ended {
+    /// How many of a call's `items` have no result, by cause as metrics name it.
+    pub(crate) fn unmade(&self, items: usize) -> BTreeMap<&'static str, u64> {
+        let whole = match self {
+            Self::Answered(results) => {
+                let mut causes = BTreeMap::new();
+                for failure in results.iter().filter_map(|r| r.as_ref().err()) {
+                    *causes.entry(failure.cause()).or_default() += 1;
+                }
+                return causes;
+            }
+            Self::NotRun => "full",
+            Self::Unsent(_) => "unsent",
+            Self::Misplaced => "misplaced",
+            Self::Failed(_) => "lost",
+        };
+        BTreeMap::from([(whole, items as u64)])
+    }
+}
+
 /// Why one item has no result.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum ItemFailure {
@@ -45,3 +67,17 @@
     /// Its stage has failed.
     Ended(StageFailure),
 }
+
+impl ItemFailure {
+    fn cause(&self) -> &'static str {
+        match self {
+            Self::Again => "failed",
+            Self::NoRoom => "room",
+            Self::Ended(StageFailure::InputGone) => "input_gone",
+            Self::Ended(_) => "late",
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/forward/src/line.rs
+++ b/crates/forward/src/line.rs
@@ -64,12 +64,35 @@
     }
 }
 
+/// What keeps a call from holding more items.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Bound {
+    /// It is full.
+    Batch,
+    /// The endpoint has no room for more results.
+    Room,
+    /// No more items wait that may go there.
+    Items,
+}
+
+impl Bound {
+    /// Its name in metrics.
+    pub(crate) fn label(self) -> &'static str {
+        match self {
+            Self::Batch => "batch",
+            Self::Room => "room",
+            Self::Items => "items",
+        }
+    }
+}
+
 /// A call that can be made now.
 #[derive(Debug)]
 pub(crate) struct NextCall {
     pub(crate) target: Arc<Target>,
     pub(crate) jobs: Vec<Job>,
     pub(crate) expected: Duration,
+    pub(crate) bound: Bound,
     bytes: u64,
 }
 
@@ -311,7 +334,7 @@
             self.fastest(fit, &sound, &job.ticket.submission.az, now)
         })?;
         let target = Arc::clone(target);
-        let jobs = self.fill(&target, &zones, now);
+        let (jobs, bound) = self.fill(&target, &zones, now);
         let bytes = jobs
             .iter()
             .map(|job| job.ticket.submission.result_bytes)
@@ -327,32 +350,41 @@
             expected: self.call_time(jobs.len() as u32).mul_f64(slowness),
             target,
             jobs,
+            bound,
             bytes,
         })
     }
 
     /// Takes items for a call to `target`: those of its availability zone first, then others that
     /// may go there.
-    fn fill(&mut self, target: &Target, zones: &Zones, now: Instant) -> Vec<Job> {
+    fn fill(&mut self, target: &Target, zones: &Zones, now: Instant) -> (Vec<Job>, Bound) {
         let (mut room, most) = (self.room(&target.name), self.batch.items as usize);
         let mut taken: Vec<Place> = Vec::new();
+        let mut bound = Bound::Items;
         for is_near in [true, false] {
             for (place, job) in self.in_order(self.first_due(now)) {
                 let submission = &job.ticket.submission;
                 let is_meant = (submission.az == target.az) == is_near
                     && self.may_go(zones, job, &target.az, now);
-                if taken.len() < most && is_meant && submission.result_bytes <= room {
-                    room -= submission.result_bytes;
-                    taken.push(*place);
+                match is_meant && taken.len() < most {
+                    true if submission.result_bytes > room => bound = Bound::Room,
+                    true => {
+                        room -= submission.result_bytes;
+                        taken.push(*place);
+                    }
+                    false => {}
                 }
             }
         }
+        if taken.len() >= most {
+            bound = Bound::Batch;
+        }
         let jobs = taken.iter().filter_map(|place| self.jobs.remove(place));
         let jobs: Vec<Job> = jobs.collect();
         for job in &jobs {
             job.ticket.begin();
         }
-        jobs
+        (jobs, bound)
     }
 
     fn may_go(&self, zones: &Zones, job: &Job, az: &str, now: Instant) -> bool {
--- a/crates/forward/src/line/tests.rs
+++ b/crates/forward/src/line/tests.rs
@@ -5,7 +5,7 @@
 use declaration::{Batch, Capacity};
 use tokio::time::{Instant, sleep};
 
-use super::Line;
+use super::{Bound, Line};
 use crate::{
     ended::{Ended, ItemFailure},
     fleet::{Fleet, Pool, Reachable},
@@ -214,3 +214,25 @@
     line.next_call(&pool, &reachable, Instant::now());
     assert!(!line.is_repeated(&first));
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_call_says_what_keeps_it_from_holding_more() {
+    let pool = pool(&[("i-1", "a")]);
+    let reachable = Reachable::default();
+    let bound = |items, result_bytes| {
+        let mut line = line();
+        let submission = Submission {
+            items,
+            result_bytes,
+            ..submission()
+        };
+        line.take(submission, &pool, &reachable, Instant::now())
+            .unwrap();
+        line.next_call(&pool, &reachable, Instant::now())
+            .unwrap()
+            .bound
+    };
+    assert_eq!(bound(2, 1), Bound::Items);
+    assert_eq!(bound(9, 1), Bound::Batch);
+    assert_eq!(bound(9, ROOM / 2), Bound::Room);
+}
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -1,6 +1,6 @@
 //! The counters of a gate that passes requests on.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use prometheus::{
     HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
@@ -26,6 +26,8 @@
     retries: IntCounterVec,
     prompt_tokens: IntCounterVec,
     crossing: IntCounterVec,
+    bounds: IntCounterVec,
+    unmade: IntCounterVec,
     endpoints: IntGaugeVec,
     ejections: IntCounter,
     confirmed: IntGauge,
@@ -126,6 +128,16 @@
                 "Bytes of results, as declared, that calls fetch from other availability zones.",
                 &["service"],
             )?,
+            bounds: make.counters(
+                "batch_bounds_total",
+                "Batched calls by what kept them from holding more: batch, room or items.",
+                &["service", "by"],
+            )?,
+            unmade: make.counters(
+                "items_unmade_total",
+                "Items of batched calls without a result, by cause; many are called again.",
+                &["service", "cause"],
+            )?,
             endpoints: make.gauges(
                 "endpoints",
                 "Endpoints known, ready as keepers tell, and left out for now.",
@@ -169,6 +181,19 @@
         }
     }
 
+    /// Counts a batched call by what keeps it from holding more items.
+    pub(crate) fn bounded(&self, service: &str, by: &str) {
+        self.bounds.with_label_values(&[service, by]).inc();
+    }
+
+    /// Counts items of a call that have no result.
+    pub(crate) fn unmade(&self, service: &str, causes: &BTreeMap<&'static str, u64>) {
+        for (cause, items) in causes {
+            let counter = self.unmade.with_label_values(&[service, cause]);
+            counter.inc_by(*items);
+        }
+    }
+
     /// Counts a stage of a request.
     pub(crate) fn stage(&self, service: &str, is_good: bool, took: Duration) {
         let labels = [service, outcome(is_good)];
