--- a/crates/forward/src/batch.rs
+++ b/crates/forward/src/batch.rs
@@ -9,8 +9,8 @@
     collector::Context,
     dialect::{Item, ItemResult, Source, Verdict},
     ended::{Ended, ItemFailure},
-    line::{Job, NextCall},
     messages::StageFailure,
+    queue::{Job, NextCall},
 };
 
 /// Most bytes of an answer.
--- a/crates/forward/src/collector.rs
+++ b/crates/forward/src/collector.rs
@@ -1,7 +1,7 @@
 //! Collects items of many requests into batched calls to the endpoints of a batch pool.
 //!
-//! A line for each service holds waiting items by urgency and age. Whenever an endpoint has a free
-//! slot and room for results, it gets the fullest call that the line can make.
+//! A queue for each service holds waiting items by urgency and age. Whenever an endpoint has a free
+//! slot and room for results, it gets the fullest call that the queue can make.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -22,9 +22,9 @@
     dialect::Dialect,
     ended::{Ended, ItemFailure},
     fleet::Fleet,
-    line::{Job, Line, NextCall},
     messages::{Made, StageFailure, Submission},
     metrics::Metrics,
+    queue::{Job, NextCall, Queue},
     rules::Rules,
     ticket::Ticket,
 };
@@ -33,8 +33,8 @@
 const FREE_PAUSE: Duration = Duration::from_millis(25);
 /// Bound on an order to give results up.
 const FREE_LIMIT: Duration = Duration::from_millis(500);
-/// Longest time between looks at a line that waits.
-const LOOK_AGAIN: Duration = Duration::from_millis(25);
+/// Longest time between checks of a queue in which items wait.
+const CHECK_EVERY: Duration = Duration::from_millis(25);
 
 /// What a collector works with.
 #[derive(Clone, Debug)]
@@ -47,7 +47,7 @@
     pub(crate) metrics: Metrics,
 }
 
-/// The lines of all services; clones share them.
+/// The queues of all services; clones share them.
 #[derive(Clone, Debug)]
 pub(crate) struct Collector {
     shared: Arc<Shared>,
@@ -56,28 +56,28 @@
 #[derive(Debug)]
 struct Shared {
     cx: Context,
-    lines: Mutex<HashMap<LineKey, Arc<Running>>>,
+    queues: Mutex<HashMap<QueueKey, Arc<Running>>>,
     tickets: Mutex<HashMap<u64, Arc<Ticket>>>,
 }
 
-/// What a line is for: a service, and the availability zone to whose endpoints it keeps, if it does.
+/// What a queue is for: a service, and the availability zone to whose endpoints it keeps, if it does.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct LineKey {
+struct QueueKey {
     service: String,
-    apart: Option<String>,
+    zone: Option<String>,
 }
 
-/// A line and the task that empties it.
+/// A queue and the task that empties it.
 #[derive(Debug)]
 struct Running {
-    line: Mutex<Line>,
+    queue: Mutex<Queue>,
     wake: Notify,
     task: Mutex<Option<JoinHandle<()>>>,
 }
 
 impl Running {
-    fn line(&self) -> MutexGuard<'_, Line> {
-        self.line.lock().unwrap_or_else(PoisonError::into_inner)
+    fn queue(&self) -> MutexGuard<'_, Queue> {
+        self.queue.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -94,7 +94,7 @@
     pub(crate) fn new(cx: Context) -> Self {
         let shared = Shared {
             cx,
-            lines: Mutex::default(),
+            queues: Mutex::default(),
             tickets: Mutex::default(),
         };
         Self {
@@ -103,11 +103,11 @@
     }
 
     /// Takes the items of a stage; refuses at once what can't be done in time.
-    /// With `apart` only endpoints of that availability zone are called while it has any.
+    /// With `zone` only endpoints of that availability zone are called while it has any.
     pub(crate) fn submit(
         &self,
         submission: Submission,
-        apart: Option<String>,
+        zone: Option<String>,
     ) -> Result<u64, StageFailure> {
         let now = Instant::now();
         let rules = self.shared.cx.rules.borrow().clone();
@@ -119,16 +119,16 @@
         let Some(pool) = self.shared.cx.fleet.pool(&service) else {
             return Err(StageFailure::NoEndpoint);
         };
-        let running = self.running(LineKey { service, apart });
+        let running = self.running(QueueKey { service, zone });
         let ticket = {
-            let mut line = running.line();
-            line.declare(&capacity);
+            let mut queue = running.queue();
+            queue.declare(&capacity);
             let reachable = self.shared.cx.fleet.reachable();
             let asked = submission.clone();
-            let taken = line.take(submission, &pool, &reachable, now);
+            let taken = queue.take(submission, &pool, &reachable, now);
             taken.inspect_err(|failure| {
-                let endpoints = line.sound(&pool, &reachable, now).len();
-                asked.tell(failure, asked.left, Some((line.waiting(), endpoints)));
+                let endpoints = queue.sound(&pool, &reachable, now).len();
+                asked.tell(failure, asked.left, Some((queue.waiting(), endpoints)));
             })?
         };
         let id = ticket.id;
@@ -163,8 +163,8 @@
         };
         let made = ticket.cancel();
         let service = &ticket.submission.service;
-        for running in self.lines_of(service) {
-            running.line().forget(&ticket);
+        for running in self.queues_of(service) {
+            running.queue().forget(&ticket);
         }
         self.free(service, made);
     }
@@ -174,8 +174,8 @@
         if handles.is_empty() {
             return;
         }
-        for running in self.lines_of(service) {
-            let is_first = running.line().free(&handles);
+        for running in self.queues_of(service) {
+            let is_first = running.queue().free(&handles);
             running.wake.notify_one();
             if is_first {
                 let collector = self.clone();
@@ -188,7 +188,7 @@
     }
 
     async fn send_freed(&self, running: &Running) {
-        let freed = running.line().take_freed();
+        let freed = running.queue().take_freed();
         let cx = &self.shared.cx;
         for (address, handles) in freed {
             let until = Instant::now() + FREE_LIMIT;
@@ -197,9 +197,9 @@
             // A result whose order was lost expires by itself.
             if let Ok(exchange) = sent {
                 let _ = exchange.whole(&cx.pool, usize::MAX, until).await;
-                let mut line = running.line();
+                let mut queue = running.queue();
                 for handle in &handles {
-                    line.release(handle);
+                    queue.release(handle);
                 }
             }
         }
@@ -211,25 +211,25 @@
         tickets.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn lines(&self) -> MutexGuard<'_, HashMap<LineKey, Arc<Running>>> {
-        let lines = &self.shared.lines;
-        lines.lock().unwrap_or_else(PoisonError::into_inner)
+    fn queues(&self) -> MutexGuard<'_, HashMap<QueueKey, Arc<Running>>> {
+        let queues = &self.shared.queues;
+        queues.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// The lines of `service`: more than one only where this gate stood in for others.
-    fn lines_of(&self, service: &str) -> Vec<Arc<Running>> {
-        let lines = self.lines();
-        let of_it = lines.iter().filter(|(key, _)| key.service == service);
+    /// The queues of `service`: more than one only where this gate stood in for others.
+    fn queues_of(&self, service: &str) -> Vec<Arc<Running>> {
+        let queues = self.queues();
+        let of_it = queues.iter().filter(|(key, _)| key.service == service);
         of_it.map(|(_, running)| Arc::clone(running)).collect()
     }
 
-    fn running(&self, key: LineKey) -> Arc<Running> {
-        let mut lines = self.lines();
-        if let Some(running) = lines.get(&key) {
+    fn running(&self, key: QueueKey) -> Arc<Running> {
+        let mut queues = self.queues();
+        if let Some(running) = queues.get(&key) {
             return Arc::clone(running);
         }
         let running = Arc::new(Running {
-            line: Mutex::new(Line::new(key.apart.clone())),
+            queue: Mutex::new(Queue::new(key.zone.clone())),
             wake: Notify::new(),
             task: Mutex::new(None),
         });
@@ -239,7 +239,7 @@
             Arc::clone(&running),
         ));
         *running.task.lock().unwrap_or_else(PoisonError::into_inner) = Some(task);
-        lines.insert(key, Arc::clone(&running));
+        queues.insert(key, Arc::clone(&running));
         running
     }
 }
@@ -251,7 +251,7 @@
         let next = match &pool {
             Some(pool) => {
                 let reachable = collector.shared.cx.fleet.reachable();
-                running.line().next_call(pool, &reachable, Instant::now())
+                running.queue().next_call(pool, &reachable, Instant::now())
             }
             None => None,
         };
@@ -269,10 +269,10 @@
 
 /// Waits for news; where items wait, also for time that passes.
 async fn wait(running: &Running) {
-    let has_items = !running.line().is_empty();
+    let has_items = !running.queue().is_empty();
     let news = running.wake.notified();
     match has_items {
-        true => drop(timeout_at(Instant::now() + LOOK_AGAIN, news).await),
+        true => drop(timeout_at(Instant::now() + CHECK_EVERY, news).await),
         false => news.await,
     }
 }
@@ -283,7 +283,7 @@
     let began = Instant::now();
     let mut ended = batch::call(cx, &next).await;
     let now = Instant::now();
-    if matches!(&ended, Ended::Answered(results) if running.line().is_repeated(results)) {
+    if matches!(&ended, Ended::Answered(results) if running.queue().is_repeated(results)) {
         // The connection carries answers of other calls.
         cx.pool.suspect(next.target.address);
         ended = Ended::Failed("an earlier answer came again".to_owned());
@@ -307,16 +307,16 @@
         tell_failed(&next, why, took);
     }
     let unwanted = {
-        let mut line = running.line();
-        line.ended(&next, took, &ended, now);
-        settle(cx, &mut line, &next, ended)
+        let mut queue = running.queue();
+        queue.ended(&next, took, &ended, now);
+        settle(cx, &mut queue, &next, ended)
     };
     running.wake.notify_one();
     let service = next.target.service.clone();
     collector.free(&service, unwanted);
 }
 
-/// Requests that the line of a failed call names.
+/// Requests that the queue of a failed call names.
 const MAX_NAMED: usize = 12;
 
 /// Writes that a call gave nothing.
@@ -341,18 +341,18 @@
 }
 
 /// Gives each job its result or puts it back; returns handles that nobody wants any more.
-fn settle(cx: &Context, line: &mut Line, next: &NextCall, ended: Ended) -> Vec<String> {
+fn settle(cx: &Context, queue: &mut Queue, next: &NextCall, ended: Ended) -> Vec<String> {
     let mut unwanted = Vec::new();
     let service = &next.target.service;
     let results = match ended {
         Ended::Answered(results) => results,
         Ended::NotRun | Ended::Unsent(_) | Ended::Misplaced => {
-            next.jobs.iter().for_each(|job| line.put_back(job.clone()));
+            next.jobs.iter().for_each(|job| queue.put_back(job.clone()));
             return unwanted;
         }
         Ended::Failed(_) => {
             for job in &next.jobs {
-                again(cx, line, service, job.clone(), &StageFailure::Failed);
+                again(cx, queue, service, job.clone(), &StageFailure::Failed);
             }
             return unwanted;
         }
@@ -370,12 +370,12 @@
                 }
             }
             Err(ItemFailure::Again) => {
-                again(cx, line, service, job.clone(), &StageFailure::Failed);
+                again(cx, queue, service, job.clone(), &StageFailure::Failed);
             }
             Err(ItemFailure::NoRoom) => {
                 let bytes = job.ticket.submission.result_bytes;
-                line.no_room(&next.target.name, bytes, Instant::now());
-                line.put_back(job.clone());
+                queue.no_room(&next.target.name, bytes, Instant::now());
+                queue.put_back(job.clone());
             }
             Err(ItemFailure::Ended(failure)) => job.ticket.fail(failure),
         }
@@ -384,14 +384,14 @@
 }
 
 /// Makes an item once more where the budget allows it, and fails its stage otherwise.
-fn again(cx: &Context, line: &mut Line, service: &str, job: Job, failure: &StageFailure) {
+fn again(cx: &Context, queue: &mut Queue, service: &str, job: Job, failure: &StageFailure) {
     let may_spend = || {
         let is_there = cx.budget.try_spend(service);
         cx.metrics.retried(service, is_there);
         is_there
     };
     match job.once_more().filter(|_| may_spend()) {
-        Some(job) => line.put_back(job),
+        Some(job) => queue.put_back(job),
         None => job.ticket.fail(failure.clone()),
     }
 }
--- a/crates/forward/src/gates.rs
+++ b/crates/forward/src/gates.rs
@@ -185,7 +185,7 @@
     }
 
     /// How many gates may collect the items of one service at a time: one in each availability zone,
-    /// where they are apart or cut off from each other.
+    /// where they are by_zone or cut off from each other.
     pub(crate) fn collectors(&self) -> usize {
         let known = self.known();
         let zones: BTreeSet<&str> = known.gates.iter().map(|gate| gate.az.as_str()).collect();
@@ -198,7 +198,7 @@
     }
 
     /// Whether each availability zone collects its own items, since there are many gates.
-    pub(crate) fn is_apart(&self) -> bool {
+    pub(crate) fn is_by_zone(&self) -> bool {
         !self.known().is_together()
     }
 
--- a/crates/forward/src/gates/tests.rs
+++ b/crates/forward/src/gates/tests.rs
@@ -37,7 +37,7 @@
 async fn many_gates_are_linked_by_need_only() {
     let gates = Gates::new(links("g0"));
     gates.update(&gates_of(60));
-    assert!(gates.is_apart());
+    assert!(gates.is_by_zone());
     for az in ["a", "b", "c"] {
         gates.collecting("ice", az, 0);
     }
--- a/crates/forward/src/line.rs
+++ b/crates/forward/src/queue.rs
@@ -1,4 +1,8 @@
-//! Items that wait for the endpoints of one batch pool, and what these endpoints have in hand.
+//! Items that wait for the endpoints of one batch pool, and what these endpoints do and hold.
+
+mod call;
+mod job;
+mod zones;
 
 use std::{
     collections::{BTreeMap, HashMap, VecDeque},
@@ -7,8 +11,12 @@
     time::Duration,
 };
 
+pub(crate) use call::{Bound, NextCall};
 use declaration::{Batch, Capacity};
+pub(crate) use job::Job;
+use job::Place;
 use tokio::time::Instant;
+use zones::Zones;
 
 use crate::{
     ended::{Ended, ItemFailure},
@@ -20,12 +28,8 @@
 
 /// By how much later an item of the next urgency has its place.
 const URGENCY_STEP_MS: i64 = 600;
-/// Tries of one item.
-const MAX_TRIES: u8 = 3;
 /// An endpoint this many times slower than the fastest gets items only where many wait.
 const SLOW: f64 = 2.5;
-/// Bytes that cross zones for which items wait half a call.
-const HEAVY_BYTES: f64 = 2e6;
 /// Time beyond which a result that was not given up is gone for certain.
 const KEEP_MARGIN: Duration = Duration::from_millis(250);
 /// How long an endpoint is thought to keep more than was counted, at first and at most.
@@ -37,78 +41,9 @@
 /// is given up there before.
 const NO_ROOM_PAUSE: Duration = Duration::from_millis(25);
 
-/// Place in the line: when it is due, later the less urgent it is, in milliseconds since the line's
-/// start; then age.
-type Place = (i64, u64);
-
-/// One item that waits.
-#[derive(Clone, Debug)]
-pub(crate) struct Job {
-    pub(crate) ticket: Arc<Ticket>,
-    pub(crate) item: u32,
-    tries: u8,
-    place: Place,
-    /// When it is due, in milliseconds since the line's start.
-    due: i64,
-    since: Instant,
-}
-
-impl Job {
-    /// The same item for another try; `None` after too many.
-    pub(crate) fn once_more(&self) -> Option<Self> {
-        let tries = self.tries + 1;
-        (tries < MAX_TRIES).then(|| Self {
-            tries,
-            ..self.clone()
-        })
-    }
-}
-
-/// What keeps a call from holding more items.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) enum Bound {
-    /// It is full.
-    Batch,
-    /// The endpoint has no room for more results.
-    Room,
-    /// No more items wait that may go there.
-    Items,
-}
-
-impl Bound {
-    /// Its name in metrics.
-    pub(crate) fn label(self) -> &'static str {
-        match self {
-            Self::Batch => "batch",
-            Self::Room => "room",
-            Self::Items => "items",
-        }
-    }
-}
-
-/// A call that can be made now.
+/// Calls in flight at one endpoint, and the results that it holds.
 #[derive(Debug)]
-pub(crate) struct NextCall {
-    pub(crate) target: Arc<Target>,
-    pub(crate) jobs: Vec<Job>,
-    pub(crate) expected: Duration,
-    pub(crate) bound: Bound,
-    bytes: u64,
-}
-
-impl NextCall {
-    /// Bytes of inputs that its items fetch from other availability zones, about.
-    pub(crate) fn crossing_bytes(&self) -> u64 {
-        let submissions = self.jobs.iter().map(|job| &job.ticket.submission);
-        let apart = submissions.filter(|s| !s.inputs.is_empty() && s.az != self.target.az);
-        let each = apart.map(|s| s.crossing_bytes / u64::from(s.items.max(1)));
-        each.sum()
-    }
-}
-
-/// What one endpoint has in hand.
-#[derive(Debug)]
-struct Hand {
+struct EndpointLoad {
     calls: u32,
     /// Bytes of results that it keeps, those of calls in flight included.
     held: u64,
@@ -122,7 +57,7 @@
     full_until: Option<Instant>,
 }
 
-impl Hand {
+impl EndpointLoad {
     fn new() -> Self {
         Self {
             calls: 0,
@@ -137,7 +72,7 @@
 }
 
 #[derive(Clone, Debug)]
-struct Kept {
+struct HeldResult {
     endpoint: String,
     address: SocketAddr,
     bytes: u64,
@@ -145,54 +80,28 @@
     is_released: bool,
 }
 
-/// Endpoints and waiting items by availability zone.
-#[derive(Debug, Default)]
-struct Zones {
-    lanes: HashMap<String, usize>,
-    items: HashMap<String, usize>,
-    batch: usize,
-}
-
-impl Zones {
-    /// Whether `job` may go to an endpoint of `az`: bytes that cross zones cost, so it waits for one
-    /// of its own zone, the longer the more bytes they are, for up to a `full` call, while these
-    /// aren't backed up and it can still be in time, `spare_ms` after such a call.
-    fn may_go(&self, job: &Job, az: &str, now: Instant, full: Duration, spare_ms: i64) -> bool {
-        let submission = &job.ticket.submission;
-        let own = &submission.az;
-        let lanes = self.lanes.get(own).copied().unwrap_or(0);
-        let items = self.items.get(own).copied().unwrap_or(0);
-        let weight = submission.crossing_bytes as f64 / HEAVY_BYTES;
-        own == az
-            || lanes == 0
-            || items > lanes * self.batch
-            || spare_ms <= 0
-            || now.saturating_duration_since(job.since) >= full.mul_f64(weight.min(1.0))
-    }
-}
-
-/// The line of one service.
+/// The queue of one service.
 #[derive(Debug)]
-pub(crate) struct Line {
-    apart: Option<String>,
+pub(crate) struct Queue {
+    zone: Option<String>,
     slots: u32,
     batch: Batch,
     start: Instant,
     jobs: BTreeMap<Place, Job>,
     next: u64,
-    hands: HashMap<String, Hand>,
-    kept: HashMap<String, Kept>,
+    loads: HashMap<String, EndpointLoad>,
+    held: HashMap<String, HeldResult>,
     expiry: VecDeque<(Instant, String)>,
     freed: HashMap<SocketAddr, Vec<String>>,
     /// When it was last looked at which stages can't be done in time any more.
     shed_at: Option<Instant>,
 }
 
-impl Line {
-    /// An empty line that keeps to the endpoints of `apart`, where that is given and has any.
-    pub(crate) fn new(apart: Option<String>) -> Self {
+impl Queue {
+    /// An empty queue that keeps to the endpoints of `zone`, where that is given and has any.
+    pub(crate) fn new(zone: Option<String>) -> Self {
         Self {
-            apart,
+            zone,
             slots: 1,
             batch: Batch {
                 items: 1,
@@ -204,8 +113,8 @@
             start: Instant::now(),
             jobs: BTreeMap::new(),
             next: 0,
-            hands: HashMap::new(),
-            kept: HashMap::new(),
+            loads: HashMap::new(),
+            held: HashMap::new(),
             expiry: VecDeque::new(),
             freed: HashMap::new(),
             shed_at: None,
@@ -230,7 +139,7 @@
         self.jobs.is_empty()
     }
 
-    /// Puts the items of a stage into the line, unless they can't be done in time.
+    /// Puts the items of a stage into the queue, unless they can't be done in time.
     pub(crate) fn take(
         &mut self,
         submission: Submission,
@@ -273,14 +182,14 @@
     /// How long items at `place` wait for `endpoints` until those before them are done.
     fn wait(&self, place: i64, endpoints: usize) -> Duration {
         let ahead = self.jobs.range(..(place, 0)).count();
-        let busy: u32 = self.hands.values().map(|hand| hand.calls).sum();
-        let lanes = endpoints as u32 * self.slots;
-        if ahead == 0 && busy < lanes {
+        let busy: u32 = self.loads.values().map(|load| load.calls).sum();
+        let slots = endpoints as u32 * self.slots;
+        if ahead == 0 && busy < slots {
             return Duration::ZERO;
         }
         let full = self.call_time(self.batch.items);
-        let calls = ahead as f64 / f64::from(self.batch.items) / f64::from(lanes);
-        full.mul_f64(calls) + full / (2 * lanes)
+        let calls = ahead as f64 / f64::from(self.batch.items) / f64::from(slots);
+        full.mul_f64(calls) + full / (2 * slots)
     }
 
     fn call_time(&self, items: u32) -> Duration {
@@ -308,9 +217,9 @@
     ) -> Option<NextCall> {
         self.expire(now);
         self.drop_late(now);
-        for hand in self.hands.values_mut() {
-            if hand.hidden_until.is_some_and(|until| now >= until) {
-                (hand.hidden, hand.hidden_until) = (0, None);
+        for load in self.loads.values_mut() {
+            if load.hidden_until.is_some_and(|until| now >= until) {
+                (load.hidden, load.hidden_until) = (0, None);
             }
         }
         let sound = self.sound(pool, reachable, now);
@@ -339,13 +248,13 @@
             .iter()
             .map(|job| job.ticket.submission.result_bytes)
             .sum();
-        let hand = self
-            .hands
+        let load = self
+            .loads
             .entry(target.name.clone())
-            .or_insert_with(Hand::new);
-        hand.calls += 1;
-        hand.held += bytes;
-        let slowness = hand.slowness.factor(now).max(1.0);
+            .or_insert_with(EndpointLoad::new);
+        load.calls += 1;
+        load.held += bytes;
+        let slowness = load.slowness.factor(now).max(1.0);
         Some(NextCall {
             expected: self.call_time(jobs.len() as u32).mul_f64(slowness),
             target,
@@ -393,7 +302,7 @@
         zones.may_go(job, az, now, full, spare_ms)
     }
 
-    /// Endpoints that the line may call now.
+    /// Endpoints that the queue may call now.
     pub(crate) fn sound<'a>(
         &self,
         pool: &'a Pool,
@@ -401,7 +310,7 @@
         now: Instant,
     ) -> Vec<&'a Arc<Target>> {
         let all: Vec<&Arc<Target>> = pool.sound(reachable, now).collect();
-        let is_near = |t: &&Arc<Target>| self.apart.as_ref().is_none_or(|az| t.az == *az);
+        let is_near = |t: &&Arc<Target>| self.zone.as_ref().is_none_or(|az| t.az == *az);
         let near: Vec<&Arc<Target>> = all.iter().copied().filter(is_near).collect();
         if near.is_empty() { all } else { near }
     }
@@ -421,9 +330,9 @@
     }
 
     fn is_free(&self, target: &Target, now: Instant) -> bool {
-        let hand = self.hands.get(&target.name);
-        let calls = hand.map_or(0, |hand| hand.calls);
-        let is_full = hand.is_some_and(|hand| hand.full_until.is_some_and(|until| now < until));
+        let load = self.loads.get(&target.name);
+        let calls = load.map_or(0, |load| load.calls);
+        let is_full = load.is_some_and(|load| load.full_until.is_some_and(|until| now < until));
         calls < self.slots && !is_full
     }
 
@@ -431,7 +340,7 @@
     fn zones(&self, sound: &[&Arc<Target>]) -> Zones {
         let mut zones = Zones::default();
         for target in sound {
-            *zones.lanes.entry(target.az.clone()).or_default() += self.slots as usize;
+            *zones.slots.entry(target.az.clone()).or_default() += self.slots as usize;
         }
         for job in self.jobs.values() {
             *zones
@@ -453,12 +362,12 @@
         now: Instant,
     ) -> Option<&'a Arc<Target>> {
         let slowness = |t: &Target| {
-            let hand = self.hands.get(&t.name);
-            hand.map_or(1.0, |hand| hand.slowness.factor(now))
+            let load = self.loads.get(&t.name);
+            load.map_or(1.0, |load| load.slowness.factor(now))
         };
         let best = sound.iter().map(|t| slowness(t)).fold(f64::MAX, f64::min);
-        let lanes = sound.len() * self.slots as usize;
-        let is_backed_up = self.jobs.len() > 2 * lanes * self.batch.items as usize;
+        let slots = sound.len() * self.slots as usize;
+        let is_backed_up = self.jobs.len() > 2 * slots * self.batch.items as usize;
         let fit = fit.filter(|t| is_backed_up || slowness(t) < best * SLOW);
         let rank = |t: &&Arc<Target>| {
             let zone = if t.az == az { 0.0 } else { 1.0 };
@@ -468,8 +377,8 @@
     }
 
     fn room(&self, endpoint: &str) -> u64 {
-        let hand = self.hands.get(endpoint);
-        let held = hand.map_or(0, |hand| hand.held + hand.hidden);
+        let load = self.loads.get(endpoint);
+        let held = load.map_or(0, |load| load.held + load.hidden);
         self.batch.room_bytes.saturating_sub(held)
     }
 
@@ -477,38 +386,41 @@
     pub(crate) fn ended(&mut self, next: &NextCall, took: Duration, ended: &Ended, now: Instant) {
         let expected = self.call_time(next.jobs.len() as u32).as_secs_f64() * 1e3;
         let name = &next.target.name;
-        let hand = self.hands.entry(name.clone()).or_insert_with(Hand::new);
-        hand.calls = hand.calls.saturating_sub(1);
-        hand.held = hand.held.saturating_sub(next.bytes);
+        let load = self
+            .loads
+            .entry(name.clone())
+            .or_insert_with(EndpointLoad::new);
+        load.calls = load.calls.saturating_sub(1);
+        load.held = load.held.saturating_sub(next.bytes);
         let results = match ended {
             Ended::Answered(results) => results,
             Ended::Failed(_) => {
-                hand.slowness
+                load.slowness
                     .observe(expected, took.as_secs_f64() * 1e3, now);
                 return;
             }
             Ended::NotRun | Ended::Unsent(_) | Ended::Misplaced => return,
         };
-        hand.slowness
+        load.slowness
             .observe(expected, took.as_secs_f64() * 1e3, now);
         // Calls of another gate that collects as well may fill the endpoint for longer.
-        hand.hidden_for = match results.contains(&Err(ItemFailure::NoRoom)) {
-            true => (hand.hidden_for * 2).min(MAX_HIDDEN),
+        load.hidden_for = match results.contains(&Err(ItemFailure::NoRoom)) {
+            true => (load.hidden_for * 2).min(MAX_HIDDEN),
             false => HIDDEN,
         };
         let has_any = results.iter().any(|r| *r != Err(ItemFailure::NoRoom));
-        hand.full_until = (!has_any).then(|| now + NO_ROOM_PAUSE);
+        load.full_until = (!has_any).then(|| now + NO_ROOM_PAUSE);
         for (job, handle) in next.jobs.iter().zip(results) {
             let Ok(handle) = handle else { continue };
             let bytes = job.ticket.submission.result_bytes;
-            hand.held += bytes;
-            let kept = Kept {
+            load.held += bytes;
+            let kept = HeldResult {
                 endpoint: name.clone(),
                 address: next.target.address,
                 bytes,
                 is_released: false,
             };
-            self.kept.insert(handle.clone(), kept);
+            self.held.insert(handle.clone(), kept);
             self.expiry
                 .push_back((now + self.batch.keep + KEEP_MARGIN, handle.clone()));
         }
@@ -519,7 +431,7 @@
     pub(crate) fn free(&mut self, handles: &[String]) -> bool {
         let is_first = self.freed.is_empty();
         for handle in handles {
-            if let Some(kept) = self.kept.get(handle).filter(|kept| !kept.is_released) {
+            if let Some(kept) = self.held.get(handle).filter(|kept| !kept.is_released) {
                 let freed = self.freed.entry(kept.address).or_default();
                 freed.push(handle.clone());
             }
@@ -535,9 +447,9 @@
     /// The endpoint had no room for a result although some was left by this count: what else it
     /// keeps is taken to go soon.
     pub(crate) fn no_room(&mut self, endpoint: &str, bytes: u64, now: Instant) {
-        if let Some(hand) = self.hands.get_mut(endpoint) {
-            hand.hidden += bytes;
-            hand.hidden_until = Some(now + hand.hidden_for);
+        if let Some(load) = self.loads.get_mut(endpoint) {
+            load.hidden += bytes;
+            load.hidden_until = Some(now + load.hidden_for);
         }
     }
 
@@ -545,18 +457,18 @@
     /// answer to a batched call names no request by which a late copy of another one would show.
     pub(crate) fn is_repeated(&self, results: &[Result<String, ItemFailure>]) -> bool {
         let mut made = results.iter().flatten().peekable();
-        made.peek().is_some() && made.all(|handle| self.kept.contains_key(handle))
+        made.peek().is_some() && made.all(|handle| self.held.contains_key(handle))
     }
 
     /// A result takes up no room any more.
     pub(crate) fn release(&mut self, handle: &str) {
-        let Some(kept) = self.kept.get_mut(handle).filter(|kept| !kept.is_released) else {
+        let Some(kept) = self.held.get_mut(handle).filter(|kept| !kept.is_released) else {
             return;
         };
         kept.is_released = true;
-        if let Some(hand) = self.hands.get_mut(&kept.endpoint) {
-            hand.held = hand.held.saturating_sub(kept.bytes);
-            hand.full_until = None;
+        if let Some(load) = self.loads.get_mut(&kept.endpoint) {
+            load.held = load.held.saturating_sub(kept.bytes);
+            load.full_until = None;
         }
     }
 
@@ -564,7 +476,7 @@
         while self.expiry.front().is_some_and(|(at, _)| *at <= now) {
             if let Some((_, handle)) = self.expiry.pop_front() {
                 self.release(&handle);
-                self.kept.remove(&handle);
+                self.held.remove(&handle);
             }
         }
     }
@@ -587,7 +499,7 @@
     }
 }
 
-impl Line {
+impl Queue {
     /// Fails stages that have not begun and, behind what waits before them, can't be done in time:
     /// what came later and is more urgent has put them back. Their requests may still be served in
     /// another availability zone, or come back, if they hear of it now and not at their deadline.
--- a/crates/forward/src/line/tests.rs
+++ b/crates/forward/src/queue/tests.rs
@@ -5,7 +5,7 @@
 use declaration::{Batch, Capacity};
 use tokio::time::{Instant, sleep};
 
-use super::{Bound, Line};
+use super::{Bound, Queue};
 use crate::{
     ended::{Ended, ItemFailure},
     fleet::{Fleet, Pool, Reachable},
@@ -24,9 +24,9 @@
     fleet.pool("ice").unwrap()
 }
 
-fn line() -> Line {
-    let mut line = Line::new(None);
-    line.declare(&Capacity {
+fn queue() -> Queue {
+    let mut queue = Queue::new(None);
+    queue.declare(&Capacity {
         slots: Some(1),
         batch: Some(Batch {
             items: 4,
@@ -37,7 +37,7 @@
         }),
         ..Capacity::default()
     });
-    line
+    queue
 }
 
 fn submission() -> Submission {
@@ -59,24 +59,24 @@
 
 #[tokio::test(start_paused = true)]
 async fn an_endpoint_without_room_is_left_alone_for_longer_each_time() {
-    let (mut line, pool) = (line(), pool(&[("i-1", "a")]));
+    let (mut queue, pool) = (queue(), pool(&[("i-1", "a")]));
     let reachable = Reachable::default();
-    let taken = line.take(submission(), &pool, &reachable, Instant::now());
+    let taken = queue.take(submission(), &pool, &reachable, Instant::now());
     taken.unwrap();
     let mut pauses = Vec::new();
     for _ in 0..5 {
         let start = Instant::now();
         let next = loop {
-            match line.next_call(&pool, &reachable, Instant::now()) {
+            match queue.next_call(&pool, &reachable, Instant::now()) {
                 Some(next) => break next,
                 None => sleep(Duration::from_millis(10)).await,
             }
         };
         pauses.push(start.elapsed().as_millis());
         let ended = Ended::Answered(vec![Err(ItemFailure::NoRoom)]);
-        line.ended(&next, next.expected, &ended, Instant::now());
-        line.no_room("i-1", ROOM, Instant::now());
-        line.put_back(next.jobs[0].clone());
+        queue.ended(&next, next.expected, &ended, Instant::now());
+        queue.no_room("i-1", ROOM, Instant::now());
+        queue.put_back(next.jobs[0].clone());
     }
     assert_eq!(pauses, [0, 240, 480, 960, 960]);
 }
@@ -85,26 +85,28 @@
 /// find out call by call how much is taken.
 #[tokio::test(start_paused = true)]
 async fn an_endpoint_without_room_for_a_small_result_is_not_asked_again_at_once() {
-    let (mut line, pool) = (line(), pool(&[("i-1", "a")]));
+    let (mut queue, pool) = (queue(), pool(&[("i-1", "a")]));
     let reachable = Reachable::default();
     let small = Submission {
         result_bytes: ROOM / 100,
         ..submission()
     };
-    line.take(small, &pool, &reachable, Instant::now()).unwrap();
-    let next = line.next_call(&pool, &reachable, Instant::now()).unwrap();
+    queue
+        .take(small, &pool, &reachable, Instant::now())
+        .unwrap();
+    let next = queue.next_call(&pool, &reachable, Instant::now()).unwrap();
     let ended = Ended::Answered(vec![Err(ItemFailure::NoRoom)]);
-    line.ended(&next, next.expected, &ended, Instant::now());
-    line.no_room("i-1", ROOM / 100, Instant::now());
-    line.put_back(next.jobs[0].clone());
-    let again = line.next_call(&pool, &reachable, Instant::now());
+    queue.ended(&next, next.expected, &ended, Instant::now());
+    queue.no_room("i-1", ROOM / 100, Instant::now());
+    queue.put_back(next.jobs[0].clone());
+    let again = queue.next_call(&pool, &reachable, Instant::now());
     assert!(again.is_none());
 }
 
 /// How long an item of zone a with `crossing_bytes` that is due in `due_ms` waits while the
 /// only endpoint there is busy and one of zone b is free.
 async fn waits_ms(crossing_bytes: u64, due_ms: i64) -> u128 {
-    let (mut line, pool) = (line(), pool(&[("i-1", "a"), ("i-2", "b")]));
+    let (mut queue, pool) = (queue(), pool(&[("i-1", "a"), ("i-2", "b")]));
     let reachable = Reachable::default();
     let items = |crossing_bytes, due_ms| Submission {
         crossing_bytes,
@@ -113,14 +115,17 @@
         ..submission()
     };
     let first = items(u64::MAX / 2, 1_000);
-    line.take(first, &pool, &reachable, Instant::now()).unwrap();
-    let busy = line.next_call(&pool, &reachable, Instant::now()).unwrap();
+    queue
+        .take(first, &pool, &reachable, Instant::now())
+        .unwrap();
+    let busy = queue.next_call(&pool, &reachable, Instant::now()).unwrap();
     assert_eq!(busy.target.name, "i-1");
     let second = items(crossing_bytes, due_ms);
-    line.take(second, &pool, &reachable, Instant::now())
+    queue
+        .take(second, &pool, &reachable, Instant::now())
         .unwrap();
     let start = Instant::now();
-    while line.next_call(&pool, &reachable, Instant::now()).is_none() {
+    while queue.next_call(&pool, &reachable, Instant::now()).is_none() {
         sleep(Duration::from_millis(10)).await;
     }
     start.elapsed().as_millis()
@@ -139,7 +144,7 @@
 /// that it puts back beyond their time hear so at once, with time left to be served elsewhere.
 #[tokio::test(start_paused = true)]
 async fn what_a_more_urgent_burst_puts_back_beyond_its_time_is_refused_at_once() {
-    let (mut line, pool) = (line(), pool(&[("i-1", "a")]));
+    let (mut queue, pool) = (queue(), pool(&[("i-1", "a")]));
     let reachable = Reachable::default();
     let items = |items, urgency, left_ms| Submission {
         items,
@@ -149,11 +154,11 @@
         ..submission()
     };
     let now = Instant::now();
-    let mut take = |s| line.take(s, &pool, &reachable, now).unwrap();
+    let mut take = |s| queue.take(s, &pool, &reachable, now).unwrap();
     // A call of four items takes 280 ms. Three calls' worth fit before this one's time is over.
     let plain = take(items(4, 2, 1_200));
     let urgent: Vec<_> = (0..6).map(|_| take(items(4, 0, 5_000))).collect();
-    let first = line.next_call(&pool, &reachable, now).unwrap();
+    let first = queue.next_call(&pool, &reachable, now).unwrap();
     assert_eq!(first.jobs[0].ticket.id, urgent[0].id);
     assert!(plain.is_over());
     assert!(urgent.iter().all(|ticket| !ticket.is_over()));
@@ -164,7 +169,7 @@
 /// The same load where the less urgent stage has begun: its results are there already.
 #[tokio::test(start_paused = true)]
 async fn a_stage_that_has_begun_is_not_refused_for_a_burst_behind_it() {
-    let (mut line, pool) = (line(), pool(&[("i-1", "a"), ("i-2", "a")]));
+    let (mut queue, pool) = (queue(), pool(&[("i-1", "a"), ("i-2", "a")]));
     let reachable = Reachable::default();
     let items = |items, urgency, left_ms| Submission {
         items,
@@ -174,14 +179,14 @@
         ..submission()
     };
     let now = Instant::now();
-    let plain = line.take(items(8, 2, 1_200), &pool, &reachable, now);
+    let plain = queue.take(items(8, 2, 1_200), &pool, &reachable, now);
     let plain = plain.unwrap();
-    line.next_call(&pool, &reachable, now).unwrap();
+    queue.next_call(&pool, &reachable, now).unwrap();
     for _ in 0..12 {
         let urgent = items(4, 0, 5_000);
-        line.take(urgent, &pool, &reachable, now).unwrap();
+        queue.take(urgent, &pool, &reachable, now).unwrap();
     }
-    line.next_call(&pool, &reachable, now).unwrap();
+    queue.next_call(&pool, &reachable, now).unwrap();
     assert!(!plain.is_over());
 }
 
@@ -189,30 +194,32 @@
 /// another one.
 #[tokio::test(start_paused = true)]
 async fn a_late_copy_of_an_answer_is_known_by_its_results() {
-    let (mut line, pool) = (line(), pool(&[("i-1", "a")]));
+    let (mut queue, pool) = (queue(), pool(&[("i-1", "a")]));
     let reachable = Reachable::default();
     let small = Submission {
         result_bytes: 1,
         ..submission()
     };
-    line.take(small, &pool, &reachable, Instant::now()).unwrap();
-    let next = line.next_call(&pool, &reachable, Instant::now()).unwrap();
+    queue
+        .take(small, &pool, &reachable, Instant::now())
+        .unwrap();
+    let next = queue.next_call(&pool, &reachable, Instant::now()).unwrap();
     let results = |handles: &[&str]| -> Vec<Result<String, ItemFailure>> {
         handles.iter().map(|h| Ok((*h).to_owned())).collect()
     };
     let first = results(&["h-1"]);
-    assert!(!line.is_repeated(&first));
+    assert!(!queue.is_repeated(&first));
     let ended = Ended::Answered(first.clone());
-    line.ended(&next, next.expected, &ended, Instant::now());
-    assert!(line.is_repeated(&first));
+    queue.ended(&next, next.expected, &ended, Instant::now());
+    assert!(queue.is_repeated(&first));
     // Also once its results are given up, for as long as they could have been kept.
-    line.release("h-1");
-    assert!(line.is_repeated(&first));
-    assert!(!line.is_repeated(&results(&["h-2"])));
-    assert!(!line.is_repeated(&[Err(ItemFailure::NoRoom)]));
+    queue.release("h-1");
+    assert!(queue.is_repeated(&first));
+    assert!(!queue.is_repeated(&results(&["h-2"])));
+    assert!(!queue.is_repeated(&[Err(ItemFailure::NoRoom)]));
     sleep(Duration::from_secs(5)).await;
-    line.next_call(&pool, &reachable, Instant::now());
-    assert!(!line.is_repeated(&first));
+    queue.next_call(&pool, &reachable, Instant::now());
+    assert!(!queue.is_repeated(&first));
 }
 
 #[tokio::test(start_paused = true)]
@@ -220,15 +227,17 @@
     let pool = pool(&[("i-1", "a")]);
     let reachable = Reachable::default();
     let bound = |items, result_bytes| {
-        let mut line = line();
+        let mut queue = queue();
         let submission = Submission {
             items,
             result_bytes,
             ..submission()
         };
-        line.take(submission, &pool, &reachable, Instant::now())
+        queue
+            .take(submission, &pool, &reachable, Instant::now())
             .unwrap();
-        line.next_call(&pool, &reachable, Instant::now())
+        queue
+            .next_call(&pool, &reachable, Instant::now())
             .unwrap()
             .bound
     };
--- a/crates/forward/src/stages.rs
+++ b/crates/forward/src/stages.rs
@@ -287,7 +287,7 @@
     /// The availability zones whose collectors are asked in turn: one alone where all zones' items
     /// are collected together.
     fn zones(&self, submission: &Submission) -> Vec<String> {
-        if !self.gates.is_apart() {
+        if !self.gates.is_by_zone() {
             return vec![submission.az.clone()];
         }
         let sound = self.collector.sound_by_zone(&submission.service);
@@ -410,8 +410,8 @@
     /// own, else that of all.
     fn collect(&self, submission: Submission) -> Result<u64, StageFailure> {
         let az = submission.az.clone();
-        let apart = self.gates.is_apart().then_some(az);
-        self.collector.submit(submission, apart)
+        let by_zone = self.gates.is_by_zone().then_some(az);
+        self.collector.submit(submission, by_zone)
     }
 
     /// Collects the items at this gate.
