--- a/crates/forward/src/stages.rs
+++ b/crates/forward/src/stages.rs
@@ -261,9 +261,10 @@
             inputs: handles.collect(),
             result_bytes: stage.result_bytes,
             crossing_bytes: u64::from(items) * fetched(inputs).unwrap_or(stage.result_bytes),
+            // Each offer says how much time is left then.
             left: Duration::ZERO,
             urgency: work.urgency,
-            due_ms: work.due_ms(number),
+            due_ms: 0,
             az: heaviest(inputs).unwrap_or_else(|| work.az.to_owned()),
         };
         let zones = self.zones(&submission);
@@ -308,6 +309,7 @@
             let kept = expires.map(|at| at.saturating_duration_since(Instant::now()));
             let left = work.left(submission.stage);
             submission.left = kept.map_or(left, |kept| kept.min(left));
+            submission.due_ms = work.due_ms(submission.stage);
             match self.submit(work, submission, skip).await {
                 Err(StageFailure::Unreachable) => {}
                 ended => return ended,
