--- a/crates/forward/src/serving.rs
+++ b/crates/forward/src/serving.rs
@@ -73,6 +73,10 @@
     pub(crate) endpoints: Vec<String>,
     /// Endpoints that may have run it.
     pub(crate) runs: u32,
+    /// Time to the first part of its answer.
+    pub(crate) first: Option<Duration>,
+    /// Longest pause between two parts of a stream.
+    pub(crate) pause: Duration,
 }
 
 /// An endpoint's answer that is about to be passed on.
@@ -136,12 +140,23 @@
                 .story
                 .failed(Ending::EndpointFailed, status, &why, None);
         }
+        let took_ms = self.story.took_ms();
+        let first_ms = tried
+            .first
+            .map_or(took_ms, |first| first.as_millis() as u64);
+        let pause_ms = tried.pause.as_millis() as u64;
+        let route = self.route();
+        let is_late = u128::from(first_ms) > route.objective.as_millis()
+            || route.pause.is_some_and(|most| tried.pause > most);
         self.story.served(&Event::Served {
             route: self.matched.name.clone(),
             status,
             endpoint: endpoint.to_owned(),
             tries: tried.runs,
-            took_ms: self.story.took_ms(),
+            took_ms,
+            first_ms,
+            pause_ms,
+            is_late,
         });
     }
 
--- a/crates/gate/src/story.rs
+++ b/crates/gate/src/story.rs
@@ -111,6 +111,9 @@
             endpoint: stages.last().map_or(STORED, endpoint).to_owned(),
             tries: stages.iter().map(|stage| stage.attempts).sum(),
             took_ms: self.story.took_ms(),
+            first_ms: self.story.took_ms(),
+            pause_ms: 0,
+            is_late: false,
         });
     }
 
--- a/crates/logs/src/event.rs
+++ b/crates/logs/src/event.rs
@@ -158,6 +158,15 @@
         tries: u32,
         /// Time since its head had come.
         took_ms: u64,
+        /// Time to the first part of the answer.
+        #[serde(default)]
+        first_ms: u64,
+        /// Longest pause between two parts of a stream.
+        #[serde(default)]
+        pause_ms: u64,
+        /// Whether it missed its objective, by its first part or by a pause.
+        #[serde(default)]
+        is_late: bool,
     },
     /// A request ended without a whole answer of an endpoint.
     Failed {
@@ -345,6 +354,7 @@
             Self::Resumed { .. } => Kind::Resumed,
             Self::StreamBroken { .. } => Kind::StreamBroken,
             Self::Ledger { .. } => Kind::Ledger,
+            Self::Served { is_late: true, .. } => Kind::ServedLate,
             Self::Served { .. } => Kind::Served,
             Self::Failed { .. } => Kind::Failed,
             Self::ItemsFailed { .. } => Kind::ItemsFailed,
--- a/crates/logs/src/kind.rs
+++ b/crates/logs/src/kind.rs
@@ -21,6 +21,7 @@
     StreamBroken,
     Ledger,
     Served,
+    ServedLate,
     Failed,
     ItemsFailed,
     BatchFailed,
@@ -51,7 +52,7 @@
 
 impl Kind {
     /// All kinds.
-    pub const ALL: [Self; 30] = [
+    pub const ALL: [Self; 31] = [
         Self::Admitted,
         Self::StageSent,
         Self::StageMade,
@@ -63,6 +64,7 @@
         Self::StreamBroken,
         Self::Ledger,
         Self::Served,
+        Self::ServedLate,
         Self::Failed,
         Self::ItemsFailed,
         Self::BatchFailed,
@@ -98,6 +100,7 @@
             Self::StreamBroken => "stream_broken",
             Self::Ledger => "ledger",
             Self::Served => "served",
+            Self::ServedLate => "served_late",
             Self::Failed => "failed",
             Self::ItemsFailed => "items_failed",
             Self::BatchFailed => "batch_failed",
@@ -134,6 +137,7 @@
             | Self::Resumed
             | Self::StreamBroken
             | Self::Ledger
+            | Self::ServedLate
             | Self::Failed
             | Self::ItemsFailed
             | Self::BatchFailed => FAILURES,
--- a/crates/logs/src/story.rs
+++ b/crates/logs/src/story.rs
@@ -59,10 +59,14 @@
         self.begun.elapsed().as_millis() as u64
     }
 
-    /// The request went well; `event` sums it up.
+    /// The request went well; `event` sums it up. One that missed its objective is written whole.
     pub fn served(&self, event: &Event) {
-        if !self.is_over.swap(true, Ordering::Relaxed) {
-            write(Some(&self.request), event);
+        if self.is_over.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        write(Some(&self.request), event);
+        if matches!(event, Event::Served { is_late: true, .. }) {
+            self.write_steps();
         }
     }
 
@@ -71,7 +75,6 @@
         if self.is_over.swap(true, Ordering::Relaxed) {
             return;
         }
-        let mut steps = self.steps.lock().expect("no holder of this lock panics");
         // The end comes first: where lines are left out it is the last to go.
         write(
             Some(&self.request),
@@ -83,6 +86,11 @@
                 took_ms: self.took_ms(),
             },
         );
+        self.write_steps();
+    }
+
+    fn write_steps(&self) {
+        let mut steps = self.steps.lock().expect("no holder of this lock panics");
         for step in steps.drain(..) {
             write_at(Some(&self.request), &step.event, step.at_ms);
         }
