Inputs of a batched stage are given up once their endpoints have fetched them

A result took up its room until the stage behind it had ended (own call 0.36 s, next stage 0.53 s), although an endpoint fetches the inputs of a call at its turn. Change: an endpoint that began its last call at once, in a pool that has room, has the inputs 60 ms after the call was sent; the gate that collects tells the submitting gate, which gives them up. Ruled out: shorter calls (the fixed 240 ms dominate), more endpoints at a time (all five are busy).

--- a/crates/forward/src/collector.rs
+++ b/crates/forward/src/collector.rs
@@ -14,7 +14,7 @@
 use tokio::{
     sync::{Notify, watch},
     task::JoinHandle,
-    time::{Instant, sleep, timeout_at},
+    time::{Instant, sleep, timeout, timeout_at},
 };
 
 use crate::{
@@ -33,6 +33,9 @@
 const FREE_PAUSE: Duration = Duration::from_millis(25);
 /// Bound on an order to give results up.
 const FREE_LIMIT: Duration = Duration::from_millis(500);
+/// Time after which an endpoint that began a call at once has fetched the inputs of its items: the call
+/// has to arrive, and a full one fetches some megabytes.
+const FETCH_TIME: Duration = Duration::from_millis(60);
 /// Longest time between checks of a queue in which items wait.
 const CHECK_EVERY: Duration = Duration::from_millis(25);
 
@@ -156,6 +159,19 @@
         result
     }
 
+    /// Waits until the endpoints have fetched the inputs of what was taken under `ticket`; false where
+    /// it is not known here any more.
+    pub(crate) async fn inputs_fetched(&self, ticket: u64) -> bool {
+        let found = self.tickets().get(&ticket).cloned();
+        match found {
+            Some(ticket) => {
+                let until = ticket.deadline;
+                timeout_at(until, ticket.inputs_fetched()).await.is_ok()
+            }
+            None => false,
+        }
+    }
+
     /// Gives up what was taken under `ticket`; results that still come are freed.
     pub(crate) fn cancel(&self, ticket: u64) {
         let Some(ticket) = self.tickets().remove(&ticket) else {
@@ -281,7 +297,7 @@
 async fn make(collector: Collector, running: Arc<Running>, next: NextCall) {
     let cx = &collector.shared.cx;
     let began = Instant::now();
-    let mut ended = batch::call(cx, &next).await;
+    let mut ended = called(cx, &next).await;
     let now = Instant::now();
     if matches!(&ended, Ended::Answered(results) if running.queue().is_repeated(results)) {
         // The connection carries answers of other calls.
@@ -316,6 +332,23 @@
     collector.free(&service, unwanted);
 }
 
+/// Makes the call; its items' inputs are known to be at the endpoint once it has worked on it for a
+/// while.
+async fn called(cx: &Context, next: &NextCall) -> Ended {
+    let called = batch::call(cx, next);
+    tokio::pin!(called);
+    match timeout(FETCH_TIME, &mut called).await {
+        Ok(ended) => return ended,
+        Err(_) if next.begins_at_once => {
+            next.jobs
+                .iter()
+                .for_each(|job| job.ticket.note_fetched(job.item));
+        }
+        Err(_) => {}
+    }
+    called.await
+}
+
 /// Requests that the queue of a failed call names.
 const MAX_NAMED: usize = 12;
 
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -20,6 +20,7 @@
 mod forwarder;
 mod freshness;
 mod gates;
+mod graph;
 mod headers;
 mod heads;
 mod inquiry;
--- a/crates/forward/src/messages.rs
+++ b/crates/forward/src/messages.rs
@@ -124,6 +124,8 @@
     Submit(Submission),
     /// Waits for what was taken under a ticket.
     Await(u64),
+    /// Waits until the endpoints have fetched the inputs of what was taken under a ticket.
+    AwaitFetched(u64),
     /// Gives up what was taken under a ticket.
     Cancel(u64),
     /// Gives results up: the service and their handles.
@@ -139,6 +141,8 @@
     Refused(StageFailure),
     /// To [`StageRequest::Await`].
     Done(Result<Vec<Made>, StageFailure>),
+    /// To [`StageRequest::AwaitFetched`]: whether they have them; false where that is not known.
+    Fetched(bool),
     /// To the others.
     Noted,
 }
--- a/crates/forward/src/queue.rs
+++ b/crates/forward/src/queue.rs
@@ -41,6 +41,11 @@
 /// is given up there before.
 const NO_ROOM_PAUSE: Duration = Duration::from_millis(25);
 
+/// A call that takes less than this times what calls take began as it came.
+const PROMPT: f64 = 1.2;
+/// Time without a result for which there was no room after which calls are trusted to find room.
+const ROOM_AGAIN: Duration = Duration::from_secs(1);
+
 /// Calls in flight at one endpoint, and the results that it holds.
 #[derive(Debug)]
 struct EndpointLoad {
@@ -53,6 +58,8 @@
     hidden_until: Option<Instant>,
     /// For how long it is believed the next time.
     hidden_for: Duration,
+    /// Whether its last call took no longer than calls take, and it had room for all results.
+    is_prompt: bool,
     /// Until when it gets no call, since it had room for no result of the last one.
     full_until: Option<Instant>,
 }
@@ -66,6 +73,7 @@
             hidden: 0,
             hidden_until: None,
             hidden_for: HIDDEN,
+            is_prompt: false,
             full_until: None,
         }
     }
@@ -95,6 +103,8 @@
     freed: HashMap<SocketAddr, Vec<String>>,
     /// When it was last looked at which stages can't be done in time any more.
     shed_at: Option<Instant>,
+    /// When an endpoint last had no room for a result.
+    no_room_at: Option<Instant>,
 }
 
 impl Queue {
@@ -118,6 +128,7 @@
             expiry: VecDeque::new(),
             freed: HashMap::new(),
             shed_at: None,
+            no_room_at: None,
         }
     }
 
@@ -255,7 +266,9 @@
         load.calls += 1;
         load.held += bytes;
         let slowness = load.slowness.factor(now).max(1.0);
+        let had_room = self.no_room_at.is_none_or(|at| now > at + ROOM_AGAIN);
         Some(NextCall {
+            begins_at_once: load.is_prompt && had_room,
             expected: self.call_time(jobs.len() as u32).mul_f64(slowness),
             target,
             jobs,
@@ -401,8 +414,9 @@
             }
             Ended::NotRun | Ended::Unsent(_) | Ended::Misplaced => return,
         };
-        load.slowness
-            .observe(expected, took.as_secs_f64() * 1e3, now);
+        let took_ms = took.as_secs_f64() * 1e3;
+        load.slowness.observe(expected, took_ms, now);
+        load.is_prompt = took_ms < expected * PROMPT;
         // Calls of another gate that collects as well may fill the endpoint for longer.
         load.hidden_for = match results.contains(&Err(ItemFailure::NoRoom)) {
             true => (load.hidden_for * 2).min(MAX_HIDDEN),
@@ -447,6 +461,7 @@
     /// The endpoint had no room for a result although some was left by this count: what else it
     /// keeps is taken to go soon.
     pub(crate) fn no_room(&mut self, endpoint: &str, bytes: u64, now: Instant) {
+        self.no_room_at = Some(now);
         if let Some(load) = self.loads.get_mut(endpoint) {
             load.hidden += bytes;
             load.hidden_until = Some(now + load.hidden_for);
--- a/crates/forward/src/queue/call.rs
+++ b/crates/forward/src/queue/call.rs
@@ -34,6 +34,8 @@
     pub(crate) jobs: Vec<Job>,
     pub(crate) expected: Duration,
     pub(crate) bound: Bound,
+    /// Whether the endpoint is known to begin calls as they come, and to have room for their results.
+    pub(crate) begins_at_once: bool,
     pub(super) bytes: u64,
 }
 
--- a/crates/forward/src/stages.rs
+++ b/crates/forward/src/stages.rs
@@ -15,6 +15,7 @@
 use crate::{
     collector::Collector,
     gates::{Collecting, Gates},
+    graph::Graph,
     inquiry::Inquiry,
     messages::{Made, StageFailure, StageReply, StageRequest, Submission},
     metrics::Metrics,
@@ -28,6 +29,8 @@
 const AWAIT_GRACE: Duration = Duration::from_millis(300);
 /// Bound on messages whose loss costs nothing but room.
 const NOTE_LIMIT: Duration = Duration::from_secs(1);
+/// Times that stages are done once more since their results were gone before they were used.
+const MAX_REMAKES: u32 = 1;
 /// Gates that are tried for one stage.
 const MAX_COLLECTORS: usize = 3;
 
@@ -145,6 +148,42 @@
     });
 }
 
+/// The inputs of a stage, kept until the endpoints that need them have them.
+struct Inputs {
+    kept: Vec<Arc<Results>>,
+    are_needed: bool,
+}
+
+impl Inputs {
+    fn new(kept: Vec<Arc<Results>>) -> Self {
+        Self {
+            are_needed: !kept.is_empty(),
+            kept,
+        }
+    }
+
+    fn are_given_up(&self) -> bool {
+        self.are_needed && self.kept.is_empty()
+    }
+
+    /// Waits for `done`, and gives the inputs up once they were `fetched`: their room is taken up no
+    /// longer than it has to be.
+    async fn until_fetched<T>(
+        &mut self,
+        done: impl Future<Output = T>,
+        fetched: impl Future<Output = bool>,
+    ) -> T {
+        tokio::pin!(done);
+        if self.are_needed && !self.are_given_up() {
+            tokio::select! {
+                result = &mut done => return result,
+                is_fetched = fetched => if is_fetched { self.kept.clear() },
+            }
+        }
+        done.await
+    }
+}
+
 /// Items that were handed over; they are cancelled when dropped before they are done.
 struct Pending {
     ticket: Option<u64>,
@@ -199,42 +238,29 @@
 }
 
 impl Stages {
-    /// Does all stages; the results of those that no other stage follows.
+    /// Does all stages; the results of those that no other stage follows. Where inputs of a stage are
+    /// gone, as with the endpoint that kept them, they are made once more.
     pub(crate) async fn run(&self, work: &Work<'_>) -> Result<Vec<Arc<Results>>, StageFailure> {
-        let stages = &work.route.stages;
-        let count = stages.len();
-        let mut done: Vec<Option<Arc<Results>>> = vec![None; count];
-        let mut begun = vec![false; count];
-        let mut finished = vec![false; count];
+        let mut graph = Graph::new(&work.route.stages);
         let mut running = FuturesUnordered::new();
+        let mut remakes = 0;
         loop {
-            for number in 0..count {
-                let is_ready = stages[number].after.iter().all(|n| finished[*n]);
-                if begun[number] || !is_ready {
-                    continue;
-                }
-                begun[number] = true;
-                let after = stages[number].after.iter();
-                let inputs: Vec<Arc<Results>> = after.filter_map(|n| done[*n].clone()).collect();
-                running.push(async move { (number, self.stage(work, number, &inputs).await) });
+            while let Some((number, inputs)) = graph.next() {
+                running.push(async move { (number, self.stage(work, number, inputs).await) });
             }
             let Some((number, result)) = running.next().await else {
                 break;
             };
-            finished[number] = true;
-            done[number] = result?.map(Arc::new);
-            // Results that every stage behind them has used are given up at once.
-            for (n, results) in done.iter_mut().enumerate() {
-                let mut followers = (0..count)
-                    .filter(|f| stages[*f].after.contains(&n))
-                    .peekable();
-                if followers.peek().is_some() && followers.all(|f| finished[f]) {
-                    *results = None;
+            match result {
+                Ok(results) => graph.finish(number, results.map(Arc::new)),
+                Err(StageFailure::InputGone) if remakes < MAX_REMAKES => {
+                    remakes += 1;
+                    graph.begin_again(number);
                 }
+                Err(failure) => return Err(failure),
             }
         }
-        let last = work.route.last_stages();
-        Ok(last.filter_map(|n| done[n].clone()).collect())
+        Ok(graph.into_results())
     }
 
     /// Does one stage; `None` where it has no items for this request.
@@ -242,7 +268,7 @@
         &self,
         work: &Work<'_>,
         number: usize,
-        inputs: &[Arc<Results>],
+        inputs: Vec<Arc<Results>>,
     ) -> Result<Option<Results>, StageFailure> {
         let items = work.inquiry.items.get(number).copied().unwrap_or(0);
         if items == 0 {
@@ -260,18 +286,20 @@
             key: key.filter(|_| stage.after.is_empty()),
             inputs: handles.collect(),
             result_bytes: stage.result_bytes,
-            crossing_bytes: u64::from(items) * fetched(inputs).unwrap_or(stage.result_bytes),
+            crossing_bytes: u64::from(items) * fetched(&inputs).unwrap_or(stage.result_bytes),
             // Each offer says how much time is left then.
             left: Duration::ZERO,
             urgency: work.urgency,
             due_ms: 0,
-            az: heaviest(inputs).unwrap_or_else(|| work.az.to_owned()),
+            az: heaviest(&inputs).unwrap_or_else(|| work.az.to_owned()),
         };
         let zones = self.zones(&submission);
         let mut crowded = None;
+        let mut inputs = Inputs::new(inputs);
         for az in zones {
             submission.az = az;
-            match self.in_zone(work, &mut submission, expires).await {
+            let made = self.in_zone(work, &mut submission, expires, &mut inputs);
+            match made.await {
                 Ok(results) => return Ok(Some(results)),
                 Err(StageFailure::Unreachable) => {}
                 // Another zone may have slots free.
@@ -281,7 +309,7 @@
         }
         match crowded {
             Some(failure) => Err(failure),
-            None => self.own(work, &submission).await.map(Some),
+            None => self.own(work, &submission, &mut inputs).await.map(Some),
         }
     }
 
@@ -304,13 +332,17 @@
         work: &Work<'_>,
         submission: &mut Submission,
         expires: Option<Instant>,
+        inputs: &mut Inputs,
     ) -> Result<Results, StageFailure> {
         for skip in 0..MAX_COLLECTORS {
             let kept = expires.map(|at| at.saturating_duration_since(Instant::now()));
             let left = work.left(submission.stage);
             submission.left = kept.map_or(left, |kept| kept.min(left));
             submission.due_ms = work.due_ms(submission.stage);
-            match self.submit(work, submission, skip).await {
+            match self.submit(work, submission, skip, inputs).await {
+                Err(StageFailure::Unreachable) if inputs.are_given_up() => {
+                    return Err(StageFailure::InputGone);
+                }
                 Err(StageFailure::Unreachable) => {}
                 ended => return ended,
             }
@@ -365,12 +397,13 @@
         work: &Work<'_>,
         submission: &Submission,
         skip: usize,
+        inputs: &mut Inputs,
     ) -> Result<Results, StageFailure> {
         let peer = match self
             .gates
             .collecting(&submission.service, &submission.az, skip)
         {
-            Collecting::Own => return self.own(work, submission).await,
+            Collecting::Own => return self.own(work, submission, inputs).await,
             Collecting::Other(peer) => peer,
             Collecting::Nobody => return Err(StageFailure::Unreachable),
         };
@@ -395,8 +428,19 @@
             via: Some(peer.clone()),
         };
         let left = work.deadline.saturating_duration_since(Instant::now());
-        let wait = StageRequest::Await(ticket);
-        let reply = peer.call(Channel::Stages, &wait, left + AWAIT_GRACE).await;
+        let (wait, fetched) = (
+            StageRequest::Await(ticket),
+            StageRequest::AwaitFetched(ticket),
+        );
+        let reply = inputs
+            .until_fetched(
+                peer.call(Channel::Stages, &wait, left + AWAIT_GRACE),
+                async {
+                    let reply = peer.call(Channel::Stages, &fetched, left).await;
+                    matches!(reply, Ok(StageReply::Fetched(true)))
+                },
+            )
+            .await;
         pending.ticket = None;
         match reply {
             Ok(StageReply::Done(result)) => {
@@ -417,15 +461,24 @@
     }
 
     /// Collects the items at this gate.
-    async fn own(&self, work: &Work<'_>, submission: &Submission) -> Result<Results, StageFailure> {
+    async fn own(
+        &self,
+        work: &Work<'_>,
+        submission: &Submission,
+        inputs: &mut Inputs,
+    ) -> Result<Results, StageFailure> {
         let began = Instant::now();
         Self::note_sent(work, submission, OWN);
-        let made = self.made_here(submission).await;
+        let made = self.made_here(submission, inputs).await;
         self.note_end(work, submission, OWN, began, &made);
         made.map(|made| self.results(work, submission, made, None))
     }
 
-    async fn made_here(&self, submission: &Submission) -> Result<Vec<Made>, StageFailure> {
+    async fn made_here(
+        &self,
+        submission: &Submission,
+        inputs: &mut Inputs,
+    ) -> Result<Vec<Made>, StageFailure> {
         let until = Instant::now() + submission.left + AWAIT_GRACE;
         let ticket = self.collect(submission.clone())?;
         let mut pending = Pending {
@@ -433,7 +486,11 @@
             collector: self.collector.clone(),
             via: None,
         };
-        let made = timeout_at(until, self.collector.wait(ticket)).await;
+        let made = inputs.until_fetched(
+            timeout_at(until, self.collector.wait(ticket)),
+            self.collector.inputs_fetched(ticket),
+        );
+        let made = made.await;
         let made = made.unwrap_or(Err(StageFailure::Failed))?;
         pending.ticket = None;
         Ok(made)
@@ -467,6 +524,9 @@
                 Err(failure) => StageReply::Refused(failure),
             },
             Ok(StageRequest::Await(ticket)) => StageReply::Done(self.collector.wait(ticket).await),
+            Ok(StageRequest::AwaitFetched(ticket)) => {
+                StageReply::Fetched(self.collector.inputs_fetched(ticket).await)
+            }
             Ok(StageRequest::Cancel(ticket)) => {
                 self.collector.cancel(ticket);
                 StageReply::Noted
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -56,6 +56,7 @@
         last: req.inquiry.after_event,
         sent: req.inquiry.after_event,
         last_at: Instant::now(),
+        part_at: None,
     };
     tokio::spawn(passing.run(begun));
     Response::Streamed {
@@ -77,6 +78,8 @@
     /// numbered event are no sign of life.
     sent: Option<u64>,
     last_at: Instant,
+    /// When the last part was passed on.
+    part_at: Option<Instant>,
 }
 
 impl Passing {
@@ -190,6 +193,7 @@
                 }
                 // The endpoint has fetched them before it read the prompt.
                 self.inputs.clear();
+                self.note_part();
                 let before = self.sent;
                 self.send(whole.freeze()).await?;
                 // A caller who reads slowly is no silence of the endpoint's.
@@ -200,6 +204,15 @@
         }
     }
 
+    /// Notes the time to the first part and the longest pause between two.
+    fn note_part(&mut self) {
+        let now = Instant::now();
+        match self.part_at.replace(now) {
+            Some(before) => self.tried.pause = self.tried.pause.max(now - before),
+            None => self.tried.first = Some(self.req.inquiry.received.elapsed()),
+        }
+    }
+
     /// Numbers rise; an event without a number follows the one before it.
     fn check(&mut self, id: Option<u64>) -> Result<(), Broken> {
         let Some(id) = id else { return Ok(()) };
--- a/crates/forward/src/ticket.rs
+++ b/crates/forward/src/ticket.rs
@@ -26,6 +26,7 @@
     pub(crate) deadline: Instant,
     state: Mutex<TicketState>,
     done: Notify,
+    fetched: Notify,
     is_over: AtomicBool,
     has_begun: AtomicBool,
 }
@@ -35,6 +36,8 @@
     made: Vec<Option<Made>>,
     missing: usize,
     failure: Option<StageFailure>,
+    /// Whether the inputs of each item are at its endpoint.
+    has_inputs: Vec<bool>,
 }
 
 impl Ticket {
@@ -49,8 +52,10 @@
                 made: vec![None; items],
                 missing: items,
                 failure: None,
+                has_inputs: vec![false; items],
             }),
             done: Notify::new(),
+            fetched: Notify::new(),
             is_over: AtomicBool::new(false),
             has_begun: AtomicBool::new(false),
         }
@@ -92,6 +97,23 @@
         true
     }
 
+    /// The endpoint that makes `item` has fetched its inputs.
+    pub(crate) fn note_fetched(&self, item: u32) {
+        let mut state = self.state();
+        if let Some(has_inputs) = state.has_inputs.get_mut(item as usize) {
+            *has_inputs = true;
+        }
+        if state.has_inputs.iter().all(|has_inputs| *has_inputs) {
+            self.fetched.notify_one();
+        }
+    }
+
+    /// Waits until the inputs of all items are where these are made; for ever where that is not known
+    /// before the items are made.
+    pub(crate) async fn inputs_fetched(&self) {
+        self.fetched.notified().await;
+    }
+
     /// The stage has failed; nothing of it is wanted any more.
     pub(crate) fn fail(&self, failure: StageFailure) {
         if !self.is_over.swap(true, Ordering::Relaxed) {
