--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -152,7 +152,10 @@
             Event::EndpointState { endpoint, .. }
             | Event::EndpointEjected { endpoint, .. }
             | Event::EndpointBack { endpoint, .. }
-            | Event::EndpointMisplaced { endpoint, .. },
+            | Event::EndpointMisplaced { endpoint, .. }
+            | Event::EndpointLeaving { endpoint, .. }
+            | Event::EndpointPaused { endpoint, .. }
+            | Event::EndpointUnreached { endpoint, .. },
         ) => is_own && concerned.contains(&endpoint),
         Some(Event::Collects { service, .. }) => is_own && concerned.contains(&service),
         _ => is_own,
--- a/crates/forward/src/answer.rs
+++ b/crates/forward/src/answer.rs
@@ -50,6 +50,9 @@
     /// The service has no endpoint that takes new work.
     #[error("no endpoint takes new work")]
     NoEndpoint,
+    /// Every endpoint that would take new work has asked for a pause.
+    #[error("every endpoint asked for a pause")]
+    Paused,
     /// Every endpoint is full.
     #[error("every endpoint is full")]
     Full,
@@ -71,6 +74,7 @@
             Self::NoDeclaration => "no_declaration",
             Self::NotConfirmed => "not_confirmed",
             Self::NoEndpoint => "no_endpoint",
+            Self::Paused => "paused",
             Self::Full => "full",
             Self::StagesLate => "stages_late",
             Self::StagesFailed => "stages_failed",
--- a/crates/forward/src/batch.rs
+++ b/crates/forward/src/batch.rs
@@ -5,7 +5,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    call,
+    call::{self, CallError},
     collector::Context,
     dialect::{Item, ItemResult, Source, Verdict},
     ended::{Ended, ItemFailure},
@@ -28,10 +28,16 @@
     let until = now + patience;
     let exchange = match call::send(&cx.pool, next.target.address, req, until).await {
         Ok(exchange) => exchange,
+        Err(CallError::Unreached(why)) => return Ended::Unreached(why),
         Err(e) if e.may_have_run() => return Ended::Failed(e.to_string()),
         Err(e) => return Ended::Unsent(e.to_string()),
     };
-    match (cx.dialect.judge)("", exchange.status, &exchange.headers) {
+    let verdict = (cx.dialect.judge)("", exchange.status, &exchange.headers);
+    if verdict.is_of_target() {
+        let notice = (cx.dialect.notice)(exchange.status, &exchange.headers);
+        cx.fleet.take_notice(&next.target, notice, &cx.vm);
+    }
+    match verdict {
         Verdict::Good => {}
         Verdict::Full | Verdict::NotRun | Verdict::InputsGone => {
             // Reading the rest only keeps the connection.
--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -18,6 +18,9 @@
     /// No byte of it was handed to a socket, and none will be.
     #[error("not sent: {0}")]
     Unsent(String),
+    /// No connection was made, so no byte of it was handed to a socket.
+    #[error("not sent, no connection was made: {0}")]
+    Unreached(String),
     /// It was sent, and its answer was lost.
     #[error("sent, and the answer was lost: {0}")]
     Lost(String),
@@ -32,7 +35,7 @@
 impl CallError {
     /// Whether the call may have run.
     pub(crate) fn may_have_run(&self) -> bool {
-        !matches!(self, Self::Unsent(_))
+        !matches!(self, Self::Unsent(_) | Self::Unreached(_))
     }
 }
 
@@ -67,7 +70,7 @@
         Err(_) => return Err(CallError::Unsent("no time left to connect".to_owned())),
         Ok(Err(why)) => {
             pool.suspect(address);
-            return Err(CallError::Unsent(why));
+            return Err(CallError::Unreached(why));
         }
         Ok(Ok(connection)) => connection,
     };
--- a/crates/forward/src/collector.rs
+++ b/crates/forward/src/collector.rs
@@ -47,6 +47,8 @@
     pub(crate) pool: Pool,
     pub(crate) rules: watch::Receiver<Arc<Rules>>,
     pub(crate) budget: Arc<routing::RetryBudget>,
+    /// The VM of this gate.
+    pub(crate) vm: String,
     pub(crate) metrics: Metrics,
 }
 
@@ -122,6 +124,9 @@
         let Some(pool) = self.shared.cx.fleet.pool(&service) else {
             return Err(StageFailure::NoEndpoint);
         };
+        for _ in 0..submission.items {
+            self.shared.cx.budget.first_try(&service);
+        }
         let running = self.running(QueueKey { service, zone });
         let ticket = {
             let mut queue = running.queue();
@@ -194,16 +199,16 @@
             let is_first = running.queue().free(&handles);
             running.wake.notify_one();
             if is_first {
-                let collector = self.clone();
+                let (collector, service) = (self.clone(), service.to_owned());
                 tokio::spawn(async move {
                     sleep(FREE_PAUSE).await;
-                    collector.send_freed(&running).await;
+                    collector.send_freed(&service, &running).await;
                 });
             }
         }
     }
 
-    async fn send_freed(&self, running: &Running) {
+    async fn send_freed(&self, service: &str, running: &Running) {
         let freed = running.queue().take_freed();
         let cx = &self.shared.cx;
         for (address, handles) in freed {
@@ -212,6 +217,10 @@
             let sent = crate::call::send(&cx.pool, address, req, until).await;
             // A result whose order was lost expires by itself.
             if let Ok(exchange) = sent {
+                let notice = (cx.dialect.notice)(exchange.status, &exchange.headers);
+                if let Some(target) = cx.fleet.at(service, address) {
+                    cx.fleet.take_notice(&target, notice, &cx.vm);
+                }
                 let _ = exchange.whole(&cx.pool, usize::MAX, until).await;
                 let mut queue = running.queue();
                 for handle in &handles {
@@ -305,11 +314,12 @@
         ended = Ended::Failed("an earlier answer came again".to_owned());
     }
     let has_failed = matches!(ended, Ended::Failed(_) | Ended::Unsent(_));
-    if !matches!(ended, Ended::NotRun) {
+    if !matches!(ended, Ended::NotRun | Ended::Unreached(_)) {
         cx.fleet.observe(&next.target, has_failed);
     }
-    match ended {
+    match &ended {
         Ended::NotRun | Ended::Unsent(_) => next.target.note_full(),
+        Ended::Unreached(why) => next.target.note_unreached(why),
         Ended::Misplaced => next.target.note_misplaced(),
         Ended::Failed(_) | Ended::Answered(_) => {}
     }
@@ -379,7 +389,7 @@
     let service = &next.target.service;
     let results = match ended {
         Ended::Answered(results) => results,
-        Ended::NotRun | Ended::Unsent(_) | Ended::Misplaced => {
+        Ended::NotRun | Ended::Unsent(_) | Ended::Unreached(_) | Ended::Misplaced => {
             next.jobs.iter().for_each(|job| queue.put_back(job.clone()));
             return unwanted;
         }
--- a/crates/forward/src/control.rs
+++ b/crates/forward/src/control.rs
@@ -52,6 +52,8 @@
     pub(crate) follower: Follower,
     pub(crate) rules: watch::Receiver<Arc<Rules>>,
     pub(crate) mirror: watch::Receiver<Mirror>,
+    /// The keepers known, those of the own availability zone first.
+    pub(crate) keepers: watch::Receiver<Vec<Peer>>,
     pub(crate) _tasks: JoinSet<()>,
 }
 
@@ -63,13 +65,14 @@
         let (mirror_tx, mirror) = watch::channel(Mirror::default());
         let (rules_tx, rules) = watch::channel(Arc::new(Rules::default()));
         let mut tasks = JoinSet::new();
-        tasks.spawn(mirror::follow(known, mirror_tx));
+        tasks.spawn(mirror::follow(known.clone(), mirror_tx));
         tasks.spawn(type_rules(follower.clone(), rules_tx));
         tasks.spawn(self.keep_confirmed(follower.clone(), keepers));
         Told {
             follower,
             rules,
             mirror,
+            keepers: known,
             _tasks: tasks,
         }
     }
--- /dev/null
+++ b/crates/forward/src/departures.rs
@@ -0,0 +1,78 @@
+//! Tells keepers and other gates of endpoints that said in an answer that they are leaving.
+
+use std::time::Duration;
+
+use link::{Channel, Peer};
+use membership::{Leaving, Mirror, Reply, Request};
+use spdlog::warn;
+use tokio::{
+    sync::watch,
+    time::{sleep, timeout},
+};
+
+use crate::{fleet::Fleet, gates::Gates};
+
+/// Time after which what keepers don't know yet is told again.
+const AGAIN: Duration = Duration::from_secs(1);
+/// Bound on telling it to one process.
+const LIMIT: Duration = Duration::from_millis(600);
+
+/// Who is told.
+#[derive(Debug)]
+pub(crate) struct Departures {
+    pub(crate) fleet: Fleet,
+    pub(crate) gates: Gates,
+    pub(crate) mirror: watch::Receiver<Mirror>,
+    pub(crate) keepers: watch::Receiver<Vec<Peer>>,
+}
+
+impl Departures {
+    /// Tells what this gate has seen until keepers tell the same, also those that started anew and take
+    /// the endpoint for ready.
+    pub(crate) async fn tell(mut self) {
+        let mut news = self.fleet.left_news();
+        loop {
+            let untold = self.fleet.left_untold(&self.mirror.borrow_and_update());
+            if untold.is_empty() {
+                tokio::select! {
+                    changed = news.changed() => if changed.is_err() { return },
+                    changed = self.mirror.changed() => if changed.is_err() { return },
+                }
+                continue;
+            }
+            self.tell_gates(&untold);
+            self.tell_a_keeper(untold).await;
+            tokio::select! {
+                changed = news.changed() => if changed.is_err() { return },
+                () = sleep(AGAIN) => {}
+            }
+        }
+    }
+
+    /// Gates are told beside the keepers: these may be out of reach.
+    fn tell_gates(&self, leaving: &[Leaving]) {
+        for peer in self.gates.linked() {
+            let req = Request::Leaving(leaving.to_vec());
+            tokio::spawn(async move {
+                // One that did not get it hears of it from the keepers, or from the endpoint.
+                let _ = peer
+                    .call::<_, Reply>(Channel::Membership, &req, LIMIT)
+                    .await;
+            });
+        }
+    }
+
+    async fn tell_a_keeper(&self, leaving: Vec<Leaving>) {
+        let keepers = self.keepers.borrow().clone();
+        let req = Request::Leaving(leaving);
+        for peer in keepers.iter().filter(|peer| peer.is_connected()) {
+            let call = peer.call::<_, Reply>(Channel::Membership, &req, LIMIT);
+            match timeout(LIMIT, call).await {
+                Ok(Ok(Reply::Announced)) => return,
+                reply => warn!("leaving endpoints not told", kv: {
+                    keeper = peer.name(), reply = format!("{reply:?}")
+                }),
+            }
+        }
+    }
+}
--- a/crates/forward/src/dialect.rs
+++ b/crates/forward/src/dialect.rs
@@ -8,7 +8,7 @@
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, StatusCode, header::HeaderName, http::request::Parts};
 
-use crate::inquiry::Inquiry;
+use crate::{absence::Notice, inquiry::Inquiry};
 
 /// What a try tells its endpoint beside the request itself.
 #[derive(Clone, Copy, Debug)]
@@ -46,6 +46,14 @@
     Foreign,
 }
 
+impl Verdict {
+    /// Whether the endpoint that was meant has answered, so that what the answer says of its endpoint
+    /// is said of that one.
+    pub(crate) fn is_of_target(self) -> bool {
+        !matches!(self, Self::OtherEndpoint | Self::Foreign)
+    }
+}
+
 /// Calls that an endpoint said it runs, has waiting and could run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LoadReport {
@@ -116,6 +124,8 @@
     pub write: fn(&Inquiry, &Try<'_>) -> Request<Full<Bytes>>,
     /// Reads the head of an answer to the request of this id.
     pub judge: fn(&str, StatusCode, &HeaderMap) -> Verdict,
+    /// What the head of an answer says of its endpoint, whatever it answers.
+    pub notice: fn(StatusCode, &HeaderMap) -> Notice,
     /// The load that rides on an answer.
     pub load: fn(&HeaderMap) -> Option<LoadReport>,
     /// Headers of an answer that are passed on to the caller.
--- a/crates/forward/src/ended.rs
+++ b/crates/forward/src/ended.rs
@@ -13,6 +13,8 @@
     NotRun,
     /// It was not sent, and why: the endpoint could not be reached.
     Unsent(String),
+    /// No connection was made, and why.
+    Unreached(String),
     /// Another endpoint has the address; it did not run.
     Misplaced,
     /// It may have run, and gave nothing.
@@ -32,7 +34,7 @@
             }
             Self::NotRun => Some("the endpoint did not run it"),
             Self::Misplaced => Some("another endpoint has its address"),
-            Self::Unsent(why) | Self::Failed(why) => Some(why),
+            Self::Unsent(why) | Self::Unreached(why) | Self::Failed(why) => Some(why),
         }
     }
 }
@@ -49,7 +51,7 @@
                 return causes;
             }
             Self::NotRun => "full",
-            Self::Unsent(_) => "unsent",
+            Self::Unsent(_) | Self::Unreached(_) => "unsent",
             Self::Misplaced => "misplaced",
             Self::Failed(_) => "lost",
         };
--- a/crates/forward/src/fleet.rs
+++ b/crates/forward/src/fleet.rs
@@ -11,12 +11,13 @@
 };
 
 use logs::Event;
-use membership::{EndpointState, EndpointView, Mirror};
+use membership::{EndpointState, EndpointView, Leaving, Mirror};
 use routing::{EjectionConfig, Health, max_ejected};
-use tokio::time::Instant;
+use tokio::{sync::watch, time::Instant};
 use uuid::Uuid;
 
 use crate::{
+    absence::{Absence, Absences, Left, Notice},
     cache::PrefixCache,
     inquiry::Prompt,
     pace::{Fit, Line, Slowness},
@@ -31,6 +32,8 @@
 const MISPLACED: Duration = Duration::from_secs(3);
 /// How long an endpoint that said it is full is left out.
 const FULL: Duration = Duration::from_millis(60);
+/// Endpoints that are remembered as leaving; the oldest ones are forgotten.
+const MAX_LEFT: usize = 4_096;
 /// Memory of an engine that declares none, in tokens.
 const DEFAULT_MEMORY_TOKENS: u64 = 200_000;
 /// Time of a call before any was seen.
@@ -79,7 +82,7 @@
     pub(crate) slowness: Slowness,
     pub(crate) cache: PrefixCache,
     health: Health,
-    out_until: Option<Instant>,
+    absences: Absences,
 }
 
 /// Time after which a report of load says nothing any more.
@@ -92,19 +95,40 @@
 
     /// Another endpoint has its address.
     pub(crate) fn note_misplaced(&self) {
-        self.stats().out_until = Some(Instant::now() + MISPLACED);
+        self.stats().absences.misplace(Instant::now() + MISPLACED);
         let (endpoint, service) = (self.name.clone(), self.service.clone());
         logs::write(None, &Event::EndpointMisplaced { endpoint, service });
     }
 
     /// It said that it is full.
     pub(crate) fn note_full(&self) {
-        self.stats().out_until = Some(Instant::now() + FULL);
+        self.stats().absences.fill(Instant::now() + FULL);
     }
 
-    /// Whether it takes new work as far as keepers know.
-    pub(crate) fn is_ready(&self) -> bool {
-        self.stats().state == EndpointState::Ready
+    /// No connection to it was made: nothing listens there, or nothing answers.
+    pub(crate) fn note_unreached(&self, why: &str) {
+        if self.stats().absences.miss(Instant::now()) {
+            let (endpoint, service) = (self.name.clone(), self.service.clone());
+            let why = why.to_owned();
+            logs::write(
+                None,
+                &Event::EndpointUnreached {
+                    endpoint,
+                    service,
+                    why,
+                },
+            );
+        }
+    }
+
+    /// Why it takes no new work at `now`; the one place that decides it.
+    pub(crate) fn absence(&self, reachable: &Reachable, now: Instant) -> Option<Absence> {
+        let stats = self.stats();
+        let ejected = stats.health.ejected_until();
+        let is_zone_reachable = reachable.has(&self.az);
+        stats
+            .absences
+            .now(stats.state, is_zone_reachable, ejected, now)
     }
 }
 
@@ -123,10 +147,8 @@
         self.others_at = Some(now);
     }
 
-    /// Whether it is left out for now.
-    pub(crate) fn is_out(&self, now: Instant) -> bool {
-        let until = |until: Option<Instant>| until.is_some_and(|until| now < until);
-        until(self.out_until) || until(self.health.ejected_until())
+    fn is_ejected(&self, now: Instant) -> bool {
+        self.health.ejected_until().is_some_and(|until| now < until)
     }
 }
 
@@ -152,6 +174,10 @@
     pools: Arc<RwLock<HashMap<String, Arc<Pool>>>>,
     reachable: Arc<RwLock<Arc<Reachable>>>,
     ejections: Arc<AtomicU64>,
+    /// Endpoints that said that they are leaving, by name.
+    left: Arc<Mutex<BTreeMap<String, Left>>>,
+    /// Grows with each endpoint that said so to this gate.
+    left_news: watch::Sender<u64>,
 }
 
 /// Endpoints of one service, counted.
@@ -160,10 +186,10 @@
     pub(crate) service: String,
     /// Known.
     pub(crate) known: usize,
-    /// Of these, those that take new work as keepers tell.
-    pub(crate) ready: usize,
-    /// Of these, those that this gate leaves out for now.
-    pub(crate) out: usize,
+    /// Of these, those that take new work.
+    pub(crate) sound: usize,
+    /// Of these, those that don't, by the reason's label.
+    pub(crate) absent: BTreeMap<&'static str, usize>,
 }
 
 /// Availability zones that can be reached, as far as is known.
@@ -191,6 +217,13 @@
         pools.get(service).cloned()
     }
 
+    /// The endpoint of `service` at `address`.
+    pub(crate) fn at(&self, service: &str, address: SocketAddr) -> Option<Arc<Target>> {
+        let pool = self.pool(service)?;
+        let mut targets = pool.targets.iter();
+        targets.find(|t| t.address == address).cloned()
+    }
+
     /// How many endpoints of `service` take new work now, by availability zone.
     pub(crate) fn sound_by_zone(&self, service: &str) -> BTreeMap<String, usize> {
         let (now, reachable) = (Instant::now(), self.reachable());
@@ -205,15 +238,22 @@
 
     /// The endpoints of all services, counted.
     pub(crate) fn counted(&self) -> Vec<Counted> {
-        let now = Instant::now();
+        let (now, reachable) = (Instant::now(), self.reachable());
         let pools = self.pools.read().unwrap_or_else(PoisonError::into_inner);
         let counted = pools.iter().map(|(service, pool)| {
-            let ready: Vec<&Arc<Target>> = pool.targets.iter().filter(|t| t.is_ready()).collect();
+            let mut absent = BTreeMap::new();
+            for absence in pool
+                .targets
+                .iter()
+                .filter_map(|t| t.absence(&reachable, now))
+            {
+                *absent.entry(absence.label()).or_default() += 1;
+            }
             Counted {
                 service: service.clone(),
                 known: pool.targets.len(),
-                ready: ready.len(),
-                out: ready.iter().filter(|t| t.stats().is_out(now)).count(),
+                sound: pool.targets.len() - absent.values().sum::<usize>(),
+                absent,
             }
         });
         counted.collect()
@@ -268,6 +308,107 @@
             pools.insert(service.to_owned(), Arc::new(pool));
         }
         tell_gone(&old, &pools);
+        let left = self.left();
+        for target in pools.values().flat_map(|pool| &pool.targets) {
+            if left
+                .get(&target.name)
+                .is_some_and(|left| left.binds(target.incarnation))
+            {
+                target.stats().absences.leave();
+            }
+        }
+    }
+
+    fn left(&self) -> MutexGuard<'_, BTreeMap<String, Left>> {
+        self.left.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes what an answer of `target` said of it to the gate `vm`.
+    pub(crate) fn take_notice(&self, target: &Target, notice: Notice, vm: &str) {
+        let now = Instant::now();
+        target.stats().absences.reach();
+        if notice.is_leaving {
+            let left = Left {
+                incarnation: target.incarnation,
+                source: vm.to_owned(),
+                since: now,
+            };
+            if self.note_left(&target.name, left) {
+                self.left_news.send_modify(|news| *news += 1);
+            }
+        }
+        let pause = notice
+            .pause
+            .and_then(|pause| target.stats().absences.pause(pause, now));
+        if let Some(pause) = pause {
+            logs::write(
+                None,
+                &Event::EndpointPaused {
+                    endpoint: target.name.clone(),
+                    service: target.service.clone(),
+                    for_ms: pause.as_millis() as u64,
+                },
+            );
+        }
+    }
+
+    /// Takes another gate's word that an endpoint is leaving.
+    pub(crate) fn hear_left(&self, leaving: Leaving) {
+        let left = Left {
+            incarnation: leaving.incarnation,
+            source: leaving.source,
+            since: Instant::now()
+                .checked_sub(leaving.age)
+                .unwrap_or_else(Instant::now),
+        };
+        self.note_left(&leaving.endpoint, left);
+    }
+
+    /// Notes that an incarnation is leaving; whether that is news.
+    fn note_left(&self, endpoint: &str, news: Left) -> bool {
+        let now = Instant::now();
+        let mut left = self.left();
+        if left
+            .get(endpoint)
+            .is_some_and(|left| left.binds(news.incarnation))
+        {
+            return false;
+        }
+        logs::write(None, &news.event(endpoint, now));
+        if left.len() >= MAX_LEFT {
+            let oldest = left.iter().min_by_key(|(_, left)| left.since);
+            let oldest = oldest.map(|(name, _)| name.clone());
+            oldest.and_then(|name| left.remove(&name));
+        }
+        let pools = self.pools.read().unwrap_or_else(PoisonError::into_inner);
+        let targets = pools.values().flat_map(|pool| &pool.targets);
+        for target in targets.filter(|t| t.name == endpoint && news.binds(t.incarnation)) {
+            target.stats().absences.leave();
+        }
+        left.insert(endpoint.to_owned(), news);
+        true
+    }
+
+    /// What changed of the endpoints that said to this gate that they are leaving.
+    pub(crate) fn left_news(&self) -> watch::Receiver<u64> {
+        self.left_news.subscribe()
+    }
+
+    /// Endpoints that are leaving by their answers although keepers tell that they are ready.
+    pub(crate) fn left_untold(&self, mirror: &Mirror) -> Vec<Leaving> {
+        let now = Instant::now();
+        let left = self.left();
+        let untold = left.iter().filter(|(name, left)| {
+            let view = mirror.endpoints.get(*name);
+            view.is_some_and(|v| v.state == EndpointState::Ready && left.binds(v.incarnation))
+        });
+        let leaving = untold.map(|(name, left)| Leaving {
+            endpoint: name.clone(),
+            incarnation: left.incarnation,
+            source: left.source.clone(),
+            age: now.saturating_duration_since(left.since),
+        });
+        leaving.collect()
     }
 
     /// Notes what became of a call to `target`; ejects it where it fails too often.
@@ -288,7 +429,7 @@
         let Some(pool) = self.pool(&target.service) else {
             return;
         };
-        let out = pool.targets.iter().filter(|t| t.stats().is_out(now));
+        let out = pool.targets.iter().filter(|t| t.stats().is_ejected(now));
         let (out, of) = (out.count(), pool.targets.len());
         if out < max_ejected(of, MAX_EJECTED) {
             let mut stats = target.stats();
@@ -371,7 +512,7 @@
             slowness: Slowness::new(),
             cache: PrefixCache::new(memory.unwrap_or(DEFAULT_MEMORY_TOKENS)),
             health: Health::new(ejection()),
-            out_until: None,
+            absences: Absences::default(),
         }),
     }))
 }
@@ -470,3 +611,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/forward/src/fleet/tests.rs
@@ -0,0 +1,155 @@
+//! What answers, keepers and other gates say of endpoints, and who is believed.
+
+use std::time::Duration;
+
+use membership::{EndpointView, Leaving};
+use tokio::time::advance;
+use uuid::Uuid;
+
+use super::Fleet;
+use crate::{
+    absence::Notice,
+    answer::Refusal,
+    placement::{Need, Unavailable},
+    testing::{mirror, view},
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+const LEAVES: Notice = Notice {
+    is_leaving: true,
+    pause: None,
+};
+
+fn born(name: &str, life: u128) -> EndpointView {
+    EndpointView {
+        incarnation: Uuid::from_u128(life),
+        ..view(name, "desk", "a")
+    }
+}
+
+fn fleet(views: &[EndpointView]) -> Fleet {
+    let fleet = Fleet::default();
+    fleet.update(&mirror(views.iter().cloned()), |_| None);
+    fleet
+}
+
+/// Where a request goes next.
+fn goes_to(fleet: &Fleet) -> Result<String, Unavailable> {
+    let need = Need {
+        service: "desk",
+        az: "a",
+        prompt: None,
+        inputs: &[],
+        avoid: &[],
+    };
+    fleet.place(&need).map(|flight| flight.target.name.clone())
+}
+
+/// Takes what an answer of endpoint `name` says.
+fn answers(fleet: &Fleet, name: &str, notice: Notice) {
+    let pool = fleet.pool("desk").unwrap();
+    let target = pool.targets.iter().find(|t| t.name == name).unwrap();
+    fleet.take_notice(target, notice, "gate-1");
+}
+
+fn pauses(seconds: u32) -> Notice {
+    Notice {
+        is_leaving: false,
+        pause: Some(SECOND * seconds),
+    }
+}
+
+const NO_ENDPOINT: Unavailable = Unavailable {
+    why: Refusal::NoEndpoint,
+    retry_after: None,
+};
+
+#[tokio::test(start_paused = true)]
+async fn one_that_says_it_leaves_gets_nothing_though_keepers_say_ready() {
+    let fleet = fleet(&[born("old", 1)]);
+    assert!(goes_to(&fleet).is_ok());
+    answers(&fleet, "old", LEAVES);
+    assert_eq!(goes_to(&fleet), Err(NO_ENDPOINT));
+    // Keepers tell that it is ready, forget it, and know it again: a table of keepers that restarted.
+    let tables = [vec![born("old", 1)], vec![], vec![born("old", 1)]];
+    for views in tables {
+        fleet.update(&mirror(views), |_| None);
+        assert_eq!(goes_to(&fleet), Err(NO_ENDPOINT));
+        advance(60 * SECOND).await;
+    }
+    // The same address, begun anew.
+    fleet.update(&mirror([born("old", 2)]), |_| None);
+    assert_eq!(goes_to(&fleet).as_deref(), Ok("old"));
+    // A table that lags knows the one before.
+    fleet.update(&mirror([born("old", 1)]), |_| None);
+    assert_eq!(goes_to(&fleet), Err(NO_ENDPOINT));
+}
+
+#[tokio::test(start_paused = true)]
+async fn another_gates_word_holds_like_an_answer_and_is_told_to_keepers_until_they_agree() {
+    let fleet = fleet(&[born("old", 1), born("new", 1)]);
+    let news = fleet.left_news();
+    fleet.hear_left(Leaving {
+        endpoint: "old".to_owned(),
+        incarnation: Uuid::from_u128(1),
+        source: "gate-2".to_owned(),
+        age: SECOND,
+    });
+    assert_eq!(goes_to(&fleet).as_deref(), Ok("new"));
+    assert!(
+        !news.has_changed().unwrap(),
+        "the gate that saw it tells it"
+    );
+    let ready = mirror([born("old", 1), born("new", 1)]);
+    let untold = fleet.left_untold(&ready);
+    assert_eq!(untold.len(), 1);
+    assert_eq!(
+        (untold[0].source.as_str(), untold[0].age),
+        ("gate-2", SECOND)
+    );
+    assert_eq!(fleet.left_untold(&mirror([born("old", 2)])), []);
+    assert_eq!(fleet.left_untold(&mirror([])), []);
+}
+
+#[tokio::test(start_paused = true)]
+async fn when_all_pause_callers_hear_at_once_when_the_first_takes_work_again() {
+    let fleet = fleet(&[born("one", 1), born("two", 1), born("gone", 1)]);
+    answers(&fleet, "gone", LEAVES);
+    answers(&fleet, "one", pauses(5));
+    assert_eq!(goes_to(&fleet).as_deref(), Ok("two"));
+    answers(&fleet, "two", pauses(2));
+    answers(&fleet, "two", pauses(1));
+    let refused = goes_to(&fleet).unwrap_err();
+    assert_eq!(
+        (refused.why, refused.retry_after),
+        (Refusal::Paused, Some(2 * SECOND))
+    );
+    let counted = &fleet.counted()[0];
+    assert_eq!((counted.known, counted.sound), (3, 0));
+    assert_eq!(
+        (counted.absent["paused"], counted.absent["leaving"]),
+        (2, 1)
+    );
+    advance(2 * SECOND).await;
+    assert_eq!(goes_to(&fleet).as_deref(), Ok("two"));
+}
+
+/// A pause is no failure: it neither begins nor ends an ejection.
+#[tokio::test(start_paused = true)]
+async fn a_pause_leaves_an_ejection_as_it_is() {
+    let fleet = fleet(&[born("one", 1), born("two", 1), born("three", 1)]);
+    let pool = fleet.pool("desk").unwrap();
+    let target = &pool.targets[0];
+    for _ in 0..10 {
+        fleet.take_notice(target, pauses(1), "gate-1");
+    }
+    assert_eq!(fleet.ejections(), 0);
+    for _ in 0..3 {
+        fleet.observe(target, true);
+    }
+    assert_eq!(fleet.ejections(), 1);
+    fleet.take_notice(target, pauses(1), "gate-1");
+    advance(SECOND).await;
+    let absence = target.absence(&fleet.reachable(), tokio::time::Instant::now());
+    assert_eq!(absence.map(super::Absence::label), Some("ejected"));
+}
--- a/crates/forward/src/gates.rs
+++ b/crates/forward/src/gates.rs
@@ -184,14 +184,24 @@
         self.known().gates.len()
     }
 
-    /// How many gates may collect the items of one service at a time: one in each availability zone,
-    /// where they are by_zone or cut off from each other.
+    /// How many gates collect the items of one service at a time: one, or one in each availability
+    /// zone.
     pub(crate) fn collectors(&self) -> usize {
         let known = self.known();
+        if known.is_together() {
+            return 1;
+        }
         let zones: BTreeSet<&str> = known.gates.iter().map(|gate| gate.az.as_str()).collect();
         zones.len()
     }
 
+    /// Links that are up to other gates.
+    pub(crate) fn linked(&self) -> Vec<Peer> {
+        let known = self.known();
+        let peers = known.gates.iter().filter_map(|gate| gate.peer.as_ref());
+        peers.filter(|peer| peer.is_connected()).cloned().collect()
+    }
+
     /// This gate's availability zone.
     pub(crate) fn az(&self) -> &str {
         &self.shared.links.identity.az
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -6,6 +6,7 @@
 //! what may be said where there is none follows from what was handed to a socket ([`answer`]).
 //! `docs/design/platform.md` says why it is built this way.
 
+mod absence;
 mod answer;
 mod batch;
 mod budgets;
@@ -13,6 +14,7 @@
 mod call;
 mod collector;
 mod control;
+mod departures;
 mod dialect;
 mod ended;
 mod events;
@@ -42,6 +44,7 @@
 mod written;
 mod zones;
 
+pub use absence::Notice;
 pub use budgets::SharedBudget;
 pub use dialect::{
     Dialect, HeaderNameFn, Item, ItemResult, LoadReport, Read, Source, Try, Verdict,
@@ -50,4 +53,4 @@
 pub use inquiry::{Inquiry, Part, Prompt};
 pub use rules::digest;
 pub use start::{Config, start};
-pub use written::{as_sent, post_json, read_load, set_header};
+pub use written::{as_sent, post_json, read_load, read_pause, set_header};
--- a/crates/forward/src/messages.rs
+++ b/crates/forward/src/messages.rs
@@ -103,6 +103,12 @@
         /// When there is likely to be room.
         retry_after: Duration,
     },
+    /// Every endpoint that would take it has asked for a pause.
+    #[error("its endpoints asked for a pause of {retry_after:?}")]
+    Paused {
+        /// When the first of them takes work again.
+        retry_after: Duration,
+    },
     /// An input is gone.
     #[error("an input is gone")]
     InputGone,
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -7,7 +7,7 @@
     exponential_buckets,
 };
 
-use crate::fleet::Fleet;
+use crate::{absence::Absence, fleet::Fleet};
 
 /// Bounds of histograms of items in a call.
 const ITEMS: [f64; 8] = [1.0, 2.0, 4.0, 8.0, 16.0, 32.0, 64.0, 128.0];
@@ -140,7 +140,7 @@
             )?,
             endpoints: make.gauges(
                 "endpoints",
-                "Endpoints known, ready as keepers tell, and left out for now.",
+                "Endpoints known, those that take new work, and the others by reason.",
                 &["service", "state"],
             )?,
             ejections: make.counter("ejections_total", "Endpoints ejected.")?,
@@ -224,12 +224,9 @@
         in_flight: usize,
     ) -> String {
         for counted in fleet.counted() {
-            let states = [
-                ("known", counted.known),
-                ("ready", counted.ready),
-                ("out", counted.out),
-            ];
-            for (state, count) in states {
+            let absent = |label| (label, counted.absent.get(label).copied().unwrap_or(0));
+            let states = [("known", counted.known), ("sound", counted.sound)];
+            for (state, count) in states.into_iter().chain(Absence::LABELS.map(absent)) {
                 let gauge = self.endpoints.with_label_values(&[&counted.service, state]);
                 gauge.set(count as i64);
             }
--- a/crates/forward/src/placement.rs
+++ b/crates/forward/src/placement.rs
@@ -6,6 +6,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
+    absence::Absence,
     answer::Refusal,
     fleet::{Fleet, Flight, Pool, Reachable, Target},
     inquiry::Prompt,
@@ -40,9 +41,26 @@
     pub(crate) avoid: &'a [String],
 }
 
+/// Why a request finds no endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Unavailable {
+    pub(crate) why: Refusal,
+    /// When one is known to take work again.
+    pub(crate) retry_after: Option<Duration>,
+}
+
+impl Unavailable {
+    fn new(why: Refusal) -> Self {
+        Self {
+            why,
+            retry_after: None,
+        }
+    }
+}
+
 impl Fleet {
     /// Chooses an endpoint and counts the call there.
-    pub(crate) fn place(&self, need: &Need<'_>) -> Result<Flight, Refusal> {
+    pub(crate) fn place(&self, need: &Need<'_>) -> Result<Flight, Unavailable> {
         let chosen = self.choose(need)?;
         Ok(Flight::begin(&chosen.target, &chosen.pool, chosen.unread))
     }
@@ -63,20 +81,24 @@
         Duration::from_secs_f64(ms / 1e3)
     }
 
-    fn choose(&self, need: &Need<'_>) -> Result<Chosen, Refusal> {
-        let pool = self.pool(need.service).ok_or(Refusal::NoEndpoint)?;
+    fn choose(&self, need: &Need<'_>) -> Result<Chosen, Unavailable> {
+        let pool = self
+            .pool(need.service)
+            .ok_or(Unavailable::new(Refusal::NoEndpoint))?;
         let now = Instant::now();
         let untried = |t: &&Arc<Target>| !need.avoid.contains(&t.name);
         let reachable = self.reachable();
-        let is_there = |t: &&Arc<Target>| t.is_ready() && reachable.has(&t.az);
-        let ready: Vec<&Arc<Target>> = pool.targets.iter().filter(is_there).collect();
-        if ready.is_empty() {
-            return Err(Refusal::NoEndpoint);
-        }
-        let sound = ready.iter().copied().filter(|t| !t.stats().is_out(now));
-        let mut usable: Vec<&Arc<Target>> = sound.filter(untried).collect();
+        let mut usable: Vec<&Arc<Target>> = pool.sound(&reachable, now).filter(untried).collect();
         if usable.is_empty() {
-            usable = ready.iter().copied().filter(untried).collect();
+            let may_do = |t: &&Arc<Target>| {
+                let absence = t.absence(&reachable, now);
+                absence.is_none_or(|absence| !absence.is_binding())
+            };
+            let last: Vec<&Arc<Target>> = pool.targets.iter().filter(may_do).collect();
+            if last.is_empty() {
+                return Err(pool.unavailable(&reachable, now));
+            }
+            usable = last.into_iter().filter(untried).collect();
         }
         let home = home(need, &usable);
         let line = pool.line();
@@ -85,7 +107,7 @@
             Some((cost, *target))
         });
         let best = costed.min_by(|a, b| a.0.total_ms.total_cmp(&b.0.total_ms));
-        let (cost, target) = best.ok_or(Refusal::Full)?;
+        let (cost, target) = best.ok_or(Unavailable::new(Refusal::Full))?;
         Ok(Chosen {
             target: Arc::clone(target),
             unread: cost.unread,
@@ -161,10 +183,31 @@
         reachable: &'a Reachable,
         now: Instant,
     ) -> impl Iterator<Item = &'a Arc<Target>> {
-        let is_sound =
-            move |t: &&Arc<Target>| t.is_ready() && reachable.has(&t.az) && !t.stats().is_out(now);
+        let is_sound = move |t: &&Arc<Target>| t.absence(reachable, now).is_none();
         self.targets.iter().filter(is_sound)
     }
+
+    /// When the first of the endpoints that would take work but for a pause takes it again.
+    pub(crate) fn paused_until(&self, reachable: &Reachable, now: Instant) -> Option<Instant> {
+        let absences = self.targets.iter().map(|t| t.absence(reachable, now));
+        let paused = absences.filter_map(|absence| match absence {
+            Some(Absence::Paused(until)) => Some(until),
+            _ => None,
+        });
+        paused.min()
+    }
+
+    /// Why none of its endpoints takes work.
+    fn unavailable(&self, reachable: &Reachable, now: Instant) -> Unavailable {
+        let paused = self.paused_until(reachable, now);
+        Unavailable {
+            why: match paused {
+                Some(_) => Refusal::Paused,
+                None => Refusal::NoEndpoint,
+            },
+            retry_after: paused.map(|until| until.saturating_duration_since(now)),
+        }
+    }
 }
 
 #[cfg(test)]
--- a/crates/forward/src/placement/tests.rs
+++ b/crates/forward/src/placement/tests.rs
@@ -56,7 +56,7 @@
             Err(e) => break e,
         }
     };
-    assert_eq!(refused, Refusal::Full);
+    assert_eq!(refused.why, Refusal::Full);
     assert!(flights.iter().all(|f| f.target.name == "new"));
     let avoid = vec!["new".to_owned()];
     drop(flights);
--- a/crates/forward/src/queue.rs
+++ b/crates/forward/src/queue.rs
@@ -160,7 +160,12 @@
     ) -> Result<Arc<Ticket>, StageFailure> {
         let sound = self.sound(pool, reachable, now).len();
         if sound == 0 {
-            return Err(StageFailure::NoEndpoint);
+            return Err(match pool.paused_until(reachable, now) {
+                Some(until) => StageFailure::Paused {
+                    retry_after: until.saturating_duration_since(now),
+                },
+                None => StageFailure::NoEndpoint,
+            });
         }
         let due = self.elapsed_ms(now) + submission.due_ms;
         let place = due + i64::from(submission.urgency) * URGENCY_STEP_MS;
@@ -412,7 +417,7 @@
                     .observe(expected, took.as_secs_f64() * 1e3, now);
                 return;
             }
-            Ended::NotRun | Ended::Unsent(_) | Ended::Misplaced => return,
+            Ended::NotRun | Ended::Unsent(_) | Ended::Unreached(_) | Ended::Misplaced => return,
         };
         let took_ms = took.as_secs_f64() * 1e3;
         load.slowness.observe(expected, took_ms, now);
--- a/crates/forward/src/serving.rs
+++ b/crates/forward/src/serving.rs
@@ -15,7 +15,7 @@
     inquiry::Inquiry,
     messages::StageFailure,
     metrics::Metrics,
-    placement::Need,
+    placement::{Need, Unavailable},
     response::{Passed, Response},
     rules::{Caller, Matched, draw_service, urgency},
     stages::{Results, Stages, Work},
@@ -39,6 +39,8 @@
     pub(crate) pool: outbound::Pool,
     pub(crate) stages: Stages,
     pub(crate) budget: Arc<RetryBudget>,
+    /// The VM of this gate.
+    pub(crate) vm: String,
     pub(crate) az: String,
     pub(crate) metrics: Metrics,
 }
@@ -242,6 +244,7 @@
         StageFailure::Late { retry_after } | StageFailure::Crowded { retry_after } => {
             Unserved::come_back(Refusal::StagesLate, retry_after.max(COME_BACK))
         }
+        StageFailure::Paused { retry_after } => Unserved::come_back(Refusal::Paused, retry_after),
         StageFailure::NoEndpoint => Unserved::come_back(Refusal::NoEndpoint, COME_BACK),
         StageFailure::InputGone | StageFailure::Failed | StageFailure::Unreachable => {
             Unserved::come_back(Refusal::StagesFailed, COME_BACK)
@@ -332,14 +335,18 @@
         };
         let flight = match cx.fleet.place(&need) {
             Ok(flight) => flight,
-            Err(why) if tried.runs > 0 => {
+            Err(Unavailable { why, .. }) if tried.runs > 0 => {
                 return Err(Unserved::Lost(format!("no other endpoint: {why}")));
             }
-            Err(Refusal::Full) if req.left() > LOOK_AGAIN * 4 && tried.endpoints.is_empty() => {
+            Err(Unavailable {
+                why: Refusal::Full, ..
+            }) if req.left() > LOOK_AGAIN * 4 && tried.endpoints.is_empty() => {
                 tokio::time::sleep(LOOK_AGAIN).await;
                 continue;
             }
-            Err(why) => return Err(Unserved::come_back(why, COME_BACK)),
+            Err(Unavailable { why, retry_after }) => {
+                return Err(Unserved::come_back(why, retry_after.unwrap_or(COME_BACK)));
+            }
         };
         req.story.note(flight.chosen());
         let crossing = places.iter().filter(|(az, _)| *az != flight.target.az);
@@ -405,7 +412,10 @@
         Err(e) => {
             let may_have_run = e.may_have_run();
             req.note_failed_call(flight, &e);
-            cx.fleet.observe(target, true);
+            match &e {
+                CallError::Unreached(why) => target.note_unreached(why),
+                _ => cx.fleet.observe(target, true),
+            }
             if may_have_run {
                 return Attempt::Lost(e);
             }
@@ -413,12 +423,17 @@
             return Attempt::NotRun;
         }
     };
+    let verdict = (cx.dialect.judge)(&req.inquiry.id, exchange.status, &exchange.headers);
+    if verdict.is_of_target() {
+        let notice = (cx.dialect.notice)(exchange.status, &exchange.headers);
+        cx.fleet.take_notice(target, notice, &cx.vm);
+    }
     if let Some(load) = (cx.dialect.load)(&exchange.headers) {
         let mut stats = target.stats();
         let own = stats.in_flight;
         stats.report(load.running + load.waiting, own, Instant::now());
     }
-    match (cx.dialect.judge)(&req.inquiry.id, exchange.status, &exchange.headers) {
+    match verdict {
         Verdict::Good => return Attempt::Begun(Box::new(exchange), true),
         Verdict::Failed => return Attempt::Begun(Box::new(exchange), false),
         Verdict::Foreign => {
--- a/crates/forward/src/start.rs
+++ b/crates/forward/src/start.rs
@@ -24,6 +24,7 @@
     budgets::{Budgets, SharedBudget},
     collector::{self, Collector},
     control::{Control, Told},
+    departures::Departures,
     dialect::Dialect,
     fleet::{Fleet, Reachable},
     forwarder::Forwarder,
@@ -124,6 +125,13 @@
         gates.clone(),
         budgets,
     ));
+    let departures = Departures {
+        fleet: forwarder.cx.fleet.clone(),
+        gates: gates.clone(),
+        mirror: told.mirror.clone(),
+        keepers: told.keepers.clone(),
+    };
+    tasks.spawn(departures.tell());
     tasks.spawn(keep_reachable(forwarder.cx.fleet.clone(), gates));
     tasks.spawn(forwarder.cx.pool.clone().reap());
     tasks.spawn(serve_links(links_listener, links, &forwarder, &told));
@@ -181,6 +189,7 @@
         pool: pool.clone(),
         rules: told.rules.clone(),
         budget: Arc::clone(&budgets.items),
+        vm: cfg.vm.name.clone(),
         metrics: metrics.clone(),
     });
     Context {
@@ -193,6 +202,7 @@
             metrics: metrics.clone(),
         },
         budget: Arc::clone(&budgets.requests),
+        vm: cfg.vm.name.clone(),
         az: cfg.vm.availability_zone.clone(),
         metrics: metrics.clone(),
     }
@@ -241,12 +251,14 @@
     told: &Told,
 ) -> impl Future<Output = ()> + Send + use<> {
     let (stages, follower) = (forwarder.cx.stages.clone(), told.follower.clone());
+    let fleet = forwarder.cx.fleet.clone();
     link::serve(listener, links, move |call: Incoming| {
-        let (stages, follower) = (stages.clone(), follower.clone());
+        let (stages, follower, fleet) = (stages.clone(), follower.clone(), fleet.clone());
         async move {
             match call.channel {
                 Channel::Stages => stages.answer(&call.body).await,
                 Channel::Follow => follower.answer(&call.body).await,
+                Channel::Membership => hear_left(&fleet, &call.body),
                 // The other end finds no message in it and asks elsewhere.
                 _ => Vec::new(),
             }
@@ -254,6 +266,19 @@
     })
 }
 
+/// Takes another gate's word on endpoints that are leaving.
+fn hear_left(fleet: &Fleet, body: &[u8]) -> Vec<u8> {
+    let reply = match link::decode::<membership::Request>(body) {
+        Ok(membership::Request::Leaving(leaving)) => {
+            leaving.into_iter().for_each(|l| fleet.hear_left(l));
+            membership::Reply::Announced
+        }
+        Ok(_) => membership::Reply::Malformed("a gate keeps no table".to_owned()),
+        Err(e) => membership::Reply::Malformed(e.to_string()),
+    };
+    link::encode(&reply)
+}
+
 fn pages(forwarder: Forwarder) -> Router {
     Router::new()
         .hoop(affix_state::inject(Arc::new(forwarder)))
--- /dev/null
+++ b/crates/forward/src/written/tests.rs
@@ -0,0 +1,40 @@
+use std::time::Duration;
+
+use hyper::{HeaderMap, header::RETRY_AFTER};
+
+use super::read_pause;
+
+fn pause(values: &[&'static str]) -> Option<Duration> {
+    let mut headers = HeaderMap::new();
+    for value in values {
+        headers.append(RETRY_AFTER, value.parse().unwrap());
+    }
+    read_pause(&headers)
+}
+
+#[test]
+fn a_pause_is_read_in_seconds_with_fractions_the_longest_counts() {
+    assert_eq!(pause(&["0.3"]), Some(Duration::from_millis(300)));
+    assert_eq!(pause(&[" 2 "]), Some(Duration::from_secs(2)));
+    assert_eq!(pause(&["1", "3", "2"]), Some(Duration::from_secs(3)));
+    assert_eq!(pause(&["x", "1"]), Some(Duration::from_secs(1)));
+    assert_eq!(pause(&["1e9"]), Some(Duration::from_secs(1_000_000_000)));
+    assert_eq!(pause(&["1e300"]), Some(Duration::MAX));
+    assert_eq!(pause(&["inf"]), Some(Duration::MAX));
+}
+
+#[test]
+fn what_is_no_time_ahead_is_none() {
+    let date = "Wed, 21 Oct 2026 07:28:00 GMT";
+    for values in [
+        &[][..],
+        &["0"],
+        &["-1"],
+        &["NaN"],
+        &["soon"],
+        &[date],
+        &["1,2"],
+    ] {
+        assert_eq!(pause(values), None, "{values:?}");
+    }
+}
--- a/crates/forwarder/src/endpoints.rs
+++ b/crates/forwarder/src/endpoints.rs
@@ -2,8 +2,8 @@
 
 use bytes::Bytes;
 use forward::{
-    Inquiry, Item, ItemResult, LoadReport, Source, Try, Verdict, as_sent, end_to_end, post_json,
-    read_load, set_header,
+    Inquiry, Item, ItemResult, LoadReport, Notice, Source, Try, Verdict, as_sent, end_to_end,
+    post_json, read_load, read_pause, set_header,
 };
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, StatusCode, header::HeaderValue};
@@ -64,6 +64,17 @@
     }
 }
 
+/// Reads what an endpoint says of itself beside its answer.
+pub(crate) fn notice(status: StatusCode, headers: &HeaderMap) -> Notice {
+    let is_turned_away = status == StatusCode::SERVICE_UNAVAILABLE;
+    Notice {
+        is_leaving: headers
+            .get(names::LEAVING)
+            .is_some_and(|value| value == "1"),
+        pause: read_pause(headers).filter(|_| is_turned_away),
+    }
+}
+
 /// Reads the load that rides on an answer.
 pub(crate) fn load(headers: &HeaderMap) -> Option<LoadReport> {
     read_load(headers.get(names::LOAD)?)
@@ -73,6 +84,7 @@
 pub(crate) fn answer_headers(headers: &HeaderMap) -> HeaderMap {
     let mut passed = end_to_end(headers);
     passed.remove(names::LOAD);
+    passed.remove(names::LEAVING);
     if let Some(id) = passed.remove(names::CALL) {
         passed.insert(names::REQUEST, id);
     }
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -20,6 +20,7 @@
     read: callers::read,
     write: endpoints::write,
     judge: endpoints::judge,
+    notice: endpoints::notice,
     load: endpoints::load,
     answer_headers: endpoints::answer_headers,
     write_batch: endpoints::write_batch,
--- a/crates/forwarder/src/names.rs
+++ b/crates/forwarder/src/names.rs
@@ -20,6 +20,8 @@
 pub(crate) const OUTCOME: HeaderName = HeaderName::from_static("jujube-outcome");
 /// `RUNNING,WAITING,SLOTS`: calls at the endpoint.
 pub(crate) const LOAD: HeaderName = HeaderName::from_static("jujube-load");
+/// `1`: the endpoint is leaving and takes no new work.
+pub(crate) const LEAVING: HeaderName = HeaderName::from_static("jujube-leaving");
 /// The model of a prompt.
 pub(crate) const MODEL: HeaderName = HeaderName::from_static("jujube-model");
 /// `READ,GENERATE`: tokens of a prompt, and most tokens of its answer.
--- a/crates/logs/src/event.rs
+++ b/crates/logs/src/event.rs
@@ -331,6 +331,33 @@
         /// What was compared.
         why: String,
     },
+    /// An endpoint said in an answer that it is leaving.
+    EndpointLeaving {
+        /// The endpoint.
+        endpoint: String,
+        /// The gate that had the answer.
+        source: String,
+        /// How long ago that was.
+        age_ms: u64,
+    },
+    /// An endpoint asked this gate for a pause.
+    EndpointPaused {
+        /// The endpoint.
+        endpoint: String,
+        /// Its service.
+        service: String,
+        /// How long it lasts.
+        for_ms: u64,
+    },
+    /// No connection to an endpoint was made; more in a row are not told.
+    EndpointUnreached {
+        /// The endpoint.
+        endpoint: String,
+        /// Its service.
+        service: String,
+        /// Why.
+        why: String,
+    },
     /// Lines that were left out since the last such line.
     LeftOut {
         /// Their kind; `queue` where the reader of the log was too slow.
@@ -363,6 +390,9 @@
             Self::EndpointEjected { .. } => Kind::EndpointEjected,
             Self::EndpointBack { .. } => Kind::EndpointBack,
             Self::EndpointMisplaced { .. } => Kind::EndpointMisplaced,
+            Self::EndpointLeaving { .. } => Kind::EndpointLeaving,
+            Self::EndpointPaused { .. } => Kind::EndpointPaused,
+            Self::EndpointUnreached { .. } => Kind::EndpointUnreached,
             Self::ZonesOut { .. } => Kind::ZonesOut,
             Self::Collects { .. } => Kind::Collects,
             Self::Confirmation { .. } => Kind::Confirmation,
--- a/crates/logs/src/kind.rs
+++ b/crates/logs/src/kind.rs
@@ -29,6 +29,9 @@
     EndpointEjected,
     EndpointBack,
     EndpointMisplaced,
+    EndpointLeaving,
+    EndpointPaused,
+    EndpointUnreached,
     ZonesOut,
     Collects,
     Confirmation,
@@ -52,7 +55,7 @@
 
 impl Kind {
     /// All kinds.
-    pub const ALL: [Self; 31] = [
+    pub const ALL: [Self; 34] = [
         Self::Admitted,
         Self::StageSent,
         Self::StageMade,
@@ -72,6 +75,9 @@
         Self::EndpointEjected,
         Self::EndpointBack,
         Self::EndpointMisplaced,
+        Self::EndpointLeaving,
+        Self::EndpointPaused,
+        Self::EndpointUnreached,
         Self::ZonesOut,
         Self::Collects,
         Self::Confirmation,
@@ -108,6 +114,9 @@
             Self::EndpointEjected => "endpoint_ejected",
             Self::EndpointBack => "endpoint_back",
             Self::EndpointMisplaced => "endpoint_misplaced",
+            Self::EndpointLeaving => "endpoint_leaving",
+            Self::EndpointPaused => "endpoint_paused",
+            Self::EndpointUnreached => "endpoint_unreached",
             Self::ZonesOut => "zones_out",
             Self::Collects => "collects",
             Self::Confirmation => "confirmation",
@@ -145,6 +154,9 @@
             | Self::EndpointEjected
             | Self::EndpointBack
             | Self::EndpointMisplaced
+            | Self::EndpointLeaving
+            | Self::EndpointPaused
+            | Self::EndpointUnreached
             | Self::ZonesOut
             | Self::Collects
             | Self::Confirmation
--- a/crates/membership/src/message.rs
+++ b/crates/membership/src/message.rs
@@ -47,6 +47,8 @@
     },
     /// What a process of ours announces of itself, over its link.
     Announce(Box<Announcement>),
+    /// Tells of endpoints that are leaving, as their answers said.
+    Leaving(Vec<Leaving>),
     /// Asks for the whole table of the availability zone; a gate that has just started.
     Pull,
     /// Asks a gate of another availability zone for a bounded part of its endpoints, and gives the
@@ -66,6 +68,24 @@
     },
 }
 
+/// An endpoint that said in an answer that it is leaving.
+#[record]
+#[derive(Eq)]
+pub struct Leaving {
+    /// The endpoint.
+    #[serde(rename = "e")]
+    pub endpoint: String,
+    /// Its incarnation; a later one is not leaving.
+    #[serde(rename = "i")]
+    pub incarnation: Uuid,
+    /// The gate that had the answer.
+    #[serde(rename = "g")]
+    pub source: String,
+    /// How long ago that was.
+    #[serde(rename = "a")]
+    pub age: Duration,
+}
+
 /// The answer to a [`Request`].
 #[record]
 pub enum Reply {
@@ -104,7 +124,7 @@
     },
     /// To [`Request::Since`].
     Since(Changes),
-    /// To [`Request::Announce`]: taken, or known already.
+    /// To [`Request::Announce`] and [`Request::Leaving`]: taken, or known already.
     Announced,
     /// The request could not be read.
     Malformed(String),
@@ -146,6 +166,12 @@
             Ok(_) => Reply::Announced,
             Err(e) => Reply::Malformed(e.to_string()),
         },
+        Request::Leaving(leaving) => {
+            for l in leaving {
+                table.note_leaving(&l.endpoint, l.incarnation);
+            }
+            Reply::Announced
+        }
         Request::Exchange(theirs) => Reply::Exchanged(vitals::take(&table.lock(), &theirs, now)),
         Request::Repair { buckets, held } => repair(&table.lock(), &buckets, &held, now),
         Request::Pull => {
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -134,6 +134,19 @@
         self.publish(state);
     }
 
+    /// Notes that an incarnation of `endpoint` leaves, as one of its answers said; nothing that it
+    /// announces later makes it ready again.
+    pub fn note_leaving(&self, endpoint: &str, incarnation: uuid::Uuid) {
+        let is_known = {
+            let state = self.lock();
+            let mut known = state.endpoints().map(|e| &e.announced);
+            known.any(|a| a.endpoint == endpoint && a.state == Readiness::Ready)
+        };
+        if is_known {
+            self.depart(endpoint, Some(incarnation));
+        }
+    }
+
     /// Every endpoint known, by name.
     pub fn list(&self) -> Vec<EndpointView> {
         let now = Instant::now();
--- a/crates/membership/tests/table.rs
+++ b/crates/membership/tests/table.rs
@@ -185,3 +185,57 @@
         assert_eq!(state(table), Some(EndpointState::Suspect));
     }
 }
+
+fn incarnation(life: u8) -> uuid::Uuid {
+    common::incarnation(life)
+}
+
+/// An endpoint says in its answers that it leaves while its heartbeats still say that it is ready.
+#[tokio::test(start_paused = true)]
+async fn a_word_that_it_leaves_outlives_what_the_endpoint_announces() {
+    let table = table("a");
+    table.announce(announcement("e", 2, 1)).unwrap();
+    table.note_leaving("e", incarnation(1));
+    assert_eq!(state(&table), Some(EndpointState::Ready), "another life");
+    table.note_leaving("e", incarnation(2));
+    assert_eq!(state(&table), Some(EndpointState::Leaving));
+    table.announce(announcement("e", 2, 2)).unwrap();
+    assert_eq!(state(&table), Some(EndpointState::Leaving));
+    table.announce(announcement("e", 3, 1)).unwrap();
+    assert_eq!(state(&table), Some(EndpointState::Ready));
+}
+
+#[tokio::test(start_paused = true)]
+async fn one_that_was_leaving_and_fell_silent_does_not_come_back_ready() {
+    let table = table("a");
+    table.start_spread(Vec::new());
+    table.announce(announcement("e", 2, 1)).unwrap();
+    table.note_leaving("e", incarnation(2));
+    tokio::time::sleep(Duration::from_secs(31)).await;
+    assert_eq!(state(&table), None);
+    table.announce(announcement("e", 2, 9)).unwrap();
+    assert_eq!(state(&table), None);
+    table.announce(announcement("e", 3, 1)).unwrap();
+    assert_eq!(state(&table), Some(EndpointState::Ready));
+}
+
+/// The word comes over a link, and again: nothing changes by the copy.
+#[tokio::test(start_paused = true)]
+async fn another_gates_word_that_it_leaves_is_taken_once() {
+    let table = table("a");
+    table.announce(announcement("e", 2, 1)).unwrap();
+    let told = Request::Leaving(vec![membership::Leaving {
+        endpoint: "e".to_owned(),
+        incarnation: incarnation(2),
+        source: "b".to_owned(),
+        age: Duration::from_millis(5),
+    }]);
+    let mut versions = Vec::new();
+    for _ in 0..2 {
+        let reply = link::decode::<Reply>(&table.answer(&link::encode(&told)).await).unwrap();
+        assert!(matches!(reply, Reply::Announced));
+        versions.push(*table.changes().borrow());
+    }
+    assert_eq!(state(&table), Some(EndpointState::Leaving));
+    assert_eq!(versions[0], versions[1]);
+}
