--- a/crates/forward/src/queue.rs
+++ b/crates/forward/src/queue.rs
@@ -15,6 +15,7 @@
 use declaration::{Batch, Capacity};
 pub(crate) use job::Job;
 use job::Place;
+use routing::Decaying;
 use tokio::time::Instant;
 use zones::Zones;
 
@@ -43,8 +44,10 @@
 
 /// A call that takes less than this times what calls take began as it came.
 const PROMPT: f64 = 1.2;
-/// Time without a result for which there was no room after which calls are trusted to find room.
-const ROOM_AGAIN: Duration = Duration::from_secs(1);
+/// Share of items without room above which calls are not trusted to find room for all.
+const ROOMLESS: f64 = 0.01;
+/// Time over which an item loses half of its weight in that share.
+const ROOM_HALF_LIFE: Duration = Duration::from_secs(2);
 
 /// Calls in flight at one endpoint, and the results that it holds.
 #[derive(Debug)]
@@ -103,8 +106,8 @@
     freed: HashMap<SocketAddr, Vec<String>>,
     /// When it was last looked at which stages can't be done in time any more.
     shed_at: Option<Instant>,
-    /// When an endpoint last had no room for a result.
-    no_room_at: Option<Instant>,
+    /// Whether items had no room of late.
+    roomless: Decaying,
 }
 
 impl Queue {
@@ -128,7 +131,7 @@
             expiry: VecDeque::new(),
             freed: HashMap::new(),
             shed_at: None,
-            no_room_at: None,
+            roomless: Decaying::new(ROOM_HALF_LIFE),
         }
     }
 
@@ -271,7 +274,7 @@
         load.calls += 1;
         load.held += bytes;
         let slowness = load.slowness.factor(now).max(1.0);
-        let had_room = self.no_room_at.is_none_or(|at| now > at + ROOM_AGAIN);
+        let had_room = self.roomless.mean().unwrap_or(0.0) < ROOMLESS;
         Some(NextCall {
             begins_at_once: load.is_prompt && had_room,
             expected: self.call_time(jobs.len() as u32).mul_f64(slowness),
@@ -410,6 +413,12 @@
             .or_insert_with(EndpointLoad::new);
         load.calls = load.calls.saturating_sub(1);
         load.held = load.held.saturating_sub(next.bytes);
+        if let Ended::Answered(results) = ended {
+            for result in results {
+                let is_roomless = *result == Err(ItemFailure::NoRoom);
+                self.roomless.add(f64::from(u8::from(is_roomless)), now);
+            }
+        }
         let results = match ended {
             Ended::Answered(results) => results,
             Ended::Failed(_) => {
@@ -466,7 +475,6 @@
     /// The endpoint had no room for a result although some was left by this count: what else it
     /// keeps is taken to go soon.
     pub(crate) fn no_room(&mut self, endpoint: &str, bytes: u64, now: Instant) {
-        self.no_room_at = Some(now);
         if let Some(load) = self.loads.get_mut(endpoint) {
             load.hidden += bytes;
             load.hidden_until = Some(now + load.hidden_for);
--- a/crates/forward/src/queue/tests.rs
+++ b/crates/forward/src/queue/tests.rs
@@ -244,3 +244,41 @@
     assert_eq!(bound(9, 1), Bound::Batch);
     assert_eq!(bound(9, ROOM / 2), Bound::Room);
 }
+
+/// Ends `next` with a result for each item but the last `roomless` ones.
+fn end(queue: &mut Queue, next: &super::NextCall, roomless: usize, took: Duration) {
+    let made = next.jobs.len() - roomless;
+    let handle = || format!("h-{}", rand::random::<u64>());
+    let results = (0..next.jobs.len()).map(|n| match n < made {
+        true => Ok(handle()),
+        false => Err(ItemFailure::NoRoom),
+    });
+    let ended = Ended::Answered(results.collect());
+    queue.ended(next, took, &ended, Instant::now());
+}
+
+/// Inputs are given up early only where the call is as good as made: nothing is known of a new
+/// endpoint, one that takes longer has other calls before ours, and a pool that runs out of room
+/// sends items back.
+#[tokio::test(start_paused = true)]
+async fn inputs_of_a_call_are_given_up_early_only_where_it_is_likely_to_give_all_results() {
+    let (mut queue, pool) = (queue(), pool(&[("i-1", "a")]));
+    let reachable = Reachable::default();
+    let mut begins_at_once = |roomless, delay| {
+        queue
+            .take(items(4, 0, 60_000), &pool, &reachable, Instant::now())
+            .unwrap();
+        let next = queue.next_call(&pool, &reachable, Instant::now()).unwrap();
+        // A call of four items takes 280 ms.
+        end(&mut queue, &next, roomless, Duration::from_millis(280) + delay);
+        next.begins_at_once
+    };
+    let (on_time, late) = (Duration::ZERO, Duration::from_millis(200));
+    assert!(!begins_at_once(0, on_time), "a new endpoint");
+    assert!(begins_at_once(0, on_time));
+    assert!(begins_at_once(0, late));
+    assert!(!begins_at_once(0, on_time), "its last call waited there");
+    assert!(begins_at_once(0, on_time));
+    assert!(begins_at_once(1, on_time));
+    assert!(!begins_at_once(0, on_time), "its pool runs out of room");
+}
--- a/crates/routing/src/ewma.rs
+++ b/crates/routing/src/ewma.rs
@@ -6,7 +6,7 @@
 
 /// Exponentially decaying sum of values and of their number.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Decaying {
+pub struct Decaying {
     half_life: Duration,
     at: Option<Instant>,
     sum: f64,
@@ -19,7 +19,8 @@
 }
 
 impl Decaying {
-    pub(crate) fn new(half_life: Duration) -> Self {
+    /// No values yet; a value loses half of its weight in `half_life`.
+    pub fn new(half_life: Duration) -> Self {
         Self {
             half_life,
             at: None,
@@ -28,7 +29,8 @@
         }
     }
 
-    pub(crate) fn add(&mut self, value: f64, now: Instant) {
+    /// Takes a value.
+    pub fn add(&mut self, value: f64, now: Instant) {
         let age = self
             .at
             .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
@@ -44,7 +46,7 @@
     }
 
     /// The weighted mean; `None` before the first value.
-    pub(crate) fn mean(&self) -> Option<f64> {
+    pub fn mean(&self) -> Option<f64> {
         (self.count > 0.0).then(|| self.sum / self.count)
     }
 }
