A gate that goes down hands its batched stages over

A queue of hundreds was still emptied by the gate that went. Change: 300 ms after the order to stop, stages that have not begun are given back (`Moved`) and done by the gate that collects then; a gate that goes down does not collect where another one does.

--- a/crates/forward/src/collector.rs
+++ b/crates/forward/src/collector.rs
@@ -5,7 +5,10 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -63,6 +66,8 @@
     cx: Context,
     queues: Mutex<HashMap<QueueKey, Arc<Running>>>,
     tickets: Mutex<HashMap<u64, Arc<Ticket>>>,
+    /// Whether other gates collect from now on.
+    is_leaving: AtomicBool,
 }
 
 /// What a queue is for: a service, and the availability zone to whose endpoints it keeps, if it does.
@@ -101,6 +106,7 @@
             cx,
             queues: Mutex::default(),
             tickets: Mutex::default(),
+            is_leaving: AtomicBool::new(false),
         };
         Self {
             shared: Arc::new(shared),
@@ -145,6 +151,21 @@
         Ok(id)
     }
 
+    /// Hands over to the gates that collect from now on: stages that have not begun are done there, so
+    /// that two gates do not call the same endpoints for longer than the calls in flight last.
+    pub(crate) fn hand_over(&self) {
+        self.shared.is_leaving.store(true, Ordering::Relaxed);
+        let queues: Vec<Arc<Running>> = self.queues().values().cloned().collect();
+        for running in queues {
+            running.queue().hand_over();
+        }
+    }
+
+    /// Whether other gates collect from now on.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.shared.is_leaving.load(Ordering::Relaxed)
+    }
+
     /// How many endpoints of `service` take new work now, by availability zone.
     pub(crate) fn sound_by_zone(&self, service: &str) -> BTreeMap<String, usize> {
         self.shared.cx.fleet.sound_by_zone(service)
--- a/crates/forward/src/gates.rs
+++ b/crates/forward/src/gates.rs
@@ -108,6 +108,8 @@
     gates: Vec<Gate>,
     /// Who collects, by service and availability zone, as it was last.
     chosen: HashMap<(String, String), String>,
+    /// Whether this gate is going down, so that others collect.
+    is_leaving: bool,
     /// Places in `gates` by service and availability zone, in the order in which they collect.
     orders: HashMap<(String, String), Arc<[usize]>>,
 }
@@ -195,6 +197,11 @@
         zones.len()
     }
 
+    /// This gate is going down: it collects only where no other gate does.
+    pub(crate) fn leave(&self) {
+        self.known().is_leaving = true;
+    }
+
     /// Links that are up to other gates.
     pub(crate) fn linked(&self) -> Vec<Peer> {
         let known = self.known();
@@ -267,7 +274,7 @@
     /// far as it can be reached. `skip` of those that can are left out.
     pub(crate) fn collecting(&self, service: &str, az: &str, skip: usize) -> Collecting {
         let mut known = self.known();
-        let is_together = known.is_together();
+        let (is_together, is_leaving) = (known.is_together(), known.is_leaving);
         let order = known.order(service, az);
         let mut usable = 0;
         let mut chosen = None;
@@ -278,9 +285,10 @@
             if usable <= skip + STANDBY {
                 gate.dial(&self.shared.links);
             }
-            if gate.is_usable() {
-                usable += 1;
+            if !gate.is_usable() || is_leaving && gate.address.is_none() {
+                continue;
             }
+            usable += 1;
             if usable == skip + 1 {
                 chosen.get_or_insert(*at);
             }
--- a/crates/forward/src/gates/tests.rs
+++ b/crates/forward/src/gates/tests.rs
@@ -100,3 +100,21 @@
     gates.update(&gates_of(30));
     assert_eq!(gates.known().order("ice", "a").len(), 10);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_gate_that_goes_down_collects_only_where_no_other_does() {
+    let gates = Gates::new(links("g0"));
+    assert!(matches!(gates.collecting("ice", "a", 0), Collecting::Own));
+    gates.leave();
+    assert!(matches!(
+        gates.collecting("ice", "a", 0),
+        Collecting::Nobody
+    ));
+    gates.update(&gates_of(3));
+    for service in ["ice", "roster", "feed", "desk"] {
+        assert!(matches!(
+            gates.collecting(service, "a", 0),
+            Collecting::Other(_)
+        ));
+    }
+}
--- a/crates/forward/src/messages.rs
+++ b/crates/forward/src/messages.rs
@@ -115,6 +115,9 @@
     /// No endpoint takes it.
     #[error("no endpoint takes it")]
     NoEndpoint,
+    /// The gate that collects it is going down and has not begun it; another one collects from now on.
+    #[error("the gate that collects it is going down")]
+    Moved,
     /// Its items failed again and again.
     #[error("its items failed again and again")]
     Failed,
--- a/crates/forward/src/queue.rs
+++ b/crates/forward/src/queue.rs
@@ -227,6 +227,16 @@
         self.jobs.retain(|_, job| job.ticket.id != ticket.id);
     }
 
+    /// Gives up the stages that have not begun: another gate is to do them.
+    pub(crate) fn hand_over(&mut self) {
+        let waiting = self.jobs.values().map(|job| &job.ticket);
+        let waiting: Vec<Arc<Ticket>> = waiting.filter(|t| !t.has_begun()).cloned().collect();
+        self.jobs.retain(|_, job| job.ticket.has_begun());
+        for ticket in waiting {
+            ticket.fail(StageFailure::Moved);
+        }
+    }
+
     /// The call to make now, if an endpoint is free and items wait that may go there.
     pub(crate) fn next_call(
         &mut self,
--- a/crates/forward/src/queue/tests.rs
+++ b/crates/forward/src/queue/tests.rs
@@ -270,7 +270,12 @@
             .unwrap();
         let next = queue.next_call(&pool, &reachable, Instant::now()).unwrap();
         // A call of four items takes 280 ms.
-        end(&mut queue, &next, roomless, Duration::from_millis(280) + delay);
+        end(
+            &mut queue,
+            &next,
+            roomless,
+            Duration::from_millis(280) + delay,
+        );
         next.begins_at_once
     };
     let (on_time, late) = (Duration::ZERO, Duration::from_millis(200));
@@ -282,3 +287,26 @@
     assert!(begins_at_once(1, on_time));
     assert!(!begins_at_once(0, on_time), "its pool runs out of room");
 }
+
+/// A planned stop of the gate that collects, in a burst: what waits is done by the next gate, what has
+/// begun ends here.
+#[tokio::test(start_paused = true)]
+async fn a_gate_that_goes_down_hands_over_what_it_has_not_begun() {
+    let (mut queue, pool) = (queue(), pool(&[("i-1", "a")]));
+    let reachable = Reachable::default();
+    let now = Instant::now();
+    let mut take = || {
+        queue
+            .take(items(4, 0, 60_000), &pool, &reachable, now)
+            .unwrap()
+    };
+    let (first, second) = (take(), take());
+    let next = queue.next_call(&pool, &reachable, now).unwrap();
+    queue.hand_over();
+    assert_eq!(second.finished().await, Err(StageFailure::Moved));
+    assert!(!first.is_over() && queue.is_empty());
+    // An item of the first one that comes back is still done here.
+    queue.put_back(next.jobs[0].clone());
+    queue.hand_over();
+    assert_eq!(queue.waiting(), 1);
+}
--- a/crates/forward/src/serving.rs
+++ b/crates/forward/src/serving.rs
@@ -246,9 +246,10 @@
         }
         StageFailure::Paused { retry_after } => Unserved::come_back(Refusal::Paused, retry_after),
         StageFailure::NoEndpoint => Unserved::come_back(Refusal::NoEndpoint, COME_BACK),
-        StageFailure::InputGone | StageFailure::Failed | StageFailure::Unreachable => {
-            Unserved::come_back(Refusal::StagesFailed, COME_BACK)
-        }
+        StageFailure::InputGone
+        | StageFailure::Moved
+        | StageFailure::Failed
+        | StageFailure::Unreachable => Unserved::come_back(Refusal::StagesFailed, COME_BACK),
     })
 }
 
--- a/crates/forward/src/stages.rs
+++ b/crates/forward/src/stages.rs
@@ -10,7 +10,7 @@
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use link::{Channel, LinkError, Peer};
 use logs::{Event, Story};
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::{
     collector::Collector,
@@ -34,6 +34,11 @@
 /// Gates that are tried for one stage.
 const MAX_COLLECTORS: usize = 3;
 
+/// Times that a stage follows from a gate that goes down to the one that collects instead, and the
+/// pause before.
+const MAX_MOVES: u32 = 4;
+const MOVED_PAUSE: Duration = Duration::from_millis(25);
+
 /// How long results are taken to be kept where nothing is declared.
 const LONGEST_KEEP: Duration = Duration::from_hours(1);
 
@@ -334,7 +339,8 @@
         expires: Option<Instant>,
         inputs: &mut Inputs,
     ) -> Result<Results, StageFailure> {
-        for skip in 0..MAX_COLLECTORS {
+        let (mut skip, mut moves) = (0, 0);
+        while skip < MAX_COLLECTORS {
             let kept = expires.map(|at| at.saturating_duration_since(Instant::now()));
             let left = work.left(submission.stage);
             submission.left = kept.map_or(left, |kept| kept.min(left));
@@ -343,7 +349,13 @@
                 Err(StageFailure::Unreachable) if inputs.are_given_up() => {
                     return Err(StageFailure::InputGone);
                 }
-                Err(StageFailure::Unreachable) => {}
+                Err(StageFailure::Unreachable) => skip += 1,
+                // Keepers tell soon who collects instead.
+                Err(StageFailure::Moved) if moves < MAX_MOVES => {
+                    moves += 1;
+                    sleep(MOVED_PAUSE).await;
+                }
+                Err(StageFailure::Moved) => skip += 1,
                 ended => return ended,
             }
         }
@@ -519,6 +531,9 @@
     /// Answers another gate.
     pub(crate) async fn answer(&self, body: &[u8]) -> Vec<u8> {
         let reply = match link::decode::<StageRequest>(body) {
+            Ok(StageRequest::Submit(_)) if self.collector.is_leaving() => {
+                StageReply::Refused(StageFailure::Moved)
+            }
             Ok(StageRequest::Submit(submission)) => match self.collect(submission) {
                 Ok(ticket) => StageReply::Accepted(ticket),
                 Err(failure) => StageReply::Refused(failure),
--- a/crates/forward/src/start.rs
+++ b/crates/forward/src/start.rs
@@ -16,7 +16,7 @@
     net::TcpListener,
     sync::watch,
     task::JoinSet,
-    time::{sleep, timeout},
+    time::{Instant, sleep, sleep_until, timeout},
 };
 use uuid::Uuid;
 
@@ -43,6 +43,8 @@
 const CONNECT: Duration = Duration::from_millis(400);
 /// Time between looks at which availability zones can be reached.
 const LOOK_EVERY: Duration = Duration::from_millis(200);
+/// Time in which keepers have told other gates that this one is going down.
+const HAND_OVER_AFTER: Duration = Duration::from_millis(300);
 /// Time between shutting the listener and the end for the last bytes to leave.
 const FLUSH: Duration = Duration::from_millis(30);
 
@@ -132,7 +134,7 @@
         keepers: told.keepers.clone(),
     };
     tasks.spawn(departures.tell());
-    tasks.spawn(keep_reachable(forwarder.cx.fleet.clone(), gates));
+    tasks.spawn(keep_reachable(forwarder.cx.fleet.clone(), gates.clone()));
     tasks.spawn(forwarder.cx.pool.clone().reap());
     tasks.spawn(serve_links(links_listener, links, &forwarder, &told));
     let (pages, _) = http::serve(readiness, pages(forwarder.clone()));
@@ -140,6 +142,7 @@
         let told = forwarder.clone();
         tasks.spawn(http::serve_text(address, move || told.metrics_text()).await?);
     }
+    let (leaving, collector) = (gates, forwarder.cx.stages.collector.clone());
     let (phase, phases) = watch::channel(Phase::Serving);
     let serving = tokio::spawn(server::serve(callers, forwarder, phases));
     let task = tokio::spawn(async move {
@@ -147,7 +150,11 @@
         stopped.wait().await;
         draining_tx.send_replace(true);
         info!("draining");
-        sleep(cfg.notice).await;
+        leaving.leave();
+        let until = Instant::now() + cfg.notice;
+        sleep(HAND_OVER_AFTER.min(cfg.notice)).await;
+        collector.hand_over();
+        sleep_until(until).await;
         phase.send_replace(Phase::Closing);
         // What takes longer is cut off by the end of the process.
         let _ = timeout(cfg.drain, serving).await;
