Endpoints of /v1 and of declared routes leave and pause by their answers too

jujube-leaving: 1 in any answer, Retry-After (seconds, fractions) with a 503: the gate of /v1 marks the endpoint in its own table, which spreads it, and routing passes over one that pauses; all of them pausing is NoEndpoint::Paused with the shortest. A 503 that asks for a pause is no failure. Stand-ins: Fault::Pause, Fault::SaysLeaving. Tests: routing pick (2), gate requests, forwarder routes.

--- a/crates/bench/src/stand_in/completions.rs
+++ b/crates/bench/src/stand_in/completions.rs
@@ -66,7 +66,9 @@
     }
     let fault = shared.faults.next();
     match fault {
-        Fault::Refuse => return refuse(StatusCode::SERVICE_UNAVAILABLE, "told to refuse"),
+        Fault::Refuse | Fault::Pause(_) => {
+            return refuse(StatusCode::SERVICE_UNAVAILABLE, "told to refuse");
+        }
         _ if is_late(headers) => {
             return refuse(StatusCode::SERVICE_UNAVAILABLE, "no time left");
         }
--- a/crates/bench/src/stand_in/fault.rs
+++ b/crates/bench/src/stand_in/fault.rs
@@ -21,6 +21,10 @@
     CloseEarly,
     /// Calls are refused with 503 and an explicit `not_run`.
     Refuse,
+    /// The same, and a pause of so many seconds is asked for.
+    Pause(u32),
+    /// It works, and says in each answer that it is leaving, whatever it announces.
+    SaysLeaving,
     /// Calls run and the answer echoes another call's id.
     WrongCall,
     /// Streams leave out one chunk.
--- a/crates/bench/src/stand_in/server.rs
+++ b/crates/bench/src/stand_in/server.rs
@@ -15,8 +15,10 @@
 };
 
 use super::{
-    completions, kv, orders,
-    reply::{CALL, Reply, header, json_reply, problem},
+    completions,
+    fault::Fault,
+    kv, orders,
+    reply::{CALL, Reply, header, json_reply, problem, set},
     shared::Shared,
     stage, whole,
 };
@@ -46,6 +48,17 @@
 }
 
 async fn answer(shared: Arc<Shared>, req: Request<Incoming>) -> Reply {
+    let fault = shared.faults.get();
+    let mut reply = answer_call(shared, req).await?;
+    match fault {
+        Fault::SaysLeaving => set(reply.headers_mut(), "jujube-leaving", "1"),
+        Fault::Pause(seconds) => set(reply.headers_mut(), "retry-after", &seconds.to_string()),
+        _ => {}
+    }
+    Ok(reply)
+}
+
+async fn answer_call(shared: Arc<Shared>, req: Request<Incoming>) -> Reply {
     let (head, body) = req.into_parts();
     let call = header(&head.headers, CALL).unwrap_or_default().to_owned();
     let body = match body.collect().await {
--- a/crates/bench/src/stand_in/stage.rs
+++ b/crates/bench/src/stand_in/stage.rs
@@ -61,7 +61,9 @@
     let fault = shared.faults.next();
     let waiting = shared.waiting.load(Ordering::SeqCst);
     match fault {
-        Fault::Refuse => return refuse(StatusCode::SERVICE_UNAVAILABLE, "told to refuse"),
+        Fault::Refuse | Fault::Pause(_) => {
+            return refuse(StatusCode::SERVICE_UNAVAILABLE, "told to refuse");
+        }
         _ if is_late(headers) => {
             return refuse(StatusCode::SERVICE_UNAVAILABLE, "no time left");
         }
--- a/crates/bench/src/stand_in/whole.rs
+++ b/crates/bench/src/stand_in/whole.rs
@@ -37,7 +37,9 @@
         _ if meant.is_some_and(|meant| meant != shared.cfg.name) => {
             Some((StatusCode::MISDIRECTED_REQUEST, "another endpoint is meant"))
         }
-        Fault::Refuse => Some((StatusCode::SERVICE_UNAVAILABLE, "told to refuse")),
+        Fault::Refuse | Fault::Pause(_) => {
+            Some((StatusCode::SERVICE_UNAVAILABLE, "told to refuse"))
+        }
         _ if is_late(headers) => Some((StatusCode::SERVICE_UNAVAILABLE, "no time left")),
         _ => None,
     }
--- a/crates/forwarder/tests/routes.rs
+++ b/crates/forwarder/tests/routes.rs
@@ -80,6 +80,41 @@
     assert_eq!(env.ran("desk", "foreign"), 1);
 }
 
+/// An endpoint that leaves, or wants a pause, says so in its answers; its announcements say ready.
+#[tokio::test(flavor = "multi_thread")]
+async fn one_that_leaves_or_wants_a_pause_gets_nothing_new() {
+    let env = Env::start().await;
+    let desks: Vec<&StandIn> = of(&env, "desk").collect();
+    desks[0].set_fault(Fault::SaysLeaving);
+    let mut by_it = 0;
+    for n in 0..12 {
+        let answer = env
+            .ask(Ask::new("/desk/1", &format!("l-{n}")))
+            .await
+            .unwrap();
+        assert_eq!(answer.status, StatusCode::OK);
+        assert!(!answer.headers.contains_key("jujube-leaving"));
+        let seen: Value = serde_json::from_slice(&answer.body).unwrap();
+        by_it += usize::from(seen["endpoint"] == desks[0].name());
+    }
+    assert!(by_it <= 1, "{by_it} answers of one that leaves");
+    for desk in &desks[1..] {
+        desk.set_fault(Fault::Pause(30));
+    }
+    let mut last = None;
+    for n in 0..desks.len() + 1 {
+        last = env.ask(Ask::new("/desk/1", &format!("p-{n}"))).await.ok();
+    }
+    let last = last.unwrap();
+    assert_eq!(last.status, StatusCode::SERVICE_UNAVAILABLE);
+    let told: f64 = last.headers["retry-after"]
+        .to_str()
+        .unwrap()
+        .parse()
+        .unwrap();
+    assert!(told > 20.0 && told <= 30.0, "{told}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_cut_stream_goes_on_after_its_last_event() {
     let env = Env::start().await;
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -1,6 +1,10 @@
 //! One call to one endpoint up to the head of its answer.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
@@ -10,6 +14,7 @@
     header::{CONTENT_TYPE, HOST, HeaderName, HeaderValue, RETRY_AFTER},
 };
 use outbound::{Connection, Handover, Pool};
+use routing::Notice;
 use tokio::time::{Instant, timeout_at};
 use uuid::Uuid;
 
@@ -21,6 +26,8 @@
 const PRIORITY: HeaderName = HeaderName::from_static("jujube-priority");
 const KEY: HeaderName = HeaderName::from_static("idempotency-key");
 const OUTCOME: HeaderName = HeaderName::from_static("jujube-outcome");
+/// `1`: the endpoint is leaving and takes no new work.
+const LEAVING: HeaderName = HeaderName::from_static("jujube-leaving");
 
 /// Most bytes of an endpoint's error answer that are read.
 const MAX_ERROR_BYTES: usize = 64 << 10;
@@ -57,6 +64,29 @@
     pub(crate) handover: Handover,
     /// Bounds on its answer.
     pub(crate) waits: Waits,
+    /// What its answer said of the endpoint.
+    pub(crate) notice: Heard,
+}
+
+/// What an answer said of its endpoint, once its head is there; clones share it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Heard(Arc<OnceLock<Notice>>);
+
+impl Heard {
+    /// What was said.
+    pub(crate) fn get(&self) -> Notice {
+        self.0.get().copied().unwrap_or_default()
+    }
+
+    fn set(&self, status: StatusCode, headers: &HeaderMap) {
+        let is_turned_away = status == StatusCode::SERVICE_UNAVAILABLE;
+        let notice = Notice {
+            is_leaving: headers.get(LEAVING).is_some_and(|value| value == "1"),
+            pause: retry_after(headers).filter(|_| is_turned_away),
+        };
+        // A call has one answer.
+        let _ = self.0.set(notice);
+    }
 }
 
 impl Call {
@@ -153,23 +183,24 @@
         ahead: None,
         is_ended: false,
     };
-    exchange
-        .check(call.id, head.status, &head.headers, pool)
-        .await
+    exchange.check(call, head.status, &head.headers, pool).await
 }
 
 impl Exchange {
     async fn check(
         self,
-        id: Uuid,
+        call: &Call,
         status: StatusCode,
         headers: &HeaderMap,
         pool: &Pool,
     ) -> Result<Self, CallError> {
         let echoed = headers.get(CALL).map(HeaderValue::as_bytes);
-        let is_ours = echoed.is_some_and(|echo| Uuid::try_parse_ascii(echo) == Ok(id));
+        let is_ours = echoed.is_some_and(|echo| Uuid::try_parse_ascii(echo) == Ok(call.id));
         let is_refused = headers.get(OUTCOME).is_some_and(|o| o == "not_run");
         let retry_after = retry_after(headers);
+        if echoed.is_none() || is_ours {
+            call.notice.set(status, headers);
+        }
         match status {
             _ if echoed.is_some() && !is_ours => Err(CallError::Crossed),
             StatusCode::SERVICE_UNAVAILABLE if is_refused => {
@@ -250,9 +281,12 @@
     }
 }
 
+/// The longest time that an answer names, in seconds with fractions; `None` where it names none ahead.
 fn retry_after(headers: &HeaderMap) -> Option<Duration> {
-    let text = headers.get(RETRY_AFTER)?.to_str().ok()?;
-    text.parse().ok().map(Duration::from_secs)
+    let named = headers.get_all(RETRY_AFTER).iter();
+    let seconds = named.filter_map(|value| value.to_str().ok()?.trim().parse::<f64>().ok());
+    let seconds = seconds.filter(|s| *s > 0.0).reduce(f64::max)?;
+    Some(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
 }
 
 fn shorten(bytes: &[u8]) -> String {
--- a/crates/gate/src/once.rs
+++ b/crates/gate/src/once.rs
@@ -17,7 +17,7 @@
 use uuid::Uuid;
 
 use crate::{
-    exchange::{self, Call, Waits},
+    exchange::{self, Call, Heard, Waits},
     failure::{CallError, Cause, StageError},
     gate::Gate,
     guard::CallGuard,
@@ -264,6 +264,7 @@
             deadline: last,
             max_bytes: cx.gate.cfg.limits.output_bytes,
         },
+        notice: Heard::default(),
     }
 }
 
@@ -312,6 +313,7 @@
     async fn exchange(&self, connection: Connection) -> Result<(Box<RawValue>, u64), CallError> {
         let pool = &self.gate.pool;
         let begun = exchange::begin_on(connection, pool, &self.call, self.req.clone()).await;
+        self.picked.note(self.call.notice.get());
         let exchange = match begun {
             Ok(exchange) => {
                 self.picked.answered();
--- a/crates/gate/src/picking.rs
+++ b/crates/gate/src/picking.rs
@@ -93,7 +93,14 @@
     error: CallError,
 ) -> StageError {
     let verdict = match &error {
-        CallError::NotRun { .. } | CallError::Status { status: 429, .. } => Verdict::Refused,
+        CallError::NotRun { .. }
+        | CallError::Status { status: 429, .. }
+        // It asked for a pause.
+        | CallError::Status {
+            status: 503,
+            retry_after: Some(_),
+            ..
+        } => Verdict::Refused,
         CallError::Status { status, .. } if *status < 500 => Verdict::Rejected,
         CallError::Deadline => Verdict::Late,
         CallError::CallerGone | CallError::Unsent => Verdict::Cancelled,
--- a/crates/gate/src/race.rs
+++ b/crates/gate/src/race.rs
@@ -8,7 +8,7 @@
 use uuid::Uuid;
 
 use crate::{
-    exchange::{self, Call, Exchange, Waits},
+    exchange::{self, Call, Exchange, Heard, Waits},
     failure::{CallError, StageError},
     guard::CallGuard,
     picking::{failed, pick},
@@ -248,6 +248,7 @@
         Via::Any => exchange::begin(pool, &call, req).await,
         Via::New => exchange::begin_fresh(pool, &call, req).await,
     };
+    picked.note(call.notice.get());
     let begun = match begun {
         Ok(mut exchange) => exchange.first_part().await.map(|()| exchange),
         Err(e) => Err(e),
@@ -292,5 +293,6 @@
             deadline,
             max_bytes: cx.gate.cfg.limits.output_bytes,
         },
+        notice: Heard::default(),
     }
 }
--- a/crates/gate/src/route.rs
+++ b/crates/gate/src/route.rs
@@ -13,8 +13,8 @@
 use membership::{Endpoint, Table};
 use routing::{
     Admission, AdmissionConfig, AdmissionStats, Applicant, BudgetConfig, CallOutcome, Latencies,
-    ModelNeed, NoEndpoint, Observation, Pick, Refusal, RetryBudget, Reused, Router, RouterConfig,
-    SizeClass, Ticket,
+    ModelNeed, NoEndpoint, Notice, Observation, Pick, Refusal, RetryBudget, Reused, Router,
+    RouterConfig, SizeClass, Ticket,
 };
 use tokio::time::Instant;
 
@@ -280,7 +280,7 @@
 /// When to come back after `none`.
 pub(crate) fn retry_after(none: NoEndpoint) -> Duration {
     match none {
-        NoEndpoint::Busy { retry_after } => retry_after,
+        NoEndpoint::Busy { retry_after } | NoEndpoint::Paused { retry_after } => retry_after,
         _ => NO_ENDPOINT_RETRY,
     }
 }
@@ -320,6 +320,13 @@
         self.address
     }
 
+    /// Takes what the endpoint's answer said of it.
+    pub(crate) fn note(&self, notice: Notice) {
+        if notice != Notice::default() {
+            self.with_pick(|pick| pick.note(notice));
+        }
+    }
+
     /// The first part of the answer is there.
     pub(crate) fn answered(&self) {
         self.with_pick(Pick::answered);
--- a/crates/gate/tests/requests.rs
+++ b/crates/gate/tests/requests.rs
@@ -100,6 +100,49 @@
     assert_eq!(good.calls().len(), 8);
 }
 
+/// Its announcements still say that it is ready; the other endpoint does the work.
+#[tokio::test]
+async fn an_endpoint_that_says_it_leaves_or_wants_a_pause_gets_no_more_calls() {
+    let answers = [
+        Reply::Status(
+            503,
+            vec![
+                ("jujube-outcome", "not_run".to_owned()),
+                ("retry-after", "20.5".to_owned()),
+            ],
+            String::new(),
+        ),
+        Reply::Status(
+            503,
+            vec![
+                ("jujube-outcome", "not_run".to_owned()),
+                ("jujube-leaving", "1".to_owned()),
+            ],
+            String::new(),
+        ),
+    ];
+    for told in answers {
+        let env = Env::start().await;
+        let gate = env.gate("g").await;
+        let reply = told.clone();
+        let first = StandIn::start("llm-1", "llm", move |_| reply.clone()).await;
+        gate.knows(&first).await;
+        for _ in 0..3 {
+            let answer = gate.ask("chat", &[], json!("hello")).await;
+            assert_eq!(answer.status, 503, "{}", answer.text());
+            assert_eq!(answer.json()["outcome"], "not_run");
+        }
+        assert_eq!(first.calls().len(), 1, "{told:?}");
+        let second = StandIn::start("llm-2", "llm", |_| text_stream()).await;
+        gate.knows(&second).await;
+        for _ in 0..4 {
+            let answer = gate.ask("chat", &[], json!("hello")).await;
+            assert_eq!(answer.status, 200, "{}", answer.text());
+        }
+        assert_eq!(first.calls().len(), 1, "{told:?}");
+    }
+}
+
 #[tokio::test]
 async fn without_an_endpoint_the_outcome_is_not_run() {
     let env = Env::start().await;
--- a/crates/routing/src/need.rs
+++ b/crates/routing/src/need.rs
@@ -80,6 +80,12 @@
     /// Endpoints are ready, none with the model, version, adapters or role.
     #[error("pick endpoint: none has the model, version, adapters and role")]
     NoModel,
+    /// Every endpoint that could take it has asked for a pause.
+    #[error("pick endpoint: all asked for a pause; try again in {retry_after:?}")]
+    Paused {
+        /// When the first of them takes work again.
+        retry_after: Duration,
+    },
     /// Every endpoint that could take it was tried or is ejected.
     #[error("pick endpoint: all were tried or are ejected after failures")]
     AllTried,
@@ -91,6 +97,16 @@
     },
 }
 
+/// What the head of an answer says of its endpoint, whatever it answers.
+#[value]
+#[derive(Copy, Default)]
+pub struct Notice {
+    /// It is leaving and takes no new work.
+    pub is_leaving: bool,
+    /// It wants nothing from this gate for so long.
+    pub pause: Option<Duration>,
+}
+
 /// What became of a call, as far as it tells about the endpoint.
 #[value]
 #[derive(Copy)]
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -18,7 +18,7 @@
 use crate::{
     affinity::block_hashes,
     config::RouterConfig,
-    need::{CacheEvents, CallOutcome, Need, NoEndpoint, Observation, Versions},
+    need::{CacheEvents, CallOutcome, Need, NoEndpoint, Notice, Observation, Versions},
     pool::{Pool, Slot},
     score::{Reasons, View},
     waiting::Started,
@@ -128,6 +128,16 @@
         })
     }
 
+    fn note(&self, pick: &Pick, notice: Notice) {
+        let a = &pick.slot.endpoint.announced;
+        if notice.is_leaving {
+            self.shared.table.note_leaving(&a.endpoint, a.incarnation);
+        }
+        if let Some(pause) = notice.pause {
+            pick.slot.stats.pause(pause, Instant::now());
+        }
+    }
+
     /// Takes an engine's cache events.
     pub fn cache_events(&self, events: CacheEvents) {
         let now = Instant::now();
@@ -288,6 +298,11 @@
         &self.slot.endpoint
     }
 
+    /// Takes what the endpoint's answer said of it.
+    pub fn note(&self, notice: Notice) {
+        self.router.note(self, notice);
+    }
+
     /// The endpoint's name.
     pub fn name(&self) -> &str {
         &self.slot.endpoint.announced.endpoint
--- a/crates/routing/src/score.rs
+++ b/crates/routing/src/score.rs
@@ -107,6 +107,7 @@
     NotReady,
     NotAllowed,
     NoModel,
+    Paused,
     Tried,
     AtLimit,
 }
@@ -128,6 +129,7 @@
             () if !slot.endpoint.is_ready(self.now) => Some(Barrier::NotReady),
             () if !is_allowed => Some(Barrier::NotAllowed),
             () if !self.need.is_met_by(a, self.versions) => Some(Barrier::NoModel),
+            () if !slot.stats.pause_left(self.now).is_zero() => Some(Barrier::Paused),
             () if is_tried || slot.stats.is_ejected(self.now) => Some(Barrier::Tried),
             () if slot.stats.in_flight() >= slot.stats.limit() => Some(Barrier::AtLimit),
             () if self.is_too_slow(slot) => Some(Barrier::AtLimit),
@@ -155,7 +157,7 @@
             Ok(best) => Ok(best.better(self.best(pool.far(), rng).ok())),
             Err(near) => {
                 let far = self.best(pool.far(), rng);
-                far.map_err(|far| self.no_endpoint(near.max(far)))
+                far.map_err(|far| self.no_endpoint(pool, near.max(far)))
             }
         }
     }
@@ -306,11 +308,18 @@
         (load + 1.0 - saved) * ratio * distance * version / share
     }
 
-    fn no_endpoint(&self, furthest: Barrier) -> NoEndpoint {
+    fn no_endpoint(&self, pool: &Pool, furthest: Barrier) -> NoEndpoint {
         match furthest {
             Barrier::NotReady => NoEndpoint::NoneReady,
             Barrier::NotAllowed => NoEndpoint::NotAllowed,
             Barrier::NoModel => NoEndpoint::NoModel,
+            Barrier::Paused => {
+                let left = pool.slots().iter().map(|s| s.stats.pause_left(self.now));
+                let retry_after = left.filter(|left| !left.is_zero()).min();
+                NoEndpoint::Paused {
+                    retry_after: retry_after.unwrap_or_default(),
+                }
+            }
             Barrier::Tried => NoEndpoint::AllTried,
             Barrier::AtLimit => {
                 let half = self.mean_latency.unwrap_or(0.0).min(60.0) / 2.0;
--- a/crates/routing/src/stats.rs
+++ b/crates/routing/src/stats.rs
@@ -67,6 +67,9 @@
     pub(crate) affinity: Affinity,
 }
 
+/// Longest pause that an endpoint may ask for; a longer one counts as this.
+const MAX_PAUSE: Duration = Duration::from_secs(60);
+
 /// Calls in flight and what earlier ones told; the numbers that every pick reads need no lock.
 #[derive(Debug)]
 pub(crate) struct Stats {
@@ -75,6 +78,8 @@
     limit: AtomicU32,
     /// Microseconds from `start`; 0 where it never was ejected.
     ejected_until_us: AtomicU64,
+    /// Until when it asked for a pause, in microseconds from `start`; 0 where it never did.
+    paused_until_us: AtomicU64,
     /// When the load report in use came, in microseconds from `start`; 0 before the first.
     reported_us: AtomicU64,
     /// Calls of others in that report.
@@ -96,6 +101,7 @@
             in_flight: AtomicU32::new(0),
             limit: AtomicU32::new(inner.limit.get()),
             ejected_until_us: AtomicU64::new(0),
+            paused_until_us: AtomicU64::new(0),
             reported_us: AtomicU64::new(0),
             others: AtomicU32::new(0),
             latency: Latency::default(),
@@ -178,6 +184,18 @@
         self.ejected_until_us.load(Relaxed) > self.micros(now)
     }
 
+    /// It asked for a pause; a longer one replaces a shorter one.
+    pub(crate) fn pause(&self, pause: Duration, now: Instant) {
+        let until = self.micros(now + pause.min(MAX_PAUSE));
+        self.paused_until_us.fetch_max(until, Relaxed);
+    }
+
+    /// What is left of the pause that it asked for; zero where it takes work.
+    pub(crate) fn pause_left(&self, now: Instant) -> Duration {
+        let until = self.paused_until_us.load(Relaxed);
+        Duration::from_micros(until.saturating_sub(self.micros(now)))
+    }
+
     /// The share of its usual work that it gets now, 1 where it was not ejected of late.
     pub(crate) fn returning_share(&self, now: Instant, slow_return: Duration) -> f64 {
         match self.ejected_until_us.load(Relaxed) {
--- a/crates/routing/tests/pick.rs
+++ b/crates/routing/tests/pick.rs
@@ -8,7 +8,7 @@
 use membership::{Announcement, EndpointState, LoadedModel, Readiness, Table, TableConfig};
 use proptest::prelude::*;
 use routing::{
-    CacheEvents, CallOutcome, ModelNeed, Need, NoEndpoint, Observation, Reused, Router,
+    CacheEvents, CallOutcome, ModelNeed, Need, NoEndpoint, Notice, Observation, Reused, Router,
     RouterConfig, block_hashes, max_ejected,
 };
 use tokio::time::advance;
@@ -476,3 +476,50 @@
         "{among_thirty} {among_two}"
     );
 }
+
+#[test]
+fn an_endpoint_that_pauses_is_passed_over_and_all_of_them_say_for_how_long() {
+    block_on(async {
+        let router = router(&table(2));
+        let pause = |seconds| Notice {
+            pause: Some(Duration::from_secs(seconds)),
+            ..Notice::default()
+        };
+        let first = router.pick(&need()).unwrap();
+        let name = first.name().to_owned();
+        first.note(pause(2));
+        first.note(pause(1));
+        first.finish(failed());
+        for _ in 0..10 {
+            let pick = router.pick(&need()).unwrap();
+            assert_ne!(pick.name(), name);
+            pick.finish(answered(10));
+        }
+        let second = router.pick(&need()).unwrap();
+        second.note(pause(1_000_000_000));
+        second.finish(answered(10));
+        let retry_after = Duration::from_secs(2);
+        assert_eq!(
+            router.pick(&need()).unwrap_err(),
+            NoEndpoint::Paused { retry_after }
+        );
+        advance(retry_after).await;
+        assert_eq!(router.pick(&need()).unwrap().name(), name);
+    });
+}
+
+#[test]
+fn an_endpoint_that_says_it_leaves_is_not_picked_though_it_announces_that_it_is_ready() {
+    block_on(async {
+        let table = table(1);
+        let router = router(&table);
+        let pick = router.pick(&need()).unwrap();
+        pick.note(Notice {
+            is_leaving: true,
+            pause: None,
+        });
+        pick.finish(answered(10));
+        table.announce(announcement("e0000", AZ, 2)).unwrap();
+        assert_eq!(router.pick(&need()).unwrap_err(), NoEndpoint::NoneReady);
+    });
+}
