--- a/crates/forward/src/absence.rs
+++ b/crates/forward/src/absence.rs
@@ -8,7 +8,7 @@
 use uuid::Uuid;
 
 /// Longest pause that an endpoint may ask for; a longer one counts as this.
-pub(crate) const MAX_PAUSE: Duration = Duration::from_secs(60);
+pub(crate) const MAX_PAUSE: Duration = Duration::from_mins(1);
 /// Pause after a connection to an endpoint was not made, doubled for each one in a row.
 const UNREACHED: Duration = Duration::from_millis(100);
 const MAX_UNREACHED: Duration = Duration::from_millis(1_600);
--- a/crates/forward/src/graph.rs
+++ b/crates/forward/src/graph.rs
@@ -29,8 +29,10 @@
 impl<'a, R> Graph<'a, R> {
     /// Nothing is done yet.
     pub(crate) fn new(stages: &'a [RouteStage]) -> Self {
-        let states = stages.iter().map(|_| State::Waiting).collect();
-        Self { stages, states }
+        Self {
+            stages,
+            states: stages.iter().map(|_| State::Waiting).collect(),
+        }
     }
 
     /// A stage that can begin now, with the results that it needs; it counts as running from here on.
--- a/crates/forward/src/stages.rs
+++ b/crates/forward/src/stages.rs
@@ -349,13 +349,12 @@
                 Err(StageFailure::Unreachable) if inputs.are_given_up() => {
                     return Err(StageFailure::InputGone);
                 }
-                Err(StageFailure::Unreachable) => skip += 1,
                 // Keepers tell soon who collects instead.
                 Err(StageFailure::Moved) if moves < MAX_MOVES => {
                     moves += 1;
                     sleep(MOVED_PAUSE).await;
                 }
-                Err(StageFailure::Moved) => skip += 1,
+                Err(StageFailure::Moved | StageFailure::Unreachable) => skip += 1,
                 ended => return ended,
             }
         }
--- a/crates/forward/src/start.rs
+++ b/crates/forward/src/start.rs
@@ -277,7 +277,9 @@
 fn hear_left(fleet: &Fleet, body: &[u8]) -> Vec<u8> {
     let reply = match link::decode::<membership::Request>(body) {
         Ok(membership::Request::Leaving(leaving)) => {
-            leaving.into_iter().for_each(|l| fleet.hear_left(l));
+            for l in leaving {
+                fleet.hear_left(l);
+            }
             membership::Reply::Announced
         }
         Ok(_) => membership::Reply::Malformed("a gate keeps no table".to_owned()),
--- a/crates/forwarder/tests/routes.rs
+++ b/crates/forwarder/tests/routes.rs
@@ -102,7 +102,7 @@
         desk.set_fault(Fault::Pause(30));
     }
     let mut last = None;
-    for n in 0..desks.len() + 1 {
+    for n in 0..=desks.len() {
         last = env.ask(Ask::new("/desk/1", &format!("p-{n}"))).await.ok();
     }
     let last = last.unwrap();
--- a/crates/routing/src/stats.rs
+++ b/crates/routing/src/stats.rs
@@ -68,7 +68,7 @@
 }
 
 /// Longest pause that an endpoint may ask for; a longer one counts as this.
-const MAX_PAUSE: Duration = Duration::from_secs(60);
+const MAX_PAUSE: Duration = Duration::from_mins(1);
 
 /// Calls in flight and what earlier ones told; the numbers that every pick reads need no lock.
 #[derive(Debug)]
