--- a/crates/forward/src/start.rs
+++ b/crates/forward/src/start.rs
@@ -117,6 +117,7 @@
         metrics,
         draining,
         in_flight: Arc::new(AtomicUsize::new(0)),
+        started: Instant::now(),
         cx,
     };
     let mut tasks = JoinSet::new();
