--- a/crates/forward/src/fleet.rs
+++ b/crates/forward/src/fleet.rs
@@ -1,5 +1,7 @@
 //! The endpoints as this gate knows them: what keepers told, and what its own calls showed.
 
+mod left;
+
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
@@ -11,15 +13,14 @@
 };
 
 use logs::Event;
-use membership::{EndpointState, EndpointView, Leaving, Mirror};
+use membership::{EndpointState, EndpointView, Mirror};
 use routing::{EjectionConfig, Health, max_ejected};
 use tokio::{sync::watch, time::Instant};
 use uuid::Uuid;
 
 use crate::{
-    absence::{Absence, Absences, Left, Notice},
+    absence::{Absence, Absences, Left},
     cache::PrefixCache,
-    inquiry::Prompt,
     pace::{Fit, Line, Slowness},
 };
 
@@ -32,8 +33,6 @@
 const MISPLACED: Duration = Duration::from_secs(3);
 /// How long an endpoint that said it is full is left out.
 const FULL: Duration = Duration::from_millis(60);
-/// Endpoints that are remembered as leaving; the oldest ones are forgotten.
-const MAX_LEFT: usize = 4_096;
 /// Memory of an engine that declares none, in tokens.
 const DEFAULT_MEMORY_TOKENS: u64 = 200_000;
 /// Time of a call before any was seen.
@@ -78,7 +77,8 @@
     pub(crate) unread_tokens: u64,
     /// Calls of other gates, as far as the endpoint's own reports tell.
     pub(crate) others: u32,
-    others_at: Option<Instant>,
+    /// When that report came.
+    pub(crate) others_at: Option<Instant>,
     pub(crate) slowness: Slowness,
     pub(crate) cache: PrefixCache,
     health: Health,
@@ -157,7 +157,7 @@
 pub(crate) struct Pool {
     pub(crate) targets: Vec<Arc<Target>>,
     /// Time to the first part of an answer by tokens to read.
-    fit: Arc<Mutex<Fit>>,
+    pub(crate) fit: Arc<Mutex<Fit>>,
 }
 
 impl Pool {
@@ -319,98 +319,6 @@
         }
     }
 
-    fn left(&self) -> MutexGuard<'_, BTreeMap<String, Left>> {
-        self.left.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Takes what an answer of `target` said of it to the gate `vm`.
-    pub(crate) fn take_notice(&self, target: &Target, notice: Notice, vm: &str) {
-        let now = Instant::now();
-        target.stats().absences.reach();
-        if notice.is_leaving {
-            let left = Left {
-                incarnation: target.incarnation,
-                source: vm.to_owned(),
-                since: now,
-            };
-            if self.note_left(&target.name, left) {
-                self.left_news.send_modify(|news| *news += 1);
-            }
-        }
-        let pause = notice
-            .pause
-            .and_then(|pause| target.stats().absences.pause(pause, now));
-        if let Some(pause) = pause {
-            logs::write(
-                None,
-                &Event::EndpointPaused {
-                    endpoint: target.name.clone(),
-                    service: target.service.clone(),
-                    for_ms: pause.as_millis() as u64,
-                },
-            );
-        }
-    }
-
-    /// Takes another gate's word that an endpoint is leaving.
-    pub(crate) fn hear_left(&self, leaving: Leaving) {
-        let left = Left {
-            incarnation: leaving.incarnation,
-            source: leaving.source,
-            since: Instant::now()
-                .checked_sub(leaving.age)
-                .unwrap_or_else(Instant::now),
-        };
-        self.note_left(&leaving.endpoint, left);
-    }
-
-    /// Notes that an incarnation is leaving; whether that is news.
-    fn note_left(&self, endpoint: &str, news: Left) -> bool {
-        let now = Instant::now();
-        let mut left = self.left();
-        if left
-            .get(endpoint)
-            .is_some_and(|left| left.binds(news.incarnation))
-        {
-            return false;
-        }
-        logs::write(None, &news.event(endpoint, now));
-        if left.len() >= MAX_LEFT {
-            let oldest = left.iter().min_by_key(|(_, left)| left.since);
-            let oldest = oldest.map(|(name, _)| name.clone());
-            oldest.and_then(|name| left.remove(&name));
-        }
-        let pools = self.pools.read().unwrap_or_else(PoisonError::into_inner);
-        let targets = pools.values().flat_map(|pool| &pool.targets);
-        for target in targets.filter(|t| t.name == endpoint && news.binds(t.incarnation)) {
-            target.stats().absences.leave();
-        }
-        left.insert(endpoint.to_owned(), news);
-        true
-    }
-
-    /// What changed of the endpoints that said to this gate that they are leaving.
-    pub(crate) fn left_news(&self) -> watch::Receiver<u64> {
-        self.left_news.subscribe()
-    }
-
-    /// Endpoints that are leaving by their answers although keepers tell that they are ready.
-    pub(crate) fn left_untold(&self, mirror: &Mirror) -> Vec<Leaving> {
-        let now = Instant::now();
-        let left = self.left();
-        let untold = left.iter().filter(|(name, left)| {
-            let view = mirror.endpoints.get(*name);
-            view.is_some_and(|v| v.state == EndpointState::Ready && left.binds(v.incarnation))
-        });
-        let leaving = untold.map(|(name, left)| Leaving {
-            endpoint: name.clone(),
-            incarnation: left.incarnation,
-            source: left.source.clone(),
-            age: now.saturating_duration_since(left.since),
-        });
-        leaving.collect()
-    }
-
     /// Notes what became of a call to `target`; ejects it where it fails too often.
     pub(crate) fn observe(&self, target: &Target, has_failed: bool) {
         let now = Instant::now();
@@ -517,100 +425,5 @@
     }))
 }
 
-/// A call to an endpoint under way; counted until dropped.
-#[derive(Debug)]
-pub(crate) struct Flight {
-    pub(crate) target: Arc<Target>,
-    pool: Arc<Pool>,
-    /// Tokens to read that were expected.
-    unread: u64,
-    /// Tokens to read there when the call began, its own among them.
-    ahead: f64,
-    pub(crate) expected_ms: f64,
-    since: Instant,
-    has_begun: bool,
-}
-
-impl Flight {
-    /// Counts a call that has `unread` tokens to read at `target`.
-    pub(crate) fn begin(target: &Arc<Target>, pool: &Arc<Pool>, unread: u64) -> Self {
-        let now = Instant::now();
-        let ahead = {
-            let mut stats = target.stats();
-            stats.in_flight += 1;
-            stats.unread_tokens += unread;
-            stats.unread_tokens as f64
-        };
-        Self {
-            expected_ms: pool.line().at(ahead),
-            target: Arc::clone(target),
-            pool: Arc::clone(pool),
-            unread,
-            ahead,
-            since: now,
-            has_begun: false,
-        }
-    }
-
-    /// The choice, with what decided it.
-    pub(crate) fn chosen(&self) -> Event {
-        let now = Instant::now();
-        let stats = self.target.stats();
-        let others_ms = stats.others_at.map(|at| now.saturating_duration_since(at));
-        Event::Chosen {
-            endpoint: self.target.name.clone(),
-            az: self.target.az.clone(),
-            expected_ms: self.expected_ms as u64,
-            in_flight: stats.in_flight,
-            others: stats.others,
-            others_ms: others_ms.map(|age| age.as_millis() as u64),
-            unread_tokens: Some(self.unread),
-            cached_percent: None,
-            slowness_percent: (stats.slowness.factor(now) * 100.0) as u64,
-            candidates: self.pool.targets.len(),
-        }
-    }
-
-    /// Tokens to read that were expected.
-    pub(crate) fn unread(&self) -> u64 {
-        self.unread
-    }
-
-    /// Time since the call began.
-    pub(crate) fn elapsed(&self) -> Duration {
-        self.since.elapsed()
-    }
-
-    /// A part of the answer has come; `prompt` is read by now. Whether it was the first one.
-    pub(crate) fn first_part(&mut self, prompt: Option<&Prompt>) -> bool {
-        if self.has_begun {
-            return false;
-        }
-        self.has_begun = true;
-        let now = Instant::now();
-        let took = now.saturating_duration_since(self.since).as_secs_f64() * 1e3;
-        let mut stats = self.target.stats();
-        stats.unread_tokens = stats.unread_tokens.saturating_sub(self.unread);
-        stats.slowness.observe(self.expected_ms, took, now);
-        if let Some(prompt) = prompt {
-            stats.cache.read(prompt, now);
-        }
-        drop(stats);
-        let mut fit = self.pool.fit.lock().unwrap_or_else(PoisonError::into_inner);
-        fit.observe(self.ahead, took, now);
-        true
-    }
-}
-
-impl Drop for Flight {
-    fn drop(&mut self) {
-        let mut stats = self.target.stats();
-        stats.in_flight = stats.in_flight.saturating_sub(1);
-        if !self.has_begun {
-            stats.unread_tokens = stats.unread_tokens.saturating_sub(self.unread);
-        }
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/crates/forward/src/flight.rs
@@ -0,0 +1,109 @@
+//! A call to an endpoint under way, and what it shows of the endpoint's pace.
+
+use std::{
+    sync::{Arc, PoisonError},
+    time::Duration,
+};
+
+use logs::Event;
+use tokio::time::Instant;
+
+use crate::{
+    fleet::{Pool, Target},
+    inquiry::Prompt,
+};
+
+/// A call to an endpoint under way; counted until dropped.
+#[derive(Debug)]
+pub(crate) struct Flight {
+    pub(crate) target: Arc<Target>,
+    pool: Arc<Pool>,
+    /// Tokens to read that were expected.
+    unread: u64,
+    /// Tokens to read there when the call began, its own among them.
+    ahead: f64,
+    pub(crate) expected_ms: f64,
+    since: Instant,
+    has_begun: bool,
+}
+
+impl Flight {
+    /// Counts a call that has `unread` tokens to read at `target`.
+    pub(crate) fn begin(target: &Arc<Target>, pool: &Arc<Pool>, unread: u64) -> Self {
+        let now = Instant::now();
+        let ahead = {
+            let mut stats = target.stats();
+            stats.in_flight += 1;
+            stats.unread_tokens += unread;
+            stats.unread_tokens as f64
+        };
+        Self {
+            expected_ms: pool.line().at(ahead),
+            target: Arc::clone(target),
+            pool: Arc::clone(pool),
+            unread,
+            ahead,
+            since: now,
+            has_begun: false,
+        }
+    }
+
+    /// The choice, with what decided it.
+    pub(crate) fn chosen(&self) -> Event {
+        let now = Instant::now();
+        let stats = self.target.stats();
+        let others_ms = stats.others_at.map(|at| now.saturating_duration_since(at));
+        Event::Chosen {
+            endpoint: self.target.name.clone(),
+            az: self.target.az.clone(),
+            expected_ms: self.expected_ms as u64,
+            in_flight: stats.in_flight,
+            others: stats.others,
+            others_ms: others_ms.map(|age| age.as_millis() as u64),
+            unread_tokens: Some(self.unread),
+            cached_percent: None,
+            slowness_percent: (stats.slowness.factor(now) * 100.0) as u64,
+            candidates: self.pool.targets.len(),
+        }
+    }
+
+    /// Tokens to read that were expected.
+    pub(crate) fn unread(&self) -> u64 {
+        self.unread
+    }
+
+    /// Time since the call began.
+    pub(crate) fn elapsed(&self) -> Duration {
+        self.since.elapsed()
+    }
+
+    /// A part of the answer has come; `prompt` is read by now. Whether it was the first one.
+    pub(crate) fn first_part(&mut self, prompt: Option<&Prompt>) -> bool {
+        if self.has_begun {
+            return false;
+        }
+        self.has_begun = true;
+        let now = Instant::now();
+        let took = now.saturating_duration_since(self.since).as_secs_f64() * 1e3;
+        let mut stats = self.target.stats();
+        stats.unread_tokens = stats.unread_tokens.saturating_sub(self.unread);
+        stats.slowness.observe(self.expected_ms, took, now);
+        if let Some(prompt) = prompt {
+            stats.cache.read(prompt, now);
+        }
+        drop(stats);
+        let mut fit = self.pool.fit.lock().unwrap_or_else(PoisonError::into_inner);
+        fit.observe(self.ahead, took, now);
+        true
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        let mut stats = self.target.stats();
+        stats.in_flight = stats.in_flight.saturating_sub(1);
+        if !self.has_begun {
+            stats.unread_tokens = stats.unread_tokens.saturating_sub(self.unread);
+        }
+    }
+}
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -19,6 +19,7 @@
 mod ended;
 mod events;
 mod fleet;
+mod flight;
 mod forwarder;
 mod freshness;
 mod gates;
--- a/crates/forward/src/placement.rs
+++ b/crates/forward/src/placement.rs
@@ -8,7 +8,8 @@
 use crate::{
     absence::Absence,
     answer::Refusal,
-    fleet::{Fleet, Flight, Pool, Reachable, Target},
+    fleet::{Fleet, Pool, Reachable, Target},
+    flight::Flight,
     inquiry::Prompt,
     pace::Line,
 };
--- a/crates/forward/src/stages.rs
+++ b/crates/forward/src/stages.rs
@@ -1,15 +1,15 @@
 //! The stages before a request: each begins when the results that it needs are there.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-    time::Duration,
-};
+mod results;
+
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use declaration::Route;
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use link::{Channel, LinkError, Peer};
 use logs::{Event, Story};
+pub(crate) use results::Results;
+use results::{Inputs, fetched, heaviest, note};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::{
@@ -27,8 +27,6 @@
 const SUBMIT_LIMIT: Duration = Duration::from_millis(250);
 /// Time beyond the deadline in which a collecting gate still answers.
 const AWAIT_GRACE: Duration = Duration::from_millis(300);
-/// Bound on messages whose loss costs nothing but room.
-const NOTE_LIMIT: Duration = Duration::from_secs(1);
 /// Times that stages are done once more since their results were gone before they were used.
 const MAX_REMAKES: u32 = 1;
 /// Gates that are tried for one stage.
@@ -70,61 +68,6 @@
     pub(crate) az: &'a str,
 }
 
-/// Results of one stage; given up when dropped.
-#[derive(Debug)]
-pub(crate) struct Results {
-    made: Vec<Made>,
-    bytes: u64,
-    /// When its endpoints may have given them up by themselves.
-    expires: Instant,
-    service: String,
-    collector: Collector,
-    via: Option<Peer>,
-}
-
-impl Results {
-    /// The handles.
-    pub(crate) fn handles(&self) -> impl Iterator<Item = String> + '_ {
-        self.made.iter().map(|made| made.handle.clone())
-    }
-
-    /// Where the results are, with their sizes.
-    pub(crate) fn places(&self) -> impl Iterator<Item = (String, u64)> + '_ {
-        self.made.iter().map(|made| (made.az.clone(), self.bytes))
-    }
-}
-
-impl Drop for Results {
-    fn drop(&mut self) {
-        let handles: Vec<String> = self.handles().collect();
-        let service = self.service.clone();
-        match self.via.take() {
-            None => self.collector.free(&service, handles),
-            Some(_) if handles.is_empty() => {}
-            Some(peer) => note(peer, StageRequest::Free(service, handles)),
-        }
-    }
-}
-
-/// Bytes that each item fetches; `None` where it needs no inputs.
-fn fetched(inputs: &[Arc<Results>]) -> Option<u64> {
-    let places = inputs.iter().flat_map(|results| results.places());
-    let bytes: Vec<u64> = places.map(|(_, bytes)| bytes).collect();
-    (!bytes.is_empty()).then(|| bytes.iter().sum())
-}
-
-/// The availability zone that holds most bytes of `inputs`.
-fn heaviest(inputs: &[Arc<Results>]) -> Option<String> {
-    let mut zones: BTreeMap<String, u64> = BTreeMap::new();
-    for (az, bytes) in inputs.iter().flat_map(|results| results.places()) {
-        *zones.entry(az).or_default() += bytes;
-    }
-    zones
-        .into_iter()
-        .max_by_key(|(_, bytes)| *bytes)
-        .map(|(az, _)| az)
-}
-
 /// A gate that could not be asked.
 fn unreachable(
     work: &Work<'_>,
@@ -143,52 +86,6 @@
     StageFailure::Unreachable
 }
 
-/// Sends a message whose loss costs nothing but room.
-fn note(peer: Peer, req: StageRequest) {
-    tokio::spawn(async move {
-        // What is not given up expires by itself.
-        let _ = peer
-            .call::<_, StageReply>(Channel::Stages, &req, NOTE_LIMIT)
-            .await;
-    });
-}
-
-/// The inputs of a stage, kept until the endpoints that need them have them.
-struct Inputs {
-    kept: Vec<Arc<Results>>,
-    are_needed: bool,
-}
-
-impl Inputs {
-    fn new(kept: Vec<Arc<Results>>) -> Self {
-        Self {
-            are_needed: !kept.is_empty(),
-            kept,
-        }
-    }
-
-    fn are_given_up(&self) -> bool {
-        self.are_needed && self.kept.is_empty()
-    }
-
-    /// Waits for `done`, and gives the inputs up once they were `fetched`: their room is taken up no
-    /// longer than it has to be.
-    async fn until_fetched<T>(
-        &mut self,
-        done: impl Future<Output = T>,
-        fetched: impl Future<Output = bool>,
-    ) -> T {
-        tokio::pin!(done);
-        if self.are_needed && !self.are_given_up() {
-            tokio::select! {
-                result = &mut done => return result,
-                is_fetched = fetched => if is_fetched { self.kept.clear() },
-            }
-        }
-        done.await
-    }
-}
-
 /// Items that were handed over; they are cancelled when dropped before they are done.
 struct Pending {
     ticket: Option<u64>,
