Stages whose results are gone before the engine has them are done once more

Change: the stages are done once more, once a request, where nothing of it has run; the engine is not avoided for it. Refusal inputs_gone where that is not enough.

--- a/crates/forward/src/answer.rs
+++ b/crates/forward/src/answer.rs
@@ -59,6 +59,9 @@
     /// Its stages can't be done in time.
     #[error("the stages can't be done in time")]
     StagesLate,
+    /// Results of its stages were gone before they were used.
+    #[error("the results of its stages are gone")]
+    InputsGone,
     /// Its stages failed.
     #[error("the stages failed")]
     StagesFailed,
@@ -77,6 +80,7 @@
             Self::Paused => "paused",
             Self::Full => "full",
             Self::StagesLate => "stages_late",
+            Self::InputsGone => "inputs_gone",
             Self::StagesFailed => "stages_failed",
             Self::NoTime => "no_time",
         }
--- a/crates/forward/src/serving.rs
+++ b/crates/forward/src/serving.rs
@@ -185,27 +185,38 @@
     }
 }
 
-/// Serves a request: its stages, then an endpoint.
+/// Serves a request: its stages, then an endpoint. Where results of its stages are gone by then, as with
+/// the endpoint that kept them, they are made once more.
 pub(crate) async fn serve(cx: &Context, req: Request) -> Result<Response, Unserved> {
-    let made = timeout_at(req.begin_by - ANSWER_MARGIN, inputs(cx, &req)).await;
+    let mut tried = Tried::default();
+    match serve_once(cx, &req, &mut tried).await {
+        Err(Unserved::Refused {
+            why: Refusal::InputsGone,
+            ..
+        }) if tried.runs == 0 => serve_once(cx, &req, &mut tried).await,
+        result => result,
+    }
+}
+
+async fn serve_once(cx: &Context, req: &Request, tried: &mut Tried) -> Result<Response, Unserved> {
+    let made = timeout_at(req.begin_by - ANSWER_MARGIN, inputs(cx, req)).await;
     let late = |_| Unserved::come_back(Refusal::StagesLate, COME_BACK);
     let inputs = made.map_err(late).flatten()?;
-    let mut tried = Tried::default();
     let serving = async {
         match req.route().answer {
-            Answer::Whole => whole(cx, &req, &inputs, &mut tried).await,
+            Answer::Whole => whole(cx, req, &inputs, tried).await,
             Answer::Stream => {
-                let mut begun = begin(cx, &req, &inputs, &mut tried, None).await?;
-                while !begun.is_good && may_repeat(cx, &req, &tried) {
+                let mut begun = begin(cx, req, &inputs, tried, None).await?;
+                while !begun.is_good && may_repeat(cx, req, tried) {
                     cx.fleet.observe(&begun.flight.target, true);
-                    begun = begin(cx, &req, &inputs, &mut tried, None).await?;
+                    begun = begin(cx, req, &inputs, tried, None).await?;
                 }
                 Ok(stream::pass_on(
                     cx,
-                    &req,
+                    req,
                     inputs,
                     begun,
-                    std::mem::take(&mut tried),
+                    std::mem::take(tried),
                 ))
             }
         }
@@ -369,7 +380,7 @@
             }
             Attempt::NotRun => return Err(Unserved::come_back(Refusal::Full, COME_BACK)),
             Attempt::InputsGone => {
-                return Err(Unserved::come_back(Refusal::StagesFailed, COME_BACK));
+                return Err(Unserved::come_back(Refusal::InputsGone, COME_BACK));
             }
             Attempt::Lost(e) if !may_repeat(cx, req, tried) => return Err(lost(&e)),
             Attempt::Lost(_) => {}
@@ -454,6 +465,8 @@
         Verdict::InputsGone => {
             req.note_not_run(flight, "the results of its stages are gone", false);
             tried.runs -= 1;
+            // It may well take the request with other results.
+            tried.endpoints.pop();
             return Attempt::InputsGone;
         }
         Verdict::NotRun => req.note_not_run(flight, "the endpoint did not run it", false),
