Revert "Requests at a gate that has just started wait for the declaration for a part of their time"

After power is lost everywhere 184 to 309 requests are refused in the 0.6 to 0.9 s until a leader is elected; held, they reach the pools at one moment and are late instead.

--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -38,12 +38,6 @@
 const DENIAL_BOUND: Duration = Duration::from_millis(1_500);
 /// Longest pause between two parts of a body.
 const BODY_PAUSE: Duration = Duration::from_secs(5);
-/// Longest wait for the declaration at a gate that has just started, and the share of its time that a
-/// request waits at most.
-const START_WAIT: Duration = Duration::from_millis(1_200);
-const START_SHARE: u32 = 3;
-/// Time after its start in which a gate counts as just started.
-const STARTING: Duration = Duration::from_secs(5);
 /// When a caller may come back where the declaration is not confirmed.
 const NOT_CONFIRMED: Duration = Duration::from_millis(500);
 
@@ -56,8 +50,6 @@
     pub(crate) metrics: Metrics,
     pub(crate) draining: watch::Receiver<bool>,
     pub(crate) in_flight: Arc<AtomicUsize>,
-    /// When this gate started.
-    pub(crate) started: Instant,
 }
 
 /// Counts a request for as long as it lives.
@@ -125,25 +117,10 @@
         let rules = self.rules.borrow().clone();
         let most = rules.declaration.callers.body_bytes as usize;
         inquiry.body = read_body(body, most).await?;
-        self.await_start(&inquiry).await;
-        let rules = self.rules.borrow().clone();
         let req = self.route(inquiry, rules, story)?;
         serving::serve(&self.cx, req).await
     }
 
-    /// At a gate that has just started, waits for the declaration and its first confirmation: most
-    /// requests come while a group of keepers that started with it elects a leader.
-    async fn await_start(&self, inquiry: &Inquiry) {
-        let begun = async {
-            let mut rules = self.rules.clone();
-            // Without either the request hears why.
-            let _ = rules.wait_for(|rules| !rules.is_empty()).await;
-            self.freshness.begun().await;
-        };
-        let limit = start_wait(self.started.elapsed(), inquiry.patience);
-        let _ = timeout(limit, begun).await;
-    }
-
     /// Finds the route and the workspace; says that there is none only where that is sure.
     fn route(
         &self,
@@ -237,13 +214,6 @@
     }
 }
 
-/// How long a request waits at a gate that has been up for `up` for the declaration and its first
-/// confirmation.
-fn start_wait(up: Duration, patience: Option<Duration>) -> Duration {
-    let patience = patience.map_or(START_WAIT, |patience| patience / START_SHARE);
-    START_WAIT.min(patience).min(STARTING.saturating_sub(up))
-}
-
 /// Reads a body of at most `most` bytes.
 async fn read_body(mut body: Incoming, most: usize) -> Result<Bytes, Unserved> {
     let mut whole = BytesMut::new();
@@ -263,6 +233,3 @@
         whole.extend_from_slice(&data);
     }
 }
-
-#[cfg(test)]
-mod tests;
--- a/crates/forward/src/freshness.rs
+++ b/crates/forward/src/freshness.rs
@@ -12,7 +12,6 @@
 };
 
 use rustix::time::{ClockId, clock_gettime};
-use tokio::sync::watch;
 
 /// Time since the VM's start, suspensions included.
 pub fn boot_time() -> Duration {
@@ -26,8 +25,6 @@
     bound: Duration,
     /// Milliseconds of boot time at which the last confirmed question was asked; 0 for none.
     asked_ms: Arc<AtomicU64>,
-    /// Whether there has been one.
-    is_begun: watch::Sender<bool>,
 }
 
 impl Freshness {
@@ -36,7 +33,6 @@
         Self {
             bound,
             asked_ms: Arc::default(),
-            is_begun: watch::Sender::new(false),
         }
     }
 
@@ -44,15 +40,6 @@
     pub fn confirm(&self, asked: Duration) {
         self.asked_ms
             .fetch_max(asked.as_millis() as u64, Ordering::Relaxed);
-        self.is_begun
-            .send_if_modified(|is_begun| !std::mem::replace(is_begun, true));
-    }
-
-    /// Waits for the first confirmation since this process started.
-    pub async fn begun(&self) {
-        let mut is_begun = self.is_begun.subscribe();
-        // The sender lives as long as this.
-        let _ = is_begun.wait_for(|is_begun| *is_begun).await;
     }
 
     /// Time since the last confirmed question; `None` where there was none.
--- a/crates/forward/src/start.rs
+++ b/crates/forward/src/start.rs
@@ -117,7 +117,6 @@
         metrics,
         draining,
         in_flight: Arc::new(AtomicUsize::new(0)),
-        started: Instant::now(),
         cx,
     };
     let mut tasks = JoinSet::new();
