A result of an item that is made once more may have the name that it had

Cause: an answer whose results were all known counted as a late copy of an earlier one, also where the same items were made once more and got the same names (found by the test of stages that are done once more: both tries failed). Change: only results of another item are a copy.

--- a/crates/forward/src/collector.rs
+++ b/crates/forward/src/collector.rs
@@ -329,7 +329,8 @@
     let began = Instant::now();
     let mut ended = called(cx, &next).await;
     let now = Instant::now();
-    if matches!(&ended, Ended::Answered(results) if running.queue().is_repeated(results)) {
+    if matches!(&ended, Ended::Answered(results) if running.queue().is_repeated(&next.jobs, results))
+    {
         // The connection carries answers of other calls.
         cx.pool.suspect(next.target.address);
         ended = Ended::Failed("an earlier answer came again".to_owned());
--- a/crates/forward/src/queue/held.rs
+++ b/crates/forward/src/queue/held.rs
@@ -4,7 +4,7 @@
 
 use tokio::time::Instant;
 
-use super::{NextCall, Queue};
+use super::{Job, NextCall, Queue};
 use crate::{
     ended::{Ended, ItemFailure},
     pace::Slowness,
@@ -63,6 +63,8 @@
     endpoint: String,
     address: SocketAddr,
     bytes: u64,
+    /// The identity of the item that it was made for.
+    pub(super) of: u64,
     /// Whether it takes up no room any more; it is remembered to know a late copy of its answer.
     is_released: bool,
 }
@@ -118,6 +120,7 @@
                 endpoint: name.clone(),
                 address: next.target.address,
                 bytes,
+                of: job.identity(),
                 is_released: false,
             };
             self.held.insert(handle.clone(), kept);
@@ -153,11 +156,23 @@
         }
     }
 
-    /// Whether `results` are a copy of an earlier answer: every result in it was in one before. An
-    /// answer to a batched call names no request by which a late copy of another one would show.
-    pub(crate) fn is_repeated(&self, results: &[Result<String, ItemFailure>]) -> bool {
-        let mut made = results.iter().flatten().peekable();
-        made.peek().is_some() && made.all(|handle| self.held.contains_key(handle))
+    /// Whether `results` of `jobs` are a copy of an earlier answer: every result in it was one of another
+    /// item before. An answer to a batched call names no request by which a late copy of another one
+    /// would show; an item that is made once more may well have the name that it had.
+    pub(crate) fn is_repeated(
+        &self,
+        jobs: &[Job],
+        results: &[Result<String, ItemFailure>],
+    ) -> bool {
+        let made = jobs.iter().zip(results);
+        let mut made = made
+            .filter_map(|(job, result)| Some((job, result.as_ref().ok()?)))
+            .peekable();
+        let is_of_another = |(job, handle): (&Job, &String)| {
+            let held = self.held.get(handle);
+            held.is_some_and(|held| held.of != job.identity())
+        };
+        made.peek().is_some() && made.all(is_of_another)
     }
 
     /// A result takes up no room any more.
--- a/crates/forward/src/queue/job.rs
+++ b/crates/forward/src/queue/job.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::ticket::Ticket;
 
@@ -26,6 +27,13 @@
 }
 
 impl Job {
+    /// Tells items of different requests, stages or numbers apart.
+    pub(super) fn identity(&self) -> u64 {
+        let submission = &self.ticket.submission;
+        let name = format!("{}/{}/{}", submission.request, submission.stage, self.item);
+        xxh3_64(name.as_bytes())
+    }
+
     /// The same item for another try; `None` after too many.
     pub(crate) fn once_more(&self) -> Option<Self> {
         let tries = self.tries + 1;
--- a/crates/forward/src/queue/tests.rs
+++ b/crates/forward/src/queue/tests.rs
@@ -189,6 +189,13 @@
     assert!(!plain.is_over());
 }
 
+/// The items of a call of `submission`'s own.
+fn other_job(pool: &Pool, submission: Submission) -> Vec<super::Job> {
+    let (mut queue, reachable, now) = (queue(), Reachable::default(), Instant::now());
+    queue.take(submission, pool, &reachable, now).unwrap();
+    queue.next_call(pool, &reachable, now).unwrap().jobs
+}
+
 /// An endpoint repeats an answer, late, on a connection in use again: no item gets the results of
 /// another one.
 #[tokio::test(start_paused = true)]
@@ -207,18 +214,25 @@
         handles.iter().map(|h| Ok((*h).to_owned())).collect()
     };
     let first = results(&["h-1"]);
-    assert!(!queue.is_repeated(&first));
+    let other = Submission {
+        request: "r2".to_owned(),
+        ..items(1, 0, 20_000)
+    };
+    let other = other_job(&pool, other);
+    assert!(!queue.is_repeated(&other, &first));
     let ended = Ended::Answered(first.clone());
     queue.ended(&next, next.expected, &ended, Instant::now());
-    assert!(queue.is_repeated(&first));
+    assert!(queue.is_repeated(&other, &first));
+    // The same item, made once more, may have the same name.
+    assert!(!queue.is_repeated(&next.jobs, &first));
     // Also once its results are given up, for as long as they could have been kept.
     queue.release("h-1");
-    assert!(queue.is_repeated(&first));
-    assert!(!queue.is_repeated(&results(&["h-2"])));
-    assert!(!queue.is_repeated(&[Err(ItemFailure::NoRoom)]));
+    assert!(queue.is_repeated(&other, &first));
+    assert!(!queue.is_repeated(&other, &results(&["h-2"])));
+    assert!(!queue.is_repeated(&other, &[Err(ItemFailure::NoRoom)]));
     sleep(Duration::from_secs(5)).await;
     queue.next_call(&pool, &reachable, Instant::now());
-    assert!(!queue.is_repeated(&first));
+    assert!(!queue.is_repeated(&other, &first));
 }
 
 #[tokio::test(start_paused = true)]
