--- a/crates/forward/src/serving.rs
+++ b/crates/forward/src/serving.rs
@@ -373,12 +373,18 @@
                     is_good,
                 });
             }
+            // Nothing has reached an endpoint: that is no try.
+            Attempt::Unreached
+                if tried.endpoints.len() < MAX_UNREACHED && !req.left().is_zero() => {}
             Attempt::NotRun
                 if tried.endpoints.len() < MAX_ENDPOINTS && cx.may_spend(&req.service) => {}
-            Attempt::NotRun if tried.runs > 0 => {
+            Attempt::NotRun | Attempt::Unreached if tried.runs > 0 => {
                 return Err(Unserved::Lost("no endpoint took it again".to_owned()));
             }
             Attempt::NotRun => return Err(Unserved::come_back(Refusal::Full, COME_BACK)),
+            Attempt::Unreached => {
+                return Err(Unserved::come_back(Refusal::NoEndpoint, COME_BACK));
+            }
             Attempt::InputsGone => {
                 return Err(Unserved::come_back(Refusal::InputsGone, COME_BACK));
             }
@@ -390,10 +396,13 @@
 
 /// Endpoints that one request is offered to.
 const MAX_ENDPOINTS: usize = 4;
+/// Endpoints after which one more connection that is not made ends a request.
+const MAX_UNREACHED: usize = 12;
 
 enum Attempt {
     Begun(Box<Exchange>, bool),
     NotRun,
+    Unreached,
     InputsGone,
     Lost(CallError),
 }
@@ -433,7 +442,10 @@
                 return Attempt::Lost(e);
             }
             tried.runs -= 1;
-            return Attempt::NotRun;
+            return match e {
+                CallError::Unreached(_) => Attempt::Unreached,
+                _ => Attempt::NotRun,
+            };
         }
     };
     let verdict = (cx.dialect.judge)(&req.inquiry.id, exchange.status, &exchange.headers);
