--- a/crates/console/src/pages/status.rs
+++ b/crates/console/src/pages/status.rs
@@ -1,6 +1,7 @@
 //! What is in force where.
 
 use maud::{Markup, html};
+use membership::Absent;
 use salvo::{Response, http::StatusCode};
 
 use super::layout::page;
@@ -22,6 +23,7 @@
             }
             @if gates.is_empty() { p.hint { "Name gates in [gates] of the console's settings to see them here." } }
         }
+        (absent(gates))
         @for controller in controllers {
             section {
                 h2 { "Controller " (controller.name) }
@@ -35,6 +37,38 @@
     page(res, StatusCode::OK, "In force where", &content);
 }
 
+/// Endpoints that get no new work, by the gate that sends them none.
+fn absent(gates: &[GateState]) -> Markup {
+    let rows = || {
+        gates
+            .iter()
+            .flat_map(|gate| gate.absent.iter().map(move |a| (gate, a)))
+    };
+    html! {
+        @if rows().next().is_some() {
+            section {
+                h2 { "Endpoints without new work" }
+                table {
+                    tr { th { "Gate" } th { "Endpoint" } th { "Service" } th { "Availability zone" } th { "Why" } th { "Still" } }
+                    @for (gate, a) in rows() {
+                        tr {
+                            td { (gate.name) } td { (a.endpoint) } td { (a.service) } td { (a.az) }
+                            td { (a.reason.replace('_', " ")) } td { (still(a)) }
+                        }
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn still(absent: &Absent) -> String {
+    match absent.left {
+        Some(left) => format!("{} ms", left.as_millis()),
+        None => "until it says otherwise".to_owned(),
+    }
+}
+
 fn revision(gate: &GateState, newest: u64) -> Markup {
     html! {
         @match &gate.revision {
--- a/crates/console/src/survey.rs
+++ b/crates/console/src/survey.rs
@@ -7,6 +7,7 @@
     Channel, LinkError, Peer,
     follow::{Follow, Followed},
 };
+use membership::{Absent, Reply, Request};
 use serde_json::Value;
 
 use crate::app::App;
@@ -19,6 +20,8 @@
 pub(crate) struct GateState {
     pub(crate) name: String,
     pub(crate) revision: Result<u64, String>,
+    /// Endpoints that get no new work from it.
+    pub(crate) absent: Vec<Absent>,
 }
 
 /// One controller's answer.
@@ -46,9 +49,17 @@
         Ok(Followed::Changes(_)) => Err("answered something else than was asked".to_owned()),
         Err(e) => Err(e.to_string()),
     };
+    let absent = peer
+        .call(Channel::Membership, &Request::Absent, ASK_LIMIT)
+        .await;
     GateState {
         name: peer.name().to_owned(),
         revision,
+        // One that tells nothing of endpoints tells so by its revision.
+        absent: match absent {
+            Ok(Reply::Absent(absent)) => absent,
+            _ => Vec::new(),
+        },
     }
 }
 
--- a/crates/forward/src/absence.rs
+++ b/crates/forward/src/absence.rs
@@ -70,6 +70,18 @@
         }
     }
 
+    /// When it ends by itself, where it does.
+    pub(crate) fn until(self) -> Option<Instant> {
+        match self {
+            Self::Leaving | Self::Suspect | Self::ZoneCut => None,
+            Self::Paused(until)
+            | Self::Misplaced(until)
+            | Self::Unreached(until)
+            | Self::Ejected(until)
+            | Self::Full(until) => Some(until),
+        }
+    }
+
     /// Whether it gets nothing even where no other endpoint is left.
     pub(crate) fn is_binding(self) -> bool {
         match self {
--- a/crates/forward/src/fleet.rs
+++ b/crates/forward/src/fleet.rs
@@ -13,7 +13,7 @@
 };
 
 use logs::Event;
-use membership::{EndpointState, EndpointView, Mirror};
+use membership::{Absent, EndpointState, EndpointView, MAX_ABSENT, Mirror};
 use routing::{EjectionConfig, Health, max_ejected};
 use tokio::{sync::watch, time::Instant};
 use uuid::Uuid;
@@ -259,6 +259,26 @@
         counted.collect()
     }
 
+    /// The endpoints that take no new work, with the reasons.
+    pub(crate) fn absent(&self) -> Vec<Absent> {
+        let (now, reachable) = (Instant::now(), self.reachable());
+        let pools = self.pools.read().unwrap_or_else(PoisonError::into_inner);
+        let targets = pools.values().flat_map(|pool| &pool.targets);
+        let absent = targets.filter_map(|target| {
+            let absence = target.absence(&reachable, now)?;
+            Some(Absent {
+                endpoint: target.name.clone(),
+                service: target.service.clone(),
+                az: target.az.clone(),
+                reason: absence.label().to_owned(),
+                left: absence
+                    .until()
+                    .map(|until| until.saturating_duration_since(now)),
+            })
+        });
+        absent.take(MAX_ABSENT).collect()
+    }
+
     /// Ejections since the start.
     pub(crate) fn ejections(&self) -> u64 {
         self.ejections.load(Ordering::Relaxed)
--- a/crates/forward/src/fleet/tests.rs
+++ b/crates/forward/src/fleet/tests.rs
@@ -153,3 +153,19 @@
     let absence = target.absence(&fleet.reachable(), tokio::time::Instant::now());
     assert_eq!(absence.map(super::Absence::label), Some("ejected"));
 }
+
+#[tokio::test(start_paused = true)]
+async fn operators_are_told_which_endpoints_get_nothing_why_and_for_how_long() {
+    let fleet = fleet(&[born("one", 1), born("two", 1), born("three", 1)]);
+    answers(&fleet, "one", LEAVES);
+    answers(&fleet, "two", pauses(5));
+    advance(2 * SECOND).await;
+    let told = fleet.absent();
+    let of = |name: &str| told.iter().find(|a| a.endpoint == name).unwrap();
+    assert_eq!(told.len(), 2);
+    assert_eq!((of("one").reason.as_str(), of("one").left), ("leaving", None));
+    assert_eq!(
+        (of("two").reason.as_str(), of("two").left),
+        ("paused", Some(3 * SECOND))
+    );
+}
--- a/crates/forward/src/start.rs
+++ b/crates/forward/src/start.rs
@@ -265,7 +265,7 @@
             match call.channel {
                 Channel::Stages => stages.answer(&call.body).await,
                 Channel::Follow => follower.answer(&call.body).await,
-                Channel::Membership => hear_left(&fleet, &call.body),
+                Channel::Membership => answer_of_endpoints(&fleet, &call.body),
                 // The other end finds no message in it and asks elsewhere.
                 _ => Vec::new(),
             }
@@ -273,8 +273,8 @@
     })
 }
 
-/// Takes another gate's word on endpoints that are leaving.
-fn hear_left(fleet: &Fleet, body: &[u8]) -> Vec<u8> {
+/// Takes another gate's word on endpoints that are leaving, and tells which get no new work.
+fn answer_of_endpoints(fleet: &Fleet, body: &[u8]) -> Vec<u8> {
     let reply = match link::decode::<membership::Request>(body) {
         Ok(membership::Request::Leaving(leaving)) => {
             for l in leaving {
@@ -282,6 +282,7 @@
             }
             membership::Reply::Announced
         }
+        Ok(membership::Request::Absent) => membership::Reply::Absent(fleet.absent()),
         Ok(_) => membership::Reply::Malformed("a gate keeps no table".to_owned()),
         Err(e) => membership::Reply::Malformed(e.to_string()),
     };
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -22,7 +22,7 @@
 pub use endpoint::{Announced, Announcement, Load, LoadedModel, Readiness, StageRole};
 pub use held::Held;
 pub use live::{Live, Reported};
-pub use message::{Changes, Leaving, Reply, Request};
+pub use message::{Absent, Changes, Leaving, MAX_ABSENT, Reply, Request};
 pub use mirror::Mirror;
 pub use spread::neighbours;
 pub use table::{AnnounceError, Table};
--- a/crates/membership/src/message.rs
+++ b/crates/membership/src/message.rs
@@ -8,7 +8,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    Announcement, EndpointView, Table,
+    Announcement, EndpointState, EndpointView, Table,
     delta::{Brief, Delta},
     held::{self, Held},
     state::{Entry, Origin, State},
@@ -49,6 +49,8 @@
     Announce(Box<Announcement>),
     /// Tells of endpoints that are leaving, as their answers said.
     Leaving(Vec<Leaving>),
+    /// Asks which endpoints get no new work from the gate that is asked, and why.
+    Absent,
     /// Asks for the whole table of the availability zone; a gate that has just started.
     Pull,
     /// Asks a gate of another availability zone for a bounded part of its endpoints, and gives the
@@ -86,6 +88,25 @@
     pub age: Duration,
 }
 
+/// An endpoint that gets no new work.
+#[record]
+#[derive(Eq)]
+pub struct Absent {
+    /// The endpoint.
+    pub endpoint: String,
+    /// Its service.
+    pub service: String,
+    /// Its availability zone.
+    pub az: String,
+    /// Why.
+    pub reason: String,
+    /// For how long still, where that is known.
+    pub left: Option<Duration>,
+}
+
+/// Most endpoints in an answer to [`Request::Absent`].
+pub const MAX_ABSENT: usize = 200;
+
 /// The answer to a [`Request`].
 #[record]
 pub enum Reply {
@@ -126,6 +147,8 @@
     Since(Changes),
     /// To [`Request::Announce`] and [`Request::Leaving`]: taken, or known already.
     Announced,
+    /// To [`Request::Absent`]: up to [`MAX_ABSENT`].
+    Absent(Vec<Absent>),
     /// The request could not be read.
     Malformed(String),
 }
@@ -172,6 +195,7 @@
             }
             Reply::Announced
         }
+        Request::Absent => Reply::Absent(absent(&table.lock(), now)),
         Request::Exchange(theirs) => Reply::Exchanged(vitals::take(&table.lock(), &theirs, now)),
         Request::Repair { buckets, held } => repair(&table.lock(), &buckets, &held, now),
         Request::Pull => {
@@ -279,6 +303,26 @@
     }
 }
 
+/// Endpoints that get no new work by the table.
+fn absent(state: &State, now: Instant) -> Vec<Absent> {
+    let views = state.endpoints().map(|e| EndpointView::of(e, now));
+    let absent = views.filter_map(|view| {
+        let reason = match view.state {
+            EndpointState::Ready => return None,
+            EndpointState::Leaving => "leaving",
+            EndpointState::Suspect => "suspect",
+        };
+        Some(Absent {
+            endpoint: view.endpoint,
+            service: view.service,
+            az: view.az,
+            reason: reason.to_owned(),
+            left: None,
+        })
+    });
+    absent.take(MAX_ABSENT).collect()
+}
+
 async fn since(table: &Table, known: Option<Uuid>, version: u64, wait: Duration) -> Changes {
     let is_known = known == Some(table.shared.id);
     if is_known {
