--- a/crates/system/tests/console.rs
+++ b/crates/system/tests/console.rs
@@ -252,3 +252,19 @@
     let trail = env.api().audit(1).await.unwrap();
     assert_eq!(trail.last().unwrap().author, "noura");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_endpoint_that_gets_no_new_work_is_shown_with_the_reason() {
+    let mut env = Env::start().await;
+    let console = env.start_console("").await;
+    let mut browser = Browser::new(console);
+    let endpoint = &env.endpoints()[0];
+    endpoint.leave().await;
+    let row = format!("<td>{}</td>", endpoint.name());
+    system::until("the console shows the endpoint", async || {
+        let page = browser.open("/status").await;
+        let at = page.html.find(&row)?;
+        page.html[at..].contains("<td>leaving</td>").then_some(())
+    })
+    .await;
+}
