A pause outlives a table that forgets its endpoint; departures are locked before the pools

Cause: read-through: note_left held the departures and took the pools, update the other way round; two threads of the forwarder could wait for each other. A pause ended where keepers forgot the endpoint for a moment.

--- a/crates/forward/src/absence.rs
+++ b/crates/forward/src/absence.rs
@@ -120,6 +120,11 @@
         })
     }
 
+    /// Whether a pause that it asked for is not over.
+    pub(crate) fn is_paused(&self, now: Instant) -> bool {
+        self.paused.is_some_and(|until| now < until)
+    }
+
     pub(crate) fn misplace(&mut self, until: Instant) {
         self.misplaced = Some(until);
     }
--- a/crates/forward/src/fleet.rs
+++ b/crates/forward/src/fleet.rs
@@ -174,6 +174,8 @@
     pools: Arc<RwLock<HashMap<String, Arc<Pool>>>>,
     reachable: Arc<RwLock<Arc<Reachable>>>,
     ejections: Arc<AtomicU64>,
+    /// Endpoints that keepers don't tell of any more and whose pause is not over.
+    away: Arc<Mutex<Vec<Arc<Target>>>>,
     /// Endpoints that said that they are leaving, by name.
     left: Arc<Mutex<BTreeMap<String, Left>>>,
     /// Grows with each endpoint that said so to this gate.
@@ -313,11 +315,16 @@
         for view in mirror.endpoints.values().filter(|v| v.service != GATES) {
             by_service.entry(&view.service).or_default().push(view);
         }
+        // Always taken before the pools.
+        let left = self.left();
         let mut pools = self.pools.write().unwrap_or_else(PoisonError::into_inner);
         let old = std::mem::take(&mut *pools);
+        let mut away = self.away();
         for (service, views) in by_service {
             let before = old.get(service);
-            let target = |view: &&EndpointView| target_of(view, before, memory(service));
+            let known = before.iter().flat_map(|pool| &pool.targets).chain(&*away);
+            let known: Vec<&Arc<Target>> = known.filter(|t| t.service == service).collect();
+            let target = |view: &&EndpointView| target_of(view, &known, memory(service));
             let pool = Pool {
                 targets: views.iter().filter_map(target).collect(),
                 fit: before.map_or_else(
@@ -328,7 +335,9 @@
             pools.insert(service.to_owned(), Arc::new(pool));
         }
         tell_gone(&old, &pools);
-        let left = self.left();
+        let now = Instant::now();
+        away.extend(old.values().flat_map(|pool| &pool.targets).cloned());
+        away.retain(|t| t.stats().absences.is_paused(now) && !is_known(&pools, t));
         for target in pools.values().flat_map(|pool| &pool.targets) {
             if left
                 .get(&target.name)
@@ -339,6 +348,10 @@
         }
     }
 
+    fn away(&self) -> MutexGuard<'_, Vec<Arc<Target>>> {
+        self.away.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Notes what became of a call to `target`; ejects it where it fails too often.
     pub(crate) fn observe(&self, target: &Target, has_failed: bool) {
         let now = Instant::now();
@@ -378,14 +391,16 @@
     }
 }
 
+/// Whether `pools` have an endpoint of the same name.
+fn is_known(pools: &HashMap<String, Arc<Pool>>, target: &Target) -> bool {
+    let pool = pools.get(&target.service);
+    pool.is_some_and(|pool| pool.targets.iter().any(|t| t.name == target.name))
+}
+
 /// Writes which endpoints are not known any more.
 fn tell_gone(old: &HashMap<String, Arc<Pool>>, now: &HashMap<String, Arc<Pool>>) {
-    let is_known = |target: &Target| {
-        let pool = now.get(&target.service);
-        pool.is_some_and(|pool| pool.targets.iter().any(|t| t.name == target.name))
-    };
     let before = old.values().flat_map(|pool| &pool.targets);
-    for target in before.filter(|target| !is_known(target)) {
+    for target in before.filter(|target| !is_known(now, target)) {
         logs::write(
             None,
             &Event::EndpointState {
@@ -398,17 +413,17 @@
     }
 }
 
-/// The target of `view`: the one before where it is the same incarnation.
+/// The target of `view`: one of those `before` where it is the same incarnation.
 fn target_of(
     view: &EndpointView,
-    before: Option<&Arc<Pool>>,
+    before: &[&Arc<Target>],
     memory: Option<u64>,
 ) -> Option<Arc<Target>> {
     let address: SocketAddr = view.address.strip_prefix("http://")?.parse().ok()?;
-    let is_same = |t: &&Arc<Target>| {
+    let is_same = |t: &&&Arc<Target>| {
         t.name == view.endpoint && t.incarnation == view.incarnation && t.address == address
     };
-    let known = before.and_then(|pool| pool.targets.iter().find(is_same));
+    let known = before.iter().find(is_same);
     if known.is_none_or(|known| known.stats().state != view.state) {
         logs::write(
             None,
--- a/crates/forward/src/fleet/tests.rs
+++ b/crates/forward/src/fleet/tests.rs
@@ -163,9 +163,26 @@
     let told = fleet.absent();
     let of = |name: &str| told.iter().find(|a| a.endpoint == name).unwrap();
     assert_eq!(told.len(), 2);
-    assert_eq!((of("one").reason.as_str(), of("one").left), ("leaving", None));
+    assert_eq!(
+        (of("one").reason.as_str(), of("one").left),
+        ("leaving", None)
+    );
     assert_eq!(
         (of("two").reason.as_str(), of("two").left),
         ("paused", Some(3 * SECOND))
     );
 }
+
+/// Keepers forget it for a moment, as where its heartbeats were held up, and know it again.
+#[tokio::test(start_paused = true)]
+async fn a_pause_outlives_a_table_that_forgets_the_endpoint() {
+    let fleet = fleet(&[born("one", 1)]);
+    answers(&fleet, "one", pauses(9));
+    for views in [vec![], vec![], vec![born("one", 1)]] {
+        fleet.update(&mirror(views), |_| None);
+        advance(SECOND).await;
+    }
+    assert_eq!(goes_to(&fleet).unwrap_err().why, Refusal::Paused);
+    fleet.update(&mirror([born("one", 2)]), |_| None);
+    assert_eq!(goes_to(&fleet).as_deref(), Ok("one"));
+}
