--- a/crates/forward/src/absence.rs
+++ b/crates/forward/src/absence.rs
@@ -1,4 +1,4 @@
-//! Why an endpoint takes no new work from this gate, and what its answers said of that.
+//! Why an endpoint takes no new work from this gate.
 
 use std::time::Duration;
 
@@ -13,15 +13,6 @@
 const UNREACHED: Duration = Duration::from_millis(100);
 const MAX_UNREACHED: Duration = Duration::from_millis(1_600);
 
-/// What the head of an answer says of its endpoint, whatever it answers.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Notice {
-    /// It is leaving and takes no new work.
-    pub is_leaving: bool,
-    /// It wants nothing from this gate for so long.
-    pub pause: Option<Duration>,
-}
-
 /// Why an endpoint takes no new work from this gate.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Absence {
--- a/crates/forward/src/dialect.rs
+++ b/crates/forward/src/dialect.rs
@@ -7,8 +7,9 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, StatusCode, header::HeaderName, http::request::Parts};
+use outbound::Notice;
 
-use crate::{absence::Notice, inquiry::Inquiry};
+use crate::inquiry::Inquiry;
 
 /// What a try tells its endpoint beside the request itself.
 #[derive(Clone, Copy, Debug)]
--- a/crates/forward/src/fleet/left.rs
+++ b/crates/forward/src/fleet/left.rs
@@ -7,10 +7,11 @@
 
 use logs::Event;
 use membership::{EndpointState, Leaving, Mirror};
+use outbound::Notice;
 use tokio::{sync::watch, time::Instant};
 
 use super::{Fleet, Target};
-use crate::absence::{Left, Notice};
+use crate::absence::Left;
 
 /// Endpoints that are remembered as leaving; the oldest ones are forgotten.
 const MAX_LEFT: usize = 4_096;
--- a/crates/forward/src/fleet/tests.rs
+++ b/crates/forward/src/fleet/tests.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 
 use membership::{EndpointView, Leaving};
+use outbound::Notice;
 use tokio::time::advance;
 use uuid::Uuid;
 
 use super::Fleet;
 use crate::{
-    absence::Notice,
     answer::Refusal,
     placement::{Need, Unavailable},
     testing::{mirror, view},
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -45,13 +45,13 @@
 mod written;
 mod zones;
 
-pub use absence::Notice;
 pub use budgets::SharedBudget;
 pub use dialect::{
     Dialect, HeaderNameFn, Item, ItemResult, LoadReport, Read, Source, Try, Verdict,
 };
 pub use headers::end_to_end;
 pub use inquiry::{Inquiry, Part, Prompt};
+pub use outbound::Notice;
 pub use rules::digest;
 pub use start::{Config, start};
-pub use written::{as_sent, post_json, read_load, read_pause, set_header};
+pub use written::{as_sent, post_json, read_load, set_header};
--- a/crates/forward/src/written.rs
+++ b/crates/forward/src/written.rs
@@ -1,12 +1,10 @@
 //! What adapters need alike to write calls and to read what rides on answers.
 
-use std::time::Duration;
-
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
     HeaderMap, Method, Request, Uri,
-    header::{CONTENT_TYPE, HOST, HeaderName, HeaderValue, RETRY_AFTER},
+    header::{CONTENT_TYPE, HOST, HeaderName, HeaderValue},
 };
 use serde::Serialize;
 
@@ -57,18 +55,3 @@
         slots: numbers.next()??,
     })
 }
-
-/// A pause that a header asks for, in seconds with fractions; the longest where it comes more than
-/// once. `None` where it is no time, or not ahead.
-pub fn read_pause(headers: &HeaderMap) -> Option<Duration> {
-    let asked = headers.get_all(RETRY_AFTER).iter();
-    let seconds = asked.filter_map(|value| value.to_str().ok()?.trim().parse::<f64>().ok());
-    let seconds = seconds.filter(|s| *s > 0.0).fold(0.0, f64::max);
-    match Duration::try_from_secs_f64(seconds) {
-        Ok(pause) => Some(pause).filter(|pause| !pause.is_zero()),
-        Err(_) => Some(Duration::MAX),
-    }
-}
-
-#[cfg(test)]
-mod tests;
--- a/crates/forwarder/src/endpoints.rs
+++ b/crates/forwarder/src/endpoints.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use forward::{
     Inquiry, Item, ItemResult, LoadReport, Notice, Source, Try, Verdict, as_sent, end_to_end,
-    post_json, read_load, read_pause, set_header,
+    post_json, read_load, set_header,
 };
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, StatusCode, header::HeaderValue};
@@ -66,13 +66,7 @@
 
 /// Reads what an endpoint says of itself beside its answer.
 pub(crate) fn notice(status: StatusCode, headers: &HeaderMap) -> Notice {
-    let is_turned_away = status == StatusCode::SERVICE_UNAVAILABLE;
-    Notice {
-        is_leaving: headers
-            .get(names::LEAVING)
-            .is_some_and(|value| value == "1"),
-        pause: read_pause(headers).filter(|_| is_turned_away),
-    }
+    Notice::read(status, headers, &names::LEAVING)
 }
 
 /// Reads the load that rides on an answer.
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -11,10 +11,9 @@
 use hyper::{
     HeaderMap, Method, Request, StatusCode,
     body::Incoming,
-    header::{CONTENT_TYPE, HOST, HeaderName, HeaderValue, RETRY_AFTER},
+    header::{CONTENT_TYPE, HOST, HeaderName, HeaderValue},
 };
-use outbound::{Connection, Handover, Pool};
-use routing::Notice;
+use outbound::{Connection, Handover, Notice, Pool, read_pause};
 use tokio::time::{Instant, timeout_at};
 use uuid::Uuid;
 
@@ -79,13 +78,8 @@
     }
 
     fn set(&self, status: StatusCode, headers: &HeaderMap) {
-        let is_turned_away = status == StatusCode::SERVICE_UNAVAILABLE;
-        let notice = Notice {
-            is_leaving: headers.get(LEAVING).is_some_and(|value| value == "1"),
-            pause: retry_after(headers).filter(|_| is_turned_away),
-        };
         // A call has one answer.
-        let _ = self.0.set(notice);
+        let _ = self.0.set(Notice::read(status, headers, &LEAVING));
     }
 }
 
@@ -197,7 +191,7 @@
         let echoed = headers.get(CALL).map(HeaderValue::as_bytes);
         let is_ours = echoed.is_some_and(|echo| Uuid::try_parse_ascii(echo) == Ok(call.id));
         let is_refused = headers.get(OUTCOME).is_some_and(|o| o == "not_run");
-        let retry_after = retry_after(headers);
+        let retry_after = read_pause(headers);
         if echoed.is_none() || is_ours {
             call.notice.set(status, headers);
         }
@@ -281,14 +275,6 @@
     }
 }
 
-/// The longest time that an answer names, in seconds with fractions; `None` where it names none ahead.
-fn retry_after(headers: &HeaderMap) -> Option<Duration> {
-    let named = headers.get_all(RETRY_AFTER).iter();
-    let seconds = named.filter_map(|value| value.to_str().ok()?.trim().parse::<f64>().ok());
-    let seconds = seconds.filter(|s| *s > 0.0).reduce(f64::max)?;
-    Some(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
-}
-
 fn shorten(bytes: &[u8]) -> String {
     String::from_utf8_lossy(bytes)
         .chars()
--- a/crates/gate/src/route.rs
+++ b/crates/gate/src/route.rs
@@ -11,10 +11,11 @@
 use link::calls::{CallsReply, CallsRequest};
 use logs::Event;
 use membership::{Endpoint, Table};
+use outbound::Notice;
 use routing::{
     Admission, AdmissionConfig, AdmissionStats, Applicant, BudgetConfig, CallOutcome, Latencies,
-    ModelNeed, NoEndpoint, Notice, Observation, Pick, Refusal, RetryBudget, Reused, Router,
-    RouterConfig, SizeClass, Ticket,
+    ModelNeed, NoEndpoint, Observation, Pick, Refusal, RetryBudget, Reused, Router, RouterConfig,
+    SizeClass, Ticket,
 };
 use tokio::time::Instant;
 
@@ -322,8 +323,11 @@
 
     /// Takes what the endpoint's answer said of it.
     pub(crate) fn note(&self, notice: Notice) {
-        if notice != Notice::default() {
-            self.with_pick(|pick| pick.note(notice));
+        if notice.is_leaving {
+            self.with_pick(Pick::note_leaving);
+        }
+        if let Some(pause) = notice.pause {
+            self.with_pick(|pick| pick.pause(pause));
         }
     }
 
--- a/crates/outbound/src/lib.rs
+++ b/crates/outbound/src/lib.rs
@@ -1,10 +1,12 @@
 //! Connections to endpoints: each carries one call at a time and records whether any byte of it was
-//! handed to a socket.
+//! handed to a socket. What answers say of their endpoint beside the answer is read here as well.
 
 mod connection;
 mod handover;
+mod notice;
 mod pool;
 
 pub use connection::Connection;
 pub use handover::{Handover, Recorded, Slot};
+pub use notice::{Notice, read_pause};
 pub use pool::{Pool, PoolConfig};
--- a/crates/forward/src/written/tests.rs
+++ b/crates/outbound/src/notice/tests.rs
@@ -1,8 +1,11 @@
 use std::time::Duration;
 
-use hyper::{HeaderMap, header::RETRY_AFTER};
+use hyper::{
+    HeaderMap, StatusCode,
+    header::{HeaderName, RETRY_AFTER},
+};
 
-use super::read_pause;
+use super::{Notice, read_pause};
 
 fn pause(values: &[&'static str]) -> Option<Duration> {
     let mut headers = HeaderMap::new();
@@ -38,3 +41,18 @@
         assert_eq!(pause(values), None, "{values:?}");
     }
 }
+
+#[test]
+fn only_what_was_turned_away_asks_for_a_pause_and_only_a_1_says_leaving() {
+    let name = HeaderName::from_static("leaving");
+    let mut headers = HeaderMap::new();
+    headers.insert(RETRY_AFTER, "2".parse().unwrap());
+    let read = |status, headers: &HeaderMap| Notice::read(status, headers, &name);
+    assert_eq!(read(StatusCode::OK, &headers), Notice::default());
+    let turned_away = read(StatusCode::SERVICE_UNAVAILABLE, &headers);
+    assert_eq!(turned_away.pause, Some(Duration::from_secs(2)));
+    for (word, is_leaving) in [("1", true), ("0", false), ("yes", false)] {
+        headers.insert(&name, word.parse().unwrap());
+        assert_eq!(read(StatusCode::OK, &headers).is_leaving, is_leaving);
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -32,8 +32,6 @@
 pub use ewma::Decaying;
 pub use health::{Health, max_ejected};
 pub use latency::{Latencies, SizeClass, Stage};
-pub use need::{
-    CacheEvents, CallOutcome, ModelNeed, Need, NoEndpoint, Notice, Observation, Reused,
-};
+pub use need::{CacheEvents, CallOutcome, ModelNeed, Need, NoEndpoint, Observation, Reused};
 pub use router::{EndpointStats, Pick, Router};
 pub use score::Reasons;
--- a/crates/routing/src/need.rs
+++ b/crates/routing/src/need.rs
@@ -97,16 +97,6 @@
     },
 }
 
-/// What the head of an answer says of its endpoint, whatever it answers.
-#[value]
-#[derive(Copy, Default)]
-pub struct Notice {
-    /// It is leaving and takes no new work.
-    pub is_leaving: bool,
-    /// It wants nothing from this gate for so long.
-    pub pause: Option<Duration>,
-}
-
 /// What became of a call, as far as it tells about the endpoint.
 #[value]
 #[derive(Copy)]
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -6,6 +6,7 @@
         Arc, RwLock,
         atomic::{AtomicU64, Ordering::Relaxed},
     },
+    time::Duration,
 };
 
 use derives::record;
@@ -18,7 +19,7 @@
 use crate::{
     affinity::block_hashes,
     config::RouterConfig,
-    need::{CacheEvents, CallOutcome, Need, NoEndpoint, Notice, Observation, Versions},
+    need::{CacheEvents, CallOutcome, Need, NoEndpoint, Observation, Versions},
     pool::{Pool, Slot},
     score::{Reasons, View},
     waiting::Started,
@@ -124,20 +125,10 @@
             }
         }
         Err(NoEndpoint::Busy {
-            retry_after: std::time::Duration::from_millis(10),
+            retry_after: Duration::from_millis(10),
         })
     }
 
-    fn note(&self, pick: &Pick, notice: Notice) {
-        let a = &pick.slot.endpoint.announced;
-        if notice.is_leaving {
-            self.shared.table.note_leaving(&a.endpoint, a.incarnation);
-        }
-        if let Some(pause) = notice.pause {
-            pick.slot.stats.pause(pause, Instant::now());
-        }
-    }
-
     /// Takes an engine's cache events.
     pub fn cache_events(&self, events: CacheEvents) {
         let now = Instant::now();
@@ -298,9 +289,16 @@
         &self.slot.endpoint
     }
 
-    /// Takes what the endpoint's answer said of it.
-    pub fn note(&self, notice: Notice) {
-        self.router.note(self, notice);
+    /// The endpoint said that it is leaving.
+    pub fn note_leaving(&self) {
+        let a = &self.slot.endpoint.announced;
+        let table = &self.router.shared.table;
+        table.note_leaving(&a.endpoint, a.incarnation);
+    }
+
+    /// The endpoint asked for a pause.
+    pub fn pause(&self, pause: Duration) {
+        self.slot.stats.pause(pause, Instant::now());
     }
 
     /// The endpoint's name.
@@ -336,7 +334,7 @@
 
     /// For how long the oldest of this gate's calls to the endpoint has waited for the first part
     /// of its answer.
-    pub fn oldest_wait(&self) -> std::time::Duration {
+    pub fn oldest_wait(&self) -> Duration {
         self.slot.stats.oldest_wait(Instant::now())
     }
 
--- a/crates/routing/tests/pick.rs
+++ b/crates/routing/tests/pick.rs
@@ -8,7 +8,7 @@
 use membership::{Announcement, EndpointState, LoadedModel, Readiness, Table, TableConfig};
 use proptest::prelude::*;
 use routing::{
-    CacheEvents, CallOutcome, ModelNeed, Need, NoEndpoint, Notice, Observation, Reused, Router,
+    CacheEvents, CallOutcome, ModelNeed, Need, NoEndpoint, Observation, Reused, Router,
     RouterConfig, block_hashes, max_ejected,
 };
 use tokio::time::advance;
@@ -481,14 +481,11 @@
 fn an_endpoint_that_pauses_is_passed_over_and_all_of_them_say_for_how_long() {
     block_on(async {
         let router = router(&table(2));
-        let pause = |seconds| Notice {
-            pause: Some(Duration::from_secs(seconds)),
-            ..Notice::default()
-        };
+        let seconds = Duration::from_secs;
         let first = router.pick(&need()).unwrap();
         let name = first.name().to_owned();
-        first.note(pause(2));
-        first.note(pause(1));
+        first.pause(seconds(2));
+        first.pause(seconds(1));
         first.finish(failed());
         for _ in 0..10 {
             let pick = router.pick(&need()).unwrap();
@@ -496,7 +493,7 @@
             pick.finish(answered(10));
         }
         let second = router.pick(&need()).unwrap();
-        second.note(pause(1_000_000_000));
+        second.pause(seconds(1_000_000_000));
         second.finish(answered(10));
         let retry_after = Duration::from_secs(2);
         assert_eq!(
@@ -514,10 +511,7 @@
         let table = table(1);
         let router = router(&table);
         let pick = router.pick(&need()).unwrap();
-        pick.note(Notice {
-            is_leaving: true,
-            pause: None,
-        });
+        pick.note_leaving();
         pick.finish(answered(10));
         table.announce(announcement("e0000", AZ, 2)).unwrap();
         assert_eq!(router.pick(&need()).unwrap_err(), NoEndpoint::NoneReady);
