--- a/crates/forward/src/fleet/tests.rs
+++ b/crates/forward/src/fleet/tests.rs
@@ -186,3 +186,21 @@
     fleet.update(&mirror([born("one", 2)]), |_| None);
     assert_eq!(goes_to(&fleet).as_deref(), Ok("one"));
 }
+
+#[tokio::test(start_paused = true)]
+async fn what_is_known_of_a_departure_is_no_news_and_an_earlier_life_undoes_nothing() {
+    let fleet = fleet(&[born("old", 5)]);
+    let news = fleet.left_news();
+    for _ in 0..3 {
+        answers(&fleet, "old", LEAVES);
+    }
+    assert_eq!(*news.borrow(), 1);
+    fleet.hear_left(Leaving {
+        endpoint: "old".to_owned(),
+        incarnation: Uuid::from_u128(4),
+        source: "gate-2".to_owned(),
+        age: Duration::ZERO,
+    });
+    fleet.update(&mirror([born("old", 5)]), |_| None);
+    assert_eq!(goes_to(&fleet), Err(NO_ENDPOINT));
+}
