--- a/crates/forward/src/departures.rs
+++ b/crates/forward/src/departures.rs
@@ -1,4 +1,4 @@
-//! Tells keepers and other gates of endpoints that said in an answer that they are leaving.
+//! Notifies keepers and other gates of endpoints that said in an answer that they are leaving.
 
 use std::time::Duration;
 
@@ -12,12 +12,12 @@
 
 use crate::{fleet::Fleet, gates::Gates};
 
-/// Time after which what keepers don't know yet is told again.
+/// Time after which what keepers do not know yet is sent again.
 const AGAIN: Duration = Duration::from_secs(1);
-/// Bound on telling it to one process.
+/// Bound on notifying one process.
 const LIMIT: Duration = Duration::from_millis(600);
 
-/// Who is told.
+/// Who is notified, and of what.
 #[derive(Debug)]
 pub(crate) struct Departures {
     pub(crate) fleet: Fleet,
@@ -27,21 +27,23 @@
 }
 
 impl Departures {
-    /// Tells what this gate has seen until keepers tell the same, also those that started anew and take
+    /// Notifies keepers and gates of what this gate has seen until keepers agree, also those that started anew and take
     /// the endpoint for ready.
-    pub(crate) async fn tell(mut self) {
+    pub(crate) async fn run(mut self) {
         let mut news = self.fleet.left_news();
         loop {
-            let untold = self.fleet.left_untold(&self.mirror.borrow_and_update());
-            if untold.is_empty() {
+            let unconfirmed = self
+                .fleet
+                .left_unconfirmed(&self.mirror.borrow_and_update());
+            if unconfirmed.is_empty() {
                 tokio::select! {
                     changed = news.changed() => if changed.is_err() { return },
                     changed = self.mirror.changed() => if changed.is_err() { return },
                 }
                 continue;
             }
-            self.tell_gates(&untold);
-            self.tell_a_keeper(untold).await;
+            self.notify_gates(&unconfirmed);
+            self.notify_a_keeper(unconfirmed).await;
             tokio::select! {
                 changed = news.changed() => if changed.is_err() { return },
                 () = sleep(AGAIN) => {}
@@ -49,12 +51,12 @@
         }
     }
 
-    /// Gates are told beside the keepers: these may be out of reach.
-    fn tell_gates(&self, leaving: &[Leaving]) {
+    /// Gates are notified beside the keepers: these may be out of reach.
+    fn notify_gates(&self, leaving: &[Leaving]) {
         for peer in self.gates.linked() {
             let req = Request::Leaving(leaving.to_vec());
             tokio::spawn(async move {
-                // One that did not get it hears of it from the keepers, or from the endpoint.
+                // One that did not get it learns of it from the keepers, or from the endpoint.
                 let _ = peer
                     .call::<_, Reply>(Channel::Membership, &req, LIMIT)
                     .await;
@@ -62,14 +64,14 @@
         }
     }
 
-    async fn tell_a_keeper(&self, leaving: Vec<Leaving>) {
+    async fn notify_a_keeper(&self, leaving: Vec<Leaving>) {
         let keepers = self.keepers.borrow().clone();
         let req = Request::Leaving(leaving);
         for peer in keepers.iter().filter(|peer| peer.is_connected()) {
             let call = peer.call::<_, Reply>(Channel::Membership, &req, LIMIT);
             match timeout(LIMIT, call).await {
                 Ok(Ok(Reply::Announced)) => return,
-                reply => warn!("leaving endpoints not told", kv: {
+                reply => warn!("leaving endpoints not notified", kv: {
                     keeper = peer.name(), reply = format!("{reply:?}")
                 }),
             }
--- a/crates/forward/src/fleet/left.rs
+++ b/crates/forward/src/fleet/left.rs
@@ -52,7 +52,7 @@
     }
 
     /// Takes another gate's word that an endpoint is leaving.
-    pub(crate) fn hear_left(&self, leaving: Leaving) {
+    pub(crate) fn learn_left(&self, leaving: Leaving) {
         let left = Left {
             incarnation: leaving.incarnation,
             source: leaving.source,
@@ -94,14 +94,14 @@
     }
 
     /// Endpoints that are leaving by their answers although keepers tell that they are ready.
-    pub(crate) fn left_untold(&self, mirror: &Mirror) -> Vec<Leaving> {
+    pub(crate) fn left_unconfirmed(&self, mirror: &Mirror) -> Vec<Leaving> {
         let now = Instant::now();
         let left = self.left();
-        let untold = left.iter().filter(|(name, left)| {
+        let unconfirmed = left.iter().filter(|(name, left)| {
             let view = mirror.endpoints.get(*name);
             view.is_some_and(|v| v.state == EndpointState::Ready && left.binds(v.incarnation))
         });
-        let leaving = untold.map(|(name, left)| Leaving {
+        let leaving = unconfirmed.map(|(name, left)| Leaving {
             endpoint: name.clone(),
             incarnation: left.incarnation,
             source: left.source.clone(),
--- a/crates/forward/src/fleet/tests.rs
+++ b/crates/forward/src/fleet/tests.rs
@@ -89,7 +89,7 @@
 async fn another_gates_word_holds_like_an_answer_and_is_told_to_keepers_until_they_agree() {
     let fleet = fleet(&[born("old", 1), born("new", 1)]);
     let news = fleet.left_news();
-    fleet.hear_left(Leaving {
+    fleet.learn_left(Leaving {
         endpoint: "old".to_owned(),
         incarnation: Uuid::from_u128(1),
         source: "gate-2".to_owned(),
@@ -101,14 +101,14 @@
         "the gate that saw it tells it"
     );
     let ready = mirror([born("old", 1), born("new", 1)]);
-    let untold = fleet.left_untold(&ready);
-    assert_eq!(untold.len(), 1);
+    let unconfirmed = fleet.left_unconfirmed(&ready);
+    assert_eq!(unconfirmed.len(), 1);
     assert_eq!(
-        (untold[0].source.as_str(), untold[0].age),
+        (unconfirmed[0].source.as_str(), unconfirmed[0].age),
         ("gate-2", SECOND)
     );
-    assert_eq!(fleet.left_untold(&mirror([born("old", 2)])), []);
-    assert_eq!(fleet.left_untold(&mirror([])), []);
+    assert_eq!(fleet.left_unconfirmed(&mirror([born("old", 2)])), []);
+    assert_eq!(fleet.left_unconfirmed(&mirror([])), []);
 }
 
 #[tokio::test(start_paused = true)]
@@ -195,7 +195,7 @@
         answers(&fleet, "old", LEAVES);
     }
     assert_eq!(*news.borrow(), 1);
-    fleet.hear_left(Leaving {
+    fleet.learn_left(Leaving {
         endpoint: "old".to_owned(),
         incarnation: Uuid::from_u128(4),
         source: "gate-2".to_owned(),
--- a/crates/forward/src/start.rs
+++ b/crates/forward/src/start.rs
@@ -133,7 +133,7 @@
         mirror: told.mirror.clone(),
         keepers: told.keepers.clone(),
     };
-    tasks.spawn(departures.tell());
+    tasks.spawn(departures.run());
     tasks.spawn(keep_reachable(forwarder.cx.fleet.clone(), gates.clone()));
     tasks.spawn(forwarder.cx.pool.clone().reap());
     tasks.spawn(serve_links(links_listener, links, &forwarder, &told));
@@ -278,7 +278,7 @@
     let reply = match link::decode::<membership::Request>(body) {
         Ok(membership::Request::Leaving(leaving)) => {
             for l in leaving {
-                fleet.hear_left(l);
+                fleet.learn_left(l);
             }
             membership::Reply::Announced
         }
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -64,14 +64,14 @@
     /// Bounds on its answer.
     pub(crate) waits: Waits,
     /// What its answer said of the endpoint.
-    pub(crate) notice: Heard,
+    pub(crate) notice: NoticeSlot,
 }
 
 /// What an answer said of its endpoint, once its head is there; clones share it.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Heard(Arc<OnceLock<Notice>>);
+pub(crate) struct NoticeSlot(Arc<OnceLock<Notice>>);
 
-impl Heard {
+impl NoticeSlot {
     /// What was said.
     pub(crate) fn get(&self) -> Notice {
         self.0.get().copied().unwrap_or_default()
--- a/crates/gate/src/once.rs
+++ b/crates/gate/src/once.rs
@@ -17,7 +17,7 @@
 use uuid::Uuid;
 
 use crate::{
-    exchange::{self, Call, Heard, Waits},
+    exchange::{self, Call, NoticeSlot, Waits},
     failure::{CallError, Cause, StageError},
     gate::Gate,
     guard::CallGuard,
@@ -264,7 +264,7 @@
             deadline: last,
             max_bytes: cx.gate.cfg.limits.output_bytes,
         },
-        notice: Heard::default(),
+        notice: NoticeSlot::default(),
     }
 }
 
--- a/crates/gate/src/race.rs
+++ b/crates/gate/src/race.rs
@@ -8,7 +8,7 @@
 use uuid::Uuid;
 
 use crate::{
-    exchange::{self, Call, Exchange, Heard, Waits},
+    exchange::{self, Call, Exchange, NoticeSlot, Waits},
     failure::{CallError, StageError},
     guard::CallGuard,
     picking::{failed, pick},
@@ -293,6 +293,6 @@
             deadline,
             max_bytes: cx.gate.cfg.limits.output_bytes,
         },
-        notice: Heard::default(),
+        notice: NoticeSlot::default(),
     }
 }
