--- a/crates/gate/tests/limits.rs
+++ b/crates/gate/tests/limits.rs
@@ -77,6 +77,51 @@
     assert!(start.elapsed() < Duration::from_secs(10));
 }
 
+/// The only other endpoint wants a pause: a call that lags gets no company there.
+#[tokio::test]
+async fn no_hedge_goes_to_an_endpoint_that_pauses() {
+    let env = Env::start().await;
+    let gate = env.gate("g").await;
+    let one = StandIn::start("look-1", "look", |call| match call.body["input"].as_str() {
+        Some("slow") => Reply::Later(Duration::from_secs(5), output(&json!(1))),
+        _ => Reply::Json(output(&json!(1))),
+    })
+    .await;
+    let two = StandIn::start("look-2", "look", |call| match call.body["input"].as_str() {
+        Some("pause") => Reply::Status(
+            503,
+            vec![
+                ("jujube-outcome", "not_run".to_owned()),
+                ("retry-after", "30".to_owned()),
+            ],
+            String::new(),
+        ),
+        _ => Reply::Json(output(&json!(1))),
+    })
+    .await;
+    for endpoint in [&one, &two] {
+        gate.knows(endpoint).await;
+    }
+    for _ in 0..40 {
+        gate.ask("find", &[], json!("fast")).await;
+    }
+    // The gate looks at its latencies anew from time to time.
+    sleep(Duration::from_secs(1)).await;
+    let is_pause = |call: &env::stand_in::Seen| call.body["input"] == "pause";
+    for _ in 0..40 {
+        gate.ask("find", &[], json!("pause")).await;
+        if two.calls().iter().any(is_pause) {
+            break;
+        }
+    }
+    let before = two.calls().len();
+    assert_eq!(two.calls().iter().filter(|c| is_pause(c)).count(), 1);
+    let headers = [("jujube-deadline-ms", "1500")];
+    let asks = (0..8).map(|_| gate.ask("find", &headers, json!("slow")));
+    join_all(asks).await;
+    assert_eq!(two.calls().len(), before);
+}
+
 #[tokio::test]
 async fn a_lagging_call_is_hedged_and_a_booking_never() {
     let env = Env::start().await;
