Log and count the request rates that endpoints name

Gates now read the header, log each change as endpoint_limited with its source, and count the calls to such endpoints by kind (requests, batched calls, releases). Nothing else changes: no decision reads the rate yet.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -164,6 +164,7 @@
             | Event::EndpointMisplaced { endpoint, .. }
             | Event::EndpointLeaving { endpoint, .. }
             | Event::EndpointPaused { endpoint, .. }
+            | Event::EndpointLimited { endpoint, .. }
             | Event::EndpointUnreached { endpoint, .. },
         ) => is_involved_vm && involved.contains(&endpoint),
         Some(Event::Collects { service, .. }) => is_involved_vm && involved.contains(&service),
--- a/crates/forward/src/batch.rs
+++ b/crates/forward/src/batch.rs
@@ -23,6 +23,10 @@
     let now = Instant::now();
     let items: Vec<Item<'_>> = next.jobs.iter().map(|job| batch_item(job, now)).collect();
     let req = (cx.dialect.write_batch)(&items, &next.target.name);
+    if next.target.stats().limit.is_some() {
+        cx.metrics
+            .record_limited_call(&next.target.service, "batch");
+    }
     let timeout = (next.expected * TIMEOUT_FACTOR).max(MIN_TIMEOUT);
     let deadline = now + timeout;
     let exchange = match call::send(&cx.pool, next.target.address, req, deadline).await {
--- a/crates/forward/src/collector.rs
+++ b/crates/forward/src/collector.rs
@@ -240,11 +240,15 @@
         for (address, handles) in releases {
             let deadline = Instant::now() + RELEASE_TIMEOUT;
             let req = (cx.dialect.write_release)(&handles);
+            let target = cx.fleet.target_at(service, address);
+            if target.as_ref().is_some_and(|t| t.stats().limit.is_some()) {
+                cx.metrics.record_limited_call(service, "release");
+            }
             let sent = crate::call::send(&cx.pool, address, req, deadline).await;
             // If the release request is lost, the results expire by themselves.
             if let Ok(exchange) = sent {
                 let notice = (cx.dialect.notice)(exchange.status, &exchange.headers);
-                if let Some(target) = cx.fleet.target_at(service, address) {
+                if let Some(target) = target {
                     cx.fleet.apply_notice(&target, notice, &cx.vm);
                 }
                 let _ = exchange.read_body(&cx.pool, usize::MAX, deadline).await;
--- a/crates/forward/src/fleet.rs
+++ b/crates/forward/src/fleet.rs
@@ -80,6 +80,8 @@
     pub(crate) other_calls_at: Option<Instant>,
     pub(crate) slowness: Slowness,
     pub(crate) cache: PrefixCache,
+    /// Requests per second that the endpoint takes from all gates together, if it names a limit.
+    pub(crate) limit: Option<f64>,
     health: Health,
     availability: AvailabilityState,
 }
@@ -473,6 +475,7 @@
             other_calls_at: None,
             slowness: Slowness::new(),
             cache: PrefixCache::new(memory.unwrap_or(DEFAULT_MEMORY_TOKENS)),
+            limit: None,
             health: Health::new(ejection_config()),
             availability: AvailabilityState::default(),
         }),
--- a/crates/forward/src/fleet/departures.rs
+++ b/crates/forward/src/fleet/departures.rs
@@ -7,7 +7,7 @@
 
 use logs::Event;
 use membership::{EndpointState, LeavingNotice, Mirror};
-use outbound::Notice;
+use outbound::{NamedRate, Notice};
 use tokio::{sync::watch, time::Instant};
 
 use super::{Fleet, Target};
@@ -37,6 +37,7 @@
                 self.departure_updates.send_modify(|count| *count += 1);
             }
         }
+        self.record_rate(target, notice.rate, vm);
         let pause = notice
             .pause
             .and_then(|pause| target.stats().availability.pause(pause, now));
@@ -52,6 +53,26 @@
         }
     }
 
+    /// Records the request rate that a response of `target` to the gate `vm` names.
+    fn record_rate(&self, target: &Target, rate: NamedRate, vm: &str) {
+        let limit = match rate {
+            NamedRate::PerSecond(per_second) => Some(per_second),
+            NamedRate::Unlimited => None,
+            NamedRate::Unreadable => return,
+        };
+        if std::mem::replace(&mut target.stats().limit, limit) != limit {
+            logs::write(
+                None,
+                &Event::EndpointLimited {
+                    endpoint: target.name.clone(),
+                    service: target.service.clone(),
+                    per_second: limit,
+                    source: vm.to_owned(),
+                },
+            );
+        }
+    }
+
     /// Records a departure reported by another gate.
     pub(crate) fn record_reported_departure(&self, leaving: LeavingNotice) {
         let departure = Departure {
--- a/crates/forward/src/fleet/tests.rs
+++ b/crates/forward/src/fleet/tests.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use membership::{EndpointView, LeavingNotice};
-use outbound::Notice;
+use outbound::{NamedRate, Notice};
 use tokio::time::advance;
 use uuid::Uuid;
 
@@ -18,6 +18,7 @@
 const LEAVING: Notice = Notice {
     is_leaving: true,
     pause: None,
+    rate: NamedRate::Unlimited,
 };
 
 fn endpoint(name: &str, incarnation: u128) -> EndpointView {
@@ -56,8 +57,8 @@
 
 fn pause_notice(seconds: u32) -> Notice {
     Notice {
-        is_leaving: false,
         pause: Some(SECOND * seconds),
+        ..Notice::default()
     }
 }
 
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -27,6 +27,7 @@
     prompt_tokens: IntCounterVec,
     cross_zone_bytes: IntCounterVec,
     batch_bounds: IntCounterVec,
+    limited_calls: IntCounterVec,
     items_without_result: IntCounterVec,
     endpoints: IntGaugeVec,
     ejections: IntCounter,
@@ -133,6 +134,11 @@
                 "Batched calls by what kept them from holding more: batch, room or items.",
                 &["service", "by"],
             )?,
+            limited_calls: registrar.counters(
+                "limited_calls_total",
+                "Calls sent to endpoints that name a request rate: requests, batches or releases.",
+                &["service", "call"],
+            )?,
             items_without_result: registrar.counters(
                 "items_unmade_total",
                 "Items of batched calls without a result, by cause; many are called again.",
@@ -189,6 +195,11 @@
         self.batch_bounds.with_label_values(&[service, by]).inc();
     }
 
+    /// Counts a call to an endpoint that names a request rate.
+    pub(crate) fn record_limited_call(&self, service: &str, call: &str) {
+        self.limited_calls.with_label_values(&[service, call]).inc();
+    }
+
     /// Counts items of a call that have no result, by cause.
     pub(crate) fn record_items_without_result(
         &self,
--- a/crates/forward/src/serving.rs
+++ b/crates/forward/src/serving.rs
@@ -460,6 +460,9 @@
         last_event_id: last_event_id.or(req.incoming.last_event_id),
     };
     let message = (cx.dialect.write_request)(&req.incoming, &details);
+    if target.stats().limit.is_some() {
+        cx.metrics.record_limited_call(&target.service, "request");
+    }
     attempts.endpoints.push(target.name.clone());
     attempts.runs += 1;
     let sent = call::send(
--- a/crates/forwarder/src/endpoints.rs
+++ b/crates/forwarder/src/endpoints.rs
@@ -80,7 +80,12 @@
 
 /// Parses what a response says about its endpoint: that it is leaving, or requests a pause.
 pub(crate) fn notice(status: StatusCode, headers: &HeaderMap) -> Notice {
-    Notice::parse(status, headers, &header_names::LEAVING)
+    Notice::parse(
+        status,
+        headers,
+        &header_names::LEAVING,
+        &header_names::LIMIT,
+    )
 }
 
 /// Parses the load report in the head of a response.
--- a/crates/forwarder/src/header_names.rs
+++ b/crates/forwarder/src/header_names.rs
@@ -22,6 +22,8 @@
 pub(crate) const LOAD: HeaderName = HeaderName::from_static("jujube-load");
 /// `1`: the endpoint is leaving and takes no new work.
 pub(crate) const LEAVING: HeaderName = HeaderName::from_static("jujube-leaving");
+/// Requests per second that the endpoint takes from all gates together.
+pub(crate) const LIMIT: HeaderName = HeaderName::from_static("jujube-limit");
 /// Model that a prompt is for.
 pub(crate) const MODEL: HeaderName = HeaderName::from_static("jujube-model");
 /// `READ,GENERATE`: tokens of the prompt and the maximum to generate.
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -27,6 +27,8 @@
 const OUTCOME: HeaderName = HeaderName::from_static("jujube-outcome");
 /// `1`: the endpoint is leaving and accepts no new calls.
 const LEAVING: HeaderName = HeaderName::from_static("jujube-leaving");
+/// Requests per second that the endpoint takes from all gates together.
+const LIMIT: HeaderName = HeaderName::from_static("jujube-limit");
 
 /// Most bytes of an endpoint's error response that are read.
 const MAX_ERROR_BYTES: usize = 64 << 10;
@@ -79,7 +81,7 @@
 
     fn set(&self, status: StatusCode, headers: &HeaderMap) {
         // A call has only one response.
-        let _ = self.0.set(Notice::parse(status, headers, &LEAVING));
+        let _ = self.0.set(Notice::parse(status, headers, &LEAVING, &LIMIT));
     }
 }
 
--- a/crates/logs/src/event.rs
+++ b/crates/logs/src/event.rs
@@ -350,6 +350,17 @@
         /// Duration of the pause.
         for_ms: u64,
     },
+    /// The request rate that an endpoint takes from all gates together changed.
+    EndpointLimited {
+        /// The endpoint.
+        endpoint: String,
+        /// Service of the endpoint.
+        service: String,
+        /// Requests per second; `None` if the limit ended.
+        per_second: Option<f64>,
+        /// The gate that received the response.
+        source: String,
+    },
     /// Connecting to an endpoint failed. Consecutive failures are not logged.
     EndpointUnreached {
         /// The endpoint.
@@ -393,6 +404,7 @@
             Self::EndpointMisplaced { .. } => Kind::EndpointMisplaced,
             Self::EndpointLeaving { .. } => Kind::EndpointLeaving,
             Self::EndpointPaused { .. } => Kind::EndpointPaused,
+            Self::EndpointLimited { .. } => Kind::EndpointLimited,
             Self::EndpointUnreached { .. } => Kind::EndpointUnreached,
             Self::ZonesOut { .. } => Kind::ZonesOut,
             Self::Collects { .. } => Kind::Collects,
--- a/crates/logs/src/kind.rs
+++ b/crates/logs/src/kind.rs
@@ -31,6 +31,7 @@
     EndpointMisplaced,
     EndpointLeaving,
     EndpointPaused,
+    EndpointLimited,
     EndpointUnreached,
     ZonesOut,
     Collects,
@@ -55,7 +56,7 @@
 
 impl Kind {
     /// All kinds, in the order of their discriminants.
-    pub const ALL: [Self; 34] = [
+    pub const ALL: [Self; 35] = [
         Self::Admitted,
         Self::StageSent,
         Self::StageMade,
@@ -77,6 +78,7 @@
         Self::EndpointMisplaced,
         Self::EndpointLeaving,
         Self::EndpointPaused,
+        Self::EndpointLimited,
         Self::EndpointUnreached,
         Self::ZonesOut,
         Self::Collects,
@@ -116,6 +118,7 @@
             Self::EndpointMisplaced => "endpoint_misplaced",
             Self::EndpointLeaving => "endpoint_leaving",
             Self::EndpointPaused => "endpoint_paused",
+            Self::EndpointLimited => "endpoint_limited",
             Self::EndpointUnreached => "endpoint_unreached",
             Self::ZonesOut => "zones_out",
             Self::Collects => "collects",
@@ -156,6 +159,7 @@
             | Self::EndpointMisplaced
             | Self::EndpointLeaving
             | Self::EndpointPaused
+            | Self::EndpointLimited
             | Self::EndpointUnreached
             | Self::ZonesOut
             | Self::Collects
--- a/crates/outbound/src/lib.rs
+++ b/crates/outbound/src/lib.rs
@@ -7,6 +7,6 @@
 mod send_state;
 
 pub use connection::Connection;
-pub use notice::{Notice, parse_retry_after};
+pub use notice::{NamedRate, Notice, parse_retry_after};
 pub use pool::{Pool, PoolConfig};
 pub use send_state::{CurrentCall, SendState, TrackedStream};
--- a/crates/outbound/src/notice.rs
+++ b/crates/outbound/src/notice.rs
@@ -7,23 +7,44 @@
     header::{HeaderName, RETRY_AFTER},
 };
 
+/// What a response head says about the request rate that its endpoint takes from all gates
+/// together.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum NamedRate {
+    /// It names no limit.
+    #[default]
+    Unlimited,
+    /// It names a limit in requests per second, finite and not negative.
+    PerSecond(f64),
+    /// It names something that is no rate.
+    Unreadable,
+}
+
 /// State that an endpoint reports about itself in a response head.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Notice {
     /// True if the endpoint is leaving and accepts no new calls.
     pub is_leaving: bool,
     /// Pause in calls from this gate that the endpoint requests.
     pub pause: Option<Duration>,
+    /// Request rate that the endpoint takes.
+    pub rate: NamedRate,
 }
 
 impl Notice {
     /// Parses a response head. The endpoint is leaving if the header `leaving` has the value `1`. Only
-    /// a 503 response can request a pause.
-    pub fn parse(status: StatusCode, headers: &HeaderMap, leaving: &HeaderName) -> Self {
+    /// a 503 response can request a pause. The header `limit` names a request rate.
+    pub fn parse(
+        status: StatusCode,
+        headers: &HeaderMap,
+        leaving: &HeaderName,
+        limit: &HeaderName,
+    ) -> Self {
         let is_refused = status == StatusCode::SERVICE_UNAVAILABLE;
         Self {
             is_leaving: headers.get(leaving).is_some_and(|value| value == "1"),
             pause: parse_retry_after(headers).filter(|_| is_refused),
+            rate: parse_rate(headers, limit),
         }
     }
 }
@@ -38,5 +59,19 @@
     Some(pause).filter(|pause| !pause.is_zero())
 }
 
+/// Parses the header `name` as a decimal number of requests per second. Returns the lowest rate if
+/// there are several.
+fn parse_rate(headers: &HeaderMap, name: &HeaderName) -> NamedRate {
+    let mut values = headers.get_all(name).iter().peekable();
+    if values.peek().is_none() {
+        return NamedRate::Unlimited;
+    }
+    let rates = values.filter_map(|value| value.to_str().ok()?.trim().parse::<f64>().ok());
+    let lowest = rates
+        .filter(|rate| rate.is_finite() && *rate >= 0.0)
+        .reduce(f64::min);
+    lowest.map_or(NamedRate::Unreadable, NamedRate::PerSecond)
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/outbound/src/notice/tests.rs
+++ b/crates/outbound/src/notice/tests.rs
@@ -5,7 +5,7 @@
     header::{HeaderName, RETRY_AFTER},
 };
 
-use super::{Notice, parse_retry_after};
+use super::{NamedRate, Notice, parse_rate, parse_retry_after};
 
 fn pause(values: &[&'static str]) -> Option<Duration> {
     let mut headers = HeaderMap::new();
@@ -47,7 +47,8 @@
     let name = HeaderName::from_static("leaving");
     let mut headers = HeaderMap::new();
     headers.insert(RETRY_AFTER, "2".parse().unwrap());
-    let parse = |status, headers: &HeaderMap| Notice::parse(status, headers, &name);
+    let limit = HeaderName::from_static("limit");
+    let parse = |status, headers: &HeaderMap| Notice::parse(status, headers, &name, &limit);
     assert_eq!(parse(StatusCode::OK, &headers), Notice::default());
     let refused = parse(StatusCode::SERVICE_UNAVAILABLE, &headers);
     assert_eq!(refused.pause, Some(Duration::from_secs(2)));
@@ -56,3 +57,23 @@
         assert_eq!(parse(StatusCode::OK, &headers).is_leaving, is_leaving);
     }
 }
+
+fn rate(values: &[&'static str]) -> NamedRate {
+    let name = HeaderName::from_static("limit");
+    let mut headers = HeaderMap::new();
+    for value in values {
+        headers.append(&name, value.parse().unwrap());
+    }
+    parse_rate(&headers, &name)
+}
+
+#[test]
+fn lowest_readable_rate_is_parsed() {
+    assert_eq!(rate(&[]), NamedRate::Unlimited);
+    assert_eq!(rate(&["0"]), NamedRate::PerSecond(0.0));
+    assert_eq!(rate(&[" 1.5 "]), NamedRate::PerSecond(1.5));
+    assert_eq!(rate(&["3", "x", "2"]), NamedRate::PerSecond(2.0));
+    for nonsense in ["", "-1", "NaN", "inf", "1e999", "1,5", "0x10", "ten"] {
+        assert_eq!(rate(&[nonsense]), NamedRate::Unreadable, "{nonsense}");
+    }
+}
