--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod output;
 pub mod processes;
 pub mod proxy;
+pub mod rate_check;
 pub mod stand_in;
--- a/crates/bench/src/stand_in/mod.rs
+++ b/crates/bench/src/stand_in/mod.rs
@@ -22,7 +22,11 @@
 
 use eyre::WrapErr;
 use membership::{LoadedModel, StageRole};
-use tokio::{net::TcpListener, task::JoinSet, time::sleep};
+use tokio::{
+    net::TcpListener,
+    task::JoinSet,
+    time::{Instant, sleep},
+};
 
 pub use self::{
     config::{EngineConfig, Kind, StandInConfig},
@@ -109,6 +113,16 @@
         self.shared.faults.set(fault);
     }
 
+    /// Names `limit` as the request rate in every response from now on, or none.
+    pub fn set_limit(&self, limit: Option<&str>) {
+        self.shared.set_limit(limit);
+    }
+
+    /// Returns when calls of gates arrived so far, oldest first.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.shared.arrivals()
+    }
+
     /// Replaces the gates that it announces to and announces at once.
     pub fn set_gates(&self, gates: Vec<String>) {
         self.shared.set_gates(gates);
--- a/crates/bench/src/stand_in/server.rs
+++ b/crates/bench/src/stand_in/server.rs
@@ -24,6 +24,9 @@
     stage,
 };
 
+/// Paths that tests call and gates don't.
+const UNCOUNTED_PATHS: [&str; 2] = ["/healthz", "/v1/journal"];
+
 /// Accepts connections; aborting this task closes them all.
 pub(crate) async fn accept(shared: Arc<Shared>, listener: TcpListener) {
     let mut connections = JoinSet::new();
@@ -50,7 +53,13 @@
 
 async fn handle(shared: Arc<Shared>, req: Request<Incoming>) -> Reply {
     let fault = shared.faults.get();
-    let mut res = route(shared, req).await?;
+    if !UNCOUNTED_PATHS.contains(&req.uri().path()) {
+        shared.record_arrival();
+    }
+    let mut res = route(Arc::clone(&shared), req).await?;
+    if let Some(limit) = shared.limit() {
+        set_header(res.headers_mut(), "jujube-limit", &limit);
+    }
     match fault {
         Fault::LeavingHeader => set_header(res.headers_mut(), "jujube-leaving", "1"),
         Fault::RetryAfter(secs) => set_header(res.headers_mut(), "retry-after", &secs.to_string()),
--- a/crates/bench/src/stand_in/shared.rs
+++ b/crates/bench/src/stand_in/shared.rs
@@ -47,6 +47,10 @@
     pub(crate) engine: Option<Engine>,
     pub(crate) seq: AtomicU64,
     gates: Mutex<Vec<String>>,
+    /// Request rate that every response names.
+    limit: Mutex<Option<String>>,
+    /// When calls of gates arrived.
+    arrivals: Mutex<Vec<Instant>>,
     leaving: AtomicBool,
     in_flight: AtomicUsize,
     samples: Mutex<VecDeque<(Instant, Load)>>,
@@ -71,6 +75,8 @@
                 .then(|| Engine::new(&cfg.service, cfg.engine.clone(), journal.clone())),
             seq: AtomicU64::new(0),
             gates: Mutex::new(cfg.gates.clone()),
+            limit: Mutex::default(),
+            arrivals: Mutex::default(),
             leaving: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
             samples: Mutex::default(),
@@ -89,6 +95,24 @@
         self.announce_now.notify_one();
     }
 
+    pub(crate) fn set_limit(&self, limit: Option<&str>) {
+        *self.limit.lock().expect("no panic under this lock") = limit.map(str::to_owned);
+    }
+
+    pub(crate) fn limit(&self) -> Option<String> {
+        self.limit.lock().expect("no panic under this lock").clone()
+    }
+
+    pub(crate) fn record_arrival(&self) {
+        let mut arrivals = self.arrivals.lock().expect("no panic under this lock");
+        arrivals.push(Instant::now());
+    }
+
+    pub(crate) fn arrivals(&self) -> Vec<Instant> {
+        let arrivals = self.arrivals.lock().expect("no panic under this lock");
+        arrivals.clone()
+    }
+
     pub(crate) fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::SeqCst)
     }
--- a/crates/controller/examples/cost.rs
+++ b/crates/controller/examples/cost.rs
@@ -92,6 +92,7 @@
             slots: None,
             calls: 3,
             silent_ms: 400,
+            rate: None,
         };
         (view.endpoint.clone(), view)
     });
--- a/crates/controller/tests/memory.rs
+++ b/crates/controller/tests/memory.rs
@@ -38,6 +38,7 @@
         slots: None,
         calls: 0,
         silent_ms: 0,
+        rate: None,
     }
 }
 
--- a/crates/controller/tests/plan.rs
+++ b/crates/controller/tests/plan.rs
@@ -56,6 +56,7 @@
         slots: None,
         calls: 0,
         silent_ms: 0,
+        rate: None,
     }
 }
 
--- a/crates/controller/tests/roles.rs
+++ b/crates/controller/tests/roles.rs
@@ -35,6 +35,7 @@
         slots: None,
         calls: 0,
         silent_ms: 0,
+        rate: None,
     }
 }
 
--- a/crates/forward/src/availability.rs
+++ b/crates/forward/src/availability.rs
@@ -24,6 +24,8 @@
     ZoneCut,
     /// The endpoint requested a pause.
     Paused(Instant),
+    /// All gates together have used up the request rate that the endpoint names.
+    Limited(Instant),
     /// Another endpoint responded at its address.
     Misplaced(Instant),
     /// Connections to the endpoint fail.
@@ -36,11 +38,12 @@
 
 impl UnavailableReason {
     /// All labels, in order of precedence.
-    pub(crate) const LABELS: [&'static str; 8] = [
+    pub(crate) const LABELS: [&'static str; 9] = [
         "leaving",
         "suspect",
         "zone_cut",
         "paused",
+        "limited",
         "misplaced",
         "unreached",
         "ejected",
@@ -54,6 +57,7 @@
             Self::Suspect => "suspect",
             Self::ZoneCut => "zone_cut",
             Self::Paused(_) => "paused",
+            Self::Limited(_) => "limited",
             Self::Misplaced(_) => "misplaced",
             Self::Unreached(_) => "unreached",
             Self::Ejected(_) => "ejected",
@@ -66,6 +70,7 @@
         match self {
             Self::Leaving | Self::Suspect | Self::ZoneCut => None,
             Self::Paused(until)
+            | Self::Limited(until)
             | Self::Misplaced(until)
             | Self::Unreached(until)
             | Self::Ejected(until)
@@ -76,7 +81,9 @@
     /// Returns true if the endpoint must not get work even when no other endpoint is available.
     pub(crate) fn is_hard(self) -> bool {
         match self {
-            Self::Leaving | Self::Suspect | Self::ZoneCut | Self::Paused(_) => true,
+            Self::Leaving | Self::Suspect | Self::ZoneCut | Self::Paused(_) | Self::Limited(_) => {
+                true
+            }
             Self::Misplaced(_) | Self::Unreached(_) | Self::Ejected(_) | Self::Full(_) => false,
         }
     }
@@ -143,6 +150,7 @@
         &self,
         state: EndpointState,
         is_zone_reachable: bool,
+        limited: Option<Instant>,
         ejected: Option<Instant>,
         now: Instant,
     ) -> Option<UnavailableReason> {
@@ -156,6 +164,7 @@
         }
         let paused = not_over(self.paused_until).map(UnavailableReason::Paused);
         paused
+            .or_else(|| not_over(limited).map(UnavailableReason::Limited))
             .or_else(|| not_over(self.misplaced_until).map(UnavailableReason::Misplaced))
             .or_else(|| not_over(self.unreached_until).map(UnavailableReason::Unreached))
             .or_else(|| not_over(ejected).map(UnavailableReason::Ejected))
--- a/crates/forward/src/batch.rs
+++ b/crates/forward/src/batch.rs
@@ -23,7 +23,7 @@
     let now = Instant::now();
     let items: Vec<Item<'_>> = next.jobs.iter().map(|job| batch_item(job, now)).collect();
     let req = (cx.dialect.write_batch)(&items, &next.target.name);
-    if next.target.stats().limit.is_some() {
+    if next.target.stats().permits.limit().is_some() {
         cx.metrics
             .record_limited_call(&next.target.service, "batch");
     }
@@ -38,7 +38,8 @@
     let class = (cx.dialect.classify)("", exchange.status, &exchange.headers);
     if class.is_from_target() {
         let notice = (cx.dialect.notice)(exchange.status, &exchange.headers);
-        cx.fleet.apply_notice(&next.target, notice, &cx.vm);
+        let sent_at = (class == ResponseClass::Success).then_some(now);
+        cx.fleet.apply_notice(&next.target, notice, &cx.vm, sent_at);
     }
     match class {
         ResponseClass::Success => {}
--- a/crates/forward/src/collector.rs
+++ b/crates/forward/src/collector.rs
@@ -5,6 +5,7 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
+    net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, Ordering},
@@ -24,16 +25,19 @@
     batch,
     batch_outcome::{BatchOutcome, ItemFailure},
     dialect::Dialect,
-    fleet::Fleet,
+    fleet::{Fleet, Target},
     messages::{StageFailure, StoredResult, Submission},
     metrics::Metrics,
-    queue::{Job, NextCall, Queue},
+    queue::{Job, NextCall, NextStep, Queue},
+    rate_limit::{PermitRequest, RateLimits},
     rules::Rules,
     ticket::Ticket,
 };
 
 /// Time during which released results are collected into one release request.
 const RELEASE_DELAY: Duration = Duration::from_millis(25);
+/// The same for an endpoint that names a request rate, since each request counts there.
+const DEFERRED_RELEASE_DELAY: Duration = Duration::from_secs(1);
 /// Timeout of a release request.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time after which an endpoint that starts calls at once has fetched the inputs of its items: the
@@ -50,6 +54,7 @@
     pub(crate) pool: Pool,
     pub(crate) rules: watch::Receiver<Arc<Rules>>,
     pub(crate) budget: Arc<routing::RetryBudget>,
+    pub(crate) rate_limits: RateLimits,
     /// The VM name of this gate.
     pub(crate) vm: String,
     pub(crate) metrics: Metrics,
@@ -234,33 +239,71 @@
         }
     }
 
-    async fn send_releases(&self, service: &str, active: &ActiveQueue) {
+    async fn send_releases(&self, service: &str, active: &Arc<ActiveQueue>) {
         let releases = active.queue().take_releases();
-        let cx = &self.shared.cx;
+        let fleet = &self.shared.cx.fleet;
         for (address, handles) in releases {
-            let deadline = Instant::now() + RELEASE_TIMEOUT;
-            let req = (cx.dialect.write_release)(&handles);
-            let target = cx.fleet.target_at(service, address);
-            if target.as_ref().is_some_and(|t| t.stats().limit.is_some()) {
-                cx.metrics.record_limited_call(service, "release");
-            }
-            let sent = crate::call::send(&cx.pool, address, req, deadline).await;
-            // If the release request is lost, the results expire by themselves.
-            if let Ok(exchange) = sent {
-                let notice = (cx.dialect.notice)(exchange.status, &exchange.headers);
-                if let Some(target) = target {
-                    cx.fleet.apply_notice(&target, notice, &cx.vm);
+            let target = fleet.target_at(service, address);
+            let is_limited = |t: &Arc<Target>| t.stats().permits.limit().is_some();
+            match target {
+                Some(target) if is_limited(&target) => {
+                    if active.queue().defer_release(address, handles) {
+                        let (collector, active) = (self.clone(), Arc::clone(active));
+                        tokio::spawn(async move {
+                            collector.send_deferred_release(&active, &target).await;
+                        });
+                    }
                 }
-                let _ = exchange.read_body(&cx.pool, usize::MAX, deadline).await;
-                let mut queue = active.queue();
-                for handle in &handles {
-                    queue.release(handle);
+                target => {
+                    self.send_release(active, address, target.as_deref(), &handles)
+                        .await;
                 }
             }
         }
         active.wake.notify_one();
     }
 
+    /// Releases results on an endpoint that names a request rate, once a permit is available. Until
+    /// then further results are collected. Without a permit, the results expire by themselves.
+    async fn send_deferred_release(&self, active: &ActiveQueue, target: &Arc<Target>) {
+        let until = Instant::now() + active.queue().result_retention();
+        sleep(DEFERRED_RELEASE_DELAY).await;
+        let rate_limits = &self.shared.cx.rate_limits;
+        let is_permitted = timeout_at(until, rate_limits.await_permit(target)).await;
+        let handles = active.queue().take_deferred(target.address);
+        if is_permitted.is_ok() {
+            let metrics = &self.shared.cx.metrics;
+            metrics.record_limited_call(&target.service, "release");
+            self.send_release(active, target.address, Some(target), &handles)
+                .await;
+            active.wake.notify_one();
+        }
+    }
+
+    async fn send_release(
+        &self,
+        active: &ActiveQueue,
+        address: SocketAddr,
+        target: Option<&Target>,
+        handles: &[String],
+    ) {
+        let cx = &self.shared.cx;
+        let deadline = Instant::now() + RELEASE_TIMEOUT;
+        let req = (cx.dialect.write_release)(handles);
+        let sent = crate::call::send(&cx.pool, address, req, deadline).await;
+        // If the release request is lost, the results expire by themselves.
+        let Ok(exchange) = sent else { return };
+        let notice = (cx.dialect.notice)(exchange.status, &exchange.headers);
+        if let Some(target) = target {
+            cx.fleet.apply_notice(target, notice, &cx.vm, None);
+        }
+        let _ = exchange.read_body(&cx.pool, usize::MAX, deadline).await;
+        let mut queue = active.queue();
+        for handle in handles {
+            queue.release(handle);
+        }
+    }
+
     fn tickets(&self) -> MutexGuard<'_, HashMap<u64, Arc<Ticket>>> {
         let tickets = &self.shared.tickets;
         tickets.lock().unwrap_or_else(PoisonError::into_inner)
@@ -306,22 +349,37 @@
         let next = match &pool {
             Some(pool) => {
                 let reachable = collector.shared.cx.fleet.reachable();
-                active.queue().next_call(pool, &reachable, Instant::now())
+                active.queue().next_step(pool, &reachable, Instant::now())
             }
-            None => None,
+            None => NextStep::Wait,
         };
         match next {
-            Some(next) => {
+            NextStep::Call(next) => {
                 let metrics = &collector.shared.cx.metrics;
                 metrics.record_cross_zone_bytes(&service, next.crossing_bytes());
                 metrics.record_batch_bound(&service, next.bound.label());
                 tokio::spawn(run_call(collector.clone(), Arc::clone(&active), next));
             }
-            None => wait(&active).await,
+            NextStep::RequestPermit(target) => {
+                let rate_limits = collector.shared.cx.rate_limits.clone();
+                let request = PermitRequest::new(&target);
+                tokio::spawn(request_permits(rate_limits, Arc::clone(&active), request));
+            }
+            NextStep::Wait => wait(&active).await,
         }
     }
 }
 
+/// Completes a request for permits, and wakes the queue.
+async fn request_permits(
+    rate_limits: RateLimits,
+    active: Arc<ActiveQueue>,
+    request: PermitRequest,
+) {
+    rate_limits.request_permits(request).await;
+    active.wake.notify_one();
+}
+
 /// Waits for a notification, or for at most `CHECK_INTERVAL` if items are queued.
 async fn wait(active: &ActiveQueue) {
     let has_items = !active.queue().is_empty();
--- a/crates/forward/src/error.rs
+++ b/crates/forward/src/error.rs
@@ -53,6 +53,9 @@
     /// Every endpoint that would take new work has requested a pause.
     #[error("every endpoint asked for a pause")]
     Paused,
+    /// The request rates that its endpoints name are used up.
+    #[error("the request rates that its endpoints name are used up")]
+    Limited,
     /// Every endpoint is full.
     #[error("every endpoint is full")]
     Full,
@@ -78,6 +81,7 @@
             Self::NotConfirmed => "not_confirmed",
             Self::NoEndpoint => "no_endpoint",
             Self::Paused => "paused",
+            Self::Limited => "limited",
             Self::Full => "full",
             Self::StagesLate => "stages_late",
             Self::InputsGone => "inputs_gone",
--- a/crates/forward/src/fleet.rs
+++ b/crates/forward/src/fleet.rs
@@ -1,6 +1,7 @@
 //! The endpoints known to this gate, from the keepers and from its own calls.
 
 mod departures;
+mod rates;
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -22,6 +23,7 @@
     availability::{AvailabilityState, Departure, UnavailableReason},
     cache::PrefixCache,
     latency::{LatencyFit, LatencyModel, Slowness},
+    permits::{CallPermission, Permits},
 };
 
 /// Service under which gates announce themselves; no declared service can have this name.
@@ -80,8 +82,8 @@
     pub(crate) other_calls_at: Option<Instant>,
     pub(crate) slowness: Slowness,
     pub(crate) cache: PrefixCache,
-    /// Requests per second that the endpoint takes from all gates together, if it names a limit.
-    pub(crate) limit: Option<f64>,
+    /// The request rate that the endpoint takes from all gates together.
+    pub(crate) permits: Permits,
     health: Health,
     availability: AvailabilityState,
 }
@@ -138,10 +140,16 @@
     ) -> Option<UnavailableReason> {
         let stats = self.stats();
         let ejected = stats.health.ejected_until();
+        let limited = stats.permits.refused_until(now);
         let is_zone_reachable = reachable.contains(&self.az);
         stats
             .availability
-            .reason_at(stats.state, is_zone_reachable, ejected, now)
+            .reason_at(stats.state, is_zone_reachable, limited, ejected, now)
+    }
+
+    /// Takes a permit for a call if the endpoint names a request rate.
+    pub(crate) fn try_take_permit(&self, now: Instant) -> CallPermission {
+        self.stats().permits.try_take(now)
     }
 }
 
@@ -186,12 +194,13 @@
     pools: Arc<RwLock<HashMap<String, Arc<Pool>>>>,
     reachable: Arc<RwLock<Arc<ReachableZones>>>,
     ejections: Arc<AtomicU64>,
-    /// Endpoints that keepers no longer list but whose requested pause is still in effect.
-    removed_paused: Arc<Mutex<Vec<Arc<Target>>>>,
+    /// Endpoints that keepers no longer list, whose requested pause or request rate is remembered.
+    removed: Arc<Mutex<Vec<Arc<Target>>>>,
     /// Endpoints that reported that they are leaving, by name.
     departures: Arc<Mutex<BTreeMap<String, Departure>>>,
-    /// Incremented for each departure that an endpoint reports to this gate.
-    departure_updates: watch::Sender<u64>,
+    /// Incremented for each departure and each new request rate that an endpoint reports to this
+    /// gate.
+    notice_updates: watch::Sender<u64>,
 }
 
 /// Endpoint counts of one service.
@@ -335,13 +344,13 @@
         let departures = self.departures();
         let mut pools = self.pools.write().unwrap_or_else(PoisonError::into_inner);
         let old = std::mem::take(&mut *pools);
-        let mut removed_paused = self.removed_paused();
+        let mut removed = self.removed();
         for (service, views) in by_service {
             let before = old.get(service);
             let known = before
                 .iter()
                 .flat_map(|pool| &pool.targets)
-                .chain(&*removed_paused);
+                .chain(&*removed);
             let known: Vec<&Arc<Target>> = known.filter(|t| t.service == service).collect();
             let target = |view: &&EndpointView| target_for(view, &known, memory(service));
             let pool = Pool {
@@ -355,8 +364,8 @@
         }
         log_removed(&old, &pools);
         let now = Instant::now();
-        removed_paused.extend(old.values().flat_map(|pool| &pool.targets).cloned());
-        removed_paused.retain(|t| t.stats().availability.is_paused(now) && !is_known(&pools, t));
+        removed.extend(old.values().flat_map(|pool| &pool.targets).cloned());
+        removed.retain(|t| t.is_restrained(now) && !is_known(&pools, t));
         for target in pools.values().flat_map(|pool| &pool.targets) {
             if departures
                 .get(&target.name)
@@ -364,13 +373,14 @@
             {
                 target.stats().availability.mark_leaving();
             }
+            if let Some(observed) = mirror.rates.get(&target.name) {
+                target.record_rate(*observed, "keepers");
+            }
         }
     }
 
-    fn removed_paused(&self) -> MutexGuard<'_, Vec<Arc<Target>>> {
-        self.removed_paused
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+    fn removed(&self) -> MutexGuard<'_, Vec<Arc<Target>>> {
+        self.removed.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Records the result of a call to `target` and ejects it if too many calls failed.
@@ -475,7 +485,7 @@
             other_calls_at: None,
             slowness: Slowness::new(),
             cache: PrefixCache::new(memory.unwrap_or(DEFAULT_MEMORY_TOKENS)),
-            limit: None,
+            permits: Permits::default(),
             health: Health::new(ejection_config()),
             availability: AvailabilityState::default(),
         }),
--- a/crates/forward/src/fleet/departures.rs
+++ b/crates/forward/src/fleet/departures.rs
@@ -7,7 +7,7 @@
 
 use logs::Event;
 use membership::{EndpointState, LeavingNotice, Mirror};
-use outbound::{NamedRate, Notice};
+use outbound::Notice;
 use tokio::{sync::watch, time::Instant};
 
 use super::{Fleet, Target};
@@ -23,8 +23,15 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Applies the notice of a response from `target` to the gate `vm`.
-    pub(crate) fn apply_notice(&self, target: &Target, notice: Notice, vm: &str) {
+    /// Applies the notice of a response from `target` to the gate `vm`. `sent_at` is when the request
+    /// was sent, if the response would name a limit that is in effect.
+    pub(crate) fn apply_notice(
+        &self,
+        target: &Target,
+        notice: Notice,
+        vm: &str,
+        sent_at: Option<Instant>,
+    ) {
         let now = Instant::now();
         target.stats().availability.record_response();
         if notice.is_leaving {
@@ -34,10 +41,10 @@
                 since: now,
             };
             if self.record_departure(&target.name, departure) {
-                self.departure_updates.send_modify(|count| *count += 1);
+                self.notice_updates.send_modify(|count| *count += 1);
             }
         }
-        self.record_rate(target, notice.rate, vm);
+        self.record_named_rate(target, notice.rate, sent_at, vm);
         let pause = notice
             .pause
             .and_then(|pause| target.stats().availability.pause(pause, now));
@@ -53,26 +60,6 @@
         }
     }
 
-    /// Records the request rate that a response of `target` to the gate `vm` names.
-    fn record_rate(&self, target: &Target, rate: NamedRate, vm: &str) {
-        let limit = match rate {
-            NamedRate::PerSecond(per_second) => Some(per_second),
-            NamedRate::Unlimited => None,
-            NamedRate::Unreadable => return,
-        };
-        if std::mem::replace(&mut target.stats().limit, limit) != limit {
-            logs::write(
-                None,
-                &Event::EndpointLimited {
-                    endpoint: target.name.clone(),
-                    service: target.service.clone(),
-                    per_second: limit,
-                    source: vm.to_owned(),
-                },
-            );
-        }
-    }
-
     /// Records a departure reported by another gate.
     pub(crate) fn record_reported_departure(&self, leaving: LeavingNotice) {
         let departure = Departure {
@@ -112,9 +99,10 @@
         true
     }
 
-    /// Returns a counter that changes whenever an endpoint reports to this gate that it is leaving.
-    pub(crate) fn departure_updates(&self) -> watch::Receiver<u64> {
-        self.departure_updates.subscribe()
+    /// Returns a counter that changes whenever an endpoint reports to this gate that it is leaving,
+    /// or another request rate.
+    pub(crate) fn notice_updates(&self) -> watch::Receiver<u64> {
+        self.notice_updates.subscribe()
     }
 
     /// Returns endpoints that reported that they are leaving while the keepers list them as ready.
--- a/crates/forward/src/fleet/tests.rs
+++ b/crates/forward/src/fleet/tests.rs
@@ -45,14 +45,14 @@
     };
     fleet
         .place(&requirements)
-        .map(|flight| flight.target.name.clone())
+        .map(|placed| placed.ready().target.name.clone())
 }
 
 /// Applies the notice of a response from endpoint `name`.
 fn apply_notice(fleet: &Fleet, name: &str, notice: Notice) {
     let pool = fleet.pool("desk").unwrap();
     let target = pool.targets.iter().find(|t| t.name == name).unwrap();
-    fleet.apply_notice(target, notice, "gate-1");
+    fleet.apply_notice(target, notice, "gate-1", None);
 }
 
 fn pause_notice(seconds: u32) -> Notice {
@@ -91,7 +91,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_departure_reported_by_a_gate_applies_and_is_unconfirmed_until_keepers_agree() {
     let fleet = fleet(&[endpoint("old", 1), endpoint("new", 1)]);
-    let news = fleet.departure_updates();
+    let news = fleet.notice_updates();
     fleet.record_reported_departure(LeavingNotice {
         endpoint: "old".to_owned(),
         incarnation: Uuid::from_u128(1),
@@ -147,14 +147,14 @@
     let pool = fleet.pool("desk").unwrap();
     let target = &pool.targets[0];
     for _ in 0..10 {
-        fleet.apply_notice(target, pause_notice(1), "gate-1");
+        fleet.apply_notice(target, pause_notice(1), "gate-1", None);
     }
     assert_eq!(fleet.ejections(), 0);
     for _ in 0..3 {
         fleet.record_call_result(target, true);
     }
     assert_eq!(fleet.ejections(), 1);
-    fleet.apply_notice(target, pause_notice(1), "gate-1");
+    fleet.apply_notice(target, pause_notice(1), "gate-1", None);
     advance(SECOND).await;
     let reason = target.unavailable_reason(&fleet.reachable(), tokio::time::Instant::now());
     assert_eq!(reason.map(super::UnavailableReason::label), Some("ejected"));
@@ -196,7 +196,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_known_departure_is_not_reported_again_and_an_earlier_incarnation_does_not_undo_it() {
     let fleet = fleet(&[endpoint("old", 5)]);
-    let news = fleet.departure_updates();
+    let news = fleet.notice_updates();
     for _ in 0..3 {
         apply_notice(&fleet, "old", LEAVING);
     }
--- a/crates/forward/src/gates.rs
+++ b/crates/forward/src/gates.rs
@@ -15,6 +15,8 @@
 
 use crate::fleet::GATE_SERVICE;
 
+/// Name under which gates are ordered for granting permits; no declared service can have it.
+const LIMITER: &str = "@limiter";
 /// Up to this number of gates, one gate collects a service's items of all availability zones.
 const MAX_SHARED_GATES: usize = 16;
 /// A link without a frame for this long is dropped, which reveals an unreachable zone.
@@ -23,6 +25,9 @@
 const DIAL_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time in which a lost link is expected to come up again if its gate still runs.
 const REDIAL_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time for which the share of a gate in the request rates of endpoints is reserved after the
+/// keepers no longer list it: it may be cut off from them and still call endpoints.
+const SHARE_RETENTION: Duration = Duration::from_secs(20);
 /// Number of standby gates, next in the order of a service, to which links are kept.
 const STANDBY: usize = 1;
 
@@ -37,6 +42,24 @@
     Unavailable,
 }
 
+/// Which gate grants permits for the endpoints of an availability zone that name a request rate.
+#[derive(Clone, Debug)]
+pub(crate) enum LimiterChoice {
+    /// This gate.
+    Local,
+    /// Another gate.
+    Remote(Peer),
+    /// None of the gates that may do so is reachable.
+    Unavailable,
+}
+
+/// A gate that the keepers no longer list.
+#[derive(Clone, Debug)]
+struct UnlistedGate {
+    az: String,
+    since: Instant,
+}
+
 /// A gate known to the keepers.
 #[derive(Clone, Debug)]
 struct Gate {
@@ -110,6 +133,8 @@
     collectors: HashMap<(String, String), String>,
     /// True while this gate shuts down, so that other gates collect.
     is_leaving: bool,
+    /// Gates that were listed before, by name.
+    unlisted: BTreeMap<String, UnlistedGate>,
     /// Indices into `gates` by service and availability zone, in the order in which they collect.
     orders: HashMap<(String, String), Arc<[usize]>>,
 }
@@ -138,6 +163,54 @@
         order
     }
 
+    /// Returns the gates that may grant permits for the endpoints of `az`, in an order that all gates
+    /// agree on: those of the zone, or all if it has none.
+    fn limiter_order(&mut self, az: &str) -> Arc<[usize]> {
+        let key = (LIMITER.to_owned(), az.to_owned());
+        if let Some(order) = self.orders.get(&key) {
+            return Arc::clone(order);
+        }
+        let has_gates = self.has_gates(az);
+        let rank = |gate: &Gate| xxh3_64(format!("{LIMITER}/{az}/{}", gate.name).as_bytes());
+        let gates = self.gates.iter().enumerate();
+        let mut order: Vec<(u64, usize)> = gates
+            .filter(|(_, gate)| !has_gates || gate.az == az)
+            .map(|(index, gate)| (rank(gate), index))
+            .collect();
+        order.sort_unstable();
+        let order: Arc<[usize]> = order.into_iter().map(|(_, index)| index).collect();
+        self.orders.insert(key, Arc::clone(&order));
+        order
+    }
+
+    /// Returns true if `az` has or recently had gates.
+    fn has_gates(&self, az: &str) -> bool {
+        self.gates.iter().any(|gate| gate.az == az)
+            || self.recently_unlisted().any(|(_, gate)| gate.az == az)
+    }
+
+    fn recently_unlisted(&self) -> impl Iterator<Item = (&String, &UnlistedGate)> {
+        let is_recent = |gate: &UnlistedGate| gate.since.elapsed() < SHARE_RETENTION;
+        self.unlisted
+            .iter()
+            .filter(move |(_, gate)| is_recent(gate))
+    }
+
+    /// Records which gates are no longer listed compared with `before`.
+    fn update_unlisted(&mut self, before: &[Gate]) {
+        let since = Instant::now();
+        for gate in before {
+            let az = gate.az.clone();
+            self.unlisted
+                .insert(gate.name.clone(), UnlistedGate { az, since });
+        }
+        for gate in &self.gates {
+            self.unlisted.remove(&gate.name);
+        }
+        self.unlisted
+            .retain(|_, gate| gate.since.elapsed() < SHARE_RETENTION);
+    }
+
     /// Logs a change of the gate that collects the items of `service` in `az`.
     fn log_collector(&mut self, service: &str, az: &str, gate: &str) {
         let key = (service.to_owned(), az.to_owned());
@@ -251,12 +324,63 @@
         });
         known.gates = gates.collect();
         known.gates.push(local_gate(links));
+        known.update_unlisted(&before);
         known.orders.clear();
         if known.is_shared() {
             known.gates.iter_mut().for_each(|gate| gate.dial(links));
         }
     }
 
+    /// Returns the gate that grants permits for the endpoints of `az`: the first usable one in an
+    /// order that all gates agree on.
+    pub(crate) fn limiter_for(&self, az: &str) -> LimiterChoice {
+        let mut known = self.known();
+        let is_leaving = known.is_leaving;
+        let order = known.limiter_order(az);
+        for index in order.iter() {
+            let gate = &mut known.gates[*index];
+            gate.update_link_state();
+            gate.dial(&self.shared.links);
+            if gate.is_usable() && !(is_leaving && gate.address.is_none()) {
+                let peer = gate.peer.clone();
+                return peer.map_or(LimiterChoice::Local, LimiterChoice::Remote);
+            }
+        }
+        LimiterChoice::Unavailable
+    }
+
+    /// Returns the names of the gates with a share in the request rates of the endpoints of `az`:
+    /// those of the zone, or all if it has none, including gates that the keepers listed recently.
+    pub(crate) fn share_holders(&self, az: &str) -> Vec<String> {
+        let known = self.known();
+        let has_gates = known.has_gates(az);
+        let is_holder = |gate_az: &str| !has_gates || gate_az == az;
+        let listed = known.gates.iter().filter(|gate| is_holder(&gate.az));
+        let unlisted = known
+            .recently_unlisted()
+            .filter(|(_, gate)| is_holder(&gate.az));
+        let listed = listed.map(|gate| gate.name.clone());
+        listed
+            .chain(unlisted.map(|(name, _)| name.clone()))
+            .collect()
+    }
+
+    /// Returns links to the other gates with a share in the request rates of the endpoints of `az`,
+    /// as far as they are up.
+    pub(crate) fn linked_share_holders(&self, az: &str) -> Vec<Peer> {
+        let mut known = self.known();
+        let has_gates = known.has_gates(az);
+        let holders = known
+            .gates
+            .iter_mut()
+            .filter(|gate| !has_gates || gate.az == az);
+        let peers = holders.filter_map(|gate| {
+            gate.dial(&self.shared.links);
+            gate.peer.clone().filter(Peer::is_connected)
+        });
+        peers.collect()
+    }
+
     /// Returns the availability zones in which links to gates had been up and all of them are down
     /// now.
     pub(crate) fn unreachable_zones(&self) -> BTreeSet<String> {
--- a/crates/forward/src/messages.rs
+++ b/crates/forward/src/messages.rs
@@ -109,6 +109,12 @@
         /// When the first of these endpoints takes work again.
         retry_after: Duration,
     },
+    /// The request rates that its endpoints name are used up.
+    #[error("the request rates of its endpoints are used up for {retry_after:?}")]
+    Limited {
+        /// When the first of these endpoints takes work again.
+        retry_after: Duration,
+    },
     /// An input is gone.
     #[error("an input is gone")]
     InputGone,
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -28,6 +28,7 @@
     cross_zone_bytes: IntCounterVec,
     batch_bounds: IntCounterVec,
     limited_calls: IntCounterVec,
+    permits: IntCounterVec,
     items_without_result: IntCounterVec,
     endpoints: IntGaugeVec,
     ejections: IntCounter,
@@ -139,6 +140,11 @@
                 "Calls sent to endpoints that name a request rate: requests, batches or releases.",
                 &["service", "call"],
             )?,
+            permits: registrar.counters(
+                "permits_total",
+                "Requests for permits to call endpoints that name a request rate: granted or refused.",
+                &["service", "outcome"],
+            )?,
             items_without_result: registrar.counters(
                 "items_unmade_total",
                 "Items of batched calls without a result, by cause; many are called again.",
@@ -200,6 +206,11 @@
         self.limited_calls.with_label_values(&[service, call]).inc();
     }
 
+    /// Counts a request for permits.
+    pub(crate) fn record_permit(&self, service: &str, outcome: &str) {
+        self.permits.with_label_values(&[service, outcome]).inc();
+    }
+
     /// Counts items of a call that have no result, by cause.
     pub(crate) fn record_items_without_result(
         &self,
--- /dev/null
+++ b/crates/forward/src/permits/tests.rs
@@ -0,0 +1,74 @@
+use std::time::Duration;
+
+use membership::ObservedRate;
+use tokio::time::Instant;
+
+use super::{CallPermission, PERMIT_TTL, Permits};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn rate(per_second: Option<f64>, observed_at: Instant) -> ObservedRate {
+    ObservedRate {
+        per_second,
+        observed_at,
+    }
+}
+
+fn limited(now: Instant) -> Permits {
+    let mut permits = Permits::default();
+    assert!(permits.record_rate(rate(Some(2.0), now)));
+    permits
+}
+
+#[test]
+fn without_a_limit_no_permit_is_needed() {
+    let now = Instant::now();
+    let mut permits = Permits::default();
+    assert_eq!(permits.try_take(now), CallPermission::Granted);
+    // Nothing is recorded of an endpoint that never named a limit.
+    assert!(!permits.record_rate(rate(None, now)));
+    assert_eq!(permits.observed(), None);
+}
+
+#[test]
+fn each_permit_allows_one_call_for_a_short_time() {
+    let now = Instant::now();
+    let mut permits = limited(now);
+    assert_eq!(permits.try_take(now), CallPermission::Needed);
+    permits.grant(2, now, now);
+    assert_eq!(permits.try_take(now), CallPermission::Granted);
+    assert_eq!(permits.try_take(now + PERMIT_TTL), CallPermission::Needed);
+    permits.grant(1, now + SECOND, now + SECOND);
+    assert_eq!(permits.try_take(now + SECOND), CallPermission::Granted);
+    assert_eq!(permits.try_take(now + SECOND), CallPermission::Needed);
+}
+
+#[test]
+fn a_refusal_holds_until_its_time_is_over_or_the_limit_ends() {
+    let now = Instant::now();
+    let mut permits = limited(now);
+    permits.refuse(now + SECOND);
+    assert_eq!(permits.refused_until(now), Some(now + SECOND));
+    assert_eq!(permits.try_take(now), CallPermission::Refused(now + SECOND));
+    assert_eq!(permits.try_take(now + SECOND), CallPermission::Needed);
+    permits.refuse(now + 9 * SECOND);
+    assert!(permits.record_rate(rate(None, now + 2 * SECOND)));
+    assert_eq!(permits.try_take(now + 2 * SECOND), CallPermission::Granted);
+    assert_eq!(permits.refused_until(now + 2 * SECOND), None);
+}
+
+/// A response that was under way when the limit was named, and a late report of another gate, must
+/// not end it.
+#[test]
+fn an_earlier_observation_does_not_replace_a_later_one() {
+    let now = Instant::now();
+    let mut permits = limited(now);
+    assert!(!permits.record_rate(rate(None, now)));
+    assert!(!permits.record_rate(rate(Some(9.0), now - SECOND)));
+    assert_eq!(permits.limit(), Some(2.0));
+    // The same rate again is later, but no change.
+    assert!(!permits.record_rate(rate(Some(2.0), now + SECOND)));
+    assert!(!permits.record_rate(rate(None, now + SECOND)));
+    assert!(permits.record_rate(rate(Some(0.0), now + 2 * SECOND)));
+    assert_eq!(permits.limit(), Some(0.0));
+}
--- a/crates/forward/src/placement.rs
+++ b/crates/forward/src/placement.rs
@@ -12,6 +12,7 @@
     in_flight::InFlightCall,
     incoming::Prompt,
     latency::LatencyModel,
+    permits::CallPermission,
 };
 
 /// Penalty of an endpoint in another availability zone.
@@ -42,6 +43,15 @@
     pub(crate) avoid: &'a [String],
 }
 
+/// Result of choosing an endpoint.
+#[derive(Debug)]
+pub(crate) enum PlacedCall {
+    /// The call may be sent.
+    Ready(InFlightCall),
+    /// A permit has to be requested for this endpoint, which names a request rate.
+    NeedsPermit(Arc<Target>),
+}
+
 /// Why no endpoint was found for a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct PlacementError {
@@ -60,17 +70,26 @@
 }
 
 impl Fleet {
-    /// Chooses an endpoint and counts the call there.
+    /// Chooses an endpoint and counts the call there, unless the call needs a permit first.
     pub(crate) fn place(
         &self,
         requirements: &Requirements<'_>,
-    ) -> Result<InFlightCall, PlacementError> {
-        let chosen = self.choose(requirements)?;
-        Ok(InFlightCall::start(
-            &chosen.target,
-            &chosen.pool,
-            chosen.unread_tokens,
-        ))
+    ) -> Result<PlacedCall, PlacementError> {
+        loop {
+            let chosen = self.choose(requirements)?;
+            match chosen.target.try_take_permit(Instant::now()) {
+                CallPermission::Granted => {
+                    return Ok(PlacedCall::Ready(InFlightCall::start(
+                        &chosen.target,
+                        &chosen.pool,
+                        chosen.unread_tokens,
+                    )));
+                }
+                CallPermission::Needed => return Ok(PlacedCall::NeedsPermit(chosen.target)),
+                // Refused to another call in the meantime.
+                CallPermission::Refused(_) => {}
+            }
+        }
     }
 
     /// Returns the availability zone in which a request will probably be placed; its stages should
@@ -220,29 +239,37 @@
         self.targets.iter().filter(is_healthy)
     }
 
-    /// Returns the earliest end of a requested pause among endpoints that are unavailable only
-    /// because of it.
-    pub(crate) fn resumes_at(&self, reachable: &ReachableZones, now: Instant) -> Option<Instant> {
+    /// Returns the endpoint that is the first to take work again, and when, of those that are
+    /// unavailable only because of a requested pause or a used up request rate.
+    pub(crate) fn first_to_resume(
+        &self,
+        reachable: &ReachableZones,
+        now: Instant,
+    ) -> Option<UnavailableReason> {
         let reasons = self
             .targets
             .iter()
-            .map(|t| t.unavailable_reason(reachable, now));
-        let paused = reasons.filter_map(|reason| match reason {
-            Some(UnavailableReason::Paused(until)) => Some(until),
-            _ => None,
+            .filter_map(|t| t.unavailable_reason(reachable, now));
+        let resuming = reasons.filter(|reason| {
+            matches!(
+                reason,
+                UnavailableReason::Paused(_) | UnavailableReason::Limited(_)
+            )
         });
-        paused.min()
+        resuming.min_by_key(|reason| reason.until())
     }
 
     /// Returns why no endpoint of the pool takes work.
     fn unavailable(&self, reachable: &ReachableZones, now: Instant) -> PlacementError {
-        let paused = self.resumes_at(reachable, now);
+        let resuming = self.first_to_resume(reachable, now);
+        let until = resuming.and_then(UnavailableReason::until);
         PlacementError {
-            reason: match paused {
-                Some(_) => Refusal::Paused,
+            reason: match resuming {
+                Some(UnavailableReason::Paused(_)) => Refusal::Paused,
+                Some(_) => Refusal::Limited,
                 None => Refusal::NoEndpoint,
             },
-            retry_after: paused.map(|until| until.saturating_duration_since(now)),
+            retry_after: until.map(|until| until.saturating_duration_since(now)),
         }
     }
 }
--- a/crates/forward/src/placement/tests.rs
+++ b/crates/forward/src/placement/tests.rs
@@ -39,10 +39,10 @@
 async fn the_own_zone_is_preferred_until_it_is_loaded() {
     let fleet = fleet(&[("near", "a", READY), ("far", "b", READY)]);
     let requirements = requirements(None, &[]);
-    let first = fleet.place(&requirements).unwrap();
+    let first = fleet.place(&requirements).unwrap().ready();
     assert_eq!(first.target.name, "near");
     let mut flights = vec![first];
-    flights.extend((0..4).map(|_| fleet.place(&requirements).unwrap()));
+    flights.extend((0..4).map(|_| fleet.place(&requirements).unwrap().ready()));
     assert!(flights.iter().any(|f| f.target.name == "far"));
 }
 
@@ -52,7 +52,7 @@
     let mut flights = Vec::new();
     let refused = loop {
         match fleet.place(&requirements(None, &[])) {
-            Ok(flight) => flights.push(flight),
+            Ok(placed) => flights.push(placed.ready()),
             Err(e) => break e,
         }
     };
@@ -69,15 +69,15 @@
     let states: Vec<_> = names.iter().map(|n| (n.as_str(), "a", READY)).collect();
     let fleet = fleet(&states);
     let one = prompt("ice", "1");
-    let mut first = fleet.place(&requirements(Some(&one), &[])).unwrap();
+    let mut first = fleet.place(&requirements(Some(&one), &[])).unwrap().ready();
     first.record_first_part(Some(&one));
     let preferred = first.target.name.clone();
     drop(first);
     let two = prompt("ice", "2");
-    let second = fleet.place(&requirements(Some(&two), &[])).unwrap();
+    let second = fleet.place(&requirements(Some(&two), &[])).unwrap().ready();
     assert_eq!(second.target.name, preferred);
     // Queued tokens have to be read first.
     second.target.stats().unread_tokens += 50_000;
-    let third = fleet.place(&requirements(Some(&two), &[])).unwrap();
+    let third = fleet.place(&requirements(Some(&two), &[])).unwrap().ready();
     assert_ne!(third.target.name, preferred);
 }
--- a/crates/forward/src/queue.rs
+++ b/crates/forward/src/queue.rs
@@ -12,7 +12,7 @@
     time::Duration,
 };
 
-pub(crate) use call::{Bound, NextCall};
+pub(crate) use call::{Bound, NextCall, NextStep};
 use declaration::{BatchCapacity, Capacity};
 use endpoint_load::{CAPACITY_MISS_HALF_LIFE, EndpointLoad, HeldResult, MAX_CAPACITY_MISS_SHARE};
 pub(crate) use job::Job;
@@ -22,8 +22,10 @@
 use zone_load::ZoneLoad;
 
 use crate::{
+    availability::UnavailableReason,
     fleet::{Pool, ReachableZones, Target},
     messages::{StageFailure, Submission},
+    permits::{CallPermission, MIN_RATE},
     ticket::Ticket,
 };
 
@@ -48,6 +50,8 @@
     held_results: HashMap<String, HeldResult>,
     expiry: VecDeque<(Instant, String)>,
     releases: HashMap<SocketAddr, Vec<String>>,
+    /// Handles whose release waits for a permit.
+    deferred_releases: HashMap<SocketAddr, Vec<String>>,
     /// When the last check for stages that can no longer complete in time took place.
     shed_at: Option<Instant>,
     /// Recent share of items that found no free space.
@@ -74,6 +78,7 @@
             held_results: HashMap::new(),
             expiry: VecDeque::new(),
             releases: HashMap::new(),
+            deferred_releases: HashMap::new(),
             shed_at: None,
             capacity_misses: DecayingMean::new(CAPACITY_MISS_HALF_LIFE),
         }
@@ -105,18 +110,13 @@
         reachable: &ReachableZones,
         now: Instant,
     ) -> Result<Arc<Ticket>, StageFailure> {
-        let healthy = self.healthy(pool, reachable, now).len();
-        if healthy == 0 {
-            return Err(match pool.resumes_at(reachable, now) {
-                Some(until) => StageFailure::Paused {
-                    retry_after: until.saturating_duration_since(now),
-                },
-                None => StageFailure::NoEndpoint,
-            });
+        let slots = self.usable_slots(&self.healthy(pool, reachable, now));
+        if slots <= 0.0 {
+            return Err(unavailable(pool, reachable, now));
         }
         let due = self.elapsed_ms(now) + submission.due_ms;
         let position = due + i64::from(submission.urgency) * URGENCY_STEP_MS;
-        let wait = self.expected_wait(position, healthy);
+        let wait = self.expected_wait(position, slots);
         let call_time = self.call_time(submission.items.min(self.batch.max_items));
         if wait + call_time > submission.remaining {
             return Err(StageFailure::Crowded { retry_after: wait });
@@ -142,18 +142,32 @@
         now.saturating_duration_since(self.start).as_millis() as i64
     }
 
-    /// Estimates how long items at `position` wait for `endpoints` until those ahead of them are
-    /// completed.
-    fn expected_wait(&self, position: i64, endpoints: usize) -> Duration {
+    /// Estimates how long items at `position` wait with this number of usable `slots` until those
+    /// ahead of them are completed.
+    fn expected_wait(&self, position: i64, slots: f64) -> Duration {
         let ahead = self.jobs.range(..(position, 0)).count();
         let busy: u32 = self.loads.values().map(|load| load.calls).sum();
-        let slots = endpoints as u32 * self.slots;
-        if ahead == 0 && busy < slots {
+        if ahead == 0 && f64::from(busy) < slots {
             return Duration::ZERO;
         }
-        let full = self.call_time(self.batch.max_items);
-        let calls = ahead as f64 / f64::from(self.batch.max_items) / f64::from(slots);
-        full.mul_f64(calls) + full / (2 * slots)
+        let full = self.call_time(self.batch.max_items).as_secs_f64();
+        let calls = ahead as f64 / f64::from(self.batch.max_items) / slots;
+        let wait = full * calls + full / (2.0 * slots);
+        Duration::try_from_secs_f64(wait).unwrap_or(Duration::MAX)
+    }
+
+    /// Returns the number of slots of `endpoints` that full calls can use. An endpoint that names a
+    /// request rate uses a slot only for the duration of the calls that its rate allows.
+    fn usable_slots(&self, endpoints: &[&Arc<Target>]) -> f64 {
+        let full = self.call_time(self.batch.max_items).as_secs_f64();
+        let usable = endpoints.iter().map(|target| {
+            let limit = target.stats().permits.limit();
+            let slots = f64::from(self.slots);
+            limit.map_or(slots, |per_second| {
+                slots.min(per_second.max(MIN_RATE) * full)
+            })
+        });
+        usable.sum()
     }
 
     fn call_time(&self, items: u32) -> Duration {
@@ -183,13 +197,13 @@
     }
 
     /// Returns the next call to send, if an endpoint is free and items are waiting that may run
-    /// there.
-    pub(crate) fn next_call(
+    /// there, or the endpoint for which it needs a permit.
+    pub(crate) fn next_step(
         &mut self,
         pool: &Pool,
         reachable: &ReachableZones,
         now: Instant,
-    ) -> Option<NextCall> {
+    ) -> NextStep {
         self.expire(now);
         self.fail_late(now);
         for load in self.loads.values_mut() {
@@ -198,7 +212,7 @@
             }
         }
         let healthy = self.healthy(pool, reachable, now);
-        self.shed(healthy.len(), now);
+        self.shed(self.usable_slots(&healthy), now);
         let zones = self.zones(&healthy);
         let free: Vec<&Arc<Target>> = healthy
             .iter()
@@ -206,17 +220,22 @@
             .filter(|t| self.is_free(t, now))
             .collect();
         if free.is_empty() {
-            return None;
+            return NextStep::Wait;
         }
         let first_due = self.first_due(now);
-        let target = self.in_order(first_due).find_map(|(_, job)| {
+        let chosen = self.in_order(first_due).find_map(|(_, job)| {
             let need = job.ticket.submission.result_bytes;
             let candidates = free.iter().copied().filter(|t| {
                 self.free_bytes(&t.name) >= need && self.may_run_in(&zones, job, &t.az, now)
             });
             self.fastest(candidates, &healthy, &job.ticket.submission.az, now)
-        })?;
-        let target = Arc::clone(target);
+        });
+        let Some(target) = chosen.map(Arc::clone) else {
+            return NextStep::Wait;
+        };
+        if target.try_take_permit(now) != CallPermission::Granted {
+            return NextStep::RequestPermit(target);
+        }
         let (jobs, bound) = self.fill(&target, &zones, now);
         let bytes = jobs
             .iter()
@@ -230,7 +249,7 @@
         load.held_bytes += bytes;
         let slowness = load.slowness.factor(now).max(1.0);
         let had_capacity = self.capacity_misses.mean().unwrap_or(0.0) < MAX_CAPACITY_MISS_SHARE;
-        Some(NextCall {
+        NextStep::Call(NextCall {
             starts_at_once: load.starts_promptly && had_capacity,
             expected: self.call_time(jobs.len() as u32).mul_f64(slowness),
             target,
@@ -281,14 +300,19 @@
         zones.may_run_in(job, az, now, full, spare_ms)
     }
 
-    /// Returns the endpoints that the queue may call.
+    /// Returns the endpoints that the queue may call, including those whose request rate is used up
+    /// at the moment.
     pub(crate) fn healthy<'a>(
         &self,
         pool: &'a Pool,
         reachable: &'a ReachableZones,
         now: Instant,
     ) -> Vec<&'a Arc<Target>> {
-        let all: Vec<&Arc<Target>> = pool.healthy(reachable, now).collect();
+        let takes_work = |t: &&Arc<Target>| {
+            let reason = t.unavailable_reason(reachable, now);
+            matches!(reason, None | Some(UnavailableReason::Limited(_)))
+        };
+        let all: Vec<&Arc<Target>> = pool.targets.iter().filter(takes_work).collect();
         let is_local = |t: &&Arc<Target>| self.zone.as_ref().is_none_or(|az| t.az == *az);
         let local: Vec<&Arc<Target>> = all.iter().copied().filter(is_local).collect();
         if local.is_empty() { all } else { local }
@@ -312,7 +336,10 @@
         let load = self.loads.get(&target.name);
         let calls = load.map_or(0, |load| load.calls);
         let is_full = load.is_some_and(|load| load.full_until.is_some_and(|until| now < until));
-        calls < self.slots && !is_full
+        let stats = target.stats();
+        let is_permitted =
+            stats.permits.refused_until(now).is_none() && !stats.permits.is_pending(now);
+        calls < self.slots && !is_full && is_permitted
     }
 
     /// Counts slots and waiting items by availability zone.
@@ -373,19 +400,30 @@
     }
 }
 
+/// Returns why no endpoint of `pool` takes work.
+fn unavailable(pool: &Pool, reachable: &ReachableZones, now: Instant) -> StageFailure {
+    let resuming = pool.first_to_resume(reachable, now);
+    let until = resuming.and_then(UnavailableReason::until);
+    let retry_after = until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now));
+    match resuming {
+        Some(UnavailableReason::Paused(_)) => StageFailure::Paused { retry_after },
+        Some(_) => StageFailure::Limited { retry_after },
+        None => StageFailure::NoEndpoint,
+    }
+}
+
 impl Queue {
     /// Fails stages that have not started and can no longer complete in time because more urgent
     /// items arrived later and moved ahead of them. If their requests learn of it now and not at
     /// their deadline, they may still be served in another availability zone or retry.
-    fn shed(&mut self, endpoints: usize, now: Instant) {
+    fn shed(&mut self, slots: f64, now: Instant) {
         let is_early = self.shed_at.is_some_and(|at| now < at + SHED_INTERVAL);
-        if endpoints == 0 || is_early {
+        if slots <= 0.0 || is_early {
             return;
         }
         self.shed_at = Some(now);
-        let calls_at_once = (endpoints * self.slots as usize) as f64;
         let full = self.call_time(self.batch.max_items);
-        let time_per_item = full.div_f64(calls_at_once * f64::from(self.batch.max_items));
+        let time_per_item = full.div_f64(slots * f64::from(self.batch.max_items));
         let (call_time, mut ahead) = (self.call_time(1), 0_u32);
         let mut late: HashMap<u64, Arc<Ticket>> = HashMap::new();
         for (_, job) in self.in_order(self.first_due(now)) {
--- a/crates/forward/src/queue/call.rs
+++ b/crates/forward/src/queue/call.rs
@@ -27,6 +27,17 @@
     }
 }
 
+/// What a queue does next.
+#[derive(Debug)]
+pub(crate) enum NextStep {
+    /// Sends this call.
+    Call(NextCall),
+    /// Requests a permit for a call to this endpoint.
+    RequestPermit(Arc<Target>),
+    /// Waits for items, or for an endpoint that they may run on.
+    Wait,
+}
+
 /// A call that can be sent now.
 #[derive(Debug)]
 pub(crate) struct NextCall {
--- a/crates/forward/src/queue/endpoint_load.rs
+++ b/crates/forward/src/queue/endpoint_load.rs
@@ -165,6 +165,25 @@
         std::mem::take(&mut self.releases)
     }
 
+    /// Keeps `handles` until a permit for their release is available. Returns true if none were kept
+    /// for this address before.
+    pub(crate) fn defer_release(&mut self, address: SocketAddr, handles: Vec<String>) -> bool {
+        let deferred = self.deferred_releases.entry(address).or_default();
+        let is_first = deferred.is_empty();
+        deferred.extend(handles);
+        is_first && !deferred.is_empty()
+    }
+
+    /// Takes the handles whose release waits for a permit.
+    pub(crate) fn take_deferred(&mut self, address: SocketAddr) -> Vec<String> {
+        self.deferred_releases.remove(&address).unwrap_or_default()
+    }
+
+    /// How long an endpoint keeps results that are not released.
+    pub(crate) fn result_retention(&self) -> Duration {
+        self.batch.result_retention
+    }
+
     /// Records that the endpoint had no free space although the tracked bytes left some. The
     /// untracked bytes are assumed to be freed soon.
     pub(crate) fn record_no_capacity(&mut self, endpoint: &str, bytes: u64, now: Instant) {
--- a/crates/forward/src/queue/tests.rs
+++ b/crates/forward/src/queue/tests.rs
@@ -5,7 +5,7 @@
 use declaration::{BatchCapacity, Capacity};
 use tokio::time::{Instant, sleep};
 
-use super::{Bound, Queue, SHED_INTERVAL};
+use super::{Bound, NextCall, NextStep, Queue, SHED_INTERVAL};
 use crate::{
     batch_outcome::{BatchOutcome, ItemFailure},
     fleet::{Fleet, Pool, ReachableZones},
@@ -24,6 +24,21 @@
     fleet.pool("ice").unwrap()
 }
 
+impl Queue {
+    /// Returns the next call if one can be sent without a permit.
+    fn next_call(
+        &mut self,
+        pool: &Pool,
+        reachable: &ReachableZones,
+        now: Instant,
+    ) -> Option<NextCall> {
+        match self.next_step(pool, reachable, now) {
+            NextStep::Call(next) => Some(next),
+            NextStep::RequestPermit(_) | NextStep::Wait => None,
+        }
+    }
+}
+
 fn queue() -> Queue {
     let mut queue = Queue::new(None);
     queue.set_capacity(&Capacity {
--- /dev/null
+++ b/crates/forward/src/rate_limit/limiter.rs
@@ -0,0 +1,109 @@
+//! Token buckets of the endpoints for which this gate grants permits.
+
+use std::{collections::HashMap, time::Duration};
+
+use membership::ObservedRate;
+use routing::TokenBucket;
+use tokio::time::Instant;
+use uuid::Uuid;
+
+use crate::permits::MIN_RATE;
+
+/// Time in which the tokens of the largest burst accrue.
+const BURST_TIME: Duration = Duration::from_millis(100);
+/// Time for which permits are granted at once.
+const GRANT_TIME: Duration = Duration::from_millis(20);
+/// Retry time without any share in the rate.
+const NO_SHARE_DELAY: Duration = Duration::from_millis(250);
+/// Maximum number of endpoints with a bucket; the one that was used least recently is dropped.
+const MAX_ENDPOINTS: usize = 4_096;
+
+/// Reply to a request for permits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Grant {
+    /// This number of calls may be sent.
+    Permits(u32),
+    /// No call may be sent before this time has passed.
+    Refused(Duration),
+}
+
+#[derive(Debug)]
+struct Endpoint {
+    incarnation: Uuid,
+    observed: ObservedRate,
+    bucket: TokenBucket,
+    used: Instant,
+}
+
+/// Grants permits, by endpoint name.
+#[derive(Debug, Default)]
+pub(crate) struct Limiter {
+    endpoints: HashMap<String, Endpoint>,
+}
+
+impl Limiter {
+    /// Records the request rate that an incarnation of `endpoint` named.
+    pub(crate) fn observe(
+        &mut self,
+        endpoint: &str,
+        incarnation: Uuid,
+        observed: ObservedRate,
+        now: Instant,
+    ) {
+        if let Some(known) = self.endpoints.get_mut(endpoint) {
+            if incarnation < known.incarnation {
+                return;
+            }
+            if incarnation == known.incarnation {
+                if observed.supersedes(Some(known.observed)) {
+                    let is_renewed = known.observed.per_second.is_none();
+                    known.observed = observed;
+                    if is_renewed {
+                        known.bucket = TokenBucket::empty(now);
+                    }
+                }
+                return;
+            }
+        }
+        self.drop_least_recently_used();
+        let known = Endpoint {
+            incarnation,
+            observed,
+            bucket: TokenBucket::empty(now),
+            used: now,
+        };
+        self.endpoints.insert(endpoint.to_owned(), known);
+    }
+
+    /// Grants permits for calls to `endpoint` with `fraction` of the shares in its rate.
+    pub(crate) fn grant(&mut self, endpoint: &str, fraction: f64, now: Instant) -> Grant {
+        let Some(known) = self.endpoints.get_mut(endpoint) else {
+            return Grant::Permits(1);
+        };
+        known.used = now;
+        let Some(limit) = known.observed.per_second else {
+            return Grant::Permits(1);
+        };
+        let rate = limit.max(MIN_RATE) * fraction;
+        let burst = (rate * BURST_TIME.as_secs_f64()).max(1.0);
+        known.bucket.refill(rate, burst, now);
+        let wanted = (rate * GRANT_TIME.as_secs_f64()).max(1.0) as u32;
+        match known.bucket.take(wanted) {
+            0 => Grant::Refused(known.bucket.time_to_token(rate).unwrap_or(NO_SHARE_DELAY)),
+            permits => Grant::Permits(permits),
+        }
+    }
+
+    fn drop_least_recently_used(&mut self) {
+        if self.endpoints.len() < MAX_ENDPOINTS {
+            return;
+        }
+        let oldest = self.endpoints.iter().min_by_key(|(_, known)| known.used);
+        if let Some(name) = oldest.map(|(name, _)| name.clone()) {
+            self.endpoints.remove(&name);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/forward/src/rate_limit/messages.rs
@@ -0,0 +1,46 @@
+//! Messages between gates about the request rates of endpoints.
+
+use std::time::Duration;
+
+use derives::record;
+use membership::RateReport;
+
+/// A request to another gate.
+#[record]
+pub(crate) enum LimitRequest {
+    /// Requests permits for calls to an endpoint of the availability zone for which the receiver
+    /// grants them; carries the rate that the requester knows.
+    #[serde(rename = "p")]
+    Permits {
+        /// The availability zone.
+        #[serde(rename = "z")]
+        az: String,
+        /// The endpoint and its rate.
+        #[serde(rename = "e")]
+        report: RateReport,
+    },
+    /// Requests the receiver's share in the rates of the endpoints of an availability zone.
+    #[serde(rename = "l")]
+    Share {
+        /// The availability zone.
+        #[serde(rename = "z")]
+        az: String,
+        /// The requester.
+        #[serde(rename = "g")]
+        borrower: String,
+    },
+}
+
+/// The reply to a [`LimitRequest`].
+#[record]
+pub(crate) enum LimitReply {
+    /// To [`LimitRequest::Permits`]: this number of calls may be sent.
+    #[serde(rename = "g")]
+    Granted(u32),
+    /// To [`LimitRequest::Permits`]: none may be sent before this time has passed.
+    #[serde(rename = "r")]
+    Refused(Duration),
+    /// To [`LimitRequest::Share`]: true if the share is lent to the requester.
+    #[serde(rename = "s")]
+    Share(bool),
+}
--- a/crates/forward/src/serving.rs
+++ b/crates/forward/src/serving.rs
@@ -16,7 +16,8 @@
     incoming::IncomingRequest,
     messages::StageFailure,
     metrics::Metrics,
-    placement::{PlacementError, Requirements},
+    placement::{PlacedCall, PlacementError, Requirements},
+    rate_limit::{PermitRequest, RateLimits},
     response::{Response, WholeResponse},
     rules::{Caller, MatchedRoute, pick_service, urgency},
     stages::{Results, StageContext, Stages},
@@ -40,6 +41,7 @@
     pub(crate) pool: outbound::Pool,
     pub(crate) stages: Stages,
     pub(crate) budget: Arc<RetryBudget>,
+    pub(crate) rate_limits: RateLimits,
     /// The VM name of this gate.
     pub(crate) vm: String,
     pub(crate) az: String,
@@ -47,6 +49,23 @@
 }
 
 impl Context {
+    /// Chooses an endpoint, with a permit for the call if the endpoint names a request rate.
+    async fn place(&self, requirements: &Requirements<'_>) -> Result<InFlightCall, PlacementError> {
+        for _ in 0..MAX_PERMIT_REQUESTS {
+            match self.fleet.place(requirements)? {
+                PlacedCall::Ready(flight) => return Ok(flight),
+                PlacedCall::NeedsPermit(target) => {
+                    let request = PermitRequest::new(&target);
+                    self.rate_limits.request_permits(request).await;
+                }
+            }
+        }
+        Err(PlacementError {
+            reason: Refusal::Limited,
+            retry_after: None,
+        })
+    }
+
     /// Takes one retry of `service` from the budget. Returns false if none is left.
     fn try_spend_retry(&self, service: &str) -> bool {
         let is_allowed = self.budget.try_spend(service);
@@ -273,6 +292,9 @@
         StageFailure::Paused { retry_after } => {
             ForwardError::retry_later(Refusal::Paused, retry_after)
         }
+        StageFailure::Limited { retry_after } => {
+            ForwardError::retry_later(Refusal::Limited, retry_after)
+        }
         StageFailure::NoEndpoint => ForwardError::retry_later(Refusal::NoEndpoint, RETRY_AFTER),
         StageFailure::InputGone
         | StageFailure::Moved
@@ -369,7 +391,7 @@
             inputs: &input_sizes,
             avoid: &attempts.endpoints,
         };
-        let flight = match cx.fleet.place(&requirements) {
+        let flight = match cx.place(&requirements).await {
             Ok(flight) => flight,
             Err(PlacementError { reason, .. }) if attempts.runs > 0 => {
                 return Err(ForwardError::Lost(format!("no other endpoint: {reason}")));
@@ -428,6 +450,8 @@
     }
 }
 
+/// Maximum number of requests for permits for one call.
+const MAX_PERMIT_REQUESTS: usize = 16;
 /// Maximum number of endpoints that one request is offered to.
 const MAX_ENDPOINTS: usize = 4;
 /// Number of tried endpoints after which a failed connection ends the request.
@@ -460,11 +484,12 @@
         last_event_id: last_event_id.or(req.incoming.last_event_id),
     };
     let message = (cx.dialect.write_request)(&req.incoming, &details);
-    if target.stats().limit.is_some() {
+    if target.stats().permits.limit().is_some() {
         cx.metrics.record_limited_call(&target.service, "request");
     }
     attempts.endpoints.push(target.name.clone());
     attempts.runs += 1;
+    let sent_at = Instant::now();
     let sent = call::send(
         &cx.pool,
         target.address,
@@ -494,7 +519,8 @@
     let class = (cx.dialect.classify)(&req.incoming.id, exchange.status, &exchange.headers);
     if class.is_from_target() {
         let notice = (cx.dialect.notice)(exchange.status, &exchange.headers);
-        cx.fleet.apply_notice(target, notice, &cx.vm);
+        let sent_at = (class == ResponseClass::Success).then_some(sent_at);
+        cx.fleet.apply_notice(target, notice, &cx.vm, sent_at);
     }
     if let Some(load) = (cx.dialect.load)(&exchange.headers) {
         let mut stats = target.stats();
--- a/crates/forward/src/start.rs
+++ b/crates/forward/src/start.rs
@@ -24,13 +24,14 @@
     budgets::{Budgets, SharedBudget},
     collector::{self, Collector},
     control::{KeeperFeed, KeeperSync},
-    departure_notifier::DepartureNotifier,
     dialect::Dialect,
+    endpoint_notifier::EndpointNotifier,
     fleet::{Fleet, ReachableZones},
     forwarder::Forwarder,
     freshness::Freshness,
     gates::Gates,
     metrics::Metrics,
+    rate_limit::RateLimits,
     rules::Rules,
     server::{self, Phase},
     serving::Context,
@@ -111,7 +112,14 @@
     let gates = Gates::new(links.clone());
     let budgets = Budgets::new(cfg.budget);
     let metrics = Metrics::new()?;
-    let cx = context(&cfg, dialect, &feed, gates.clone(), &budgets, &metrics);
+    let shared = Shared {
+        feed: &feed,
+        gates: gates.clone(),
+        budgets: &budgets,
+        freshness: &freshness,
+        metrics: &metrics,
+    };
+    let cx = context(&cfg, dialect, shared);
     let forwarder = Forwarder {
         rules: feed.rules.clone(),
         freshness,
@@ -128,13 +136,15 @@
         gates.clone(),
         budgets,
     ));
-    let departures = DepartureNotifier {
+    let notifier = EndpointNotifier {
+        vm: cfg.vm.name.clone(),
         fleet: forwarder.cx.fleet.clone(),
         gates: gates.clone(),
         mirror: feed.mirror.clone(),
         keepers: feed.keepers.clone(),
     };
-    tasks.spawn(departures.run());
+    tasks.spawn(notifier.run());
+    tasks.spawn(forwarder.cx.rate_limits.clone().borrow_shares());
     tasks.spawn(poll_reachable_zones(
         forwarder.cx.fleet.clone(),
         gates.clone(),
@@ -180,15 +190,31 @@
     })
 }
 
-fn context(
-    cfg: &Config,
-    dialect: Dialect,
-    feed: &KeeperFeed,
+/// What the parts of a gate share.
+struct Shared<'a> {
+    feed: &'a KeeperFeed,
     gates: Gates,
-    budgets: &Budgets,
-    metrics: &Metrics,
-) -> Context {
+    budgets: &'a Budgets,
+    freshness: &'a Freshness,
+    metrics: &'a Metrics,
+}
+
+fn context(cfg: &Config, dialect: Dialect, shared: Shared<'_>) -> Context {
+    let Shared {
+        feed,
+        gates,
+        budgets,
+        freshness,
+        metrics,
+    } = shared;
     let fleet = Fleet::default();
+    let rate_limits = RateLimits::new(
+        &cfg.vm.name,
+        fleet.clone(),
+        gates.clone(),
+        freshness.clone(),
+        metrics.clone(),
+    );
     let pool = Pool::new(PoolConfig {
         max_idle_per_endpoint: MAX_IDLE_PER_ENDPOINT,
         idle_timeout: IDLE_TIMEOUT,
@@ -200,6 +226,7 @@
         pool: pool.clone(),
         rules: feed.rules.clone(),
         budget: Arc::clone(&budgets.items),
+        rate_limits: rate_limits.clone(),
         vm: cfg.vm.name.clone(),
         metrics: metrics.clone(),
     });
@@ -213,6 +240,7 @@
             metrics: metrics.clone(),
         },
         budget: Arc::clone(&budgets.requests),
+        rate_limits,
         vm: cfg.vm.name.clone(),
         az: cfg.vm.availability_zone.clone(),
         metrics: metrics.clone(),
@@ -262,13 +290,16 @@
     feed: &KeeperFeed,
 ) -> impl Future<Output = ()> + Send + use<> {
     let (stages, follower) = (forwarder.cx.stages.clone(), feed.follower.clone());
+    let rate_limits = forwarder.cx.rate_limits.clone();
     let fleet = forwarder.cx.fleet.clone();
     link::serve(listener, links, move |call: Incoming| {
         let (stages, follower, fleet) = (stages.clone(), follower.clone(), fleet.clone());
+        let rate_limits = rate_limits.clone();
         async move {
             match call.channel {
                 Channel::Stages => stages.answer(&call.body).await,
                 Channel::Follow => follower.answer(&call.body).await,
+                Channel::Calls => rate_limits.answer(&call.body),
                 Channel::Membership => answer_membership(&fleet, &call.body),
                 // The other end can't decode an empty reply and tries another gate.
                 _ => Vec::new(),
@@ -277,7 +308,7 @@
     })
 }
 
-/// Handles another gate's departure reports, and queries for endpoints that get no new work.
+/// Handles another gate's reports of departures and request rates, and queries for endpoints that get no new work.
 fn answer_membership(fleet: &Fleet, body: &[u8]) -> Vec<u8> {
     let reply = match link::decode::<membership::Request>(body) {
         Ok(membership::Request::Leaving(leaving)) => {
@@ -286,6 +317,10 @@
             }
             membership::Reply::Acknowledged
         }
+        Ok(membership::Request::Rates(reports)) => {
+            fleet.record_reported_rates(&reports);
+            membership::Reply::Acknowledged
+        }
         Ok(membership::Request::Unavailable) => {
             membership::Reply::Unavailable(fleet.unavailable_endpoints())
         }
--- a/crates/forward/src/testing.rs
+++ b/crates/forward/src/testing.rs
@@ -3,6 +3,8 @@
 use membership::{EndpointState, EndpointView, Mirror, StageRole};
 use uuid::Uuid;
 
+use crate::{in_flight::InFlightCall, placement::PlacedCall};
+
 /// A ready endpoint of `service` with two slots, as keepers list it.
 pub(crate) fn view(endpoint: &str, service: &str, az: &str) -> EndpointView {
     EndpointView {
@@ -18,6 +20,7 @@
         slots: Some(2),
         calls: 0,
         silent_ms: 0,
+        rate: None,
     }
 }
 
@@ -29,3 +32,13 @@
     }
     mirror
 }
+
+impl PlacedCall {
+    /// Returns the call, which must need no permit.
+    pub(crate) fn ready(self) -> InFlightCall {
+        match self {
+            Self::Ready(flight) => flight,
+            Self::NeedsPermit(target) => panic!("a call to {} needs a permit", target.name),
+        }
+    }
+}
--- a/crates/forwarder/tests/support/mod.rs
+++ b/crates/forwarder/tests/support/mod.rs
@@ -1,9 +1,12 @@
 //! Runs a keeper and forwarding gates as processes, with fake endpoints.
 
+#![allow(dead_code, reason = "each test file uses only some items")]
+
 use std::{path::PathBuf, time::Duration};
 
 use bench::{
     processes::{Folders, RoleProcess, Signal},
+    proxy::Proxy,
     stand_in::{self, Event, Kind, StandIn, StandInConfig},
 };
 use host::client::{Answer, Client, ClientError, build_request};
@@ -86,6 +89,8 @@
     folders: Folders,
     pub keeper: RoleProcess,
     pub gates: Vec<RoleProcess>,
+    /// Proxies through which other gates reach each gate.
+    pub links: Vec<Proxy>,
     pub endpoints: Vec<StandIn>,
     client: Client,
     // Dropped last, since it holds the processes' data and logs.
@@ -117,6 +122,11 @@
 impl Cluster {
     /// Starts all processes and waits until both gates serve every route.
     pub async fn start() -> Self {
+        Self::start_with(&GATES).await
+    }
+
+    /// Starts all processes, with gates of these names, and waits until they serve every route.
+    pub async fn start_with(gates: &[&str]) -> Self {
         let folder = tempfile::tempdir().unwrap();
         let folders = Folders {
             programs: program_folder(),
@@ -129,11 +139,12 @@
             keeper: keeper.await.unwrap(),
             folders,
             gates: Vec::new(),
+            links: Vec::new(),
             endpoints: Vec::new(),
             client: Client::new(REQUEST_TIMEOUT),
             _folder: folder,
         };
-        for name in GATES {
+        for name in gates {
             cluster.start_gate(name).await;
         }
         cluster.declare().await;
@@ -151,10 +162,18 @@
 
     async fn start_gate(&mut self, name: &str) {
         let keeper = self.keeper.link.unwrap();
+        let link = Proxy::start(0).await.unwrap();
         let settings = settings(name, &format!("[keepers]\nkeeper-1 = {keeper}\n"))
-            + "http = 127.0.0.1:0\ncallers = 127.0.0.1:0\n[timing]\nnotice_ms = 100\n[retries]\nslack = 200\n";
+            + &format!(
+                "advertised_link = {}\nhttp = 127.0.0.1:0\ncallers = 127.0.0.1:0\n\
+                 [timing]\nnotice_ms = 100\n[retries]\nslack = 200\n",
+                link.address()
+            );
         let gate = self.folders.start("jujube-forwarder", name, &settings);
-        self.gates.push(gate.await.unwrap());
+        let gate = gate.await.unwrap();
+        link.set_upstream(gate.link.unwrap());
+        self.gates.push(gate);
+        self.links.push(link);
     }
 
     async fn declare(&self) {
--- a/crates/gate/src/state_changes/tests.rs
+++ b/crates/gate/src/state_changes/tests.rs
@@ -20,6 +20,7 @@
         slots: None,
         calls: 0,
         silent_ms: 0,
+        rate: None,
     }
 }
 
--- a/crates/link/src/frame.rs
+++ b/crates/link/src/frame.rs
@@ -21,7 +21,7 @@
     Follow,
     /// Replication of the endpoint table.
     Membership,
-    /// Outcomes of calls at a gate.
+    /// Calls to endpoints: their outcomes at a gate, and permits for them between gates.
     Calls,
     /// Items of batched stages, sent between gates.
     Stages,
--- a/crates/membership/src/live_state.rs
+++ b/crates/membership/src/live_state.rs
@@ -1,13 +1,17 @@
-//! State that changes with every announcement: last heartbeat and load, read without locks.
+//! State that changes with every announcement: last heartbeat and load, read without locks. Also the
+//! request rate that the endpoint names.
 
 use std::{
-    sync::atomic::{AtomicU64, Ordering::Relaxed},
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering::Relaxed},
+    },
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use tokio::time::Instant;
 
-use crate::Load;
+use crate::{Load, ObservedRate};
 
 /// Last reported load of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -25,6 +29,7 @@
     last_heartbeat_us: AtomicU64,
     load_us: AtomicU64,
     calls: AtomicU64,
+    rate: Mutex<Option<ObservedRate>>,
 }
 
 impl LiveState {
@@ -35,6 +40,7 @@
             last_heartbeat_us: AtomicU64::new(0),
             load_us: AtomicU64::new(0),
             calls: AtomicU64::new(0),
+            rate: Mutex::default(),
         };
         live.last_heartbeat_us
             .store(live.micros(last_seen), Relaxed);
@@ -70,6 +76,22 @@
         }
     }
 
+    /// Returns the request rate that was reported last.
+    pub fn rate(&self) -> Option<ObservedRate> {
+        *self.rate.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records a reported request rate unless a later one is known. Returns true if the rate
+    /// changed.
+    pub(crate) fn record_rate(&self, observed: ObservedRate) -> bool {
+        let mut rate = self.rate.lock().unwrap_or_else(PoisonError::into_inner);
+        if !observed.supersedes(*rate) {
+            return false;
+        }
+        let known = rate.replace(observed);
+        known.and_then(|known| known.per_second) != observed.per_second
+    }
+
     fn micros(&self, at: Instant) -> u64 {
         at.saturating_duration_since(self.start).as_micros() as u64 + TABLE_START_OFFSET_US
     }
--- a/crates/membership/src/message.rs
+++ b/crates/membership/src/message.rs
@@ -8,7 +8,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    Announcement, EndpointState, EndpointView, Table,
+    Announcement, EndpointState, EndpointView, RateReport, Table,
     delta::{CompactDelta, Delta},
     entry_digest::{self, EntryDigest},
     state::{Entry, Origin, State},
@@ -49,6 +49,8 @@
     Announce(Box<Announcement>),
     /// Reports endpoints whose responses said that they are leaving.
     Leaving(Vec<LeavingNotice>),
+    /// Reports request rates that endpoints named in their responses.
+    Rates(Vec<RateReport>),
     /// Requests the endpoints that get no new work from the receiving gate, with the reasons.
     #[serde(rename = "Absent")]
     Unavailable,
@@ -151,7 +153,8 @@
     },
     /// To [`Request::Since`].
     Since(Changes),
-    /// To [`Request::Announce`] and [`Request::Leaving`]: applied, or already known.
+    /// To [`Request::Announce`], [`Request::Leaving`] and [`Request::Rates`]: applied, or already
+    /// known.
     #[serde(rename = "Announced")]
     Acknowledged,
     /// To [`Request::Unavailable`]: up to [`MAX_UNAVAILABLE`] endpoints.
@@ -207,6 +210,10 @@
             }
             Reply::Acknowledged
         }
+        Request::Rates(reports) => {
+            table.note_rates(&reports);
+            Reply::Acknowledged
+        }
         Request::Unavailable => Reply::Unavailable(unavailable(&table.lock(), now)),
         Request::Exchange(theirs) => {
             Reply::Exchanged(vitals::apply_exchange(&table.lock(), &theirs, now))
--- a/crates/membership/src/mirror.rs
+++ b/crates/membership/src/mirror.rs
@@ -9,7 +9,7 @@
 };
 use uuid::Uuid;
 
-use crate::{Changes, EndpointView, Reply, Request};
+use crate::{Changes, EndpointView, ObservedRate, Reply, Request};
 
 /// Maximum time for which a source may delay its reply.
 const MAX_WAIT: Duration = Duration::from_secs(5);
@@ -33,6 +33,8 @@
     pub endpoints: BTreeMap<String, EndpointView>,
     /// Endpoints that the current source has not reported, with the time of their removal.
     unconfirmed: BTreeMap<String, Instant>,
+    /// Request rates that endpoints named, by endpoint.
+    pub rates: BTreeMap<String, ObservedRate>,
 }
 
 impl Mirror {
@@ -45,9 +47,16 @@
         for name in changes.departed {
             self.endpoints.remove(&name);
             self.unconfirmed.remove(&name);
+            self.rates.remove(&name);
         }
+        let now = Instant::now();
         for endpoint in changes.endpoints {
             self.unconfirmed.remove(&endpoint.endpoint);
+            let rate = endpoint.rate.as_ref().and_then(|rate| rate.observed(now));
+            match rate {
+                Some(rate) => self.rates.insert(endpoint.endpoint.clone(), rate),
+                None => self.rates.remove(&endpoint.endpoint),
+            };
             self.endpoints.insert(endpoint.endpoint.clone(), endpoint);
         }
     }
@@ -60,6 +69,7 @@
         let expired: Vec<String> = expired.map(|(name, _)| name).collect();
         for name in &expired {
             self.endpoints.remove(name);
+            self.rates.remove(name);
         }
         !expired.is_empty()
     }
--- a/crates/membership/src/mirror/tests.rs
+++ b/crates/membership/src/mirror/tests.rs
@@ -20,6 +20,7 @@
         slots: None,
         calls: 0,
         silent_ms: 0,
+        rate: None,
     };
     Changes {
         table: Uuid::nil(),
--- a/crates/membership/src/state.rs
+++ b/crates/membership/src/state.rs
@@ -12,7 +12,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    Announcement, Endpoint, EndpointState, LiveState, Load, Readiness, TableConfig, delta::Delta,
+    Announcement, Endpoint, EndpointState, LiveState, Load, ObservedRate, Readiness, TableConfig,
+    delta::Delta,
 };
 
 /// Maximum time in transit of a delta, by which it understates the age of the last heartbeat.
@@ -382,19 +383,38 @@
             .map(|(name, _)| name.clone())
             .collect();
         for name in changed {
-            let version = self.version + 1;
-            let entry = self
-                .entries
-                .get_mut(&name)
-                .expect("found in the same map above");
-            entry.published_state = entry.endpoint.state(now);
-            let old = std::mem::replace(&mut entry.version, version);
-            self.change_log.remove(&old);
-            self.record_change(&name);
+            self.publish_entry(&name, now);
         }
         self.drop_old_tombstones(now);
     }
 
+    /// Records a request rate that an incarnation of an endpoint named.
+    pub(crate) fn note_rate(
+        &mut self,
+        endpoint: &str,
+        incarnation: Uuid,
+        observed: ObservedRate,
+        now: Instant,
+    ) {
+        let entry = self.entries.get(endpoint);
+        let entry = entry.filter(|e| e.endpoint.announced.incarnation == incarnation);
+        if entry.is_some_and(|entry| entry.endpoint.live.record_rate(observed)) {
+            self.publish_entry(endpoint, now);
+        }
+    }
+
+    /// Makes a change of the state of `name` visible to readers; neighbours are not told.
+    fn publish_entry(&mut self, name: &str, now: Instant) {
+        let version = self.version + 1;
+        let Some(entry) = self.entries.get_mut(name) else {
+            return;
+        };
+        entry.published_state = entry.endpoint.state(now);
+        let old = std::mem::replace(&mut entry.version, version);
+        self.change_log.remove(&old);
+        self.record_change(name);
+    }
+
     fn expire(&mut self, entry: &Entry, now: Instant) {
         let a = &entry.endpoint.announced;
         self.entries.remove(&a.endpoint);
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -9,7 +9,7 @@
 use tokio::{sync::watch, time::Instant};
 
 use crate::{
-    AnnounceResponse, Announcement, Endpoint, EndpointView, Readiness, ServiceSnapshot,
+    AnnounceResponse, Announcement, Endpoint, EndpointView, RateReport, Readiness, ServiceSnapshot,
     TableConfig,
     live_state::{load_age, total_calls},
     message::{Request, respond},
@@ -148,6 +148,19 @@
         }
     }
 
+    /// Records request rates that gates report. A rate holds for the incarnation that named it, and
+    /// a later observation replaces an earlier one.
+    pub fn note_rates(&self, reports: &[RateReport]) {
+        let now = Instant::now();
+        let mut state = self.lock();
+        for report in reports {
+            if let Some(observed) = report.rate.observed(now) {
+                state.note_rate(&report.endpoint, report.incarnation, observed, now);
+            }
+        }
+        self.publish(state);
+    }
+
     /// Returns all known endpoints in order of their names.
     pub fn list(&self) -> Vec<EndpointView> {
         let now = Instant::now();
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 use uuid::Uuid;
 
-use crate::{Announcement, LiveState, Readiness};
+use crate::{Announcement, LiveState, Readiness, ReportedRate};
 
 /// An endpoint in the table: its last announcement, and its heartbeat and load.
 #[derive(Debug)]
@@ -86,6 +86,9 @@
     pub calls: u32,
     /// Time since the last announcement, in milliseconds.
     pub silent_ms: u64,
+    /// The request rate that it named last, if gates reported one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rate: Option<ReportedRate>,
 }
 
 impl EndpointView {
@@ -105,6 +108,7 @@
             slots: a.slots,
             calls: endpoint.live.reported_load(now).calls,
             silent_ms: endpoint.live.silence(now).as_millis() as u64,
+            rate: endpoint.live.rate().map(|rate| rate.report(now)),
         }
     }
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -19,6 +19,7 @@
 mod router;
 mod score;
 mod stats;
+mod token_bucket;
 
 mod pending;
 pub mod subset;
@@ -39,3 +40,4 @@
 pub use latency::{Latencies, SizeClass, Stage};
 pub use router::{EndpointStats, Pick, Router};
 pub use score::PickReasons;
+pub use token_bucket::TokenBucket;
