--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -9,9 +9,14 @@
 use bench::{
     processes::{Folders, RoleProcess},
     proxy::Proxy,
+    rate_check::{CONTACT_TIME, WINDOW, allowed, most_in_window},
     stand_in::{self, Event, JournalEntry, Kind, StandIn, StandInConfig},
 };
 use eyre::{WrapErr, eyre};
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use tokio::time::Instant;
+
+use crate::results::Results;
 
 /// Availability zones; each has one keeper.
 pub(crate) const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
@@ -23,6 +28,8 @@
     ("chat", Kind::Plain),
     ("ice", Kind::Pool),
 ];
+/// Request rates that endpoints name, in requests per second.
+const LIMITS: std::ops::Range<f64> = 0.5..6.0;
 /// The gates' setting `confirmed_ms`: time for which a confirmation of the declaration is valid.
 pub(crate) const CONFIRMED_MS: u64 = 2_000;
 
@@ -47,6 +54,18 @@
     pub(crate) proxy: Proxy,
     pub(crate) stand_in: Option<StandIn>,
     past_entries: Mutex<Vec<JournalEntry>>,
+    /// The request rate that it names in its answers.
+    limit: Option<Limit>,
+    /// Arrivals at past incarnations that named the rate, and since when they did.
+    past_arrivals: Vec<(Instant, Vec<Instant>)>,
+}
+
+/// A request rate that an endpoint names.
+#[derive(Clone, Copy, Debug)]
+struct Limit {
+    per_second: f64,
+    /// Since when its present incarnation names it.
+    since: Instant,
 }
 
 /// All processes and endpoints of a soak.
@@ -98,6 +117,8 @@
                     proxy: Proxy::start(seed).await?,
                     stand_in: None,
                     past_entries: Mutex::default(),
+                    limit: None,
+                    past_arrivals: Vec::new(),
                 });
             }
         }
@@ -161,9 +182,48 @@
         let stand_in = stand_in::start(cfg).await?;
         endpoint.proxy.set_upstream(stand_in.address());
         endpoint.stand_in = Some(stand_in);
+        if let Some(limit) = endpoint.limit {
+            endpoint.name_limit(limit.per_second);
+        }
         Ok(())
     }
 
+    /// Makes one endpoint of each service, drawn from the seed, name a request rate.
+    pub(crate) fn name_limits(&mut self) {
+        let mut rng = SmallRng::seed_from_u64(self.seed);
+        for (service, _) in SERVICES {
+            let zone = ZONES[rng.random_range(0..ZONES.len())];
+            let per_second = rng.random_range(LIMITS);
+            let is_drawn = |e: &&mut Endpoint| e.service == service && e.zone == zone;
+            let drawn = self.endpoints.iter_mut().find(is_drawn);
+            if let Some(endpoint) = drawn {
+                endpoint.name_limit(per_second);
+            }
+        }
+    }
+
+    /// Checks that all gates together kept the rates that endpoints named.
+    pub(crate) fn check_limits(&self, results: &Results) {
+        for endpoint in &self.endpoints {
+            let Some(limit) = endpoint.limit else {
+                continue;
+            };
+            for (since, arrivals) in endpoint.limited_arrivals() {
+                let since = since + CONTACT_TIME;
+                let most = most_in_window(&arrivals, since, Instant::now());
+                let allowed = allowed(limit.per_second);
+                if most > allowed {
+                    let details = format!(
+                        "{} names {:.1} a second and got {most} requests in {WINDOW:?}; allowed \
+                         {allowed}",
+                        endpoint.name, limit.per_second
+                    );
+                    results.record("all gates together keep an endpoint's rate", details);
+                }
+            }
+        }
+    }
+
     /// Kills an endpoint without notice; its journal is kept.
     pub(crate) fn kill_endpoint(&mut self, number: usize) {
         self.endpoints[number].kill();
@@ -218,9 +278,29 @@
             .expect("no holder of this lock panics");
         past_entries.extend(stand_in.journal());
         drop(past_entries);
+        if let Some(limit) = self.limit {
+            self.past_arrivals.push((limit.since, stand_in.arrivals()));
+        }
         stand_in.kill();
     }
 
+    fn name_limit(&mut self, per_second: f64) {
+        let since = Instant::now();
+        self.limit = Some(Limit { per_second, since });
+        if let Some(stand_in) = &self.stand_in {
+            stand_in.set_limit(Some(&per_second.to_string()));
+        }
+    }
+
+    /// Returns the arrivals at each incarnation that named the rate, and since when it did.
+    fn limited_arrivals(&self) -> Vec<(Instant, Vec<Instant>)> {
+        let mut all = self.past_arrivals.clone();
+        if let Some((limit, stand_in)) = self.limit.zip(self.stand_in.as_ref()) {
+            all.push((limit.since, stand_in.arrivals()));
+        }
+        all
+    }
+
     fn journal(&self) -> Vec<JournalEntry> {
         let mut entries = self
             .past_entries
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -80,6 +80,7 @@
         bookings: Arc::default(),
     };
     wait_until_served(&callers, cfg.seed, &results, "start").await;
+    fleet.name_limits();
     let start = Instant::now();
     callers.timeline = FaultTimeline {
         start,
@@ -105,6 +106,7 @@
         .check(keepers, &results, RECOVERY_TIMEOUT)
         .await;
     check_bookings(&fleet, &callers, &results);
+    fleet.check_limits(&results);
     let count = |n: &std::sync::atomic::AtomicU64| n.load(std::sync::atomic::Ordering::Relaxed);
     let summary = format!(
         "seed {}: {} faults in {:?}, {} served, {} refused, {} failed, {} changes",
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -13,7 +13,7 @@
 }
 
 /// The default soaks. A seed that fails is added with its cause.
-const CASES: [Case; 2] = [
+const CASES: [Case; 3] = [
     Case {
         seed: 11,
         seconds: 6,
@@ -24,6 +24,11 @@
         seconds: 6,
         reason: "fixed",
     },
+    Case {
+        seed: 29,
+        seconds: 16,
+        reason: "long enough for rates that endpoints name",
+    },
 ];
 
 /// Runs one soak. Panics on violations and then keeps its folder.
