Test: gates of pipelines keep an endpoint's rate together; known red

Also unit tests of what forwarding gates and tables know of a rate, and of a queue whose endpoints all name one.

--- a/crates/forward/src/fleet/rates.rs
+++ b/crates/forward/src/fleet/rates.rs
@@ -153,3 +153,6 @@
         (a, b) => a.is_some() != b.is_some(),
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/forward/src/queue/tests.rs
+++ b/crates/forward/src/queue/tests.rs
@@ -338,3 +338,65 @@
     queue.hand_over();
     assert_eq!(queue.waiting(), 1);
 }
+
+/// Makes the only endpoint of `pool` name a request rate.
+fn name_rate(pool: &Pool, per_second: f64) {
+    let rate = membership::ObservedRate {
+        per_second: Some(per_second),
+        observed_at: Instant::now(),
+    };
+    pool.targets[0].record_rate(rate, "gate-1");
+}
+
+/// All endpoints of a pool name a request rate. What they can do in time waits for it, and the rest
+/// is refused at once with a time to come back.
+#[tokio::test(start_paused = true)]
+async fn items_wait_for_the_rate_of_their_endpoints_as_long_as_they_can_be_in_time() {
+    let (mut queue, pool) = (queue(), pool(&[("i-1", "a")]));
+    let (reachable, now) = (ReachableZones::default(), Instant::now());
+    name_rate(&pool, 0.5);
+    let permits = || &pool.targets[0];
+    permits()
+        .stats()
+        .permits
+        .refuse(now + Duration::from_secs(2));
+    let mut due_ms = 0;
+    let mut small = || {
+        due_ms += 1;
+        Submission {
+            result_bytes: 1,
+            remaining: Duration::from_secs(9),
+            items: 4,
+            due_ms,
+            ..submission()
+        }
+    };
+    // Half a call a second: each waits for two seconds for each call before it.
+    let mut enqueue = || queue.enqueue(small(), &pool, &reachable, now).map(drop);
+    let accepted = (0..20).take_while(|_| enqueue().is_ok()).count();
+    assert!((3..=5).contains(&accepted), "{accepted}");
+    let Err(StageFailure::Crowded { retry_after }) = enqueue() else {
+        panic!("it can't be done in time");
+    };
+    assert!(retry_after > Duration::from_secs(5));
+    assert!(matches!(
+        queue.next_step(&pool, &reachable, now),
+        NextStep::Wait
+    ));
+    // Once the refusal is over, a permit is requested, once at a time, and used for a full call.
+    let later = now + Duration::from_secs(2);
+    let NextStep::RequestPermit(target) = queue.next_step(&pool, &reachable, later) else {
+        panic!("the call needs a permit");
+    };
+    target.stats().permits.start_request();
+    assert!(matches!(
+        queue.next_step(&pool, &reachable, later),
+        NextStep::Wait
+    ));
+    target.stats().permits.end_request();
+    target.stats().permits.grant(1, later, later);
+    let NextStep::Call(next) = queue.next_step(&pool, &reachable, later) else {
+        panic!("the call is permitted");
+    };
+    assert_eq!(next.jobs.len(), 4);
+}
--- a/crates/membership/tests/table.rs
+++ b/crates/membership/tests/table.rs
@@ -243,3 +243,43 @@
     assert_eq!(state(&table), Some(EndpointState::Leaving));
     assert_eq!(versions[0], versions[1]);
 }
+
+fn rate_report(per_second: Option<f64>, age_ms: u64) -> membership::RateReport {
+    membership::RateReport {
+        endpoint: "e".to_owned(),
+        service: "desk".to_owned(),
+        incarnation: incarnation(2),
+        source: "b".to_owned(),
+        rate: membership::ReportedRate {
+            per_second,
+            age: Duration::from_millis(age_ms),
+        },
+    }
+}
+
+/// Readers are told of a rate that changed, once, and of no earlier one that arrives late.
+#[tokio::test(start_paused = true)]
+async fn latest_reported_rate_of_the_incarnation_holds() {
+    let table = table("a");
+    table.announce(announcement("e", 2, 1)).unwrap();
+    let mut versions = Vec::new();
+    for report in [
+        rate_report(Some(2.0), 100),
+        rate_report(Some(2.0), 90),
+        rate_report(Some(7.0), 5_000),
+        rate_report(None, 200),
+    ] {
+        let request = link::encode(&Request::Rates(vec![report]));
+        let reply = link::decode::<Reply>(&table.answer(&request).await).unwrap();
+        assert!(matches!(reply, Reply::Acknowledged));
+        versions.push(*table.changes().borrow());
+    }
+    let rate = |table: &Table| table.list()[0].rate.as_ref().unwrap().per_second;
+    assert_eq!(rate(&table), Some(2.0));
+    assert!(versions.iter().all(|version| *version == versions[0]));
+    table.note_rates(&[rate_report(None, 10)]);
+    assert_eq!(rate(&table), None);
+    assert!(*table.changes().borrow() > versions[0]);
+    table.announce(announcement("e", 3, 1)).unwrap();
+    assert!(table.list()[0].rate.is_none());
+}
