Gates of pipelines keep the request rate that an endpoint names together

Routing picks an endpoint without a call to another gate, and a /v1 gate knows the gates of its zone from its settings, so the rate is divided: up to four gates of the zone, the same ones to all, share it in buckets that start empty; four, since each may save up one call. Nothing has to be agreed, so a cut or a restart changes nothing. A rate is told to the zone's gates over the table's links; a success that names none, sent after the naming, ends it. A failure without the header ends nothing, for both kinds of gate.

Ruled out: the forwarding gates' permits, as every pick would wait for another gate; lending shares, as the settings already say who shares.

--- a/crates/forward/src/fleet/rates.rs
+++ b/crates/forward/src/fleet/rates.rs
@@ -76,7 +76,7 @@
                 per_second: None,
                 observed_at,
             },
-            (NamedRate::Unlimited, None) | (NamedRate::Unreadable, _) => return,
+            (NamedRate::Unlimited, None) | (NamedRate::Unknown, _) => return,
         };
         if target.record_rate(observed, vm) {
             target.stats().permits.set_reporter(true);
--- a/crates/forward/src/fleet/rates/tests.rs
+++ b/crates/forward/src/fleet/rates/tests.rs
@@ -75,7 +75,7 @@
     // Under way when the limit was named; a failure; something that is no rate.
     respond(&fleet, NamedRate::Unlimited, Some(before));
     respond(&fleet, NamedRate::Unlimited, None);
-    respond(&fleet, NamedRate::Unreadable, Some(Instant::now()));
+    respond(&fleet, NamedRate::Unknown, Some(Instant::now()));
     assert_eq!(limit(&fleet, "one"), Some(2.0));
     respond(&fleet, NamedRate::Unlimited, Some(Instant::now()));
     assert_eq!(limit(&fleet, "one"), None);
--- a/crates/forward/src/fleet/tests.rs
+++ b/crates/forward/src/fleet/tests.rs
@@ -18,7 +18,7 @@
 const LEAVING: Notice = Notice {
     is_leaving: true,
     pause: None,
-    rate: NamedRate::Unlimited,
+    rate: NamedRate::Unknown,
 };
 
 fn endpoint(name: &str, incarnation: u128) -> EndpointView {
--- a/crates/gate/src/call_routing.rs
+++ b/crates/gate/src/call_routing.rs
@@ -11,7 +11,7 @@
 use link::calls::{CallsReply, CallsRequest};
 use logs::Event;
 use membership::{Endpoint, Table};
-use outbound::Notice;
+use outbound::{NamedRate, Notice};
 use routing::{
     Admission, AdmissionConfig, AdmissionGuard, AdmissionRequest, AdmissionStats, CacheUsage,
     CallOutcome, Latencies, ModelRequirement, NoEndpoint, Observation, Pick, Refusal, RetryBudget,
@@ -287,7 +287,9 @@
 /// `Retry-After` for the error `none`.
 pub(crate) fn retry_after(none: NoEndpoint) -> Duration {
     match none {
-        NoEndpoint::Busy { retry_after } | NoEndpoint::Paused { retry_after } => retry_after,
+        NoEndpoint::Busy { retry_after }
+        | NoEndpoint::Paused { retry_after }
+        | NoEndpoint::Limited { retry_after } => retry_after,
         _ => NO_ENDPOINT_RETRY_AFTER,
     }
 }
@@ -329,11 +331,21 @@
         self.address
     }
 
-    /// Applies what the response said about the endpoint: that it is leaving, or requests a pause.
+    /// Applies what the response said about the endpoint: that it is leaving, requests a pause, or
+    /// names a request rate.
     pub(crate) fn record_notice(&self, notice: Notice) {
         if notice.is_leaving {
             self.with_pick(Pick::note_leaving);
         }
+        match notice.rate {
+            NamedRate::PerSecond(per_second) => {
+                self.with_pick(|pick| pick.record_rate(Some(per_second)));
+            }
+            NamedRate::Unlimited => {
+                self.with_pick(|pick| pick.record_rate(None));
+            }
+            NamedRate::Unknown => {}
+        }
         if let Some(pause) = notice.pause {
             self.with_pick(|pick| pick.pause(pause));
         }
--- a/crates/membership/src/gossip.rs
+++ b/crates/membership/src/gossip.rs
@@ -6,6 +6,7 @@
 
 use link::{Channel, LinkError, Peer};
 use tokio::{
+    sync::broadcast::error::RecvError,
     task::JoinSet,
     time::{Instant, MissedTickBehavior, interval, sleep, timeout},
 };
@@ -26,6 +27,8 @@
 /// Up to this many neighbours, a gate gossips with all of them.
 const MAX_FULL_MESH: usize = 8;
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
+/// Maximum number of reports of request rates in one message.
+const MAX_RATES: usize = 64;
 /// Maximum wait of a restarted gate for a neighbour's table.
 const BOOTSTRAP_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -68,6 +71,7 @@
         let ring: Arc<[Peer]> = ring.into();
         for peer in ring.iter() {
             tasks.spawn(push(self.clone(), peer.clone(), Arc::clone(&ring)));
+            tasks.spawn(push_rates(self.clone(), peer.clone()));
         }
         tasks.spawn(sweep(self.clone()));
         let (bootstrapping, sources) = (self.clone(), gates.clone());
@@ -298,6 +302,26 @@
     .await
 }
 
+/// Sends the request rates that responses to this gate named to `peer`.
+async fn push_rates(table: Table, peer: Peer) {
+    let mut reports = table.rate_reports();
+    loop {
+        let mut rates = Vec::new();
+        match reports.recv().await {
+            Ok(report) => rates.push(report),
+            Err(RecvError::Lagged(_)) => continue,
+            Err(RecvError::Closed) => return,
+        }
+        while let (true, Ok(report)) = (rates.len() < MAX_RATES, reports.try_recv()) {
+            rates.push(report);
+        }
+        if table.is_in_zone(&peer) {
+            // A gate that misses this learns of it from the endpoint.
+            let _ = call_peer(&peer, &Request::Rates(rates)).await;
+        }
+    }
+}
+
 /// Pushes changes to one neighbour. A failed push is not retried; the next exchange repairs it.
 async fn push(table: Table, peer: Peer, ring: Arc<[Peer]>) {
     let mut changes = table.changes();
--- a/crates/membership/src/live_state.rs
+++ b/crates/membership/src/live_state.rs
@@ -30,6 +30,8 @@
     load_us: AtomicU64,
     calls: AtomicU64,
     rate: Mutex<Option<ObservedRate>>,
+    /// Bits of the limit in `rate`, read without the lock; [`NO_LIMIT`] if there is none.
+    limit_bits: AtomicU64,
 }
 
 impl LiveState {
@@ -41,6 +43,7 @@
             load_us: AtomicU64::new(0),
             calls: AtomicU64::new(0),
             rate: Mutex::default(),
+            limit_bits: AtomicU64::new(NO_LIMIT),
         };
         live.last_heartbeat_us
             .store(live.micros(last_seen), Relaxed);
@@ -81,6 +84,12 @@
         *self.rate.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the limit in requests per second that was reported last, if any.
+    pub fn limit(&self) -> Option<f64> {
+        let bits = self.limit_bits.load(Relaxed);
+        (bits != NO_LIMIT).then(|| f64::from_bits(bits))
+    }
+
     /// Records a reported request rate unless a later one is known. Returns true if the rate
     /// changed.
     pub(crate) fn record_rate(&self, observed: ObservedRate) -> bool {
@@ -89,6 +98,8 @@
             return false;
         }
         let known = rate.replace(observed);
+        let bits = observed.per_second.map_or(NO_LIMIT, f64::to_bits);
+        self.limit_bits.store(bits, Relaxed);
         known.and_then(|known| known.per_second) != observed.per_second
     }
 
@@ -97,6 +108,8 @@
     }
 }
 
+/// Bits of no number.
+const NO_LIMIT: u64 = u64::MAX;
 /// Allows for heartbeats that precede the table's start.
 const TABLE_START_OFFSET_US: u64 = 60_000_000;
 
--- a/crates/membership/src/state.rs
+++ b/crates/membership/src/state.rs
@@ -388,19 +388,21 @@
         self.drop_old_tombstones(now);
     }
 
-    /// Records a request rate that an incarnation of an endpoint named.
+    /// Records a request rate that an incarnation of an endpoint named. Returns true if it changed.
     pub(crate) fn note_rate(
         &mut self,
         endpoint: &str,
         incarnation: Uuid,
         observed: ObservedRate,
         now: Instant,
-    ) {
+    ) -> bool {
         let entry = self.entries.get(endpoint);
         let entry = entry.filter(|e| e.endpoint.announced.incarnation == incarnation);
-        if entry.is_some_and(|entry| entry.endpoint.live.record_rate(observed)) {
+        let is_changed = entry.is_some_and(|entry| entry.endpoint.live.record_rate(observed));
+        if is_changed {
             self.publish_entry(endpoint, now);
         }
+        is_changed
     }
 
     /// Makes a change of the state of `name` visible to readers; neighbours are not told.
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -6,7 +6,10 @@
 };
 
 use thiserror::Error;
-use tokio::{sync::watch, time::Instant};
+use tokio::{
+    sync::{broadcast, watch},
+    time::Instant,
+};
 
 use crate::{
     AnnounceResponse, Announcement, Endpoint, EndpointView, RateReport, Readiness, ServiceSnapshot,
@@ -68,6 +71,7 @@
     state: Mutex<State>,
     services: RwLock<HashMap<String, Arc<ServiceSnapshot>>>,
     changed: watch::Sender<u64>,
+    rate_reports: broadcast::Sender<RateReport>,
     /// Gates that identified themselves as belonging to another availability zone.
     foreign: RwLock<BTreeSet<String>>,
 }
@@ -82,6 +86,7 @@
             id: uuid::Uuid::new_v4(),
             services: RwLock::default(),
             changed: watch::Sender::new(0),
+            rate_reports: broadcast::Sender::new(MAX_RATE_REPORTS),
             foreign: RwLock::default(),
         };
         Self {
@@ -161,6 +166,27 @@
         self.publish(state);
     }
 
+    /// Records a request rate that a response to this gate named, and tells the neighbours if it
+    /// changed.
+    pub fn report_rate(&self, report: RateReport) {
+        let now = Instant::now();
+        let Some(observed) = report.rate.observed(now) else {
+            return;
+        };
+        let mut state = self.lock();
+        let is_changed = state.note_rate(&report.endpoint, report.incarnation, observed, now);
+        self.publish(state);
+        if is_changed {
+            // Without gossip there is nobody to tell.
+            let _ = self.shared.rate_reports.send(report);
+        }
+    }
+
+    /// Subscribes to the request rates that responses to this gate named.
+    pub(crate) fn rate_reports(&self) -> broadcast::Receiver<RateReport> {
+        self.shared.rate_reports.subscribe()
+    }
+
     /// Returns all known endpoints in order of their names.
     pub fn list(&self) -> Vec<EndpointView> {
         let now = Instant::now();
@@ -248,6 +274,8 @@
 
 /// Increment of the sequence number that marks a departure.
 const DEPARTURE_SEQ_STEP: u64 = 1 << 32;
+/// Maximum number of reports of request rates that wait to be sent; the oldest ones are dropped.
+const MAX_RATE_REPORTS: usize = 256;
 const MAX_NAME_BYTES: usize = 128;
 const MAX_MODELS: usize = 64;
 const MAX_ADAPTERS: usize = 256;
--- a/crates/outbound/src/notice.rs
+++ b/crates/outbound/src/notice.rs
@@ -11,13 +11,14 @@
 /// together.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum NamedRate {
-    /// It names no limit.
+    /// Nothing: there is no response, one that failed without naming a limit, or one that names
+    /// something that is no rate.
     #[default]
+    Unknown,
+    /// It is a success that names no limit.
     Unlimited,
     /// It names a limit in requests per second, finite and not negative.
     PerSecond(f64),
-    /// It names something that is no rate.
-    Unreadable,
 }
 
 /// State that an endpoint reports about itself in a response head.
@@ -44,7 +45,7 @@
         Self {
             is_leaving: headers.get(leaving).is_some_and(|value| value == "1"),
             pause: parse_retry_after(headers).filter(|_| is_refused),
-            rate: parse_rate(headers, limit),
+            rate: parse_rate(status, headers, limit),
         }
     }
 }
@@ -61,16 +62,16 @@
 
 /// Parses the header `name` as a decimal number of requests per second. Returns the lowest rate if
 /// there are several.
-fn parse_rate(headers: &HeaderMap, name: &HeaderName) -> NamedRate {
+fn parse_rate(status: StatusCode, headers: &HeaderMap, name: &HeaderName) -> NamedRate {
     let mut values = headers.get_all(name).iter().peekable();
-    if values.peek().is_none() {
+    if values.peek().is_none() && status.is_success() {
         return NamedRate::Unlimited;
     }
     let rates = values.filter_map(|value| value.to_str().ok()?.trim().parse::<f64>().ok());
     let lowest = rates
         .filter(|rate| rate.is_finite() && *rate >= 0.0)
         .reduce(f64::min);
-    lowest.map_or(NamedRate::Unreadable, NamedRate::PerSecond)
+    lowest.map_or(NamedRate::Unknown, NamedRate::PerSecond)
 }
 
 #[cfg(test)]
--- a/crates/routing/src/call.rs
+++ b/crates/routing/src/call.rs
@@ -89,6 +89,12 @@
         /// Time until the first pause ends.
         retry_after: Duration,
     },
+    /// Every suitable endpoint requested a pause, or its request rate is used up.
+    #[error("pick endpoint: their request rates are used up; try again in {retry_after:?}")]
+    Limited {
+        /// Time until the first endpoint takes a call of this gate.
+        retry_after: Duration,
+    },
     /// Every suitable endpoint was tried or is ejected.
     #[error("pick endpoint: all were tried or are ejected after failures")]
     AllTried,
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -16,6 +16,7 @@
 mod latency;
 mod pool;
 mod queue;
+mod rate_share;
 mod router;
 mod score;
 mod stats;
--- a/crates/routing/src/pool.rs
+++ b/crates/routing/src/pool.rs
@@ -27,6 +27,22 @@
     pub(crate) is_local: bool,
 }
 
+impl PoolEntry {
+    /// Counts a call in flight, and takes it from this gate's share if the endpoint names a request
+    /// rate. Returns false if either has reached its limit.
+    pub(crate) fn try_acquire(&self) -> bool {
+        if !self.stats.try_acquire() {
+            return false;
+        }
+        let is_limited = self.endpoint.live.limit().is_some();
+        let is_allowed = !is_limited || self.stats.rate_share.try_take();
+        if !is_allowed {
+            self.stats.release();
+        }
+        is_allowed
+    }
+}
+
 /// Endpoints of one service for one version of its snapshot.
 #[derive(Debug)]
 pub(crate) struct Pool {
@@ -37,6 +53,8 @@
     entries: Vec<PoolEntry>,
     /// Number of endpoints in the gate's own availability zone.
     local_count: usize,
+    /// Gates of this availability zone.
+    gates: Vec<String>,
     latency: Arc<LatencyMean>,
     /// Serializes ejections, so that concurrent ones can't exceed the cap.
     ejection_lock: Arc<Mutex<()>>,
@@ -61,7 +79,9 @@
             Some(entry) => Arc::clone(&entry.stats),
             None => Arc::new(Stats::new(cfg, start)),
         };
-        let chosen = choose_subset(cfg, snapshot, foreign_gates);
+        let is_local = |gate: &&String| !foreign_gates.contains(*gate);
+        let gates: Vec<String> = cfg.gates.iter().filter(is_local).cloned().collect();
+        let chosen = choose_subset(cfg, snapshot, &gates);
         let entries = snapshot
             .endpoints
             .iter()
@@ -77,6 +97,7 @@
             version: snapshot.version,
             foreign_gate_count: foreign_gates.len(),
             local_count: local.len(),
+            gates,
             entries: local.into_iter().chain(remote).collect(),
             latency: old.map_or_else(Arc::default, |pool| Arc::clone(&pool.latency)),
             ejection_lock: old.map_or_else(Arc::default, |pool| Arc::clone(&pool.ejection_lock)),
@@ -91,6 +112,11 @@
         &self.entries
     }
 
+    /// Returns the gates of this availability zone.
+    pub(crate) fn gates(&self) -> &[String] {
+        &self.gates
+    }
+
     /// Returns the endpoints of the gate's own availability zone.
     pub(crate) fn local(&self) -> &[PoolEntry] {
         &self.entries[..self.local_count]
@@ -158,7 +184,7 @@
 fn choose_subset<'a>(
     cfg: &RouterConfig,
     snapshot: &'a ServiceSnapshot,
-    foreign_gates: &BTreeSet<String>,
+    gates: &[String],
 ) -> HashSet<&'a str> {
     let mut groups: BTreeMap<EndpointGroup<'_>, Vec<&str>> = BTreeMap::new();
     for endpoint in &snapshot.endpoints {
@@ -174,9 +200,7 @@
         };
         groups.entry(group).or_default().push(&a.endpoint);
     }
-    let is_local = |gate: &&String| !foreign_gates.contains(*gate);
-    let gates: Vec<String> = cfg.gates.iter().filter(is_local).cloned().collect();
-    let position = GatePosition::of(&cfg.gate, &gates);
+    let position = GatePosition::of(&cfg.gate, gates);
     let per_group = groups.iter().flat_map(|(group, names)| {
         let size = match group.az == cfg.az {
             true => subset::size(
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -11,7 +11,7 @@
 
 use derives::record;
 use logs::Event;
-use membership::{Endpoint, Table};
+use membership::{Endpoint, ObservedRate, RateReport, Table};
 use rand::{SeedableRng, rngs::SmallRng};
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -107,6 +107,7 @@
         let hashes = requirements.prompt.map(block_hashes).unwrap_or_default();
         let selection = Selection {
             cfg: &self.shared.cfg,
+            gates: pool.gates(),
             requirements,
             versions,
             hashes: &hashes,
@@ -117,7 +118,7 @@
         let mut rng = SmallRng::seed_from_u64(self.shared.seed ^ pick_number);
         for _ in 0..MAX_ATTEMPTS {
             let chosen = selection.choose(&pool, &mut rng)?;
-            if chosen.entry.stats.try_acquire() {
+            if chosen.entry.try_acquire() {
                 return Ok(Pick {
                     reasons: chosen.reasons(&pool, selection.now),
                     cached: chosen.cached,
@@ -313,6 +314,30 @@
         table.note_leaving(&a.endpoint, a.incarnation);
     }
 
+    /// Records the request rate that a response to this call named; `None` for a success that names
+    /// no limit.
+    pub fn record_rate(&self, per_second: Option<f64>) {
+        let live = &self.entry.endpoint.live;
+        let (now, a) = (Instant::now(), &self.entry.endpoint.announced);
+        let observed_at = match per_second {
+            Some(_) => now,
+            // The limit may have been named while the call was under way.
+            None if live.limit().is_some() => self.started_at,
+            None => return,
+        };
+        let observed = ObservedRate {
+            per_second,
+            observed_at,
+        };
+        self.router.shared.table.report_rate(RateReport {
+            endpoint: a.endpoint.clone(),
+            service: a.service.clone(),
+            incarnation: a.incarnation,
+            source: self.router.shared.cfg.gate.clone(),
+            rate: observed.report(now),
+        });
+    }
+
     /// Stops calls to the endpoint for `pause`, at its request.
     pub fn pause(&self, pause: Duration) {
         self.entry.stats.pause(pause, Instant::now());
--- a/crates/routing/src/score.rs
+++ b/crates/routing/src/score.rs
@@ -11,6 +11,7 @@
     config::RouterConfig,
     ewma::decay,
     pool::{Pool, PoolEntry},
+    rate_share,
     stats::Stats,
 };
 
@@ -39,6 +40,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Selection<'a> {
     pub(crate) cfg: &'a RouterConfig,
+    /// Gates of this availability zone.
+    pub(crate) gates: &'a [String],
     pub(crate) requirements: &'a CallRequirements<'a>,
     pub(crate) versions: Versions,
     pub(crate) hashes: &'a [u64],
@@ -109,6 +112,7 @@
     NotAllowed,
     NoModel,
     Paused,
+    Limited,
     Tried,
     AtLimit,
 }
@@ -132,6 +136,7 @@
             () if !is_allowed => Some(Exclusion::NotAllowed),
             () if !self.requirements.are_met_by(a, self.versions) => Some(Exclusion::NoModel),
             () if !entry.stats.remaining_pause(self.now).is_zero() => Some(Exclusion::Paused),
+            () if !self.rate_wait(entry).is_zero() => Some(Exclusion::Limited),
             () if is_tried || entry.stats.is_ejected(self.now) => Some(Exclusion::Tried),
             () if entry.stats.in_flight() >= entry.stats.limit() => Some(Exclusion::AtLimit),
             () if self.is_too_slow(entry) => Some(Exclusion::AtLimit),
@@ -139,6 +144,25 @@
         }
     }
 
+    /// Returns how long this gate has to wait before it may call an endpoint that names a request
+    /// rate; zero for others.
+    fn rate_wait(&self, entry: &PoolEntry) -> Duration {
+        let Some(limit) = entry.endpoint.live.limit() else {
+            return Duration::ZERO;
+        };
+        let endpoint = &entry.endpoint.announced.endpoint;
+        // Gates of other zones have no share.
+        let fraction = match entry.is_local {
+            true => rate_share::fraction(endpoint, &self.cfg.gate, self.gates),
+            false => 0.0,
+        };
+        let per_second = match fraction > 0.0 {
+            true => (limit * fraction).max(f64::MIN_POSITIVE),
+            false => 0.0,
+        };
+        entry.stats.rate_share.wait(per_second, self.now)
+    }
+
     /// Returns true if a call is likely to wait for longer than its remaining time.
     fn is_too_slow(&self, entry: &PoolEntry) -> bool {
         let wait = entry.stats.oldest_wait(self.now);
@@ -340,6 +364,13 @@
                     retry_after: retry_after.unwrap_or_default(),
                 }
             }
+            Exclusion::Limited => {
+                let waits = pool.entries().iter().map(|e| self.rate_wait(e));
+                let retry_after = waits.filter(|wait| !wait.is_zero()).min();
+                NoEndpoint::Limited {
+                    retry_after: retry_after.unwrap_or_default(),
+                }
+            }
             Exclusion::Tried => NoEndpoint::AllTried,
             Exclusion::AtLimit => {
                 let half = self.mean_latency.unwrap_or(0.0).min(60.0) / 2.0;
--- a/crates/routing/src/stats.rs
+++ b/crates/routing/src/stats.rs
@@ -18,6 +18,7 @@
     ewma::DecayingMean,
     health::{Health, returning_share},
     pending::{PendingCall, PendingCalls},
+    rate_share::RateShare,
 };
 
 /// Load reports closer in time than this are the same one.
@@ -86,6 +87,8 @@
     other_calls: AtomicU32,
     pub(crate) latency: LatencyMean,
     pending: PendingCalls,
+    /// This gate's share in the request rate that the endpoint names.
+    pub(crate) rate_share: RateShare,
     inner: Mutex<Inner>,
 }
 
@@ -106,6 +109,7 @@
             other_calls: AtomicU32::new(0),
             latency: LatencyMean::default(),
             pending: PendingCalls::default(),
+            rate_share: RateShare::default(),
             inner: Mutex::new(inner),
         }
     }
