A changed request rate ends the refusal that followed from the rate before

A gate that was refused permits for ten seconds at rate 0 kept the refusal after another gate had learnt that the endpoint takes five a second. Found by reading; the unit test failed before (Refused instead of Needed).

--- a/crates/forward/src/permits.rs
+++ b/crates/forward/src/permits.rs
@@ -46,12 +46,13 @@
         if !is_superseding {
             return false;
         }
-        let before = self.limit();
+        let is_changed = self.limit() != observed.per_second;
         self.observed = Some(observed);
-        if observed.per_second.is_none() {
+        if is_changed {
+            // They followed from the rate before.
             (self.available, self.refused_until) = (0, None);
         }
-        before != observed.per_second
+        is_changed
     }
 
     /// Returns true if this gate reports the rate to others.
--- a/crates/forward/src/permits/tests.rs
+++ b/crates/forward/src/permits/tests.rs
@@ -44,7 +44,7 @@
 }
 
 #[test]
-fn a_refusal_holds_until_its_time_is_over_or_the_limit_ends() {
+fn a_refusal_holds_until_its_time_is_over_or_the_rate_changes() {
     let now = Instant::now();
     let mut permits = limited(now);
     permits.refuse(now + SECOND);
@@ -52,6 +52,10 @@
     assert_eq!(permits.try_take(now), CallPermission::Refused(now + SECOND));
     assert_eq!(permits.try_take(now + SECOND), CallPermission::Needed);
     permits.refuse(now + 9 * SECOND);
+    // A new rate needs another answer, as after a limit of 0.
+    assert!(permits.record_rate(rate(Some(5.0), now + SECOND)));
+    assert_eq!(permits.try_take(now + SECOND), CallPermission::Needed);
+    permits.refuse(now + 9 * SECOND);
     assert!(permits.record_rate(rate(None, now + 2 * SECOND)));
     assert_eq!(permits.try_take(now + 2 * SECOND), CallPermission::Granted);
     assert_eq!(permits.refused_until(now + 2 * SECOND), None);
