A zone that lost its gates gets permits again

The order of the gates that may grant permits for a zone was kept until the known gates change. Where a zone's gates vanish the order is empty for 20 s, in which their shares stay reserved, and then holds all gates; but nothing changes at that moment, so the empty order stayed and the zone's limited endpoints got no calls any more. Found by reading; the order is now kept apart for both cases. The test failed before (Unavailable after 20 s). One function orders gates for collecting and for granting.

--- a/crates/forward/src/gates.rs
+++ b/crates/forward/src/gates.rs
@@ -135,7 +135,8 @@
     is_leaving: bool,
     /// Gates that were listed before, by name.
     unlisted: BTreeMap<String, UnlistedGate>,
-    /// Indices into `gates` by service and availability zone, in the order in which they collect.
+    /// Indices into `gates` by the seed of their order and availability zone, in the order in which
+    /// they collect or grant permits.
     orders: HashMap<(String, String), Arc<[usize]>>,
 }
 
@@ -146,35 +147,35 @@
 
     /// Returns the gates that collect for `service` in `az`, in an order that all gates agree on.
     fn order(&mut self, service: &str, az: &str) -> Arc<[usize]> {
-        let key = (service.to_owned(), az.to_owned());
-        if let Some(order) = self.orders.get(&key) {
-            return Arc::clone(order);
-        }
-        let rank = |gate: &Gate| xxh3_64(format!("{service}/{}", gate.name).as_bytes());
         let is_shared = self.is_shared();
-        let gates = self.gates.iter().enumerate();
-        let mut order: Vec<(u64, usize)> = gates
-            .filter(|(_, gate)| is_shared || gate.az == az)
-            .map(|(index, gate)| (rank(gate), index))
-            .collect();
-        order.sort_unstable();
-        let order: Arc<[usize]> = order.into_iter().map(|(_, index)| index).collect();
-        self.orders.insert(key, Arc::clone(&order));
-        order
+        self.cached_order(service, az, |gate| is_shared || gate.az == az)
     }
 
     /// Returns the gates that may grant permits for the endpoints of `az`, in an order that all gates
     /// agree on: those of the zone, or all if it has none.
     fn limiter_order(&mut self, az: &str) -> Arc<[usize]> {
-        let key = (LIMITER.to_owned(), az.to_owned());
+        let has_gates = self.has_gates(az);
+        let scope = if has_gates { "zone" } else { "all" };
+        let seed = format!("{LIMITER}/{scope}/{az}");
+        self.cached_order(&seed, az, |gate| !has_gates || gate.az == az)
+    }
+
+    /// Returns the gates that satisfy `is_member`, ordered by a hash of `seed` and their names. The
+    /// order is kept for `seed` and `az` until the gates change.
+    fn cached_order(
+        &mut self,
+        seed: &str,
+        az: &str,
+        is_member: impl Fn(&Gate) -> bool,
+    ) -> Arc<[usize]> {
+        let key = (seed.to_owned(), az.to_owned());
         if let Some(order) = self.orders.get(&key) {
             return Arc::clone(order);
         }
-        let has_gates = self.has_gates(az);
-        let rank = |gate: &Gate| xxh3_64(format!("{LIMITER}/{az}/{}", gate.name).as_bytes());
+        let rank = |gate: &Gate| xxh3_64(format!("{seed}/{}", gate.name).as_bytes());
         let gates = self.gates.iter().enumerate();
         let mut order: Vec<(u64, usize)> = gates
-            .filter(|(_, gate)| !has_gates || gate.az == az)
+            .filter(|(_, gate)| is_member(gate))
             .map(|(index, gate)| (rank(gate), index))
             .collect();
         order.sort_unstable();
--- a/crates/forward/src/gates/tests.rs
+++ b/crates/forward/src/gates/tests.rs
@@ -2,7 +2,7 @@
 use membership::Mirror;
 use uuid::Uuid;
 
-use super::{CollectorChoice, Gates};
+use super::{CollectorChoice, Gates, LimiterChoice, SHARE_RETENTION};
 use crate::{
     fleet::GATE_SERVICE,
     testing::{mirror, view},
@@ -125,3 +125,33 @@
         ));
     }
 }
+
+/// Gates that the keepers no longer list may only be cut off from them, so their shares in the request
+/// rates of their zone stay reserved for a while. After that, all gates share the rates.
+#[tokio::test(start_paused = true)]
+async fn shares_of_unlisted_gates_stay_reserved_for_a_while() {
+    let sorted = |mut names: Vec<String>| {
+        names.sort();
+        names
+    };
+    // Zone a: g0, g3; b: g1, g4; c: g2, g5.
+    let gates = Gates::new(links("g0"));
+    gates.update(&gates_of(6));
+    assert_eq!(sorted(gates.share_holders("b")), ["g1", "g4"]);
+    let mut listed = gates_of(6);
+    listed.endpoints.remove("g1");
+    listed.endpoints.remove("g4");
+    gates.update(&listed);
+    assert_eq!(sorted(gates.share_holders("b")), ["g1", "g4"]);
+    assert!(matches!(gates.limiter_for("b"), LimiterChoice::Unavailable));
+    tokio::time::advance(SHARE_RETENTION).await;
+    assert_eq!(sorted(gates.share_holders("b")), ["g0", "g2", "g3", "g5"]);
+    assert!(!matches!(
+        gates.limiter_for("b"),
+        LimiterChoice::Unavailable
+    ));
+    // A gate that is listed again holds its share again.
+    gates.update(&gates_of(6));
+    assert_eq!(sorted(gates.share_holders("b")), ["g1", "g4"]);
+    assert_eq!(sorted(gates.share_holders("nowhere")).len(), 6);
+}
