A gate that lacks shares refuses for half a second at most

The first permits of a limit are asked for before the shares of the zone are borrowed. The refusal then named the time at a third of the rate: three seconds for one request a second, ten times that at rate 0. It now asks again after half a second. Found by reading; unit test.

--- a/crates/forward/src/rate_limit/limiter.rs
+++ b/crates/forward/src/rate_limit/limiter.rs
@@ -13,8 +13,8 @@
 const BURST_TIME: Duration = Duration::from_millis(100);
 /// Time for which permits are granted at once.
 const GRANT_TIME: Duration = Duration::from_millis(20);
-/// Retry time without any share in the rate.
-const NO_SHARE_DELAY: Duration = Duration::from_millis(250);
+/// Longest retry time while this gate lacks shares in the rate; it may borrow them soon.
+const MISSING_SHARES_DELAY: Duration = Duration::from_millis(500);
 /// Maximum number of endpoints with a bucket; the one that was used least recently is dropped.
 const MAX_ENDPOINTS: usize = 4_096;
 
@@ -89,7 +89,7 @@
         known.bucket.refill(rate, burst, now);
         let wanted = (rate * GRANT_TIME.as_secs_f64()).max(1.0) as u32;
         match known.bucket.take(wanted) {
-            0 => Grant::Refused(known.bucket.time_to_token(rate).unwrap_or(NO_SHARE_DELAY)),
+            0 => Grant::Refused(wait_for_token(&known.bucket, rate, fraction)),
             permits => Grant::Permits(permits),
         }
     }
@@ -105,5 +105,14 @@
     }
 }
 
+/// Returns when a call may be sent at `rate` with `fraction` of the shares.
+fn wait_for_token(bucket: &TokenBucket, rate: f64, fraction: f64) -> Duration {
+    let wait = bucket.time_to_token(rate).unwrap_or(MISSING_SHARES_DELAY);
+    match fraction < 1.0 {
+        true => wait.min(MISSING_SHARES_DELAY),
+        false => wait,
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/forward/src/rate_limit/limiter/tests.rs
+++ b/crates/forward/src/rate_limit/limiter/tests.rs
@@ -4,7 +4,7 @@
 use tokio::time::Instant;
 use uuid::Uuid;
 
-use super::{Grant, Limiter, MAX_ENDPOINTS};
+use super::{Grant, Limiter, MAX_ENDPOINTS, MISSING_SHARES_DELAY};
 
 const MILLISECOND: Duration = Duration::from_millis(1);
 
@@ -59,6 +59,11 @@
         panic!("a new bucket is empty");
     };
     assert_eq!(after, 500 * MILLISECOND);
+    // With too few shares it asks again sooner, as it may have borrowed them by then.
+    for fraction in [0.0, 1.0 / 3.0] {
+        let refused = limiter.grant("e", fraction, start);
+        assert_eq!(refused, Grant::Refused(MISSING_SHARES_DELAY));
+    }
     let early = start + after - MILLISECOND;
     assert!(matches!(limiter.grant("e", 1.0, early), Grant::Refused(_)));
     let in_time = start + after + MILLISECOND;
