A refusal never says to come back after no time

Callers got Retry-After: 0.00 where the time to wait was under 5 ms, as when a rate allows the next call in a moment: they came back at once and all together. The time is now 10 ms at least and rounded up to hundredths, so that nobody comes back before the call is due either.

--- a/crates/forward/src/error.rs
+++ b/crates/forward/src/error.rs
@@ -7,6 +7,9 @@
 use logs::{Ending, RequestLog};
 use thiserror::Error;
 
+/// Shortest retry time; one of zero would be no time to come back.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(10);
+
 /// Why a request has no response from an endpoint.
 #[derive(Clone, Debug, Error, PartialEq)]
 pub enum ForwardError {
@@ -100,11 +103,11 @@
         }
     }
 
-    /// A refusal with a retry time.
+    /// A refusal with a retry time of [`MIN_RETRY_AFTER`] at least.
     pub fn retry_later(reason: Refusal, retry_after: Duration) -> Self {
         Self::Refused {
             reason,
-            retry_after: Some(retry_after),
+            retry_after: Some(retry_after.max(MIN_RETRY_AFTER)),
         }
     }
 
@@ -155,3 +158,12 @@
         format!("{self}\n").into()
     }
 }
+
+/// Returns the value of `Retry-After` in seconds, rounded up to hundredths so that callers do not
+/// come back too early.
+pub(crate) fn retry_after_value(after: Duration) -> String {
+    format!("{:.2}", (after.as_secs_f64() * 100.0).ceil() / 100.0)
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -25,7 +25,7 @@
 
 use crate::{
     dialect::ParsedHead,
-    error::{ForwardError, Refusal},
+    error::{ForwardError, Refusal, retry_after_value},
     freshness::Freshness,
     incoming::IncomingRequest,
     metrics::Metrics,
@@ -196,7 +196,7 @@
                     ..
                 } = &error
                 {
-                    let seconds = format!("{:.2}", after.as_secs_f64());
+                    let seconds = retry_after_value(*after);
                     headers.extend(HeaderValue::try_from(seconds).map(|v| (RETRY_AFTER, v)));
                 }
                 let name = (self.cx.dialect.id_header)();
