Test of hedges: the first slow call is slow at whichever endpoint gets it

Here, beside a release build, the target failed in 1 of 12 runs and `slow_calls_are_hedged_and_bookings_are_not` alone in 2 of 40, each time at "at least one hedge".

Cause: only one of the two endpoints was slow for the input `slow`, and the test supposed that one of eight calls goes there. Nothing was slow, so nothing had to be hedged. Ruled out: the budget for hedges and the latency estimates, since no slow call had been made.

--- a/crates/gate/tests/limits.rs
+++ b/crates/gate/tests/limits.rs
@@ -3,7 +3,13 @@
 
 mod env;
 
-use std::time::Duration;
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use env::{
     Env,
@@ -130,8 +136,20 @@
 async fn slow_calls_are_hedged_and_bookings_are_not() {
     let env = Env::start().await;
     let gate = env.gate("g").await;
-    let one = slow_retriever().await;
-    let two = FakeEndpoint::start("look-2", "look", |_| Reply::Json(output(&json!(1)))).await;
+    // Whichever endpoint gets the first of these calls is slow, so that one call is slow for sure.
+    let is_first_slow = Arc::new(AtomicBool::new(true));
+    let retriever = |name: &'static str| {
+        let is_first_slow = Arc::clone(&is_first_slow);
+        FakeEndpoint::start(name, "look", move |call| {
+            let is_slow =
+                call.body["input"] == "slow" && is_first_slow.swap(false, Ordering::SeqCst);
+            match is_slow {
+                true => Reply::Delayed(Duration::from_secs(5), output(&json!(1))),
+                false => Reply::Json(output(&json!(1))),
+            }
+        })
+    };
+    let (one, two) = (retriever("look-1").await, retriever("look-2").await);
     let booking_endpoint = FakeEndpoint::start("book-1", "book", |_| {
         Reply::Delayed(Duration::from_millis(400), output(&json!(1)))
     })
