Failing test: a completed booking that is sent again while keepers restart

The test runs three keepers, the gates and the endpoints as processes. Four times it completes a booking, kills all keepers, starts them again after 0.5 to 2 s and sends the same key 24 times in the first second, at gates and moments drawn from one seed.

--- a/crates/system/tests/bookings.rs
+++ b/crates/system/tests/bookings.rs
@@ -3,6 +3,7 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
+use rand::{RngExt, SeedableRng, rngs::StdRng};
 use system::{CallerRequest, CallerResponse, Env, KEEPER_VMS, booking, new_key, wait_until};
 use tokio::task::JoinSet;
 use uuid::Uuid;
@@ -150,6 +151,48 @@
     assert_consistent(&env, &bookings);
 }
 
+/// While all keepers restart, no gate can ask the ledger. A completed booking that is sent again
+/// then gets its result or an unknown outcome.
+#[tokio::test(flavor = "multi_thread")]
+async fn completed_booking_is_never_reported_as_not_run_while_keepers_restart() {
+    const SEED: u64 = 30;
+    const ROUNDS: usize = 4;
+    const RESENDS: usize = 24;
+    const MAX_DELAY_MS: u64 = 1_000;
+    const OUTAGE_MS: std::ops::Range<u64> = 500..2_000;
+    let mut rng = StdRng::seed_from_u64(SEED);
+    let mut env = Env::start().await;
+    let gates = all_gates(&env);
+    for round in 0..ROUNDS {
+        let first = book_until_completed(Arc::new(gates.clone()), round).await;
+        for vm in KEEPER_VMS {
+            env.kill_keeper(vm).await;
+        }
+        let mut callers = JoinSet::new();
+        for _ in 0..RESENDS {
+            let gate = gates[rng.random_range(0..gates.len())];
+            let delay = std::time::Duration::from_millis(rng.random_range(0..MAX_DELAY_MS));
+            callers.spawn(async move {
+                tokio::time::sleep(delay).await;
+                booking(first.key).send(gate).await
+            });
+        }
+        let outage = std::time::Duration::from_millis(rng.random_range(OUTAGE_MS));
+        tokio::time::sleep(outage).await;
+        for vm in KEEPER_VMS {
+            env.start_keeper(vm).await;
+        }
+        for response in callers.join_all().await {
+            let response = response.unwrap();
+            assert!(
+                matches!(&*response.outcome, "completed" | "unknown"),
+                "{response:?}"
+            );
+        }
+        assert_eq!(env.execution_count(first.key), 1);
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn booking_sent_to_all_gates_at_once_runs_once() {
     let env = Env::start().await;
