A booking is "not run" only if the ledger says so

The outcome of a request was decided from the bytes of its own calls alone. That is what this gate did for this request; an earlier request with the same key, at another gate or before a restart, was left out. So every failure before the ledger replied was told as `not_run`: no quorum, a lost reply to a claim, the deadline; but also, with a sound quorum, no endpoint, no connection, admission, the workspace's limit, and a stage that failed behind a stored booking. A key older than the ledger was `not_run` as well, and so was every refusal of a request with a key while it was read.

Ruled out: the keepers. A lookup reads at an index that a quorum confirms after the question, and a keeper that can't replies that it has no quorum.

Now the call record holds what is known about the key, too. Without the ledger's word the outcome is `unknown` (502, 504 at the deadline, 410 for an old key), with a time to come back. Before a failure is reported the ledger is asked, and a stored result is returned. Requests wait for a quorum that has been lost for less than 4 s, until their deadline (was 1.2 s, less than a restart of all keepers takes under load); then they fail at once.

New keys: while the quorum is away they wait instead of being refused after 1.2 s; beyond 4 s they are told `unknown` at once.

--- a/crates/gate/src/at_most_once.rs
+++ b/crates/gate/src/at_most_once.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     call_guard::CallGuard,
-    call_record::{CallRecord, OnceState},
+    call_record::{CallRecord, KeyState, OnceState},
     call_routing::{CallVerdict, PickedEndpoint},
     context::{RequestContext, deadline_too_close},
     error::{CallError, Cause, StageError},
@@ -52,7 +52,7 @@
         let picked = pick_when_free(cx, stage, &work, &tries.avoid).await?;
         tries.calls += 1;
         let error = match try_endpoint(cx, stage, key, &work, &picked).await {
-            Ok(OnceResult::Stored(output)) => return Ok(stored_stage(stage, output)),
+            Ok(OnceResult::Stored(output)) => return Ok(stored_stage(cx, stage, output)),
             Ok(OnceResult::Ran(output, tokens)) => {
                 cx.gate.metrics.record_stage(stage.name, started.elapsed());
                 let report = StageReport {
@@ -108,10 +108,11 @@
             // Released in the background; this request claims the key again when it reaches the
             // stage.
             drop(ledger.settle(&grant, Settlement::Released));
+            cx.record.set_key_state(KeyState::Unverified);
             Ok(None)
         }
         ClaimReply::Refused(reply) => match handle_refusal(cx, stage, key, reply).await? {
-            OnceResult::Stored(output) => Ok(Some(stored_stage(stage, output))),
+            OnceResult::Stored(output) => Ok(Some(stored_stage(cx, stage, output))),
             _ => Ok(None),
         },
     }
@@ -186,12 +187,15 @@
     Cause::Call(CallError::Deadline)
 }
 
+/// Claims `key`, and records whether this request has it.
 async fn claim(
     cx: &RequestContext,
     stage: Stage<'_>,
     key: Uuid,
     endpoint: &str,
 ) -> Result<ClaimReply, StageError> {
+    // An earlier claim of this request was released; another request may have the key since.
+    cx.record.set_key_state(KeyState::Unverified);
     let claim = Claim {
         key,
         digest: cx.request.digest.clone(),
@@ -206,6 +210,9 @@
         Err(why) => why,
     };
     cx.log_ledger_reply(stage, key, reply_label.to_owned(), sent_at);
+    if claimed.as_ref().is_ok_and(ClaimReply::is_free) {
+        cx.record.set_key_state(KeyState::Free);
+    }
     claimed.map_err(|e| StageError::new("ledger", Cause::Ledger(e)))
 }
 
@@ -226,7 +233,7 @@
         IntentReply::Conflict => Cause::Conflict,
         IntentReply::TooOld => Cause::TooOld,
         IntentReply::InFuture => Cause::InFuture,
-        IntentReply::Full => Cause::Ledger("the ledger is full; nothing was recorded".to_owned()),
+        IntentReply::Full => Cause::LedgerFull,
         IntentReply::Granted => Cause::Ledger("unexpected grant".to_owned()),
     };
     Err(StageError::new("ledger", cause))
@@ -249,7 +256,8 @@
     Err(StageError::new(stage.name, cause))
 }
 
-fn stored_stage(stage: Stage<'_>, output: Box<RawValue>) -> StageResult {
+fn stored_stage(cx: &RequestContext, stage: Stage<'_>, output: Box<RawValue>) -> StageResult {
+    cx.record.set_once_state(OnceState::Ran);
     let report = StageReport::from_ledger(stage);
     StageResult { output, report }
 }
--- a/crates/gate/src/call_record.rs
+++ b/crates/gate/src/call_record.rs
@@ -19,10 +19,24 @@
     Ran,
 }
 
+/// What is known about other requests with the same idempotency key.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) enum KeyState {
+    /// No stage of the pipeline needs a key.
+    #[default]
+    NotNeeded,
+    /// An earlier request may have run under the key.
+    Unverified,
+    /// A quorum of keepers replied that no call has run under the key, or granted it to this
+    /// request.
+    Free,
+}
+
 #[derive(Debug, Default)]
 struct State {
     calls: Vec<Call>,
-    once_state: OnceState,
+    once: OnceState,
+    key: KeyState,
 }
 
 #[derive(Debug)]
@@ -45,6 +59,19 @@
 pub(crate) struct CallRecord(Mutex<State>);
 
 impl CallRecord {
+    /// Creates the record of a request; `needs_key` says whether a stage of its pipeline may not be
+    /// repeated.
+    pub(crate) fn new(needs_key: bool) -> Self {
+        let key = match needs_key {
+            true => KeyState::Unverified,
+            false => KeyState::NotNeeded,
+        };
+        Self(Mutex::new(State {
+            key,
+            ..State::default()
+        }))
+    }
+
     /// Adds a call, before its first byte is sent. Returns its index.
     pub(crate) fn add(&self, send_state: &SendState) -> usize {
         let mut state = self.lock();
@@ -61,13 +88,30 @@
     }
 
     /// Sets the state of the unrepeatable calls. [`OnceState::Ran`] is final.
-    pub(crate) fn set_once_state(&self, once_state: OnceState) {
+    pub(crate) fn set_once_state(&self, once: OnceState) {
         let mut state = self.lock();
-        if state.once_state != OnceState::Ran {
-            state.once_state = once_state;
+        if state.once != OnceState::Ran {
+            state.once = once;
         }
     }
 
+    /// Sets what the ledger replied about the key.
+    pub(crate) fn set_key_state(&self, key: KeyState) {
+        self.lock().key = key;
+    }
+
+    /// Returns true if only the ledger can tell whether the request has run: none of its own calls
+    /// that may not be repeated did. Seals the call in doubt.
+    pub(crate) fn needs_ledger(&self) -> bool {
+        let state = self.lock();
+        let is_undecided = match state.once {
+            OnceState::Unsent => true,
+            OnceState::InDoubt(call) => !state.calls[call].seal_and_check_run(),
+            OnceState::Refused | OnceState::Ran => false,
+        };
+        is_undecided && state.key == KeyState::Unverified
+    }
+
     /// Returns the outcome of a request that did not complete. Seals pending calls first, so that
     /// the outcome can't become false.
     pub(crate) fn outcome(&self) -> Outcome {
@@ -76,10 +120,11 @@
         for call in &state.calls {
             may_have_run |= call.seal_and_check_run();
         }
-        match state.once_state {
+        match state.once {
             OnceState::Ran => Outcome::Unknown,
             OnceState::InDoubt(call) if state.calls[call].seal_and_check_run() => Outcome::Unknown,
             OnceState::Refused => Outcome::Failed,
+            _ if state.key == KeyState::Unverified => Outcome::Unknown,
             _ if may_have_run => Outcome::Failed,
             _ => Outcome::NotRun,
         }
--- a/crates/gate/src/caller_api.rs
+++ b/crates/gate/src/caller_api.rs
@@ -21,7 +21,7 @@
     error::CallError,
     gate::Gate,
     pipeline::{self, Answer},
-    refusal::refusal,
+    refusal::{refusal, without_promise},
     request::{self, CallerRequest, parse_key},
     request_log,
     sse::write_event,
@@ -48,7 +48,7 @@
                     close_connection(res);
                 }
                 request_log::log_refused(&problem);
-                return problem.render(res);
+                return without_promise(problem, req.headers()).render(res);
             }
         };
         echo_request_id(res, &request.id);
--- a/crates/gate/src/error.rs
+++ b/crates/gate/src/error.rs
@@ -115,9 +115,12 @@
         /// When the caller should retry.
         retry_after: Duration,
     },
-    /// The keepers did not grant the right to send.
+    /// The ledger did not reply, or its reply was invalid.
     #[error("at-most-once ledger: {0}")]
     Ledger(String),
+    /// The ledger has no room for another key.
+    #[error("at-most-once ledger: it is full; nothing was recorded")]
+    LedgerFull,
     /// The key was used with another request.
     #[error("the idempotency key was used with another request; use a new key for a new request")]
     Conflict,
@@ -178,7 +181,7 @@
         problem.outcome = Some(self.settled_outcome(outcome));
         problem.step = Some(self.step.clone());
         problem.peer.clone_from(&self.peer);
-        problem.retry_after_ms = self.retry_after(outcome).map(|d| d.as_millis() as u64);
+        problem.retry_after_ms = self.retry_after().map(|d| d.as_millis() as u64);
         problem.request = Some(request.to_owned());
         problem
     }
@@ -187,9 +190,10 @@
     /// it.
     pub(crate) fn settled_outcome(&self, outcome: Outcome) -> Outcome {
         match self.cause {
-            Cause::InProgress | Cause::EarlierUnknown | Cause::EarlierTooLarge(_) => {
-                Outcome::Unknown
-            }
+            Cause::InProgress
+            | Cause::EarlierUnknown
+            | Cause::EarlierTooLarge(_)
+            | Cause::TooOld => Outcome::Unknown,
             Cause::EarlierRefused { .. } => Outcome::Failed,
             _ => outcome,
         }
@@ -215,6 +219,24 @@
         }
     }
 
+    /// Returns true if the ledger itself replied with this error.
+    pub(crate) fn is_ledger_reply(&self) -> bool {
+        match &self.cause {
+            Cause::LedgerFull
+            | Cause::Conflict
+            | Cause::TooOld
+            | Cause::InFuture
+            | Cause::InProgress
+            | Cause::EarlierUnknown
+            | Cause::EarlierRefused { .. }
+            | Cause::EarlierTooLarge(_) => true,
+            Cause::Call(_)
+            | Cause::NoEndpoint { .. }
+            | Cause::Admission { .. }
+            | Cause::Ledger(_) => false,
+        }
+    }
+
     fn detail(&self) -> String {
         match &self.peer {
             Some(peer) => format!("{} at {peer}: {}", self.step, self.cause),
@@ -231,7 +253,7 @@
             Cause::Admission {
                 is_workspace_limit: true,
                 ..
-            } => (429, "workspace-limit", "Workspace limit reached"),
+            } if outcome == Outcome::NotRun => (429, "workspace-limit", "Workspace limit reached"),
             _ if self.settled_outcome(outcome) == Outcome::NotRun => (503, "not-run", "Not run"),
             _ if self.settled_outcome(outcome) == Outcome::Unknown => {
                 (502, "unknown", "Outcome unknown")
@@ -240,7 +262,7 @@
         }
     }
 
-    fn retry_after(&self, outcome: Outcome) -> Option<Duration> {
+    fn retry_after(&self) -> Option<Duration> {
         match &self.cause {
             Cause::NoEndpoint { retry_after, .. } | Cause::Admission { retry_after, .. } => {
                 Some(*retry_after)
@@ -253,7 +275,6 @@
                 None
             }
             Cause::Call(e) => e.retry_after().or(Some(DEFAULT_RETRY_AFTER)),
-            _ if outcome == Outcome::Unknown => None,
             _ => Some(DEFAULT_RETRY_AFTER),
         }
     }
--- a/crates/gate/src/head_limit.rs
+++ b/crates/gate/src/head_limit.rs
@@ -5,7 +5,7 @@
     http::{HeaderMap, header::HeaderValue},
 };
 
-use crate::refusal::refusal;
+use crate::refusal::{refusal, without_promise};
 
 /// The HTTP library's limit is this much larger, so that oversized heads reach the check here. The
 /// library answers still larger ones itself, without a problem document.
@@ -33,7 +33,8 @@
             return;
         }
         let detail = format!("the request's head is larger than {max} bytes; send fewer headers");
-        refusal(431, "head-too-large", "Head too large", detail).render(res);
+        let problem = refusal(431, "head-too-large", "Head too large", detail);
+        without_promise(problem, req.headers()).render(res);
         let close = HeaderValue::from_static("close");
         res.headers_mut().insert("connection", close);
         ctrl.skip_rest();
--- a/crates/gate/src/ledger.rs
+++ b/crates/gate/src/ledger.rs
@@ -83,6 +83,27 @@
     Refused(IntentReply),
 }
 
+/// Why there is no reply to a claim.
+enum ClaimError {
+    /// No quorum answered; the claim may still be granted.
+    NoReply(String),
+    /// The keepers refused the claim as malformed, or their reply was.
+    Invalid(String),
+}
+
+impl ClaimReply {
+    /// Returns true if no call with the claim's digest has run under its key.
+    pub(crate) fn is_free(&self) -> bool {
+        match self {
+            Self::Granted(_) => true,
+            Self::Refused(reply) => matches!(
+                reply,
+                IntentReply::Conflict | IntentReply::InFuture | IntentReply::Full
+            ),
+        }
+    }
+}
+
 impl Ledger {
     /// Creates a client of `keepers` for the process `incarnation` on VM `gate`.
     pub(crate) fn new(
@@ -101,14 +122,28 @@
         }
     }
 
-    /// Claims the right to send. A claim whose reply was lost is sent again with the same attempt
-    /// id. If no reply arrives before `deadline`, a grant that may exist is released in the
-    /// background, since nothing was sent.
+    /// Claims the right to send. While the quorum is lost for a short time, waits for it until
+    /// `deadline`.
     pub(crate) async fn claim(
         &self,
         claim: &Claim,
         deadline: Instant,
     ) -> Result<ClaimReply, String> {
+        loop {
+            match self.try_claim(claim, deadline).await {
+                Err(ClaimError::NoReply(_)) if self.quorum.wait_until_back(deadline).await => {}
+                Err(ClaimError::NoReply(reason) | ClaimError::Invalid(reason)) => {
+                    return Err(reason);
+                }
+                Ok(reply) => return Ok(reply),
+            }
+        }
+    }
+
+    /// Claims the right to send, for as long as the grant would be of use. A claim whose reply was
+    /// lost is sent again with the same attempt id. If no reply arrives, a grant that may exist is
+    /// released in the background, since nothing was sent.
+    async fn try_claim(&self, claim: &Claim, deadline: Instant) -> Result<ClaimReply, ClaimError> {
         let requested_at = Instant::now();
         let intent = self.intent(claim);
         let limit = self
@@ -138,10 +173,10 @@
             }
             Ok(KeeperReply::Invalid(reason)) => {
                 guard.intent = None;
-                Err(reason)
+                Err(ClaimError::Invalid(reason))
             }
-            Ok(other) => Err(format!("unexpected answer {other:?}")),
-            Err(e) => Err(e.to_string()),
+            Ok(other) => Err(ClaimError::Invalid(format!("unexpected answer {other:?}"))),
+            Err(e) => Err(ClaimError::NoReply(e.to_string())),
         }
     }
 
--- a/crates/gate/src/pipeline.rs
+++ b/crates/gate/src/pipeline.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     at_most_once,
-    call_record::CallRecord,
+    call_record::{CallRecord, KeyState},
     context::{RequestContext, deadline_too_close},
     error::{CallError, Cause, StageError},
     gate::Gate,
@@ -50,7 +50,7 @@
     let cx = RequestContext {
         priority: workspace.priority.0,
         azs: workspace.availability_zones.clone(),
-        record: Arc::new(CallRecord::default()),
+        record: Arc::new(CallRecord::new(request.key.is_some())),
         request_log: RequestLog::new(&request.id),
         gate,
         request,
@@ -62,6 +62,10 @@
             Err(StageError::new(&cx.request.pipeline, cause))
         }
     };
+    let result = match result {
+        Err(e) if cx.record.needs_ledger() => cx.verify_not_run(e).await,
+        result => result,
+    };
     cx.record_metrics(&result);
     match result {
         Ok(finished) => {
@@ -237,6 +241,45 @@
         Ok(stored.map(|finished| (index, finished)))
     }
 
+    /// Asks the ledger whether an earlier request with the same key has run, before `error` is
+    /// reported. Returns the stored result if it is the result of the whole pipeline.
+    async fn verify_not_run(&self, error: StageError) -> Result<PipelineResult, StageError> {
+        if error.is_ledger_reply() || Instant::now() >= self.request.deadline {
+            return Err(error);
+        }
+        let in_force = Arc::clone(&self.request.in_force);
+        let declaration = &in_force.declaration;
+        let stages = stages(declaration, &declaration.pipelines[&self.request.pipeline])?;
+        let first = stages.iter().position(|s| !s.service.repeatable);
+        let Some((index, key)) = first.and_then(|i| Some((i, self.ledger_key(&stages, i)?))) else {
+            return Err(error);
+        };
+        let is_last = index == stages.len() - 1;
+        let asking = at_most_once::stored_result(self, stages[index], key);
+        match timeout_at(self.request.deadline, asking).await {
+            Ok(Ok(Some(stored))) if is_last => Ok(PipelineResult {
+                stages: vec![stored.report],
+                output: stored.output,
+                output_not_kept: None,
+            }),
+            Ok(Ok(None)) => {
+                self.record.set_key_state(KeyState::Free);
+                Err(error)
+            }
+            Ok(Err(e)) if is_last && e.unkept_output_bytes().is_some() => {
+                let bytes = e.unkept_output_bytes();
+                Ok(PipelineResult::without_output(
+                    stages[index],
+                    Vec::new(),
+                    bytes,
+                ))
+            }
+            Ok(Err(e)) => Err(e),
+            // A stored result of an earlier stage, or no reply in time.
+            Ok(Ok(Some(_))) | Err(_) => Err(error),
+        }
+    }
+
     /// Returns the ledger key of stage `index`, if it may not be repeated.
     fn ledger_key(&self, stages: &[Stage<'_>], index: usize) -> Option<Uuid> {
         let is_once = |s: &Stage<'_>| !s.service.repeatable;
--- a/crates/gate/src/quorum.rs
+++ b/crates/gate/src/quorum.rs
@@ -2,7 +2,7 @@
 //!
 //! A request that fails or is pending for a while starts a probe. Once nothing has been answered
 //! for [`LOST_AFTER`], the quorum counts as lost: pending requests fail at once, and so do new
-//! ones, until the probe is answered.
+//! ones, until the probe is answered. Until then a request may wait for the quorum to return.
 
 use std::{sync::Arc, time::Duration};
 
@@ -12,14 +12,14 @@
 };
 use tokio::{
     sync::watch,
-    time::{Instant, sleep},
+    time::{Instant, sleep, timeout_at},
 };
 use uuid::Uuid;
 
 /// A request that is pending for this long starts the probe.
 const SUSPECT_AFTER: Duration = Duration::from_millis(300);
-/// Time without any reply after which the quorum counts as lost. Electing a new leader takes less.
-const LOST_AFTER: Duration = Duration::from_millis(1_200);
+/// Time without any reply after which the quorum counts as lost. Restarting all keepers takes less.
+const LOST_AFTER: Duration = Duration::from_secs(4);
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 const PROBE_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -89,6 +89,18 @@
         }
     }
 
+    /// Waits after a failed request until a quorum answers again. Returns false if it counts as lost
+    /// first, or at `deadline`.
+    pub(crate) async fn wait_until_back(&self, deadline: Instant) -> bool {
+        let mut health = self.health.subscribe();
+        let decided = health.wait_for(|health| *health != Health::Suspect);
+        match timeout_at(deadline, decided).await {
+            Ok(Ok(health)) => *health == Health::Healthy,
+            // The sender lives as long as `self`.
+            Ok(Err(_)) | Err(_) => false,
+        }
+    }
+
     /// Starts the probe unless it is running.
     fn suspect(&self) {
         let is_new = self.health.send_if_modified(|health| {
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -13,7 +13,12 @@
 use tokio::time::{Instant, timeout};
 use uuid::Uuid;
 
-use crate::{body, gate::Gate, ledger, refusal::refusal};
+use crate::{
+    body,
+    gate::Gate,
+    ledger,
+    refusal::{IDEMPOTENCY_KEY, refusal},
+};
 
 /// Longest deadline that a caller may request.
 const MAX_DEADLINE: Duration = Duration::from_mins(10);
@@ -154,7 +159,7 @@
 
 fn idempotency_key(headers: &HeaderMap) -> Result<Uuid, Box<Problem>> {
     let refused = |detail: &str| Err(refusal(400, "bad-key", "Bad idempotency key", detail));
-    match header_text(headers, "idempotency-key")? {
+    match header_text(headers, IDEMPOTENCY_KEY)? {
         None => refused(
             "this pipeline has a stage that may not be repeated; send Idempotency-Key with a UUIDv7",
         ),
--- a/crates/gate/src/tests.rs
+++ b/crates/gate/src/tests.rs
@@ -2,5 +2,6 @@
 
 mod assembly;
 mod draining;
+mod not_run;
 mod outcomes;
 mod parsing;
