A request that may have run is not refused when its inputs are gone

What callers saw: a request with stages that may be repeated is sent, its answer is lost, it is sent to a second endpoint, and that one finds the results of the stages gone (409): the caller was told 503, which promises that nothing ran, though the first endpoint may have run it.

Cause: the second endpoint's refusal was taken for the whole request. The other refusals on that path look at the number of calls that may have run; this one didn't. Only requests that may be repeated get to it, so nothing ran twice.

Ruled out by reading the rest of the path: refusals for want of an endpoint, of time or of a connection all end as 502 or 504 once a call may have run.

--- a/crates/forward/src/serving.rs
+++ b/crates/forward/src/serving.rs
@@ -441,6 +441,9 @@
             AttemptOutcome::Unreached => {
                 return Err(ForwardError::retry_later(Refusal::NoEndpoint, RETRY_AFTER));
             }
+            AttemptOutcome::InputsGone if attempts.runs > 0 => {
+                return Err(ForwardError::Lost(Refusal::InputsGone.to_string()));
+            }
             AttemptOutcome::InputsGone => {
                 return Err(ForwardError::retry_later(Refusal::InputsGone, RETRY_AFTER));
             }
