--- a/crates/bench/src/check/invariants.rs
+++ b/crates/bench/src/check/invariants.rs
@@ -27,7 +27,10 @@
             .unwrap_or(&no_entries);
         violations.extend(wrong_answer(evidence, request));
         violations.extend(broken_stream(request));
-        violations.extend(false_not_run(request, entries));
+        violations.extend(
+            false_not_run(request, entries)
+                .or_else(|| false_not_run_of_repeat(evidence, request, entries)),
+        );
         violations.extend(false_failed(evidence, request, entries));
         violations.extend(unexecuted_result(evidence, request, entries));
         violations.extend(interrupted_request(evidence, request));
@@ -112,6 +115,27 @@
     })
 }
 
+/// No reply may say `not_run` after a call that may not be repeated has started for an earlier
+/// attempt.
+fn false_not_run_of_repeat(
+    evidence: &Evidence,
+    request: &Request,
+    entries: &Entries<'_>,
+) -> Option<Violation> {
+    let is_not_run = |attempt: &&Attempt| attempt.reply.outcome == Outcome::NotRun;
+    let last = request.attempts.iter().rfind(is_not_run)?;
+    let is_earlier_run = |entry: &&&JournalEntry| {
+        has_started(entry)
+            && entry.at_ms < last.ended_ms
+            && evidence.is_non_repeatable(&entry.service)
+    };
+    let entry = entries.iter().find(is_earlier_run)?;
+    Some(Violation::FalseNotRun {
+        subject: request.subject.clone(),
+        endpoint: entry.endpoint.clone(),
+    })
+}
+
 /// Like `false_not_run`, with `failed` as well and only for calls that may not be repeated. A call
 /// whose journal has a failure of its own does not count.
 fn false_failed(
--- a/crates/bench/tests/check.rs
+++ b/crates/bench/tests/check.rs
@@ -181,6 +181,21 @@
         prop_assert!(found.contains(&"false_not_run"), "{:?}", found);
     }
 
+    #[test]
+    fn a_booking_that_ran_and_is_not_run_when_repeated_is_found(n in 0_usize..20) {
+        let mut evidence = correct_run(20);
+        let n = booking_index(n);
+        let mut repeat = evidence.requests[n].attempts[0].clone();
+        evidence.requests[n].attempts[0].reply.outcome = Outcome::Unknown;
+        evidence.requests[n].attempts[0].reply.output = None;
+        (repeat.sent_ms, repeat.ended_ms) = (repeat.ended_ms + 10, repeat.ended_ms + 20);
+        evidence.requests[n].attempts.push(repeat);
+        prop_assert_eq!(violation_names(&evidence), Vec::<&str>::new());
+        let reply = &mut evidence.requests[n].attempts[1].reply;
+        (reply.outcome, reply.output) = (Outcome::NotRun, None);
+        prop_assert_eq!(violation_names(&evidence), ["false_not_run"]);
+    }
+
     #[test]
     fn a_call_that_runs_after_not_run_was_reported_is_found(n in 0_usize..20) {
         let mut evidence = correct_run(20);
