Bound the memory for responses that a gate of /v1 reads

All calls ended in time with a true outcome and a closed connection. But one body of no length took the gate to 175.7 MB resident (limit for an output: 64 MiB), and nothing bounded the sum over calls.

Cause: the body was collected in one buffer that doubles, so that while it grows the old and the new one exist, and outputs were only limited one by one.

Now the parts are joined at the end, and the memory is reserved as they come from the one limit that callers' bodies have (`buffered_bytes`). A call that finds none ends with `no_memory`, without blame for its endpoint. Not bounded by it: outputs that are held for the next stage, and the text of streams, which has `output_bytes` for each call.

`gate endless memory_for_a_body_is_bounded` failed before (175,722,496 bytes, bound 160 MiB) and passes now.

--- a/crates/gate/src/at_most_once.rs
+++ b/crates/gate/src/at_most_once.rs
@@ -279,6 +279,7 @@
             gap: remaining,
             deadline: result_deadline,
             max_bytes: cx.gate.cfg.limits.output_bytes,
+            memory: cx.gate.body_memory.clone(),
         },
         notice: NoticeSlot::default(),
     }
@@ -318,7 +319,7 @@
         let verdict = match &result {
             Ok(_) => CallVerdict::Succeeded,
             Err(CallError::NotRun { .. }) => CallVerdict::Refused,
-            Err(CallError::Unsent) => CallVerdict::Cancelled,
+            Err(CallError::Unsent | CallError::NoMemory) => CallVerdict::Cancelled,
             Err(CallError::Status { status, .. }) if *status < 500 => CallVerdict::Rejected,
             Err(_) => CallVerdict::Failed,
         };
--- a/crates/gate/src/body.rs
+++ b/crates/gate/src/body.rs
@@ -19,7 +19,28 @@
 /// A share of the memory for bodies; released when dropped.
 #[derive(Debug)]
 pub(crate) struct MemoryReservation {
-    _permit: OwnedSemaphorePermit,
+    memory: BodyMemory,
+    permit: Option<OwnedSemaphorePermit>,
+    reserved: usize,
+}
+
+impl MemoryReservation {
+    /// Grows the share to `bytes` at least. Returns false if not enough memory is free.
+    pub(crate) fn try_grow(&mut self, bytes: usize) -> bool {
+        if bytes <= self.reserved {
+            return true;
+        }
+        let missing = (bytes - self.reserved).next_multiple_of(ACCOUNTING_UNIT);
+        let Ok(permit) = self.memory.try_reserve(missing) else {
+            return false;
+        };
+        match &mut self.permit {
+            Some(held) => held.merge(permit),
+            held => *held = Some(permit),
+        }
+        self.reserved += missing;
+        true
+    }
 }
 
 /// Limit on the memory for all bodies held at one time.
@@ -33,6 +54,15 @@
         Self(Arc::new(Semaphore::new(units)))
     }
 
+    /// Returns an empty share.
+    pub(crate) fn reservation(&self) -> MemoryReservation {
+        MemoryReservation {
+            memory: self.clone(),
+            permit: None,
+            reserved: 0,
+        }
+    }
+
     /// Reserves `bytes`, or fails if not enough are free.
     fn try_reserve(&self, bytes: usize) -> Result<OwnedSemaphorePermit, TryAcquireError> {
         let units = u32::try_from(bytes.div_ceil(ACCOUNTING_UNIT)).unwrap_or(u32::MAX);
@@ -54,9 +84,8 @@
     }
     // Only bytes that have arrived are reserved, so a caller that declares a large body and sends
     // little does not block others.
-    let mut permit = memory.try_reserve(0).map_err(|_| memory_exhausted())?;
+    let mut reservation = memory.reservation();
     let mut whole = BytesMut::with_capacity(content_length.unwrap_or(0).min(INITIAL_CAPACITY));
-    let mut reserved = 0;
     let mut body = req.take_body();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|e| {
@@ -69,19 +98,12 @@
         let size = whole.len() + part.len();
         match size {
             _ if size > max => return Err(too_large(max)),
-            _ if size > reserved => {
-                permit.merge(
-                    memory
-                        .try_reserve(size - reserved)
-                        .map_err(|_| memory_exhausted())?,
-                );
-                reserved += (size - reserved).next_multiple_of(ACCOUNTING_UNIT);
-            }
+            _ if !reservation.try_grow(size) => return Err(memory_exhausted()),
             _ => {}
         }
         whole.extend_from_slice(&part);
     }
-    Ok((whole.freeze(), MemoryReservation { _permit: permit }))
+    Ok((whole.freeze(), reservation))
 }
 
 fn too_large(max: usize) -> Box<Problem> {
--- a/crates/gate/src/error.rs
+++ b/crates/gate/src/error.rs
@@ -44,6 +44,9 @@
     /// The response exceeds the size limit.
     #[error("response larger than {0} bytes")]
     TooLarge(usize),
+    /// The gate's memory for bodies is exhausted.
+    #[error("no memory is left for the response")]
+    NoMemory,
     /// The resumed stream contradicts text that was already forwarded.
     #[error("the resumed stream differs from the text already forwarded")]
     Diverged,
@@ -62,7 +65,7 @@
     pub(crate) fn is_retryable(&self) -> bool {
         match self {
             Self::Status { status, .. } => *status >= 500 || matches!(status, 408 | 429),
-            Self::Deadline | Self::CallerDisconnected | Self::TooLarge(_) => false,
+            Self::Deadline | Self::CallerDisconnected | Self::TooLarge(_) | Self::NoMemory => false,
             _ => true,
         }
     }
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{
     HeaderMap, Method, Request, StatusCode,
@@ -17,7 +17,7 @@
 use tokio::time::{Instant, timeout_at};
 use uuid::Uuid;
 
-use crate::error::CallError;
+use crate::{body::BodyMemory, error::CallError};
 
 /// Call id, which every response echoes.
 const CALL: HeaderName = HeaderName::from_static("jujube-call");
@@ -36,7 +36,7 @@
 const MAX_DETAIL_CHARS: usize = 300;
 
 /// Limits on waiting for a response and on its size.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct ResponseLimits {
     /// Longest wait for the head of the response.
     pub(crate) first_byte: Duration,
@@ -47,6 +47,8 @@
     pub(crate) deadline: Instant,
     /// Largest response in bytes.
     pub(crate) max_bytes: usize,
+    /// Memory for all bodies that the gate holds.
+    pub(crate) memory: BodyMemory,
 }
 
 /// Metadata and limits of a call.
@@ -157,7 +159,7 @@
     call: &Call,
     req: Request<Full<Bytes>>,
 ) -> Result<Exchange, CallError> {
-    let limits = call.limits;
+    let limits = call.limits.clone();
     let until = limits.deadline.min(Instant::now() + limits.first_byte);
     let sent = timeout_at(until, connection.send(req, &call.send_state)).await;
     let answer = match sent {
@@ -255,17 +257,28 @@
         }
     }
 
-    /// Reads the whole body, at most `max` bytes, and returns the connection to the pool.
+    /// Reads the whole body, at most `max` bytes, and returns the connection to the pool. The gate's
+    /// memory for bodies is reserved while it is read.
     pub(crate) async fn collect(mut self, max: usize, pool: &Pool) -> Result<Bytes, CallError> {
-        let mut whole = BytesMut::new();
+        let mut memory = self.limits.memory.reservation();
+        // Joined at the end, so that an oversized body is never copied.
+        let mut parts: Vec<Bytes> = Vec::new();
+        let mut size = 0;
         while let Some(part) = self.next().await? {
-            if whole.len() + part.len() > max {
+            size += part.len();
+            if size > max {
                 return Err(CallError::TooLarge(max));
             }
-            whole.extend_from_slice(&part);
+            if !memory.try_grow(size) {
+                return Err(CallError::NoMemory);
+            }
+            parts.push(part);
         }
         self.finish(pool);
-        Ok(whole.freeze())
+        Ok(match parts.len() {
+            1 => parts.swap_remove(0),
+            _ => parts.concat().into(),
+        })
     }
 
     /// Returns the connection to the pool. Call only at the end of the body.
--- a/crates/gate/src/hedging.rs
+++ b/crates/gate/src/hedging.rs
@@ -307,6 +307,7 @@
             gap: cx.gate.cfg.timing.gap.min((remaining / 4).max(MIN_GAP)),
             deadline,
             max_bytes: cx.gate.cfg.limits.output_bytes,
+            memory: cx.gate.body_memory.clone(),
         },
         notice: NoticeSlot::default(),
     }
--- a/crates/gate/src/picking.rs
+++ b/crates/gate/src/picking.rs
@@ -108,7 +108,9 @@
         } => CallVerdict::Refused,
         CallError::Status { status, .. } if *status < 500 => CallVerdict::Rejected,
         CallError::Deadline => CallVerdict::Late,
-        CallError::CallerDisconnected | CallError::Unsent => CallVerdict::Cancelled,
+        CallError::CallerDisconnected | CallError::Unsent | CallError::NoMemory => {
+            CallVerdict::Cancelled
+        },
         _ => CallVerdict::Failed,
     };
     picked.finish(verdict, None, None);
@@ -130,6 +132,7 @@
         CallError::CallIdMismatch => "crossed",
         CallError::Malformed(_) => "malformed",
         CallError::TooLarge(_) => "too_large",
+        CallError::NoMemory => "no_memory",
         CallError::Diverged => "diverged",
         CallError::Lagging => "lagging",
         CallError::Deadline => "deadline",
--- a/crates/gate/tests/env/mod.rs
+++ b/crates/gate/tests/env/mod.rs
@@ -175,6 +175,34 @@
         client::post(self.http, &path, &all, &json!({ "input": input })).await
     }
 
+    /// Largest resident memory of the process so far, in bytes.
+    pub fn peak_memory(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = line.unwrap().trim().trim_end_matches(" kB");
+        kilobytes.parse::<u64>().unwrap() << 10
+    }
+
+    /// Waits until the process has no open connection to `address`.
+    pub async fn wait_until_disconnected(&self, address: SocketAddr) {
+        const ESTABLISHED: &str = "01";
+        let start = Instant::now();
+        let remote = format!("0100007F:{:04X}", address.port());
+        loop {
+            let path = format!("/proc/{}/net/tcp", self.child.id());
+            let table = std::fs::read_to_string(path).unwrap();
+            let mut rows = table
+                .lines()
+                .map(|row| row.split_whitespace().collect::<Vec<_>>());
+            let is_open = rows.any(|row| row.get(2) == Some(&&*remote) && row[3] == ESTABLISHED);
+            if !is_open {
+                return;
+            }
+            assert!(start.elapsed() < TEST_TIMEOUT, "still connected");
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     pub fn kill(&mut self) {
         self.child.kill().unwrap();
         self.child.wait().unwrap();
