Test: a keeper goes on after malformed messages on its links

Links had one for frames only. It must run on, report no panic and grant a key afterwards.

Not covered: changes, replacements and members, which can be valid and would take effect, and gates' channels.

--- a/crates/keeper/tests/env/mod.rs
+++ b/crates/keeper/tests/env/mod.rs
@@ -9,6 +9,7 @@
     net::SocketAddr,
     path::PathBuf,
     process::{Child, Command, Stdio},
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
@@ -39,6 +40,7 @@
 /// One keeper process.
 pub struct Process {
     child: Child,
+    panics: Arc<Mutex<Vec<String>>>,
     pub http: SocketAddr,
     pub link: SocketAddr,
 }
@@ -50,8 +52,13 @@
             .arg("--config")
             .arg(config)
             .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
             .spawn()
             .unwrap();
+        let panics = Arc::default();
+        let stderr = BufReader::new(child.stderr.take().unwrap());
+        let found = Arc::clone(&panics);
+        std::thread::spawn(move || forward_stderr(stderr, &found));
         let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
         let mut last = String::new();
         while let Some(Ok(line)) = lines.next() {
@@ -67,12 +74,26 @@
                     println!("{line}");
                 }
             });
-            return Ok(Self { child, http, link });
+            return Ok(Self {
+                child,
+                panics,
+                http,
+                link,
+            });
         }
         child.wait().unwrap();
         Err(last)
     }
 
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+
+    /// Returns the panics that the process reported so far.
+    pub fn panics(&self) -> Vec<String> {
+        self.panics.lock().unwrap().clone()
+    }
+
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
         let status = Command::new("kill").args([name, &pid]).status().unwrap();
@@ -98,6 +119,15 @@
     }
 }
 
+fn forward_stderr(stderr: impl BufRead, panics: &Mutex<Vec<String>>) {
+    for line in stderr.lines().map_while(Result::ok) {
+        eprintln!("{line}");
+        if line.contains("panicked") {
+            panics.lock().unwrap().push(line);
+        }
+    }
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         // It may have exited already.
