An item that is sent again needs its inputs again

What callers saw: requests that waited for their stages twice.

Cause, from the log of one of them: a call of 53 items gets 60 ms into its run, so its inputs count as fetched and are released. The endpoint has no space for some of the results. Those items go back into the queue, are sent 300 ms later without their inputs, and only that answer ends the stage. Also, an item that came back kept its mark, so that the last other item of the stage released the inputs that the first one still waited for.

Now an item that is put back takes its mark back, and where the inputs may be released already the stage ends at once.

--- a/crates/forward/src/collector.rs
+++ b/crates/forward/src/collector.rs
@@ -492,7 +492,9 @@
         | BatchOutcome::Unsent(_)
         | BatchOutcome::Unreached(_)
         | BatchOutcome::Misplaced => {
-            next.jobs.iter().for_each(|job| queue.requeue(job.clone()));
+            for job in &next.jobs {
+                requeue(queue, job.clone());
+            }
             return unwanted;
         }
         BatchOutcome::Failed(_) => {
@@ -520,7 +522,7 @@
             Err(ItemFailure::NoCapacity) => {
                 let bytes = job.ticket.submission.result_bytes;
                 queue.record_no_capacity(&next.target.name, bytes, Instant::now());
-                queue.requeue(job.clone());
+                requeue(queue, job.clone());
             }
             Err(ItemFailure::Stage(failure)) => job.ticket.fail(failure),
         }
@@ -528,6 +530,14 @@
     unwanted
 }
 
+/// Requeues an item, or fails its stage if the inputs that it needs again may be released.
+fn requeue(queue: &mut Queue, job: Job) {
+    match job.ticket.reclaim_inputs(job.item) {
+        true => queue.requeue(job),
+        false => job.ticket.fail(StageFailure::InputGone),
+    }
+}
+
 /// Requeues an item if the retry budget allows it, and fails its stage otherwise.
 fn retry_or_fail(cx: &Context, queue: &mut Queue, service: &str, job: Job, failure: &StageFailure) {
     let may_spend = || {
@@ -536,7 +546,7 @@
         is_allowed
     };
     match job.next_try().filter(|_| may_spend()) {
-        Some(job) => queue.requeue(job),
+        Some(job) => requeue(queue, job),
         None => job.ticket.fail(failure.clone()),
     }
 }
--- a/crates/forward/src/ticket.rs
+++ b/crates/forward/src/ticket.rs
@@ -108,6 +108,22 @@
         }
     }
 
+    /// Records that `item` needs its inputs once more. Returns false if they may be released already,
+    /// since the endpoints of all items had fetched them.
+    pub(crate) fn reclaim_inputs(&self, item: u32) -> bool {
+        if self.submission.inputs.is_empty() {
+            return true;
+        }
+        let mut state = self.state();
+        if state.has_inputs.iter().all(|has_inputs| *has_inputs) {
+            return false;
+        }
+        if let Some(has_inputs) = state.has_inputs.get_mut(item as usize) {
+            *has_inputs = false;
+        }
+        true
+    }
+
     /// Waits until the endpoints of all items have fetched the inputs; never returns if that is not
     /// known before the items are completed.
     pub(crate) async fn inputs_fetched(&self) {
@@ -154,3 +170,6 @@
         results.map(|r| r.handle).collect()
     }
 }
+
+#[cfg(test)]
+mod tests;
