Refuse stages of more items than can be completed in time

Four billion would have taken all memory of the gate and all of its requests with it.

The check at admission looked at the time of one call only. It looks at the calls that the stage needs at least now, over the slots that the pool has; stages of one round are judged as before. Counting is one step, products saturate.

The test of the queue failed before at nine items where eight can be done in time (its last assertion, 2^32 - 1, was not run on the old code: it would have filled the machine's memory), and passes now.

--- a/crates/forward/src/collector.rs
+++ b/crates/forward/src/collector.rs
@@ -136,9 +136,8 @@
         let Some(pool) = self.shared.cx.fleet.pool(&service) else {
             return Err(StageFailure::NoEndpoint);
         };
-        for _ in 0..submission.items {
-            self.shared.cx.budget.record_first_attempt(&service);
-        }
+        let budget = &self.shared.cx.budget;
+        budget.record_first_attempts(&service, submission.items);
         let active = self.queue_for(QueueKey { service, zone });
         let ticket = {
             let mut queue = active.queue();
--- a/crates/forward/src/queue.rs
+++ b/crates/forward/src/queue.rs
@@ -117,8 +117,8 @@
         let due = self.elapsed_ms(now) + submission.due_ms;
         let position = due + i64::from(submission.urgency) * URGENCY_STEP_MS;
         let wait = self.expected_wait(position, slots);
-        let call_time = self.call_time(submission.items.min(self.batch.max_items));
-        if wait + call_time > submission.remaining {
+        let stage_time = self.stage_time(submission.items, slots);
+        if wait.saturating_add(stage_time) > submission.remaining {
             return Err(StageFailure::Crowded { retry_after: wait });
         }
         let ticket = Arc::new(Ticket::new(submission, now));
@@ -170,6 +170,16 @@
         usable.sum()
     }
 
+    /// Least time for a stage of `items` with this number of usable `slots`.
+    fn stage_time(&self, items: u32, slots: f64) -> Duration {
+        let calls = items.div_ceil(self.batch.max_items.max(1));
+        let rounds = (f64::from(calls) / slots.max(1.0)).ceil() as u32;
+        match rounds {
+            0 | 1 => self.call_time(items.min(self.batch.max_items)),
+            rounds => self.call_time(self.batch.max_items).saturating_mul(rounds),
+        }
+    }
+
     fn call_time(&self, items: u32) -> Duration {
         self.batch.call_overhead + self.batch.item_duration * items
     }
--- a/crates/forward/src/queue/tests.rs
+++ b/crates/forward/src/queue/tests.rs
@@ -286,6 +286,24 @@
     queue.record_outcome(next, took, &outcome, Instant::now());
 }
 
+/// A caller names the number of items, so a stage that no pool could complete must not take memory.
+#[tokio::test(start_paused = true)]
+async fn a_stage_of_more_items_than_can_be_completed_in_time_is_refused() {
+    let (mut queue, pool) = (queue(), pool(&[("i-1", "a"), ("i-2", "b")]));
+    let reachable = ReachableZones::default();
+    // A call of four items takes 280 ms, and each endpoint runs one at a time.
+    let mut is_accepted = |items_count, left_ms| {
+        let stage = items(items_count, 0, left_ms);
+        let enqueued = queue.enqueue(stage, &pool, &reachable, Instant::now());
+        enqueued.map(|ticket| queue.remove_stage(&ticket)).is_ok()
+    };
+    assert!(is_accepted(8, 280));
+    assert!(!is_accepted(9, 280));
+    assert!(is_accepted(16, 560));
+    assert!(!is_accepted(17, 560));
+    assert!(!is_accepted(u32::MAX, 3_600_000));
+}
+
 /// Inputs are released early only if the call will most likely succeed. Nothing is known of a new
 /// endpoint, a slow one has other calls ahead, and a pool that runs out of space returns items.
 #[tokio::test(start_paused = true)]
--- a/crates/forward/src/stages.rs
+++ b/crates/forward/src/stages.rs
@@ -195,7 +195,8 @@
             key: key.filter(|_| stage.after.is_empty()),
             inputs: handles.collect(),
             result_bytes: stage.result_bytes,
-            crossing_bytes: u64::from(items) * input_bytes(&inputs).unwrap_or(stage.result_bytes),
+            crossing_bytes: u64::from(items)
+                .saturating_mul(input_bytes(&inputs).unwrap_or(stage.result_bytes)),
             // Set for each submission.
             remaining: Duration::ZERO,
             urgency: cx.urgency,
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -65,11 +65,16 @@
 
     /// Records the first attempt of a call to `service`, which adds `ratio` to its balance.
     pub fn record_first_attempt(&self, service: &str) {
+        self.record_first_attempts(service, 1);
+    }
+
+    /// Records the first attempts of `count` calls to `service`.
+    pub fn record_first_attempts(&self, service: &str, count: u32) {
         let RetryBudgetConfig {
             ratio, max_balance, ..
         } = self.cfg();
         self.with_account(service, |account| {
-            account.balance = (account.balance + ratio).min(max_balance);
+            account.balance = (account.balance + ratio * f64::from(count)).min(max_balance);
         });
     }
 
