Limit how many refused requests ask the ledger at one time

Since refusals of requests with a key ask the ledger, a caller beyond its workspace's limit could make the keepers work for each of its requests. At most 64 of a gate ask at one time now; the others are told `unknown`. `gate once refused_requests_load_the_keepers_within_a_limit`: of 100 at one time without a quorum 64 ask (all 100 before).

--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -7,7 +7,7 @@
 
 use link::follower::{ActiveDeclaration, Follower};
 use outbound::Pool;
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 
 use crate::{
     body::BodyMemory, call_routing::CallRouting, config::Config, inflight::Inflight,
@@ -29,6 +29,8 @@
     /// Client of the keepers' at-most-once ledger.
     pub(crate) ledger: Ledger,
     pub(crate) metrics: Metrics,
+    /// Limits how many refused requests ask the ledger about their keys at one time.
+    pub(crate) verifications: Semaphore,
     /// Work that a graceful shutdown waits for.
     pub(crate) inflight: Inflight,
     /// Memory limit for request bodies.
--- a/crates/gate/src/pipeline.rs
+++ b/crates/gate/src/pipeline.rs
@@ -254,6 +254,10 @@
         let Some((index, key)) = first.and_then(|i| Some((i, self.ledger_key(&stages, i)?))) else {
             return Err(error);
         };
+        // Requests beyond a limit must not load the keepers without bound.
+        let Ok(_permit) = self.gate.verifications.try_acquire() else {
+            return Err(error);
+        };
         let is_last = index == stages.len() - 1;
         let asking = at_most_once::stored_result(self, stages[index], key);
         match timeout_at(self.request.deadline, asking).await {
--- a/crates/gate/src/start.rs
+++ b/crates/gate/src/start.rs
@@ -26,7 +26,7 @@
 use spdlog::{info, warn};
 use tokio::{
     net::TcpListener,
-    sync::watch,
+    sync::{Semaphore, watch},
     task::JoinHandle,
     time::{sleep, timeout},
 };
@@ -49,6 +49,8 @@
 
 /// Up to this many other gates in the availability zone, links are kept to all of them.
 const MAX_FULLY_LINKED_GATES: usize = 8;
+/// Most refused requests that ask the ledger about their keys at one time.
+const MAX_VERIFICATIONS: usize = 64;
 
 /// Starts a gate, which shuts down gracefully once `stopped` is signalled.
 pub async fn start(cfg: Config, stopped: StopSignal) -> eyre::Result<Running> {
@@ -158,6 +160,7 @@
         inflight,
         body_memory: BodyMemory::new(cfg.limits.buffered_bytes),
         draining: watch::Sender::new(false),
+        verifications: Semaphore::new(MAX_VERIFICATIONS),
         is_warmed_up: AtomicBool::new(false),
         cfg,
     }
--- a/crates/gate/tests/once.rs
+++ b/crates/gate/tests/once.rs
@@ -378,6 +378,25 @@
     assert_eq!(booking_endpoint.calls().len(), 1);
 }
 
+/// Refused requests wait for the ledger, but only some of them at one time.
+#[tokio::test]
+async fn refused_requests_load_the_keepers_within_a_limit() {
+    const REQUESTS: usize = 100;
+    const MAX_VERIFICATIONS: usize = 64;
+    let env = Env::start().await;
+    let gate = env.gate("g").await;
+    env.keeper.set_fault(Fault::NoQuorum);
+    let keys: Vec<String> = (0..REQUESTS).map(|_| key()).collect();
+    let requests = keys.iter().map(|key| book(&gate, key, "20000", json!(1)));
+    let answers = futures_util::future::join_all(requests).await;
+    for answer in &answers {
+        let expected = (502, "unknown".to_owned());
+        assert_eq!(status_and_outcome(answer), expected, "{}", answer.text());
+    }
+    let asked = answers.iter().filter(|a| a.json()["step"] == "ledger");
+    assert_eq!(asked.count(), MAX_VERIFICATIONS);
+}
+
 #[tokio::test]
 async fn a_repeat_waits_for_a_quorum_that_is_lost_for_a_short_time() {
     let env = Env::start().await;
