Test: a repeat whose second unrepeatable stage is refused is unknown

The mark matters where a later stage that may not be repeated gets its own key granted and does not run; without it the caller was told 503 not_run for a booking that had run.

The tests of bookings share their start of a gate and an endpoint.

--- a/crates/gate/tests/env/mod.rs
+++ b/crates/gate/tests/env/mod.rs
@@ -57,8 +57,10 @@
 stages = look, book
 [pipeline booking-notice]
 stages = book, look
+[pipeline booking-draft]
+stages = book, draft
 [workspace w]
-pipelines = ask, find, chat, booking, plan-booking, booking-notice, drafting
+pipelines = ask, find, chat, booking, plan-booking, booking-notice, booking-draft, drafting
 availability_zones = z
 max_in_flight = 100
 [workspace small]
--- a/crates/gate/tests/once.rs
+++ b/crates/gate/tests/once.rs
@@ -28,6 +28,15 @@
     Reply::Json(output(&json!("booked")))
 }
 
+/// Starts a gate that knows an endpoint for bookings.
+async fn start_with_endpoint() -> (Env, env::Gate, FakeEndpoint) {
+    let env = Env::start().await;
+    let gate = env.gate("g").await;
+    let endpoint = start_booking_endpoint(|_| booked()).await;
+    gate.announce(&endpoint).await;
+    (env, gate, endpoint)
+}
+
 async fn book(gate: &env::Gate, key: &str, deadline_ms: &str, input: Value) -> Answer {
     let headers = [
         ("idempotency-key", key),
@@ -42,10 +51,8 @@
 
 #[tokio::test]
 async fn a_repeat_gets_the_stored_result_and_another_body_is_a_conflict() {
-    let env = Env::start().await;
-    let (a, b) = (env.gate("a").await, env.gate("b").await);
-    let booking_endpoint = start_booking_endpoint(|_| booked()).await;
-    a.announce(&booking_endpoint).await;
+    let (env, a, booking_endpoint) = start_with_endpoint().await;
+    let b = env.gate("b").await;
     b.announce(&booking_endpoint).await;
     let key = key();
     for gate in [&a, &a, &b] {
@@ -112,10 +119,7 @@
 
 #[tokio::test]
 async fn without_a_quorum_nothing_is_sent() {
-    let env = Env::start().await;
-    let gate = env.gate("g").await;
-    let booking_endpoint = start_booking_endpoint(|_| booked()).await;
-    gate.announce(&booking_endpoint).await;
+    let (env, gate, booking_endpoint) = start_with_endpoint().await;
     env.keeper.set_fault(Fault::NoQuorum);
     let answer = book(&gate, &key(), "500", json!("ferry")).await;
     assert_eq!(answer.outcome(), "unknown", "{}", answer.text());
@@ -127,10 +131,7 @@
 
 #[tokio::test]
 async fn an_intent_whose_answer_was_lost_is_given_back_and_the_key_is_free() {
-    let env = Env::start().await;
-    let gate = env.gate("g").await;
-    let booking_endpoint = start_booking_endpoint(|_| booked()).await;
-    gate.announce(&booking_endpoint).await;
+    let (env, gate, booking_endpoint) = start_with_endpoint().await;
     env.keeper.set_fault(Fault::LostReplies);
     let key = key();
     let answer = book(&gate, &key, "400", json!("ferry")).await;
@@ -358,10 +359,8 @@
 /// A gate that knows no endpoint refuses a request before it claims the key.
 #[tokio::test]
 async fn a_gate_without_endpoints_asks_the_ledger_before_it_refuses() {
-    let env = Env::start().await;
-    let (a, b) = (env.gate("a").await, env.gate("b").await);
-    let booking_endpoint = start_booking_endpoint(|_| booked()).await;
-    a.announce(&booking_endpoint).await;
+    let (env, a, booking_endpoint) = start_with_endpoint().await;
+    let b = env.gate("b").await;
     let key = key();
     let answer = book(&a, &key, "5000", json!("ferry")).await;
     assert_eq!(answer.json()["output"], "booked", "{}", answer.text());
@@ -399,10 +398,8 @@
 
 #[tokio::test]
 async fn a_repeat_waits_for_a_quorum_that_is_lost_for_a_short_time() {
-    let env = Env::start().await;
-    let (a, b) = (env.gate("a").await, env.gate("b").await);
-    let booking_endpoint = start_booking_endpoint(|_| booked()).await;
-    a.announce(&booking_endpoint).await;
+    let (env, a, booking_endpoint) = start_with_endpoint().await;
+    let b = env.gate("b").await;
     b.announce(&booking_endpoint).await;
     let key = key();
     let answer = book(&a, &key, "5000", json!("ferry")).await;
@@ -426,10 +423,7 @@
 
 #[tokio::test]
 async fn without_a_quorum_for_long_the_outcome_is_unknown_at_once() {
-    let env = Env::start().await;
-    let gate = env.gate("g").await;
-    let booking_endpoint = start_booking_endpoint(|_| booked()).await;
-    gate.announce(&booking_endpoint).await;
+    let (env, gate, booking_endpoint) = start_with_endpoint().await;
     env.keeper.set_fault(Fault::NoQuorum);
     let expected = (502, "unknown".to_owned());
     for _ in 0..2 {
@@ -444,10 +438,7 @@
 /// The earlier request booked; the repeat fails at the stage after the booking.
 #[tokio::test]
 async fn a_repeat_that_fails_after_the_stored_booking_is_unknown() {
-    let env = Env::start().await;
-    let gate = env.gate("g").await;
-    let booking_endpoint = start_booking_endpoint(|_| booked()).await;
-    gate.announce(&booking_endpoint).await;
+    let (_env, gate, booking_endpoint) = start_with_endpoint().await;
     let key = key();
     let headers = [("idempotency-key", &*key), ("jujube-deadline-ms", "5000")];
     for _ in 0..2 {
@@ -458,6 +449,24 @@
     assert_eq!(booking_endpoint.calls().len(), 1);
 }
 
+/// The ledger grants the key of the second stage, which then does not run; the first one has run for
+/// the earlier request.
+#[tokio::test]
+async fn a_repeat_whose_second_unrepeatable_stage_is_refused_is_unknown() {
+    let (_env, gate, booking_endpoint) = start_with_endpoint().await;
+    let drafting_endpoint = FakeEndpoint::start("draft-1", "draft", |_| not_run()).await;
+    gate.announce(&drafting_endpoint).await;
+    let key = key();
+    let headers = [("idempotency-key", &*key), ("jujube-deadline-ms", "5000")];
+    for _ in 0..2 {
+        let answer = gate.post("booking-draft", &headers, json!(1)).await;
+        assert_eq!(answer.outcome(), "unknown", "{}", answer.text());
+        assert_eq!(answer.status, 502, "{}", answer.text());
+    }
+    assert_eq!(booking_endpoint.calls().len(), 1);
+    assert!(!drafting_endpoint.calls().is_empty());
+}
+
 #[tokio::test]
 async fn a_refusal_before_the_key_was_looked_up_says_nothing_about_it() {
     let env = Env::start().await;
