--- a/crates/gate/src/error.rs
+++ b/crates/gate/src/error.rs
@@ -45,7 +45,7 @@
     #[error("response larger than {0} bytes")]
     TooLarge(usize),
     /// The gate's memory for bodies is exhausted.
-    #[error("no memory is left for the response")]
+    #[error("no memory is left for the response; wait, or raise [limits] buffered_bytes")]
     NoMemory,
     /// The resumed stream contradicts text that was already forwarded.
     #[error("the resumed stream differs from the text already forwarded")]
--- a/crates/gate/src/tests/not_run.rs
+++ b/crates/gate/src/tests/not_run.rs
@@ -17,9 +17,9 @@
 const RETRY_AFTER: Duration = Duration::from_millis(700);
 
 /// Status, outcome and `retry_after_ms` that the caller gets.
-type Told = (u16, Outcome, Option<u64>);
+type Answer = (u16, Outcome, Option<u64>);
 
-fn told(record: &CallRecord, cause: Cause) -> Told {
+fn answer(record: &CallRecord, cause: Cause) -> Answer {
     let error = StageError::new("book", cause);
     let problem = error.problem(record.outcome(), "r");
     (
@@ -60,17 +60,17 @@
     assert!(record.needs_ledger());
     for cause in [no_endpoint(), workspace_limit()] {
         let expected = (502, Outcome::Unknown, Some(700));
-        assert_eq!(told(&record, cause.clone()), expected, "{cause}");
+        assert_eq!(answer(&record, cause.clone()), expected, "{cause}");
     }
     for cause in [
         no_quorum(),
         Cause::Call(CallError::Connect("refused".to_owned())),
     ] {
         let expected = (502, Outcome::Unknown, Some(1_000));
-        assert_eq!(told(&record, cause.clone()), expected, "{cause}");
+        assert_eq!(answer(&record, cause.clone()), expected, "{cause}");
     }
     let deadline = Cause::Call(CallError::Deadline);
-    assert_eq!(told(&record, deadline).0, 504);
+    assert_eq!(answer(&record, deadline).0, 504);
 }
 
 #[test]
@@ -78,11 +78,14 @@
     let record = record_with(KeyState::Free);
     assert!(!record.needs_ledger());
     let not_run = |status, retry_after_ms| (status, Outcome::NotRun, retry_after_ms);
-    assert_eq!(told(&record, no_endpoint()), not_run(503, Some(700)));
-    assert_eq!(told(&record, workspace_limit()), not_run(429, Some(700)));
-    assert_eq!(told(&record, Cause::LedgerFull), not_run(503, Some(1_000)));
-    assert_eq!(told(&record, Cause::Conflict), not_run(409, None));
-    assert_eq!(told(&record, Cause::InFuture), not_run(400, None));
+    assert_eq!(answer(&record, no_endpoint()), not_run(503, Some(700)));
+    assert_eq!(answer(&record, workspace_limit()), not_run(429, Some(700)));
+    assert_eq!(
+        answer(&record, Cause::LedgerFull),
+        not_run(503, Some(1_000))
+    );
+    assert_eq!(answer(&record, Cause::Conflict), not_run(409, None));
+    assert_eq!(answer(&record, Cause::InFuture), not_run(400, None));
 }
 
 #[test]
@@ -104,14 +107,17 @@
 #[test]
 fn a_key_older_than_the_ledger_may_have_run() {
     let record = record_with(KeyState::Free);
-    assert_eq!(told(&record, Cause::TooOld), (410, Outcome::Unknown, None));
+    assert_eq!(
+        answer(&record, Cause::TooOld),
+        (410, Outcome::Unknown, None)
+    );
 }
 
 #[test]
 fn a_claim_without_a_reply_takes_back_what_was_known() {
     let record = record_with(KeyState::Free);
     record.set_key_state(KeyState::Unverified);
-    assert_eq!(told(&record, no_quorum()).1, Outcome::Unknown);
+    assert_eq!(answer(&record, no_quorum()).1, Outcome::Unknown);
 }
 
 #[test]
@@ -122,7 +128,7 @@
     record.set_once_state(OnceState::InDoubt(call));
     assert!(send_state.seal());
     let cause = Cause::Call(CallError::Unsent);
-    assert_eq!(told(&record, cause).1, Outcome::NotRun);
+    assert_eq!(answer(&record, cause).1, Outcome::NotRun);
 }
 
 /// The endpoint's own statement is about its call, so it holds only for the key that it had.
@@ -138,7 +144,7 @@
         let call = record.add(&SendState::new());
         record.mark_refused(call);
         record.set_once_state(OnceState::Unsent);
-        assert_eq!(told(&record, cause.clone()).1, expected, "{key_state:?}");
+        assert_eq!(answer(&record, cause.clone()).1, expected, "{key_state:?}");
     }
 }
 
@@ -148,7 +154,7 @@
     let record = record_with(KeyState::Unverified);
     record.set_once_state(OnceState::Ran);
     assert!(!record.needs_ledger());
-    assert_eq!(told(&record, no_endpoint()).1, Outcome::Unknown);
+    assert_eq!(answer(&record, no_endpoint()).1, Outcome::Unknown);
 }
 
 #[test]
@@ -156,7 +162,7 @@
     let record = CallRecord::new(false);
     assert!(!record.needs_ledger());
     assert_eq!(
-        told(&record, no_endpoint()),
+        answer(&record, no_endpoint()),
         (503, Outcome::NotRun, Some(700))
     );
 }
