Tests of bookings: keepers' ports can't be taken by outgoing connections

Cause: the test binds ports of the kernel's ephemeral range, drops the listeners and lets the keepers bind them again; in between any outgoing connection of the machine may be given the port as its source. Each group of keepers now listens on a loopback address of its own, from which no connection starts. No assertion is changed.

--- a/crates/gate/tests/keepers.rs
+++ b/crates/gate/tests/keepers.rs
@@ -3,8 +3,9 @@
 mod env;
 
 use std::{
-    net::{SocketAddr, TcpListener},
+    net::{IpAddr, SocketAddr, TcpListener},
     path::Path,
+    sync::atomic::{AtomicU8, Ordering},
     time::Duration,
 };
 
@@ -24,6 +25,9 @@
 
 const KEEPERS: usize = 3;
 
+/// Last byte of the loopback address of the next group of keepers.
+static NEXT_HOST: AtomicU8 = AtomicU8::new(2);
+
 /// Three keepers that run in this process.
 struct Keepers {
     folder: TempDir,
@@ -33,7 +37,9 @@
 
 impl Keepers {
     async fn start() -> Self {
-        let listener = || TcpListener::bind(("127.0.0.1", 0)).unwrap();
+        // Outgoing connections start from 127.0.0.1, so none takes a port before its keeper binds it.
+        let host = IpAddr::from([127, 0, 0, NEXT_HOST.fetch_add(1, Ordering::Relaxed)]);
+        let listener = || TcpListener::bind((host, 0)).unwrap();
         let listeners: Vec<_> = (0..KEEPERS).map(|_| listener()).collect();
         let links = listeners.iter().map(|l| l.local_addr().unwrap()).collect();
         drop(listeners);
