A refusal without the request's id proves nothing on a reused connection

Seen by callers: a faulty worker wrote an earlier refusal once more on a kept connection. A request that the worker ran was reported as "not run, try again" (503), or ran at a second worker, also on routes that may not be repeated.

Cause: the platform's dialect takes a refusal without an id as one for the current request, since some refusals are sent before the worker has read the id. Nothing told whether the connection had carried another exchange before.

Fix: the exchange knows whether its connection was reused. On such a connection a refusal (503, 429, 409, 421, 400) that does not carry the request's id is `Unrelated`: the request may have run, an unrepeatable one ends as lost (502), a repeatable one is retried out of the budget, the connection is closed and the endpoint blamed. The dialects say only whether a head carries the id. Batched calls carry no id and are left as they are here.

Ruled out: the product's own dialect takes no answer without the call's id for a request (`forwarder endpoints only_a_response_to_this_call_can_say_that_it_did_not_run`).

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod processes;
 pub mod proxy;
 pub mod rate_check;
+pub mod raw_endpoint;
 pub mod stand_in;
--- a/crates/forward/src/batch.rs
+++ b/crates/forward/src/batch.rs
@@ -35,7 +35,7 @@
         Err(e) if e.may_have_run() => return BatchOutcome::Failed(e.to_string()),
         Err(e) => return BatchOutcome::Unsent(e.to_string()),
     };
-    let class = (cx.dialect.classify)("", exchange.status, &exchange.headers);
+    let class = exchange.classify(&cx.dialect, "");
     if class.is_from_target() {
         let notice = (cx.dialect.notice)(exchange.status, &exchange.headers);
         let sent_at = (class == ResponseClass::Success).then_some(now);
--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -9,6 +9,8 @@
 use thiserror::Error;
 use tokio::time::{Instant, timeout_at};
 
+use crate::dialect::{Dialect, ResponseClass};
+
 /// Header that says how long the peer keeps an idle connection open.
 const KEEP_ALIVE: &str = "keep-alive";
 
@@ -45,6 +47,8 @@
     connection: Connection,
     body: Incoming,
     address: SocketAddr,
+    /// True if the connection carried another exchange before.
+    is_reused: bool,
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
 }
@@ -60,7 +64,12 @@
     if let Some(connection) = pool.checkout(address) {
         match send_on(connection, address, req.clone(), deadline).await {
             Err(CallError::Unsent(_)) if Instant::now() < deadline => {}
-            result => return result,
+            result => {
+                return result.map(|exchange| Exchange {
+                    is_reused: true,
+                    ..exchange
+                });
+            }
         }
     }
     let connecting = timeout_at(deadline, pool.connect(address)).await;
@@ -98,6 +107,7 @@
         connection,
         body,
         address,
+        is_reused: false,
         status: head.status,
         headers: head.headers,
     })
@@ -112,6 +122,18 @@
 }
 
 impl Exchange {
+    /// Classifies the response to the request `id`, which is empty for batched calls. A refusal
+    /// without the request's id proves that the request did not run only if it is the first response
+    /// on its connection; otherwise it may be a copy of an earlier refusal.
+    pub(crate) fn classify(&self, dialect: &Dialect, id: &str) -> ResponseClass {
+        let class = (dialect.classify)(id, self.status, &self.headers);
+        let is_identified = || (dialect.echoes_id)(id, &self.headers);
+        match class.is_refusal() && self.is_reused && !id.is_empty() && !is_identified() {
+            true => ResponseClass::Unrelated,
+            false => class,
+        }
+    }
+
     /// Returns the next part of the body, or `None` at its end. Waits until `deadline`.
     pub(crate) async fn next_chunk(
         &mut self,
--- a/crates/forward/src/dialect.rs
+++ b/crates/forward/src/dialect.rs
@@ -53,6 +53,14 @@
     pub(crate) fn is_from_target(self) -> bool {
         !matches!(self, Self::WrongEndpoint | Self::Unrelated)
     }
+
+    /// Returns true if the response says that the request did not run.
+    pub(crate) fn is_refusal(self) -> bool {
+        match self {
+            Self::Full | Self::WrongEndpoint | Self::InputsGone | Self::NotRun => true,
+            Self::Success | Self::Failed | Self::Unrelated => false,
+        }
+    }
 }
 
 /// Load that an endpoint reports.
@@ -125,6 +133,8 @@
     pub write_request: fn(&IncomingRequest, &Attempt<'_>) -> Request<Full<Bytes>>,
     /// Classifies the head of a response to the request with this id.
     pub classify: fn(&str, StatusCode, &HeaderMap) -> ResponseClass,
+    /// Returns true if the head of a response carries this request id.
+    pub echoes_id: fn(&str, &HeaderMap) -> bool,
     /// Reads what the head of a response says about its endpoint, whatever its status.
     pub notice: fn(StatusCode, &HeaderMap) -> Notice,
     /// Reads the load report in the head of a response.
--- a/crates/forward/src/serving.rs
+++ b/crates/forward/src/serving.rs
@@ -519,7 +519,7 @@
             };
         }
     };
-    let class = (cx.dialect.classify)(&req.incoming.id, exchange.status, &exchange.headers);
+    let class = exchange.classify(&cx.dialect, &req.incoming.id);
     if class.is_from_target() {
         let notice = (cx.dialect.notice)(exchange.status, &exchange.headers);
         let sent_at = (class == ResponseClass::Success).then_some(sent_at);
--- a/crates/forwarder/src/endpoints.rs
+++ b/crates/forwarder/src/endpoints.rs
@@ -78,6 +78,13 @@
     }
 }
 
+/// Returns true if the head of a response carries the call's id.
+pub(crate) fn echoes_id(id: &str, headers: &HeaderMap) -> bool {
+    headers
+        .get(header_names::CALL_ID)
+        .is_some_and(|echoed| echoed == id)
+}
+
 /// Parses what a response says about its endpoint: that it is leaving, or requests a pause.
 pub(crate) fn notice(status: StatusCode, headers: &HeaderMap) -> Notice {
     Notice::parse(
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -20,6 +20,7 @@
     parse_head: callers::parse_head,
     write_request: endpoints::build_request,
     classify: endpoints::classify_response,
+    echoes_id: endpoints::echoes_id,
     notice: endpoints::notice,
     load: endpoints::load,
     answer_headers: endpoints::answer_headers,
