Close a reused connection on which a batched call was refused

Seen by callers: after a stale refusal of a batched call, the stages of a request could get the results of another request, and its endpoint was called with them.

Cause: batched calls and releases carry no id. After a refusal the connection went back to the pool. If the refusal was a copy of an earlier one, the response to the refused call followed, and the next call on the connection took it for its own. `is_stale_copy` knows only handles that were delivered before, and these were not.

Fix: a refusal of a batched call or release on a connection that carried an exchange before closes the connection; as the first response it may stay. Items of a refused call are queued again as before, since an item may be produced twice. A response that does not match the items closes the idle connections of the endpoint, as a stale copy does already.

Evidence: `platform stale_refusals connection_with_a_stale_refusal_of_a_batched_call_is_not_reused`. The first form of the test, one request at a time, passed on the old code: the refused item itself is the next call then, and gets its own result.

Left as it is: a copy of an earlier success in place of the response to a release is not told apart, as a release needs no result.

--- a/crates/bench/src/raw_endpoint.rs
+++ b/crates/bench/src/raw_endpoint.rs
@@ -18,6 +18,8 @@
 /// Request as a raw endpoint received it.
 #[derive(Clone, Debug)]
 pub struct RawRequest {
+    /// Number of its connection.
+    pub connection: usize,
     /// Index of the request on its connection.
     pub index: usize,
     /// Its path.
@@ -75,8 +77,14 @@
         let respond: Arc<Respond> = Arc::new(respond);
         let accepting = endpoint.clone();
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(accepting.clone().serve(stream, Arc::clone(&respond)));
+            for connection in 0.. {
+                let Ok((stream, _)) = listener.accept().await else {
+                    return;
+                };
+                let serving = accepting
+                    .clone()
+                    .serve(stream, connection, Arc::clone(&respond));
+                tokio::spawn(serving);
             }
         });
         Ok(endpoint)
@@ -89,12 +97,13 @@
     }
 
     /// Serves one connection. Errors end it: the peer may close it at any time.
-    async fn serve(self, mut stream: TcpStream, respond: Arc<Respond>) {
+    async fn serve(self, mut stream: TcpStream, connection: usize, respond: Arc<Respond>) {
         let mut buf = Vec::new();
         for index in 0.. {
-            let Some(req) = read_request(&mut stream, &mut buf, index).await else {
+            let Some(mut req) = read_request(&mut stream, &mut buf).await else {
                 return;
             };
+            (req.connection, req.index) = (connection, index);
             let (bytes, then) = respond(&req);
             self.requests
                 .lock()
@@ -115,13 +124,9 @@
 }
 
 /// Reads one request, or returns `None` if the connection ends before.
-async fn read_request(
-    stream: &mut TcpStream,
-    buf: &mut Vec<u8>,
-    index: usize,
-) -> Option<RawRequest> {
+async fn read_request(stream: &mut TcpStream, buf: &mut Vec<u8>) -> Option<RawRequest> {
     loop {
-        if let Some((req, length)) = parse_request(buf, index) {
+        if let Some((req, length)) = parse_request(buf) {
             buf.drain(..length);
             return Some(req);
         }
@@ -132,7 +137,7 @@
 }
 
 /// Parses a request with a `Content-Length` or without a body; returns it with its length.
-fn parse_request(buf: &[u8], index: usize) -> Option<(RawRequest, usize)> {
+fn parse_request(buf: &[u8]) -> Option<(RawRequest, usize)> {
     let head_length = buf.windows(4).position(|w| w == b"\r\n\r\n")? + 4;
     let head = String::from_utf8_lossy(&buf[..head_length]).into_owned();
     let mut lines = head.lines();
@@ -140,7 +145,8 @@
     let headers = lines.filter_map(|line| line.split_once(':'));
     let headers = headers.map(|(name, value)| (name.to_owned(), value.trim().to_owned()));
     let mut req = RawRequest {
-        index,
+        connection: 0,
+        index: 0,
         path,
         headers: headers.collect(),
         body: String::new(),
--- a/crates/forward/src/batch.rs
+++ b/crates/forward/src/batch.rs
@@ -44,9 +44,8 @@
     match class {
         ResponseClass::Success => {}
         ResponseClass::Full | ResponseClass::NotRun | ResponseClass::InputsGone => {
-            // The body is read only to keep the connection usable.
-            let _ = exchange
-                .read_body(&cx.pool, MAX_ANSWER_BYTES, deadline)
+            exchange
+                .end_refused(&cx.pool, MAX_ANSWER_BYTES, deadline)
                 .await;
             return BatchOutcome::NotRun;
         }
@@ -65,7 +64,11 @@
         Some(results) if results.len() == next.jobs.len() => {
             BatchOutcome::Answered(results.into_iter().map(item_outcome).collect())
         }
-        _ => BatchOutcome::Failed("the response does not match the items".to_owned()),
+        _ => {
+            // The connection may deliver responses to other calls.
+            cx.pool.close_idle(next.target.address);
+            BatchOutcome::Failed("the response does not match the items".to_owned())
+        }
     }
 }
 
--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -134,6 +134,16 @@
         }
     }
 
+    /// Ends the exchange after a refusal of a batched call or release. These carry no id, so on a
+    /// reused connection the refusal may be a copy of an earlier one that the response to this call
+    /// follows: such a connection is closed. Any other one is returned to `pool` after the body.
+    pub(crate) async fn end_refused(self, pool: &Pool, max: usize, deadline: Instant) {
+        if !self.is_reused {
+            // The body is read only to keep the connection usable.
+            let _ = self.read_body(pool, max, deadline).await;
+        }
+    }
+
     /// Returns the next part of the body, or `None` at its end. Waits until `deadline`.
     pub(crate) async fn next_chunk(
         &mut self,
--- a/crates/forward/src/collector.rs
+++ b/crates/forward/src/collector.rs
@@ -296,7 +296,10 @@
         if let Some(target) = target {
             cx.fleet.apply_notice(target, notice, &cx.vm, None);
         }
-        let _ = exchange.read_body(&cx.pool, usize::MAX, deadline).await;
+        match exchange.status.is_success() {
+            true => drop(exchange.read_body(&cx.pool, usize::MAX, deadline).await),
+            false => exchange.end_refused(&cx.pool, usize::MAX, deadline).await,
+        }
         let mut queue = active.queue();
         for handle in handles {
             queue.release(handle);
