Do not send a request again on a connection on which it was refused

Seen by callers: a caller whose request had been refused sent it again under its id, a faulty endpoint ran it and wrote the earlier refusal once more: "not run, try again" for a request that ran.

Cause: the copy carries the request's own id, so it cannot be told from a response to the second sending if both are on one connection.

Fix: a connection remembers the ids that were refused on it, 16 at most, and is closed when one of them is to be sent again or one more is refused. Other requests still use it.

Evidence: `platform stale_refusals request_is_not_sent_again_on_a_connection_on_which_it_was_refused`, on the code before: panicked at platform/tests/stale_refusals.rs:219: assertion `left == right` failed: /book/1, left: 503, right: 200

Ruled out: closing a connection after every refusal. It does the same, but endpoints that are full would be asked for a new connection by every request that they refuse.

--- a/crates/forward/src/batch.rs
+++ b/crates/forward/src/batch.rs
@@ -29,7 +29,7 @@
     }
     let timeout = (next.expected * TIMEOUT_FACTOR).max(MIN_TIMEOUT);
     let deadline = now + timeout;
-    let exchange = match call::send(&cx.pool, next.target.address, req, deadline).await {
+    let exchange = match call::send(&cx.pool, next.target.address, "", req, deadline).await {
         Ok(exchange) => exchange,
         Err(CallError::Unreached(why)) => return BatchOutcome::Unreached(why),
         Err(e) if e.may_have_run() => return BatchOutcome::Failed(e.to_string()),
@@ -45,7 +45,7 @@
         ResponseClass::Success => {}
         ResponseClass::Full | ResponseClass::NotRun | ResponseClass::InputsGone => {
             exchange
-                .end_refused(&cx.pool, MAX_ANSWER_BYTES, deadline)
+                .end_refused(&cx.pool, "", MAX_ANSWER_BYTES, deadline)
                 .await;
             return BatchOutcome::NotRun;
         }
--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -13,6 +13,8 @@
 
 /// Header that says how long the peer keeps an idle connection open.
 const KEEP_ALIVE: &str = "keep-alive";
+/// Number of refused requests after which a connection is closed.
+const MAX_REFUSED: usize = 16;
 
 /// Why a call has no complete response.
 #[derive(Clone, Debug, Error, PartialEq)]
@@ -53,15 +55,19 @@
     pub(crate) headers: HeaderMap,
 }
 
-/// Sends `req` to `address` and waits until `deadline` for the response head. If a reused idle
-/// connection closes before the first byte is written, the request is sent on a new connection.
+/// Sends `req` with this id, which is empty for batched calls and releases, to `address` and waits
+/// until `deadline` for the response head. If a reused idle connection closes before the first byte
+/// is written, the request is sent on a new connection. A connection on which this id was refused is
+/// closed, since a copy of the refusal could not be told from the response.
 pub(crate) async fn send(
     pool: &Pool,
     address: SocketAddr,
+    id: &str,
     req: Request<Full<Bytes>>,
     deadline: Instant,
 ) -> Result<Exchange, CallError> {
-    if let Some(connection) = pool.checkout(address) {
+    let idle = pool.checkout(address);
+    if let Some(connection) = idle.filter(|c| !c.refused.iter().any(|refused| refused == id)) {
         match send_on(connection, address, req.clone(), deadline).await {
             Err(CallError::Unsent(_)) if Instant::now() < deadline => {}
             result => {
@@ -134,14 +140,26 @@
         }
     }
 
-    /// Ends the exchange after a refusal of a batched call or release. These carry no id, so on a
-    /// reused connection the refusal may be a copy of an earlier one that the response to this call
-    /// follows: such a connection is closed. Any other one is returned to `pool` after the body.
-    pub(crate) async fn end_refused(self, pool: &Pool, max: usize, deadline: Instant) {
-        if !self.is_reused {
-            // The body is read only to keep the connection usable.
-            let _ = self.read_body(pool, max, deadline).await;
+    /// Ends the exchange after the request `id` was refused, and returns the connection to `pool` after
+    /// the body, up to `max` bytes. Batched calls and releases carry no id, so on a reused connection
+    /// the refusal may be a copy of an earlier one that the response to this call follows: such a
+    /// connection is closed.
+    pub(crate) async fn end_refused(
+        mut self,
+        pool: &Pool,
+        id: &str,
+        max: usize,
+        deadline: Instant,
+    ) {
+        let refused = &mut self.connection.refused;
+        match id {
+            "" if self.is_reused => return,
+            "" => {}
+            _ if refused.len() >= MAX_REFUSED => return,
+            id => refused.push(id.to_owned()),
         }
+        // The body is read only to keep the connection usable.
+        let _ = self.read_body(pool, max, deadline).await;
     }
 
     /// Returns the next part of the body, or `None` at its end. Waits until `deadline`.
--- a/crates/forward/src/collector.rs
+++ b/crates/forward/src/collector.rs
@@ -289,7 +289,7 @@
         let cx = &self.shared.cx;
         let deadline = Instant::now() + RELEASE_TIMEOUT;
         let req = (cx.dialect.write_release)(handles);
-        let sent = crate::call::send(&cx.pool, address, req, deadline).await;
+        let sent = crate::call::send(&cx.pool, address, "", req, deadline).await;
         // If the release request is lost, the results expire by themselves.
         let Ok(exchange) = sent else { return };
         let notice = (cx.dialect.notice)(exchange.status, &exchange.headers);
@@ -298,7 +298,11 @@
         }
         match exchange.status.is_success() {
             true => drop(exchange.read_body(&cx.pool, usize::MAX, deadline).await),
-            false => exchange.end_refused(&cx.pool, usize::MAX, deadline).await,
+            false => {
+                exchange
+                    .end_refused(&cx.pool, "", usize::MAX, deadline)
+                    .await;
+            }
         }
         let mut queue = active.queue();
         for handle in handles {
--- a/crates/forward/src/serving.rs
+++ b/crates/forward/src/serving.rs
@@ -496,6 +496,7 @@
     let sent = call::send(
         &cx.pool,
         target.address,
+        &req.incoming.id,
         message,
         req.response_deadline(attempts),
     )
@@ -558,9 +559,8 @@
         ResponseClass::NotRun => req.record_not_run(flight, "the endpoint did not run it", false),
     }
     attempts.runs -= 1;
-    // The body is read only to keep the connection usable.
-    let _ = exchange
-        .read_body(&cx.pool, MAX_ANSWER_BYTES, req.deadline)
+    exchange
+        .end_refused(&cx.pool, &req.incoming.id, MAX_ANSWER_BYTES, req.deadline)
         .await;
     AttemptOutcome::NotRun
 }
--- a/crates/outbound/src/connection.rs
+++ b/crates/outbound/src/connection.rs
@@ -33,6 +33,8 @@
     pub idle_since: Instant,
     /// How long the peer keeps an idle connection open, as stated in a `Keep-Alive` header.
     pub keep_alive: Option<Duration>,
+    /// Ids of the requests that the peer refused on this connection.
+    pub refused: Vec<String>,
 }
 
 impl Connection {
@@ -54,6 +56,7 @@
             driver: Driver(Some(Box::pin(driver))),
             idle_since: Instant::now(),
             keep_alive: None,
+            refused: Vec::new(),
         })
     }
 
