Relay events that arrive together with one out of order

Seen by callers: events missing from a stream that ends as complete. An endpoint wrote sound events and an event with a repeated id at once; the stream went on at another endpoint after the last sound event, which the caller had not received.

Cause: the sound events of a part are collected before they are relayed, and their ids recorded. The error of a later event in the same part dropped them.

Fix: the events before the wrong one are relayed first.

Evidence: `platform broken_streams events_before_one_out_of_order_are_relayed`, on the code before: panicked at platform/tests/broken_streams.rs:261: assertion `left == right` failed, left: ["e3", "e4"], right: ["e1", "e2", "e3", "e4"] stream_that_ends_with_its_connection_is_complete_only_after_an_event passes before and after: a stream with neither a length nor chunks is complete after an event, and broken off inside one and by a reset.

Left as it is: where a stream may not be resumed, events that are still in the connection's buffer when it is cut do not reach the caller.

--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -180,8 +180,12 @@
             let pushed = events.push(&part);
             pushed.map_err(|_| StreamError::Endpoint(CallError::TooLarge))?;
             let mut whole = BytesMut::new();
+            let mut checked = Ok(());
             while let Some(event) = events.next_event() {
-                self.check_order(event.id)?;
+                checked = self.check_order(event.id);
+                if checked.is_err() {
+                    break;
+                }
                 whole.extend_from_slice(&event.bytes);
             }
             if !whole.is_empty() {
@@ -207,6 +211,8 @@
                     (self.delivered_event, self.delivered_at) = (self.last_event, Instant::now());
                 }
             }
+            // Events before the wrong one are relayed, since the stream resumes after them.
+            checked?;
         }
     }
 
