Continue a stream only with a response of its media type

Seen by callers: a stream broke off, and a page of the next endpoint stood in the middle of it, or the stream ended as if it were complete after a 204.

Fix: the rest of a stream is a 200 with the media type of the first response, without its parameters. Any other success is noted as a failed call of its endpoint, and the stream ends visibly incomplete.

Left as it is: the stream ends there even if the route allows more attempts, as it does after an error response.

--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -5,6 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 use declaration::RepeatPolicy;
+use hyper::{HeaderMap, StatusCode, header::CONTENT_TYPE};
 use logs::{Ending, Event};
 use thiserror::Error;
 use tokio::{sync::mpsc, time::Instant};
@@ -54,6 +55,7 @@
         inputs,
         attempts,
         tx,
+        media_type: media_type(&headers),
         last_event: req.incoming.last_event_id,
         delivered_event: req.incoming.last_event_id,
         delivered_at: Instant::now(),
@@ -67,12 +69,21 @@
     }
 }
 
+/// Returns the media type in lower case, without parameters.
+fn media_type(headers: &HeaderMap) -> Option<String> {
+    let text = headers.get(CONTENT_TYPE)?.to_str().ok()?;
+    let media_type = text.split(';').next()?.trim();
+    Some(media_type.to_ascii_lowercase())
+}
+
 struct EventRelay {
     cx: Context,
     req: Request,
     inputs: Vec<Arc<Results>>,
     attempts: AttemptLog,
     tx: mpsc::Sender<io::Result<Bytes>>,
+    /// Media type of the first response.
+    media_type: Option<String>,
     /// Id of the last relayed event.
     last_event: Option<u64>,
     /// The same as of the last part that the caller accepted, and when it did. Only parts that
@@ -127,7 +138,7 @@
             let tx = self.tx.clone();
             started = tokio::select! {
                 resumed = resumed => match resumed {
-                    Ok(started) if started.is_good => self.record_resumed(started),
+                    Ok(started) if self.is_continued_by(&started) => self.record_resumed(started),
                     Ok(_) | Err(_) => return self.abort(&error).await,
                 },
                 () = tx.closed() => return,
@@ -135,6 +146,25 @@
         }
     }
 
+    /// Returns true if `started` continues the stream: 200 with the media type of the first response.
+    fn is_continued_by(&self, started: &StartedResponse) -> bool {
+        let exchange = &started.exchange;
+        let is_stream =
+            exchange.status == StatusCode::OK && media_type(&exchange.headers) == self.media_type;
+        if started.is_good && !is_stream {
+            self.cx
+                .fleet
+                .record_call_result(&started.flight.target, true);
+            self.req.log.note(Event::CallFailed {
+                endpoint: started.flight.target.name.clone(),
+                why: format!("HTTP {} does not continue the stream", exchange.status),
+                may_have_run: true,
+                took_ms: started.flight.elapsed().as_millis() as u64,
+            });
+        }
+        started.is_good && is_stream
+    }
+
     /// Records that the stream resumes with `started`.
     fn record_resumed(&mut self, started: StartedResponse) -> StartedResponse {
         self.delivered_at = Instant::now();
