Break a stream off at the head of another response

Seen by callers: the head and the text of an error in the middle of a stream that ends as complete. An endpoint whose answer has neither a length nor chunks wrote a second response into it.

Cause: in such a body a head is only lines of text, and lines that are no fields count as an event.

Fix: an event that has a line beginning with `HTTP/1.`, or a line with the field Content-Length or Transfer-Encoding, is the head of another response: the stream broke off before it. Other unknown fields are accepted as before; endpoints add some.

Left as it is: a head in the middle of a line without either field cannot be told from the text of the line.

--- a/crates/forward/src/events.rs
+++ b/crates/forward/src/events.rs
@@ -13,6 +13,24 @@
     pub id: Option<u64>,
 }
 
+impl Event {
+    /// Returns true if the event contains the head of an HTTP response. Unknown fields of an event are
+    /// accepted otherwise.
+    pub fn has_response_head(&self) -> bool {
+        let mut lines = self.bytes.split(|b| *b == b'\n');
+        lines.any(|line| HEAD_LINES.iter().any(|start| starts_with(line, start)))
+    }
+}
+
+/// Starts of lines, in any case, that occur in the head of a response and not in an event.
+const HEAD_LINES: [&[u8]; 3] = [b"http/1.", b"content-length:", b"transfer-encoding:"];
+
+/// Compares without regard to case.
+fn starts_with(line: &[u8], start: &[u8]) -> bool {
+    let prefix = line.get(..start.len());
+    prefix.is_some_and(|prefix| prefix.eq_ignore_ascii_case(start))
+}
+
 /// An event exceeds the size limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct EventTooLarge;
--- a/crates/forward/src/events/tests.rs
+++ b/crates/forward/src/events/tests.rs
@@ -38,3 +38,24 @@
         prop_assert_eq!(read(&chunks), read(&[STREAM]));
     }
 }
+
+/// Guards against relaying the head of another response, and against breaking off a stream whose
+/// events have further fields or quote such a head.
+#[test]
+fn response_heads_are_detected_only_at_the_start_of_a_line() {
+    let has_head = |text: &'static str| {
+        let (events, _) = read(&[text.as_bytes()]);
+        events.iter().any(Event::has_response_head)
+    };
+    assert!(has_head("HTTP/1.1 500 Internal Server Error\r\n\r\n"));
+    assert!(has_head(
+        "id: 3\ndata: e\nHTTP/1.0 200 OK\r\nDate: x\r\n\r\n"
+    ));
+    assert!(has_head(
+        "data: eHTTP/1.1 500 No\r\nContent-Length: 3\r\n\r\n"
+    ));
+    assert!(!has_head(
+        "version: 2\ndata: HTTP/1.1 500 No\ndata: Content-Length: 3\n\n"
+    ));
+    assert!(!has_head(": comment\n\ndata: HTTP/1.1\n\n"));
+}
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     call::{CallError, Exchange},
-    events::EventSplitter,
+    events::{self, EventSplitter},
     response::Response,
     serving::{AttemptLog, Context, Request, StartedResponse, may_repeat, start_response},
     stages::Results,
@@ -37,6 +37,9 @@
     /// Event ids did not increase.
     #[error("received events out of order")]
     OutOfOrder,
+    /// The body contains the head of another response.
+    #[error("received the head of another response")]
+    ForeignHead,
 }
 
 /// Relays the events of a response in a task of its own.
@@ -212,7 +215,7 @@
             let mut whole = BytesMut::new();
             let mut checked = Ok(());
             while let Some(event) = events.next_event() {
-                checked = self.check_order(event.id);
+                checked = self.check_event(&event);
                 if checked.is_err() {
                     break;
                 }
@@ -255,16 +258,18 @@
         }
     }
 
-    /// Checks that ids increase. Events without an id are accepted.
-    fn check_order(&mut self, id: Option<u64>) -> Result<(), StreamError> {
-        let Some(id) = id else { return Ok(()) };
-        match self.last_event {
-            Some(last) if id <= last => Err(StreamError::OutOfOrder),
-            _ => {
-                self.last_event = Some(id);
-                Ok(())
+    /// Checks that ids increase and that the event is not part of another response. Events without
+    /// an id are accepted.
+    fn check_event(&mut self, event: &events::Event) -> Result<(), StreamError> {
+        match event.id {
+            _ if event.has_response_head() => return Err(StreamError::ForeignHead),
+            Some(id) if self.last_event.is_some_and(|last| id <= last) => {
+                return Err(StreamError::OutOfOrder);
             }
+            Some(id) => self.last_event = Some(id),
+            None => {}
         }
+        Ok(())
     }
 
     async fn send(&self, bytes: Bytes) -> Result<(), StreamError> {
