Test repeated refusals and broken streams with the product's own protocol

`forwarder raw_endpoints`: endpoints that write their responses byte for byte, announced by a stand-in each. They repeat refusals without an id and with the id of a request that is sent again, and break streams off before another response: 12 of them, between and inside events, and five endings of a stream that has neither a length nor chunks.

--- a/crates/forwarder/tests/support/mod.rs
+++ b/crates/forwarder/tests/support/mod.rs
@@ -7,6 +7,7 @@
 use bench::{
     processes::{Folders, RoleProcess, Signal},
     proxy::Proxy,
+    raw_endpoint::RawEndpoint,
     stand_in::{self, Event, Kind, StandIn, StandInConfig},
 };
 use host::client::{Answer, Client, ClientError, build_request};
@@ -21,6 +22,8 @@
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
 /// Access key of the only workspace.
 pub const KEY: &str = "tug-key";
+/// Path of requests that endpoints of the service `raw` answer as usual.
+pub const PROBE_PATH: &str = "/raw-again/probe";
 /// Names of the gates.
 pub const GATES: [&str; 2] = ["gate-1", "gate-2"];
 
@@ -71,6 +74,33 @@
 repeat = never
 services = chat 1
 stages = ice 1000, ice 1000 after 0
+[service raw]
+kind = plain
+repeatable = no
+[route raw-once]
+host = 127.0.0.1
+path_prefix = /raw-once/
+repeat = never
+services = raw 1
+[route raw-again]
+host = 127.0.0.1
+path_prefix = /raw-again/
+repeat = anew
+attempts = 2
+services = raw 1
+[route raw-told]
+host = 127.0.0.1
+path_prefix = /raw-told/
+answer = stream
+repeat = never
+services = raw 1
+[route raw-resumed]
+host = 127.0.0.1
+path_prefix = /raw-resumed/
+answer = stream
+repeat = from-last-event
+attempts = 2
+services = raw 1
 [route notices]
 host = 127.0.0.1
 path_prefix = /notices/
@@ -160,6 +190,26 @@
         cluster
     }
 
+    /// Announces two endpoints of the service `raw`, and waits until both have received a request to
+    /// [`PROBE_PATH`].
+    pub async fn add_raw(&mut self, endpoints: &[RawEndpoint; 2]) {
+        for (number, endpoint) in endpoints.iter().enumerate() {
+            let name = format!("raw-{number}");
+            let mut cfg = StandInConfig::new(&name, "raw", "rockland", Kind::Plain);
+            cfg.gates = vec![self.keeper.url()];
+            cfg.announced_address = Some(format!("http://{}", endpoint.address));
+            self.endpoints.push(stand_in::start(cfg).await.unwrap());
+        }
+        until("both endpoints are called", async || {
+            let id = Uuid::now_v7().to_string();
+            // The first ones may come before an endpoint is known.
+            let _ = self.send(CallerRequest::new(PROBE_PATH, &id)).await;
+            let is_called = |e: &RawEndpoint| !e.requests().is_empty();
+            endpoints.iter().all(is_called).then_some(())
+        })
+        .await;
+    }
+
     async fn start_gate(&mut self, name: &str) {
         let keeper = self.keeper.link.unwrap();
         let link = Proxy::start(0).await.unwrap();
