--- a/crates/forward/src/batch.rs
+++ b/crates/forward/src/batch.rs
@@ -29,13 +29,13 @@
     }
     let timeout = (next.expected * TIMEOUT_FACTOR).max(MIN_TIMEOUT);
     let deadline = now + timeout;
-    let exchange = match call::send(&cx.pool, next.target.address, req, deadline).await {
+    let exchange = match call::send(&cx.pool, next.target.address, "", req, deadline).await {
         Ok(exchange) => exchange,
         Err(CallError::Unreached(why)) => return BatchOutcome::Unreached(why),
         Err(e) if e.may_have_run() => return BatchOutcome::Failed(e.to_string()),
         Err(e) => return BatchOutcome::Unsent(e.to_string()),
     };
-    let class = (cx.dialect.classify)("", exchange.status, &exchange.headers);
+    let class = exchange.classify(&cx.dialect, "");
     if class.is_from_target() {
         let notice = (cx.dialect.notice)(exchange.status, &exchange.headers);
         let sent_at = (class == ResponseClass::Success).then_some(now);
@@ -44,9 +44,8 @@
     match class {
         ResponseClass::Success => {}
         ResponseClass::Full | ResponseClass::NotRun | ResponseClass::InputsGone => {
-            // The body is read only to keep the connection usable.
-            let _ = exchange
-                .read_body(&cx.pool, MAX_ANSWER_BYTES, deadline)
+            exchange
+                .end_refused(&cx.pool, "", MAX_ANSWER_BYTES, deadline)
                 .await;
             return BatchOutcome::NotRun;
         }
@@ -65,7 +64,11 @@
         Some(results) if results.len() == next.jobs.len() => {
             BatchOutcome::Answered(results.into_iter().map(item_outcome).collect())
         }
-        _ => BatchOutcome::Failed("the response does not match the items".to_owned()),
+        _ => {
+            // The connection may deliver responses to other calls.
+            cx.pool.close_idle(next.target.address);
+            BatchOutcome::Failed("the response does not match the items".to_owned())
+        }
     }
 }
 
--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -9,8 +9,12 @@
 use thiserror::Error;
 use tokio::time::{Instant, timeout_at};
 
+use crate::dialect::{Dialect, ResponseClass};
+
 /// Header that says how long the peer keeps an idle connection open.
 const KEEP_ALIVE: &str = "keep-alive";
+/// Number of refused requests after which a connection is closed.
+const MAX_REFUSED: usize = 16;
 
 /// Why a call has no complete response.
 #[derive(Clone, Debug, Error, PartialEq)]
@@ -45,22 +49,33 @@
     connection: Connection,
     body: Incoming,
     address: SocketAddr,
+    /// True if the connection carried another exchange before.
+    is_reused: bool,
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
 }
 
-/// Sends `req` to `address` and waits until `deadline` for the response head. If a reused idle
-/// connection closes before the first byte is written, the request is sent on a new connection.
+/// Sends `req` with this id, which is empty for batched calls and releases, to `address` and waits
+/// until `deadline` for the response head. If a reused idle connection closes before the first byte
+/// is written, the request is sent on a new connection. A connection on which this id was refused is
+/// closed, since a copy of the refusal could not be told from the response.
 pub(crate) async fn send(
     pool: &Pool,
     address: SocketAddr,
+    id: &str,
     req: Request<Full<Bytes>>,
     deadline: Instant,
 ) -> Result<Exchange, CallError> {
-    if let Some(connection) = pool.checkout(address) {
+    let idle = pool.checkout(address);
+    if let Some(connection) = idle.filter(|c| !c.refused.iter().any(|refused| refused == id)) {
         match send_on(connection, address, req.clone(), deadline).await {
             Err(CallError::Unsent(_)) if Instant::now() < deadline => {}
-            result => return result,
+            result => {
+                return result.map(|exchange| Exchange {
+                    is_reused: true,
+                    ..exchange
+                });
+            }
         }
     }
     let connecting = timeout_at(deadline, pool.connect(address)).await;
@@ -98,6 +113,7 @@
         connection,
         body,
         address,
+        is_reused: false,
         status: head.status,
         headers: head.headers,
     })
@@ -112,6 +128,40 @@
 }
 
 impl Exchange {
+    /// Classifies the response to the request `id`, which is empty for batched calls. A refusal
+    /// without the request's id proves that the request did not run only if it is the first response
+    /// on its connection; otherwise it may be a copy of an earlier refusal.
+    pub(crate) fn classify(&self, dialect: &Dialect, id: &str) -> ResponseClass {
+        let class = (dialect.classify)(id, self.status, &self.headers);
+        let is_identified = || (dialect.echoes_id)(id, &self.headers);
+        match class.is_refusal() && self.is_reused && !id.is_empty() && !is_identified() {
+            true => ResponseClass::Unrelated,
+            false => class,
+        }
+    }
+
+    /// Ends the exchange after the request `id` was refused, and returns the connection to `pool` after
+    /// the body, up to `max` bytes. Batched calls and releases carry no id, so on a reused connection
+    /// the refusal may be a copy of an earlier one that the response to this call follows: such a
+    /// connection is closed.
+    pub(crate) async fn end_refused(
+        mut self,
+        pool: &Pool,
+        id: &str,
+        max: usize,
+        deadline: Instant,
+    ) {
+        let refused = &mut self.connection.refused;
+        match id {
+            "" if self.is_reused => return,
+            "" => {}
+            _ if refused.len() >= MAX_REFUSED => return,
+            id => refused.push(id.to_owned()),
+        }
+        // The body is read only to keep the connection usable.
+        let _ = self.read_body(pool, max, deadline).await;
+    }
+
     /// Returns the next part of the body, or `None` at its end. Waits until `deadline`.
     pub(crate) async fn next_chunk(
         &mut self,
--- a/crates/forward/src/collector.rs
+++ b/crates/forward/src/collector.rs
@@ -289,14 +289,21 @@
         let cx = &self.shared.cx;
         let deadline = Instant::now() + RELEASE_TIMEOUT;
         let req = (cx.dialect.write_release)(handles);
-        let sent = crate::call::send(&cx.pool, address, req, deadline).await;
+        let sent = crate::call::send(&cx.pool, address, "", req, deadline).await;
         // If the release request is lost, the results expire by themselves.
         let Ok(exchange) = sent else { return };
         let notice = (cx.dialect.notice)(exchange.status, &exchange.headers);
         if let Some(target) = target {
             cx.fleet.apply_notice(target, notice, &cx.vm, None);
         }
-        let _ = exchange.read_body(&cx.pool, usize::MAX, deadline).await;
+        match exchange.status.is_success() {
+            true => drop(exchange.read_body(&cx.pool, usize::MAX, deadline).await),
+            false => {
+                exchange
+                    .end_refused(&cx.pool, "", usize::MAX, deadline)
+                    .await;
+            }
+        }
         let mut queue = active.queue();
         for handle in handles {
             queue.release(handle);
--- a/crates/forward/src/serving.rs
+++ b/crates/forward/src/serving.rs
@@ -496,6 +496,7 @@
     let sent = call::send(
         &cx.pool,
         target.address,
+        &req.incoming.id,
         message,
         req.response_deadline(attempts),
     )
@@ -519,7 +520,7 @@
             };
         }
     };
-    let class = (cx.dialect.classify)(&req.incoming.id, exchange.status, &exchange.headers);
+    let class = exchange.classify(&cx.dialect, &req.incoming.id);
     if class.is_from_target() {
         let notice = (cx.dialect.notice)(exchange.status, &exchange.headers);
         let sent_at = (class == ResponseClass::Success).then_some(sent_at);
@@ -558,9 +559,8 @@
         ResponseClass::NotRun => req.record_not_run(flight, "the endpoint did not run it", false),
     }
     attempts.runs -= 1;
-    // The body is read only to keep the connection usable.
-    let _ = exchange
-        .read_body(&cx.pool, MAX_ANSWER_BYTES, req.deadline)
+    exchange
+        .end_refused(&cx.pool, &req.incoming.id, MAX_ANSWER_BYTES, req.deadline)
         .await;
     AttemptOutcome::NotRun
 }
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -5,13 +5,14 @@
 
 use bytes::{Bytes, BytesMut};
 use declaration::RepeatPolicy;
+use hyper::{HeaderMap, StatusCode, header::CONTENT_TYPE};
 use logs::{Ending, Event};
 use thiserror::Error;
 use tokio::{sync::mpsc, time::Instant};
 
 use crate::{
     call::{CallError, Exchange},
-    events::EventSplitter,
+    events::{self, EventSplitter},
     response::Response,
     serving::{AttemptLog, Context, Request, StartedResponse, may_repeat, start_response},
     stages::Results,
@@ -36,6 +37,9 @@
     /// Event ids did not increase.
     #[error("received events out of order")]
     OutOfOrder,
+    /// The body contains the head of another response.
+    #[error("received the head of another response")]
+    ForeignHead,
 }
 
 /// Relays the events of a response in a task of its own.
@@ -54,6 +58,7 @@
         inputs,
         attempts,
         tx,
+        media_type: media_type(&headers),
         last_event: req.incoming.last_event_id,
         delivered_event: req.incoming.last_event_id,
         delivered_at: Instant::now(),
@@ -67,12 +72,21 @@
     }
 }
 
+/// Returns the media type in lower case, without parameters.
+fn media_type(headers: &HeaderMap) -> Option<String> {
+    let text = headers.get(CONTENT_TYPE)?.to_str().ok()?;
+    let media_type = text.split(';').next()?.trim();
+    Some(media_type.to_ascii_lowercase())
+}
+
 struct EventRelay {
     cx: Context,
     req: Request,
     inputs: Vec<Arc<Results>>,
     attempts: AttemptLog,
     tx: mpsc::Sender<io::Result<Bytes>>,
+    /// Media type of the first response.
+    media_type: Option<String>,
     /// Id of the last relayed event.
     last_event: Option<u64>,
     /// The same as of the last part that the caller accepted, and when it did. Only parts that
@@ -127,7 +141,7 @@
             let tx = self.tx.clone();
             started = tokio::select! {
                 resumed = resumed => match resumed {
-                    Ok(started) if started.is_good => self.record_resumed(started),
+                    Ok(started) if self.is_continued_by(&started) => self.record_resumed(started),
                     Ok(_) | Err(_) => return self.abort(&error).await,
                 },
                 () = tx.closed() => return,
@@ -135,6 +149,25 @@
         }
     }
 
+    /// Returns true if `started` continues the stream: 200 with the media type of the first response.
+    fn is_continued_by(&self, started: &StartedResponse) -> bool {
+        let exchange = &started.exchange;
+        let is_stream =
+            exchange.status == StatusCode::OK && media_type(&exchange.headers) == self.media_type;
+        if started.is_good && !is_stream {
+            self.cx
+                .fleet
+                .record_call_result(&started.flight.target, true);
+            self.req.log.note(Event::CallFailed {
+                endpoint: started.flight.target.name.clone(),
+                why: format!("HTTP {} does not continue the stream", exchange.status),
+                may_have_run: true,
+                took_ms: started.flight.elapsed().as_millis() as u64,
+            });
+        }
+        started.is_good && is_stream
+    }
+
     /// Records that the stream resumes with `started`.
     fn record_resumed(&mut self, started: StartedResponse) -> StartedResponse {
         self.delivered_at = Instant::now();
@@ -180,8 +213,12 @@
             let pushed = events.push(&part);
             pushed.map_err(|_| StreamError::Endpoint(CallError::TooLarge))?;
             let mut whole = BytesMut::new();
+            let mut checked = Ok(());
             while let Some(event) = events.next_event() {
-                self.check_order(event.id)?;
+                checked = self.check_event(&event);
+                if checked.is_err() {
+                    break;
+                }
                 whole.extend_from_slice(&event.bytes);
             }
             if !whole.is_empty() {
@@ -207,6 +244,8 @@
                     (self.delivered_event, self.delivered_at) = (self.last_event, Instant::now());
                 }
             }
+            // Events before the wrong one are relayed, since the stream resumes after them.
+            checked?;
         }
     }
 
@@ -219,16 +258,18 @@
         }
     }
 
-    /// Checks that ids increase. Events without an id are accepted.
-    fn check_order(&mut self, id: Option<u64>) -> Result<(), StreamError> {
-        let Some(id) = id else { return Ok(()) };
-        match self.last_event {
-            Some(last) if id <= last => Err(StreamError::OutOfOrder),
-            _ => {
-                self.last_event = Some(id);
-                Ok(())
+    /// Checks that ids increase and that the event is not part of another response. Events without
+    /// an id are accepted.
+    fn check_event(&mut self, event: &events::Event) -> Result<(), StreamError> {
+        match event.id {
+            _ if event.has_response_head() => return Err(StreamError::ForeignHead),
+            Some(id) if self.last_event.is_some_and(|last| id <= last) => {
+                return Err(StreamError::OutOfOrder);
             }
+            Some(id) => self.last_event = Some(id),
+            None => {}
         }
+        Ok(())
     }
 
     async fn send(&self, bytes: Bytes) -> Result<(), StreamError> {
