Gate: a refusal without a call's id proves nothing on a kept connection

Callers of /v1 were told "not run, try again" for requests that an endpoint had run: a 503 with `Jujube-Outcome: not_run` that carried no `Jujube-Call` was taken as the answer to whatever call its connection carried. Where an endpoint writes an earlier refusal once more on a kept connection, that is a copy which says nothing about the call.

Cause: `Exchange::check_head` compared the id only where there was one.

Now such a refusal is no answer: the call may have run, its connection is closed and the endpoint counts as failed; a repeatable call is made again elsewhere or on a new connection. It is still taken as the first answer of a connection, which is then closed, so that an endpoint that never echoes ids in refusals is `not_run` as before. `outbound::Connection` says whether it has carried an earlier call.

Seen once while the package's tests ran beside other builds: `keepers keys_beyond_the_window_are_refused` ended with "bind link listener on 127.0.0.1:46785: Address already in use": the test looks for a free port, gives it up and binds it again. It does not touch this change and was not relaxed.

--- a/crates/gate/src/error.rs
+++ b/crates/gate/src/error.rs
@@ -35,8 +35,8 @@
         /// Pause that the endpoint requested.
         retry_after: Option<Duration>,
     },
-    /// The response carries the id of another call.
-    #[error("response carries the id of another call and was dropped")]
+    /// The response carries the id of another call, or no id where only the id can tell whose it is.
+    #[error("response does not carry the id of this call and was dropped")]
     CallIdMismatch,
     /// The response could not be parsed.
     #[error("malformed response: {0}")]
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -198,11 +198,20 @@
         let is_ours = echoed.is_some_and(|echo| Uuid::try_parse_ascii(echo) == Ok(call.id));
         let is_refused = headers.get(OUTCOME).is_some_and(|o| o == "not_run");
         let retry_after = parse_retry_after(headers);
-        if echoed.is_none() || is_ours {
+        // A refusal without an id may be a copy of the answer to an earlier call on the connection.
+        let is_unrelated = match echoed {
+            Some(_) => !is_ours,
+            None => is_refused && self.connection.is_reused(),
+        };
+        if !is_unrelated {
             call.notice.set(status, headers);
         }
         match status {
-            _ if echoed.is_some() && !is_ours => Err(CallError::CallIdMismatch),
+            _ if is_unrelated => Err(CallError::CallIdMismatch),
+            // Closes the connection: an answer to another call could not be told from a copy.
+            StatusCode::SERVICE_UNAVAILABLE if is_refused && echoed.is_none() => {
+                Err(CallError::NotRun { retry_after })
+            }
             StatusCode::SERVICE_UNAVAILABLE if is_refused => {
                 // The body is only read so that the connection can be reused.
                 let _ = self.collect(MAX_ERROR_BYTES, pool).await;
--- a/crates/gate/tests/env/fake_endpoint.rs
+++ b/crates/gate/tests/env/fake_endpoint.rs
@@ -42,6 +42,8 @@
     pub connection: usize,
     /// Index of the call at this endpoint, from 0, not counting cancellations.
     pub nth: usize,
+    /// True if the connection has carried an earlier call.
+    pub is_kept: bool,
 }
 
 /// How the endpoint answers a call.
@@ -57,6 +59,8 @@
     WrongCallId(Value),
     /// An explicit refusal with the id of another call.
     RefusalWithWrongCallId,
+    /// An explicit refusal without the id of any call.
+    RefusalWithoutCallId,
     /// No response at all.
     Silent,
     /// An event stream.
@@ -218,6 +222,7 @@
             body: serde_json::from_slice(&body).unwrap_or_default(),
             connection,
             nth,
+            is_kept: received.iter().any(|c| c.connection == connection),
         };
         received.push(call.clone());
         call
@@ -248,6 +253,11 @@
             let res = res.status(503).header("jujube-outcome", "not_run");
             Ok(res.body(full_body("")).unwrap())
         }
+        Reply::RefusalWithoutCallId => {
+            let res = Response::builder().status(503);
+            let res = res.header("jujube-outcome", "not_run");
+            Ok(res.body(full_body("")).unwrap())
+        }
         Reply::Silent => std::future::pending().await,
         Reply::CloseConnection => Err(std::io::Error::other("hang up")),
         Reply::Stream(steps) => {
--- a/crates/outbound/src/connection.rs
+++ b/crates/outbound/src/connection.rs
@@ -29,6 +29,8 @@
     sender: SendRequest<Full<Bytes>>,
     current_call: CurrentCall,
     driver: Driver,
+    /// Calls sent so far, counting the current one.
+    calls: usize,
     /// Time at which the last call on the connection finished.
     pub idle_since: Instant,
     /// How long the peer keeps an idle connection open, as stated in a `Keep-Alive` header.
@@ -52,6 +54,7 @@
             sender,
             current_call,
             driver: Driver(Some(Box::pin(driver))),
+            calls: 0,
             idle_since: Instant::now(),
             keep_alive: None,
         })
@@ -64,6 +67,11 @@
         self.sender.is_ready()
     }
 
+    /// Returns true if the connection has carried a call before the current one.
+    pub fn is_reused(&self) -> bool {
+        self.calls > 1
+    }
+
     /// Sends `req`, tracking its bytes in `send_state`, and waits for the response head.
     pub async fn send(
         &mut self,
@@ -71,6 +79,7 @@
         send_state: &SendState,
     ) -> hyper::Result<Response<Incoming>> {
         self.current_call.set(send_state);
+        self.calls += 1;
         let sender = &mut self.sender;
         let response = async {
             sender.ready().await?;
