Gate: silence in an answer ends a call only once another one is answered

A repeatable call of /v1 whose endpoint was sound but silent for longer than `gap_ms` in the middle of its answer was ended at once, and callers lost the answer where nothing took over: the next call failed or was silent too, the retry budget or the tries were spent, the endpoint was leaving, or each attempt paused alike. Plain and pool calls and engine streams alike.

Cause: `Exchange::read` ended in `Stalled`, which dropped the connection before another call was made.

Now `Stalled` only interrupts reading; the exchange keeps what it has read. `succession` makes another call at the same moment as before (a new connection to the same endpoint first, then elsewhere) and waits for both: the silent call goes on if its answer does, and is replaced when the other's answer begins. If the other fails, or there may be none, reading goes on and is looked at again after the next `gap_ms`. A leaving endpoint gets no second call, unless it resumes its own stream.

--- a/crates/gate/src/at_most_once.rs
+++ b/crates/gate/src/at_most_once.rs
@@ -331,7 +331,7 @@
         let pool = &self.gate.pool;
         let sent = exchange::send_on(connection, pool, &self.call, self.req.clone()).await;
         self.picked.record_notice(self.call.notice.get());
-        let exchange = match sent {
+        let mut exchange = match sent {
             Ok(exchange) => {
                 self.picked.record_first_byte();
                 exchange
@@ -340,10 +340,12 @@
             Err(_) if self.call.send_state.seal() => return Err(CallError::Unsent),
             Err(e) => return Err(e),
         };
-        match self.is_engine {
-            false => plain::read(exchange, pool).await.map(|output| (output, 0)),
-            true => crate::stage_work::read_whole(exchange, pool).await,
-        }
+        let result = match self.is_engine {
+            false => plain::read(&mut exchange).await.map(|output| (output, 0)),
+            true => crate::stage_work::read_whole(&mut exchange).await,
+        };
+        exchange.finish(pool);
+        result
     }
 
     /// The settlement for a call without a result.
--- a/crates/gate/src/config.rs
+++ b/crates/gate/src/config.rs
@@ -54,7 +54,7 @@
     /// Shortest time to wait for the first byte of a response before the connection counts as
     /// silent.
     pub first_byte: Duration,
-    /// Longest pause between two parts of a response.
+    /// Pause between two parts of a response after which another call is made.
     pub gap: Duration,
     /// Time after which an idle connection to an endpoint is closed.
     pub idle: Duration,
--- a/crates/gate/src/engine.rs
+++ b/crates/gate/src/engine.rs
@@ -5,7 +5,6 @@
 use bytes::{Bytes, BytesMut};
 use declaration::Service;
 use hyper::{Method, Request};
-use outbound::Pool;
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 use uuid::Uuid;
@@ -146,11 +145,11 @@
     call.request(Method::DELETE, &path, Bytes::new())
 }
 
-/// Reads a stream into `assembly` until it ends, and sends new text to `sink` at once.
+/// Reads a stream into `assembly` until it ends, and sends new text to `sink` at once. After
+/// [`CallError::Stalled`], another call goes on with the rest of the stream.
 /// `counted_tokens` is kept up to date, so that it holds if this future is dropped.
 pub(crate) async fn read(
-    mut exchange: Exchange,
-    pool: &Pool,
+    exchange: &mut Exchange,
     assembly: &mut Assembly,
     sink: Option<&EventSink>,
     usage: &mut StreamUsage,
@@ -158,19 +157,19 @@
     mut lag_detector: Option<LagDetector<'_>>,
 ) -> Result<(), CallError> {
     let max = exchange.max_bytes();
-    let mut events = EventReader::default();
     loop {
         let part = match &mut lag_detector {
-            Some(lag_detector) => lag_detector.next(&mut exchange, usage.tokens).await?,
+            Some(lag_detector) => lag_detector.next(exchange, usage.tokens).await?,
             None => exchange.next().await?,
         };
         let Some(bytes) = part else {
             break;
         };
+        let events = &mut exchange.events;
         let pushed = events.push(&bytes, MAX_LINE_BYTES);
         pushed.map_err(|_| CallError::TooLarge(MAX_LINE_BYTES))?;
         let mut out = BytesMut::new();
-        let is_done = apply_events(&mut events, assembly, usage, sink.map(|_| &mut out));
+        let is_done = apply_events(events, assembly, usage, sink.map(|_| &mut out));
         let new = usage.tokens - *counted_tokens;
         *counted_tokens = usage.tokens;
         if let Some(sink) = sink.filter(|_| !out.is_empty()) {
@@ -178,7 +177,8 @@
         }
         match is_done? {
             true => {
-                finish(exchange, pool).await;
+                // The text is complete; the end only tells whether the connection can be reused.
+                let _ = exchange.next().await;
                 return Ok(());
             }
             false if assembly.offset() > max => return Err(CallError::TooLarge(max)),
@@ -193,13 +193,6 @@
     ))
 }
 
-/// Called once the text is complete. The connection is only reused if the body ends here too.
-async fn finish(mut exchange: Exchange, pool: &Pool) {
-    if matches!(exchange.next().await, Ok(None)) {
-        exchange.finish(pool);
-    }
-}
-
 fn apply_events(
     events: &mut EventReader,
     assembly: &mut Assembly,
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -17,7 +17,11 @@
 use tokio::time::{Instant, timeout_at};
 use uuid::Uuid;
 
-use crate::{body::BodyMemory, error::CallError};
+use crate::{
+    body::{BodyMemory, MemoryReservation},
+    error::CallError,
+    sse::EventReader,
+};
 
 /// Call id, which every response echoes.
 const CALL: HeaderName = HeaderName::from_static("jujube-call");
@@ -40,7 +44,7 @@
 pub(crate) struct ResponseLimits {
     /// Longest wait for the head of the response.
     pub(crate) first_byte: Duration,
-    /// Longest pause between two parts of the response.
+    /// Longest wait for the next part of the response before reading is interrupted.
     pub(crate) gap: Duration,
     /// End of the response: the request's deadline, or somewhat later if the call may not be
     /// repeated.
@@ -112,7 +116,8 @@
     HeaderValue::from_str(text).unwrap_or_else(|_| HeaderValue::from_static(""))
 }
 
-/// A call whose response head has arrived and whose body is still to be read.
+/// A call whose response head has arrived and whose body is still to be read. What was read of the
+/// body is kept, so that reading can go on after an error.
 #[derive(Debug)]
 pub(crate) struct Exchange {
     connection: Connection,
@@ -123,6 +128,18 @@
     limits: ResponseLimits,
     peeked: Option<Bytes>,
     is_ended: bool,
+    collected: Collected,
+    /// The part of a stream's events that is not parsed yet.
+    pub(crate) events: EventReader,
+}
+
+/// The part of a body that was collected so far.
+#[derive(Debug)]
+struct Collected {
+    // Joined at the end, so that an oversized body is never copied.
+    parts: Vec<Bytes>,
+    size: usize,
+    memory: MemoryReservation,
 }
 
 /// Sends `req` for `call` over an idle connection, or else a new one, and waits for the head of a
@@ -172,6 +189,11 @@
         Ok(Ok(answer)) => answer,
     };
     let (head, body) = answer.into_parts();
+    let collected = Collected {
+        parts: Vec::new(),
+        size: 0,
+        memory: limits.memory.reservation(),
+    };
     let exchange = Exchange {
         connection,
         body,
@@ -180,6 +202,8 @@
         limits,
         peeked: None,
         is_ended: false,
+        collected,
+        events: EventReader::default(),
     };
     exchange
         .check_head(call, head.status, &head.headers, pool)
@@ -188,7 +212,7 @@
 
 impl Exchange {
     async fn check_head(
-        self,
+        mut self,
         call: &Call,
         status: StatusCode,
         headers: &HeaderMap,
@@ -214,13 +238,15 @@
             }
             StatusCode::SERVICE_UNAVAILABLE if is_refused => {
                 // The body is only read so that the connection can be reused.
-                let _ = self.collect(MAX_ERROR_BYTES, pool).await;
+                let _ = self.collect(MAX_ERROR_BYTES).await;
+                self.finish(pool);
                 Err(CallError::NotRun { retry_after })
             }
             StatusCode::OK if !is_ours => Err(CallError::CallIdMismatch),
             StatusCode::OK => Ok(self),
             _ => {
-                let text = self.collect(MAX_ERROR_BYTES, pool).await;
+                let text = self.collect(MAX_ERROR_BYTES).await;
+                self.finish(pool);
                 Err(CallError::Status {
                     status: status.as_u16(),
                     detail: truncate(&text.unwrap_or_default()),
@@ -237,7 +263,16 @@
         Ok(())
     }
 
-    /// Returns the next part of the body, `None` at its end.
+    /// Waits until the body goes on or ends, however long it is silent.
+    pub(crate) async fn wait_next_part(&mut self) -> Result<(), CallError> {
+        if self.peeked.is_none() && !self.is_ended {
+            self.peeked = self.read(self.limits.first_byte).await?;
+        }
+        Ok(())
+    }
+
+    /// Returns the next part of the body, `None` at its end. Fails with [`CallError::Stalled`] if it
+    /// does not arrive within the limit; it may arrive later.
     pub(crate) async fn next(&mut self) -> Result<Option<Bytes>, CallError> {
         match self.peeked.take() {
             None if self.is_ended => Ok(None),
@@ -266,33 +301,32 @@
         }
     }
 
-    /// Reads the whole body, at most `max` bytes, and returns the connection to the pool. The gate's
-    /// memory for bodies is reserved while it is read.
-    pub(crate) async fn collect(mut self, max: usize, pool: &Pool) -> Result<Bytes, CallError> {
-        let mut memory = self.limits.memory.reservation();
-        // Joined at the end, so that an oversized body is never copied.
-        let mut parts: Vec<Bytes> = Vec::new();
-        let mut size = 0;
+    /// Reads the whole body, at most `max` bytes. The gate's memory for bodies is reserved while it is
+    /// read. After [`CallError::Stalled`], another call goes on with the rest of the body.
+    pub(crate) async fn collect(&mut self, max: usize) -> Result<Bytes, CallError> {
         while let Some(part) = self.next().await? {
-            size += part.len();
-            if size > max {
+            let collected = &mut self.collected;
+            collected.size += part.len();
+            if collected.size > max {
                 return Err(CallError::TooLarge(max));
             }
-            if !memory.try_grow(size) {
+            if !collected.memory.try_grow(collected.size) {
                 return Err(CallError::NoMemory);
             }
-            parts.push(part);
+            collected.parts.push(part);
         }
-        self.finish(pool);
+        let parts = &mut self.collected.parts;
         Ok(match parts.len() {
             1 => parts.swap_remove(0),
             _ => parts.concat().into(),
         })
     }
 
-    /// Returns the connection to the pool. Call only at the end of the body.
+    /// Returns the connection to the pool if the body has ended, else closes it.
     pub(crate) fn finish(self, pool: &Pool) {
-        pool.checkin(self.address, self.connection);
+        if self.is_ended {
+            pool.checkin(self.address, self.connection);
+        }
     }
 
     /// Largest response in bytes.
--- a/crates/gate/src/hedging.rs
+++ b/crates/gate/src/hedging.rs
@@ -29,7 +29,7 @@
     /// Id of the call.
     pub(crate) call: Uuid,
     /// The connection that the response arrives on.
-    connection: ConnectionKind,
+    pub(crate) connection: ConnectionKind,
 }
 
 /// Shortest interval between two attempts to start a hedge.
@@ -202,7 +202,7 @@
 
 /// Takes a retry from the budget for a second call to the same endpoint; returns false if it may
 /// not have one. A leaving endpoint gets no new calls, but may resume a stream that it started.
-fn try_spend_second_call(
+pub(crate) fn try_spend_second_call(
     cx: &RequestContext,
     stage: Stage<'_>,
     work: &StageWork<'_>,
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -46,6 +46,7 @@
 mod start;
 mod state_changes;
 mod stream;
+mod succession;
 #[cfg(test)]
 mod tests;
 
--- a/crates/gate/src/plain.rs
+++ b/crates/gate/src/plain.rs
@@ -2,7 +2,6 @@
 
 use bytes::Bytes;
 use hyper::Method;
-use outbound::Pool;
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 
@@ -34,9 +33,9 @@
 }
 
 /// Reads the response and returns its output.
-pub(crate) async fn read(exchange: Exchange, pool: &Pool) -> Result<Box<RawValue>, CallError> {
+pub(crate) async fn read(exchange: &mut Exchange) -> Result<Box<RawValue>, CallError> {
     let max = exchange.max_bytes();
-    let bytes = exchange.collect(max, pool).await?;
+    let bytes = exchange.collect(max).await?;
     let answer: Answer =
         serde_json::from_slice(&bytes).map_err(|e| CallError::Malformed(e.to_string()))?;
     Ok(answer.output)
--- a/crates/gate/src/repeatable.rs
+++ b/crates/gate/src/repeatable.rs
@@ -20,10 +20,9 @@
     stage::{RetryState, Stage, StageReport, StageResult},
     stage_work::StageWork,
     stream::EventSink,
+    succession,
 };
 
-/// Most tries of one stage.
-const MAX_TRIES: u32 = 5;
 /// Bounds of the exponential backoff before a retry; the delay is drawn between zero and the bound.
 const MIN_BACKOFF: Duration = Duration::from_millis(20);
 const MAX_BACKOFF: Duration = Duration::from_millis(500);
@@ -82,41 +81,46 @@
             ConnectionKind::PooledOrNew,
         ),
     };
-    let started_answer =
-        hedging::first_response(cx, stage, work, tries, picked, connection).await?;
+    let mut answer = hedging::first_response(cx, stage, work, tries, picked, connection).await?;
+    let mut resumed_at = work.offset();
+    let mut progress = resumed_at;
+    let move_to = Mutex::new(None);
+    let read = loop {
+        work.answer_started(answer.call);
+        let avoid = &tries.avoid;
+        let silence = match read(cx, stage, work, avoid, &mut answer, sink, &move_to).await {
+            Err(e @ CallError::Stalled(_)) => e,
+            result => break result,
+        };
+        if work.offset() > progress {
+            progress = work.offset();
+            tries.rounds = 0;
+        }
+        let is_progressing = work.offset() > resumed_at;
+        let replaced = succession::outlast_silence(
+            cx,
+            stage,
+            work,
+            tries,
+            &mut answer,
+            is_progressing,
+            silence,
+        );
+        if replaced.await? {
+            resumed_at = work.offset();
+        }
+    };
     let StartedAnswer {
         exchange,
         picked,
         mut guard,
-        call,
+        connection,
         ..
-    } = started_answer;
+    } = answer;
     let first_byte = exchange.first_part_at;
-    let resumed_at = work.offset();
-    work.answer_started(call);
-    let move_to = Mutex::new(None);
-    let read = match work {
-        StageWork::Plain { .. } => plain::read(exchange, &cx.gate.pool).await,
-        StageWork::Engine(generation) => {
-            let move_stream = |prompt: &str| {
-                let other = pick_other(cx, stage, prompt, &tries.avoid, &picked);
-                let is_found = other.is_some();
-                *move_to.lock().expect("no holder of this lock panics") = other;
-                is_found
-            };
-            let lag_detector = LagDetector::new(
-                &cx.gate.stream_stats,
-                stage.name,
-                cx.request.deadline,
-                &move_stream,
-            );
-            generation
-                .read(exchange, &cx.gate.pool, sink, lag_detector)
-                .await
-        }
-    };
     match read {
         Ok(output) => {
+            exchange.finish(&cx.gate.pool);
             guard.succeeded(work.tokens());
             let (picked_at, name) = (picked.picked_at(), stage.name);
             let input = StageInput {
@@ -133,7 +137,7 @@
             Ok((output, picked.name().to_owned()))
         }
         // The connection is suspected before the endpoint: resume there over a new connection.
-        Err(e @ (CallError::ConnectionLost(_) | CallError::Stalled(_)))
+        Err(e @ CallError::ConnectionLost(_))
             if connection == ConnectionKind::PooledOrNew || work.offset() > resumed_at =>
         {
             if work.offset() > resumed_at {
@@ -157,6 +161,38 @@
     }
 }
 
+/// Reads the response until it is complete, silent for too long, or fails. A stream that lags and can
+/// move sets `move_to`.
+async fn read(
+    cx: &RequestContext,
+    stage: Stage<'_>,
+    work: &mut StageWork<'_>,
+    avoid: &[String],
+    answer: &mut StartedAnswer,
+    sink: Option<&EventSink>,
+    move_to: &Mutex<Option<Arc<PickedEndpoint>>>,
+) -> Result<Box<RawValue>, CallError> {
+    let StageWork::Engine(generation) = work else {
+        return plain::read(&mut answer.exchange).await;
+    };
+    let picked = &answer.picked;
+    let move_stream = |prompt: &str| {
+        let other = pick_other(cx, stage, prompt, avoid, picked);
+        let is_found = other.is_some();
+        *move_to.lock().expect("no holder of this lock panics") = other;
+        is_found
+    };
+    let lag_detector = LagDetector::new(
+        &cx.gate.stream_stats,
+        stage.name,
+        cx.request.deadline,
+        &move_stream,
+    );
+    generation
+        .read(&mut answer.exchange, sink, lag_detector)
+        .await
+}
+
 /// Picks another endpoint for a stream that lags at `slow`, at the cost of a retry.
 fn pick_other(
     cx: &RequestContext,
@@ -183,7 +219,7 @@
     let Cause::Call(cause) = &error.cause else {
         return Err(error);
     };
-    if !cause.is_retryable() || tries.rounds >= MAX_TRIES {
+    if !cause.is_retryable() || tries.is_exhausted() {
         cx.log_not_repeated(
             stage,
             "the error is not retryable, or there were too many tries",
--- a/crates/gate/src/stage.rs
+++ b/crates/gate/src/stage.rs
@@ -56,12 +56,15 @@
     pub(crate) report: StageReport,
 }
 
+/// Most tries of one stage without progress.
+const MAX_TRIES: u32 = 5;
+
 /// State of a stage's retries.
 #[derive(Debug, Default)]
 pub(crate) struct RetryState {
     /// Calls made so far.
     pub(crate) calls: u32,
-    /// Tries so far, each with its hedges; reset when a stream makes progress or moves.
+    /// Tries and successors of silent calls so far, each with its hedges; reset when a stream makes progress or moves.
     pub(crate) rounds: u32,
     /// Endpoints that failed.
     pub(crate) avoid: Vec<String>,
@@ -71,6 +74,18 @@
     pub(crate) move_to: Option<Arc<PickedEndpoint>>,
 }
 
+impl RetryState {
+    /// Returns true if the stage may not be tried again until it makes progress.
+    pub(crate) fn is_exhausted(&self) -> bool {
+        self.rounds >= MAX_TRIES
+    }
+
+    /// Forbids further tries until the stage makes progress.
+    pub(crate) fn exhaust(&mut self) {
+        self.rounds = MAX_TRIES;
+    }
+}
+
 /// Returns true if `service` streams its output.
 pub(crate) fn is_engine(service: &Service) -> bool {
     service.kind == ServiceKind::Engine
--- a/crates/gate/src/stage_work.rs
+++ b/crates/gate/src/stage_work.rs
@@ -6,7 +6,6 @@
 use declaration::Service;
 use http_body_util::Full;
 use hyper::Request;
-use outbound::Pool;
 use serde_json::value::{RawValue, to_raw_value};
 use uuid::Uuid;
 
@@ -190,11 +189,11 @@
 }
 
 impl Generation<'_> {
-    /// Reads the stream to its end and returns the whole text as a JSON string.
+    /// Reads the stream to its end and returns the whole text as a JSON string. After
+    /// [`CallError::Stalled`], another call goes on with the rest of the stream.
     pub(crate) async fn read(
         &mut self,
-        exchange: Exchange,
-        pool: &Pool,
+        exchange: &mut Exchange,
         sink: Option<&EventSink>,
         lag_detector: LagDetector<'_>,
     ) -> Result<Box<RawValue>, CallError> {
@@ -203,7 +202,6 @@
         let lag_detector = lag_detector.with_prompt(&self.prompt);
         let read = engine::read(
             exchange,
-            pool,
             assembly,
             sink,
             usage,
@@ -219,15 +217,11 @@
 
 /// Reads a stream to its end over a single connection, without resuming it. Returns the text and
 /// the number of tokens.
-pub(crate) async fn read_whole(
-    exchange: Exchange,
-    pool: &Pool,
-) -> Result<(Box<RawValue>, u64), CallError> {
+pub(crate) async fn read_whole(exchange: &mut Exchange) -> Result<(Box<RawValue>, u64), CallError> {
     let (mut assembly, mut usage) = (Assembly::default(), StreamUsage::default());
     let counted_tokens = &mut 0;
     engine::read(
         exchange,
-        pool,
         &mut assembly,
         None,
         &mut usage,
--- a/crates/gate/tests/env/fake_endpoint.rs
+++ b/crates/gate/tests/env/fake_endpoint.rs
@@ -74,6 +74,8 @@
 pub enum Step {
     /// Sends a chunk with this offset.
     Chunk(usize, &'static str),
+    /// Sends these bytes as they are.
+    Text(&'static str),
     Done,
     Pause(Duration),
     /// Closes the connection in the middle of the stream.
@@ -277,6 +279,7 @@
                 json!({"offset": offset, "choices": choices})
             )
         }
+        Step::Text(text) => text.to_owned(),
         Step::Done => "data: [DONE]\n\n".to_owned(),
         Step::Pause(pause) => {
             sleep(pause).await;
--- /dev/null
+++ b/crates/gate/tests/silence.rs
@@ -0,0 +1,194 @@
+//! Endpoints that fall silent in the middle of an answer and then go on.
+
+mod env;
+
+use std::time::Duration;
+
+use env::{
+    Env, Gate,
+    client::Answer,
+    fake_endpoint::{FakeEndpoint, ReceivedCall, Reply, Step, not_run},
+};
+use serde_json::json;
+
+/// Silence within an answer, longer than the `gap_ms` of the gates.
+const SILENCE: Duration = Duration::from_millis(900);
+const DEADLINE: (&str, &str) = ("jujube-deadline-ms", "10000");
+const TARGETS: [(&str, &str); 2] = [("find", "look"), ("chat", "llm")];
+
+async fn start_gate(env: &Env) -> Gate {
+    env.gate_with("g", "[timing]\ngap_ms = 200\nfirst_byte_ms = 200\n")
+        .await
+}
+
+/// Answers `abcdef` with [`SILENCE`] in its middle.
+fn with_silence(call: &ReceivedCall) -> Reply {
+    let steps = match call.path.as_str() {
+        "/v1/completions" => vec![
+            Step::Chunk(0, "abc"),
+            Step::Pause(SILENCE),
+            Step::Chunk(3, "def"),
+            Step::Done,
+        ],
+        _ => vec![
+            Step::Text("{\"output\":\"abc"),
+            Step::Pause(SILENCE),
+            Step::Text("def\"}"),
+        ],
+    };
+    Reply::Stream(steps)
+}
+
+/// Runs a request whose first call is answered by [`with_silence`], and all others with `other`.
+async fn answer_with_silence(
+    (pipeline, service): (&str, &str),
+    other: Reply,
+) -> (Answer, FakeEndpoint) {
+    let env = Env::start().await;
+    let gate = start_gate(&env).await;
+    let endpoint = FakeEndpoint::start("one", service, move |call| match call.nth {
+        0 => with_silence(call),
+        _ => other.clone(),
+    })
+    .await;
+    gate.announce(&endpoint).await;
+    let answer = gate.post(pipeline, &[DEADLINE], json!("x")).await;
+    (answer, endpoint)
+}
+
+fn assert_whole(answer: &Answer) {
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    assert_eq!(answer.json()["output"], "abcdef");
+}
+
+/// Guards against ending a sound call for silence while the call that replaces it fails.
+#[tokio::test]
+async fn silent_call_goes_on_if_its_successor_fails() {
+    let failures = [
+        Reply::Status(500, Vec::new(), "broken".to_owned()),
+        Reply::Status(404, Vec::new(), "no such call".to_owned()),
+        Reply::CloseConnection,
+        not_run(),
+    ];
+    for failure in failures {
+        for target in TARGETS {
+            let (answer, _) = answer_with_silence(target, failure.clone()).await;
+            assert_whole(&answer);
+        }
+    }
+}
+
+/// Guards against ending a sound call for silence while the call that replaces it is silent too.
+#[tokio::test]
+async fn silent_call_goes_on_if_its_successor_is_silent() {
+    for target in TARGETS {
+        let (answer, _) = answer_with_silence(target, Reply::Silent).await;
+        assert_whole(&answer);
+    }
+}
+
+/// Guards against failing a call that pauses as often as it is made.
+#[tokio::test]
+async fn call_that_is_silent_on_each_attempt_is_completed() {
+    for (pipeline, service) in TARGETS {
+        let env = Env::start().await;
+        let gate = start_gate(&env).await;
+        let endpoint = FakeEndpoint::start("one", service, with_silence).await;
+        gate.announce(&endpoint).await;
+        let answer = gate.post(pipeline, &[DEADLINE], json!("x")).await;
+        assert_whole(&answer);
+    }
+}
+
+/// Guards against ending a sound call for silence when the retry budget is spent.
+#[tokio::test]
+async fn silent_call_goes_on_if_the_retry_budget_is_spent() {
+    const FAILING_REQUESTS: usize = 20;
+    for (pipeline, service) in TARGETS {
+        let env = Env::start().await;
+        let gate = start_gate(&env).await;
+        let endpoint = FakeEndpoint::start("one", service, |call| {
+            let input = &call.body["input"];
+            match input == "slow" || call.body["prompt"] == "slow" {
+                true => with_silence(call),
+                false => Reply::Status(429, Vec::new(), String::new()),
+            }
+        })
+        .await;
+        gate.announce(&endpoint).await;
+        for _ in 0..FAILING_REQUESTS {
+            let answer = gate.post(pipeline, &[DEADLINE], json!("x")).await;
+            assert_ne!(answer.status, 200);
+        }
+        let answer = gate.post(pipeline, &[DEADLINE], json!("slow")).await;
+        assert_whole(&answer);
+    }
+}
+
+/// Guards against ending a sound call for silence at an endpoint that leaves, and against calling that
+/// endpoint again.
+#[tokio::test]
+async fn silent_call_goes_on_at_a_leaving_endpoint() {
+    let env = Env::start().await;
+    let gate = start_gate(&env).await;
+    let endpoint = FakeEndpoint::start("one", "look", |call| match call.nth {
+        0 => with_silence(call),
+        _ => not_run(),
+    })
+    .await;
+    gate.announce(&endpoint).await;
+    let leave = async {
+        endpoint.wait_for_calls(1).await;
+        let mut leaving = endpoint.announcement();
+        leaving["state"] = json!("leaving");
+        let announced = env::client::post(gate.http, "/v1/announce", &[], &leaving).await;
+        assert_eq!(announced.unwrap().status, 200);
+    };
+    let (answer, ()) = tokio::join!(gate.post("find", &[DEADLINE], json!("x")), leave);
+    assert_whole(&answer);
+    assert_eq!(endpoint.calls().len(), 1);
+}
+
+/// Guards against waiting until the deadline for a call that stays silent while a new one would be
+/// answered.
+#[tokio::test]
+async fn call_that_stays_silent_is_replaced() {
+    for (pipeline, service) in TARGETS {
+        let env = Env::start().await;
+        let gate = start_gate(&env).await;
+        let endpoint = FakeEndpoint::start("one", service, |call| {
+            let steps = match (call.nth, call.path.as_str()) {
+                (0, "/v1/completions") => vec![Step::Chunk(0, "abc"), Step::Stall],
+                (0, _) => vec![Step::Text("{\"output\":\"abc"), Step::Stall],
+                (_, "/v1/completions") => vec![Step::Chunk(3, "def"), Step::Done],
+                _ => vec![Step::Text("{\"output\":\"abcdef\"}")],
+            };
+            Reply::Stream(steps)
+        })
+        .await;
+        gate.announce(&endpoint).await;
+        let answer = gate.post(pipeline, &[DEADLINE], json!("x")).await;
+        assert_whole(&answer);
+        let calls = endpoint.calls();
+        assert_eq!(calls.len(), 2);
+        assert_ne!(calls[0].connection, calls[1].connection);
+    }
+}
+
+/// Guards against ending or repeating a booking that is silent in the middle of its answer.
+#[tokio::test]
+async fn silent_booking_runs_once_and_is_completed() {
+    for (pipeline, service) in [("booking", "book"), ("drafting", "draft")] {
+        let env = Env::start().await;
+        let gate = start_gate(&env).await;
+        let one = FakeEndpoint::start("one", service, with_silence).await;
+        let two = FakeEndpoint::start("two", service, with_silence).await;
+        gate.announce(&one).await;
+        gate.announce(&two).await;
+        let key = uuid::Uuid::now_v7().to_string();
+        let headers = [("idempotency-key", &*key), DEADLINE];
+        let answer = gate.post(pipeline, &headers, json!("x")).await;
+        assert_whole(&answer);
+        assert_eq!(one.calls().len() + two.calls().len(), 1);
+    }
+}
