--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -49,8 +49,6 @@
     connection: Connection,
     body: Incoming,
     address: SocketAddr,
-    /// True if the connection carried another exchange before.
-    is_reused: bool,
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
 }
@@ -70,12 +68,7 @@
     if let Some(connection) = idle.filter(|c| !c.refused.iter().any(|refused| refused == id)) {
         match send_on(connection, address, req.clone(), deadline).await {
             Err(CallError::Unsent(_)) if Instant::now() < deadline => {}
-            result => {
-                return result.map(|exchange| Exchange {
-                    is_reused: true,
-                    ..exchange
-                });
-            }
+            result => return result,
         }
     }
     let connecting = timeout_at(deadline, pool.connect(address)).await;
@@ -113,7 +106,6 @@
         connection,
         body,
         address,
-        is_reused: false,
         status: head.status,
         headers: head.headers,
     })
@@ -134,7 +126,11 @@
     pub(crate) fn classify(&self, dialect: &Dialect, id: &str) -> ResponseClass {
         let class = (dialect.classify)(id, self.status, &self.headers);
         let is_identified = || (dialect.echoes_id)(id, &self.headers);
-        match class.is_refusal() && self.is_reused && !id.is_empty() && !is_identified() {
+        match class.is_refusal()
+            && self.connection.is_reused()
+            && !id.is_empty()
+            && !is_identified()
+        {
             true => ResponseClass::Unrelated,
             false => class,
         }
@@ -151,9 +147,10 @@
         max: usize,
         deadline: Instant,
     ) {
+        let is_reused = self.connection.is_reused();
         let refused = &mut self.connection.refused;
         match id {
-            "" if self.is_reused => return,
+            "" if is_reused => return,
             "" => {}
             _ if refused.len() >= MAX_REFUSED => return,
             id => refused.push(id.to_owned()),
