Tests: responses given up for silence without a successor

What callers saw: a resumable stream cut 1.5 to 2 s into a pause of a sound endpoint, with 3 s and more of the request's time left; 502 for a repeatable request whose only endpoint answers in the second half of its time; 504 for one whose endpoint stops inside the body while another could serve it.

--- a/crates/bench/src/stand_in/fault.rs
+++ b/crates/bench/src/stand_in/fault.rs
@@ -18,6 +18,9 @@
     FailEvery(u64),
     /// Calls run but are never answered; streams stop halfway.
     Stall,
+    /// Streams fall silent for this many milliseconds after their second event and then continue;
+    /// other responses take that much longer.
+    Pause(u64),
     /// Calls run and the connection closes before the response is complete.
     CloseEarly,
     /// Calls are refused with status 503 and the outcome `not_run`.
--- a/crates/bench/src/stand_in/routed.rs
+++ b/crates/bench/src/stand_in/routed.rs
@@ -24,8 +24,8 @@
 pub const STREAM_EVENTS: u64 = 5;
 /// Pause after each event.
 const EVENT_PAUSE: Duration = Duration::from_millis(10);
-/// Last event that is sent before `Fault::CloseEarly` closes the connection.
-const LAST_EVENT_BEFORE_CLOSE: u64 = 2;
+/// Last event that is sent before `Fault::CloseEarly` closes the connection or `Fault::Pause` pauses.
+const LAST_EVENT_BEFORE_FAULT: u64 = 2;
 
 /// Returns true if the request was forwarded by a route.
 pub(crate) fn is_routed(headers: &HeaderMap) -> bool {
@@ -70,6 +70,14 @@
         Fault::Stall => pending().await,
         Fault::CloseEarly if !is_stream => Err(ConnectionCut),
         Fault::WrongCallId => Ok(json_reply(StatusCode::OK, "another", &json!({}))),
+        Fault::Pause(ms) if !is_stream => {
+            sleep(Duration::from_millis(ms)).await;
+            Ok(json_reply(
+                StatusCode::OK,
+                &identity.call,
+                &echo(shared, head, body),
+            ))
+        }
         _ if is_stream => Ok(stream_response(&identity, head, fault)),
         _ => Ok(json_reply(
             StatusCode::OK,
@@ -119,8 +127,14 @@
     fault: Fault,
 ) {
     for number in last_event_id + 1..=STREAM_EVENTS {
+        match fault {
+            Fault::Pause(ms) if last_event_id == 0 && number == LAST_EVENT_BEFORE_FAULT + 1 => {
+                sleep(Duration::from_millis(ms)).await;
+            }
+            _ => {}
+        }
         let frame = match fault {
-            Fault::CloseEarly if number > LAST_EVENT_BEFORE_CLOSE => Err(io::Error::other("cut")),
+            Fault::CloseEarly if number > LAST_EVENT_BEFORE_FAULT => Err(io::Error::other("cut")),
             _ => {
                 let event = format!("id: {number}\ndata: {number} {inputs}\n\n");
                 Ok(Frame::data(Bytes::from(event)))
--- a/crates/forwarder/tests/routes.rs
+++ b/crates/forwarder/tests/routes.rs
@@ -252,3 +252,41 @@
     let log = cluster.logs();
     assert!(log.contains("confirmation") && !log.contains(support::KEY));
 }
+
+/// Silence of an endpoint that then continues, in milliseconds.
+const PAUSE_MS: u64 = 2_200;
+
+/// Guards against a stream that is cut when its endpoint pauses after the stage results have been
+/// released, so that no other endpoint could continue it.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_stream_with_released_results_is_kept() {
+    let cluster = Cluster::start().await;
+    endpoints_of(&cluster, "chat").for_each(|chat| chat.set_fault(Fault::Pause(PAUSE_MS)));
+    let headers = [ACCEPT_STREAM, ("jujube-items", "1,1")];
+    let request = CallerRequest {
+        headers: &headers,
+        ..CallerRequest::new("/draft/1", "kept")
+    };
+    let response = cluster.send(request).await;
+    let response = response.unwrap_or_else(|e| panic!("{e}\n{}", cluster.logs()));
+    let all: Vec<u64> = (1..=STREAM_EVENTS).collect();
+    assert_eq!(events(&response.body), all);
+    assert_eq!(cluster.count_starts("chat", "kept"), 1);
+}
+
+/// Guards against a stream that is not continued by another endpoint when its own pauses for long,
+/// and against events that come twice.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_a_silent_endpoint_is_continued_by_another() {
+    let cluster = Cluster::start().await;
+    endpoints_of(&cluster, "chat").for_each(|chat| chat.set_fault(Fault::Pause(60_000)));
+    let request = CallerRequest {
+        headers: &[ACCEPT_STREAM],
+        ..CallerRequest::new("/chat/1", "continued")
+    };
+    let response = cluster.send(request).await;
+    let response = response.unwrap_or_else(|e| panic!("{e}\n{}", cluster.logs()));
+    let all: Vec<u64> = (1..=STREAM_EVENTS).collect();
+    assert_eq!(events(&response.body), all);
+    assert_eq!(cluster.count_starts("chat", "continued"), 2);
+}
--- a/crates/forwarder/tests/support/mod.rs
+++ b/crates/forwarder/tests/support/mod.rs
@@ -71,6 +71,14 @@
 repeat = never
 services = chat 1
 stages = ice 1000, ice 1000 after 0
+[route draft]
+host = 127.0.0.1
+path_prefix = /draft/
+answer = stream
+repeat = from-last-event
+attempts = 2
+services = chat 1
+stages = ice 1000, ice 1000 after 0
 [route notices]
 host = 127.0.0.1
 path_prefix = /notices/
