Limit the numbers of a submission from another gate

Not seen by callers. A submission whose time left, due time or size is absurd made the gate that collects panic: the other gate got no reply, and its stage waited for its timeout.

Cause: the time left was added to the clock, and sizes and due times were added up, as they came.

Fix: a queue limits them first: the times to the longest one that can be declared, the sizes so that sums of them fit. The number of items is limited by the time left, as before.

Evidence: `forward queue submissions_with_absurd_numbers_are_queued_or_refused`, on the code before: panicked at std/src/time.rs:429: overflow when adding duration to instant.

--- a/crates/forward/src/messages.rs
+++ b/crates/forward/src/messages.rs
@@ -49,7 +49,25 @@
     pub az: String,
 }
 
+/// Largest time in a submission, in milliseconds: the longest one that can be declared.
+const MAX_MS: i64 = 86_400_000;
+/// Largest number of bytes in a submission, so that sums of them do not overflow.
+const MAX_BYTES: u64 = 1 << 40;
+
 impl Submission {
+    /// Limits numbers that another gate sent, so that computing with them does not overflow.
+    pub(crate) fn bounded(self) -> Self {
+        Self {
+            result_bytes: self.result_bytes.min(MAX_BYTES),
+            crossing_bytes: self.crossing_bytes.min(MAX_BYTES),
+            remaining: self
+                .remaining
+                .min(Duration::from_millis(MAX_MS.unsigned_abs())),
+            due_ms: self.due_ms.clamp(-MAX_MS, MAX_MS),
+            ..self
+        }
+    }
+
     /// Logs that the items get no results, with `remaining` time until the deadline. `queue` is the
     /// number of waiting items and of callable endpoints if the items were refused immediately.
     pub(crate) fn log_failure(
--- a/crates/forward/src/queue.rs
+++ b/crates/forward/src/queue.rs
@@ -110,6 +110,7 @@
         reachable: &ReachableZones,
         now: Instant,
     ) -> Result<Arc<Ticket>, StageFailure> {
+        let submission = submission.bounded();
         let slots = self.usable_slots(&self.healthy(pool, reachable, now));
         if slots <= 0.0 {
             return Err(unavailable(pool, reachable, now));
--- a/crates/forward/src/queue/tests.rs
+++ b/crates/forward/src/queue/tests.rs
@@ -418,3 +418,50 @@
     };
     assert_eq!(next.jobs.len(), 4);
 }
+
+/// Guards against overflows on submissions of other gates with absurd numbers: they are queued or
+/// refused, and the next one gets its call.
+#[tokio::test(start_paused = true)]
+async fn submissions_with_absurd_numbers_are_queued_or_refused() {
+    let pool = pool(&[("ice-1", "rockland")]);
+    let reachable = ReachableZones::default();
+    let odd = [
+        Submission {
+            remaining: Duration::MAX,
+            ..submission()
+        },
+        Submission {
+            remaining: Duration::MAX,
+            items: u32::MAX,
+            ..submission()
+        },
+        Submission {
+            due_ms: i64::MAX,
+            urgency: u8::MAX,
+            ..submission()
+        },
+        Submission {
+            due_ms: i64::MIN,
+            ..submission()
+        },
+        Submission {
+            items: 4,
+            result_bytes: u64::MAX,
+            crossing_bytes: u64::MAX,
+            stage: usize::MAX,
+            ..submission()
+        },
+    ];
+    let mut queue = queue();
+    for submission in odd {
+        let now = Instant::now();
+        sleep(Duration::from_millis(1)).await;
+        // Either outcome is right.
+        let _ = queue.enqueue(submission, &pool, &reachable, now);
+        while queue.next_call(&pool, &reachable, now).is_some() {}
+    }
+    let mut queue = self::queue();
+    let now = Instant::now();
+    queue.enqueue(submission(), &pool, &reachable, now).unwrap();
+    assert!(queue.next_call(&pool, &reachable, now).is_some());
+}
