Limit the time for which another gate refuses permits

A gate that refuses permits for an absurd time made the request that asked for them panic: its caller got no answer. A time that is only very long kept the endpoint out of use for as long.

Fix: a refusal holds for 10 s at most, the time to the next permit at the lowest rate that is granted.

Evidence: `forward rate_limit refusal_of_permits_for_an_absurd_time_is_limited`, on the code before: panicked at std/src/time.rs:429: overflow when adding duration to instant.

--- a/crates/forward/src/rate_limit.rs
+++ b/crates/forward/src/rate_limit.rs
@@ -41,6 +41,8 @@
 /// Shortest time for which a refusal holds, so that an endpoint does not cost a request for permits
 /// for each call that it might get.
 const MIN_REFUSAL: Duration = Duration::from_millis(10);
+/// Longest time for which a refusal holds: that to the next permit at the lowest rate.
+const MAX_REFUSAL: Duration = Duration::from_secs(10);
 /// Interval at which shares are borrowed again.
 const BORROW_INTERVAL: Duration = Duration::from_millis(400);
 /// Timeout of a request for a share.
@@ -266,7 +268,8 @@
         match grant {
             Grant::Permits(permits) => stats.permits.grant(permits, requested_at, now),
             Grant::Refused(retry_after) => {
-                stats.permits.refuse(now + retry_after.max(MIN_REFUSAL));
+                let pause = retry_after.clamp(MIN_REFUSAL, MAX_REFUSAL);
+                stats.permits.refuse(now + pause);
             }
         }
     }
@@ -281,3 +284,6 @@
 // The lender's reply and the borrower's next request fit into a loan.
 const _: () =
     assert!(BORROW_INTERVAL.as_millis() + BORROW_TIMEOUT.as_millis() < LOAN_DURATION.as_millis());
+
+#[cfg(test)]
+mod tests;
