Leave out invalid entries among endpoints that are passed on

Not seen by callers. A table took what another gate or keeper passed on without the checks of an announcement: endpoints with a port out of range, names of any length or any number of models were listed, and passed on again. Gates skipped those whose address they cannot read, unlogged.

Fix: entries that are merged are checked like announcements; an invalid one is left out and logged, at most once in 10 s, and the others hold. All gates of this version agree on what is invalid, so their digests do not differ for long: an entry that only an older gate holds ends with its heartbeats. `membership` logs for the first time, with the workspace's spdlog-rs.

--- a/crates/membership/src/message.rs
+++ b/crates/membership/src/message.rs
@@ -3,6 +3,7 @@
 use std::{collections::HashMap, time::Duration};
 
 use derives::record;
+use spdlog::warn;
 use tokio::time::{Instant, timeout};
 use uuid::Uuid;
 use xxhash_rust::xxh3::xxh3_64;
@@ -12,6 +13,7 @@
     delta::{CompactDelta, Delta},
     entry_digest::{self, EntryDigest},
     state::{Entry, Origin, State},
+    table::validate,
     vitals::{self, Bucket, ExchangeReply, bucket_of},
 };
 
@@ -235,12 +237,20 @@
     link::encode(&reply)
 }
 
-/// Merges deltas received by way of `origin` into `table` and notifies its readers.
+/// Merges deltas received by way of `origin` into `table` and notifies its readers. Deltas that no
+/// endpoint could have announced are left out.
 pub(crate) fn merge_all(table: &Table, deltas: Vec<Delta>, origin: &Origin) {
     let now = Instant::now();
     let mut state = table.lock();
     for delta in deltas {
-        state.merge(delta, now, origin);
+        match validate(&delta.announced) {
+            Ok(()) => drop(state.merge(delta, now, origin)),
+            Err(e) if state.may_log_invalid(now) => {
+                let from = origin.neighbour.as_deref().unwrap_or_default();
+                warn!("invalid endpoint ignored", kv: { from, why = e.to_string() });
+            }
+            Err(_) => {}
+        }
     }
     table.publish(state);
 }
--- a/crates/membership/src/state.rs
+++ b/crates/membership/src/state.rs
@@ -117,8 +117,13 @@
     /// Version after which `tombstones` is complete.
     tombstones_since: u64,
     stale_services: BTreeSet<String>,
+    /// When an invalid entry was logged last.
+    invalid_logged_at: Option<Instant>,
 }
 
+/// Shortest time between two log lines about invalid entries.
+const INVALID_LOG_INTERVAL: Duration = Duration::from_secs(10);
+
 /// Hashes an announcement without load and sequence number.
 fn content_hash(a: &Announcement) -> u64 {
     let content = Announcement {
@@ -179,7 +184,18 @@
             version: 0,
             tombstones_since: 0,
             stale_services: BTreeSet::new(),
+            invalid_logged_at: None,
+        }
+    }
+
+    /// Returns true if an invalid entry may be logged at `now`, and records that it was.
+    pub(crate) fn may_log_invalid(&mut self, now: Instant) -> bool {
+        let is_due = |at: Instant| now.saturating_duration_since(at) >= INVALID_LOG_INTERVAL;
+        let may_log = self.invalid_logged_at.is_none_or(is_due);
+        if may_log {
+            self.invalid_logged_at = Some(now);
         }
+        may_log
     }
 
     /// Maximum number of endpoints of one service in a sample for another availability zone.
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -280,7 +280,8 @@
 const MAX_MODELS: usize = 64;
 const MAX_ADAPTERS: usize = 256;
 
-fn validate(a: &Announcement) -> Result<(), AnnounceError> {
+/// Checks names, address and sizes of an announcement.
+pub(crate) fn validate(a: &Announcement) -> Result<(), AnnounceError> {
     let invalid = |member, what: String| Err(AnnounceError::Invalid { member, what });
     let names = [
         ("endpoint", &a.endpoint),
