--- a/crates/forward/src/fleet/tests.rs
+++ b/crates/forward/src/fleet/tests.rs
@@ -210,3 +210,35 @@
     fleet.update(&mirror([endpoint("old", 5)]), |_| None);
     assert_eq!(place(&fleet), Err(NO_ENDPOINT));
 }
+
+/// Guards against a gate that stops, or no longer follows the list of endpoints, after an odd entry
+/// of the keepers.
+#[tokio::test(start_paused = true)]
+async fn odd_entries_of_keepers_do_not_affect_the_others() {
+    let fleet = Fleet::default();
+    let mut views = vec![view("sound", "ice", "a")];
+    for (n, address) in ["", "http://", "http://[::1", "http://127.0.0.1:99999", "\0"]
+        .into_iter()
+        .enumerate()
+    {
+        let mut odd = view(&format!("odd-{n}"), "ice", "a");
+        address.clone_into(&mut odd.address);
+        views.push(odd);
+    }
+    let rates = [f64::NAN, f64::INFINITY, -1.0, f64::MAX, f64::MIN_POSITIVE];
+    for (n, per_second) in rates.into_iter().enumerate() {
+        let mut odd = view(&format!("number-{n}"), "ice", "a");
+        (odd.slots, odd.calls, odd.silent_ms) = (Some(u32::MAX), u32::MAX, u64::MAX);
+        odd.rate = Some(membership::ReportedRate {
+            per_second: Some(per_second),
+            age: Duration::MAX,
+        });
+        views.push(odd);
+    }
+    let count = rates.len() + 1;
+    fleet.update(&mirror(views.clone()), |_| None);
+    fleet.update(&mirror(views), |_| None);
+    let pool = fleet.pool("ice").unwrap();
+    assert_eq!(pool.targets.len(), count);
+    assert!(pool.targets.iter().any(|target| target.name == "sound"));
+}
