Gate: a stream that lags moves only once the other endpoint has begun to answer

Callers of /v1 lost a stream whose endpoint was slow or silent for a moment where the endpoint that it was to move to failed: the stream at the sound endpoint was cancelled when another one had been found, before that one had answered.

Cause: `CallError::Lagging` ended the attempt; the move was the next attempt.

Now `succession::replace` calls the other endpoint beside the stream, which goes on if the other one fails, or is still silent after the usual time to a first part once the stream has gone on. An endpoint that did not take the stream over is not asked again. An error that a retry cannot mend ends such tries.

--- a/crates/gate/src/error.rs
+++ b/crates/gate/src/error.rs
@@ -50,7 +50,7 @@
     /// The resumed stream contradicts text that was already forwarded.
     #[error("the resumed stream differs from the text already forwarded")]
     Diverged,
-    /// The stream lagged and moves to another endpoint; the retry budget was already charged.
+    /// The stream lagged and another endpoint may take it; the retry budget was already charged.
     #[error("the stream was too slow for its deadline; moving it to another endpoint")]
     Lagging,
     /// The request's deadline passed.
--- a/crates/gate/src/repeatable.rs
+++ b/crates/gate/src/repeatable.rs
@@ -73,10 +73,9 @@
     tries: &mut RetryState,
     sink: Option<&EventSink>,
 ) -> Result<(Box<RawValue>, String), StageError> {
-    let (picked, connection) = match (tries.reconnect_to.take(), tries.move_to.take()) {
-        (Some(picked), _) => (picked, ConnectionKind::New),
-        (None, Some(picked)) => (picked, ConnectionKind::PooledOrNew),
-        (None, None) => (
+    let (picked, connection) = match tries.reconnect_to.take() {
+        Some(picked) => (picked, ConnectionKind::New),
+        None => (
             pick_when_free(cx, stage, work, &tries.avoid).await?,
             ConnectionKind::PooledOrNew,
         ),
@@ -84,12 +83,11 @@
     let mut answer = hedging::first_response(cx, stage, work, tries, picked, connection).await?;
     let mut resumed_at = work.offset();
     let mut progress = resumed_at;
-    let move_to = Mutex::new(None);
     let read = loop {
         work.answer_started(answer.call);
-        let avoid = &tries.avoid;
-        let silence = match read(cx, stage, work, avoid, &mut answer, sink, &move_to).await {
-            Err(e @ CallError::Stalled(_)) => e,
+        let move_to = Mutex::new(None);
+        let cause = match read(cx, stage, work, tries, &mut answer, sink, &move_to).await {
+            Err(e @ (CallError::Stalled(_) | CallError::Lagging)) => e,
             result => break result,
         };
         if work.offset() > progress {
@@ -97,16 +95,19 @@
             tries.rounds = 0;
         }
         let is_progressing = work.offset() > resumed_at;
-        let replaced = succession::outlast_silence(
-            cx,
-            stage,
-            work,
-            tries,
-            &mut answer,
-            is_progressing,
-            silence,
-        );
-        if replaced.await? {
+        let move_to = move_to.into_inner().unwrap_or_default();
+        let successor = match move_to {
+            Some(picked) => Some((picked, ConnectionKind::PooledOrNew)),
+            None => succession::pick_successor(cx, stage, work, tries, &answer, is_progressing),
+        };
+        let Some(successor) = successor else {
+            continue;
+        };
+        // Moves are limited by the retry budget instead.
+        if cause != CallError::Lagging {
+            tries.rounds += 1;
+        }
+        if succession::replace(cx, stage, work, tries, &mut answer, successor, cause).await? {
             resumed_at = work.offset();
         }
     };
@@ -150,11 +151,6 @@
             Err(error)
         }
         Err(e) => {
-            tries.move_to = move_to.into_inner().unwrap_or_default();
-            if tries.move_to.is_some() {
-                // Moves are limited by the retry budget instead.
-                tries.rounds = 0;
-            }
             tries.avoid.push(picked.name().to_owned());
             Err(record_failure(cx, stage, &picked, e))
         }
@@ -167,7 +163,7 @@
     cx: &RequestContext,
     stage: Stage<'_>,
     work: &mut StageWork<'_>,
-    avoid: &[String],
+    tries: &RetryState,
     answer: &mut StartedAnswer,
     sink: Option<&EventSink>,
     move_to: &Mutex<Option<Arc<PickedEndpoint>>>,
@@ -177,7 +173,7 @@
     };
     let picked = &answer.picked;
     let move_stream = |prompt: &str| {
-        let other = pick_other(cx, stage, prompt, avoid, picked);
+        let other = pick_other(cx, stage, prompt, tries, picked);
         let is_found = other.is_some();
         *move_to.lock().expect("no holder of this lock panics") = other;
         is_found
@@ -198,10 +194,13 @@
     cx: &RequestContext,
     stage: Stage<'_>,
     prompt: &str,
-    avoid: &[String],
+    tries: &RetryState,
     slow: &PickedEndpoint,
 ) -> Option<Arc<PickedEndpoint>> {
-    let mut avoid = avoid.to_vec();
+    if tries.is_exhausted() {
+        return None;
+    }
+    let mut avoid = tries.avoid.clone();
     avoid.push(slow.name().to_owned());
     let other = pick_for_prompt(cx, stage, Some(prompt), &avoid).ok()?;
     let is_other = !avoid.iter().any(|name| name == other.name());
@@ -226,9 +225,6 @@
         );
         return Err(error);
     }
-    if matches!(cause, CallError::Lagging) {
-        return Ok(());
-    }
     let is_exempt = is_exempt || matches!(cause, CallError::Connect(_));
     if !is_exempt && !cx.gate.routing.try_spend_retry(stage.name) {
         cx.log_not_repeated(stage, "the retry budget of the service is spent");
--- a/crates/gate/src/stage.rs
+++ b/crates/gate/src/stage.rs
@@ -64,14 +64,12 @@
 pub(crate) struct RetryState {
     /// Calls made so far.
     pub(crate) calls: u32,
-    /// Tries and successors of silent calls so far, each with its hedges; reset when a stream makes progress or moves.
+    /// Tries and successors of silent calls so far, each with its hedges; reset when a stream makes progress.
     pub(crate) rounds: u32,
-    /// Endpoints that failed.
+    /// Endpoints that failed, or did not take a stream over in time.
     pub(crate) avoid: Vec<String>,
     /// Endpoint whose connection was lost during its response, to be called again over a new one.
     pub(crate) reconnect_to: Option<Arc<PickedEndpoint>>,
-    /// Endpoint that a lagging stream moves to.
-    pub(crate) move_to: Option<Arc<PickedEndpoint>>,
 }
 
 impl RetryState {
--- a/crates/gate/src/succession.rs
+++ b/crates/gate/src/succession.rs
@@ -1,12 +1,12 @@
-//! Replaces a call that falls silent in the middle of its response, once the response to another
-//! call has begun. Until then the silent call may go on.
+//! Replaces a call that is silent or slow in the middle of its response, once the response to another
+//! call has begun. Until then the first call may go on.
 
-use std::{mem, sync::Arc};
+use std::{mem, sync::Arc, time::Duration};
 
-use tokio::{pin, select};
+use tokio::{pin, select, time::timeout};
 
 use crate::{
-    call_routing::PickedEndpoint,
+    call_routing::{PickedEndpoint, StageInput},
     context::RequestContext,
     error::{CallError, Cause, StageError},
     hedging::{self, ConnectionKind, StartedAnswer, try_spend_second_call},
@@ -15,76 +15,91 @@
     stage_work::StageWork,
 };
 
-/// Makes another call for `silent`, if there may be one, and waits until one of them responds. Returns
-/// true if `silent` was replaced by the other call. Fails if the connection of `silent` is lost and the
-/// other call fails too.
+/// Endpoint and connection of a call that may replace another one.
+pub(crate) type Successor = (Arc<PickedEndpoint>, ConnectionKind);
+
+/// Shortest time that a stream which lags, but goes on, waits for the endpoint that it moves to.
+const MIN_MOVE_WAIT: Duration = Duration::from_millis(150);
+
+/// Calls the endpoint `successor` and waits until it or `current` responds. Returns true if `current`
+/// was replaced by the other call, whose response has begun. Fails if the connection of `current` is
+/// lost and the other call fails too.
 ///
-/// `is_progressing` says whether `silent` has responded with new text; `silence` is its error.
-pub(crate) async fn outlast_silence(
+/// `cause` is [`CallError::Stalled`], or [`CallError::Lagging`] for a stream that has to move even if
+/// it goes on.
+pub(crate) async fn replace(
     cx: &RequestContext,
     stage: Stage<'_>,
     work: &StageWork<'_>,
     tries: &mut RetryState,
-    silent: &mut StartedAnswer,
-    is_progressing: bool,
-    silence: CallError,
+    current: &mut StartedAnswer,
+    (picked, connection): Successor,
+    cause: CallError,
 ) -> Result<bool, StageError> {
-    let successor = pick_successor(cx, stage, work, tries, silent, is_progressing);
-    let Some((picked, connection)) = successor else {
-        return Ok(false);
-    };
-    cx.gate.pool.close_idle(silent.picked.address());
+    cx.gate.pool.close_idle(current.picked.address());
     cx.gate.metrics.record_retry(stage.name);
-    tries.rounds += 1;
-    let (started, lost) = {
-        let successor = hedging::first_response(cx, stage, work, tries, picked, connection);
-        pin!(successor);
+    let name = picked.name().to_owned();
+    let finished = {
+        let started = hedging::first_response(cx, stage, work, tries, picked, connection);
+        pin!(started);
         select! {
             biased;
-            next = silent.exchange.wait_next_part() => match next {
-                Ok(()) => return Ok(false),
-                Err(e) => (successor.await, Some(e)),
+            next = current.exchange.wait_next_part() => match next {
+                Ok(()) if cause == CallError::Lagging => {
+                    let started = timeout(move_wait(cx, stage, work), started).await;
+                    started.ok().map(|started| (started, None))
+                }
+                Ok(()) => None,
+                Err(e) => Some((started.await, Some(e))),
             },
-            started = &mut successor => (started, None),
+            started = &mut started => Some((started, None)),
         }
     };
-    match (started, lost) {
-        (Ok(started), lost) => {
-            let replaced = mem::replace(silent, started);
-            report_replaced(
-                cx,
-                stage,
-                work,
-                tries,
-                replaced,
-                silent,
-                lost.unwrap_or(silence),
-            );
+    match finished {
+        Some((Ok(started), lost)) => {
+            let replaced = mem::replace(current, started);
+            let cause = lost.unwrap_or(cause);
+            report_replaced(cx, stage, work, tries, replaced, current, cause);
             Ok(true)
         }
-        (Err(error), Some(lost)) => {
-            record_failure(cx, stage, &silent.picked, lost);
+        Some((Err(error), Some(lost))) => {
+            record_failure(cx, stage, &current.picked, lost);
             Err(error)
         }
-        (Err(error), None) => {
+        Some((Err(error), None)) => {
             if matches!(&error.cause, Cause::Call(e) if !e.is_retryable()) {
                 tries.exhaust();
             }
             Ok(false)
         }
+        None => {
+            if cause == CallError::Lagging {
+                tries.avoid.push(name);
+            }
+            Ok(false)
+        }
     }
 }
 
-/// Picks the endpoint and connection of a call that may replace `silent`, at the cost of a retry. The
-/// connection is suspected before the endpoint.
-fn pick_successor(
+fn move_wait(cx: &RequestContext, stage: Stage<'_>, work: &StageWork<'_>) -> Duration {
+    let input = StageInput {
+        name: stage.name,
+        bytes: work.input_bytes(),
+    };
+    let usual = cx.gate.routing.hedge_after(input).unwrap_or_default();
+    usual.max(MIN_MOVE_WAIT)
+}
+
+/// Picks a successor for `silent` at the cost of a retry, if it may have one. The connection is
+/// suspected before the endpoint, also where the response went on with new text (`is_progressing`).
+pub(crate) fn pick_successor(
     cx: &RequestContext,
     stage: Stage<'_>,
     work: &StageWork<'_>,
     tries: &RetryState,
     silent: &StartedAnswer,
     is_progressing: bool,
-) -> Option<(Arc<PickedEndpoint>, ConnectionKind)> {
+) -> Option<Successor> {
     if tries.is_exhausted() {
         return None;
     }
--- a/crates/gate/tests/streams.rs
+++ b/crates/gate/tests/streams.rs
@@ -7,7 +7,7 @@
 use env::{
     Env,
     client::Answer,
-    fake_endpoint::{FakeEndpoint, ReceivedCall, Reply, Step},
+    fake_endpoint::{FakeEndpoint, ReceivedCall, Reply, Step, not_run},
 };
 use serde_json::json;
 
@@ -182,10 +182,19 @@
 /// Runs streams at the typical pace, then one that lags. Returns the response to the slow one and
 /// its calls.
 async fn request_lagging_stream(pipeline: &str, service: &str) -> (Answer, Vec<ReceivedCall>) {
+    request_lagging_stream_of(pipeline, service, paced_reply).await
+}
+
+/// Like [`request_lagging_stream`], with endpoints that answer with `reply`.
+async fn request_lagging_stream_of(
+    pipeline: &str,
+    service: &str,
+    reply: impl Fn(&ReceivedCall) -> Reply + Clone + Send + Sync + 'static,
+) -> (Answer, Vec<ReceivedCall>) {
     let env = Env::start().await;
     let gate = env.gate("g").await;
-    let one = FakeEndpoint::start("llm-1", service, paced_reply).await;
-    let two = FakeEndpoint::start("llm-2", service, paced_reply).await;
+    let one = FakeEndpoint::start("llm-1", service, reply.clone()).await;
+    let two = FakeEndpoint::start("llm-2", service, reply).await;
     gate.announce(&one).await;
     gate.announce(&two).await;
     let key = || uuid::Uuid::now_v7().to_string();
@@ -227,6 +236,30 @@
     );
 }
 
+/// Guards against ending a stream that lags before another endpoint has taken it over.
+#[tokio::test]
+async fn lagging_stream_goes_on_if_the_other_endpoint_fails() {
+    let failures = [
+        Reply::Status(404, Vec::new(), "no such call".to_owned()),
+        Reply::Status(500, Vec::new(), "broken".to_owned()),
+        Reply::CloseConnection,
+        Reply::Silent,
+        not_run(),
+    ];
+    let requests = failures.map(|failure| {
+        let reply = move |call: &ReceivedCall| match call.body["resume"].is_null() {
+            true => paced_reply(call),
+            false => failure.clone(),
+        };
+        request_lagging_stream_of("chat", "llm", reply)
+    });
+    for (answer, calls) in futures_util::future::join_all(requests).await {
+        assert_eq!(whole_text(&answer), "xxxxxx", "{}", answer.text());
+        assert_eq!(answer.events().pop().unwrap().0, "done");
+        assert!(calls.len() > 1, "the stream did not lag");
+    }
+}
+
 #[tokio::test]
 async fn an_unrepeatable_stream_never_moves() {
     let (answer, calls) = request_lagging_stream("drafting", "draft").await;
