Gate: a stream is complete with its [DONE], not with the end of its response

A booking that an engine had completed was reported as 504 `unknown` where the connection was silent after `[DONE]`; a repeatable stream waited up to `gap_ms` before its `done` event.

Cause: after the text was complete the gate waited for the end of the body, which only tells whether the connection can be used again. The limit of a booking is its deadline and `late_result_ms`.

Now it waits 50 ms at most and then closes the connection.

--- a/crates/gate/src/engine.rs
+++ b/crates/gate/src/engine.rs
@@ -177,8 +177,7 @@
         }
         match is_done? {
             true => {
-                // The text is complete; the end only tells whether the connection can be reused.
-                let _ = exchange.next().await;
+                exchange.wait_end().await;
                 return Ok(());
             }
             false if assembly.offset() > max => return Err(CallError::TooLarge(max)),
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -14,7 +14,7 @@
     header::{CONTENT_TYPE, HOST, HeaderName, HeaderValue},
 };
 use outbound::{Connection, Notice, Pool, SendState, parse_retry_after};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 use uuid::Uuid;
 
 use crate::{
@@ -39,6 +39,9 @@
 /// Most characters of an endpoint's error response that are passed on.
 const MAX_DETAIL_CHARS: usize = 300;
 
+/// Longest wait for the end of a body whose content is complete.
+const MAX_END_WAIT: Duration = Duration::from_millis(50);
+
 /// Limits on waiting for a response and on its size.
 #[derive(Clone, Debug)]
 pub(crate) struct ResponseLimits {
@@ -322,6 +325,13 @@
         })
     }
 
+    /// Waits shortly for the end of a body whose content is complete, so that the connection can be
+    /// reused.
+    pub(crate) async fn wait_end(&mut self) {
+        // Without the end, the connection is closed.
+        let _ = timeout(MAX_END_WAIT, self.next()).await;
+    }
+
     /// Returns the connection to the pool if the body has ended, else closes it.
     pub(crate) fn finish(self, pool: &Pool) {
         if self.is_ended {
--- a/crates/gate/tests/silence.rs
+++ b/crates/gate/tests/silence.rs
@@ -192,3 +192,22 @@
         assert_eq!(one.calls().len() + two.calls().len(), 1);
     }
 }
+
+/// Guards against losing the whole text of a stream whose connection is silent after its end.
+#[tokio::test]
+async fn text_is_complete_though_its_connection_does_not_end() {
+    for (pipeline, service) in [("chat", "llm"), ("drafting", "draft")] {
+        let env = Env::start().await;
+        let gate = env.gate("g").await;
+        let endpoint = FakeEndpoint::start("one", service, |_| {
+            Reply::Stream(vec![Step::Chunk(0, "abcdef"), Step::Done, Step::Stall])
+        })
+        .await;
+        gate.announce(&endpoint).await;
+        let key = uuid::Uuid::now_v7().to_string();
+        let headers = [("idempotency-key", &*key), ("jujube-deadline-ms", "1000")];
+        let answer = gate.post(pipeline, &headers, json!("x")).await;
+        assert_whole(&answer);
+        assert_eq!(endpoint.calls().len(), 1);
+    }
+}
