Gate: what the head of a failure says does not wait for its body

A booking that its endpoint had refused with proof, or rejected, was reported as 504 `unknown` where the body of that response was silent, and its key was not released until `late_result_ms` after the deadline. A retry of a repeatable call waited up to `gap_ms`.

Cause: `check_head` read the whole body of the failure before it returned, within the limits of the call; those of a booking end after its deadline.

Now it waits 50 ms for the body of a refusal, which is only read to use the connection again, and 0.5 s for that of another failure, whose text is then missing.

--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -42,6 +42,9 @@
 /// Longest wait for the end of a body whose content is complete.
 const MAX_END_WAIT: Duration = Duration::from_millis(50);
 
+/// Longest wait for the body of an endpoint's error response.
+const MAX_ERROR_WAIT: Duration = Duration::from_millis(500);
+
 /// Limits on waiting for a response and on its size.
 #[derive(Clone, Debug)]
 pub(crate) struct ResponseLimits {
@@ -241,18 +244,20 @@
             }
             StatusCode::SERVICE_UNAVAILABLE if is_refused => {
                 // The body is only read so that the connection can be reused.
-                let _ = self.collect(MAX_ERROR_BYTES).await;
+                let _ = timeout(MAX_END_WAIT, self.collect(MAX_ERROR_BYTES)).await;
                 self.finish(pool);
                 Err(CallError::NotRun { retry_after })
             }
             StatusCode::OK if !is_ours => Err(CallError::CallIdMismatch),
             StatusCode::OK => Ok(self),
             _ => {
-                let text = self.collect(MAX_ERROR_BYTES).await;
+                // The status counts without a body that is late, too large or broken off.
+                let text = timeout(MAX_ERROR_WAIT, self.collect(MAX_ERROR_BYTES)).await;
+                let text = text.ok().and_then(Result::ok).unwrap_or_default();
                 self.finish(pool);
                 Err(CallError::Status {
                     status: status.as_u16(),
-                    detail: truncate(&text.unwrap_or_default()),
+                    detail: truncate(&text),
                     retry_after,
                 })
             }
--- a/crates/gate/tests/env/fake_endpoint.rs
+++ b/crates/gate/tests/env/fake_endpoint.rs
@@ -55,6 +55,8 @@
     Delayed(Duration, Value),
     /// A status with headers and a body.
     Status(u16, Vec<(&'static str, String)>, String),
+    /// A status with headers, and a body that never ends.
+    EndlessStatus(u16, Vec<(&'static str, String)>),
     /// 200 with the id of another call.
     WrongCallId(Value),
     /// An explicit refusal with the id of another call.
@@ -246,6 +248,14 @@
             }
             Ok(res.body(full_body(&text)).unwrap())
         }
+        Reply::EndlessStatus(status, headers) => {
+            let mut res = ok.status(status);
+            for (name, value) in headers {
+                res = res.header(name, value);
+            }
+            let frames = stream::iter([Step::Text("{"), Step::Stall]).then(frame);
+            Ok(res.body(BodyExt::boxed(StreamBody::new(frames))).unwrap())
+        }
         Reply::WrongCallId(value) => {
             let res = Response::builder().header("jujube-call", Uuid::new_v4().to_string());
             Ok(res.body(full_body(&value.to_string())).unwrap())
--- a/crates/gate/tests/silence.rs
+++ b/crates/gate/tests/silence.rs
@@ -211,3 +211,28 @@
         assert_eq!(endpoint.calls().len(), 1);
     }
 }
+
+/// Guards against losing what the head of a failure says of a booking while its body is silent.
+#[tokio::test]
+async fn booking_is_settled_by_a_failure_whose_body_does_not_end() {
+    let refusal = vec![("jujube-outcome", "not_run".to_owned())];
+    let failures = [
+        (Reply::EndlessStatus(503, refusal), (503, "not_run")),
+        (Reply::EndlessStatus(409, Vec::new()), (502, "failed")),
+    ];
+    for (failure, expected) in failures {
+        let env = Env::start().await;
+        let gate = env.gate("g").await;
+        let endpoint = FakeEndpoint::start("one", "book", move |_| failure.clone()).await;
+        gate.announce(&endpoint).await;
+        let key = uuid::Uuid::now_v7().to_string();
+        let headers = [("idempotency-key", &*key), ("jujube-deadline-ms", "5000")];
+        let answer = gate.post("booking", &headers, json!("x")).await;
+        assert_eq!(
+            (answer.status, &*answer.outcome()),
+            expected,
+            "{}",
+            answer.text()
+        );
+    }
+}
