Move the attempts of a request into a module of their own

Choosing an endpoint, writing the call, sending it and deciding what follows a failure become functions of their own, so that an attempt can run beside another one. One difference: a call that was refused counts as one that may have run until the refusal's body is read, so that a request whose time ends in that moment is told 504 instead of 503.

--- /dev/null
+++ b/crates/forward/src/attempts.rs
@@ -0,0 +1,297 @@
+//! Attempts of a request at endpoints: who is tried next, and what follows a failure.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use tokio::time::Instant;
+
+use crate::{
+    call::{self, CallError, Exchange},
+    dialect::{Attempt, ResponseClass},
+    error::{ForwardError, Refusal},
+    in_flight::InFlightCall,
+    placement::{PlacementError, Requirements},
+    serving::{Context, MAX_ANSWER_BYTES, RECHECK_INTERVAL, RETRY_AFTER, Request},
+    stages::Results,
+};
+
+/// Maximum number of endpoints that one request is offered to.
+const MAX_ENDPOINTS: usize = 4;
+/// Number of tried endpoints after which a failed connection ends the request.
+const MAX_CONNECT_FAILURES: usize = 12;
+
+/// Record of the attempts to serve a request.
+#[derive(Debug, Default)]
+pub(crate) struct AttemptLog {
+    /// Endpoints that were tried and are not tried again.
+    pub(crate) endpoints: Vec<String>,
+    /// Number of attempts that may have run.
+    pub(crate) runs: u32,
+    /// Time to the first part of the response.
+    pub(crate) first_part: Option<Duration>,
+    /// Longest pause between two parts of a stream.
+    pub(crate) max_pause: Duration,
+}
+
+impl AttemptLog {
+    /// Takes back what was recorded for an attempt at `endpoint` that did not run.
+    fn settle(&mut self, endpoint: &str, failure: &AttemptFailure) {
+        match failure {
+            AttemptFailure::Lost(_) => {}
+            AttemptFailure::NotRun | AttemptFailure::Unreached => self.runs -= 1,
+            AttemptFailure::InputsGone => {
+                self.runs -= 1;
+                // The endpoint may take the request with other results.
+                self.endpoints.retain(|name| name != endpoint);
+            }
+        }
+    }
+}
+
+/// An endpoint's response that is about to be forwarded.
+#[derive(Debug)]
+pub(crate) struct StartedResponse {
+    pub(crate) exchange: Exchange,
+    pub(crate) flight: InFlightCall,
+    pub(crate) is_good: bool,
+}
+
+/// Why an attempt has no response.
+#[derive(Debug)]
+enum AttemptFailure {
+    NotRun,
+    Unreached,
+    InputsGone,
+    Lost(CallError),
+}
+
+/// A call that is ready to be sent and is recorded as an attempt.
+#[derive(Debug)]
+struct PreparedCall {
+    flight: InFlightCall,
+    message: hyper::Request<Full<Bytes>>,
+}
+
+pub(crate) fn lost(e: &CallError) -> ForwardError {
+    match e {
+        CallError::TimedOut => ForwardError::DeadlineExceeded,
+        e => ForwardError::Lost(e.to_string()),
+    }
+}
+
+/// Returns true if a request that may have run may be tried again, and takes a retry from the
+/// budget.
+pub(crate) fn may_repeat(cx: &Context, req: &Request, attempts: &AttemptLog) -> bool {
+    let why = match attempts.runs {
+        _ if !req.is_repeatable() => "its route allows no repeat",
+        runs if runs >= req.route().attempts => "its route allows no more tries",
+        _ if req.remaining().is_zero() => "no time is left",
+        _ if !cx.try_spend_retry(&req.service) => "the retry budget of the service is spent",
+        _ => return true,
+    };
+    req.record_not_repeated(why);
+    false
+}
+
+/// Sends the request until an endpoint starts to respond.
+pub(crate) async fn start_response(
+    cx: &Context,
+    req: &Request,
+    inputs: &[Arc<Results>],
+    attempts: &mut AttemptLog,
+    last_event_id: Option<u64>,
+) -> Result<StartedResponse, ForwardError> {
+    cx.budget.record_first_attempt(&req.service);
+    loop {
+        let flight = match choose(cx, req, inputs, attempts).await {
+            Ok(flight) => flight,
+            Err(PlacementError { reason, .. }) if attempts.runs > 0 => {
+                return Err(ForwardError::Lost(format!("no other endpoint: {reason}")));
+            }
+            Err(PlacementError {
+                reason: Refusal::Full,
+                ..
+            }) if req.remaining() > RECHECK_INTERVAL * 4 && attempts.endpoints.is_empty() => {
+                tokio::time::sleep(RECHECK_INTERVAL).await;
+                continue;
+            }
+            Err(PlacementError {
+                reason,
+                retry_after,
+            }) => {
+                return Err(ForwardError::retry_later(
+                    reason,
+                    retry_after.unwrap_or(RETRY_AFTER),
+                ));
+            }
+        };
+        let call = prepare(cx, req, inputs, attempts, flight, last_event_id);
+        let target = Arc::clone(&call.flight.target);
+        match send(cx, req, call, req.response_deadline(attempts)).await {
+            Ok(started) => return Ok(started),
+            Err(failure) => {
+                attempts.settle(&target.name, &failure);
+                next_step(cx, req, attempts, &failure)?;
+            }
+        }
+    }
+}
+
+/// Decides what follows an attempt without a response: another one, or an error.
+fn next_step(
+    cx: &Context,
+    req: &Request,
+    attempts: &AttemptLog,
+    failure: &AttemptFailure,
+) -> Result<(), ForwardError> {
+    let tried = attempts.endpoints.len();
+    match failure {
+        // No byte reached an endpoint, so this does not count as a try.
+        AttemptFailure::Unreached if tried < MAX_CONNECT_FAILURES && !req.remaining().is_zero() => {
+            Ok(())
+        }
+        AttemptFailure::NotRun if tried < MAX_ENDPOINTS && cx.try_spend_retry(&req.service) => {
+            Ok(())
+        }
+        AttemptFailure::NotRun | AttemptFailure::Unreached if attempts.runs > 0 => {
+            Err(ForwardError::Lost("no endpoint took it again".to_owned()))
+        }
+        AttemptFailure::NotRun => Err(ForwardError::retry_later(Refusal::Full, RETRY_AFTER)),
+        AttemptFailure::Unreached => {
+            Err(ForwardError::retry_later(Refusal::NoEndpoint, RETRY_AFTER))
+        }
+        AttemptFailure::InputsGone if attempts.runs > 0 => {
+            Err(ForwardError::Lost(Refusal::InputsGone.to_string()))
+        }
+        AttemptFailure::InputsGone => {
+            Err(ForwardError::retry_later(Refusal::InputsGone, RETRY_AFTER))
+        }
+        AttemptFailure::Lost(e) if !may_repeat(cx, req, attempts) => Err(lost(e)),
+        AttemptFailure::Lost(_) => Ok(()),
+    }
+}
+
+/// Chooses an endpoint that was not tried.
+async fn choose(
+    cx: &Context,
+    req: &Request,
+    inputs: &[Arc<Results>],
+    attempts: &AttemptLog,
+) -> Result<InFlightCall, PlacementError> {
+    let input_sizes: Vec<(String, u64)> = inputs.iter().flat_map(|r| r.sizes_by_zone()).collect();
+    let prompt = req.incoming.prompt.as_ref();
+    let requirements = Requirements {
+        service: &req.service,
+        az: &cx.az,
+        prompt: prompt.filter(|_| req.route().affinity),
+        inputs: &input_sizes,
+        avoid: &attempts.endpoints,
+    };
+    cx.place(&requirements).await
+}
+
+/// Writes the call for the endpoint of `flight` and records it as an attempt.
+fn prepare(
+    cx: &Context,
+    req: &Request,
+    inputs: &[Arc<Results>],
+    attempts: &mut AttemptLog,
+    flight: InFlightCall,
+    last_event_id: Option<u64>,
+) -> PreparedCall {
+    let target = &flight.target;
+    req.log.note(flight.chosen_event());
+    let sizes = inputs.iter().flat_map(|r| r.sizes_by_zone());
+    let crossing = sizes.filter(|(az, _)| *az != target.az);
+    let crossing = crossing.map(|(_, bytes)| bytes).sum();
+    cx.metrics.record_cross_zone_bytes(&req.service, crossing);
+    let handles: Vec<String> = inputs.iter().flat_map(|r| r.handles()).collect();
+    let details = Attempt {
+        remaining: req.remaining(),
+        endpoint: &target.name,
+        workspace: req.caller.as_ref().map(|c| c.workspace.as_str()),
+        urgency: req.incoming.prompt.as_ref().map(|_| req.urgency),
+        inputs: &handles,
+        last_event_id: last_event_id.or(req.incoming.last_event_id),
+    };
+    let message = (cx.dialect.write_request)(&req.incoming, &details);
+    if target.stats().permits.limit().is_some() {
+        cx.metrics.record_limited_call(&target.service, "request");
+    }
+    attempts.endpoints.push(target.name.clone());
+    attempts.runs += 1;
+    PreparedCall { flight, message }
+}
+
+/// Sends a call and waits until `deadline` for the head of its response.
+async fn send(
+    cx: &Context,
+    req: &Request,
+    call: PreparedCall,
+    deadline: Instant,
+) -> Result<StartedResponse, AttemptFailure> {
+    let PreparedCall { flight, message } = call;
+    let target = &flight.target;
+    let sent_at = Instant::now();
+    let exchange = match call::send(&cx.pool, target.address, message, deadline).await {
+        Ok(exchange) => exchange,
+        Err(e) => {
+            req.record_failed_call(&flight, &e);
+            match &e {
+                CallError::Unreached(why) => target.record_connect_failure(why),
+                _ => cx.fleet.record_call_result(target, true),
+            }
+            return Err(match e {
+                CallError::Unreached(_) => AttemptFailure::Unreached,
+                e if e.may_have_run() => AttemptFailure::Lost(e),
+                _ => AttemptFailure::NotRun,
+            });
+        }
+    };
+    let class = (cx.dialect.classify)(&req.incoming.id, exchange.status, &exchange.headers);
+    if class.is_from_target() {
+        let notice = (cx.dialect.notice)(exchange.status, &exchange.headers);
+        let sent_at = (class == ResponseClass::Success).then_some(sent_at);
+        cx.fleet.apply_notice(target, notice, &cx.vm, sent_at);
+    }
+    if let Some(load) = (cx.dialect.load)(&exchange.headers) {
+        let mut stats = target.stats();
+        let own = stats.in_flight;
+        stats.record_load(load.running + load.waiting, own, Instant::now());
+    }
+    match class {
+        ResponseClass::Success | ResponseClass::Failed => {
+            return Ok(StartedResponse {
+                exchange,
+                flight,
+                is_good: class == ResponseClass::Success,
+            });
+        }
+        ResponseClass::Unrelated => {
+            req.record_not_run(&flight, "another request's answer came", true);
+            cx.fleet.record_call_result(target, true);
+            return Err(AttemptFailure::Lost(CallError::Lost(
+                "another request's answer came".to_owned(),
+            )));
+        }
+        ResponseClass::Full => {
+            req.record_not_run(&flight, "the endpoint says that it is full", false);
+            target.mark_full();
+        }
+        ResponseClass::WrongEndpoint => {
+            req.record_not_run(&flight, "another endpoint has its address", false);
+            target.mark_misplaced();
+        }
+        ResponseClass::InputsGone => {
+            req.record_not_run(&flight, "the results of its stages are gone", false);
+            return Err(AttemptFailure::InputsGone);
+        }
+        ResponseClass::NotRun => req.record_not_run(&flight, "the endpoint did not run it", false),
+    }
+    // The body is read only to keep the connection usable.
+    let _ = exchange
+        .read_body(&cx.pool, MAX_ANSWER_BYTES, req.deadline)
+        .await;
+    Err(AttemptFailure::NotRun)
+}
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -8,6 +8,7 @@
 //! `docs/design/platform.md` gives the reasons for this design.
 
 mod adapter;
+mod attempts;
 mod availability;
 mod batch;
 mod batch_outcome;
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -10,10 +10,11 @@
 use tokio::{sync::mpsc, time::Instant};
 
 use crate::{
+    attempts::{AttemptLog, StartedResponse, may_repeat, start_response},
     call::{CallError, Exchange},
     events::EventSplitter,
     response::Response,
-    serving::{AttemptLog, Context, Request, StartedResponse, may_repeat, start_response},
+    serving::{Context, Request},
     stages::Results,
 };
 
