Keep a silent stream until another endpoint continues it

What callers saw: a resumable stream was cut 1.5 to 2 s after a pause although its endpoint was sound and 3 s and more of the request's time were left. Log of one: `stream_broken` "sent, and no answer came in time", `not_repeated` "the results of its stages were released", `failed`.

Cause: the relay dropped the silent response, and counted its endpoint as failed, before it looked whether another endpoint could take over. Results of stages that were released, attempts or budget used up, no free endpoint, or a successor that did not answer, refused or failed, each ended the stream.

Now the silent response is read on while a successor is started beside it (`successor`). A retry is spent only once an endpoint is known. The first to continue ends the other: a good head of the successor, or an event of the silent endpoint; comments do not count. The successor starts after the last relayed event and every event of the silent one drops it, so no event can come twice or be missing. A connection that ends is left as before, and so is an endpoint that stays silent, at the same bound as before.

Line `silent` and counter `silences_total` tell kept, overtaken and deadline apart.

Ruled out: giving the budget back after an unused retry; it is taken later instead. Not decided here: a successor that sends its head late runs beside the silent one until then.

--- a/crates/forward/src/attempts.rs
+++ b/crates/forward/src/attempts.rs
@@ -17,9 +17,9 @@
 };
 
 /// Maximum number of endpoints that one request is offered to.
-const MAX_ENDPOINTS: usize = 4;
+pub(crate) const MAX_ENDPOINTS: usize = 4;
 /// Number of tried endpoints after which a failed connection ends the request.
-const MAX_CONNECT_FAILURES: usize = 12;
+pub(crate) const MAX_CONNECT_FAILURES: usize = 12;
 
 /// Record of the attempts to serve a request.
 #[derive(Debug, Default)]
@@ -32,11 +32,18 @@
     pub(crate) first_part: Option<Duration>,
     /// Longest pause between two parts of a stream.
     pub(crate) max_pause: Duration,
+    /// True if a retry was taken from the budget and no endpoint has received it.
+    pub(crate) has_unused_retry: bool,
 }
 
 impl AttemptLog {
+    /// Takes an unused retry, or one from the budget. Returns false if none is left.
+    pub(crate) fn take_retry(&mut self, cx: &Context, service: &str) -> bool {
+        std::mem::take(&mut self.has_unused_retry) || cx.try_spend_retry(service)
+    }
+
     /// Takes back what was recorded for an attempt at `endpoint` that did not run.
-    fn settle(&mut self, endpoint: &str, failure: &AttemptFailure) {
+    pub(crate) fn settle(&mut self, endpoint: &str, failure: &AttemptFailure) {
         match failure {
             AttemptFailure::Lost(_) => {}
             AttemptFailure::NotRun | AttemptFailure::Unreached => self.runs -= 1,
@@ -59,7 +66,7 @@
 
 /// Why an attempt has no response.
 #[derive(Debug)]
-enum AttemptFailure {
+pub(crate) enum AttemptFailure {
     NotRun,
     Unreached,
     InputsGone,
@@ -68,8 +75,8 @@
 
 /// A call that is ready to be sent and is recorded as an attempt.
 #[derive(Debug)]
-struct PreparedCall {
-    flight: InFlightCall,
+pub(crate) struct PreparedCall {
+    pub(crate) flight: InFlightCall,
     message: hyper::Request<Full<Bytes>>,
 }
 
@@ -82,12 +89,12 @@
 
 /// Returns true if a request that may have run may be tried again, and takes a retry from the
 /// budget.
-pub(crate) fn may_repeat(cx: &Context, req: &Request, attempts: &AttemptLog) -> bool {
+pub(crate) fn may_repeat(cx: &Context, req: &Request, attempts: &mut AttemptLog) -> bool {
     let why = match attempts.runs {
         _ if !req.is_repeatable() => "its route allows no repeat",
         runs if runs >= req.route().attempts => "its route allows no more tries",
         _ if req.remaining().is_zero() => "no time is left",
-        _ if !cx.try_spend_retry(&req.service) => "the retry budget of the service is spent",
+        _ if !attempts.take_retry(cx, &req.service) => "the retry budget of the service is spent",
         _ => return true,
     };
     req.record_not_repeated(why);
@@ -142,7 +149,7 @@
 fn next_step(
     cx: &Context,
     req: &Request,
-    attempts: &AttemptLog,
+    attempts: &mut AttemptLog,
     failure: &AttemptFailure,
 ) -> Result<(), ForwardError> {
     let tried = attempts.endpoints.len();
@@ -173,7 +180,7 @@
 }
 
 /// Chooses an endpoint that was not tried.
-async fn choose(
+pub(crate) async fn choose(
     cx: &Context,
     req: &Request,
     inputs: &[Arc<Results>],
@@ -192,7 +199,7 @@
 }
 
 /// Writes the call for the endpoint of `flight` and records it as an attempt.
-fn prepare(
+pub(crate) fn prepare(
     cx: &Context,
     req: &Request,
     inputs: &[Arc<Results>],
@@ -225,7 +232,7 @@
 }
 
 /// Sends a call and waits until `deadline` for the head of its response.
-async fn send(
+pub(crate) async fn send(
     cx: &Context,
     req: &Request,
     call: PreparedCall,
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -44,6 +44,7 @@
 mod stages;
 mod start;
 mod stream;
+mod successor;
 #[cfg(test)]
 mod testing;
 mod ticket;
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
+use logs::SilenceOutcome;
 use prometheus::{
     HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
     exponential_buckets,
@@ -24,6 +25,7 @@
     calls: HistogramVec,
     items: HistogramVec,
     retries: IntCounterVec,
+    silences: IntCounterVec,
     prompt_tokens: IntCounterVec,
     cross_zone_bytes: IntCounterVec,
     batch_bounds: IntCounterVec,
@@ -120,6 +122,11 @@
                 "Retries that the budget allowed or refused.",
                 &["service", "budget"],
             )?,
+            silences: registrar.counters(
+                "silences_total",
+                "Responses whose endpoint fell silent: kept, overtaken by another endpoint, or silent until the deadline.",
+                &["service", "outcome"],
+            )?,
             prompt_tokens: registrar.counters(
                 "prompt_tokens_total",
                 "Tokens of prompts that the endpoint was thought to keep, and those that it read.",
@@ -247,6 +254,12 @@
         self.retries.with_label_values(&[service, label]).inc();
     }
 
+    /// Counts a response whose endpoint fell silent.
+    pub(crate) fn record_silence(&self, service: &str, outcome: SilenceOutcome) {
+        let counter = self.silences.with_label_values(&[service, outcome.label()]);
+        counter.inc();
+    }
+
     /// Renders the metrics page.
     pub(crate) fn text(
         &self,
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -5,24 +5,28 @@
 
 use bytes::{Bytes, BytesMut};
 use declaration::RepeatPolicy;
-use logs::{Ending, Event};
+use logs::{Ending, Event, SilenceOutcome};
 use thiserror::Error;
-use tokio::{sync::mpsc, time::Instant};
+use tokio::{
+    sync::mpsc,
+    time::{Instant, sleep_until},
+};
 
 use crate::{
     attempts::{AttemptLog, StartedResponse, may_repeat, start_response},
-    call::{CallError, Exchange},
+    call::CallError,
     events::EventSplitter,
     response::Response,
     serving::{Context, Request},
     stages::Results,
+    successor::{NoSuccessor, RECHECK_INTERVAL, start_successor},
 };
 
 /// Maximum number of parts buffered for a caller that reads slowly.
 const MAX_BUFFERED_PARTS: usize = 16;
-/// Shortest silence after which a resumable stream moves to another endpoint.
+/// Shortest silence after which another endpoint is sought for a resumable stream.
 const MIN_SILENCE: Duration = Duration::from_millis(1_500);
-/// Such a stream moves after this multiple of the pause that its route allows.
+/// One is sought after this multiple of the pause that its route allows.
 const MAX_MISSED_PAUSES: u32 = 6;
 
 /// Why a stream ended early.
@@ -39,6 +43,50 @@
     OutOfOrder,
 }
 
+impl StreamError {
+    const TIMED_OUT: Self = Self::Endpoint(CallError::TimedOut);
+}
+
+/// A response whose events are relayed.
+#[derive(Debug)]
+struct Source {
+    started: StartedResponse,
+    events: EventSplitter,
+}
+
+impl Source {
+    fn new(started: StartedResponse) -> Self {
+        Self {
+            started,
+            events: EventSplitter::default(),
+        }
+    }
+
+    fn endpoint(&self) -> &str {
+        &self.started.flight.target.name
+    }
+}
+
+/// What comes next of a response.
+enum Next {
+    Part(Bytes),
+    End,
+    /// Nothing came in time.
+    Silence,
+}
+
+/// How the relay of one response ended, or what became of the search for its successor.
+enum Progress {
+    /// It is complete.
+    Complete,
+    /// It continued after a silence.
+    Continued,
+    /// Another endpoint took over.
+    Overtaken(Box<StartedResponse>),
+    /// It is still silent, and no other endpoint takes over.
+    Kept(NoSuccessor),
+}
+
 /// Relays the events of a response in a task of its own.
 pub(crate) fn relay_events(
     cx: &Context,
@@ -53,14 +101,17 @@
         cx: cx.clone(),
         req: req.clone(),
         inputs,
-        attempts,
         tx,
         last_event: req.incoming.last_event_id,
         delivered_event: req.incoming.last_event_id,
         delivered_at: Instant::now(),
         last_part_at: None,
+        first_part: None,
+        max_pause: Duration::ZERO,
+        seek_after: None,
+        kept_since: None,
     };
-    tokio::spawn(relay.run(started));
+    tokio::spawn(relay.run(started, attempts));
     Response::Streamed {
         status,
         headers: (cx.dialect.answer_headers)(&headers),
@@ -72,7 +123,6 @@
     cx: Context,
     req: Request,
     inputs: Vec<Arc<Results>>,
-    attempts: AttemptLog,
     tx: mpsc::Sender<io::Result<Bytes>>,
     /// Id of the last relayed event.
     last_event: Option<u64>,
@@ -82,72 +132,127 @@
     delivered_at: Instant,
     /// When the last part was relayed.
     last_part_at: Option<Instant>,
+    /// Time to the first part, and the longest pause between two.
+    first_part: Option<Duration>,
+    max_pause: Duration,
+    /// No other endpoint is sought before this time.
+    seek_after: Option<Instant>,
+    /// Start of the silence that was last recorded.
+    kept_since: Option<Instant>,
 }
 
 impl EventRelay {
-    async fn run(mut self, mut started: StartedResponse) {
+    async fn run(mut self, started: StartedResponse, mut attempts: AttemptLog) {
+        let mut source = Source::new(started);
         loop {
-            let error = match self.relay_response(&mut started).await {
-                Ok(()) => {
-                    let target = &started.flight.target;
-                    self.cx.fleet.record_call_result(target, !started.is_good);
-                    let status = started.exchange.status.as_u16();
-                    self.req
-                        .log_end(started.is_good, status, &target.name, &self.attempts);
-                    return started.exchange.release(&self.cx.pool);
+            let error = match self.relay(&mut source, &mut attempts).await {
+                Ok(None) => return self.finish(source, attempts),
+                Ok(Some(successor)) => {
+                    self.record_resumed(&successor);
+                    // Closes the connection, which stops the silent endpoint.
+                    source = Source::new(successor);
+                    continue;
                 }
                 Err(error) => error,
             };
-            let target = Arc::clone(&started.flight.target);
-            // Closes the connection, which stops the endpoint.
-            drop(started);
-            if matches!(error, StreamError::CallerGone) {
-                return;
+            match self.resume(source, error, &mut attempts).await {
+                Some(resumed) => source = Source::new(resumed),
+                None => return,
             }
-            self.cx.fleet.record_call_result(&target, true);
-            self.req.log.note(Event::StreamBroken {
-                endpoint: target.name.clone(),
-                why: error.to_string(),
-                last_event: self.last_event.unwrap_or(0),
-            });
-            let has_inputs = !self.inputs.is_empty() || self.req.route().stages.is_empty();
-            if !has_inputs {
-                self.req
-                    .record_not_repeated("the results of its stages were released");
+        }
+    }
+
+    /// Records the end of a complete response.
+    fn finish(self, source: Source, mut attempts: AttemptLog) {
+        let started = source.started;
+        let target = &started.flight.target;
+        self.cx.fleet.record_call_result(target, !started.is_good);
+        attempts.first_part = self.first_part;
+        attempts.max_pause = self.max_pause;
+        let status = started.exchange.status.as_u16();
+        self.req
+            .log_end(started.is_good, status, &target.name, &attempts);
+        started.exchange.release(&self.cx.pool);
+    }
+
+    /// Resumes a stream that broke off at another endpoint. Without one, ends it.
+    async fn resume(
+        &mut self,
+        source: Source,
+        error: StreamError,
+        attempts: &mut AttemptLog,
+    ) -> Option<StartedResponse> {
+        if matches!(error, StreamError::CallerGone) {
+            return None;
+        }
+        self.record_broken(&source, &error);
+        // Closes the connection, which stops the endpoint.
+        drop(source);
+        if self.req.remaining().is_zero() {
+            self.abort(&error).await;
+            return None;
+        }
+        let has_inputs = !self.inputs.is_empty() || self.req.route().stages.is_empty();
+        if !has_inputs {
+            self.req
+                .record_not_repeated("the results of its stages were released");
+        }
+        if !has_inputs || !may_repeat(&self.cx, &self.req, attempts) {
+            self.abort(&error).await;
+            return None;
+        }
+        let resumed = start_response(&self.cx, &self.req, &self.inputs, attempts, self.last_event);
+        let resumed = tokio::select! {
+            resumed = resumed => resumed,
+            () = self.tx.closed() => return None,
+        };
+        match resumed {
+            Ok(started) if started.is_good => {
+                self.record_resumed(&started);
+                Some(started)
             }
-            if !has_inputs || !may_repeat(&self.cx, &self.req, &self.attempts) {
-                return self.abort(&error).await;
+            Ok(_) | Err(_) => {
+                self.abort(&error).await;
+                None
             }
-            let resumed = start_response(
-                &self.cx,
-                &self.req,
-                &self.inputs,
-                &mut self.attempts,
-                self.last_event,
-            );
-            let tx = self.tx.clone();
-            started = tokio::select! {
-                resumed = resumed => match resumed {
-                    Ok(started) if started.is_good => self.record_resumed(started),
-                    Ok(_) | Err(_) => return self.abort(&error).await,
-                },
-                () = tx.closed() => return,
-            };
         }
     }
 
+    /// Records that the endpoint broke the stream off or stayed silent until the deadline.
+    fn record_broken(&self, source: &Source, error: &StreamError) {
+        let target = &source.started.flight.target;
+        self.cx.fleet.record_call_result(target, true);
+        if self.is_silent(source) && self.req.remaining().is_zero() {
+            return self.record_silence(source, SilenceOutcome::Deadline, &error.to_string());
+        }
+        self.req.log.note(Event::StreamBroken {
+            endpoint: target.name.clone(),
+            why: error.to_string(),
+            last_event: self.last_event.unwrap_or(0),
+        });
+    }
+
+    fn record_silence(&self, source: &Source, outcome: SilenceOutcome, why: &str) {
+        self.cx.metrics.record_silence(&self.req.service, outcome);
+        self.req.log.note(Event::Silent {
+            endpoint: source.endpoint().to_owned(),
+            outcome,
+            why: why.to_owned(),
+            silent_ms: self.delivered_at.elapsed().as_millis() as u64,
+        });
+    }
+
     /// Records that the stream resumes with `started`.
-    fn record_resumed(&mut self, started: StartedResponse) -> StartedResponse {
+    fn record_resumed(&mut self, started: &StartedResponse) {
         self.delivered_at = Instant::now();
         self.req.log.note(Event::Resumed {
             endpoint: started.flight.target.name.clone(),
             after: self.last_event.unwrap_or(0),
         });
-        started
     }
 
     /// Ends the response so that it is visibly incomplete.
-    async fn abort(self, cause: &StreamError) {
+    async fn abort(&self, cause: &StreamError) {
         let (ending, why) = match cause {
             StreamError::Endpoint(CallError::TimedOut) => {
                 (Ending::Late, "its time was over in the stream")
@@ -160,63 +265,173 @@
         let _ = self.tx.send(Err(error)).await;
     }
 
-    /// Relays events until the endpoint's response ends.
-    async fn relay_response(&mut self, started: &mut StartedResponse) -> Result<(), StreamError> {
-        let mut events = EventSplitter::default();
-        let is_raw = !started.is_good;
+    /// Relays events until the response is complete (`None`) or another endpoint has taken over.
+    async fn relay(
+        &mut self,
+        source: &mut Source,
+        attempts: &mut AttemptLog,
+    ) -> Result<Option<StartedResponse>, StreamError> {
         loop {
-            let part = self.next_part(&mut started.exchange).await?;
-            let Some(part) = part else {
-                return match events.has_partial_event() {
-                    true => Err(StreamError::Endpoint(CallError::Lost(
-                        "it ended in the middle of an event".to_owned(),
-                    ))),
-                    false => Ok(()),
-                };
-            };
-            if is_raw {
-                self.send(part).await?;
-                continue;
-            }
-            let pushed = events.push(&part);
-            pushed.map_err(|_| StreamError::Endpoint(CallError::TooLarge))?;
-            let mut whole = BytesMut::new();
-            while let Some(event) = events.next_event() {
-                self.check_order(event.id)?;
-                whole.extend_from_slice(&event.bytes);
+            match self.next(source, self.seek_at(source)).await? {
+                Next::Part(part) => self.relay_part(source, &part).await?,
+                Next::End => return Ok(None),
+                Next::Silence if self.req.remaining().is_zero() => {
+                    return Err(StreamError::TIMED_OUT);
+                }
+                Next::Silence => match self.seek_successor(source, attempts).await? {
+                    Progress::Complete => return Ok(None),
+                    Progress::Continued => {}
+                    Progress::Overtaken(successor) => return Ok(Some(*successor)),
+                    Progress::Kept(reason) => self.keep(source, &reason),
+                },
             }
-            if !whole.is_empty() {
-                if started
-                    .flight
-                    .record_first_part(self.req.incoming.prompt.as_ref())
-                {
-                    let took = started.flight.elapsed();
-                    self.cx.metrics.record_first_part(&self.req.service, took);
-                    if let Some(prompt) = &self.req.incoming.prompt {
-                        let read = started.flight.unread_tokens();
-                        let kept = u64::from(prompt.tokens).saturating_sub(read);
-                        self.cx.metrics.record_prompt(&self.req.service, kept, read);
+        }
+    }
+
+    /// Returns when another endpoint is sought if nothing comes before.
+    fn seek_at(&self, source: &Source) -> Instant {
+        let deadline = self.req.deadline;
+        match self.silence_bound(source) {
+            Some(bound) => self.seek_after.unwrap_or(bound).max(bound).min(deadline),
+            None => deadline,
+        }
+    }
+
+    /// Returns when the endpoint counts as silent. Only a stream that can be resumed has such a time.
+    fn silence_bound(&self, source: &Source) -> Option<Instant> {
+        let route = self.req.route();
+        let is_resumable = route.repeat == RepeatPolicy::FromLastEvent
+            && self.last_event.is_some()
+            && source.started.is_good;
+        let silence = route.max_pause.unwrap_or_default() * MAX_MISSED_PAUSES;
+        is_resumable.then(|| self.delivered_at + silence.max(MIN_SILENCE))
+    }
+
+    fn is_silent(&self, source: &Source) -> bool {
+        let bound = self.silence_bound(source);
+        bound.is_some_and(|bound| bound <= Instant::now())
+    }
+
+    /// Starts the response at another endpoint while `source` may still continue. The first that
+    /// does ends the other one.
+    async fn seek_successor(
+        &mut self,
+        source: &mut Source,
+        attempts: &mut AttemptLog,
+    ) -> Result<Progress, StreamError> {
+        let (cx, req, inputs) = (self.cx.clone(), self.req.clone(), self.inputs.clone());
+        let last_event = self.last_event;
+        let successor = start_successor(&cx, &req, &inputs, attempts, last_event);
+        tokio::pin!(successor);
+        let mut broken = None;
+        loop {
+            let step = tokio::select! {
+                biased;
+                next = self.next(source, req.deadline), if broken.is_none() => match next {
+                    Ok(Next::Part(part)) => self.relay_part(source, &part).await,
+                    Ok(Next::End) => return Ok(Progress::Complete),
+                    Ok(Next::Silence) => return Err(StreamError::TIMED_OUT),
+                    Err(e) => Err(e),
+                },
+                () = self.tx.closed() => return Err(StreamError::CallerGone),
+                () = sleep_until(req.deadline) => return Err(StreamError::TIMED_OUT),
+                result = &mut successor => return match (result, broken) {
+                    (Ok(started), broken) => {
+                        self.record_overtaken(source, broken.as_ref());
+                        Ok(Progress::Overtaken(Box::new(started)))
                     }
+                    (Err(_), Some(error)) => Err(error),
+                    (Err(reason), None) => Ok(Progress::Kept(reason)),
+                },
+            };
+            match step {
+                Ok(()) if self.last_event != last_event => return Ok(Progress::Continued),
+                Ok(()) => {}
+                Err(e) if matches!(e, StreamError::CallerGone) || self.last_event != last_event => {
+                    return Err(e);
                 }
-                // The endpoint fetched the inputs before it read the prompt.
-                self.inputs.clear();
-                self.record_part();
-                let before = self.delivered_event;
-                self.send(whole.freeze()).await?;
-                // Time that a slow caller takes does not count as silence of the endpoint.
-                if self.last_event != before {
-                    (self.delivered_event, self.delivered_at) = (self.last_event, Instant::now());
-                }
+                // The successor may still take over.
+                Err(e) => broken = Some(e),
+            }
+        }
+    }
+
+    /// Records that another endpoint took over, since `source` was silent or broke off.
+    fn record_overtaken(&self, source: &Source, broken: Option<&StreamError>) {
+        match broken {
+            Some(error) => self.record_broken(source, error),
+            None => {
+                let target = &source.started.flight.target;
+                self.cx.fleet.record_call_result(target, true);
+                self.record_silence(
+                    source,
+                    SilenceOutcome::Overtaken,
+                    "another endpoint started to respond first",
+                );
             }
         }
     }
 
+    /// Notes when to look again for another endpoint. Each silence is recorded once.
+    fn keep(&mut self, source: &Source, reason: &NoSuccessor) {
+        self.seek_after = Some(match reason {
+            NoSuccessor::Never(_) => self.req.deadline,
+            NoSuccessor::NotNow(_) => Instant::now() + RECHECK_INTERVAL,
+        });
+        if self.kept_since.replace(self.delivered_at) != Some(self.delivered_at) {
+            self.record_silence(source, SilenceOutcome::Kept, reason.why());
+        }
+    }
+
+    /// Relays the complete events of `part`.
+    async fn relay_part(&mut self, source: &mut Source, part: &Bytes) -> Result<(), StreamError> {
+        if !source.started.is_good {
+            return self.send(part.clone()).await;
+        }
+        let pushed = source.events.push(part);
+        pushed.map_err(|_| StreamError::Endpoint(CallError::TooLarge))?;
+        let mut whole = BytesMut::new();
+        while let Some(event) = source.events.next_event() {
+            self.check_order(event.id)?;
+            whole.extend_from_slice(&event.bytes);
+        }
+        if whole.is_empty() {
+            return Ok(());
+        }
+        self.record_first_part(&mut source.started);
+        // The endpoint fetched the inputs before it read the prompt.
+        self.inputs.clear();
+        self.record_part();
+        let before = self.delivered_event;
+        self.send(whole.freeze()).await?;
+        // Time that a slow caller takes does not count as silence of the endpoint.
+        if self.last_event != before {
+            (self.delivered_event, self.delivered_at) = (self.last_event, Instant::now());
+        }
+        Ok(())
+    }
+
+    /// Records that the endpoint has read the prompt.
+    fn record_first_part(&self, started: &mut StartedResponse) {
+        let prompt = self.req.incoming.prompt.as_ref();
+        if !started.flight.record_first_part(prompt) {
+            return;
+        }
+        let took = started.flight.elapsed();
+        self.cx.metrics.record_first_part(&self.req.service, took);
+        if let Some(prompt) = prompt {
+            let read = started.flight.unread_tokens();
+            let kept = u64::from(prompt.tokens).saturating_sub(read);
+            self.cx.metrics.record_prompt(&self.req.service, kept, read);
+        }
+    }
+
     /// Records the time to the first part and the longest pause between parts.
     fn record_part(&mut self) {
         let now = Instant::now();
         match self.last_part_at.replace(now) {
-            Some(before) => self.attempts.max_pause = self.attempts.max_pause.max(now - before),
-            None => self.attempts.first_part = Some(self.req.incoming.received_at.elapsed()),
+            Some(before) => self.max_pause = self.max_pause.max(now - before),
+            None => self.first_part = Some(self.req.incoming.received_at.elapsed()),
         }
     }
 
@@ -239,18 +454,20 @@
             .map_err(|_| StreamError::CallerGone)
     }
 
-    /// Returns the next part while the caller is connected. A stream that can be resumed elsewhere
-    /// times out after a silence.
-    async fn next_part(&self, exchange: &mut Exchange) -> Result<Option<Bytes>, StreamError> {
-        let route = self.req.route();
-        let silence = route.max_pause.unwrap_or_default() * MAX_MISSED_PAUSES;
-        let until = match route.repeat == RepeatPolicy::FromLastEvent && self.last_event.is_some() {
-            true => (self.delivered_at + silence.max(MIN_SILENCE)).min(self.req.deadline),
-            false => self.req.deadline,
+    /// Returns what comes of the response until `until`, while the caller is connected.
+    async fn next(&self, source: &mut Source, until: Instant) -> Result<Next, StreamError> {
+        let part = tokio::select! {
+            part = source.started.exchange.next_chunk(until) => part,
+            () = self.tx.closed() => return Err(StreamError::CallerGone),
         };
-        tokio::select! {
-            part = exchange.next_chunk(until) => part.map_err(StreamError::Endpoint),
-            () = self.tx.closed() => Err(StreamError::CallerGone),
+        match part {
+            Ok(Some(part)) => Ok(Next::Part(part)),
+            Ok(None) if source.events.has_partial_event() => Err(StreamError::Endpoint(
+                CallError::Lost("it ended in the middle of an event".to_owned()),
+            )),
+            Ok(None) => Ok(Next::End),
+            Err(CallError::TimedOut) => Ok(Next::Silence),
+            Err(e) => Err(StreamError::Endpoint(e)),
         }
     }
 }
--- a/crates/logs/src/event.rs
+++ b/crates/logs/src/event.rs
@@ -24,6 +24,29 @@
     Left,
 }
 
+/// What became of a response whose endpoint fell silent.
+#[token]
+#[serde(rename_all = "snake_case")]
+pub enum SilenceOutcome {
+    /// It is kept, since no other endpoint can take over.
+    Kept,
+    /// Another endpoint's response replaced it.
+    Overtaken,
+    /// The endpoint stayed silent until the deadline.
+    Deadline,
+}
+
+impl SilenceOutcome {
+    /// Label for metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Kept => "kept",
+            Self::Overtaken => "overtaken",
+            Self::Deadline => "deadline",
+        }
+    }
+}
+
 /// A decision, or a change of a process's state. Times are in milliseconds.
 #[record]
 #[serde(tag = "kind", rename_all = "snake_case")]
@@ -135,6 +158,17 @@
         /// Number of the last event that the caller received.
         last_event: u64,
     },
+    /// An endpoint fell silent before the end of its response.
+    Silent {
+        /// The endpoint.
+        endpoint: String,
+        /// What became of its response.
+        outcome: SilenceOutcome,
+        /// The reason.
+        why: String,
+        /// Duration of the silence so far.
+        silent_ms: u64,
+    },
     /// The keepers' reply about the idempotency key of a stage that must not be repeated.
     Ledger {
         /// The service.
@@ -392,6 +426,7 @@
             Self::NotRepeated { .. } => Kind::NotRepeated,
             Self::Resumed { .. } => Kind::Resumed,
             Self::StreamBroken { .. } => Kind::StreamBroken,
+            Self::Silent { .. } => Kind::Silent,
             Self::Ledger { .. } => Kind::Ledger,
             Self::Served { is_late: true, .. } => Kind::ServedLate,
             Self::Served { .. } => Kind::Served,
--- a/crates/logs/src/kind.rs
+++ b/crates/logs/src/kind.rs
@@ -19,6 +19,7 @@
     NotRepeated,
     Resumed,
     StreamBroken,
+    Silent,
     Ledger,
     Served,
     ServedLate,
@@ -56,7 +57,7 @@
 
 impl Kind {
     /// All kinds, in the order of their discriminants.
-    pub const ALL: [Self; 35] = [
+    pub const ALL: [Self; 36] = [
         Self::Admitted,
         Self::StageSent,
         Self::StageMade,
@@ -66,6 +67,7 @@
         Self::NotRepeated,
         Self::Resumed,
         Self::StreamBroken,
+        Self::Silent,
         Self::Ledger,
         Self::Served,
         Self::ServedLate,
@@ -106,6 +108,7 @@
             Self::NotRepeated => "not_repeated",
             Self::Resumed => "resumed",
             Self::StreamBroken => "stream_broken",
+            Self::Silent => "silent",
             Self::Ledger => "ledger",
             Self::Served => "served",
             Self::ServedLate => "served_late",
@@ -148,6 +151,7 @@
             | Self::NotRepeated
             | Self::Resumed
             | Self::StreamBroken
+            | Self::Silent
             | Self::Ledger
             | Self::ServedLate
             | Self::Failed
--- a/crates/logs/src/lib.rs
+++ b/crates/logs/src/lib.rs
@@ -16,7 +16,7 @@
 mod rate_limit;
 mod request_log;
 
-pub use event::{Ending, Event};
+pub use event::{Ending, Event, SilenceOutcome};
 pub use kind::Kind;
 pub use line::Line;
 pub use logger::{LogGuard, Stream, report_left_out, set_level, start, write};
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -78,6 +78,11 @@
         });
     }
 
+    /// Returns true if the budget of `service` has a retry left.
+    pub fn can_spend(&self, service: &str) -> bool {
+        self.remaining(service) + ROUNDING_TOLERANCE >= 1.0
+    }
+
     /// Withdraws one retry or hedge from the budget of `service`. Returns false if none remains.
     pub fn try_spend(&self, service: &str) -> bool {
         self.with_account(service, |account| {
