--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -8,6 +8,7 @@
 //! `docs/design/platform.md` gives the reasons for this design.
 
 mod adapter;
+mod attempts;
 mod availability;
 mod batch;
 mod batch_outcome;
@@ -43,6 +44,7 @@
 mod stages;
 mod start;
 mod stream;
+mod successor;
 #[cfg(test)]
 mod testing;
 mod ticket;
