--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -18,6 +18,7 @@
 mod ledger;
 mod metrics;
 mod request_body;
+mod requests;
 mod service;
 mod shared_state;
 mod start;
--- a/crates/keeper/src/service.rs
+++ b/crates/keeper/src/service.rs
@@ -11,10 +11,7 @@
 use declaration::AuditRecord;
 use link::{
     Channel, Identity, Incoming, LinkConfig, Peer, Role, decode, encode,
-    keeper::{
-        KeeperAddress, KeeperReply, KeeperRequest, MAX_AUDIT_RECORDS, MemberAction, Output, Settle,
-        Settlement,
-    },
+    keeper::{KeeperAddress, KeeperReply, KeeperRequest, MAX_AUDIT_RECORDS, MemberAction, Settle},
 };
 use membership::Table;
 use replica::{MemberChange, MemberError, ProposeError, Replica, Status};
@@ -29,9 +26,10 @@
 use crate::{
     clock::{Clock, wall_clock_ms},
     config::Limits,
-    entry::{Command, DIGEST_BYTES, Entry, GrantIntent, Stamp},
+    entry::{Entry, Stamp},
     held_settlements::HeldSettlements,
     metrics::Metrics,
+    requests::{command, kind, prepare, truncate},
     shared_state::SharedState,
     state::State,
 };
@@ -49,10 +47,6 @@
 /// Delay between attempts to commit held settlements.
 const HELD_RETRY_DELAY: Duration = Duration::from_millis(200);
 const CLOCK_TIMEOUT: Duration = Duration::from_millis(500);
-/// Maximum length of a service's stored error detail.
-const MAX_DETAIL_BYTES: usize = 1_024;
-/// Maximum time for which an intent may be granted.
-const MAX_EXPIRES: Duration = Duration::from_mins(10);
 
 /// Where a request came from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -197,7 +191,7 @@
     /// so it is retried while its outcome is unknown.
     pub async fn handle(&self, req: KeeperRequest, origin: Origin) -> KeeperReply {
         let started = Instant::now();
-        let kind = request_kind(&req);
+        let kind = kind(&req);
         let reply = match req {
             KeeperRequest::Lookup(key) => self.lookup(key).await,
             KeeperRequest::Audit { from } => match self.audit(from).await {
@@ -210,7 +204,7 @@
             KeeperRequest::Hold(settle) => self.hold(settle).await,
             KeeperRequest::Original => self.original().await,
             KeeperRequest::Confirm => self.confirm().await,
-            req => match self.prepare(req) {
+            req => match prepare(req, self.limits.max_output_bytes) {
                 Ok(req) => self.write(&req, origin).await,
                 Err(what) => KeeperReply::Invalid(what),
             },
@@ -257,7 +251,7 @@
     }
 
     async fn propose(&self, req: &KeeperRequest) -> Result<KeeperReply, ProposeError> {
-        let Some(command) = self.command(req) else {
+        let Some(command) = command(req, &self.state) else {
             return Ok(KeeperReply::Invalid("not a request for the log".to_owned()));
         };
         // Entries can't be stamped without a synchronized clock; the first quorum sets it.
@@ -483,98 +477,8 @@
         }
         calls.join_all().await.into_iter().flatten().collect()
     }
-
-    fn command(&self, req: &KeeperRequest) -> Option<Command> {
-        Some(match req {
-            KeeperRequest::Intent(intent) => Command::Intent(GrantIntent {
-                key: intent.key,
-                digest: intent.digest.first_chunk().copied()?,
-                attempt: intent.attempt,
-                expires_ms: millis(intent.expires),
-            }),
-            KeeperRequest::Settle(settle) => Command::Settle(settle.clone()),
-            KeeperRequest::Lease(request) => Command::Lease {
-                request: request.clone(),
-                view: self.state.lease_view(&request.name),
-            },
-            KeeperRequest::EndLease { name, fencing } => Command::EndLease {
-                name: name.clone(),
-                fencing: *fencing,
-            },
-            KeeperRequest::Change(change) => Command::Change(change.clone()),
-            KeeperRequest::Replace(replacement) => Command::Replace(replacement.clone()),
-            _ => return None,
-        })
-    }
-
-    /// Rejects invalid requests and truncates what is too large to store.
-    fn prepare(&self, req: KeeperRequest) -> Result<KeeperRequest, String> {
-        match &req {
-            KeeperRequest::Intent(intent) if intent.key.get_version_num() != 7 => {
-                return Err("intent: the key is not a UUIDv7".to_owned());
-            }
-            KeeperRequest::Intent(intent) if intent.digest.len() < DIGEST_BYTES => {
-                return Err(format!(
-                    "intent: the digest has fewer than {DIGEST_BYTES} bytes"
-                ));
-            }
-            KeeperRequest::Intent(intent) if intent.expires > MAX_EXPIRES => {
-                return Err(format!("intent: expires is longer than {MAX_EXPIRES:?}"));
-            }
-            KeeperRequest::Settle(settle) if settle.key.get_version_num() != 7 => {
-                return Err("settle: the key is not a UUIDv7".to_owned());
-            }
-            _ => {}
-        }
-        Ok(match req {
-            KeeperRequest::Settle(settle) => {
-                KeeperRequest::Settle(truncate(settle, self.limits.max_output_bytes))
-            }
-            req => req,
-        })
-    }
-}
-
-/// Drops an output over `max_output_bytes` and truncates a long error detail.
-fn truncate(settle: Settle, max_output_bytes: u64) -> Settle {
-    let settlement = match settle.settlement {
-        Settlement::Completed(Output::Whole(bytes)) if bytes.len() as u64 > max_output_bytes => {
-            Settlement::Completed(Output::TooLarge(bytes.len() as u64))
-        }
-        Settlement::Refused { status, mut detail } => {
-            let end = detail.floor_char_boundary(MAX_DETAIL_BYTES);
-            detail.truncate(end);
-            Settlement::Refused { status, detail }
-        }
-        other => other,
-    };
-    Settle {
-        settlement,
-        ..settle
-    }
-}
-
-fn request_kind(req: &KeeperRequest) -> &'static str {
-    match req {
-        KeeperRequest::Intent(_) => "intent",
-        KeeperRequest::Settle(_) => "settle",
-        KeeperRequest::Hold(_) => "hold",
-        KeeperRequest::Lookup(_) => "lookup",
-        KeeperRequest::Lease(_) => "lease",
-        KeeperRequest::EndLease { .. } => "end_lease",
-        KeeperRequest::Change(_) => "change",
-        KeeperRequest::Audit { .. } => "audit",
-        KeeperRequest::Member { .. } => "member",
-        KeeperRequest::Clock => "clock",
-        KeeperRequest::Replace(_) => "replace",
-        KeeperRequest::Original => "original",
-        KeeperRequest::Confirm => "confirm",
-        KeeperRequest::BlockPart(_) => "block_part",
-        KeeperRequest::UnblockPart { .. } => "unblock_part",
-        KeeperRequest::BlockedParts => "blocked_parts",
-    }
 }
 
-fn millis(d: Duration) -> u64 {
+pub(crate) fn millis(d: Duration) -> u64 {
     d.as_millis() as u64
 }
