Keep blocked parts of prompts in the keepers' replicated state

Callers: requests with a part that crashes engines reach one endpoint after the other, because what a gate learns of such a part ends with its process and is not known to the gates on the other side of a cut.

Cause: nothing that gates learn of requests is replicated.

Change: the log has the commands BlockPart and UnblockPart, and the state a table of at most 256 parts. It is deterministic: a decision's time is the entry's stamp less the age that the gate sent, plus the time the request waited at keepers. A block lasts 24 h after the last decision; a part that is blocked keeps its first record; in a full table the block that would expire first yields. An unblock is remembered for the 64 parts unblocked last, and a decision made before it is answered with `is_blocked: false`. Blocks expire with the first entry after their time. Confirmations carry the list's version, from a quorum-confirmed state. Each change of the list is a line of kind `part_block_changed`, a state change, at every keeper; entries from before the start of a process are not logged again. Metric jujube_keeper_blocked_parts.

Evidence: tests/blocked_parts.rs and tests/blocking.rs pass; they don't compile on the code before, which has no such commands.

Ruled out: the audit trail for blocks, since it holds revisions of the declaration and both sides of sections.

Limit: `existed` of an unblock is false if the reply to a first attempt was lost. An older keeper answers the new entries with an error and lacks the list, so all keepers of a group are updated first.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -167,6 +167,10 @@
             | Event::EndpointLimited { endpoint, .. }
             | Event::EndpointUnreached { endpoint, .. },
         ) => is_involved_vm && involved.contains(&endpoint),
+        Some(Event::PartBlockChanged {
+            service: Some(service),
+            ..
+        }) => involved.contains(&service),
         Some(Event::Collects { service, .. }) => is_involved_vm && involved.contains(&service),
         _ => is_involved_vm,
     }
--- a/crates/keeper/src/entry.rs
+++ b/crates/keeper/src/entry.rs
@@ -2,7 +2,7 @@
 
 use declaration::Change;
 use derives::record;
-use link::keeper::{LeaseRequest, Replacement, Settle};
+use link::keeper::{BlockedPart, LeaseRequest, Replacement, Settle};
 use uuid::Uuid;
 
 /// The proposing leader's time and limits, so that every replica decides the same regardless of its
@@ -67,6 +67,17 @@
     Change(Change),
     /// Replaces the declaration under an externally assigned version.
     Replace(Replacement),
+    /// Blocks a part of prompts; the age counts back from the stamp's time.
+    BlockPart(BlockedPart),
+    /// Takes the block of a part back.
+    UnblockPart {
+        /// Hash of the part's id.
+        part: u64,
+        /// Name of the operator.
+        author: String,
+        /// Why the block is taken back.
+        reason: String,
+    },
 }
 
 /// The part of an intent that the ledger keeps.
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -1,9 +1,10 @@
-//! The keeper: declaration, audit trail, at-most-once ledger and leases over the replicated log.
+//! The keeper: declaration, audit trail, at-most-once ledger, leases and blocked parts over the replicated log.
 //!
 //! [`State`] is the deterministic state machine; [`SharedState`] connects it to the log and to
 //! followers; [`start`] runs a keeper that serves clients over links and operators over HTTP.
 
 mod announce;
+mod blocked_parts;
 mod chunked_map;
 mod clock;
 mod codec;
@@ -28,6 +29,7 @@
 mod supervisor;
 mod table_sync;
 
+pub use blocked_parts::{BLOCK_DURATION, Block, BlockedParts, MAX_UNBLOCKED_PARTS, Unblock};
 pub use chunked_map::ChunkedMap;
 pub use config::{Config, GroupConfig, Limits};
 pub use entry::{Command, DIGEST_BYTES, Entry, GrantIntent, LeaseView, Stamp};
--- a/crates/keeper/src/metrics.rs
+++ b/crates/keeper/src/metrics.rs
@@ -23,6 +23,7 @@
     revision: IntGauge,
     ledger_keys: IntGauge,
     ledger_bytes: IntGauge,
+    blocked_parts: IntGauge,
 }
 
 impl Metrics {
@@ -62,6 +63,7 @@
             revision: gauge("revision", "Revision of the declaration here.")?,
             ledger_keys: gauge("ledger_keys", "Keys in the ledger.")?,
             ledger_bytes: gauge("ledger_output_bytes", "Bytes of outputs in the ledger.")?,
+            blocked_parts: gauge("blocked_parts", "Blocked parts of prompts.")?,
             registry,
         })
     }
@@ -87,6 +89,8 @@
         self.revision.set(state.declaration.revision() as i64);
         self.ledger_keys.set(state.ledger.len() as i64);
         self.ledger_bytes.set(state.ledger.output_bytes() as i64);
+        self.blocked_parts
+            .set(state.blocked_parts.blocks().len() as i64);
         host::http::metrics_text(&self.registry)
     }
 }
--- a/crates/keeper/src/requests.rs
+++ b/crates/keeper/src/requests.rs
@@ -1,8 +1,8 @@
 //! Checks, labels and log commands of the requests of keepers' clients.
 
-use std::time::Duration;
+use std::{borrow::Cow, time::Duration};
 
-use link::keeper::{KeeperRequest, Output, Settle, Settlement};
+use link::keeper::{BlockedPart, KeeperRequest, MAX_BLOCK_EVIDENCE, Output, Settle, Settlement};
 
 use crate::{
     entry::{Command, DIGEST_BYTES, GrantIntent},
@@ -12,6 +12,10 @@
 
 /// Maximum length of a service's stored error detail.
 const MAX_DETAIL_BYTES: usize = 1_024;
+/// Maximum length of a name in a block or an unblock.
+const MAX_NAME_BYTES: usize = 256;
+/// Maximum length of the reason of an unblock.
+const MAX_REASON_BYTES: usize = 1_024;
 /// Maximum time for which an intent may be granted.
 const MAX_EXPIRES: Duration = Duration::from_mins(10);
 
@@ -32,6 +36,8 @@
         KeeperRequest::Settle(settle) if settle.key.get_version_num() != 7 => {
             return Err("settle: the key is not a UUIDv7".to_owned());
         }
+        KeeperRequest::BlockPart(block) => check_block(block)?,
+        KeeperRequest::UnblockPart { author, reason, .. } => check_unblock(author, reason)?,
         _ => {}
     }
     Ok(match req {
@@ -40,6 +46,49 @@
     })
 }
 
+/// Returns the error of a block whose names are missing or too long, or are too many.
+fn check_block(block: &BlockedPart) -> Result<(), String> {
+    let names = [&block.service, &block.source];
+    let evidence = [&block.endpoints, &block.requests];
+    let is_name = |name: &String| (1..=MAX_NAME_BYTES).contains(&name.len());
+    let is_bounded =
+        |list: &Vec<String>| list.len() <= MAX_BLOCK_EVIDENCE && list.iter().all(is_name);
+    match names.into_iter().all(is_name) && evidence.into_iter().all(is_bounded) {
+        true => Ok(()),
+        false => Err(format!(
+            "block: a name has 1 to {MAX_NAME_BYTES} bytes, and at most {MAX_BLOCK_EVIDENCE} \
+             endpoints and requests are named"
+        )),
+    }
+}
+
+/// Returns the error of an unblock whose author or reason is missing or too long.
+fn check_unblock(author: &str, reason: &str) -> Result<(), String> {
+    let is_author = (1..=MAX_NAME_BYTES).contains(&author.len());
+    match is_author && (1..=MAX_REASON_BYTES).contains(&reason.len()) {
+        true => Ok(()),
+        false => Err(format!(
+            "unblock: author must have 1 to {MAX_NAME_BYTES} bytes and reason 1 to \
+             {MAX_REASON_BYTES}"
+        )),
+    }
+}
+
+/// Returns `req` with the age of the decision that it reports increased by `elapsed`, the time since
+/// it was received.
+pub(crate) fn aged(req: &KeeperRequest, elapsed: Duration) -> Cow<'_, KeeperRequest> {
+    match req {
+        KeeperRequest::BlockPart(block) => {
+            let age = block.age.saturating_add(elapsed);
+            Cow::Owned(KeeperRequest::BlockPart(BlockedPart {
+                age,
+                ..block.clone()
+            }))
+        }
+        req => Cow::Borrowed(req),
+    }
+}
+
 /// Returns the log command of a request; `None` if it isn't one for the log.
 pub(crate) fn command(req: &KeeperRequest, state: &SharedState) -> Option<Command> {
     Some(match req {
@@ -60,6 +109,16 @@
         },
         KeeperRequest::Change(change) => Command::Change(change.clone()),
         KeeperRequest::Replace(replacement) => Command::Replace(replacement.clone()),
+        KeeperRequest::BlockPart(block) => Command::BlockPart(block.clone()),
+        KeeperRequest::UnblockPart {
+            part,
+            author,
+            reason,
+        } => Command::UnblockPart {
+            part: *part,
+            author: author.clone(),
+            reason: reason.clone(),
+        },
         _ => return None,
     })
 }
--- a/crates/keeper/src/service.rs
+++ b/crates/keeper/src/service.rs
@@ -29,7 +29,7 @@
     entry::{Entry, Stamp},
     held_settlements::HeldSettlements,
     metrics::Metrics,
-    requests::{command, kind, prepare, truncate},
+    requests::{aged, command, kind, prepare, truncate},
     shared_state::SharedState,
     state::State,
 };
@@ -204,6 +204,7 @@
             KeeperRequest::Hold(settle) => self.hold(settle).await,
             KeeperRequest::Original => self.original().await,
             KeeperRequest::Confirm => self.confirm().await,
+            KeeperRequest::BlockedParts => self.blocked_parts().await,
             req => match prepare(req, self.limits.max_output_bytes) {
                 Ok(req) => self.write(&req, origin).await,
                 Err(what) => KeeperReply::Invalid(what),
@@ -218,10 +219,12 @@
             KeeperRequest::Member { .. } => MEMBER_CHANGE_TIMEOUT,
             _ => REQUEST_TIMEOUT,
         };
-        let deadline = Instant::now() + limit;
+        let started = Instant::now();
         loop {
-            let remaining = deadline.saturating_duration_since(Instant::now());
-            match timeout(remaining, self.attempt(req, origin, remaining)).await {
+            let elapsed = started.elapsed();
+            let remaining = limit.saturating_sub(elapsed);
+            let req = aged(req, elapsed);
+            match timeout(remaining, self.attempt(&req, origin, remaining)).await {
                 Ok(Attempt::Reply(reply)) => return reply,
                 Ok(Attempt::Retry) if origin == Origin::Client && remaining > RETRY_DELAY => {
                     sleep(RETRY_DELAY).await;
@@ -395,13 +398,24 @@
         }
     }
 
+    async fn blocked_parts(&self) -> KeeperReply {
+        if !self.is_current().await {
+            return KeeperReply::NoQuorum;
+        }
+        let now = self.clock.now_ms().unwrap_or_default();
+        self.state.read(|state| KeeperReply::BlockedParts {
+            version: state.blocked_parts.version(),
+            parts: state.blocked_parts.list(now.max(state.clock_ms())),
+        })
+    }
+
     async fn confirm(&self) -> KeeperReply {
         match self.is_current().await {
             false => KeeperReply::NoQuorum,
             true => KeeperReply::Confirmed {
                 revision: self.state.read(State::declaration_revision),
                 keepers: self.keepers(),
-                blocked_version: 0,
+                blocked_version: self.state.read(|state| state.blocked_parts.version()),
             },
         }
     }
--- a/crates/keeper/src/shared_state.rs
+++ b/crates/keeper/src/shared_state.rs
@@ -97,7 +97,11 @@
         let mut inner = self.inner_mut();
         let inner = &mut *inner;
         let before = inner.state.declaration.revision();
-        let Applied { reply, lease } = inner.state.apply(index, bytes);
+        let Applied {
+            reply,
+            lease,
+            events,
+        } = inner.state.apply(index, bytes);
         let now = self.elapsed();
         if let Some(name) = lease {
             inner.lease_clock.observe(&inner.state.leases, &name, now);
@@ -105,6 +109,12 @@
         if inner.is_published && inner.state.declaration.revision() > before {
             self.publish_change(&inner.state);
         }
+        // Entries from before this process was current are not logged again.
+        if inner.is_published {
+            for event in &events {
+                logs::write(None, event);
+            }
+        }
         reply
     }
 
--- a/crates/keeper/src/state.rs
+++ b/crates/keeper/src/state.rs
@@ -1,4 +1,4 @@
-//! The replicated state: declaration, ledger and leases, changed only by committed entries.
+//! The replicated state: declaration, ledger, leases and blocked parts, changed only by committed entries.
 //!
 //! Everything here is deterministic: the same entries give the same state and the same replies on
 //! every replica. Time and limits come only from the entries.
@@ -8,9 +8,11 @@
 use declaration::Change;
 use derives::record;
 use link::keeper::{ChangeReply, KeeperReply, LeaseReply, Replacement};
+use logs::Event;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
+    blocked_parts::BlockedParts,
     codec::{Cursor, put_bytes, put_u64},
     declaration_store::{DeclarationSnapshot, DeclarationStore},
     entry::{Command, Entry},
@@ -36,6 +38,8 @@
     pub leases: Leases,
     /// The last replacement of the whole declaration, if any.
     pub last_replacement: Option<Arc<StoredReplacement>>,
+    /// The blocked parts of prompts.
+    pub blocked_parts: BlockedParts,
 }
 
 /// A replacement of the whole declaration.
@@ -55,6 +59,8 @@
     leases: Leases,
     #[serde(rename = "replaced", default)]
     last_replacement: Option<StoredReplacement>,
+    #[serde(default)]
+    blocked_parts: BlockedParts,
 }
 
 /// The result of applying an entry.
@@ -64,6 +70,8 @@
     pub reply: Vec<u8>,
     /// The name of the lease that the entry requested.
     pub lease: Option<String>,
+    /// Changes of the blocked parts, for the log of this process.
+    pub events: Vec<Event>,
 }
 
 fn requested_lease(command: Command) -> Option<String> {
@@ -91,9 +99,10 @@
 
     /// Applies the encoded entry at `index`.
     pub fn apply(&mut self, index: u64, bytes: &[u8]) -> Applied {
+        let mut events = Vec::new();
         let (reply, lease) = match link::decode::<Entry>(bytes) {
             Ok(entry) => (
-                self.apply_entry(index, &entry),
+                self.apply_entry(index, &entry, &mut events),
                 requested_lease(entry.command),
             ),
             Err(e) => (KeeperReply::Invalid(format!("entry {index}: {e}")), None),
@@ -101,13 +110,18 @@
         let reply = link::encode(&reply);
         self.digest = xxh3_64_with_seed(bytes, self.digest ^ index);
         self.digest = xxh3_64_with_seed(&reply, self.digest);
-        Applied { reply, lease }
+        Applied {
+            reply,
+            lease,
+            events,
+        }
     }
 
-    fn apply_entry(&mut self, index: u64, entry: &Entry) -> KeeperReply {
+    fn apply_entry(&mut self, index: u64, entry: &Entry, events: &mut Vec<Event>) -> KeeperReply {
         let stamp = &entry.stamp;
         self.clock_ms = self.clock_ms.max(stamp.now_ms);
         self.ledger.advance(self.clock_ms, stamp.retention_ms);
+        self.blocked_parts.advance(self.clock_ms, events);
         match &entry.command {
             Command::Intent(intent) => {
                 KeeperReply::Intent(self.ledger.grant(self.clock_ms, stamp, intent))
@@ -126,6 +140,18 @@
             }
             Command::Change(change) => self.change(change),
             Command::Replace(replacement) => self.replace(replacement),
+            Command::BlockPart(block) => KeeperReply::PartBlocked {
+                is_blocked: self.blocked_parts.block(self.clock_ms, block, events),
+            },
+            Command::UnblockPart {
+                part,
+                author,
+                reason,
+            } => KeeperReply::PartUnblocked {
+                existed: self
+                    .blocked_parts
+                    .unblock(self.clock_ms, *part, author, reason, events),
+            },
         }
     }
 
@@ -171,6 +197,7 @@
             declaration: self.declaration.to_snapshot(),
             leases: self.leases.clone(),
             last_replacement: self.last_replacement.as_deref().cloned(),
+            blocked_parts: self.blocked_parts.clone(),
         };
         put_bytes(&mut buf, &link::encode(&head));
         self.ledger.write(&mut buf);
@@ -192,6 +219,7 @@
             declaration: DeclarationStore::from_snapshot(head.declaration),
             leases: head.leases,
             last_replacement: head.last_replacement.map(Arc::new),
+            blocked_parts: head.blocked_parts,
             ledger: Ledger::read(&mut cursor)?,
         })
     }
--- /dev/null
+++ b/crates/keeper/tests/blocking.rs
@@ -0,0 +1,254 @@
+//! Blocked parts at real keepers: crashes, replaced keepers, cuts, and operators.
+
+mod env;
+
+use std::time::Duration;
+
+use env::{Fault, Group, LIMIT};
+use link::{
+    Channel,
+    keeper::{BlockedPart, KeeperReply, KeeperRequest, MAX_BLOCK_EVIDENCE},
+};
+use operators::{MemberAction, MemberRequest};
+use tokio::time::{sleep, timeout};
+
+const HOUR: Duration = Duration::from_hours(1);
+/// Timeout of one request that finds no quorum.
+const REFUSED_TIMEOUT: Duration = Duration::from_secs(5);
+
+fn blocked_part(part: u64, age: Duration) -> BlockedPart {
+    BlockedPart {
+        part,
+        service: "llm".to_owned(),
+        crashes: 3,
+        endpoints: vec!["llm-1".to_owned(), "llm-2".to_owned()],
+        requests: vec!["r-1".to_owned()],
+        source: "gate-a".to_owned(),
+        age,
+    }
+}
+
+/// Sends `req` until a keeper with a quorum replies.
+async fn request(group: &Group, req: &KeeperRequest) -> KeeperReply {
+    group.links().request(req, LIMIT).await.unwrap()
+}
+
+async fn block(group: &Group, part: u64, age: Duration) -> bool {
+    let req = KeeperRequest::BlockPart(blocked_part(part, age));
+    match request(group, &req).await {
+        KeeperReply::PartBlocked { is_blocked } => is_blocked,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Returns false if the part was not blocked, or if the reply to an earlier attempt was lost.
+async fn unblock(group: &Group, part: u64) -> bool {
+    let req = KeeperRequest::UnblockPart {
+        part,
+        author: "noura".to_owned(),
+        reason: "fixed".to_owned(),
+    };
+    match request(group, &req).await {
+        KeeperReply::PartUnblocked { existed } => existed,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Returns the list's version and parts, after checking that confirmations name the same version.
+async fn list(group: &Group) -> (u64, Vec<u64>) {
+    let (version, parts) = match request(group, &KeeperRequest::BlockedParts).await {
+        KeeperReply::BlockedParts { version, parts } => (version, parts),
+        other => panic!("{other:?}"),
+    };
+    match request(group, &KeeperRequest::Confirm).await {
+        KeeperReply::Confirmed {
+            blocked_version, ..
+        } => assert_eq!(blocked_version, version),
+        other => panic!("{other:?}"),
+    }
+    (version, parts.iter().map(|block| block.part).collect())
+}
+
+/// Guards against blocks, or an operator's unblock, that are lost when all keepers restart.
+#[tokio::test(flavor = "multi_thread")]
+async fn blocks_and_unblocks_survive_kill_9_of_all_keepers() {
+    let mut group = Group::start(3).await;
+    assert_eq!(list(&group).await, (0, Vec::new()));
+    for part in [1, 2, 3] {
+        assert!(block(&group, part, Duration::ZERO).await);
+    }
+    unblock(&group, 2).await;
+    assert_eq!(list(&group).await, (4, vec![1, 3]));
+    for i in 0..3 {
+        group.kill(i);
+    }
+    for i in 0..3 {
+        group.restart(i);
+    }
+    assert_eq!(list(&group).await, (4, vec![1, 3]));
+    // A gate that was cut off reports a decision from before the unblock.
+    assert!(!block(&group, 2, HOUR).await);
+    assert_eq!(list(&group).await, (4, vec![1, 3]));
+}
+
+/// Guards against a list that is only in the log, which a snapshot replaces.
+#[tokio::test(flavor = "multi_thread")]
+async fn blocks_survive_snapshots() {
+    let mut group = Group::start_with(3, "snapshot_after = 100\n").await;
+    assert!(block(&group, 7, Duration::ZERO).await);
+    assert!(!unblock(&group, 8).await);
+    for part in 100..157 {
+        assert!(block(&group, part, Duration::ZERO).await);
+        unblock(&group, part).await;
+    }
+    for i in 0..3 {
+        group.kill(i);
+    }
+    for i in 0..3 {
+        assert!(group.data(i).join("snapshot").exists());
+        group.restart(i);
+    }
+    assert_eq!(list(&group).await, (115, vec![7]));
+    assert!(!block(&group, 8, HOUR).await);
+}
+
+/// Guards against a replaced keeper that leads without the list.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replaced_keeper_has_the_list() {
+    let mut group = Group::start(3).await;
+    assert!(block(&group, 1, Duration::ZERO).await);
+    assert!(block(&group, 2, Duration::ZERO).await);
+    unblock(&group, 2).await;
+    let new = group.start_another().await;
+    let member = |action, name: &str, address| MemberRequest {
+        action,
+        name: name.to_owned(),
+        address,
+        force: false,
+    };
+    let address = Some(group.proxy_address(new));
+    change_members(&group, &member(MemberAction::Add, "k3", address)).await;
+    change_members(&group, &member(MemberAction::Promote, "k3", None)).await;
+    change_members(&group, &member(MemberAction::Remove, "k2", None)).await;
+    group.kill(2);
+    let peer = group.peer(new);
+    peer.connected().await;
+    let listed = async {
+        loop {
+            let reply = peer.call(Channel::Keeper, &KeeperRequest::BlockedParts, LIMIT);
+            match reply.await {
+                Ok(KeeperReply::BlockedParts { version, parts }) => return (version, parts),
+                _ => sleep(Duration::from_millis(50)).await,
+            }
+        }
+    };
+    let (version, parts) = timeout(LIMIT, listed).await.expect("listed in time");
+    let parts: Vec<u64> = parts.iter().map(|block| block.part).collect();
+    assert_eq!((version, parts), (3, vec![1]));
+    assert!(!block(&group, 2, HOUR).await);
+}
+
+/// Retries until the change of members succeeds; a learner has to catch up first.
+async fn change_members(group: &Group, req: &MemberRequest) {
+    let changed = async {
+        while group.api().change_members(req).await.is_err() {
+            sleep(Duration::from_millis(100)).await;
+        }
+    };
+    timeout(LIMIT, changed)
+        .await
+        .unwrap_or_else(|_| panic!("{req:?} in time"));
+}
+
+/// Guards against a keeper without a quorum that claims to have stored a decision, or serves a list
+/// that may be old.
+#[tokio::test(flavor = "multi_thread")]
+async fn without_a_quorum_every_request_is_refused() {
+    let group = Group::start(3).await;
+    assert!(block(&group, 1, Duration::ZERO).await);
+    let isolated = group.leader().await;
+    group.isolate(isolated, Fault::Reset);
+    let peer = group.peer(isolated);
+    peer.connected().await;
+    let requests = [
+        KeeperRequest::BlockPart(blocked_part(2, Duration::ZERO)),
+        KeeperRequest::UnblockPart {
+            part: 1,
+            author: "noura".to_owned(),
+            reason: "fixed".to_owned(),
+        },
+        KeeperRequest::BlockedParts,
+    ];
+    for req in &requests {
+        let reply: KeeperReply = peer
+            .call(Channel::Keeper, req, REFUSED_TIMEOUT)
+            .await
+            .unwrap();
+        assert_eq!(reply, KeeperReply::NoQuorum, "{req:?}");
+    }
+    let others = group.running().filter(|(i, _)| *i != isolated);
+    let others = link::keepers::Keepers::new(others.map(|(_, p)| env::peer(p.link)).collect());
+    let reply = others.request(&requests[0], LIMIT).await.unwrap();
+    assert_eq!(reply, KeeperReply::PartBlocked { is_blocked: true });
+    group.isolate(isolated, Fault::None);
+    // What was refused may have been applied or not; a retry settles it.
+    assert!(block(&group, 2, Duration::ZERO).await);
+    let (_, parts) = list(&group).await;
+    assert!(parts.contains(&2), "{parts:?}");
+}
+
+/// Guards against an unblock that is undone by a decision made before it, or that undoes later ones.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unblock_holds_against_older_decisions_only() {
+    let group = Group::start(1).await;
+    assert!(!block(&group, 1, 24 * HOUR).await, "expired");
+    assert!(block(&group, 1, HOUR).await);
+    unblock(&group, 1).await;
+    assert!(!block(&group, 1, HOUR).await);
+    assert!(!unblock(&group, 1).await);
+    // The stamps have milliseconds.
+    sleep(Duration::from_millis(20)).await;
+    assert!(block(&group, 1, Duration::ZERO).await);
+    assert_eq!(list(&group).await, (3, vec![1]));
+}
+
+/// Guards against names that fill the log, and against half of a malformed request taking effect.
+#[tokio::test(flavor = "multi_thread")]
+async fn malformed_requests_change_nothing() {
+    let group = Group::start(1).await;
+    let long = "n".repeat(1_025);
+    let valid = || blocked_part(1, Duration::ZERO);
+    let unblock = |author: &str, reason: &str| KeeperRequest::UnblockPart {
+        part: 1,
+        author: author.to_owned(),
+        reason: reason.to_owned(),
+    };
+    let malformed = [
+        KeeperRequest::BlockPart(BlockedPart {
+            service: long.clone(),
+            ..valid()
+        }),
+        KeeperRequest::BlockPart(BlockedPart {
+            source: String::new(),
+            ..valid()
+        }),
+        KeeperRequest::BlockPart(BlockedPart {
+            endpoints: vec!["e".to_owned(); MAX_BLOCK_EVIDENCE + 1],
+            ..valid()
+        }),
+        KeeperRequest::BlockPart(BlockedPart {
+            requests: vec![long.clone()],
+            ..valid()
+        }),
+        unblock("", "fixed"),
+        unblock("noura", ""),
+        unblock("noura", &long),
+        unblock(&long, "fixed"),
+    ];
+    for req in malformed {
+        let reply = request(&group, &req).await;
+        assert!(matches!(reply, KeeperReply::Invalid(_)), "{reply:?}");
+    }
+    assert_eq!(list(&group).await, (0, Vec::new()));
+    assert!(!block(&group, 1, Duration::MAX).await);
+}
--- a/crates/keeper/tests/malformed.rs
+++ b/crates/keeper/tests/malformed.rs
@@ -9,7 +9,8 @@
 use link::{
     Channel,
     keeper::{
-        Intent, IntentReply, KeeperReply, KeeperRequest, LeaseRequest, Output, Settle, Settlement,
+        BlockedPart, Intent, IntentReply, KeeperReply, KeeperRequest, LeaseRequest, Output, Settle,
+        Settlement,
     },
     keepers::Keepers,
 };
@@ -82,6 +83,21 @@
         KeeperRequest::Original,
         KeeperRequest::Confirm,
         KeeperRequest::Clock,
+        KeeperRequest::BlockPart(BlockedPart {
+            part: 7,
+            service: "llm".to_owned(),
+            crashes: 3,
+            endpoints: vec!["llm-1".to_owned()],
+            requests: vec!["r-1".to_owned()],
+            source: "gate".to_owned(),
+            age: Duration::from_secs(1),
+        }),
+        KeeperRequest::UnblockPart {
+            part: 7,
+            author: "noura".to_owned(),
+            reason: "fixed".to_owned(),
+        },
+        KeeperRequest::BlockedParts,
     ]
 }
 
--- a/crates/logs/src/event.rs
+++ b/crates/logs/src/event.rs
@@ -310,6 +310,20 @@
         /// Why the lease was not granted or renewed.
         why: Option<String>,
     },
+    /// The keepers blocked a part of prompts, or a block ended.
+    PartBlockChanged {
+        /// Hash of the part's id as 16 hexadecimal digits.
+        part: String,
+        /// True if gates refuse requests with the part from now on.
+        is_blocked: bool,
+        /// Service whose endpoints crashed; `None` if the part was not blocked before an unblock.
+        service: Option<String>,
+        /// VM of the gate that decided to block, or the operator; `None` if the keepers ended the
+        /// block by themselves.
+        author: Option<String>,
+        /// The crashes, the operator's reason, or why the block ended.
+        why: String,
+    },
     /// A controller's order to an endpoint was answered or lost.
     Order {
         /// Id of the order.
@@ -414,6 +428,7 @@
             Self::InForce { .. } => Kind::InForce,
             Self::Consensus { .. } => Kind::Consensus,
             Self::Lease { .. } => Kind::Lease,
+            Self::PartBlockChanged { .. } => Kind::PartBlockChanged,
             Self::Order { .. } => Kind::Order,
             Self::RolloutHalted { .. } => Kind::RolloutHalted,
             Self::LeftOut { .. } => Kind::LeftOut,
--- a/crates/logs/src/kind.rs
+++ b/crates/logs/src/kind.rs
@@ -41,6 +41,7 @@
     InForce,
     Consensus,
     Lease,
+    PartBlockChanged,
     Order,
     RolloutHalted,
     LeftOut,
@@ -56,7 +57,7 @@
 
 impl Kind {
     /// All kinds, in the order of their discriminants.
-    pub const ALL: [Self; 35] = [
+    pub const ALL: [Self; 36] = [
         Self::Admitted,
         Self::StageSent,
         Self::StageMade,
@@ -88,6 +89,7 @@
         Self::InForce,
         Self::Consensus,
         Self::Lease,
+        Self::PartBlockChanged,
         Self::Order,
         Self::RolloutHalted,
         Self::LeftOut,
@@ -128,6 +130,7 @@
             Self::InForce => "in_force",
             Self::Consensus => "consensus",
             Self::Lease => "lease",
+            Self::PartBlockChanged => "part_block_changed",
             Self::Order => "order",
             Self::RolloutHalted => "rollout_halted",
             Self::LeftOut => "left_out",
@@ -169,6 +172,7 @@
             | Self::InForce
             | Self::Consensus
             | Self::Lease
+            | Self::PartBlockChanged
             | Self::Order
             | Self::RolloutHalted
             | Self::Text => STATE_CHANGES_PER_SECOND,
