Let operators list and unblock the blocked parts of prompts

Operators: what the keepers block could be read only over a link, and taken back only by a program.

Evidence: in tests/blocking.rs the two tests over HTTP, in crates/system `blocked_parts_are_listed_and_unblocked` and `a_blocked_part_is_shown_and_unblocked` pass; on the code before there are no such paths, verbs or forms.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -3,7 +3,7 @@
 use std::{env, fs, path::PathBuf};
 
 use derives::value;
-use operators::{MemberAction, MemberRequest};
+use operators::{MemberAction, MemberRequest, parse_part};
 use pico_args::Arguments;
 use thiserror::Error;
 use uuid::Uuid;
@@ -77,6 +77,10 @@
     Status,
     /// Print the audit trail from a revision.
     Audit(u64),
+    /// List the blocked parts of prompts.
+    Blocked,
+    /// Unblock a part of prompts.
+    Unblock(Unblock),
     /// Change the keeper group.
     Keeper(MemberRequest),
     /// Show what the logs contain about one request.
@@ -120,6 +124,17 @@
     pub change: Uuid,
 }
 
+/// A part of prompts to unblock.
+#[value]
+pub struct Unblock {
+    /// Hash of the part's id.
+    pub part: u64,
+    /// Why the block is taken back.
+    pub reason: String,
+    /// Author of the unblock.
+    pub author: String,
+}
+
 /// Parses the command line.
 pub fn parse(mut args: Arguments) -> Result<Invocation, ArgsError> {
     if args.contains(["-h", "--help"]) {
@@ -157,6 +172,8 @@
         "export" => Verb::Export,
         "status" => Verb::Status,
         "audit" => Verb::Audit(args.opt_value_from_str("--from")?.unwrap_or(1)),
+        "blocked" => Verb::Blocked,
+        "unblock" => parse_unblock(args)?,
         "keeper" => parse_keeper(args)?,
         "explain" => parse_explain(args)?,
         other => return Err(ArgsError::UnknownVerb(other.to_owned())),
@@ -192,6 +209,17 @@
     }))
 }
 
+fn parse_unblock(args: &mut Arguments) -> Result<Verb, ArgsError> {
+    let reason = args.value_from_str("--reason")?;
+    let author = parse_author(args)?;
+    let part = args.free_from_fn(parse_part)?;
+    Ok(Verb::Unblock(Unblock {
+        part,
+        reason,
+        author,
+    }))
+}
+
 fn parse_explain(args: &mut Arguments) -> Result<Verb, ArgsError> {
     let request = args.free_from_str()?;
     let mut files = Vec::new();
--- a/crates/cli/src/help.rs
+++ b/crates/cli/src/help.rs
@@ -14,6 +14,8 @@
   export                     print the declaration in force
   status                     show every keeper's role, term and log
   audit [--from N]           print the audit trail, from revision N
+  blocked                    list the parts of prompts that gates refuse because endpoints crashed
+  unblock PART --reason TEXT accept requests with PART again
   explain ID [FILE…]         show what happened to request ID, from log files or standard input
   keeper add NAME ADDRESS    add a keeper as a learner; ADDRESS is IP:PORT of its link
   keeper promote NAME        make a learner a voter once it has caught up
@@ -26,11 +28,11 @@
   -h, --help           print this text
   -V, --version        print the version
 
-Options of apply and revert:
-  --reason TEXT        why, for the audit trail
+Options of apply, revert and unblock:
+  --reason TEXT        why, for the audit trail; of unblock, for the list and the logs
   --author NAME        who, if operators have no tokens; default $USER
   --base N             apply only: revision that FILE is based on; default: the one in force now
-  --change UUID        change id of an earlier attempt, to resend it safely
+  --change UUID        apply and revert only: change id of an earlier attempt, to resend it safely
 
 Exit codes:
   0 done   1 failed   2 wrong usage   3 invalid document   4 conflict
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 
 mod args;
 mod audit;
+mod blocked;
 mod error;
 mod explain;
 mod help;
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     args::{Config, Verb},
-    audit,
+    audit, blocked,
     error::VerbError,
     explain,
     output::to_json,
@@ -44,6 +44,8 @@
         Verb::Status => status::status(cfg, &api).await,
         Verb::Audit(from) => audit::audit(cfg, &api, *from).await,
         Verb::Explain(request) => explain::explain(cfg, request),
+        Verb::Blocked => blocked::list(cfg, &api).await,
+        Verb::Unblock(unblock) => blocked::unblock(cfg, &api, unblock).await,
         Verb::Keeper(req) => verbs::keeper(cfg, &api, req).await,
     }
 }
--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -1,4 +1,4 @@
-//! `status`: every keeper's role, term and log.
+//! `status`: every keeper's role, term and log, and the number of blocked parts.
 
 use host::exit::ExitCode;
 use operators::{ApiError, KeeperApi, KeeperStatus};
@@ -25,7 +25,11 @@
         let headings = [
             "keeper", "role", "term", "leader", "commit", "voters", "learners",
         ];
-        table(headings, &rows)
+        let keepers = table(headings, &rows);
+        match blocked_line(&statuses) {
+            Some(line) => format!("{keepers}\n\n{line}"),
+            None => keepers,
+        }
     });
     Ok(match has_leader {
         true => ExitCode::Success,
@@ -33,6 +37,18 @@
     })
 }
 
+/// Returns the number of blocked parts in the leader's state; `None` if no leader responded.
+fn blocked_line(statuses: &[(String, Result<KeeperStatus, ApiError>)]) -> Option<String> {
+    let mut known = statuses
+        .iter()
+        .filter_map(|(_, status)| status.as_ref().ok());
+    let leader = known.find(|status| status.role == "leader")?;
+    Some(match leader.blocked_parts {
+        0 => "blocked parts of prompts: none".to_owned(),
+        n => format!("blocked parts of prompts: {n}; `jujubeferry blocked` lists them"),
+    })
+}
+
 fn to_json_value(keeper: &str, status: &Result<KeeperStatus, ApiError>) -> Value {
     match status {
         Ok(status) => json!({ "keeper": keeper, "status": status }),
--- a/crates/cli/tests/command_line.rs
+++ b/crates/cli/tests/command_line.rs
@@ -134,6 +134,8 @@
         "export",
         "status",
         "audit",
+        "blocked",
+        "unblock PART --reason TEXT",
         "keeper add",
     ] {
         assert!(
--- a/crates/console/src/handlers.rs
+++ b/crates/console/src/handlers.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     app::App,
+    blocked,
     change::{Draft, SubmitResult},
     cluster_state,
     fields::{FormContent, comment_lines, fields_of_kind},
@@ -23,7 +24,7 @@
 /// Timeout for reading one page of the audit trail.
 const AUDIT_TIMEOUT: Duration = Duration::from_secs(4);
 
-fn app(depot: &Depot) -> Arc<App> {
+pub(crate) fn app(depot: &Depot) -> Arc<App> {
     let app = depot.get_typed::<Arc<App>>();
     Arc::clone(app.expect("the router injects the app into every request"))
 }
@@ -198,14 +199,16 @@
 #[handler]
 pub(crate) async fn status_page(req: &mut Request, depot: &mut Depot, res: &mut Response) {
     let app = app(depot);
-    let Some((_, in_force)) = session_and_declaration(&app, req, res) else {
+    let Some((session, in_force)) = session_and_declaration(&app, req, res) else {
         return;
     };
-    let (gates, controllers) = tokio::join!(
+    let (gates, controllers, blocked) = tokio::join!(
         cluster_state::query_gates(&app),
-        cluster_state::query_controllers(&app)
+        cluster_state::query_controllers(&app),
+        blocked::query(&app)
     );
-    pages::status::render(res, in_force.revision, &gates, &controllers);
+    let blocked = pages::blocked::section(&session, &blocked);
+    pages::status::render(res, in_force.revision, &gates, &blocked, &controllers);
 }
 
 /// Reads a posted form after checking its session, origin and form token. Writes a response and
@@ -267,6 +270,6 @@
     }
 }
 
-async fn form_value(req: &mut Request, key: &str) -> String {
+pub(crate) async fn form_value(req: &mut Request, key: &str) -> String {
     req.form(key).await.unwrap_or_default()
 }
--- a/crates/console/src/lib.rs
+++ b/crates/console/src/lib.rs
@@ -5,6 +5,7 @@
 //! the change is sent to the keepers; sending it again applies it only once.
 
 mod app;
+mod blocked;
 mod change;
 mod cluster_state;
 mod config;
--- a/crates/console/src/pages/mod.rs
+++ b/crates/console/src/pages/mod.rs
@@ -1,6 +1,7 @@
 //! HTML of the pages; the template library escapes every value.
 
 pub(crate) mod audit;
+pub(crate) mod blocked;
 pub(crate) mod conflict;
 pub(crate) mod edit;
 pub(crate) mod layout;
--- a/crates/keeper/src/blocked_parts.rs
+++ b/crates/keeper/src/blocked_parts.rs
@@ -8,6 +8,7 @@
 use derives::record;
 use link::keeper::{BlockedPart, MAX_BLOCKED_PARTS};
 use logs::Event;
+use operators::format_part;
 
 /// Time after the last decision to block a part at which the block ends.
 pub const BLOCK_DURATION: Duration = Duration::from_hours(24);
@@ -173,11 +174,6 @@
     }
 }
 
-/// Formats the hash of a part's id as 16 hexadecimal digits.
-pub fn format_part(part: u64) -> String {
-    format!("{part:016x}")
-}
-
 fn duration_ms() -> u64 {
     BLOCK_DURATION.as_millis() as u64
 }
--- a/crates/keeper/src/http_api.rs
+++ b/crates/keeper/src/http_api.rs
@@ -17,7 +17,7 @@
 use serde::Serialize;
 
 use crate::{
-    announce,
+    announce, blocked_http,
     error_response::{ErrorResponse, no_quorum},
     request_body,
     service::{Origin, Service},
@@ -43,6 +43,8 @@
         .push(Router::with_path("audit").get(get_audit))
         .push(Router::with_path("status").get(get_status))
         .push(Router::with_path("keepers").post(post_keepers))
+        .push(Router::with_path("blocked-parts").get(blocked_http::list))
+        .push(Router::with_path("blocked-parts/{part}/unblock").post(blocked_http::unblock))
         .push(Router::with_path("announce").post(announce::post))
         .push(Router::with_path("endpoints").get(announce::list));
     Router::new()
@@ -202,10 +204,11 @@
 
 #[handler]
 async fn get_status(depot: &mut Depot, res: &mut Response) {
-    json(res, &to_status(&api_state(depot).service.status()));
+    json(res, &to_status(&api_state(depot).service));
 }
 
-fn to_status(status: &replica::Status) -> KeeperStatus {
+fn to_status(service: &Service) -> KeeperStatus {
+    let status = service.status();
     let lag = status.peers.iter().map(|peer| KeeperLag {
         name: peer.name.clone(),
         entries: peer.lag,
@@ -218,6 +221,9 @@
         voters: status.voters.clone(),
         learners: status.learners.clone(),
         lag: lag.collect(),
+        blocked_parts: service
+            .state()
+            .read(|state| state.blocked_parts.blocks().len()),
     }
 }
 
@@ -235,7 +241,7 @@
 async fn post_keepers(req: &mut Request, depot: &mut Depot, res: &mut Response) {
     let api = api_state(depot);
     match change_members(&api, req).await {
-        Ok(()) => json(res, &to_status(&api.service.status())),
+        Ok(()) => json(res, &to_status(&api.service)),
         Err(e) => e.render(res),
     }
 }
@@ -288,7 +294,7 @@
 }
 
 /// Returns the name of the operator whose token `req` has; `None` if no operators are configured.
-fn authorize(api: &ApiState, req: &Request) -> Result<Option<String>, ErrorResponse> {
+pub(crate) fn authorize(api: &ApiState, req: &Request) -> Result<Option<String>, ErrorResponse> {
     if api.operators.is_empty() {
         return Ok(None);
     }
@@ -304,7 +310,7 @@
     }
 }
 
-fn bad_request(detail: &str) -> Problem {
+pub(crate) fn bad_request(detail: &str) -> Problem {
     Problem::new(
         StatusCode::BAD_REQUEST.as_u16(),
         "bad-request",
@@ -313,6 +319,6 @@
     )
 }
 
-fn unavailable(service: &Service, step: &str) -> Problem {
+pub(crate) fn unavailable(service: &Service, step: &str) -> Problem {
     no_quorum(step, service.status().leader.as_deref())
 }
--- a/crates/keeper/tests/blocking.rs
+++ b/crates/keeper/tests/blocking.rs
@@ -4,12 +4,16 @@
 
 use std::time::Duration;
 
-use env::{Fault, Group, LIMIT};
+use bytes::Bytes;
+use env::{Fault, Group, LIMIT, client};
+use host::client::build_request;
+use hyper::{Method, Request};
 use link::{
     Channel,
     keeper::{BlockedPart, KeeperReply, KeeperRequest, MAX_BLOCK_EVIDENCE},
 };
 use operators::{MemberAction, MemberRequest};
+use serde_json::{Value, json};
 use tokio::time::{sleep, timeout};
 
 const HOUR: Duration = Duration::from_hours(1);
@@ -252,3 +256,111 @@
     assert_eq!(list(&group).await, (0, Vec::new()));
     assert!(!block(&group, 1, Duration::MAX).await);
 }
+
+/// Returns the status and body of a request to keeper 0.
+async fn send(group: &Group, method: Method, path: &str, token: &str, body: &str) -> (u16, Value) {
+    let url = group.http(0, path);
+    let builder = Request::builder()
+        .method(method)
+        .uri(&url)
+        .header("authorization", format!("Bearer {token}"));
+    let body = Bytes::copy_from_slice(body.as_bytes());
+    let req = build_request(builder, body, &url).unwrap();
+    let answer = client().send(req).await.unwrap();
+    let body = serde_json::from_slice(&answer.body).unwrap_or_default();
+    (answer.status.as_u16(), body)
+}
+
+/// Guards against unblocks without an operator's token, or under another name than the token's.
+#[tokio::test(flavor = "multi_thread")]
+async fn operators_list_and_unblock_with_their_token() {
+    const PATH: &str = "/v1/blocked-parts/00000000000000ab/unblock";
+    const BODY: &str = r#"{ "author": "somebody", "reason": "fixed" }"#;
+    let tokens = tempfile::NamedTempFile::new().unwrap();
+    std::fs::write(tokens.path(), "amel secret-1\n").unwrap();
+    let extra = format!(
+        "[security]\noperator_tokens_file = {}\n",
+        tokens.path().display()
+    );
+    let group = Group::start_with(1, &extra).await;
+    assert!(block(&group, 0xab, HOUR).await);
+    let (status, list) = send(&group, Method::GET, "/v1/blocked-parts", "", "").await;
+    assert_eq!((status, &list["version"]), (200, &json!(1)));
+    let blocked = &list["blocked"][0];
+    let expected = json!({
+        "part": "00000000000000ab",
+        "service": "llm",
+        "crashes": 3,
+        "endpoints": ["llm-1", "llm-2"],
+        "requests": ["r-1"],
+        "source": "gate-a",
+        "blocked_at": blocked["blocked_at"],
+        "expires_at": blocked["expires_at"],
+    });
+    assert_eq!(blocked, &expected);
+    for key in ["blocked_at", "expires_at"] {
+        let time = blocked[key].as_str().unwrap();
+        assert!(time.len() == 20 && time.ends_with('Z'), "{time}");
+    }
+    for token in ["", "secret-2"] {
+        let (status, _) = send(&group, Method::POST, PATH, token, BODY).await;
+        assert_eq!(status, 401, "{token}");
+    }
+    let metrics = client().get(&group.http(0, "/metrics")).await.unwrap();
+    let metrics = String::from_utf8(metrics.body.to_vec()).unwrap();
+    assert!(
+        metrics.contains("jujube_keeper_blocked_parts 1"),
+        "{metrics}"
+    );
+    assert_eq!(group.status(0).await.unwrap().blocked_parts, 1);
+
+    let (status, reply) = send(&group, Method::POST, PATH, "secret-1", BODY).await;
+    assert_eq!((status, reply), (200, json!({ "existed": true })));
+    let (_, list) = send(&group, Method::GET, "/v1/blocked-parts", "", "").await;
+    assert_eq!(
+        (&list["version"], &list["blocked"]),
+        (&json!(2), &json!([]))
+    );
+    let unblocked = &list["unblocked"][0];
+    assert_eq!(unblocked["part"], "00000000000000ab");
+    assert_eq!(unblocked["author"], "amel");
+    assert_eq!(unblocked["reason"], "fixed");
+}
+
+/// Guards against a malformed request for an unblock that is taken for another part.
+#[tokio::test(flavor = "multi_thread")]
+async fn malformed_unblocks_over_http_change_nothing() {
+    let group = Group::start(1).await;
+    assert!(block(&group, 0xab, Duration::ZERO).await);
+    let cases = [
+        ("ab", r#"{ "author": "a", "reason": "r" }"#, 400),
+        (
+            "+0000000000000ab",
+            r#"{ "author": "a", "reason": "r" }"#,
+            400,
+        ),
+        (
+            "00000000000000zz",
+            r#"{ "author": "a", "reason": "r" }"#,
+            400,
+        ),
+        ("00000000000000ab", r#"{ "author": "a" }"#, 400),
+        (
+            "00000000000000ab",
+            r#"{ "author": "a", "reason": "r", "x": 1 }"#,
+            400,
+        ),
+        ("00000000000000ab", r#"{ "reason": "r" }"#, 409),
+        (
+            "00000000000000ab",
+            r#"{ "author": "a", "reason": "" }"#,
+            409,
+        ),
+    ];
+    for (part, body, expected) in cases {
+        let path = format!("/v1/blocked-parts/{part}/unblock");
+        let (status, problem) = send(&group, Method::POST, &path, "", body).await;
+        assert_eq!(status, expected, "{part} {body}: {problem}");
+    }
+    assert_eq!(list(&group).await, (1, vec![0xab]));
+}
--- a/crates/operators/src/api.rs
+++ b/crates/operators/src/api.rs
@@ -61,6 +61,9 @@
     /// Lag of each peer; empty unless this keeper is the leader.
     #[serde(default)]
     pub lag: Vec<KeeperLag>,
+    /// Number of blocked parts of prompts in this keeper's state.
+    #[serde(default)]
+    pub blocked_parts: usize,
 }
 
 /// Replication lag of one keeper.
--- a/crates/operators/src/client.rs
+++ b/crates/operators/src/client.rs
@@ -13,7 +13,10 @@
 use serde::de::DeserializeOwned;
 use thiserror::Error;
 
-use crate::{Accepted, CurrentDeclaration, KeeperStatus, MemberRequest, Submission};
+use crate::{
+    Accepted, BlockedList, CurrentDeclaration, KeeperStatus, MemberRequest, Submission,
+    UnblockRequest, Unblocked, format_part,
+};
 
 /// Timeout of one request to one keeper.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
@@ -150,6 +153,27 @@
         out
     }
 
+    /// Returns the blocked parts of prompts.
+    pub async fn blocked_parts(&self) -> Result<BlockedList, ApiError> {
+        const STEP: &str = "list the blocked parts";
+        let (peer, response) = self
+            .call(STEP, "GET", "/v1/blocked-parts", Bytes::new())
+            .await?;
+        parse_json(STEP, &peer, &expect_ok(STEP, &peer, response)?.body)
+    }
+
+    /// Unblocks a part of prompts.
+    pub async fn unblock_part(
+        &self,
+        part: u64,
+        req: &UnblockRequest,
+    ) -> Result<Unblocked, ApiError> {
+        const STEP: &str = "unblock the part";
+        let path = format!("/v1/blocked-parts/{}/unblock", format_part(part));
+        let (peer, response) = self.call(STEP, "POST", &path, to_json(req)).await?;
+        parse_json(STEP, &peer, &expect_ok(STEP, &peer, response)?.body)
+    }
+
     /// Adds, promotes or removes a member of the keeper group.
     pub async fn change_members(&self, req: &MemberRequest) -> Result<(), ApiError> {
         const STEP: &str = "change the keepers";
--- a/crates/system/src/lib.rs
+++ b/crates/system/src/lib.rs
@@ -4,12 +4,14 @@
 //! of an availability zone and a process with a link listener has its own proxy, so that a zone can
 //! be cut off and addresses are known before processes start.
 
+mod blocked;
 mod browser;
 mod caller;
 mod env;
 mod settings;
 mod wait;
 
+pub use blocked::block_part;
 pub use browser::{Browser, Fields, Page};
 pub use caller::{CallerRequest, CallerResponse, booking, new_key};
 pub use env::{Env, KEEPER_VMS, VM_NAMES, Vm};
--- a/crates/system/tests/command_line.rs
+++ b/crates/system/tests/command_line.rs
@@ -152,3 +152,65 @@
     let stderr = String::from_utf8_lossy(&refused.stderr);
     assert!(stderr.contains("--change"), "{stderr}");
 }
+
+/// Guards against blocked parts that operators can't see or take back.
+#[tokio::test(flavor = "multi_thread")]
+async fn blocked_parts_are_listed_and_unblocked() {
+    let env = Env::start_empty().await;
+    let empty = env.jujubeferry(&["blocked"]).await;
+    assert_exit_code(&empty, 0);
+    assert_eq!(stdout(&empty), "no part is blocked\n");
+    let status = stdout(&env.jujubeferry(&["status"]).await);
+    assert!(
+        status.contains("blocked parts of prompts: none"),
+        "{status}"
+    );
+
+    system::block_part(&env, 0xab, "dealer-1").await;
+    let listed = stdout(&env.jujubeferry(&["blocked"]).await);
+    for text in [
+        "00000000000000ab",
+        "dealer-portal",
+        "dealer-1",
+        "r-1",
+        "sousse-a-1",
+    ] {
+        assert!(listed.contains(text), "{text} is not in {listed}");
+    }
+    system::wait_until("the leader's status counts the block", async || {
+        let status = stdout(&env.jujubeferry(&["status"]).await);
+        status
+            .contains("blocked parts of prompts: 1;")
+            .then_some(())
+    })
+    .await;
+
+    let part = "00000000000000ab";
+    assert_exit_code(&env.jujubeferry(&["unblock", part]).await, 2);
+    assert_exit_code(
+        &env.jujubeferry(&["unblock", "ab", "--reason", "r"]).await,
+        2,
+    );
+    let unblock = [
+        "unblock",
+        part,
+        "--reason",
+        "engine fixed",
+        "--author",
+        "noura",
+    ];
+    let unblocked = env.jujubeferry(&unblock).await;
+    assert_exit_code(&unblocked, 0);
+    assert_eq!(stdout(&unblocked), "00000000000000ab is unblocked\n");
+    let again = env.jujubeferry(&[&unblock[..], &["--json"]].concat()).await;
+    let again: Value = serde_json::from_str(&stdout(&again)).unwrap();
+    assert_eq!(again, serde_json::json!({ "part": part, "existed": false }));
+    let list = env.jujubeferry(&["blocked", "--json"]).await;
+    let list: Value = serde_json::from_str(&stdout(&list)).unwrap();
+    assert_eq!(list["blocked"], serde_json::json!([]));
+    let unblocked = &list["unblocked"][0];
+    assert_eq!(
+        (&unblocked["author"], &unblocked["reason"]),
+        (&"noura".into(), &"engine fixed".into())
+    );
+}
--- a/crates/system/tests/console.rs
+++ b/crates/system/tests/console.rs
@@ -279,3 +279,37 @@
     })
     .await;
 }
+
+/// Guards against a console that hides a block, or takes it back for a form that is not its own.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_blocked_part_is_shown_and_unblocked() {
+    let (env, mut browser) = start_console().await;
+    let part = "00000000000000ab";
+    assert!(!browser.open("/status").await.html.contains("Blocked parts"));
+    system::block_part(&env, 0xab, "<dealer>").await;
+
+    let page = browser.open("/status").await;
+    for text in [part, "dealer-portal", "&lt;dealer&gt;", "r-1"] {
+        assert!(page.html.contains(text), "{text} is not on {}", page.html);
+    }
+    let mut fields = page.form("/unblock");
+    fields.insert("author".to_owned(), "noura".to_owned());
+    assert_eq!(browser.submit("/unblock", &fields).await.status, 400);
+    fields.insert("reason".to_owned(), "engine fixed".to_owned());
+    let mut forged = fields.clone();
+    forged.insert("form_token".to_owned(), "guess".to_owned());
+    assert_eq!(browser.submit("/unblock", &forged).await.status, 403);
+    let own_origin = browser.origin.clone();
+    "http://evil.example".clone_into(&mut browser.origin);
+    assert_eq!(browser.submit("/unblock", &fields).await.status, 403);
+    browser.origin = own_origin;
+    assert_eq!(env.api().blocked_parts().await.unwrap().blocked.len(), 1);
+
+    let done = browser.submit("/unblock", &fields).await;
+    assert_eq!(done.status, 200, "{}", done.html);
+    let list = env.api().blocked_parts().await.unwrap();
+    assert_eq!(list.blocked, []);
+    assert_eq!(list.unblocked[0].part, part);
+    assert_eq!(list.unblocked[0].author, "noura");
+    assert!(!browser.open("/status").await.html.contains("Blocked parts"));
+}
