End blocked parts on time while nothing else is written to the log

Callers: in a system without controllers and without calls that carry keys, a block could last far longer than 24 h, since blocks end with the first entry after their time and no entry came.

Change: the leader checks each second whether a block has expired by its clock and then writes an entry `Advance`, which moves the state's clock. Replicas still take time from entries only.

--- a/crates/keeper/src/blocked_parts.rs
+++ b/crates/keeper/src/blocked_parts.rs
@@ -35,6 +35,12 @@
     pub renewed_ms: u64,
 }
 
+impl Block {
+    fn has_expired(&self, now_ms: u64) -> bool {
+        now_ms.saturating_sub(self.renewed_ms) >= duration_ms()
+    }
+}
+
 /// An operator's decision to unblock a part.
 #[record]
 #[derive(Eq)]
@@ -72,10 +78,18 @@
         &self.unblocks
     }
 
+    /// Returns true if a block in the table has expired by `now_ms`.
+    pub fn has_expired(&self, now_ms: u64) -> bool {
+        let mut blocks = self.blocks.values();
+        blocks.any(|block| block.has_expired(now_ms))
+    }
+
     /// Ends the blocks that have expired by `now_ms`; appends the changes of the list to `events`.
     pub fn advance(&mut self, now_ms: u64, events: &mut Vec<Event>) {
-        let expired = |block: &Block| now_ms.saturating_sub(block.renewed_ms) >= duration_ms();
-        for (part, block) in self.blocks.extract_if(.., |_, block| expired(block)) {
+        let expired = self
+            .blocks
+            .extract_if(.., |_, block| block.has_expired(now_ms));
+        for (part, block) in expired {
             self.version += 1;
             events.push(ended(part, &block, "expired"));
         }
--- a/crates/keeper/src/entry.rs
+++ b/crates/keeper/src/entry.rs
@@ -78,6 +78,8 @@
         /// Why the block is taken back.
         reason: String,
     },
+    /// Advances the state's clock to the stamp's time and ends what has expired.
+    Advance,
 }
 
 /// The part of an intent that the ledger keeps.
--- a/crates/keeper/src/service.rs
+++ b/crates/keeper/src/service.rs
@@ -1,6 +1,8 @@
 //! Answers requests of clients and other keepers: through the log if this keeper leads, else
 //! through the leader.
 
+mod blocked;
+
 use std::{
     collections::HashMap,
     net::SocketAddr,
@@ -26,7 +28,7 @@
 use crate::{
     clock::{Clock, wall_clock_ms},
     config::Limits,
-    entry::{Entry, Stamp},
+    entry::{Command, Entry, Stamp},
     held_settlements::HeldSettlements,
     metrics::Metrics,
     requests::{aged, command, kind, prepare, truncate},
@@ -257,6 +259,10 @@
         let Some(command) = command(req, &self.state) else {
             return Ok(KeeperReply::Invalid("not a request for the log".to_owned()));
         };
+        self.propose_command(command).await
+    }
+
+    async fn propose_command(&self, command: Command) -> Result<KeeperReply, ProposeError> {
         // Entries can't be stamped without a synchronized clock; the first quorum sets it.
         let Some(stamp) = self.stamp() else {
             return Err(ProposeError::NotLeader { leader: None });
@@ -398,17 +404,6 @@
         }
     }
 
-    async fn blocked_parts(&self) -> KeeperReply {
-        if !self.is_current().await {
-            return KeeperReply::NoQuorum;
-        }
-        let now = self.clock.now_ms().unwrap_or_default();
-        self.state.read(|state| KeeperReply::BlockedParts {
-            version: state.blocked_parts.version(),
-            parts: state.blocked_parts.list(now.max(state.clock_ms())),
-        })
-    }
-
     async fn confirm(&self) -> KeeperReply {
         match self.is_current().await {
             false => KeeperReply::NoQuorum,
--- a/crates/keeper/src/start.rs
+++ b/crates/keeper/src/start.rs
@@ -114,6 +114,8 @@
     let state_log_task = tokio::spawn(state_changes::log_state_changes(replica.clone()));
     let settle_service = Arc::clone(&service);
     let settle_task = tokio::spawn(async move { settle_service.settle_held().await });
+    let expiry_service = Arc::clone(&service);
+    let expiry_task = tokio::spawn(async move { expiry_service.expire_blocks().await });
     let (operators, announce_token) = (cfg.operators, cfg.announce_token);
     let api = ApiState {
         service: Arc::clone(&service),
@@ -132,6 +134,7 @@
         publish_task.abort();
         clock_task.abort();
         settle_task.abort();
+        expiry_task.abort();
         state_log_task.abort();
         link_task.abort();
         group_task.inspect(JoinHandle::abort);
--- a/crates/keeper/src/state.rs
+++ b/crates/keeper/src/state.rs
@@ -143,6 +143,9 @@
             Command::BlockPart(block) => KeeperReply::PartBlocked {
                 is_blocked: self.blocked_parts.block(self.clock_ms, block, events),
             },
+            Command::Advance => KeeperReply::Clock {
+                now_ms: self.clock_ms,
+            },
             Command::UnblockPart {
                 part,
                 author,
--- a/crates/keeper/tests/blocking.rs
+++ b/crates/keeper/tests/blocking.rs
@@ -58,19 +58,27 @@
     }
 }
 
-/// Returns the list's version and parts, after checking that confirmations name the same version.
-async fn list(group: &Group) -> (u64, Vec<u64>) {
-    let (version, parts) = match request(group, &KeeperRequest::BlockedParts).await {
-        KeeperReply::BlockedParts { version, parts } => (version, parts),
+/// Returns the list's version and parts.
+async fn read_list(group: &Group) -> (u64, Vec<u64>) {
+    match request(group, &KeeperRequest::BlockedParts).await {
+        KeeperReply::BlockedParts { version, parts } => {
+            (version, parts.iter().map(|block| block.part).collect())
+        }
         other => panic!("{other:?}"),
-    };
+    }
+}
+
+/// Returns the list's version and parts, after checking that confirmations name the same version;
+/// the list must not change meanwhile.
+async fn list(group: &Group) -> (u64, Vec<u64>) {
+    let (version, parts) = read_list(group).await;
     match request(group, &KeeperRequest::Confirm).await {
         KeeperReply::Confirmed {
             blocked_version, ..
         } => assert_eq!(blocked_version, version),
         other => panic!("{other:?}"),
     }
-    (version, parts.iter().map(|block| block.part).collect())
+    (version, parts)
 }
 
 /// Guards against blocks, or an operator's unblock, that are lost when all keepers restart.
@@ -364,3 +372,19 @@
     }
     assert_eq!(list(&group).await, (1, vec![0xab]));
 }
+
+/// Guards against blocks that outlast their time while nothing else is written to the log.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_block_ends_without_other_entries() {
+    let group = Group::start(3).await;
+    let almost = 23 * HOUR + Duration::from_secs(3_595);
+    assert!(block(&group, 1, almost).await);
+    assert!(block(&group, 2, Duration::ZERO).await);
+    let ended = async {
+        while read_list(&group).await.1.contains(&1) {
+            sleep(Duration::from_millis(100)).await;
+        }
+    };
+    timeout(LIMIT, ended).await.expect("the block ends in time");
+    assert_eq!(list(&group).await, (3, vec![2]));
+}
