--- a/crates/logs/src/kind.rs
+++ b/crates/logs/src/kind.rs
@@ -42,6 +42,7 @@
     InForce,
     Consensus,
     Lease,
+    PartBlockChanged,
     Order,
     RolloutHalted,
     LeftOut,
@@ -90,6 +91,7 @@
         Self::InForce,
         Self::Consensus,
         Self::Lease,
+        Self::PartBlockChanged,
         Self::Order,
         Self::RolloutHalted,
         Self::LeftOut,
@@ -131,6 +133,7 @@
             Self::InForce => "in_force",
             Self::Consensus => "consensus",
             Self::Lease => "lease",
+            Self::PartBlockChanged => "part_block_changed",
             Self::Order => "order",
             Self::RolloutHalted => "rollout_halted",
             Self::LeftOut => "left_out",
@@ -173,6 +176,7 @@
             | Self::InForce
             | Self::Consensus
             | Self::Lease
+            | Self::PartBlockChanged
             | Self::Order
             | Self::RolloutHalted
             | Self::Text => STATE_CHANGES_PER_SECOND,
