--- a/crates/keeper/tests/http_api.rs
+++ b/crates/keeper/tests/http_api.rs
@@ -272,3 +272,77 @@
     let text = String::from_utf8(metrics.body.to_vec()).unwrap();
     assert!(text.contains("jujube_keeper_is_leader 1"), "{text}");
 }
+
+/// Depth of nested arrays, far beyond what parsers accept.
+const DEPTH: usize = 100_000;
+
+/// Guards against a keeper that stops, or no longer lists endpoints, after odd announcements and
+/// changes.
+#[tokio::test(flavor = "multi_thread")]
+async fn odd_bodies_are_refused_and_later_ones_taken() {
+    let mut group = Group::start(1).await;
+    group.leader().await;
+    let announcement = |name: &str, field: &str, value: &str| {
+        let sound = json!({"endpoint": name, "service": "ice", "az": "a", "seq": 1,
+            "address": "http://127.0.0.1:9", "incarnation": Uuid::now_v7(), "state": "ready"});
+        let Value::Object(mut fields) = sound else {
+            unreachable!("it is an object")
+        };
+        fields.remove(field);
+        let text = Value::Object(fields).to_string();
+        format!("{{\"{field}\":{value},{}", &text[1..])
+    };
+    let nested = "[".repeat(DEPTH) + &"]".repeat(DEPTH);
+    let mut odd = vec![
+        nested.clone(),
+        format!("{{\"a\":{nested}}}"),
+        "\0".to_owned(),
+    ];
+    for value in [
+        &nested,
+        "18446744073709551616",
+        "1e400",
+        "-1",
+        "null",
+        "{}",
+        "\"http://127.0.0.1:99999\"",
+        "\"http://127.0.0.1:-4\"",
+    ] {
+        for field in ["seq", "address", "slots", "load", "models"] {
+            let name = format!("odd-{}", odd.len());
+            odd.push(announcement(&name, field, value));
+        }
+    }
+    let mut taken = 0;
+    for body in odd {
+        for path in ["/v1/announce", "/v1/changes"] {
+            let url = group.http(0, path);
+            let bytes = Bytes::from(body.clone());
+            let answer = send(&url, Method::POST, "", bytes).await;
+            let case = &body[..body.len().min(200)];
+            match answer.status.as_u16() {
+                200 if path == "/v1/announce" => taken += 1,
+                400 => {}
+                status => panic!("{status} to {path} {case}"),
+            }
+        }
+    }
+    let sound = announcement("sound", "slots", "2");
+    let url = group.http(0, "/v1/announce");
+    let answer = send(&url, Method::POST, "", sound.into()).await;
+    assert_eq!(answer.status, 200);
+    let answer = send(
+        &group.http(0, "/v1/endpoints"),
+        Method::GET,
+        "",
+        Bytes::new(),
+    )
+    .await;
+    let listed: Value = serde_json::from_slice(&answer.body).unwrap();
+    let listed = listed.as_array().unwrap();
+    assert_eq!(listed.len(), taken + 1);
+    assert!(listed.iter().any(|e| e["endpoint"] == "sound"));
+    let process = group.keepers[0].as_mut().unwrap();
+    assert!(process.is_running());
+    assert_eq!(process.panics(), Vec::<String>::new());
+}
