Test nested messages and endless times on a keeper's links

`keeper malformed keeper_goes_on_after_nested_messages_and_endless_times`: arrays, maps and tags nested 100,000 times on all channels, and Duration::MAX in a lease, an intent and a request for changed endpoints. The keeper goes on without a panic; no change was needed.

--- a/crates/keeper/tests/malformed.rs
+++ b/crates/keeper/tests/malformed.rs
@@ -183,3 +183,49 @@
     assert_eq!(process.panics(), Vec::<String>::new());
     assert_serves(&keepers).await;
 }
+
+/// Depth of nested arrays, far beyond what the decoder accepts.
+const DEPTH: usize = 100_000;
+
+/// Guards against a keeper that stops after deeply nested messages and times at the end of their type.
+#[tokio::test(flavor = "multi_thread")]
+async fn keeper_goes_on_after_nested_messages_and_endless_times() {
+    let mut group = Group::start(1).await;
+    let keepers = group.links();
+    assert_serves(&keepers).await;
+    let peer = &keepers.peers()[0];
+    let since = membership::Request::Since {
+        table: None,
+        version: u64::MAX,
+        wait: Duration::MAX,
+    };
+    let lease = KeeperRequest::Lease(LeaseRequest {
+        name: "rollout".to_owned(),
+        holder: Uuid::new_v4(),
+        vm: "vm".to_owned(),
+        duration: Duration::MAX,
+    });
+    let mut endless = intent(Uuid::now_v7());
+    if let KeeperRequest::Intent(intent) = &mut endless {
+        intent.expires = Duration::MAX;
+    }
+    let mut messages = vec![
+        (Channel::Membership, link::encode(&since)),
+        (Channel::Keeper, link::encode(&lease)),
+        (Channel::Keeper, link::encode(&endless)),
+    ];
+    for channel in CHANNELS {
+        // An array, a map and a tag in each other, `DEPTH` times.
+        for byte in [0x81, 0xa1, 0xc0] {
+            messages.push((channel, vec![byte; DEPTH]));
+        }
+    }
+    for (channel, bytes) in messages {
+        // An error or no reply is right as well.
+        let _ = peer.call_bytes(channel, bytes, REPLY_TIMEOUT).await;
+    }
+    let process = group.keepers[0].as_mut().unwrap();
+    assert!(process.is_running());
+    assert_eq!(process.panics(), Vec::<String>::new());
+    assert_serves(&keepers).await;
+}
