Test: a copy of a refusal that answers a hedge is no proof

The first call is slow and then refused with proof; its hedge runs and gets a copy without an id on a kept connection.

--- a/crates/gate/tests/env/fake_endpoint.rs
+++ b/crates/gate/tests/env/fake_endpoint.rs
@@ -59,6 +59,8 @@
     EndlessStatus(u16, Vec<(&'static str, String)>),
     /// 200 with the id of another call.
     WrongCallId(Value),
+    /// An explicit refusal after a delay.
+    DelayedRefusal(Duration),
     /// An explicit refusal with the id of another call.
     RefusalWithWrongCallId,
     /// An explicit refusal without the id of any call.
@@ -260,6 +262,11 @@
             let res = Response::builder().header("jujube-call", Uuid::new_v4().to_string());
             Ok(res.body(full_body(&value.to_string())).unwrap())
         }
+        Reply::DelayedRefusal(pause) => {
+            sleep(pause).await;
+            let res = ok.status(503).header("jujube-outcome", "not_run");
+            Ok(res.body(full_body("")).unwrap())
+        }
         Reply::RefusalWithWrongCallId => {
             let res = Response::builder().header("jujube-call", Uuid::new_v4().to_string());
             let res = res.status(503).header("jujube-outcome", "not_run");
--- a/crates/gate/tests/refusals.rs
+++ b/crates/gate/tests/refusals.rs
@@ -2,12 +2,19 @@
 
 mod env;
 
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
 use env::{
     Env,
     client::Answer,
-    fake_endpoint::{FakeEndpoint, ReceivedCall, Reply, Step, output},
+    fake_endpoint::{FakeEndpoint, ReceivedCall, Reply, Step, not_run, output},
 };
+use futures_util::future::join_all;
 use serde_json::{Value, json};
+use tokio::time::sleep;
 
 const DEADLINE: (&str, &str) = ("jujube-deadline-ms", "3000");
 
@@ -158,3 +165,45 @@
     );
     assert_eq!(one.calls().len() + two.calls().len(), 1);
 }
+
+/// Guards against telling callers "not run" for a hedge that ran, because a copy of an earlier refusal
+/// arrived on its kept connection.
+#[tokio::test]
+async fn copy_that_answers_a_hedge_is_no_proof() {
+    const WARM_UP_ROUNDS: usize = 10;
+    const CONCURRENCY: usize = 4;
+    for (pipeline, service) in REPEATABLE {
+        let env = Env::start().await;
+        let gate = env.gate("g").await;
+        let slow_calls: Arc<Mutex<Vec<ReceivedCall>>> = Arc::default();
+        let received = Arc::clone(&slow_calls);
+        let handler = move |call: &ReceivedCall| {
+            if call.body["input"] != "slow" && call.body["prompt"] != "slow" {
+                return completed(call);
+            }
+            let mut received = received.lock().unwrap();
+            received.push(call.clone());
+            match received.len() {
+                1 => Reply::DelayedRefusal(Duration::from_secs(1)),
+                2 => Reply::RefusalWithoutCallId,
+                _ => not_run(),
+            }
+        };
+        let one = FakeEndpoint::start("one", service, handler.clone()).await;
+        let two = FakeEndpoint::start("two", service, handler).await;
+        gate.announce(&one).await;
+        gate.announce(&two).await;
+        for _ in 0..WARM_UP_ROUNDS {
+            let requests = (0..CONCURRENCY).map(|_| gate.post(pipeline, &[DEADLINE], json!("x")));
+            join_all(requests).await;
+        }
+        // The gate refreshes its quantiles four times a second.
+        sleep(Duration::from_millis(300)).await;
+        let answer = gate.post(pipeline, &[DEADLINE], json!("slow")).await;
+        let expected = (502, "failed".to_owned());
+        let result = (answer.status, answer.outcome());
+        assert_eq!(result, expected, "{pipeline}: {}", answer.text());
+        let hedge = slow_calls.lock().unwrap()[1].clone();
+        assert!(hedge.is_kept);
+    }
+}
