Gate: an empty response ends no call beside it

Where a sound call of /v1 was slow or silent and the hedge or retry beside it was answered with an empty 200, the sound call was dropped for it, and the request failed as `malformed response`.

Cause: the end of an empty body counted as the first part of a response. Now it is an error of that call.

--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -264,11 +264,15 @@
         }
     }
 
-    /// Waits for the first part of the body; engines send the head long before it.
+    /// Waits for the first part of the body; engines send the head long before it. Fails if the body
+    /// is empty, so that it ends no other call.
     pub(crate) async fn wait_first_part(&mut self) -> Result<(), CallError> {
         self.peeked = self.read(self.limits.first_byte).await?;
         self.first_part_at = Instant::now();
-        Ok(())
+        match self.peeked {
+            Some(_) => Ok(()),
+            None => Err(CallError::Malformed("the response is empty".to_owned())),
+        }
     }
 
     /// Waits until the body goes on or ends, however long it is silent.
--- a/crates/gate/tests/silence.rs
+++ b/crates/gate/tests/silence.rs
@@ -236,3 +236,12 @@
         );
     }
 }
+
+/// Guards against ending a sound call for one that is answered with nothing.
+#[tokio::test]
+async fn silent_call_goes_on_if_its_successor_has_no_content() {
+    for target in TARGETS {
+        let (answer, _) = answer_with_silence(target, Reply::Stream(Vec::new())).await;
+        assert_whole(&answer);
+    }
+}
