Keep a late whole response while a second endpoint is tried

What callers saw: a repeatable request was answered 502 ("no other endpoint"), 504 or with the failure of its second endpoint although the first was sound and would have answered in the second half of the time. One whose endpoint stopped inside its body was awaited alone until 504, while another endpoint could serve it.

Cause: the first call was dropped after half of the time left, before anything was known of a second one; and the bound held for the head only.

Now calls of one request run beside each other (`whole`): after half of the time left, head or body, a second endpoint is called where the route, its attempts and the budget allow it, and the first complete good response ends the others. If all calls fail, a failed response is forwarded rather than replaced by an error. Without a second endpoint the first call is awaited until the deadline. An endpoint that a later one overtook, or that was silent from the bound until the deadline, counts as failed, as before.

Side effect: a repeat of a whole request no longer earns retries as if it were a first attempt.

--- a/crates/forward/src/attempts.rs
+++ b/crates/forward/src/attempts.rs
@@ -80,7 +80,7 @@
     message: hyper::Request<Full<Bytes>>,
 }
 
-pub(crate) fn lost(e: &CallError) -> ForwardError {
+fn lost(e: &CallError) -> ForwardError {
     match e {
         CallError::TimedOut => ForwardError::DeadlineExceeded,
         e => ForwardError::Lost(e.to_string()),
@@ -111,31 +111,9 @@
 ) -> Result<StartedResponse, ForwardError> {
     cx.budget.record_first_attempt(&req.service);
     loop {
-        let flight = match choose(cx, req, inputs, attempts).await {
-            Ok(flight) => flight,
-            Err(PlacementError { reason, .. }) if attempts.runs > 0 => {
-                return Err(ForwardError::Lost(format!("no other endpoint: {reason}")));
-            }
-            Err(PlacementError {
-                reason: Refusal::Full,
-                ..
-            }) if req.remaining() > RECHECK_INTERVAL * 4 && attempts.endpoints.is_empty() => {
-                tokio::time::sleep(RECHECK_INTERVAL).await;
-                continue;
-            }
-            Err(PlacementError {
-                reason,
-                retry_after,
-            }) => {
-                return Err(ForwardError::retry_later(
-                    reason,
-                    retry_after.unwrap_or(RETRY_AFTER),
-                ));
-            }
-        };
-        let call = prepare(cx, req, inputs, attempts, flight, last_event_id);
+        let call = next_call(cx, req, inputs, attempts, last_event_id).await?;
         let target = Arc::clone(&call.flight.target);
-        match send(cx, req, call, req.response_deadline(attempts)).await {
+        match send(cx, req, call, req.deadline).await {
             Ok(started) => return Ok(started),
             Err(failure) => {
                 attempts.settle(&target.name, &failure);
@@ -145,8 +123,38 @@
     }
 }
 
+/// Prepares a call of an endpoint that was not tried, and waits for one while all are full.
+pub(crate) async fn next_call(
+    cx: &Context,
+    req: &Request,
+    inputs: &[Arc<Results>],
+    attempts: &mut AttemptLog,
+    last_event_id: Option<u64>,
+) -> Result<PreparedCall, ForwardError> {
+    loop {
+        let error = match choose(cx, req, inputs, attempts).await {
+            Ok(flight) => return Ok(prepare(cx, req, inputs, attempts, flight, last_event_id)),
+            Err(error) => error,
+        };
+        match error.reason {
+            reason if attempts.runs > 0 => {
+                return Err(ForwardError::Lost(format!("no other endpoint: {reason}")));
+            }
+            Refusal::Full
+                if req.remaining() > RECHECK_INTERVAL * 4 && attempts.endpoints.is_empty() =>
+            {
+                tokio::time::sleep(RECHECK_INTERVAL).await;
+            }
+            reason => {
+                let retry_after = error.retry_after.unwrap_or(RETRY_AFTER);
+                return Err(ForwardError::retry_later(reason, retry_after));
+            }
+        }
+    }
+}
+
 /// Decides what follows an attempt without a response: another one, or an error.
-fn next_step(
+pub(crate) fn next_step(
     cx: &Context,
     req: &Request,
     attempts: &mut AttemptLog,
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -48,6 +48,7 @@
 #[cfg(test)]
 mod testing;
 mod ticket;
+mod whole;
 mod zone_order;
 
 pub use adapter::{forwarded_request, parse_load, post_json, set_header};
--- a/crates/forward/src/serving.rs
+++ b/crates/forward/src/serving.rs
@@ -8,7 +8,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
-    attempts::{AttemptLog, StartedResponse, lost, may_repeat, start_response},
+    attempts::{AttemptLog, may_repeat, start_response},
     call::CallError,
     dialect::Dialect,
     error::{ForwardError, Refusal},
@@ -19,16 +19,16 @@
     metrics::Metrics,
     placement::{PlacedCall, PlacementError, Requirements},
     rate_limit::{PermitRequest, RateLimits},
-    response::{Response, WholeResponse},
+    response::Response,
     rules::{Caller, MatchedRoute, pick_service, urgency},
     stages::{Results, StageContext, Stages},
-    stream,
+    stream, whole,
 };
 
 /// Size limit of a complete response.
 pub(crate) const MAX_ANSWER_BYTES: usize = 8 << 20;
 /// Time before the deadline at which a request is given up, so that the error arrives in time.
-const ANSWER_MARGIN: Duration = Duration::from_millis(15);
+pub(crate) const ANSWER_MARGIN: Duration = Duration::from_millis(15);
 /// Delay before a request checks again for a free endpoint.
 pub(crate) const RECHECK_INTERVAL: Duration = Duration::from_millis(15);
 /// Retry time suggested to callers if nothing better is known.
@@ -125,18 +125,6 @@
         self.route().repeat != RepeatPolicy::Never
     }
 
-    /// Returns until when to wait for the response head of this attempt. If the request is
-    /// repeatable, time is reserved for another attempt.
-    pub(crate) fn response_deadline(&self, attempts: &AttemptLog) -> Instant {
-        let is_last = attempts.runs >= self.route().attempts;
-        match self.route().answer {
-            ResponseKind::Whole if self.is_repeatable() && !is_last => {
-                Instant::now() + self.remaining() / 2
-            }
-            ResponseKind::Whole | ResponseKind::Stream => self.deadline,
-        }
-    }
-
     /// Time until the deadline.
     pub(crate) fn remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
@@ -223,7 +211,7 @@
     let inputs = produced.map_err(late).flatten()?;
     let serving = async {
         match req.route().answer {
-            ResponseKind::Whole => serve_whole(cx, req, &inputs, attempts).await,
+            ResponseKind::Whole => whole::serve_whole(cx, req, &inputs, attempts).await,
             ResponseKind::Stream => {
                 let mut started = start_response(cx, req, &inputs, attempts, None).await?;
                 while !started.is_good && may_repeat(cx, req, attempts) {
@@ -290,46 +278,3 @@
         }
     })
 }
-
-/// Serves a complete response; it is read to its end before any of it is forwarded.
-async fn serve_whole(
-    cx: &Context,
-    req: &Request,
-    inputs: &[Arc<Results>],
-    attempts: &mut AttemptLog,
-) -> Result<Response, ForwardError> {
-    loop {
-        let started = start_response(cx, req, inputs, attempts, None).await?;
-        let StartedResponse {
-            exchange,
-            mut flight,
-            is_good,
-            ..
-        } = started;
-        let (status, headers) = (exchange.status, exchange.headers.clone());
-        let read = exchange.read_body(&cx.pool, MAX_ANSWER_BYTES, req.deadline);
-        match read.await {
-            Ok(body) => {
-                flight.record_first_part(None);
-                cx.metrics.record_first_part(&req.service, flight.elapsed());
-                cx.fleet.record_call_result(&flight.target, !is_good);
-                if !is_good && may_repeat(cx, req, attempts) {
-                    continue;
-                }
-                req.log_end(is_good, status.as_u16(), &flight.target.name, attempts);
-                return Ok(Response::Whole(WholeResponse {
-                    status,
-                    headers: (cx.dialect.answer_headers)(&headers),
-                    body,
-                }));
-            }
-            Err(e) => {
-                cx.fleet.record_call_result(&flight.target, true);
-                req.record_failed_call(&flight, &e);
-                if !may_repeat(cx, req, attempts) {
-                    return Err(lost(&e));
-                }
-            }
-        }
-    }
-}
--- a/crates/forwarder/tests/routes.rs
+++ b/crates/forwarder/tests/routes.rs
@@ -290,3 +290,15 @@
     assert_eq!(events(&response.body), all);
     assert_eq!(cluster.count_starts("chat", "continued"), 2);
 }
+
+/// Guards against an error for a repeatable request whose endpoint responds in the second half of its
+/// time, before a second one could.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_response_to_a_repeatable_request_is_served() {
+    let cluster = Cluster::start().await;
+    endpoints_of(&cluster, "desk").for_each(|desk| desk.set_fault(Fault::Pause(2_500)));
+    let response = cluster.send(CallerRequest::new("/look/1", "late")).await;
+    let response = response.unwrap_or_else(|e| panic!("{e}\n{}", cluster.logs()));
+    assert_eq!(response.status, StatusCode::OK);
+    assert_eq!(cluster.count_starts("desk", "late"), 2);
+}
--- a/crates/forwarder/tests/support/mod.rs
+++ b/crates/forwarder/tests/support/mod.rs
@@ -79,6 +79,13 @@
 attempts = 2
 services = chat 1
 stages = ice 1000, ice 1000 after 0
+[route look]
+host = 127.0.0.1
+path_prefix = /look/
+repeat = anew
+attempts = 2
+longest_ms = 4000
+services = desk 1
 [route notices]
 host = 127.0.0.1
 path_prefix = /notices/
