Relay events that arrive before one that is out of order

What callers saw: an event missing from a resumed stream that looked complete. Found while reading the relay for silent streams, not by a report.

Cause: events of one part were collected, and their ids recorded as relayed, before they were sent; one that was out of order discarded them all, and the stream was resumed after the last id recorded.

Test, before the fix, events_before_one_out_of_order_are_relayed: FAILED left: (true, ["e1", "e2", "e4", "e5"]) right: (true, ["e1", "e2", "e3", "e4", "e5"])

Now the events before it are sent first. `platform requests` and `platform silence` pass.

--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -383,7 +383,7 @@
         }
     }
 
-    /// Relays the complete events of `part`.
+    /// Relays the complete events of `part`, up to one that is out of order.
     async fn relay_part(&mut self, source: &mut Source, part: &Bytes) -> Result<(), StreamError> {
         if !source.started.is_good {
             return self.send(part.clone()).await;
@@ -391,12 +391,16 @@
         let pushed = source.events.push(part);
         pushed.map_err(|_| StreamError::Endpoint(CallError::TooLarge))?;
         let mut whole = BytesMut::new();
+        let mut order = Ok(());
         while let Some(event) = source.events.next_event() {
-            self.check_order(event.id)?;
+            order = self.check_order(event.id);
+            if order.is_err() {
+                break;
+            }
             whole.extend_from_slice(&event.bytes);
         }
         if whole.is_empty() {
-            return Ok(());
+            return order;
         }
         self.record_first_part(&mut source.started);
         // The endpoint fetched the inputs before it read the prompt.
@@ -408,7 +412,7 @@
         if self.last_event != before {
             (self.delivered_event, self.delivered_at) = (self.last_event, Instant::now());
         }
-        Ok(())
+        order
     }
 
     /// Records that the endpoint has read the prompt.
