--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -419,7 +419,7 @@
         }
     }
 
-    /// Relays the complete events of `part`.
+    /// Relays the complete events of `part`, up to one that is out of order.
     async fn relay_part(&mut self, source: &mut Source, part: &Bytes) -> Result<(), StreamError> {
         if !source.started.is_good {
             return self.send(part.clone()).await;
--- a/crates/logs/src/kind.rs
+++ b/crates/logs/src/kind.rs
@@ -58,7 +58,7 @@
 
 impl Kind {
     /// All kinds, in the order of their discriminants.
-    pub const ALL: [Self; 36] = [
+    pub const ALL: [Self; 37] = [
         Self::Admitted,
         Self::StageSent,
         Self::StageMade,
