Add the keepers' messages for blocked parts of prompts

Gates report a part under which endpoints crashed, ask for the list of blocked parts and are told its version with each confirmation. The keepers don't serve the new requests yet: they are refused as no request for the log.

--- a/crates/forward/src/control.rs
+++ b/crates/forward/src/control.rs
@@ -147,7 +147,10 @@
         for peer in order {
             let requested_at = boot_time();
             let reply = peer.call(Channel::Keeper, &KeeperRequest::Confirm, CONFIRM_TIMEOUT);
-            let Ok(KeeperReply::Confirmed { revision, keepers }) = reply.await else {
+            let Ok(KeeperReply::Confirmed {
+                revision, keepers, ..
+            }) = reply.await
+            else {
                 continue;
             };
             let mut in_force = follower.in_force();
--- a/crates/keeper/src/service.rs
+++ b/crates/keeper/src/service.rs
@@ -407,6 +407,7 @@
             true => KeeperReply::Confirmed {
                 revision: self.state.read(State::declaration_revision),
                 keepers: self.keepers(),
+                blocked_version: 0,
             },
         }
     }
@@ -568,6 +569,9 @@
         KeeperRequest::Replace(_) => "replace",
         KeeperRequest::Original => "original",
         KeeperRequest::Confirm => "confirm",
+        KeeperRequest::BlockPart(_) => "block_part",
+        KeeperRequest::UnblockPart { .. } => "unblock_part",
+        KeeperRequest::BlockedParts => "blocked_parts",
     }
 }
 
--- a/crates/link/src/keeper.rs
+++ b/crates/link/src/keeper.rs
@@ -8,6 +8,10 @@
 
 /// Maximum number of records in one reply to [`KeeperRequest::Audit`].
 pub const MAX_AUDIT_RECORDS: usize = 500;
+/// Maximum number of endpoints, and of requests, named in a [`BlockedPart`].
+pub const MAX_BLOCK_EVIDENCE: usize = 8;
+/// Maximum number of blocked parts.
+pub const MAX_BLOCKED_PARTS: usize = 256;
 
 /// A request to any keeper; a follower forwards it to the leader.
 #[record]
@@ -52,6 +56,39 @@
         /// The membership change.
         action: MemberAction,
     },
+    /// Blocks a part of prompts; idempotent.
+    BlockPart(BlockedPart),
+    /// Takes back the block of a part, and every decision to block it that was made before.
+    UnblockPart {
+        /// Hash of the part's id.
+        part: u64,
+        /// Name of the operator.
+        author: String,
+        /// Why the block is taken back.
+        reason: String,
+    },
+    /// Requests the blocked parts, confirmed by a quorum.
+    BlockedParts,
+}
+
+/// A part of prompts under which endpoints crashed; gates refuse requests with it.
+#[record]
+#[derive(Eq)]
+pub struct BlockedPart {
+    /// Hash of the part's id.
+    pub part: u64,
+    /// Name of the service whose endpoints crashed.
+    pub service: String,
+    /// Number of crashes known at the decision.
+    pub crashes: u32,
+    /// Names of endpoints that crashed; at most [`MAX_BLOCK_EVIDENCE`].
+    pub endpoints: Vec<String>,
+    /// Ids of requests under which they crashed; at most [`MAX_BLOCK_EVIDENCE`].
+    pub requests: Vec<String>,
+    /// VM of the gate that decided.
+    pub source: String,
+    /// Time since the decision.
+    pub age: Duration,
 }
 
 /// A whole declaration under an externally assigned version. The highest version wins, regardless
@@ -212,6 +249,9 @@
         revision: u64,
         /// The keepers, voters first.
         keepers: Vec<KeeperAddress>,
+        /// Version of the list of blocked parts; 0 if it never changed.
+        #[serde(default)]
+        blocked_version: u64,
     },
     /// To [`KeeperRequest::Clock`].
     Clock {
@@ -220,6 +260,23 @@
     },
     /// To [`KeeperRequest::Member`]: committed now or before.
     MemberChanged,
+    /// To [`KeeperRequest::BlockPart`]: committed now or before.
+    PartBlocked {
+        /// False if an operator has taken the block back since the decision, or if it has expired.
+        is_blocked: bool,
+    },
+    /// To [`KeeperRequest::UnblockPart`]: committed now or before.
+    PartUnblocked {
+        /// True if the part was blocked.
+        existed: bool,
+    },
+    /// To [`KeeperRequest::BlockedParts`]: the state at some time after the request was sent.
+    BlockedParts {
+        /// Version of the list; increases with each change.
+        version: u64,
+        /// The blocked parts, ordered by part; at most [`MAX_BLOCKED_PARTS`].
+        parts: Vec<BlockedPart>,
+    },
     /// There is no quorum. As far as this keeper knows nothing was applied; a retry is safe.
     NoQuorum,
     /// The request is invalid; the reason.
