Find the prompt part that endpoints crash under from what crashes have in common

Pure table, no callers yet. Each crash names the calls that were in flight at the endpoint; a part that enough crashes have in common, with no good answer since the first of them, is the culprit. How many crashes are enough follows from the share of requests that crashes without the part cost, so that endpoints that crash at random blame nothing.

Tried first and found wrong by the property tests: three crashes, whatever else (blames a rare part within 40 s at 1.5 random crashes a second); three crashes that cover half of all since the first (blames one of 22 parts at 2 a second, right after a start); a probability without prior losses (blames one of 59 after 102 good answers).

--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -10,6 +10,7 @@
 mod call;
 mod concurrency_limit;
 mod config;
+mod crash_evidence;
 mod endpoint_limit;
 mod ewma;
 mod health;
@@ -36,6 +37,7 @@
     Observation,
 };
 pub use config::{AffinityConfig, EjectionConfig, LimitConfig, RouterConfig};
+pub use crash_evidence::{Crash, CrashEvidence, Culprit, Suspect};
 pub use ewma::DecayingMean;
 pub use health::{Health, max_ejected};
 pub use latency::{Latencies, SizeClass, Stage};
