Block parts of prompts under which endpoints crash

What callers saw: requests with one part in their prompts crashed each engine that began to respond to them, one after the other, until all were down; sound requests broke with them, and retries carried the part to the next engine.

Cause: a gate judged endpoints by their calls, and never asked what the calls of several crashed endpoints had in common. Retries and placement treat such a request like any other whose endpoint failed.

The gates now share what was in flight at each crash, and the part that accounts for the crashes without any good answer since the first of them (routing::crash_evidence) is blocked: after the linked gates were asked for good answers, it is in force here, told to the linked gates and proposed to the keepers until they have it. Gates read the keepers' list when its version differs, before a confirmation counts, and compare their lists with each other each second. Of a decision and a withdrawal of a part the later one counts. Requests with a blocked part are refused at admission and before and after each placement: 503 if nothing ran. Requests with a suspected part are not repeated. An answer that ends with its connection speaks for its parts only if the endpoint still listens afterwards. Design: docs/design/blocked-parts.md.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -174,11 +174,9 @@
             | Event::EndpointCrashed { endpoint, .. },
         ) => is_involved_vm && involved.contains(&endpoint),
         Some(Event::Collects { service, .. }) => is_involved_vm && involved.contains(&service),
-        Some(
-            Event::PartSuspected { part, .. }
-            | Event::PartBlocked { part, .. }
-            | Event::PartUnblocked { part, .. },
-        ) => involved.contains(&part),
+        Some(Event::PartBlocked { part, .. } | Event::PartUnblocked { part, .. }) => {
+            involved.contains(&part)
+        }
         _ => is_involved_vm,
     }
 }
--- a/crates/forward/src/blocked_parts/crashes.rs
+++ b/crates/forward/src/blocked_parts/crashes.rs
@@ -16,9 +16,10 @@
 use logs::Event;
 use tokio::{
     net::TcpStream,
-    time::{sleep, timeout},
+    time::{Instant, sleep, timeout},
 };
 
+use super::reporter::Reporter;
 use crate::{fleet::Target, incoming::IncomingRequest, metrics::Metrics};
 
 /// Time from the first broken connection to an endpoint to the probe, in which others are collected.
@@ -55,6 +56,8 @@
 #[derive(Debug)]
 pub(crate) struct EndedCalls {
     pub(crate) target: Arc<Target>,
+    /// When the first of them ended.
+    pub(crate) at: Instant,
     pub(crate) calls: Vec<EndedCall>,
 }
 
@@ -62,14 +65,16 @@
 #[derive(Clone, Debug)]
 pub(crate) struct CrashDetector {
     metrics: Metrics,
+    reporter: Reporter,
     /// Endpoints that are about to be probed, by the name of their incarnation.
     ended: Arc<Mutex<HashMap<String, EndedCalls>>>,
 }
 
 impl CrashDetector {
-    pub(crate) fn new(metrics: Metrics) -> Self {
+    pub(crate) fn new(metrics: Metrics, reporter: Reporter) -> Self {
         Self {
             metrics,
+            reporter,
             ended: Arc::default(),
         }
     }
@@ -95,24 +100,40 @@
             Entry::Vacant(entry) => {
                 entry.insert(EndedCalls {
                     target: Arc::clone(target),
+                    at: Instant::now(),
                     calls: vec![call],
                 });
-                tokio::spawn(self.clone().probe(name));
+                tokio::spawn(self.clone().probe_later(name));
             }
         }
     }
 
+    /// Returns what tells other gates of crashes.
+    pub(crate) fn reporter(&self) -> &Reporter {
+        &self.reporter
+    }
+
     fn ended(&self) -> MutexGuard<'_, HashMap<String, EndedCalls>> {
         self.ended.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn probe(self, name: String) {
+    async fn probe_later(self, name: String) {
         sleep(COLLECT_TIME).await;
         let ended = self.ended().remove(&name);
         let Some(ended) = ended else { return };
-        if !ended.target.is_leaving() && is_refused(ended.target.address).await {
-            self.metrics.record_crash(&ended.target.service);
-            logs::write(None, &ended.crashed_event());
+        match probe(ended.target.address).await {
+            Probe::Refused if !ended.target.is_leaving() => {
+                self.metrics.record_crash(&ended.target.service);
+                logs::write(None, &ended.crashed_event());
+                self.reporter.report(&ended);
+            }
+            Probe::Accepted => {
+                let closed = ended.calls.iter().filter(|c| c.end == CallEnd::Closed);
+                for call in closed {
+                    self.reporter.parts.record_good_parts(&call.parts);
+                }
+            }
+            Probe::Refused | Probe::Unknown => {}
         }
     }
 }
@@ -135,12 +156,22 @@
     }
 }
 
-/// Returns true if nothing listens at `address`. A connection attempt that times out shows nothing:
-/// the endpoint may be cut off.
-async fn is_refused(address: SocketAddr) -> bool {
+/// What a connection attempt shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Probe {
+    /// The endpoint listens.
+    Accepted,
+    /// Nothing listens at the address.
+    Refused,
+    /// Nothing: the endpoint may be cut off.
+    Unknown,
+}
+
+async fn probe(address: SocketAddr) -> Probe {
     match timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Err(e)) => e.kind() == io::ErrorKind::ConnectionRefused,
-        Ok(Ok(_)) | Err(_) => false,
+        Ok(Ok(_)) => Probe::Accepted,
+        Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => Probe::Refused,
+        Ok(Err(_)) | Err(_) => Probe::Unknown,
     }
 }
 
--- a/crates/forward/src/control.rs
+++ b/crates/forward/src/control.rs
@@ -15,11 +15,12 @@
 use tokio::{
     sync::watch,
     task::JoinSet,
-    time::{sleep, timeout},
+    time::{Instant, sleep, timeout},
 };
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
+    blocked_parts::BlockedParts,
     fleet::GATE_SERVICE,
     freshness::{Freshness, boot_time},
     rules::Rules,
@@ -43,6 +44,7 @@
     pub(crate) seeds: watch::Receiver<Vec<SocketAddr>>,
     pub(crate) own_link: SocketAddr,
     pub(crate) freshness: Freshness,
+    pub(crate) blocked_parts: BlockedParts,
     pub(crate) draining: watch::Receiver<bool>,
 }
 
@@ -148,7 +150,9 @@
             let requested_at = boot_time();
             let reply = peer.call(Channel::Keeper, &KeeperRequest::Confirm, CONFIRM_TIMEOUT);
             let Ok(KeeperReply::Confirmed {
-                revision, keepers, ..
+                revision,
+                keepers,
+                blocked_version,
             }) = reply.await
             else {
                 continue;
@@ -156,10 +160,10 @@
             let mut in_force = follower.in_force();
             let has_caught_up =
                 in_force.wait_for(|f| f.as_ref().is_some_and(|f| f.revision >= revision));
-            if timeout(CATCH_UP_TIMEOUT, has_caught_up)
+            let has_caught_up = timeout(CATCH_UP_TIMEOUT, has_caught_up)
                 .await
-                .is_ok_and(|f| f.is_ok())
-            {
+                .is_ok_and(|f| f.is_ok());
+            if has_caught_up && self.has_blocked_parts(peer, blocked_version).await {
                 self.freshness.confirm(requested_at);
             }
             return Some((peer.clone(), keepers));
@@ -167,6 +171,30 @@
         None
     }
 
+    /// Reads the keepers' list of blocked parts unless this gate has its `version`. Returns false if
+    /// it can't be read.
+    async fn has_blocked_parts(&self, peer: &Peer, version: u64) -> bool {
+        if version == self.blocked_parts.version() {
+            return true;
+        }
+        let requested_at = Instant::now();
+        let req = KeeperRequest::BlockedParts;
+        let reply = peer.call(Channel::Keeper, &req, CONFIRM_TIMEOUT).await;
+        match reply {
+            Ok(KeeperReply::BlockedParts { version, parts }) => {
+                let blocked_parts = &self.blocked_parts;
+                blocked_parts.apply_keepers_list(version, parts, requested_at);
+                true
+            }
+            reply => {
+                warn!("failed to read the blocked parts", kv: {
+                    keeper = peer.name(), reply = format!("{reply:?}")
+                });
+                false
+            }
+        }
+    }
+
     async fn announce(&self, keeper: &Peer, seq: u64) {
         let identity = &self.links.identity;
         let announcement = Announcement {
--- a/crates/forward/src/error.rs
+++ b/crates/forward/src/error.rs
@@ -62,6 +62,9 @@
     /// Every endpoint is full.
     #[error("every endpoint is full")]
     Full,
+    /// Endpoints crashed under a part of its prompt.
+    #[error("endpoints crashed under a part of its prompt")]
+    BlockedPart,
     /// Its stages can't be completed in time.
     #[error("the stages can't be done in time")]
     StagesLate,
@@ -86,6 +89,7 @@
             Self::Paused => "paused",
             Self::Limited => "limited",
             Self::Full => "full",
+            Self::BlockedPart => "blocked_part",
             Self::StagesLate => "stages_late",
             Self::InputsGone => "inputs_gone",
             Self::StagesFailed => "stages_failed",
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -170,6 +170,7 @@
             left_ms: req.remaining().as_millis() as u64,
             confirmed_ms: age_ms,
         });
+        self.cx.check_parts(&req)?;
         Ok(req)
     }
 
--- a/crates/forward/src/gates.rs
+++ b/crates/forward/src/gates.rs
@@ -17,6 +17,10 @@
 
 /// Name under which gates are ordered for granting permits; no declared service can have it.
 const LIMITER: &str = "@limiter";
+/// Name under which gates are ordered for being told of crashes.
+const CRASH_OBSERVER: &str = "@crash-observer";
+/// Number of gates that are told of crashes where not all are linked.
+const CRASH_OBSERVERS: usize = 2;
 /// Up to this number of gates, one gate collects a service's items of all availability zones.
 const MAX_SHARED_GATES: usize = 16;
 /// A link without a frame for this long is dropped, which reveals an unreachable zone.
@@ -287,6 +291,33 @@
         peers.filter(|peer| peer.is_connected()).cloned().collect()
     }
 
+    /// Returns the other gates that are told of crashes: all of them, or where there are many the
+    /// first usable ones in an order that all gates agree on, as far as the links are up.
+    pub(crate) fn crash_observers(&self) -> Vec<Peer> {
+        if self.known().is_shared() {
+            return self.linked();
+        }
+        let mut known = self.known();
+        let order = known.cached_order(CRASH_OBSERVER, "", |_| true);
+        let mut peers = Vec::new();
+        for index in order.iter() {
+            let gate = &mut known.gates[*index];
+            gate.update_link_state();
+            gate.dial(&self.shared.links);
+            if gate.is_usable() {
+                peers.push(gate.peer.clone());
+            }
+            if peers.len() == CRASH_OBSERVERS {
+                break;
+            }
+        }
+        peers
+            .into_iter()
+            .flatten()
+            .filter(Peer::is_connected)
+            .collect()
+    }
+
     /// This gate's availability zone.
     pub(crate) fn az(&self) -> &str {
         &self.shared.links.identity.az
--- a/crates/forward/src/in_flight.rs
+++ b/crates/forward/src/in_flight.rs
@@ -13,6 +13,9 @@
     incoming::Prompt,
 };
 
+/// Time from the first part of a response after which its request does the endpoint no harm.
+const STEADY_TIME: Duration = Duration::from_secs(2);
+
 /// A call in flight, counted until dropped.
 #[derive(Debug)]
 pub(crate) struct InFlightCall {
@@ -24,7 +27,8 @@
     queued_tokens: f64,
     pub(crate) expected_ms: f64,
     started_at: Instant,
-    has_first_part: bool,
+    first_part_at: Option<Instant>,
+    is_steady: bool,
 }
 
 impl InFlightCall {
@@ -44,7 +48,8 @@
             unread_tokens,
             queued_tokens,
             started_at: now,
-            has_first_part: false,
+            first_part_at: None,
+            is_steady: false,
         }
     }
 
@@ -79,14 +84,27 @@
         self.started_at.elapsed()
     }
 
+    /// Returns true once, with the first part that arrives [`STEADY_TIME`] after the first one or
+    /// later.
+    pub(crate) fn becomes_steady(&mut self) -> bool {
+        let writing = |at: Instant| at.elapsed() >= STEADY_TIME;
+        let is_steady = self.first_part_at.is_some_and(writing);
+        !std::mem::replace(&mut self.is_steady, is_steady) && is_steady
+    }
+
+    /// Returns true if parts arrived for [`STEADY_TIME`].
+    pub(crate) fn is_steady(&self) -> bool {
+        self.is_steady
+    }
+
     /// Records that a part of the response arrived, so `prompt` has been read. Returns true if it
     /// was the first part.
     pub(crate) fn record_first_part(&mut self, prompt: Option<&Prompt>) -> bool {
-        if self.has_first_part {
+        if self.first_part_at.is_some() {
             return false;
         }
-        self.has_first_part = true;
         let now = Instant::now();
+        self.first_part_at = Some(now);
         let took = now.saturating_duration_since(self.started_at).as_secs_f64() * 1e3;
         let mut stats = self.target.stats();
         stats.unread_tokens = stats.unread_tokens.saturating_sub(self.unread_tokens);
@@ -105,7 +123,7 @@
     fn drop(&mut self) {
         let mut stats = self.target.stats();
         stats.in_flight = stats.in_flight.saturating_sub(1);
-        if !self.has_first_part {
+        if self.first_part_at.is_none() {
             stats.unread_tokens = stats.unread_tokens.saturating_sub(self.unread_tokens);
         }
     }
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -33,6 +33,7 @@
     endpoints: IntGaugeVec,
     ejections: IntCounter,
     crashes: IntCounterVec,
+    blocked_parts: IntGauge,
     confirmed: IntGauge,
     in_flight: IntGauge,
 }
@@ -162,6 +163,10 @@
                 "Endpoints that broke off calls of this gate and refused connections.",
                 &["service"],
             )?,
+            blocked_parts: registrar.gauge(
+                "blocked_parts",
+                "Parts of prompts that are blocked because endpoints crashed under them.",
+            )?,
             confirmed: registrar.gauge(
                 "confirmed_age_ms",
                 "Age of the last confirmation of the declaration; -1 for none.",
@@ -222,6 +227,11 @@
         self.crashes.with_label_values(&[service]).inc();
     }
 
+    /// Sets the number of blocked parts.
+    pub(crate) fn set_blocked_parts(&self, parts: usize) {
+        self.blocked_parts.set(parts as i64);
+    }
+
     /// Counts items of a call that have no result, by cause.
     pub(crate) fn record_items_without_result(
         &self,
--- a/crates/forward/src/rate_limit.rs
+++ b/crates/forward/src/rate_limit.rs
@@ -184,8 +184,8 @@
         age.is_none_or(|age| age > MAX_ISOLATION)
     }
 
-    /// Handles a request from another gate.
-    pub(crate) fn answer(&self, body: &[u8]) -> Vec<u8> {
+    /// Handles a request from another gate. Returns `None` if it is not about request rates.
+    pub(crate) fn answer(&self, body: &[u8]) -> Option<Vec<u8>> {
         let reply = match link::decode::<LimitRequest>(body) {
             Ok(LimitRequest::Permits { az, report }) => {
                 self.shared
@@ -199,10 +199,9 @@
             Ok(LimitRequest::Share { az, borrower }) => {
                 LimitReply::Share(self.state().lender.lend(&az, &borrower, boot_time()))
             }
-            // The other end can't decode an empty reply.
-            Err(_) => return Vec::new(),
+            Err(_) => return None,
         };
-        link::encode(&reply)
+        Some(link::encode(&reply))
     }
 
     /// Borrows shares for the zones with limited endpoints for which this gate grants permits, while
--- a/crates/forward/src/serving.rs
+++ b/crates/forward/src/serving.rs
@@ -1,5 +1,7 @@
 //! Serves one request from its route to its response.
 
+mod part_checks;
+
 use std::{sync::Arc, time::Duration};
 
 use declaration::{RepeatPolicy, ResponseKind, Route};
@@ -8,7 +10,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
-    blocked_parts::{CallEnd, CrashDetector},
+    blocked_parts::{BlockedParts, CallEnd, CrashDetector},
     call::{self, CallError, Exchange},
     dialect::{Attempt, Dialect, ResponseClass},
     error::{ForwardError, Refusal},
@@ -44,6 +46,7 @@
     pub(crate) budget: Arc<RetryBudget>,
     pub(crate) rate_limits: RateLimits,
     pub(crate) crashes: CrashDetector,
+    pub(crate) blocked_parts: BlockedParts,
     /// The VM name of this gate.
     pub(crate) vm: String,
     pub(crate) az: String,
@@ -68,32 +71,6 @@
         })
     }
 
-    /// Records a call that ended together with its connection.
-    pub(crate) fn record_lost(
-        &self,
-        flight: &InFlightCall,
-        req: &Request,
-        e: &CallError,
-        end: CallEnd,
-    ) {
-        if matches!(e, CallError::Lost(_)) {
-            self.crashes.record(&flight.target, &req.incoming, end);
-        }
-    }
-
-    /// Records a call with a complete response.
-    pub(crate) fn record_complete(
-        &self,
-        flight: &InFlightCall,
-        req: &Request,
-        ends_with_connection: bool,
-    ) {
-        if ends_with_connection {
-            let end = CallEnd::Closed;
-            self.crashes.record(&flight.target, &req.incoming, end);
-        }
-    }
-
     /// Takes one retry of `service` from the budget. Returns false if none is left.
     fn try_spend_retry(&self, service: &str) -> bool {
         let is_allowed = self.budget.try_spend(service);
@@ -356,7 +333,7 @@
                 flight.record_first_part(None);
                 cx.metrics.record_first_part(&req.service, flight.elapsed());
                 cx.fleet.record_call_result(&flight.target, !is_good);
-                cx.record_complete(&flight, req, ends_with_connection);
+                cx.record_complete(&flight, req, ends_with_connection, is_good);
                 if !is_good && may_repeat(cx, req, attempts) {
                     continue;
                 }
@@ -390,6 +367,7 @@
 /// budget.
 pub(crate) fn may_repeat(cx: &Context, req: &Request, attempts: &AttemptLog) -> bool {
     let why = match attempts.runs {
+        _ if cx.is_suspect(req) => "endpoints crashed under a part of its prompt",
         _ if !req.is_repeatable() => "its route allows no repeat",
         runs if runs >= req.route().attempts => "its route allows no more tries",
         _ if req.remaining().is_zero() => "no time is left",
@@ -422,6 +400,7 @@
             inputs: &input_sizes,
             avoid: &attempts.endpoints,
         };
+        cx.check_parts_again(req, attempts)?;
         let flight = match cx.place(&requirements).await {
             Ok(flight) => flight,
             Err(PlacementError { reason, .. }) if attempts.runs > 0 => {
@@ -444,6 +423,8 @@
                 ));
             }
         };
+        // A part can be blocked while the call waits for a permit.
+        cx.check_parts_again(req, attempts)?;
         req.log.note(flight.chosen_event());
         let crossing = input_sizes.iter().filter(|(az, _)| *az != flight.target.az);
         let crossing = crossing.map(|(_, bytes)| bytes).sum();
--- /dev/null
+++ b/crates/forward/src/serving/part_checks.rs
@@ -0,0 +1,78 @@
+//! Refuses requests with blocked parts of prompts, and records which calls speak for or against the
+//! parts of their prompts.
+
+use super::{AttemptLog, Context, Request};
+use crate::{
+    blocked_parts::CallEnd,
+    call::CallError,
+    error::{ForwardError, Refusal},
+    in_flight::InFlightCall,
+};
+
+impl Context {
+    /// Records a call that ended together with its connection.
+    pub(crate) fn record_lost(
+        &self,
+        flight: &InFlightCall,
+        req: &Request,
+        e: &CallError,
+        end: CallEnd,
+    ) {
+        if matches!(e, CallError::Lost(_)) && !flight.is_steady() {
+            self.crashes.record(&flight.target, &req.incoming, end);
+        }
+    }
+
+    /// Records a call with a complete response.
+    pub(crate) fn record_complete(
+        &self,
+        flight: &InFlightCall,
+        req: &Request,
+        ends_with_connection: bool,
+        is_good: bool,
+    ) {
+        match is_good {
+            // The connection may have ended in a crash.
+            true if ends_with_connection => {
+                let end = CallEnd::Closed;
+                self.crashes.record(&flight.target, &req.incoming, end);
+            }
+            true => self.blocked_parts.record_good(&req.incoming),
+            false => {}
+        }
+    }
+
+    /// Returns true if the request must not be repeated because of a part of its prompt.
+    pub(super) fn is_suspect(&self, req: &Request) -> bool {
+        let event = self
+            .blocked_parts
+            .suspected_event(&req.incoming, &req.service);
+        event.map(|event| req.log.note(event)).is_some()
+    }
+
+    /// Returns an error if a part of the request's prompt is blocked.
+    pub(crate) fn check_parts(&self, req: &Request) -> Result<(), ForwardError> {
+        let Some(block) = self.blocked_parts.block_of(&req.incoming) else {
+            return Ok(());
+        };
+        req.log.note(block.refused_event());
+        Err(ForwardError::retry_later(
+            Refusal::BlockedPart,
+            block.remaining,
+        ))
+    }
+
+    /// Returns an error if a part of the request's prompt was blocked since it was admitted.
+    pub(super) fn check_parts_again(
+        &self,
+        req: &Request,
+        attempts: &AttemptLog,
+    ) -> Result<(), ForwardError> {
+        match self.check_parts(req) {
+            Err(_) if attempts.runs > 0 => {
+                Err(ForwardError::Lost(Refusal::BlockedPart.to_string()))
+            }
+            result => result,
+        }
+    }
+}
--- a/crates/forward/src/start.rs
+++ b/crates/forward/src/start.rs
@@ -21,7 +21,7 @@
 use uuid::Uuid;
 
 use crate::{
-    blocked_parts::CrashDetector,
+    blocked_parts::{BlockedParts, CrashDetector, PartSync, Reporter},
     budgets::{Budgets, SharedBudget},
     collector::{self, Collector},
     control::{KeeperFeed, KeeperSync},
@@ -102,22 +102,25 @@
     links.key = cfg.link_key.as_ref().map(|key| key.expose().to_vec());
     let freshness = Freshness::new(cfg.confirmed_for);
     let (draining_tx, draining) = watch::channel(false);
+    let metrics = Metrics::new()?;
+    let blocked_parts = BlockedParts::new(metrics.clone());
     let feed = KeeperSync {
         links: links.clone(),
         seeds,
         own_link: cfg.advertised_link.unwrap_or(link),
         freshness: freshness.clone(),
+        blocked_parts: blocked_parts.clone(),
         draining: draining.clone(),
     }
     .start();
     let gates = Gates::new(links.clone());
     let budgets = Budgets::new(cfg.budget);
-    let metrics = Metrics::new()?;
     let shared = Shared {
         feed: &feed,
         gates: gates.clone(),
         budgets: &budgets,
         freshness: &freshness,
+        blocked_parts: &blocked_parts,
         metrics: &metrics,
     };
     let cx = context(&cfg, dialect, shared);
@@ -145,6 +148,7 @@
         keepers: feed.keepers.clone(),
     };
     tasks.spawn(notifier.run());
+    tasks.spawn(part_sync(&forwarder.cx, &feed).run());
     tasks.spawn(forwarder.cx.rate_limits.clone().borrow_shares());
     tasks.spawn(poll_reachable_zones(
         forwarder.cx.fleet.clone(),
@@ -197,6 +201,7 @@
     gates: Gates,
     budgets: &'a Budgets,
     freshness: &'a Freshness,
+    blocked_parts: &'a BlockedParts,
     metrics: &'a Metrics,
 }
 
@@ -206,6 +211,7 @@
         gates,
         budgets,
         freshness,
+        blocked_parts,
         metrics,
     } = shared;
     let fleet = Fleet::default();
@@ -231,6 +237,12 @@
         vm: cfg.vm.name.clone(),
         metrics: metrics.clone(),
     });
+    let reporter = Reporter {
+        vm: cfg.vm.name.clone(),
+        parts: blocked_parts.clone(),
+        fleet: fleet.clone(),
+        gates: gates.clone(),
+    };
     Context {
         dialect,
         fleet,
@@ -242,13 +254,23 @@
         },
         budget: Arc::clone(&budgets.requests),
         rate_limits,
-        crashes: CrashDetector::new(metrics.clone()),
+        crashes: CrashDetector::new(metrics.clone(), reporter),
+        blocked_parts: blocked_parts.clone(),
         vm: cfg.vm.name.clone(),
         az: cfg.vm.availability_zone.clone(),
         metrics: metrics.clone(),
     }
 }
 
+fn part_sync(cx: &Context, feed: &KeeperFeed) -> PartSync {
+    PartSync {
+        vm: cx.vm.clone(),
+        parts: cx.blocked_parts.clone(),
+        gates: cx.stages.gates.clone(),
+        keepers: feed.keepers.clone(),
+    }
+}
+
 /// Periodically updates which availability zones are reachable.
 async fn poll_reachable_zones(fleet: Fleet, gates: Gates) {
     loop {
@@ -294,14 +316,17 @@
     let (stages, follower) = (forwarder.cx.stages.clone(), feed.follower.clone());
     let rate_limits = forwarder.cx.rate_limits.clone();
     let fleet = forwarder.cx.fleet.clone();
+    let crashes = forwarder.cx.crashes.clone();
     link::serve(listener, links, move |call: Incoming| {
         let (stages, follower, fleet) = (stages.clone(), follower.clone(), fleet.clone());
-        let rate_limits = rate_limits.clone();
+        let (rate_limits, crashes) = (rate_limits.clone(), crashes.clone());
         async move {
             match call.channel {
                 Channel::Stages => stages.answer(&call.body).await,
                 Channel::Follow => follower.answer(&call.body).await,
-                Channel::Calls => rate_limits.answer(&call.body),
+                Channel::Calls => rate_limits
+                    .answer(&call.body)
+                    .unwrap_or_else(|| crashes.reporter().answer(&call.body)),
                 Channel::Membership => answer_membership(&fleet, &call.body),
                 // The other end can't decode an empty reply and tries another gate.
                 _ => Vec::new(),
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -93,7 +93,7 @@
                     self.cx.fleet.record_call_result(target, !started.is_good);
                     let ends_with_connection = started.exchange.ends_with_connection();
                     let (cx, flight) = (&self.cx, &started.flight);
-                    cx.record_complete(flight, &self.req, ends_with_connection);
+                    cx.record_complete(flight, &self.req, ends_with_connection, started.is_good);
                     let status = started.exchange.status.as_u16();
                     self.req
                         .log_end(started.is_good, status, &target.name, &self.attempts);
@@ -205,6 +205,9 @@
                         self.cx.metrics.record_prompt(&self.req.service, kept, read);
                     }
                 }
+                if started.flight.becomes_steady() {
+                    self.cx.blocked_parts.record_good(&self.req.incoming);
+                }
                 // The endpoint fetched the inputs before it read the prompt.
                 self.inputs.clear();
                 self.record_part();
--- a/crates/logs/src/event.rs
+++ b/crates/logs/src/event.rs
@@ -383,11 +383,11 @@
         /// Number of different parts of these requests' prompts, without the last of each.
         parts: usize,
     },
-    /// Requests with a part of prompts are no longer repeated because endpoints crashed under them.
+    /// A request is not repeated because endpoints crashed under a part of its prompt.
     PartSuspected {
         /// Hash of the part's id, in hexadecimal.
         part: String,
-        /// Service of the request that was not repeated.
+        /// Service of the request.
         service: String,
     },
     /// Requests with a part of prompts are refused from now on because endpoints crashed under them.
--- a/crates/logs/src/kind.rs
+++ b/crates/logs/src/kind.rs
@@ -162,6 +162,7 @@
             | Self::CallFailed
             | Self::NotRepeated
             | Self::PartRefused
+            | Self::PartSuspected
             | Self::Resumed
             | Self::StreamBroken
             | Self::Ledger
@@ -178,7 +179,6 @@
             | Self::EndpointLimited
             | Self::EndpointUnreached
             | Self::EndpointCrashed
-            | Self::PartSuspected
             | Self::PartBlocked
             | Self::PartUnblocked
             | Self::ZonesOut
