--- a/crates/forward/src/attempts.rs
+++ b/crates/forward/src/attempts.rs
@@ -7,6 +7,7 @@
 use tokio::time::Instant;
 
 use crate::{
+    blocked_parts::CallEnd,
     call::{self, CallError, Exchange},
     dialect::{Attempt, ResponseClass},
     error::{ForwardError, Refusal},
@@ -91,6 +92,7 @@
 /// budget.
 pub(crate) fn may_repeat(cx: &Context, req: &Request, attempts: &mut AttemptLog) -> bool {
     let why = match attempts.runs {
+        _ if cx.is_suspect(req) => "endpoints crashed under a part of its prompt",
         _ if !req.is_repeatable() => "its route allows no repeat",
         runs if runs >= req.route().attempts => "its route allows no more tries",
         _ if req.remaining().is_zero() => "no time is left",
@@ -203,7 +205,11 @@
         inputs: &input_sizes,
         avoid: &attempts.endpoints,
     };
-    cx.place(&requirements).await
+    cx.check_placement(req)?;
+    let flight = cx.place(&requirements).await?;
+    // A part can be blocked while the call waits for a permit.
+    cx.check_placement(req)?;
+    Ok(flight)
 }
 
 /// Writes the call for the endpoint of `flight` and records it as an attempt.
@@ -265,6 +271,7 @@
                 CallError::Unreached(why) => target.record_connect_failure(why),
                 _ => cx.fleet.record_call_result(target, true),
             }
+            cx.record_lost(&flight, req, &e, CallEnd::Unanswered);
             return Err(match e {
                 CallError::Unreached(_) => AttemptFailure::Unreached,
                 e if e.may_have_run() => AttemptFailure::Lost(e),
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -12,6 +12,7 @@
 mod availability;
 mod batch;
 mod batch_outcome;
+mod blocked_parts;
 mod budgets;
 mod cache;
 mod call;
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -34,6 +34,8 @@
     items_without_result: IntCounterVec,
     endpoints: IntGaugeVec,
     ejections: IntCounter,
+    crashes: IntCounterVec,
+    blocked_parts: IntGauge,
     confirmed: IntGauge,
     in_flight: IntGauge,
 }
@@ -163,6 +165,15 @@
                 &["service", "state"],
             )?,
             ejections: registrar.counter("ejections_total", "Endpoints ejected.")?,
+            crashes: registrar.counters(
+                "endpoint_crashes_total",
+                "Endpoints that broke off calls of this gate and refused connections.",
+                &["service"],
+            )?,
+            blocked_parts: registrar.gauge(
+                "blocked_parts",
+                "Parts of prompts that are blocked because endpoints crashed under them.",
+            )?,
             confirmed: registrar.gauge(
                 "confirmed_age_ms",
                 "Age of the last confirmation of the declaration; -1 for none.",
@@ -218,6 +229,16 @@
         self.permits.with_label_values(&[service, outcome]).inc();
     }
 
+    /// Counts a crash of an endpoint.
+    pub(crate) fn record_crash(&self, service: &str) {
+        self.crashes.with_label_values(&[service]).inc();
+    }
+
+    /// Sets the number of blocked parts.
+    pub(crate) fn set_blocked_parts(&self, parts: usize) {
+        self.blocked_parts.set(parts as i64);
+    }
+
     /// Counts items of a call that have no result, by cause.
     pub(crate) fn record_items_without_result(
         &self,
--- a/crates/forward/src/serving.rs
+++ b/crates/forward/src/serving.rs
@@ -1,5 +1,7 @@
 //! Serves one request from its route to its response.
 
+mod part_checks;
+
 use std::{sync::Arc, time::Duration};
 
 use declaration::{RepeatPolicy, ResponseKind, Route};
@@ -9,6 +11,7 @@
 
 use crate::{
     attempts::{AttemptLog, may_repeat, start_response},
+    blocked_parts::{BlockedParts, CrashDetector},
     call::CallError,
     dialect::Dialect,
     error::{ForwardError, Refusal},
@@ -46,6 +49,8 @@
     pub(crate) stages: Stages,
     pub(crate) budget: Arc<RetryBudget>,
     pub(crate) rate_limits: RateLimits,
+    pub(crate) crashes: CrashDetector,
+    pub(crate) blocked_parts: BlockedParts,
     /// The VM name of this gate.
     pub(crate) vm: String,
     pub(crate) az: String,
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     attempts::{AttemptLog, StartedResponse, may_repeat, start_response},
+    blocked_parts::CallEnd,
     call::CallError,
     events::{self, EventSplitter},
     response::Response,
@@ -200,6 +201,13 @@
         let started = source.started;
         let target = &started.flight.target;
         self.cx.fleet.record_call_result(target, !started.is_good);
+        let ends_with_connection = started.exchange.ends_with_connection();
+        self.cx.record_complete(
+            &started.flight,
+            &self.req,
+            ends_with_connection,
+            started.is_good,
+        );
         attempts.first_part = self.first_part;
         attempts.max_pause = self.max_pause;
         let status = started.exchange.status.as_u16();
@@ -253,8 +261,12 @@
 
     /// Records that the endpoint broke the stream off or stayed silent until the deadline.
     fn record_broken(&self, source: &Source, error: &StreamError) {
-        let target = &source.started.flight.target;
+        let flight = &source.started.flight;
+        let target = &flight.target;
         self.cx.fleet.record_call_result(target, true);
+        if let StreamError::Endpoint(e) = error {
+            self.cx.record_lost(flight, &self.req, e, CallEnd::Broken);
+        }
         if self.is_silent(source) && self.req.remaining().is_zero() {
             return self.record_silence(source, SilenceOutcome::Deadline, &error.to_string());
         }
@@ -439,6 +451,9 @@
             return checked;
         }
         self.record_first_part(&mut source.started);
+        if source.started.flight.becomes_steady() {
+            self.cx.blocked_parts.record_good(&self.req.incoming);
+        }
         // The endpoint fetched the inputs before it read the prompt.
         self.inputs.clear();
         self.record_part();
--- a/crates/forward/src/successor.rs
+++ b/crates/forward/src/successor.rs
@@ -105,6 +105,11 @@
         _ if attempts.endpoints.len() >= MAX_CONNECT_FAILURES => {
             return Err(NoSuccessor::never("no other endpoint could be reached"));
         }
+        _ if cx.may_crash(req) => {
+            return Err(NoSuccessor::not_now(
+                "endpoints crashed under a part of its prompt",
+            ));
+        }
         _ if !can_pay() => return Err(NoSuccessor::not_now(BUDGET_SPENT)),
         _ => {}
     }
--- a/crates/forward/src/whole.rs
+++ b/crates/forward/src/whole.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     attempts::{self, AttemptFailure, AttemptLog, PreparedCall, may_repeat, next_call, next_step},
+    blocked_parts::CallEnd,
     error::ForwardError,
     fleet::Target,
     response::{Response, WholeResponse},
@@ -113,18 +114,21 @@
     };
     let (exchange, mut flight, is_good) = (started.exchange, started.flight, started.is_good);
     let (status, headers) = (exchange.status, exchange.headers.clone());
+    let ends_with_connection = exchange.ends_with_connection();
     let read = exchange.read_body(&cx.pool, MAX_ANSWER_BYTES, req.deadline);
     let body = match read.await {
         Ok(body) => body,
         Err(e) => {
             cx.fleet.record_call_result(&target, true);
             req.record_failed_call(&flight, &e);
+            cx.record_lost(&flight, req, &e, CallEnd::Broken);
             return (target, Err(AttemptFailure::Lost(e)));
         }
     };
     flight.record_first_part(None);
     cx.metrics.record_first_part(&req.service, flight.elapsed());
     cx.fleet.record_call_result(&target, !is_good);
+    cx.record_complete(&flight, req, ends_with_connection, is_good);
     let answer = Answer {
         endpoint: target.name.clone(),
         status,
--- a/crates/logs/src/kind.rs
+++ b/crates/logs/src/kind.rs
@@ -34,6 +34,11 @@
     EndpointPaused,
     EndpointLimited,
     EndpointUnreached,
+    EndpointCrashed,
+    PartSuspected,
+    PartBlocked,
+    PartUnblocked,
+    PartRefused,
     ZonesOut,
     Collects,
     Confirmation,
@@ -58,7 +63,7 @@
 
 impl Kind {
     /// All kinds, in the order of their discriminants.
-    pub const ALL: [Self; 37] = [
+    pub const ALL: [Self; 42] = [
         Self::Admitted,
         Self::StageSent,
         Self::StageMade,
@@ -83,6 +88,11 @@
         Self::EndpointPaused,
         Self::EndpointLimited,
         Self::EndpointUnreached,
+        Self::EndpointCrashed,
+        Self::PartSuspected,
+        Self::PartBlocked,
+        Self::PartUnblocked,
+        Self::PartRefused,
         Self::ZonesOut,
         Self::Collects,
         Self::Confirmation,
@@ -125,6 +135,11 @@
             Self::EndpointPaused => "endpoint_paused",
             Self::EndpointLimited => "endpoint_limited",
             Self::EndpointUnreached => "endpoint_unreached",
+            Self::EndpointCrashed => "endpoint_crashed",
+            Self::PartSuspected => "part_suspected",
+            Self::PartBlocked => "part_blocked",
+            Self::PartUnblocked => "part_unblocked",
+            Self::PartRefused => "part_refused",
             Self::ZonesOut => "zones_out",
             Self::Collects => "collects",
             Self::Confirmation => "confirmation",
@@ -152,6 +167,8 @@
             | Self::Chosen
             | Self::CallFailed
             | Self::NotRepeated
+            | Self::PartRefused
+            | Self::PartSuspected
             | Self::Resumed
             | Self::StreamBroken
             | Self::Silent
@@ -168,6 +185,9 @@
             | Self::EndpointPaused
             | Self::EndpointLimited
             | Self::EndpointUnreached
+            | Self::EndpointCrashed
+            | Self::PartBlocked
+            | Self::PartUnblocked
             | Self::ZonesOut
             | Self::Collects
             | Self::Confirmation
@@ -186,9 +206,12 @@
 
     pub(crate) fn level(self) -> Level {
         match self {
-            Self::EndpointEjected | Self::ZonesOut | Self::RolloutHalted | Self::LeftOut => {
-                Level::Warn
-            }
+            Self::EndpointEjected
+            | Self::EndpointCrashed
+            | Self::PartBlocked
+            | Self::ZonesOut
+            | Self::RolloutHalted
+            | Self::LeftOut => Level::Warn,
             _ => Level::Info,
         }
     }
