Gate: a stream goes on elsewhere if its engine is silent on new connections too

A stream of /v1 whose engine froze in the middle of the text failed at its deadline, though another engine was free and time was left: it was resumed at its own engine, whose new connection was silent as well, and a resumption had no hedge.

Now another endpoint joins the race after the same wait as a second connection (`first_byte_ms`, or twice the usual time to a first part, at most half of the time left), out of the retry budget.

--- a/crates/gate/src/hedging.rs
+++ b/crates/gate/src/hedging.rs
@@ -71,12 +71,14 @@
             bytes: work.input_bytes(),
         });
         let stall = first_byte_wait(cx, lag, remaining);
-        Self {
+        let hedge = match work.is_resumption() {
             // An interrupted stream is first resumed at its own endpoint.
-            hedge: lag
-                .filter(|lag| *lag < remaining && !work.is_resumption())
-                .map(|lag| now + lag),
-            hedge_retry_interval: lag.unwrap_or_default().max(MIN_HEDGE_RETRY_INTERVAL),
+            true => Some(stall),
+            false => lag.filter(|lag| *lag < remaining),
+        };
+        Self {
+            hedge: hedge.map(|delay| now + delay),
+            hedge_retry_interval: hedge.unwrap_or_default().max(MIN_HEDGE_RETRY_INTERVAL),
             new_connection: Some(now + silence_threshold(lag).min(stall)),
             stall: now + stall,
         }
--- a/crates/gate/tests/silence.rs
+++ b/crates/gate/tests/silence.rs
@@ -245,3 +245,21 @@
         assert_whole(&answer);
     }
 }
+
+/// Guards against waiting until the deadline for an engine that is silent on new connections too.
+#[tokio::test]
+async fn stream_of_a_frozen_engine_goes_on_elsewhere() {
+    let env = Env::start().await;
+    let gate = start_gate(&env).await;
+    let handler = |call: &ReceivedCall| match (call.nth, call.body["resume"].is_null()) {
+        (_, true) => Reply::Stream(vec![Step::Chunk(0, "abc"), Step::Stall]),
+        (0, false) => Reply::Stream(vec![Step::Chunk(3, "def"), Step::Done]),
+        _ => Reply::Silent,
+    };
+    let one = FakeEndpoint::start("one", "llm", handler).await;
+    let two = FakeEndpoint::start("two", "llm", handler).await;
+    gate.announce(&one).await;
+    gate.announce(&two).await;
+    let answer = gate.post("chat", &[DEADLINE], json!("x")).await;
+    assert_whole(&answer);
+}
