--- a/crates/gate/src/succession.rs
+++ b/crates/gate/src/succession.rs
@@ -21,9 +21,9 @@
 /// Shortest time that a stream which lags, but goes on, waits for the endpoint that it moves to.
 const MIN_MOVE_WAIT: Duration = Duration::from_millis(150);
 
-/// Calls the endpoint `successor` and waits until it or `current` responds. Returns true if `current`
-/// was replaced by the other call, whose response has begun. Fails if the connection of `current` is
-/// lost and the other call fails too.
+/// Calls the [`Successor`] and waits until it or `current` responds. Returns true if `current` was
+/// replaced by the other call, whose response has begun. Fails if the connection of `current` is lost
+/// and the other call fails too.
 ///
 /// `cause` is [`CallError::Stalled`], or [`CallError::Lagging`] for a stream that has to move even if
 /// it goes on.
@@ -36,7 +36,9 @@
     (picked, connection): Successor,
     cause: CallError,
 ) -> Result<bool, StageError> {
-    cx.gate.pool.close_idle(current.picked.address());
+    if cause != CallError::Lagging {
+        cx.gate.pool.close_idle(current.picked.address());
+    }
     cx.gate.metrics.record_retry(stage.name);
     let name = picked.name().to_owned();
     let finished = {
