Gate: a call of a service without statistics is hedged as late as a new connection

A call of /v1 to a frozen endpoint failed at its deadline, though another endpoint was free, if the gate knew fewer than 20 times to a first part for its service and size: there was no hedge, and only a second connection to the same endpoint was tried.

Now it is hedged at the time of the second connection (`first_byte_ms`, at most half of the time left), out of the retry budget. A service that usually needs longer than that gets hedges until its times are known or the reserve of its budget is spent.

--- a/crates/gate/src/hedging.rs
+++ b/crates/gate/src/hedging.rs
@@ -71,14 +71,14 @@
             bytes: work.input_bytes(),
         });
         let stall = first_byte_wait(cx, lag, remaining);
-        let hedge = match work.is_resumption() {
+        let hedge = match lag {
             // An interrupted stream is first resumed at its own endpoint.
-            true => Some(stall),
-            false => lag.filter(|lag| *lag < remaining),
+            Some(lag) if lag < remaining && !work.is_resumption() => lag,
+            _ => stall,
         };
         Self {
-            hedge: hedge.map(|delay| now + delay),
-            hedge_retry_interval: hedge.unwrap_or_default().max(MIN_HEDGE_RETRY_INTERVAL),
+            hedge: Some(now + hedge),
+            hedge_retry_interval: hedge.max(MIN_HEDGE_RETRY_INTERVAL),
             new_connection: Some(now + silence_threshold(lag).min(stall)),
             stall: now + stall,
         }
--- a/crates/gate/tests/silence.rs
+++ b/crates/gate/tests/silence.rs
@@ -2,7 +2,10 @@
 
 mod env;
 
-use std::time::Duration;
+use std::{
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
 use env::{
     Env, Gate,
@@ -264,3 +267,27 @@
     let answer = gate.post("chat", &[DEADLINE], json!("x")).await;
     assert_whole(&answer);
 }
+
+/// Guards against waiting until the deadline for a frozen endpoint of a service without statistics.
+#[tokio::test]
+async fn first_call_of_a_service_goes_elsewhere_if_its_endpoint_is_frozen() {
+    for (pipeline, service) in TARGETS {
+        let env = Env::start().await;
+        let gate = start_gate(&env).await;
+        let frozen: Arc<OnceLock<String>> = Arc::default();
+        let start = |name: &'static str| {
+            let frozen = Arc::clone(&frozen);
+            FakeEndpoint::start(name, service, move |call| {
+                match frozen.get_or_init(|| name.to_owned()) == name {
+                    true => Reply::Silent,
+                    false => with_silence(call),
+                }
+            })
+        };
+        let (one, two) = (start("one").await, start("two").await);
+        gate.announce(&one).await;
+        gate.announce(&two).await;
+        let answer = gate.post(pipeline, &[DEADLINE], json!("x")).await;
+        assert_whole(&answer);
+    }
+}
