Let a request earn retries once

What callers saw: nothing by themselves; endpoints got more retries than the budget allows. Found while reading the attempts for silent streams.

Cause: `start_response` records a first attempt, and it also starts resumed streams and repeats, so that each retry earned a share of the next one.

Test, before the fix, resumed_stream_earns_no_further_retries: FAILED left: 4 right: 2, "one attempt and the retry that it earns"

Now a request is recorded once when it is served, also if its stages fail before an endpoint is called.

--- a/crates/forward/src/attempts.rs
+++ b/crates/forward/src/attempts.rs
@@ -109,7 +109,6 @@
     attempts: &mut AttemptLog,
     last_event_id: Option<u64>,
 ) -> Result<StartedResponse, ForwardError> {
-    cx.budget.record_first_attempt(&req.service);
     loop {
         let call = next_call(cx, req, inputs, attempts, last_event_id).await?;
         let target = Arc::clone(&call.flight.target);
--- a/crates/forward/src/serving.rs
+++ b/crates/forward/src/serving.rs
@@ -191,6 +191,7 @@
 /// Serves a request: its stages, then an endpoint. If stage results are gone by then, for example
 /// together with the endpoint that held them, the stages run once more.
 pub(crate) async fn serve(cx: &Context, req: Request) -> Result<Response, ForwardError> {
+    cx.budget.record_first_attempt(&req.service);
     let mut attempts = AttemptLog::default();
     match serve_once(cx, &req, &mut attempts).await {
         Err(ForwardError::Refused {
--- a/crates/forward/src/whole.rs
+++ b/crates/forward/src/whole.rs
@@ -62,7 +62,6 @@
     inputs: &[Arc<Results>],
     attempts: &mut AttemptLog,
 ) -> Result<Response, ForwardError> {
-    cx.budget.record_first_attempt(&req.service);
     let mut calls = Calls {
         cx,
         req,
