--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -35,7 +35,7 @@
     /// The caller disconnected.
     #[error("the caller disconnected")]
     CallerGone,
-    /// The endpoint tx the stream or stopped sending.
+    /// The endpoint broke the stream off or stopped sending.
     #[error("{0}")]
     Endpoint(CallError),
     /// Event ids did not increase.
