End streams of a lost relay as incomplete

What callers saw: a stream whose relay task ended without finish or abort (a panic, or the drop of tasks at the end of the process) got the last chunk of a complete response, so that a cut stream looked complete.

Cause: `ResponseBody::Parts` took a closed channel for the end of the body.

Found by reading; not seen in a run of the system.

Why the fix works: the relay sends `StreamPart::End` once the response is complete; the body fails if its channel closes before, and the HTTP library then closes the connection without the last chunk.

Ruled out: the other ends of the relay. `abort` sends an error, and without a caller the body is gone already.

--- a/crates/forward/src/response.rs
+++ b/crates/forward/src/response.rs
@@ -21,16 +21,28 @@
     pub(crate) body: Bytes,
 }
 
+/// What the relay of a stream passes on: a part, its end, or an error that aborts it.
+pub(crate) type StreamItem = io::Result<StreamPart>;
+
+/// A part of a stream, or its end.
+#[derive(Debug)]
+pub enum StreamPart {
+    /// Complete events.
+    Bytes(Bytes),
+    /// The stream is complete.
+    End,
+}
+
 /// A response to a caller.
 #[derive(Debug)]
 pub(crate) enum Response {
     /// A complete response.
     Whole(WholeResponse),
-    /// A stream; an error as a part aborts it.
+    /// A stream. It is complete only with [`StreamPart::End`].
     Streamed {
         status: StatusCode,
         headers: HeaderMap,
-        parts: mpsc::Receiver<io::Result<Bytes>>,
+        parts: mpsc::Receiver<StreamItem>,
     },
 }
 
@@ -39,8 +51,8 @@
 pub enum ResponseBody {
     /// A complete body.
     Whole(Option<Bytes>),
-    /// A body that is sent in parts.
-    Parts(mpsc::Receiver<io::Result<Bytes>>),
+    /// A body that is sent in parts. It fails if its sender is gone before the end.
+    Parts(mpsc::Receiver<io::Result<StreamPart>>),
 }
 
 impl Body for ResponseBody {
@@ -56,10 +68,12 @@
                 let bytes = bytes.take().filter(|bytes| !bytes.is_empty());
                 Poll::Ready(bytes.map(|bytes| Ok(Frame::data(bytes))))
             }
-            Self::Parts(parts) => {
-                let part = std::task::ready!(parts.poll_recv(cx));
-                Poll::Ready(part.map(|part| part.map(Frame::data)))
-            }
+            Self::Parts(parts) => Poll::Ready(match std::task::ready!(parts.poll_recv(cx)) {
+                Some(Ok(StreamPart::Bytes(bytes))) => Some(Ok(Frame::data(bytes))),
+                Some(Ok(StreamPart::End)) => None,
+                Some(Err(e)) => Some(Err(e)),
+                None => Some(Err(io::Error::other("the relay of the stream is gone"))),
+            }),
         }
     }
 
@@ -76,3 +90,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -17,7 +17,7 @@
     attempts::{AttemptLog, StartedResponse, may_repeat, start_response},
     call::CallError,
     events::{self, EventSplitter},
-    response::Response,
+    response::{Response, StreamItem, StreamPart},
     serving::{Context, Request},
     stages::Results,
     successor::{NoSuccessor, RECHECK_INTERVAL, start_successor},
@@ -135,7 +135,7 @@
     cx: Context,
     req: Request,
     inputs: Vec<Arc<Results>>,
-    tx: mpsc::Sender<io::Result<Bytes>>,
+    tx: mpsc::Sender<StreamItem>,
     /// Media type of the first response.
     media_type: Option<String>,
     /// Id of the last relayed event.
@@ -160,7 +160,7 @@
         let mut source = Source::new(started);
         loop {
             let error = match self.relay(&mut source, &mut attempts).await {
-                Ok(None) => return self.finish(source, attempts),
+                Ok(None) => return self.finish(source, attempts).await,
                 Ok(Some(successor)) => {
                     self.record_resumed(&successor);
                     // Closes the connection, which stops the silent endpoint.
@@ -196,16 +196,22 @@
     }
 
     /// Records the end of a complete response.
-    fn finish(self, source: Source, mut attempts: AttemptLog) {
-        let started = source.started;
-        let target = &started.flight.target;
-        self.cx.fleet.record_call_result(target, !started.is_good);
+    async fn finish(self, source: Source, mut attempts: AttemptLog) {
+        let StartedResponse {
+            exchange,
+            flight,
+            is_good,
+        } = source.started;
+        let target = &flight.target;
+        self.cx.fleet.record_call_result(target, !is_good);
         attempts.first_part = self.first_part;
         attempts.max_pause = self.max_pause;
-        let status = started.exchange.status.as_u16();
-        self.req
-            .log_end(started.is_good, status, &target.name, &attempts);
-        started.exchange.release(&self.cx.pool);
+        let status = exchange.status.as_u16();
+        self.req.log_end(is_good, status, &target.name, &attempts);
+        exchange.release(&self.cx.pool);
+        drop(flight);
+        // The caller may have disconnected.
+        let _ = self.tx.send(Ok(StreamPart::End)).await;
     }
 
     /// Resumes a stream that broke off at another endpoint. Without one, ends it.
@@ -492,7 +498,7 @@
 
     async fn send(&self, bytes: Bytes) -> Result<(), StreamError> {
         self.tx
-            .send(Ok(bytes))
+            .send(Ok(StreamPart::Bytes(bytes)))
             .await
             .map_err(|_| StreamError::CallerGone)
     }
