Keep a response with an enormous load report

What callers saw: in a build with overflow checks, a request whose endpoint reports a load of more than 32 bits ends with a closed connection, neither answered nor refused. In a release build the sum wraps, and the endpoint counts as idle (read in the code, not run).

Cause: `attempts::send` adds the two numbers of a load report; the addition panics in the task of the caller's connection.

Evidence: `raw_endpoints response_with_an_enormous_load_is_forwarded` failed before: "Err(ClientError { step: "call", …, reason: "client error (SendRequest): connection closed before message completed" })".

Why the fix works: the sum saturates.

Ruled out: pauses without end (capped to 60 s in `availability` and `routing`).

--- a/crates/forward/src/attempts.rs
+++ b/crates/forward/src/attempts.rs
@@ -281,7 +281,8 @@
     if let Some(load) = (cx.dialect.load)(&exchange.headers) {
         let mut stats = target.stats();
         let own = stats.in_flight;
-        stats.record_load(load.running + load.waiting, own, Instant::now());
+        let calls = load.running.saturating_add(load.waiting);
+        stats.record_load(calls, own, Instant::now());
     }
     match class {
         ResponseClass::Success | ResponseClass::Failed => {
--- a/crates/forwarder/tests/raw_endpoints.rs
+++ b/crates/forwarder/tests/raw_endpoints.rs
@@ -250,3 +250,16 @@
         }
     }
 }
+
+/// Guards against a request that ends without an answer because its endpoint reports an enormous load.
+#[tokio::test(flavor = "multi_thread")]
+async fn response_with_an_enormous_load_is_forwarded() {
+    let (cluster, _endpoints) = start(|req| {
+        let headers = format!("Jujube-Load: {},1,1\r\n", u32::MAX);
+        (whole(req, "200 OK", &headers, "done"), Then::KeepOpen)
+    })
+    .await;
+    let response = cluster.send(CallerRequest::new("/raw-once/1", "loaded"));
+    let status = response.await.map(|response| response.status);
+    assert!(matches!(status, Ok(StatusCode::OK)), "{status:?}");
+}
