End kept connections after their limits changed

What callers saw: after a change that raises the size of a request's head, a connection opened before denied a proper request with 431 for as long as it was kept open.

Cause: `server::connection` takes the limits of the declaration once, when the connection opens (`max_buf_size`, `header_read_timeout`).

Evidence: `connections kept_connection_ends_after_its_limits_changed` failed before: the response on the kept connection had no `connection: close` (connections.rs:213).

Why the fix works: the first response after the change ends the connection, and the caller opens one with the limits in force. No connection is closed under a request.

Left open: a long head as the very first request after the change still gets 431, and an idle connection still ends at its old idle time. The HTTP library can't change these limits on an open connection.

Ruled out: closing idle connections at the change, which crosses requests.

--- a/crates/forward/src/server.rs
+++ b/crates/forward/src/server.rs
@@ -3,7 +3,11 @@
 use std::{convert::Infallible, pin::Pin, time::Duration};
 
 use hyper::{
-    Request, Response as HttpResponse, body::Incoming, server::conn::http1, service::service_fn,
+    Request, Response as HttpResponse,
+    body::Incoming,
+    header::{CONNECTION, HeaderValue},
+    server::conn::http1,
+    service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
@@ -72,7 +76,12 @@
     let callers = forwarder.rules.borrow().declaration.callers.clone();
     let head_timer = HeadTimer::new();
     let tracked = head_timer.clone();
-    let service = service_fn(move |req| handle(forwarder.clone(), req, tracked.answering()));
+    let (idle_timeout, head_timeout) = (callers.idle_timeout, callers.head_timeout);
+    let max_buffer = (callers.head_bytes as usize * 2).max(MIN_BUFFER);
+    let service = service_fn(move |req| {
+        let is_outdated = forwarder.rules.borrow().declaration.callers != callers;
+        handle(forwarder.clone(), req, tracked.answering(), is_outdated)
+    });
     let stream = TrackedStream {
         stream,
         head_timer: head_timer.clone(),
@@ -80,13 +89,13 @@
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // Counted from the end of the last response, so it limits idle connections as well.
-        .header_read_timeout(callers.idle_timeout.max(callers.head_timeout))
-        .max_buf_size((callers.head_bytes as usize * 2).max(MIN_BUFFER))
+        .header_read_timeout(idle_timeout.max(head_timeout))
+        .max_buf_size(max_buffer)
         .serve_connection(TokioIo::new(stream), service);
     let end = tokio::select! {
         // Connection errors concern only the caller.
         _ = &mut connection => ConnectionEnd::Closed,
-        () = head_timer.timed_out(callers.head_timeout) => ConnectionEnd::SlowHead,
+        () = head_timer.timed_out(head_timeout) => ConnectionEnd::SlowHead,
         _ = phase.wait_for(|phase| *phase == Phase::Closing) => ConnectionEnd::Closing,
     };
     match end {
@@ -107,12 +116,19 @@
     Closing,
 }
 
+/// Handles one request. Its response is the last one on a connection whose limits are no longer
+/// those declared.
 async fn handle(
     forwarder: Forwarder,
     req: Request<Incoming>,
     answering: AnsweringGuard,
+    is_outdated: bool,
 ) -> Result<HttpResponse<TrackedBody<ResponseBody>>, Infallible> {
-    let answered = forwarder.handle(req).await?;
+    let mut answered = forwarder.handle(req).await?;
+    if is_outdated {
+        let close = HeaderValue::from_static("close");
+        answered.headers_mut().insert(CONNECTION, close);
+    }
     Ok(answered.map(|body| TrackedBody {
         body,
         _answering: answering,
