Call both raw endpoints in the setup of tests

Cause: probes went one by one, and placement takes the endpoint of the least expected cost. While neither has a call in flight, that is the one that answered faster before (`placement::cost`, `slowness`), so the other may not be called for long.

Why the fix works: two probes beside each other; the call in flight raises the cost of its endpoint. The condition that is awaited and its bound are the same.

--- a/crates/forwarder/tests/support/mod.rs
+++ b/crates/forwarder/tests/support/mod.rs
@@ -216,9 +216,14 @@
             self.endpoints.push(stand_in::start(cfg).await.unwrap());
         }
         until("both endpoints are called", async || {
-            let id = Uuid::now_v7().to_string();
-            // The first ones may come before an endpoint is known.
-            let _ = self.send(CallerRequest::new(PROBE_PATH, &id)).await;
+            let ids = [Uuid::now_v7(), Uuid::now_v7()].map(|id| id.to_string());
+            let [first, second] = &ids;
+            // Beside each other, since one by one they may all go to the faster endpoint. The first
+            // ones may come before an endpoint is known.
+            let _ = tokio::join!(
+                self.send(CallerRequest::new(PROBE_PATH, first)),
+                self.send(CallerRequest::new(PROBE_PATH, second)),
+            );
             let is_called = |e: &RawEndpoint| !e.requests().is_empty();
             endpoints.iter().all(is_called).then_some(())
         })
