Count a part of a prompt once in the cache estimate

What callers saw: in a build with overflow checks, a stream can end when the prompt of another request is recorded: the panic is in the task that relays it. In a release build the total wraps (read in the code, not run), after which every further read evicts the whole estimate, so that shared parts no longer lead to the engine that keeps them.

Cause: `PrefixCache::record_read` replaced the tokens of a known part without adding the difference to the total, and `evict` subtracted the new ones. A part's hash does not include its number of tokens, which callers name.

Evidence: `cache::tests::part_with_another_number_of_tokens_is_counted_once` failed before: "panicked at crates/forward/src/cache.rs:75:13: attempt to subtract with overflow". An earlier form of the test, below the capacity of the old total, failed with "left: 5000, right: 0": a part larger than the engine counted as cached.

Why the fix works: the total is always the sum of the parts that are tracked.

--- a/crates/forward/src/cache.rs
+++ b/crates/forward/src/cache.rs
@@ -49,9 +49,9 @@
                 tokens: part.tokens,
                 used: now,
             };
-            if self.parts.insert(part.prefix_hash, entry).is_none() {
-                self.tokens += u64::from(part.tokens);
-            }
+            let replaced = self.parts.insert(part.prefix_hash, entry);
+            self.tokens += u64::from(part.tokens);
+            self.tokens -= replaced.map_or(0, |replaced| u64::from(replaced.tokens));
         }
         if self.tokens > self.capacity_tokens || self.parts.len() > MAX_PARTS {
             self.evict();
