Add the tokens of a prompt's parts without overflow

What callers saw: in a build with overflow checks, a request whose parts name more than 32 bits of tokens together ends with a closed connection, neither answered nor refused. In a release build the sum wraps and only the choice of the endpoint is affected (read in the code, not run).

Cause: `placement::cost` and `PrefixCache::cached_tokens` sum the numbers, which callers name, as `u32`.

Evidence: `placement::tests::prompt_with_enormous_parts_is_placed` failed before: "panicked at …/iter/traits/accum.rs:204:1: attempt to add with overflow".

Why the fix works: the sums are wider than any prompt that fits into a head.

--- a/crates/forward/src/cache.rs
+++ b/crates/forward/src/cache.rs
@@ -36,10 +36,10 @@
     }
 
     /// Returns the number of leading tokens of `prompt` that the engine probably has cached.
-    pub(crate) fn cached_tokens(&self, prompt: &Prompt) -> u32 {
+    pub(crate) fn cached_tokens(&self, prompt: &Prompt) -> u64 {
         let parts = prompt.parts.iter();
         let held = parts.take_while(|part| self.parts.contains_key(&part.prefix_hash));
-        held.map(|part| part.tokens).sum()
+        held.map(|part| u64::from(part.tokens)).sum()
     }
 
     /// Records that the engine has read `prompt`.
--- a/crates/forward/src/placement.rs
+++ b/crates/forward/src/placement.rs
@@ -190,13 +190,13 @@
     }
     let (unread_tokens, reread_tokens) = requirements.prompt.map_or((0.0, 0.0), |prompt| {
         let shared = prompt.parts.iter().rev().skip(1).map(|p| p.tokens);
-        let shared = f64::from(shared.sum::<u32>());
+        let shared: f64 = shared.map(f64::from).sum();
         let preferred_tokens = if is_preferred {
             shared * PREFERRED_CACHED_SHARE
         } else {
             0.0
         };
-        let cached = f64::from(stats.cache.cached_tokens(prompt)).max(preferred_tokens);
+        let cached = (stats.cache.cached_tokens(prompt) as f64).max(preferred_tokens);
         let unread_tokens = (f64::from(prompt.tokens) - cached).max(1.0);
         (unread_tokens, (shared - cached).max(0.0))
     });
--- a/crates/forward/src/placement/tests.rs
+++ b/crates/forward/src/placement/tests.rs
@@ -1,4 +1,5 @@
 use membership::{EndpointState, EndpointView};
+use tokio::time::Instant;
 
 use super::Requirements;
 use crate::{
@@ -81,3 +82,17 @@
     let third = fleet.place(&requirements(Some(&two), &[])).unwrap().ready();
     assert_ne!(third.target.name, preferred);
 }
+
+// Guards against a request that ends without an answer because its prompt names enormous parts.
+#[tokio::test]
+async fn prompt_with_enormous_parts_is_placed() {
+    let fleet = fleet(&[("near", "a", READY)]);
+    let parts = ["one", "two", "three"].map(|id| (id, u32::MAX));
+    let prompt = Prompt::new("m", u32::MAX, 1, parts.into_iter());
+    let flight = fleet.place(&requirements(Some(&prompt), &[])).unwrap();
+    let flight = flight.ready();
+    let now = Instant::now();
+    flight.target.stats().cache.record_read(&prompt, now);
+    let again = fleet.place(&requirements(Some(&prompt), &[])).unwrap();
+    assert_eq!(again.ready().target.name, "near");
+}
