Add own and reported calls without overflow

What callers saw: in a build with overflow checks, a request that comes while an endpoint with an enormous load report has more calls in flight than at the report ends with a closed connection.

Cause: `Stats::load` adds the calls in flight to those reported; the sum panics in the task of the caller's connection.

Evidence: `placement::tests::endpoint_with_an_enormous_load_is_full` failed before: "panicked at crates/forward/src/fleet.rs:162:9: attempt to add with overflow".

Why the fix works: the sum saturates, and the endpoint counts as full.

--- a/crates/forward/src/fleet.rs
+++ b/crates/forward/src/fleet.rs
@@ -159,7 +159,8 @@
         let is_fresh = self
             .other_calls_at
             .is_some_and(|at| now.saturating_duration_since(at) < LOAD_REPORT_TTL);
-        self.in_flight + if is_fresh { self.other_calls } else { 0 }
+        let others = if is_fresh { self.other_calls } else { 0 };
+        self.in_flight.saturating_add(others)
     }
 
     /// Records a reported number of running and waiting calls, `own` of which are from this gate.
--- a/crates/forward/src/placement/tests.rs
+++ b/crates/forward/src/placement/tests.rs
@@ -96,3 +96,14 @@
     let again = fleet.place(&requirements(Some(&prompt), &[])).unwrap();
     assert_eq!(again.ready().target.name, "near");
 }
+
+// Guards against a request that ends without an answer after an endpoint reported an enormous load.
+#[tokio::test]
+async fn endpoint_with_an_enormous_load_is_full() {
+    let fleet = fleet(&[("near", "a", READY)]);
+    let flight = fleet.place(&requirements(None, &[])).unwrap().ready();
+    let now = Instant::now();
+    flight.target.stats().record_load(u32::MAX, 0, now);
+    let refused = fleet.place(&requirements(None, &[])).unwrap_err();
+    assert_eq!(refused.reason, Refusal::Full);
+}
