--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -18,7 +18,7 @@
     blocked_parts::CallEnd,
     call::CallError,
     events::{self, EventSplitter},
-    response::Response,
+    response::{Response, StreamItem, StreamPart},
     serving::{Context, Request},
     stages::Results,
     successor::{NoSuccessor, RECHECK_INTERVAL, start_successor},
@@ -136,7 +136,7 @@
     cx: Context,
     req: Request,
     inputs: Vec<Arc<Results>>,
-    tx: mpsc::Sender<io::Result<Bytes>>,
+    tx: mpsc::Sender<StreamItem>,
     /// Media type of the first response.
     media_type: Option<String>,
     /// Id of the last relayed event.
@@ -161,7 +161,7 @@
         let mut source = Source::new(started);
         loop {
             let error = match self.relay(&mut source, &mut attempts).await {
-                Ok(None) => return self.finish(source, attempts),
+                Ok(None) => return self.finish(source, attempts).await,
                 Ok(Some(successor)) => {
                     self.record_resumed(&successor);
                     // Closes the connection, which stops the silent endpoint.
@@ -197,23 +197,25 @@
     }
 
     /// Records the end of a complete response.
-    fn finish(self, source: Source, mut attempts: AttemptLog) {
-        let started = source.started;
-        let target = &started.flight.target;
-        self.cx.fleet.record_call_result(target, !started.is_good);
-        let ends_with_connection = started.exchange.ends_with_connection();
-        self.cx.record_complete(
-            &started.flight,
-            &self.req,
-            ends_with_connection,
-            started.is_good,
-        );
+    async fn finish(self, source: Source, mut attempts: AttemptLog) {
+        let StartedResponse {
+            exchange,
+            flight,
+            is_good,
+        } = source.started;
+        let target = &flight.target;
+        self.cx.fleet.record_call_result(target, !is_good);
+        let ends_with_connection = exchange.ends_with_connection();
+        self.cx
+            .record_complete(&flight, &self.req, ends_with_connection, is_good);
         attempts.first_part = self.first_part;
         attempts.max_pause = self.max_pause;
-        let status = started.exchange.status.as_u16();
-        self.req
-            .log_end(started.is_good, status, &target.name, &attempts);
-        started.exchange.release(&self.cx.pool);
+        let status = exchange.status.as_u16();
+        self.req.log_end(is_good, status, &target.name, &attempts);
+        exchange.release(&self.cx.pool);
+        drop(flight);
+        // The caller may have disconnected.
+        let _ = self.tx.send(Ok(StreamPart::End)).await;
     }
 
     /// Resumes a stream that broke off at another endpoint. Without one, ends it.
@@ -507,7 +509,7 @@
 
     async fn send(&self, bytes: Bytes) -> Result<(), StreamError> {
         self.tx
-            .send(Ok(bytes))
+            .send(Ok(StreamPart::Bytes(bytes)))
             .await
             .map_err(|_| StreamError::CallerGone)
     }
