End a stream at its deadline although its caller does not read

What callers saw: nothing; the endpoint stayed at work and counted as in flight, and the request had no end, for as long as a caller kept its connection and did not read.

Cause: the relay waited for room in the channel to the caller's connection without a bound, also for the error that aborts the stream.

Evidence: `raw_endpoints stream_to_a_caller_that_does_not_read_ends_at_its_deadline` (40 MB of events, a deadline of 1 s) failed before: "panicked at crates/forwarder/tests/support/mod.rs:383:9: not within 20s: the request has ended".

Why the fix works: the relay waits until the deadline. The endpoint is not counted as failed. An aborted stream needs no error in the channel any more: a body whose channel closes without its end fails.

--- a/crates/forward/src/response.rs
+++ b/crates/forward/src/response.rs
@@ -21,9 +21,6 @@
     pub(crate) body: Bytes,
 }
 
-/// What the relay of a stream passes on: a part, its end, or an error that aborts it.
-pub(crate) type StreamItem = io::Result<StreamPart>;
-
 /// A part of a stream, or its end.
 #[derive(Debug)]
 pub enum StreamPart {
@@ -42,7 +39,7 @@
     Streamed {
         status: StatusCode,
         headers: HeaderMap,
-        parts: mpsc::Receiver<StreamItem>,
+        parts: mpsc::Receiver<StreamPart>,
     },
 }
 
@@ -52,7 +49,7 @@
     /// A complete body.
     Whole(Option<Bytes>),
     /// A body that is sent in parts. It fails if its sender is gone before the end.
-    Parts(mpsc::Receiver<io::Result<StreamPart>>),
+    Parts(mpsc::Receiver<StreamPart>),
 }
 
 impl Body for ResponseBody {
@@ -69,10 +66,9 @@
                 Poll::Ready(bytes.map(|bytes| Ok(Frame::data(bytes))))
             }
             Self::Parts(parts) => Poll::Ready(match std::task::ready!(parts.poll_recv(cx)) {
-                Some(Ok(StreamPart::Bytes(bytes))) => Some(Ok(Frame::data(bytes))),
-                Some(Ok(StreamPart::End)) => None,
-                Some(Err(e)) => Some(Err(e)),
-                None => Some(Err(io::Error::other("the relay of the stream is gone"))),
+                Some(StreamPart::Bytes(bytes)) => Some(Ok(Frame::data(bytes))),
+                Some(StreamPart::End) => None,
+                None => Some(Err(io::Error::other("the stream ended early"))),
             }),
         }
     }
--- a/crates/forward/src/response/tests.rs
+++ b/crates/forward/src/response/tests.rs
@@ -10,7 +10,7 @@
     let (tx, parts) = mpsc::channel(1);
     let mut body = ResponseBody::Parts(parts);
     let part = StreamPart::Bytes(Bytes::from_static(b"id: 1\n\n"));
-    tx.send(Ok(part)).await.unwrap();
+    tx.send(part).await.unwrap();
     drop(tx);
 
     assert!(matches!(body.frame().await, Some(Ok(_))));
@@ -23,7 +23,7 @@
 async fn stream_ends_with_its_end_part() {
     let (tx, parts) = mpsc::channel(1);
     let mut body = ResponseBody::Parts(parts);
-    tx.send(Ok(StreamPart::End)).await.unwrap();
+    tx.send(StreamPart::End).await.unwrap();
     drop(tx);
 
     let end = body.frame().await;
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -1,7 +1,7 @@
 //! Relays event streams: complete events in order, resumed at another endpoint if the route allows
 //! it.
 
-use std::{io, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use declaration::RepeatPolicy;
@@ -10,14 +10,14 @@
 use thiserror::Error;
 use tokio::{
     sync::mpsc,
-    time::{Instant, sleep_until},
+    time::{Instant, sleep_until, timeout_at},
 };
 
 use crate::{
     attempts::{AttemptLog, StartedResponse, may_repeat, start_response},
     call::CallError,
     events::{self, EventSplitter},
-    response::{Response, StreamItem, StreamPart},
+    response::{Response, StreamPart},
     serving::{Context, Request},
     stages::Results,
     successor::{NoSuccessor, RECHECK_INTERVAL, start_successor},
@@ -36,6 +36,9 @@
     /// The caller disconnected.
     #[error("the caller disconnected")]
     CallerGone,
+    /// The caller did not read before the deadline.
+    #[error("the caller read too slowly")]
+    CallerSlow,
     /// The endpoint tx the stream or stopped sending.
     #[error("{0}")]
     Endpoint(CallError),
@@ -135,7 +138,7 @@
     cx: Context,
     req: Request,
     inputs: Vec<Arc<Results>>,
-    tx: mpsc::Sender<StreamItem>,
+    tx: mpsc::Sender<StreamPart>,
     /// Media type of the first response.
     media_type: Option<String>,
     /// Id of the last relayed event.
@@ -211,7 +214,7 @@
         exchange.release(&self.cx.pool);
         drop(flight);
         // The caller may have disconnected.
-        let _ = self.tx.send(Ok(StreamPart::End)).await;
+        let _ = self.tx.send(StreamPart::End).await;
     }
 
     /// Resumes a stream that broke off at another endpoint. Without one, ends it.
@@ -221,14 +224,19 @@
         error: StreamError,
         attempts: &mut AttemptLog,
     ) -> Option<StartedResponse> {
-        if matches!(error, StreamError::CallerGone) {
-            return None;
+        match error {
+            StreamError::CallerGone => return None,
+            StreamError::CallerSlow => {
+                self.abort(&error);
+                return None;
+            }
+            _ => {}
         }
         self.record_broken(&source, &error);
         // Closes the connection, which stops the endpoint.
         drop(source);
         if self.req.remaining().is_zero() {
-            self.abort(&error).await;
+            self.abort(&error);
             return None;
         }
         let has_inputs = !self.inputs.is_empty() || self.req.route().stages.is_empty();
@@ -237,7 +245,7 @@
                 .record_not_repeated("the results of its stages were released");
         }
         if !has_inputs || !may_repeat(&self.cx, &self.req, attempts) {
-            self.abort(&error).await;
+            self.abort(&error);
             return None;
         }
         let resumed = start_response(&self.cx, &self.req, &self.inputs, attempts, self.last_event);
@@ -251,7 +259,7 @@
                 Some(started)
             }
             Ok(_) | Err(_) => {
-                self.abort(&error).await;
+                self.abort(&error);
                 None
             }
         }
@@ -290,18 +298,15 @@
         });
     }
 
-    /// Ends the response so that it is visibly incomplete.
-    async fn abort(&self, cause: &StreamError) {
+    /// Records why the response ends without its end, which makes it visibly incomplete.
+    fn abort(&self, cause: &StreamError) {
         let (ending, why) = match cause {
-            StreamError::Endpoint(CallError::TimedOut) => {
+            StreamError::Endpoint(CallError::TimedOut) | StreamError::CallerSlow => {
                 (Ending::Late, "its time was over in the stream")
             }
             _ => (Ending::Lost, "the endpoint broke the stream off"),
         };
         self.req.log.failed(ending, 0, why, None);
-        let error = io::Error::other(why);
-        // The caller may have disconnected as well.
-        let _ = self.tx.send(Err(error)).await;
     }
 
     /// Relays events until the response is complete (`None`) or another endpoint has taken over.
@@ -389,9 +394,8 @@
             match step {
                 Ok(()) if self.last_event != last_event => return Ok(Progress::Continued),
                 Ok(()) => {}
-                Err(e) if matches!(e, StreamError::CallerGone) || self.last_event != last_event => {
-                    return Err(e);
-                }
+                Err(e @ (StreamError::CallerGone | StreamError::CallerSlow)) => return Err(e),
+                Err(e) if self.last_event != last_event => return Err(e),
                 // The successor may still take over.
                 Err(e) => broken = Some(e),
             }
@@ -497,10 +501,11 @@
     }
 
     async fn send(&self, bytes: Bytes) -> Result<(), StreamError> {
-        self.tx
-            .send(Ok(StreamPart::Bytes(bytes)))
-            .await
-            .map_err(|_| StreamError::CallerGone)
+        let sent = self.tx.send(StreamPart::Bytes(bytes));
+        match timeout_at(self.req.deadline, sent).await {
+            Ok(sent) => sent.map_err(|_| StreamError::CallerGone),
+            Err(_) => Err(StreamError::CallerSlow),
+        }
     }
 
     /// Returns what comes of the response until `until`, while the caller is connected.
--- a/crates/forwarder/tests/raw_endpoints.rs
+++ b/crates/forwarder/tests/raw_endpoints.rs
@@ -6,7 +6,7 @@
 
 use bench::raw_endpoint::{RawEndpoint, RawRequest, Then};
 use hyper::StatusCode;
-use support::{CallerRequest, Cluster, KEY, PROBE_PATH};
+use support::{CallerRequest, Cluster, KEY, PROBE_PATH, until};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -263,3 +263,33 @@
     let status = response.await.map(|response| response.status);
     assert!(matches!(status, Ok(StatusCode::OK)), "{status:?}");
 }
+
+/// Number of events that fill the buffers of all sockets.
+const MANY_EVENTS: u64 = 40_000;
+
+/// Guards against a stream that keeps its endpoint at work after its deadline because the caller does
+/// not read.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_to_a_caller_that_does_not_read_ends_at_its_deadline() {
+    let data = "d".repeat(1_000);
+    let (cluster, _endpoints) = start(move |req| {
+        let events = (1..=MANY_EVENTS).map(|id| format!("id: {id}\ndata: {data}\n\n"));
+        let head = head_of(req, "200 OK");
+        let text = format!("{head}{STREAM_TYPE}\r\n{}", events.collect::<String>());
+        (text, Then::KeepOpen)
+    })
+    .await;
+    let mut stream = TcpStream::connect(cluster.gates[0].http).await.unwrap();
+    let request = format!(
+        "POST /raw-told/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nJujube-Request: unread\r\n\
+         Authorization: Bearer {KEY}\r\nAccept: text/event-stream\r\n\
+         Jujube-Deadline-Ms: 1000\r\nContent-Length: 0\r\n\r\n"
+    );
+    stream.write_all(request.as_bytes()).await.unwrap();
+    until("the request has ended", async || {
+        let logs = cluster.logs();
+        logs.contains("its time was over in the stream")
+            .then_some(())
+    })
+    .await;
+}
