A late batched call is given up only if its items can run elsewhere

Callers saw 503 "the stages failed" with time left when the only endpoint of a pool took longer than four times the expected time of a call (500 ms at least): the call ended at that bound, and each of its three tries started over there.

A late call is now given up only if all items that are still needed can run elsewhere: another endpoint of the pool takes work, each item has a try left and the retry budget has a retry for each. A call that was not sent by the bound still ends there. An item without an answer at its deadline fails as late and takes nothing from the retry budget.

Ruled out: the same deadline for sending and for the answer, since an unsent call would be awaited although its items may be queued again at once. Not changed: a connection that is silent for good at the only endpoint is left only at the last deadline; before, the next try had a new connection.

--- a/crates/forward/src/batch.rs
+++ b/crates/forward/src/batch.rs
@@ -14,22 +14,29 @@
 };
 
 const MAX_ANSWER_BYTES: usize = 1 << 20;
-/// A call times out after this multiple of its expected duration.
-const TIMEOUT_FACTOR: u32 = 4;
-const MIN_TIMEOUT: Duration = Duration::from_millis(500);
+/// A call is late after this multiple of its expected duration.
+const LATE_FACTOR: u32 = 4;
+const MIN_LATE_AFTER: Duration = Duration::from_millis(500);
 
-/// Sends the call and waits for its outcome.
-pub(crate) async fn call(cx: &Context, next: &NextCall) -> BatchOutcome {
+/// Returns when a call that is sent `now` counts as late.
+pub(crate) fn late_at(next: &NextCall, now: Instant) -> Instant {
+    now + (next.expected * LATE_FACTOR).max(MIN_LATE_AFTER)
+}
+
+/// Sends the call and waits for its outcome, at most until the last deadline of its items, or until
+/// `late_at` if that is later. A call that is not sent by `late_at` ends then.
+pub(crate) async fn call(cx: &Context, next: &NextCall, late_at: Instant) -> BatchOutcome {
     let now = Instant::now();
+    let deadline = next.last_deadline().map_or(late_at, |at| at.max(late_at));
     let items: Vec<Item<'_>> = next.jobs.iter().map(|job| batch_item(job, now)).collect();
     let req = (cx.dialect.write_batch)(&items, &next.target.name);
     if next.target.stats().permits.limit().is_some() {
         cx.metrics
             .record_limited_call(&next.target.service, "batch");
     }
-    let timeout = (next.expected * TIMEOUT_FACTOR).max(MIN_TIMEOUT);
-    let deadline = now + timeout;
-    let exchange = match call::send(&cx.pool, next.target.address, "", req, deadline).await {
+    let address = next.target.address;
+    let sent = call::send_by(&cx.pool, address, "", req, late_at, deadline).await;
+    let exchange = match sent {
         Ok(exchange) => exchange,
         Err(CallError::Unreached(why)) => return BatchOutcome::Unreached(why),
         Err(e) if e.may_have_run() => return BatchOutcome::Failed(e.to_string()),
@@ -45,7 +52,7 @@
         ResponseClass::Success => {}
         ResponseClass::Full | ResponseClass::NotRun | ResponseClass::InputsGone => {
             exchange
-                .end_refused(&cx.pool, "", MAX_ANSWER_BYTES, deadline)
+                .end_refused(&cx.pool, "", MAX_ANSWER_BYTES, late_at)
                 .await;
             return BatchOutcome::NotRun;
         }
--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -58,24 +58,37 @@
 }
 
 /// Sends `req` with this id, which is empty for batched calls and releases, to `address` and waits
-/// until `deadline` for the response head. If a reused idle connection closes before the first byte
-/// is written, the request is sent on a new connection. A connection on which this id was refused is
-/// closed, since a copy of the refusal could not be told from the response.
+/// until `deadline` for the response head, as [`send_by`] does.
 pub(crate) async fn send(
     pool: &Pool,
     address: SocketAddr,
     id: &str,
     req: Request<Full<Bytes>>,
     deadline: Instant,
+) -> Result<Exchange, CallError> {
+    send_by(pool, address, id, req, deadline, deadline).await
+}
+
+/// Starts to send `req` before `start_by`, and waits until `deadline` for the response head. If a
+/// reused idle connection closes before the first byte is written, the request is sent on a new
+/// connection. A connection on which this id was refused is closed, since a copy of the refusal could
+/// not be told from the response.
+pub(crate) async fn send_by(
+    pool: &Pool,
+    address: SocketAddr,
+    id: &str,
+    req: Request<Full<Bytes>>,
+    start_by: Instant,
+    deadline: Instant,
 ) -> Result<Exchange, CallError> {
     let idle = pool.checkout(address);
     if let Some(connection) = idle.filter(|c| !c.refused.iter().any(|refused| refused == id)) {
-        match send_on(connection, address, req.clone(), deadline).await {
-            Err(CallError::Unsent(_)) if Instant::now() < deadline => {}
+        match send_on(connection, address, req.clone(), start_by, deadline).await {
+            Err(CallError::Unsent(_)) if Instant::now() < start_by => {}
             result => return result,
         }
     }
-    let connecting = timeout_at(deadline, pool.connect(address)).await;
+    let connecting = timeout_at(start_by, pool.connect(address)).await;
     let connection = match connecting {
         Err(_) => return Err(CallError::Unsent("no time left to connect".to_owned())),
         Ok(Err(why)) => {
@@ -84,17 +97,25 @@
         }
         Ok(Ok(connection)) => connection,
     };
-    send_on(connection, address, req, deadline).await
+    send_on(connection, address, req, start_by, deadline).await
 }
 
 async fn send_on(
     mut connection: Connection,
     address: SocketAddr,
     req: Request<Full<Bytes>>,
+    start_by: Instant,
     deadline: Instant,
 ) -> Result<Exchange, CallError> {
-    let send_state = SendState::with_deadline(deadline);
-    let sent = timeout_at(deadline, connection.send(req, &send_state)).await;
+    let send_state = SendState::with_deadline(start_by);
+    let sent = {
+        let sending = connection.send(req, &send_state);
+        tokio::pin!(sending);
+        match timeout_at(start_by, &mut sending).await {
+            Err(_) if !send_state.seal() => timeout_at(deadline, sending).await,
+            sent => sent,
+        }
+    };
     let response: Response<Incoming> = match sent {
         Ok(Ok(response)) => response,
         Ok(Err(e)) if send_state.seal() => return Err(CallError::Unsent(e.to_string())),
--- a/crates/forward/src/collector.rs
+++ b/crates/forward/src/collector.rs
@@ -18,14 +18,14 @@
 use tokio::{
     sync::{Notify, watch},
     task::JoinHandle,
-    time::{Instant, sleep, timeout, timeout_at},
+    time::{Instant, sleep, timeout_at},
 };
 
 use crate::{
-    batch,
     batch_outcome::{BatchOutcome, ItemFailure},
     dialect::Dialect,
     fleet::{Fleet, Target},
+    late_call,
     messages::{StageFailure, StoredResult, Submission},
     metrics::Metrics,
     queue::{Job, NextCall, NextStep, Queue},
@@ -40,9 +40,8 @@
 const DEFERRED_RELEASE_DELAY: Duration = Duration::from_secs(1);
 /// Timeout of a release request.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
-/// Time after which an endpoint that starts calls at once has fetched the inputs of its items: the
-/// call has to arrive, and a full batch fetches some megabytes.
-const FETCH_TIME: Duration = Duration::from_millis(60);
+/// `Retry-After` for a stage whose call had no answer by its deadline.
+const LATE_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Longest time between checks of a non-empty queue.
 const CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
@@ -400,7 +399,13 @@
 async fn run_call(collector: Collector, active: Arc<ActiveQueue>, next: NextCall) {
     let cx = &collector.shared.cx;
     let started_at = Instant::now();
-    let mut outcome = call_tracking_inputs(cx, &next).await;
+    let may_give_up = || {
+        let pool = cx.fleet.pool(&next.target.service);
+        let (reachable, now) = (cx.fleet.reachable(), Instant::now());
+        let queue = active.queue();
+        queue.may_give_up(&next, pool.as_deref(), &reachable, &cx.budget, now)
+    };
+    let mut outcome = late_call::call(cx, &next, may_give_up).await;
     let now = Instant::now();
     if matches!(
         &outcome,
@@ -441,23 +446,6 @@
     collector.release(&service, unwanted);
 }
 
-/// Sends the call. Once it has run for `FETCH_TIME` on an endpoint that starts calls at once, its
-/// inputs count as fetched.
-async fn call_tracking_inputs(cx: &Context, next: &NextCall) -> BatchOutcome {
-    let call = batch::call(cx, next);
-    tokio::pin!(call);
-    match timeout(FETCH_TIME, &mut call).await {
-        Ok(outcome) => return outcome,
-        Err(_) if next.starts_at_once => {
-            next.jobs
-                .iter()
-                .for_each(|job| job.ticket.record_inputs_fetched(job.item));
-        }
-        Err(_) => {}
-    }
-    call.await
-}
-
 /// Maximum number of requests listed in the log event of a failed call.
 const MAX_LOGGED_REQUESTS: usize = 12;
 
@@ -551,8 +539,12 @@
         cx.metrics.record_retry(service, is_allowed);
         is_allowed
     };
-    match job.next_try().filter(|_| may_spend()) {
+    let is_late = Instant::now() >= job.ticket.deadline;
+    match job.next_try().filter(|_| !is_late && may_spend()) {
         Some(job) => requeue(queue, job),
+        None if is_late => job.ticket.fail(StageFailure::Late {
+            retry_after: LATE_RETRY_AFTER,
+        }),
         None => job.ticket.fail(failure.clone()),
     }
 }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -30,6 +30,7 @@
 mod headers;
 mod in_flight;
 mod incoming;
+mod late_call;
 mod latency;
 mod messages;
 mod metrics;
--- a/crates/forward/src/queue/call.rs
+++ b/crates/forward/src/queue/call.rs
@@ -2,8 +2,11 @@
 
 use std::{sync::Arc, time::Duration};
 
-use super::Job;
-use crate::fleet::Target;
+use routing::RetryBudget;
+use tokio::time::Instant;
+
+use super::{Job, Queue};
+use crate::fleet::{Pool, ReachableZones, Target};
 
 /// What keeps a call from including more items.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -60,4 +63,34 @@
         let each = zone.map(|s| s.crossing_bytes / u64::from(s.items.max(1)));
         each.sum()
     }
+
+    /// Returns the last deadline of the items.
+    pub(crate) fn last_deadline(&self) -> Option<Instant> {
+        self.jobs.iter().map(|job| job.ticket.deadline).max()
+    }
+}
+
+impl Queue {
+    /// Returns true if a late call is given up: none of its items is needed any more, or all that
+    /// are can run at another endpoint. That is so if another endpoint takes work, each item has a
+    /// try left and `budget` has a retry for each.
+    pub(crate) fn may_give_up(
+        &self,
+        next: &NextCall,
+        pool: Option<&Pool>,
+        reachable: &ReachableZones,
+        budget: &RetryBudget,
+        now: Instant,
+    ) -> bool {
+        let needed = next.jobs.iter().filter(|job| !job.ticket.is_closed());
+        let needed: Vec<&Job> = needed.collect();
+        let has_other = |pool| {
+            let healthy = self.healthy(pool, reachable, now);
+            healthy.iter().any(|t| t.name != next.target.name)
+        };
+        needed.is_empty()
+            || needed.iter().all(|job| job.next_try().is_some())
+                && pool.is_some_and(has_other)
+                && budget.can_spend_many(&next.target.service, needed.len() as u32)
+    }
 }
--- a/crates/forward/src/queue/tests.rs
+++ b/crates/forward/src/queue/tests.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use declaration::{BatchCapacity, Capacity};
+use routing::{RetryBudget, RetryBudgetConfig};
 use tokio::time::{Instant, sleep};
 
 use super::{Bound, NextCall, NextStep, Queue, SHED_INTERVAL};
@@ -465,3 +466,33 @@
     queue.enqueue(submission(), &pool, &reachable, now).unwrap();
     assert!(queue.next_call(&pool, &reachable, now).is_some());
 }
+
+/// Guards against late calls that are given up although their items have no endpoint, try or retry
+/// left, and against waits for those that have.
+#[tokio::test(start_paused = true)]
+async fn late_call_is_given_up_only_if_its_items_can_run_elsewhere() {
+    let (alone, both) = (pool(&[("i-1", "a")]), pool(&[("i-1", "a"), ("i-2", "a")]));
+    let (mut queue, reachable, now) = (queue(), ReachableZones::default(), Instant::now());
+    let budget = |reserve| {
+        RetryBudget::new(RetryBudgetConfig {
+            reserve,
+            ..RetryBudgetConfig::default()
+        })
+    };
+    let (full, short) = (budget(4.0), budget(3.0));
+    let ticket = queue.enqueue(items(4, 0, 60_000), &alone, &reachable, now);
+    let ticket = ticket.unwrap();
+    let mut next = queue.next_call(&alone, &reachable, now).unwrap();
+    let may =
+        |next: &NextCall, pool, budget| queue.may_give_up(next, pool, &reachable, budget, now);
+    assert!(may(&next, Some(&both), &full));
+    assert!(!may(&next, Some(&alone), &full), "no other endpoint");
+    assert!(!may(&next, None, &full), "no pool");
+    assert!(!may(&next, Some(&both), &short), "a retry too few");
+    next.jobs[0] = next.jobs[0].next_try().unwrap();
+    assert!(may(&next, Some(&both), &full));
+    next.jobs[0] = next.jobs[0].next_try().unwrap();
+    assert!(!may(&next, Some(&both), &full), "no try left");
+    ticket.cancel();
+    assert!(may(&next, Some(&alone), &short), "no caller left");
+}
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -80,7 +80,12 @@
 
     /// Returns true if the budget of `service` has a retry left.
     pub fn can_spend(&self, service: &str) -> bool {
-        self.remaining(service) + ROUNDING_TOLERANCE >= 1.0
+        self.can_spend_many(service, 1)
+    }
+
+    /// Returns true if the budget of `service` has `count` retries left.
+    pub fn can_spend_many(&self, service: &str, count: u32) -> bool {
+        self.remaining(service) + ROUNDING_TOLERANCE >= f64::from(count)
     }
 
     /// Withdraws one retry or hedge from the budget of `service`. Returns false if none remains.
