Test: blocked parts while gates are cut off from the keeper and from each other

Three tests with real processes: gates reach the keeper and each other through proxies, and eight endpoints crash on a part.

Seen: a gate that starts without a keeper has neither a declaration nor the other gates' addresses. It can't learn of the part from its neighbour; it refuses everything ("no declaration is known yet") until it reaches the keeper, and the part from then on.

Failed tries: four endpoints don't suffice, since crashes of one incarnation within 2 s count once (not blocked within 20 s).

Not covered: a cut-off zone while gates of another zone still reach the keepers.

--- a/crates/bench/src/raw_endpoint.rs
+++ b/crates/bench/src/raw_endpoint.rs
@@ -9,11 +9,15 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
+    sync::Notify,
+    task::JoinSet,
     time::sleep,
 };
 
 /// Delay between the bytes of a response and what follows them, so that the peer reads both apart.
 const WRITE_DELAY: Duration = Duration::from_millis(20);
+/// Time between a crash and the next start.
+const DOWN_TIME: Duration = Duration::from_millis(400);
 
 /// Request as a raw endpoint received it.
 #[derive(Clone, Debug)]
@@ -52,6 +56,8 @@
     Close,
     /// It is reset.
     Reset,
+    /// The endpoint crashes: it closes its listener and all connections, and starts again later.
+    Crash,
 }
 
 type Respond = dyn Fn(&RawRequest) -> (String, Then) + Send + Sync;
@@ -62,6 +68,8 @@
     /// Address that it listens on.
     pub address: SocketAddr,
     requests: Arc<Mutex<Vec<RawRequest>>>,
+    /// Notified to make the endpoint crash.
+    crash: Arc<Notify>,
 }
 
 impl RawEndpoint {
@@ -73,20 +81,9 @@
         let endpoint = Self {
             address: listener.local_addr()?,
             requests: Arc::default(),
+            crash: Arc::default(),
         };
-        let respond: Arc<Respond> = Arc::new(respond);
-        let accepting = endpoint.clone();
-        tokio::spawn(async move {
-            for connection in 0.. {
-                let Ok((stream, _)) = listener.accept().await else {
-                    return;
-                };
-                let serving = accepting
-                    .clone()
-                    .serve(stream, connection, Arc::clone(&respond));
-                tokio::spawn(serving);
-            }
-        });
+        tokio::spawn(endpoint.clone().run(listener, Arc::new(respond)));
         Ok(endpoint)
     }
 
@@ -96,6 +93,31 @@
         requests.unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// Serves connections, and listens again after each crash.
+    async fn run(self, mut listener: TcpListener, respond: Arc<Respond>) {
+        let mut connection = 0;
+        loop {
+            let mut connections = JoinSet::new();
+            loop {
+                tokio::select! {
+                    () = self.crash.notified() => break,
+                    accepted = listener.accept() => {
+                        let Ok((stream, _)) = accepted else { return };
+                        let serving = self.clone().serve(stream, connection, Arc::clone(&respond));
+                        connections.spawn(serving);
+                        connection += 1;
+                    }
+                    Some(_) = connections.join_next() => {}
+                }
+            }
+            drop(listener);
+            connections.shutdown().await;
+            sleep(DOWN_TIME).await;
+            let bound = TcpListener::bind(self.address).await;
+            listener = bound.expect("the address is still free");
+        }
+    }
+
     /// Serves one connection. Errors end it: the peer may close it at any time.
     async fn serve(self, mut stream: TcpStream, connection: usize, respond: Arc<Respond>) {
         let mut buf = Vec::new();
@@ -118,6 +140,7 @@
                 Then::Write(more) if stream.write_all(more.as_bytes()).await.is_ok() => {}
                 Then::Write(_) | Then::Close => return,
                 Then::Reset => return drop(stream.set_zero_linger()),
+                Then::Crash => return self.crash.notify_one(),
             }
         }
     }
--- a/crates/forwarder/tests/support/mod.rs
+++ b/crates/forwarder/tests/support/mod.rs
@@ -10,6 +10,7 @@
     raw_endpoint::RawEndpoint,
     stand_in::{self, Event, Kind, StandIn, StandInConfig},
 };
+use futures_util::future::join_all;
 use host::client::{Answer, Client, ClientError, build_request};
 use hyper::Request;
 use operators::{ApiError, KeeperApi, Submission};
@@ -94,6 +95,13 @@
 answer = stream
 repeat = never
 services = raw 1
+[route raw-public]
+host = 127.0.0.1
+path_prefix = /raw-public/
+answer = stream
+repeat = never
+public = yes
+services = raw 1
 [route raw-resumed]
 host = 127.0.0.1
 path_prefix = /raw-resumed/
@@ -133,6 +141,8 @@
 pub struct Cluster {
     folders: Folders,
     pub keeper: RoleProcess,
+    /// Proxy through which gates reach the keeper.
+    pub keeper_link: Proxy,
     pub gates: Vec<RoleProcess>,
     /// Proxies through which other gates reach each gate.
     pub links: Vec<Proxy>,
@@ -177,11 +187,18 @@
             programs: program_folder(),
             work: folder.path().to_owned(),
         };
+        let keeper_link = Proxy::start(0).await.unwrap();
         let settings = settings("keeper-1", "[keepers]\nkeeper-1 = 127.0.0.1:1\n")
-            + "http = 127.0.0.1:0\n[data]\nfolder = data\n";
+            + &format!(
+                "advertised_link = {}\nhttp = 127.0.0.1:0\n[data]\nfolder = data\n",
+                keeper_link.address()
+            );
         let keeper = folders.start("jujube-keeper", "keeper-1", &settings);
+        let keeper = keeper.await.unwrap();
+        keeper_link.set_upstream(keeper.link.unwrap());
         let mut cluster = Self {
-            keeper: keeper.await.unwrap(),
+            keeper,
+            keeper_link,
             folders,
             gates: Vec::new(),
             links: Vec::new(),
@@ -205,9 +222,9 @@
         cluster
     }
 
-    /// Announces two endpoints of the service `raw`, and waits until both have received a request to
+    /// Announces endpoints of the service `raw`, and waits until all have received a request to
     /// [`PROBE_PATH`].
-    pub async fn add_raw(&mut self, endpoints: &[RawEndpoint; 2]) {
+    pub async fn add_raw(&mut self, endpoints: &[RawEndpoint]) {
         for (number, endpoint) in endpoints.iter().enumerate() {
             let name = format!("raw-{number}");
             let mut cfg = StandInConfig::new(&name, "raw", "rockland", Kind::Plain);
@@ -215,10 +232,14 @@
             cfg.announced_address = Some(format!("http://{}", endpoint.address));
             self.endpoints.push(stand_in::start(cfg).await.unwrap());
         }
-        until("both endpoints are called", async || {
-            let id = Uuid::now_v7().to_string();
-            // The first ones may come before an endpoint is known.
-            let _ = self.send(CallerRequest::new(PROBE_PATH, &id)).await;
+        until("all endpoints are called", async || {
+            // Sent at once, since an idle endpoint may be preferred to all others. The first ones may
+            // come before an endpoint is known.
+            let probes = endpoints.iter().map(async |_| {
+                let id = Uuid::now_v7().to_string();
+                let _ = self.send(CallerRequest::new(PROBE_PATH, &id)).await;
+            });
+            join_all(probes).await;
             let is_called = |e: &RawEndpoint| !e.requests().is_empty();
             endpoints.iter().all(is_called).then_some(())
         })
@@ -226,8 +247,22 @@
     }
 
     async fn start_gate(&mut self, name: &str) {
-        let keeper = self.keeper.link.unwrap();
         let link = Proxy::start(0).await.unwrap();
+        let gate = self.run_gate(name, &link).await;
+        self.gates.push(gate);
+        self.links.push(link);
+    }
+
+    /// Kills gate `gate` and starts it again; it listens for callers at another port.
+    pub async fn restart_gate(&mut self, gate: usize) {
+        self.gates[gate].kill().await.unwrap();
+        let name = self.gates[gate].name.clone();
+        self.gates[gate] = self.run_gate(&name, &self.links[gate]).await;
+    }
+
+    /// Starts the process of a gate that others reach through `link`.
+    async fn run_gate(&self, name: &str, link: &Proxy) -> RoleProcess {
+        let keeper = self.keeper_link.address();
         let settings = settings(name, &format!("[keepers]\nkeeper-1 = {keeper}\n"))
             + &format!(
                 "advertised_link = {}\nhttp = 127.0.0.1:0\ncallers = 127.0.0.1:0\n\
@@ -237,8 +272,7 @@
         let gate = self.folders.start("jujube-forwarder", name, &settings);
         let gate = gate.await.unwrap();
         link.set_upstream(gate.link.unwrap());
-        self.gates.push(gate);
-        self.links.push(link);
+        gate
     }
 
     async fn declare(&self) {
