--- a/crates/forward/src/cache.rs
+++ b/crates/forward/src/cache.rs
@@ -36,10 +36,10 @@
     }
 
     /// Returns the number of leading tokens of `prompt` that the engine probably has cached.
-    pub(crate) fn cached_tokens(&self, prompt: &Prompt) -> u32 {
+    pub(crate) fn cached_tokens(&self, prompt: &Prompt) -> u64 {
         let parts = prompt.parts.iter();
         let held = parts.take_while(|part| self.parts.contains_key(&part.prefix_hash));
-        held.map(|part| part.tokens).sum()
+        held.map(|part| u64::from(part.tokens)).sum()
     }
 
     /// Records that the engine has read `prompt`.
@@ -49,9 +49,9 @@
                 tokens: part.tokens,
                 used: now,
             };
-            if self.parts.insert(part.prefix_hash, entry).is_none() {
-                self.tokens += u64::from(part.tokens);
-            }
+            let replaced = self.parts.insert(part.prefix_hash, entry);
+            self.tokens += u64::from(part.tokens);
+            self.tokens -= replaced.map_or(0, |replaced| u64::from(replaced.tokens));
         }
         if self.tokens > self.capacity_tokens || self.parts.len() > MAX_PARTS {
             self.evict();
