A gate that shuts down accepts no request that would outlast it

What callers saw: a stream that a gate had accepted 3.1 s after its SIGTERM was cut in the middle when the process ended, 4.4 s later, while its endpoint was sound.

Its stages took 1.6 s.

Cause: until the listener closes, a gate takes every request that the balancer still sends, whatever time it needs; the process ends `drain` later, and what is not done by then is cut. It is the second way in which a request that was read ended without an answer; whether it is what the users saw isn't known.

Now a gate knows when it ends. Requests that fit are served as before.

Ruled out: refusing all requests from SIGTERM on, since the balancer sends new ones for two to three seconds and most are done well before the end; a longer drain, which the platform's SIGKILL ends.

--- a/crates/forward/src/error.rs
+++ b/crates/forward/src/error.rs
@@ -74,6 +74,9 @@
     /// Its stages failed.
     #[error("the stages failed")]
     StagesFailed,
+    /// This gate shuts down and would end before the request.
+    #[error("this gate is shutting down")]
+    ShuttingDown,
     /// No endpoint was available in time.
     #[error("no time left before it could be sent")]
     NoTime,
@@ -93,6 +96,7 @@
             Self::StagesLate => "stages_late",
             Self::InputsGone => "inputs_gone",
             Self::StagesFailed => "stages_failed",
+            Self::ShuttingDown => "shutting_down",
             Self::NoTime => "no_time",
         }
     }
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -32,6 +32,7 @@
     response::{Response, ResponseBody},
     rules::Rules,
     serving::{self, Context, Request},
+    shutdown::Shutdown,
 };
 
 /// Maximum age of a confirmation with which a request may be denied for an unknown route or key.
@@ -49,6 +50,7 @@
     pub(crate) freshness: Freshness,
     pub(crate) metrics: Metrics,
     pub(crate) draining: watch::Receiver<bool>,
+    pub(crate) shutdown: Shutdown,
     pub(crate) in_flight: Arc<AtomicUsize>,
 }
 
@@ -171,6 +173,7 @@
             confirmed_ms: age_ms,
         });
         self.cx.check_parts(&req)?;
+        self.shutdown.check(req.deadline)?;
         Ok(req)
     }
 
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -42,6 +42,7 @@
 mod rules;
 mod server;
 mod serving;
+mod shutdown;
 mod stage_graph;
 mod stages;
 mod start;
--- a/crates/forward/src/start.rs
+++ b/crates/forward/src/start.rs
@@ -36,6 +36,7 @@
     rules::Rules,
     server::{self, Phase},
     serving::Context,
+    shutdown::Shutdown,
     stages::Stages,
 };
 
@@ -93,13 +94,7 @@
     let readiness = http::bind(cfg.readiness).await?;
     let local = callers.local_addr()?;
     let link = links_listener.local_addr()?;
-    let mut links = LinkConfig::new(Identity {
-        vm: cfg.vm.name.clone(),
-        az: cfg.vm.availability_zone.clone(),
-        role: Role::Gate,
-        incarnation: Uuid::now_v7(),
-    });
-    links.key = cfg.link_key.as_ref().map(|key| key.expose().to_vec());
+    let links = link_config(&cfg);
     let freshness = Freshness::new(cfg.confirmed_for);
     let (draining_tx, draining) = watch::channel(false);
     let metrics = Metrics::new()?;
@@ -129,6 +124,7 @@
         freshness,
         metrics,
         draining,
+        shutdown: Shutdown::new(cfg.notice + cfg.drain),
         in_flight: Arc::new(AtomicUsize::new(0)),
         cx,
     };
@@ -162,11 +158,13 @@
         tasks.spawn(http::serve_metrics(address, move || source.metrics_text()).await?);
     }
     let (leaving, collector) = (gates, forwarder.cx.stages.collector.clone());
+    let shutdown = forwarder.shutdown.clone();
     let (phase, phases) = watch::channel(Phase::Serving);
     let serving = tokio::spawn(server::serve(callers, forwarder, phases));
     let task = tokio::spawn(async move {
         let mut stopped = stopped;
         stopped.wait().await;
+        shutdown.start();
         draining_tx.send_replace(true);
         info!("draining");
         leaving.start_leaving();
@@ -189,6 +187,18 @@
     })
 }
 
+/// Returns the identity of a new incarnation of this gate, and the key of its links.
+fn link_config(cfg: &Config) -> LinkConfig {
+    let mut links = LinkConfig::new(Identity {
+        vm: cfg.vm.name.clone(),
+        az: cfg.vm.availability_zone.clone(),
+        role: Role::Gate,
+        incarnation: Uuid::now_v7(),
+    });
+    links.key = cfg.link_key.as_ref().map(|key| key.expose().to_vec());
+    links
+}
+
 async fn bind(address: SocketAddr, key: &str) -> eyre::Result<TcpListener> {
     TcpListener::bind(address).await.map_err(|e| {
         eyre::eyre!("bind listener on {address}: {e}; free the port or set [listen] {key}")
