A gate that has just started does not serve prompts before it knows the blocked parts

What callers saw: one request with a blocked part was served by a gate that had been restarted while it was cut off from the keepers, in the moment in which the cut healed.

Cause: the declaration comes by another way than the list of blocked parts. Requests with a key wait for a confirmation, which reads the list first; those of public routes are served as soon as the declaration is known.

Now requests with prompts are refused (503, not run) until the list of the keepers, or one of another gate that is not empty, is known. Ruled out: another gate's empty list, since that gate may have started as well.

--- a/crates/forward/src/blocked_parts.rs
+++ b/crates/forward/src/blocked_parts.rs
@@ -13,7 +13,10 @@
 
 use std::{
     collections::{BTreeSet, HashMap},
-    sync::{Arc, Mutex, PoisonError, RwLock},
+    sync::{
+        Arc, Mutex, PoisonError, RwLock,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -59,6 +62,8 @@
 struct Shared {
     metrics: Metrics,
     state: Mutex<State>,
+    /// True once a list of the keepers or of another gate is known.
+    is_loaded: AtomicBool,
     /// The blocked parts, with the times at which their blocks end.
     in_force: RwLock<Arc<HashMap<u64, Instant>>>,
     /// Counts changes of the list.
@@ -120,6 +125,7 @@
             shared: Arc::new(Shared {
                 metrics,
                 state: Mutex::default(),
+                is_loaded: AtomicBool::new(false),
                 in_force: RwLock::default(),
                 updates: watch::Sender::new(0),
             }),
@@ -205,6 +211,22 @@
         }
     }
 
+    /// Returns true if a part of the request's prompt may be blocked without this gate knowing, since
+    /// it has just started and knows no list yet.
+    pub(crate) fn is_unknown(&self, req: &IncomingRequest) -> bool {
+        let has_parts = || {
+            req.prompt
+                .as_ref()
+                .is_some_and(|p| !p.shareable_parts().is_empty())
+        };
+        !self.shared.is_loaded.load(Ordering::Relaxed) && has_parts()
+    }
+
+    /// Records that the list of the keepers or of another gate has been applied.
+    pub(crate) fn set_loaded(&self) {
+        self.shared.is_loaded.store(true, Ordering::Relaxed);
+    }
+
     /// Version of the keepers' list that was applied last.
     pub(crate) fn version(&self) -> u64 {
         self.update(|state| state.list.version())
--- a/crates/forward/src/blocked_parts/proposals.rs
+++ b/crates/forward/src/blocked_parts/proposals.rs
@@ -146,9 +146,14 @@
             };
             match reply {
                 Some(PartReply::List { blocked, withdrawn }) => {
+                    // An empty list may be that of a gate that has just started as well.
+                    let is_known = !blocked.is_empty() || !withdrawn.is_empty();
                     let view = ListView { blocked, withdrawn };
                     self.parts
                         .update(|state| state.list.merge(view, Instant::now()));
+                    if is_known {
+                        self.parts.set_loaded();
+                    }
                     interval = COMPARE_INTERVAL;
                 }
                 reply => debug!("no list of another gate", kv: { reply = format!("{reply:?}") }),
--- a/crates/forward/src/blocked_parts/tests.rs
+++ b/crates/forward/src/blocked_parts/tests.rs
@@ -4,12 +4,18 @@
     time::Duration,
 };
 
+use bytes::Bytes;
+use hyper::{HeaderMap, Method};
 use proptest::prelude::*;
 use rand::{SeedableRng, rngs::SmallRng};
 use routing::{Crash, Suspect};
 use tokio::time::Instant;
 
-use super::{State, part_name};
+use super::{BlockedParts, State, part_name};
+use crate::{
+    incoming::{IncomingRequest, Prompt},
+    metrics::Metrics,
+};
 
 /// Number of gates.
 const GATES: usize = 3;
@@ -279,3 +285,38 @@
     assert!(!state.list.in_force().contains_key(&CRASHING));
     assert_eq!(state.list.proposed_withdrawals(), [CRASHING]);
 }
+
+fn incoming(prompt: Option<Prompt>) -> IncomingRequest {
+    IncomingRequest {
+        id: "r".to_owned(),
+        method: Method::POST,
+        host: "h".to_owned(),
+        target: "/".to_owned(),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+        key: None,
+        timeout: None,
+        received_at: Instant::now(),
+        prompt,
+        items: Vec::new(),
+        item_key: None,
+        last_event_id: None,
+    }
+}
+
+/// Guards against a gate that has just started and serves requests with a part that it does not know
+/// to be blocked.
+#[test]
+fn a_gate_without_a_list_knows_no_part() {
+    let parts = BlockedParts::new(Metrics::new().unwrap());
+    let with_prompt = incoming(Some(Prompt::new(
+        "m",
+        10,
+        1,
+        [("a", 5), ("b", 5)].into_iter(),
+    )));
+    assert!(parts.is_unknown(&with_prompt));
+    assert!(!parts.is_unknown(&incoming(None)));
+    parts.set_loaded();
+    assert!(!parts.is_unknown(&with_prompt));
+}
--- a/crates/forward/src/control.rs
+++ b/crates/forward/src/control.rs
@@ -163,7 +163,11 @@
             let has_caught_up = timeout(CATCH_UP_TIMEOUT, has_caught_up)
                 .await
                 .is_ok_and(|f| f.is_ok());
-            if has_caught_up && self.has_blocked_parts(peer, blocked_version).await {
+            let has_blocked_parts = self.has_blocked_parts(peer, blocked_version).await;
+            if has_blocked_parts {
+                self.blocked_parts.set_loaded();
+            }
+            if has_caught_up && has_blocked_parts {
                 self.freshness.confirm(requested_at);
             }
             return Some((peer.clone(), keepers));
--- a/crates/forward/src/serving/part_checks.rs
+++ b/crates/forward/src/serving/part_checks.rs
@@ -1,6 +1,8 @@
 //! Refuses requests with blocked parts of prompts, and records which calls speak for or against the
 //! parts of their prompts.
 
+use std::time::Duration;
+
 use logs::Event;
 
 use super::{Context, Request};
@@ -12,6 +14,9 @@
     placement::PlacementError,
 };
 
+/// When a caller may retry if this gate does not know the blocked parts yet.
+const UNKNOWN_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 impl Context {
     /// Records a call that ended together with its connection.
     pub(crate) fn record_lost(
@@ -65,6 +70,12 @@
 
     /// Returns an error if a part of the request's prompt is blocked.
     pub(crate) fn check_parts(&self, req: &Request) -> Result<(), ForwardError> {
+        if self.blocked_parts.is_unknown(&req.incoming) {
+            return Err(ForwardError::retry_later(
+                Refusal::NotConfirmed,
+                UNKNOWN_RETRY_AFTER,
+            ));
+        }
         let Some(block) = self.blocked_parts.block_of(&req.incoming) else {
             return Ok(());
         };
