--- a/crates/forward/src/attempts.rs
+++ b/crates/forward/src/attempts.rs
@@ -13,7 +13,7 @@
     error::{ForwardError, Refusal},
     in_flight::InFlightCall,
     placement::{PlacementError, Requirements},
-    serving::{Context, MAX_ANSWER_BYTES, RECHECK_INTERVAL, RETRY_AFTER, Request},
+    request::{Context, MAX_ANSWER_BYTES, RECHECK_INTERVAL, RETRY_AFTER, Request},
     stages::Results,
 };
 
--- a/crates/forward/src/batch.rs
+++ b/crates/forward/src/batch.rs
@@ -5,9 +5,9 @@
 use tokio::time::Instant;
 
 use crate::{
+    batch_context::Context,
     batch_outcome::{BatchOutcome, ItemFailure},
     call::{self, CallError},
-    collector::Context,
     dialect::{Item, ItemResult, ItemSource, ResponseClass},
     messages::StageFailure,
     queue::{Job, NextCall},
--- /dev/null
+++ b/crates/forward/src/batch_context.rs
@@ -0,0 +1,24 @@
+//! What batched calls and their queues depend on.
+
+use std::sync::Arc;
+
+use outbound::Pool;
+use tokio::sync::watch;
+
+use crate::{
+    dialect::Dialect, fleet::Fleet, metrics::Metrics, rate_limit::RateLimits, rules::Rules,
+};
+
+/// Dependencies of the collector.
+#[derive(Clone, Debug)]
+pub(crate) struct Context {
+    pub(crate) dialect: Dialect,
+    pub(crate) fleet: Fleet,
+    pub(crate) pool: Pool,
+    pub(crate) rules: watch::Receiver<Arc<Rules>>,
+    pub(crate) budget: Arc<routing::RetryBudget>,
+    pub(crate) rate_limits: RateLimits,
+    /// The VM name of this gate.
+    pub(crate) vm: String,
+    pub(crate) metrics: Metrics,
+}
--- a/crates/forward/src/collector.rs
+++ b/crates/forward/src/collector.rs
@@ -14,23 +14,20 @@
 };
 
 use logs::Event;
-use outbound::Pool;
 use tokio::{
-    sync::{Notify, watch},
+    sync::Notify,
     task::JoinHandle,
     time::{Instant, sleep, timeout_at},
 };
 
 use crate::{
+    batch_context::Context,
     batch_outcome::{BatchOutcome, ItemFailure},
-    dialect::Dialect,
-    fleet::{Fleet, Target},
+    fleet::Target,
     late_call,
     messages::{StageFailure, StoredResult, Submission},
-    metrics::Metrics,
     queue::{Job, NextCall, NextStep, Queue},
     rate_limit::{PermitRequest, RateLimits},
-    rules::Rules,
     ticket::Ticket,
 };
 
@@ -45,20 +42,6 @@
 /// Longest time between checks of a non-empty queue.
 const CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
-/// Dependencies of the collector.
-#[derive(Clone, Debug)]
-pub(crate) struct Context {
-    pub(crate) dialect: Dialect,
-    pub(crate) fleet: Fleet,
-    pub(crate) pool: Pool,
-    pub(crate) rules: watch::Receiver<Arc<Rules>>,
-    pub(crate) budget: Arc<routing::RetryBudget>,
-    pub(crate) rate_limits: RateLimits,
-    /// The VM name of this gate.
-    pub(crate) vm: String,
-    pub(crate) metrics: Metrics,
-}
-
 /// The queues of all services. Clones share state.
 #[derive(Clone, Debug)]
 pub(crate) struct Collector {
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -29,9 +29,10 @@
     freshness::Freshness,
     incoming::IncomingRequest,
     metrics::Metrics,
+    request::{Context, Request},
     response::{Response, ResponseBody},
     rules::Rules,
-    serving::{self, Context, Request},
+    serving,
     shutdown::Shutdown,
 };
 
--- a/crates/forward/src/late_call.rs
+++ b/crates/forward/src/late_call.rs
@@ -5,7 +5,7 @@
 use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::{
-    batch, batch_outcome::BatchOutcome, call::CallError, collector::Context, queue::NextCall,
+    batch, batch_context::Context, batch_outcome::BatchOutcome, call::CallError, queue::NextCall,
 };
 
 /// Time after which an endpoint that starts calls at once has fetched the inputs of its items: the
--- a/crates/forward/src/start.rs
+++ b/crates/forward/src/start.rs
@@ -21,9 +21,10 @@
 use uuid::Uuid;
 
 use crate::{
+    batch_context,
     blocked_parts::{BlockedParts, CrashDetector, PartSync, Reporter},
     budgets::{Budgets, SharedBudget},
-    collector::{self, Collector},
+    collector::Collector,
     control::{KeeperFeed, KeeperSync},
     dialect::Dialect,
     endpoint_notifier::EndpointNotifier,
@@ -33,9 +34,9 @@
     gates::Gates,
     metrics::Metrics,
     rate_limit::RateLimits,
+    request::Context,
     rules::Rules,
     server::{self, Phase},
-    serving::Context,
     shutdown::Shutdown,
     stages::Stages,
 };
@@ -237,7 +238,7 @@
         idle_timeout: IDLE_TIMEOUT,
         connect_timeout: CONNECT_TIMEOUT,
     });
-    let collector = Collector::new(collector::Context {
+    let collector = Collector::new(batch_context::Context {
         dialect,
         fleet: fleet.clone(),
         pool: pool.clone(),
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -18,8 +18,8 @@
     blocked_parts::CallEnd,
     call::CallError,
     events::{self, EventSplitter},
+    request::{Context, Request},
     response::{Response, StreamPart},
-    serving::{Context, Request},
     stages::Results,
     successor::{NoSuccessor, RECHECK_INTERVAL, start_successor},
 };
--- a/crates/forward/src/successor.rs
+++ b/crates/forward/src/successor.rs
@@ -7,7 +7,7 @@
         self, AttemptFailure, AttemptLog, MAX_CONNECT_FAILURES, MAX_ENDPOINTS, PreparedCall,
         StartedResponse, choose, prepare,
     },
-    serving::{Context, Request},
+    request::{Context, Request},
     stages::Results,
 };
 
--- a/crates/forward/src/whole.rs
+++ b/crates/forward/src/whole.rs
@@ -13,8 +13,8 @@
     blocked_parts::CallEnd,
     error::ForwardError,
     fleet::Target,
+    request::{ANSWER_MARGIN, Context, MAX_ANSWER_BYTES, Request},
     response::{Response, WholeResponse},
-    serving::{ANSWER_MARGIN, Context, MAX_ANSWER_BYTES, Request},
     stages::Results,
     successor::{NoSuccessor, RECHECK_INTERVAL, prepare_successor},
 };
--- a/crates/keeper/src/announce.rs
+++ b/crates/keeper/src/announce.rs
@@ -7,7 +7,7 @@
 use salvo::{Depot, Request, Response, handler};
 
 use crate::{
-    http_api::{ApiState, api_state, json},
+    api_state::{ApiState, api_state, json},
     request_body,
 };
 
--- a/crates/keeper/src/blocked_http.rs
+++ b/crates/keeper/src/blocked_http.rs
@@ -8,9 +8,9 @@
 use salvo::{Depot, Request, Response, handler};
 
 use crate::{
+    api_state::{ApiState, api_state, authorize, bad_request, json, unavailable},
     blocked_parts::{BLOCK_DURATION, BlockedParts},
     error_response::ErrorResponse,
-    http_api::{ApiState, api_state, authorize, bad_request, json, unavailable},
     request_body,
     service::{Origin, millis},
 };
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -4,6 +4,7 @@
 //! followers; [`start`] runs a keeper that serves clients over links and operators over HTTP.
 
 mod announce;
+mod api_state;
 mod blocked_http;
 mod blocked_parts;
 mod chunked_map;
--- a/crates/keeper/src/start.rs
+++ b/crates/keeper/src/start.rs
@@ -16,13 +16,8 @@
 use uuid::Uuid;
 
 use crate::{
-    config::Config,
-    group,
-    held_settlements::HeldSettlements,
-    http_api::{ApiState, router},
-    service::Service,
-    shared_state::SharedState,
-    state_changes,
+    api_state::ApiState, config::Config, group, held_settlements::HeldSettlements,
+    http_api::router, service::Service, shared_state::SharedState, state_changes,
     table_sync::sync_table,
 };
 
