A request that waits for the ledger is refused with its error before its deadline

Callers of unrepeatable pipelines in a zone without a quorum got either 502 with the ledger's error or a bare 504 "deadline exceeded", by chance, both at the deadline or after it; `jujubeferry explain` then named no step.

Cause: lookup, claim and wait in the ledger had the request's own deadline as their limit, and so had the timeout around the whole pipeline. The limit was computed from the time that remained, some microseconds later than the deadline, and timers have a resolution of 1 ms: whichever fell into the later millisecond lost. After its limit the keepers' client also slept once more, for 0 ms, which yields to the timeout around it.

Ruled out: a slow quorum check. The keepers' group played no part: the request's log of the failed run shows no reply of the ledger at all, since the task was dropped before.

Now the ledger's replies are awaited until 20 ms before the deadline, and the client returns once its limit is over.

The outcome told is the same in both cases, `unknown`.

--- a/crates/gate/src/at_most_once.rs
+++ b/crates/gate/src/at_most_once.rs
@@ -86,11 +86,8 @@
     key: Uuid,
 ) -> Result<Option<StageResult>, StageError> {
     let ledger = &cx.gate.ledger;
-    let remaining = cx
-        .request
-        .deadline
-        .saturating_duration_since(Instant::now());
     let sent_at = Instant::now();
+    let remaining = cx.ledger_deadline().saturating_duration_since(sent_at);
     let lookup = ledger.lookup(key, remaining).await;
     let reply_label = match &lookup {
         Ok(entry) => entry.as_str(),
@@ -203,7 +200,7 @@
         endpoint: endpoint.to_owned(),
     };
     let sent_at = Instant::now();
-    let claimed = cx.gate.ledger.claim(&claim, cx.request.deadline).await;
+    let claimed = cx.gate.ledger.claim(&claim, cx.ledger_deadline()).await;
     let reply_label = match &claimed {
         Ok(ClaimReply::Granted(_)) => "granted",
         Ok(ClaimReply::Refused(reply)) => reply.as_str(),
@@ -224,7 +221,7 @@
 ) -> Result<OnceResult, StageError> {
     let cause = match reply {
         IntentReply::Settled(settlement) => return from_settlement(stage, settlement),
-        IntentReply::InProgress => match cx.gate.ledger.wait(key, cx.request.deadline).await {
+        IntentReply::InProgress => match cx.gate.ledger.wait(key, cx.ledger_deadline()).await {
             LedgerEntry::Settled(settlement) => return from_settlement(stage, settlement),
             LedgerEntry::Absent => return Ok(OnceResult::Released),
             LedgerEntry::TooOld => Cause::TooOld,
--- a/crates/gate/src/context.rs
+++ b/crates/gate/src/context.rs
@@ -12,6 +12,9 @@
 /// `Retry-After` if the remaining stages don't fit before the deadline.
 const DEADLINE_RETRY_AFTER: Duration = Duration::from_millis(200);
 
+/// Time kept before the deadline for telling the caller that the ledger did not reply.
+const LEDGER_REPLY_MARGIN: Duration = Duration::from_millis(20);
+
 /// State of a running request.
 #[derive(Debug)]
 pub(crate) struct RequestContext {
@@ -37,6 +40,15 @@
         let bytes = self.request.input.get().len();
         self.gate.routing.fits(stages, bytes, remaining)
     }
+
+    /// Latest time at which a reply of the ledger is of use. Earlier than the request's deadline, so
+    /// that a missing reply is reported as such and in time.
+    pub(crate) fn ledger_deadline(&self) -> Instant {
+        let deadline = self.request.deadline;
+        deadline
+            .checked_sub(LEDGER_REPLY_MARGIN)
+            .unwrap_or(deadline)
+    }
 }
 
 /// Cause of a refusal because the remaining stages are expected to take longer than the time to the
--- a/crates/gate/tests/once.rs
+++ b/crates/gate/tests/once.rs
@@ -10,6 +10,7 @@
     fake_endpoint::{FakeEndpoint, Reply, not_run, output},
     keeper::Fault,
 };
+use futures_util::future::join_all;
 use link::keeper::Settlement;
 use serde_json::{Value, json};
 use tokio::time::sleep;
@@ -86,7 +87,7 @@
     for _ in 0..10 {
         let key = key();
         let requests = [&a, &b, &a, &b].map(|gate| book(gate, &key, "10000", json!("ferry")));
-        for answer in futures_util::future::join_all(requests).await {
+        for answer in join_all(requests).await {
             assert_eq!(answer.json()["output"], "booked", "{}", answer.text());
         }
     }
@@ -387,7 +388,7 @@
     env.keeper.set_fault(Fault::NoQuorum);
     let keys: Vec<String> = (0..REQUESTS).map(|_| key()).collect();
     let requests = keys.iter().map(|key| book(&gate, key, "20000", json!(1)));
-    let answers = futures_util::future::join_all(requests).await;
+    let answers = join_all(requests).await;
     for answer in &answers {
         let expected = (502, "unknown".to_owned());
         assert_eq!(status_and_outcome(answer), expected, "{}", answer.text());
@@ -435,6 +436,48 @@
     assert!(booking_endpoint.calls().is_empty());
 }
 
+/// The refusal comes before the deadline and names the ledger, whichever step waited for it; it is not
+/// an unexplained 504 at the deadline.
+#[tokio::test]
+async fn bookings_that_wait_for_the_ledger_are_refused_with_its_error_in_time() {
+    const ROUNDS: u64 = 4;
+    /// Bookings at a time; few enough for one endpoint.
+    const BOOKINGS: u64 = 10;
+    let (env, gate, booking_endpoint) = start_with_endpoint().await;
+    let retriever =
+        FakeEndpoint::start("look-1", "look", |_| Reply::Json(output(&json!("found")))).await;
+    for (fault, pipeline) in [
+        (Fault::LostReplies, "booking"),
+        (Fault::NoQuorum, "booking"),
+        (Fault::NoQuorum, "plan-booking"),
+    ] {
+        for round in 0..ROUNDS {
+            // Endpoints repeat their announcements, or they expire.
+            gate.announce(&booking_endpoint).await;
+            gate.announce(&retriever).await;
+            env.keeper.set_fault(fault);
+            let requests = (0..BOOKINGS).map(|n| {
+                let (gate, key) = (&gate, key());
+                let deadline_ms = (200 + BOOKINGS * round + n).to_string();
+                async move {
+                    let headers = [
+                        ("idempotency-key", &*key),
+                        ("jujube-deadline-ms", &*deadline_ms),
+                    ];
+                    gate.post(pipeline, &headers, json!("ferry")).await
+                }
+            });
+            for answer in join_all(requests).await {
+                let expected = (502, "unknown".to_owned());
+                assert_eq!(status_and_outcome(&answer), expected, "{}", answer.text());
+                assert_eq!(answer.json()["step"], "ledger", "{}", answer.text());
+            }
+            env.keeper.set_fault(Fault::None);
+        }
+    }
+    assert!(booking_endpoint.calls().is_empty());
+}
+
 /// The earlier request booked; the repeat fails at the stage after the booking.
 #[tokio::test]
 async fn a_repeat_that_fails_after_the_stored_booking_is_unknown() {
--- a/crates/link/src/keepers.rs
+++ b/crates/link/src/keepers.rs
@@ -87,7 +87,10 @@
                     Err(e) => last = Some(e.to_string()),
                 }
             }
-            sleep(RETRY_DELAY.min(limit.saturating_sub(start.elapsed()))).await;
+            let remaining = limit.saturating_sub(start.elapsed());
+            if !remaining.is_zero() {
+                sleep(RETRY_DELAY.min(remaining)).await;
+            }
         }
         let waited = start.elapsed();
         Err(match last {
