Broken streams and lost requests wait for busy endpoints

What callers saw: a resumable stream was cut, or a repeatable request failed with 502, at the moment in which its endpoint broke it off, though another endpoint would have taken it two seconds later, within its deadline.

Cause: a request that has run was given up as soon as no endpoint could be chosen. A first attempt waits while all endpoints are full, and a silent stream looks for another endpoint until its deadline; a broken one did neither.

Now such a request checks again, like one that is queued, while an endpoint that was not tried is full, paused or out of permits and may take it before the deadline. If none may, it ends at once, as before. Attempts and retry budget are checked before the wait, and no call is made while it lasts.

Ruled out: waiting for endpoints that are suspect, leaving or in a zone that is cut off, since nothing says when they take work again.

Open: an endpoint that itself refused this request is not offered it again.

--- a/crates/forward/src/attempts.rs
+++ b/crates/forward/src/attempts.rs
@@ -124,7 +124,8 @@
     }
 }
 
-/// Prepares a call of an endpoint that was not tried, and waits for one while all are full.
+/// Prepares a call of an endpoint that was not tried, and waits for one while all are full. A request
+/// that has run can't be refused, so it also waits for endpoints that are paused or limited.
 pub(crate) async fn next_call(
     cx: &Context,
     req: &Request,
@@ -137,13 +138,17 @@
             Ok(flight) => return Ok(prepare(cx, req, inputs, attempts, flight, last_event_id)),
             Err(error) => error,
         };
+        let has_time = req.remaining() > RECHECK_INTERVAL * 4;
         match error.reason {
+            Refusal::Full | Refusal::Limited | Refusal::Paused
+                if attempts.runs > 0 && has_time && may_place_later(cx, req, inputs, attempts) =>
+            {
+                tokio::time::sleep(RECHECK_INTERVAL).await;
+            }
             reason if attempts.runs > 0 => {
                 return Err(ForwardError::Lost(format!("no other endpoint: {reason}")));
             }
-            Refusal::Full
-                if req.remaining() > RECHECK_INTERVAL * 4 && attempts.endpoints.is_empty() =>
-            {
+            Refusal::Full if has_time && attempts.endpoints.is_empty() => {
                 tokio::time::sleep(RECHECK_INTERVAL).await;
             }
             reason => {
@@ -195,15 +200,8 @@
     inputs: &[Arc<Results>],
     attempts: &AttemptLog,
 ) -> Result<InFlightCall, PlacementError> {
-    let input_sizes: Vec<(String, u64)> = inputs.iter().flat_map(|r| r.sizes_by_zone()).collect();
-    let prompt = req.incoming.prompt.as_ref();
-    let requirements = Requirements {
-        service: &req.service,
-        az: &cx.az,
-        prompt: prompt.filter(|_| req.route().affinity),
-        inputs: &input_sizes,
-        avoid: &attempts.endpoints,
-    };
+    let input_sizes = sizes_by_zone(inputs);
+    let requirements = requirements(cx, req, &input_sizes, attempts);
     cx.check_placement(req)?;
     let flight = cx.place(&requirements).await?;
     // A part can be blocked while the call waits for a permit.
@@ -211,6 +209,39 @@
     Ok(flight)
 }
 
+/// Returns true if an endpoint that was not tried may take the request before its deadline.
+fn may_place_later(
+    cx: &Context,
+    req: &Request,
+    inputs: &[Arc<Results>],
+    attempts: &AttemptLog,
+) -> bool {
+    let input_sizes = sizes_by_zone(inputs);
+    let requirements = requirements(cx, req, &input_sizes, attempts);
+    cx.fleet.may_place_by(&requirements, req.deadline)
+}
+
+/// Returns the bytes of the inputs by availability zone.
+fn sizes_by_zone(inputs: &[Arc<Results>]) -> Vec<(String, u64)> {
+    inputs.iter().flat_map(|r| r.sizes_by_zone()).collect()
+}
+
+fn requirements<'a>(
+    cx: &'a Context,
+    req: &'a Request,
+    input_sizes: &'a [(String, u64)],
+    attempts: &'a AttemptLog,
+) -> Requirements<'a> {
+    let prompt = req.incoming.prompt.as_ref();
+    Requirements {
+        service: &req.service,
+        az: &cx.az,
+        prompt: prompt.filter(|_| req.route().affinity),
+        inputs: input_sizes,
+        avoid: &attempts.endpoints,
+    }
+}
+
 /// Writes the call for the endpoint of `flight` and records it as an attempt.
 pub(crate) fn prepare(
     cx: &Context,
--- a/crates/forward/src/placement.rs
+++ b/crates/forward/src/placement.rs
@@ -92,6 +92,24 @@
         }
     }
 
+    /// Returns true if an endpoint that was not tried may take the call before `deadline`, since it is
+    /// only full, paused or out of permits.
+    pub(crate) fn may_place_by(&self, requirements: &Requirements<'_>, deadline: Instant) -> bool {
+        let Some(pool) = self.pool(requirements.service) else {
+            return false;
+        };
+        let (reachable, now) = (self.reachable(), Instant::now());
+        let untried = |t: &&Arc<Target>| !requirements.avoid.contains(&t.name);
+        let mut untried = pool.targets.iter().filter(untried);
+        untried.any(|t| match t.unavailable_reason(&reachable, now) {
+            None | Some(UnavailableReason::Full(_)) => true,
+            Some(UnavailableReason::Paused(until) | UnavailableReason::Limited(until)) => {
+                until < deadline
+            }
+            Some(_) => false,
+        })
+    }
+
     /// Returns the availability zone in which a request will probably be placed; its stages should
     /// run there.
     pub(crate) fn predicted_zone(&self, requirements: &Requirements<'_>) -> Option<String> {
--- a/crates/forward/src/placement/tests.rs
+++ b/crates/forward/src/placement/tests.rs
@@ -1,4 +1,7 @@
+use std::time::Duration;
+
 use membership::{EndpointState, EndpointView};
+use outbound::Notice;
 use tokio::time::Instant;
 
 use super::Requirements;
@@ -107,3 +110,32 @@
     let refused = fleet.place(&requirements(None, &[])).unwrap_err();
     assert_eq!(refused.reason, Refusal::Full);
 }
+
+/// Guards against ending a call at once though a busy endpoint may take it in time, and against waiting
+/// for endpoints that cannot.
+#[tokio::test]
+async fn only_busy_untried_endpoints_may_take_a_call_later() {
+    let fleet = fleet(&[("one", "a", READY), ("old", "a", EndpointState::Leaving)]);
+    let deadline = Instant::now() + Duration::from_secs(5);
+    let may_place = |avoid: &[&str]| {
+        let avoid: Vec<String> = avoid.iter().map(ToString::to_string).collect();
+        fleet.may_place_by(&requirements(None, &avoid), deadline)
+    };
+    assert!(may_place(&[]));
+    assert!(!may_place(&["one"]), "only a leaving endpoint is left");
+    let pool = fleet.pool("chat").unwrap();
+    let one = pool.targets.iter().find(|t| t.name == "one").unwrap();
+    one.mark_full();
+    assert!(may_place(&[]), "full");
+    let pause = |secs| {
+        let notice = Notice {
+            pause: Some(Duration::from_secs(secs)),
+            ..Notice::default()
+        };
+        fleet.apply_notice(one, notice, "gate-1", None);
+    };
+    pause(4);
+    assert!(may_place(&[]), "paused");
+    pause(6);
+    assert!(!may_place(&[]), "paused beyond the deadline");
+}
