Soak: processes restart beside the next faults; an exit that nothing caused is a violation

A soak that ended with an error even deleted its logs.

Cause of what is mended here: the soak started and ended its faults one after the other and waited for each restart in between, while its checks took the scheduled times as true. So a gate could be dead when the checks took it for undisturbed, and the exit code of a gate that was told to stop was read and dropped.

What changes: each restart runs in a task of its own; a gate's fault counts from its injection until its successor listens; a process that ends by itself and a stopped gate that does not exit with 0 within 15 s are violations (the latter ended the whole run before); violations are printed with each process's state, exit status and last line; faults.log keeps the times; errors keep the folder. A signal is no longer sent to the id of a process whose exit was waited for: ids are used again (pid_max is 32768 here).

--- a/crates/bench/src/processes.rs
+++ b/crates/bench/src/processes.rs
@@ -4,7 +4,7 @@
     fs,
     net::SocketAddr,
     path::{Path, PathBuf},
-    process::Stdio,
+    process::{ExitStatus, Stdio},
     time::Duration,
 };
 
@@ -99,11 +99,16 @@
     }
 
     fn start_error(&self, name: &str) -> String {
-        let log = fs::read_to_string(self.work.join(format!("{name}.log")));
-        let log = log.unwrap_or_default();
-        let last = log.lines().last().unwrap_or("no word");
+        let last = self.last_log_line(name);
         format!("did not come to listen; its log ends with: {last}")
     }
+
+    /// Returns the last line that the process `name` has written to its log.
+    pub fn last_log_line(&self, name: &str) -> String {
+        let log = fs::read(self.work.join(format!("{name}.log"))).unwrap_or_default();
+        let log = String::from_utf8_lossy(&log);
+        log.lines().last().unwrap_or("no word").to_owned()
+    }
 }
 
 async fn copy_log(
@@ -152,12 +157,22 @@
         format!("http://{}", self.http)
     }
 
-    /// Sends a signal to this process only.
+    /// Sends a signal to this process only. Fails once its end was waited for, since another process
+    /// may have its id by then.
     pub fn signal(&self, signal: Signal) -> eyre::Result<()> {
+        if self.child.id().is_none() {
+            eyre::bail!("signal {}: it has exited", self.name);
+        }
         let sent = kill_process(self.pid, signal);
         sent.wrap_err_with(|| format!("signal {}", self.name))
     }
 
+    /// Returns how the process ended, or `None` while it runs.
+    pub fn exit_status(&mut self) -> eyre::Result<Option<ExitStatus>> {
+        let status = self.child.try_wait();
+        status.wrap_err_with(|| format!("read the exit status of {}", self.name))
+    }
+
     /// Kills the process and waits until it has exited.
     pub async fn kill(&mut self) -> eyre::Result<()> {
         let killed = self.child.kill().await;
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -15,9 +15,9 @@
 
 use crate::{
     fleet::CONFIRMED_MS,
+    gate_faults::GateFaults,
     operator::{KEY, RevocationTime, TEMPORARY_KEY},
     results::Results,
-    run::FaultTimeline,
 };
 
 /// Number of concurrent callers.
@@ -76,7 +76,7 @@
     pub(crate) results: Arc<Results>,
     /// If true, late and missing answers of undisturbed gates are violations.
     pub(crate) check_latency: bool,
-    pub(crate) timeline: FaultTimeline,
+    pub(crate) gate_faults: GateFaults,
     pub(crate) revocation_time: RevocationTime,
     pub(crate) bookings: Arc<Mutex<Vec<Booking>>>,
 }
@@ -149,7 +149,7 @@
         }
         let elapsed = sent.at.elapsed();
         let is_strict = self
-            .timeline
+            .gate_faults
             .is_undisturbed(sent.gate, sent.at, Instant::now())
             && self.check_latency;
         let describe = |details: String| {
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -1,22 +1,16 @@
-//! Faults, the schedule that a seed determines, and their injection into the fleet.
+//! Faults and the schedule that a seed determines.
 
 use std::time::Duration;
 
-use bench::{
-    processes::Signal,
-    proxy::{Cut, Rules},
-    stand_in::Fault as EndpointFault,
-};
+use bench::{proxy::Cut, stand_in::Fault as EndpointFault};
 use rand::{RngExt, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
 
-use crate::fleet::{Fleet, GATE_ZONES, ZONES};
+use crate::fleet::{GATE_ZONES, ZONES};
 
 /// Time between the starts of two drawn faults, in milliseconds.
 const FAULT_INTERVAL_MS: std::ops::Range<u64> = 100..500;
 /// Duration of a fault, in milliseconds.
 const FAULT_DURATION_MS: std::ops::Range<u64> = 200..2_500;
-/// Time within which a process exits after SIGTERM.
-const STOP_TIMEOUT: Duration = Duration::from_secs(15);
 /// Number of endpoints in the fleet: three services in each zone.
 const ENDPOINT_COUNT: usize = 9;
 
@@ -151,103 +145,3 @@
     ];
     *faults.choose(rng).unwrap_or(&faults[0])
 }
-
-impl Fleet {
-    /// Injects `fault`.
-    pub(crate) async fn start_fault(&mut self, fault: Fault) -> eyre::Result<()> {
-        match fault {
-            Fault::LinkCut(id, cut) => self.process(id).link.set_rules(Rules::cut(cut)),
-            Fault::LinkSlow(id) => {
-                let slow = Rules {
-                    jitter_us: 150_000,
-                    ..Rules::delayed(Duration::from_millis(120))
-                };
-                self.process(id).link.set_rules(slow);
-            }
-            Fault::LinkReset(id) => self.process(id).link.reset_connections(),
-            Fault::LinkSilent(id) => self.process(id).link.silence_connections(),
-            Fault::Freeze(id) => self.signal(id, Signal::STOP)?,
-            Fault::Kill(id) => self.kill(id).await?,
-            Fault::Stop(gate) => self.signal(ProcessId::Gate(gate), Signal::TERM)?,
-            Fault::TearLog(keeper) => {
-                self.kill(ProcessId::Keeper(keeper)).await?;
-                append_partial_record(&self.folders.work.join(format!("data-{keeper}")))?;
-            }
-            Fault::EndpointCut(n, cut) => self.endpoints[n].proxy.set_rules(Rules::cut(cut)),
-            Fault::EndpointReset(n) => self.endpoints[n].proxy.reset_connections(),
-            Fault::EndpointMisbehaves(n, behavior) => self.set_endpoint_fault(n, behavior),
-            Fault::EndpointRestart(n) => self.kill_endpoint(n),
-        }
-        Ok(())
-    }
-
-    /// Removes `fault`; restarts what it killed or stopped.
-    pub(crate) async fn end_fault(&mut self, fault: Fault) -> eyre::Result<()> {
-        match fault {
-            Fault::LinkCut(id, _) | Fault::LinkSlow(id) => {
-                self.process(id).link.set_rules(Rules::default());
-            }
-            Fault::LinkReset(_) | Fault::LinkSilent(_) | Fault::EndpointReset(_) => {}
-            Fault::Freeze(id) => self.signal(id, Signal::CONT)?,
-            Fault::Kill(ProcessId::Keeper(n)) | Fault::TearLog(n) => self.start_keeper(n).await?,
-            Fault::Kill(ProcessId::Gate(n)) => self.start_gate(n).await?,
-            Fault::Stop(gate) => {
-                if let Some(role) = &mut self.gates[gate].role {
-                    role.wait_for_exit(STOP_TIMEOUT).await?;
-                }
-                self.start_gate(gate).await?;
-            }
-            Fault::EndpointCut(n, _) => self.endpoints[n].proxy.set_rules(Rules::default()),
-            Fault::EndpointMisbehaves(n, _) => self.set_endpoint_fault(n, EndpointFault::None),
-            Fault::EndpointRestart(n) => self.start_endpoint(n).await?,
-        }
-        Ok(())
-    }
-
-    fn process(&self, id: ProcessId) -> &crate::fleet::Process {
-        match id {
-            ProcessId::Keeper(n) => &self.keepers[n],
-            ProcessId::Gate(n) => &self.gates[n],
-        }
-    }
-
-    fn signal(&self, id: ProcessId, signal: Signal) -> eyre::Result<()> {
-        match &self.process(id).role {
-            Some(role) => role.signal(signal),
-            None => Ok(()),
-        }
-    }
-
-    async fn kill(&mut self, id: ProcessId) -> eyre::Result<()> {
-        let process = match id {
-            ProcessId::Keeper(n) => &mut self.keepers[n],
-            ProcessId::Gate(n) => &mut self.gates[n],
-        };
-        match &mut process.role {
-            Some(role) => role.kill().await,
-            None => Ok(()),
-        }
-    }
-
-    fn set_endpoint_fault(&self, number: usize, behavior: EndpointFault) {
-        if let Some(stand_in) = &self.endpoints[number].stand_in {
-            stand_in.set_fault(behavior);
-        }
-    }
-}
-
-/// Appends a partial record to the newest log file in `folder`, as a power failure during a write
-/// leaves it.
-fn append_partial_record(folder: &std::path::Path) -> eyre::Result<()> {
-    use std::io::Write;
-
-    let files = std::fs::read_dir(folder)?.filter_map(Result::ok);
-    let is_log_file = |path: &std::path::PathBuf| path.extension().is_some_and(|e| e == "log");
-    let log_files = files.map(|file| file.path()).filter(is_log_file);
-    let Some(newest) = log_files.max() else {
-        return Ok(());
-    };
-    let mut file = std::fs::File::options().append(true).open(newest)?;
-    file.write_all(&[0, 0, 1, 7, 42, 9])?;
-    Ok(())
-}
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -14,9 +14,9 @@
 };
 use eyre::{WrapErr, eyre};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
-use tokio::time::Instant;
+use tokio::{task::JoinSet, time::Instant};
 
-use crate::results::Results;
+use crate::{faults::ProcessId, gate_faults::GateFaults, restarts::Restarted, results::Results};
 
 /// Availability zones; each has one keeper.
 pub(crate) const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
@@ -76,6 +76,8 @@
     pub(crate) keepers: Vec<Process>,
     pub(crate) gates: Vec<Process>,
     pub(crate) endpoints: Vec<Endpoint>,
+    pub(crate) gate_faults: GateFaults,
+    pub(crate) restarts: JoinSet<eyre::Result<Restarted>>,
 }
 
 impl Fleet {
@@ -90,6 +92,8 @@
             keepers: Vec::new(),
             gates: Vec::new(),
             endpoints: Vec::new(),
+            gate_faults: GateFaults::default(),
+            restarts: JoinSet::new(),
         };
         for (number, zone) in ZONES.into_iter().enumerate() {
             let name = format!("keeper-{number}");
@@ -102,10 +106,10 @@
             fleet.gates.push(gate);
         }
         for number in 0..ZONES.len() {
-            fleet.start_keeper(number).await?;
+            fleet.start_process(ProcessId::Keeper(number)).await?;
         }
         for number in 0..GATE_ZONES.len() {
-            fleet.start_gate(number).await?;
+            fleet.start_process(ProcessId::Gate(number)).await?;
         }
         for zone in ZONES {
             for (service, kind) in SERVICES {
@@ -128,25 +132,29 @@
         Ok(fleet)
     }
 
-    /// Starts or restarts a keeper on its data folder.
-    pub(crate) async fn start_keeper(&mut self, number: usize) -> eyre::Result<()> {
-        let extra = format!("http = 127.0.0.1:0\n[data]\nfolder = data-{number}\n");
-        let settings = self.settings(&self.keepers[number], &extra);
-        let name = self.keepers[number].name.clone();
-        let role = self.folders.start("jujube-keeper", &name, &settings);
-        self.keepers[number].set_running(role.await?)
+    async fn start_process(&mut self, id: ProcessId) -> eyre::Result<()> {
+        let (program, settings) = self.program_and_settings(id);
+        let name = &self.process(id).name;
+        let role = self.folders.start(program, name, &settings).await?;
+        self.process_mut(id).set_running(role)
     }
 
-    /// Starts or restarts a gate.
-    pub(crate) async fn start_gate(&mut self, number: usize) -> eyre::Result<()> {
-        let extra = format!(
-            "http = 127.0.0.1:0\ncallers = 127.0.0.1:0\n[retries]\nslack = 400\n[timing]\n\
-             notice_ms = 300\ndrain_ms = 4000\nconfirmed_ms = {CONFIRMED_MS}\n"
-        );
-        let settings = self.settings(&self.gates[number], &extra);
-        let name = self.gates[number].name.clone();
-        let role = self.folders.start("jujube-forwarder", &name, &settings);
-        self.gates[number].set_running(role.await?)
+    /// Returns the program of a process and its settings, which a restart does not change.
+    pub(crate) fn program_and_settings(&self, id: ProcessId) -> (&'static str, String) {
+        let (program, extra) = match id {
+            ProcessId::Keeper(number) => (
+                "jujube-keeper",
+                format!("http = 127.0.0.1:0\n[data]\nfolder = data-{number}\n"),
+            ),
+            ProcessId::Gate(_) => (
+                "jujube-forwarder",
+                format!(
+                    "http = 127.0.0.1:0\ncallers = 127.0.0.1:0\n[retries]\nslack = 400\n[timing]\n\
+                     notice_ms = 300\ndrain_ms = 4000\nconfirmed_ms = {CONFIRMED_MS}\n"
+                ),
+            ),
+        };
+        (program, self.settings(self.process(id), &extra))
     }
 
     fn settings(&self, process: &Process, extra: &str) -> String {
@@ -256,7 +264,7 @@
 }
 
 impl Process {
-    fn set_running(&mut self, role: RoleProcess) -> eyre::Result<()> {
+    pub(crate) fn set_running(&mut self, role: RoleProcess) -> eyre::Result<()> {
         let link = role
             .link
             .ok_or_else(|| eyre!("{} has no link address", self.name))?;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,9 +8,13 @@
 mod callers;
 mod faults;
 mod fleet;
+mod gate_faults;
+mod injection;
 mod operator;
+mod restarts;
 mod results;
 mod run;
+mod status;
 
 pub use results::Violation;
-pub use run::{SoakConfig, run};
+pub use run::{Outcome, SoakConfig, run};
--- a/crates/soak/src/results.rs
+++ b/crates/soak/src/results.rs
@@ -43,6 +43,18 @@
         violations.push(Violation { rule, details });
     }
 
+    /// Records a violation of `rule` unless it was recorded with the same details.
+    pub(crate) fn record_once(&self, rule: &'static str, details: String) {
+        let violation = Violation { rule, details };
+        let mut violations = self
+            .violations
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if !violations.contains(&violation) {
+            violations.push(violation);
+        }
+    }
+
     /// Counts a response by its status; `None` is a failed request.
     pub(crate) fn count_response(&self, status: Option<u16>) {
         let counter = match status {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -10,16 +10,15 @@
 
 use crate::{
     callers::{CALLER_COUNT, Callers, Kind},
-    faults::{Fault, ProcessId, ScheduledFault, schedule},
+    faults::schedule,
     fleet::Fleet,
+    injection::inject_faults,
     operator::{self, RevocationTime},
     results::{Results, Violation},
 };
 
 /// Time within which the system must recover once no fault is active.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(25);
-/// Time after a gate's own fault during which it may answer late or not at all.
-const GATE_FAULT_GRACE: Duration = Duration::from_secs(3);
 /// Time for requests and changes in progress at the end to finish.
 const SETTLE_DELAY: Duration = Duration::from_millis(500);
 const RECHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -36,56 +35,37 @@
     pub check_latency: bool,
 }
 
-/// The fault schedule and its start, to tell when a gate had a fault of its own.
+/// What one soak observed.
 #[derive(Clone, Debug)]
-pub(crate) struct FaultTimeline {
-    start: Instant,
-    faults: Arc<Vec<ScheduledFault>>,
+pub struct Outcome {
+    /// One line with the counts.
+    pub summary: String,
+    /// The violations, oldest first.
+    pub violations: Vec<Violation>,
+    /// A line for each process at the end: whether it runs, how it ended, the last line of its log.
+    pub processes: Vec<String>,
 }
 
-impl FaultTimeline {
-    /// Returns true if `gate` had no fault of its own, nor recovered from one, between `since` and
-    /// `until`. Only freezes, kills and stops count.
-    pub(crate) fn is_undisturbed(&self, gate: usize, since: Instant, until: Instant) -> bool {
-        let affects_gate = |f: &&ScheduledFault| match f.fault {
-            Fault::Freeze(id) | Fault::Kill(id) => id == ProcessId::Gate(gate),
-            Fault::Stop(id) => id == gate,
-            _ => false,
-        };
-        let overlaps = |f: &ScheduledFault| {
-            self.start + f.starts_at <= until && since <= self.start + f.ends_at + GATE_FAULT_GRACE
-        };
-        !self.faults.iter().filter(affects_gate).any(overlaps)
-    }
-}
-
-/// Runs one soak with its settings, data and logs in `work`. Returns a one-line summary and the
-/// violations; an error means that the soak itself could not run.
-pub async fn run(cfg: SoakConfig, work: &Path) -> eyre::Result<(String, Vec<Violation>)> {
+/// Runs one soak with its settings, data and logs in `work`. An error means that the soak itself could
+/// not run.
+pub async fn run(cfg: SoakConfig, work: &Path) -> eyre::Result<Outcome> {
     let mut fleet = Fleet::start(work, cfg.seed).await?;
     operator::submit_first(fleet.keeper_addresses(), RECOVERY_TIMEOUT).await?;
-    let faults = Arc::new(schedule(cfg.seed, cfg.fault_duration));
+    let faults = schedule(cfg.seed, cfg.fault_duration);
     let results = Arc::new(Results::default());
     let revocation_time = RevocationTime::default();
-    let mut callers = Callers {
+    let callers = Callers {
         seed: cfg.seed,
         gate_addresses: fleet.gate_addresses(),
         results: Arc::clone(&results),
         check_latency: cfg.check_latency,
-        timeline: FaultTimeline {
-            start: Instant::now(),
-            faults: Arc::default(),
-        },
+        gate_faults: fleet.gate_faults.clone(),
         revocation_time: revocation_time.clone(),
         bookings: Arc::default(),
     };
     wait_until_served(&callers, cfg.seed, &results, "start").await;
     fleet.name_limits();
     let start = Instant::now();
-    callers.timeline = FaultTimeline {
-        start,
-        faults: Arc::clone(&faults),
-    };
     let end = start + cfg.fault_duration;
     let mut caller_tasks = JoinSet::new();
     for caller in 0..CALLER_COUNT {
@@ -95,7 +75,7 @@
     let operator_task =
         operator::submit_until(fleet.keeper_addresses(), revoke_after, end, revocation_time);
     let operator_task = tokio::spawn(operator_task);
-    inject_faults(&mut fleet, start, &faults).await?;
+    inject_faults(&mut fleet, start, &faults, &results).await?;
     sleep_until(end).await;
     caller_tasks.join_all().await;
     let acknowledged = operator_task.await?;
@@ -107,6 +87,7 @@
         .await;
     check_bookings(&fleet, &callers, &results);
     fleet.check_limits(&results);
+    fleet.check_processes(&results)?;
     let count = |n: &std::sync::atomic::AtomicU64| n.load(std::sync::atomic::Ordering::Relaxed);
     let summary = format!(
         "seed {}: {} faults in {:?}, {} served, {} refused, {} failed, {} changes",
@@ -118,27 +99,11 @@
         count(&results.failed),
         acknowledged.count(),
     );
-    Ok((summary, results.violations()))
-}
-
-/// Starts and ends the faults as scheduled.
-async fn inject_faults(
-    fleet: &mut Fleet,
-    start: Instant,
-    faults: &[ScheduledFault],
-) -> eyre::Result<()> {
-    let starts = faults.iter().map(|f| (f.starts_at, true, f.fault));
-    let ends = faults.iter().map(|f| (f.ends_at, false, f.fault));
-    let mut steps: Vec<_> = starts.chain(ends).collect();
-    steps.sort_by_key(|(at, is_start, _)| (*at, *is_start));
-    for (at, is_start, fault) in steps {
-        sleep_until(start + at).await;
-        match is_start {
-            true => fleet.start_fault(fault).await?,
-            false => fleet.end_fault(fault).await?,
-        }
-    }
-    Ok(())
+    Ok(Outcome {
+        summary,
+        violations: results.violations(),
+        processes: fleet.process_states(),
+    })
 }
 
 /// Waits until every gate serves every kind of request; records a violation after
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -31,7 +31,7 @@
     },
 ];
 
-/// Runs one soak. Panics on violations and then keeps its folder.
+/// Runs one soak. Panics on violations and on errors, and then keeps its folder.
 async fn run_soak(seed: u64, fault_duration: Duration, check_latency: bool) {
     let folder = tempfile::tempdir().unwrap();
     let cfg = SoakConfig {
@@ -39,14 +39,22 @@
         fault_duration,
         check_latency,
     };
-    let (summary, violations) = run(cfg, folder.path()).await.unwrap();
-    println!("{summary}");
-    if violations.is_empty() {
+    let outcome = match run(cfg, folder.path()).await {
+        Ok(outcome) => outcome,
+        Err(e) => panic!("seed {seed}: {e:#}; logs in {}", keep(folder)),
+    };
+    println!("{}", outcome.summary);
+    if outcome.violations.is_empty() {
         return;
     }
     let path = keep(folder);
-    let lines: Vec<String> = violations.iter().map(ToString::to_string).collect();
-    panic!("{summary}; logs in {path}\n{}", lines.join("\n"));
+    let lines: Vec<String> = outcome.violations.iter().map(ToString::to_string).collect();
+    panic!(
+        "{}; logs in {path}\n{}\n{}",
+        outcome.summary,
+        lines.join("\n"),
+        outcome.processes.join("\n")
+    );
 }
 
 fn keep(folder: tempfile::TempDir) -> String {
