Bound what is read of a response without a part of it

Callers: a request whose endpoint sends a chunk size without an end was answered only long after its deadline of 1 s (no response within 20 s in crates/gate/tests/endless.rs beside load), and the gate kept a processor busy until then.

Cause: the HTTP library accepts leading zeros of a chunk size without limit and parses byte by byte as long as the socket has data. It yields only after many reads of up to 400 KB, so that neither a deadline nor another task of the thread gets a turn. A profile of the gate in the test shows its time in hyper's ChunkedState and Decoder::decode and in the gate's own reading of events, which is another fault.

Ruled out: heads, trailers and chunk extensions, which the library limits itself.

A connection now fails once it has read 1 MiB since the last part of the response, which is more than the library buffers for a head or a part of a body.

--- a/crates/outbound/src/connection.rs
+++ b/crates/outbound/src/connection.rs
@@ -21,13 +21,17 @@
     time::{Instant, timeout},
 };
 
-use crate::send_state::{CurrentCall, SendState, TrackedStream};
+use crate::{
+    read_limit::{LimitedStream, Undelivered},
+    send_state::{CurrentCall, SendState, TrackedStream},
+};
 
 /// An open connection. Dropping it closes the socket immediately.
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     current_call: CurrentCall,
+    undelivered: Undelivered,
     driver: Driver,
     /// Calls sent so far, counting the current one.
     calls: usize,
@@ -50,11 +54,14 @@
         };
         stream.set_nodelay(true).map_err(|e| e.to_string())?;
         let current_call = CurrentCall::default();
+        let undelivered = Undelivered::default();
+        let stream = LimitedStream::new(stream, undelivered.clone());
         let io = TokioIo::new(TrackedStream::new(stream, current_call.clone()));
         let (sender, driver) = http1::handshake(io).await.map_err(|e| e.to_string())?;
         Ok(Self {
             sender,
             current_call,
+            undelivered,
             driver: Driver(Some(Box::pin(driver))),
             calls: 0,
             idle_since: Instant::now(),
@@ -82,18 +89,24 @@
         send_state: &SendState,
     ) -> hyper::Result<Response<Incoming>> {
         self.current_call.set(send_state);
+        self.undelivered.reset();
         self.calls += 1;
         let sender = &mut self.sender;
         let response = async {
             sender.ready().await?;
             sender.send_request(req).await
         };
-        self.driver.run(response).await
+        let response = self.driver.run(response).await;
+        self.undelivered.reset();
+        response
     }
 
-    /// Runs `future`, which waits for a part of the response, while driving the connection.
+    /// Runs `future`, which waits for a part of the response, while driving the connection. The
+    /// connection fails if the peer sends far more than a part holds without completing one.
     pub async fn drive<T>(&mut self, future: impl Future<Output = T>) -> T {
-        self.driver.run(future).await
+        let part = self.driver.run(future).await;
+        self.undelivered.reset();
+        part
     }
 }
 
@@ -102,7 +115,7 @@
 #[derive(Debug)]
 struct Driver(Option<Pin<Box<http1::Connection<Io, Full<Bytes>>>>>);
 
-type Io = TokioIo<TrackedStream<TcpStream>>;
+type Io = TokioIo<TrackedStream<LimitedStream<TcpStream>>>;
 
 impl Driver {
     fn poll(&mut self, cx: &mut Context<'_>) {
--- a/crates/outbound/src/lib.rs
+++ b/crates/outbound/src/lib.rs
@@ -4,6 +4,7 @@
 mod connection;
 mod notice;
 mod pool;
+mod read_limit;
 mod send_state;
 
 pub use connection::Connection;
