--- a/crates/gate/src/engine.rs
+++ b/crates/gate/src/engine.rs
@@ -18,8 +18,8 @@
     stream::EventSink,
 };
 
-/// Longest line of a stream.
-const MAX_LINE_BYTES: usize = 1 << 20;
+/// Most bytes of a stream without a complete data line.
+const MAX_BYTES_WITHOUT_DATA: usize = 1 << 20;
 const DONE: &[u8] = b"[DONE]";
 
 #[derive(Serialize)]
@@ -166,8 +166,8 @@
             break;
         };
         let events = &mut exchange.events;
-        let pushed = events.push(&bytes, MAX_LINE_BYTES);
-        pushed.map_err(|_| CallError::TooLarge(MAX_LINE_BYTES))?;
+        let pushed = events.push(&bytes, MAX_BYTES_WITHOUT_DATA);
+        pushed.map_err(|_| CallError::TooLarge(MAX_BYTES_WITHOUT_DATA))?;
         let mut out = BytesMut::new();
         let is_done = apply_events(events, assembly, usage, sink.map(|_| &mut out));
         let new = usage.tokens - *counted_tokens;
