--- a/crates/soak/src/injection.rs
+++ b/crates/soak/src/injection.rs
@@ -1,13 +1,15 @@
 //! Injects the scheduled faults into the fleet.
 
-use std::{fs::File, io::Write as _, time::Duration};
+use std::{fs::File, io::Write as _, sync::Arc, time::Duration};
 
 use bench::{processes::Signal, proxy::Rules, stand_in::Fault as EndpointFault};
+use eyre::eyre;
 use tokio::time::Instant;
 
 use crate::{
     faults::{Fault, ProcessId, ScheduledFault},
     fleet::Fleet,
+    odd_announcements,
     restarts::Predecessor,
     results::Results,
 };
@@ -20,7 +22,7 @@
     fleet: &mut Fleet,
     start: Instant,
     faults: &[ScheduledFault],
-    results: &Results,
+    results: &Arc<Results>,
 ) -> eyre::Result<()> {
     let starts = faults.iter().map(|f| (f.starts_at, true, f.fault));
     let ends = faults.iter().map(|f| (f.ends_at, false, f.fault));
@@ -40,7 +42,7 @@
 }
 
 impl Fleet {
-    async fn start_fault(&mut self, fault: Fault, results: &Results) -> eyre::Result<()> {
+    async fn start_fault(&mut self, fault: Fault, results: &Arc<Results>) -> eyre::Result<()> {
         match fault {
             Fault::LinkCut(id, cut) => self.process(id).link.set_rules(Rules::cut(cut)),
             Fault::LinkSlow(id) => {
@@ -54,7 +56,7 @@
             Fault::LinkSilent(id) => self.process(id).link.silence_connections(),
             Fault::Freeze(id) => self.begin_and_signal(id, Signal::STOP, results).await?,
             Fault::Kill(id) => self.begin_and_signal(id, Signal::KILL, results).await?,
-            Fault::Stop(gate) => {
+            Fault::Stop(gate) | Fault::KillStopping(gate) => {
                 let id = ProcessId::Gate(gate);
                 self.begin_and_signal(id, Signal::TERM, results).await?;
             }
@@ -67,6 +69,11 @@
             Fault::EndpointReset(n) => self.endpoints[n].proxy.reset_connections(),
             Fault::EndpointMisbehaves(n, behavior) => self.set_endpoint_fault(n, behavior),
             Fault::EndpointRestart(n) => self.kill_endpoint(n),
+            Fault::OddAnnouncements(keeper) => {
+                let address = self.keepers[keeper].http.address();
+                // Not awaited: a keeper with a fault of its own may not answer.
+                tokio::spawn(odd_announcements::send(address, Arc::clone(results)));
+            }
         }
         Ok(())
     }
@@ -77,11 +84,15 @@
             Fault::LinkCut(id, _) | Fault::LinkSlow(id) => {
                 self.process(id).link.set_rules(Rules::default());
             }
-            Fault::LinkReset(_) | Fault::LinkSilent(_) | Fault::EndpointReset(_) => {}
+            Fault::LinkReset(_)
+            | Fault::LinkSilent(_)
+            | Fault::EndpointReset(_)
+            | Fault::OddAnnouncements(_) => {}
             Fault::Freeze(id) => self.resume(id, results)?,
             Fault::Kill(id) => self.spawn_restart(id, Predecessor::Killed),
             Fault::TearLog(n) => self.spawn_restart(ProcessId::Keeper(n), Predecessor::Killed),
             Fault::Stop(n) => self.spawn_restart(ProcessId::Gate(n), Predecessor::Stopping),
+            Fault::KillStopping(n) => self.kill_stopping(n).await?,
             Fault::EndpointCut(n, _) => self.endpoints[n].proxy.set_rules(Rules::default()),
             Fault::EndpointMisbehaves(n, _) => self.set_endpoint_fault(n, EndpointFault::None),
             Fault::EndpointRestart(n) => self.start_endpoint(n).await?,
@@ -109,6 +120,22 @@
         }
     }
 
+    /// Kills a gate that received SIGTERM, unless it has exited, and restarts it.
+    async fn kill_stopping(&mut self, gate: usize) -> eyre::Result<()> {
+        let id = ProcessId::Gate(gate);
+        let role = self.process_mut(id).role.as_mut();
+        let role = role.ok_or_else(|| eyre!("gate {gate} has no process"))?;
+        let predecessor = match role.exit_status()? {
+            Some(_) => Predecessor::Stopping,
+            None => {
+                role.kill().await?;
+                Predecessor::Killed
+            }
+        };
+        self.spawn_restart(id, predecessor);
+        Ok(())
+    }
+
     fn resume(&mut self, id: ProcessId, results: &Results) -> eyre::Result<()> {
         let process = self.process_mut(id);
         let is_running = process.check_running(results)?;
--- a/crates/soak/src/injection/tests.rs
+++ b/crates/soak/src/injection/tests.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use bench::processes::Signal;
 use rustix::process::{Pid, kill_process};
@@ -35,7 +35,7 @@
         at_ms(0, 1, Fault::Stop(0)),
         at_ms(2, 3, Fault::Kill(ProcessId::Gate(1))),
     ];
-    let (results, gate_faults) = (Results::default(), fleet.gate_faults.clone());
+    let (results, gate_faults) = (Arc::new(Results::default()), fleet.gate_faults.clone());
     let injecting = inject_faults(&mut fleet, Instant::now(), &faults, &results);
     let continue_after_other_fault = async {
         let now = Instant::now();
@@ -57,7 +57,7 @@
     let mut fleet = Fleet::start(folder.path(), 1).await.unwrap();
     let gate = fleet.process_mut(ProcessId::Gate(2)).role.as_mut().unwrap();
     gate.kill().await.unwrap();
-    let results = Results::default();
+    let results = Arc::new(Results::default());
     let faults = [at_ms(0, 1, Fault::Freeze(ProcessId::Gate(2)))];
     let injected = inject_faults(&mut fleet, Instant::now(), &faults, &results).await;
     injected.unwrap();
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -10,6 +10,7 @@
 mod fleet;
 mod gate_faults;
 mod injection;
+mod odd_announcements;
 mod operator;
 mod restarts;
 mod results;
