Refuse requests at once whose part is blocked while their stages run

What callers saw: a request admitted before its part was blocked waited for its stages, up to the end of its time, and was refused only then; its items took up endpoints of the stages for a request that would not be sent.

Cause: parts are checked at admission and at each placement. Nothing wakes a request in between.

Ruled out: waiting for a free endpoint. That wait checks the list every 15 ms already.

Why it works: the stages run beside a wait for changes of the list, which ends with the part's block; dropping the stages cancels their items and releases their results. The response is the one that the check at the placement gives: 503, not run, with the rest of the block as Retry-After, since no endpoint has got the request.

Open: a request that waits for permits finds out between two requests for them (120 ms each).

--- a/crates/forward/src/blocked_parts.rs
+++ b/crates/forward/src/blocked_parts.rs
@@ -13,6 +13,7 @@
 
 use std::{
     collections::{BTreeSet, HashMap},
+    future::pending,
     sync::{
         Arc, Mutex, PoisonError, RwLock,
         atomic::{AtomicBool, Ordering},
@@ -178,6 +179,19 @@
         })
     }
 
+    /// Waits until a part of the request's prompt is blocked.
+    pub(crate) async fn await_block(&self, req: &IncomingRequest) -> Block {
+        let mut updates = self.updates();
+        loop {
+            if let Some(block) = self.block_of(req) {
+                return block;
+            }
+            if updates.changed().await.is_err() {
+                return pending().await;
+            }
+        }
+    }
+
     /// Returns the event for a request that is not repeated, if a part of its prompt is blocked or
     /// crashes speak against it.
     pub(crate) fn suspected_event(&self, req: &IncomingRequest, service: &str) -> Option<Event> {
--- a/crates/forward/src/request/part_checks.rs
+++ b/crates/forward/src/request/part_checks.rs
@@ -7,7 +7,7 @@
 
 use super::{Context, Request};
 use crate::{
-    blocked_parts::CallEnd,
+    blocked_parts::{Block, CallEnd},
     call::CallError,
     error::{ForwardError, Refusal},
     in_flight::InFlightCall,
@@ -76,14 +76,22 @@
                 UNKNOWN_RETRY_AFTER,
             ));
         }
-        let Some(block) = self.blocked_parts.block_of(&req.incoming) else {
-            return Ok(());
-        };
-        req.log.note(block.refused_event());
-        Err(ForwardError::retry_later(
-            Refusal::BlockedPart,
-            block.remaining,
-        ))
+        match self.blocked_parts.block_of(&req.incoming) {
+            Some(block) => Err(refuse(req, &block)),
+            None => Ok(()),
+        }
+    }
+
+    /// Runs the stages of a request, in `stages`, unless a part of its prompt is blocked meanwhile.
+    pub(crate) async fn unless_blocked<T>(
+        &self,
+        req: &Request,
+        stages: impl Future<Output = Result<T, ForwardError>>,
+    ) -> Result<T, ForwardError> {
+        tokio::select! {
+            block = self.blocked_parts.await_block(&req.incoming) => Err(refuse(req, &block)),
+            result = stages => result,
+        }
     }
 
     /// Returns an error if a part of the request's prompt was blocked since it was admitted.
@@ -97,3 +105,9 @@
         })
     }
 }
+
+/// The error for a request that is refused because of `block`, which is noted.
+fn refuse(req: &Request, block: &Block) -> ForwardError {
+    req.log.note(block.refused_event());
+    ForwardError::retry_later(Refusal::BlockedPart, block.remaining)
+}
--- a/crates/forward/src/serving.rs
+++ b/crates/forward/src/serving.rs
@@ -35,7 +35,8 @@
     req: &Request,
     attempts: &mut AttemptLog,
 ) -> Result<Response, ForwardError> {
-    let produced = timeout_at(req.first_part_deadline - ANSWER_MARGIN, inputs(cx, req)).await;
+    let produced = cx.unless_blocked(req, inputs(cx, req));
+    let produced = timeout_at(req.first_part_deadline - ANSWER_MARGIN, produced).await;
     let late = |_| ForwardError::retry_later(Refusal::StagesLate, RETRY_AFTER);
     let inputs = produced.map_err(late).flatten()?;
     let serving = async {
