/v1: broken calls wait for busy, paused and limited endpoints

What callers saw: 502 "all asked for a pause; try again in 983ms" for a request with nine seconds left, whose call was broken off and whose endpoints refused the repeat with Retry-After: 1.

Cause: a retry chose its endpoint like a first call, for which a refusal is the best answer while all endpoints ask for a pause. Once a call may have run, the request can't be refused any more, and only the failure was left.

Now a stage that has made calls, of which one may have run, checks again until an endpoint takes it or none can before the deadline. Tries and retry budget are spent before, as they were.

--- a/crates/gate/src/call_record.rs
+++ b/crates/gate/src/call_record.rs
@@ -87,6 +87,13 @@
         self.lock().calls[call].is_refused = true;
     }
 
+    /// Returns true if an endpoint may have run one of the calls so far.
+    pub(crate) fn may_have_run(&self) -> bool {
+        let state = self.lock();
+        let may_have_run = |call: &Call| call.send_state.has_sent() && !call.is_refused;
+        state.calls.iter().any(may_have_run)
+    }
+
     /// Sets the state of the unrepeatable calls. [`OnceState::Ran`] is final.
     pub(crate) fn set_once_state(&self, once: OnceState) {
         let mut state = self.lock();
--- a/crates/gate/src/picking.rs
+++ b/crates/gate/src/picking.rs
@@ -17,6 +17,8 @@
 /// Longest wait for an endpoint with a free slot, and the shortest interval between polls.
 const MAX_SLOT_WAIT: Duration = Duration::from_millis(500);
 const SLOT_POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Longest interval between polls while all endpoints are paused or limited.
+const MAX_RETRY_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Picks an endpoint for the next call as soon as one has a free slot. Prefers endpoints that have
 /// not failed yet.
@@ -34,7 +36,7 @@
             Err(NoEndpoint::Busy { retry_after }) => NoEndpoint::Busy { retry_after },
             result => return result.map_err(|none| no_endpoint(stage, none)),
         };
-        let pause = rand::rng().random_range(SLOT_POLL_INTERVAL..=SLOT_POLL_INTERVAL * 2);
+        let pause = poll_interval();
         if Instant::now() + pause >= until {
             return Err(no_endpoint(stage, busy));
         }
@@ -42,6 +44,40 @@
     }
 }
 
+/// Picks an endpoint for a stage whose earlier call may have run. Since the request can't be refused
+/// any more, this waits for endpoints that are busy, paused or limited, unless they are so until the
+/// deadline.
+pub(crate) async fn pick_for_retry(
+    cx: &RequestContext,
+    stage: Stage<'_>,
+    work: &StageWork<'_>,
+    avoid: &[String],
+) -> Result<Arc<PickedEndpoint>, StageError> {
+    loop {
+        let (none, wait) = match pick(cx, stage, work, avoid) {
+            Err(busy @ NoEndpoint::Busy { .. }) => (busy, Duration::ZERO),
+            Err(
+                none @ (NoEndpoint::Paused { retry_after } | NoEndpoint::Limited { retry_after }),
+            ) => (none, retry_after),
+            result => return result.map_err(|none| no_endpoint(stage, none)),
+        };
+        let pause = poll_interval();
+        let remaining = cx
+            .request
+            .deadline
+            .saturating_duration_since(Instant::now());
+        if pause.max(wait) >= remaining {
+            return Err(no_endpoint(stage, none));
+        }
+        // Another endpoint may take the call before this wait is over.
+        sleep(wait.clamp(pause, MAX_RETRY_POLL_INTERVAL)).await;
+    }
+}
+
+fn poll_interval() -> Duration {
+    rand::rng().random_range(SLOT_POLL_INTERVAL..=SLOT_POLL_INTERVAL * 2)
+}
+
 /// Picks an endpoint for the next call. Prefers endpoints that have not failed yet.
 pub(crate) fn pick(
     cx: &RequestContext,
--- a/crates/gate/src/repeatable.rs
+++ b/crates/gate/src/repeatable.rs
@@ -15,7 +15,7 @@
     error::{CallError, Cause, StageError},
     hedging::{self, ConnectionKind, StartedAnswer},
     lag::LagDetector,
-    picking::{pick_for_prompt, pick_when_free, record_failure},
+    picking::{pick_for_prompt, pick_for_retry, pick_when_free, record_failure},
     plain,
     stage::{RetryState, Stage, StageReport, StageResult},
     stage_work::StageWork,
@@ -75,10 +75,13 @@
 ) -> Result<(Box<RawValue>, String), StageError> {
     let (picked, connection) = match tries.reconnect_to.take() {
         Some(picked) => (picked, ConnectionKind::New),
-        None => (
-            pick_when_free(cx, stage, work, &tries.avoid).await?,
-            ConnectionKind::PooledOrNew,
-        ),
+        None => {
+            let picked = match tries.calls > 0 && cx.record.may_have_run() {
+                true => pick_for_retry(cx, stage, work, &tries.avoid).await?,
+                false => pick_when_free(cx, stage, work, &tries.avoid).await?,
+            };
+            (picked, ConnectionKind::PooledOrNew)
+        }
     };
     let mut answer = hedging::first_response(cx, stage, work, tries, picked, connection).await?;
     let mut resumed_at = work.offset();
--- a/crates/gate/tests/silence.rs
+++ b/crates/gate/tests/silence.rs
@@ -291,3 +291,45 @@
         assert_whole(&answer);
     }
 }
+
+/// An explicit refusal that asks for a pause.
+fn pause() -> Reply {
+    let headers = vec![
+        ("jujube-outcome", "not_run".to_owned()),
+        ("retry-after", "1".to_owned()),
+    ];
+    Reply::Status(503, headers, String::new())
+}
+
+/// Guards against failing a call that its endpoint broke off while all endpoints are paused, though
+/// they take calls again before the deadline.
+#[tokio::test]
+async fn broken_call_waits_for_paused_endpoints() {
+    for (pipeline, service) in TARGETS {
+        let env = Env::start().await;
+        let gate = start_gate(&env).await;
+        // Set by the call that is broken off.
+        let is_broken = Arc::new(OnceLock::new());
+        let respond = move |call: &ReceivedCall| {
+            let is_resumed = !call.body["resume"].is_null();
+            match (service, is_broken.set(()).is_ok(), call.nth) {
+                ("llm", true, _) => Reply::Stream(vec![Step::Chunk(0, "abc"), Step::Disconnect]),
+                (_, true, _) => Reply::CloseConnection,
+                (_, false, 0 | 1) => pause(),
+                ("llm", false, _) if is_resumed => {
+                    Reply::Stream(vec![Step::Chunk(3, "def"), Step::Done])
+                }
+                ("llm", false, _) => Reply::Stream(vec![Step::Chunk(0, "abcdef"), Step::Done]),
+                (_, false, _) => Reply::Json(json!({"output": "abcdef"})),
+            }
+        };
+        let endpoints = [
+            FakeEndpoint::start("one", service, respond.clone()).await,
+            FakeEndpoint::start("two", service, respond).await,
+        ];
+        for endpoint in &endpoints {
+            gate.announce(endpoint).await;
+        }
+        assert_whole(&gate.post(pipeline, &[DEADLINE], json!("x")).await);
+    }
+}
