A call that is dropped before it is sent is no attempt

What callers saw: a resumable stream was cut at a second silence of its endpoint. At the first one another endpoint was being connected to when the silent one went on; that call was dropped, and it stayed counted as the last attempt of the route, with its retry.

Cause: an attempt and its retry are recorded when an endpoint is chosen, and taken back only when the call ends by itself.

Now a call tells whether it was given to a connection. One that is dropped before that is taken back: the attempt, the endpoint, and the retry in the budget. A call that a connection may have begun to write stays counted. Whole responses give the retry back as well.

Open: hedges and successors of /v1 that are dropped unsent keep their retry, and so does a request that ends with a retry for which no endpoint was left.

--- a/crates/forward/src/attempts.rs
+++ b/crates/forward/src/attempts.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     blocked_parts::CallEnd,
-    call::{self, CallError, Exchange},
+    call::{self, CallError, Exchange, Handover},
     dialect::{Attempt, ResponseClass},
     error::{ForwardError, Refusal},
     in_flight::InFlightCall,
@@ -35,6 +35,8 @@
     pub(crate) max_pause: Duration,
     /// True if a retry was taken from the budget and no endpoint has received it.
     pub(crate) has_unused_retry: bool,
+    /// The last endpoint that was chosen, and whether it was sent the request.
+    last_call: Option<(String, Handover)>,
 }
 
 impl AttemptLog {
@@ -43,8 +45,22 @@
         std::mem::take(&mut self.has_unused_retry) || cx.try_spend_retry(service)
     }
 
+    /// Takes back what was recorded for the last call, with its retry, if the call was dropped before
+    /// it was sent.
+    pub(crate) fn settle_dropped(&mut self, cx: &Context, service: &str) {
+        match self.last_call.take() {
+            Some((endpoint, handover)) if !handover.has_started() => {
+                self.runs -= 1;
+                self.endpoints.retain(|name| *name != endpoint);
+                cx.budget.refund(service);
+            }
+            _ => {}
+        }
+    }
+
     /// Takes back what was recorded for an attempt at `endpoint` that did not run.
     pub(crate) fn settle(&mut self, endpoint: &str, failure: &AttemptFailure) {
+        self.last_call = self.last_call.take().filter(|(name, _)| name != endpoint);
         match failure {
             AttemptFailure::Lost(_) => {}
             AttemptFailure::NotRun | AttemptFailure::Unreached => self.runs -= 1,
@@ -79,6 +95,7 @@
 pub(crate) struct PreparedCall {
     pub(crate) flight: InFlightCall,
     message: hyper::Request<Full<Bytes>>,
+    handover: Handover,
 }
 
 fn lost(e: &CallError) -> ForwardError {
@@ -272,7 +289,13 @@
     }
     attempts.endpoints.push(target.name.clone());
     attempts.runs += 1;
-    PreparedCall { flight, message }
+    let handover = Handover::default();
+    attempts.last_call = Some((target.name.clone(), handover.clone()));
+    PreparedCall {
+        flight,
+        message,
+        handover,
+    }
 }
 
 /// Sends a call and waits until `deadline` for the head of its response.
@@ -282,15 +305,20 @@
     call: PreparedCall,
     deadline: Instant,
 ) -> Result<StartedResponse, AttemptFailure> {
-    let PreparedCall { flight, message } = call;
+    let PreparedCall {
+        flight,
+        message,
+        handover,
+    } = call;
     let target = &flight.target;
     let sent_at = Instant::now();
-    let exchange = match call::send(
+    let exchange = match call::send_tracked(
         &cx.pool,
         target.address,
         &req.incoming.id,
         message,
         deadline,
+        &handover,
     )
     .await
     {
--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -1,6 +1,13 @@
 //! Sends one call to one endpoint and reads its response.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
@@ -47,6 +54,21 @@
     }
 }
 
+/// Whether a connection has been given a call. Clones share it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Handover(Arc<AtomicBool>);
+
+impl Handover {
+    /// Returns true if bytes of the call may have been written to a socket.
+    pub(crate) fn has_started(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    fn set(&self, has_started: bool) {
+        self.0.store(has_started, Ordering::Relaxed);
+    }
+}
+
 /// A response whose body has not been read yet.
 #[derive(Debug)]
 pub(crate) struct Exchange {
@@ -66,7 +88,19 @@
     req: Request<Full<Bytes>>,
     deadline: Instant,
 ) -> Result<Exchange, CallError> {
-    send_by(pool, address, id, req, deadline, deadline).await
+    send_tracked(pool, address, id, req, deadline, &Handover::default()).await
+}
+
+/// Like [`send`]; `handover` tells whether a call that is dropped was still unsent.
+pub(crate) async fn send_tracked(
+    pool: &Pool,
+    address: SocketAddr,
+    id: &str,
+    req: Request<Full<Bytes>>,
+    deadline: Instant,
+    handover: &Handover,
+) -> Result<Exchange, CallError> {
+    send_at(pool, address, id, req, (deadline, deadline), handover).await
 }
 
 /// Starts to send `req` before `start_by`, and waits until `deadline` for the response head. If a
@@ -80,11 +114,24 @@
     req: Request<Full<Bytes>>,
     start_by: Instant,
     deadline: Instant,
+) -> Result<Exchange, CallError> {
+    let handover = Handover::default();
+    send_at(pool, address, id, req, (start_by, deadline), &handover).await
+}
+
+async fn send_at(
+    pool: &Pool,
+    address: SocketAddr,
+    id: &str,
+    req: Request<Full<Bytes>>,
+    (start_by, deadline): (Instant, Instant),
+    handover: &Handover,
 ) -> Result<Exchange, CallError> {
     let idle = pool.checkout(address);
     if let Some(connection) = idle.filter(|c| !c.refused.iter().any(|refused| refused == id)) {
+        handover.set(true);
         match send_on(connection, address, req.clone(), start_by, deadline).await {
-            Err(CallError::Unsent(_)) if Instant::now() < start_by => {}
+            Err(CallError::Unsent(_)) if Instant::now() < start_by => handover.set(false),
             result => return result,
         }
     }
@@ -97,6 +144,7 @@
         }
         Ok(Ok(connection)) => connection,
     };
+    handover.set(true);
     send_on(connection, address, req, start_by, deadline).await
 }
 
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -365,11 +365,21 @@
     }
 
     /// Starts the response at another endpoint while `source` may still continue. The first that
-    /// does ends the other one.
+    /// does ends the other one. A call that is dropped unsent is no attempt.
     async fn seek_successor(
         &mut self,
         source: &mut Source,
         attempts: &mut AttemptLog,
+    ) -> Result<Progress, StreamError> {
+        let progress = self.race_successor(source, attempts).await;
+        attempts.settle_dropped(&self.cx, &self.req.service);
+        progress
+    }
+
+    async fn race_successor(
+        &mut self,
+        source: &mut Source,
+        attempts: &mut AttemptLog,
     ) -> Result<Progress, StreamError> {
         let (cx, req, inputs) = (self.cx.clone(), self.req.clone(), self.inputs.clone());
         let last_event = self.last_event;
--- a/crates/forward/src/whole.rs
+++ b/crates/forward/src/whole.rs
@@ -181,6 +181,7 @@
         let is_last = self.running.is_empty();
         match result {
             Ok(answer) if answer.is_good => {
+                attempts.settle_dropped(self.cx, &self.req.service);
                 let why = "another endpoint responded first";
                 self.record_silences(&self.running[..earlier], SilenceOutcome::Overtaken, why);
                 return Some(Ok(self.forward(answer, attempts)));
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -99,6 +99,14 @@
         })
     }
 
+    /// Gives back a retry of `service` that was withdrawn and not sent.
+    pub fn refund(&self, service: &str) {
+        let most = self.cfg().max_balance;
+        self.with_account(service, |account| {
+            account.balance = (account.balance + 1.0).min(most);
+        });
+    }
+
     /// Returns the balance of `service` in retries.
     pub fn remaining(&self, service: &str) -> f64 {
         self.with_account(service, |account| account.balance)
--- a/crates/routing/tests/limits.rs
+++ b/crates/routing/tests/limits.rs
@@ -60,6 +60,19 @@
     assert!(budget.try_spend("ice-reports"));
 }
 
+/// Guards against retries that are spent on calls that were never sent, and against refunds that add up.
+#[tokio::test(start_paused = true)]
+async fn refunded_retries_can_be_spent_once_again() {
+    let cfg = RetryBudgetConfig::default();
+    let budget = RetryBudget::new(cfg);
+    while budget.try_spend("plan-model") {}
+    budget.refund("plan-model");
+    assert!(budget.try_spend("plan-model"));
+    assert!(!budget.try_spend("plan-model"));
+    (0..500).for_each(|_| budget.refund("plan-model"));
+    assert!(budget.remaining("plan-model") <= cfg.max_balance);
+}
+
 #[tokio::test(start_paused = true)]
 async fn quantiles_require_samples_and_drop_old_ones() {
     let latencies = Latencies::new();
