Elections are won on disks that are slow but work

What callers saw: with the disks saturated by others, keepers answered 503 "no quorum answered within 2.002 s" for as long as the disks stayed slow. A leader may take 2 s for a write before it steps down, but no successor was elected on disks that are far faster than that.

Cause, by reading and by the new test: a vote takes two syncs before it is granted, and a candidate gave up after election_min (500 ms). From 250 ms a sync on, every vote came too late. Besides, while a candidate stored its vote for itself, it still gave pre-votes, so that the other voter stood in the same term; storing takes longer than the random timeouts differ (500 ms), so the votes were split again and again.

Ruled out: heartbeats, which do not take the store's lock; the leader's limit for a write (2 s).

The fix: a candidate waits election_max for votes, and counts the timeout before its next attempt from election_min after it asked, so attempts that fail are as far apart as before. A voter that is storing a vote denies pre-votes up to that term: it could not give its vote any more.

Syncs that take more than about 500 ms each still elect nobody.

--- a/crates/replica/src/bootstrap.rs
+++ b/crates/replica/src/bootstrap.rs
@@ -8,9 +8,9 @@
 
 use crate::{
     core::{Core, Shared, StoreGuard},
-    election::{self, Threshold},
     entry::Members,
     message::{Candidate, RequestBody},
+    votes::{Threshold, request_votes},
 };
 
 /// Returns the candidate state with the agreed initial voters, or `None` if there is no agreement.
@@ -30,7 +30,7 @@
         ..candidate.clone()
     };
     let mut members = candidate.founders.clone()?;
-    let votes = election::request_votes(
+    let votes = request_votes(
         shared,
         term,
         RequestBody::PreVote(candidate.clone()),
@@ -44,7 +44,7 @@
     // Repeat the request, since an early voter may have agreed with another candidate and been
     // wiped before the last voter responded.
     let pre_vote = RequestBody::PreVote(with_founders(members.clone()));
-    let confirmed = election::request_votes(shared, term, pre_vote, Threshold::All).await;
+    let confirmed = request_votes(shared, term, pre_vote, Threshold::All).await;
     if !confirmed.is_won || confirmed.identities != votes.identities {
         return None;
     }
--- a/crates/replica/src/core.rs
+++ b/crates/replica/src/core.rs
@@ -71,6 +71,8 @@
     pub is_leading: watch::Sender<bool>,
     pub term: u64,
     pub voted_for: Option<String>,
+    /// Term of the latest vote whose write has begun; it may not be stored yet.
+    pub pending_vote_term: u64,
     pub leader: Option<String>,
     /// When the election timer was last reset: by a leader's request or a granted vote.
     pub last_contact: Instant,
--- a/crates/replica/src/election.rs
+++ b/crates/replica/src/election.rs
@@ -1,22 +1,21 @@
 //! The election task: starts elections, and as leader checks that a quorum still responds.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
-use futures_util::{StreamExt, stream::FuturesUnordered};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use tokio::{
     sync::mpsc,
     time::{Instant, sleep, timeout},
 };
-use uuid::Uuid;
 
 use crate::{
     append, bootstrap,
     core::{Core, Progress, Shared, StoreGuard},
     entry::{Entry, Payload},
-    message::{Candidate, Request, RequestBody, Response, ResponseBody},
+    message::{Candidate, Request, RequestBody, Response},
     state_file::Vote,
     status::Role,
+    votes::{Threshold, request_votes},
 };
 
 /// Multiple of `election_max` after which a leader with an unfinished disk write steps down.
@@ -38,10 +37,10 @@
         };
         match is_transfer || is_leader_missing(&shared, election_timeout) {
             true => {
-                campaign(&shared, is_transfer).await;
+                let attempt_ended = campaign(&shared, is_transfer).await;
                 election_timeout = random_timeout(&shared, &mut rng);
                 // Wait a full timeout before the next attempt, whatever happened in this one.
-                shared.core().extend_last_contact(Instant::now());
+                shared.core().extend_last_contact(attempt_ended);
             }
             false => check_leadership(&shared),
         }
@@ -107,26 +106,12 @@
     );
 }
 
-async fn campaign(shared: &Arc<Shared>, is_transfer: bool) {
-    let Some(candidate) = as_candidate(shared, is_transfer) else {
-        return;
-    };
-    let next_term = shared.core().term + 1;
-    let Some(mut candidate) = bootstrap::agree_on_founders(shared, next_term, candidate).await
-    else {
-        return;
-    };
-    if !is_transfer {
-        let pre_vote = RequestBody::PreVote(candidate.clone());
-        let votes = request_votes(shared, next_term, pre_vote, Threshold::Quorum).await;
-        if !votes.is_won {
-            return;
-        }
-        candidate.is_up_to_date = votes.is_up_to_date;
-    }
-    let Some(term) = start_term(shared, next_term).await else {
-        return;
+/// Stands for election. Returns the time from which the timeout before the next attempt counts.
+async fn campaign(shared: &Arc<Shared>, is_transfer: bool) -> Instant {
+    let Some((term, candidate)) = prepare(shared, is_transfer).await else {
+        return Instant::now();
     };
+    let asked_at = Instant::now();
     let votes = request_votes(
         shared,
         term,
@@ -134,11 +119,30 @@
         Threshold::Quorum,
     )
     .await;
-    if !votes.is_won {
-        return;
+    if votes.is_won {
+        let store = Arc::clone(&shared.store).lock_owned().await;
+        become_leader(shared, store, term).await;
+        return Instant::now();
     }
-    let store = Arc::clone(&shared.store).lock_owned().await;
-    become_leader(shared, store, term).await;
+    // Votes that are slow to be stored are waited for longer, within the same time to the next attempt.
+    Instant::now().min(asked_at + shared.cfg.timing.election_min)
+}
+
+/// Starts a term if a quorum would vote for this replica. Returns the term and the candidate.
+async fn prepare(shared: &Arc<Shared>, is_transfer: bool) -> Option<(u64, Candidate)> {
+    let candidate = as_candidate(shared, is_transfer)?;
+    let next_term = shared.core().term + 1;
+    let mut candidate = bootstrap::agree_on_founders(shared, next_term, candidate).await?;
+    if !is_transfer {
+        let pre_vote = RequestBody::PreVote(candidate.clone());
+        let votes = request_votes(shared, next_term, pre_vote, Threshold::Quorum).await;
+        if !votes.is_won {
+            return None;
+        }
+        candidate.is_up_to_date = votes.is_up_to_date;
+    }
+    let term = start_term(shared, next_term).await?;
+    Some((term, candidate))
 }
 
 /// Returns this replica's state as a candidate, or `None` if it must not be one.
@@ -169,6 +173,7 @@
     if is_superseded {
         return None;
     }
+    shared.core().pending_vote_term = term;
     let vote = Vote {
         term,
         voted_for: Some(shared.cfg.name.clone()),
@@ -186,111 +191,6 @@
     Some(term)
 }
 
-/// Number of votes needed.
-#[derive(Clone, Copy, PartialEq)]
-pub(crate) enum Threshold {
-    /// A quorum of voters with their recorded identity.
-    Quorum,
-    /// All voters, whatever their identity, since there is no group yet.
-    All,
-}
-
-/// Outcome of a request for votes.
-pub(crate) struct Votes {
-    pub is_won: bool,
-    /// Whether every voter reported that it is not ahead.
-    pub is_up_to_date: bool,
-    /// Voters that granted the vote, with the identities they responded with.
-    pub identities: BTreeMap<String, Uuid>,
-}
-
-/// Requests votes from all other voters concurrently and counts them until the threshold.
-pub(crate) async fn request_votes(
-    shared: &Arc<Shared>,
-    term: u64,
-    body: RequestBody,
-    threshold: Threshold,
-) -> Votes {
-    let mut votes = Votes {
-        is_won: false,
-        is_up_to_date: false,
-        identities: BTreeMap::new(),
-    };
-    let (all, quorum, has_suspect_tail) = {
-        let core = shared.core();
-        let members = core.log.members();
-        (
-            members.voters.len(),
-            members.quorum(),
-            core.suspect_tail.is_some(),
-        )
-    };
-    let needed = match threshold {
-        Threshold::Quorum => quorum,
-        Threshold::All => all,
-    };
-    let is_up_to_date = matches!(&body, RequestBody::Vote(candidate) if candidate.is_up_to_date);
-    // With a suspect tail the own log proves nothing; the quorum must come from other voters.
-    if !has_suspect_tail || is_up_to_date {
-        let self_vote = (shared.cfg.name.clone(), shared.identity);
-        votes.identities.extend([self_vote]);
-    }
-    let mut not_ahead = 1;
-    let mut responses = request_all(shared, term, &body);
-    let counting = async {
-        while let Some((name, response)) = responses.next().await {
-            let Some(response) = response else { continue };
-            // A pre-vote names a term not started yet; a voter already in it is ahead.
-            if response.term > shared.core().term {
-                shared.adopt_term(response.term).await;
-                return;
-            }
-            let is_counted =
-                threshold == Threshold::All || shared.core().is_voter(&name, response.identity);
-            match response.body {
-                ResponseBody::Granted if is_counted => {
-                    not_ahead += 1;
-                    votes.identities.insert(name, response.identity);
-                }
-                ResponseBody::SuspectTail if is_counted => not_ahead += 1,
-                _ => {}
-            }
-            if votes.identities.len() >= needed {
-                return;
-            }
-        }
-    };
-    // Voters that don't respond in time count as not voting.
-    let _ = timeout(shared.cfg.timing.election_min, counting).await;
-    let is_pre_vote = matches!(body, RequestBody::PreVote(_));
-    votes.is_up_to_date = is_pre_vote && not_ahead == all;
-    votes.is_won =
-        votes.identities.len() >= needed || threshold == Threshold::Quorum && votes.is_up_to_date;
-    votes
-}
-
-type VoteFuture = std::pin::Pin<Box<dyn Future<Output = (String, Option<Response>)> + Send>>;
-
-fn request_all(
-    shared: &Arc<Shared>,
-    term: u64,
-    body: &RequestBody,
-) -> FuturesUnordered<VoteFuture> {
-    let voters = shared.core().log.members().voters.clone();
-    let others = voters.into_iter().filter(|m| m.name != shared.cfg.name);
-    others
-        .map(|member| {
-            let (shared, body) = (Arc::clone(shared), body.clone());
-            let call = async move {
-                let limit = shared.cfg.timing.election_min;
-                let response = shared.call(&member.name, term, body, limit).await;
-                (member.name, response)
-            };
-            Box::pin(call) as VoteFuture
-        })
-        .collect()
-}
-
 impl Shared {
     /// Sends a request; `None` if there is no valid response in time.
     pub(crate) async fn call(
--- a/crates/replica/src/handler.rs
+++ b/crates/replica/src/handler.rs
@@ -84,7 +84,9 @@
         let core = self.core();
         match () {
             () if !core.accepts_identity(from, identity, candidate) => ResponseBody::WrongIdentity,
-            () if term <= core.term || self.has_leader(&core) => ResponseBody::Denied,
+            () if term <= core.term.max(core.pending_vote_term) || self.has_leader(&core) => {
+                ResponseBody::Denied
+            }
             () if !core.accepts_founders(&self.cfg.name, self.identity, candidate) => {
                 ResponseBody::Denied
             }
@@ -157,6 +159,9 @@
         let store_guard = match is_changed {
             true => {
                 let written = vote.clone();
+                if is_granted {
+                    self.core().pending_vote_term = vote.term;
+                }
                 let (store, result) = self
                     .run_on_store(store, move |s| s.write_vote(&written))
                     .await;
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -27,6 +27,7 @@
 mod state_machine;
 mod status;
 mod store;
+mod votes;
 
 #[cfg(any(test, feature = "broken-variants"))]
 pub use config::BrokenVariant;
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -307,6 +307,7 @@
         is_leading: watch::Sender::new(false),
         term: loaded.vote.term,
         voted_for: loaded.vote.voted_for,
+        pending_vote_term: 0,
         leader: None,
         last_contact: now,
         last_leader_contact: None,
--- a/crates/replica/tests/common/disk.rs
+++ b/crates/replica/tests/common/disk.rs
@@ -6,8 +6,10 @@
     ops::Range,
     sync::{
         Arc, Mutex, MutexGuard,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
+    thread,
+    time::Duration,
 };
 
 use rand::{RngExt, SeedableRng, rngs::StdRng};
@@ -35,7 +37,25 @@
 }
 
 #[derive(Clone)]
-pub struct FakeDisk(Arc<Mutex<State>>, Arc<AtomicBool>);
+pub struct FakeDisk(Arc<Mutex<State>>, Arc<SyncDelay>);
+
+/// How syncs are delayed.
+#[derive(Default)]
+struct SyncDelay {
+    hangs: AtomicBool,
+    milliseconds: AtomicU64,
+}
+
+impl SyncDelay {
+    fn wait(&self) {
+        thread::sleep(Duration::from_millis(
+            self.milliseconds.load(Ordering::SeqCst),
+        ));
+        while self.hangs.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(1));
+        }
+    }
+}
 
 impl FakeDisk {
     pub fn new(seed: u64) -> Self {
@@ -54,20 +74,28 @@
 
     /// Makes syncs block until unset; only for tests under the real clock.
     pub fn set_hanging(&self, hangs: bool) {
-        self.1.store(hangs, Ordering::SeqCst);
+        self.1.hangs.store(hangs, Ordering::SeqCst);
+    }
+
+    /// Makes each sync take `milliseconds`; only for tests under the real clock.
+    pub fn set_sync_time(&self, milliseconds: u64) {
+        self.1.milliseconds.store(milliseconds, Ordering::SeqCst);
     }
 
-    /// Like [`Self::disk`], but with syncs that may hang and run on blocking threads.
+    /// Like [`Self::disk`], but with syncs that may hang or be slow and run on blocking threads.
     pub fn blocking_disk(&self) -> Disk {
-        let (disk, hangs) = (self.disk(), Arc::clone(&self.1));
-        let sync = Arc::clone(&disk.sync);
+        let (disk, delay) = (self.disk(), Arc::clone(&self.1));
+        let (sync, sync_folder) = (Arc::clone(&disk.sync), Arc::clone(&disk.sync_folder));
+        let folder_delay = Arc::clone(&delay);
         Disk {
             sync: Arc::new(move |name| {
-                while hangs.load(Ordering::SeqCst) {
-                    std::thread::sleep(std::time::Duration::from_millis(1));
-                }
+                delay.wait();
                 sync(name)
             }),
+            sync_folder: Arc::new(move || {
+                folder_delay.wait();
+                sync_folder()
+            }),
             is_blocking: true,
             ..disk
         }
--- a/crates/replica/tests/common/group.rs
+++ b/crates/replica/tests/common/group.rs
@@ -283,7 +283,7 @@
         }
     }
 
-    fn report(&self, what: &str) -> String {
+    pub fn report(&self, what: &str) -> String {
         let statuses: Vec<_> = self.running().map(Replica::status).collect();
         format!("{what}: {statuses:#?} {:?}", self.checks.violations())
     }
