A record torn at its full length leaves its voter a vote

What callers saw: after a power loss of all keepers in which some disks were lost for good, no more than the group tolerates, there could be no leader ever again. Acknowledged changes were on the remaining disks and could be neither read nor changed.

Cause: a last record with an invalid checksum was taken for torn only if its file ended before it did. A crash can also leave the file at its full length, with zeros where pages were not written. Such a tail counted as suspect: the voter gives no vote until a leader has filled its log, or until every voter says that none is ahead. If exactly a quorum of disks is left, the first needs its vote, and the second waits for disks that do not come back.

Ruled out: loss of acknowledged entries. In all failed cases the log was there; what lacked was a leader. Changes of members in progress, or complete, at the moment of the loss made no difference.

`--test files`, `a_last_frame_that_ends_in_unwritten_pages_is_torn`: failed before ("zeros from 177"), passes now. All tests of the crate pass.

Why it works: a frame of full length that ends in zeros is torn unless one inverted bit explains its checksum. The CRC is linear, so each bit position has its own syndrome. Every single flipped bit of an acknowledged frame is still suspect (`a_suspect_tail_is_distinguished_from_a_torn_one`). Several changed bits in a frame that also ends in zeros are now taken for a torn write.

`voters_with_suspect_tails_recover_once_all_are_connected` appended 64 zeros to get suspect tails. Zeros are what a torn write leaves, so it now appends 64 bytes of ones; what it asserts is unchanged.

--- a/crates/replica/src/segment.rs
+++ b/crates/replica/src/segment.rs
@@ -5,13 +5,16 @@
 //! the last frame of the last segment: an invalid frame before a valid one means corruption. A
 //! frame that starts at or below the last index replaces all entries from its first index on.
 //!
-//! An invalid last frame may also have been synced and changed by bit rot since. It is certain to
-//! be torn only if the file ends before the frame does; otherwise the tail is suspect.
+//! An invalid last frame may also have been synced and changed by bit rot since. It is torn if the
+//! file ends before the frame does, or if the frame ends in zeros, as pages that were not written
+//! read, and no single inverted bit explains that. Otherwise the tail is suspect.
 
 use crate::{ReplicaError, entry::Entry};
 
 const MAGIC: [u8; 4] = *b"jbf1";
 const HEADER_BYTES: usize = 12;
+/// Generator of the CRC-32, bits reversed.
+const CRC_POLYNOMIAL: u32 = 0xedb8_8320;
 const SUFFIX: &str = ".log";
 
 /// Returns the file name of the segment with a sequence number.
@@ -111,20 +114,85 @@
     let Some((header, rest)) = bytes.split_at_checked(HEADER_BYTES) else {
         return Tail::Torn;
     };
-    let length = u32::from_le_bytes([header[4], header[5], header[6], header[7]]);
-    let is_short = |length: u32| length as usize > rest.len();
-    // A flipped bit in the length can make a complete frame appear truncated.
-    let is_valid_with = |length: u32| {
-        let body = &rest[..length as usize];
-        checksum(&length.to_le_bytes(), body).to_le_bytes() == header[8..HEADER_BYTES]
-    };
-    let mut flipped = (0..u32::BITS).map(|bit| length ^ 1 << bit);
-    match header[..4] == MAGIC && is_short(length) {
-        true if !flipped.any(|length| !is_short(length) && is_valid_with(length)) => Tail::Torn,
+    let frame = RawFrame::new(header, rest);
+    let is_short = frame.has_magic() && frame.body(frame.length).is_none();
+    // Pages of the file that were not written before the crash read as zeros.
+    let has_unwritten_end = bytes.ends_with(&[0]);
+    match is_short {
+        true if !frame.has_flipped_length() => Tail::Torn,
+        _ if has_unwritten_end && !frame.has_flipped_bit() => Tail::Torn,
         _ => Tail::Suspect,
     }
 }
 
+/// The parts of a frame that is not known to be valid.
+struct RawFrame<'a> {
+    magic: u32,
+    length: u32,
+    crc: u32,
+    rest: &'a [u8],
+}
+
+impl<'a> RawFrame<'a> {
+    fn new(header: &[u8], rest: &'a [u8]) -> Self {
+        let word = |at: usize| {
+            u32::from_le_bytes([header[at], header[at + 1], header[at + 2], header[at + 3]])
+        };
+        Self {
+            magic: word(0),
+            length: word(4),
+            crc: word(8),
+            rest,
+        }
+    }
+
+    fn has_magic(&self) -> bool {
+        self.magic == u32::from_le_bytes(MAGIC)
+    }
+
+    fn body(&self, length: u32) -> Option<&'a [u8]> {
+        self.rest.get(..length as usize)
+    }
+
+    /// Difference between the stored and the computed checksum; `None` if the body is incomplete.
+    fn syndrome(&self, length: u32) -> Option<u32> {
+        let body = self.body(length)?;
+        Some(self.crc ^ checksum(&length.to_le_bytes(), body))
+    }
+
+    /// Returns true if the frame is valid once one bit of its length is inverted.
+    fn has_flipped_length(&self) -> bool {
+        let mut lengths = (0..u32::BITS).map(|bit| self.length ^ 1 << bit);
+        lengths.any(|length| self.syndrome(length) == Some(0))
+    }
+
+    /// Returns true if the frame is valid once one of its bits is inverted.
+    fn has_flipped_bit(&self) -> bool {
+        let syndrome = self.syndrome(self.length);
+        let magic_bits = (self.magic ^ u32::from_le_bytes(MAGIC)).count_ones();
+        match (magic_bits, syndrome) {
+            (0, Some(syndrome)) => {
+                let covered = size_of_val(&self.length) + self.length as usize;
+                self.has_flipped_length()
+                    || syndrome.is_power_of_two()
+                    || is_single_bit_error(syndrome, covered)
+            }
+            (0, None) => self.has_flipped_length(),
+            (1, syndrome) => syndrome == Some(0),
+            _ => false,
+        }
+    }
+}
+
+/// Returns true if inverting one bit of `length` bytes changes their CRC-32 by `syndrome`.
+fn is_single_bit_error(syndrome: u32, length: usize) -> bool {
+    let bits = length as u64 * u64::from(u8::BITS);
+    let shift = |register: u32| (register >> 1) ^ (CRC_POLYNOMIAL * (register & 1));
+    let mut changes = std::iter::successors(Some(CRC_POLYNOMIAL), |change| Some(shift(*change)));
+    // From the last bit to the first.
+    (0..bits).any(|_| changes.next() == Some(syndrome))
+}
+
 fn has_frame(bytes: &[u8]) -> bool {
     let starts = bytes.windows(MAGIC.len()).enumerate();
     let mut starts = starts.filter(|(_, window)| *window == MAGIC);
--- a/crates/replica/tests/common/checks.rs
+++ b/crates/replica/tests/common/checks.rs
@@ -75,6 +75,15 @@
         self.observations().rejected.insert(entry);
     }
 
+    /// Every acknowledged entry with its index.
+    pub fn acknowledged(&self) -> Vec<(u64, Vec<u8>)> {
+        self.observations()
+            .acknowledged
+            .clone()
+            .into_iter()
+            .collect()
+    }
+
     pub fn last_acknowledged(&self) -> u64 {
         let observations = self.observations();
         observations
--- a/crates/replica/tests/common/disk.rs
+++ b/crates/replica/tests/common/disk.rs
@@ -22,6 +22,15 @@
     synced: Vec<u8>,
 }
 
+/// Length of a file after a crash in the middle of a write.
+#[derive(Clone, Copy, PartialEq)]
+enum TornLength {
+    /// Any length between the synced and the full one.
+    Any,
+    /// The full length, with zeros in place of the lost pages.
+    Full,
+}
+
 struct State {
     files: Vec<File>,
     current: BTreeMap<String, usize>,
@@ -32,6 +41,7 @@
     is_off: bool,
     is_full: bool,
     fails_sync: bool,
+    torn_length: TornLength,
 }
 
 #[derive(Clone)]
@@ -48,6 +58,7 @@
             is_off: false,
             is_full: false,
             fails_sync: false,
+            torn_length: TornLength::Any,
         };
         Self(Arc::new(Mutex::new(state)), Arc::default())
     }
@@ -90,6 +101,11 @@
         self.state().is_full = true;
     }
 
+    /// Makes a crash keep the length of torn files and lose only their pages.
+    pub fn keep_length(&self) {
+        self.state().torn_length = TornLength::Full;
+    }
+
     pub fn fail_syncs(&self) {
         self.state().fails_sync = true;
     }
@@ -264,7 +280,7 @@
         }
         for file in &mut self.files {
             if file.current != file.synced {
-                file.current = torn_content(file, &mut self.rng);
+                file.current = torn_content(file, self.torn_length, &mut self.rng);
             }
             file.synced = file.current.clone();
         }
@@ -275,16 +291,19 @@
 }
 
 /// Returns what a crash leaves of a file: the synced bytes, or part of the later writes.
-fn torn_content(file: &File, rng: &mut StdRng) -> Vec<u8> {
+fn torn_content(file: &File, torn_length: TornLength, rng: &mut StdRng) -> Vec<u8> {
     if rng.random() {
         return file.synced.clone();
     }
     let shared = file.current.iter().zip(&file.synced);
     let shared = shared.take_while(|(a, b)| a == b).count();
-    let end = rng.random_range(shared..=file.current.len());
+    let end = match torn_length {
+        TornLength::Full => file.current.len(),
+        TornLength::Any => rng.random_range(shared..=file.current.len()),
+    };
     let mut remaining = file.current[..end].to_vec();
     // Pages that were never written read as zeros.
-    if end > shared && rng.random() {
+    if end > shared && (torn_length == TornLength::Full || rng.random()) {
         let zeroed_from = rng.random_range(shared..end);
         remaining[zeroed_from..].fill(0);
     }
--- a/crates/replica/tests/faults.rs
+++ b/crates/replica/tests/faults.rs
@@ -62,7 +62,7 @@
             let disk = &group.nodes[name].disk;
             let (segment, _) = disk.last_frames().unwrap();
             let mut bytes = disk.bytes(&segment);
-            bytes.extend([0; 64]);
+            bytes.extend([0xff; 64]);
             disk.overwrite(&segment, bytes);
         }
         group.restart("a").await;
--- a/crates/replica/tests/files.rs
+++ b/crates/replica/tests/files.rs
@@ -87,6 +87,34 @@
     });
 }
 
+/// Guards against a voter that counts as suspect, and does not vote, after a write of which the last
+/// pages were lost.
+#[test]
+fn a_last_frame_that_ends_in_unwritten_pages_is_torn() {
+    paused(async {
+        let mut group = group_after_power_loss(3).await;
+        let disk = group.nodes["a"].disk.clone();
+        let (name, frames) = disk.last_frames().unwrap();
+        let (intact, last) = (disk.bytes(&name), frames.last().unwrap().clone());
+        for start in last.clone() {
+            let mut bytes = intact.clone();
+            bytes[start..last.end].fill(0);
+            let changed_bits: u32 = bytes
+                .iter()
+                .zip(&intact)
+                .map(|(a, b)| (a ^ b).count_ones())
+                .sum();
+            disk.overwrite(&name, bytes);
+            group.start("a").await.unwrap();
+            let is_suspect = disk.names().iter().any(|name| name == "doubt");
+            // One changed bit may have been acknowledged.
+            assert_eq!(is_suspect, changed_bits == 1, "zeros from {start}");
+            group.leader().await;
+            group.crash("a").await;
+        }
+    });
+}
+
 #[test]
 fn corruption_before_the_tail_is_reported_with_file_and_offset() {
     paused(async {
