--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -5,7 +5,7 @@
 use bench::{proxy::Cut, stand_in::Fault as EndpointFault};
 use rand::{RngExt, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
 
-use crate::fleet::{GATE_ZONES, ZONES};
+use crate::topology::{GATE_ZONES, ProcessId, ZONES};
 
 /// Time between the starts of two drawn faults, in milliseconds.
 const FAULT_INTERVAL_MS: std::ops::Range<u64> = 100..500;
@@ -20,13 +20,6 @@
 /// Number of endpoints in the fleet: three services in each zone.
 const ENDPOINT_COUNT: usize = 9;
 
-/// A keeper or a gate, by its index in the fleet.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum ProcessId {
-    Keeper(usize),
-    Gate(usize),
-}
-
 /// A fault and its target.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Fault {
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -16,12 +16,13 @@
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use tokio::{task::JoinSet, time::Instant};
 
-use crate::{faults::ProcessId, gate_faults::GateFaults, restarts::Restarted, results::Results};
+use crate::{
+    gate_faults::GateFaults,
+    restarts::Restarted,
+    results::Results,
+    topology::{GATE_ZONES, ProcessId, ZONES},
+};
 
-/// Availability zones; each has one keeper.
-pub(crate) const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
-/// For each gate, the index of its zone in [`ZONES`].
-pub(crate) const GATE_ZONES: [usize; 4] = [0, 0, 1, 2];
 /// Services and the kind of their endpoints; each service has one endpoint in every zone.
 const SERVICES: [(&str, Kind); 3] = [
     ("desk", Kind::Plain),
--- a/crates/soak/src/injection.rs
+++ b/crates/soak/src/injection.rs
@@ -7,11 +7,12 @@
 use tokio::time::Instant;
 
 use crate::{
-    faults::{Fault, ProcessId, ScheduledFault},
+    faults::{Fault, ScheduledFault},
     fleet::Fleet,
     odd_announcements,
     restarts::Predecessor,
     results::Results,
+    topology::ProcessId,
 };
 
 /// File in the folder of the soak with the time at which each fault started and ended.
--- a/crates/soak/src/injection/tests.rs
+++ b/crates/soak/src/injection/tests.rs
@@ -6,9 +6,10 @@
 
 use super::inject_faults;
 use crate::{
-    faults::{Fault, ProcessId, ScheduledFault},
+    faults::{Fault, ScheduledFault},
     fleet::Fleet,
     results::Results,
+    topology::ProcessId,
 };
 
 /// Limit of all waits.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -16,6 +16,7 @@
 mod results;
 mod run;
 mod status;
+mod topology;
 
 pub use results::Violation;
 pub use run::{Outcome, SoakConfig, run};
--- a/crates/soak/src/odd_announcements.rs
+++ b/crates/soak/src/odd_announcements.rs
@@ -6,7 +6,7 @@
 use serde_json::{Value, json};
 use uuid::Uuid;
 
-use crate::{fleet::ZONES, results::Results};
+use crate::{results::Results, topology::ZONES};
 
 /// Depth of nested arrays.
 const DEPTH: usize = 50_000;
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -9,7 +9,7 @@
 use tokio::time::{Instant, sleep};
 use uuid::Uuid;
 
-use crate::{fleet::ZONES, results::Results};
+use crate::{results::Results, topology::ZONES};
 
 /// Access key of the workspace that is declared throughout the soak.
 pub(crate) const KEY: &str = "soak-key";
--- a/crates/soak/src/restarts.rs
+++ b/crates/soak/src/restarts.rs
@@ -6,9 +6,9 @@
 use tokio::time::{Instant, sleep_until};
 
 use crate::{
-    faults::ProcessId,
     fleet::{Fleet, Process},
     results::Results,
+    topology::ProcessId,
 };
 
 /// Time within which a process exits after SIGTERM.
