Routes: waits say what they waited for and what came instead

without_confirmation_keys_are_refused_with_retry_after failed once with an unkept wait of which the record does not say which. Its two waits now print their name, the last response or error, and the logs of all processes; the waits for readiness name their gate and path. What is waited for and for how long stays the same.

--- a/crates/forwarder/tests/routes.rs
+++ b/crates/forwarder/tests/routes.rs
@@ -219,14 +219,10 @@
 async fn without_confirmation_keys_are_refused_with_retry_after() {
     let cluster = Cluster::start().await;
     cluster.pause_keeper();
-    let response = until("keys are no longer confirmed", async || {
-        let response = cluster
-            .send(CallerRequest::new("/desk/1", "frozen"))
-            .await
-            .ok()?;
-        (response.status == StatusCode::SERVICE_UNAVAILABLE).then_some(response)
-    })
-    .await;
+    let frozen = CallerRequest::new("/desk/1", "frozen");
+    let response = cluster
+        .until_status("keys are refused", frozen, StatusCode::SERVICE_UNAVAILABLE)
+        .await;
     assert!(response.headers.contains_key("retry-after"));
     let public = CallerRequest {
         key: None,
@@ -234,14 +230,10 @@
     };
     assert_eq!(cluster.send(public).await.unwrap().status, StatusCode::OK);
     cluster.resume_keeper();
-    until("the gate serves again", async || {
-        let response = cluster
-            .send(CallerRequest::new("/desk/1", "thawed"))
-            .await
-            .ok()?;
-        (response.status == StatusCode::OK).then_some(())
-    })
-    .await;
+    let thawed = CallerRequest::new("/desk/1", "thawed");
+    cluster
+        .until_status("the gate serves again", thawed, StatusCode::OK)
+        .await;
     let log = cluster.logs();
     assert!(log.contains("confirmation") && !log.contains(support::KEY));
 }
--- a/crates/forwarder/tests/support/mod.rs
+++ b/crates/forwarder/tests/support/mod.rs
@@ -12,7 +12,7 @@
 };
 use futures_util::future::join_all;
 use host::client::{Answer, Client, ClientError, build_request};
-use hyper::Request;
+use hyper::{Request, StatusCode};
 use operators::{ApiError, KeeperApi, Submission};
 use tempfile::TempDir;
 use tokio::time::{Instant, sleep};
@@ -20,6 +20,8 @@
 
 /// Timeout of every wait in the tests.
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
+/// Pause between two attempts of a wait.
+const POLL_INTERVAL: Duration = Duration::from_millis(30);
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
 /// Access key of the only workspace.
 pub const KEY: &str = "tug-key";
@@ -307,7 +309,8 @@
                     &[("accept", "text/event-stream"), ("jujube-items", "1,1")],
                 ),
             ] {
-                until("the gate serves the route", async || {
+                let condition = format!("gate {gate} serves {path}");
+                until(&condition, async || {
                     let id = Uuid::now_v7().to_string();
                     let request = CallerRequest {
                         gate,
@@ -340,6 +343,29 @@
             .await
     }
 
+    /// Sends a request until its response has `status`, and returns that response. Panics with the last
+    /// response and the logs if there is none in time.
+    pub async fn until_status(
+        &self,
+        condition: &str,
+        caller_request: CallerRequest<'_>,
+        status: StatusCode,
+    ) -> Answer {
+        let start = Instant::now();
+        loop {
+            let sent = self.send(caller_request).await;
+            match sent {
+                Ok(response) if response.status == status => return response,
+                other => assert!(
+                    start.elapsed() < TEST_TIMEOUT,
+                    "not within {TEST_TIMEOUT:?}: {condition}: {other:?}\n{}",
+                    self.logs()
+                ),
+            }
+            sleep(POLL_INTERVAL).await;
+        }
+    }
+
     /// Returns how often endpoints of `service` started the call of `request`.
     pub fn count_starts(&self, service: &str, request: &str) -> usize {
         let all = self.endpoints.iter().flat_map(StandIn::journal);
@@ -413,6 +439,6 @@
             start.elapsed() < TEST_TIMEOUT,
             "not within {TEST_TIMEOUT:?}: {condition}"
         );
-        sleep(Duration::from_millis(30)).await;
+        sleep(POLL_INTERVAL).await;
     }
 }
