Record the crash of a silent endpoint when it happens

Cause: while another endpoint is sought for a silent stream, the break of the first connection was kept until the other one had responded. Then the connection attempt that tells a crash from a broken connection comes too late, as the endpoint may be back; and if the deadline passes or the caller leaves before, nothing was recorded at all.

Ruled out: complete responses. Each of their calls records its own end beside the search for another endpoint.

Why it works: the break is recorded where it is seen; a flag keeps it from being recorded once more when the stream moves or ends.

--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -60,6 +60,8 @@
 struct Source {
     started: StartedResponse,
     events: EventSplitter,
+    /// True once the loss of its connection was recorded.
+    is_lost: bool,
 }
 
 impl Source {
@@ -67,6 +69,7 @@
         Self {
             started,
             events: EventSplitter::default(),
+            is_lost: false,
         }
     }
 
@@ -271,11 +274,10 @@
 
     /// Records that the endpoint broke the stream off or stayed silent until the deadline.
     fn record_broken(&self, source: &Source, error: &StreamError) {
-        let flight = &source.started.flight;
-        let target = &flight.target;
+        let target = &source.started.flight.target;
         self.cx.fleet.record_call_result(target, true);
-        if let StreamError::Endpoint(e) = error {
-            self.cx.record_lost(flight, &self.req, e, CallEnd::Broken);
+        if !source.is_lost {
+            self.record_lost(source, error);
         }
         if self.is_silent(source) && self.req.remaining().is_zero() {
             return self.record_silence(source, SilenceOutcome::Deadline, &error.to_string());
@@ -287,6 +289,14 @@
         });
     }
 
+    /// Records that the response ended together with its connection.
+    fn record_lost(&self, source: &Source, error: &StreamError) {
+        if let StreamError::Endpoint(e) = error {
+            let flight = &source.started.flight;
+            self.cx.record_lost(flight, &self.req, e, CallEnd::Broken);
+        }
+    }
+
     fn record_silence(&self, source: &Source, outcome: SilenceOutcome, why: &str) {
         self.cx.metrics.record_silence(&self.req.service, outcome);
         self.req.log.note(Event::Silent {
@@ -404,8 +414,13 @@
                 Ok(()) => {}
                 Err(e @ (StreamError::CallerGone | StreamError::CallerSlow)) => return Err(e),
                 Err(e) if self.last_event != last_event => return Err(e),
-                // The successor may still take over.
-                Err(e) => broken = Some(e),
+                // The successor may still take over. A crash is recorded now, as the endpoint may run
+                // again by then.
+                Err(e) => {
+                    self.record_lost(source, &e);
+                    source.is_lost = true;
+                    broken = Some(e);
+                }
             }
         }
     }
