Ignore the load in a response of another endpoint

What callers saw: a request waited half a second for an idle endpoint, since another endpoint at its address had answered 421 with a load of 1,000 calls.

Cause: a response's load was recorded for the endpoint that was called before it was checked who responds. Notices in the same head were checked.

--- a/crates/forward/src/attempts.rs
+++ b/crates/forward/src/attempts.rs
@@ -343,7 +343,8 @@
         let sent_at = (class == ResponseClass::Success).then_some(sent_at);
         cx.fleet.apply_notice(target, notice, &cx.vm, sent_at);
     }
-    if let Some(load) = (cx.dialect.load)(&exchange.headers) {
+    let load = (cx.dialect.load)(&exchange.headers);
+    if let Some(load) = load.filter(|_| class.is_from_target()) {
         let mut stats = target.stats();
         let own = stats.in_flight;
         let calls = load.running.saturating_add(load.waiting);
