Count the good answers of other gates again

What callers saw with it: engines went on to crash.

Cause, not traced in the logs: the losses of all gates count, and with the good answers of one gate alone, so that the chance of a loss comes out too large and a part that is not in almost all crashes needs too many of them.

Open: a gate that has just started may blame a part after too few crashes. Gates would have to tell each other how many requests ended well and how many were lost, once each.

--- a/crates/forward/src/blocked_parts/reporter.rs
+++ b/crates/forward/src/blocked_parts/reporter.rs
@@ -81,7 +81,7 @@
         let now = Instant::now();
         self.parts.update(|state| {
             for (part, age) in report.good {
-                state.evidence.record_good_elsewhere(part, before(now, age));
+                state.evidence.record_good(&[part], before(now, age));
             }
             let suspects = report.calls.into_iter().map(|call| Suspect {
                 request: call.request,
@@ -137,7 +137,7 @@
         let blocked = self.parts.update(|state| {
             let now = Instant::now();
             if let Some(at) = last_good {
-                state.evidence.record_good_elsewhere(part, at);
+                state.evidence.record_good(&[part], at);
             }
             state.deciding.remove(&part);
             let confirmed = state.evidence.culprit(endpoints, now);
--- a/crates/forward/src/blocked_parts/tests.rs
+++ b/crates/forward/src/blocked_parts/tests.rs
@@ -158,7 +158,7 @@
             for gate in 0..GATES {
                 let evidence = &mut self.gates[gate].evidence;
                 for (part, at) in &good {
-                    evidence.record_good_elsewhere(*part, *at);
+                    evidence.record_good(&[*part], *at);
                 }
                 evidence.record_crash(crash.clone());
                 self.decide(gate);
@@ -176,7 +176,7 @@
         let others = self.gates.iter().map(|g| g.evidence.last_good(part));
         if let Some(at) = others.flatten().max() {
             let evidence = &mut self.gates[gate].evidence;
-            evidence.record_good_elsewhere(part, at);
+            evidence.record_good(&[part], at);
         }
         let confirmed = self.gates[gate].evidence.culprit(ENDPOINTS, now);
         let Some(confirmed) = confirmed.filter(|culprit| culprit.part == part) else {
--- a/crates/forward/src/blocked_parts/tests/unrelated_crashes.rs
+++ b/crates/forward/src/blocked_parts/tests/unrelated_crashes.rs
@@ -227,7 +227,7 @@
         for message in due {
             let evidence = &mut self.gates[message.to].evidence;
             for (part, at) in message.good {
-                evidence.record_good_elsewhere(part, at);
+                evidence.record_good(&[part], at);
             }
             evidence.record_crash(message.crash);
             self.decide(message.to);
@@ -244,7 +244,7 @@
         let last_good = self.gates.iter().map(|g| g.evidence.last_good(part));
         if let Some(at) = last_good.flatten().max() {
             let evidence = &mut self.gates[gate].evidence;
-            evidence.record_good_elsewhere(part, at);
+            evidence.record_good(&[part], at);
         }
         let confirmed = self.gates[gate].evidence.culprit(count, now);
         if let Some(confirmed) = confirmed.filter(|culprit| culprit.part == part) {
--- a/crates/routing/src/crash_evidence.rs
+++ b/crates/routing/src/crash_evidence.rs
@@ -132,11 +132,15 @@
 }
 
 impl CrashEvidence {
-    /// Records a good answer of this gate to a request with `parts`: a complete one, or a stream that
-    /// goes on long after its first part.
+    /// Records a good answer to a request with `parts`: a complete one, or a stream that goes on long
+    /// after its first part.
     pub fn record_good(&mut self, parts: &[u64], at: Instant) {
         for part in parts.iter().take(MAX_PARTS) {
-            self.record_good_elsewhere(*part, at);
+            let last = self.last_good.entry(*part).or_insert(at);
+            *last = (*last).max(at);
+        }
+        if self.last_good.len() > MAX_GOOD_PARTS {
+            self.drop_old_good();
         }
         match self.good_counts.back_mut() {
             Some((since, count)) if at.saturating_duration_since(*since) < RATE_INTERVAL => {
@@ -149,17 +153,6 @@
         while self.good_counts.pop_front_if(is_old).is_some() {}
     }
 
-    /// Records when another gate last had a good answer to a request with `part`. The answer speaks
-    /// for the part, but several parts and reports may stand for the same answer, so it doesn't
-    /// count as one in the estimate of how many requests are lost.
-    pub fn record_good_elsewhere(&mut self, part: u64, at: Instant) {
-        let last = self.last_good.entry(part).or_insert(at);
-        *last = (*last).max(at);
-        if self.last_good.len() > MAX_GOOD_PARTS {
-            self.drop_old_good();
-        }
-    }
-
     /// Records a crash. Reports of the same crash from several gates are merged.
     pub fn record_crash(&mut self, crash: Crash) {
         let is_same = |c: &&mut StoredCrash| {
