A stream that breaks off reaches its caller with what was received before

What callers saw: a closed connection without a status line, although the gate had chosen an endpoint and had received events of it.

Cause: the body fails as soon as its relay is gone. If the last parts and the end of the relay are seen in one turn, the server polls the body to its failure before it writes, and then drops the connection with all that it has buffered, the head of the response too.

Now the body is pending once between its last part and its failure; the server writes what it has when a body is pending.

A caller that does not read keeps the server from writing; what is not written then is dropped as before.

--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -30,7 +30,7 @@
     incoming::IncomingRequest,
     metrics::Metrics,
     request::{Context, Request},
-    response::{Response, ResponseBody},
+    response::{BodyParts, Response, ResponseBody},
     rules::Rules,
     serving,
     shutdown::Shutdown,
@@ -193,7 +193,7 @@
                 status,
                 headers,
                 parts,
-            }) => (status, headers, ResponseBody::Parts(parts)),
+            }) => (status, headers, ResponseBody::Parts(BodyParts::new(parts))),
             Err(error) => {
                 let mut headers = hyper::HeaderMap::new();
                 if let ForwardError::Refused {
--- a/crates/forward/src/response.rs
+++ b/crates/forward/src/response.rs
@@ -3,7 +3,7 @@
 use std::{
     io,
     pin::Pin,
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
 };
 
 use bytes::Bytes;
@@ -48,8 +48,44 @@
 pub enum ResponseBody {
     /// A complete body.
     Whole(Option<Bytes>),
-    /// A body that is sent in parts. It fails if its sender is gone before the end.
-    Parts(mpsc::Receiver<StreamPart>),
+    /// A body that is sent in parts.
+    Parts(BodyParts),
+}
+
+/// Parts of a body. It fails if their sender is gone before the end.
+#[derive(Debug)]
+pub struct BodyParts {
+    rx: mpsc::Receiver<StreamPart>,
+    /// True if the server could write all parts that it was given.
+    is_flushed: bool,
+}
+
+impl BodyParts {
+    /// Creates a body of the parts that `rx` receives.
+    pub(crate) fn new(rx: mpsc::Receiver<StreamPart>) -> Self {
+        Self {
+            rx,
+            is_flushed: false,
+        }
+    }
+
+    fn poll_frame(&mut self, cx: &mut Context<'_>) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        match ready!(self.rx.poll_recv(cx)) {
+            Some(StreamPart::Bytes(bytes)) => {
+                self.is_flushed = false;
+                Poll::Ready(Some(Ok(Frame::data(bytes))))
+            }
+            Some(StreamPart::End) => Poll::Ready(None),
+            // The server writes what it has buffered while the body is pending, and drops it once the
+            // body fails.
+            None if !self.is_flushed => {
+                self.is_flushed = true;
+                cx.waker().wake_by_ref();
+                Poll::Pending
+            }
+            None => Poll::Ready(Some(Err(io::Error::other("the stream ended early")))),
+        }
+    }
 }
 
 impl Body for ResponseBody {
@@ -65,11 +101,7 @@
                 let bytes = bytes.take().filter(|bytes| !bytes.is_empty());
                 Poll::Ready(bytes.map(|bytes| Ok(Frame::data(bytes))))
             }
-            Self::Parts(parts) => Poll::Ready(match std::task::ready!(parts.poll_recv(cx)) {
-                Some(StreamPart::Bytes(bytes)) => Some(Ok(Frame::data(bytes))),
-                Some(StreamPart::End) => None,
-                None => Some(Err(io::Error::other("the stream ended early"))),
-            }),
+            Self::Parts(parts) => parts.poll_frame(cx),
         }
     }
 
