--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,40 +1,11 @@
-"""A worker deregisters, all core processes are killed at once and are back within a second, and then a heartbeat
-that the worker had sent before arrives."""
+"""A worker deregisters at a core machine whose process is killed as soon as it has acknowledged that."""
 import asyncio, os, sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "lib"))
-from deployment import DRAIN_S, RESTART_S, TOUCH_S, TROUBLE, CantRun, call, main, plain_configuration
+from deployment import DRAIN_S, RESTART_S, TOUCH_S, TROUBLE, CantRun, main, plain_configuration
 
-SERVES_ON_S = 9.0     # "a little longer (at times many seconds)"
-LATE_S = 2.5          # "A heartbeat may arrive seconds late."
-
-
-class DelayingProxy:
-    """Takes one connection and passes its bytes on to `target` after a while."""
-
-    def __init__(self, record, ip, target, delay_s):
-        self.record, self.ip, self.target, self.delay_s = record, ip, target, delay_s
-        self.delivered = asyncio.get_running_loop().create_future()
-
-    async def start(self):
-        self.server = await asyncio.start_server(self.serve, self.ip, 0)
-        return self.server.sockets[0].getsockname()
-
-    async def serve(self, reader, writer):
-        data = await reader.read(65536)
-        self.record("the proxy holds the heartbeat")
-        await asyncio.sleep(self.delay_s)
-        try:
-            there, back = await asyncio.open_connection(*self.target)
-            back.write(data)
-            answer = await asyncio.wait_for(there.readuntil(b"\r\n\r\n"), 2)
-            back.close()
-            self.record(f"the heartbeat arrives late: {answer.split(b' ', 2)[1].decode()}")
-            self.delivered.set_result(True)
-        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
-            self.delivered.set_result(False)
-        writer.close()
+SERVES_ON_S = 8.0     # "a little longer (at times many seconds)"
 
 
 async def case(d):
@@ -45,33 +16,25 @@
         await d.worker(f"i-{zone}", "desk", zone)
     await d.ready()
     traffic = [asyncio.create_task(d.stream_of_requests(edge, "/book/x", 0.05)) for edge in d.edges]
+    # Everything has run undisturbed for longer than contact-ms before the worker leaves.
     await asyncio.sleep(TOUCH_S + 3)
     if not leaving.runs:
         raise CantRun("the worker got no request")
     leaving.task.cancel()
-    # Its last heartbeat is on its way for a while.
-    proxy = DelayingProxy(d.record, leaving.ip, d.cores[0].control, LATE_S)
-    address = await proxy.start()
-    path = f"/Instances.Heartbeat/{leaving.id}"
-    lines = [("Host", "control"), ("Content-Type", "application/json")]
-    beat = asyncio.create_task(call(address, "POST", path, lines, leaving.body(), 20))
-    d.record(f"{leaving.id} sends heartbeat {leaving.sequence}")
-    await asyncio.sleep(0.1)
-    if not await leaving.tell(d.cores[1], "/Instances.Deregister", b'{"born":%d}' % leaving.born):
+    told = d.cores[0]
+    if not await leaving.beat_once(told):
+        raise CantRun("no acknowledgement of the heartbeat")
+    await asyncio.sleep(0.6)
+    if not await leaving.tell(told, "/Instances.Deregister", b'{"born":%d}' % leaving.born):
         raise CantRun("no acknowledgement of the departure")
     acknowledged = last_event = d.record.now()
-    d.record(f"{d.cores[1].name} has acknowledged that {leaving.id} is gone")
-    await asyncio.sleep(1.0)
     if TROUBLE:
-        for core in d.cores:
-            core.kill()
+        told.kill()
+    d.record(f"{told.name} has acknowledged that {leaving.id} is gone, at {acknowledged:.3f}")
+    if TROUBLE:
         await asyncio.sleep(RESTART_S)
-        for core in d.cores:
-            core.start()
+        told.start()
         last_event = d.record.now()
-    if not await asyncio.wait_for(proxy.delivered, 10):
-        raise CantRun("the late heartbeat didn't arrive")
-    beat.cancel()
     await asyncio.sleep(acknowledged + SERVES_ON_S - d.record.now())
     await leaving.stop()
     for task in traffic:
@@ -81,10 +44,12 @@
     judged = acknowledged + DRAIN_S
     if TROUBLE:
         judged = max(judged, last_event + TOUCH_S)
+    late = [at - acknowledged for at, _ in leaving.runs if at > acknowledged + DRAIN_S]
     broken = [at - acknowledged for at, _ in leaving.runs if at > judged]
-    d.record(f"judged from {judged - acknowledged:.3f} s after the acknowledgement; reached {leaving.id}: {len(broken)}")
-    print(f"{len(broken)} requests reached the worker later than {judged - acknowledged:.2f} s after the acknowledgement, "
-          "with all machines in touch" + (f"; the last after {max(broken):.2f} s" if broken else ""))
+    d.record(f"judged from {judged - acknowledged:.3f} s after the acknowledgement")
+    d.record(f"requests that reached {leaving.id} later than {DRAIN_S} s after it: {len(late)}, with all in touch: {len(broken)}")
+    print(f"{len(late)} requests reached the worker over {DRAIN_S} s after the acknowledgement, {len(broken)} of them "
+          f"while all machines were in touch" + (f"; the last after {max(late):.2f} s" if late else ""))
     return not broken
 
 
