--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -1,6 +1,6 @@
 """A small deployment on loopback: the project's own programs as processes, and stand-ins for workers,
 clients and the operator that follow the protocol page. Standard library only."""
-import asyncio, json, os, random, shutil, signal, socket, subprocess, sys, tempfile, time
+import asyncio, json, os, random, re, shutil, signal, socket, subprocess, sys, tempfile, time, traceback
 from urllib.parse import quote
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", ".."))
@@ -37,11 +37,13 @@
 
 def run_commands():
     """The commands of the roles, from the deploy file."""
-    import tomllib
-    with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as f:
-        roles = tomllib.load(f)["roles"]
-    return {name: [os.path.join(ROOT, word) if i == 0 else word for i, word in enumerate(role["run"].split())]
-            for name, role in roles.items()}
+    with open(os.path.join(ROOT, "deploy", "system.toml")) as f:
+        roles = re.findall(r'^\[roles\.(\w+)\]\nrun = "([^"]+)"', f.read(), re.MULTILINE)
+    commands = {}
+    for name, run in roles:
+        program, *words = run.split()
+        commands[name] = [os.path.join(ROOT, program), *words]
+    return commands
 
 
 def free_ports(addresses, count):
@@ -388,4 +390,7 @@
     except (CantRun, asyncio.TimeoutError) as e:
         print(f"can't run: {e!r}")
         sys.exit(2)
+    except Exception:
+        traceback.print_exc()
+        sys.exit(2)
     sys.exit(0 if held else 1)
