--- a/crates/keeper/src/announce.rs
+++ b/crates/keeper/src/announce.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 
 use host::{problem::Problem, settings::check_announce_token};
-use membership::{AnnounceError, Announcement};
+use membership::{AnnounceError, Announcement, Readiness};
 use salvo::{Depot, Request, Response, handler};
 
 use crate::{
-    api_state::{ApiState, api_state, json},
+    api_state::{ApiState, api_state, json, unavailable},
     request_body,
 };
 
@@ -41,9 +41,15 @@
         let what = format!("the body is not a valid announcement: {e}");
         Problem::new(400, "bad-body", "Bad body", what)
     })?;
-    table
+    let (name, incarnation) = (announcement.endpoint.clone(), announcement.incarnation);
+    let is_leaving = announcement.state == Readiness::Leaving;
+    let announced = table
         .announce(announcement)
-        .map_err(|e| announce_problem(&e))
+        .map_err(|e| announce_problem(&e))?;
+    match is_leaving && !api.service.record_departure(&name, incarnation).await {
+        true => Err(unavailable(&api.service, "store the departure")),
+        false => Ok(announced),
+    }
 }
 
 fn no_table() -> Problem {
--- a/crates/keeper/src/entry.rs
+++ b/crates/keeper/src/entry.rs
@@ -2,7 +2,7 @@
 
 use declaration::Change;
 use derives::record;
-use link::keeper::{BlockedPart, LeaseRequest, Replacement, Settle};
+use link::keeper::{BlockedPart, Departure, LeaseRequest, Replacement, Settle};
 use uuid::Uuid;
 
 /// The proposing leader's time and limits, so that every replica decides the same regardless of its
@@ -80,6 +80,8 @@
     },
     /// Advances the state's clock to the stamp's time and ends what has expired.
     Advance,
+    /// Records that endpoints are leaving.
+    Depart(Vec<Departure>),
 }
 
 /// The part of an intent that the ledger keeps.
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -1,4 +1,5 @@
-//! The keeper: declaration, audit trail, at-most-once ledger, leases and blocked parts over the replicated log.
+//! The keeper: declaration, audit trail, at-most-once ledger, leases, blocked parts and departures of
+//! endpoints over the replicated log.
 //!
 //! [`State`] is the deterministic state machine; [`SharedState`] connects it to the log and to
 //! followers; [`start`] runs a keeper that serves clients over links and operators over HTTP.
@@ -12,6 +13,7 @@
 mod codec;
 mod config;
 mod declaration_store;
+mod departures;
 mod entry;
 mod error_response;
 mod group;
@@ -34,6 +36,7 @@
 pub use blocked_parts::{BLOCK_DURATION, Block, BlockedParts, MAX_UNBLOCKED_PARTS, Unblock};
 pub use chunked_map::ChunkedMap;
 pub use config::{Config, GroupConfig, Limits};
+pub use departures::{DEPARTURE_RETENTION, Departures, DeparturesSnapshot, MAX_DEPARTURES};
 pub use entry::{Command, DIGEST_BYTES, Entry, GrantIntent, LeaseView, Stamp};
 pub use leases::{LeaseClock, Leases};
 pub use service::{Origin, Service, ServiceReceiver};
--- a/crates/keeper/src/requests.rs
+++ b/crates/keeper/src/requests.rs
@@ -2,7 +2,10 @@
 
 use std::{borrow::Cow, time::Duration};
 
-use link::keeper::{BlockedPart, KeeperRequest, MAX_BLOCK_EVIDENCE, Output, Settle, Settlement};
+use link::keeper::{
+    BlockedPart, Departure, KeeperRequest, MAX_BLOCK_EVIDENCE, MAX_DEPARTURES_PER_MESSAGE, Output,
+    Settle, Settlement,
+};
 
 use crate::{
     entry::{Command, DIGEST_BYTES, GrantIntent},
@@ -12,7 +15,7 @@
 
 /// Maximum length of a service's stored error detail.
 const MAX_DETAIL_BYTES: usize = 1_024;
-/// Maximum length of a name in a block or an unblock.
+/// Maximum length of a name in a block, an unblock or a departure.
 const MAX_NAME_BYTES: usize = 256;
 /// Maximum length of the reason of an unblock.
 const MAX_REASON_BYTES: usize = 1_024;
@@ -38,6 +41,7 @@
         }
         KeeperRequest::BlockPart(block) => check_block(block)?,
         KeeperRequest::UnblockPart { author, reason, .. } => check_unblock(author, reason)?,
+        KeeperRequest::Depart(departures) => check_departures(departures)?,
         _ => {}
     }
     Ok(match req {
@@ -74,6 +78,18 @@
     }
 }
 
+/// Returns the error of departures that are too many or whose names are missing or too long.
+fn check_departures(departures: &[Departure]) -> Result<(), String> {
+    let is_name = |d: &Departure| (1..=MAX_NAME_BYTES).contains(&d.endpoint.len());
+    match departures.len() <= MAX_DEPARTURES_PER_MESSAGE && departures.iter().all(is_name) {
+        true => Ok(()),
+        false => Err(format!(
+            "depart: an endpoint's name has 1 to {MAX_NAME_BYTES} bytes, and at most \
+             {MAX_DEPARTURES_PER_MESSAGE} are named"
+        )),
+    }
+}
+
 /// Returns `req` with the age of the decision that it reports increased by `elapsed`, the time since
 /// it was received.
 pub(crate) fn aged(req: &KeeperRequest, elapsed: Duration) -> Cow<'_, KeeperRequest> {
@@ -119,6 +135,7 @@
             author: author.clone(),
             reason: reason.clone(),
         },
+        KeeperRequest::Depart(departures) => Command::Depart(departures.clone()),
         _ => return None,
     })
 }
@@ -161,5 +178,6 @@
         KeeperRequest::BlockPart(_) => "block_part",
         KeeperRequest::UnblockPart { .. } => "unblock_part",
         KeeperRequest::BlockedParts => "blocked_parts",
+        KeeperRequest::Depart(_) => "depart",
     }
 }
--- a/crates/keeper/src/service.rs
+++ b/crates/keeper/src/service.rs
@@ -2,6 +2,7 @@
 //! through the leader.
 
 mod blocked;
+mod departures;
 
 use std::{
     collections::HashMap,
@@ -163,13 +164,22 @@
             Channel::Keeper => encode(&self.answer_client(&call.from, &call.body).await),
             // Not handled by a keeper; callers treat an empty reply as no answer.
             Channel::Membership => match &self.table {
-                Some(table) => table.answer(&call.body).await,
+                Some(table) => self.answer_membership(table, &call.body).await,
                 None => Vec::new(),
             },
             Channel::Calls | Channel::Stages => Vec::new(),
         }
     }
 
+    async fn answer_membership(&self, table: &Table, body: &[u8]) -> Vec<u8> {
+        match decode::<membership::Request>(body) {
+            Ok(membership::Request::Leaving(leaving)) => {
+                encode(&self.note_leaving(table, leaving).await)
+            }
+            _ => table.answer(body).await,
+        }
+    }
+
     /// Waits until no client call is in flight.
     pub async fn drained(&self) {
         let mut in_flight = self.in_flight.subscribe();
@@ -208,6 +218,7 @@
             KeeperRequest::Confirm => self.confirm().await,
             KeeperRequest::BlockedParts => self.blocked_parts().await,
             req => match prepare(req, self.limits.max_output_bytes) {
+                Ok(KeeperRequest::Depart(departures)) => self.depart(departures, origin).await,
                 Ok(req) => self.write(&req, origin).await,
                 Err(what) => KeeperReply::Invalid(what),
             },
--- a/crates/keeper/src/start.rs
+++ b/crates/keeper/src/start.rs
@@ -111,6 +111,8 @@
     let settle_task = tokio::spawn(async move { settle_service.settle_held().await });
     let expiry_service = Arc::clone(&service);
     let expiry_task = tokio::spawn(async move { expiry_service.expire_blocks().await });
+    let departing_service = Arc::clone(&service);
+    let departures_task = tokio::spawn(async move { departing_service.follow_departures().await });
     let (operators, announce_token) = (cfg.operators, cfg.announce_token);
     let api = ApiState {
         service: Arc::clone(&service),
@@ -130,6 +132,7 @@
         clock_task.abort();
         settle_task.abort();
         expiry_task.abort();
+        departures_task.abort();
         state_log_task.abort();
         link_task.abort();
         group_task.inspect(JoinHandle::abort);
--- a/crates/keeper/src/state.rs
+++ b/crates/keeper/src/state.rs
@@ -1,4 +1,5 @@
-//! The replicated state: declaration, ledger, leases and blocked parts, changed only by committed entries.
+//! The replicated state: declaration, ledger, leases, blocked parts and departures, changed only by
+//! committed entries.
 //!
 //! Everything here is deterministic: the same entries give the same state and the same replies on
 //! every replica. Time and limits come only from the entries.
@@ -15,6 +16,7 @@
     blocked_parts::BlockedParts,
     codec::{Cursor, put_bytes, put_u64},
     declaration_store::{DeclarationSnapshot, DeclarationStore},
+    departures::{Departures, DeparturesSnapshot},
     entry::{Command, Entry},
     leases::Leases,
     ledger::Ledger,
@@ -40,6 +42,8 @@
     pub last_replacement: Option<Arc<StoredReplacement>>,
     /// The blocked parts of prompts.
     pub blocked_parts: BlockedParts,
+    /// The endpoints that are leaving or gone.
+    pub departures: Departures,
 }
 
 /// A replacement of the whole declaration.
@@ -61,6 +65,8 @@
     last_replacement: Option<StoredReplacement>,
     #[serde(default)]
     blocked_parts: BlockedParts,
+    #[serde(default)]
+    departures: DeparturesSnapshot,
 }
 
 /// The result of applying an entry.
@@ -146,6 +152,12 @@
             Command::Advance => KeeperReply::Clock {
                 now_ms: self.clock_ms,
             },
+            Command::Depart(departures) => {
+                for departure in departures {
+                    self.departures.record(self.clock_ms, departure);
+                }
+                KeeperReply::Departed
+            }
             Command::UnblockPart {
                 part,
                 author,
@@ -201,6 +213,7 @@
             leases: self.leases.clone(),
             last_replacement: self.last_replacement.as_deref().cloned(),
             blocked_parts: self.blocked_parts.clone(),
+            departures: self.departures.to_snapshot(),
         };
         put_bytes(&mut buf, &link::encode(&head));
         self.ledger.write(&mut buf);
@@ -223,6 +236,7 @@
             leases: head.leases,
             last_replacement: head.last_replacement.map(Arc::new),
             blocked_parts: head.blocked_parts,
+            departures: Departures::from_snapshot(head.departures),
             ledger: Ledger::read(&mut cursor)?,
         })
     }
--- a/crates/link/src/keeper.rs
+++ b/crates/link/src/keeper.rs
@@ -12,6 +12,8 @@
 pub const MAX_BLOCK_EVIDENCE: usize = 8;
 /// Maximum number of blocked parts.
 pub const MAX_BLOCKED_PARTS: usize = 256;
+/// Maximum number of departures in one request or reply.
+pub const MAX_DEPARTURES_PER_MESSAGE: usize = 1_024;
 
 /// A request to any keeper; a follower forwards it to the leader.
 #[record]
@@ -69,6 +71,20 @@
     },
     /// Requests the blocked parts, confirmed by a quorum.
     BlockedParts,
+    /// Records that endpoints are leaving; idempotent. At most [`MAX_DEPARTURES_PER_MESSAGE`].
+    Depart(Vec<Departure>),
+}
+
+/// An incarnation of an endpoint that is leaving or gone, as are all earlier ones.
+#[record]
+#[derive(Eq)]
+pub struct Departure {
+    /// The endpoint's name.
+    #[serde(rename = "e")]
+    pub endpoint: String,
+    /// The incarnation.
+    #[serde(rename = "i")]
+    pub incarnation: Uuid,
 }
 
 /// A part of prompts under which endpoints crashed; gates refuse requests with it.
@@ -277,6 +293,8 @@
         /// The blocked parts, ordered by part; at most [`MAX_BLOCKED_PARTS`].
         parts: Vec<BlockedPart>,
     },
+    /// To [`KeeperRequest::Depart`]: committed now or before.
+    Departed,
     /// There is no quorum. As far as this keeper knows nothing was applied; a retry is safe.
     NoQuorum,
     /// The request is invalid; the reason.
--- a/crates/membership/src/config.rs
+++ b/crates/membership/src/config.rs
@@ -17,6 +17,8 @@
     pub remove_after: Duration,
     /// Time for which a tombstone is kept.
     pub tombstone_retention: Duration,
+    /// Time for which a confirmed departure is remembered.
+    pub departure_retention: Duration,
     /// Time between exchanges with a neighbour.
     pub exchange_interval: Duration,
     /// Maximum number of endpoints in the table; further ones are refused.
@@ -39,6 +41,7 @@
             suspect_after: Duration::from_secs(4),
             remove_after: Duration::from_secs(30),
             tombstone_retention: Duration::from_mins(10),
+            departure_retention: Duration::from_hours(1),
             exchange_interval: Duration::from_millis(500),
             max_endpoints: 16_384,
             max_remote_per_service: 8,
--- a/crates/membership/src/state.rs
+++ b/crates/membership/src/state.rs
@@ -101,6 +101,14 @@
     version: u64,
 }
 
+/// An endpoint whose departure was confirmed.
+#[derive(Clone, Copy, Debug)]
+struct Departed {
+    /// The last incarnation that departed.
+    incarnation: Uuid,
+    recorded: Instant,
+}
+
 /// State behind the table's lock.
 #[derive(Debug)]
 pub(crate) struct State {
@@ -108,6 +116,8 @@
     start: Instant,
     entries: BTreeMap<String, Entry>,
     tombstones: HashMap<String, Tombstone>,
+    /// Endpoints that departed for good, up to and including an incarnation.
+    departed: HashMap<String, Departed>,
     /// Names by the version of their last change visible to readers, including a change of state
     /// through missing heartbeats.
     change_log: BTreeMap<u64, String>,
@@ -121,6 +131,8 @@
     invalid_logged_at: Option<Instant>,
 }
 
+/// Increment of the sequence number that marks a departure.
+const DEPARTURE_SEQ_STEP: u64 = 1 << 32;
 /// Shortest time between two log lines about invalid entries.
 const INVALID_LOG_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -179,6 +191,7 @@
             start,
             entries: BTreeMap::new(),
             tombstones: HashMap::new(),
+            departed: HashMap::new(),
             change_log: BTreeMap::new(),
             push_log: BTreeMap::new(),
             version: 0,
@@ -242,6 +255,9 @@
 
     /// Applies an announcement received directly from an endpoint.
     pub(crate) fn announce(&mut self, a: Announcement, now: Instant) -> Applied {
+        if self.has_departed(&a) {
+            return Applied::Stale;
+        }
         if let Some(tombstone) = self.tombstones.get(&a.endpoint) {
             match (a.incarnation, a.seq) {
                 (incarnation, _) if incarnation < tombstone.incarnation => {
@@ -271,6 +287,9 @@
 
     /// Applies a delta received from a neighbour.
     pub(crate) fn merge(&mut self, delta: Delta, now: Instant, origin: &Origin) -> Applied {
+        if self.has_departed(&delta.announced) {
+            return Applied::Stale;
+        }
         let last_heartbeat = now.checked_sub(delta.age).unwrap_or(now);
         let tombstone = self.tombstones.get(&delta.announced.endpoint);
         if tombstone.is_some_and(|tombstone| tombstone.supersedes(&delta, last_heartbeat)) {
@@ -376,6 +395,60 @@
         self.version
     }
 
+    /// Returns true if `a` says ready although its incarnation or a later one has departed.
+    fn has_departed(&self, a: &Announcement) -> bool {
+        let departed = self.departed.get(&a.endpoint);
+        a.state == Readiness::Ready && departed.is_some_and(|d| a.incarnation <= d.incarnation)
+    }
+
+    /// Returns the last announcement of `endpoint`.
+    pub(crate) fn announced(&self, endpoint: &str) -> Option<&Announcement> {
+        let entry = self.entries.get(endpoint)?;
+        Some(&entry.endpoint.announced)
+    }
+
+    /// Records that `incarnation` of `endpoint` and all earlier ones have departed.
+    pub(crate) fn depart(&mut self, endpoint: &str, incarnation: Uuid, now: Instant) {
+        let known = self.departed.get(endpoint);
+        if known.is_some_and(|known| incarnation <= known.incarnation) {
+            return;
+        }
+        if self.departed.len() >= self.cfg.max_endpoints {
+            self.drop_oldest_departed();
+        }
+        let departed = Departed {
+            incarnation,
+            recorded: now,
+        };
+        self.departed.insert(endpoint.to_owned(), departed);
+        if self
+            .announced(endpoint)
+            .is_some_and(|a| a.state == Readiness::Ready && a.incarnation <= incarnation)
+        {
+            self.mark_leaving(endpoint, now);
+        }
+    }
+
+    fn drop_oldest_departed(&mut self) {
+        let oldest = self.departed.iter().min_by_key(|(_, d)| d.recorded);
+        let oldest = oldest.map(|(name, _)| name.clone());
+        oldest.and_then(|name| self.departed.remove(&name));
+    }
+
+    /// Marks a known endpoint as leaving for the rest of its incarnation.
+    pub(crate) fn mark_leaving(&mut self, endpoint: &str, now: Instant) {
+        let Some(known) = self.announced(endpoint).cloned() else {
+            return;
+        };
+        let last = Announcement {
+            state: Readiness::Leaving,
+            // Announcements in transit have lower sequence numbers.
+            seq: known.seq.saturating_add(DEPARTURE_SEQ_STEP),
+            ..known
+        };
+        self.announce(last, now);
+    }
+
     /// Records the load that an endpoint announced.
     pub(crate) fn report_load(&mut self, endpoint: &str, calls: u32, at: Instant) {
         if let Some(entry) = self.entries.get(endpoint) {
@@ -402,6 +475,9 @@
             self.publish_entry(&name, now);
         }
         self.drop_old_tombstones(now);
+        let retention = self.cfg.departure_retention;
+        self.departed
+            .retain(|_, d| now.saturating_duration_since(d.recorded) < retention);
     }
 
     /// Records a request rate that an incarnation of an endpoint named. Returns true if it changed.
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -121,22 +121,30 @@
         Ok(AnnounceResponse { next_ms })
     }
 
+    /// Marks the endpoints that departed as leaving, each by its name and incarnation, and ignores
+    /// later announcements of them and of earlier incarnations that say ready.
+    pub fn depart<'a>(&self, departures: impl IntoIterator<Item = (&'a str, uuid::Uuid)>) {
+        let now = Instant::now();
+        let mut state = self.lock();
+        for (endpoint, incarnation) in departures {
+            state.depart(endpoint, incarnation, now);
+        }
+        self.publish(state);
+    }
+
+    /// Returns the incarnation of `endpoint` that is known, if any.
+    pub fn incarnation(&self, endpoint: &str) -> Option<uuid::Uuid> {
+        self.lock().announced(endpoint).map(|a| a.incarnation)
+    }
+
     /// Marks `endpoint` as leaving for the rest of its incarnation; does nothing if `incarnation` is
     /// given and differs.
     pub fn deregister(&self, endpoint: &str, incarnation: Option<uuid::Uuid>) {
         let mut state = self.lock();
-        let known = state.endpoints().find(|e| e.announced.endpoint == endpoint);
-        let known = known.map(|e| e.announced.clone());
-        let Some(known) = known.filter(|a| incarnation.is_none_or(|i| i == a.incarnation)) else {
-            return;
-        };
-        let last = Announcement {
-            state: Readiness::Leaving,
-            // Announcements in transit have lower sequence numbers.
-            seq: known.seq.saturating_add(DEPARTURE_SEQ_STEP),
-            ..known
-        };
-        state.announce(last, Instant::now());
+        let known = state.announced(endpoint).map(|a| a.incarnation);
+        if known.is_some_and(|known| incarnation.is_none_or(|i| i == known)) {
+            state.mark_leaving(endpoint, Instant::now());
+        }
         self.publish(state);
     }
 
@@ -272,8 +280,6 @@
     }
 }
 
-/// Increment of the sequence number that marks a departure.
-const DEPARTURE_SEQ_STEP: u64 = 1 << 32;
 /// Maximum number of reports of request rates that wait to be sent; the oldest ones are dropped.
 const MAX_RATE_REPORTS: usize = 256;
 const MAX_NAME_BYTES: usize = 128;
--- a/crates/membership/tests/table.rs
+++ b/crates/membership/tests/table.rs
@@ -283,3 +283,41 @@
     table.announce(announcement("e", 3, 1)).unwrap();
     assert!(table.list()[0].rate.is_none());
 }
+
+/// Guards against a departed endpoint that counts as ready again because of an announcement from
+/// before its departure, from itself or from another table.
+#[tokio::test(start_paused = true)]
+async fn departed_endpoint_is_not_ready_again_before_its_next_start() {
+    let table = table("a");
+    table.announce(announcement("known", 1, 5)).unwrap();
+    for endpoint in ["known", "unknown"] {
+        table.depart([(endpoint, incarnation(1))]);
+        table.announce(announcement(endpoint, 1, 6)).unwrap();
+        let delta = membership::Delta {
+            announced: announcement(endpoint, 1, 7),
+            age: Duration::ZERO,
+        };
+        let push = Request::Deltas {
+            from: "b".to_owned(),
+            reach: 0,
+            deltas: vec![delta],
+        };
+        table.answer(&link::encode(&push)).await;
+    }
+    assert_eq!(table.list().len(), 1);
+    assert_eq!(state(&table), Some(EndpointState::Leaving));
+    for endpoint in ["known", "unknown"] {
+        table.announce(announcement(endpoint, 2, 1)).unwrap();
+    }
+    let states: Vec<EndpointState> = table.list().iter().map(|view| view.state).collect();
+    assert_eq!(states, [EndpointState::Ready; 2]);
+}
+
+/// A departure from before the current start changes nothing.
+#[tokio::test(start_paused = true)]
+async fn departure_of_an_earlier_start_is_ignored() {
+    let table = table("a");
+    table.announce(announcement("e", 2, 1)).unwrap();
+    table.depart([("e", incarnation(1))]);
+    assert_eq!(state(&table), Some(EndpointState::Ready));
+}
