--- a/crates/forward/src/control.rs
+++ b/crates/forward/src/control.rs
@@ -21,7 +21,7 @@
 
 use crate::{
     blocked_parts::BlockedParts,
-    fleet::GATE_SERVICE,
+    fleet::{Fleet, GATE_SERVICE},
     freshness::{Freshness, boot_time},
     rules::Rules,
 };
@@ -45,6 +45,7 @@
     pub(crate) own_link: SocketAddr,
     pub(crate) freshness: Freshness,
     pub(crate) blocked_parts: BlockedParts,
+    pub(crate) fleet: Fleet,
     pub(crate) draining: watch::Receiver<bool>,
 }
 
@@ -153,6 +154,7 @@
                 revision,
                 keepers,
                 blocked_version,
+                departures_version,
             }) = reply.await
             else {
                 continue;
@@ -167,7 +169,8 @@
             if has_blocked_parts {
                 self.blocked_parts.set_loaded();
             }
-            if has_caught_up && has_blocked_parts {
+            let has_departures = self.has_departures(peer, departures_version).await;
+            if has_caught_up && has_blocked_parts && has_departures {
                 self.freshness.confirm(requested_at);
             }
             return Some((peer.clone(), keepers));
@@ -199,6 +202,32 @@
         }
     }
 
+    /// Reads the keepers' departures unless this gate has those up to `version`. Returns false if they
+    /// can't be read.
+    async fn has_departures(&self, peer: &Peer, version: u64) -> bool {
+        let mut known = self.fleet.departures_version();
+        while known != version {
+            let req = KeeperRequest::Departures { since: known };
+            let reply = peer.call(Channel::Keeper, &req, CONFIRM_TIMEOUT).await;
+            let Ok(KeeperReply::Departures {
+                version: read,
+                departures,
+            }) = reply
+            else {
+                warn!("failed to read the departures", kv: {
+                    keeper = peer.name(), reply = format!("{reply:?}")
+                });
+                return false;
+            };
+            self.fleet.record_departures(read, departures, peer.name());
+            if read >= version || read == known {
+                return read >= version;
+            }
+            known = read;
+        }
+        true
+    }
+
     async fn announce(&self, keeper: &Peer, seq: u64) {
         let identity = &self.links.identity;
         let announcement = Announcement {
--- a/crates/forward/src/fleet.rs
+++ b/crates/forward/src/fleet.rs
@@ -199,6 +199,8 @@
     removed: Arc<Mutex<Vec<Arc<Target>>>>,
     /// Endpoints that reported that they are leaving, by name.
     departures: Arc<Mutex<BTreeMap<String, Departure>>>,
+    /// Version of the keepers' departures up to which this gate has read them.
+    departures_version: Arc<AtomicU64>,
     /// Incremented for each departure and each new request rate that an endpoint reports to this
     /// gate.
     notice_updates: watch::Sender<u64>,
--- a/crates/forward/src/fleet/departures.rs
+++ b/crates/forward/src/fleet/departures.rs
@@ -2,9 +2,10 @@
 
 use std::{
     collections::BTreeMap,
-    sync::{MutexGuard, PoisonError},
+    sync::{Arc, MutexGuard, PoisonError, atomic::Ordering},
 };
 
+use link::keeper;
 use logs::Event;
 use membership::{EndpointState, LeavingNotice, Mirror};
 use outbound::Notice;
@@ -14,7 +15,7 @@
 use crate::availability::Departure;
 
 /// Maximum number of remembered departures; the oldest one is dropped.
-const MAX_DEPARTURES: usize = 4_096;
+const MAX_DEPARTURES: usize = 16_384;
 
 impl Target {
     /// Name of this incarnation of the endpoint.
@@ -85,6 +86,29 @@
         self.record_departure(&leaving.endpoint, departure);
     }
 
+    /// Returns the version of the keepers' departures up to which this gate has read them.
+    pub(crate) fn departures_version(&self) -> u64 {
+        self.departures_version.load(Ordering::Relaxed)
+    }
+
+    /// Records `departures`, which the keeper `source` knows to be committed up to `version`.
+    pub(crate) fn record_departures(
+        &self,
+        version: u64,
+        departures: Vec<keeper::Departure>,
+        source: &str,
+    ) {
+        for departed in departures {
+            let departure = Departure {
+                incarnation: departed.incarnation,
+                source: source.to_owned(),
+                since: Instant::now(),
+            };
+            self.record_departure(&departed.endpoint, departure);
+        }
+        self.departures_version.store(version, Ordering::Relaxed);
+    }
+
     /// Records that an incarnation is leaving. Returns true if this was not known before.
     fn record_departure(&self, endpoint: &str, departure: Departure) -> bool {
         let now = Instant::now();
@@ -95,7 +119,6 @@
         {
             return false;
         }
-        logs::write(None, &departure.log_event(endpoint, now));
         if departures.len() >= MAX_DEPARTURES {
             let oldest = departures
                 .iter()
@@ -105,9 +128,15 @@
         }
         let pools = self.pools.read().unwrap_or_else(PoisonError::into_inner);
         let targets = pools.values().flat_map(|pool| &pool.targets);
-        for target in targets.filter(|t| t.name == endpoint && departure.covers(t.incarnation)) {
+        let is_covered = |t: &&Arc<Target>| t.name == endpoint && departure.covers(t.incarnation);
+        let mut is_new = false;
+        for target in targets.filter(is_covered) {
+            is_new |= !target.is_leaving();
             target.stats().availability.mark_leaving();
         }
+        if is_new {
+            logs::write(None, &departure.log_event(endpoint, now));
+        }
         departures.insert(endpoint.to_owned(), departure);
         true
     }
--- a/crates/forward/src/fleet/tests.rs
+++ b/crates/forward/src/fleet/tests.rs
@@ -117,6 +117,31 @@
     assert_eq!(fleet.unconfirmed_departures(&mirror([])), []);
 }
 
+/// Guards against a table that lists a departed endpoint as ready: a frozen, cut off or restarted
+/// keeper's.
+#[tokio::test(start_paused = true)]
+async fn departures_read_from_the_keepers_outlast_tables_that_say_ready() {
+    let fleet = fleet(&[endpoint("old", 2)]);
+    assert_eq!(place(&fleet).as_deref(), Ok("old"));
+    let departure = |endpoint: &str, incarnation| link::keeper::Departure {
+        endpoint: endpoint.to_owned(),
+        incarnation: Uuid::from_u128(incarnation),
+    };
+    fleet.record_departures(7, vec![departure("old", 1)], "keeper-1");
+    assert_eq!(place(&fleet).as_deref(), Ok("old"), "an earlier start left");
+    fleet.record_departures(
+        9,
+        vec![departure("old", 2), departure("new", 1)],
+        "keeper-1",
+    );
+    assert_eq!(fleet.departures_version(), 9);
+    assert_eq!(place(&fleet), Err(NO_ENDPOINT));
+    fleet.update(&mirror([endpoint("old", 2), endpoint("new", 1)]), |_| None);
+    assert_eq!(place(&fleet), Err(NO_ENDPOINT));
+    fleet.update(&mirror([endpoint("old", 2), endpoint("new", 2)]), |_| None);
+    assert_eq!(place(&fleet).as_deref(), Ok("new"));
+}
+
 #[tokio::test(start_paused = true)]
 async fn when_all_endpoints_pause_the_refusal_names_the_end_of_the_first_pause() {
     let fleet = fleet(&[endpoint("one", 1), endpoint("two", 1), endpoint("gone", 1)]);
--- a/crates/forward/src/start.rs
+++ b/crates/forward/src/start.rs
@@ -100,12 +100,14 @@
     let (draining_tx, draining) = watch::channel(false);
     let metrics = Metrics::new()?;
     let blocked_parts = BlockedParts::new(metrics.clone());
+    let fleet = Fleet::default();
     let feed = KeeperSync {
         links: links.clone(),
         seeds,
         own_link: cfg.advertised_link.unwrap_or(link),
         freshness: freshness.clone(),
         blocked_parts: blocked_parts.clone(),
+        fleet: fleet.clone(),
         draining: draining.clone(),
     }
     .start();
@@ -113,6 +115,7 @@
     let budgets = Budgets::new(cfg.budget);
     let shared = Shared {
         feed: &feed,
+        fleet,
         gates: gates.clone(),
         budgets: &budgets,
         freshness: &freshness,
@@ -209,6 +212,7 @@
 /// What the parts of a gate share.
 struct Shared<'a> {
     feed: &'a KeeperFeed,
+    fleet: Fleet,
     gates: Gates,
     budgets: &'a Budgets,
     freshness: &'a Freshness,
@@ -219,13 +223,13 @@
 fn context(cfg: &Config, dialect: Dialect, shared: Shared<'_>) -> Context {
     let Shared {
         feed,
+        fleet,
         gates,
         budgets,
         freshness,
         blocked_parts,
         metrics,
     } = shared;
-    let fleet = Fleet::default();
     let rate_limits = RateLimits::new(
         &cfg.vm.name,
         fleet.clone(),
--- a/crates/keeper/examples/measure/group.rs
+++ b/crates/keeper/examples/measure/group.rs
@@ -17,7 +17,7 @@
 
 /// Running keepers; they stop when dropped.
 pub struct Group {
-    _folder: tempfile::TempDir,
+    folder: tempfile::TempDir,
     _stop: Vec<shutdown::StopHandle>,
     keepers: Vec<Running>,
 }
@@ -35,12 +35,17 @@
             stops.push(stop);
         }
         Self {
-            _folder: folder,
+            folder,
             _stop: stops,
             keepers,
         }
     }
 
+    /// Returns the folder with the keepers' data.
+    pub fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+
     /// Returns the keepers' link addresses.
     pub fn addresses(&self) -> Vec<SocketAddr> {
         self.keepers.iter().filter_map(|k| k.link).collect()
--- a/crates/keeper/examples/measure/main.rs
+++ b/crates/keeper/examples/measure/main.rs
@@ -1,9 +1,10 @@
 //! Benchmarks of a group of keepers; the first argument selects one: `followers`, `relays`, `idle`,
-//! `intents`, `ledger`, `workspaces` or `routes`.
+//! `intents`, `departures`, `ledger`, `workspaces` or `routes`.
 //!
 //! Three keepers run as tasks of this process. Each has its own folder and syncs it as in
 //! production; followers and gates reach them over loopback links.
 
+mod departures;
 mod distribution;
 mod group;
 mod intents;
@@ -16,7 +17,7 @@
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
 
 const USAGE: &str = "usage: measure followers N WORKSPACES CHANGES | relays N WORKSPACES CHANGES | idle N SECONDS | \
-                     intents TASKS SECONDS yes|no | ledger KEYS | workspaces N | routes N";
+                     intents TASKS SECONDS yes|no | departures N | ledger KEYS | workspaces N | routes N";
 
 #[tokio::main]
 async fn main() {
@@ -30,6 +31,7 @@
             let group_commit = args.get(3).map(String::as_str) == Some("yes");
             intents::run(number(1), seconds(number(2)), group_commit).await;
         }
+        Some("departures") => departures::run(number(1)).await,
         Some("ledger") => memory::ledger(number(1)),
         Some("routes") => routes::changes(number(1)),
         Some("workspaces") => memory::workspaces(number(1)),
--- a/crates/keeper/src/departures.rs
+++ b/crates/keeper/src/departures.rs
@@ -35,12 +35,12 @@
     versions: OrdMap<String, u64>,
 }
 
-/// Encoded form of [`Departures`].
+/// Encoded form of [`Departures`], which shares their content.
 #[record]
 #[derive(Default, Eq)]
 pub struct DeparturesSnapshot {
     version: u64,
-    records: Vec<(u64, Record)>,
+    records: OrdMap<u64, Record>,
 }
 
 impl Departures {
@@ -104,18 +104,22 @@
         }
     }
 
-    /// Returns the departures that were recorded after `version`, oldest first.
-    pub fn since(&self, version: u64) -> impl Iterator<Item = &Departure> {
-        let records = self.records.range(version + 1..);
-        records.map(|(_, record)| &record.departure)
+    /// Returns the departures that were recorded after `version` with their versions, oldest first;
+    /// all of them if `version` is not of this record.
+    pub fn since(&self, version: u64) -> impl Iterator<Item = (u64, &Departure)> {
+        let first = match version <= self.version {
+            true => version + 1,
+            false => 0,
+        };
+        let records = self.records.range(first..);
+        records.map(|(version, record)| (*version, &record.departure))
     }
 
     /// Returns the encoded form.
     pub fn to_snapshot(&self) -> DeparturesSnapshot {
-        let records = self.records.iter();
         DeparturesSnapshot {
             version: self.version,
-            records: records.map(|(v, record)| (*v, record.clone())).collect(),
+            records: self.records.clone(),
         }
     }
 
@@ -127,7 +131,7 @@
             versions: names
                 .map(|(version, record)| (record.departure.endpoint.clone(), *version))
                 .collect(),
-            records: snapshot.records.into_iter().collect(),
+            records: snapshot.records,
         }
     }
 }
--- a/crates/keeper/src/requests.rs
+++ b/crates/keeper/src/requests.rs
@@ -179,5 +179,6 @@
         KeeperRequest::UnblockPart { .. } => "unblock_part",
         KeeperRequest::BlockedParts => "blocked_parts",
         KeeperRequest::Depart(_) => "depart",
+        KeeperRequest::Departures { .. } => "departures",
     }
 }
--- a/crates/keeper/src/service.rs
+++ b/crates/keeper/src/service.rs
@@ -49,6 +49,8 @@
 const CLOCK_RETRY_DELAY: Duration = Duration::from_millis(25);
 /// Delay between attempts to commit held settlements.
 const HELD_RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Maximum delay of a reply about endpoints while this keeper's state is not known to be current.
+const PUBLISH_WAIT: Duration = Duration::from_millis(400);
 const CLOCK_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Where a request came from.
@@ -173,10 +175,18 @@
 
     async fn answer_membership(&self, table: &Table, body: &[u8]) -> Vec<u8> {
         match decode::<membership::Request>(body) {
+            // Until its state is current this keeper doesn't know which endpoints have departed. The
+            // other end treats an empty reply as no answer and asks another keeper.
+            Ok(membership::Request::Since { .. })
+                if !self.state.wait_published(PUBLISH_WAIT).await =>
+            {
+                Vec::new()
+            }
             Ok(membership::Request::Leaving(leaving)) => {
                 encode(&self.note_leaving(table, leaving).await)
             }
-            _ => table.answer(body).await,
+            Ok(req) => table.answer_request(req).await,
+            Err(e) => encode(&membership::Reply::Malformed(e.to_string())),
         }
     }
 
@@ -217,6 +227,7 @@
             KeeperRequest::Original => self.original().await,
             KeeperRequest::Confirm => self.confirm().await,
             KeeperRequest::BlockedParts => self.blocked_parts().await,
+            KeeperRequest::Departures { since } => self.departures_since(since),
             req => match prepare(req, self.limits.max_output_bytes) {
                 Ok(KeeperRequest::Depart(departures)) => self.depart(departures, origin).await,
                 Ok(req) => self.write(&req, origin).await,
@@ -421,6 +432,7 @@
             true => KeeperReply::Confirmed {
                 revision: self.state.read(State::declaration_revision),
                 keepers: self.keepers(),
+                departures_version: self.state.read(|state| state.departures.version()),
                 blocked_version: self.state.read(|state| state.blocked_parts.version()),
             },
         }
--- a/crates/keeper/src/service/departures.rs
+++ b/crates/keeper/src/service/departures.rs
@@ -1,12 +1,16 @@
 //! The keeper's part in departures of endpoints: they are committed before they are acknowledged, and
 //! applied to the endpoint table of every keeper.
 
-use link::keeper::{Departure, KeeperReply, KeeperRequest, MAX_DEPARTURES_PER_MESSAGE};
+use link::{
+    decode,
+    keeper::{Departure, KeeperReply, KeeperRequest, MAX_DEPARTURES_PER_MESSAGE},
+};
 use membership::{LeavingNotice, Reply, Table};
 use spdlog::info;
 use uuid::Uuid;
 
 use super::{Origin, Service};
+use crate::entry::{Command, Entry};
 
 impl Service {
     /// Records that `incarnation` of `endpoint` is leaving. Returns true once a quorum has it, so
@@ -61,6 +65,41 @@
         }
     }
 
+    /// Returns the departures that this keeper knows to be committed after version `since`.
+    pub(super) fn departures_since(&self, since: u64) -> KeeperReply {
+        self.state.read(|state| {
+            let new = state.departures.since(since);
+            let new: Vec<(u64, &Departure)> = new.take(MAX_DEPARTURES_PER_MESSAGE).collect();
+            let version = match new.last() {
+                Some((version, _)) if new.len() == MAX_DEPARTURES_PER_MESSAGE => *version,
+                _ => state.departures.version(),
+            };
+            KeeperReply::Departures {
+                version,
+                departures: new.into_iter().map(|(_, d)| d.clone()).collect(),
+            }
+        })
+    }
+
+    /// Applies the departures in the log of this keeper to the endpoint table, also those that are
+    /// not known to be committed: their endpoints said so, and others may have been told.
+    pub(crate) fn apply_stored_departures(&self) {
+        let Some(table) = &self.table else {
+            return;
+        };
+        self.apply_departures(table, 0);
+        let entries = self.replica.unapplied();
+        let entries = entries
+            .iter()
+            .filter_map(|bytes| decode::<Entry>(bytes).ok());
+        for entry in entries {
+            if let Command::Depart(departures) = entry.command {
+                let departures = departures.iter();
+                table.depart(departures.map(|d| (d.endpoint.as_str(), d.incarnation)));
+            }
+        }
+    }
+
     /// Applies departures to the endpoint table as they are committed; runs until dropped.
     pub(crate) async fn follow_departures(&self) {
         let Some(table) = &self.table else {
@@ -79,11 +118,14 @@
     /// Applies the departures that were committed after `version` to `table`; returns the last
     /// version.
     fn apply_departures(&self, table: &Table, version: u64) -> u64 {
-        let departures = self.state.read(|state| state.departures.clone());
-        if departures.version() != version {
-            let new = departures.since(version);
-            table.depart(new.map(|d| (d.endpoint.as_str(), d.incarnation)));
+        let (current, new) = self.state.read(|state| {
+            let new = state.departures.since(version);
+            let new: Vec<Departure> = new.map(|(_, departure)| departure.clone()).collect();
+            (state.departures.version(), new)
+        });
+        if !new.is_empty() {
+            table.depart(new.iter().map(|d| (d.endpoint.as_str(), d.incarnation)));
         }
-        departures.version()
+        current
     }
 }
--- a/crates/keeper/src/shared_state.rs
+++ b/crates/keeper/src/shared_state.rs
@@ -8,7 +8,10 @@
 use link::follower::Feed;
 use replica::StateMachine;
 use spdlog::error;
-use tokio::time::Instant;
+use tokio::{
+    sync::watch,
+    time::{Instant, timeout},
+};
 
 use crate::{
     entry::LeaseView,
@@ -24,6 +27,7 @@
 pub struct SharedState {
     inner: RwLock<Inner>,
     feed: Feed,
+    published: watch::Sender<bool>,
     start: Instant,
 }
 
@@ -46,6 +50,7 @@
         Self {
             inner: RwLock::default(),
             feed: Feed::new(),
+            published: watch::Sender::new(false),
             start: Instant::now(),
         }
     }
@@ -86,11 +91,19 @@
         inner.lease_clock.view(&inner.state.leases, name, now)
     }
 
+    /// Waits up to `limit` until the state is published; returns true if it is.
+    pub async fn wait_published(&self, limit: Duration) -> bool {
+        let mut published = self.published.subscribe();
+        let published = published.wait_for(|is_published| *is_published);
+        timeout(limit, published).await.is_ok()
+    }
+
     /// Publishes the declaration, and all later changes of it, to followers.
     pub fn publish(&self) {
         let mut inner = self.inner_mut();
         inner.is_published = true;
         self.publish_document(&inner.state);
+        self.published.send_replace(true);
     }
 
     fn apply(&self, index: u64, bytes: &[u8]) -> Vec<u8> {
--- a/crates/keeper/src/start.rs
+++ b/crates/keeper/src/start.rs
@@ -87,6 +87,7 @@
         HeldSettlements::open(&cfg.folder.join(HELD_FOLDER))?,
     )?;
     let service = Arc::new(service.with_table(table));
+    service.apply_stored_departures();
     let group_task = cfg.group.clone().map(|group| {
         let (service, replica) = (Arc::clone(&service), replica.clone());
         tokio::spawn(group::maintain(
@@ -193,6 +194,7 @@
         };
         let is_overdue = start.elapsed() > PUBLISH_GRACE && has_declaration();
         if is_overdue || service.is_current().await {
+            service.apply_stored_departures();
             return service.state().publish();
         }
         sleep(PUBLISH_RETRY_INTERVAL).await;
--- a/crates/keeper/tests/departures.rs
+++ b/crates/keeper/tests/departures.rs
@@ -85,7 +85,7 @@
             departures.record(START_MS, &departure);
             told.push(departure);
             if reads {
-                departures.since(version).for_each(|d| reader.record(START_MS, d));
+                departures.since(version).for_each(|(_, d)| reader.record(START_MS, d));
                 version = departures.version();
                 prop_assert!(told.iter().all(|d| reader.covers(d)));
             }
--- a/crates/link/src/keeper.rs
+++ b/crates/link/src/keeper.rs
@@ -73,6 +73,12 @@
     BlockedParts,
     /// Records that endpoints are leaving; idempotent. At most [`MAX_DEPARTURES_PER_MESSAGE`].
     Depart(Vec<Departure>),
+    /// Requests the departures that were recorded after a version, as far as the receiving keeper
+    /// knows them.
+    Departures {
+        /// The version.
+        since: u64,
+    },
 }
 
 /// An incarnation of an endpoint that is leaving or gone, as are all earlier ones.
@@ -268,6 +274,9 @@
         /// Version of the list of blocked parts; 0 if it never changed.
         #[serde(default)]
         blocked_version: u64,
+        /// Version of the recorded departures; 0 if there were none.
+        #[serde(default)]
+        departures_version: u64,
     },
     /// To [`KeeperRequest::Clock`].
     Clock {
@@ -295,6 +304,13 @@
     },
     /// To [`KeeperRequest::Depart`]: committed now or before.
     Departed,
+    /// To [`KeeperRequest::Departures`].
+    Departures {
+        /// Version up to which the departures are complete.
+        version: u64,
+        /// The departures, oldest first; at most [`MAX_DEPARTURES_PER_MESSAGE`].
+        departures: Vec<Departure>,
+    },
     /// There is no quorum. As far as this keeper knows nothing was applied; a retry is safe.
     NoQuorum,
     /// The request is invalid; the reason.
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -248,11 +248,16 @@
     /// Handles an encoded request on `Channel::Membership` and returns the encoded reply.
     pub async fn answer(&self, body: &[u8]) -> Vec<u8> {
         match link::decode::<Request>(body) {
-            Ok(req) => respond(self, req).await,
+            Ok(req) => self.answer_request(req).await,
             Err(e) => link::encode(&crate::message::Reply::Malformed(e.to_string())),
         }
     }
 
+    /// Handles a request on `Channel::Membership` and returns the encoded reply.
+    pub async fn answer_request(&self, req: Request) -> Vec<u8> {
+        respond(self, req).await
+    }
+
     pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
         let state = self.shared.state.lock();
         state.expect("no holder of this lock panics")
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -20,7 +20,9 @@
     Connect, Disk, MemberChange, MemberError, PeerLink, ProposeError, ReplicaConfig, ReplicaError,
     StateMachine, Status, append, apply,
     core::{Core, Proposal, Shared},
-    election, peer,
+    election,
+    entry::Payload,
+    peer,
     status::Role,
     store::{Loaded, Store},
 };
@@ -212,6 +214,17 @@
         self.shared.status()
     }
 
+    /// Returns the entries in the log that are not applied yet, of which some may never be committed.
+    pub fn unapplied(&self) -> Vec<Vec<u8>> {
+        let core = self.shared.core();
+        let entries = (core.applied + 1..=core.log.last()).filter_map(|i| core.log.get(i));
+        let data = entries.filter_map(|entry| match &entry.payload {
+            Payload::Data(data) => Some(data.clone()),
+            Payload::Empty | Payload::Members(_) => None,
+        });
+        data.collect()
+    }
+
     /// Returns a receiver of the last applied index, which never decreases.
     pub fn watch_applied(&self) -> watch::Receiver<u64> {
         self.shared.applied.subscribe()
