--- a/crates/console/src/fields.rs
+++ b/crates/console/src/fields.rs
@@ -227,6 +227,12 @@
         "SHA-256 of each, separated by commas; for routes",
         Input::Text,
     ),
+    field(
+        "label",
+        "Label",
+        "name that endpoints are told, if another; for routes",
+        Input::Text,
+    ),
 ];
 
 const ROUTE: &[Field] = &[
--- a/crates/declaration/src/lib.rs
+++ b/crates/declaration/src/lib.rs
@@ -10,6 +10,7 @@
 mod diff;
 mod document;
 mod keys;
+mod label;
 mod read;
 mod read_route;
 mod route;
@@ -21,6 +22,7 @@
 pub use diff::{diff, section_diff};
 pub use document::{Document, SectionId, SectionText};
 pub use inifile::{Fault, Faults};
+pub use label::encode_label;
 pub use route::{
     BatchCapacity, CallerLimits, Capacity, RepeatPolicy, ResponseKind, Route, RouteStage,
     WeightedService,
--- a/crates/declaration/src/read.rs
+++ b/crates/declaration/src/read.rs
@@ -8,7 +8,7 @@
     AvailabilityZone, Declaration, Document, KeyDigest, Pipeline, Priority, RoleShares, SectionId,
     SectionText, Service, ServiceKind, Workspace,
     keys::{Keys, SourceLines, WORKSPACE},
-    read_route, validate,
+    label, read_route, validate,
 };
 
 /// Deadline of a pipeline that does not declare one.
@@ -211,6 +211,20 @@
     }
 }
 
+fn read_label(keys: &mut Keys<'_>) -> Option<String> {
+    let text = keys.optional("label")?;
+    let decoded = label::decode(&text);
+    if decoded.is_none() {
+        let what = format!(
+            "no label; use at most {} bytes without control characters, no white space at either \
+             end, `%25` for a percent sign and `%5C` for a backslash",
+            label::MAX_BYTES
+        );
+        keys.fault("label", what);
+    }
+    decoded
+}
+
 fn read_workspace(keys: &mut Keys<'_>) -> Workspace {
     let workspace = Workspace {
         priority: Priority(
@@ -220,6 +234,7 @@
         availability_zones: keys.list("availability_zones"),
         max_in_flight: keys.number("max_in_flight", DEFAULT_MAX_IN_FLIGHT, 1, MAX_IN_FLIGHT) as u32,
         keys: keys.list("keys").into_iter().map(KeyDigest).collect(),
+        label: read_label(keys),
     };
     if !workspace.keys.iter().all(KeyDigest::is_well_formed) {
         let what = "not a list of digests; write the SHA-256 of each key in lowercase hexadecimal";
--- a/crates/declaration/src/types.rs
+++ b/crates/declaration/src/types.rs
@@ -119,6 +119,9 @@
     pub max_in_flight: u32,
     /// Digests of the access keys that identify the workspace on routes.
     pub keys: Vec<KeyDigest>,
+    /// Name by which endpoints are told of the workspace, if it differs from the section's.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub label: Option<String>,
 }
 
 /// SHA-256 of an access key in lowercase hexadecimal; the key itself is never declared.
--- a/crates/declaration/tests/documents.rs
+++ b/crates/declaration/tests/documents.rs
@@ -1,6 +1,8 @@
 //! Parsing, writing and changing documents.
 
-use declaration::{Declaration, Document, SectionId, SectionText, changes_between, inverse};
+use declaration::{
+    Declaration, Document, SectionId, SectionText, changes_between, encode_label, inverse,
+};
 use expect_test::expect;
 use proptest::{collection::btree_map, prelude::*};
 
@@ -116,3 +118,51 @@
         d.ini:14: service p: model_mb: `0` is out of range; write 1 to 100000000
         d.ini:15: service p: endpoint_mb: only an engine has memory for models; remove it or set `kind = engine`"#]].assert_eq(&faults.to_string());
 }
+
+/// Guards against labels that a written document or a header changes.
+#[test]
+fn labels_round_trip_or_are_faults() {
+    let digest = "0".repeat(64);
+    let document = |label: &str| {
+        let mut doc = Document::default();
+        let id = SectionId {
+            kind: "workspace".to_owned(),
+            name: "ferries".to_owned(),
+        };
+        let entries = [("keys", digest.as_str()), ("label", label)];
+        let text = SectionText {
+            entries: entries.map(|(k, v)| (k.to_owned(), v.to_owned())).into(),
+            comments: Vec::new(),
+        };
+        doc.sections.insert(id, text);
+        doc
+    };
+    for label in [
+        "Rockland Ferries",
+        "a&b=[c];d#e%20f,g",
+        "; x",
+        "# x",
+        "\"a\" 'b' \\n \\",
+        "é – شركة",
+        "[section]",
+        "\u{a0}a\u{2003}",
+    ] {
+        let doc = document(&encode_label(label));
+        let declaration = Declaration::from_document(&doc).unwrap();
+        let workspace = &declaration.workspaces["ferries"];
+        assert_eq!(workspace.label.as_deref(), Some(label));
+        let read = Document::read("x.ini", doc.write().as_bytes()).unwrap();
+        assert_eq!(read, doc);
+    }
+    let long = "x".repeat(4_097);
+    for label in [
+        "", " a", "a ", "a\nb", "a\rb", "a\tb", "a\0b", "\u{7f}", &long,
+    ] {
+        let declared = Declaration::from_document(&document(&encode_label(label)));
+        assert!(declared.is_err(), "{label:?}");
+    }
+    for text in ["%", "a%2", "%zz", "%0A", "%+1", "%FF", "%20a"] {
+        let declared = Declaration::from_document(&document(text));
+        assert!(declared.is_err(), "{text:?}");
+    }
+}
--- a/crates/forward/src/adapter.rs
+++ b/crates/forward/src/adapter.rs
@@ -7,13 +7,15 @@
     header::{CONTENT_TYPE, HOST, HeaderName, HeaderValue},
 };
 use serde::Serialize;
+use spdlog::warn;
 
 use crate::{dialect::LoadReport, incoming::IncomingRequest};
 
-/// Sets a header. A value that is not valid in a header is ignored.
+/// Sets a header to `value` in UTF-8. A value with control characters is logged and left out.
 pub fn set_header(headers: &mut HeaderMap, name: HeaderName, value: &str) {
-    if let Ok(value) = HeaderValue::from_str(value) {
-        headers.insert(name, value);
+    match HeaderValue::from_bytes(value.as_bytes()) {
+        Ok(value) => drop(headers.insert(name, value)),
+        Err(e) => warn!("header left out: {e}", kv: { header = name.as_str() }),
     }
 }
 
--- a/crates/forward/src/dialect.rs
+++ b/crates/forward/src/dialect.rs
@@ -18,7 +18,7 @@
     pub remaining: Duration,
     /// Name of the intended endpoint; any other endpoint refuses the request.
     pub endpoint: &'a str,
-    /// The workspace, if the request carried an access key.
+    /// Name of the workspace, if the request carried an access key.
     pub workspace: Option<&'a str>,
     /// Urgency for engines, from 0 (first) to 9 (last).
     pub urgency: Option<u8>,
--- a/crates/forward/src/rules.rs
+++ b/crates/forward/src/rules.rs
@@ -44,7 +44,7 @@
 /// The workspace that a request belongs to.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Caller {
-    /// Name of the workspace.
+    /// Name by which endpoints are told of the workspace.
     pub workspace: String,
     /// Priority of the workspace.
     pub priority: Priority,
@@ -94,10 +94,11 @@
 
     /// Returns the workspace that `key` belongs to.
     pub fn caller(&self, key: &str) -> Option<Caller> {
-        let workspace = self.keys.get(&key_digest(key))?;
+        let name = self.keys.get(&key_digest(key))?;
+        let workspace = self.declaration.workspaces.get(name)?;
         Some(Caller {
-            priority: self.declaration.workspaces.get(workspace)?.priority,
-            workspace: workspace.clone(),
+            priority: workspace.priority,
+            workspace: workspace.label.as_ref().unwrap_or(name).clone(),
         })
     }
 
