Memory: a forwarding gate bounds all larger bodies together

Change: the accounting of /v1 moves to outbound and is used by forward for requests, responses and waiting parts; 64 KiB buffers; responses to releases are discarded within a bound instead of being kept without one.

--- a/crates/forward/src/batch.rs
+++ b/crates/forward/src/batch.rs
@@ -61,7 +61,7 @@
         ResponseClass::Unrelated => return BatchOutcome::Failed("unrelated response".to_owned()),
     }
     let body = match exchange
-        .read_body(&cx.pool, MAX_ANSWER_BYTES, deadline)
+        .read_body(&cx.pool, &cx.memory, MAX_ANSWER_BYTES, deadline)
         .await
     {
         Ok(body) => body,
--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -16,7 +16,7 @@
     body::Incoming,
     header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING},
 };
-use outbound::{Connection, Pool, SendState};
+use outbound::{BodyMemory, Connection, MemoryReservation, Pool, SendState};
 use thiserror::Error;
 use tokio::time::{Instant, timeout_at};
 
@@ -45,6 +45,19 @@
     /// The response exceeds the size limit.
     #[error("the answer is larger than the bound")]
     TooLarge,
+    /// This gate's memory for bodies is used up.
+    #[error("no memory is left for the answer")]
+    NoMemory,
+}
+
+/// Size up to which memory is not reserved for a body, so that ordinary ones pass when it is used up.
+const UNRESERVED_BYTES: usize = 32 << 10;
+/// A buffer that grows takes up to this multiple of its content.
+const BUFFER_GROWTH: usize = 2;
+
+/// Reserves memory for a buffer of `size` bytes. Returns false if not enough is free.
+pub(crate) fn reserve(reservation: &mut MemoryReservation, size: usize) -> bool {
+    size <= UNRESERVED_BYTES || reservation.try_grow(size * BUFFER_GROWTH)
 }
 
 impl CallError {
@@ -229,7 +242,7 @@
             id => refused.push(id.to_owned()),
         }
         // The body is read only to keep the connection usable.
-        let _ = self.read_body(pool, max, deadline).await;
+        let _ = self.discard_body(pool, max, deadline).await;
     }
 
     /// Returns the next part of the body, or `None` at its end. Waits until `deadline`.
@@ -253,22 +266,48 @@
         }
     }
 
-    /// Reads the whole body, up to `max` bytes, and returns the connection to `pool`.
+    /// Reads the whole body, up to `max` bytes and within `memory`, and returns the connection to
+    /// `pool`.
     pub(crate) async fn read_body(
         mut self,
         pool: &Pool,
+        memory: &BodyMemory,
         max: usize,
         deadline: Instant,
     ) -> Result<Bytes, CallError> {
         let mut whole = BytesMut::new();
+        let mut reservation = memory.reservation();
+        while let Some(part) = self.next_chunk(deadline).await? {
+            let size = whole.len() + part.len();
+            match size {
+                _ if size > max => return Err(CallError::TooLarge),
+                _ if !reserve(&mut reservation, size) => {
+                    return Err(CallError::NoMemory);
+                }
+                _ => whole.extend_from_slice(&part),
+            }
+        }
+        self.release(pool);
+        Ok(reservation.attach(whole.freeze()))
+    }
+
+    /// Reads the rest of a body that isn't used, up to `max` bytes, and returns the connection to
+    /// `pool`.
+    pub(crate) async fn discard_body(
+        mut self,
+        pool: &Pool,
+        max: usize,
+        deadline: Instant,
+    ) -> Result<(), CallError> {
+        let mut size = 0;
         while let Some(part) = self.next_chunk(deadline).await? {
-            if whole.len() + part.len() > max {
+            size += part.len();
+            if size > max {
                 return Err(CallError::TooLarge);
             }
-            whole.extend_from_slice(&part);
         }
         self.release(pool);
-        Ok(whole.freeze())
+        Ok(())
     }
 
     /// Returns true if the end of the body is the end of the connection.
--- a/crates/forward/src/collector.rs
+++ b/crates/forward/src/collector.rs
@@ -36,6 +36,8 @@
 /// The same for an endpoint that names a request rate, since each request counts there.
 const DEFERRED_RELEASE_DELAY: Duration = Duration::from_secs(1);
 /// Timeout of a release request.
+/// Maximum size of the response to a release.
+const MAX_RELEASE_BYTES: usize = 64 << 10;
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
 /// `Retry-After` for a stage whose call had no answer by its deadline.
 const LATE_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -279,10 +281,14 @@
             cx.fleet.apply_notice(target, notice, &cx.vm, None);
         }
         match exchange.status.is_success() {
-            true => drop(exchange.read_body(&cx.pool, usize::MAX, deadline).await),
+            true => drop(
+                exchange
+                    .discard_body(&cx.pool, MAX_RELEASE_BYTES, deadline)
+                    .await,
+            ),
             false => {
                 exchange
-                    .end_refused(&cx.pool, "", usize::MAX, deadline)
+                    .end_refused(&cx.pool, "", MAX_RELEASE_BYTES, deadline)
                     .await;
             }
         }
--- a/crates/forward/src/error.rs
+++ b/crates/forward/src/error.rs
@@ -77,6 +77,9 @@
     /// This gate shuts down and would end before the request.
     #[error("this gate is shutting down")]
     ShuttingDown,
+    /// The memory for bodies is used up.
+    #[error("no memory is left for its body")]
+    NoMemory,
     /// No endpoint was available in time.
     #[error("no time left before it could be sent")]
     NoTime,
@@ -97,6 +100,7 @@
             Self::InputsGone => "inputs_gone",
             Self::StagesFailed => "stages_failed",
             Self::ShuttingDown => "shutting_down",
+            Self::NoMemory => "no_memory",
             Self::NoTime => "no_time",
         }
     }
--- a/crates/forward/src/events.rs
+++ b/crates/forward/src/events.rs
@@ -68,6 +68,11 @@
         })
     }
 
+    /// Returns the number of buffered bytes.
+    pub fn buffered(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Returns true if bytes of an incomplete event are buffered.
     pub fn has_partial_event(&self) -> bool {
         !self.buf.is_empty()
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -18,18 +18,20 @@
     http::request::Parts,
 };
 use logs::{Event, RequestLog};
+use outbound::BodyMemory;
 use tokio::{
     sync::watch,
     time::{Instant, timeout},
 };
 
 use crate::{
+    call::reserve,
     dialect::ParsedHead,
     error::{ForwardError, Refusal, retry_after_value},
     freshness::Freshness,
     incoming::IncomingRequest,
     metrics::Metrics,
-    request::{Context, Request},
+    request::{self, Context, Request},
     response::{BodyParts, Response, ResponseBody},
     rules::Rules,
     serving,
@@ -119,7 +121,7 @@
         *opened_log = Some(Arc::clone(&request_log));
         let rules = self.rules.borrow().clone();
         let max_bytes = rules.declaration.callers.body_bytes as usize;
-        incoming.body = read_body(body, max_bytes).await?;
+        incoming.body = read_body(body, max_bytes, &self.cx.memory).await?;
         let req = self.route(incoming, rules, request_log)?;
         serving::serve(&self.cx, req).await
     }
@@ -225,22 +227,34 @@
     }
 }
 
-/// Reads a body of at most `max_bytes` bytes.
-async fn read_body(mut body: Incoming, max_bytes: usize) -> Result<Bytes, ForwardError> {
+/// Reads a body of at most `max_bytes` bytes within `memory`.
+async fn read_body(
+    mut body: Incoming,
+    max_bytes: usize,
+    memory: &BodyMemory,
+) -> Result<Bytes, ForwardError> {
     let mut buf = BytesMut::new();
+    let mut reservation = memory.reservation();
     loop {
         let frame = timeout(BODY_PART_TIMEOUT, body.frame()).await;
         let frame = frame.map_err(|_| ForwardError::Malformed("the body came too slowly"))?;
         let Some(frame) = frame else {
-            return Ok(buf.freeze());
+            return Ok(reservation.attach(buf.freeze()));
         };
         let frame = frame.map_err(|_| ForwardError::Malformed("the body broke off"))?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        if buf.len() + data.len() > max_bytes {
-            return Err(ForwardError::TooLarge);
+        let size = buf.len() + data.len();
+        match size {
+            _ if size > max_bytes => return Err(ForwardError::TooLarge),
+            _ if !reserve(&mut reservation, size) => {
+                return Err(ForwardError::retry_later(
+                    Refusal::NoMemory,
+                    request::RETRY_AFTER,
+                ));
+            }
+            _ => buf.extend_from_slice(&data),
         }
-        buf.extend_from_slice(&data);
     }
 }
--- a/crates/forward/src/request.rs
+++ b/crates/forward/src/request.rs
@@ -43,6 +43,8 @@
     pub(crate) dialect: Dialect,
     pub(crate) fleet: Fleet,
     pub(crate) pool: outbound::Pool,
+    /// Memory for the bodies of requests and responses.
+    pub(crate) memory: outbound::BodyMemory,
     pub(crate) stages: Stages,
     pub(crate) budget: Arc<RetryBudget>,
     pub(crate) rate_limits: RateLimits,
--- a/crates/forward/src/start.rs
+++ b/crates/forward/src/start.rs
@@ -9,7 +9,7 @@
 use host::{http, role::Running, settings::Secret, shutdown::StopSignal};
 use link::{Channel, Identity, Incoming, LinkConfig, Role};
 use membership::Mirror;
-use outbound::{Pool, PoolConfig};
+use outbound::{BodyMemory, Pool, PoolConfig};
 use salvo::{Depot, Response, Router, affix_state, handler, http::StatusCode};
 use spdlog::info;
 use tokio::{
@@ -43,6 +43,8 @@
 
 /// Maximum number of idle connections per endpoint.
 const MAX_IDLE_PER_ENDPOINT: usize = 32;
+/// Maximum total size of the larger bodies that are held at one time.
+const MAX_BODIES_BYTES: usize = 24 << 20;
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time between checks of which availability zones are reachable.
@@ -242,10 +244,12 @@
         idle_timeout: IDLE_TIMEOUT,
         connect_timeout: CONNECT_TIMEOUT,
     });
+    let memory = BodyMemory::new(MAX_BODIES_BYTES);
     let collector = Collector::new(batch_context::Context {
         dialect,
         fleet: fleet.clone(),
         pool: pool.clone(),
+        memory: memory.clone(),
         rules: feed.rules.clone(),
         budget: Arc::clone(&budgets.items),
         rate_limits: rate_limits.clone(),
@@ -262,6 +266,7 @@
         dialect,
         fleet,
         pool,
+        memory,
         stages: Stages {
             gates,
             collector,
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -7,6 +7,7 @@
 use declaration::RepeatPolicy;
 use hyper::{HeaderMap, StatusCode, header::CONTENT_TYPE};
 use logs::{Ending, Event, SilenceOutcome};
+use outbound::{BodyMemory, MemoryReservation};
 use thiserror::Error;
 use tokio::{
     sync::mpsc,
@@ -16,7 +17,7 @@
 use crate::{
     attempts::{AttemptLog, StartedResponse, may_repeat, start_response},
     blocked_parts::CallEnd,
-    call::CallError,
+    call::{CallError, reserve},
     events::{self, EventSplitter},
     request::{Context, Request},
     response::{Response, StreamPart},
@@ -60,15 +61,18 @@
 struct Source {
     started: StartedResponse,
     events: EventSplitter,
+    /// Memory for the event that is not complete.
+    memory: MemoryReservation,
     /// True once the loss of its connection was recorded.
     is_lost: bool,
 }
 
 impl Source {
-    fn new(started: StartedResponse) -> Self {
+    fn new(started: StartedResponse, memory: &BodyMemory) -> Self {
         Self {
             started,
             events: EventSplitter::default(),
+            memory: memory.reservation(),
             is_lost: false,
         }
     }
@@ -164,20 +168,20 @@
 
 impl EventRelay {
     async fn run(mut self, started: StartedResponse, mut attempts: AttemptLog) {
-        let mut source = Source::new(started);
+        let mut source = Source::new(started, &self.cx.memory);
         loop {
             let error = match self.relay(&mut source, &mut attempts).await {
                 Ok(None) => return self.finish(source, attempts).await,
                 Ok(Some(successor)) => {
                     self.record_resumed(&successor);
                     // Closes the connection, which stops the silent endpoint.
-                    source = Source::new(successor);
+                    source = Source::new(successor, &self.cx.memory);
                     continue;
                 }
                 Err(error) => error,
             };
             match self.resume(source, error, &mut attempts).await {
-                Some(resumed) => source = Source::new(resumed),
+                Some(resumed) => source = Source::new(resumed, &self.cx.memory),
                 None => return,
             }
         }
@@ -469,6 +473,10 @@
         }
         let pushed = source.events.push(part);
         pushed.map_err(|_| StreamError::Endpoint(CallError::TooLarge))?;
+        let buffered = source.events.buffered();
+        if !reserve(&mut source.memory, buffered) {
+            return Err(StreamError::Endpoint(CallError::NoMemory));
+        }
         let mut whole = BytesMut::new();
         let mut checked = Ok(());
         while let Some(event) = source.events.next_event() {
@@ -537,7 +545,11 @@
     }
 
     async fn send(&self, bytes: Bytes) -> Result<(), StreamError> {
-        let sent = self.tx.send(StreamPart::Bytes(bytes));
+        let mut reservation = self.cx.memory.reservation();
+        if !reserve(&mut reservation, bytes.len()) {
+            return Err(StreamError::Endpoint(CallError::NoMemory));
+        }
+        let sent = self.tx.send(StreamPart::Bytes(reservation.attach(bytes)));
         match timeout_at(self.req.deadline, sent).await {
             Ok(sent) => sent.map_err(|_| StreamError::CallerGone),
             Err(_) => Err(StreamError::CallerSlow),
--- a/crates/forward/src/whole.rs
+++ b/crates/forward/src/whole.rs
@@ -11,6 +11,7 @@
 use crate::{
     attempts::{self, AttemptFailure, AttemptLog, PreparedCall, may_repeat, next_call, next_step},
     blocked_parts::CallEnd,
+    call::CallError,
     error::ForwardError,
     fleet::Target,
     request::{ANSWER_MARGIN, Context, MAX_ANSWER_BYTES, Request},
@@ -114,11 +115,12 @@
     let (exchange, mut flight, is_good) = (started.exchange, started.flight, started.is_good);
     let (status, headers) = (exchange.status, exchange.headers.clone());
     let ends_with_connection = exchange.ends_with_connection();
-    let read = exchange.read_body(&cx.pool, MAX_ANSWER_BYTES, req.deadline);
+    let read = exchange.read_body(&cx.pool, &cx.memory, MAX_ANSWER_BYTES, req.deadline);
     let body = match read.await {
         Ok(body) => body,
         Err(e) => {
-            cx.fleet.record_call_result(&target, true);
+            cx.fleet
+                .record_call_result(&target, e != CallError::NoMemory);
             req.record_failed_call(&flight, &e);
             cx.record_lost(&flight, req, &e, CallEnd::Broken);
             return (target, Err(AttemptFailure::Lost(e)));
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -13,15 +13,13 @@
     body::Incoming,
     header::{CONTENT_TYPE, HOST, HeaderName, HeaderValue},
 };
-use outbound::{Connection, Notice, Pool, SendState, parse_retry_after};
+use outbound::{
+    BodyMemory, Connection, MemoryReservation, Notice, Pool, SendState, parse_retry_after,
+};
 use tokio::time::{Instant, timeout, timeout_at};
 use uuid::Uuid;
 
-use crate::{
-    body::{BodyMemory, MemoryReservation},
-    error::CallError,
-    sse::EventReader,
-};
+use crate::{error::CallError, sse::EventReader};
 
 /// Call id, which every response echoes.
 const CALL: HeaderName = HeaderName::from_static("jujube-call");
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -6,12 +6,12 @@
 };
 
 use link::follower::{ActiveDeclaration, Follower};
-use outbound::Pool;
+use outbound::{BodyMemory, Pool};
 use tokio::sync::{Semaphore, watch};
 
 use crate::{
-    body::BodyMemory, call_routing::CallRouting, config::Config, inflight::Inflight,
-    lag::StreamStats, ledger::Ledger, metrics::Metrics,
+    call_routing::CallRouting, config::Config, inflight::Inflight, lag::StreamStats,
+    ledger::Ledger, metrics::Metrics,
 };
 
 #[derive(Debug)]
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -4,6 +4,7 @@
 
 use host::problem::Problem;
 use link::follower::ActiveDeclaration;
+use outbound::MemoryReservation;
 use salvo::{
     Request,
     http::{HeaderMap, header::ACCEPT},
@@ -43,7 +44,7 @@
     /// Digest of workspace, pipeline and input; the ledger compares it when a key is used again.
     pub(crate) digest: Vec<u8>,
     /// Holds the body's share of the memory limit until the request ends.
-    _memory: body::MemoryReservation,
+    _memory: MemoryReservation,
 }
 
 #[derive(Deserialize)]
--- a/crates/gate/src/start.rs
+++ b/crates/gate/src/start.rs
@@ -21,7 +21,7 @@
     keepers::Keepers,
 };
 use membership::{Table, TableConfig};
-use outbound::{Pool, PoolConfig};
+use outbound::{BodyMemory, Pool, PoolConfig};
 use salvo::Router;
 use spdlog::{info, warn};
 use tokio::{
@@ -33,7 +33,6 @@
 use uuid::Uuid;
 
 use crate::{
-    body::BodyMemory,
     call_routing::CallRouting,
     caller_api::{Pipelines, Requests},
     config::Config,
--- a/crates/outbound/src/connection.rs
+++ b/crates/outbound/src/connection.rs
@@ -26,6 +26,9 @@
     send_state::{CurrentCall, SendState, TrackedStream},
 };
 
+/// Maximum size of the HTTP library's buffer of a connection, and so of a response head.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
+
 /// An open connection. Dropping it closes the socket immediately.
 #[derive(Debug)]
 pub struct Connection {
@@ -57,7 +60,11 @@
         let undelivered = Undelivered::default();
         let stream = LimitedStream::new(stream, undelivered.clone());
         let io = TokioIo::new(TrackedStream::new(stream, current_call.clone()));
-        let (sender, driver) = http1::handshake(io).await.map_err(|e| e.to_string())?;
+        let (sender, driver) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(io)
+            .await
+            .map_err(|e| e.to_string())?;
         Ok(Self {
             sender,
             current_call,
--- a/crates/outbound/src/lib.rs
+++ b/crates/outbound/src/lib.rs
@@ -2,12 +2,14 @@
 //! call was written to a socket. Also parses what response heads say about the endpoint's state.
 
 mod connection;
+mod memory;
 mod notice;
 mod pool;
 mod read_limit;
 mod send_state;
 
 pub use connection::Connection;
+pub use memory::{BodyMemory, MemoryReservation};
 pub use notice::{NamedRate, Notice, parse_retry_after};
 pub use pool::{Pool, PoolConfig};
 pub use send_state::{CurrentCall, SendState, TrackedStream};
