Follower: leave a source that a confirmation shows to be behind

Cause: the gate was told of the later revision by the keeper that confirmed, and waited for its own source until a probe 2 s later. Test: link following.

--- a/crates/forward/src/control.rs
+++ b/crates/forward/src/control.rs
@@ -159,6 +159,7 @@
             else {
                 continue;
             };
+            follower.note_revision(peer.address(), revision);
             let mut in_force = follower.in_force();
             let has_caught_up =
                 in_force.wait_for(|f| f.as_ref().is_some_and(|f| f.revision >= revision));
--- a/crates/link/src/follower.rs
+++ b/crates/link/src/follower.rs
@@ -5,6 +5,7 @@
 
 use std::{
     cmp::{Ordering, Reverse},
+    net::SocketAddr,
     sync::Arc,
     time::Duration,
 };
@@ -65,9 +66,17 @@
 pub struct Follower {
     feed: Arc<Feed>,
     source: watch::Receiver<Option<String>>,
+    newer: watch::Sender<Option<NewerSource>>,
     _task: Arc<AbortOnDrop>,
 }
 
+/// A source that is known to have a revision.
+#[derive(Clone, Copy, Debug)]
+struct NewerSource {
+    address: SocketAddr,
+    revision: u64,
+}
+
 #[derive(Debug)]
 struct AbortOnDrop(AbortHandle);
 
@@ -89,16 +98,19 @@
     pub fn start_with_updates(sources: watch::Receiver<Vec<Peer>>, cfg: FollowerConfig) -> Self {
         let feed = Arc::new(Feed::new());
         let (tx, source) = watch::channel(None);
+        let newer = watch::Sender::new(None);
         let follower_task = FollowerTask {
             feed: Arc::clone(&feed),
             sources: Vec::new(),
             cfg,
             source: tx,
+            newer: newer.clone(),
         };
         let task = tokio::spawn(follower_task.run(sources));
         Self {
             feed,
             source,
+            newer,
             _task: Arc::new(AbortOnDrop(task.abort_handle())),
         }
     }
@@ -113,6 +125,15 @@
         self.source.clone()
     }
 
+    /// Notes that the source at `address` has `revision`. It is followed instead of the current one
+    /// if that does not provide the revision shortly, as when it is cut off from the others.
+    pub fn note_revision(&self, address: SocketAddr, revision: u64) {
+        if self.feed.revision().unwrap_or(0) < revision {
+            let newer = NewerSource { address, revision };
+            self.newer.send_replace(Some(newer));
+        }
+    }
+
     /// Handles another follower's request on [`Channel::Follow`] with the declaration in force here.
     pub fn answer(&self, body: &[u8]) -> impl Future<Output = Vec<u8>> + Send + use<> {
         let (feed, body) = (Arc::clone(&self.feed), body.to_vec());
@@ -134,6 +155,7 @@
     sources: Vec<Peer>,
     cfg: FollowerConfig,
     source: watch::Sender<Option<String>>,
+    newer: watch::Sender<Option<NewerSource>>,
 }
 
 impl FollowerTask {
@@ -237,9 +259,12 @@
         let mut probes = interval(self.cfg.probe_interval);
         probes.set_missed_tick_behavior(MissedTickBehavior::Delay);
         probes.tick().await;
+        let newer = self.newer_source(index);
+        tokio::pin!(newer);
         loop {
             tokio::select! {
                 outcome = &mut poll => return (outcome, None),
+                better = &mut newer => return (PollOutcome::UpToDate, Some(better)),
                 _ = probes.tick() => {}
             }
             let Some(other) = self.next_probe(index, probe) else {
@@ -254,6 +279,31 @@
         }
     }
 
+    /// Waits until another source than `index` is known to stay ahead for longer than changes in
+    /// transit should take, and returns it.
+    async fn newer_source(&self, index: usize) -> usize {
+        let mut newer = self.newer.subscribe();
+        // Checks again what was noted before.
+        newer.mark_changed();
+        loop {
+            if newer.changed().await.is_err() {
+                return std::future::pending().await;
+            }
+            let Some(noted) = *newer.borrow_and_update() else {
+                continue;
+            };
+            let mut sources = self.sources.iter();
+            let source = sources.position(|peer| peer.address() == noted.address);
+            let Some(source) = source.filter(|source| *source != index) else {
+                continue;
+            };
+            sleep(self.cfg.gather_window).await;
+            if noted.revision > self.feed.revision().unwrap_or(0) {
+                return source;
+            }
+        }
+    }
+
     /// Returns true if `other` is preferred to `index` and has the local revision, or if it stays
     /// ahead for longer than changes in transit from `index` should take.
     async fn is_better(&self, other: usize, index: usize) -> bool {
--- a/crates/link/tests/following.rs
+++ b/crates/link/tests/following.rs
@@ -217,6 +217,27 @@
     wait_for_revision(&follower, 5).await;
 }
 
+/// Guards against a declaration that stays old while its source is cut off and another one is known to
+/// have a later revision.
+#[tokio::test(flavor = "multi_thread")]
+async fn follower_leaves_a_source_that_is_known_to_be_behind() {
+    let cfg = FollowerConfig {
+        probe_interval: TIMEOUT * 10,
+        poll_wait: TIMEOUT * 10,
+        ..short_timeouts()
+    };
+    let (behind, ahead) = (Source::start(Some(3)).await, Source::start(Some(3)).await);
+    let follower = Follower::start(vec![behind.peer(), ahead.peer()], cfg);
+    wait_for_revision(&follower, 3).await;
+    ahead.feed.advance(vec![revision(4)]).unwrap();
+    follower.note_revision(ahead.address, 4);
+    wait_for_revision(&follower, 4).await;
+    // What is in force already is no reason to change the source.
+    follower.note_revision(behind.address, 4);
+    ahead.feed.advance(vec![revision(5)]).unwrap();
+    wait_for_revision(&follower, 5).await;
+}
+
 #[tokio::test]
 async fn relay_serves_its_declaration_in_force() {
     let source = Source::start(Some(1)).await;
