--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod config;
 mod delta;
+mod departed;
 mod endpoint;
 mod entry_digest;
 mod gossip;
--- a/crates/membership/src/state.rs
+++ b/crates/membership/src/state.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     Announcement, Endpoint, EndpointState, LiveState, Load, ObservedRate, Readiness, TableConfig,
-    delta::Delta,
+    delta::Delta, departed::DepartedEndpoints,
 };
 
 /// Maximum time in transit of a delta, by which it understates the age of the last heartbeat.
@@ -101,14 +101,6 @@
     version: u64,
 }
 
-/// An endpoint whose departure was confirmed.
-#[derive(Clone, Copy, Debug)]
-struct Departed {
-    /// The last incarnation that departed.
-    incarnation: Uuid,
-    recorded: Instant,
-}
-
 /// State behind the table's lock.
 #[derive(Debug)]
 pub(crate) struct State {
@@ -117,7 +109,7 @@
     entries: BTreeMap<String, Entry>,
     tombstones: HashMap<String, Tombstone>,
     /// Endpoints that departed for good, up to and including an incarnation.
-    departed: HashMap<String, Departed>,
+    departed: DepartedEndpoints,
     /// Names by the version of their last change visible to readers, including a change of state
     /// through missing heartbeats.
     change_log: BTreeMap<u64, String>,
@@ -191,7 +183,7 @@
             start,
             entries: BTreeMap::new(),
             tombstones: HashMap::new(),
-            departed: HashMap::new(),
+            departed: DepartedEndpoints::new(cfg),
             change_log: BTreeMap::new(),
             push_log: BTreeMap::new(),
             version: 0,
@@ -255,7 +247,7 @@
 
     /// Applies an announcement received directly from an endpoint.
     pub(crate) fn announce(&mut self, a: Announcement, now: Instant) -> Applied {
-        if self.has_departed(&a) {
+        if self.departed.has_departed(&a) {
             return Applied::Stale;
         }
         if let Some(tombstone) = self.tombstones.get(&a.endpoint) {
@@ -287,7 +279,7 @@
 
     /// Applies a delta received from a neighbour.
     pub(crate) fn merge(&mut self, delta: Delta, now: Instant, origin: &Origin) -> Applied {
-        if self.has_departed(&delta.announced) {
+        if self.departed.has_departed(&delta.announced) {
             return Applied::Stale;
         }
         let last_heartbeat = now.checked_sub(delta.age).unwrap_or(now);
@@ -395,12 +387,6 @@
         self.version
     }
 
-    /// Returns true if `a` says ready although its incarnation or a later one has departed.
-    fn has_departed(&self, a: &Announcement) -> bool {
-        let departed = self.departed.get(&a.endpoint);
-        a.state == Readiness::Ready && departed.is_some_and(|d| a.incarnation <= d.incarnation)
-    }
-
     /// Returns the last announcement of `endpoint`.
     pub(crate) fn announced(&self, endpoint: &str) -> Option<&Announcement> {
         let entry = self.entries.get(endpoint)?;
@@ -409,32 +395,15 @@
 
     /// Records that `incarnation` of `endpoint` and all earlier ones have departed.
     pub(crate) fn depart(&mut self, endpoint: &str, incarnation: Uuid, now: Instant) {
-        let known = self.departed.get(endpoint);
-        if known.is_some_and(|known| incarnation <= known.incarnation) {
+        if !self.departed.record(endpoint, incarnation, now) {
             return;
         }
-        if self.departed.len() >= self.cfg.max_endpoints {
-            self.drop_oldest_departed();
-        }
-        let departed = Departed {
-            incarnation,
-            recorded: now,
-        };
-        self.departed.insert(endpoint.to_owned(), departed);
-        if self
-            .announced(endpoint)
-            .is_some_and(|a| a.state == Readiness::Ready && a.incarnation <= incarnation)
-        {
+        let known = self.announced(endpoint);
+        if known.is_some_and(|a| self.departed.has_departed(a)) {
             self.mark_leaving(endpoint, now);
         }
     }
 
-    fn drop_oldest_departed(&mut self) {
-        let oldest = self.departed.iter().min_by_key(|(_, d)| d.recorded);
-        let oldest = oldest.map(|(name, _)| name.clone());
-        oldest.and_then(|name| self.departed.remove(&name));
-    }
-
     /// Marks a known endpoint as leaving for the rest of its incarnation.
     pub(crate) fn mark_leaving(&mut self, endpoint: &str, now: Instant) {
         let Some(known) = self.announced(endpoint).cloned() else {
@@ -475,9 +444,7 @@
             self.publish_entry(&name, now);
         }
         self.drop_old_tombstones(now);
-        let retention = self.cfg.departure_retention;
-        self.departed
-            .retain(|_, d| now.saturating_duration_since(d.recorded) < retention);
+        self.departed.drop_old(now);
     }
 
     /// Records a request rate that an incarnation of an endpoint named. Returns true if it changed.
