Messages: a faulty label and an unstored departure name what they are about

The section of a faulty label may be called by a hash, so the fault shows the label; the line about departures without a quorum, now a warning, names the endpoints and not only their number.

--- a/crates/declaration/src/read.rs
+++ b/crates/declaration/src/read.rs
@@ -211,12 +211,16 @@
     }
 }
 
+/// Length up to which a fault shows a label.
+const SHOWN_LABEL_CHARS: usize = 63;
+
 fn read_label(keys: &mut Keys<'_>) -> Option<String> {
     let text = keys.optional("label")?;
     let decoded = label::decode(&text);
     if decoded.is_none() {
+        let start: String = text.chars().take(SHOWN_LABEL_CHARS).collect();
         let what = format!(
-            "no label; use at most {} bytes without control characters, no white space at either \
+            "`{start}` is no label; use at most {} bytes without control characters, no white space at either \
              end, `%25` for a percent sign and `%5C` for a backslash",
             label::MAX_BYTES
         );
--- a/crates/keeper/src/service/departures.rs
+++ b/crates/keeper/src/service/departures.rs
@@ -6,7 +6,7 @@
     keeper::{Departure, KeeperReply, KeeperRequest, MAX_DEPARTURES_PER_MESSAGE},
 };
 use membership::{LeavingNotice, Reply, Table};
-use spdlog::info;
+use spdlog::warn;
 use uuid::Uuid;
 
 use super::{Origin, Service};
@@ -28,8 +28,9 @@
             let req = KeeperRequest::Depart(departures.to_vec());
             let reply = self.handle(req, Origin::Client).await;
             if reply != KeeperReply::Departed {
-                info!("departures are not stored", kv: {
-                    endpoints = departures.len(), reply = format!("{reply:?}")
+                let names: Vec<&str> = departures.iter().map(|d| d.endpoint.as_str()).collect();
+                warn!("departures are not stored; their endpoints are told to repeat them", kv: {
+                    endpoints = names.join(" "), reply = format!("{reply:?}")
                 });
                 return false;
             }
