--- a/crates/keeper/tests/blocked_parts.rs
+++ b/crates/keeper/tests/blocked_parts.rs
@@ -1,17 +1,20 @@
 //! Property tests of the replicated table of blocked parts.
 
+mod stamps;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
 
 use ciborium::Value;
-use keeper::{BLOCK_DURATION, Block, Command, Entry, MAX_UNBLOCKED_PARTS, Stamp, State};
+use keeper::{BLOCK_DURATION, Block, Command, Entry, MAX_UNBLOCKED_PARTS, State};
 use link::{
     decode, encode,
     keeper::{BlockedPart, KeeperReply, MAX_BLOCKED_PARTS},
 };
 use proptest::{collection::vec, prelude::*};
+use stamps::stamp;
 
 /// Start time of the tests, in milliseconds since the Unix epoch.
 const START_MS: u64 = 1_796_000_000_000;
@@ -19,17 +22,6 @@
 /// Length of a snapshot's fields before the length of its head, in bytes.
 const SNAPSHOT_PREFIX_BYTES: usize = 24;
 
-fn stamp(now_ms: u64) -> Stamp {
-    Stamp {
-        now_ms,
-        retention_ms: 60_000,
-        skew_ms: 5_000,
-        grace_ms: 1_000,
-        max_keys: 1_000,
-        max_total_output_bytes: 1 << 20,
-    }
-}
-
 fn apply(state: &mut State, index: u64, now_ms: u64, command: Command) -> KeeperReply {
     let stamp = stamp(now_ms);
     let entry = encode(&Entry { stamp, command });
--- a/crates/keeper/tests/departures.rs
+++ b/crates/keeper/tests/departures.rs
@@ -1,11 +1,14 @@
 //! The replicated record of departures: order, bounds, and the state that a snapshot restores.
 
-use keeper::{Command, DEPARTURE_RETENTION, Departures, Entry, MAX_DEPARTURES, Stamp, State};
+mod stamps;
+
+use keeper::{Command, DEPARTURE_RETENTION, Departures, Entry, MAX_DEPARTURES, State};
 use link::{
     decode, encode,
     keeper::{Departure, KeeperReply},
 };
 use proptest::{collection::vec, prelude::*};
+use stamps::stamp;
 use uuid::Uuid;
 
 /// Start time of the tests, in milliseconds since the Unix epoch.
@@ -19,14 +22,7 @@
 }
 
 fn entry(now_ms: u64, departures: Vec<Departure>) -> Vec<u8> {
-    let stamp = Stamp {
-        now_ms,
-        retention_ms: 60_000,
-        skew_ms: 5_000,
-        grace_ms: 1_000,
-        max_keys: 1_000,
-        max_total_output_bytes: 1 << 20,
-    };
+    let stamp = stamp(now_ms);
     let command = Command::Depart(departures);
     encode(&Entry { stamp, command })
 }
