Gate tests: the endpoint of duplicates_at_two_gates repeats its announcements

Cause: the test announced its endpoint once at the start. Gates give no new work to an endpoint that has been silent for 4 s, so the test passed only where its 80 bookings took less. Real endpoints repeat their announcements.

Ruled out: the ledger and the keepers, since the refusal comes from the choice of the endpoint. The checks are unchanged.

--- a/crates/gate/tests/keepers.rs
+++ b/crates/gate/tests/keepers.rs
@@ -160,9 +160,10 @@
     let keepers = Keepers::start().await;
     let (one, two) = (keepers.gate("a").await, keepers.gate("b").await);
     let booking_endpoint = start_booking_endpoint().await;
-    one.announce(&booking_endpoint).await;
-    two.announce(&booking_endpoint).await;
     for n in 0..20 {
+        // Endpoints repeat their announcements; on slow disks the rounds outlast a single one.
+        one.announce(&booking_endpoint).await;
+        two.announce(&booking_endpoint).await;
         let (key, input) = (key(), json!({ "ferry": n }));
         let requests = [&one, &two, &two, &one].map(|gate| book(gate, &key, &input));
         for answer in join_all(requests).await {
