check: entries without effect, contradicting limits, and differences from another version

Operators learnt only of faults that make a declaration invalid. A route that no request reaches, or stages that take longer than the route's longest time, were accepted silently, and a difference needed a second command.

declaration::lint returns findings about a valid declaration.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -63,8 +63,8 @@
 /// A verb with its arguments.
 #[derive(Debug)]
 pub enum Verb {
-    /// List the faults of a file.
-    Check(PathBuf),
+    /// List the faults and findings of a file.
+    Check(Check),
     /// Show what a file would change.
     Diff(PathBuf),
     /// Submit a document.
@@ -91,6 +91,24 @@
     Explain(Explain),
 }
 
+/// A document to check.
+#[value]
+pub struct Check {
+    /// File with the document.
+    pub file: PathBuf,
+    /// What it is compared with.
+    pub against: Option<Against>,
+}
+
+/// The version that a checked document is compared with.
+#[value]
+pub enum Against {
+    /// The declaration in force, from the keepers.
+    InForce,
+    /// Another file.
+    File(PathBuf),
+}
+
 /// A request and the log files to search for it.
 #[value]
 pub struct Explain {
@@ -182,7 +200,7 @@
 
 fn parse_verb(verb: &str, args: &mut Arguments) -> Result<Verb, ArgsError> {
     let parsed = match verb {
-        "check" => Verb::Check(args.free_from_str()?),
+        "check" => parse_check(args)?,
         "diff" => Verb::Diff(args.free_from_str()?),
         "apply" => parse_apply(args)?,
         "revert" => parse_revert(args)?,
@@ -199,6 +217,18 @@
     Ok(parsed)
 }
 
+fn parse_check(args: &mut Arguments) -> Result<Verb, ArgsError> {
+    let file: Option<PathBuf> = args.opt_value_from_str("--against")?;
+    let against = match args.contains("--in-force") {
+        true => Some(Against::InForce),
+        false => file.map(Against::File),
+    };
+    Ok(Verb::Check(Check {
+        file: args.free_from_str()?,
+        against,
+    }))
+}
+
 fn parse_apply(args: &mut Arguments) -> Result<Verb, ArgsError> {
     let reason = args.value_from_str("--reason")?;
     let author = parse_author(args)?;
@@ -307,7 +337,8 @@
         .filter(|address| !address.is_empty())
         .collect();
     match verb {
-        Verb::Check(_) | Verb::Explain(_) => Ok(keepers),
+        Verb::Check(check) if !matches!(check.against, Some(Against::InForce)) => Ok(keepers),
+        Verb::Explain(_) => Ok(keepers),
         _ if keepers.is_empty() => Err(ArgsError::NoKeepers),
         _ => Ok(keepers),
     }
--- a/crates/cli/src/help.rs
+++ b/crates/cli/src/help.rs
@@ -7,7 +7,8 @@
 Usage: jujubeferry VERB [OPTIONS]
 
 Verbs:
-  check FILE                 list every fault of a declaration; needs no server
+  check FILE                 list every fault of a declaration, entries without effect and limits that
+                             contradict each other; needs no server
   diff FILE                  show what FILE would change against what is in force
   apply FILE --reason TEXT   make FILE the declaration in force
   revert N --reason TEXT     undo the change that made revision N
@@ -33,6 +34,10 @@
   -h, --help           print this text
   -V, --version        print the version
 
+Options of check:
+  --against FILE       also show what differs from another file
+  --in-force           also show what differs from the declaration in force; needs keepers
+
 Options of apply, revert, unblock and zone:
   --reason TEXT        why, for the audit trail; of unblock and zone, for the list and the logs
   --author NAME        who, if operators have no tokens; default $USER
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,7 @@
 mod args;
 mod audit;
 mod blocked;
+mod check;
 mod error;
 mod explain;
 mod help;
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     args::{Config, Verb},
-    audit, blocked,
+    audit, blocked, check,
     error::VerbError,
     explain,
     output::to_json,
@@ -36,7 +36,7 @@
 async fn run_verb(cfg: &Config) -> Result<ExitCode, VerbError> {
     let api = KeeperApi::new(cfg.keepers.clone(), cfg.token.clone());
     match &cfg.verb {
-        Verb::Check(file) => verbs::check(cfg, file),
+        Verb::Check(check) => check::check(cfg, &api, check).await,
         Verb::Diff(file) => verbs::diff(cfg, &api, file).await,
         Verb::Apply(apply) => verbs::apply(cfg, &api, apply).await,
         Verb::Revert(revert) => verbs::revert(cfg, &api, revert).await,
--- a/crates/cli/src/verbs.rs
+++ b/crates/cli/src/verbs.rs
@@ -1,4 +1,4 @@
-//! Verbs that check, show and change the declaration, and that change the keeper group.
+//! Verbs that show and change the declaration, and that change the keeper group.
 
 use std::{fs, path::Path};
 
@@ -14,28 +14,6 @@
     output::print,
 };
 
-/// Checks a file; the error lists all of its faults.
-pub fn check(cfg: &Config, file: &Path) -> Result<ExitCode, VerbError> {
-    let (_, declaration) = read_declaration(file)?;
-    let counts = json!({
-        "availability_zones": declaration.availability_zones.len(),
-        "services": declaration.services.len(),
-        "pipelines": declaration.pipelines.len(),
-        "workspaces": declaration.workspaces.len(),
-    });
-    print(cfg.json, &counts, || {
-        format!(
-            "{}: valid: {} availability zones, {} services, {} pipelines, {} workspaces",
-            file.display(),
-            declaration.availability_zones.len(),
-            declaration.services.len(),
-            declaration.pipelines.len(),
-            declaration.workspaces.len()
-        )
-    });
-    Ok(ExitCode::Success)
-}
-
 /// Shows what a file would change in the declaration in force.
 pub async fn diff(cfg: &Config, api: &KeeperApi, file: &Path) -> Result<ExitCode, VerbError> {
     let (document, _) = read_declaration(file)?;
@@ -154,7 +132,8 @@
     Ok(ExitCode::Success)
 }
 
-fn read_declaration(file: &Path) -> Result<(Document, Declaration), VerbError> {
+/// Reads a document and the declaration that it holds; the error lists all of its faults.
+pub(crate) fn read_declaration(file: &Path) -> Result<(Document, Declaration), VerbError> {
     let name = file.display().to_string();
     let bytes = fs::read(file).map_err(|e| VerbError::File {
         path: name.clone(),
--- a/crates/cli/tests/command_line.rs
+++ b/crates/cli/tests/command_line.rs
@@ -36,6 +36,10 @@
     }
 }
 
+/// A declaration without findings.
+const USED: &str = "[service a]\nkind = plain\nrepeatable = yes\n[route r]\nhost = h\n\
+                    path_prefix = /\nrepeat = anew\npublic = yes\nservices = a 1\nattempts = 2\n";
+
 fn assert_output(output: &Output, code: i32, stdout: Expect, stderr: Expect) {
     stdout.assert_eq(&String::from_utf8_lossy(&output.stdout));
     stderr.assert_eq(&String::from_utf8_lossy(&output.stderr));
@@ -59,7 +63,7 @@
 #[test]
 fn check_needs_no_server() {
     let workdir = Workdir::new();
-    workdir.write("d.ini", "[service a]\nkind = plain\nrepeatable = yes\n");
+    workdir.write("d.ini", USED);
     let text = expect![[r#"
         d.ini: valid: 0 availability zones, 1 services, 0 pipelines, 0 workspaces
     "#]];
@@ -75,6 +79,30 @@
     );
 }
 
+#[test]
+fn check_prints_findings_and_differences_and_ends_with_code_0() {
+    let workdir = Workdir::new();
+    workdir.write("old.ini", USED);
+    workdir.write("new.ini", &USED.replace("attempts = 2", "attempts = 1"));
+    let args = ["check", "new.ini", "--against", "old.ini"];
+    let text = expect![[r#"
+        new.ini: valid: 0 availability zones, 1 services, 0 pipelines, 0 workspaces
+        new.ini: warning: route r: repeat: has no effect with `attempts = 1`; raise `attempts`
+        against old.ini:
+          [route r]
+        - attempts = 2
+        + attempts = 1
+          host = h
+          path_prefix = /
+          public = yes
+          repeat = anew
+          services = a 1
+    "#]];
+    assert_output(&workdir.run(&args), 0, text, expect![""]);
+    let no_keepers = workdir.run(&["check", "new.ini", "--in-force"]);
+    assert_eq!(no_keepers.status.code(), Some(2));
+}
+
 #[test]
 fn wrong_usage_ends_with_code_2() {
     let workdir = Workdir::new();
--- a/crates/declaration/src/lib.rs
+++ b/crates/declaration/src/lib.rs
@@ -11,6 +11,7 @@
 mod document;
 mod keys;
 mod label;
+mod lint;
 mod read;
 mod read_route;
 mod route;
@@ -23,6 +24,7 @@
 pub use document::{Document, SectionId, SectionText};
 pub use inifile::{Fault, Faults};
 pub use label::encode_label;
+pub use lint::{Finding, lint};
 pub use route::{
     BatchCapacity, CallerLimits, Capacity, RepeatPolicy, ResponseKind, Route, RouteStage,
     WeightedService,
