--- a/crates/forward/src/error.rs
+++ b/crates/forward/src/error.rs
@@ -184,6 +184,17 @@
     }
 }
 
+/// Returns true if `status` tells a caller that its request has not run and never will.
+pub(crate) fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Returns the value of `Retry-After` in seconds, rounded up to hundredths so that callers do not
 /// come back too early.
 pub(crate) fn retry_after_value(after: Duration) -> String {
--- a/crates/forward/src/request.rs
+++ b/crates/forward/src/request.rs
@@ -5,6 +5,7 @@
 use std::{sync::Arc, time::Duration};
 
 use declaration::{RepeatPolicy, Route};
+use hyper::StatusCode;
 use logs::{Ending, Event, RequestLog};
 use routing::RetryBudget;
 use tokio::time::Instant;
@@ -14,7 +15,7 @@
     blocked_parts::{BlockedParts, CrashDetector},
     call::CallError,
     dialect::Dialect,
-    error::Refusal,
+    error::{ForwardError, Refusal, promises_not_run},
     fleet::Fleet,
     in_flight::InFlightCall,
     incoming::IncomingRequest,
@@ -129,6 +130,21 @@
         self.route().repeat != RepeatPolicy::Never
     }
 
+    /// Checks that an endpoint's failure with `status` may be forwarded. The request may have run, so a
+    /// status that promises the contrary must not reach the caller of one that may not be repeated.
+    pub(crate) fn check_failure(
+        &self,
+        status: StatusCode,
+        endpoint: &str,
+    ) -> Result<(), ForwardError> {
+        match promises_not_run(status) && !self.is_repeatable() {
+            true => Err(ForwardError::Lost(format!(
+                "{endpoint} answered {status} and does not say that it did not run"
+            ))),
+            false => Ok(()),
+        }
+    }
+
     /// Time until the deadline.
     pub(crate) fn remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/crates/forward/src/serving.rs
+++ b/crates/forward/src/serving.rs
@@ -48,6 +48,11 @@
                     cx.fleet.record_call_result(&started.flight.target, true);
                     started = start_response(cx, req, &inputs, attempts, None).await?;
                 }
+                if !started.is_good {
+                    let target = &started.flight.target;
+                    let checked = req.check_failure(started.exchange.status, &target.name);
+                    checked.inspect_err(|_| cx.fleet.record_call_result(target, true))?;
+                }
                 Ok(stream::relay_events(
                     cx,
                     req,
--- a/crates/forward/src/whole.rs
+++ b/crates/forward/src/whole.rs
@@ -186,10 +186,10 @@
                 attempts.settle_dropped(self.cx, &self.req.service);
                 let why = "another endpoint responded first";
                 self.record_silences(&self.running[..earlier], SilenceOutcome::Overtaken, why);
-                return Some(Ok(self.forward(answer, attempts)));
+                return Some(self.forward(answer, attempts));
             }
             Ok(answer) if is_last && !may_repeat(self.cx, self.req, attempts) => {
-                return Some(Ok(self.forward(answer, attempts)));
+                return Some(self.forward(answer, attempts));
             }
             Ok(answer) => {
                 self.failed = Some(answer);
@@ -227,20 +227,23 @@
         attempts: &AttemptLog,
     ) -> Result<Response, ForwardError> {
         match self.failed.take() {
-            Some(answer) => Ok(self.forward(answer, attempts)),
+            Some(answer) => self.forward(answer, attempts),
             None => Err(e),
         }
     }
 
-    fn forward(&self, answer: Answer, attempts: &AttemptLog) -> Response {
+    fn forward(&self, answer: Answer, attempts: &AttemptLog) -> Result<Response, ForwardError> {
+        if !answer.is_good {
+            self.req.check_failure(answer.status, &answer.endpoint)?;
+        }
         let status = answer.status.as_u16();
         self.req
             .log_end(answer.is_good, status, &answer.endpoint, attempts);
-        Response::Whole(WholeResponse {
+        Ok(Response::Whole(WholeResponse {
             status: answer.status,
             headers: (self.cx.dialect.answer_headers)(&answer.headers),
             body: answer.body,
-        })
+        }))
     }
 
     /// Marks the calls in flight as silent.
