Callers' listener: count small responses and parts of streams

Both budgets are now one type, ingress::BodyBudgets. A small response always fits, since its request may have run; the budget then refuses new requests. A part of a stream waits for the parts before it while the budget is full. A head counts until its request or stream has ended.

--- a/crates/forward/src/batch_context.rs
+++ b/crates/forward/src/batch_context.rs
@@ -15,7 +15,7 @@
     pub(crate) dialect: Dialect,
     pub(crate) fleet: Fleet,
     /// Memory for the bodies of responses.
-    pub(crate) memory: outbound::BodyMemory,
+    pub(crate) memory: ingress::BodyBudgets,
     pub(crate) pool: Pool,
     pub(crate) rules: watch::Receiver<Arc<Rules>>,
     pub(crate) budget: Arc<routing::RetryBudget>,
--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -16,7 +16,8 @@
     body::Incoming,
     header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING},
 };
-use outbound::{BodyMemory, Connection, MemoryReservation, Pool, SendState};
+use ingress::BodyBudgets;
+use outbound::{Connection, Pool, SendState};
 use thiserror::Error;
 use tokio::time::{Instant, timeout_at};
 
@@ -50,16 +51,6 @@
     NoMemory,
 }
 
-/// Size up to which memory is not reserved for a body, so that ordinary ones pass when it is used up.
-pub(crate) const UNRESERVED_BYTES: usize = 32 << 10;
-/// A buffer that grows takes up to this multiple of its content.
-const BUFFER_GROWTH: usize = 2;
-
-/// Reserves memory for a buffer of `size` bytes. Returns false if not enough is free.
-pub(crate) fn reserve(reservation: &mut MemoryReservation, size: usize) -> bool {
-    size <= UNRESERVED_BYTES || reservation.try_grow(size * BUFFER_GROWTH)
-}
-
 impl CallError {
     /// Returns true if the endpoint may have run the call.
     pub(crate) fn may_have_run(&self) -> bool {
@@ -271,24 +262,22 @@
     pub(crate) async fn read_body(
         mut self,
         pool: &Pool,
-        memory: &BodyMemory,
+        memory: &BodyBudgets,
         max: usize,
         deadline: Instant,
     ) -> Result<Bytes, CallError> {
         let mut whole = BytesMut::new();
-        let mut reservation = memory.reservation();
+        let mut share = memory.buffer();
         while let Some(part) = self.next_chunk(deadline).await? {
             let size = whole.len() + part.len();
             match size {
                 _ if size > max => return Err(CallError::TooLarge),
-                _ if !reserve(&mut reservation, size) => {
-                    return Err(CallError::NoMemory);
-                }
+                _ if !share.try_grow_response(size) => return Err(CallError::NoMemory),
                 _ => whole.extend_from_slice(&part),
             }
         }
         self.release(pool);
-        Ok(reservation.attach(whole.freeze()))
+        Ok(share.attach(whole.freeze()))
     }
 
     /// Reads the rest of a body that isn't used, up to `max` bytes, and returns the connection to
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -17,16 +17,14 @@
     header::{CONNECTION, HeaderValue, RETRY_AFTER},
     http::request::Parts,
 };
-use ingress::{ByteBudget, Listener};
+use ingress::{BodyBudgets, Listener, SMALL_BODY_BYTES};
 use logs::{Event, RequestLog};
-use outbound::BodyMemory;
 use tokio::{
     sync::watch,
     time::{Instant, timeout_at},
 };
 
 use crate::{
-    call::{UNRESERVED_BYTES, reserve},
     dialect::ParsedHead,
     error::{ForwardError, Refusal, retry_after_value},
     freshness::Freshness,
@@ -63,8 +61,6 @@
     pub(crate) in_flight: Arc<AtomicUsize>,
     /// Callers' connections.
     pub(crate) connections: Listener,
-    /// Budget for heads and for bodies that are not in [`Context::memory`].
-    pub(crate) small: ByteBudget,
 }
 
 /// Counts a request as in flight until dropped.
@@ -92,7 +88,8 @@
     /// Renders the metrics page.
     pub(crate) fn metrics_text(&self) -> String {
         let in_flight = self.in_flight.load(Ordering::Relaxed);
-        self.metrics.set_callers(&self.connections, &self.small);
+        self.metrics
+            .set_callers(&self.connections, self.cx.memory.small());
         self.metrics
             .text(&self.cx.fleet, self.freshness.age(), in_flight)
     }
@@ -125,10 +122,8 @@
         opened_log: &mut Option<Arc<RequestLog>>,
     ) -> Result<Response, ForwardError> {
         let no_memory = || ForwardError::retry_later(Refusal::NoMemory, request::RETRY_AFTER);
-        let _head = self
-            .small
-            .try_reserve(head_bytes(parts))
-            .ok_or_else(no_memory)?;
+        let small = self.cx.memory.small();
+        let head = small.try_reserve(head_bytes(parts)).ok_or_else(no_memory)?;
         let mut incoming = match (self.cx.dialect.parse_head)(parts) {
             ParsedHead::Request(incoming) => *incoming,
             ParsedHead::Malformed(what) => return Err(ForwardError::Malformed(what)),
@@ -140,10 +135,12 @@
         let matched = rules.match_route(&incoming.host, incoming.path());
         let longest = matched.map_or(UNROUTED_BODY_TIMEOUT, |matched| matched.route().timeout);
         let deadline = incoming.deadline(longest);
-        let read = read_body(body, max_bytes, &self.cx.memory, &self.small);
-        incoming.body = timeout_at(deadline, read)
+        let read = read_body(body, max_bytes, &self.cx.memory);
+        let body = timeout_at(deadline, read)
             .await
             .map_err(|_| ForwardError::BodyTimeout)??;
+        // The head is kept as long as the body, by a stream until its end.
+        incoming.body = head.attach(body);
         let req = self.route(incoming, rules, request_log)?;
         serving::serve(&self.cx, req).await
     }
@@ -270,12 +267,11 @@
     REQUEST_BYTES + parts.headers.len() * FIELD_BYTES + text.sum::<usize>()
 }
 
-/// Reads a body of at most `max_bytes` bytes within `memory`, or within `small` while it is small.
+/// Reads a body of at most `max_bytes` bytes within `memory`.
 async fn read_body(
     mut body: Incoming,
     max_bytes: usize,
-    memory: &BodyMemory,
-    small: &ByteBudget,
+    memory: &BodyBudgets,
 ) -> Result<Bytes, ForwardError> {
     let no_memory = || ForwardError::retry_later(Refusal::NoMemory, request::RETRY_AFTER);
     // A declared size over the limit needs no byte of the body to be read.
@@ -283,12 +279,10 @@
         return Err(ForwardError::TooLarge);
     }
     let mut buf = BytesMut::new();
-    let mut large = memory.reservation();
-    let mut held = small.reservation();
+    let mut share = memory.buffer();
     loop {
         let Some(frame) = body.frame().await else {
-            let bytes = held.attach(buf.freeze());
-            return Ok(large.attach(bytes));
+            return Ok(share.attach(buf.freeze()));
         };
         let frame = frame.map_err(|_| ForwardError::Malformed("the body broke off"))?;
         let Ok(data) = frame.into_data() else {
@@ -298,18 +292,14 @@
         if size > max_bytes {
             return Err(ForwardError::TooLarge);
         }
-        if size > buf.capacity() && size <= UNRESERVED_BYTES {
-            // Grows in steps, so that bodies in small chunks do not come here for each of them.
-            let capacity = size.next_power_of_two();
-            if !held.try_grow(capacity) {
+        // Grows in steps, so that bodies in small chunks do not come here for each of them.
+        if size > buf.capacity() {
+            if !share.try_grow(size) {
                 return Err(no_memory());
             }
-            buf.reserve(capacity - buf.len());
-        } else if !reserve(&mut large, size) {
-            return Err(no_memory());
-        }
-        if size > UNRESERVED_BYTES && held.bytes() > 0 {
-            held = small.reservation();
+            if size <= SMALL_BODY_BYTES {
+                buf.reserve(size.next_power_of_two() - buf.len());
+            }
         }
         buf.extend_from_slice(&data);
     }
--- a/crates/forward/src/request.rs
+++ b/crates/forward/src/request.rs
@@ -44,7 +44,7 @@
     pub(crate) fleet: Fleet,
     pub(crate) pool: outbound::Pool,
     /// Memory for the bodies of requests and responses.
-    pub(crate) memory: outbound::BodyMemory,
+    pub(crate) memory: ingress::BodyBudgets,
     pub(crate) stages: Stages,
     pub(crate) budget: Arc<RetryBudget>,
     pub(crate) rate_limits: RateLimits,
--- a/crates/forward/src/start.rs
+++ b/crates/forward/src/start.rs
@@ -13,10 +13,10 @@
     settings::Secret,
     shutdown::StopSignal,
 };
-use ingress::{ByteBudget, Group, Limits, Listener, VmResources};
+use ingress::{BodyBudgets, Group, Limits, Listener, VmResources};
 use link::{Channel, Identity, Incoming, LinkConfig, Role};
 use membership::Mirror;
-use outbound::{BodyMemory, Pool, PoolConfig};
+use outbound::{Pool, PoolConfig};
 use salvo::{Depot, Response, Router, affix_state, handler, http::StatusCode};
 use socket2::SockRef;
 use spdlog::info;
@@ -52,9 +52,6 @@
 
 /// Maximum number of idle connections per endpoint.
 const MAX_IDLE_PER_ENDPOINT: usize = 32;
-/// Part of the bytes held for callers that heads and small bodies use. Larger bodies and answers
-/// use the rest, so that small requests pass while those fill their part.
-const SMALL_FRACTION: usize = 4;
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time between checks of which availability zones are reachable.
@@ -143,7 +140,6 @@
         blocked_parts: &blocked_parts,
         metrics: &metrics,
     };
-    let small_bytes = limits.bytes / SMALL_FRACTION;
     let cx = context(&cfg, dialect, shared);
     let forwarder = Forwarder {
         rules: feed.rules.clone(),
@@ -152,8 +148,7 @@
         draining,
         shutdown: Shutdown::new(cfg.notice + cfg.drain),
         in_flight: Arc::new(AtomicUsize::new(0)),
-        connections: Listener::new(limits.connections, small_bytes),
-        small: ByteBudget::new(small_bytes),
+        connections: Listener::new(limits.connections, cx.memory.small().limit()),
         cx,
     };
     let mut tasks = background_tasks(&cfg, &forwarder, &feed, &gates, budgets);
@@ -322,8 +317,7 @@
         idle_timeout: IDLE_TIMEOUT,
         connect_timeout: CONNECT_TIMEOUT,
     });
-    let bytes = caller_limits(cfg).bytes;
-    let memory = BodyMemory::new(bytes - bytes / SMALL_FRACTION);
+    let memory = BodyBudgets::new(caller_limits(cfg).bytes);
     let collector = Collector::new(batch_context::Context {
         dialect,
         fleet: fleet.clone(),
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -6,8 +6,8 @@
 use bytes::{Bytes, BytesMut};
 use declaration::RepeatPolicy;
 use hyper::{HeaderMap, StatusCode, header::CONTENT_TYPE};
+use ingress::{BodyBudgets, BufferShare, SMALL_BODY_BYTES};
 use logs::{Ending, Event, SilenceOutcome};
-use outbound::{BodyMemory, MemoryReservation};
 use thiserror::Error;
 use tokio::{
     sync::mpsc,
@@ -17,7 +17,7 @@
 use crate::{
     attempts::{AttemptLog, StartedResponse, may_repeat, start_response},
     blocked_parts::CallEnd,
-    call::{CallError, reserve},
+    call::CallError,
     events::{self, EventSplitter},
     request::{Context, Request},
     response::{Response, StreamPart},
@@ -62,17 +62,17 @@
     started: StartedResponse,
     events: EventSplitter,
     /// Memory for the event that is not complete.
-    memory: MemoryReservation,
+    memory: BufferShare,
     /// True once the loss of its connection was recorded.
     is_lost: bool,
 }
 
 impl Source {
-    fn new(started: StartedResponse, memory: &BodyMemory) -> Self {
+    fn new(started: StartedResponse, memory: &BodyBudgets) -> Self {
         Self {
             started,
             events: EventSplitter::default(),
-            memory: memory.reservation(),
+            memory: memory.buffer(),
             is_lost: false,
         }
     }
@@ -474,7 +474,7 @@
         let pushed = source.events.push(part);
         pushed.map_err(|_| StreamError::Endpoint(CallError::TooLarge))?;
         let buffered = source.events.buffered();
-        if !reserve(&mut source.memory, buffered) {
+        if !source.memory.try_grow_response(buffered) {
             return Err(StreamError::Endpoint(CallError::NoMemory));
         }
         let mut whole = BytesMut::new();
@@ -552,17 +552,29 @@
     }
 
     async fn send(&self, bytes: Bytes) -> Result<(), StreamError> {
-        let mut reservation = self.cx.memory.reservation();
-        if !reserve(&mut reservation, bytes.len()) {
-            return Err(StreamError::Endpoint(CallError::NoMemory));
-        }
-        let sent = self.tx.send(StreamPart::Bytes(reservation.attach(bytes)));
+        let share = timeout_at(self.req.deadline, self.share_of(bytes.len()));
+        let share = share.await.map_err(|_| StreamError::CallerSlow)??;
+        let sent = self.tx.send(StreamPart::Bytes(share.attach(bytes)));
         match timeout_at(self.req.deadline, sent).await {
             Ok(sent) => sent.map_err(|_| StreamError::CallerGone),
             Err(_) => Err(StreamError::CallerSlow),
         }
     }
 
+    /// Returns the share of the memory for a part of `bytes`. If not enough is free for a small part, it
+    /// waits until the caller has taken the parts before it.
+    async fn share_of(&self, bytes: usize) -> Result<BufferShare, StreamError> {
+        let mut share = self.cx.memory.buffer();
+        if bytes <= SMALL_BODY_BYTES && !share.try_grow(bytes) {
+            let taken = self.tx.reserve_many(MAX_BUFFERED_PARTS).await;
+            drop(taken.map_err(|_| StreamError::CallerGone)?);
+        }
+        match share.try_grow_response(bytes) {
+            true => Ok(share),
+            false => Err(StreamError::Endpoint(CallError::NoMemory)),
+        }
+    }
+
     /// Returns what comes of the response until `until`, while the caller is connected.
     async fn next(&self, source: &mut Source, until: Instant) -> Result<Next, StreamError> {
         let part = tokio::select! {
--- a/crates/ingress/src/budget.rs
+++ b/crates/ingress/src/budget.rs
@@ -88,6 +88,14 @@
         grown.is_ok()
     }
 
+    /// Grows the share to `bytes` at least, also beyond the limit.
+    pub(crate) fn grow(&mut self, bytes: usize) {
+        if let Some(missing) = bytes.checked_sub(self.bytes) {
+            self.budget.0.held.fetch_add(missing, Ordering::Relaxed);
+            self.bytes = bytes;
+        }
+    }
+
     /// Number of bytes reserved.
     pub fn bytes(&self) -> usize {
         self.bytes
