Cold endpoints: gates without contact treat restarted ones as cold

A gate that the keepers no longer confirm does not hear that an endpoint restarted or turned cold, and sent to it without permits. For services with cold_per_second, an endpoint whose connections end or are refused while the last confirmation is older than two heartbeat intervals now counts as cold, as does one for which another gate requests permits as cold. It ends a second after contact is back, at the latest after a minute. The decision is routing::assumed_cold. Typed events endpoint_cold and endpoint_warm replace the text line, which was not written at the end of a cold time.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -170,6 +170,8 @@
             | Event::EndpointLeaving { endpoint, .. }
             | Event::EndpointPaused { endpoint, .. }
             | Event::EndpointLimited { endpoint, .. }
+            | Event::EndpointCold { endpoint, .. }
+            | Event::EndpointWarm { endpoint, .. }
             | Event::EndpointUnreached { endpoint, .. }
             | Event::EndpointCrashed { endpoint, .. },
         ) => is_involved_vm && involved.contains(&endpoint),
--- a/crates/forward/src/batch.rs
+++ b/crates/forward/src/batch.rs
@@ -36,6 +36,9 @@
     }
     let address = next.target.address;
     let sent = call::send_by(&cx.pool, address, "", req, late_at, deadline).await;
+    if let Err(e) = &sent {
+        cx.fleet.record_call_error(&next.target, e);
+    }
     let exchange = match sent {
         Ok(exchange) => exchange,
         Err(CallError::Unreached(why)) => return BatchOutcome::Unreached(why),
@@ -65,7 +68,10 @@
         .await
     {
         Ok(body) => body,
-        Err(e) => return BatchOutcome::Failed(e.to_string()),
+        Err(e) => {
+            cx.fleet.record_call_error(&next.target, &e);
+            return BatchOutcome::Failed(e.to_string());
+        }
     };
     match (cx.dialect.read_batch)(&body) {
         Some(results) if results.len() == next.jobs.len() => {
--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -61,6 +61,11 @@
 }
 
 impl CallError {
+    /// Returns true if the connection ended, or none could be opened.
+    pub(crate) fn is_connection_end(&self) -> bool {
+        matches!(self, Self::Unreached(_) | Self::Lost(_))
+    }
+
     /// Returns true if the endpoint may have run the call.
     pub(crate) fn may_have_run(&self) -> bool {
         !matches!(self, Self::Unsent(_) | Self::Unreached(_))
--- a/crates/forward/src/control.rs
+++ b/crates/forward/src/control.rs
@@ -153,7 +153,7 @@
         let mut order: Vec<&Peer> = known.iter().filter(|peer| peer.is_connected()).collect();
         order.sort_by_key(|peer| Some(peer.address()) != preferred);
         for peer in order {
-            let requested_at = boot_time();
+            let (requested_at, table_requested_at) = (boot_time(), Instant::now());
             let reply = peer.call(Channel::Keeper, &KeeperRequest::Confirm, CONFIRM_TIMEOUT);
             let Ok(KeeperReply::Confirmed {
                 revision,
@@ -168,6 +168,7 @@
             };
             let fleet = &self.fleet;
             fleet.set_evacuated(evacuations_version, evacuated_zones);
+            fleet.record_table_contact(table_requested_at);
             follower.note_revision(peer.address(), revision);
             let mut in_force = follower.in_force();
             let has_caught_up =
--- a/crates/forward/src/fleet.rs
+++ b/crates/forward/src/fleet.rs
@@ -1,5 +1,6 @@
 //! The endpoints known to this gate, from the keepers and from its own calls.
 
+mod cold;
 mod departures;
 mod rates;
 mod zones;
@@ -16,7 +17,7 @@
 
 use logs::Event;
 use membership::{EndpointState, EndpointView, MAX_UNAVAILABLE, Mirror, UnavailableEndpoint};
-use routing::{EjectionConfig, Health, max_ejected};
+use routing::{EjectionConfig, Health, TableContact, max_ejected};
 use tokio::{sync::watch, time::Instant};
 use uuid::Uuid;
 pub use zones::ReachableZones;
@@ -204,6 +205,8 @@
     departures: Arc<Mutex<BTreeMap<String, Departure>>>,
     /// Requests per second of cold endpoints, by service that declares them.
     cold_rates: Arc<RwLock<HashMap<String, f64>>>,
+    /// When keepers last confirmed what this gate knows.
+    contact: Arc<Mutex<TableContact>>,
     /// Version of the keepers' departures up to which this gate has read them.
     departures_version: Arc<AtomicU64>,
     /// Incremented for each departure and each new request rate that an endpoint reports to this
--- a/crates/forward/src/fleet/rates.rs
+++ b/crates/forward/src/fleet/rates.rs
@@ -1,15 +1,10 @@
 //! Request rates that endpoints name, from this gate's responses, other gates and the keepers.
 
-use std::{
-    collections::{BTreeSet, HashMap},
-    sync::{Arc, RwLockReadGuard},
-    time::Duration,
-};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use logs::Event;
-use membership::{ColdState, Mirror, ObservedRate, RateReport, ReportedRate};
+use membership::{Mirror, ObservedRate, RateReport, ReportedRate};
 use outbound::NamedRate;
-use spdlog::info;
 use tokio::time::Instant;
 
 use super::{Fleet, PoisonError, Target};
@@ -51,23 +46,6 @@
         })
     }
 
-    /// Records the endpoint's cold time, if keepers list one, and the rate that its service declares
-    /// for cold endpoints.
-    pub(super) fn record_cold(&self, cold: Option<ColdState>, rate: Option<f64>, now: Instant) {
-        let mut stats = self.stats();
-        if stats.permits.record_cold(cold, rate, now) {
-            let cold_ms = stats.permits.cold_limit(now).map(|(_, until)| {
-                let left = until.saturating_duration_since(now);
-                left.as_millis() as u64
-            });
-            drop(stats);
-            info!("endpoint turned cold or warm", kv: {
-                endpoint = self.name.as_str(), service = self.service.as_str(),
-                cold_ms = format!("{cold_ms:?}")
-            });
-        }
-    }
-
     /// Returns what a gate that requests permits knows: the endpoint's rate, with none if it named
     /// none, and its limit while it is cold. `None` if it has no limit.
     pub(crate) fn permit_report(
@@ -168,23 +146,6 @@
         target.stats().permits.observed()
     }
 
-    /// Returns the limit of a cold endpoint and until when it holds, as this gate knows it.
-    pub(crate) fn cold_limit(&self, report: &RateReport, now: Instant) -> Option<(f64, Instant)> {
-        let target = self.target_of(report)?;
-        target.stats().permits.cold_limit(now)
-    }
-
-    /// Sets the requests per second of cold endpoints, by service. They apply from the next update.
-    pub(crate) fn set_cold_rates(&self, rates: HashMap<String, f64>) {
-        let known = self.cold_rates.write();
-        *known.unwrap_or_else(PoisonError::into_inner) = rates;
-    }
-
-    pub(super) fn cold_rates(&self) -> RwLockReadGuard<'_, HashMap<String, f64>> {
-        let rates = self.cold_rates.read();
-        rates.unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Returns the availability zones with endpoints that have a limit.
     pub(crate) fn limited_zones(&self) -> BTreeSet<String> {
         let pools = self.pools.read().unwrap_or_else(PoisonError::into_inner);
@@ -214,7 +175,7 @@
             .collect()
     }
 
-    fn target_of(&self, report: &RateReport) -> Option<Arc<Target>> {
+    pub(super) fn target_of(&self, report: &RateReport) -> Option<Arc<Target>> {
         let pool = self.pool(&report.service)?;
         let is_meant =
             |t: &&Arc<Target>| t.name == report.endpoint && t.incarnation == report.incarnation;
--- a/crates/forward/src/permits.rs
+++ b/crates/forward/src/permits.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use membership::{ColdState, ObservedRate};
+use routing::{AssumedCold, TableContact};
 use tokio::time::Instant;
 
 /// Lowest rate of permits, in requests per second. An endpoint that names less is still asked this
@@ -25,12 +26,27 @@
     Refused(Instant),
 }
 
+/// Whether an endpoint became cold or warm.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ColdChange {
+    Cold {
+        until: Instant,
+        /// True if it announced no cold time.
+        is_assumed: bool,
+    },
+    Warm,
+}
+
 /// Request rate of one endpoint, and this gate's permits for calls to it.
 #[derive(Debug, Default)]
 pub(crate) struct Permits {
     observed: Option<ObservedRate>,
     /// When the endpoint stops being cold, if it announced that.
     cold: Option<ColdState>,
+    /// Until when it is assumed to be cold.
+    assumed_cold: AssumedCold,
+    /// True if the endpoint was cold when that was last logged.
+    was_cold: bool,
     /// Requests per second that the endpoint's service declares for cold endpoints.
     cold_rate: Option<f64>,
     /// True if this gate was the first to observe the rate, and reports it to others.
@@ -85,15 +101,63 @@
         rate: Option<f64>,
         now: Instant,
     ) -> bool {
-        let limit = self.limit(now);
         let was_cold = self.cold_limit(now).is_some();
-        self.cold_rate = rate;
-        // A table that does not know of the cold time, as after a restart, doesn't end it.
-        self.cold = cold.filter(|cold| cold.supersedes(self.cold)).or(self.cold);
+        self.change_limit(now, |permits| {
+            permits.cold_rate = rate;
+            // A table that does not know of the cold time, as after a restart, doesn't end it.
+            permits.cold = cold
+                .filter(|cold| cold.supersedes(permits.cold))
+                .or(permits.cold);
+        });
+        self.cold_limit(now).is_some() != was_cold
+    }
+
+    /// Records a sign that the endpoint restarted, which counts while the table is not current.
+    pub(crate) fn record_restart_sign(&mut self, contact: TableContact, now: Instant) {
+        self.change_limit(now, |permits| {
+            permits.assumed_cold.record_restart_sign(contact, now);
+        });
+    }
+
+    /// Records that another gate treats the endpoint as cold for `left`, which counts while the table is
+    /// not current.
+    pub(crate) fn record_reported_cold(
+        &mut self,
+        left: Duration,
+        contact: TableContact,
+        now: Instant,
+    ) {
+        self.change_limit(now, |permits| {
+            permits.assumed_cold.record_report(left, contact, now);
+        });
+    }
+
+    /// Ends what was assumed without a current table once that has caught up.
+    pub(crate) fn apply_contact(&mut self, contact: TableContact, now: Instant) {
+        self.assumed_cold.apply_contact(contact, now);
+    }
+
+    /// Applies a change of the limits. Permits and refusals that follow from another limit are dropped.
+    fn change_limit(&mut self, now: Instant, change: impl FnOnce(&mut Self)) {
+        let limit = self.limit(now);
+        change(self);
         if self.limit(now) != limit {
             (self.available, self.refused_until) = (0, None);
         }
-        self.cold_limit(now).is_some() != was_cold
+    }
+
+    /// Returns whether the endpoint is cold if that changed since the last call.
+    pub(crate) fn take_cold_change(&mut self, now: Instant) -> Option<ColdChange> {
+        let limit = self.cold_limit(now);
+        let was_cold = std::mem::replace(&mut self.was_cold, limit.is_some());
+        match (was_cold, limit) {
+            (false, Some((_, until))) => Some(ColdChange::Cold {
+                until,
+                is_assumed: self.announced_until(now).is_none(),
+            }),
+            (true, None) => Some(ColdChange::Warm),
+            _ => None,
+        }
     }
 
     /// Returns the limit in requests per second at `now`, if there is one: the lesser of the rate that
@@ -111,9 +175,16 @@
     /// Returns the limit of the cold endpoint and until when it holds; `None` if the endpoint is warm
     /// at `now`, or its service declares no limit.
     pub(crate) fn cold_limit(&self, now: Instant) -> Option<(f64, Instant)> {
-        let cold = self.cold?;
-        let until = cold.until + COLD_MARGIN;
-        Some((self.cold_rate?, until)).filter(|_| now < until)
+        let until = self
+            .announced_until(now)
+            .max(self.assumed_cold.until(now))?;
+        Some((self.cold_rate?, until))
+    }
+
+    /// Returns the end of the announced cold time, unless it is over.
+    fn announced_until(&self, now: Instant) -> Option<Instant> {
+        let until = self.cold?.until + COLD_MARGIN;
+        Some(until).filter(|until| now < *until)
     }
 
     /// Returns the expected time between two permits of a cold endpoint, at most the remaining cold
--- a/crates/forward/src/rate_limit.rs
+++ b/crates/forward/src/rate_limit.rs
@@ -219,6 +219,9 @@
                     let reports = std::slice::from_ref(&report);
                     self.shared.fleet.record_reported_rates(reports);
                 }
+                if let Some(cold) = cold {
+                    self.shared.fleet.record_reported_cold(&report, cold);
+                }
                 match self.grant(&az, &report, cold) {
                     Grant::Permits(permits) => LimitReply::Granted(permits),
                     Grant::Refused(retry_after) => LimitReply::Refused(retry_after),
--- a/crates/forward/src/request/part_checks.rs
+++ b/crates/forward/src/request/part_checks.rs
@@ -26,6 +26,7 @@
         e: &CallError,
         end: CallEnd,
     ) {
+        self.fleet.record_call_error(&flight.target, e);
         if matches!(e, CallError::Lost(_)) && !flight.is_steady() {
             self.crashes.record(&flight.target, &req.incoming, end);
         }
--- a/crates/forward/src/start.rs
+++ b/crates/forward/src/start.rs
@@ -59,6 +59,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time between checks of which availability zones are reachable.
 const ZONE_POLL_INTERVAL: Duration = Duration::from_millis(200);
+/// Time between checks of idle connections.
+const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Time in which keepers notify the other gates that this one is shutting down.
 const HAND_OVER_DELAY: Duration = Duration::from_millis(300);
 /// Time between closing the listener and the end of the process, in which the last bytes are sent.
@@ -275,6 +277,10 @@
         gates.clone(),
     ));
     tasks.spawn(forwarder.cx.pool.clone().reap());
+    tasks.spawn(watch_idle_connections(
+        forwarder.cx.fleet.clone(),
+        forwarder.cx.pool.clone(),
+    ));
     tasks
 }
 
@@ -378,6 +384,18 @@
     }
 }
 
+/// Looks for signs that endpoints restarted while this gate can't hear of their cold times, and logs
+/// the end of cold times.
+async fn watch_idle_connections(fleet: Fleet, pool: Pool) {
+    loop {
+        sleep(IDLE_POLL_INTERVAL).await;
+        if !fleet.is_informed_of_cold() {
+            fleet.record_closed_connections(&pool.remove_closed());
+        }
+        fleet.log_cold_changes();
+    }
+}
+
 /// Updates endpoints, gates and budgets whenever the keepers publish changes.
 async fn track_keepers(
     mut mirror: watch::Receiver<Mirror>,
--- a/crates/logs/src/event.rs
+++ b/crates/logs/src/event.rs
@@ -429,6 +429,25 @@
         /// The gate that received the response.
         source: String,
     },
+    /// An endpoint became cold: calls to it need permits until it is warm.
+    EndpointCold {
+        /// The endpoint.
+        endpoint: String,
+        /// Service of the endpoint.
+        service: String,
+        /// Time until it is warm, in milliseconds.
+        left_ms: u64,
+        /// True if the endpoint did not announce it: this gate has no contact with the keepers and saw
+        /// signs of a restart, or another gate told it.
+        is_assumed: bool,
+    },
+    /// An endpoint is no longer cold.
+    EndpointWarm {
+        /// The endpoint.
+        endpoint: String,
+        /// Service of the endpoint.
+        service: String,
+    },
     /// Connecting to an endpoint failed. Consecutive failures are not logged.
     EndpointUnreached {
         /// The endpoint.
@@ -523,6 +542,8 @@
             Self::EndpointLeaving { .. } => Kind::EndpointLeaving,
             Self::EndpointPaused { .. } => Kind::EndpointPaused,
             Self::EndpointLimited { .. } => Kind::EndpointLimited,
+            Self::EndpointCold { .. } => Kind::EndpointCold,
+            Self::EndpointWarm { .. } => Kind::EndpointWarm,
             Self::EndpointUnreached { .. } => Kind::EndpointUnreached,
             Self::EndpointCrashed { .. } => Kind::EndpointCrashed,
             Self::PartSuspected { .. } => Kind::PartSuspected,
--- a/crates/logs/src/kind.rs
+++ b/crates/logs/src/kind.rs
@@ -33,6 +33,8 @@
     EndpointLeaving,
     EndpointPaused,
     EndpointLimited,
+    EndpointCold,
+    EndpointWarm,
     EndpointUnreached,
     EndpointCrashed,
     PartSuspected,
@@ -65,7 +67,7 @@
 
 impl Kind {
     /// All kinds, in the order of their discriminants.
-    pub const ALL: [Self; 44] = [
+    pub const ALL: [Self; 46] = [
         Self::Admitted,
         Self::StageSent,
         Self::StageMade,
@@ -89,6 +91,8 @@
         Self::EndpointLeaving,
         Self::EndpointPaused,
         Self::EndpointLimited,
+        Self::EndpointCold,
+        Self::EndpointWarm,
         Self::EndpointUnreached,
         Self::EndpointCrashed,
         Self::PartSuspected,
@@ -138,6 +142,8 @@
             Self::EndpointLeaving => "endpoint_leaving",
             Self::EndpointPaused => "endpoint_paused",
             Self::EndpointLimited => "endpoint_limited",
+            Self::EndpointCold => "endpoint_cold",
+            Self::EndpointWarm => "endpoint_warm",
             Self::EndpointUnreached => "endpoint_unreached",
             Self::EndpointCrashed => "endpoint_crashed",
             Self::PartSuspected => "part_suspected",
@@ -190,6 +196,8 @@
             | Self::EndpointLeaving
             | Self::EndpointPaused
             | Self::EndpointLimited
+            | Self::EndpointCold
+            | Self::EndpointWarm
             | Self::EndpointUnreached
             | Self::EndpointCrashed
             | Self::PartBlocked
--- a/crates/outbound/src/pool.rs
+++ b/crates/outbound/src/pool.rs
@@ -2,7 +2,7 @@
 //! peer has gone silent.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
@@ -92,6 +92,20 @@
         self.lock().clear();
     }
 
+    /// Removes the idle connections that their peers closed; returns the peers' addresses.
+    pub fn remove_closed(&self) -> BTreeSet<SocketAddr> {
+        let mut closed = BTreeSet::new();
+        self.lock().retain(|address, connections| {
+            let count = connections.len();
+            connections.retain_mut(Connection::is_usable);
+            if connections.len() < count {
+                closed.insert(*address);
+            }
+            !connections.is_empty()
+        });
+        closed
+    }
+
     /// Closes connections that exceed the idle timeout, until the future is dropped.
     pub async fn reap(self) {
         let mut tick = interval(self.cfg.idle_timeout / 2);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod affinity;
+mod assumed_cold;
 mod budget;
 mod call;
 mod concurrency_limit;
@@ -32,6 +33,7 @@
     RefusalReason, RequestOutcome,
 };
 pub use affinity::{BLOCK_BYTES, block_hashes};
+pub use assumed_cold::{AssumedCold, TableContact};
 pub use budget::{RetryBudget, RetryBudgetConfig};
 pub use call::{
     CacheEvents, CacheUsage, CallOutcome, CallRequirements, ModelRequirement, NoEndpoint,
