Cold endpoints: deltas that earlier versions can read

The cold time was an eleventh element of a delta, at which processes of before failed to read the whole message. It is now a field of the message, which they skip. A copy without the cold time no longer replaces one of the same sequence number. A gate that starts asks for all entries with Repair, which older gates answer as well, since the reply to Pull has no room for such a field.

The new test reads a push with the types of earlier versions.

--- a/crates/membership/src/cold/tests.rs
+++ b/crates/membership/src/cold/tests.rs
@@ -1,10 +1,14 @@
 use std::time::Duration;
 
+use serde::Deserialize;
 use tokio::time::{Instant, advance};
 use uuid::Uuid;
 
 use super::{ColdState, DRIFT};
-use crate::{Announcement, Load, Readiness, Request, StageRole, Table, TableConfig};
+use crate::{
+    Announcement, Load, Readiness, Reply, Request, StageRole, Table, TableConfig,
+    delta::with_cold_times,
+};
 
 fn announcement(seq: u64, cold_left_ms: u64) -> Announcement {
     Announcement {
@@ -96,6 +100,56 @@
     assert_eq!(left(&second), Some(Duration::ZERO));
 }
 
+/// A push, and a change in it, as processes read them that don't know of cold times.
+#[derive(Deserialize)]
+enum EarlierRequest {
+    Deltas { deltas: Vec<EarlierDelta> },
+}
+
+type EarlierDelta = (
+    String,
+    String,
+    String,
+    String,
+    Uuid,
+    u64,
+    u8,
+    Vec<(String, u32, Vec<String>)>,
+    Option<u32>,
+    u64,
+);
+
+/// Guards against pushes that processes of earlier versions can't read, and against a cold time that
+/// ends when one of them passes the endpoint on without it.
+#[tokio::test(start_paused = true)]
+async fn processes_that_do_not_know_of_cold_times_read_the_rest() {
+    let table = table("one");
+    table.announce(announcement(1, 3_000)).unwrap();
+    let (_, mut deltas) = table.unsent(0, "two", 0);
+    let encoded = link::encode(&Request::push("one".to_owned(), 1, deltas.clone()));
+    let EarlierRequest::Deltas { deltas: read } = link::decode(&encoded).unwrap();
+    let read: Vec<&str> = read.iter().map(|delta| delta.0.as_str()).collect();
+    assert_eq!(read, ["i-1"]);
+    (deltas[0].announced.cold_left_ms, deltas[0].cold_left) = (0, None);
+    let push = Request::push("two".to_owned(), 0, deltas);
+    table.answer(&link::encode(&push)).await;
+    assert_eq!(left(&table), Some(Duration::from_secs(3)));
+}
+
+/// Guards against a process that has just started and gets the table without cold times.
+#[tokio::test(start_paused = true)]
+async fn the_whole_table_has_the_cold_times() {
+    let table = table("one");
+    table.announce(announcement(1, 3_000)).unwrap();
+    advance(Duration::from_secs(1)).await;
+    let reply = table.answer(&link::encode(&Request::whole_table())).await;
+    let Ok(Reply::Repaired { deltas, cold, .. }) = link::decode(&reply) else {
+        panic!("not the entries");
+    };
+    let deltas = with_cold_times(deltas, &cold);
+    assert_eq!(deltas[0].cold_left, Some(Duration::from_secs(2)));
+}
+
 /// Guards against a leaving endpoint, or one that restarts, with the cold time of before.
 #[tokio::test(start_paused = true)]
 async fn a_cold_time_belongs_to_its_incarnation() {
--- a/crates/membership/src/delta.rs
+++ b/crates/membership/src/delta.rs
@@ -16,7 +16,8 @@
 
 use crate::{Announcement, Endpoint, Load, LoadedModel, Readiness, StageRole, state::Entry};
 
-/// An announcement without its load, and the time since the endpoint's last heartbeat.
+/// An announcement without its load, and the time since the endpoint's last heartbeat. The cold time
+/// is encoded beside it, as [`ColdTimes`].
 #[derive(Clone, Debug, PartialEq)]
 pub struct Delta {
     /// The endpoint's announcement; its load is not encoded.
@@ -27,7 +28,31 @@
     pub cold_left: Option<Duration>,
 }
 
-/// Number of elements without the cold time, which only endpoints that announced one have.
+/// Cold times of the deltas in a message: index, announced and remaining milliseconds. They are a
+/// field of their own, which processes that don't know of cold times skip.
+pub type ColdTimes = Vec<(usize, u64, u64)>;
+
+/// Returns the cold times of `deltas`, which their encoding lacks.
+pub(crate) fn cold_times(deltas: &[Delta]) -> ColdTimes {
+    let deltas = deltas.iter().enumerate();
+    let cold = deltas.filter_map(|(index, delta)| {
+        let left_ms = delta.cold_left?.as_millis() as u64;
+        Some((index, delta.announced.cold_left_ms, left_ms))
+    });
+    cold.collect()
+}
+
+/// Adds the cold times that arrived with `deltas`.
+pub(crate) fn with_cold_times(mut deltas: Vec<Delta>, times: &ColdTimes) -> Vec<Delta> {
+    for (index, announced_ms, left_ms) in times {
+        if let Some(delta) = deltas.get_mut(*index) {
+            delta.announced.cold_left_ms = *announced_ms;
+            delta.cold_left = Some(Duration::from_millis(*left_ms));
+        }
+    }
+    deltas
+}
+
 const ELEMENTS: usize = 10;
 const FLAG_LEAVING: u8 = 1;
 const FLAG_CHECKS_FENCING: u8 = 1 << 1;
@@ -178,8 +203,7 @@
 impl Serialize for Delta {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
         let a = &self.announced;
-        let mut tuple =
-            serializer.serialize_tuple(ELEMENTS + usize::from(self.cold_left.is_some()))?;
+        let mut tuple = serializer.serialize_tuple(ELEMENTS)?;
         tuple.serialize_element(&a.endpoint)?;
         tuple.serialize_element(&a.service)?;
         tuple.serialize_element(&a.az)?;
@@ -190,10 +214,6 @@
         tuple.serialize_element(&models_to_tuples(&a.models))?;
         tuple.serialize_element(&a.slots)?;
         tuple.serialize_element(&(self.age.as_millis() as u64))?;
-        if let Some(left) = self.cold_left {
-            // The announced time is part of the announcement's hash, on which gates must agree.
-            tuple.serialize_element(&(a.cold_left_ms, left.as_millis() as u64))?;
-        }
         tuple.end()
     }
 }
@@ -204,7 +224,7 @@
     type Value = Delta;
 
     fn expecting(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        f.write_str("a delta with ten or eleven elements")
+        f.write_str("a delta with ten elements")
     }
 
     fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Delta, A::Error> {
@@ -219,7 +239,6 @@
         let models: Vec<ModelTuple> = seq.next_element()?.ok_or_else(missing)?;
         let slots: Option<u32> = seq.next_element()?.ok_or_else(missing)?;
         let age_ms: u64 = seq.next_element()?.ok_or_else(missing)?;
-        let cold: Option<(u64, u64)> = seq.next_element()?;
         Ok(Delta {
             announced: Announcement {
                 endpoint,
@@ -233,11 +252,11 @@
                 role: role(flags),
                 checks_fencing: flags & FLAG_CHECKS_FENCING != 0,
                 slots,
-                cold_left_ms: cold.map_or(0, |(announced_ms, _)| announced_ms),
+                cold_left_ms: 0,
                 load: Load::default(),
             },
             age: Duration::from_millis(age_ms),
-            cold_left: cold.map(|(_, left_ms)| Duration::from_millis(left_ms)),
+            cold_left: None,
         })
     }
 }
--- a/crates/membership/src/delta/tests.rs
+++ b/crates/membership/src/delta/tests.rs
@@ -3,8 +3,8 @@
 use proptest::prelude::*;
 use uuid::Uuid;
 
-use super::Delta;
-use crate::{Announcement, Load, LoadedModel, Readiness, StageRole};
+use super::{Delta, with_cold_times};
+use crate::{Announcement, Load, LoadedModel, Readiness, Request, StageRole};
 
 proptest! {
     #![proptest_config(ProptestConfig { cases: 32, failure_persistence: None, ..ProptestConfig::default() })]
@@ -45,7 +45,11 @@
             age: Duration::from_millis(age_ms),
             cold_left: cold.map(|(_, left)| Duration::from_millis(left.into())),
         };
-        prop_assert_eq!(link::decode::<Delta>(&link::encode(&delta)).unwrap(), delta);
+        let encoded = link::encode(&Request::push(String::new(), 0, vec![delta.clone()]));
+        let Ok(Request::Deltas { deltas, cold, .. }) = link::decode(&encoded) else {
+            panic!("not a push");
+        };
+        prop_assert_eq!(with_cold_times(deltas, &cold), [delta]);
     }
 
     #[test]
--- a/crates/membership/src/gossip.rs
+++ b/crates/membership/src/gossip.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     Delta, Endpoint, EntryDigest, Table,
-    delta::CompactDelta,
+    delta::{CompactDelta, with_cold_times},
     message::{Reply, Request, merge_all},
     remote::sample_other_zones,
     state::{Entry, Origin},
@@ -131,8 +131,9 @@
     }
 
     async fn pull(&self, peer: &Peer) -> Result<(), LinkError> {
-        let reply = call_peer(peer, &Request::Pull).await?;
-        if let Reply::Pulled(deltas) = reply {
+        let reply = call_peer(peer, &Request::whole_table()).await?;
+        if let Reply::Repaired { deltas, cold, .. } = reply {
+            let deltas = with_cold_times(deltas, &cold);
             merge_all(self, deltas, &Origin::COMPARISON);
         }
         Ok(())
@@ -177,6 +178,7 @@
         let reply = call(Request::Repair { buckets, digests }).await?;
         let Reply::Repaired {
             deltas,
+            cold,
             vitals,
             wanted,
         } = reply
@@ -186,6 +188,7 @@
         let now = Instant::now();
         let pairs = endpoints.iter().zip(&vitals);
         pairs.for_each(|(endpoint, byte)| vitals::apply(&endpoint.live, *byte, now));
+        let deltas = with_cold_times(deltas, &cold);
         merge_all(self, deltas, &Origin::COMPARISON);
         match self.deltas_by_name_hash(&wanted) {
             Request::Deltas { deltas, .. } if deltas.is_empty() => Ok(()),
@@ -199,11 +202,8 @@
         let wanted = state
             .shared_entries()
             .filter(|entry| name_hashes.contains(&EntryDigest::of(entry).name_hash));
-        Request::Deltas {
-            from: self.config().gate.clone(),
-            reach: 0,
-            deltas: wanted.map(|e| Delta::of(&e.endpoint, now)).collect(),
-        }
+        let deltas = wanted.map(|e| Delta::of(&e.endpoint, now)).collect();
+        Request::push(self.config().gate.clone(), 0, deltas)
     }
 
     /// Returns the table's version, and the changes after `version` not yet pushed to `neighbour`,
@@ -242,13 +242,8 @@
             }
         }
         if !full.is_empty() {
-            let req = Request::Deltas {
-                from,
-                reach: position,
-                deltas: full,
-            };
             // The next exchange repairs a lost push.
-            let _ = call(req).await;
+            let _ = call(Request::push(from, position, full)).await;
         }
         pushed_version
     }
--- a/crates/membership/src/message.rs
+++ b/crates/membership/src/message.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     Announcement, EndpointState, EndpointView, RateReport, Table,
-    delta::{CompactDelta, Delta},
+    delta::{ColdTimes, CompactDelta, Delta, cold_times, with_cold_times},
     entry_digest::{self, EntryDigest},
     state::{Entry, Origin, State},
     table::validate,
@@ -31,6 +31,9 @@
         reach: usize,
         /// The changes.
         deltas: Vec<Delta>,
+        /// Their cold times.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        cold: ColdTimes,
     },
     /// Changes of endpoints that the neighbour should already have: the sending gate's VM, the
     /// number of neighbours that the receiver forwards them to, and the changes.
@@ -56,7 +59,8 @@
     /// Requests the endpoints that get no new work from the receiving gate, with the reasons.
     #[serde(rename = "Absent")]
     Unavailable,
-    /// Requests the whole table of the availability zone; sent by a gate that has just started.
+    /// Requests the whole table of the availability zone, without cold times; sent by gates of earlier
+    /// versions that have just started.
     Pull,
     /// Requests a sample of the endpoints of another availability zone; carries the digest of the
     /// sample that the requester has.
@@ -77,6 +81,26 @@
     },
 }
 
+impl Request {
+    /// Returns a push of `deltas` by the gate `from`.
+    pub fn push(from: String, reach: usize, deltas: Vec<Delta>) -> Self {
+        Self::Deltas {
+            from,
+            reach,
+            cold: cold_times(&deltas),
+            deltas,
+        }
+    }
+
+    /// Requests all entries of the availability zone; sent by a gate that has just started.
+    pub(crate) fn whole_table() -> Self {
+        Self::Repair {
+            buckets: (0..vitals::BUCKETS as u8).collect(),
+            digests: Vec::new(),
+        }
+    }
+}
+
 /// An endpoint whose response said that it is leaving.
 #[record]
 #[derive(Eq)]
@@ -129,6 +153,9 @@
     Repaired {
         /// Entries that the requester lacks or has in another version.
         deltas: Vec<Delta>,
+        /// Their cold times.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        cold: ColdTimes,
         /// Vitals of equal entries: one byte for each digest in the request.
         #[serde(with = "serde_bytes")]
         vitals: Vec<u8>,
@@ -152,6 +179,9 @@
         vitals: Vec<u8>,
         /// Entries that the requester lacks or has in another version.
         deltas: Vec<Delta>,
+        /// Their cold times.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        cold: ColdTimes,
     },
     /// To [`Request::Since`].
     Since(Changes),
@@ -189,8 +219,10 @@
             from,
             reach,
             deltas,
+            cold,
         } => {
             let neighbour = Some(from);
+            let deltas = with_cold_times(deltas, &cold);
             merge_all(table, deltas, &Origin { neighbour, reach });
             Reply::Merged(Vec::new())
         }
@@ -303,8 +335,10 @@
     let vitals = digests
         .iter()
         .map(|digest| matching(digest).map(|entry| vitals::of(entry, now)));
+    let deltas = missing_deltas(&requested, digests, now);
     Reply::Repaired {
-        deltas: missing_deltas(&requested, digests, now),
+        cold: cold_times(&deltas),
+        deltas,
         vitals: vitals.map(|v| v.unwrap_or(vitals::UNKNOWN)).collect(),
         wanted: wanted.map(|digest| digest.name_hash).collect(),
     }
@@ -344,10 +378,12 @@
 
 fn refresh_sample(state: &State, digests: &[EntryDigest], now: Instant) -> Reply {
     let chosen = sample_entries(state, now);
+    let deltas = missing_deltas(&chosen, digests, now);
     Reply::SampleRefreshed {
         names: chosen.iter().map(|entry| entry.name_hash).collect(),
         vitals: chosen.iter().map(|entry| vitals::of(entry, now)).collect(),
-        deltas: missing_deltas(&chosen, digests, now),
+        cold: cold_times(&deltas),
+        deltas,
     }
 }
 
--- a/crates/membership/src/remote.rs
+++ b/crates/membership/src/remote.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     Delta, Endpoint, EntryDigest, Table,
+    delta::with_cold_times,
     message::{Reply, Request, merge_all, sample_digest},
     state::{Entry, Origin},
     vitals,
@@ -98,7 +99,9 @@
                     names,
                     vitals,
                     deltas,
+                    cold,
                 } => {
+                    let deltas = with_cold_times(deltas, &cold);
                     let from_zone = deltas.into_iter().filter(|d| d.announced.az == az);
                     let from_zone: Vec<Delta> = from_zone.collect();
                     self.apply_vitals(az, names.iter().zip(&vitals), &from_zone);
--- a/crates/membership/src/state.rs
+++ b/crates/membership/src/state.rs
@@ -157,10 +157,10 @@
 }
 
 /// Sort key of announcements; the greater one replaces the other. Only a faulty endpoint sends two
-/// contents under one sequence number; leaving then wins, so that all gates converge.
-fn precedence(a: &Announcement) -> (Uuid, u64, bool, u64) {
-    let is_leaving = a.state == Readiness::Leaving;
-    (a.incarnation, a.seq, is_leaving, content_hash(a))
+/// contents under one sequence number, and earlier versions pass it on without its cold time.
+fn precedence(a: &Announcement) -> (Uuid, u64, bool, bool, u64) {
+    let (is_leaving, is_cold) = (a.state == Readiness::Leaving, a.cold_left_ms > 0);
+    (a.incarnation, a.seq, is_leaving, is_cold, content_hash(a))
 }
 
 impl Tombstone {
--- a/crates/membership/tests/convergence.rs
+++ b/crates/membership/tests/convergence.rs
@@ -121,11 +121,7 @@
             Op::Push { from, to } => {
                 let (_, deltas) = tables[from].unsent(0, &format!("g{to}"), 0);
                 let (from, reach) = (format!("g{from}"), 1);
-                in_transit.push(link::encode(&Request::Deltas {
-                    from,
-                    reach,
-                    deltas,
-                }));
+                in_transit.push(link::encode(&Request::push(from, reach, deltas)));
             }
             Op::PushDirectly { from, to } => {
                 let call = |req| call(&tables[to], req);
--- a/crates/membership/tests/odd_entries.rs
+++ b/crates/membership/tests/odd_entries.rs
@@ -27,11 +27,7 @@
 }
 
 fn deltas(deltas: Vec<Delta>) -> Request {
-    Request::Deltas {
-        from: "other".to_owned(),
-        reach: 0,
-        deltas,
-    }
+    Request::push("other".to_owned(), 0, deltas)
 }
 
 async fn send(table: &Table, req: &Request) -> Reply {
--- a/crates/membership/tests/table.rs
+++ b/crates/membership/tests/table.rs
@@ -298,11 +298,7 @@
             age: Duration::ZERO,
             cold_left: None,
         };
-        let push = Request::Deltas {
-            from: "b".to_owned(),
-            reach: 0,
-            deltas: vec![delta],
-        };
+        let push = Request::push("b".to_owned(), 0, vec![delta]);
         table.answer(&link::encode(&push)).await;
     }
     assert_eq!(table.list().len(), 1);
