Callers' listener: free a request whose client has left behind further requests

The HTTP library does not notice that a client has left while bytes of a further request are buffered, so the request stayed until its deadline. The connection's task now waits for the end of the client's stream beside the library. Clients whose unread requests exceed the receive buffer are still noticed at the deadline: their kernel sends the end of the stream only after the data (seen in /proc/net/tcp: receive queue of 128 KB, client in FIN_WAIT1).

--- a/crates/forward/src/server.rs
+++ b/crates/forward/src/server.rs
@@ -11,7 +11,7 @@
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
-use ingress::{Lease, LimitedStream, Listener, Reason, RequestGuard, Timeouts};
+use ingress::{Lease, LimitedStream, Listener, Reason, RequestGuard, SharedStream, Timeouts};
 use tokio::{
     io::AsyncWriteExt,
     net::{TcpListener, TcpStream},
@@ -112,6 +112,9 @@
         let is_outdated = forwarder.rules.borrow().declaration.callers != callers;
         handle(forwarder.clone(), req, serving.serving(), is_outdated)
     });
+    let stream = SharedStream::new(stream);
+    let abandoned = lease.abandoned(stream.clone());
+    tokio::pin!(abandoned);
     let stream = LimitedStream::new(stream, lease.clone());
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -124,11 +127,16 @@
         // Connection errors concern only the caller.
         _ = &mut connection => false,
         _ = phase.wait_for(|phase| *phase == Phase::Closing) => true,
+        // Frees all that the request holds.
+        () = &mut abandoned => return,
     };
     if is_closing {
         Pin::new(&mut connection).graceful_shutdown();
         // A response in progress is completed first.
-        let _ = (&mut connection).await;
+        tokio::select! {
+            _ = &mut connection => {}
+            () = &mut abandoned => return,
+        }
     }
     if lease.close_reason() == Some(Reason::SlowHead) {
         refuse_slow_head(connection.into_parts().io).await;
@@ -154,7 +162,7 @@
     }))
 }
 
-async fn refuse_slow_head(io: TokioIo<LimitedStream<TcpStream>>) {
+async fn refuse_slow_head(io: TokioIo<LimitedStream<SharedStream>>) {
     let mut stream = io.into_inner().into_inner();
     // The caller may have disconnected.
     let _ = timeout(SLOW_HEAD_TIMEOUT, stream.write_all(SLOW_HEAD)).await;
--- a/crates/ingress/src/connections.rs
+++ b/crates/ingress/src/connections.rs
@@ -214,6 +214,11 @@
         }
     }
 
+    /// Returns true if a request is served.
+    pub fn is_serving(&self, id: ConnectionId) -> bool {
+        self.entry(id).is_some_and(|e| e.state == State::Serving)
+    }
+
     /// Records that a write waits for the client, or that the client took bytes.
     pub fn record_write(&mut self, id: ConnectionId, is_blocked: bool, now: Instant) {
         if let Some(entry) = self.entries.get_mut(id).and_then(Option::as_mut) {
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -9,6 +9,7 @@
 mod connections;
 mod limits;
 mod listener;
+mod shared;
 mod stream;
 
 pub use bodies::{BodyBudgets, BufferShare, SMALL_BODY_BYTES};
@@ -16,4 +17,5 @@
 pub use connections::{Admission, ConnectionId, Connections, Reason, Timeouts};
 pub use limits::{Group, Limits, VmResources};
 pub use listener::{Lease, Listener, RequestGuard};
+pub use shared::SharedStream;
 pub use stream::LimitedStream;
--- a/crates/ingress/src/listener.rs
+++ b/crates/ingress/src/listener.rs
@@ -11,9 +11,12 @@
 };
 
 use futures_util::task::AtomicWaker;
-use tokio::time::{Instant, MissedTickBehavior, interval};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
 
-use crate::connections::{Admission, ConnectionId, Connections, Reason, Timeouts};
+use crate::{
+    connections::{Admission, ConnectionId, Connections, Reason, Timeouts},
+    shared::SharedStream,
+};
 
 /// Time between checks of time limits. One task checks all connections, so that none needs a timer.
 const EXPIRE_INTERVAL: Duration = Duration::from_millis(250);
@@ -191,6 +194,15 @@
         }
     }
 
+    /// Waits until `client` has left while a request of it is served. HTTP libraries do not notice that
+    /// while bytes of a further request are buffered, and end a connection without a request themselves.
+    pub async fn abandoned(&self, client: SharedStream) {
+        client.closed().await;
+        while !self.0.listener.lock().table.is_serving(self.0.id) {
+            sleep(EXPIRE_INTERVAL).await;
+        }
+    }
+
     pub(crate) fn record_read(&self, bytes: usize) {
         let mut state = self.0.listener.lock();
         if let Some(closed) = state.table.record_read(self.0.id, bytes, Instant::now()) {
