Admission over all stages: `[routing] stage_admission = graph`, ready to measure

Cause: each pool decides alone.

Change: with `graph` (default `pool`, as before) a gate decides before the first stage. Collectors report the expected wait with each reply to a submission; gates keep it for a second by service, zone and urgency. If by these waits a request comes within half of its time, the collectors of all its pools are asked for their present waits (30 ms, the zones in the order in which they would be tried), and the request is refused if the critical path misses its deadline. Without a present reply a pool counts as free, so old information refuses nobody. Items of admitted requests are announced to the collector, so that gates do not all use the same capacity while their requests are in an earlier stage. The caller's retry time is spread at random up to a third of the time left.

Metrics `jujube_forward_stage_admissions_total` and `jujube_forward_wasted_ms_total`; the request log names the pool, its wait and by how much the deadline is missed.

Not measured on a deployment.

--- a/crates/forward/src/collector.rs
+++ b/crates/forward/src/collector.rs
@@ -25,7 +25,7 @@
     batch_outcome::{BatchOutcome, ItemFailure},
     fleet::Target,
     late_call,
-    messages::{StageFailure, StoredResult, Submission},
+    messages::{Forecast, StageFailure, StoredResult, Submission},
     queue::{Job, NextCall, NextStep, Queue},
     rate_limit::{PermitRequest, RateLimits},
     ticket::Ticket,
@@ -59,6 +59,15 @@
     is_leaving: AtomicBool,
 }
 
+/// Items that were accepted.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Accepted {
+    /// Id of their ticket.
+    pub(crate) ticket: u64,
+    /// How long they are expected to wait.
+    pub(crate) wait: Duration,
+}
+
 /// Identifies a queue: a service and, optionally, the availability zone whose endpoints are
 /// preferred.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -109,7 +118,7 @@
         &self,
         submission: Submission,
         zone: Option<String>,
-    ) -> Result<u64, StageFailure> {
+    ) -> Result<Accepted, StageFailure> {
         let now = Instant::now();
         let rules = self.shared.cx.rules.borrow().clone();
         let service = submission.service.clone();
@@ -138,10 +147,35 @@
                 );
             })?
         };
-        let id = ticket.id;
-        self.tickets().insert(id, ticket);
+        let accepted = Accepted {
+            ticket: ticket.id,
+            wait: ticket.expected_wait,
+        };
+        self.tickets().insert(ticket.id, ticket);
         active.wake.notify_one();
-        Ok(id)
+        Ok(accepted)
+    }
+
+    /// Returns how long the items would wait that are submitted in `submitted_in`, and announces them
+    /// if they would be in time.
+    pub(crate) fn forecast(
+        &self,
+        submission: Submission,
+        submitted_in: Duration,
+        zone: Option<String>,
+    ) -> Result<Forecast, StageFailure> {
+        let rules = self.shared.cx.rules.borrow().clone();
+        let service = submission.service.clone();
+        let declared = rules.service(&service).map(|s| &s.capacity);
+        let pool = self.shared.cx.fleet.pool(&service);
+        let (Some(capacity), Some(pool)) = (declared.filter(|c| c.batch.is_some()), pool) else {
+            return Err(StageFailure::NoEndpoint);
+        };
+        let active = self.queue_for(QueueKey { service, zone });
+        let reachable = self.shared.cx.fleet.reachable();
+        let mut queue = active.queue();
+        queue.set_capacity(capacity);
+        queue.forecast(submission, submitted_in, &pool, &reachable, Instant::now())
     }
 
     /// Hands stages that have not started over to the gates that collect from now on. This limits
--- a/crates/forward/src/messages.rs
+++ b/crates/forward/src/messages.rs
@@ -47,6 +47,9 @@
     /// The availability zone of the request.
     #[serde(rename = "z")]
     pub az: String,
+    /// True if the reply shall contain the expected wait.
+    #[serde(rename = "w", default, skip_serializing_if = "std::ops::Not::not")]
+    pub wants_wait: bool,
 }
 
 /// Largest time in a submission, in milliseconds: the longest one that can be declared.
@@ -167,6 +170,21 @@
     Cancel(u64),
     /// Releases results, given the service and their handles.
     Free(String, Vec<String>),
+    /// Asks how long these items would wait, and announces them if they would be in time. They will be
+    /// submitted after the given time. Gates of earlier versions reply to it with no message.
+    Forecast(Submission, Duration),
+}
+
+/// When items can be called that are submitted soon.
+#[record]
+#[derive(Copy, Eq)]
+pub struct Forecast {
+    /// The expected wait from now on, until announced and waiting items before them are completed.
+    #[serde(rename = "w")]
+    pub wait: Duration,
+    /// True if the items would be completed in time; they are expected then.
+    #[serde(rename = "t")]
+    pub is_in_time: bool,
 }
 
 /// The reply to a [`StageRequest`].
@@ -174,6 +192,8 @@
 pub enum StageReply {
     /// To [`StageRequest::Submit`]: the ticket id.
     Accepted(u64),
+    /// To [`StageRequest::Submit`] that wants the expected wait: the ticket id and the wait.
+    Queued(u64, Duration),
     /// To [`StageRequest::Submit`] if the items were refused.
     Refused(StageFailure),
     /// To [`StageRequest::Await`]: the results or the failure.
@@ -181,6 +201,8 @@
     /// To [`StageRequest::AwaitFetched`]: true if the inputs were fetched, false if that is not
     /// known.
     Fetched(bool),
+    /// To [`StageRequest::Forecast`].
+    Expected(Forecast),
     /// To all other requests.
     Noted,
 }
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -34,6 +34,7 @@
     limited_calls: IntCounterVec,
     permits: IntCounterVec,
     items_without_result: IntCounterVec,
+    admissions: AdmissionCounters,
     endpoints: IntGaugeVec,
     ejections: IntCounter,
     crashes: IntCounterVec,
@@ -53,6 +54,30 @@
     closed: IntGaugeVec,
 }
 
+/// Requests that were checked before their first stage, and work of refused ones.
+#[derive(Clone, Debug)]
+struct AdmissionCounters {
+    checked: IntCounterVec,
+    wasted_ms: IntCounterVec,
+}
+
+impl AdmissionCounters {
+    fn new(registrar: &Registrar) -> eyre::Result<Self> {
+        Ok(Self {
+            checked: registrar.counters(
+                "stage_admissions_total",
+                "Requests whose pools were asked for their waits before the first stage: admitted, or refused because of a pool.",
+                &["outcome", "pool"],
+            )?,
+            wasted_ms: registrar.counters(
+                "wasted_ms_total",
+                "Endpoint time of stages, as declared, whose request was refused afterwards.",
+                &["service"],
+            )?,
+        })
+    }
+}
+
 impl CallerGauges {
     fn new(registrar: &Registrar) -> eyre::Result<Self> {
         Ok(Self {
@@ -209,6 +234,7 @@
                 "Items of batched calls without a result, by cause; many are called again.",
                 &["service", "cause"],
             )?,
+            admissions: AdmissionCounters::new(&registrar)?,
             endpoints: registrar.gauges(
                 "endpoints",
                 "Endpoints known, those that take new work, and the others by reason.",
@@ -320,6 +346,24 @@
         }
     }
 
+    /// Counts a request whose pools were asked for their waits. `full_pool` is the one for which it was
+    /// refused, empty if it was admitted.
+    pub(crate) fn record_stage_admission(&self, full_pool: &str) {
+        let outcome = if full_pool.is_empty() {
+            "admitted"
+        } else {
+            "refused"
+        };
+        let labels = [outcome, full_pool];
+        self.admissions.checked.with_label_values(&labels).inc();
+    }
+
+    /// Counts endpoint time of a stage whose request was refused afterwards.
+    pub(crate) fn record_wasted(&self, service: &str, time: Duration) {
+        let counter = self.admissions.wasted_ms.with_label_values(&[service]);
+        counter.inc_by(time.as_millis() as u64);
+    }
+
     /// Records a stage of a request.
     pub(crate) fn record_stage(&self, service: &str, is_good: bool, took: Duration) {
         let labels = [service, outcome(is_good)];
--- a/crates/forward/src/queue.rs
+++ b/crates/forward/src/queue.rs
@@ -2,6 +2,7 @@
 
 mod call;
 mod endpoint_load;
+mod forecast;
 mod job;
 mod zone_load;
 
@@ -17,7 +18,7 @@
 use endpoint_load::{CAPACITY_MISS_HALF_LIFE, EndpointLoad, HeldResult, MAX_CAPACITY_MISS_SHARE};
 pub(crate) use job::Job;
 use job::QueuePosition;
-use routing::DecayingMean;
+use routing::{DecayingMean, stage_admission::Announced};
 use tokio::time::Instant;
 use zone_load::ZoneLoad;
 
@@ -56,6 +57,8 @@
     shed_at: Option<Instant>,
     /// Recent share of items that found no free space.
     capacity_misses: DecayingMean,
+    /// Items of stages that were forecast and are not submitted yet.
+    announced: Announced,
 }
 
 impl Queue {
@@ -81,6 +84,7 @@
             deferred_releases: HashMap::new(),
             shed_at: None,
             capacity_misses: DecayingMean::new(CAPACITY_MISS_HALF_LIFE),
+            announced: Announced::default(),
         }
     }
 
@@ -115,14 +119,16 @@
         if slots <= 0.0 {
             return Err(unavailable(pool, reachable, now));
         }
-        let due = self.elapsed_ms(now) + submission.due_ms;
-        let position = due + i64::from(submission.urgency) * URGENCY_STEP_MS;
-        let wait = self.expected_wait(position, slots);
+        self.remove_announcement(&submission);
+        let (due, position) = self.position(&submission, now);
+        let wait = self.expected_wait(self.ahead(position), slots);
         let stage_time = self.stage_time(submission.items, slots);
         if wait.saturating_add(stage_time) > submission.remaining {
             return Err(StageFailure::Crowded { retry_after: wait });
         }
-        let ticket = Arc::new(Ticket::new(submission, now));
+        let mut ticket = Ticket::new(submission, now);
+        ticket.expected_wait = wait;
+        let ticket = Arc::new(ticket);
         for item in 0..ticket.submission.items {
             let position = (position, self.next_seq);
             self.next_seq += 1;
@@ -143,10 +149,22 @@
         now.saturating_duration_since(self.start).as_millis() as i64
     }
 
-    /// Estimates how long items at `position` wait with this number of usable `slots` until those
-    /// ahead of them are completed.
-    fn expected_wait(&self, position: i64, slots: f64) -> Duration {
-        let ahead = self.jobs.range(..(position, 0)).count();
+    /// Returns the due time of the items and their position, in milliseconds since the queue was
+    /// created.
+    fn position(&self, submission: &Submission, now: Instant) -> (i64, i64) {
+        let due = self.elapsed_ms(now) + submission.due_ms;
+        let position = due + i64::from(submission.urgency) * URGENCY_STEP_MS;
+        (due, position)
+    }
+
+    /// Returns the number of waiting items before `position`.
+    fn ahead(&self, position: i64) -> usize {
+        self.jobs.range(..(position, 0)).count()
+    }
+
+    /// Estimates how long items wait with this number of usable `slots` until the items `ahead` of
+    /// them are completed.
+    fn expected_wait(&self, ahead: usize, slots: f64) -> Duration {
         let busy: u32 = self.loads.values().map(|load| load.calls).sum();
         if ahead == 0 && f64::from(busy) < slots {
             return Duration::ZERO;
--- /dev/null
+++ b/crates/forward/src/queue/forecast.rs
@@ -0,0 +1,64 @@
+//! Expected waits of items that have not been submitted yet.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{Queue, unavailable};
+use crate::{
+    fleet::{Pool, ReachableZones},
+    messages::{Forecast, StageFailure, Submission},
+};
+
+/// Time after the expected submission in which announced items are still expected.
+const SUBMISSION_GRACE: Duration = Duration::from_millis(300);
+
+impl Queue {
+    /// Returns how long the items would wait that are submitted in `submitted_in`, and announces them
+    /// if they would be in time.
+    pub(crate) fn forecast(
+        &mut self,
+        submission: Submission,
+        submitted_in: Duration,
+        pool: &Pool,
+        reachable: &ReachableZones,
+        now: Instant,
+    ) -> Result<Forecast, StageFailure> {
+        let submission = submission.bounded();
+        let slots = self.usable_slots(&self.healthy(pool, reachable, now));
+        if slots <= 0.0 {
+            return Err(unavailable(pool, reachable, now));
+        }
+        self.remove_announcement(&submission);
+        let (_, position) = self.position(&submission, now);
+        let ahead = self.ahead(position) + self.announced.ahead(position, now);
+        let wait = self.expected_wait(ahead, slots);
+        let submitted_in = submitted_in.min(submission.remaining);
+        let end = wait
+            .max(submitted_in)
+            .saturating_add(self.stage_time(submission.items, slots));
+        let is_in_time = end <= submission.remaining;
+        if is_in_time && !submitted_in.is_zero() {
+            let expires_at = now + submitted_in * 2 + SUBMISSION_GRACE;
+            let key = announcement_key(&submission);
+            self.announced
+                .add(key, position, submission.items, expires_at);
+        }
+        Ok(Forecast { wait, is_in_time })
+    }
+
+    /// Removes the announcement of items that are submitted now.
+    pub(super) fn remove_announcement(&mut self, submission: &Submission) {
+        if !self.announced.is_empty() {
+            self.announced.remove(announcement_key(submission));
+        }
+    }
+}
+
+fn announcement_key(submission: &Submission) -> u64 {
+    xxh3_64(format!("{}/{}", submission.request, submission.stage).as_bytes())
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/forward/src/queue/tests.rs
+++ b/crates/forward/src/queue/tests.rs
@@ -18,7 +18,7 @@
 const SPACE_BYTES: u64 = 1_000_000;
 
 /// Creates a pool from endpoint names and availability zones.
-fn pool(endpoints: &[(&str, &str)]) -> Arc<Pool> {
+pub(super) fn pool(endpoints: &[(&str, &str)]) -> Arc<Pool> {
     let fleet = Fleet::default();
     let views = endpoints.iter().map(|(name, az)| view(name, "ice", az));
     fleet.update(&mirror(views), |_| None);
@@ -40,7 +40,7 @@
     }
 }
 
-fn queue() -> Queue {
+pub(super) fn queue() -> Queue {
     let mut queue = Queue::new(None);
     queue.set_capacity(&Capacity {
         slots: Some(1),
@@ -70,6 +70,7 @@
         urgency: 0,
         due_ms: 1_000,
         az: "a".to_owned(),
+        wants_wait: false,
     }
 }
 
@@ -157,7 +158,7 @@
 }
 
 /// Items with small results.
-fn items(items: u32, urgency: u8, left_ms: u64) -> Submission {
+pub(super) fn items(items: u32, urgency: u8, left_ms: u64) -> Submission {
     Submission {
         items,
         urgency,
--- a/crates/forward/src/serving.rs
+++ b/crates/forward/src/serving.rs
@@ -1,8 +1,9 @@
 //! Serves one request from its route to its response.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use declaration::ResponseKind;
+use routing::stage_admission::{self, StageAdmission};
 use tokio::time::timeout_at;
 
 use crate::{
@@ -58,10 +59,28 @@
             }
         }
     };
-    match timeout_at(req.deadline - ANSWER_MARGIN, serving).await {
+    let result = match timeout_at(req.deadline - ANSWER_MARGIN, serving).await {
         Ok(result) => result,
         Err(_) if attempts.runs > 0 => Err(ForwardError::DeadlineExceeded),
         Err(_) => Err(ForwardError::retry_later(Refusal::NoTime, RETRY_AFTER)),
+    };
+    if matches!(result, Err(ForwardError::Refused { .. })) {
+        let stages = 0..req.route().stages.len();
+        let (rules, incoming) = (&req.matched.rules, &req.incoming);
+        cx.stages
+            .record_wasted(req.route(), rules, incoming, stages);
+    }
+    result
+}
+
+/// Returns when a caller may retry whose stages were refused. With admission over all stages, requests
+/// that are refused together do not return together.
+fn spread(cx: &Context, req: &Request, free_after: Duration) -> Duration {
+    match cx.stages.admission {
+        StageAdmission::Pool => free_after,
+        StageAdmission::Graph => {
+            stage_admission::retry_after(free_after, req.remaining(), rand::random())
+        }
     }
 }
 
@@ -91,7 +110,8 @@
     let stages = cx.stages.run(&stage_cx);
     stages.await.map_err(|failure| match failure {
         StageFailure::Late { retry_after } | StageFailure::Crowded { retry_after } => {
-            ForwardError::retry_later(Refusal::StagesLate, retry_after.max(RETRY_AFTER))
+            let retry_after = retry_after.max(RETRY_AFTER);
+            ForwardError::retry_later(Refusal::StagesLate, spread(cx, req, retry_after))
         }
         StageFailure::Paused { retry_after } => {
             ForwardError::retry_later(Refusal::Paused, retry_after)
--- a/crates/forward/src/stage_graph.rs
+++ b/crates/forward/src/stage_graph.rs
@@ -88,6 +88,14 @@
         }
     }
 
+    /// Returns the stages that are completed.
+    pub(crate) fn completed(&self) -> impl Iterator<Item = usize> {
+        let states = self.states.iter().enumerate();
+        states
+            .filter(|(_, state)| state.is_done())
+            .map(|(number, _)| number)
+    }
+
     /// Returns the results of the stages that no other stage follows.
     pub(crate) fn into_results(self) -> Vec<Arc<R>> {
         let count = self.stages.len();
--- a/crates/forward/src/stages.rs
+++ b/crates/forward/src/stages.rs
@@ -1,8 +1,13 @@
 //! Runs the stages of a request; each starts when the results that it needs are available.
 
+mod admission;
 mod results;
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeSet,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use declaration::Route;
 use futures_util::{StreamExt, stream::FuturesUnordered};
@@ -10,10 +15,11 @@
 use logs::{Event, RequestLog};
 pub(crate) use results::Results;
 use results::{Inputs, input_bytes, send_best_effort, zone_with_most_bytes};
+use routing::stage_admission::{PoolWaits, StageAdmission};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::{
-    collector::Collector,
+    collector::{Accepted, Collector},
     gates::{CollectorChoice, Gates},
     incoming::IncomingRequest,
     messages::{StageFailure, StageReply, StageRequest, StoredResult, Submission},
@@ -49,6 +55,9 @@
     pub(crate) gates: Gates,
     pub(crate) collector: Collector,
     pub(crate) metrics: Metrics,
+    pub(crate) admission: StageAdmission,
+    /// Waits that collectors reported.
+    pub(crate) waits: Arc<Mutex<PoolWaits>>,
 }
 
 /// What all stages of a request have in common.
@@ -150,6 +159,7 @@
         &self,
         cx: &StageContext<'_>,
     ) -> Result<Vec<Arc<Results>>, StageFailure> {
+        self.admit(cx).await?;
         let mut graph = StageGraph::new(&cx.route.stages);
         let mut running = FuturesUnordered::new();
         let mut restarts = 0;
@@ -166,7 +176,10 @@
                     restarts += 1;
                     graph.restart(number);
                 }
-                Err(failure) => return Err(failure),
+                Err(failure) => {
+                    self.record_wasted(cx.route, cx.rules, cx.incoming, graph.completed());
+                    return Err(failure);
+                }
             }
         }
         Ok(graph.into_results())
@@ -202,6 +215,7 @@
             urgency: cx.urgency,
             due_ms: 0,
             az: zone_with_most_bytes(&inputs).unwrap_or_else(|| cx.az.to_owned()),
+            wants_wait: self.admission == StageAdmission::Graph,
         };
         let zones = self.zones(&submission);
         let mut crowded = None;
@@ -334,7 +348,12 @@
         let submit = StageRequest::Submit(submission.clone());
         let ticket = match peer.call(Channel::Stages, &submit, SUBMIT_TIMEOUT).await {
             Ok(StageReply::Accepted(ticket)) => ticket,
+            Ok(StageReply::Queued(ticket, wait)) => {
+                self.record_wait(submission, wait);
+                ticket
+            }
             Ok(StageReply::Refused(failure)) => {
+                self.record_refusal(submission, &failure);
                 let refused = Err(failure);
                 self.record_end(cx, submission, peer.name(), started_at, &refused);
                 return refused.map(|results| self.results(cx, submission, results, None));
@@ -374,12 +393,17 @@
 
     /// Enqueues items at this gate: in the queue of their availability zone if zones collect
     /// separately, otherwise in the common queue.
-    fn enqueue(&self, submission: Submission) -> Result<u64, StageFailure> {
-        let az = submission.az.clone();
-        let by_zone = self.gates.collects_by_zone().then_some(az);
+    fn enqueue(&self, submission: Submission) -> Result<Accepted, StageFailure> {
+        let by_zone = self.collected_zone(&submission);
         self.collector.submit(submission, by_zone)
     }
 
+    /// Returns the availability zone whose queue collects the items, if zones collect separately.
+    fn collected_zone(&self, submission: &Submission) -> Option<String> {
+        let by_zone = self.gates.collects_by_zone();
+        by_zone.then(|| submission.az.clone())
+    }
+
     /// Collects the items at this gate.
     async fn collect_locally(
         &self,
@@ -400,7 +424,10 @@
         inputs: &mut Inputs,
     ) -> Result<Vec<StoredResult>, StageFailure> {
         let until = Instant::now() + submission.remaining + AWAIT_GRACE;
-        let ticket = self.enqueue(submission.clone())?;
+        let accepted = self.enqueue(submission.clone());
+        let accepted = accepted.inspect_err(|failure| self.record_refusal(submission, failure))?;
+        self.record_wait(submission, accepted.wait);
+        let ticket = accepted.ticket;
         let mut pending = Pending {
             ticket: Some(ticket),
             collector: self.collector.clone(),
@@ -444,10 +471,22 @@
             Ok(StageRequest::Submit(_)) if self.collector.is_leaving() => {
                 StageReply::Refused(StageFailure::Moved)
             }
-            Ok(StageRequest::Submit(submission)) => match self.enqueue(submission) {
-                Ok(ticket) => StageReply::Accepted(ticket),
-                Err(failure) => StageReply::Refused(failure),
-            },
+            Ok(StageRequest::Submit(submission)) => {
+                let wants_wait = submission.wants_wait;
+                match self.enqueue(submission) {
+                    Ok(accepted) if wants_wait => {
+                        StageReply::Queued(accepted.ticket, accepted.wait)
+                    }
+                    Ok(accepted) => StageReply::Accepted(accepted.ticket),
+                    Err(failure) => StageReply::Refused(failure),
+                }
+            }
+            Ok(StageRequest::Forecast(submission, submitted_in)) => {
+                match self.forecast_locally(submission, submitted_in) {
+                    Ok(forecast) => StageReply::Expected(forecast),
+                    Err(failure) => StageReply::Refused(failure),
+                }
+            }
             Ok(StageRequest::Await(ticket)) => StageReply::Done(self.collector.wait(ticket).await),
             Ok(StageRequest::AwaitFetched(ticket)) => {
                 StageReply::Fetched(self.collector.inputs_fetched(ticket).await)
--- a/crates/forward/src/start.rs
+++ b/crates/forward/src/start.rs
@@ -17,6 +17,7 @@
 use link::{Channel, Identity, Incoming, LinkConfig, Role};
 use membership::Mirror;
 use outbound::{BodyMemory, Pool, PoolConfig};
+use routing::stage_admission::StageAdmission;
 use salvo::{Depot, Response, Router, affix_state, handler, http::StatusCode};
 use socket2::SockRef;
 use spdlog::info;
@@ -92,6 +93,8 @@
     pub resources: Resources,
     /// How long prompts are placed beside short ones.
     pub long_prompts: LongPrompts,
+    /// Where it is decided whether the stages of a request can be completed in time.
+    pub stage_admission: StageAdmission,
     /// True if a gate that has just started sends nothing until keepers have confirmed which zones
     /// are evacuated, so that an order holds at restarted gates as well.
     pub awaits_evacuations: bool,
@@ -350,6 +353,8 @@
             gates,
             collector,
             metrics: metrics.clone(),
+            admission: cfg.stage_admission,
+            waits: Arc::default(),
         },
         budget: Arc::clone(&budgets.requests),
         rate_limits,
--- a/crates/forward/src/ticket.rs
+++ b/crates/forward/src/ticket.rs
@@ -24,6 +24,8 @@
     pub(crate) id: u64,
     pub(crate) submission: Submission,
     pub(crate) deadline: Instant,
+    /// How long the items were expected to wait when they were accepted.
+    pub(crate) expected_wait: Duration,
     state: Mutex<TicketState>,
     done: Notify,
     fetched: Notify,
@@ -47,6 +49,7 @@
         Self {
             id: rand::random(),
             deadline: now + submission.remaining,
+            expected_wait: Duration::ZERO,
             submission,
             state: Mutex::new(TicketState {
                 results: vec![None; items],
--- a/crates/forward/src/ticket/tests.rs
+++ b/crates/forward/src/ticket/tests.rs
@@ -22,6 +22,7 @@
         urgency: 0,
         due_ms: 1_000,
         az: "a".to_owned(),
+        wants_wait: false,
     };
     Ticket::new(submission, Instant::now())
 }
--- a/crates/forwarder/src/config.rs
+++ b/crates/forwarder/src/config.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use forward::{LongPrompts, SharedBudget};
+use forward::{LongPrompts, SharedBudget, StageAdmission};
 use host::{resources::Resources, settings::Reader};
 
 /// Configuration of a forwarding gate.
@@ -34,19 +34,24 @@
             budget: budget(reader),
             resources: Resources::read(reader),
             awaits_evacuations: reader.number("zones", "evacuation_ms", 0, 0, 3_600_000) > 0,
-            long_prompts: long_prompts(reader),
+            long_prompts: routing(reader, "long_prompts", LongPrompts::parse),
+            stage_admission: routing(reader, "stage_admission", StageAdmission::parse),
             notice,
             drain,
         })
     }
 }
 
-/// Reads `[routing] long_prompts`.
-fn long_prompts(reader: &mut Reader) -> LongPrompts {
-    let text = reader.text("routing", "long_prompts");
-    LongPrompts::parse(text.as_deref()).unwrap_or_else(|fault| {
-        reader.fault("routing", "long_prompts", fault);
-        LongPrompts::default()
+/// Reads a mode of `[routing]`.
+fn routing<T: Default>(
+    reader: &mut Reader,
+    key: &str,
+    parse: fn(Option<&str>) -> Result<T, String>,
+) -> T {
+    let text = reader.text("routing", key);
+    parse(text.as_deref()).unwrap_or_else(|fault| {
+        reader.fault("routing", key, fault);
+        T::default()
     })
 }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -25,6 +25,7 @@
 mod token_bucket;
 
 mod pending;
+pub mod stage_admission;
 pub mod subset;
 
 pub use admission::{
