Stage results expire with the oldest of them, not with the last one

Cause: a stage of several calls has results of different ages; in a burst its calls are up to seconds apart. A gate counted the endpoints' retention from the last result for all of them, so the next stage was accepted with a deadline at which the first results had expired ("an input is gone").

Change: a collecting gate adds to each result the time since its endpoint reported it, and the requesting gate takes the oldest one.

Result: tests of the ticket and of the expiry. Inputs whose endpoint is gone are not affected by it.

--- a/crates/forward/src/collector.rs
+++ b/crates/forward/src/collector.rs
@@ -533,6 +533,7 @@
                     handle: handle.clone(),
                     endpoint: next.target.name.clone(),
                     az: next.target.az.clone(),
+                    age: Duration::ZERO,
                 };
                 if !job.ticket.complete_item(job.item, stored) {
                     unwanted.push(handle);
--- a/crates/forward/src/messages.rs
+++ b/crates/forward/src/messages.rs
@@ -106,6 +106,9 @@
     /// The availability zone of the endpoint.
     #[serde(rename = "z")]
     pub az: String,
+    /// Time since the endpoint reported it; it was stored before the other items of its stage.
+    #[serde(rename = "a", default)]
+    pub age: Duration,
 }
 
 /// Why a stage has no results.
--- a/crates/forward/src/stages.rs
+++ b/crates/forward/src/stages.rs
@@ -14,7 +14,7 @@
 use link::{Channel, LinkError, Peer};
 use logs::{Event, RequestLog};
 pub(crate) use results::Results;
-use results::{Inputs, input_bytes, send_best_effort, zone_with_most_bytes};
+use results::{Inputs, expires_at, input_bytes, send_best_effort, zone_with_most_bytes};
 use routing::stage_admission::{PoolWaits, StageAdmission};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
@@ -456,9 +456,9 @@
             b.result_retention.saturating_sub(b.call_overhead)
         });
         Results {
+            expires: expires_at(&stored, keep, Instant::now()),
             stored,
             bytes: submission.result_bytes,
-            expires: Instant::now() + keep,
             service: submission.service.clone(),
             collector: self.collector.clone(),
             via,
--- a/crates/forward/src/stages/results.rs
+++ b/crates/forward/src/stages/results.rs
@@ -51,6 +51,12 @@
     }
 }
 
+/// Returns when the endpoint of the oldest result may drop it, if endpoints keep results for `keep`.
+pub(super) fn expires_at(stored: &[StoredResult], keep: Duration, now: Instant) -> Instant {
+    let ages = stored.iter().map(|result| result.age);
+    now + keep.saturating_sub(ages.max().unwrap_or_default())
+}
+
 /// Bytes that each item fetches, or `None` if it needs no inputs.
 pub(super) fn input_bytes(inputs: &[Arc<Results>]) -> Option<u64> {
     let sizes = inputs.iter().flat_map(|results| results.sizes_by_zone());
@@ -117,3 +123,6 @@
         done.await
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/forward/src/ticket.rs
+++ b/crates/forward/src/ticket.rs
@@ -35,7 +35,7 @@
 
 #[derive(Debug)]
 struct TicketState {
-    results: Vec<Option<StoredResult>>,
+    results: Vec<Option<(StoredResult, Instant)>>,
     pending: usize,
     failure: Option<StageFailure>,
     /// For each item, true if its endpoint has fetched the inputs.
@@ -92,7 +92,7 @@
         let Some(slot) = state.results.get_mut(item as usize).filter(|r| r.is_none()) else {
             return false;
         };
-        *slot = Some(result);
+        *slot = Some((result, Instant::now()));
         state.pending -= 1;
         if state.pending == 0 {
             self.done.notify_one();
@@ -154,7 +154,12 @@
                 if state.pending == 0 {
                     // Duplicate results are not needed from here on.
                     self.is_closed.store(true, Ordering::Relaxed);
-                    return Ok(state.results.iter_mut().filter_map(Option::take).collect());
+                    let results = state.results.iter_mut().filter_map(Option::take);
+                    let with_age = |(result, at): (StoredResult, Instant)| StoredResult {
+                        age: at.elapsed(),
+                        ..result
+                    };
+                    return Ok(results.map(with_age).collect());
                 }
             }
             let notified = timeout_at(self.deadline + RESULT_GRACE, self.done.notified()).await;
@@ -170,7 +175,7 @@
         self.is_closed.store(true, Ordering::Relaxed);
         let mut state = self.state();
         let results = state.results.iter_mut().filter_map(Option::take);
-        results.map(|r| r.handle).collect()
+        results.map(|(result, _)| result.handle).collect()
     }
 }
 
--- a/crates/forward/src/ticket/tests.rs
+++ b/crates/forward/src/ticket/tests.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use futures_util::FutureExt;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 use super::Ticket;
-use crate::messages::Submission;
+use crate::messages::{StoredResult, Submission};
 
 fn ticket(items: u32, inputs: &[&str]) -> Ticket {
     let submission = Submission {
@@ -63,3 +63,22 @@
     assert!(!with_inputs.reclaim_inputs(0));
     assert!(without_inputs.reclaim_inputs(0));
 }
+
+/// Guards against a stage of several calls whose first results count as new when the last one is
+/// there: their endpoints drop them before the next stage expects it.
+#[tokio::test(start_paused = true)]
+async fn results_have_the_age_since_their_own_call() {
+    let ticket = ticket(2, &[]);
+    let result = |handle: &str| StoredResult {
+        handle: handle.to_owned(),
+        endpoint: "i-1".to_owned(),
+        az: "a".to_owned(),
+        age: Duration::ZERO,
+    };
+    assert!(ticket.complete_item(0, result("h-0")));
+    sleep(Duration::from_millis(1_500)).await;
+    assert!(ticket.complete_item(1, result("h-1")));
+    let results = ticket.finished().await.unwrap();
+    let ages: Vec<u128> = results.iter().map(|r| r.age.as_millis()).collect();
+    assert_eq!(ages, [1_500, 0]);
+}
