Fair shares in full pools: `[routing] fair_share = workspaces`

Cause: when a pool is full, its collector refuses whatever is due last or less urgent, so a burst of one kind of request, or one large workspace, starves all others at that pool.

Change: with the setting (default `off`, as before) collectors call stages by start-time fair queueing over workspaces and kinds (routes): started stages, then those within their flow's floor of half its equal share, then by urgency. The checks of who can't be in time any more, at submission and later, follow the same order, and so do the forecasts for admission over all stages. Submissions carry a key of the flow with the setting only.

Not measured on a deployment.

--- a/crates/forward/src/batch_context.rs
+++ b/crates/forward/src/batch_context.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use outbound::Pool;
+use routing::fair_share::FairShares;
 use tokio::sync::watch;
 
 use crate::{
@@ -23,4 +24,6 @@
     /// The VM name of this gate.
     pub(crate) vm: String,
     pub(crate) metrics: Metrics,
+    /// Who is refused when a pool is full.
+    pub(crate) fair_shares: FairShares,
 }
--- a/crates/forward/src/collector.rs
+++ b/crates/forward/src/collector.rs
@@ -14,6 +14,7 @@
 };
 
 use logs::Event;
+use routing::fair_share::FairShares;
 use tokio::{
     sync::Notify,
     task::JoinHandle,
@@ -359,8 +360,12 @@
         if let Some(active) = queues.get(&key) {
             return Arc::clone(active);
         }
+        let mut queue = Queue::new(key.zone.clone());
+        if self.shared.cx.fair_shares == FairShares::Workspaces {
+            queue.use_shares();
+        }
         let active = Arc::new(ActiveQueue {
-            queue: Mutex::new(Queue::new(key.zone.clone())),
+            queue: Mutex::new(queue),
             wake: Notify::new(),
             task: Mutex::new(None),
         });
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -66,6 +66,6 @@
 pub use incoming::{IncomingRequest, Prompt, PromptPart};
 pub use long_prompts::LongPrompts;
 pub use outbound::Notice;
-pub use routing::stage_admission::StageAdmission;
+pub use routing::{fair_share::FairShares, stage_admission::StageAdmission};
 pub use rules::key_digest;
 pub use start::{Config, start};
--- a/crates/forward/src/messages.rs
+++ b/crates/forward/src/messages.rs
@@ -50,6 +50,9 @@
     /// True if the reply shall contain the expected wait.
     #[serde(rename = "w", default, skip_serializing_if = "std::ops::Not::not")]
     pub wants_wait: bool,
+    /// Key of the workspace and kind of the request, if shares count; see [`routing::fair_share`].
+    #[serde(rename = "f", default, skip_serializing_if = "Option::is_none")]
+    pub flow: Option<u64>,
 }
 
 /// Largest time in a submission, in milliseconds: the longest one that can be declared.
@@ -58,6 +61,11 @@
 const MAX_BYTES: u64 = 1 << 40;
 
 impl Submission {
+    /// Returns the key of the flow; requests without one share a flow.
+    pub(crate) fn flow(&self) -> u64 {
+        self.flow.unwrap_or_default()
+    }
+
     /// Limits numbers that another gate sent, so that computing with them does not overflow.
     pub(crate) fn bounded(self) -> Self {
         Self {
--- a/crates/forward/src/queue.rs
+++ b/crates/forward/src/queue.rs
@@ -4,6 +4,7 @@
 mod endpoint_load;
 mod forecast;
 mod job;
+mod order;
 mod zone_load;
 
 use std::{
@@ -18,7 +19,7 @@
 use endpoint_load::{CAPACITY_MISS_HALF_LIFE, EndpointLoad, HeldResult, MAX_CAPACITY_MISS_SHARE};
 pub(crate) use job::Job;
 use job::QueuePosition;
-use routing::{DecayingMean, stage_admission::Announced};
+use routing::{DecayingMean, fair_share::FairShare, stage_admission::Announced};
 use tokio::time::Instant;
 use zone_load::ZoneLoad;
 
@@ -59,6 +60,8 @@
     capacity_misses: DecayingMean,
     /// Items of stages that were forecast and are not submitted yet.
     announced: Announced,
+    /// Shares of workspaces and kinds of requests, if these decide who is refused.
+    shares: Option<FairShare>,
 }
 
 impl Queue {
@@ -85,6 +88,7 @@
             shed_at: None,
             capacity_misses: DecayingMean::new(CAPACITY_MISS_HALF_LIFE),
             announced: Announced::default(),
+            shares: None,
         }
     }
 
@@ -121,11 +125,13 @@
         }
         self.remove_announcement(&submission);
         let (due, position) = self.position(&submission, now);
-        let wait = self.expected_wait(self.ahead(position), slots);
+        let ahead = self.ahead_of(&submission, position, None, now);
+        let wait = self.expected_wait(ahead, slots);
         let stage_time = self.stage_time(submission.items, slots);
         if wait.saturating_add(stage_time) > submission.remaining {
             return Err(StageFailure::Crowded { retry_after: wait });
         }
+        self.activate_flow(submission.flow());
         let mut ticket = Ticket::new(submission, now);
         ticket.expected_wait = wait;
         let ticket = Arc::new(ticket);
@@ -157,11 +163,6 @@
         (due, position)
     }
 
-    /// Returns the number of waiting items before `position`.
-    fn ahead(&self, position: i64) -> usize {
-        self.jobs.range(..(position, 0)).count()
-    }
-
     /// Estimates how long items wait with this number of usable `slots` until the items `ahead` of
     /// them are completed.
     fn expected_wait(&self, ahead: usize, slots: f64) -> Duration {
@@ -318,6 +319,7 @@
             .iter()
             .filter_map(|position| self.jobs.remove(position));
         let jobs: Vec<Job> = jobs.collect();
+        self.record_shares(&jobs);
         for job in &jobs {
             job.ticket.mark_started();
         }
@@ -353,15 +355,6 @@
         self.elapsed_ms(now) + self.call_time(1).as_millis() as i64
     }
 
-    /// Returns the items by position, first those that can still be in time or whose stages have
-    /// started, as results of a started stage occupy space until its last item is completed. The
-    /// other items are worth less and follow.
-    fn in_order(&self, first_due: i64) -> impl Iterator<Item = (&QueuePosition, &Job)> {
-        let is_first = move |job: &Job| job.due >= first_due || job.ticket.has_started();
-        let first = self.jobs.iter().filter(move |(_, job)| is_first(job));
-        first.chain(self.jobs.iter().filter(move |(_, job)| !is_first(job)))
-    }
-
     fn is_free(&self, target: &Target, now: Instant) -> bool {
         let load = self.loads.get(&target.name);
         let calls = load.map_or(0, |load| load.calls);
--- a/crates/forward/src/queue/forecast.rs
+++ b/crates/forward/src/queue/forecast.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use routing::stage_admission::Announcement;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -31,8 +32,9 @@
             return Err(unavailable(pool, reachable, now));
         }
         self.remove_announcement(&submission);
+        self.announced.expire(now);
         let (_, position) = self.position(&submission, now);
-        let ahead = self.ahead(position) + self.announced.ahead(position, now);
+        let ahead = self.ahead_of(&submission, position, Some(&self.announced), now);
         let wait = self.expected_wait(ahead, slots);
         let submitted_in = submitted_in.min(submission.remaining);
         let end = wait
@@ -40,10 +42,15 @@
             .saturating_add(self.stage_time(submission.items, slots));
         let is_in_time = end <= submission.remaining;
         if is_in_time && !submitted_in.is_zero() {
-            let expires_at = now + submitted_in * 2 + SUBMISSION_GRACE;
-            let key = announcement_key(&submission);
+            let announcement = Announcement {
+                position,
+                urgency: submission.urgency,
+                flow: submission.flow(),
+                items: submission.items,
+                expires_at: now + submitted_in * 2 + SUBMISSION_GRACE,
+            };
             self.announced
-                .add(key, position, submission.items, expires_at);
+                .add(announcement_key(&submission), announcement);
         }
         Ok(Forecast { wait, is_in_time })
     }
--- a/crates/forward/src/queue/tests.rs
+++ b/crates/forward/src/queue/tests.rs
@@ -27,7 +27,7 @@
 
 impl Queue {
     /// Returns the next call if one can be sent without a permit.
-    fn next_call(
+    pub(super) fn next_call(
         &mut self,
         pool: &Pool,
         reachable: &ReachableZones,
@@ -71,6 +71,7 @@
         due_ms: 1_000,
         az: "a".to_owned(),
         wants_wait: false,
+        flow: None,
     }
 }
 
--- a/crates/forward/src/serving.rs
+++ b/crates/forward/src/serving.rs
@@ -102,6 +102,8 @@
         incoming: &req.incoming,
         route,
         urgency: req.urgency,
+        workspace: req.caller.as_ref().map(|caller| caller.workspace.as_str()),
+        route_name: &req.matched.name,
         rules: &req.matched.rules,
         request_time: cx.fleet.predicted_time(&requirements),
         deadline: req.first_part_deadline,
--- a/crates/forward/src/stages.rs
+++ b/crates/forward/src/stages.rs
@@ -15,7 +15,10 @@
 use logs::{Event, RequestLog};
 pub(crate) use results::Results;
 use results::{Inputs, expires_at, input_bytes, send_best_effort, zone_with_most_bytes};
-use routing::stage_admission::{PoolWaits, StageAdmission};
+use routing::{
+    fair_share::{FairShares, flow_key},
+    stage_admission::{PoolWaits, StageAdmission},
+};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::{
@@ -56,6 +59,7 @@
     pub(crate) collector: Collector,
     pub(crate) metrics: Metrics,
     pub(crate) admission: StageAdmission,
+    pub(crate) fair_shares: FairShares,
     /// Waits that collectors reported.
     pub(crate) waits: Arc<Mutex<PoolWaits>>,
 }
@@ -68,6 +72,10 @@
     pub(crate) route: &'a Route,
     /// Urgency, 0 first.
     pub(crate) urgency: u8,
+    /// The workspace, if the route requires one.
+    pub(crate) workspace: Option<&'a str>,
+    /// Name of the route.
+    pub(crate) route_name: &'a str,
     /// The declared services.
     pub(crate) rules: &'a Rules,
     /// Expected duration of the request itself, after its stages.
@@ -216,6 +224,7 @@
             due_ms: 0,
             az: zone_with_most_bytes(&inputs).unwrap_or_else(|| cx.az.to_owned()),
             wants_wait: self.admission == StageAdmission::Graph,
+            flow: self.flow(cx),
         };
         let zones = self.zones(&submission);
         let mut crowded = None;
@@ -240,6 +249,14 @@
         }
     }
 
+    /// Returns the key of the workspace and kind of the request, if shares count.
+    fn flow(&self, cx: &StageContext<'_>) -> Option<u64> {
+        match self.fair_shares {
+            FairShares::Off => None,
+            FairShares::Workspaces => Some(flow_key(cx.workspace, cx.route_name)),
+        }
+    }
+
     /// Returns the availability zones whose collectors are tried in turn; only one if items of all
     /// zones are collected together.
     fn zones(&self, submission: &Submission) -> Vec<String> {
--- a/crates/forward/src/stages/admission.rs
+++ b/crates/forward/src/stages/admission.rs
@@ -64,7 +64,7 @@
         if cx.stage_time(number).is_zero() {
             return Duration::ZERO;
         }
-        let submission = cx.announcement(number);
+        let submission = cx.announcement(number, self.flow(cx));
         let zones = self.zones(&submission);
         let (waits, now) = (self.waits(), Instant::now());
         let expected =
@@ -83,7 +83,7 @@
         if cx.stage_time(number).is_zero() {
             return Duration::ZERO;
         }
-        let mut submission = cx.announcement(number);
+        let mut submission = cx.announcement(number, self.flow(cx));
         let mut shortest = Duration::MAX;
         for az in self.zones(&submission) {
             submission.az = az;
@@ -175,7 +175,7 @@
 
 impl StageContext<'_> {
     /// The items of stage `number`, before those that it needs are known.
-    fn announcement(&self, number: usize) -> Submission {
+    fn announcement(&self, number: usize, flow: Option<u64>) -> Submission {
         let stage = &self.route.stages[number];
         Submission {
             request: self.incoming.id.clone(),
@@ -191,6 +191,7 @@
             due_ms: self.due_ms(number),
             az: self.az.to_owned(),
             wants_wait: false,
+            flow,
         }
     }
 }
--- a/crates/forward/src/start.rs
+++ b/crates/forward/src/start.rs
@@ -17,7 +17,7 @@
 use link::{Channel, Identity, Incoming, LinkConfig, Role};
 use membership::Mirror;
 use outbound::{BodyMemory, Pool, PoolConfig};
-use routing::stage_admission::StageAdmission;
+use routing::{fair_share::FairShares, stage_admission::StageAdmission};
 use salvo::{Depot, Response, Router, affix_state, handler, http::StatusCode};
 use socket2::SockRef;
 use spdlog::info;
@@ -95,6 +95,8 @@
     pub long_prompts: LongPrompts,
     /// Where it is decided whether the stages of a request can be completed in time.
     pub stage_admission: StageAdmission,
+    /// Who is refused when a batch pool is full.
+    pub fair_shares: FairShares,
     /// True if a gate that has just started sends nothing until keepers have confirmed which zones
     /// are evacuated, so that an order holds at restarted gates as well.
     pub awaits_evacuations: bool,
@@ -337,6 +339,7 @@
         rate_limits: rate_limits.clone(),
         vm: cfg.vm.name.clone(),
         metrics: metrics.clone(),
+        fair_shares: cfg.fair_shares,
     });
     let reporter = Reporter {
         vm: cfg.vm.name.clone(),
@@ -354,6 +357,7 @@
             collector,
             metrics: metrics.clone(),
             admission: cfg.stage_admission,
+            fair_shares: cfg.fair_shares,
             waits: Arc::default(),
         },
         budget: Arc::clone(&budgets.requests),
--- a/crates/forward/src/ticket/tests.rs
+++ b/crates/forward/src/ticket/tests.rs
@@ -23,6 +23,7 @@
         due_ms: 1_000,
         az: "a".to_owned(),
         wants_wait: false,
+        flow: None,
     };
     Ticket::new(submission, Instant::now())
 }
--- a/crates/forwarder/src/config.rs
+++ b/crates/forwarder/src/config.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use forward::{LongPrompts, SharedBudget, StageAdmission};
+use forward::{FairShares, LongPrompts, SharedBudget, StageAdmission};
 use host::{resources::Resources, settings::Reader};
 
 /// Configuration of a forwarding gate.
@@ -36,6 +36,7 @@
             awaits_evacuations: reader.number("zones", "evacuation_ms", 0, 0, 3_600_000) > 0,
             long_prompts: routing(reader, "long_prompts", LongPrompts::parse),
             stage_admission: routing(reader, "stage_admission", StageAdmission::parse),
+            fair_shares: routing(reader, "fair_share", FairShares::parse),
             notice,
             drain,
         })
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -24,6 +24,7 @@
 mod stats;
 mod token_bucket;
 
+pub mod fair_share;
 mod pending;
 pub mod stage_admission;
 pub mod subset;
--- a/crates/routing/src/stage_admission.rs
+++ b/crates/routing/src/stage_admission.rs
@@ -9,7 +9,7 @@
 
 use std::time::Duration;
 
-pub use announced::Announced;
+pub use announced::{Announced, Announcement};
 pub use pool_waits::PoolWaits;
 
 /// A request whose expected time exceeds this share of the time left is checked with the pools.
--- a/crates/routing/src/stage_admission/announced.rs
+++ b/crates/routing/src/stage_admission/announced.rs
@@ -9,10 +9,17 @@
 
 /// The items of one stage that are expected soon.
 #[derive(Clone, Copy, Debug)]
-struct Announcement {
-    position: i64,
-    items: u32,
-    expires_at: Instant,
+pub struct Announcement {
+    /// Position in the queue of the pool.
+    pub position: i64,
+    /// Urgency, 0 first.
+    pub urgency: u8,
+    /// Key of the flow, see [`crate::fair_share`].
+    pub flow: u64,
+    /// Number of items.
+    pub items: u32,
+    /// When the items are no longer expected.
+    pub expires_at: Instant,
 }
 
 /// Items that were announced to a pool and have not arrived yet, by a key of their stage.
@@ -25,14 +32,9 @@
         self.0.is_empty()
     }
 
-    /// Announces `items` at `position` of the queue. They are no longer expected after `expires_at`.
-    pub fn add(&mut self, key: u64, position: i64, items: u32, expires_at: Instant) {
+    /// Announces the items of the stage with this key.
+    pub fn add(&mut self, key: u64, announcement: Announcement) {
         if self.0.len() < MAX_ANNOUNCEMENTS {
-            let announcement = Announcement {
-                position,
-                items,
-                expires_at,
-            };
             self.0.insert(key, announcement);
         }
     }
@@ -42,11 +44,20 @@
         self.0.remove(&key);
     }
 
-    /// Returns the number of announced items before `position`, and removes expired announcements.
-    pub fn ahead(&mut self, position: i64, now: Instant) -> usize {
+    /// Removes expired announcements.
+    pub fn expire(&mut self, now: Instant) {
         self.0
             .retain(|_, announcement| announcement.expires_at > now);
-        let before = self.0.values().filter(|a| a.position < position);
+    }
+
+    /// Returns the announcements.
+    pub fn iter(&self) -> impl Iterator<Item = &Announcement> {
+        self.0.values()
+    }
+
+    /// Returns the number of announced items before `position`.
+    pub fn ahead(&self, position: i64) -> usize {
+        let before = self.iter().filter(|a| a.position < position);
         before.map(|a| a.items as usize).sum()
     }
 }
--- a/crates/routing/src/stage_admission/tests.rs
+++ b/crates/routing/src/stage_admission/tests.rs
@@ -2,7 +2,9 @@
 
 use tokio::time::Instant;
 
-use super::{Announced, GraphEstimate, PoolWaits, StageAdmission, StageEstimate, retry_after};
+use super::{
+    Announced, Announcement, GraphEstimate, PoolWaits, StageAdmission, StageEstimate, retry_after,
+};
 
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -83,14 +85,23 @@
 #[tokio::test(start_paused = true)]
 async fn announced_items_count_until_they_arrive_or_expire() {
     let (mut announced, now) = (Announced::default(), Instant::now());
-    announced.add(1, 100, 8, now + ms(500));
-    announced.add(2, 200, 4, now + ms(900));
-    announced.add(2, 200, 4, now + ms(900));
-    assert_eq!(announced.ahead(100, now), 0);
-    assert_eq!(announced.ahead(300, now), 12);
+    let items = |position, items, left| Announcement {
+        position,
+        urgency: 0,
+        flow: 0,
+        items,
+        expires_at: now + ms(left),
+    };
+    announced.add(1, items(100, 8, 500));
+    announced.add(2, items(200, 4, 900));
+    announced.add(2, items(200, 4, 900));
+    assert_eq!(announced.ahead(100), 0);
+    assert_eq!(announced.ahead(300), 12);
     announced.remove(1);
-    assert_eq!(announced.ahead(300, now), 4);
-    assert_eq!(announced.ahead(300, now + ms(900)), 0);
+    announced.expire(now + ms(899));
+    assert_eq!(announced.ahead(300), 4);
+    announced.expire(now + ms(900));
+    assert_eq!(announced.ahead(300), 0);
     assert!(announced.is_empty());
 }
 
