Stage admission: forecasts keep a margin, and numbers of other gates are bounded (measure this one)

Cause: requests at the border of a forecast were refused by the second pool after the first one had done their items, since endpoints are a few percent slower than declared. A wait near the largest duration, from another gate, would have overflowed when it was weighted.

Change: forecasts add 5 % to a wait; kept waits are at most an hour, and announcements expire with their deadline.

--- a/crates/forward/src/queue/forecast.rs
+++ b/crates/forward/src/queue/forecast.rs
@@ -14,6 +14,8 @@
 
 /// Time after the expected submission in which announced items are still expected.
 const SUBMISSION_GRACE: Duration = Duration::from_millis(300);
+/// Part of a wait by which it may be longer, since endpoints differ from their declared speed.
+const WAIT_MARGIN_DIVISOR: u32 = 20;
 
 impl Queue {
     /// Returns how long the items would wait that are submitted in `submitted_in`, and announces them
@@ -36,6 +38,7 @@
         let (_, position) = self.position(&submission, now);
         let ahead = self.ahead_of(&submission, position, Some(&self.announced), now);
         let wait = self.expected_wait(ahead, slots);
+        let wait = wait.saturating_add(wait / WAIT_MARGIN_DIVISOR);
         let submitted_in = submitted_in.min(submission.remaining);
         let end = wait
             .max(submitted_in)
@@ -47,7 +50,7 @@
                 urgency: submission.urgency,
                 flow: submission.flow(),
                 items: submission.items,
-                expires_at: now + submitted_in * 2 + SUBMISSION_GRACE,
+                expires_at: now + (submitted_in * 2 + SUBMISSION_GRACE).min(submission.remaining),
             };
             self.announced
                 .add(announcement_key(&submission), announcement);
--- a/crates/routing/src/stage_admission/pool_waits.rs
+++ b/crates/routing/src/stage_admission/pool_waits.rs
@@ -9,6 +9,9 @@
 /// Time before that age in which its weight falls from 1.
 const FADE_TIME: Duration = Duration::from_millis(750);
 
+/// Longest wait that is kept.
+const MAX_WAIT: Duration = Duration::from_hours(1);
+
 /// The latest wait of each pool by service, availability zone and urgency.
 #[derive(Debug, Default)]
 pub struct PoolWaits(HashMap<(String, String), Vec<ReportedWait>>);
@@ -41,7 +44,7 @@
         reported.retain(|r| r.urgency != urgency && now < r.at + MAX_AGE);
         reported.push(ReportedWait {
             urgency,
-            wait,
+            wait: wait.min(MAX_WAIT),
             at: now,
         });
     }
--- a/crates/routing/src/stage_admission/tests.rs
+++ b/crates/routing/src/stage_admission/tests.rs
@@ -46,6 +46,15 @@
     let submitted = graph(stages, 2_200).submitted_in();
     assert_eq!(submitted, [ms(0), ms(0), ms(1_200)]);
     // A stage without items neither takes time nor waits.
+    let absurd = GraphEstimate {
+        stages: vec![StageEstimate {
+            after: &[9],
+            wait: Duration::MAX,
+            duration: Duration::MAX,
+        }],
+        ..graph(&[], 600)
+    };
+    assert!(absurd.is_suspect() && absurd.admit().is_err());
     let skipped: &[(&[usize], u64, u64)] = &[(&[], 0, 200), (&[0], 60_000, 0)];
     assert_eq!(graph(skipped, 600).admit(), Ok(()));
 }
@@ -79,6 +88,10 @@
     assert_eq!(at(&waits, 3, 100), ms(500));
     waits.record("snow", "a", 3, ms(500), now + ms(1_100));
     assert_eq!(waits.pools(), 1, "the old one is forgotten");
+    // An absurd wait from another gate does not overflow.
+    waits.record("snow", "a", 0, Duration::MAX, now + ms(1_100));
+    let absurd = waits.expected("snow", "a", 0, now + ms(1_100));
+    assert!(absurd >= Duration::from_mins(1));
 }
 
 /// Guards against announcements that count for ever, or twice.
