--- a/crates/forwarder/tests/support/mod.rs
+++ b/crates/forwarder/tests/support/mod.rs
@@ -150,6 +150,8 @@
     pub links: Vec<Proxy>,
     pub endpoints: Vec<StandIn>,
     client: Client,
+    /// Section `[routing]` of the gates' settings.
+    routing: &'static str,
     // Dropped last, since it holds the processes' data and logs.
     _folder: TempDir,
 }
@@ -184,6 +186,11 @@
 
     /// Starts all processes, with gates of these names, and waits until they serve every route.
     pub async fn start_with(gates: &[&str]) -> Self {
+        Self::start_routing(gates, "").await
+    }
+
+    /// Starts all processes, with this section `[routing]` in the settings of the gates.
+    pub async fn start_routing(gates: &[&str], routing: &'static str) -> Self {
         let folder = tempfile::tempdir().unwrap();
         let folders = Folders {
             programs: program_folder(),
@@ -206,6 +213,7 @@
             links: Vec::new(),
             endpoints: Vec::new(),
             client: Client::new(REQUEST_TIMEOUT),
+            routing,
             _folder: folder,
         };
         for name in gates {
@@ -268,8 +276,9 @@
         let settings = settings(name, &format!("[keepers]\nkeeper-1 = {keeper}\n"))
             + &format!(
                 "advertised_link = {}\nhttp = 127.0.0.1:0\ncallers = 127.0.0.1:0\n\
-                 [timing]\nnotice_ms = 100\n[retries]\nslack = 200\n",
-                link.address()
+                 [timing]\nnotice_ms = 100\n[retries]\nslack = 200\n{}",
+                link.address(),
+                self.routing
             );
         let gate = self.folders.start("jujube-forwarder", name, &settings);
         let gate = gate.await.unwrap();
@@ -395,6 +404,12 @@
         released_handles.flatten().collect()
     }
 
+    /// Returns the log of a gate.
+    pub fn gate_log(&self, name: &str) -> String {
+        let path = self.folders.work.join(format!("{name}.log"));
+        std::fs::read_to_string(path).unwrap()
+    }
+
     /// Returns the logs of all processes.
     pub fn logs(&self) -> String {
         let names = GATES.iter().chain(&["keeper-1"]);
