--- a/crates/forward/src/messages.rs
+++ b/crates/forward/src/messages.rs
@@ -47,6 +47,12 @@
     /// The availability zone of the request.
     #[serde(rename = "z")]
     pub az: String,
+    /// True if the reply shall contain the expected wait.
+    #[serde(rename = "w", default, skip_serializing_if = "std::ops::Not::not")]
+    pub wants_wait: bool,
+    /// Key of the workspace and kind of the request, if shares count; see [`routing::fair_share`].
+    #[serde(rename = "f", default, skip_serializing_if = "Option::is_none")]
+    pub flow: Option<u64>,
 }
 
 /// Largest time in a submission, in milliseconds: the longest one that can be declared.
@@ -55,6 +61,11 @@
 const MAX_BYTES: u64 = 1 << 40;
 
 impl Submission {
+    /// Returns the key of the flow; requests without one share a flow.
+    pub(crate) fn flow(&self) -> u64 {
+        self.flow.unwrap_or_default()
+    }
+
     /// Limits numbers that another gate sent, so that computing with them does not overflow.
     pub(crate) fn bounded(self) -> Self {
         Self {
@@ -103,6 +114,9 @@
     /// The availability zone of the endpoint.
     #[serde(rename = "z")]
     pub az: String,
+    /// Time since the endpoint reported it; it was stored before the other items of its stage.
+    #[serde(rename = "a", default)]
+    pub age: Duration,
 }
 
 /// Why a stage has no results.
@@ -167,6 +181,21 @@
     Cancel(u64),
     /// Releases results, given the service and their handles.
     Free(String, Vec<String>),
+    /// Asks how long these items would wait, and announces them if they would be in time. They will be
+    /// submitted after the given time. Gates of earlier versions reply to it with no message.
+    Forecast(Submission, Duration),
+}
+
+/// When items can be called that are submitted soon.
+#[record]
+#[derive(Copy, Eq)]
+pub struct Forecast {
+    /// The expected wait from now on, until announced and waiting items before them are completed.
+    #[serde(rename = "w")]
+    pub wait: Duration,
+    /// True if the items would be completed in time; they are expected then.
+    #[serde(rename = "t")]
+    pub is_in_time: bool,
 }
 
 /// The reply to a [`StageRequest`].
@@ -174,6 +203,8 @@
 pub enum StageReply {
     /// To [`StageRequest::Submit`]: the ticket id.
     Accepted(u64),
+    /// To [`StageRequest::Submit`] that wants the expected wait: the ticket id and the wait.
+    Queued(u64, Duration),
     /// To [`StageRequest::Submit`] if the items were refused.
     Refused(StageFailure),
     /// To [`StageRequest::Await`]: the results or the failure.
@@ -181,6 +212,8 @@
     /// To [`StageRequest::AwaitFetched`]: true if the inputs were fetched, false if that is not
     /// known.
     Fetched(bool),
+    /// To [`StageRequest::Forecast`].
+    Expected(Forecast),
     /// To all other requests.
     Noted,
 }
--- a/crates/forward/src/queue.rs
+++ b/crates/forward/src/queue.rs
@@ -2,7 +2,9 @@
 
 mod call;
 mod endpoint_load;
+mod forecast;
 mod job;
+mod order;
 mod zone_load;
 
 use std::{
@@ -17,7 +19,7 @@
 use endpoint_load::{CAPACITY_MISS_HALF_LIFE, EndpointLoad, HeldResult, MAX_CAPACITY_MISS_SHARE};
 pub(crate) use job::Job;
 use job::QueuePosition;
-use routing::DecayingMean;
+use routing::{DecayingMean, fair_share::FairShare, stage_admission::Announced};
 use tokio::time::Instant;
 use zone_load::ZoneLoad;
 
@@ -56,6 +58,10 @@
     shed_at: Option<Instant>,
     /// Recent share of items that found no free space.
     capacity_misses: DecayingMean,
+    /// Items of stages that were forecast and are not submitted yet.
+    announced: Announced,
+    /// Shares of workspaces and kinds of requests, if these decide who is refused.
+    shares: Option<FairShare>,
 }
 
 impl Queue {
@@ -81,6 +87,8 @@
             deferred_releases: HashMap::new(),
             shed_at: None,
             capacity_misses: DecayingMean::new(CAPACITY_MISS_HALF_LIFE),
+            announced: Announced::default(),
+            shares: None,
         }
     }
 
@@ -115,14 +123,18 @@
         if slots <= 0.0 {
             return Err(unavailable(pool, reachable, now));
         }
-        let due = self.elapsed_ms(now) + submission.due_ms;
-        let position = due + i64::from(submission.urgency) * URGENCY_STEP_MS;
-        let wait = self.expected_wait(position, slots);
+        self.remove_announcement(&submission);
+        let (due, position) = self.position(&submission, now);
+        let ahead = self.ahead_of(&submission, position, None, now);
+        let wait = self.expected_wait(ahead, slots);
         let stage_time = self.stage_time(submission.items, slots);
         if wait.saturating_add(stage_time) > submission.remaining {
             return Err(StageFailure::Crowded { retry_after: wait });
         }
-        let ticket = Arc::new(Ticket::new(submission, now));
+        self.activate_flow(submission.flow());
+        let mut ticket = Ticket::new(submission, now);
+        ticket.expected_wait = wait;
+        let ticket = Arc::new(ticket);
         for item in 0..ticket.submission.items {
             let position = (position, self.next_seq);
             self.next_seq += 1;
@@ -143,10 +155,17 @@
         now.saturating_duration_since(self.start).as_millis() as i64
     }
 
-    /// Estimates how long items at `position` wait with this number of usable `slots` until those
-    /// ahead of them are completed.
-    fn expected_wait(&self, position: i64, slots: f64) -> Duration {
-        let ahead = self.jobs.range(..(position, 0)).count();
+    /// Returns the due time of the items and their position, in milliseconds since the queue was
+    /// created.
+    fn position(&self, submission: &Submission, now: Instant) -> (i64, i64) {
+        let due = self.elapsed_ms(now) + submission.due_ms;
+        let position = due + i64::from(submission.urgency) * URGENCY_STEP_MS;
+        (due, position)
+    }
+
+    /// Estimates how long items wait with this number of usable `slots` until the items `ahead` of
+    /// them are completed.
+    fn expected_wait(&self, ahead: usize, slots: f64) -> Duration {
         let busy: u32 = self.loads.values().map(|load| load.calls).sum();
         if ahead == 0 && f64::from(busy) < slots {
             return Duration::ZERO;
@@ -300,6 +319,7 @@
             .iter()
             .filter_map(|position| self.jobs.remove(position));
         let jobs: Vec<Job> = jobs.collect();
+        self.record_shares(&jobs);
         for job in &jobs {
             job.ticket.mark_started();
         }
@@ -335,15 +355,6 @@
         self.elapsed_ms(now) + self.call_time(1).as_millis() as i64
     }
 
-    /// Returns the items by position, first those that can still be in time or whose stages have
-    /// started, as results of a started stage occupy space until its last item is completed. The
-    /// other items are worth less and follow.
-    fn in_order(&self, first_due: i64) -> impl Iterator<Item = (&QueuePosition, &Job)> {
-        let is_first = move |job: &Job| job.due >= first_due || job.ticket.has_started();
-        let first = self.jobs.iter().filter(move |(_, job)| is_first(job));
-        first.chain(self.jobs.iter().filter(move |(_, job)| !is_first(job)))
-    }
-
     fn is_free(&self, target: &Target, now: Instant) -> bool {
         let load = self.loads.get(&target.name);
         let calls = load.map_or(0, |load| load.calls);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -25,7 +25,9 @@
 mod stats;
 mod token_bucket;
 
+pub mod fair_share;
 mod pending;
+pub mod stage_admission;
 pub mod subset;
 
 pub use admission::{
