--- a/crates/forward/src/adapter.rs
+++ b/crates/forward/src/adapter.rs
@@ -56,5 +56,6 @@
         running: numbers.next()??,
         waiting: numbers.next()??,
         slots: numbers.next()??,
+        slowdown_percent: numbers.next().flatten(),
     })
 }
--- a/crates/forward/src/attempts.rs
+++ b/crates/forward/src/attempts.rs
@@ -311,11 +311,11 @@
     deadline: Instant,
 ) -> Result<StartedResponse, AttemptFailure> {
     let PreparedCall {
-        flight,
+        mut flight,
         message,
         handover,
     } = call;
-    let target = &flight.target;
+    let target = &Arc::clone(&flight.target);
     let sent_at = Instant::now();
     let exchange = match call::send_tracked(
         &cx.pool,
@@ -354,6 +354,9 @@
         let own = stats.in_flight;
         let calls = load.running.saturating_add(load.waiting);
         stats.record_load(calls, own, Instant::now());
+        if let Some(zone_call) = &mut flight.zone_call {
+            zone_call.record_load(load);
+        }
     }
     match class {
         ResponseClass::Success | ResponseClass::Failed => {
--- a/crates/forward/src/dialect.rs
+++ b/crates/forward/src/dialect.rs
@@ -72,6 +72,8 @@
     pub waiting: u32,
     /// Calls that can run at the same time.
     pub slots: u32,
+    /// How long work currently takes, in percent of the usual time, if reported.
+    pub slowdown_percent: Option<u32>,
 }
 
 /// One item of a batched call.
--- /dev/null
+++ b/crates/forward/src/engine_placement.rs
@@ -0,0 +1,24 @@
+//! Which gate chooses the engines of requests with prompts.
+
+/// Which gate chooses the engines of requests with prompts.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum EnginePlacement {
+    /// Each gate chooses for its own requests.
+    #[default]
+    Gate,
+    /// One gate of each availability zone chooses for all gates of the zone, see
+    /// [`routing::EngineTable`].
+    Zone,
+}
+
+impl EnginePlacement {
+    /// Parses the setting `[routing] engine_placement`, absent for the default. The error says what
+    /// to write.
+    pub fn parse(text: Option<&str>) -> Result<Self, String> {
+        match text {
+            None | Some("gate") => Ok(Self::Gate),
+            Some("zone") => Ok(Self::Zone),
+            Some(other) => Err(format!("`{other}` is unknown; write gate or zone")),
+        }
+    }
+}
--- a/crates/forward/src/fleet.rs
+++ b/crates/forward/src/fleet.rs
@@ -16,15 +16,14 @@
 
 use logs::Event;
 use membership::{EndpointState, EndpointView, MAX_UNAVAILABLE, Mirror, UnavailableEndpoint};
-use routing::{EjectionConfig, Health, max_ejected};
+use routing::{EjectionConfig, Health, LatencyFit, LatencyModel, PrefixCache, max_ejected};
 use tokio::{sync::watch, time::Instant};
 use uuid::Uuid;
 pub use zones::ReachableZones;
 
 use crate::{
     availability::{AvailabilityState, Departure, UnavailableReason},
-    cache::PrefixCache,
-    latency::{LatencyFit, LatencyModel, Slowness},
+    latency::Slowness,
     long_prompts::LongPrompts,
     permits::{CallPermission, Permits},
 };
@@ -65,7 +64,7 @@
     pub(crate) service: String,
     pub(crate) az: String,
     pub(crate) address: SocketAddr,
-    incarnation: Uuid,
+    pub(crate) incarnation: Uuid,
     pub(crate) slots: Option<u32>,
     stats: Mutex<Stats>,
 }
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -93,6 +93,8 @@
     pub(crate) fn metrics_text(&self) -> String {
         let in_flight = self.in_flight.load(Ordering::Relaxed);
         self.metrics.set_callers(&self.connections, &self.small);
+        let tables = self.cx.zone_placement.table_sizes();
+        self.metrics.set_placement_tables(&tables);
         self.metrics
             .text(&self.cx.fleet, self.freshness.age(), in_flight)
     }
--- a/crates/forward/src/gates.rs
+++ b/crates/forward/src/gates.rs
@@ -17,6 +17,8 @@
 
 /// Name under which gates are ordered for granting permits; no declared service can have it.
 const LIMITER: &str = "@limiter";
+/// Name under which gates are ordered for placing calls with prompts.
+const PLACER: &str = "@placer";
 /// Name under which gates are ordered for being told of crashes.
 const CRASH_OBSERVER: &str = "@crash-observer";
 /// Number of gates that are told of crashes where not all are linked.
@@ -46,7 +48,8 @@
     Unavailable,
 }
 
-/// Which gate grants permits for the endpoints of an availability zone that name a request rate.
+/// Which gate grants permits for the endpoints of an availability zone that name a request rate, or
+/// places the calls with prompts of a service.
 #[derive(Clone, Debug)]
 pub(crate) enum LimiterChoice {
     /// This gate.
@@ -367,9 +370,23 @@
     /// order that all gates agree on.
     pub(crate) fn limiter_for(&self, az: &str) -> LimiterChoice {
         let mut known = self.known();
-        let is_leaving = known.is_leaving;
         let order = known.limiter_order(az);
-        for index in order.iter() {
+        self.first_usable(&mut known, &order)
+    }
+
+    /// Returns the gate of this availability zone that chooses the endpoints of calls to `service` with
+    /// prompts: the first usable one in an order that all gates agree on.
+    pub(crate) fn placer_for(&self, service: &str) -> LimiterChoice {
+        let az = self.az();
+        let mut known = self.known();
+        let seed = format!("{PLACER}/{service}");
+        let order = known.cached_order(&seed, az, |gate| gate.az == az);
+        self.first_usable(&mut known, &order)
+    }
+
+    fn first_usable(&self, known: &mut GateTable, order: &[usize]) -> LimiterChoice {
+        let is_leaving = known.is_leaving;
+        for index in order {
             let gate = &mut known.gates[*index];
             gate.update_link_state();
             gate.dial(&self.shared.links);
--- a/crates/forward/src/in_flight.rs
+++ b/crates/forward/src/in_flight.rs
@@ -11,6 +11,7 @@
 use crate::{
     fleet::{Pool, Target},
     incoming::Prompt,
+    zone_placement::ZoneCall,
 };
 
 /// Time from the first part of a response after which its request does the endpoint no harm.
@@ -29,6 +30,8 @@
     started_at: Instant,
     first_part_at: Option<Instant>,
     is_steady: bool,
+    /// The call as reported to the placement coordinator, if there is one.
+    pub(crate) zone_call: Option<ZoneCall>,
 }
 
 impl InFlightCall {
@@ -50,6 +53,7 @@
             started_at: now,
             first_part_at: None,
             is_steady: false,
+            zone_call: None,
         }
     }
 
@@ -110,9 +114,12 @@
         stats.unread_tokens = stats.unread_tokens.saturating_sub(self.unread_tokens);
         stats.slowness.observe(self.expected_ms, took, now);
         if let Some(prompt) = prompt {
-            stats.cache.record_read(prompt, now);
+            stats.cache.record_read(prompt.prefixes(), now);
         }
         drop(stats);
+        if let Some(zone_call) = &self.zone_call {
+            zone_call.record_first_event(took);
+        }
         let mut fit = self.pool.fit.lock().unwrap_or_else(PoisonError::into_inner);
         fit.observe(self.queued_tokens, took, now);
         true
--- a/crates/forward/src/incoming.rs
+++ b/crates/forward/src/incoming.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use hyper::{HeaderMap, Method};
+use routing::PrefixPart;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -89,6 +90,13 @@
         self.parts.split_last().map_or(&[], |(_, parts)| parts)
     }
 
+    /// Returns the hash of each part and all parts before it, with its tokens.
+    pub fn prefixes(&self) -> impl Iterator<Item = PrefixPart> {
+        self.parts
+            .iter()
+            .map(|part| (part.prefix_hash, part.tokens))
+    }
+
     /// Returns the hash of the longest prefix that other requests may share: all but the last part.
     pub fn shared_prefix(&self) -> Option<u64> {
         self.shareable_parts().last().map(|part| part.prefix_hash)
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -15,12 +15,12 @@
 mod batch_outcome;
 mod blocked_parts;
 mod budgets;
-mod cache;
 mod call;
 mod collector;
 mod control;
 mod dialect;
 mod endpoint_notifier;
+mod engine_placement;
 mod error;
 mod events;
 mod fleet;
@@ -55,6 +55,7 @@
 mod ticket;
 mod whole;
 mod zone_order;
+mod zone_placement;
 
 pub use adapter::{forwarded_request, parse_load, post_json, set_header};
 pub use budgets::SharedBudget;
@@ -62,6 +63,7 @@
     Attempt, Dialect, HeaderNameFn, Item, ItemResult, ItemSource, LoadReport, ParsedHead,
     ResponseClass,
 };
+pub use engine_placement::EnginePlacement;
 pub use headers::end_to_end;
 pub use incoming::{IncomingRequest, Prompt, PromptPart};
 pub use long_prompts::LongPrompts;
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -8,6 +8,7 @@
     HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
     exponential_buckets,
 };
+use routing::TableSizes;
 
 use crate::{availability::UnavailableReason, fleet::Fleet};
 
@@ -33,6 +34,7 @@
     batch_bounds: IntCounterVec,
     limited_calls: IntCounterVec,
     permits: IntCounterVec,
+    placement: PlacementMetrics,
     items_without_result: IntCounterVec,
     endpoints: IntGaugeVec,
     ejections: IntCounter,
@@ -75,6 +77,37 @@
     }
 }
 
+/// Placement of calls with prompts by one gate of the zone.
+#[derive(Clone, Debug)]
+struct PlacementMetrics {
+    calls: IntCounterVec,
+    seconds: HistogramVec,
+    table: IntGaugeVec,
+}
+
+impl PlacementMetrics {
+    fn new(registrar: &Registrar) -> eyre::Result<Self> {
+        Ok(Self {
+            calls: registrar.counters(
+                "placements_total",
+                "Calls with prompts by who chose the endpoint, if one gate of the zone does: coordinator or gate.",
+                &["service", "by"],
+            )?,
+            seconds: registrar.histograms(
+                "placement_seconds",
+                "Time of queries to the placement coordinator that were answered with an endpoint.",
+                &["service"],
+                exponential_buckets(0.000_25, 2.0, 8)?,
+            )?,
+            table: registrar.gauges(
+                "placement_table",
+                "Engines, open calls and cached parts in the tables of the services that this gate places.",
+                &["service", "of"],
+            )?,
+        })
+    }
+}
+
 /// Creates metrics and registers them in one registry.
 struct Registrar(Registry);
 
@@ -204,6 +237,7 @@
                 "Requests for permits to call endpoints that name a request rate: granted or refused.",
                 &["service", "outcome"],
             )?,
+            placement: PlacementMetrics::new(&registrar)?,
             items_without_result: registrar.counters(
                 "items_unmade_total",
                 "Items of batched calls without a result, by cause; many are called again.",
@@ -296,6 +330,32 @@
         self.permits.with_label_values(&[service, outcome]).inc();
     }
 
+    /// Records the time of a query to the placement coordinator.
+    pub(crate) fn record_placement_query(&self, service: &str, took: Duration) {
+        let seconds = self.placement.seconds.with_label_values(&[service]);
+        seconds.observe(took.as_secs_f64());
+    }
+
+    /// Counts a call with a prompt by who chose its endpoint.
+    pub(crate) fn record_zone_placement(&self, service: &str, by: &str) {
+        self.placement.calls.with_label_values(&[service, by]).inc();
+    }
+
+    /// Records the sizes of the tables of the services that this gate places.
+    pub(crate) fn set_placement_tables(&self, tables: &[(String, TableSizes)]) {
+        self.placement.table.reset();
+        for (service, sizes) in tables {
+            for (of, size) in [
+                ("engines", sizes.engines),
+                ("calls", sizes.calls),
+                ("parts", sizes.parts),
+            ] {
+                let gauge = self.placement.table.with_label_values(&[service, of]);
+                gauge.set(size as i64);
+            }
+        }
+    }
+
     /// Counts a crash of an endpoint.
     pub(crate) fn record_crash(&self, service: &str) {
         self.crashes.with_label_values(&[service]).inc();
--- a/crates/forward/src/placement.rs
+++ b/crates/forward/src/placement.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use routing::{PrefillCandidate, PrefillConfig};
+use routing::{LatencyModel, PrefillCandidate, PrefillConfig};
 use tokio::time::{Duration, Instant};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -12,7 +12,6 @@
     fleet::{Fleet, Pool, ReachableZones, Target},
     in_flight::InFlightCall,
     incoming::Prompt,
-    latency::LatencyModel,
     long_prompts::LongPrompts,
     permits::CallPermission,
 };
@@ -97,6 +96,46 @@
         }
     }
 
+    /// Counts a call at an endpoint that another gate chose, unless the call needs a permit first.
+    /// `None` if the endpoint does not take it.
+    pub(crate) fn place_at(
+        &self,
+        requirements: &Requirements<'_>,
+        endpoint: &str,
+        unread_tokens: u64,
+    ) -> Option<PlacedCall> {
+        let pool = self.pool(requirements.service)?;
+        let (reachable, now) = (self.reachable(), Instant::now());
+        let target = pool.targets.iter().find(|t| t.name == endpoint)?;
+        if target.unavailable_reason(&reachable, now).is_some() {
+            return None;
+        }
+        match target.try_take_permit(now) {
+            CallPermission::Granted => Some(PlacedCall::Ready(InFlightCall::start(
+                target,
+                &pool,
+                unread_tokens,
+            ))),
+            CallPermission::Needed => Some(PlacedCall::NeedsPermit(Arc::clone(target))),
+            CallPermission::Refused(_) => None,
+        }
+    }
+
+    /// Returns the endpoints that may take a call, with the time that it takes there in addition.
+    pub(crate) fn engines(&self, requirements: &Requirements<'_>) -> Vec<Engine> {
+        let Some(pool) = self.pool(requirements.service) else {
+            return Vec::new();
+        };
+        let (reachable, now) = (self.reachable(), Instant::now());
+        let untried = |t: &&Arc<Target>| !requirements.avoid.contains(&t.name);
+        let engines = pool.healthy(&reachable, now).filter(untried);
+        let engines = engines.map(|target| Engine {
+            target: Arc::clone(target),
+            extra_ms: extra_ms(requirements, target, target.stats().permits.cold_wait(now)),
+        });
+        engines.collect()
+    }
+
     /// Returns true if an endpoint that was not tried may take the call before `deadline`, since it is
     /// only full, paused or out of permits.
     pub(crate) fn may_place_by(&self, requirements: &Requirements<'_>, deadline: Instant) -> bool {
@@ -185,6 +224,13 @@
     unread_tokens: u64,
 }
 
+/// An endpoint that may take a call.
+pub(crate) struct Engine {
+    pub(crate) target: Arc<Target>,
+    /// Time that the call takes in addition, to transfer its inputs or to wait for a permit.
+    pub(crate) extra_ms: f64,
+}
+
 /// Chooses an endpoint with regard to the delay that the prompt causes to other calls.
 fn balanced(mut costed: Vec<(Cost, &Arc<Target>)>) -> Option<(Cost, &Arc<Target>)> {
     let candidates: Vec<PrefillCandidate> = costed.iter().map(|(c, _)| c.candidate()).collect();
@@ -234,7 +280,7 @@
 ) -> Option<Cost> {
     let stats = target.stats();
     let load = f64::from(stats.load(now));
-    let slots = target.slots.map_or(DEFAULT_SLOTS, f64::from);
+    let slots = slots(target);
     if load >= slots * (1.0 + MAX_OVERFLOW) {
         return None;
     }
@@ -246,7 +292,7 @@
         } else {
             0.0
         };
-        let cached = (stats.cache.cached_tokens(prompt) as f64).max(preferred_tokens);
+        let cached = (stats.cache.cached_tokens(prompt.prefixes()) as f64).max(preferred_tokens);
         let unread_tokens = (f64::from(prompt.tokens) - cached).max(1.0);
         (unread_tokens, (shared - cached).max(0.0))
     });
@@ -258,6 +304,25 @@
         None => load / slots * model.base_ms,
     };
     let call_ms = (model.at(unread_tokens + queued_tokens) * (1.0 + queue) + busy_ms) * slowness;
+    let cold_wait = stats.permits.cold_wait(now);
+    Some(Cost {
+        total_ms: call_ms
+            + extra_ms(requirements, target, cold_wait)
+            + reread_tokens * REREAD_PENALTY_MS,
+        unread_tokens: unread_tokens as u64,
+        queued_tokens,
+        calls: load,
+        ms_per_token: model.slope_ms * slowness,
+    })
+}
+
+/// Returns the number of calls that run at the same time at an endpoint.
+pub(crate) fn slots(target: &Target) -> f64 {
+    target.slots.map_or(DEFAULT_SLOTS, f64::from)
+}
+
+/// Returns the time that a call takes because of its inputs, the endpoint's zone and its permits.
+fn extra_ms(requirements: &Requirements<'_>, target: &Target, cold_wait: Duration) -> f64 {
     let cross_zone_bytes: u64 = requirements
         .inputs
         .iter()
@@ -269,17 +334,7 @@
     } else {
         CROSS_ZONE_PENALTY_MS
     };
-    Some(Cost {
-        total_ms: call_ms
-            + zone_ms
-            + stats.permits.cold_wait(now).as_secs_f64() * 1e3
-            + cross_zone_bytes as f64 / INPUT_BYTES_PER_MS
-            + reread_tokens * REREAD_PENALTY_MS,
-        unread_tokens: unread_tokens as u64,
-        queued_tokens,
-        calls: load,
-        ms_per_token: model.slope_ms * slowness,
-    })
+    zone_ms + cold_wait.as_secs_f64() * 1e3 + cross_zone_bytes as f64 / INPUT_BYTES_PER_MS
 }
 
 impl Pool {
--- a/crates/forward/src/placement/tests.rs
+++ b/crates/forward/src/placement/tests.rs
@@ -96,7 +96,11 @@
     let flight = fleet.place(&requirements(Some(&prompt), &[])).unwrap();
     let flight = flight.ready();
     let now = Instant::now();
-    flight.target.stats().cache.record_read(&prompt, now);
+    flight
+        .target
+        .stats()
+        .cache
+        .record_read(prompt.prefixes(), now);
     let again = fleet.place(&requirements(Some(&prompt), &[])).unwrap();
     assert_eq!(again.ready().target.name, "near");
 }
--- a/crates/forward/src/request.rs
+++ b/crates/forward/src/request.rs
@@ -23,6 +23,7 @@
     rate_limit::{PermitRequest, RateLimits},
     rules::{Caller, MatchedRoute, pick_service, urgency},
     stages::Stages,
+    zone_placement::ZonePlacement,
 };
 
 /// Size limit of a complete response.
@@ -48,6 +49,7 @@
     pub(crate) stages: Stages,
     pub(crate) budget: Arc<RetryBudget>,
     pub(crate) rate_limits: RateLimits,
+    pub(crate) zone_placement: ZonePlacement,
     pub(crate) crashes: CrashDetector,
     pub(crate) blocked_parts: BlockedParts,
     /// The VM name of this gate.
@@ -62,9 +64,24 @@
         &self,
         requirements: &Requirements<'_>,
     ) -> Result<InFlightCall, PlacementError> {
+        let zone_call = self.zone_placement.query(requirements).await;
         for _ in 0..MAX_PERMIT_REQUESTS {
-            match self.fleet.place(requirements)? {
-                PlacedCall::Ready(flight) => return Ok(flight),
+            let placed = zone_call.as_ref().and_then(|call| call.placed());
+            let placed = placed.and_then(|(endpoint, unread_tokens)| {
+                self.fleet.place_at(requirements, endpoint, unread_tokens)
+            });
+            let placed = match placed {
+                Some(placed) => placed,
+                None => self.fleet.place(requirements)?,
+            };
+            match placed {
+                PlacedCall::Ready(mut flight) => {
+                    if let Some(zone_call) = &zone_call {
+                        zone_call.start(&flight.target.name);
+                    }
+                    flight.zone_call = zone_call;
+                    return Ok(flight);
+                }
                 PlacedCall::NeedsPermit(target) => {
                     let request = PermitRequest::new(&target);
                     self.rate_limits.request_permits(request).await;
--- a/crates/forward/src/start.rs
+++ b/crates/forward/src/start.rs
@@ -36,6 +36,7 @@
     control::{KeeperFeed, KeeperSync},
     dialect::Dialect,
     endpoint_notifier::EndpointNotifier,
+    engine_placement::EnginePlacement,
     fleet::Fleet,
     forwarder::Forwarder,
     freshness::Freshness,
@@ -48,6 +49,7 @@
     server::{self, Phase},
     shutdown::Shutdown,
     stages::Stages,
+    zone_placement::{Dependencies, ZonePlacement},
 };
 
 /// Maximum number of idle connections per endpoint.
@@ -92,6 +94,8 @@
     pub resources: Resources,
     /// How long prompts are placed beside short ones.
     pub long_prompts: LongPrompts,
+    /// Which gate chooses the engines of requests with prompts.
+    pub engine_placement: EnginePlacement,
     /// True if a gate that has just started sends nothing until keepers have confirmed which zones
     /// are evacuated, so that an order holds at restarted gates as well.
     pub awaits_evacuations: bool,
@@ -270,6 +274,7 @@
     tasks.spawn(notifier.run());
     tasks.spawn(part_sync(&forwarder.cx, feed).run());
     tasks.spawn(forwarder.cx.rate_limits.clone().borrow_shares());
+    tasks.spawn(forwarder.cx.zone_placement.clone().report());
     tasks.spawn(poll_reachable_zones(
         forwarder.cx.fleet.clone(),
         gates.clone(),
@@ -335,6 +340,15 @@
         vm: cfg.vm.name.clone(),
         metrics: metrics.clone(),
     });
+    let zone_placement = ZonePlacement::new(Dependencies {
+        mode: cfg.engine_placement,
+        vm: cfg.vm.name.clone(),
+        az: cfg.vm.availability_zone.clone(),
+        fleet: fleet.clone(),
+        gates: gates.clone(),
+        rules: feed.rules.clone(),
+        metrics: metrics.clone(),
+    });
     let reporter = Reporter {
         vm: cfg.vm.name.clone(),
         parts: blocked_parts.clone(),
@@ -353,6 +367,7 @@
         },
         budget: Arc::clone(&budgets.requests),
         rate_limits,
+        zone_placement,
         crashes: CrashDetector::new(metrics.clone(), reporter),
         blocked_parts: blocked_parts.clone(),
         vm: cfg.vm.name.clone(),
@@ -422,15 +437,18 @@
     let rate_limits = forwarder.cx.rate_limits.clone();
     let fleet = forwarder.cx.fleet.clone();
     let crashes = forwarder.cx.crashes.clone();
+    let zone_placement = forwarder.cx.zone_placement.clone();
     link::serve(listener, links, move |call: Incoming| {
         let (stages, follower, fleet) = (stages.clone(), follower.clone(), fleet.clone());
         let (rate_limits, crashes) = (rate_limits.clone(), crashes.clone());
+        let zone_placement = zone_placement.clone();
         async move {
             match call.channel {
                 Channel::Stages => stages.answer(&call.body).await,
                 Channel::Follow => follower.answer(&call.body).await,
-                Channel::Calls => rate_limits
-                    .answer(&call.body)
+                Channel::Calls => zone_placement
+                    .answer(&call)
+                    .or_else(|| rate_limits.answer(&call.body))
                     .unwrap_or_else(|| crashes.reporter().answer(&call.body)),
                 Channel::Membership => answer_membership(&fleet, &call.body),
                 // The other end can't decode an empty reply and tries another gate.
--- a/crates/forwarder/src/config.rs
+++ b/crates/forwarder/src/config.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use forward::{LongPrompts, SharedBudget};
+use forward::{EnginePlacement, LongPrompts, SharedBudget};
 use host::{resources::Resources, settings::Reader};
 
 /// Configuration of a forwarding gate.
@@ -35,6 +35,7 @@
             resources: Resources::read(reader),
             awaits_evacuations: reader.number("zones", "evacuation_ms", 0, 0, 3_600_000) > 0,
             long_prompts: long_prompts(reader),
+            engine_placement: engine_placement(reader),
             notice,
             drain,
         })
@@ -50,6 +51,15 @@
     })
 }
 
+/// Reads `[routing] engine_placement`.
+fn engine_placement(reader: &mut Reader) -> EnginePlacement {
+    let text = reader.text("routing", "engine_placement");
+    EnginePlacement::parse(text.as_deref()).unwrap_or_else(|fault| {
+        reader.fault("routing", "engine_placement", fault);
+        EnginePlacement::default()
+    })
+}
+
 /// Reads `[retries]`, the retry budget that all forwarding gates share.
 fn budget(reader: &mut Reader) -> SharedBudget {
     let percent = reader.number("retries", "percent", 10, 0, 100);
--- a/crates/link/src/server.rs
+++ b/crates/link/src/server.rs
@@ -1,6 +1,9 @@
 //! Server end of a link: accepts connections and handles calls.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Weak},
+};
 
 use futures_util::StreamExt;
 use tokio::{
@@ -35,6 +38,8 @@
     pub channel: Channel,
     /// The encoded request.
     pub body: Vec<u8>,
+    /// Gone once the connection is closed.
+    pub connection: Weak<()>,
 }
 
 /// Accepts connections and replies to each call with the result of `handler`. Runs until dropped,
@@ -119,6 +124,7 @@
     let (sink, mut stream) = socket.split();
     let (tx, mut rx) = mpsc::channel(cfg.max_pending);
     let calls = Arc::new(Semaphore::new(cfg.max_pending));
+    let open = Arc::new(());
     let read = async {
         let mut running = JoinSet::new();
         loop {
@@ -134,6 +140,7 @@
                 from: from.clone(),
                 channel,
                 body,
+                connection: Arc::downgrade(&open),
             });
             let tx = tx.clone();
             running.spawn(async move {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -12,11 +12,14 @@
 mod config;
 mod crash_evidence;
 mod endpoint_limit;
+mod engine_table;
 mod ewma;
 mod health;
 mod latency;
+mod latency_fit;
 mod pool;
 mod prefill;
+mod prefix_cache;
 mod queue;
 mod rate_share;
 mod router;
@@ -39,10 +42,15 @@
 };
 pub use config::{AffinityConfig, EjectionConfig, LimitConfig, RouterConfig};
 pub use crash_evidence::{Crash, CrashEvidence, Culprit, Suspect};
+pub use engine_table::{
+    EngineCandidate, EngineChoice, EngineTable, FirstEvent, PromptCall, TableSizes,
+};
 pub use ewma::DecayingMean;
 pub use health::{Health, max_ejected};
 pub use latency::{Latencies, SizeClass, Stage};
+pub use latency_fit::{LatencyFit, LatencyModel};
 pub use prefill::{PrefillCandidate, PrefillConfig};
+pub use prefix_cache::{CachedTokens, PrefixCache, PrefixPart};
 pub use router::{EndpointStats, Pick, Router};
 pub use score::PickReasons;
 pub use token_bucket::TokenBucket;
