Zone placement: learn speeds only relative to the service, and expect overdue prompts to go on

Cause: until calls were observed the latency model's error counted as a difference in speed between engines, and a prompt that an engine had not finished when expected counted as finished.

Change: speeds are learnt once the model is fitted, from the ratio of observed to expected times divided by its mean over all engines. A prompt that is overdue is expected to take half of that time again, its own tokens at most.

--- a/crates/routing/src/engine_table.rs
+++ b/crates/routing/src/engine_table.rs
@@ -37,6 +37,8 @@
 const INITIAL_CALL_MS: f64 = 2_000.0;
 /// Half-life of the weight of a call in the mean duration.
 const CALL_DURATION_HALF_LIFE: Duration = Duration::from_secs(30);
+/// Half-life of the weight of a call in the mean ratio of observed to expected times.
+const RATIO_HALF_LIFE: Duration = Duration::from_secs(10);
 /// Calls are dropped after this time if their end is not reported.
 const MAX_CALL_AGE: Duration = Duration::from_mins(10);
 /// Engines without calls are dropped once there are this many times as many as candidates.
@@ -123,8 +125,8 @@
     max_generated: u32,
     /// Tokens to read at the engine when the call started, including its own.
     queued_tokens: f64,
-    /// Expected time to the first event at an engine of usual speed.
-    usual_ms: f64,
+    /// Calls at the engine when the call started.
+    calls: u32,
     /// Reported slowdown that was expected of the engine.
     slowdown: f64,
     started_at: Instant,
@@ -139,6 +141,8 @@
     gates: HashMap<String, HashMap<u64, OpenCall>>,
     fit: LatencyFit,
     durations: DecayingMean,
+    /// Natural logarithm of the ratio of observed to expected times over all engines.
+    log_ratios: DecayingMean,
     pruned_at: Option<Instant>,
 }
 
@@ -150,6 +154,7 @@
             gates: HashMap::new(),
             fit: LatencyFit::new(INITIAL_LATENCY),
             durations: DecayingMean::new(CALL_DURATION_HALF_LIFE),
+            log_ratios: DecayingMean::new(RATIO_HALF_LIFE),
             pruned_at: None,
         }
     }
@@ -243,9 +248,18 @@
             return;
         }
         engine.record_report(first.calls, first.slowdown, at);
-        let expected_ms = call.usual_ms * call.slowdown;
         let speed = engine.speed(now);
-        engine.observe_speed(first.took_ms / expected_ms.max(1.0), now);
+        // Until calls were observed, the model does not tell how fast engines usually are.
+        if self.fit.is_fitted() {
+            let busy_ms = f64::from(call.calls) * CONCURRENT_CALL_MS;
+            let usual_ms = self.fit.model().at(call.queued_tokens) + busy_ms;
+            let expected_ms = usual_ms * call.slowdown;
+            // An error of the model that all engines share is no difference in speed.
+            let log_ratio = (first.took_ms.max(1.0) / expected_ms.max(1.0)).ln();
+            self.log_ratios.add(log_ratio, now);
+            let usual = self.log_ratios.mean().unwrap_or(0.0);
+            engine.observe_speed(log_ratio - usual, now);
+        }
         let usual_ms = first.took_ms / (speed * call.slowdown);
         self.fit.observe(call.queued_tokens, usual_ms, now);
     }
@@ -324,15 +338,14 @@
             return;
         };
         let queued_tokens = state.queued_tokens(model.slope_ms, now) + unread_tokens;
-        let usual_ms = model.at(queued_tokens) + f64::from(state.calls) * CONCURRENT_CALL_MS;
-        let slowdown = state.slowdown(now);
+        let (calls, slowdown) = (state.calls, state.slowdown(now));
         state.start_call(gate, call, unread_tokens, now);
         let open = OpenCall {
             engine: engine.to_owned(),
             parts: call.parts.to_vec(),
             max_generated: call.max_generated,
             queued_tokens,
-            usual_ms,
+            calls,
             slowdown,
             started_at: now,
         };
--- a/crates/routing/src/engine_table/engine.rs
+++ b/crates/routing/src/engine_table/engine.rs
@@ -15,6 +15,10 @@
 const DEFAULT_MEMORY_TOKENS: u64 = 200_000;
 /// Time after which a reported number of calls is outdated.
 const LOAD_REPORT_TTL: Duration = Duration::from_millis(500);
+/// Time until a first event is reported.
+const REPORT_DELAY_MS: f64 = 50.0;
+/// Part of the time beyond the expectation for which a prompt is expected to be read still.
+const OVERDUE_SHARE: f64 = 0.5;
 /// Half-life of the weight of a reported slowdown.
 const SLOWDOWN_HALF_LIFE: Duration = Duration::from_millis(250);
 /// Half-life of the learnt speed without new observations.
@@ -86,15 +90,19 @@
         }
     }
 
-    /// Returns the tokens that are still to be read, with `ms_per_token` of reading time.
+    /// Returns the tokens that are still to be read, with `ms_per_token` of reading time. A prompt that
+    /// takes longer than expected is expected to take longer still.
     pub(super) fn queued_tokens(&self, ms_per_token: f64, now: Instant) -> f64 {
         let Some(first) = self.reading.first() else {
             return 0.0;
         };
         let queued: f64 = self.reading.iter().map(|r| r.unread_tokens).sum();
         let reading = now.saturating_duration_since(self.reading_since);
-        let read = reading.as_secs_f64() * 1e3 / (ms_per_token * self.speed(now)).max(1e-6);
-        queued - read.min(first.unread_tokens)
+        let ms_per_token = (ms_per_token * self.speed(now)).max(1e-6);
+        let read = reading.as_secs_f64() * 1e3 / ms_per_token;
+        let overdue = read - first.unread_tokens - REPORT_DELAY_MS / ms_per_token;
+        let left = (first.unread_tokens - read).max(overdue * OVERDUE_SHARE);
+        queued - first.unread_tokens + left.clamp(0.0, first.unread_tokens)
     }
 
     /// Returns the tokens that open calls keep in memory or may still generate.
@@ -187,9 +195,10 @@
         (log_speed * decay(age, SPEED_HALF_LIFE)).exp()
     }
 
-    /// Records that a call took `factor` times as long as at an engine of usual speed.
-    pub(super) fn observe_speed(&mut self, factor: f64, now: Instant) {
-        let seen = factor.clamp(1.0 / MAX_FACTOR, MAX_FACTOR).ln();
+    /// Records the natural logarithm of the factor on the usual time that a call took.
+    pub(super) fn observe_speed(&mut self, log_factor: f64, now: Instant) {
+        let limit = MAX_FACTOR.ln();
+        let seen = log_factor.clamp(-limit, limit);
         let known = self.speed(now).ln();
         self.log_speed = (known + SPEED_SMOOTHING * (seen - known), now);
     }
--- a/crates/routing/src/latency_fit.rs
+++ b/crates/routing/src/latency_fit.rs
@@ -67,9 +67,14 @@
         }
     }
 
+    /// Returns true if enough calls have been observed lately.
+    pub fn is_fitted(&self) -> bool {
+        self.weight >= MIN_WEIGHT
+    }
+
     /// Returns the fitted model. Its base is never negative and its slope is always positive.
     pub fn model(&self) -> LatencyModel {
-        if self.weight < MIN_WEIGHT {
+        if !self.is_fitted() {
             return self.initial;
         }
         let (mean_x, mean_y) = (self.x / self.weight, self.y / self.weight);
