--- a/crates/forwarder/src/config.rs
+++ b/crates/forwarder/src/config.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use forward::{FairShares, LongPrompts, SharedBudget, StageAdmission};
+use forward::{EnginePlacement, FairShares, LongPrompts, SharedBudget, StageAdmission};
 use host::{resources::Resources, settings::Reader};
 
 /// Configuration of a forwarding gate.
@@ -37,6 +37,7 @@
             long_prompts: routing(reader, "long_prompts", LongPrompts::parse),
             stage_admission: routing(reader, "stage_admission", StageAdmission::parse),
             fair_shares: routing(reader, "fair_share", FairShares::parse),
+            engine_placement: routing(reader, "engine_placement", EnginePlacement::parse),
             notice,
             drain,
         })
