Zone placement: one preferred engine over all zones, and auto

Now all coordinators assume that nine tenths of a shared prefix are cached at the engine that a hash prefers, as gates do alone.

engine_placement = auto uses the coordinator for services whose endpoints report their slowdown.

--- a/crates/forward/src/attempts.rs
+++ b/crates/forward/src/attempts.rs
@@ -354,6 +354,7 @@
         let own = stats.in_flight;
         let calls = load.running.saturating_add(load.waiting);
         stats.record_load(calls, own, Instant::now());
+        cx.zone_placement.record_load(&req.service, &load);
         if let Some(zone_call) = &mut flight.zone_call {
             zone_call.record_load(load);
         }
--- a/crates/forward/src/engine_placement.rs
+++ b/crates/forward/src/engine_placement.rs
@@ -9,6 +9,9 @@
     /// One gate of each availability zone chooses for all gates of the zone, see
     /// [`routing::EngineTable`].
     Zone,
+    /// As [`Self::Zone`] for services whose endpoints report how slow they currently are, which changes
+    /// too often for gates that call each endpoint rarely.
+    Auto,
 }
 
 impl EnginePlacement {
@@ -18,7 +21,8 @@
         match text {
             None | Some("gate") => Ok(Self::Gate),
             Some("zone") => Ok(Self::Zone),
-            Some(other) => Err(format!("`{other}` is unknown; write gate or zone")),
+            Some("auto") => Ok(Self::Auto),
+            Some(other) => Err(format!("`{other}` is unknown; write gate, zone or auto")),
         }
     }
 }
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -41,8 +41,7 @@
     ejections: IntCounter,
     crashes: IntCounterVec,
     blocked_parts: IntGauge,
-    evacuated_zones: IntGauge,
-    evacuations_version: IntGauge,
+    evacuations: EvacuationGauges,
     confirmed: IntGauge,
     in_flight: IntGauge,
     callers: CallerGauges,
@@ -133,6 +132,28 @@
     }
 }
 
+/// Evacuations of availability zones.
+#[derive(Clone, Debug)]
+struct EvacuationGauges {
+    zones: IntGauge,
+    version: IntGauge,
+}
+
+impl EvacuationGauges {
+    fn new(registrar: &Registrar) -> eyre::Result<Self> {
+        Ok(Self {
+            zones: registrar.gauge(
+                "evacuated_zones",
+                "Availability zones that get no requests because operators evacuated them.",
+            )?,
+            version: registrar.gauge(
+                "evacuations_version",
+                "Version of the keepers' evacuations that is applied here.",
+            )?,
+        })
+    }
+}
+
 /// Creates metrics and registers them in one registry.
 struct Registrar(Registry);
 
@@ -284,14 +305,7 @@
                 "blocked_parts",
                 "Parts of prompts that are blocked because endpoints crashed under them.",
             )?,
-            evacuated_zones: registrar.gauge(
-                "evacuated_zones",
-                "Availability zones that get no requests because operators evacuated them.",
-            )?,
-            evacuations_version: registrar.gauge(
-                "evacuations_version",
-                "Version of the keepers' evacuations that is applied here.",
-            )?,
+            evacuations: EvacuationGauges::new(&registrar)?,
             confirmed: registrar.gauge(
                 "confirmed_age_ms",
                 "Age of the last confirmation of the declaration; -1 for none.",
@@ -491,8 +505,8 @@
         let ejected = fleet.ejections().saturating_sub(self.ejections.get());
         self.ejections.inc_by(ejected);
         let (version, evacuated) = fleet.reachable().evacuations();
-        self.evacuations_version.set(version as i64);
-        self.evacuated_zones.set(evacuated as i64);
+        self.evacuations.version.set(version as i64);
+        self.evacuations.zones.set(evacuated as i64);
         self.confirmed
             .set(confirmed.map_or(-1, |age| age.as_millis() as i64));
         self.in_flight.set(in_flight as i64);
--- a/crates/forward/src/zone_placement.rs
+++ b/crates/forward/src/zone_placement.rs
@@ -9,9 +9,9 @@
 mod outbox;
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError, Weak,
+        Arc, Mutex, MutexGuard, PoisonError, RwLock, Weak,
         atomic::{AtomicU64, Ordering},
     },
     time::Duration,
@@ -70,6 +70,8 @@
     cx: Dependencies,
     coordinator: Coordinator,
     outboxes: Mutex<HashMap<String, Outbox>>,
+    /// Services whose endpoints report their slowdown.
+    reporting: RwLock<HashSet<String>>,
     next_id: AtomicU64,
     /// Notified when there is something to report.
     report: Notify,
@@ -94,6 +96,7 @@
                 cx,
                 coordinator: Coordinator::default(),
                 outboxes: Mutex::default(),
+                reporting: RwLock::default(),
                 // Differs from the ids of the gate's process before.
                 next_id: AtomicU64::new(rand::random::<u64>() >> 1),
                 report: Notify::new(),
@@ -104,11 +107,11 @@
     /// Asks for the endpoint of a call with a prompt. `None` if the gate places it alone.
     pub(crate) async fn query(&self, requirements: &Requirements<'_>) -> Option<ZoneCall> {
         let shared = &self.shared;
-        if shared.cx.mode == EnginePlacement::Gate {
-            return None;
-        }
         let prompt = requirements.prompt?;
         let service = requirements.service;
+        if !shared.is_placed_by_zone(service) {
+            return None;
+        }
         let call = Call {
             id: shared.next_id.fetch_add(1, Ordering::Relaxed),
             parts: prompt.prefixes().collect(),
@@ -143,6 +146,21 @@
         Some(zone_call)
     }
 
+    /// Records that an endpoint of `service` reported `load`.
+    pub(crate) fn record_load(&self, service: &str, load: &LoadReport) {
+        let shared = &self.shared;
+        if shared.cx.mode == EnginePlacement::Auto
+            && load.slowdown_percent.is_some()
+            && !shared.is_placed_by_zone(service)
+        {
+            let mut reporting = shared.reporting.write();
+            let reporting = reporting.as_mut();
+            reporting
+                .expect("no holder of this lock panics")
+                .insert(service.to_owned());
+        }
+    }
+
     /// Answers another gate. Returns `None` if the message is not about placement.
     pub(crate) fn answer(&self, incoming: &Incoming) -> Option<Vec<u8>> {
         let req: PlacementRequest = link::decode(&incoming.body).ok()?;
@@ -198,6 +216,19 @@
 }
 
 impl Shared {
+    fn is_placed_by_zone(&self, service: &str) -> bool {
+        match self.cx.mode {
+            EnginePlacement::Gate => false,
+            EnginePlacement::Zone => true,
+            EnginePlacement::Auto => {
+                let reporting = self.reporting.read();
+                reporting
+                    .expect("no holder of this lock panics")
+                    .contains(service)
+            }
+        }
+    }
+
     fn outboxes(&self) -> MutexGuard<'_, HashMap<String, Outbox>> {
         self.outboxes.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/routing/src/engine_table.rs
+++ b/crates/routing/src/engine_table.rs
@@ -14,6 +14,7 @@
 use engine::Engine;
 use tokio::time::Instant;
 use uuid::Uuid;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
     DecayingMean,
@@ -29,6 +30,8 @@
 };
 /// Penalty per token of a shared part that must be read again, in addition to the reading time.
 const REREAD_PENALTY_MS: f64 = 0.05;
+/// Fraction of a shared prefix that its preferred engine is assumed to have cached.
+const PREFERRED_CACHED_SHARE: f64 = 0.9;
 /// Slowdown of an engine per concurrent call.
 const CONCURRENT_CALL_MS: f64 = 1.0;
 /// Maximum number of calls at an engine, as a multiple of its slots.
@@ -77,6 +80,14 @@
 }
 
 impl PromptCall<'_> {
+    /// Returns the engine that the coordinators of all zones prefer for the shared prefix, so that it
+    /// is read once and not once in each zone.
+    fn preferred<'a>(&self, candidates: &[EngineCandidate<'a>]) -> Option<&'a str> {
+        let (prefix, _) = self.parts.iter().rev().nth(1)?;
+        let rank = |c: &&EngineCandidate<'a>| xxh3_64_with_seed(c.name.as_bytes(), *prefix);
+        candidates.iter().max_by_key(rank).map(|c| c.name)
+    }
+
     fn shared_tokens(&self) -> u64 {
         let shared = self.parts.iter().rev().skip(1);
         shared.map(|(_, tokens)| u64::from(*tokens)).sum()
@@ -417,6 +428,7 @@
         let model = self.fit.model();
         let call_ms = self.durations.mean().unwrap_or(INITIAL_CALL_MS);
         let shared = call.shared_tokens() as f64;
+        let preferred = call.preferred(candidates);
         let of_zone = candidates.iter().enumerate();
         let of_zone = of_zone.filter(|(_, candidate)| candidate.is_local == is_local);
         let costed = of_zone.filter_map(|(index, candidate)| {
@@ -436,7 +448,11 @@
                 return None;
             }
             let held = engine.cache.lookup(call.parts.iter().copied());
-            let cached = held.cached as f64;
+            let assumed = match preferred == Some(candidate.name) {
+                true => shared * PREFERRED_CACHED_SHARE,
+                false => 0.0,
+            };
+            let cached = (held.cached as f64).max(assumed);
             let unread_tokens = (f64::from(call.tokens) - cached).max(1.0);
             let factor = engine.speed(now) * engine.slowdown(now);
             let slot_wait_ms = (calls + 1.0 - slots).max(0.0) * call_ms / slots;
