host: read bodies in blocks that are allocated whole

Cause: traces with a counting allocator under bodies_far_over_the_limit at the control listener of a core. With one growing vector per body, 43.8 MiB were allocated at most for the 18 MB of the budget, and 118 to 124 MiB were resident when only 0.9 MiB were allocated: the allocator keeps freed memory of every size class that a growing vector passes.

Change: blocks after the first are allocated whole. The reader moves from platform to host::body, for use at other listeners; an oversized body may be discarded up to a limit before the refusal.

--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -1,6 +1,7 @@
 //! Process plumbing shared by all roles: settings, logs, metrics, HTTP, signals and exit codes.
 
 pub mod args;
+pub mod body;
 pub mod client;
 pub mod exit;
 pub mod http;
