--- a/crates/console/src/config.rs
+++ b/crates/console/src/config.rs
@@ -2,7 +2,10 @@
 
 use std::net::SocketAddr;
 
-use host::settings::{Operator, Peer, Reader, Secret, Vm};
+use host::{
+    resources::Resources,
+    settings::{Operator, Peer, Reader, Secret, Vm},
+};
 
 /// Settings of one console.
 #[derive(Clone, Debug)]
@@ -17,6 +20,8 @@
     pub gates: Vec<Peer>,
     /// HTTP addresses of the controllers, which the status page queries.
     pub controllers: Vec<Peer>,
+    /// What the VM has; the limits on clients are derived from it.
+    pub resources: Resources,
     /// Key that authenticates links.
     pub link_key: Option<Secret>,
     /// Operators who may log in; if empty, no login is required.
@@ -29,6 +34,7 @@
         let security = reader.security();
         Self {
             vm: reader.vm(),
+            resources: Resources::read(reader),
             http: reader.listen("http"),
             keepers: reader.keepers(),
             gates: reader.peers("gates"),
--- a/crates/console/src/start.rs
+++ b/crates/console/src/start.rs
@@ -5,7 +5,6 @@
 use host::{
     client::Client,
     http::{self, ListenerLimits},
-    resources::Resources,
     role::Running,
     settings::Peer as NamedAddress,
     shutdown::StopSignal,
@@ -34,12 +33,9 @@
     }
     let bound = http::bind(cfg.http).await?;
     let local = bound.local_addr;
+    let limits = ListenerLimits::internal("console", &cfg.resources);
     let app = Arc::new(build_app(cfg));
-    let (handle, task) = http::serve(
-        bound,
-        router(app),
-        &ListenerLimits::internal("console", &Resources::of_machine()),
-    );
+    let (handle, task) = http::serve(bound, router(app), &limits);
     let task = tokio::spawn(async move {
         stopped.wait().await;
         handle.stop_graceful(DRAIN_TIMEOUT);
--- a/crates/controller/src/config.rs
+++ b/crates/controller/src/config.rs
@@ -2,7 +2,10 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use host::settings::{Peer, Reader, Secret, Vm};
+use host::{
+    resources::Resources,
+    settings::{Peer, Reader, Secret, Vm},
+};
 
 /// Settings of one controller.
 #[derive(Clone, Debug)]
@@ -15,6 +18,8 @@
     pub keepers: Vec<Peer>,
     /// Gates; those of its availability zone report the endpoints.
     pub gates: Vec<Peer>,
+    /// What the VM has; the limits on clients are derived from it.
+    pub resources: Resources,
     /// Key that authenticates links.
     pub link_key: Option<Secret>,
     /// Section `[controller]`.
@@ -66,6 +71,7 @@
     pub fn read(r: &mut Reader) -> Self {
         Self {
             vm: r.vm(),
+            resources: Resources::read(r),
             http: r.listen("http"),
             keepers: r.keepers(),
             gates: r.peers("gates"),
--- a/crates/controller/src/start.rs
+++ b/crates/controller/src/start.rs
@@ -4,7 +4,6 @@
 
 use host::{
     http::{self, ListenerLimits},
-    resources::Resources,
     role::Running,
     settings::Peer as PeerSetting,
     shutdown::StopSignal,
@@ -59,7 +58,7 @@
     let (handle, server) = http::serve(
         bound,
         router(page_state),
-        &ListenerLimits::internal("controller", &Resources::of_machine()),
+        &ListenerLimits::internal("controller", &cfg.resources),
     );
     let polling = comparison::poll_gates(gates.clone(), az.clone(), Arc::clone(&reconciler));
     let polling = tokio::spawn(polling);
