Keeper: HTTP and link limits from [resources]; bodies share a budget

Cause: bodies of up to 3 MiB at the HTTP listener had no common limit, and the limits were those of the machine. 66 bodies one byte short took a keeper to 415.9 MB.

--- a/crates/keeper/src/announce.rs
+++ b/crates/keeper/src/announce.rs
@@ -36,7 +36,8 @@
 ) -> Result<membership::AnnounceResponse, Problem> {
     let table = api.service.table().ok_or_else(no_table)?;
     check_announce_token(api.announce_token.as_ref(), req.headers()).map_err(|e| *e)?;
-    let bytes = request_body::read(req).await?;
+    let mut body = request_body::read(req, &api.bodies.announcements).await?;
+    let bytes = body.take_bytes();
     let announcement: Announcement = serde_json::from_slice(&bytes).map_err(|e| {
         let what = format!("the body is not a valid announcement: {e}");
         Problem::new(400, "bad-body", "Bad body", what)
--- a/crates/keeper/src/api_state.rs
+++ b/crates/keeper/src/api_state.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     error_response::{ErrorResponse, no_quorum},
+    request_body::Budgets,
     service::Service,
 };
 
@@ -26,6 +27,8 @@
     pub operators: Vec<Operator>,
     /// Token that endpoints send with announcements.
     pub announce_token: Option<Secret>,
+    /// Memory for the bodies of requests that have not been answered.
+    pub bodies: Budgets,
 }
 
 pub(crate) fn api_state(depot: &Depot) -> Arc<ApiState> {
--- a/crates/keeper/src/blocked_http.rs
+++ b/crates/keeper/src/blocked_http.rs
@@ -41,7 +41,8 @@
     let operator = authorize(api, req)?;
     let part = req.param::<String>("part").unwrap_or_default();
     let part = parse_part(&part).map_err(|e| bad_request(&e))?;
-    let bytes = request_body::read(req).await?;
+    let mut held = request_body::read(req, &api.bodies.operators).await?;
+    let bytes = held.take_bytes();
     let body: UnblockRequest =
         serde_json::from_slice(&bytes).map_err(|e| bad_request(&e.to_string()))?;
     let req = KeeperRequest::UnblockPart {
--- a/crates/keeper/src/config.rs
+++ b/crates/keeper/src/config.rs
@@ -2,7 +2,10 @@
 
 use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
-use host::settings::{Operator, Peer, Reader, Secret, Vm};
+use host::{
+    resources::Resources,
+    settings::{Operator, Peer, Reader, Secret, Vm},
+};
 use replica::Timing;
 
 const DEFAULT_RETENTION_MS: u64 = 24 * 3_600 * 1_000;
@@ -56,6 +59,8 @@
 pub struct Config {
     /// The VM on which it runs.
     pub vm: Vm,
+    /// What the VM has; the limits on clients are derived from it.
+    pub resources: Resources,
     /// Listen address of the operators' HTTP API.
     pub http: SocketAddr,
     /// Listen address for links.
@@ -95,6 +100,7 @@
         let folder = reader.path("data", "folder");
         let cfg = Self {
             vm: reader.vm(),
+            resources: Resources::read(reader),
             http: reader.listen("http"),
             link: reader.listen("link"),
             advertised_link: reader.address("listen", "advertised_link"),
--- a/crates/keeper/src/http_api.rs
+++ b/crates/keeper/src/http_api.rs
@@ -76,7 +76,8 @@
 async fn submit(api: &ApiState, req: &mut Request) -> Result<Accepted, ErrorResponse> {
     const STEP: &str = "submit the change";
     let operator = authorize(api, req)?;
-    let bytes = request_body::read(req).await?;
+    let mut body = request_body::read(req, &api.bodies.operators).await?;
+    let bytes = body.take_bytes();
     let mut submission = submission::parse(&bytes).map_err(|e| bad_request(&e))?;
     if let Some(operator) = operator {
         submission.author = operator;
@@ -222,7 +223,8 @@
 
 async fn change_members(api: &ApiState, req: &mut Request) -> Result<(), ErrorResponse> {
     authorize(api, req)?;
-    let bytes = request_body::read(req).await?;
+    let mut held = request_body::read(req, &api.bodies.operators).await?;
+    let bytes = held.take_bytes();
     let body: MemberRequest =
         serde_json::from_slice(&bytes).map_err(|e| bad_request(&e.to_string()))?;
     let action = match (body.action, &body.address) {
--- a/crates/keeper/src/start.rs
+++ b/crates/keeper/src/start.rs
@@ -4,7 +4,6 @@
 
 use host::{
     http::{self, ListenerLimits},
-    resources::Resources,
     role::Running,
     shutdown::StopSignal,
 };
@@ -22,7 +21,7 @@
 
 use crate::{
     api_state::ApiState, config::Config, group, held_settlements::HeldSettlements,
-    http_api::router, service::Service, shared_state::SharedState, state_changes,
+    http_api::router, request_body, service::Service, shared_state::SharedState, state_changes,
     table_sync::sync_table,
 };
 
@@ -124,11 +123,12 @@
         service: Arc::clone(&service),
         operators,
         announce_token,
+        bodies: request_body::Budgets::new(&cfg.resources),
     };
     let (handle, serving) = http::serve(
         bound,
         router(api),
-        &ListenerLimits::internal("keeper", &Resources::of_machine()),
+        &ListenerLimits::internal("keeper", &cfg.resources),
     );
     let running_service = Arc::clone(&service);
     let task = tokio::spawn(async move {
@@ -224,8 +224,7 @@
         incarnation: Uuid::now_v7(),
     });
     links.key = cfg.link_key.as_ref().map(|key| key.expose().to_vec());
-    links.max_unverified =
-        ListenerLimits::internal("link", &Resources::of_machine()).max_connections;
+    links.max_unverified = ListenerLimits::internal("link", &cfg.resources).max_connections;
     links
 }
 
--- a/crates/keeper/src/zones_http.rs
+++ b/crates/keeper/src/zones_http.rs
@@ -54,7 +54,8 @@
 ) -> Result<ZoneOrdered, ErrorResponse> {
     let operator = authorize(api, req)?;
     let zone = req.param::<String>("zone").unwrap_or_default();
-    let bytes = request_body::read(req).await?;
+    let mut held = request_body::read(req, &api.bodies.operators).await?;
+    let bytes = held.take_bytes();
     let body: ZoneRequest =
         serde_json::from_slice(&bytes).map_err(|e| bad_request(&e.to_string()))?;
     check_known(&api.service, &zone).await?;
