Gate: /v1 limits from [resources]; announcements have a budget

Cause: at 120 MB, 4,096 descriptors and default settings, 100 bodies in one-byte chunks took a gate to 164.7 MB, 600 connections without a byte took all of 512 descriptors, and announcements had no common limit.

Change: the defaults of connections, body_bytes and buffered_bytes follow [resources] where it is set. Bodies are kept in blocks, those of announcements within a quarter of buffered_bytes.

--- a/crates/gate/src/body.rs
+++ b/crates/gate/src/body.rs
@@ -1,23 +1,19 @@
 //! Reads request bodies within the gate's memory limit.
 
-use bytes::{Bytes, BytesMut};
-use host::problem::Problem;
+use bytes::Bytes;
+use host::{body::Blocks, problem::Problem};
 use http_body_util::BodyExt;
 use outbound::{BodyMemory, MemoryReservation};
 use salvo::{Request, http::header::CONTENT_LENGTH};
 
-use crate::{config::Limits, refusal::refusal};
+use crate::refusal::refusal;
 
-/// Largest buffer that is allocated before any of the body arrives, in bytes.
-const INITIAL_CAPACITY: usize = 64 << 10;
-
-/// Reads the whole body. Refuses it if it is too large or memory is exhausted.
+/// Reads the whole body. Refuses it if it has more than `max` bytes or memory is exhausted.
 pub(crate) async fn read(
-    limits: &Limits,
+    max: usize,
     memory: &BodyMemory,
     req: &mut Request,
 ) -> Result<(Bytes, MemoryReservation), Box<Problem>> {
-    let max = limits.body_bytes;
     let content_length = req.headers().get(CONTENT_LENGTH);
     let content_length = content_length.and_then(|v| v.to_str().ok()?.parse::<usize>().ok());
     if content_length.is_some_and(|n| n > max) {
@@ -26,7 +22,7 @@
     // Only bytes that have arrived are reserved, so a caller that declares a large body and sends
     // little does not block others.
     let mut reservation = memory.reservation();
-    let mut whole = BytesMut::with_capacity(content_length.unwrap_or(0).min(INITIAL_CAPACITY));
+    let mut whole = Blocks::default();
     let mut body = req.take_body();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|e| {
@@ -36,15 +32,15 @@
         let Ok(part) = frame.into_data() else {
             continue;
         };
-        let size = whole.len() + part.len();
+        let size = whole.length() + part.len();
         match size {
             _ if size > max => return Err(too_large(max)),
             _ if !reservation.try_grow(size) => return Err(memory_exhausted()),
             _ => {}
         }
-        whole.extend_from_slice(&part);
+        whole.append(&part);
     }
-    Ok((whole.freeze(), reservation))
+    Ok((Bytes::from(whole.into_vec()), reservation))
 }
 
 fn too_large(max: usize) -> Box<Problem> {
--- a/crates/gate/src/config.rs
+++ b/crates/gate/src/config.rs
@@ -2,15 +2,24 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use host::settings::{Peer, Reader, Security, Vm};
+use host::{
+    http::ListenerLimits,
+    resources::Resources,
+    settings::{Peer, Reader, Security, Vm},
+};
 
 const MIB: u64 = 1 << 20;
+/// Bodies have this part of the bytes that the VM has for clients: a parsed body, and memory that the
+/// allocator has not returned, take about as much again.
+const BODIES_PART: usize = 2;
 
 /// All settings of a gate.
 #[derive(Clone, Debug)]
 pub struct Config {
     /// The VM that the gate runs on.
     pub vm: Vm,
+    /// What the VM has; limits that `[limits]` does not set are derived from it.
+    pub resources: Resources,
     /// Listener for callers and endpoints.
     pub http: SocketAddr,
     /// Listener for links from other gates and controllers.
@@ -79,27 +88,40 @@
 impl Config {
     /// Reads the settings of a gate; errors are collected in `r`.
     pub fn read(r: &mut Reader) -> Self {
+        let resources = Resources::read(r);
         Self {
             vm: r.vm(),
+            resources,
             http: r.listen("http"),
             link: r.listen("link"),
             keepers: r.keepers(),
             gates: r.peers("gates"),
             security: r.security(),
-            limits: Limits::read(r),
+            limits: Limits::read(r, &resources),
             timing: Timing::read(r),
         }
     }
 }
 
 impl Limits {
-    fn read(r: &mut Reader) -> Self {
+    fn read(r: &mut Reader, resources: &Resources) -> Self {
+        let of_vm = ListenerLimits::main("callers", resources);
+        let mut default = |key, default: u64, of_vm: usize| match r.text("resources", key) {
+            Some(text) if !text.is_empty() => default.min(of_vm as u64),
+            _ => default,
+        };
+        let connections = default("descriptors", 4_096, of_vm.max_connections);
+        let buffered = default(
+            "memory_mb",
+            256 * MIB,
+            of_vm.max_unfinished_bytes / BODIES_PART,
+        );
         let mut n = |key, default, low, high| r.number("limits", key, default, low, high) as usize;
         Self {
-            connections: n("connections", 4_096, 1, 1_000_000),
+            connections: n("connections", connections, 1, 1_000_000),
             head_bytes: n("head_bytes", 32 << 10, 8 << 10, MIB),
-            body_bytes: n("body_bytes", 16 * MIB, 1, 1_024 * MIB),
-            buffered_bytes: n("buffered_bytes", 256 * MIB, 1, 65_536 * MIB),
+            body_bytes: n("body_bytes", buffered.min(16 * MIB), 1, 1_024 * MIB),
+            buffered_bytes: n("buffered_bytes", buffered, 1, 65_536 * MIB),
             output_bytes: n("output_bytes", 64 * MIB, 1, 1_024 * MIB),
             stored_output_bytes: n("stored_output_bytes", 64 << 10, 0, 16 * MIB),
             idle_per_endpoint: n("idle_per_endpoint", 32, 0, 10_000),
--- a/crates/gate/src/endpoint_api.rs
+++ b/crates/gate/src/endpoint_api.rs
@@ -12,10 +12,10 @@
 use serde::de::DeserializeOwned;
 use tokio::time::timeout;
 
-use crate::{caller_api::json_body, gate::Gate};
+use crate::{body, caller_api::json_body, gate::Gate};
 
 /// Largest announcement or batch of cache events, in bytes.
-const MAX_BODY: usize = 256 << 10;
+pub(crate) const MAX_BODY: usize = 256 << 10;
 
 /// Handler of `POST /v1/announce`.
 #[derive(Debug)]
@@ -72,25 +72,17 @@
 async fn read<T: DeserializeOwned>(gate: &Gate, req: &mut Request) -> Result<T, Problem> {
     let token = gate.cfg.security.announce_token.as_ref();
     check_announce_token(token, req.headers()).map_err(|e| *e)?;
-    let reading = timeout(gate.cfg.timing.body, req.payload_with_max_size(MAX_BODY));
-    let bytes = match reading.await {
-        Err(_) => {
-            let detail = "the body did not arrive in time";
-            return Err(Problem::new(408, "body-too-slow", "Body too slow", detail));
-        }
-        Ok(Err(salvo::http::ParseError::PayloadTooLarge)) => {
-            let detail = format!("the body is larger than {MAX_BODY} bytes");
-            return Err(Problem::new(
-                413,
-                "body-too-large",
-                "Body too large",
-                detail,
-            ));
-        }
-        Ok(Err(e)) => return Err(Problem::new(400, "bad-body", "Bad body", e.to_string())),
-        Ok(Ok(bytes)) => bytes,
+    let reading = body::read(MAX_BODY, &gate.announcement_memory, req);
+    let Ok(read) = timeout(gate.cfg.timing.body, reading).await else {
+        let detail = "the body did not arrive in time";
+        return Err(Problem::new(408, "body-too-slow", "Body too slow", detail));
     };
-    serde_json::from_slice(bytes).map_err(|e| {
+    // Announcements and events have no outcome, unlike the requests of callers.
+    let (bytes, _memory) = read.map_err(|problem| Problem {
+        outcome: None,
+        ..*problem
+    })?;
+    serde_json::from_slice(&bytes).map_err(|e| {
         let detail = format!("the body is invalid: {e}");
         Problem::new(400, "bad-body", "Bad body", detail)
     })
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -35,6 +35,8 @@
     pub(crate) inflight: Inflight,
     /// Memory limit for request bodies.
     pub(crate) body_memory: BodyMemory,
+    /// Memory for announcements and cache events, which are read while callers' bodies fill theirs.
+    pub(crate) announcement_memory: BodyMemory,
     /// True once shutdown was requested.
     pub(crate) draining: watch::Sender<bool>,
     /// True once neighbouring gates were queried for the endpoints that they know.
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -62,7 +62,7 @@
         problem
     };
     let checked = check_head(gate, req, arrived).map_err(with_request_id)?;
-    let reading = body::read(&gate.cfg.limits, &gate.body_memory, req);
+    let reading = body::read(gate.cfg.limits.body_bytes, &gate.body_memory, req);
     let limit = gate.cfg.timing.body;
     let (bytes, memory) = match timeout(limit, reading).await {
         Err(_) => {
--- a/crates/gate/src/start.rs
+++ b/crates/gate/src/start.rs
@@ -11,7 +11,6 @@
 
 use host::{
     http::{self, ListenerLimits},
-    resources::Resources,
     role::Running,
     settings::Peer as PeerSetting,
     shutdown::StopSignal,
@@ -37,7 +36,7 @@
     call_routing::CallRouting,
     caller_api::{Pipelines, Requests},
     config::Config,
-    endpoint_api::{Announce, CacheUpdates, EndpointList},
+    endpoint_api::{Announce, CacheUpdates, EndpointList, MAX_BODY},
     gate::Gate,
     head_limit::{HeadLimit, LIBRARY_HEAD_FACTOR},
     inflight::Inflight,
@@ -49,6 +48,8 @@
 
 /// Up to this many other gates in the availability zone, links are kept to all of them.
 const MAX_FULLY_LINKED_GATES: usize = 8;
+/// Announcements have this part of the bytes that callers' bodies have.
+const ANNOUNCEMENT_PART: usize = 4;
 /// Most refused requests that ask the ledger about their keys at one time.
 const MAX_VERIFICATIONS: usize = 64;
 
@@ -67,6 +68,7 @@
         .link_key
         .as_ref()
         .map(|key| key.expose().to_vec());
+    links.max_unverified = ListenerLimits::internal("link", &cfg.resources).max_connections;
     let listener = TcpListener::bind(cfg.link).await.map_err(|e| {
         let address = cfg.link;
         eyre::eyre!("bind link listener on {address}: {e}; free the port or set [listen] link")
@@ -159,6 +161,9 @@
         stream_stats: StreamStats::default(),
         inflight,
         body_memory: BodyMemory::new(cfg.limits.buffered_bytes),
+        announcement_memory: BodyMemory::new(
+            (cfg.limits.buffered_bytes / ANNOUNCEMENT_PART).max(MAX_BODY),
+        ),
         draining: watch::Sender::new(false),
         verifications: Semaphore::new(MAX_VERIFICATIONS),
         is_warmed_up: AtomicBool::new(false),
@@ -207,7 +212,7 @@
         head_timeout: cfg.timing.head,
         body_timeout: cfg.timing.body,
         write_timeout: cfg.timing.write,
-        ..ListenerLimits::main("callers", &Resources::of_machine())
+        ..ListenerLimits::main("callers", &cfg.resources)
     }
 }
 
