--- a/crates/gate/src/call_routing.rs
+++ b/crates/gate/src/call_routing.rs
@@ -23,6 +23,7 @@
     call_counters::{CallCounter, CallCounters, CallEnd},
     draining::DrainingEndpoints,
     engine::PromptCacheUsage,
+    evacuations::EvacuatedZones,
     rollout::Rollouts,
 };
 
@@ -44,6 +45,8 @@
     calls: CallCounters,
     /// Endpoints that controllers are draining.
     draining: DrainingEndpoints,
+    /// Availability zones that operators evacuate.
+    evacuated: EvacuatedZones,
     /// Time to the first part of a response, which sets the delay of hedges.
     first_part_latencies: Latencies,
 }
@@ -119,6 +122,7 @@
             rollouts: Rollouts::default(),
             calls: CallCounters::default(),
             draining: DrainingEndpoints::default(),
+            evacuated: EvacuatedZones::default(),
             table,
         }
     }
@@ -133,6 +137,17 @@
         &self.router
     }
 
+    /// The availability zones that operators evacuate.
+    pub(crate) fn evacuated(&self) -> &EvacuatedZones {
+        &self.evacuated
+    }
+
+    /// Returns true if the endpoint `picked` is in an evacuated availability zone.
+    pub(crate) fn is_evacuated(&self, picked: &PickedEndpoint) -> bool {
+        let az = picked.with_pick(|pick| pick.endpoint().announced.az.clone());
+        az.is_some_and(|az| self.evacuated.names().contains(&az))
+    }
+
     /// Admits a request with an input of `bytes`, or refuses it.
     pub(crate) async fn admit(
         &self,
@@ -189,7 +204,7 @@
     }
 
     fn pick_ignoring_drains(&self, req: &PickRequest<'_>) -> Result<PickedEndpoint, NoEndpoint> {
-        let service = req.service;
+        let (service, evacuated) = (req.service, self.evacuated.names());
         let model = service.model.as_deref().zip(service.version);
         let need = routing::CallRequirements {
             service: req.name,
@@ -200,6 +215,7 @@
             }),
             role: None,
             azs: req.azs,
+            evacuated_azs: &evacuated,
             prompt: req.prompt.map(str::as_bytes),
             avoid: req.avoid,
             remaining: req.remaining,
--- a/crates/gate/src/hedging.rs
+++ b/crates/gate/src/hedging.rs
@@ -203,7 +203,8 @@
 }
 
 /// Takes a retry from the budget for a second call to the same endpoint; returns false if it may
-/// not have one. A leaving endpoint gets no new calls, but may resume a stream that it started.
+/// not have one. A leaving endpoint gets no new calls, but may resume a stream that it started. One in an
+/// evacuated zone gets none.
 pub(crate) fn try_spend_second_call(
     cx: &RequestContext,
     stage: Stage<'_>,
@@ -212,7 +213,7 @@
 ) -> bool {
     let routing = &cx.gate.routing;
     let may_call = work.is_resumption() || routing.accepts_new_calls(stage.name, picked);
-    may_call && routing.try_spend_retry(stage.name)
+    may_call && !routing.is_evacuated(picked) && routing.try_spend_retry(stage.name)
 }
 
 async fn sleep_until_some(instant: Option<Instant>) {
--- a/crates/gate/src/ledger.rs
+++ b/crates/gate/src/ledger.rs
@@ -122,6 +122,11 @@
         }
     }
 
+    /// The keepers.
+    pub(crate) fn keepers(&self) -> &Keepers {
+        self.quorum.keepers()
+    }
+
     /// Claims the right to send. While the quorum is lost for a short time, waits for it until
     /// `deadline`.
     pub(crate) async fn claim(
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -22,6 +22,7 @@
 mod endpoint_api;
 mod engine;
 mod error;
+mod evacuations;
 mod exchange;
 mod gate;
 mod head_limit;
--- a/crates/gate/src/repeatable.rs
+++ b/crates/gate/src/repeatable.rs
@@ -73,7 +73,9 @@
     tries: &mut RetryState,
     sink: Option<&EventSink>,
 ) -> Result<(Box<RawValue>, String), StageError> {
-    let (picked, connection) = match tries.reconnect_to.take() {
+    let reconnect_to = tries.reconnect_to.take();
+    let reconnect_to = reconnect_to.filter(|picked| !cx.gate.routing.is_evacuated(picked));
+    let (picked, connection) = match reconnect_to {
         Some(picked) => (picked, ConnectionKind::New),
         None => {
             let picked = match tries.calls > 0 && cx.record.may_have_run() {
--- a/crates/gate/src/start.rs
+++ b/crates/gate/src/start.rs
@@ -38,6 +38,7 @@
     caller_api::{Pipelines, Requests},
     config::Config,
     endpoint_api::{Announce, CacheUpdates, EndpointList},
+    evacuations,
     gate::Gate,
     head_limit::{HeadLimit, LIBRARY_HEAD_FACTOR},
     inflight::Inflight,
@@ -81,13 +82,14 @@
     let bounds = bounds(&gate.cfg);
     let (handle, server) = http::serve(bound, router(&gate), &bounds);
     let reaper = tokio::spawn(gate.pool.clone().reap());
+    let evacuating = tokio::spawn(evacuations::follow(Arc::clone(&gate)));
     let state_logging = tokio::spawn(state_changes::log_changes(gate.routing.table().clone()));
     let task = tokio::spawn(drain(
         gate,
         stopped,
         handle,
         server,
-        vec![serving, reaper, warming, state_logging],
+        vec![serving, reaper, warming, evacuating, state_logging],
     ));
     Ok(Running {
         http: local,
--- a/crates/gate/src/succession.rs
+++ b/crates/gate/src/succession.rs
@@ -109,7 +109,8 @@
     let is_suspect = is_progressing || silent.connection == ConnectionKind::PooledOrNew;
     let has_failed = tries.avoid.iter().any(|name| name == own.name());
     // Resuming a generation at its own endpoint repeats no work.
-    let may_reconnect = || work.is_resumption() || try_spend_second_call(cx, stage, work, own);
+    let is_free = work.is_resumption() && !cx.gate.routing.is_evacuated(own);
+    let may_reconnect = || is_free || try_spend_second_call(cx, stage, work, own);
     if is_suspect && !has_failed && may_reconnect() {
         return Some((Arc::clone(own), ConnectionKind::New));
     }
--- a/crates/gate/tests/env/keeper.rs
+++ b/crates/gate/tests/env/keeper.rs
@@ -12,7 +12,10 @@
     Channel, Identity, LinkConfig, Role,
     follow::FollowReply,
     follower::Feed,
-    keeper::{Intent, IntentReply, KeeperReply, KeeperRequest, LedgerEntry, Settle, Settlement},
+    keeper::{
+        Intent, IntentReply, KeeperReply, KeeperRequest, LedgerEntry, OrderedZone, Settle,
+        Settlement, ZoneOrder,
+    },
 };
 use tokio::{net::TcpListener, task::JoinHandle, time::sleep};
 use uuid::Uuid;
@@ -47,6 +50,8 @@
     pub settled: Vec<Settle>,
     /// Delay of each reply to an intent.
     pub reply_delay: Duration,
+    /// The last orders about availability zones.
+    pub zones: Vec<OrderedZone>,
 }
 
 pub struct FakeKeeper {
@@ -95,6 +100,19 @@
         }
     }
 
+    /// Evacuates `zones`, and returns to all others.
+    pub fn evacuate(&self, zones: &[&str]) {
+        let order = |zone: &&str| ZoneOrder {
+            zone: (*zone).to_owned(),
+            is_evacuated: true,
+            author: "o".to_owned(),
+            reason: "r".to_owned(),
+        };
+        let orders = zones.iter().map(order);
+        let zones = orders.map(|order| OrderedZone { order, at_ms: 0 });
+        self.state.lock().unwrap().zones = zones.collect();
+    }
+
     pub fn set_fault(&self, fault: Fault) {
         self.state.lock().unwrap().fault = fault;
     }
@@ -155,6 +173,10 @@
                 },
             })
         }
+        (KeeperRequest::Evacuations, _) => KeeperReply::Evacuations {
+            version: 1,
+            zones: state.lock().unwrap().zones.clone(),
+        },
         _ => KeeperReply::Invalid("not served by the fake".to_owned()),
     }
 }
--- a/crates/routing/src/call.rs
+++ b/crates/routing/src/call.rs
@@ -31,6 +31,8 @@
     pub role: Option<StageRole>,
     /// Availability zones that the workspace may use. Empty allows all.
     pub azs: &'a [String],
+    /// Availability zones that are evacuated: their endpoints are excluded.
+    pub evacuated_azs: &'a [String],
     /// Prompt, used for affinity to endpoints that have its prefix cached.
     pub prompt: Option<&'a [u8]>,
     /// Names of endpoints that were already tried for this stage.
@@ -80,6 +82,9 @@
     /// No ready endpoint is in an availability zone that the workspace may use.
     #[error("pick endpoint: none in an allowed availability zone")]
     NotAllowed,
+    /// Every ready endpoint that the workspace may use is in an evacuated availability zone.
+    #[error("pick endpoint: all are in evacuated availability zones")]
+    Evacuated,
     /// No ready endpoint has the model, version, adapters and role.
     #[error("pick endpoint: none has the model, version, adapters and role")]
     NoModel,
--- a/crates/routing/src/score.rs
+++ b/crates/routing/src/score.rs
@@ -110,6 +110,7 @@
 enum Exclusion {
     NotReady,
     NotAllowed,
+    Evacuated,
     NoModel,
     Paused,
     Limited,
@@ -134,6 +135,7 @@
         match () {
             () if !entry.endpoint.is_ready(self.now) => Some(Exclusion::NotReady),
             () if !is_allowed => Some(Exclusion::NotAllowed),
+            () if self.requirements.evacuated_azs.contains(&a.az) => Some(Exclusion::Evacuated),
             () if !self.requirements.are_met_by(a, self.versions) => Some(Exclusion::NoModel),
             () if !entry.stats.remaining_pause(self.now).is_zero() => Some(Exclusion::Paused),
             () if !self.rate_wait(entry).is_zero() => Some(Exclusion::Limited),
@@ -353,6 +355,7 @@
         match furthest {
             Exclusion::NotReady => NoEndpoint::NoneReady,
             Exclusion::NotAllowed => NoEndpoint::NotAllowed,
+            Exclusion::Evacuated => NoEndpoint::Evacuated,
             Exclusion::NoModel => NoEndpoint::NoModel,
             Exclusion::Paused => {
                 let remaining = pool
--- a/crates/routing/tests/pick.rs
+++ b/crates/routing/tests/pick.rs
@@ -306,6 +306,26 @@
     );
 }
 
+/// Guards against calls to evacuated zones, and against a refusal while another zone has endpoints.
+#[tokio::test(start_paused = true)]
+async fn endpoints_of_evacuated_zones_are_not_picked() {
+    let table = table(2);
+    table.announce(announcement("far", "portland", 1)).unwrap();
+    let router = router(&table);
+    let evacuated = [AZ.to_owned(), "portland".to_owned()];
+    let pick = |evacuated_azs| {
+        router.pick(&CallRequirements {
+            evacuated_azs,
+            ..requirements()
+        })
+    };
+    for _ in 0..8 {
+        assert_eq!(pick(&evacuated[..1]).unwrap().name(), "far");
+    }
+    assert_eq!(pick(&evacuated).unwrap_err(), NoEndpoint::Evacuated);
+    assert!(pick(&[]).is_ok());
+}
+
 #[tokio::test(start_paused = true)]
 async fn prompts_follow_their_cached_prefix_until_responses_deny_it() {
     let table = table(10);
