Console: zones with forms to evacuate them and to return to them

The page of the state lists the declared zones and those with an order: who gave the last one, why and when. Both forms ask for a reason, and an order for a zone that is not listed is refused.

--- a/crates/console/src/handlers.rs
+++ b/crates/console/src/handlers.rs
@@ -19,6 +19,7 @@
     fields::{FormContent, comment_lines, fields_of_kind},
     guard, pages,
     session::Session,
+    zones,
 };
 
 /// Timeout for reading one page of the audit trail.
@@ -202,13 +203,17 @@
     let Some((session, in_force)) = session_and_declaration(&app, req, res) else {
         return;
     };
-    let (gates, controllers, blocked) = tokio::join!(
+    let (gates, controllers, zones, blocked) = tokio::join!(
         cluster_state::query_gates(&app),
         cluster_state::query_controllers(&app),
+        zones::query(&app, &in_force.document),
         blocked::query(&app)
     );
-    let blocked = pages::blocked::section(&session, &blocked);
-    pages::status::render(res, in_force.revision, &gates, &blocked, &controllers);
+    let orders = [
+        pages::zones::section(&session, &zones),
+        pages::blocked::section(&session, &blocked),
+    ];
+    pages::status::render(res, in_force.revision, &gates, &orders, &controllers);
 }
 
 /// Reads a posted form after checking its session, origin and form token. Writes a response and
--- a/crates/console/src/lib.rs
+++ b/crates/console/src/lib.rs
@@ -15,6 +15,7 @@
 mod pages;
 mod session;
 mod start;
+mod zones;
 
 pub use config::Config;
 pub use start::start;
--- a/crates/console/src/pages/mod.rs
+++ b/crates/console/src/pages/mod.rs
@@ -10,3 +10,4 @@
 pub(crate) mod overview;
 pub(crate) mod preview;
 pub(crate) mod status;
+pub(crate) mod zones;
--- a/crates/console/src/pages/status.rs
+++ b/crates/console/src/pages/status.rs
@@ -7,12 +7,12 @@
 use super::layout::page;
 use crate::cluster_state::{ControllerState, GateState};
 
-/// Renders each gate's revision, the unavailable endpoints, the section `blocked` and each controller's status.
+/// Renders each gate's revision, the unavailable endpoints, the sections `orders` and each controller's status.
 pub(crate) fn render(
     res: &mut Response,
     newest: u64,
     gates: &[GateState],
-    blocked: &Markup,
+    orders: &[Markup],
     controllers: &[ControllerState],
 ) {
     let content = html! {
@@ -25,7 +25,7 @@
             @if gates.is_empty() { p.hint { "List the gates under [gates] in the console's settings to see them here." } }
         }
         (unavailable_endpoints(gates))
-        (blocked)
+        @for section in orders { (section) }
         @for controller in controllers {
             section {
                 h2 { "Controller " (controller.name) }
--- a/crates/console/src/start.rs
+++ b/crates/console/src/start.rs
@@ -19,7 +19,7 @@
 use spdlog::warn;
 use uuid::Uuid;
 
-use crate::{app::App, blocked, config::Config, handlers, session::Sessions};
+use crate::{app::App, blocked, config::Config, handlers, session::Sessions, zones};
 
 /// Maximum size of a form, in bytes.
 const MAX_FORM_BYTES: u64 = 256 << 10;
@@ -98,4 +98,6 @@
         .push(Router::with_path("audit").get(handlers::audit))
         .push(Router::with_path("status").get(handlers::status_page))
         .push(Router::with_path("unblock").post(blocked::unblock))
+        .push(Router::with_path("evacuate").post(zones::evacuate))
+        .push(Router::with_path("return").post(zones::end_evacuation))
 }
--- a/crates/system/tests/console.rs
+++ b/crates/system/tests/console.rs
@@ -313,3 +313,38 @@
     assert_eq!(list.unblocked[0].author, "noura");
     assert!(!browser.open("/status").await.html.contains("Blocked parts"));
 }
+
+/// Guards against a console that hides an evacuation, orders one without a reason, for an unknown zone
+/// or for a form that is not its own, or does not withdraw it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_zone_is_evacuated_and_returned_to() {
+    let (env, mut browser) = start_console().await;
+    let page = browser.open("/status").await;
+    let mut fields = page.form("/evacuate");
+    let zone = fields["zone"].clone();
+    fields.insert("author".to_owned(), "noura".to_owned());
+    assert_eq!(browser.submit("/evacuate", &fields).await.status, 400);
+    fields.insert("reason".to_owned(), "<chiller> failed".to_owned());
+    for (field, odd, status) in [("form_token", "guess", 403), ("zone", "nowhere", 400)] {
+        let mut odd_fields = fields.clone();
+        odd_fields.insert(field.to_owned(), odd.to_owned());
+        let page = browser.submit("/evacuate", &odd_fields).await;
+        assert_eq!(page.status, status, "{}", page.html);
+    }
+    assert_eq!(env.api().zones().await.unwrap().zones, []);
+    let done = browser.submit("/evacuate", &fields).await;
+    assert_eq!(done.status, 200, "{}", done.html);
+    let page = browser.open("/status").await;
+    for text in ["evacuated", "noura", "&lt;chiller&gt; failed"] {
+        assert!(page.html.contains(text), "{text} is not on {}", page.html);
+    }
+    let mut fields = page.form("/return");
+    assert_eq!(fields["zone"], zone);
+    fields.insert("author".to_owned(), "noura".to_owned());
+    assert_eq!(browser.submit("/return", &fields).await.status, 400);
+    fields.insert("reason".to_owned(), "repaired".to_owned());
+    assert_eq!(browser.submit("/return", &fields).await.status, 200);
+    let zones = env.api().zones().await.unwrap().zones;
+    let states: Vec<(&str, bool)> = zones.iter().map(|z| (&*z.zone, z.is_evacuated)).collect();
+    assert_eq!(states, [(zone.as_str(), false)]);
+}
