Stage admission: forecasts are awaited for 100 ms, and missing replies are counted

Cause: gates with 0.09 to 0.3 cores can be without processor time for some 70 ms when they are busy, so that a collector would count as free in the very second in which it is asked. Reckoned, not measured.

Change: 100 ms instead of 30 ms; `stage_admissions_total{outcome="unanswered"}`.

--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -66,7 +66,7 @@
         Ok(Self {
             checked: registrar.counters(
                 "stage_admissions_total",
-                "Requests whose pools were asked for their waits before the first stage: admitted, or refused because of a pool.",
+                "Requests whose pools were asked for their waits before the first stage: admitted, admitted because one did not reply (unanswered), or refused because of a pool.",
                 &["outcome", "pool"],
             )?,
             wasted_ms: registrar.counters(
@@ -346,16 +346,11 @@
         }
     }
 
-    /// Counts a request whose pools were asked for their waits. `full_pool` is the one for which it was
-    /// refused, empty if it was admitted.
-    pub(crate) fn record_stage_admission(&self, full_pool: &str) {
-        let outcome = if full_pool.is_empty() {
-            "admitted"
-        } else {
-            "refused"
-        };
-        let labels = [outcome, full_pool];
-        self.admissions.checked.with_label_values(&labels).inc();
+    /// Counts a request whose pools were asked for their waits. `pool` is the one for which it was
+    /// refused.
+    pub(crate) fn record_stage_admission(&self, outcome: &str, pool: &str) {
+        let counter = self.admissions.checked.with_label_values(&[outcome, pool]);
+        counter.inc();
     }
 
     /// Counts endpoint time of a stage whose request was refused afterwards.
--- a/crates/forward/src/stages/admission.rs
+++ b/crates/forward/src/stages/admission.rs
@@ -21,7 +21,7 @@
 };
 
 /// Time in which collectors reply to a request for a forecast; without a reply there is no wait.
-const FORECAST_TIMEOUT: Duration = Duration::from_millis(30);
+const FORECAST_TIMEOUT: Duration = Duration::from_millis(100);
 
 impl Stages {
     /// Refuses a request if its last pool and its call can't be passed before its deadline. The waits
@@ -47,14 +47,18 @@
         }
         let submitted_in = graph.submitted_in().into_iter().enumerate();
         let waits = submitted_in.map(|(number, at)| self.present_wait(cx, number, at));
-        for (stage, wait) in graph.stages.iter_mut().zip(join_all(waits).await) {
-            stage.wait = wait;
+        let waits = join_all(waits).await;
+        let is_answered = waits.iter().all(Option::is_some);
+        for (stage, wait) in graph.stages.iter_mut().zip(waits) {
+            stage.wait = wait.unwrap_or_default();
         }
         let admitted = graph.admit();
-        self.metrics.record_stage_admission(match &admitted {
-            Ok(()) => "",
-            Err(refused) => &cx.route.stages[refused.stage].service,
-        });
+        let (outcome, pool) = match &admitted {
+            Ok(()) if is_answered => ("admitted", ""),
+            Ok(()) => ("unanswered", ""),
+            Err(refused) => ("refused", cx.route.stages[refused.stage].service.as_str()),
+        };
+        self.metrics.record_stage_admission(outcome, pool);
         admitted.map_err(|refused| refuse(cx, &refused))
     }
 
@@ -73,30 +77,28 @@
     }
 
     /// Asks the collectors for the present wait of stage `number`, one after the other until one
-    /// expects its items, and returns the shortest wait.
+    /// expects its items, and returns the shortest wait; `None` if one of them does not reply.
     async fn present_wait(
         &self,
         cx: &StageContext<'_>,
         number: usize,
         submitted_in: Duration,
-    ) -> Duration {
+    ) -> Option<Duration> {
         if cx.stage_time(number).is_zero() {
-            return Duration::ZERO;
+            return Some(Duration::ZERO);
         }
         let mut submission = cx.announcement(number, self.flow(cx));
         let mut shortest = Duration::MAX;
         for az in self.zones(&submission) {
             submission.az = az;
-            let Some(forecast) = self.forecast(&submission, submitted_in).await else {
-                return Duration::ZERO;
-            };
+            let forecast = self.forecast(&submission, submitted_in).await?;
             self.record_wait(&submission, forecast.wait);
             shortest = shortest.min(forecast.wait);
             if forecast.is_in_time {
                 break;
             }
         }
-        shortest
+        Some(shortest)
     }
 
     /// Asks the gate that collects the items; `None` if it does not reply.
