--- a/crates/forward/src/zone_placement/coordinator.rs
+++ b/crates/forward/src/zone_placement/coordinator.rs
@@ -13,8 +13,9 @@
 
 /// Time after the first contact in which the gates list their open calls and nothing is placed.
 const WARM_UP: Duration = Duration::from_millis(300);
-/// Time without a contact after which a table is dropped: another gate is the coordinator.
-const TABLE_RETENTION: Duration = Duration::from_secs(5);
+/// Time without a contact after which a table is dropped: another gate is the coordinator, or there are
+/// no calls.
+const TABLE_RETENTION: Duration = Duration::from_secs(30);
 /// Interval at which gates whose links are closed are removed.
 const PRUNE_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -47,6 +48,11 @@
         }
     }
 
+    /// Returns true if no gate has contacted this one for long.
+    fn is_outdated(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.contacted_at) >= TABLE_RETENTION
+    }
+
     /// Applies reports. Returns true if the sender has to list its open calls.
     fn apply(&mut self, from: &Sender<'_>, reports: &Reports, now: Instant) -> bool {
         self.contacted_at = now;
@@ -119,7 +125,7 @@
     ) -> PlacementReply {
         let now = Instant::now();
         let mut services = self.services();
-        if !services.contains_key(service) {
+        if services.get(service).is_none_or(|s| s.is_outdated(now)) {
             services.insert(service.to_owned(), Service::new(now));
         }
         let Some(state) = services.get_mut(service) else {
@@ -151,7 +157,7 @@
     pub(super) fn sizes(&self) -> Vec<(String, TableSizes)> {
         let now = Instant::now();
         let mut services = self.services();
-        services.retain(|_, s| now.saturating_duration_since(s.contacted_at) < TABLE_RETENTION);
+        services.retain(|_, s| !s.is_outdated(now));
         let sizes = services
             .iter()
             .map(|(name, s)| (name.clone(), s.table.sizes()));
