Zone placement: report a call that a list of open calls left out

Cause: a list that is sent between the coordinator's choice and the gate's start of the call replaced what the coordinator knew, and the call was never reported, so it did not count at its engine.

Change: such a call is reported as one that the gate placed.

--- a/crates/forward/src/zone_placement/outbox.rs
+++ b/crates/forward/src/zone_placement/outbox.rs
@@ -13,6 +13,8 @@
     /// The endpoint, once it is chosen.
     endpoint: Option<String>,
     has_first_event: bool,
+    /// True if a list of the open calls went without this one, as it had no endpoint yet.
+    is_unlisted: bool,
 }
 
 #[derive(Debug)]
@@ -44,6 +46,7 @@
             call,
             endpoint: None,
             has_first_event: false,
+            is_unlisted: false,
         };
         self.open.insert(open.call.id, open);
     }
@@ -52,7 +55,7 @@
     pub(super) fn start(&mut self, id: u64, endpoint: &str, is_known: bool) {
         if let Some(open) = self.open.get_mut(&id) {
             open.endpoint = Some(endpoint.to_owned());
-            if !is_known {
+            if !is_known || open.is_unlisted {
                 self.started.push(id);
             }
         }
@@ -98,6 +101,9 @@
         if is_list {
             started = self.open.keys().copied().collect();
             ended.clear();
+            for open in self.open.values_mut() {
+                open.is_unlisted = open.endpoint.is_none();
+            }
         }
         let started = started.iter().filter_map(|id| {
             let open = self.open.get(id)?;
