--- /dev/null
+++ b/crates/outbound/tests/closed.rs
@@ -0,0 +1,34 @@
+//! Idle connections that their peers close.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use outbound::{Pool, PoolConfig};
+use tokio::{net::TcpListener, time::sleep};
+
+const TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Guards against closed connections that are not reported, and open ones that are removed.
+#[tokio::test]
+async fn only_closed_idle_connections_are_removed() {
+    let pool = Pool::new(PoolConfig {
+        max_idle_per_endpoint: 4,
+        idle_timeout: TIMEOUT,
+        connect_timeout: TIMEOUT,
+    });
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let mut accepted = Vec::new();
+    for _ in 0..2 {
+        let connection = pool.connect(address).await.unwrap();
+        pool.checkin(address, connection);
+        accepted.push(listener.accept().await.unwrap().0);
+    }
+    assert_eq!(pool.remove_closed(), BTreeSet::new());
+    drop(accepted.pop());
+    while pool.remove_closed().is_empty() {
+        sleep(Duration::from_millis(5)).await;
+    }
+    assert_eq!(pool.remove_closed(), BTreeSet::new());
+    assert!(pool.checkout(address).is_some());
+    assert!(pool.checkout(address).is_none());
+}
