Callers' bodies arrive in blocks

A large body grew in one vector that was copied at each doubling; the allocator keeps the freed copies. Bodies now arrive in blocks of 64 KiB, as at the control listener, and their share grows in steps of a block.

--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -9,7 +9,8 @@
     time::Duration,
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
+use host::body::Blocks;
 use http_body_util::BodyExt;
 use hyper::{
     Response as HttpResponse,
@@ -261,6 +262,9 @@
     }
 }
 
+/// By how much the share of a large body grows, in bytes.
+const RESERVED_STEP: usize = 64 << 10;
+
 /// Returns what the head of a request takes in memory.
 fn head_bytes(parts: &Parts) -> usize {
     let fields = parts.headers.iter();
@@ -279,29 +283,31 @@
     if body.size_hint().lower() > max_bytes as u64 {
         return Err(ForwardError::TooLarge);
     }
-    let mut buf = BytesMut::new();
+    let mut blocks = Blocks::default();
+    let mut reserved = 0;
     let mut share = memory.buffer();
     loop {
         let Some(frame) = body.frame().await else {
-            return Ok(share.attach(buf.freeze()));
+            return Ok(share.attach(blocks.into_vec().into()));
         };
         let frame = frame.map_err(|_| ForwardError::Malformed("the body broke off"))?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        let size = buf.len() + data.len();
+        let size = blocks.length() + data.len();
         if size > max_bytes {
             return Err(ForwardError::TooLarge);
         }
         // Grows in steps, so that bodies in small chunks do not come here for each of them.
-        if size > buf.capacity() {
-            if !share.try_grow(size) {
+        if size > reserved {
+            reserved = match size <= SMALL_BODY_BYTES {
+                true => size.next_power_of_two(),
+                false => (size + RESERVED_STEP).min(max_bytes),
+            };
+            if !share.try_grow(reserved) {
                 return Err(no_memory());
             }
-            if size <= SMALL_BODY_BYTES {
-                buf.reserve(size.next_power_of_two() - buf.len());
-            }
         }
-        buf.extend_from_slice(&data);
+        blocks.append(&data);
     }
 }
