--- a/crates/console/src/app.rs
+++ b/crates/console/src/app.rs
@@ -11,6 +11,7 @@
     follower::{ActiveDeclaration, Follower},
     keepers::Keepers,
 };
+use salvo::Depot;
 
 use crate::session::Sessions;
 
@@ -32,3 +33,9 @@
         self.follower.in_force().borrow().clone()
     }
 }
+
+/// Returns the app that the router injects.
+pub(crate) fn app(depot: &Depot) -> Arc<App> {
+    let app = depot.get_typed::<Arc<App>>();
+    Arc::clone(app.expect("the router injects the app into every request"))
+}
--- a/crates/console/src/blocked.rs
+++ b/crates/console/src/blocked.rs
@@ -7,9 +7,8 @@
 use salvo::{Depot, Request, Response, handler, http::StatusCode};
 
 use crate::{
-    app::App,
-    guard,
-    handlers::{app, form_value},
+    app::{App, app},
+    guard::{self, form_value},
     pages::layout::message,
     session::Session,
 };
--- a/crates/console/src/guard.rs
+++ b/crates/console/src/guard.rs
@@ -85,5 +85,10 @@
         .map(|(_, id)| id)
 }
 
+/// Returns the value of a form's field; empty if it is missing.
+pub(crate) async fn form_value(req: &mut Request, key: &str) -> String {
+    req.form(key).await.unwrap_or_default()
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/console/src/handlers.rs
+++ b/crates/console/src/handlers.rs
@@ -12,12 +12,13 @@
 use uuid::Uuid;
 
 use crate::{
-    app::App,
+    app::{App, app},
     blocked,
     change::{Draft, SubmitResult},
     cluster_state,
     fields::{FormContent, comment_lines, fields_of_kind},
-    guard, pages,
+    guard::{self, form_value},
+    pages,
     session::Session,
     zones,
 };
@@ -25,11 +26,6 @@
 /// Timeout for reading one page of the audit trail.
 const AUDIT_TIMEOUT: Duration = Duration::from_secs(4);
 
-pub(crate) fn app(depot: &Depot) -> Arc<App> {
-    let app = depot.get_typed::<Arc<App>>();
-    Arc::clone(app.expect("the router injects the app into every request"))
-}
-
 /// Returns the session and the declaration in force. If either is missing, writes a response that
 /// says so (or redirects to the login) and returns `None`.
 fn session_and_declaration(
@@ -274,7 +270,3 @@
         reason: form_value(req, "reason").await.trim().to_owned(),
     }
 }
-
-pub(crate) async fn form_value(req: &mut Request, key: &str) -> String {
-    req.form(key).await.unwrap_or_default()
-}
--- a/crates/console/src/pages/zones.rs
+++ b/crates/console/src/pages/zones.rs
@@ -1,10 +1,15 @@
 //! Section with the availability zones, each with a form to evacuate it or to return to it.
 
+use std::collections::BTreeMap;
+
 use host::time::format_utc;
 use link::keeper::OrderedZone;
 use maud::{Markup, html};
 
-use crate::{session::Session, zones::Zones};
+use crate::session::Session;
+
+/// The zones by name, with their last order if they were ever evacuated.
+pub(crate) type Zones = BTreeMap<String, Option<OrderedZone>>;
 
 /// Returns the section; empty if no zone is known.
 pub(crate) fn section(session: &Session, zones: &Result<Zones, String>) -> Markup {
--- a/crates/console/src/zones.rs
+++ b/crates/console/src/zones.rs
@@ -1,16 +1,15 @@
 //! Reads the orders about availability zones, and gives new ones.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::time::Duration;
 
 use declaration::Document;
-use link::keeper::{KeeperReply, KeeperRequest, OrderedZone, ZoneOrder};
+use link::keeper::{KeeperReply, KeeperRequest, ZoneOrder};
 use salvo::{Depot, Request, Response, handler, http::StatusCode};
 
 use crate::{
-    app::App,
-    guard,
-    handlers::{app, form_value},
-    pages::layout::message,
+    app::{App, app},
+    guard::{self, form_value},
+    pages::{layout::message, zones::Zones},
     session::Session,
 };
 
@@ -21,9 +20,6 @@
 /// Title of the pages that show the result of an order.
 const TITLE: &str = "Availability zones";
 
-/// The zones by name, with their last order if they were ever evacuated.
-pub(crate) type Zones = BTreeMap<String, Option<OrderedZone>>;
-
 /// Returns the declared zones and those with an order, or why they can't be read.
 pub(crate) async fn query(app: &App, declared: &Document) -> Result<Zones, String> {
     let req = KeeperRequest::Evacuations;
--- a/crates/gate/src/evacuations.rs
+++ b/crates/gate/src/evacuations.rs
@@ -10,16 +10,16 @@
 use spdlog::warn;
 use tokio::time::sleep;
 
-use crate::gate::Gate;
+use crate::ledger::Ledger;
 
 /// Time between two requests for the orders.
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
 /// Timeout of a request.
 const POLL_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// The zones that are evacuated, as keepers last confirmed.
-#[derive(Debug, Default)]
-pub(crate) struct EvacuatedZones(RwLock<Arc<[String]>>);
+/// The zones that are evacuated, as keepers last confirmed. Clones share state.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct EvacuatedZones(Arc<RwLock<Arc<[String]>>>);
 
 impl EvacuatedZones {
     /// Returns the names of the zones.
@@ -49,15 +49,15 @@
 
 /// Reads the orders from the keepers every second; runs until dropped. Without an answer the last known
 /// state holds.
-pub(crate) async fn follow(gate: Arc<Gate>) {
+pub(crate) async fn follow(evacuated: EvacuatedZones, ledger: Ledger) {
     let mut was_read = true;
     loop {
         let req = KeeperRequest::Evacuations;
-        let reply = gate.ledger.keepers().request(&req, POLL_TIMEOUT).await;
+        let reply = ledger.keepers().request(&req, POLL_TIMEOUT).await;
         let is_read = matches!(reply, Ok(KeeperReply::Evacuations { .. }));
         match reply {
             Ok(KeeperReply::Evacuations { version, zones }) => {
-                gate.routing.evacuated().apply(version, zones);
+                evacuated.apply(version, zones);
             }
             reply if was_read => warn!("failed to read the evacuated zones", kv: {
                 reply = format!("{reply:?}")
--- a/crates/gate/src/start.rs
+++ b/crates/gate/src/start.rs
@@ -82,7 +82,10 @@
     let bounds = bounds(&gate.cfg);
     let (handle, server) = http::serve(bound, router(&gate), &bounds);
     let reaper = tokio::spawn(gate.pool.clone().reap());
-    let evacuating = tokio::spawn(evacuations::follow(Arc::clone(&gate)));
+    let evacuating = tokio::spawn(evacuations::follow(
+        gate.routing.evacuated().clone(),
+        gate.ledger.clone(),
+    ));
     let state_logging = tokio::spawn(state_changes::log_changes(gate.routing.table().clone()));
     let task = tokio::spawn(drain(
         gate,
