--- a/crates/forwarder/tests/stage_admission.rs
+++ b/crates/forwarder/tests/stage_admission.rs
@@ -2,15 +2,20 @@
 
 mod support;
 
+use std::time::Duration;
+
 use bench::stand_in::Fault;
 use futures_util::future::join_all;
 use hyper::StatusCode;
 use support::{CallerRequest, Cluster, GATES, until};
+use tokio::time::sleep;
 use uuid::Uuid;
 
 const SETTINGS: &str = "[routing]\nstage_admission = graph\nfair_share = workspaces\n";
 /// Part of the event that a gate logs if it refuses a request before its first stage.
 const REFUSED: &str = "refused before its first stage";
+/// Time between two requests; the pool serves one in 96 ms.
+const INTERVAL: Duration = Duration::from_millis(15);
 const HEADERS: [(&str, &str); 3] = [
     ("accept", "text/event-stream"),
     ("jujube-items", "4,4"),
@@ -26,9 +31,11 @@
     let pool = pools.into_iter().find(|e| e.name().starts_with("ice"));
     pool.unwrap().set_fault(Fault::Slow(2.0));
     until("both gates have refused requests", async || {
-        let requests = (0..24).map(|n| {
+        // Spread over time, as waits count only while they are fresh.
+        let requests = (0..80).map(|n| {
             let cluster = &cluster;
             async move {
+                sleep(INTERVAL * n as u32).await;
                 let id = Uuid::now_v7().to_string();
                 let request = CallerRequest {
                     gate: n % 2,
