engine-placement: the state of zone placement is a crate of its own

The coordinator's tables, the reports of a gate and the messages need no network and no part of forward; they and their three tests are a crate now, unchanged but for the first event, which takes the two reported figures instead of the report.

--- a/crates/forward/src/zone_placement/coordinator.rs
+++ b/crates/engine-placement/src/coordinator.rs
@@ -9,7 +9,7 @@
 use routing::{EngineCandidate, EngineTable, FirstEvent, PromptCall, TableSizes};
 use tokio::time::Instant;
 
-use super::messages::{Call, Placed, PlacementReply, Reports};
+use crate::messages::{Call, Placed, PlacementReply, Reports};
 
 /// Time after the first contact in which the gates list their open calls and nothing is placed.
 const WARM_UP: Duration = Duration::from_millis(300);
@@ -22,9 +22,11 @@
 /// A gate that contacts this one; `connection` is gone once its link is closed, and `None` for this
 /// gate.
 #[derive(Clone, Debug)]
-pub(super) struct Sender<'a> {
-    pub(super) gate: &'a str,
-    pub(super) connection: Option<Weak<()>>,
+pub struct Sender<'a> {
+    /// Name of the gate.
+    pub gate: &'a str,
+    /// Exists as long as its link.
+    pub connection: Option<Weak<()>>,
 }
 
 #[derive(Debug)]
@@ -106,7 +108,7 @@
 
 /// Tables by service.
 #[derive(Debug, Default)]
-pub(super) struct Coordinator {
+pub struct Coordinator {
     services: Mutex<HashMap<String, Service>>,
 }
 
@@ -116,7 +118,7 @@
     }
 
     /// Applies reports, and chooses an endpoint for `call` among `candidates` if there is one.
-    pub(super) fn answer(
+    pub fn answer(
         &self,
         from: &Sender<'_>,
         service: &str,
@@ -154,7 +156,7 @@
 
     /// Returns the sizes of the tables by service, and drops those of services that another gate
     /// places.
-    pub(super) fn sizes(&self) -> Vec<(String, TableSizes)> {
+    pub fn sizes(&self) -> Vec<(String, TableSizes)> {
         let now = Instant::now();
         let mut services = self.services();
         services.retain(|_, s| !s.is_outdated(now));
--- a/crates/forward/src/zone_placement/messages.rs
+++ b/crates/engine-placement/src/messages.rs
@@ -5,76 +5,76 @@
 
 /// A call with a prompt.
 #[record]
-pub(crate) struct Call {
+pub struct Call {
     /// Id of the call, unique for its gate.
     #[serde(rename = "i")]
-    pub(crate) id: u64,
+    pub id: u64,
     /// Parts of the prompt.
     #[serde(rename = "p")]
-    pub(crate) parts: Vec<PrefixPart>,
+    pub parts: Vec<PrefixPart>,
     /// Tokens of the prompt.
     #[serde(rename = "t")]
-    pub(crate) tokens: u32,
+    pub tokens: u32,
     /// Maximum number of tokens to generate.
     #[serde(rename = "m")]
-    pub(crate) max_generated: u32,
+    pub max_generated: u32,
 }
 
 /// A call that was placed by its gate.
 #[record]
-pub(crate) struct StartedCall {
+pub struct StartedCall {
     /// The call.
     #[serde(rename = "c")]
-    pub(crate) call: Call,
+    pub call: Call,
     /// Name of the endpoint.
     #[serde(rename = "e")]
-    pub(crate) endpoint: String,
+    pub endpoint: String,
     /// True if its first event has arrived.
     #[serde(rename = "f", default)]
-    pub(crate) has_first_event: bool,
+    pub has_first_event: bool,
 }
 
 /// The first event of a call.
 #[record]
-pub(crate) struct FirstEventReport {
+pub struct FirstEventReport {
     /// Id of the call.
     #[serde(rename = "i")]
-    pub(crate) id: u64,
+    pub id: u64,
     /// Milliseconds from sending the call.
     #[serde(rename = "t")]
-    pub(crate) took_ms: u32,
+    pub took_ms: u32,
     /// Milliseconds since the event.
     #[serde(rename = "a", default)]
-    pub(crate) age_ms: u32,
+    pub age_ms: u32,
     /// Running and waiting calls that the endpoint reported.
     #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
-    pub(crate) calls: Option<u32>,
+    pub calls: Option<u32>,
     /// Slowdown that the endpoint reported, in percent of the usual time.
     #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
-    pub(crate) slowdown_percent: Option<u32>,
+    pub slowdown_percent: Option<u32>,
 }
 
 /// What happened to the calls of a gate since its last report.
 #[record]
 #[derive(Default)]
-pub(crate) struct Reports {
+pub struct Reports {
     /// True if `started` has all open calls of the gate, and the receiver forgets the others.
     #[serde(rename = "a", default)]
-    pub(crate) is_list: bool,
+    pub is_list: bool,
     /// Calls that the gate placed itself, or all open calls.
     #[serde(rename = "s", default)]
-    pub(crate) started: Vec<StartedCall>,
+    pub started: Vec<StartedCall>,
     /// First events.
     #[serde(rename = "f", default)]
-    pub(crate) first_events: Vec<FirstEventReport>,
+    pub first_events: Vec<FirstEventReport>,
     /// Ids of the calls that ended.
     #[serde(rename = "e", default)]
-    pub(crate) ended: Vec<u64>,
+    pub ended: Vec<u64>,
 }
 
 impl Reports {
     /// Returns true if there is nothing to report.
-    pub(crate) fn is_empty(&self) -> bool {
+    pub fn is_empty(&self) -> bool {
         !self.is_list
             && self.started.is_empty()
             && self.first_events.is_empty()
@@ -84,7 +84,7 @@
 
 /// A request to the placement coordinator of a service.
 #[record]
-pub(crate) enum PlacementRequest {
+pub enum PlacementRequest {
     /// Requests an endpoint for a call.
     #[serde(rename = "zq")]
     Query {
@@ -118,26 +118,26 @@
 
 /// The endpoint for a call.
 #[record]
-pub(crate) struct Placed {
+pub struct Placed {
     /// Name of the endpoint.
     #[serde(rename = "e")]
-    pub(crate) endpoint: String,
+    pub endpoint: String,
     /// Expected milliseconds to the first event.
     #[serde(rename = "x")]
-    pub(crate) expected_ms: u32,
+    pub expected_ms: u32,
     /// Prompt tokens that the endpoint is expected to read.
     #[serde(rename = "u")]
-    pub(crate) unread_tokens: u64,
+    pub unread_tokens: u64,
 }
 
 /// The reply to a [`PlacementRequest`].
 #[record]
-pub(crate) struct PlacementReply {
+pub struct PlacementReply {
     /// The endpoint; `None` if none was requested, if the receiver has just started, if it does not
     /// place calls or if all endpoints are full.
     #[serde(rename = "zp")]
-    pub(crate) placed: Option<Placed>,
+    pub placed: Option<Placed>,
     /// True if the receiver does not know the open calls of the sender.
     #[serde(rename = "zl")]
-    pub(crate) needs_list: bool,
+    pub needs_list: bool,
 }
--- a/crates/forward/src/zone_placement/outbox.rs
+++ b/crates/engine-placement/src/outbox.rs
@@ -4,8 +4,7 @@
 
 use tokio::time::Instant;
 
-use super::messages::{Call, FirstEventReport, Reports, StartedCall};
-use crate::dialect::LoadReport;
+use crate::messages::{Call, FirstEventReport, Reports, StartedCall};
 
 #[derive(Debug)]
 struct OpenCall {
@@ -25,7 +24,7 @@
 
 /// Open calls and pending reports.
 #[derive(Debug, Default)]
-pub(super) struct Outbox {
+pub struct Outbox {
     open: HashMap<u64, OpenCall>,
     /// Ids of calls whose endpoint this gate chose.
     started: Vec<u64>,
@@ -36,12 +35,12 @@
     /// True if the coordinator does not know this gate's open calls.
     needs_list: bool,
     /// No query is sent before this time, since the last one was not answered.
-    pub(super) paused_until: Option<Instant>,
+    pub paused_until: Option<Instant>,
 }
 
 impl Outbox {
     /// Records a call that is about to be placed.
-    pub(super) fn open(&mut self, call: Call) {
+    pub fn open(&mut self, call: Call) {
         let open = OpenCall {
             call,
             endpoint: None,
@@ -52,7 +51,7 @@
     }
 
     /// Records the endpoint of a call, and reports it unless the coordinator chose it.
-    pub(super) fn start(&mut self, id: u64, endpoint: &str, is_known: bool) {
+    pub fn start(&mut self, id: u64, endpoint: &str, is_known: bool) {
         if let Some(open) = self.open.get_mut(&id) {
             open.endpoint = Some(endpoint.to_owned());
             if !is_known || open.is_unlisted {
@@ -61,16 +60,23 @@
         }
     }
 
-    /// Records the first event of a call.
-    pub(super) fn record_first_event(&mut self, id: u64, took_ms: u32, load: Option<LoadReport>) {
+    /// Records the first event of a call, with the running and waiting `calls` and the slowdown that the
+    /// endpoint reported.
+    pub fn record_first_event(
+        &mut self,
+        id: u64,
+        took_ms: u32,
+        calls: Option<u32>,
+        slowdown_percent: Option<u32>,
+    ) {
         if let Some(open) = self.open.get_mut(&id) {
             open.has_first_event = true;
             let report = FirstEventReport {
                 id,
                 took_ms,
                 age_ms: 0,
-                calls: load.map(|load| load.running.saturating_add(load.waiting)),
-                slowdown_percent: load.and_then(|load| load.slowdown_percent),
+                calls,
+                slowdown_percent,
             };
             let at = Instant::now();
             self.first_events.push(FirstEvent { report, at });
@@ -78,19 +84,19 @@
     }
 
     /// Records the end of a call.
-    pub(super) fn end(&mut self, id: u64) {
+    pub fn end(&mut self, id: u64) {
         if self.open.remove(&id).is_some() {
             self.ended.push(id);
         }
     }
 
     /// Returns true if `coordinator` was not the one that was told last.
-    pub(super) fn is_new_coordinator(&self, coordinator: &str) -> bool {
+    pub fn is_new_coordinator(&self, coordinator: &str) -> bool {
         self.coordinator.as_deref() != Some(coordinator)
     }
 
     /// Takes the reports for `coordinator`.
-    pub(super) fn take(&mut self, coordinator: &str) -> Reports {
+    pub fn take(&mut self, coordinator: &str) -> Reports {
         let is_new = self.is_new_coordinator(coordinator);
         if is_new {
             self.coordinator = Some(coordinator.to_owned());
@@ -128,12 +134,12 @@
     }
 
     /// Makes the next reports list all open calls, because some reports were lost.
-    pub(super) fn request_list(&mut self) {
+    pub fn request_list(&mut self) {
         self.needs_list = true;
     }
 
     /// Drops the reports, as there is no coordinator; the next one is told of all open calls.
-    pub(super) fn drop_reports(&mut self) {
+    pub fn drop_reports(&mut self) {
         self.started.clear();
         self.first_events.clear();
         self.ended.clear();
@@ -142,7 +148,7 @@
     }
 
     /// Returns true if there is something to report.
-    pub(super) fn has_reports(&self) -> bool {
+    pub fn has_reports(&self) -> bool {
         self.needs_list
             || !self.started.is_empty()
             || !self.first_events.is_empty()
--- a/crates/forward/src/zone_placement/tests.rs
+++ b/crates/engine-placement/src/tests.rs
@@ -4,11 +4,7 @@
 use tokio::time::advance;
 use uuid::Uuid;
 
-use super::{
-    coordinator::{Coordinator, Sender},
-    messages::{Call, Reports},
-    outbox::Outbox,
-};
+use crate::{Call, Coordinator, Outbox, Reports, Sender};
 
 fn call(id: u64) -> Call {
     Call {
@@ -79,7 +75,7 @@
     }
     outbox.start(1, "e-1", true);
     outbox.start(2, "e-2", false);
-    outbox.record_first_event(1, 70, None);
+    outbox.record_first_event(1, 70, None, None);
     let reports = outbox.take("a");
     assert!(reports.is_list);
     let mut started: Vec<_> = reports.started.iter().map(|s| s.call.id).collect();
@@ -105,7 +101,7 @@
     let mut outbox = Outbox::default();
     outbox.open(call(1));
     outbox.start(1, "e-1", false);
-    outbox.record_first_event(1, 70, None);
+    outbox.record_first_event(1, 70, None, None);
     outbox.drop_reports();
     assert!(!outbox.has_reports());
     let reports = outbox.take("a");
--- a/crates/forward/src/attempts.rs
+++ b/crates/forward/src/attempts.rs
@@ -12,8 +12,9 @@
     dialect::{Attempt, ResponseClass},
     error::{ForwardError, Refusal},
     in_flight::InFlightCall,
-    placement::{PlacementError, Requirements},
+    placement::PlacementError,
     request::{Context, MAX_ANSWER_BYTES, RECHECK_INTERVAL, RETRY_AFTER, Request},
+    requirements::Requirements,
     stages::Results,
 };
 
--- a/crates/forward/src/fleet/rates/tests.rs
+++ b/crates/forward/src/fleet/rates/tests.rs
@@ -10,7 +10,8 @@
 use crate::{
     error::Refusal,
     fleet::Fleet,
-    placement::{PlacedCall, PlacementError, Requirements},
+    placement::{PlacedCall, PlacementError},
+    requirements::Requirements,
     testing::{mirror, view},
 };
 
--- a/crates/forward/src/fleet/tests.rs
+++ b/crates/forward/src/fleet/tests.rs
@@ -10,7 +10,8 @@
 use super::Fleet;
 use crate::{
     error::Refusal,
-    placement::{PlacementError, Requirements},
+    placement::PlacementError,
+    requirements::Requirements,
     testing::{mirror, view},
 };
 
--- a/crates/forward/src/fleet/zones/tests.rs
+++ b/crates/forward/src/fleet/zones/tests.rs
@@ -8,7 +8,8 @@
 use crate::{
     availability::UnavailableReason,
     error::Refusal,
-    placement::{EVACUATED_RETRY_AFTER, PlacementError, Requirements},
+    placement::{EVACUATED_RETRY_AFTER, PlacementError},
+    requirements::Requirements,
     testing::{mirror, view},
 };
 
--- a/crates/forward/src/placement.rs
+++ b/crates/forward/src/placement.rs
@@ -11,9 +11,9 @@
     error::Refusal,
     fleet::{Fleet, Pool, ReachableZones, Target},
     in_flight::InFlightCall,
-    incoming::Prompt,
     long_prompts::LongPrompts,
     permits::CallPermission,
+    requirements::Requirements,
 };
 
 /// Penalty of an endpoint in another availability zone.
@@ -34,19 +34,6 @@
 /// learn of it within 1.3 s.
 pub(crate) const EVACUATED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// What a request requires of an endpoint.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Requirements<'a> {
-    pub(crate) service: &'a str,
-    /// The availability zone of this gate.
-    pub(crate) az: &'a str,
-    pub(crate) prompt: Option<&'a Prompt>,
-    /// Bytes of the stage results that the request needs, by availability zone.
-    pub(crate) inputs: &'a [(String, u64)],
-    /// Endpoints that were already tried.
-    pub(crate) avoid: &'a [String],
-}
-
 /// Result of choosing an endpoint.
 #[derive(Debug)]
 pub(crate) enum PlacedCall {
@@ -280,7 +267,7 @@
 ) -> Option<Cost> {
     let stats = target.stats();
     let load = f64::from(stats.load(now));
-    let slots = slots(target);
+    let slots = target.running_slots();
     if load >= slots * (1.0 + MAX_OVERFLOW) {
         return None;
     }
@@ -316,9 +303,11 @@
     })
 }
 
-/// Returns the number of calls that run at the same time at an endpoint.
-pub(crate) fn slots(target: &Target) -> f64 {
-    target.slots.map_or(DEFAULT_SLOTS, f64::from)
+impl Target {
+    /// Returns the number of calls that run at the same time at the endpoint.
+    pub(crate) fn running_slots(&self) -> f64 {
+        self.slots.map_or(DEFAULT_SLOTS, f64::from)
+    }
 }
 
 /// Returns the time that a call takes because of its inputs, the endpoint's zone and its permits.
--- a/crates/forward/src/start.rs
+++ b/crates/forward/src/start.rs
@@ -6,6 +6,7 @@
     time::Duration,
 };
 
+use engine_placement::EnginePlacement;
 use host::{
     http::{self, ListenerLimits},
     resources::Resources,
@@ -37,7 +38,6 @@
     control::{KeeperFeed, KeeperSync},
     dialect::Dialect,
     endpoint_notifier::EndpointNotifier,
-    engine_placement::EnginePlacement,
     fleet::Fleet,
     forwarder::Forwarder,
     freshness::Freshness,
--- a/crates/forward/src/zone_placement.rs
+++ b/crates/forward/src/zone_placement.rs
@@ -1,13 +1,9 @@
 //! Asks the placement coordinator of a service for the engines of calls with prompts, reports the
 //! calls to it, and answers other gates where this gate is the coordinator.
 //!
-//! The choice itself is made by [`routing::EngineTable`]. `docs/design/zone-placement.md` gives the
+//! The choice itself is made by [`routing::EngineTable`], the state is in `engine-placement`. `docs/design/zone-placement.md` gives the
 //! reasons for this design.
 
-mod coordinator;
-mod messages;
-mod outbox;
-
 use std::{
     collections::{HashMap, HashSet},
     sync::{
@@ -17,10 +13,11 @@
     time::Duration,
 };
 
-use coordinator::{Coordinator, Sender};
+use engine_placement::{
+    Call, Coordinator, EnginePlacement, Outbox, Placed, PlacementReply, PlacementRequest, Reports,
+    Sender,
+};
 use link::{Channel, Incoming, Peer};
-use messages::{Call, Placed, PlacementReply, PlacementRequest, Reports};
-use outbox::Outbox;
 use routing::{EngineCandidate, TableSizes};
 use spdlog::{debug, info};
 use tokio::{
@@ -30,11 +27,10 @@
 
 use crate::{
     dialect::LoadReport,
-    engine_placement::EnginePlacement,
     fleet::Fleet,
     gates::{Gates, LimiterChoice},
     metrics::Metrics,
-    placement::{self, Requirements},
+    requirements::Requirements,
     rules::Rules,
 };
 
@@ -327,7 +323,7 @@
             .map(|engine| EngineCandidate {
                 name: &engine.target.name,
                 incarnation: engine.target.incarnation,
-                slots: placement::slots(&engine.target) as u32,
+                slots: engine.target.running_slots() as u32,
                 memory_tokens,
                 is_local: engine.target.az == self.cx.az,
                 extra_ms: engine.extra_ms,
@@ -407,7 +403,9 @@
     /// Records that the first event arrived after `took_ms`.
     pub(crate) fn record_first_event(&self, took_ms: f64) {
         self.shared.with_outbox(&self.service, |outbox| {
-            outbox.record_first_event(self.id, took_ms as u32, self.load);
+            let calls = self.load.map(|l| l.running.saturating_add(l.waiting));
+            let slowdown = self.load.and_then(|load| load.slowdown_percent);
+            outbox.record_first_event(self.id, took_ms as u32, calls, slowdown);
         });
         self.shared.report.notify_one();
     }
@@ -420,6 +418,3 @@
         self.shared.report.notify_one();
     }
 }
-
-#[cfg(test)]
-mod tests;
