call-permits: permits for calls are a crate of their own

What a gate knows of one endpoint's rate, the token buckets, the lent shares and their messages need no network and no other part of forward.

--- a/crates/forward/src/rate_limit/limiter.rs
+++ b/crates/call-permits/src/limiter.rs
@@ -20,7 +20,7 @@
 
 /// Reply to a request for permits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Grant {
+pub enum Grant {
     /// This number of calls may be sent.
     Permits(u32),
     /// No call may be sent before this time has passed.
@@ -57,13 +57,13 @@
 
 /// Grants permits, by endpoint name.
 #[derive(Debug, Default)]
-pub(crate) struct Limiter {
+pub struct Limiter {
     endpoints: HashMap<String, Endpoint>,
 }
 
 impl Limiter {
     /// Records the request rate that an incarnation of `endpoint` named.
-    pub(crate) fn observe(
+    pub fn observe(
         &mut self,
         endpoint: &str,
         incarnation: Uuid,
@@ -79,7 +79,7 @@
     }
 
     /// Sets the limit of an incarnation of `endpoint` while it is cold, and its end.
-    pub(crate) fn set_cold(
+    pub fn set_cold(
         &mut self,
         endpoint: &str,
         incarnation: Uuid,
@@ -115,7 +115,7 @@
     }
 
     /// Grants permits for calls to `endpoint` with `fraction` of the shares in its rate.
-    pub(crate) fn grant(&mut self, endpoint: &str, fraction: f64, now: Instant) -> Grant {
+    pub fn grant(&mut self, endpoint: &str, fraction: f64, now: Instant) -> Grant {
         let Some(known) = self.endpoints.get_mut(endpoint) else {
             return Grant::Permits(1);
         };
--- a/crates/forward/src/rate_limit/messages.rs
+++ b/crates/call-permits/src/messages.rs
@@ -4,22 +4,34 @@
 
 use derives::record;
 use membership::RateReport;
+use tokio::time::Instant;
 
 /// Limit of a cold endpoint.
 #[record]
 #[derive(Copy)]
-pub(crate) struct ColdLimit {
+pub struct ColdLimit {
     /// Requests per second.
     #[serde(rename = "r")]
-    pub(crate) per_second: f64,
+    pub per_second: f64,
     /// Remaining time.
     #[serde(rename = "l")]
-    pub(crate) left: Duration,
+    pub left: Duration,
+}
+
+impl ColdLimit {
+    /// Returns the rate and the end of a limit that was reported at `now`; `None` if the rate is no
+    /// positive number.
+    pub fn at(self, now: Instant) -> Option<(f64, Instant)> {
+        // Bounds a remaining time that no endpoint announces.
+        const MAX_LEFT: Duration = Duration::from_hours(1);
+        let is_rate = self.per_second.is_finite() && self.per_second > 0.0;
+        is_rate.then(|| (self.per_second, now + self.left.min(MAX_LEFT)))
+    }
 }
 
 /// A request to another gate.
 #[record]
-pub(crate) enum LimitRequest {
+pub enum LimitRequest {
     /// Requests permits for calls to an endpoint of the availability zone for which the receiver
     /// grants them; carries the rate that the requester knows.
     #[serde(rename = "p")]
@@ -49,7 +61,7 @@
 
 /// The reply to a [`LimitRequest`].
 #[record]
-pub(crate) enum LimitReply {
+pub enum LimitReply {
     /// To [`LimitRequest::Permits`]: this number of calls may be sent.
     #[serde(rename = "g")]
     Granted(u32),
--- a/crates/forward/src/permits.rs
+++ b/crates/call-permits/src/permits.rs
@@ -8,7 +8,7 @@
 
 /// Lowest rate of permits, in requests per second. An endpoint that names less is still asked this
 /// often, since only its responses say that the limit ended.
-pub(crate) const MIN_RATE: f64 = 0.1;
+pub const MIN_RATE: f64 = 0.1;
 /// Time for which an endpoint counts as cold beyond the end that it announced. Announcements that
 /// differ by less are not passed on.
 const COLD_MARGIN: Duration = Duration::from_millis(500);
@@ -17,7 +17,7 @@
 
 /// Whether a call may be sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum CallPermission {
+pub enum CallPermission {
     /// The endpoint names no limit, or a permit was taken for the call.
     Granted,
     /// A permit has to be requested first.
@@ -28,18 +28,21 @@
 
 /// Whether an endpoint became cold or warm.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum ColdChange {
+pub enum ColdChange {
+    /// It is cold.
     Cold {
+        /// The end of its cold time, as far as known.
         until: Instant,
         /// True if it announced no cold time.
         is_assumed: bool,
     },
+    /// It is warm.
     Warm,
 }
 
 /// Request rate of one endpoint, and this gate's permits for calls to it.
 #[derive(Debug, Default)]
-pub(crate) struct Permits {
+pub struct Permits {
     observed: Option<ObservedRate>,
     /// When the endpoint stops being cold, if it announced that.
     cold: Option<ColdState>,
@@ -60,7 +63,7 @@
 
 impl Permits {
     /// Records an observed rate unless a later one is known. Returns true if the rate changed.
-    pub(crate) fn record_rate(&mut self, observed: ObservedRate) -> bool {
+    pub fn record_rate(&mut self, observed: ObservedRate) -> bool {
         let is_superseding = match self.observed {
             // Endpoints without a limit need no record.
             None => observed.per_second.is_some(),
@@ -79,23 +82,23 @@
     }
 
     /// Returns true if this gate reports the rate to others.
-    pub(crate) fn is_reporter(&self) -> bool {
+    pub fn is_reporter(&self) -> bool {
         self.is_reporter
     }
 
     /// Sets whether this gate reports the rate to others.
-    pub(crate) fn set_reporter(&mut self, is_reporter: bool) {
+    pub fn set_reporter(&mut self, is_reporter: bool) {
         self.is_reporter = is_reporter;
     }
 
     /// Returns the last observation.
-    pub(crate) fn observed(&self) -> Option<ObservedRate> {
+    pub fn observed(&self) -> Option<ObservedRate> {
         self.observed
     }
 
     /// Records when the endpoint stops being cold unless a later announcement is known, and the
     /// declared rate of cold endpoints. Returns true if the endpoint turned cold or warm.
-    pub(crate) fn record_cold(
+    pub fn record_cold(
         &mut self,
         cold: Option<ColdState>,
         rate: Option<f64>,
@@ -113,7 +116,7 @@
     }
 
     /// Records a sign that the endpoint restarted, which counts while the table is not current.
-    pub(crate) fn record_restart_sign(&mut self, contact: TableContact, now: Instant) {
+    pub fn record_restart_sign(&mut self, contact: TableContact, now: Instant) {
         self.change_limit(now, |permits| {
             permits.assumed_cold.record_restart_sign(contact, now);
         });
@@ -121,19 +124,14 @@
 
     /// Records that another gate treats the endpoint as cold for `left`, which counts while the table is
     /// not current.
-    pub(crate) fn record_reported_cold(
-        &mut self,
-        left: Duration,
-        contact: TableContact,
-        now: Instant,
-    ) {
+    pub fn record_reported_cold(&mut self, left: Duration, contact: TableContact, now: Instant) {
         self.change_limit(now, |permits| {
             permits.assumed_cold.record_report(left, contact, now);
         });
     }
 
     /// Ends what was assumed without a current table once that has caught up.
-    pub(crate) fn apply_contact(&mut self, contact: TableContact, now: Instant) {
+    pub fn apply_contact(&mut self, contact: TableContact, now: Instant) {
         self.assumed_cold.apply_contact(contact, now);
     }
 
@@ -147,7 +145,7 @@
     }
 
     /// Returns whether the endpoint is cold if that changed since the last call.
-    pub(crate) fn take_cold_change(&mut self, now: Instant) -> Option<ColdChange> {
+    pub fn take_cold_change(&mut self, now: Instant) -> Option<ColdChange> {
         let limit = self.cold_limit(now);
         let was_cold = std::mem::replace(&mut self.was_cold, limit.is_some());
         match (was_cold, limit) {
@@ -162,19 +160,19 @@
 
     /// Returns the limit in requests per second at `now`, if there is one: the lesser of the rate that
     /// the endpoint names and of that of cold endpoints.
-    pub(crate) fn limit(&self, now: Instant) -> Option<f64> {
+    pub fn limit(&self, now: Instant) -> Option<f64> {
         let cold = self.cold_limit(now).map(|(per_second, _)| per_second);
         lesser(self.named_limit(), cold)
     }
 
     /// Returns the limit in requests per second that the endpoint names, if it does.
-    pub(crate) fn named_limit(&self) -> Option<f64> {
+    pub fn named_limit(&self) -> Option<f64> {
         self.observed?.per_second
     }
 
     /// Returns the limit of the cold endpoint and until when it holds; `None` if the endpoint is warm
     /// at `now`, or its service declares no limit.
-    pub(crate) fn cold_limit(&self, now: Instant) -> Option<(f64, Instant)> {
+    pub fn cold_limit(&self, now: Instant) -> Option<(f64, Instant)> {
         let until = self
             .announced_until(now)
             .max(self.assumed_cold.until(now))?;
@@ -189,7 +187,7 @@
 
     /// Returns the expected time between two permits of a cold endpoint, at most the remaining cold
     /// time; zero for a warm one.
-    pub(crate) fn cold_wait(&self, now: Instant) -> Duration {
+    pub fn cold_wait(&self, now: Instant) -> Duration {
         self.cold_limit(now)
             .map_or(Duration::ZERO, |(per_second, until)| {
                 let left = until.saturating_duration_since(now);
@@ -199,7 +197,7 @@
     }
 
     /// Returns until when no permit is to be had, if permits are refused at `now`.
-    pub(crate) fn refused_until(&self, now: Instant) -> Option<Instant> {
+    pub fn refused_until(&self, now: Instant) -> Option<Instant> {
         self.limit(now)?;
         let is_available = self.count(now) > 0;
         self.refused_until
@@ -207,12 +205,12 @@
     }
 
     /// Returns true if permits are being requested and none is available.
-    pub(crate) fn is_pending(&self, now: Instant) -> bool {
+    pub fn is_pending(&self, now: Instant) -> bool {
         self.limit(now).is_some() && self.requests > 0 && self.count(now) == 0
     }
 
     /// Takes a permit for a call, if one is needed and available.
-    pub(crate) fn try_take(&mut self, now: Instant) -> CallPermission {
+    pub fn try_take(&mut self, now: Instant) -> CallPermission {
         if self.limit(now).is_none() {
             return CallPermission::Granted;
         }
@@ -225,24 +223,24 @@
     }
 
     /// Records that permits are being requested.
-    pub(crate) fn start_request(&mut self) {
+    pub fn start_request(&mut self) {
         self.requests += 1;
     }
 
     /// Adds permits that were requested at `requested_at`.
-    pub(crate) fn grant(&mut self, permits: u32, requested_at: Instant, now: Instant) {
+    pub fn grant(&mut self, permits: u32, requested_at: Instant, now: Instant) {
         self.available = self.count(now).saturating_add(permits);
         self.available_until = Some(requested_at + PERMIT_TTL);
         self.refused_until = None;
     }
 
     /// Records that no permit is to be had before `until`.
-    pub(crate) fn refuse(&mut self, until: Instant) {
+    pub fn refuse(&mut self, until: Instant) {
         self.refused_until = Some(until);
     }
 
     /// Records that a request for permits ended.
-    pub(crate) fn end_request(&mut self) {
+    pub fn end_request(&mut self) {
         self.requests = self.requests.saturating_sub(1);
     }
 
@@ -254,7 +252,7 @@
 }
 
 /// Returns the lesser of two limits, each of which may be missing.
-pub(crate) fn lesser(a: Option<f64>, b: Option<f64>) -> Option<f64> {
+pub fn lesser(a: Option<f64>, b: Option<f64>) -> Option<f64> {
     match (a, b) {
         (Some(a), Some(b)) => Some(a.min(b)),
         (a, b) => a.or(b),
--- a/crates/forward/src/rate_limit/shares.rs
+++ b/crates/call-permits/src/shares.rs
@@ -12,7 +12,7 @@
 
 /// How long a share is lent. The borrower counts from its request, the lender from its reply, which
 /// is later.
-pub(crate) const LOAN_DURATION: Duration = Duration::from_millis(1_500);
+pub const LOAN_DURATION: Duration = Duration::from_millis(1_500);
 /// Time after its start in which a gate neither lends nor uses its share, since it may have lent it
 /// before it was restarted, and other gates have to learn of it.
 const START_DELAY: Duration = Duration::from_secs(2);
@@ -22,7 +22,7 @@
 
 /// Lends the share of this gate, by availability zone.
 #[derive(Debug)]
-pub(crate) struct Lender {
+pub struct Lender {
     start: Duration,
     loans: HashMap<String, Loan>,
 }
@@ -36,7 +36,7 @@
 
 impl Lender {
     /// Creates the lender of a gate that started at `start`.
-    pub(crate) fn new(start: Duration) -> Self {
+    pub fn new(start: Duration) -> Self {
         Self {
             start,
             loans: HashMap::new(),
@@ -45,7 +45,7 @@
 
     /// Lends the share in the rates of `az` to `borrower` for [`LOAN_DURATION`]. Returns false if it
     /// is lent to another gate.
-    pub(crate) fn lend(&mut self, az: &str, borrower: &str, now: Duration) -> bool {
+    pub fn lend(&mut self, az: &str, borrower: &str, now: Duration) -> bool {
         let is_taken = |loan: &Loan| now < loan.until && loan.borrower != borrower;
         if now < self.start + START_DELAY || self.loans.get(az).is_some_and(is_taken) {
             return false;
@@ -61,26 +61,20 @@
 
 /// The shares that other gates lend to this gate, by availability zone and lender.
 #[derive(Debug, Default)]
-pub(crate) struct BorrowedShares {
+pub struct BorrowedShares {
     until: HashMap<String, BTreeMap<String, Duration>>,
 }
 
 impl BorrowedShares {
     /// Records that `lender` lent its share as requested at `requested_at`.
-    pub(crate) fn record(&mut self, az: &str, lender: &str, requested_at: Duration) {
+    pub fn record(&mut self, az: &str, lender: &str, requested_at: Duration) {
         let lenders = self.until.entry(az.to_owned()).or_default();
         lenders.insert(lender.to_owned(), requested_at + LOAN_DURATION);
     }
 
     /// Returns the fraction of the shares of `holders` that this gate may use at `now`, given whether
     /// it may use its own; zero if that is too little to grant permits.
-    pub(crate) fn fraction(
-        &self,
-        az: &str,
-        holders: &[String],
-        has_own: bool,
-        now: Duration,
-    ) -> f64 {
+    pub fn fraction(&self, az: &str, holders: &[String], has_own: bool, now: Duration) -> f64 {
         let lenders = self.until.get(az);
         let is_lent = |holder: &&String| {
             let until = lenders.and_then(|lenders| lenders.get(*holder));
--- /dev/null
+++ b/crates/call-permits/src/tests.rs
@@ -0,0 +1,1 @@
+mod cold;
--- a/crates/forward/src/rate_limit/tests/cold.rs
+++ b/crates/call-permits/src/tests/cold.rs
@@ -7,13 +7,7 @@
 use tokio::time::Instant;
 use uuid::Uuid;
 
-use crate::{
-    permits::{CallPermission, Permits},
-    rate_limit::{
-        limiter::{Grant, Limiter},
-        shares::{BorrowedShares, Lender},
-    },
-};
+use crate::{BorrowedShares, CallPermission, Grant, Lender, Limiter, Permits};
 
 const AZ: &str = "a";
 const GATES: usize = 4;
--- a/crates/forward/src/fleet.rs
+++ b/crates/forward/src/fleet.rs
@@ -15,6 +15,7 @@
     time::Duration,
 };
 
+use call_permits::{CallPermission, Permits};
 use logs::Event;
 use membership::{EndpointState, EndpointView, MAX_UNAVAILABLE, Mirror, UnavailableEndpoint};
 use routing::{
@@ -28,7 +29,6 @@
     availability::{AvailabilityState, Departure, UnavailableReason},
     latency::Slowness,
     long_prompts::LongPrompts,
-    permits::{CallPermission, Permits},
 };
 
 /// Service under which gates announce themselves; no declared service can have this name.
--- a/crates/forward/src/fleet/cold.rs
+++ b/crates/forward/src/fleet/cold.rs
@@ -7,13 +7,14 @@
     sync::{Arc, PoisonError, RwLockReadGuard},
 };
 
+use call_permits::{ColdChange, ColdLimit};
 use logs::Event;
 use membership::{ColdState, RateReport};
 use routing::TableContact;
 use tokio::time::Instant;
 
 use super::{Fleet, Target};
-use crate::{call::CallError, permits::ColdChange, rate_limit::ColdLimit};
+use crate::call::CallError;
 
 impl Target {
     /// Records the endpoint's cold time, if keepers list one, and the rate that its service declares
--- a/crates/forward/src/fleet/cold/tests.rs
+++ b/crates/forward/src/fleet/cold/tests.rs
@@ -4,6 +4,7 @@
     time::Duration,
 };
 
+use call_permits::{CallPermission, ColdLimit};
 use membership::{RateReport, ReportedRate};
 use tokio::time::{Instant, advance};
 use uuid::Uuid;
@@ -11,8 +12,6 @@
 use crate::{
     call::CallError,
     fleet::{Fleet, Target},
-    permits::CallPermission,
-    rate_limit::ColdLimit,
     testing::{mirror, view},
 };
 
--- a/crates/forward/src/fleet/rates.rs
+++ b/crates/forward/src/fleet/rates.rs
@@ -2,13 +2,13 @@
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
+use call_permits::ColdLimit;
 use logs::Event;
 use membership::{Mirror, ObservedRate, RateReport, ReportedRate};
 use outbound::NamedRate;
 use tokio::time::Instant;
 
 use super::{Fleet, PoisonError, Target};
-use crate::rate_limit::ColdLimit;
 
 /// Time for which a rate is remembered of an endpoint that keepers no longer list.
 const RETENTION: Duration = Duration::from_mins(1);
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -34,7 +34,6 @@
 mod long_prompts;
 mod messages;
 mod metrics;
-mod permits;
 mod placement;
 mod queue;
 mod rate_limit;
--- a/crates/forward/src/placement.rs
+++ b/crates/forward/src/placement.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use call_permits::CallPermission;
 use routing::{LatencyModel, PrefillCandidate, PrefillConfig};
 use tokio::time::{Duration, Instant};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -12,7 +13,6 @@
     fleet::{Fleet, Pool, ReachableZones, Target},
     in_flight::InFlightCall,
     long_prompts::LongPrompts,
-    permits::CallPermission,
     requirements::Requirements,
 };
 
--- a/crates/forward/src/queue.rs
+++ b/crates/forward/src/queue.rs
@@ -15,6 +15,7 @@
 };
 
 pub(crate) use call::{Bound, NextCall, NextStep};
+use call_permits::{CallPermission, MIN_RATE};
 use declaration::{BatchCapacity, Capacity};
 use endpoint_load::{CAPACITY_MISS_HALF_LIFE, EndpointLoad, HeldResult, MAX_CAPACITY_MISS_SHARE};
 pub(crate) use job::Job;
@@ -27,7 +28,6 @@
     availability::UnavailableReason,
     fleet::{Pool, ReachableZones, Target},
     messages::{StageFailure, Submission},
-    permits::{CallPermission, MIN_RATE},
     ticket::Ticket,
 };
 
--- a/crates/forward/src/rate_limit.rs
+++ b/crates/forward/src/rate_limit.rs
@@ -2,25 +2,21 @@
 //!
 //! A gate that calls an endpoint with such a limit needs a permit. One gate of the endpoint's
 //! availability zone grants the permits of that zone, from a token bucket for each endpoint, for the
-//! shares that the zone's gates lend it ([`shares`]). `docs/design/rate-limits.md` gives the reasons
+//! shares that the zone's gates lend it ([`call_permits`]). `docs/design/rate-limits.md` gives the reasons
 //! for this design.
 
-mod limiter;
-mod messages;
-mod shares;
-
 use std::{
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
+use call_permits::{
+    BorrowedShares, CallPermission, ColdLimit, Grant, LOAN_DURATION, Lender, LimitReply,
+    LimitRequest, Limiter,
+};
 use futures_util::future::join_all;
-use limiter::{Grant, Limiter};
 use link::{Channel, Peer};
 use membership::RateReport;
-pub(crate) use messages::ColdLimit;
-use messages::{LimitReply, LimitRequest};
-use shares::{BorrowedShares, LOAN_DURATION, Lender};
 use spdlog::debug;
 use tokio::{
     sync::Notify,
@@ -32,7 +28,6 @@
     freshness::{Freshness, boot_time},
     gates::{Gates, LimiterChoice},
     metrics::Metrics,
-    permits::CallPermission,
 };
 
 /// Timeout of a request for permits.
@@ -280,17 +275,6 @@
     cold.is_some() && report.rate.per_second.is_none()
 }
 
-impl ColdLimit {
-    /// Returns the rate and the end of a limit that was reported at `now`; `None` if the rate is no
-    /// positive number.
-    fn at(self, now: Instant) -> Option<(f64, Instant)> {
-        // Bounds a remaining time that no endpoint announces.
-        const MAX_LEFT: Duration = Duration::from_hours(1);
-        let is_rate = self.per_second.is_finite() && self.per_second > 0.0;
-        is_rate.then(|| (self.per_second, now + self.left.min(MAX_LEFT)))
-    }
-}
-
 /// A request for permits, counted at its endpoint until it is finished or dropped.
 #[derive(Debug)]
 pub(crate) struct PermitRequest {
--- a/crates/forward/src/rate_limit/tests.rs
+++ b/crates/forward/src/rate_limit/tests.rs
@@ -1,5 +1,3 @@
-mod cold;
-
 use std::{sync::Arc, time::Duration};
 
 use tokio::time::Instant;
