Roles: as many threads as the VM has memory for

Cause: a role ran a thread for each core, and the allocator keeps what each thread has freed. Ruled out: heads that are held, since all but some eight are refused as soon as they are parsed.

Change: one thread for each 128 MB of [resources] memory_mb (or of the machine's memory), the number of cores at most.

--- a/crates/host/src/resources.rs
+++ b/crates/host/src/resources.rs
@@ -11,6 +11,9 @@
 /// Assumed where neither the settings nor the machine name the memory, in bytes.
 const DEFAULT_MEMORY_BYTES: u64 = 256 * BYTES_PER_MB;
 
+/// Memory of a VM for each worker thread. The allocator keeps freed memory of each thread.
+const BYTES_PER_WORKER_THREAD: u64 = 128 * BYTES_PER_MB;
+
 /// Resources of a VM, from which limits are derived.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Resources {
@@ -38,6 +41,14 @@
         }
     }
 
+    /// Returns the number of threads that run a role's tasks on a machine with `cores`.
+    pub fn worker_threads(&self, cores: usize) -> usize {
+        let by_memory = self.memory_bytes / BYTES_PER_WORKER_THREAD;
+        usize::try_from(by_memory)
+            .unwrap_or(usize::MAX)
+            .clamp(1, cores.max(1))
+    }
+
     /// Returns the memory of this machine and the soft limit of open files of this process.
     pub fn of_machine() -> Self {
         let memory = fs::read_to_string("/proc/meminfo").ok();
--- a/crates/host/src/resources/tests.rs
+++ b/crates/host/src/resources/tests.rs
@@ -44,3 +44,24 @@
     assert_eq!(total_memory(text), Some(117_188 << 10));
     assert_eq!(total_memory("nothing"), None);
 }
+
+/// Guards against a small VM with many cores whose threads together keep more memory than it has.
+#[test]
+fn worker_threads_are_bounded_by_cores_and_memory() {
+    let threads = |megabytes: u64, cores| {
+        let resources = Resources {
+            memory_bytes: megabytes * 1_000_000,
+            descriptors: 1_024,
+            link_bits_per_second: None,
+        };
+        resources.worker_threads(cores)
+    };
+    assert_eq!(
+        (threads(120, 8), threads(256, 8), threads(400, 8)),
+        (1, 2, 3)
+    );
+    assert_eq!(
+        (threads(32_000, 8), threads(32_000, 1), threads(0, 0)),
+        (8, 1, 1)
+    );
+}
--- a/crates/host/src/role.rs
+++ b/crates/host/src/role.rs
@@ -1,6 +1,6 @@
 //! The `main` of all roles: parses the command line, reads the settings, runs until stopped.
 
-use std::{net::SocketAddr, path::Path};
+use std::{net::SocketAddr, num::NonZero, path::Path, thread::available_parallelism};
 
 use inifile::Faults;
 use spdlog::{Level, error, info};
@@ -16,6 +16,7 @@
     exit::ExitCode,
     output::print_line,
     reload,
+    resources::Resources,
     settings::Reader,
     shutdown::{self, StopSignal},
 };
@@ -59,7 +60,7 @@
     level: Level,
 }
 
-/// Runs a role on a multi-threaded runtime. `read` builds its config from the settings file given
+/// Runs a role on as many threads as the VM has cores and memory for. `read` builds its config from the settings file given
 /// on the command line, `start` starts it.
 pub fn main<C>(
     program: Program,
@@ -123,7 +124,8 @@
         Ok(args) => args,
         Err(code) => return code,
     };
-    let (cfg, log_settings) = match read_settings(&args.config, read) {
+    let read = |reader: &mut Reader| (read(reader), Resources::read(reader));
+    let ((cfg, resources), log_settings) = match read_settings(&args.config, read) {
         Ok(settings) => settings,
         Err(faults) => {
             eprintln!("{faults}");
@@ -134,7 +136,9 @@
         print_line(format!("{}: settings are valid", args.config.display()));
         return ExitCode::Success;
     }
+    let cores = available_parallelism().map_or(1, NonZero::get);
     let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(resources.worker_threads(cores))
         .enable_all()
         .build();
     match runtime {
