--- a/crates/controller/tests/controllers.rs
+++ b/crates/controller/tests/controllers.rs
@@ -223,7 +223,7 @@
             s["endpoints"] == 3 && s["differences"] == serde_json::json!([])
         })
         .await;
-    let load = env.start_load();
+    let load = env.start_load().await;
     env.declare(4, "horlogerie").await;
     for engine in &engines {
         wait_for_versions(engine, &[4]).await;
@@ -248,7 +248,7 @@
             s["endpoints"] == 4 && s["differences"] == serde_json::json!([])
         })
         .await;
-    let load = env.start_load();
+    let load = env.start_load().await;
     env.declare(4, "horlogerie").await;
     let first = wait_for_engine_with(&engines, 4).await;
     first.set_fault(fault);
@@ -387,7 +387,7 @@
     controller
         .wait_for_status("the controller knows all engines", |s| s["endpoints"] == 3)
         .await;
-    let load = env.start_load();
+    let load = env.start_load().await;
     env.declare_with(4, "horlogerie", keys).await;
     controller
         .wait_for_status("every engine has version 4 and at most one has none", |s| {
--- a/crates/controller/tests/env/mod.rs
+++ b/crates/controller/tests/env/mod.rs
@@ -325,8 +325,25 @@
 }
 
 impl Env {
-    /// Starts four callers of the gate's pipeline.
-    pub fn start_load(&self) -> LoadGenerator {
+    async fn await_gate_revision(&self) {
+        let (url, start) = (format!("{}/v1/revision", self.gate_url()), Instant::now());
+        loop {
+            let response = self.client.get(&url).await;
+            let json: Value = response.map_or(Value::Null, |a| {
+                serde_json::from_slice(&a.body).unwrap_or_default()
+            });
+            match json["revision"].as_u64() {
+                Some(revision) if revision >= self.revision => return,
+                _ => assert!(start.elapsed() < TEST_TIMEOUT, "gate: {json}"),
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Starts four callers of the gate's pipeline once the gate follows the declaration. Controllers may
+    /// have it earlier.
+    pub async fn start_load(&self) -> LoadGenerator {
+        self.await_gate_revision().await;
         let (stop, stopped) = channel();
         let url = format!("{}/v1/pipelines/appraisal", self.gate_url());
         let answered = Arc::new(AtomicUsize::new(0));
