--- a/review/lib-2/standin.py
+++ b/review/lib-2/standin.py
@@ -2,7 +2,7 @@
 
 Standard library only. Everything runs on loopback addresses of one random /24 of 127.0.0.0/8.
 """
-import asyncio, json, os, random, shutil, signal, socket, subprocess, sys, tempfile, time
+import asyncio, json, os, random, shutil, signal, socket, subprocess, sys, tempfile, time, traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -56,8 +56,8 @@
         self.core_ips = [f"{self.net}.{1 + n}" for n in range(cores)]
         self.edge_ips = [f"{self.net}.{41 + n}" for n in range(edges)]
         ips = self.core_ips + self.edge_ips
-        self.first = free_port(ips, 16)
-        self.client, self.ready, self.admin = (free_port(ips, 3) + n for n in range(3))
+        self.first = free_port(ips, 19)
+        self.client, self.ready, self.admin = (self.first + n for n in (16, 17, 18))
         self.bounds = {**BOUNDS, **(bounds or {})}
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.processes = {}
@@ -432,7 +432,7 @@
         record(f"the case could not run: {e}")
         code = UNFIT
     except Exception as e:  # the harness itself failed
-        record(f"the case could not run: {type(e).__name__} {e}")
+        record(f"the case could not run: {traceback.format_exc()}")
         if os.environ.get("DEBUG"):
             raise
         code = UNFIT
