--- a/review/6/case.py
+++ b/review/6/case.py
@@ -2,17 +2,20 @@
 import asyncio, os, random, sys, time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib-2"))
-from standin import *
+try:
+    from standin import *
+except BaseException:
+    sys.exit(2)
 
 PIECES = {"max-concurrency": 1, "queue": 2, "batch": 8, "call-cost-ms": 200.0, "item-ms": 21.0, "headroom-mb": 18.0,
           "handle-s": 4.0, "link-mbps": 10000}
 RESULT_BYTES = 60_000
-# Largest dose of the site: share 0.6 of the workers, 0.03 of their answers.
-MOST = 0.03
-# One call in so many of the faulty worker ends with the reason `error` for its items, with and without trouble.
-ERROR_EACH = 20
-SECONDS = 60
-CLIENTS = 60
+# The site's dose: share 0.6 of the workers, 0.03 of their answers, for 5 s. Here 3 of 6 workers, once.
+FAULTY, MOST, FOR_S, FROM_S = 3, 0.03, 5.0, 6.0
+# One call in so many of one worker ends with the reason `error` for its items, with and without trouble.
+ERROR_EACH = 5
+SECONDS = 20
+CLIENTS = 170
 ENGINE = {"max-concurrency": 128, "kv-capacity": 550262, "kv-token-bytes": 35136, "link-mbps": 370000.0, "moves": True,
           "backups": True, "stride": 3, "most": 12, "pin-ms": 4000.0, "hold-ms": 2000.0, "handle-s": 5.0,
           "models": [{"name": "m"}]}
@@ -30,18 +33,35 @@
 }
 
 
+class Garble:
+    """The workers that send second copies: from `begin` for FOR_S, of at most MOST of their answers in that time."""
+
+    def __init__(self):
+        self.begin, self.answers, self.copies = None, 0, 0
+
+    def may_copy(self):
+        if self.begin is None or not 0 <= time.monotonic() - self.begin < FOR_S:
+            return False
+        self.answers += 1
+        return TROUBLE and self.copies + 1 <= MOST * self.answers
+
+
 class Faulty(StageWorker):
-    """Sends a second, late copy of some answers: at most MOST of them, and only of answers without a result."""
+    """One of the workers that send a second, late copy of an answer; only answers without a result are copied."""
+
+    def __init__(self, system, zone, results, garble, errs):
+        super().__init__(system, zone, PIECES, results, real_mb=RESULT_BYTES / 1e6)
+        self.dose, self.errs = garble, errs
 
     def fails(self):
-        return self.answers % ERROR_EACH == ERROR_EACH - 1
+        return self.errs and self.answers % ERROR_EACH == ERROR_EACH - 1
 
     def garble(self, connection, made, answer):
-        may = (self.copies + 1) <= MOST * self.answers
-        if TROUBLE and may and not any("handle" in m for m in made):
-            self.copies += 1
+        may = self.dose.may_copy()
+        if may and not any("handle" in m for m in made):
+            self.dose.copies += 1
             connection.held = answer
-            self.record(f"stage {self.id}: garble: keeps a copy of this answer ({self.copies} of {self.answers})")
+            self.record(f"stage {self.id}: garble: keeps a copy of this answer ({self.dose.copies} of {self.dose.answers})")
 
 
 class Model(Worker):
@@ -85,8 +105,9 @@
     system = System(record, cores=3, edges=1)
     try:
         results = {}
-        stages = [Faulty(system, "rockland", PIECES, results, real_mb=RESULT_BYTES / 1e6),
-                  StageWorker(system, "bucksport", PIECES, results, real_mb=RESULT_BYTES / 1e6)]
+        garble = Garble()
+        stages = [Faulty(system, ZONES[n % 3], results, garble, n == 0) for n in range(FAULTY)]
+        stages += [StageWorker(system, ZONES[n % 3], PIECES, results, real_mb=RESULT_BYTES / 1e6) for n in range(3)]
         models = [Model(system, zone, results) for zone in ZONES]
         await system.start_all(CONFIGURATION)
         for worker in stages + models:
@@ -94,6 +115,7 @@
         await system.await_ready("edge-0")
         await asyncio.sleep(3)
         until, answers, n = time.monotonic() + SECONDS, [], 0
+        garble.begin = time.monotonic() + FROM_S
 
         async def session():
             nonlocal n
@@ -110,7 +132,7 @@
         served = sum(1 for status, _, _ in answers if status == 200)
         foreign = [f for m in models for f in m.foreign]
         record(f"requests {len(answers)}, served {served}, runs {sum(m.runs for m in models)}, answers of the faulty "
-               f"worker {stages[0].answers}, copies {stages[0].copies}, runs with foreign inputs {len(foreign)}")
+               f"workers in {FOR_S} s {garble.answers}, copies {garble.copies}, runs with foreign inputs {len(foreign)}")
         print(open(record.f.name).read().splitlines()[-1])
         if served < len(answers) / 2:
             raise Unfit("less than half of the requests were served")
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -2,7 +2,10 @@
 import asyncio, os, random, signal, sys, time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib-2"))
-from standin import *
+try:
+    from standin import *
+except BaseException:
+    sys.exit(2)
 
 SLOTS, QUEUE = 4, 8
 EVENTS, EVENT_S = 93, 0.12
@@ -11,6 +14,9 @@
 PATIENCE = max(2.0, 4 * OBJECTIVE_MS / 1e3, 8 * PAUSE_MS / 1e3)
 LOSS_SLACK = 0.2
 GRACE = 8
+FILL_S = 6.0  # time before the stop, in which the service fills
+RATE = 28  # requests a second, the same all the time
+EDGES = 1
 ENGINE = {"max-concurrency": SLOTS, "kv-capacity": 550262, "kv-token-bytes": 35136, "link-mbps": 370000.0, "moves": True,
           "backups": True, "stride": 3, "most": 12, "pin-ms": 4000.0, "hold-ms": 2000.0, "handle-s": 5.0,
           "models": [{"name": "m"}]}
@@ -72,14 +78,14 @@
             self.record(f"model {self.id}: {attempt} complete")
 
 
-async def request(system, record, n):
+async def request(system, record, n, edge):
     """One client. Returns its id, when it sent and ended, and how it ended."""
     attempt = f"{random.getrandbits(32):08x}{n:08x}"
     headers = {"X-Model": "m", "X-Token-Usage": "715,279", "X-Prefix-Hash": f"5c1e07a2:172,{n:08x}:543"}
     sent, first = time.monotonic(), asyncio.get_running_loop().create_future()
     on_head = lambda status, got: first.done() or first.set_result(status)
     call_task = asyncio.ensure_future(
-        client(system, 0, record, "/puxa400/2f", attempt, DEADLINE_MS, headers, on_head=on_head))
+        client(system, edge, record, "/puxa400/2f", attempt, DEADLINE_MS, headers, on_head=on_head))
     done, _ = await asyncio.wait({call_task, first}, timeout=PATIENCE, return_when=asyncio.FIRST_COMPLETED)
     if not done:
         call_task.cancel()
@@ -89,8 +95,28 @@
     return attempt, sent, time.monotonic(), status
 
 
+class Rotation:
+    """The platform's question to each gate, once a second; two misses take it out."""
+
+    def __init__(self, system):
+        self.system, self.misses = system, [0] * EDGES
+
+    def usable(self, edge):
+        return self.misses[edge] < 2
+
+    async def ask(self):
+        while True:
+            for n, ip in enumerate(self.system.edge_ips):
+                try:
+                    status, _, _ = await asyncio.wait_for(call(ip, self.system.ready, "GET", "/readyz"), 0.9)
+                except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+                    status = None
+                self.misses[n] = 0 if status == 200 else self.misses[n] + 1
+            await asyncio.sleep(1)
+
+
 async def main(record):
-    system = System(record, cores=3, edges=1, bounds={"grace-period-s": GRACE})
+    system = System(record, cores=3, edges=EDGES, bounds={"grace-period-s": GRACE})
     try:
         arrived = set()
         models = [Model(system, zone, arrived) for zone in ZONES[:2]]
@@ -99,21 +125,19 @@
             await model.start()
         await system.await_ready("edge-0")
         await asyncio.sleep(4)
-        requests = []
-
-        async def send(count, seconds):
-            for _ in range(count):
-                requests.append(asyncio.ensure_future(request(system, record, len(requests))))
-                await asyncio.sleep(seconds / count)
-
-        # High load: all slots are taken, and some requests wait at the workers.
-        await send(24, 2.0)
-        stopped = time.monotonic()
-        if TROUBLE:
-            system.signal("edge-0", signal.SIGTERM)
-        # The platform notices within two questions that the gate isn't ready: clients come for 2 s more.
-        await asyncio.sleep(0.9)
-        await send(40, 1.4)
+        requests, rotation = [], Rotation(system)
+        asking = asyncio.ensure_future(rotation.ask())
+        begin, stopped = time.monotonic(), None
+        while time.monotonic() < begin + FILL_S + GRACE and rotation.usable(0):
+            edge = random.choice([n for n in range(EDGES) if rotation.usable(n)])
+            requests.append(asyncio.ensure_future(request(system, record, len(requests), edge)))
+            await asyncio.sleep(1 / RATE)
+            if stopped is None and time.monotonic() >= begin + FILL_S:
+                stopped = time.monotonic()
+                if TROUBLE:
+                    system.signal("edge-0", signal.SIGTERM)
+        record(f"platform: edge-0 gets no new connection from {time.monotonic() - stopped:.2f} s on")
+        asking.cancel()
         killed = None
         if TROUBLE:
             await asyncio.sleep(max(0, stopped + GRACE - time.monotonic()))
@@ -123,7 +147,7 @@
                 record("platform: edge-0 ended by itself within its grace period")
         results = await asyncio.gather(*requests)
         lost = [(a, sent - stopped, ended - stopped) for a, sent, ended, how in results
-                if how is None and a not in arrived and ended - sent > LOSS_SLACK and sent - stopped <= 3]
+                if how is None and a not in arrived and 0 <= ended - stopped <= GRACE + 1 and ended - sent > LOSS_SLACK and sent - stopped <= 3]
         for attempt, sent, ended in lost:
             record(f"LOST: {attempt} sent {sent:.2f} s after SIGTERM, its connection ended without an answer at {ended:.2f} s; "
                    "no worker was ever offered it")
