Batched calls: a connection each, so that no late copy answers another call

Cause: responses to batched calls and releases name no call, and their connections went back to the pool. A copy was told by its handles only; one without handles passed as the response to the next call, and that call's response as that of the one after it. The connection stayed shifted until it closed.

Ruled out: detection by handles, by digests of earlier responses on the connection or by response times. Handles are forgotten when results expire, another queue of the gate does not know them, releases have none, and an extra response need not repeat an earlier one.

Change: such a call gets a connection of its own, which the pool never takes back.

--- a/crates/forward/src/batch.rs
+++ b/crates/forward/src/batch.rs
@@ -54,9 +54,6 @@
     match class {
         ResponseClass::Success => {}
         ResponseClass::Full | ResponseClass::NotRun | ResponseClass::InputsGone => {
-            exchange
-                .end_refused(&cx.pool, "", MAX_ANSWER_BYTES, late_at)
-                .await;
             return BatchOutcome::NotRun;
         }
         ResponseClass::WrongEndpoint => return BatchOutcome::Misplaced,
@@ -77,11 +74,7 @@
         Some(results) if results.len() == next.jobs.len() => {
             BatchOutcome::Answered(results.into_iter().map(item_outcome).collect())
         }
-        _ => {
-            // The connection may deliver responses to other calls.
-            cx.pool.close_idle(next.target.address);
-            BatchOutcome::Failed("the response does not match the items".to_owned())
-        }
+        _ => BatchOutcome::Failed("the response does not match the items".to_owned()),
     }
 }
 
--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -88,8 +88,9 @@
     pub(crate) headers: HeaderMap,
 }
 
-/// Sends `req` with this id, which is empty for batched calls and releases, to `address` and waits
-/// until `deadline` for the response head, as [`send_by`] does.
+/// Sends `req` with this id to `address` and waits until `deadline` for the response head, as
+/// [`send_by`] does. Batched calls and releases have an empty id: each gets a connection of its own,
+/// since a late copy of its response could not be told from the response to the next call.
 pub(crate) async fn send(
     pool: &Pool,
     address: SocketAddr,
@@ -136,7 +137,10 @@
     (start_by, deadline): (Instant, Instant),
     handover: &Handover,
 ) -> Result<Exchange, CallError> {
-    let idle = pool.checkout(address);
+    let idle = match id {
+        "" => None,
+        _ => pool.checkout(address),
+    };
     if let Some(connection) = idle.filter(|c| !c.refused.iter().any(|refused| refused == id)) {
         handover.set(true);
         match send_on(connection, address, req.clone(), start_by, deadline).await {
@@ -145,7 +149,7 @@
         }
     }
     let connecting = timeout_at(start_by, pool.connect(address)).await;
-    let connection = match connecting {
+    let mut connection = match connecting {
         Err(_) => return Err(CallError::Unsent("no time left to connect".to_owned())),
         Ok(Err(why)) => {
             pool.close_idle(address);
@@ -153,6 +157,7 @@
         }
         Ok(Ok(connection)) => connection,
     };
+    connection.is_single_use = id.is_empty();
     handover.set(true);
     send_on(connection, address, req, start_by, deadline).await
 }
@@ -208,20 +213,14 @@
     pub(crate) fn classify(&self, dialect: &Dialect, id: &str) -> ResponseClass {
         let class = (dialect.classify)(id, self.status, &self.headers);
         let is_identified = || (dialect.echoes_id)(id, &self.headers);
-        match class.is_refusal()
-            && self.connection.is_reused()
-            && !id.is_empty()
-            && !is_identified()
-        {
+        match class.is_refusal() && self.connection.is_reused() && !is_identified() {
             true => ResponseClass::Unrelated,
             false => class,
         }
     }
 
     /// Ends the exchange after the request `id` was refused, and returns the connection to `pool` after
-    /// the body, up to `max` bytes. Batched calls and releases carry no id, so on a reused connection
-    /// the refusal may be a copy of an earlier one that the response to this call follows: such a
-    /// connection is closed.
+    /// the body, up to `max` bytes.
     pub(crate) async fn end_refused(
         mut self,
         pool: &Pool,
@@ -229,14 +228,11 @@
         max: usize,
         deadline: Instant,
     ) {
-        let is_reused = self.connection.is_reused();
         let refused = &mut self.connection.refused;
-        match id {
-            "" if is_reused => return,
-            "" => {}
-            _ if refused.len() >= MAX_REFUSED => return,
-            id => refused.push(id.to_owned()),
+        if refused.len() >= MAX_REFUSED {
+            return;
         }
+        refused.push(id.to_owned());
         // The body is read only to keep the connection usable.
         let _ = self.discard_body(pool, max, deadline).await;
     }
--- a/crates/forward/src/collector.rs
+++ b/crates/forward/src/collector.rs
@@ -37,8 +37,6 @@
 /// The same for an endpoint that names a request rate, since each request counts there.
 const DEFERRED_RELEASE_DELAY: Duration = Duration::from_secs(1);
 /// Timeout of a release request.
-/// Maximum size of the response to a release.
-const MAX_RELEASE_BYTES: usize = 64 << 10;
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
 /// `Retry-After` for a stage whose call had no answer by its deadline.
 const LATE_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -320,18 +318,6 @@
         if let Some(target) = target {
             cx.fleet.apply_notice(target, notice, &cx.vm, None);
         }
-        match exchange.status.is_success() {
-            true => drop(
-                exchange
-                    .discard_body(&cx.pool, MAX_RELEASE_BYTES, deadline)
-                    .await,
-            ),
-            false => {
-                exchange
-                    .end_refused(&cx.pool, "", MAX_RELEASE_BYTES, deadline)
-                    .await;
-            }
-        }
         let mut queue = active.queue();
         for handle in handles {
             queue.release(handle);
@@ -444,9 +430,7 @@
         &outcome,
         BatchOutcome::Answered(results) if active.queue().is_stale_copy(&next.jobs, results)
     ) {
-        // The connection delivers responses to other calls.
-        cx.pool.close_idle(next.target.address);
-        outcome = BatchOutcome::Failed("an earlier answer came again".to_owned());
+        outcome = BatchOutcome::Failed("the results belong to other items".to_owned());
     }
     let has_failed = matches!(outcome, BatchOutcome::Failed(_) | BatchOutcome::Unsent(_));
     if !matches!(outcome, BatchOutcome::NotRun | BatchOutcome::Unreached(_)) {
--- a/crates/forward/src/queue/endpoint_load.rs
+++ b/crates/forward/src/queue/endpoint_load.rs
@@ -194,9 +194,9 @@
     }
 
     /// Returns true if `results` for `jobs` are a copy of an earlier response: every result in it
-    /// belonged to another item before. A response to a batched call names no request, so a late
-    /// copy could not be detected otherwise. An item that is produced again may have the same
-    /// handle as before.
+    /// belonged to another item before. A response to a batched call names no request, so an endpoint
+    /// that confuses its calls could not be detected otherwise. An item that is produced again may have
+    /// the same handle as before.
     pub(crate) fn is_stale_copy(
         &self,
         jobs: &[Job],
--- a/crates/outbound/src/connection.rs
+++ b/crates/outbound/src/connection.rs
@@ -38,6 +38,8 @@
     driver: Driver,
     /// Calls sent so far, counting the current one.
     calls: usize,
+    /// True if the connection carries one call only, since responses on it name no call.
+    pub is_single_use: bool,
     /// Time at which the last call on the connection finished.
     pub idle_since: Instant,
     /// How long the peer keeps an idle connection open, as stated in a `Keep-Alive` header.
@@ -71,6 +73,7 @@
             undelivered,
             driver: Driver(Some(Box::pin(driver))),
             calls: 0,
+            is_single_use: false,
             idle_since: Instant::now(),
             keep_alive: None,
             refused: Vec::new(),
--- a/crates/outbound/src/pool.rs
+++ b/crates/outbound/src/pool.rs
@@ -72,8 +72,12 @@
         Connection::open(address, self.cfg.connect_timeout).await
     }
 
-    /// Returns `connection` to the pool after a complete response.
+    /// Returns `connection` to the pool after a complete response, or closes it if it is for a single
+    /// call.
     pub fn checkin(&self, address: SocketAddr, mut connection: Connection) {
+        if connection.is_single_use {
+            return;
+        }
         connection.idle_since = Instant::now();
         let mut idle = self.lock();
         let connections = idle.entry(address).or_default();
--- a/crates/outbound/tests/closed.rs
+++ b/crates/outbound/tests/closed.rs
@@ -1,4 +1,4 @@
-//! Idle connections that their peers close.
+//! Connections that the pool does not keep.
 
 use std::{collections::BTreeSet, time::Duration};
 
@@ -7,14 +7,30 @@
 
 const TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Guards against closed connections that are not reported, and open ones that are removed.
-#[tokio::test]
-async fn only_closed_idle_connections_are_removed() {
-    let pool = Pool::new(PoolConfig {
+fn pool() -> Pool {
+    Pool::new(PoolConfig {
         max_idle_per_endpoint: 4,
         idle_timeout: TIMEOUT,
         connect_timeout: TIMEOUT,
-    });
+    })
+}
+
+/// Guards against a second call on a connection whose responses name no call.
+#[tokio::test]
+async fn connection_for_a_single_call_is_not_kept() {
+    let pool = pool();
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let mut connection = pool.connect(address).await.unwrap();
+    connection.is_single_use = true;
+    pool.checkin(address, connection);
+    assert!(pool.checkout(address).is_none());
+}
+
+/// Guards against closed connections that are not reported, and open ones that are removed.
+#[tokio::test]
+async fn only_closed_idle_connections_are_removed() {
+    let pool = pool();
     let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
     let address = listener.local_addr().unwrap();
     let mut accepted = Vec::new();
