Responses without an id on reused connections: failures prove nothing, too

What callers saw: the failure of another request, where an endpoint wrote one without an id on a connection in use again.

Cause: only refusals and successes had to bear the request's id there.

Change: in both gates, any response without the id on a reused connection is that of an unknown request; the connection is closed and the request may have run.

--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -207,15 +207,13 @@
 }
 
 impl Exchange {
-    /// Classifies the response to the request `id`, which is empty for batched calls. A refusal
-    /// without the request's id proves that the request did not run only if it is the first response
-    /// on its connection; otherwise it may be a copy of an earlier refusal.
+    /// Classifies the response to the request `id`, which is empty for batched calls. Only the first
+    /// response on a connection certainly belongs to its request; a later one without the request's id
+    /// may be a copy of an earlier one.
     pub(crate) fn classify(&self, dialect: &Dialect, id: &str) -> ResponseClass {
-        let class = (dialect.classify)(id, self.status, &self.headers);
-        let is_identified = || (dialect.echoes_id)(id, &self.headers);
-        match class.is_refusal() && self.connection.is_reused() && !is_identified() {
+        match self.connection.is_reused() && !(dialect.echoes_id)(id, &self.headers) {
             true => ResponseClass::Unrelated,
-            false => class,
+            false => (dialect.classify)(id, self.status, &self.headers),
         }
     }
 
--- a/crates/forward/src/dialect.rs
+++ b/crates/forward/src/dialect.rs
@@ -53,14 +53,6 @@
     pub(crate) fn is_from_target(self) -> bool {
         !matches!(self, Self::WrongEndpoint | Self::Unrelated)
     }
-
-    /// Returns true if the response says that the request did not run.
-    pub(crate) fn is_refusal(self) -> bool {
-        match self {
-            Self::Full | Self::WrongEndpoint | Self::InputsGone | Self::NotRun => true,
-            Self::Success | Self::Failed | Self::Unrelated => false,
-        }
-    }
 }
 
 /// Load that an endpoint reports.
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -226,10 +226,10 @@
         let is_ours = echoed.is_some_and(|echo| Uuid::try_parse_ascii(echo) == Ok(call.id));
         let is_refused = headers.get(OUTCOME).is_some_and(|o| o == "not_run");
         let retry_after = parse_retry_after(headers);
-        // A refusal without an id may be a copy of the answer to an earlier call on the connection.
+        // Without an id, it may be a copy of the answer to an earlier call on the connection.
         let is_unrelated = match echoed {
             Some(_) => !is_ours,
-            None => is_refused && self.connection.is_reused(),
+            None => self.connection.is_reused(),
         };
         if !is_unrelated {
             call.notice.set(status, headers);
--- a/crates/gate/tests/refusal_copies.rs
+++ b/crates/gate/tests/refusal_copies.rs
@@ -1,4 +1,4 @@
-//! Endpoints that write refusals of earlier calls once more, before or after their answers.
+//! Endpoints that write refusals and failures of earlier calls once more, before or after their answers.
 
 mod env;
 
@@ -25,25 +25,31 @@
 const ENDPOINTS_PER_SERVICE: usize = 2;
 const TARGETS: [(&str, &str); 3] = [("find", "look"), ("chat", "llm"), ("booking", "book")];
 
-/// Id that a copy of a refusal carries.
+/// Text of the failure of another call.
+const FOREIGN: &str = "another call failed";
+
+/// Copy of an earlier answer.
 #[derive(Clone, Copy, Debug)]
-enum CopyId {
-    /// None. Written only on a connection that has carried an earlier call.
-    Without,
-    /// That of the call that the connection refused last, or of an unknown call.
-    LastRefused,
+enum Copied {
+    /// A refusal without an id. Written only on a connection that has carried an earlier call.
+    Refusal,
+    /// A failure without an id. Written only on a connection that has carried an earlier call.
+    Failure,
+    /// The refusal of the call that the connection refused last, or of an unknown call.
+    LastRefusal,
 }
 
 /// What an endpoint does with a call.
 #[derive(Clone, Debug)]
 struct Step {
-    copies_before: Vec<CopyId>,
+    copies_before: Vec<Copied>,
     is_refused: bool,
-    copies_after: Vec<CopyId>,
+    copies_after: Vec<Copied>,
 }
 
 fn step() -> impl Strategy<Value = Step> {
-    let copies = || vec(select(vec![CopyId::Without, CopyId::LastRefused]), 0..3);
+    let all = vec![Copied::Refusal, Copied::Failure, Copied::LastRefusal];
+    let copies = || vec(select(all.clone()), 0..3);
     (copies(), any::<bool>(), copies()).prop_map(|(copies_before, is_refused, copies_after)| Step {
         copies_before,
         is_refused,
@@ -87,13 +93,13 @@
         let call = header(&head, "jujube-call").to_owned();
         let step = script.next_step();
         let mut out = String::new();
-        let copies = |ids: &[CopyId], is_kept: bool, last_refused: &str| {
-            let ids = ids.iter().filter_map(|id| match id {
-                CopyId::Without if is_kept => Some(refusal(None)),
-                CopyId::Without => None,
-                CopyId::LastRefused => Some(refusal(Some(last_refused))),
+        let copies = |copies: &[Copied], is_kept: bool, last_refused: &str| {
+            let texts = copies.iter().filter_map(|copied| match copied {
+                Copied::Refusal => is_kept.then(|| refusal(None)),
+                Copied::Failure => is_kept.then(failure),
+                Copied::LastRefusal => Some(refusal(Some(last_refused))),
             });
-            ids.collect::<String>()
+            texts.collect::<String>()
         };
         out.push_str(&copies(&step.copies_before, is_kept, &last_refused));
         match step.is_refused || head.starts_with("DELETE") {
@@ -150,6 +156,11 @@
     format!("HTTP/1.1 503 Busy\r\n{id}Jujube-Outcome: not_run\r\nContent-Length: 0\r\n\r\n")
 }
 
+fn failure() -> String {
+    let length = FOREIGN.len();
+    format!("HTTP/1.1 500 Failed\r\nContent-Length: {length}\r\n\r\n{FOREIGN}")
+}
+
 fn response(head: &str, call: &str, input: &str) -> String {
     let body = match head.contains("/v1/completions") {
         true => {
@@ -213,9 +224,9 @@
     })]
 
     /// Guards against "not run" for requests that ran, bookings that run twice and answers to other
-    /// requests, whatever copies of refusals arrive.
+    /// requests, failures among them, whatever copies arrive.
     #[test]
-    fn copies_of_refusals_prove_nothing(steps in vec(step(), 1..12)) {
+    fn copies_of_refusals_and_failures_prove_nothing(steps in vec(step(), 1..12)) {
         let runtime = Runtime::new().expect("a runtime");
         let (answers, ran) = runtime.block_on(run(steps));
         for (input, answer) in answers {
@@ -223,6 +234,7 @@
             let outcome = answer.outcome();
             prop_assert!(outcome != "not_run" || runs == 0, "{input} ran: {}", answer.text());
             prop_assert!(!input.starts_with("booking") || runs <= 1, "{input} ran {runs} times");
+            prop_assert!(!answer.text().contains(FOREIGN), "{input}: {}", answer.text());
             if answer.status == 200 {
                 prop_assert_eq!(&answer.json()["output"], &json!(input));
             }
