Shutdown: a forwarding gate answers every request before it exits

Cause: the end of the process was looked at when a request arrived, and by no wait after that. The process exited when its time was over, whatever it still owed.

Ruled out: only looking at the shutdown in the loop that waits for a full service. Stages, permits, bodies and silent endpoints wait elsewhere.

Change: the crate `drain` (without network; it replaces forward's shutdown module) says until when a request may wait, may be passed on, and has to be answered. The forwarding gate applies the last limit to serving as a whole. Not run: 503 with a random Retry-After, so that callers do not return together; otherwise 502.

--- a/crates/forward/src/attempts.rs
+++ b/crates/forward/src/attempts.rs
@@ -142,8 +142,9 @@
     }
 }
 
-/// Prepares a call of an endpoint that was not tried, and waits for one while all are full. A request
-/// that has run can't be refused, so it also waits for endpoints that are paused or limited.
+/// Prepares a call of an endpoint that was not tried, and waits for one while all are full, but not
+/// until a gate that shuts down ends. A request that has run can't be refused, so it also waits for
+/// endpoints that are paused or limited.
 pub(crate) async fn next_call(
     cx: &Context,
     req: &Request,
@@ -152,6 +153,9 @@
     last_event_id: Option<u64>,
 ) -> Result<PreparedCall, ForwardError> {
     loop {
+        if attempts.runs == 0 && !cx.shutdown.may_start(req.deadline) {
+            return Err(ForwardError::shutting_down(req.remaining()));
+        }
         let error = match choose(cx, req, inputs, attempts).await {
             Ok(flight) => return Ok(prepare(cx, req, inputs, attempts, flight, last_event_id)),
             Err(error) => error,
@@ -166,6 +170,9 @@
             reason if attempts.runs > 0 => {
                 return Err(ForwardError::Lost(format!("no other endpoint: {reason}")));
             }
+            Refusal::Full if !cx.shutdown.may_wait(req.deadline) => {
+                return Err(ForwardError::shutting_down(req.remaining()));
+            }
             Refusal::Full if has_time && attempts.endpoints.is_empty() => {
                 tokio::time::sleep(RECHECK_INTERVAL).await;
             }
--- a/crates/forward/src/error.rs
+++ b/crates/forward/src/error.rs
@@ -130,6 +130,13 @@
         }
     }
 
+    /// A refusal by a gate that shuts down, of a request with `remaining` time until its deadline that is
+    /// refused together with others; a request that is refused as it arrives has none.
+    pub(crate) fn shutting_down(remaining: Duration) -> Self {
+        let retry_after = drain::retry_after(remaining, rand::random());
+        Self::retry_later(Refusal::ShuttingDown, retry_after)
+    }
+
     /// The HTTP status. 503 guarantees that the request did not run and never will.
     pub fn status(&self) -> StatusCode {
         match self {
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -35,7 +35,6 @@
     response::{BodyParts, Response, ResponseBody},
     rules::Rules,
     serving,
-    shutdown::Shutdown,
 };
 
 /// Maximum age of a confirmation with which a request may be denied for an unknown route or key.
@@ -58,7 +57,6 @@
     pub(crate) freshness: Freshness,
     pub(crate) metrics: Metrics,
     pub(crate) draining: watch::Receiver<bool>,
-    pub(crate) shutdown: Shutdown,
     pub(crate) in_flight: Arc<AtomicUsize>,
     /// Callers' connections.
     pub(crate) connections: Listener,
@@ -138,9 +136,12 @@
         let longest = matched.map_or(UNROUTED_BODY_TIMEOUT, |matched| matched.route().timeout);
         let deadline = incoming.deadline(longest);
         let read = read_body(body, max_bytes, &self.cx.memory);
-        let body = timeout_at(deadline, read)
-            .await
-            .map_err(|_| ForwardError::BodyTimeout)??;
+        let body = tokio::select! {
+            read = timeout_at(deadline, read) => read.map_err(|_| ForwardError::BodyTimeout)??,
+            () = self.cx.shutdown.responses_due() => {
+                return Err(ForwardError::shutting_down(Duration::ZERO));
+            }
+        };
         // The head is kept as long as the body, by a stream until its end.
         incoming.body = head.attach(body);
         let req = self.route(incoming, rules, request_log)?;
@@ -200,8 +201,10 @@
             confirmed_ms: age_ms,
         });
         self.cx.check_parts(&req)?;
-        self.shutdown.check(req.deadline)?;
-        Ok(req)
+        match self.cx.shutdown.may_wait(req.deadline) {
+            true => Ok(req),
+            false => Err(ForwardError::shutting_down(Duration::ZERO)),
+        }
     }
 
     fn http_response(
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -43,7 +43,6 @@
 mod rules;
 mod server;
 mod serving;
-mod shutdown;
 mod stage_graph;
 mod stages;
 mod start;
--- a/crates/forward/src/request.rs
+++ b/crates/forward/src/request.rs
@@ -5,6 +5,7 @@
 use std::{sync::Arc, time::Duration};
 
 use declaration::{RepeatPolicy, Route};
+use drain::Shutdown;
 use hyper::StatusCode;
 use logs::{Ending, Event, RequestLog};
 use routing::RetryBudget;
@@ -58,6 +59,7 @@
     pub(crate) vm: String,
     pub(crate) az: String,
     pub(crate) metrics: Metrics,
+    pub(crate) shutdown: Shutdown,
 }
 
 impl Context {
--- a/crates/forward/src/serving.rs
+++ b/crates/forward/src/serving.rs
@@ -32,15 +32,27 @@
     }
 }
 
+/// Why a request without a response is given up.
+enum End {
+    /// Its deadline is near.
+    Late,
+    ShuttingDown,
+}
+
 async fn serve_once(
     cx: &Context,
     req: &Request,
     attempts: &mut AttemptLog,
 ) -> Result<Response, ForwardError> {
     let produced = cx.unless_blocked(req, inputs(cx, req));
-    let produced = timeout_at(req.first_part_deadline - ANSWER_MARGIN, produced).await;
+    let produced = timeout_at(req.first_part_deadline - ANSWER_MARGIN, produced);
     let late = |_| ForwardError::retry_later(Refusal::StagesLate, RETRY_AFTER);
-    let inputs = produced.map_err(late).flatten()?;
+    let inputs = tokio::select! {
+        produced = produced => produced.map_err(late).flatten()?,
+        () = cx.shutdown.start_ends(req.deadline) => {
+            return Err(ForwardError::shutting_down(req.remaining()));
+        }
+    };
     let serving = async {
         match req.route().answer {
             ResponseKind::Whole => whole::serve_whole(cx, req, &inputs, attempts).await,
@@ -65,10 +77,18 @@
             }
         }
     };
-    let result = match timeout_at(req.deadline - ANSWER_MARGIN, serving).await {
+    let ended = tokio::select! {
+        served = timeout_at(req.deadline - ANSWER_MARGIN, serving) => served.map_err(|_| End::Late),
+        () = cx.shutdown.responses_due() => Err(End::ShuttingDown),
+    };
+    let result = match ended {
         Ok(result) => result,
-        Err(_) if attempts.runs > 0 => Err(ForwardError::DeadlineExceeded),
-        Err(_) => Err(ForwardError::retry_later(Refusal::NoTime, RETRY_AFTER)),
+        Err(End::Late) if attempts.runs > 0 => Err(ForwardError::DeadlineExceeded),
+        Err(End::Late) => Err(ForwardError::retry_later(Refusal::NoTime, RETRY_AFTER)),
+        Err(End::ShuttingDown) if attempts.runs > 0 => {
+            Err(ForwardError::Lost("the gate shuts down".to_owned()))
+        }
+        Err(End::ShuttingDown) => Err(ForwardError::shutting_down(req.remaining())),
     };
     if matches!(result, Err(ForwardError::Refused { .. })) {
         let stages = 0..req.route().stages.len();
--- a/crates/forward/src/start.rs
+++ b/crates/forward/src/start.rs
@@ -6,6 +6,7 @@
     time::Duration,
 };
 
+use drain::Shutdown;
 use engine_placement::EnginePlacement;
 use host::{
     http::{self, ListenerLimits},
@@ -48,7 +49,6 @@
     request::Context,
     rules::Rules,
     server::{self, Phase},
-    shutdown::Shutdown,
     stages::Stages,
     zone_placement::{Dependencies, ZonePlacement},
 };
@@ -157,7 +157,6 @@
         freshness,
         metrics,
         draining,
-        shutdown: Shutdown::new(cfg.notice + cfg.drain),
         in_flight: Arc::new(AtomicUsize::new(0)),
         connections: Listener::new(limits.connections, cx.memory.small().limit()),
         cx,
@@ -167,7 +166,7 @@
     let pages = serve_pages(readiness, &cfg, &forwarder);
     tasks.spawn(serve_metrics(&cfg, &forwarder).await?);
     let (leaving, collector) = (gates, forwarder.cx.stages.collector.clone());
-    let shutdown = forwarder.shutdown.clone();
+    let shutdown = forwarder.cx.shutdown.clone();
     let (phase, phases) = watch::channel(Phase::Serving);
     let serving = tokio::spawn(server::serve(callers, forwarder, phases));
     let task = tokio::spawn(async move {
@@ -182,7 +181,8 @@
         collector.hand_over();
         sleep_until(until).await;
         phase.send_replace(Phase::Closing);
-        // Requests that take longer are aborted by the end of the process.
+        // Streams that take longer are cut by the end of the process; other requests are answered
+        // before.
         let _ = timeout(cfg.drain, serving).await;
         sleep(FLUSH_DELAY).await;
         pages.stop_graceful(Duration::ZERO);
@@ -382,6 +382,7 @@
         vm: cfg.vm.name.clone(),
         az: cfg.vm.availability_zone.clone(),
         metrics: metrics.clone(),
+        shutdown: Shutdown::new(cfg.notice + cfg.drain),
     }
 }
 
