/v1 gate: requests are answered before the end of a short shutdown

What callers saw: with a drain_ms shorter than their deadlines, connections that ended without an answer.

The record of their calls tells 503 (not run) from 502.

--- a/crates/gate/src/caller_api.rs
+++ b/crates/gate/src/caller_api.rs
@@ -40,10 +40,14 @@
     async fn handle(&self, req: &mut Request, res: &mut Response) {
         let gate = &self.0;
         let in_flight = gate.inflight.track();
-        let request = match request::read(gate, req).await {
+        let read = tokio::select! {
+            read = request::read(gate, req) => read,
+            () = gate.shutdown.responses_due() => Err(shutting_down()),
+        };
+        let request = match read {
             Ok(request) => request,
             Err(problem) => {
-                if problem.status == 413 || problem.status == 408 {
+                if problem.status == 413 || problem.status == 408 || gate.is_draining() {
                     // The rest of the body is not read.
                     close_connection(res);
                 }
@@ -174,6 +178,11 @@
     }
 }
 
+fn shutting_down() -> Box<Problem> {
+    let detail = "the gate shuts down before the request has arrived; send it to another one";
+    refusal(503, "not-run", "Not run", detail)
+}
+
 fn close_connection(res: &mut Response) {
     res.headers_mut()
         .insert("connection", HeaderValue::from_static("close"));
--- a/crates/gate/src/error.rs
+++ b/crates/gate/src/error.rs
@@ -118,6 +118,12 @@
         /// When the caller should retry.
         retry_after: Duration,
     },
+    /// The gate shuts down before the request could end.
+    #[error("the gate shuts down")]
+    ShuttingDown {
+        /// When the caller should retry.
+        retry_after: Duration,
+    },
     /// The ledger did not reply, or its reply was invalid.
     #[error("at-most-once ledger: {0}")]
     Ledger(String),
@@ -236,6 +242,7 @@
             Cause::Call(_)
             | Cause::NoEndpoint { .. }
             | Cause::Admission { .. }
+            | Cause::ShuttingDown { .. }
             | Cause::Ledger(_) => false,
         }
     }
@@ -267,9 +274,9 @@
 
     fn retry_after(&self) -> Option<Duration> {
         match &self.cause {
-            Cause::NoEndpoint { retry_after, .. } | Cause::Admission { retry_after, .. } => {
-                Some(*retry_after)
-            }
+            Cause::NoEndpoint { retry_after, .. }
+            | Cause::Admission { retry_after, .. }
+            | Cause::ShuttingDown { retry_after } => Some(*retry_after),
             Cause::Conflict | Cause::TooOld | Cause::InFuture => None,
             Cause::EarlierTooLarge(_) | Cause::EarlierRefused { .. } | Cause::EarlierUnknown => {
                 None
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -5,6 +5,7 @@
     atomic::{AtomicBool, Ordering},
 };
 
+use drain::Shutdown;
 use link::follower::{ActiveDeclaration, Follower};
 use outbound::{BodyMemory, Pool};
 use tokio::sync::{Semaphore, watch};
@@ -39,6 +40,7 @@
     pub(crate) announcement_memory: BodyMemory,
     /// True once shutdown was requested.
     pub(crate) draining: watch::Sender<bool>,
+    pub(crate) shutdown: Shutdown,
     /// True once neighbouring gates were queried for the endpoints that they know.
     pub(crate) is_warmed_up: AtomicBool,
 }
--- a/crates/gate/src/pipeline.rs
+++ b/crates/gate/src/pipeline.rs
@@ -55,13 +55,12 @@
         gate,
         request,
     };
-    let result = match timeout_at(cx.request.deadline, cx.run(sink)).await {
-        Ok(result) => result,
-        Err(_) => {
-            let cause = Cause::Call(CallError::Deadline);
-            Err(StageError::new(&cx.request.pipeline, cause))
-        }
+    let run = timeout_at(cx.request.deadline, cx.run(sink));
+    let ended = tokio::select! {
+        ended = run => ended.map_err(|_| Cause::Call(CallError::Deadline)),
+        () = cx.gate.shutdown.responses_due() => Err(cx.shutting_down()),
     };
+    let result = ended.unwrap_or_else(|cause| Err(StageError::new(&cx.request.pipeline, cause)));
     let result = match result {
         Err(e) if cx.record.needs_ledger() => cx.verify_not_run(e).await,
         result => result,
@@ -127,6 +126,16 @@
         result
     }
 
+    fn shutting_down(&self) -> Cause {
+        let remaining = self
+            .request
+            .deadline
+            .saturating_duration_since(Instant::now());
+        Cause::ShuttingDown {
+            retry_after: drain::retry_after(remaining, rand::random()),
+        }
+    }
+
     /// Returns the request's outcome, by which admission detects overload.
     fn verdict(&self, result: &Result<PipelineResult, StageError>) -> routing::RequestOutcome {
         match result {
@@ -244,7 +253,8 @@
     /// Asks the ledger whether an earlier request with the same key has run, before `error` is
     /// reported. Returns the stored result if it is the result of the whole pipeline.
     async fn verify_not_run(&self, error: StageError) -> Result<PipelineResult, StageError> {
-        if error.is_ledger_reply() || Instant::now() >= self.request.deadline {
+        let is_shutting_down = matches!(error.cause, Cause::ShuttingDown { .. });
+        if error.is_ledger_reply() || is_shutting_down || Instant::now() >= self.request.deadline {
             return Err(error);
         }
         let in_force = Arc::clone(&self.request.in_force);
--- a/crates/gate/src/start.rs
+++ b/crates/gate/src/start.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use drain::Shutdown;
 use host::{
     http::{self, ListenerLimits},
     role::Running,
@@ -170,6 +171,7 @@
             (cfg.limits.buffered_bytes / ANNOUNCEMENT_PART).max(MAX_BODY),
         ),
         draining: watch::Sender::new(false),
+        shutdown: Shutdown::new(cfg.timing.notice + cfg.timing.drain),
         verifications: Semaphore::new(MAX_VERIFICATIONS),
         is_warmed_up: AtomicBool::new(false),
         cfg,
@@ -232,6 +234,7 @@
 ) -> eyre::Result<()> {
     stopped.wait().await;
     gate.draining.send_replace(true);
+    gate.shutdown.start();
     info!("draining", kv: { in_flight = gate.inflight.count() });
     sleep(gate.cfg.timing.notice).await;
     let limit = gate.cfg.timing.drain;
