Responses: a status that is none ends the call as lost

What callers saw: endpoints' answers with the statuses 101, 600, 777 and 999 (reported: 000, which already gave 502).

Cause: the HTTP library takes 100 to 999, and nothing after it checked.

Change: both gates take a response outside of 200 to 599 as lost.

--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -179,7 +179,13 @@
         }
     };
     let response: Response<Incoming> = match sent {
-        Ok(Ok(response)) => response,
+        Ok(Ok(response)) if outbound::is_final_status(response.status()) => response,
+        Ok(Ok(response)) => {
+            let status = response.status().as_u16();
+            return Err(CallError::Lost(format!(
+                "{status} is no status of a response"
+            )));
+        }
         Ok(Err(e)) if send_state.seal() => return Err(CallError::Unsent(e.to_string())),
         Ok(Err(e)) => return Err(CallError::Lost(e.to_string())),
         Err(_) if send_state.seal() => {
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -190,7 +190,13 @@
             return Err(CallError::Stalled(limits.first_byte));
         }
         Ok(Err(e)) => return Err(CallError::ConnectionLost(e.to_string())),
-        Ok(Ok(answer)) => answer,
+        Ok(Ok(answer)) if outbound::is_final_status(answer.status()) => answer,
+        Ok(Ok(answer)) => {
+            let status = answer.status().as_u16();
+            return Err(CallError::Malformed(format!(
+                "{status} is no status of a response"
+            )));
+        }
     };
     let (head, body) = answer.into_parts();
     let collected = Collected {
--- a/crates/outbound/src/lib.rs
+++ b/crates/outbound/src/lib.rs
@@ -10,6 +10,6 @@
 
 pub use connection::Connection;
 pub use memory::{BodyMemory, MemoryReservation};
-pub use notice::{NamedRate, Notice, parse_retry_after};
+pub use notice::{NamedRate, Notice, is_final_status, parse_retry_after};
 pub use pool::{Pool, PoolConfig};
 pub use send_state::{CurrentCall, SendState, TrackedStream};
--- a/crates/outbound/src/notice.rs
+++ b/crates/outbound/src/notice.rs
@@ -7,6 +7,12 @@
     header::{HeaderName, RETRY_AFTER},
 };
 
+/// Returns true if `status` can be that of a response to a call. There are no classes beyond 5, and a
+/// call never asks for the upgrade that 101 stands for.
+pub fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// What a response head says about the request rate that its endpoint takes from all gates
 /// together.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
