--- a/crates/replica/tests/common/group.rs
+++ b/crates/replica/tests/common/group.rs
@@ -144,6 +144,20 @@
         }
     }
 
+    /// Starts a replica that has failed again in the same process, which loses nothing that was written.
+    /// If that fails, it can be tried again.
+    pub async fn restart_in_process(&mut self, name: &str) {
+        let node = self.nodes.get_mut(name).unwrap();
+        if let Some(replica) = node.replica.take_if(|r| r.status().failed.is_some()) {
+            self.net.attach(name, None);
+            replica.abort().await;
+        }
+        if self.nodes[name].replica.is_none() {
+            // The disk may still be full.
+            let _ = self.start(name).await;
+        }
+    }
+
     pub fn replica(&self, name: &str) -> Replica {
         self.nodes[name].replica.clone().unwrap()
     }
