--- a/crates/gate/src/caller_api.rs
+++ b/crates/gate/src/caller_api.rs
@@ -41,8 +41,9 @@
         let gate = &self.0;
         let in_flight = gate.inflight.track();
         let read = tokio::select! {
-            read = request::read(gate, req) => read,
+            biased;
             () = gate.shutdown.responses_due() => Err(shutting_down()),
+            read = request::read(gate, req) => read,
         };
         let request = match read {
             Ok(request) => request,
