Releases of results share connections again, apart from all other calls

Nothing in a response to a release belongs to a request, so it is enough that batched calls never get such a connection: Pool::separate keeps the kinds apart.

--- a/crates/forward/src/batch.rs
+++ b/crates/forward/src/batch.rs
@@ -35,7 +35,7 @@
             .record_limited_call(&next.target.service, "batch");
     }
     let address = next.target.address;
-    let sent = call::send_by(&cx.pool, address, "", req, late_at, deadline).await;
+    let sent = call::send_batch(&cx.pool, address, req, late_at, deadline).await;
     if let Err(e) = &sent {
         cx.fleet.record_call_error(&next.target, e);
     }
--- a/crates/forward/src/batch_context.rs
+++ b/crates/forward/src/batch_context.rs
@@ -18,6 +18,8 @@
     /// Memory for the bodies of responses.
     pub(crate) memory: ingress::BodyBudgets,
     pub(crate) pool: Pool,
+    /// Connections for releases of results, which carry no other calls.
+    pub(crate) release_pool: Pool,
     pub(crate) rules: watch::Receiver<Arc<Rules>>,
     pub(crate) budget: Arc<routing::RetryBudget>,
     pub(crate) rate_limits: RateLimits,
--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -88,20 +88,21 @@
     pub(crate) headers: HeaderMap,
 }
 
-/// Sends `req` with this id to `address` and waits until `deadline` for the response head, as
-/// [`send_by`] does. Batched calls and releases have an empty id: each gets a connection of its own,
-/// since a late copy of its response could not be told from the response to the next call.
-pub(crate) async fn send(
+/// Sends a release of results to `address` and waits until `deadline` for the response head. Responses
+/// to releases name no call and cannot be told apart, so `pool` is one for releases only.
+pub(crate) async fn send_release(
     pool: &Pool,
     address: SocketAddr,
-    id: &str,
     req: Request<Full<Bytes>>,
     deadline: Instant,
 ) -> Result<Exchange, CallError> {
-    send_tracked(pool, address, id, req, deadline, &Handover::default()).await
+    send_tracked(pool, address, "", req, deadline, &Handover::default()).await
 }
 
-/// Like [`send`]; `handover` tells whether a call that is dropped was still unsent.
+/// Sends `req` with this id to `address` and waits until `deadline` for the response head. If a reused
+/// idle connection closes before the first byte is written, the request is sent on a new connection. A
+/// connection on which this id was refused is closed, since a copy of the refusal could not be told
+/// from the response. `handover` tells whether a call that is dropped was still unsent.
 pub(crate) async fn send_tracked(
     pool: &Pool,
     address: SocketAddr,
@@ -110,56 +111,49 @@
     deadline: Instant,
     handover: &Handover,
 ) -> Result<Exchange, CallError> {
-    send_at(pool, address, id, req, (deadline, deadline), handover).await
+    let idle = pool.checkout(address);
+    if let Some(connection) = idle.filter(|c| !c.refused.iter().any(|refused| refused == id)) {
+        handover.set(true);
+        match send_on(connection, address, req.clone(), deadline, deadline).await {
+            Err(CallError::Unsent(_)) if Instant::now() < deadline => handover.set(false),
+            result => return result,
+        }
+    }
+    let connection = connect(pool, address, deadline).await?;
+    handover.set(true);
+    send_on(connection, address, req, deadline, deadline).await
 }
 
-/// Starts to send `req` before `start_by`, and waits until `deadline` for the response head. If a
-/// reused idle connection closes before the first byte is written, the request is sent on a new
-/// connection. A connection on which this id was refused is closed, since a copy of the refusal could
-/// not be told from the response.
-pub(crate) async fn send_by(
+/// Starts to send a batched call to `address` before `start_by`, and waits until `deadline` for the
+/// response head. Each call gets a connection of its own, since its response names no call: a late copy
+/// of it could not be told from the response to the next one.
+pub(crate) async fn send_batch(
     pool: &Pool,
     address: SocketAddr,
-    id: &str,
     req: Request<Full<Bytes>>,
     start_by: Instant,
     deadline: Instant,
 ) -> Result<Exchange, CallError> {
-    let handover = Handover::default();
-    send_at(pool, address, id, req, (start_by, deadline), &handover).await
+    let mut connection = connect(pool, address, start_by).await?;
+    connection.is_single_use = true;
+    send_on(connection, address, req, start_by, deadline).await
 }
 
-async fn send_at(
+/// Opens a connection before `start_by`.
+async fn connect(
     pool: &Pool,
     address: SocketAddr,
-    id: &str,
-    req: Request<Full<Bytes>>,
-    (start_by, deadline): (Instant, Instant),
-    handover: &Handover,
-) -> Result<Exchange, CallError> {
-    let idle = match id {
-        "" => None,
-        _ => pool.checkout(address),
-    };
-    if let Some(connection) = idle.filter(|c| !c.refused.iter().any(|refused| refused == id)) {
-        handover.set(true);
-        match send_on(connection, address, req.clone(), start_by, deadline).await {
-            Err(CallError::Unsent(_)) if Instant::now() < start_by => handover.set(false),
-            result => return result,
-        }
-    }
+    start_by: Instant,
+) -> Result<Connection, CallError> {
     let connecting = timeout_at(start_by, pool.connect(address)).await;
-    let mut connection = match connecting {
-        Err(_) => return Err(CallError::Unsent("no time left to connect".to_owned())),
+    match connecting {
+        Err(_) => Err(CallError::Unsent("no time left to connect".to_owned())),
         Ok(Err(why)) => {
             pool.close_idle(address);
-            return Err(CallError::Unreached(why));
+            Err(CallError::Unreached(why))
         }
-        Ok(Ok(connection)) => connection,
-    };
-    connection.is_single_use = id.is_empty();
-    handover.set(true);
-    send_on(connection, address, req, start_by, deadline).await
+        Ok(Ok(connection)) => Ok(connection),
+    }
 }
 
 async fn send_on(
--- a/crates/forward/src/collector.rs
+++ b/crates/forward/src/collector.rs
@@ -24,6 +24,7 @@
 use crate::{
     batch_context::Context,
     batch_outcome::{BatchOutcome, ItemFailure},
+    call,
     fleet::Target,
     late_call,
     messages::{Forecast, StageFailure, StoredResult, Submission},
@@ -36,6 +37,8 @@
 const RELEASE_DELAY: Duration = Duration::from_millis(25);
 /// The same for an endpoint that names a request rate, since each request counts there.
 const DEFERRED_RELEASE_DELAY: Duration = Duration::from_secs(1);
+/// Maximum size of the response to a release.
+const MAX_RELEASE_BYTES: usize = 64 << 10;
 /// Timeout of a release request.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
 /// `Retry-After` for a stage whose call had no answer by its deadline.
@@ -311,13 +314,17 @@
         }
         let deadline = Instant::now() + RELEASE_TIMEOUT;
         let req = (cx.dialect.write_release)(handles);
-        let sent = crate::call::send(&cx.pool, address, "", req, deadline).await;
+        let sent = call::send_release(&cx.release_pool, address, req, deadline).await;
         // If the release request is lost, the results expire by themselves.
         let Ok(exchange) = sent else { return };
         let notice = (cx.dialect.notice)(exchange.status, &exchange.headers);
         if let Some(target) = target {
             cx.fleet.apply_notice(target, notice, &cx.vm, None);
         }
+        // The body is read only to keep the connection usable.
+        let _ = exchange
+            .discard_body(&cx.release_pool, MAX_RELEASE_BYTES, deadline)
+            .await;
         let mut queue = active.queue();
         for handle in handles {
             queue.release(handle);
--- a/crates/forward/src/start.rs
+++ b/crates/forward/src/start.rs
@@ -338,6 +338,7 @@
         dialect,
         fleet: fleet.clone(),
         pool: pool.clone(),
+        release_pool: pool.separate(),
         memory: memory.clone(),
         rules: feed.rules.clone(),
         budget: Arc::clone(&budgets.items),
--- a/crates/outbound/src/pool.rs
+++ b/crates/outbound/src/pool.rs
@@ -26,11 +26,16 @@
     pub connect_timeout: Duration,
 }
 
+/// Connections to one address for calls of one kind.
+type Key = (u8, SocketAddr);
+
 /// Pool of idle connections by address. Clones share it.
 #[derive(Clone, Debug)]
 pub struct Pool {
     cfg: PoolConfig,
-    idle: Arc<Mutex<HashMap<SocketAddr, Vec<Connection>>>>,
+    /// Kind of the calls that the connections carry.
+    kind: u8,
+    idle: Arc<Mutex<HashMap<Key, Vec<Connection>>>>,
 }
 
 impl Pool {
@@ -38,14 +43,24 @@
     pub fn new(cfg: PoolConfig) -> Self {
         Self {
             cfg,
+            kind: 0,
             idle: Arc::default(),
         }
     }
 
+    /// Returns the same pool for another kind of calls, whose connections carry no calls of this kind.
+    #[must_use]
+    pub fn separate(&self) -> Self {
+        Self {
+            kind: self.kind + 1,
+            ..self.clone()
+        }
+    }
+
     /// Removes and returns the most recently used idle connection to `address` that is still usable.
     pub fn checkout(&self, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.lock();
-        let connections = idle.get_mut(&address)?;
+        let connections = idle.get_mut(&(self.kind, address))?;
         while let Some(mut connection) = connections.pop() {
             if connection.is_usable()
                 && connection.idle_since.elapsed() < self.idle_limit(&connection)
@@ -80,7 +95,7 @@
         }
         connection.idle_since = Instant::now();
         let mut idle = self.lock();
-        let connections = idle.entry(address).or_default();
+        let connections = idle.entry((self.kind, address)).or_default();
         if connections.len() < self.cfg.max_idle_per_endpoint {
             connections.push(connection);
         }
@@ -88,7 +103,7 @@
 
     /// Closes all idle connections to `address`, for use when one of them has gone silent.
     pub fn close_idle(&self, address: SocketAddr) {
-        self.lock().remove(&address);
+        self.lock().retain(|(_, other), _| *other != address);
     }
 
     /// Closes all idle connections, since the cause that silenced one may affect the others.
@@ -99,7 +114,7 @@
     /// Removes the idle connections that their peers closed; returns the peers' addresses.
     pub fn remove_closed(&self) -> BTreeSet<SocketAddr> {
         let mut closed = BTreeSet::new();
-        self.lock().retain(|address, connections| {
+        self.lock().retain(|(_, address), connections| {
             let count = connections.len();
             connections.retain_mut(Connection::is_usable);
             if connections.len() < count {
@@ -123,7 +138,7 @@
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<Connection>>> {
+    fn lock(&self) -> MutexGuard<'_, HashMap<Key, Vec<Connection>>> {
         self.idle.lock().expect("no holder of this lock panics")
     }
 }
--- a/crates/outbound/tests/closed.rs
+++ b/crates/outbound/tests/closed.rs
@@ -27,6 +27,21 @@
     assert!(pool.checkout(address).is_none());
 }
 
+/// Guards against a response to a call of one kind that is taken for that to a call of another.
+#[tokio::test]
+async fn connections_of_separate_kinds_are_kept_apart() {
+    let pool = pool();
+    let separate = pool.separate();
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    separate.checkin(address, pool.connect(address).await.unwrap());
+    assert!(pool.checkout(address).is_none());
+    assert!(separate.checkout(address).is_some());
+    separate.checkin(address, pool.connect(address).await.unwrap());
+    pool.close_idle(address);
+    assert!(separate.checkout(address).is_none());
+}
+
 /// Guards against closed connections that are not reported, and open ones that are removed.
 #[tokio::test]
 async fn only_closed_idle_connections_are_removed() {
