Keeper: a stop answers requests of the control listener, too

What callers saw: operators' reads without an answer when a keeper that waited for a quorum was stopped ("connection closed before message completed").

Cause: the stop waits for requests in flight, and only those of links were counted. A read was retried until its time was over, though the replica had stopped.

Change: the service counts each request, and a read ends with the replica.

--- a/crates/keeper/src/service.rs
+++ b/crates/keeper/src/service.rs
@@ -190,7 +190,7 @@
         }
     }
 
-    /// Waits until no client call is in flight.
+    /// Waits until no request is in flight.
     pub async fn drained(&self) {
         let mut in_flight = self.in_flight.subscribe();
         // The sender is not dropped before `self`.
@@ -198,7 +198,6 @@
     }
 
     async fn answer_client(&self, from: &Identity, body: &[u8]) -> KeeperReply {
-        let _counted = InFlight::new(&self.in_flight);
         let origin = match from.role {
             Role::Keeper => Origin::Keeper,
             _ => Origin::Client,
@@ -212,6 +211,7 @@
     /// Handles `req`; replies `NoQuorum` if no quorum answers in time. Every request is idempotent,
     /// so it is retried while its outcome is unknown.
     pub async fn handle(&self, req: KeeperRequest, origin: Origin) -> KeeperReply {
+        let _counted = InFlight::new(&self.in_flight);
         let started = Instant::now();
         let kind = kind(&req);
         let reply = match req {
@@ -381,6 +381,7 @@
             let remaining = deadline.saturating_duration_since(Instant::now());
             match timeout(remaining, self.replica.read_barrier()).await {
                 Ok(Ok(_)) => return true,
+                Ok(Err(ProposeError::Stopped)) => return false,
                 Ok(Err(_)) if remaining > RETRY_DELAY => sleep(RETRY_DELAY).await,
                 Ok(Err(_)) | Err(_) => return false,
             }
