--- a/review/11/case.py
+++ b/review/11/case.py
@@ -11,8 +11,8 @@
 
 OTHER = "jnbanfqasnmgkcuyj8pj"
 REVOKE_S = 5.0        # revoke-deadline-ms
-SENT_AFTER_S = 5.3    # after the acknowledgement that took the key away
-WAKE_AFTER_S = 5.9    # so the edge stands still for about 6 s
+SENT_AFTER_S = 5.1    # after the acknowledgement that took the key away
+WAKE_AFTER_S = 5.3    # so the edge stands still for little more than 5.3 s
 BODY = b"x" * 3600
 PIECES = 12           # of the body, one every PAUSE_S
 PAUSE_S = 0.2
--- a/review/lib-3/standin.py
+++ b/review/lib-3/standin.py
@@ -41,8 +41,14 @@
             self.file.flush()
 
 
+METRICS_PORT = 9464  # as in deploy/settings.ini
+
+
 def free_port(hosts, count):
     """Returns the first of `count` ports that are free on all `hosts`, below the ephemeral range."""
+    for host in hosts:
+        with socket.socket() as s:
+            s.bind((host, METRICS_PORT))
     for first in range(20_000 + os.getpid() % 8_000, 31_000, count):
         sockets = []
         try:
@@ -96,9 +102,14 @@
                  bounds=None, limits=None, links=None):
         self.record, self.zones = record, zones
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
-        self.core_hosts = [f"127.0.0.{n + 1}" for n in range(cores)]
-        self.edge_hosts = [f"127.0.0.{n + 101}" for n in range(edges)]
-        self.base = free_port(self.core_hosts + self.edge_hosts, 24)
+        # A part of the loopback range for this run, since the metrics port is fixed.
+        part = f"127.{os.getpid() % 199 + 20}.{os.getpid() // 199 % 250}"
+        self.core_hosts = [f"{part}.{n + 1}" for n in range(cores)]
+        self.edge_hosts = [f"{part}.{n + 101}" for n in range(edges)]
+        try:
+            self.base = free_port(self.core_hosts + self.edge_hosts, 24)
+        except OSError as e:
+            raise CannotRun(f"no free ports: {e}") from e
         self.bounds, self.limits = bounds or {}, limits or {}
         self.seeds = [f"{host}:{self.base + 20}" for host in self.core_hosts[:3]]
         self.processes = {}
