--- /dev/null
+++ b/review/12/case.py
@@ -0,0 +1,137 @@
+"""A worker crashes in the middle of an upload and of its answer, which has no length: half of it looks complete."""
+import json
+import socket
+import struct
+import subprocess
+import sys
+import threading
+import time
+from pathlib import Path
+
+FOLDER = Path(__file__).resolve().parent
+sys.path.insert(0, str(FOLDER.parent / "lib-3"))
+import standin as s
+
+UPLOAD = 3_000_000          # max-body-bytes is 4,194,304
+LINK_BYTES_S = 1_250_000    # an edge's link of 10 Mbit/s
+CRASH_AFTER_S = 0.5         # after the first half of the answer
+PART = 8192
+
+
+class Link(threading.Thread):
+    """The link between edge and worker: passes bytes, ends and resets on, towards the worker at its rate."""
+
+    def __init__(self, record, host, worker):
+        super().__init__(daemon=True)
+        self.record, self.worker = record, worker
+        self.listener = socket.create_server((host, 0))
+        self.address = self.listener.getsockname()
+
+    def run(self):
+        while True:
+            try:
+                edge, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.carry, args=(edge,), daemon=True).start()
+
+    def carry(self, edge):
+        worker = socket.create_connection(self.worker)
+        threading.Thread(target=self.back, args=(worker, edge), daemon=True).start()
+        try:
+            while (part := edge.recv(PART)):
+                worker.sendall(part)
+                time.sleep(len(part) / LINK_BYTES_S)
+            worker.shutdown(socket.SHUT_WR)
+        except OSError as e:
+            self.record.note(f"link: the worker's host resets the connection ({e}); passed on to the edge")
+            edge.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            edge.close()
+
+    def back(self, worker, edge):
+        try:
+            while (part := worker.recv(65536)):
+                edge.sendall(part)
+            self.record.note("link: the worker's host ends its side; passed on to the edge")
+            edge.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass
+
+
+def case(record):
+    deployment = s.Deployment(record)
+    ident, process = "i-desk-1", None
+    part = deployment.core_hosts[0].rsplit(".", 1)[0]
+    host = f"{part}.201"
+    with socket.socket() as free:
+        free.bind((host, 0))
+        port = free.getsockname()[1]
+    link = Link(record, f"{part}.202", (host, port))
+    link.start()
+    try:
+        process = subprocess.Popen([sys.executable, str(FOLDER / "worker.py"), host, str(port), ident],
+                                   stdout=subprocess.PIPE, text=True)
+        said = []
+        threading.Thread(target=lambda: said.extend(line.strip() for line in iter(process.stdout.readline, "")),
+                         daemon=True).start()
+        deployment.start()
+        deployment.configure(s.configuration(1, [s.route("book", "unsafe", "booking-desk", **{"timeout-ms": 12000})],
+                                             [s.plain_service("booking-desk")]))
+        heart = {"service": "booking-desk", "addr": "%s:%d" % link.address, "zone": "rockland", "version": "v1",
+                 "max-concurrency": 16, "state": "ready", "cold-left-ms": 0, "born": int(time.time() * 1000)}
+
+        def beat():
+            for sequence in range(1, 1000):
+                if process.poll() is None:
+                    for n in range(3):
+                        try:
+                            if s.call(deployment.control(n), "POST", f"/Instances.Heartbeat/{ident}",
+                                      json.dumps({**heart, "sequence": sequence}), timeout=1)[0] == 200:
+                                break
+                        except OSError:
+                            continue
+                time.sleep(1.2)
+
+        threading.Thread(target=beat, daemon=True).start()
+        deployment.wait_ready()
+        time.sleep(2.5)
+        client = socket.create_connection(deployment.callers(), timeout=10)
+        record.note(f"client: an upload of {UPLOAD} bytes to an unsafe route")
+        client.sendall(s.head("POST", "/book/1", "upload", 12000, UPLOAD))
+
+        def upload():
+            try:
+                client.sendall(b"u" * UPLOAD)
+            except OSError as e:
+                record.note(f"client: the upload ended: {e}")
+
+        threading.Thread(target=upload, daemon=True).start()
+        until = time.monotonic() + 10
+        while "PART" not in said:
+            if time.monotonic() > until:
+                raise s.CannotRun(f"the worker did not answer: {said}")
+            time.sleep(0.01)
+        record.note("worker: has sent the head of a 200 without a length and half of its body, and reads on")
+        if s.TROUBLE:
+            time.sleep(CRASH_AFTER_S)
+            process.kill()
+            record.note("worker: SIGKILL")
+        answer = s.read_response(client, 14)
+        time.sleep(1)
+        whole = b"".join(b"line %03d of the answer\n" % n for n in range(40))
+        if answer is None:
+            record.note("client: the connection ended without a complete answer")
+            return True
+        status, headers, body = answer
+        record.note(f"client: {status}, stamp {headers.get('x-server-stamp')}, content-length "
+                    f"{headers.get('content-length')}, {len(body)} of the worker's {len(whole)} bytes")
+        return not (200 <= status < 300 and body != whole)
+    finally:
+        if process:
+            process.kill()
+            process.wait()
+        deployment.stop()
+        link.listener.close()
+
+
+s.run_case(FOLDER, case)
--- /dev/null
+++ b/review/12/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/case.py"
