--- a/review/lib-3/standin.py
+++ b/review/lib-3/standin.py
@@ -373,11 +373,17 @@
 def run_case(folder, case):
     """Runs `case(record)`, which returns True if the rule held; exits with 0, 1 or 2."""
     record = Record(folder)
+
+    def interrupt(number, _frame):
+        raise CannotRun(signal.Signals(number).name)
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, interrupt)
     try:
         held = case(record)
-    except CannotRun as e:
-        record.note(f"could not run: {e}")
-        print(f"could not run: {e}")
+    except Exception as e:  # the case ends its processes itself
+        record.note(f"could not run: {type(e).__name__}: {e}")
+        print(f"could not run: {type(e).__name__}: {e}")
         sys.stdout.flush()
         os._exit(2)
     record.note("the rule held" if held else "the rule was broken")
