Review case 11: one core for each process, memory without files' pages

A strict reading against DEPLOY.md: its processor list reports one core, so each process of a script runs on one; the measure leaves out the pages of files.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -38,7 +38,7 @@
                         self.deployment.start_process("core", int(name.split("-")[1]))
                     continue
                 try:
-                    used = self.deployment.rss_mb(name)
+                    used = self.deployment.memory_mb(name)
                 except (OSError, TypeError):
                     continue
                 self.peak[name] = max(self.peak[name], used)
--- a/review/lib-3/standin.py
+++ b/review/lib-3/standin.py
@@ -47,6 +47,18 @@
     ctypes.CDLL(None).prctl(1, signal.SIGKILL)  # PR_SET_PDEATHSIG
 
 
+def on_one_core(n):
+    """Returns what process `n` does at its start: "the processor list report[s] [...] one core" (DEPLOY.md)."""
+    cores = sorted(os.sched_getaffinity(0))
+    core = cores[(os.getpid() + n) % len(cores)]
+
+    def prepare():
+        end_with_parent()
+        os.sched_setaffinity(0, {core})
+
+    return prepare
+
+
 METRICS_PORT = 9464  # as in deploy/settings.ini
 
 
@@ -158,7 +170,7 @@
         env["JUJUBEFERRY_CONFIG"] = str(path)
         self.processes[name] = subprocess.Popen(
             [str(ROOT / "target/release" / f"jujube-{role}")], env=env, cwd=ROOT, stdout=log,
-            stderr=log, start_new_session=True, preexec_fn=end_with_parent)
+            stderr=log, start_new_session=True, preexec_fn=on_one_core(n))
         self.record.note(f"started {name}")
 
     def signal(self, name, number):
@@ -175,9 +187,10 @@
     def callers(self, n=0):
         return self.edge_hosts[n], self.base + 21
 
-    def rss_mb(self, name):
+    def memory_mb(self, name):
+        """Resident memory of a process without the pages of files such as its program."""
         text = Path(f"/proc/{self.processes[name].pid}/status").read_text()
-        return int(re.search(r"VmRSS:\s+(\d+)", text)[1]) / 1024
+        return int(re.search(r"RssAnon:\s+(\d+)", text)[1]) / 1024
 
     def is_ready(self, n=0):
         try:
