Review case 12: a link with small windows, a crash near the upload's end

DEPLOY.md gives links small windows; the link had loopback's, which hold megabytes. It has a window of 64 KB and segments of 1,448 bytes now, and the worker crashes when at most 50,000 bytes of the upload are missing.

--- a/review/12/case.py
+++ b/review/12/case.py
@@ -14,7 +14,8 @@
 
 UPLOAD = 3_000_000          # max-body-bytes is 4,194,304
 LINK_BYTES_S = 1_250_000    # an edge's link of 10 Mbit/s
-CRASH_AFTER_S = 0.5         # after the first half of the answer
+WINDOW = 65_536             # "Links have [...] small windows"
+SEGMENT = 1_448             # as on an ordinary link; loopback's own of 65,483 would let the kernel hold megabytes
 PART = 8192
 WORKERS = 6                 # one of them crashes: a share of 0.17
 
@@ -66,7 +67,11 @@
     def __init__(self, record, host, worker):
         super().__init__(daemon=True)
         self.record, self.worker = record, worker
-        self.listener = socket.create_server((host, 0))
+        self.listener = socket.socket()
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW)
+        self.listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT)
+        self.listener.bind((host, 0))
+        self.listener.listen(128)
         self.address = self.listener.getsockname()
 
     def run(self):
@@ -131,10 +136,13 @@
             time.sleep(0.01)
         record.note(f"the upload is at {at_work[0].ident}, one of {WORKERS} workers")
         record.note("worker: has sent the head of a 200 without a length and half of its body, and reads on")
+        while not (late := [said for said in at_work[0].said if said.startswith("LATE")]):
+            if time.monotonic() > until:
+                raise s.CannotRun("the upload is stuck")
+            time.sleep(0.001)
         if s.TROUBLE:
-            time.sleep(CRASH_AFTER_S)
             at_work[0].process.kill()
-            record.note("worker: SIGKILL")
+        record.note(f"worker: {late[0].split()[1]} bytes of the upload are missing" + ("; SIGKILL" if s.TROUBLE else ""))
         answer = s.read_response(client, 14)
         time.sleep(1)
         whole = b"".join(b"line %03d of the answer\n" % n for n in range(40))
