Outbound: the end of a connection with an undelivered request is no end of a response

Cause: TrackedStream took the end of the connection for that of the response once the socket had accepted the whole request. The kernel's send buffer holds megabytes of it and a proxy up to its window; a peer that is killed with an empty receive buffer ends its connection in order, and its host resets it at the next byte of the request.

Change: DeliveredStream looks at the unacknowledged bytes (SIOCOUTQ) when the connection ends: if there are any, the response is lost at once. If the last acknowledgment is younger than proxies need for 256 KiB at the pace of the upload, it waits for a reset as long as their next part takes, 10 to 100 ms. What decides is outbound::delivery, without a network. A connection that has ended takes no further call. Every call of an endpoint passes through it: all routes, stages, resumed streams, /v1, opaque forwarding.

Ruled out: a wait alone (an end may come seconds before the reset while the receive window is full), unacknowledged bytes alone (a proxy has acknowledged them), and one wait for all that a proxy may hold (over 100 ms at 10 Mbit/s; 12,000 bytes behind a window of 128 KB got past it).

--- a/crates/outbound/src/connection.rs
+++ b/crates/outbound/src/connection.rs
@@ -22,6 +22,7 @@
 };
 
 use crate::{
+    delivered_stream::{DeliveredStream, PeerEnded},
     read_limit::{LimitedStream, Undelivered},
     send_state::{CurrentCall, SendState, TrackedStream},
 };
@@ -35,6 +36,7 @@
     sender: SendRequest<Full<Bytes>>,
     current_call: CurrentCall,
     undelivered: Undelivered,
+    peer_ended: PeerEnded,
     driver: Driver,
     /// Calls sent so far, counting the current one.
     calls: usize,
@@ -60,6 +62,8 @@
         stream.set_nodelay(true).map_err(|e| e.to_string())?;
         let current_call = CurrentCall::default();
         let undelivered = Undelivered::default();
+        let peer_ended = PeerEnded::default();
+        let stream = DeliveredStream::new(stream, peer_ended.clone());
         let stream = LimitedStream::new(stream, undelivered.clone());
         let io = TokioIo::new(TrackedStream::new(stream, current_call.clone()));
         let (sender, driver) = http1::Builder::new()
@@ -71,6 +75,7 @@
             sender,
             current_call,
             undelivered,
+            peer_ended,
             driver: Driver(Some(Box::pin(driver))),
             calls: 0,
             is_single_use: false,
@@ -84,7 +89,7 @@
     pub fn is_usable(&mut self) -> bool {
         // The socket was not polled since the last call, and the peer may have closed it.
         self.driver.poll(&mut Context::from_waker(Waker::noop()));
-        self.sender.is_ready()
+        self.sender.is_ready() && !self.peer_ended.get()
     }
 
     /// Returns true if the connection has carried a call before the current one.
@@ -125,7 +130,7 @@
 #[derive(Debug)]
 struct Driver(Option<Pin<Box<http1::Connection<Io, Full<Bytes>>>>>);
 
-type Io = TokioIo<TrackedStream<LimitedStream<TcpStream>>>;
+type Io = TokioIo<TrackedStream<LimitedStream<DeliveredStream>>>;
 
 impl Driver {
     fn poll(&mut self, cx: &mut Context<'_>) {
--- a/crates/outbound/src/lib.rs
+++ b/crates/outbound/src/lib.rs
@@ -2,11 +2,14 @@
 //! call was written to a socket. Also parses what response heads say about the endpoint's state.
 
 mod connection;
+mod delivered_stream;
+mod delivery;
 mod memory;
 mod notice;
 mod pool;
 mod read_limit;
 mod send_state;
+mod socket_queue;
 
 pub use connection::Connection;
 pub use memory::{BodyMemory, MemoryReservation};
--- a/crates/outbound/src/send_state.rs
+++ b/crates/outbound/src/send_state.rs
@@ -89,7 +89,7 @@
     }
 }
 
-fn unread_error() -> io::Error {
+pub(crate) fn unread_error() -> io::Error {
     io::Error::new(
         io::ErrorKind::ConnectionReset,
         "the peer ended the connection before it had read the call",
