Keeper: what changes leave behind is bounded by the memory and disk of the VM

Followers' changes are kept while smaller than the document. The log is compacted by bytes as well. Pages of the trail have at most 1 MB.

--- a/crates/declaration/src/change.rs
+++ b/crates/declaration/src/change.rs
@@ -3,7 +3,7 @@
 use derives::record;
 use uuid::Uuid;
 
-use crate::{Document, SectionId, SectionText};
+use crate::{Document, SectionId, SectionText, document::section_bytes};
 
 /// One section's new content; `after: None` deletes the section.
 #[record]
@@ -15,6 +15,13 @@
     pub after: Option<SectionText>,
 }
 
+impl SectionChange {
+    /// Returns the approximate encoded size in bytes.
+    pub fn approximate_bytes(&self) -> usize {
+        section_bytes(&self.id, self.after.as_ref())
+    }
+}
+
 /// A change submitted by an operator; idempotent by its id `change`.
 #[record]
 #[derive(Eq)]
--- a/crates/declaration/src/document.rs
+++ b/crates/declaration/src/document.rs
@@ -62,7 +62,39 @@
     pub sections: OrdMap<SectionId, SectionText>,
 }
 
+impl SectionId {
+    /// Returns the approximate encoded size in bytes.
+    fn approximate_bytes(&self) -> usize {
+        self.kind.len() + self.name.len()
+    }
+}
+
+impl SectionText {
+    /// Returns the approximate encoded size in bytes.
+    fn approximate_bytes(&self) -> usize {
+        let entries = self
+            .entries
+            .iter()
+            .map(|(key, value)| key.len() + value.len());
+        let comments = self.comments.iter().map(String::len);
+        entries.chain(comments).sum()
+    }
+}
+
+/// Returns the approximate encoded size of a section in bytes; a deleted one has no text.
+pub(crate) fn section_bytes(id: &SectionId, text: Option<&SectionText>) -> usize {
+    id.approximate_bytes() + text.map_or(0, SectionText::approximate_bytes)
+}
+
 impl Document {
+    /// Returns the approximate encoded size in bytes.
+    pub fn approximate_bytes(&self) -> usize {
+        let sections = self.sections.iter();
+        sections
+            .map(|(id, text)| section_bytes(id, Some(text)))
+            .sum()
+    }
+
     /// Parses sections from INI text. Duplicates are faults; contents are not validated.
     pub fn read(file: &str, bytes: &[u8]) -> Result<Self, Faults> {
         crate::read::document(file, bytes)
--- a/crates/host/src/resources.rs
+++ b/crates/host/src/resources.rs
@@ -21,6 +21,8 @@
     pub memory_bytes: u64,
     /// Number of file descriptors that the process may have open.
     pub descriptors: u64,
+    /// Size of the VM's data disk in bytes, if known.
+    pub disk_bytes: Option<u64>,
     /// Bandwidth of the VM's link in bit/s, if known.
     pub link_bits_per_second: Option<f64>,
 }
@@ -32,11 +34,13 @@
         let machine = Self::of_machine();
         let memory_mb = positive(reader, "memory_mb");
         let descriptors = positive(reader, "descriptors");
+        let disk_mb = not_negative(reader, "disk_mb").filter(|mb| *mb > 0.0);
         let link_mbps = positive(reader, "link_mbps");
         Self {
             memory_bytes: memory_mb
                 .map_or(machine.memory_bytes, |mb| (mb * BYTES_PER_MB as f64) as u64),
             descriptors: descriptors.map_or(machine.descriptors, |n| n as u64),
+            disk_bytes: disk_mb.map(|mb| (mb * BYTES_PER_MB as f64) as u64),
             link_bits_per_second: link_mbps.map(|mbps| mbps * BITS_PER_MBIT),
         }
     }
@@ -57,6 +61,7 @@
                 .and_then(|text| total_memory(&text))
                 .unwrap_or(DEFAULT_MEMORY_BYTES),
             descriptors: getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX),
+            disk_bytes: None,
             link_bits_per_second: None,
         }
     }
@@ -72,12 +77,26 @@
 
 /// Returns a positive number of `[resources]`, or `None` if it is missing, empty or invalid.
 fn positive(reader: &mut Reader, key: &str) -> Option<f64> {
+    number(reader, key, "a positive number", |n| n > 0.0)
+}
+
+/// Like [`positive`], for a number that may be 0.
+fn not_negative(reader: &mut Reader, key: &str) -> Option<f64> {
+    number(reader, key, "a number from 0 on", |n| n >= 0.0)
+}
+
+fn number(
+    reader: &mut Reader,
+    key: &str,
+    expected: &str,
+    is_valid: fn(f64) -> bool,
+) -> Option<f64> {
     const SECTION: &str = "resources";
     let text = reader.text(SECTION, key).filter(|text| !text.is_empty())?;
     let parsed = text.parse().ok();
-    let number = parsed.filter(|n: &f64| n.is_finite() && *n > 0.0);
+    let number = parsed.filter(|n: &f64| n.is_finite() && is_valid(*n));
     if number.is_none() {
-        reader.fault(SECTION, key, format!("`{text}` is not a positive number"));
+        reader.fault(SECTION, key, format!("`{text}` is not {expected}"));
     }
     number
 }
--- a/crates/host/src/resources/tests.rs
+++ b/crates/host/src/resources/tests.rs
@@ -12,7 +12,7 @@
 
 #[test]
 fn settings_go_before_the_machine() {
-    let text = "[resources]\nmemory_mb = 120\ndescriptors = 3075\nlink_mbps = 7.5\n";
+    let text = "[resources]\nmemory_mb = 120\ndescriptors = 3075\nlink_mbps = 7.5\ndisk_mb = 128\n";
     let (resources, faults) = read(text);
     assert_eq!(faults, 0);
     assert_eq!(
@@ -20,6 +20,7 @@
         Resources {
             memory_bytes: 120_000_000,
             descriptors: 3_075,
+            disk_bytes: Some(128_000_000),
             link_bits_per_second: Some(7_500_000.0),
         }
     );
@@ -32,6 +33,14 @@
     assert_eq!(resources, Resources::of_machine());
 }
 
+#[test]
+fn a_vm_may_have_no_disk() {
+    let (resources, faults) = read("[resources]\ndisk_mb = 0\n");
+    assert_eq!((resources.disk_bytes, faults), (None, 0));
+    let (_, faults) = read("[resources]\ndisk_mb = -1\n");
+    assert_eq!(faults, 1);
+}
+
 #[test]
 fn numbers_that_are_not_positive_are_faults() {
     let (_, faults) = read("[resources]\nmemory_mb = 0\ndescriptors = -1\nlink_mbps = fast\n");
@@ -52,6 +61,7 @@
         let resources = Resources {
             memory_bytes: megabytes * 1_000_000,
             descriptors: 1_024,
+            disk_bytes: None,
             link_bits_per_second: None,
         };
         resources.worker_threads(cores)
--- a/crates/keeper/examples/measure/departures.rs
+++ b/crates/keeper/examples/measure/departures.rs
@@ -87,6 +87,7 @@
         grace_ms: 60_000,
         max_keys: 2_000_000,
         max_total_output_bytes: 256 << 20,
+        max_history_bytes: 64 << 20,
     };
     let command = keeper::Command::Depart(vec![departure(0)]);
     let entry = encode(&Entry { stamp, command });
--- a/crates/keeper/examples/measure/memory.rs
+++ b/crates/keeper/examples/measure/memory.rs
@@ -20,6 +20,7 @@
         grace_ms: 60_000,
         max_keys: u64::MAX,
         max_total_output_bytes: u64::MAX,
+        max_history_bytes: 64 << 20,
     };
     link::encode(&Entry { stamp, command })
 }
--- a/crates/keeper/examples/measure/routes.rs
+++ b/crates/keeper/examples/measure/routes.rs
@@ -81,6 +81,7 @@
         grace_ms: 1_000,
         max_keys: 10,
         max_total_output_bytes: 10,
+        max_history_bytes: 64 << 20,
     };
     let replacement = Replacement {
         version,
--- a/crates/keeper/src/codec.rs
+++ b/crates/keeper/src/codec.rs
@@ -1,5 +1,10 @@
 //! Binary encoding of snapshots.
 
+use serde::Serialize;
+
+/// Size of a length prefix.
+const LENGTH_BYTES: usize = size_of::<u32>();
+
 /// Appends `n` in big-endian order.
 pub fn put_u64(buf: &mut Vec<u8>, n: u64) {
     buf.extend_from_slice(&n.to_be_bytes());
@@ -11,6 +16,15 @@
     buf.extend_from_slice(bytes);
 }
 
+/// Appends the CBOR encoding of `value` with a 32-bit length prefix.
+pub fn put_encoded(buf: &mut Vec<u8>, value: &impl Serialize) {
+    let start = buf.len() + LENGTH_BYTES;
+    buf.resize(start, 0);
+    link::encode_into(value, buf);
+    let length = ((buf.len() - start) as u32).to_be_bytes();
+    buf[start - LENGTH_BYTES..start].copy_from_slice(&length);
+}
+
 /// Reads values from the front of a buffer; all methods fail if it is too short.
 #[derive(Debug)]
 pub struct Cursor<'a>(pub &'a [u8]);
--- a/crates/keeper/src/config.rs
+++ b/crates/keeper/src/config.rs
@@ -8,6 +8,8 @@
 };
 use replica::Timing;
 
+use crate::budgets::Budgets;
+
 const DEFAULT_RETENTION_MS: u64 = 24 * 3_600 * 1_000;
 const MAX_RETENTION_MS: u64 = 30 * 24 * 3_600 * 1_000;
 const DEFAULT_SKEW_MS: u64 = 60_000;
@@ -18,7 +20,6 @@
 const DEFAULT_MAX_OUTPUT_BYTES: u64 = 64 << 10;
 const LARGEST_MAX_OUTPUT_BYTES: u64 = 1 << 20;
 const DEFAULT_OUTPUTS_MB: u64 = 256;
-const DEFAULT_SNAPSHOT_BYTES: u64 = 64 << 20;
 const DEFAULT_MAX_ENTRY_BYTES: usize = 4 << 20;
 const DEFAULT_SNAPSHOT_AFTER: u64 = 200_000;
 
@@ -37,6 +38,8 @@
     pub max_output_bytes: u64,
     /// Maximum total size of the stored outputs, in bytes.
     pub max_total_output_bytes: u64,
+    /// Maximum size of the encoded audit records, in bytes; the oldest are dropped beyond it.
+    pub max_history_bytes: u64,
 }
 
 /// Settings of a group that bootstraps itself and replaces failed members.
@@ -98,9 +101,11 @@
     pub fn read(reader: &mut Reader) -> Self {
         let security = reader.security();
         let folder = reader.path("data", "folder");
+        let resources = Resources::read(reader);
+        let budgets = Budgets::new(&resources);
         let cfg = Self {
             vm: reader.vm(),
-            resources: Resources::read(reader),
+            resources,
             http: reader.listen("http"),
             link: reader.listen("link"),
             advertised_link: reader.address("listen", "advertised_link"),
@@ -113,12 +118,12 @@
                 100,
                 10_000_000,
             ),
-            snapshot_bytes: DEFAULT_SNAPSHOT_BYTES,
+            snapshot_bytes: budgets.snapshot_bytes,
             max_entry_bytes: DEFAULT_MAX_ENTRY_BYTES,
             group: None,
             group_commit: yes_or_no(reader, "data", "group_commit"),
             timing: timing(reader),
-            limits: limits(reader),
+            limits: limits(reader, budgets),
             link_key: security.link_key,
             operators: security.operators,
             announce_token: security.announce_token,
@@ -170,7 +175,7 @@
     timing
 }
 
-fn limits(reader: &mut Reader) -> Limits {
+fn limits(reader: &mut Reader, budgets: Budgets) -> Limits {
     let mut millis =
         |key: &str, default: u64, high: u64| reader.millis("ledger", key, default, 1_000, high);
     let retention = millis("retention_ms", DEFAULT_RETENTION_MS, MAX_RETENTION_MS);
@@ -191,5 +196,6 @@
         max_keys: reader.number("ledger", "max_keys", DEFAULT_MAX_KEYS, 1_000, 1_000_000_000),
         max_output_bytes,
         max_total_output_bytes: outputs_mb << 20,
+        max_history_bytes: budgets.history_bytes,
     }
 }
--- a/crates/keeper/src/declaration_store.rs
+++ b/crates/keeper/src/declaration_store.rs
@@ -1,13 +1,13 @@
 //! The declaration with its revisions and audit trail.
 
 use std::{
-    collections::{BTreeMap, HashMap, VecDeque},
+    collections::{BTreeMap, VecDeque},
     sync::Arc,
 };
 
 use declaration::{
     AuditRecord, AuditSection, Change, Declaration, Document, SectionChange, SectionId,
-    SectionText, changes_between, conflicts, inverse,
+    changes_between, conflicts, inverse,
 };
 use derives::record;
 use link::{
@@ -17,23 +17,15 @@
 use uuid::Uuid;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::history::{History, StoredChange};
+
 /// Maximum number of accepted changes whose ids and audit records are kept.
 pub const MAX_HISTORY: usize = 16_384;
-/// Maximum size of the sections in the audit records, in bytes.
-const MAX_HISTORY_BYTES: usize = 64 << 20;
+/// Maximum size of the encoded audit records on any VM, in bytes.
+pub const MAX_HISTORY_BYTES: usize = 64 << 20;
 const MAX_AUTHOR_BYTES: usize = 128;
 const MAX_REASON_BYTES: usize = 4_096;
 
-/// One accepted change in the history.
-#[record]
-#[derive(Eq)]
-struct HistoryEntry {
-    record: AuditRecord,
-    /// Hash of the submitted change, to distinguish a retry from another change under the same id.
-    #[serde(rename = "submitted")]
-    submitted_hash: u64,
-}
-
 /// Why a change was refused before the checks for conflicts and faults.
 #[derive(Clone, Copy, Debug, PartialEq, thiserror::Error)]
 pub enum ChangeError {
@@ -83,9 +75,7 @@
     declaration: Option<Arc<Declaration>>,
     /// The revision that last changed or deleted each section, within the history.
     changed_at: BTreeMap<SectionId, u64>,
-    history: VecDeque<Arc<HistoryEntry>>,
-    history_bytes: usize,
-    ids: HashMap<Uuid, u64>,
+    history: History,
 }
 
 impl Default for DeclarationStore {
@@ -95,9 +85,7 @@
             document: Arc::default(),
             declaration: Some(Arc::default()),
             changed_at: BTreeMap::new(),
-            history: VecDeque::new(),
-            history_bytes: 0,
-            ids: HashMap::new(),
+            history: History::default(),
         }
     }
 }
@@ -108,7 +96,7 @@
     revision: u64,
     document: Document,
     changed_at: BTreeMap<SectionId, u64>,
-    history: VecDeque<HistoryEntry>,
+    history: VecDeque<Arc<StoredChange>>,
 }
 
 impl DeclarationStore {
@@ -123,27 +111,41 @@
     }
 
     /// Iterates over the kept audit records from `revision` on.
-    pub fn audit(&self, revision: u64) -> impl Iterator<Item = &AuditRecord> {
-        let skip = revision.saturating_sub(self.oldest_audit()) as usize;
-        self.history.iter().skip(skip).map(|entry| &entry.record)
+    pub fn audit(&self, revision: u64) -> impl Iterator<Item = AuditRecord> {
+        self.history.records_from(revision)
+    }
+
+    /// Returns the kept audit records from `revision` on, at most `max_records` and, after the first
+    /// one, at most `max_bytes` encoded.
+    pub fn audit_page(
+        &self,
+        revision: u64,
+        max_records: usize,
+        max_bytes: usize,
+    ) -> Vec<AuditRecord> {
+        self.history.page(revision, max_records, max_bytes)
     }
 
     /// Returns the first revision with an audit record, or the next revision if there is none.
     pub fn oldest_audit(&self) -> u64 {
-        let first = self.history.front();
-        first.map_or(self.revision + 1, |entry| entry.record.revision)
+        self.history.oldest().unwrap_or(self.revision + 1)
+    }
+
+    /// Returns the estimated memory use of the audit records, in bytes.
+    pub fn history_bytes(&self) -> usize {
+        self.history.bytes()
     }
 
-    /// Returns the last `n` changes in the form sent to followers.
-    pub fn recent(&self, n: usize) -> Vec<Revision> {
-        let skip = self.history.len().saturating_sub(n);
-        let recent = self.history.iter().skip(skip);
-        recent.map(|entry| to_revision(&entry.record)).collect()
+    /// Returns the last changes in the form sent to followers, at most `max_bytes` encoded.
+    pub fn recent(&self, max_bytes: usize) -> Vec<Revision> {
+        let recent = self.history.newest_records(max_bytes);
+        recent.into_iter().map(to_revision).collect()
     }
 
     /// Returns the last change in the form sent to followers.
     pub fn last(&self) -> Option<Revision> {
-        self.history.back().map(|entry| to_revision(&entry.record))
+        let last = self.history.get(self.revision)?;
+        Some(to_revision(last.record()))
     }
 
     /// Returns the document at `revision`; `None` if that is in the future or before the history.
@@ -152,24 +154,22 @@
             return None;
         }
         let mut document = Document::clone(&self.document);
-        let later = self.history.iter().rev().map(|entry| &entry.record);
-        for record in later.take_while(|r| r.revision > revision) {
-            let undo = |s: &AuditSection| SectionChange {
-                id: s.id.clone(),
-                after: s.before.clone(),
+        for record in self.history.records_from(revision + 1).rev() {
+            let undo = |s: AuditSection| SectionChange {
+                id: s.id,
+                after: s.before,
             };
-            document.apply(&record.sections.iter().map(undo).collect::<Vec<_>>());
+            document.apply(&record.sections.into_iter().map(undo).collect::<Vec<_>>());
         }
         Some(document)
     }
 
     /// Returns the reply to a change whose id was applied before; `None` for a new id.
     pub fn reply_to_retry(&self, change: &Change) -> Option<Result<ChangeReply, ChangeError>> {
-        let revision = *self.ids.get(&change.change)?;
-        let skip = (revision - self.oldest_audit()) as usize;
-        let entry = self.history.get(skip)?;
+        let revision = self.history.revision_of(&change.change)?;
+        let stored = self.history.get(revision)?;
         let is_same =
-            entry.submitted_hash == hash(change) || self.matches_revision(revision, change);
+            stored.submitted_hash == hash(change) || self.matches_revision(revision, change);
         Some(match is_same {
             true => Ok(ChangeReply::Accepted {
                 revision,
@@ -304,31 +304,19 @@
             self.changed_at.insert(section.id.clone(), self.revision);
         }
         self.document = Arc::new(document);
-        let submitted_hash = hash(change);
-        self.push_history(HistoryEntry {
-            record,
-            submitted_hash,
-        });
-        self.trim_history();
-    }
-
-    fn push_history(&mut self, entry: HistoryEntry) {
-        self.ids.insert(entry.record.change, entry.record.revision);
-        self.history_bytes += record_size(&entry.record);
-        self.history.push_back(Arc::new(entry));
+        self.history.push(&record, hash(change));
+        self.limit_history(MAX_HISTORY_BYTES);
     }
 
-    /// Drops the oldest history beyond the limits; always keeps the last entry.
-    fn trim_history(&mut self) {
-        while self.history.len() > 1
-            && (self.history.len() > MAX_HISTORY || self.history_bytes > MAX_HISTORY_BYTES)
-        {
-            let Some(entry) = self.history.pop_front() else {
-                return;
+    /// Drops the oldest audit records beyond `max_bytes`, but never the last one. Returns the number of
+    /// dropped records.
+    pub fn limit_history(&mut self, max_bytes: usize) -> u64 {
+        let mut dropped = 0;
+        while self.history.len() > MAX_HISTORY || self.history.bytes() > max_bytes {
+            let Some(record) = self.history.pop_oldest() else {
+                break;
             };
-            let record = &entry.record;
-            self.history_bytes -= record_size(record);
-            self.ids.remove(&record.change);
+            dropped += 1;
             for section in &record.sections {
                 let is_last = self.changed_at.get(&section.id) == Some(&record.revision);
                 // Bases before this record are refused from now on, so it can't conflict again.
@@ -337,6 +325,7 @@
                 }
             }
         }
+        dropped
     }
 
     /// Returns the part that a snapshot stores.
@@ -345,29 +334,21 @@
             revision: self.revision,
             document: Document::clone(&self.document),
             changed_at: self.changed_at.clone(),
-            history: self
-                .history
-                .iter()
-                .map(|entry| HistoryEntry::clone(entry))
-                .collect(),
+            history: self.history.to_snapshot(),
         }
     }
 
     /// Restores a store from a snapshot.
     pub fn from_snapshot(snapshot: DeclarationSnapshot) -> Self {
-        let mut store = Self {
+        Self {
             revision: snapshot.revision,
             declaration: Declaration::from_document(&snapshot.document)
                 .ok()
                 .map(Arc::new),
             document: Arc::new(snapshot.document),
             changed_at: snapshot.changed_at,
-            ..Self::default()
-        };
-        for entry in snapshot.history {
-            store.push_history(entry);
+            history: History::from_snapshot(snapshot.history),
         }
-        store
     }
 }
 
@@ -376,30 +357,13 @@
     xxh3_64(&link::encode(&(change.base_revision, &change.sections)))
 }
 
-fn to_revision(record: &AuditRecord) -> Revision {
-    let sections = record.sections.iter().map(|s| SectionChange {
-        id: s.id.clone(),
-        after: s.after.clone(),
+fn to_revision(record: AuditRecord) -> Revision {
+    let sections = record.sections.into_iter().map(|s| SectionChange {
+        id: s.id,
+        after: s.after,
     });
     Revision {
         revision: record.revision,
         sections: sections.collect(),
     }
 }
-
-/// Estimates the memory use of a record, in bytes.
-fn record_size(record: &AuditRecord) -> usize {
-    let text = |t: &Option<SectionText>| match t {
-        None => 0,
-        Some(t) => {
-            let entries = t.entries.iter().map(|(k, v)| k.len() + v.len() + 48);
-            let comments = t.comments.iter().map(|c| c.len() + 24);
-            entries.sum::<usize>() + comments.sum::<usize>()
-        }
-    };
-    let section = |s: &AuditSection| {
-        s.id.kind.len() + s.id.name.len() + text(&s.before) + text(&s.after) + 96
-    };
-    let sections: usize = record.sections.iter().map(section).sum();
-    record.author.len() + record.reason.len() + sections + 128
-}
--- a/crates/keeper/src/entry.rs
+++ b/crates/keeper/src/entry.rs
@@ -5,6 +5,8 @@
 use link::keeper::{BlockedPart, Departure, LeaseRequest, Replacement, Settle, ZoneOrder};
 use uuid::Uuid;
 
+use crate::declaration_store::MAX_HISTORY_BYTES;
+
 /// The proposing leader's time and limits, so that every replica decides the same regardless of its
 /// own clock and settings.
 #[record]
@@ -29,6 +31,13 @@
     /// Maximum total size of the outputs in the ledger, in bytes.
     #[serde(rename = "o")]
     pub max_total_output_bytes: u64,
+    /// Maximum size of the encoded audit records, in bytes; leaders of earlier versions don't name it.
+    #[serde(rename = "h", default = "default_history_bytes")]
+    pub max_history_bytes: u64,
+}
+
+fn default_history_bytes() -> u64 {
+    MAX_HISTORY_BYTES as u64
 }
 
 /// One entry of the replicated log.
--- a/crates/keeper/src/metrics.rs
+++ b/crates/keeper/src/metrics.rs
@@ -21,6 +21,8 @@
     commit: IntGauge,
     applied: IntGauge,
     revision: IntGauge,
+    audit_bytes: IntGauge,
+    oldest_audit: IntGauge,
     ledger_keys: IntGauge,
     ledger_bytes: IntGauge,
     blocked_parts: IntGauge,
@@ -63,6 +65,14 @@
             commit: gauge("commit_index", "Last committed index known here.")?,
             applied: gauge("applied_index", "Last index applied here.")?,
             revision: gauge("revision", "Revision of the declaration here.")?,
+            audit_bytes: gauge(
+                "audit_bytes",
+                "Estimated memory of the audit records in bytes.",
+            )?,
+            oldest_audit: gauge(
+                "audit_oldest_revision",
+                "Oldest revision with an audit record; the records before it were dropped.",
+            )?,
             ledger_keys: gauge("ledger_keys", "Keys in the ledger.")?,
             ledger_bytes: gauge("ledger_output_bytes", "Bytes of outputs in the ledger.")?,
             blocked_parts: gauge("blocked_parts", "Blocked parts of prompts.")?,
@@ -91,6 +101,9 @@
         self.commit.set(status.commit as i64);
         self.applied.set(status.applied as i64);
         self.revision.set(state.declaration.revision() as i64);
+        let declaration = &state.declaration;
+        self.audit_bytes.set(declaration.history_bytes() as i64);
+        self.oldest_audit.set(declaration.oldest_audit() as i64);
         self.ledger_keys.set(state.ledger.len() as i64);
         self.ledger_bytes.set(state.ledger.output_bytes() as i64);
         self.blocked_parts
--- a/crates/keeper/src/service.rs
+++ b/crates/keeper/src/service.rs
@@ -41,6 +41,8 @@
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(1_300);
 /// Timeout of a change of members, which waits for a learner to catch up.
 const MEMBER_CHANGE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Maximum encoded size of a page of audit records, unless a single one is larger.
+const MAX_AUDIT_PAGE_BYTES: usize = 1 << 20;
 /// Delay between attempts while no leader is known.
 const RETRY_DELAY: Duration = Duration::from_millis(25);
 /// Time between synchronizations with the other keepers' clocks.
@@ -369,8 +371,8 @@
             return None;
         }
         Some(self.state.read(|state| {
-            let records = state.declaration.audit(from);
-            records.take(MAX_AUDIT_RECORDS).cloned().collect()
+            let declaration = &state.declaration;
+            declaration.audit_page(from, MAX_AUDIT_RECORDS, MAX_AUDIT_PAGE_BYTES)
         }))
     }
 
@@ -479,6 +481,7 @@
             grace_ms: millis(self.limits.grace),
             max_keys: self.limits.max_keys,
             max_total_output_bytes: self.limits.max_total_output_bytes,
+            max_history_bytes: self.limits.max_history_bytes,
         })
     }
 
--- a/crates/keeper/src/shared_state.rs
+++ b/crates/keeper/src/shared_state.rs
@@ -7,7 +7,7 @@
 
 use link::follower::Feed;
 use replica::StateMachine;
-use spdlog::error;
+use spdlog::{error, info};
 use tokio::{
     sync::watch,
     time::{Instant, timeout},
@@ -19,8 +19,9 @@
     state::{Applied, State},
 };
 
-/// Recent changes that followers can catch up with after a restart without a snapshot.
-const MAX_PRELOADED_CHANGES: usize = 512;
+/// Maximum encoded size of the recent changes that followers can catch up with after a restart without
+/// a snapshot.
+const MAX_PRELOADED_BYTES: usize = 1 << 20;
 
 /// The state of one keeper, shared between tasks.
 #[derive(Debug)]
@@ -110,6 +111,7 @@
         let mut inner = self.inner_mut();
         let inner = &mut *inner;
         let before = inner.state.declaration.revision();
+        let oldest_before = inner.state.declaration.oldest_audit();
         let Applied {
             reply,
             lease,
@@ -124,6 +126,7 @@
         }
         // Entries from before this process was current are not logged again.
         if inner.is_published {
+            log_dropped_history(oldest_before, inner.state.declaration.oldest_audit());
             for event in &events {
                 logs::write(None, event);
             }
@@ -158,7 +161,7 @@
         let document = declaration.document().clone();
         let published = self.feed.replace(declaration.revision(), document);
         match published {
-            Ok(_) => self.feed.preload(declaration.recent(MAX_PRELOADED_CHANGES)),
+            Ok(_) => self.feed.preload(declaration.recent(MAX_PRELOADED_BYTES)),
             Err(e) => error!("{e}", kv: { step = "publish the declaration" }),
         }
     }
@@ -175,3 +178,12 @@
         self.inner.write().expect("no holder of this lock panics")
     }
 }
+
+/// Logs that the audit records from revision `from` to before `oldest` were dropped, if there are any.
+fn log_dropped_history(from: u64, oldest: u64) {
+    // A history that was empty begins with the revision that was next.
+    if oldest > from {
+        info!("dropped the oldest audit records: the audit trail is full",
+            kv: { records = oldest - from, oldest });
+    }
+}
--- a/crates/keeper/src/start.rs
+++ b/crates/keeper/src/start.rs
@@ -234,6 +234,7 @@
     replica.group_commit = cfg.group_commit;
     replica.snapshot_after = cfg.snapshot_after;
     replica.snapshot_bytes = cfg.snapshot_bytes;
+    replica.segment_bytes = replica.segment_bytes.min(cfg.snapshot_bytes / 2);
     replica.max_entry_bytes = cfg.max_entry_bytes;
     replica.link = Some(links.clone());
     replica
--- a/crates/keeper/src/state.rs
+++ b/crates/keeper/src/state.rs
@@ -14,10 +14,10 @@
 
 use crate::{
     blocked_parts::BlockedParts,
-    codec::{Cursor, put_bytes, put_u64},
+    codec::{Cursor, put_encoded, put_u64},
     declaration_store::{DeclarationSnapshot, DeclarationStore},
     departures::{Departures, DeparturesSnapshot},
-    entry::{Command, Entry},
+    entry::{Command, Entry, Stamp},
     evacuations::Evacuations,
     leases::Leases,
     ledger::Ledger,
@@ -65,7 +65,7 @@
     declaration: DeclarationSnapshot,
     leases: Leases,
     #[serde(rename = "replaced", default)]
-    last_replacement: Option<StoredReplacement>,
+    last_replacement: Option<Arc<StoredReplacement>>,
     #[serde(default)]
     blocked_parts: BlockedParts,
     #[serde(default)]
@@ -149,8 +149,16 @@
                 self.leases.end(name, *fencing);
                 KeeperReply::LeaseEnded
             }
-            Command::Change(change) => self.change(change),
-            Command::Replace(replacement) => self.replace(replacement),
+            Command::Change(change) => {
+                let reply = self.change(change);
+                self.limit_history(stamp);
+                reply
+            }
+            Command::Replace(replacement) => {
+                let reply = self.replace(replacement);
+                self.limit_history(stamp);
+                reply
+            }
             Command::BlockPart(block) => KeeperReply::PartBlocked {
                 is_blocked: self.blocked_parts.block(self.clock_ms, block, events),
             },
@@ -216,6 +224,11 @@
         }
     }
 
+    fn limit_history(&mut self, stamp: &Stamp) {
+        let max_bytes = usize::try_from(stamp.max_history_bytes).unwrap_or(usize::MAX);
+        self.declaration.limit_history(max_bytes);
+    }
+
     /// Encodes the whole state.
     pub fn snapshot(&self) -> Vec<u8> {
         let mut buf = Vec::new();
@@ -225,12 +238,12 @@
         let head = SnapshotHead {
             declaration: self.declaration.to_snapshot(),
             leases: self.leases.clone(),
-            last_replacement: self.last_replacement.as_deref().cloned(),
+            last_replacement: self.last_replacement.clone(),
             blocked_parts: self.blocked_parts.clone(),
             departures: self.departures.to_snapshot(),
             evacuations: self.evacuations.clone(),
         };
-        put_bytes(&mut buf, &link::encode(&head));
+        put_encoded(&mut buf, &head);
         self.ledger.write(&mut buf);
         buf
     }
@@ -249,7 +262,7 @@
             digest,
             declaration: DeclarationStore::from_snapshot(head.declaration),
             leases: head.leases,
-            last_replacement: head.last_replacement.map(Arc::new),
+            last_replacement: head.last_replacement,
             blocked_parts: head.blocked_parts,
             departures: Departures::from_snapshot(head.departures),
             evacuations: head.evacuations,
--- a/crates/keeper/src/state/tests.rs
+++ b/crates/keeper/src/state/tests.rs
@@ -30,7 +30,7 @@
         blocked_parts: state.blocked_parts.clone(),
         departures: state.departures.to_snapshot(),
     };
-    put_bytes(&mut bytes, &link::encode(&head));
+    put_encoded(&mut bytes, &head);
     state.ledger.write(&mut bytes);
     assert_eq!(State::restore(&bytes).unwrap(), state);
 }
--- a/crates/keeper/tests/stamps/mod.rs
+++ b/crates/keeper/tests/stamps/mod.rs
@@ -11,5 +11,6 @@
         grace_ms: 1_000,
         max_keys: 1_000,
         max_total_output_bytes: 1 << 20,
+        max_history_bytes: 64 << 20,
     }
 }
--- a/crates/keeper/tests/state.rs
+++ b/crates/keeper/tests/state.rs
@@ -33,6 +33,7 @@
         grace_ms: GRACE_MS,
         max_keys: 1_000,
         max_total_output_bytes: 1 << 20,
+        max_history_bytes: 64 << 20,
     }
 }
 
--- a/crates/link/src/feed.rs
+++ b/crates/link/src/feed.rs
@@ -18,6 +18,8 @@
 /// Maximum number of changes that are kept and sent in one reply; a follower further behind gets a
 /// snapshot.
 const MAX_RECENT_CHANGES: usize = 512;
+/// Size up to which changes are kept also if the whole document is smaller, in bytes.
+const MIN_RECENT_BYTES: usize = 64 << 10;
 /// Upper bound on the `wait` that followers request.
 const MAX_WAIT: Duration = Duration::from_mins(1);
 
@@ -89,6 +91,22 @@
     encoded_reply: Option<EncodedReply>,
 }
 
+impl RecentChanges {
+    /// Drops the oldest changes that together are larger than `document`: a follower that lacks them
+    /// is better served with a snapshot.
+    fn trim(&mut self, document: &Document) {
+        let max_bytes = document.approximate_bytes().max(MIN_RECENT_BYTES);
+        let mut bytes = 0;
+        let newest = self.changes.iter().rev().take(MAX_RECENT_CHANGES);
+        let kept = newest.take_while(|change| {
+            bytes += change.approximate_bytes();
+            bytes <= max_bytes
+        });
+        let surplus = self.changes.len() - kept.count();
+        self.changes.drain(..surplus);
+    }
+}
+
 #[derive(Debug)]
 struct EncodedReply {
     after: u64,
@@ -155,8 +173,7 @@
         let in_force = ActiveDeclaration::new(revision, document, parsed)?;
         let mut recent = self.lock();
         recent.changes.extend(new);
-        let surplus = recent.changes.len().saturating_sub(MAX_RECENT_CHANGES);
-        recent.changes.drain(..surplus);
+        recent.trim(&in_force.document);
         recent.encoded_reply = None;
         self.tx.send_replace(Some(Arc::new(in_force)));
         Ok(true)
@@ -182,8 +199,11 @@
     /// them need no snapshot.
     pub fn preload(&self, changes: Vec<Revision>) {
         let mut recent = self.lock();
-        if changes.last().map(|change| change.revision) == self.revision() {
+        let current = self.tx.borrow().clone();
+        let last = changes.last().map(|change| change.revision);
+        if let Some(f) = current.filter(|f| Some(f.revision) == last) {
             recent.changes = changes.into();
+            recent.trim(&f.document);
             recent.encoded_reply = None;
         }
     }
--- a/crates/link/src/follow.rs
+++ b/crates/link/src/follow.rs
@@ -24,6 +24,14 @@
     pub sections: Vec<SectionChange>,
 }
 
+impl Revision {
+    /// Returns the approximate encoded size in bytes.
+    pub fn approximate_bytes(&self) -> usize {
+        let sections = self.sections.iter();
+        sections.map(SectionChange::approximate_bytes).sum()
+    }
+}
+
 /// The reply to [`FollowRequest`]; contains committed changes only.
 #[record]
 pub enum FollowReply {
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -21,7 +21,7 @@
 pub mod keeper;
 pub mod keepers;
 
-pub use codec::{decode, encode};
+pub use codec::{decode, encode, encode_into};
 pub use config::{Identity, LinkConfig, Role};
 pub use error::LinkError;
 pub use frame::Channel;
--- a/crates/replica/src/apply.rs
+++ b/crates/replica/src/apply.rs
@@ -2,11 +2,12 @@
 
 use std::sync::Arc;
 
+use rand::{RngExt, SeedableRng, rngs::StdRng};
 use serde_bytes::ByteBuf;
 use tokio::sync::{OwnedMutexGuard, watch};
 
 use crate::{
-    Applied, SnapshotEncoder, StateMachine,
+    Applied, ReplicaConfig, SnapshotEncoder, StateMachine,
     core::{Core, Shared},
     entry::{Entry, Payload},
     message::{Digest, SnapshotMeta},
@@ -17,8 +18,11 @@
 const MAX_BATCH: u64 = 256;
 /// Number of digests kept for comparison.
 const MAX_DIGESTS: usize = 8;
-/// `snapshot_after` divided by this many entries stay in the log before a snapshot, for slow peers.
+/// `snapshot_after` divided by this many entries stay in the log before a snapshot, for slow peers, with at
+/// most `snapshot_bytes` divided by it.
 const KEPT_DIVISOR: u64 = 2;
+/// Share of `snapshot_after` and `snapshot_bytes` from which on a snapshot may be due.
+const LEAST_SNAPSHOT_SHARE: f64 = 2.0 / 3.0;
 
 /// Runs until the replica stops; `machine` must be in the state of the last snapshot.
 pub(crate) async fn run(
@@ -28,6 +32,7 @@
 ) {
     let mut snapshot_index = shared.core().applied;
     let mut bytes = 0;
+    let mut schedule = SnapshotSchedule::new(&shared.cfg);
     loop {
         // Mark as seen before checking, so that a change after the check is not missed.
         changed.borrow_and_update();
@@ -46,16 +51,51 @@
             bytes += entry.approximate_bytes() as u64;
         }
         let applied = shared.core().applied;
-        let is_due = applied - snapshot_index >= shared.cfg.snapshot_after;
-        let is_due = is_due || bytes >= shared.cfg.snapshot_bytes;
+        let is_due = schedule.is_due(applied - snapshot_index, bytes);
         if is_due && start_snapshot(&shared, &mut machine, applied) {
             snapshot_index = applied;
             bytes = 0;
+            schedule.next();
         }
         tokio::task::yield_now().await;
     }
 }
 
+/// When the next snapshot is due: at random in the last third of what the configuration allows, so that the
+/// replicas of a group don't all take one at the same entry.
+struct SnapshotSchedule {
+    after: u64,
+    bytes: u64,
+    share: f64,
+    rng: StdRng,
+}
+
+impl SnapshotSchedule {
+    fn new(cfg: &ReplicaConfig) -> Self {
+        let rng = match cfg.seed {
+            Some(seed) => StdRng::seed_from_u64(seed),
+            None => StdRng::from_rng(&mut rand::rng()),
+        };
+        let mut schedule = Self {
+            after: cfg.snapshot_after,
+            bytes: cfg.snapshot_bytes,
+            share: 1.0,
+            rng,
+        };
+        schedule.next();
+        schedule
+    }
+
+    fn next(&mut self) {
+        self.share = self.rng.random_range(LEAST_SNAPSHOT_SHARE..=1.0);
+    }
+
+    fn is_due(&self, entries: u64, bytes: u64) -> bool {
+        let reaches = |n: u64, most: u64| n as f64 >= most as f64 * self.share;
+        reaches(entries, self.after) || reaches(bytes, self.bytes)
+    }
+}
+
 fn committed(core: &Core) -> Vec<Arc<Entry>> {
     if core.failed.is_some() || core.pending_restore.is_some() {
         return Vec::new();
@@ -197,7 +237,13 @@
         shared.fail(&e.to_string());
         return;
     }
-    let compact_to = index.saturating_sub(shared.cfg.snapshot_after / KEPT_DIVISOR);
+    let cfg = &shared.cfg;
+    let (entries, bytes) = (cfg.snapshot_after, cfg.snapshot_bytes);
+    let compact_to =
+        shared
+            .core()
+            .log
+            .compaction_index(index, entries / KEPT_DIVISOR, bytes / KEPT_DIVISOR);
     // Needs the store's lock, since a snapshot from the leader may have arrived meanwhile.
     let published = shared.with_store(move |store| store.publish_snapshot(index, compact_to));
     if published.await.is_ok() {
--- a/crates/replica/src/core.rs
+++ b/crates/replica/src/core.rs
@@ -94,7 +94,7 @@
     /// The leader's state digests at indexes not yet applied here.
     pub expected_digests: BTreeMap<u64, u64>,
     /// Snapshot from the leader that the state machine has yet to restore.
-    pub pending_restore: Option<Snapshot>,
+    pub pending_restore: Option<Arc<Snapshot>>,
     pub partial_snapshot: Option<Snapshot>,
     pub peers: BTreeMap<String, PeerConnection>,
     /// Start time of the disk write in progress.
@@ -126,6 +126,8 @@
     pub tasks: Mutex<JoinSet<()>>,
     /// Held while a snapshot is written.
     pub snapshot_lock: Arc<tokio::sync::Mutex<()>>,
+    /// Held while a snapshot is sent, so that only one is in memory at a time.
+    pub transfer_lock: tokio::sync::Mutex<()>,
 }
 
 impl Shared {
--- a/crates/replica/src/handler.rs
+++ b/crates/replica/src/handler.rs
@@ -309,7 +309,8 @@
             ChunkProgress::Incomplete(offset) => return ResponseBody::Want { offset },
         };
         let size = snapshot.state.len() as u64;
-        let written = snapshot.clone();
+        let snapshot = Arc::new(snapshot);
+        let written = Arc::clone(&snapshot);
         let (_store, result) = self
             .run_on_store(store, move |s| s.install_snapshot(&written))
             .await;
@@ -444,7 +445,7 @@
         }
     }
 
-    fn reset_to(&mut self, snapshot: Snapshot) {
+    fn reset_to(&mut self, snapshot: Arc<Snapshot>) {
         let meta = &snapshot.meta;
         self.log = Log::new(meta.index, meta.term, meta.members.clone());
         self.durable = meta.index;
--- a/crates/replica/src/log.rs
+++ b/crates/replica/src/log.rs
@@ -147,6 +147,18 @@
         &active.unwrap_or(&self.members[0]).1
     }
 
+    /// Returns the index up to which entries before `index` may be removed to keep at most `max_entries`
+    /// with at most `max_bytes` of them.
+    pub(crate) fn compaction_index(&self, index: u64, max_entries: u64, max_bytes: u64) -> u64 {
+        let first = index.saturating_sub(max_entries).max(self.base_index);
+        let mut bytes = 0;
+        let kept = (first + 1..=index).rev().take_while(|i| {
+            bytes += self.get(*i).map_or(0, |e| e.approximate_bytes() as u64);
+            bytes <= max_bytes
+        });
+        index - kept.count() as u64
+    }
+
     /// Removes entries up to `to`, after a snapshot at `snapshot`.
     pub(crate) fn compact(&mut self, to: u64, snapshot: u64) {
         while self.base_index < to {
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -358,5 +358,6 @@
         stopped: watch::Sender::new(false),
         tasks: Mutex::new(JoinSet::new()),
         snapshot_lock: Arc::default(),
+        transfer_lock: tokio::sync::Mutex::default(),
     }
 }
--- a/crates/replica/src/replicate.rs
+++ b/crates/replica/src/replicate.rs
@@ -356,6 +356,12 @@
 
     /// Sends the last snapshot in chunks; entries continue after it.
     async fn send_snapshot(&mut self) {
+        let shared = Arc::clone(&self.shared);
+        let Ok(_sending) = shared.transfer_lock.try_lock() else {
+            // Heartbeats go on meanwhile; the next answered one triggers another attempt.
+            self.restart_probing(true);
+            return;
+        };
         let disk = self.shared.disk.clone();
         let read = self.shared.with_store(move |_| snapshot::read(&disk)).await;
         let Ok(Some(snapshot)) = read else {
--- a/crates/replica/src/state_file.rs
+++ b/crates/replica/src/state_file.rs
@@ -38,9 +38,10 @@
 
 /// Encodes `value` after its CRC-32.
 pub(crate) fn encode_with_checksum(value: &impl Serialize) -> Vec<u8> {
-    let body = link::encode(value);
-    let mut buf = crc32fast::hash(&body).to_le_bytes().to_vec();
-    buf.extend_from_slice(&body);
+    let mut buf = vec![0; CRC_BYTES];
+    link::encode_into(value, &mut buf);
+    let crc = crc32fast::hash(&buf[CRC_BYTES..]).to_le_bytes();
+    buf[..CRC_BYTES].copy_from_slice(&crc);
     buf
 }
 
