Keeper: readers of the configuration share its bytes; tests of the bounds

What operators saw: nothing yet; each reader of Config.Get held a copy of the configuration, up to 16 MB, until it was sent. Change: StoredReplacement keeps Bytes, which replies share.

--- a/crates/keeper/src/state.rs
+++ b/crates/keeper/src/state.rs
@@ -6,6 +6,7 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use declaration::Change;
 use derives::record;
 use link::keeper::{ChangeReply, KeeperReply, LeaseReply, Replacement};
@@ -55,8 +56,8 @@
 pub struct StoredReplacement {
     /// The version assigned by the sender.
     pub version: u64,
-    /// The document as received.
-    pub original: serde_bytes::ByteBuf,
+    /// The document as received; readers share it.
+    pub original: Bytes,
 }
 
 #[record]
--- a/crates/link/src/keeper.rs
+++ b/crates/link/src/keeper.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use bytes::Bytes;
 use declaration::{AuditRecord, Change, Conflict, Document, Fault};
 use derives::record;
 use uuid::Uuid;
@@ -294,7 +295,7 @@
         applied: bool,
     },
     /// To [`KeeperRequest::Original`]: original bytes of the newest replacement, if any.
-    Original(Option<serde_bytes::ByteBuf>),
+    Original(Option<Bytes>),
     /// To [`KeeperRequest::Confirm`]: the state at some time after the request was sent.
     Confirmed {
         /// The newest revision.
--- a/crates/link/tests/following.rs
+++ b/crates/link/tests/following.rs
@@ -12,7 +12,7 @@
 use declaration::{Document, SectionChange, SectionId, SectionText};
 use link::{
     Channel, Identity, Incoming, LinkConfig, Peer, Role,
-    follow::{FollowReply, Revision},
+    follow::{FollowReply, FollowRequest, Revision},
     follower::{ActiveDeclaration, Feed, Follower, FollowerConfig},
     serve,
 };
@@ -322,3 +322,39 @@
     });
     assert!(first_fault(&feeds).is_some());
 }
+
+/// Guards against followers' changes that outgrow the document: one that lacks many large changes gets
+/// a snapshot.
+#[tokio::test]
+async fn changes_larger_than_the_document_are_not_kept() {
+    const REVISIONS: u64 = 40;
+    let feed = Feed::new();
+    feed.replace(0, Document::default()).unwrap();
+    for n in 1..=REVISIONS {
+        let mut large = revision(1);
+        large.revision = n;
+        for section in &mut large.sections {
+            let text = section.after.as_mut().unwrap();
+            text.comments = vec![format!("{n}{}", "c".repeat(20_000))];
+        }
+        feed.advance(vec![large]).unwrap();
+    }
+    let reply = async |after| {
+        let wait = Duration::ZERO;
+        let body = feed
+            .answer(&link::encode(&FollowRequest { after, wait }))
+            .await;
+        link::decode::<FollowReply>(&body).unwrap()
+    };
+    assert!(matches!(
+        reply(0).await,
+        FollowReply::Snapshot {
+            revision: REVISIONS,
+            ..
+        }
+    ));
+    let FollowReply::Changes(changes) = reply(REVISIONS - 1).await else {
+        panic!("the last change is kept");
+    };
+    assert_eq!(changes.len(), 1);
+}
--- a/crates/replica/src/log/tests.rs
+++ b/crates/replica/src/log/tests.rs
@@ -115,3 +115,23 @@
     "#]]
     .assert_eq(&table);
 }
+
+/// Guards against a log that is kept by the number of entries alone, whatever their size.
+#[test]
+fn entries_behind_a_snapshot_are_kept_by_number_and_size() {
+    let mut log = Log::new(0, 0, Members::default());
+    log.append((1..=10).map(|index| {
+        Arc::new(Entry {
+            index,
+            term: 1,
+            payload: Payload::Data(vec![0; 1_000]),
+        })
+    }));
+    let entry_bytes = log.get(1).unwrap().approximate_bytes() as u64;
+    assert_eq!(log.compaction_index(10, 4, u64::MAX), 6);
+    assert_eq!(log.compaction_index(10, 4, 2 * entry_bytes), 8);
+    assert_eq!(log.compaction_index(10, 4, entry_bytes - 1), 10);
+    assert_eq!(log.compaction_index(10, 100, u64::MAX), 0);
+    log.compact(6, 10);
+    assert_eq!(log.compaction_index(10, 100, u64::MAX), 6);
+}
