Outbound: one place decides what the end of a connection means

The check for a request that the socket has not accepted moves from TrackedStream to DeliveredStream, which knows the same and more; TrackedStream only tracks writes again.

--- a/crates/keeper/src/declaration_store.rs
+++ b/crates/keeper/src/declaration_store.rs
@@ -308,15 +308,12 @@
         self.limit_history(MAX_HISTORY_BYTES);
     }
 
-    /// Drops the oldest audit records beyond `max_bytes`, but never the last one. Returns the number of
-    /// dropped records.
-    pub fn limit_history(&mut self, max_bytes: usize) -> u64 {
-        let mut dropped = 0;
+    /// Drops the oldest audit records beyond `max_bytes`, but never the last one.
+    pub fn limit_history(&mut self, max_bytes: usize) {
         while self.history.len() > MAX_HISTORY || self.history.bytes() > max_bytes {
             let Some(record) = self.history.pop_oldest() else {
                 break;
             };
-            dropped += 1;
             for section in &record.sections {
                 let is_last = self.changed_at.get(&section.id) == Some(&record.revision);
                 // Bases before this record are refused from now on, so it can't conflict again.
@@ -325,7 +322,6 @@
                 }
             }
         }
-        dropped
     }
 
     /// Returns the part that a snapshot stores.
--- a/crates/outbound/src/delivered_stream.rs
+++ b/crates/outbound/src/delivered_stream.rs
@@ -18,7 +18,6 @@
 
 use crate::{
     delivery::{ConnectionEnd, Delivery},
-    send_state::unread_error,
     socket_queue::unacknowledged_bytes,
 };
 
@@ -37,6 +36,7 @@
 pub(crate) struct DeliveredStream {
     stream: TcpStream,
     delivery: Delivery,
+    /// True if the socket accepted everything that was to be written.
     is_flushed: bool,
     peer_ended: PeerEnded,
     timer: Option<Pin<Box<Sleep>>>,
@@ -90,6 +90,9 @@
     /// Returns once it is known what the end of the stream means.
     fn poll_end(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         self.peer_ended.0.store(true, Relaxed);
+        if !self.is_flushed {
+            return Poll::Ready(Err(unread_error()));
+        }
         loop {
             let now = Instant::now();
             self.update_delivery(now);
@@ -116,6 +119,13 @@
     }
 }
 
+fn unread_error() -> io::Error {
+    io::Error::new(
+        io::ErrorKind::ConnectionReset,
+        "the peer ended the connection before it had read the call",
+    )
+}
+
 impl AsyncRead for DeliveredStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/crates/outbound/src/send_state.rs
+++ b/crates/outbound/src/send_state.rs
@@ -89,13 +89,6 @@
     }
 }
 
-pub(crate) fn unread_error() -> io::Error {
-    io::Error::new(
-        io::ErrorKind::ConnectionReset,
-        "the peer ended the connection before it had read the call",
-    )
-}
-
 fn sealed_error() -> io::Error {
     io::Error::new(
         io::ErrorKind::ConnectionAborted,
@@ -122,14 +115,11 @@
 }
 
 /// A stream that tracks its writes in the [`SendState`] of the current call. Fails writes while
-/// there is no call, and the end of the stream is an error while a call is not completely written: a
-/// response that ends with its connection could otherwise pass for a complete one.
+/// there is no call.
 #[derive(Debug)]
 pub struct TrackedStream<S> {
     stream: S,
     current_call: CurrentCall,
-    /// True if everything that was to be written was accepted by the socket.
-    is_flushed: bool,
 }
 
 impl<S> TrackedStream<S> {
@@ -138,13 +128,11 @@
         Self {
             stream,
             current_call,
-            is_flushed: true,
         }
     }
 
-    /// Prepares a write; returns the send state of the current call.
-    fn start_write(&mut self) -> io::Result<SendState> {
-        self.is_flushed = false;
+    /// Returns the send state of the current call.
+    fn send_state(&self) -> io::Result<SendState> {
         self.current_call.get().ok_or_else(sealed_error)
     }
 }
@@ -155,13 +143,7 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let room = buf.remaining();
-        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
-        let is_end = room > 0 && buf.remaining() == room;
-        match polled {
-            Poll::Ready(Ok(())) if is_end && !self.is_flushed => Poll::Ready(Err(unread_error())),
-            polled => polled,
-        }
+        Pin::new(&mut self.stream).poll_read(cx, buf)
     }
 }
 
@@ -171,7 +153,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let send_state = self.start_write()?;
+        let send_state = self.send_state()?;
         send_state.write(|| Pin::new(&mut self.stream).poll_write(cx, buf))
     }
 
@@ -180,7 +162,7 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let send_state = self.start_write()?;
+        let send_state = self.send_state()?;
         send_state.write(|| Pin::new(&mut self.stream).poll_write_vectored(cx, bufs))
     }
 
@@ -188,11 +170,8 @@
         self.stream.is_write_vectored()
     }
 
-    /// The HTTP library flushes once its buffer is empty.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let polled = Pin::new(&mut self.stream).poll_flush(cx);
-        self.is_flushed |= matches!(polled, Poll::Ready(Ok(())));
-        polled
+        Pin::new(&mut self.stream).poll_flush(cx)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
