--- a/crates/outbound/src/delivery.rs
+++ b/crates/outbound/src/delivery.rs
@@ -10,35 +10,16 @@
 
 use tokio::time::Instant;
 
+use self::proxies::{MAX_PROXY_BYTES, MAX_PROXY_TIME, Progress, Proxies, burst_time};
+
+mod proxies;
+
 /// Requests up to this size reach the peer within its first receive window, in one round trip.
 const SMALL_REQUEST_BYTES: u64 = 16 << 10;
-/// Most bytes of a request that proxies hold, acknowledged and not yet passed on.
-const MAX_PROXY_BYTES: u64 = 256 << 10;
-/// Longest time for which proxies are assumed to hold a part of a request.
-const MAX_PROXY_TIME: Duration = Duration::from_secs(1);
-/// Most bytes that a proxy passes on at once.
-const PROXY_BURST_BYTES: u64 = 64 << 10;
-/// Bounds of the time that a proxy takes to pass on a burst and the end that may follow it.
-const BURST_TIME: RangeInclusive<Duration> = Duration::from_millis(20)..=Duration::from_millis(100);
 /// Bounds of the time in which a reset follows the end of the connection.
 const RESET_DELAY: RangeInclusive<Duration> =
     Duration::from_millis(10)..=Duration::from_millis(100);
-/// Pace that is assumed if proxies may hold the whole request, which then shows only that they took it.
-const ASSUMED_BYTES_PER_SEC: f64 = 800_000.0;
-/// Longest time to pass on a request at the assumed pace.
-const MAX_ASSUMED_TIME: Duration = Duration::from_millis(80);
-/// Proxies are assumed to drain in at most this many times the time in which they took the request.
-const MAX_DRAIN_FACTOR: u32 = 2;
-/// The time of a request divided by this is that in which proxies take what they can hold.
-const EARLY_DIVISOR: u32 = 8;
-/// A peer that has not begun to respond gets its last byte later by at most this part of the time that
-/// the rest took.
-const MAX_DELAY_DIVISOR: u32 = 4;
-/// Requests above this size get time for an early response before their last byte.
-const LARGE_REQUEST_BYTES: u64 = 64 << 10;
-/// Time from the first byte of a request in which a peer that responds to its head begins to.
-const EARLY_RESPONSE_TIME: Duration = Duration::from_millis(5);
-/// Shortest time between two looks at the unacknowledged bytes.
+/// Shortest time between two looks at the send queue.
 const MIN_POLL_INTERVAL: Duration = Duration::from_millis(1);
 /// The time since the first byte divided by this is the longest time to the next look.
 const POLL_DIVISOR: u32 = 16;
@@ -70,7 +51,8 @@
         bytes: u64,
         sent: Progress,
     },
-    /// All was sent at `at`, but for a last byte that was held back; proxies may hold the rest.
+    /// All `bytes` written since `since`, but for a last byte that was held back, were sent at `at`. They
+    /// are acknowledged once `reset` is known; proxies may still hold some of them.
     Sent {
         since: Instant,
         at: Instant,
@@ -89,29 +71,10 @@
     pub(crate) unsent: u64,
 }
 
-/// Sent bytes of a request by time since its first byte.
-#[derive(Clone, Debug, Default)]
-struct Progress {
-    /// At times that at least double from one to the next.
-    sparse: Vec<(Duration, u64)>,
-    latest: (Duration, u64),
-}
-
-/// What proxies do with a request that was sent.
-#[derive(Clone, Copy, Debug, PartialEq)]
-struct Proxies {
-    /// Time in which they pass on what they hold, as far as the pace of the request shows.
-    drain: Duration,
-    /// Time in which they pass on a burst.
-    burst: Duration,
-    /// Longest delay of the last byte if no response has begun.
-    most_delay: Duration,
-}
-
 /// For how long a reset may follow the end of the connection after the request was acknowledged.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct ResetWait {
-    /// Proxies hold no part of the request any more.
+    /// Until then proxies may hold a part of the request.
     until: Instant,
     /// Time from the end of the connection to the reset.
     delay: Duration,
@@ -268,75 +231,6 @@
     }
 }
 
-impl Progress {
-    /// Records the bytes sent `elapsed` after the first was written.
-    fn record(&mut self, elapsed: Duration, bytes: u64) {
-        self.latest = (elapsed, bytes);
-        let last = self.sparse.last();
-        if last.is_none_or(|(last, _)| elapsed >= *last * 2) {
-            self.sparse.push(self.latest);
-        }
-    }
-
-    /// Returns the last sample that is not from after `elapsed`.
-    fn at(&self, elapsed: Duration) -> Option<(Duration, u64)> {
-        let samples = self.sparse.iter().rev();
-        samples.copied().find(|(at, _)| *at <= elapsed)
-    }
-
-    /// Returns the bytes per second from `start` until all of `bytes` were sent after `elapsed`; `None`
-    /// if nothing was recorded by `start`.
-    fn pace_since(&self, start: Duration, elapsed: Duration, bytes: u64) -> Option<f64> {
-        let (at, sent) = self.at(start)?;
-        let pace = (bytes - sent) as f64 / elapsed.saturating_sub(at).as_secs_f64();
-        Some(pace).filter(|pace| pace.is_finite() && *pace > 0.0)
-    }
-
-    /// Returns by how many bytes the first ones were ahead of `pace`, that of the others, since proxies
-    /// took them at once; all were sent after `elapsed`.
-    fn bytes_ahead(&self, elapsed: Duration, pace: f64) -> f64 {
-        let (at, sent) = self.at(elapsed / EARLY_DIVISOR).unwrap_or_default();
-        (sent as f64 - pace * at.as_secs_f64()).clamp(0.0, MAX_PROXY_BYTES as f64)
-    }
-
-    /// Returns the time until all of `bytes` are sent at the pace so far.
-    fn time_left(&self, elapsed: Duration, bytes: u64) -> Option<Duration> {
-        let (at, sent) = self.latest;
-        let share = bytes as f64 / sent as f64;
-        let whole = Duration::try_from_secs_f64(at.as_secs_f64() * share).ok()?;
-        Some(whole.saturating_sub(elapsed))
-    }
-}
-
-impl Proxies {
-    /// Estimates what proxies do with `bytes` that were sent within `elapsed`.
-    fn estimate(elapsed: Duration, bytes: u64, progress: &Progress) -> Self {
-        let pace_since = |start| progress.pace_since(start, elapsed, bytes);
-        let pace = pace_since(elapsed / EARLY_DIVISOR).unwrap_or(f64::INFINITY);
-        let late_pace = pace_since(elapsed / 2).map_or(pace, |late| late.min(pace));
-        let drain = match bytes {
-            ..=MAX_PROXY_BYTES if late_pace > ASSUMED_BYTES_PER_SEC => {
-                let whole = Duration::from_secs_f64(bytes as f64 / ASSUMED_BYTES_PER_SEC);
-                whole.min(MAX_ASSUMED_TIME).saturating_sub(elapsed)
-            }
-            _ => {
-                let held = progress.bytes_ahead(elapsed, pace);
-                let most = MAX_PROXY_TIME.min(elapsed * MAX_DRAIN_FACTOR);
-                Duration::try_from_secs_f64(held / late_pace).map_or(most, |drain| drain.min(most))
-            }
-        };
-        let early = match bytes {
-            ..=LARGE_REQUEST_BYTES => Duration::ZERO,
-            _ => EARLY_RESPONSE_TIME.saturating_sub(elapsed),
-        };
-        Self {
-            drain,
-            burst: burst_time(pace, &BURST_TIME),
-            most_delay: early.max(elapsed / MAX_DELAY_DIVISOR),
-        }
-    }
-}
-
 impl ResetWait {
     /// Returns the wait after `bytes`, sent since `since`, if all are acknowledged at `now`.
     fn new(since: Instant, now: Instant, bytes: u64, queue: SendQueue) -> Option<Self> {
@@ -349,13 +243,5 @@
     }
 }
 
-/// Returns the time that a proxy takes to pass on a burst at `pace`, in bytes per second, within `bounds`.
-fn burst_time(pace: f64, bounds: &RangeInclusive<Duration>) -> Duration {
-    let time = Duration::try_from_secs_f64(PROXY_BURST_BYTES as f64 / pace);
-    time.map_or(*bounds.end(), |time| {
-        time.clamp(*bounds.start(), *bounds.end())
-    })
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/outbound/src/delivery/tests.rs
+++ b/crates/outbound/src/delivery/tests.rs
@@ -3,9 +3,9 @@
 use tokio::time::Instant;
 
 use super::{
-    BURST_TIME, ConnectionEnd, Delivery, EARLY_RESPONSE_TIME, LARGE_REQUEST_BYTES,
-    MAX_DELAY_DIVISOR, MAX_PROXY_TIME, RESET_DELAY, SMALL_REQUEST_BYTES, SendQueue,
+    ConnectionEnd, Delivery, MAX_PROXY_TIME, RESET_DELAY, SMALL_REQUEST_BYTES, SendQueue,
     is_last_byte_held,
+    proxies::{BURST_TIME, EARLY_RESPONSE_TIME, LARGE_REQUEST_BYTES, MAX_DELAY_DIVISOR},
 };
 
 const UPLOAD_BYTES: u64 = 3_000_000;
