Outbound: a short upload tells the pace of proxies badly

Cause: so short an upload opens a proxy's window once or twice, so its late pace was measured far too low.

--- a/crates/outbound/src/delivery/proxies.rs
+++ b/crates/outbound/src/delivery/proxies.rs
@@ -16,8 +16,6 @@
 const ASSUMED_BYTES_PER_SEC: f64 = 800_000.0;
 /// Longest time to pass on a request at the assumed pace.
 const MAX_ASSUMED_TIME: Duration = Duration::from_millis(80);
-/// Proxies are assumed to drain in at most this many times the time in which they took the request.
-const MAX_DRAIN_FACTOR: u32 = 2;
 /// The time of a request divided by this is that in which proxies take what they can hold.
 const EARLY_DIVISOR: u32 = 8;
 /// A peer that has not begun to respond gets its last byte later by at most this part of the time that
@@ -90,20 +88,18 @@
 impl Proxies {
     /// Estimates what proxies do with `bytes` that were sent within `elapsed`.
     pub(super) fn estimate(elapsed: Duration, bytes: u64, progress: &Progress) -> Self {
-        let pace_since = |start| progress.pace_since(start, elapsed, bytes);
-        let pace = pace_since(elapsed / EARLY_DIVISOR);
-        let late_pace =
-            pace.map(|pace| pace_since(elapsed / 2).map_or(pace, |late| late.min(pace)));
-        let drain = match bytes {
-            ..=MAX_PROXY_BYTES if late_pace.is_none_or(|pace| pace > ASSUMED_BYTES_PER_SEC) => {
-                let whole = Duration::from_secs_f64(bytes as f64 / ASSUMED_BYTES_PER_SEC);
-                whole.min(MAX_ASSUMED_TIME).saturating_sub(elapsed)
+        let pace = progress.pace_since(elapsed / EARLY_DIVISOR, elapsed, bytes);
+        let drain = match pace {
+            Some(pace) if bytes > MAX_PROXY_BYTES || pace < ASSUMED_BYTES_PER_SEC => {
+                let held = progress.bytes_ahead(elapsed, pace);
+                // A short request opens the window too rarely to tell its pace well.
+                let most = MAX_PROXY_TIME.min(elapsed);
+                Duration::try_from_secs_f64(held / pace).map_or(most, |drain| drain.min(most))
             }
+            _ if bytes > MAX_PROXY_BYTES => Duration::ZERO,
             _ => {
-                let held = pace.map_or(0.0, |pace| progress.bytes_ahead(elapsed, pace));
-                let most = MAX_PROXY_TIME.min(elapsed * MAX_DRAIN_FACTOR);
-                let drain = Duration::try_from_secs_f64(held / late_pace.unwrap_or(f64::INFINITY));
-                drain.map_or(most, |drain| drain.min(most))
+                let whole = Duration::from_secs_f64(bytes as f64 / ASSUMED_BYTES_PER_SEC);
+                whole.min(MAX_ASSUMED_TIME).saturating_sub(elapsed)
             }
         };
         let early = match bytes {
