--- a/crates/outbound/tests/early_responses.rs
+++ b/crates/outbound/tests/early_responses.rs
@@ -362,6 +362,12 @@
     }
 }
 
+/// Guards against the same where the proxy takes the whole request at once and the response begins after that.
+#[tokio::test]
+async fn response_begun_while_a_silent_proxy_holds_the_whole_request_is_incomplete() {
+    check_silent_crash(100_000, 89_000, 1_000, Proxy::default()).await;
+}
+
 /// Guards against an endpoint that responds before it has read the request and waits for its last byte.
 #[tokio::test]
 async fn request_is_sent_whole_if_the_response_tells_its_end() {
